--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,21 @@
+/** Runs one measurement: `npm run -s bench -- NAME [--json]`. */
+import { benches, type BenchResult } from "./benches.ts";
+
+const [name] = process.argv.slice(2).filter((arg) => !arg.startsWith("--"));
+const isJson = process.argv.includes("--json");
+const bench = benches.find((known) => known.name === name);
+
+if (bench === undefined) {
+  const names = benches.map((known) => `  ${known.name}  ${known.description}`);
+  console.error(`Name one of the measurements:\n${names.join("\n")}`);
+  process.exitCode = 2;
+} else {
+  const result = await bench.run();
+  if (isJson) console.log(JSON.stringify({ name, ...result }, null, 2));
+  else printTables(result);
+}
+
+function printTables(result: BenchResult): void {
+  console.table(result.rows);
+  console.table(result.targets);
+}
--- /dev/null
+++ b/packages/celerytray/src/admin/admin_handler.ts
@@ -0,0 +1,124 @@
+import { initTRPC, TRPCError } from "@trpc/server";
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { type Context, Effect } from "effect";
+import { createHash, timingSafeEqual } from "node:crypto";
+import type { IncomingMessage, RequestListener } from "node:http";
+import type { Secrets } from "../settings/index.ts";
+import type { AdminOperations, ConfigApplication } from "./admin_operations.ts";
+
+/** Who asks. */
+export type AdminRole = "viewer" | "operator" | "peer";
+
+/** What a procedure knows of its caller. */
+export interface AdminContext {
+  readonly role: AdminRole | undefined;
+}
+
+/** Options of the administration server. */
+export interface AdminHandlerOptions {
+  readonly operations: AdminOperations;
+  readonly secrets: Secrets;
+  readonly runtime: Context.Context<never>;
+}
+
+const trpc = initTRPC.context<AdminContext>().create();
+
+function createAdminRouter(options: AdminHandlerOptions) {
+  const { operations } = options;
+  const run = <Value, Failure extends { readonly message: string }>(
+    effect: Effect.Effect<Value, Failure>,
+  ): Promise<Value> =>
+    Effect.runPromiseWith(options.runtime)(
+      Effect.mapError(effect, toTrpcError),
+    );
+  const viewer = createProcedure(["viewer", "operator", "peer"]);
+  const operator = createProcedure(["operator"]);
+  return trpc.router({
+    status: viewer.query(() => run(operations.status())),
+    replicas: viewer.query(() => run(operations.replicas())),
+    showConfig: viewer.query(() => run(operations.showConfig())),
+    timeline: viewer.query(() => run(operations.timeline())),
+    applyConfig: operator.input(parseApplication).mutation(({ input }) =>
+      run(operations.applyConfig(input))
+    ),
+  });
+}
+
+/** Type of the router, for clients. */
+export type AdminRouter = ReturnType<typeof createAdminRouter>;
+
+/** Creates the listener of the administration server. */
+export function createAdminHandler(
+  options: AdminHandlerOptions,
+): RequestListener {
+  return createHTTPHandler({
+    router: createAdminRouter(options),
+    createContext: ({ req }) => ({ role: findRole(req, options.secrets) }),
+  });
+}
+
+function createProcedure(roles: readonly AdminRole[]) {
+  return trpc.procedure.use(({ ctx, next }) => {
+    if (ctx.role === undefined) {
+      throw new TRPCError({
+        code: "UNAUTHORIZED",
+        message: "No valid token; set CELERYTRAY_TOKEN",
+      });
+    }
+    if (!roles.includes(ctx.role)) {
+      throw new TRPCError({
+        code: "FORBIDDEN",
+        message: `The token's role is ${ctx.role}; use an operator's token`,
+      });
+    }
+    return next();
+  });
+}
+
+function findRole(
+  request: IncomingMessage,
+  secrets: Secrets,
+): AdminRole | undefined {
+  const token = /^Bearer (.+)$/i.exec(request.headers.authorization ?? "")?.[1];
+  if (token === undefined) return undefined;
+  if (isSameSecret(token, secrets.operatorToken)) return "operator";
+  if (isSameSecret(token, secrets.peerSecret)) return "peer";
+  if (secrets.viewerToken === undefined) return undefined;
+  return isSameSecret(token, secrets.viewerToken) ? "viewer" : undefined;
+}
+
+/** Compares in constant time, whatever the lengths. */
+function isSameSecret(given: string, expected: string): boolean {
+  const digest = (text: string) => createHash("sha256").update(text).digest();
+  return timingSafeEqual(digest(given), digest(expected));
+}
+
+function parseApplication(input: unknown): ConfigApplication {
+  const application = input as Partial<ConfigApplication> | null;
+  const { config, refinesVersion, author } = application ?? {};
+  if (typeof config !== "object" || typeof author !== "string") {
+    throw new Error("Needs config and author; use celerytray config apply");
+  }
+  if (refinesVersion !== undefined && !Number.isInteger(refinesVersion)) {
+    throw new Error("refinesVersion must be a whole number");
+  }
+  return { config, refinesVersion, author };
+}
+
+function toTrpcError(
+  error: { readonly _tag?: string; readonly message: string },
+): TRPCError {
+  const { message } = error;
+  switch (error._tag) {
+    case "ConfigConflict":
+      return new TRPCError({ code: "CONFLICT", message, cause: error });
+    case "ConfigRejected":
+      return new TRPCError({ code: "BAD_REQUEST", message, cause: error });
+    default:
+      return new TRPCError({
+        code: "SERVICE_UNAVAILABLE",
+        message,
+        cause: error,
+      });
+  }
+}
--- /dev/null
+++ b/packages/celerytray/src/admin/admin_operations.ts
@@ -0,0 +1,66 @@
+import type { ConfigSet } from "@celerytray/schema";
+import type { Effect } from "effect";
+import type { ConfigConflict, ConfigRejected } from "../config/index.ts";
+import type { LogAnswerLost, LogUnavailable } from "../log/index.ts";
+import type { TimelineEvent } from "../timeline/index.ts";
+
+/** The state of one entry instance. */
+export interface EntryStatus {
+  readonly instanceId: string;
+  readonly availabilityZone: string;
+  /** Why it takes no requests; undefined when ready. */
+  readonly notReadyReason?: string | undefined;
+  readonly configVersion: number;
+  /** Log service's clock, Unix time. */
+  readonly configAcceptedAtMs: number;
+  readonly callsInFlight: number;
+  readonly services: readonly ServiceStatus[];
+}
+
+/** How many replicas of a service serve. */
+export interface ServiceStatus {
+  readonly service: string;
+  readonly kind: "model" | "plain";
+  readonly wantedReplicas: number;
+  readonly readyReplicas: number;
+}
+
+/** One replica for operators. */
+export interface ReplicaDescription {
+  readonly replicaId: string;
+  readonly state: string;
+  readonly fencingNumber: number;
+  readonly members: readonly string[];
+  /** Members that keep it from serving. */
+  readonly faultyMembers: readonly string[];
+}
+
+/** The configuration in force. */
+export interface ConfigDescription {
+  readonly version: number;
+  readonly author: string;
+  /** Log service's clock, Unix time. */
+  readonly acceptedAtMs: number;
+  readonly config: ConfigSet;
+}
+
+/** A configuration to publish. */
+export interface ConfigApplication {
+  readonly config: unknown;
+  readonly refinesVersion?: number | undefined;
+  readonly author: string;
+}
+
+/** What operators can do on an entry instance. */
+export interface AdminOperations {
+  readonly status: () => Effect.Effect<EntryStatus>;
+  readonly replicas: () => Effect.Effect<readonly ReplicaDescription[]>;
+  readonly showConfig: () => Effect.Effect<ConfigDescription>;
+  readonly applyConfig: (
+    application: ConfigApplication,
+  ) => Effect.Effect<
+    { readonly version: number; readonly changed: boolean },
+    ConfigRejected | ConfigConflict | LogUnavailable | LogAnswerLost
+  >;
+  readonly timeline: () => Effect.Effect<readonly TimelineEvent[]>;
+}
--- /dev/null
+++ b/packages/celerytray/src/admin/index.ts
@@ -0,0 +1,9 @@
+/** Administration over trpc. */
+export { type AdminRouter, createAdminHandler } from "./admin_handler.ts";
+export type {
+  AdminOperations,
+  ConfigDescription,
+  EntryStatus,
+  ReplicaDescription,
+} from "./admin_operations.ts";
+export { type AdminClient, createAdminClient } from "./admin_client.ts";
--- /dev/null
+++ b/packages/celerytray/src/admission/rate_admission.ts
@@ -0,0 +1,80 @@
+import type { Organisation } from "@celerytray/schema";
+import { Data } from "effect";
+import { type Either, Left, Right } from "purify-ts";
+
+/** A request that asks to be admitted. */
+export interface AdmissionRequest {
+  readonly organisationName: string;
+  readonly organisation: Organisation;
+  readonly nowMs: number;
+}
+
+/** A request was refused before anything of it ran. */
+export class AdmissionRefused extends Data.TaggedError("AdmissionRefused")<{
+  readonly retryAfterMs: number;
+  readonly message: string;
+}> {}
+
+/** Decides whether a request is admitted. */
+export interface Admission {
+  admit(request: AdmissionRequest): Either<AdmissionRefused, void>;
+}
+
+interface Bucket {
+  tokens: number;
+  filledAtMs: number;
+}
+
+const MS_PER_SECOND = 1_000;
+
+/** Holds each organisation to this entry instance's share of its rate. */
+export class RateAdmission implements Admission {
+  readonly #buckets = new Map<string, Bucket>();
+  readonly #shareOf: (organisationName: string) => number;
+
+  /** `shareOf` gives this entry instance's part of an organisation's limit, 0 to 1. */
+  constructor(options: { readonly shareOf: (name: string) => number }) {
+    this.#shareOf = options.shareOf;
+  }
+
+  admit(request: AdmissionRequest): Either<AdmissionRefused, void> {
+    const { requestsPerSecond } = request.organisation;
+    if (requestsPerSecond === undefined) return Right(undefined);
+    const share = this.#shareOf(request.organisationName);
+    const rate = requestsPerSecond * share;
+    const capacity = Math.max(
+      1,
+      (request.organisation.burstRequests ?? requestsPerSecond) * share,
+    );
+    const bucket = this.#fill(request, { rate, capacity });
+    if (bucket.tokens >= 1) {
+      bucket.tokens -= 1;
+      return Right(undefined);
+    }
+    const retryAfterMs = Math.ceil((1 - bucket.tokens) / rate * MS_PER_SECOND);
+    return Left(
+      new AdmissionRefused({
+        retryAfterMs,
+        message:
+          `Organisation ${request.organisationName} is over its request rate; retry after ${retryAfterMs} ms`,
+      }),
+    );
+  }
+
+  #fill(
+    request: AdmissionRequest,
+    limit: { readonly rate: number; readonly capacity: number },
+  ): Bucket {
+    const { organisationName, nowMs } = request;
+    let bucket = this.#buckets.get(organisationName);
+    if (bucket === undefined) {
+      bucket = { tokens: limit.capacity, filledAtMs: nowMs };
+      this.#buckets.set(organisationName, bucket);
+    }
+    const elapsedMs = Math.max(0, nowMs - bucket.filledAtMs);
+    const gained = elapsedMs * limit.rate / MS_PER_SECOND;
+    bucket.tokens = Math.min(limit.capacity, bucket.tokens + gained);
+    bucket.filledAtMs = nowMs;
+    return bucket;
+  }
+}
--- /dev/null
+++ b/packages/celerytray/src/config/check_config.ts
@@ -0,0 +1,63 @@
+import { type ConfigSet, validateConfigSet } from "@celerytray/schema";
+import { type Either, Left, Right } from "purify-ts";
+import { describeValidationErrors } from "../errors/index.ts";
+import { ConfigProblem } from "./config_problem.ts";
+import type { MergedConfig } from "./merge_config_files.ts";
+
+/** Checks a merged folder against the schema and its own references. */
+export function checkConfig(
+  merged: MergedConfig,
+): Either<readonly ConfigProblem[], ConfigSet> {
+  if (!validateConfigSet(merged.content)) {
+    const problems = describeValidationErrors(validateConfigSet);
+    return Left(
+      problems.map(({ field, message }) =>
+        new ConfigProblem({ file: findSource(merged, field), field, message })
+      ),
+    );
+  }
+  const config = merged.content as ConfigSet;
+  const problems = findDanglingReferences(config).map(({ field, message }) =>
+    new ConfigProblem({ file: findSource(merged, field), field, message })
+  );
+  return problems.length > 0 ? Left(problems) : Right(config);
+}
+
+/** The file that set a field, or the nearest one below or above it. */
+function findSource(merged: MergedConfig, field: string): string {
+  const exact = merged.sources.get(field);
+  if (exact !== undefined) return exact;
+  for (const [path, file] of merged.sources) {
+    if (path.startsWith(`${field}.`)) return file;
+  }
+  const parent = field.slice(0, Math.max(0, field.lastIndexOf(".")));
+  return parent === "" ? "" : findSource(merged, parent);
+}
+
+interface DanglingReference {
+  readonly field: string;
+  readonly message: string;
+}
+
+function findDanglingReferences(config: ConfigSet): DanglingReference[] {
+  const found: DanglingReference[] = [];
+  for (const [name, service] of Object.entries(config.services)) {
+    if (!Object.hasOwn(config.deployments, service.deployment)) {
+      found.push({
+        field: `services.${name}.deployment`,
+        message:
+          `no deployment is named ${service.deployment}; declare it under deployments`,
+      });
+    }
+  }
+  for (const [name, organisation] of Object.entries(config.organisations)) {
+    for (const service of organisation.services) {
+      if (Object.hasOwn(config.services, service)) continue;
+      found.push({
+        field: `organisations.${name}.services`,
+        message: `no service is named ${service}; declare it under services`,
+      });
+    }
+  }
+  return found;
+}
--- /dev/null
+++ b/packages/celerytray/src/entry/entry_operations.ts
@@ -0,0 +1,128 @@
+import { type ConfigRecord, type ConfigSet } from "@celerytray/schema";
+import { Clock, Effect, HashMap } from "effect";
+import { randomUUID } from "node:crypto";
+import type {
+  AdminOperations,
+  EntryStatus,
+  ReplicaDescription,
+} from "../admin/index.ts";
+import {
+  checkConfig,
+  ConfigRejected,
+  type ConfigState,
+  publishConfig,
+} from "../config/index.ts";
+import { fromEither } from "../errors/index.ts";
+import {
+  findReplicaHealth,
+  type FleetState,
+  type MemberObservation,
+} from "../fleet/index.ts";
+import type { InFlightCalls } from "../forwarding/index.ts";
+import type { LogWriter, StreamView } from "../log/index.ts";
+import type { ResolvedEntrySettings } from "../settings/index.ts";
+import type { Timeline } from "../timeline/index.ts";
+import type { ReadyBackends } from "./ready_backends.ts";
+
+/** The parts of an entry instance that operators see. */
+export interface EntryParts {
+  readonly settings: ResolvedEntrySettings;
+  readonly config: StreamView<ConfigState>;
+  readonly fleet: StreamView<FleetState>;
+  readonly configWriter: LogWriter;
+  readonly observations: ReadonlyMap<string, MemberObservation>;
+  readonly backends: ReadyBackends;
+  readonly calls: InFlightCalls;
+  readonly timeline: Timeline;
+  readonly maxObservationAgeMs: number;
+  readonly notReadyReason: () => string | undefined;
+}
+
+/** Creates what operators can do on an entry instance. */
+export function createEntryOperations(parts: EntryParts): AdminOperations {
+  return {
+    status: () => Effect.sync(() => describeStatus(parts)),
+    replicas: () => describeReplicas(parts),
+    showConfig: () =>
+      Effect.sync(() => {
+        const { version, author, acceptedAtMs, config } = parts.config
+          .current();
+        return { version, author, acceptedAtMs, config };
+      }),
+    timeline: () => Effect.sync(() => parts.timeline.latest()),
+    applyConfig: ({ config, refinesVersion, author }) =>
+      Effect.gen(function* () {
+        const checked = yield* checkSubmitted(config);
+        return yield* publishConfig({
+          config: checked,
+          author,
+          recordId: randomUUID(),
+          current: parts.config.current,
+          append: (record: ConfigRecord) => parts.configWriter.append(record),
+          waitForOffset: parts.config.waitForOffset,
+          ...(refinesVersion === undefined ? {} : { refinesVersion }),
+        });
+      }),
+  };
+}
+
+function checkSubmitted(
+  content: unknown,
+): Effect.Effect<ConfigSet, ConfigRejected> {
+  const checked = checkConfig({ content, sources: new Map() });
+  return fromEither(checked.mapLeft((problems) =>
+    new ConfigRejected({
+      problems,
+      message: problems.map(String).join("\n"),
+    })
+  ));
+}
+
+function describeStatus(parts: EntryParts): EntryStatus {
+  const { settings, backends } = parts;
+  const { version, acceptedAtMs, config } = parts.config.current();
+  const services = Object.entries(config.services).map(([name, service]) => ({
+    service: name,
+    kind: service.kind,
+    wantedReplicas: service.replicaCount,
+    readyReplicas: service.kind === "model"
+      ? backends.listReplicas(name).length
+      : backends.listPlain(name).length,
+  }));
+  return {
+    instanceId: settings.instanceId,
+    availabilityZone: settings.availabilityZone,
+    notReadyReason: parts.notReadyReason(),
+    configVersion: version,
+    configAcceptedAtMs: acceptedAtMs,
+    callsInFlight: parts.calls.count,
+    services,
+  };
+}
+
+function describeReplicas(
+  parts: EntryParts,
+): Effect.Effect<ReplicaDescription[]> {
+  return Effect.gen(function* () {
+    const nowMs = yield* Clock.currentTimeMillis;
+    const { observations, maxObservationAgeMs } = parts;
+    const replicas = [...HashMap.values(parts.fleet.current().replicas)];
+    const ordered = replicas.toSorted((a, b) =>
+      a.service < b.service ? -1 : a.service > b.service ? 1 : a.slot - b.slot
+    );
+    return ordered.map((replica) => {
+      const health = findReplicaHealth(replica, {
+        observations,
+        nowMs,
+        maxAgeMs: maxObservationAgeMs,
+      });
+      return {
+        replicaId: replica.replicaId,
+        state: health.state,
+        fencingNumber: replica.fencingNumber,
+        members: replica.members,
+        faultyMembers: health.state === "ready" ? [] : health.members,
+      };
+    });
+  });
+}
--- /dev/null
+++ b/packages/celerytray/src/entry/index.ts
@@ -0,0 +1,6 @@
+/** An entry instance, put together. */
+export {
+  createEntryInstance,
+  type EntryInstance,
+  type EntryInstanceOptions,
+} from "./create_entry_instance.ts";
--- /dev/null
+++ b/packages/celerytray/src/errors/from_either.ts
@@ -0,0 +1,12 @@
+import { Effect } from "effect";
+import type { Either } from "purify-ts";
+
+/** Turns the result of a pure decision into an effect that fails with its left side. */
+export function fromEither<Error, Value>(
+  either: Either<Error, Value>,
+): Effect.Effect<Value, Error> {
+  return either.caseOf<Effect.Effect<Value, Error>>({
+    Left: (error) => Effect.fail(error),
+    Right: (value) => Effect.succeed(value),
+  });
+}
--- /dev/null
+++ b/packages/celerytray/src/fleet/create_orders.ts
@@ -0,0 +1,85 @@
+import type { EngineOrder, Instance, ModelService } from "@celerytray/schema";
+import { HashMap } from "effect";
+import type { FleetState, Replica } from "./fold_fleet_record.ts";
+import { matchesReplica, type MemberObservation } from "./replica_health.ts";
+
+/** An order and the instance it goes to. */
+export interface AddressedOrder {
+  readonly instanceId: string;
+  readonly address: string;
+  readonly order: EngineOrder;
+}
+
+/** What orders are worked out from. */
+export interface OrderInput {
+  readonly fleet: FleetState;
+  readonly instances: ReadonlyMap<string, Instance>;
+  readonly observations: ReadonlyMap<string, MemberObservation>;
+  readonly findService: (name: string) => ModelService | undefined;
+  /** Replicas and free instances that this process looks after. */
+  readonly isOwner: (name: string) => boolean;
+}
+
+/** Orders that bring engines to what the fleet's records say. */
+export function createOrders(input: OrderInput): AddressedOrder[] {
+  return [...createJoinOrders(input), ...createReleaseOrders(input)];
+}
+
+function createJoinOrders(input: OrderInput): AddressedOrder[] {
+  const orders: AddressedOrder[] = [];
+  for (const replica of HashMap.values(input.fleet.replicas)) {
+    const service = input.findService(replica.service);
+    if (service === undefined || !input.isOwner(replica.replicaId)) continue;
+    for (const member of replica.members) {
+      const seen = input.observations.get(member);
+      const instance = input.instances.get(member);
+      if (seen === undefined || instance === undefined) continue;
+      if (matchesReplica(seen.status, replica)) continue;
+      const order = createJoinOrder(replica, { member, service, input });
+      orders.push({ instanceId: member, address: instance.address, order });
+    }
+  }
+  return orders;
+}
+
+interface JoinTarget {
+  readonly member: string;
+  readonly service: ModelService;
+  readonly input: OrderInput;
+}
+
+function createJoinOrder(replica: Replica, target: JoinTarget): EngineOrder {
+  const { member, service, input } = target;
+  return {
+    kind: "join",
+    fencingNumber: replica.fencingNumber,
+    replicaId: replica.replicaId,
+    rank: replica.members.indexOf(member),
+    memberAddresses: replica.members.map((name) =>
+      input.instances.get(name)?.address ?? ""
+    ),
+    model: service.model,
+    ...(service.modelVersion === undefined
+      ? {}
+      : { modelVersion: service.modelVersion }),
+  };
+}
+
+/** Engines that still hold an assignment though no replica counts them. */
+function createReleaseOrders(input: OrderInput): AddressedOrder[] {
+  const orders: AddressedOrder[] = [];
+  for (const [instanceId, seen] of input.observations) {
+    const { assignment } = seen.status;
+    const instance = input.instances.get(instanceId);
+    if (assignment === undefined || instance === undefined) continue;
+    if (HashMap.has(input.fleet.replicaIdByMember, instanceId)) continue;
+    if (!input.isOwner(instanceId)) continue;
+    if (assignment.fencingNumber > input.fleet.offset) continue;
+    const order: EngineOrder = {
+      kind: "release",
+      fencingNumber: input.fleet.offset,
+    };
+    orders.push({ instanceId, address: instance.address, order });
+  }
+  return orders;
+}
--- /dev/null
+++ b/packages/celerytray/src/fleet/fold_fleet_record.ts
@@ -0,0 +1,109 @@
+import type { DissolveRecord, FormRecord } from "@celerytray/schema";
+import { HashMap, Option } from "effect";
+import type { LogEntry } from "../log/index.ts";
+
+/** A replica that a record on the log formed. */
+export interface Replica {
+  /** Service and slot; stays the same over formations. */
+  readonly replicaId: string;
+  readonly service: string;
+  readonly slot: number;
+  /** Offset of the record that formed it; later formations have higher ones. */
+  readonly fencingNumber: number;
+  /** Instance identifiers; the first leads. */
+  readonly members: readonly string[];
+  /** Log service's clock, Unix time. */
+  readonly formedAtMs: number;
+}
+
+/** All replicas as the log's order decided them. */
+export interface FleetState {
+  /** Offset of the last record folded; -1 before the first. */
+  readonly offset: number;
+  readonly replicas: HashMap.HashMap<string, Replica>;
+  /** Replica that each instance belongs to. */
+  readonly replicaIdByMember: HashMap.HashMap<string, string>;
+}
+
+/** The state before any record. */
+export function emptyFleetState(): FleetState {
+  return {
+    offset: -1,
+    replicas: HashMap.empty(),
+    replicaIdByMember: HashMap.empty(),
+  };
+}
+
+/** Identifies the replica of a service's slot. */
+export function createReplicaId(service: string, slot: number): string {
+  return `${service}/${slot}`;
+}
+
+/**
+ * Applies one record; a record whose condition does not hold changes nothing
+ * but the offset.
+ */
+export function foldFleetRecord(
+  state: FleetState,
+  entry: LogEntry,
+): FleetState {
+  if (entry.offset <= state.offset) return state;
+  const { record } = entry;
+  const advanced = { ...state, offset: entry.offset };
+  if (record.kind === "form") return formReplica(advanced, { entry, record });
+  if (record.kind === "dissolve") return dissolveReplica(advanced, record);
+  return advanced;
+}
+
+interface FormEntry {
+  readonly entry: LogEntry;
+  readonly record: FormRecord;
+}
+
+function formReplica(state: FleetState, form: FormEntry): FleetState {
+  const { entry, record } = form;
+  const replicaId = createReplicaId(record.service, record.slot);
+  const isDistinct = new Set(record.members).size === record.members.length;
+  const isSlotFree = !HashMap.has(state.replicas, replicaId);
+  const areMembersFree = record.members.every((member) =>
+    !HashMap.has(state.replicaIdByMember, member)
+  );
+  if (!isDistinct || !isSlotFree || !areMembersFree) return state;
+  const replica: Replica = {
+    replicaId,
+    service: record.service,
+    slot: record.slot,
+    fencingNumber: entry.offset,
+    members: record.members,
+    formedAtMs: entry.appendedAtMs,
+  };
+  let replicaIdByMember = state.replicaIdByMember;
+  for (const member of record.members) {
+    replicaIdByMember = HashMap.set(replicaIdByMember, member, replicaId);
+  }
+  return {
+    ...state,
+    replicas: HashMap.set(state.replicas, replicaId, replica),
+    replicaIdByMember,
+  };
+}
+
+function dissolveReplica(
+  state: FleetState,
+  record: DissolveRecord,
+): FleetState {
+  const replicaId = createReplicaId(record.service, record.slot);
+  const replica = Option.getOrUndefined(
+    HashMap.get(state.replicas, replicaId),
+  );
+  if (replica?.fencingNumber !== record.fencingNumber) return state;
+  let replicaIdByMember = state.replicaIdByMember;
+  for (const member of replica.members) {
+    replicaIdByMember = HashMap.remove(replicaIdByMember, member);
+  }
+  return {
+    ...state,
+    replicas: HashMap.remove(state.replicas, replicaId),
+    replicaIdByMember,
+  };
+}
--- /dev/null
+++ b/packages/celerytray/src/fleet/replica_health.ts
@@ -0,0 +1,67 @@
+import type { EngineStatus } from "@celerytray/schema";
+import type { Replica } from "./fold_fleet_record.ts";
+
+/** What was last read of an instance. */
+export interface MemberObservation {
+  readonly status: EngineStatus;
+  readonly observedAtMs: number;
+}
+
+/** Whether a replica may serve, and if not, why. */
+export type ReplicaHealth =
+  | { readonly state: "ready" }
+  | { readonly state: "loading"; readonly members: readonly string[] }
+  | { readonly state: "mismatched"; readonly members: readonly string[] }
+  | { readonly state: "incomplete"; readonly members: readonly string[] };
+
+/** What a judgement of health rests on. */
+export interface HealthInput {
+  readonly observations: ReadonlyMap<string, MemberObservation>;
+  readonly nowMs: number;
+  /** Age above which an observation no longer counts. */
+  readonly maxAgeMs: number;
+}
+
+/**
+ * A replica is ready only while each of its instances was seen recently,
+ * with this replica's identifier and fencing number, and loaded.
+ */
+export function findReplicaHealth(
+  replica: Replica,
+  input: HealthInput,
+): ReplicaHealth {
+  const missing: string[] = [];
+  const mismatched: string[] = [];
+  const loading: string[] = [];
+  for (const member of replica.members) {
+    const observation = input.observations.get(member);
+    if (
+      observation === undefined ||
+      input.nowMs - observation.observedAtMs > input.maxAgeMs
+    ) {
+      missing.push(member);
+    } else if (!matchesReplica(observation.status, replica)) {
+      mismatched.push(member);
+    } else if (observation.status.state !== "ready") {
+      loading.push(member);
+    }
+  }
+  if (missing.length > 0) return { state: "incomplete", members: missing };
+  if (mismatched.length > 0) {
+    return { state: "mismatched", members: mismatched };
+  }
+  if (loading.length > 0) return { state: "loading", members: loading };
+  return { state: "ready" };
+}
+
+/** Whether an engine holds exactly this formation of the replica. */
+export function matchesReplica(
+  status: EngineStatus,
+  replica: Replica,
+): boolean {
+  const { assignment } = status;
+  return assignment !== undefined &&
+    assignment.replicaId === replica.replicaId &&
+    assignment.fencingNumber === replica.fencingNumber &&
+    assignment.rank === replica.members.indexOf(status.instanceId);
+}
--- /dev/null
+++ b/packages/celerytray/src/forwarding/caller_handler.ts
@@ -0,0 +1,228 @@
+import type { ConfigSet } from "@celerytray/schema";
+import { Clock, type Context, Effect, Fiber } from "effect";
+import type {
+  Agent,
+  IncomingMessage,
+  RequestListener,
+  ServerResponse,
+} from "node:http";
+import { randomUUID } from "node:crypto";
+import type { Admission, AdmissionRefused } from "../admission/index.ts";
+import { fromEither } from "../errors/index.ts";
+import { discardBody, readBody } from "../http/index.ts";
+import type { Router } from "../routing/index.ts";
+import type { TimelineFields } from "../timeline/index.ts";
+import { authenticate, type AuthenticatedCaller } from "./authenticate.ts";
+import { callPlainService } from "./call_plain_service.ts";
+import {
+  CallerError,
+  createErrorBody,
+  writeCallerError,
+} from "./caller_error.ts";
+import { completeChat } from "./complete_chat.ts";
+import type {
+  ForwardingClaims,
+  PlainInstance,
+  ReadyReplica,
+} from "./forwarding_types.ts";
+import type { InFlightCalls } from "./in_flight_calls.ts";
+
+/** What the data plane needs of its entry instance. */
+export interface ForwardingDependencies {
+  readonly availabilityZone: string;
+  readonly maxBodyBytes: number;
+  readonly agent: Agent;
+  readonly router: Router;
+  readonly admission: Admission;
+  readonly claims: ForwardingClaims;
+  readonly calls: InFlightCalls;
+  readonly config: () => ConfigSet;
+  /** Why no request is taken now; undefined when ready. */
+  readonly notReadyReason: () => string | undefined;
+  readonly listReadyReplicas: (service: string) => readonly ReadyReplica[];
+  readonly listPlainInstances: (service: string) => readonly PlainInstance[];
+  /** Takes note of a request sent to a replica. */
+  readonly noteSent: (replicaId: string) => void;
+  readonly recordEvent: (
+    kind: string,
+    fields: TimelineFields,
+  ) => Effect.Effect<void>;
+}
+
+/** One authenticated call and its body. */
+export interface CallContext extends AuthenticatedCaller {
+  readonly requestId: string;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: Buffer;
+  readonly config: ConfigSet;
+  readonly arrivedAtMs: number;
+}
+
+const NOT_READY_RETRY_MS = 2_000;
+const MAX_DISCARDED_BYTES = 64 * 1024 * 1024;
+const SERVICES_PREFIX = "/services/";
+const COMPLETION_PATHS = ["/v1/chat/completions", "/v1/completions"];
+
+/** Creates the listener that serves callers. */
+export function createCallerHandler(
+  dependencies: ForwardingDependencies,
+  runtime: Context.Context<never>,
+): RequestListener {
+  const run = Effect.runForkWith(runtime);
+  return (request, response) => {
+    if (answerProbe(request, { response, dependencies })) return;
+    dependencies.calls.begin();
+    const fiber = run(serveCall(request, { response, dependencies }));
+    fiber.addObserver(() => dependencies.calls.end());
+    response.on("close", () => {
+      if (!response.writableFinished) run(Fiber.interrupt(fiber));
+    });
+  };
+}
+
+interface Exchange {
+  readonly response: ServerResponse;
+  readonly dependencies: ForwardingDependencies;
+}
+
+/** Answers the balancer's probes. */
+function answerProbe(request: IncomingMessage, exchange: Exchange): boolean {
+  const { response, dependencies } = exchange;
+  if (request.url === "/livez") {
+    response.end("ok\n");
+    return true;
+  }
+  if (request.url !== "/readyz") return false;
+  const reason = dependencies.notReadyReason();
+  response.statusCode = reason === undefined ? 200 : 503;
+  response.end(`${reason ?? "ok"}\n`);
+  return true;
+}
+
+function serveCall(
+  request: IncomingMessage,
+  exchange: Exchange,
+): Effect.Effect<void> {
+  const { response, dependencies } = exchange;
+  const requestId = `req-${randomUUID()}`;
+  response.setHeader("x-request-id", requestId);
+  const served = Effect.gen(function* () {
+    const context = yield* openCall(request, { ...exchange, requestId });
+    yield* dependencies.recordEvent("request.admitted", { requestId });
+    yield* dispatch(context, dependencies);
+    yield* dependencies.recordEvent("request.finished", { requestId });
+  });
+  return served.pipe(
+    Effect.catchTag(
+      "CallerError",
+      (error) =>
+        dependencies.recordEvent("request.failed", {
+          requestId,
+          detail: `${error.code}: ${error.message}`,
+        }).pipe(Effect.andThen(Effect.sync(() => failCall(response, error)))),
+    ),
+  );
+}
+
+interface OpeningCall extends Exchange {
+  readonly requestId: string;
+}
+
+function openCall(
+  request: IncomingMessage,
+  opening: OpeningCall,
+): Effect.Effect<CallContext, CallerError> {
+  const { response, dependencies, requestId } = opening;
+  return Effect.gen(function* () {
+    const reason = dependencies.notReadyReason();
+    if (reason !== undefined) return yield* createNotReadyError(reason);
+    const config = dependencies.config();
+    const caller = yield* fromEither(authenticate(request, config));
+    const nowMs = yield* Clock.currentTimeMillis;
+    const admitted = dependencies.admission.admit({ ...caller, nowMs });
+    yield* fromEither(admitted.mapLeft(createRefusedError));
+    const body = yield* readBody(request, {
+      maxBytes: dependencies.maxBodyBytes,
+    }).pipe(Effect.mapError(({ maxBytes }) => createTooLargeError(maxBytes)));
+    return {
+      ...caller,
+      requestId,
+      request,
+      response,
+      body,
+      config,
+      arrivedAtMs: nowMs,
+    };
+  });
+}
+
+function dispatch(
+  context: CallContext,
+  dependencies: ForwardingDependencies,
+): Effect.Effect<void, CallerError> {
+  const path = (context.request.url ?? "/").split("?")[0]!;
+  if (path.startsWith(SERVICES_PREFIX)) {
+    return callPlainService(context, dependencies);
+  }
+  if (COMPLETION_PATHS.includes(path) && context.request.method === "POST") {
+    return completeChat(context, dependencies);
+  }
+  return Effect.fail(
+    new CallerError({
+      status: 404,
+      type: "invalid_request_error",
+      code: "unknown_path",
+      message:
+        "No such path; use POST /v1/chat/completions or /services/NAME/...",
+      outcome: "not-run",
+    }),
+  );
+}
+
+/** Tells the caller of a failure, also within a stream that has begun. */
+function failCall(response: ServerResponse, error: CallerError): void {
+  const contentType = response.getHeader("content-type");
+  const isStream = response.headersSent && contentType === "text/event-stream";
+  if (!isStream) {
+    const { req: request } = response;
+    if (!request.complete) {
+      discardBody(request, { maxBytes: MAX_DISCARDED_BYTES });
+    }
+    writeCallerError(response, error);
+    return;
+  }
+  response.end(`data: ${createErrorBody(error)}\n\n`);
+}
+
+function createNotReadyError(reason: string): CallerError {
+  return new CallerError({
+    status: 503,
+    type: "server_error",
+    code: "not_ready",
+    message: `This entry instance takes no requests: ${reason}; retry`,
+    outcome: "not-run",
+    retryAfterMs: NOT_READY_RETRY_MS,
+  });
+}
+
+function createRefusedError(refused: AdmissionRefused): CallerError {
+  return new CallerError({
+    status: 429,
+    type: "rate_limit_error",
+    code: "rate_limit_exceeded",
+    message: refused.message,
+    outcome: "not-run",
+    retryAfterMs: refused.retryAfterMs,
+  });
+}
+
+function createTooLargeError(maxBytes: number): CallerError {
+  return new CallerError({
+    status: 413,
+    type: "invalid_request_error",
+    code: "body_too_large",
+    message: `The body exceeds ${maxBytes} bytes; send a smaller one`,
+    outcome: "not-run",
+  });
+}
--- /dev/null
+++ b/packages/celerytray/src/forwarding/index.ts
@@ -0,0 +1,18 @@
+/** The life of one caller's request. */
+export { CallerError, type CallOutcomeState } from "./caller_error.ts";
+export {
+  createCallerHandler,
+  type ForwardingDependencies,
+} from "./caller_handler.ts";
+export { InFlightCalls } from "./in_flight_calls.ts";
+export {
+  type AttemptOutcome,
+  runStreamAttempt,
+  type StreamAttemptOptions,
+} from "./stream_attempt.ts";
+export { CompletionSink } from "./completion_sink.ts";
+export type {
+  ForwardingClaims,
+  PlainInstance,
+  ReadyReplica,
+} from "./forwarding_types.ts";
--- /dev/null
+++ b/packages/celerytray/src/http/index.ts
@@ -0,0 +1,14 @@
+/** HTTP over Node's `http`, as effects. */
+export {
+  HttpFailure,
+  type HttpFailureReason,
+  requestJson,
+  type RequestJsonOptions,
+} from "./request_json.ts";
+export { BodyTooLarge, discardBody, readBody } from "./read_body.ts";
+export {
+  listen,
+  ListenFailure,
+  type ListenOptions,
+  parseAddress,
+} from "./listen.ts";
--- /dev/null
+++ b/packages/celerytray/src/http/listen.ts
@@ -0,0 +1,51 @@
+import { Data, Effect, type Scope } from "effect";
+import type { RequestListener, Server } from "node:http";
+import { createServer } from "node:http";
+
+/** Options of a listening server. */
+export interface ListenOptions {
+  /** IP:PORT to listen on. */
+  readonly address: string;
+  readonly handler: RequestListener;
+}
+
+/** The address could not be listened on. */
+export class ListenFailure extends Data.TaggedError("ListenFailure")<{
+  readonly message: string;
+}> {}
+
+/** Splits IP:PORT. */
+export function parseAddress(
+  address: string,
+): { readonly host: string; readonly port: number } {
+  const separator = address.lastIndexOf(":");
+  return {
+    host: address.slice(0, separator),
+    port: Number(address.slice(separator + 1)),
+  };
+}
+
+/** Listens until the scope closes; closing cuts the connections left over. */
+export function listen(
+  options: ListenOptions,
+): Effect.Effect<Server, ListenFailure, Scope.Scope> {
+  const open = Effect.callback<Server, ListenFailure>((resume) => {
+    const server = createServer(options.handler);
+    server.once("error", (error) =>
+      resume(Effect.fail(
+        new ListenFailure({
+          message:
+            `Cannot listen on ${options.address}: ${error.message}; choose a free IP:PORT`,
+        }),
+      )));
+    server.listen(
+      parseAddress(options.address),
+      () => resume(Effect.succeed(server)),
+    );
+  });
+  return Effect.acquireRelease(open, (server) =>
+    Effect.sync(() => {
+      server.close();
+      server.closeAllConnections();
+    }));
+}
--- /dev/null
+++ b/packages/celerytray/src/http/read_body.ts
@@ -0,0 +1,53 @@
+import { Data, Effect } from "effect";
+import type { IncomingMessage } from "node:http";
+
+/** A body that exceeds its limit, or that its sender cut off. */
+export class BodyTooLarge extends Data.TaggedError("BodyTooLarge")<{
+  readonly maxBytes: number;
+}> {}
+
+/** Reads a whole body, up to a limit; fails at once on a larger one. */
+export function readBody(
+  message: IncomingMessage,
+  options: { readonly maxBytes: number },
+): Effect.Effect<Buffer, BodyTooLarge> {
+  return Effect.callback<Buffer, BodyTooLarge>((resume) => {
+    const tooLarge = new BodyTooLarge({ maxBytes: options.maxBytes });
+    const declaredBytes = Number(message.headers["content-length"] ?? 0);
+    if (declaredBytes > options.maxBytes) {
+      resume(Effect.fail(tooLarge));
+      return;
+    }
+    const chunks: Buffer[] = [];
+    let receivedBytes = 0;
+    message.on("data", (chunk: Buffer) => {
+      receivedBytes += chunk.length;
+      if (receivedBytes > options.maxBytes) {
+        message.removeAllListeners("data");
+        chunks.length = 0;
+        resume(Effect.fail(tooLarge));
+      } else {
+        chunks.push(chunk);
+      }
+    });
+    message.on("end", () => resume(Effect.succeed(Buffer.concat(chunks))));
+    message.on("close", () => {
+      if (!message.complete) resume(Effect.interrupt);
+    });
+  });
+}
+
+/**
+ * Reads what is left of a body and drops it, so that a caller who still
+ * writes can read an early answer; cuts the connection beyond a limit.
+ */
+export function discardBody(
+  message: IncomingMessage,
+  options: { readonly maxBytes: number },
+): void {
+  let discardedBytes = 0;
+  message.on("data", (chunk: Buffer) => {
+    discardedBytes += chunk.length;
+    if (discardedBytes > options.maxBytes) message.destroy();
+  });
+}
--- /dev/null
+++ b/packages/celerytray/src/log/index.ts
@@ -0,0 +1,25 @@
+/** The platform's append-only log: access, following and batched appends. */
+
+// Access
+export {
+  LogAnswerLost,
+  type LogEntry,
+  type LogError,
+  type LogPage,
+  type LogReadOptions,
+  type LogService,
+  LogTruncated,
+  LogUnavailable,
+} from "./log_service.ts";
+export { HttpLogService } from "./http_log_service.ts";
+
+// Following
+export { followLog, type FollowLogOptions } from "./follow_log.ts";
+
+// Appending
+export { createLogWriter, type LogWriter } from "./log_writer.ts";
+export {
+  createStreamView,
+  type StreamView,
+  type StreamViewOptions,
+} from "./stream_view.ts";
--- /dev/null
+++ b/packages/celerytray/src/membership/select_preferred.ts
@@ -0,0 +1,26 @@
+import { createHash } from "node:crypto";
+
+/**
+ * The candidate that rendezvous hashing prefers for a name; undefined when
+ * there are none. A preference only saves work, correctness never rests on it.
+ */
+export function selectPreferred(
+  name: string,
+  candidates: readonly string[],
+): string | undefined {
+  let preferred: string | undefined;
+  let highest = -1;
+  for (const candidate of candidates) {
+    const score = scoreCandidate(name, candidate);
+    if (score > highest) {
+      highest = score;
+      preferred = candidate;
+    }
+  }
+  return preferred;
+}
+
+function scoreCandidate(name: string, candidate: string): number {
+  const digest = createHash("sha256").update(`${candidate}\n${name}`).digest();
+  return digest.readUIntBE(0, 6);
+}
--- /dev/null
+++ b/packages/celerytray/src/timeline/index.ts
@@ -0,0 +1,11 @@
+/** Time line of events over all processes. */
+export {
+  Timeline,
+  type TimelineEvent,
+  type TimelineFields,
+} from "./timeline.ts";
+export {
+  compareTimestamps,
+  HybridClock,
+  type HybridTimestamp,
+} from "./hybrid_clock.ts";
--- /dev/null
+++ b/packages/cli/src/commands/serve_command.ts
@@ -0,0 +1,90 @@
+import {
+  createEntryInstance,
+  listSettings,
+  parseEntrySettings,
+  readSecrets,
+} from "celerytray";
+import { Command, Option } from "clipanion";
+import createDebug from "debug";
+import { Deferred, Effect } from "effect";
+import { fromEither } from "celerytray";
+
+const debug = createDebug("celerytray:serve");
+
+const EXIT_BAD_SETTINGS = 2;
+
+/** Runs an entry instance until it is told to stop. */
+export class ServeCommand extends Command {
+  static override paths = [["serve"]];
+  static override usage = Command.Usage({
+    description: "Run an entry instance",
+    details:
+      "Each flag can be given as an environment variable instead: --log-url is CELERYTRAY_LOG_URL. Secrets come from the environment only: CELERYTRAY_OPERATOR_TOKEN, CELERYTRAY_VIEWER_TOKEN and CELERYTRAY_PEER_SECRET.",
+  });
+
+  /** Texts by flag. */
+  readonly flags = createFlagOptions(this);
+
+  async execute(): Promise<number> {
+    return await Effect.runPromise(
+      serve(this.#readFlags()).pipe(
+        Effect.scoped,
+        Effect.match({
+          onSuccess: () => 0,
+          onFailure: (error) => {
+            this.context.stderr.write(`${error.message}\n`);
+            return EXIT_BAD_SETTINGS;
+          },
+        }),
+      ),
+    );
+  }
+
+  #readFlags(): Record<string, string | undefined> {
+    const values = this as unknown as Record<string, string | undefined>;
+    return Object.fromEntries(
+      listSettings().map(({ field, flag }) => [flag, values[field]]),
+    );
+  }
+}
+
+/** Declares one option per setting on a command. */
+function createFlagOptions(command: Command): readonly string[] {
+  const target = command as unknown as Record<string, unknown>;
+  return listSettings().map(({ field, flag, description }) => {
+    target[field] = Option.String(flag, { description });
+    return flag;
+  });
+}
+
+function serve(flags: Readonly<Record<string, string | undefined>>) {
+  return Effect.gen(function* () {
+    const environment = process.env;
+    const settings = yield* fromEither(
+      parseEntrySettings({ flags, environment }),
+    );
+    const secrets = yield* fromEither(readSecrets(environment));
+    const entry = yield* createEntryInstance({ settings, secrets });
+    debug("serving callers on %s", settings.listenAddress);
+    yield* waitForSignal();
+    debug("draining");
+    yield* entry.drain().pipe(
+      Effect.timeoutOption(settings.drainTimeoutMs),
+      Effect.raceFirst(waitForSignal()),
+    );
+    debug("stopped");
+  });
+}
+
+/** Waits for SIGTERM or SIGINT. */
+function waitForSignal(): Effect.Effect<void> {
+  return Effect.gen(function* () {
+    const received = yield* Deferred.make<void>();
+    const onSignal = () => Deferred.doneUnsafe(received, Effect.void);
+    process.once("SIGTERM", onSignal);
+    process.once("SIGINT", onSignal);
+    yield* Deferred.await(received);
+    process.off("SIGTERM", onSignal);
+    process.off("SIGINT", onSignal);
+  });
+}
--- /dev/null
+++ b/packages/cli/src/commands/view_commands.ts
@@ -0,0 +1,82 @@
+import type { AdminClient } from "celerytray";
+import { Command } from "clipanion";
+import {
+  type CommandOutput,
+  formatTable,
+  OperatorCommand,
+} from "./operator_command.ts";
+
+/** Shows the state of one entry instance. */
+export class StatusCommand extends OperatorCommand {
+  static override paths = [["status"]];
+  static override usage = Command.Usage({
+    description: "Show an entry instance's state and its services",
+  });
+
+  protected async run(client: AdminClient): Promise<CommandOutput> {
+    const status = await client.status.query();
+    const since = new Date(status.configAcceptedAtMs).toISOString();
+    const head = [
+      `instance       ${status.instanceId} in ${status.availabilityZone}`,
+      `ready          ${status.notReadyReason ?? "yes"}`,
+      `configuration  version ${status.configVersion} since ${since}`,
+      `in flight      ${status.callsInFlight} calls`,
+    ];
+    const table = formatTable(
+      ["SERVICE", "KIND", "READY", "WANTED"],
+      status.services.map((service) => [
+        service.service,
+        service.kind,
+        service.readyReplicas,
+        service.wantedReplicas,
+      ]),
+    );
+    return { value: status, text: `${head.join("\n")}\n\n${table}` };
+  }
+}
+
+/** Lists replicas. */
+export class ReplicasCommand extends OperatorCommand {
+  static override paths = [["replicas"]];
+  static override usage = Command.Usage({
+    description: "List replicas, their members and whether they serve",
+  });
+
+  protected async run(client: AdminClient): Promise<CommandOutput> {
+    const replicas = await client.replicas.query();
+    const text = formatTable(
+      ["REPLICA", "STATE", "FENCING", "MEMBERS", "FAULTY"],
+      replicas.map((replica) => [
+        replica.replicaId,
+        replica.state,
+        replica.fencingNumber,
+        replica.members.join(","),
+        replica.faultyMembers.join(","),
+      ]),
+    );
+    return { value: replicas, text };
+  }
+}
+
+/** Prints events. */
+export class TimelineCommand extends OperatorCommand {
+  static override paths = [["timeline"]];
+  static override usage = Command.Usage({
+    description: "Print the latest events of an entry instance",
+  });
+
+  protected async run(client: AdminClient): Promise<CommandOutput> {
+    const events = await client.timeline.query();
+    const lines = events.map((event) =>
+      [
+        new Date(event.at.physicalMs).toISOString(),
+        event.process,
+        event.kind,
+        event.requestId ?? "",
+        event.replicaId ?? event.instanceId ?? "",
+        event.detail ?? "",
+      ].filter((part) => part !== "").join(" ")
+    );
+    return { value: events, text: lines.join("\n") };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/demo/run_demo.ts
@@ -0,0 +1,164 @@
+import { loadConfigFolder } from "celerytray";
+import { Effect } from "effect";
+import { once } from "node:events";
+import { fileURLToPath } from "node:url";
+import {
+  LOCAL_OPERATOR_TOKEN,
+  type LocalCluster,
+  type LocalEntry,
+} from "../local/start_local_cluster.ts";
+import { waitUntil } from "../local/wait_until.ts";
+
+const DEMO_FOLDER = fileURLToPath(
+  new URL("../../../../examples/demo", import.meta.url),
+);
+const DEMO_KEY = "demo-key-patan-furniture";
+const FORM_TIMEOUT_MS = 20_000;
+
+/** Shows the path of a request through a cluster, in words. */
+export async function runDemo(
+  cluster: LocalCluster,
+  options: { readonly isKept: boolean },
+): Promise<void> {
+  say(
+    `Started ${cluster.processCount()} processes: a log service, an instance list, ${cluster.entries.length} entry instances, ${cluster.engines.length} model engines and ${cluster.plains.length} instances of a plain service.`,
+  );
+  await publishFolder(cluster);
+  await waitForReplicas(cluster);
+  await streamDraft(cluster.entries[1]!);
+  await bookTwice(cluster);
+  if (options.isKept) await keepRunning(cluster);
+  say("Stopping every process that was started.");
+}
+
+async function publishFolder(cluster: LocalCluster): Promise<void> {
+  const { config } = await Effect.runPromise(loadConfigFolder(DEMO_FOLDER));
+  const entry = cluster.entries[0]!;
+  const published = await cluster.admin(entry).applyConfig.mutate({
+    config,
+    author: "demo",
+  });
+  say(
+    `Published examples/demo through ${entry.instanceId}: version ${published.version} is in force.`,
+  );
+}
+
+async function waitForReplicas(cluster: LocalCluster): Promise<void> {
+  await waitUntil("both replicas of drafter serve", {
+    timeoutMs: FORM_TIMEOUT_MS,
+    check: async () => {
+      const statuses = await Promise.all(
+        cluster.entries.map((entry) => cluster.admin(entry).status.query()),
+      );
+      return statuses.every(({ services }) =>
+        services.every((service) =>
+          service.readyReplicas === service.wantedReplicas
+        )
+      );
+    },
+  });
+  const replicas = await cluster.admin(cluster.entries[0]!).replicas.query();
+  for (const replica of replicas) {
+    say(
+      `Replica ${replica.replicaId} serves with fencing number ${replica.fencingNumber}: ${
+        replica.members.join(", ")
+      }.`,
+    );
+  }
+}
+
+async function streamDraft(entry: LocalEntry): Promise<void> {
+  say(`Asking ${entry.instanceId} for a draft, as a stream:`);
+  const response = await fetch(`http://${entry.address}/v1/chat/completions`, {
+    method: "POST",
+    headers: {
+      authorization: `Bearer ${DEMO_KEY}`,
+      "content-type": "application/json",
+    },
+    body: JSON.stringify({
+      model: "drafter",
+      stream: true,
+      max_tokens: 12,
+      messages: [{ role: "user", content: "Offer a delivery slot" }],
+    }),
+  });
+  const text = await response.text();
+  const tokens = [...text.matchAll(/^data: (\{.*\})$/gm)].map((match) =>
+    findToken(match[1]!)
+  );
+  say(`  ${tokens.join("")}`);
+  const isWhole = text.endsWith("data: [DONE]\n\n") && tokens.length === 12;
+  if (!isWhole) throw new Error(`The answer is not whole: ${text}`);
+  say(
+    `  ${tokens.length} tokens, ended by [DONE]; request ${
+      response.headers.get("x-request-id")
+    }.`,
+  );
+}
+
+function findToken(data: string): string {
+  const chunk = JSON.parse(data) as {
+    readonly choices: readonly {
+      readonly delta: { readonly content: string };
+    }[];
+  };
+  return chunk.choices[0]!.delta.content;
+}
+
+async function bookTwice(cluster: LocalCluster): Promise<void> {
+  say(
+    "Booking a slot through one entry instance, and again with the same Idempotency-Key through another:",
+  );
+  for (const entry of cluster.entries.slice(0, 2)) {
+    const response = await fetch(
+      `http://${entry.address}/services/slotbook/bookings`,
+      {
+        method: "POST",
+        headers: {
+          authorization: `Bearer ${DEMO_KEY}`,
+          "content-type": "application/json",
+          "idempotency-key": "booking-1",
+        },
+        body: JSON.stringify({ slot: "08:00", lane: "Asan" }),
+      },
+    );
+    say(
+      `  ${entry.instanceId} answered ${response.status}: ${await response
+        .text()}`,
+    );
+  }
+  const runs = await Promise.all(
+    cluster.plains.map(({ instance }) => countRuns(instance.address)),
+  );
+  const total = runs.reduce((sum, count) => sum + count, 0);
+  say(`  The service ran it ${total} time(s).`);
+  if (total !== 1) throw new Error("The booking did not run exactly once");
+}
+
+async function countRuns(address: string): Promise<number> {
+  const response = await fetch(`http://${address}/runs`);
+  const body = await response.json() as { readonly runs: readonly unknown[] };
+  return body.runs.length;
+}
+
+async function keepRunning(cluster: LocalCluster): Promise<void> {
+  const entry = cluster.entries[0]!;
+  say(`Still running; stop it with Ctrl-C. Try:
+
+  curl -N http://${entry.address}/v1/chat/completions \\
+    -H 'authorization: Bearer ${DEMO_KEY}' -H 'content-type: application/json' \\
+    -d '{"model":"drafter","stream":true,"messages":[{"role":"user","content":"Offer a slot"}]}'
+
+  curl http://${entry.address}/services/slotbook/bookings -X POST \\
+    -H 'authorization: Bearer ${DEMO_KEY}' -H 'idempotency-key: booking-2' -d '{"slot":"09:00"}'
+
+  export CELERYTRAY_ADDRESS=${entry.adminAddress} CELERYTRAY_TOKEN=${LOCAL_OPERATOR_TOKEN}
+  npx celerytray status
+  npx celerytray replicas
+`);
+  await Promise.race([once(process, "SIGINT"), once(process, "SIGTERM")]);
+}
+
+function say(text: string): void {
+  console.log(text);
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,8 @@
+/** Local clusters of separate processes, for the demo, tests and benches. */
+export {
+  type LocalCluster,
+  type LocalClusterOptions,
+  startLocalCluster,
+} from "./local/start_local_cluster.ts";
+export { type LocalProcess, startLocalProcess } from "./local/local_process.ts";
+export { waitUntil } from "./local/wait_until.ts";
--- /dev/null
+++ b/packages/fakes/bin/celerytray-fake.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/fakes/src/index.ts
@@ -0,0 +1,12 @@
+/** Stand-ins for the platform and for backend servers, with fault switches. */
+
+// Platform
+export * from "./instance_list/index.ts";
+export * from "./log_service/index.ts";
+
+// Backend servers
+export * from "./engine/index.ts";
+export * from "./plain_service/index.ts";
+
+// Transport
+export * from "./http/index.ts";
--- /dev/null
+++ b/scripts/run_tests.js
@@ -0,0 +1,80 @@
+/**
+ * Runs every compiled test whose source still exists. Tests named in
+ * KNOWN-RED.txt are run and printed, and alone may fail.
+ */
+import { access, readdir, readFile } from "node:fs/promises";
+import { join } from "node:path";
+import { run } from "node:test";
+import { spec } from "node:test/reporters";
+import { fileURLToPath } from "node:url";
+
+const root = fileURLToPath(new URL("..", import.meta.url));
+const CONCURRENCY = 4;
+const TEST_TIMEOUT_MS = 300_000;
+
+async function main(filters) {
+  const files = await findTests(filters);
+  const knownRed = await readKnownRed();
+  const failed = [];
+  let passedCount = 0;
+  const stream = run({
+    files,
+    concurrency: CONCURRENCY,
+    timeout: TEST_TIMEOUT_MS,
+  });
+  stream.on("test:pass", (event) => {
+    if (event.details.type !== "suite" && event.skip === undefined) {
+      passedCount += 1;
+    }
+  });
+  stream.on("test:fail", (event) => failed.push(event.name));
+  for await (const text of stream.compose(new spec())) {
+    process.stdout.write(text);
+  }
+  report({ failed, knownRed, passedCount });
+}
+
+function report({ failed, knownRed, passedCount }) {
+  const isKnown = (name) => knownRed.some((known) => name === known);
+  const unknown = failed.filter((name) => !isKnown(name) && !isFile(name));
+  const hasKnownFailure = failed.some(isKnown);
+  const unexplained = failed.length > 0 && unknown.length === 0 &&
+    !hasKnownFailure;
+  for (const name of failed.filter(isKnown)) {
+    console.log(`known red: ${name}`);
+  }
+  const failedCount = unexplained ? failed.length : unknown.length;
+  console.log(`${passedCount} passed, ${failedCount} failed`);
+  if (failedCount > 0 || passedCount === 0) process.exitCode = 1;
+}
+
+/** A file fails with each failing test in it. */
+function isFile(name) {
+  return name.endsWith("_test.js");
+}
+
+async function findTests(filters) {
+  const packages = await readdir(join(root, "packages"));
+  const found = [];
+  for (const name of packages) {
+    const source = join(root, "packages", name, "src");
+    const entries = await readdir(source, { recursive: true });
+    for (const entry of entries.filter((path) => path.endsWith("_test.ts"))) {
+      const compiled = entry.replace(/\.ts$/, ".js");
+      const file = join(root, "packages", name, "dist", compiled);
+      await access(file);
+      if (filters.every((filter) => file.includes(filter))) found.push(file);
+    }
+  }
+  return found.sort();
+}
+
+/** Lines of the form `test: NAME`. */
+async function readKnownRed() {
+  const text = await readFile(join(root, "KNOWN-RED.txt"), "utf8").catch(
+    () => "",
+  );
+  return [...text.matchAll(/^test: (.+)$/gm)].map((match) => match[1].trim());
+}
+
+await main(process.argv.slice(2));
