Make duplicates wait, and bound claims by window and dispatch deadline

Cause: a duplicate that arrived before the first call's outcome was recorded was refused with 409 at once; a paused entry instance could send a call at any later time; a claim of a caller who left stayed without an outcome; the follower of a truncated claims stream ended.

Change: the fold drops claims older than the window by the log's clock alone and takes only keys that tell when they were issued (undated ones by setting); a claim is granted only where the history of its key was read whole; a granted call is sent only before its dispatch deadline, checked against wall and monotonic clock after the connection is made; a claim certain not to be sent is released by a record; lost append answers are settled by reading for the record id; appends of a process have a rate. A replay whose answer was too large to keep says so in place of an empty body. Partitions are followed once used. The log client takes a 5xx other than 503 as an answer lost rather than as nothing appended.

Ruled out: appending again after a lost answer (a delayed first append could come later), and trusting the retention setting for a truncated stream.

--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -89,6 +89,8 @@
       log,
       processId: settings.instanceId,
       partitionCount: settings.claimPartitionCount,
+      policy: settings.claimPolicy,
+      appendsPerSecond: settings.claimAppendsPerSecond,
     });
 
     const directory = yield* createInstanceDirectory({
--- a/packages/celerytray/src/entry/entry_claims.ts
+++ b/packages/celerytray/src/entry/entry_claims.ts
@@ -1,25 +1,29 @@
-import type { ClaimRecord, LogRecord } from "@celerytray/schema";
-import { Effect, Schedule, type Scope } from "effect";
+import type { CallOutcome, LogRecord } from "@celerytray/schema";
+import { Effect, Schedule, Scope } from "effect";
 import { randomUUID } from "node:crypto";
 import {
   claimCall,
-  type ClaimState,
-  emptyClaimState,
-  foldClaimRecord,
+  type ClaimDecision,
+  type ClaimedCall,
+  type ClaimFailure,
+  type ClaimPolicy,
+  ClaimUnavailable,
+  type ClaimView,
+  createClaimView,
+  FairQueueLimit,
   selectClaimPartition,
 } from "../claims/index.ts";
 import type { ForwardingClaims } from "../forwarding/index.ts";
 import {
+  AppendBudget,
   createLogWriter,
-  createStreamView,
   type LogService,
   type LogWriter,
-  type StreamView,
 } from "../log/index.ts";
 
 interface ClaimPartition {
   readonly writer: LogWriter;
-  readonly view: StreamView<ClaimState>;
+  readonly view: ClaimView;
 }
 
 /** Options of an entry instance's claims. */
@@ -27,63 +31,142 @@
   readonly log: LogService;
   readonly processId: string;
   readonly partitionCount: number;
+  readonly policy: ClaimPolicy;
+  readonly appendsPerSecond: number;
+  readonly maxWaitingCalls?: number;
+  readonly createRecordId?: () => string;
 }
 
 const OUTCOME_RETRY_DELAY_MS = 500;
-const OUTCOME_RETRIES = 20;
+const OUTCOME_RETRIES = 1_200;
+const MAX_UNRECORDED_OUTCOMES = 5_000;
+const DEFAULT_MAX_WAITING_CALLS = 2_000;
+const RETRY_AFTER_MS = 2_000;
 
-/** Claims over partitioned log streams. */
+/** Claims over partitioned log streams, each followed once it is used. */
 export function createEntryClaims(
   options: EntryClaimsOptions,
 ): Effect.Effect<ForwardingClaims, never, Scope.Scope> {
   return Effect.gen(function* () {
-    const partitions: ClaimPartition[] = [];
+    const scope = yield* Effect.scope;
+    const budget = new AppendBudget(options);
+    const partitions: Effect.Effect<ClaimPartition>[] = [];
     for (let index = 0; index < options.partitionCount; index++) {
-      partitions.push(yield* createPartition(options.log, index));
+      const open = createPartition(index, { log: options.log, options, budget })
+        .pipe(Scope.provide(scope));
+      partitions.push(yield* Effect.cached(open));
     }
-    const scope = yield* Effect.scope;
-    const select = (
-      key: Pick<ClaimRecord, "organisation" | "service" | "key">,
-    ) => partitions[selectClaimPartition(key, partitions.length)]!;
-    return {
-      claim: (call) =>
-        claimCall({
-          ...select(call),
-          record: {
-            ...call,
-            kind: "claim",
-            recordId: randomUUID(),
-            claimant: options.processId,
-          },
-        }),
-      recordOutcome: ({ key, claimRecordId }, outcome) => {
-        const record: LogRecord = {
-          kind: "outcome",
-          recordId: randomUUID(),
-          claimRecordId,
-          outcome,
-        };
-        return appendOutcome(select(key).writer, record).pipe(
-          Effect.forkIn(scope),
-          Effect.asVoid,
-        );
-      },
-    };
+    return new EntryClaims({ ...options, partitions, scope });
   });
 }
 
+interface EntryClaimsState extends EntryClaimsOptions {
+  /** Opened at first use. */
+  readonly partitions: readonly Effect.Effect<ClaimPartition>[];
+  readonly scope: Scope.Scope;
+}
+
+class EntryClaims implements ForwardingClaims {
+  readonly #state: EntryClaimsState;
+  readonly #limit: FairQueueLimit;
+  readonly #createRecordId: () => string;
+  #unrecordedCount = 0;
+
+  constructor(state: EntryClaimsState) {
+    this.#state = state;
+    this.#createRecordId = state.createRecordId ?? randomUUID;
+    this.#limit = new FairQueueLimit({
+      maxWaitingCalls: state.maxWaitingCalls ?? DEFAULT_MAX_WAITING_CALLS,
+    });
+  }
+
+  claim(
+    call: ClaimedCall,
+    options: { readonly waitMs: number },
+  ): Effect.Effect<ClaimDecision, ClaimFailure> {
+    const { organisation } = call;
+    return Effect.suspend(() => {
+      const isFull = this.#unrecordedCount >= MAX_UNRECORDED_OUTCOMES ||
+        !this.#limit.enter(organisation);
+      if (isFull) return Effect.fail(createRefusedError());
+      return Effect.ensuring(
+        this.#claimAdmitted(call, options.waitMs),
+        Effect.sync(() => this.#limit.leave(organisation)),
+      );
+    });
+  }
+
+  recordOutcome(
+    claim: { readonly key: ClaimedCall; readonly claimRecordId: string },
+    outcome: CallOutcome,
+  ): Effect.Effect<void> {
+    const record: LogRecord = {
+      kind: "outcome",
+      recordId: this.#createRecordId(),
+      claimRecordId: claim.claimRecordId,
+      outcome,
+    };
+    return Effect.suspend(() => {
+      this.#unrecordedCount += 1;
+      return this.#select(claim.key).pipe(
+        Effect.flatMap(({ writer }) => appendOutcome(writer, record)),
+        Effect.ensuring(Effect.sync(() => {
+          this.#unrecordedCount -= 1;
+        })),
+        Effect.forkIn(this.#state.scope),
+        Effect.asVoid,
+      );
+    });
+  }
+
+  #claimAdmitted(
+    call: ClaimedCall,
+    waitMs: number,
+  ): Effect.Effect<ClaimDecision, ClaimFailure> {
+    return Effect.flatMap(this.#select(call), (partition) =>
+      claimCall({
+        ...partition,
+        call,
+        waitMs,
+        processId: this.#state.processId,
+        policy: this.#state.policy,
+        createRecordId: this.#createRecordId,
+        release: (claimRecordId) =>
+          this.recordOutcome({ key: call, claimRecordId }, {
+            state: "not-run",
+          }),
+      }));
+  }
+
+  #select(call: ClaimedCall): Effect.Effect<ClaimPartition> {
+    const { partitions } = this.#state;
+    return partitions[selectClaimPartition(call, partitions.length)]!;
+  }
+}
+
+interface PartitionOpening {
+  readonly log: LogService;
+  readonly options: EntryClaimsOptions;
+  readonly budget: AppendBudget;
+}
+
 function createPartition(
-  log: LogService,
   index: number,
+  { log, options, budget }: PartitionOpening,
 ): Effect.Effect<ClaimPartition, never, Scope.Scope> {
   const stream = `claims-${index}`;
   return Effect.gen(function* () {
-    const writer = yield* createLogWriter({ log, stream });
-    const view = yield* createStreamView({
+    const view = yield* createClaimView({
       log,
       stream,
-      initial: emptyClaimState(),
-      fold: foldClaimRecord,
+      policy: options.policy,
+    });
+    const writer = yield* createLogWriter({
+      log,
+      stream,
+      budget,
+      reachedOffset: () => view.reachedOffset(),
+      settleTimeoutMs: options.policy.timeoutMs,
     });
     return { writer, view };
   });
@@ -100,3 +183,10 @@
     Effect.ignore,
   );
 }
+
+function createRefusedError(): ClaimUnavailable {
+  return new ClaimUnavailable({
+    message: "Too many calls wait for the log; retry with the same key",
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
--- a/packages/celerytray/src/forwarding/call_plain_service.ts
+++ b/packages/celerytray/src/forwarding/call_plain_service.ts
@@ -1,8 +1,11 @@
 import type { CallOutcome, PlainService } from "@celerytray/schema";
-import { Effect } from "effect";
+import { Effect, Fiber } from "effect";
 import { createHash } from "node:crypto";
-import type { ClaimBusy, ClaimKeyReused } from "../claims/index.ts";
-import type { LogError } from "../log/index.ts";
+import type {
+  ClaimedCall,
+  ClaimFailure,
+  GrantedClaim,
+} from "../claims/index.ts";
 import { CallerError } from "./caller_error.ts";
 import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
 import type { PlainInstance } from "./forwarding_types.ts";
@@ -125,27 +128,50 @@
     key,
     requestSha256: digestRequest(call),
   };
+  const waitMs = call.service.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  return Effect.uninterruptibleMask((restore) =>
+    Effect.gen(function* () {
+      const decision = yield* restore(claims.claim(claimed, { waitMs })).pipe(
+        Effect.mapError(toClaimCallerError),
+      );
+      if (decision.kind === "done") {
+        return yield* replayOutcome(decision.outcome);
+      }
+      const sending = yield* Effect.forkDetach(
+        sendGranted(call, { claimed, granted: decision }),
+      );
+      return yield* restore(Fiber.join(sending));
+    })
+  );
+}
+
+/** Goes on without its caller, so that the outcome is recorded. */
+function sendGranted(
+  call: PlainCall,
+  options: { readonly claimed: ClaimedCall; readonly granted: GrantedClaim },
+): Effect.Effect<PlainAnswer, CallerError> {
+  const { calls, claims } = call.dependencies;
+  const { claimed, granted } = options;
   return Effect.gen(function* () {
-    const decision = yield* claims.claim(claimed).pipe(
-      Effect.mapError(toClaimCallerError),
-    );
-    if (decision.kind === "done") return yield* replayOutcome(decision.outcome);
-    const { claimRecordId } = decision;
-    const outcome = yield* sendOnce(call);
+    calls.begin();
+    const outcome = yield* sendOnce(call, granted);
     yield* claims.recordOutcome(
-      { key: claimed, claimRecordId },
+      { key: claimed, claimRecordId: granted.claimRecordId },
       toCallOutcome(outcome),
     );
     return yield* toAnswer(outcome);
-  });
+  }).pipe(Effect.ensuring(Effect.sync(() => calls.end())));
 }
 
-function sendOnce(call: PlainCall): Effect.Effect<PlainOutcome> {
+function sendOnce(
+  call: PlainCall,
+  granted?: GrantedClaim,
+): Effect.Effect<PlainOutcome> {
   const instance = chooseInstance(call, new Set());
   if (instance === undefined) {
     return Effect.succeed({ kind: "not-run", message: "no instance is live" });
   }
-  return attemptOn(instance, call);
+  return attemptOn(instance, { ...call, ...granted });
 }
 
 function chooseInstance(
@@ -163,9 +189,9 @@
 
 function attemptOn(
   instance: PlainInstance,
-  call: PlainCall,
+  call: PlainCall & Partial<GrantedClaim>,
 ): Effect.Effect<PlainOutcome> {
-  const { context, dependencies } = call;
+  const { context, dependencies, fencingNumber, mayDispatch } = call;
   const { requestId } = context;
   return Effect.gen(function* () {
     const note = { requestId, instanceId: instance.replicaId };
@@ -179,6 +205,8 @@
       requestId,
       timeoutMs: call.service.timeoutMs ?? DEFAULT_TIMEOUT_MS,
       ...(isIdempotent(call) ? { agent: dependencies.agent } : {}),
+      ...(fencingNumber === undefined ? {} : { fencingNumber }),
+      ...(mayDispatch === undefined ? {} : { mayDispatch }),
     });
     yield* dependencies.recordEvent(`attempt.${outcome.kind}`, note);
     return outcome;
@@ -210,22 +238,23 @@
 function replayOutcome(
   outcome: CallOutcome,
 ): Effect.Effect<PlainAnswer, CallerError> {
-  if (outcome.state === "ran" && outcome.status !== undefined) {
+  const { state, status, bodyBase64, bodySha256 } = outcome;
+  if (state === "ran" && status !== undefined && bodyBase64 !== undefined) {
     return Effect.succeed({
-      status: outcome.status,
+      status,
       contentType: outcome.contentType,
-      body: Buffer.from(outcome.bodyBase64 ?? "", "base64"),
+      body: Buffer.from(bodyBase64, "base64"),
     });
   }
   return Effect.fail(
     new CallerError({
       status: 409,
       type: "invalid_request_error",
-      code: "idempotency_key_spent",
-      message: outcome.state === "not-run"
-        ? "The first call with this key did not run; send it with a new key"
+      code: state === "ran" ? "answer_not_kept" : "outcome_unknown",
+      message: state === "ran"
+        ? `The first call with this key ran and was answered ${status}; the answer (SHA-256 ${bodySha256}) was too large to keep, read it from the service`
         : "The outcome of the first call with this key is unknown; ask the service before a new key is used",
-      outcome: outcome.state,
+      outcome: state,
     }),
   );
 }
@@ -251,9 +280,7 @@
   });
 }
 
-function toClaimCallerError(
-  error: ClaimBusy | ClaimKeyReused | LogError,
-): CallerError {
+function toClaimCallerError(error: ClaimFailure): CallerError {
   const { message } = error;
   switch (error._tag) {
     case "ClaimKeyReused":
@@ -262,23 +289,34 @@
         code: "idempotency_key_reused",
         message,
       });
+    case "ClaimKeyRefused":
+      return new CallerError({
+        status: 400,
+        type: "invalid_request_error",
+        code: "idempotency_key_refused",
+        message,
+        outcome: error.reason === "too-old" ? "unknown" : "not-run",
+      });
     case "ClaimBusy":
+    case "ClaimOutcomeUnknown":
       return new CallerError({
         status: 409,
         type: "invalid_request_error",
-        code: "idempotency_key_in_use",
+        code: error._tag === "ClaimBusy"
+          ? "idempotency_key_in_use"
+          : "outcome_unknown",
         message,
         outcome: "unknown",
-        retryAfterMs: RETRY_AFTER_MS,
+        ...(error._tag === "ClaimBusy" ? { retryAfterMs: RETRY_AFTER_MS } : {}),
       });
-    default:
+    case "ClaimUnavailable":
       return new CallerError({
         status: 503,
         type: "server_error",
         code: "claim_unavailable",
-        message: "The call could not be claimed; retry with the same key",
+        message,
         outcome: "not-run",
-        retryAfterMs: RETRY_AFTER_MS,
+        retryAfterMs: error.retryAfterMs,
       });
   }
 }
--- a/packages/celerytray/src/forwarding/forwarding_types.ts
+++ b/packages/celerytray/src/forwarding/forwarding_types.ts
@@ -1,11 +1,10 @@
-import type { CallOutcome, ClaimRecord } from "@celerytray/schema";
+import type { CallOutcome } from "@celerytray/schema";
 import type { Effect } from "effect";
 import type {
-  ClaimBusy,
   ClaimDecision,
-  ClaimKeyReused,
+  ClaimedCall,
+  ClaimFailure,
 } from "../claims/index.ts";
-import type { LogError } from "../log/index.ts";
 import type { ReplicaLoad } from "../routing/index.ts";
 
 /** A replica that may serve now. */
@@ -22,15 +21,14 @@
 
 /** Claims as the data plane uses them. */
 export interface ForwardingClaims {
+  /** Waits at most `waitMs` for the outcome of another call with the key. */
   claim(
-    call: Omit<ClaimRecord, "kind" | "recordId" | "claimant">,
-  ): Effect.Effect<ClaimDecision, ClaimBusy | ClaimKeyReused | LogError>;
+    call: ClaimedCall,
+    options: { readonly waitMs: number },
+  ): Effect.Effect<ClaimDecision, ClaimFailure>;
   /** Records what became of a granted call; retries in the background. */
   recordOutcome(
-    claim: {
-      readonly key: Omit<ClaimRecord, "kind" | "recordId" | "claimant">;
-      readonly claimRecordId: string;
-    },
+    claim: { readonly key: ClaimedCall; readonly claimRecordId: string },
     outcome: CallOutcome,
   ): Effect.Effect<void>;
 }
--- a/packages/celerytray/src/forwarding/plain_attempt.ts
+++ b/packages/celerytray/src/forwarding/plain_attempt.ts
@@ -30,6 +30,10 @@
   readonly timeoutMs: number;
   /** Pool to use; a fresh connection without one. */
   readonly agent?: Agent;
+  /** Claim's place in the log, for back ends that check it. */
+  readonly fencingNumber?: number;
+  /** Asked once connected, before the first byte; false sends nothing. */
+  readonly mayDispatch?: () => boolean;
 }
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -54,24 +58,35 @@
 function exchange(options: PlainAttemptOptions): Effect.Effect<PlainOutcome> {
   return Effect.callback<PlainOutcome>((resume) => {
     const settle = (outcome: PlainOutcome) => resume(Effect.succeed(outcome));
-    let connected = false;
     const request = httpRequest(`http://${options.address}${options.path}`, {
       method: options.method,
       agent: options.agent ?? false,
       headers: createHeaders(options),
     });
+    let isSent = false;
+    const send = () => {
+      if (options.mayDispatch?.() === false) {
+        request.destroy(new Error("The dispatch deadline has passed"));
+        return;
+      }
+      isSent = true;
+      request.end(options.body);
+    };
     request.on("socket", (socket) => {
-      connected = !socket.connecting;
-      socket.once("connect", () => connected = true);
+      if (socket.connecting) socket.once("connect", send);
+      else send();
     });
     request.on("error", (error) =>
       settle({
-        kind: connected ? "unknown" : "not-run",
+        kind: isSent ? "unknown" : "not-run",
         message: error.message,
       }));
     request.on("response", (response) => readAnswer(response, settle));
-    request.end(options.body);
-    return Effect.sync(() => request.destroy());
+    return Effect.sync(() => {
+      // A reset drops bytes that the kernel would go on sending.
+      if (options.agent === undefined) request.socket?.resetAndDestroy();
+      request.destroy();
+    });
   });
 }
 
@@ -82,6 +97,9 @@
     "content-length": options.body.length,
     "x-request-id": options.requestId,
   };
+  if (options.fencingNumber !== undefined) {
+    headers["celerytray-fencing-number"] = options.fencingNumber;
+  }
   for (const name of FORWARDED_HEADERS) {
     const value = options.headers[name];
     if (typeof value === "string") headers[name] = value;
--- a/packages/celerytray/src/log/http_log_service.ts
+++ b/packages/celerytray/src/log/http_log_service.ts
@@ -30,6 +30,8 @@
 const DEFAULT_TIMEOUT_MS = 2_000;
 const DEFAULT_READ_LIMIT = 1_000;
 const GONE_STATUS = 410;
+/** The one server error that says that nothing was done. */
+const UNAVAILABLE_STATUS = 503;
 
 /** The log service over its HTTP/JSON protocol. */
 export class HttpLogService implements LogService {
@@ -86,7 +88,9 @@
 
 function toAppendError(failure: HttpFailure): LogUnavailable | LogAnswerLost {
   const message = failure.message;
-  return failure.reason === "answer-lost"
+  const isDefinite = failure.status === undefined ||
+    failure.status < 500 || failure.status === UNAVAILABLE_STATUS;
+  return failure.reason === "answer-lost" || !isDefinite
     ? new LogAnswerLost({ message })
     : new LogUnavailable({ message });
 }
--- a/packages/celerytray/src/log/index.ts
+++ b/packages/celerytray/src/log/index.ts
@@ -17,7 +17,13 @@
 export { followLog, type FollowLogOptions } from "./follow_log.ts";
 
 // Appending
-export { createLogWriter, type LogWriter } from "./log_writer.ts";
+export { AppendBudget, type AppendBudgetOptions } from "./append_budget.ts";
+export {
+  type AppendOptions,
+  createLogWriter,
+  type LogWriter,
+  type LogWriterOptions,
+} from "./log_writer.ts";
 export {
   createStreamView,
   type StreamView,
--- a/packages/celerytray/src/log/log_writer.ts
+++ b/packages/celerytray/src/log/log_writer.ts
@@ -1,19 +1,30 @@
 import type { LogRecord } from "@celerytray/schema";
-import { Deferred, Effect, Queue, type Scope } from "effect";
+import { Clock, Deferred, Effect, Queue, type Scope } from "effect";
+import type { AppendBudget } from "./append_budget.ts";
 import {
   LogAnswerLost,
   type LogService,
   LogUnavailable,
 } from "./log_service.ts";
+import { settleAppend } from "./settle_append.ts";
 
 /** Appends records to one stream, one batch in flight at a time. */
 export interface LogWriter {
-  /** Appends a record; succeeds with its offset. */
+  /**
+   * Appends a record; succeeds with its offset. `LogUnavailable` means that
+   * it was not appended and never will be; `LogAnswerLost`, that it may be.
+   */
   append(
     record: LogRecord,
+    options?: AppendOptions,
   ): Effect.Effect<number, LogUnavailable | LogAnswerLost>;
 }
 
+/** How long to wait for one record. */
+export interface AppendOptions {
+  readonly timeoutMs?: number;
+}
+
 /** Options of a writer. */
 export interface LogWriterOptions {
   readonly log: LogService;
@@ -22,15 +33,26 @@
   readonly maxBatchRecords?: number;
   /** Records waiting; more are refused at once. */
   readonly maxWaitingRecords?: number;
+  /** Rate that this writer shares with others. */
+  readonly budget?: AppendBudget;
+  /** An offset that the stream has reached already. */
+  readonly reachedOffset?: () => number;
+  /** Longest search for records whose append was not answered. */
+  readonly settleTimeoutMs?: number;
 }
 
+type Settled = Deferred.Deferred<number, LogUnavailable | LogAnswerLost>;
+
 interface WaitingRecord {
   readonly record: LogRecord;
-  readonly settled: Deferred.Deferred<number, LogUnavailable | LogAnswerLost>;
+  readonly settled: Settled;
+  /** It was not sent and never will be. */
+  isWithdrawn: boolean;
 }
 
 const DEFAULT_MAX_BATCH_RECORDS = 500;
 const DEFAULT_MAX_WAITING_RECORDS = 5_000;
+const DEFAULT_SETTLE_TIMEOUT_MS = 5_000;
 
 /**
  * Creates a writer that batches: while an append is in flight, further
@@ -40,57 +62,167 @@
   options: LogWriterOptions,
 ): Effect.Effect<LogWriter, never, Scope.Scope> {
   return Effect.gen(function* () {
-    const maxBatch = options.maxBatchRecords ?? DEFAULT_MAX_BATCH_RECORDS;
-    const capacity = options.maxWaitingRecords ?? DEFAULT_MAX_WAITING_RECORDS;
-    const waiting = yield* Queue.dropping<WaitingRecord>(capacity);
-    const appendNextBatch = Effect.gen(function* () {
-      const batch = yield* Queue.takeBetween(waiting, 1, maxBatch);
-      yield* appendBatch(options, batch);
-    });
-    yield* Effect.forkScoped(Effect.forever(appendNextBatch));
-    return { append: (record) => enqueue(waiting, record) };
+    const added = yield* Queue.sliding<void>(1);
+    const writer = new BatchWriter(options, added);
+    yield* Effect.forkScoped(writer.run());
+    return writer;
   });
 }
 
-function enqueue(
-  waiting: Queue.Queue<WaitingRecord>,
-  record: LogRecord,
-): Effect.Effect<number, LogUnavailable | LogAnswerLost> {
-  return Effect.gen(function* () {
-    const settled = yield* Deferred.make<
-      number,
-      LogUnavailable | LogAnswerLost
-    >();
-    const accepted = yield* Queue.offer(waiting, { record, settled });
-    if (!accepted) {
-      return yield* new LogUnavailable({
-        message: "Too many records wait for the log; retry later",
+class BatchWriter implements LogWriter {
+  readonly #options: LogWriterOptions;
+  readonly #added: Queue.Queue<void>;
+  readonly #waiting = new Set<WaitingRecord>();
+  #reachedOffset: number | undefined;
+
+  constructor(options: LogWriterOptions, added: Queue.Queue<void>) {
+    this.#options = options;
+    this.#added = added;
+  }
+
+  append(
+    record: LogRecord,
+    options: AppendOptions = {},
+  ): Effect.Effect<number, LogUnavailable | LogAnswerLost> {
+    return Effect.suspend(() => {
+      const { maxWaitingRecords = DEFAULT_MAX_WAITING_RECORDS } = this.#options;
+      if (this.#waiting.size >= maxWaitingRecords) {
+        return Effect.fail(createUnavailable("Too many records wait"));
+      }
+      const settled: Settled = Deferred.makeUnsafe();
+      const waiting = { record, settled, isWithdrawn: false };
+      this.#waiting.add(waiting);
+      Queue.offerUnsafe(this.#added, undefined);
+      const wait = Deferred.await(settled).pipe(
+        Effect.onInterrupt(() => Effect.sync(() => this.#withdraw(waiting))),
+      );
+      const { timeoutMs } = options;
+      if (timeoutMs === undefined) return wait;
+      return Effect.timeoutOrElse(wait, {
+        duration: timeoutMs,
+        orElse: () => Effect.fail(this.#createTimeoutError(waiting)),
       });
+    });
+  }
+
+  /** Appends batches until interrupted. */
+  run(): Effect.Effect<never> {
+    const appendNext = Effect.gen({ self: this }, function* () {
+      if (this.#waiting.size === 0) return yield* Queue.take(this.#added);
+      yield* this.#awaitBudget();
+      const batch = this.#takeBatch();
+      if (batch.length > 0) yield* this.#appendBatch(batch);
+    });
+    return Effect.forever(appendNext);
+  }
+
+  /** Takes a record back unless it was sent. */
+  #withdraw(waiting: WaitingRecord): void {
+    if (this.#waiting.delete(waiting)) waiting.isWithdrawn = true;
+  }
+
+  #createTimeoutError(
+    waiting: WaitingRecord,
+  ): LogUnavailable | LogAnswerLost {
+    this.#withdraw(waiting);
+    if (waiting.isWithdrawn) {
+      return createUnavailable("The log service is slow or out");
     }
-    return yield* Deferred.await(settled);
-  });
+    return new LogAnswerLost({
+      message: "The log service did not answer in time; retry later",
+    });
+  }
+
+  #awaitBudget(): Effect.Effect<void> {
+    const { budget } = this.#options;
+    if (budget === undefined) return Effect.void;
+    return Effect.flatMap(Clock.currentTimeMillis, (nowMs) => {
+      const waitMs = budget.reserve(nowMs);
+      return waitMs > 0 ? Effect.sleep(waitMs) : Effect.void;
+    });
+  }
+
+  #takeBatch(): WaitingRecord[] {
+    const maxBatch = this.#options.maxBatchRecords ?? DEFAULT_MAX_BATCH_RECORDS;
+    const batch: WaitingRecord[] = [];
+    for (const waiting of this.#waiting) {
+      if (batch.length === maxBatch) break;
+      this.#waiting.delete(waiting);
+      batch.push(waiting);
+    }
+    return batch;
+  }
+
+  #appendBatch(batch: readonly WaitingRecord[]): Effect.Effect<void> {
+    const { log, stream } = this.#options;
+    const fromOffset = this.#findReachedOffset();
+    return log.append(stream, batch.map(({ record }) => record)).pipe(
+      Effect.matchEffect({
+        onSuccess: (firstOffset) =>
+          Effect.sync(() => {
+            batch.forEach(({ settled }, index) =>
+              succeed(settled, firstOffset + index)
+            );
+            this.#reachedOffset = firstOffset + batch.length;
+          }),
+        onFailure: (error) =>
+          error._tag === "LogUnavailable"
+            ? Effect.sync(() => failAll(batch, error))
+            : this.#settle(batch, fromOffset),
+      }),
+    );
+  }
+
+  #findReachedOffset(): number | undefined {
+    const viewed = this.#options.reachedOffset?.();
+    if (viewed === undefined) return this.#reachedOffset;
+    return Math.max(viewed, this.#reachedOffset ?? 0);
+  }
+
+  #settle(
+    batch: readonly WaitingRecord[],
+    fromOffset: number | undefined,
+  ): Effect.Effect<void> {
+    const { log, stream } = this.#options;
+    const missing = new Map(
+      batch.map(({ record, settled }) => [record.recordId, settled]),
+    );
+    return settleAppend({
+      log,
+      stream,
+      fromOffset,
+      timeoutMs: this.#options.settleTimeoutMs ?? DEFAULT_SETTLE_TIMEOUT_MS,
+      onFound: (recordId, offset) => {
+        const settled = missing.get(recordId);
+        if (settled === undefined) return false;
+        succeed(settled, offset);
+        missing.delete(recordId);
+        return missing.size === 0;
+      },
+    }).pipe(
+      Effect.catchTag("LogAnswerLost", (error) =>
+        Effect.sync(() => {
+          for (const settled of missing.values()) {
+            Deferred.doneUnsafe(settled, Effect.fail(error));
+          }
+        })),
+    );
+  }
 }
 
-function appendBatch(
-  options: LogWriterOptions,
+function succeed(settled: Settled, offset: number): void {
+  Deferred.doneUnsafe(settled, Effect.succeed(offset));
+}
+
+function failAll(
   batch: readonly WaitingRecord[],
-): Effect.Effect<void> {
-  const records = batch.map((waiting) => waiting.record);
-  return options.log.append(options.stream, records).pipe(
-    Effect.matchEffect({
-      onSuccess: (firstOffset) =>
-        Effect.forEach(
-          batch,
-          (waiting, index) =>
-            Deferred.succeed(waiting.settled, firstOffset + index),
-          { discard: true },
-        ),
-      onFailure: (error) =>
-        Effect.forEach(
-          batch,
-          (waiting) => Deferred.fail(waiting.settled, error),
-          { discard: true },
-        ),
-    }),
-  );
+  error: LogUnavailable,
+): void {
+  for (const { settled } of batch) {
+    Deferred.doneUnsafe(settled, Effect.fail(error));
+  }
+}
+
+function createUnavailable(reason: string): LogUnavailable {
+  return new LogUnavailable({ message: `${reason}; retry later` });
 }
--- a/packages/celerytray/src/settings/parse_entry_settings.ts
+++ b/packages/celerytray/src/settings/parse_entry_settings.ts
@@ -4,11 +4,14 @@
   validateEntrySettings,
 } from "@celerytray/schema";
 import { Data } from "effect";
-import { type Either, Left, Right } from "purify-ts";
+import { type Either, Left } from "purify-ts";
+import { type ClaimPolicy, createClaimPolicy } from "../claims/index.ts";
 import { describeValidationErrors } from "../errors/index.ts";
 
 /** Settings with every default filled in. */
-export type ResolvedEntrySettings = Required<EntrySettings>;
+export interface ResolvedEntrySettings extends Required<EntrySettings> {
+  readonly claimPolicy: ClaimPolicy;
+}
 
 /** Settings are missing or wrong. */
 export class SettingsRejected extends Data.TaggedError("SettingsRejected")<{
@@ -57,7 +60,11 @@
     settings[field] = isNumber ? toNumber(value) : value;
   }
   if (validateEntrySettings(settings)) {
-    return Right(settings as unknown as ResolvedEntrySettings);
+    const resolved = settings as unknown as Required<EntrySettings>;
+    return createClaimPolicy(resolved).bimap(
+      ({ message }) => new SettingsRejected({ message }),
+      (claimPolicy) => ({ ...resolved, claimPolicy }),
+    );
   }
   const lines = describeValidationErrors(validateEntrySettings).map(
     ({ field, message }) => describeProblem(field, message),
--- a/packages/cli/src/local/start_local_cluster.ts
+++ b/packages/cli/src/local/start_local_cluster.ts
@@ -261,6 +261,8 @@
       `http://${plan.logAddress}`,
       "--instance-list-url",
       `http://${plan.listAddress}`,
+      "--claim-undated-keys",
+      "accept",
       ...options.entryFlags ?? [],
     ],
   });
