--- /dev/null
+++ b/packages/celerytray/src/claims/claim_policy_test.ts
@@ -0,0 +1,47 @@
+import { expect } from "earl";
+import { it } from "node:test";
+import { type ClaimPolicySettings, createClaimPolicy } from "./claim_policy.ts";
+import { isBeforeDispatchDeadline } from "./dispatch_deadline.ts";
+import { findKeyIssuedAtMs } from "./key_time.ts";
+
+const FITTING: ClaimPolicySettings = {
+  claimWindowMs: 60_000,
+  claimLogRetentionMs: 67_000,
+  claimDispatchMs: 5_000,
+  claimTimeoutMs: 1_000,
+  claimUndatedKeys: "refuse",
+  maxClockErrorMs: 1_000,
+};
+
+it("accepts only settings of claims that fit each other", () => {
+  const isTaken = (changes: Partial<ClaimPolicySettings>) =>
+    createClaimPolicy({ ...FITTING, ...changes }).isRight();
+  expect(isTaken({})).toEqual(true);
+  expect(isTaken({ claimLogRetentionMs: 66_999 })).toEqual(false);
+  expect(isTaken({ maxClockErrorMs: 1_001 })).toEqual(false);
+  expect(isTaken({ claimDispatchMs: 2_000 })).toEqual(false);
+  expect(isTaken({ claimWindowMs: 5_000 })).toEqual(false);
+});
+
+it("stops dispatch when any clock says that the claim is old", () => {
+  const isInTime = (wallMs: number, monotonicMs: number, claimedAtMs = 0) =>
+    isBeforeDispatchDeadline({
+      sentAt: { wallMs: 0, monotonicMs: 0 },
+      claimedAtMs,
+      now: { wallMs, monotonicMs },
+    }, { dispatchMs: 5_000, maxClockErrorMs: 1_000 });
+  expect(isInTime(3_999, 4_999)).toEqual(true);
+  expect(isInTime(0, 5_000)).toEqual(false);
+  expect(isInTime(5_000, 0, 3_000)).toEqual(false);
+  expect(isInTime(4_000, 0)).toEqual(false);
+});
+
+it("reads the time of issue from a key", () => {
+  expect(findKeyIssuedAtMs("017f22e2-79b0-7cc3-98c4-dc0c0c07398f")).toEqual(
+    0x017f22e279b0,
+  );
+  expect(findKeyIssuedAtMs("1700000000000-booking")).toEqual(
+    1_700_000_000_000,
+  );
+  expect(findKeyIssuedAtMs("booking-1")).toEqual(undefined);
+});
--- a/packages/fakes/src/log_service/fake_log.ts
+++ b/packages/fakes/src/log_service/fake_log.ts
@@ -13,6 +13,14 @@
   readonly losesAnswers?: boolean;
   /** Added to every call. */
   readonly delayMs?: number;
+  /** Answers of appends are lost, and they take effect so much later. */
+  readonly lateAppendMs?: number;
+  /** Calls are taken and never answered, without effect. */
+  readonly isSilent?: boolean;
+  /** Appends taken in a second; further ones are refused. */
+  readonly maxAppendsPerSecond?: number;
+  /** Records older than this are removed at the next append. */
+  readonly retentionMs?: number;
 }
 
 /** What a read returns. */
@@ -28,11 +36,14 @@
   records: StoredFakeRecord[];
 }
 
+const MS_PER_SECOND = 1_000;
+
 /** Streams of records in memory; the same for processes and in-process tests. */
 export class FakeLog {
   faults: FakeLogFaults = {};
   readonly #streams = new Map<string, FakeStream>();
   readonly #waiters = new Set<() => void>();
+  readonly #appendTimesMs: number[] = [];
 
   /** Appends a batch and returns the offset of its first record. */
   append(
@@ -49,10 +60,34 @@
       });
       stream.nextOffset += 1;
     }
+    const { retentionMs } = this.faults;
+    if (retentionMs !== undefined) {
+      this.removeOlder(name, options.nowMs - retentionMs);
+    }
     for (const wake of [...this.#waiters]) wake();
     return firstOffset;
   }
 
+  /** Takes one append of the limited rate; false above it. */
+  admitAppend(nowMs: number): boolean {
+    const { maxAppendsPerSecond } = this.faults;
+    if (maxAppendsPerSecond === undefined) return true;
+    const times = this.#appendTimesMs;
+    while (times.length > 0 && times[0]! <= nowMs - MS_PER_SECOND) {
+      times.shift();
+    }
+    if (times.length >= maxAppendsPerSecond) return false;
+    times.push(nowMs);
+    return true;
+  }
+
+  /** Removes the records appended before a time. */
+  removeOlder(name: string, beforeMs: number): void {
+    const { records, nextOffset } = this.#open(name);
+    const kept = records.find(({ appendedAtMs }) => appendedAtMs >= beforeMs);
+    this.truncate(name, kept?.offset ?? nextOffset);
+  }
+
   /** Reads records; undefined if retention removed the first one asked for. */
   read(
     name: string,
--- a/packages/fakes/src/log_service/index.ts
+++ b/packages/fakes/src/log_service/index.ts
@@ -5,3 +5,4 @@
   type StoredFakeRecord,
 } from "./fake_log.ts";
 export { serveFakeLog } from "./serve_fake_log.ts";
+export { InProcessLog, type InProcessLogOptions } from "./in_process_log.ts";
--- a/packages/fakes/src/log_service/serve_fake_log.ts
+++ b/packages/fakes/src/log_service/serve_fake_log.ts
@@ -30,6 +30,7 @@
     log.faults = call.body as FakeLogFaults;
     return { status: 200, body: log.faults };
   }
+  if (log.faults.isSilent === true) return undefined;
   if (log.faults.delayMs !== undefined) await sleep(log.faults.delayMs);
   if (log.faults.isOut === true) {
     return { status: 503, body: { error: "out" } };
@@ -53,12 +54,21 @@
 }
 
 function append(call: JsonCall, target: StreamCall): JsonAnswer | undefined {
+  const { log, name } = target;
   const { records } = call.body as { readonly records: readonly unknown[] };
-  const firstOffset = target.log.append(target.name, {
-    records,
-    nowMs: Date.now(),
-  });
-  if (target.log.faults.losesAnswers === true) {
+  if (!log.admitAppend(Date.now())) {
+    return { status: 429, body: { error: "too many appends" } };
+  }
+  if (log.faults.lateAppendMs !== undefined) {
+    setTimeout(
+      () => log.append(name, { records, nowMs: Date.now() }),
+      log.faults.lateAppendMs,
+    );
+    call.response.destroy();
+    return undefined;
+  }
+  const firstOffset = log.append(name, { records, nowMs: Date.now() });
+  if (log.faults.losesAnswers === true) {
     call.response.destroy();
     return undefined;
   }
