--- a/packages/celerytray/src/claims/fair_queue_limit.ts
+++ b/packages/celerytray/src/claims/fair_queue_limit.ts
@@ -25,7 +25,10 @@
     const waiting = this.#waitingByOrganisation.get(organisation) ?? 0;
     const organisationCount = this.#waitingByOrganisation.size +
       (waiting === 0 ? 1 : 0);
-    const share = Math.max(1, this.#maxWaitingCalls / organisationCount);
+    const share = Math.max(
+      1,
+      Math.floor(this.#maxWaitingCalls / organisationCount),
+    );
     if (waiting >= share) return false;
     if (this.#waitingCount >= 2 * this.#maxWaitingCalls) return false;
     this.#waitingByOrganisation.set(organisation, waiting + 1);
