--- /dev/null
+++ b/packages/cli/src/local/booking_faults_test.ts
@@ -0,0 +1,164 @@
+import { loadConfigFolder } from "celerytray";
+import { Effect } from "effect";
+import { expect } from "earl";
+import { after, before, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import {
+  type LocalCluster,
+  type LocalEntry,
+  startLocalCluster,
+} from "./start_local_cluster.ts";
+import { waitUntil } from "./wait_until.ts";
+
+const DEMO_FOLDER = fileURLToPath(
+  new URL("../../../../examples/demo", import.meta.url),
+);
+const KEY = "demo-key-patan-furniture";
+const BOOKING_COUNT = 150;
+const BOOKING_INTERVAL_MS = 40;
+const ATTEMPT_TIMEOUT_MS = 800;
+const MAX_ATTEMPTS = 12;
+const STOP_MS = 2_500;
+
+interface Run {
+  readonly key: string;
+  readonly requestId: string;
+}
+
+interface Attempt {
+  readonly key: string;
+  readonly requestId: string | null;
+  readonly status: number;
+  readonly outcome: string | null;
+}
+
+let cluster: LocalCluster;
+
+before(async () => {
+  cluster = await startLocalCluster({
+    entryFlags: ["--max-clock-error-ms", "100", "--claim-dispatch-ms", "1000"],
+  });
+  const { config } = await Effect.runPromise(loadConfigFolder(DEMO_FOLDER));
+  const [entry] = cluster.entries;
+  await cluster.admin(entry!).applyConfig.mutate({ config, author: "test" });
+  await waitUntil("a booking is taken by every entry instance", {
+    timeoutMs: 20_000,
+    check: async () => {
+      const attempts = await Promise.all(
+        cluster.entries.map((each) =>
+          book(each, `${Date.now()}-warm-${each.instanceId}`)
+        ),
+      );
+      return attempts.every((attempt) => attempt?.status === 201);
+    },
+  });
+});
+
+after(() => cluster?.stop());
+
+it("runs no booking twice while entry instances die and stall", async () => {
+  await Promise.all(
+    cluster.plains.map(({ instance }) =>
+      fetch(`http://${instance.address}/faults`, {
+        method: "POST",
+        body: JSON.stringify({ delayMs: 60 }),
+      })
+    ),
+  );
+  const attempts: Attempt[] = [];
+  const callers = Array.from(
+    { length: BOOKING_COUNT },
+    (_, index) => keepBooking(index, attempts),
+  );
+  await disturb(cluster.entries);
+  await Promise.all(callers);
+
+  const runs = await listRuns();
+  const runCounts = new Map<string, number>();
+  for (const { key } of runs) {
+    runCounts.set(key, (runCounts.get(key) ?? 0) + 1);
+  }
+  expect([...runCounts.values()].filter((count) => count > 1)).toEqual([]);
+  for (const { key, requestId, outcome, status } of attempts) {
+    if (status === 201) expect(runCounts.get(key)).toEqual(1);
+    if (outcome !== "not-run") continue;
+    expect(runs.some((run) => run.requestId === requestId)).toEqual(false);
+  }
+  const booked = attempts.filter(({ status }) => status === 201);
+  expect(booked.length > BOOKING_COUNT / 2).toEqual(true);
+  expect(attempts.length > BOOKING_COUNT).toEqual(true);
+});
+
+/** Kills and stalls entry instances while bookings arrive. */
+async function disturb(entries: readonly LocalEntry[]): Promise<void> {
+  const [first, second, third] = entries;
+  await sleep(1_000);
+  await kill(first!);
+  await sleep(500);
+  second!.process.child.kill("SIGSTOP");
+  await sleep(STOP_MS);
+  second!.process.child.kill("SIGCONT");
+  await sleep(500);
+  await kill(third!);
+}
+
+async function kill(entry: LocalEntry): Promise<void> {
+  await entry.process.stop("SIGKILL");
+  entry.restart();
+}
+
+/** Retries one booking through one entry instance after the other. */
+async function keepBooking(index: number, attempts: Attempt[]): Promise<void> {
+  await sleep(index * BOOKING_INTERVAL_MS);
+  const key = `${Date.now()}-booking-${index}`;
+  for (let number = 0; number < MAX_ATTEMPTS; number++) {
+    const entry = cluster.entries[(index + number) % cluster.entries.length]!;
+    const attempt = await book(entry, key);
+    attempts.push(
+      attempt ?? { key, requestId: null, status: 0, outcome: null },
+    );
+    if (attempt?.status === 201) return;
+    await sleep(200);
+  }
+}
+
+/** One attempt; undefined when no answer came. */
+async function book(
+  entry: LocalEntry,
+  key: string,
+): Promise<Attempt | undefined> {
+  const url = `http://${entry.address}/services/slotbook/bookings`;
+  try {
+    const response = await fetch(url, {
+      method: "POST",
+      signal: AbortSignal.timeout(ATTEMPT_TIMEOUT_MS),
+      headers: {
+        authorization: `Bearer ${KEY}`,
+        "content-type": "application/json",
+        "idempotency-key": key,
+      },
+      body: JSON.stringify({ slot: "08:00" }),
+    });
+    await response.arrayBuffer();
+    return {
+      key,
+      requestId: response.headers.get("x-request-id"),
+      status: response.status,
+      outcome: response.headers.get("celerytray-outcome"),
+    };
+  } catch {
+    return undefined;
+  }
+}
+
+async function listRuns(): Promise<Run[]> {
+  const runs = await Promise.all(
+    cluster.plains.map(async ({ instance }) => {
+      const response = await fetch(`http://${instance.address}/runs`);
+      const body = await response.json() as { readonly runs: Run[] };
+      return body.runs;
+    }),
+  );
+  return runs.flat();
+}
