--- a/packages/celerytray/src/http/request_json.ts
+++ b/packages/celerytray/src/http/request_json.ts
@@ -77,8 +77,8 @@
       },
     });
     request.on("socket", (socket) => {
-      if (!socket.connecting) connected = true;
-      socket.once("connect", () => connected = true);
+      if (socket.connecting) socket.once("connect", () => connected = true);
+      else connected = true;
     });
     request.on("error", (error) =>
       fail(
