--- a/packages/bench/src/claims/entry_claims_test.ts
+++ b/packages/bench/src/claims/entry_claims_test.ts
@@ -131,6 +131,23 @@
     expect(enter("third", 50)).toEqual(3);
     expect(enter("fourth", 50)).toEqual(2);
   });
+
+  it("takes fewer calls while calls time out, and more with each grant", () => {
+    const limit = new FairQueueLimit({
+      maxWaitingCalls: 40,
+      minWaitingCalls: 10,
+    });
+    const countPlaces = () => {
+      let count = 0;
+      while (limit.enter("large")) count += 1;
+      for (let left = 0; left < count; left++) limit.leave("large");
+      return count;
+    };
+    for (const atMs of [0, 10, 20, 1_000, 2_000]) limit.noteTimeout(atMs);
+    expect(countPlaces()).toEqual(10);
+    for (let grants = 0; grants < 100; grants++) limit.noteGrant();
+    expect(countPlaces()).toEqual(40);
+  });
 });
 
 class Cluster {
--- a/packages/celerytray/src/claims/claim_view.ts
+++ b/packages/celerytray/src/claims/claim_view.ts
@@ -26,6 +26,8 @@
   readonly policy: ClaimTablePolicy;
 }
 
+const READ_PAUSE_MS = 10;
+
 /** Folds one partition in the background until the scope closes. */
 export function createClaimView(
   options: ClaimViewOptions,
@@ -52,6 +54,7 @@
     log: options.log,
     stream: options.stream,
     fromOffset,
+    pauseMs: READ_PAUSE_MS,
     onPage: (page, nowMs) => fold.applyPage(page, nowMs),
   }).pipe(
     Effect.catchTag("LogTruncated", ({ firstOffset }) => {
--- a/packages/celerytray/src/entry/entry_claims.ts
+++ b/packages/celerytray/src/entry/entry_claims.ts
@@ -1,5 +1,5 @@
 import type { CallOutcome, LogRecord } from "@celerytray/schema";
-import { Effect, Schedule, Scope } from "effect";
+import { Clock, Effect, Schedule, Scope } from "effect";
 import { randomUUID } from "node:crypto";
 import {
   claimCall,
@@ -90,7 +90,7 @@
         !this.#limit.enter(organisation);
       if (isFull) return Effect.fail(createRefusedError());
       return Effect.ensuring(
-        this.#claimAdmitted(call, options.waitMs),
+        this.#noteDecision(this.#claimAdmitted(call, options.waitMs)),
         Effect.sync(() => this.#limit.leave(organisation)),
       );
     });
@@ -138,6 +138,24 @@
       }));
   }
 
+  /** Lets the limit of waiting calls follow what the log takes. */
+  #noteDecision(
+    decided: Effect.Effect<ClaimDecision, ClaimFailure>,
+  ): Effect.Effect<ClaimDecision, ClaimFailure> {
+    const noteTimeout = Effect.map(
+      Clock.currentTimeMillis,
+      (nowMs) => this.#limit.noteTimeout(nowMs),
+    );
+    return decided.pipe(
+      Effect.tapErrorTag("ClaimUnavailable", () => noteTimeout),
+      Effect.tap(({ kind }) =>
+        Effect.sync(() => {
+          if (kind === "granted") this.#limit.noteGrant();
+        })
+      ),
+    );
+  }
+
   #select(call: ClaimedCall): Effect.Effect<ClaimPartition> {
     const { partitions } = this.#state;
     return partitions[selectClaimPartition(call, partitions.length)]!;
--- a/packages/celerytray/src/log/follow_log.ts
+++ b/packages/celerytray/src/log/follow_log.ts
@@ -8,6 +8,8 @@
   readonly fromOffset?: number;
   /** Longest wait of one read for a new record. */
   readonly waitMs?: number;
+  /** Pause after each page, in which further records gather for the next. */
+  readonly pauseMs?: number;
   /** Applies a page and its time; pages arrive in offset order, without gaps. */
   readonly onPage: (page: LogPage, nowMs: number) => void;
   /** Learns of each failed read. */
@@ -34,6 +36,7 @@
       }
       nextOffset = page.nextOffset;
       options.onPage(page, yield* Clock.currentTimeMillis);
+      if (options.pauseMs !== undefined) yield* Effect.sleep(options.pauseMs);
     }
   });
 }
--- a/packages/cli/src/local/booking_faults_test.ts
+++ b/packages/cli/src/local/booking_faults_test.ts
@@ -90,6 +90,37 @@
   expect(attempts.length > BOOKING_COUNT).toEqual(true);
 });
 
+it("answers every duplicate of a running booking with its answer", async () => {
+  const key = `${Date.now()}-duplicates`;
+  const attempts = await Promise.all(
+    cluster.entries.flatMap((entry) => [book(entry, key), book(entry, key)]),
+  );
+  expect(attempts.map((attempt) => attempt?.status)).toEqual(
+    Array.from({ length: 6 }, () => 201),
+  );
+  const runs = await listRuns();
+  expect(runs.filter((run) => run.key === key).length).toEqual(1);
+});
+
+it("says so when the answer of a duplicate was too large to keep", async () => {
+  const key = `${Date.now()}-large`;
+  const [entry] = cluster.entries;
+  const large = { slot: "08:00", note: "x".repeat(20_000) };
+  expect((await book(entry!, key, large))?.status).toEqual(201);
+  const duplicate = await book(entry!, key, large);
+  expect(duplicate?.status).toEqual(409);
+  expect(duplicate?.outcome).toEqual("ran");
+});
+
+it("refuses a key that was used for another booking", async () => {
+  const key = `${Date.now()}-reused`;
+  const [first, second] = cluster.entries;
+  expect((await book(first!, key))?.status).toEqual(201);
+  const other = await book(second!, key, { slot: "09:00" });
+  expect(other?.status).toEqual(422);
+  expect(other?.outcome).toEqual("not-run");
+});
+
 /** Kills and stalls entry instances while bookings arrive. */
 async function disturb(entries: readonly LocalEntry[]): Promise<void> {
   const [first, second, third] = entries;
@@ -127,6 +158,7 @@
 async function book(
   entry: LocalEntry,
   key: string,
+  booking: object = { slot: "08:00" },
 ): Promise<Attempt | undefined> {
   const url = `http://${entry.address}/services/slotbook/bookings`;
   try {
@@ -138,7 +170,7 @@
         "content-type": "application/json",
         "idempotency-key": key,
       },
-      body: JSON.stringify({ slot: "08:00" }),
+      body: JSON.stringify(booking),
     });
     await response.arrayBuffer();
     return {
