Let virtual time go in steps in the tests of claims

The test of a freed key failed once reads were gathered: it let a second go by at once, which is the timeout itself, before the chain of short waits had run. Time now goes in steps of 10 ms up to 900 ms, which is less than the timeout, so the check is no weaker. Taking out settling, release and the falling limit still fails it.

--- a/packages/bench/src/claims/entry_claims_test.ts
+++ b/packages/bench/src/claims/entry_claims_test.ts
@@ -21,6 +21,8 @@
   key: `${START_MS}-booking`,
   requestSha256: "digest",
 };
+const SETTLE_MS = 900;
+const STEP_MS = 10;
 const WAIT = { waitMs: 3_000 };
 const RAN = { state: "ran", status: 201, bodyBase64: "e30=" } as const;
 
@@ -214,11 +216,13 @@
   return Effect.runPromise(Effect.provide(played, TestClock.layer()));
 }
 
-/** Runs an effect while time goes on. */
+/** Runs an effect while time goes on, in steps that let each fiber act. */
 function settle<A, E>(effect: Effect.Effect<A, E>): Effect.Effect<A, E> {
   return Effect.gen(function* () {
     const fiber = yield* Effect.forkChild(effect);
-    yield* TestClock.adjust(1_000);
+    for (let elapsedMs = 0; elapsedMs < SETTLE_MS; elapsedMs += STEP_MS) {
+      yield* TestClock.adjust(STEP_MS);
+    }
     return yield* Fiber.join(fiber);
   });
 }
