Count a failing test once in the test runner

Cause: a suite and its file fail with each failing test in them, so one failure was printed as two or three.

Ruled out: telling files by their names, which passed over a file that died.

Change: a parent that failed only through its subtests is not counted.

Figures: one failing test of two gave '2 passed, 3 failed'-like lines before; now '1 passed, 1 failed'; a file that exits with 3 and a failing before hook still fail; an entry in KNOWN-RED.txt is printed and passed over.

Conclusion: the closing line is the verdict.

--- a/scripts/run_tests.js
+++ b/scripts/run_tests.js
@@ -27,32 +27,28 @@
       passedCount += 1;
     }
   });
-  stream.on("test:fail", (event) => failed.push(event.name));
+  stream.on("test:fail", (event) => {
+    if (!isParentOfFailed(event)) failed.push(event.name);
+  });
   for await (const text of stream.compose(new spec())) {
     process.stdout.write(text);
   }
   report({ failed, knownRed, passedCount });
 }
 
+/** A suite or file that failed only because a test in it failed. */
+function isParentOfFailed(event) {
+  return event.details.error?.failureType === "subtestsFailed";
+}
+
 function report({ failed, knownRed, passedCount }) {
-  const isKnown = (name) => knownRed.some((known) => name === known);
-  const unknown = failed.filter((name) => !isKnown(name) && !isFile(name));
-  const hasKnownFailure = failed.some(isKnown);
-  const unexplained = failed.length > 0 && unknown.length === 0 &&
-    !hasKnownFailure;
-  for (const name of failed.filter(isKnown)) {
-    console.log(`known red: ${name}`);
-  }
-  const failedCount = unexplained ? failed.length : unknown.length;
+  const known = failed.filter((name) => knownRed.includes(name));
+  const failedCount = failed.length - known.length;
+  for (const name of known) console.log(`known red: ${name}`);
   console.log(`${passedCount} passed, ${failedCount} failed`);
   if (failedCount > 0 || passedCount === 0) process.exitCode = 1;
 }
 
-/** A file fails with each failing test in it. */
-function isFile(name) {
-  return name.endsWith("_test.js");
-}
-
 async function findTests(filters) {
   const packages = await readdir(join(root, "packages"));
   const found = [];
