--- /dev/null
+++ b/packages/bench/src/slopes/transport_slopes.ts
@@ -0,0 +1,126 @@
+import { HttpInstanceList, HttpLogService, HttpModelEngine } from "celerytray";
+import type { LogRecord } from "@celerytray/schema";
+import {
+  findFreeAddresses,
+  startLocalProcess,
+  waitUntil,
+} from "@celerytray/cli";
+import { Effect } from "effect";
+import { measureCpuMicroseconds } from "./measure.ts";
+import type { SlopeMeasurement } from "./slope.ts";
+
+const READ_CONCURRENCY = 64;
+const START_TIMEOUT_MS = 10_000;
+
+/** Slopes of the reads that go over HTTP; the other end is a process of its own. */
+export const transportSlopes: readonly SlopeMeasurement[] = [
+  {
+    name: "engine status read",
+    per: "reads",
+    unit: "processor microseconds",
+    sizes: [500, 1_000, 2_000],
+    measure: measureStatusReads,
+  },
+  {
+    name: "instance list read",
+    per: "instances",
+    unit: "processor microseconds",
+    sizes: [500, 2_000, 8_000],
+    measure: measureListRead,
+  },
+  {
+    name: "log records followed",
+    per: "records",
+    unit: "processor microseconds",
+    sizes: [1_000, 2_000, 4_000],
+    measure: measureLogRead,
+  },
+];
+
+interface FakeProcess {
+  readonly address: string;
+  readonly stop: () => Promise<unknown>;
+}
+
+async function startFake(
+  kind: string,
+  options: { readonly probe: string; readonly flags?: readonly string[] },
+): Promise<FakeProcess> {
+  const [address] = await findFreeAddresses(1);
+  const started = startLocalProcess({
+    name: kind,
+    program: "celerytray-fake",
+    args: [kind, "--address", address!, ...options.flags ?? []],
+  });
+  await waitUntil(`${kind} answers`, {
+    timeoutMs: START_TIMEOUT_MS,
+    check: async () => (await fetch(`http://${address}${options.probe}`)).ok,
+  });
+  return { address: address!, stop: () => started.stop() };
+}
+
+async function measureStatusReads(count: number): Promise<number> {
+  const fake = await startFake("engine", {
+    probe: "/status",
+    flags: ["--instance-id", "engine-0"],
+  });
+  const engine = new HttpModelEngine();
+  const readMany = (reads: number) =>
+    Effect.runPromise(Effect.forEach(
+      Array.from({ length: reads }),
+      () => engine.readStatus(fake.address),
+      { concurrency: READ_CONCURRENCY, discard: true },
+    ));
+  await readMany(count);
+  const used = await measureCpuMicroseconds(() => readMany(count));
+  await fake.stop();
+  return used;
+}
+
+const LIST_READS = 10;
+
+async function measureListRead(count: number): Promise<number> {
+  const fake = await startFake("instances", { probe: "/instances" });
+  const instances = Array.from({ length: count }, (_, index) => ({
+    instanceId: `engine-${index}`,
+    role: "engine",
+    address: `127.0.0.1:${index}`,
+    availabilityZone: "zone-a",
+    fabricDomain: `fabric-${Math.floor(index / 64)}`,
+    state: "live",
+  }));
+  await fetch(`http://${fake.address}/instances`, {
+    method: "PUT",
+    body: JSON.stringify({ instances }),
+  });
+  const list = new HttpInstanceList({ url: `http://${fake.address}` });
+  const readMany = () =>
+    Effect.runPromise(Effect.repeat(list.read(), { times: LIST_READS - 1 }));
+  await readMany();
+  const used = await measureCpuMicroseconds(readMany);
+  await fake.stop();
+  return used / LIST_READS;
+}
+
+async function measureLogRead(count: number): Promise<number> {
+  const fake = await startFake("log", {
+    probe: "/streams/fleet/records",
+  });
+  const log = new HttpLogService({ url: `http://${fake.address}` });
+  const records: LogRecord[] = Array.from({ length: count }, (_, slot) => ({
+    kind: "dissolve",
+    recordId: `dissolve-${slot}`,
+    service: "drafter",
+    slot,
+    fencingNumber: slot,
+    reason: "measured",
+    proposer: "entry-0",
+  }));
+  await Effect.runPromise(log.append("fleet", records));
+  const read = () =>
+    Effect.runPromise(log.read("fleet", { fromOffset: 0, limit: count }));
+  await read();
+  const used = await measureCpuMicroseconds(read);
+  await fake.stop();
+  return used;
+}
--- a/packages/celerytray/src/http/request_json.ts
+++ b/packages/celerytray/src/http/request_json.ts
@@ -77,8 +77,9 @@
       },
     });
     request.on("socket", (socket) => {
-      if (!socket.connecting) connected = true;
-      socket.once("connect", () => connected = true);
+      connected = !socket.connecting;
+      // A pooled socket never connects again; a listener on it would stay.
+      if (!connected) socket.once("connect", () => connected = true);
     });
     request.on("error", (error) =>
       fail(
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -5,4 +5,5 @@
   startLocalCluster,
 } from "./local/start_local_cluster.ts";
 export { type LocalProcess, startLocalProcess } from "./local/local_process.ts";
+export { findFreeAddresses } from "./local/free_addresses.ts";
 export { waitUntil } from "./local/wait_until.ts";
