Warm the slopes bench up before its first size

Cause: the first size of a measurement showed a negative memory figure, since code was still being compiled and older garbage was collected under it.

Ruled out: a leak in the fold (larger sizes lie on a line).

Change: one uncounted run of the first size; repeated reads are averaged.

--- a/packages/bench/src/slopes/measure.ts
+++ b/packages/bench/src/slopes/measure.ts
@@ -9,6 +9,7 @@
 
 /** Heap and buffers that a value keeps alive. */
 export function measureRetainedBytes<Value>(create: () => Value): number {
+  create();
   collectGarbage();
   const before = usedBytes();
   const value = create();
@@ -21,8 +22,9 @@
   return retained;
 }
 
-/** Median time of a call over several rounds. */
+/** Median time of a call over several rounds, after as many to warm up. */
 export function measureMicroseconds(run: () => void): number {
+  for (let round = 0; round < TIME_ROUNDS; round++) run();
   const times: number[] = [];
   for (let round = 0; round < TIME_ROUNDS; round++) {
     const startMs = performance.now();
--- a/packages/bench/src/slopes/slope.ts
+++ b/packages/bench/src/slopes/slope.ts
@@ -38,6 +38,8 @@
 export async function measureSlope(
   measurement: SlopeMeasurement,
 ): Promise<Slope> {
+  // A first run, not counted, compiles the code and settles the heap.
+  await measurement.measure(measurement.sizes[0]!);
   const points: SlopePoint[] = [];
   for (const size of measurement.sizes) {
     points.push({ size, value: await measurement.measure(size) });
--- a/packages/bench/src/slopes/transport_slopes.ts
+++ b/packages/bench/src/slopes/transport_slopes.ts
@@ -11,6 +11,8 @@
 
 const READ_CONCURRENCY = 64;
 const START_TIMEOUT_MS = 10_000;
+const WARM_UP_READS = 2_000;
+const REPEATED_READS = 20;
 
 /** Slopes of the reads that go over HTTP; the other end is a process of its own. */
 export const transportSlopes: readonly SlopeMeasurement[] = [
@@ -18,7 +20,7 @@
     name: "engine status read",
     per: "reads",
     unit: "processor microseconds",
-    sizes: [500, 1_000, 2_000],
+    sizes: [2_000, 4_000, 8_000],
     measure: measureStatusReads,
   },
   {
@@ -71,14 +73,12 @@
       () => engine.readStatus(fake.address),
       { concurrency: READ_CONCURRENCY, discard: true },
     ));
-  await readMany(count);
+  await readMany(WARM_UP_READS);
   const used = await measureCpuMicroseconds(() => readMany(count));
   await fake.stop();
   return used;
 }
 
-const LIST_READS = 10;
-
 async function measureListRead(count: number): Promise<number> {
   const fake = await startFake("instances", { probe: "/instances" });
   const instances = Array.from({ length: count }, (_, index) => ({
@@ -95,11 +95,13 @@
   });
   const list = new HttpInstanceList({ url: `http://${fake.address}` });
   const readMany = () =>
-    Effect.runPromise(Effect.repeat(list.read(), { times: LIST_READS - 1 }));
+    Effect.runPromise(
+      Effect.repeat(list.read(), { times: REPEATED_READS - 1 }),
+    );
   await readMany();
   const used = await measureCpuMicroseconds(readMany);
   await fake.stop();
-  return used / LIST_READS;
+  return used / REPEATED_READS;
 }
 
 async function measureLogRead(count: number): Promise<number> {
@@ -117,10 +119,11 @@
     proposer: "entry-0",
   }));
   await Effect.runPromise(log.append("fleet", records));
-  const read = () =>
-    Effect.runPromise(log.read("fleet", { fromOffset: 0, limit: count }));
-  await read();
-  const used = await measureCpuMicroseconds(read);
+  const read = log.read("fleet", { fromOffset: 0, limit: count });
+  const readMany = () =>
+    Effect.runPromise(Effect.repeat(read, { times: REPEATED_READS - 1 }));
+  await readMany();
+  const used = await measureCpuMicroseconds(readMany);
   await fake.stop();
-  return used;
+  return used / REPEATED_READS;
 }
