--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -1,5 +1,4 @@
 import { Clock, Effect, type Scope } from "effect";
-import { Agent } from "node:http";
 import { RateAdmission } from "../admission/index.ts";
 import { createAdminHandler } from "../admin/index.ts";
 import {
@@ -33,6 +32,7 @@
 import { PowerOfTwoRouter } from "../routing/index.ts";
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
+import { createAttemptState } from "./entry_attempts.ts";
 import { createEntryClaims } from "./entry_claims.ts";
 import { createEntryOperations } from "./entry_operations.ts";
 import { ReadyBackends } from "./ready_backends.ts";
@@ -135,10 +135,11 @@
     const calls = new InFlightCalls();
     yield* listen({
       address: settings.listenAddress,
+      handlesContinue: true,
       handler: createCallerHandler({
         availabilityZone: settings.availabilityZone,
         maxBodyBytes: settings.maxBodyBytes,
-        agent: new Agent({ keepAlive: true }),
+        ...createAttemptState(),
         router: new PowerOfTwoRouter({ seed: nowMs() | 0 }),
         admission: new RateAdmission({
           shareOf: () => 1 / Math.max(1, listEntryIds(directory).length),
--- a/packages/celerytray/src/entry/index.ts
+++ b/packages/celerytray/src/entry/index.ts
@@ -4,3 +4,4 @@
   type EntryInstance,
   type EntryInstanceOptions,
 } from "./create_entry_instance.ts";
+export { type AttemptState, createAttemptState } from "./entry_attempts.ts";
--- a/packages/celerytray/src/forwarding/call_plain_service.ts
+++ b/packages/celerytray/src/forwarding/call_plain_service.ts
@@ -1,11 +1,15 @@
 import type { CallOutcome, PlainService } from "@celerytray/schema";
-import { Effect } from "effect";
+import { Clock, Deferred, Effect } from "effect";
 import { createHash } from "node:crypto";
+import { Left, Right } from "purify-ts";
 import type { ClaimBusy, ClaimKeyReused } from "../claims/index.ts";
 import type { LogError } from "../log/index.ts";
-import { CallerError } from "./caller_error.ts";
+import { fromEither } from "../errors/index.ts";
+import { AttemptPlan } from "./attempt_plan.ts";
+import { CallerError, type CallOutcomeState } from "./caller_error.ts";
 import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
 import type { PlainInstance } from "./forwarding_types.ts";
+import { parseServicePath } from "./parse_service_path.ts";
 import {
   type PlainAnswer,
   type PlainOutcome,
@@ -14,7 +18,8 @@
 
 const DEFAULT_IDEMPOTENT_METHODS = ["GET", "HEAD", "OPTIONS"];
 const DEFAULT_TIMEOUT_MS = 10_000;
-const MAX_IDEMPOTENT_ATTEMPTS = 3;
+/** Load of an attempt after one that did not run. */
+const NOT_RUN_COST_REQUESTS = 0.1;
 const RETRY_AFTER_MS = 2_000;
 const MAX_KEY_LENGTH = 255;
 const MAX_RECORDED_BODY_BYTES = 16 * 1024;
@@ -26,8 +31,19 @@
   readonly service: PlainService;
   /** Path and query below /services/NAME. */
   readonly path: string;
+  readonly timeoutMs: number;
+  readonly deadlineAtMs: number;
+  readonly plan: AttemptPlan;
 }
 
+const NOT_FOUND = new CallerError({
+  status: 404,
+  type: "invalid_request_error",
+  code: "service_not_found",
+  message: "No such service is open to you; check the name after /services/",
+  outcome: "not-run",
+});
+
 /** Passes a call to a plain service; a non-idempotent one runs at most once. */
 export function callPlainService(
   context: CallContext,
@@ -46,28 +62,27 @@
   context: CallContext,
   dependencies: ForwardingDependencies,
 ): Effect.Effect<PlainCall, CallerError> {
-  const match = /^\/services\/([^/?]+)(.*)$/.exec(context.request.url ?? "");
-  const serviceName = match?.[1] ?? "";
-  const service = context.config.services[serviceName];
-  const isOpen = context.organisation.services.includes(serviceName);
-  if (service?.kind === "plain" && isOpen) {
-    const path = match?.[2] || "/";
-    return Effect.succeed({
-      context,
-      dependencies,
-      serviceName,
-      service,
-      path,
-    });
-  }
-  return Effect.fail(
-    new CallerError({
-      status: 404,
-      type: "invalid_request_error",
-      code: "service_not_found",
-      message:
-        "No such service is open to you; check the name after /services/",
-      outcome: "not-run",
+  const target = context.request.url ?? "/";
+  return fromEither(
+    parseServicePath(target).chain(({ serviceName, path }) => {
+      const service = context.config.services[serviceName];
+      const isOpen = context.organisation.services.includes(serviceName);
+      if (service?.kind !== "plain" || !isOpen) return Left(NOT_FOUND);
+      const timeoutMs = service.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+      const deadlineAtMs = context.arrivedAtMs + timeoutMs;
+      return Right({
+        context,
+        dependencies,
+        serviceName,
+        service,
+        path,
+        timeoutMs,
+        deadlineAtMs,
+        plan: new AttemptPlan({
+          budget: dependencies.budget,
+          deadlineAtMs: () => deadlineAtMs,
+        }),
+      });
     }),
   );
 }
@@ -78,36 +93,93 @@
   return methods.includes(call.context.request.method ?? "");
 }
 
-/** Repeats on another instance until an answer arrives. */
+/**
+ * Attempts the call on one instance after another until an answer arrives.
+ * The next attempt starts when one fails, or beside one that takes long.
+ */
 function callIdempotent(
   call: PlainCall,
 ): Effect.Effect<PlainAnswer, CallerError> {
+  const delayMs = call.dependencies.hedgeDelays.get(call.serviceName)
+    .delayMs(call.timeoutMs);
+  return attemptInTurn(call, { costRequests: 0, delayMs }).pipe(
+    Effect.mapError(() => createUnansweredError(call.plan.outcome)),
+  );
+}
+
+interface Turn {
+  readonly costRequests: number;
+  readonly delayMs: number;
+}
+
+function attemptInTurn(
+  call: PlainCall,
+  turn: Turn,
+): Effect.Effect<PlainAnswer, PlainOutcome | undefined> {
   return Effect.gen(function* () {
-    const tried = new Set<string>();
-    let last: PlainOutcome | undefined;
-    while (tried.size < MAX_IDEMPOTENT_ATTEMPTS) {
-      const instance = chooseInstance(call, tried);
-      if (instance === undefined) break;
-      tried.add(instance.replicaId);
-      last = yield* attemptOn(instance, call);
-      if (last.kind === "answered") return last.answer;
-    }
-    return yield* createUnansweredError(last);
+    const instance = yield* allowAttempt(call, turn.costRequests);
+    if (instance === undefined) return yield* Effect.fail(undefined);
+    const failed = yield* Deferred.make<PlainOutcome>();
+    const attempt = Effect.flatMap(attemptOn(instance, call), (outcome) => {
+      if (outcome.kind === "answered") return Effect.succeed(outcome.answer);
+      Deferred.doneUnsafe(failed, Effect.succeed(outcome));
+      return Effect.fail(outcome);
+    });
+    const whenFailed = Effect.map(
+      Deferred.await(failed),
+      ({ kind }) => kind === "not-run" ? NOT_RUN_COST_REQUESTS : 1,
+    );
+    const whenSlow = Effect.as(Effect.sleep(turn.delayMs), undefined);
+    const next = Effect.gen(function* () {
+      const failureCost = yield* Effect.raceFirst(whenFailed, whenSlow);
+      const costRequests = failureCost ?? 1;
+      const answer = yield* attemptInTurn(call, { ...turn, costRequests });
+      if (failureCost === undefined) yield* noteSlow(instance, call);
+      return answer;
+    });
+    return yield* Effect.race(attempt, next);
+  });
+}
+
+/** Takes note of an instance that another one overtook. */
+function noteSlow(
+  instance: PlainInstance,
+  { dependencies }: PlainCall,
+): Effect.Effect<void> {
+  return Effect.map(Clock.currentTimeMillis, (nowMs) => {
+    dependencies.failures.noteFailure(instance.replicaId, nowMs);
+    dependencies.pools.discard(instance.address);
+  });
+}
+
+/** Chooses an instance for one more attempt, if the plan allows one. */
+function allowAttempt(
+  call: PlainCall,
+  costRequests: number,
+): Effect.Effect<PlainInstance | undefined> {
+  return Effect.map(Clock.currentTimeMillis, (nowMs) => {
+    const instance = chooseInstance(call, nowMs);
+    if (instance === undefined) return undefined;
+    if (call.plan.allow(costRequests, nowMs).isLeft()) return undefined;
+    call.plan.tried.add(instance.replicaId);
+    return instance;
   });
 }
 
 /** Sends the call at most once; with a key, only after its claim is granted. */
 function callOnce(call: PlainCall): Effect.Effect<PlainAnswer, CallerError> {
-  const key = call.context.request.headers["idempotency-key"];
-  if (key === undefined) {
+  const keys = call.context.request.headersDistinct["idempotency-key"];
+  if (keys === undefined) {
     return Effect.flatMap(sendOnce(call), toAnswer);
   }
-  if (typeof key !== "string" || key.length > MAX_KEY_LENGTH || key === "") {
+  const [key = ""] = keys;
+  if (keys.length > 1 || key.length > MAX_KEY_LENGTH || key === "") {
     return Effect.fail(
       createClaimError({
         status: 400,
         code: "invalid_idempotency_key",
-        message: `Idempotency-Key must have 1 to ${MAX_KEY_LENGTH} characters`,
+        message:
+          `Send one Idempotency-Key of 1 to ${MAX_KEY_LENGTH} characters`,
       }),
     );
   }
@@ -131,31 +203,46 @@
     );
     if (decision.kind === "done") return yield* replayOutcome(decision.outcome);
     const { claimRecordId } = decision;
-    const outcome = yield* sendOnce(call);
-    yield* claims.recordOutcome(
-      { key: claimed, claimRecordId },
-      toCallOutcome(outcome),
+    const outcome = yield* Effect.tap(
+      sendOnce(call),
+      (outcome) =>
+        claims.recordOutcome(
+          { key: claimed, claimRecordId },
+          toCallOutcome(outcome),
+        ),
     );
     return yield* toAnswer(outcome);
-  });
+  }).pipe(
+    // A caller who leaves must not keep the outcome from being recorded.
+    Effect.uninterruptible,
+  );
 }
 
+/** Sends the call; another instance gets it only if it surely did not run. */
 function sendOnce(call: PlainCall): Effect.Effect<PlainOutcome> {
-  const instance = chooseInstance(call, new Set());
-  if (instance === undefined) {
-    return Effect.succeed({ kind: "not-run", message: "no instance is live" });
-  }
-  return attemptOn(instance, call);
+  return Effect.gen(function* () {
+    let last: PlainOutcome = {
+      kind: "not-run",
+      message: "No instance is live",
+    };
+    while (last.kind === "not-run") {
+      const instance = yield* allowAttempt(call, NOT_RUN_COST_REQUESTS);
+      if (instance === undefined) return last;
+      last = yield* attemptOn(instance, call);
+    }
+    return last;
+  });
 }
 
 function chooseInstance(
   call: PlainCall,
-  tried: ReadonlySet<string>,
+  nowMs: number,
 ): PlainInstance | undefined {
-  const { dependencies, serviceName } = call;
-  const candidates = dependencies.listPlainInstances(serviceName).filter((
-    instance,
-  ) => !tried.has(instance.replicaId));
+  const { dependencies, serviceName, plan } = call;
+  const untried = dependencies.listPlainInstances(serviceName).filter((
+    { replicaId },
+  ) => !plan.tried.has(replicaId));
+  const candidates = dependencies.failures.prefer(untried, nowMs);
   return dependencies.router.choose(candidates, {
     availabilityZone: dependencies.availabilityZone,
   });
@@ -165,24 +252,43 @@
   instance: PlainInstance,
   call: PlainCall,
 ): Effect.Effect<PlainOutcome> {
-  const { context, dependencies } = call;
+  const { context, dependencies, plan } = call;
   const { requestId } = context;
+  const { address, replicaId } = instance;
   return Effect.gen(function* () {
-    const note = { requestId, instanceId: instance.replicaId };
+    const note = { requestId, instanceId: replicaId };
     yield* dependencies.recordEvent("attempt.started", note);
+    dependencies.noteSent(replicaId);
+    const startedAtMs = yield* Clock.currentTimeMillis;
     const outcome = yield* runPlainAttempt({
-      address: instance.address,
+      address,
       method: context.request.method ?? "GET",
       path: call.path,
       headers: context.request.headers,
       body: context.body,
       requestId,
-      timeoutMs: call.service.timeoutMs ?? DEFAULT_TIMEOUT_MS,
-      ...(isIdempotent(call) ? { agent: dependencies.agent } : {}),
+      timeoutMs: call.deadlineAtMs - startedAtMs,
+      ...(isIdempotent(call)
+        ? { agent: dependencies.pools.agentFor(address) }
+        : {}),
     });
+    const nowMs = yield* Clock.currentTimeMillis;
+    if (outcome.kind === "answered") {
+      dependencies.failures.noteAnswer(replicaId);
+      dependencies.hedgeDelays.get(call.serviceName)
+        .noteAnswer(nowMs - startedAtMs);
+    } else {
+      plan.noteOutcome(outcome.kind);
+      dependencies.failures.noteFailure(replicaId, nowMs);
+      dependencies.pools.discard(address);
+    }
     yield* dependencies.recordEvent(`attempt.${outcome.kind}`, note);
     return outcome;
-  });
+  }).pipe(
+    Effect.onInterrupt(() =>
+      Effect.sync(() => dependencies.pools.discard(address))
+    ),
+  );
 }
 
 function digestRequest(call: PlainCall): string {
@@ -195,12 +301,13 @@
 
 function toCallOutcome(outcome: PlainOutcome): CallOutcome {
   if (outcome.kind !== "answered") return { state: outcome.kind };
-  const { status, body, contentType } = outcome.answer;
+  const { status, body, headers } = outcome.answer;
+  const contentType = headers["content-type"];
   return {
     state: "ran",
     status,
     bodySha256: createHash("sha256").update(body).digest("hex"),
-    ...(contentType === undefined ? {} : { contentType }),
+    ...(typeof contentType === "string" ? { contentType } : {}),
     ...(body.length > MAX_RECORDED_BODY_BYTES
       ? {}
       : { bodyBase64: body.toString("base64") }),
@@ -213,7 +320,9 @@
   if (outcome.state === "ran" && outcome.status !== undefined) {
     return Effect.succeed({
       status: outcome.status,
-      contentType: outcome.contentType,
+      headers: outcome.contentType === undefined
+        ? {}
+        : { "content-type": outcome.contentType },
       body: Buffer.from(outcome.bodyBase64 ?? "", "base64"),
     });
   }
@@ -234,21 +343,39 @@
   outcome: PlainOutcome,
 ): Effect.Effect<PlainAnswer, CallerError> {
   if (outcome.kind === "answered") return Effect.succeed(outcome.answer);
-  return Effect.fail(createUnansweredError(outcome));
+  return Effect.fail(createUnansweredError(outcome.kind));
 }
 
-function createUnansweredError(outcome: PlainOutcome | undefined): CallerError {
-  const isUnknown = outcome?.kind === "unknown";
-  return new CallerError({
-    status: isUnknown ? 504 : 503,
-    type: "server_error",
-    code: isUnknown ? "outcome_unknown" : "no_instance",
-    message: isUnknown
-      ? "The service did not answer and may have run the call; ask it before a retry"
-      : "No instance of the service could take the call; retry later",
-    outcome: isUnknown ? "unknown" : "not-run",
-    ...(isUnknown ? {} : { retryAfterMs: RETRY_AFTER_MS }),
-  });
+function createUnansweredError(outcome: CallOutcomeState): CallerError {
+  switch (outcome) {
+    case "ran":
+      return new CallerError({
+        status: 502,
+        type: "server_error",
+        code: "answer_lost",
+        message:
+          "The service ran the call, but its answer did not arrive whole; ask it before a retry",
+        outcome,
+      });
+    case "unknown":
+      return new CallerError({
+        status: 504,
+        type: "server_error",
+        code: "outcome_unknown",
+        message:
+          "The service did not answer and may have run the call; ask it before a retry",
+        outcome,
+      });
+    case "not-run":
+      return new CallerError({
+        status: 503,
+        type: "server_error",
+        code: "no_instance",
+        message: "No instance of the service could take the call; retry later",
+        outcome,
+        retryAfterMs: RETRY_AFTER_MS,
+      });
+  }
 }
 
 function toClaimCallerError(
@@ -298,13 +425,13 @@
 }
 
 function writeAnswer(context: CallContext, answer: PlainAnswer): void {
-  const { response } = context;
+  const { request, response } = context;
+  const isBodiless = request.method === "HEAD" || answer.status === 204 ||
+    answer.status === 304;
   response.writeHead(answer.status, {
-    "content-length": answer.body.length,
+    ...answer.headers,
+    ...(isBodiless ? {} : { "content-length": answer.body.length }),
     "celerytray-outcome": "ran",
-    ...(answer.contentType === undefined
-      ? {}
-      : { "content-type": answer.contentType }),
   });
-  response.end(answer.body);
+  response.end(isBodiless ? undefined : answer.body);
 }
--- a/packages/celerytray/src/forwarding/caller_handler.ts
+++ b/packages/celerytray/src/forwarding/caller_handler.ts
@@ -1,7 +1,6 @@
 import type { ConfigSet } from "@celerytray/schema";
 import { Clock, type Context, Effect, Fiber } from "effect";
 import type {
-  Agent,
   IncomingMessage,
   RequestListener,
   ServerResponse,
@@ -9,7 +8,7 @@
 import { randomUUID } from "node:crypto";
 import type { Admission, AdmissionRefused } from "../admission/index.ts";
 import { fromEither } from "../errors/index.ts";
-import { discardBody, readBody } from "../http/index.ts";
+import { type BackendPools, discardBody, readBody } from "../http/index.ts";
 import type { Router } from "../routing/index.ts";
 import type { TimelineFields } from "../timeline/index.ts";
 import { authenticate, type AuthenticatedCaller } from "./authenticate.ts";
@@ -25,13 +24,20 @@
   PlainInstance,
   ReadyReplica,
 } from "./forwarding_types.ts";
+import type { HedgeDelays } from "./hedge_delay.ts";
 import type { InFlightCalls } from "./in_flight_calls.ts";
+import { toOriginForm } from "./parse_service_path.ts";
+import type { RecentFailures } from "./recent_failures.ts";
+import type { RetryBudget } from "./retry_budget.ts";
 
 /** What the data plane needs of its entry instance. */
 export interface ForwardingDependencies {
   readonly availabilityZone: string;
   readonly maxBodyBytes: number;
-  readonly agent: Agent;
+  readonly pools: BackendPools;
+  readonly budget: RetryBudget;
+  readonly failures: RecentFailures;
+  readonly hedgeDelays: HedgeDelays;
   readonly router: Router;
   readonly admission: Admission;
   readonly claims: ForwardingClaims;
@@ -61,6 +67,16 @@
 
 const NOT_READY_RETRY_MS = 2_000;
 const MAX_DISCARDED_BYTES = 64 * 1024 * 1024;
+const MAX_HEADER_COUNT = 100;
+const BODY_TIMEOUT_MS = 30_000;
+const BODY_TIMEOUT = new CallerError({
+  status: 408,
+  type: "invalid_request_error",
+  code: "body_timeout",
+  message:
+    `The body did not arrive within ${BODY_TIMEOUT_MS} ms; send it faster`,
+  outcome: "not-run",
+});
 const SERVICES_PREFIX = "/services/";
 const COMPLETION_PATHS = ["/v1/chat/completions", "/v1/completions"];
 
@@ -74,9 +90,9 @@
     if (answerProbe(request, { response, dependencies })) return;
     dependencies.calls.begin();
     const fiber = run(serveCall(request, { response, dependencies }));
-    fiber.addObserver(() => dependencies.calls.end());
     response.on("close", () => {
       if (!response.writableFinished) run(Fiber.interrupt(fiber));
+      fiber.addObserver(() => dependencies.calls.end());
     });
   };
 }
@@ -136,15 +152,19 @@
   const { response, dependencies, requestId } = opening;
   return Effect.gen(function* () {
     const reason = dependencies.notReadyReason();
-    if (reason !== undefined) return yield* createNotReadyError(reason);
+    if (reason !== undefined) {
+      response.setHeader("connection", "close");
+      return yield* createNotReadyError(reason);
+    }
+    if (request.rawHeaders.length > 2 * MAX_HEADER_COUNT) {
+      return yield* createTooManyHeadersError();
+    }
     const config = dependencies.config();
     const caller = yield* fromEither(authenticate(request, config));
     const nowMs = yield* Clock.currentTimeMillis;
     const admitted = dependencies.admission.admit({ ...caller, nowMs });
     yield* fromEither(admitted.mapLeft(createRefusedError));
-    const body = yield* readBody(request, {
-      maxBytes: dependencies.maxBodyBytes,
-    }).pipe(Effect.mapError(({ maxBytes }) => createTooLargeError(maxBytes)));
+    const body = yield* readCallBody(request, opening);
     return {
       ...caller,
       requestId,
@@ -157,11 +177,28 @@
   });
 }
 
+function readCallBody(
+  request: IncomingMessage,
+  { response, dependencies }: OpeningCall,
+): Effect.Effect<Buffer, CallerError> {
+  const { maxBodyBytes } = dependencies;
+  const declaredBytes = Number(request.headers["content-length"] ?? 0);
+  const isExpected = request.headers.expect !== undefined;
+  if (isExpected && declaredBytes <= maxBodyBytes) response.writeContinue();
+  return readBody(request, { maxBytes: maxBodyBytes }).pipe(
+    Effect.mapError(({ maxBytes }) => createTooLargeError(maxBytes)),
+    Effect.timeoutOrElse({
+      duration: BODY_TIMEOUT_MS,
+      orElse: () => Effect.fail(BODY_TIMEOUT),
+    }),
+  );
+}
+
 function dispatch(
   context: CallContext,
   dependencies: ForwardingDependencies,
 ): Effect.Effect<void, CallerError> {
-  const path = (context.request.url ?? "/").split("?")[0]!;
+  const path = toOriginForm(context.request.url ?? "/").split("?")[0]!;
   if (path.startsWith(SERVICES_PREFIX)) {
     return callPlainService(context, dependencies);
   }
@@ -217,6 +254,16 @@
   });
 }
 
+function createTooManyHeadersError(): CallerError {
+  return new CallerError({
+    status: 431,
+    type: "invalid_request_error",
+    code: "too_many_headers",
+    message: `Send at most ${MAX_HEADER_COUNT} headers`,
+    outcome: "not-run",
+  });
+}
+
 function createTooLargeError(maxBytes: number): CallerError {
   return new CallerError({
     status: 413,
--- a/packages/celerytray/src/forwarding/complete_chat.ts
+++ b/packages/celerytray/src/forwarding/complete_chat.ts
@@ -3,16 +3,21 @@
   type ModelService,
   validateChatCompletionRequest,
 } from "@celerytray/schema";
-import { Effect } from "effect";
+import { Clock, Effect } from "effect";
 import { type Either, Left, Right } from "purify-ts";
 import { firstValidationMessage, fromEither } from "../errors/index.ts";
+import { AttemptPlan } from "./attempt_plan.ts";
 import { CallerError } from "./caller_error.ts";
 import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
 import { CompletionSink } from "./completion_sink.ts";
 import type { ReadyReplica } from "./forwarding_types.ts";
 import { type AttemptOutcome, runStreamAttempt } from "./stream_attempt.ts";
 
-const MAX_ATTEMPTS = 3;
+/** Load of an attempt after one that did not run. */
+const NOT_RUN_COST_REQUESTS = 0.1;
+/** Load of a resumed attempt, which regenerates no token but reads the prompt. */
+const RESUME_COST_REQUESTS = 0.25;
+const DEFAULT_DEADLINE_MS = 30_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 10_000;
 const NO_REPLICA_RETRY_MS = 2_000;
 
@@ -30,7 +35,20 @@
       isStream: request.stream === true,
     });
     const body = JSON.stringify({ ...request, stream: true });
-    yield* runAttempts({ context, dependencies, target, sink, body });
+    const deadlineAtMs = findDeadlineAtMs(request, { context, target });
+    const plan = new AttemptPlan({
+      budget: dependencies.budget,
+      deadlineAtMs: () => sink.nextIndex > 0 ? Infinity : deadlineAtMs,
+    });
+    yield* runAttempts({
+      context,
+      dependencies,
+      target,
+      sink,
+      body,
+      plan,
+      deadlineAtMs,
+    });
     yield* sink.finish();
   });
 }
@@ -83,43 +101,68 @@
   );
 }
 
+function findDeadlineAtMs(
+  request: ChatCompletionRequest,
+  call: { readonly context: CallContext; readonly target: ModelTarget },
+): number {
+  const deadlineMs = request.deadline_ms ??
+    call.target.service.firstTokenDeadlineMs ?? DEFAULT_DEADLINE_MS;
+  return call.context.arrivedAtMs + deadlineMs;
+}
+
 interface AttemptsOptions {
   readonly context: CallContext;
   readonly dependencies: ForwardingDependencies;
   readonly target: ModelTarget;
   readonly sink: CompletionSink;
   readonly body: string;
+  readonly plan: AttemptPlan;
+  /** Time until which a first token is of use. */
+  readonly deadlineAtMs: number;
 }
 
 /** Tries replicas until the answer is whole; each resumes where the last stopped. */
 function runAttempts(
   options: AttemptsOptions,
 ): Effect.Effect<void, CallerError> {
+  const { plan, sink } = options;
   return Effect.gen(function* () {
-    const tried = new Set<string>();
-    let last: AttemptOutcome | undefined;
-    while (tried.size < MAX_ATTEMPTS) {
-      const replica = chooseReplica(options, tried);
+    let costRequests = 0;
+    while (true) {
+      const nowMs = yield* Clock.currentTimeMillis;
+      const replica = chooseReplica(options, nowMs);
       if (replica === undefined) break;
-      tried.add(replica.replicaId);
-      last = yield* attemptOn(replica, options);
-      if (last.kind === "finished") return;
-      if (last.kind === "rejected") {
-        return yield* createRequestError(last.message);
+      if (plan.allow(costRequests, nowMs).isLeft()) break;
+      plan.tried.add(replica.replicaId);
+      const outcome = yield* attemptOn(replica, options);
+      switch (outcome.kind) {
+        case "finished":
+          return;
+        case "rejected":
+          return yield* createRequestError(outcome.message);
+        case "undeliverable":
+          return yield* createUndeliverableError(outcome.message);
+        case "not-run":
+          costRequests = NOT_RUN_COST_REQUESTS;
+          break;
+        case "cut":
+          plan.noteOutcome(sink.nextIndex > 0 ? "ran" : "unknown");
+          costRequests = RESUME_COST_REQUESTS;
       }
     }
-    return yield* createGivenUpError(last, options);
+    if (!sink.isComplete) return yield* createGivenUpError(options);
   });
 }
 
 function chooseReplica(
   options: AttemptsOptions,
-  tried: ReadonlySet<string>,
+  nowMs: number,
 ): ReadyReplica | undefined {
-  const { dependencies, target } = options;
-  const candidates = dependencies.listReadyReplicas(target.name).filter((
-    replica,
-  ) => !tried.has(replica.replicaId));
+  const { dependencies, target, plan } = options;
+  const untried = dependencies.listReadyReplicas(target.name).filter((
+    { replicaId },
+  ) => !plan.tried.has(replicaId));
+  const candidates = dependencies.failures.prefer(untried, nowMs);
   return dependencies.router.choose(candidates, {
     availabilityZone: dependencies.availabilityZone,
   });
@@ -129,19 +172,22 @@
   replica: ReadyReplica,
   options: AttemptsOptions,
 ): Effect.Effect<AttemptOutcome> {
-  const { context, dependencies, target, sink, body } = options;
+  const { context, dependencies, sink, body } = options;
   return Effect.gen(function* () {
     const note = { requestId: context.requestId, replicaId: replica.replicaId };
     yield* dependencies.recordEvent("attempt.started", note);
     dependencies.noteSent(replica.replicaId);
+    const startedAtMs = yield* Clock.currentTimeMillis;
     const outcome = yield* runStreamAttempt({
       requestId: context.requestId,
       replica,
       body,
       sink,
-      agent: dependencies.agent,
-      idleTimeoutMs: target.service.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
+      pools: dependencies.pools,
+      idleTimeoutMs: findIdleTimeoutMs(options, startedAtMs),
     });
+    const nowMs = yield* Clock.currentTimeMillis;
+    noteOutcome(outcome, { replica, dependencies, nowMs });
     const detail = "message" in outcome ? outcome.message : undefined;
     yield* dependencies.recordEvent(`attempt.${outcome.kind}`, {
       ...note,
@@ -151,24 +197,55 @@
   });
 }
 
-function createGivenUpError(
-  last: AttemptOutcome | undefined,
-  options: AttemptsOptions,
-): CallerError {
-  const isUntouched = last === undefined || last.kind === "not-run";
+/** Leaves time for another replica before the first token's deadline. */
+function findIdleTimeoutMs(
+  { target, sink, plan, deadlineAtMs }: AttemptsOptions,
+  nowMs: number,
+): number {
+  const idleTimeoutMs = target.service.idleTimeoutMs ??
+    DEFAULT_IDLE_TIMEOUT_MS;
+  if (sink.nextIndex > 0 || plan.tried.size > 1) return idleTimeoutMs;
+  return Math.min(idleTimeoutMs, (deadlineAtMs - nowMs) / 2);
+}
+
+function noteOutcome(
+  outcome: AttemptOutcome,
+  attempt: {
+    readonly replica: ReadyReplica;
+    readonly dependencies: ForwardingDependencies;
+    readonly nowMs: number;
+  },
+): void {
+  const { failures } = attempt.dependencies;
+  const { replicaId } = attempt.replica;
+  if (outcome.kind === "finished") failures.noteAnswer(replicaId);
+  if (outcome.kind === "cut" || outcome.kind === "not-run") {
+    failures.noteFailure(replicaId, attempt.nowMs);
+  }
+}
+
+function createGivenUpError(options: AttemptsOptions): CallerError {
   return new CallerError({
     status: 503,
     type: "server_error",
     code: "no_replica",
     message:
       `No replica of ${options.target.name} could serve the request; retry later`,
-    outcome: isUntouched && options.sink.nextIndex === 0
-      ? "not-run"
-      : "unknown",
+    outcome: options.plan.outcome,
     retryAfterMs: NO_REPLICA_RETRY_MS,
   });
 }
 
+function createUndeliverableError(message: string): CallerError {
+  return new CallerError({
+    status: 502,
+    type: "server_error",
+    code: "answer_undeliverable",
+    message,
+    outcome: "ran",
+  });
+}
+
 function createRequestError(message: string): CallerError {
   return new CallerError({
     status: 400,
--- a/packages/celerytray/src/forwarding/completion_sink.ts
+++ b/packages/celerytray/src/forwarding/completion_sink.ts
@@ -17,12 +17,22 @@
   readonly isStream: boolean;
 }
 
+/** Whether a token was taken, or what is wrong with it. */
+export type TokenVerdict =
+  | "accepted"
+  | "foreign"
+  | "out-of-order"
+  | "too-large";
+
+const MAX_WHOLE_ANSWER_CHARS = 16 * 1024 * 1024;
+
 interface ChunkChoice {
   readonly delta?: { readonly content?: string };
   readonly finish_reason?: string | null;
 }
 
 interface Chunk {
+  readonly id?: string;
   readonly model?: string;
   readonly created?: number;
   readonly choices?: readonly ChunkChoice[];
@@ -34,6 +44,8 @@
   #nextIndex = 0;
   #pending = "";
   readonly #chunks: string[] = [];
+  #chunkChars = 0;
+  #isComplete = false;
 
   constructor(options: CompletionSinkOptions) {
     this.#options = options;
@@ -44,17 +56,29 @@
     return this.#nextIndex;
   }
 
-  /** Takes the next token; false if it is not the next one. */
-  accept(event: TokenEvent): boolean {
-    if (event.index !== this.#nextIndex) return false;
-    this.#nextIndex += 1;
-    if (this.#options.isStream) {
-      this.#pending +=
-        `id: ${this.#options.requestId}:${event.index}\ndata: ${event.data}\n\n`;
+  /** Whether the engine said why the answer ended. */
+  get isComplete(): boolean {
+    return this.#isComplete;
+  }
+
+  /** Takes the next token of this answer. */
+  accept(event: TokenEvent): TokenVerdict {
+    const { requestId, isStream } = this.#options;
+    if (event.index !== this.#nextIndex) return "out-of-order";
+    const chunk = parseChunk(event.data);
+    if (chunk?.choices === undefined) return "foreign";
+    if (chunk.id !== undefined && chunk.id !== requestId) return "foreign";
+    if (isStream) {
+      this.#pending += `id: ${requestId}:${event.index}\n` +
+        `data: ${event.data.replaceAll("\n", "\ndata: ")}\n\n`;
     } else {
+      this.#chunkChars += event.data.length;
+      if (this.#chunkChars > MAX_WHOLE_ANSWER_CHARS) return "too-large";
       this.#chunks.push(event.data);
     }
-    return true;
+    this.#nextIndex += 1;
+    this.#isComplete ||= hasFinishReason(chunk);
+    return "accepted";
   }
 
   /** Writes what was taken; false asks to wait for `drained`. */
@@ -93,6 +117,21 @@
   }
 }
 
+function parseChunk(text: string): Chunk | undefined {
+  try {
+    const chunk = JSON.parse(text) as Chunk | null;
+    return Array.isArray(chunk?.choices) ? chunk : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function hasFinishReason(chunk: Chunk): boolean {
+  return chunk.choices?.some(({ finish_reason }) =>
+    typeof finish_reason === "string"
+  ) === true;
+}
+
 function writeStreamHead(response: ServerResponse): void {
   response.writeHead(200, {
     "content-type": "text/event-stream",
--- a/packages/celerytray/src/forwarding/index.ts
+++ b/packages/celerytray/src/forwarding/index.ts
@@ -10,6 +10,10 @@
   runStreamAttempt,
   type StreamAttemptOptions,
 } from "./stream_attempt.ts";
+export { AttemptPlan, type GiveUpReason } from "./attempt_plan.ts";
+export { HedgeDelay, HedgeDelays } from "./hedge_delay.ts";
+export { RecentFailures } from "./recent_failures.ts";
+export { RetryBudget } from "./retry_budget.ts";
 export { CompletionSink } from "./completion_sink.ts";
 export type {
   ForwardingClaims,
--- a/packages/celerytray/src/forwarding/plain_attempt.ts
+++ b/packages/celerytray/src/forwarding/plain_attempt.ts
@@ -3,13 +3,19 @@
   type Agent,
   type IncomingHttpHeaders,
   type IncomingMessage,
+  type OutgoingHttpHeaders,
   request as httpRequest,
 } from "node:http";
+import {
+  parseAddress,
+  selectAnswerHeaders,
+  selectRequestHeaders,
+} from "../http/index.ts";
 
 /** A plain service's whole answer. */
 export interface PlainAnswer {
   readonly status: number;
-  readonly contentType: string | undefined;
+  readonly headers: OutgoingHttpHeaders;
   readonly body: Buffer;
 }
 
@@ -17,6 +23,8 @@
 export type PlainOutcome =
   | { readonly kind: "answered"; readonly answer: PlainAnswer }
   | { readonly kind: "not-run"; readonly message: string }
+  /** The instance began to answer, but the answer is not whole. */
+  | { readonly kind: "ran"; readonly message: string }
   | { readonly kind: "unknown"; readonly message: string };
 
 /** One attempt on one instance. */
@@ -32,85 +40,145 @@
   readonly agent?: Agent;
 }
 
+type UnansweredKind = "not-run" | "ran" | "unknown";
+
+interface Exchange {
+  readonly options: PlainAttemptOptions;
+  /** What is known if the attempt ends now. */
+  state: UnansweredKind;
+}
+
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-const FORWARDED_HEADERS = ["content-type", "accept", "idempotency-key"];
+const OWN_REQUEST_ID = /^req-[0-9a-f-]{36}$/;
+const BODILESS_STATUSES = [204, 304];
 
 /** Sends a call once and says what is known of it afterwards. */
 export function runPlainAttempt(
   options: PlainAttemptOptions,
 ): Effect.Effect<PlainOutcome> {
-  return exchange(options).pipe(
-    Effect.timeoutOrElse({
-      duration: options.timeoutMs,
-      orElse: () =>
-        Effect.succeed<PlainOutcome>({
-          kind: "unknown",
-          message: `No answer within ${options.timeoutMs} ms`,
-        }),
-    }),
-  );
+  return Effect.suspend(() => {
+    const exchange: Exchange = { options, state: "not-run" };
+    return send(exchange).pipe(
+      Effect.timeoutOrElse({
+        duration: options.timeoutMs,
+        orElse: () =>
+          Effect.sync((): PlainOutcome => ({
+            kind: exchange.state,
+            message: `No answer within ${options.timeoutMs} ms`,
+          })),
+      }),
+    );
+  });
 }
 
-function exchange(options: PlainAttemptOptions): Effect.Effect<PlainOutcome> {
+function send(exchange: Exchange): Effect.Effect<PlainOutcome> {
+  const { options } = exchange;
   return Effect.callback<PlainOutcome>((resume) => {
     const settle = (outcome: PlainOutcome) => resume(Effect.succeed(outcome));
-    let connected = false;
-    const request = httpRequest(`http://${options.address}${options.path}`, {
+    const request = httpRequest({
+      ...parseAddress(options.address),
       method: options.method,
+      path: options.path,
       agent: options.agent ?? false,
       headers: createHeaders(options),
     });
     request.on("socket", (socket) => {
-      connected = !socket.connecting;
-      socket.once("connect", () => connected = true);
+      const onConnect = () => exchange.state = "unknown";
+      if (socket.connecting) socket.once("connect", onConnect);
+      else onConnect();
+    });
+    request.on(
+      "error",
+      (error) => settle({ kind: exchange.state, message: error.message }),
+    );
+    request.on("response", (response) => {
+      exchange.state = "ran";
+      readAnswer(response, {
+        settle,
+        method: options.method,
+        requestId: options.requestId,
+      });
     });
-    request.on("error", (error) =>
-      settle({
-        kind: connected ? "unknown" : "not-run",
-        message: error.message,
-      }));
-    request.on("response", (response) => readAnswer(response, settle));
     request.end(options.body);
     return Effect.sync(() => request.destroy());
   });
 }
 
-function createHeaders(
-  options: PlainAttemptOptions,
-): Record<string, string | number> {
-  const headers: Record<string, string | number> = {
-    "content-length": options.body.length,
+function createHeaders(options: PlainAttemptOptions): OutgoingHttpHeaders {
+  const hasBody = options.body.length > 0 ||
+    options.headers["content-length"] !== undefined;
+  return {
+    ...selectRequestHeaders(options.headers),
+    ...(hasBody ? { "content-length": options.body.length } : {}),
     "x-request-id": options.requestId,
   };
-  for (const name of FORWARDED_HEADERS) {
-    const value = options.headers[name];
-    if (typeof value === "string") headers[name] = value;
-  }
-  return headers;
 }
 
-function readAnswer(
-  response: IncomingMessage,
-  settle: (outcome: PlainOutcome) => void,
-): void {
+interface AnswerReading {
+  readonly settle: (outcome: PlainOutcome) => void;
+  readonly method: string;
+  readonly requestId: string;
+}
+
+function readAnswer(response: IncomingMessage, reading: AnswerReading): void {
+  const { settle } = reading;
+  const stop = (message: string, kind: UnansweredKind = "ran") => {
+    settle({ kind, message });
+    response.destroy();
+  };
+  if (isForeign(response, reading.requestId)) {
+    stop("The instance answered another request", "unknown");
+    return;
+  }
+  if (!hasKnownEnd(response, reading.method)) {
+    stop("The answer has no length; send content-length or chunks");
+    return;
+  }
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
   response.on("data", (chunk: Buffer) => {
     receivedBytes += chunk.length;
-    if (receivedBytes > MAX_ANSWER_BYTES) response.destroy();
-    else chunks.push(chunk);
+    if (receivedBytes <= MAX_ANSWER_BYTES) chunks.push(chunk);
+    else stop(`The answer exceeds ${MAX_ANSWER_BYTES} bytes`);
   });
   response.on("end", () =>
     settle({
       kind: "answered",
       answer: {
         status: response.statusCode ?? 0,
-        contentType: response.headers["content-type"],
+        headers: createAnswerHeaders(response, reading.method),
         body: Buffer.concat(chunks),
       },
     }));
   const onCut = () =>
-    settle({ kind: "unknown", message: "The answer was cut off" });
+    settle({ kind: "ran", message: "The answer was cut off" });
   response.on("error", onCut);
   response.on("close", onCut);
 }
+
+/** Whether the answer names another request; services may omit the name. */
+function isForeign(response: IncomingMessage, requestId: string): boolean {
+  const answeredId = response.headers["x-request-id"];
+  return typeof answeredId === "string" && answeredId !== requestId &&
+    OWN_REQUEST_ID.test(answeredId);
+}
+
+/** Whether a cut can be told from the answer's end. */
+function hasKnownEnd(response: IncomingMessage, method: string): boolean {
+  const { headers, statusCode = 0 } = response;
+  return method === "HEAD" || BODILESS_STATUSES.includes(statusCode) ||
+    headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
+function createAnswerHeaders(
+  response: IncomingMessage,
+  method: string,
+): OutgoingHttpHeaders {
+  const headers = selectAnswerHeaders(response.headers);
+  const declared = response.headers["content-length"];
+  if (method === "HEAD" && declared !== undefined) {
+    headers["content-length"] = declared;
+  }
+  return headers;
+}
--- a/packages/celerytray/src/forwarding/stream_attempt.ts
+++ b/packages/celerytray/src/forwarding/stream_attempt.ts
@@ -1,10 +1,7 @@
 import { Clock, Effect } from "effect";
 import { createParser, type EventSourceMessage } from "eventsource-parser";
-import {
-  type Agent,
-  type IncomingMessage,
-  request as httpRequest,
-} from "node:http";
+import { type IncomingMessage, request as httpRequest } from "node:http";
+import { type BackendPools, parseAddress } from "../http/index.ts";
 import type { CompletionSink } from "./completion_sink.ts";
 import type { ReadyReplica } from "./forwarding_types.ts";
 
@@ -20,7 +17,9 @@
     readonly message: string;
   }
   /** The answer stopped short. */
-  | { readonly kind: "cut"; readonly message: string };
+  | { readonly kind: "cut"; readonly message: string }
+  /** The answer can't be passed on, whichever replica gives it. */
+  | { readonly kind: "undeliverable"; readonly message: string };
 
 /** Options of an attempt. */
 export interface StreamAttemptOptions {
@@ -29,7 +28,7 @@
   /** JSON body for the engine. */
   readonly body: string;
   readonly sink: CompletionSink;
-  readonly agent: Agent;
+  readonly pools: BackendPools;
   /** Silence after which the connection counts as dead. */
   readonly idleTimeoutMs: number;
 }
@@ -40,6 +39,14 @@
 const UNAVAILABLE_STATUS = 503;
 const MAX_ERROR_BYTES = 64 * 1024;
 const END_OF_STREAM = "[DONE]";
+const MAX_EVENT_CHARS = 1024 * 1024;
+const CALLER_STALL_TIMEOUT_MS = 60_000;
+
+/** When a stream last moved, and which side is waited for. */
+interface Activity {
+  atMs: number;
+  isCallerAwaited: boolean;
+}
 
 /**
  * Sends a request to a replica and passes its tokens to the sink, from the
@@ -50,57 +57,78 @@
 ): Effect.Effect<AttemptOutcome> {
   return Effect.gen(function* () {
     const clock = yield* Clock.Clock;
-    const activity = { atMs: clock.currentTimeMillisUnsafe() };
+    const activity: Activity = {
+      atMs: clock.currentTimeMillisUnsafe(),
+      isCallerAwaited: false,
+    };
     const touch = () => {
       activity.atMs = clock.currentTimeMillisUnsafe();
     };
     return yield* Effect.raceFirst(
-      exchange(options, touch),
-      watchIdle(activity, options.idleTimeoutMs),
+      exchange({ ...options, activity, touch }),
+      watchIdle(activity, options),
     );
   });
 }
 
 function watchIdle(
-  activity: { readonly atMs: number },
-  idleTimeoutMs: number,
+  activity: Activity,
+  options: StreamAttemptOptions,
 ): Effect.Effect<AttemptOutcome> {
   return Effect.gen(function* () {
     while (true) {
       const nowMs = yield* Clock.currentTimeMillis;
-      const remainingMs = activity.atMs + idleTimeoutMs - nowMs;
-      if (remainingMs <= 0) {
-        return {
-          kind: "cut",
-          message: `The connection was silent for ${idleTimeoutMs} ms`,
-        };
-      }
+      const limitMs = activity.isCallerAwaited
+        ? CALLER_STALL_TIMEOUT_MS
+        : options.idleTimeoutMs;
+      const remainingMs = activity.atMs + limitMs - nowMs;
+      if (remainingMs <= 0) return describeSilence(activity, options);
       yield* Effect.sleep(remainingMs);
     }
   });
 }
 
-function exchange(
+function describeSilence(
+  activity: Activity,
   options: StreamAttemptOptions,
-  touch: () => void,
-): Effect.Effect<AttemptOutcome> {
+): AttemptOutcome {
+  if (activity.isCallerAwaited) {
+    return {
+      kind: "undeliverable",
+      message: `The caller took nothing for ${CALLER_STALL_TIMEOUT_MS} ms`,
+    };
+  }
+  options.pools.discard(options.replica.leaderAddress);
+  return {
+    kind: "cut",
+    message: `The connection was silent for ${options.idleTimeoutMs} ms`,
+  };
+}
+
+interface Exchange extends StreamAttemptOptions {
+  readonly activity: Activity;
+  readonly touch: () => void;
+}
+
+function exchange(options: Exchange): Effect.Effect<AttemptOutcome> {
+  const { replica, touch } = options;
   return Effect.callback<AttemptOutcome>((resume) => {
     const settle = (outcome: AttemptOutcome) => resume(Effect.succeed(outcome));
-    const request = httpRequest(
-      `http://${options.replica.leaderAddress}/v1/chat/completions`,
-      {
-        method: "POST",
-        agent: options.agent,
-        headers: createAttemptHeaders(options),
-      },
-    );
+    const request = httpRequest({
+      ...parseAddress(replica.leaderAddress),
+      path: "/v1/chat/completions",
+      method: "POST",
+      agent: options.pools.agentFor(replica.leaderAddress),
+      headers: createAttemptHeaders(options),
+    });
     let connected = false;
     request.on("socket", (socket) => {
-      connected = !socket.connecting;
-      socket.once("connect", () => {
+      const onConnect = () => {
         connected = true;
         touch();
-      });
+      };
+      if (socket.connecting) socket.once("connect", onConnect);
+      else onConnect();
     });
     request.on("error", (error) =>
       settle({
@@ -110,7 +138,7 @@
     request.on("response", (response) => {
       touch();
       if (response.statusCode === 200) {
-        relayEvents(response, { ...options, touch, settle });
+        relayEvents(response, { ...options, settle });
       } else {
         readRefusal(response, settle);
       }
@@ -137,34 +165,37 @@
   return headers;
 }
 
-interface RelayOptions extends StreamAttemptOptions {
-  readonly touch: () => void;
+interface RelayOptions extends Exchange {
   readonly settle: (outcome: AttemptOutcome) => void;
 }
 
 function relayEvents(response: IncomingMessage, options: RelayOptions): void {
-  const { sink, touch, settle } = options;
-  let isDone = false;
-  let fault: string | undefined;
-  const onEvent = (event: EventSourceMessage) => {
-    if (isDone || fault !== undefined) return;
-    if (event.data === END_OF_STREAM) isDone = true;
-    else fault = takeEvent(event, options);
+  const { sink, touch } = options;
+  let ended: AttemptOutcome | undefined;
+  const settle = (outcome: AttemptOutcome) => {
+    ended ??= outcome;
+    options.settle(ended);
   };
-  const parser = createParser({ onEvent });
+  const parser = createParser({
+    maxBufferSize: MAX_EVENT_CHARS,
+    onEvent: (event) => {
+      ended ??= takeEvent(event, options);
+    },
+    onError: (error) => {
+      if (error.type !== "max-buffer-size-exceeded") return;
+      ended ??= {
+        kind: "undeliverable",
+        message: `The replica sent an event over ${MAX_EVENT_CHARS} characters`,
+      };
+    },
+  });
   response.setEncoding("utf8");
   response.on("data", (text: string) => {
+    if (ended !== undefined) return;
     touch();
     parser.feed(text);
-    if (!sink.flush()) {
-      response.pause();
-      sink.onDrained(() => {
-        touch();
-        response.resume();
-      });
-    }
-    if (fault !== undefined) settle({ kind: "cut", message: fault });
-    else if (isDone) settle({ kind: "finished" });
+    if (!sink.flush()) pauseUntilDrained(response, options);
+    if (ended !== undefined) settle(ended);
   });
   const onCut = () =>
     settle({ kind: "cut", message: "The replica's answer stopped short" });
@@ -172,20 +203,66 @@
   response.on("close", onCut);
 }
 
-/** Passes an event on; says what is wrong with one of another answer. */
+function pauseUntilDrained(
+  response: IncomingMessage,
+  { sink, activity, touch }: RelayOptions,
+): void {
+  if (activity.isCallerAwaited) return;
+  activity.isCallerAwaited = true;
+  response.pause();
+  sink.onDrained(() => {
+    activity.isCallerAwaited = false;
+    touch();
+    response.resume();
+  });
+}
+
+/** Passes an event on; says how the attempt ended if it did. */
 function takeEvent(
   event: EventSourceMessage,
   options: RelayOptions,
-): string | undefined {
-  const separator = event.id?.lastIndexOf(":") ?? -1;
-  const requestId = event.id?.slice(0, separator);
-  if (separator < 0 || requestId !== options.requestId) {
-    return "The replica sent an event of another request";
+): AttemptOutcome | undefined {
+  const { sink, requestId } = options;
+  if (event.data === END_OF_STREAM) {
+    return sink.isComplete
+      ? { kind: "finished" }
+      : { kind: "cut", message: "The replica ended an unfinished answer" };
+  }
+  const index = parseEventIndex(event.id, requestId);
+  if (index === undefined) {
+    return {
+      kind: "cut",
+      message: "The replica sent an error or an event of another request",
+    };
   }
-  const index = Number(event.id?.slice(separator + 1));
-  if (index < options.sink.nextIndex) return undefined;
-  const isNext = options.sink.accept({ index, data: event.data });
-  return isNext ? undefined : "The replica left a token out";
+  if (index < sink.nextIndex) return undefined;
+  switch (sink.accept({ index, data: event.data })) {
+    case "accepted":
+      return undefined;
+    case "out-of-order":
+      return { kind: "cut", message: "The replica left a token out" };
+    case "foreign":
+      return {
+        kind: "cut",
+        message: "The replica sent a chunk of another answer",
+      };
+    case "too-large":
+      return {
+        kind: "undeliverable",
+        message: "The answer is too large; ask for a stream",
+      };
+  }
+}
+
+/** Position of a token of this request; undefined for any other event. */
+function parseEventIndex(
+  id: string | undefined,
+  requestId: string,
+): number | undefined {
+  const prefix = `${requestId}:`;
+  if (id === undefined || !id.startsWith(prefix)) return undefined;
+  const digits = id.slice(prefix.length);
+  return /^\d{1,9}$/.test(digits) ? Number(digits) : undefined;
 }
 
 function readRefusal(
--- /dev/null
+++ b/packages/celerytray/src/http/backend_pools.ts
@@ -0,0 +1,49 @@
+import { Agent } from "node:http";
+
+const MAX_FREE_CONNECTIONS = 64;
+const MAX_POOLS = 20_000;
+
+/** Connections kept open to back ends, one pool for each address. */
+export class BackendPools {
+  readonly #agents = new Map<string, Agent>();
+
+  /** The pool of an address. */
+  agentFor(address: string): Agent {
+    let agent = this.#agents.get(address);
+    if (agent === undefined) {
+      if (this.#agents.size >= MAX_POOLS) this.#discardOldest();
+      agent = new Agent({
+        keepAlive: true,
+        maxFreeSockets: MAX_FREE_CONNECTIONS,
+      });
+      this.#agents.set(address, agent);
+    }
+    return agent;
+  }
+
+  /**
+   * Closes the unused connections of an address and keeps none of those in
+   * use, so that the next call opens a fresh one.
+   */
+  discard(address: string): void {
+    const agent = this.#agents.get(address);
+    if (agent === undefined) return;
+    this.#agents.delete(address);
+    agent.maxFreeSockets = 0;
+    for (const sockets of Object.values(agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
+  /** Closes every unused connection. */
+  close(): void {
+    for (const address of [...this.#agents.keys()]) this.discard(address);
+  }
+
+  #discardOldest(): void {
+    for (const address of this.#agents.keys()) {
+      this.discard(address);
+      return;
+    }
+  }
+}
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -5,6 +5,11 @@
   requestJson,
   type RequestJsonOptions,
 } from "./request_json.ts";
+export { BackendPools } from "./backend_pools.ts";
+export {
+  selectAnswerHeaders,
+  selectRequestHeaders,
+} from "./forward_headers.ts";
 export { BodyTooLarge, discardBody, readBody } from "./read_body.ts";
 export {
   listen,
--- a/packages/celerytray/src/http/listen.ts
+++ b/packages/celerytray/src/http/listen.ts
@@ -7,8 +7,19 @@
   /** IP:PORT to listen on. */
   readonly address: string;
   readonly handler: RequestListener;
+  /** Time in which a request's head must be there. */
+  readonly headersTimeoutMs?: number;
+  /** Time in which a whole request must be there. */
+  readonly requestTimeoutMs?: number;
+  readonly maxHeaderBytes?: number;
+  /** Whether the handler itself sends `100 Continue`. */
+  readonly handlesContinue?: boolean;
 }
 
+const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
+const DEFAULT_REQUEST_TIMEOUT_MS = 60_000;
+const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
+
 /** The address could not be listened on. */
 export class ListenFailure extends Data.TaggedError("ListenFailure")<{
   readonly message: string;
@@ -30,7 +41,14 @@
   options: ListenOptions,
 ): Effect.Effect<Server, ListenFailure, Scope.Scope> {
   const open = Effect.callback<Server, ListenFailure>((resume) => {
-    const server = createServer(options.handler);
+    const server = createServer({
+      headersTimeout: options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS,
+      requestTimeout: options.requestTimeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS,
+      maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
+    }, options.handler);
+    if (options.handlesContinue === true) {
+      server.on("checkContinue", options.handler);
+    }
     server.once("error", (error) =>
       resume(Effect.fail(
         new ListenFailure({
--- a/packages/fakes/src/engine/index.ts
+++ b/packages/fakes/src/engine/index.ts
@@ -1,3 +1,8 @@
 /** Stand-in of a model engine on one instance. */
 export { FakeEngine, type FakeEngineOptions } from "./fake_engine.ts";
-export { serveFakeEngine } from "./serve_fake_engine.ts";
+export {
+  type EngineFaults,
+  serveFakeEngine,
+  type ServeFakeEngineOptions,
+} from "./serve_fake_engine.ts";
+export { type StreamFault, type StreamFaultKind } from "./stream_faults.ts";
--- a/packages/fakes/src/engine/serve_fake_engine.ts
+++ b/packages/fakes/src/engine/serve_fake_engine.ts
@@ -1,4 +1,5 @@
 import type { ChatCompletionRequest, EngineOrder } from "@celerytray/schema";
+import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   createJsonServer,
@@ -12,26 +13,58 @@
   type FakeEngineOptions,
 } from "./fake_engine.ts";
 import { generateTokens } from "./generate_tokens.ts";
+import {
+  createFaultyStep,
+  formatEvent,
+  type StreamFault,
+  type StreamFaultKind,
+} from "./stream_faults.ts";
+
+/** Faults of an engine and of its streams. */
+export interface EngineFaults extends FakeEngineFaults {
+  readonly stream?: StreamFault;
+}
+
+/** Options of a served engine. */
+export interface ServeFakeEngineOptions extends FakeEngineOptions {
+  readonly address: string;
+  /** Called when a stream goes silent. */
+  readonly onSilent?: () => void;
+  /** Called at each stream, with the index of its first token. */
+  readonly onStream?: (firstIndex: number) => void;
+}
+
+interface ServedEngine {
+  readonly engine: FakeEngine;
+  readonly options: ServeFakeEngineOptions;
+  streamFault: StreamFault | undefined;
+}
 
 /** Serves an engine over HTTP; `POST /faults` switches faults. */
 export function serveFakeEngine(
-  options: FakeEngineOptions & { readonly address: string },
+  options: ServeFakeEngineOptions,
 ): Promise<FakeServer> {
-  const engine = new FakeEngine(options);
+  const served: ServedEngine = {
+    engine: new FakeEngine(options),
+    options,
+    streamFault: undefined,
+  };
   return createJsonServer({
     address: options.address,
-    handle: (call) => handle(call, engine),
+    handle: (call) => handle(call, served),
   });
 }
 
 async function handle(
   call: JsonCall,
-  engine: FakeEngine,
+  served: ServedEngine,
 ): Promise<JsonAnswer | undefined> {
+  const { engine } = served;
   const nowMs = Date.now();
   switch (call.path) {
     case "/faults":
-      engine.faults = call.body as FakeEngineFaults;
+      engine.faults = call.body as EngineFaults;
+      served.streamFault = (call.body as EngineFaults).stream;
       return { status: 200, body: engine.faults };
     case "/status":
       return { status: 200, body: engine.status(nowMs) };
@@ -42,7 +75,7 @@
         : { status: 409, body: { error: "stale fencing number" } };
     }
     case "/v1/chat/completions":
-      return await complete(call, engine);
+      return await complete(call, served);
     default:
       return { status: 404, body: { error: "no such path" } };
   }
@@ -50,8 +83,9 @@
 
 async function complete(
   call: JsonCall,
-  engine: FakeEngine,
+  served: ServedEngine,
 ): Promise<JsonAnswer | undefined> {
+  const { engine } = served;
   const { headers } = call.request;
   const target = {
     replicaId: String(headers["celerytray-replica-id"]),
@@ -62,7 +96,7 @@
   }
   engine.runningRequests += 1;
   try {
-    await streamTokens(call, engine);
+    await streamTokens(call, served);
   } finally {
     engine.runningRequests -= 1;
   }
@@ -71,33 +105,85 @@
 
 async function streamTokens(
   call: JsonCall,
-  engine: FakeEngine,
+  served: ServedEngine,
 ): Promise<void> {
   const { response, request } = call;
+  const { engine, options } = served;
   const body = call.body as ChatCompletionRequest;
   const requestId = String(request.headers["x-request-id"]);
   const tokens = generateTokens(body);
+  const createChunkAt = (index: number, id: string) =>
+    createChunk(body, { tokens, index, id });
+  const firstIndex = findResumeIndex(call);
+  const fault = takeStreamFault(served, firstIndex);
+  options.onStream?.(firstIndex);
   response.writeHead(200, { "content-type": "text/event-stream" });
-  for (let index = findResumeIndex(call); index < tokens.length; index++) {
-    await sleep(engine.options.tokenIntervalMs);
-    if (response.destroyed) return;
-    if (index === engine.faults.cutAfterTokens) {
-      response.destroy();
-      return;
+  for (let index = firstIndex; index < tokens.length; index++) {
+    if (engine.options.tokenIntervalMs > 0) {
+      await sleep(engine.options.tokenIntervalMs);
     }
-    if (index === engine.faults.silentAfterTokens) {
-      await new Promise((closed) => response.once("close", closed));
-      return;
+    if (response.destroyed) return;
+    const token = { requestId, index, createChunk: createChunkAt };
+    const kind = findFaultAt(index, { fault, engine });
+    if (kind === undefined) {
+      if (!response.write(formatEvent(token, index))) await drain(response);
+      continue;
     }
-    const owner = index === engine.faults.crossAfterTokens
-      ? "req-of-another-caller"
-      : requestId;
-    const chunk = createChunk(body, { tokens, index });
-    response.write(`id: ${owner}:${index}\ndata: ${chunk}\n\n`);
+    const step = createFaultyStep(kind, token);
+    response.write(step.text);
+    if (step.then === "continue") continue;
+    if (step.then === "cut") response.destroy();
+    else if (step.then === "end") response.end();
+    else await stayingSilent(call, served);
+    return;
   }
   response.end("data: [DONE]\n\n");
 }
 
+function takeStreamFault(
+  served: ServedEngine,
+  firstIndex: number,
+): StreamFault | undefined {
+  const { streamFault } = served;
+  if (streamFault === undefined || streamFault.atToken < firstIndex) {
+    return undefined;
+  }
+  if (streamFault.streamsLeft === undefined) return streamFault;
+  streamFault.streamsLeft -= 1;
+  return streamFault.streamsLeft >= 0 ? streamFault : undefined;
+}
+
+function findFaultAt(
+  index: number,
+  faulty: {
+    readonly fault: StreamFault | undefined;
+    readonly engine: FakeEngine;
+  },
+): StreamFaultKind | undefined {
+  const { cutAfterTokens, silentAfterTokens, crossAfterTokens } =
+    faulty.engine.faults;
+  if (index === cutAfterTokens) return "cut";
+  if (index === silentAfterTokens) return "silence";
+  if (index === crossAfterTokens) return "crossed-id";
+  return index === faulty.fault?.atToken ? faulty.fault.kind : undefined;
+}
+
+async function stayingSilent(
+  { response }: JsonCall,
+  { options }: ServedEngine,
+): Promise<void> {
+  options.onSilent?.();
+  if (response.destroyed) return;
+  await new Promise((closed) => response.once("close", closed));
+}
+
+async function drain(response: ServerResponse): Promise<void> {
+  await new Promise<void>((resolve) => {
+    response.once("drain", resolve);
+    response.once("close", resolve);
+  });
+}
+
 function findResumeIndex(call: JsonCall): number {
   const lastEventId = call.request.headers["last-event-id"];
   if (typeof lastEventId !== "string") return 0;
@@ -106,10 +192,15 @@
 
 function createChunk(
   request: ChatCompletionRequest,
-  token: { readonly tokens: readonly string[]; readonly index: number },
+  token: {
+    readonly tokens: readonly string[];
+    readonly index: number;
+    readonly id: string;
+  },
 ): string {
   const isLast = token.index === token.tokens.length - 1;
   return JSON.stringify({
+    id: token.id,
     object: "chat.completion.chunk",
     model: request.model,
     choices: [{
--- a/packages/fakes/src/plain_service/index.ts
+++ b/packages/fakes/src/plain_service/index.ts
@@ -1,2 +1,6 @@
 /** Stand-in of a plain service. */
-export { serveFakePlainService } from "./serve_fake_plain_service.ts";
+export {
+  type PlainFaults,
+  type PlainRun,
+  serveFakePlainService,
+} from "./serve_fake_plain_service.ts";
