--- a/packages/bench/src/attempts/local_data_plane.ts
+++ b/packages/bench/src/attempts/local_data_plane.ts
@@ -16,9 +16,11 @@
   type PlainInstance,
   PowerOfTwoRouter,
   type ReadyReplica,
+  type Router,
 } from "celerytray";
 import { Context, Effect, Exit, Scope } from "effect";
 import { createHash } from "node:crypto";
+import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Right } from "purify-ts";
 
@@ -31,7 +33,8 @@
   readonly firstTokenDeadlineMs?: number;
   readonly plainTimeoutMs?: number;
   readonly claims?: ForwardingClaims;
-  readonly seed?: number;
+  /** Chooses among the back ends not yet tried. */
+  readonly router?: Router;
   readonly maxBodyBytes?: number;
   /** Context of the requests, such as a test's clock. */
   readonly context?: Context.Context<never>;
@@ -42,6 +45,7 @@
 /** A data plane before stand-ins. */
 export interface LocalDataPlane {
   readonly url: string;
+  readonly server: Server;
   readonly calls: InFlightCalls;
   /** Back ends in the order of their numbers; a closed one refuses. */
   readonly engines: readonly FakeServer[];
@@ -63,6 +67,9 @@
   readonly close: () => Promise<void>;
 }
 
+/** Takes back ends in the order of their numbers. */
+export const IN_ORDER: Router = { choose: ([first]) => first };
+
 /** Key that the callers of a local data plane send. */
 export const LOCAL_KEY = "local-key";
 
@@ -115,7 +122,7 @@
           ...attemptState,
           availabilityZone: ZONE,
           maxBodyBytes: options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
-          router: new PowerOfTwoRouter({ seed: options.seed ?? 1 }),
+          router: options.router ?? new PowerOfTwoRouter({ seed: 1 }),
           admission: { admit: () => Right(undefined) },
           claims: options.claims ?? grantAll(),
           calls,
@@ -133,6 +140,7 @@
   const { port } = server.address() as AddressInfo;
   return {
     url: `http://127.0.0.1:${port}`,
+    server,
     calls,
     engines,
     plains,
--- a/packages/fakes/src/engine/serve_fake_engine.ts
+++ b/packages/fakes/src/engine/serve_fake_engine.ts
@@ -132,7 +132,7 @@
     const step = createFaultyStep(kind, token);
     response.write(step.text);
     if (step.then === "continue") continue;
-    if (step.then === "cut") response.destroy();
+    if (step.then === "cut") await cutAfterDelivery(response);
     else if (step.then === "end") response.end();
     else await stayingSilent(call, served);
     return;
@@ -177,6 +177,12 @@
   await new Promise((closed) => response.once("close", closed));
 }
 
+/** Cuts a connection once what was written has left. */
+async function cutAfterDelivery(response: ServerResponse): Promise<void> {
+  await new Promise((sent) => response.write(":\n\n", sent));
+  response.destroy();
+}
+
 async function drain(response: ServerResponse): Promise<void> {
   await new Promise<void>((resolve) => {
     response.once("drain", resolve);
