Merge at-most-once claims and checked attempts

Cause: both changed the attempt on a plain instance: one for what is known when an attempt ends, one for the dispatch deadline of a claim.

Ruled out: keeping two notions of "sent"; the state of the exchange is unknown from the moment the dispatch check passes.

Change: the claim's check runs on the connected socket, right before the first byte; a claimed call goes to another instance only if it surely did not run; an answer that was lost after it ran is told as ran, not as unknown.

--- a/packages/bench/src/attempts/local_data_plane.ts
+++ b/packages/bench/src/attempts/local_data_plane.ts
@@ -223,7 +223,13 @@
 /** Claims that grant every key; for calls that no proof of claims needs. */
 function grantAll(): ForwardingClaims {
   return {
-    claim: () => Effect.succeed({ kind: "granted", claimRecordId: "claim" }),
+    claim: () =>
+      Effect.succeed({
+        kind: "granted",
+        claimRecordId: "claim",
+        fencingNumber: 0,
+        mayDispatch: () => true,
+      }),
     recordOutcome: () => Effect.void,
   };
 }
--- a/packages/bench/src/slopes/state_slopes.ts
+++ b/packages/bench/src/slopes/state_slopes.ts
@@ -1,9 +1,8 @@
 import type { ConfigSet, LogRecord } from "@celerytray/schema";
 import {
-  emptyClaimState,
+  ClaimTable,
   emptyConfigState,
   emptyFleetState,
-  foldClaimRecord,
   foldConfigRecord,
   foldFleetRecord,
   type LogEntry,
@@ -15,6 +14,7 @@
 
 const MEMBERS_PER_REPLICA = 8;
 const CONFIG_CHANGES = 50;
+const CLAIM_POLICY = { windowMs: 3_600_000, maxClockErrorMs: 1_000 };
 
 /** Slopes of the state that records on the log make. */
 export const stateSlopes: readonly SlopeMeasurement[] = [
@@ -167,7 +167,7 @@
 }
 
 function foldClaims(claimCount: number): unknown {
-  let state = emptyClaimState();
+  const table = new ClaimTable(CLAIM_POLICY);
   for (let index = 0; index < claimCount; index++) {
     const claimRecordId = `claim-${index}`;
     const records: LogRecord[] = [
@@ -178,6 +178,7 @@
         service: "slotbook",
         key: `booking-${index}`,
         requestSha256: "0".repeat(64),
+        keyIssuedAtMs: 0,
         claimant: "entry-0",
       },
       {
@@ -192,10 +193,10 @@
       },
     ];
     for (const [part, record] of records.entries()) {
-      state = foldClaimRecord(state, createEntry(2 * index + part, record));
+      table.apply(createEntry(2 * index + part, record));
     }
   }
-  return state;
+  return table;
 }
 
 function fillTimeline(eventCount: number): Timeline {
--- a/packages/celerytray/src/entry/index.ts
+++ b/packages/celerytray/src/entry/index.ts
@@ -5,3 +5,4 @@
   type EntryInstanceOptions,
 } from "./create_entry_instance.ts";
 export { type AttemptState, createAttemptState } from "./entry_attempts.ts";
+export { createEntryClaims, type EntryClaimsOptions } from "./entry_claims.ts";
--- a/packages/celerytray/src/forwarding/plain_attempt.ts
+++ b/packages/celerytray/src/forwarding/plain_attempt.ts
@@ -38,6 +38,10 @@
   readonly timeoutMs: number;
   /** Pool to use; a fresh connection without one. */
   readonly agent?: Agent;
+  /** Claim's place in the log, for back ends that check it. */
+  readonly fencingNumber?: number;
+  /** Asked once connected, before the first byte; false sends nothing. */
+  readonly mayDispatch?: () => boolean;
 }
 
 type UnansweredKind = "not-run" | "ran" | "unknown";
@@ -82,10 +86,17 @@
       agent: options.agent ?? false,
       headers: createHeaders(options),
     });
+    const dispatch = () => {
+      if (options.mayDispatch?.() === false) {
+        request.destroy(new Error("The dispatch deadline has passed"));
+        return;
+      }
+      exchange.state = "unknown";
+      request.end(options.body);
+    };
     request.on("socket", (socket) => {
-      const onConnect = () => exchange.state = "unknown";
-      if (socket.connecting) socket.once("connect", onConnect);
-      else onConnect();
+      if (socket.connecting) socket.once("connect", dispatch);
+      else dispatch();
     });
     request.on(
       "error",
@@ -99,8 +110,11 @@
         requestId: options.requestId,
       });
     });
-    request.end(options.body);
-    return Effect.sync(() => request.destroy());
+    return Effect.sync(() => {
+      // A reset drops bytes that the kernel would go on sending.
+      if (options.agent === undefined) request.socket?.resetAndDestroy();
+      request.destroy();
+    });
   });
 }
 
@@ -110,6 +124,9 @@
   return {
     ...selectRequestHeaders(options.headers),
     ...(hasBody ? { "content-length": options.body.length } : {}),
+    ...(options.fencingNumber === undefined
+      ? {}
+      : { "celerytray-fencing-number": options.fencingNumber }),
     "x-request-id": options.requestId,
   };
 }
