Repair replicas by what waiting and loading cost

The greedy planner dissolved a replica on the first absence and formed it from the first free instances, so that each loss loaded all its members. The new planner keeps the survivors: a replace record changes members under the fencing number named and sets a new one. It estimates return and load times online, spreads replicas over zones and domains, keeps flapping instances and stragglers back, and sends loads in turn over the domains by expected gain. Greedy, always-wait and re-form-at-once stay as baselines. Statuses are now dated before the read instead of after it.

--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -17,8 +17,8 @@
   createEngineMonitor,
   emptyFleetState,
   foldFleetRecord,
-  GreedyPlanner,
   type MemberObservation,
+  RepairPlanner,
   runFleetController,
 } from "../fleet/index.ts";
 import { createCallerHandler, InFlightCalls } from "../forwarding/index.ts";
@@ -117,7 +117,7 @@
     yield* runFleetController({
       processId: settings.instanceId,
       intervalMs: settings.planIntervalMs,
-      planner: new GreedyPlanner(),
+      planner: new RepairPlanner(),
       engine,
       writer: fleetWriter,
       view: fleet,
--- a/packages/celerytray/src/fleet/create_orders.ts
+++ b/packages/celerytray/src/fleet/create_orders.ts
@@ -16,8 +16,6 @@
   readonly instances: ReadonlyMap<string, Instance>;
   readonly observations: ReadonlyMap<string, MemberObservation>;
   readonly findService: (name: string) => ModelService | undefined;
-  /** Replicas and free instances that this process looks after. */
-  readonly isOwner: (name: string) => boolean;
 }
 
 /** Orders that bring engines to what the fleet's records say. */
@@ -29,7 +27,7 @@
   const orders: AddressedOrder[] = [];
   for (const replica of HashMap.values(input.fleet.replicas)) {
     const service = input.findService(replica.service);
-    if (service === undefined || !input.isOwner(replica.replicaId)) continue;
+    if (service === undefined) continue;
     for (const member of replica.members) {
       const seen = input.observations.get(member);
       const instance = input.instances.get(member);
@@ -73,7 +71,6 @@
     const instance = input.instances.get(instanceId);
     if (assignment === undefined || instance === undefined) continue;
     if (HashMap.has(input.fleet.replicaIdByMember, instanceId)) continue;
-    if (!input.isOwner(instanceId)) continue;
     if (assignment.fencingNumber > input.fleet.offset) continue;
     const order: EngineOrder = {
       kind: "release",
--- /dev/null
+++ b/packages/celerytray/src/fleet/domain_pool.ts
@@ -0,0 +1,83 @@
+import type { ModelService } from "@celerytray/schema";
+import { HashMap } from "effect";
+import { type FleetObservation, isUsable } from "./planner_types.ts";
+
+/** A fabric domain and its instances that no replica counts. */
+export interface DomainPool {
+  readonly fabricDomain: string;
+  readonly availabilityZone: string;
+  readonly free: Set<string>;
+}
+
+/** How pools are filled. */
+export interface DomainPoolOptions {
+  /** Instances that may not be taken. */
+  readonly isHeld?: (instanceId: string) => boolean;
+}
+
+/** Free instances by fabric domain. */
+export function createDomainPools(
+  observation: FleetObservation,
+  options: DomainPoolOptions = {},
+): Map<string, DomainPool> {
+  const pools = new Map<string, DomainPool>();
+  for (const instance of observation.instances) {
+    const { fabricDomain, instanceId, availabilityZone } = instance;
+    if (instance.role !== "engine" || fabricDomain === undefined) continue;
+    let pool = pools.get(fabricDomain);
+    if (pool === undefined) {
+      pool = { fabricDomain, availabilityZone, free: new Set() };
+      pools.set(fabricDomain, pool);
+    }
+    if (instance.state === "leaving") continue;
+    if (HashMap.has(observation.fleet.replicaIdByMember, instanceId)) continue;
+    if (!isUsable(instanceId, observation)) continue;
+    if (options.isHeld?.(instanceId) === true) continue;
+    pool.free.add(instanceId);
+  }
+  return pools;
+}
+
+/** Which instances to take from a pool. */
+export interface TakeOptions {
+  readonly service: ModelService;
+  readonly observation: FleetObservation;
+  /** Ranks to fill. */
+  readonly ranks: readonly number[];
+}
+
+/**
+ * Takes one instance for each rank, those first that hold the rank's weights;
+ * undefined if there are too few.
+ */
+export function takeForRanks(
+  pool: DomainPool,
+  options: TakeOptions,
+): Map<number, string> | undefined {
+  const { ranks, service, observation } = options;
+  if (pool.free.size < ranks.length) return undefined;
+  const taken = new Map<number, string>();
+  for (const instanceId of pool.free) {
+    const rank = findHeldRank(instanceId, { service, observation });
+    if (rank === undefined || taken.has(rank)) continue;
+    if (ranks.includes(rank)) taken.set(rank, instanceId);
+  }
+  const chosen = new Set(taken.values());
+  const others = [...pool.free].filter((name) => !chosen.has(name));
+  for (const rank of ranks) {
+    if (!taken.has(rank)) taken.set(rank, others.shift()!);
+  }
+  for (const instanceId of taken.values()) pool.free.delete(instanceId);
+  return taken;
+}
+
+/** Rank of a service's model whose weights an instance holds. */
+export function findHeldRank(
+  instanceId: string,
+  { service, observation }: Omit<TakeOptions, "ranks">,
+): number | undefined {
+  const status = observation.observations.get(instanceId)?.status;
+  if (status?.model !== service.model) return undefined;
+  if (status.modelVersion !== service.modelVersion) return undefined;
+  return status.loadedFraction === 1 ? status.loadedRank : undefined;
+}
--- a/packages/celerytray/src/fleet/engine_monitor.ts
+++ b/packages/celerytray/src/fleet/engine_monitor.ts
@@ -55,9 +55,9 @@
 ): Effect.Effect<void> {
   const { observations, options } = context;
   const read = Effect.gen(function* () {
+    const observedAtMs = yield* Clock.currentTimeMillis;
     const status = yield* options.engine.readStatus(instance.address);
     if (status.instanceId !== instance.instanceId) return;
-    const observedAtMs = yield* Clock.currentTimeMillis;
     const observation = { status, observedAtMs };
     observations.set(instance.instanceId, observation);
     options.onStatus?.(observation);
--- a/packages/celerytray/src/fleet/fleet_controller.ts
+++ b/packages/celerytray/src/fleet/fleet_controller.ts
@@ -9,10 +9,15 @@
   StreamView,
 } from "../log/index.ts";
 import type { TimelineFields } from "../timeline/index.ts";
-import { createOrders } from "./create_orders.ts";
+import { type AddressedOrder, createOrders } from "./create_orders.ts";
 import { createReplicaId, type FleetState } from "./fold_fleet_record.ts";
-import type { FleetProposal, ReplicaPlanner } from "./plan_replicas.ts";
+import type {
+  FleetObservation,
+  FleetProposal,
+  ReplicaPlanner,
+} from "./planner_types.ts";
 import type { MemberObservation } from "./replica_health.ts";
+import { selectOrders } from "./select_orders.ts";
 
 /** What the control loop needs of its entry instance. */
 export interface FleetControllerOptions {
@@ -26,6 +31,8 @@
   readonly listInstances: () => readonly Instance[];
   readonly instancesById: () => ReadonlyMap<string, Instance>;
   readonly observations: ReadonlyMap<string, MemberObservation>;
+  /** Loads of weights that may run at once over the whole fleet. */
+  readonly maxConcurrentLoads?: number;
   /** Whether this process is the preferred one for a name. */
   readonly isPreferred: (name: string) => boolean;
   readonly recordEvent: (
@@ -36,6 +43,7 @@
 
 const FLEET_NAME = "fleet";
 const MAX_CONCURRENT_ORDERS = 32;
+const DEFAULT_MAX_CONCURRENT_LOADS = 16;
 
 /** Plans replicas and sends orders, once an interval, until the scope closes. */
 export function runFleetController(
@@ -52,14 +60,16 @@
   const { view } = options;
   return Effect.gen(function* () {
     if (view.readAtMs() === undefined) return;
-    if (!options.isPreferred(FLEET_NAME)) return;
-    const proposals = options.planner.plan({
+    const observation: FleetObservation = {
       config: options.config(),
       fleet: view.current(),
       instances: options.listInstances(),
       observations: options.observations,
       nowMs: yield* Clock.currentTimeMillis,
-    });
+    };
+    options.planner.observe(observation);
+    if (!options.isPreferred(FLEET_NAME)) return;
+    const proposals = options.planner.plan(observation);
     if (proposals.length === 0) return;
     const offsets = yield* Effect.forEach(
       proposals,
@@ -76,14 +86,18 @@
 ): Effect.Effect<number, LogUnavailable | LogAnswerLost> {
   const note = options.recordEvent(`fleet.${proposal.kind}.proposed`, {
     replicaId: createReplicaId(proposal.service, proposal.slot),
-    detail: proposal.kind === "form"
-      ? proposal.members.join(" ")
-      : proposal.reason,
+    detail: describeProposal(proposal),
   });
   const record = createRecord(proposal, options.processId);
   return note.pipe(Effect.andThen(options.writer.append(record)));
 }
 
+function describeProposal(proposal: FleetProposal): string {
+  if (proposal.kind === "dissolve") return proposal.reason;
+  const members = proposal.members.join(" ");
+  return proposal.kind === "form" ? members : `${proposal.reason}: ${members}`;
+}
+
 function createRecord(proposal: FleetProposal, proposer: string): LogRecord {
   const recordId = randomUUID();
   if (proposal.kind === "dissolve") return { ...proposal, recordId, proposer };
@@ -97,18 +111,10 @@
 }
 
 function orderRound(options: FleetControllerOptions): Effect.Effect<void> {
-  return Effect.suspend(() => {
-    const orders = createOrders({
-      fleet: options.view.current(),
-      instances: options.instancesById(),
-      observations: options.observations,
-      findService: (name) => {
-        const service = options.config().services[name];
-        return service?.kind === "model" ? service : undefined;
-      },
-      isOwner: options.isPreferred,
-    });
-    return Effect.forEach(
+  return Effect.gen(function* () {
+    const nowMs = yield* Clock.currentTimeMillis;
+    const orders = selectOwnOrders(options, nowMs);
+    yield* Effect.forEach(
       orders,
       ({ address, order }) =>
         Effect.ignore(options.engine.sendOrder(address, order)),
@@ -116,3 +122,36 @@
     );
   });
 }
+
+/** Every process ranks all orders the same way and sends its own. */
+function selectOwnOrders(
+  options: FleetControllerOptions,
+  nowMs: number,
+): AddressedOrder[] {
+  const config = options.config();
+  const fleet = options.view.current();
+  const instances = options.instancesById();
+  const { observations } = options;
+  const orders = createOrders({
+    fleet,
+    instances,
+    observations,
+    findService: (name) => {
+      const service = config.services[name];
+      return service?.kind === "model" ? service : undefined;
+    },
+  });
+  const selected = selectOrders({
+    orders,
+    config,
+    fleet,
+    observations,
+    nowMs,
+    domainOf: (instanceId) => instances.get(instanceId)?.fabricDomain ?? "",
+    maxConcurrentLoads: options.maxConcurrentLoads ??
+      DEFAULT_MAX_CONCURRENT_LOADS,
+  });
+  return selected.filter(({ order, instanceId }) =>
+    options.isPreferred(order.replicaId ?? instanceId)
+  );
+}
--- a/packages/celerytray/src/fleet/fold_fleet_record.ts
+++ b/packages/celerytray/src/fleet/fold_fleet_record.ts
@@ -1,4 +1,8 @@
-import type { DissolveRecord, FormRecord } from "@celerytray/schema";
+import type {
+  DissolveRecord,
+  FormRecord,
+  ReplaceRecord,
+} from "@celerytray/schema";
 import { HashMap, Option } from "effect";
 import type { LogEntry } from "../log/index.ts";
 
@@ -51,6 +55,9 @@
   const { record } = entry;
   const advanced = { ...state, offset: entry.offset };
   if (record.kind === "form") return formReplica(advanced, { entry, record });
+  if (record.kind === "replace") {
+    return replaceMembers(advanced, { entry, record });
+  }
   if (record.kind === "dissolve") return dissolveReplica(advanced, record);
   return advanced;
 }
@@ -63,27 +70,57 @@
 function formReplica(state: FleetState, form: FormEntry): FleetState {
   const { entry, record } = form;
   const replicaId = createReplicaId(record.service, record.slot);
-  const isDistinct = new Set(record.members).size === record.members.length;
   const isSlotFree = !HashMap.has(state.replicas, replicaId);
-  const areMembersFree = record.members.every((member) =>
-    !HashMap.has(state.replicaIdByMember, member)
-  );
-  if (!isDistinct || !isSlotFree || !areMembersFree) return state;
-  const replica: Replica = {
+  if (!isSlotFree || !areDistinctAndFree(state, record.members)) return state;
+  return addReplica(state, {
     replicaId,
     service: record.service,
     slot: record.slot,
     fencingNumber: entry.offset,
     members: record.members,
     formedAtMs: entry.appendedAtMs,
-  };
+  });
+}
+
+interface ReplaceEntry {
+  readonly entry: LogEntry;
+  readonly record: ReplaceRecord;
+}
+
+function replaceMembers(state: FleetState, change: ReplaceEntry): FleetState {
+  const { entry, record } = change;
+  const replica = findReplica(state, record);
+  if (replica?.fencingNumber !== record.fencingNumber) return state;
+  const without = removeReplica(state, replica);
+  if (!areDistinctAndFree(without, record.members)) return state;
+  return addReplica(without, {
+    ...replica,
+    fencingNumber: entry.offset,
+    members: record.members,
+    formedAtMs: entry.appendedAtMs,
+  });
+}
+
+function areDistinctAndFree(
+  state: FleetState,
+  members: readonly string[],
+): boolean {
+  return new Set(members).size === members.length &&
+    members.every((member) => !HashMap.has(state.replicaIdByMember, member));
+}
+
+function addReplica(state: FleetState, replica: Replica): FleetState {
   let replicaIdByMember = state.replicaIdByMember;
-  for (const member of record.members) {
-    replicaIdByMember = HashMap.set(replicaIdByMember, member, replicaId);
+  for (const member of replica.members) {
+    replicaIdByMember = HashMap.set(
+      replicaIdByMember,
+      member,
+      replica.replicaId,
+    );
   }
   return {
     ...state,
-    replicas: HashMap.set(state.replicas, replicaId, replica),
+    replicas: HashMap.set(state.replicas, replica.replicaId, replica),
     replicaIdByMember,
   };
 }
@@ -92,18 +129,27 @@
   state: FleetState,
   record: DissolveRecord,
 ): FleetState {
-  const replicaId = createReplicaId(record.service, record.slot);
-  const replica = Option.getOrUndefined(
-    HashMap.get(state.replicas, replicaId),
-  );
+  const replica = findReplica(state, record);
   if (replica?.fencingNumber !== record.fencingNumber) return state;
+  return removeReplica(state, replica);
+}
+
+function findReplica(
+  state: FleetState,
+  { service, slot }: DissolveRecord | ReplaceRecord,
+): Replica | undefined {
+  const replicaId = createReplicaId(service, slot);
+  return Option.getOrUndefined(HashMap.get(state.replicas, replicaId));
+}
+
+function removeReplica(state: FleetState, replica: Replica): FleetState {
   let replicaIdByMember = state.replicaIdByMember;
   for (const member of replica.members) {
     replicaIdByMember = HashMap.remove(replicaIdByMember, member);
   }
   return {
     ...state,
-    replicas: HashMap.remove(state.replicas, replicaId),
+    replicas: HashMap.remove(state.replicas, replica.replicaId),
     replicaIdByMember,
   };
 }
--- a/packages/celerytray/src/fleet/plan_replicas.ts
+++ b/packages/celerytray/src/fleet/greedy_planner.ts
@@ -1,48 +1,16 @@
-import type { ConfigSet, Instance } from "@celerytray/schema";
 import { HashMap } from "effect";
+import { createReplicaId, type Replica } from "./fold_fleet_record.ts";
 import {
-  createReplicaId,
-  type FleetState,
-  type Replica,
-} from "./fold_fleet_record.ts";
-import type { MemberObservation } from "./replica_health.ts";
-
-/** Everything that a planning round decides from. */
-export interface FleetObservation {
-  readonly config: ConfigSet;
-  readonly fleet: FleetState;
-  /** The platform's list, which lags. */
-  readonly instances: readonly Instance[];
-  readonly observations: ReadonlyMap<string, MemberObservation>;
-  readonly nowMs: number;
-}
-
-/** A change of the fleet to put on the log. */
-export type FleetProposal =
-  | {
-    readonly kind: "form";
-    readonly service: string;
-    readonly slot: number;
-    readonly members: readonly string[];
-  }
-  | {
-    readonly kind: "dissolve";
-    readonly service: string;
-    readonly slot: number;
-    readonly fencingNumber: number;
-    readonly reason: string;
-  };
-
-/** Decides which replicas to form and to dissolve. */
-export interface ReplicaPlanner {
-  plan(observation: FleetObservation): readonly FleetProposal[];
-}
-
-/** Age of an observation above which an instance counts as lost. */
-const LOST_AFTER_MS = 5_000;
+  type FleetObservation,
+  type FleetProposal,
+  isUsable,
+  type ReplicaPlanner,
+} from "./planner_types.ts";
 
 /** Forms from the first free instances and dissolves on the first loss. */
 export class GreedyPlanner implements ReplicaPlanner {
+  observe(): void {}
+
   plan(observation: FleetObservation): readonly FleetProposal[] {
     return [
       ...proposeDissolutions(observation),
@@ -70,6 +38,17 @@
 function findDissolveReason(
   replica: Replica,
   observation: FleetObservation,
+): string | undefined {
+  const unwanted = findUnwantedReason(replica, observation);
+  if (unwanted !== undefined) return unwanted;
+  const lost = replica.members.find((member) => !isUsable(member, observation));
+  return lost === undefined ? undefined : `lost ${lost}`;
+}
+
+/** Why the configuration asks for a replica no more, if so. */
+export function findUnwantedReason(
+  replica: Replica,
+  observation: FleetObservation,
 ): string | undefined {
   const service = observation.config.services[replica.service];
   if (service?.kind !== "model") return "service-removed";
@@ -77,8 +56,7 @@
   if (replica.members.length !== service.instancesPerReplica) {
     return "resized";
   }
-  const lost = replica.members.find((member) => !isUsable(member, observation));
-  return lost === undefined ? undefined : `lost ${lost}`;
+  return undefined;
 }
 
 function proposeFormations(observation: FleetObservation): FleetProposal[] {
@@ -123,10 +101,3 @@
   }
   return undefined;
 }
-
-function isUsable(member: string, observation: FleetObservation): boolean {
-  const seen = observation.observations.get(member);
-  return seen !== undefined &&
-    observation.nowMs - seen.observedAtMs <= LOST_AFTER_MS &&
-    seen.status.leaving !== true;
-}
--- a/packages/celerytray/src/fleet/index.ts
+++ b/packages/celerytray/src/fleet/index.ts
@@ -13,19 +13,32 @@
 export {
   type FleetObservation,
   type FleetProposal,
-  GreedyPlanner,
   type ReplicaPlanner,
-} from "./plan_replicas.ts";
+} from "./planner_types.ts";
+export {
+  emptyEstimates,
+  type FleetEstimates,
+  updateEstimates,
+} from "./fleet_estimates.ts";
+export { planReplicas, RepairPlanner } from "./repair_planner.ts";
+export { AlwaysWaitPlanner, ReformAtOncePlanner } from "./baseline_planners.ts";
+export { GreedyPlanner } from "./greedy_planner.ts";
 
 // Readiness
 export {
   findReplicaHealth,
+  matchesReplica,
   type MemberObservation,
   type ReplicaHealth,
 } from "./replica_health.ts";
 
 // Orders
-export { type AddressedOrder, createOrders } from "./create_orders.ts";
+export {
+  type AddressedOrder,
+  createOrders,
+  type OrderInput,
+} from "./create_orders.ts";
+export { type OrderSelection, selectOrders } from "./select_orders.ts";
 
 // Control loops
 export { createEngineMonitor, type EngineMonitor } from "./engine_monitor.ts";
--- /dev/null
+++ b/packages/celerytray/src/fleet/place_replicas.ts
@@ -0,0 +1,177 @@
+import type { ModelService } from "@celerytray/schema";
+import { HashMap } from "effect";
+import { type DomainPool, takeForRanks } from "./domain_pool.ts";
+import { createReplicaId, type Replica } from "./fold_fleet_record.ts";
+import type { FleetObservation, FleetProposal } from "./planner_types.ts";
+import { SpreadQueue } from "./spread_queue.ts";
+
+/** What formation rests on. */
+export interface PlacementInput {
+  readonly observation: FleetObservation;
+  readonly pools: ReadonlyMap<string, DomainPool>;
+  /** Replicas that this round dissolves; their slots are taken until then. */
+  readonly dissolved: ReadonlySet<string>;
+  /** Gives each rank to an instance that holds its weights, if there is one. */
+  readonly keepsRanks: boolean;
+  /** Services whose spare groups of instances serve as well. */
+  readonly mayExceed?: (service: ModelService) => boolean;
+}
+
+interface ServicePlacement {
+  readonly name: string;
+  readonly service: ModelService;
+  readonly queue: SpreadQueue;
+  replicaCount: number;
+  nextSlot: number;
+}
+
+/**
+ * Forms the replicas that are wanted, the service served worst first; then
+ * further ones from whole groups of spare instances where they may serve.
+ */
+export function placeReplicas(input: PlacementInput): FleetProposal[] {
+  const services = createPlacements(input);
+  const wanted = placeWhile(services, {
+    input,
+    isOpen: ({ replicaCount, service }) => replicaCount < service.replicaCount,
+  });
+  const isShort = services.some(({ replicaCount, service }) =>
+    replicaCount < service.replicaCount
+  );
+  if (isShort || input.mayExceed === undefined) return wanted;
+  const further = placeWhile(services, {
+    input,
+    isOpen: ({ service }) =>
+      service.replicaCount > 0 && input.mayExceed!(service),
+  });
+  return [...wanted, ...further];
+}
+
+interface PlacingRound {
+  readonly input: PlacementInput;
+  readonly isOpen: (placement: ServicePlacement) => boolean;
+}
+
+function placeWhile(
+  services: readonly ServicePlacement[],
+  { input, isOpen }: PlacingRound,
+): FleetProposal[] {
+  const proposals: FleetProposal[] = [];
+  const exhausted = new Set<string>();
+  while (true) {
+    const open = services.filter((placement) =>
+      !exhausted.has(placement.name) && isOpen(placement)
+    );
+    const next = findWorstServed(open);
+    if (next === undefined) return proposals;
+    const proposal = placeOne(next, input);
+    if (proposal === undefined) exhausted.add(next.name);
+    else proposals.push(proposal);
+  }
+}
+
+function findWorstServed(
+  placements: readonly ServicePlacement[],
+): ServicePlacement | undefined {
+  let worst: ServicePlacement | undefined;
+  for (const placement of placements) {
+    if (worst === undefined || servedShare(placement) < servedShare(worst)) {
+      worst = placement;
+    }
+  }
+  return worst;
+}
+
+function servedShare({ replicaCount, service }: ServicePlacement): number {
+  return replicaCount / service.replicaCount;
+}
+
+function placeOne(
+  placement: ServicePlacement,
+  input: PlacementInput,
+): FleetProposal | undefined {
+  const { service, name } = placement;
+  const count = service.instancesPerReplica;
+  const pool = placement.queue.take(count);
+  if (pool === undefined) return undefined;
+  const members = takeMembers(pool, { service, input });
+  const slot = findFreeSlot(placement, input);
+  placement.nextSlot = slot + 1;
+  placement.replicaCount += 1;
+  return { kind: "form", service: name, slot, members };
+}
+
+function takeMembers(
+  pool: DomainPool,
+  { service, input }: {
+    readonly service: ModelService;
+    readonly input: PlacementInput;
+  },
+): string[] {
+  const ranks = Array.from(
+    { length: service.instancesPerReplica },
+    (_, rank) => rank,
+  );
+  if (!input.keepsRanks) {
+    const members = [...pool.free].slice(0, ranks.length);
+    for (const member of members) pool.free.delete(member);
+    return members;
+  }
+  const { observation } = input;
+  const taken = takeForRanks(pool, { service, observation, ranks })!;
+  return ranks.map((rank) => taken.get(rank)!);
+}
+
+function findFreeSlot(
+  { name, nextSlot }: ServicePlacement,
+  { observation }: PlacementInput,
+): number {
+  const { replicas } = observation.fleet;
+  let slot = nextSlot;
+  while (HashMap.has(replicas, createReplicaId(name, slot))) slot += 1;
+  return slot;
+}
+
+function createPlacements(input: PlacementInput): ServicePlacement[] {
+  const { config } = input.observation;
+  const countsByService = countReplicas(input);
+  return Object.entries(config.services).flatMap(([name, service]) => {
+    if (service.kind !== "model") return [];
+    const replicaCounts = countsByService.get(name) ?? new Map();
+    let replicaCount = 0;
+    for (const count of replicaCounts.values()) replicaCount += count;
+    const queue = new SpreadQueue({
+      pools: input.pools.values(),
+      replicaCounts,
+    });
+    return [{ name, service, queue, replicaCount, nextSlot: 0 }];
+  });
+}
+
+/** Replicas by service and fabric domain. */
+function countReplicas(
+  input: PlacementInput,
+): Map<string, Map<string, number>> {
+  const { fleet, instances } = input.observation;
+  const domainOf = new Map(instances.map((instance) => [
+    instance.instanceId,
+    instance.fabricDomain ?? "",
+  ]));
+  const counts = new Map<string, Map<string, number>>();
+  for (const replica of HashMap.values(fleet.replicas)) {
+    if (input.dissolved.has(replica.replicaId)) continue;
+    const domain = findDomain(replica, domainOf);
+    const byDomain = counts.get(replica.service) ?? new Map();
+    byDomain.set(domain, (byDomain.get(domain) ?? 0) + 1);
+    counts.set(replica.service, byDomain);
+  }
+  return counts;
+}
+
+function findDomain(
+  replica: Replica,
+  domainOf: ReadonlyMap<string, string>,
+): string {
+  const known = replica.members.find((member) => domainOf.has(member));
+  return known === undefined ? "" : domainOf.get(known)!;
+}
--- /dev/null
+++ b/packages/celerytray/src/fleet/repair_planner.ts
@@ -0,0 +1,148 @@
+import type { ConfigSet, ModelService } from "@celerytray/schema";
+import { HashMap } from "effect";
+import { type Damage, findDamage } from "./assess_replica.ts";
+import { createDomainPools, type DomainPool } from "./domain_pool.ts";
+import { findSurplus } from "./find_surplus.ts";
+import {
+  emptyEstimates,
+  type FleetEstimates,
+  isHeldBack,
+  updateEstimates,
+} from "./fleet_estimates.ts";
+import { placeReplicas } from "./place_replicas.ts";
+import {
+  ABSENT_AFTER_MS,
+  type FleetObservation,
+  type FleetProposal,
+  isPresent,
+  type ReplicaPlanner,
+} from "./planner_types.ts";
+import { repairReplicas, type Repairs } from "./repair_replicas.ts";
+
+/** Repairs what costs less to repair than to wait for. */
+export class RepairPlanner implements ReplicaPlanner {
+  #estimates = emptyEstimates();
+
+  get estimates(): FleetEstimates {
+    return this.#estimates;
+  }
+
+  observe(observation: FleetObservation): void {
+    this.#estimates = updateEstimates(this.#estimates, observation);
+  }
+
+  plan(observation: FleetObservation): readonly FleetProposal[] {
+    return planReplicas(observation, this.#estimates);
+  }
+}
+
+/** Share of the engines that a process must see to judge the others. */
+const MIN_SEEN_SHARE = 0.5;
+
+/** One round's changes; none while this process sees too few engines. */
+export function planReplicas(
+  observation: FleetObservation,
+  estimates: FleetEstimates,
+): FleetProposal[] {
+  if (isIsolated(observation)) return [];
+  const { nowMs } = observation;
+  const pools = createDomainPools(observation, {
+    isHeld: (member) => isHeldBack(estimates, { member, nowMs }),
+  });
+  const surplus = findSurplus(observation, mayExceed(observation.config));
+  const repairs = chooseRepairs(observation, { estimates, pools, surplus });
+  const dissolved = new Set([...surplus.keys(), ...repairs.dissolved]);
+  const formations = placeReplicas({
+    observation,
+    pools,
+    dissolved,
+    keepsRanks: true,
+    mayExceed: mayExceed(observation.config),
+  });
+  return [
+    ...surplus.values(),
+    ...repairs.dissolutions,
+    ...repairs.replacements,
+    ...formations,
+  ];
+}
+
+/**
+ * Where stranded accelerators weigh more, whole groups of spares serve too;
+ * where group downtime does, spares stay free for repairs.
+ */
+function mayExceed(config: ConfigSet): (service: ModelService) => boolean {
+  return ({ deployment }) =>
+    config.deployments[deployment]?.weighting === "stranded-accelerators";
+}
+
+function isIsolated(observation: FleetObservation): boolean {
+  let engineCount = 0;
+  let seenCount = 0;
+  for (const { role, instanceId } of observation.instances) {
+    if (role !== "engine") continue;
+    engineCount += 1;
+    if (isPresent(instanceId, observation)) seenCount += 1;
+  }
+  return seenCount < engineCount * MIN_SEEN_SHARE;
+}
+
+interface RepairContext {
+  readonly estimates: FleetEstimates;
+  readonly pools: ReadonlyMap<string, DomainPool>;
+  readonly surplus: ReadonlyMap<string, FleetProposal>;
+}
+
+function chooseRepairs(
+  observation: FleetObservation,
+  { estimates, pools, surplus }: RepairContext,
+): Repairs {
+  const startedAtMs = estimates.startedAtMs ?? observation.nowMs;
+  const isNew = observation.nowMs - startedAtMs <= ABSENT_AFTER_MS;
+  const damages: Damage[] = [];
+  for (const replica of HashMap.values(observation.fleet.replicas)) {
+    if (isNew || surplus.has(replica.replicaId)) continue;
+    const damage = findDamage(replica, { observation, estimates });
+    if (damage !== undefined) damages.push(damage);
+  }
+  const domainOf = new Map(observation.instances.map((instance) => [
+    instance.instanceId,
+    instance.fabricDomain ?? "",
+  ]));
+  const groups = new GroupCounter(pools);
+  return repairReplicas(damages, {
+    observation,
+    estimates,
+    pools,
+    findDomain: ({ replica }) => {
+      const known = replica.members.find((member) => domainOf.has(member));
+      return known === undefined ? "" : domainOf.get(known)!;
+    },
+    findService: ({ replica }) =>
+      observation.config.services[replica.service] as ModelService,
+    countGroups: (size, exceptDomain) => groups.count(size, exceptDomain),
+  });
+}
+
+/** Whole groups of free instances, counted once for each size. */
+class GroupCounter {
+  readonly #pools: ReadonlyMap<string, DomainPool>;
+  readonly #totals = new Map<number, number>();
+
+  constructor(pools: ReadonlyMap<string, DomainPool>) {
+    this.#pools = pools;
+  }
+
+  count(size: number, exceptDomain: string): number {
+    let total = this.#totals.get(size);
+    if (total === undefined) {
+      total = 0;
+      for (const { free } of this.#pools.values()) {
+        total += Math.floor(free.size / size);
+      }
+      this.#totals.set(size, total);
+    }
+    const own = this.#pools.get(exceptDomain)?.free.size ?? 0;
+    return total - Math.floor(own / size);
+  }
+}
--- /dev/null
+++ b/packages/celerytray/src/fleet/repair_replicas.ts
@@ -0,0 +1,179 @@
+import type { ModelService } from "@celerytray/schema";
+import type { Damage } from "./assess_replica.ts";
+import { type DomainPool, findHeldRank, takeForRanks } from "./domain_pool.ts";
+import { expectLoadMs, type FleetEstimates } from "./fleet_estimates.ts";
+import { groupBy } from "./group_by.ts";
+import type { FleetObservation, FleetProposal } from "./planner_types.ts";
+import { expectWaitMs } from "./return_times.ts";
+
+/** What repairs are chosen from; pools shrink and grow with each choice. */
+export interface RepairInput {
+  readonly observation: FleetObservation;
+  readonly estimates: FleetEstimates;
+  readonly pools: ReadonlyMap<string, DomainPool>;
+  readonly findDomain: (damage: Damage) => string;
+  readonly findService: (damage: Damage) => ModelService;
+  /** Groups of so many free instances outside a domain. */
+  readonly countGroups: (size: number, exceptDomain: string) => number;
+}
+
+/** Changes that repair damaged replicas, those that free instances first. */
+export interface Repairs {
+  readonly dissolutions: readonly FleetProposal[];
+  readonly replacements: readonly FleetProposal[];
+  /** Identifiers of the replicas dissolved. */
+  readonly dissolved: ReadonlySet<string>;
+}
+
+/** Time of a repair that needs no load. */
+const HOT_REPAIR_MS = 3_000;
+
+/**
+ * Chooses for each damaged replica between waiting, a spare of its fabric
+ * domain, and dissolving it: to form anew elsewhere, or so that its members
+ * complete another one.
+ */
+export function repairReplicas(
+  damages: readonly Damage[],
+  input: RepairInput,
+): Repairs {
+  const round = new RepairRound(input);
+  const ordered = damages.toSorted((a, b) =>
+    a.faultyRanks.length - b.faultyRanks.length ||
+    a.replica.fencingNumber - b.replica.fencingNumber
+  );
+  const unrepaired = ordered.filter((damage) => !round.tryReplace(damage));
+  const remaining = unrepaired.filter((damage) => !round.tryMove(damage));
+  round.combine(remaining);
+  return round;
+}
+
+class RepairRound implements Repairs {
+  readonly dissolutions: FleetProposal[] = [];
+  readonly replacements: FleetProposal[] = [];
+  readonly dissolved = new Set<string>();
+  readonly #input: RepairInput;
+  #movedInstances = 0;
+
+  constructor(input: RepairInput) {
+    this.#input = input;
+  }
+
+  /** Replaces the faulty members by spares if that costs less than waiting. */
+  tryReplace(damage: Damage): boolean {
+    const pool = this.#input.pools.get(this.#input.findDomain(damage));
+    if (pool === undefined) return false;
+    const isHot = this.#hasWeights(damage, pool);
+    const repairMs = isHot ? HOT_REPAIR_MS : this.#loadMs();
+    if (this.#isWaitBetter(damage, repairMs)) return false;
+    return this.#replace(damage, pool);
+  }
+
+  /** Dissolves a replica that can be formed in another domain. */
+  tryMove(damage: Damage): boolean {
+    if (damage.slowLossMs > 0) return false;
+    const size = damage.replica.members.length;
+    const domain = this.#input.findDomain(damage);
+    const taken = Math.ceil(this.#movedInstances / size);
+    if (this.#input.countGroups(size, domain) <= taken) return false;
+    if (this.#isWaitBetter(damage, this.#loadMs() * MOVE_LOADS)) return false;
+    this.#movedInstances += size;
+    this.#dissolve(damage, "moves");
+    return true;
+  }
+
+  /** Dissolves the most damaged of a domain so that it completes others. */
+  combine(damages: readonly Damage[]): void {
+    const lasting = damages.filter((damage) =>
+      damage.slowLossMs === 0 &&
+      !this.#isWaitBetter(damage, this.#loadMs() * MOVE_LOADS)
+    );
+    const byDomain = groupBy(lasting, this.#input.findDomain);
+    for (const [domain, broken] of byDomain) {
+      const pool = this.#input.pools.get(domain);
+      if (pool !== undefined) this.#combineDomain(broken, pool);
+    }
+  }
+
+  #combineDomain(broken: Damage[], pool: DomainPool): void {
+    while (broken.length > 1) {
+      const donor = broken.at(-1)!;
+      const survivors = findSurvivors(donor, this.#input.observation);
+      const first = broken[0]!;
+      const available = survivors.length + pool.free.size;
+      if (available < first.faultyRanks.length) return;
+      broken.pop();
+      for (const member of survivors) pool.free.add(member);
+      this.#dissolve(donor, "completes others");
+      while (broken.length > 0 && this.#replace(broken[0]!, pool)) {
+        broken.shift();
+      }
+    }
+  }
+
+  #replace(damage: Damage, pool: DomainPool): boolean {
+    const { replica, faultyRanks, reason } = damage;
+    const { observation } = this.#input;
+    const service = this.#input.findService(damage);
+    const ranks = faultyRanks;
+    const taken = takeForRanks(pool, { service, observation, ranks });
+    if (taken === undefined) return false;
+    this.replacements.push({
+      kind: "replace",
+      service: replica.service,
+      slot: replica.slot,
+      fencingNumber: replica.fencingNumber,
+      members: replica.members.map((member, rank) => taken.get(rank) ?? member),
+      reason,
+    });
+    return true;
+  }
+
+  #dissolve(damage: Damage, purpose: string): void {
+    const { replica, reason } = damage;
+    this.dissolved.add(replica.replicaId);
+    this.dissolutions.push({
+      kind: "dissolve",
+      service: replica.service,
+      slot: replica.slot,
+      fencingNumber: replica.fencingNumber,
+      reason: `${reason}; ${purpose}`,
+    });
+  }
+
+  #hasWeights(damage: Damage, pool: DomainPool): boolean {
+    const { observation } = this.#input;
+    const service = this.#input.findService(damage);
+    const held = new Set<number>();
+    for (const instanceId of pool.free) {
+      const rank = findHeldRank(instanceId, { service, observation });
+      if (rank !== undefined) held.add(rank);
+    }
+    return damage.faultyRanks.every((rank) => held.has(rank));
+  }
+
+  #isWaitBetter(damage: Damage, repairMs: number): boolean {
+    if (damage.slowLossMs > 0) return damage.slowLossMs < repairMs;
+    if (damage.absentForMs === undefined) return false;
+    const { returnTimes } = this.#input.estimates;
+    const ageMs = damage.absentForMs;
+    return expectWaitMs(returnTimes, { ageMs, repairMs }) < repairMs;
+  }
+
+  #loadMs(): number {
+    const { estimates, observation } = this.#input;
+    return expectLoadMs(estimates, observation.nowMs);
+  }
+}
+
+/** Loads' time for which forming a whole replica elsewhere counts. */
+const MOVE_LOADS = 2;
+
+function findSurvivors(
+  { replica, faultyRanks }: Damage,
+  observation: FleetObservation,
+): string[] {
+  return replica.members.filter((member, rank) =>
+    !faultyRanks.includes(rank) && observation.observations.has(member)
+  );
+}
--- /dev/null
+++ b/packages/celerytray/src/fleet/select_orders.ts
@@ -0,0 +1,143 @@
+import type { ConfigSet } from "@celerytray/schema";
+import { HashMap, Option } from "effect";
+import type { AddressedOrder } from "./create_orders.ts";
+import type { FleetState, Replica } from "./fold_fleet_record.ts";
+import { groupBy } from "./group_by.ts";
+import type { MemberObservation } from "./replica_health.ts";
+
+/** What the order of loads rests on. */
+export interface OrderSelection {
+  readonly orders: readonly AddressedOrder[];
+  readonly config: ConfigSet;
+  readonly fleet: FleetState;
+  readonly observations: ReadonlyMap<string, MemberObservation>;
+  readonly domainOf: (instanceId: string) => string;
+  readonly nowMs: number;
+  /** Loads that may run at once over the whole fleet. */
+  readonly maxConcurrentLoads: number;
+}
+
+interface RankedLoad {
+  readonly order: AddressedOrder;
+  readonly gain: number;
+  readonly domain: string;
+}
+
+/** Age of an observation above which its load counts as ended. */
+const RUNNING_LOAD_MAX_AGE_MS = 5_000;
+
+/**
+ * Orders to send now: all that need no load, and as many loads as the weight
+ * store bears, in turn over the fabric domains and in each by expected gain.
+ */
+export function selectOrders(selection: OrderSelection): AddressedOrder[] {
+  const free: AddressedOrder[] = [];
+  const loads: AddressedOrder[] = [];
+  for (const order of selection.orders) {
+    const needed = needsLoad(order, selection);
+    (needed ? loads : free).push(order);
+  }
+  const running = countRunningLoads(selection);
+  let runningCount = 0;
+  for (const count of running.values()) runningCount += count;
+  const room = selection.maxConcurrentLoads - runningCount;
+  if (room <= 0 || loads.length === 0) return free;
+  const ranked = rankLoads(loads, selection);
+  return [...free, ...takeInTurn(ranked, { running, room })];
+}
+
+function needsLoad(
+  { order, instanceId }: AddressedOrder,
+  { observations }: OrderSelection,
+): boolean {
+  if (order.kind !== "join") return false;
+  const status = observations.get(instanceId)?.status;
+  return status === undefined || status.model !== order.model ||
+    status.modelVersion !== order.modelVersion ||
+    status.loadedRank !== order.rank;
+}
+
+/** Loads by domain; those of members out of sight hold up no others. */
+function countRunningLoads(selection: OrderSelection): Map<string, number> {
+  const running = new Map<string, number>();
+  for (const [instanceId, seen] of selection.observations) {
+    const ageMs = selection.nowMs - seen.observedAtMs;
+    if (seen.status.state !== "loading" || ageMs > RUNNING_LOAD_MAX_AGE_MS) {
+      continue;
+    }
+    const domain = selection.domainOf(instanceId);
+    running.set(domain, (running.get(domain) ?? 0) + 1);
+  }
+  return running;
+}
+
+function rankLoads(
+  loads: readonly AddressedOrder[],
+  selection: OrderSelection,
+): RankedLoad[] {
+  const loadsByReplica = groupBy(loads, ({ order }) => order.replicaId);
+  return loads.map((order) => {
+    const { replicaId } = order.order;
+    const remaining = loadsByReplica.get(replicaId)!.length;
+    const replica = Option.getOrUndefined(
+      HashMap.get(selection.fleet.replicas, replicaId ?? ""),
+    );
+    const gain = replica === undefined
+      ? 0
+      : replicaGain(replica, selection.config) / remaining;
+    return { order, gain, domain: selection.domainOf(order.instanceId) };
+  });
+}
+
+/** What a replica's serving is worth by its deployment's weighting. */
+function replicaGain(
+  { service: name, members, slot }: Replica,
+  { services, deployments }: ConfigSet,
+): number {
+  const service = services[name];
+  if (service?.kind !== "model") return 0;
+  const { weighting } = deployments[service.deployment]!;
+  const gain = weighting === "stranded-accelerators" ? members.length : 1;
+  return slot < service.replicaCount ? gain : gain / FURTHER_REPLICA_DIVISOR;
+}
+
+/** Replicas beyond the number wanted load last. */
+const FURTHER_REPLICA_DIVISOR = 1_000;
+
+function takeInTurn(
+  loads: readonly RankedLoad[],
+  { running, room }: {
+    readonly running: ReadonlyMap<string, number>;
+    readonly room: number;
+  },
+): AddressedOrder[] {
+  const byDomain = groupBy(loads, ({ domain }) => domain);
+  const counts = new Map<string, number>();
+  for (const [domain, queue] of byDomain) {
+    queue.sort((a, b) => b.gain - a.gain);
+    counts.set(domain, running.get(domain) ?? 0);
+  }
+  const taken: AddressedOrder[] = [];
+  while (taken.length < room && byDomain.size > 0) {
+    const domain = findNextDomain(byDomain, counts);
+    const queue = byDomain.get(domain)!;
+    taken.push(queue.shift()!.order);
+    counts.set(domain, counts.get(domain)! + 1);
+    if (queue.length === 0) byDomain.delete(domain);
+  }
+  return taken;
+}
+
+/** The domain with the fewest loads; of those the one that gains most. */
+function findNextDomain(
+  byDomain: ReadonlyMap<string, readonly RankedLoad[]>,
+  counts: ReadonlyMap<string, number>,
+): string {
+  const domains = [...byDomain.keys()];
+  return domains.reduce((best, domain) => {
+    const difference = counts.get(domain)! - counts.get(best)!;
+    if (difference !== 0) return difference < 0 ? domain : best;
+    const gain = byDomain.get(domain)![0]!.gain;
+    return gain > byDomain.get(best)![0]!.gain ? domain : best;
+  });
+}
--- a/packages/fakes/src/engine/fake_engine.ts
+++ b/packages/fakes/src/engine/fake_engine.ts
@@ -1,5 +1,6 @@
 import type { EngineOrder, EngineStatus } from "@celerytray/schema";
 import { randomUUID } from "node:crypto";
+import { FakeWeightStore } from "../weight_store/index.ts";
 
 /** Options of a stand-in engine. */
 export interface FakeEngineOptions {
@@ -10,6 +11,8 @@
   readonly loadMs?: number;
   /** Time between two tokens. */
   readonly tokenIntervalMs?: number;
+  /** Store that it loads from; its own, with its own rate, by default. */
+  readonly weightStore?: FakeWeightStore;
 }
 
 /** Faults that can be switched on. */
@@ -21,19 +24,26 @@
   /** Sends one token of another answer after so many tokens. */
   readonly crossAfterTokens?: number;
   readonly leaving?: boolean;
+  /** Step time that it reports. */
+  readonly stepTimeMs?: number;
 }
 
 const DEFAULT_LOAD_MS = 200;
 const DEFAULT_TOKEN_INTERVAL_MS = 10;
 
+interface HeldWeights {
+  readonly model: string;
+  readonly modelVersion: string | undefined;
+  readonly rank: number;
+}
+
 /** An engine's orders and status, without its transport. */
 export class FakeEngine {
   faults: FakeEngineFaults = {};
   readonly options: Required<FakeEngineOptions>;
-  readonly #bootId = randomUUID();
+  #bootId = randomUUID();
   #assignment: EngineStatus["assignment"];
-  #model: string | undefined;
-  #readyAtMs = 0;
+  #weights: HeldWeights | undefined;
   #highestFencingNumber = -1;
   runningRequests = 0;
 
@@ -42,10 +52,23 @@
       checksFencing: true,
       loadMs: DEFAULT_LOAD_MS,
       tokenIntervalMs: DEFAULT_TOKEN_INTERVAL_MS,
+      weightStore: new FakeWeightStore({
+        loadMs: options.loadMs ?? DEFAULT_LOAD_MS,
+      }),
       ...options,
     };
   }
 
+  /** Loses all that it held, as a process started anew. */
+  restart(nowMs: number): void {
+    this.options.weightStore.stop(this.options.instanceId, nowMs);
+    this.#bootId = randomUUID();
+    this.#assignment = undefined;
+    this.#weights = undefined;
+    this.#highestFencingNumber = -1;
+    this.runningRequests = 0;
+  }
+
   /** Carries an order out; false if it is older than one carried out before. */
   takeOrder(order: EngineOrder, nowMs: number): boolean {
     const isStale = order.fencingNumber < this.#highestFencingNumber;
@@ -55,10 +78,7 @@
       this.#assignment = undefined;
       return true;
     }
-    if (order.model !== this.#model || this.#assignment === undefined) {
-      this.#readyAtMs = nowMs + this.options.loadMs;
-    }
-    this.#model = order.model;
+    this.#load(order, nowMs);
     this.#assignment = {
       replicaId: order.replicaId ?? "",
       fencingNumber: order.fencingNumber,
@@ -80,7 +100,10 @@
       ...(this.#assignment === undefined
         ? {}
         : { assignment: this.#assignment }),
-      ...(this.#model === undefined ? {} : { model: this.#model }),
+      ...this.#describeWeights(nowMs),
+      ...(this.faults.stepTimeMs === undefined
+        ? {}
+        : { stepTimeMs: this.faults.stepTimeMs }),
     };
   }
 
@@ -99,6 +122,36 @@
 
   #state(nowMs: number): EngineStatus["state"] {
     if (this.#assignment === undefined) return "idle";
-    return nowMs < this.#readyAtMs ? "loading" : "ready";
+    return this.#loadedFraction(nowMs) < 1 ? "loading" : "ready";
+  }
+
+  /** Weights of the same model and rank stay in memory over a release. */
+  #load(order: EngineOrder, nowMs: number): void {
+    const wanted: HeldWeights = {
+      model: order.model ?? "",
+      modelVersion: order.modelVersion,
+      rank: order.rank ?? 0,
+    };
+    const held = this.#weights;
+    const isHeld = held?.model === wanted.model &&
+      held.modelVersion === wanted.modelVersion && held.rank === wanted.rank;
+    if (isHeld) return;
+    this.#weights = wanted;
+    this.options.weightStore.start(this.options.instanceId, nowMs);
+  }
+
+  #loadedFraction(nowMs: number): number {
+    return this.options.weightStore.fraction(this.options.instanceId, nowMs);
+  }
+
+  #describeWeights(nowMs: number): Partial<EngineStatus> {
+    if (this.#weights === undefined) return {};
+    const { model, modelVersion, rank } = this.#weights;
+    return {
+      model,
+      ...(modelVersion === undefined ? {} : { modelVersion }),
+      loadedRank: rank,
+      loadedFraction: this.#loadedFraction(nowMs),
+    };
   }
 }
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -3,6 +3,7 @@
 // Platform
 export * from "./instance_list/index.ts";
 export * from "./log_service/index.ts";
+export * from "./weight_store/index.ts";
 
 // Backend servers
 export * from "./engine/index.ts";
--- /dev/null
+++ b/packages/fakes/src/weight_store/index.ts
@@ -0,0 +1,5 @@
+/** Stand-in of the rate-limited weight store. */
+export {
+  FakeWeightStore,
+  type FakeWeightStoreOptions,
+} from "./fake_weight_store.ts";
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -23,6 +23,8 @@
   FormRecord,
   LogRecord,
   OutcomeRecord,
+  ReplaceRecord,
+  SnapshotRecord,
 } from "./generated/log_record.ts";
 
 // Platform and backend servers
