Load weights into spares ahead of repairs

A preload order fetches a rank's weights without joining a replica; spares of a fabric domain hold its main service's ranks in turn. A replica whose member came back empty is repaired by a spare that holds its weights, and one beyond the number wanted yields its members when it breaks. The health check now also compares the rank whose weights an engine holds.

--- /dev/null
+++ b/packages/bench/src/formation/fleet_world.ts
@@ -0,0 +1,240 @@
+import { FakeEngine, FakeWeightStore } from "@celerytray/fakes";
+import type { ConfigSet, Instance, LogRecord } from "@celerytray/schema";
+import {
+  createOrders,
+  createPreloads,
+  emptyFleetState,
+  findReplicaHealth,
+  type FleetObservation,
+  type FleetProposal,
+  foldFleetRecord,
+  isLoading,
+  type MemberObservation,
+  type OrderInput,
+  type ReplicaPlanner,
+  selectOrders,
+} from "celerytray";
+import { HashMap } from "effect";
+import type { Fault } from "./fault_day.ts";
+
+/** What a world is made of. */
+export interface FleetWorldOptions {
+  readonly config: ConfigSet;
+  readonly instances: readonly Instance[];
+  readonly planner: ReplicaPlanner;
+  /** Loads in order of gain; all at once otherwise. */
+  readonly ordersLoads: boolean;
+  /** Loads weights into spares ahead of repairs. */
+  readonly preloads: boolean;
+  readonly faults: readonly Fault[];
+  readonly loadMs: number;
+  readonly fullRateLoads: number;
+}
+
+/** Sums over the time measured. */
+export interface FleetFigures {
+  groupDowntimeMs: number;
+  strandedInstanceMs: number;
+  /** Time during which fewer replicas served than are wanted. */
+  shortfallMs: number;
+  slowReplicaMs: number;
+  recordCount: number;
+}
+
+const MAX_OBSERVATION_AGE_MS = 2_500;
+const HEALTHY_STEP_MS = 30;
+const SLOW_STEP_MS = 120;
+
+/** Engines, log and weight store in memory, moved on by virtual time. */
+export class FleetWorld {
+  readonly figures: FleetFigures = {
+    groupDowntimeMs: 0,
+    strandedInstanceMs: 0,
+    shortfallMs: 0,
+    slowReplicaMs: 0,
+    recordCount: 0,
+  };
+  readonly #options: FleetWorldOptions;
+  readonly #store: FakeWeightStore;
+  readonly #engines = new Map<string, FakeEngine>();
+  readonly #instances: ReadonlyMap<string, Instance>;
+  readonly #observations = new Map<string, MemberObservation>();
+  /** Faults in force, by engine. */
+  readonly #faultsInForce = new Map<string, Set<Fault>>();
+  #fleet = emptyFleetState();
+
+  constructor(options: FleetWorldOptions) {
+    this.#options = options;
+    this.#store = new FakeWeightStore(options);
+    this.#instances = new Map(
+      options.instances.map((instance) => [instance.instanceId, instance]),
+    );
+    for (const instanceId of this.#instances.keys()) {
+      const engine = new FakeEngine({
+        instanceId,
+        weightStore: this.#store,
+      });
+      engine.faults = { stepTimeMs: HEALTHY_STEP_MS };
+      this.#engines.set(instanceId, engine);
+      this.#faultsInForce.set(instanceId, new Set());
+    }
+  }
+
+  /** One round of reading, planning and ordering; true if anything changed. */
+  round(nowMs: number): boolean {
+    this.#read(nowMs);
+    const observation: FleetObservation = {
+      config: this.#options.config,
+      fleet: this.#fleet,
+      instances: this.#options.instances,
+      observations: this.#observations,
+      nowMs,
+    };
+    this.#options.planner.observe(observation);
+    const proposals = this.#options.planner.plan(observation);
+    for (const proposal of proposals) this.#append(proposal, nowMs);
+    const orderCount = this.#order(nowMs);
+    return proposals.length > 0 || orderCount > 0;
+  }
+
+  /** Adds the state up to the time of the next round. */
+  measure(nowMs: number, durationMs: number): void {
+    const { config } = this.#options;
+    const serving = new Map<string, number>();
+    const formed = new Map<string, number>();
+    let servingInstances = 0;
+    for (const replica of HashMap.values(this.#fleet.replicas)) {
+      addTo(formed, replica.service);
+      const { state } = findReplicaHealth(replica, {
+        observations: this.#observations,
+        nowMs,
+        maxAgeMs: MAX_OBSERVATION_AGE_MS,
+      });
+      if (state !== "ready") continue;
+      addTo(serving, replica.service);
+      servingInstances += replica.members.length;
+      if (replica.members.some((member) => this.#isSlow(member))) {
+        this.figures.slowReplicaMs += durationMs;
+      }
+    }
+    for (const [name, service] of Object.entries(config.services)) {
+      const count = serving.get(name) ?? 0;
+      const counted = Math.max(service.replicaCount, formed.get(name) ?? 0);
+      const lacking = Math.max(0, service.replicaCount - count);
+      this.figures.groupDowntimeMs += (counted - count) * durationMs;
+      this.figures.shortfallMs += lacking * durationMs;
+    }
+    const healthy = [...this.#engines.keys()].filter((id) => this.#isUp(id));
+    this.figures.strandedInstanceMs += durationMs *
+      Math.max(0, healthy.length - servingInstances);
+  }
+
+  start(fault: Fault, nowMs: number): void {
+    if (fault.kind === "store") this.#store.setOut(true, nowMs);
+    for (const instanceId of this.#findTargets(fault)) {
+      this.#faultsInForce.get(instanceId)!.add(fault);
+      const engine = this.#engines.get(instanceId)!;
+      if (losesMemory(fault)) engine.restart(nowMs);
+      if (fault.kind === "straggler") {
+        engine.faults = { stepTimeMs: SLOW_STEP_MS };
+      }
+    }
+  }
+
+  end(fault: Fault, nowMs: number): void {
+    if (fault.kind === "store") this.#store.setOut(false, nowMs);
+    for (const instanceId of this.#findTargets(fault)) {
+      this.#faultsInForce.get(instanceId)!.delete(fault);
+      const engine = this.#engines.get(instanceId)!;
+      if (fault.kind === "straggler") {
+        engine.faults = { stepTimeMs: HEALTHY_STEP_MS };
+      }
+    }
+  }
+
+  /** Whether any load runs. */
+  isLoading(): boolean {
+    return [...this.#observations.values()].some(({ status }) =>
+      isLoading(status)
+    );
+  }
+
+  #read(nowMs: number): void {
+    for (const [instanceId, engine] of this.#engines) {
+      if (!this.#isUp(instanceId)) continue;
+      const status = engine.status(nowMs);
+      this.#observations.set(instanceId, { status, observedAtMs: nowMs });
+    }
+  }
+
+  #append(proposal: FleetProposal, nowMs: number): void {
+    const offset = this.#fleet.offset + 1;
+    const ids = { recordId: String(offset), proposer: "bench" };
+    const record = { ...proposal, ...ids } as LogRecord;
+    const entry = { offset, appendedAtMs: nowMs, record };
+    this.#fleet = foldFleetRecord(this.#fleet, entry);
+    this.figures.recordCount += 1;
+  }
+
+  #order(nowMs: number): number {
+    const { config, ordersLoads, fullRateLoads } = this.#options;
+    const input: OrderInput = {
+      fleet: this.#fleet,
+      instances: this.#instances,
+      observations: this.#observations,
+      findService: (name) => {
+        const service = config.services[name];
+        return service?.kind === "model" ? service : undefined;
+      },
+    };
+    const serviceNames = Object.keys(config.services);
+    const preloads = this.#options.preloads
+      ? createPreloads({ ...input, serviceNames, nowMs })
+      : [];
+    const all = [...createOrders(input), ...preloads];
+    const orders = ordersLoads
+      ? selectOrders({
+        orders: all,
+        config,
+        fleet: this.#fleet,
+        observations: this.#observations,
+        domainOf: (id) => this.#instances.get(id)?.fabricDomain ?? "",
+        nowMs,
+        maxConcurrentLoads: fullRateLoads,
+      })
+      : all;
+    let count = 0;
+    for (const { instanceId, order } of orders) {
+      if (!this.#isUp(instanceId)) continue;
+      this.#engines.get(instanceId)!.takeOrder(order, nowMs);
+      count += 1;
+    }
+    return count;
+  }
+
+  #isUp(instanceId: string): boolean {
+    return [...this.#faultsInForce.get(instanceId)!].every(({ kind }) =>
+      kind === "straggler"
+    );
+  }
+
+  #isSlow(instanceId: string): boolean {
+    return this.#faultsInForce.get(instanceId)!.size > 0;
+  }
+
+  #findTargets(fault: Fault): string[] {
+    if (fault.kind === "store") return [];
+    if (fault.kind !== "dark") return [fault.target];
+    return this.#options.instances
+      .filter(({ fabricDomain }) => fabricDomain === fault.target)
+      .map(({ instanceId }) => instanceId);
+  }
+}
+
+function losesMemory({ kind }: Fault): boolean {
+  return kind === "death" || kind === "restart" || kind === "dark";
+}
+
+function addTo(counts: Map<string, number>, name: string): void {
+  counts.set(name, (counts.get(name) ?? 0) + 1);
+}
--- a/packages/celerytray/src/fleet/domain_pool.ts
+++ b/packages/celerytray/src/fleet/domain_pool.ts
@@ -81,3 +81,14 @@
   if (status.modelVersion !== service.modelVersion) return undefined;
   return status.loadedFraction === 1 ? status.loadedRank : undefined;
 }
+
+/** Whether free instances of a domain hold the weights of all these ranks. */
+export function holdsRanks(pool: DomainPool, options: TakeOptions): boolean {
+  if (pool.free.size < options.ranks.length) return false;
+  const held = new Set<number>();
+  for (const instanceId of pool.free) {
+    const rank = findHeldRank(instanceId, options);
+    if (rank !== undefined) held.add(rank);
+  }
+  return options.ranks.every((rank) => held.has(rank));
+}
--- a/packages/celerytray/src/fleet/fleet_controller.ts
+++ b/packages/celerytray/src/fleet/fleet_controller.ts
@@ -9,7 +9,12 @@
   StreamView,
 } from "../log/index.ts";
 import type { TimelineFields } from "../timeline/index.ts";
-import { type AddressedOrder, createOrders } from "./create_orders.ts";
+import {
+  type AddressedOrder,
+  createOrders,
+  type OrderInput,
+} from "./create_orders.ts";
+import { createPreloads } from "./create_preloads.ts";
 import { createReplicaId, type FleetState } from "./fold_fleet_record.ts";
 import type {
   FleetObservation,
@@ -132,7 +137,7 @@
   const fleet = options.view.current();
   const instances = options.instancesById();
   const { observations } = options;
-  const orders = createOrders({
+  const input: OrderInput = {
     fleet,
     instances,
     observations,
@@ -140,7 +145,12 @@
       const service = config.services[name];
       return service?.kind === "model" ? service : undefined;
     },
-  });
+  };
+  const serviceNames = Object.keys(config.services);
+  const orders = [
+    ...createOrders(input),
+    ...createPreloads({ ...input, serviceNames, nowMs }),
+  ];
   const selected = selectOrders({
     orders,
     config,
--- a/packages/celerytray/src/fleet/fleet_estimates.ts
+++ b/packages/celerytray/src/fleet/fleet_estimates.ts
@@ -1,6 +1,7 @@
+import type { EngineStatus } from "@celerytray/schema";
 import { HashMap, Option } from "effect";
 import { type FleetObservation, isPresent } from "./planner_types.ts";
-import { matchesReplica } from "./replica_health.ts";
+import { isLoading, matchesReplica } from "./replica_health.ts";
 import {
   emptyReturnTimes,
   findBucket,
@@ -216,11 +217,12 @@
   let { loadMs, loadProgressAtMs } = before;
   for (const [member, { status }] of observation.observations) {
     const known = before.loads.get(member);
-    if (status.state === "loading" && isPresent(member, observation)) {
+    if (!isPresent(member, observation)) continue;
+    if (isLoading(status)) {
       const load = continueLoad(known, status.loadedFraction ?? 0, nowMs);
       if (load.progressAtMs === nowMs) loadProgressAtMs = nowMs;
       loads.set(member, load);
-    } else if (known !== undefined && status.state === "ready") {
+    } else if (known !== undefined && hasLoaded(status)) {
       loadMs += LOAD_WEIGHT * (nowMs - known.sinceMs - loadMs);
       loadProgressAtMs = nowMs;
     }
@@ -229,6 +231,11 @@
   return { ...before, loads, loadMs, loadProgressAtMs };
 }
 
+/** False for an engine that started anew in the middle of its load. */
+function hasLoaded({ state, loadedFraction }: EngineStatus): boolean {
+  return state === "ready" || loadedFraction === 1;
+}
+
 function continueLoad(
   known: RunningLoad | undefined,
   fraction: number,
--- a/packages/celerytray/src/fleet/index.ts
+++ b/packages/celerytray/src/fleet/index.ts
@@ -27,6 +27,7 @@
 // Readiness
 export {
   findReplicaHealth,
+  isLoading,
   matchesReplica,
   type MemberObservation,
   type ReplicaHealth,
@@ -38,6 +39,7 @@
   createOrders,
   type OrderInput,
 } from "./create_orders.ts";
+export { createPreloads, type PreloadInput } from "./create_preloads.ts";
 export { type OrderSelection, selectOrders } from "./select_orders.ts";
 
 // Control loops
--- a/packages/celerytray/src/fleet/place_replicas.ts
+++ b/packages/celerytray/src/fleet/place_replicas.ts
@@ -1,6 +1,6 @@
 import type { ModelService } from "@celerytray/schema";
 import { HashMap } from "effect";
-import { type DomainPool, takeForRanks } from "./domain_pool.ts";
+import { type DomainPool, holdsRanks, takeForRanks } from "./domain_pool.ts";
 import { createReplicaId, type Replica } from "./fold_fleet_record.ts";
 import type { FleetObservation, FleetProposal } from "./planner_types.ts";
 import { SpreadQueue } from "./spread_queue.ts";
@@ -41,6 +41,7 @@
   if (isShort || input.mayExceed === undefined) return wanted;
   const further = placeWhile(services, {
     input,
+    needsWeights: true,
     isOpen: ({ service }) =>
       service.replicaCount > 0 && input.mayExceed!(service),
   });
@@ -49,22 +50,24 @@
 
 interface PlacingRound {
   readonly input: PlacementInput;
+  /** Forms only what needs no load. */
+  readonly needsWeights?: boolean;
   readonly isOpen: (placement: ServicePlacement) => boolean;
 }
 
 function placeWhile(
   services: readonly ServicePlacement[],
-  { input, isOpen }: PlacingRound,
+  round: PlacingRound,
 ): FleetProposal[] {
   const proposals: FleetProposal[] = [];
   const exhausted = new Set<string>();
   while (true) {
     const open = services.filter((placement) =>
-      !exhausted.has(placement.name) && isOpen(placement)
+      !exhausted.has(placement.name) && round.isOpen(placement)
     );
     const next = findWorstServed(open);
     if (next === undefined) return proposals;
-    const proposal = placeOne(next, input);
+    const proposal = placeOne(next, round);
     if (proposal === undefined) exhausted.add(next.name);
     else proposals.push(proposal);
   }
@@ -88,11 +91,16 @@
 
 function placeOne(
   placement: ServicePlacement,
-  input: PlacementInput,
+  { input, needsWeights }: PlacingRound,
 ): FleetProposal | undefined {
   const { service, name } = placement;
-  const count = service.instancesPerReplica;
-  const pool = placement.queue.take(count);
+  const { observation } = input;
+  const ranks = listRanks(service);
+  const pool = placement.queue.take((pool) =>
+    needsWeights === true
+      ? holdsRanks(pool, { service, observation, ranks })
+      : pool.free.size >= ranks.length
+  );
   if (pool === undefined) return undefined;
   const members = takeMembers(pool, { service, input });
   const slot = findFreeSlot(placement, input);
@@ -108,10 +116,7 @@
     readonly input: PlacementInput;
   },
 ): string[] {
-  const ranks = Array.from(
-    { length: service.instancesPerReplica },
-    (_, rank) => rank,
-  );
+  const ranks = listRanks(service);
   if (!input.keepsRanks) {
     const members = [...pool.free].slice(0, ranks.length);
     for (const member of members) pool.free.delete(member);
@@ -122,6 +127,10 @@
   return ranks.map((rank) => taken.get(rank)!);
 }
 
+function listRanks({ instancesPerReplica }: ModelService): number[] {
+  return Array.from({ length: instancesPerReplica }, (_, rank) => rank);
+}
+
 function findFreeSlot(
   { name, nextSlot }: ServicePlacement,
   { observation }: PlacementInput,
--- a/packages/celerytray/src/fleet/repair_planner.ts
+++ b/packages/celerytray/src/fleet/repair_planner.ts
@@ -110,6 +110,7 @@
     instance.fabricDomain ?? "",
   ]));
   const groups = new GroupCounter(pools);
+  const surplusCounts = countSurplus(observation, surplus);
   return repairReplicas(damages, {
     observation,
     estimates,
@@ -120,10 +121,28 @@
     },
     findService: ({ replica }) =>
       observation.config.services[replica.service] as ModelService,
+    surplusCounts,
     countGroups: (size, exceptDomain) => groups.count(size, exceptDomain),
   });
 }
 
+/** Replicas beyond the number wanted that stay as long as they serve. */
+function countSurplus(
+  { config, fleet }: FleetObservation,
+  dissolved: ReadonlyMap<string, FleetProposal>,
+): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { replicaId, service } of HashMap.values(fleet.replicas)) {
+    if (dissolved.has(replicaId)) continue;
+    counts.set(service, (counts.get(service) ?? 0) + 1);
+  }
+  for (const [name, count] of counts) {
+    const service = config.services[name] as ModelService;
+    counts.set(name, count - service.replicaCount);
+  }
+  return counts;
+}
+
 /** Whole groups of free instances, counted once for each size. */
 class GroupCounter {
   readonly #pools: ReadonlyMap<string, DomainPool>;
--- a/packages/celerytray/src/fleet/repair_replicas.ts
+++ b/packages/celerytray/src/fleet/repair_replicas.ts
@@ -1,6 +1,11 @@
 import type { ModelService } from "@celerytray/schema";
 import type { Damage } from "./assess_replica.ts";
-import { type DomainPool, findHeldRank, takeForRanks } from "./domain_pool.ts";
+import {
+  type DomainPool,
+  holdsRanks,
+  takeForRanks,
+  type TakeOptions,
+} from "./domain_pool.ts";
 import { expectLoadMs, type FleetEstimates } from "./fleet_estimates.ts";
 import { groupBy } from "./group_by.ts";
 import type { FleetObservation, FleetProposal } from "./planner_types.ts";
@@ -13,6 +18,8 @@
   readonly pools: ReadonlyMap<string, DomainPool>;
   readonly findDomain: (damage: Damage) => string;
   readonly findService: (damage: Damage) => ModelService;
+  /** Replicas of each service beyond the number wanted. */
+  readonly surplusCounts: ReadonlyMap<string, number>;
   /** Groups of so many free instances outside a domain. */
   readonly countGroups: (size: number, exceptDomain: string) => number;
 }
@@ -38,8 +45,9 @@
   input: RepairInput,
 ): Repairs {
   const round = new RepairRound(input);
-  const ordered = damages.toSorted((a, b) =>
-    a.faultyRanks.length - b.faultyRanks.length ||
+  const needed = damages.filter((damage) => !round.tryYield(damage));
+  const ordered = needed.toSorted((a, b) =>
+    damagedRanks(a).length - damagedRanks(b).length ||
     a.replica.fencingNumber - b.replica.fencingNumber
   );
   const unrepaired = ordered.filter((damage) => !round.tryReplace(damage));
@@ -53,6 +61,7 @@
   readonly replacements: FleetProposal[] = [];
   readonly dissolved = new Set<string>();
   readonly #input: RepairInput;
+  readonly #yielded = new Map<string, number>();
   #movedInstances = 0;
 
   constructor(input: RepairInput) {
@@ -63,15 +72,34 @@
   tryReplace(damage: Damage): boolean {
     const pool = this.#input.pools.get(this.#input.findDomain(damage));
     if (pool === undefined) return false;
-    const isHot = this.#hasWeights(damage, pool);
+    const { faultyRanks, coldRanks } = damage;
+    const all = [...faultyRanks, ...coldRanks];
+    const isHot = holdsRanks(pool, this.#takeOptions(damage, all));
+    const ranks = isHot ? all : faultyRanks;
+    if (ranks.length === 0) return false;
     const repairMs = isHot ? HOT_REPAIR_MS : this.#loadMs();
     if (this.#isWaitBetter(damage, repairMs)) return false;
-    return this.#replace(damage, pool);
+    return this.#replace(damage, { pool, ranks });
+  }
+
+  /** Dissolves a broken replica beyond those wanted; its members are spares. */
+  tryYield(damage: Damage): boolean {
+    if (damage.absentForMs === undefined) return false;
+    const { service } = damage.replica;
+    const surplus = this.#input.surplusCounts.get(service) ?? 0;
+    const yielded = this.#yielded.get(service) ?? 0;
+    if (yielded >= surplus) return false;
+    this.#yielded.set(service, yielded + 1);
+    const pool = this.#input.pools.get(this.#input.findDomain(damage));
+    const survivors = findSurvivors(damage, this.#input.observation);
+    for (const member of survivors) pool?.free.add(member);
+    this.#dissolve(damage, "not wanted");
+    return true;
   }
 
   /** Dissolves a replica that can be formed in another domain. */
   tryMove(damage: Damage): boolean {
-    if (damage.slowLossMs > 0) return false;
+    if (damage.slowLossMs > 0 || damage.faultyRanks.length === 0) return false;
     const size = damage.replica.members.length;
     const domain = this.#input.findDomain(damage);
     const taken = Math.ceil(this.#movedInstances / size);
@@ -100,23 +128,27 @@
       const donor = broken.at(-1)!;
       const survivors = findSurvivors(donor, this.#input.observation);
       const first = broken[0]!;
-      const available = survivors.length + pool.free.size;
-      if (available < first.faultyRanks.length) return;
+      const ranks = damagedRanks(first);
+      if (survivors.length + pool.free.size < ranks.length) return;
       broken.pop();
       for (const member of survivors) pool.free.add(member);
       this.#dissolve(donor, "completes others");
-      while (broken.length > 0 && this.#replace(broken[0]!, pool)) {
-        broken.shift();
-      }
+      while (
+        broken.length > 0 &&
+        this.#replace(broken[0]!, { pool, ranks: damagedRanks(broken[0]!) })
+      ) broken.shift();
     }
   }
 
-  #replace(damage: Damage, pool: DomainPool): boolean {
-    const { replica, faultyRanks, reason } = damage;
-    const { observation } = this.#input;
-    const service = this.#input.findService(damage);
-    const ranks = faultyRanks;
-    const taken = takeForRanks(pool, { service, observation, ranks });
+  #replace(
+    damage: Damage,
+    { pool, ranks }: {
+      readonly pool: DomainPool;
+      readonly ranks: readonly number[];
+    },
+  ): boolean {
+    const { replica, reason } = damage;
+    const taken = takeForRanks(pool, this.#takeOptions(damage, ranks));
     if (taken === undefined) return false;
     this.replacements.push({
       kind: "replace",
@@ -141,23 +173,20 @@
     });
   }
 
-  #hasWeights(damage: Damage, pool: DomainPool): boolean {
+  #takeOptions(damage: Damage, ranks: readonly number[]): TakeOptions {
     const { observation } = this.#input;
-    const service = this.#input.findService(damage);
-    const held = new Set<number>();
-    for (const instanceId of pool.free) {
-      const rank = findHeldRank(instanceId, { service, observation });
-      if (rank !== undefined) held.add(rank);
-    }
-    return damage.faultyRanks.every((rank) => held.has(rank));
+    return { service: this.#input.findService(damage), observation, ranks };
   }
 
   #isWaitBetter(damage: Damage, repairMs: number): boolean {
     if (damage.slowLossMs > 0) return damage.slowLossMs < repairMs;
-    if (damage.absentForMs === undefined) return false;
+    if (damage.isLasting) return false;
     const { returnTimes } = this.#input.estimates;
     const ageMs = damage.absentForMs;
-    return expectWaitMs(returnTimes, { ageMs, repairMs }) < repairMs;
+    const returnMs = ageMs === undefined
+      ? 0
+      : expectWaitMs(returnTimes, { ageMs, repairMs });
+    return Math.max(returnMs, damage.loadingMs) < repairMs;
   }
 
   #loadMs(): number {
@@ -177,3 +206,7 @@
     !faultyRanks.includes(rank) && observation.observations.has(member)
   );
 }
+
+function damagedRanks({ faultyRanks, coldRanks }: Damage): number[] {
+  return [...faultyRanks, ...coldRanks];
+}
--- a/packages/celerytray/src/fleet/replica_health.ts
+++ b/packages/celerytray/src/fleet/replica_health.ts
@@ -42,6 +42,8 @@
       missing.push(member);
     } else if (!matchesReplica(observation.status, replica)) {
       mismatched.push(member);
+    } else if (holdsOtherRank(observation.status)) {
+      mismatched.push(member);
     } else if (observation.status.state !== "ready") {
       loading.push(member);
     }
@@ -65,3 +67,29 @@
     assignment.fencingNumber === replica.fencingNumber &&
     assignment.rank === replica.members.indexOf(status.instanceId);
 }
+
+/** Whether an engine's weights fail to be those of its own rank. */
+function holdsOtherRank({ assignment, loadedRank }: EngineStatus): boolean {
+  return loadedRank !== undefined && loadedRank !== assignment?.rank;
+}
+
+/** Whether an engine loads weights, for a replica or ahead of one. */
+export function isLoading(status: EngineStatus): boolean {
+  return status.state === "loading" || (status.loadedFraction ?? 1) < 1;
+}
+
+/** What a member of a replica has to hold. */
+export interface WantedWeights {
+  readonly model: string;
+  readonly modelVersion?: string;
+  readonly rank: number;
+}
+
+/** Whether an engine holds or loads these weights. */
+export function hasWeights(
+  status: EngineStatus,
+  { model, modelVersion, rank }: WantedWeights,
+): boolean {
+  return status.model === model && status.modelVersion === modelVersion &&
+    status.loadedRank === rank;
+}
--- a/packages/celerytray/src/fleet/select_orders.ts
+++ b/packages/celerytray/src/fleet/select_orders.ts
@@ -3,7 +3,11 @@
 import type { AddressedOrder } from "./create_orders.ts";
 import type { FleetState, Replica } from "./fold_fleet_record.ts";
 import { groupBy } from "./group_by.ts";
-import type { MemberObservation } from "./replica_health.ts";
+import {
+  hasWeights,
+  isLoading,
+  type MemberObservation,
+} from "./replica_health.ts";
 
 /** What the order of loads rests on. */
 export interface OrderSelection {
@@ -50,11 +54,14 @@
   { order, instanceId }: AddressedOrder,
   { observations }: OrderSelection,
 ): boolean {
-  if (order.kind !== "join") return false;
+  if (order.kind === "release") return false;
   const status = observations.get(instanceId)?.status;
-  return status === undefined || status.model !== order.model ||
-    status.modelVersion !== order.modelVersion ||
-    status.loadedRank !== order.rank;
+  const { model = "", modelVersion, rank = 0 } = order;
+  return status === undefined || !hasWeights(status, {
+    model,
+    rank,
+    ...(modelVersion === undefined ? {} : { modelVersion }),
+  });
 }
 
 /** Loads by domain; those of members out of sight hold up no others. */
@@ -62,9 +69,7 @@
   const running = new Map<string, number>();
   for (const [instanceId, seen] of selection.observations) {
     const ageMs = selection.nowMs - seen.observedAtMs;
-    if (seen.status.state !== "loading" || ageMs > RUNNING_LOAD_MAX_AGE_MS) {
-      continue;
-    }
+    if (!isLoading(seen.status) || ageMs > RUNNING_LOAD_MAX_AGE_MS) continue;
     const domain = selection.domainOf(instanceId);
     running.set(domain, (running.get(domain) ?? 0) + 1);
   }
--- a/packages/celerytray/src/fleet/spread_queue.ts
+++ b/packages/celerytray/src/fleet/spread_queue.ts
@@ -29,13 +29,13 @@
     }
   }
 
-  /** The next domain with so many free instances; it counts as used. */
-  take(instanceCount: number): DomainPool | undefined {
+  /** The next domain that fits, which counts as used; others are dropped. */
+  take(fits: (pool: DomainPool) => boolean): DomainPool | undefined {
     const zones = [...this.#zones.values()].sort((a, b) =>
       a.replicaCount - b.replicaCount
     );
     for (const zone of zones) {
-      const pool = takeFromZone(zone, instanceCount);
+      const pool = takeFromZone(zone, fits);
       if (pool !== undefined) return pool;
     }
     return undefined;
@@ -51,15 +51,15 @@
   }
 }
 
-/** Drops domains that are too small: within a round they only shrink. */
+/** Drops domains that do not fit: within a round they only shrink. */
 function takeFromZone(
   zone: ZoneQueue,
-  instanceCount: number,
+  fits: (pool: DomainPool) => boolean,
 ): DomainPool | undefined {
   for (const [count, pools] of zone.byCount.entries()) {
     while (pools !== undefined && pools.length > 0) {
       const pool = pools.pop()!;
-      if (pool.free.size < instanceCount) continue;
+      if (!fits(pool)) continue;
       push(zone, { pool, count: count + 1 });
       zone.replicaCount += 1;
       return pool;
--- a/packages/fakes/src/engine/fake_engine.ts
+++ b/packages/fakes/src/engine/fake_engine.ts
@@ -73,6 +73,7 @@
   takeOrder(order: EngineOrder, nowMs: number): boolean {
     const isStale = order.fencingNumber < this.#highestFencingNumber;
     if (isStale && this.options.checksFencing) return false;
+    if (order.kind === "preload") return this.#preload(order, nowMs);
     this.#highestFencingNumber = order.fencingNumber;
     if (order.kind === "release") {
       this.#assignment = undefined;
@@ -125,6 +126,14 @@
     return this.#loadedFraction(nowMs) < 1 ? "loading" : "ready";
   }
 
+  /** An engine that checks nothing loads even while it serves. */
+  #preload(order: EngineOrder, nowMs: number): boolean {
+    const isBusy = this.#assignment !== undefined;
+    if (isBusy && this.options.checksFencing) return false;
+    this.#load(order, nowMs);
+    return true;
+  }
+
   /** Weights of the same model and rank stay in memory over a release. */
   #load(order: EngineOrder, nowMs: number): void {
     const wanted: HeldWeights = {
