--- a/packages/bench/src/formation/formation_bench.ts
+++ b/packages/bench/src/formation/formation_bench.ts
@@ -1,3 +1,4 @@
+import type { ConfigSet, Deployment } from "@celerytray/schema";
 import {
   AlwaysWaitPlanner,
   GreedyPlanner,
@@ -16,6 +17,7 @@
   readonly create: () => ReplicaPlanner;
   readonly ordersLoads: boolean;
   readonly preloads: boolean;
+  readonly swapsWeighting?: boolean;
   readonly role: "planner" | "baseline" | "comparison";
 }
 
@@ -77,10 +79,11 @@
     role: "comparison",
   },
   {
-    name: "reform-at-once, loads in order",
-    create: () => new ReformAtOncePlanner(),
+    name: "planner, other weighting",
+    create: () => new RepairPlanner(),
     ordersLoads: true,
-    preloads: false,
+    preloads: true,
+    swapsWeighting: true,
     role: "comparison",
   },
 ];
@@ -139,7 +142,7 @@
     ],
   });
   const figures = runDay({
-    config,
+    config: policy.swapsWeighting === true ? swapWeighting(config) : config,
     instances,
     planner: policy.create(),
     ordersLoads: policy.ordersLoads,
@@ -161,6 +164,17 @@
   };
 }
 
+function swapWeighting(config: ConfigSet): ConfigSet {
+  const deployments = Object.entries(config.deployments).map((
+    [name, { weighting }],
+  ): [string, Deployment] => [name, {
+    weighting: weighting === "group-downtime"
+      ? "stranded-accelerators"
+      : "group-downtime",
+  }]);
+  return { ...config, deployments: Object.fromEntries(deployments) };
+}
+
 function addUp(
   measured: readonly Measured[],
   of: { readonly deployment: string; readonly policy: Policy },
--- a/packages/celerytray/src/fleet/domain_pool.ts
+++ b/packages/celerytray/src/fleet/domain_pool.ts
@@ -92,3 +92,8 @@
   }
   return options.ranks.every((rank) => held.has(rank));
 }
+
+/** All ranks of a service's replica. */
+export function listRanks({ instancesPerReplica }: ModelService): number[] {
+  return Array.from({ length: instancesPerReplica }, (_, rank) => rank);
+}
--- a/packages/celerytray/src/fleet/place_replicas.ts
+++ b/packages/celerytray/src/fleet/place_replicas.ts
@@ -1,6 +1,11 @@
 import type { ModelService } from "@celerytray/schema";
 import { HashMap } from "effect";
-import { type DomainPool, holdsRanks, takeForRanks } from "./domain_pool.ts";
+import {
+  type DomainPool,
+  holdsRanks,
+  listRanks,
+  takeForRanks,
+} from "./domain_pool.ts";
 import { createReplicaId, type Replica } from "./fold_fleet_record.ts";
 import type { FleetObservation, FleetProposal } from "./planner_types.ts";
 import { SpreadQueue } from "./spread_queue.ts";
@@ -21,6 +26,8 @@
   readonly name: string;
   readonly service: ModelService;
   readonly queue: SpreadQueue;
+  /** Domains whose free instances hold all weights of a replica. */
+  readonly loadedQueue: SpreadQueue;
   replicaCount: number;
   nextSlot: number;
 }
@@ -96,11 +103,13 @@
   const { service, name } = placement;
   const { observation } = input;
   const ranks = listRanks(service);
-  const pool = placement.queue.take((pool) =>
-    needsWeights === true
-      ? holdsRanks(pool, { service, observation, ranks })
-      : pool.free.size >= ranks.length
+  const loaded = placement.loadedQueue.take((pool) =>
+    holdsRanks(pool, { service, observation, ranks })
   );
+  const pool = loaded ??
+    (needsWeights === true
+      ? undefined
+      : placement.queue.take(({ free }) => free.size >= ranks.length));
   if (pool === undefined) return undefined;
   const members = takeMembers(pool, { service, input });
   const slot = findFreeSlot(placement, input);
@@ -127,10 +136,6 @@
   return ranks.map((rank) => taken.get(rank)!);
 }
 
-function listRanks({ instancesPerReplica }: ModelService): number[] {
-  return Array.from({ length: instancesPerReplica }, (_, rank) => rank);
-}
-
 function findFreeSlot(
   { name, nextSlot }: ServicePlacement,
   { observation }: PlacementInput,
@@ -149,11 +154,20 @@
     const replicaCounts = countsByService.get(name) ?? new Map();
     let replicaCount = 0;
     for (const count of replicaCounts.values()) replicaCount += count;
-    const queue = new SpreadQueue({
-      pools: input.pools.values(),
-      replicaCounts,
-    });
-    return [{ name, service, queue, replicaCount, nextSlot: 0 }];
+    const pools = [...input.pools.values()];
+    const ranks = listRanks(service);
+    const { observation } = input;
+    const loaded = pools.filter((pool) =>
+      input.keepsRanks && holdsRanks(pool, { service, observation, ranks })
+    );
+    return [{
+      name,
+      service,
+      queue: new SpreadQueue({ pools, replicaCounts }),
+      loadedQueue: new SpreadQueue({ pools: loaded, replicaCounts }),
+      replicaCount,
+      nextSlot: 0,
+    }];
   });
 }
 
--- a/packages/celerytray/src/fleet/repair_planner.ts
+++ b/packages/celerytray/src/fleet/repair_planner.ts
@@ -1,7 +1,12 @@
 import type { ConfigSet, ModelService } from "@celerytray/schema";
 import { HashMap } from "effect";
 import { type Damage, findDamage } from "./assess_replica.ts";
-import { createDomainPools, type DomainPool } from "./domain_pool.ts";
+import {
+  createDomainPools,
+  type DomainPool,
+  holdsRanks,
+  listRanks,
+} from "./domain_pool.ts";
 import { findSurplus } from "./find_surplus.ts";
 import {
   emptyEstimates,
@@ -17,7 +22,11 @@
   isPresent,
   type ReplicaPlanner,
 } from "./planner_types.ts";
-import { repairReplicas, type Repairs } from "./repair_replicas.ts";
+import {
+  type GroupCount,
+  repairReplicas,
+  type Repairs,
+} from "./repair_replicas.ts";
 
 /** Repairs what costs less to repair than to wait for. */
 export class RepairPlanner implements ReplicaPlanner {
@@ -109,7 +118,7 @@
     instance.instanceId,
     instance.fabricDomain ?? "",
   ]));
-  const groups = new GroupCounter(pools);
+  const groups = new GroupCounter(observation, pools);
   const surplusCounts = countSurplus(observation, surplus);
   return repairReplicas(damages, {
     observation,
@@ -122,7 +131,7 @@
     findService: ({ replica }) =>
       observation.config.services[replica.service] as ModelService,
     surplusCounts,
-    countGroups: (size, exceptDomain) => groups.count(size, exceptDomain),
+    countGroups: (service, domain) => groups.count(service, domain),
   });
 }
 
@@ -143,25 +152,48 @@
   return counts;
 }
 
-/** Whole groups of free instances, counted once for each size. */
+/** Domains that can take a replica, found once for each service. */
 class GroupCounter {
+  readonly #observation: FleetObservation;
   readonly #pools: ReadonlyMap<string, DomainPool>;
-  readonly #totals = new Map<number, number>();
+  readonly #domains = new Map<ModelService, GroupDomains>();
 
-  constructor(pools: ReadonlyMap<string, DomainPool>) {
+  constructor(
+    observation: FleetObservation,
+    pools: ReadonlyMap<string, DomainPool>,
+  ) {
+    this.#observation = observation;
     this.#pools = pools;
   }
 
-  count(size: number, exceptDomain: string): number {
-    let total = this.#totals.get(size);
-    if (total === undefined) {
-      total = 0;
-      for (const { free } of this.#pools.values()) {
-        total += Math.floor(free.size / size);
-      }
-      this.#totals.set(size, total);
+  count(service: ModelService, exceptDomain: string): GroupCount {
+    let found = this.#domains.get(service);
+    if (found === undefined) {
+      found = this.#find(service);
+      this.#domains.set(service, found);
     }
-    const own = this.#pools.get(exceptDomain)?.free.size ?? 0;
-    return total - Math.floor(own / size);
+    const { all, loaded } = found;
+    return {
+      all: all.size - (all.has(exceptDomain) ? 1 : 0),
+      loaded: loaded.size - (loaded.has(exceptDomain) ? 1 : 0),
+    };
   }
+
+  #find(service: ModelService): GroupDomains {
+    const observation = this.#observation;
+    const ranks = listRanks(service);
+    const all = new Set<string>();
+    const loaded = new Set<string>();
+    for (const [domain, pool] of this.#pools) {
+      if (pool.free.size < ranks.length) continue;
+      all.add(domain);
+      if (holdsRanks(pool, { service, observation, ranks })) loaded.add(domain);
+    }
+    return { all, loaded };
+  }
+}
+
+interface GroupDomains {
+  readonly all: ReadonlySet<string>;
+  readonly loaded: ReadonlySet<string>;
 }
--- a/packages/celerytray/src/fleet/repair_replicas.ts
+++ b/packages/celerytray/src/fleet/repair_replicas.ts
@@ -20,8 +20,17 @@
   readonly findService: (damage: Damage) => ModelService;
   /** Replicas of each service beyond the number wanted. */
   readonly surplusCounts: ReadonlyMap<string, number>;
-  /** Groups of so many free instances outside a domain. */
-  readonly countGroups: (size: number, exceptDomain: string) => number;
+  readonly countGroups: (
+    service: ModelService,
+    exceptDomain: string,
+  ) => GroupCount;
+}
+
+/** Fabric domains outside a replica's own that could take it. */
+export interface GroupCount {
+  readonly all: number;
+  /** Those where all its weights are loaded. */
+  readonly loaded: number;
 }
 
 /** Changes that repair damaged replicas, those that free instances first. */
@@ -62,7 +71,7 @@
   readonly dissolved = new Set<string>();
   readonly #input: RepairInput;
   readonly #yielded = new Map<string, number>();
-  #movedInstances = 0;
+  readonly #moved = new Map<string, number>();
 
   constructor(input: RepairInput) {
     this.#input = input;
@@ -99,13 +108,17 @@
 
   /** Dissolves a replica that can be formed in another domain. */
   tryMove(damage: Damage): boolean {
-    if (damage.slowLossMs > 0 || damage.faultyRanks.length === 0) return false;
-    const size = damage.replica.members.length;
+    if (damage.slowLossMs > 0) return false;
+    const { replica, faultyRanks } = damage;
     const domain = this.#input.findDomain(damage);
-    const taken = Math.ceil(this.#movedInstances / size);
-    if (this.#input.countGroups(size, domain) <= taken) return false;
-    if (this.#isWaitBetter(damage, this.#loadMs() * MOVE_LOADS)) return false;
-    this.#movedInstances += size;
+    const service = this.#input.findService(damage);
+    const room = this.#input.countGroups(service, domain);
+    const moved = this.#moved.get(replica.service) ?? 0;
+    const isHot = room.loaded > moved;
+    if (!isHot && (room.all <= moved || faultyRanks.length === 0)) return false;
+    const repairMs = isHot ? HOT_REPAIR_MS : this.#loadMs() * MOVE_LOADS;
+    if (this.#isWaitBetter(damage, repairMs)) return false;
+    this.#moved.set(replica.service, moved + 1);
     this.#dissolve(damage, "moves");
     return true;
   }
@@ -114,7 +127,7 @@
   combine(damages: readonly Damage[]): void {
     const lasting = damages.filter((damage) =>
       damage.slowLossMs === 0 &&
-      !this.#isWaitBetter(damage, this.#loadMs() * MOVE_LOADS)
+      !this.#isWaitBetter(damage, this.#input.estimates.loadMs * MOVE_LOADS)
     );
     const byDomain = groupBy(lasting, this.#input.findDomain);
     for (const [domain, broken] of byDomain) {
