--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,3 +1,4 @@
+import { formationBench } from "./formation/formation_bench.ts";
 import { slopesBench } from "./slopes/index.ts";
 
 /** What a measurement found. */
@@ -20,4 +21,7 @@
 }
 
 /** All measurements, by name. */
-export const benches: readonly Bench[] = [slopesBench];
+export const benches: readonly Bench[] = [
+  formationBench,
+  slopesBench,
+];
