Route by prefix affinity against load, with the baselines kept

Cause: the entry instance drew two replicas and knew nothing of prompt prefixes, slow replicas or reports that lag; every request scanned all replicas of all services.

Change: a router that weighs cached prefix blocks against the estimated wait over a bounded sample, an index of prefixes with age and doubt, ejection with a floor and slow start, and lists of ready back ends that are rebuilt on change only.

--- /dev/null
+++ b/packages/bench/src/routing/event_queue.ts
@@ -0,0 +1,76 @@
+interface Scheduled {
+  readonly atMs: number;
+  readonly order: number;
+  readonly run: (nowMs: number) => void;
+}
+
+/** Runs events in the order of their virtual times. */
+export class EventQueue {
+  readonly #heap: Scheduled[] = [];
+  #order = 0;
+  nowMs = 0;
+
+  schedule(atMs: number, run: (nowMs: number) => void): void {
+    const heap = this.#heap;
+    heap.push({ atMs, order: this.#order++, run });
+    let index = heap.length - 1;
+    while (index > 0) {
+      const parent = (index - 1) >>> 1;
+      if (!isBefore(heap[index]!, heap[parent]!)) return;
+      swap(heap, { first: index, second: parent });
+      index = parent;
+    }
+  }
+
+  /** Runs everything due up to a time. */
+  runUntil(endMs: number): void {
+    while (this.#heap.length > 0 && this.#heap[0]!.atMs <= endMs) {
+      const next = this.#take();
+      this.nowMs = next.atMs;
+      next.run(next.atMs);
+    }
+    this.nowMs = endMs;
+  }
+
+  #take(): Scheduled {
+    const heap = this.#heap;
+    const first = heap[0]!;
+    const last = heap.pop()!;
+    if (heap.length === 0) return first;
+    heap[0] = last;
+    this.#sink();
+    return first;
+  }
+
+  #sink(): void {
+    const heap = this.#heap;
+    let index = 0;
+    while (true) {
+      const left = index * 2 + 1;
+      const right = left + 1;
+      let least = index;
+      if (left < heap.length && isBefore(heap[left]!, heap[least]!)) {
+        least = left;
+      }
+      if (right < heap.length && isBefore(heap[right]!, heap[least]!)) {
+        least = right;
+      }
+      if (least === index) return;
+      swap(heap, { first: index, second: least });
+      index = least;
+    }
+  }
+}
+
+function isBefore(a: Scheduled, b: Scheduled): boolean {
+  return a.atMs < b.atMs || (a.atMs === b.atMs && a.order < b.order);
+}
+
+function swap(
+  heap: Scheduled[],
+  at: { readonly first: number; readonly second: number },
+): void {
+  const kept = heap[at.first]!;
+  heap[at.first] = heap[at.second]!;
+  heap[at.second] = kept;
+}
--- /dev/null
+++ b/packages/bench/src/routing/index.ts
@@ -0,0 +1,2 @@
+/** Measurements of the choice of a replica. */
+export { routingBench } from "./routing_bench.ts";
--- /dev/null
+++ b/packages/bench/src/routing/routing_bench.ts
@@ -0,0 +1,120 @@
+import {
+  AffinityRouter,
+  LeastReportedRouter,
+  PowerOfTwoRouter,
+  RandomRouter,
+  RoundRobinRouter,
+} from "celerytray";
+import type { Bench, BenchResult } from "../benches.ts";
+import { measureChoice } from "./measure_choice.ts";
+import {
+  type RoutingPolicy,
+  type RoutingScenario,
+  simulateRouting,
+} from "./simulate_routing.ts";
+
+interface PolicyRow {
+  readonly [field: string]: string | number;
+  readonly scenario: string;
+  readonly policy: string;
+  readonly p50Ms: number;
+  readonly p95Ms: number;
+  readonly p99Ms: number;
+  readonly prefixHitRate: number;
+}
+
+const SEEDS = [11, 22, 33];
+const OWN_POLICY = "affinity";
+const MAX_SHARED_SHARE = 0.7;
+const MAX_UNSHARED_SHARE = 1.1;
+const POLICIES: Record<string, (seed: number) => RoutingPolicy> = {
+  random: (seed) => ({ router: new RandomRouter({ seed }) }),
+  "round robin": () => ({ router: new RoundRobinRouter() }),
+  "least reported": () => ({ router: new LeastReportedRouter() }),
+  "power of two": (seed) => ({ router: new PowerOfTwoRouter({ seed }) }),
+  [OWN_POLICY]: (seed) => {
+    const router = new AffinityRouter({ seed });
+    return {
+      router,
+      noteCacheEvent: (event) => router.noteCacheEvent(event),
+    };
+  },
+};
+const SIZES = [
+  { name: "tillicum", replicaCount: 65, prefixCount: 60, zoneDelayMs: 1.5 },
+  { name: "bagmati", replicaCount: 65, prefixCount: 40, zoneDelayMs: 0.5 },
+  { name: "large", replicaCount: 6_300, prefixCount: 5_000, zoneDelayMs: 1.5 },
+];
+
+/** Time to the first token against the baselines, at 80% load. */
+export const routingBench: Bench = {
+  name: "routing",
+  description: "choice of the replica against four baselines",
+  run: () => Promise.resolve(runRoutingBench()),
+};
+
+function runRoutingBench(): BenchResult {
+  const rows: PolicyRow[] = [];
+  const targets: BenchResult["targets"][number][] = [];
+  for (const scenario of createScenarios()) {
+    const measured = Object.keys(POLICIES).map((policy) =>
+      measurePolicy(scenario, policy)
+    );
+    rows.push(...measured);
+    targets.push(judgeScenario(scenario, measured));
+  }
+  const choice = measureChoice({ replicaCount: 6_300 });
+  return { rows: [...rows, choice], targets };
+}
+
+function createScenarios(): RoutingScenario[] {
+  return SIZES.flatMap((size) =>
+    [true, false].map((hasSharedPrefixes) => ({
+      ...size,
+      name: `${size.name}, ${hasSharedPrefixes ? "shared" : "no shared"}`,
+      hasSharedPrefixes,
+      entryCount: 9,
+      load: 0.8,
+      warmUpMs: size.replicaCount > 1_000 ? 4_000 : 20_000,
+      measuredMs: size.replicaCount > 1_000 ? 3_000 : 60_000,
+    }))
+  );
+}
+
+function measurePolicy(scenario: RoutingScenario, policy: string): PolicyRow {
+  const runs = SEEDS.map((seed) =>
+    simulateRouting(scenario, { seed, createPolicy: POLICIES[policy]! })
+  );
+  const times = runs.flatMap(({ firstTokenMs }) => firstTokenMs);
+  const sorted = Float64Array.from(times).sort();
+  const percentile = (share: number) =>
+    Math.round(sorted[Math.floor(sorted.length * share)]!);
+  const hitRates = runs.map(({ prefixHitRate }) => prefixHitRate);
+  const hitRate = hitRates.reduce((sum, rate) => sum + rate, 0) / runs.length;
+  return {
+    scenario: scenario.name,
+    policy,
+    requests: sorted.length,
+    p50Ms: percentile(0.5),
+    p95Ms: percentile(0.95),
+    p99Ms: percentile(0.99),
+    prefixHitRate: Number(hitRate.toFixed(3)),
+  };
+}
+
+function judgeScenario(
+  scenario: RoutingScenario,
+  rows: readonly PolicyRow[],
+): BenchResult["targets"][number] {
+  const own = rows.find(({ policy }) => policy === OWN_POLICY)!;
+  const baselines = rows.filter(({ policy }) => policy !== OWN_POLICY);
+  const best = Math.min(...baselines.map(({ p95Ms }) => p95Ms));
+  const limit = scenario.hasSharedPrefixes
+    ? MAX_SHARED_SHARE
+    : MAX_UNSHARED_SHARE;
+  return {
+    target: `${scenario.name}: p95 at most ${limit} of the best baseline`,
+    measured: `${own.p95Ms} ms of ${best} ms: ${(own.p95Ms / best).toFixed(3)}`,
+    isReached: own.p95Ms <= best * limit,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/routing/virtual_engine.ts
@@ -0,0 +1,105 @@
+import type { EventQueue } from "./event_queue.ts";
+
+/** A prompt as an engine sees it. */
+export interface VirtualRequest {
+  readonly prefixHashes: readonly number[];
+  readonly outputTokens: number;
+  readonly onFirstToken: (
+    token: { readonly nowMs: number; readonly cachedBlocks: number },
+  ) => void;
+}
+
+/** A change of an engine's prefix cache. */
+export interface VirtualCacheChange {
+  readonly sequence: number;
+  readonly stored: readonly number[];
+  readonly removed: readonly number[];
+}
+
+/** Size and speed of an engine. */
+export interface VirtualEngineOptions {
+  readonly queue: EventQueue;
+  readonly maxRunning: number;
+  readonly cacheBlocks: number;
+  readonly prefillMsPerBlock: number;
+  readonly tokenIntervalMs: number;
+  readonly onCacheChange: (change: VirtualCacheChange) => void;
+}
+
+/** Queues, prefills one prompt at a time, decodes many; caches prefixes. */
+export class VirtualEngine {
+  readonly #options: VirtualEngineOptions;
+  readonly #waiting: VirtualRequest[] = [];
+  readonly #cache = new Set<number>();
+  #running = 0;
+  #isPrefilling = false;
+  #sequence = 0;
+
+  constructor(options: VirtualEngineOptions) {
+    this.#options = options;
+  }
+
+  /** Requests running and waiting. */
+  get requests(): number {
+    return this.#running + this.#waiting.length;
+  }
+
+  submit(request: VirtualRequest): void {
+    this.#waiting.push(request);
+    this.#startNext();
+  }
+
+  #startNext(): void {
+    const { maxRunning, prefillMsPerBlock, queue } = this.#options;
+    if (this.#isPrefilling || this.#running >= maxRunning) return;
+    const request = this.#waiting.shift();
+    if (request === undefined) return;
+    this.#isPrefilling = true;
+    this.#running += 1;
+    const cachedBlocks = this.#countCached(request.prefixHashes);
+    const blocks = request.prefixHashes.length - cachedBlocks;
+    const prefillMs = Math.max(1, blocks) * prefillMsPerBlock;
+    queue.schedule(queue.nowMs + prefillMs, (nowMs) => {
+      this.#isPrefilling = false;
+      this.#store(request.prefixHashes);
+      request.onFirstToken({ nowMs, cachedBlocks });
+      this.#decode(request);
+      this.#startNext();
+    });
+  }
+
+  #decode(request: VirtualRequest): void {
+    const { queue, tokenIntervalMs } = this.#options;
+    const decodeMs = request.outputTokens * tokenIntervalMs;
+    queue.schedule(queue.nowMs + decodeMs, () => {
+      this.#running -= 1;
+      this.#startNext();
+    });
+  }
+
+  #countCached(hashes: readonly number[]): number {
+    const missing = hashes.findIndex((hash) => !this.#cache.has(hash));
+    return missing < 0 ? hashes.length : missing;
+  }
+
+  #store(hashes: readonly number[]): void {
+    const stored = hashes.filter((hash) => !this.#cache.has(hash));
+    for (const hash of hashes.toReversed()) {
+      this.#cache.delete(hash);
+      this.#cache.add(hash);
+    }
+    const removed: number[] = [];
+    for (const hash of this.#cache) {
+      if (this.#cache.size <= this.#options.cacheBlocks) break;
+      this.#cache.delete(hash);
+      removed.push(hash);
+    }
+    if (stored.length === 0 && removed.length === 0) return;
+    this.#sequence += 1;
+    this.#options.onCacheChange({
+      sequence: this.#sequence,
+      stored,
+      removed,
+    });
+  }
+}
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -30,11 +30,11 @@
   type StreamView,
 } from "../log/index.ts";
 import { selectPreferred } from "../membership/index.ts";
-import { PowerOfTwoRouter } from "../routing/index.ts";
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
 import { createEntryClaims } from "./entry_claims.ts";
 import { createEntryOperations } from "./entry_operations.ts";
+import { createEntryRouting } from "./entry_routing.ts";
 import { ReadyBackends } from "./ready_backends.ts";
 
 /** Options of an entry instance. */
@@ -96,12 +96,12 @@
       intervalMs: settings.instanceListIntervalMs,
     });
     const engine = new HttpModelEngine();
-    const reports = { note: (_replicaId: string): void => {} };
+    const reports = { note: (_observation: MemberObservation): void => {} };
     const monitor = yield* createEngineMonitor({
       engine,
       listInstances: directory.all,
       intervalMs: settings.statusIntervalMs,
-      onStatus: (observation) => reports.note(findLedReplica(observation)),
+      onStatus: (observation) => reports.note(observation),
     });
     const maxObservationAgeMs = settings.statusIntervalMs *
       MISSED_STATUS_ROUNDS;
@@ -112,7 +112,7 @@
       nowMs,
       maxAgeMs: maxObservationAgeMs,
     });
-    reports.note = (replicaId) => backends.noteReport(replicaId);
+    reports.note = (observation) => backends.noteStatus(observation);
 
     yield* runFleetController({
       processId: settings.instanceId,
@@ -139,7 +139,7 @@
         availabilityZone: settings.availabilityZone,
         maxBodyBytes: settings.maxBodyBytes,
         agent: new Agent({ keepAlive: true }),
-        router: new PowerOfTwoRouter({ seed: nowMs() | 0 }),
+        ...createEntryRouting({ nowMs }),
         admission: new RateAdmission({
           shareOf: () => 1 / Math.max(1, listEntryIds(directory).length),
         }),
@@ -182,11 +182,6 @@
   });
 }
 
-function findLedReplica(observation: MemberObservation): string {
-  const { assignment } = observation.status;
-  return assignment?.rank === 0 ? assignment.replicaId : "";
-}
-
 function listEntryIds(directory: InstanceDirectory): string[] {
   return directory.all()
     .filter(({ role, state }) => role === "entry" && state === "live")
--- a/packages/celerytray/src/entry/ready_backends.ts
+++ b/packages/celerytray/src/entry/ready_backends.ts
@@ -1,4 +1,4 @@
-import type { Instance } from "@celerytray/schema";
+import type { EngineStatus, Instance } from "@celerytray/schema";
 import { HashMap } from "effect";
 import {
   findReplicaHealth,
@@ -7,6 +7,7 @@
   type Replica,
 } from "../fleet/index.ts";
 import type { PlainInstance, ReadyReplica } from "../forwarding/index.ts";
+import { SentLog } from "../routing/index.ts";
 
 /** What the lists of ready back ends are worked out from. */
 export interface ReadyBackendsOptions {
@@ -17,10 +18,36 @@
   readonly maxAgeMs: number;
 }
 
-/** Replicas and plain instances that may serve now. */
+/** Ready replicas by service, and until when they hold. */
+interface ReplicaIndex {
+  readonly fleet: FleetState;
+  readonly instances: ReadonlyMap<string, Instance>;
+  readonly expiresAtMs: number;
+  readonly byService: ReadonlyMap<string, readonly ReadyReplica[]>;
+}
+
+interface SeenStatus {
+  readonly condition: string;
+  readonly observedAtMs: number;
+}
+
+interface PlainIndex {
+  readonly instances: ReadonlyMap<string, Instance>;
+  readonly byService: ReadonlyMap<string, readonly PlainInstance[]>;
+}
+
+const REPORT_LAG_MS = 250;
+
+/**
+ * Replicas and plain instances that may serve now. The lists are rebuilt on
+ * change only; loads in them are read when they are looked at.
+ */
 export class ReadyBackends {
   readonly #options: ReadyBackendsOptions;
-  readonly #sent = new Map<string, number>();
+  readonly #sent = new SentLog({ reportLagMs: REPORT_LAG_MS });
+  readonly #seen = new Map<string, SeenStatus>();
+  #replicaIndex: ReplicaIndex | undefined;
+  #plainIndex: PlainIndex | undefined;
 
   constructor(options: ReadyBackendsOptions) {
     this.#options = options;
@@ -28,57 +55,93 @@
 
   /** Counts a request sent to a replica's leader. */
   noteSent(replicaId: string): void {
-    this.#sent.set(replicaId, (this.#sent.get(replicaId) ?? 0) + 1);
+    this.#sent.noteSent(replicaId, this.#options.nowMs());
+  }
+
+  /** Learns that an engine's status was read. */
+  noteStatus({ status, observedAtMs }: MemberObservation): void {
+    const { assignment, instanceId } = status;
+    if (assignment?.rank === 0) {
+      this.#sent.noteReport(assignment.replicaId, observedAtMs);
+    }
+    const known = this.#seen.get(instanceId);
+    const condition = describeCondition(status);
+    this.#seen.set(instanceId, { condition, observedAtMs });
+    const isSame = known?.condition === condition &&
+      observedAtMs - known.observedAtMs <= this.#options.maxAgeMs;
+    if (!isSame) this.#replicaIndex = undefined;
+  }
+
+  /** The same array for as long as the same replicas are ready. */
+  listReplicas(service: string): readonly ReadyReplica[] {
+    return this.#findReplicaIndex().byService.get(service) ?? [];
+  }
+
+  /** The same array for as long as the instance list stays the same. */
+  listPlain(service: string): readonly PlainInstance[] {
+    return this.#findPlainIndex().byService.get(service) ?? [];
   }
 
-  /** Starts the count anew when a replica's leader reports its load. */
-  noteReport(replicaId: string): void {
-    this.#sent.delete(replicaId);
+  #findReplicaIndex(): ReplicaIndex {
+    const { fleet, instances, nowMs } = this.#options;
+    const known = this.#replicaIndex;
+    const isCurrent = known !== undefined && known.fleet === fleet() &&
+      known.instances === instances() && nowMs() <= known.expiresAtMs;
+    if (isCurrent) return known;
+    const built = this.#buildReplicaIndex();
+    this.#replicaIndex = built;
+    return built;
   }
 
-  listReplicas(service: string): ReadyReplica[] {
-    const ready: ReadyReplica[] = [];
-    for (const replica of HashMap.values(this.#options.fleet().replicas)) {
-      if (replica.service !== service) continue;
-      const described = this.#describeReady(replica);
-      if (described !== undefined) ready.push(described);
+  #buildReplicaIndex(): ReplicaIndex {
+    const fleet = this.#options.fleet();
+    const instances = this.#options.instances();
+    const byService = new Map<string, ReadyReplica[]>();
+    let expiresAtMs = Infinity;
+    for (const replica of HashMap.values(fleet.replicas)) {
+      const ready = this.#describeReady(replica);
+      if (ready === undefined) continue;
+      addTo(byService, { service: replica.service, member: ready });
+      expiresAtMs = Math.min(expiresAtMs, this.#findExpiry(replica));
     }
-    return ready;
+    return { fleet, instances, expiresAtMs, byService };
   }
 
-  listPlain(service: string): PlainInstance[] {
-    const live = [...this.#options.instances().values()].filter((instance) =>
-      instance.role === "plain" && instance.service === service &&
-      instance.state === "live"
+  /** When the oldest observation of a member stops counting. */
+  #findExpiry(replica: Replica): number {
+    const { observations, maxAgeMs } = this.#options;
+    const times = replica.members.map((member) =>
+      observations.get(member)!.observedAtMs + maxAgeMs
     );
-    return live.map((instance) => ({
-      replicaId: instance.instanceId,
-      address: instance.address,
-      availabilityZone: instance.availabilityZone,
-      reportedRequests: 0,
-      sentSinceReport: this.#sent.get(instance.instanceId) ?? 0,
-    }));
+    return Math.min(...times);
   }
 
   #describeReady(replica: Replica): ReadyReplica | undefined {
     const { observations, instances, maxAgeMs } = this.#options;
-    const nowMs = this.#options.nowMs();
     const health = findReplicaHealth(replica, {
       observations,
-      nowMs,
+      nowMs: this.#options.nowMs(),
       maxAgeMs,
     });
     const leader = instances().get(replica.members[0]!);
     if (health.state !== "ready" || leader === undefined) return undefined;
     if (this.#isLeaving(replica)) return undefined;
-    const { status } = observations.get(leader.instanceId)!;
+    const { replicaId, fencingNumber } = replica;
+    const { instanceId, address, availabilityZone } = leader;
+    const sent = this.#sent;
     return {
-      replicaId: replica.replicaId,
-      fencingNumber: replica.fencingNumber,
-      leaderAddress: leader.address,
-      availabilityZone: leader.availabilityZone,
-      reportedRequests: status.runningRequests + status.waitingRequests,
-      sentSinceReport: this.#sent.get(replica.replicaId) ?? 0,
+      replicaId,
+      fencingNumber,
+      leaderAddress: address,
+      availabilityZone,
+      get reportedRequests() {
+        const status = observations.get(instanceId)?.status;
+        if (status === undefined) return 0;
+        return status.runningRequests + status.waitingRequests;
+      },
+      get sentSinceReport() {
+        return sent.count(replicaId);
+      },
     };
   }
 
@@ -89,4 +152,48 @@
       observations.get(member)?.status.leaving === true
     );
   }
+
+  #findPlainIndex(): PlainIndex {
+    const instances = this.#options.instances();
+    if (this.#plainIndex?.instances === instances) return this.#plainIndex;
+    const byService = new Map<string, PlainInstance[]>();
+    for (const instance of instances.values()) {
+      const { role, state, service } = instance;
+      if (role !== "plain" || state !== "live") continue;
+      if (service === undefined) continue;
+      addTo(byService, { service, member: this.#describePlain(instance) });
+    }
+    this.#plainIndex = { instances, byService };
+    return this.#plainIndex;
+  }
+
+  #describePlain(instance: Instance): PlainInstance {
+    const { instanceId, address, availabilityZone } = instance;
+    const sent = this.#sent;
+    return {
+      replicaId: instanceId,
+      address,
+      availabilityZone,
+      reportedRequests: 0,
+      get sentSinceReport() {
+        return sent.count(instanceId);
+      },
+    };
+  }
+}
+
+/** The parts of a status that readiness depends on. */
+function describeCondition(status: EngineStatus): string {
+  const { assignment, state, leaving } = status;
+  return JSON.stringify([assignment, state, leaving === true]);
+}
+
+function addTo<Member>(
+  byService: Map<string, Member[]>,
+  entry: { readonly service: string; readonly member: Member },
+): void {
+  const { service, member } = entry;
+  const members = byService.get(service);
+  if (members === undefined) byService.set(service, [member]);
+  else members.push(member);
 }
--- a/packages/celerytray/src/forwarding/call_plain_service.ts
+++ b/packages/celerytray/src/forwarding/call_plain_service.ts
@@ -153,12 +153,13 @@
   tried: ReadonlySet<string>,
 ): PlainInstance | undefined {
   const { dependencies, serviceName } = call;
-  const candidates = dependencies.listPlainInstances(serviceName).filter((
-    instance,
-  ) => !tried.has(instance.replicaId));
-  return dependencies.router.choose(candidates, {
-    availabilityZone: dependencies.availabilityZone,
-  });
+  return dependencies.router.choose(
+    dependencies.listPlainInstances(serviceName),
+    {
+      availabilityZone: dependencies.availabilityZone,
+      excludedIds: tried,
+    },
+  );
 }
 
 function attemptOn(
--- a/packages/celerytray/src/forwarding/caller_handler.ts
+++ b/packages/celerytray/src/forwarding/caller_handler.ts
@@ -10,7 +10,7 @@
 import type { Admission, AdmissionRefused } from "../admission/index.ts";
 import { fromEither } from "../errors/index.ts";
 import { discardBody, readBody } from "../http/index.ts";
-import type { Router } from "../routing/index.ts";
+import type { CallRouter, RoutingOutcome } from "../routing/index.ts";
 import type { TimelineFields } from "../timeline/index.ts";
 import { authenticate, type AuthenticatedCaller } from "./authenticate.ts";
 import { callPlainService } from "./call_plain_service.ts";
@@ -32,7 +32,7 @@
   readonly availabilityZone: string;
   readonly maxBodyBytes: number;
   readonly agent: Agent;
-  readonly router: Router;
+  readonly router: CallRouter;
   readonly admission: Admission;
   readonly claims: ForwardingClaims;
   readonly calls: InFlightCalls;
@@ -43,6 +43,8 @@
   readonly listPlainInstances: (service: string) => readonly PlainInstance[];
   /** Takes note of a request sent to a replica. */
   readonly noteSent: (replicaId: string) => void;
+  /** Takes note of what became of a request sent to a replica. */
+  readonly noteOutcome: (outcome: Omit<RoutingOutcome, "nowMs">) => void;
   readonly recordEvent: (
     kind: string,
     fields: TimelineFields,
--- a/packages/celerytray/src/forwarding/complete_chat.ts
+++ b/packages/celerytray/src/forwarding/complete_chat.ts
@@ -6,6 +6,7 @@
 import { Effect } from "effect";
 import { type Either, Left, Right } from "purify-ts";
 import { firstValidationMessage, fromEither } from "../errors/index.ts";
+import { createRoutingCall, type RoutingCall } from "../routing/index.ts";
 import { CallerError } from "./caller_error.ts";
 import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
 import { CompletionSink } from "./completion_sink.ts";
@@ -30,7 +31,18 @@
       isStream: request.stream === true,
     });
     const body = JSON.stringify({ ...request, stream: true });
-    yield* runAttempts({ context, dependencies, target, sink, body });
+    const routingCall = createRoutingCall(request, {
+      availabilityZone: dependencies.availabilityZone,
+      service: target.service,
+    });
+    yield* runAttempts({
+      context,
+      dependencies,
+      target,
+      sink,
+      body,
+      routingCall,
+    });
     yield* sink.finish();
   });
 }
@@ -89,6 +101,7 @@
   readonly target: ModelTarget;
   readonly sink: CompletionSink;
   readonly body: string;
+  readonly routingCall: RoutingCall;
 }
 
 /** Tries replicas until the answer is whole; each resumes where the last stopped. */
@@ -116,13 +129,11 @@
   options: AttemptsOptions,
   tried: ReadonlySet<string>,
 ): ReadyReplica | undefined {
-  const { dependencies, target } = options;
-  const candidates = dependencies.listReadyReplicas(target.name).filter((
-    replica,
-  ) => !tried.has(replica.replicaId));
-  return dependencies.router.choose(candidates, {
-    availabilityZone: dependencies.availabilityZone,
-  });
+  const { dependencies, target, routingCall } = options;
+  return dependencies.router.choose(
+    dependencies.listReadyReplicas(target.name),
+    { ...routingCall, excludedIds: tried },
+  );
 }
 
 function attemptOn(
@@ -142,6 +153,13 @@
       agent: dependencies.agent,
       idleTimeoutMs: target.service.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
     });
+    dependencies.noteOutcome({
+      service: target.name,
+      replicaId: replica.replicaId,
+      kind: outcome.kind === "finished" || outcome.kind === "rejected"
+        ? "served"
+        : "failed",
+    });
     const detail = "message" in outcome ? outcome.message : undefined;
     yield* dependencies.recordEvent(`attempt.${outcome.kind}`, {
       ...note,
--- /dev/null
+++ b/packages/celerytray/src/routing/baseline_routers.ts
@@ -0,0 +1,79 @@
+import { RandomSource } from "./random_source.ts";
+import {
+  estimateRequests,
+  type ReplicaLoad,
+  type Router,
+  type RoutingRequest,
+} from "./router.ts";
+
+/** Draws any candidate. */
+export class RandomRouter implements Router {
+  readonly #random: RandomSource;
+
+  constructor(options: { readonly seed: number }) {
+    this.#random = new RandomSource(options.seed);
+  }
+
+  choose<Candidate extends ReplicaLoad>(
+    candidates: readonly Candidate[],
+    request: RoutingRequest,
+  ): Candidate | undefined {
+    return this.#random.draw(candidates, request.excludedIds);
+  }
+}
+
+/** Takes the candidates in turn. */
+export class RoundRobinRouter implements Router {
+  #next = 0;
+
+  choose<Candidate extends ReplicaLoad>(
+    candidates: readonly Candidate[],
+    request: RoutingRequest,
+  ): Candidate | undefined {
+    for (let step = 0; step < candidates.length; step++) {
+      const candidate = candidates[this.#next++ % candidates.length]!;
+      if (!request.excludedIds?.has(candidate.replicaId)) return candidate;
+    }
+    return undefined;
+  }
+}
+
+/** Takes the candidate with the least reported load; scans all of them. */
+export class LeastReportedRouter implements Router {
+  #next = 0;
+
+  choose<Candidate extends ReplicaLoad>(
+    candidates: readonly Candidate[],
+    request: RoutingRequest,
+  ): Candidate | undefined {
+    const start = this.#next++;
+    let least: Candidate | undefined;
+    for (let step = 0; step < candidates.length; step++) {
+      const candidate = candidates[(start + step) % candidates.length]!;
+      if (request.excludedIds?.has(candidate.replicaId)) continue;
+      const isLess = least === undefined ||
+        candidate.reportedRequests < least.reportedRequests;
+      if (isLess) least = candidate;
+    }
+    return least;
+  }
+}
+
+/** Draws two candidates and takes the one with less load. */
+export class PowerOfTwoRouter implements Router {
+  readonly #random: RandomSource;
+
+  constructor(options: { readonly seed: number }) {
+    this.#random = new RandomSource(options.seed);
+  }
+
+  choose<Candidate extends ReplicaLoad>(
+    candidates: readonly Candidate[],
+    request: RoutingRequest,
+  ): Candidate | undefined {
+    const first = this.#random.draw(candidates, request.excludedIds);
+    const second = this.#random.draw(candidates, request.excludedIds);
+    if (first === undefined || second === undefined) return first;
+    return estimateRequests(second) < estimateRequests(first) ? second : first;
+  }
+}
