--- a/packages/bench/src/attempts/local_data_plane.ts
+++ b/packages/bench/src/attempts/local_data_plane.ts
@@ -68,7 +68,10 @@
 }
 
 /** Takes back ends in the order of their numbers. */
-export const IN_ORDER: Router = { choose: ([first]) => first };
+export const IN_ORDER: Router = {
+  choose: (candidates, { excludedIds }) =>
+    candidates.find(({ replicaId }) => excludedIds?.has(replicaId) !== true),
+};
 
 /** Key that the callers of a local data plane send. */
 export const LOCAL_KEY = "local-key";
@@ -131,6 +134,7 @@
           listReadyReplicas: () => engines.map(describeReplica),
           listPlainInstances: () => plains.map(describePlain),
           noteSent: () => attemptCount += 1,
+          noteOutcome: () => {},
           recordEvent: () => Effect.void,
         }, options.context ?? Context.empty()),
       }),
--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,4 +1,5 @@
 import { formationBench } from "./formation/formation_bench.ts";
+import { routingBench } from "./routing/index.ts";
 import { slopesBench } from "./slopes/index.ts";
 
 /** What a measurement found. */
@@ -23,5 +24,6 @@
 /** All measurements, by name. */
 export const benches: readonly Bench[] = [
   formationBench,
+  routingBench,
   slopesBench,
 ];
--- a/packages/celerytray/src/entry/entry_attempts.ts
+++ b/packages/celerytray/src/entry/entry_attempts.ts
@@ -1,8 +1,8 @@
 import {
   type ForwardingDependencies,
   HedgeDelays,
-  RecentFailures,
   RetryBudget,
+  ServiceFailures,
 } from "../forwarding/index.ts";
 import { BackendPools } from "../http/index.ts";
 
@@ -16,7 +16,7 @@
 export function createAttemptState(): AttemptState {
   return {
     budget: new RetryBudget(),
-    failures: new RecentFailures(),
+    failures: new ServiceFailures(),
     hedgeDelays: new HedgeDelays(),
     pools: new BackendPools(),
   };
--- a/packages/celerytray/src/forwarding/call_plain_service.ts
+++ b/packages/celerytray/src/forwarding/call_plain_service.ts
@@ -10,6 +10,7 @@
 import { fromEither } from "../errors/index.ts";
 import { AttemptPlan } from "./attempt_plan.ts";
 import { CallerError, type CallOutcomeState } from "./caller_error.ts";
+import { chooseBackend } from "./choose_backend.ts";
 import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
 import type { PlainInstance } from "./forwarding_types.ts";
 import { parseServicePath } from "./parse_service_path.ts";
@@ -147,10 +148,14 @@
 /** Takes note of an instance that another one overtook. */
 function noteSlow(
   instance: PlainInstance,
-  { dependencies }: PlainCall,
+  call: PlainCall,
 ): Effect.Effect<void> {
+  const { dependencies } = call;
   return Effect.map(Clock.currentTimeMillis, (nowMs) => {
-    dependencies.failures.noteFailure(instance.replicaId, nowMs);
+    dependencies.failures.get(call.serviceName).noteFailure(
+      instance.replicaId,
+      nowMs,
+    );
     dependencies.pools.discard(instance.address);
   });
 }
@@ -259,12 +264,12 @@
   nowMs: number,
 ): PlainInstance | undefined {
   const { dependencies, serviceName, plan } = call;
-  const untried = dependencies.listPlainInstances(serviceName).filter((
-    { replicaId },
-  ) => !plan.tried.has(replicaId));
-  const candidates = dependencies.failures.prefer(untried, nowMs);
-  return dependencies.router.choose(candidates, {
-    availabilityZone: dependencies.availabilityZone,
+  return chooseBackend(dependencies.listPlainInstances(serviceName), {
+    dependencies,
+    service: serviceName,
+    triedIds: plan.tried,
+    call: { availabilityZone: dependencies.availabilityZone },
+    nowMs,
   });
 }
 
@@ -296,12 +301,12 @@
     });
     const nowMs = yield* Clock.currentTimeMillis;
     if (outcome.kind === "answered") {
-      dependencies.failures.noteAnswer(replicaId);
+      dependencies.failures.get(call.serviceName).noteAnswer(replicaId);
       dependencies.hedgeDelays.get(call.serviceName)
         .noteAnswer(nowMs - startedAtMs);
     } else {
       plan.noteOutcome(outcome.kind);
-      dependencies.failures.noteFailure(replicaId, nowMs);
+      dependencies.failures.get(call.serviceName).noteFailure(replicaId, nowMs);
       dependencies.pools.discard(address);
     }
     yield* dependencies.recordEvent(`attempt.${outcome.kind}`, note);
--- a/packages/celerytray/src/forwarding/caller_handler.ts
+++ b/packages/celerytray/src/forwarding/caller_handler.ts
@@ -9,7 +9,7 @@
 import type { Admission, AdmissionRefused } from "../admission/index.ts";
 import { fromEither } from "../errors/index.ts";
 import { type BackendPools, discardBody, readBody } from "../http/index.ts";
-import type { Router } from "../routing/index.ts";
+import type { CallRouter, RoutingOutcome } from "../routing/index.ts";
 import type { TimelineFields } from "../timeline/index.ts";
 import { authenticate, type AuthenticatedCaller } from "./authenticate.ts";
 import { callPlainService } from "./call_plain_service.ts";
@@ -27,7 +27,7 @@
 import type { HedgeDelays } from "./hedge_delay.ts";
 import type { InFlightCalls } from "./in_flight_calls.ts";
 import { toOriginForm } from "./parse_service_path.ts";
-import type { RecentFailures } from "./recent_failures.ts";
+import type { ServiceFailures } from "./recent_failures.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 /** What the data plane needs of its entry instance. */
@@ -36,9 +36,9 @@
   readonly maxBodyBytes: number;
   readonly pools: BackendPools;
   readonly budget: RetryBudget;
-  readonly failures: RecentFailures;
+  readonly failures: ServiceFailures;
   readonly hedgeDelays: HedgeDelays;
-  readonly router: Router;
+  readonly router: CallRouter;
   readonly admission: Admission;
   readonly claims: ForwardingClaims;
   readonly calls: InFlightCalls;
@@ -49,6 +49,8 @@
   readonly listPlainInstances: (service: string) => readonly PlainInstance[];
   /** Takes note of a request sent to a replica. */
   readonly noteSent: (replicaId: string) => void;
+  /** Takes note of what became of a request sent to a replica. */
+  readonly noteOutcome: (outcome: Omit<RoutingOutcome, "nowMs">) => void;
   readonly recordEvent: (
     kind: string,
     fields: TimelineFields,
--- a/packages/celerytray/src/forwarding/complete_chat.ts
+++ b/packages/celerytray/src/forwarding/complete_chat.ts
@@ -6,8 +6,10 @@
 import { Clock, Effect } from "effect";
 import { type Either, Left, Right } from "purify-ts";
 import { firstValidationMessage, fromEither } from "../errors/index.ts";
+import { createRoutingCall, type RoutingCall } from "../routing/index.ts";
 import { AttemptPlan } from "./attempt_plan.ts";
 import { CallerError } from "./caller_error.ts";
+import { chooseBackend } from "./choose_backend.ts";
 import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
 import { CompletionSink } from "./completion_sink.ts";
 import type { ReadyReplica } from "./forwarding_types.ts";
@@ -35,6 +37,10 @@
       isStream: request.stream === true,
     });
     const body = JSON.stringify({ ...request, stream: true });
+    const routingCall = createRoutingCall(request, {
+      availabilityZone: dependencies.availabilityZone,
+      service: target.service,
+    });
     const deadlineAtMs = findDeadlineAtMs(request, { context, target });
     const plan = new AttemptPlan({
       budget: dependencies.budget,
@@ -48,6 +54,7 @@
       body,
       plan,
       deadlineAtMs,
+      routingCall,
     });
     yield* sink.finish();
   });
@@ -119,6 +126,7 @@
   readonly plan: AttemptPlan;
   /** Time until which a first token is of use. */
   readonly deadlineAtMs: number;
+  readonly routingCall: RoutingCall;
 }
 
 /** Tries replicas until the answer is whole; each resumes where the last stopped. */
@@ -158,13 +166,13 @@
   options: AttemptsOptions,
   nowMs: number,
 ): ReadyReplica | undefined {
-  const { dependencies, target, plan } = options;
-  const untried = dependencies.listReadyReplicas(target.name).filter((
-    { replicaId },
-  ) => !plan.tried.has(replicaId));
-  const candidates = dependencies.failures.prefer(untried, nowMs);
-  return dependencies.router.choose(candidates, {
-    availabilityZone: dependencies.availabilityZone,
+  const { dependencies, target, plan, routingCall } = options;
+  return chooseBackend(dependencies.listReadyReplicas(target.name), {
+    dependencies,
+    service: target.name,
+    triedIds: plan.tried,
+    call: routingCall,
+    nowMs,
   });
 }
 
@@ -187,7 +195,7 @@
       idleTimeoutMs: findIdleTimeoutMs(options, startedAtMs),
     });
     const nowMs = yield* Clock.currentTimeMillis;
-    noteOutcome(outcome, { replica, dependencies, nowMs });
+    noteOutcome(outcome, { replica, options, nowMs });
     const detail = "message" in outcome ? outcome.message : undefined;
     yield* dependencies.recordEvent(`attempt.${outcome.kind}`, {
       ...note,
@@ -212,16 +220,21 @@
   outcome: AttemptOutcome,
   attempt: {
     readonly replica: ReadyReplica;
-    readonly dependencies: ForwardingDependencies;
+    readonly options: AttemptsOptions;
     readonly nowMs: number;
   },
 ): void {
-  const { failures } = attempt.dependencies;
+  const { dependencies, target } = attempt.options;
   const { replicaId } = attempt.replica;
+  const failures = dependencies.failures.get(target.name);
+  const hasFailed = outcome.kind === "cut" || outcome.kind === "not-run";
   if (outcome.kind === "finished") failures.noteAnswer(replicaId);
-  if (outcome.kind === "cut" || outcome.kind === "not-run") {
-    failures.noteFailure(replicaId, attempt.nowMs);
-  }
+  if (hasFailed) failures.noteFailure(replicaId, attempt.nowMs);
+  dependencies.noteOutcome({
+    service: target.name,
+    replicaId,
+    kind: hasFailed ? "failed" : "served",
+  });
 }
 
 function createGivenUpError(options: AttemptsOptions): CallerError {
--- a/packages/celerytray/src/forwarding/recent_failures.ts
+++ b/packages/celerytray/src/forwarding/recent_failures.ts
@@ -5,10 +5,10 @@
 
 const BASE_AVOIDANCE_MS = 1_000;
 const MAX_AVOIDANCE_MS = 30_000;
-const MIN_PREFERRED_SHARE = 0.5;
-const MAX_TRACKED = 20_000;
+const MAX_AVOIDED_SHARE = 0.5;
+const MAX_TRACKED = 1_000;
 
-/** Remembers which back ends failed lately, so that others go first. */
+/** Remembers which back ends of a service failed lately. */
 export class RecentFailures {
   readonly #failures = new Map<string, Failures>();
 
@@ -33,19 +33,16 @@
   }
 
   /**
-   * Candidates that did not fail lately; all of them if those are too few to
-   * carry the load.
+   * Back ends that failed lately; none if so many failed that the others
+   * could not carry the load.
    */
-  prefer<Candidate extends { readonly replicaId: string }>(
-    candidates: readonly Candidate[],
-    nowMs: number,
-  ): readonly Candidate[] {
-    if (this.#failures.size === 0) return candidates;
-    const preferred = candidates.filter(({ replicaId }) =>
-      (this.#failures.get(replicaId)?.avoidedUntilMs ?? 0) <= nowMs
-    );
-    const minCount = candidates.length * MIN_PREFERRED_SHARE;
-    return preferred.length < minCount ? candidates : preferred;
+  findAvoided(candidateCount: number, nowMs: number): readonly string[] {
+    const avoidedIds: string[] = [];
+    for (const [replicaId, { avoidedUntilMs }] of this.#failures) {
+      if (avoidedUntilMs > nowMs) avoidedIds.push(replicaId);
+    }
+    const maxAvoided = candidateCount * MAX_AVOIDED_SHARE;
+    return avoidedIds.length > maxAvoided ? [] : avoidedIds;
   }
 
   #dropOldest(): void {
@@ -55,3 +52,18 @@
     }
   }
 }
+
+/** The recent failures of each service. */
+export class ServiceFailures {
+  readonly #failures = new Map<string, RecentFailures>();
+
+  /** The failures of one service. */
+  get(service: string): RecentFailures {
+    let failures = this.#failures.get(service);
+    if (failures === undefined) {
+      failures = new RecentFailures();
+      this.#failures.set(service, failures);
+    }
+    return failures;
+  }
+}
