--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,4 +1,7 @@
 import { claimsBench } from "./claims/claims_bench.ts";
+import { formationBench } from "./formation/formation_bench.ts";
+import { routingBench } from "./routing/index.ts";
+import { slopesBench } from "./slopes/index.ts";
 
 /** What a measurement found. */
 export interface BenchResult {
@@ -22,4 +25,7 @@
 /** All measurements, by name. */
 export const benches: readonly Bench[] = [
   claimsBench,
+  formationBench,
+  routingBench,
+  slopesBench,
 ];
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -1,5 +1,4 @@
 import { Clock, Effect, type Scope } from "effect";
-import { Agent } from "node:http";
 import { RateAdmission } from "../admission/index.ts";
 import { createAdminHandler } from "../admin/index.ts";
 import {
@@ -17,8 +16,8 @@
   createEngineMonitor,
   emptyFleetState,
   foldFleetRecord,
-  GreedyPlanner,
   type MemberObservation,
+  RepairPlanner,
   runFleetController,
 } from "../fleet/index.ts";
 import { createCallerHandler, InFlightCalls } from "../forwarding/index.ts";
@@ -30,11 +29,12 @@
   type StreamView,
 } from "../log/index.ts";
 import { selectPreferred } from "../membership/index.ts";
-import { PowerOfTwoRouter } from "../routing/index.ts";
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
+import { createAttemptState } from "./entry_attempts.ts";
 import { createEntryClaims } from "./entry_claims.ts";
 import { createEntryOperations } from "./entry_operations.ts";
+import { createEntryRouting } from "./entry_routing.ts";
 import { ReadyBackends } from "./ready_backends.ts";
 
 /** Options of an entry instance. */
@@ -98,12 +98,12 @@
       intervalMs: settings.instanceListIntervalMs,
     });
     const engine = new HttpModelEngine();
-    const reports = { note: (_replicaId: string): void => {} };
+    const reports = { note: (_observation: MemberObservation): void => {} };
     const monitor = yield* createEngineMonitor({
       engine,
       listInstances: directory.all,
       intervalMs: settings.statusIntervalMs,
-      onStatus: (observation) => reports.note(findLedReplica(observation)),
+      onStatus: (observation) => reports.note(observation),
     });
     const maxObservationAgeMs = settings.statusIntervalMs *
       MISSED_STATUS_ROUNDS;
@@ -114,12 +114,12 @@
       nowMs,
       maxAgeMs: maxObservationAgeMs,
     });
-    reports.note = (replicaId) => backends.noteReport(replicaId);
+    reports.note = (observation) => backends.noteStatus(observation);
 
     yield* runFleetController({
       processId: settings.instanceId,
       intervalMs: settings.planIntervalMs,
-      planner: new GreedyPlanner(),
+      planner: new RepairPlanner(),
       engine,
       writer: fleetWriter,
       view: fleet,
@@ -137,11 +137,12 @@
     const calls = new InFlightCalls();
     yield* listen({
       address: settings.listenAddress,
+      handlesContinue: true,
       handler: createCallerHandler({
         availabilityZone: settings.availabilityZone,
         maxBodyBytes: settings.maxBodyBytes,
-        agent: new Agent({ keepAlive: true }),
-        router: new PowerOfTwoRouter({ seed: nowMs() | 0 }),
+        ...createAttemptState(),
+        ...createEntryRouting({ nowMs }),
         admission: new RateAdmission({
           shareOf: () => 1 / Math.max(1, listEntryIds(directory).length),
         }),
@@ -184,11 +185,6 @@
   });
 }
 
-function findLedReplica(observation: MemberObservation): string {
-  const { assignment } = observation.status;
-  return assignment?.rank === 0 ? assignment.replicaId : "";
-}
-
 function listEntryIds(directory: InstanceDirectory): string[] {
   return directory.all()
     .filter(({ role, state }) => role === "entry" && state === "live")
