Never start the configuration from empty

Cause: a read below the log's retention ended the fold, a publication waited for ever with the log out, and each record cost a copy of the whole set.

A patch copies only the path to what it changes, and only the entries it names are checked; the fold refuses dangling references.

--- a/packages/celerytray/src/admin/admin_operations.ts
+++ b/packages/celerytray/src/admin/admin_operations.ts
@@ -1,7 +1,6 @@
 import type { ConfigSet } from "@celerytray/schema";
 import type { Effect } from "effect";
-import type { ConfigConflict, ConfigRejected } from "../config/index.ts";
-import type { LogAnswerLost, LogUnavailable } from "../log/index.ts";
+import type { ConfigRejected, PublishFailure } from "../config/index.ts";
 import type { TimelineEvent } from "../timeline/index.ts";
 
 /** The state of one entry instance. */
@@ -60,7 +59,7 @@
     application: ConfigApplication,
   ) => Effect.Effect<
     { readonly version: number; readonly changed: boolean },
-    ConfigRejected | ConfigConflict | LogUnavailable | LogAnswerLost
+    ConfigRejected | PublishFailure
   >;
   readonly timeline: () => Effect.Effect<readonly TimelineEvent[]>;
 }
--- a/packages/celerytray/src/config/check_config.ts
+++ b/packages/celerytray/src/config/check_config.ts
@@ -2,6 +2,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import { describeValidationErrors } from "../errors/index.ts";
 import { ConfigProblem } from "./config_problem.ts";
+import { findDanglingReferences } from "./find_dangling_references.ts";
 import type { MergedConfig } from "./merge_config_files.ts";
 
 /** Checks a merged folder against the schema and its own references. */
@@ -33,31 +34,3 @@
   const parent = field.slice(0, Math.max(0, field.lastIndexOf(".")));
   return parent === "" ? "" : findSource(merged, parent);
 }
-
-interface DanglingReference {
-  readonly field: string;
-  readonly message: string;
-}
-
-function findDanglingReferences(config: ConfigSet): DanglingReference[] {
-  const found: DanglingReference[] = [];
-  for (const [name, service] of Object.entries(config.services)) {
-    if (!Object.hasOwn(config.deployments, service.deployment)) {
-      found.push({
-        field: `services.${name}.deployment`,
-        message:
-          `no deployment is named ${service.deployment}; declare it under deployments`,
-      });
-    }
-  }
-  for (const [name, organisation] of Object.entries(config.organisations)) {
-    for (const service of organisation.services) {
-      if (Object.hasOwn(config.services, service)) continue;
-      found.push({
-        field: `organisations.${name}.services`,
-        message: `no service is named ${service}; declare it under services`,
-      });
-    }
-  }
-  return found;
-}
--- a/packages/celerytray/src/config/config_patch.ts
+++ b/packages/celerytray/src/config/config_patch.ts
@@ -2,7 +2,7 @@
 import mergePatch from "json-merge-patch";
 
 /** A JSON merge patch (RFC 7386). */
-export type ConfigPatch = Record<string, unknown>;
+export type ConfigPatch = Readonly<Record<string, unknown>>;
 
 /** The patch that turns one configuration into another; undefined if equal. */
 export function createConfigPatch(
@@ -13,10 +13,31 @@
   return patch as ConfigPatch | undefined;
 }
 
-/** Applies a patch to a copy. */
+/**
+ * Applies a patch. The result shares every value that the patch leaves
+ * untouched, so that the cost follows the patch's size; neither argument
+ * changes.
+ */
 export function applyConfigPatch(
   config: ConfigSet,
   patch: ConfigPatch,
 ): unknown {
-  return mergePatch.apply(structuredClone(config), structuredClone(patch));
+  return mergeValue(config, patch);
+}
+
+function mergeValue(target: unknown, patch: unknown): unknown {
+  if (!isSection(patch)) return patch;
+  const merged = new Map(Object.entries(isSection(target) ? target : {}));
+  for (const [name, value] of Object.entries(patch)) {
+    if (value === null) merged.delete(name);
+    else merged.set(name, mergeValue(merged.get(name), value));
+  }
+  return Object.fromEntries(merged);
+}
+
+/** Whether a value merges field by field; lists and scalars replace. */
+export function isSection(
+  value: unknown,
+): value is Readonly<Record<string, unknown>> {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
 }
--- /dev/null
+++ b/packages/celerytray/src/config/config_snapshots.ts
@@ -0,0 +1,136 @@
+import type { ConfigSnapshotRecord } from "@celerytray/schema";
+import { Clock, Effect, type Scope } from "effect";
+import { randomUUID } from "node:crypto";
+import {
+  followLog,
+  type LogService,
+  LogTruncated,
+  type LogUnavailable,
+  type LogWriter,
+} from "../log/index.ts";
+import { type ConfigPosition, createConfigSnapshot } from "./config_update.ts";
+
+/** Stream of configuration records. */
+export const CONFIG_STREAM = "config";
+/** Stream of snapshots. */
+export const CONFIG_SNAPSHOT_STREAM = "config-snapshots";
+
+/** What the writer of snapshots needs. */
+export interface SnapshotWriterOptions {
+  readonly log: LogService;
+  readonly writer: LogWriter;
+  readonly position: () => ConfigPosition;
+  /** Whether the position stands at the log's end as far as is known. */
+  readonly isCurrent: () => boolean;
+  /** Whether this process is the one to write; only saves work. */
+  readonly isPreferred: () => boolean;
+  readonly maxIntervalMs: number;
+  readonly maxVersionsBetween?: number;
+}
+
+const DEFAULT_MAX_VERSIONS_BETWEEN = 500;
+const CHECK_INTERVAL_MS = 1_000;
+
+/** Reads all snapshots kept and returns the one that reaches furthest. */
+export function readLatestSnapshot(
+  log: LogService,
+): Effect.Effect<
+  ConfigSnapshotRecord | undefined,
+  LogUnavailable | LogTruncated
+> {
+  return Effect.gen(function* () {
+    let latest: ConfigSnapshotRecord | undefined;
+    let fromOffset = 0;
+    while (true) {
+      const page = yield* readPage(log, fromOffset);
+      for (const { record } of page.entries) {
+        if (record.kind !== "config-snapshot") continue;
+        if (record.nextOffset >= (latest?.nextOffset ?? 0)) latest = record;
+      }
+      if (page.nextOffset === page.fromOffset) return latest;
+      fromOffset = page.nextOffset;
+    }
+  });
+}
+
+function readPage(log: LogService, fromOffset: number) {
+  return log.read(CONFIG_SNAPSHOT_STREAM, { fromOffset }).pipe(
+    Effect.map((page) => ({ ...page, fromOffset })),
+    Effect.catchTag(
+      "LogTruncated",
+      ({ firstOffset }) =>
+        log.read(CONFIG_SNAPSHOT_STREAM, { fromOffset: firstOffset }).pipe(
+          Effect.map((page) => ({ ...page, fromOffset: firstOffset })),
+        ),
+    ),
+  );
+}
+
+/** Writes a snapshot before retention removes what the last one rests on. */
+export function runSnapshotWriter(
+  options: SnapshotWriterOptions,
+): Effect.Effect<void, never, Scope.Scope> {
+  return Effect.gen(function* () {
+    const seen = { version: 0, atMs: 0 };
+    yield* Effect.forkScoped(watchSnapshots(options, seen));
+    const check = writeIfDue(options, seen).pipe(
+      Effect.ignore,
+      Effect.andThen(Effect.sleep(CHECK_INTERVAL_MS)),
+    );
+    yield* Effect.forkScoped(Effect.forever(check));
+  });
+}
+
+interface SeenSnapshot {
+  version: number;
+  atMs: number;
+}
+
+function watchSnapshots(
+  options: SnapshotWriterOptions,
+  seen: SeenSnapshot,
+): Effect.Effect<never> {
+  let fromOffset = 0;
+  const follow = Effect.suspend(() =>
+    followLog({
+      log: options.log,
+      stream: CONFIG_SNAPSHOT_STREAM,
+      fromOffset,
+      waitMs: 10_000,
+      onPage: ({ entries }) => {
+        for (const { record, appendedAtMs } of entries) {
+          if (record.kind !== "config-snapshot") continue;
+          seen.version = Math.max(seen.version, record.version);
+          seen.atMs = Math.max(seen.atMs, appendedAtMs);
+        }
+      },
+    })
+  );
+  return Effect.forever(
+    Effect.catchTag(
+      follow,
+      "LogTruncated",
+      ({ firstOffset }) =>
+        Effect.sync(() => {
+          fromOffset = firstOffset;
+        }),
+    ),
+  );
+}
+
+function writeIfDue(options: SnapshotWriterOptions, seen: SeenSnapshot) {
+  return Effect.gen(function* () {
+    const nowMs = yield* Clock.currentTimeMillis;
+    const position = options.position();
+    const { version } = position.state;
+    if (version === 0 || !options.isCurrent()) return;
+    const maxVersions = options.maxVersionsBetween ??
+      DEFAULT_MAX_VERSIONS_BETWEEN;
+    const isDue = nowMs - seen.atMs >= options.maxIntervalMs ||
+      version - seen.version >= maxVersions;
+    if (!isDue || !options.isPreferred()) return;
+    yield* options.writer.append(createConfigSnapshot(position, randomUUID()));
+    seen.version = Math.max(seen.version, version);
+    seen.atMs = nowMs;
+  });
+}
--- a/packages/celerytray/src/config/fold_config_record.ts
+++ b/packages/celerytray/src/config/fold_config_record.ts
@@ -1,16 +1,7 @@
-import {
-  type ConfigRecord,
-  type ConfigSet,
-  validateConfigSet,
-} from "@celerytray/schema";
+import type { AcceptedVersion, ConfigSet } from "@celerytray/schema";
 import type { LogEntry } from "../log/index.ts";
 import { applyConfigPatch } from "./config_patch.ts";
-
-/** A version that was accepted. */
-export interface AcceptedVersion {
-  readonly version: number;
-  readonly recordId: string;
-}
+import { isValidChange } from "./is_valid_change.ts";
 
 /** The configuration in force, as the log's order decided it. */
 export interface ConfigState {
@@ -22,11 +13,16 @@
   readonly author: string;
   /** Log service's clock, Unix time. */
   readonly acceptedAtMs: number;
-  /** The latest accepted records, oldest first. */
+  /** The latest accepted versions, oldest first. */
   readonly recentVersions: readonly AcceptedVersion[];
+  /** Records of the latest versions, without gaps, for those who lag. */
+  readonly recentEntries: readonly LogEntry[];
+  /** Configurations of the latest versions, oldest first, for a rollback. */
+  readonly recentConfigs: readonly ConfigSet[];
 }
 
-const MAX_RECENT_VERSIONS = 64;
+/** Versions whose records and authors are kept. */
+export const MAX_RECENT_VERSIONS = 64;
 
 /** The state before any record. */
 export function emptyConfigState(): ConfigState {
@@ -42,6 +38,8 @@
     author: "",
     acceptedAtMs: 0,
     recentVersions: [],
+    recentEntries: [],
+    recentConfigs: [],
   };
 }
 
@@ -57,32 +55,40 @@
   if (record.kind !== "config" || offset <= state.offset) return state;
   if (record.refinesVersion !== state.version) return state;
   const config = applyConfigPatch(state.config, record.patch);
-  if (!validateConfigSet(config)) return state;
-  return acceptVersion(state, { entry, record, config: config as ConfigSet });
+  if (!isValidChange(config, record.patch)) return state;
+  return acceptVersion(state, { entry, config });
 }
 
 interface AcceptedRecord {
   readonly entry: LogEntry;
-  readonly record: ConfigRecord;
   readonly config: ConfigSet;
 }
 
 function acceptVersion(
   state: ConfigState,
-  accepted: AcceptedRecord,
+  { entry, config }: AcceptedRecord,
 ): ConfigState {
-  const { entry, record, config } = accepted;
   const version = state.version + 1;
-  const recentVersions = [
-    ...state.recentVersions,
-    { version, recordId: record.recordId },
-  ];
+  const author = entry.record.kind === "config" ? entry.record.author : "";
+  const acceptedAtMs = entry.appendedAtMs;
+  const { recordId } = entry.record;
   return {
     version,
     config,
     offset: entry.offset,
-    author: record.author,
-    acceptedAtMs: entry.appendedAtMs,
-    recentVersions: recentVersions.slice(-MAX_RECENT_VERSIONS),
+    author,
+    acceptedAtMs,
+    recentVersions: keepRecent(state.recentVersions, {
+      version,
+      recordId,
+      author,
+      acceptedAtMs,
+    }),
+    recentEntries: keepRecent(state.recentEntries, entry),
+    recentConfigs: keepRecent(state.recentConfigs, config),
   };
 }
+
+function keepRecent<Item>(items: readonly Item[], item: Item): Item[] {
+  return [...items, item].slice(-MAX_RECENT_VERSIONS);
+}
--- a/packages/celerytray/src/config/index.ts
+++ b/packages/celerytray/src/config/index.ts
@@ -13,11 +13,40 @@
   emptyConfigState,
   foldConfigRecord,
 } from "./fold_config_record.ts";
-export { createConfigPatch } from "./config_patch.ts";
+export { applyConfigPatch, createConfigPatch } from "./config_patch.ts";
+export { describePatch } from "./describe_patch.ts";
+export { isValidChange } from "./is_valid_change.ts";
+
+// Stream
+export {
+  type ConfigStream,
+  type ConfigStreamOptions,
+  createConfigStream,
+} from "./config_stream.ts";
+export {
+  CONFIG_SNAPSHOT_STREAM,
+  CONFIG_STREAM,
+  readLatestSnapshot,
+  runSnapshotWriter,
+  type SnapshotWriterOptions,
+} from "./config_snapshots.ts";
+export {
+  adoptConfigSnapshot,
+  adoptConfigUpdate,
+  type ConfigPosition,
+  type ConfigUpdate,
+  createConfigSnapshot,
+  createConfigUpdate,
+  type UpdateRefusal,
+} from "./config_update.ts";
 
 // Publication
 export {
   ConfigConflict,
+  ConfigIgnored,
+  ConfigOutcomeUnknown,
   publishConfig,
   type PublishConfigOptions,
+  type PublishedConfig,
+  type PublishFailure,
 } from "./publish_config.ts";
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -8,11 +8,7 @@
   HttpModelEngine,
   type InstanceDirectory,
 } from "../backends/index.ts";
-import {
-  type ConfigState,
-  emptyConfigState,
-  foldConfigRecord,
-} from "../config/index.ts";
+import { type ConfigStream, createConfigStream } from "../config/index.ts";
 import {
   createEngineMonitor,
   emptyFleetState,
@@ -27,7 +23,6 @@
   createLogWriter,
   createStreamView,
   HttpLogService,
-  type StreamView,
 } from "../log/index.ts";
 import { selectPreferred } from "../membership/index.ts";
 import { PowerOfTwoRouter } from "../routing/index.ts";
@@ -66,11 +61,8 @@
       Effect.sync(() => timeline.record(kind, { ...fields, nowMs: nowMs() }));
 
     const log = new HttpLogService({ url: settings.logUrl });
-    const config = yield* createStreamView({
+    const config = yield* createConfigStream({
       log,
-      stream: "config",
-      initial: emptyConfigState(),
-      fold: foldConfigRecord,
       onChange: ({ version }, atMs) =>
         timeline.record("config.in-force", {
           detail: `version ${version}`,
@@ -194,10 +186,12 @@
 }
 
 function findNotReadyReason(
-  config: StreamView<ConfigState>,
+  config: ConfigStream,
   drainState: { readonly isDraining: boolean },
 ): string | undefined {
   if (drainState.isDraining) return "it shuts down";
+  const problem = config.startProblem();
+  if (problem !== undefined) return problem;
   if (config.current().version === 0) return "it has no configuration yet";
   return undefined;
 }
--- a/packages/celerytray/src/entry/entry_operations.ts
+++ b/packages/celerytray/src/entry/entry_operations.ts
@@ -9,7 +9,7 @@
 import {
   checkConfig,
   ConfigRejected,
-  type ConfigState,
+  type ConfigStream,
   publishConfig,
 } from "../config/index.ts";
 import { fromEither } from "../errors/index.ts";
@@ -27,7 +27,7 @@
 /** The parts of an entry instance that operators see. */
 export interface EntryParts {
   readonly settings: ResolvedEntrySettings;
-  readonly config: StreamView<ConfigState>;
+  readonly config: ConfigStream;
   readonly fleet: StreamView<FleetState>;
   readonly configWriter: LogWriter;
   readonly observations: ReadonlyMap<string, MemberObservation>;
@@ -60,7 +60,8 @@
           current: parts.config.current,
           append: (record: ConfigRecord) => parts.configWriter.append(record),
           waitForOffset: parts.config.waitForOffset,
-          ...(refinesVersion === undefined ? {} : { refinesVersion }),
+          waitForVersionAbove: parts.config.waitForVersionAbove,
+          refinesVersion,
         });
       }),
   };
--- a/packages/celerytray/src/log/http_log_service.ts
+++ b/packages/celerytray/src/log/http_log_service.ts
@@ -131,6 +131,7 @@
   return Effect.succeed({
     firstOffset: answer.firstOffset,
     nextOffset: last === undefined ? fromOffset : last.offset + 1,
+    endOffset: answer.nextOffset,
     entries: answer.records.filter(isLogEntry),
   });
 }
--- a/packages/celerytray/src/log/log_service.ts
+++ b/packages/celerytray/src/log/log_service.ts
@@ -12,6 +12,8 @@
   readonly firstOffset: number;
   /** Offset at which the next read continues. */
   readonly nextOffset: number;
+  /** Offset that the next append gets, if the service tells it. */
+  readonly endOffset?: number;
   /** Valid records; records written by others or damaged are left out. */
   readonly entries: readonly LogEntry[];
 }
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -8,6 +8,7 @@
   AvailabilityZone,
   ConfigSet,
   Deployment,
+  Drain,
   ModelService,
   Organisation,
   PlainService,
@@ -16,9 +17,11 @@
 
 // Records on the log
 export type {
+  AcceptedVersion,
   CallOutcome,
   ClaimRecord,
   ConfigRecord,
+  ConfigSnapshotRecord,
   DissolveRecord,
   FormRecord,
   LogRecord,
