Exchange liveness and configuration between entry instances

Cause: only the log carried a version, so an instance cut off from it kept an old one, and the preferred proposer rested on the lagging instance list alone.

Entry instances exchange with one peer in an interval over trpc: liveness with incarnations and indirect probes, configuration versions with what the peer lacks, demand, leaving back ends and the age of the log. One that is cut off from the log and from half or more of the peers it tried leaves readiness.

--- a/packages/celerytray/src/admin/admin_handler.ts
+++ b/packages/celerytray/src/admin/admin_handler.ts
@@ -1,27 +1,22 @@
-import { initTRPC, TRPCError } from "@trpc/server";
+import { TRPCError } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { type Context, Effect } from "effect";
 import { createHash, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, RequestListener } from "node:http";
 import type { Secrets } from "../settings/index.ts";
 import type { AdminOperations, ConfigApplication } from "./admin_operations.ts";
-
-/** Who asks. */
-export type AdminRole = "viewer" | "operator" | "peer";
-
-/** What a procedure knows of its caller. */
-export interface AdminContext {
-  readonly role: AdminRole | undefined;
-}
+import { type AdminRole, createProcedure, trpc } from "./admin_procedures.ts";
+import { createPeerRouter, type PeerOperations } from "./peer_router.ts";
 
 /** Options of the administration server. */
 export interface AdminHandlerOptions {
   readonly operations: AdminOperations;
+  readonly peers: PeerOperations;
   readonly secrets: Secrets;
   readonly runtime: Context.Context<never>;
 }
 
-const trpc = initTRPC.context<AdminContext>().create();
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
 function createAdminRouter(options: AdminHandlerOptions) {
   const { operations } = options;
@@ -34,6 +29,10 @@
   const viewer = createProcedure(["viewer", "operator", "peer"]);
   const operator = createProcedure(["operator"]);
   return trpc.router({
+    peer: createPeerRouter({
+      operations: options.peers,
+      runtime: options.runtime,
+    }),
     status: viewer.query(() => run(operations.status())),
     replicas: viewer.query(() => run(operations.replicas())),
     showConfig: viewer.query(() => run(operations.showConfig())),
@@ -53,28 +52,11 @@
 ): RequestListener {
   return createHTTPHandler({
     router: createAdminRouter(options),
+    maxBodySize: MAX_BODY_BYTES,
     createContext: ({ req }) => ({ role: findRole(req, options.secrets) }),
   });
 }
 
-function createProcedure(roles: readonly AdminRole[]) {
-  return trpc.procedure.use(({ ctx, next }) => {
-    if (ctx.role === undefined) {
-      throw new TRPCError({
-        code: "UNAUTHORIZED",
-        message: "No valid token; set CELERYTRAY_TOKEN",
-      });
-    }
-    if (!roles.includes(ctx.role)) {
-      throw new TRPCError({
-        code: "FORBIDDEN",
-        message: `The token's role is ${ctx.role}; use an operator's token`,
-      });
-    }
-    return next();
-  });
-}
-
 function findRole(
   request: IncomingMessage,
   secrets: Secrets,
--- a/packages/celerytray/src/admin/index.ts
+++ b/packages/celerytray/src/admin/index.ts
@@ -7,3 +7,7 @@
   ReplicaDescription,
 } from "./admin_operations.ts";
 export { type AdminClient, createAdminClient } from "./admin_client.ts";
+
+// Entry instances
+export { type PeerOperations } from "./peer_router.ts";
+export { probePeer, TrpcPeerTransport } from "./trpc_peer_transport.ts";
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -6,7 +6,6 @@
   createInstanceDirectory,
   HttpInstanceList,
   HttpModelEngine,
-  type InstanceDirectory,
 } from "../backends/index.ts";
 import { type ConfigStream, createConfigStream } from "../config/index.ts";
 import {
@@ -29,6 +28,7 @@
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
 import { createEntryClaims } from "./entry_claims.ts";
+import { createEntryMembership } from "./entry_membership.ts";
 import { createEntryOperations } from "./entry_operations.ts";
 import { ReadyBackends } from "./ready_backends.ts";
 
@@ -87,6 +87,13 @@
       list: new HttpInstanceList({ url: settings.instanceListUrl }),
       intervalMs: settings.instanceListIntervalMs,
     });
+    const { membership, peers } = yield* createEntryMembership({
+      settings,
+      secrets,
+      log,
+      config,
+      directory,
+    });
     const engine = new HttpModelEngine();
     const reports = { note: (_replicaId: string): void => {} };
     const monitor = yield* createEngineMonitor({
@@ -118,12 +125,14 @@
       instancesById: directory.byId,
       observations: monitor.observations,
       isPreferred: (name) =>
-        selectPreferred(name, listEntryIds(directory)) === settings.instanceId,
+        selectPreferred(name, membership.listLiveIds()) === settings.instanceId,
       recordEvent,
     });
 
     const drainState = { isDraining: false };
-    const notReadyReason = () => findNotReadyReason(config, drainState);
+    const notReadyReason = () =>
+      findNotReadyReason(config, drainState) ??
+        membership.findIsolationReason(nowMs());
     const calls = new InFlightCalls();
     yield* listen({
       address: settings.listenAddress,
@@ -133,7 +142,7 @@
         agent: new Agent({ keepAlive: true }),
         router: new PowerOfTwoRouter({ seed: nowMs() | 0 }),
         admission: new RateAdmission({
-          shareOf: () => 1 / Math.max(1, listEntryIds(directory).length),
+          shareOf: () => 1 / Math.max(1, membership.listLiveIds().length),
         }),
         claims,
         calls,
@@ -150,6 +159,7 @@
       handler: createAdminHandler({
         secrets,
         runtime,
+        peers,
         operations: createEntryOperations({
           settings,
           config,
@@ -168,7 +178,7 @@
       drain: () =>
         Effect.suspend(() => {
           drainState.isDraining = true;
-          return calls.waitUntilEmpty();
+          return Effect.andThen(membership.leave(), calls.waitUntilEmpty());
         }),
     };
   });
@@ -179,12 +189,6 @@
   return assignment?.rank === 0 ? assignment.replicaId : "";
 }
 
-function listEntryIds(directory: InstanceDirectory): string[] {
-  return directory.all()
-    .filter(({ role, state }) => role === "entry" && state === "live")
-    .map(({ instanceId }) => instanceId);
-}
-
 function findNotReadyReason(
   config: ConfigStream,
   drainState: { readonly isDraining: boolean },
--- /dev/null
+++ b/packages/celerytray/src/entry/entry_membership.ts
@@ -0,0 +1,135 @@
+import { Clock, Effect, type Scope } from "effect";
+import { randomUUID } from "node:crypto";
+import {
+  type PeerOperations,
+  probePeer,
+  TrpcPeerTransport,
+} from "../admin/index.ts";
+import type { InstanceDirectory } from "../backends/index.ts";
+import {
+  CONFIG_SNAPSHOT_STREAM,
+  type ConfigPosition,
+  type ConfigStream,
+  type ConfigUpdate,
+  createConfigSnapshot,
+  createConfigUpdate,
+  runSnapshotWriter,
+} from "../config/index.ts";
+import { createLogWriter, type LogService } from "../log/index.ts";
+import {
+  type ExchangedConfig,
+  Membership,
+  selectPreferred,
+} from "../membership/index.ts";
+import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
+
+/** What membership of an entry instance rests on. */
+export interface EntryMembershipOptions {
+  readonly settings: ResolvedEntrySettings;
+  readonly secrets: Secrets;
+  readonly log: LogService;
+  readonly config: ConfigStream;
+  readonly directory: InstanceDirectory;
+}
+
+/** Membership and what peers may ask. */
+export interface EntryMembership {
+  readonly membership: Membership;
+  readonly peers: PeerOperations;
+}
+
+/** Joins the other entry instances and keeps snapshots on the log. */
+export function createEntryMembership(
+  options: EntryMembershipOptions,
+): Effect.Effect<EntryMembership, never, Scope.Scope> {
+  const { settings, secrets, config, directory } = options;
+  return Effect.gen(function* () {
+    const transport = new TrpcPeerTransport({ secret: secrets.peerSecret });
+    const membership = new Membership({
+      self: {
+        instanceId: settings.instanceId,
+        adminAddress: settings.adminAddress,
+      },
+      transport,
+      config: createExchangedConfig(config),
+      listEntries: () => listOtherEntries(directory, settings.instanceId),
+      random: Math.random,
+      intervalMs: settings.peerIntervalMs,
+      isolationTimeoutMs: settings.isolationTimeoutMs,
+    }, yield* Clock.currentTimeMillis);
+    yield* membership.run();
+    yield* startSnapshots(options, membership);
+    return {
+      membership,
+      peers: {
+        exchange: (message) => membership.answer(message),
+        offerConfig: (update) => config.adopt(update),
+        probe: (address) => probePeer(transport, address),
+      },
+    };
+  });
+}
+
+/** The configuration stream as exchanges see it. */
+export function createExchangedConfig(config: ConfigStream): ExchangedConfig {
+  return {
+    version: () => config.current().version,
+    nextOffset: config.nextOffset,
+    lacksConfig: () => config.startProblem() !== undefined,
+    logReadAtMs: config.readAtMs,
+    adopt: config.adopt,
+    createUpdate: (peer) => {
+      if (config.startProblem() !== undefined) return undefined;
+      const position = config.position();
+      return createConfigUpdate(position, {
+        sinceVersion: peer.configVersion,
+        recordId: randomUUID(),
+      }) ?? createAdvance(position, peer);
+    },
+  };
+}
+
+/** Brings a peer on that has the version but can't read the log from there. */
+function createAdvance(
+  position: ConfigPosition,
+  peer: Parameters<ExchangedConfig["createUpdate"]>[0],
+): ConfigUpdate | undefined {
+  const { state, nextOffset } = position;
+  const isNeeded = peer.lacksConfig === true && state.version > 0 &&
+    state.version === peer.configVersion && nextOffset > peer.configNextOffset;
+  if (!isNeeded) return undefined;
+  return { nextOffset, snapshot: createConfigSnapshot(position, randomUUID()) };
+}
+
+function startSnapshots(
+  { settings, log, config }: EntryMembershipOptions,
+  membership: Membership,
+): Effect.Effect<void, never, Scope.Scope> {
+  return Effect.gen(function* () {
+    const writer = yield* createLogWriter({
+      log,
+      stream: CONFIG_SNAPSHOT_STREAM,
+    });
+    yield* runSnapshotWriter({
+      log,
+      writer,
+      position: config.position,
+      isCurrent: () => config.startProblem() === undefined,
+      isPreferred: () =>
+        selectPreferred(CONFIG_SNAPSHOT_STREAM, membership.listLiveIds()) ===
+          settings.instanceId,
+      maxIntervalMs: settings.configSnapshotIntervalMs,
+    });
+  });
+}
+
+function listOtherEntries(directory: InstanceDirectory, selfId: string) {
+  return directory.all().flatMap((instance) => {
+    const { role, state, instanceId, adminAddress } = instance;
+    const isOther = role === "entry" && state === "live" &&
+      instanceId !== selfId;
+    return isOther && adminAddress !== undefined
+      ? [{ instanceId, adminAddress }]
+      : [];
+  });
+}
--- a/packages/celerytray/src/membership/index.ts
+++ b/packages/celerytray/src/membership/index.ts
@@ -1,2 +1,29 @@
 /** Entry instances: who is there, and who prefers to act on what. */
 export { selectPreferred } from "./select_preferred.ts";
+export {
+  type Member,
+  MemberTable,
+  type MemberTableOptions,
+} from "./member_table.ts";
+export { type MemberState, type MemberUpdate } from "./member_update.ts";
+export {
+  type DemandReport,
+  DemandTable,
+  type DemandTableOptions,
+  type PeerDemand,
+} from "./peer_demand.ts";
+export { ContactWindow, type ContactWindowOptions } from "./contact_window.ts";
+export {
+  type ExchangeAnswer,
+  type ExchangeMessage,
+  type LeavingReport,
+  parseExchangeMessage,
+} from "./exchange.ts";
+export { LeavingTable } from "./leaving_table.ts";
+export {
+  type ExchangedConfig,
+  Membership,
+  type MembershipOptions,
+  type PeerFailure,
+  type PeerTransport,
+} from "./membership.ts";
--- /dev/null
+++ b/packages/celerytray/src/membership/membership.ts
@@ -0,0 +1,305 @@
+import { Clock, Effect, type Scope } from "effect";
+import type { ConfigUpdate } from "../config/index.ts";
+import { ContactWindow } from "./contact_window.ts";
+import type { ExchangeAnswer, ExchangeMessage } from "./exchange.ts";
+import { LeavingTable } from "./leaving_table.ts";
+import { type Member, MemberTable } from "./member_table.ts";
+import type { MemberUpdate } from "./member_update.ts";
+import { DemandTable } from "./peer_demand.ts";
+
+/** A peer could not be reached, or did not answer in time. */
+export interface PeerFailure {
+  readonly message: string;
+}
+
+/** Calls to other entry instances. */
+export interface PeerTransport {
+  exchange(
+    address: string,
+    message: ExchangeMessage,
+  ): Effect.Effect<ExchangeAnswer, PeerFailure>;
+  /** Hands a configuration over to a peer that lags. */
+  offerConfig(
+    address: string,
+    update: ConfigUpdate,
+  ): Effect.Effect<void, PeerFailure>;
+  /** Asks a peer whether it reaches another one. */
+  probe(
+    address: string,
+    targetAddress: string,
+  ): Effect.Effect<boolean, PeerFailure>;
+}
+
+/** The configuration as the exchange needs it. */
+export interface ExchangedConfig {
+  readonly version: () => number;
+  readonly nextOffset: () => number;
+  readonly lacksConfig: () => boolean;
+  readonly logReadAtMs: () => number | undefined;
+  /** What a peer lacks; undefined if nothing, or if this instance lags too. */
+  readonly createUpdate: (
+    peer: Pick<
+      ExchangeMessage,
+      "configVersion" | "configNextOffset" | "lacksConfig"
+    >,
+  ) => ConfigUpdate | undefined;
+  readonly adopt: (update: ConfigUpdate) => Effect.Effect<boolean>;
+}
+
+/** Options of membership. */
+export interface MembershipOptions {
+  readonly self: Pick<MemberUpdate, "instanceId" | "adminAddress">;
+  readonly transport: PeerTransport;
+  readonly config: ExchangedConfig;
+  /** Other entry instances on the instance list. */
+  readonly listEntries: () => readonly Pick<
+    MemberUpdate,
+    "instanceId" | "adminAddress"
+  >[];
+  readonly random: () => number;
+  readonly intervalMs: number;
+  readonly isolationTimeoutMs: number;
+}
+
+/** Peers asked when one does not answer. */
+const PROBE_PEERS = 2;
+/** Further peers sounded in each interval while the log is silent. */
+const SOUNDED_PEERS = 3;
+/** Peers told at once of a new version. */
+const EAGER_PEERS = 3;
+const SUSPICION_INTERVALS = 5;
+const FORGET_INTERVALS = 120;
+const DEMAND_INTERVALS = 60;
+const LEAVING_MAX_AGE_MS = 60_000;
+const MAX_UPDATES_SENT = 4;
+const MAX_LEAVING_SENT = 4;
+const WATCH_INTERVAL_MS = 100;
+
+/** Knowledge shared with the other entry instances. */
+export class Membership {
+  readonly table: MemberTable;
+  readonly contacts: ContactWindow;
+  readonly leaving = new LeavingTable({ maxAgeMs: LEAVING_MAX_AGE_MS });
+  readonly demand: DemandTable;
+  readonly #options: MembershipOptions;
+
+  constructor(options: MembershipOptions, startedAtMs: number) {
+    const { self, intervalMs } = options;
+    this.#options = options;
+    this.table = new MemberTable({
+      self,
+      intervalMs,
+      startedAtMs,
+      suspicionMs: SUSPICION_INTERVALS * intervalMs,
+      forgetMs: FORGET_INTERVALS * intervalMs,
+    });
+    this.contacts = new ContactWindow({
+      timeoutMs: options.isolationTimeoutMs,
+      startedAtMs,
+    });
+    this.demand = new DemandTable({
+      countLive: () => this.table.listLiveIds().length,
+      maxAgeMs: DEMAND_INTERVALS * intervalMs,
+    });
+  }
+
+  /** Identifiers of the live entry instances, this one included. */
+  listLiveIds(): string[] {
+    return this.table.listLiveIds();
+  }
+
+  /** Why this instance must refuse requests; undefined if it need not. */
+  findIsolationReason(nowMs: number): string | undefined {
+    const logReadAtMs = this.#options.config.logReadAtMs();
+    return this.contacts.findIsolationReason(logReadAtMs, nowMs);
+  }
+
+  /** Answers another instance's exchange. */
+  answer(message: ExchangeMessage): Effect.Effect<ExchangeAnswer> {
+    return Effect.map(Clock.currentTimeMillis, (nowMs) => {
+      this.#learn(message, nowMs);
+      const configUpdate = this.#options.config.createUpdate(message);
+      const answer = this.#createMessage(message.sender.instanceId, nowMs);
+      return configUpdate === undefined ? answer : { ...answer, configUpdate };
+    });
+  }
+
+  /** Runs until the scope closes. */
+  run(): Effect.Effect<void, never, Scope.Scope> {
+    return Effect.gen({ self: this }, function* () {
+      const { intervalMs } = this.#options;
+      const round = this.#runRound().pipe(
+        Effect.andThen(Effect.sleep(intervalMs)),
+      );
+      yield* Effect.forkScoped(Effect.forever(round));
+      yield* Effect.forkScoped(this.#spreadVersions());
+    });
+  }
+
+  /** Tells some peers that this instance leaves. */
+  leave(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      this.table.leave();
+      return this.#exchangeWithSome(EAGER_PEERS);
+    });
+  }
+
+  #runRound(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { config, listEntries, intervalMs, random } = this.#options;
+      const nowMs = yield* Clock.currentTimeMillis;
+      this.table.noteListed(listEntries(), nowMs);
+      this.table.tick(nowMs);
+      const isSilent = this.contacts.isLogSilent(config.logReadAtMs(), nowMs);
+      const count = isSilent || config.lacksConfig() ? 1 + SOUNDED_PEERS : 1;
+      const peers = new Set<Member>();
+      for (let index = 0; index < count; index++) {
+        const peer = this.table.nextPeer(random);
+        if (peer !== undefined) peers.add(peer);
+      }
+      yield* Effect.forEach([...peers], (peer) => this.#contact(peer), {
+        concurrency: "unbounded",
+        discard: true,
+      }).pipe(Effect.timeoutOption(2 * intervalMs));
+    });
+  }
+
+  /** Exchanges with a peer; asks others about one that does not answer. */
+  #contact(peer: Member): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const isReached = yield* this.#exchangeWith(peer);
+      if (isReached) return;
+      const isReachedByOthers = yield* this.#askOthers(peer);
+      if (isReachedByOthers) return;
+      const nowMs = yield* Clock.currentTimeMillis;
+      this.table.noteUnreachable(peer.instanceId, nowMs);
+    });
+  }
+
+  #exchangeWith(peer: Member): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const { transport, config, intervalMs } = this.#options;
+      const sentAtMs = yield* Clock.currentTimeMillis;
+      const message = this.#createMessage(peer.instanceId, sentAtMs);
+      const answer = yield* transport.exchange(peer.adminAddress, message).pipe(
+        Effect.timeoutOrElse({
+          duration: intervalMs / 2,
+          orElse: () => Effect.succeed(undefined),
+        }),
+        Effect.catch(() => Effect.succeed(undefined)),
+      );
+      const nowMs = yield* Clock.currentTimeMillis;
+      if (answer === undefined) {
+        this.#noteLost(peer, nowMs);
+        return false;
+      }
+      this.#learn(answer, nowMs);
+      if (answer.configUpdate !== undefined) {
+        yield* config.adopt(answer.configUpdate);
+      }
+      const update = config.createUpdate(answer);
+      if (update !== undefined) {
+        yield* transport.offerConfig(peer.adminAddress, update).pipe(
+          Effect.timeoutOption(intervalMs),
+          Effect.ignore,
+        );
+      }
+      return true;
+    });
+  }
+
+  #askOthers(peer: Member): Effect.Effect<boolean> {
+    const { transport, intervalMs, random } = this.#options;
+    const others = this.table.present.filter(({ instanceId, state }) =>
+      instanceId !== peer.instanceId && state === "alive"
+    );
+    const asked = sample(others, { count: PROBE_PEERS, random });
+    const probes = asked.map(({ adminAddress }) =>
+      transport.probe(adminAddress, peer.adminAddress).pipe(
+        Effect.timeoutOrElse({
+          duration: intervalMs,
+          orElse: () => Effect.succeed(false),
+        }),
+        Effect.catch(() => Effect.succeed(false)),
+      )
+    );
+    return Effect.all(probes, { concurrency: "unbounded" }).pipe(
+      Effect.map((reached) => reached.includes(true)),
+    );
+  }
+
+  /** Tells some peers at once when a new version came into force. */
+  #spreadVersions(): Effect.Effect<never> {
+    let spreadVersion = 0;
+    const watch = Effect.suspend(() => {
+      const version = this.#options.config.version();
+      if (version === spreadVersion) return Effect.void;
+      spreadVersion = version;
+      return this.#exchangeWithSome(EAGER_PEERS);
+    });
+    return Effect.forever(
+      watch.pipe(Effect.andThen(Effect.sleep(WATCH_INTERVAL_MS))),
+    );
+  }
+
+  #exchangeWithSome(count: number): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const { random } = this.#options;
+      const peers = sample(this.table.present, { count, random });
+      return Effect.forEach(peers, (peer) => this.#exchangeWith(peer), {
+        concurrency: "unbounded",
+        discard: true,
+      });
+    });
+  }
+
+  /** One that was gone before says nothing on this instance's contact. */
+  #noteLost(peer: Member, nowMs: number): void {
+    if (peer.state === "gone") return;
+    this.contacts.note(peer.instanceId, { atMs: nowMs, isReached: false });
+  }
+
+  #createMessage(receiverId: string, nowMs: number): ExchangeMessage {
+    const { config } = this.#options;
+    const readAtMs = config.logReadAtMs();
+    const doubt = this.table.findDoubt(receiverId);
+    const news = this.table.takeUpdates(MAX_UPDATES_SENT);
+    return {
+      sender: this.table.self,
+      updates: doubt === undefined ? news : [doubt, ...news],
+      configVersion: config.version(),
+      configNextOffset: config.nextOffset(),
+      ...(config.lacksConfig() ? { lacksConfig: true } : {}),
+      demand: this.demand.createReport(),
+      leaving: this.leaving.createReports(nowMs, MAX_LEAVING_SENT),
+      ...(readAtMs === undefined ? {} : { logAgeMs: nowMs - readAtMs }),
+    };
+  }
+
+  #learn(message: ExchangeMessage, nowMs: number): void {
+    const { instanceId } = message.sender;
+    this.table.noteHeard(message.sender, nowMs);
+    this.table.merge(message.updates, nowMs);
+    this.contacts.note(instanceId, { atMs: nowMs, isReached: true });
+    this.demand.noteReport(instanceId, { report: message.demand, nowMs });
+    this.leaving.merge(message.leaving, nowMs);
+  }
+}
+
+interface SampleOptions {
+  readonly count: number;
+  readonly random: () => number;
+}
+
+function sample<Item>(
+  items: readonly Item[],
+  { count, random }: SampleOptions,
+): Item[] {
+  const rest = [...items];
+  const chosen: Item[] = [];
+  while (chosen.length < count && rest.length > 0) {
+    const index = Math.floor(random() * rest.length);
+    chosen.push(...rest.splice(index, 1));
+  }
+  return chosen;
+}
