--- a/packages/celerytray/src/config/config_stream.ts
+++ b/packages/celerytray/src/config/config_stream.ts
@@ -25,6 +25,8 @@
   readonly position: () => ConfigPosition;
   /** Why the configuration can't be used yet; undefined once it can. */
   readonly startProblem: () => string | undefined;
+  /** Takes note that most entry instances have no higher version. */
+  readonly confirm: () => void;
   /** Adopts what another entry instance hands over; true if it was newer. */
   readonly adopt: (update: ConfigUpdate) => Effect.Effect<boolean>;
   /** Waits until a version above the one given is in force. */
@@ -52,13 +54,16 @@
 ): Effect.Effect<ConfigStream, never, Scope.Scope> {
   return Effect.gen(function* () {
     const holder = new ConfigHolder(options);
-    yield* Effect.forkScoped(Effect.forever(followOnce(options, holder)));
+    yield* Effect.forkScoped(
+      Effect.forever(Effect.suspend(() => followOnce(options, holder))),
+    );
     return {
       current: () => holder.position.state,
       position: () => holder.position,
       nextOffset: () => holder.position.nextOffset,
       readAtMs: () => holder.readAtMs,
       startProblem: () => holder.startProblem,
+      confirm: () => holder.confirm(),
       waitForOffset: (offset) =>
         holder.waitUntil(({ nextOffset }) => nextOffset > offset),
       waitForVersionAbove: (version) =>
@@ -151,8 +156,11 @@
     return this.#settle(adoptConfigSnapshot(this.position, snapshot), nowMs);
   }
 
+  confirm(): void {
+    if (this.position.state.version > 0) this.startProblem = undefined;
+  }
+
   noteGap(firstOffset: number): void {
-    if (this.startProblem === undefined) return;
     this.startProblem =
       `the log keeps the configuration from offset ${firstOffset} on only, without a snapshot; it waits for another entry instance`;
   }
@@ -181,7 +189,6 @@
         return false;
       },
       Right: (position) => {
-        this.startProblem = undefined;
         this.#moveTo(position, nowMs);
         return true;
       },
--- a/packages/celerytray/src/entry/entry_membership.ts
+++ b/packages/celerytray/src/entry/entry_membership.ts
@@ -78,6 +78,7 @@
     lacksConfig: () => config.startProblem() !== undefined,
     logReadAtMs: config.readAtMs,
     adopt: config.adopt,
+    confirm: config.confirm,
     createUpdate: (peer) => {
       if (config.startProblem() !== undefined) return undefined;
       const position = config.position();
--- a/packages/celerytray/src/entry/index.ts
+++ b/packages/celerytray/src/entry/index.ts
@@ -4,3 +4,4 @@
   type EntryInstance,
   type EntryInstanceOptions,
 } from "./create_entry_instance.ts";
+export { createExchangedConfig } from "./entry_membership.ts";
--- a/packages/celerytray/src/membership/membership.ts
+++ b/packages/celerytray/src/membership/membership.ts
@@ -44,6 +44,8 @@
     >,
   ) => ConfigUpdate | undefined;
   readonly adopt: (update: ConfigUpdate) => Effect.Effect<boolean>;
+  /** Called once most peers were heard and none has a higher version. */
+  readonly confirm: () => void;
 }
 
 /** Options of membership. */
@@ -82,6 +84,8 @@
   readonly leaving = new LeavingTable({ maxAgeMs: LEAVING_MAX_AGE_MS });
   readonly demand: DemandTable;
   readonly #options: MembershipOptions;
+  /** Peers whose version this instance has reached since it lacked its own. */
+  readonly #confirmedBy = new Set<string>();
 
   constructor(options: MembershipOptions, startedAtMs: number) {
     const { self, intervalMs } = options;
@@ -197,6 +201,7 @@
       if (answer.configUpdate !== undefined) {
         yield* config.adopt(answer.configUpdate);
       }
+      this.#noteConfirmation(answer);
       const update = config.createUpdate(answer);
       if (update !== undefined) {
         yield* transport.offerConfig(peer.adminAddress, update).pipe(
@@ -208,6 +213,24 @@
     });
   }
 
+  /** A start without the log needs more than half of the peers. */
+  #noteConfirmation(answer: ExchangeMessage): void {
+    const { config } = this.#options;
+    if (!config.lacksConfig()) {
+      this.#confirmedBy.clear();
+      return;
+    }
+    const isReached = answer.lacksConfig !== true &&
+      config.version() >= answer.configVersion;
+    if (!isReached) return;
+    this.#confirmedBy.add(answer.sender.instanceId);
+    const { present } = this.table;
+    const confirmed = present.filter(({ instanceId }) =>
+      this.#confirmedBy.has(instanceId)
+    );
+    if (2 * confirmed.length > present.length) config.confirm();
+  }
+
   #askOthers(peer: Member): Effect.Effect<boolean> {
     const { transport, intervalMs, random } = this.#options;
     const others = this.table.present.filter(({ instanceId, state }) =>
