Sound a fixed sample of peers while the log is silent

Counting the latest contacts missed instances that had lost half of the peers and hit ones that had lost fewer: peers given up fell out of the count, and a round waited for its failures. A sample fixed when the silence began is sounded every two intervals now, without waiting.

--- a/packages/celerytray/src/membership/index.ts
+++ b/packages/celerytray/src/membership/index.ts
@@ -12,7 +12,11 @@
   type DemandTableOptions,
   type PeerDemand,
 } from "./peer_demand.ts";
-export { ContactWindow, type ContactWindowOptions } from "./contact_window.ts";
+export {
+  IsolationMonitor,
+  type IsolationMonitorOptions,
+  type LogContact,
+} from "./isolation_monitor.ts";
 export {
   type ExchangeAnswer,
   type ExchangeMessage,
--- a/packages/celerytray/src/membership/membership.ts
+++ b/packages/celerytray/src/membership/membership.ts
@@ -1,11 +1,12 @@
 import { Clock, Effect, type Scope } from "effect";
 import type { ConfigUpdate } from "../config/index.ts";
-import { ContactWindow } from "./contact_window.ts";
 import type { ExchangeAnswer, ExchangeMessage } from "./exchange.ts";
+import { IsolationMonitor } from "./isolation_monitor.ts";
 import { LeavingTable } from "./leaving_table.ts";
 import { type Member, MemberTable } from "./member_table.ts";
 import type { MemberUpdate } from "./member_update.ts";
 import { DemandTable } from "./peer_demand.ts";
+import { sample } from "./sample.ts";
 
 /** A peer could not be reached, or did not answer in time. */
 export interface PeerFailure {
@@ -65,8 +66,8 @@
 
 /** Peers asked when one does not answer. */
 const PROBE_PEERS = 2;
-/** Further peers sounded in each interval while the log is silent. */
-const SOUNDED_PEERS = 3;
+/** Further peers asked in each interval while the configuration is lacking. */
+const START_PEERS = 3;
 /** Peers told at once of a new version. */
 const EAGER_PEERS = 3;
 const SUSPICION_INTERVALS = 5;
@@ -80,7 +81,7 @@
 /** Knowledge shared with the other entry instances. */
 export class Membership {
   readonly table: MemberTable;
-  readonly contacts: ContactWindow;
+  readonly isolation: IsolationMonitor;
   readonly leaving = new LeavingTable({ maxAgeMs: LEAVING_MAX_AGE_MS });
   readonly demand: DemandTable;
   readonly #options: MembershipOptions;
@@ -97,8 +98,9 @@
       suspicionMs: SUSPICION_INTERVALS * intervalMs,
       forgetMs: FORGET_INTERVALS * intervalMs,
     });
-    this.contacts = new ContactWindow({
+    this.isolation = new IsolationMonitor({
       timeoutMs: options.isolationTimeoutMs,
+      intervalMs,
       startedAtMs,
     });
     this.demand = new DemandTable({
@@ -115,7 +117,7 @@
   /** Why this instance must refuse requests; undefined if it need not. */
   findIsolationReason(nowMs: number): string | undefined {
     const logReadAtMs = this.#options.config.logReadAtMs();
-    return this.contacts.findIsolationReason(logReadAtMs, nowMs);
+    return this.isolation.findReason({ nowMs, logReadAtMs });
   }
 
   /** Answers another instance's exchange. */
@@ -150,21 +152,26 @@
 
   #runRound(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const { config, listEntries, intervalMs, random } = this.#options;
+      const { config, listEntries, random } = this.#options;
       const nowMs = yield* Clock.currentTimeMillis;
       this.table.noteListed(listEntries(), nowMs);
       this.table.tick(nowMs);
-      const isSilent = this.contacts.isLogSilent(config.logReadAtMs(), nowMs);
-      const count = isSilent || config.lacksConfig() ? 1 + SOUNDED_PEERS : 1;
-      const peers = new Set<Member>();
+      const count = config.lacksConfig() ? 1 + START_PEERS : 1;
+      const logReadAtMs = config.logReadAtMs();
+      const { present } = this.table;
+      const peers = new Map(
+        this.isolation.selectSounded({ nowMs, logReadAtMs }, {
+          present,
+          random,
+        }).map((peer) => [peer.instanceId, peer]),
+      );
       for (let index = 0; index < count; index++) {
         const peer = this.table.nextPeer(random);
-        if (peer !== undefined) peers.add(peer);
+        if (peer !== undefined) peers.set(peer.instanceId, peer);
+      }
+      for (const peer of peers.values()) {
+        yield* Effect.forkChild(this.#contact(peer));
       }
-      yield* Effect.forEach([...peers], (peer) => this.#contact(peer), {
-        concurrency: "unbounded",
-        discard: true,
-      }).pipe(Effect.timeoutOption(2 * intervalMs));
     });
   }
 
@@ -192,12 +199,8 @@
         }),
         Effect.catch(() => Effect.succeed(undefined)),
       );
-      const nowMs = yield* Clock.currentTimeMillis;
-      if (answer === undefined) {
-        this.#noteLost(peer, nowMs);
-        return false;
-      }
-      this.#learn(answer, nowMs);
+      if (answer === undefined) return false;
+      this.#learn(answer, yield* Clock.currentTimeMillis);
       if (answer.configUpdate !== undefined) {
         yield* config.adopt(answer.configUpdate);
       }
@@ -276,12 +279,6 @@
     });
   }
 
-  /** One that was gone before says nothing on this instance's contact. */
-  #noteLost(peer: Member, nowMs: number): void {
-    if (peer.state === "gone") return;
-    this.contacts.note(peer.instanceId, { atMs: nowMs, isReached: false });
-  }
-
   #createMessage(receiverId: string, nowMs: number): ExchangeMessage {
     const { config } = this.#options;
     const readAtMs = config.logReadAtMs();
@@ -303,26 +300,13 @@
     const { instanceId } = message.sender;
     this.table.noteHeard(message.sender, nowMs);
     this.table.merge(message.updates, nowMs);
-    this.contacts.note(instanceId, { atMs: nowMs, isReached: true });
+    this.isolation.noteHeard(instanceId, nowMs);
+    for (
+      const { instanceId: id, state } of [message.sender, ...message.updates]
+    ) {
+      if (state === "left") this.isolation.noteLeft(id);
+    }
     this.demand.noteReport(instanceId, { report: message.demand, nowMs });
     this.leaving.merge(message.leaving, nowMs);
   }
 }
-
-interface SampleOptions {
-  readonly count: number;
-  readonly random: () => number;
-}
-
-function sample<Item>(
-  items: readonly Item[],
-  { count, random }: SampleOptions,
-): Item[] {
-  const rest = [...items];
-  const chosen: Item[] = [];
-  while (chosen.length < count && rest.length > 0) {
-    const index = Math.floor(random() * rest.length);
-    chosen.push(...rest.splice(index, 1));
-  }
-  return chosen;
-}
--- /dev/null
+++ b/packages/celerytray/src/membership/sample.ts
@@ -0,0 +1,20 @@
+/** How many to choose, and by what. */
+export interface SampleOptions {
+  readonly count: number;
+  /** Number from 0 up to 1, 1 excluded. */
+  readonly random: () => number;
+}
+
+/** Chooses some items at random, each at most once. */
+export function sample<Item>(
+  items: readonly Item[],
+  { count, random }: SampleOptions,
+): Item[] {
+  const rest = [...items];
+  const chosen: Item[] = [];
+  while (chosen.length < count && rest.length > 0) {
+    const index = Math.floor(random() * rest.length);
+    chosen.push(...rest.splice(index, 1));
+  }
+  return chosen;
+}
