Drain back ends, domains, zones and entry instances; tell versions

Cause: only the instance list and the engines said what leaves, with their lag, and operators had no way to keep work away, to see a folder's change, to wait for all entry instances or to return to an earlier version.

Drains are a section of the configuration that folders can't touch, so they last, conflict and spread as versions do. All sources of leaving are merged in one view of the instance list. A start without the log counts peers that look gone, since a test found a start from one stale peer once the others were given up.

--- a/packages/celerytray/src/admin/admin_handler.ts
+++ b/packages/celerytray/src/admin/admin_handler.ts
@@ -4,7 +4,12 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, RequestListener } from "node:http";
 import type { Secrets } from "../settings/index.ts";
-import type { AdminOperations, ConfigApplication } from "./admin_operations.ts";
+import {
+  parseApplication,
+  parseDrainChange,
+  parseRollback,
+} from "./admin_inputs.ts";
+import type { AdminOperations } from "./admin_operations.ts";
 import { type AdminRole, createProcedure, trpc } from "./admin_procedures.ts";
 import { createPeerRouter, type PeerOperations } from "./peer_router.ts";
 
@@ -37,6 +42,14 @@
     replicas: viewer.query(() => run(operations.replicas())),
     showConfig: viewer.query(() => run(operations.showConfig())),
     timeline: viewer.query(() => run(operations.timeline())),
+    configHistory: viewer.query(() => run(operations.configHistory())),
+    configVersions: viewer.query(() => run(operations.configVersions())),
+    rollbackConfig: operator.input(parseRollback).mutation(({ input }) =>
+      run(operations.rollbackConfig(input))
+    ),
+    drain: operator.input(parseDrainChange).mutation(({ input }) =>
+      run(operations.drain(input))
+    ),
     applyConfig: operator.input(parseApplication).mutation(({ input }) =>
       run(operations.applyConfig(input))
     ),
@@ -75,18 +88,6 @@
   return timingSafeEqual(digest(given), digest(expected));
 }
 
-function parseApplication(input: unknown): ConfigApplication {
-  const application = input as Partial<ConfigApplication> | null;
-  const { config, refinesVersion, author } = application ?? {};
-  if (typeof config !== "object" || typeof author !== "string") {
-    throw new Error("Needs config and author; use celerytray config apply");
-  }
-  if (refinesVersion !== undefined && !Number.isInteger(refinesVersion)) {
-    throw new Error("refinesVersion must be a whole number");
-  }
-  return { config, refinesVersion, author };
-}
-
 function toTrpcError(
   error: { readonly _tag?: string; readonly message: string },
 ): TRPCError {
--- a/packages/celerytray/src/admin/admin_operations.ts
+++ b/packages/celerytray/src/admin/admin_operations.ts
@@ -1,6 +1,11 @@
 import type { ConfigSet } from "@celerytray/schema";
 import type { Effect } from "effect";
-import type { ConfigRejected, PublishFailure } from "../config/index.ts";
+import type {
+  ConfigRejected,
+  DrainTarget,
+  PublishedConfig,
+  PublishFailure,
+} from "../config/index.ts";
 import type { TimelineEvent } from "../timeline/index.ts";
 
 /** The state of one entry instance. */
@@ -50,6 +55,39 @@
   readonly author: string;
 }
 
+/** A version that was accepted. */
+export interface ConfigVersionDescription {
+  readonly version: number;
+  readonly recordId: string;
+  readonly author: string;
+  /** Log service's clock, Unix time. */
+  readonly acceptedAtMs: number;
+  /** Fields it set or removed, if still known. */
+  readonly changes?: string | undefined;
+}
+
+/** The version an entry instance has in force, or why it is not known. */
+export interface EntryVersion {
+  readonly instanceId: string;
+  readonly version?: number;
+  /** Log service's clock, Unix time. */
+  readonly acceptedAtMs?: number;
+  readonly problem?: string;
+}
+
+/** A version to return to, as a new version. */
+export interface ConfigRollback {
+  readonly version: number;
+  readonly author: string;
+}
+
+/** A drain to set or to end. */
+export interface DrainChange {
+  readonly target: DrainTarget;
+  readonly isDrained: boolean;
+  readonly author: string;
+}
+
 /** What operators can do on an entry instance. */
 export interface AdminOperations {
   readonly status: () => Effect.Effect<EntryStatus>;
@@ -57,9 +95,17 @@
   readonly showConfig: () => Effect.Effect<ConfigDescription>;
   readonly applyConfig: (
     application: ConfigApplication,
-  ) => Effect.Effect<
-    { readonly version: number; readonly changed: boolean },
-    ConfigRejected | PublishFailure
+  ) => Effect.Effect<PublishedConfig, ConfigRejected | PublishFailure>;
+  readonly rollbackConfig: (
+    rollback: ConfigRollback,
+  ) => Effect.Effect<PublishedConfig, ConfigRejected | PublishFailure>;
+  readonly configHistory: () => Effect.Effect<
+    readonly ConfigVersionDescription[]
   >;
+  /** The version in force on each entry instance. */
+  readonly configVersions: () => Effect.Effect<readonly EntryVersion[]>;
+  readonly drain: (
+    change: DrainChange,
+  ) => Effect.Effect<PublishedConfig, PublishFailure>;
   readonly timeline: () => Effect.Effect<readonly TimelineEvent[]>;
 }
--- a/packages/celerytray/src/admin/index.ts
+++ b/packages/celerytray/src/admin/index.ts
@@ -3,7 +3,9 @@
 export type {
   AdminOperations,
   ConfigDescription,
+  ConfigVersionDescription,
   EntryStatus,
+  EntryVersion,
   ReplicaDescription,
 } from "./admin_operations.ts";
 export { type AdminClient, createAdminClient } from "./admin_client.ts";
--- a/packages/celerytray/src/admin/trpc_peer_transport.ts
+++ b/packages/celerytray/src/admin/trpc_peer_transport.ts
@@ -56,6 +56,31 @@
     );
   }
 
+  /** The version in force there. */
+  readVersion(
+    address: string,
+  ): Effect.Effect<
+    { readonly version: number; readonly acceptedAtMs: number },
+    PeerFailure
+  > {
+    return this.#call(
+      address,
+      ({ status }, signal) => status.query(undefined, { signal }),
+    ).pipe(
+      Effect.map(({ configVersion, configAcceptedAtMs }) => ({
+        version: configVersion,
+        acceptedAtMs: configAcceptedAtMs,
+      })),
+      Effect.timeoutOrElse({
+        duration: STATUS_TIMEOUT_MS,
+        orElse: () =>
+          Effect.fail({
+            message: `No answer from ${address} in time; check that it is up`,
+          }),
+      }),
+    );
+  }
+
   #call<Value>(
     address: string,
     run: (client: AdminClient, signal: AbortSignal) => Promise<Value>,
@@ -82,6 +107,7 @@
 
 const MAX_CLIENTS = 2_000;
 const PROBE_TIMEOUT_MS = 500;
+const STATUS_TIMEOUT_MS = 1_000;
 
 /** Whether a peer answers in time. */
 export function probePeer(
--- a/packages/celerytray/src/config/check_config.ts
+++ b/packages/celerytray/src/config/check_config.ts
@@ -2,7 +2,10 @@
 import { type Either, Left, Right } from "purify-ts";
 import { describeValidationErrors } from "../errors/index.ts";
 import { ConfigProblem } from "./config_problem.ts";
-import { findDanglingReferences } from "./find_dangling_references.ts";
+import {
+  type DanglingReference,
+  findDanglingReferences,
+} from "./find_dangling_references.ts";
 import type { MergedConfig } from "./merge_config_files.ts";
 
 /** Checks a merged folder against the schema and its own references. */
@@ -18,12 +21,23 @@
     );
   }
   const config = merged.content as ConfigSet;
-  const problems = findDanglingReferences(config).map(({ field, message }) =>
+  const problems = [
+    ...findDrainProblems(config),
+    ...findDanglingReferences(config),
+  ].map(({ field, message }) =>
     new ConfigProblem({ file: findSource(merged, field), field, message })
   );
   return problems.length > 0 ? Left(problems) : Right(config);
 }
 
+function findDrainProblems(config: ConfigSet): DanglingReference[] {
+  if (config.drains === undefined) return [];
+  return [{
+    field: "drains",
+    message: "a folder can't drain; remove it and use celerytray drain",
+  }];
+}
+
 /** The file that set a field, or the nearest one below or above it. */
 function findSource(merged: MergedConfig, field: string): string {
   const exact = merged.sources.get(field);
--- a/packages/celerytray/src/config/index.ts
+++ b/packages/celerytray/src/config/index.ts
@@ -14,7 +14,11 @@
   foldConfigRecord,
 } from "./fold_config_record.ts";
 export { applyConfigPatch, createConfigPatch } from "./config_patch.ts";
-export { describePatch } from "./describe_patch.ts";
+export {
+  describePatch,
+  listPatchFields,
+  type PatchField,
+} from "./describe_patch.ts";
 export { isValidChange } from "./is_valid_change.ts";
 
 // Stream
@@ -50,3 +54,14 @@
   type PublishedConfig,
   type PublishFailure,
 } from "./publish_config.ts";
+
+// Drains
+export {
+  addDrain,
+  DRAIN_KINDS,
+  type DrainKind,
+  type DrainTarget,
+  findEntryDrain,
+  findInstanceDrain,
+  removeDrain,
+} from "./drains.ts";
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -7,7 +7,11 @@
   HttpInstanceList,
   HttpModelEngine,
 } from "../backends/index.ts";
-import { type ConfigStream, createConfigStream } from "../config/index.ts";
+import {
+  type ConfigStream,
+  createConfigStream,
+  findEntryDrain,
+} from "../config/index.ts";
 import {
   createEngineMonitor,
   emptyFleetState,
@@ -30,6 +34,7 @@
 import { createEntryClaims } from "./entry_claims.ts";
 import { createEntryMembership } from "./entry_membership.ts";
 import { createEntryOperations } from "./entry_operations.ts";
+import { LeavingDirectory } from "./leaving_directory.ts";
 import { ReadyBackends } from "./ready_backends.ts";
 
 /** Options of an entry instance. */
@@ -87,7 +92,7 @@
       list: new HttpInstanceList({ url: settings.instanceListUrl }),
       intervalMs: settings.instanceListIntervalMs,
     });
-    const { membership, peers } = yield* createEntryMembership({
+    const { membership, peers, transport } = yield* createEntryMembership({
       settings,
       secrets,
       log,
@@ -104,9 +109,16 @@
     });
     const maxObservationAgeMs = settings.statusIntervalMs *
       MISSED_STATUS_ROUNDS;
+    const instances = new LeavingDirectory({
+      directory,
+      config,
+      leaving: membership.leaving,
+      observations: monitor.observations,
+      nowMs,
+    });
     const backends = new ReadyBackends({
       fleet: fleet.current,
-      instances: directory.byId,
+      instances: instances.byId,
       observations: monitor.observations,
       nowMs,
       maxAgeMs: maxObservationAgeMs,
@@ -121,8 +133,8 @@
       writer: fleetWriter,
       view: fleet,
       config: () => config.current().config,
-      listInstances: directory.all,
-      instancesById: directory.byId,
+      listInstances: instances.all,
+      instancesById: instances.byId,
       observations: monitor.observations,
       isPreferred: (name) =>
         selectPreferred(name, membership.listLiveIds()) === settings.instanceId,
@@ -132,6 +144,7 @@
     const drainState = { isDraining: false };
     const notReadyReason = () =>
       findNotReadyReason(config, drainState) ??
+        describeEntryDrain(config, settings) ??
         membership.findIsolationReason(nowMs());
     const calls = new InFlightCalls();
     yield* listen({
@@ -164,6 +177,8 @@
           settings,
           config,
           fleet,
+          membership,
+          transport,
           configWriter,
           observations: monitor.observations,
           backends,
@@ -199,3 +214,11 @@
   if (config.current().version === 0) return "it has no configuration yet";
   return undefined;
 }
+
+function describeEntryDrain(
+  config: ConfigStream,
+  settings: ResolvedEntrySettings,
+): string | undefined {
+  const drain = findEntryDrain(config.current().config, settings);
+  return drain === undefined ? undefined : `it is drained by ${drain}`;
+}
--- a/packages/celerytray/src/entry/entry_membership.ts
+++ b/packages/celerytray/src/entry/entry_membership.ts
@@ -36,6 +36,7 @@
 export interface EntryMembership {
   readonly membership: Membership;
   readonly peers: PeerOperations;
+  readonly transport: TrpcPeerTransport;
 }
 
 /** Joins the other entry instances and keeps snapshots on the log. */
@@ -61,6 +62,7 @@
     yield* startSnapshots(options, membership);
     return {
       membership,
+      transport,
       peers: {
         exchange: (message) => membership.answer(message),
         offerConfig: (update) => config.adopt(update),
--- a/packages/celerytray/src/entry/entry_operations.ts
+++ b/packages/celerytray/src/entry/entry_operations.ts
@@ -1,18 +1,11 @@
-import { type ConfigRecord, type ConfigSet } from "@celerytray/schema";
 import { Clock, Effect, HashMap } from "effect";
-import { randomUUID } from "node:crypto";
 import type {
   AdminOperations,
   EntryStatus,
   ReplicaDescription,
+  TrpcPeerTransport,
 } from "../admin/index.ts";
-import {
-  checkConfig,
-  ConfigRejected,
-  type ConfigStream,
-  publishConfig,
-} from "../config/index.ts";
-import { fromEither } from "../errors/index.ts";
+import type { ConfigStream } from "../config/index.ts";
 import {
   findReplicaHealth,
   type FleetState,
@@ -20,14 +13,18 @@
 } from "../fleet/index.ts";
 import type { InFlightCalls } from "../forwarding/index.ts";
 import type { LogWriter, StreamView } from "../log/index.ts";
+import type { Membership } from "../membership/index.ts";
 import type { ResolvedEntrySettings } from "../settings/index.ts";
 import type { Timeline } from "../timeline/index.ts";
+import { createConfigOperations } from "./entry_config_operations.ts";
 import type { ReadyBackends } from "./ready_backends.ts";
 
 /** The parts of an entry instance that operators see. */
 export interface EntryParts {
   readonly settings: ResolvedEntrySettings;
   readonly config: ConfigStream;
+  readonly membership: Membership;
+  readonly transport: TrpcPeerTransport;
   readonly fleet: StreamView<FleetState>;
   readonly configWriter: LogWriter;
   readonly observations: ReadonlyMap<string, MemberObservation>;
@@ -43,42 +40,11 @@
   return {
     status: () => Effect.sync(() => describeStatus(parts)),
     replicas: () => describeReplicas(parts),
-    showConfig: () =>
-      Effect.sync(() => {
-        const { version, author, acceptedAtMs, config } = parts.config
-          .current();
-        return { version, author, acceptedAtMs, config };
-      }),
     timeline: () => Effect.sync(() => parts.timeline.latest()),
-    applyConfig: ({ config, refinesVersion, author }) =>
-      Effect.gen(function* () {
-        const checked = yield* checkSubmitted(config);
-        return yield* publishConfig({
-          config: checked,
-          author,
-          recordId: randomUUID(),
-          current: parts.config.current,
-          append: (record: ConfigRecord) => parts.configWriter.append(record),
-          waitForOffset: parts.config.waitForOffset,
-          waitForVersionAbove: parts.config.waitForVersionAbove,
-          refinesVersion,
-        });
-      }),
+    ...createConfigOperations(parts),
   };
 }
 
-function checkSubmitted(
-  content: unknown,
-): Effect.Effect<ConfigSet, ConfigRejected> {
-  const checked = checkConfig({ content, sources: new Map() });
-  return fromEither(checked.mapLeft((problems) =>
-    new ConfigRejected({
-      problems,
-      message: problems.map(String).join("\n"),
-    })
-  ));
-}
-
 function describeStatus(parts: EntryParts): EntryStatus {
   const { settings, backends } = parts;
   const { version, acceptedAtMs, config } = parts.config.current();
--- /dev/null
+++ b/packages/celerytray/src/entry/leaving_directory.ts
@@ -0,0 +1,73 @@
+import type { Instance } from "@celerytray/schema";
+import type { InstanceDirectory } from "../backends/index.ts";
+import { type ConfigStream, findInstanceDrain } from "../config/index.ts";
+import type { MemberObservation } from "../fleet/index.ts";
+import type { LeavingTable } from "../membership/index.ts";
+
+/** Sources that say a back end is leaving. */
+export interface LeavingSources {
+  readonly directory: InstanceDirectory;
+  readonly config: Pick<ConfigStream, "current">;
+  readonly leaving: LeavingTable;
+  readonly observations: ReadonlyMap<string, MemberObservation>;
+  readonly nowMs: () => number;
+}
+
+/** Age above which the view is worked out anew. */
+const MAX_VIEW_AGE_MS = 200;
+
+/**
+ * The instance list with each back end marked as leaving that any source
+ * says is: the list, the engine, a peer or a drain.
+ */
+export class LeavingDirectory implements InstanceDirectory {
+  readonly #sources: LeavingSources;
+  #viewedAtMs = -Infinity;
+  #version = -1;
+  #all: readonly Instance[] = [];
+  #byId: ReadonlyMap<string, Instance> = new Map();
+
+  constructor(sources: LeavingSources) {
+    this.#sources = sources;
+  }
+
+  readonly all = (): readonly Instance[] => {
+    this.#refresh();
+    return this.#all;
+  };
+
+  readonly byId = (): ReadonlyMap<string, Instance> => {
+    this.#refresh();
+    return this.#byId;
+  };
+
+  readonly readAtMs = (): number | undefined =>
+    this.#sources.directory.readAtMs();
+
+  #refresh(): void {
+    const nowMs = this.#sources.nowMs();
+    const { version } = this.#sources.config.current();
+    const isFresh = nowMs - this.#viewedAtMs < MAX_VIEW_AGE_MS &&
+      version === this.#version;
+    if (isFresh) return;
+    this.#viewedAtMs = nowMs;
+    this.#version = version;
+    this.#all = this.#sources.directory.all().map((instance) =>
+      this.#isLeaving(instance, nowMs)
+        ? { ...instance, state: "leaving" }
+        : instance
+    );
+    this.#byId = new Map(this.#all.map((each) => [each.instanceId, each]));
+  }
+
+  #isLeaving(instance: Instance, nowMs: number): boolean {
+    if (instance.role === "entry") return instance.state === "leaving";
+    const { config, leaving, observations } = this.#sources;
+    const { instanceId } = instance;
+    const saysSo = instance.state === "leaving" ||
+      observations.get(instanceId)?.status.leaving === true;
+    if (saysSo) leaving.note(instanceId, nowMs);
+    return saysSo || leaving.isLeaving(instanceId, nowMs) ||
+      findInstanceDrain(config.current().config, instance) !== undefined;
+  }
+}
--- a/packages/celerytray/src/membership/leaving_table.ts
+++ b/packages/celerytray/src/membership/leaving_table.ts
@@ -23,11 +23,6 @@
     }
   }
 
-  /** Forgets a back end that was started anew. */
-  forget(instanceId: string): void {
-    this.#seenAtMs.delete(instanceId);
-  }
-
   isLeaving(instanceId: string, nowMs: number): boolean {
     const seenAtMs = this.#seenAtMs.get(instanceId);
     return seenAtMs !== undefined && nowMs - seenAtMs < this.#maxAgeMs;
@@ -36,7 +31,7 @@
   /** The latest reports, up to a number. */
   createReports(nowMs: number, maxCount: number): LeavingReport[] {
     for (const [instanceId] of this.#seenAtMs) {
-      if (!this.isLeaving(instanceId, nowMs)) this.forget(instanceId);
+      if (!this.isLeaving(instanceId, nowMs)) this.#seenAtMs.delete(instanceId);
     }
     return [...this.#seenAtMs].toSorted(([, a], [, b]) => b - a)
       .slice(0, maxCount)
--- a/packages/celerytray/src/membership/membership.ts
+++ b/packages/celerytray/src/membership/membership.ts
@@ -73,7 +73,7 @@
 const SUSPICION_INTERVALS = 5;
 const FORGET_INTERVALS = 120;
 const DEMAND_INTERVALS = 60;
-const LEAVING_MAX_AGE_MS = 60_000;
+const LEAVING_MAX_AGE_MS = 15_000;
 const MAX_UPDATES_SENT = 4;
 const MAX_LEAVING_SENT = 4;
 const WATCH_INTERVAL_MS = 100;
@@ -216,7 +216,10 @@
     });
   }
 
-  /** A start without the log needs more than half of the peers. */
+  /**
+   * A start without the log needs more than half of the peers known. Those
+   * that look gone count too: they may live beyond a partition.
+   */
   #noteConfirmation(answer: ExchangeMessage): void {
     const { config } = this.#options;
     if (!config.lacksConfig()) {
@@ -227,11 +230,11 @@
       config.version() >= answer.configVersion;
     if (!isReached) return;
     this.#confirmedBy.add(answer.sender.instanceId);
-    const { present } = this.table;
-    const confirmed = present.filter(({ instanceId }) =>
+    const known = this.table.members.filter(({ state }) => state !== "left");
+    const confirmed = known.filter(({ instanceId }) =>
       this.#confirmedBy.has(instanceId)
     );
-    if (2 * confirmed.length > present.length) config.confirm();
+    if (2 * confirmed.length > known.length) config.confirm();
   }
 
   #askOthers(peer: Member): Effect.Effect<boolean> {
--- a/packages/cli/src/commands/config_commands.ts
+++ b/packages/cli/src/commands/config_commands.ts
@@ -3,7 +3,16 @@
 import { Effect } from "effect";
 import { userInfo } from "node:os";
 import { stringify } from "yaml";
-import { type CommandOutput, OperatorCommand } from "./operator_command.ts";
+import { setTimeout as sleep } from "node:timers/promises";
+import { formatVersions } from "./config_version_commands.ts";
+import {
+  CommandFailure,
+  type CommandOutput,
+  OperatorCommand,
+} from "./operator_command.ts";
+
+const POLL_INTERVAL_MS = 200;
+const DEFAULT_WAIT_SECONDS = 10;
 
 /** Publishes a folder. */
 export class ConfigApplyCommand extends OperatorCommand {
@@ -16,6 +25,13 @@
     description: "Version that the folder refines; the one in force if absent",
   });
 
+  wait = Option.Boolean("--wait", false, {
+    description: "Wait until all entry instances have it; name those without",
+  });
+  waitSeconds = Option.String("--wait-seconds", String(DEFAULT_WAIT_SECONDS), {
+    description: "Longest wait",
+  });
+
   protected async run(client: AdminClient): Promise<CommandOutput> {
     const { config } = await Effect.runPromise(loadConfigFolder(this.folder));
     const published = await client.applyConfig.mutate({
@@ -28,7 +44,32 @@
     const text = published.changed
       ? `Version ${published.version} is in force`
       : `Nothing changed; version ${published.version} stays in force`;
-    return { value: published, text };
+    if (!this.wait) return { value: published, text };
+    const entries = await this.#waitForAll(client, published.version);
+    return {
+      value: { ...published, entries },
+      text: `${text} on all ${entries.length} entry instances`,
+    };
+  }
+
+  /** Fails with the entry instances that don't have it in time. */
+  async #waitForAll(client: AdminClient, version: number) {
+    const deadlineMs = Date.now() + Number(this.waitSeconds) * 1_000;
+    while (true) {
+      const entries = await client.configVersions.query();
+      const missing = entries.filter((entry) =>
+        entry.version === undefined || entry.version < version
+      );
+      if (missing.length === 0) return entries;
+      if (Date.now() >= deadlineMs) {
+        throw new CommandFailure(
+          `Version ${version} is accepted, but not known to be in force on ${missing.length} of ${entries.length} entry instances; check them:\n${
+            formatVersions(missing)
+          }`,
+        );
+      }
+      await sleep(POLL_INTERVAL_MS);
+    }
   }
 }
 
--- /dev/null
+++ b/packages/cli/src/commands/drain_test.ts
@@ -0,0 +1,129 @@
+import { loadConfigFolder } from "celerytray";
+import { expect } from "earl";
+import { Effect } from "effect";
+import { after, before, describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+import {
+  type LocalCluster,
+  startLocalCluster,
+} from "../local/start_local_cluster.ts";
+import { waitUntil } from "../local/wait_until.ts";
+
+const DEMO_FOLDER = fileURLToPath(
+  new URL("../../../../examples/demo", import.meta.url),
+);
+const KEY = "demo-key-patan-furniture";
+const NO_NEW_WORK_MS = 3_000;
+
+describe("drains over separate processes", () => {
+  let cluster: LocalCluster;
+
+  before(async () => {
+    cluster = await startLocalCluster({ tokenIntervalMs: 50 });
+    const { config } = await Effect.runPromise(loadConfigFolder(DEMO_FOLDER));
+    await admin(0).applyConfig.mutate({ config, author: "test" });
+    await waitUntil("all replicas serve on all entry instances", {
+      timeoutMs: 20_000,
+      check: async () => {
+        const statuses = await Promise.all(
+          cluster.entries.map((each) => cluster.admin(each).status.query()),
+        );
+        return statuses.every(({ services }) =>
+          services.every((service) =>
+            service.readyReplicas === service.wantedReplicas
+          )
+        );
+      },
+    });
+  });
+
+  after(() => cluster?.stop());
+
+  function admin(index: number) {
+    return cluster.admin(cluster.entries[index]!);
+  }
+
+  function stream(index: number, tokenCount: number): Promise<Response> {
+    const { address } = cluster.entries[index]!;
+    return fetch(`http://${address}/v1/chat/completions`, {
+      method: "POST",
+      headers: {
+        authorization: `Bearer ${KEY}`,
+        "content-type": "application/json",
+      },
+      body: JSON.stringify({
+        model: "drafter",
+        stream: true,
+        max_tokens: tokenCount,
+        messages: [{ role: "user", content: "one two three" }],
+      }),
+    });
+  }
+
+  async function countRuns(index: number): Promise<number> {
+    const { address } = cluster.plains[index]!.instance;
+    const answer = await fetch(`http://${address}/runs`);
+    const { runs } = await answer.json() as { readonly runs: unknown[] };
+    return runs.length;
+  }
+
+  async function book(index: number, key: string): Promise<number> {
+    const { address } = cluster.entries[index]!;
+    const answer = await fetch(`http://${address}/services/slotbook/bookings`, {
+      method: "POST",
+      headers: {
+        authorization: `Bearer ${KEY}`,
+        "content-type": "application/json",
+        "idempotency-key": key,
+      },
+      body: JSON.stringify({ slot: "08:00" }),
+    });
+    await answer.text();
+    return answer.status;
+  }
+
+  it("gives a drained back end no new work after 3 s, on any entry instance", async () => {
+    const target = {
+      kind: "instance" as const,
+      name: cluster.plains[0]!.instance.instanceId,
+    };
+    await admin(0).drain.mutate({ target, isDrained: true, author: "test" });
+    await new Promise((resolve) => setTimeout(resolve, NO_NEW_WORK_MS));
+    const before = await countRuns(0);
+    for (let call = 0; call < 30; call++) {
+      expect(await book(call % 3, `drained-${call}`)).toEqual(201);
+    }
+    expect(await countRuns(0)).toEqual(before);
+    expect(await countRuns(1)).toBeGreaterThanOrEqual(30);
+    await admin(1).drain.mutate({ target, isDrained: false, author: "test" });
+  });
+
+  it("keeps a drain when a folder is applied", async () => {
+    const target = { kind: "entry" as const, name: "entry-kth-b" };
+    await admin(0).drain.mutate({ target, isDrained: true, author: "test" });
+    const { config } = await Effect.runPromise(loadConfigFolder(DEMO_FOLDER));
+    await admin(0).applyConfig.mutate({ config, author: "test" });
+    await waitUntil("the drained entry instance refuses", {
+      timeoutMs: NO_NEW_WORK_MS,
+      check: async () => (await stream(1, 1)).status === 503,
+    });
+    const refused = await stream(1, 1);
+    expect(refused.headers.get("celerytray-outcome")).toEqual("not-run");
+    expect((await stream(0, 1)).status).toEqual(200);
+    await admin(0).drain.mutate({ target, isDrained: false, author: "test" });
+  });
+
+  it("finishes what is in flight at SIGTERM and then ends", async () => {
+    const entry = cluster.entries[2]!;
+    await waitUntil("a stream starts", {
+      timeoutMs: 5_000,
+      check: async () => (await stream(2, 1)).status === 200,
+    });
+    const answer = await stream(2, 40);
+    const ended = entry.process.stop("SIGTERM");
+    const text = await answer.text();
+    expect([...text.matchAll(/"content":"/g)].length).toEqual(40);
+    expect(text.endsWith("data: [DONE]\n\n")).toEqual(true);
+    expect(await ended).toEqual(0);
+  });
+});
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -4,6 +4,13 @@
   ConfigCheckCommand,
   ConfigShowCommand,
 } from "./config_commands.ts";
+import {
+  ConfigDiffCommand,
+  ConfigHistoryCommand,
+  ConfigRollbackCommand,
+  ConfigVersionsCommand,
+} from "./config_version_commands.ts";
+import { DrainCommand, UndrainCommand } from "./drain_commands.ts";
 import { ServeCommand } from "./serve_command.ts";
 import {
   ReplicasCommand,
@@ -14,9 +21,15 @@
 export const commands = [
   ConfigApplyCommand,
   ConfigCheckCommand,
+  ConfigDiffCommand,
+  ConfigHistoryCommand,
+  ConfigRollbackCommand,
   ConfigShowCommand,
+  ConfigVersionsCommand,
+  DrainCommand,
   ReplicasCommand,
   ServeCommand,
   StatusCommand,
   TimelineCommand,
+  UndrainCommand,
 ];
--- a/packages/cli/src/commands/operator_command.ts
+++ b/packages/cli/src/commands/operator_command.ts
@@ -3,6 +3,9 @@
 
 const EXIT_FAILED = 1;
 
+/** A command did not do what it was asked to. */
+export class CommandFailure extends Error {}
+
 /** A command that asks an entry instance. */
 export abstract class OperatorCommand extends Command {
   address = Option.String("--address", {
