--- /dev/null
+++ b/packages/cli/src/commands/config_commands_test.ts
@@ -0,0 +1,94 @@
+import { expect } from "earl";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, describe, it } from "node:test";
+import {
+  LOCAL_OPERATOR_TOKEN,
+  type LocalCluster,
+  startLocalCluster,
+} from "../local/start_local_cluster.ts";
+import { runCommand } from "./run_command.ts";
+
+const BASE = `availabilityZones: { kth-a: {} }
+deployments: { desk: { weighting: group-downtime } }
+services:
+  slotbook: { kind: plain, deployment: desk, replicaCount: 2 }
+organisations: {}
+`;
+
+describe("configuration commands", () => {
+  let cluster: LocalCluster;
+  let folder: string;
+
+  before(async () => {
+    cluster = await startLocalCluster({ fabricDomainCount: 0 });
+    folder = await mkdtemp(join(tmpdir(), "celerytray-config-"));
+    await writeFile(join(folder, "10-base.yaml"), BASE);
+  });
+
+  after(async () => {
+    await cluster?.stop();
+    await rm(folder, { recursive: true, force: true });
+  });
+
+  function run(args: readonly string[]) {
+    return runCommand(args, {
+      CELERYTRAY_ADDRESS: cluster.entries[0]!.adminAddress,
+      CELERYTRAY_TOKEN: LOCAL_OPERATOR_TOKEN,
+    });
+  }
+
+  it("waits until all entry instances have a version", async () => {
+    const applied = await run(["config", "apply", folder, "--wait"]);
+    expect(applied.stderr).toEqual("");
+    expect(applied.stdout).toInclude(
+      "Version 1 is in force on all 3 entry instances",
+    );
+    expect(applied.exitCode).toEqual(0);
+  });
+
+  it("names the file that each change comes from", async () => {
+    await writeFile(
+      join(folder, "20-more.yaml"),
+      "services: { slotbook: { replicaCount: 5 } }\n",
+    );
+    const diff = await run(["config", "diff", folder]);
+    expect(diff.stdout).toMatchRegex(
+      /services\.slotbook\.replicaCount +5 +20-more\.yaml/,
+    );
+  });
+
+  it("tells an operator who comes second what came first", async () => {
+    await run(["config", "apply", folder, "--refines", "1"]);
+    const second = await run(["config", "apply", folder, "--refines", "1"]);
+    expect(second.exitCode).toEqual(1);
+    expect(second.stderr).toInclude("services.slotbook.replicaCount = 5");
+  });
+
+  it("returns to an earlier version by a new one", async () => {
+    const rolledBack = await run(["config", "rollback", "1"]);
+    expect(rolledBack.stdout).toInclude("Version 3 is in force");
+    const shown = await run(["config", "show", "--json"]);
+    const { config } = JSON.parse(shown.stdout);
+    expect(config.services.slotbook.replicaCount).toEqual(2);
+    const history = await run(["config", "history"]);
+    expect(history.stdout.trim().split("\n").length).toEqual(4);
+  });
+
+  it("names an entry instance that has not got a version", async () => {
+    cluster.entries[2]!.process.child.kill("SIGSTOP");
+    const applied = await run([
+      "config",
+      "apply",
+      folder,
+      "--wait",
+      "--wait-seconds",
+      "2",
+    ]);
+    cluster.entries[2]!.process.child.kill("SIGCONT");
+    expect(applied.exitCode).toEqual(1);
+    expect(applied.stderr).toInclude("entry-kth-c");
+    expect(applied.stderr.includes("entry-kth-b")).toEqual(false);
+  });
+});
