Merge the time line of all entry instances and explain a request

Exchanges carry the hybrid logical clock, so that events of several processes sort by cause. The time line takes filters and follows; explain tells a request's way and end.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,3 +1,6 @@
+import { configBench } from "./config/config_bench.ts";
+import { membershipBench } from "./membership/membership_bench.ts";
+
 /** What a measurement found. */
 export interface BenchResult {
   /** One object per line of the table. */
@@ -18,4 +21,7 @@
 }
 
 /** All measurements, by name. */
-export const benches: readonly Bench[] = [];
+export const benches: readonly Bench[] = [
+  configBench,
+  membershipBench,
+];
--- a/packages/celerytray/src/admin/admin_handler.ts
+++ b/packages/celerytray/src/admin/admin_handler.ts
@@ -8,6 +8,7 @@
   parseApplication,
   parseDrainChange,
   parseRollback,
+  parseTimelineFilter,
 } from "./admin_inputs.ts";
 import type { AdminOperations } from "./admin_operations.ts";
 import { type AdminRole, createProcedure, trpc } from "./admin_procedures.ts";
@@ -41,7 +42,12 @@
     status: viewer.query(() => run(operations.status())),
     replicas: viewer.query(() => run(operations.replicas())),
     showConfig: viewer.query(() => run(operations.showConfig())),
-    timeline: viewer.query(() => run(operations.timeline())),
+    timeline: viewer.input(parseTimelineFilter).query(({ input }) =>
+      run(operations.timeline(input))
+    ),
+    mergedTimeline: viewer.input(parseTimelineFilter).query(({ input }) =>
+      run(operations.mergedTimeline(input))
+    ),
     configHistory: viewer.query(() => run(operations.configHistory())),
     configVersions: viewer.query(() => run(operations.configVersions())),
     rollbackConfig: operator.input(parseRollback).mutation(({ input }) =>
--- a/packages/celerytray/src/admin/admin_inputs.ts
+++ b/packages/celerytray/src/admin/admin_inputs.ts
@@ -1,4 +1,5 @@
 import { DRAIN_KINDS, type DrainTarget } from "../config/index.ts";
+import type { HybridTimestamp, TimelineFilter } from "../timeline/index.ts";
 import type {
   ConfigApplication,
   ConfigRollback,
@@ -6,6 +7,8 @@
 } from "./admin_operations.ts";
 
 const AUTHOR_PATTERN = /^[^\p{Cc}]{1,128}$/u;
+const MAX_EVENTS = 10_000;
+const MAX_TEXT = 256;
 const NAME_PATTERN = /^[A-Za-z0-9._-]{1,128}$/;
 
 /** Checks the input of a publication. */
@@ -42,6 +45,36 @@
   };
 }
 
+/** Checks which events are asked for; nothing asks for the latest. */
+export function parseTimelineFilter(input: unknown): TimelineFilter {
+  const { requestId, replicaId, instanceId, after, limit } = toFields(input);
+  if (limit !== undefined && !isVersion(limit)) {
+    throw new Error("limit must be a whole number; correct it");
+  }
+  return {
+    requestId: parseText(requestId),
+    replicaId: parseText(replicaId),
+    instanceId: parseText(instanceId),
+    after: parseStamp(after),
+    limit: limit === undefined ? undefined : Math.min(limit, MAX_EVENTS),
+  };
+}
+
+function parseText(value: unknown): string | undefined {
+  if (value === undefined) return undefined;
+  if (typeof value === "string" && value.length <= MAX_TEXT) return value;
+  throw new Error("A filter must be an identifier; correct it");
+}
+
+function parseStamp(value: unknown): HybridTimestamp | undefined {
+  if (value === undefined) return undefined;
+  const { physicalMs, counter } = toFields(value);
+  if (isVersion(physicalMs) && isVersion(counter)) {
+    return { physicalMs, counter };
+  }
+  throw new Error("after must be the stamp of an event; correct it");
+}
+
 function parseTarget(input: unknown): DrainTarget {
   const { kind, name } = toFields(input);
   const known = DRAIN_KINDS.find((each) => each === kind);
--- a/packages/celerytray/src/admin/admin_operations.ts
+++ b/packages/celerytray/src/admin/admin_operations.ts
@@ -6,7 +6,7 @@
   PublishedConfig,
   PublishFailure,
 } from "../config/index.ts";
-import type { TimelineEvent } from "../timeline/index.ts";
+import type { TimelineEvent, TimelineFilter } from "../timeline/index.ts";
 
 /** The state of one entry instance. */
 export interface EntryStatus {
@@ -88,6 +88,13 @@
   readonly author: string;
 }
 
+/** Events of all entry instances. */
+export interface MergedTimeline {
+  readonly events: readonly TimelineEvent[];
+  /** Entry instances that did not answer. */
+  readonly missing: readonly string[];
+}
+
 /** What operators can do on an entry instance. */
 export interface AdminOperations {
   readonly status: () => Effect.Effect<EntryStatus>;
@@ -107,5 +114,10 @@
   readonly drain: (
     change: DrainChange,
   ) => Effect.Effect<PublishedConfig, PublishFailure>;
-  readonly timeline: () => Effect.Effect<readonly TimelineEvent[]>;
+  readonly timeline: (
+    filter: TimelineFilter,
+  ) => Effect.Effect<readonly TimelineEvent[]>;
+  readonly mergedTimeline: (
+    filter: TimelineFilter,
+  ) => Effect.Effect<MergedTimeline>;
 }
--- a/packages/celerytray/src/admin/index.ts
+++ b/packages/celerytray/src/admin/index.ts
@@ -1,11 +1,16 @@
 /** Administration over trpc. */
-export { type AdminRouter, createAdminHandler } from "./admin_handler.ts";
+export {
+  type AdminHandlerOptions,
+  type AdminRouter,
+  createAdminHandler,
+} from "./admin_handler.ts";
 export type {
   AdminOperations,
   ConfigDescription,
   ConfigVersionDescription,
   EntryStatus,
   EntryVersion,
+  MergedTimeline,
   ReplicaDescription,
 } from "./admin_operations.ts";
 export { type AdminClient, createAdminClient } from "./admin_client.ts";
--- a/packages/celerytray/src/admin/trpc_peer_transport.ts
+++ b/packages/celerytray/src/admin/trpc_peer_transport.ts
@@ -7,6 +7,7 @@
   PeerTransport,
 } from "../membership/index.ts";
 import { parseExchangeMessage } from "../membership/index.ts";
+import type { TimelineEvent, TimelineFilter } from "../timeline/index.ts";
 import { type AdminClient, createAdminClient } from "./admin_client.ts";
 
 /** Calls to other entry instances over trpc. */
@@ -81,6 +82,25 @@
     );
   }
 
+  /** Events kept there. */
+  readTimeline(
+    address: string,
+    filter: TimelineFilter,
+  ): Effect.Effect<readonly TimelineEvent[], PeerFailure> {
+    return this.#call(
+      address,
+      ({ timeline }, signal) => timeline.query(filter, { signal }),
+    ).pipe(
+      Effect.timeoutOrElse({
+        duration: STATUS_TIMEOUT_MS,
+        orElse: () =>
+          Effect.fail({
+            message: `No answer from ${address} in time; check that it is up`,
+          }),
+      }),
+    );
+  }
+
   #call<Value>(
     address: string,
     run: (client: AdminClient, signal: AbortSignal) => Promise<Value>,
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -98,6 +98,7 @@
       log,
       config,
       directory,
+      clock: timeline.clock,
     });
     const engine = new HttpModelEngine();
     const reports = { note: (_replicaId: string): void => {} };
--- a/packages/celerytray/src/entry/entry_membership.ts
+++ b/packages/celerytray/src/entry/entry_membership.ts
@@ -22,6 +22,7 @@
   selectPreferred,
 } from "../membership/index.ts";
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
+import type { HybridClock } from "../timeline/index.ts";
 
 /** What membership of an entry instance rests on. */
 export interface EntryMembershipOptions {
@@ -30,6 +31,7 @@
   readonly log: LogService;
   readonly config: ConfigStream;
   readonly directory: InstanceDirectory;
+  readonly clock: HybridClock;
 }
 
 /** Membership and what peers may ask. */
@@ -55,6 +57,7 @@
       config: createExchangedConfig(config),
       listEntries: () => listOtherEntries(directory, settings.instanceId),
       random: Math.random,
+      clock: options.clock,
       intervalMs: settings.peerIntervalMs,
       isolationTimeoutMs: settings.isolationTimeoutMs,
     }, yield* Clock.currentTimeMillis);
--- a/packages/celerytray/src/entry/entry_operations.ts
+++ b/packages/celerytray/src/entry/entry_operations.ts
@@ -15,8 +15,9 @@
 import type { LogWriter, StreamView } from "../log/index.ts";
 import type { Membership } from "../membership/index.ts";
 import type { ResolvedEntrySettings } from "../settings/index.ts";
-import type { Timeline } from "../timeline/index.ts";
+import { selectEvents, type Timeline } from "../timeline/index.ts";
 import { createConfigOperations } from "./entry_config_operations.ts";
+import { readMergedTimeline } from "./entry_timeline.ts";
 import type { ReadyBackends } from "./ready_backends.ts";
 
 /** The parts of an entry instance that operators see. */
@@ -40,7 +41,9 @@
   return {
     status: () => Effect.sync(() => describeStatus(parts)),
     replicas: () => describeReplicas(parts),
-    timeline: () => Effect.sync(() => parts.timeline.latest()),
+    timeline: (filter) =>
+      Effect.sync(() => selectEvents(parts.timeline.latest(), filter)),
+    mergedTimeline: (filter) => readMergedTimeline(parts, filter),
     ...createConfigOperations(parts),
   };
 }
--- a/packages/celerytray/src/membership/exchange.ts
+++ b/packages/celerytray/src/membership/exchange.ts
@@ -1,4 +1,5 @@
 import type { ConfigUpdate } from "../config/index.ts";
+import type { HybridTimestamp } from "../timeline/index.ts";
 import type { MemberUpdate } from "./member_update.ts";
 import type { DemandReport } from "./peer_demand.ts";
 
@@ -17,6 +18,8 @@
   readonly leaving: readonly LeavingReport[];
   /** Time since it last read the log; absent if it never did. */
   readonly logAgeMs?: number;
+  /** Sender's hybrid logical clock. */
+  readonly clock?: HybridTimestamp;
 }
 
 /** A back end seen leaving, and how long ago. */
@@ -43,7 +46,8 @@
     isListOf(demand, { maxCount: MAX_REPORTED, isItem: isNamedNumber }) &&
     isListOf(leaving, { maxCount: MAX_REPORTED, isItem: isNamedNumber }) &&
     isCount(message.configVersion) && isCount(message.configNextOffset) &&
-    (message.logAgeMs === undefined || isCount(message.logAgeMs));
+    (message.logAgeMs === undefined || isCount(message.logAgeMs)) &&
+    (message.clock === undefined || isClock(message.clock));
   return isValid ? message as ExchangeMessage : undefined;
 }
 
@@ -75,6 +79,12 @@
     (value[1] as number) >= 0;
 }
 
+function isClock(value: unknown): boolean {
+  const stamp = value as Partial<HybridTimestamp> | null;
+  return typeof stamp === "object" && isCount(stamp?.physicalMs) &&
+    isCount(stamp?.counter);
+}
+
 function isCount(value: unknown): boolean {
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
--- a/packages/celerytray/src/membership/membership.ts
+++ b/packages/celerytray/src/membership/membership.ts
@@ -1,4 +1,5 @@
 import { Clock, Effect, type Scope } from "effect";
+import type { HybridClock } from "../timeline/index.ts";
 import type { ConfigUpdate } from "../config/index.ts";
 import type { ExchangeAnswer, ExchangeMessage } from "./exchange.ts";
 import { IsolationMonitor } from "./isolation_monitor.ts";
@@ -60,6 +61,8 @@
     "instanceId" | "adminAddress"
   >[];
   readonly random: () => number;
+  /** Clock of the time line, kept in step with the peers'. */
+  readonly clock?: HybridClock;
   readonly intervalMs: number;
   readonly isolationTimeoutMs: number;
 }
@@ -77,6 +80,8 @@
 const MAX_UPDATES_SENT = 4;
 const MAX_LEAVING_SENT = 4;
 const WATCH_INTERVAL_MS = 100;
+/** A stamp further ahead comes from a wrong clock. */
+const MAX_CLOCK_AHEAD_MS = 60_000;
 
 /** Knowledge shared with the other entry instances. */
 export class Membership {
@@ -285,6 +290,7 @@
   #createMessage(receiverId: string, nowMs: number): ExchangeMessage {
     const { config } = this.#options;
     const readAtMs = config.logReadAtMs();
+    const stamp = this.#options.clock?.next(nowMs);
     const doubt = this.table.findDoubt(receiverId);
     const news = this.table.takeUpdates(MAX_UPDATES_SENT);
     return {
@@ -296,14 +302,22 @@
       demand: this.demand.createReport(),
       leaving: this.leaving.createReports(nowMs, MAX_LEAVING_SENT),
       ...(readAtMs === undefined ? {} : { logAgeMs: nowMs - readAtMs }),
+      ...(stamp === undefined ? {} : { clock: stamp }),
     };
   }
 
+  #observeClock({ clock }: ExchangeMessage, nowMs: number): void {
+    if (clock === undefined) return;
+    if (clock.physicalMs - nowMs > MAX_CLOCK_AHEAD_MS) return;
+    this.#options.clock?.observe(clock);
+  }
+
   #learn(message: ExchangeMessage, nowMs: number): void {
     const { instanceId } = message.sender;
     this.table.noteHeard(message.sender, nowMs);
     this.table.merge(message.updates, nowMs);
     this.isolation.noteHeard(instanceId, nowMs);
+    this.#observeClock(message, nowMs);
     for (
       const { instanceId: id, state } of [message.sender, ...message.updates]
     ) {
--- a/packages/celerytray/src/timeline/index.ts
+++ b/packages/celerytray/src/timeline/index.ts
@@ -4,6 +4,11 @@
   type TimelineEvent,
   type TimelineFields,
 } from "./timeline.ts";
+export {
+  mergeEvents,
+  selectEvents,
+  type TimelineFilter,
+} from "./select_events.ts";
 export {
   compareTimestamps,
   HybridClock,
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -12,11 +12,8 @@
 } from "./config_version_commands.ts";
 import { DrainCommand, UndrainCommand } from "./drain_commands.ts";
 import { ServeCommand } from "./serve_command.ts";
-import {
-  ReplicasCommand,
-  StatusCommand,
-  TimelineCommand,
-} from "./view_commands.ts";
+import { ExplainCommand, TimelineCommand } from "./timeline_commands.ts";
+import { ReplicasCommand, StatusCommand } from "./view_commands.ts";
 
 export const commands = [
   ConfigApplyCommand,
@@ -27,6 +24,7 @@
   ConfigShowCommand,
   ConfigVersionsCommand,
   DrainCommand,
+  ExplainCommand,
   ReplicasCommand,
   ServeCommand,
   StatusCommand,
--- a/packages/cli/src/commands/view_commands.ts
+++ b/packages/cli/src/commands/view_commands.ts
@@ -57,26 +57,3 @@
     return { value: replicas, text };
   }
 }
-
-/** Prints events. */
-export class TimelineCommand extends OperatorCommand {
-  static override paths = [["timeline"]];
-  static override usage = Command.Usage({
-    description: "Print the latest events of an entry instance",
-  });
-
-  protected async run(client: AdminClient): Promise<CommandOutput> {
-    const events = await client.timeline.query();
-    const lines = events.map((event) =>
-      [
-        new Date(event.at.physicalMs).toISOString(),
-        event.process,
-        event.kind,
-        event.requestId ?? "",
-        event.replicaId ?? event.instanceId ?? "",
-        event.detail ?? "",
-      ].filter((part) => part !== "").join(" ")
-    );
-    return { value: events, text: lines.join("\n") };
-  }
-}
