--- a/packages/cli/src/commands/drain_test.ts
+++ b/packages/cli/src/commands/drain_test.ts
@@ -126,4 +126,24 @@
     expect(text.endsWith("data: [DONE]\n\n")).toEqual(true);
     expect(await ended).toEqual(0);
   });
+
+  it("ends at once at a second SIGTERM", async () => {
+    const entry = cluster.entries[1]!;
+    await waitUntil("a stream starts", {
+      timeoutMs: 5_000,
+      check: async () => (await stream(1, 1)).status === 200,
+    });
+    const answer = await stream(1, 2_000);
+    const reading = answer.text().catch(() => "cut");
+    const ended = entry.process.stop("SIGTERM");
+    await waitUntil("it is no longer ready", {
+      timeoutMs: 5_000,
+      check: async () =>
+        (await fetch(`http://${entry.address}/readyz`)).status === 503,
+    });
+    expect(entry.process.child.exitCode).toEqual(null);
+    entry.process.child.kill("SIGTERM");
+    expect(await ended).toEqual(0);
+    await reading;
+  });
 });
