Fuzz what others write, and send metrics

A file with an alias inside a merge key that has no anchor threw out of the parser; it is a problem of the file now. Prototype pollution through a field named __proto__ was looked for and not found.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,4 +1,5 @@
 import { configBench } from "./config/config_bench.ts";
+import { fuzzBench } from "./fuzz/fuzz_bench.ts";
 import { membershipBench } from "./membership/membership_bench.ts";
 
 /** What a measurement found. */
@@ -23,5 +24,6 @@
 /** All measurements, by name. */
 export const benches: readonly Bench[] = [
   configBench,
+  fuzzBench,
   membershipBench,
 ];
--- a/packages/bench/src/config/config_versions_test.ts
+++ b/packages/bench/src/config/config_versions_test.ts
@@ -1,3 +1,5 @@
+import { FakeLog } from "@celerytray/fakes";
+import { type ConfigStream, createConfigStream } from "celerytray";
 import { expect } from "earl";
 import { Effect } from "effect";
 import { TestClock } from "effect/testing";
@@ -5,6 +7,7 @@
 import { describe, it } from "node:test";
 import { createSampleConfig, setReplicaCount } from "./sample_config.ts";
 import { VirtualEntries, type VirtualEntry } from "./virtual_entries.ts";
+import { VirtualLog } from "./virtual_log.ts";
 
 const COUNT = 9;
 const IN_FORCE_MS = 3_000;
@@ -88,6 +91,31 @@
       })
     ));
 
+  it("is not ready before it has read the log to its end", () => {
+    const log = new FakeLog();
+    const records = Array.from({ length: 2_500 }, (_, index) => ({
+      kind: "config",
+      recordId: `record-${index}`,
+      refinesVersion: index,
+      patch: { availabilityZones: { [`zone-${index % 9}`]: {} } },
+      author: "test",
+      publishedAtMs: 0,
+    }));
+    log.append("config", { records, nowMs: 0 });
+    const ready: boolean[] = [];
+    const read = Effect.gen(function* () {
+      const stream: ConfigStream = yield* createConfigStream({
+        log: new VirtualLog(log),
+        onChange: () => ready.push(stream.startProblem() === undefined),
+      });
+      yield* TestClock.adjust(1_000);
+      expect(stream.current().version).toEqual(2_500);
+    });
+    return Effect.runPromise(
+      Effect.scoped(read).pipe(Effect.provide(TestClock.layer())),
+    ).then(() => expect(ready).toEqual([false, false, true]));
+  });
+
   it("starts from most peers while the log is out, never from a stale one", () =>
     run((group) =>
       Effect.gen(function* () {
--- a/packages/bench/src/membership/membership_test.ts
+++ b/packages/bench/src/membership/membership_test.ts
@@ -71,6 +71,21 @@
       })
     ));
 
+  it("suspects nobody that others still reach", () =>
+    run((group) =>
+      Effect.gen(function* () {
+        group.cutLinks.add("entry-1>entry-2");
+        group.cutLinks.add("entry-2>entry-1");
+        for (let round = 0; round < 60; round++) {
+          yield* TestClock.adjust(500);
+          for (const { membership } of group.entries.values()) {
+            const states = membership.table.members.map(({ state }) => state);
+            expect(new Set(states)).toEqual(new Set(["alive" as const]));
+          }
+        }
+      })
+    ));
+
   it("drops a paused instance, and takes it back when it goes on", () =>
     run((group) =>
       Effect.gen(function* () {
--- a/packages/celerytray/src/config/config_patch.ts
+++ b/packages/celerytray/src/config/config_patch.ts
@@ -22,15 +22,19 @@
   config: ConfigSet,
   patch: ConfigPatch,
 ): unknown {
-  return mergeValue(config, patch);
+  return applyMergePatch(config, patch);
 }
 
-function mergeValue(target: unknown, patch: unknown): unknown {
+/**
+ * Merges sections field by field, replaces lists and scalars, and removes what
+ * is null. A field named __proto__ stays an ordinary field.
+ */
+export function applyMergePatch(target: unknown, patch: unknown): unknown {
   if (!isSection(patch)) return patch;
   const merged = new Map(Object.entries(isSection(target) ? target : {}));
   for (const [name, value] of Object.entries(patch)) {
     if (value === null) merged.delete(name);
-    else merged.set(name, mergeValue(merged.get(name), value));
+    else merged.set(name, applyMergePatch(merged.get(name), value));
   }
   return Object.fromEntries(merged);
 }
--- a/packages/celerytray/src/config/merge_config_files.ts
+++ b/packages/celerytray/src/config/merge_config_files.ts
@@ -1,4 +1,4 @@
-import mergePatch from "json-merge-patch";
+import { applyMergePatch } from "./config_patch.ts";
 import type { ConfigFile } from "./parse_config_file.ts";
 
 /** The merged folder and where each value came from. */
@@ -18,7 +18,7 @@
   const sources = new Map<string, string>();
   let content: unknown = {};
   for (const file of ordered) {
-    content = mergePatch.apply(content, structuredClone(file.content));
+    content = applyMergePatch(content, file.content);
     recordSources(sources, { file: file.name, path: "", value: file.content });
   }
   return { content, sources };
--- a/packages/celerytray/src/config/parse_config_file.ts
+++ b/packages/celerytray/src/config/parse_config_file.ts
@@ -1,5 +1,6 @@
-import { type Either, Left, Right } from "purify-ts";
+import { Either, Left, Right } from "purify-ts";
 import { parseDocument } from "yaml";
+import { isSection } from "./config_patch.ts";
 import { ConfigProblem } from "./config_problem.ts";
 
 /** One parsed file of the folder. */
@@ -8,6 +9,9 @@
   readonly content: Readonly<Record<string, unknown>>;
 }
 
+/** Aliases that a file may resolve to, against files that grow without end. */
+const MAX_ALIASES = 100;
+
 /** Parses one YAML or JSON file; a key that stands twice is a problem. */
 export function parseConfigFile(
   name: string,
@@ -25,25 +29,31 @@
     })
   );
   if (problems.length > 0) return Left(problems);
-  const content: unknown = document.toJS({ maxAliasCount: 100 }) ?? {};
-  if (!isPlainObject(content)) {
-    return Left([
-      new ConfigProblem({
-        file: name,
-        field: "",
-        message: "must hold named sections; start with a section name",
-      }),
-    ]);
-  }
-  return Right({ name, content });
+  return Either.encase<Error, unknown>(() =>
+    document.toJS({ maxAliasCount: MAX_ALIASES }) ?? {}
+  ).mapLeft(({ message }) => [
+    new ConfigProblem({
+      file: name,
+      field: "",
+      message: `${firstLine(message)}; correct the alias`,
+    }),
+  ]).chain((content) => checkSections(name, content));
 }
 
-function firstLine(text: string): string {
-  return text.split("\n")[0]!.replace(/:$/, "");
+function checkSections(
+  name: string,
+  content: unknown,
+): Either<readonly ConfigProblem[], ConfigFile> {
+  if (isSection(content)) return Right({ name, content });
+  return Left([
+    new ConfigProblem({
+      file: name,
+      field: "",
+      message: "must hold named sections; start with a section name",
+    }),
+  ]);
 }
 
-function isPlainObject(
-  value: unknown,
-): value is Readonly<Record<string, unknown>> {
-  return typeof value === "object" && value !== null && !Array.isArray(value);
+function firstLine(text: string): string {
+  return text.split("\n")[0]!.replace(/:$/, "");
 }
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -33,6 +33,7 @@
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
 import { createEntryClaims } from "./entry_claims.ts";
 import { createEntryMembership } from "./entry_membership.ts";
+import { runEntryMetrics } from "./entry_metrics.ts";
 import { createEntryOperations } from "./entry_operations.ts";
 import { LeavingDirectory } from "./leaving_directory.ts";
 import { ReadyBackends } from "./ready_backends.ts";
@@ -148,6 +149,14 @@
         describeEntryDrain(config, settings) ??
         membership.findIsolationReason(nowMs());
     const calls = new InFlightCalls();
+    yield* runEntryMetrics({
+      settings,
+      config,
+      membership,
+      calls,
+      timeline,
+      notReadyReason,
+    });
     yield* listen({
       address: settings.listenAddress,
       handler: createCallerHandler({
--- a/packages/celerytray/src/index.ts
+++ b/packages/celerytray/src/index.ts
@@ -9,6 +9,7 @@
 
 // Administration and time line
 export * from "./admin/index.ts";
+export * from "./metrics/index.ts";
 export * from "./timeline/index.ts";
 
 // Configuration
--- /dev/null
+++ b/packages/celerytray/src/metrics/index.ts
@@ -0,0 +1,7 @@
+/** Metrics of an entry instance. */
+export {
+  createMetricsSender,
+  type MetricName,
+  METRICS,
+  type MetricsSender,
+} from "./metrics_sender.ts";
--- a/packages/celerytray/src/timeline/timeline.ts
+++ b/packages/celerytray/src/timeline/timeline.ts
@@ -27,6 +27,8 @@
 /** Keeps the latest events of this process. */
 export class Timeline {
   readonly clock = new HybridClock();
+  /** Learns of each event. */
+  onRecord: (event: TimelineEvent) => void = () => {};
   readonly #process: string;
   readonly #capacity: number;
   #events: TimelineEvent[] = [];
@@ -43,7 +45,9 @@
   ): void {
     const { nowMs, ...fields } = options;
     const at = this.clock.next(nowMs);
-    this.#events.push({ at, process: this.#process, kind, ...fields });
+    const event = { at, process: this.#process, kind, ...fields };
+    this.#events.push(event);
+    this.onRecord(event);
     if (this.#events.length > 2 * this.#capacity) {
       this.#events = this.#events.slice(-this.#capacity);
     }
