--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,4 +1,7 @@
+import { configBench } from "./config/config_bench.ts";
 import { formationBench } from "./formation/formation_bench.ts";
+import { fuzzBench } from "./fuzz/fuzz_bench.ts";
+import { membershipBench } from "./membership/membership_bench.ts";
 import { routingBench } from "./routing/index.ts";
 import { slopesBench } from "./slopes/index.ts";
 
@@ -23,7 +26,10 @@
 
 /** All measurements, by name. */
 export const benches: readonly Bench[] = [
+  configBench,
   formationBench,
+  fuzzBench,
+  membershipBench,
   routingBench,
   slopesBench,
 ];
--- a/packages/celerytray/src/admin/admin_operations.ts
+++ b/packages/celerytray/src/admin/admin_operations.ts
@@ -1,8 +1,12 @@
 import type { ConfigSet } from "@celerytray/schema";
 import type { Effect } from "effect";
-import type { ConfigConflict, ConfigRejected } from "../config/index.ts";
-import type { LogAnswerLost, LogUnavailable } from "../log/index.ts";
-import type { TimelineEvent } from "../timeline/index.ts";
+import type {
+  ConfigRejected,
+  DrainTarget,
+  PublishedConfig,
+  PublishFailure,
+} from "../config/index.ts";
+import type { TimelineEvent, TimelineFilter } from "../timeline/index.ts";
 
 /** The state of one entry instance. */
 export interface EntryStatus {
@@ -51,6 +55,46 @@
   readonly author: string;
 }
 
+/** A version that was accepted. */
+export interface ConfigVersionDescription {
+  readonly version: number;
+  readonly recordId: string;
+  readonly author: string;
+  /** Log service's clock, Unix time. */
+  readonly acceptedAtMs: number;
+  /** Fields it set or removed, if still known. */
+  readonly changes?: string | undefined;
+}
+
+/** The version an entry instance has in force, or why it is not known. */
+export interface EntryVersion {
+  readonly instanceId: string;
+  readonly version?: number;
+  /** Log service's clock, Unix time. */
+  readonly acceptedAtMs?: number;
+  readonly problem?: string;
+}
+
+/** A version to return to, as a new version. */
+export interface ConfigRollback {
+  readonly version: number;
+  readonly author: string;
+}
+
+/** A drain to set or to end. */
+export interface DrainChange {
+  readonly target: DrainTarget;
+  readonly isDrained: boolean;
+  readonly author: string;
+}
+
+/** Events of all entry instances. */
+export interface MergedTimeline {
+  readonly events: readonly TimelineEvent[];
+  /** Entry instances that did not answer. */
+  readonly missing: readonly string[];
+}
+
 /** What operators can do on an entry instance. */
 export interface AdminOperations {
   readonly status: () => Effect.Effect<EntryStatus>;
@@ -58,9 +102,22 @@
   readonly showConfig: () => Effect.Effect<ConfigDescription>;
   readonly applyConfig: (
     application: ConfigApplication,
-  ) => Effect.Effect<
-    { readonly version: number; readonly changed: boolean },
-    ConfigRejected | ConfigConflict | LogUnavailable | LogAnswerLost
+  ) => Effect.Effect<PublishedConfig, ConfigRejected | PublishFailure>;
+  readonly rollbackConfig: (
+    rollback: ConfigRollback,
+  ) => Effect.Effect<PublishedConfig, ConfigRejected | PublishFailure>;
+  readonly configHistory: () => Effect.Effect<
+    readonly ConfigVersionDescription[]
   >;
-  readonly timeline: () => Effect.Effect<readonly TimelineEvent[]>;
+  /** The version in force on each entry instance. */
+  readonly configVersions: () => Effect.Effect<readonly EntryVersion[]>;
+  readonly drain: (
+    change: DrainChange,
+  ) => Effect.Effect<PublishedConfig, PublishFailure>;
+  readonly timeline: (
+    filter: TimelineFilter,
+  ) => Effect.Effect<readonly TimelineEvent[]>;
+  readonly mergedTimeline: (
+    filter: TimelineFilter,
+  ) => Effect.Effect<MergedTimeline>;
 }
--- a/packages/celerytray/src/config/check_config.ts
+++ b/packages/celerytray/src/config/check_config.ts
@@ -2,6 +2,10 @@
 import { type Either, Left, Right } from "purify-ts";
 import { describeValidationErrors } from "../errors/index.ts";
 import { ConfigProblem } from "./config_problem.ts";
+import {
+  type DanglingReference,
+  findDanglingReferences,
+} from "./find_dangling_references.ts";
 import type { MergedConfig } from "./merge_config_files.ts";
 
 /** Checks a merged folder against the schema and its own references. */
@@ -17,12 +21,23 @@
     );
   }
   const config = merged.content as ConfigSet;
-  const problems = findDanglingReferences(config).map(({ field, message }) =>
+  const problems = [
+    ...findDrainProblems(config),
+    ...findDanglingReferences(config),
+  ].map(({ field, message }) =>
     new ConfigProblem({ file: findSource(merged, field), field, message })
   );
   return problems.length > 0 ? Left(problems) : Right(config);
 }
 
+function findDrainProblems(config: ConfigSet): DanglingReference[] {
+  if (config.drains === undefined) return [];
+  return [{
+    field: "drains",
+    message: "a folder can't drain; remove it and use celerytray drain",
+  }];
+}
+
 /** The file that set a field, or the nearest one below or above it. */
 function findSource(merged: MergedConfig, field: string): string {
   const exact = merged.sources.get(field);
@@ -33,31 +48,3 @@
   const parent = field.slice(0, Math.max(0, field.lastIndexOf(".")));
   return parent === "" ? "" : findSource(merged, parent);
 }
-
-interface DanglingReference {
-  readonly field: string;
-  readonly message: string;
-}
-
-function findDanglingReferences(config: ConfigSet): DanglingReference[] {
-  const found: DanglingReference[] = [];
-  for (const [name, service] of Object.entries(config.services)) {
-    if (!Object.hasOwn(config.deployments, service.deployment)) {
-      found.push({
-        field: `services.${name}.deployment`,
-        message:
-          `no deployment is named ${service.deployment}; declare it under deployments`,
-      });
-    }
-  }
-  for (const [name, organisation] of Object.entries(config.organisations)) {
-    for (const service of organisation.services) {
-      if (Object.hasOwn(config.services, service)) continue;
-      found.push({
-        field: `organisations.${name}.services`,
-        message: `no service is named ${service}; declare it under services`,
-      });
-    }
-  }
-  return found;
-}
