--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,5 +1,8 @@
 import { claimsBench } from "./claims/claims_bench.ts";
+import { configBench } from "./config/config_bench.ts";
 import { formationBench } from "./formation/formation_bench.ts";
+import { fuzzBench } from "./fuzz/fuzz_bench.ts";
+import { membershipBench } from "./membership/membership_bench.ts";
 import { routingBench } from "./routing/index.ts";
 import { slopesBench } from "./slopes/index.ts";
 
@@ -25,7 +28,10 @@
 /** All measurements, by name. */
 export const benches: readonly Bench[] = [
   claimsBench,
+  configBench,
   formationBench,
+  fuzzBench,
+  membershipBench,
   routingBench,
   slopesBench,
 ];
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -5,12 +5,11 @@
   createInstanceDirectory,
   HttpInstanceList,
   HttpModelEngine,
-  type InstanceDirectory,
 } from "../backends/index.ts";
 import {
-  type ConfigState,
-  emptyConfigState,
-  foldConfigRecord,
+  type ConfigStream,
+  createConfigStream,
+  findEntryDrain,
 } from "../config/index.ts";
 import {
   createEngineMonitor,
@@ -26,15 +25,17 @@
   createLogWriter,
   createStreamView,
   HttpLogService,
-  type StreamView,
 } from "../log/index.ts";
 import { selectPreferred } from "../membership/index.ts";
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
 import { createAttemptState } from "./entry_attempts.ts";
 import { createEntryClaims } from "./entry_claims.ts";
+import { createEntryMembership } from "./entry_membership.ts";
+import { runEntryMetrics } from "./entry_metrics.ts";
 import { createEntryOperations } from "./entry_operations.ts";
 import { createEntryRouting } from "./entry_routing.ts";
+import { LeavingDirectory } from "./leaving_directory.ts";
 import { ReadyBackends } from "./ready_backends.ts";
 
 /** Options of an entry instance. */
@@ -66,11 +67,8 @@
       Effect.sync(() => timeline.record(kind, { ...fields, nowMs: nowMs() }));
 
     const log = new HttpLogService({ url: settings.logUrl });
-    const config = yield* createStreamView({
+    const config = yield* createConfigStream({
       log,
-      stream: "config",
-      initial: emptyConfigState(),
-      fold: foldConfigRecord,
       onChange: ({ version }, atMs) =>
         timeline.record("config.in-force", {
           detail: `version ${version}`,
@@ -97,6 +95,14 @@
       list: new HttpInstanceList({ url: settings.instanceListUrl }),
       intervalMs: settings.instanceListIntervalMs,
     });
+    const { membership, peers, transport } = yield* createEntryMembership({
+      settings,
+      secrets,
+      log,
+      config,
+      directory,
+      clock: timeline.clock,
+    });
     const engine = new HttpModelEngine();
     const reports = { note: (_observation: MemberObservation): void => {} };
     const monitor = yield* createEngineMonitor({
@@ -107,9 +113,16 @@
     });
     const maxObservationAgeMs = settings.statusIntervalMs *
       MISSED_STATUS_ROUNDS;
+    const instances = new LeavingDirectory({
+      directory,
+      config,
+      leaving: membership.leaving,
+      observations: monitor.observations,
+      nowMs,
+    });
     const backends = new ReadyBackends({
       fleet: fleet.current,
-      instances: directory.byId,
+      instances: instances.byId,
       observations: monitor.observations,
       nowMs,
       maxAgeMs: maxObservationAgeMs,
@@ -124,17 +137,28 @@
       writer: fleetWriter,
       view: fleet,
       config: () => config.current().config,
-      listInstances: directory.all,
-      instancesById: directory.byId,
+      listInstances: instances.all,
+      instancesById: instances.byId,
       observations: monitor.observations,
       isPreferred: (name) =>
-        selectPreferred(name, listEntryIds(directory)) === settings.instanceId,
+        selectPreferred(name, membership.listLiveIds()) === settings.instanceId,
       recordEvent,
     });
 
     const drainState = { isDraining: false };
-    const notReadyReason = () => findNotReadyReason(config, drainState);
+    const notReadyReason = () =>
+      findNotReadyReason(config, drainState) ??
+        describeEntryDrain(config, settings) ??
+        membership.findIsolationReason(nowMs());
     const calls = new InFlightCalls();
+    yield* runEntryMetrics({
+      settings,
+      config,
+      membership,
+      calls,
+      timeline,
+      notReadyReason,
+    });
     yield* listen({
       address: settings.listenAddress,
       handlesContinue: true,
@@ -144,7 +168,7 @@
         ...createAttemptState(),
         ...createEntryRouting({ nowMs }),
         admission: new RateAdmission({
-          shareOf: () => 1 / Math.max(1, listEntryIds(directory).length),
+          shareOf: () => 1 / Math.max(1, membership.listLiveIds().length),
         }),
         claims,
         calls,
@@ -161,10 +185,13 @@
       handler: createAdminHandler({
         secrets,
         runtime,
+        peers,
         operations: createEntryOperations({
           settings,
           config,
           fleet,
+          membership,
+          transport,
           configWriter,
           observations: monitor.observations,
           backends,
@@ -179,23 +206,27 @@
       drain: () =>
         Effect.suspend(() => {
           drainState.isDraining = true;
-          return calls.waitUntilEmpty();
+          return Effect.andThen(membership.leave(), calls.waitUntilEmpty());
         }),
     };
   });
 }
 
-function listEntryIds(directory: InstanceDirectory): string[] {
-  return directory.all()
-    .filter(({ role, state }) => role === "entry" && state === "live")
-    .map(({ instanceId }) => instanceId);
-}
-
 function findNotReadyReason(
-  config: StreamView<ConfigState>,
+  config: ConfigStream,
   drainState: { readonly isDraining: boolean },
 ): string | undefined {
   if (drainState.isDraining) return "it shuts down";
+  const problem = config.startProblem();
+  if (problem !== undefined) return problem;
   if (config.current().version === 0) return "it has no configuration yet";
   return undefined;
 }
+
+function describeEntryDrain(
+  config: ConfigStream,
+  settings: ResolvedEntrySettings,
+): string | undefined {
+  const drain = findEntryDrain(config.current().config, settings);
+  return drain === undefined ? undefined : `it is drained by ${drain}`;
+}
