--- a/packages/cli/src/local/booking_faults_test.ts
+++ b/packages/cli/src/local/booking_faults_test.ts
@@ -121,6 +121,27 @@
   expect(other?.outcome).toEqual("not-run");
 });
 
+it("refuses bookings while the log is out, and goes on reading", async () => {
+  const key = `${Date.now()}-outage`;
+  const [first, second] = cluster.entries;
+  const setLogFaults = (faults: object) =>
+    fetch(`${cluster.logUrl}/faults`, {
+      method: "POST",
+      body: JSON.stringify(faults),
+    });
+  await setLogFaults({ isOut: true });
+  const refused = await book(first!, key);
+  const read = await fetch(
+    `http://${first!.address}/services/slotbook/bookings`,
+    { headers: { authorization: `Bearer ${KEY}` } },
+  );
+  await setLogFaults({});
+  expect([refused?.status, refused?.outcome]).toEqual([503, "not-run"]);
+  expect(read.status).toEqual(200);
+  expect((await listRuns()).some((run) => run.key === key)).toEqual(false);
+  expect((await book(second!, key))?.status).toEqual(201);
+});
+
 /** Kills and stalls entry instances while bookings arrive. */
 async function disturb(entries: readonly LocalEntry[]): Promise<void> {
   const [first, second, third] = entries;
