--- a/packages/celerytray/src/config/config_patch.ts
+++ b/packages/celerytray/src/config/config_patch.ts
@@ -31,12 +31,34 @@
  */
 export function applyMergePatch(target: unknown, patch: unknown): unknown {
   if (!isSection(patch)) return patch;
-  const merged = new Map(Object.entries(isSection(target) ? target : {}));
+  const merged: Record<string, unknown> = isSection(target)
+    ? { ...target }
+    : {};
   for (const [name, value] of Object.entries(patch)) {
-    if (value === null) merged.delete(name);
-    else merged.set(name, applyMergePatch(merged.get(name), value));
+    if (value === null) {
+      delete merged[name];
+      continue;
+    }
+    const before = Object.hasOwn(merged, name) ? merged[name] : undefined;
+    setField(merged, { name, value: applyMergePatch(before, value) });
   }
-  return Object.fromEntries(merged);
+  return merged;
+}
+
+function setField(
+  target: Record<string, unknown>,
+  { name, value }: { readonly name: string; readonly value: unknown },
+): void {
+  if (name !== "__proto__") {
+    target[name] = value;
+    return;
+  }
+  Object.defineProperty(target, name, {
+    value,
+    configurable: true,
+    enumerable: true,
+    writable: true,
+  });
 }
 
 /** Whether a value merges field by field; lists and scalars replace. */
--- a/packages/celerytray/src/membership/isolation_monitor.ts
+++ b/packages/celerytray/src/membership/isolation_monitor.ts
@@ -18,13 +18,13 @@
 }
 
 /** Silence of the log after which peers are sounded. */
-const LOG_SILENCE_MS = 2_000;
+const LOG_SILENCE_MS = 1_500;
 /** Peers that stand for all. */
 const SOUNDED_PEERS = 8;
 /** Intervals in which each of them is sounded once. */
-const TURN_INTERVALS = 2;
+const TURN_INTERVALS = 4;
 /** Intervals of sounding before the outcome counts. */
-const SETTLE_INTERVALS = 4;
+const SETTLE_INTERVALS = 5;
 
 interface Sounding {
   readonly sinceMs: number;
@@ -61,7 +61,7 @@
     this.#sounding = { ...this.#sounding, peers };
   }
 
-  /** Peers to contact in this interval, besides the usual one. */
+  /** Peers to contact in this interval; none while the log answers. */
   selectSounded(
     contact: LogContact,
     options: {
--- a/packages/celerytray/src/membership/membership.ts
+++ b/packages/celerytray/src/membership/membership.ts
@@ -73,6 +73,8 @@
 const START_PEERS = 3;
 /** Peers told at once of a new version. */
 const EAGER_PEERS = 3;
+/** Rounds of sounding in which one usual exchange takes place. */
+const SOUNDING_ROUNDS = 8;
 const SUSPICION_INTERVALS = 5;
 const FORGET_INTERVALS = 120;
 const DEMAND_INTERVALS = 60;
@@ -90,6 +92,7 @@
   readonly leaving = new LeavingTable({ maxAgeMs: LEAVING_MAX_AGE_MS });
   readonly demand: DemandTable;
   readonly #options: MembershipOptions;
+  #roundCount = 0;
   /** Peers whose version this instance has reached since it lacked its own. */
   readonly #confirmedBy = new Set<string>();
 
@@ -161,15 +164,13 @@
       const nowMs = yield* Clock.currentTimeMillis;
       this.table.noteListed(listEntries(), nowMs);
       this.table.tick(nowMs);
-      const count = config.lacksConfig() ? 1 + START_PEERS : 1;
       const logReadAtMs = config.logReadAtMs();
-      const { present } = this.table;
-      const peers = new Map(
-        this.isolation.selectSounded({ nowMs, logReadAtMs }, {
-          present,
-          random,
-        }).map((peer) => [peer.instanceId, peer]),
-      );
+      const sounded = this.isolation.selectSounded({ nowMs, logReadAtMs }, {
+        present: this.table.present,
+        random,
+      });
+      const peers = new Map(sounded.map((peer) => [peer.instanceId, peer]));
+      const count = this.#countUsualPeers(sounded.length > 0);
       for (let index = 0; index < count; index++) {
         const peer = this.table.nextPeer(random);
         if (peer !== undefined) peers.set(peer.instanceId, peer);
@@ -180,6 +181,13 @@
     });
   }
 
+  #countUsualPeers(isSounding: boolean): number {
+    this.#roundCount += 1;
+    if (this.#options.config.lacksConfig()) return 1 + START_PEERS;
+    if (!isSounding) return 1;
+    return this.#roundCount % SOUNDING_ROUNDS === 0 ? 1 : 0;
+  }
+
   /** Exchanges with a peer; asks others about one that does not answer. */
   #contact(peer: Member): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
