--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -114,7 +114,7 @@
     const instances = new LeavingDirectory({
       directory,
       config,
-      leaving: membership.leaving,
+      membership,
       observations: monitor.observations,
       nowMs,
     });
--- a/packages/celerytray/src/entry/leaving_directory.ts
+++ b/packages/celerytray/src/entry/leaving_directory.ts
@@ -2,13 +2,13 @@
 import type { InstanceDirectory } from "../backends/index.ts";
 import { type ConfigStream, findInstanceDrain } from "../config/index.ts";
 import type { MemberObservation } from "../fleet/index.ts";
-import type { LeavingTable } from "../membership/index.ts";
+import type { Membership } from "../membership/index.ts";
 
 /** Sources that say a back end is leaving. */
 export interface LeavingSources {
   readonly directory: InstanceDirectory;
   readonly config: Pick<ConfigStream, "current">;
-  readonly leaving: LeavingTable;
+  readonly membership: Membership;
   readonly observations: ReadonlyMap<string, MemberObservation>;
   readonly nowMs: () => number;
 }
@@ -62,12 +62,12 @@
 
   #isLeaving(instance: Instance, nowMs: number): boolean {
     if (instance.role === "entry") return instance.state === "leaving";
-    const { config, leaving, observations } = this.#sources;
+    const { config, membership, observations } = this.#sources;
     const { instanceId } = instance;
     const saysSo = instance.state === "leaving" ||
       observations.get(instanceId)?.status.leaving === true;
-    if (saysSo) leaving.note(instanceId, nowMs);
-    return saysSo || leaving.isLeaving(instanceId, nowMs) ||
+    if (saysSo) membership.noteLeaving(instanceId, nowMs);
+    return saysSo || membership.leaving.isLeaving(instanceId, nowMs) ||
       findInstanceDrain(config.current().config, instance) !== undefined;
   }
 }
--- a/packages/celerytray/src/membership/leaving_table.ts
+++ b/packages/celerytray/src/membership/leaving_table.ts
@@ -16,13 +16,6 @@
     this.#seenAtMs.set(instanceId, Math.max(known, seenAtMs));
   }
 
-  /** Applies a peer's reports. */
-  merge(reports: readonly LeavingReport[], nowMs: number): void {
-    for (const [instanceId, ageMs] of reports) {
-      if (ageMs < this.#maxAgeMs) this.note(instanceId, nowMs - ageMs);
-    }
-  }
-
   isLeaving(instanceId: string, nowMs: number): boolean {
     const seenAtMs = this.#seenAtMs.get(instanceId);
     return seenAtMs !== undefined && nowMs - seenAtMs < this.#maxAgeMs;
--- a/packages/celerytray/src/membership/membership.ts
+++ b/packages/celerytray/src/membership/membership.ts
@@ -93,6 +93,8 @@
   readonly demand: DemandTable;
   readonly #options: MembershipOptions;
   #roundCount = 0;
+  /** Rises when something should spread at once. */
+  #newsCount = 0;
   /** Peers whose version this instance has reached since it lacked its own. */
   readonly #confirmedBy = new Set<string>();
 
@@ -128,6 +130,12 @@
     return this.isolation.findReason({ nowMs, logReadAtMs });
   }
 
+  /** Takes note of a back end that is leaving; news goes to some at once. */
+  noteLeaving(instanceId: string, nowMs: number): void {
+    if (!this.leaving.isLeaving(instanceId, nowMs)) this.#newsCount += 1;
+    this.leaving.note(instanceId, nowMs);
+  }
+
   /** Answers another instance's exchange. */
   answer(message: ExchangeMessage): Effect.Effect<ExchangeAnswer> {
     return Effect.map(Clock.currentTimeMillis, (nowMs) => {
@@ -146,7 +154,7 @@
         Effect.andThen(Effect.sleep(intervalMs)),
       );
       yield* Effect.forkScoped(Effect.forever(round));
-      yield* Effect.forkScoped(this.#spreadVersions());
+      yield* Effect.forkScoped(this.#spreadNews());
     });
   }
 
@@ -270,13 +278,16 @@
     );
   }
 
-  /** Tells some peers at once when a new version came into force. */
-  #spreadVersions(): Effect.Effect<never> {
+  /** Tells some peers at once of a new version or a leaving back end. */
+  #spreadNews(): Effect.Effect<never> {
     let spreadVersion = 0;
+    let spreadNews = 0;
     const watch = Effect.suspend(() => {
       const version = this.#options.config.version();
-      if (version === spreadVersion) return Effect.void;
+      const isNew = version !== spreadVersion || this.#newsCount !== spreadNews;
+      if (!isNew) return Effect.void;
       spreadVersion = version;
+      spreadNews = this.#newsCount;
       return this.#exchangeWithSome(EAGER_PEERS);
     });
     return Effect.forever(
@@ -314,6 +325,16 @@
     };
   }
 
+  /** A first report is passed on at once. */
+  #learnLeaving(
+    instanceId: string,
+    { ageMs, nowMs }: { readonly ageMs: number; readonly nowMs: number },
+  ): void {
+    if (ageMs >= LEAVING_MAX_AGE_MS) return;
+    if (!this.leaving.isLeaving(instanceId, nowMs)) this.#newsCount += 1;
+    this.leaving.note(instanceId, nowMs - ageMs);
+  }
+
   #observeClock({ clock }: ExchangeMessage, nowMs: number): void {
     if (clock === undefined) return;
     if (clock.physicalMs - nowMs > MAX_CLOCK_AHEAD_MS) return;
@@ -332,6 +353,8 @@
       if (state === "left") this.isolation.noteLeft(id);
     }
     this.demand.noteReport(instanceId, { report: message.demand, nowMs });
-    this.leaving.merge(message.leaving, nowMs);
+    for (const [leavingId, ageMs] of message.leaving) {
+      this.#learnLeaving(leavingId, { ageMs, nowMs });
+    }
   }
 }
