--- a/packages/cli/src/commands/config_commands_test.ts
+++ b/packages/cli/src/commands/config_commands_test.ts
@@ -76,6 +76,27 @@
     expect(history.stdout.trim().split("\n").length).toEqual(4);
   });
 
+  it("explains a request and merges the time line of all", async () => {
+    const refused = await fetch(
+      `http://${cluster.entries[1]!.address}/v1/chat/completions`,
+      { method: "POST", body: "{}" },
+    );
+    const requestId = refused.headers.get("x-request-id")!;
+    const explained = await run(["explain", requestId]);
+    expect(explained.stdout).toInclude(
+      "It was sent to no replica and failed: invalid_api_key",
+    );
+    expect(explained.stdout).toInclude("entry-kth-b request.failed");
+    const timeline = await run(["timeline"]);
+    for (const { instanceId } of cluster.entries) {
+      expect(timeline.stdout).toInclude(`${instanceId} config.in-force`);
+    }
+    const secrets = [LOCAL_OPERATOR_TOKEN, "local-peer-secret-0"];
+    for (const secret of secrets) {
+      expect(timeline.stdout.includes(secret)).toEqual(false);
+    }
+  });
+
   it("names an entry instance that has not got a version", async () => {
     cluster.entries[2]!.process.child.kill("SIGSTOP");
     const applied = await run([
