--- a/packages/bench/src/config/publish_test.ts
+++ b/packages/bench/src/config/publish_test.ts
@@ -100,18 +100,15 @@
   it("says unknown in bounded time when the answer is lost and the log goes", () =>
     run((group) =>
       Effect.gen(function* () {
-        group.get(0).logFaults.losesAnswers = true;
+        group.get(0).logFaults.goesOutAtAppend = true;
         for (const id of group.ids) {
           if (id !== "entry-0") group.entries.get(id)!.logFaults.isOut = true;
         }
         const publication = yield* Effect.forkChild(Effect.exit(
           group.publish(group.get(0), { config: BASE, recordId: "lost" }),
         ));
-        group.get(0).logFaults.isOut = false;
-        yield* TestClock.adjust(0);
-        group.get(0).logFaults.isOut = true;
-        group.log.truncate("config", 0);
         yield* TestClock.adjust(6_000);
+        expect(group.log.nextOffset("config")).toEqual(1);
         const failure = failureOf(yield* Fiber.join(publication));
         expect(failure instanceof ConfigOutcomeUnknown).toEqual(true);
       })
--- a/packages/bench/src/config/virtual_log.ts
+++ b/packages/bench/src/config/virtual_log.ts
@@ -14,6 +14,8 @@
 export interface VirtualLogFaults {
   isOut?: boolean;
   losesAnswers?: boolean;
+  /** The next append takes effect, and the log goes out with its answer. */
+  goesOutAtAppend?: boolean;
 }
 
 const POLL_MS = 20;
@@ -39,7 +41,9 @@
       const nowMs = yield* Clock.currentTimeMillis;
       const kept = JSON.parse(JSON.stringify(records)) as LogRecord[];
       const offset = this.#log.append(stream, { records: kept, nowMs });
-      if (this.#faults.losesAnswers === true) {
+      if (this.#faults.goesOutAtAppend === true) this.#faults.isOut = true;
+      const { losesAnswers, goesOutAtAppend } = this.#faults;
+      if (losesAnswers === true || goesOutAtAppend === true) {
         return yield* new LogAnswerLost({ message: "The answer was lost" });
       }
       return offset;
--- a/packages/bench/src/fuzz/fuzz_targets.ts
+++ b/packages/bench/src/fuzz/fuzz_targets.ts
@@ -5,11 +5,10 @@
 import {
   adoptConfigUpdate,
   checkConfig,
+  ClaimTable,
   type ConfigUpdate,
-  emptyClaimState,
   emptyConfigState,
   emptyFleetState,
-  foldClaimRecord,
   foldConfigRecord,
   foldFleetRecord,
   type LogEntry,
@@ -28,6 +27,7 @@
   readonly accept: (value: unknown) => boolean;
 }
 
+const CLAIM_POLICY = { windowMs: 3_600_000, maxClockErrorMs: 1_000 };
 const CONFIG = createSampleConfig();
 const YAML_PIECES = [
   "services:",
@@ -166,7 +166,7 @@
       const entry = { offset: 0, appendedAtMs: 0, record } as LogEntry;
       foldConfigRecord(emptyConfigState(), entry);
       foldFleetRecord(emptyFleetState(), entry);
-      foldClaimRecord(emptyClaimState(), entry);
+      new ClaimTable(CLAIM_POLICY).apply(entry);
       return true;
     },
   },
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -1,5 +1,4 @@
 import { Clock, Effect, type Scope } from "effect";
-import { Agent } from "node:http";
 import { RateAdmission } from "../admission/index.ts";
 import { createAdminHandler } from "../admin/index.ts";
 import {
@@ -16,8 +15,8 @@
   createEngineMonitor,
   emptyFleetState,
   foldFleetRecord,
-  GreedyPlanner,
   type MemberObservation,
+  RepairPlanner,
   runFleetController,
 } from "../fleet/index.ts";
 import { createCallerHandler, InFlightCalls } from "../forwarding/index.ts";
@@ -28,13 +27,14 @@
   HttpLogService,
 } from "../log/index.ts";
 import { selectPreferred } from "../membership/index.ts";
-import { PowerOfTwoRouter } from "../routing/index.ts";
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
+import { createAttemptState } from "./entry_attempts.ts";
 import { createEntryClaims } from "./entry_claims.ts";
 import { createEntryMembership } from "./entry_membership.ts";
 import { runEntryMetrics } from "./entry_metrics.ts";
 import { createEntryOperations } from "./entry_operations.ts";
+import { createEntryRouting } from "./entry_routing.ts";
 import { LeavingDirectory } from "./leaving_directory.ts";
 import { ReadyBackends } from "./ready_backends.ts";
 
@@ -87,6 +87,8 @@
       log,
       processId: settings.instanceId,
       partitionCount: settings.claimPartitionCount,
+      policy: settings.claimPolicy,
+      appendsPerSecond: settings.claimAppendsPerSecond,
     });
 
     const directory = yield* createInstanceDirectory({
@@ -102,12 +104,12 @@
       clock: timeline.clock,
     });
     const engine = new HttpModelEngine();
-    const reports = { note: (_replicaId: string): void => {} };
+    const reports = { note: (_observation: MemberObservation): void => {} };
     const monitor = yield* createEngineMonitor({
       engine,
       listInstances: directory.all,
       intervalMs: settings.statusIntervalMs,
-      onStatus: (observation) => reports.note(findLedReplica(observation)),
+      onStatus: (observation) => reports.note(observation),
     });
     const maxObservationAgeMs = settings.statusIntervalMs *
       MISSED_STATUS_ROUNDS;
@@ -125,12 +127,12 @@
       nowMs,
       maxAgeMs: maxObservationAgeMs,
     });
-    reports.note = (replicaId) => backends.noteReport(replicaId);
+    reports.note = (observation) => backends.noteStatus(observation);
 
     yield* runFleetController({
       processId: settings.instanceId,
       intervalMs: settings.planIntervalMs,
-      planner: new GreedyPlanner(),
+      planner: new RepairPlanner(),
       engine,
       writer: fleetWriter,
       view: fleet,
@@ -159,11 +161,12 @@
     });
     yield* listen({
       address: settings.listenAddress,
+      handlesContinue: true,
       handler: createCallerHandler({
         availabilityZone: settings.availabilityZone,
         maxBodyBytes: settings.maxBodyBytes,
-        agent: new Agent({ keepAlive: true }),
-        router: new PowerOfTwoRouter({ seed: nowMs() | 0 }),
+        ...createAttemptState(),
+        ...createEntryRouting({ nowMs }),
         admission: new RateAdmission({
           shareOf: () => 1 / Math.max(1, membership.listLiveIds().length),
         }),
@@ -209,11 +212,6 @@
   });
 }
 
-function findLedReplica(observation: MemberObservation): string {
-  const { assignment } = observation.status;
-  return assignment?.rank === 0 ? assignment.replicaId : "";
-}
-
 function findNotReadyReason(
   config: ConfigStream,
   drainState: { readonly isDraining: boolean },
--- a/packages/celerytray/src/forwarding/call_plain_service.ts
+++ b/packages/celerytray/src/forwarding/call_plain_service.ts
@@ -1,11 +1,19 @@
 import type { CallOutcome, PlainService } from "@celerytray/schema";
-import { Effect } from "effect";
+import { Clock, Deferred, Effect, Fiber } from "effect";
 import { createHash } from "node:crypto";
-import type { ClaimBusy, ClaimKeyReused } from "../claims/index.ts";
-import type { LogError } from "../log/index.ts";
-import { CallerError } from "./caller_error.ts";
+import { Left, Right } from "purify-ts";
+import type {
+  ClaimedCall,
+  ClaimFailure,
+  GrantedClaim,
+} from "../claims/index.ts";
+import { fromEither } from "../errors/index.ts";
+import { AttemptPlan } from "./attempt_plan.ts";
+import { CallerError, type CallOutcomeState } from "./caller_error.ts";
+import { chooseBackend } from "./choose_backend.ts";
 import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
 import type { PlainInstance } from "./forwarding_types.ts";
+import { parseServicePath } from "./parse_service_path.ts";
 import {
   type PlainAnswer,
   type PlainOutcome,
@@ -14,7 +22,8 @@
 
 const DEFAULT_IDEMPOTENT_METHODS = ["GET", "HEAD", "OPTIONS"];
 const DEFAULT_TIMEOUT_MS = 10_000;
-const MAX_IDEMPOTENT_ATTEMPTS = 3;
+/** Load of an attempt after one that did not run. */
+const NOT_RUN_COST_REQUESTS = 0.1;
 const RETRY_AFTER_MS = 2_000;
 const MAX_KEY_LENGTH = 255;
 const MAX_RECORDED_BODY_BYTES = 16 * 1024;
@@ -26,8 +35,19 @@
   readonly service: PlainService;
   /** Path and query below /services/NAME. */
   readonly path: string;
+  readonly timeoutMs: number;
+  readonly deadlineAtMs: number;
+  readonly plan: AttemptPlan;
 }
 
+const NOT_FOUND = new CallerError({
+  status: 404,
+  type: "invalid_request_error",
+  code: "service_not_found",
+  message: "No such service is open to you; check the name after /services/",
+  outcome: "not-run",
+});
+
 /** Passes a call to a plain service; a non-idempotent one runs at most once. */
 export function callPlainService(
   context: CallContext,
@@ -46,28 +66,27 @@
   context: CallContext,
   dependencies: ForwardingDependencies,
 ): Effect.Effect<PlainCall, CallerError> {
-  const match = /^\/services\/([^/?]+)(.*)$/.exec(context.request.url ?? "");
-  const serviceName = match?.[1] ?? "";
-  const service = context.config.services[serviceName];
-  const isOpen = context.organisation.services.includes(serviceName);
-  if (service?.kind === "plain" && isOpen) {
-    const path = match?.[2] || "/";
-    return Effect.succeed({
-      context,
-      dependencies,
-      serviceName,
-      service,
-      path,
-    });
-  }
-  return Effect.fail(
-    new CallerError({
-      status: 404,
-      type: "invalid_request_error",
-      code: "service_not_found",
-      message:
-        "No such service is open to you; check the name after /services/",
-      outcome: "not-run",
+  const target = context.request.url ?? "/";
+  return fromEither(
+    parseServicePath(target).chain(({ serviceName, path }) => {
+      const service = context.config.services[serviceName];
+      const isOpen = context.organisation.services.includes(serviceName);
+      if (service?.kind !== "plain" || !isOpen) return Left(NOT_FOUND);
+      const timeoutMs = service.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+      const deadlineAtMs = context.arrivedAtMs + timeoutMs;
+      return Right({
+        context,
+        dependencies,
+        serviceName,
+        service,
+        path,
+        timeoutMs,
+        deadlineAtMs,
+        plan: new AttemptPlan({
+          budget: dependencies.budget,
+          deadlineAtMs: () => deadlineAtMs,
+        }),
+      });
     }),
   );
 }
@@ -78,36 +97,97 @@
   return methods.includes(call.context.request.method ?? "");
 }
 
-/** Repeats on another instance until an answer arrives. */
+/**
+ * Attempts the call on one instance after another until an answer arrives.
+ * The next attempt starts when one fails, or beside one that takes long.
+ */
 function callIdempotent(
   call: PlainCall,
 ): Effect.Effect<PlainAnswer, CallerError> {
+  const delayMs = call.dependencies.hedgeDelays.get(call.serviceName)
+    .delayMs(call.timeoutMs);
+  return attemptInTurn(call, { costRequests: 0, delayMs }).pipe(
+    Effect.mapError(() => createUnansweredError(call.plan.outcome)),
+  );
+}
+
+interface Turn {
+  readonly costRequests: number;
+  readonly delayMs: number;
+}
+
+function attemptInTurn(
+  call: PlainCall,
+  turn: Turn,
+): Effect.Effect<PlainAnswer, PlainOutcome | undefined> {
   return Effect.gen(function* () {
-    const tried = new Set<string>();
-    let last: PlainOutcome | undefined;
-    while (tried.size < MAX_IDEMPOTENT_ATTEMPTS) {
-      const instance = chooseInstance(call, tried);
-      if (instance === undefined) break;
-      tried.add(instance.replicaId);
-      last = yield* attemptOn(instance, call);
-      if (last.kind === "answered") return last.answer;
-    }
-    return yield* createUnansweredError(last);
+    const instance = yield* allowAttempt(call, turn.costRequests);
+    if (instance === undefined) return yield* Effect.fail(undefined);
+    const failed = yield* Deferred.make<PlainOutcome>();
+    const attempt = Effect.flatMap(attemptOn(instance, call), (outcome) => {
+      if (outcome.kind === "answered") return Effect.succeed(outcome.answer);
+      Deferred.doneUnsafe(failed, Effect.succeed(outcome));
+      return Effect.fail(outcome);
+    });
+    const whenFailed = Effect.map(
+      Deferred.await(failed),
+      ({ kind }) => kind === "not-run" ? NOT_RUN_COST_REQUESTS : 1,
+    );
+    const whenSlow = Effect.as(Effect.sleep(turn.delayMs), undefined);
+    const next = Effect.gen(function* () {
+      const failureCost = yield* Effect.raceFirst(whenFailed, whenSlow);
+      const costRequests = failureCost ?? 1;
+      const answer = yield* attemptInTurn(call, { ...turn, costRequests });
+      if (failureCost === undefined) yield* noteSlow(instance, call);
+      return answer;
+    });
+    return yield* Effect.race(attempt, next);
+  });
+}
+
+/** Takes note of an instance that another one overtook. */
+function noteSlow(
+  instance: PlainInstance,
+  call: PlainCall,
+): Effect.Effect<void> {
+  const { dependencies } = call;
+  return Effect.map(Clock.currentTimeMillis, (nowMs) => {
+    dependencies.failures.get(call.serviceName).noteFailure(
+      instance.replicaId,
+      nowMs,
+    );
+    dependencies.pools.discard(instance.address);
+  });
+}
+
+/** Chooses an instance for one more attempt, if the plan allows one. */
+function allowAttempt(
+  call: PlainCall,
+  costRequests: number,
+): Effect.Effect<PlainInstance | undefined> {
+  return Effect.map(Clock.currentTimeMillis, (nowMs) => {
+    const instance = chooseInstance(call, nowMs);
+    if (instance === undefined) return undefined;
+    if (call.plan.allow(costRequests, nowMs).isLeft()) return undefined;
+    call.plan.tried.add(instance.replicaId);
+    return instance;
   });
 }
 
 /** Sends the call at most once; with a key, only after its claim is granted. */
 function callOnce(call: PlainCall): Effect.Effect<PlainAnswer, CallerError> {
-  const key = call.context.request.headers["idempotency-key"];
-  if (key === undefined) {
+  const keys = call.context.request.headersDistinct["idempotency-key"];
+  if (keys === undefined) {
     return Effect.flatMap(sendOnce(call), toAnswer);
   }
-  if (typeof key !== "string" || key.length > MAX_KEY_LENGTH || key === "") {
+  const [key = ""] = keys;
+  if (keys.length > 1 || key.length > MAX_KEY_LENGTH || key === "") {
     return Effect.fail(
       createClaimError({
         status: 400,
         code: "invalid_idempotency_key",
-        message: `Idempotency-Key must have 1 to ${MAX_KEY_LENGTH} characters`,
+        message:
+          `Send one Idempotency-Key of 1 to ${MAX_KEY_LENGTH} characters`,
       }),
     );
   }
@@ -125,64 +205,117 @@
     key,
     requestSha256: digestRequest(call),
   };
+  const waitMs = call.service.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  return Effect.uninterruptibleMask((restore) =>
+    Effect.gen(function* () {
+      const decision = yield* restore(claims.claim(claimed, { waitMs })).pipe(
+        Effect.mapError(toClaimCallerError),
+      );
+      if (decision.kind === "done") {
+        return yield* replayOutcome(decision.outcome);
+      }
+      const sending = yield* Effect.forkDetach(
+        sendGranted(call, { claimed, granted: decision }),
+      );
+      return yield* restore(Fiber.join(sending));
+    })
+  );
+}
+
+/** Goes on without its caller, so that the outcome is recorded. */
+function sendGranted(
+  call: PlainCall,
+  options: { readonly claimed: ClaimedCall; readonly granted: GrantedClaim },
+): Effect.Effect<PlainAnswer, CallerError> {
+  const { calls, claims } = call.dependencies;
+  const { claimed, granted } = options;
   return Effect.gen(function* () {
-    const decision = yield* claims.claim(claimed).pipe(
-      Effect.mapError(toClaimCallerError),
-    );
-    if (decision.kind === "done") return yield* replayOutcome(decision.outcome);
-    const { claimRecordId } = decision;
-    const outcome = yield* sendOnce(call);
+    calls.begin();
+    const outcome = yield* sendOnce(call, granted);
     yield* claims.recordOutcome(
-      { key: claimed, claimRecordId },
+      { key: claimed, claimRecordId: granted.claimRecordId },
       toCallOutcome(outcome),
     );
     return yield* toAnswer(outcome);
-  });
+  }).pipe(Effect.ensuring(Effect.sync(() => calls.end())));
 }
 
-function sendOnce(call: PlainCall): Effect.Effect<PlainOutcome> {
-  const instance = chooseInstance(call, new Set());
-  if (instance === undefined) {
-    return Effect.succeed({ kind: "not-run", message: "no instance is live" });
-  }
-  return attemptOn(instance, call);
+/** Sends the call; another instance gets it only if it surely did not run. */
+function sendOnce(
+  call: PlainCall,
+  granted?: GrantedClaim,
+): Effect.Effect<PlainOutcome> {
+  return Effect.gen(function* () {
+    let last: PlainOutcome = {
+      kind: "not-run",
+      message: "No instance is live",
+    };
+    while (last.kind === "not-run") {
+      const instance = yield* allowAttempt(call, NOT_RUN_COST_REQUESTS);
+      if (instance === undefined) return last;
+      last = yield* attemptOn(instance, { ...call, ...granted });
+    }
+    return last;
+  });
 }
 
 function chooseInstance(
   call: PlainCall,
-  tried: ReadonlySet<string>,
+  nowMs: number,
 ): PlainInstance | undefined {
-  const { dependencies, serviceName } = call;
-  const candidates = dependencies.listPlainInstances(serviceName).filter((
-    instance,
-  ) => !tried.has(instance.replicaId));
-  return dependencies.router.choose(candidates, {
-    availabilityZone: dependencies.availabilityZone,
+  const { dependencies, serviceName, plan } = call;
+  return chooseBackend(dependencies.listPlainInstances(serviceName), {
+    dependencies,
+    service: serviceName,
+    triedIds: plan.tried,
+    call: { availabilityZone: dependencies.availabilityZone },
+    nowMs,
   });
 }
 
 function attemptOn(
   instance: PlainInstance,
-  call: PlainCall,
+  call: PlainCall & Partial<GrantedClaim>,
 ): Effect.Effect<PlainOutcome> {
-  const { context, dependencies } = call;
+  const { context, dependencies, plan, fencingNumber, mayDispatch } = call;
   const { requestId } = context;
+  const { address, replicaId } = instance;
   return Effect.gen(function* () {
-    const note = { requestId, instanceId: instance.replicaId };
+    const note = { requestId, instanceId: replicaId };
     yield* dependencies.recordEvent("attempt.started", note);
+    dependencies.noteSent(replicaId);
+    const startedAtMs = yield* Clock.currentTimeMillis;
     const outcome = yield* runPlainAttempt({
-      address: instance.address,
+      address,
       method: context.request.method ?? "GET",
       path: call.path,
       headers: context.request.headers,
       body: context.body,
       requestId,
-      timeoutMs: call.service.timeoutMs ?? DEFAULT_TIMEOUT_MS,
-      ...(isIdempotent(call) ? { agent: dependencies.agent } : {}),
+      timeoutMs: call.deadlineAtMs - startedAtMs,
+      ...(isIdempotent(call)
+        ? { agent: dependencies.pools.agentFor(address) }
+        : {}),
+      ...(fencingNumber === undefined ? {} : { fencingNumber }),
+      ...(mayDispatch === undefined ? {} : { mayDispatch }),
     });
+    const nowMs = yield* Clock.currentTimeMillis;
+    if (outcome.kind === "answered") {
+      dependencies.failures.get(call.serviceName).noteAnswer(replicaId);
+      dependencies.hedgeDelays.get(call.serviceName)
+        .noteAnswer(nowMs - startedAtMs);
+    } else {
+      plan.noteOutcome(outcome.kind);
+      dependencies.failures.get(call.serviceName).noteFailure(replicaId, nowMs);
+      dependencies.pools.discard(address);
+    }
     yield* dependencies.recordEvent(`attempt.${outcome.kind}`, note);
     return outcome;
-  });
+  }).pipe(
+    Effect.onInterrupt(() =>
+      Effect.sync(() => dependencies.pools.discard(address))
+    ),
+  );
 }
 
 function digestRequest(call: PlainCall): string {
@@ -195,12 +328,13 @@
 
 function toCallOutcome(outcome: PlainOutcome): CallOutcome {
   if (outcome.kind !== "answered") return { state: outcome.kind };
-  const { status, body, contentType } = outcome.answer;
+  const { status, body, headers } = outcome.answer;
+  const contentType = headers["content-type"];
   return {
     state: "ran",
     status,
     bodySha256: createHash("sha256").update(body).digest("hex"),
-    ...(contentType === undefined ? {} : { contentType }),
+    ...(typeof contentType === "string" ? { contentType } : {}),
     ...(body.length > MAX_RECORDED_BODY_BYTES
       ? {}
       : { bodyBase64: body.toString("base64") }),
@@ -210,22 +344,28 @@
 function replayOutcome(
   outcome: CallOutcome,
 ): Effect.Effect<PlainAnswer, CallerError> {
-  if (outcome.state === "ran" && outcome.status !== undefined) {
+  const { state, status, bodyBase64, bodySha256 } = outcome;
+  if (state === "ran" && status !== undefined && bodyBase64 !== undefined) {
     return Effect.succeed({
-      status: outcome.status,
-      contentType: outcome.contentType,
-      body: Buffer.from(outcome.bodyBase64 ?? "", "base64"),
+      status,
+      headers: outcome.contentType === undefined
+        ? {}
+        : { "content-type": outcome.contentType },
+      body: Buffer.from(bodyBase64, "base64"),
     });
   }
+  if (state === "ran" && status === undefined) {
+    return Effect.fail(createUnansweredError("ran"));
+  }
   return Effect.fail(
     new CallerError({
       status: 409,
       type: "invalid_request_error",
-      code: "idempotency_key_spent",
-      message: outcome.state === "not-run"
-        ? "The first call with this key did not run; send it with a new key"
+      code: state === "ran" ? "answer_not_kept" : "outcome_unknown",
+      message: state === "ran"
+        ? `The first call with this key ran and was answered ${status}; the answer (SHA-256 ${bodySha256}) was too large to keep, read it from the service`
         : "The outcome of the first call with this key is unknown; ask the service before a new key is used",
-      outcome: outcome.state,
+      outcome: state,
     }),
   );
 }
@@ -234,26 +374,42 @@
   outcome: PlainOutcome,
 ): Effect.Effect<PlainAnswer, CallerError> {
   if (outcome.kind === "answered") return Effect.succeed(outcome.answer);
-  return Effect.fail(createUnansweredError(outcome));
+  return Effect.fail(createUnansweredError(outcome.kind));
 }
 
-function createUnansweredError(outcome: PlainOutcome | undefined): CallerError {
-  const isUnknown = outcome?.kind === "unknown";
-  return new CallerError({
-    status: isUnknown ? 504 : 503,
-    type: "server_error",
-    code: isUnknown ? "outcome_unknown" : "no_instance",
-    message: isUnknown
-      ? "The service did not answer and may have run the call; ask it before a retry"
-      : "No instance of the service could take the call; retry later",
-    outcome: isUnknown ? "unknown" : "not-run",
-    ...(isUnknown ? {} : { retryAfterMs: RETRY_AFTER_MS }),
-  });
+function createUnansweredError(outcome: CallOutcomeState): CallerError {
+  switch (outcome) {
+    case "ran":
+      return new CallerError({
+        status: 502,
+        type: "server_error",
+        code: "answer_lost",
+        message:
+          "The service ran the call, but its answer did not arrive whole; ask it before a retry",
+        outcome,
+      });
+    case "unknown":
+      return new CallerError({
+        status: 504,
+        type: "server_error",
+        code: "outcome_unknown",
+        message:
+          "The service did not answer and may have run the call; ask it before a retry",
+        outcome,
+      });
+    case "not-run":
+      return new CallerError({
+        status: 503,
+        type: "server_error",
+        code: "no_instance",
+        message: "No instance of the service could take the call; retry later",
+        outcome,
+        retryAfterMs: RETRY_AFTER_MS,
+      });
+  }
 }
 
-function toClaimCallerError(
-  error: ClaimBusy | ClaimKeyReused | LogError,
-): CallerError {
+function toClaimCallerError(error: ClaimFailure): CallerError {
   const { message } = error;
   switch (error._tag) {
     case "ClaimKeyReused":
@@ -262,23 +418,34 @@
         code: "idempotency_key_reused",
         message,
       });
+    case "ClaimKeyRefused":
+      return new CallerError({
+        status: 400,
+        type: "invalid_request_error",
+        code: "idempotency_key_refused",
+        message,
+        outcome: error.reason === "too-old" ? "unknown" : "not-run",
+      });
     case "ClaimBusy":
+    case "ClaimOutcomeUnknown":
       return new CallerError({
         status: 409,
         type: "invalid_request_error",
-        code: "idempotency_key_in_use",
+        code: error._tag === "ClaimBusy"
+          ? "idempotency_key_in_use"
+          : "outcome_unknown",
         message,
         outcome: "unknown",
-        retryAfterMs: RETRY_AFTER_MS,
+        ...(error._tag === "ClaimBusy" ? { retryAfterMs: RETRY_AFTER_MS } : {}),
       });
-    default:
+    case "ClaimUnavailable":
       return new CallerError({
         status: 503,
         type: "server_error",
         code: "claim_unavailable",
-        message: "The call could not be claimed; retry with the same key",
+        message,
         outcome: "not-run",
-        retryAfterMs: RETRY_AFTER_MS,
+        retryAfterMs: error.retryAfterMs,
       });
   }
 }
@@ -298,13 +465,13 @@
 }
 
 function writeAnswer(context: CallContext, answer: PlainAnswer): void {
-  const { response } = context;
+  const { request, response } = context;
+  const isBodiless = request.method === "HEAD" || answer.status === 204 ||
+    answer.status === 304;
   response.writeHead(answer.status, {
-    "content-length": answer.body.length,
+    ...answer.headers,
+    ...(isBodiless ? {} : { "content-length": answer.body.length }),
     "celerytray-outcome": "ran",
-    ...(answer.contentType === undefined
-      ? {}
-      : { "content-type": answer.contentType }),
   });
-  response.end(answer.body);
+  response.end(isBodiless ? undefined : answer.body);
 }
