--- a/packages/celerytray/src/admin/admin_operations.ts
+++ b/packages/celerytray/src/admin/admin_operations.ts
@@ -18,6 +18,10 @@
   /** Log service's clock, Unix time. */
   readonly configAcceptedAtMs: number;
   readonly callsInFlight: number;
+  /** Entry instances seen live, this one included. */
+  readonly liveEntries: readonly string[];
+  /** What is drained, as KIND:NAME. */
+  readonly drains: readonly string[];
   readonly services: readonly ServiceStatus[];
 }
 
--- a/packages/celerytray/src/admin/admin_procedures.ts
+++ b/packages/celerytray/src/admin/admin_procedures.ts
@@ -1,4 +1,5 @@
 import { initTRPC, TRPCError } from "@trpc/server";
+import { ConfigConflict } from "../config/index.ts";
 
 /** Who asks. */
 export type AdminRole = "viewer" | "operator" | "peer";
@@ -9,7 +10,23 @@
 }
 
 /** The trpc instance of the administration server. */
-export const trpc = initTRPC.context<AdminContext>().create();
+export const trpc = initTRPC.context<AdminContext>().create({
+  errorFormatter: ({ shape, error }) => ({
+    ...shape,
+    data: {
+      code: shape.data.code,
+      httpStatus: shape.data.httpStatus,
+      conflict: describeConflict(error.cause),
+    },
+  }),
+});
+
+/** What came first, for programs; undefined for other failures. */
+function describeConflict(cause: unknown) {
+  if (!(cause instanceof ConfigConflict)) return undefined;
+  const { refinedVersion, currentVersion, currentAuthor, otherChanges } = cause;
+  return { refinedVersion, currentVersion, currentAuthor, otherChanges };
+}
 
 /** A procedure for some roles. */
 export function createProcedure(roles: readonly AdminRole[]) {
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -190,6 +190,7 @@
           settings,
           config,
           fleet,
+          directory,
           membership,
           transport,
           configWriter,
--- a/packages/celerytray/src/entry/entry_config_operations.ts
+++ b/packages/celerytray/src/entry/entry_config_operations.ts
@@ -19,6 +19,7 @@
   removeDrain,
 } from "../config/index.ts";
 import { fromEither } from "../errors/index.ts";
+import { listOtherEntries } from "./entry_membership.ts";
 import type { EntryParts } from "./entry_operations.ts";
 
 type ConfigOperations = Pick<
@@ -31,6 +32,12 @@
   | "drain"
 >;
 
+const CONCURRENT_READS = 16;
+/** Others may exist as long as the instance list was not read. */
+const LIST_NOT_READ: EntryVersion = {
+  instanceId: "(others)",
+  problem: "The instance list was not read yet; check its address",
+};
 /** Tries of a drain against other operators' changes. */
 const DRAIN_TRIES = 5;
 
@@ -165,11 +172,8 @@
     version,
     acceptedAtMs,
   };
-  const others = parts.membership.table.members.filter(({ state }) =>
-    state !== "left"
-  );
   return Effect.forEach(
-    others,
+    listOthers(parts),
     ({ instanceId, adminAddress }) =>
       parts.transport.readVersion(adminAddress).pipe(
         Effect.map((read) => ({ instanceId, ...read })),
@@ -177,6 +181,28 @@
           Effect.succeed({ instanceId, problem: message })
         ),
       ),
-    { concurrency: 16 },
-  ).pipe(Effect.map((versions): EntryVersion[] => [self, ...versions]));
+    { concurrency: CONCURRENT_READS },
+  ).pipe(
+    Effect.map((versions): EntryVersion[] =>
+      parts.directory.readAtMs() === undefined
+        ? [self, ...versions, LIST_NOT_READ]
+        : [self, ...versions]
+    ),
+  );
+}
+
+/** Those on the instance list, and those that exchanges told of. */
+function listOthers(parts: EntryParts) {
+  const { directory, membership, settings } = parts;
+  const others = new Map(
+    listOtherEntries(directory, settings.instanceId).map((entry) => [
+      entry.instanceId,
+      entry,
+    ]),
+  );
+  for (const member of membership.table.members) {
+    if (member.state === "left") others.delete(member.instanceId);
+    else others.set(member.instanceId, member);
+  }
+  return [...others.values()];
 }
--- a/packages/celerytray/src/entry/entry_membership.ts
+++ b/packages/celerytray/src/entry/entry_membership.ts
@@ -129,7 +129,8 @@
   });
 }
 
-function listOtherEntries(directory: InstanceDirectory, selfId: string) {
+/** The other entry instances on the instance list. */
+export function listOtherEntries(directory: InstanceDirectory, selfId: string) {
   return directory.all().flatMap((instance) => {
     const { role, state, instanceId, adminAddress } = instance;
     const isOther = role === "entry" && state === "live" &&
--- a/packages/celerytray/src/entry/entry_metrics.ts
+++ b/packages/celerytray/src/entry/entry_metrics.ts
@@ -4,7 +4,7 @@
 import type { Membership } from "../membership/index.ts";
 import { createMetricsSender } from "../metrics/index.ts";
 import type { ResolvedEntrySettings } from "../settings/index.ts";
-import type { Timeline } from "../timeline/index.ts";
+import { logEvent, type Timeline } from "../timeline/index.ts";
 
 /** What the metrics of an entry instance are read from. */
 export interface EntryMetricsOptions {
@@ -25,7 +25,10 @@
   return Effect.gen(function* () {
     const { settings, config, membership, calls, timeline } = options;
     const sender = yield* createMetricsSender(settings);
-    timeline.onRecord = ({ kind }) => sender.count("timeline.events", { kind });
+    timeline.onRecord = (event) => {
+      sender.count("timeline.events", { kind: event.kind });
+      logEvent(event);
+    };
     const send = Effect.map(Clock.currentTimeMillis, (nowMs) => {
       const isReady = options.notReadyReason() === undefined;
       sender.gauge("config.version", config.current().version);
--- a/packages/celerytray/src/entry/entry_operations.ts
+++ b/packages/celerytray/src/entry/entry_operations.ts
@@ -5,6 +5,7 @@
   ReplicaDescription,
   TrpcPeerTransport,
 } from "../admin/index.ts";
+import type { InstanceDirectory } from "../backends/index.ts";
 import type { ConfigStream } from "../config/index.ts";
 import {
   findReplicaHealth,
@@ -24,6 +25,7 @@
 export interface EntryParts {
   readonly settings: ResolvedEntrySettings;
   readonly config: ConfigStream;
+  readonly directory: InstanceDirectory;
   readonly membership: Membership;
   readonly transport: TrpcPeerTransport;
   readonly fleet: StreamView<FleetState>;
@@ -66,6 +68,8 @@
     configVersion: version,
     configAcceptedAtMs: acceptedAtMs,
     callsInFlight: parts.calls.count,
+    liveEntries: parts.membership.listLiveIds(),
+    drains: Object.keys(config.drains ?? {}),
     services,
   };
 }
--- a/packages/celerytray/src/timeline/index.ts
+++ b/packages/celerytray/src/timeline/index.ts
@@ -4,6 +4,7 @@
   type TimelineEvent,
   type TimelineFields,
 } from "./timeline.ts";
+export { logEvent, useJsonLogs } from "./event_log.ts";
 export {
   mergeEvents,
   selectEvents,
--- a/packages/cli/src/commands/config_commands_test.ts
+++ b/packages/cli/src/commands/config_commands_test.ts
@@ -66,6 +66,17 @@
     expect(second.stderr).toInclude("services.slotbook.replicaCount = 5");
   });
 
+  it("hands a conflict to programs as data", async () => {
+    const { config } = await cluster.admin(cluster.entries[0]!).showConfig
+      .query();
+    const conflict = await cluster.admin(cluster.entries[0]!).applyConfig
+      .mutate({ config, author: "bina", refinesVersion: 1 })
+      .catch((error) => error.data.conflict);
+    expect(conflict.refinedVersion).toEqual(1);
+    expect(conflict.currentVersion).toEqual(2);
+    expect(conflict.otherChanges.length).toEqual(1);
+  });
+
   it("returns to an earlier version by a new one", async () => {
     const rolledBack = await run(["config", "rollback", "1"]);
     expect(rolledBack.stdout).toInclude("Version 3 is in force");
--- a/packages/cli/src/commands/serve_command.ts
+++ b/packages/cli/src/commands/serve_command.ts
@@ -3,6 +3,7 @@
   listSettings,
   parseEntrySettings,
   readSecrets,
+  useJsonLogs,
 } from "celerytray";
 import { Command, Option } from "clipanion";
 import createDebug from "debug";
@@ -63,6 +64,7 @@
     const settings = yield* fromEither(
       parseEntrySettings({ flags, environment }),
     );
+    useJsonLogs({ process: settings.instanceId });
     const secrets = yield* fromEither(readSecrets(environment));
     const entry = yield* createEntryInstance({ settings, secrets });
     debug("serving callers on %s", settings.listenAddress);
--- a/packages/cli/src/commands/view_commands.ts
+++ b/packages/cli/src/commands/view_commands.ts
@@ -21,6 +21,8 @@
       `ready          ${status.notReadyReason ?? "yes"}`,
       `configuration  version ${status.configVersion} since ${since}`,
       `in flight      ${status.callsInFlight} calls`,
+      `live           ${status.liveEntries.join(", ")}`,
+      `drained        ${status.drains.join(", ") || "nothing"}`,
     ];
     const table = formatTable(
       ["SERVICE", "KIND", "READY", "WANTED"],
--- a/packages/cli/src/local/start_local_cluster.ts
+++ b/packages/cli/src/local/start_local_cluster.ts
@@ -18,6 +18,8 @@
   readonly tokenIntervalMs?: number;
   /** Further flags of each entry instance. */
   readonly entryFlags?: readonly string[];
+  /** Further environment variables of each entry instance. */
+  readonly entryEnvironment?: Readonly<Record<string, string>>;
 }
 
 /** An entry instance of a local cluster. */
@@ -246,7 +248,7 @@
   return startLocalProcess({
     name: instance.instanceId,
     program: "celerytray",
-    environment: LOCAL_SECRETS,
+    environment: { ...LOCAL_SECRETS, ...options.entryEnvironment },
     args: [
       "serve",
       "--instance-id",
