--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -116,7 +116,7 @@
     const instances = new LeavingDirectory({
       directory,
       config,
-      leaving: membership.leaving,
+      membership,
       observations: monitor.observations,
       nowMs,
     });
@@ -190,6 +190,7 @@
           settings,
           config,
           fleet,
+          directory,
           membership,
           transport,
           configWriter,
--- a/packages/celerytray/src/membership/membership.ts
+++ b/packages/celerytray/src/membership/membership.ts
@@ -73,6 +73,8 @@
 const START_PEERS = 3;
 /** Peers told at once of a new version. */
 const EAGER_PEERS = 3;
+/** Rounds of sounding in which one usual exchange takes place. */
+const SOUNDING_ROUNDS = 8;
 const SUSPICION_INTERVALS = 5;
 const FORGET_INTERVALS = 120;
 const DEMAND_INTERVALS = 60;
@@ -90,6 +92,9 @@
   readonly leaving = new LeavingTable({ maxAgeMs: LEAVING_MAX_AGE_MS });
   readonly demand: DemandTable;
   readonly #options: MembershipOptions;
+  #roundCount = 0;
+  /** Rises when something should spread at once. */
+  #newsCount = 0;
   /** Peers whose version this instance has reached since it lacked its own. */
   readonly #confirmedBy = new Set<string>();
 
@@ -125,6 +130,12 @@
     return this.isolation.findReason({ nowMs, logReadAtMs });
   }
 
+  /** Takes note of a back end that is leaving; news goes to some at once. */
+  noteLeaving(instanceId: string, nowMs: number): void {
+    if (!this.leaving.isLeaving(instanceId, nowMs)) this.#newsCount += 1;
+    this.leaving.note(instanceId, nowMs);
+  }
+
   /** Answers another instance's exchange. */
   answer(message: ExchangeMessage): Effect.Effect<ExchangeAnswer> {
     return Effect.map(Clock.currentTimeMillis, (nowMs) => {
@@ -143,7 +154,7 @@
         Effect.andThen(Effect.sleep(intervalMs)),
       );
       yield* Effect.forkScoped(Effect.forever(round));
-      yield* Effect.forkScoped(this.#spreadVersions());
+      yield* Effect.forkScoped(this.#spreadNews());
     });
   }
 
@@ -161,15 +172,13 @@
       const nowMs = yield* Clock.currentTimeMillis;
       this.table.noteListed(listEntries(), nowMs);
       this.table.tick(nowMs);
-      const count = config.lacksConfig() ? 1 + START_PEERS : 1;
       const logReadAtMs = config.logReadAtMs();
-      const { present } = this.table;
-      const peers = new Map(
-        this.isolation.selectSounded({ nowMs, logReadAtMs }, {
-          present,
-          random,
-        }).map((peer) => [peer.instanceId, peer]),
-      );
+      const sounded = this.isolation.selectSounded({ nowMs, logReadAtMs }, {
+        present: this.table.present,
+        random,
+      });
+      const peers = new Map(sounded.map((peer) => [peer.instanceId, peer]));
+      const count = this.#countUsualPeers(sounded.length > 0);
       for (let index = 0; index < count; index++) {
         const peer = this.table.nextPeer(random);
         if (peer !== undefined) peers.set(peer.instanceId, peer);
@@ -180,6 +189,13 @@
     });
   }
 
+  #countUsualPeers(isSounding: boolean): number {
+    this.#roundCount += 1;
+    if (this.#options.config.lacksConfig()) return 1 + START_PEERS;
+    if (!isSounding) return 1;
+    return this.#roundCount % SOUNDING_ROUNDS === 0 ? 1 : 0;
+  }
+
   /** Exchanges with a peer; asks others about one that does not answer. */
   #contact(peer: Member): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
@@ -262,13 +278,16 @@
     );
   }
 
-  /** Tells some peers at once when a new version came into force. */
-  #spreadVersions(): Effect.Effect<never> {
+  /** Tells some peers at once of a new version or a leaving back end. */
+  #spreadNews(): Effect.Effect<never> {
     let spreadVersion = 0;
+    let spreadNews = 0;
     const watch = Effect.suspend(() => {
       const version = this.#options.config.version();
-      if (version === spreadVersion) return Effect.void;
+      const isNew = version !== spreadVersion || this.#newsCount !== spreadNews;
+      if (!isNew) return Effect.void;
       spreadVersion = version;
+      spreadNews = this.#newsCount;
       return this.#exchangeWithSome(EAGER_PEERS);
     });
     return Effect.forever(
@@ -306,6 +325,16 @@
     };
   }
 
+  /** A first report is passed on at once. */
+  #learnLeaving(
+    instanceId: string,
+    { ageMs, nowMs }: { readonly ageMs: number; readonly nowMs: number },
+  ): void {
+    if (ageMs >= LEAVING_MAX_AGE_MS) return;
+    if (!this.leaving.isLeaving(instanceId, nowMs)) this.#newsCount += 1;
+    this.leaving.note(instanceId, nowMs - ageMs);
+  }
+
   #observeClock({ clock }: ExchangeMessage, nowMs: number): void {
     if (clock === undefined) return;
     if (clock.physicalMs - nowMs > MAX_CLOCK_AHEAD_MS) return;
@@ -324,6 +353,8 @@
       if (state === "left") this.isolation.noteLeft(id);
     }
     this.demand.noteReport(instanceId, { report: message.demand, nowMs });
-    this.leaving.merge(message.leaving, nowMs);
+    for (const [leavingId, ageMs] of message.leaving) {
+      this.#learnLeaving(leavingId, { ageMs, nowMs });
+    }
   }
 }
