--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -15,8 +15,6 @@
 } from "../config/index.ts";
 import {
   createEngineMonitor,
-  emptyFleetState,
-  foldFleetRecord,
   type MemberObservation,
   RepairPlanner,
   runFleetController,
@@ -34,6 +32,7 @@
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
 import { createEntryClaims } from "./entry_claims.ts";
+import { createEntryFleet } from "./entry_fleet.ts";
 import { createEntryOperations } from "./entry_operations.ts";
 import { ReadyBackends } from "./ready_backends.ts";
 
@@ -77,12 +76,6 @@
           nowMs: atMs,
         }),
     });
-    const fleet = yield* createStreamView({
-      log,
-      stream: "fleet",
-      initial: emptyFleetState(),
-      fold: foldFleetRecord,
-    });
     const configWriter = yield* createLogWriter({ log, stream: "config" });
     const fleetWriter = yield* createLogWriter({ log, stream: "fleet" });
     const claims = yield* createEntryClaims({
@@ -95,6 +88,12 @@
       list: new HttpInstanceList({ url: settings.instanceListUrl }),
       intervalMs: settings.instanceListIntervalMs,
     });
+    const isPreferred = (name: string) =>
+      selectPreferred(name, listEntryIds(directory)) === settings.instanceId;
+    const fleet = yield* createEntryFleet({
+      log,
+      isPreferred: () => isPreferred("snapshots"),
+    });
     const engine = new HttpModelEngine();
     const reports = { note: (_replicaId: string): void => {} };
     const monitor = yield* createEngineMonitor({
@@ -125,13 +124,13 @@
       listInstances: directory.all,
       instancesById: directory.byId,
       observations: monitor.observations,
-      isPreferred: (name) =>
-        selectPreferred(name, listEntryIds(directory)) === settings.instanceId,
+      isPreferred,
       recordEvent,
     });
 
     const drainState = { isDraining: false };
-    const notReadyReason = () => findNotReadyReason(config, drainState);
+    const notReadyReason = () =>
+      findNotReadyReason(config, drainState) ?? fleet.failedReason();
     const calls = new InFlightCalls();
     yield* listen({
       address: settings.listenAddress,
--- a/packages/celerytray/src/fleet/create_orders.ts
+++ b/packages/celerytray/src/fleet/create_orders.ts
@@ -1,7 +1,11 @@
 import type { EngineOrder, Instance, ModelService } from "@celerytray/schema";
 import { HashMap } from "effect";
 import type { FleetState, Replica } from "./fold_fleet_record.ts";
-import { matchesReplica, type MemberObservation } from "./replica_health.ts";
+import {
+  holdsOtherRank,
+  matchesReplica,
+  type MemberObservation,
+} from "./replica_health.ts";
 
 /** An order and the instance it goes to. */
 export interface AddressedOrder {
@@ -32,7 +36,8 @@
       const seen = input.observations.get(member);
       const instance = input.instances.get(member);
       if (seen === undefined || instance === undefined) continue;
-      if (matchesReplica(seen.status, replica)) continue;
+      const { status } = seen;
+      if (matchesReplica(status, replica) && !holdsOtherRank(status)) continue;
       const order = createJoinOrder(replica, { member, service, input });
       orders.push({ instanceId: member, address: instance.address, order });
     }
--- a/packages/celerytray/src/fleet/index.ts
+++ b/packages/celerytray/src/fleet/index.ts
@@ -8,6 +8,7 @@
   foldFleetRecord,
   type Replica,
 } from "./fold_fleet_record.ts";
+export { fleetSnapshotCodec } from "./fleet_snapshot.ts";
 
 // Planning
 export {
--- a/packages/celerytray/src/fleet/replica_health.ts
+++ b/packages/celerytray/src/fleet/replica_health.ts
@@ -69,7 +69,9 @@
 }
 
 /** Whether an engine's weights fail to be those of its own rank. */
-function holdsOtherRank({ assignment, loadedRank }: EngineStatus): boolean {
+export function holdsOtherRank(
+  { assignment, loadedRank }: EngineStatus,
+): boolean {
   return loadedRank !== undefined && loadedRank !== assignment?.rank;
 }
 
--- a/packages/celerytray/src/log/index.ts
+++ b/packages/celerytray/src/log/index.ts
@@ -23,3 +23,13 @@
   type StreamView,
   type StreamViewOptions,
 } from "./stream_view.ts";
+
+// Snapshots
+export {
+  readLatestSnapshot,
+  runSnapshotWriter,
+  SNAPSHOT_STREAM,
+  type SnapshotCodec,
+  type SnapshotWriterOptions,
+  type StreamSnapshot,
+} from "./snapshots.ts";
--- /dev/null
+++ b/packages/celerytray/src/log/snapshots.ts
@@ -0,0 +1,140 @@
+import type { LogRecord, SnapshotRecord } from "@celerytray/schema";
+import { Clock, Effect, type Scope } from "effect";
+import { randomUUID } from "node:crypto";
+import type { LogService, LogUnavailable } from "./log_service.ts";
+import type { LogWriter } from "./log_writer.ts";
+import type { StreamView } from "./stream_view.ts";
+
+/** Stream that holds the snapshots of all others. */
+export const SNAPSHOT_STREAM = "snapshots";
+
+/** Turns a folded state into JSON and back. */
+export interface SnapshotCodec<State> {
+  readonly encode: (state: State) => Record<string, unknown>;
+  /** Undefined if the content is damaged or of another version. */
+  readonly decode: (content: unknown) => State | undefined;
+}
+
+/** A stream's state as of an offset. */
+export interface StreamSnapshot<State> {
+  readonly state: State;
+  /** Offset of the first record that is not in the state. */
+  readonly nextOffset: number;
+}
+
+/** What to look for. */
+export interface ReadSnapshotOptions<State> {
+  readonly log: LogService;
+  readonly stream: string;
+  readonly codec: SnapshotCodec<State>;
+}
+
+/** Reads a stream's snapshot with the highest offset that can be decoded. */
+export function readLatestSnapshot<State>(
+  options: ReadSnapshotOptions<State>,
+): Effect.Effect<StreamSnapshot<State> | undefined, LogUnavailable> {
+  return Effect.gen(function* () {
+    let latest: StreamSnapshot<State> | undefined;
+    let fromOffset = 0;
+    while (true) {
+      const page = yield* readKept(options.log, fromOffset);
+      for (const { record } of page.entries) {
+        latest = chooseLater(latest, decode(record, options));
+      }
+      if (page.nextOffset <= fromOffset) return latest;
+      fromOffset = page.nextOffset;
+    }
+  });
+}
+
+/** Options of a writer of snapshots. */
+export interface SnapshotWriterOptions<State> {
+  readonly stream: string;
+  readonly view: StreamView<State>;
+  readonly codec: SnapshotCodec<State>;
+  /** Appends to the stream of snapshots. */
+  readonly writer: LogWriter;
+  /** Whether this process is the one that should write. */
+  readonly isPreferred: () => boolean;
+  /** Records after which a snapshot is due. */
+  readonly everyRecords?: number;
+  /** Age after which one is due, as retention removes snapshots too. */
+  readonly maxAgeMs?: number;
+  readonly intervalMs?: number;
+}
+
+const DEFAULT_EVERY_RECORDS = 500;
+const DEFAULT_MAX_AGE_MS = 3_600_000;
+const DEFAULT_INTERVAL_MS = 5_000;
+
+/** Writes a snapshot whenever one is due, until the scope closes. */
+export function runSnapshotWriter<State>(
+  options: SnapshotWriterOptions<State>,
+): Effect.Effect<void, never, Scope.Scope> {
+  const everyRecords = options.everyRecords ?? DEFAULT_EVERY_RECORDS;
+  const maxAgeMs = options.maxAgeMs ?? DEFAULT_MAX_AGE_MS;
+  const { view } = options;
+  return Effect.gen(function* () {
+    let writtenOffset = 0;
+    let writtenAtMs = yield* Clock.currentTimeMillis;
+    const write = Effect.gen(function* () {
+      const nowMs = yield* Clock.currentTimeMillis;
+      const nextOffset = view.nextOffset();
+      const lastOffset = Math.max(writtenOffset, view.snapshotOffset());
+      const isDue = nextOffset - lastOffset >= everyRecords ||
+        nextOffset > 0 && nowMs - writtenAtMs >= maxAgeMs;
+      if (!isDue || !options.isPreferred()) return;
+      yield* options.writer.append({
+        kind: "snapshot",
+        recordId: randomUUID(),
+        stream: options.stream,
+        nextOffset,
+        state: options.codec.encode(view.current()),
+      });
+      writtenOffset = nextOffset;
+      writtenAtMs = nowMs;
+    });
+    const round = Effect.ignore(write).pipe(
+      Effect.andThen(
+        Effect.sleep(options.intervalMs ?? DEFAULT_INTERVAL_MS),
+      ),
+    );
+    yield* Effect.forkScoped(Effect.forever(round));
+  });
+}
+
+function readKept(log: LogService, fromOffset: number) {
+  return log.read(SNAPSHOT_STREAM, { fromOffset }).pipe(
+    Effect.catchTag(
+      "LogTruncated",
+      ({ firstOffset }) =>
+        Effect.succeed({ firstOffset, nextOffset: firstOffset, entries: [] }),
+    ),
+  );
+}
+
+function decode<State>(
+  record: LogRecord,
+  { stream, codec }: ReadSnapshotOptions<State>,
+): StreamSnapshot<State> | undefined {
+  if (!isSnapshotOf(record, stream)) return undefined;
+  const state = codec.decode(record.state);
+  const { nextOffset } = record;
+  return state === undefined ? undefined : { state, nextOffset };
+}
+
+function isSnapshotOf(
+  record: LogRecord,
+  stream: string,
+): record is SnapshotRecord {
+  return record.kind === "snapshot" && record.stream === stream;
+}
+
+function chooseLater<State>(
+  known: StreamSnapshot<State> | undefined,
+  found: StreamSnapshot<State> | undefined,
+): StreamSnapshot<State> | undefined {
+  if (found === undefined) return known;
+  if (known === undefined) return found;
+  return found.nextOffset >= known.nextOffset ? found : known;
+}
--- a/packages/celerytray/src/log/stream_view.ts
+++ b/packages/celerytray/src/log/stream_view.ts
@@ -1,6 +1,20 @@
-import { Deferred, Effect, type Scope } from "effect";
+import createDebug from "debug";
+import { Deferred, Effect, Schedule, type Scope } from "effect";
 import { followLog } from "./follow_log.ts";
-import type { LogEntry, LogPage, LogService } from "./log_service.ts";
+import type {
+  LogEntry,
+  LogPage,
+  LogService,
+  LogTruncated,
+} from "./log_service.ts";
+import {
+  readLatestSnapshot,
+  type SnapshotCodec,
+  type StreamSnapshot,
+} from "./snapshots.ts";
+
+const log = createDebug("celerytray:log");
+const RETRY_DELAY_MS = 500;
 
 /** A stream's folded state, kept current. */
 export interface StreamView<State> {
@@ -10,6 +24,10 @@
   readonly nextOffset: () => number;
   /** When the log service last answered; undefined before the first answer. */
   readonly readAtMs: () => number | undefined;
+  /** Offset up to which the snapshot started from holds; 0 without one. */
+  readonly snapshotOffset: () => number;
+  /** Why the state is out of date for good, until a snapshot mends it. */
+  readonly failedReason: () => string | undefined;
   /** Waits until the record at an offset is folded. */
   readonly waitForOffset: (offset: number) => Effect.Effect<void>;
 }
@@ -20,6 +38,8 @@
   readonly stream: string;
   readonly initial: State;
   readonly fold: (state: State, entry: LogEntry) => State;
+  /** Starts from the stream's latest snapshot, if there is one. */
+  readonly snapshot?: SnapshotCodec<State>;
   /** Learns of a page that changed the state. */
   readonly onChange?: (state: State, nowMs: number) => void;
 }
@@ -35,23 +55,55 @@
 ): Effect.Effect<StreamView<State>, never, Scope.Scope> {
   return Effect.gen(function* () {
     const fold = new ViewFold(options);
-    const follow = followLog({
-      log: options.log,
-      stream: options.stream,
-      onPage: (page, nowMs) => fold.apply(page, nowMs),
-    });
-    yield* Effect.forkScoped(follow);
+    yield* Effect.forkScoped(Effect.forever(followOnce(options, fold)));
     return {
       current: () => fold.state,
       nextOffset: () => fold.nextOffset,
       readAtMs: () => fold.readAtMs,
+      snapshotOffset: () => fold.snapshotOffset,
+      failedReason: () => fold.failedReason,
       waitForOffset: (offset) => fold.waitForOffset(offset),
     };
   });
 }
 
+/** Restores the latest snapshot and follows until records were missed. */
+function followOnce<State>(
+  options: StreamViewOptions<State>,
+  fold: ViewFold<State>,
+): Effect.Effect<void> {
+  const { stream, snapshot: codec } = options;
+  const restore = codec === undefined
+    ? Effect.void
+    : readLatestSnapshot({ log: options.log, stream, codec }).pipe(
+      Effect.retry(Schedule.spaced(RETRY_DELAY_MS)),
+      Effect.orDie,
+      Effect.map((found) => fold.restore(found)),
+    );
+  const follow = Effect.suspend(() =>
+    followLog({
+      log: options.log,
+      stream,
+      fromOffset: fold.nextOffset,
+      onPage: (page, nowMs) => fold.apply(page, nowMs),
+    })
+  );
+  return restore.pipe(
+    Effect.andThen(follow),
+    Effect.catchTag(
+      "LogTruncated",
+      (truncated) =>
+        Effect.sync(() => fold.fail(truncated)).pipe(
+          Effect.andThen(Effect.sleep(RETRY_DELAY_MS)),
+        ),
+    ),
+  );
+}
+
 class ViewFold<State> {
   state: State;
+  snapshotOffset = 0;
+  failedReason: string | undefined;
   nextOffset = 0;
   readAtMs: number | undefined;
   readonly #options: StreamViewOptions<State>;
@@ -62,7 +114,27 @@
     this.state = options.initial;
   }
 
+  /** Takes a snapshot over unless the state is already further. */
+  restore(snapshot: StreamSnapshot<State> | undefined): void {
+    if (snapshot === undefined || snapshot.nextOffset <= this.nextOffset) {
+      return;
+    }
+    this.state = snapshot.state;
+    this.nextOffset = snapshot.nextOffset;
+    this.snapshotOffset = snapshot.nextOffset;
+  }
+
+  fail({ firstOffset }: LogTruncated): void {
+    const { stream } = this.#options;
+    const reason = `Stream ${stream} is kept from offset ${firstOffset} on, ` +
+      `but its records from ${this.nextOffset} on are needed and no snapshot ` +
+      "covers them; restore the log's records or publish a snapshot";
+    if (this.failedReason !== reason) log(reason);
+    this.failedReason = reason;
+  }
+
   apply(page: LogPage, nowMs: number): void {
+    this.failedReason = undefined;
     const before = this.state;
     for (const entry of page.entries) {
       this.state = this.#options.fold(this.state, entry);
