Learn load times that end between two readings

The mean load time started from a minute and moved by a tenth a load, and loads shorter than a reading were never seen, so that a cluster whose loads take 200 ms waited more than 20 s before it took a spare. The first loads now set the mean, and an engine last seen empty counts from then.

--- a/packages/bench/src/formation/fleet_world.ts
+++ b/packages/bench/src/formation/fleet_world.ts
@@ -61,6 +61,7 @@
   readonly #observations = new Map<string, MemberObservation>();
   /** Faults in force, by engine. */
   readonly #faultsInForce = new Map<string, Set<Fault>>();
+  readonly #down = new Set<string>();
   #fleet = emptyFleetState();
 
   constructor(options: FleetWorldOptions) {
@@ -133,6 +134,7 @@
     if (fault.kind === "store") this.#store.setOut(true, nowMs);
     for (const instanceId of this.#findTargets(fault)) {
       this.#faultsInForce.get(instanceId)!.add(fault);
+      this.#updateDown(instanceId);
       const engine = this.#engines.get(instanceId)!;
       if (losesMemory(fault)) engine.restart(nowMs);
       if (fault.kind === "straggler") {
@@ -145,6 +147,7 @@
     if (fault.kind === "store") this.#store.setOut(false, nowMs);
     for (const instanceId of this.#findTargets(fault)) {
       this.#faultsInForce.get(instanceId)!.delete(fault);
+      this.#updateDown(instanceId);
       const engine = this.#engines.get(instanceId)!;
       if (fault.kind === "straggler") {
         engine.faults = { stepTimeMs: HEALTHY_STEP_MS };
@@ -154,9 +157,10 @@
 
   /** Whether any load runs. */
   isLoading(): boolean {
-    return [...this.#observations.values()].some(({ status }) =>
-      isLoading(status)
-    );
+    for (const { status } of this.#observations.values()) {
+      if (isLoading(status)) return true;
+    }
+    return false;
   }
 
   #read(nowMs: number): void {
@@ -213,9 +217,14 @@
   }
 
   #isUp(instanceId: string): boolean {
-    return [...this.#faultsInForce.get(instanceId)!].every(({ kind }) =>
-      kind === "straggler"
-    );
+    return !this.#down.has(instanceId);
+  }
+
+  #updateDown(instanceId: string): void {
+    const faults = [...this.#faultsInForce.get(instanceId)!];
+    const isDown = faults.some(({ kind }) => kind !== "straggler");
+    if (isDown) this.#down.add(instanceId);
+    else this.#down.delete(instanceId);
   }
 
   #isSlow(instanceId: string): boolean {
--- a/packages/celerytray/src/fleet/assess_replica.ts
+++ b/packages/celerytray/src/fleet/assess_replica.ts
@@ -4,7 +4,12 @@
   type FleetEstimates,
   isLoadStuck,
 } from "./fleet_estimates.ts";
-import { type FleetObservation, isPresent, isUsable } from "./planner_types.ts";
+import {
+  ABSENT_AFTER_MS,
+  type FleetObservation,
+  isPresent,
+  isUsable,
+} from "./planner_types.ts";
 import { isLoading } from "./replica_health.ts";
 import { isConfirmed } from "./stragglers.ts";
 
@@ -37,6 +42,7 @@
   replica: Replica,
   input: DamageInput,
 ): Damage | undefined {
+  if (isSound(replica, input)) return undefined;
   const { observation, estimates } = input;
   const { nowMs } = observation;
   const faultyRanks: number[] = [];
@@ -78,6 +84,23 @@
   };
 }
 
+/** The common case, decided without anything allocated. */
+function isSound(replica: Replica, input: DamageInput): boolean {
+  const { observations, nowMs } = input.observation;
+  const { members } = replica;
+  for (let rank = 0; rank < members.length; rank++) {
+    const member = members[rank]!;
+    const seen = observations.get(member);
+    if (seen === undefined) return false;
+    if (nowMs - seen.observedAtMs > ABSENT_AFTER_MS) return false;
+    const { status } = seen;
+    if (status.leaving === true || status.loadedRank !== rank) return false;
+    if (isLoading(status)) return false;
+    if (input.estimates.stragglers.has(member)) return false;
+  }
+  return true;
+}
+
 type Fault = "absent" | "leaving" | "slow" | "stuck" | "cold";
 
 interface RankedMember extends DamageInput {
--- a/packages/celerytray/src/fleet/fleet_estimates.ts
+++ b/packages/celerytray/src/fleet/fleet_estimates.ts
@@ -42,8 +42,12 @@
   readonly histories: ReadonlyMap<string, AbsenceHistory>;
   readonly returnTimes: ReturnTimes;
   readonly loads: ReadonlyMap<string, RunningLoad>;
+  /** When engines without any weights were last seen so. */
+  readonly emptyAtMs: ReadonlyMap<string, number>;
   /** Mean time of a load. */
   readonly loadMs: number;
+  /** Loads that the mean was taken from. */
+  readonly loadCount: number;
   /** When any load last made progress, or none ran. */
   readonly loadProgressAtMs: number;
   readonly darkDomains: ReadonlySet<string>;
@@ -51,7 +55,8 @@
 }
 
 const DEFAULT_LOAD_MS = 60_000;
-const LOAD_WEIGHT = 0.1;
+/** Weight of a new load in the mean, once there were enough. */
+const MIN_LOAD_WEIGHT = 0.1;
 /** Share of a domain's instances whose absence makes it dark. */
 const DARK_SHARE = 0.5;
 const MIN_DARK_INSTANCES = 3;
@@ -68,7 +73,9 @@
     histories: new Map(),
     returnTimes: emptyReturnTimes(),
     loads: new Map(),
+    emptyAtMs: new Map(),
     loadMs: DEFAULT_LOAD_MS,
+    loadCount: 0,
     loadProgressAtMs: 0,
     darkDomains: new Set(),
     stragglers: new Map(),
@@ -214,21 +221,30 @@
 ): FleetEstimates {
   const { nowMs } = observation;
   const loads = new Map<string, RunningLoad>();
-  let { loadMs, loadProgressAtMs } = before;
+  const emptyAtMs = new Map<string, number>();
+  let { loadMs, loadCount, loadProgressAtMs } = before;
   for (const [member, { status }] of observation.observations) {
-    const known = before.loads.get(member);
     if (!isPresent(member, observation)) continue;
+    const known = before.loads.get(member);
     if (isLoading(status)) {
       const load = continueLoad(known, status.loadedFraction ?? 0, nowMs);
       if (load.progressAtMs === nowMs) loadProgressAtMs = nowMs;
       loads.set(member, load);
-    } else if (known !== undefined && hasLoaded(status)) {
-      loadMs += LOAD_WEIGHT * (nowMs - known.sinceMs - loadMs);
-      loadProgressAtMs = nowMs;
+      continue;
+    }
+    if (!hasLoaded(status)) {
+      emptyAtMs.set(member, nowMs);
+      continue;
     }
+    const startedAtMs = known?.sinceMs ?? before.emptyAtMs.get(member);
+    if (startedAtMs === undefined) continue;
+    const weight = Math.max(MIN_LOAD_WEIGHT, 1 / (loadCount + 1));
+    loadMs += weight * (nowMs - startedAtMs - loadMs);
+    loadCount += 1;
+    loadProgressAtMs = nowMs;
   }
   if (loads.size === 0) loadProgressAtMs = nowMs;
-  return { ...before, loads, loadMs, loadProgressAtMs };
+  return { ...before, loads, emptyAtMs, loadMs, loadCount, loadProgressAtMs };
 }
 
 /** False for an engine that started anew in the middle of its load. */
--- a/packages/celerytray/src/fleet/repair_planner.ts
+++ b/packages/celerytray/src/fleet/repair_planner.ts
@@ -96,6 +96,12 @@
   return seenCount < engineCount * MIN_SEEN_SHARE;
 }
 
+const NO_REPAIRS: Repairs = {
+  dissolutions: [],
+  replacements: [],
+  dissolved: new Set(),
+};
+
 interface RepairContext {
   readonly estimates: FleetEstimates;
   readonly pools: ReadonlyMap<string, DomainPool>;
@@ -114,6 +120,7 @@
     const damage = findDamage(replica, { observation, estimates });
     if (damage !== undefined) damages.push(damage);
   }
+  if (damages.length === 0) return NO_REPAIRS;
   const domainOf = new Map(observation.instances.map((instance) => [
     instance.instanceId,
     instance.fabricDomain ?? "",
--- /dev/null
+++ b/packages/cli/src/local/replica_loss_test.ts
@@ -0,0 +1,266 @@
+import type { EngineStatus, LogReadAnswer } from "@celerytray/schema";
+import { loadConfigFolder, type ReplicaDescription } from "celerytray";
+import { Effect } from "effect";
+import { expect } from "earl";
+import { after, before, describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+import {
+  type LocalBackend,
+  type LocalCluster,
+  type LocalEntry,
+  startLocalCluster,
+} from "./start_local_cluster.ts";
+import { waitUntil } from "./wait_until.ts";
+
+const DEMO_FOLDER = fileURLToPath(
+  new URL("../../../../examples/demo", import.meta.url),
+);
+const KEY = "demo-key-patan-furniture";
+/** Two and a half rounds of status readings. */
+const READ_BACK_MS = 2_500;
+const REPAIR_TIMEOUT_MS = 20_000;
+
+for (const ignoresFencing of [false, true]) {
+  const engines = ignoresFencing ? "ignore" : "check";
+  describe(`replicas whose engines ${engines} fencing numbers`, () => {
+    let cluster: LocalCluster;
+    let callers: Callers;
+
+    before(async () => {
+      cluster = await startLocalCluster({
+        enginesPerDomain: 5,
+        ignoresFencing,
+      });
+      const { config } = await Effect.runPromise(loadConfigFolder(DEMO_FOLDER));
+      const [entry] = cluster.entries;
+      await cluster.admin(entry!).applyConfig.mutate({
+        config,
+        author: "test",
+      });
+      await waitUntilReady(cluster);
+      callers = startCallers(cluster.entries);
+    });
+
+    after(async () => {
+      await callers?.stop();
+      await cluster?.stop();
+    });
+
+    it("stop within a read-back at a death and are repaired by a spare", async () => {
+      const [replica] = await listReplicas(cluster);
+      const victim = findEngine(cluster, replica!.members[1]!);
+      const killedAtMs = Date.now();
+      await victim.process.stop("SIGKILL");
+      await waitForChange(cluster, replica!);
+      await waitUntilReady(cluster);
+      const changedAtMs = await findChangeTime(cluster, replica!);
+      const attempts = await listAttempts(cluster, replica!.replicaId);
+      const late = attempts.filter((atMs) =>
+        atMs > killedAtMs + READ_BACK_MS && atMs < changedAtMs
+      );
+      expect(late).toEqual([]);
+      const repaired = (await listReplicas(cluster)).find(({ replicaId }) =>
+        replicaId === replica!.replicaId
+      )!;
+      expect(
+        repaired.members.filter((member) => replica!.members.includes(member)),
+      ).toEqual(replica!.members.filter((_, rank) => rank !== 1));
+    });
+
+    it("are put right after a stale order", async () => {
+      const [, replica] = await listReplicas(cluster);
+      const member = findEngine(cluster, replica!.members[1]!);
+      const { status } = await post(`${address(member)}/orders`, {
+        kind: "join",
+        fencingNumber: 0,
+        replicaId: "drafter/9",
+        rank: 0,
+        model: "slot-drafter-70b",
+        modelVersion: "3",
+      });
+      expect(status).toEqual(ignoresFencing ? 200 : 409);
+      const sentAtMs = Date.now();
+      await waitUntil("the member holds its own rank again", {
+        timeoutMs: REPAIR_TIMEOUT_MS,
+        check: async () => {
+          const response = await fetch(`${address(member)}/status`);
+          const { assignment } = await response.json() as EngineStatus;
+          return assignment?.replicaId === replica!.replicaId;
+        },
+      });
+      const rightAtMs = Date.now();
+      const attempts = await listAttempts(cluster, replica!.replicaId);
+      const late = attempts.filter((atMs) =>
+        atMs > sentAtMs + READ_BACK_MS && atMs < rightAtMs
+      );
+      expect(late).toEqual([]);
+    });
+
+    it("serve through an outage of the log, but not when broken", async () => {
+      await waitUntilReady(cluster);
+      await post(`${cluster.logUrl}/faults`, { isOut: true });
+      const [other, replica] = await listReplicas(cluster);
+      const victim = findEngine(cluster, replica!.members[1]!);
+      const killedAtMs = Date.now();
+      await victim.process.stop("SIGKILL");
+      await waitUntil("every entry instance sees the replica broken", {
+        timeoutMs: REPAIR_TIMEOUT_MS,
+        check: async () => {
+          const seen = await listReplicasOfAll(cluster);
+          return seen.every((replicas) =>
+            replicas.some(({ replicaId, state }) =>
+              replicaId === replica!.replicaId && state === "incomplete"
+            )
+          );
+        },
+      });
+      const brokenAtMs = Date.now();
+      await waitUntil("the other replica is called in the outage", {
+        timeoutMs: REPAIR_TIMEOUT_MS,
+        check: async () => {
+          const attempts = await listAttempts(cluster, other!.replicaId);
+          return attempts.some((atMs) => atMs > brokenAtMs);
+        },
+      });
+      const outage = await listAttempts(cluster, replica!.replicaId);
+      expect(outage.filter((atMs) => atMs > killedAtMs + READ_BACK_MS))
+        .toEqual([]);
+      await post(`${cluster.logUrl}/faults`, {});
+      await waitForChange(cluster, replica!);
+    });
+
+    it("gave every caller its own whole answer all the while", async () => {
+      const { answers, wrong } = await callers.stop();
+      expect(answers > 100).toEqual(true);
+      expect(wrong).toEqual([]);
+    });
+  });
+}
+
+interface Callers {
+  readonly stop: () => Promise<CallCounts>;
+}
+
+interface CallCounts {
+  readonly answers: number;
+  /** Answers that were neither whole nor a refusal as not run. */
+  readonly wrong: readonly string[];
+}
+
+/** Calls each entry instance again and again until stopped. */
+function startCallers(entries: readonly LocalEntry[]): Callers {
+  const state = { isStopped: false, answers: 0, wrong: [] as string[] };
+  const loops = entries.map(async (entry, index) => {
+    for (let call = 0; !state.isStopped; call++) {
+      const word = `call-${index}-${call}`;
+      const response = await post(
+        `http://${entry.address}/v1/chat/completions`,
+        {
+          model: "drafter",
+          stream: true,
+          max_tokens: 2,
+          messages: [{ role: "user", content: word }],
+        },
+      );
+      const text = await response.text();
+      const isWhole = text.includes(`${word}-0 `) &&
+        text.includes(`${word}-1 `) && text.endsWith("data: [DONE]\n\n");
+      const isRefused =
+        response.headers.get("celerytray-outcome") === "not-run";
+      if (isWhole) state.answers += 1;
+      else if (!isRefused) state.wrong.push(`${response.status} ${text}`);
+    }
+  });
+  return {
+    stop: async () => {
+      state.isStopped = true;
+      await Promise.all(loops);
+      return { answers: state.answers, wrong: state.wrong };
+    },
+  };
+}
+
+function post(url: string, body: unknown): Promise<Response> {
+  return fetch(url, {
+    method: "POST",
+    headers: { authorization: `Bearer ${KEY}` },
+    body: JSON.stringify(body),
+  });
+}
+
+function address({ instance }: LocalBackend): string {
+  return `http://${instance.address}`;
+}
+
+function findEngine(cluster: LocalCluster, name: string): LocalBackend {
+  return cluster.engines.find(({ instance }) => instance.instanceId === name)!;
+}
+
+function listReplicasOfAll(
+  cluster: LocalCluster,
+): Promise<ReplicaDescription[][]> {
+  return Promise.all(
+    cluster.entries.map((entry) => cluster.admin(entry).replicas.query()),
+  );
+}
+
+async function listReplicas(
+  cluster: LocalCluster,
+): Promise<ReplicaDescription[]> {
+  const [replicas] = await listReplicasOfAll(cluster);
+  return replicas!;
+}
+
+function waitUntilReady(cluster: LocalCluster): Promise<void> {
+  return waitUntil("both replicas serve on all entry instances", {
+    timeoutMs: REPAIR_TIMEOUT_MS,
+    check: async () => {
+      const seen = await listReplicasOfAll(cluster);
+      return seen.every((replicas) =>
+        replicas.filter(({ state }) => state === "ready").length === 2
+      );
+    },
+  });
+}
+
+function waitForChange(
+  cluster: LocalCluster,
+  before: ReplicaDescription,
+): Promise<void> {
+  return waitUntil("the replica is repaired", {
+    timeoutMs: REPAIR_TIMEOUT_MS,
+    check: async () => {
+      const replicas = await listReplicas(cluster);
+      return replicas.every(({ fencingNumber }) =>
+        fencingNumber !== before.fencingNumber
+      );
+    },
+  });
+}
+
+/** When the log took the record that ended a formation. */
+async function findChangeTime(
+  cluster: LocalCluster,
+  { fencingNumber }: ReplicaDescription,
+): Promise<number> {
+  const url = `${cluster.logUrl}/streams/fleet/records?from=0&limit=1000`;
+  const page = await (await fetch(url)).json() as LogReadAnswer;
+  const change = page.records.find(({ record }) =>
+    (record as { readonly fencingNumber?: number }).fencingNumber ===
+      fencingNumber
+  );
+  return change!.appendedAtMs;
+}
+
+/** When requests were sent to a replica, by any entry instance. */
+async function listAttempts(
+  cluster: LocalCluster,
+  replicaId: string,
+): Promise<number[]> {
+  const timelines = await Promise.all(
+    cluster.entries.map((entry) => cluster.admin(entry).timeline.query()),
+  );
+  return timelines.flat().filter((event) =>
+    event.kind === "attempt.started" && event.replicaId === replicaId
+  ).map(({ at }) => at.physicalMs);
+}
