--- a/packages/celerytray/src/fleet/repair_planner_test.ts
+++ b/packages/celerytray/src/fleet/repair_planner_test.ts
@@ -34,6 +34,16 @@
       .toEqual([0]);
   });
 
+  it("waits for a member expected back before a spare has loaded", () => {
+    const fleet = new Fleet({ domains: 1, perDomain: 3, replicaCount: 1 });
+    fleet.settle();
+    fleet.absent.add("0-1");
+    for (let round = 0; round < 12; round++) fleet.round(1_000);
+    expect(fleet.replicas()[0]!.members).toEqual(["0-0", "0-1"]);
+    for (let round = 0; round < 300; round++) fleet.round(1_000);
+    expect(fleet.replicas()[0]!.members).toEqual(["0-0", "0-2"]);
+  });
+
   it("replaces an absent member by a spare that holds its weights", () => {
     const fleet = new Fleet({ domains: 1, perDomain: 5, replicaCount: 2 });
     fleet.settle();
--- a/packages/fakes/src/engine/stale_orders_test.ts
+++ b/packages/fakes/src/engine/stale_orders_test.ts
@@ -20,7 +20,7 @@
 
 const action = fc.oneof(
   { weight: 3, arbitrary: step("propose", 30, 3) },
-  { weight: 6, arbitrary: step("settle", 0, 0) },
+  { weight: 6, arbitrary: step("settle", 2, 0) },
   { weight: 2, arbitrary: step("order", 0, 3) },
   { weight: 6, arbitrary: step("deliver", 40, 0) },
   { weight: 1, arbitrary: step("preload", 4, 1) },
@@ -119,7 +119,7 @@
     if (kind === "read") this.#startRead(engine);
     if (kind === "arrive") this.#arrive();
     if (kind === "advance") this.#nowMs += value;
-    if (kind === "settle") this.#settle();
+    if (kind === "settle") this.#settle(value === 0);
     if (kind === "call") this.#call(value, lag);
     if (kind === "preload") {
       this.#deliver({
@@ -208,14 +208,14 @@
     }
   }
 
-  #settle(): void {
-    for (let round = 0; round < 2; round++) {
+  #settle(isHalf: boolean): void {
+    for (let round = 0; round < (isHalf ? 1 : 2); round++) {
       for (const name of ENGINES) this.#startRead(name);
       this.#arrive();
       const first = this.#sent.length;
       this.#order(0);
       for (const sent of this.#sent.slice(first)) this.#deliver(sent);
-      this.#nowMs += 2 * LOAD_MS;
+      this.#nowMs += isHalf ? LOAD_MS / 2 : 2 * LOAD_MS;
     }
     for (const name of ENGINES) this.#startRead(name);
     this.#arrive();
