--- a/packages/celerytray/src/config/config_stream.ts
+++ b/packages/celerytray/src/config/config_stream.ts
@@ -18,10 +18,11 @@
   emptyConfigState,
   foldConfigRecord,
 } from "./fold_config_record.ts";
-import { CONFIG_STREAM, readLatestSnapshot } from "./config_snapshots.ts";
+import { CONFIG_STREAM, readLatestConfigSnapshot } from "./config_snapshots.ts";
 
 /** The configuration in force on this entry instance, kept current. */
-export interface ConfigStream extends StreamView<ConfigState> {
+export interface ConfigStream
+  extends Omit<StreamView<ConfigState>, "snapshotOffset" | "failedReason"> {
   readonly position: () => ConfigPosition;
   /** Why the configuration can't be used yet; undefined once it can. */
   readonly startProblem: () => string | undefined;
@@ -107,7 +108,7 @@
 ): Effect.Effect<void> {
   return Effect.gen(function* () {
     if (holder.position.nextOffset >= truncated.firstOffset) return;
-    const snapshot = yield* readLatestSnapshot(options.log).pipe(
+    const snapshot = yield* readLatestConfigSnapshot(options.log).pipe(
       Effect.catch(() => Effect.succeed(undefined)),
     );
     const nowMs = yield* Clock.currentTimeMillis;
--- a/packages/celerytray/src/config/index.ts
+++ b/packages/celerytray/src/config/index.ts
@@ -30,9 +30,9 @@
 export {
   CONFIG_SNAPSHOT_STREAM,
   CONFIG_STREAM,
-  readLatestSnapshot,
-  runSnapshotWriter,
-  type SnapshotWriterOptions,
+  type ConfigSnapshotWriterOptions,
+  readLatestConfigSnapshot,
+  runConfigSnapshotWriter,
 } from "./config_snapshots.ts";
 export {
   adoptConfigSnapshot,
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -13,8 +13,6 @@
 } from "../config/index.ts";
 import {
   createEngineMonitor,
-  emptyFleetState,
-  foldFleetRecord,
   type MemberObservation,
   RepairPlanner,
   runFleetController,
@@ -31,6 +29,7 @@
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
 import { createAttemptState } from "./entry_attempts.ts";
 import { createEntryClaims } from "./entry_claims.ts";
+import { createEntryFleet } from "./entry_fleet.ts";
 import { createEntryMembership } from "./entry_membership.ts";
 import { runEntryMetrics } from "./entry_metrics.ts";
 import { createEntryOperations } from "./entry_operations.ts";
@@ -75,12 +74,6 @@
           nowMs: atMs,
         }),
     });
-    const fleet = yield* createStreamView({
-      log,
-      stream: "fleet",
-      initial: emptyFleetState(),
-      fold: foldFleetRecord,
-    });
     const configWriter = yield* createLogWriter({ log, stream: "config" });
     const fleetWriter = yield* createLogWriter({ log, stream: "fleet" });
     const claims = yield* createEntryClaims({
@@ -103,6 +96,12 @@
       directory,
       clock: timeline.clock,
     });
+    const isPreferred = (name: string) =>
+      selectPreferred(name, membership.listLiveIds()) === settings.instanceId;
+    const fleet = yield* createEntryFleet({
+      log,
+      isPreferred: () => isPreferred("snapshots"),
+    });
     const engine = new HttpModelEngine();
     const reports = { note: (_observation: MemberObservation): void => {} };
     const monitor = yield* createEngineMonitor({
@@ -140,8 +139,7 @@
       listInstances: instances.all,
       instancesById: instances.byId,
       observations: monitor.observations,
-      isPreferred: (name) =>
-        selectPreferred(name, membership.listLiveIds()) === settings.instanceId,
+      isPreferred,
       recordEvent,
     });
 
@@ -149,7 +147,8 @@
     const notReadyReason = () =>
       findNotReadyReason(config, drainState) ??
         describeEntryDrain(config, settings) ??
-        membership.findIsolationReason(nowMs());
+        membership.findIsolationReason(nowMs()) ??
+        fleet.failedReason();
     const calls = new InFlightCalls();
     yield* runEntryMetrics({
       settings,
--- a/packages/celerytray/src/entry/entry_membership.ts
+++ b/packages/celerytray/src/entry/entry_membership.ts
@@ -13,7 +13,7 @@
   type ConfigUpdate,
   createConfigSnapshot,
   createConfigUpdate,
-  runSnapshotWriter,
+  runConfigSnapshotWriter,
 } from "../config/index.ts";
 import { createLogWriter, type LogService } from "../log/index.ts";
 import {
@@ -116,7 +116,7 @@
       log,
       stream: CONFIG_SNAPSHOT_STREAM,
     });
-    yield* runSnapshotWriter({
+    yield* runConfigSnapshotWriter({
       log,
       writer,
       position: config.position,
