Prove plain calls, the flow of streams and the history of callers

Plain calls: lost, silent, crossed and unbounded answers; bookings at most once; paths, headers, HEAD and Expect. Flow: cancellation and bounded memory.

--- a/packages/bench/src/attempts/streams_whole_test.ts
+++ b/packages/bench/src/attempts/streams_whole_test.ts
@@ -51,6 +51,15 @@
     });
   }
 
+  it("resumes at the first token not delivered", async () => {
+    const { firstIndexes } = await ask({
+      kind: "cut",
+      faultyAt: [2, 5],
+      isStream: true,
+    });
+    expect(firstIndexes).toEqual([0, 2, 5]);
+  });
+
   it("tells an oversized event as an error", async () => {
     const seen = await ask({
       kind: "oversized",
@@ -121,11 +130,11 @@
   return Effect.runPromise(
     Effect.gen(function* () {
       const context = yield* Effect.context<never>();
-      let streamCount = 0;
+      const firstIndexes: number[] = [];
       const passSilence = async () => {
-        const silentStream = streamCount;
+        const silentStream = firstIndexes.length;
         await sleep(DELIVERY_MS);
-        while (streamCount === silentStream && !isOver) {
+        while (firstIndexes.length === silentStream && !isOver) {
           await Effect.runPromiseWith(context)(
             TestClock.adjust(IDLE_TIMEOUT_MS),
           );
@@ -140,7 +149,7 @@
           idleTimeoutMs: IDLE_TIMEOUT_MS,
           context,
           onSilent: () => void passSilence(),
-          onStream: () => streamCount += 1,
+          onStream: (firstIndex) => firstIndexes.push(firstIndex),
         });
         for (const [index, atToken] of fault.faultyAt.entries()) {
           await plane.setEngineFaults(index, {
@@ -157,7 +166,7 @@
         });
         isOver = true;
         await plane.close();
-        return seen;
+        return { ...seen, firstIndexes };
       });
     }).pipe(Effect.provide(TestClock.layer())),
   );
--- a/packages/fakes/src/engine/serve_fake_engine.ts
+++ b/packages/fakes/src/engine/serve_fake_engine.ts
@@ -185,8 +185,13 @@
 
 async function drain(response: ServerResponse): Promise<void> {
   await new Promise<void>((resolve) => {
-    response.once("drain", resolve);
-    response.once("close", resolve);
+    const finish = () => {
+      response.off("drain", finish);
+      response.off("close", finish);
+      resolve();
+    };
+    response.on("drain", finish);
+    response.on("close", finish);
   });
 }
 
--- a/packages/fakes/src/engine/stream_faults.ts
+++ b/packages/fakes/src/engine/stream_faults.ts
@@ -64,13 +64,15 @@
       return { text: event.slice(0, event.length / 2), then: "silence" };
     case "crossed-id":
       return {
-        text: event.replaceAll(requestId, FOREIGN_REQUEST_ID),
+        text: `id: ${FOREIGN_REQUEST_ID}:${index}\ndata: ${
+          createForeignChunk(token)
+        }\n\n`.replace(`"id":"${FOREIGN_REQUEST_ID}",`, ""),
         then: "continue",
       };
     case "crossed-chunk":
       return {
         text: `id: ${requestId}:${index}\ndata: ${
-          token.createChunk(index, FOREIGN_REQUEST_ID)
+          createForeignChunk(token)
         }\n\n`,
         then: "continue",
       };
@@ -103,6 +105,11 @@
   }
 }
 
+function createForeignChunk(token: TokenEvents): string {
+  return token.createChunk(token.index, FOREIGN_REQUEST_ID)
+    .replace(/"content":"[^"]*"/, '"content":"of-another "');
+}
+
 /** Formats a token as a server-sent event. */
 export function formatEvent(token: TokenEvents, index: number): string {
   const { requestId, createChunk } = token;
--- a/packages/fakes/src/plain_service/serve_fake_plain_service.ts
+++ b/packages/fakes/src/plain_service/serve_fake_plain_service.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   createJsonServer,
@@ -14,6 +15,9 @@
   readonly requestId: string | undefined;
   readonly body: unknown;
   readonly ranAtMs: number;
+  readonly headers: IncomingHttpHeaders;
+  /** Port of the connection that it came on. */
+  readonly remotePort: number;
 }
 
 /** Faults that can be switched on. */
@@ -120,5 +124,7 @@
     requestId: headers["x-request-id"] as string | undefined,
     body: call.body,
     ranAtMs: Date.now(),
+    headers,
+    remotePort: call.request.socket.remotePort ?? 0,
   };
 }
