--- a/packages/bench/src/attempts/history_test.ts
+++ b/packages/bench/src/attempts/history_test.ts
@@ -9,7 +9,7 @@
 } from "./local_data_plane.ts";
 
 const SEED = 20_261_204;
-const RUNS = 12;
+const RUNS = 30;
 const CALLER_COUNT = 24;
 const BACKEND_COUNT = 4;
 const TOKEN_COUNT = 5;
