--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,3 +1,5 @@
+import { relayBench } from "./relay/relay_bench.ts";
+
 /** What a measurement found. */
 export interface BenchResult {
   /** One object per line of the table. */
@@ -18,4 +20,6 @@
 }
 
 /** All measurements, by name. */
-export const benches: readonly Bench[] = [];
+export const benches: readonly Bench[] = [
+  relayBench,
+];
