--- a/packages/bench/src/attempts/local_data_plane.ts
+++ b/packages/bench/src/attempts/local_data_plane.ts
@@ -40,6 +40,7 @@
   readonly context?: Context.Context<never>;
   readonly onSilent?: () => void;
   readonly onStream?: (firstIndex: number) => void;
+  readonly onToken?: () => void;
 }
 
 /** A data plane before stand-ins. */
@@ -76,6 +77,8 @@
 const ANY_PORT = "127.0.0.1:0";
 const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
 const ZONE = "kth-a";
+/** Addresses whose stand-ins were closed and can't be asked any more. */
+const closedAddresses = new Set<string>();
 
 /** Starts a data plane and its stand-ins. */
 export async function startLocalDataPlane(
@@ -89,6 +92,7 @@
       tokenIntervalMs: options.tokenIntervalMs ?? 0,
       ...(options.onSilent === undefined ? {} : { onSilent: options.onSilent }),
       ...(options.onStream === undefined ? {} : { onStream: options.onStream }),
+      ...(options.onToken === undefined ? {} : { onToken: options.onToken }),
     });
     await post(`http://${server.address}/orders`, {
       kind: "load",
@@ -113,6 +117,9 @@
   const config = createConfig(options);
   const scope = Scope.makeUnsafe();
   const attemptState = createAttemptState();
+  for (const { address } of [...engines, ...plains]) {
+    closedAddresses.delete(address);
+  }
   const server = await Effect.runPromise(
     Scope.provide(
       listen({
@@ -164,7 +171,16 @@
   count: number,
   start: (index: number) => Promise<FakeServer>,
 ): Promise<FakeServer[]> {
-  return await Promise.all(Array.from({ length: count }, (_, i) => start(i)));
+  const servers = await Promise.all(
+    Array.from({ length: count }, (_, index) => start(index)),
+  );
+  return servers.map(({ address, close }) => ({
+    address,
+    close: async () => {
+      closedAddresses.add(address);
+      await close();
+    },
+  }));
 }
 
 function describeReplica({ address }: FakeServer, index: number): ReadyReplica {
@@ -237,7 +253,8 @@
 }
 
 async function listRuns(plains: readonly FakeServer[]): Promise<PlainRun[]> {
-  const lists = await Promise.all(plains.map(async ({ address }) => {
+  const open = plains.filter(({ address }) => !closedAddresses.has(address));
+  const lists = await Promise.all(open.map(async ({ address }) => {
     const response = await fetch(`http://${address}/runs`);
     const { runs } = await response.json() as { readonly runs: PlainRun[] };
     return runs;
--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,3 +1,4 @@
+import { attemptsBench } from "./attempts/attempts_bench.ts";
 import { relayBench } from "./relay/relay_bench.ts";
 
 /** What a measurement found. */
@@ -22,4 +23,5 @@
 /** All measurements, by name. */
 export const benches: readonly Bench[] = [
   relayBench,
+  attemptsBench,
 ];
--- a/packages/celerytray/src/forwarding/completion_sink.ts
+++ b/packages/celerytray/src/forwarding/completion_sink.ts
@@ -26,6 +26,8 @@
 
 const MAX_WHOLE_ANSWER_CHARS = 16 * 1024 * 1024;
 
+const USUAL_CHUNK_END = '"finish_reason":null}]}';
+
 interface ChunkChoice {
   readonly delta?: { readonly content?: string };
   readonly finish_reason?: string | null;
@@ -44,11 +46,14 @@
   #nextIndex = 0;
   #pending = "";
   readonly #chunks: string[] = [];
+  /** How the chunks of this answer usually begin. */
+  readonly #ownHead: string;
   #chunkChars = 0;
   #isComplete = false;
 
   constructor(options: CompletionSinkOptions) {
     this.#options = options;
+    this.#ownHead = `{"id":${JSON.stringify(options.requestId)},`;
   }
 
   /** Index of the first token not yet taken. */
@@ -65,22 +70,29 @@
   accept(event: TokenEvent): TokenVerdict {
     const { requestId, isStream } = this.#options;
     if (event.index !== this.#nextIndex) return "out-of-order";
-    const chunk = parseChunk(event.data);
-    if (chunk?.choices === undefined) return "foreign";
-    if (chunk.id !== undefined && chunk.id !== requestId) return "foreign";
+    if (!isStream || !this.#isUsualChunk(event.data)) {
+      const chunk = parseChunk(event.data);
+      if (chunk?.choices === undefined) return "foreign";
+      if (chunk.id !== undefined && chunk.id !== requestId) return "foreign";
+      this.#isComplete ||= hasFinishReason(chunk);
+    }
     if (isStream) {
       this.#pending += `id: ${requestId}:${event.index}\n` +
-        `data: ${event.data.replaceAll("\n", "\ndata: ")}\n\n`;
+        `data: ${formatData(event.data)}\n\n`;
     } else {
       this.#chunkChars += event.data.length;
       if (this.#chunkChars > MAX_WHOLE_ANSWER_CHARS) return "too-large";
       this.#chunks.push(event.data);
     }
     this.#nextIndex += 1;
-    this.#isComplete ||= hasFinishReason(chunk);
     return "accepted";
   }
 
+  /** Whether a chunk names this request and goes on; spares parsing it. */
+  #isUsualChunk(data: string): boolean {
+    return data.startsWith(this.#ownHead) && data.endsWith(USUAL_CHUNK_END);
+  }
+
   /** Writes what was taken; false asks to wait for `drained`. */
   flush(): boolean {
     if (this.#pending === "") return true;
@@ -117,6 +129,10 @@
   }
 }
 
+function formatData(data: string): string {
+  return data.includes("\n") ? data.replaceAll("\n", "\ndata: ") : data;
+}
+
 function parseChunk(text: string): Chunk | undefined {
   try {
     const chunk = JSON.parse(text) as Chunk | null;
--- a/packages/celerytray/src/forwarding/stream_attempt.ts
+++ b/packages/celerytray/src/forwarding/stream_attempt.ts
@@ -171,6 +171,7 @@
 
 function relayEvents(response: IncomingMessage, options: RelayOptions): void {
   const { sink, touch } = options;
+  const idPrefix = `${options.requestId}:`;
   let ended: AttemptOutcome | undefined;
   const settle = (outcome: AttemptOutcome) => {
     ended ??= outcome;
@@ -179,7 +180,7 @@
   const parser = createParser({
     maxBufferSize: MAX_EVENT_CHARS,
     onEvent: (event) => {
-      ended ??= takeEvent(event, options);
+      ended ??= takeEvent(event, { sink, idPrefix });
     },
     onError: (error) => {
       if (error.type !== "max-buffer-size-exceeded") return;
@@ -220,15 +221,15 @@
 /** Passes an event on; says how the attempt ended if it did. */
 function takeEvent(
   event: EventSourceMessage,
-  options: RelayOptions,
+  stream: { readonly sink: CompletionSink; readonly idPrefix: string },
 ): AttemptOutcome | undefined {
-  const { sink, requestId } = options;
+  const { sink, idPrefix } = stream;
   if (event.data === END_OF_STREAM) {
     return sink.isComplete
       ? { kind: "finished" }
       : { kind: "cut", message: "The replica ended an unfinished answer" };
   }
-  const index = parseEventIndex(event.id, requestId);
+  const index = parseEventIndex(event.id, idPrefix);
   if (index === undefined) {
     return {
       kind: "cut",
@@ -257,9 +258,8 @@
 /** Position of a token of this request; undefined for any other event. */
 function parseEventIndex(
   id: string | undefined,
-  requestId: string,
+  prefix: string,
 ): number | undefined {
-  const prefix = `${requestId}:`;
   if (id === undefined || !id.startsWith(prefix)) return undefined;
   const digits = id.slice(prefix.length);
   return /^\d{1,9}$/.test(digits) ? Number(digits) : undefined;
--- a/packages/celerytray/src/http/read_body.ts
+++ b/packages/celerytray/src/http/read_body.ts
@@ -12,10 +12,11 @@
   options: { readonly maxBytes: number },
 ): Effect.Effect<Buffer, BodyTooLarge> {
   return Effect.callback<Buffer, BodyTooLarge>((resume) => {
-    const tooLarge = new BodyTooLarge({ maxBytes: options.maxBytes });
+    const failTooLarge = () =>
+      resume(Effect.fail(new BodyTooLarge({ maxBytes: options.maxBytes })));
     const declaredBytes = Number(message.headers["content-length"] ?? 0);
     if (declaredBytes > options.maxBytes) {
-      resume(Effect.fail(tooLarge));
+      failTooLarge();
       return;
     }
     const chunks: Buffer[] = [];
@@ -25,7 +26,7 @@
       if (receivedBytes > options.maxBytes) {
         message.removeAllListeners("data");
         chunks.length = 0;
-        resume(Effect.fail(tooLarge));
+        failTooLarge();
       } else {
         chunks.push(chunk);
       }
--- a/packages/fakes/src/engine/serve_fake_engine.ts
+++ b/packages/fakes/src/engine/serve_fake_engine.ts
@@ -32,6 +32,8 @@
   readonly onSilent?: () => void;
   /** Called at each stream, with the index of its first token. */
   readonly onStream?: (firstIndex: number) => void;
+  /** Called at each token generated. */
+  readonly onToken?: () => void;
 }
 
 interface ServedEngine {
@@ -123,6 +125,7 @@
       await sleep(engine.options.tokenIntervalMs);
     }
     if (response.destroyed) return;
+    options.onToken?.();
     const token = { requestId, index, createChunk: createChunkAt };
     const kind = findFaultAt(index, { fault, engine });
     if (kind === undefined) {
