--- a/packages/celerytray/src/forwarding/caller_handler.ts
+++ b/packages/celerytray/src/forwarding/caller_handler.ts
@@ -69,6 +69,8 @@
 const MAX_DISCARDED_BYTES = 64 * 1024 * 1024;
 const MAX_HEADER_COUNT = 100;
 const BODY_TIMEOUT_MS = 30_000;
+/** A body that the server's own request timeout is enough for. */
+const MAX_PROMPT_BYTES = 16 * 1024;
 const BODY_TIMEOUT = new CallerError({
   status: 408,
   type: "invalid_request_error",
@@ -187,13 +189,23 @@
   if (isExpected && declaredBytes <= maxBodyBytes) response.writeContinue();
   return readBody(request, { maxBytes: maxBodyBytes }).pipe(
     Effect.mapError(({ maxBytes }) => createTooLargeError(maxBytes)),
-    Effect.timeoutOrElse({
-      duration: BODY_TIMEOUT_MS,
-      orElse: () => Effect.fail(BODY_TIMEOUT),
-    }),
+    (read) =>
+      declaredBytes > 0 && declaredBytes <= MAX_PROMPT_BYTES
+        ? read
+        : limitTime(read),
   );
 }
 
+/** Limits the time of a body that takes more than a few packets. */
+function limitTime(
+  read: Effect.Effect<Buffer, CallerError>,
+): Effect.Effect<Buffer, CallerError> {
+  return read.pipe(Effect.timeoutOrElse({
+    duration: BODY_TIMEOUT_MS,
+    orElse: () => Effect.fail(BODY_TIMEOUT),
+  }));
+}
+
 function dispatch(
   context: CallContext,
   dependencies: ForwardingDependencies,
--- a/packages/celerytray/src/forwarding/stream_attempt.ts
+++ b/packages/celerytray/src/forwarding/stream_attempt.ts
@@ -173,6 +173,7 @@
   const { sink, touch } = options;
   const idPrefix = `${options.requestId}:`;
   let ended: AttemptOutcome | undefined;
+  const isFinished = () => ended?.kind === "finished";
   const settle = (outcome: AttemptOutcome) => {
     ended ??= outcome;
     options.settle(ended);
@@ -195,7 +196,10 @@
     if (ended !== undefined) return;
     touch();
     parser.feed(text);
-    if (!sink.flush()) pauseUntilDrained(response, options);
+    // The end of an answer is written with its last tokens.
+    if (!isFinished() && !sink.flush()) {
+      pauseUntilDrained(response, options);
+    }
     if (ended !== undefined) settle(ended);
   });
   const onCut = () =>
--- a/packages/celerytray/src/http/listen.ts
+++ b/packages/celerytray/src/http/listen.ts
@@ -17,7 +17,7 @@
 }
 
 const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
-const DEFAULT_REQUEST_TIMEOUT_MS = 60_000;
+const DEFAULT_REQUEST_TIMEOUT_MS = 30_000;
 const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
 
 /** The address could not be listened on. */
