--- a/packages/bench/src/attempts/local_data_plane.ts
+++ b/packages/bench/src/attempts/local_data_plane.ts
@@ -8,6 +8,7 @@
   serveFakePlainService,
 } from "@celerytray/fakes";
 import {
+  type BackendPools,
   createAttemptState,
   createCallerHandler,
   type ForwardingClaims,
@@ -47,6 +48,7 @@
 export interface LocalDataPlane {
   readonly url: string;
   readonly server: Server;
+  readonly pools: BackendPools;
   readonly calls: InFlightCalls;
   /** Back ends in the order of their numbers; a closed one refuses. */
   readonly engines: readonly FakeServer[];
@@ -148,6 +150,7 @@
   return {
     url: `http://127.0.0.1:${port}`,
     server,
+    pools: attemptState.pools,
     calls,
     engines,
     plains,
--- a/packages/bench/src/attempts/stream_flow_test.ts
+++ b/packages/bench/src/attempts/stream_flow_test.ts
@@ -9,6 +9,7 @@
 const MAX_BUFFERED_BYTES = 2 * 1024 * 1024;
 const LONG_WORD = "w".repeat(16 * 1024);
 const LONG_TOKEN_COUNT = 2_000;
+const SHORT_IDLE_TIMEOUT_MS = 300;
 const POLLS = 40;
 const POLL_MS = 10;
 
@@ -32,6 +33,26 @@
     await plane.close();
   });
 
+  it("keeps no pooled connection of a replica that went silent", async () => {
+    const plane = await startLocalDataPlane({
+      engineCount: 1,
+      idleTimeoutMs: SHORT_IDLE_TIMEOUT_MS,
+    });
+    const ask = () => askCompletion(plane, { prompt: "crate", tokenCount: 3 });
+    const { address } = plane.engines[0]!;
+    const countFree = () =>
+      Object.values(plane.pools.agentFor(address).freeSockets).flat().length;
+    await Promise.all([ask(), ask(), ask()]);
+    expect(countFree()).toEqual(3);
+    await plane.setEngineFaults(0, {
+      stream: { kind: "silence", atToken: 1, streamsLeft: 1 },
+    });
+    expect((await ask()).isWhole).toEqual(false);
+    expect(countFree()).toEqual(0);
+    expect((await ask()).isWhole).toEqual(true);
+    await plane.close();
+  });
+
   it("holds little for a caller who takes nothing, then all arrives", async () => {
     const plane = await startLocalDataPlane({ engineCount: 1 });
     let served: ServerResponse | undefined;
