--- a/packages/bench/src/attempts/stream_flow_test.ts
+++ b/packages/bench/src/attempts/stream_flow_test.ts
@@ -14,11 +14,12 @@
 const POLL_MS = 10;
 
 describe("flow of a stream", () => {
-  it("cancels at the engine when the caller leaves", async () => {
+  it("cancels at the engine when the caller leaves", async (context) => {
     const plane = await startLocalDataPlane({
       engineCount: 1,
       tokenIntervalMs: 5,
     });
+    context.after(() => plane.close());
     const left = new AbortController();
     const call = askCompletion(plane, {
       prompt: "crate",
@@ -30,14 +31,14 @@
     await call.catch(() => undefined);
     while (await plane.runningStreams() > 0) await sleep(POLL_MS);
     expect(plane.attemptCount()).toEqual(1);
-    await plane.close();
   });
 
-  it("keeps no pooled connection of a replica that went silent", async () => {
+  it("keeps no pooled connection of a replica that went silent", async (context) => {
     const plane = await startLocalDataPlane({
       engineCount: 1,
       idleTimeoutMs: SHORT_IDLE_TIMEOUT_MS,
     });
+    context.after(() => plane.close());
     const ask = () => askCompletion(plane, { prompt: "crate", tokenCount: 3 });
     const { address } = plane.engines[0]!;
     const countFree = () =>
@@ -50,11 +51,11 @@
     expect((await ask()).isWhole).toEqual(false);
     expect(countFree()).toEqual(0);
     expect((await ask()).isWhole).toEqual(true);
-    await plane.close();
   });
 
-  it("holds little for a caller who takes nothing, then all arrives", async () => {
+  it("holds little for a caller who takes nothing, then all arrives", async (context) => {
     const plane = await startLocalDataPlane({ engineCount: 1 });
+    context.after(() => plane.close());
     let served: ServerResponse | undefined;
     plane.server.on("request", (_request, response: ServerResponse) => {
       served = response;
@@ -90,6 +91,5 @@
     }
     expect(lastText.endsWith("data: [DONE]\n\n")).toEqual(true);
     expect(eventCount > 0).toEqual(true);
-    await plane.close();
   });
 });
