--- /dev/null
+++ b/packages/celerytray/src/forwarding/plain_call.ts
@@ -0,0 +1,103 @@
+import type { PlainService } from "@celerytray/schema";
+import { Clock, Effect } from "effect";
+import type { AttemptPlan } from "./attempt_plan.ts";
+import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
+import type { PlainInstance } from "./forwarding_types.ts";
+import { type PlainOutcome, runPlainAttempt } from "./plain_attempt.ts";
+
+const DEFAULT_IDEMPOTENT_METHODS = ["GET", "HEAD", "OPTIONS"];
+
+/** Load of an attempt after one that did not run. */
+export const NOT_RUN_COST_REQUESTS = 0.1;
+
+/** One call of a plain service. */
+export interface PlainCall {
+  readonly context: CallContext;
+  readonly dependencies: ForwardingDependencies;
+  readonly serviceName: string;
+  readonly service: PlainService;
+  /** Path and query below /services/NAME. */
+  readonly path: string;
+  readonly timeoutMs: number;
+  readonly deadlineAtMs: number;
+  readonly plan: AttemptPlan;
+}
+
+/** Whether the call may be repeated. */
+export function isIdempotent(call: PlainCall): boolean {
+  const methods: readonly string[] = call.service.idempotentMethods ??
+    DEFAULT_IDEMPOTENT_METHODS;
+  return methods.includes(call.context.request.method ?? "");
+}
+
+/** Chooses an instance for one more attempt, if the plan allows one. */
+export function allowAttempt(
+  call: PlainCall,
+  costRequests: number,
+): Effect.Effect<PlainInstance | undefined> {
+  return Effect.map(Clock.currentTimeMillis, (nowMs) => {
+    const instance = chooseInstance(call, nowMs);
+    if (instance === undefined) return undefined;
+    if (call.plan.allow(costRequests, nowMs).isLeft()) return undefined;
+    call.plan.tried.add(instance.replicaId);
+    return instance;
+  });
+}
+
+/** Attempts the call on one instance and takes note of what came. */
+export function attemptOn(
+  instance: PlainInstance,
+  call: PlainCall,
+): Effect.Effect<PlainOutcome> {
+  const { context, dependencies, plan } = call;
+  const { requestId } = context;
+  const { address, replicaId } = instance;
+  return Effect.gen(function* () {
+    const note = { requestId, instanceId: replicaId };
+    yield* dependencies.recordEvent("attempt.started", note);
+    dependencies.noteSent(replicaId);
+    const startedAtMs = yield* Clock.currentTimeMillis;
+    const outcome = yield* runPlainAttempt({
+      address,
+      method: context.request.method ?? "GET",
+      path: call.path,
+      headers: context.request.headers,
+      body: context.body,
+      requestId,
+      timeoutMs: call.deadlineAtMs - startedAtMs,
+      ...(isIdempotent(call)
+        ? { agent: dependencies.pools.agentFor(address) }
+        : {}),
+    });
+    const nowMs = yield* Clock.currentTimeMillis;
+    if (outcome.kind === "answered") {
+      dependencies.failures.noteAnswer(replicaId);
+      dependencies.hedgeDelays.get(call.serviceName)
+        .noteAnswer(nowMs - startedAtMs);
+    } else {
+      plan.noteOutcome(outcome.kind);
+      dependencies.failures.noteFailure(replicaId, nowMs);
+      dependencies.pools.discard(address);
+    }
+    yield* dependencies.recordEvent(`attempt.${outcome.kind}`, note);
+    return outcome;
+  }).pipe(
+    Effect.onInterrupt(() =>
+      Effect.sync(() => dependencies.pools.discard(address))
+    ),
+  );
+}
+
+function chooseInstance(
+  call: PlainCall,
+  nowMs: number,
+): PlainInstance | undefined {
+  const { dependencies, serviceName, plan } = call;
+  const untried = dependencies.listPlainInstances(serviceName).filter((
+    { replicaId },
+  ) => !plan.tried.has(replicaId));
+  const candidates = dependencies.failures.prefer(untried, nowMs);
+  return dependencies.router.choose(candidates, {
+    availabilityZone: dependencies.availabilityZone,
+  });
+}
--- /dev/null
+++ b/packages/celerytray/src/forwarding/plain_errors.ts
@@ -0,0 +1,86 @@
+import type { ClaimBusy, ClaimKeyReused } from "../claims/index.ts";
+import type { LogError } from "../log/index.ts";
+import { CallerError, type CallOutcomeState } from "./caller_error.ts";
+
+const RETRY_AFTER_MS = 2_000;
+
+/** Tells what is known of a call that was not answered. */
+export function createUnansweredError(outcome: CallOutcomeState): CallerError {
+  switch (outcome) {
+    case "ran":
+      return new CallerError({
+        status: 502,
+        type: "server_error",
+        code: "answer_lost",
+        message:
+          "The service ran the call, but its answer did not arrive whole; ask it before a retry",
+        outcome,
+      });
+    case "unknown":
+      return new CallerError({
+        status: 504,
+        type: "server_error",
+        code: "outcome_unknown",
+        message:
+          "The service did not answer and may have run the call; ask it before a retry",
+        outcome,
+      });
+    case "not-run":
+      return new CallerError({
+        status: 503,
+        type: "server_error",
+        code: "no_instance",
+        message: "No instance of the service could take the call; retry later",
+        outcome,
+        retryAfterMs: RETRY_AFTER_MS,
+      });
+  }
+}
+
+/** Tells why a call could not be claimed. */
+export function toClaimCallerError(
+  error: ClaimBusy | ClaimKeyReused | LogError,
+): CallerError {
+  const { message } = error;
+  switch (error._tag) {
+    case "ClaimKeyReused":
+      return createClaimError({
+        status: 422,
+        code: "idempotency_key_reused",
+        message,
+      });
+    case "ClaimBusy":
+      return new CallerError({
+        status: 409,
+        type: "invalid_request_error",
+        code: "idempotency_key_in_use",
+        message,
+        outcome: "unknown",
+        retryAfterMs: RETRY_AFTER_MS,
+      });
+    default:
+      return new CallerError({
+        status: 503,
+        type: "server_error",
+        code: "claim_unavailable",
+        message: "The call could not be claimed; retry with the same key",
+        outcome: "not-run",
+        retryAfterMs: RETRY_AFTER_MS,
+      });
+  }
+}
+
+/** Refuses a call for its idempotency key. */
+export function createClaimError(
+  options: {
+    readonly status: number;
+    readonly code: string;
+    readonly message: string;
+  },
+): CallerError {
+  return new CallerError({
+    ...options,
+    type: "invalid_request_error",
+    outcome: "not-run",
+  });
+}
