--- a/packages/bench/src/attempts/plain_calls_test.ts
+++ b/packages/bench/src/attempts/plain_calls_test.ts
@@ -125,6 +125,25 @@
       }));
   }
 
+  it("refuses more than 100 headers", () =>
+    withPlane({ plainCount: 1 }, async (plane) => {
+      const answer = await get(plane, "/services/slotbook/units", {
+        headerCount: 101,
+      });
+      expect(answer).toInclude("431 Request Header Fields Too Large");
+      expect(answer).toInclude("celerytray-outcome: not-run");
+    }));
+
+  it("tells callers to leave while it shuts down", () =>
+    withPlane({ plainCount: 1 }, async (plane) => {
+      plane.setNotReady("it shuts down");
+      const response = await book(plane);
+      expect(response.status).toEqual(503);
+      expect(response.headers.get("celerytray-outcome")).toEqual("not-run");
+      expect(response.headers.get("connection")).toEqual("close");
+      expect(await plane.listRuns()).toEqual([]);
+    }));
+
   it("takes the absolute form and passes the query on", () =>
     withPlane({ plainCount: 1 }, async (plane) => {
       const answer = await get(
@@ -192,11 +211,17 @@
   });
 }
 
-function get(plane: LocalDataPlane, target: string): Promise<string> {
+function get(
+  plane: LocalDataPlane,
+  target: string,
+  options: { readonly headerCount?: number } = {},
+): Promise<string> {
+  const { headerCount = 0 } = options;
   return exchangeRaw(plane, [
     `GET ${target} HTTP/1.1`,
     "Host: local",
     `Authorization: Bearer ${LOCAL_KEY}`,
+    ...Array.from({ length: headerCount }, (_, index) => `x-${index}: 1`),
   ]);
 }
 
