--- a/packages/bench/src/attempts/streams_whole_test.ts
+++ b/packages/bench/src/attempts/streams_whole_test.ts
@@ -60,6 +60,15 @@
     expect(firstIndexes).toEqual([0, 2, 5]);
   });
 
+  it("passes over a duplicate without another attempt", async () => {
+    const { firstIndexes } = await ask({
+      kind: "duplicate",
+      faultyAt: [3],
+      isStream: true,
+    });
+    expect(firstIndexes).toEqual([0]);
+  });
+
   it("tells an oversized event as an error", async () => {
     const seen = await ask({
       kind: "oversized",
