--- a/packages/bench/src/attempts/streams_whole_test.ts
+++ b/packages/bench/src/attempts/streams_whole_test.ts
@@ -11,6 +11,7 @@
 const IDLE_TIMEOUT_MS = 3_000;
 const DELIVERY_MS = 20;
 const REPEAT_MS = 500;
+const HANG_GUARD = { timeout: 30_000 };
 const KINDS: readonly StreamFaultKind[] = [
   "cut",
   "silence",
@@ -51,7 +52,25 @@
     });
   }
 
-  it("tells an oversized event as an error", async () => {
+  it("resumes at the first token not delivered", async () => {
+    const { firstIndexes } = await ask({
+      kind: "cut",
+      faultyAt: [2, 5],
+      isStream: true,
+    });
+    expect(firstIndexes).toEqual([0, 2, 5]);
+  });
+
+  it("passes over a duplicate without another attempt", async () => {
+    const { firstIndexes } = await ask({
+      kind: "duplicate",
+      faultyAt: [3],
+      isStream: true,
+    });
+    expect(firstIndexes).toEqual([0]);
+  });
+
+  it("tells an oversized event as an error", HANG_GUARD, async () => {
     const seen = await ask({
       kind: "oversized",
       faultyAt: [2],
@@ -121,11 +140,11 @@
   return Effect.runPromise(
     Effect.gen(function* () {
       const context = yield* Effect.context<never>();
-      let streamCount = 0;
+      const firstIndexes: number[] = [];
       const passSilence = async () => {
-        const silentStream = streamCount;
+        const silentStream = firstIndexes.length;
         await sleep(DELIVERY_MS);
-        while (streamCount === silentStream && !isOver) {
+        while (firstIndexes.length === silentStream && !isOver) {
           await Effect.runPromiseWith(context)(
             TestClock.adjust(IDLE_TIMEOUT_MS),
           );
@@ -139,8 +158,11 @@
           router: IN_ORDER,
           idleTimeoutMs: IDLE_TIMEOUT_MS,
           context,
-          onSilent: () => void passSilence(),
-          onStream: () => streamCount += 1,
+          // The size of an event ends its stream, whatever time it takes.
+          onSilent: () => {
+            if (fault.kind !== "oversized") void passSilence();
+          },
+          onStream: (firstIndex) => firstIndexes.push(firstIndex),
         });
         for (const [index, atToken] of fault.faultyAt.entries()) {
           await plane.setEngineFaults(index, {
@@ -157,7 +179,7 @@
         });
         isOver = true;
         await plane.close();
-        return seen;
+        return { ...seen, firstIndexes };
       });
     }).pipe(Effect.provide(TestClock.layer())),
   );
--- a/packages/cli/src/local/free_addresses.ts
+++ b/packages/cli/src/local/free_addresses.ts
@@ -1,18 +1,38 @@
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 
-/** Finds loopback addresses with free ports. */
+const FIRST_PORT = 20_000;
+const LAST_PORT = 29_999;
+const MAX_OCTET = 250;
+
+let nextPort = FIRST_PORT;
+
+/**
+ * Finds loopback addresses with free ports. Each process has a loopback host
+ * of its own and takes ports below the range of outgoing connections, so that
+ * nothing else takes an address between the search and its use.
+ */
 export async function findFreeAddresses(count: number): Promise<string[]> {
-  const servers = Array.from({ length: count }, () => createServer());
+  const host = createOwnHost();
   const addresses: string[] = [];
-  for (const server of servers) {
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve)
-    );
-    addresses.push(`127.0.0.1:${(server.address() as AddressInfo).port}`);
-  }
-  for (const server of servers) {
-    await new Promise((resolve) => server.close(resolve));
+  while (addresses.length < count) {
+    const port = nextPort;
+    nextPort = port === LAST_PORT ? FIRST_PORT : port + 1;
+    if (await isFree(host, port)) addresses.push(`${host}:${port}`);
   }
   return addresses;
 }
+
+function createOwnHost(): string {
+  const low = process.pid % MAX_OCTET;
+  const middle = Math.floor(process.pid / MAX_OCTET) % MAX_OCTET;
+  const high = Math.floor(process.pid / MAX_OCTET ** 2) % MAX_OCTET;
+  return `127.${high + 1}.${middle + 1}.${low + 1}`;
+}
+
+function isFree(host: string, port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
+  });
+}
