--- a/packages/bench/src/config/virtual_entries.ts
+++ b/packages/bench/src/config/virtual_entries.ts
@@ -6,6 +6,7 @@
   createConfigStream,
   createExchangedConfig,
   createLogWriter,
+  HybridClock,
   type LogWriter,
   Membership,
   type PeerTransport,
@@ -164,6 +165,7 @@
             adminAddress: toAddress(id),
           })),
         random: () => this.#random(),
+        clock: new HybridClock(),
         intervalMs: this.#options.intervalMs ?? DEFAULT_INTERVAL_MS,
         isolationTimeoutMs: this.#options.isolationTimeoutMs ??
           DEFAULT_ISOLATION_TIMEOUT_MS,
@@ -209,6 +211,7 @@
           message,
           ({ membership }) => membership.answer(copy(message)),
         ),
+      ping: (address) => call(address, undefined, () => Effect.succeed(true)),
       offerConfig: (address, update) =>
         call(address, update, ({ config }) => config.adopt(copy(update))).pipe(
           Effect.asVoid,
--- a/packages/bench/src/membership/membership_bench.ts
+++ b/packages/bench/src/membership/membership_bench.ts
@@ -5,6 +5,9 @@
 import { type CallCost, measureCall } from "./measure_call.ts";
 
 const SIZES = [9, 50, 100];
+/** Stamps as long as those of today. */
+const START_MS = Date.UTC(2026, 0, 1);
+const ORGANISATIONS = 10;
 const WARM_UP_MS = 30_000;
 const MEASURED_MS = 30_000;
 const TARGET_SIZE = 390;
@@ -67,7 +70,13 @@
   const before = { calls: 0, bytes: 0 };
   const after = { calls: 0, bytes: 0 };
   const run = Effect.gen(function* () {
+    yield* TestClock.setTime(START_MS);
     yield* group.startAll();
+    for (const { membership } of group.entries.values()) {
+      for (let index = 0; index < ORGANISATIONS; index++) {
+        membership.demand.noteOwn(`organisation-${index}`, 10.5 * index);
+      }
+    }
     yield* TestClock.adjust(WARM_UP_MS);
     for (const { logFaults } of group.entries.values()) {
       logFaults.isOut = isLogOut;
--- a/packages/celerytray/src/membership/membership.ts
+++ b/packages/celerytray/src/membership/membership.ts
@@ -20,6 +20,8 @@
     address: string,
     message: ExchangeMessage,
   ): Effect.Effect<ExchangeAnswer, PeerFailure>;
+  /** Whether a peer answers. */
+  ping(address: string): Effect.Effect<boolean, PeerFailure>;
   /** Hands a configuration over to a peer that lags. */
   offerConfig(
     address: string,
@@ -74,7 +76,7 @@
 /** Peers told at once of a new version. */
 const EAGER_PEERS = 3;
 /** Rounds of sounding in which one usual exchange takes place. */
-const SOUNDING_ROUNDS = 8;
+const SOUNDING_ROUNDS = 2;
 const SUSPICION_INTERVALS = 5;
 const FORGET_INTERVALS = 120;
 const DEMAND_INTERVALS = 60;
@@ -177,7 +179,8 @@
         present: this.table.present,
         random,
       });
-      const peers = new Map(sounded.map((peer) => [peer.instanceId, peer]));
+      for (const peer of sounded) yield* Effect.forkChild(this.#sound(peer));
+      const peers = new Map<string, Member>();
       const count = this.#countUsualPeers(sounded.length > 0);
       for (let index = 0; index < count; index++) {
         const peer = this.table.nextPeer(random);
@@ -196,6 +199,16 @@
     return this.#roundCount % SOUNDING_ROUNDS === 0 ? 1 : 0;
   }
 
+  /** Takes note whether a peer answers. */
+  #sound({ instanceId, adminAddress }: Member): Effect.Effect<void> {
+    const { transport, intervalMs } = this.#options;
+    const ping = transport.ping(adminAddress).pipe(
+      Effect.andThen(Clock.currentTimeMillis),
+      Effect.map((nowMs) => this.isolation.noteHeard(instanceId, nowMs)),
+    );
+    return ping.pipe(Effect.timeoutOption(intervalMs / 2), Effect.ignore);
+  }
+
   /** Exchanges with a peer; asks others about one that does not answer. */
   #contact(peer: Member): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
