--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,3 +1,4 @@
+import { claimsBench } from "./claims/claims_bench.ts";
 import { configBench } from "./config/config_bench.ts";
 import { formationBench } from "./formation/formation_bench.ts";
 import { fuzzBench } from "./fuzz/fuzz_bench.ts";
@@ -26,6 +27,7 @@
 
 /** All measurements, by name. */
 export const benches: readonly Bench[] = [
+  claimsBench,
   configBench,
   formationBench,
   fuzzBench,
--- a/packages/bench/src/claims/entry_claims_test.ts
+++ b/packages/bench/src/claims/entry_claims_test.ts
@@ -21,6 +21,8 @@
   key: `${START_MS}-booking`,
   requestSha256: "digest",
 };
+const SETTLE_MS = 900;
+const STEP_MS = 10;
 const WAIT = { waitMs: 3_000 };
 const RAN = { state: "ran", status: 201, bodyBase64: "e30=" } as const;
 
@@ -131,6 +133,23 @@
     expect(enter("third", 50)).toEqual(3);
     expect(enter("fourth", 50)).toEqual(2);
   });
+
+  it("takes fewer calls while calls time out, and more with each grant", () => {
+    const limit = new FairQueueLimit({
+      maxWaitingCalls: 40,
+      minWaitingCalls: 10,
+    });
+    const countPlaces = () => {
+      let count = 0;
+      while (limit.enter("large")) count += 1;
+      for (let left = 0; left < count; left++) limit.leave("large");
+      return count;
+    };
+    for (const atMs of [0, 10, 20, 1_000, 2_000]) limit.noteTimeout(atMs);
+    expect(countPlaces()).toEqual(10);
+    for (let grants = 0; grants < 100; grants++) limit.noteGrant();
+    expect(countPlaces()).toEqual(40);
+  });
 });
 
 class Cluster {
@@ -197,11 +216,13 @@
   return Effect.runPromise(Effect.provide(played, TestClock.layer()));
 }
 
-/** Runs an effect while time goes on. */
+/** Runs an effect while time goes on, in steps that let each fiber act. */
 function settle<A, E>(effect: Effect.Effect<A, E>): Effect.Effect<A, E> {
   return Effect.gen(function* () {
     const fiber = yield* Effect.forkChild(effect);
-    yield* TestClock.adjust(1_000);
+    for (let elapsedMs = 0; elapsedMs < SETTLE_MS; elapsedMs += STEP_MS) {
+      yield* TestClock.adjust(STEP_MS);
+    }
     return yield* Fiber.join(fiber);
   });
 }
