--- a/packages/bench/src/membership/membership_test.ts
+++ b/packages/bench/src/membership/membership_test.ts
@@ -1,4 +1,4 @@
-import { MemberTable } from "celerytray";
+import { MemberTable, type MemberTableOptions } from "celerytray";
 import { expect } from "earl";
 import { Clock, Effect } from "effect";
 import { TestClock } from "effect/testing";
@@ -57,6 +57,19 @@
   for (const { logFaults } of group.entries.values()) logFaults.isOut = isOut;
 }
 
+function createTable(
+  onChange: NonNullable<MemberTableOptions["onChange"]>,
+): MemberTable {
+  return new MemberTable({
+    self: { instanceId: "self", adminAddress: "127.0.0.1:1" },
+    suspicionMs: 5_000,
+    forgetMs: 60_000,
+    intervalMs: 1_000,
+    startedAtMs: 0,
+    onChange,
+  });
+}
+
 const ALL_LIVE = Array.from({ length: COUNT }, () => COUNT);
 
 describe("membership between entry instances", () => {
@@ -103,13 +116,8 @@
     ));
 
   it("ends no suspicion that ran while this instance itself was paused", () => {
-    const table = new MemberTable({
-      self: { instanceId: "self", adminAddress: "127.0.0.1:1" },
-      suspicionMs: 5_000,
-      forgetMs: 60_000,
-      intervalMs: 1_000,
-      startedAtMs: 0,
-    });
+    const changes: string[] = [];
+    const table = createTable((update) => changes.push(update.state));
     const other = { instanceId: "other", adminAddress: "127.0.0.1:2" };
     table.noteListed([other], 0);
     table.tick(0);
@@ -118,6 +126,7 @@
     expect(table.members[0]!.state).toEqual("suspect");
     for (let atMs = 31_000; atMs <= 36_000; atMs += 1_000) table.tick(atMs);
     expect(table.members[0]!.state).toEqual("gone");
+    expect(changes).toEqual(["suspect", "gone"]);
   });
 
   it("drops an instance that leaves at once", () =>
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -101,7 +101,7 @@
       log,
       config,
       directory,
-      clock: timeline.clock,
+      timeline,
     });
     const engine = new HttpModelEngine();
     const reports = { note: (_observation: MemberObservation): void => {} };
--- a/packages/celerytray/src/entry/entry_membership.ts
+++ b/packages/celerytray/src/entry/entry_membership.ts
@@ -22,7 +22,7 @@
   selectPreferred,
 } from "../membership/index.ts";
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
-import type { HybridClock } from "../timeline/index.ts";
+import type { Timeline } from "../timeline/index.ts";
 
 /** What membership of an entry instance rests on. */
 export interface EntryMembershipOptions {
@@ -31,7 +31,7 @@
   readonly log: LogService;
   readonly config: ConfigStream;
   readonly directory: InstanceDirectory;
-  readonly clock: HybridClock;
+  readonly timeline: Timeline;
 }
 
 /** Membership and what peers may ask. */
@@ -57,7 +57,9 @@
       config: createExchangedConfig(config),
       listEntries: () => listOtherEntries(directory, settings.instanceId),
       random: Math.random,
-      clock: options.clock,
+      clock: options.timeline.clock,
+      onMemberChange: ({ state, instanceId }, nowMs) =>
+        options.timeline.record(`member.${state}`, { instanceId, nowMs }),
       intervalMs: settings.peerIntervalMs,
       isolationTimeoutMs: settings.isolationTimeoutMs,
     }, yield* Clock.currentTimeMillis);
--- a/packages/celerytray/src/membership/member_table.ts
+++ b/packages/celerytray/src/membership/member_table.ts
@@ -21,6 +21,8 @@
   readonly forgetMs: number;
   /** Usual time between two calls of `tick`. */
   readonly intervalMs: number;
+  /** Learns of each change of a member's state. */
+  readonly onChange?: (update: MemberUpdate, nowMs: number) => void;
   /** Makes the first incarnation higher than those of earlier lives. */
   readonly startedAtMs: number;
 }
@@ -224,6 +226,7 @@
     const sinceMs = options.nowMs;
     this.#members.set(instanceId, { ...update, sinceMs, heardAtMs });
     if (!options.isNews) return;
+    this.#options.onChange?.(update, sinceMs);
     const doublings = Math.ceil(Math.log2(this.#members.size + 2));
     this.#sendsLeft.set(instanceId, SENDS_PER_DOUBLING * doublings);
   }
--- a/packages/celerytray/src/membership/membership.ts
+++ b/packages/celerytray/src/membership/membership.ts
@@ -4,7 +4,11 @@
 import type { ExchangeAnswer, ExchangeMessage } from "./exchange.ts";
 import { IsolationMonitor } from "./isolation_monitor.ts";
 import { LeavingTable } from "./leaving_table.ts";
-import { type Member, MemberTable } from "./member_table.ts";
+import {
+  type Member,
+  MemberTable,
+  type MemberTableOptions,
+} from "./member_table.ts";
 import type { MemberUpdate } from "./member_update.ts";
 import { DemandTable } from "./peer_demand.ts";
 import { sample } from "./sample.ts";
@@ -65,6 +69,8 @@
   readonly random: () => number;
   /** Clock of the time line, kept in step with the peers'. */
   readonly clock?: HybridClock;
+  /** Learns of each change of a member's state. */
+  readonly onMemberChange?: MemberTableOptions["onChange"];
   readonly intervalMs: number;
   readonly isolationTimeoutMs: number;
 }
@@ -101,12 +107,13 @@
   readonly #confirmedBy = new Set<string>();
 
   constructor(options: MembershipOptions, startedAtMs: number) {
-    const { self, intervalMs } = options;
+    const { self, intervalMs, onMemberChange } = options;
     this.#options = options;
     this.table = new MemberTable({
       self,
       intervalMs,
       startedAtMs,
+      ...(onMemberChange === undefined ? {} : { onChange: onMemberChange }),
       suspicionMs: SUSPICION_INTERVALS * intervalMs,
       forgetMs: FORGET_INTERVALS * intervalMs,
     });
