--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -90,7 +90,7 @@
       log,
       config,
       directory,
-      clock: timeline.clock,
+      timeline,
     });
     const isPreferred = (name: string) =>
       selectPreferred(name, membership.listLiveIds()) === settings.instanceId;
