--- a/packages/cli/src/commands/config_commands_test.ts
+++ b/packages/cli/src/commands/config_commands_test.ts
@@ -66,6 +66,17 @@
     expect(second.stderr).toInclude("services.slotbook.replicaCount = 5");
   });
 
+  it("hands a conflict to programs as data", async () => {
+    const { config } = await cluster.admin(cluster.entries[0]!).showConfig
+      .query();
+    const conflict = await cluster.admin(cluster.entries[0]!).applyConfig
+      .mutate({ config, author: "bina", refinesVersion: 1 })
+      .catch((error) => error.data.conflict);
+    expect(conflict.refinedVersion).toEqual(1);
+    expect(conflict.currentVersion).toEqual(2);
+    expect(conflict.otherChanges.length).toEqual(1);
+  });
+
   it("returns to an earlier version by a new one", async () => {
     const rolledBack = await run(["config", "rollback", "1"]);
     expect(rolledBack.stdout).toInclude("Version 3 is in force");
@@ -76,6 +87,27 @@
     expect(history.stdout.trim().split("\n").length).toEqual(4);
   });
 
+  it("explains a request and merges the time line of all", async () => {
+    const refused = await fetch(
+      `http://${cluster.entries[1]!.address}/v1/chat/completions`,
+      { method: "POST", body: "{}" },
+    );
+    const requestId = refused.headers.get("x-request-id")!;
+    const explained = await run(["explain", requestId]);
+    expect(explained.stdout).toInclude(
+      "It was sent to no replica and failed: invalid_api_key",
+    );
+    expect(explained.stdout).toInclude("entry-kth-b request.failed");
+    const timeline = await run(["timeline"]);
+    for (const { instanceId } of cluster.entries) {
+      expect(timeline.stdout).toInclude(`${instanceId} config.in-force`);
+    }
+    const secrets = [LOCAL_OPERATOR_TOKEN, "local-peer-secret-0"];
+    for (const secret of secrets) {
+      expect(timeline.stdout.includes(secret)).toEqual(false);
+    }
+  });
+
   it("names an entry instance that has not got a version", async () => {
     cluster.entries[2]!.process.child.kill("SIGSTOP");
     const applied = await run([
