Roll out model versions a few replicas at a time

A replaced member loaded the new version beside members with the old one, and nothing ever loaded the new one into replicas that served.

--- a/packages/celerytray/src/fleet/find_surplus.ts
+++ b/packages/celerytray/src/fleet/find_surplus.ts
@@ -1,5 +1,6 @@
 import type { ModelService } from "@celerytray/schema";
 import { HashMap } from "effect";
+import { selectOutdated } from "./select_outdated.ts";
 import { groupBy } from "./group_by.ts";
 import type { Replica } from "./fold_fleet_record.ts";
 import {
@@ -35,6 +36,9 @@
       if (!fits) add(replica, "resized");
       return fits;
     });
+    for (const replica of selectOutdated(fitting, { service, observation })) {
+      add(replica, "outdated");
+    }
     const count = fitting.length - service.replicaCount;
     if (count <= 0) continue;
     const keeps = service.replicaCount > 0 && mayExceed(service);
--- a/packages/celerytray/src/fleet/replica_health.ts
+++ b/packages/celerytray/src/fleet/replica_health.ts
@@ -52,6 +52,9 @@
   if (mismatched.length > 0) {
     return { state: "mismatched", members: mismatched };
   }
+  if (holdsTwoVersions(replica, input)) {
+    return { state: "mismatched", members: replica.members };
+  }
   if (loading.length > 0) return { state: "loading", members: loading };
   return { state: "ready" };
 }
@@ -68,6 +71,19 @@
     assignment.rank === replica.members.indexOf(status.instanceId);
 }
 
+/** Whether members hold different models or versions. */
+function holdsTwoVersions(
+  { members }: Replica,
+  { observations }: HealthInput,
+): boolean {
+  const first = observations.get(members[0]!)?.status;
+  return members.some((member) => {
+    const status = observations.get(member)?.status;
+    return status?.model !== first?.model ||
+      status?.modelVersion !== first?.modelVersion;
+  });
+}
+
 /** Whether an engine's weights fail to be those of its own rank. */
 export function holdsOtherRank(
   { assignment, loadedRank }: EngineStatus,
--- /dev/null
+++ b/packages/celerytray/src/fleet/select_outdated_test.ts
@@ -0,0 +1,83 @@
+import type { ModelService } from "@celerytray/schema";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { emptyFleetState, type Replica } from "./fold_fleet_record.ts";
+import { findReplicaHealth, type MemberObservation } from "./replica_health.ts";
+import { selectOutdated } from "./select_outdated.ts";
+
+const service: ModelService = {
+  kind: "model",
+  deployment: "d",
+  replicaCount: 4,
+  instancesPerReplica: 2,
+  model: "m",
+  modelVersion: "2",
+};
+
+describe("selectOutdated", () => {
+  it("changes one of a few replicas at a time", () => {
+    expect(select(["11", "11", "22", "22"])).toEqual([0]);
+    expect(select(["1?", "11", "22", "22"])).toEqual([]);
+  });
+
+  it("changes a replica of two versions at once, which never serves", () => {
+    expect(select(["1?", "12", "22", "22"])).toEqual([1]);
+    const { replicas, observations } = createReplicas(["12", "22"]);
+    const states = replicas.map((replica) =>
+      findReplicaHealth(replica, { observations, nowMs: 0, maxAgeMs: 1 }).state
+    );
+    expect(states).toEqual(["mismatched", "ready"]);
+  });
+});
+
+function select(versions: readonly string[]): number[] {
+  const { replicas, observations } = createReplicas(versions);
+  const observation = {
+    config: {
+      availabilityZones: {},
+      organisations: {},
+      deployments: {},
+      services: {},
+    },
+    fleet: emptyFleetState(),
+    instances: [],
+    observations,
+    nowMs: 0,
+  };
+  return selectOutdated(replicas, { service, observation })
+    .map(({ slot }) => slot);
+}
+
+/** One replica for each text; a member's version, or ? while it loads. */
+function createReplicas(versions: readonly string[]) {
+  const observations = new Map<string, MemberObservation>();
+  const replicas = versions.map((text, slot): Replica => {
+    const replicaId = `s/${slot}`;
+    const members = [...text].map((_, rank) => `${slot}-${rank}`);
+    for (const [rank, modelVersion] of [...text].entries()) {
+      const instanceId = members[rank]!;
+      observations.set(instanceId, {
+        observedAtMs: 0,
+        status: {
+          instanceId,
+          bootId: "b",
+          state: modelVersion === "?" ? "loading" : "ready",
+          runningRequests: 0,
+          waitingRequests: 0,
+          model: "m",
+          modelVersion,
+          assignment: { replicaId, fencingNumber: slot, rank, memberCount: 2 },
+        },
+      });
+    }
+    return {
+      replicaId,
+      service: "s",
+      slot,
+      fencingNumber: slot,
+      members,
+      formedAtMs: 0,
+    };
+  });
+  return { replicas, observations };
+}
