Notice a standing weight store while new loads start

A start counts as progress no more, and such a replica is completed only by weights that are loaded.

--- a/packages/celerytray/src/fleet/fleet_estimates.ts
+++ b/packages/celerytray/src/fleet/fleet_estimates.ts
@@ -228,7 +228,9 @@
     const known = before.loads.get(member);
     if (isLoading(status)) {
       const load = continueLoad(known, status.loadedFraction ?? 0, nowMs);
-      if (load.progressAtMs === nowMs) loadProgressAtMs = nowMs;
+      if (known !== undefined && load.fraction > known.fraction) {
+        loadProgressAtMs = nowMs;
+      }
       loads.set(member, load);
       continue;
     }
--- a/packages/celerytray/src/fleet/repair_replicas.ts
+++ b/packages/celerytray/src/fleet/repair_replicas.ts
@@ -6,7 +6,11 @@
   takeForRanks,
   type TakeOptions,
 } from "./domain_pool.ts";
-import { expectLoadMs, type FleetEstimates } from "./fleet_estimates.ts";
+import {
+  expectLoadMs,
+  type FleetEstimates,
+  isStoreStalled,
+} from "./fleet_estimates.ts";
 import { groupBy } from "./group_by.ts";
 import type { FleetObservation, FleetProposal } from "./planner_types.ts";
 import { expectWaitMs } from "./return_times.ts";
@@ -140,9 +144,8 @@
     while (broken.length > 1) {
       const donor = broken.at(-1)!;
       const survivors = findSurvivors(donor, this.#input.observation);
-      const first = broken[0]!;
-      const ranks = damagedRanks(first);
-      if (survivors.length + pool.free.size < ranks.length) return;
+      const joined = { ...pool, free: new Set([...pool.free, ...survivors]) };
+      if (!this.#canComplete(broken[0]!, joined)) return;
       broken.pop();
       for (const member of survivors) pool.free.add(member);
       this.#dissolve(donor, "completes others");
@@ -153,6 +156,17 @@
     }
   }
 
+  /** Completing what only lacks loads pays if none is needed then. */
+  #canComplete(damage: Damage, pool: DomainPool): boolean {
+    const { estimates, observation } = this.#input;
+    const ranks = damagedRanks(damage);
+    const needsWeights = damage.faultyRanks.length === 0 ||
+      isStoreStalled(estimates, observation.nowMs);
+    return needsWeights
+      ? holdsRanks(pool, this.#takeOptions(damage, ranks))
+      : pool.free.size >= ranks.length;
+  }
+
   #replace(
     damage: Damage,
     { pool, ranks }: {
