--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -116,6 +116,7 @@
     yield* runFleetController({
       processId: settings.instanceId,
       intervalMs: settings.planIntervalMs,
+      maxConcurrentLoads: settings.maxConcurrentLoads,
       planner: new RepairPlanner(),
       engine,
       writer: fleetWriter,
--- a/packages/celerytray/src/fleet/fleet_controller.ts
+++ b/packages/celerytray/src/fleet/fleet_controller.ts
@@ -37,7 +37,7 @@
   readonly instancesById: () => ReadonlyMap<string, Instance>;
   readonly observations: ReadonlyMap<string, MemberObservation>;
   /** Loads of weights that may run at once over the whole fleet. */
-  readonly maxConcurrentLoads?: number;
+  readonly maxConcurrentLoads: number;
   /** Whether this process is the preferred one for a name. */
   readonly isPreferred: (name: string) => boolean;
   readonly recordEvent: (
@@ -48,7 +48,6 @@
 
 const FLEET_NAME = "fleet";
 const MAX_CONCURRENT_ORDERS = 32;
-const DEFAULT_MAX_CONCURRENT_LOADS = 16;
 
 /** Plans replicas and sends orders, once an interval, until the scope closes. */
 export function runFleetController(
@@ -158,8 +157,7 @@
     observations,
     nowMs,
     domainOf: (instanceId) => instances.get(instanceId)?.fabricDomain ?? "",
-    maxConcurrentLoads: options.maxConcurrentLoads ??
-      DEFAULT_MAX_CONCURRENT_LOADS,
+    maxConcurrentLoads: options.maxConcurrentLoads,
   });
   return selected.filter(({ order, instanceId }) =>
     options.isPreferred(order.replicaId ?? instanceId)
