--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -127,6 +127,7 @@
     yield* runFleetController({
       processId: settings.instanceId,
       intervalMs: settings.planIntervalMs,
+      maxConcurrentLoads: settings.maxConcurrentLoads,
       planner: new RepairPlanner(),
       engine,
       writer: fleetWriter,
