--- a/packages/bench/src/routing/simulate_routing.ts
+++ b/packages/bench/src/routing/simulate_routing.ts
@@ -37,6 +37,8 @@
 
 interface LoadView extends ReplicaLoad {
   reportedRequests: number;
+  reportedWaiting: number;
+  reportedAtMs: number;
 }
 
 interface Entry {
@@ -84,8 +86,9 @@
     (PROMPT_BLOCKS * PREFILL_MS_PER_BLOCK);
   const meanGapMs = 1 / (capacityPerMs * scenario.load);
   let requestCount = 0;
-  const endMs = scenario.warmUpMs + scenario.measuredMs;
+  const endMs = findEnd(scenario);
   const arrive = (nowMs: number): void => {
+    if (nowMs >= endMs) return;
     requestCount += 1;
     const prefixHashes = createPrompt(world, { zipf, requestCount });
     sendRequest(world, {
@@ -99,11 +102,16 @@
     world.queue.schedule(nowMs + world.random.exponential(meanGapMs), arrive);
   };
   world.queue.schedule(0, arrive);
-  world.queue.runUntil(endMs);
+  world.queue.runAll();
   const blocks = firstTokenMs.length * SHARED_BLOCKS;
   return { firstTokenMs, prefixHitRate: cachedBlocks / blocks };
 }
 
+/** When the last request arrives; all of them are served to the end. */
+function findEnd(scenario: RoutingScenario): number {
+  return scenario.warmUpMs + scenario.measuredMs;
+}
+
 function createWorld(
   scenario: RoutingScenario,
   options: {
@@ -164,6 +172,8 @@
       replicaId,
       availabilityZone: ZONES[index % ZONES.length]!,
       reportedRequests: 0,
+      reportedWaiting: 0,
+      reportedAtMs: 0,
       get sentSinceReport() {
         return sent.count(replicaId);
       },
@@ -179,10 +189,13 @@
 /** Reads all loads; the entry instance learns them after the lag. */
 function readReports(world: World, entry: Entry): void {
   const { queue, engines } = world;
-  const loads = engines.map(({ requests }) => requests);
+  if (queue.nowMs >= findEnd(world.scenario)) return;
+  const loads = engines.map(({ requests, waiting }) => ({ requests, waiting }));
   queue.schedule(queue.nowMs + REPORT_LAG_MS, (nowMs) => {
     entry.views.forEach((view, index) => {
-      view.reportedRequests = loads[index]!;
+      view.reportedRequests = loads[index]!.requests;
+      view.reportedAtMs = nowMs - REPORT_LAG_MS;
+      view.reportedWaiting = loads[index]!.waiting;
       entry.sent.noteReport(view.replicaId, nowMs);
     });
   });
--- a/packages/bench/src/routing/virtual_engine.ts
+++ b/packages/bench/src/routing/virtual_engine.ts
@@ -29,7 +29,8 @@
 /** Queues, prefills one prompt at a time, decodes many; caches prefixes. */
 export class VirtualEngine {
   readonly #options: VirtualEngineOptions;
-  readonly #waiting: VirtualRequest[] = [];
+  #waiting: VirtualRequest[] = [];
+  #waitingHead = 0;
   readonly #cache = new Set<number>();
   #running = 0;
   #isPrefilling = false;
@@ -41,7 +42,11 @@
 
   /** Requests running and waiting. */
   get requests(): number {
-    return this.#running + this.#waiting.length;
+    return this.#running + this.waiting;
+  }
+
+  get waiting(): number {
+    return this.#waiting.length - this.#waitingHead;
   }
 
   submit(request: VirtualRequest): void {
@@ -52,7 +57,7 @@
   #startNext(): void {
     const { maxRunning, prefillMsPerBlock, queue } = this.#options;
     if (this.#isPrefilling || this.#running >= maxRunning) return;
-    const request = this.#waiting.shift();
+    const request = this.#takeWaiting();
     if (request === undefined) return;
     this.#isPrefilling = true;
     this.#running += 1;
@@ -68,6 +73,17 @@
     });
   }
 
+  #takeWaiting(): VirtualRequest | undefined {
+    const request = this.#waiting[this.#waitingHead];
+    if (request === undefined) return undefined;
+    this.#waitingHead += 1;
+    if (this.#waitingHead === this.#waiting.length) {
+      this.#waiting = [];
+      this.#waitingHead = 0;
+    }
+    return request;
+  }
+
   #decode(request: VirtualRequest): void {
     const { queue, tokenIntervalMs } = this.#options;
     const decodeMs = request.outputTokens * tokenIntervalMs;
--- a/packages/celerytray/src/routing/baseline_routers.ts
+++ b/packages/celerytray/src/routing/baseline_routers.ts
@@ -1,3 +1,4 @@
+import { mixHash } from "./hash_text.ts";
 import { RandomSource } from "./random_source.ts";
 import {
   estimateRequests,
@@ -24,7 +25,12 @@
 
 /** Takes the candidates in turn. */
 export class RoundRobinRouter implements Router {
-  #next = 0;
+  #next: number;
+
+  /** The seed says where the turns begin. */
+  constructor(options: { readonly seed: number }) {
+    this.#next = mixHash(options.seed);
+  }
 
   choose<Candidate extends ReplicaLoad>(
     candidates: readonly Candidate[],
--- a/packages/celerytray/src/routing/prefix_index.ts
+++ b/packages/celerytray/src/routing/prefix_index.ts
@@ -69,13 +69,21 @@
     replicaId: string,
     sent: { readonly prefixHashes: readonly number[]; readonly nowMs: number },
   ): void {
+    const doubtCount = this.#doubtOf(replicaId);
+    const notedAtMs = sent.nowMs;
+    const holding: Holding = {
+      replicaId,
+      source: "sent",
+      doubtCount,
+      notedAtMs,
+    };
     for (const hash of sent.prefixHashes) {
       const known = this.#holdings.get(hash)?.get(replicaId);
-      if (known !== undefined && this.#isConfirmed(replicaId, known)) {
+      if (known !== undefined && this.#isConfirmed(known)) {
         this.#touch(hash);
         continue;
       }
-      this.#hold(hash, { replicaId, source: "sent", nowMs: sent.nowMs });
+      this.#hold(hash, holding);
     }
   }
 
@@ -89,9 +97,13 @@
     const doubtCount = (known?.doubtCount ?? 0) + (isNext ? 0 : 1);
     this.#events.set(replicaId, { bootId, sequence, doubtCount });
     for (const hash of event.removed) this.#drop(hash, replicaId);
-    for (const hash of event.stored) {
-      this.#hold(hash, { replicaId, source: "event", nowMs });
-    }
+    const holding: Holding = {
+      replicaId,
+      source: "event",
+      doubtCount,
+      notedAtMs: nowMs,
+    };
+    for (const hash of event.stored) this.#hold(hash, holding);
   }
 
   /** Forgets a replica that is gone; its holdings fall out by age of use. */
@@ -112,14 +124,14 @@
     for (let index = prefixHashes.length - 1; index >= 0; index--) {
       const holders = this.#holdings.get(prefixHashes[index]!);
       if (holders === undefined) continue;
-      for (const replicaId of holders.sample(maxHoldersFound)) {
+      for (const holding of holders.sample(maxHoldersFound)) {
+        const { replicaId } = holding;
         if (found.size >= maxHoldersFound) return [...found.values()];
         if (found.has(replicaId)) continue;
-        const holding = holders.get(replicaId)!;
         found.set(replicaId, {
           replicaId,
           blockCount: index + 1,
-          trust: this.#judge(replicaId, { holding, nowMs }),
+          trust: this.#judge(holding, nowMs),
           ageMs: Math.max(0, nowMs - holding.notedAtMs),
         });
       }
@@ -127,45 +139,29 @@
     return [...found.values()];
   }
 
-  #judge(
-    replicaId: string,
-    at: { readonly holding: Holding; readonly nowMs: number },
-  ): PrefixTrust {
-    const { holding, nowMs } = at;
+  #judge(holding: Holding, nowMs: number): PrefixTrust {
     const isOld = nowMs - holding.notedAtMs > this.#options.maxTrustedAgeMs;
-    if (isOld) return "doubtful";
-    if (this.#isConfirmed(replicaId, holding)) return "confirmed";
-    const isSettled = holding.doubtCount === this.#doubtOf(replicaId);
-    return isSettled && holding.source === "sent" ? "expected" : "doubtful";
+    if (isOld || holding.doubtCount !== this.#doubtOf(holding.replicaId)) {
+      return "doubtful";
+    }
+    return holding.source === "event" ? "confirmed" : "expected";
   }
 
-  #isConfirmed(replicaId: string, holding: Holding): boolean {
+  #isConfirmed(holding: Holding): boolean {
     return holding.source === "event" &&
-      holding.doubtCount === this.#doubtOf(replicaId);
+      holding.doubtCount === this.#doubtOf(holding.replicaId);
   }
 
   #doubtOf(replicaId: string): number {
     return this.#events.get(replicaId)?.doubtCount ?? 0;
   }
 
-  #hold(
-    hash: number,
-    held: {
-      readonly replicaId: string;
-      readonly source: Holding["source"];
-      readonly nowMs: number;
-    },
-  ): void {
+  #hold(hash: number, holding: Holding): void {
     const holders = this.#touch(hash);
-    const { replicaId, source, nowMs } = held;
     const before = holders.size;
-    holders.set(replicaId, {
-      source,
-      doubtCount: this.#doubtOf(replicaId),
-      notedAtMs: nowMs,
-    });
+    holders.set(holding);
     this.#holdingCount += holders.size - before;
-    this.#dropUnused();
+    if (this.#holdingCount > this.#options.maxHoldings) this.#dropUnused();
   }
 
   #drop(hash: number, replicaId: string): void {
--- a/packages/celerytray/src/routing/router.ts
+++ b/packages/celerytray/src/routing/router.ts
@@ -4,6 +4,10 @@
   readonly availabilityZone: string;
   /** Requests running and waiting, as the engine last reported. */
   readonly reportedRequests: number;
+  /** Of them, those waiting; undefined when the engine doesn't say. */
+  readonly reportedWaiting?: number;
+  /** When the engine made the report. */
+  readonly reportedAtMs?: number;
   /** Requests this entry instance sent that the report can't contain yet. */
   readonly sentSinceReport: number;
   /** Adapters in memory; undefined when the engine doesn't say. */
