Admit by fair slots and demand-weighted shares

Cause: under overload every request was taken and none was in time.

Change: a bounded queue that is fair between organisations, refusal at once of what would miss its deadline, and shares of a limit from the demand that peers report.

--- /dev/null
+++ b/packages/bench/src/admission/index.ts
@@ -0,0 +1,2 @@
+/** Measurements of admission. */
+export { admissionBench } from "./admission_bench.ts";
--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,3 +1,4 @@
+import { admissionBench } from "./admission/index.ts";
 import { routingBench } from "./routing/index.ts";
 
 /** What a measurement found. */
@@ -21,5 +22,6 @@
 
 /** All measurements, by name. */
 export const benches: readonly Bench[] = [
+  admissionBench,
   routingBench,
 ];
--- a/packages/celerytray/src/admission/index.ts
+++ b/packages/celerytray/src/admission/index.ts
@@ -5,3 +5,11 @@
   type AdmissionRequest,
   RateAdmission,
 } from "./rate_admission.ts";
+export { computeShare, EqualDemand, type PeerDemand } from "./demand_shares.ts";
+export { FairQueue, type QueuedTicket, type QueuePlace } from "./fair_queue.ts";
+export {
+  SlotAdmission,
+  type SlotAdmissionOptions,
+  type SlotRequest,
+  type SlotTicket,
+} from "./slot_admission.ts";
--- a/packages/celerytray/src/admission/rate_admission.ts
+++ b/packages/celerytray/src/admission/rate_admission.ts
@@ -11,6 +11,7 @@
 
 /** A request was refused before anything of it ran. */
 export class AdmissionRefused extends Data.TaggedError("AdmissionRefused")<{
+  readonly reason: "rate" | "overloaded";
   readonly retryAfterMs: number;
   readonly message: string;
 }> {}
@@ -42,10 +43,8 @@
     if (requestsPerSecond === undefined) return Right(undefined);
     const share = this.#shareOf(request.organisationName);
     const rate = requestsPerSecond * share;
-    const capacity = Math.max(
-      1,
-      (request.organisation.burstRequests ?? requestsPerSecond) * share,
-    );
+    const burst = request.organisation.burstRequests ?? requestsPerSecond;
+    const capacity = Math.max(1, burst * share);
     const bucket = this.#fill(request, { rate, capacity });
     if (bucket.tokens >= 1) {
       bucket.tokens -= 1;
@@ -54,6 +53,7 @@
     const retryAfterMs = Math.ceil((1 - bucket.tokens) / rate * MS_PER_SECOND);
     return Left(
       new AdmissionRefused({
+        reason: "rate",
         retryAfterMs,
         message:
           `Organisation ${request.organisationName} is over its request rate; retry after ${retryAfterMs} ms`,
--- /dev/null
+++ b/packages/celerytray/src/admission/slot_admission.ts
@@ -0,0 +1,166 @@
+import { type Either, Left, Right } from "purify-ts";
+import { FairQueue, type QueuedTicket } from "./fair_queue.ts";
+import { AdmissionRefused } from "./rate_admission.ts";
+
+/** A request that asks for a slot of a service. */
+export interface SlotRequest {
+  readonly organisationName: string;
+  readonly weight: number;
+  readonly priority: number;
+  /** When the first token is of no use any more; Infinity if always. */
+  readonly deadlineAtMs: number;
+  readonly nowMs: number;
+}
+
+/** A request's place: running, or waiting for a slot. */
+export interface SlotTicket extends QueuedTicket {
+  readonly deadlineAtMs: number;
+  startedAtMs: number | undefined;
+}
+
+/** Options of a service's slots at one entry instance. */
+export interface SlotAdmissionOptions {
+  /** Requests that may run at once. */
+  readonly slotCount: () => number;
+  readonly maxQueued?: number;
+  /** Taken until requests have ended. */
+  readonly initialServiceMs?: number;
+  readonly initialFirstTokenMs?: number;
+}
+
+const DEFAULT_MAX_QUEUED = 1_000;
+const DEFAULT_SERVICE_MS = 1_000;
+const DEFAULT_FIRST_TOKEN_MS = 0;
+const SMOOTHING = 0.02;
+const MIN_RETRY_AFTER_MS = 100;
+
+/**
+ * Gives out a service's slots fairly between organisations and refuses at once
+ * what would wait past its deadline.
+ */
+export class SlotAdmission {
+  readonly #options: SlotAdmissionOptions;
+  readonly #queue = new FairQueue<SlotTicket>();
+  readonly #maxQueued: number;
+  #running = 0;
+  #nextTicketId = 0;
+  #serviceMs: number;
+  #firstTokenMs: number;
+
+  constructor(options: SlotAdmissionOptions) {
+    this.#options = options;
+    this.#maxQueued = options.maxQueued ?? DEFAULT_MAX_QUEUED;
+    this.#serviceMs = options.initialServiceMs ?? DEFAULT_SERVICE_MS;
+    this.#firstTokenMs = options.initialFirstTokenMs ?? DEFAULT_FIRST_TOKEN_MS;
+  }
+
+  get running(): number {
+    return this.#running;
+  }
+
+  get queued(): number {
+    return this.#queue.size;
+  }
+
+  /** A ticket that runs or waits, or the refusal. */
+  offer(request: SlotRequest): Either<AdmissionRefused, SlotTicket> {
+    const { nowMs, deadlineAtMs } = request;
+    const ticket = this.#createTicket(request);
+    if (this.#queue.size === 0 && this.#hasFreeSlot()) {
+      return Right(this.#start(ticket, nowMs));
+    }
+    const waitMs = this.#estimateWait(request);
+    if (this.#queue.size >= this.#maxQueued) {
+      return Left(createRefusal("The queue is full", waitMs));
+    }
+    const lateMs = nowMs + waitMs + this.#firstTokenMs - deadlineAtMs;
+    if (lateMs > 0) {
+      return Left(
+        createRefusal("The first token would come too late", lateMs),
+      );
+    }
+    this.#queue.add(ticket);
+    return Right(ticket);
+  }
+
+  /** Starts those that wait while slots are free; refuses those too late. */
+  startNext(
+    nowMs: number,
+  ): { readonly started: SlotTicket[]; readonly refused: SlotTicket[] } {
+    const started: SlotTicket[] = [];
+    const refused: SlotTicket[] = [];
+    while (this.#hasFreeSlot()) {
+      const ticket = this.#queue.peek();
+      if (ticket === undefined) break;
+      if (nowMs > this.findLatestStart(ticket)) {
+        this.#queue.remove(ticket);
+        refused.push(ticket);
+        continue;
+      }
+      this.#queue.take();
+      started.push(this.#start(ticket, nowMs));
+    }
+    return { started, refused };
+  }
+
+  /** Frees a running request's slot. */
+  finish(
+    ticket: SlotTicket,
+    end: { readonly nowMs: number; readonly firstTokenMs?: number },
+  ): void {
+    if (ticket.startedAtMs === undefined) return;
+    const serviceMs = end.nowMs - ticket.startedAtMs;
+    this.#serviceMs += (serviceMs - this.#serviceMs) * SMOOTHING;
+    const { firstTokenMs = this.#firstTokenMs } = end;
+    this.#firstTokenMs += (firstTokenMs - this.#firstTokenMs) * SMOOTHING;
+    ticket.startedAtMs = undefined;
+    this.#running -= 1;
+  }
+
+  /** Takes a waiting request out; whether it still waited. */
+  cancel(ticket: SlotTicket): boolean {
+    return this.#queue.remove(ticket);
+  }
+
+  /** Until when a waiting request may wait. */
+  findLatestStart(ticket: SlotTicket): number {
+    return ticket.deadlineAtMs - this.#firstTokenMs;
+  }
+
+  #hasFreeSlot(): boolean {
+    return this.#running < this.#options.slotCount();
+  }
+
+  #createTicket(request: SlotRequest): SlotTicket {
+    const { organisationName, weight, priority, deadlineAtMs } = request;
+    return {
+      ticketId: this.#nextTicketId++,
+      organisationName,
+      weight,
+      priority,
+      deadlineAtMs,
+      startedAtMs: undefined,
+    };
+  }
+
+  #start(ticket: SlotTicket, nowMs: number): SlotTicket {
+    this.#running += 1;
+    ticket.startedAtMs = nowMs;
+    return ticket;
+  }
+
+  /** Wait of a new request behind those that come before it. */
+  #estimateWait(request: SlotRequest): number {
+    const msPerSlot = this.#serviceMs / Math.max(1, this.#options.slotCount());
+    return (this.#queue.countAhead(request) + 1) * msPerSlot;
+  }
+}
+
+function createRefusal(reason: string, waitMs: number): AdmissionRefused {
+  const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
+  return new AdmissionRefused({
+    reason: "overloaded",
+    retryAfterMs,
+    message: `${reason}; retry after ${retryAfterMs} ms`,
+  });
+}
