Wire routing and admission into the entry instance

Completions of a service with maxConcurrentPerReplica run in fair slots; a refusal says that nothing ran and when to come back. Entry instances are counted once per instance list, not per request.

--- a/packages/celerytray/src/admission/index.ts
+++ b/packages/celerytray/src/admission/index.ts
@@ -13,3 +13,8 @@
   type SlotRequest,
   type SlotTicket,
 } from "./slot_admission.ts";
+export {
+  CallSlots,
+  type CallSlotsOptions,
+  type SlotCall,
+} from "./call_slots.ts";
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -1,6 +1,6 @@
+import type { Instance } from "@celerytray/schema";
 import { Clock, Effect, type Scope } from "effect";
 import { Agent } from "node:http";
-import { RateAdmission } from "../admission/index.ts";
 import { createAdminHandler } from "../admin/index.ts";
 import {
   createInstanceDirectory,
@@ -32,6 +32,7 @@
 import { selectPreferred } from "../membership/index.ts";
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
+import { createEntryAdmission } from "./entry_admission.ts";
 import { createEntryClaims } from "./entry_claims.ts";
 import { createEntryOperations } from "./entry_operations.ts";
 import { createEntryRouting } from "./entry_routing.ts";
@@ -139,9 +140,15 @@
         availabilityZone: settings.availabilityZone,
         maxBodyBytes: settings.maxBodyBytes,
         agent: new Agent({ keepAlive: true }),
-        ...createEntryRouting({ nowMs }),
-        admission: new RateAdmission({
-          shareOf: () => 1 / Math.max(1, listEntryIds(directory).length),
+        ...createEntryRouting({
+          nowMs,
+          countEntries: () => listEntryIds(directory).length,
+        }),
+        ...createEntryAdmission({
+          entryId: settings.instanceId,
+          listEntryIds: () => listEntryIds(directory),
+          config: () => config.current().config,
+          countReadyReplicas: (name) => backends.listReplicas(name).length,
         }),
         claims,
         calls,
@@ -182,10 +189,17 @@
   });
 }
 
-function listEntryIds(directory: InstanceDirectory): string[] {
-  return directory.all()
+const entryIdsByList = new WeakMap<readonly Instance[], readonly string[]>();
+
+function listEntryIds(directory: InstanceDirectory): readonly string[] {
+  const instances = directory.all();
+  const known = entryIdsByList.get(instances);
+  if (known !== undefined) return known;
+  const entryIds = instances
     .filter(({ role, state }) => role === "entry" && state === "live")
     .map(({ instanceId }) => instanceId);
+  entryIdsByList.set(instances, entryIds);
+  return entryIds;
 }
 
 function findNotReadyReason(
--- a/packages/celerytray/src/entry/entry_routing.ts
+++ b/packages/celerytray/src/entry/entry_routing.ts
@@ -7,6 +7,8 @@
 /** Options of an entry instance's routing. */
 export interface EntryRoutingOptions {
   readonly nowMs: () => number;
+  /** Entry instances that share the replicas. */
+  readonly countEntries: () => number;
 }
 
 /** The router of an entry instance. */
@@ -17,8 +19,11 @@
 
 /** Creates the router and gives it the time. */
 export function createEntryRouting(options: EntryRoutingOptions): EntryRouting {
-  const { nowMs } = options;
-  const router = new AffinityRouter({ seed: nowMs() | 0 });
+  const { nowMs, countEntries } = options;
+  const router = new AffinityRouter({
+    seed: nowMs() | 0,
+    entryCount: () => Math.max(1, countEntries()),
+  });
   return {
     router: {
       choose: (candidates, call) =>
--- a/packages/celerytray/src/entry/ready_backends.ts
+++ b/packages/celerytray/src/entry/ready_backends.ts
@@ -139,6 +139,12 @@
         if (status === undefined) return 0;
         return status.runningRequests + status.waitingRequests;
       },
+      get reportedWaiting() {
+        return observations.get(instanceId)?.status.waitingRequests ?? 0;
+      },
+      get reportedAtMs() {
+        return observations.get(instanceId)?.observedAtMs ?? 0;
+      },
       get sentSinceReport() {
         return sent.count(replicaId);
       },
--- a/packages/celerytray/src/forwarding/caller_handler.ts
+++ b/packages/celerytray/src/forwarding/caller_handler.ts
@@ -7,7 +7,7 @@
   ServerResponse,
 } from "node:http";
 import { randomUUID } from "node:crypto";
-import type { Admission, AdmissionRefused } from "../admission/index.ts";
+import type { Admission, CallSlots } from "../admission/index.ts";
 import { fromEither } from "../errors/index.ts";
 import { discardBody, readBody } from "../http/index.ts";
 import type { CallRouter, RoutingOutcome } from "../routing/index.ts";
@@ -26,6 +26,7 @@
   ReadyReplica,
 } from "./forwarding_types.ts";
 import type { InFlightCalls } from "./in_flight_calls.ts";
+import { createRefusedError } from "./refused_error.ts";
 
 /** What the data plane needs of its entry instance. */
 export interface ForwardingDependencies {
@@ -34,6 +35,7 @@
   readonly agent: Agent;
   readonly router: CallRouter;
   readonly admission: Admission;
+  readonly slots: CallSlots;
   readonly claims: ForwardingClaims;
   readonly calls: InFlightCalls;
   readonly config: () => ConfigSet;
@@ -208,17 +210,6 @@
   });
 }
 
-function createRefusedError(refused: AdmissionRefused): CallerError {
-  return new CallerError({
-    status: 429,
-    type: "rate_limit_error",
-    code: "rate_limit_exceeded",
-    message: refused.message,
-    outcome: "not-run",
-    retryAfterMs: refused.retryAfterMs,
-  });
-}
-
 function createTooLargeError(maxBytes: number): CallerError {
   return new CallerError({
     status: 413,
--- a/packages/celerytray/src/forwarding/complete_chat.ts
+++ b/packages/celerytray/src/forwarding/complete_chat.ts
@@ -5,12 +5,14 @@
 } from "@celerytray/schema";
 import { Effect } from "effect";
 import { type Either, Left, Right } from "purify-ts";
+import type { SlotCall } from "../admission/index.ts";
 import { firstValidationMessage, fromEither } from "../errors/index.ts";
 import { createRoutingCall, type RoutingCall } from "../routing/index.ts";
 import { CallerError } from "./caller_error.ts";
 import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
 import { CompletionSink } from "./completion_sink.ts";
 import type { ReadyReplica } from "./forwarding_types.ts";
+import { createRefusedError } from "./refused_error.ts";
 import { type AttemptOutcome, runStreamAttempt } from "./stream_attempt.ts";
 
 const MAX_ATTEMPTS = 3;
@@ -35,7 +37,7 @@
       availabilityZone: dependencies.availabilityZone,
       service: target.service,
     });
-    yield* runAttempts({
+    const attempts = runAttempts({
       context,
       dependencies,
       target,
@@ -43,10 +45,32 @@
       body,
       routingCall,
     });
+    const slotCall = createSlotCall(context, { target, routingCall });
+    yield* dependencies.slots.run(slotCall, attempts).pipe(
+      Effect.catchTag(
+        "AdmissionRefused",
+        (refused) => Effect.fail(createRefusedError(refused)),
+      ),
+    );
     yield* sink.finish();
   });
 }
 
+function createSlotCall(
+  context: CallContext,
+  options: { readonly target: ModelTarget; readonly routingCall: RoutingCall },
+): SlotCall {
+  const { firstTokenDeadlineMs, priority = 0 } = options.routingCall;
+  return {
+    service: options.target.name,
+    organisationName: context.organisationName,
+    weight: context.organisation.weight ?? 1,
+    priority,
+    arrivedAtMs: context.arrivedAtMs,
+    ...(firstTokenDeadlineMs === undefined ? {} : { firstTokenDeadlineMs }),
+  };
+}
+
 function parseRequest(
   body: Buffer,
 ): Either<CallerError, ChatCompletionRequest> {
