--- a/packages/celerytray/src/admission/demand_shares.ts
+++ b/packages/celerytray/src/admission/demand_shares.ts
@@ -28,7 +28,7 @@
   for (const id of ids) total += Math.max(0, demands.get(id) ?? 0);
   if (total === 0) return evenShare;
   const own = Math.max(0, demands.get(entryId) ?? 0);
-  return EVEN_PART * evenShare + (1 - EVEN_PART) * own / total;
+  return EVEN_PART * evenShare + (1 - EVEN_PART) * (own / total);
 }
 
 /** Equal shares, for as long as no demand is exchanged. */
