Judge shares at every load against max-min fair parts

The bench compared with weights alone, which is wrong where an organisation asks for less than its part; requests given up on while waiting are now counted too. The bound on the queue in its test is lower, since at 5 the test passed with the guard out.

--- a/packages/bench/src/admission/admission_bench.ts
+++ b/packages/bench/src/admission/admission_bench.ts
@@ -82,26 +82,52 @@
     load,
     goodputPerSecond: Number(goodput.toFixed(2)),
     refused: runs.reduce((sum, run) => sum + run.refused, 0),
+    givenUp: runs.reduce((sum, run) => sum + run.givenUp, 0),
     p95Ms: Math.round(sorted[Math.floor(sorted.length * 0.95)] ?? 0),
-    shareErrorPercent: Number(findShareError(runs).toFixed(1)),
+    shareErrorPercent: Number(findShareError(runs, load).toFixed(1)),
   };
 }
 
-/** Largest deviation of an organisation from its weight's part. */
-function findShareError(runs: readonly AdmissionRun[]): number {
-  const weights = ORGANISATIONS.reduce((sum, { weight }) => sum + weight, 0);
+/** Largest deviation of an organisation from its max-min fair part. */
+function findShareError(runs: readonly AdmissionRun[], load: number): number {
+  const wanted = findFairParts(load);
   const good = ORGANISATIONS.map(({ name }) =>
     average(runs.map((run) => run.goodByOrganisation.get(name) ?? 0))
   );
   const total = good.reduce((sum, count) => sum + count, 0);
   if (total === 0) return 100;
-  const errors = ORGANISATIONS.map(({ weight }, index) => {
-    const wanted = weight / weights;
-    return Math.abs(good[index]! / total - wanted) / wanted * 100;
-  });
+  const totalWanted = wanted.reduce((sum, part) => sum + part, 0);
+  const errors = wanted.map((part, index) =>
+    Math.abs(good[index]! / total * totalWanted / part - 1) * 100
+  );
   return Math.max(...errors);
 }
 
+/** Parts of the capacity: by weight, but none more than it asks for. */
+function findFairParts(load: number): number[] {
+  const demands = ORGANISATIONS.map(({ demandShare }) => demandShare * load);
+  const parts = demands.map(() => 0);
+  let open = ORGANISATIONS.map((_, index) => index);
+  let rest = 1;
+  while (open.length > 0) {
+    const weights = open.reduce(
+      (sum, index) => sum + ORGANISATIONS[index]!.weight,
+      0,
+    );
+    const partOf = (index: number) =>
+      rest * ORGANISATIONS[index]!.weight / weights;
+    const filled = open.filter((index) => demands[index]! <= partOf(index));
+    if (filled.length === 0) {
+      for (const index of open) parts[index] = partOf(index);
+      return parts;
+    }
+    for (const index of filled) parts[index] = demands[index]!;
+    rest -= filled.reduce((sum, index) => sum + demands[index]!, 0);
+    open = open.filter((index) => !filled.includes(index));
+  }
+  return parts;
+}
+
 function average(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
@@ -111,6 +137,9 @@
   const overloaded = own.find(({ load }) => load === OVERLOAD)!;
   const goodputShare = overloaded.goodputPerSecond /
     atCapacity.goodputPerSecond;
+  const shareError = Math.max(
+    ...own.map(({ shareErrorPercent }) => shareErrorPercent),
+  );
   const slowest = Math.max(...own.map(({ p95Ms }) => p95Ms));
   return [
     {
@@ -119,9 +148,9 @@
       isReached: goodputShare >= MIN_GOODPUT_SHARE,
     },
     {
-      target: "share error between organisations under 10% at 3 times capacity",
-      measured: `${overloaded.shareErrorPercent}%`,
-      isReached: overloaded.shareErrorPercent < MAX_SHARE_ERROR_PERCENT,
+      target: "share error between organisations under 10% at all loads",
+      measured: `${shareError}%`,
+      isReached: shareError < MAX_SHARE_ERROR_PERCENT,
     },
     {
       target: "first-token p95 of admitted requests within 350 ms at all loads",
--- a/packages/bench/src/admission/simulate_admission.ts
+++ b/packages/bench/src/admission/simulate_admission.ts
@@ -23,7 +23,10 @@
   /** Requests a second whose first token came within the deadline. */
   readonly goodputPerSecond: number;
   readonly firstTokenMs: readonly number[];
+  /** Refused on arrival. */
   readonly refused: number;
+  /** Admitted to the queue, but never started. */
+  readonly givenUp: number;
   readonly goodByOrganisation: ReadonlyMap<string, number>;
 }
 
@@ -31,7 +34,7 @@
 export const MEAN_SERVICE_MS = 1_000;
 const DEADLINE_MS = 350;
 const WARM_UP_MS = 20_000;
-const MEASURED_MS = 60_000;
+const MEASURED_MS = 300_000;
 const MS_PER_SECOND = 1_000;
 
 /** Plays one load against one policy in virtual time. */
@@ -44,6 +47,7 @@
   const firstTokenMs: number[] = [];
   const goodByOrganisation = new Map<string, number>();
   let refused = 0;
+  let offered = 0;
   const endMs = WARM_UP_MS + MEASURED_MS;
   const isMeasured = (request: OfferedRequest) =>
     request.arrivedAtMs >= WARM_UP_MS;
@@ -70,7 +74,11 @@
   const arrive = (nowMs: number): void => {
     if (nowMs >= endMs) return;
     const request = createRequest(scenario, { random, nowMs });
-    if (!policy.offer(request, nowMs) && isMeasured(request)) refused += 1;
+    const isAdmitted = policy.offer(request, nowMs);
+    if (isMeasured(request)) {
+      offered += 1;
+      if (!isAdmitted) refused += 1;
+    }
     startNext(nowMs);
     const gapMs = MS_PER_SECOND / scenario.requestsPerSecond;
     queue.schedule(nowMs + random.exponential(gapMs), arrive);
@@ -82,6 +90,7 @@
     goodputPerSecond: good / MEASURED_MS * MS_PER_SECOND,
     firstTokenMs,
     refused,
+    givenUp: offered - refused - firstTokenMs.length,
     goodByOrganisation,
   };
 }
--- a/packages/celerytray/src/admission/slot_admission.ts
+++ b/packages/celerytray/src/admission/slot_admission.ts
@@ -33,6 +33,8 @@
 const DEFAULT_FIRST_TOKEN_MS = 0;
 const SMOOTHING = 0.02;
 const MIN_RETRY_AFTER_MS = 100;
+/** Factor on the estimated wait, so that fewer wait in vain. */
+const WAIT_MARGIN = 1.25;
 
 /**
  * Gives out a service's slots fairly between organisations and refuses at once
@@ -73,7 +75,8 @@
     if (this.#queue.size >= this.#maxQueued) {
       return Left(createRefusal("The queue is full", waitMs));
     }
-    const lateMs = nowMs + waitMs + this.#firstTokenMs - deadlineAtMs;
+    const lateMs = nowMs + waitMs * WAIT_MARGIN +
+      this.#firstTokenMs - deadlineAtMs;
     if (lateMs > 0) {
       return Left(
         createRefusal("The first token would come too late", lateMs),
--- a/packages/celerytray/src/admission/slot_admission_test.ts
+++ b/packages/celerytray/src/admission/slot_admission_test.ts
@@ -5,13 +5,13 @@
 
 const SEED = 53;
 const SLOTS = 3;
-const MAX_QUEUED = 5;
+const MAX_QUEUED = 2;
 
 const step = fc.oneof(
   fc.record({
     kind: fc.constant("offer" as const),
     organisation: fc.constantFrom("a", "b"),
-    deadlineMs: fc.constantFrom(0, 500, 5_000),
+    deadlineMs: fc.constantFrom(0, 500, 5_000, 50_000),
   }),
   fc.record({ kind: fc.constant("finish" as const), index: fc.nat(5) }),
   fc.record({ kind: fc.constant("wait" as const), ms: fc.nat(1_000) }),
