Drop unused prefixes in batches

Cause: a map's first key is found by walking over removed ones, and one holding was dropped for each that was added.

--- a/packages/celerytray/src/routing/prefix_index.ts
+++ b/packages/celerytray/src/routing/prefix_index.ts
@@ -47,6 +47,8 @@
   maxTrustedAgeMs: 60_000,
 };
 
+const KEPT_SHARE = 0.9;
+
 /** Which replicas may hold which prompt prefixes, with age and doubt. */
 export class PrefixIndex {
   readonly #options: Required<PrefixIndexOptions>;
@@ -171,9 +173,11 @@
     if (holders.size === 0) this.#holdings.delete(hash);
   }
 
+  /** Drops many at a time: to find the first key of a map can be slow. */
   #dropUnused(): void {
+    const kept = Math.floor(this.#options.maxHoldings * KEPT_SHARE);
     for (const [hash, holders] of this.#holdings) {
-      if (this.#holdingCount <= this.#options.maxHoldings) return;
+      if (this.#holdingCount <= kept) return;
       this.#holdingCount -= holders.size;
       this.#holdings.delete(hash);
     }
