--- a/packages/celerytray/src/admin/admin_handler.ts
+++ b/packages/celerytray/src/admin/admin_handler.ts
@@ -1,27 +1,28 @@
-import { initTRPC, TRPCError } from "@trpc/server";
+import { TRPCError } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { type Context, Effect } from "effect";
 import { createHash, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, RequestListener } from "node:http";
 import type { Secrets } from "../settings/index.ts";
-import type { AdminOperations, ConfigApplication } from "./admin_operations.ts";
-
-/** Who asks. */
-export type AdminRole = "viewer" | "operator" | "peer";
-
-/** What a procedure knows of its caller. */
-export interface AdminContext {
-  readonly role: AdminRole | undefined;
-}
+import {
+  parseApplication,
+  parseDrainChange,
+  parseRollback,
+  parseTimelineFilter,
+} from "./admin_inputs.ts";
+import type { AdminOperations } from "./admin_operations.ts";
+import { type AdminRole, createProcedure, trpc } from "./admin_procedures.ts";
+import { createPeerRouter, type PeerOperations } from "./peer_router.ts";
 
 /** Options of the administration server. */
 export interface AdminHandlerOptions {
   readonly operations: AdminOperations;
+  readonly peers: PeerOperations;
   readonly secrets: Secrets;
   readonly runtime: Context.Context<never>;
 }
 
-const trpc = initTRPC.context<AdminContext>().create();
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
 function createAdminRouter(options: AdminHandlerOptions) {
   const { operations } = options;
@@ -34,10 +35,27 @@
   const viewer = createProcedure(["viewer", "operator", "peer"]);
   const operator = createProcedure(["operator"]);
   return trpc.router({
+    peer: createPeerRouter({
+      operations: options.peers,
+      runtime: options.runtime,
+    }),
     status: viewer.query(() => run(operations.status())),
     replicas: viewer.query(() => run(operations.replicas())),
     showConfig: viewer.query(() => run(operations.showConfig())),
-    timeline: viewer.query(() => run(operations.timeline())),
+    timeline: viewer.input(parseTimelineFilter).query(({ input }) =>
+      run(operations.timeline(input))
+    ),
+    mergedTimeline: viewer.input(parseTimelineFilter).query(({ input }) =>
+      run(operations.mergedTimeline(input))
+    ),
+    configHistory: viewer.query(() => run(operations.configHistory())),
+    configVersions: viewer.query(() => run(operations.configVersions())),
+    rollbackConfig: operator.input(parseRollback).mutation(({ input }) =>
+      run(operations.rollbackConfig(input))
+    ),
+    drain: operator.input(parseDrainChange).mutation(({ input }) =>
+      run(operations.drain(input))
+    ),
     applyConfig: operator.input(parseApplication).mutation(({ input }) =>
       run(operations.applyConfig(input))
     ),
@@ -53,28 +71,11 @@
 ): RequestListener {
   return createHTTPHandler({
     router: createAdminRouter(options),
+    maxBodySize: MAX_BODY_BYTES,
     createContext: ({ req }) => ({ role: findRole(req, options.secrets) }),
   });
 }
 
-function createProcedure(roles: readonly AdminRole[]) {
-  return trpc.procedure.use(({ ctx, next }) => {
-    if (ctx.role === undefined) {
-      throw new TRPCError({
-        code: "UNAUTHORIZED",
-        message: "No valid token; set CELERYTRAY_TOKEN",
-      });
-    }
-    if (!roles.includes(ctx.role)) {
-      throw new TRPCError({
-        code: "FORBIDDEN",
-        message: `The token's role is ${ctx.role}; use an operator's token`,
-      });
-    }
-    return next();
-  });
-}
-
 function findRole(
   request: IncomingMessage,
   secrets: Secrets,
@@ -93,18 +94,6 @@
   return timingSafeEqual(digest(given), digest(expected));
 }
 
-function parseApplication(input: unknown): ConfigApplication {
-  const application = input as Partial<ConfigApplication> | null;
-  const { config, refinesVersion, author } = application ?? {};
-  if (typeof config !== "object" || typeof author !== "string") {
-    throw new Error("Needs config and author; use celerytray config apply");
-  }
-  if (refinesVersion !== undefined && !Number.isInteger(refinesVersion)) {
-    throw new Error("refinesVersion must be a whole number");
-  }
-  return { config, refinesVersion, author };
-}
-
 function toTrpcError(
   error: { readonly _tag?: string; readonly message: string },
 ): TRPCError {
--- a/packages/celerytray/src/admission/index.ts
+++ b/packages/celerytray/src/admission/index.ts
@@ -5,7 +5,7 @@
   type AdmissionRequest,
   RateAdmission,
 } from "./rate_admission.ts";
-export { computeShare, EqualDemand, type PeerDemand } from "./demand_shares.ts";
+export { DemandMeter, type DemandMeterOptions } from "./demand_meter.ts";
 export { FairQueue, type QueuedTicket, type QueuePlace } from "./fair_queue.ts";
 export {
   SlotAdmission,
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -1,24 +1,21 @@
-import type { Instance } from "@celerytray/schema";
 import { Clock, Effect, type Scope } from "effect";
-import { Agent } from "node:http";
 import { createAdminHandler } from "../admin/index.ts";
 import {
   createInstanceDirectory,
   HttpInstanceList,
   HttpModelEngine,
-  type InstanceDirectory,
 } from "../backends/index.ts";
 import {
-  type ConfigState,
-  emptyConfigState,
-  foldConfigRecord,
+  type ConfigStream,
+  createConfigStream,
+  findEntryDrain,
 } from "../config/index.ts";
 import {
   createEngineMonitor,
   emptyFleetState,
   foldFleetRecord,
-  GreedyPlanner,
   type MemberObservation,
+  RepairPlanner,
   runFleetController,
 } from "../fleet/index.ts";
 import { createCallerHandler, InFlightCalls } from "../forwarding/index.ts";
@@ -27,15 +24,18 @@
   createLogWriter,
   createStreamView,
   HttpLogService,
-  type StreamView,
 } from "../log/index.ts";
 import { selectPreferred } from "../membership/index.ts";
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
 import { createEntryAdmission } from "./entry_admission.ts";
+import { createAttemptState } from "./entry_attempts.ts";
 import { createEntryClaims } from "./entry_claims.ts";
+import { createEntryMembership } from "./entry_membership.ts";
+import { runEntryMetrics } from "./entry_metrics.ts";
 import { createEntryOperations } from "./entry_operations.ts";
 import { createEntryRouting } from "./entry_routing.ts";
+import { LeavingDirectory } from "./leaving_directory.ts";
 import { ReadyBackends } from "./ready_backends.ts";
 
 /** Options of an entry instance. */
@@ -67,11 +67,8 @@
       Effect.sync(() => timeline.record(kind, { ...fields, nowMs: nowMs() }));
 
     const log = new HttpLogService({ url: settings.logUrl });
-    const config = yield* createStreamView({
+    const config = yield* createConfigStream({
       log,
-      stream: "config",
-      initial: emptyConfigState(),
-      fold: foldConfigRecord,
       onChange: ({ version }, atMs) =>
         timeline.record("config.in-force", {
           detail: `version ${version}`,
@@ -90,12 +87,22 @@
       log,
       processId: settings.instanceId,
       partitionCount: settings.claimPartitionCount,
+      policy: settings.claimPolicy,
+      appendsPerSecond: settings.claimAppendsPerSecond,
     });
 
     const directory = yield* createInstanceDirectory({
       list: new HttpInstanceList({ url: settings.instanceListUrl }),
       intervalMs: settings.instanceListIntervalMs,
     });
+    const { membership, peers, transport } = yield* createEntryMembership({
+      settings,
+      secrets,
+      log,
+      config,
+      directory,
+      clock: timeline.clock,
+    });
     const engine = new HttpModelEngine();
     const reports = { note: (_observation: MemberObservation): void => {} };
     const monitor = yield* createEngineMonitor({
@@ -106,9 +113,16 @@
     });
     const maxObservationAgeMs = settings.statusIntervalMs *
       MISSED_STATUS_ROUNDS;
+    const instances = new LeavingDirectory({
+      directory,
+      config,
+      membership,
+      observations: monitor.observations,
+      nowMs,
+    });
     const backends = new ReadyBackends({
       fleet: fleet.current,
-      instances: directory.byId,
+      instances: instances.byId,
       observations: monitor.observations,
       nowMs,
       maxAgeMs: maxObservationAgeMs,
@@ -118,35 +132,48 @@
     yield* runFleetController({
       processId: settings.instanceId,
       intervalMs: settings.planIntervalMs,
-      planner: new GreedyPlanner(),
+      planner: new RepairPlanner(),
       engine,
       writer: fleetWriter,
       view: fleet,
       config: () => config.current().config,
-      listInstances: directory.all,
-      instancesById: directory.byId,
+      listInstances: instances.all,
+      instancesById: instances.byId,
       observations: monitor.observations,
       isPreferred: (name) =>
-        selectPreferred(name, listEntryIds(directory)) === settings.instanceId,
+        selectPreferred(name, membership.listLiveIds()) === settings.instanceId,
       recordEvent,
     });
 
     const drainState = { isDraining: false };
-    const notReadyReason = () => findNotReadyReason(config, drainState);
+    const notReadyReason = () =>
+      findNotReadyReason(config, drainState) ??
+        describeEntryDrain(config, settings) ??
+        membership.findIsolationReason(nowMs());
     const calls = new InFlightCalls();
+    yield* runEntryMetrics({
+      settings,
+      config,
+      membership,
+      calls,
+      timeline,
+      notReadyReason,
+    });
     yield* listen({
       address: settings.listenAddress,
+      handlesContinue: true,
       handler: createCallerHandler({
         availabilityZone: settings.availabilityZone,
         maxBodyBytes: settings.maxBodyBytes,
-        agent: new Agent({ keepAlive: true }),
+        ...createAttemptState(),
         ...createEntryRouting({
           nowMs,
-          countEntries: () => listEntryIds(directory).length,
+          countEntries: () => membership.listLiveIds().length,
         }),
         ...createEntryAdmission({
-          entryId: settings.instanceId,
-          listEntryIds: () => listEntryIds(directory),
+          nowMs,
+          countEntries: () => membership.listLiveIds().length,
+          demand: membership.demand,
           config: () => config.current().config,
           countReadyReplicas: (name) => backends.listReplicas(name).length,
         }),
@@ -165,10 +192,14 @@
       handler: createAdminHandler({
         secrets,
         runtime,
+        peers,
         operations: createEntryOperations({
           settings,
           config,
           fleet,
+          directory,
+          membership,
+          transport,
           configWriter,
           observations: monitor.observations,
           backends,
@@ -183,30 +214,27 @@
       drain: () =>
         Effect.suspend(() => {
           drainState.isDraining = true;
-          return calls.waitUntilEmpty();
+          return Effect.andThen(membership.leave(), calls.waitUntilEmpty());
         }),
     };
   });
 }
 
-const entryIdsByList = new WeakMap<readonly Instance[], readonly string[]>();
-
-function listEntryIds(directory: InstanceDirectory): readonly string[] {
-  const instances = directory.all();
-  const known = entryIdsByList.get(instances);
-  if (known !== undefined) return known;
-  const entryIds = instances
-    .filter(({ role, state }) => role === "entry" && state === "live")
-    .map(({ instanceId }) => instanceId);
-  entryIdsByList.set(instances, entryIds);
-  return entryIds;
-}
-
 function findNotReadyReason(
-  config: StreamView<ConfigState>,
+  config: ConfigStream,
   drainState: { readonly isDraining: boolean },
 ): string | undefined {
   if (drainState.isDraining) return "it shuts down";
+  const problem = config.startProblem();
+  if (problem !== undefined) return problem;
   if (config.current().version === 0) return "it has no configuration yet";
   return undefined;
 }
+
+function describeEntryDrain(
+  config: ConfigStream,
+  settings: ResolvedEntrySettings,
+): string | undefined {
+  const drain = findEntryDrain(config.current().config, settings);
+  return drain === undefined ? undefined : `it is drained by ${drain}`;
+}
--- a/packages/celerytray/src/entry/entry_admission.ts
+++ b/packages/celerytray/src/entry/entry_admission.ts
@@ -2,20 +2,19 @@
 import {
   type Admission,
   CallSlots,
-  computeShare,
-  EqualDemand,
-  type PeerDemand,
+  DemandMeter,
   RateAdmission,
 } from "../admission/index.ts";
+import type { PeerDemand } from "../membership/index.ts";
 
 /** Options of an entry instance's admission. */
 export interface EntryAdmissionOptions {
-  readonly entryId: string;
-  readonly listEntryIds: () => readonly string[];
+  readonly nowMs: () => number;
+  readonly countEntries: () => number;
   readonly config: () => ConfigSet;
   readonly countReadyReplicas: (service: string) => number;
-  /** Demand of the other entry instances; equal shares without it. */
-  readonly peers?: PeerDemand;
+  /** Demand of this and of the other entry instances. */
+  readonly demand: PeerDemand;
 }
 
 /** The admission of an entry instance. */
@@ -28,12 +27,20 @@
 export function createEntryAdmission(
   options: EntryAdmissionOptions,
 ): EntryAdmission {
-  const { entryId, listEntryIds } = options;
-  const peers = options.peers ?? new EqualDemand({ listEntryIds });
+  const { demand, nowMs } = options;
+  const rates = new RateAdmission({
+    shareOf: (name) => demand.shareOf(name, nowMs()),
+  });
+  const meter = new DemandMeter({
+    onRate: (name, rate) => demand.noteOwn(name, rate),
+  });
   return {
-    admission: new RateAdmission({
-      shareOf: (name) => computeShare(name, { entryId, peers }),
-    }),
+    admission: {
+      admit: (request) => {
+        meter.noteOffered(request.organisationName, request.nowMs);
+        return rates.admit(request);
+      },
+    },
     slots: new CallSlots({
       slotCountOf: (service) => countSlots(service, options),
     }),
@@ -49,6 +56,6 @@
   const perReplica = service?.maxConcurrentPerReplica;
   const replicaCount = options.countReadyReplicas(serviceName);
   if (perReplica === undefined || replicaCount === 0) return undefined;
-  const entryCount = Math.max(1, options.listEntryIds().length);
+  const entryCount = Math.max(1, options.countEntries());
   return Math.max(1, Math.floor(perReplica * replicaCount / entryCount));
 }
--- a/packages/celerytray/src/entry/entry_routing.ts
+++ b/packages/celerytray/src/entry/entry_routing.ts
@@ -4,6 +4,8 @@
   type RoutingOutcome,
 } from "../routing/index.ts";
 
+const COUNT_MAX_AGE_MS = 1_000;
+
 /** Options of an entry instance's routing. */
 export interface EntryRoutingOptions {
   readonly nowMs: () => number;
@@ -19,10 +21,10 @@
 
 /** Creates the router and gives it the time. */
 export function createEntryRouting(options: EntryRoutingOptions): EntryRouting {
-  const { nowMs, countEntries } = options;
+  const { nowMs } = options;
   const router = new AffinityRouter({
     seed: nowMs() | 0,
-    entryCount: () => Math.max(1, countEntries()),
+    entryCount: createCachedCount(options),
   });
   return {
     router: {
@@ -33,3 +35,17 @@
       router.noteOutcome({ ...outcome, nowMs: nowMs() }),
   };
 }
+
+/** The count is asked for many times in each choice. */
+function createCachedCount(options: EntryRoutingOptions): () => number {
+  let count = 1;
+  let expiresAtMs = -Infinity;
+  return () => {
+    const nowMs = options.nowMs();
+    if (nowMs >= expiresAtMs) {
+      count = Math.max(1, options.countEntries());
+      expiresAtMs = nowMs + COUNT_MAX_AGE_MS;
+    }
+    return count;
+  };
+}
--- /dev/null
+++ b/packages/celerytray/src/membership/membership.ts
@@ -0,0 +1,360 @@
+import { Clock, Effect, type Scope } from "effect";
+import type { HybridClock } from "../timeline/index.ts";
+import type { ConfigUpdate } from "../config/index.ts";
+import type { ExchangeAnswer, ExchangeMessage } from "./exchange.ts";
+import { IsolationMonitor } from "./isolation_monitor.ts";
+import { LeavingTable } from "./leaving_table.ts";
+import { type Member, MemberTable } from "./member_table.ts";
+import type { MemberUpdate } from "./member_update.ts";
+import { DemandTable } from "./peer_demand.ts";
+import { sample } from "./sample.ts";
+
+/** A peer could not be reached, or did not answer in time. */
+export interface PeerFailure {
+  readonly message: string;
+}
+
+/** Calls to other entry instances. */
+export interface PeerTransport {
+  exchange(
+    address: string,
+    message: ExchangeMessage,
+  ): Effect.Effect<ExchangeAnswer, PeerFailure>;
+  /** Hands a configuration over to a peer that lags. */
+  offerConfig(
+    address: string,
+    update: ConfigUpdate,
+  ): Effect.Effect<void, PeerFailure>;
+  /** Asks a peer whether it reaches another one. */
+  probe(
+    address: string,
+    targetAddress: string,
+  ): Effect.Effect<boolean, PeerFailure>;
+}
+
+/** The configuration as the exchange needs it. */
+export interface ExchangedConfig {
+  readonly version: () => number;
+  readonly nextOffset: () => number;
+  readonly lacksConfig: () => boolean;
+  readonly logReadAtMs: () => number | undefined;
+  /** What a peer lacks; undefined if nothing, or if this instance lags too. */
+  readonly createUpdate: (
+    peer: Pick<
+      ExchangeMessage,
+      "configVersion" | "configNextOffset" | "lacksConfig"
+    >,
+  ) => ConfigUpdate | undefined;
+  readonly adopt: (update: ConfigUpdate) => Effect.Effect<boolean>;
+  /** Called once most peers were heard and none has a higher version. */
+  readonly confirm: () => void;
+}
+
+/** Options of membership. */
+export interface MembershipOptions {
+  readonly self: Pick<MemberUpdate, "instanceId" | "adminAddress">;
+  readonly transport: PeerTransport;
+  readonly config: ExchangedConfig;
+  /** Other entry instances on the instance list. */
+  readonly listEntries: () => readonly Pick<
+    MemberUpdate,
+    "instanceId" | "adminAddress"
+  >[];
+  readonly random: () => number;
+  /** Clock of the time line, kept in step with the peers'. */
+  readonly clock?: HybridClock;
+  readonly intervalMs: number;
+  readonly isolationTimeoutMs: number;
+}
+
+/** Peers asked when one does not answer. */
+const PROBE_PEERS = 2;
+/** Further peers asked in each interval while the configuration is lacking. */
+const START_PEERS = 3;
+/** Peers told at once of a new version. */
+const EAGER_PEERS = 3;
+/** Rounds of sounding in which one usual exchange takes place. */
+const SOUNDING_ROUNDS = 8;
+const SUSPICION_INTERVALS = 5;
+const FORGET_INTERVALS = 120;
+const DEMAND_INTERVALS = 60;
+const LEAVING_MAX_AGE_MS = 15_000;
+const MAX_UPDATES_SENT = 4;
+const MAX_LEAVING_SENT = 4;
+const WATCH_INTERVAL_MS = 100;
+/** A stamp further ahead comes from a wrong clock. */
+const MAX_CLOCK_AHEAD_MS = 60_000;
+
+/** Knowledge shared with the other entry instances. */
+export class Membership {
+  readonly table: MemberTable;
+  readonly isolation: IsolationMonitor;
+  readonly leaving = new LeavingTable({ maxAgeMs: LEAVING_MAX_AGE_MS });
+  readonly demand: DemandTable;
+  readonly #options: MembershipOptions;
+  #roundCount = 0;
+  /** Rises when something should spread at once. */
+  #newsCount = 0;
+  /** Peers whose version this instance has reached since it lacked its own. */
+  readonly #confirmedBy = new Set<string>();
+
+  constructor(options: MembershipOptions, startedAtMs: number) {
+    const { self, intervalMs } = options;
+    this.#options = options;
+    this.table = new MemberTable({
+      self,
+      intervalMs,
+      startedAtMs,
+      suspicionMs: SUSPICION_INTERVALS * intervalMs,
+      forgetMs: FORGET_INTERVALS * intervalMs,
+    });
+    this.isolation = new IsolationMonitor({
+      timeoutMs: options.isolationTimeoutMs,
+      intervalMs,
+      startedAtMs,
+    });
+    this.demand = new DemandTable({
+      countLive: () => this.table.listLiveIds().length,
+      maxAgeMs: DEMAND_INTERVALS * intervalMs,
+    });
+  }
+
+  /** Identifiers of the live entry instances, this one included. */
+  listLiveIds(): string[] {
+    return this.table.listLiveIds();
+  }
+
+  /** Why this instance must refuse requests; undefined if it need not. */
+  findIsolationReason(nowMs: number): string | undefined {
+    const logReadAtMs = this.#options.config.logReadAtMs();
+    return this.isolation.findReason({ nowMs, logReadAtMs });
+  }
+
+  /** Takes note of a back end that is leaving; news goes to some at once. */
+  noteLeaving(instanceId: string, nowMs: number): void {
+    if (!this.leaving.isLeaving(instanceId, nowMs)) this.#newsCount += 1;
+    this.leaving.note(instanceId, nowMs);
+  }
+
+  /** Answers another instance's exchange. */
+  answer(message: ExchangeMessage): Effect.Effect<ExchangeAnswer> {
+    return Effect.map(Clock.currentTimeMillis, (nowMs) => {
+      this.#learn(message, nowMs);
+      const configUpdate = this.#options.config.createUpdate(message);
+      const answer = this.#createMessage(message.sender.instanceId, nowMs);
+      return configUpdate === undefined ? answer : { ...answer, configUpdate };
+    });
+  }
+
+  /** Runs until the scope closes. */
+  run(): Effect.Effect<void, never, Scope.Scope> {
+    return Effect.gen({ self: this }, function* () {
+      const { intervalMs } = this.#options;
+      const round = this.#runRound().pipe(
+        Effect.andThen(Effect.sleep(intervalMs)),
+      );
+      yield* Effect.forkScoped(Effect.forever(round));
+      yield* Effect.forkScoped(this.#spreadNews());
+    });
+  }
+
+  /** Tells some peers that this instance leaves. */
+  leave(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      this.table.leave();
+      return this.#exchangeWithSome(EAGER_PEERS);
+    });
+  }
+
+  #runRound(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { config, listEntries, random } = this.#options;
+      const nowMs = yield* Clock.currentTimeMillis;
+      this.table.noteListed(listEntries(), nowMs);
+      this.table.tick(nowMs);
+      const logReadAtMs = config.logReadAtMs();
+      const sounded = this.isolation.selectSounded({ nowMs, logReadAtMs }, {
+        present: this.table.present,
+        random,
+      });
+      const peers = new Map(sounded.map((peer) => [peer.instanceId, peer]));
+      const count = this.#countUsualPeers(sounded.length > 0);
+      for (let index = 0; index < count; index++) {
+        const peer = this.table.nextPeer(random);
+        if (peer !== undefined) peers.set(peer.instanceId, peer);
+      }
+      for (const peer of peers.values()) {
+        yield* Effect.forkChild(this.#contact(peer));
+      }
+    });
+  }
+
+  #countUsualPeers(isSounding: boolean): number {
+    this.#roundCount += 1;
+    if (this.#options.config.lacksConfig()) return 1 + START_PEERS;
+    if (!isSounding) return 1;
+    return this.#roundCount % SOUNDING_ROUNDS === 0 ? 1 : 0;
+  }
+
+  /** Exchanges with a peer; asks others about one that does not answer. */
+  #contact(peer: Member): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const isReached = yield* this.#exchangeWith(peer);
+      if (isReached) return;
+      const isReachedByOthers = yield* this.#askOthers(peer);
+      if (isReachedByOthers) return;
+      const nowMs = yield* Clock.currentTimeMillis;
+      this.table.noteUnreachable(peer.instanceId, nowMs);
+    });
+  }
+
+  #exchangeWith(peer: Member): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const { transport, config, intervalMs } = this.#options;
+      const sentAtMs = yield* Clock.currentTimeMillis;
+      const message = this.#createMessage(peer.instanceId, sentAtMs);
+      const answer = yield* transport.exchange(peer.adminAddress, message).pipe(
+        Effect.timeoutOrElse({
+          duration: intervalMs / 2,
+          orElse: () => Effect.succeed(undefined),
+        }),
+        Effect.catch(() => Effect.succeed(undefined)),
+      );
+      if (answer === undefined) return false;
+      this.#learn(answer, yield* Clock.currentTimeMillis);
+      if (answer.configUpdate !== undefined) {
+        yield* config.adopt(answer.configUpdate);
+      }
+      this.#noteConfirmation(answer);
+      const update = config.createUpdate(answer);
+      if (update !== undefined) {
+        yield* transport.offerConfig(peer.adminAddress, update).pipe(
+          Effect.timeoutOption(intervalMs),
+          Effect.ignore,
+        );
+      }
+      return true;
+    });
+  }
+
+  /**
+   * A start without the log needs more than half of the peers known. Those
+   * that look gone count too: they may live beyond a partition.
+   */
+  #noteConfirmation(answer: ExchangeMessage): void {
+    const { config } = this.#options;
+    if (!config.lacksConfig()) {
+      this.#confirmedBy.clear();
+      return;
+    }
+    const isReached = answer.lacksConfig !== true &&
+      config.version() >= answer.configVersion;
+    if (!isReached) return;
+    this.#confirmedBy.add(answer.sender.instanceId);
+    const known = this.table.members.filter(({ state }) => state !== "left");
+    const confirmed = known.filter(({ instanceId }) =>
+      this.#confirmedBy.has(instanceId)
+    );
+    if (2 * confirmed.length > known.length) config.confirm();
+  }
+
+  #askOthers(peer: Member): Effect.Effect<boolean> {
+    const { transport, intervalMs, random } = this.#options;
+    const others = this.table.present.filter(({ instanceId, state }) =>
+      instanceId !== peer.instanceId && state === "alive"
+    );
+    const asked = sample(others, { count: PROBE_PEERS, random });
+    const probes = asked.map(({ adminAddress }) =>
+      transport.probe(adminAddress, peer.adminAddress).pipe(
+        Effect.timeoutOrElse({
+          duration: intervalMs,
+          orElse: () => Effect.succeed(false),
+        }),
+        Effect.catch(() => Effect.succeed(false)),
+      )
+    );
+    return Effect.all(probes, { concurrency: "unbounded" }).pipe(
+      Effect.map((reached) => reached.includes(true)),
+    );
+  }
+
+  /** Tells some peers at once of a new version or a leaving back end. */
+  #spreadNews(): Effect.Effect<never> {
+    let spreadVersion = 0;
+    let spreadNews = 0;
+    const watch = Effect.suspend(() => {
+      const version = this.#options.config.version();
+      const isNew = version !== spreadVersion || this.#newsCount !== spreadNews;
+      if (!isNew) return Effect.void;
+      spreadVersion = version;
+      spreadNews = this.#newsCount;
+      return this.#exchangeWithSome(EAGER_PEERS);
+    });
+    return Effect.forever(
+      watch.pipe(Effect.andThen(Effect.sleep(WATCH_INTERVAL_MS))),
+    );
+  }
+
+  #exchangeWithSome(count: number): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const { random } = this.#options;
+      const peers = sample(this.table.present, { count, random });
+      return Effect.forEach(peers, (peer) => this.#exchangeWith(peer), {
+        concurrency: "unbounded",
+        discard: true,
+      });
+    });
+  }
+
+  #createMessage(receiverId: string, nowMs: number): ExchangeMessage {
+    const { config } = this.#options;
+    const readAtMs = config.logReadAtMs();
+    const stamp = this.#options.clock?.next(nowMs);
+    const doubt = this.table.findDoubt(receiverId);
+    const news = this.table.takeUpdates(MAX_UPDATES_SENT);
+    return {
+      sender: this.table.self,
+      updates: doubt === undefined ? news : [doubt, ...news],
+      configVersion: config.version(),
+      configNextOffset: config.nextOffset(),
+      ...(config.lacksConfig() ? { lacksConfig: true } : {}),
+      demand: this.demand.createReport(),
+      leaving: this.leaving.createReports(nowMs, MAX_LEAVING_SENT),
+      ...(readAtMs === undefined ? {} : { logAgeMs: nowMs - readAtMs }),
+      ...(stamp === undefined ? {} : { clock: stamp }),
+    };
+  }
+
+  /** A first report is passed on at once. */
+  #learnLeaving(
+    instanceId: string,
+    { ageMs, nowMs }: { readonly ageMs: number; readonly nowMs: number },
+  ): void {
+    if (ageMs >= LEAVING_MAX_AGE_MS) return;
+    if (!this.leaving.isLeaving(instanceId, nowMs)) this.#newsCount += 1;
+    this.leaving.note(instanceId, nowMs - ageMs);
+  }
+
+  #observeClock({ clock }: ExchangeMessage, nowMs: number): void {
+    if (clock === undefined) return;
+    if (clock.physicalMs - nowMs > MAX_CLOCK_AHEAD_MS) return;
+    this.#options.clock?.observe(clock);
+  }
+
+  #learn(message: ExchangeMessage, nowMs: number): void {
+    const { instanceId } = message.sender;
+    this.table.noteHeard(message.sender, nowMs);
+    this.table.merge(message.updates, nowMs);
+    this.isolation.noteHeard(instanceId, nowMs);
+    this.#observeClock(message, nowMs);
+    for (
+      const { instanceId: id, state } of [message.sender, ...message.updates]
+    ) {
+      if (state === "left") this.isolation.noteLeft(id);
+    }
+    this.demand.noteReport(instanceId, { report: message.demand, nowMs });
+    for (const [leavingId, ageMs] of message.leaving) {
+      this.#learnLeaving(leavingId, { ageMs, nowMs });
+    }
+  }
+}
--- a/packages/celerytray/src/timeline/index.ts
+++ b/packages/celerytray/src/timeline/index.ts
@@ -4,6 +4,12 @@
   type TimelineEvent,
   type TimelineFields,
 } from "./timeline.ts";
+export { logEvent, useJsonLogs } from "./event_log.ts";
+export {
+  mergeEvents,
+  selectEvents,
+  type TimelineFilter,
+} from "./select_events.ts";
 export {
   compareTimestamps,
   HybridClock,
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -4,19 +4,30 @@
   ConfigCheckCommand,
   ConfigShowCommand,
 } from "./config_commands.ts";
-import { ServeCommand } from "./serve_command.ts";
 import {
-  ReplicasCommand,
-  StatusCommand,
-  TimelineCommand,
-} from "./view_commands.ts";
+  ConfigDiffCommand,
+  ConfigHistoryCommand,
+  ConfigRollbackCommand,
+  ConfigVersionsCommand,
+} from "./config_version_commands.ts";
+import { DrainCommand, UndrainCommand } from "./drain_commands.ts";
+import { ServeCommand } from "./serve_command.ts";
+import { ExplainCommand, TimelineCommand } from "./timeline_commands.ts";
+import { ReplicasCommand, StatusCommand } from "./view_commands.ts";
 
 export const commands = [
   ConfigApplyCommand,
   ConfigCheckCommand,
+  ConfigDiffCommand,
+  ConfigHistoryCommand,
+  ConfigRollbackCommand,
   ConfigShowCommand,
+  ConfigVersionsCommand,
+  DrainCommand,
+  ExplainCommand,
   ReplicasCommand,
   ServeCommand,
   StatusCommand,
   TimelineCommand,
+  UndrainCommand,
 ];
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -8,6 +8,7 @@
   AvailabilityZone,
   ConfigSet,
   Deployment,
+  Drain,
   ModelService,
   Organisation,
   PlainService,
@@ -16,13 +17,17 @@
 
 // Records on the log
 export type {
+  AcceptedVersion,
   CallOutcome,
   ClaimRecord,
   ConfigRecord,
+  ConfigSnapshotRecord,
   DissolveRecord,
   FormRecord,
   LogRecord,
   OutcomeRecord,
+  ReplaceRecord,
+  SnapshotRecord,
 } from "./generated/log_record.ts";
 
 // Platform and backend servers
