--- a/packages/celerytray/src/config/config_snapshots.ts
+++ b/packages/celerytray/src/config/config_snapshots.ts
@@ -16,7 +16,7 @@
 export const CONFIG_SNAPSHOT_STREAM = "config-snapshots";
 
 /** What the writer of snapshots needs. */
-export interface SnapshotWriterOptions {
+export interface ConfigSnapshotWriterOptions {
   readonly log: LogService;
   readonly writer: LogWriter;
   readonly position: () => ConfigPosition;
@@ -32,7 +32,7 @@
 const CHECK_INTERVAL_MS = 1_000;
 
 /** Reads all snapshots kept and returns the one that reaches furthest. */
-export function readLatestSnapshot(
+export function readLatestConfigSnapshot(
   log: LogService,
 ): Effect.Effect<
   ConfigSnapshotRecord | undefined,
@@ -67,8 +67,8 @@
 }
 
 /** Writes a snapshot before retention removes what the last one rests on. */
-export function runSnapshotWriter(
-  options: SnapshotWriterOptions,
+export function runConfigSnapshotWriter(
+  options: ConfigSnapshotWriterOptions,
 ): Effect.Effect<void, never, Scope.Scope> {
   return Effect.gen(function* () {
     const seen = { version: 0, atMs: 0 };
@@ -87,7 +87,7 @@
 }
 
 function watchSnapshots(
-  options: SnapshotWriterOptions,
+  options: ConfigSnapshotWriterOptions,
   seen: SeenSnapshot,
 ): Effect.Effect<never> {
   let fromOffset = 0;
@@ -118,7 +118,7 @@
   );
 }
 
-function writeIfDue(options: SnapshotWriterOptions, seen: SeenSnapshot) {
+function writeIfDue(options: ConfigSnapshotWriterOptions, seen: SeenSnapshot) {
   return Effect.gen(function* () {
     const nowMs = yield* Clock.currentTimeMillis;
     const position = options.position();
