--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -18,11 +18,7 @@
 } from "../fleet/index.ts";
 import { createCallerHandler, InFlightCalls } from "../forwarding/index.ts";
 import { listen, type ListenFailure } from "../http/index.ts";
-import {
-  createLogWriter,
-  createStreamView,
-  HttpLogService,
-} from "../log/index.ts";
+import { createLogWriter, HttpLogService } from "../log/index.ts";
 import { selectPreferred } from "../membership/index.ts";
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
