--- a/packages/bench/src/attempts/local_data_plane.ts
+++ b/packages/bench/src/attempts/local_data_plane.ts
@@ -9,6 +9,7 @@
 } from "@celerytray/fakes";
 import {
   type BackendPools,
+  CallSlots,
   createAttemptState,
   createCallerHandler,
   type ForwardingClaims,
@@ -136,6 +137,7 @@
           maxBodyBytes: options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
           router: options.router ?? new PowerOfTwoRouter({ seed: 1 }),
           admission: { admit: () => Right(undefined) },
+          slots: new CallSlots({ slotCountOf: () => undefined }),
           claims: options.claims ?? grantAll(),
           calls,
           config: () => config,
--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,3 +1,4 @@
+import { admissionBench } from "./admission/index.ts";
 import { attemptsBench } from "./attempts/attempts_bench.ts";
 import { claimsBench } from "./claims/claims_bench.ts";
 import { configBench } from "./config/config_bench.ts";
@@ -29,6 +30,7 @@
 
 /** All measurements, by name. */
 export const benches: readonly Bench[] = [
+  admissionBench,
   attemptsBench,
   claimsBench,
   configBench,
--- a/packages/bench/src/relay/serve_entry.ts
+++ b/packages/bench/src/relay/serve_entry.ts
@@ -1,5 +1,6 @@
 import type { ConfigSet } from "@celerytray/schema";
 import {
+  CallSlots,
   createAttemptState,
   createCallerHandler,
   InFlightCalls,
@@ -29,6 +30,7 @@
     maxBodyBytes: 1024 * 1024,
     router: new PowerOfTwoRouter({ seed: 1 }),
     admission: new RateAdmission({ shareOf: () => 1 }),
+    slots: new CallSlots({ slotCountOf: () => undefined }),
     claims: { claim: () => Effect.never, recordOutcome: () => Effect.void },
     calls: new InFlightCalls(),
     config: () => config,
--- a/packages/celerytray/src/admission/index.ts
+++ b/packages/celerytray/src/admission/index.ts
@@ -5,3 +5,16 @@
   type AdmissionRequest,
   RateAdmission,
 } from "./rate_admission.ts";
+export { DemandMeter, type DemandMeterOptions } from "./demand_meter.ts";
+export { FairQueue, type QueuedTicket, type QueuePlace } from "./fair_queue.ts";
+export {
+  SlotAdmission,
+  type SlotAdmissionOptions,
+  type SlotRequest,
+  type SlotTicket,
+} from "./slot_admission.ts";
+export {
+  CallSlots,
+  type CallSlotsOptions,
+  type SlotCall,
+} from "./call_slots.ts";
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -1,5 +1,4 @@
 import { Clock, Effect, type Scope } from "effect";
-import { RateAdmission } from "../admission/index.ts";
 import { createAdminHandler } from "../admin/index.ts";
 import {
   createInstanceDirectory,
@@ -23,6 +22,7 @@
 import { selectPreferred } from "../membership/index.ts";
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
+import { createEntryAdmission } from "./entry_admission.ts";
 import { createAttemptState } from "./entry_attempts.ts";
 import { createEntryClaims } from "./entry_claims.ts";
 import { createEntryFleet } from "./entry_fleet.ts";
@@ -162,9 +162,16 @@
         availabilityZone: settings.availabilityZone,
         maxBodyBytes: settings.maxBodyBytes,
         ...createAttemptState(),
-        ...createEntryRouting({ nowMs }),
-        admission: new RateAdmission({
-          shareOf: () => 1 / Math.max(1, membership.listLiveIds().length),
+        ...createEntryRouting({
+          nowMs,
+          countEntries: () => membership.listLiveIds().length,
+        }),
+        ...createEntryAdmission({
+          nowMs,
+          countEntries: () => membership.listLiveIds().length,
+          demand: membership.demand,
+          config: () => config.current().config,
+          countReadyReplicas: (name) => backends.listReplicas(name).length,
         }),
         claims,
         calls,
--- /dev/null
+++ b/packages/celerytray/src/entry/entry_admission.ts
@@ -0,0 +1,61 @@
+import type { ConfigSet } from "@celerytray/schema";
+import {
+  type Admission,
+  CallSlots,
+  DemandMeter,
+  RateAdmission,
+} from "../admission/index.ts";
+import type { PeerDemand } from "../membership/index.ts";
+
+/** Options of an entry instance's admission. */
+export interface EntryAdmissionOptions {
+  readonly nowMs: () => number;
+  readonly countEntries: () => number;
+  readonly config: () => ConfigSet;
+  readonly countReadyReplicas: (service: string) => number;
+  /** Demand of this and of the other entry instances. */
+  readonly demand: PeerDemand;
+}
+
+/** The admission of an entry instance. */
+export interface EntryAdmission {
+  readonly admission: Admission;
+  readonly slots: CallSlots;
+}
+
+/** Creates the limits per organisation and the slots per service. */
+export function createEntryAdmission(
+  options: EntryAdmissionOptions,
+): EntryAdmission {
+  const { demand, nowMs } = options;
+  const rates = new RateAdmission({
+    shareOf: (name) => demand.shareOf(name, nowMs()),
+  });
+  const meter = new DemandMeter({
+    onRate: (name, rate) => demand.noteOwn(name, rate),
+  });
+  return {
+    admission: {
+      admit: (request) => {
+        meter.noteOffered(request.organisationName, request.nowMs);
+        return rates.admit(request);
+      },
+    },
+    slots: new CallSlots({
+      slotCountOf: (service) => countSlots(service, options),
+    }),
+  };
+}
+
+/** This entry instance's part of what a service's replicas run at once. */
+function countSlots(
+  serviceName: string,
+  options: EntryAdmissionOptions,
+): number | undefined {
+  const service = options.config().services[serviceName];
+  const perReplica = service?.maxConcurrentPerReplica;
+  const replicaCount = options.countReadyReplicas(serviceName);
+  if (perReplica === undefined || replicaCount === 0) return undefined;
+  const entryCount = Math.max(1, options.countEntries());
+  return Math.max(1, Math.floor(perReplica * replicaCount / entryCount));
+}
--- a/packages/celerytray/src/forwarding/caller_handler.ts
+++ b/packages/celerytray/src/forwarding/caller_handler.ts
@@ -6,7 +6,7 @@
   ServerResponse,
 } from "node:http";
 import { randomUUID } from "node:crypto";
-import type { Admission, AdmissionRefused } from "../admission/index.ts";
+import type { Admission, CallSlots } from "../admission/index.ts";
 import { fromEither } from "../errors/index.ts";
 import { type BackendPools, discardBody, readBody } from "../http/index.ts";
 import type { CallRouter, RoutingOutcome } from "../routing/index.ts";
@@ -28,6 +28,7 @@
 import type { InFlightCalls } from "./in_flight_calls.ts";
 import { toOriginForm } from "./parse_service_path.ts";
 import type { ServiceFailures } from "./recent_failures.ts";
+import { createRefusedError } from "./refused_error.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 /** What the data plane needs of its entry instance. */
@@ -40,6 +41,7 @@
   readonly hedgeDelays: HedgeDelays;
   readonly router: CallRouter;
   readonly admission: Admission;
+  readonly slots: CallSlots;
   readonly claims: ForwardingClaims;
   readonly calls: InFlightCalls;
   readonly config: () => ConfigSet;
@@ -257,17 +259,6 @@
   });
 }
 
-function createRefusedError(refused: AdmissionRefused): CallerError {
-  return new CallerError({
-    status: 429,
-    type: "rate_limit_error",
-    code: "rate_limit_exceeded",
-    message: refused.message,
-    outcome: "not-run",
-    retryAfterMs: refused.retryAfterMs,
-  });
-}
-
 function createTooManyHeadersError(): CallerError {
   return new CallerError({
     status: 431,
--- a/packages/celerytray/src/forwarding/complete_chat.ts
+++ b/packages/celerytray/src/forwarding/complete_chat.ts
@@ -5,6 +5,7 @@
 } from "@celerytray/schema";
 import { Clock, Effect } from "effect";
 import { type Either, Left, Right } from "purify-ts";
+import type { SlotCall } from "../admission/index.ts";
 import { firstValidationMessage, fromEither } from "../errors/index.ts";
 import { createRoutingCall, type RoutingCall } from "../routing/index.ts";
 import { AttemptPlan } from "./attempt_plan.ts";
@@ -13,6 +14,7 @@
 import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
 import { CompletionSink } from "./completion_sink.ts";
 import type { ReadyReplica } from "./forwarding_types.ts";
+import { createRefusedError } from "./refused_error.ts";
 import { type AttemptOutcome, runStreamAttempt } from "./stream_attempt.ts";
 
 /** Load of an attempt after one that did not run. */
@@ -46,7 +48,7 @@
       budget: dependencies.budget,
       deadlineAtMs: () => sink.nextIndex > 0 ? Infinity : deadlineAtMs,
     });
-    yield* runAttempts({
+    const attempts = runAttempts({
       context,
       dependencies,
       target,
@@ -56,10 +58,32 @@
       deadlineAtMs,
       routingCall,
     });
+    const slotCall = createSlotCall(context, { target, routingCall });
+    yield* dependencies.slots.run(slotCall, attempts).pipe(
+      Effect.catchTag(
+        "AdmissionRefused",
+        (refused) => Effect.fail(createRefusedError(refused)),
+      ),
+    );
     yield* sink.finish();
   });
 }
 
+function createSlotCall(
+  context: CallContext,
+  options: { readonly target: ModelTarget; readonly routingCall: RoutingCall },
+): SlotCall {
+  const { firstTokenDeadlineMs, priority = 0 } = options.routingCall;
+  return {
+    service: options.target.name,
+    organisationName: context.organisationName,
+    weight: context.organisation.weight ?? 1,
+    priority,
+    arrivedAtMs: context.arrivedAtMs,
+    ...(firstTokenDeadlineMs === undefined ? {} : { firstTokenDeadlineMs }),
+  };
+}
+
 function parseRequest(
   body: Buffer,
 ): Either<CallerError, ChatCompletionRequest> {
