Measure slopes of planning, choice, exchange and relay

Cause: the capacity page needs every figure from one command.

Ruled out: quoting the single benches, which print one size each.

Change: four more slopes on the code of those benches, which now share their processes and groups with it.

--- a/packages/bench/src/formation/formation_bench.ts
+++ b/packages/bench/src/formation/formation_bench.ts
@@ -94,7 +94,9 @@
   const totals = benchDeployments.flatMap(({ name }) =>
     POLICIES.map((policy) => addUp(measured, { deployment: name, policy }))
   );
-  const cost = [8, 2].map(measurePlanning);
+  const cost = [8, 2].map((instancesPerReplica) =>
+    measurePlanning({ instancesPerReplica })
+  );
   return {
     rows: [
       ...measured.map(describe),
--- a/packages/bench/src/formation/planning_cost.ts
+++ b/packages/bench/src/formation/planning_cost.ts
@@ -21,18 +21,25 @@
   readonly heapMiB: number;
 }
 
-const REPLICAS = 6_300;
+const TARGET_REPLICAS = 6_300;
 const ROUNDS = 5;
 const MODEL = "chat-70b";
 const MIB = 1024 * 1024;
 const ZONES = Array.from({ length: 12 }, (_, index) => `zone-${index}`);
 
-/** Measures planning at 6,300 replicas of so many instances. */
-export function measurePlanning(instancesPerReplica: number): PlanningCost {
+/** Size of a planning measurement. */
+export interface PlanningSize {
+  readonly instancesPerReplica: number;
+  readonly replicaCount?: number;
+}
+
+/** Measures planning at one size. */
+export function measurePlanning(size: PlanningSize): PlanningCost {
+  const { instancesPerReplica, replicaCount = TARGET_REPLICAS } = size;
   const heapBefore = readHeapBytes();
   const perDomain = instancesPerReplica * 4;
   const instances = createEngines({
-    domainCount: Math.ceil(REPLICAS * 1.02 / 4),
+    domainCount: Math.ceil(replicaCount * 1.02 / 4),
     perDomain,
     zones: ZONES,
   });
@@ -44,7 +51,7 @@
       chat: {
         kind: "model",
         deployment: "large",
-        replicaCount: REPLICAS,
+        replicaCount,
         instancesPerReplica,
         model: MODEL,
       },
--- a/packages/bench/src/membership/membership_bench.ts
+++ b/packages/bench/src/membership/membership_bench.ts
@@ -1,15 +1,9 @@
-import { Effect } from "effect";
-import { TestClock } from "effect/testing";
 import type { Bench, BenchResult } from "../benches.ts";
-import { VirtualEntries } from "../config/virtual_entries.ts";
-import { type CallCost, measureCall } from "./measure_call.ts";
+import { measureCall } from "./measure_call.ts";
+import { measureSize } from "./measure_size.ts";
 
 const SIZES = [9, 50, 100];
 /** Stamps as long as those of today. */
-const START_MS = Date.UTC(2026, 0, 1);
-const ORGANISATIONS = 10;
-const WARM_UP_MS = 30_000;
-const MEASURED_MS = 30_000;
 const TARGET_SIZE = 390;
 const TARGET_BYTES_PER_SECOND = 2_000;
 const TARGET_CORE_SHARE = 0.013;
@@ -58,60 +52,6 @@
   };
 }
 
-interface SizeOptions {
-  readonly count: number;
-  readonly call: CallCost;
-  readonly isLogOut: boolean;
-}
-
-/** Runs a group on virtual time and counts what crosses its links. */
-async function measureSize({ count, call, isLogOut }: SizeOptions) {
-  const group = new VirtualEntries({ count, seed: 23 });
-  const before = { calls: 0, bytes: 0 };
-  const after = { calls: 0, bytes: 0 };
-  const run = Effect.gen(function* () {
-    yield* TestClock.setTime(START_MS);
-    yield* group.startAll();
-    for (const { membership } of group.entries.values()) {
-      for (let index = 0; index < ORGANISATIONS; index++) {
-        membership.demand.noteOwn(`organisation-${index}`, 10.5 * index);
-      }
-    }
-    yield* TestClock.adjust(WARM_UP_MS);
-    for (const { logFaults } of group.entries.values()) {
-      logFaults.isOut = isLogOut;
-    }
-    yield* TestClock.adjust(5_000);
-    addTraffic(group, before);
-    yield* TestClock.adjust(MEASURED_MS);
-    addTraffic(group, after);
-    yield* group.stopAll();
-  });
-  await Effect.runPromise(run.pipe(Effect.provide(TestClock.layer())));
-  const seconds = MEASURED_MS / 1_000;
-  const callsPerSecond = (after.calls - before.calls) / count / seconds;
-  const bodyBytes = (after.bytes - before.bytes) / count / seconds;
-  const overhead = call.requestOverheadBytes + call.answerOverheadBytes;
-  return {
-    run: `${count} members${isLogOut ? ", log out" : ""}`,
-    members: count,
-    callsPerSecond: round(callsPerSecond),
-    bodyBytesPerSecond: Math.round(bodyBytes),
-    bytesPerSecond: Math.round(bodyBytes + callsPerSecond * overhead),
-    coreShare: round(callsPerSecond * call.processorMs / 1_000),
-  };
-}
-
-function addTraffic(
-  group: VirtualEntries,
-  sum: { calls: number; bytes: number },
-): void {
-  for (const { traffic } of group.entries.values()) {
-    sum.calls += traffic.calls;
-    sum.bytes += traffic.sentBytes;
-  }
-}
-
 interface SizeResult {
   readonly members: number;
   readonly bytesPerSecond: number;
--- a/packages/bench/src/relay/relay_bench.ts
+++ b/packages/bench/src/relay/relay_bench.ts
@@ -1,13 +1,14 @@
 import { build, type Histogram } from "hdr-histogram-js";
-import { type ChildProcess, fork } from "node:child_process";
-import { once } from "node:events";
-import { fileURLToPath } from "node:url";
 import type { Bench, BenchResult } from "../benches.ts";
-import type { RelayLoad, RelayReport, RelayStart } from "./relay_messages.ts";
+import type { RelayLoad } from "./relay_messages.ts";
+import {
+  readCpuUs,
+  type RelayProcess,
+  type RelayProcesses,
+  runLoad,
+  startRelayProcesses,
+} from "./relay_processes.ts";
 
-const MAIN = fileURLToPath(new URL("relay_process.js", import.meta.url));
-const SOURCE_COUNT = 3;
-const CLIENT_COUNT = 3;
 const ROUNDS = 3;
 const WARM_UP_REQUESTS = 200;
 const US_PER_SECOND = 1_000_000;
@@ -26,50 +27,14 @@
 };
 
 async function runRelayBench(): Promise<BenchResult> {
-  const children: ChildProcess[] = [];
-  const start = async (options: RelayStart): Promise<RelayProcess> => {
-    const child = fork(MAIN, [JSON.stringify(options)]);
-    children.push(child);
-    const [address] = await once(child, "message") as [string];
-    return { child, address };
-  };
+  const processes = await startRelayProcesses();
   try {
-    const sources = await startMany(
-      SOURCE_COUNT,
-      () => start({ role: "source" }),
-    );
-    const addresses = sources.map(({ address }) => address);
-    const pipe = await start({ role: "pipe", sources: addresses });
-    const entry = await start({ role: "entry", sources: addresses });
-    const clients = await startMany(
-      CLIENT_COUNT,
-      () => start({ role: "client" }),
-    );
-    return await measure({ pipe, entry, clients, source: sources[0]! });
+    return await measure(processes);
   } finally {
-    for (const child of children) child.kill("SIGTERM");
+    processes.stop();
   }
 }
 
-interface RelayProcess {
-  readonly child: ChildProcess;
-  readonly address: string;
-}
-
-interface RelayProcesses {
-  readonly pipe: RelayProcess;
-  readonly entry: RelayProcess;
-  readonly source: RelayProcess;
-  readonly clients: readonly RelayProcess[];
-}
-
-async function startMany(
-  count: number,
-  start: () => Promise<RelayProcess>,
-): Promise<RelayProcess[]> {
-  return await Promise.all(Array.from({ length: count }, start));
-}
-
 async function measure(processes: RelayProcesses): Promise<BenchResult> {
   const { pipe, entry, clients } = processes;
   const rows: BenchResult["rows"][number][] = [];
@@ -125,31 +90,14 @@
 
 async function runRound(relay: RelayProcess, round: Round): Promise<void> {
   const { clients, load, total } = round;
-  const before = await readCpu(relay);
+  const before = await readCpuUs(relay);
   const reports = await runLoad(clients, { ...load, address: relay.address });
-  total.cpuUs += await readCpu(relay) - before;
+  total.cpuUs += await readCpuUs(relay) - before;
   total.requests += load.requestCount * clients.length;
   total.whole += reports.reduce((sum, each) => sum + each.wholeCount, 0);
   total.durationMs += Math.max(...reports.map((each) => each.durationMs));
 }
 
-function runLoad(
-  clients: readonly RelayProcess[],
-  load: RelayLoad,
-): Promise<RelayReport[]> {
-  return Promise.all(clients.map(async ({ child }) => {
-    child.send(load);
-    const [report] = await once(child, "message") as [RelayReport];
-    return report;
-  }));
-}
-
-async function readCpu({ child }: RelayProcess): Promise<number> {
-  child.send("cpu");
-  const [usage] = await once(child, "message") as [NodeJS.CpuUsage];
-  return usage.user + usage.system;
-}
-
 function describeTotal(
   total: Total,
   options: {
--- a/packages/bench/src/slopes/slopes_bench.ts
+++ b/packages/bench/src/slopes/slopes_bench.ts
@@ -1,4 +1,5 @@
 import type { Bench, BenchResult } from "../benches.ts";
+import { decisionSlopes } from "./decision_slopes.ts";
 import { measureSlope, type Slope } from "./slope.ts";
 import { stateSlopes } from "./state_slopes.ts";
 import { transportSlopes } from "./transport_slopes.ts";
@@ -9,7 +10,13 @@
   description: "time, memory and traffic over size, for docs/CAPACITY.md",
   run: async (): Promise<BenchResult> => {
     const slopes: Slope[] = [];
-    for (const measurement of [...stateSlopes, ...transportSlopes]) {
+    for (
+      const measurement of [
+        ...stateSlopes,
+        ...transportSlopes,
+        ...decisionSlopes,
+      ]
+    ) {
       slopes.push(await measureSlope(measurement));
     }
     return { rows: slopes.map(createRow), targets: [] };
