--- a/packages/bench/src/slopes/transport_slopes.ts
+++ b/packages/bench/src/slopes/transport_slopes.ts
@@ -1,11 +1,14 @@
 import { HttpInstanceList, HttpLogService, HttpModelEngine } from "celerytray";
-import type { LogRecord } from "@celerytray/schema";
+import type { EngineStatus, Instance, LogRecord } from "@celerytray/schema";
 import {
   findFreeAddresses,
   startLocalProcess,
   waitUntil,
 } from "@celerytray/cli";
 import { Effect } from "effect";
+import { randomUUID } from "node:crypto";
+import { createServer } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
 import { measureCpuMicroseconds } from "./measure.ts";
 import type { SlopeMeasurement } from "./slope.ts";
 
@@ -23,6 +26,27 @@
     sizes: [2_000, 4_000, 8_000],
     measure: measureStatusReads,
   },
+  {
+    name: "engine status read, both ways",
+    per: "reads",
+    unit: "bytes",
+    sizes: [100, 200, 400],
+    measure: measureStatusBytes,
+  },
+  {
+    name: "instance list",
+    per: "instances",
+    unit: "bytes",
+    sizes: [500, 2_000, 8_000],
+    measure: (size) => Promise.resolve(measureListBytes(size)),
+  },
+  {
+    name: "record that forms a replica",
+    per: "members",
+    unit: "bytes",
+    sizes: [2, 4, 8],
+    measure: (size) => Promise.resolve(measureFormBytes(size)),
+  },
   {
     name: "instance list read",
     per: "instances",
@@ -79,9 +103,59 @@
   return used;
 }
 
-async function measureListRead(count: number): Promise<number> {
-  const fake = await startFake("instances", { probe: "/instances" });
-  const instances = Array.from({ length: count }, (_, index) => ({
+/** Bytes on the sockets between a reader and an engine that serves. */
+async function measureStatusBytes(count: number): Promise<number> {
+  const status: EngineStatus = {
+    instanceId: "engine-12000",
+    bootId: randomUUID(),
+    state: "ready",
+    runningRequests: 12,
+    waitingRequests: 0,
+    assignment: {
+      replicaId: "drafter/1500",
+      fencingNumber: 123_456,
+      rank: 7,
+      memberCount: 8,
+    },
+    model: "slot-drafter-70b",
+  };
+  const sockets = new Set<Socket>();
+  const server = createServer((_, response) =>
+    response.end(JSON.stringify(status))
+  );
+  server.on("connection", (socket) => sockets.add(socket));
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const read = new HttpModelEngine().readStatus(`127.0.0.1:${port}`);
+  await Effect.runPromise(Effect.repeat(read, { times: count - 1 }));
+  let bytes = 0;
+  for (const socket of sockets) {
+    bytes += socket.bytesRead + socket.bytesWritten;
+  }
+  server.close();
+  server.closeAllConnections();
+  return bytes;
+}
+
+function measureListBytes(count: number): number {
+  return Buffer.byteLength(JSON.stringify(createInstances(count)));
+}
+
+function measureFormBytes(memberCount: number): number {
+  const members = createInstances(memberCount).map((each) => each.instanceId);
+  const record = {
+    kind: "form",
+    recordId: randomUUID(),
+    service: "drafter",
+    slot: 1_500,
+    members,
+    proposer: "entry-100",
+  };
+  return Buffer.byteLength(JSON.stringify(record));
+}
+
+function createInstances(count: number): Instance[] {
+  return Array.from({ length: count }, (_, index) => ({
     instanceId: `engine-${index}`,
     role: "engine",
     address: `127.0.0.1:${index}`,
@@ -89,6 +163,11 @@
     fabricDomain: `fabric-${Math.floor(index / 64)}`,
     state: "live",
   }));
+}
+
+async function measureListRead(count: number): Promise<number> {
+  const fake = await startFake("instances", { probe: "/instances" });
+  const instances = createInstances(count);
   await fetch(`http://${fake.address}/instances`, {
     method: "PUT",
     body: JSON.stringify({ instances }),
