Share the demo's configuration; name the address that does not answer

Cause: five process tests and the demo each had their own copy of publishing examples/demo and waiting for its replicas, found by a search for runs that stand twice. The command line said "fetch failed" where nobody listens.

Ruled out: one fixture that also starts the cluster; the sizes differ by test.

The command names the address and the remedy, with a test.

--- a/packages/bench/src/attempts/process_kill_test.ts
+++ b/packages/bench/src/attempts/process_kill_test.ts
@@ -1,19 +1,15 @@
 import {
+  applyDemoConfig,
+  DEMO_KEY,
   type LocalCluster,
   startLocalCluster,
   waitUntil,
+  waitUntilAllServe,
 } from "@celerytray/cli";
-import { loadConfigFolder } from "celerytray";
 import { expect } from "earl";
-import { Effect } from "effect";
 import { after, before, describe, it } from "node:test";
-import { fileURLToPath } from "node:url";
 import { expectTokens } from "./local_calls.ts";
 
-const DEMO_FOLDER = fileURLToPath(
-  new URL("../../../../examples/demo", import.meta.url),
-);
-const KEY = "demo-key-patan-furniture";
 const START_TIMEOUT_MS = 30_000;
 const TOKEN_COUNT = 100;
 const STREAM_COUNT = 20;
@@ -25,13 +21,8 @@
 
   before(async () => {
     cluster = await startLocalCluster();
-    const { config } = await Effect.runPromise(loadConfigFolder(DEMO_FOLDER));
-    const [entry] = cluster.entries;
-    await cluster.admin(entry!).applyConfig.mutate({ config, author: "test" });
-    await waitUntil("all replicas serve on all entry instances", {
-      timeoutMs: START_TIMEOUT_MS,
-      check: () => areAllReady(cluster),
-    });
+    await applyDemoConfig(cluster, { author: "test" });
+    await waitUntilAllServe(cluster);
   });
 
   after(() => cluster?.stop());
@@ -73,17 +64,6 @@
   });
 });
 
-async function areAllReady(cluster: LocalCluster): Promise<boolean> {
-  const statuses = await Promise.all(
-    cluster.entries.map((each) => cluster.admin(each).status.query()),
-  );
-  return statuses.every(({ services }) =>
-    services.every(({ readyReplicas, wantedReplicas }) =>
-      readyReplicas === wantedReplicas
-    )
-  );
-}
-
 /** Engines that run streams now. */
 async function findBusyLeaders(
   cluster: LocalCluster,
@@ -130,7 +110,7 @@
 async function ask(address: string, prompt: string): Promise<SeenStream> {
   const response = await fetch(`http://${address}/v1/chat/completions`, {
     method: "POST",
-    headers: { authorization: `Bearer ${KEY}` },
+    headers: { authorization: `Bearer ${DEMO_KEY}` },
     body: JSON.stringify({
       model: "drafter",
       stream: true,
@@ -149,7 +129,7 @@
 async function book(address: string): Promise<number> {
   const response = await fetch(`http://${address}/services/slotbook/bookings`, {
     method: "POST",
-    headers: { authorization: `Bearer ${KEY}` },
+    headers: { authorization: `Bearer ${DEMO_KEY}` },
     body: "{}",
   });
   await response.text();
--- a/packages/cli/src/commands/drain_test.ts
+++ b/packages/cli/src/commands/drain_test.ts
@@ -2,17 +2,18 @@
 import { expect } from "earl";
 import { Effect } from "effect";
 import { after, before, describe, it } from "node:test";
-import { fileURLToPath } from "node:url";
+import {
+  applyDemoConfig,
+  DEMO_FOLDER,
+  DEMO_KEY,
+  waitUntilAllServe,
+} from "../local/demo_config.ts";
 import {
   type LocalCluster,
   startLocalCluster,
 } from "../local/start_local_cluster.ts";
 import { waitUntil } from "../local/wait_until.ts";
 
-const DEMO_FOLDER = fileURLToPath(
-  new URL("../../../../examples/demo", import.meta.url),
-);
-const KEY = "demo-key-patan-furniture";
 const NO_NEW_WORK_MS = 3_000;
 
 describe("drains over separate processes", () => {
@@ -20,21 +21,8 @@
 
   before(async () => {
     cluster = await startLocalCluster({ tokenIntervalMs: 50 });
-    const { config } = await Effect.runPromise(loadConfigFolder(DEMO_FOLDER));
-    await admin(0).applyConfig.mutate({ config, author: "test" });
-    await waitUntil("all replicas serve on all entry instances", {
-      timeoutMs: 20_000,
-      check: async () => {
-        const statuses = await Promise.all(
-          cluster.entries.map((each) => cluster.admin(each).status.query()),
-        );
-        return statuses.every(({ services }) =>
-          services.every((service) =>
-            service.readyReplicas === service.wantedReplicas
-          )
-        );
-      },
-    });
+    await applyDemoConfig(cluster, { author: "test" });
+    await waitUntilAllServe(cluster);
   });
 
   after(() => cluster?.stop());
@@ -48,7 +36,7 @@
     return fetch(`http://${address}/v1/chat/completions`, {
       method: "POST",
       headers: {
-        authorization: `Bearer ${KEY}`,
+        authorization: `Bearer ${DEMO_KEY}`,
         "content-type": "application/json",
       },
       body: JSON.stringify({
@@ -72,7 +60,7 @@
     const answer = await fetch(`http://${address}/services/slotbook/bookings`, {
       method: "POST",
       headers: {
-        authorization: `Bearer ${KEY}`,
+        authorization: `Bearer ${DEMO_KEY}`,
         "content-type": "application/json",
         "idempotency-key": key,
       },
--- a/packages/cli/src/commands/operator_command.ts
+++ b/packages/cli/src/commands/operator_command.ts
@@ -1,3 +1,4 @@
+import { TRPCClientError } from "@trpc/client";
 import { type AdminClient, createAdminClient } from "celerytray";
 import { Command, Option, UsageError } from "clipanion";
 
@@ -27,11 +28,20 @@
       this.context.stdout.write(`${text}\n`);
       return 0;
     } catch (error) {
-      this.context.stderr.write(`${(error as Error).message}\n`);
+      this.context.stderr.write(`${this.#describe(error as Error)}\n`);
       return EXIT_FAILED;
     }
   }
 
+  /** Names the address when no entry instance answers there. */
+  #describe(error: Error): string {
+    const isAnswered = !(error instanceof TRPCClientError) ||
+      error.data != null;
+    if (isAnswered) return error.message;
+    const address = this.address ?? process.env.CELERYTRAY_ADDRESS;
+    return `No entry instance answers on ${address} (${error.message}); check --address and that it runs`;
+  }
+
   #connect(): AdminClient {
     const address = this.address ?? process.env.CELERYTRAY_ADDRESS;
     const token = process.env.CELERYTRAY_TOKEN;
--- a/packages/cli/src/demo/run_demo.ts
+++ b/packages/cli/src/demo/run_demo.ts
@@ -1,19 +1,14 @@
-import { loadConfigFolder } from "celerytray";
-import { Effect } from "effect";
 import { once } from "node:events";
-import { fileURLToPath } from "node:url";
 import {
   LOCAL_OPERATOR_TOKEN,
   type LocalCluster,
   type LocalEntry,
 } from "../local/start_local_cluster.ts";
-import { waitUntil } from "../local/wait_until.ts";
-
-const DEMO_FOLDER = fileURLToPath(
-  new URL("../../../../examples/demo", import.meta.url),
-);
-const DEMO_KEY = "demo-key-patan-furniture";
-const FORM_TIMEOUT_MS = 20_000;
+import {
+  applyDemoConfig,
+  DEMO_KEY,
+  waitUntilAllServe,
+} from "../local/demo_config.ts";
 
 /** Shows the path of a request through a cluster, in words. */
 export async function runDemo(
@@ -24,7 +19,8 @@
     `Started ${cluster.processCount()} processes: a log service, an instance list, ${cluster.entries.length} entry instances, ${cluster.engines.length} model engines and ${cluster.plains.length} instances of a plain service.`,
   );
   await publishFolder(cluster);
-  await waitForReplicas(cluster);
+  await waitUntilAllServe(cluster);
+  await describeReplicas(cluster);
   await streamDraft(cluster.entries[1]!);
   await bookTwice(cluster);
   if (options.isKept) await keepRunning(cluster);
@@ -32,31 +28,14 @@
 }
 
 async function publishFolder(cluster: LocalCluster): Promise<void> {
-  const { config } = await Effect.runPromise(loadConfigFolder(DEMO_FOLDER));
-  const entry = cluster.entries[0]!;
-  const published = await cluster.admin(entry).applyConfig.mutate({
-    config,
-    author: "demo",
-  });
+  const version = await applyDemoConfig(cluster, { author: "demo" });
+  const { instanceId } = cluster.entries[0]!;
   say(
-    `Published examples/demo through ${entry.instanceId}: version ${published.version} is in force.`,
+    `Published examples/demo through ${instanceId}: version ${version} is in force.`,
   );
 }
 
-async function waitForReplicas(cluster: LocalCluster): Promise<void> {
-  await waitUntil("both replicas of drafter serve", {
-    timeoutMs: FORM_TIMEOUT_MS,
-    check: async () => {
-      const statuses = await Promise.all(
-        cluster.entries.map((entry) => cluster.admin(entry).status.query()),
-      );
-      return statuses.every(({ services }) =>
-        services.every((service) =>
-          service.readyReplicas === service.wantedReplicas
-        )
-      );
-    },
-  });
+async function describeReplicas(cluster: LocalCluster): Promise<void> {
   const replicas = await cluster.admin(cluster.entries[0]!).replicas.query();
   for (const replica of replicas) {
     say(
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -4,6 +4,12 @@
   type LocalClusterOptions,
   startLocalCluster,
 } from "./local/start_local_cluster.ts";
+export {
+  applyDemoConfig,
+  DEMO_FOLDER,
+  DEMO_KEY,
+  waitUntilAllServe,
+} from "./local/demo_config.ts";
 export { type LocalProcess, startLocalProcess } from "./local/local_process.ts";
 export { findFreeAddresses } from "./local/free_addresses.ts";
 export { waitUntil } from "./local/wait_until.ts";
--- a/packages/cli/src/local/bad_input_test.ts
+++ b/packages/cli/src/local/bad_input_test.ts
@@ -5,10 +5,8 @@
 import { join } from "node:path";
 import { describe, it } from "node:test";
 import { fileURLToPath } from "node:url";
+import { DEMO_FOLDER } from "./demo_config.ts";
 
-const DEMO_FOLDER = fileURLToPath(
-  new URL("../../../../examples/demo", import.meta.url),
-);
 const MAIN = fileURLToPath(new URL("../main.js", import.meta.url));
 
 interface BadFolder {
@@ -88,6 +86,14 @@
     expect(result.errors).toInclude("CELERYTRAY_OPERATOR_TOKEN");
   });
 
+  it("names the address on which no entry instance answers", async () => {
+    const result = await runCli(["status", "--address=127.0.0.1:1"], {
+      CELERYTRAY_TOKEN: "some-token-of-nobody",
+    });
+    expect(result.code).toEqual(1);
+    expect(result.errors).toInclude("No entry instance answers on 127.0.0.1:1");
+  });
+
   it("turns down a setting that is no number", async () => {
     const result = await runCli(["serve", "--status-interval-ms=1s"]);
     expect(result.errors).toInclude(
@@ -101,8 +107,11 @@
   readonly errors: string;
 }
 
-function runCli(args: readonly string[]): Promise<CliResult> {
-  const environment = { PATH: process.env.PATH, NO_COLOR: "1" };
+function runCli(
+  args: readonly string[],
+  variables: Readonly<Record<string, string>> = {},
+): Promise<CliResult> {
+  const environment = { PATH: process.env.PATH, NO_COLOR: "1", ...variables };
   return new Promise((resolve) => {
     execFile(
       process.execPath,
--- a/packages/cli/src/local/booking_faults_test.ts
+++ b/packages/cli/src/local/booking_faults_test.ts
@@ -1,9 +1,7 @@
-import { loadConfigFolder } from "celerytray";
-import { Effect } from "effect";
 import { expect } from "earl";
 import { after, before, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { fileURLToPath } from "node:url";
+import { applyDemoConfig, DEMO_KEY } from "./demo_config.ts";
 import {
   type LocalCluster,
   type LocalEntry,
@@ -11,10 +9,6 @@
 } from "./start_local_cluster.ts";
 import { waitUntil } from "./wait_until.ts";
 
-const DEMO_FOLDER = fileURLToPath(
-  new URL("../../../../examples/demo", import.meta.url),
-);
-const KEY = "demo-key-patan-furniture";
 const BOOKING_COUNT = 150;
 const BOOKING_INTERVAL_MS = 40;
 const ATTEMPT_TIMEOUT_MS = 800;
@@ -39,9 +33,7 @@
   cluster = await startLocalCluster({
     entryFlags: ["--max-clock-error-ms", "100", "--claim-dispatch-ms", "1000"],
   });
-  const { config } = await Effect.runPromise(loadConfigFolder(DEMO_FOLDER));
-  const [entry] = cluster.entries;
-  await cluster.admin(entry!).applyConfig.mutate({ config, author: "test" });
+  await applyDemoConfig(cluster, { author: "test" });
   await waitUntil("a booking is taken by every entry instance", {
     timeoutMs: 20_000,
     check: async () => {
@@ -133,7 +125,7 @@
   const refused = await book(first!, key);
   const read = await fetch(
     `http://${first!.address}/services/slotbook/bookings`,
-    { headers: { authorization: `Bearer ${KEY}` } },
+    { headers: { authorization: `Bearer ${DEMO_KEY}` } },
   );
   await setLogFaults({});
   expect([refused?.status, refused?.outcome]).toEqual([503, "not-run"]);
@@ -187,7 +179,7 @@
       method: "POST",
       signal: AbortSignal.timeout(ATTEMPT_TIMEOUT_MS),
       headers: {
-        authorization: `Bearer ${KEY}`,
+        authorization: `Bearer ${DEMO_KEY}`,
         "content-type": "application/json",
         "idempotency-key": key,
       },
--- a/packages/cli/src/local/replica_loss_test.ts
+++ b/packages/cli/src/local/replica_loss_test.ts
@@ -1,9 +1,8 @@
 import type { EngineStatus, LogReadAnswer } from "@celerytray/schema";
-import { loadConfigFolder, type ReplicaDescription } from "celerytray";
-import { Effect } from "effect";
+import type { ReplicaDescription } from "celerytray";
 import { expect } from "earl";
 import { after, before, describe, it } from "node:test";
-import { fileURLToPath } from "node:url";
+import { applyDemoConfig, DEMO_KEY } from "./demo_config.ts";
 import {
   type LocalBackend,
   type LocalCluster,
@@ -12,10 +11,6 @@
 } from "./start_local_cluster.ts";
 import { waitUntil } from "./wait_until.ts";
 
-const DEMO_FOLDER = fileURLToPath(
-  new URL("../../../../examples/demo", import.meta.url),
-);
-const KEY = "demo-key-patan-furniture";
 /** Two and a half rounds of status readings. */
 const READ_BACK_MS = 2_500;
 const REPAIR_TIMEOUT_MS = 20_000;
@@ -31,12 +26,7 @@
         enginesPerDomain: 5,
         ignoresFencing,
       });
-      const { config } = await Effect.runPromise(loadConfigFolder(DEMO_FOLDER));
-      const [entry] = cluster.entries;
-      await cluster.admin(entry!).applyConfig.mutate({
-        config,
-        author: "test",
-      });
+      await applyDemoConfig(cluster, { author: "test" });
       await waitUntilReady(cluster);
       callers = startCallers(cluster.entries);
     });
@@ -183,7 +173,7 @@
 function post(url: string, body: unknown): Promise<Response> {
   return fetch(url, {
     method: "POST",
-    headers: { authorization: `Bearer ${KEY}` },
+    headers: { authorization: `Bearer ${DEMO_KEY}` },
     body: JSON.stringify(body),
   });
 }
--- a/packages/cli/src/local/thin_path_test.ts
+++ b/packages/cli/src/local/thin_path_test.ts
@@ -1,37 +1,15 @@
-import { loadConfigFolder } from "celerytray";
-import { Effect } from "effect";
 import { expect } from "earl";
 import { after, before, describe, it } from "node:test";
-import { fileURLToPath } from "node:url";
+import { applyDemoConfig, DEMO_KEY, waitUntilAllServe } from "./demo_config.ts";
 import { type LocalCluster, startLocalCluster } from "./start_local_cluster.ts";
-import { waitUntil } from "./wait_until.ts";
-
-const DEMO_FOLDER = fileURLToPath(
-  new URL("../../../../examples/demo", import.meta.url),
-);
-const KEY = "demo-key-patan-furniture";
 
 describe("thin path over separate processes", () => {
   let cluster: LocalCluster;
 
   before(async () => {
     cluster = await startLocalCluster();
-    const { config } = await Effect.runPromise(loadConfigFolder(DEMO_FOLDER));
-    const [entry] = cluster.entries;
-    await cluster.admin(entry!).applyConfig.mutate({ config, author: "test" });
-    await waitUntil("all replicas serve on all entry instances", {
-      timeoutMs: 30_000,
-      check: async () => {
-        const statuses = await Promise.all(
-          cluster.entries.map((each) => cluster.admin(each).status.query()),
-        );
-        return statuses.every(({ services }) =>
-          services.every((service) =>
-            service.readyReplicas === service.wantedReplicas
-          )
-        );
-      },
-    });
+    await applyDemoConfig(cluster, { author: "test" });
+    await waitUntilAllServe(cluster);
   });
 
   after(() => cluster?.stop());
@@ -97,7 +75,7 @@
 
     const badJson = await fetch(url, {
       method: "POST",
-      headers: { authorization: `Bearer ${KEY}` },
+      headers: { authorization: `Bearer ${DEMO_KEY}` },
       body: "{",
     });
     expect(badJson.status).toEqual(400);
@@ -119,7 +97,7 @@
   return fetch(url, {
     method: "POST",
     headers: {
-      authorization: `Bearer ${options.key ?? KEY}`,
+      authorization: `Bearer ${options.key ?? DEMO_KEY}`,
       "content-type": "application/json",
       ...options.headers,
     },
