Keep healthy replicas serving while a fabric domain is silent

Cause: statuses were read in rounds of at most 64 at once, and a round ended with its slowest reading. With 200 silent engines, each waiting for its time limit of 1 s, a healthy engine was read every 4.9 s. Health counts a status older than 2.5 s as absence, so a zone that goes dark took the healthy replicas of the others out of service too. Found by reading the code for what a dark domain does.

Ruled out: a longer limit of age (it lengthens the time in which a broken replica may serve); a higher number at once (it only moves the size at which it fails).

Change: every interval starts a reading of each engine that has none running. Orders to engines that were silent for 5 s are left out, since each waited for its time limit in the same loop as the planner.

--- a/packages/celerytray/src/fleet/create_orders.ts
+++ b/packages/celerytray/src/fleet/create_orders.ts
@@ -27,6 +27,27 @@
   return [...createJoinOrders(input), ...createReleaseOrders(input)];
 }
 
+/** Age of an observation above which an engine counts as silent. */
+const SILENT_AFTER_MS = 5_000;
+
+/**
+ * Leaves out orders to silent engines: each would wait for its timeout and
+ * hold up the orders of other fabric domains.
+ */
+export function dropSilentOrders(
+  orders: readonly AddressedOrder[],
+  at: {
+    readonly observations: ReadonlyMap<string, MemberObservation>;
+    readonly nowMs: number;
+  },
+): AddressedOrder[] {
+  return orders.filter(({ instanceId }) => {
+    const seen = at.observations.get(instanceId);
+    return seen !== undefined &&
+      at.nowMs - seen.observedAtMs <= SILENT_AFTER_MS;
+  });
+}
+
 function createJoinOrders(input: OrderInput): AddressedOrder[] {
   const orders: AddressedOrder[] = [];
   for (const replica of HashMap.values(input.fleet.replicas)) {
--- a/packages/celerytray/src/fleet/engine_monitor.ts
+++ b/packages/celerytray/src/fleet/engine_monitor.ts
@@ -17,26 +17,18 @@
   readonly onStatus?: (observation: MemberObservation) => void;
 }
 
-const MAX_CONCURRENT_READS = 64;
-
-/** Reads every engine's status once an interval until the scope closes. */
+/**
+ * Starts reading every engine's status once an interval until the scope
+ * closes. A reading that lasts longer holds up no other engine's.
+ */
 export function createEngineMonitor(
   options: EngineMonitorOptions,
 ): Effect.Effect<EngineMonitor, never, Scope.Scope> {
   return Effect.gen(function* () {
     const observations = new Map<string, MemberObservation>();
-    const readRound = Effect.suspend(() => {
-      const engines = options.listInstances().filter(({ role }) =>
-        role === "engine"
-      );
-      forgetMissing(observations, engines);
-      return Effect.forEach(
-        engines,
-        (instance) => observe(instance, { observations, options }),
-        { concurrency: MAX_CONCURRENT_READS, discard: true },
-      );
-    });
-    const poll = readRound.pipe(
+    const reading = new Set<string>();
+    const context: ObserveContext = { observations, reading, options };
+    const poll = startReadings(context).pipe(
       Effect.andThen(Effect.sleep(options.intervalMs)),
     );
     yield* Effect.forkScoped(Effect.forever(poll));
@@ -46,9 +38,43 @@
 
 interface ObserveContext {
   readonly observations: Map<string, MemberObservation>;
+  /** Engines whose reading has not ended. */
+  readonly reading: Set<string>;
   readonly options: EngineMonitorOptions;
 }
 
+function startReadings(
+  context: ObserveContext,
+): Effect.Effect<void, never, Scope.Scope> {
+  return Effect.suspend(() => {
+    const { observations, reading, options } = context;
+    const engines = options.listInstances().filter(({ role }) =>
+      role === "engine"
+    );
+    forgetMissing(observations, engines);
+    const idle = engines.filter(({ instanceId }) => !reading.has(instanceId));
+    return Effect.forEach(
+      idle,
+      (instance) => Effect.forkScoped(readOnce(instance, context)),
+      { discard: true },
+    );
+  });
+}
+
+function readOnce(
+  instance: Instance,
+  context: ObserveContext,
+): Effect.Effect<void> {
+  const { reading } = context;
+  const { instanceId } = instance;
+  return Effect.suspend(() => {
+    reading.add(instanceId);
+    return observe(instance, context);
+  }).pipe(
+    Effect.ensuring(Effect.sync(() => reading.delete(instanceId))),
+  );
+}
+
 function observe(
   instance: Instance,
   context: ObserveContext,
--- a/packages/celerytray/src/fleet/fleet_controller.ts
+++ b/packages/celerytray/src/fleet/fleet_controller.ts
@@ -12,6 +12,7 @@
 import {
   type AddressedOrder,
   createOrders,
+  dropSilentOrders,
   type OrderInput,
 } from "./create_orders.ts";
 import { createPreloads } from "./create_preloads.ts";
@@ -151,7 +152,7 @@
     ...createPreloads({ ...input, serviceNames, nowMs }),
   ];
   const selected = selectOrders({
-    orders,
+    orders: dropSilentOrders(orders, { observations, nowMs }),
     config,
     fleet,
     observations,
