Drop a replica with other weights at once; start an entry instance in stages

Cause: the list of ready replicas is rebuilt on change only, and what counted as a change left out the model, its version and the rank of the weights. A replica whose member reported other weights stayed on the list until another rebuild. The view of instances, on the other side, made a new object five times a second, which rebuilt the list and the router's ring though nothing had changed; that alone ended the first fault after 200 ms. Both found by reading.

Ruled out: rebuilding for every request (it costs what there is, not what changed).

Change: weights are part of what readiness depends on; the view of instances stays the same object while nothing changes; createEntryInstance is split into back ends, callers and operators.

--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -1,4 +1,5 @@
 import { Clock, Effect, type Scope } from "effect";
+import type { Server } from "node:http";
 import { createAdminHandler } from "../admin/index.ts";
 import {
   createInstanceDirectory,
@@ -10,13 +11,12 @@
   createConfigStream,
   findEntryDrain,
 } from "../config/index.ts";
+import { RepairPlanner, runFleetController } from "../fleet/index.ts";
 import {
-  createEngineMonitor,
-  type MemberObservation,
-  RepairPlanner,
-  runFleetController,
-} from "../fleet/index.ts";
-import { createCallerHandler, InFlightCalls } from "../forwarding/index.ts";
+  createCallerHandler,
+  type ForwardingClaims,
+  InFlightCalls,
+} from "../forwarding/index.ts";
 import { listen, type ListenFailure } from "../http/index.ts";
 import { createLogWriter, HttpLogService } from "../log/index.ts";
 import { selectPreferred } from "../membership/index.ts";
@@ -24,14 +24,13 @@
 import { Timeline, type TimelineFields } from "../timeline/index.ts";
 import { createEntryAdmission } from "./entry_admission.ts";
 import { createAttemptState } from "./entry_attempts.ts";
+import { createEntryBackends } from "./entry_backends.ts";
 import { createEntryClaims } from "./entry_claims.ts";
 import { createEntryFleet } from "./entry_fleet.ts";
 import { createEntryMembership } from "./entry_membership.ts";
 import { runEntryMetrics } from "./entry_metrics.ts";
-import { createEntryOperations } from "./entry_operations.ts";
+import { createEntryOperations, type EntryParts } from "./entry_operations.ts";
 import { createEntryRouting } from "./entry_routing.ts";
-import { LeavingDirectory } from "./leaving_directory.ts";
-import { ReadyBackends } from "./ready_backends.ts";
 
 /** Options of an entry instance. */
 export interface EntryInstanceOptions {
@@ -45,16 +44,12 @@
   readonly drain: () => Effect.Effect<void>;
 }
 
-/** Rounds of status readings that may be missed before a member counts as absent. */
-const MISSED_STATUS_ROUNDS = 2.5;
-
 /** Starts an entry instance that runs until the scope closes. */
 export function createEntryInstance(
   options: EntryInstanceOptions,
 ): Effect.Effect<EntryInstance, ListenFailure, Scope.Scope> {
   const { settings, secrets } = options;
   return Effect.gen(function* () {
-    const runtime = yield* Effect.context<never>();
     const clock = yield* Clock.Clock;
     const nowMs = () => clock.currentTimeMillisUnsafe();
     const timeline = new Timeline({ process: settings.instanceId });
@@ -99,31 +94,14 @@
       isPreferred: () => isPreferred("snapshots"),
     });
     const engine = new HttpModelEngine();
-    const reports = { note: (_observation: MemberObservation): void => {} };
-    const monitor = yield* createEngineMonitor({
+    const backends = yield* createEntryBackends({
       engine,
-      listInstances: directory.all,
-      intervalMs: settings.statusIntervalMs,
-      onStatus: (observation) => reports.note(observation),
-    });
-    const maxObservationAgeMs = settings.statusIntervalMs *
-      MISSED_STATUS_ROUNDS;
-    const instances = new LeavingDirectory({
       directory,
       config,
       membership,
-      observations: monitor.observations,
-      nowMs,
-    });
-    const backends = new ReadyBackends({
-      fleet: fleet.current,
-      instances: instances.byId,
-      observations: monitor.observations,
-      nowMs,
-      maxAgeMs: maxObservationAgeMs,
+      fleet,
+      statusIntervalMs: settings.statusIntervalMs,
     });
-    reports.note = (observation) => backends.noteStatus(observation);
-
     yield* runFleetController({
       processId: settings.instanceId,
       intervalMs: settings.planIntervalMs,
@@ -133,9 +111,9 @@
       writer: fleetWriter,
       view: fleet,
       config: () => config.current().config,
-      listInstances: instances.all,
-      instancesById: instances.byId,
-      observations: monitor.observations,
+      listInstances: backends.instances.all,
+      instancesById: backends.instances.byId,
+      observations: backends.observations,
       isPreferred,
       recordEvent,
     });
@@ -155,55 +133,29 @@
       timeline,
       notReadyReason,
     });
-    yield* listen({
-      address: settings.listenAddress,
-      handlesContinue: true,
-      handler: createCallerHandler({
-        availabilityZone: settings.availabilityZone,
-        maxBodyBytes: settings.maxBodyBytes,
-        ...createAttemptState(),
-        ...createEntryRouting({
-          nowMs,
-          countEntries: () => membership.listLiveIds().length,
-        }),
-        ...createEntryAdmission({
-          nowMs,
-          countEntries: () => membership.listLiveIds().length,
-          demand: membership.demand,
-          config: () => config.current().config,
-          countReadyReplicas: (name) => backends.listReplicas(name).length,
-        }),
-        claims,
-        calls,
-        config: () => config.current().config,
-        notReadyReason,
-        listReadyReplicas: (service) => backends.listReplicas(service),
-        listPlainInstances: (service) => backends.listPlain(service),
-        noteSent: (replicaId) => backends.noteSent(replicaId),
-        recordEvent,
-      }, runtime),
-    });
+    const parts: EntryParts = {
+      settings,
+      config,
+      fleet,
+      directory,
+      membership,
+      transport,
+      configWriter,
+      observations: backends.observations,
+      backends: backends.ready,
+      calls,
+      timeline,
+      maxObservationAgeMs: backends.maxObservationAgeMs,
+      notReadyReason,
+    };
+    yield* listenToCallers(parts, { claims, recordEvent });
     yield* listen({
       address: settings.adminAddress,
       handler: createAdminHandler({
         secrets,
-        runtime,
+        runtime: yield* Effect.context<never>(),
         peers,
-        operations: createEntryOperations({
-          settings,
-          config,
-          fleet,
-          directory,
-          membership,
-          transport,
-          configWriter,
-          observations: monitor.observations,
-          backends,
-          calls,
-          timeline,
-          maxObservationAgeMs,
-          notReadyReason,
-        }),
+        operations: createEntryOperations(parts),
       }),
     });
     return {
@@ -216,6 +168,53 @@
   });
 }
 
+interface CallerOptions {
+  readonly claims: ForwardingClaims;
+  readonly recordEvent: (
+    kind: string,
+    fields: TimelineFields,
+  ) => Effect.Effect<void>;
+}
+
+function listenToCallers(
+  parts: EntryParts,
+  { claims, recordEvent }: CallerOptions,
+): Effect.Effect<Server, ListenFailure, Scope.Scope> {
+  const { settings, membership, backends, calls, notReadyReason } = parts;
+  const config = () => parts.config.current().config;
+  const countEntries = () => membership.listLiveIds().length;
+  return Effect.gen(function* () {
+    const clock = yield* Clock.Clock;
+    const nowMs = () => clock.currentTimeMillisUnsafe();
+    const handler = createCallerHandler({
+      availabilityZone: settings.availabilityZone,
+      maxBodyBytes: settings.maxBodyBytes,
+      ...createAttemptState(),
+      ...createEntryRouting({ nowMs, countEntries }),
+      ...createEntryAdmission({
+        nowMs,
+        countEntries,
+        demand: membership.demand,
+        config,
+        countReadyReplicas: (name) => backends.listReplicas(name).length,
+      }),
+      claims,
+      calls,
+      config,
+      notReadyReason,
+      listReadyReplicas: (service) => backends.listReplicas(service),
+      listPlainInstances: (service) => backends.listPlain(service),
+      noteSent: (replicaId) => backends.noteSent(replicaId),
+      recordEvent,
+    }, yield* Effect.context<never>());
+    return yield* listen({
+      address: settings.listenAddress,
+      handlesContinue: true,
+      handler,
+    });
+  });
+}
+
 function findNotReadyReason(
   config: ConfigStream,
   drainState: { readonly isDraining: boolean },
--- a/packages/celerytray/src/entry/leaving_directory.ts
+++ b/packages/celerytray/src/entry/leaving_directory.ts
@@ -18,12 +18,15 @@
 
 /**
  * The instance list with each back end marked as leaving that any source
- * says is: the list, the engine, a peer or a drain.
+ * says is: the list, the engine, a peer or a drain. What it returns stays the
+ * same object for as long as nothing changes.
  */
 export class LeavingDirectory implements InstanceDirectory {
   readonly #sources: LeavingSources;
   #viewedAtMs = -Infinity;
   #version = -1;
+  #listed: readonly Instance[] | undefined;
+  #leavingKey = "";
   #all: readonly Instance[] = [];
   #byId: ReadonlyMap<string, Instance> = new Map();
 
@@ -52,8 +55,23 @@
     if (isFresh) return;
     this.#viewedAtMs = nowMs;
     this.#version = version;
-    this.#all = this.#sources.directory.all().map((instance) =>
-      this.#isLeaving(instance, nowMs)
+    const listed = this.#sources.directory.all();
+    const leavingIds = listed
+      .filter((instance) => this.#isLeaving(instance, nowMs))
+      .map(({ instanceId }) => instanceId);
+    const key = leavingIds.join(" ");
+    if (listed === this.#listed && key === this.#leavingKey) return;
+    this.#listed = listed;
+    this.#leavingKey = key;
+    this.#rebuild(listed, new Set(leavingIds));
+  }
+
+  #rebuild(
+    listed: readonly Instance[],
+    leavingIds: ReadonlySet<string>,
+  ): void {
+    this.#all = listed.map((instance) =>
+      leavingIds.has(instance.instanceId)
         ? { ...instance, state: "leaving" }
         : instance
     );
--- a/packages/celerytray/src/entry/ready_backends.ts
+++ b/packages/celerytray/src/entry/ready_backends.ts
@@ -191,7 +191,15 @@
 /** The parts of a status that readiness depends on. */
 function describeCondition(status: EngineStatus): string {
   const { assignment, state, leaving } = status;
-  return JSON.stringify([assignment, state, leaving === true]);
+  const { model, modelVersion, loadedRank } = status;
+  return JSON.stringify([
+    assignment,
+    state,
+    leaving === true,
+    model,
+    modelVersion,
+    loadedRank,
+  ]);
 }
 
 function addTo<Member>(
--- a/packages/celerytray/src/entry/ready_backends_test.ts
+++ b/packages/celerytray/src/entry/ready_backends_test.ts
@@ -98,4 +98,13 @@
     observe(createStatus(1));
     expect(backends.listReplicas("drafter").length).toEqual(1);
   });
+
+  it("drops a replica at once whose member holds other weights", () => {
+    expect(backends.listReplicas("drafter").length).toEqual(1);
+    nowMs = 10;
+    observe({ ...createStatus(1), loadedRank: 0 });
+    expect(backends.listReplicas("drafter")).toEqual([]);
+    observe({ ...createStatus(1), modelVersion: "2" });
+    expect(backends.listReplicas("drafter")).toEqual([]);
+  });
 });
--- a/packages/celerytray/src/fleet/engine_monitor.ts
+++ b/packages/celerytray/src/fleet/engine_monitor.ts
@@ -13,6 +13,8 @@
   readonly engine: ModelEngine;
   readonly listInstances: () => readonly Instance[];
   readonly intervalMs: number;
+  /** Where observations are kept; a map of its own by default. */
+  readonly observations?: Map<string, MemberObservation>;
   /** Learns of each status read. */
   readonly onStatus?: (observation: MemberObservation) => void;
 }
@@ -25,7 +27,7 @@
   options: EngineMonitorOptions,
 ): Effect.Effect<EngineMonitor, never, Scope.Scope> {
   return Effect.gen(function* () {
-    const observations = new Map<string, MemberObservation>();
+    const observations = options.observations ?? new Map();
     const reading = new Set<string>();
     const context: ObserveContext = { observations, reading, options };
     const poll = startReadings(context).pipe(
