Keep the cost of an attempt that did not run in one place

Cause: the cost in the retry budget of an attempt after one that did not run stood in the calls of plain services and again in chat completions; two tests wrote out the empty configuration that emptyConfigState gives.

Ruled out: joining the two loops of attempts; one resumes a stream, the other hedges a read.

Change: the constant stands beside the plan that spends it; the tests call emptyConfigState. Their assertions are unchanged.

--- a/packages/celerytray/src/fleet/fleet_estimates_test.ts
+++ b/packages/celerytray/src/fleet/fleet_estimates_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { emptyConfigState } from "../config/index.ts";
 import {
   emptyEstimates,
   isStoreStalled,
@@ -36,12 +37,7 @@
     load("a", findFraction(round));
     load(`b-${round}`, 0);
     estimates = updateEstimates(estimates, {
-      config: {
-        availabilityZones: {},
-        organisations: {},
-        deployments: {},
-        services: {},
-      },
+      config: emptyConfigState().config,
       fleet: emptyFleetState(),
       instances: [],
       observations,
--- a/packages/celerytray/src/fleet/select_outdated_test.ts
+++ b/packages/celerytray/src/fleet/select_outdated_test.ts
@@ -1,6 +1,7 @@
 import type { ModelService } from "@celerytray/schema";
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { emptyConfigState } from "../config/index.ts";
 import { emptyFleetState, type Replica } from "./fold_fleet_record.ts";
 import { findReplicaHealth, type MemberObservation } from "./replica_health.ts";
 import { selectOutdated } from "./select_outdated.ts";
@@ -33,12 +34,7 @@
 function select(versions: readonly string[]): number[] {
   const { replicas, observations } = createReplicas(versions);
   const observation = {
-    config: {
-      availabilityZones: {},
-      organisations: {},
-      deployments: {},
-      services: {},
-    },
+    config: emptyConfigState().config,
     fleet: emptyFleetState(),
     instances: [],
     observations,
--- a/packages/celerytray/src/forwarding/attempt_plan.ts
+++ b/packages/celerytray/src/forwarding/attempt_plan.ts
@@ -2,6 +2,9 @@
 import type { CallOutcomeState } from "./caller_error.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
+/** Load of an attempt after one that did not run. */
+export const NOT_RUN_COST_REQUESTS = 0.1;
+
 /** Why no further attempt is made. */
 export type GiveUpReason = "attempts" | "budget" | "deadline";
 
--- a/packages/celerytray/src/forwarding/call_idempotent.ts
+++ b/packages/celerytray/src/forwarding/call_idempotent.ts
@@ -1,13 +1,9 @@
 import { Clock, Deferred, Effect } from "effect";
+import { NOT_RUN_COST_REQUESTS } from "./attempt_plan.ts";
 import type { CallerError } from "./caller_error.ts";
 import type { PlainInstance } from "./forwarding_types.ts";
 import type { PlainAnswer, PlainOutcome } from "./plain_attempt.ts";
-import {
-  allowAttempt,
-  attemptOn,
-  NOT_RUN_COST_REQUESTS,
-  type PlainCall,
-} from "./plain_call.ts";
+import { allowAttempt, attemptOn, type PlainCall } from "./plain_call.ts";
 import { createUnansweredError } from "./plain_errors.ts";
 
 /**
--- a/packages/celerytray/src/forwarding/call_once.ts
+++ b/packages/celerytray/src/forwarding/call_once.ts
@@ -1,14 +1,10 @@
 import { Effect, Fiber } from "effect";
 import { createHash } from "node:crypto";
 import type { ClaimedCall, GrantedClaim } from "../claims/index.ts";
+import { NOT_RUN_COST_REQUESTS } from "./attempt_plan.ts";
 import type { CallerError } from "./caller_error.ts";
 import type { PlainAnswer, PlainOutcome } from "./plain_attempt.ts";
-import {
-  allowAttempt,
-  attemptOn,
-  NOT_RUN_COST_REQUESTS,
-  type PlainCall,
-} from "./plain_call.ts";
+import { allowAttempt, attemptOn, type PlainCall } from "./plain_call.ts";
 import { createClaimError, toClaimCallerError } from "./plain_errors.ts";
 import { replayOutcome, toAnswer, toCallOutcome } from "./plain_outcomes.ts";
 
--- a/packages/celerytray/src/forwarding/complete_chat.ts
+++ b/packages/celerytray/src/forwarding/complete_chat.ts
@@ -8,7 +8,7 @@
 import type { SlotCall } from "../admission/index.ts";
 import { firstValidationMessage, fromEither } from "../errors/index.ts";
 import { createRoutingCall, type RoutingCall } from "../routing/index.ts";
-import { AttemptPlan } from "./attempt_plan.ts";
+import { AttemptPlan, NOT_RUN_COST_REQUESTS } from "./attempt_plan.ts";
 import { CallerError } from "./caller_error.ts";
 import { chooseBackend } from "./choose_backend.ts";
 import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
@@ -17,8 +17,6 @@
 import { createRefusedError } from "./refused_error.ts";
 import { type AttemptOutcome, runStreamAttempt } from "./stream_attempt.ts";
 
-/** Load of an attempt after one that did not run. */
-const NOT_RUN_COST_REQUESTS = 0.1;
 /** Load of a resumed attempt, which regenerates no token but reads the prompt. */
 const RESUME_COST_REQUESTS = 0.25;
 const DEFAULT_DEADLINE_MS = 30_000;
--- a/packages/celerytray/src/forwarding/plain_call.ts
+++ b/packages/celerytray/src/forwarding/plain_call.ts
@@ -9,9 +9,6 @@
 
 const DEFAULT_IDEMPOTENT_METHODS = ["GET", "HEAD", "OPTIONS"];
 
-/** Load of an attempt after one that did not run. */
-export const NOT_RUN_COST_REQUESTS = 0.1;
-
 /** One call of a plain service. */
 export interface PlainCall {
   readonly context: CallContext;
