Remove the expected return time that nothing calls

Cause: the planner weighs waiting by the best wait over the return times; an earlier form, the expected time alone, was left behind.

Change: the function is gone.

--- a/packages/celerytray/src/fleet/return_times.ts
+++ b/packages/celerytray/src/fleet/return_times.ts
@@ -66,20 +66,6 @@
   return best;
 }
 
-/** Expected time until an absent member returns, at most the last bucket's. */
-export function expectReturnMs(times: ReturnTimes, ageMs: number): number {
-  let waitedMs = 0;
-  let survival = 1;
-  for (let bucket = findBucket(ageMs); bucket < BUCKET_COUNT; bucket++) {
-    const startMs = Math.max(ageMs, bucketStartMs(bucket));
-    const widthMs = Math.max(0, bucketStartMs(bucket + 1) - startMs);
-    const share = returnShare(times, bucket);
-    waitedMs += survival * widthMs * (1 - share / 2);
-    survival *= 1 - share;
-  }
-  return waitedMs;
-}
-
 function returnShare(times: ReturnTimes, bucket: number): number {
   const returned = times.returned[bucket]! + PRIOR_COUNT * PRIOR_RETURN_SHARE;
   const reached = times.reached[bucket]! + PRIOR_COUNT;
