--- /dev/null
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -0,0 +1,354 @@
+import { Clock, Effect } from "effect";
+import {
+  type FleetDirector,
+  type LeadRecord,
+  type ReplicaRecord,
+  type ReplicaRecorder,
+} from "../groups/index.ts";
+import type { KeyedLog } from "../keyed_log/index.ts";
+import {
+  claimLead,
+  type FleetRecords,
+  LeadRecorder,
+  readFleetRecords,
+} from "./lead_log.ts";
+import type {
+  LeadAnswer,
+  PeerClient,
+  PeerNode,
+  PeerOperations,
+  PeerReport,
+} from "./peer_router.ts";
+
+/** What a new lead directs the replicas with. */
+export interface DirectorStart {
+  readonly term: number;
+  readonly replicas: readonly ReplicaRecord[];
+  readonly recorder: ReplicaRecorder;
+}
+
+/** What taking part in deciding on replicas works with. */
+export interface CoordinatorOptions {
+  readonly nodeId: string;
+  readonly bootId: string;
+  readonly peerAddress: string;
+  readonly log: KeyedLog;
+  readonly client: PeerClient;
+  /** Heads at which requests of this process stand still. */
+  readonly listStalledHeads: () => readonly string[];
+  /** Requests of this process in progress, by model. */
+  readonly demand: () => Readonly<Record<string, number>>;
+  readonly hasTraffic: () => boolean;
+  /** Time of the last answer of the store to this process. */
+  readonly storeAnsweredAtMs: () => number;
+  readonly createDirector: (start: DirectorStart) => FleetDirector;
+  readonly record: (kind: string, fields: Record<string, unknown>) => void;
+}
+
+const REPORT_INTERVAL_MS = 250;
+/** Silence of the lead after which another process takes its place. */
+const LEAD_SILENCE_MS = 1_000;
+/** Age of the lead's last answer from the store at which it is replaced. */
+const LEAD_STORE_AGE_MS = 5_000;
+/** Own answers from the store must be newer to take the place. */
+const OWN_STORE_AGE_MS = 2_500;
+/** Wait of each further process before it takes the lead. */
+const RANK_DELAY_MS = 200;
+const RETRY_DELAY_MS = 300;
+/** Time for which a process that reported counts as present. */
+const NODE_PRESENT_MS = 3_000;
+
+interface KnownNode extends PeerNode {
+  readonly report: PeerReport;
+  readonly atMs: number;
+}
+
+/** Follows the process that decides on replicas, or is it. */
+export class Coordinator implements PeerOperations {
+  readonly #options: CoordinatorOptions;
+  readonly #reports = new Map<string, KnownNode>();
+  #nowMs: () => number = () => 0;
+  #lead: LeadRecord | undefined;
+  #director: FleetDirector | undefined;
+  #isDeposed = false;
+  #isLeaving = false;
+  #heardAtMs = 0;
+  #answer: LeadAnswer | undefined;
+
+  constructor(options: CoordinatorOptions) {
+    this.#options = options;
+  }
+
+  /** Whether this process decides on replicas now. */
+  get isLeading(): boolean {
+    return this.#director !== undefined;
+  }
+
+  /** Processes that share the work, this one included. */
+  countNodes(): number {
+    const nodes = this.isLeading
+      ? this.#listNodes().length
+      : this.#answer?.nodes.length;
+    return Math.max(1, nodes ?? 1);
+  }
+
+  /** Heads to which no requests should go, as replicas are taken apart. */
+  listClosedHeads(): readonly string[] {
+    if (this.#director !== undefined) return findClosedHeads(this.#director);
+    return this.#answer?.closedHeads ?? [];
+  }
+
+  /** Requests in progress for a model, over all processes. */
+  totalDemand(model: string): number {
+    let total = this.#options.demand()[model] ?? 0;
+    for (const { report, atMs } of this.#reports.values()) {
+      if (this.#nowMs() - atMs < NODE_PRESENT_MS) {
+        total += report.demand[model] ?? 0;
+      }
+    }
+    return total;
+  }
+
+  /** Whether any process has had requests. */
+  hasAnyTraffic(): boolean {
+    if (this.#options.hasTraffic()) return true;
+    return [...this.#reports.values()].some(({ report }) => report.hasTraffic);
+  }
+
+  /** Leaves the lead to others. */
+  leave(): void {
+    this.#isLeaving = true;
+    this.#isDeposed = true;
+  }
+
+  report(report: PeerReport): LeadAnswer {
+    const nowMs = this.#nowMs();
+    const { nodeId, peerAddress } = report;
+    this.#reports.set(nodeId, { nodeId, peerAddress, report, atMs: nowMs });
+    if (this.#lead !== undefined && report.term > this.#lead.term) {
+      this.#depose(`${nodeId} knows of term ${report.term}`);
+    }
+    for (const headId of report.stalledHeads) {
+      this.#director?.noteStalled(headId, nowMs);
+    }
+    return {
+      isLeading: this.isLeading && !this.#isDeposed,
+      term: this.#lead?.term ?? 0,
+      storeAgeMs: nowMs - this.#options.storeAnsweredAtMs(),
+      nodes: this.#listNodes(),
+      closedHeads: this.#director === undefined
+        ? []
+        : findClosedHeads(this.#director),
+    };
+  }
+
+  heardLeadAgoMs(term: number): number | undefined {
+    if (this.#lead?.term !== term) return undefined;
+    return this.#nowMs() - this.#heardAtMs;
+  }
+
+  run(): Effect.Effect<never> {
+    return Effect.gen({ self: this }, function* () {
+      const clock = yield* Clock.Clock;
+      this.#nowMs = () => clock.currentTimeMillisUnsafe();
+      while (true) {
+        if (this.#isLeaving) {
+          yield* Effect.sleep(REPORT_INTERVAL_MS);
+          continue;
+        }
+        const records = yield* this.#readRecords();
+        if (records === undefined) {
+          yield* Effect.sleep(RETRY_DELAY_MS);
+          continue;
+        }
+        const isTaken = records.lead !== undefined &&
+          records.lead.term !== this.#lead?.term &&
+          records.lead.nodeId !== this.#options.nodeId;
+        if (isTaken) {
+          this.#lead = records.lead;
+          yield* this.#follow(records.lead!);
+        } else {
+          yield* this.#claim(records);
+        }
+      }
+    });
+  }
+
+  #readRecords(): Effect.Effect<FleetRecords | undefined> {
+    return readFleetRecords(this.#options.log).pipe(
+      Effect.catch(({ message }) =>
+        Effect.sync(() => {
+          this.#options.record("lead.read-failed", { message });
+          return undefined;
+        })
+      ),
+    );
+  }
+
+  /** Takes the lead and directs replicas until another process does. */
+  #claim(records: FleetRecords): Effect.Effect<void> {
+    const { nodeId, bootId, peerAddress, log } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const lead = { nodeId, bootId, peerAddress };
+      const claim = yield* claimLead(log, { lead, records }).pipe(
+        Effect.catch(({ message }) =>
+          Effect.sync(() => {
+            this.#options.record("lead.claim-failed", { message });
+            return undefined;
+          })
+        ),
+      );
+      if (claim === undefined) {
+        yield* Effect.sleep(RETRY_DELAY_MS);
+        return;
+      }
+      if (claim.kind === "lost") return;
+      const { term, replicas } = claim;
+      this.#lead = { ...lead, term };
+      this.#isDeposed = this.#isLeaving;
+      this.#options.record("lead.taken", { term, replicas: replicas.length });
+      const recorder = new LeadRecorder({
+        log,
+        term,
+        onDeposed: (message) => this.#depose(message),
+      });
+      this.#director = this.#options.createDirector({
+        term,
+        replicas,
+        recorder,
+      });
+      yield* Effect.scoped(this.#director.run()).pipe(
+        Effect.raceFirst(this.#awaitDeposed()),
+      );
+      this.#director = undefined;
+    });
+  }
+
+  #depose(message: string): void {
+    if (this.#isDeposed || !this.isLeading) return;
+    this.#isDeposed = true;
+    this.#options.record("lead.lost", { term: this.#lead?.term, message });
+  }
+
+  #awaitDeposed(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      while (!this.#isDeposed) {
+        for (const headId of this.#options.listStalledHeads()) {
+          this.#director?.noteStalled(headId, this.#nowMs());
+        }
+        yield* Effect.sleep(DEPOSED_CHECK_MS);
+      }
+    });
+  }
+
+  /** Reports to the lead until it is to be replaced. */
+  #follow(lead: LeadRecord): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      this.#options.record("lead.followed", {
+        term: lead.term,
+        lead: lead.nodeId,
+      });
+      this.#heardAtMs = this.#nowMs();
+      while (!this.#isLeaving) {
+        const answer = yield* this.#report(lead);
+        if (answer !== undefined) this.#answer = answer;
+        const reason = this.#findReplacementReason(answer);
+        if (reason !== undefined && (yield* this.#mayReplace(lead, reason))) {
+          return;
+        }
+        yield* Effect.sleep(REPORT_INTERVAL_MS);
+      }
+    });
+  }
+
+  #report(lead: LeadRecord): Effect.Effect<LeadAnswer | undefined> {
+    const { nodeId, peerAddress, client } = this.#options;
+    return client.report(lead.peerAddress, {
+      nodeId,
+      peerAddress,
+      term: lead.term,
+      stalledHeads: this.#options.listStalledHeads(),
+      demand: this.#options.demand(),
+      hasTraffic: this.#options.hasTraffic(),
+    }).pipe(
+      Effect.tap(({ isLeading, term }) =>
+        Effect.sync(() => {
+          if (isLeading && term === lead.term) this.#heardAtMs = this.#nowMs();
+        })
+      ),
+      Effect.catch(({ message }) =>
+        Effect.sync(() => {
+          this.#options.record("lead.silent", { message });
+          return undefined;
+        })
+      ),
+    );
+  }
+
+  #findReplacementReason(answer: LeadAnswer | undefined): string | undefined {
+    const nowMs = this.#nowMs();
+    if (answer !== undefined && !answer.isLeading) return "it doesn't lead";
+    const ownAgeMs = nowMs - this.#options.storeAnsweredAtMs();
+    if (
+      answer !== undefined && answer.storeAgeMs > LEAD_STORE_AGE_MS &&
+      ownAgeMs < OWN_STORE_AGE_MS
+    ) return "the store doesn't answer it";
+    if (nowMs - this.#heardAtMs > LEAD_SILENCE_MS) return "it is silent";
+    return undefined;
+  }
+
+  /** Whether this process is the one to try, and no other hears the lead. */
+  #mayReplace(lead: LeadRecord, reason: string): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const newest = yield* this.#readRecords();
+      if (newest === undefined) return false;
+      if (newest.lead !== undefined && newest.lead.term !== lead.term) {
+        return true;
+      }
+      const others = (this.#answer?.nodes ?? []).filter(({ nodeId }) =>
+        nodeId !== lead.nodeId
+      );
+      const ranked = others.map(({ nodeId }) => nodeId).sort();
+      const rank = Math.max(0, ranked.indexOf(this.#options.nodeId));
+      yield* Effect.sleep(rank * RANK_DELAY_MS);
+      if (reason === "it is silent") {
+        const heard = yield* Effect.forEach(
+          others.filter(({ nodeId }) => nodeId !== this.#options.nodeId),
+          ({ peerAddress }) =>
+            this.#options.client.heardLead(peerAddress, lead.term).pipe(
+              Effect.catch(() => Effect.succeed(null)),
+            ),
+          { concurrency: "unbounded" },
+        );
+        const isHeard = heard.some((ageMs) =>
+          ageMs !== null && ageMs < LEAD_SILENCE_MS
+        );
+        if (isHeard) return false;
+      }
+      this.#options.record("lead.replacing", {
+        term: lead.term,
+        lead: lead.nodeId,
+        reason,
+        rank,
+      });
+      return true;
+    });
+  }
+
+  #listNodes(): readonly PeerNode[] {
+    const nowMs = this.#nowMs();
+    const { nodeId, peerAddress } = this.#options;
+    const others = [...this.#reports.values()]
+      .filter(({ atMs }) => nowMs - atMs < NODE_PRESENT_MS)
+      .map(({ nodeId, peerAddress }) => ({ nodeId, peerAddress }));
+    return [{ nodeId, peerAddress }, ...others];
+  }
+}
+
+const DEPOSED_CHECK_MS = 50;
+
+function findClosedHeads(director: FleetDirector): readonly string[] {
+  return director.listRuns()
+    .filter(({ retiring }) => retiring !== undefined)
+    .map(({ record }) => record.members[0]!);
+}
--- /dev/null
+++ b/packages/celerytray/src/coordination/index.ts
@@ -0,0 +1,18 @@
+/** Which process decides on replicas, and what the others tell it. */
+export { Coordinator, type CoordinatorOptions } from "./coordinator.ts";
+export {
+  claimLead,
+  type FleetRecords,
+  type LeadClaim,
+  LeadRecorder,
+  readFleetRecords,
+} from "./lead_log.ts";
+export {
+  createPeerHandler,
+  type LeadAnswer,
+  PeerClient,
+  type PeerNode,
+  type PeerOperations,
+  type PeerReport,
+  PeerSilent,
+} from "./peer_router.ts";
--- /dev/null
+++ b/packages/celerytray/src/groups/index.ts
@@ -0,0 +1,43 @@
+/** Model replicas of several instances: decided, formed, opened, repaired. */
+export {
+  type EngineSpecs,
+  FleetDirector,
+  type FleetDirectorOptions,
+  type RecordFailure,
+  type ReplicaRecorder,
+} from "./fleet_director.ts";
+export { type AbsentInstance, InstanceListView } from "./instance_list.ts";
+export {
+  type InstanceAddress,
+  type InstanceControl,
+  type InstanceOrder,
+  InstanceSilent,
+  type OrderOutcome,
+} from "./instance_orders.ts";
+export type {
+  InstanceState,
+  Membership,
+  MembershipState,
+} from "./instance_state.ts";
+export {
+  type Formation,
+  type FormationInput,
+  planFormations,
+} from "./plan_formations.ts";
+export {
+  createReplicaKey,
+  decodeLead,
+  decodeReplica,
+  encodeLead,
+  encodeReplica,
+  LEAD_KEY,
+  type LeadRecord,
+  parseReplicaKey,
+  type ReplicaRecord,
+} from "./replica_record.ts";
+export {
+  type DueOrder,
+  type Liveness,
+  planRun,
+  type ReplicaRun,
+} from "./replica_run.ts";
--- /dev/null
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -0,0 +1,92 @@
+import type { KeyedChange } from "../keyed_log/index.ts";
+import type { Either } from "purify-ts";
+import type { InstanceState } from "./instance_state.ts";
+
+interface Entry {
+  readonly state: InstanceState;
+  readonly offset: number;
+}
+
+/** Options of the view of the instance list. */
+export interface InstanceListOptions {
+  /** Decodes an entry; fails with what is wrong with it. */
+  readonly decode: (id: string, text: string) => Either<string, InstanceState>;
+  readonly onMalformed: (id: string, message: string) => void;
+}
+
+/** The instances as the list in the store has them. */
+export class InstanceListView {
+  readonly #options: InstanceListOptions;
+  readonly #entries = new Map<string, Entry>();
+  /** Last states of instances that are no longer listed. */
+  readonly #absent = new Map<string, AbsentInstance>();
+  #revision = 0;
+  #isLoaded = false;
+
+  constructor(options: InstanceListOptions) {
+    this.#options = options;
+  }
+
+  /** Grows with each change. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Whether the list was read once. */
+  get isLoaded(): boolean {
+    return this.#isLoaded;
+  }
+
+  apply(change: KeyedChange, nowMs: number): void {
+    if (change.isWhole) {
+      const listed = new Set(change.records.map(({ key }) => key));
+      for (const id of [...this.#entries.keys()]) {
+        if (!listed.has(id)) this.#remove(id, nowMs);
+      }
+    }
+    for (const { key, value, offset } of change.records) {
+      const known = this.#entries.get(key);
+      if (known !== undefined && known.offset > offset) continue;
+      if (value === undefined) this.#remove(key, nowMs);
+      else this.#put(key, value, offset);
+    }
+    this.#isLoaded = true;
+    this.#revision += 1;
+  }
+
+  find(id: string): InstanceState | undefined {
+    return this.#entries.get(id)?.state;
+  }
+
+  /** The last state of an instance that is no longer listed. */
+  findAbsent(id: string): AbsentInstance | undefined {
+    return this.#absent.get(id);
+  }
+
+  list(): readonly InstanceState[] {
+    return [...this.#entries.values()].map(({ state }) => state);
+  }
+
+  #put(id: string, value: Buffer, offset: number): void {
+    this.#options.decode(id, value.toString("utf8")).caseOf({
+      Left: (message) => this.#options.onMalformed(id, message),
+      Right: (state) => {
+        this.#entries.set(id, { state, offset });
+        this.#absent.delete(id);
+      },
+    });
+  }
+
+  #remove(id: string, nowMs: number): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    this.#entries.delete(id);
+    this.#absent.set(id, { state: entry.state, sinceMs: nowMs });
+  }
+}
+
+/** An instance whose entry was removed. */
+export interface AbsentInstance {
+  readonly state: InstanceState;
+  readonly sinceMs: number;
+}
--- /dev/null
+++ b/packages/celerytray/src/groups/plan_spares.ts
@@ -0,0 +1,83 @@
+import type { ServedModel } from "../serving/index.ts";
+import type { InstanceOrder } from "./instance_orders.ts";
+import type { InstanceState } from "./instance_state.ts";
+
+/** What the preparation of spare instances looks at. */
+export interface SpareInput {
+  readonly models: readonly ServedModel[];
+  /** Instances that are in no replica. */
+  readonly free: readonly InstanceState[];
+  /** Model whose weights an instance has in memory. */
+  readonly hotModel: (instanceId: string) => string | undefined;
+  /** Epoch for replicas that never open; below that of any later replica. */
+  readonly epoch: number;
+}
+
+/** An order that prepares a spare, and whether weights are loaded for it. */
+export interface SpareOrder {
+  readonly instance: InstanceState;
+  readonly order: InstanceOrder;
+}
+
+const STANDBY_PREFIX = "standby-";
+
+/**
+ * Prepares spares: one model in memory, another on the host, so that a spare
+ * can soon take the place of an instance of either.
+ */
+export function planSpares(input: SpareInput): readonly SpareOrder[] {
+  const { models, hotModel, epoch } = input;
+  const hotCounts = countHot(input);
+  return input.free.flatMap((instance): SpareOrder[] => {
+    const domain = instance.domain ?? "";
+    const hot = hotModel(instance.id);
+    if (hot === undefined) {
+      const model = leastHot(
+        models,
+        (name) => hotCounts.get(`${domain} ${name}`) ?? 0,
+      );
+      if (model === undefined) return [];
+      const key = `${domain} ${model}`;
+      hotCounts.set(key, (hotCounts.get(key) ?? 0) + 1);
+      const replica = `${STANDBY_PREFIX}${instance.id}`;
+      return [{
+        instance,
+        order: {
+          kind: "join",
+          replica,
+          epoch,
+          model,
+          members: [instance.id],
+        },
+      }];
+    }
+    const other = models.find(({ name }) =>
+      name !== hot && !instance.stagedModels.includes(name)
+    );
+    const isStaged = models.some(({ name }) =>
+      name !== hot && instance.stagedModels.includes(name)
+    );
+    if (other === undefined || isStaged) return [];
+    return [{ instance, order: { kind: "stage", model: other.name } }];
+  });
+}
+
+function countHot({ free, hotModel }: SpareInput): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { id, domain } of free) {
+    const key = `${domain ?? ""} ${hotModel(id)}`;
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  return counts;
+}
+
+/** The model with the fewest spares; larger replicas lose members more often. */
+function leastHot(
+  models: readonly ServedModel[],
+  countOf: (model: string) => number,
+): string | undefined {
+  const ranked = [...models].sort((a, b) =>
+    (countOf(a.name) + 1) / a.size - (countOf(b.name) + 1) / b.size
+  );
+  return ranked[0]?.name;
+}
--- /dev/null
+++ b/packages/celerytray/src/groups/replica_record.ts
@@ -0,0 +1,93 @@
+import { type Either, Left, Right } from "purify-ts";
+
+/** A replica as it was decided: which instances are to serve which model. */
+export interface ReplicaRecord {
+  readonly name: string;
+  readonly service: string;
+  readonly model: string;
+  /** The first is the head. */
+  readonly members: readonly string[];
+  /** Place of the decision in the log; later decisions have higher ones. */
+  readonly epoch: number;
+}
+
+/** Which process decides on replicas. */
+export interface LeadRecord {
+  readonly nodeId: string;
+  /** Tells the lives of one process apart. */
+  readonly bootId: string;
+  /** IP:PORT for other processes. */
+  readonly peerAddress: string;
+  /** Place of the record in the log. */
+  readonly term: number;
+}
+
+/** Key of the newest record of the process that decides. */
+export const LEAD_KEY = "lead";
+
+const REPLICA_PREFIX = "replica/";
+
+/** Key of a replica's record. */
+export function createReplicaKey(name: string): string {
+  return `${REPLICA_PREFIX}${name}`;
+}
+
+/** The replica that a key names; undefined for other keys. */
+export function parseReplicaKey(key: string): string | undefined {
+  return key.startsWith(REPLICA_PREFIX)
+    ? key.slice(REPLICA_PREFIX.length)
+    : undefined;
+}
+
+/** A replica's record as bytes; its place in the log gives the epoch. */
+export function encodeReplica(
+  replica: Omit<ReplicaRecord, "name" | "epoch">,
+): Buffer {
+  const { service, model, members } = replica;
+  return Buffer.from(JSON.stringify({ service, model, members }));
+}
+
+/** Reads a replica's record. */
+export function decodeReplica(
+  name: string,
+  stored: { readonly value: Buffer; readonly offset: number },
+): Either<string, ReplicaRecord> {
+  return parse(stored.value).chain((record) => {
+    const { service, model, members } = record;
+    const isValid = typeof service === "string" && typeof model === "string" &&
+      Array.isArray(members) && members.length > 0 &&
+      members.every((member) => typeof member === "string");
+    if (!isValid) return Left(`The record of replica ${name} is malformed`);
+    return Right({ name, service, model, members, epoch: stored.offset + 1 });
+  });
+}
+
+/** A process's claim to decide, as bytes. */
+export function encodeLead(lead: Omit<LeadRecord, "term">): Buffer {
+  const { nodeId, bootId, peerAddress } = lead;
+  return Buffer.from(JSON.stringify({ nodeId, bootId, peerAddress }));
+}
+
+/** Reads which process decides. */
+export function decodeLead(
+  stored: { readonly value: Buffer; readonly offset: number },
+): Either<string, LeadRecord> {
+  return parse(stored.value).chain((record) => {
+    const { nodeId, bootId, peerAddress } = record;
+    const isValid = typeof nodeId === "string" && typeof bootId === "string" &&
+      typeof peerAddress === "string";
+    if (!isValid) return Left("The record of the lead is malformed");
+    return Right({ nodeId, bootId, peerAddress, term: stored.offset + 1 });
+  });
+}
+
+function parse(value: Buffer): Either<string, Record<string, unknown>> {
+  try {
+    const record: unknown = JSON.parse(value.toString("utf8"));
+    return typeof record === "object" && record !== null
+      ? Right(record as Record<string, unknown>)
+      : Left("The record is not an object");
+  } catch (error) {
+    return Left(`The record is not JSON: ${(error as Error).message}`);
+  }
+}
--- /dev/null
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -0,0 +1,204 @@
+import type { InstanceOrder } from "./instance_orders.ts";
+import type { InstanceState, MembershipState } from "./instance_state.ts";
+import type { ReplicaRecord } from "./replica_record.ts";
+
+/** How a replica stands, as far as its leader knows. */
+export interface ReplicaRun {
+  readonly record: ReplicaRecord;
+  /** Members whose join was answered. */
+  readonly joinedIds: Set<string>;
+  /** Members that were seen ready in this replica. */
+  readonly readyIds: Set<string>;
+  /** Start of each member's life when the replica was formed. */
+  readonly bornAtMs: Map<string, number | undefined>;
+  /** Whether the head may have been told to open. */
+  mayBeOpen: boolean;
+  /** Why it is taken apart; undefined while it is to serve. */
+  retiring?: Retirement;
+}
+
+/** Taking a replica apart. */
+export interface Retirement {
+  readonly reason: string;
+  readonly sinceMs: number;
+  /** Whether its requests can't go on and are cut off. */
+  isImmediate: boolean;
+  isClosed: boolean;
+  /** Whether its members may be used elsewhere. */
+  isFreed: boolean;
+}
+
+/** What is known of an instance beside its entry in the list. */
+export type Liveness =
+  | { readonly kind: "alive" }
+  /** It was silent since a time. */
+  | { readonly kind: "silent"; readonly sinceMs: number }
+  /** Its process is surely gone. */
+  | { readonly kind: "ended" };
+
+/** What the next orders of a replica are decided by. */
+export interface RunInput {
+  readonly run: ReplicaRun;
+  /** Last known state of an instance. */
+  readonly findInstance: (id: string) => InstanceState | undefined;
+  /** Whether the list has the instance now. */
+  readonly isListed: (id: string) => boolean;
+  readonly liveness: (id: string) => Liveness;
+  readonly nowMs: number;
+  /** Silence of a head after which it surely serves nobody. */
+  readonly headSilenceMs: number;
+}
+
+/** An order that is due. */
+export interface DueOrder {
+  readonly instanceId: string;
+  readonly order: InstanceOrder;
+}
+
+/** Time after which a gentle closing becomes an immediate one. */
+const GENTLE_CLOSE_MS = 2_500;
+
+/** Takes note of what the list says, and returns the orders that are due. */
+export function planRun(input: RunInput): readonly DueOrder[] {
+  noteStates(input);
+  const { run } = input;
+  run.retiring ??= findRetirement(input);
+  return run.retiring === undefined
+    ? planForming(input)
+    : planRetiring(input, run.retiring);
+}
+
+/** Where a member stands in its replica, as the list says. */
+export function findMemberState(
+  run: ReplicaRun,
+  instance: InstanceState | undefined,
+): MembershipState | undefined {
+  const membership = instance?.membership;
+  const isSame = membership !== undefined &&
+    membership.replica === run.record.name &&
+    membership.epoch === run.record.epoch;
+  return isSame ? membership.state : undefined;
+}
+
+function noteStates({ run, findInstance }: RunInput): void {
+  for (const id of run.record.members) {
+    const state = findMemberState(run, findInstance(id));
+    if (state === undefined) continue;
+    run.joinedIds.add(id);
+    if (state !== "joining") run.readyIds.add(id);
+    if (state === "open") run.mayBeOpen = true;
+  }
+}
+
+function findRetirement(input: RunInput): Retirement | undefined {
+  const { run, findInstance, nowMs } = input;
+  let leaving: string | undefined;
+  for (const id of run.record.members) {
+    const lost = describeLoss(input, id);
+    if (lost !== undefined) {
+      return createRetirement(lost, { nowMs, isImmediate: true });
+    }
+    const instance = findInstance(id);
+    if (instance?.isDraining === true) leaving = `${id} is draining`;
+  }
+  const headId = run.record.members[0]!;
+  if (!input.isListed(headId)) leaving = `${headId} is no longer listed`;
+  const head = findMemberState(run, findInstance(headId));
+  if (head === "broken") {
+    return createRetirement("the head is broken", { nowMs, isImmediate: true });
+  }
+  return leaving === undefined
+    ? undefined
+    : createRetirement(leaving, { nowMs, isImmediate: false });
+}
+
+/** Why a member can't work any more. */
+function describeLoss(input: RunInput, id: string): string | undefined {
+  const { run, findInstance, liveness } = input;
+  const kind = liveness(id).kind;
+  if (kind === "silent") return `${id} is silent`;
+  if (kind === "ended") return `${id} has ended`;
+  const instance = findInstance(id);
+  if (instance === undefined) return undefined;
+  const bornAtMs = run.bornAtMs.get(id);
+  if (bornAtMs !== undefined && instance.bornAtMs !== bornAtMs) {
+    return `${id} was started anew`;
+  }
+  return undefined;
+}
+
+function createRetirement(
+  reason: string,
+  options: { readonly nowMs: number; readonly isImmediate: boolean },
+): Retirement {
+  return {
+    reason,
+    sinceMs: options.nowMs,
+    isImmediate: options.isImmediate,
+    isClosed: false,
+    isFreed: false,
+  };
+}
+
+function planForming({ run, findInstance }: RunInput): readonly DueOrder[] {
+  const { name: replica, epoch, model, members } = run.record;
+  const orders: DueOrder[] = members
+    .filter((id) => !run.joinedIds.has(id))
+    .map((instanceId) => ({
+      instanceId,
+      order: { kind: "join", replica, epoch, model, members },
+    }));
+  if (orders.length > 0) return orders;
+  const headId = members[0]!;
+  const headState = findMemberState(run, findInstance(headId));
+  const areReady = members.every((id) => run.readyIds.has(id));
+  if (!areReady || headState !== "ready") return [];
+  return [{ instanceId: headId, order: { kind: "open", replica, epoch } }];
+}
+
+function planRetiring(
+  input: RunInput,
+  retiring: Retirement,
+): readonly DueOrder[] {
+  const { run, findInstance, liveness, nowMs } = input;
+  if (retiring.isFreed) return [];
+  const { name: replica, epoch, members } = run.record;
+  const headId = members[0]!;
+  const head = findInstance(headId);
+  const headLife = liveness(headId);
+  if (isHeadGone(input)) {
+    retiring.isFreed = true;
+    return [];
+  }
+  if (headLife.kind === "silent") return [];
+  const state = findMemberState(run, head);
+  if (head !== undefined && state === undefined && run.joinedIds.has(headId)) {
+    retiring.isFreed = true;
+    return [];
+  }
+  if (!run.mayBeOpen || state === "broken") retiring.isClosed = true;
+  if (!retiring.isClosed) {
+    const isImmediate = retiring.isImmediate ||
+      nowMs - retiring.sinceMs >= GENTLE_CLOSE_MS;
+    return [{
+      instanceId: headId,
+      order: { kind: "close", replica, epoch, isImmediate },
+    }];
+  }
+  return [{ instanceId: headId, order: { kind: "leave", replica, epoch } }];
+}
+
+/** Whether the head can't be open or take requests any more. */
+function isHeadGone(input: RunInput): boolean {
+  const { run, findInstance, liveness, nowMs } = input;
+  const headId = run.record.members[0]!;
+  const life = liveness(headId);
+  if (life.kind === "ended") return true;
+  if (life.kind === "silent") {
+    return nowMs - life.sinceMs >= input.headSilenceMs;
+  }
+  const bornAtMs = run.bornAtMs.get(headId);
+  const head = findInstance(headId);
+  return bornAtMs !== undefined && head !== undefined &&
+    head.bornAtMs !== bornAtMs;
+}
--- /dev/null
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -0,0 +1,118 @@
+import { Clock, type Context, Effect, Fiber, type Scope } from "effect";
+import type { RequestListener, Server } from "node:http";
+import { InFlightCalls } from "../forwarding/index.ts";
+import { listen, type ListenFailure } from "../http/index.ts";
+import {
+  CallerExchange,
+  serveCall,
+  type ServingDependencies,
+} from "../serving/index.ts";
+
+/** Options of the server for callers. */
+export interface CallerServerOptions {
+  readonly address: string;
+  readonly dependencies: ServingDependencies;
+  readonly idleTimeoutMs: number;
+  readonly headerTimeoutMs: number;
+  readonly maxHeaderBytes: number;
+  /** Told of each request whose caller left before the answer's end. */
+  readonly onLeft: (callId: string, durationMs: number) => void;
+}
+
+/** A server that takes callers' requests. */
+export interface CallerServer {
+  readonly calls: InFlightCalls;
+  /** Ends each connection with its next answer. */
+  readonly close: () => void;
+  /** Time at which the last request came in. */
+  readonly lastRequestAtMs: () => number;
+  /** Takes the bounds of a new configuration. */
+  readonly setTimeouts: (timeouts: {
+    readonly idleTimeoutMs: number;
+    readonly headerTimeoutMs: number;
+  }) => void;
+}
+
+/** Callers reuse connections a little shorter than they may stay idle. */
+const IDLE_MARGIN_MS = 1_000;
+/** Time in which a whole request must be there. */
+const REQUEST_TIMEOUT_MS = 60_000;
+
+/** Serves callers until the scope closes. */
+export function createCallerServer(
+  options: CallerServerOptions,
+): Effect.Effect<CallerServer, ListenFailure, Scope.Scope> {
+  return Effect.gen(function* () {
+    const calls = new InFlightCalls();
+    const state = { isClosing: false, lastRequestAtMs: 0 };
+    const clock = yield* Clock.Clock;
+    const handler = createHandler({
+      options,
+      calls,
+      state,
+      nowMs: () => clock.currentTimeMillisUnsafe(),
+      context: yield* Effect.context<never>(),
+    });
+    const server: Server = yield* listen({
+      address: options.address,
+      handler,
+      headersTimeoutMs: options.headerTimeoutMs + IDLE_MARGIN_MS,
+      requestTimeoutMs: REQUEST_TIMEOUT_MS,
+      maxHeaderBytes: options.maxHeaderBytes,
+      handlesContinue: true,
+    });
+    const setIdle = (idleTimeoutMs: number) => {
+      server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
+    };
+    setIdle(options.idleTimeoutMs);
+    return {
+      calls,
+      close: () => {
+        state.isClosing = true;
+      },
+      lastRequestAtMs: () => state.lastRequestAtMs,
+      setTimeouts: ({ idleTimeoutMs, headerTimeoutMs }) => {
+        setIdle(idleTimeoutMs);
+        server.headersTimeout = headerTimeoutMs + IDLE_MARGIN_MS;
+      },
+    };
+  });
+}
+
+interface HandlerOptions {
+  readonly options: CallerServerOptions;
+  readonly calls: InFlightCalls;
+  readonly state: { readonly isClosing: boolean; lastRequestAtMs: number };
+  readonly nowMs: () => number;
+  readonly context: Context.Context<never>;
+}
+
+function createHandler(
+  { options, calls, state, nowMs, context }: HandlerOptions,
+): RequestListener {
+  const run = Effect.runForkWith(context);
+  const { dependencies } = options;
+  return (request, response) => {
+    if (request.headers.expect !== undefined) response.writeContinue();
+    const startedAtMs = nowMs();
+    state.lastRequestAtMs = startedAtMs;
+    const exchange = new CallerExchange({
+      request,
+      response,
+      isClosing: () => state.isClosing,
+    });
+    calls.begin();
+    const fiber = run(
+      serveCall(exchange, dependencies).pipe(
+        Effect.ensuring(Effect.sync(() => calls.end())),
+      ),
+    );
+    response.on("error", () => {});
+    response.on("close", () => {
+      if (response.writableFinished || exchange.hasEnded) return;
+      const id = dependencies.codec.decodeCall(request).toMaybe().extract()?.id;
+      options.onLeft(id ?? "", nowMs() - startedAtMs);
+      run(Fiber.interrupt(fiber));
+    });
+  };
+}
--- /dev/null
+++ b/packages/celerytray/src/host/create_host.ts
@@ -0,0 +1,316 @@
+import { Clock, Effect, type Scope } from "effect";
+import { randomUUID } from "node:crypto";
+import {
+  Coordinator,
+  createPeerHandler,
+  PeerClient,
+} from "../coordination/index.ts";
+import {
+  type EngineSpecs,
+  FleetDirector,
+  type InstanceControl,
+  InstanceListView,
+  type InstanceState,
+} from "../groups/index.ts";
+import { BackendPools, listen, type ListenFailure } from "../http/index.ts";
+import { type Journal, MetricsPage } from "../journal/index.ts";
+import { followKeyed, type KeyedLog } from "../keyed_log/index.ts";
+import {
+  type CallCodec,
+  type CallRecord,
+  DOUBT_AFTER_MS,
+  LoadBook,
+  MOVE_AFTER_MS,
+  RepeatBudget,
+  type ServingConfig,
+  type ServingDependencies,
+  StallWatch,
+} from "../serving/index.ts";
+import type { Either } from "purify-ts";
+import { type CallerServer, createCallerServer } from "./caller_server.ts";
+import { ConfigView } from "./config_view.ts";
+import type { HostSettings } from "./host_settings.ts";
+import { StoreContact } from "./store_contact.ts";
+import { TargetLists } from "./target_lists.ts";
+
+/** How this program meets its surroundings. */
+export interface HostPorts {
+  readonly log: KeyedLog;
+  readonly control: InstanceControl;
+  readonly codec: CallCodec;
+  readonly decodeConfig: (text: string) => Either<string, ServingConfig>;
+  readonly decodeInstance: (
+    id: string,
+    text: string,
+  ) => Either<string, InstanceState>;
+  /** Key of the operator's configuration. */
+  readonly configKey: string;
+}
+
+/** Options of a process on a machine of the deployment. */
+export interface HostOptions {
+  readonly settings: HostSettings;
+  readonly ports: HostPorts;
+  readonly journal: Journal;
+}
+
+/** A running process. */
+export interface Host {
+  /** Takes no new connections and waits until what was taken is answered. */
+  readonly drain: () => Effect.Effect<void>;
+}
+
+/** Longest wait of one read, which bounds the age of the keys. */
+const CONFIG_WAIT_MS = 1_500;
+const CONFIG_PAUSE_MS = 20;
+const INSTANCES_WAIT_MS = 10_000;
+/** Pause after a change of the list; the process that decides pauses less. */
+const INSTANCES_PAUSE_MS = 300;
+const LEAD_INSTANCES_PAUSE_MS = 60;
+const STALL_CHECK_MS = 100;
+const PEER_TIMEOUT_MS = 600;
+/** Part of the time for taking keys away after which they are not trusted. */
+const KEY_AGE_PART = 0.85;
+/** Age of the keys at which callers are sent to other machines. */
+const READY_KEY_AGE_PART = 0.7;
+/** Time in which the platform's entry stops sending new connections. */
+const ENTRY_NOTICE_MS = 3_000;
+/** Part of the grace time within which everything must be answered. */
+const GRACE_PART = 0.9;
+
+/** Starts the process; it runs until the scope closes. */
+export function createHost(
+  options: HostOptions,
+): Effect.Effect<Host, ListenFailure, Scope.Scope> {
+  const { settings, ports, journal } = options;
+  return Effect.gen(function* () {
+    const clock = yield* Clock.Clock;
+    const nowMs = () => clock.currentTimeMillisUnsafe();
+    const record = (kind: string, fields: Record<string, unknown>) =>
+      journal.record(kind, fields);
+    const contact = new StoreContact({ record });
+    const metrics = new MetricsPage();
+    const loads = new LoadBook();
+    const stalls = new StallWatch();
+    const pools = new BackendPools();
+    const demand = new Map<string, number>();
+    const state = { isDraining: false, hasTraffic: false };
+
+    const servers: { callers?: CallerServer } = {};
+    const config = new ConfigView({
+      key: ports.configKey,
+      decode: ports.decodeConfig,
+      onAdopted: (version, offset) => {
+        record("config.adopted", { version, offset });
+        const limits = config.index?.config.limits;
+        if (limits !== undefined) servers.callers?.setTimeouts(limits);
+      },
+      onMalformed: (message, offset) =>
+        record("config.malformed", { message, offset }),
+    });
+    const instances = new InstanceListView({
+      decode: ports.decodeInstance,
+      onMalformed: (instanceId, message) =>
+        record("instance.malformed", { instanceId, message }),
+    });
+    const engines = (): EngineSpecs => listEngines(config);
+
+    const coordinator: Coordinator = new Coordinator({
+      nodeId: settings.nodeId,
+      bootId: randomUUID(),
+      peerAddress: settings.peerAddress,
+      log: ports.log,
+      client: new PeerClient({ timeoutMs: PEER_TIMEOUT_MS }),
+      listStalledHeads: () =>
+        stalls.findStalled({ silentMs: DOUBT_AFTER_MS, nowMs: nowMs() })
+          .map(({ instanceId }) => instanceId),
+      demand: () => Object.fromEntries(demand),
+      hasTraffic: () => state.hasTraffic,
+      storeAnsweredAtMs: () => contact.answeredAtMs,
+      createDirector: ({ term, replicas, recorder }) =>
+        new FleetDirector({
+          term,
+          replicas,
+          recorder,
+          instances,
+          control: ports.control,
+          engines,
+          demand: () => undefined,
+          hasTraffic: () => coordinator.hasAnyTraffic(),
+          storeSteadySinceMs: () => contact.steadySinceMs,
+          replicaStallMs: settings.replicaStallMs,
+          record,
+        }),
+      record,
+    });
+    const targets = new TargetLists({
+      instances,
+      closedHeads: () => coordinator.listClosedHeads(),
+      slotsOf: (service) =>
+        config.index?.config.services.get(service)?.engine?.slots,
+    });
+
+    yield* Effect.forkScoped(followKeyed({
+      log: ports.log,
+      topic: "config",
+      waitMs: CONFIG_WAIT_MS,
+      pauseMs: () => CONFIG_PAUSE_MS,
+      onChange: (change) => {
+        contact.noteAnswer(nowMs());
+        config.apply(change);
+      },
+      onFailure: (message) => contact.noteFailure(message, nowMs()),
+    }));
+    yield* Effect.forkScoped(followKeyed({
+      log: ports.log,
+      topic: "instances",
+      waitMs: INSTANCES_WAIT_MS,
+      pauseMs: () =>
+        coordinator.isLeading ? LEAD_INSTANCES_PAUSE_MS : INSTANCES_PAUSE_MS,
+      onChange: (change) => {
+        instances.apply(change, nowMs());
+        loads.keepOnly((id) => instances.find(id) !== undefined);
+      },
+      onFailure: (message) => record("instances.read-failed", { message }),
+    }));
+    yield* Effect.forkScoped(coordinator.run());
+    yield* Effect.forkScoped(
+      moveStalled({ stalls, nowMs, record }),
+    );
+
+    const keyAgeMs = () => nowMs() - config.freshAtMs;
+    const dependencies: ServingDependencies = {
+      codec: ports.codec,
+      zone: settings.zone,
+      index: () => config.index,
+      areKeysFresh: () => keyAgeMs() < settings.keyRevocationMs * KEY_AGE_PART,
+      listTargets: (service, model) => targets.list(service, model),
+      loads,
+      stalls,
+      repeats: new RepeatBudget({
+        share: settings.retryShare,
+        slackRequests: settings.retrySlackRequests,
+        windowMs: settings.retryWindowMs,
+        countMachines: () => coordinator.countNodes(),
+      }),
+      agentFor: (address) => pools.agentFor(address),
+      discardAgent: (address) => pools.discard(address),
+      random: Math.random,
+      noteDemand: (model, change) => {
+        state.hasTraffic = true;
+        demand.set(model, (demand.get(model) ?? 0) + change);
+      },
+      record: (call) => recordCall(call, { journal, metrics }),
+    };
+    servers.callers = yield* createCallerServer({
+      address: settings.callerAddress,
+      dependencies,
+      idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
+      headerTimeoutMs: DEFAULT_HEADER_TIMEOUT_MS,
+      maxHeaderBytes: MAX_HEADER_BYTES,
+      onLeft: (callId, durationMs) =>
+        journal.record("call.left", { callId, durationMs }, "routine"),
+    });
+    const callers = servers.callers;
+    const isReady = () =>
+      !state.isDraining && config.index !== undefined &&
+      instances.isLoaded &&
+      keyAgeMs() < settings.keyRevocationMs * READY_KEY_AGE_PART;
+    yield* listen({
+      address: settings.readyAddress,
+      handler: (_request, response) => {
+        response.writeHead(isReady() ? 200 : 503, { "content-length": 0 });
+        response.end();
+      },
+    });
+    yield* listen({
+      address: settings.peerAddress,
+      handler: createPeerHandler(coordinator),
+    });
+    metrics.addGauge(
+      "celerytray_requests_in_flight",
+      "Requests that are not answered yet",
+      () => callers.calls.count,
+    );
+    metrics.addGauge(
+      "celerytray_leads_replicas",
+      "1 where this process decides on replicas",
+      () => coordinator.isLeading ? 1 : 0,
+    );
+    metrics.addGauge(
+      "celerytray_config_version",
+      "Version of the configuration in force",
+      () => config.index?.config.version ?? 0,
+    );
+    yield* listen({
+      address: settings.metricsAddress,
+      handler: metrics.handler(),
+    });
+    return {
+      drain: () =>
+        Effect.gen(function* () {
+          state.isDraining = true;
+          callers.close();
+          coordinator.leave();
+          yield* Effect.sleep(ENTRY_NOTICE_MS);
+          yield* callers.calls.waitUntilEmpty().pipe(
+            Effect.timeoutOption(
+              settings.graceMs * GRACE_PART - ENTRY_NOTICE_MS,
+            ),
+          );
+        }),
+    };
+  });
+}
+
+/** Bounds until a configuration is known. */
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
+const MAX_HEADER_BYTES = 32 * 1024;
+
+function listEngines(config: ConfigView): EngineSpecs {
+  const engines = new Map();
+  for (const [name, { engine }] of config.index?.config.services ?? []) {
+    if (engine !== undefined && engine.models.length > 0) {
+      engines.set(name, engine);
+    }
+  }
+  return engines;
+}
+
+interface StallOptions {
+  readonly stalls: StallWatch;
+  readonly nowMs: () => number;
+  readonly record: (kind: string, fields: Record<string, unknown>) => void;
+}
+
+/** Moves requests away from replicas that stand still. */
+function moveStalled(
+  { stalls, nowMs, record }: StallOptions,
+): Effect.Effect<never> {
+  return Effect.forever(
+    Effect.sync(() => {
+      const stalled = stalls.findStalled({
+        silentMs: MOVE_AFTER_MS,
+        nowMs: nowMs(),
+      });
+      for (const { instanceId, silentMs, attempts } of stalled) {
+        record("replica.stalled", { headId: instanceId, silentMs, attempts });
+        stalls.abandon(instanceId);
+      }
+    }).pipe(Effect.andThen(Effect.sleep(STALL_CHECK_MS))),
+  );
+}
+
+interface CallSinks {
+  readonly journal: Journal;
+  readonly metrics: MetricsPage;
+}
+
+function recordCall(call: CallRecord, { journal, metrics }: CallSinks): void {
+  const isPlain = call.attempts.length <= 1 &&
+    (call.outcome === "streamed" ||
+      (call.outcome === "answered" && call.status < 400));
+  journal.record("call.ended", { ...call }, isPlain ? "routine" : "notable");
+  metrics.noteRequest({ ...call, attempts: call.attempts.length });
+}
--- /dev/null
+++ b/packages/celerytray/src/host/host_settings.ts
@@ -0,0 +1,29 @@
+/** Settings of a process on a machine of the deployment. */
+export interface HostSettings {
+  readonly nodeId: string;
+  readonly zone: string;
+  /** IP:PORT for callers. */
+  readonly callerAddress: string;
+  /** IP:PORT on which readiness is asked. */
+  readonly readyAddress: string;
+  /** IP:PORT for other processes of this system. */
+  readonly peerAddress: string;
+  /** IP:PORT on which metrics are read. */
+  readonly metricsAddress: string;
+  readonly storeAddress: string;
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean;
+  /** Time from SIGTERM until the process is killed. */
+  readonly graceMs: number;
+  /** Time after which a key that was taken away must be refused. */
+  readonly keyRevocationMs: number;
+  /** Time after which a replica without one of its instances is broken. */
+  readonly replicaStallMs: number;
+  /** Repeats allowed over all machines, as a share of the requests. */
+  readonly retryShare: number;
+  readonly retryWindowMs: number;
+  /** Repeats allowed in a window beside that share. */
+  readonly retrySlackRequests: number;
+  /** Interval at which instances renew their entries. */
+  readonly instanceHeartbeatMs: number;
+}
--- /dev/null
+++ b/packages/celerytray/src/host/index.ts
@@ -0,0 +1,8 @@
+/** One process on a machine of the deployment. */
+export {
+  createHost,
+  type Host,
+  type HostOptions,
+  type HostPorts,
+} from "./create_host.ts";
+export type { HostSettings } from "./host_settings.ts";
--- a/packages/celerytray/src/http/forward_headers.ts
+++ b/packages/celerytray/src/http/forward_headers.ts
@@ -16,6 +16,11 @@
 const CREDENTIAL_HEADERS = new Set(["authorization", "cookie"]);
 const OWN_PREFIX = "celerytray-";
 
+/** Whether a header, in lower case, concerns one connection only. */
+export function isHopByHopHeader(name: string): boolean {
+  return HOP_BY_HOP_HEADERS.has(name);
+}
+
 /** Request headers to pass on: no credentials and none of one connection. */
 export function selectRequestHeaders(
   headers: IncomingHttpHeaders,
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -7,6 +7,7 @@
 } from "./request_json.ts";
 export { BackendPools } from "./backend_pools.ts";
 export {
+  isHopByHopHeader,
   selectAnswerHeaders,
   selectRequestHeaders,
 } from "./forward_headers.ts";
--- /dev/null
+++ b/packages/celerytray/src/journal/metrics_page.ts
@@ -0,0 +1,72 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { RequestListener } from "node:http";
+
+/** Upper bounds of latency buckets, in seconds. */
+const LATENCY_BUCKETS = [0.05, 0.1, 0.25, 0.4, 0.75, 1.5, 3, 6, 10];
+
+/** Counters and histograms of a process, served as text. */
+export class MetricsPage {
+  readonly #registry = new Registry();
+  readonly #requests = new Counter({
+    name: "celerytray_requests_total",
+    help: "Requests by outcome",
+    labelNames: ["outcome", "status"],
+    registers: [this.#registry],
+  });
+  readonly #attempts = new Counter({
+    name: "celerytray_attempts_total",
+    help: "Attempts at back ends",
+    registers: [this.#registry],
+  });
+  readonly #firstByte = new Histogram({
+    name: "celerytray_first_byte_seconds",
+    help: "Time from a request's head to the first event of its answer",
+    buckets: LATENCY_BUCKETS,
+    registers: [this.#registry],
+  });
+  readonly #duration = new Histogram({
+    name: "celerytray_request_seconds",
+    help: "Time from a request's head to the end of its answer",
+    buckets: LATENCY_BUCKETS,
+    registers: [this.#registry],
+  });
+
+  /** Counts a request and what became of it. */
+  noteRequest(request: {
+    readonly outcome: string;
+    readonly status: number;
+    readonly attempts: number;
+    readonly durationMs: number;
+    readonly firstByteMs?: number;
+  }): void {
+    const { outcome, status } = request;
+    this.#requests.inc({ outcome, status: String(status) });
+    this.#attempts.inc(request.attempts);
+    this.#duration.observe(request.durationMs / 1000);
+    if (request.firstByteMs !== undefined) {
+      this.#firstByte.observe(request.firstByteMs / 1000);
+    }
+  }
+
+  /** Adds a value that is read when the page is. */
+  addGauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers: [this.#registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  /** Serves the page. */
+  handler(): RequestListener {
+    return (_request, response) => {
+      this.#registry.metrics().then((text) => {
+        response.writeHead(200, { "content-type": this.#registry.contentType });
+        response.end(text);
+      }, () => response.destroy());
+    };
+  }
+}
--- /dev/null
+++ b/packages/celerytray/src/keyed_log/follow_keyed.ts
@@ -0,0 +1,64 @@
+import { Clock, Effect } from "effect";
+import type { KeyedLog, KeyedRecord, KeyedTopic } from "./keyed_log.ts";
+
+/** What changed in a topic. */
+export interface KeyedChange {
+  /** Whether the records are all keys, so that others are gone. */
+  readonly isWhole: boolean;
+  readonly records: readonly KeyedRecord[];
+  readonly nextOffset: number;
+  /** Time before which the records were the newest. */
+  readonly freshAtMs: number;
+}
+
+/** What to follow, and what to do with it. */
+export interface FollowKeyedOptions {
+  readonly log: KeyedLog;
+  readonly topic: KeyedTopic;
+  /** Longest wait of one read for a first record. */
+  readonly waitMs: number;
+  /** Pause after records, in which further ones gather for the next read. */
+  readonly pauseMs: () => number;
+  readonly onChange: (change: KeyedChange) => void;
+  readonly onFailure: (message: string) => void;
+}
+
+const RETRY_DELAY_MS = 250;
+
+/** Follows a topic for ever; never goes back to older records. */
+export function followKeyed(
+  options: FollowKeyedOptions,
+): Effect.Effect<never> {
+  const { log, topic } = options;
+  return Effect.gen(function* () {
+    let nextOffset: number | undefined;
+    let needsWhole = true;
+    while (true) {
+      const sentAtMs = yield* Clock.currentTimeMillis;
+      const isWhole: boolean = needsWhole;
+      const page = yield* (isWhole ? log.readNewest(topic) : log.read(topic, {
+        fromOffset: nextOffset!,
+        waitMs: options.waitMs,
+      })).pipe(Effect.result);
+      if (page._tag === "Failure") {
+        if (page.failure._tag === "HistoryDropped") needsWhole = true;
+        options.onFailure(page.failure.message);
+        yield* Effect.sleep(RETRY_DELAY_MS);
+        continue;
+      }
+      if (nextOffset !== undefined && page.success.nextOffset < nextOffset) {
+        options.onFailure(
+          `The store answered for ${topic} as of offset ${page.success.nextOffset}, before ${nextOffset}; it is behind`,
+        );
+        yield* Effect.sleep(RETRY_DELAY_MS);
+        continue;
+      }
+      needsWhole = false;
+      nextOffset = page.success.nextOffset;
+      options.onChange({ ...page.success, isWhole, freshAtMs: sentAtMs });
+      if (page.success.records.length > 0) {
+        yield* Effect.sleep(options.pauseMs());
+      }
+    }
+  });
+}
--- /dev/null
+++ b/packages/celerytray/src/keyed_log/index.ts
@@ -0,0 +1,17 @@
+/** Topics of a store that keeps the newest record of each key. */
+export {
+  AppendConflict,
+  HistoryDropped,
+  type KeyedLog,
+  type KeyedPage,
+  type KeyedRecord,
+  type KeyedTopic,
+  type ReadFailure,
+  StoreAnswerLost,
+  StoreUnavailable,
+} from "./keyed_log.ts";
+export {
+  followKeyed,
+  type FollowKeyedOptions,
+  type KeyedChange,
+} from "./follow_keyed.ts";
--- /dev/null
+++ b/packages/celerytray/src/platform/call_codec.ts
@@ -0,0 +1,150 @@
+import type { IncomingMessage } from "node:http";
+import { type Either, Left, Right } from "purify-ts";
+import { isHopByHopHeader } from "../http/index.ts";
+import type {
+  AnswerHead,
+  AttemptHead,
+  CallCodec,
+  CallHead,
+  InstanceLoad,
+} from "../serving/index.ts";
+import { headers } from "./words.ts";
+
+/** Set anew for each attempt. */
+const REPLACED_ON_REQUESTS: ReadonlySet<string> = new Set([
+  headers.budget,
+  headers.instance,
+  headers.key,
+  headers.priority,
+  headers.resumeAfter,
+  headers.tenant,
+  "content-length",
+]);
+/** Meant for this system, or set anew. */
+const REPLACED_ON_ANSWERS: ReadonlySet<string> = new Set([
+  headers.load,
+  "content-length",
+]);
+
+/** The platform's requests and answers over HTTP/1.1. */
+export class PlatformCallCodec implements CallCodec {
+  decodeCall(request: IncomingMessage): Either<string, CallHead> {
+    const id = readSingle(request, headers.callId);
+    if (id === undefined) return Left("The request has no single id");
+    const host = request.headers.host;
+    if (host === undefined) return Left("The request has no host");
+    const budgetMs = readWholeNumber(request, headers.budget);
+    if (Number.isNaN(budgetMs)) return Left("The time budget is no number");
+    const resumeAfter = readWholeNumber(request, headers.resumeAfter);
+    const key = readSingle(request, headers.key);
+    const model = readSingle(request, headers.model);
+    const tokens = readSingle(request, headers.tokens) ?? "";
+    const target = request.url ?? "/";
+    const queryStart = target.indexOf("?");
+    return Right({
+      id,
+      method: request.method ?? "GET",
+      host: host.toLowerCase(),
+      target,
+      path: queryStart < 0 ? target : target.slice(0, queryStart),
+      promptTokens: Number.parseInt(tokens, 10) || 0,
+      passedHeaders: selectPassed(request, REPLACED_ON_REQUESTS),
+      ...(budgetMs === undefined ? {} : { budgetMs }),
+      ...(key === undefined ? {} : { key }),
+      ...(model === undefined ? {} : { model }),
+      ...(resumeAfter === undefined || Number.isNaN(resumeAfter)
+        ? {}
+        : { resumeAfter }),
+    });
+  }
+
+  encodeAttempt(call: CallHead, attempt: AttemptHead): string[] {
+    const encoded = [
+      ...call.passedHeaders,
+      "Deadline-Ms",
+      String(Math.max(1, Math.floor(attempt.remainingMs))),
+      "Expect-Instance",
+      attempt.instanceId,
+    ];
+    if (attempt.tenant !== undefined) encoded.push("Tenant", attempt.tenant);
+    if (attempt.priority !== undefined) {
+      encoded.push("Request-Priority", String(attempt.priority));
+    }
+    if (attempt.resumeAfter !== undefined) {
+      encoded.push("Last-Event-Id", String(attempt.resumeAfter));
+    }
+    if (attempt.bodyBytes > 0 || call.method !== "GET") {
+      encoded.push("Content-Length", String(attempt.bodyBytes));
+    }
+    return encoded;
+  }
+
+  decodeAnswer(response: IncomingMessage): AnswerHead {
+    const callId = readSingle(response, headers.callId);
+    const load = decodeLoad(readSingle(response, headers.load));
+    const faultyInstance = readSingle(response, headers.faultyInstance);
+    const encoding = response.headers["content-encoding"];
+    const status = response.statusCode ?? 0;
+    return {
+      status,
+      isNotRun: response.headers[headers.notRun] !== undefined ||
+        status === MISDIRECTED_STATUS,
+      isStamped: response.headers[headers.stamp] !== undefined,
+      isEncoded: encoding !== undefined && encoding !== "identity",
+      isEventStream: (response.headers["content-type"] ?? "").startsWith(
+        "text/event-stream",
+      ),
+      passedHeaders: selectPassed(response, REPLACED_ON_ANSWERS),
+      ...(callId === undefined ? {} : { callId }),
+      ...(load === undefined ? {} : { load }),
+      ...(faultyInstance === undefined ? {} : { faultyInstance }),
+    };
+  }
+}
+
+const MISDIRECTED_STATUS = 421;
+
+function readSingle(
+  message: IncomingMessage,
+  name: string,
+): string | undefined {
+  const values = message.headersDistinct[name];
+  return values?.length === 1 && values[0] !== "" ? values[0] : undefined;
+}
+
+/** NaN for what is no whole number. */
+function readWholeNumber(
+  message: IncomingMessage,
+  name: string,
+): number | undefined {
+  const text = readSingle(message, name);
+  if (text === undefined) return undefined;
+  return /^[0-9]{1,9}$/.test(text) ? Number(text) : Number.NaN;
+}
+
+function decodeLoad(text: string | undefined): InstanceLoad | undefined {
+  const [running, waiting, slots] = (text ?? "").split(",").map(Number);
+  if (!(running! >= 0 && waiting! >= 0 && slots! > 0)) return undefined;
+  return { running: running!, waiting: waiting!, slots: slots! };
+}
+
+function selectPassed(
+  message: IncomingMessage,
+  replaced: ReadonlySet<string>,
+): readonly string[] {
+  const named = new Set(
+    (message.headers.connection ?? "").toLowerCase().split(",").map((name) =>
+      name.trim()
+    ),
+  );
+  const passed: string[] = [];
+  const { rawHeaders } = message;
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]!.toLowerCase();
+    if (isHopByHopHeader(name) || replaced.has(name) || named.has(name)) {
+      continue;
+    }
+    passed.push(rawHeaders[index]!, rawHeaders[index + 1]!);
+  }
+  return passed;
+}
--- /dev/null
+++ b/packages/celerytray/src/platform/create_ports.ts
@@ -0,0 +1,21 @@
+import type { HostPorts } from "../host/index.ts";
+import { PlatformCallCodec } from "./call_codec.ts";
+import { decodeConfig } from "./decode_config.ts";
+import { decodeInstance } from "./decode_instance.ts";
+import { InstanceClient } from "./instance_client.ts";
+import { StoreClient } from "./store_client.ts";
+import { CONFIG_KEY } from "./words.ts";
+
+/** The platform as the program meets it. */
+export function createPlatformPorts(
+  options: { readonly storeAddress: string },
+): HostPorts {
+  return {
+    log: new StoreClient({ address: options.storeAddress }),
+    control: new InstanceClient(),
+    codec: new PlatformCallCodec(),
+    decodeConfig,
+    decodeInstance,
+    configKey: CONFIG_KEY,
+  };
+}
--- /dev/null
+++ b/packages/celerytray/src/platform/decode_config.ts
@@ -0,0 +1,155 @@
+import type { Either } from "purify-ts";
+import type {
+  CallerLimits,
+  EngineSpec,
+  Repeatability,
+  RouteTarget,
+  ServedService,
+  ServingConfig,
+  ServingRoute,
+  ServingTenant,
+} from "../serving/index.ts";
+import {
+  decode,
+  FieldProblem,
+  isObject,
+  type JsonObject,
+  parseObject,
+  readFlag,
+  readNumber,
+  readObjects,
+  readString,
+  readStrings,
+} from "./fields.ts";
+
+const DEFAULT_MAX_CONNECTIONS = 64;
+const DEFAULT_MAX_ATTEMPTS = 1;
+const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** Decodes the operator's configuration; fails with what is wrong with it. */
+export function decodeConfig(text: string): Either<string, ServingConfig> {
+  return parseObject(text).chain((document) =>
+    decode(() => ({
+      version: readNumber(document, "version"),
+      routes: readObjects(document, "routes").map(decodeRoute),
+      services: new Map(
+        readObjects(document, "services").map(decodeService).map((service) =>
+          [service.name, service] as const
+        ),
+      ),
+      limits: decodeLimits(document.limits),
+      ...(document.tenants === undefined ? {} : {
+        tenants: readObjects(document, "tenants").map(decodeTenant),
+      }),
+    }))
+  );
+}
+
+function decodeRoute(route: JsonObject): ServingRoute {
+  const kind = readString(route, "kind");
+  const timeoutMs = readNumber(route, "timeout_ms");
+  return {
+    name: readString(route, "name"),
+    host: readString(route, "host").toLowerCase(),
+    pathPrefix: readString(route, "path_prefix"),
+    repeatability: decodeRepeatability(kind, readFlag(route, "resumable")),
+    isStream: kind === "streaming",
+    timeoutMs,
+    targetMs: readNumber(route, "target_latency_ms", timeoutMs),
+    priority: readNumber(route, "priority", 0),
+    targets: decodeTargets(route),
+    maxAttempts: readNumber(route, "max_attempts", DEFAULT_MAX_ATTEMPTS),
+    isPublic: readFlag(route, "public"),
+  };
+}
+
+/** Kinds that are not known here run once. */
+function decodeRepeatability(
+  kind: string,
+  isResumable: boolean,
+): Repeatability {
+  if (kind === "safe") return "safe";
+  return kind === "streaming" && isResumable ? "resumable" : "once";
+}
+
+function decodeTargets(route: JsonObject): readonly RouteTarget[] {
+  const split = readObjects(route, "split");
+  if (split.length === 0) {
+    return [{ service: readString(route, "service"), weight: 1 }];
+  }
+  return split.map((part) => ({
+    service: readString(part, "service"),
+    weight: readNumber(part, "weight"),
+  }));
+}
+
+function decodeService(service: JsonObject): ServedService {
+  const { engine } = service;
+  return {
+    name: readString(service, "name"),
+    maxConnections: readNumber(
+      service,
+      "max_connections",
+      DEFAULT_MAX_CONNECTIONS,
+    ),
+    ...(isObject(engine) ? { engine: decodeEngine(engine) } : {}),
+  };
+}
+
+function decodeEngine(engine: JsonObject): EngineSpec {
+  return {
+    slots: readNumber(engine, "slots"),
+    loadsPerSecond: readNumber(engine, "loads_per_s"),
+    loadsAtOnce: readNumber(engine, "loads_at_once"),
+    models: readObjects(engine, "models").map((model) => ({
+      name: readString(model, "name"),
+      size: readNumber(model, "size", 1),
+      workShare: readNumber(model, "share", 1),
+      pace: readNumber(model, "pace", 1),
+      loadMs: readNumber(model, "load_s", 0) * 1000,
+      warmMs: readNumber(model, "warm_s", 0) * 1000,
+    })),
+  };
+}
+
+function decodeLimits(limits: unknown): CallerLimits {
+  if (limits === undefined) return DEFAULT_LIMITS;
+  if (!isObject(limits)) throw new FieldProblem("limits must be an object");
+  return {
+    maxHeaderBytes: readNumber(
+      limits,
+      "max_header_bytes",
+      DEFAULT_LIMITS.maxHeaderBytes,
+    ),
+    maxBodyBytes: readNumber(
+      limits,
+      "max_body_bytes",
+      DEFAULT_LIMITS.maxBodyBytes,
+    ),
+    headerTimeoutMs: readNumber(
+      limits,
+      "header_timeout_ms",
+      DEFAULT_LIMITS.headerTimeoutMs,
+    ),
+    idleTimeoutMs: readNumber(
+      limits,
+      "idle_timeout_ms",
+      DEFAULT_LIMITS.idleTimeoutMs,
+    ),
+  };
+}
+
+function decodeTenant(tenant: JsonObject): ServingTenant {
+  return {
+    name: readString(tenant, "name"),
+    keys: readStrings(tenant, "api_keys"),
+    ...(tenant.priority === undefined
+      ? {}
+      : { priority: readNumber(tenant, "priority") }),
+  };
+}
--- /dev/null
+++ b/packages/celerytray/src/platform/decode_instance.ts
@@ -0,0 +1,84 @@
+import type { Either } from "purify-ts";
+import type {
+  InstanceState,
+  Membership,
+  MembershipState,
+} from "../groups/index.ts";
+import {
+  decode,
+  FieldProblem,
+  isObject,
+  type JsonObject,
+  parseObject,
+  readNumber,
+  readObjects,
+  readString,
+  readStrings,
+} from "./fields.ts";
+
+const MEMBERSHIP_STATES: readonly string[] = [
+  "joining",
+  "ready",
+  "open",
+  "closing",
+  "broken",
+];
+
+/** Decodes an entry of the list; fails with what is wrong with it. */
+export function decodeInstance(
+  id: string,
+  text: string,
+): Either<string, InstanceState> {
+  return parseObject(text).chain((entry) =>
+    decode(() => decodeEntry(id, entry))
+  );
+}
+
+function decodeEntry(id: string, entry: JsonObject): InstanceState {
+  const state = readString(entry, "state");
+  if (state !== "ready" && state !== "draining") {
+    throw new FieldProblem(`state ${state} is not known`);
+  }
+  const address = readString(entry, "address");
+  if (!/^[0-9.]+:[0-9]+$/.test(address)) {
+    throw new FieldProblem("address must be IP:PORT");
+  }
+  const [model] = readObjects(entry, "models");
+  const bornAtMs = entry.born;
+  if (bornAtMs !== undefined && !Number.isSafeInteger(bornAtMs)) {
+    throw new FieldProblem("born must be a whole number");
+  }
+  return {
+    id,
+    service: readString(entry, "service"),
+    address,
+    zone: readString(entry, "zone"),
+    slots: readNumber(entry, "slots"),
+    isDraining: state === "draining",
+    stagedModels: readStrings(entry, "staged"),
+    ...(bornAtMs === undefined ? {} : { bornAtMs: bornAtMs as number }),
+    ...(entry.domain === undefined ? {} : { domain: String(entry.domain) }),
+    ...(model === undefined ? {} : { loadedModel: readString(model, "name") }),
+    ...decodeMembership(entry.group),
+  };
+}
+
+function decodeMembership(
+  group: unknown,
+): { readonly membership?: Membership } {
+  if (group === undefined || group === null) return {};
+  if (!isObject(group)) throw new FieldProblem("group must be an object");
+  if (group.name === undefined || group.name === "") return {};
+  const state = readString(group, "state");
+  if (!MEMBERSHIP_STATES.includes(state)) {
+    throw new FieldProblem(`group state ${state} is not known`);
+  }
+  return {
+    membership: {
+      replica: readString(group, "name"),
+      epoch: readNumber(group, "epoch"),
+      rank: readNumber(group, "rank"),
+      state: state as MembershipState,
+    },
+  };
+}
--- /dev/null
+++ b/packages/celerytray/src/platform/exchange_bytes.ts
@@ -0,0 +1,83 @@
+import { Data, Effect } from "effect";
+import { type Agent, type IncomingMessage, request } from "node:http";
+import { parseAddress } from "../http/index.ts";
+
+/** A call got no whole answer. */
+export class CallFailure extends Data.TaggedError("CallFailure")<{
+  readonly message: string;
+  /** `refused`: no listener; `not-sent`: no connection; else it may have run. */
+  readonly reason: "refused" | "not-sent" | "answer-lost";
+}> {}
+
+/** A small call to the store or an instance. */
+export interface ByteCall {
+  readonly address: string;
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: Buffer;
+  readonly timeoutMs: number;
+  readonly agent: Agent | false;
+}
+
+/** A whole answer. */
+export interface ByteAnswer {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+/** Sends a call and reads its whole answer; interruption closes the connection. */
+export function exchangeBytes(
+  call: ByteCall,
+): Effect.Effect<ByteAnswer, CallFailure> {
+  return Effect.callback<ByteAnswer, CallFailure>((resume) => {
+    let reason: CallFailure["reason"] = "not-sent";
+    const fail = (message: string) =>
+      resume(Effect.fail(
+        new CallFailure({
+          reason,
+          message: `${call.method} ${call.path} at ${call.address}: ${message}`,
+        }),
+      ));
+    const sent = request({
+      ...parseAddress(call.address),
+      method: call.method,
+      path: call.path,
+      agent: call.agent,
+      headers: {
+        ...call.headers,
+        ...(call.method === "GET"
+          ? {}
+          : { "content-length": call.body?.length ?? 0 }),
+      },
+    });
+    sent.on("socket", (socket) => {
+      const noteSent = () => reason = "answer-lost";
+      if (socket.connecting) socket.once("connect", noteSent);
+      else noteSent();
+    });
+    sent.on("error", (error) => {
+      if ((error as NodeJS.ErrnoException).code === "ECONNREFUSED") {
+        reason = "refused";
+      }
+      fail(error.message);
+    });
+    sent.on("response", (response: IncomingMessage) => {
+      const chunks: Buffer[] = [];
+      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      response.on("error", (error) => fail(error.message));
+      response.on("end", () =>
+        resume(Effect.succeed({
+          status: response.statusCode ?? 0,
+          body: Buffer.concat(chunks),
+        })));
+    });
+    const timer = setTimeout(() => {
+      fail(`no answer within ${call.timeoutMs} ms`);
+      sent.destroy();
+    }, call.timeoutMs);
+    sent.on("close", () => clearTimeout(timer));
+    sent.end(call.body);
+    return Effect.sync(() => sent.destroy());
+  });
+}
--- /dev/null
+++ b/packages/celerytray/src/platform/instance_client.ts
@@ -0,0 +1,131 @@
+import { Effect } from "effect";
+import { Agent } from "node:http";
+import {
+  type InstanceAddress,
+  type InstanceControl,
+  type InstanceOrder,
+  InstanceSilent,
+  type OrderOutcome,
+} from "../groups/index.ts";
+import {
+  type ByteAnswer,
+  type CallFailure,
+  exchangeBytes,
+} from "./exchange_bytes.ts";
+import { headers } from "./words.ts";
+
+const ORDER_TIMEOUT_MS = 600;
+const PROBE_TIMEOUT_MS = 500;
+const OUTCOMES: Readonly<Record<number, OrderOutcome>> = {
+  200: "holds",
+  202: "begun",
+  409: "unfit",
+  412: "outdated",
+  421: "elsewhere",
+};
+
+/** Orders and questions to model instances over the platform's protocol. */
+export class InstanceClient implements InstanceControl {
+  readonly #agent = new Agent({ keepAlive: true, timeout: 4_000 });
+
+  sendOrder(
+    instance: InstanceAddress,
+    order: InstanceOrder & { readonly fence: number },
+  ): Effect.Effect<OrderOutcome, InstanceSilent> {
+    return exchangeBytes({
+      address: instance.address,
+      method: "POST",
+      path: "/order",
+      headers: {
+        "content-type": "application/json",
+        [headers.instance]: instance.id,
+      },
+      body: Buffer.from(JSON.stringify(encodeOrder(order))),
+      timeoutMs: ORDER_TIMEOUT_MS,
+      agent: this.#agent,
+    }).pipe(
+      Effect.mapError(toSilent),
+      Effect.flatMap((answer) => readOutcome(answer)),
+    );
+  }
+
+  probe(instance: InstanceAddress): Effect.Effect<void, InstanceSilent> {
+    return exchangeBytes({
+      address: instance.address,
+      method: "GET",
+      path: "/report",
+      headers: { [headers.instance]: instance.id },
+      timeoutMs: PROBE_TIMEOUT_MS,
+      agent: false,
+    }).pipe(
+      Effect.mapError(toSilent),
+      Effect.flatMap(({ status }) =>
+        status === MISDIRECTED_STATUS
+          ? Effect.fail(
+            new InstanceSilent({
+              isRefused: true,
+              message: `Another instance answers at ${instance.address}`,
+            }),
+          )
+          : Effect.void
+      ),
+    );
+  }
+}
+
+const MISDIRECTED_STATUS = 421;
+
+function encodeOrder(order: InstanceOrder & { readonly fence: number }) {
+  const { fence } = order;
+  switch (order.kind) {
+    case "join":
+      return {
+        op: "join",
+        group: order.replica,
+        epoch: order.epoch,
+        model: order.model,
+        members: order.members,
+        fence,
+      };
+    case "close":
+      return {
+        op: "close",
+        group: order.replica,
+        epoch: order.epoch,
+        close_mode: order.isImmediate ? "preempt" : "wait",
+        fence,
+      };
+    case "open":
+    case "leave":
+      return {
+        op: order.kind,
+        group: order.replica,
+        epoch: order.epoch,
+        fence,
+      };
+    case "stage":
+      return { op: "stage", model: order.model, fence };
+  }
+}
+
+function readOutcome(
+  answer: ByteAnswer,
+): Effect.Effect<OrderOutcome, InstanceSilent> {
+  const outcome = OUTCOMES[answer.status];
+  if (outcome !== undefined) return Effect.succeed(outcome);
+  return Effect.fail(
+    new InstanceSilent({
+      isRefused: false,
+      message: `The instance answered ${answer.status}: ${
+        answer.body.toString("utf8", 0, 200)
+      }`,
+    }),
+  );
+}
+
+function toSilent(failure: CallFailure): InstanceSilent {
+  return new InstanceSilent({
+    message: failure.message,
+    isRefused: failure.reason === "refused",
+  });
+}
--- /dev/null
+++ b/packages/celerytray/src/platform/settings_file.ts
@@ -0,0 +1,84 @@
+import { type Either, Left, Right } from "purify-ts";
+import type { HostSettings } from "../host/host_settings.ts";
+
+/** Names of the settings that this program needs, by what they hold. */
+const NAMES = {
+  nodeId: "node_name",
+  zone: "zone",
+  host: "ip",
+  callerAddress: "listen.front",
+  readyAddress: "listen.ready",
+  internalPorts: "internal_ports",
+  storeAddress: "platform.address",
+  isFirstStart: "bootstrap",
+  graceSeconds: "bounds.grace_s",
+  revokeMs: "bounds.revoke_ms",
+  stallMs: "bounds.stall_ms",
+  retryRatio: "bounds.retry_ratio",
+  retryWindowSeconds: "bounds.retry_window_s",
+  retrySlack: "bounds.retry_slack",
+  heartbeatMs: "heartbeat_ms",
+} as const;
+
+const DEFAULTS: Readonly<Record<string, string>> = {
+  [NAMES.isFirstStart]: "false",
+  [NAMES.graceSeconds]: "8",
+  [NAMES.revokeMs]: "5000",
+  [NAMES.stallMs]: "6000",
+  [NAMES.retryRatio]: "0.1",
+  [NAMES.retryWindowSeconds]: "10",
+  [NAMES.retrySlack]: "20",
+  [NAMES.heartbeatMs]: "1200",
+};
+
+/** Decodes the settings file; fails with one line for each problem. */
+export function decodeSettings(text: string): Either<string, HostSettings> {
+  const fields = new Map<string, string>();
+  for (const line of text.split("\n")) {
+    const separator = line.indexOf("=");
+    if (separator > 0) {
+      fields.set(line.slice(0, separator).trim(), line.slice(separator + 1));
+    }
+  }
+  const problems: string[] = [];
+  const readText = (name: string): string => {
+    const value = (fields.get(name) ?? DEFAULTS[name] ?? "").trim();
+    if (value === "") problems.push(`${name} is missing; add a line for it`);
+    return value;
+  };
+  const readAmount = (name: string): number => {
+    const value = readText(name);
+    const amount = Number(value);
+    if (value !== "" && !(amount >= 0)) {
+      problems.push(`${name} is ${value}; give a number of 0 or more`);
+    }
+    return amount;
+  };
+  const readAddress = (name: string): string => {
+    const value = readText(name);
+    if (value !== "" && !/^[0-9.]+:[0-9]+$/.test(value)) {
+      problems.push(`${name} is ${value}; give IP:PORT`);
+    }
+    return value;
+  };
+  const [firstPort = "", lastPort = firstPort] = readText(NAMES.internalPorts)
+    .split(",");
+  const settings: HostSettings = {
+    nodeId: readText(NAMES.nodeId),
+    zone: readText(NAMES.zone),
+    callerAddress: readAddress(NAMES.callerAddress),
+    readyAddress: readAddress(NAMES.readyAddress),
+    peerAddress: `${readText(NAMES.host)}:${firstPort}`,
+    metricsAddress: `${readText(NAMES.host)}:${lastPort}`,
+    storeAddress: readAddress(NAMES.storeAddress),
+    isFirstStart: readText(NAMES.isFirstStart) === "true",
+    graceMs: readAmount(NAMES.graceSeconds) * 1000,
+    keyRevocationMs: readAmount(NAMES.revokeMs),
+    replicaStallMs: readAmount(NAMES.stallMs),
+    retryShare: readAmount(NAMES.retryRatio),
+    retryWindowMs: readAmount(NAMES.retryWindowSeconds) * 1000,
+    retrySlackRequests: readAmount(NAMES.retrySlack),
+    instanceHeartbeatMs: readAmount(NAMES.heartbeatMs),
+  };
+  return problems.length === 0 ? Right(settings) : Left(problems.join("\n"));
+}
--- /dev/null
+++ b/packages/celerytray/src/platform/store_client.ts
@@ -0,0 +1,212 @@
+import { Effect } from "effect";
+import { Agent } from "node:http";
+import {
+  AppendConflict,
+  HistoryDropped,
+  type KeyedLog,
+  type KeyedPage,
+  type KeyedRecord,
+  type KeyedTopic,
+  type ReadFailure,
+  StoreAnswerLost,
+  StoreUnavailable,
+} from "../keyed_log/index.ts";
+import {
+  type ByteAnswer,
+  type CallFailure,
+  exchangeBytes,
+} from "./exchange_bytes.ts";
+import {
+  decode,
+  type JsonObject,
+  parseObject,
+  readFlag,
+  readNumber,
+  readObjects,
+  readString,
+} from "./fields.ts";
+import { decodeRecords, encodeKeyedRecord } from "./record_codec.ts";
+import { topics } from "./words.ts";
+
+const CALL_TIMEOUT_MS = 1_500;
+
+/** The platform's store over its protocol. */
+export class StoreClient implements KeyedLog {
+  readonly #address: string;
+  readonly #agent = new Agent({ keepAlive: true });
+
+  constructor(options: { readonly address: string }) {
+    this.#address = options.address;
+  }
+
+  readNewest(topic: KeyedTopic): Effect.Effect<KeyedPage, ReadFailure> {
+    return Effect.gen({ self: this }, function* () {
+      const records: KeyedRecord[] = [];
+      let nextOffset: number | undefined;
+      let after = "";
+      while (true) {
+        const query = `topic=${topics[topic]}&part=0${
+          after === "" ? "" : `&after=${encodeURIComponent(after)}`
+        }`;
+        const answer = yield* this.#call("GET", `/log-newest?${query}`);
+        if (answer.status === NO_TOPIC_STATUS) return EMPTY_PAGE;
+        const page = yield* readOk(answer, decodeNewest);
+        records.push(...page.records);
+        nextOffset ??= page.endOffset;
+        const last = page.records.at(-1);
+        if (!page.hasMore || last === undefined) {
+          return { records, nextOffset };
+        }
+        after = last.key;
+      }
+    });
+  }
+
+  read(
+    topic: KeyedTopic,
+    options: { readonly fromOffset: number; readonly waitMs: number },
+  ): Effect.Effect<KeyedPage, ReadFailure | HistoryDropped> {
+    const { fromOffset, waitMs } = options;
+    const path = `/log-read?topic=${
+      topics[topic]
+    }&part=0&from=${fromOffset}&wait_ms=${waitMs}`;
+    return this.#call("GET", path, { waitMs }).pipe(
+      Effect.flatMap((answer): Effect.Effect<
+        KeyedPage,
+        ReadFailure | HistoryDropped
+      > => {
+        if (answer.status === GONE_STATUS) {
+          return Effect.fail(
+            new HistoryDropped({
+              message:
+                `The store dropped the records of ${topic} from ${fromOffset}; read the newest ones`,
+            }),
+          );
+        }
+        if (answer.status === NO_TOPIC_STATUS) {
+          return Effect.succeed({ records: [], nextOffset: fromOffset });
+        }
+        if (answer.status !== OK_STATUS) return Effect.fail(refusal(answer));
+        return decodeRecords(answer.body, fromOffset).caseOf<
+          Effect.Effect<KeyedPage, ReadFailure>
+        >({
+          Left: (message) => Effect.fail(new StoreAnswerLost({ message })),
+          Right: (page) => Effect.succeed(page),
+        });
+      }),
+    );
+  }
+
+  append(
+    topic: KeyedTopic,
+    record: {
+      readonly key: string;
+      readonly value?: Buffer;
+      readonly at?: number;
+    },
+  ): Effect.Effect<number, ReadFailure | AppendConflict> {
+    const at = record.at === undefined ? "" : `&at=${record.at}`;
+    return this.#call(
+      "POST",
+      `/log-append?topic=${topics[topic]}&part=0${at}`,
+      { body: encodeKeyedRecord(record.key, record.value) },
+    ).pipe(
+      Effect.flatMap((answer): Effect.Effect<
+        number,
+        ReadFailure | AppendConflict
+      > => {
+        if (answer.status === CONFLICT_STATUS) {
+          return readBody(answer, (body) => readNumber(body, "end")).pipe(
+            Effect.flatMap((endOffset) =>
+              Effect.fail(
+                new AppendConflict({
+                  endOffset,
+                  message:
+                    `${topic} ends at ${endOffset}; read on and decide again`,
+                }),
+              )
+            ),
+          );
+        }
+        return readOk(answer, (body) => readNumber(body, "offset"));
+      }),
+    );
+  }
+
+  #call(
+    method: "GET" | "POST",
+    path: string,
+    options: { readonly body?: Buffer; readonly waitMs?: number } = {},
+  ): Effect.Effect<ByteAnswer, ReadFailure> {
+    return exchangeBytes({
+      address: this.#address,
+      method,
+      path,
+      ...(options.body === undefined ? {} : { body: options.body }),
+      timeoutMs: CALL_TIMEOUT_MS + (options.waitMs ?? 0),
+      agent: this.#agent,
+    }).pipe(Effect.mapError(toReadFailure));
+  }
+}
+
+const OK_STATUS = 200;
+const NO_TOPIC_STATUS = 404;
+const GONE_STATUS = 410;
+const CONFLICT_STATUS = 412;
+const EMPTY_PAGE: KeyedPage = { records: [], nextOffset: 0 };
+
+interface NewestPage {
+  readonly records: readonly KeyedRecord[];
+  readonly hasMore: boolean;
+  readonly endOffset: number;
+}
+
+function decodeNewest(body: JsonObject): NewestPage {
+  return {
+    records: readObjects(body, "items").map((item) => ({
+      key: readString(item, "key"),
+      value: Buffer.from(readString(item, "value"), "base64"),
+      offset: readNumber(item, "offset"),
+    })),
+    hasMore: readFlag(body, "has_more"),
+    endOffset: readNumber(body, "end"),
+  };
+}
+
+function readOk<Value>(
+  answer: ByteAnswer,
+  read: (body: JsonObject) => Value,
+): Effect.Effect<Value, ReadFailure> {
+  if (answer.status !== OK_STATUS) return Effect.fail(refusal(answer));
+  return readBody(answer, read);
+}
+
+function readBody<Value>(
+  answer: ByteAnswer,
+  read: (body: JsonObject) => Value,
+): Effect.Effect<Value, ReadFailure> {
+  return parseObject(answer.body.toString("utf8"))
+    .chain((body) => decode(() => read(body)))
+    .caseOf<Effect.Effect<Value, ReadFailure>>({
+      Left: (message) =>
+        Effect.fail(
+          new StoreAnswerLost({
+            message: `The store's answer can't be read: ${message}`,
+          }),
+        ),
+      Right: (value) => Effect.succeed(value),
+    });
+}
+
+function refusal(answer: ByteAnswer): StoreUnavailable {
+  return new StoreUnavailable({
+    message: `The store answered ${answer.status}; call again later`,
+  });
+}
+
+function toReadFailure(failure: CallFailure): ReadFailure {
+  const { message } = failure;
+  return failure.reason === "answer-lost"
+    ? new StoreAnswerLost({ message })
+    : new StoreUnavailable({ message });
+}
--- /dev/null
+++ b/packages/celerytray/src/platform/words.ts
@@ -0,0 +1,29 @@
+/** Names of the platform's headers, in lower case as Node tells them. */
+export const headers = {
+  callId: "attempt-id",
+  budget: "deadline-ms",
+  key: "x-api-key",
+  tenant: "tenant",
+  stamp: "server-stamp",
+  notRun: "not-executed",
+  instance: "expect-instance",
+  load: "replica-load",
+  model: "model",
+  tokens: "token-count",
+  resumeAfter: "last-event-id",
+  priority: "request-priority",
+  faultyInstance: "at-server",
+} as const;
+
+/** Names of the store's topics. */
+export const topics = {
+  config: "keyed.op",
+  instances: "keyed.servers",
+  fleet: "keyed.fleet",
+} as const;
+
+/** Key of the newest configuration. */
+export const CONFIG_KEY = "config";
+
+/** Variable with the path of the settings file. */
+export const SETTINGS_VARIABLE = "CELERYTRAY_BOOT";
--- /dev/null
+++ b/packages/celerytray/src/serving/call.ts
@@ -0,0 +1,67 @@
+import type { IncomingMessage } from "node:http";
+import type { Either } from "purify-ts";
+
+/** What a request's head says. */
+export interface CallHead {
+  readonly id: string;
+  readonly method: string;
+  readonly host: string;
+  /** Path and query as sent. */
+  readonly target: string;
+  /** Path without query. */
+  readonly path: string;
+  /** Time that the caller will wait. */
+  readonly budgetMs?: number;
+  readonly key?: string;
+  readonly model?: string;
+  readonly promptTokens: number;
+  /** Event after which a stream is to go on. */
+  readonly resumeAfter?: number;
+  /** Names and values by turns, of the headers to pass on. */
+  readonly passedHeaders: readonly string[];
+}
+
+/** What one attempt adds to a request's head. */
+export interface AttemptHead {
+  readonly remainingMs: number;
+  readonly instanceId: string;
+  readonly tenant?: string;
+  readonly priority?: number;
+  readonly resumeAfter?: number;
+  readonly bodyBytes: number;
+}
+
+/** Work at an instance, as its answers tell it. */
+export interface InstanceLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** What an answer's head says. */
+export interface AnswerHead {
+  readonly status: number;
+  /** Request that it belongs to; undefined where it isn't told. */
+  readonly callId?: string;
+  /** Whether the instance says that it didn't run the request. */
+  readonly isNotRun: boolean;
+  /** Whether the instance vouches for the answer. */
+  readonly isStamped: boolean;
+  /** Whether the body isn't the instance's own bytes. */
+  readonly isEncoded: boolean;
+  readonly isEventStream: boolean;
+  readonly load?: InstanceLoad;
+  /** Instance that keeps the replica from working. */
+  readonly faultyInstance?: string;
+  /** Names and values by turns, of the headers to pass on. */
+  readonly passedHeaders: readonly string[];
+}
+
+/** A protocol of callers and back ends. */
+export interface CallCodec {
+  /** Fails with what is wrong with the request. */
+  decodeCall(request: IncomingMessage): Either<string, CallHead>;
+  /** Names and values by turns. */
+  encodeAttempt(call: CallHead, attempt: AttemptHead): string[];
+  decodeAnswer(response: IncomingMessage): AnswerHead;
+}
--- /dev/null
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -0,0 +1,54 @@
+import type { LoadBook } from "./load_book.ts";
+
+/** An instance that takes requests: plain, or the head of a replica. */
+export interface ServingTarget {
+  readonly instanceId: string;
+  /** IP:PORT. */
+  readonly address: string;
+  readonly zone: string;
+  readonly slots: number;
+}
+
+/** What the choice looks at. */
+export interface TargetChoice {
+  readonly targets: readonly ServingTarget[];
+  readonly loads: LoadBook;
+  readonly zone: string;
+  /** Instances that already had the request. */
+  readonly tried: ReadonlySet<string>;
+  readonly nowMs: number;
+  /** 0 to 1. */
+  readonly random: () => number;
+}
+
+/** Extra load that another zone is worth, in parts of the slots. */
+const OTHER_ZONE_COST = 0.05;
+/** Extra load that a failure share of 1 is worth, in parts of the slots. */
+const FAILURE_COST = 3;
+/** Differences below this are decided by chance. */
+const TIE_SPREAD = 0.04;
+
+/** Picks the least loaded target, undefined if none is left. */
+export function chooseTarget(choice: TargetChoice): ServingTarget | undefined {
+  const { loads, nowMs, tried } = choice;
+  const untried = choice.targets.filter(({ instanceId }) =>
+    !tried.has(instanceId)
+  );
+  const preferred = untried.filter(({ instanceId }) =>
+    !loads.isAvoided(instanceId, nowMs)
+  );
+  let best: ServingTarget | undefined;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const target of preferred.length > 0 ? preferred : untried) {
+    const { instanceId } = target;
+    const cost = loads.estimate(instanceId, nowMs) / target.slots +
+      loads.failureShare(instanceId, nowMs) * FAILURE_COST +
+      (target.zone === choice.zone ? 0 : OTHER_ZONE_COST) +
+      choice.random() * TIE_SPREAD;
+    if (cost < bestCost) {
+      best = target;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/celerytray/src/serving/index.ts
@@ -0,0 +1,37 @@
+/** Serving of calls, whatever their protocol. */
+export type {
+  AnswerHead,
+  AttemptHead,
+  CallCodec,
+  CallHead,
+  InstanceLoad,
+} from "./call.ts";
+export { CallerExchange, type OwnAnswer } from "./caller_exchange.ts";
+export { chooseTarget, type ServingTarget } from "./choose_target.ts";
+export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
+export { LoadBook } from "./load_book.ts";
+export { RepeatBudget, type RepeatBudgetOptions } from "./repeat_budget.ts";
+export { type AttemptOutcome, runAttempt } from "./run_attempt.ts";
+export {
+  type CallRecord,
+  serveCall,
+  type ServingDependencies,
+} from "./serve_call.ts";
+export type {
+  CallerLimits,
+  EngineSpec,
+  Repeatability,
+  RouteTarget,
+  ServedModel,
+  ServedService,
+  ServingConfig,
+  ServingRoute,
+  ServingTenant,
+} from "./serving_config.ts";
+export { selectService, ServingIndex } from "./serving_index.ts";
+export {
+  DOUBT_AFTER_MS,
+  MOVE_AFTER_MS,
+  type StalledInstance,
+  StallWatch,
+} from "./stall_watch.ts";
--- /dev/null
+++ b/packages/celerytray/src/serving/load_book.ts
@@ -0,0 +1,111 @@
+import type { InstanceLoad } from "./call.ts";
+
+/** Time over which a told load fades, as other machines' work ends. */
+const TOLD_LOAD_FADE_MS = 1_500;
+/** Time over which failures are forgotten. */
+const FAILURE_FADE_MS = 4_000;
+const FAILURE_WEIGHT = 0.3;
+
+interface InstanceWork {
+  inFlight: number;
+  /** Requests running and waiting, as told. */
+  toldWork: number;
+  toldAtMs: number;
+  /** Requests sent and ended here since it was told. */
+  changeSinceTold: number;
+  /** 0 to 1. */
+  failureShare: number;
+  failedAtMs: number;
+  avoidUntilMs: number;
+}
+
+/** Work at each instance: told by answers, corrected by what is sent here. */
+export class LoadBook {
+  readonly #work = new Map<string, InstanceWork>();
+
+  noteSent(instanceId: string): void {
+    const work = this.#workOf(instanceId);
+    work.inFlight += 1;
+    work.changeSinceTold += 1;
+  }
+
+  noteEnded(instanceId: string): void {
+    const work = this.#workOf(instanceId);
+    work.inFlight -= 1;
+    work.changeSinceTold -= 1;
+  }
+
+  noteLoad(instanceId: string, load: InstanceLoad, nowMs: number): void {
+    const work = this.#workOf(instanceId);
+    work.toldWork = load.running + load.waiting;
+    work.toldAtMs = nowMs;
+    work.changeSinceTold = 0;
+  }
+
+  /** Takes note of whether an attempt succeeded, as far as the instance counts. */
+  noteOutcome(
+    instanceId: string,
+    outcome: { readonly hasFailed: boolean; readonly nowMs: number },
+  ): void {
+    const work = this.#workOf(instanceId);
+    work.failureShare = this.#failureShare(work, outcome.nowMs) *
+        (1 - FAILURE_WEIGHT) + (outcome.hasFailed ? FAILURE_WEIGHT : 0);
+    work.failedAtMs = outcome.nowMs;
+  }
+
+  /** Sends nothing to an instance until a time, where others can take it. */
+  avoidUntil(instanceId: string, atMs: number): void {
+    const work = this.#workOf(instanceId);
+    work.avoidUntilMs = Math.max(work.avoidUntilMs, atMs);
+  }
+
+  isAvoided(instanceId: string, nowMs: number): boolean {
+    return (this.#work.get(instanceId)?.avoidUntilMs ?? 0) > nowMs;
+  }
+
+  /** Requests thought to run or wait at an instance. */
+  estimate(instanceId: string, nowMs: number): number {
+    const work = this.#work.get(instanceId);
+    if (work === undefined) return 0;
+    const fade = Math.exp(-(nowMs - work.toldAtMs) / TOLD_LOAD_FADE_MS);
+    const told = (work.toldWork + work.changeSinceTold) * fade;
+    return Math.max(work.inFlight, told);
+  }
+
+  /** Share of attempts that failed lately. */
+  failureShare(instanceId: string, nowMs: number): number {
+    const work = this.#work.get(instanceId);
+    return work === undefined ? 0 : this.#failureShare(work, nowMs);
+  }
+
+  /** Forgets instances that are gone and have no work from here. */
+  keepOnly(isPresent: (instanceId: string) => boolean): void {
+    for (const [instanceId, work] of this.#work) {
+      if (work.inFlight === 0 && !isPresent(instanceId)) {
+        this.#work.delete(instanceId);
+      }
+    }
+  }
+
+  #failureShare(work: InstanceWork, nowMs: number): number {
+    return work.failureShare *
+      Math.exp(-(nowMs - work.failedAtMs) / FAILURE_FADE_MS);
+  }
+
+  #workOf(instanceId: string): InstanceWork {
+    let work = this.#work.get(instanceId);
+    if (work === undefined) {
+      work = {
+        inFlight: 0,
+        toldWork: 0,
+        toldAtMs: 0,
+        changeSinceTold: 0,
+        failureShare: 0,
+        failedAtMs: 0,
+        avoidUntilMs: 0,
+      };
+      this.#work.set(instanceId, work);
+    }
+    return work;
+  }
+}
--- /dev/null
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -0,0 +1,206 @@
+import { Effect } from "effect";
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request as httpRequest,
+} from "node:http";
+import { parseAddress } from "../http/index.ts";
+import type { AnswerHead, CallCodec } from "./call.ts";
+import { EventSplitter, type StreamEvent } from "./event_splitter.ts";
+
+/** What became of one attempt. */
+export type AttemptOutcome =
+  /** The request did not run and never will there. */
+  | {
+    readonly kind: "not-run";
+    readonly message: string;
+    /** Whether the instance itself turned it away. */
+    readonly isTurnedAway: boolean;
+    readonly faultyInstance?: string;
+  }
+  /** It may have run; no whole answer came. */
+  | { readonly kind: "lost"; readonly message: string }
+  | {
+    readonly kind: "answered";
+    readonly head: AnswerHead;
+    readonly body: Buffer;
+  }
+  /** A whole stream was handed on. */
+  | { readonly kind: "streamed" };
+
+/** One attempt at one instance. */
+export interface AttemptOptions {
+  readonly codec: CallCodec;
+  readonly address: string;
+  readonly method: string;
+  readonly target: string;
+  /** Names and values by turns. */
+  readonly headers: string[];
+  readonly body: Buffer;
+  readonly callId: string;
+  /** Pool to use; a fresh connection without one. */
+  readonly agent: Agent | undefined;
+  /** Last event that the caller has. */
+  readonly lastEventId?: number;
+  /** Called with an answer that is a stream, before its events. */
+  readonly onStreamHead: (head: AnswerHead) => void;
+  readonly onEvent: (event: StreamEvent) => void;
+  /** Called with the head of any answer to this request. */
+  readonly onHead: (head: AnswerHead) => void;
+  readonly onBytes: () => void;
+  /** Receives a function that ends the attempt. */
+  readonly onAbandonable: (abandon: (message: string) => void) => void;
+}
+
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+/** Sends a request once; interruption closes the connection. */
+export function runAttempt(
+  options: AttemptOptions,
+): Effect.Effect<AttemptOutcome> {
+  return Effect.callback<AttemptOutcome>((resume) => {
+    let isSent = false;
+    let isSettled = false;
+    const settle = (outcome: AttemptOutcome) => {
+      if (isSettled) return;
+      isSettled = true;
+      resume(Effect.succeed(outcome));
+    };
+    const fail = (message: string) =>
+      settle(
+        isSent
+          ? { kind: "lost", message }
+          : { kind: "not-run", message, isTurnedAway: false },
+      );
+    const request = httpRequest({
+      ...parseAddress(options.address),
+      method: options.method,
+      path: options.target,
+      agent: options.agent ?? false,
+      headers: options.headers,
+    });
+    request.on("socket", (socket) => {
+      const dispatch = () => {
+        isSent = true;
+        request.end(options.body.length > 0 ? options.body : undefined);
+      };
+      if (socket.connecting) socket.once("connect", dispatch);
+      else dispatch();
+    });
+    request.on("error", (error) => fail(error.message));
+    request.on(
+      "response",
+      (response) => readAnswer(response, { options, request, settle, fail }),
+    );
+    options.onAbandonable((message) => {
+      fail(message);
+      request.destroy();
+    });
+    return Effect.sync(() => {
+      isSettled = true;
+      request.destroy();
+    });
+  });
+}
+
+interface AnswerReading {
+  readonly options: AttemptOptions;
+  readonly request: ClientRequest;
+  readonly settle: (outcome: AttemptOutcome) => void;
+  readonly fail: (message: string) => void;
+}
+
+function readAnswer(response: IncomingMessage, reading: AnswerReading): void {
+  const { options, request } = reading;
+  const head = options.codec.decodeAnswer(response);
+  const reject = (message: string) => {
+    reading.fail(message);
+    request.destroy();
+  };
+  response.on("error", (error) => reading.fail(error.message));
+  response.on("close", () => reading.fail("The answer was cut off"));
+  if (head.callId !== undefined && head.callId !== options.callId) {
+    reject("The instance answered another request");
+    return;
+  }
+  options.onBytes();
+  options.onHead(head);
+  if (head.isNotRun) {
+    response.resume();
+    reading.settle({
+      kind: "not-run",
+      message: `The instance turned the request away with ${head.status}`,
+      isTurnedAway: true,
+      ...(head.faultyInstance === undefined
+        ? {}
+        : { faultyInstance: head.faultyInstance }),
+    });
+    return;
+  }
+  const isSuccess = head.status >= 200 && head.status < 300;
+  if (isSuccess && !head.isStamped) {
+    reject("The answer doesn't come from the instance");
+  } else if (isSuccess && head.isEncoded) {
+    reject("The answer is encoded, though none was asked for");
+  } else if (isSuccess && head.isEventStream) {
+    relayStream(response, { ...reading, head, reject });
+  } else {
+    collectBody(response, { ...reading, head, reject });
+  }
+}
+
+interface BodyReading extends AnswerReading {
+  readonly head: AnswerHead;
+  readonly reject: (message: string) => void;
+}
+
+function relayStream(response: IncomingMessage, reading: BodyReading): void {
+  const { options, reject } = reading;
+  const splitter = new EventSplitter();
+  let lastId = options.lastEventId;
+  options.onStreamHead(reading.head);
+  response.on("data", (chunk: Buffer) => {
+    options.onBytes();
+    for (const event of splitter.push(chunk)) {
+      if (event.id !== undefined) {
+        if (lastId !== undefined && event.id !== lastId + 1) {
+          reject(`Event ${event.id} follows event ${lastId}`);
+          return;
+        }
+        lastId = event.id;
+      }
+      options.onEvent(event);
+    }
+  });
+  response.on("end", () => {
+    if (!response.complete || splitter.pendingBytes > 0) {
+      reject("The stream ended inside an event");
+    } else {
+      reading.settle({ kind: "streamed" });
+    }
+  });
+}
+
+function collectBody(response: IncomingMessage, reading: BodyReading): void {
+  const chunks: Buffer[] = [];
+  let receivedBytes = 0;
+  response.on("data", (chunk: Buffer) => {
+    reading.options.onBytes();
+    receivedBytes += chunk.length;
+    chunks.push(chunk);
+    if (receivedBytes > MAX_ANSWER_BYTES) {
+      reading.reject(`The answer exceeds ${MAX_ANSWER_BYTES} bytes`);
+    }
+  });
+  response.on("end", () => {
+    if (!response.complete) reading.reject("The answer was cut off");
+    else {
+      reading.settle({
+        kind: "answered",
+        head: reading.head,
+        body: Buffer.concat(chunks),
+      });
+    }
+  });
+}
--- /dev/null
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -0,0 +1,346 @@
+import { Clock, Effect } from "effect";
+import type { AnswerHead } from "./call.ts";
+import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
+import { chooseTarget, type ServingTarget } from "./choose_target.ts";
+import type { StreamEvent } from "./event_splitter.ts";
+import { type AttemptOutcome, runAttempt } from "./run_attempt.ts";
+import type { AdmittedCall, ServingDependencies } from "./serve_call.ts";
+import type { Repeatability } from "./serving_config.ts";
+
+/** What became of all attempts of a call. */
+export type AttemptsResult =
+  & {
+    /** Instances that had the request, with what each came to. */
+    readonly attempts: readonly string[];
+    readonly firstByteAtMs?: number;
+  }
+  & (
+    | {
+      readonly kind: "answered";
+      readonly head: AnswerHead;
+      readonly body: Buffer;
+    }
+    | { readonly kind: "streamed" }
+    | {
+      readonly kind: "given-up";
+      readonly own: OwnAnswer;
+      readonly hasStarted: boolean;
+    }
+  );
+
+/** What the attempts of one call work with. */
+export interface AttemptsOptions {
+  readonly call: AdmittedCall;
+  readonly exchange: CallerExchange;
+  readonly dependencies: ServingDependencies;
+}
+
+/** What is known of the call so far. */
+interface Progress {
+  readonly tried: Set<string>;
+  readonly attempts: string[];
+  /** Attempts that may have run. */
+  runs: number;
+  /** Whether any attempt may have run. */
+  mayHaveRun: boolean;
+  lastEventId: number | undefined;
+  firstByteAtMs: number | undefined;
+  /** A failure that an instance answered, if no later attempt does better. */
+  failure: { readonly head: AnswerHead; readonly body: Buffer } | undefined;
+  /** Ends the attempt under way; undefined when there is none. */
+  abandon: ((message: string) => void) | undefined;
+}
+
+/** Longest wait for a replica of the model, as a part of the target time. */
+const WAIT_PART_OF_TARGET = 0.25;
+const WAIT_STEP_MS = 20;
+/** Time for which an instance that couldn't be reached is left alone. */
+const AVOID_UNREACHABLE_MS = 1_000;
+/** Time for which one that turned requests away is left alone. */
+const AVOID_FULL_MS = 150;
+/** Time for which one that stood still is left alone. */
+const AVOID_STALLED_MS = 2_500;
+const FULL_RETRY_MS = 400;
+const NO_REPLICA_RETRY_MS = 800;
+/** Least time left for which another attempt is worth it. */
+const MIN_REMAINING_MS = 30;
+const SERVER_ERROR_STATUS = 500;
+/** Statuses that promise callers that a request did not run. */
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
+
+/** Attempts a call until it is answered, given up or out of time. */
+export function runAttempts(
+  options: AttemptsOptions,
+): Effect.Effect<AttemptsResult> {
+  const { call } = options;
+  return Effect.gen(function* () {
+    const progress: Progress = {
+      tried: new Set(),
+      attempts: [],
+      runs: 0,
+      mayHaveRun: false,
+      lastEventId: call.head.resumeAfter,
+      firstByteAtMs: undefined,
+      failure: undefined,
+      abandon: undefined,
+    };
+    const startedAtMs = yield* Clock.currentTimeMillis;
+    return yield* attemptUntilDone(options, progress).pipe(
+      Effect.timeoutOrElse({
+        duration: Math.max(1, call.deadlineAtMs - startedAtMs),
+        orElse: () =>
+          Effect.sync(() =>
+            giveUp(options, progress, "The request's time is over")
+          ),
+      }),
+    );
+  });
+}
+
+function attemptUntilDone(
+  options: AttemptsOptions,
+  progress: Progress,
+): Effect.Effect<AttemptsResult> {
+  const { call, dependencies } = options;
+  return Effect.gen(function* () {
+    while (true) {
+      const target = yield* awaitTarget(options, progress);
+      if (target === undefined) {
+        return giveUp(options, progress, "No back end can take the request");
+      }
+      const nowMs = yield* Clock.currentTimeMillis;
+      const isRepeat = progress.attempts.length > 0;
+      if (isRepeat && call.deadlineAtMs - nowMs < MIN_REMAINING_MS) {
+        return giveUp(options, progress, "Too little time is left");
+      }
+      if (isRepeat && !dependencies.repeats.trySpend(call.service, nowMs)) {
+        return giveUp(options, progress, "The budget of repeats is spent");
+      }
+      const outcome = yield* attemptOnce(options, progress, target);
+      const endedAtMs = yield* Clock.currentTimeMillis;
+      noteOutcome({ options, progress, target, outcome, nowMs: endedAtMs });
+      if (outcome.kind === "streamed") {
+        return { kind: "streamed", ...describe(progress) };
+      }
+      if (outcome.kind === "answered") {
+        if (!mayRepeatAnswer(options, progress, outcome.head)) {
+          if (isFalsePromise(call.route.repeatability, outcome.head)) {
+            return giveUp(options, progress, describeOutcome(outcome));
+          }
+          const { head, body } = outcome;
+          return { kind: "answered", head, body, ...describe(progress) };
+        }
+        progress.failure = outcome;
+      }
+      if (!mayAttemptAgain(options, progress)) {
+        return giveUp(options, progress, describeOutcome(outcome));
+      }
+    }
+  });
+}
+
+/** Waits shortly for a target, if there is none now. */
+function awaitTarget(
+  { call, dependencies }: AttemptsOptions,
+  progress: Progress,
+): Effect.Effect<ServingTarget | undefined> {
+  return Effect.gen(function* () {
+    const startedAtMs = yield* Clock.currentTimeMillis;
+    const waitUntilMs = startedAtMs +
+      call.route.targetMs * WAIT_PART_OF_TARGET;
+    while (true) {
+      const nowMs = yield* Clock.currentTimeMillis;
+      const target = chooseTarget({
+        targets: dependencies.listTargets(call.service, call.head.model),
+        loads: dependencies.loads,
+        zone: dependencies.zone,
+        tried: progress.tried,
+        nowMs,
+        random: dependencies.random,
+      });
+      if (target !== undefined || nowMs >= waitUntilMs) return target;
+      yield* Effect.sleep(WAIT_STEP_MS);
+    }
+  });
+}
+
+function attemptOnce(
+  { call, exchange, dependencies }: AttemptsOptions,
+  progress: Progress,
+  target: ServingTarget,
+): Effect.Effect<AttemptOutcome> {
+  const { loads, stalls, codec } = dependencies;
+  const { instanceId, address } = target;
+  return Effect.gen(function* () {
+    const clock = yield* Clock.Clock;
+    const nowMs = () => clock.currentTimeMillisUnsafe();
+    const startedAtMs = nowMs();
+    progress.tried.add(instanceId);
+    loads.noteSent(instanceId);
+    const endWatch = call.route.isStream
+      ? stalls.begin({
+        instanceId,
+        startedAtMs,
+        abandon: () => progress.abandon?.("The replica stands still"),
+      })
+      : () => {};
+    return yield* runAttempt({
+      codec,
+      address,
+      method: call.head.method,
+      target: call.head.target,
+      headers: codec.encodeAttempt(call.head, {
+        remainingMs: call.deadlineAtMs - startedAtMs,
+        instanceId,
+        bodyBytes: call.body.length,
+        ...(call.route.isStream ? { priority: call.priority } : {}),
+        ...(call.tenant === undefined ? {} : { tenant: call.tenant }),
+        ...(progress.lastEventId === undefined
+          ? {}
+          : { resumeAfter: progress.lastEventId }),
+      }),
+      body: call.body,
+      callId: call.head.id,
+      agent: call.route.repeatability === "once"
+        ? undefined
+        : dependencies.agentFor(address),
+      ...(progress.lastEventId === undefined
+        ? {}
+        : { lastEventId: progress.lastEventId }),
+      onHead: ({ load }) => {
+        if (load !== undefined) loads.noteLoad(instanceId, load, nowMs());
+      },
+      onBytes: () => stalls.noteBytes(instanceId, nowMs()),
+      onStreamHead: (head) => {
+        if (!exchange.hasStarted) exchange.startStream(head);
+      },
+      onEvent: (event: StreamEvent) => {
+        progress.firstByteAtMs ??= nowMs();
+        exchange.writeEvent(event.bytes);
+        if (event.id !== undefined) progress.lastEventId = event.id;
+      },
+      onAbandonable: (abandon) => progress.abandon = abandon,
+    }).pipe(
+      Effect.ensuring(Effect.sync(() => {
+        loads.noteEnded(instanceId);
+        endWatch();
+      })),
+    );
+  });
+}
+
+interface NotedOutcome {
+  readonly options: AttemptsOptions;
+  readonly progress: Progress;
+  readonly target: ServingTarget;
+  readonly outcome: AttemptOutcome;
+  readonly nowMs: number;
+}
+
+function noteOutcome(
+  { options, progress, target, outcome, nowMs }: NotedOutcome,
+): void {
+  const { loads } = options.dependencies;
+  const { instanceId, address } = target;
+  progress.abandon = undefined;
+  progress.attempts.push(`${instanceId} ${describeOutcome(outcome)}`);
+  if (outcome.kind !== "not-run") {
+    progress.runs += 1;
+    progress.mayHaveRun = true;
+  }
+  if (outcome.kind === "not-run") {
+    loads.avoidUntil(
+      instanceId,
+      nowMs + (outcome.isTurnedAway ? AVOID_FULL_MS : AVOID_UNREACHABLE_MS),
+    );
+  } else if (outcome.kind === "lost") {
+    options.dependencies.discardAgent(address);
+    if (outcome.message === "The replica stands still") {
+      loads.avoidUntil(instanceId, nowMs + AVOID_STALLED_MS);
+    }
+  }
+  loads.noteOutcome(instanceId, {
+    hasFailed: outcome.kind === "lost" ||
+      (outcome.kind === "answered" &&
+        outcome.head.status >= SERVER_ERROR_STATUS),
+    nowMs,
+  });
+}
+
+/** Whether a failure that an instance answered is worth another attempt. */
+function mayRepeatAnswer(
+  options: AttemptsOptions,
+  progress: Progress,
+  head: AnswerHead,
+): boolean {
+  return head.status >= SERVER_ERROR_STATUS &&
+    mayAttemptAgain(options, progress);
+}
+
+/** Whether a status would tell the caller of a run request that it did not run. */
+function isFalsePromise(
+  repeatability: Repeatability,
+  head: AnswerHead,
+): boolean {
+  return repeatability === "once" && NOT_RUN_STATUSES.includes(head.status);
+}
+
+function mayAttemptAgain(
+  { call }: AttemptsOptions,
+  progress: Progress,
+): boolean {
+  if (call.route.repeatability === "once" && progress.mayHaveRun) return false;
+  return progress.runs < Math.max(1, call.route.maxAttempts);
+}
+
+function giveUp(
+  { call, exchange }: AttemptsOptions,
+  progress: Progress,
+  message: string,
+): AttemptsResult {
+  if (progress.failure !== undefined && !exchange.hasStarted) {
+    return {
+      kind: "answered",
+      ...progress.failure,
+      ...describe(progress),
+    };
+  }
+  const retryAfterMs = progress.attempts.length > 0
+    ? FULL_RETRY_MS
+    : NO_REPLICA_RETRY_MS;
+  const isOver = message === "The request's time is over";
+  const own: OwnAnswer = progress.mayHaveRun || progress.abandon !== undefined
+    ? {
+      status: isOver ? 504 : 502,
+      message: `${message}; it may have run on ${call.service}`,
+    }
+    : {
+      status: 503,
+      message: `${message}; it was not run`,
+      retryAfterMs,
+    };
+  return {
+    kind: "given-up",
+    own,
+    hasStarted: exchange.hasStarted,
+    ...describe(progress),
+  };
+}
+
+function describe(progress: Progress) {
+  const { attempts, firstByteAtMs } = progress;
+  return firstByteAtMs === undefined
+    ? { attempts }
+    : { attempts, firstByteAtMs };
+}
+
+function describeOutcome(outcome: AttemptOutcome): string {
+  switch (outcome.kind) {
+    case "answered":
+      return `answered ${outcome.head.status}`;
+    case "streamed":
+      return "streamed";
+    default:
+      return outcome.message;
+  }
+}
--- /dev/null
+++ b/packages/celerytray/src/serving/serving_config.ts
@@ -0,0 +1,88 @@
+/** Whether and how a call may run more than once. */
+export type Repeatability = "safe" | "once" | "resumable";
+
+/** Where requests of a host and path go. */
+export interface ServingRoute {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  readonly repeatability: Repeatability;
+  readonly isStream: boolean;
+  /** Longest time that a caller is kept waiting. */
+  readonly timeoutMs: number;
+  /** Time within which an answer is of full use. */
+  readonly targetMs: number;
+  /** Rank of the requests; 0 is the most urgent. */
+  readonly priority: number;
+  readonly targets: readonly RouteTarget[];
+  /** Most back ends on which one request may run. */
+  readonly maxAttempts: number;
+  /** Whether requests need no key. */
+  readonly isPublic: boolean;
+}
+
+/** A service and its share of a route's requests. */
+export interface RouteTarget {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** A model and the replicas that serve it. */
+export interface ServedModel {
+  readonly name: string;
+  /** Instances of one replica. */
+  readonly size: number;
+  /** Share of the work that the operator expects. */
+  readonly workShare: number;
+  /** Factor on all times of a replica. */
+  readonly pace: number;
+  /** Time to load weights from the weight store. */
+  readonly loadMs: number;
+  /** Time to load weights that lie on the host. */
+  readonly warmMs: number;
+}
+
+/** How the model instances of a service work. */
+export interface EngineSpec {
+  readonly models: readonly ServedModel[];
+  /** Requests that one replica runs at once. */
+  readonly slots: number;
+  readonly loadsPerSecond: number;
+  readonly loadsAtOnce: number;
+}
+
+/** A service behind the routes. */
+export interface ServedService {
+  readonly name: string;
+  /** Connections that one instance takes from all callers. */
+  readonly maxConnections: number;
+  /** Only for services of model replicas. */
+  readonly engine?: EngineSpec;
+}
+
+/** Bounds on what callers send. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** An organisation and its keys. */
+export interface ServingTenant {
+  readonly name: string;
+  readonly keys: readonly string[];
+  /** Goes before the route's rank. */
+  readonly priority?: number;
+}
+
+/** The operator's configuration, decoded. */
+export interface ServingConfig {
+  readonly version: number;
+  readonly routes: readonly ServingRoute[];
+  readonly services: ReadonlyMap<string, ServedService>;
+  readonly limits: CallerLimits;
+  /** Undefined where requests need no key. */
+  readonly tenants?: readonly ServingTenant[];
+}
--- /dev/null
+++ b/packages/cli/src/host_main.ts
@@ -0,0 +1,89 @@
+import { createHost, type Host } from "celerytray/host";
+import { Journal } from "celerytray/journal";
+import {
+  createPlatformPorts,
+  decodeSettings,
+  SETTINGS_VARIABLE,
+} from "celerytray/platform";
+import { Clock, Deferred, Effect } from "effect";
+import { readFileSync } from "node:fs";
+
+const EXIT_BAD_SETTINGS = 2;
+
+/** Runs a process on a machine of the deployment until it is told to stop. */
+async function main(): Promise<number> {
+  const path = process.env[SETTINGS_VARIABLE];
+  if (path === undefined) {
+    return fail(`${SETTINGS_VARIABLE} is not set; give the settings file`);
+  }
+  const settings = readSettings(path);
+  if (settings.isLeft()) return fail(settings.extract() as string);
+  return await Effect.runPromise(
+    serve(path, settings.unsafeCoerce()).pipe(
+      Effect.scoped,
+      Effect.match({
+        onSuccess: () => 0,
+        onFailure: ({ message }) => fail(message),
+      }),
+    ),
+  );
+}
+
+function fail(message: string): number {
+  process.stderr.write(`${message}\n`);
+  return EXIT_BAD_SETTINGS;
+}
+
+function readSettings(path: string) {
+  let text = "";
+  try {
+    text = readFileSync(path, "utf8");
+  } catch (error) {
+    process.stderr.write(`${(error as Error).message}; check ${path}\n`);
+  }
+  return decodeSettings(text);
+}
+
+type Settings = Parameters<typeof createHost>[0]["settings"];
+
+function serve(path: string, settings: Settings) {
+  return Effect.gen(function* () {
+    const clock = yield* Clock.Clock;
+    const journal = new Journal({
+      process: settings.nodeId,
+      nowMs: () => clock.currentTimeMillisUnsafe(),
+    });
+    const host: Host = yield* createHost({
+      settings,
+      journal,
+      ports: createPlatformPorts(settings),
+    });
+    journal.record("process.started", {
+      zone: settings.zone,
+      uptimeMs: Math.round(process.uptime() * 1000),
+    });
+    process.on("SIGHUP", () => {
+      const reloaded = readSettings(path);
+      journal.record("process.reloaded", {
+        problem: reloaded.isLeft() ? reloaded.extract() : undefined,
+      });
+    });
+    yield* waitForSignal();
+    journal.record("process.draining", {});
+    yield* host.drain();
+    journal.record("process.stopped", {});
+  });
+}
+
+/** Waits for SIGTERM or SIGINT. */
+function waitForSignal(): Effect.Effect<void> {
+  return Effect.gen(function* () {
+    const received = yield* Deferred.make<void>();
+    const onSignal = () => Deferred.doneUnsafe(received, Effect.void);
+    process.once("SIGTERM", onSignal);
+    process.once("SIGINT", onSignal);
+    yield* Deferred.await(received);
+  });
+}
+
+process.exit(await main());
