Find lost members within a second and repair from hot spares

Ruled out: waiting for the stall of a lost head (safe, but 7 s without the replica): members that leave first may join elsewhere.

Change: records hold each member's address and start; a lost head's members leave before they are used; probes twice within 0.5 s of several streams' silence; doubts outlive replicas; a domain that fills is awaited unless the model needed most fits.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -46,14 +46,16 @@
 }
 
 const REPORT_INTERVAL_MS = 250;
+/** Steps in which heads that newly stand still are noticed. */
+const STEP_MS = 50;
 /** Silence of the lead after which another process takes its place. */
-const LEAD_SILENCE_MS = 1_000;
+const LEAD_SILENCE_MS = 800;
 /** Age of the lead's last answer from the store at which it is replaced. */
 const LEAD_STORE_AGE_MS = 5_000;
 /** Own answers from the store must be newer to take the place. */
 const OWN_STORE_AGE_MS = 2_500;
 /** Wait of each further process before it takes the lead. */
-const RANK_DELAY_MS = 200;
+const RANK_DELAY_MS = 120;
 const RETRY_DELAY_MS = 300;
 /** Time for which a process that reported counts as present. */
 const NODE_PRESENT_MS = 3_000;
@@ -73,6 +75,8 @@
   #isDeposed = false;
   #isLeaving = false;
   #heardAtMs = 0;
+  /** Whether the lead's address refuses connections. */
+  #isLeadDown = false;
   #answer: LeadAnswer | undefined;
 
   constructor(options: CoordinatorOptions) {
@@ -94,7 +98,7 @@
 
   /** Heads to which no requests should go, as replicas are taken apart. */
   listClosedHeads(): readonly string[] {
-    if (this.#director !== undefined) return findClosedHeads(this.#director);
+    if (this.#director !== undefined) return this.#director.listClosedHeads();
     return this.#answer?.closedHeads ?? [];
   }
 
@@ -129,16 +133,14 @@
       this.#depose(`${nodeId} knows of term ${report.term}`);
     }
     for (const headId of report.stalledHeads) {
-      this.#director?.noteStalled(headId, nowMs);
+      this.#director?.noteStalled(headId);
     }
     return {
       isLeading: this.isLeading && !this.#isDeposed,
       term: this.#lead?.term ?? 0,
       storeAgeMs: nowMs - this.#options.storeAnsweredAtMs(),
       nodes: this.#listNodes(),
-      closedHeads: this.#director === undefined
-        ? []
-        : findClosedHeads(this.#director),
+      closedHeads: this.#director?.listClosedHeads() ?? [],
     };
   }
 
@@ -234,9 +236,9 @@
     return Effect.gen({ self: this }, function* () {
       while (!this.#isDeposed) {
         for (const headId of this.#options.listStalledHeads()) {
-          this.#director?.noteStalled(headId, this.#nowMs());
+          this.#director?.noteStalled(headId);
         }
-        yield* Effect.sleep(DEPOSED_CHECK_MS);
+        yield* Effect.sleep(STEP_MS);
       }
     });
   }
@@ -249,6 +251,7 @@
         lead: lead.nodeId,
       });
       this.#heardAtMs = this.#nowMs();
+      this.#isLeadDown = false;
       while (!this.#isLeaving) {
         const answer = yield* this.#report(lead);
         if (answer !== undefined) this.#answer = answer;
@@ -256,7 +259,20 @@
         if (reason !== undefined && (yield* this.#mayReplace(lead, reason))) {
           return;
         }
-        yield* Effect.sleep(REPORT_INTERVAL_MS);
+        yield* this.#awaitReport();
+      }
+    });
+  }
+
+  /** Waits for the next report; a head that newly stands still hastens it. */
+  #awaitReport(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const known = new Set(this.#options.listStalledHeads());
+      const dueAtMs = this.#nowMs() + REPORT_INTERVAL_MS;
+      while (this.#nowMs() < dueAtMs) {
+        yield* Effect.sleep(STEP_MS);
+        const stalled = this.#options.listStalledHeads();
+        if (stalled.some((headId) => !known.has(headId))) return;
       }
     });
   }
@@ -273,12 +289,14 @@
     }).pipe(
       Effect.tap(({ isLeading, term }) =>
         Effect.sync(() => {
+          this.#isLeadDown = false;
           if (isLeading && term === lead.term) this.#heardAtMs = this.#nowMs();
         })
       ),
-      Effect.catch(({ message }) =>
+      Effect.catch(({ message, isRefused }) =>
         Effect.sync(() => {
-          this.#options.record("lead.silent", { message });
+          this.#options.record("lead.silent", { message, isRefused });
+          this.#isLeadDown = isRefused;
           return undefined;
         })
       ),
@@ -288,6 +306,7 @@
   #findReplacementReason(answer: LeadAnswer | undefined): string | undefined {
     const nowMs = this.#nowMs();
     if (answer !== undefined && !answer.isLeading) return "it doesn't lead";
+    if (this.#isLeadDown) return "it is down";
     const ownAgeMs = nowMs - this.#options.storeAnsweredAtMs();
     if (
       answer !== undefined && answer.storeAgeMs > LEAD_STORE_AGE_MS &&
@@ -344,11 +363,3 @@
     return [{ nodeId, peerAddress }, ...others];
   }
 }
-
-const DEPOSED_CHECK_MS = 50;
-
-function findClosedHeads(director: FleetDirector): readonly string[] {
-  return director.listRuns()
-    .filter(({ retiring }) => retiring !== undefined)
-    .map(({ record }) => record.members[0]!);
-}
--- a/packages/celerytray/src/coordination/peer_router.ts
+++ b/packages/celerytray/src/coordination/peer_router.ts
@@ -48,6 +48,8 @@
 /** Another process does not answer. */
 export class PeerSilent extends Data.TaggedError("PeerSilent")<{
   readonly message: string;
+  /** Whether its address refused the connection. */
+  readonly isRefused: boolean;
 }> {}
 
 const trpc = initTRPC.create();
@@ -111,6 +113,7 @@
       try: (signal) => run(this.#clientOf(address), signal),
       catch: (cause) =>
         new PeerSilent({
+          isRefused: findErrorCode(cause) === "ECONNREFUSED",
           message: `${address} does not answer: ${
             (cause as Error).message
           }; check that it is up`,
@@ -121,6 +124,7 @@
         orElse: () =>
           Effect.fail(
             new PeerSilent({
+              isRefused: false,
               message:
                 `${address} does not answer within ${this.#timeoutMs} ms`,
             }),
@@ -141,6 +145,15 @@
   }
 }
 
+/** The code of the system error behind an error. */
+function findErrorCode(error: unknown): string | undefined {
+  let cause = error as NodeJS.ErrnoException | undefined;
+  while (cause instanceof Error && cause.code === undefined) {
+    cause = cause.cause as NodeJS.ErrnoException | undefined;
+  }
+  return typeof cause?.code === "string" ? cause.code : undefined;
+}
+
 function parseReport(input: unknown): PeerReport {
   const report = input as Partial<PeerReport> | null;
   const isValid = typeof report === "object" && report !== null &&
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -42,28 +42,20 @@
   readonly demand: (model: string) => number | undefined;
   /** Whether callers have sent requests yet. */
   readonly hasTraffic: () => boolean;
-  /** Time since which the store answers without a break. */
-  readonly storeSteadySinceMs: () => number | undefined;
-  readonly replicaStallMs: number;
   readonly record: (kind: string, fields: Record<string, unknown>) => void;
 }
 
-const TICK_MS = 50;
-const SLOW_TICK_EVERY = 4;
+/** Longest time between two rounds, and the steps in which a round can start. */
+const TICK_MS = 60;
+const STEP_MS = 10;
+/** Time after which the list tells what an instance was ordered. */
+const LIST_LAG_MS = 1_000;
 /** Wait for the answer to an order before it is sent once more. */
 const ORDER_REPEAT_MS = 700;
 /** Wait before the preparation of a spare is ordered once more. */
 const SPARE_REPEAT_MS = 3_000;
-const PROBE_INTERVAL_MS = 250;
-const ABSENT_PROBE_INTERVAL_MS = 1_000;
-/** Time in which instances that live are listed again after an outage. */
-const RELIST_MS = 2_300;
-/** Beyond the time after which a head without a member is broken. */
-const HEAD_SILENCE_MARGIN_MS = 500;
-/** Time without a new instance after which domains count as filled. */
+/** Time without a new instance after which a domain counts as filled. */
 const GATHER_MS = 1_200;
-/** Longest wait for domains to fill. */
-const MAX_GATHER_MS = 5_000;
 /** Loads that an earlier leader may have begun just now. */
 const ASSUMED_LOADS = 8;
 
@@ -74,96 +66,119 @@
   readonly #liveness = new LivenessBook();
   /** Time of the last order of a kind to an instance. */
   readonly #orderedAtMs = new Map<string, number>();
-  readonly #probedAtMs = new Map<string, number>();
   /** Model of the last join that began, by instance. */
   readonly #lastModels = new Map<string, string>();
   readonly #busyRecords = new Set<string>();
+  readonly #orphanSinceMs = new Map<string, number>();
   /** Newest place in the log that orders follow from. */
   #fence: number;
   #limit: LoadLimit | undefined;
   #startedAtMs = 0;
-  #instanceCount = 0;
-  #countedAtMs = 0;
+  /** Whether an order, record or probe came to something since the last round. */
+  #isChanged = true;
+  /** Lives that were seen, by instance. */
+  readonly #seenLives = new Map<string, string>();
+  /** Time of the last arrival, by domain. */
+  readonly #arrivedAtMs = new Map<string, number>();
 
   constructor(options: FleetDirectorOptions) {
     this.#options = options;
     this.#fence = options.term;
     for (const record of options.replicas) {
-      const run = createRun(record, new Map());
+      const run = createRun(record);
       run.mayBeOpen = true;
       this.#runs.set(record.name, run);
       for (const id of record.members) this.#lastModels.set(id, record.model);
     }
   }
 
-  /** Replicas as they stand. */
-  listRuns(): readonly ReplicaRun[] {
-    return [...this.#runs.values()];
-  }
-
   /** Takes note that requests at the head of a replica stand still. */
-  noteStalled(headId: string, nowMs: number): void {
+  noteStalled(headId: string): void {
     for (const { record, retiring } of this.#runs.values()) {
       if (record.members[0] !== headId || retiring !== undefined) continue;
-      for (const id of record.members) this.#liveness.noteDoubt(id, nowMs);
+      for (const id of record.members) this.#liveness.noteDoubt(id);
     }
   }
 
+  /** Heads to which no requests should go. */
+  listClosedHeads(): readonly string[] {
+    const retiring = [...this.#runs.values()]
+      .filter((run) => run.retiring !== undefined)
+      .map(({ record }) => record.members[0]!);
+    return [...retiring, ...this.#listOrphans().map(({ id }) => id)];
+  }
+
   /** Runs until the scope closes. */
   run(): Effect.Effect<never, never, Scope.Scope> {
     return Effect.gen({ self: this }, function* () {
       const scope = yield* Effect.scope;
       this.#startedAtMs = yield* Clock.currentTimeMillis;
-      let ticks = 0;
+      let workedAtMs = Number.NEGATIVE_INFINITY;
+      let revision = -1;
       while (true) {
         const nowMs = yield* Clock.currentTimeMillis;
-        if (this.#options.instances.isLoaded) {
+        const { instances } = this.#options;
+        const isDue = this.#isChanged || instances.revision !== revision ||
+          nowMs - workedAtMs >= TICK_MS;
+        if (instances.isLoaded && isDue) {
+          if (revision < 0) this.#doubtAll();
+          this.#isChanged = false;
+          revision = instances.revision;
+          workedAtMs = nowMs;
           const work = [
             ...this.#probe(nowMs),
             ...this.#orderRuns(nowMs),
-            ...(ticks % SLOW_TICK_EVERY === 0 ? this.#planNew(nowMs) : []),
+            ...this.#orderOrphans(nowMs),
+            ...this.#planNew(nowMs),
           ];
-          for (const effect of work) yield* Effect.forkIn(effect, scope);
+          for (const effect of work) {
+            yield* Effect.forkIn(
+              Effect.ensuring(
+                effect,
+                Effect.sync(() => {
+                  this.#isChanged = true;
+                }),
+              ),
+              scope,
+            );
+          }
         }
-        ticks += 1;
-        yield* Effect.sleep(TICK_MS);
+        yield* Effect.sleep(STEP_MS);
       }
     });
   }
 
-  /** Questions to doubted members, and to members that are not listed. */
+  /** Questions to doubted instances, and to members that are not listed. */
   #probe(nowMs: number): readonly Effect.Effect<unknown>[] {
     const { instances } = this.#options;
-    const memberIds = new Set(
-      [...this.#runs.values()].flatMap(({ record }) => record.members),
-    );
+    const isUnlisted = (id: string) => instances.find(id) === undefined;
+    const memberIds = this.#memberIds();
     for (const id of memberIds) {
-      const absent = instances.findAbsent(id);
-      if (absent !== undefined) this.#liveness.noteDoubt(id, nowMs);
-      else if (instances.find(id) === undefined && this.#isListSteady(nowMs)) {
-        this.#liveness.noteProbeFailed(id, { isRefused: true, nowMs });
-      }
+      if (isUnlisted(id)) this.#liveness.noteDoubt(id);
     }
-    return this.#liveness.listDoubted().flatMap((id) => {
-      if (!memberIds.has(id)) {
-        this.#liveness.forget(id);
-        return [];
-      }
-      const isAbsent = instances.findAbsent(id) !== undefined;
-      const intervalMs = isAbsent &&
-          this.#liveness.livenessOf(id).kind === "alive"
-        ? ABSENT_PROBE_INTERVAL_MS
-        : PROBE_INTERVAL_MS;
-      if (nowMs - (this.#probedAtMs.get(id) ?? 0) < intervalMs) return [];
-      this.#probedAtMs.set(id, nowMs);
-      return [this.#probeOne(id, isAbsent)];
-    });
+    this.#liveness.keepOnly((id) => memberIds.has(id) || !isUnlisted(id));
+    return this.#liveness.takeDue(nowMs, isUnlisted)
+      .map((id) => this.#probeOne(id, isUnlisted(id)));
+  }
+
+  /** The process that decided before may have known of silent instances. */
+  #doubtAll(): void {
+    if (this.#runs.size === 0) return;
+    for (const { id, domain } of this.#options.instances.list()) {
+      if (domain !== undefined) this.#liveness.noteDoubt(id);
+    }
+  }
+
+  #memberIds(): ReadonlySet<string> {
+    return new Set(
+      [...this.#runs.values()].flatMap(({ record }) => record.members),
+    );
   }
 
   #probeOne(id: string, isAbsent: boolean): Effect.Effect<void> {
-    const instance = this.#findLatest(id);
-    if (instance === undefined) return Effect.void;
-    return this.#options.control.probe(instance).pipe(
+    const address = this.#findAddress(id);
+    if (address === undefined) return Effect.void;
+    return this.#options.control.probe({ id, address }).pipe(
       Effect.matchEffect({
         onSuccess: () =>
           Effect.sync(() => {
@@ -171,9 +186,8 @@
             else this.#liveness.noteProbed(id);
           }),
         onFailure: ({ isRefused, message }) =>
-          Effect.gen({ self: this }, function* () {
-            const nowMs = yield* Clock.currentTimeMillis;
-            this.#liveness.noteProbeFailed(id, { isRefused, nowMs });
+          Effect.sync(() => {
+            this.#liveness.noteProbeFailed(id, { isRefused });
             const { kind } = this.#liveness.livenessOf(id);
             this.#options.record("instance.probe-failed", {
               instanceId: id,
@@ -195,7 +209,6 @@
         isListed: (id) => this.#options.instances.find(id) !== undefined,
         liveness: (id) => this.#liveness.livenessOf(id),
         nowMs,
-        headSilenceMs: this.#options.replicaStallMs + HEAD_SILENCE_MARGIN_MS,
       });
       if (!wasRetiring && run.retiring !== undefined) {
         this.#options.record("replica.retiring", {
@@ -211,6 +224,41 @@
     });
   }
 
+  /** Takes apart open replicas that no record tells of. */
+  #orderOrphans(nowMs: number): readonly Effect.Effect<unknown>[] {
+    const orphans = this.#listOrphans();
+    const ids = new Set(orphans.map(({ id }) => id));
+    for (const id of this.#orphanSinceMs.keys()) {
+      if (!ids.has(id)) this.#orphanSinceMs.delete(id);
+    }
+    return orphans.flatMap(({ id, membership }) => {
+      const sinceMs = this.#orphanSinceMs.get(id) ?? nowMs;
+      this.#orphanSinceMs.set(id, sinceMs);
+      // The list may still tell what was before the head left.
+      if (nowMs - sinceMs < LIST_LAG_MS || !this.#isAlive(id)) return [];
+      const { replica, epoch } = membership!;
+      return [
+        ...this.#send(id, {
+          kind: "close",
+          replica,
+          epoch,
+          isImmediate: true,
+        }, { nowMs }),
+        ...this.#send(id, { kind: "leave", replica, epoch }, { nowMs }),
+      ];
+    });
+  }
+
+  /** Heads that are open though their replica was taken apart. */
+  #listOrphans(): readonly InstanceState[] {
+    return this.#options.instances.list().filter(({ membership }) => {
+      if (membership === undefined || membership.rank !== 0) return false;
+      const { replica, epoch, state } = membership;
+      if (state !== "open" && state !== "closing") return false;
+      return this.#runs.get(replica)?.record.epoch !== epoch;
+    });
+  }
+
   #retire(run: ReplicaRun): readonly Effect.Effect<unknown>[] {
     const { name } = run.record;
     if (this.#busyRecords.has(name)) return [];
@@ -242,7 +290,7 @@
 
   /** New replicas, and spares to prepare. */
   #planNew(nowMs: number): readonly Effect.Effect<unknown>[] {
-    if (!this.#areDomainsFilled(nowMs)) return [];
+    this.#noteArrivals(nowMs);
     if (this.#busyRecords.size > 0) return [];
     const work: Effect.Effect<unknown>[] = [];
     for (const [service, engine] of this.#options.engines()) {
@@ -258,6 +306,7 @@
           .map(({ record }) => record),
         hotModel: (id) => this.#hotModel(id),
         demand: this.#options.demand,
+        isFilled: (domain) => this.#isFilled(domain, nowMs),
       });
       if (formations.length > 0) {
         work.push(this.#form(formations));
@@ -268,25 +317,29 @@
     return work;
   }
 
-  /** Whether instances no longer arrive in a row, as they do at the start. */
-  #areDomainsFilled(nowMs: number): boolean {
-    if (this.#options.hasTraffic()) return true;
-    const count = this.#options.instances.list().length;
-    if (count !== this.#instanceCount) {
-      this.#instanceCount = count;
-      this.#countedAtMs = nowMs;
+  /** Whether instances still arrive in a row, by domain, as after a start. */
+  #noteArrivals(nowMs: number): void {
+    for (const { id, domain, bornAtMs } of this.#options.instances.list()) {
+      if (domain === undefined) continue;
+      const life = `${id} ${bornAtMs ?? ""}`;
+      if (this.#seenLives.get(id) === life) continue;
+      if (this.#seenLives.has(id)) this.#lastModels.delete(id);
+      this.#seenLives.set(id, life);
+      this.#arrivedAtMs.set(domain, nowMs);
     }
-    return nowMs - this.#countedAtMs >= GATHER_MS ||
-      nowMs - this.#startedAtMs >= MAX_GATHER_MS;
+  }
+
+  #isFilled(domain: string, nowMs: number): boolean {
+    return nowMs - (this.#arrivedAtMs.get(domain) ?? 0) >= GATHER_MS ||
+      nowMs - this.#startedAtMs < GATHER_MS && this.#runs.size > 0;
   }
 
   #listFree(service: string): readonly InstanceState[] {
-    const used = new Set(
-      [...this.#runs.values()].flatMap(({ record }) => record.members),
-    );
+    const used = this.#memberIds();
     return this.#options.instances.list().filter((instance) =>
       instance.service === service && !instance.isDraining &&
-      !used.has(instance.id) && instance.domain !== undefined &&
+      !used.has(instance.id) &&
+      !this.#liveness.isDoubted(instance.id) && instance.domain !== undefined &&
       instance.membership?.state !== "open" &&
       instance.membership?.state !== "closing"
     );
@@ -295,19 +348,14 @@
   #form(formations: readonly Formation[]): Effect.Effect<void> {
     const token = "formations";
     this.#busyRecords.add(token);
-    const { instances, recorder, record } = this.#options;
+    const { recorder, record } = this.#options;
     const formOne = (formation: Formation) =>
       recorder.form(formation).pipe(
         Effect.matchEffect({
           onSuccess: (replica) =>
             Effect.sync(() => {
-              const bornAtMs = new Map(
-                replica.members.map((id) =>
-                  [id, instances.find(id)?.bornAtMs] as const
-                ),
-              );
               this.#fence = Math.max(this.#fence, replica.epoch);
-              this.#runs.set(replica.name, createRun(replica, bornAtMs));
+              this.#runs.set(replica.name, createRun(replica));
               record("replica.formed", {
                 replica: replica.name,
                 model: replica.model,
@@ -353,36 +401,36 @@
     order: InstanceOrder,
     { nowMs, run }: { readonly nowMs: number; readonly run?: ReplicaRun },
   ): readonly Effect.Effect<unknown>[] {
-    const instance = this.#findLatest(instanceId);
-    if (instance === undefined) return [];
+    const address = this.#findAddress(instanceId);
+    if (address === undefined) return [];
     const key = `${instanceId} ${order.kind} ${run?.record.name ?? order.kind}`;
     const repeatMs = run === undefined ? SPARE_REPEAT_MS : ORDER_REPEAT_MS;
     if (nowMs - (this.#orderedAtMs.get(key) ?? -repeatMs) < repeatMs) {
       return [];
     }
-    if (this.#needsLoad(instance, order) && !this.#tryBeginLoad(nowMs)) {
+    if (this.#needsLoad(instanceId, order) && !this.#tryBeginLoad(nowMs)) {
       return [];
     }
     this.#orderedAtMs.set(key, nowMs);
     if (order.kind === "open" && run !== undefined) run.mayBeOpen = true;
     return [
-      this.#options.control.sendOrder(instance, {
+      this.#options.control.sendOrder({ id: instanceId, address }, {
         ...order,
         fence: this.#fence,
       }).pipe(
         Effect.match({
           onSuccess: (outcome) =>
             this.#noteOrdered({
-              instance,
+              instanceId,
               order,
               outcome,
               key,
               ...(run ? { run } : {}),
             }),
           onFailure: ({ message, isRefused }) => {
-            this.#liveness.noteDoubt(instanceId, nowMs);
+            this.#liveness.noteDoubt(instanceId);
             if (isRefused) {
-              this.#liveness.noteProbeFailed(instanceId, { isRefused, nowMs });
+              this.#liveness.noteProbeFailed(instanceId, { isRefused });
             }
             this.#options.record("order.unanswered", {
               instanceId,
@@ -395,21 +443,23 @@
     ];
   }
 
-  #noteOrdered({ instance, order, outcome, key, run }: OrderedStep): void {
+  #noteOrdered({ instanceId, order, outcome, key, run }: OrderedStep): void {
     const { kind } = order;
     this.#options.record("order.answered", {
-      instanceId: instance.id,
+      instanceId,
       order: kind,
       replica: run?.record.name,
       outcome,
     });
     const isTaken = outcome === "begun" || outcome === "holds";
     if (order.kind === "join" && isTaken) {
-      this.#lastModels.set(instance.id, order.model);
-      run?.joinedIds.add(instance.id);
+      this.#lastModels.set(instanceId, order.model);
+      run?.joinedIds.add(instanceId);
     }
     const retiring = run?.retiring;
-    if (retiring === undefined) return;
+    if (retiring === undefined || run === undefined) return;
+    if (kind === "leave" && outcome !== "elsewhere") run.leftIds.add(instanceId);
+    if (instanceId !== run.record.members[0]) return;
     if (kind === "close" && (outcome === "holds" || outcome === "unfit")) {
       retiring.isClosed = true;
     }
@@ -423,13 +473,11 @@
     }
   }
 
-  #needsLoad(instance: InstanceState, order: InstanceOrder): boolean {
-    if (order.kind === "stage") {
-      return !instance.stagedModels.includes(order.model);
-    }
-    return order.kind === "join" &&
-      this.#hotModel(instance.id) !== order.model &&
-      !instance.stagedModels.includes(order.model);
+  #needsLoad(instanceId: string, order: InstanceOrder): boolean {
+    if (order.kind !== "stage" && order.kind !== "join") return false;
+    const staged = this.#findLatest(instanceId)?.stagedModels ?? [];
+    if (staged.includes(order.model)) return false;
+    return order.kind === "stage" || this.#hotModel(instanceId) !== order.model;
   }
 
   #tryBeginLoad(nowMs: number): boolean {
@@ -449,29 +497,36 @@
     return instances.find(id) ?? instances.findAbsent(id)?.state;
   }
 
-  #isListSteady(nowMs: number): boolean {
-    const sinceMs = this.#options.storeSteadySinceMs();
-    return sinceMs !== undefined && nowMs - sinceMs >= RELIST_MS;
+  #isAlive(instanceId: string): boolean {
+    return this.#liveness.livenessOf(instanceId).kind === "alive";
+  }
+
+  /** Where an instance is or last was. */
+  #findAddress(id: string): string | undefined {
+    const address = this.#findLatest(id)?.address;
+    if (address !== undefined) return address;
+    for (const { record } of this.#runs.values()) {
+      const life = record.lives[id];
+      if (life !== undefined) return life.address;
+    }
+    return undefined;
   }
 }
 
 interface OrderedStep {
-  readonly instance: InstanceState;
+  readonly instanceId: string;
   readonly order: InstanceOrder;
   readonly outcome: OrderOutcome;
   readonly key: string;
   readonly run?: ReplicaRun;
 }
 
-function createRun(
-  record: ReplicaRecord,
-  bornAtMs: Map<string, number | undefined>,
-): ReplicaRun {
+function createRun(record: ReplicaRecord): ReplicaRun {
   return {
     record,
     joinedIds: new Set(),
     readyIds: new Set(),
-    bornAtMs,
+    leftIds: new Set(),
     mayBeOpen: false,
   };
 }
--- a/packages/celerytray/src/groups/liveness_book.ts
+++ b/packages/celerytray/src/groups/liveness_book.ts
@@ -1,13 +1,16 @@
 import type { Liveness } from "./replica_run.ts";
 
 interface Doubt {
-  /** Time since which the instance may have been silent. */
-  readonly sinceMs: number;
   failedProbes: number;
+  probedAtMs: number;
 }
 
-/** Probes that must fail, one after the other, before an instance is silent. */
+/** Probes that must fail before an instance counts as silent. */
 const FAILED_PROBES_TO_SILENCE = 2;
+/** Interval between the probes of a doubted instance. */
+const DOUBTED_INTERVAL_MS = 120;
+/** Interval between the probes of a silent instance, or an unlisted one. */
+const SILENT_INTERVAL_MS = 1_000;
 
 /** What probes and orders tell of instances beside the list. */
 export class LivenessBook {
@@ -15,21 +18,24 @@
   readonly #ended = new Set<string>();
 
   /** Takes note that an instance did not answer or is doubted. */
-  noteDoubt(instanceId: string, nowMs: number): void {
-    if (!this.#doubts.has(instanceId)) {
-      this.#doubts.set(instanceId, { sinceMs: nowMs, failedProbes: 0 });
-    }
+  noteDoubt(instanceId: string): void {
+    if (this.#doubts.has(instanceId)) return;
+    this.#doubts.set(instanceId, {
+      failedProbes: 0,
+      probedAtMs: Number.NEGATIVE_INFINITY,
+    });
   }
 
   noteProbeFailed(
     instanceId: string,
-    outcome: { readonly isRefused: boolean; readonly nowMs: number },
+    outcome: { readonly isRefused: boolean },
   ): void {
-    this.noteDoubt(instanceId, outcome.nowMs);
+    this.noteDoubt(instanceId);
     this.#doubts.get(instanceId)!.failedProbes += 1;
     if (outcome.isRefused) this.#ended.add(instanceId);
   }
 
+  /** Takes note that an instance answered. */
   noteAlive(instanceId: string): void {
     this.#doubts.delete(instanceId);
     this.#ended.delete(instanceId);
@@ -42,21 +48,39 @@
     this.#ended.delete(instanceId);
   }
 
-  forget(instanceId: string): void {
-    this.noteAlive(instanceId);
+  /** Doubted instances that are to be probed now, which it takes note of. */
+  takeDue(
+    nowMs: number,
+    isUnlisted: (instanceId: string) => boolean,
+  ): readonly string[] {
+    const due: string[] = [];
+    for (const [instanceId, doubt] of this.#doubts) {
+      const isSlow = this.livenessOf(instanceId).kind !== "alive" ||
+        (isUnlisted(instanceId) && doubt.failedProbes === 0);
+      const intervalMs = isSlow ? SILENT_INTERVAL_MS : DOUBTED_INTERVAL_MS;
+      if (nowMs - doubt.probedAtMs < intervalMs) continue;
+      doubt.probedAtMs = nowMs;
+      due.push(instanceId);
+    }
+    return due;
+  }
+
+  /** Forgets instances of no further interest. */
+  keepOnly(isOfInterest: (instanceId: string) => boolean): void {
+    for (const instanceId of [...this.#doubts.keys()]) {
+      if (!isOfInterest(instanceId)) this.noteAlive(instanceId);
+    }
   }
 
-  /** Instances to probe. */
-  listDoubted(): readonly string[] {
-    return [...this.#doubts.keys()];
+  isDoubted(instanceId: string): boolean {
+    return this.#doubts.has(instanceId);
   }
 
   livenessOf(instanceId: string): Liveness {
     if (this.#ended.has(instanceId)) return { kind: "ended" };
-    const doubt = this.#doubts.get(instanceId);
-    return doubt !== undefined &&
-        doubt.failedProbes >= FAILED_PROBES_TO_SILENCE
-      ? { kind: "silent", sinceMs: doubt.sinceMs }
-      : { kind: "alive" };
+    const failedProbes = this.#doubts.get(instanceId)?.failedProbes ?? 0;
+    return {
+      kind: failedProbes >= FAILED_PROBES_TO_SILENCE ? "silent" : "alive",
+    };
   }
 }
--- a/packages/celerytray/src/groups/plan_formations.ts
+++ b/packages/celerytray/src/groups/plan_formations.ts
@@ -12,6 +12,8 @@
   readonly replicas: readonly ReplicaRecord[];
   /** Model whose weights an instance has in memory. */
   readonly hotModel: (instanceId: string) => string | undefined;
+  /** Whether no more instances are about to arrive in a domain. */
+  readonly isFilled: (domain: string) => boolean;
   /** Requests that run or wait for a model; undefined where none is known. */
   readonly demand: (model: string) => number | undefined;
 }
@@ -19,6 +21,11 @@
 /** A replica to form. */
 export type Formation = Omit<ReplicaRecord, "name" | "epoch">;
 
+/** Time over which a replica's worth is weighed against its loading. */
+const HORIZON_MS = 15_000;
+/** Part of the worth that a replica has however long it loads. */
+const LEAST_PART = 0.05;
+
 /** Picks the replicas to form of the free instances, domain by domain. */
 export function planFormations(input: FormationInput): readonly Formation[] {
   const counts = new Map(input.models.map(({ name }) => [name, 0]));
@@ -53,40 +60,52 @@
   readonly formation: Formation;
 }
 
-/** The most needed model that fits a domain, where least has to be loaded. */
+/** The replica that is worth most: much needed, and soon ready. */
 function findNext(
   input: FormationInput,
   { counts, pools }: Planning,
 ): Candidate | undefined {
-  const byNeed = [...input.models].sort((a, b) =>
-    needOf(input, b, counts) - needOf(input, a, counts)
-  );
-  for (const model of byNeed) {
-    let best: Candidate | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
+  let best: Candidate | undefined;
+  let bestWorth = 0;
+  const needs = input.models.map((model) => needOf(input, model, counts));
+  const greatestNeed = Math.max(...needs);
+  for (const [index, model] of input.models.entries()) {
+    const need = needs[index]!;
     for (const [domain, pool] of pools) {
       if (pool.length < model.size) continue;
-      const ranked = [...pool].sort((a, b) =>
-        loadCost(input, model, a) - loadCost(input, model, b)
-      );
-      const members = ranked.slice(0, model.size);
-      const cost = Math.max(
-        ...members.map((member) => loadCost(input, model, member)),
+      // Instances that are about to arrive may make up a replica needed more.
+      if (need < greatestNeed && !input.isFilled(domain)) continue;
+      const members = [...pool].sort((a, b) =>
+        loadMs(input, model, a) - loadMs(input, model, b)
+      ).slice(0, model.size);
+      const readyMs = Math.max(
+        ...members.map((member) => loadMs(input, model, member)),
       );
-      if (cost >= bestCost) continue;
-      bestCost = cost;
-      best = {
-        domain,
-        formation: {
-          service: input.service,
-          model: model.name,
-          members: members.map(({ id }) => id),
-        },
-      };
+      const worth = need * Math.max(LEAST_PART, 1 - readyMs / HORIZON_MS);
+      if (worth <= bestWorth) continue;
+      bestWorth = worth;
+      best = { domain, formation: createFormation(input, model, members) };
     }
-    if (best !== undefined) return best;
   }
-  return undefined;
+  return best;
+}
+
+function createFormation(
+  { service }: FormationInput,
+  model: ServedModel,
+  members: readonly InstanceState[],
+): Formation {
+  return {
+    service,
+    model: model.name,
+    members: members.map(({ id }) => id),
+    lives: Object.fromEntries(
+      members.map(({ id, address, bornAtMs }) => [
+        id,
+        bornAtMs === undefined ? { address } : { address, bornAtMs },
+      ]),
+    ),
+  };
 }
 
 /** Work for a model, against what its replicas can do. */
@@ -101,7 +120,7 @@
 }
 
 /** Time until an instance could serve a model. */
-function loadCost(
+function loadMs(
   input: FormationInput,
   model: ServedModel,
   instance: InstanceState,
--- a/packages/celerytray/src/groups/replica_record.ts
+++ b/packages/celerytray/src/groups/replica_record.ts
@@ -7,10 +7,20 @@
   readonly model: string;
   /** The first is the head. */
   readonly members: readonly string[];
+  /** Lives of the members when it was decided, by id. */
+  readonly lives: Readonly<Record<string, MemberLife>>;
   /** Place of the decision in the log; later decisions have higher ones. */
   readonly epoch: number;
 }
 
+/** One life of an instance. */
+export interface MemberLife {
+  /** IP:PORT. */
+  readonly address: string;
+  /** Start, as Unix time; undefined where it isn't told. */
+  readonly bornAtMs?: number;
+}
+
 /** Which process decides on replicas. */
 export interface LeadRecord {
   readonly nodeId: string;
@@ -43,8 +53,8 @@
 export function encodeReplica(
   replica: Omit<ReplicaRecord, "name" | "epoch">,
 ): Buffer {
-  const { service, model, members } = replica;
-  return Buffer.from(JSON.stringify({ service, model, members }));
+  const { service, model, members, lives } = replica;
+  return Buffer.from(JSON.stringify({ service, model, members, lives }));
 }
 
 /** Reads a replica's record. */
@@ -54,11 +64,16 @@
 ): Either<string, ReplicaRecord> {
   return parse(stored.value).chain((record) => {
     const { service, model, members } = record;
+    const lives = record.lives as ReplicaRecord["lives"] | undefined;
     const isValid = typeof service === "string" && typeof model === "string" &&
       Array.isArray(members) && members.length > 0 &&
-      members.every((member) => typeof member === "string");
+      members.every((member) =>
+        typeof member === "string" &&
+        typeof lives?.[member]?.address === "string"
+      );
     if (!isValid) return Left(`The record of replica ${name} is malformed`);
-    return Right({ name, service, model, members, epoch: stored.offset + 1 });
+    const epoch = stored.offset + 1;
+    return Right({ name, service, model, members, lives: lives!, epoch });
   });
 }
 
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -9,8 +9,8 @@
   readonly joinedIds: Set<string>;
   /** Members that were seen ready in this replica. */
   readonly readyIds: Set<string>;
-  /** Start of each member's life when the replica was formed. */
-  readonly bornAtMs: Map<string, number | undefined>;
+  /** Members that have left it. */
+  readonly leftIds: Set<string>;
   /** Whether the head may have been told to open. */
   mayBeOpen: boolean;
   /** Why it is taken apart; undefined while it is to serve. */
@@ -31,8 +31,8 @@
 /** What is known of an instance beside its entry in the list. */
 export type Liveness =
   | { readonly kind: "alive" }
-  /** It was silent since a time. */
-  | { readonly kind: "silent"; readonly sinceMs: number }
+  /** It doesn't answer. */
+  | { readonly kind: "silent" }
   /** Its process is surely gone. */
   | { readonly kind: "ended" };
 
@@ -45,8 +45,6 @@
   readonly isListed: (id: string) => boolean;
   readonly liveness: (id: string) => Liveness;
   readonly nowMs: number;
-  /** Silence of a head after which it surely serves nobody. */
-  readonly headSilenceMs: number;
 }
 
 /** An order that is due. */
@@ -120,11 +118,7 @@
   if (kind === "ended") return `${id} has ended`;
   const instance = findInstance(id);
   if (instance === undefined) return undefined;
-  const bornAtMs = run.bornAtMs.get(id);
-  if (bornAtMs !== undefined && instance.bornAtMs !== bornAtMs) {
-    return `${id} was started anew`;
-  }
-  return undefined;
+  return isBornAnew(run, instance) ? `${id} was started anew` : undefined;
 }
 
 function createRetirement(
@@ -160,17 +154,12 @@
   input: RunInput,
   retiring: Retirement,
 ): readonly DueOrder[] {
-  const { run, findInstance, liveness, nowMs } = input;
+  const { run, findInstance, nowMs } = input;
   if (retiring.isFreed) return [];
   const { name: replica, epoch, members } = run.record;
   const headId = members[0]!;
+  if (isHeadLost(input)) return planWithoutHead(input, retiring);
   const head = findInstance(headId);
-  const headLife = liveness(headId);
-  if (isHeadGone(input)) {
-    retiring.isFreed = true;
-    return [];
-  }
-  if (headLife.kind === "silent") return [];
   const state = findMemberState(run, head);
   if (head !== undefined && state === undefined && run.joinedIds.has(headId)) {
     retiring.isFreed = true;
@@ -188,17 +177,35 @@
   return [{ instanceId: headId, order: { kind: "leave", replica, epoch } }];
 }
 
-/** Whether the head can't be open or take requests any more. */
-function isHeadGone(input: RunInput): boolean {
-  const { run, findInstance, liveness, nowMs } = input;
+/**
+ * A head that can't be reached may still be open, so each other member leaves
+ * its replica before it may be used elsewhere.
+ */
+function planWithoutHead(
+  { run, liveness }: RunInput,
+  retiring: Retirement,
+): readonly DueOrder[] {
+  const { name: replica, epoch, members } = run.record;
+  const staying = members.slice(1).filter((id) =>
+    !run.leftIds.has(id) && liveness(id).kind === "alive"
+  );
+  if (staying.length === 0) retiring.isFreed = true;
+  return staying.map((instanceId) => ({
+    instanceId,
+    order: { kind: "leave", replica, epoch },
+  }));
+}
+
+/** Whether the head can't be reached, or lives another life by now. */
+function isHeadLost({ run, findInstance, liveness }: RunInput): boolean {
   const headId = run.record.members[0]!;
-  const life = liveness(headId);
-  if (life.kind === "ended") return true;
-  if (life.kind === "silent") {
-    return nowMs - life.sinceMs >= input.headSilenceMs;
-  }
-  const bornAtMs = run.bornAtMs.get(headId);
+  if (liveness(headId).kind !== "alive") return true;
   const head = findInstance(headId);
-  return bornAtMs !== undefined && head !== undefined &&
-    head.bornAtMs !== bornAtMs;
+  return head !== undefined && isBornAnew(run, head);
+}
+
+/** Whether an instance began another life since the replica was decided. */
+function isBornAnew(run: ReplicaRun, instance: InstanceState): boolean {
+  const bornAtMs = run.record.lives[instance.id]?.bornAtMs;
+  return bornAtMs !== undefined && instance.bornAtMs !== bornAtMs;
 }
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -18,7 +18,6 @@
 import {
   type CallCodec,
   type CallRecord,
-  DOUBT_AFTER_MS,
   LoadBook,
   MOVE_AFTER_MS,
   RepeatBudget,
@@ -67,8 +66,8 @@
 /** Pause after a change of the list; the process that decides pauses less. */
 const INSTANCES_PAUSE_MS = 300;
 const LEAD_INSTANCES_PAUSE_MS = 60;
-const STALL_CHECK_MS = 100;
-const PEER_TIMEOUT_MS = 600;
+const STALL_CHECK_MS = 50;
+const PEER_TIMEOUT_MS = 400;
 /** Part of the time for taking keys away after which they are not trusted. */
 const KEY_AGE_PART = 0.85;
 /** Age of the keys at which callers are sent to other machines. */
@@ -122,8 +121,7 @@
       log: ports.log,
       client: new PeerClient({ timeoutMs: PEER_TIMEOUT_MS }),
       listStalledHeads: () =>
-        stalls.findStalled({ silentMs: DOUBT_AFTER_MS, nowMs: nowMs() })
-          .map(({ instanceId }) => instanceId),
+        stalls.findDoubtful(nowMs()).map(({ instanceId }) => instanceId),
       demand: () => Object.fromEntries(demand),
       hasTraffic: () => state.hasTraffic,
       storeAnsweredAtMs: () => contact.answeredAtMs,
@@ -137,8 +135,6 @@
           engines,
           demand: () => undefined,
           hasTraffic: () => coordinator.hasAnyTraffic(),
-          storeSteadySinceMs: () => contact.steadySinceMs,
-          replicaStallMs: settings.replicaStallMs,
           record,
         }),
       record,
@@ -175,7 +171,12 @@
     }));
     yield* Effect.forkScoped(coordinator.run());
     yield* Effect.forkScoped(
-      moveStalled({ stalls, nowMs, record }),
+      moveStalled({
+        stalls,
+        nowMs,
+        record,
+        closedHeads: () => coordinator.listClosedHeads(),
+      }),
     );
 
     const keyAgeMs = () => nowMs() - config.freshAtMs;
@@ -282,18 +283,20 @@
   readonly stalls: StallWatch;
   readonly nowMs: () => number;
   readonly record: (kind: string, fields: Record<string, unknown>) => void;
+  /** Heads of replicas that are taken apart. */
+  readonly closedHeads: () => readonly string[];
 }
 
 /** Moves requests away from replicas that stand still. */
 function moveStalled(
-  { stalls, nowMs, record }: StallOptions,
+  { stalls, nowMs, record, closedHeads }: StallOptions,
 ): Effect.Effect<never> {
   return Effect.forever(
     Effect.sync(() => {
-      const stalled = stalls.findStalled({
-        silentMs: MOVE_AFTER_MS,
-        nowMs: nowMs(),
-      });
+      const closed = closedHeads();
+      const stalled = stalls.findDoubtful(nowMs()).filter((head) =>
+        head.silentMs >= MOVE_AFTER_MS || closed.includes(head.instanceId)
+      );
       for (const { instanceId, silentMs, attempts } of stalled) {
         record("replica.stalled", { headId: instanceId, silentMs, attempts });
         stalls.abandon(instanceId);
--- a/packages/celerytray/src/platform/instance_client.ts
+++ b/packages/celerytray/src/platform/instance_client.ts
@@ -15,7 +15,7 @@
 import { headers } from "./words.ts";
 
 const ORDER_TIMEOUT_MS = 600;
-const PROBE_TIMEOUT_MS = 500;
+const PROBE_TIMEOUT_MS = 350;
 const OUTCOMES: Readonly<Record<number, OrderOutcome>> = {
   200: "holds",
   202: "begun",
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -14,6 +14,8 @@
   readonly targets: readonly ServingTarget[];
   readonly loads: LoadBook;
   readonly zone: string;
+  /** Whether an instance is silent towards all requests it has from here. */
+  readonly isSilent: (instanceId: string) => boolean;
   /** Instances that already had the request. */
   readonly tried: ReadonlySet<string>;
   readonly nowMs: number;
@@ -35,7 +37,7 @@
     !tried.has(instanceId)
   );
   const preferred = untried.filter(({ instanceId }) =>
-    !loads.isAvoided(instanceId, nowMs)
+    !loads.isAvoided(instanceId, nowMs) && !choice.isSilent(instanceId)
   );
   let best: ServingTarget | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -30,7 +30,6 @@
 } from "./serving_config.ts";
 export { selectService, ServingIndex } from "./serving_index.ts";
 export {
-  DOUBT_AFTER_MS,
   MOVE_AFTER_MS,
   type StalledInstance,
   StallWatch,
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -154,6 +154,7 @@
         targets: dependencies.listTargets(call.service, call.head.model),
         loads: dependencies.loads,
         zone: dependencies.zone,
+        isSilent: (id) => dependencies.stalls.isSilent(id, nowMs),
         tried: progress.tried,
         nowMs,
         random: dependencies.random,
--- a/packages/celerytray/src/serving/stall_watch.ts
+++ b/packages/celerytray/src/serving/stall_watch.ts
@@ -13,8 +13,12 @@
   readonly attempts: number;
 }
 
-/** Silence of all attempts after which an instance is doubted. */
-export const DOUBT_AFTER_MS = 700;
+/** Silence of a single attempt after which its instance is doubted. */
+const DOUBT_AFTER_MS = 700;
+/** Silence of several attempts after which their instance is doubted. */
+const DOUBT_SEVERAL_AFTER_MS = 400;
+/** Silence after which new requests go elsewhere, where they can. */
+const PASS_OVER_AFTER_MS = 200;
 /** Silence of all attempts after which they are moved. */
 export const MOVE_AFTER_MS = 1_100;
 
@@ -46,14 +50,22 @@
     this.#lastByteAtMs.set(instanceId, nowMs);
   }
 
-  /** Instances that were silent towards all their attempts for a time. */
-  findStalled(
-    options: { readonly silentMs: number; readonly nowMs: number },
-  ): readonly StalledInstance[] {
+  /** Whether new requests should rather go elsewhere. */
+  isSilent(instanceId: string, nowMs: number): boolean {
+    const attempts = this.#attempts.get(instanceId);
+    return attempts !== undefined &&
+      nowMs - this.#aliveAtMs(instanceId, attempts) >= PASS_OVER_AFTER_MS;
+  }
+
+  /** Instances that are silent towards all their attempts. */
+  findDoubtful(nowMs: number): readonly StalledInstance[] {
     const stalled: StalledInstance[] = [];
     for (const [instanceId, attempts] of this.#attempts) {
-      const silentMs = options.nowMs - this.#aliveAtMs(instanceId, attempts);
-      if (silentMs < options.silentMs) continue;
+      const silentMs = nowMs - this.#aliveAtMs(instanceId, attempts);
+      const doubtAfterMs = attempts.size > 1
+        ? DOUBT_SEVERAL_AFTER_MS
+        : DOUBT_AFTER_MS;
+      if (silentMs < doubtAfterMs) continue;
       stalled.push({ instanceId, silentMs, attempts: attempts.size });
     }
     return stalled;
