Exchange weights between hosts before traffic; remember replicas that were left

Cause: after a takeover the head of a replica that was just taken apart was left out of the next one, as the list still told it open, and a cold instance loaded for 16 s in its place; a staging order was repeated every 3 s.

Change: what an instance left is remembered by epoch; heat of an instance is taken from the list; orders to stage are not repeated; members of the largest and the smallest replica of a domain stage each other's model in waves.

--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -10,6 +10,7 @@
 import { LivenessBook } from "./liveness_book.ts";
 import { LoadLimit } from "./load_limit.ts";
 import { type Formation, planFormations } from "./plan_formations.ts";
+import { planCrossStaging } from "./plan_cross_staging.ts";
 import { planSpares } from "./plan_spares.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
 import { planRun, type ReplicaRun } from "./replica_run.ts";
@@ -48,12 +49,16 @@
 /** Longest time between two rounds, and the steps in which a round can start. */
 const TICK_MS = 60;
 const STEP_MS = 10;
+/** Longest time for which weights count as being put on a host. */
+const STAGING_MS = 20_000;
 /** Time after which the list tells what an instance was ordered. */
 const LIST_LAG_MS = 1_000;
 /** Wait for the answer to an order before it is sent once more. */
 const ORDER_REPEAT_MS = 700;
 /** Wait before the preparation of a spare is ordered once more. */
 const SPARE_REPEAT_MS = 3_000;
+/** Wait before the loading of weights to a host is ordered once more. */
+const STAGE_REPEAT_MS = 40_000;
 /** Time without a new instance after which a domain counts as filled. */
 const GATHER_MS = 1_200;
 /** Loads that an earlier leader may have begun just now. */
@@ -66,10 +71,16 @@
   readonly #liveness = new LivenessBook();
   /** Time of the last order of a kind to an instance. */
   readonly #orderedAtMs = new Map<string, number>();
-  /** Model of the last join that began, by instance. */
+  /** Model whose weights an instance had last in this life. */
   readonly #lastModels = new Map<string, string>();
+  /** Model that a spare is joining with. */
+  readonly #preparing = new Map<string, string>();
   readonly #busyRecords = new Set<string>();
   readonly #orphanSinceMs = new Map<string, number>();
+  /** Newest replica that an instance has left, by its epoch. */
+  readonly #leftEpochs = new Map<string, number>();
+  /** Time at which an instance began to put weights on its host. */
+  readonly #stagingSinceMs = new Map<string, number>();
   /** Newest place in the log that orders follow from. */
   #fence: number;
   #limit: LoadLimit | undefined;
@@ -88,7 +99,6 @@
       const run = createRun(record);
       run.mayBeOpen = true;
       this.#runs.set(record.name, run);
-      for (const id of record.members) this.#lastModels.set(id, record.model);
     }
   }
 
@@ -251,14 +261,22 @@
 
   /** Heads that are open though their replica was taken apart. */
   #listOrphans(): readonly InstanceState[] {
-    return this.#options.instances.list().filter(({ membership }) => {
-      if (membership === undefined || membership.rank !== 0) return false;
-      const { replica, epoch, state } = membership;
-      if (state !== "open" && state !== "closing") return false;
+    return this.#options.instances.list().filter((instance) => {
+      const { membership } = instance;
+      if (membership?.rank !== 0 || !this.#mayServe(instance)) return false;
+      const { replica, epoch } = membership;
       return this.#runs.get(replica)?.record.epoch !== epoch;
     });
   }
 
+  /** Whether an instance may be in an open replica, as far as is known. */
+  #mayServe({ id, membership }: InstanceState): boolean {
+    if (membership === undefined) return false;
+    // The list may still tell what was before the instance left.
+    if (membership.epoch <= (this.#leftEpochs.get(id) ?? -1)) return false;
+    return membership.state === "open" || membership.state === "closing";
+  }
+
   #retire(run: ReplicaRun): readonly Effect.Effect<unknown>[] {
     const { name } = run.record;
     if (this.#busyRecords.has(name)) return [];
@@ -294,7 +312,10 @@
     if (this.#busyRecords.size > 0) return [];
     const work: Effect.Effect<unknown>[] = [];
     for (const [service, engine] of this.#options.engines()) {
-      const free = this.#listFree(service);
+      const unsettled = this.#listUnsettledDomains(service);
+      const free = this.#listFree(service).filter(({ domain }) =>
+        !unsettled.has(domain!)
+      );
       const formations = planFormations({
         service,
         models: engine.models,
@@ -306,24 +327,49 @@
           .map(({ record }) => record),
         hotModel: (id) => this.#hotModel(id),
         demand: this.#options.demand,
+        preparedModel: (id) => this.#preparing.get(id),
         isFilled: (domain) => this.#isFilled(domain, nowMs),
       });
       if (formations.length > 0) {
         work.push(this.#form(formations));
         continue;
       }
-      work.push(...this.#prepareSpares(engine, free, nowMs));
+      work.push(
+        ...this.#prepareSpares(engine, free, nowMs),
+        ...this.#crossStage(service, engine, nowMs),
+      );
     }
     return work;
   }
 
+  /** Domains in which a free instance is doubted and not yet decided on. */
+  #listUnsettledDomains(service: string): ReadonlySet<string> {
+    const used = this.#memberIds();
+    const unsettled = new Set<string>();
+    for (const instance of this.#options.instances.list()) {
+      const { id, domain } = instance;
+      if (instance.service !== service || domain === undefined) continue;
+      if (used.has(id) || !this.#liveness.isDoubted(id)) continue;
+      if (this.#isAlive(id)) unsettled.add(domain);
+    }
+    return unsettled;
+  }
+
   /** Whether instances still arrive in a row, by domain, as after a start. */
   #noteArrivals(nowMs: number): void {
-    for (const { id, domain, bornAtMs } of this.#options.instances.list()) {
+    for (const instance of this.#options.instances.list()) {
+      const { id, domain, bornAtMs, loadedModel, membership } = instance;
       if (domain === undefined) continue;
       const life = `${id} ${bornAtMs ?? ""}`;
-      if (this.#seenLives.get(id) === life) continue;
+      if (this.#seenLives.get(id) === life) {
+        if (loadedModel !== undefined && membership?.state !== "joining") {
+          this.#lastModels.set(id, loadedModel);
+          this.#preparing.delete(id);
+        }
+        continue;
+      }
       if (this.#seenLives.has(id)) this.#lastModels.delete(id);
+      this.#preparing.delete(id);
       this.#seenLives.set(id, life);
       this.#arrivedAtMs.set(domain, nowMs);
     }
@@ -340,8 +386,7 @@
       instance.service === service && !instance.isDraining &&
       !used.has(instance.id) &&
       !this.#liveness.isDoubted(instance.id) && instance.domain !== undefined &&
-      instance.membership?.state !== "open" &&
-      instance.membership?.state !== "closing"
+      !this.#mayServe(instance)
     );
   }
 
@@ -382,17 +427,50 @@
   ): readonly Effect.Effect<unknown>[] {
     return planSpares({
       models: engine.models,
-      free,
+      free: free.filter(({ domain }) => this.#isFilled(domain!, nowMs)),
       hotModel: (id) => this.#hotModel(id),
+      preparedModel: (id) => this.#preparing.get(id),
       epoch: this.#fence,
     }).flatMap(({ instance, order }) =>
       this.#send(instance.id, order, { nowMs })
     );
   }
 
+  /** Loads don't count before the first request. */
+  #crossStage(
+    service: string,
+    engine: EngineSpec,
+    nowMs: number,
+  ): readonly Effect.Effect<unknown>[] {
+    if (this.#options.hasTraffic()) return [];
+    const isStaging = (id: string) =>
+      nowMs - (this.#stagingSinceMs.get(id) ?? -STAGING_MS) < STAGING_MS &&
+      !this.#isStaged(id);
+    const underWay = [...this.#stagingSinceMs.keys()].filter(isStaging).length;
+    return planCrossStaging({
+      models: engine.models,
+      replicas: [...this.#runs.values()]
+        .filter(({ record, retiring }) =>
+          record.service === service && retiring === undefined
+        )
+        .map(({ record }) => record),
+      findInstance: (id) => this.#options.instances.find(id),
+    }).filter(({ instance }) => !this.#stagingSinceMs.has(instance.id))
+      .slice(0, Math.max(0, engine.loadsAtOnce - underWay))
+      .flatMap(({ instance, order }) =>
+        this.#send(instance.id, order, { nowMs })
+      );
+  }
+
+  /** Whether a host holds other weights than its instance has in memory. */
+  #isStaged(id: string): boolean {
+    const staged = this.#options.instances.find(id)?.stagedModels ?? [];
+    const hot = this.#hotModel(id);
+    return staged.some((model) => model !== hot);
+  }
+
   #hotModel(instanceId: string): string | undefined {
-    return this.#lastModels.get(instanceId) ??
-      this.#options.instances.find(instanceId)?.loadedModel;
+    return this.#lastModels.get(instanceId);
   }
 
   /** Sends an order, unless one was sent just now or may not load yet. */
@@ -404,7 +482,11 @@
     const address = this.#findAddress(instanceId);
     if (address === undefined) return [];
     const key = `${instanceId} ${order.kind} ${run?.record.name ?? order.kind}`;
-    const repeatMs = run === undefined ? SPARE_REPEAT_MS : ORDER_REPEAT_MS;
+    const repeatMs = run !== undefined
+      ? ORDER_REPEAT_MS
+      : order.kind === "stage"
+      ? STAGE_REPEAT_MS
+      : SPARE_REPEAT_MS;
     if (nowMs - (this.#orderedAtMs.get(key) ?? -repeatMs) < repeatMs) {
       return [];
     }
@@ -412,6 +494,7 @@
       return [];
     }
     this.#orderedAtMs.set(key, nowMs);
+    if (order.kind === "stage") this.#stagingSinceMs.set(instanceId, nowMs);
     if (order.kind === "open" && run !== undefined) run.mayBeOpen = true;
     return [
       this.#options.control.sendOrder({ id: instanceId, address }, {
@@ -453,12 +536,18 @@
     });
     const isTaken = outcome === "begun" || outcome === "holds";
     if (order.kind === "join" && isTaken) {
-      this.#lastModels.set(instanceId, order.model);
+      if (run === undefined) this.#preparing.set(instanceId, order.model);
+      else this.#preparing.delete(instanceId);
       run?.joinedIds.add(instanceId);
     }
+    if (order.kind === "leave" && outcome !== "elsewhere") {
+      this.#leftEpochs.set(instanceId, order.epoch);
+    }
     const retiring = run?.retiring;
     if (retiring === undefined || run === undefined) return;
-    if (kind === "leave" && outcome !== "elsewhere") run.leftIds.add(instanceId);
+    if (kind === "leave" && outcome !== "elsewhere") {
+      run.leftIds.add(instanceId);
+    }
     if (instanceId !== run.record.members[0]) return;
     if (kind === "close" && (outcome === "holds" || outcome === "unfit")) {
       retiring.isClosed = true;
--- a/packages/celerytray/src/groups/plan_formations.ts
+++ b/packages/celerytray/src/groups/plan_formations.ts
@@ -12,6 +12,8 @@
   readonly replicas: readonly ReplicaRecord[];
   /** Model whose weights an instance has in memory. */
   readonly hotModel: (instanceId: string) => string | undefined;
+  /** Model that a free instance is loading. */
+  readonly preparedModel: (instanceId: string) => string | undefined;
   /** Whether no more instances are about to arrive in a domain. */
   readonly isFilled: (domain: string) => boolean;
   /** Requests that run or wait for a model; undefined where none is known. */
@@ -126,8 +128,9 @@
   instance: InstanceState,
 ): number {
   if (input.hotModel(instance.id) === model.name) return 0;
-  return instance.stagedModels.includes(model.name)
-    ? model.warmMs
+  if (instance.stagedModels.includes(model.name)) return model.warmMs;
+  return input.preparedModel(instance.id) === model.name
+    ? model.loadMs / 2
     : model.loadMs;
 }
 
--- a/packages/celerytray/src/groups/plan_spares.ts
+++ b/packages/celerytray/src/groups/plan_spares.ts
@@ -9,6 +9,8 @@
   readonly free: readonly InstanceState[];
   /** Model whose weights an instance has in memory. */
   readonly hotModel: (instanceId: string) => string | undefined;
+  /** Model that an instance is loading. */
+  readonly preparedModel: (instanceId: string) => string | undefined;
   /** Epoch for replicas that never open; below that of any later replica. */
   readonly epoch: number;
 }
@@ -30,6 +32,7 @@
   const hotCounts = countHot(input);
   return input.free.flatMap((instance): SpareOrder[] => {
     const domain = instance.domain ?? "";
+    if (input.preparedModel(instance.id) !== undefined) return [];
     const hot = hotModel(instance.id);
     if (hot === undefined) {
       const model = leastHot(
@@ -62,10 +65,12 @@
   });
 }
 
-function countHot({ free, hotModel }: SpareInput): Map<string, number> {
+function countHot(
+  { free, hotModel, preparedModel }: SpareInput,
+): Map<string, number> {
   const counts = new Map<string, number>();
   for (const { id, domain } of free) {
-    const key = `${domain ?? ""} ${hotModel(id)}`;
+    const key = `${domain ?? ""} ${preparedModel(id) ?? hotModel(id)}`;
     counts.set(key, (counts.get(key) ?? 0) + 1);
   }
   return counts;
