Tell a reset from the end of an answer without a length; refuse work late in a stop

Ruled out: the error event of the socket (it doesn't fire in this case); the socket's flags (they are those of a normal end); the length inside the receipt (its format is not given).

Change: at the end of an answer without a length an empty line is written, which fails after a reset. From 3 s after SIGTERM requests are refused as not run.

--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -4,6 +4,7 @@
 import { listen, type ListenFailure } from "../http/index.ts";
 import {
   CallerExchange,
+  type OwnAnswer,
   serveCall,
   type ServingDependencies,
 } from "../serving/index.ts";
@@ -24,8 +25,8 @@
   readonly calls: InFlightCalls;
   /** Ends each connection with its next answer. */
   readonly close: () => void;
-  /** Time at which the last request came in. */
-  readonly lastRequestAtMs: () => number;
+  /** Refuses what comes in from now on. */
+  readonly refuse: () => void;
   /** Takes the bounds of a new configuration. */
   readonly setTimeouts: (timeouts: {
     readonly idleTimeoutMs: number;
@@ -35,6 +36,11 @@
 
 /** Callers reuse connections a little shorter than they may stay idle. */
 const IDLE_MARGIN_MS = 1_000;
+const LEAVING_ANSWER: OwnAnswer = {
+  status: 503,
+  message: "This process is stopping; the request was not run",
+  retryAfterMs: 50,
+};
 /** Time in which a whole request must be there. */
 const REQUEST_TIMEOUT_MS = 60_000;
 
@@ -44,7 +50,7 @@
 ): Effect.Effect<CallerServer, ListenFailure, Scope.Scope> {
   return Effect.gen(function* () {
     const calls = new InFlightCalls();
-    const state = { isClosing: false, lastRequestAtMs: 0 };
+    const state: ServerState = { isClosing: false, isRefusing: false };
     const clock = yield* Clock.Clock;
     const handler = createHandler({
       options,
@@ -70,7 +76,9 @@
       close: () => {
         state.isClosing = true;
       },
-      lastRequestAtMs: () => state.lastRequestAtMs,
+      refuse: () => {
+        state.isRefusing = true;
+      },
       setTimeouts: ({ idleTimeoutMs, headerTimeoutMs }) => {
         setIdle(idleTimeoutMs);
         server.headersTimeout = headerTimeoutMs + IDLE_MARGIN_MS;
@@ -79,10 +87,15 @@
   });
 }
 
+interface ServerState {
+  isClosing: boolean;
+  isRefusing: boolean;
+}
+
 interface HandlerOptions {
   readonly options: CallerServerOptions;
   readonly calls: InFlightCalls;
-  readonly state: { readonly isClosing: boolean; lastRequestAtMs: number };
+  readonly state: ServerState;
   readonly nowMs: () => number;
   readonly context: Context.Context<never>;
 }
@@ -95,12 +108,16 @@
   return (request, response) => {
     if (request.headers.expect !== undefined) response.writeContinue();
     const startedAtMs = nowMs();
-    state.lastRequestAtMs = startedAtMs;
     const exchange = new CallerExchange({
       request,
       response,
       isClosing: () => state.isClosing,
     });
+    if (state.isRefusing) {
+      exchange.answerItself(undefined, LEAVING_ANSWER);
+      request.resume();
+      return;
+    }
     calls.begin();
     const fiber = run(
       serveCall(exchange, dependencies).pipe(
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -75,7 +75,7 @@
 /** Time in which the platform's entry stops sending new connections. */
 const ENTRY_NOTICE_MS = 3_000;
 /** Part of the grace time within which everything must be answered. */
-const GRACE_PART = 0.9;
+const GRACE_PART = 0.96;
 
 /** Starts the process; it runs until the scope closes. */
 export function createHost(
@@ -254,6 +254,7 @@
           callers.close();
           coordinator.leave();
           yield* Effect.sleep(ENTRY_NOTICE_MS);
+          callers.refuse();
           yield* callers.calls.waitUntilEmpty().pipe(
             Effect.timeoutOption(
               settings.graceMs * GRACE_PART - ENTRY_NOTICE_MS,
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -11,6 +11,7 @@
   selectAnswerHeaders,
   selectRequestHeaders,
 } from "./forward_headers.ts";
+export { watchEnd } from "./watch_end.ts";
 export { BodyTooLarge, discardBody, readBody } from "./read_body.ts";
 export {
   listen,
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -5,7 +5,7 @@
   type IncomingMessage,
   request as httpRequest,
 } from "node:http";
-import { parseAddress } from "../http/index.ts";
+import { parseAddress, watchEnd } from "../http/index.ts";
 import type { AnswerHead, CallCodec } from "./call.ts";
 import { EventSplitter, type StreamEvent } from "./event_splitter.ts";
 
@@ -173,8 +173,8 @@
       options.onEvent(event);
     }
   });
-  response.on("end", () => {
-    if (!response.complete || splitter.pendingBytes > 0) {
+  watchEnd(response, (isWhole) => {
+    if (!isWhole || splitter.pendingBytes > 0) {
       reject("The stream ended inside an event");
     } else {
       reading.settle({ kind: "streamed" });
@@ -193,8 +193,8 @@
       reading.reject(`The answer exceeds ${MAX_ANSWER_BYTES} bytes`);
     }
   });
-  response.on("end", () => {
-    if (!response.complete) reading.reject("The answer was cut off");
+  watchEnd(response, (isWhole) => {
+    if (!isWhole) reading.reject("The answer was cut off");
     else {
       reading.settle({
         kind: "answered",
