Measure time by a steady clock; prove keys fresh after a jump

Change: clock/ gives steady milliseconds; a jump of the time of day against it asks the store for a new proof; a read that waited to its end proves its end. One line when a topic of the store is lost or regained instead of one a read.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -1,4 +1,5 @@
 import { Clock, Effect } from "effect";
+import { readSteadyMs } from "../clock/index.ts";
 import {
   type FleetDirector,
   type LeadRecord,
@@ -152,7 +153,7 @@
   run(): Effect.Effect<never> {
     return Effect.gen({ self: this }, function* () {
       const clock = yield* Clock.Clock;
-      this.#nowMs = () => clock.currentTimeMillisUnsafe();
+      this.#nowMs = () => readSteadyMs(clock);
       while (true) {
         if (this.#isLeaving) {
           yield* Effect.sleep(REPORT_INTERVAL_MS);
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -1,4 +1,5 @@
-import { Clock, Effect, type Scope } from "effect";
+import { Effect, type Scope } from "effect";
+import { steadyMs } from "../clock/index.ts";
 import type { EngineSpec } from "../serving/index.ts";
 import type {
   InstanceControl,
@@ -122,11 +123,11 @@
   run(): Effect.Effect<never, never, Scope.Scope> {
     return Effect.gen({ self: this }, function* () {
       const scope = yield* Effect.scope;
-      this.#startedAtMs = yield* Clock.currentTimeMillis;
+      this.#startedAtMs = yield* steadyMs;
       let workedAtMs = Number.NEGATIVE_INFINITY;
       let revision = -1;
       while (true) {
-        const nowMs = yield* Clock.currentTimeMillis;
+        const nowMs = yield* steadyMs;
         const { instances } = this.#options;
         const isDue = this.#isChanged || instances.revision !== revision ||
           nowMs - workedAtMs >= TICK_MS;
--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -1,5 +1,6 @@
 import { Clock, type Context, Effect, Fiber, type Scope } from "effect";
 import type { RequestListener, Server } from "node:http";
+import { readSteadyMs } from "../clock/index.ts";
 import { InFlightCalls } from "../forwarding/index.ts";
 import { listen, type ListenFailure } from "../http/index.ts";
 import {
@@ -56,7 +57,7 @@
       options,
       calls,
       state,
-      nowMs: () => clock.currentTimeMillisUnsafe(),
+      nowMs: () => readSteadyMs(clock),
       context: yield* Effect.context<never>(),
     });
     const server: Server = yield* listen({
--- a/packages/celerytray/src/host/config_view.ts
+++ b/packages/celerytray/src/host/config_view.ts
@@ -14,7 +14,7 @@
 export class ConfigView {
   readonly #options: ConfigViewOptions;
   #index: ServingIndex | undefined;
-  #freshAtMs = Number.NEGATIVE_INFINITY;
+  #nextOffset = 0;
 
   constructor(options: ConfigViewOptions) {
     this.#options = options;
@@ -25,9 +25,9 @@
     return this.#index;
   }
 
-  /** Time at which the configuration was the newest. */
-  get freshAtMs(): number {
-    return this.#freshAtMs;
+  /** Offset up to which changes were applied. */
+  get nextOffset(): number {
+    return this.#nextOffset;
   }
 
   apply(change: KeyedChange): void {
@@ -43,6 +43,6 @@
         },
       });
     }
-    this.#freshAtMs = change.freshAtMs;
+    this.#nextOffset = change.nextOffset;
   }
 }
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -1,5 +1,6 @@
 import { Clock, Effect, type Scope } from "effect";
 import { randomUUID } from "node:crypto";
+import { readSteadyMs, steadyMs } from "../clock/index.ts";
 import {
   Coordinator,
   createPeerHandler,
@@ -28,6 +29,7 @@
 import type { Either } from "purify-ts";
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { ConfigView } from "./config_view.ts";
+import { KeyFreshness } from "./key_freshness.ts";
 import type { HostSettings } from "./host_settings.ts";
 import { StoreContact } from "./store_contact.ts";
 import { TargetLists } from "./target_lists.ts";
@@ -67,11 +69,12 @@
 const INSTANCES_PAUSE_MS = 300;
 const LEAD_INSTANCES_PAUSE_MS = 60;
 const STALL_CHECK_MS = 50;
+const PROOF_CHECK_MS = 20;
 const PEER_TIMEOUT_MS = 400;
 /** Part of the time for taking keys away after which they are not trusted. */
-const KEY_AGE_PART = 0.85;
+const KEY_AGE_PART = 0.95;
 /** Age of the keys at which callers are sent to other machines. */
-const READY_KEY_AGE_PART = 0.7;
+const READY_KEY_AGE_PART = 0.6;
 /** Time in which the platform's entry stops sending new connections. */
 const ENTRY_NOTICE_MS = 3_000;
 /** Part of the grace time within which everything must be answered. */
@@ -84,16 +87,26 @@
   const { settings, ports, journal } = options;
   return Effect.gen(function* () {
     const clock = yield* Clock.Clock;
-    const nowMs = () => clock.currentTimeMillisUnsafe();
+    const nowMs = () => readSteadyMs(clock);
+    const keys = new KeyFreshness({
+      maxAgeMs: settings.keyRevocationMs * KEY_AGE_PART,
+      steadyMs: nowMs,
+      wallMs: () => clock.currentTimeMillisUnsafe(),
+      onDoubt: () => {
+        state.needsProof = true;
+        record("keys.doubted", {});
+      },
+    });
     const record = (kind: string, fields: Record<string, unknown>) =>
       journal.record(kind, fields);
-    const contact = new StoreContact({ record });
+    const contact = new StoreContact({ topic: "config", record });
+    const listContact = new StoreContact({ topic: "instances", record });
     const metrics = new MetricsPage();
     const loads = new LoadBook();
     const stalls = new StallWatch();
     const pools = new BackendPools();
     const demand = new Map<string, number>();
-    const state = { isDraining: false, hasTraffic: false };
+    const state = { isDraining: false, hasTraffic: false, needsProof: false };
 
     const servers: { callers?: CallerServer } = {};
     const config = new ConfigView({
@@ -154,6 +167,7 @@
       onChange: (change) => {
         contact.noteAnswer(nowMs());
         config.apply(change);
+        keys.noteProof(change.freshAtMs);
       },
       onFailure: (message) => contact.noteFailure(message, nowMs()),
     }));
@@ -164,12 +178,16 @@
       pauseMs: () =>
         coordinator.isLeading ? LEAD_INSTANCES_PAUSE_MS : INSTANCES_PAUSE_MS,
       onChange: (change) => {
+        listContact.noteAnswer(nowMs());
         instances.apply(change, nowMs());
         loads.keepOnly((id) => instances.find(id) !== undefined);
       },
-      onFailure: (message) => record("instances.read-failed", { message }),
+      onFailure: (message) => listContact.noteFailure(message, nowMs()),
     }));
     yield* Effect.forkScoped(coordinator.run());
+    yield* Effect.forkScoped(
+      proveKeys({ log: ports.log, config, keys, state }),
+    );
     yield* Effect.forkScoped(
       moveStalled({
         stalls,
@@ -179,12 +197,11 @@
       }),
     );
 
-    const keyAgeMs = () => nowMs() - config.freshAtMs;
     const dependencies: ServingDependencies = {
       codec: ports.codec,
       zone: settings.zone,
       index: () => config.index,
-      areKeysFresh: () => keyAgeMs() < settings.keyRevocationMs * KEY_AGE_PART,
+      areKeysFresh: () => keys.isFresh(),
       listTargets: (service, model) => targets.list(service, model),
       loads,
       stalls,
@@ -216,7 +233,7 @@
     const isReady = () =>
       !state.isDraining && config.index !== undefined &&
       instances.isLoaded &&
-      keyAgeMs() < settings.keyRevocationMs * READY_KEY_AGE_PART;
+      keys.ageMs() < settings.keyRevocationMs * READY_KEY_AGE_PART;
     yield* listen({
       address: settings.readyAddress,
       handler: (_request, response) => {
@@ -280,6 +297,30 @@
   return engines;
 }
 
+interface ProofOptions {
+  readonly log: KeyedLog;
+  readonly config: ConfigView;
+  readonly keys: KeyFreshness;
+  readonly state: { needsProof: boolean };
+}
+
+/** Asks the store at once whether there is a newer configuration. */
+function proveKeys(
+  { log, config, keys, state }: ProofOptions,
+): Effect.Effect<never> {
+  const prove = Effect.gen(function* () {
+    const sentAtMs = yield* steadyMs;
+    const { nextOffset: fromOffset } = config;
+    const page = yield* log.read("config", { fromOffset, waitMs: 0 });
+    state.needsProof = false;
+    if (page.records.length === 0) keys.noteProof(sentAtMs);
+  });
+  return Effect.forever(
+    Effect.suspend(() => state.needsProof ? Effect.ignore(prove) : Effect.void)
+      .pipe(Effect.andThen(Effect.sleep(PROOF_CHECK_MS))),
+  );
+}
+
 interface StallOptions {
   readonly stalls: StallWatch;
   readonly nowMs: () => number;
--- a/packages/celerytray/src/host/store_contact.ts
+++ b/packages/celerytray/src/host/store_contact.ts
@@ -1,9 +1,11 @@
 /** Options of the view of the way to the store. */
 export interface StoreContactOptions {
+  /** What is read from the store. */
+  readonly topic: string;
   readonly record: (kind: string, fields: Record<string, unknown>) => void;
 }
 
-/** When the store answered this process, and since when without a break. */
+/** When the store answered reads of a topic, and since when without a break. */
 export class StoreContact {
   readonly #options: StoreContactOptions;
   #answeredAtMs = 0;
@@ -27,13 +29,15 @@
     this.#answeredAtMs = nowMs;
     if (this.#steadySinceMs !== undefined) return;
     this.#steadySinceMs = nowMs;
-    this.#options.record("store.regained", {});
+    const { topic, record } = this.#options;
+    record("store.regained", { topic });
   }
 
   noteFailure(message: string, nowMs: number): void {
     const answeredAgoMs = nowMs - this.#answeredAtMs;
     if (this.#steadySinceMs !== undefined) {
-      this.#options.record("store.lost", { message, answeredAgoMs });
+      const { topic, record } = this.#options;
+      record("store.lost", { topic, message, answeredAgoMs });
     }
     this.#steadySinceMs = undefined;
   }
--- a/packages/celerytray/src/keyed_log/follow_keyed.ts
+++ b/packages/celerytray/src/keyed_log/follow_keyed.ts
@@ -1,4 +1,5 @@
-import { Clock, Effect } from "effect";
+import { Effect } from "effect";
+import { steadyMs } from "../clock/index.ts";
 import type { KeyedLog, KeyedRecord, KeyedTopic } from "./keyed_log.ts";
 
 /** What changed in a topic. */
@@ -34,7 +35,7 @@
     let nextOffset: number | undefined;
     let needsWhole = true;
     while (true) {
-      const sentAtMs = yield* Clock.currentTimeMillis;
+      const sentAtMs = yield* steadyMs;
       const isWhole: boolean = needsWhole;
       const page = yield* (isWhole ? log.readNewest(topic) : log.read(topic, {
         fromOffset: nextOffset!,
@@ -55,7 +56,12 @@
       }
       needsWhole = false;
       nextOffset = page.success.nextOffset;
-      options.onChange({ ...page.success, isWhole, freshAtMs: sentAtMs });
+      const answeredAtMs = yield* steadyMs;
+      // A read that waited to its end without a record tells of its end.
+      const hasWaited = !isWhole && page.success.records.length === 0 &&
+        answeredAtMs - sentAtMs >= options.waitMs;
+      const freshAtMs = hasWaited ? sentAtMs + options.waitMs : sentAtMs;
+      options.onChange({ ...page.success, isWhole, freshAtMs });
       if (page.success.records.length > 0) {
         yield* Effect.sleep(options.pauseMs());
       }
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -1,4 +1,5 @@
 import { Clock, Effect } from "effect";
+import { readSteadyMs, steadyMs } from "../clock/index.ts";
 import type { AnswerHead } from "./call.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
 import { chooseTarget, type ServingTarget } from "./choose_target.ts";
@@ -84,7 +85,7 @@
       failure: undefined,
       abandon: undefined,
     };
-    const startedAtMs = yield* Clock.currentTimeMillis;
+    const startedAtMs = yield* steadyMs;
     return yield* attemptUntilDone(options, progress).pipe(
       Effect.timeoutOrElse({
         duration: Math.max(1, call.deadlineAtMs - startedAtMs),
@@ -108,7 +109,7 @@
       if (target === undefined) {
         return giveUp(options, progress, "No back end can take the request");
       }
-      const nowMs = yield* Clock.currentTimeMillis;
+      const nowMs = yield* steadyMs;
       const isRepeat = progress.attempts.length > 0;
       if (isRepeat && call.deadlineAtMs - nowMs < MIN_REMAINING_MS) {
         return giveUp(options, progress, "Too little time is left");
@@ -117,7 +118,7 @@
         return giveUp(options, progress, "The budget of repeats is spent");
       }
       const outcome = yield* attemptOnce(options, progress, target);
-      const endedAtMs = yield* Clock.currentTimeMillis;
+      const endedAtMs = yield* steadyMs;
       noteOutcome({ options, progress, target, outcome, nowMs: endedAtMs });
       if (outcome.kind === "streamed") {
         return { kind: "streamed", ...describe(progress) };
@@ -145,11 +146,11 @@
   progress: Progress,
 ): Effect.Effect<ServingTarget | undefined> {
   return Effect.gen(function* () {
-    const startedAtMs = yield* Clock.currentTimeMillis;
+    const startedAtMs = yield* steadyMs;
     const waitUntilMs = startedAtMs +
       call.route.targetMs * WAIT_PART_OF_TARGET;
     while (true) {
-      const nowMs = yield* Clock.currentTimeMillis;
+      const nowMs = yield* steadyMs;
       const target = chooseTarget({
         targets: dependencies.listTargets(call.service, call.head.model),
         loads: dependencies.loads,
@@ -174,7 +175,7 @@
   const { instanceId, address } = target;
   return Effect.gen(function* () {
     const clock = yield* Clock.Clock;
-    const nowMs = () => clock.currentTimeMillisUnsafe();
+    const nowMs = () => readSteadyMs(clock);
     const startedAtMs = nowMs();
     progress.tried.add(instanceId);
     loads.noteSent(instanceId);
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -1,7 +1,8 @@
-import { Clock, Effect } from "effect";
+import { Effect } from "effect";
 import type { Agent } from "node:http";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
+import { steadyMs } from "../clock/index.ts";
 import { readBody } from "../http/index.ts";
 import type { CallCodec, CallHead } from "./call.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
@@ -20,7 +21,7 @@
   /** The configuration in force; undefined before there is one. */
   readonly index: () => ServingIndex | undefined;
   /** Whether keys are known to be the newest. */
-  readonly areKeysFresh: (nowMs: number) => boolean;
+  readonly areKeysFresh: () => boolean;
   /** Instances that may take a call: of a model, or of a plain service. */
   readonly listTargets: (
     service: string,
@@ -82,7 +83,7 @@
   dependencies: ServingDependencies,
 ): Effect.Effect<void> {
   return Effect.gen(function* () {
-    const arrivedAtMs = yield* Clock.currentTimeMillis;
+    const arrivedAtMs = yield* steadyMs;
     const { codec, index } = dependencies;
     const admitted = codec.decodeCall(exchange.request)
       .mapLeft((message): OwnAnswer => ({ status: 400, message }))
@@ -90,7 +91,6 @@
         admitCall(head, {
           dependencies,
           index: index(),
-          nowMs: arrivedAtMs,
         })
       );
     if (admitted.isLeft()) {
@@ -138,7 +138,7 @@
         Effect.sync(() => dependencies.noteDemand(model, -1)),
       ),
     );
-    const endedAtMs = yield* Clock.currentTimeMillis;
+    const endedAtMs = yield* steadyMs;
     finish(exchange, call, result);
     dependencies.record(createRecord(call, result, endedAtMs));
   });
@@ -149,13 +149,12 @@
 interface AdmissionOptions {
   readonly dependencies: ServingDependencies;
   readonly index: ServingIndex | undefined;
-  readonly nowMs: number;
 }
 
 /** Finds a call's route and tenant, or why it isn't forwarded. */
 function admitCall(
   head: CallHead,
-  { dependencies, index, nowMs }: AdmissionOptions,
+  { dependencies, index }: AdmissionOptions,
 ): Either<OwnAnswer, Admission> {
   if (index === undefined) {
     return Left({
@@ -165,7 +164,7 @@
     });
   }
   const { config } = index;
-  const areKeysFresh = dependencies.areKeysFresh(nowMs);
+  const areKeysFresh = dependencies.areKeysFresh();
   const staleAnswer: OwnAnswer = {
     status: 503,
     message: "The configuration may be outdated; the request was not run",
