Read the list of instances on one machine and tell the others

Ruled out: rarer reads on all machines (a draining instance must be known within 2 s by all).

Change: the process that leads tells the changes with its answers to the reports; the others read the store while it is not heard. Entries never go back behind a removal. The long read of the configuration waits 2 s.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -6,7 +6,7 @@
   type ReplicaRecord,
   type ReplicaRecorder,
 } from "../groups/index.ts";
-import type { KeyedLog } from "../keyed_log/index.ts";
+import type { KeyedLog, RelayedChange, TopicCopy } from "../keyed_log/index.ts";
 import {
   claimLead,
   type FleetRecords,
@@ -42,11 +42,17 @@
   readonly hasTraffic: () => boolean;
   /** Time of the last answer of the store to this process. */
   readonly storeAnsweredAtMs: () => number;
+  /** The list of instances as this process knows it. */
+  readonly instances: TopicCopy;
+  /** Takes what the lead tells of the list of instances. */
+  readonly onInstances: (change: RelayedChange) => void;
   readonly createDirector: (start: DirectorStart) => FleetDirector;
   readonly record: (kind: string, fields: Record<string, unknown>) => void;
 }
 
 const REPORT_INTERVAL_MS = 250;
+/** Interval for each process, which bounds the reports that a lead takes. */
+const REPORT_SPREAD_MS = 6;
 /** Steps in which heads that newly stand still are noticed. */
 const STEP_MS = 50;
 /** Silence of the lead after which another process takes its place. */
@@ -57,6 +63,10 @@
 const OWN_STORE_AGE_MS = 2_500;
 /** Wait of each further process before it takes the lead. */
 const RANK_DELAY_MS = 120;
+/** Age of the lead's last answer at which the list is read from the store. */
+const TOLD_AGE_MS = 700;
+/** Age of its last answer from the store at which that is done too. */
+const TOLD_STORE_AGE_MS = 3_500;
 const RETRY_DELAY_MS = 300;
 /** Time for which a process that reported counts as present. */
 const NODE_PRESENT_MS = 3_000;
@@ -75,6 +85,7 @@
   #director: FleetDirector | undefined;
   #isDeposed = false;
   #isLeaving = false;
+  #isFollowing = false;
   #heardAtMs = 0;
   /** Whether the lead's address refuses connections. */
   #isLeadDown = false;
@@ -103,6 +114,13 @@
     return this.#answer?.closedHeads ?? [];
   }
 
+  /** Whether a lead that hears the store tells of the list of instances. */
+  hearsLead(): boolean {
+    return this.#isFollowing && this.#answer?.isLeading === true &&
+      this.#answer.storeAgeMs < TOLD_STORE_AGE_MS &&
+      this.#nowMs() - this.#heardAtMs < TOLD_AGE_MS;
+  }
+
   /** Requests in progress for a model, over all processes. */
   totalDemand(model: string): number {
     let total = this.#options.demand()[model] ?? 0;
@@ -142,6 +160,7 @@
       storeAgeMs: nowMs - this.#options.storeAnsweredAtMs(),
       nodes: this.#listNodes(),
       closedHeads: this.#director?.listClosedHeads() ?? [],
+      instances: this.#options.instances.since(report.instancesOffset),
     };
   }
 
@@ -169,7 +188,9 @@
           records.lead.nodeId !== this.#options.nodeId;
         if (isTaken) {
           this.#lead = records.lead;
+          this.#isFollowing = true;
           yield* this.#follow(records.lead!);
+          this.#isFollowing = false;
         } else {
           yield* this.#claim(records);
         }
@@ -255,7 +276,12 @@
       this.#isLeadDown = false;
       while (!this.#isLeaving) {
         const answer = yield* this.#report(lead);
-        if (answer !== undefined) this.#answer = answer;
+        if (answer !== undefined) {
+          this.#answer = answer;
+          if (answer.isLeading && answer.instances.records.length > 0) {
+            this.#options.onInstances(answer.instances);
+          }
+        }
         const reason = this.#findReplacementReason(answer);
         if (reason !== undefined && (yield* this.#mayReplace(lead, reason))) {
           return;
@@ -269,7 +295,8 @@
   #awaitReport(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const known = new Set(this.#options.listStalledHeads());
-      const dueAtMs = this.#nowMs() + REPORT_INTERVAL_MS;
+      const dueAtMs = this.#nowMs() +
+        Math.max(REPORT_INTERVAL_MS, this.countNodes() * REPORT_SPREAD_MS);
       while (this.#nowMs() < dueAtMs) {
         yield* Effect.sleep(STEP_MS);
         const stalled = this.#options.listStalledHeads();
@@ -287,6 +314,7 @@
       stalledHeads: this.#options.listStalledHeads(),
       demand: this.#options.demand(),
       hasTraffic: this.#options.hasTraffic(),
+      instancesOffset: this.#options.instances.nextOffset,
     }).pipe(
       Effect.tap(({ isLeading, term }) =>
         Effect.sync(() => {
--- a/packages/celerytray/src/coordination/peer_router.ts
+++ b/packages/celerytray/src/coordination/peer_router.ts
@@ -3,6 +3,7 @@
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { Data, Effect } from "effect";
 import type { RequestListener } from "node:http";
+import type { RelayedChange } from "../keyed_log/index.ts";
 
 /** What a process tells the one that decides on replicas. */
 export interface PeerReport {
@@ -17,6 +18,8 @@
   readonly demand: Readonly<Record<string, number>>;
   /** Whether it has had requests. */
   readonly hasTraffic: boolean;
+  /** Offset up to which it knows the list of instances. */
+  readonly instancesOffset: number;
 }
 
 /** What the process that decides on replicas answers. */
@@ -29,6 +32,8 @@
   readonly nodes: readonly PeerNode[];
   /** Heads to which no requests should go. */
   readonly closedHeads: readonly string[];
+  /** Changes of the list of instances. */
+  readonly instances: RelayedChange;
 }
 
 /** A process of this system. */
@@ -173,7 +178,9 @@
   const isValid = typeof report === "object" && report !== null &&
     typeof report.nodeId === "string" &&
     typeof report.peerAddress === "string" &&
-    Number.isSafeInteger(report.term) && Array.isArray(report.stalledHeads) &&
+    Number.isSafeInteger(report.term) &&
+    Number.isSafeInteger(report.instancesOffset) &&
+    Array.isArray(report.stalledHeads) &&
     typeof report.demand === "object" && typeof report.hasTraffic === "boolean";
   if (isValid) return report as PeerReport;
   throw new Error("Malformed report; run one version on all machines");
--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -37,17 +37,21 @@
     return this.#isLoaded;
   }
 
-  apply(change: KeyedChange, nowMs: number): void {
+  apply(
+    change: Pick<KeyedChange, "isWhole" | "records">,
+    nowMs: number,
+  ): void {
     if (change.isWhole) {
       const listed = new Set(change.records.map(({ key }) => key));
       for (const id of [...this.#entries.keys()]) {
-        if (!listed.has(id)) this.#remove(id, nowMs);
+        if (!listed.has(id)) this.#remove(id, { nowMs });
       }
     }
     for (const { key, value, offset } of change.records) {
       const known = this.#entries.get(key);
-      if (known !== undefined && known.offset > offset) continue;
-      if (value === undefined) this.#remove(key, nowMs);
+      const newest = known?.offset ?? this.#absent.get(key)?.removedOffset;
+      if (newest !== undefined && newest > offset) continue;
+      if (value === undefined) this.#remove(key, { nowMs, offset });
       else this.#put(key, value, offset);
     }
     this.#isLoaded = true;
@@ -77,11 +81,18 @@
     });
   }
 
-  #remove(id: string, nowMs: number): void {
+  #remove(
+    id: string,
+    { nowMs, offset }: { readonly nowMs: number; readonly offset?: number },
+  ): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
     this.#entries.delete(id);
-    this.#absent.set(id, { state: entry.state, sinceMs: nowMs });
+    this.#absent.set(id, {
+      state: entry.state,
+      sinceMs: nowMs,
+      removedOffset: offset ?? entry.offset,
+    });
   }
 }
 
@@ -89,4 +100,6 @@
 export interface AbsentInstance {
   readonly state: InstanceState;
   readonly sinceMs: number;
+  /** Offset of the removal, or of the last entry before it. */
+  readonly removedOffset: number;
 }
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -15,7 +15,13 @@
 } from "../groups/index.ts";
 import { BackendPools, listen, type ListenFailure } from "../http/index.ts";
 import { type Journal, MetricsPage } from "../journal/index.ts";
-import { followKeyed, type KeyedLog } from "../keyed_log/index.ts";
+import {
+  followKeyed,
+  type KeyedChange,
+  type KeyedLog,
+  readRelayed,
+  TopicCopy,
+} from "../keyed_log/index.ts";
 import {
   type CallCodec,
   type CallRecord,
@@ -62,7 +68,7 @@
 }
 
 /** Longest wait of one read, which bounds the age of the keys. */
-const CONFIG_WAIT_MS = 1_500;
+const CONFIG_WAIT_MS = 2_000;
 const CONFIG_PAUSE_MS = 20;
 const INSTANCES_WAIT_MS = 10_000;
 /** Pause after a change of the list; the process that decides pauses less. */
@@ -125,6 +131,12 @@
       onMalformed: (instanceId, message) =>
         record("instance.malformed", { instanceId, message }),
     });
+    const instancesCopy = new TopicCopy();
+    const applyInstances = (change: Omit<KeyedChange, "freshAtMs">) => {
+      instancesCopy.apply(change);
+      instances.apply(change, nowMs());
+      loads.keepOnly((id) => instances.find(id) !== undefined);
+    };
     const engines = (): EngineSpecs => listEngines(config);
 
     const coordinator: Coordinator = new Coordinator({
@@ -138,6 +150,13 @@
       demand: () => Object.fromEntries(demand),
       hasTraffic: () => state.hasTraffic,
       storeAnsweredAtMs: () => contact.answeredAtMs,
+      instances: instancesCopy,
+      onInstances: (change) =>
+        applyInstances({
+          isWhole: false,
+          records: readRelayed(change),
+          nextOffset: change.nextOffset,
+        }),
       createDirector: ({ term, replicas, recorder }) =>
         new FleetDirector({
           term,
@@ -179,8 +198,11 @@
         coordinator.isLeading ? LEAD_INSTANCES_PAUSE_MS : INSTANCES_PAUSE_MS,
       onChange: (change) => {
         listContact.noteAnswer(nowMs());
-        instances.apply(change, nowMs());
-        loads.keepOnly((id) => instances.find(id) !== undefined);
+        applyInstances(change);
+      },
+      relay: {
+        isEnough: () => coordinator.hearsLead(),
+        nextOffset: () => instancesCopy.nextOffset,
       },
       onFailure: (message) => listContact.noteFailure(message, nowMs()),
     }));
--- a/packages/celerytray/src/keyed_log/follow_keyed.ts
+++ b/packages/celerytray/src/keyed_log/follow_keyed.ts
@@ -22,9 +22,17 @@
   readonly pauseMs: () => number;
   readonly onChange: (change: KeyedChange) => void;
   readonly onFailure: (message: string) => void;
+  /** What another process tells of the topic; without it all is read here. */
+  readonly relay?: {
+    /** Whether that is enough for now. */
+    readonly isEnough: () => boolean;
+    /** Offset up to which records are known. */
+    readonly nextOffset: () => number;
+  };
 }
 
 const RETRY_DELAY_MS = 250;
+const RELAY_CHECK_MS = 50;
 
 /** Follows a topic for ever; never goes back to older records. */
 export function followKeyed(
@@ -35,6 +43,10 @@
     let nextOffset: number | undefined;
     let needsWhole = true;
     while (true) {
+      if (nextOffset !== undefined && options.relay !== undefined) {
+        while (options.relay.isEnough()) yield* Effect.sleep(RELAY_CHECK_MS);
+        nextOffset = Math.max(nextOffset, options.relay.nextOffset());
+      }
       const sentAtMs = yield* steadyMs;
       const isWhole: boolean = needsWhole;
       const page = yield* (isWhole ? log.readNewest(topic) : log.read(topic, {
--- a/packages/celerytray/src/keyed_log/index.ts
+++ b/packages/celerytray/src/keyed_log/index.ts
@@ -10,6 +10,12 @@
   StoreAnswerLost,
   StoreUnavailable,
 } from "./keyed_log.ts";
+export {
+  readRelayed,
+  type RelayedChange,
+  type RelayedRecord,
+  TopicCopy,
+} from "./topic_copy.ts";
 export {
   followKeyed,
   type FollowKeyedOptions,
--- /dev/null
+++ b/packages/celerytray/src/keyed_log/topic_copy.ts
@@ -0,0 +1,90 @@
+import type { KeyedRecord } from "./keyed_log.ts";
+
+/** A record as other processes are told it. */
+export interface RelayedRecord {
+  readonly key: string;
+  /** The value as text; undefined once the key was dropped. */
+  readonly text?: string;
+  readonly offset: number;
+}
+
+/** What a process is told of a topic. */
+export interface RelayedChange {
+  readonly records: readonly RelayedRecord[];
+  readonly nextOffset: number;
+}
+
+/** Dropped keys that are remembered, for processes that lag behind. */
+const MAX_DROPPED_KEYS = 2_000;
+
+/** The newest record of each key of a topic, to be told to others. */
+export class TopicCopy {
+  readonly #records = new Map<string, KeyedRecord>();
+  #nextOffset = 0;
+
+  /** Offset up to which records are known. */
+  get nextOffset(): number {
+    return this.#nextOffset;
+  }
+
+  apply(change: {
+    readonly records: readonly KeyedRecord[];
+    readonly nextOffset: number;
+    readonly isWhole: boolean;
+  }): void {
+    if (change.isWhole) this.#dropMissing(change);
+    for (const record of change.records) {
+      const known = this.#records.get(record.key);
+      if (known !== undefined && known.offset > record.offset) continue;
+      // Put last, so that the map is in the order of offsets.
+      this.#records.delete(record.key);
+      this.#records.set(record.key, record);
+    }
+    this.#nextOffset = Math.max(this.#nextOffset, change.nextOffset);
+    this.#forgetDropped();
+  }
+
+  /** The newest records from an offset on. */
+  since(offset: number): RelayedChange {
+    const records = [...this.#records.values()]
+      .filter((record) => record.offset >= offset)
+      .map(({ key, value, offset }): RelayedRecord =>
+        value === undefined
+          ? { key, offset }
+          : { key, text: value.toString("utf8"), offset }
+      );
+    return { records, nextOffset: this.#nextOffset };
+  }
+
+  /** Keys that a whole reading no longer has were dropped before its end. */
+  #dropMissing(
+    { records, nextOffset }: {
+      readonly records: readonly KeyedRecord[];
+      readonly nextOffset: number;
+    },
+  ): void {
+    const present = new Set(records.map(({ key }) => key));
+    for (const [key, { value }] of [...this.#records]) {
+      if (present.has(key) || value === undefined) continue;
+      this.#records.delete(key);
+      this.#records.set(key, { key, offset: Math.max(0, nextOffset - 1) });
+    }
+  }
+
+  #forgetDropped(): void {
+    if (this.#records.size <= MAX_DROPPED_KEYS) return;
+    for (const [key, { value }] of this.#records) {
+      if (value === undefined) this.#records.delete(key);
+      if (this.#records.size <= MAX_DROPPED_KEYS) return;
+    }
+  }
+}
+
+/** Records as they were stored. */
+export function readRelayed(change: RelayedChange): readonly KeyedRecord[] {
+  return change.records.map(({ key, text, offset }) =>
+    text === undefined
+      ? { key, offset }
+      : { key, value: Buffer.from(text, "utf8"), offset }
+  );
+}
--- /dev/null
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -0,0 +1,327 @@
+import { expect } from "earl";
+import { Effect } from "effect";
+import {
+  Agent,
+  createServer,
+  type IncomingMessage,
+  request,
+  type RequestListener,
+  type Server,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { after, describe, it } from "node:test";
+import { PlatformCallCodec } from "../platform/call_codec.ts";
+import { CallerExchange } from "./caller_exchange.ts";
+import type { ServingTarget } from "./choose_target.ts";
+import { LoadBook } from "./load_book.ts";
+import { RepeatBudget } from "./repeat_budget.ts";
+import { type CallRecord, serveCall } from "./serve_call.ts";
+import type { ServingRoute } from "./serving_config.ts";
+import { ServingIndex } from "./serving_index.ts";
+import { StallWatch } from "./stall_watch.ts";
+
+const HOST = "127.0.0.1";
+const KEY = "key-1";
+const servers: Server[] = [];
+
+after(() => {
+  for (const server of servers) {
+    server.close();
+    server.closeAllConnections();
+  }
+});
+
+const ROUTE: ServingRoute = {
+  name: "route",
+  host: "a.example",
+  pathPrefix: "/safe/",
+  repeatability: "safe",
+  isStream: false,
+  timeoutMs: 2_000,
+  targetMs: 100,
+  priority: 1,
+  targets: [{ service: "desk", weight: 1 }],
+  maxAttempts: 2,
+  isPublic: false,
+};
+const ROUTES: readonly ServingRoute[] = [
+  ROUTE,
+  {
+    ...ROUTE,
+    name: "once",
+    pathPrefix: "/once/",
+    repeatability: "once",
+    maxAttempts: 1,
+  },
+  {
+    ...ROUTE,
+    name: "stream",
+    pathPrefix: "/stream/",
+    repeatability: "resumable",
+    isStream: true,
+  },
+];
+
+describe("serveCall", () => {
+  it("answers 503 while no configuration is known, and 404 or 401 after", async () => {
+    const unknown = await startEntry({ backends: [], isConfigured: false });
+    expect((await call(unknown, "/safe/x")).status).toEqual(503);
+    const known = await startEntry({ backends: [] });
+    expect((await call(known, "/none/x")).status).toEqual(404);
+    expect((await call(known, "/safe/x", { "x-api-key": "other" })).status)
+      .toEqual(401);
+  });
+
+  it("refuses as not run while keys may be outdated", async () => {
+    const entry = await startEntry({ backends: [], areKeysFresh: false });
+    const answer = await call(entry, "/safe/x");
+    expect(answer.status).toEqual(503);
+    expect(answer.headers["retry-after"] !== undefined).toEqual(true);
+  });
+
+  it("passes on the tenant, never the key", async () => {
+    const seen: IncomingMessage[] = [];
+    const backend = await startBackend((incoming, response) => {
+      seen.push(incoming);
+      answerWhole(incoming, response);
+    });
+    const entry = await startEntry({ backends: [backend] });
+    const answer = await call(entry, "/safe/x", { tenant: "forged" });
+    expect([answer.status, answer.body]).toEqual([200, "done"]);
+    expect(seen[0]!.headers.tenant).toEqual("tenant-1");
+    expect(seen[0]!.headers["x-api-key"]).toEqual(undefined);
+    expect(Number(seen[0]!.headers["deadline-ms"]) <= 2_000).toEqual(true);
+  });
+
+  it("repeats a safe request that failed, on another instance", async () => {
+    let calls = 0;
+    const backend = (fails: boolean) =>
+      startBackend((incoming, response) => {
+        calls += 1;
+        if (fails) incoming.socket.destroy();
+        else answerWhole(incoming, response);
+      });
+    const entry = await startEntry({
+      backends: [await backend(true), await backend(false)],
+    });
+    for (let index = 0; index < 6; index++) {
+      expect((await call(entry, "/safe/x")).status).toEqual(200);
+    }
+    expect(calls > 6).toEqual(true);
+  });
+
+  it("never sends a request twice that may have run once", async () => {
+    const ids: string[] = [];
+    const backend = () =>
+      startBackend((incoming) => {
+        ids.push(String(incoming.headers["attempt-id"]));
+        incoming.socket.destroy();
+      });
+    const entry = await startEntry({
+      backends: [await backend(), await backend()],
+    });
+    const answer = await call(entry, "/once/x");
+    expect(answer.status).toEqual(502);
+    expect(ids.length).toEqual(1);
+  });
+
+  it("promises that a request did not run only where that is true", async () => {
+    const turningAway = await startBackend((_incoming, response) => {
+      response.writeHead(503, { "not-executed": "1" }).end();
+    });
+    const entry = await startEntry({ backends: [turningAway] });
+    expect((await call(entry, "/once/x")).status).toEqual(503);
+    const silent503 = await startBackend((incoming, response) => {
+      response.writeHead(503, { "attempt-id": idOf(incoming) }).end();
+    });
+    const other = await startEntry({ backends: [silent503] });
+    expect((await call(other, "/once/x")).status).toEqual(502);
+  });
+
+  it("hands on no answer that belongs to another request", async () => {
+    const backend = await startBackend((_incoming, response) => {
+      response.writeHead(200, { "attempt-id": "other", "server-stamp": "s" })
+        .end("wrong");
+    });
+    const entry = await startEntry({ backends: [backend] });
+    const answer = await call(entry, "/safe/x");
+    expect(answer.status).toEqual(502);
+    expect(answer.body.includes("wrong")).toEqual(false);
+  });
+
+  it("resumes a stream that broke inside an event", async () => {
+    const resumedAfter: unknown[] = [];
+    const backend = () =>
+      startBackend((incoming, response) => {
+        const after = incoming.headers["last-event-id"];
+        resumedAfter.push(after);
+        response.writeHead(200, {
+          "attempt-id": idOf(incoming),
+          "server-stamp": "s",
+          "content-type": "text/event-stream",
+        });
+        if (after === undefined) {
+          response.write("id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\nda");
+          setTimeout(() => incoming.socket.destroy(), 10);
+        } else {
+          response.end("id: 2\ndata: c\n\n");
+        }
+      });
+    const entry = await startEntry({
+      backends: [await backend(), await backend()],
+    });
+    const answer = await call(entry, "/stream/x");
+    expect(answer.body).toEqual(
+      "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\n",
+    );
+    expect(answer.isWhole).toEqual(true);
+    expect(resumedAfter).toEqual([undefined, "1"]);
+  });
+
+  it("breaks off a stream whose events don't follow each other", async () => {
+    const backend = () =>
+      startBackend((incoming, response) => {
+        response.writeHead(200, {
+          "attempt-id": idOf(incoming),
+          "server-stamp": "s",
+          "content-type": "text/event-stream",
+        });
+        response.end("id: 0\ndata: a\n\nid: 2\ndata: c\n\n");
+      });
+    const entry = await startEntry({
+      backends: [await backend(), await backend()],
+    });
+    const answer = await call(entry, "/stream/x");
+    expect(answer.isWhole).toEqual(false);
+    expect(answer.body).toEqual("id: 0\ndata: a\n\n");
+  });
+});
+
+function idOf(incoming: IncomingMessage): string {
+  return String(incoming.headers["attempt-id"]);
+}
+
+const answerWhole: RequestListener = (incoming, response) => {
+  response.writeHead(200, {
+    "attempt-id": idOf(incoming),
+    "server-stamp": "s",
+  }).end("done");
+};
+
+async function startBackend(
+  listener: RequestListener,
+): Promise<ServingTarget> {
+  const port = await start(listener);
+  return {
+    instanceId: `i-${port}`,
+    address: `${HOST}:${port}`,
+    zone: "z",
+    slots: 4,
+  };
+}
+
+interface EntryOptions {
+  readonly backends: readonly ServingTarget[];
+  readonly isConfigured?: boolean;
+  readonly areKeysFresh?: boolean;
+}
+
+async function startEntry(options: EntryOptions): Promise<number> {
+  const index = new ServingIndex({
+    version: 1,
+    routes: ROUTES,
+    services: new Map(),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_024,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    tenants: [{ name: "tenant-1", keys: [KEY] }],
+  });
+  const records: CallRecord[] = [];
+  const agent = new Agent({ keepAlive: true });
+  const dependencies = {
+    codec: new PlatformCallCodec(),
+    zone: "z",
+    index: () => options.isConfigured === false ? undefined : index,
+    areKeysFresh: () => options.areKeysFresh !== false,
+    listTargets: () => options.backends,
+    loads: new LoadBook(),
+    stalls: new StallWatch(),
+    repeats: new RepeatBudget({
+      share: 1,
+      slackRequests: 100,
+      windowMs: 10_000,
+      countMachines: () => 1,
+    }),
+    agentFor: () => agent,
+    discardAgent: () => {},
+    random: () => 0.5,
+    noteDemand: () => {},
+    record: (record: CallRecord) => records.push(record),
+  };
+  return await start((incoming, response) => {
+    const exchange = new CallerExchange({
+      request: incoming,
+      response,
+      isClosing: () => false,
+    });
+    Effect.runFork(serveCall(exchange, dependencies));
+  });
+}
+
+async function start(listener: RequestListener): Promise<number> {
+  const server = createServer(listener);
+  servers.push(server);
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  return (server.address() as AddressInfo).port;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: string;
+  readonly isWhole: boolean;
+}
+
+let callCount = 0;
+
+function call(
+  port: number,
+  path: string,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<Answer> {
+  callCount += 1;
+  const sent = request({
+    host: HOST,
+    port,
+    path,
+    method: "POST",
+    agent: false,
+    headers: {
+      host: "a.example",
+      "attempt-id": `call-${callCount}`,
+      "deadline-ms": "2000",
+      "x-api-key": KEY,
+      ...headers,
+    },
+  });
+  return new Promise((resolve, reject) => {
+    sent.on("error", reject);
+    sent.on("response", (response) => {
+      let body = "";
+      response.setEncoding("utf8");
+      response.on("data", (text) => body += text);
+      response.on("error", () => {});
+      response.on("close", () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body,
+          isWhole: response.complete,
+        }));
+    });
+    sent.end("body");
+  });
+}
--- a/packages/fakes/src/fleet/fleet_director_test.ts
+++ b/packages/fakes/src/fleet/fleet_director_test.ts
@@ -11,6 +11,7 @@
   type PeerReport,
   PeerSilent,
   readSteadyMs,
+  TopicCopy,
 } from "celerytray";
 import { expect } from "earl";
 import { Clock, Effect } from "effect";
@@ -343,6 +344,8 @@
     hasTraffic: () => nowMs() > SETTLE_MS,
     storeAnsweredAtMs: () =>
       isCut() || store.faults.isOut === true ? 0 : nowMs(),
+    instances: new TopicCopy(),
+    onInstances: () => {},
     createDirector: ({ term, replicas, recorder }) =>
       new FleetDirector({
         term,
