--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -112,6 +112,7 @@
     const exchange = new CallerExchange({
       request,
       response,
+      codec: dependencies.codec,
       isClosing: () => state.isClosing,
     });
     if (state.isRefusing) {
--- a/packages/celerytray/src/platform/call_codec.ts
+++ b/packages/celerytray/src/platform/call_codec.ts
@@ -79,6 +79,10 @@
     return encoded;
   }
 
+  encodeOwnHead(callId: string | undefined): string[] {
+    return callId === undefined ? [] : ["Attempt-Id", callId];
+  }
+
   decodeAnswer(response: IncomingMessage): AnswerHead {
     const callId = readSingle(response, headers.callId);
     const load = decodeLoad(readSingle(response, headers.load));
--- a/packages/celerytray/src/serving/call.ts
+++ b/packages/celerytray/src/serving/call.ts
@@ -64,4 +64,6 @@
   /** Names and values by turns. */
   encodeAttempt(call: CallHead, attempt: AttemptHead): string[];
   decodeAnswer(response: IncomingMessage): AnswerHead;
+  /** Headers of an answer in this system's own name, by turns. */
+  encodeOwnHead(callId: string | undefined): string[];
 }
--- a/packages/celerytray/src/serving/caller_exchange.ts
+++ b/packages/celerytray/src/serving/caller_exchange.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { AnswerHead } from "./call.ts";
+import type { AnswerHead, CallCodec } from "./call.ts";
 
 /** Why a request is answered by this system itself. */
 export interface OwnAnswer {
@@ -13,16 +13,19 @@
 export class CallerExchange {
   readonly request: IncomingMessage;
   readonly #response: ServerResponse;
+  readonly #codec: CallCodec;
   /** Whether connections end with the next answer. */
   readonly #isClosing: () => boolean;
 
   constructor(options: {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
+    readonly codec: CallCodec;
     readonly isClosing: () => boolean;
   }) {
     this.request = options.request;
     this.#response = options.response;
+    this.#codec = options.codec;
     this.#isClosing = options.isClosing;
   }
 
@@ -51,7 +54,7 @@
   answerItself(callId: string | undefined, own: OwnAnswer): void {
     const body = `${own.message}\n`;
     this.#response.writeHead(own.status, [
-      ...(callId === undefined ? [] : ["Attempt-Id", callId]),
+      ...this.#codec.encodeOwnHead(callId),
       "Content-Type",
       "text/plain; charset=utf-8",
       "Content-Length",
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -265,6 +265,7 @@
     const exchange = new CallerExchange({
       request: incoming,
       response,
+      codec: dependencies.codec,
       isClosing: () => false,
     });
     Effect.runFork(serveCall(exchange, dependencies));
