Make members leave a replica whose head is out of reach before they are used

Probes timed out because the lead itself was held up; the large model got most domains although three quarters of the requests were for the small one.

Ruled out: a late order (no such order was under way); a second lead.

Change: an instance that the list tells in a replica without a record leaves it first. A timer that fires late gives the time once more. Models share the instances by the share that the operator tells, and by how full their replicas are. Targets with an open connection go before others. Reports come less often with more processes.

Figures: of the stand-in: the new test and the property test fail without the guard and pass with it.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -52,19 +52,19 @@
 
 const REPORT_INTERVAL_MS = 250;
 /** Interval for each process, which bounds the reports that a lead takes. */
-const REPORT_SPREAD_MS = 6;
+const REPORT_SPREAD_MS = 10;
 /** Steps in which heads that newly stand still are noticed. */
 const STEP_MS = 50;
-/** Silence of the lead after which another process takes its place. */
-const LEAD_SILENCE_MS = 800;
+/** Silence of the lead, beyond a report's interval, after which another process takes its place. */
+const LEAD_SILENCE_MS = 550;
 /** Age of the lead's last answer from the store at which it is replaced. */
 const LEAD_STORE_AGE_MS = 5_000;
 /** Own answers from the store must be newer to take the place. */
 const OWN_STORE_AGE_MS = 2_500;
 /** Wait of each further process before it takes the lead. */
 const RANK_DELAY_MS = 120;
-/** Age of the lead's last answer at which the list is read from the store. */
-const TOLD_AGE_MS = 700;
+/** Age of the lead's last answer, beyond a report's interval, at which the list is read from the store. */
+const TOLD_AGE_MS = 450;
 /** Age of its last answer from the store at which that is done too. */
 const TOLD_STORE_AGE_MS = 3_500;
 const RETRY_DELAY_MS = 300;
@@ -118,7 +118,8 @@
   hearsLead(): boolean {
     return this.#isFollowing && this.#answer?.isLeading === true &&
       this.#answer.storeAgeMs < TOLD_STORE_AGE_MS &&
-      this.#nowMs() - this.#heardAtMs < TOLD_AGE_MS;
+      this.#nowMs() - this.#heardAtMs <
+        TOLD_AGE_MS + this.#reportIntervalMs();
   }
 
   /** Requests in progress for a model, over all processes. */
@@ -291,12 +292,16 @@
     });
   }
 
+  /** Longer with more processes, which bounds the reports that a lead takes. */
+  #reportIntervalMs(): number {
+    return Math.max(REPORT_INTERVAL_MS, this.countNodes() * REPORT_SPREAD_MS);
+  }
+
   /** Waits for the next report; a head that newly stands still hastens it. */
   #awaitReport(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const known = new Set(this.#options.listStalledHeads());
-      const dueAtMs = this.#nowMs() +
-        Math.max(REPORT_INTERVAL_MS, this.countNodes() * REPORT_SPREAD_MS);
+      const dueAtMs = this.#nowMs() + this.#reportIntervalMs();
       while (this.#nowMs() < dueAtMs) {
         yield* Effect.sleep(STEP_MS);
         const stalled = this.#options.listStalledHeads();
@@ -341,7 +346,8 @@
       answer !== undefined && answer.storeAgeMs > LEAD_STORE_AGE_MS &&
       ownAgeMs < OWN_STORE_AGE_MS
     ) return "the store doesn't answer it";
-    if (nowMs - this.#heardAtMs > LEAD_SILENCE_MS) return "it is silent";
+    const silenceMs = LEAD_SILENCE_MS + this.#reportIntervalMs();
+    if (nowMs - this.#heardAtMs > silenceMs) return "it is silent";
     return undefined;
   }
 
@@ -369,7 +375,7 @@
           { concurrency: "unbounded" },
         );
         const isHeard = heard.some((ageMs) =>
-          ageMs !== null && ageMs < LEAD_SILENCE_MS
+          ageMs !== null && ageMs < LEAD_SILENCE_MS + this.#reportIntervalMs()
         );
         if (isHeard) return false;
       }
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -41,7 +41,8 @@
   readonly recorder: ReplicaRecorder;
   /** Model services and how their instances work. */
   readonly engines: () => EngineSpecs;
-  readonly demand: (model: string) => number | undefined;
+  /** Requests in progress for a model, over all processes. */
+  readonly demand: (model: string) => number;
   /** Whether callers have sent requests yet. */
   readonly hasTraffic: () => boolean;
   readonly record: (kind: string, fields: Record<string, unknown>) => void;
@@ -80,6 +81,8 @@
   readonly #preparing = new Map<string, string>();
   readonly #busyRecords = new Set<string>();
   readonly #orphanSinceMs = new Map<string, number>();
+  /** Replicas whose head surely can't be open any more. */
+  readonly #dissolved = new Set<string>();
   /** Newest replica that an instance has left, by its epoch. */
   readonly #leftEpochs = new Map<string, number>();
   /** Time at which an instance began to put weights on its host. */
@@ -142,6 +145,7 @@
             ...this.#probe(nowMs),
             ...this.#orderRuns(nowMs),
             ...this.#orderOrphans(nowMs),
+            ...this.#orderStrays(nowMs),
             ...this.#planNew(nowMs),
           ];
           for (const effect of work) {
@@ -272,6 +276,24 @@
     });
   }
 
+  /** Makes instances leave replicas whose head may be open out of reach. */
+  #orderStrays(nowMs: number): readonly Effect.Effect<unknown>[] {
+    return this.#options.instances.list().flatMap((instance) => {
+      const { id, membership } = instance;
+      if (!this.#isStray(instance) || !this.#isAlive(id)) return [];
+      const { replica, epoch } = membership!;
+      return this.#send(id, { kind: "leave", replica, epoch }, { nowMs });
+    });
+  }
+
+  /** Whether an instance is in a replica that no record tells of. */
+  #isStray({ id, membership }: InstanceState): boolean {
+    if (membership === undefined || membership.rank === 0) return false;
+    const { replica, epoch } = membership;
+    return !this.#runs.has(replica) && !this.#dissolved.has(replica) &&
+      epoch > (this.#leftEpochs.get(id) ?? -1);
+  }
+
   /** Whether an instance may be in an open replica, as far as is known. */
   #mayServe({ id, membership }: InstanceState): boolean {
     if (membership === undefined) return false;
@@ -290,6 +312,9 @@
           onSuccess: () =>
             Effect.sync(() => {
               this.#runs.delete(name);
+              if (run.retiring?.hasHeadLeft === true) {
+                this.#dissolved.add(name);
+              }
               this.#options.record("replica.retired", { replica: name });
             }),
           onFailure: ({ message }) => this.#noteRecordFailure(name, message),
@@ -329,7 +354,8 @@
           )
           .map(({ record }) => record),
         hotModel: (id) => this.#hotModel(id),
-        demand: this.#options.demand,
+        fill: (model, replicas) =>
+          this.#options.demand(model) / (Math.max(1, replicas) * engine.slots),
         preparedModel: (id) => this.#preparing.get(id),
         isFilled: (domain) => this.#isFilled(domain, nowMs),
       });
@@ -389,7 +415,7 @@
       instance.service === service && !instance.isDraining &&
       !used.has(instance.id) &&
       !this.#liveness.isDoubted(instance.id) && instance.domain !== undefined &&
-      !this.#mayServe(instance)
+      !this.#mayServe(instance) && !this.#isStray(instance)
     );
   }
 
@@ -563,7 +589,10 @@
         this.#orderedAtMs.set(key, atMs - ORDER_REPEAT_MS + CLOSING_CHECK_MS);
       }
     }
-    if (kind === "leave" && isTaken) retiring.isFreed = true;
+    if (kind === "leave" && outcome !== "unfit") {
+      retiring.hasHeadLeft = true;
+      retiring.isFreed = true;
+    }
     if (outcome === "outdated" || outcome === "elsewhere") {
       retiring.isFreed = true;
     }
--- a/packages/celerytray/src/groups/plan_formations.ts
+++ b/packages/celerytray/src/groups/plan_formations.ts
@@ -16,8 +16,8 @@
   readonly preparedModel: (instanceId: string) => string | undefined;
   /** Whether no more instances are about to arrive in a domain. */
   readonly isFilled: (domain: string) => boolean;
-  /** Requests that run or wait for a model; undefined where none is known. */
-  readonly demand: (model: string) => number | undefined;
+  /** Requests in progress for a model, as a part of its replicas' places. */
+  readonly fill: (model: string, replicas: number) => number;
 }
 
 /** A replica to form. */
@@ -25,6 +25,10 @@
 
 /** Time over which a replica's worth is weighed against its loading. */
 const HORIZON_MS = 15_000;
+/** Keeps the need finite, and largest, where there is no replica. */
+const FIRST_REPLICA_BIAS = 0.5;
+/** Weight of the wanted shares against the fill. */
+const EVEN_FILL = 0.5;
 /** Part of the worth that a replica has however long it loads. */
 const LEAST_PART = 0.05;
 
@@ -110,15 +114,19 @@
   };
 }
 
-/** Work for a model, against what its replicas can do. */
+/**
+ * How much a model lacks replicas: by the share of the instances that it is
+ * meant to have, and by how full its replicas are.
+ */
 function needOf(
   input: FormationInput,
   model: ServedModel,
   counts: ReadonlyMap<string, number>,
 ): number {
   const replicas = counts.get(model.name) ?? 0;
-  const work = input.demand(model.name) ?? model.workShare * model.pace;
-  return work / (replicas + 0.5);
+  const wanted = model.instanceShare / model.size;
+  const fill = input.fill(model.name, replicas);
+  return (wanted / (replicas + FIRST_REPLICA_BIAS)) * (EVEN_FILL + fill);
 }
 
 /** Time until an instance could serve a model. */
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -26,7 +26,9 @@
   /** Whether the head answered that it is closing. */
   hasBegunClosing: boolean;
   isClosed: boolean;
-  /** Whether its members may be used elsewhere. */
+  /** Whether the head has left, so that nothing is open any more. */
+  hasHeadLeft: boolean;
+  /** Whether nothing is left to be ordered. */
   isFreed: boolean;
 }
 
@@ -133,6 +135,7 @@
     isImmediate: options.isImmediate,
     hasBegunClosing: false,
     isClosed: false,
+    hasHeadLeft: false,
     isFreed: false,
   };
 }
@@ -165,6 +168,7 @@
   const head = findInstance(headId);
   const state = findMemberState(run, head);
   if (head !== undefined && state === undefined && run.joinedIds.has(headId)) {
+    retiring.hasHeadLeft = true;
     retiring.isFreed = true;
     return [];
   }
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -165,7 +165,7 @@
           instances,
           control: ports.control,
           engines,
-          demand: () => undefined,
+          demand: (model) => coordinator.totalDemand(model),
           hasTraffic: () => coordinator.hasAnyTraffic(),
           record,
         }),
@@ -235,6 +235,7 @@
       }),
       agentFor: (address) => pools.agentFor(address),
       discardAgent: (address) => pools.discard(address),
+      hasConnection: (address) => pools.hasFree(address),
       random: Math.random,
       noteDemand: (model, change) => {
         state.hasTraffic = true;
--- a/packages/celerytray/src/http/backend_pools.ts
+++ b/packages/celerytray/src/http/backend_pools.ts
@@ -21,6 +21,12 @@
     return agent;
   }
 
+  /** Whether a connection to an address is open and unused. */
+  hasFree(address: string): boolean {
+    const agent = this.#agents.get(address);
+    return agent !== undefined && Object.keys(agent.freeSockets).length > 0;
+  }
+
   /**
    * Closes the unused connections of an address and keeps none of those in
    * use, so that the next call opens a fresh one.
--- a/packages/celerytray/src/platform/decode_config.ts
+++ b/packages/celerytray/src/platform/decode_config.ts
@@ -109,7 +109,8 @@
     models: readObjects(engine, "models").map((model) => ({
       name: readString(model, "name"),
       size: readNumber(model, "size", 1),
-      workShare: readNumber(model, "share", 1),
+      // Called a share of the work; the instances split that way fit the load.
+      instanceShare: readNumber(model, "share", 1),
       pace: readNumber(model, "pace", 1),
       loadMs: readNumber(model, "load_s", 0) * 1000,
       warmMs: readNumber(model, "warm_s", 0) * 1000,
--- a/packages/celerytray/src/platform/exchange_bytes.ts
+++ b/packages/celerytray/src/platform/exchange_bytes.ts
@@ -26,6 +26,23 @@
   readonly body: Buffer;
 }
 
+/** Delay of a timer that tells that this process itself was held up. */
+const HELD_UP_MS = 60;
+
+/**
+ * Calls after a time, unless stopped. A process that was held up may have the
+ * answer waiting unread, so it gives the time once more.
+ */
+function startTimer(timeoutMs: number, onTimeout: () => void): () => void {
+  const startedAtMs = performance.now();
+  let timer = setTimeout(() => {
+    const lateMs = performance.now() - startedAtMs - timeoutMs;
+    if (lateMs < HELD_UP_MS) onTimeout();
+    else timer = setTimeout(onTimeout, timeoutMs);
+  }, timeoutMs);
+  return () => clearTimeout(timer);
+}
+
 /** Sends a call and reads its whole answer; interruption closes the connection. */
 export function exchangeBytes(
   call: ByteCall,
@@ -72,11 +89,11 @@
           body: Buffer.concat(chunks),
         })));
     });
-    const timer = setTimeout(() => {
+    const stopTimer = startTimer(call.timeoutMs, () => {
       fail(`no answer within ${call.timeoutMs} ms`);
       sent.destroy();
-    }, call.timeoutMs);
-    sent.on("close", () => clearTimeout(timer));
+    });
+    sent.on("close", stopTimer);
     sent.end(call.body);
     return Effect.sync(() => sent.destroy());
   });
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -16,6 +16,8 @@
   readonly zone: string;
   /** Whether an instance is silent towards all requests it has from here. */
   readonly isSilent: (instanceId: string) => boolean;
+  /** Whether a connection to an address is open and unused. */
+  readonly hasConnection: (address: string) => boolean;
   /** Instances that already had the request. */
   readonly tried: ReadonlySet<string>;
   readonly nowMs: number;
@@ -25,6 +27,8 @@
 
 /** Extra load that another zone is worth, in parts of the slots. */
 const OTHER_ZONE_COST = 0.05;
+/** Extra load that a new connection is worth, in parts of the slots. */
+const NEW_CONNECTION_COST = 0.08;
 /** Extra load that a failure share of 1 is worth, in parts of the slots. */
 const FAILURE_COST = 3;
 /** Differences below this are decided by chance. */
@@ -46,6 +50,7 @@
     const cost = loads.estimate(instanceId, nowMs) / target.slots +
       loads.failureShare(instanceId, nowMs) * FAILURE_COST +
       (target.zone === choice.zone ? 0 : OTHER_ZONE_COST) +
+      (choice.hasConnection(target.address) ? 0 : NEW_CONNECTION_COST) +
       choice.random() * TIE_SPREAD;
     if (cost < bestCost) {
       best = target;
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -155,6 +155,7 @@
         targets: dependencies.listTargets(call.service, call.head.model),
         loads: dependencies.loads,
         zone: dependencies.zone,
+        hasConnection: dependencies.hasConnection,
         isSilent: (id) => dependencies.stalls.isSilent(id, nowMs),
         tried: progress.tried,
         nowMs,
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -32,6 +32,8 @@
   readonly repeats: RepeatBudget;
   readonly agentFor: (address: string) => Agent;
   readonly discardAgent: (address: string) => void;
+  /** Whether a connection to an address is open and unused. */
+  readonly hasConnection: (address: string) => boolean;
   readonly random: () => number;
   /** Counts the requests in progress for a model. */
   readonly noteDemand: (model: string, change: 1 | -1) => void;
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -257,6 +257,7 @@
     }),
     agentFor: () => agent,
     discardAgent: () => {},
+    hasConnection: () => false,
     random: () => 0.5,
     noteDemand: () => {},
     record: (record: CallRecord) => records.push(record),
--- a/packages/celerytray/src/serving/serving_config.ts
+++ b/packages/celerytray/src/serving/serving_config.ts
@@ -33,8 +33,8 @@
   readonly name: string;
   /** Instances of one replica. */
   readonly size: number;
-  /** Share of the work that the operator expects. */
-  readonly workShare: number;
+  /** Share of the instances that it is meant to have at the start. */
+  readonly instanceShare: number;
   /** Factor on all times of a replica. */
   readonly pace: number;
   /** Time to load weights from the weight store. */
--- a/packages/fakes/src/fleet/fake_fleet.ts
+++ b/packages/fakes/src/fleet/fake_fleet.ts
@@ -64,6 +64,12 @@
     if (instance !== undefined) instance.isAlive = false;
   }
 
+  /** Parts an instance from all that would reach it, or joins it again. */
+  setReachable(id: string, isReachable: boolean): void {
+    const instance = this.#instances.get(id);
+    if (instance !== undefined) instance.isReachable = isReachable;
+  }
+
   list(): readonly FakeModelInstance[] {
     return [...this.#instances.values()];
   }
@@ -72,7 +78,8 @@
   listServing(): readonly FakeModelInstance[] {
     return this.list().filter((head) => {
       const { membership } = head;
-      return head.isAlive && membership?.state === "open" &&
+      return head.isAlive && head.isReachable &&
+        membership?.state === "open" &&
         membership.members[0] === head.id &&
         membership.members.every((id) => this.#isIn(id, membership.replica));
     });
@@ -94,7 +101,7 @@
       sendOrder: (address, order) => this.#sendOrder(address, order),
       probe: ({ id }) =>
         Effect.suspend(() =>
-          this.#instances.get(id)?.isAlive === true
+          this.#isReachable(id)
             ? Effect.sleep(CALL_MS)
             : Effect.andThen(Effect.sleep(SILENCE_MS), silence(id))
         ),
@@ -133,7 +140,7 @@
     nowMs: number,
   ): OrderOutcome | undefined {
     const instance = this.#instances.get(id);
-    if (instance === undefined || !instance.isAlive) return undefined;
+    if (instance === undefined || !this.#isReachable(id)) return undefined;
     const before = instance.membership;
     const outcome = instance.order(order, nowMs);
     const after = instance.membership;
@@ -180,6 +187,11 @@
     }
   }
 
+  #isReachable(id: string): boolean {
+    const instance = this.#instances.get(id);
+    return instance?.isAlive === true && instance.isReachable;
+  }
+
   #noteReady({ id, membership }: FakeModelInstance): void {
     const key = `${membership!.replica} ${membership!.epoch}`;
     const ready = this.#readyIds.get(key) ?? new Set<string>();
@@ -189,8 +201,8 @@
 
   #isIn(id: string, replica: string): boolean {
     const instance = this.#instances.get(id);
-    return instance?.isAlive === true &&
-      instance.membership?.replica === replica;
+    return this.#isReachable(id) &&
+      instance?.membership?.replica === replica;
   }
 
   /** 0 to 1. */
--- a/packages/fakes/src/fleet/fake_model_instance.ts
+++ b/packages/fakes/src/fleet/fake_model_instance.ts
@@ -32,6 +32,8 @@
   readonly domain: string;
   readonly bornAtMs: number;
   isAlive = true;
+  /** Whether it can be reached; it goes on all the same. */
+  isReachable = true;
   staged: string[] = [];
   membership: FakeMembership | undefined;
   readonly #times: FakeInstanceTimes;
--- a/packages/fakes/src/fleet/fleet_director_test.ts
+++ b/packages/fakes/src/fleet/fleet_director_test.ts
@@ -40,7 +40,7 @@
     {
       name: "large",
       size: 4,
-      workShare: 0.7,
+      instanceShare: 0.7,
       pace: 1,
       loadMs: 12_000,
       warmMs: 1_600,
@@ -48,7 +48,7 @@
     {
       name: "small",
       size: 2,
-      workShare: 0.3,
+      instanceShare: 0.3,
       pace: 0.6,
       loadMs: 12_000,
       warmMs: 1_100,
@@ -70,6 +70,9 @@
   | { readonly kind: "kill-instance"; readonly index: number }
   | { readonly kind: "kill-head"; readonly index: number }
   | { readonly kind: "late-orders"; readonly share: number }
+  /** A head and some of its members can't be reached for a time. */
+  | { readonly kind: "part"; readonly index: number; readonly members: number }
+  | { readonly kind: "rejoin"; readonly members: number }
   | { readonly kind: "store-out" | "store-back" | "store-loses" }
   | { readonly kind: "kill-lead" | "cut-lead" | "heal" };
 
@@ -83,6 +86,15 @@
     kind: fc.constant("late-orders" as const),
     share: fc.constantFrom(0, 0.3, 0.6),
   }),
+  fc.record({
+    kind: fc.constant("part" as const),
+    index: fc.nat(5),
+    members: fc.integer({ min: 1, max: 4 }),
+  }),
+  fc.record({
+    kind: fc.constant("rejoin" as const),
+    members: fc.integer({ min: 1, max: 4 }),
+  }),
   fc.record({
     kind: fc.constantFrom(
       "store-out" as const,
@@ -120,6 +132,14 @@
     expect(repairsMs.at(-1)! <= MAX_REPAIR_MS).toEqual(true);
   });
 
+  it("use a member that comes back only once it has left", async () => {
+    const world = await play([
+      { waitMs: 0, trouble: { kind: "part", index: 0, members: 2 } },
+      { waitMs: 2_000, trouble: { kind: "rejoin", members: 1 } },
+    ], 6_000);
+    expect(world.violations).toEqual([]);
+  });
+
   it("never share a member, whatever fails", async () => {
     const property = fc.asyncProperty(day, async (steps) => {
       const world = await play(steps, 8_000);
@@ -286,6 +306,23 @@
       if (heads.length > 0) fleet.kill(heads[step.index % heads.length]!.id);
       return;
     }
+    case "part": {
+      const heads = fleet.listServing();
+      if (heads.length === 0) return;
+      const head = heads[step.index % heads.length]!;
+      for (const id of head.membership!.members.slice(0, step.members)) {
+        fleet.setReachable(id, false);
+      }
+      return;
+    }
+    case "rejoin": {
+      // The members that were parted last come back first.
+      const parted = fleet.list().filter(({ isReachable }) => !isReachable);
+      for (const { id } of parted.reverse().slice(0, step.members)) {
+        fleet.setReachable(id, true);
+      }
+      return;
+    }
     case "late-orders":
       fleet.faults = { lateShare: step.share };
       return;
@@ -354,7 +391,7 @@
         instances: list,
         control: fleet.createControl(),
         engines: () => new Map([["drafts", ENGINE]]),
-        demand: () => undefined,
+        demand: () => 0,
         hasTraffic: () => nowMs() > SETTLE_MS,
         record: () => {},
       }),
