Split what directs the replicas

Ruled out: nothing.

Change: FleetState (what is known), OrderDesk (sending), InstanceWeights, Departures, ReplicaFormer; the director keeps the loop and the repair.

--- /dev/null
+++ b/packages/celerytray/src/groups/fleet_state.ts
@@ -0,0 +1,94 @@
+import type { InstanceListView } from "./instance_list.ts";
+import type { InstanceState } from "./instance_state.ts";
+import { Departures } from "./departures.ts";
+import { InstanceWeights } from "./instance_weights.ts";
+import { LivenessBook } from "./liveness_book.ts";
+import type { ReplicaRecord } from "./replica_record.ts";
+import type { ReplicaRun } from "./replica_run.ts";
+
+/** What the process that decides knows of replicas and instances. */
+export class FleetState {
+  readonly instances: InstanceListView;
+  readonly runs = new Map<string, ReplicaRun>();
+  readonly liveness = new LivenessBook();
+  readonly weights: InstanceWeights;
+  readonly departures = new Departures(this.runs);
+  /** Newest place in the log that orders follow from. */
+  fence: number;
+
+  constructor(options: {
+    readonly instances: InstanceListView;
+    readonly term: number;
+    readonly replicas: readonly ReplicaRecord[];
+  }) {
+    this.instances = options.instances;
+    this.fence = options.term;
+    this.weights = new InstanceWeights({
+      startsFilled: options.replicas.length > 0,
+    });
+    for (const record of options.replicas) {
+      const run = createRun(record);
+      // The process that decided before may have told the head to open.
+      run.mayBeOpen = true;
+      this.runs.set(record.name, run);
+    }
+  }
+
+  /** Adds a replica that was decided now. */
+  addReplica(record: ReplicaRecord): void {
+    this.fence = Math.max(this.fence, record.epoch);
+    this.runs.set(record.name, createRun(record));
+  }
+
+  /** Replicas of a service that serve or are to serve. */
+  listWanted(service: string): readonly ReplicaRecord[] {
+    return [...this.runs.values()]
+      .filter(({ record, retiring }) =>
+        record.service === service && retiring === undefined
+      )
+      .map(({ record }) => record);
+  }
+
+  memberIds(): ReadonlySet<string> {
+    return new Set(
+      [...this.runs.values()].flatMap(({ record }) => record.members),
+    );
+  }
+
+  /** Open heads without a record. */
+  listOrphans(): readonly InstanceState[] {
+    return this.instances.list().filter((instance) =>
+      this.departures.isOrphan(instance)
+    );
+  }
+
+  isAlive(instanceId: string): boolean {
+    return this.liveness.livenessOf(instanceId).kind === "alive";
+  }
+
+  /** Last known state of an instance. */
+  findLatest(id: string): InstanceState | undefined {
+    return this.instances.find(id) ?? this.instances.findAbsent(id)?.state;
+  }
+
+  /** Where an instance is or last was. */
+  findAddress(id: string): string | undefined {
+    const address = this.findLatest(id)?.address;
+    if (address !== undefined) return address;
+    for (const { record } of this.runs.values()) {
+      const life = record.lives[id];
+      if (life !== undefined) return life.address;
+    }
+    return undefined;
+  }
+}
+
+function createRun(record: ReplicaRecord): ReplicaRun {
+  return {
+    record,
+    joinedIds: new Set(),
+    readyIds: new Set(),
+    leftIds: new Set(),
+    mayBeOpen: false,
+  };
+}
--- a/packages/celerytray/src/groups/index.ts
+++ b/packages/celerytray/src/groups/index.ts
@@ -1,11 +1,7 @@
 /** Model replicas of several instances: decided, formed, opened, repaired. */
-export {
-  type EngineSpecs,
-  FleetDirector,
-  type FleetDirectorOptions,
-  type RecordFailure,
-  type ReplicaRecorder,
-} from "./fleet_director.ts";
+export { FleetDirector, type FleetDirectorOptions } from "./fleet_director.ts";
+export type { EngineSpecs } from "./replica_former.ts";
+export type { RecordFailure, ReplicaRecorder } from "./replica_recorder.ts";
 export { type AbsentInstance, InstanceListView } from "./instance_list.ts";
 export {
   type InstanceAddress,
--- /dev/null
+++ b/packages/celerytray/src/groups/instance_weights.ts
@@ -0,0 +1,90 @@
+import type { InstanceState } from "./instance_state.ts";
+
+/** Time without a new instance after which a domain counts as filled. */
+const GATHER_MS = 1_200;
+/** Longest time for which weights count as being put on a host. */
+const STAGING_MS = 20_000;
+
+/** Which weights instances have or load, and where instances still arrive. */
+export class InstanceWeights {
+  /** Model whose weights an instance had last in this life. */
+  readonly #lastModels = new Map<string, string>();
+  /** Model that a spare is joining with. */
+  readonly #preparing = new Map<string, string>();
+  /** Time at which an instance began to put weights on its host. */
+  readonly #stagingSinceMs = new Map<string, number>();
+  /** Lives that were seen, by instance. */
+  readonly #seenLives = new Map<string, string>();
+  /** Time of the last arrival, by domain. */
+  readonly #arrivedAtMs = new Map<string, number>();
+
+  /** Whether the instances of the first list have long been there. */
+  #startsFilled: boolean;
+
+  constructor(options: { readonly startsFilled: boolean }) {
+    this.#startsFilled = options.startsFilled;
+  }
+
+  /** Takes note of what the list says. */
+  noteList(instances: readonly InstanceState[], nowMs: number): void {
+    for (const instance of instances) {
+      const { id, domain, bornAtMs, loadedModel, membership } = instance;
+      if (domain === undefined) continue;
+      const life = `${id} ${bornAtMs ?? ""}`;
+      if (this.#seenLives.get(id) === life) {
+        if (loadedModel !== undefined && membership?.state !== "joining") {
+          this.#lastModels.set(id, loadedModel);
+          this.#preparing.delete(id);
+        }
+        continue;
+      }
+      if (this.#seenLives.has(id)) this.#lastModels.delete(id);
+      this.#preparing.delete(id);
+      this.#seenLives.set(id, life);
+      if (!this.#startsFilled) this.#arrivedAtMs.set(domain, nowMs);
+    }
+    this.#startsFilled = false;
+  }
+
+  /** Model whose weights an instance has in memory, or had last. */
+  hotModel(instanceId: string): string | undefined {
+    return this.#lastModels.get(instanceId);
+  }
+
+  /** Model that a spare is loading. */
+  preparedModel(instanceId: string): string | undefined {
+    return this.#preparing.get(instanceId);
+  }
+
+  /** Takes note of a join: with a model as a spare, or in a replica. */
+  noteJoin(instanceId: string, preparedModel: string | undefined): void {
+    if (preparedModel === undefined) this.#preparing.delete(instanceId);
+    else this.#preparing.set(instanceId, preparedModel);
+  }
+
+  noteStaging(instanceId: string, nowMs: number): void {
+    this.#stagingSinceMs.set(instanceId, nowMs);
+  }
+
+  /** Whether an instance was ever told to put weights on its host. */
+  wasStaged(instanceId: string): boolean {
+    return this.#stagingSinceMs.has(instanceId);
+  }
+
+  /** Instances that still put weights on their hosts. */
+  countStaging(
+    find: (id: string) => InstanceState | undefined,
+    nowMs: number,
+  ): number {
+    return [...this.#stagingSinceMs].filter(([id, sinceMs]) => {
+      const staged = find(id)?.stagedModels ?? [];
+      const hasOther = staged.some((model) => model !== this.hotModel(id));
+      return nowMs - sinceMs < STAGING_MS && !hasOther;
+    }).length;
+  }
+
+  /** Whether no more instances are about to arrive in a domain. */
+  isFilled(domain: string, nowMs: number): boolean {
+    return nowMs - (this.#arrivedAtMs.get(domain) ?? -GATHER_MS) >= GATHER_MS;
+  }
+}
--- /dev/null
+++ b/packages/celerytray/src/groups/replica_former.ts
@@ -0,0 +1,169 @@
+import { Effect } from "effect";
+import type { EngineSpec } from "../serving/index.ts";
+import type { FleetState } from "./fleet_state.ts";
+import type { InstanceState } from "./instance_state.ts";
+import type { OrderDesk } from "./order_desk.ts";
+import { planCrossStaging } from "./plan_cross_staging.ts";
+import { type Formation, planFormations } from "./plan_formations.ts";
+import { planSpares } from "./plan_spares.ts";
+import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
+
+/** How the instances of each model service work, by service. */
+export type EngineSpecs = ReadonlyMap<string, EngineSpec>;
+
+/** What forming replicas works with. */
+export interface ReplicaFormerOptions {
+  readonly state: FleetState;
+  readonly desk: OrderDesk;
+  readonly recorder: ReplicaRecorder;
+  readonly engines: () => EngineSpecs;
+  /** Requests in progress for a model, over all processes. */
+  readonly demand: (model: string) => number;
+  /** Whether callers have sent requests yet. */
+  readonly hasTraffic: () => boolean;
+  /** Whether records of replicas are being removed just now. */
+  readonly isRetiring: () => boolean;
+  readonly record: (kind: string, fields: Record<string, unknown>) => void;
+}
+
+/** Forms replicas of free instances and prepares the others as spares. */
+export class ReplicaFormer {
+  readonly #options: ReplicaFormerOptions;
+  readonly #state: FleetState;
+  readonly #desk: OrderDesk;
+  #isForming = false;
+
+  constructor(options: ReplicaFormerOptions) {
+    this.#options = options;
+    this.#state = options.state;
+    this.#desk = options.desk;
+  }
+
+  /** New replicas, and spares to prepare. */
+  plan(nowMs: number): readonly Effect.Effect<unknown>[] {
+    this.#state.weights.noteList(this.#state.instances.list(), nowMs);
+    if (this.#isForming || this.#options.isRetiring()) return [];
+    const work: Effect.Effect<unknown>[] = [];
+    for (const [service, engine] of this.#options.engines()) {
+      const unsettled = this.#listUnsettledDomains(service);
+      const free = this.#listFree(service).filter(({ domain }) =>
+        !unsettled.has(domain!)
+      );
+      const formations = planFormations({
+        service,
+        models: engine.models,
+        free,
+        replicas: this.#state.listWanted(service),
+        hotModel: (id) => this.#state.weights.hotModel(id),
+        fill: (model, replicas) =>
+          this.#options.demand(model) / (Math.max(1, replicas) * engine.slots),
+        preparedModel: (id) => this.#state.weights.preparedModel(id),
+        isFilled: (domain) => this.#state.weights.isFilled(domain, nowMs),
+      });
+      if (formations.length > 0) {
+        work.push(this.#form(formations));
+        continue;
+      }
+      work.push(
+        ...this.#prepareSpares(engine, free, nowMs),
+        ...this.#crossStage(service, engine, nowMs),
+      );
+    }
+    return work;
+  }
+
+  /** Domains in which a free instance is doubted and not yet decided on. */
+  #listUnsettledDomains(service: string): ReadonlySet<string> {
+    const used = this.#state.memberIds();
+    const unsettled = new Set<string>();
+    for (const instance of this.#state.instances.list()) {
+      const { id, domain } = instance;
+      if (instance.service !== service || domain === undefined) continue;
+      if (used.has(id) || !this.#state.liveness.isDoubted(id)) continue;
+      if (this.#state.isAlive(id)) unsettled.add(domain);
+    }
+    return unsettled;
+  }
+
+  #listFree(service: string): readonly InstanceState[] {
+    const used = this.#state.memberIds();
+    return this.#state.instances.list().filter((instance) =>
+      instance.service === service && !instance.isDraining &&
+      !used.has(instance.id) &&
+      !this.#state.liveness.isDoubted(instance.id) &&
+      instance.domain !== undefined &&
+      !this.#state.departures.mayServe(instance) &&
+      !this.#state.departures.isStray(instance)
+    );
+  }
+
+  #form(formations: readonly Formation[]): Effect.Effect<void> {
+    this.#isForming = true;
+    const { recorder, record } = this.#options;
+    const formOne = (formation: Formation) =>
+      recorder.form(formation).pipe(
+        Effect.matchEffect({
+          onSuccess: (replica) =>
+            Effect.sync(() => {
+              this.#state.addReplica(replica);
+              record("replica.formed", {
+                replica: replica.name,
+                model: replica.model,
+                epoch: replica.epoch,
+                members: replica.members,
+              });
+            }),
+          onFailure: ({ message }) =>
+            noteRecordFailure(record, { replica: "new", message }),
+        }),
+      );
+    return Effect.forEach(formations, formOne, { discard: true }).pipe(
+      Effect.ensuring(
+        Effect.sync(() => {
+          this.#isForming = false;
+        }),
+      ),
+    );
+  }
+
+  #prepareSpares(
+    engine: EngineSpec,
+    free: readonly InstanceState[],
+    nowMs: number,
+  ): readonly Effect.Effect<unknown>[] {
+    return planSpares({
+      models: engine.models,
+      free: free.filter(({ domain }) =>
+        this.#state.weights.isFilled(domain!, nowMs)
+      ),
+      hotModel: (id) => this.#state.weights.hotModel(id),
+      preparedModel: (id) => this.#state.weights.preparedModel(id),
+      epoch: this.#state.fence,
+    }).flatMap(({ instance, order }) =>
+      this.#desk.send({ instanceId: instance.id, order }, nowMs)
+    );
+  }
+
+  /** Loads don't count before the first request. */
+  #crossStage(
+    service: string,
+    engine: EngineSpec,
+    nowMs: number,
+  ): readonly Effect.Effect<unknown>[] {
+    if (this.#options.hasTraffic()) return [];
+    const { instances } = this.#state;
+    const underWay = this.#state.weights.countStaging(
+      (id) => instances.find(id),
+      nowMs,
+    );
+    return planCrossStaging({
+      models: engine.models,
+      replicas: this.#state.listWanted(service),
+      findInstance: (id) => instances.find(id),
+    }).filter(({ instance }) => !this.#state.weights.wasStaged(instance.id))
+      .slice(0, Math.max(0, engine.loadsAtOnce - underWay))
+      .flatMap(({ instance, order }) =>
+        this.#desk.send({ instanceId: instance.id, order }, nowMs)
+      );
+  }
+}
