Repeat on a fresh connection what met one that was dropped while idle

Change: one reset of a reused connection before any answer is repeated, within the budget of repeats, and not counted as a run; only for requests that may be repeated, as the others never reuse a connection. Settings that nothing reads go.

--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -35,6 +35,7 @@
 import type { Either } from "purify-ts";
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { ConfigView } from "./config_view.ts";
+import { createRandom } from "./create_random.ts";
 import { KeyFreshness } from "./key_freshness.ts";
 import type { HostSettings } from "./host_settings.ts";
 import { StoreContact } from "./store_contact.ts";
@@ -236,7 +237,7 @@
       agentFor: (address) => pools.agentFor(address),
       discardAgent: (address) => pools.discard(address),
       hasConnection: (address) => pools.hasFree(address),
-      random: Math.random,
+      random: createRandom(),
       noteDemand: (model, change) => {
         state.hasTraffic = true;
         demand.set(model, (demand.get(model) ?? 0) + change);
--- a/packages/celerytray/src/host/host_settings.ts
+++ b/packages/celerytray/src/host/host_settings.ts
@@ -17,13 +17,9 @@
   readonly graceMs: number;
   /** Time after which a key that was taken away must be refused. */
   readonly keyRevocationMs: number;
-  /** Time after which a replica without one of its instances is broken. */
-  readonly replicaStallMs: number;
   /** Repeats allowed over all machines, as a share of the requests. */
   readonly retryShare: number;
   readonly retryWindowMs: number;
   /** Repeats allowed in a window beside that share. */
   readonly retrySlackRequests: number;
-  /** Interval at which instances renew their entries. */
-  readonly instanceHeartbeatMs: number;
 }
--- a/packages/celerytray/src/platform/settings_file.ts
+++ b/packages/celerytray/src/platform/settings_file.ts
@@ -13,22 +13,18 @@
   isFirstStart: "bootstrap",
   graceSeconds: "bounds.grace_s",
   revokeMs: "bounds.revoke_ms",
-  stallMs: "bounds.stall_ms",
   retryRatio: "bounds.retry_ratio",
   retryWindowSeconds: "bounds.retry_window_s",
   retrySlack: "bounds.retry_slack",
-  heartbeatMs: "heartbeat_ms",
 } as const;
 
 const DEFAULTS: Readonly<Record<string, string>> = {
   [NAMES.isFirstStart]: "false",
   [NAMES.graceSeconds]: "8",
   [NAMES.revokeMs]: "5000",
-  [NAMES.stallMs]: "6000",
   [NAMES.retryRatio]: "0.1",
   [NAMES.retryWindowSeconds]: "10",
   [NAMES.retrySlack]: "20",
-  [NAMES.heartbeatMs]: "1200",
 };
 
 /** Decodes the settings file; fails with one line for each problem. */
@@ -74,11 +70,9 @@
     isFirstStart: readText(NAMES.isFirstStart) === "true",
     graceMs: readAmount(NAMES.graceSeconds) * 1000,
     keyRevocationMs: readAmount(NAMES.revokeMs),
-    replicaStallMs: readAmount(NAMES.stallMs),
     retryShare: readAmount(NAMES.retryRatio),
     retryWindowMs: readAmount(NAMES.retryWindowSeconds) * 1000,
     retrySlackRequests: readAmount(NAMES.retrySlack),
-    instanceHeartbeatMs: readAmount(NAMES.heartbeatMs),
   };
   return problems.length === 0 ? Right(settings) : Left(problems.join("\n"));
 }
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -20,7 +20,12 @@
     readonly faultyInstance?: string;
   }
   /** It may have run; no whole answer came. */
-  | { readonly kind: "lost"; readonly message: string }
+  | {
+    readonly kind: "lost";
+    readonly message: string;
+    /** Whether a connection kept open from before ended without an answer. */
+    readonly isStale: boolean;
+  }
   | {
     readonly kind: "answered";
     readonly head: AnswerHead;
@@ -54,6 +59,8 @@
 }
 
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+/** Errors of a connection that its other end dropped while it was idle. */
+const STALE_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
 
 /** Sends a request once; interruption closes the connection. */
 export function runAttempt(
@@ -61,6 +68,8 @@
 ): Effect.Effect<AttemptOutcome> {
   return Effect.callback<AttemptOutcome>((resume) => {
     let isSent = false;
+    let hasAnswer = false;
+    let isReset = false;
     let isSettled = false;
     const settle = (outcome: AttemptOutcome) => {
       if (isSettled) return;
@@ -70,7 +79,11 @@
     const fail = (message: string) =>
       settle(
         isSent
-          ? { kind: "lost", message }
+          ? {
+            kind: "lost",
+            message,
+            isStale: request.reusedSocket && !hasAnswer && isReset,
+          }
           : { kind: "not-run", message, isTurnedAway: false },
       );
     const request = httpRequest({
@@ -88,11 +101,14 @@
       if (socket.connecting) socket.once("connect", dispatch);
       else dispatch();
     });
-    request.on("error", (error) => fail(error.message));
-    request.on(
-      "response",
-      (response) => readAnswer(response, { options, request, settle, fail }),
-    );
+    request.on("error", (error) => {
+      isReset = STALE_CODES.has((error as NodeJS.ErrnoException).code ?? "");
+      fail(error.message);
+    });
+    request.on("response", (response) => {
+      hasAnswer = true;
+      readAnswer(response, { options, request, settle, fail });
+    });
     options.onAbandonable((message) => {
       fail(message);
       request.destroy();
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -44,6 +44,8 @@
   runs: number;
   /** Whether any attempt may have run. */
   mayHaveRun: boolean;
+  /** Whether an attempt met a connection that was dropped while idle. */
+  hadStale: boolean;
   lastEventId: number | undefined;
   firstByteAtMs: number | undefined;
   /** A failure that an instance answered, if no later attempt does better. */
@@ -80,6 +82,7 @@
       attempts: [],
       runs: 0,
       mayHaveRun: false,
+      hadStale: false,
       lastEventId: call.head.resumeAfter,
       firstByteAtMs: undefined,
       failure: undefined,
@@ -247,10 +250,15 @@
   const { instanceId, address } = target;
   progress.abandon = undefined;
   progress.attempts.push(`${instanceId} ${describeOutcome(outcome)}`);
-  if (outcome.kind !== "not-run") {
-    progress.runs += 1;
-    progress.mayHaveRun = true;
+  if (outcome.kind !== "not-run") progress.mayHaveRun = true;
+  if (outcome.kind === "lost" && outcome.isStale && !progress.hadStale) {
+    // The instance dropped the idle connection; a fresh one may do.
+    progress.hadStale = true;
+    progress.tried.delete(instanceId);
+    options.dependencies.discardAgent(address);
+    return;
   }
+  if (outcome.kind !== "not-run") progress.runs += 1;
   if (outcome.kind === "not-run") {
     loads.avoidUntil(
       instanceId,
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -8,7 +8,12 @@
   type RequestListener,
   type Server,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import {
+  type AddressInfo,
+  createServer as createRawServer,
+  type Server as RawServer,
+  type Socket,
+} from "node:net";
 import { after, describe, it } from "node:test";
 import { PlatformCallCodec } from "../platform/call_codec.ts";
 import { CallerExchange } from "./caller_exchange.ts";
@@ -23,12 +28,16 @@
 const HOST = "127.0.0.1";
 const KEY = "key-1";
 const servers: Server[] = [];
+const rawServers: RawServer[] = [];
+const rawSockets: Socket[] = [];
 
 after(() => {
   for (const server of servers) {
     server.close();
     server.closeAllConnections();
   }
+  for (const socket of rawSockets) socket.destroy();
+  for (const server of rawServers) server.close();
 });
 
 const ROUTE: ServingRoute = {
@@ -138,6 +147,24 @@
     expect((await call(other, "/once/x")).status).toEqual(502);
   });
 
+  it("repeats on a fresh connection what met one that was dropped", async () => {
+    let connections = 0;
+    const backend = await startRawBackend((socket) => {
+      connections += 1;
+      let requests = 0;
+      socket.on("data", (bytes) => {
+        requests += 1;
+        // The first connection is gone once it is used again.
+        if (requests > 1) socket.resetAndDestroy();
+        else socket.write(createRawAnswer(bytes));
+      });
+    });
+    const entry = await startEntry({ backends: [backend] });
+    expect((await call(entry, "/safe/x")).status).toEqual(200);
+    expect((await call(entry, "/safe/x")).status).toEqual(200);
+    expect(connections).toEqual(2);
+  });
+
   it("hands on no answer that belongs to another request", async () => {
     const backend = await startBackend((_incoming, response) => {
       response.writeHead(200, { "attempt-id": "other", "server-stamp": "s" })
@@ -220,6 +247,27 @@
   };
 }
 
+/** A backend server that is written by hand. */
+async function startRawBackend(
+  onConnection: (socket: Socket) => void,
+): Promise<ServingTarget> {
+  const server = createRawServer((socket) => {
+    socket.on("error", () => {});
+    rawSockets.push(socket);
+    onConnection(socket);
+  });
+  rawServers.push(server);
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const { port } = server.address() as AddressInfo;
+  const address = `${HOST}:${port}`;
+  return { instanceId: `i-${port}`, address, zone: "z", slots: 4 };
+}
+
+function createRawAnswer(request: Buffer): string {
+  const id = /attempt-id: (\S+)/i.exec(request.toString())?.[1];
+  return `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\ndone`;
+}
+
 interface EntryOptions {
   readonly backends: readonly ServingTarget[];
   readonly isConfigured?: boolean;
