--- a/packages/celerytray/src/index.ts
+++ b/packages/celerytray/src/index.ts
@@ -36,6 +36,7 @@
 // Process on a machine of a deployment
 export * from "./clock/index.ts";
 export * from "./coordination/index.ts";
+export * from "./explain/index.ts";
 export * from "./groups/index.ts";
 export * from "./host/index.ts";
 export * from "./journal/index.ts";
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -11,6 +11,7 @@
   ConfigVersionsCommand,
 } from "./config_version_commands.ts";
 import { DrainCommand, UndrainCommand } from "./drain_commands.ts";
+import { LogsCommand } from "./logs_command.ts";
 import { ServeCommand } from "./serve_command.ts";
 import { ExplainCommand, TimelineCommand } from "./timeline_commands.ts";
 import { ReplicasCommand, StatusCommand } from "./view_commands.ts";
@@ -25,6 +26,7 @@
   ConfigVersionsCommand,
   DrainCommand,
   ExplainCommand,
+  LogsCommand,
   ReplicasCommand,
   ServeCommand,
   StatusCommand,
