Divide a filled domain into replicas as a whole

A log of the arrivals (trial) shows a domain of which 5 instances had come: it was given to the small model, which lacked replicas most just then, and twice more once it had filled.

Change: before the first request only filled domains are used; the replicas of a domain's free instances are chosen together, by need for each instance times size, and loads count a tenth of their time until requests come.

--- a/packages/celerytray/src/groups/plan_formations.ts
+++ b/packages/celerytray/src/groups/plan_formations.ts
@@ -16,6 +16,8 @@
   readonly preparedModel: (instanceId: string) => string | undefined;
   /** Whether no more instances are about to arrive in a domain. */
   readonly isFilled: (domain: string) => boolean;
+  /** Whether no request has come yet: loads are short, domains still fill. */
+  readonly isEarly: boolean;
   /** Requests in progress for a model, as a part of its replicas' places. */
   readonly fill: (model: string, replicas: number) => number;
 }
@@ -32,6 +34,9 @@
 /** Part of the worth that a replica has however long it loads. */
 const LEAST_PART = 0.05;
 
+/** Part of their usual time that loads take before the first request. */
+const EARLY_LOAD_PART = 0.1;
+
 /** Picks the replicas to form of the free instances, domain by domain. */
 export function planFormations(input: FormationInput): readonly Formation[] {
   const counts = new Map(input.models.map(({ name }) => [name, 0]));
@@ -39,20 +44,15 @@
     counts.set(model, (counts.get(model) ?? 0) + 1);
   }
   const formations: Formation[] = [];
-  const pools = groupByDomain(input.free);
+  const pools = new Map(groupByDomain(input.free));
   while (true) {
     const next = findNext(input, { counts, pools });
     if (next === undefined) return formations;
-    formations.push(next.formation);
-    counts.set(
-      next.formation.model,
-      (counts.get(next.formation.model) ?? 0) + 1,
-    );
-    const used = new Set(next.formation.members);
-    pools.set(
-      next.domain,
-      pools.get(next.domain)!.filter(({ id }) => !used.has(id)),
-    );
+    pools.delete(next.domain);
+    for (const formation of next.division.formations) {
+      formations.push(formation);
+      counts.set(formation.model, (counts.get(formation.model) ?? 0) + 1);
+    }
   }
 }
 
@@ -63,39 +63,81 @@
 
 interface Candidate {
   readonly domain: string;
-  readonly formation: Formation;
+  readonly division: Division;
 }
 
-/** The replica that is worth most: much needed, and soon ready. */
+/** The domain whose division into replicas is worth most. */
 function findNext(
   input: FormationInput,
   { counts, pools }: Planning,
 ): Candidate | undefined {
   let best: Candidate | undefined;
-  let bestWorth = 0;
-  const needs = input.models.map((model) => needOf(input, model, counts));
-  const greatestNeed = Math.max(...needs);
-  for (const [index, model] of input.models.entries()) {
-    const need = needs[index]!;
-    for (const [domain, pool] of pools) {
-      if (pool.length < model.size) continue;
-      // Instances that are about to arrive may make up a replica needed more.
-      if (need < greatestNeed && !input.isFilled(domain)) continue;
-      const members = [...pool].sort((a, b) =>
-        loadMs(input, model, a) - loadMs(input, model, b)
-      ).slice(0, model.size);
-      const readyMs = Math.max(
-        ...members.map((member) => loadMs(input, model, member)),
-      );
-      const worth = need * Math.max(LEAST_PART, 1 - readyMs / HORIZON_MS);
-      if (worth <= bestWorth) continue;
-      bestWorth = worth;
-      best = { domain, formation: createFormation(input, model, members) };
+  const greatestNeed = Math.max(
+    ...input.models.map((model) => needOf(input, model, counts)),
+  );
+  for (const [domain, pool] of pools) {
+    const isFilled = input.isFilled(domain);
+    if (input.isEarly && !isFilled) continue;
+    // Instances that are about to arrive may make up a replica needed more.
+    const models = input.models.filter((model) =>
+      isFilled || needOf(input, model, counts) >= greatestNeed
+    );
+    const division = findDivision({ ...input, models }, { counts, pool });
+    if (division === undefined) continue;
+    if (division.worth > (best?.division.worth ?? 0)) {
+      best = { domain, division };
     }
   }
   return best;
 }
 
+interface Dividing {
+  readonly counts: ReadonlyMap<string, number>;
+  readonly pool: readonly InstanceState[];
+}
+
+interface Division {
+  readonly worth: number;
+  readonly formations: readonly Formation[];
+}
+
+/** The replicas of a pool that are worth most together. */
+function findDivision(
+  input: FormationInput,
+  { counts, pool }: Dividing,
+): Division | undefined {
+  let best: Division | undefined;
+  for (const model of input.models) {
+    if (pool.length < model.size) continue;
+    const members = [...pool].sort((a, b) =>
+      loadMs(input, model, a) - loadMs(input, model, b)
+    ).slice(0, model.size);
+    const readyMs = Math.max(
+      ...members.map((member) => loadMs(input, model, member)),
+    );
+    const own = needOf(input, model, counts) * model.size *
+      Math.max(LEAST_PART, 1 - readyMs / HORIZON_MS);
+    const used = new Set(members);
+    const rest = findDivision(input, {
+      counts: new Map(counts).set(
+        model.name,
+        (counts.get(model.name) ?? 0) + 1,
+      ),
+      pool: pool.filter((instance) => !used.has(instance)),
+    });
+    const worth = own + (rest?.worth ?? 0);
+    if (best !== undefined && worth <= best.worth) continue;
+    best = {
+      worth,
+      formations: [
+        createFormation(input, model, members),
+        ...rest?.formations ?? [],
+      ],
+    };
+  }
+  return best;
+}
+
 function createFormation(
   { service }: FormationInput,
   model: ServedModel,
@@ -115,8 +157,8 @@
 }
 
 /**
- * How much a model lacks replicas: by the share of the instances that it is
- * meant to have, and by how full its replicas are.
+ * How much a model lacks replicas, for each instance of one: by the share of
+ * the instances that it is meant to have, and by how full its replicas are.
  */
 function needOf(
   input: FormationInput,
@@ -137,9 +179,8 @@
 ): number {
   if (input.hotModel(instance.id) === model.name) return 0;
   if (instance.stagedModels.includes(model.name)) return model.warmMs;
-  return input.preparedModel(instance.id) === model.name
-    ? model.loadMs / 2
-    : model.loadMs;
+  const loadMs = model.loadMs * (input.isEarly ? EARLY_LOAD_PART : 1);
+  return input.preparedModel(instance.id) === model.name ? loadMs / 2 : loadMs;
 }
 
 function groupByDomain(
--- a/packages/celerytray/src/groups/replica_former.ts
+++ b/packages/celerytray/src/groups/replica_former.ts
@@ -58,6 +58,7 @@
         fill: (model, replicas) =>
           this.#options.demand(model) / (Math.max(1, replicas) * engine.slots),
         preparedModel: (id) => this.#state.weights.preparedModel(id),
+        isEarly: !this.#options.hasTraffic(),
         isFilled: (domain) => this.#state.weights.isFilled(domain, nowMs),
       });
       if (formations.length > 0) {
