Pass over slow replicas and replace their slow members

Nothing watched how fast replicas work.

Ruled out: a silent connection (events went on at that head, far apart).

Change: PaceBook compares the pauses inside streams with the median of the model's replicas; slow ones are passed over and streams move off them, charged to the budget of repeats first. Slow heads are told to the process that decides; it asks the members for their pace and forms the replica anew, gently closed, where spares with the model's weights stand by, one at a time in a domain.

In the first second or two of slowness streams are still late.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -37,6 +37,8 @@
   readonly client: PeerCalls;
   /** Heads at which requests of this process stand still. */
   readonly listStalledHeads: () => readonly string[];
+  /** Heads of replicas that this process finds slow. */
+  readonly listSlowHeads: () => readonly string[];
   /** Requests of this process in progress, by model. */
   readonly demand: () => Readonly<Record<string, number>>;
   readonly hasTraffic: () => boolean;
@@ -155,6 +157,7 @@
     for (const headId of report.stalledHeads) {
       this.#director?.noteStalled(headId);
     }
+    for (const headId of report.slowHeads) this.#director?.noteSlow(headId);
     return {
       isLeading: this.isLeading && !this.#isDeposed,
       term: this.#lead?.term ?? 0,
@@ -261,6 +264,9 @@
         for (const headId of this.#options.listStalledHeads()) {
           this.#director?.noteStalled(headId);
         }
+        for (const headId of this.#options.listSlowHeads()) {
+          this.#director?.noteSlow(headId);
+        }
         yield* Effect.sleep(STEP_MS);
       }
     });
@@ -317,6 +323,7 @@
       peerAddress,
       term: lead.term,
       stalledHeads: this.#options.listStalledHeads(),
+      slowHeads: this.#options.listSlowHeads(),
       demand: this.#options.demand(),
       hasTraffic: this.#options.hasTraffic(),
       instancesOffset: this.#options.instances.nextOffset,
--- a/packages/celerytray/src/coordination/peer_router.ts
+++ b/packages/celerytray/src/coordination/peer_router.ts
@@ -14,6 +14,8 @@
   readonly term: number;
   /** Heads at which its requests stand still. */
   readonly stalledHeads: readonly string[];
+  /** Heads of replicas that it finds slow. */
+  readonly slowHeads: readonly string[];
   /** Requests in progress, by model. */
   readonly demand: Readonly<Record<string, number>>;
   /** Whether it has had requests. */
@@ -181,6 +183,7 @@
     Number.isSafeInteger(report.term) &&
     Number.isSafeInteger(report.instancesOffset) &&
     Array.isArray(report.stalledHeads) &&
+    Array.isArray(report.slowHeads) &&
     typeof report.demand === "object" && typeof report.hasTraffic === "boolean";
   if (isValid) return report as PeerReport;
   throw new Error("Malformed report; run one version on all machines");
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -6,12 +6,13 @@
   OrderOutcome,
 } from "./instance_orders.ts";
 import type { InstanceListView } from "./instance_list.ts";
+import { findReplaceable } from "./find_replaceable.ts";
 import { FleetState } from "./fleet_state.ts";
 import { type DeskOrder, OrderDesk } from "./order_desk.ts";
 import { type EngineSpecs, ReplicaFormer } from "./replica_former.ts";
 import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
-import { planRun, type ReplicaRun } from "./replica_run.ts";
+import { createRetirement, planRun, type ReplicaRun } from "./replica_run.ts";
 
 /** What directing the replicas works with. */
 export interface FleetDirectorOptions {
@@ -65,6 +66,14 @@
     }
   }
 
+  /** Takes note that the replica of a head was found slow. */
+  noteSlow(headId: string): void {
+    for (const { record, retiring } of this.#state.runs.values()) {
+      if (record.members[0] !== headId || retiring !== undefined) continue;
+      for (const id of record.members) this.#state.paces.noteSuspected(id);
+    }
+  }
+
   /** Heads to which no requests should go. */
   listClosedHeads(): readonly string[] {
     const retiring = [...this.#state.runs.values()]
@@ -89,6 +98,7 @@
           this.#isChanged = false;
           revision = instances.revision;
           workedAtMs = nowMs;
+          this.#replaceSlow(nowMs);
           const work = [
             ...this.#probe(nowMs),
             ...this.#orderRuns(nowMs),
@@ -122,8 +132,36 @@
       if (isUnlisted(id)) this.#state.liveness.noteDoubt(id);
     }
     this.#state.liveness.keepOnly((id) => memberIds.has(id) || !isUnlisted(id));
-    return this.#state.liveness.takeDue(nowMs, isUnlisted)
-      .map((id) => this.#probeOne(id, isUnlisted(id)));
+    this.#state.paces.keepOnly((id) => !isUnlisted(id));
+    const due = new Set([
+      ...this.#state.liveness.takeDue(nowMs, isUnlisted),
+      ...this.#state.paces.takeDue(nowMs),
+    ]);
+    return [...due].map((id) => this.#probeOne(id, isUnlisted(id)));
+  }
+
+  /** Takes replicas with a slow member apart where spares stand by. */
+  #replaceSlow(nowMs: number): void {
+    const runs = [...this.#state.runs.values()];
+    for (const service of this.#options.engines().keys()) {
+      const found = findReplaceable({
+        runs: runs.filter(({ record }) => record.service === service),
+        free: this.#state.listFree(service),
+        findInstance: (id) => this.#state.findLatest(id),
+        isSlow: (id) => this.#state.paces.isSlow(id),
+        hotModel: (id) => this.#state.weights.hotModel(id),
+      });
+      for (const { run, slowId } of found) {
+        const reason = `${slowId} is slow`;
+        run.retiring = createRetirement(reason, { nowMs, isImmediate: false });
+        this.#recordRetiring(run, reason);
+      }
+    }
+  }
+
+  #recordRetiring({ record }: ReplicaRun, reason: string): void {
+    const { name: replica, model } = record;
+    this.#options.record("replica.retiring", { replica, model, reason });
   }
 
   /** The process that decided before may have known of silent instances. */
@@ -139,10 +177,18 @@
     if (address === undefined) return Effect.void;
     return this.#options.control.probe({ id, address }).pipe(
       Effect.matchEffect({
-        onSuccess: () =>
+        onSuccess: ({ pace }) =>
           Effect.sync(() => {
             if (!isAbsent) this.#state.liveness.noteAlive(id);
             else this.#state.liveness.noteProbed(id);
+            pace.caseOf({
+              Left: (message) =>
+                this.#options.record("instance.report-malformed", {
+                  instanceId: id,
+                  message,
+                }),
+              Right: (value) => this.#state.paces.notePace(id, value),
+            });
           }),
         onFailure: ({ isRefused, message }) =>
           Effect.sync(() => {
@@ -170,11 +216,7 @@
         nowMs,
       });
       if (!wasRetiring && run.retiring !== undefined) {
-        this.#options.record("replica.retiring", {
-          replica: run.record.name,
-          model: run.record.model,
-          reason: run.retiring.reason,
-        });
+        this.#recordRetiring(run, run.retiring.reason);
       }
       if (run.retiring?.isFreed === true) return this.#retire(run);
       return due.flatMap(({ instanceId, order }) =>
--- a/packages/celerytray/src/groups/fleet_state.ts
+++ b/packages/celerytray/src/groups/fleet_state.ts
@@ -3,6 +3,7 @@
 import { Departures } from "./departures.ts";
 import { InstanceWeights } from "./instance_weights.ts";
 import { LivenessBook } from "./liveness_book.ts";
+import { PaceWatch } from "./pace_watch.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
 import type { ReplicaRun } from "./replica_run.ts";
 
@@ -11,6 +12,7 @@
   readonly instances: InstanceListView;
   readonly runs = new Map<string, ReplicaRun>();
   readonly liveness = new LivenessBook();
+  readonly paces = new PaceWatch();
   readonly weights: InstanceWeights;
   readonly departures = new Departures(this.runs);
   /** Newest place in the log that orders follow from. */
@@ -49,6 +51,20 @@
       .map(({ record }) => record);
   }
 
+  /** Instances of a service that are in no replica and may be used. */
+  listFree(service: string): readonly InstanceState[] {
+    const used = this.memberIds();
+    return this.instances.list().filter((instance) =>
+      instance.service === service && !instance.isDraining &&
+      !used.has(instance.id) &&
+      !this.liveness.isDoubted(instance.id) &&
+      !this.paces.isSlow(instance.id) &&
+      instance.domain !== undefined &&
+      !this.departures.mayServe(instance) &&
+      !this.departures.isStray(instance)
+    );
+  }
+
   memberIds(): ReadonlySet<string> {
     return new Set(
       [...this.runs.values()].flatMap(({ record }) => record.members),
--- a/packages/celerytray/src/groups/index.ts
+++ b/packages/celerytray/src/groups/index.ts
@@ -9,6 +9,7 @@
   type InstanceOrder,
   InstanceSilent,
   type OrderOutcome,
+  type ProbeAnswer,
 } from "./instance_orders.ts";
 export type {
   InstanceState,
--- a/packages/celerytray/src/groups/instance_orders.ts
+++ b/packages/celerytray/src/groups/instance_orders.ts
@@ -1,4 +1,5 @@
 import { Data, type Effect } from "effect";
+import type { Either } from "purify-ts";
 
 /** An order to an instance. */
 export type InstanceOrder =
@@ -51,12 +52,20 @@
   readonly address: string;
 }
 
+/** What an instance that answers tells of itself. */
+export interface ProbeAnswer {
+  /** How many times as long as usual its work takes, or what is unreadable. */
+  readonly pace: Either<string, number>;
+}
+
 /** The orders that instances take. */
 export interface InstanceControl {
   sendOrder(
     instance: InstanceAddress,
     order: InstanceOrder & { readonly fence: number },
   ): Effect.Effect<OrderOutcome, InstanceSilent>;
-  /** Whether the instance answers; fails if it doesn't in time. */
-  probe(instance: InstanceAddress): Effect.Effect<void, InstanceSilent>;
+  /** What the instance tells of itself; fails if it doesn't answer in time. */
+  probe(
+    instance: InstanceAddress,
+  ): Effect.Effect<ProbeAnswer, InstanceSilent>;
 }
--- a/packages/celerytray/src/groups/replica_former.ts
+++ b/packages/celerytray/src/groups/replica_former.ts
@@ -46,7 +46,7 @@
     const work: Effect.Effect<unknown>[] = [];
     for (const [service, engine] of this.#options.engines()) {
       const unsettled = this.#listUnsettledDomains(service);
-      const free = this.#listFree(service).filter(({ domain }) =>
+      const free = this.#state.listFree(service).filter(({ domain }) =>
         !unsettled.has(domain!)
       );
       const formations = planFormations({
@@ -86,18 +86,6 @@
     return unsettled;
   }
 
-  #listFree(service: string): readonly InstanceState[] {
-    const used = this.#state.memberIds();
-    return this.#state.instances.list().filter((instance) =>
-      instance.service === service && !instance.isDraining &&
-      !used.has(instance.id) &&
-      !this.#state.liveness.isDoubted(instance.id) &&
-      instance.domain !== undefined &&
-      !this.#state.departures.mayServe(instance) &&
-      !this.#state.departures.isStray(instance)
-    );
-  }
-
   #form(formations: readonly Formation[]): Effect.Effect<void> {
     this.#isForming = true;
     const { recorder, record } = this.#options;
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -125,7 +125,8 @@
   return isBornAnew(run, instance) ? `${id} was started anew` : undefined;
 }
 
-function createRetirement(
+/** Begins to take a replica apart. */
+export function createRetirement(
   reason: string,
   options: { readonly nowMs: number; readonly isImmediate: boolean },
 ): Retirement {
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -27,6 +27,7 @@
   type CallRecord,
   LoadBook,
   MOVE_AFTER_MS,
+  PaceBook,
   RepeatBudget,
   type ServingConfig,
   type ServingDependencies,
@@ -111,6 +112,7 @@
     const metrics = new MetricsPage();
     const loads = new LoadBook();
     const stalls = new StallWatch();
+    const paces = new PaceBook();
     const pools = new BackendPools();
     const demand = new Map<string, number>();
     const state = { isDraining: false, hasTraffic: false, needsProof: false };
@@ -136,7 +138,9 @@
     const applyInstances = (change: Omit<KeyedChange, "freshAtMs">) => {
       instancesCopy.apply(change);
       instances.apply(change, nowMs());
-      loads.keepOnly((id) => instances.find(id) !== undefined);
+      const isPresent = (id: string) => instances.find(id) !== undefined;
+      loads.keepOnly(isPresent);
+      paces.keepOnly(isPresent);
     };
     const engines = (): EngineSpecs => listEngines(config);
 
@@ -148,6 +152,7 @@
       client: new PeerClient({ timeoutMs: PEER_TIMEOUT_MS }),
       listStalledHeads: () =>
         stalls.findDoubtful(nowMs()).map(({ instanceId }) => instanceId),
+      listSlowHeads: () => paces.listSlow(nowMs()),
       demand: () => Object.fromEntries(demand),
       hasTraffic: () => state.hasTraffic,
       storeAnsweredAtMs: () => contact.answeredAtMs,
@@ -214,6 +219,7 @@
     yield* Effect.forkScoped(
       moveStalled({
         stalls,
+        paces,
         nowMs,
         record,
         closedHeads: () => coordinator.listClosedHeads(),
@@ -228,6 +234,7 @@
       listTargets: (service, model) => targets.list(service, model),
       loads,
       stalls,
+      paces,
       repeats: new RepeatBudget({
         share: settings.retryShare,
         slackRequests: settings.retrySlackRequests,
@@ -347,16 +354,18 @@
 
 interface StallOptions {
   readonly stalls: StallWatch;
+  readonly paces: PaceBook;
   readonly nowMs: () => number;
   readonly record: (kind: string, fields: Record<string, unknown>) => void;
   /** Heads of replicas that are taken apart. */
   readonly closedHeads: () => readonly string[];
 }
 
-/** Moves requests away from replicas that stand still. */
+/** Moves requests away from replicas that stand still or are slow. */
 function moveStalled(
-  { stalls, nowMs, record, closedHeads }: StallOptions,
+  { stalls, paces, nowMs, record, closedHeads }: StallOptions,
 ): Effect.Effect<never> {
+  let knownSlow: ReadonlySet<string> = new Set();
   return Effect.forever(
     Effect.sync(() => {
       const closed = closedHeads();
@@ -367,6 +376,15 @@
         record("replica.stalled", { headId: instanceId, silentMs, attempts });
         stalls.abandon(instanceId);
       }
+      const slow = paces.listSlow(nowMs());
+      for (const headId of slow) {
+        if (!knownSlow.has(headId)) {
+          const slowness = paces.slowness(headId, nowMs());
+          record("replica.slow", { headId, slowness });
+        }
+        stalls.moveAway(headId);
+      }
+      knownSlow = new Set(slow);
     }).pipe(Effect.andThen(Effect.sleep(STALL_CHECK_MS))),
   );
 }
--- a/packages/celerytray/src/host/target_lists.ts
+++ b/packages/celerytray/src/host/target_lists.ts
@@ -48,6 +48,7 @@
         address: instance.address,
         zone: instance.zone,
         slots: this.#options.slotsOf(instance.service) ?? instance.slots,
+        epoch: instance.membership?.epoch ?? 0,
       });
       lists.set(key, list);
     }
--- a/packages/celerytray/src/platform/instance_client.ts
+++ b/packages/celerytray/src/platform/instance_client.ts
@@ -1,17 +1,20 @@
 import { Effect } from "effect";
 import { Agent } from "node:http";
+import type { Either } from "purify-ts";
 import {
   type InstanceAddress,
   type InstanceControl,
   type InstanceOrder,
   InstanceSilent,
   type OrderOutcome,
+  type ProbeAnswer,
 } from "../groups/index.ts";
 import {
   type ByteAnswer,
   type CallFailure,
   exchangeBytes,
 } from "./exchange_bytes.ts";
+import { decode, parseObject, readNumber } from "./fields.ts";
 import { headers } from "./words.ts";
 
 const ORDER_TIMEOUT_MS = 600;
@@ -49,7 +52,9 @@
     );
   }
 
-  probe(instance: InstanceAddress): Effect.Effect<void, InstanceSilent> {
+  probe(
+    instance: InstanceAddress,
+  ): Effect.Effect<ProbeAnswer, InstanceSilent> {
     return exchangeBytes({
       address: instance.address,
       method: "GET",
@@ -59,7 +64,7 @@
       agent: false,
     }).pipe(
       Effect.mapError(toSilent),
-      Effect.flatMap(({ status }) =>
+      Effect.flatMap(({ status, body }) =>
         status === MISDIRECTED_STATUS
           ? Effect.fail(
             new InstanceSilent({
@@ -67,7 +72,7 @@
               message: `Another instance answers at ${instance.address}`,
             }),
           )
-          : Effect.void
+          : Effect.succeed({ pace: decodePace(body) })
       ),
     );
   }
@@ -75,6 +80,13 @@
 
 const MISDIRECTED_STATUS = 421;
 
+/** A report without a pace comes from an instance that works as usual. */
+function decodePace(body: Buffer): Either<string, number> {
+  return parseObject(body.toString()).chain((report) =>
+    decode(() => readNumber(report, "pace", 1))
+  );
+}
+
 function encodeOrder(order: InstanceOrder & { readonly fence: number }) {
   const { fence } = order;
   switch (order.kind) {
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -7,6 +7,8 @@
   readonly address: string;
   readonly zone: string;
   readonly slots: number;
+  /** Epoch of the replica that it heads; 0 for plain instances. */
+  readonly epoch: number;
 }
 
 /** What the choice looks at. */
@@ -16,6 +18,8 @@
   readonly zone: string;
   /** Whether an instance is silent towards all requests it has from here. */
   readonly isSilent: (instanceId: string) => boolean;
+  /** Whether its streams take far longer than usual. */
+  readonly isSlow: (target: ServingTarget) => boolean;
   /** Whether a connection to an address is open and unused. */
   readonly hasConnection: (address: string) => boolean;
   /** Instances that already had the request. */
@@ -40,8 +44,9 @@
   const untried = choice.targets.filter(({ instanceId }) =>
     !tried.has(instanceId)
   );
-  const preferred = untried.filter(({ instanceId }) =>
-    !loads.isAvoided(instanceId, nowMs) && !choice.isSilent(instanceId)
+  const preferred = untried.filter((target) =>
+    !loads.isAvoided(target.instanceId, nowMs) &&
+    !choice.isSilent(target.instanceId) && !choice.isSlow(target)
   );
   let best: ServingTarget | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -10,6 +10,7 @@
 export { chooseTarget, type ServingTarget } from "./choose_target.ts";
 export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
 export { LoadBook } from "./load_book.ts";
+export { PaceBook } from "./pace_book.ts";
 export { RepeatBudget, type RepeatBudgetOptions } from "./repeat_budget.ts";
 export { runAttempt } from "./run_attempt.ts";
 export {
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -9,6 +9,9 @@
 import type { AnswerHead, CallCodec } from "./call.ts";
 import { EventSplitter, type StreamEvent } from "./event_splitter.ts";
 
+/** Why an attempt was ended from here. */
+export type AbandonReason = "stalled" | "slow";
+
 /** What became of one attempt. */
 export type AttemptOutcome =
   /** The request did not run and never will there. */
@@ -25,6 +28,8 @@
     readonly message: string;
     /** Whether a connection kept open from before ended without an answer. */
     readonly isStale: boolean;
+    /** Why it was ended from here; undefined where it ended otherwise. */
+    readonly abandoned?: AbandonReason;
   }
   | {
     readonly kind: "answered";
@@ -55,13 +60,18 @@
   readonly onHead: (head: AnswerHead) => void;
   readonly onBytes: () => void;
   /** Receives a function that ends the attempt. */
-  readonly onAbandonable: (abandon: (message: string) => void) => void;
+  readonly onAbandonable: (abandon: (reason: AbandonReason) => void) => void;
 }
 
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 /** Errors of a connection that its other end dropped while it was idle. */
 const STALE_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
 
+const ABANDON_MESSAGES: Readonly<Record<AbandonReason, string>> = {
+  stalled: "The replica stands still",
+  slow: "The replica is slow",
+};
+
 /** Sends a request once; interruption closes the connection. */
 export function runAttempt(
   options: AttemptOptions,
@@ -76,13 +86,14 @@
       isSettled = true;
       resume(Effect.succeed(outcome));
     };
-    const fail = (message: string) =>
+    const fail = (message: string, abandoned?: AbandonReason) =>
       settle(
         isSent
           ? {
             kind: "lost",
             message,
             isStale: request.reusedSocket && !hasAnswer && isReset,
+            ...(abandoned === undefined ? {} : { abandoned }),
           }
           : { kind: "not-run", message, isTurnedAway: false },
       );
@@ -109,8 +120,8 @@
       hasAnswer = true;
       readAnswer(response, { options, request, settle, fail });
     });
-    options.onAbandonable((message) => {
-      fail(message);
+    options.onAbandonable((reason) => {
+      fail(ABANDON_MESSAGES[reason], reason);
       request.destroy();
     });
     return Effect.sync(() => {
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -4,7 +4,11 @@
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
 import { chooseTarget, type ServingTarget } from "./choose_target.ts";
 import type { StreamEvent } from "./event_splitter.ts";
-import { type AttemptOutcome, runAttempt } from "./run_attempt.ts";
+import {
+  type AbandonReason,
+  type AttemptOutcome,
+  runAttempt,
+} from "./run_attempt.ts";
 import type { AdmittedCall, ServingDependencies } from "./serve_call.ts";
 import type { Repeatability } from "./serving_config.ts";
 
@@ -51,7 +55,9 @@
   /** A failure that an instance answered, if no later attempt does better. */
   failure: { readonly head: AnswerHead; readonly body: Buffer } | undefined;
   /** Ends the attempt under way; undefined when there is none. */
-  abandon: ((message: string) => void) | undefined;
+  abandon: ((reason: AbandonReason) => void) | undefined;
+  /** Whether the budget was already charged for the next attempt. */
+  isNextPaid: boolean;
 }
 
 /** Longest wait for a replica of the model, as a part of the target time. */
@@ -67,6 +73,8 @@
 const NO_REPLICA_RETRY_MS = 800;
 /** Least time left for which another attempt is worth it. */
 const MIN_REMAINING_MS = 30;
+/** Least time left for which a stream is moved off a slow replica. */
+const MIN_MOVE_REMAINING_MS = 500;
 const SERVER_ERROR_STATUS = 500;
 /** Statuses that promise callers that a request did not run. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
@@ -87,6 +95,7 @@
       firstByteAtMs: undefined,
       failure: undefined,
       abandon: undefined,
+      isNextPaid: false,
     };
     const startedAtMs = yield* steadyMs;
     return yield* attemptUntilDone(options, progress).pipe(
@@ -117,9 +126,11 @@
       if (isRepeat && call.deadlineAtMs - nowMs < MIN_REMAINING_MS) {
         return giveUp(options, progress, "Too little time is left");
       }
-      if (isRepeat && !dependencies.repeats.trySpend(call.service, nowMs)) {
-        return giveUp(options, progress, "The budget of repeats is spent");
-      }
+      if (
+        isRepeat && !progress.isNextPaid &&
+        !dependencies.repeats.trySpend(call.service, nowMs)
+      ) return giveUp(options, progress, "The budget of repeats is spent");
+      progress.isNextPaid = false;
       const outcome = yield* attemptOnce(options, progress, target);
       const endedAtMs = yield* steadyMs;
       noteOutcome({ options, progress, target, outcome, nowMs: endedAtMs });
@@ -145,49 +156,89 @@
 
 /** Waits shortly for a target, if there is none now. */
 function awaitTarget(
-  { call, dependencies }: AttemptsOptions,
+  options: AttemptsOptions,
   progress: Progress,
 ): Effect.Effect<ServingTarget | undefined> {
+  const { call } = options;
   return Effect.gen(function* () {
     const startedAtMs = yield* steadyMs;
     const waitUntilMs = startedAtMs +
       call.route.targetMs * WAIT_PART_OF_TARGET;
     while (true) {
       const nowMs = yield* steadyMs;
-      const target = chooseTarget({
-        targets: dependencies.listTargets(call.service, call.head.model),
-        loads: dependencies.loads,
-        zone: dependencies.zone,
-        hasConnection: dependencies.hasConnection,
-        isSilent: (id) => dependencies.stalls.isSilent(id, nowMs),
-        tried: progress.tried,
-        nowMs,
-        random: dependencies.random,
-      });
+      const target = findTarget(options, progress, nowMs);
       if (target !== undefined || nowMs >= waitUntilMs) return target;
       yield* Effect.sleep(WAIT_STEP_MS);
     }
   });
 }
 
+function findTarget(
+  { call, dependencies }: AttemptsOptions,
+  progress: Progress,
+  nowMs: number,
+): ServingTarget | undefined {
+  const { stalls, paces } = dependencies;
+  return chooseTarget({
+    targets: dependencies.listTargets(call.service, call.head.model),
+    loads: dependencies.loads,
+    zone: dependencies.zone,
+    hasConnection: dependencies.hasConnection,
+    isSilent: (id) => stalls.isSilent(id, nowMs),
+    isSlow: (target) => paces.isSlow(target, nowMs),
+    tried: progress.tried,
+    nowMs,
+    random: dependencies.random,
+  });
+}
+
+/** Ends the attempt under way if another instance surely takes the request. */
+function tryMove(
+  options: AttemptsOptions,
+  progress: Progress,
+  nowMs: number,
+): void {
+  const { call, dependencies } = options;
+  const { loads, stalls, paces, repeats } = dependencies;
+  if (
+    progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
+  ) {
+    return;
+  }
+  if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return;
+  const target = findTarget(options, progress, nowMs);
+  if (target === undefined) return;
+  const { instanceId, slots } = target;
+  const isBetter = !paces.isSlow(target, nowMs) &&
+    !stalls.isSilent(instanceId, nowMs) &&
+    !loads.isAvoided(instanceId, nowMs) &&
+    loads.estimate(instanceId, nowMs) < slots;
+  if (!isBetter || !repeats.trySpend(call.service, nowMs)) return;
+  progress.isNextPaid = true;
+  progress.abandon("slow");
+}
+
 function attemptOnce(
-  { call, exchange, dependencies }: AttemptsOptions,
+  options: AttemptsOptions,
   progress: Progress,
   target: ServingTarget,
 ): Effect.Effect<AttemptOutcome> {
-  const { loads, stalls, codec } = dependencies;
-  const { instanceId, address } = target;
+  const { call, exchange, dependencies } = options;
+  const { loads, stalls, paces, codec } = dependencies;
+  const { instanceId, address, epoch } = target;
   return Effect.gen(function* () {
     const clock = yield* Clock.Clock;
     const nowMs = () => readSteadyMs(clock);
     const startedAtMs = nowMs();
+    let lastEventAtMs: number | undefined;
     progress.tried.add(instanceId);
     loads.noteSent(instanceId);
     const endWatch = call.route.isStream
       ? stalls.begin({
         instanceId,
         startedAtMs,
-        abandon: () => progress.abandon?.("The replica stands still"),
+        abandon: () => progress.abandon?.("stalled"),
+        tryMove: () => tryMove(options, progress, nowMs()),
       })
       : () => {};
     return yield* runAttempt({
@@ -221,7 +272,15 @@
         if (!exchange.hasStarted) exchange.startStream(head);
       },
       onEvent: (event: StreamEvent) => {
-        progress.firstByteAtMs ??= nowMs();
+        const atMs = nowMs();
+        progress.firstByteAtMs ??= atMs;
+        // Events that come together hold no pause.
+        if (lastEventAtMs !== undefined && atMs > lastEventAtMs) {
+          const pauseMs = atMs - lastEventAtMs;
+          const model = call.head.model ?? "";
+          paces.notePause({ instanceId, epoch, model, pauseMs, nowMs: atMs });
+        }
+        lastEventAtMs = atMs;
         exchange.writeEvent(event.bytes);
         if (event.id !== undefined) progress.lastEventId = event.id;
       },
@@ -265,8 +324,9 @@
       nowMs + (outcome.isTurnedAway ? AVOID_FULL_MS : AVOID_UNREACHABLE_MS),
     );
   } else if (outcome.kind === "lost") {
+    if (outcome.abandoned === "slow") return;
     options.dependencies.discardAgent(address);
-    if (outcome.message === "The replica stands still") {
+    if (outcome.abandoned === "stalled") {
       loads.avoidUntil(instanceId, nowMs + AVOID_STALLED_MS);
     }
   }
@@ -304,6 +364,15 @@
   return progress.runs < Math.max(1, call.route.maxAttempts);
 }
 
+/** Whether another attempt is allowed once the one under way has ended. */
+function mayAttemptAfterThis(
+  { call }: AttemptsOptions,
+  progress: Progress,
+): boolean {
+  return call.route.repeatability !== "once" &&
+    progress.runs + 1 < Math.max(1, call.route.maxAttempts);
+}
+
 function giveUp(
   { call, exchange }: AttemptsOptions,
   progress: Progress,
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -8,6 +8,7 @@
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { LoadBook } from "./load_book.ts";
+import type { PaceBook } from "./pace_book.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 import { type AttemptsResult, runAttempts } from "./run_attempts.ts";
 import type { ServingRoute } from "./serving_config.ts";
@@ -29,6 +30,7 @@
   ) => readonly ServingTarget[];
   readonly loads: LoadBook;
   readonly stalls: StallWatch;
+  readonly paces: PaceBook;
   readonly repeats: RepeatBudget;
   readonly agentFor: (address: string) => Agent;
   readonly discardAgent: (address: string) => void;
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -19,6 +19,7 @@
 import { CallerExchange } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import { LoadBook } from "./load_book.ts";
+import { PaceBook } from "./pace_book.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { type CallRecord, serveCall } from "./serve_call.ts";
 import type { ServingRoute } from "./serving_config.ts";
@@ -205,6 +206,55 @@
     expect(resumedAfter).toEqual([undefined, "1"]);
   });
 
+  it("moves a stream off a replica that turned slow", async () => {
+    const stalls = new StallWatch();
+    const paces = new PaceBook();
+    const ids: string[] = [];
+    let slowId: string | undefined;
+    const backend = async () => {
+      const target = await startBackend((incoming, response) => {
+        response.writeHead(200, {
+          "attempt-id": idOf(incoming),
+          "server-stamp": "s",
+          "content-type": "text/event-stream",
+        });
+        if (slowId !== undefined) {
+          response.end("id: 1\ndata: b\n\n");
+          return;
+        }
+        slowId = target.instanceId;
+        response.write("id: 0\ndata: a\n\n");
+        setTimeout(() => {
+          const nowMs = performance.now();
+          for (const instanceId of ids) {
+            const pauseMs = instanceId === slowId ? 400 : 40;
+            for (let count = 0; count < 10; count++) {
+              paces.notePause({
+                instanceId,
+                epoch: 0,
+                model: "",
+                pauseMs,
+                nowMs,
+              });
+            }
+          }
+          expect(paces.listSlow(nowMs)).toEqual([slowId!]);
+          stalls.moveAway(slowId!);
+        }, 20);
+      });
+      ids.push(target.instanceId);
+      return target;
+    };
+    const entry = await startEntry({
+      backends: [await backend(), await backend()],
+      stalls,
+      paces,
+    });
+    const answer = await call(entry, "/stream/x");
+    expect(answer.body).toEqual("id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+    expect(answer.isWhole).toEqual(true);
+  });
+
   it("breaks off a stream whose events don't follow each other", async () => {
     const backend = () =>
       startBackend((incoming, response) => {
@@ -244,6 +294,7 @@
     address: `${HOST}:${port}`,
     zone: "z",
     slots: 4,
+    epoch: 0,
   };
 }
 
@@ -260,7 +311,7 @@
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
   const { port } = server.address() as AddressInfo;
   const address = `${HOST}:${port}`;
-  return { instanceId: `i-${port}`, address, zone: "z", slots: 4 };
+  return { instanceId: `i-${port}`, address, zone: "z", slots: 4, epoch: 0 };
 }
 
 function createRawAnswer(request: Buffer): string {
@@ -272,6 +323,8 @@
   readonly backends: readonly ServingTarget[];
   readonly isConfigured?: boolean;
   readonly areKeysFresh?: boolean;
+  readonly stalls?: StallWatch;
+  readonly paces?: PaceBook;
 }
 
 async function startEntry(options: EntryOptions): Promise<number> {
@@ -296,7 +349,8 @@
     areKeysFresh: () => options.areKeysFresh !== false,
     listTargets: () => options.backends,
     loads: new LoadBook(),
-    stalls: new StallWatch(),
+    stalls: options.stalls ?? new StallWatch(),
+    paces: options.paces ?? new PaceBook(),
     repeats: new RepeatBudget({
       share: 1,
       slackRequests: 100,
--- a/packages/celerytray/src/serving/stall_watch.ts
+++ b/packages/celerytray/src/serving/stall_watch.ts
@@ -4,6 +4,8 @@
   readonly startedAtMs: number;
   /** Ends the attempt, so that the request moves on. */
   readonly abandon: () => void;
+  /** Ends it if the request is sure to go on elsewhere. */
+  readonly tryMove: () => void;
 }
 
 /** An instance whose attempts all stand still. */
@@ -78,6 +80,13 @@
     }
   }
 
+  /** Ends those attempts at an instance that can go on elsewhere. */
+  moveAway(instanceId: string): void {
+    for (const attempt of [...this.#attempts.get(instanceId) ?? []]) {
+      attempt.tryMove();
+    }
+  }
+
   #aliveAtMs(
     instanceId: string,
     attempts: ReadonlySet<WatchedAttempt>,
--- a/packages/celerytray/src/serving/stall_watch_test.ts
+++ b/packages/celerytray/src/serving/stall_watch_test.ts
@@ -5,7 +5,12 @@
 it("doubts an instance once all its attempts are silent", () => {
   const watch = new StallWatch();
   const begin = () =>
-    watch.begin({ instanceId: "a", startedAtMs: 0, abandon: () => {} });
+    watch.begin({
+      instanceId: "a",
+      startedAtMs: 0,
+      abandon: () => {},
+      tryMove: () => {},
+    });
   const endFirst = begin();
   const endSecond = begin();
   watch.noteBytes("a", 100);
@@ -30,6 +35,7 @@
       instanceId: "a",
       startedAtMs: 0,
       abandon: () => abandoned.push(name),
+      tryMove: () => {},
     });
   }
   watch.abandon("a");
--- a/packages/fakes/src/fleet/fake_fleet.ts
+++ b/packages/fakes/src/fleet/fake_fleet.ts
@@ -8,6 +8,7 @@
   steadyMs,
 } from "celerytray";
 import { Clock, Effect } from "effect";
+import { Right } from "purify-ts";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
@@ -70,6 +71,12 @@
     if (instance !== undefined) instance.isReachable = isReachable;
   }
 
+  /** Makes an instance's work take so many times as long as usual. */
+  setPace(id: string, pace: number): void {
+    const instance = this.#instances.get(id);
+    if (instance !== undefined) instance.pace = pace;
+  }
+
   list(): readonly FakeModelInstance[] {
     return [...this.#instances.values()];
   }
@@ -85,6 +92,13 @@
     });
   }
 
+  /** Heads that are open with a slow member. */
+  listSlow(): readonly FakeModelInstance[] {
+    return this.listServing().filter(({ membership }) =>
+      membership!.members.some((id) => this.#instances.get(id)!.pace > 1)
+    );
+  }
+
   /** Lets the instances' time pass. */
   advance(nowMs: number): void {
     for (const instance of this.#instances.values()) {
@@ -102,7 +116,9 @@
       probe: ({ id }) =>
         Effect.suspend(() =>
           this.#isReachable(id)
-            ? Effect.sleep(CALL_MS)
+            ? Effect.as(Effect.sleep(CALL_MS), {
+              pace: Right(this.#instances.get(id)!.pace),
+            })
             : Effect.andThen(Effect.sleep(SILENCE_MS), silence(id))
         ),
     };
--- a/packages/fakes/src/fleet/fake_model_instance.ts
+++ b/packages/fakes/src/fleet/fake_model_instance.ts
@@ -34,6 +34,8 @@
   isAlive = true;
   /** Whether it can be reached; it goes on all the same. */
   isReachable = true;
+  /** How many times as long as usual its work takes. */
+  pace = 1;
   staged: string[] = [];
   membership: FakeMembership | undefined;
   readonly #times: FakeInstanceTimes;
--- a/packages/fakes/src/fleet/fleet_director_test.ts
+++ b/packages/fakes/src/fleet/fleet_director_test.ts
@@ -65,6 +65,7 @@
 const MAX_REPAIR_MS = 5_000;
 /** Time until the replicas are formed, with the loads of their weights. */
 const SETTLE_MS = 16_000;
+const SLOW_PACE = 4;
 
 type Trouble =
   | { readonly kind: "kill-instance"; readonly index: number }
@@ -72,9 +73,11 @@
   | { readonly kind: "late-orders"; readonly share: number }
   /** A head and some of its members can't be reached for a time. */
   | { readonly kind: "part"; readonly index: number; readonly members: number }
+  /** A member of a replica turns slow. */
+  | { readonly kind: "slow"; readonly index: number }
   | { readonly kind: "rejoin"; readonly members: number }
   | { readonly kind: "store-out" | "store-back" | "store-loses" }
-  | { readonly kind: "kill-lead" | "cut-lead" | "heal" };
+  | { readonly kind: "kill-lead" | "cut-lead" | "heal" | "quicken" };
 
 const trouble: fc.Arbitrary<Trouble> = fc.oneof(
   fc.record({
@@ -91,6 +94,7 @@
     index: fc.nat(5),
     members: fc.integer({ min: 1, max: 4 }),
   }),
+  fc.record({ kind: fc.constant("slow" as const), index: fc.nat(13) }),
   fc.record({
     kind: fc.constant("rejoin" as const),
     members: fc.integer({ min: 1, max: 4 }),
@@ -103,6 +107,7 @@
       "kill-lead" as const,
       "cut-lead" as const,
       "heal" as const,
+      "quicken" as const,
     ),
   }),
 );
@@ -140,6 +145,30 @@
     expect(world.violations).toEqual([]);
   });
 
+  it("are formed anew without a slow member while a spare stands by", async () => {
+    for (let index = 0; index < VICTIMS; index++) {
+      const { violations, serving, slow } = await play([
+        { waitMs: 0, trouble: { kind: "slow", index } },
+      ], MAX_REPAIR_MS);
+      expect(violations).toEqual([]);
+      expect(serving.length).toEqual(REPLICAS);
+      expect(slow).toEqual([]);
+    }
+  });
+
+  it("stay as they are where no spare of their model stands by", async () => {
+    const indices = Array.from({ length: DOMAIN_SIZE }, (_, index) => index);
+    const { violations, serving } = await play(
+      indices.map((index) => ({
+        waitMs: 0,
+        trouble: { kind: "slow", index },
+      })),
+      MAX_REPAIR_MS,
+    );
+    expect(violations).toEqual([]);
+    expect(serving.length).toEqual(REPLICAS);
+  });
+
   it("never share a member, whatever fails", async () => {
     const property = fc.asyncProperty(day, async (steps) => {
       const world = await play(steps, 8_000);
@@ -157,6 +186,8 @@
 interface PlayedWorld {
   readonly violations: readonly string[];
   readonly serving: readonly { readonly model: string }[];
+  /** Heads that are open with a slow member. */
+  readonly slow: readonly string[];
 }
 
 /** Plays a day on virtual time, after the replicas were formed. */
@@ -174,6 +205,7 @@
       serving: world.fleet.listServing().map(({ membership }) => ({
         model: membership!.model,
       })),
+      slow: world.fleet.listSlow().map(({ id }) => id),
     };
   });
   return Effect.runPromise(
@@ -335,6 +367,18 @@
     case "store-back":
       store.faults = {};
       return;
+    case "slow": {
+      const members = fleet.list().filter(({ isAlive, membership }) =>
+        isAlive && membership !== undefined
+      );
+      if (members.length > 0) {
+        fleet.setPace(members[step.index % members.length]!.id, SLOW_PACE);
+      }
+      return;
+    }
+    case "quicken":
+      for (const { id } of fleet.list()) fleet.setPace(id, 1);
+      return;
     case "kill-lead": {
       const lead = findLead();
       const living = processes.filter(({ isDead }) => !isDead).length;
@@ -377,6 +421,7 @@
     log: new InProcessStore({ store, isCut }),
     client: createPeers(processes, isCut),
     listStalledHeads,
+    listSlowHeads: () => fleet.listSlow().map(({ id }) => id),
     demand: () => ({}),
     hasTraffic: () => nowMs() > SETTLE_MS,
     storeAnsweredAtMs: () =>
