Refuse streams while every replica is full, and name the attempt under way

Besides, the line of a request whose caller left or whose time ended did not name the attempt under way, and a refused request's head was decoded twice.

Change: a stream that has not begun is refused as not run, with 1.2 s to come back, when the best target told of no free place within 0.7 s; it waits an eighth of its target time for one. A caller that leaves is recorded as `call.ended` with outcome `left`; `call.left` is gone, which was also written when this process broke an answer off. run_attempts.ts is split into progress, search of targets and the loop, and the types that serve_call.ts and run_attempts.ts shared have a module of their own (they imported each other).

--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -1,6 +1,5 @@
-import { Clock, type Context, Effect, Fiber, type Scope } from "effect";
+import { type Context, Effect, Fiber, type Scope } from "effect";
 import type { RequestListener, Server } from "node:http";
-import { readSteadyMs } from "../clock/index.ts";
 import { InFlightCalls } from "../forwarding/index.ts";
 import { listen, type ListenFailure } from "../http/index.ts";
 import {
@@ -17,8 +16,6 @@
   readonly idleTimeoutMs: number;
   readonly headerTimeoutMs: number;
   readonly maxHeaderBytes: number;
-  /** Told of each request whose caller left before the answer's end. */
-  readonly onLeft: (callId: string, durationMs: number) => void;
 }
 
 /** A server that takes callers' requests. */
@@ -52,12 +49,10 @@
   return Effect.gen(function* () {
     const calls = new InFlightCalls();
     const state: ServerState = { isClosing: false, isRefusing: false };
-    const clock = yield* Clock.Clock;
     const handler = createHandler({
       options,
       calls,
       state,
-      nowMs: () => readSteadyMs(clock),
       context: yield* Effect.context<never>(),
     });
     const server: Server = yield* listen({
@@ -97,18 +92,16 @@
   readonly options: CallerServerOptions;
   readonly calls: InFlightCalls;
   readonly state: ServerState;
-  readonly nowMs: () => number;
   readonly context: Context.Context<never>;
 }
 
 function createHandler(
-  { options, calls, state, nowMs, context }: HandlerOptions,
+  { options, calls, state, context }: HandlerOptions,
 ): RequestListener {
   const run = Effect.runForkWith(context);
   const { dependencies } = options;
   return (request, response) => {
     if (request.headers.expect !== undefined) response.writeContinue();
-    const startedAtMs = nowMs();
     const exchange = new CallerExchange({
       request,
       response,
@@ -129,8 +122,6 @@
     response.on("error", () => {});
     response.on("close", () => {
       if (response.writableFinished || exchange.hasEnded) return;
-      const id = dependencies.codec.decodeCall(request).toMaybe().extract()?.id;
-      options.onLeft(id ?? "", nowMs() - startedAtMs);
       run(Fiber.interrupt(fiber));
     });
   };
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -257,8 +257,6 @@
       idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
       headerTimeoutMs: DEFAULT_HEADER_TIMEOUT_MS,
       maxHeaderBytes: MAX_HEADER_BYTES,
-      onLeft: (callId, durationMs) =>
-        journal.record("call.left", { callId, durationMs }, "routine"),
     });
     const callers = servers.callers;
     const isReady = () =>
--- /dev/null
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -0,0 +1,72 @@
+import type { Agent } from "node:http";
+import type { CallCodec, CallHead } from "./call.ts";
+import type { ServingTarget } from "./choose_target.ts";
+import type { LoadBook } from "./load_book.ts";
+import type { PaceBook } from "./pace_book.ts";
+import type { RepeatBudget } from "./repeat_budget.ts";
+import type { ServingRoute } from "./serving_config.ts";
+import type { ServingIndex } from "./serving_index.ts";
+import type { StallWatch } from "./stall_watch.ts";
+
+/** What serving a call needs of its process. */
+export interface ServingDependencies {
+  readonly codec: CallCodec;
+  readonly zone: string;
+  /** The configuration in force; undefined before there is one. */
+  readonly index: () => ServingIndex | undefined;
+  /** Whether keys are known to be the newest. */
+  readonly areKeysFresh: () => boolean;
+  /** Instances that may take a call: of a model, or of a plain service. */
+  readonly listTargets: (
+    service: string,
+    model: string | undefined,
+  ) => readonly ServingTarget[];
+  readonly loads: LoadBook;
+  readonly stalls: StallWatch;
+  readonly paces: PaceBook;
+  readonly repeats: RepeatBudget;
+  readonly agentFor: (address: string) => Agent;
+  readonly discardAgent: (address: string) => void;
+  /** Whether a connection to an address is open and unused. */
+  readonly hasConnection: (address: string) => boolean;
+  readonly random: () => number;
+  /** Counts the requests in progress for a model. */
+  readonly noteDemand: (model: string, change: 1 | -1) => void;
+  readonly record: (outcome: CallRecord) => void;
+}
+
+/** What became of a call, for logs and metrics. */
+export interface CallRecord {
+  readonly callId: string;
+  readonly route: string;
+  readonly service: string;
+  readonly model?: string;
+  /** 0 where the caller left before its end. */
+  readonly status: number;
+  readonly outcome:
+    | "answered"
+    | "streamed"
+    | "refused"
+    | "failed"
+    | "broken-off"
+    | "left";
+  readonly reason?: string;
+  readonly attempts: readonly string[];
+  readonly durationMs: number;
+  readonly firstByteMs?: number;
+  readonly configVersion: number;
+}
+
+/** A call that may be forwarded. */
+export interface AdmittedCall {
+  readonly head: CallHead;
+  readonly route: ServingRoute;
+  readonly service: string;
+  readonly tenant?: string;
+  readonly priority: number;
+  readonly body: Buffer;
+  readonly arrivedAtMs: number;
+  /** Time at which the caller or the route's bound gives up. */
+  readonly deadlineAtMs: number;
+  readonly configVersion: number;
+}
--- /dev/null
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -0,0 +1,104 @@
+import { Effect } from "effect";
+import { steadyMs } from "../clock/index.ts";
+import {
+  type AttemptProgress,
+  type AttemptsOptions,
+  mayAttemptAfterThis,
+} from "./attempt_progress.ts";
+import { chooseTarget, type ServingTarget } from "./choose_target.ts";
+
+/** Longest wait for a replica of the model, as a part of the target time. */
+const WAIT_PART_OF_TARGET = 0.25;
+/** Longest wait for a free place, as a part of the target time. */
+const FULL_WAIT_PART_OF_TARGET = 0.125;
+const WAIT_STEP_MS = 20;
+/** Least time left for which a stream is moved off a slow replica. */
+const MIN_MOVE_REMAINING_MS = 500;
+
+/** Where a request may go next, or why nowhere. */
+export type TargetSearch =
+  | { readonly kind: "found"; readonly target: ServingTarget }
+  /** Every replica has more work than it begins in time. */
+  | { readonly kind: "full" }
+  | { readonly kind: "none" };
+
+/** Waits shortly for a target, if there is none now. */
+export function awaitTarget(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+): Effect.Effect<TargetSearch> {
+  const { targetMs } = options.call.route;
+  return Effect.gen(function* () {
+    const startedAtMs = yield* steadyMs;
+    while (true) {
+      const nowMs = yield* steadyMs;
+      const search = searchTarget(options, progress, nowMs);
+      if (search.kind === "found") return search;
+      const waitMs = targetMs *
+        (search.kind === "full"
+          ? FULL_WAIT_PART_OF_TARGET
+          : WAIT_PART_OF_TARGET);
+      if (nowMs - startedAtMs >= waitMs) return search;
+      yield* Effect.sleep(WAIT_STEP_MS);
+    }
+  });
+}
+
+/** A stream that has begun goes on wherever it can. */
+function searchTarget(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  nowMs: number,
+): TargetSearch {
+  const { call, dependencies } = options;
+  const target = findTarget(options, progress, nowMs);
+  if (target === undefined) return { kind: "none" };
+  const isFull = call.route.isStream && progress.attempts.length === 0 &&
+    dependencies.loads.isFull(target.instanceId, target.slots, nowMs);
+  return isFull ? { kind: "full" } : { kind: "found", target };
+}
+
+function findTarget(
+  { call, dependencies }: AttemptsOptions,
+  progress: AttemptProgress,
+  nowMs: number,
+): ServingTarget | undefined {
+  const { stalls, paces } = dependencies;
+  return chooseTarget({
+    targets: dependencies.listTargets(call.service, call.head.model),
+    loads: dependencies.loads,
+    zone: dependencies.zone,
+    hasConnection: dependencies.hasConnection,
+    isSilent: (id) => stalls.isSilent(id, nowMs),
+    isSlow: (target) => paces.isSlow(target, nowMs),
+    tried: progress.tried,
+    nowMs,
+    random: dependencies.random,
+  });
+}
+
+/** Ends the attempt under way if another instance surely takes the request. */
+export function tryMove(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  nowMs: number,
+): void {
+  const { call, dependencies } = options;
+  const { loads, stalls, paces, repeats } = dependencies;
+  if (
+    progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
+  ) {
+    return;
+  }
+  if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return;
+  const target = findTarget(options, progress, nowMs);
+  if (target === undefined) return;
+  const { instanceId, slots } = target;
+  const isBetter = !paces.isSlow(target, nowMs) &&
+    !stalls.isSilent(instanceId, nowMs) &&
+    !loads.isAvoided(instanceId, nowMs) &&
+    loads.estimate(instanceId, nowMs) < slots;
+  if (!isBetter || !repeats.trySpend(call.service, nowMs)) return;
+  progress.isNextPaid = true;
+  progress.abandon("slow");
+}
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -6,6 +6,7 @@
   CallHead,
   InstanceLoad,
 } from "./call.ts";
+export type { CallRecord, ServingDependencies } from "./call_context.ts";
 export { CallerExchange, type OwnAnswer } from "./caller_exchange.ts";
 export { chooseTarget, type ServingTarget } from "./choose_target.ts";
 export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
@@ -13,11 +14,7 @@
 export { PaceBook } from "./pace_book.ts";
 export { RepeatBudget, type RepeatBudgetOptions } from "./repeat_budget.ts";
 export { runAttempt } from "./run_attempt.ts";
-export {
-  type CallRecord,
-  serveCall,
-  type ServingDependencies,
-} from "./serve_call.ts";
+export { serveCall } from "./serve_call.ts";
 export type {
   CallerLimits,
   EngineSpec,
--- a/packages/celerytray/src/serving/load_book.ts
+++ b/packages/celerytray/src/serving/load_book.ts
@@ -2,6 +2,8 @@
 
 /** Time over which a told load fades, as other machines' work ends. */
 const TOLD_LOAD_FADE_MS = 1_500;
+/** Time for which an instance without a free place counts as full. */
+const FULL_MEMORY_MS = 700;
 /** Time over which failures are forgotten. */
 const FAILURE_FADE_MS = 4_000;
 const FAILURE_WEIGHT = 0.3;
@@ -72,6 +74,15 @@
     return Math.max(work.inFlight, told);
   }
 
+  /** Whether an instance lately told of no free place, and none was freed. */
+  isFull(instanceId: string, slots: number, nowMs: number): boolean {
+    const work = this.#work.get(instanceId);
+    if (work === undefined) return false;
+    const isRecent = nowMs - work.toldAtMs < FULL_MEMORY_MS;
+    const told = isRecent ? work.toldWork + work.changeSinceTold : 0;
+    return Math.max(work.inFlight, told) >= slots;
+  }
+
   /** Share of attempts that failed lately. */
   failureShare(instanceId: string, nowMs: number): number {
     const work = this.#work.get(instanceId);
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -1,81 +1,18 @@
-import { Effect } from "effect";
-import type { Agent } from "node:http";
+import { Clock, Effect } from "effect";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
-import { steadyMs } from "../clock/index.ts";
+import { readSteadyMs, steadyMs } from "../clock/index.ts";
 import { readBody } from "../http/index.ts";
-import type { CallCodec, CallHead } from "./call.ts";
+import type { AttemptsResult, AttemptsSummary } from "./attempt_progress.ts";
+import type { CallHead } from "./call.ts";
+import type {
+  AdmittedCall,
+  CallRecord,
+  ServingDependencies,
+} from "./call_context.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
-import type { ServingTarget } from "./choose_target.ts";
-import type { LoadBook } from "./load_book.ts";
-import type { PaceBook } from "./pace_book.ts";
-import type { RepeatBudget } from "./repeat_budget.ts";
-import { type AttemptsResult, runAttempts } from "./run_attempts.ts";
-import type { ServingRoute } from "./serving_config.ts";
+import { runAttempts } from "./run_attempts.ts";
 import { selectService, type ServingIndex } from "./serving_index.ts";
-import type { StallWatch } from "./stall_watch.ts";
-
-/** What serving a call needs of its process. */
-export interface ServingDependencies {
-  readonly codec: CallCodec;
-  readonly zone: string;
-  /** The configuration in force; undefined before there is one. */
-  readonly index: () => ServingIndex | undefined;
-  /** Whether keys are known to be the newest. */
-  readonly areKeysFresh: () => boolean;
-  /** Instances that may take a call: of a model, or of a plain service. */
-  readonly listTargets: (
-    service: string,
-    model: string | undefined,
-  ) => readonly ServingTarget[];
-  readonly loads: LoadBook;
-  readonly stalls: StallWatch;
-  readonly paces: PaceBook;
-  readonly repeats: RepeatBudget;
-  readonly agentFor: (address: string) => Agent;
-  readonly discardAgent: (address: string) => void;
-  /** Whether a connection to an address is open and unused. */
-  readonly hasConnection: (address: string) => boolean;
-  readonly random: () => number;
-  /** Counts the requests in progress for a model. */
-  readonly noteDemand: (model: string, change: 1 | -1) => void;
-  readonly record: (outcome: CallRecord) => void;
-}
-
-/** What became of a call, for logs and metrics. */
-export interface CallRecord {
-  readonly callId: string;
-  readonly route: string;
-  readonly service: string;
-  readonly model?: string;
-  readonly status: number;
-  readonly outcome:
-    | "answered"
-    | "streamed"
-    | "refused"
-    | "failed"
-    | "broken-off"
-    | "left";
-  readonly reason?: string;
-  readonly attempts: readonly string[];
-  readonly durationMs: number;
-  readonly firstByteMs?: number;
-  readonly configVersion: number;
-}
-
-/** A call that may be forwarded. */
-export interface AdmittedCall {
-  readonly head: CallHead;
-  readonly route: ServingRoute;
-  readonly service: string;
-  readonly tenant?: string;
-  readonly priority: number;
-  readonly body: Buffer;
-  readonly arrivedAtMs: number;
-  /** Time at which the caller or the route's bound gives up. */
-  readonly deadlineAtMs: number;
-  readonly configVersion: number;
-}
 
 const NO_CONFIG_RETRY_MS = 500;
 const STALE_KEYS_RETRY_MS = 500;
@@ -89,7 +26,8 @@
   return Effect.gen(function* () {
     const arrivedAtMs = yield* steadyMs;
     const { codec, index } = dependencies;
-    const admitted = codec.decodeCall(exchange.request)
+    const decoded = codec.decodeCall(exchange.request);
+    const admitted = decoded
       .mapLeft((message): OwnAnswer => ({ status: 400, message }))
       .chain((head) =>
         admitCall(head, {
@@ -99,7 +37,7 @@
       );
     if (admitted.isLeft()) {
       const own = admitted.extract() as OwnAnswer;
-      const id = codec.decodeCall(exchange.request).toMaybe().extract()?.id;
+      const id = decoded.toMaybe().extract()?.id;
       exchange.answerItself(id, own);
       if (!exchange.request.complete) exchange.request.resume();
       dependencies.record({
@@ -137,7 +75,19 @@
     dependencies.repeats.noteRequest(call.service, arrivedAtMs);
     const model = head.model ?? "";
     dependencies.noteDemand(model, 1);
-    const result = yield* runAttempts({ call, exchange, dependencies }).pipe(
+    const clock = yield* Clock.Clock;
+    const onLeft = (summary: AttemptsSummary) =>
+      dependencies.record({
+        ...describeCall(call, summary, readSteadyMs(clock)),
+        status: 0,
+        outcome: "left",
+      });
+    const result = yield* runAttempts({
+      call,
+      exchange,
+      dependencies,
+      onLeft,
+    }).pipe(
       Effect.ensuring(
         Effect.sync(() => dependencies.noteDemand(model, -1)),
       ),
@@ -224,12 +174,8 @@
   result: AttemptsResult,
   endedAtMs: number,
 ): CallRecord {
-  const { head, route, service } = call;
   return {
-    callId: head.id,
-    route: route.name,
-    service,
-    ...(head.model === undefined ? {} : { model: head.model }),
+    ...describeCall(call, result, endedAtMs),
     status: result.kind === "answered"
       ? result.head.status
       : result.kind === "streamed"
@@ -243,11 +189,25 @@
         : "failed"
       : result.kind,
     ...(result.kind === "given-up" ? { reason: result.own.message } : {}),
-    attempts: result.attempts,
-    durationMs: endedAtMs - call.arrivedAtMs,
-    ...(result.firstByteAtMs === undefined
+  };
+}
+
+/** What a record tells of a call however it ended. */
+function describeCall(
+  { head, route, service, arrivedAtMs, configVersion }: AdmittedCall,
+  { attempts, firstByteAtMs }: AttemptsSummary,
+  endedAtMs: number,
+): Omit<CallRecord, "status" | "outcome" | "reason"> {
+  return {
+    callId: head.id,
+    route: route.name,
+    service,
+    ...(head.model === undefined ? {} : { model: head.model }),
+    attempts,
+    durationMs: endedAtMs - arrivedAtMs,
+    ...(firstByteAtMs === undefined
       ? {}
-      : { firstByteMs: result.firstByteAtMs - call.arrivedAtMs }),
-    configVersion: call.configVersion,
+      : { firstByteMs: firstByteAtMs - arrivedAtMs }),
+    configVersion,
   };
 }
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -15,13 +15,15 @@
   type Socket,
 } from "node:net";
 import { after, describe, it } from "node:test";
+import { steadyMs } from "../clock/index.ts";
 import { PlatformCallCodec } from "../platform/call_codec.ts";
+import type { CallRecord } from "./call_context.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import { LoadBook } from "./load_book.ts";
 import { PaceBook } from "./pace_book.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
-import { type CallRecord, serveCall } from "./serve_call.ts";
+import { serveCall } from "./serve_call.ts";
 import type { ServingRoute } from "./serving_config.ts";
 import { ServingIndex } from "./serving_index.ts";
 import { StallWatch } from "./stall_watch.ts";
@@ -206,6 +208,29 @@
     expect(resumedAfter).toEqual([undefined, "1"]);
   });
 
+  it("refuses a stream as not run while every replica is full", async () => {
+    let calls = 0;
+    const backend = await startBackend((incoming, response) => {
+      calls += 1;
+      response.writeHead(200, {
+        "attempt-id": idOf(incoming),
+        "server-stamp": "s",
+        "content-type": "text/event-stream",
+      });
+      response.end("id: 0\ndata: a\n\n");
+    });
+    const loads = new LoadBook();
+    const load = { running: 4, waiting: 3, slots: 4 };
+    loads.noteLoad(backend.instanceId, load, readNowMs());
+    const entry = await startEntry({ backends: [backend], loads });
+    const refused = await call(entry, "/stream/x");
+    expect([refused.status, calls]).toEqual([503, 0]);
+    expect(refused.headers["retry-after"]).toEqual("1.20");
+    const idle = { running: 3, waiting: 0, slots: 4 };
+    loads.noteLoad(backend.instanceId, idle, readNowMs());
+    expect((await call(entry, "/stream/x")).status).toEqual(200);
+  });
+
   it("moves a stream off a replica that turned slow", async () => {
     const stalls = new StallWatch();
     const paces = new PaceBook();
@@ -225,7 +250,7 @@
         slowId = target.instanceId;
         response.write("id: 0\ndata: a\n\n");
         setTimeout(() => {
-          const nowMs = performance.now();
+          const nowMs = readNowMs();
           for (const instanceId of ids) {
             const pauseMs = instanceId === slowId ? 400 : 40;
             for (let count = 0; count < 10; count++) {
@@ -274,6 +299,10 @@
   });
 });
 
+function readNowMs(): number {
+  return Effect.runSync(steadyMs);
+}
+
 function idOf(incoming: IncomingMessage): string {
   return String(incoming.headers["attempt-id"]);
 }
@@ -323,6 +352,7 @@
   readonly backends: readonly ServingTarget[];
   readonly isConfigured?: boolean;
   readonly areKeysFresh?: boolean;
+  readonly loads?: LoadBook;
   readonly stalls?: StallWatch;
   readonly paces?: PaceBook;
 }
@@ -348,7 +378,7 @@
     index: () => options.isConfigured === false ? undefined : index,
     areKeysFresh: () => options.areKeysFresh !== false,
     listTargets: () => options.backends,
-    loads: new LoadBook(),
+    loads: options.loads ?? new LoadBook(),
     stalls: options.stalls ?? new StallWatch(),
     paces: options.paces ?? new PaceBook(),
     repeats: new RepeatBudget({
