Print how long lost replicas were missing

Cause: the target for repairs (median under 2.5 s, 95th percentile under 5 s) was judged by reading logs by hand.

Ruled out: timing from the death itself, which no log of ours tells; the first sign in the logs is taken instead.

Change: `celerytray repairs FILES` lists each replica that was taken apart, why, and the time from its first sign to the opening of the next replica of its model, with median and 95th percentile. Reading log files is shared with `celerytray logs`.

--- a/packages/celerytray/src/explain/index.ts
+++ b/packages/celerytray/src/explain/index.ts
@@ -1,7 +1,8 @@
-/** From a request's id to its cause, by the structured logs. */
+/** Causes of failed requests and times of repairs, by the structured logs. */
 export {
   type CallExplanation,
   explainCall,
   type LogLine,
   parseLogLines,
 } from "./explain_call.ts";
+export { listRepairs, type Repair } from "./list_repairs.ts";
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -12,6 +12,7 @@
 } from "./config_version_commands.ts";
 import { DrainCommand, UndrainCommand } from "./drain_commands.ts";
 import { LogsCommand } from "./logs_command.ts";
+import { RepairsCommand } from "./repairs_command.ts";
 import { ServeCommand } from "./serve_command.ts";
 import { ExplainCommand, TimelineCommand } from "./timeline_commands.ts";
 import { ReplicasCommand, StatusCommand } from "./view_commands.ts";
@@ -27,6 +28,7 @@
   DrainCommand,
   ExplainCommand,
   LogsCommand,
+  RepairsCommand,
   ReplicasCommand,
   ServeCommand,
   StatusCommand,
--- a/packages/cli/src/commands/logs_command.ts
+++ b/packages/cli/src/commands/logs_command.ts
@@ -1,6 +1,6 @@
-import { explainCall, type LogLine, parseLogLines } from "celerytray";
+import { explainCall, type LogLine } from "celerytray";
 import { Command, Option } from "clipanion";
-import { readFile } from "node:fs/promises";
+import { readLogFiles } from "./read_log_files.ts";
 
 const EXIT_NOT_FOUND = 1;
 
@@ -15,20 +15,12 @@
   files = Option.Rest({ name: "log files", required: 1 });
 
   async execute(): Promise<number> {
-    const lines: LogLine[] = [];
-    for (const file of this.files) {
-      let text: string;
-      try {
-        text = await readFile(file, "utf8");
-      } catch (error) {
-        this.context.stderr.write(
-          `${(error as Error).message}; give files that can be read\n`,
-        );
-        return EXIT_NOT_FOUND;
-      }
-      lines.push(...parseLogLines(text));
+    const lines = await readLogFiles(this.files);
+    if (lines.isLeft()) {
+      this.context.stderr.write(`${lines.extract()}\n`);
+      return EXIT_NOT_FOUND;
     }
-    const { calls, causes } = explainCall(lines, this.callId);
+    const { calls, causes } = explainCall(lines.orDefault([]), this.callId);
     if (calls.length === 0) {
       this.context.stderr.write(
         `No line names ${this.callId}; give the logs of all machines, and mind that plain successes are left out above 40 a second\n`,
