Test callers that leave, long heads and bodies with two lengths

Cause: the server for callers had no test of its own; what it does with heads that are too long, with two lengths, and with callers that leave was not shown.

Change: caller_server_test.ts, over real sockets on loopback.

Figures: 4 tests.

Conclusion: 431 and 400 come before anything is forwarded.

--- /dev/null
+++ b/packages/celerytray/src/host/caller_server_test.ts
@@ -0,0 +1,193 @@
+import { expect } from "earl";
+import { Effect, Exit, Scope } from "effect";
+import { Agent, createServer, type RequestListener } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { after, describe, it } from "node:test";
+import { PlatformCallCodec } from "../platform/call_codec.ts";
+import {
+  type CallRecord,
+  LoadBook,
+  PaceBook,
+  RepeatBudget,
+  ServingIndex,
+  type ServingTarget,
+  StallWatch,
+} from "../serving/index.ts";
+import { createCallerServer } from "./caller_server.ts";
+
+const HOST = "127.0.0.1";
+const MAX_HEADER_BYTES = 4_096;
+const closers: (() => unknown)[] = [];
+
+after(async () => {
+  for (const close of closers.reverse()) await close();
+});
+
+describe("createCallerServer", () => {
+  it("refuses heads that are too long", async () => {
+    const { port } = await startEntry(answerNothing);
+    const long = `X-Long: ${"a".repeat(MAX_HEADER_BYTES)}\r\n`;
+    expect(await exchange(port, `${HEAD}${long}\r\n`)).toInclude(" 431 ");
+  });
+
+  it("refuses a body with two lengths and forwards none of it", async () => {
+    const seen: string[] = [];
+    const { port } = await startEntry((incoming, response) => {
+      seen.push(incoming.url ?? "");
+      response.end();
+    });
+    const smuggled = `${HEAD}Content-Length: 4\r\n` +
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /s/hidden HTTP/1.1\r\n\r\n";
+    expect(await exchange(port, smuggled)).toInclude(" 400 ");
+    const twice = `${HEAD}Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody`;
+    expect(await exchange(port, twice)).toInclude(" 400 ");
+    expect(seen).toEqual([]);
+  });
+
+  it("records a caller that left once, with the attempt under way", async () => {
+    const arrived = createSignal();
+    const { port, records, instanceId } = await startEntry(arrived.set);
+    const socket = openSocket(port);
+    socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+    await arrived.wait;
+    socket.destroy();
+    while (records.length === 0) await pause();
+    expect(records.map(({ outcome, attempts }) => [outcome, attempts]))
+      .toEqual([["left", [`${instanceId} under way`]]]);
+  });
+
+  it("records no caller as left whose answer it broke off", async () => {
+    const { port, records } = await startEntry((incoming, response) => {
+      response.writeHead(200, {
+        "attempt-id": "call-1",
+        "server-stamp": "s",
+        "content-type": "text/event-stream",
+      });
+      response.write("id: 0\ndata: a\n\n");
+      setTimeout(() => incoming.socket.destroy(), 5);
+    });
+    await exchange(port, `${HEAD}Content-Length: 0\r\n\r\n`);
+    await pause();
+    expect(records.map(({ outcome }) => outcome)).toEqual(["broken-off"]);
+  });
+});
+
+const HEAD = "POST /s/x HTTP/1.1\r\nHost: a.example\r\n" +
+  "Attempt-Id: call-1\r\nDeadline-Ms: 2000\r\n";
+
+const answerNothing: RequestListener = (_incoming, response) => {
+  response.end();
+};
+
+async function startEntry(listener: RequestListener) {
+  const backend = createServer(listener);
+  await new Promise<void>((resolve) => backend.listen(0, HOST, resolve));
+  closers.push(() => {
+    backend.close();
+    backend.closeAllConnections();
+  });
+  const { port: backendPort } = backend.address() as AddressInfo;
+  const target: ServingTarget = {
+    instanceId: "i-1",
+    address: `${HOST}:${backendPort}`,
+    zone: "z",
+    slots: 4,
+    epoch: 0,
+  };
+  const records: CallRecord[] = [];
+  const agent = new Agent({ keepAlive: false });
+  const scope = Effect.runSync(Scope.make());
+  closers.push(() => Effect.runPromise(Scope.close(scope, Exit.void)));
+  const port = await findFreePort();
+  await Effect.runPromise(
+    createCallerServer({
+      address: `${HOST}:${port}`,
+      idleTimeoutMs: 5_000,
+      headerTimeoutMs: 3_000,
+      maxHeaderBytes: MAX_HEADER_BYTES,
+      dependencies: {
+        codec: new PlatformCallCodec(),
+        zone: "z",
+        index: () => INDEX,
+        areKeysFresh: () => true,
+        listTargets: () => [target],
+        loads: new LoadBook(),
+        stalls: new StallWatch(),
+        paces: new PaceBook(),
+        repeats: new RepeatBudget({
+          share: 1,
+          slackRequests: 100,
+          windowMs: 10_000,
+          countMachines: () => 1,
+        }),
+        agentFor: () => agent,
+        discardAgent: () => {},
+        hasConnection: () => false,
+        random: () => 0.5,
+        noteDemand: () => {},
+        record: (record) => records.push(record),
+      },
+    }).pipe(Scope.provide(scope)),
+  );
+  return { port, records, instanceId: target.instanceId };
+}
+
+const INDEX = new ServingIndex({
+  version: 1,
+  services: new Map(),
+  limits: {
+    maxHeaderBytes: MAX_HEADER_BYTES,
+    maxBodyBytes: 1_024,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 5_000,
+  },
+  routes: [{
+    name: "stream",
+    host: "a.example",
+    pathPrefix: "/s/",
+    repeatability: "resumable",
+    isStream: true,
+    timeoutMs: 2_000,
+    targetMs: 100,
+    priority: 1,
+    targets: [{ service: "drafts", weight: 1 }],
+    maxAttempts: 1,
+    isPublic: true,
+  }],
+});
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+function openSocket(port: number): Socket {
+  const socket = connect(port, HOST);
+  socket.on("error", () => {});
+  closers.push(() => socket.destroy());
+  return socket;
+}
+
+/** Sends bytes and reads until the connection ends or an answer is whole. */
+function exchange(port: number, bytes: string): Promise<string> {
+  const socket = openSocket(port);
+  let text = "";
+  return new Promise((resolve) => {
+    socket.on("data", (chunk) => text += chunk.toString());
+    socket.on("close", () => resolve(text));
+    socket.write(bytes);
+  });
+}
+
+function createSignal() {
+  let set: () => void = () => {};
+  const wait = new Promise<void>((resolve) => set = resolve);
+  return { wait, set: () => set() };
+}
+
+function pause(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, 10));
+}
