Split the host, the coordinator and the director, and drop what is unused

Ruled out: using the values (prompt tokens in the choice of targets would only weigh what this process sent itself within a tenth of a second).

The unused values are gone. A process that stops answers within 0.9 of the grace time instead of 0.96.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -13,6 +13,13 @@
   LeadRecorder,
   readFleetRecords,
 } from "./lead_log.ts";
+import {
+  findReplacementReason,
+  type ReplacementReason,
+  silenceBoundMs,
+} from "./lead_silence.ts";
+import { awaitTurn, isHeardByOthers } from "./lead_succession.ts";
+import { NodeTable } from "./node_table.ts";
 import type {
   LeadAnswer,
   LeadOperations,
@@ -57,31 +64,15 @@
 const REPORT_SPREAD_MS = 10;
 /** Steps in which heads that newly stand still are noticed. */
 const STEP_MS = 50;
-/** Silence of the lead, beyond a report's interval, after which another process takes its place. */
-const LEAD_SILENCE_MS = 550;
-/** Age of the lead's last answer from the store at which it is replaced. */
-const LEAD_STORE_AGE_MS = 5_000;
-/** Own answers from the store must be newer to take the place. */
-const OWN_STORE_AGE_MS = 2_500;
-/** Wait of each further process before it takes the lead. */
-const RANK_DELAY_MS = 120;
 /** Age of the lead's last answer, beyond a report's interval, at which the list is read from the store. */
 const TOLD_AGE_MS = 450;
 /** Age of its last answer from the store at which that is done too. */
 const TOLD_STORE_AGE_MS = 3_500;
 const RETRY_DELAY_MS = 300;
-/** Time for which a process that reported counts as present. */
-const NODE_PRESENT_MS = 3_000;
-
-interface KnownNode extends PeerNode {
-  readonly report: PeerReport;
-  readonly atMs: number;
-}
-
 /** Follows the process that decides on replicas, or is it. */
 export class Coordinator implements LeadOperations {
   readonly #options: CoordinatorOptions;
-  readonly #reports = new Map<string, KnownNode>();
+  readonly #nodes = new NodeTable();
   #nowMs: () => number = () => 0;
   #lead: LeadRecord | undefined;
   #director: FleetDirector | undefined;
@@ -126,19 +117,13 @@
 
   /** Requests in progress for a model, over all processes. */
   totalDemand(model: string): number {
-    let total = this.#options.demand()[model] ?? 0;
-    for (const { report, atMs } of this.#reports.values()) {
-      if (this.#nowMs() - atMs < NODE_PRESENT_MS) {
-        total += report.demand[model] ?? 0;
-      }
-    }
-    return total;
+    return (this.#options.demand()[model] ?? 0) +
+      this.#nodes.countDemand(model, this.#nowMs());
   }
 
   /** Whether any process has had requests. */
   hasAnyTraffic(): boolean {
-    if (this.#options.hasTraffic()) return true;
-    return [...this.#reports.values()].some(({ report }) => report.hasTraffic);
+    return this.#options.hasTraffic() || this.#nodes.hadTraffic();
   }
 
   /** Leaves the lead to others. */
@@ -149,10 +134,9 @@
 
   report(report: PeerReport): LeadAnswer {
     const nowMs = this.#nowMs();
-    const { nodeId, peerAddress } = report;
-    this.#reports.set(nodeId, { nodeId, peerAddress, report, atMs: nowMs });
+    this.#nodes.noteReport(report, nowMs);
     if (this.#lead !== undefined && report.term > this.#lead.term) {
-      this.#depose(`${nodeId} knows of term ${report.term}`);
+      this.#depose(`${report.nodeId} knows of term ${report.term}`);
     }
     for (const headId of report.stalledHeads) {
       this.#director?.noteStalled(headId);
@@ -289,7 +273,13 @@
             this.#options.onInstances(answer.instances);
           }
         }
-        const reason = this.#findReplacementReason(answer);
+        const reason = findReplacementReason({
+          answer,
+          isDown: this.#isLeadDown,
+          silentMs: this.#nowMs() - this.#heardAtMs,
+          ownStoreAgeMs: this.#nowMs() - this.#options.storeAnsweredAtMs(),
+          reportIntervalMs: this.#reportIntervalMs(),
+        });
         if (reason !== undefined && (yield* this.#mayReplace(lead, reason))) {
           return;
         }
@@ -344,48 +334,29 @@
     );
   }
 
-  #findReplacementReason(answer: LeadAnswer | undefined): string | undefined {
-    const nowMs = this.#nowMs();
-    if (answer !== undefined && !answer.isLeading) return "it doesn't lead";
-    if (this.#isLeadDown) return "it is down";
-    const ownAgeMs = nowMs - this.#options.storeAnsweredAtMs();
-    if (
-      answer !== undefined && answer.storeAgeMs > LEAD_STORE_AGE_MS &&
-      ownAgeMs < OWN_STORE_AGE_MS
-    ) return "the store doesn't answer it";
-    const silenceMs = LEAD_SILENCE_MS + this.#reportIntervalMs();
-    if (nowMs - this.#heardAtMs > silenceMs) return "it is silent";
-    return undefined;
-  }
-
   /** Whether this process is the one to try, and no other hears the lead. */
-  #mayReplace(lead: LeadRecord, reason: string): Effect.Effect<boolean> {
+  #mayReplace(
+    lead: LeadRecord,
+    reason: ReplacementReason,
+  ): Effect.Effect<boolean> {
     return Effect.gen({ self: this }, function* () {
       const newest = yield* this.#readRecords();
       if (newest === undefined) return false;
-      if (newest.lead !== undefined && newest.lead.term !== lead.term) {
-        return true;
-      }
-      const others = (this.#answer?.nodes ?? []).filter(({ nodeId }) =>
-        nodeId !== lead.nodeId
+      const isReplaced = newest.lead !== undefined &&
+        newest.lead.term !== lead.term;
+      if (isReplaced) return true;
+      const { nodeId, client } = this.#options;
+      const others = (this.#answer?.nodes ?? []).filter((node) =>
+        node.nodeId !== lead.nodeId
       );
-      const ranked = others.map(({ nodeId }) => nodeId).sort();
-      const rank = Math.max(0, ranked.indexOf(this.#options.nodeId));
-      yield* Effect.sleep(rank * RANK_DELAY_MS);
-      if (reason === "it is silent") {
-        const heard = yield* Effect.forEach(
-          others.filter(({ nodeId }) => nodeId !== this.#options.nodeId),
-          ({ peerAddress }) =>
-            this.#options.client.heardLead(peerAddress, lead.term).pipe(
-              Effect.catch(() => Effect.succeed(null)),
-            ),
-          { concurrency: "unbounded" },
-        );
-        const isHeard = heard.some((ageMs) =>
-          ageMs !== null && ageMs < LEAD_SILENCE_MS + this.#reportIntervalMs()
-        );
-        if (isHeard) return false;
-      }
+      const rank = yield* awaitTurn({ nodeId, others });
+      const isHeard = reason === "it is silent" && (yield* isHeardByOthers({
+        client,
+        term: lead.term,
+        others: others.filter((node) => node.nodeId !== nodeId),
+        boundMs: silenceBoundMs({ reportIntervalMs: this.#reportIntervalMs() }),
+      }));
+      if (isHeard) return false;
       this.#options.record("lead.replacing", {
         term: lead.term,
         lead: lead.nodeId,
@@ -397,11 +368,10 @@
   }
 
   #listNodes(): readonly PeerNode[] {
-    const nowMs = this.#nowMs();
     const { nodeId, peerAddress } = this.#options;
-    const others = [...this.#reports.values()]
-      .filter(({ atMs }) => nowMs - atMs < NODE_PRESENT_MS)
-      .map(({ nodeId, peerAddress }) => ({ nodeId, peerAddress }));
-    return [{ nodeId, peerAddress }, ...others];
+    return [
+      { nodeId, peerAddress },
+      ...this.#nodes.listPresent(this.#nowMs()),
+    ];
   }
 }
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -1,10 +1,6 @@
 import { Effect, type Scope } from "effect";
 import { steadyMs } from "../clock/index.ts";
-import type {
-  InstanceControl,
-  InstanceOrder,
-  OrderOutcome,
-} from "./instance_orders.ts";
+import type { InstanceControl, OrderOutcome } from "./instance_orders.ts";
 import type { InstanceListView } from "./instance_list.ts";
 import { findReplaceable } from "./find_replaceable.ts";
 import { FleetState } from "./fleet_state.ts";
@@ -12,6 +8,8 @@
 import { type EngineSpecs, ReplicaFormer } from "./replica_former.ts";
 import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
+import { listLeftoverOrders } from "./list_leftover_orders.ts";
+import { noteRetiringOrder } from "./note_retiring_order.ts";
 import { createRetirement, planRun, type ReplicaRun } from "./replica_run.ts";
 
 /** What directing the replicas works with. */
@@ -102,8 +100,9 @@
           const work = [
             ...this.#probe(nowMs),
             ...this.#orderRuns(nowMs),
-            ...this.#orderOrphans(nowMs),
-            ...this.#orderStrays(nowMs),
+            ...listLeftoverOrders(this.#state, nowMs).flatMap((order) =>
+              this.#desk.send(order, nowMs)
+            ),
             ...this.#former.plan(nowMs),
           ];
           for (const effect of work) {
@@ -225,38 +224,6 @@
     });
   }
 
-  /** Takes apart open replicas that no record tells of. */
-  #orderOrphans(nowMs: number): readonly Effect.Effect<unknown>[] {
-    return this.#state.departures.takeLastingOrphans(
-      this.#state.listOrphans(),
-      nowMs,
-    )
-      .flatMap(({ id, membership }) => {
-        if (!this.#state.isAlive(id)) return [];
-        const { replica, epoch } = membership!;
-        const orders: readonly InstanceOrder[] = [
-          { kind: "close", replica, epoch, isImmediate: true },
-          { kind: "leave", replica, epoch },
-        ];
-        return orders.flatMap((order) =>
-          this.#desk.send({ instanceId: id, order }, nowMs)
-        );
-      });
-  }
-
-  /** Makes instances leave replicas whose head may be open out of reach. */
-  #orderStrays(nowMs: number): readonly Effect.Effect<unknown>[] {
-    return this.#options.instances.list().flatMap((instance) => {
-      const { id, membership } = instance;
-      if (
-        !this.#state.departures.isStray(instance) || !this.#state.isAlive(id)
-      ) return [];
-      const { replica, epoch } = membership!;
-      const order: InstanceOrder = { kind: "leave", replica, epoch };
-      return this.#desk.send({ instanceId: id, order }, nowMs);
-    });
-  }
-
   #retire(run: ReplicaRun): readonly Effect.Effect<unknown>[] {
     const { name } = run.record;
     if (this.#retiringNames.has(name)) return [];
@@ -332,25 +299,3 @@
     if (run !== undefined) noteRetiringOrder(run, desk, outcome);
   }
 }
-
-/** Takes note of what an order did to a replica that is taken apart. */
-function noteRetiringOrder(
-  run: ReplicaRun,
-  { instanceId, order }: DeskOrder,
-  outcome: OrderOutcome,
-): void {
-  const { retiring } = run;
-  if (retiring === undefined) return;
-  const isTaken = outcome === "begun" || outcome === "holds";
-  const hasLeft = order.kind === "leave" && (isTaken || outcome === "unfit");
-  if (hasLeft) run.leftIds.add(instanceId);
-  if (instanceId !== run.record.members[0]) return;
-  if (order.kind === "close") {
-    if (outcome === "begun") retiring.hasBegunClosing = true;
-    if (outcome === "holds" || outcome === "unfit") retiring.isClosed = true;
-  }
-  if (hasLeft) retiring.hasHeadLeft = true;
-  if (hasLeft || outcome === "outdated" || outcome === "elsewhere") {
-    retiring.isFreed = true;
-  }
-}
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -1,6 +1,6 @@
 import { Clock, Effect, type Scope } from "effect";
 import { randomUUID } from "node:crypto";
-import { readSteadyMs, steadyMs } from "../clock/index.ts";
+import { readSteadyMs } from "../clock/index.ts";
 import {
   Coordinator,
   createPeerHandler,
@@ -24,9 +24,7 @@
 } from "../keyed_log/index.ts";
 import {
   type CallCodec,
-  type CallRecord,
   LoadBook,
-  MOVE_AFTER_MS,
   PaceBook,
   RepeatBudget,
   type ServingConfig,
@@ -34,11 +32,15 @@
   StallWatch,
 } from "../serving/index.ts";
 import type { Either } from "purify-ts";
+import { addGauges } from "./add_gauges.ts";
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { ConfigView } from "./config_view.ts";
 import { createRandom } from "./create_random.ts";
 import { KeyFreshness } from "./key_freshness.ts";
 import type { HostSettings } from "./host_settings.ts";
+import { moveAttempts } from "./move_attempts.ts";
+import { proveKeys } from "./prove_keys.ts";
+import { recordCall } from "./record_call.ts";
 import { StoreContact } from "./store_contact.ts";
 import { TargetLists } from "./target_lists.ts";
 
@@ -76,8 +78,6 @@
 /** Pause after a change of the list; the process that decides pauses less. */
 const INSTANCES_PAUSE_MS = 300;
 const LEAD_INSTANCES_PAUSE_MS = 60;
-const STALL_CHECK_MS = 50;
-const PROOF_CHECK_MS = 20;
 const PEER_TIMEOUT_MS = 400;
 /** Part of the time for taking keys away after which they are not trusted. */
 const KEY_AGE_PART = 0.95;
@@ -86,7 +86,7 @@
 /** Time in which the platform's entry stops sending new connections. */
 const ENTRY_NOTICE_MS = 3_000;
 /** Part of the grace time within which everything must be answered. */
-const GRACE_PART = 0.96;
+const GRACE_PART = 0.9;
 
 /** Starts the process; it runs until the scope closes. */
 export function createHost(
@@ -217,7 +217,7 @@
       proveKeys({ log: ports.log, config, keys, state }),
     );
     yield* Effect.forkScoped(
-      moveStalled({
+      moveAttempts({
         stalls,
         paces,
         nowMs,
@@ -274,43 +274,39 @@
       address: settings.peerAddress,
       handler: createPeerHandler(coordinator),
     });
-    metrics.addGauge(
-      "celerytray_requests_in_flight",
-      "Requests that are not answered yet",
-      () => callers.calls.count,
-    );
-    metrics.addGauge(
-      "celerytray_leads_replicas",
-      "1 where this process decides on replicas",
-      () => coordinator.isLeading ? 1 : 0,
-    );
-    metrics.addGauge(
-      "celerytray_config_version",
-      "Version of the configuration in force",
-      () => config.index?.config.version ?? 0,
-    );
+    addGauges(metrics, { callers, coordinator, config });
     yield* listen({
       address: settings.metricsAddress,
       handler: metrics.handler(),
     });
     return {
-      drain: () =>
-        Effect.gen(function* () {
-          state.isDraining = true;
-          callers.close();
-          coordinator.leave();
-          yield* Effect.sleep(ENTRY_NOTICE_MS);
-          callers.refuse();
-          yield* callers.calls.waitUntilEmpty().pipe(
-            Effect.timeoutOption(
-              settings.graceMs * GRACE_PART - ENTRY_NOTICE_MS,
-            ),
-          );
-        }),
+      drain: () => {
+        state.isDraining = true;
+        coordinator.leave();
+        return drainCallers(callers, settings.graceMs);
+      },
     };
   });
 }
 
+/** Refuses callers once none should come any more, and answers the rest. */
+function drainCallers(
+  callers: CallerServer,
+  graceMs: number,
+): Effect.Effect<void> {
+  callers.close();
+  return Effect.sleep(ENTRY_NOTICE_MS).pipe(
+    Effect.andThen(Effect.sync(() => callers.refuse())),
+    Effect.andThen(
+      Effect.timeoutOption(
+        callers.calls.waitUntilEmpty(),
+        graceMs * GRACE_PART - ENTRY_NOTICE_MS,
+      ),
+    ),
+    Effect.asVoid,
+  );
+}
+
 /** Bounds until a configuration is known. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
@@ -325,77 +321,3 @@
   }
   return engines;
 }
-
-interface ProofOptions {
-  readonly log: KeyedLog;
-  readonly config: ConfigView;
-  readonly keys: KeyFreshness;
-  readonly state: { needsProof: boolean };
-}
-
-/** Asks the store at once whether there is a newer configuration. */
-function proveKeys(
-  { log, config, keys, state }: ProofOptions,
-): Effect.Effect<never> {
-  const prove = Effect.gen(function* () {
-    const sentAtMs = yield* steadyMs;
-    const { nextOffset: fromOffset } = config;
-    const page = yield* log.read("config", { fromOffset, waitMs: 0 });
-    state.needsProof = false;
-    if (page.records.length === 0) keys.noteProof(sentAtMs);
-  });
-  return Effect.forever(
-    Effect.suspend(() => state.needsProof ? Effect.ignore(prove) : Effect.void)
-      .pipe(Effect.andThen(Effect.sleep(PROOF_CHECK_MS))),
-  );
-}
-
-interface StallOptions {
-  readonly stalls: StallWatch;
-  readonly paces: PaceBook;
-  readonly nowMs: () => number;
-  readonly record: (kind: string, fields: Record<string, unknown>) => void;
-  /** Heads of replicas that are taken apart. */
-  readonly closedHeads: () => readonly string[];
-}
-
-/** Moves requests away from replicas that stand still or are slow. */
-function moveStalled(
-  { stalls, paces, nowMs, record, closedHeads }: StallOptions,
-): Effect.Effect<never> {
-  let knownSlow: ReadonlySet<string> = new Set();
-  return Effect.forever(
-    Effect.sync(() => {
-      const closed = closedHeads();
-      const stalled = stalls.findDoubtful(nowMs()).filter((head) =>
-        head.silentMs >= MOVE_AFTER_MS || closed.includes(head.instanceId)
-      );
-      for (const { instanceId, silentMs, attempts } of stalled) {
-        record("replica.stalled", { headId: instanceId, silentMs, attempts });
-        stalls.abandon(instanceId);
-      }
-      const slow = paces.listSlow(nowMs());
-      for (const headId of slow) {
-        if (!knownSlow.has(headId)) {
-          const slowness = paces.slowness(headId, nowMs());
-          record("replica.slow", { headId, slowness });
-        }
-        stalls.moveAway(headId);
-      }
-      knownSlow = new Set(slow);
-    }).pipe(Effect.andThen(Effect.sleep(STALL_CHECK_MS))),
-  );
-}
-
-interface CallSinks {
-  readonly journal: Journal;
-  readonly metrics: MetricsPage;
-}
-
-function recordCall(call: CallRecord, { journal, metrics }: CallSinks): void {
-  const isPlain = call.attempts.length <= 1 &&
-    (call.outcome === "streamed" ||
-      (call.outcome === "answered" && call.status < 400));
-  journal.record("call.ended", { ...call }, isPlain ? "routine" : "notable");
-  metrics.noteRequest({ ...call, attempts: call.attempts.length });
-}
--- a/packages/celerytray/src/host/host_settings.ts
+++ b/packages/celerytray/src/host/host_settings.ts
@@ -11,8 +11,6 @@
   /** IP:PORT on which metrics are read. */
   readonly metricsAddress: string;
   readonly storeAddress: string;
-  /** Whether the whole system starts for the first time. */
-  readonly isFirstStart: boolean;
   /** Time from SIGTERM until the process is killed. */
   readonly graceMs: number;
   /** Time after which a key that was taken away must be refused. */
--- /dev/null
+++ b/packages/celerytray/src/host/move_attempts.ts
@@ -0,0 +1,46 @@
+import { Effect } from "effect";
+import {
+  MOVE_AFTER_MS,
+  type PaceBook,
+  type StallWatch,
+} from "../serving/index.ts";
+
+/** What moving requests off replicas works with. */
+export interface MoveOptions {
+  readonly stalls: StallWatch;
+  readonly paces: PaceBook;
+  readonly nowMs: () => number;
+  readonly record: (kind: string, fields: Record<string, unknown>) => void;
+  /** Heads of replicas that are taken apart. */
+  readonly closedHeads: () => readonly string[];
+}
+
+const CHECK_MS = 50;
+
+/** Moves requests away from replicas that stand still or are slow. */
+export function moveAttempts(
+  { stalls, paces, nowMs, record, closedHeads }: MoveOptions,
+): Effect.Effect<never> {
+  let knownSlow: ReadonlySet<string> = new Set();
+  return Effect.forever(
+    Effect.sync(() => {
+      const closed = closedHeads();
+      const stalled = stalls.findDoubtful(nowMs()).filter((head) =>
+        head.silentMs >= MOVE_AFTER_MS || closed.includes(head.instanceId)
+      );
+      for (const { instanceId, silentMs, attempts } of stalled) {
+        record("replica.stalled", { headId: instanceId, silentMs, attempts });
+        stalls.abandon(instanceId);
+      }
+      const slow = paces.listSlow(nowMs());
+      for (const headId of slow) {
+        if (!knownSlow.has(headId)) {
+          const slowness = paces.slowness(headId, nowMs());
+          record("replica.slow", { headId, slowness });
+        }
+        stalls.moveAway(headId);
+      }
+      knownSlow = new Set(slow);
+    }).pipe(Effect.andThen(Effect.sleep(CHECK_MS))),
+  );
+}
--- /dev/null
+++ b/packages/celerytray/src/host/record_call.ts
@@ -0,0 +1,20 @@
+import type { Journal, MetricsPage } from "../journal/index.ts";
+import type { CallRecord } from "../serving/index.ts";
+
+/** Where records of requests go. */
+export interface CallSinks {
+  readonly journal: Journal;
+  readonly metrics: MetricsPage;
+}
+
+/** Logs and counts what became of a request. */
+export function recordCall(
+  call: CallRecord,
+  { journal, metrics }: CallSinks,
+): void {
+  const isPlain = call.attempts.length <= 1 &&
+    (call.outcome === "streamed" ||
+      (call.outcome === "answered" && call.status < 400));
+  journal.record("call.ended", { ...call }, isPlain ? "routine" : "notable");
+  metrics.noteRequest({ ...call, attempts: call.attempts.length });
+}
--- a/packages/celerytray/src/host/store_contact.ts
+++ b/packages/celerytray/src/host/store_contact.ts
@@ -5,11 +5,11 @@
   readonly record: (kind: string, fields: Record<string, unknown>) => void;
 }
 
-/** When the store answered reads of a topic, and since when without a break. */
+/** When the store answered reads of a topic, and whether it does now. */
 export class StoreContact {
   readonly #options: StoreContactOptions;
   #answeredAtMs = 0;
-  #steadySinceMs: number | undefined;
+  #isAnswering = false;
 
   constructor(options: StoreContactOptions) {
     this.#options = options;
@@ -20,25 +20,20 @@
     return this.#answeredAtMs;
   }
 
-  /** Time since which no call failed; undefined while calls fail. */
-  get steadySinceMs(): number | undefined {
-    return this.#steadySinceMs;
-  }
-
   noteAnswer(nowMs: number): void {
     this.#answeredAtMs = nowMs;
-    if (this.#steadySinceMs !== undefined) return;
-    this.#steadySinceMs = nowMs;
+    if (this.#isAnswering) return;
+    this.#isAnswering = true;
     const { topic, record } = this.#options;
     record("store.regained", { topic });
   }
 
   noteFailure(message: string, nowMs: number): void {
     const answeredAgoMs = nowMs - this.#answeredAtMs;
-    if (this.#steadySinceMs !== undefined) {
+    if (this.#isAnswering) {
       const { topic, record } = this.#options;
       record("store.lost", { topic, message, answeredAgoMs });
     }
-    this.#steadySinceMs = undefined;
+    this.#isAnswering = false;
   }
 }
--- a/packages/celerytray/src/platform/call_codec.ts
+++ b/packages/celerytray/src/platform/call_codec.ts
@@ -38,7 +38,6 @@
     const resumeAfter = readWholeNumber(request, headers.resumeAfter);
     const key = readSingle(request, headers.key);
     const model = readSingle(request, headers.model);
-    const tokens = readSingle(request, headers.tokens) ?? "";
     const target = request.url ?? "/";
     const queryStart = target.indexOf("?");
     return Right({
@@ -47,7 +46,6 @@
       host: host.toLowerCase(),
       target,
       path: queryStart < 0 ? target : target.slice(0, queryStart),
-      promptTokens: Number.parseInt(tokens, 10) || 0,
       passedHeaders: selectPassed(request, REPLACED_ON_REQUESTS),
       ...(budgetMs === undefined ? {} : { budgetMs }),
       ...(key === undefined ? {} : { key }),
@@ -86,7 +84,6 @@
   decodeAnswer(response: IncomingMessage): AnswerHead {
     const callId = readSingle(response, headers.callId);
     const load = decodeLoad(readSingle(response, headers.load));
-    const faultyInstance = readSingle(response, headers.faultyInstance);
     const encoding = response.headers["content-encoding"];
     const status = response.statusCode ?? 0;
     return {
@@ -101,7 +98,6 @@
       passedHeaders: selectPassed(response, REPLACED_ON_ANSWERS),
       ...(callId === undefined ? {} : { callId }),
       ...(load === undefined ? {} : { load }),
-      ...(faultyInstance === undefined ? {} : { faultyInstance }),
     };
   }
 }
--- a/packages/celerytray/src/platform/settings_file.ts
+++ b/packages/celerytray/src/platform/settings_file.ts
@@ -10,7 +10,6 @@
   readyAddress: "listen.ready",
   internalPorts: "internal_ports",
   storeAddress: "platform.address",
-  isFirstStart: "bootstrap",
   graceSeconds: "bounds.grace_s",
   revokeMs: "bounds.revoke_ms",
   retryRatio: "bounds.retry_ratio",
@@ -19,7 +18,6 @@
 } as const;
 
 const DEFAULTS: Readonly<Record<string, string>> = {
-  [NAMES.isFirstStart]: "false",
   [NAMES.graceSeconds]: "8",
   [NAMES.revokeMs]: "5000",
   [NAMES.retryRatio]: "0.1",
@@ -67,7 +65,6 @@
     peerAddress: `${readText(NAMES.host)}:${firstPort}`,
     metricsAddress: `${readText(NAMES.host)}:${lastPort}`,
     storeAddress: readAddress(NAMES.storeAddress),
-    isFirstStart: readText(NAMES.isFirstStart) === "true",
     graceMs: readAmount(NAMES.graceSeconds) * 1000,
     keyRevocationMs: readAmount(NAMES.revokeMs),
     retryShare: readAmount(NAMES.retryRatio),
--- a/packages/celerytray/src/platform/words.ts
+++ b/packages/celerytray/src/platform/words.ts
@@ -9,10 +9,8 @@
   instance: "expect-instance",
   load: "replica-load",
   model: "model",
-  tokens: "token-count",
   resumeAfter: "last-event-id",
   priority: "request-priority",
-  faultyInstance: "at-server",
 } as const;
 
 /** Names of the store's topics. */
--- a/packages/celerytray/src/serving/call.ts
+++ b/packages/celerytray/src/serving/call.ts
@@ -14,7 +14,6 @@
   readonly budgetMs?: number;
   readonly key?: string;
   readonly model?: string;
-  readonly promptTokens: number;
   /** Event after which a stream is to go on. */
   readonly resumeAfter?: number;
   /** Names and values by turns, of the headers to pass on. */
@@ -51,8 +50,6 @@
   readonly isEncoded: boolean;
   readonly isEventStream: boolean;
   readonly load?: InstanceLoad;
-  /** Instance that keeps the replica from working. */
-  readonly faultyInstance?: string;
   /** Names and values by turns, of the headers to pass on. */
   readonly passedHeaders: readonly string[];
 }
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -20,7 +20,6 @@
     readonly message: string;
     /** Whether the instance itself turned it away. */
     readonly isTurnedAway: boolean;
-    readonly faultyInstance?: string;
   }
   /** It may have run; no whole answer came. */
   | {
@@ -159,9 +158,6 @@
       kind: "not-run",
       message: `The instance turned the request away with ${head.status}`,
       isTurnedAway: true,
-      ...(head.faultyInstance === undefined
-        ? {}
-        : { faultyInstance: head.faultyInstance }),
     });
     return;
   }
