Let late requests through full replicas, behind the others

Ruled out: a lower limit or a fixed share of the places for them; the budget with which a request comes tells it: it is shorter than its route's usual one where the caller sends it once more.

Change: a request whose target time had passed before it came is not refused as long as a replica takes it, and is given three ranks less at the replica.

--- a/packages/celerytray/src/host/caller_server_test.ts
+++ b/packages/celerytray/src/host/caller_server_test.ts
@@ -5,6 +5,7 @@
 import { after, describe, it } from "node:test";
 import { PlatformCallCodec } from "../platform/call_codec.ts";
 import {
+  BudgetBook,
   type CallRecord,
   LoadBook,
   PaceBook,
@@ -114,6 +115,7 @@
         loads: new LoadBook(),
         stalls: new StallWatch(),
         paces: new PaceBook(),
+        budgets: new BudgetBook(),
         repeats: new RepeatBudget({
           share: 1,
           slackRequests: 100,
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -23,6 +23,7 @@
   TopicCopy,
 } from "../keyed_log/index.ts";
 import {
+  BudgetBook,
   type CallCodec,
   LoadBook,
   PaceBook,
@@ -235,6 +236,7 @@
       loads,
       stalls,
       paces,
+      budgets: new BudgetBook(),
       repeats: new RepeatBudget({
         share: settings.retryShare,
         slackRequests: settings.retrySlackRequests,
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -1,4 +1,5 @@
 import type { Agent } from "node:http";
+import type { BudgetBook } from "./budget_book.ts";
 import type { CallCodec, CallHead } from "./call.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { LoadBook } from "./load_book.ts";
@@ -25,6 +26,7 @@
   readonly stalls: StallWatch;
   readonly paces: PaceBook;
   readonly repeats: RepeatBudget;
+  readonly budgets: BudgetBook;
   readonly agentFor: (address: string) => Agent;
   readonly discardAgent: (address: string) => void;
   /** Whether a connection to an address is open and unused. */
@@ -66,6 +68,8 @@
   readonly priority: number;
   readonly body: Buffer;
   readonly arrivedAtMs: number;
+  /** Whether its target time had passed before it came, as with a repeat. */
+  readonly isLate: boolean;
   /** Time at which the caller or the route's bound gives up. */
   readonly deadlineAtMs: number;
   readonly configVersion: number;
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -44,7 +44,7 @@
   });
 }
 
-/** A stream that has begun goes on wherever it can. */
+/** A stream that has begun, or is late in any case, goes wherever it can. */
 function searchTarget(
   options: AttemptsOptions,
   progress: AttemptProgress,
@@ -53,7 +53,8 @@
   const { call, dependencies } = options;
   const target = findTarget(options, progress, nowMs);
   if (target === undefined) return { kind: "none" };
-  const isFull = call.route.isStream && progress.attempts.length === 0 &&
+  const isFull = call.route.isStream && !call.isLate &&
+    progress.attempts.length === 0 &&
     dependencies.loads.isFull(target.instanceId, target.slots, nowMs);
   return isFull ? { kind: "full" } : { kind: "found", target };
 }
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -6,6 +6,7 @@
   CallHead,
   InstanceLoad,
 } from "./call.ts";
+export { BudgetBook } from "./budget_book.ts";
 export type { CallRecord, ServingDependencies } from "./call_context.ts";
 export { CallerExchange, type OwnAnswer } from "./caller_exchange.ts";
 export { chooseTarget, type ServingTarget } from "./choose_target.ts";
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -14,6 +14,7 @@
   refuseAsFull,
   summarize,
 } from "./attempt_progress.ts";
+import type { AdmittedCall } from "./call_context.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import { awaitTarget, tryMove } from "./find_target.ts";
@@ -21,6 +22,9 @@
 
 /** Least time left for which another attempt is worth it. */
 const MIN_REMAINING_MS = 30;
+/** Ranks by which a request that is late in any case lets others go first. */
+const LATE_RANKS = 3;
+const LAST_RANK = 9;
 
 /** Attempts a call until it is answered, given up or out of time. */
 export function runAttempts(
@@ -124,7 +128,7 @@
         remainingMs: call.deadlineAtMs - startedAtMs,
         instanceId,
         bodyBytes: call.body.length,
-        ...(call.route.isStream ? { priority: call.priority } : {}),
+        ...(call.route.isStream ? { priority: priorityOf(call) } : {}),
         ...(call.tenant === undefined ? {} : { tenant: call.tenant }),
         ...(progress.lastEventId === undefined
           ? {}
@@ -167,3 +171,8 @@
     );
   });
 }
+
+/** Rank among the requests that wait at a replica; 0 goes first. */
+function priorityOf({ priority, isLate }: AdmittedCall): number {
+  return Math.min(LAST_RANK, priority + (isLate ? LATE_RANKS : 0));
+}
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -66,9 +66,13 @@
     );
     const { head, route } = admission;
     const boundMs = Math.min(head.budgetMs ?? route.timeoutMs, route.timeoutMs);
+    const passedMs = head.budgetMs === undefined
+      ? 0
+      : dependencies.budgets.notePassed(route.name, head.budgetMs);
     const call: AdmittedCall = {
       ...admission,
       body,
+      isLate: passedMs >= route.targetMs,
       arrivedAtMs,
       deadlineAtMs: arrivedAtMs + boundMs,
     };
@@ -98,7 +102,10 @@
   });
 }
 
-type Admission = Omit<AdmittedCall, "body" | "arrivedAtMs" | "deadlineAtMs">;
+type Admission = Omit<
+  AdmittedCall,
+  "body" | "arrivedAtMs" | "deadlineAtMs" | "isLate"
+>;
 
 interface AdmissionOptions {
   readonly dependencies: ServingDependencies;
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -17,6 +17,7 @@
 import { after, describe, it } from "node:test";
 import { steadyMs } from "../clock/index.ts";
 import { PlatformCallCodec } from "../platform/call_codec.ts";
+import { BudgetBook } from "./budget_book.ts";
 import type { CallRecord } from "./call_context.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
@@ -226,6 +227,8 @@
     const refused = await call(entry, "/stream/x");
     expect([refused.status, calls]).toEqual([503, 0]);
     expect(refused.headers["retry-after"]).toEqual("1.20");
+    const late = { "deadline-ms": "1500" };
+    expect((await call(entry, "/stream/x", late)).status).toEqual(200);
     const idle = { running: 3, waiting: 0, slots: 4 };
     loads.noteLoad(backend.instanceId, idle, readNowMs());
     expect((await call(entry, "/stream/x")).status).toEqual(200);
@@ -381,6 +384,7 @@
     loads: options.loads ?? new LoadBook(),
     stalls: options.stalls ?? new StallWatch(),
     paces: options.paces ?? new PaceBook(),
+    budgets: new BudgetBook(),
     repeats: new RepeatBudget({
       share: 1,
       slackRequests: 100,
