Share what is left of the budget of repeats, and bound late requests

Ruled out: larger parts for each (the sum over 83 machines would pass the users' bound). For late requests, the same limit as for others (more of them were refused twice).

Change: reports carry each process's requests and repeats of the window, the lead's answers their sums; a process spends up to its part of what is left within two reports' intervals, or its own part while no sum is fresh. Late requests are let through up to 1.5 times the places, and what an instance told is taken as it was for 0.7 s, then faded.

The configuration's end is relayed too: the lead's answers say how far it knows the configuration and how old its proof is that there is no more. A process that hears it asks the store itself only when it knows less, or when the proof is older than 2.3 s, and then at once; the lead's own reads wait 1 s at a time.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -7,6 +7,7 @@
   type ReplicaRecorder,
 } from "../groups/index.ts";
 import type { KeyedLog, RelayedChange, TopicCopy } from "../keyed_log/index.ts";
+import type { SharedTotals, WindowTotals } from "../serving/index.ts";
 import {
   claimLead,
   type FleetRecords,
@@ -48,9 +49,15 @@
   readonly listSlowHeads: () => readonly string[];
   /** Requests of this process in progress, by model. */
   readonly demand: () => Readonly<Record<string, number>>;
+  /** Requests and repeats of this process in its window, by service. */
+  readonly repeats: () => Readonly<Record<string, WindowTotals>>;
   readonly hasTraffic: () => boolean;
   /** Time of the last answer of the store to this process. */
   readonly storeAnsweredAtMs: () => number;
+  /** How far this process knows the configuration, and since when it was all. */
+  readonly configProof: () => ConfigProof;
+  /** Takes what the lead tells of the configuration. */
+  readonly onConfigProof: (proof: ConfigProof) => void;
   /** The list of instances as this process knows it. */
   readonly instances: TopicCopy;
   /** Takes what the lead tells of the list of instances. */
@@ -59,6 +66,12 @@
   readonly record: (kind: string, fields: Record<string, unknown>) => void;
 }
 
+/** That there was no configuration after an offset at a time. */
+export interface ConfigProof {
+  readonly nextOffset: number;
+  readonly provenAtMs: number;
+}
+
 const REPORT_INTERVAL_MS = 250;
 /** Interval for each process, which bounds the reports that a lead takes. */
 const REPORT_SPREAD_MS = 10;
@@ -83,6 +96,7 @@
   /** Whether the lead's address refuses connections. */
   #isLeadDown = false;
   #answer: LeadAnswer | undefined;
+  #ownTotals: SharedTotals = { atMs: Number.NEGATIVE_INFINITY, totals: {} };
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
@@ -115,6 +129,23 @@
         TOLD_AGE_MS + this.#reportIntervalMs();
   }
 
+  /** Requests and repeats of all processes; undefined while not fresh. */
+  sharedTotals(): SharedTotals | undefined {
+    const nowMs = this.#nowMs();
+    if (this.isLeading) {
+      if (nowMs - this.#ownTotals.atMs >= this.#reportIntervalMs()) {
+        this.#ownTotals = { atMs: nowMs, totals: this.#sumRepeats() };
+      }
+      return this.#ownTotals;
+    }
+    const ageMs = nowMs - this.#heardAtMs;
+    const isFresh = this.#isFollowing && this.#answer?.isLeading === true &&
+      ageMs < TOLD_AGE_MS + this.#reportIntervalMs();
+    return isFresh
+      ? { atMs: this.#heardAtMs, totals: this.#answer!.repeats }
+      : undefined;
+  }
+
   /** Requests in progress for a model, over all processes. */
   totalDemand(model: string): number {
     return (this.#options.demand()[model] ?? 0) +
@@ -147,7 +178,9 @@
       term: this.#lead?.term ?? 0,
       storeAgeMs: nowMs - this.#options.storeAnsweredAtMs(),
       nodes: this.#listNodes(),
+      repeats: this.#sumRepeats(),
       closedHeads: this.#director?.listClosedHeads() ?? [],
+      config: this.#describeConfig(),
       instances: this.#options.instances.since(report.instancesOffset),
     };
   }
@@ -266,9 +299,11 @@
       this.#heardAtMs = this.#nowMs();
       this.#isLeadDown = false;
       while (!this.#isLeaving) {
+        const sentAtMs = this.#nowMs();
         const answer = yield* this.#report(lead);
         if (answer !== undefined) {
           this.#answer = answer;
+          this.#noteConfig(answer, sentAtMs);
           if (answer.isLeading && answer.instances.records.length > 0) {
             this.#options.onInstances(answer.instances);
           }
@@ -315,6 +350,7 @@
       stalledHeads: this.#options.listStalledHeads(),
       slowHeads: this.#options.listSlowHeads(),
       demand: this.#options.demand(),
+      repeats: this.#options.repeats(),
       hasTraffic: this.#options.hasTraffic(),
       instancesOffset: this.#options.instances.nextOffset,
     }).pipe(
@@ -367,6 +403,23 @@
     });
   }
 
+  #describeConfig(): LeadAnswer["config"] {
+    const { nextOffset, provenAtMs } = this.#options.configProof();
+    const ageMs = this.#nowMs() - provenAtMs;
+    return { nextOffset, proofAgeMs: Number.isFinite(ageMs) ? ageMs : null };
+  }
+
+  /** The answer was given after its report was sent, so its proof is no older. */
+  #noteConfig({ isLeading, config }: LeadAnswer, sentAtMs: number): void {
+    if (!isLeading || config.proofAgeMs === null) return;
+    const provenAtMs = sentAtMs - config.proofAgeMs;
+    this.#options.onConfigProof({ nextOffset: config.nextOffset, provenAtMs });
+  }
+
+  #sumRepeats(): Readonly<Record<string, WindowTotals>> {
+    return this.#nodes.sumRepeats(this.#options.repeats(), this.#nowMs());
+  }
+
   #listNodes(): readonly PeerNode[] {
     const { nodeId, peerAddress } = this.#options;
     return [
--- a/packages/celerytray/src/coordination/lead_silence_test.ts
+++ b/packages/celerytray/src/coordination/lead_silence_test.ts
@@ -12,6 +12,8 @@
   term: 3,
   storeAgeMs: 100,
   nodes: [],
+  repeats: {},
+  config: { nextOffset: 0, proofAgeMs: 0 },
   closedHeads: [],
   instances: { records: [], nextOffset: 0 },
 };
--- a/packages/celerytray/src/coordination/node_table.ts
+++ b/packages/celerytray/src/coordination/node_table.ts
@@ -1,3 +1,4 @@
+import type { WindowTotals } from "../serving/index.ts";
 import type { PeerNode, PeerReport } from "./peer_router.ts";
 
 interface KnownNode {
@@ -30,6 +31,25 @@
     );
   }
 
+  /** Requests and repeats of the processes that are present, by service. */
+  sumRepeats(
+    own: Readonly<Record<string, WindowTotals>>,
+    nowMs: number,
+  ): Readonly<Record<string, WindowTotals>> {
+    const sums = new Map<string, WindowTotals>();
+    const tables = this.#listReports(nowMs).map(({ repeats }) => repeats);
+    for (const table of [own, ...tables]) {
+      for (const [service, { requests, repeats }] of Object.entries(table)) {
+        const sum = sums.get(service) ?? { requests: 0, repeats: 0 };
+        sums.set(service, {
+          requests: sum.requests + requests,
+          repeats: sum.repeats + repeats,
+        });
+      }
+    }
+    return Object.fromEntries(sums);
+  }
+
   /** Whether any process ever had requests. */
   hadTraffic(): boolean {
     return [...this.#nodes.values()].some(({ report }) => report.hasTraffic);
--- a/packages/celerytray/src/coordination/peer_router.ts
+++ b/packages/celerytray/src/coordination/peer_router.ts
@@ -4,6 +4,7 @@
 import { Data, Effect } from "effect";
 import type { RequestListener } from "node:http";
 import type { RelayedChange } from "../keyed_log/index.ts";
+import type { WindowTotals } from "../serving/index.ts";
 
 /** What a process tells the one that decides on replicas. */
 export interface PeerReport {
@@ -18,6 +19,8 @@
   readonly slowHeads: readonly string[];
   /** Requests in progress, by model. */
   readonly demand: Readonly<Record<string, number>>;
+  /** Requests and repeats of its window, by service. */
+  readonly repeats: Readonly<Record<string, WindowTotals>>;
   /** Whether it has had requests. */
   readonly hasTraffic: boolean;
   /** Offset up to which it knows the list of instances. */
@@ -32,8 +35,16 @@
   readonly storeAgeMs: number;
   /** Processes that it hears of. */
   readonly nodes: readonly PeerNode[];
+  /** Requests and repeats of all processes it hears of, by service. */
+  readonly repeats: Readonly<Record<string, WindowTotals>>;
   /** Heads to which no requests should go. */
   readonly closedHeads: readonly string[];
+  /** How far it knows the configuration, and how surely that is the end. */
+  readonly config: {
+    readonly nextOffset: number;
+    /** Time since it was the end; null where that isn't known. */
+    readonly proofAgeMs: number | null;
+  };
   /** Changes of the list of instances. */
   readonly instances: RelayedChange;
 }
@@ -184,7 +195,9 @@
     Number.isSafeInteger(report.instancesOffset) &&
     Array.isArray(report.stalledHeads) &&
     Array.isArray(report.slowHeads) &&
-    typeof report.demand === "object" && typeof report.hasTraffic === "boolean";
+    typeof report.demand === "object" &&
+    typeof report.repeats === "object" &&
+    typeof report.hasTraffic === "boolean";
   if (isValid) return report as PeerReport;
   throw new Error("Malformed report; run one version on all machines");
 }
--- a/packages/celerytray/src/host/caller_server_test.ts
+++ b/packages/celerytray/src/host/caller_server_test.ts
@@ -121,6 +121,7 @@
           slackRequests: 100,
           windowMs: 10_000,
           countMachines: () => 1,
+          sharedTotals: () => undefined,
         }),
         agentFor: () => agent,
         discardAgent: () => {},
--- a/packages/celerytray/src/host/config_view.ts
+++ b/packages/celerytray/src/host/config_view.ts
@@ -43,6 +43,6 @@
         },
       });
     }
-    this.#nextOffset = change.nextOffset;
+    this.#nextOffset = Math.max(this.#nextOffset, change.nextOffset);
   }
 }
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -74,6 +74,10 @@
 
 /** Longest wait of one read, which bounds the age of the keys. */
 const CONFIG_WAIT_MS = 2_000;
+/** The same where others are told of it, which ages it further. */
+const LEAD_CONFIG_WAIT_MS = 1_000;
+/** Age of the keys up to which the lead's word on them is enough. */
+const MAX_TOLD_KEY_AGE_MS = 2_300;
 const CONFIG_PAUSE_MS = 20;
 const INSTANCES_WAIT_MS = 10_000;
 /** Pause after a change of the list; the process that decides pauses less. */
@@ -116,7 +120,13 @@
     const paces = new PaceBook();
     const pools = new BackendPools();
     const demand = new Map<string, number>();
-    const state = { isDraining: false, hasTraffic: false, needsProof: false };
+    const state = {
+      isDraining: false,
+      hasTraffic: false,
+      needsProof: false,
+      /** Offset up to which the lead knows the configuration. */
+      toldOffset: 0,
+    };
 
     const servers: { callers?: CallerServer } = {};
     const config = new ConfigView({
@@ -145,6 +155,14 @@
     };
     const engines = (): EngineSpecs => listEngines(config);
 
+    const repeats: RepeatBudget = new RepeatBudget({
+      share: settings.retryShare,
+      slackRequests: settings.retrySlackRequests,
+      windowMs: settings.retryWindowMs,
+      countMachines: () => coordinator.countNodes(),
+      sharedTotals: () => coordinator.sharedTotals(),
+    });
+
     const coordinator: Coordinator = new Coordinator({
       nodeId: settings.nodeId,
       bootId: randomUUID(),
@@ -153,10 +171,19 @@
       client: new PeerClient({ timeoutMs: PEER_TIMEOUT_MS }),
       listStalledHeads: () =>
         stalls.findDoubtful(nowMs()).map(({ instanceId }) => instanceId),
+      repeats: () => repeats.listTotals(nowMs()),
       listSlowHeads: () => paces.listSlow(nowMs()),
       demand: () => Object.fromEntries(demand),
       hasTraffic: () => state.hasTraffic,
       storeAnsweredAtMs: () => contact.answeredAtMs,
+      configProof: () => ({
+        nextOffset: config.nextOffset,
+        provenAtMs: keys.provenAtMs,
+      }),
+      onConfigProof: ({ nextOffset, provenAtMs }) => {
+        state.toldOffset = nextOffset;
+        if (nextOffset === config.nextOffset) keys.noteProof(provenAtMs);
+      },
       instances: instancesCopy,
       onInstances: (change) =>
         applyInstances({
@@ -188,19 +215,26 @@
     yield* Effect.forkScoped(followKeyed({
       log: ports.log,
       topic: "config",
-      waitMs: CONFIG_WAIT_MS,
+      waitMs: () =>
+        coordinator.isLeading ? LEAD_CONFIG_WAIT_MS : CONFIG_WAIT_MS,
       pauseMs: () => CONFIG_PAUSE_MS,
       onChange: (change) => {
         contact.noteAnswer(nowMs());
         config.apply(change);
         keys.noteProof(change.freshAtMs);
       },
+      relay: {
+        isEnough: () =>
+          coordinator.hearsLead() && state.toldOffset <= config.nextOffset &&
+          keys.ageMs() < MAX_TOLD_KEY_AGE_MS,
+        nextOffset: () => config.nextOffset,
+      },
       onFailure: (message) => contact.noteFailure(message, nowMs()),
     }));
     yield* Effect.forkScoped(followKeyed({
       log: ports.log,
       topic: "instances",
-      waitMs: INSTANCES_WAIT_MS,
+      waitMs: () => INSTANCES_WAIT_MS,
       pauseMs: () =>
         coordinator.isLeading ? LEAD_INSTANCES_PAUSE_MS : INSTANCES_PAUSE_MS,
       onChange: (change) => {
@@ -237,12 +271,7 @@
       stalls,
       paces,
       budgets: new BudgetBook(),
-      repeats: new RepeatBudget({
-        share: settings.retryShare,
-        slackRequests: settings.retrySlackRequests,
-        windowMs: settings.retryWindowMs,
-        countMachines: () => coordinator.countNodes(),
-      }),
+      repeats,
       agentFor: (address) => pools.agentFor(address),
       discardAgent: (address) => pools.discard(address),
       hasConnection: (address) => pools.hasFree(address),
--- a/packages/celerytray/src/host/key_freshness.ts
+++ b/packages/celerytray/src/host/key_freshness.ts
@@ -30,10 +30,15 @@
     }
   }
 
+  /** Time at which the keys were last known to be the newest. */
+  get provenAtMs(): number {
+    this.#checkClocks();
+    return this.#provenAtMs;
+  }
+
   /** Time since the keys were known to be the newest. */
   ageMs(): number {
-    this.#checkClocks();
-    return this.#options.steadyMs() - this.#provenAtMs;
+    return this.#options.steadyMs() - this.provenAtMs;
   }
 
   isFresh(): boolean {
--- a/packages/celerytray/src/keyed_log/follow_keyed.ts
+++ b/packages/celerytray/src/keyed_log/follow_keyed.ts
@@ -17,7 +17,7 @@
   readonly log: KeyedLog;
   readonly topic: KeyedTopic;
   /** Longest wait of one read for a first record. */
-  readonly waitMs: number;
+  readonly waitMs: () => number;
   /** Pause after records, in which further ones gather for the next read. */
   readonly pauseMs: () => number;
   readonly onChange: (change: KeyedChange) => void;
@@ -43,15 +43,20 @@
     let nextOffset: number | undefined;
     let needsWhole = true;
     while (true) {
+      let waitMs = options.waitMs();
       if (nextOffset !== undefined && options.relay !== undefined) {
-        while (options.relay.isEnough()) yield* Effect.sleep(RELAY_CHECK_MS);
+        while (options.relay.isEnough()) {
+          // What the relay can't tell any more is asked for at once.
+          waitMs = 0;
+          yield* Effect.sleep(RELAY_CHECK_MS);
+        }
         nextOffset = Math.max(nextOffset, options.relay.nextOffset());
       }
       const sentAtMs = yield* steadyMs;
       const isWhole: boolean = needsWhole;
       const page = yield* (isWhole ? log.readNewest(topic) : log.read(topic, {
         fromOffset: nextOffset!,
-        waitMs: options.waitMs,
+        waitMs,
       })).pipe(Effect.result);
       if (page._tag === "Failure") {
         if (page.failure._tag === "HistoryDropped") needsWhole = true;
@@ -71,8 +76,8 @@
       const answeredAtMs = yield* steadyMs;
       // A read that waited to its end without a record tells of its end.
       const hasWaited = !isWhole && page.success.records.length === 0 &&
-        answeredAtMs - sentAtMs >= options.waitMs;
-      const freshAtMs = hasWaited ? sentAtMs + options.waitMs : sentAtMs;
+        answeredAtMs - sentAtMs >= waitMs;
+      const freshAtMs = hasWaited ? sentAtMs + waitMs : sentAtMs;
       options.onChange({ ...page.success, isWhole, freshAtMs });
       if (page.success.records.length > 0) {
         yield* Effect.sleep(options.pauseMs());
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -11,6 +11,8 @@
 const WAIT_PART_OF_TARGET = 0.25;
 /** Longest wait for a free place, as a part of the target time. */
 const FULL_WAIT_PART_OF_TARGET = 0.125;
+/** Work, in parts of the slots, up to which a late request still waits there. */
+const LATE_PART = 1.5;
 const WAIT_STEP_MS = 20;
 /** Least time left for which a stream is moved off a slow replica. */
 const MIN_MOVE_REMAINING_MS = 500;
@@ -44,7 +46,7 @@
   });
 }
 
-/** A stream that has begun, or is late in any case, goes wherever it can. */
+/** A stream that has begun goes wherever it can. */
 function searchTarget(
   options: AttemptsOptions,
   progress: AttemptProgress,
@@ -53,9 +55,12 @@
   const { call, dependencies } = options;
   const target = findTarget(options, progress, nowMs);
   if (target === undefined) return { kind: "none" };
-  const isFull = call.route.isStream && !call.isLate &&
-    progress.attempts.length === 0 &&
-    dependencies.loads.isFull(target.instanceId, target.slots, nowMs);
+  if (!call.route.isStream || progress.attempts.length > 0) {
+    return { kind: "found", target };
+  }
+  const work = dependencies.loads.estimateAtWorst(target.instanceId, nowMs);
+  const places = target.slots * (call.isLate ? LATE_PART : 1);
+  const isFull = work >= places;
   return isFull ? { kind: "full" } : { kind: "found", target };
 }
 
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -13,7 +13,12 @@
 export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
 export { LoadBook } from "./load_book.ts";
 export { PaceBook } from "./pace_book.ts";
-export { RepeatBudget, type RepeatBudgetOptions } from "./repeat_budget.ts";
+export {
+  RepeatBudget,
+  type RepeatBudgetOptions,
+  type SharedTotals,
+  type WindowTotals,
+} from "./repeat_budget.ts";
 export { runAttempt } from "./run_attempt.ts";
 export { serveCall } from "./serve_call.ts";
 export type {
--- a/packages/celerytray/src/serving/load_book.ts
+++ b/packages/celerytray/src/serving/load_book.ts
@@ -2,7 +2,7 @@
 
 /** Time over which a told load fades, as other machines' work ends. */
 const TOLD_LOAD_FADE_MS = 1_500;
-/** Time for which an instance without a free place counts as full. */
+/** Time for which what an instance told is taken as it was. */
 const FULL_MEMORY_MS = 700;
 /** Time over which failures are forgotten. */
 const FAILURE_FADE_MS = 4_000;
@@ -74,13 +74,14 @@
     return Math.max(work.inFlight, told);
   }
 
-  /** Whether an instance lately told of no free place, and none was freed. */
-  isFull(instanceId: string, slots: number, nowMs: number): boolean {
+  /** The same, as if nothing that it told of lately were done. */
+  estimateAtWorst(instanceId: string, nowMs: number): number {
     const work = this.#work.get(instanceId);
-    if (work === undefined) return false;
+    if (work === undefined) return 0;
     const isRecent = nowMs - work.toldAtMs < FULL_MEMORY_MS;
-    const told = isRecent ? work.toldWork + work.changeSinceTold : 0;
-    return Math.max(work.inFlight, told) >= slots;
+    return isRecent
+      ? Math.max(work.inFlight, work.toldWork + work.changeSinceTold)
+      : this.estimate(instanceId, nowMs);
   }
 
   /** Share of attempts that failed lately. */
--- a/packages/celerytray/src/serving/repeat_budget.ts
+++ b/packages/celerytray/src/serving/repeat_budget.ts
@@ -1,3 +1,15 @@
+/** Requests and repeats of a window. */
+export interface WindowTotals {
+  readonly requests: number;
+  readonly repeats: number;
+}
+
+/** What all machines together had in the window, by service. */
+export interface SharedTotals {
+  readonly atMs: number;
+  readonly totals: Readonly<Record<string, WindowTotals>>;
+}
+
 /** Options of a budget of repeats. */
 export interface RepeatBudgetOptions {
   /** Repeats allowed, as a share of the requests of a window. */
@@ -7,19 +19,27 @@
   readonly windowMs: number;
   /** Machines that share the slack. */
   readonly countMachines: () => number;
+  /** Newest totals of all machines; undefined while none are fresh. */
+  readonly sharedTotals: () => SharedTotals | undefined;
 }
 
 /** Part of the allowance that is used, as machines see uneven shares. */
 const USED_PART = 0.6;
+/** Intervals in which machines spend before the totals tell of it. */
+const UNTOLD_INTERVALS = 2;
 const BUCKETS = 10;
 
 /**
  * Holds repeats to a service to a share of the requests for it, over a
- * sliding window.
+ * sliding window. Machines share what is left by the totals of all, or else
+ * each keeps to its own part.
  */
 export class RepeatBudget {
   readonly #options: RepeatBudgetOptions;
   readonly #counts = new Map<string, WindowCounts>();
+  /** Repeats since the newest shared totals, by service. */
+  readonly #spentSince = new Map<string, number>();
+  #sharedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: RepeatBudgetOptions) {
     this.#options = options;
@@ -31,19 +51,55 @@
 
   /** Takes the cost of one repeat; false if it is not covered. */
   trySpend(service: string, nowMs: number): boolean {
-    const { share, slackRequests } = this.#options;
     const bucket = this.#countsOf(service, nowMs);
-    const totals = this.#counts.get(service)!.totals(
-      this.#bucketAt(nowMs),
-    );
-    const machines = Math.max(1, this.#options.countMachines());
-    const allowed = USED_PART *
-      (share * totals.requests + slackRequests / machines);
-    if (totals.repeats + 1 > allowed) return false;
+    const shared = this.#options.sharedTotals();
+    const isCovered = shared === undefined
+      ? this.#isCoveredAlone(service, nowMs)
+      : this.#isCoveredTogether(service, shared);
+    if (!isCovered) return false;
     bucket.repeats += 1;
+    this.#spentSince.set(service, (this.#spentSince.get(service) ?? 0) + 1);
     return true;
   }
 
+  /** Totals of this machine, by service. */
+  listTotals(nowMs: number): Readonly<Record<string, WindowTotals>> {
+    const index = this.#bucketAt(nowMs);
+    return Object.fromEntries(
+      [...this.#counts].map(([service, counts]) => [
+        service,
+        counts.totals(index),
+      ]),
+    );
+  }
+
+  #isCoveredAlone(service: string, nowMs: number): boolean {
+    const { slackRequests } = this.#options;
+    const totals = this.#counts.get(service)!.totals(this.#bucketAt(nowMs));
+    const slack = slackRequests / this.#countMachines();
+    return totals.repeats + 1 <= this.#allowed(totals.requests, slack);
+  }
+
+  #isCoveredTogether(service: string, shared: SharedTotals): boolean {
+    if (shared.atMs !== this.#sharedAtMs) {
+      this.#sharedAtMs = shared.atMs;
+      this.#spentSince.clear();
+    }
+    const { requests, repeats } = shared.totals[service] ??
+      { requests: 0, repeats: 0 };
+    const left = this.#allowed(requests, this.#options.slackRequests) - repeats;
+    const part = left / (this.#countMachines() * UNTOLD_INTERVALS);
+    return (this.#spentSince.get(service) ?? 0) + 1 <= part;
+  }
+
+  #allowed(requests: number, slack: number): number {
+    return USED_PART * (this.#options.share * requests + slack);
+  }
+
+  #countMachines(): number {
+    return Math.max(1, this.#options.countMachines());
+  }
+
   #countsOf(service: string, nowMs: number): Bucket {
     let counts = this.#counts.get(service);
     if (counts === undefined) {
@@ -76,7 +132,7 @@
     return bucket;
   }
 
-  totals(index: number): Omit<Bucket, "index"> {
+  totals(index: number): WindowTotals {
     const totals = { requests: 0, repeats: 0 };
     for (const bucket of this.#buckets) {
       if (bucket.index <= index - BUCKETS) continue;
--- a/packages/celerytray/src/serving/repeat_budget_test.ts
+++ b/packages/celerytray/src/serving/repeat_budget_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { it } from "node:test";
-import { RepeatBudget } from "./repeat_budget.ts";
+import { RepeatBudget, type SharedTotals } from "./repeat_budget.ts";
 
 const WINDOW_MS = 10_000;
 
@@ -16,6 +16,7 @@
         slackRequests,
         windowMs: WINDOW_MS,
         countMachines: () => machines,
+        sharedTotals: () => undefined,
       }),
   );
   let requests = 0;
@@ -31,12 +32,71 @@
   expect(repeats > 0).toEqual(true);
 });
 
+it("lets one machine use what the others leave, within the budget of all", () => {
+  const machines = 80;
+  const intervalMs = 800;
+  const share = 0.2;
+  const slackRequests = 350;
+  let shared: SharedTotals = { atMs: 0, totals: {} };
+  let told: SharedTotals = shared;
+  const budgets = Array.from({ length: machines }, () =>
+    new RepeatBudget({
+      share,
+      slackRequests,
+      windowMs: WINDOW_MS,
+      countMachines: () => machines,
+      sharedTotals: () => told,
+    }));
+  const tell = (nowMs: number) => {
+    // Reports are summed, and the sum is told an interval later.
+    told = shared;
+    let requests = 0;
+    let repeats = 0;
+    for (const budget of budgets) {
+      const totals = budget.listTotals(nowMs).drafts;
+      requests += totals?.requests ?? 0;
+      repeats += totals?.repeats ?? 0;
+    }
+    shared = { atMs: nowMs, totals: { drafts: { requests, repeats } } };
+  };
+  const spent = { busy: 0, all: 0 };
+  let requests = 0;
+  for (let nowMs = 0; nowMs < WINDOW_MS; nowMs += 100) {
+    if (nowMs % intervalMs === 0) tell(nowMs);
+    for (const budget of budgets) {
+      for (let count = 0; count < 3; count++) {
+        budget.noteRequest("drafts", nowMs);
+        requests += 1;
+      }
+    }
+    while (budgets[0]!.trySpend("drafts", nowMs)) spent.busy += 1;
+  }
+  const alone = 0.6 * (share * requests + slackRequests) / machines;
+  expect(spent.busy > 2 * alone).toEqual(true);
+  for (let nowMs = WINDOW_MS; nowMs < 3 * WINDOW_MS; nowMs += 100) {
+    if (nowMs % intervalMs === 0) tell(nowMs);
+    for (const budget of budgets) {
+      for (let count = 0; count < 3; count++) {
+        budget.noteRequest("drafts", nowMs);
+      }
+      while (budget.trySpend("drafts", nowMs)) spent.all += 1;
+    }
+    const total = budgets.reduce(
+      (sum, budget) => sum + budget.listTotals(nowMs).drafts!.repeats,
+      0,
+    );
+    expect(total <= share * requests + slackRequests).toEqual(true);
+  }
+  expect(spent.all > 0).toEqual(true);
+});
+
 it("forgets what is older than the window", () => {
   const budget = new RepeatBudget({
     share: 0,
     slackRequests: 10,
     windowMs: WINDOW_MS,
     countMachines: () => 1,
+    sharedTotals: () => undefined,
   });
   while (budget.trySpend("drafts", 0));
   expect(budget.trySpend("drafts", WINDOW_MS / 2)).toEqual(false);
