--- /dev/null
+++ b/scripts/check_operations.js
@@ -0,0 +1,72 @@
+/**
+ * Fails where docs/OPERATIONS.md names other log events or metrics than the
+ * program of the machines writes.
+ */
+import { readdir, readFile } from "node:fs/promises";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+
+const root = fileURLToPath(new URL("..", import.meta.url));
+const PAGE = "docs/OPERATIONS.md";
+/** Folders of the program, and its entry. */
+const FOLDERS = [
+  "packages/celerytray/src/coordination/",
+  "packages/celerytray/src/groups/",
+  "packages/celerytray/src/host/",
+  "packages/celerytray/src/journal/",
+];
+const FILES = ["packages/cli/src/host_main.ts"];
+const EVENT = /"((?:[a-z]+)\.[a-z]+(?:-[a-z]+)*)"/g;
+const METRIC = /celerytray_[a-z_]+/g;
+const EVENT_TOPICS =
+  /^(process|call|config|keys|store|instance|order|replica|lead|log)\./;
+
+async function main() {
+  const written = { events: new Set(), metrics: new Set() };
+  for (const file of await listSources()) {
+    const text = await readFile(join(root, file), "utf8");
+    for (const [, name] of text.matchAll(EVENT)) {
+      if (EVENT_TOPICS.test(name)) written.events.add(name);
+    }
+    for (const [name] of text.matchAll(METRIC)) written.metrics.add(name);
+  }
+  const page = await readFile(join(root, PAGE), "utf8");
+  const told = {
+    events: listTableNames(page, (name) => EVENT_TOPICS.test(name)),
+    metrics: listTableNames(page, (name) => name.startsWith("celerytray_")),
+  };
+  const problems = ["events", "metrics"].flatMap((kind) => [
+    ...[...written[kind]].filter((name) => !told[kind].has(name))
+      .map((name) => `${PAGE}: add ${name} to the table of ${kind}`),
+    ...[...told[kind]].filter((name) => !written[kind].has(name))
+      .map((name) => `${PAGE}: remove ${name}; no module writes it`),
+  ]);
+  if (problems.length === 0) return;
+  console.error(problems.join("\n"));
+  process.exitCode = 1;
+}
+
+async function listSources() {
+  const entries = await readdir(join(root, "packages"), { recursive: true });
+  return entries.map((entry) => `packages/${entry}`).filter((file) =>
+    file.endsWith(".ts") && !file.endsWith("_test.ts") &&
+    (FILES.includes(file) || FOLDERS.some((folder) => file.startsWith(folder)))
+  );
+}
+
+/** Names in the first column; one that begins with a dot goes on the last. */
+function listTableNames(page, isNamed) {
+  const names = new Set();
+  for (const line of page.split("\n")) {
+    if (!line.startsWith("| `")) continue;
+    let topic = "";
+    for (const [, name] of line.split("|")[1].matchAll(/`([^`]+)`/g)) {
+      if (!name.startsWith(".")) topic = name.split(".")[0];
+      const whole = name.startsWith(".") ? `${topic}${name}` : name;
+      if (isNamed(whole)) names.add(whole);
+    }
+  }
+  return names;
+}
+
+await main();
