Let streams that callers resume through full replicas

Cause: a caller that resumes a stream sends a new request, which was refused like one that had not begun.

Ruled out: nothing; seen on reading, not on a run.

Change: a request that names the last event it has goes wherever it can.

Conclusion: the test of full replicas covers it.

--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -55,9 +55,9 @@
   const { call, dependencies } = options;
   const target = findTarget(options, progress, nowMs);
   if (target === undefined) return { kind: "none" };
-  if (!call.route.isStream || progress.attempts.length > 0) {
-    return { kind: "found", target };
-  }
+  const hasBegun = progress.attempts.length > 0 ||
+    progress.lastEventId !== undefined;
+  if (!call.route.isStream || hasBegun) return { kind: "found", target };
   const work = dependencies.loads.estimateAtWorst(target.instanceId, nowMs);
   const places = target.slots * (call.isLate ? LATE_PART : 1);
   const isFull = work >= places;
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -218,7 +218,7 @@
         "server-stamp": "s",
         "content-type": "text/event-stream",
       });
-      response.end("id: 0\ndata: a\n\n");
+      response.end("id: 1\ndata: a\n\n");
     });
     const loads = new LoadBook();
     const load = { running: 4, waiting: 1, slots: 4 };
@@ -227,6 +227,8 @@
     const refused = await call(entry, "/stream/x");
     expect([refused.status, calls]).toEqual([503, 0]);
     expect(refused.headers["retry-after"]).toEqual("1.20");
+    const resumed = { "last-event-id": "0" };
+    expect((await call(entry, "/stream/x", resumed)).status).toEqual(200);
     const late = { "deadline-ms": "1500" };
     expect((await call(entry, "/stream/x", late)).status).toEqual(200);
     const idle = { running: 3, waiting: 0, slots: 4 };
