Test whole processes against a stand-in of the platform over HTTP

Ruled out: signals and stores in virtual time; these tests run the real program as processes and wait for states, with bounds of 20 s on the waiting only.

Change: packages/fakes/src/platform has the store (appends at an offset, long reads, newest records) and model instances (orders, reports, streams) over HTTP. host_process_test.ts starts two processes of the machines' program: replicas are formed and repaired, a stopped lead answers its stream and leaves the lead, a store that is away for long leads to refusals and its return to service, a key that is taken away is refused by both.

--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -4,7 +4,7 @@
 export * from "./instance_list/index.ts";
 export * from "./log_service/index.ts";
 export * from "./weight_store/index.ts";
-
+export * from "./platform/index.ts";
 export * from "./store/index.ts";
 
 // Backend servers
--- /dev/null
+++ b/packages/fakes/src/platform/index.ts
@@ -0,0 +1,4 @@
+/** The users' platform over HTTP, for tests of whole processes. */
+export { FakeInstanceServer } from "./fake_instance_server.ts";
+export { FakePlatform } from "./fake_platform.ts";
+export { FakeStoreServer } from "./fake_store_server.ts";
