List the sources for the checks in one place

Cause: the two checks each listed the packages' modules by the same lines.

Ruled out: joining the checks; they ask different things.

Change: scripts/list_sources.js, used by both.

Conclusion: both pass, and the one on operations fails on a renamed event.

--- a/scripts/check_operations.js
+++ b/scripts/check_operations.js
@@ -2,11 +2,10 @@
  * Fails where docs/OPERATIONS.md names other log events or metrics than the
  * program of the machines writes.
  */
-import { readdir, readFile } from "node:fs/promises";
+import { readFile } from "node:fs/promises";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
+import { listSources, root } from "./list_sources.js";
 
-const root = fileURLToPath(new URL("..", import.meta.url));
 const PAGE = "docs/OPERATIONS.md";
 /** Folders of the program, and its entry. */
 const FOLDERS = [
@@ -23,7 +22,7 @@
 
 async function main() {
   const written = { events: new Set(), metrics: new Set() };
-  for (const file of await listSources()) {
+  for (const file of (await listSources()).filter(isInProgram)) {
     const text = await readFile(join(root, file), "utf8");
     for (const [, name] of text.matchAll(EVENT)) {
       if (EVENT_TOPICS.test(name)) written.events.add(name);
@@ -46,12 +45,9 @@
   process.exitCode = 1;
 }
 
-async function listSources() {
-  const entries = await readdir(join(root, "packages"), { recursive: true });
-  return entries.map((entry) => `packages/${entry}`).filter((file) =>
-    file.endsWith(".ts") && !file.endsWith("_test.ts") &&
-    (FILES.includes(file) || FOLDERS.some((folder) => file.startsWith(folder)))
-  );
+function isInProgram(file) {
+  return FILES.includes(file) ||
+    FOLDERS.some((folder) => file.startsWith(folder));
 }
 
 /** Names in the first column; one that begins with a dot goes on the last. */
--- a/scripts/check_platform.js
+++ b/scripts/check_platform.js
@@ -2,11 +2,10 @@
  * Fails where a file outside the folder `platform` uses the platform's words,
  * or where that folder imports a module that decides.
  */
-import { readdir, readFile } from "node:fs/promises";
+import { readFile } from "node:fs/promises";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
+import { listSources, root } from "./list_sources.js";
 
-const root = fileURLToPath(new URL("..", import.meta.url));
 const FOLDER = "packages/celerytray/src/platform/";
 // Not last-event-id, which server-sent events themselves define.
 const WORDS =
@@ -31,14 +30,6 @@
   process.exitCode = 1;
 }
 
-async function listSources() {
-  const entries = await readdir(join(root, "packages"), { recursive: true });
-  return entries.map((entry) => `packages/${entry}`).filter((file) =>
-    file.endsWith(".ts") && !file.endsWith("_test.ts") &&
-    !/node_modules|\/dist\//.test(file)
-  );
-}
-
 function findWords(file, text) {
   return text.split("\n").flatMap((line, index) => {
     const word = WORDS.exec(line)?.[0];
