--- a/packages/fakes/src/fleet/fake_fleet.ts
+++ b/packages/fakes/src/fleet/fake_fleet.ts
@@ -71,6 +71,14 @@
     if (instance !== undefined) instance.isReachable = isReachable;
   }
 
+  /** Lets an instance say that it is about to leave; it works on. */
+  drain(id: string): void {
+    const instance = this.#instances.get(id);
+    if (instance === undefined) return;
+    instance.isDraining = true;
+    this.#options.onChange(instance);
+  }
+
   /** Makes an instance's work take so many times as long as usual. */
   setPace(id: string, pace: number): void {
     const instance = this.#instances.get(id);
--- a/packages/fakes/src/fleet/fake_model_instance.ts
+++ b/packages/fakes/src/fleet/fake_model_instance.ts
@@ -34,6 +34,8 @@
   isAlive = true;
   /** Whether it can be reached; it goes on all the same. */
   isReachable = true;
+  /** Whether it is about to leave, and says so. */
+  isDraining = false;
   /** How many times as long as usual its work takes. */
   pace = 1;
   staged: string[] = [];
@@ -124,7 +126,7 @@
       address: `${this.id}:1`,
       zone: "zone-a",
       slots: 8,
-      isDraining: false,
+      isDraining: this.isDraining,
       bornAtMs: this.bornAtMs,
       domain: this.domain,
       stagedModels: this.staged,
--- a/packages/fakes/src/fleet/fleet_director_test.ts
+++ b/packages/fakes/src/fleet/fleet_director_test.ts
@@ -66,6 +66,8 @@
 /** Time until the replicas are formed, with the loads of their weights. */
 const SETTLE_MS = 16_000;
 const SLOW_PACE = 4;
+/** Time for which an instance that drains works on at least. */
+const DRAIN_MS = 2_000;
 /** Where the configuration ends, and since when the lead knows. */
 const CONFIG_OFFSET = 7;
 const PROOF_AGE_MS = 300;
@@ -78,6 +80,8 @@
   | { readonly kind: "part"; readonly index: number; readonly members: number }
   /** A member of a replica turns slow. */
   | { readonly kind: "slow"; readonly index: number }
+  /** A member that is no head drains, and its domain has no spare left. */
+  | { readonly kind: "drain-without-spare" }
   | { readonly kind: "rejoin"; readonly members: number }
   | { readonly kind: "store-out" | "store-back" | "store-loses" }
   | { readonly kind: "kill-lead" | "cut-lead" | "heal" | "quicken" };
@@ -173,6 +177,14 @@
     expect(serving.length).toEqual(REPLICAS);
   });
 
+  it("serve on while a member that is no head drains and none can take its place", async () => {
+    const { violations, serving } = await play([
+      { waitMs: 0, trouble: { kind: "drain-without-spare" } },
+    ], DRAIN_MS - LIST_LAG_MS);
+    expect(violations).toEqual([]);
+    expect(serving.length).toEqual(REPLICAS);
+  });
+
   it("never share a member, whatever fails", async () => {
     const property = fc.asyncProperty(day, async (steps) => {
       const world = await play(steps, 8_000);
@@ -386,6 +398,15 @@
       }
       return;
     }
+    case "drain-without-spare": {
+      const heads = fleet.listServing();
+      const members = heads.flatMap(({ membership }) => membership!.members);
+      for (const { id } of fleet.list()) {
+        if (!members.includes(id)) fleet.kill(id);
+      }
+      fleet.drain(heads[0]!.membership!.members[1]!);
+      return;
+    }
     case "quicken":
       for (const { id } of fleet.list()) fleet.setPace(id, 1);
       return;
