Make one piece of code serve where the change had two

Cause: reading the whole change once more. It wrote again what stood elsewhere: grouping by a key (fleet/ had it), waiting for SIGTERM (the serve command had it), and within itself the conditions under which a target is preferred, a lead's answer still counts and a head's members are looked up, and what serving needs of its process in two tests. One outcome was told by comparing a message, and two things were computed more often than needed: the median pause of a model once for each of its instances, every 50 ms, and the free instances in every round of the lead although no instance is slow.

Ruled out: one codec for the store client and its HTTP stand-in, which would hide an error of the codec from both; a shared book for doubts and for paces, whose rules differ; the random source of routing/, which draws from lists.

Change: collections/ holds groupBy, moved from fleet/; wait_for_signal.ts in the command line's package; isPreferred in choose_target.ts; findFreshAnswer and noteHeads in the coordinator; FleetState.listMembersOf; createTestDependencies; runOutOfTime beside giveUp; medians once for each model; no search for replaceable replicas while no member is slow. The only difference that can be seen: SIGINT after SIGTERM now ends the machines' program at once, as it does the serve command.

--- /dev/null
+++ b/packages/celerytray/src/collections/index.ts
@@ -0,0 +1,2 @@
+/** Helpers for lists and maps. */
+export { groupBy } from "./group_by.ts";
--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -82,6 +82,7 @@
 /** Age of its last answer from the store at which that is done too. */
 const TOLD_STORE_AGE_MS = 3_500;
 const RETRY_DELAY_MS = 300;
+
 /** Follows the process that decides on replicas, or is it. */
 export class Coordinator implements LeadOperations {
   readonly #options: CoordinatorOptions;
@@ -123,10 +124,8 @@
 
   /** Whether a lead that hears the store tells of the list of instances. */
   hearsLead(): boolean {
-    return this.#isFollowing && this.#answer?.isLeading === true &&
-      this.#answer.storeAgeMs < TOLD_STORE_AGE_MS &&
-      this.#nowMs() - this.#heardAtMs <
-        TOLD_AGE_MS + this.#reportIntervalMs();
+    const answer = this.#findFreshAnswer();
+    return answer !== undefined && answer.storeAgeMs < TOLD_STORE_AGE_MS;
   }
 
   /** Requests and repeats of all processes; undefined while not fresh. */
@@ -138,12 +137,10 @@
       }
       return this.#ownTotals;
     }
-    const ageMs = nowMs - this.#heardAtMs;
-    const isFresh = this.#isFollowing && this.#answer?.isLeading === true &&
-      ageMs < TOLD_AGE_MS + this.#reportIntervalMs();
-    return isFresh
-      ? { atMs: this.#heardAtMs, totals: this.#answer!.repeats }
-      : undefined;
+    const answer = this.#findFreshAnswer();
+    return answer === undefined
+      ? undefined
+      : { atMs: this.#heardAtMs, totals: answer.repeats };
   }
 
   /** Requests in progress for a model, over all processes. */
@@ -169,10 +166,7 @@
     if (this.#lead !== undefined && report.term > this.#lead.term) {
       this.#depose(`${report.nodeId} knows of term ${report.term}`);
     }
-    for (const headId of report.stalledHeads) {
-      this.#director?.noteStalled(headId);
-    }
-    for (const headId of report.slowHeads) this.#director?.noteSlow(headId);
+    this.#noteHeads(report);
     return {
       isLeading: this.isLeading && !this.#isDeposed,
       term: this.#lead?.term ?? 0,
@@ -278,12 +272,10 @@
   #awaitDeposed(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       while (!this.#isDeposed) {
-        for (const headId of this.#options.listStalledHeads()) {
-          this.#director?.noteStalled(headId);
-        }
-        for (const headId of this.#options.listSlowHeads()) {
-          this.#director?.noteSlow(headId);
-        }
+        this.#noteHeads({
+          stalledHeads: this.#options.listStalledHeads(),
+          slowHeads: this.#options.listSlowHeads(),
+        });
         yield* Effect.sleep(STEP_MS);
       }
     });
@@ -403,6 +395,26 @@
     });
   }
 
+  /** The lead's last answer, while it still counts. */
+  #findFreshAnswer(): LeadAnswer | undefined {
+    if (!this.#isFollowing || this.#answer?.isLeading !== true) {
+      return undefined;
+    }
+    const ageMs = this.#nowMs() - this.#heardAtMs;
+    const maxAgeMs = TOLD_AGE_MS + this.#reportIntervalMs();
+    return ageMs < maxAgeMs ? this.#answer : undefined;
+  }
+
+  #noteHeads(
+    { stalledHeads, slowHeads }: Pick<
+      PeerReport,
+      "stalledHeads" | "slowHeads"
+    >,
+  ): void {
+    for (const headId of stalledHeads) this.#director?.noteStalled(headId);
+    for (const headId of slowHeads) this.#director?.noteSlow(headId);
+  }
+
   #describeConfig(): LeadAnswer["config"] {
     const { nextOffset, provenAtMs } = this.#options.configProof();
     const ageMs = this.#nowMs() - provenAtMs;
--- a/packages/celerytray/src/fleet/create_preloads.ts
+++ b/packages/celerytray/src/fleet/create_preloads.ts
@@ -1,7 +1,7 @@
 import type { Instance, ModelService } from "@celerytray/schema";
 import { HashMap } from "effect";
 import type { AddressedOrder, OrderInput } from "./create_orders.ts";
-import { groupBy } from "./group_by.ts";
+import { groupBy } from "../collections/index.ts";
 import { hasWeights, type MemberObservation } from "./replica_health.ts";
 
 /** What preloads are worked out from. */
--- a/packages/celerytray/src/fleet/find_surplus.ts
+++ b/packages/celerytray/src/fleet/find_surplus.ts
@@ -1,7 +1,7 @@
 import type { ModelService } from "@celerytray/schema";
 import { HashMap } from "effect";
 import { selectOutdated } from "./select_outdated.ts";
-import { groupBy } from "./group_by.ts";
+import { groupBy } from "../collections/index.ts";
 import type { Replica } from "./fold_fleet_record.ts";
 import {
   type FleetObservation,
--- a/packages/celerytray/src/fleet/repair_replicas.ts
+++ b/packages/celerytray/src/fleet/repair_replicas.ts
@@ -11,7 +11,7 @@
   type FleetEstimates,
   isStoreStalled,
 } from "./fleet_estimates.ts";
-import { groupBy } from "./group_by.ts";
+import { groupBy } from "../collections/index.ts";
 import type { FleetObservation, FleetProposal } from "./planner_types.ts";
 import { expectWaitMs } from "./return_times.ts";
 
--- a/packages/celerytray/src/fleet/select_orders.ts
+++ b/packages/celerytray/src/fleet/select_orders.ts
@@ -2,7 +2,7 @@
 import { HashMap, Option } from "effect";
 import type { AddressedOrder } from "./create_orders.ts";
 import type { FleetState, Replica } from "./fold_fleet_record.ts";
-import { groupBy } from "./group_by.ts";
+import { groupBy } from "../collections/index.ts";
 import {
   hasWeights,
   isLoading,
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -58,17 +58,15 @@
 
   /** Takes note that requests at the head of a replica stand still. */
   noteStalled(headId: string): void {
-    for (const { record, retiring } of this.#state.runs.values()) {
-      if (record.members[0] !== headId || retiring !== undefined) continue;
-      for (const id of record.members) this.#state.liveness.noteDoubt(id);
+    for (const id of this.#state.listMembersOf(headId)) {
+      this.#state.liveness.noteDoubt(id);
     }
   }
 
   /** Takes note that the replica of a head was found slow. */
   noteSlow(headId: string): void {
-    for (const { record, retiring } of this.#state.runs.values()) {
-      if (record.members[0] !== headId || retiring !== undefined) continue;
-      for (const id of record.members) this.#state.paces.noteSuspected(id);
+    for (const id of this.#state.listMembersOf(headId)) {
+      this.#state.paces.noteSuspected(id);
     }
   }
 
@@ -142,12 +140,14 @@
   /** Takes replicas with a slow member apart where spares stand by. */
   #replaceSlow(nowMs: number): void {
     const runs = [...this.#state.runs.values()];
+    const isSlow = (id: string) => this.#state.paces.isSlow(id);
+    if (!runs.some(({ record }) => record.members.some(isSlow))) return;
     for (const service of this.#options.engines().keys()) {
       const found = findReplaceable({
         runs: runs.filter(({ record }) => record.service === service),
         free: this.#state.listFree(service),
         findInstance: (id) => this.#state.findLatest(id),
-        isSlow: (id) => this.#state.paces.isSlow(id),
+        isSlow,
         hotModel: (id) => this.#state.weights.hotModel(id),
       });
       for (const { run, slowId } of found) {
--- a/packages/celerytray/src/groups/fleet_state.ts
+++ b/packages/celerytray/src/groups/fleet_state.ts
@@ -65,6 +65,15 @@
     );
   }
 
+  /** Members of the replicas of a head that are not taken apart. */
+  listMembersOf(headId: string): readonly string[] {
+    return [...this.runs.values()]
+      .filter(({ record, retiring }) =>
+        record.members[0] === headId && retiring === undefined
+      )
+      .flatMap(({ record }) => record.members);
+  }
+
   memberIds(): ReadonlySet<string> {
     return new Set(
       [...this.runs.values()].flatMap(({ record }) => record.members),
--- a/packages/celerytray/src/groups/plan_cross_staging.ts
+++ b/packages/celerytray/src/groups/plan_cross_staging.ts
@@ -1,3 +1,4 @@
+import { groupBy } from "../collections/index.ts";
 import type { ServedModel } from "../serving/index.ts";
 import type { InstanceState } from "./instance_state.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
@@ -23,7 +24,11 @@
   const bySize = [...models].sort((a, b) => b.size - a.size);
   const large = bySize[0]!.name;
   const small = bySize.at(-1)!.name;
-  return [...groupByDomain(input)].flatMap(([, replicas]) => {
+  const byDomain = groupBy(
+    input.replicas,
+    ({ members }) => input.findInstance(members[0]!)?.domain ?? "",
+  );
+  return [...byDomain.values()].flatMap((replicas) => {
     const first = replicas.find(({ model }) => model === large);
     const second = replicas.find(({ model }) => model === small);
     if (first === undefined || second === undefined) return [];
@@ -50,16 +55,3 @@
       : [{ instance, order: { kind: "stage", model } }];
   });
 }
-
-function groupByDomain(
-  { replicas, findInstance }: CrossStagingInput,
-): ReadonlyMap<string, readonly ReplicaRecord[]> {
-  const domains = new Map<string, ReplicaRecord[]>();
-  for (const replica of replicas) {
-    const domain = findInstance(replica.members[0]!)?.domain ?? "";
-    const known = domains.get(domain) ?? [];
-    known.push(replica);
-    domains.set(domain, known);
-  }
-  return domains;
-}
--- a/packages/celerytray/src/groups/plan_formations.ts
+++ b/packages/celerytray/src/groups/plan_formations.ts
@@ -1,3 +1,4 @@
+import { groupBy } from "../collections/index.ts";
 import type { ServedModel } from "../serving/index.ts";
 import type { InstanceState } from "./instance_state.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
@@ -44,7 +45,7 @@
     counts.set(model, (counts.get(model) ?? 0) + 1);
   }
   const formations: Formation[] = [];
-  const pools = new Map(groupByDomain(input.free));
+  const pools = groupBy(input.free, ({ domain }) => domain ?? "");
   while (true) {
     const next = findNext(input, { counts, pools });
     if (next === undefined) return formations;
@@ -182,16 +183,3 @@
   const loadMs = model.loadMs * (input.isEarly ? EARLY_LOAD_PART : 1);
   return input.preparedModel(instance.id) === model.name ? loadMs / 2 : loadMs;
 }
-
-function groupByDomain(
-  instances: readonly InstanceState[],
-): Map<string, readonly InstanceState[]> {
-  const pools = new Map<string, InstanceState[]>();
-  for (const instance of instances) {
-    const domain = instance.domain ?? "";
-    const pool = pools.get(domain) ?? [];
-    pool.push(instance);
-    pools.set(domain, pool);
-  }
-  return pools;
-}
--- a/packages/celerytray/src/host/caller_server_test.ts
+++ b/packages/celerytray/src/host/caller_server_test.ts
@@ -1,19 +1,14 @@
 import { expect } from "earl";
 import { Effect, Exit, Scope } from "effect";
-import { Agent, createServer, type RequestListener } from "node:http";
+import { createServer, type RequestListener } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { after, describe, it } from "node:test";
-import { PlatformCallCodec } from "../platform/call_codec.ts";
 import {
-  BudgetBook,
   type CallRecord,
-  LoadBook,
-  PaceBook,
-  RepeatBudget,
   ServingIndex,
   type ServingTarget,
-  StallWatch,
 } from "../serving/index.ts";
+import { createTestDependencies } from "../serving/create_test_dependencies.ts";
 import { createCallerServer } from "./caller_server.ts";
 
 const HOST = "127.0.0.1";
@@ -96,7 +91,6 @@
     epoch: 0,
   };
   const records: CallRecord[] = [];
-  const agent = new Agent({ keepAlive: false });
   const scope = Effect.runSync(Scope.make());
   closers.push(() => Effect.runPromise(Scope.close(scope, Exit.void)));
   const port = await findFreePort();
@@ -106,30 +100,11 @@
       idleTimeoutMs: 5_000,
       headerTimeoutMs: 3_000,
       maxHeaderBytes: MAX_HEADER_BYTES,
-      dependencies: {
-        codec: new PlatformCallCodec(),
-        zone: "z",
+      dependencies: createTestDependencies({
         index: () => INDEX,
-        areKeysFresh: () => true,
         listTargets: () => [target],
-        loads: new LoadBook(),
-        stalls: new StallWatch(),
-        paces: new PaceBook(),
-        budgets: new BudgetBook(),
-        repeats: new RepeatBudget({
-          share: 1,
-          slackRequests: 100,
-          windowMs: 10_000,
-          countMachines: () => 1,
-          sharedTotals: () => undefined,
-        }),
-        agentFor: () => agent,
-        discardAgent: () => {},
-        hasConnection: () => false,
-        random: () => 0.5,
-        noteDemand: () => {},
         record: (record) => records.push(record),
-      },
+      }),
     }).pipe(Scope.provide(scope)),
   );
   return { port, records, instanceId: target.instanceId };
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -193,9 +193,32 @@
 
 /** The answer in this system's own name when no attempt is left. */
 export function giveUp(
-  { call, exchange }: AttemptsOptions,
+  options: AttemptsOptions,
   progress: AttemptProgress,
   message: string,
+): AttemptsResult {
+  return conclude(options, progress, { message, unknownStatus: 502 });
+}
+
+/** The same when the time for the answer is over. */
+export function runOutOfTime(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+): AttemptsResult {
+  const message = "The request's time is over";
+  return conclude(options, progress, { message, unknownStatus: 504 });
+}
+
+interface Conclusion {
+  readonly message: string;
+  /** Status where the request may have run. */
+  readonly unknownStatus: number;
+}
+
+function conclude(
+  { call, exchange }: AttemptsOptions,
+  progress: AttemptProgress,
+  { message, unknownStatus }: Conclusion,
 ): AttemptsResult {
   if (progress.failure !== undefined && !exchange.hasStarted) {
     return {
@@ -207,10 +230,9 @@
   const retryAfterMs = progress.attempts.length > 0
     ? FULL_RETRY_MS
     : NO_REPLICA_RETRY_MS;
-  const isOver = message === "The request's time is over";
   const own: OwnAnswer = progress.mayHaveRun || progress.currentId !== undefined
     ? {
-      status: isOver ? 504 : 502,
+      status: unknownStatus,
       message: `${message}; it may have run on ${call.service}`,
     }
     : {
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -44,10 +44,7 @@
   const untried = choice.targets.filter(({ instanceId }) =>
     !tried.has(instanceId)
   );
-  const preferred = untried.filter((target) =>
-    !loads.isAvoided(target.instanceId, nowMs) &&
-    !choice.isSilent(target.instanceId) && !choice.isSlow(target)
-  );
+  const preferred = untried.filter((target) => isPreferred(target, choice));
   let best: ServingTarget | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const target of preferred.length > 0 ? preferred : untried) {
@@ -64,3 +61,13 @@
   }
   return best;
 }
+
+/** Whether nothing speaks against a target but its load. */
+export function isPreferred(
+  target: ServingTarget,
+  { loads, isSilent, isSlow, nowMs }: TargetChoice,
+): boolean {
+  const { instanceId } = target;
+  return !loads.isAvoided(instanceId, nowMs) && !isSilent(instanceId) &&
+    !isSlow(target);
+}
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -5,7 +5,12 @@
   type AttemptsOptions,
   mayAttemptAfterThis,
 } from "./attempt_progress.ts";
-import { chooseTarget, type ServingTarget } from "./choose_target.ts";
+import {
+  chooseTarget,
+  isPreferred,
+  type ServingTarget,
+  type TargetChoice,
+} from "./choose_target.ts";
 
 /** Longest wait for a replica of the model, as a part of the target time. */
 const WAIT_PART_OF_TARGET = 0.25;
@@ -53,7 +58,7 @@
   nowMs: number,
 ): TargetSearch {
   const { call, dependencies } = options;
-  const target = findTarget(options, progress, nowMs);
+  const target = chooseTarget(createChoice(options, progress, nowMs));
   if (target === undefined) return { kind: "none" };
   const hasBegun = progress.attempts.length > 0 ||
     progress.lastEventId !== undefined;
@@ -64,13 +69,13 @@
   return isFull ? { kind: "full" } : { kind: "found", target };
 }
 
-function findTarget(
+function createChoice(
   { call, dependencies }: AttemptsOptions,
   progress: AttemptProgress,
   nowMs: number,
-): ServingTarget | undefined {
+): TargetChoice {
   const { stalls, paces } = dependencies;
-  return chooseTarget({
+  return {
     targets: dependencies.listTargets(call.service, call.head.model),
     loads: dependencies.loads,
     zone: dependencies.zone,
@@ -80,7 +85,7 @@
     tried: progress.tried,
     nowMs,
     random: dependencies.random,
-  });
+  };
 }
 
 /** Ends the attempt under way if another instance surely takes the request. */
@@ -90,20 +95,16 @@
   nowMs: number,
 ): void {
   const { call, dependencies } = options;
-  const { loads, stalls, paces, repeats } = dependencies;
+  const { loads, repeats } = dependencies;
   if (
     progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
-  ) {
-    return;
-  }
+  ) return;
   if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return;
-  const target = findTarget(options, progress, nowMs);
+  const choice = createChoice(options, progress, nowMs);
+  const target = chooseTarget(choice);
   if (target === undefined) return;
-  const { instanceId, slots } = target;
-  const isBetter = !paces.isSlow(target, nowMs) &&
-    !stalls.isSilent(instanceId, nowMs) &&
-    !loads.isAvoided(instanceId, nowMs) &&
-    loads.estimate(instanceId, nowMs) < slots;
+  const isBetter = isPreferred(target, choice) &&
+    loads.estimate(target.instanceId, nowMs) < target.slots;
   if (!isBetter || !repeats.trySpend(call.service, nowMs)) return;
   progress.isNextPaid = true;
   progress.abandon("slow");
--- a/packages/celerytray/src/serving/pace_book.ts
+++ b/packages/celerytray/src/serving/pace_book.ts
@@ -50,12 +50,7 @@
   slowness(instanceId: string, nowMs: number): number {
     const pace = this.#paces.get(instanceId);
     if (pace === undefined || !isKnown(pace, nowMs)) return 1;
-    const pauses = [...this.#paces.values()]
-      .filter((other) => other.model === pace.model && isKnown(other, nowMs))
-      .map(({ pauseMs }) => pauseMs)
-      .sort((a, b) => a - b);
-    const medianMs = pauses[Math.floor((pauses.length - 1) / 2)]!;
-    return pace.pauseMs / Math.max(1, medianMs);
+    return pace.pauseMs / this.#usualPauseMs(pace.model, nowMs);
   }
 
   /** Whether requests for a replica are better off elsewhere. */
@@ -69,9 +64,16 @@
 
   /** Instances at which requests are better off elsewhere. */
   listSlow(nowMs: number): readonly string[] {
-    return [...this.#paces.keys()].filter((id) =>
-      this.slowness(id, nowMs) >= SLOW_RATIO
+    const known = [...this.#paces].filter(([, pace]) => isKnown(pace, nowMs));
+    const models = new Set(known.map(([, { model }]) => model));
+    const usualMs = new Map(
+      [...models].map((model) => [model, this.#usualPauseMs(model, nowMs)]),
     );
+    return known
+      .filter(([, { model, pauseMs }]) =>
+        pauseMs / usualMs.get(model)! >= SLOW_RATIO
+      )
+      .map(([instanceId]) => instanceId);
   }
 
   /** Forgets instances that are gone. */
@@ -80,6 +82,15 @@
       if (!isPresent(instanceId)) this.#paces.delete(instanceId);
     }
   }
+
+  /** Median of the known pauses of a model's instances, 1 at least. */
+  #usualPauseMs(model: string, nowMs: number): number {
+    const pauses = [...this.#paces.values()]
+      .filter((pace) => pace.model === model && isKnown(pace, nowMs))
+      .map(({ pauseMs }) => pauseMs)
+      .sort((a, b) => a - b);
+    return Math.max(1, pauses[Math.floor((pauses.length - 1) / 2)] ?? 1);
+  }
 }
 
 function isKnown({ pauses, atMs }: Pace, nowMs: number): boolean {
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -12,6 +12,7 @@
   mayRepeatAnswer,
   noteOutcome,
   refuseAsFull,
+  runOutOfTime,
   summarize,
 } from "./attempt_progress.ts";
 import type { AdmittedCall } from "./call_context.ts";
@@ -37,10 +38,7 @@
     return yield* attemptUntilDone(options, progress).pipe(
       Effect.timeoutOrElse({
         duration: Math.max(1, call.deadlineAtMs - startedAtMs),
-        orElse: () =>
-          Effect.sync(() =>
-            giveUp(options, progress, "The request's time is over")
-          ),
+        orElse: () => Effect.sync(() => runOutOfTime(options, progress)),
       }),
       Effect.onInterrupt(() =>
         Effect.sync(() => options.onLeft(summarize(progress)))
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -1,7 +1,6 @@
 import { expect } from "earl";
 import { Effect } from "effect";
 import {
-  Agent,
   createServer,
   type IncomingMessage,
   request,
@@ -16,14 +15,12 @@
 } from "node:net";
 import { after, describe, it } from "node:test";
 import { steadyMs } from "../clock/index.ts";
-import { PlatformCallCodec } from "../platform/call_codec.ts";
-import { BudgetBook } from "./budget_book.ts";
 import type { CallRecord } from "./call_context.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
+import { createTestDependencies } from "./create_test_dependencies.ts";
 import { LoadBook } from "./load_book.ts";
 import { PaceBook } from "./pace_book.ts";
-import { RepeatBudget } from "./repeat_budget.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServingRoute } from "./serving_config.ts";
 import { ServingIndex } from "./serving_index.ts";
@@ -376,31 +373,16 @@
     tenants: [{ name: "tenant-1", keys: [KEY] }],
   });
   const records: CallRecord[] = [];
-  const agent = new Agent({ keepAlive: true });
-  const dependencies = {
-    codec: new PlatformCallCodec(),
-    zone: "z",
+  const { loads, stalls, paces } = options;
+  const dependencies = createTestDependencies({
     index: () => options.isConfigured === false ? undefined : index,
     areKeysFresh: () => options.areKeysFresh !== false,
     listTargets: () => options.backends,
-    loads: options.loads ?? new LoadBook(),
-    stalls: options.stalls ?? new StallWatch(),
-    paces: options.paces ?? new PaceBook(),
-    budgets: new BudgetBook(),
-    repeats: new RepeatBudget({
-      share: 1,
-      slackRequests: 100,
-      windowMs: 10_000,
-      countMachines: () => 1,
-      sharedTotals: () => undefined,
-    }),
-    agentFor: () => agent,
-    discardAgent: () => {},
-    hasConnection: () => false,
-    random: () => 0.5,
-    noteDemand: () => {},
-    record: (record: CallRecord) => records.push(record),
-  };
+    record: (record) => records.push(record),
+    ...(loads === undefined ? {} : { loads }),
+    ...(stalls === undefined ? {} : { stalls }),
+    ...(paces === undefined ? {} : { paces }),
+  });
   return await start((incoming, response) => {
     const exchange = new CallerExchange({
       request: incoming,
--- a/packages/cli/src/commands/serve_command.ts
+++ b/packages/cli/src/commands/serve_command.ts
@@ -7,8 +7,9 @@
 } from "celerytray";
 import { Command, Option } from "clipanion";
 import createDebug from "debug";
-import { Deferred, Effect } from "effect";
+import { Effect } from "effect";
 import { fromEither } from "celerytray";
+import { waitForSignal } from "../wait_for_signal.ts";
 
 const debug = createDebug("celerytray:serve");
 
@@ -77,16 +78,3 @@
     debug("stopped");
   });
 }
-
-/** Waits for SIGTERM or SIGINT. */
-function waitForSignal(): Effect.Effect<void> {
-  return Effect.gen(function* () {
-    const received = yield* Deferred.make<void>();
-    const onSignal = () => Deferred.doneUnsafe(received, Effect.void);
-    process.once("SIGTERM", onSignal);
-    process.once("SIGINT", onSignal);
-    yield* Deferred.await(received);
-    process.off("SIGTERM", onSignal);
-    process.off("SIGINT", onSignal);
-  });
-}
--- a/packages/cli/src/host_main.ts
+++ b/packages/cli/src/host_main.ts
@@ -5,8 +5,9 @@
   decodeSettings,
   SETTINGS_VARIABLE,
 } from "celerytray/platform";
-import { Clock, Deferred, Effect } from "effect";
+import { Clock, Effect } from "effect";
 import { readFileSync } from "node:fs";
+import { waitForSignal } from "./wait_for_signal.ts";
 
 const EXIT_BAD_SETTINGS = 2;
 
@@ -75,15 +76,4 @@
   });
 }
 
-/** Waits for SIGTERM or SIGINT. */
-function waitForSignal(): Effect.Effect<void> {
-  return Effect.gen(function* () {
-    const received = yield* Deferred.make<void>();
-    const onSignal = () => Deferred.doneUnsafe(received, Effect.void);
-    process.once("SIGTERM", onSignal);
-    process.once("SIGINT", onSignal);
-    yield* Deferred.await(received);
-  });
-}
-
 process.exit(await main());
