Bundle the machines' program from the sources of every package

Cause: the exports of a package name compiled files under dist/, which only `tsc -b` makes. Three exports were mapped to their sources by hand in scripts/bundle.js; @celerytray/schema was not.

Ruled out: missing system packages (the same error with all of them) and npm (the packages were installed).

Change: the map from exports to sources is derived from the package.json of every package, so the next package can't be forgotten, and a bundle that would hold a file of a dist/ is refused before it is written, so that no compiled file that is out of date gets in without a word.

On the code before, 5 of its 7 tests failed, the first with 'Could not resolve "@celerytray/schema"'; now all pass. The bundle is the same to the byte with an out-of-date dist/ beside it. With the map of the one package taken away it fails, and with a dist/ there too, it is refused.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,27 +1,47 @@
 /** Bundles the program of a deployment's machines into `target/`. */
 import { build } from "esbuild";
-import { fileURLToPath } from "node:url";
+import { mkdir, writeFile } from "node:fs/promises";
+import { dirname } from "node:path";
+import { root } from "./list_sources.js";
+import { mapExportsToSources } from "./map_exports_to_sources.js";
 
-const root = fileURLToPath(new URL("..", import.meta.url));
-const library = `${root}packages/celerytray/src`;
+const COMPILED = /^packages\/[^/]+\/dist\//;
 
-await build({
-  absWorkingDir: root,
-  entryPoints: ["packages/cli/src/host_main.ts"],
-  outfile: "target/celerytray_host.mjs",
-  alias: {
-    "celerytray/host": `${library}/host/index.ts`,
-    "celerytray/journal": `${library}/journal/index.ts`,
-    "celerytray/platform": `${library}/platform/index.ts`,
-  },
-  bundle: true,
-  platform: "node",
-  target: "node20",
-  format: "esm",
-  minify: true,
-  legalComments: "none",
-  banner: {
-    js:
-      'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);',
-  },
-});
+async function main() {
+  const { metafile, outputFiles } = await build({
+    absWorkingDir: root,
+    entryPoints: ["packages/cli/src/host_main.ts"],
+    outfile: "target/celerytray_host.mjs",
+    alias: await mapExportsToSources(),
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    minify: true,
+    legalComments: "none",
+    metafile: true,
+    write: false,
+    banner: {
+      js:
+        'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);',
+    },
+  });
+  failOnCompiled(Object.keys(metafile.inputs));
+  for (const { path, contents } of outputFiles) {
+    await mkdir(dirname(path), { recursive: true });
+    await writeFile(path, contents);
+  }
+}
+
+/** Compiled files of the workspace are missing or may be out of date. */
+function failOnCompiled(inputs) {
+  const compiled = inputs.filter((path) => COMPILED.test(path));
+  if (compiled.length === 0) return;
+  throw new Error(
+    `the bundle would hold compiled files; import the sources instead of ${
+      compiled.join(", ")
+    }`,
+  );
+}
+
+await main();
