--- a/scripts/clean_build_test.js
+++ b/scripts/clean_build_test.js
@@ -1,11 +1,13 @@
 /**
  * Runs the build line of `deploy/system.toml` in a clean checkout and an empty
- * environment, as an ordinary user.
+ * environment, as an ordinary user, and compares the system files that it
+ * opens with the packages that the deploy file lists.
  *
- * Needs `git` and `strace`.
+ * Needs Debian's `dpkg`, `git` and `strace`.
  */
 import { expect } from "earl";
 import { execFile } from "node:child_process";
+import { existsSync, realpathSync, statSync } from "node:fs";
 import {
   chmod,
   cp,
@@ -28,6 +30,15 @@
 const NOBODY_ID = 65_534;
 const IS_ROOT = process.getuid() === 0;
 const EMPTY_ENVIRONMENT = { PATH: "/usr/bin:/bin" };
+/** Not files of packages: the kernel's, and the settings of the machine. */
+const MACHINE_FILES =
+  /^\/(proc|sys|dev|run)\/|^\/usr\/etc\/npmrc$|^\/etc\/(hosts|host\.conf|resolv\.conf|nsswitch\.conf|passwd|group|gai\.conf|ld\.so\.cache|npmrc)$/;
+/** Files that dpkg doesn't list: made on installation, or npm newer than it. */
+const UNLISTED_FOLDERS = [
+  { prefix: "/etc/ssl/certs/", packageName: "ca-certificates" },
+  { prefix: "/usr/lib/node_modules/npm/", packageName: "nodejs" },
+];
+
 let folder;
 let clean;
 let cleanRun;
@@ -54,6 +65,12 @@
     ]);
   });
 
+  it("uses files of the listed packages only", async () => {
+    const { packages } = await readDeployFile(clean.path);
+    expect(cleanRun.systemFiles.length).not.toEqual(0);
+    expect(await findUnlisted(cleanRun.systemFiles, packages)).toEqual([]);
+  });
+
   it("writes to its checkout and its home only", () => {
     expect(cleanRun.writtenFiles.length).not.toEqual(0);
     expect(cleanRun.writtenFiles.filter((path) => !isOwnPath(path))).toEqual(
@@ -85,6 +102,33 @@
   });
 });
 
+describe("the check of the build", () => {
+  it("names a package that the build uses and the list lacks", async () => {
+    const { packages } = await readDeployFile(clean.path);
+    const shorter = packages.filter((name) => name !== "nodejs");
+    expect(packages).toInclude("nodejs");
+    expect(await findUnlisted(cleanRun.systemFiles, shorter)).toEqual([
+      "nodejs",
+    ]);
+  });
+
+  it("names the package of a tool that the build line starts", async () => {
+    const copy = await checkOutInstalled("tool");
+    const { build, packages } = await readDeployFile(copy.path);
+    const traced = await runBuild(copy, `${build} && git --version`);
+    expect(traced.code).toEqual(0);
+    expect(await findUnlisted(traced.systemFiles, packages)).toInclude("git");
+  });
+
+  it("names a file that no package holds", async () => {
+    const { packages } = await readDeployFile(clean.path);
+    const files = [...cleanRun.systemFiles, "/usr/local/lib/libmade.so"];
+    expect(await findUnlisted(files, packages)).toEqual([
+      "/usr/local/lib/libmade.so",
+    ]);
+  });
+});
+
 describe("the bundle", () => {
   it("comes from the sources, whatever the compiled files hold", async () => {
     const copy = await checkOutInstalled("stale");
@@ -135,8 +179,8 @@
   return checkout;
 }
 
-/** Runs the build line and tells which files it wrote. */
-async function runBuild(checkout) {
+/** Runs the build line and tells which files it opened. */
+async function runBuild(checkout, line) {
   const { build } = await readDeployFile(checkout.path);
   await rm(checkout.traces, { recursive: true, force: true });
   await mkdir(checkout.traces);
@@ -145,7 +189,7 @@
     ...["--follow-forks", "--output-separately", "--quiet=all"],
     "--trace=open,openat,execve,connect",
     `--output=${join(checkout.traces, "trace")}`,
-    ...["sh", "-c", build],
+    ...["sh", "-c", line ?? build],
   ], {
     cwd: checkout.path,
     env: { ...EMPTY_ENVIRONMENT, HOME: checkout.home },
@@ -164,6 +208,7 @@
 }
 
 async function readTraces({ path, traces }) {
+  const opened = new Set();
   const written = new Set();
   let connectionCount = 0;
   for (const name of await readdir(traces)) {
@@ -175,10 +220,18 @@
         .exec(call)?.[1];
       if (named === undefined || call.includes("O_DIRECTORY")) continue;
       const file = resolve(path, named);
+      opened.add(file);
       if (/O_WRONLY|O_RDWR|O_CREAT/.test(call)) written.add(file);
     }
   }
-  return { writtenFiles: [...written], connectionCount };
+  const systemFiles = [...opened].filter((file) =>
+    !isOwnPath(file) && !MACHINE_FILES.test(file) && !isFolder(file)
+  );
+  return { systemFiles, writtenFiles: [...written], connectionCount };
+}
+
+function isFolder(path) {
+  return statSync(path, { throwIfNoEntry: false })?.isDirectory() ?? false;
 }
 
 function isOwnPath(path) {
@@ -186,10 +239,66 @@
     path === "/dev/tty";
 }
 
+/** Packages and files without a package that `packages` doesn't cover. */
+async function findUnlisted(files, packages) {
+  const owners = await findOwners(files);
+  const used = new Set(files.map((file) => owners.get(file) ?? file));
+  const essential = await listEssentialPackages();
+  return [...used].filter((name) =>
+    !packages.includes(name) && !essential.includes(name)
+  ).sort();
+}
+
+/** The package of each file that a package holds. */
+async function findOwners(files) {
+  const places = files.flatMap((file) =>
+    listPlaces(file).map((place) => ({ file, place }))
+  );
+  const { output } = await run(
+    "dpkg-query",
+    ["--search", ...new Set(places.map(({ place }) => place))],
+    { cwd: folder },
+  );
+  const owners = new Map(
+    [...output.matchAll(/^([^:\s]+)(?::\S+)?: (\/.*)$/gm)].map(
+      ([, packageName, place]) => [place, packageName],
+    ),
+  );
+  for (const { file, place } of places) {
+    const owner = owners.get(place) ?? findFolderOwner(file);
+    if (owner !== undefined) owners.set(file, owner);
+  }
+  return owners;
+}
+
+/** A file may be listed under the folder that a link of its path leads to. */
+function listPlaces(file) {
+  const paths = [file, existsSync(file) ? realpathSync(file) : file];
+  return paths.flatMap((path) => [
+    path,
+    path.startsWith("/usr/") ? path.slice("/usr".length) : `/usr${path}`,
+  ]);
+}
+
+function findFolderOwner(file) {
+  return UNLISTED_FOLDERS.find(({ prefix }) => file.startsWith(prefix))
+    ?.packageName;
+}
+
+async function listEssentialPackages() {
+  const format = "--showformat=${Essential} ${Package}\n";
+  const { output } = await run("dpkg-query", ["--show", format], {
+    cwd: folder,
+  });
+  return [...output.matchAll(/^yes (.+)$/gm)].map(([, name]) => name);
+}
+
 async function readDeployFile(path) {
   const text = await readFile(join(path, "deploy/system.toml"), "utf8");
   const build = /^build = "(.*)"$/m.exec(text)[1];
-  return { build };
+  const list = /^packages = \[(.*)\]$/m.exec(text)?.[1] ?? "";
+  const packages = [...list.matchAll(/"([^"]+)"/g)].map(([, name]) => name);
+  return { build, packages };
 }
 
 function readBundle({ path }) {
