--- a/scripts/clean_build_test.js
+++ b/scripts/clean_build_test.js
@@ -30,6 +30,12 @@
 const NOBODY_ID = 65_534;
 const IS_ROOT = process.getuid() === 0;
 const EMPTY_ENVIRONMENT = { PATH: "/usr/bin:/bin" };
+const DEVELOPMENT_TOOLS = [
+  "deno",
+  "earl",
+  "fast-check",
+  "json-schema-to-typescript",
+];
 /** Not files of packages: the kernel's, and the settings of the machine. */
 const MACHINE_FILES =
   /^\/(proc|sys|dev|run)\/|^\/usr\/etc\/npmrc$|^\/etc\/(hosts|host\.conf|resolv\.conf|nsswitch\.conf|passwd|group|gai\.conf|ld\.so\.cache|npmrc)$/;
@@ -86,6 +92,13 @@
     expect(changed.output).toEqual("");
   });
 
+  it("installs no development tools", async () => {
+    const installed = await readdir(join(clean.path, "node_modules"));
+    expect(
+      DEVELOPMENT_TOOLS.filter((name) => installed.includes(name)),
+    ).toEqual([]);
+  });
+
   it("connects to nothing once the packages are installed", async () => {
     const again = await runBuild(clean);
     expect(again.code).toEqual(0);
