Serve on while a member other than the head drains

Cause: any draining member made a replica retire at once. And a draining member that refuses new connections counted as ended, which cut the requests of its replica off, though it works for its head for some seconds more.

Ruled out: doing so only where no spare stands by. A spare may be lost without the list telling yet, the time without the replica is the same later, and several members that drain shortly after each other then cost one new forming.

Change: only a draining head makes an open replica retire at once. For another member it serves on for `bounds.drain_ms` (a new setting of the process, 2 s by default) from the first sight, or until that member refuses connections; it is then closed gently. While it closes, a member that is lost makes the closing immediate. A replica that doesn't serve yet is taken apart at once, as before.

--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -26,6 +26,8 @@
   readonly demand: (model: string) => number;
   /** Whether callers have sent requests yet. */
   readonly hasTraffic: () => boolean;
+  /** Time for which an instance that drains works on at least. */
+  readonly drainMs: number;
   readonly record: (kind: string, fields: Record<string, unknown>) => void;
 }
 
@@ -212,6 +214,7 @@
         findInstance: (id) => this.#state.findLatest(id),
         isListed: (id) => this.#options.instances.find(id) !== undefined,
         liveness: (id) => this.#state.liveness.livenessOf(id),
+        drainMs: this.#options.drainMs,
         nowMs,
       });
       if (!wasRetiring && run.retiring !== undefined) {
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -13,6 +13,8 @@
   readonly leftIds: Set<string>;
   /** Whether the head may have been told to open. */
   mayBeOpen: boolean;
+  /** Time at which a member other than the head was first seen to drain. */
+  drainingSinceMs?: number;
   /** Why it is taken apart; undefined while it is to serve. */
   retiring?: Retirement;
 }
@@ -48,6 +50,8 @@
   /** Whether the list has the instance now. */
   readonly isListed: (id: string) => boolean;
   readonly liveness: (id: string) => Liveness;
+  /** Time for which an instance that drains works on at least. */
+  readonly drainMs: number;
   readonly nowMs: number;
 }
 
@@ -94,33 +98,52 @@
 
 function findRetirement(input: RunInput): Retirement | undefined {
   const { run, findInstance, nowMs } = input;
-  let leaving: string | undefined;
   for (const id of run.record.members) {
     const lost = describeLoss(input, id);
     if (lost !== undefined) {
       return createRetirement(lost, { nowMs, isImmediate: true });
     }
-    const instance = findInstance(id);
-    if (instance?.isDraining === true) leaving = `${id} is draining`;
   }
-  const headId = run.record.members[0]!;
-  if (!input.isListed(headId)) leaving = `${headId} is no longer listed`;
-  const head = findMemberState(run, findInstance(headId));
+  const head = findMemberState(run, findInstance(run.record.members[0]!));
   if (head === "broken") {
     return createRetirement("the head is broken", { nowMs, isImmediate: true });
   }
+  const leaving = describeLeaving(input);
   return leaving === undefined
     ? undefined
     : createRetirement(leaving, { nowMs, isImmediate: false });
 }
 
+/**
+ * Which member's leaving is to be answered now. Members that drain work on for
+ * a time, in which the replica serves; only its head takes requests.
+ */
+function describeLeaving(input: RunInput): string | undefined {
+  const { run, findInstance, nowMs } = input;
+  const [headId, ...others] = run.record.members;
+  const isDraining = (id: string) => findInstance(id)?.isDraining === true;
+  if (!input.isListed(headId!)) return `${headId} is no longer listed`;
+  if (isDraining(headId!)) return `${headId} is draining`;
+  const drainingId = others.find(isDraining);
+  if (drainingId === undefined) return undefined;
+  run.drainingSinceMs ??= nowMs;
+  const isServing = findMemberState(run, findInstance(headId!)) === "open";
+  const isDue = !isServing ||
+    nowMs - run.drainingSinceMs >= input.drainMs ||
+    input.liveness(drainingId).kind === "ended";
+  return isDue ? `${drainingId} is draining` : undefined;
+}
+
 /** Why a member can't work any more. */
 function describeLoss(input: RunInput, id: string): string | undefined {
   const { run, findInstance, liveness } = input;
   const kind = liveness(id).kind;
   if (kind === "silent") return `${id} is silent`;
-  if (kind === "ended") return `${id} has ended`;
   const instance = findInstance(id);
+  // One that drains refuses connections while it still works for its head.
+  if (kind === "ended" && instance?.isDraining !== true) {
+    return `${id} has ended`;
+  }
   if (instance === undefined) return undefined;
   return isBornAnew(run, instance) ? `${id} was started anew` : undefined;
 }
@@ -178,8 +201,10 @@
     retiring.isClosed = true;
   }
   if (!retiring.isClosed) {
-    const isImmediate = retiring.isImmediate ||
-      nowMs - retiring.sinceMs >= GENTLE_CLOSE_MS;
+    const isLate = nowMs - retiring.sinceMs >= GENTLE_CLOSE_MS;
+    const isLost = members.some((id) => describeLoss(input, id) !== undefined);
+    retiring.isImmediate ||= isLate || isLost;
+    const { isImmediate } = retiring;
     return [{
       instanceId: headId,
       order: { kind: "close", replica, epoch, isImmediate },
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -201,6 +201,7 @@
           engines,
           demand: (model) => coordinator.totalDemand(model),
           hasTraffic: () => coordinator.hasAnyTraffic(),
+          drainMs: settings.drainMs,
           record,
         }),
       record,
--- a/packages/celerytray/src/host/host_settings.ts
+++ b/packages/celerytray/src/host/host_settings.ts
@@ -13,6 +13,8 @@
   readonly storeAddress: string;
   /** Time from SIGTERM until the process is killed. */
   readonly graceMs: number;
+  /** Time for which an instance that drains works on at least. */
+  readonly drainMs: number;
   /** Time after which a key that was taken away must be refused. */
   readonly keyRevocationMs: number;
   /** Repeats allowed over all machines, as a share of the requests. */
--- a/packages/celerytray/src/platform/settings_file.ts
+++ b/packages/celerytray/src/platform/settings_file.ts
@@ -11,6 +11,7 @@
   internalPorts: "internal_ports",
   storeAddress: "platform.address",
   graceSeconds: "bounds.grace_s",
+  drainMs: "bounds.drain_ms",
   revokeMs: "bounds.revoke_ms",
   retryRatio: "bounds.retry_ratio",
   retryWindowSeconds: "bounds.retry_window_s",
@@ -19,6 +20,7 @@
 
 const DEFAULTS: Readonly<Record<string, string>> = {
   [NAMES.graceSeconds]: "8",
+  [NAMES.drainMs]: "2000",
   [NAMES.revokeMs]: "5000",
   [NAMES.retryRatio]: "0.1",
   [NAMES.retryWindowSeconds]: "10",
@@ -66,6 +68,7 @@
     metricsAddress: `${readText(NAMES.host)}:${lastPort}`,
     storeAddress: readAddress(NAMES.storeAddress),
     graceMs: readAmount(NAMES.graceSeconds) * 1000,
+    drainMs: readAmount(NAMES.drainMs),
     keyRevocationMs: readAmount(NAMES.revokeMs),
     retryShare: readAmount(NAMES.retryRatio),
     retryWindowMs: readAmount(NAMES.retryWindowSeconds) * 1000,
--- a/packages/fakes/src/fleet/fleet_director_test.ts
+++ b/packages/fakes/src/fleet/fleet_director_test.ts
@@ -483,6 +483,7 @@
         engines: () => new Map([["drafts", ENGINE]]),
         demand: () => 0,
         hasTraffic: () => nowMs() > SETTLE_MS,
+        drainMs: DRAIN_MS,
         record: () => {},
       }),
     record: () => {},
