Load a newcomer's weights before it is bound in a replica

Cause: as soon as one empty instance arrived in a domain, it was made a replica of the small model together with the domain's two spares. The three joined at once, and the spares, which hold both models, stood still for the 12 s that the newcomer loads. The next loss in the domain found no spare, and its survivors were divided into small replicas in turn, which took the large model's weights from their memory.

Ruled out: the division itself (it is right for the weights it sees) and a reserve of spares (three prepared spares may well serve until a loss).

Change: once there is traffic, a replica is formed only of members that hold its weights in memory or on their hosts. Where the best division of a domain has a member that must load, the division stands as a plan: that member loads first, as a spare, with the model that the plan names, and the others stay spares.

The random histories now have instances that drain and arrive.

--- a/packages/celerytray/src/groups/plan_formations.ts
+++ b/packages/celerytray/src/groups/plan_formations.ts
@@ -26,8 +26,15 @@
 /** A replica to form. */
 export type Formation = Omit<ReplicaRecord, "name" | "epoch">;
 
+/** What is to become of the free instances. */
+export interface FormationPlan {
+  readonly formations: readonly Formation[];
+  /** Models that free instances are to load first, by instance. */
+  readonly preparations: ReadonlyMap<string, string>;
+}
+
 /** Time over which a replica's worth is weighed against its loading. */
-const HORIZON_MS = 15_000;
+const HORIZON_MS = 30_000;
 /** Keeps the need finite, and largest, where there is no replica. */
 const FIRST_REPLICA_BIAS = 0.5;
 /** Weight of the wanted shares against the fill. */
@@ -38,20 +45,30 @@
 /** Part of their usual time that loads take before the first request. */
 const EARLY_LOAD_PART = 0.1;
 
-/** Picks the replicas to form of the free instances, domain by domain. */
-export function planFormations(input: FormationInput): readonly Formation[] {
+/**
+ * Picks the replicas to form of the free instances, domain by domain. Where
+ * members of one must load first, it is not formed yet, so that those which are
+ * ready stay spares meanwhile.
+ */
+export function planFormations(input: FormationInput): FormationPlan {
   const counts = new Map(input.models.map(({ name }) => [name, 0]));
   for (const { model } of input.replicas) {
     counts.set(model, (counts.get(model) ?? 0) + 1);
   }
   const formations: Formation[] = [];
+  const preparations = new Map<string, string>();
   const pools = groupBy(input.free, ({ domain }) => domain ?? "");
   while (true) {
     const next = findNext(input, { counts, pools });
-    if (next === undefined) return formations;
+    if (next === undefined) return { formations, preparations };
     pools.delete(next.domain);
-    for (const formation of next.division.formations) {
-      formations.push(formation);
+    for (const { formation, isPrepared } of next.division.formations) {
+      if (input.isEarly || isPrepared) formations.push(formation);
+      else {
+        for (const id of formation.members) {
+          preparations.set(id, formation.model);
+        }
+      }
       counts.set(formation.model, (counts.get(formation.model) ?? 0) + 1);
     }
   }
@@ -99,7 +116,13 @@
 
 interface Division {
   readonly worth: number;
-  readonly formations: readonly Formation[];
+  readonly formations: readonly DividedFormation[];
+}
+
+interface DividedFormation {
+  readonly formation: Formation;
+  /** Whether no member has to load weights from the store. */
+  readonly isPrepared: boolean;
 }
 
 /** The replicas of a pool that are worth most together. */
@@ -131,7 +154,10 @@
     best = {
       worth,
       formations: [
-        createFormation(input, model, members),
+        {
+          formation: createFormation(input, model, members),
+          isPrepared: readyMs <= model.warmMs,
+        },
         ...rest?.formations ?? [],
       ],
     };
--- a/packages/celerytray/src/groups/plan_spares.ts
+++ b/packages/celerytray/src/groups/plan_spares.ts
@@ -11,6 +11,8 @@
   readonly hotModel: (instanceId: string) => string | undefined;
   /** Model that an instance is loading. */
   readonly preparedModel: (instanceId: string) => string | undefined;
+  /** Models that instances are to load for a replica to come, by instance. */
+  readonly wantedModels: ReadonlyMap<string, string>;
   /** Epoch for replicas that never open; below that of any later replica. */
   readonly epoch: number;
 }
@@ -28,14 +30,15 @@
  * can soon take the place of an instance of either.
  */
 export function planSpares(input: SpareInput): readonly SpareOrder[] {
-  const { models, hotModel, epoch } = input;
+  const { models, hotModel, wantedModels, epoch } = input;
   const hotCounts = countHot(input);
   return input.free.flatMap((instance): SpareOrder[] => {
     const domain = instance.domain ?? "";
     if (input.preparedModel(instance.id) !== undefined) return [];
     const hot = hotModel(instance.id);
+    const wanted = wantedModels.get(instance.id);
     if (hot === undefined) {
-      const model = leastHot(
+      const model = wanted ?? leastHot(
         models,
         (name) => hotCounts.get(`${domain} ${name}`) ?? 0,
       );
@@ -54,17 +57,32 @@
         },
       }];
     }
-    const other = models.find(({ name }) =>
-      name !== hot && !instance.stagedModels.includes(name)
-    );
-    const isStaged = models.some(({ name }) =>
-      name !== hot && instance.stagedModels.includes(name)
-    );
-    if (other === undefined || isStaged) return [];
-    return [{ instance, order: { kind: "stage", model: other.name } }];
+    const other = findOther(models, { instance, hot, wanted });
+    return other === undefined
+      ? []
+      : [{ instance, order: { kind: "stage", model: other } }];
   });
 }
 
+/** Model to put on the host of an instance beside the one in its memory. */
+function findOther(
+  models: readonly ServedModel[],
+  { instance, hot, wanted }: {
+    readonly instance: InstanceState;
+    readonly hot: string;
+    readonly wanted: string | undefined;
+  },
+): string | undefined {
+  const isStaged = (name: string) => instance.stagedModels.includes(name);
+  if (wanted !== undefined && wanted !== hot && !isStaged(wanted)) {
+    return wanted;
+  }
+  const others = models.filter(({ name }) => name !== hot);
+  return others.some(({ name }) => isStaged(name))
+    ? undefined
+    : others[0]?.name;
+}
+
 function countHot(
   { free, hotModel, preparedModel }: SpareInput,
 ): Map<string, number> {
--- a/packages/celerytray/src/groups/replica_former.ts
+++ b/packages/celerytray/src/groups/replica_former.ts
@@ -26,6 +26,13 @@
   readonly record: (kind: string, fields: Record<string, unknown>) => void;
 }
 
+interface SparePreparation {
+  readonly engine: EngineSpec;
+  readonly free: readonly InstanceState[];
+  /** Models that instances are to load for a replica to come, by instance. */
+  readonly preparations: ReadonlyMap<string, string>;
+}
+
 /** Forms replicas of free instances and prepares the others as spares. */
 export class ReplicaFormer {
   readonly #options: ReplicaFormerOptions;
@@ -49,7 +56,7 @@
       const free = this.#state.listFree(service).filter(({ domain }) =>
         !unsettled.has(domain!)
       );
-      const formations = planFormations({
+      const { formations, preparations } = planFormations({
         service,
         models: engine.models,
         free,
@@ -66,7 +73,7 @@
         continue;
       }
       work.push(
-        ...this.#prepareSpares(engine, free, nowMs),
+        ...this.#prepareSpares({ engine, free, preparations }, nowMs),
         ...this.#crossStage(service, engine, nowMs),
       );
     }
@@ -116,8 +123,7 @@
   }
 
   #prepareSpares(
-    engine: EngineSpec,
-    free: readonly InstanceState[],
+    { engine, free, preparations }: SparePreparation,
     nowMs: number,
   ): readonly Effect.Effect<unknown>[] {
     return planSpares({
@@ -127,6 +133,7 @@
       ),
       hotModel: (id) => this.#state.weights.hotModel(id),
       preparedModel: (id) => this.#state.weights.preparedModel(id),
+      wantedModels: preparations,
       epoch: this.#state.fence,
     }).flatMap(({ instance, order }) =>
       this.#desk.send({ instanceId: instance.id, order }, nowMs)
--- a/packages/fakes/src/fleet/fleet_director_test.ts
+++ b/packages/fakes/src/fleet/fleet_director_test.ts
@@ -68,6 +68,8 @@
 const SLOW_PACE = 4;
 /** Time for which an instance that drains works on at least. */
 const DRAIN_MS = 2_000;
+/** Time after an arrival at which its weights are still loading. */
+const ARRIVAL_MS = 4_000;
 /** Where the configuration ends, and since when the lead knows. */
 const CONFIG_OFFSET = 7;
 const PROOF_AGE_MS = 300;
@@ -80,6 +82,8 @@
   | { readonly kind: "part"; readonly index: number; readonly members: number }
   /** A member of a replica turns slow. */
   | { readonly kind: "slow"; readonly index: number }
+  /** An instance drains, or arrives in a domain. */
+  | { readonly kind: "drain" | "arrive"; readonly index: number }
   /** A member that is no head drains, and its domain has no spare left. */
   | { readonly kind: "drain-without-spare" }
   | { readonly kind: "rejoin"; readonly members: number }
@@ -102,6 +106,10 @@
     members: fc.integer({ min: 1, max: 4 }),
   }),
   fc.record({ kind: fc.constant("slow" as const), index: fc.nat(13) }),
+  fc.record({
+    kind: fc.constantFrom("drain" as const, "arrive" as const),
+    index: fc.nat(13),
+  }),
   fc.record({
     kind: fc.constant("rejoin" as const),
     members: fc.integer({ min: 1, max: 4 }),
@@ -145,6 +153,14 @@
     expect(repairsMs.at(-1)! <= MAX_REPAIR_MS).toEqual(true);
   });
 
+  it("serve again soon after a death while a newcomer loads weights", async () => {
+    const repairMs = await measureRepair(
+      { kind: "kill-instance", index: 0 },
+      DOMAINS.map((_, index) => ({ kind: "arrive", index })),
+    );
+    expect(repairMs <= MEDIAN_REPAIR_MS).toEqual(true);
+  });
+
   it("use a member that comes back only once it has left", async () => {
     const world = await play([
       { waitMs: 0, trouble: { kind: "part", index: 0, members: 2 } },
@@ -232,11 +248,16 @@
   );
 }
 
-/** Time from a death until all replicas serve again. */
-function measureRepair(trouble: Trouble): Promise<number> {
+/** Time from a death, some time after others, until all replicas serve again. */
+function measureRepair(
+  trouble: Trouble,
+  before: readonly Trouble[] = [],
+): Promise<number> {
   const program = Effect.gen(function* () {
     const world = yield* createWorld();
     yield* advance(SETTLE_MS);
+    for (const earlier of before) world.apply(earlier);
+    if (before.length > 0) yield* advance(ARRIVAL_MS);
     world.apply(trouble);
     let passedMs = 0;
     const isWhole = () => world.fleet.listServing().length === REPLICAS;
@@ -398,6 +419,16 @@
       }
       return;
     }
+    case "drain": {
+      const instances = fleet.list();
+      fleet.drain(instances[step.index % instances.length]!.id);
+      return;
+    }
+    case "arrive": {
+      const domain = DOMAINS[step.index % DOMAINS.length]!;
+      fleet.start(`${domain}-new-${fleet.list().length}`, domain, 1);
+      return;
+    }
     case "drain-without-spare": {
       const heads = fleet.listServing();
       const members = heads.flatMap(({ membership }) => membership!.members);
