Bound the steps of dividing a domain into replicas

What would have been seen: with small models in a large domain the process that decides stands still for seconds in every round.

Cause: the division tried every sequence of replicas, which are as many as Fibonacci's numbers for sizes of 2 and 1.

Change: all replicas of a model take their members before those of the next one, with each model first once. So the counts of replicas are weighed, not their sequences. Ruled out: a memo of pools, which differ by members.

Test: "divides a large domain among small replicas in few steps", 60 instances and sizes of 2 and 1.

--- a/packages/celerytray/src/groups/plan_formations.ts
+++ b/packages/celerytray/src/groups/plan_formations.ts
@@ -100,16 +100,30 @@
     const models = input.models.filter((model) =>
       isFilled || needOf(input, model, counts) >= greatestNeed
     );
-    const division = findDivision({ ...input, models }, { counts, pool });
-    if (division === undefined) continue;
-    if (division.worth > (best?.division.worth ?? 0)) {
-      best = { domain, division };
+    for (const sequence of listSequences(models)) {
+      const division = findDivision(input, { sequence, counts, pool });
+      if (division === undefined) continue;
+      if (division.worth > (best?.division.worth ?? 0)) {
+        best = { domain, division };
+      }
     }
   }
   return best;
 }
 
+/** Orders in which models take their members: each first, the others after. */
+function listSequences(
+  models: readonly ServedModel[],
+): readonly (readonly ServedModel[])[] {
+  return models.map((first) => [
+    first,
+    ...models.filter((model) => model !== first),
+  ]);
+}
+
 interface Dividing {
+  /** Models that may take members, each after those before it. */
+  readonly sequence: readonly ServedModel[];
   readonly counts: ReadonlyMap<string, number>;
   readonly pool: readonly InstanceState[];
 }
@@ -125,13 +139,17 @@
   readonly isPrepared: boolean;
 }
 
-/** The replicas of a pool that are worth most together. */
+/**
+ * The replicas of a pool that are worth most together. All replicas of a model
+ * take their members before those of the next one, which bounds the divisions
+ * to be weighed by their counts of replicas.
+ */
 function findDivision(
   input: FormationInput,
-  { counts, pool }: Dividing,
+  { sequence, counts, pool }: Dividing,
 ): Division | undefined {
   let best: Division | undefined;
-  for (const model of input.models) {
+  for (const [index, model] of sequence.entries()) {
     if (pool.length < model.size) continue;
     const members = [...pool].sort((a, b) =>
       loadMs(input, model, a) - loadMs(input, model, b)
@@ -143,6 +161,7 @@
       Math.max(LEAST_PART, 1 - readyMs / HORIZON_MS);
     const used = new Set(members);
     const rest = findDivision(input, {
+      sequence: sequence.slice(index),
       counts: new Map(counts).set(
         model.name,
         (counts.get(model.name) ?? 0) + 1,
--- a/packages/celerytray/src/groups/plan_formations_test.ts
+++ b/packages/celerytray/src/groups/plan_formations_test.ts
@@ -91,6 +91,29 @@
     expect(formations[0]?.members).toEqual(["a-8", "a-9", "a-10"]);
   });
 
+  it("divides a large domain among small replicas in few steps", () => {
+    const models = [
+      { ...LARGE, name: "pair", size: 2 },
+      { ...SMALL, name: "single", size: 1 },
+    ];
+    const free = Array.from({ length: 60 }, (_, index) => ({
+      ...listDomain("a")[0]!,
+      id: `a-${index}`,
+    }));
+    let questions = 0;
+    const { formations } = planFormations(createInput({
+      models,
+      free,
+      fill: () => {
+        questions += 1;
+        return 0;
+      },
+    }));
+    const members = formations.flatMap(({ members }) => members);
+    expect(new Set(members).size).toEqual(free.length);
+    expect(questions < free.length ** 2).toEqual(true);
+  });
+
   it("doesn't bind spares in a replica whose newcomer must load", () => {
     const [newcomer, ...spares] = listDomain("a").slice(0, SMALL.size);
     const input = createInput({
