Ask for a proof of the keys four times a second at most, with a line

What would have been seen: after a jump of the clock, a process asks the store at once whether its keys are the newest. A store that refused was asked again every 20 ms by each process, and the log said nothing of it, though the keys' age is a reason to refuse requests. Found by reading.

Cause: the failure was ignored, and the wait of the loop that looks for a doubt was the wait between tries.

Change: a failure is a line (`keys.proof-failed` with the store's words), and the next try waits 250 ms. A doubt is still noticed within 20 ms.

--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -250,7 +250,7 @@
     }));
     yield* Effect.forkScoped(coordinator.run());
     yield* Effect.forkScoped(
-      proveKeys({ log: ports.log, config, keys, state }),
+      proveKeys({ log: ports.log, config, keys, state, record }),
     );
     yield* Effect.forkScoped(
       moveAttempts({
--- a/packages/celerytray/src/host/prove_keys.ts
+++ b/packages/celerytray/src/host/prove_keys.ts
@@ -10,13 +10,16 @@
   readonly config: ConfigView;
   readonly keys: KeyFreshness;
   readonly state: { needsProof: boolean };
+  readonly record: (kind: string, fields: Record<string, unknown>) => void;
 }
 
 const PROOF_CHECK_MS = 20;
+/** Wait before a proof that failed is tried again. */
+const PROOF_RETRY_MS = 250;
 
 /** Asks the store at once whether there is a newer configuration. */
 export function proveKeys(
-  { log, config, keys, state }: ProofOptions,
+  { log, config, keys, state, record }: ProofOptions,
 ): Effect.Effect<never> {
   const prove = Effect.gen(function* () {
     const sentAtMs = yield* steadyMs;
@@ -24,9 +27,14 @@
     const page = yield* log.read("config", { fromOffset, waitMs: 0 });
     state.needsProof = false;
     if (page.records.length === 0) keys.noteProof(sentAtMs);
-  });
+  }).pipe(
+    Effect.catch(({ message }) => {
+      record("keys.proof-failed", { message });
+      return Effect.sleep(PROOF_RETRY_MS);
+    }),
+  );
   return Effect.forever(
-    Effect.suspend(() => state.needsProof ? Effect.ignore(prove) : Effect.void)
+    Effect.suspend(() => state.needsProof ? prove : Effect.void)
       .pipe(Effect.andThen(Effect.sleep(PROOF_CHECK_MS))),
   );
 }
