Split the coordinator and the start of the machines' program

Behaviour is as it was: moved, not changed; one constant that stood for the same step in both roles of the coordinator stands once.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -6,7 +6,7 @@
   type ReplicaRecord,
   type ReplicaRecorder,
 } from "../groups/index.ts";
-import type { KeyedLog, RelayedChange, TopicCopy } from "../keyed_log/index.ts";
+import type { KeyedLog } from "../keyed_log/index.ts";
 import type { SharedTotals, WindowTotals } from "../serving/index.ts";
 import {
   claimLead,
@@ -15,16 +15,15 @@
   readFleetRecords,
 } from "./lead_log.ts";
 import {
-  findReplacementReason,
-  type ReplacementReason,
-  silenceBoundMs,
-} from "./lead_silence.ts";
-import { awaitTurn, isHeardByOthers } from "./lead_succession.ts";
+  type ConfigProof,
+  HEADS_STEP_MS,
+  LeadFollower,
+  type LeadFollowerOptions,
+} from "./lead_follower.ts";
 import { NodeTable } from "./node_table.ts";
 import type {
   LeadAnswer,
   LeadOperations,
-  PeerCalls,
   PeerNode,
   PeerReport,
 } from "./peer_router.ts";
@@ -37,49 +36,20 @@
 }
 
 /** What taking part in deciding on replicas works with. */
-export interface CoordinatorOptions {
-  readonly nodeId: string;
+export interface CoordinatorOptions
+  extends
+    Omit<LeadFollowerOptions, "readRecords" | "reportIntervalMs" | "nowMs"> {
   readonly bootId: string;
-  readonly peerAddress: string;
   readonly log: KeyedLog;
-  readonly client: PeerCalls;
-  /** Heads at which requests of this process stand still. */
-  readonly listStalledHeads: () => readonly string[];
-  /** Heads of replicas that this process finds slow. */
-  readonly listSlowHeads: () => readonly string[];
-  /** Requests of this process in progress, by model. */
-  readonly demand: () => Readonly<Record<string, number>>;
-  /** Requests and repeats of this process in its window, by service. */
-  readonly repeats: () => Readonly<Record<string, WindowTotals>>;
-  readonly hasTraffic: () => boolean;
-  /** Time of the last answer of the store to this process. */
-  readonly storeAnsweredAtMs: () => number;
   /** How far this process knows the configuration, and since when it was all. */
   readonly configProof: () => ConfigProof;
-  /** Takes what the lead tells of the configuration. */
-  readonly onConfigProof: (proof: ConfigProof) => void;
-  /** The list of instances as this process knows it. */
-  readonly instances: TopicCopy;
-  /** Takes what the lead tells of the list of instances. */
-  readonly onInstances: (change: RelayedChange) => void;
   readonly createDirector: (start: DirectorStart) => FleetDirector;
-  readonly record: (kind: string, fields: Record<string, unknown>) => void;
-}
-
-/** That there was no configuration after an offset at a time. */
-export interface ConfigProof {
-  readonly nextOffset: number;
-  readonly provenAtMs: number;
 }
 
 const REPORT_INTERVAL_MS = 250;
 /** Interval for each process, which bounds the reports that a lead takes. */
 const REPORT_SPREAD_MS = 10;
-/** Steps in which heads that newly stand still are noticed. */
-const STEP_MS = 50;
-/** Age of the lead's last answer, beyond a report's interval, at which the list is read from the store. */
-const TOLD_AGE_MS = 450;
-/** Age of its last answer from the store at which that is done too. */
+/** Age of the lead's last answer from the store at which the list is read here. */
 const TOLD_STORE_AGE_MS = 3_500;
 const RETRY_DELAY_MS = 300;
 
@@ -87,20 +57,22 @@
 export class Coordinator implements LeadOperations {
   readonly #options: CoordinatorOptions;
   readonly #nodes = new NodeTable();
+  readonly #follower: LeadFollower;
   #nowMs: () => number = () => 0;
   #lead: LeadRecord | undefined;
   #director: FleetDirector | undefined;
   #isDeposed = false;
   #isLeaving = false;
-  #isFollowing = false;
-  #heardAtMs = 0;
-  /** Whether the lead's address refuses connections. */
-  #isLeadDown = false;
-  #answer: LeadAnswer | undefined;
   #ownTotals: SharedTotals = { atMs: Number.NEGATIVE_INFINITY, totals: {} };
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
+    this.#follower = new LeadFollower({
+      ...options,
+      readRecords: () => this.#readRecords(),
+      reportIntervalMs: () => this.#reportIntervalMs(),
+      nowMs: () => this.#nowMs(),
+    });
   }
 
   /** Whether this process decides on replicas now. */
@@ -112,19 +84,19 @@
   countNodes(): number {
     const nodes = this.isLeading
       ? this.#listNodes().length
-      : this.#answer?.nodes.length;
+      : this.#follower.answer?.nodes.length;
     return Math.max(1, nodes ?? 1);
   }
 
   /** Heads to which no requests should go, as replicas are taken apart. */
   listClosedHeads(): readonly string[] {
     if (this.#director !== undefined) return this.#director.listClosedHeads();
-    return this.#answer?.closedHeads ?? [];
+    return this.#follower.answer?.closedHeads ?? [];
   }
 
   /** Whether a lead that hears the store tells of the list of instances. */
   hearsLead(): boolean {
-    const answer = this.#findFreshAnswer();
+    const answer = this.#follower.findFreshAnswer();
     return answer !== undefined && answer.storeAgeMs < TOLD_STORE_AGE_MS;
   }
 
@@ -137,10 +109,10 @@
       }
       return this.#ownTotals;
     }
-    const answer = this.#findFreshAnswer();
+    const answer = this.#follower.findFreshAnswer();
     return answer === undefined
       ? undefined
-      : { atMs: this.#heardAtMs, totals: answer.repeats };
+      : { atMs: this.#follower.heardAtMs, totals: answer.repeats };
   }
 
   /** Requests in progress for a model, over all processes. */
@@ -158,6 +130,7 @@
   leave(): void {
     this.#isLeaving = true;
     this.#isDeposed = true;
+    this.#follower.stop();
   }
 
   report(report: PeerReport): LeadAnswer {
@@ -181,7 +154,7 @@
 
   heardLeadAgoMs(term: number): number | undefined {
     if (this.#lead?.term !== term) return undefined;
-    return this.#nowMs() - this.#heardAtMs;
+    return this.#nowMs() - this.#follower.heardAtMs;
   }
 
   run(): Effect.Effect<never> {
@@ -203,9 +176,7 @@
           records.lead.nodeId !== this.#options.nodeId;
         if (isTaken) {
           this.#lead = records.lead;
-          this.#isFollowing = true;
-          yield* this.#follow(records.lead!);
-          this.#isFollowing = false;
+          yield* this.#follower.follow(records.lead!);
         } else {
           yield* this.#claim(records);
         }
@@ -276,135 +247,11 @@
           stalledHeads: this.#options.listStalledHeads(),
           slowHeads: this.#options.listSlowHeads(),
         });
-        yield* Effect.sleep(STEP_MS);
-      }
-    });
-  }
-
-  /** Reports to the lead until it is to be replaced. */
-  #follow(lead: LeadRecord): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      this.#options.record("lead.followed", {
-        term: lead.term,
-        lead: lead.nodeId,
-      });
-      this.#heardAtMs = this.#nowMs();
-      this.#isLeadDown = false;
-      while (!this.#isLeaving) {
-        const sentAtMs = this.#nowMs();
-        const answer = yield* this.#report(lead);
-        if (answer !== undefined) {
-          this.#answer = answer;
-          this.#noteConfig(answer, sentAtMs);
-          if (answer.isLeading && answer.instances.records.length > 0) {
-            this.#options.onInstances(answer.instances);
-          }
-        }
-        const reason = findReplacementReason({
-          answer,
-          isDown: this.#isLeadDown,
-          silentMs: this.#nowMs() - this.#heardAtMs,
-          ownStoreAgeMs: this.#nowMs() - this.#options.storeAnsweredAtMs(),
-          reportIntervalMs: this.#reportIntervalMs(),
-        });
-        if (reason !== undefined && (yield* this.#mayReplace(lead, reason))) {
-          return;
-        }
-        yield* this.#awaitReport();
+        yield* Effect.sleep(HEADS_STEP_MS);
       }
     });
   }
 
-  /** Longer with more processes, which bounds the reports that a lead takes. */
-  #reportIntervalMs(): number {
-    return Math.max(REPORT_INTERVAL_MS, this.countNodes() * REPORT_SPREAD_MS);
-  }
-
-  /** Waits for the next report; a head that newly stands still hastens it. */
-  #awaitReport(): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      const known = new Set(this.#options.listStalledHeads());
-      const dueAtMs = this.#nowMs() + this.#reportIntervalMs();
-      while (this.#nowMs() < dueAtMs) {
-        yield* Effect.sleep(STEP_MS);
-        const stalled = this.#options.listStalledHeads();
-        if (stalled.some((headId) => !known.has(headId))) return;
-      }
-    });
-  }
-
-  #report(lead: LeadRecord): Effect.Effect<LeadAnswer | undefined> {
-    const { nodeId, peerAddress, client } = this.#options;
-    return client.report(lead.peerAddress, {
-      nodeId,
-      peerAddress,
-      term: lead.term,
-      stalledHeads: this.#options.listStalledHeads(),
-      slowHeads: this.#options.listSlowHeads(),
-      demand: this.#options.demand(),
-      repeats: this.#options.repeats(),
-      hasTraffic: this.#options.hasTraffic(),
-      instancesOffset: this.#options.instances.nextOffset,
-    }).pipe(
-      Effect.tap(({ isLeading, term }) =>
-        Effect.sync(() => {
-          this.#isLeadDown = false;
-          if (isLeading && term === lead.term) this.#heardAtMs = this.#nowMs();
-        })
-      ),
-      Effect.catch(({ message, isRefused }) =>
-        Effect.sync(() => {
-          this.#options.record("lead.silent", { message, isRefused });
-          this.#isLeadDown = isRefused;
-          return undefined;
-        })
-      ),
-    );
-  }
-
-  /** Whether this process is the one to try, and no other hears the lead. */
-  #mayReplace(
-    lead: LeadRecord,
-    reason: ReplacementReason,
-  ): Effect.Effect<boolean> {
-    return Effect.gen({ self: this }, function* () {
-      const newest = yield* this.#readRecords();
-      if (newest === undefined) return false;
-      const isReplaced = newest.lead !== undefined &&
-        newest.lead.term !== lead.term;
-      if (isReplaced) return true;
-      const { nodeId, client } = this.#options;
-      const others = (this.#answer?.nodes ?? []).filter((node) =>
-        node.nodeId !== lead.nodeId
-      );
-      const rank = yield* awaitTurn({ nodeId, others });
-      const isHeard = reason === "it is silent" && (yield* isHeardByOthers({
-        client,
-        term: lead.term,
-        others: others.filter((node) => node.nodeId !== nodeId),
-        boundMs: silenceBoundMs({ reportIntervalMs: this.#reportIntervalMs() }),
-      }));
-      if (isHeard) return false;
-      this.#options.record("lead.replacing", {
-        term: lead.term,
-        lead: lead.nodeId,
-        reason,
-        rank,
-      });
-      return true;
-    });
-  }
-
-  /** The lead's last answer, while it still counts. */
-  #findFreshAnswer(): LeadAnswer | undefined {
-    if (!this.#isFollowing || this.#answer?.isLeading !== true) {
-      return undefined;
-    }
-    const ageMs = this.#nowMs() - this.#heardAtMs;
-    const maxAgeMs = TOLD_AGE_MS + this.#reportIntervalMs();
-    return ageMs < maxAgeMs ? this.#answer : undefined;
-  }
-
   #noteHeads(
     { stalledHeads, slowHeads }: Pick<
       PeerReport,
@@ -415,19 +262,17 @@
     for (const headId of slowHeads) this.#director?.noteSlow(headId);
   }
 
+  /** Longer with more processes, which bounds the reports that a lead takes. */
+  #reportIntervalMs(): number {
+    return Math.max(REPORT_INTERVAL_MS, this.countNodes() * REPORT_SPREAD_MS);
+  }
+
   #describeConfig(): LeadAnswer["config"] {
     const { nextOffset, provenAtMs } = this.#options.configProof();
     const ageMs = this.#nowMs() - provenAtMs;
     return { nextOffset, proofAgeMs: Number.isFinite(ageMs) ? ageMs : null };
   }
 
-  /** The answer was given after its report was sent, so its proof is no older. */
-  #noteConfig({ isLeading, config }: LeadAnswer, sentAtMs: number): void {
-    if (!isLeading || config.proofAgeMs === null) return;
-    const provenAtMs = sentAtMs - config.proofAgeMs;
-    this.#options.onConfigProof({ nextOffset: config.nextOffset, provenAtMs });
-  }
-
   #sumRepeats(): Readonly<Record<string, WindowTotals>> {
     return this.#nodes.sumRepeats(this.#options.repeats(), this.#nowMs());
   }
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -16,7 +16,6 @@
 import { BackendPools, listen, type ListenFailure } from "../http/index.ts";
 import { type Journal, MetricsPage } from "../journal/index.ts";
 import {
-  followKeyed,
   type KeyedChange,
   type KeyedLog,
   readRelayed,
@@ -37,6 +36,8 @@
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { ConfigView } from "./config_view.ts";
 import { createRandom } from "./create_random.ts";
+import { drainCallers } from "./drain_callers.ts";
+import { followStore } from "./follow_store.ts";
 import { KeyFreshness } from "./key_freshness.ts";
 import type { HostSettings } from "./host_settings.ts";
 import { moveAttempts } from "./move_attempts.ts";
@@ -72,27 +73,11 @@
   readonly drain: () => Effect.Effect<void>;
 }
 
-/** Longest wait of one read, which bounds the age of the keys. */
-const CONFIG_WAIT_MS = 2_000;
-/** The same where others are told of it, which ages it further. */
-const LEAD_CONFIG_WAIT_MS = 1_000;
-/** Age of the keys up to which the lead's word on them is enough. */
-const MAX_TOLD_KEY_AGE_MS = 2_300;
-const CONFIG_PAUSE_MS = 20;
-const INSTANCES_WAIT_MS = 10_000;
-/** Pause after a change of the list; the process that decides pauses less. */
-const INSTANCES_PAUSE_MS = 300;
-const LEAD_INSTANCES_PAUSE_MS = 60;
 const PEER_TIMEOUT_MS = 400;
 /** Part of the time for taking keys away after which they are not trusted. */
 const KEY_AGE_PART = 0.95;
 /** Age of the keys at which callers are sent to other machines. */
 const READY_KEY_AGE_PART = 0.6;
-/** Time in which the platform's entry stops sending new connections. */
-const ENTRY_NOTICE_MS = 3_000;
-/** Part of the grace time within which everything must be answered. */
-const GRACE_PART = 0.9;
-
 /** Starts the process; it runs until the scope closes. */
 export function createHost(
   options: HostOptions,
@@ -213,41 +198,17 @@
         config.index?.config.services.get(service)?.engine?.slots,
     });
 
-    yield* Effect.forkScoped(followKeyed({
+    yield* followStore({
       log: ports.log,
-      topic: "config",
-      waitMs: () =>
-        coordinator.isLeading ? LEAD_CONFIG_WAIT_MS : CONFIG_WAIT_MS,
-      pauseMs: () => CONFIG_PAUSE_MS,
-      onChange: (change) => {
-        contact.noteAnswer(nowMs());
-        config.apply(change);
-        keys.noteProof(change.freshAtMs);
-      },
-      relay: {
-        isEnough: () =>
-          coordinator.hearsLead() && state.toldOffset <= config.nextOffset &&
-          keys.ageMs() < MAX_TOLD_KEY_AGE_MS,
-        nextOffset: () => config.nextOffset,
-      },
-      onFailure: (message) => contact.noteFailure(message, nowMs()),
-    }));
-    yield* Effect.forkScoped(followKeyed({
-      log: ports.log,
-      topic: "instances",
-      waitMs: () => INSTANCES_WAIT_MS,
-      pauseMs: () =>
-        coordinator.isLeading ? LEAD_INSTANCES_PAUSE_MS : INSTANCES_PAUSE_MS,
-      onChange: (change) => {
-        listContact.noteAnswer(nowMs());
-        applyInstances(change);
-      },
-      relay: {
-        isEnough: () => coordinator.hearsLead(),
-        nextOffset: () => instancesCopy.nextOffset,
-      },
-      onFailure: (message) => listContact.noteFailure(message, nowMs()),
-    }));
+      coordinator,
+      config,
+      keys,
+      contacts: { config: contact, instances: listContact },
+      toldOffset: () => state.toldOffset,
+      instancesOffset: () => instancesCopy.nextOffset,
+      applyInstances,
+      nowMs,
+    });
     yield* Effect.forkScoped(coordinator.run());
     yield* Effect.forkScoped(
       proveKeys({ log: ports.log, config, keys, state, record }),
@@ -321,24 +282,6 @@
   });
 }
 
-/** Refuses callers once none should come any more, and answers the rest. */
-function drainCallers(
-  callers: CallerServer,
-  graceMs: number,
-): Effect.Effect<void> {
-  callers.close();
-  return Effect.sleep(ENTRY_NOTICE_MS).pipe(
-    Effect.andThen(Effect.sync(() => callers.refuse())),
-    Effect.andThen(
-      Effect.timeoutOption(
-        callers.calls.waitUntilEmpty(),
-        graceMs * GRACE_PART - ENTRY_NOTICE_MS,
-      ),
-    ),
-    Effect.asVoid,
-  );
-}
-
 /** Bounds until a configuration is known. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
