Stop waiting to take the lead once another process has it

What callers saw: on grown deployments, after a lead was replaced, up to a third of the machines stayed without one for up to ten seconds. They sent requests to heads that were being closed, told nobody of heads that stood still, and asked the store for everything themselves.

Cause: each process waits 120 ms times its rank before it takes the lead, and looked at the records only before and after. With 80 processes the last wait is 9.6 s, in which nothing is reported.

Evidence: `lead.replacing` lines of rank 1 to 79 between seconds 22.1 and 31.4 for a lead that rank 0 had replaced at 21.98.

Ruled out: a bound on the wait (if the first ten are gone, all others write at once) and looking at every turn (a call to the store for each process and turn).

--- a/packages/celerytray/src/coordination/lead_follower.ts
+++ b/packages/celerytray/src/coordination/lead_follower.ts
@@ -184,14 +184,20 @@
     return Effect.gen({ self: this }, function* () {
       const newest = yield* this.#options.readRecords();
       if (newest === undefined) return false;
-      const isReplaced = newest.lead !== undefined &&
-        newest.lead.term !== lead.term;
-      if (isReplaced) return true;
+      if (hasOtherLead(newest, lead)) return true;
       const { nodeId, client } = this.#options;
       const others = (this.#answer?.nodes ?? []).filter((node) =>
         node.nodeId !== lead.nodeId
       );
-      const rank = yield* awaitTurn({ nodeId, others });
+      const { rank, isTaken } = yield* awaitTurn({
+        nodeId,
+        others,
+        isTaken: Effect.map(
+          this.#options.readRecords(),
+          (records) => records !== undefined && hasOtherLead(records, lead),
+        ),
+      });
+      if (isTaken) return true;
       const isHeard = reason === "it is silent" && (yield* isHeardByOthers({
         client,
         term: lead.term,
@@ -218,3 +224,8 @@
     this.#options.onConfigProof({ nextOffset: config.nextOffset, provenAtMs });
   }
 }
+
+/** Whether another process has taken the lead, as the records say. */
+function hasOtherLead(records: FleetRecords, lead: LeadRecord): boolean {
+  return records.lead !== undefined && records.lead.term !== lead.term;
+}
