Ask a store that refuses more rarely the more processes there are

While the store is away each of 83 processes asked for both topics four times a second.

Cause: one pause of 250 ms after a failed read, whatever the number of processes. The lead notices the store's return, and its answers then tell the others within a report's interval.

Change: the lead keeps its 250 ms; the others pause 15 ms for each process they know of, 250 ms at least (1.2 s at 83, nothing new at 7 and 9).

--- a/packages/celerytray/src/host/follow_store.ts
+++ b/packages/celerytray/src/host/follow_store.ts
@@ -38,15 +38,25 @@
 /** Pause after a change of the list; the process that decides pauses less. */
 const INSTANCES_PAUSE_MS = 300;
 const LEAD_INSTANCES_PAUSE_MS = 60;
+/** Pause after a failed read of the process that decides. */
+const LEAD_RETRY_MS = 250;
+/** Pause after a failed read for each process, which bounds them together. */
+const RETRY_SPREAD_MS = 15;
 
 /** Follows both topics, where the lead doesn't tell of them, until the scope closes. */
 export function followStore(
   options: FollowStoreOptions,
 ): Effect.Effect<void, never, Scope.Scope> {
   const { log, coordinator, config, keys, contacts, nowMs } = options;
+  const retryMs = () =>
+    retryPauseMs({
+      isLeading: coordinator.isLeading,
+      nodes: coordinator.countNodes(),
+    });
   const followConfig = followKeyed({
     log,
     topic: "config",
+    retryMs,
     waitMs: () => coordinator.isLeading ? LEAD_CONFIG_WAIT_MS : CONFIG_WAIT_MS,
     pauseMs: () => CONFIG_PAUSE_MS,
     onChange: (change) => {
@@ -65,6 +75,7 @@
   const followInstances = followKeyed({
     log,
     topic: "instances",
+    retryMs,
     waitMs: () => INSTANCES_WAIT_MS,
     pauseMs: () =>
       coordinator.isLeading ? LEAD_INSTANCES_PAUSE_MS : INSTANCES_PAUSE_MS,
@@ -83,3 +94,15 @@
     Effect.forkScoped(followInstances),
   ]));
 }
+
+/**
+ * Pause after a failed read. The lead soon tells the others when the store is
+ * back, so they ask more rarely the more they are.
+ */
+export function retryPauseMs(
+  options: { readonly isLeading: boolean; readonly nodes: number },
+): number {
+  const { isLeading, nodes } = options;
+  if (isLeading) return LEAD_RETRY_MS;
+  return Math.max(LEAD_RETRY_MS, nodes * RETRY_SPREAD_MS);
+}
--- a/packages/celerytray/src/keyed_log/follow_keyed.ts
+++ b/packages/celerytray/src/keyed_log/follow_keyed.ts
@@ -22,6 +22,8 @@
   readonly pauseMs: () => number;
   readonly onChange: (change: KeyedChange) => void;
   readonly onFailure: (message: string) => void;
+  /** Pause after a read that failed. */
+  readonly retryMs: () => number;
   /** What another process tells of the topic; without it all is read here. */
   readonly relay?: {
     /** Whether that is enough for now. */
@@ -31,7 +33,6 @@
   };
 }
 
-const RETRY_DELAY_MS = 250;
 const RELAY_CHECK_MS = 50;
 
 /** Follows a topic for ever; never goes back to older records. */
@@ -61,14 +62,14 @@
       if (page._tag === "Failure") {
         if (page.failure._tag === "HistoryDropped") needsWhole = true;
         options.onFailure(page.failure.message);
-        yield* Effect.sleep(RETRY_DELAY_MS);
+        yield* Effect.sleep(options.retryMs());
         continue;
       }
       if (nextOffset !== undefined && page.success.nextOffset < nextOffset) {
         options.onFailure(
           `The store answered for ${topic} as of offset ${page.success.nextOffset}, before ${nextOffset}; it is behind`,
         );
-        yield* Effect.sleep(RETRY_DELAY_MS);
+        yield* Effect.sleep(options.retryMs());
         continue;
       }
       needsWhole = false;
--- a/packages/celerytray/src/keyed_log/follow_keyed_test.ts
+++ b/packages/celerytray/src/keyed_log/follow_keyed_test.ts
@@ -3,7 +3,7 @@
 import { TestClock } from "effect/testing";
 import { it } from "node:test";
 import { followKeyed } from "./follow_keyed.ts";
-import type { KeyedLog } from "./keyed_log.ts";
+import { type KeyedLog, StoreUnavailable } from "./keyed_log.ts";
 
 const WAIT_MS = 2_000;
 
@@ -19,6 +19,7 @@
       pauseMs: () => 0,
       onChange: (change) => freshAtMs.push(change.freshAtMs),
       onFailure: (message) => expect(message).toEqual(""),
+      retryMs: () => 0,
       relay: { isEnough: () => isEnough, nextOffset: () => 3 },
     }));
     yield* TestClock.adjust(WAIT_MS);
@@ -36,6 +37,33 @@
   expect(freshAtMs[1]! - freshAtMs[0]!).toEqual(WAIT_MS);
 });
 
+it("pauses after a read that failed as long as it is told", async () => {
+  const retryMs = 500;
+  const failures: string[] = [];
+  const refuse = Effect.fail(new StoreUnavailable({ message: "busy" }));
+  const log = {
+    ...createLog([]),
+    readNewest: () => refuse,
+    read: () => refuse,
+  };
+  const program = Effect.gen(function* () {
+    yield* Effect.forkScoped(followKeyed({
+      log,
+      topic: "config",
+      waitMs: () => WAIT_MS,
+      pauseMs: () => 0,
+      onChange: () => {},
+      onFailure: (message) => failures.push(message),
+      retryMs: () => retryMs,
+    }));
+    yield* TestClock.adjust(4 * retryMs - 1);
+  });
+  await Effect.runPromise(
+    program.pipe(Effect.scoped, Effect.provide(TestClock.layer())),
+  );
+  expect(failures).toEqual(["busy", "busy", "busy", "busy"]);
+});
+
 /** A store without records whose reads wait as they are told. */
 function createLog(readWaitsMs: number[]): KeyedLog {
   const page = { records: [], nextOffset: 0 };
