Give a replica up where its members are worth more in another

Cause: what was once formed stayed. Each release took a member of a large replica; its five survivors waited up to 16 s for a newcomer, beside a small replica whose members hold the large model's weights on their hosts.

Ruled out: a fixed share of each model (the demand counts too) and doing so at each chance (a replica that is taken apart serves nobody for some 3 s).

It is closed gently, and the forming then takes the division as it finds it. At most one in 4 s. The division of a pool and the worth of replicas, which both choices need, are now divide_pool.ts (moved, not changed); taking a replica apart with its line is one function for the slow and the reassigned; exports that nobody used are gone.

Tests: find_reassignable_test.ts (5 cases: what is given up, and four kinds of replicas that are kept). Without the mechanism the first has no counterpart.

--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -10,7 +10,12 @@
 import type { ReplicaRecord } from "./replica_record.ts";
 import { listLeftoverOrders } from "./list_leftover_orders.ts";
 import { noteRetiringOrder } from "./note_retiring_order.ts";
-import { createRetirement, planRun, type ReplicaRun } from "./replica_run.ts";
+import {
+  planRun,
+  recordRetiring,
+  type ReplicaRun,
+  retireReplica,
+} from "./replica_run.ts";
 
 /** What directing the replicas works with. */
 export interface FleetDirectorOptions {
@@ -154,17 +159,12 @@
       });
       for (const { run, slowId } of found) {
         const reason = `${slowId} is slow`;
-        run.retiring = createRetirement(reason, { nowMs, isImmediate: false });
-        this.#recordRetiring(run, reason);
+        const { record } = this.#options;
+        retireReplica(run, { reason, nowMs, record });
       }
     }
   }
 
-  #recordRetiring({ record }: ReplicaRun, reason: string): void {
-    const { name: replica, model } = record;
-    this.#options.record("replica.retiring", { replica, model, reason });
-  }
-
   /** The process that decided before may have known of silent instances. */
   #doubtAll(): void {
     if (this.#state.runs.size === 0) return;
@@ -218,7 +218,7 @@
         nowMs,
       });
       if (!wasRetiring && run.retiring !== undefined) {
-        this.#recordRetiring(run, run.retiring.reason);
+        recordRetiring(run, this.#options.record);
       }
       if (run.retiring?.isFreed === true) return this.#retire(run);
       return due.flatMap(({ instanceId, order }) =>
--- a/packages/celerytray/src/groups/fleet_state.ts
+++ b/packages/celerytray/src/groups/fleet_state.ts
@@ -42,13 +42,16 @@
     this.runs.set(record.name, createRun(record));
   }
 
+  /** Replicas of a service that are not taken apart. */
+  listServing(service: string): readonly ReplicaRun[] {
+    return [...this.runs.values()].filter(({ record, retiring }) =>
+      record.service === service && retiring === undefined
+    );
+  }
+
   /** Replicas of a service that serve or are to serve. */
   listWanted(service: string): readonly ReplicaRecord[] {
-    return [...this.runs.values()]
-      .filter(({ record, retiring }) =>
-        record.service === service && retiring === undefined
-      )
-      .map(({ record }) => record);
+    return this.listServing(service).map(({ record }) => record);
   }
 
   /** Instances of a service that are in no replica and may be used. */
--- a/packages/celerytray/src/groups/index.ts
+++ b/packages/celerytray/src/groups/index.ts
@@ -16,11 +16,6 @@
   MembershipState,
   ReplicaMembership,
 } from "./instance_state.ts";
-export {
-  type Formation,
-  type FormationInput,
-  planFormations,
-} from "./plan_formations.ts";
 export {
   createReplicaKey,
   decodeLead,
@@ -32,9 +27,3 @@
   parseReplicaKey,
   type ReplicaRecord,
 } from "./replica_record.ts";
-export {
-  type DueOrder,
-  type Liveness,
-  planRun,
-  type ReplicaRun,
-} from "./replica_run.ts";
--- a/packages/celerytray/src/groups/plan_formations_test.ts
+++ b/packages/celerytray/src/groups/plan_formations_test.ts
@@ -2,11 +2,8 @@
 import { describe, it } from "node:test";
 import type { ServedModel } from "../serving/index.ts";
 import type { InstanceState } from "./instance_state.ts";
-import {
-  type Formation,
-  type FormationInput,
-  planFormations,
-} from "./plan_formations.ts";
+import type { Formation } from "./divide_pool.ts";
+import { type FormationInput, planFormations } from "./plan_formations.ts";
 
 const LARGE: ServedModel = {
   name: "large",
--- a/packages/celerytray/src/groups/replica_former.ts
+++ b/packages/celerytray/src/groups/replica_former.ts
@@ -1,11 +1,14 @@
 import { Effect } from "effect";
 import type { EngineSpec } from "../serving/index.ts";
+import type { DivisionRules, Formation } from "./divide_pool.ts";
+import { findReassignable } from "./find_reassignable.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { InstanceState } from "./instance_state.ts";
 import type { OrderDesk } from "./order_desk.ts";
 import { planCrossStaging } from "./plan_cross_staging.ts";
-import { type Formation, planFormations } from "./plan_formations.ts";
+import { planFormations } from "./plan_formations.ts";
 import { planSpares } from "./plan_spares.ts";
+import { retireReplica } from "./replica_run.ts";
 import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
 
 /** How the instances of each model service work, by service. */
@@ -33,12 +36,19 @@
   readonly preparations: ReadonlyMap<string, string>;
 }
 
+/** Interval at which a replica to give up is looked for. */
+const REASSIGN_LOOK_MS = 300;
+/** Time in which one that was given up is taken apart and formed anew. */
+const REASSIGN_PAUSE_MS = 4_000;
+
 /** Forms replicas of free instances and prepares the others as spares. */
 export class ReplicaFormer {
   readonly #options: ReplicaFormerOptions;
   readonly #state: FleetState;
   readonly #desk: OrderDesk;
   #isForming = false;
+  /** Time from which replicas to give up are looked for. */
+  #reassignDueAtMs = 0;
 
   constructor(options: ReplicaFormerOptions) {
     this.#options = options;
@@ -56,22 +66,18 @@
       const free = this.#state.listFree(service).filter(({ domain }) =>
         !unsettled.has(domain!)
       );
+      const rules = this.#createRules(service, engine);
       const { formations, preparations } = planFormations({
-        service,
-        models: engine.models,
+        ...rules,
         free,
         replicas: this.#state.listWanted(service),
-        hotModel: (id) => this.#state.weights.hotModel(id),
-        fill: (model, replicas) =>
-          this.#options.demand(model) / (Math.max(1, replicas) * engine.slots),
-        preparedModel: (id) => this.#state.weights.preparedModel(id),
-        isEarly: !this.#options.hasTraffic(),
         isFilled: (domain) => this.#state.weights.isFilled(domain, nowMs),
       });
       if (formations.length > 0) {
         work.push(this.#form(formations));
         continue;
       }
+      this.#reassign(rules, free, nowMs);
       work.push(
         ...this.#prepareSpares({ engine, free, preparations }, nowMs),
         ...this.#crossStage(service, engine, nowMs),
@@ -80,6 +86,41 @@
     return work;
   }
 
+  #createRules(service: string, engine: EngineSpec): DivisionRules {
+    return {
+      service,
+      models: engine.models,
+      hotModel: (id) => this.#state.weights.hotModel(id),
+      fill: (model, replicas) =>
+        this.#options.demand(model) / (Math.max(1, replicas) * engine.slots),
+      preparedModel: (id) => this.#state.weights.preparedModel(id),
+      isEarly: !this.#options.hasTraffic(),
+    };
+  }
+
+  /** Gives a replica up where its members are worth more in others. */
+  #reassign(
+    rules: DivisionRules,
+    free: readonly InstanceState[],
+    nowMs: number,
+  ): void {
+    if (rules.isEarly || nowMs < this.#reassignDueAtMs) return;
+    this.#reassignDueAtMs = nowMs + REASSIGN_LOOK_MS;
+    const found = findReassignable({
+      ...rules,
+      free,
+      runs: this.#state.listServing(rules.service),
+      findInstance: (id) => this.#state.instances.find(id),
+    });
+    if (found === undefined) return;
+    this.#reassignDueAtMs = nowMs + REASSIGN_PAUSE_MS;
+    retireReplica(found.run, {
+      reason: `its members are needed for ${found.models.join(" and ")}`,
+      nowMs,
+      record: this.#options.record,
+    });
+  }
+
   /** Domains in which a free instance is doubted and not yet decided on. */
   #listUnsettledDomains(service: string): ReadonlySet<string> {
     const used = this.#state.memberIds();
--- a/packages/celerytray/src/groups/replica_recorder.ts
+++ b/packages/celerytray/src/groups/replica_recorder.ts
@@ -1,5 +1,5 @@
 import { Effect } from "effect";
-import type { Formation } from "./plan_formations.ts";
+import type { Formation } from "./divide_pool.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
 
 /** Records of replicas; each fails once another process decides. */
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -149,7 +149,7 @@
 }
 
 /** Begins to take a replica apart. */
-export function createRetirement(
+function createRetirement(
   reason: string,
   options: { readonly nowMs: number; readonly isImmediate: boolean },
 ): Retirement {
@@ -164,6 +164,27 @@
   };
 }
 
+/** Begins to take a replica apart gently, with a line. */
+export function retireReplica(
+  run: ReplicaRun,
+  { reason, nowMs, record }: {
+    readonly reason: string;
+    readonly nowMs: number;
+    readonly record: (kind: string, fields: Record<string, unknown>) => void;
+  },
+): void {
+  run.retiring = createRetirement(reason, { nowMs, isImmediate: false });
+  recordRetiring(run, record);
+}
+
+/** Writes that a replica is taken apart, and why. */
+export function recordRetiring(
+  { record: { name: replica, model }, retiring }: ReplicaRun,
+  record: (kind: string, fields: Record<string, unknown>) => void,
+): void {
+  record("replica.retiring", { replica, model, reason: retiring?.reason });
+}
+
 function planForming({ run, findInstance }: RunInput): readonly DueOrder[] {
   const { name: replica, epoch, model, members } = run.record;
   const orders: DueOrder[] = members
