Don't wait for a newcomer that never has its weights

What would have been seen: since members load before they are bound, the survivors of a replica wait for their newcomer. One that goes on joining (its host stuck, or very slow) would have held them for good; one whose joining came to nothing would never have been told again.

Change: after 40 s, 2.5 times the longest load, an instance that still joins is left out of the divisions until the list says that it is loaded, and one that isn't joining any more is told anew.

--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -269,7 +269,8 @@
         }
         if (order.kind === "open" && run !== undefined) run.mayBeOpen = true;
       },
-      onAnswered: (order, outcome) => this.#noteOrdered(order, outcome),
+      onAnswered: (order, outcome, sentAtMs) =>
+        this.#noteOrdered(order, outcome, sentAtMs),
       onSilent: ({ instanceId, order }, { message, isRefused }) => {
         this.#state.liveness.noteDoubt(instanceId);
         if (isRefused) {
@@ -280,7 +281,11 @@
     });
   }
 
-  #noteOrdered(desk: DeskOrder, outcome: OrderOutcome): void {
+  #noteOrdered(
+    desk: DeskOrder,
+    outcome: OrderOutcome,
+    sentAtMs: number,
+  ): void {
     const { instanceId, order, run } = desk;
     this.#options.record("order.answered", {
       instanceId,
@@ -290,10 +295,10 @@
     });
     const isTaken = outcome === "begun" || outcome === "holds";
     if (order.kind === "join" && isTaken) {
-      this.#state.weights.noteJoin(
-        instanceId,
-        run === undefined ? order.model : undefined,
-      );
+      this.#state.weights.noteJoin(instanceId, {
+        preparedModel: run === undefined ? order.model : undefined,
+        nowMs: sentAtMs,
+      });
       run?.joinedIds.add(instanceId);
     }
     if (order.kind === "leave" && (isTaken || outcome === "unfit")) {
--- a/packages/celerytray/src/groups/instance_weights.ts
+++ b/packages/celerytray/src/groups/instance_weights.ts
@@ -5,12 +5,20 @@
 /** Longest time for which weights count as being put on a host. */
 const STAGING_MS = 20_000;
 
+/** Longest time for which an instance counts as loading weights as a spare. */
+const PREPARING_MS = 40_000;
+
+interface Preparation {
+  readonly model: string;
+  readonly sinceMs: number;
+}
+
 /** Which weights instances have or load, and where instances still arrive. */
 export class InstanceWeights {
   /** Model whose weights an instance had last in this life. */
   readonly #lastModels = new Map<string, string>();
   /** Model that a spare is joining with. */
-  readonly #preparing = new Map<string, string>();
+  readonly #preparing = new Map<string, Preparation>();
   /** Time at which an instance began to put weights on its host. */
   readonly #stagingSinceMs = new Map<string, number>();
   /** Lives that were seen, by instance. */
@@ -32,8 +40,9 @@
       if (domain === undefined) continue;
       const life = `${id} ${bornAtMs ?? ""}`;
       if (this.#seenLives.get(id) === life) {
-        if (loadedModel !== undefined && membership?.state !== "joining") {
-          this.#lastModels.set(id, loadedModel);
+        if (membership?.state === "joining") continue;
+        if (loadedModel !== undefined) this.#lastModels.set(id, loadedModel);
+        if (loadedModel !== undefined || this.isOverdue(id, nowMs)) {
           this.#preparing.delete(id);
         }
         continue;
@@ -53,13 +62,29 @@
 
   /** Model that a spare is loading. */
   preparedModel(instanceId: string): string | undefined {
-    return this.#preparing.get(instanceId);
+    return this.#preparing.get(instanceId)?.model;
+  }
+
+  /** Whether a spare has been loading for too long to wait for it. */
+  isOverdue(instanceId: string, nowMs: number): boolean {
+    const preparation = this.#preparing.get(instanceId);
+    return preparation !== undefined &&
+      nowMs - preparation.sinceMs >= PREPARING_MS;
   }
 
   /** Takes note of a join: with a model as a spare, or in a replica. */
-  noteJoin(instanceId: string, preparedModel: string | undefined): void {
+  noteJoin(
+    instanceId: string,
+    { preparedModel, nowMs }: {
+      readonly preparedModel: string | undefined;
+      readonly nowMs: number;
+    },
+  ): void {
+    const known = this.#preparing.get(instanceId);
     if (preparedModel === undefined) this.#preparing.delete(instanceId);
-    else this.#preparing.set(instanceId, preparedModel);
+    else if (known?.model !== preparedModel) {
+      this.#preparing.set(instanceId, { model: preparedModel, sinceMs: nowMs });
+    }
   }
 
   noteStaging(instanceId: string, nowMs: number): void {
--- a/packages/celerytray/src/groups/order_desk.ts
+++ b/packages/celerytray/src/groups/order_desk.ts
@@ -28,7 +28,11 @@
   /** Bounds on loads; undefined while loads don't count. */
   readonly loadBounds: () => EngineSpec | undefined;
   readonly onSent: (order: DeskOrder, nowMs: number) => void;
-  readonly onAnswered: (order: DeskOrder, outcome: OrderOutcome) => void;
+  readonly onAnswered: (
+    order: DeskOrder,
+    outcome: OrderOutcome,
+    sentAtMs: number,
+  ) => void;
   readonly onSilent: (
     order: DeskOrder,
     failure: { readonly message: string; readonly isRefused: boolean },
@@ -81,7 +85,7 @@
             if (
               order.kind === "close" && order.isImmediate && outcome === "begun"
             ) this.#dueAtMs.set(key, nowMs + CLOSING_CHECK_MS);
-            this.#options.onAnswered(desk, outcome);
+            this.#options.onAnswered(desk, outcome, nowMs);
           },
           onFailure: (failure) => this.#options.onSilent(desk, failure),
         }),
--- a/packages/celerytray/src/groups/replica_former.ts
+++ b/packages/celerytray/src/groups/replica_former.ts
@@ -63,8 +63,8 @@
     const work: Effect.Effect<unknown>[] = [];
     for (const [service, engine] of this.#options.engines()) {
       const unsettled = this.#listUnsettledDomains(service);
-      const free = this.#state.listFree(service).filter(({ domain }) =>
-        !unsettled.has(domain!)
+      const free = this.#state.listFree(service).filter(({ id, domain }) =>
+        !unsettled.has(domain!) && !this.#state.weights.isOverdue(id, nowMs)
       );
       const rules = this.#createRules(service, engine);
       const { formations, preparations } = planFormations({
