--- a/packages/celerytray/src/groups/find_reassignable_test.ts
+++ b/packages/celerytray/src/groups/find_reassignable_test.ts
@@ -3,24 +3,9 @@
 import type { ServedModel } from "../serving/index.ts";
 import { findReassignable } from "./find_reassignable.ts";
 import type { InstanceState } from "./instance_state.ts";
+import { LARGE, SMALL } from "./model_fixtures.ts";
 import type { ReplicaRun } from "./replica_run.ts";
 
-const LARGE: ServedModel = {
-  name: "large",
-  size: 6,
-  instanceShare: 0.67,
-  pace: 1,
-  loadMs: 16_000,
-  warmMs: 1_600,
-};
-const SMALL: ServedModel = {
-  name: "small",
-  size: 3,
-  instanceShare: 0.33,
-  pace: 0.6,
-  loadMs: 12_000,
-  warmMs: 1_100,
-};
 const BOTH = [LARGE.name, SMALL.name];
 
 describe("findReassignable", () => {
--- a/packages/celerytray/src/groups/plan_formations_test.ts
+++ b/packages/celerytray/src/groups/plan_formations_test.ts
@@ -1,26 +1,10 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import type { ServedModel } from "../serving/index.ts";
 import type { InstanceState } from "./instance_state.ts";
+import { LARGE, SMALL } from "./model_fixtures.ts";
 import type { Formation } from "./divide_pool.ts";
 import { type FormationInput, planFormations } from "./plan_formations.ts";
 
-const LARGE: ServedModel = {
-  name: "large",
-  size: 6,
-  instanceShare: 0.67,
-  pace: 1,
-  loadMs: 16_000,
-  warmMs: 1_600,
-};
-const SMALL: ServedModel = {
-  name: "small",
-  size: 3,
-  instanceShare: 0.33,
-  pace: 0.6,
-  loadMs: 12_000,
-  warmMs: 1_100,
-};
 const DOMAIN_SIZE = 11;
 
 describe("planFormations", () => {
