Declare the log's events and their fields in the schema

What on-call engineers saw: the fields of a line were what its module happened to write, as bare maps; nothing told their types, and a rename would have passed all checks.

Generated types bind each place that writes an event (RecordEvent in place of a string and a map), so a wrong or missing field doesn't compile. The check of docs/OPERATIONS.md reads the names from the schema and fails for one that no module writes. The validator is a file of its own, for tests only.

--- a/packages/celerytray/src/coordination/lead_follower.ts
+++ b/packages/celerytray/src/coordination/lead_follower.ts
@@ -1,4 +1,5 @@
 import { Effect } from "effect";
+import type { RecordEvent } from "../journal/index.ts";
 import type { LeadRecord } from "../groups/index.ts";
 import type { RelayedChange, TopicCopy } from "../keyed_log/index.ts";
 import type { WindowTotals } from "../serving/index.ts";
@@ -37,7 +38,7 @@
   readonly readRecords: () => Effect.Effect<FleetRecords | undefined>;
   readonly reportIntervalMs: () => number;
   readonly nowMs: () => number;
-  readonly record: (kind: string, fields: Record<string, unknown>) => void;
+  readonly record: RecordEvent;
 }
 
 /** That there was no configuration after an offset at a time. */
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -1,4 +1,5 @@
 import { Effect, type Scope } from "effect";
+import type { RecordEvent } from "../journal/index.ts";
 import { steadyMs } from "../clock/index.ts";
 import type { InstanceControl, OrderOutcome } from "./instance_orders.ts";
 import type { InstanceListView } from "./instance_list.ts";
@@ -33,7 +34,7 @@
   readonly hasTraffic: () => boolean;
   /** Time for which an instance that drains works on at least. */
   readonly drainMs: number;
-  readonly record: (kind: string, fields: Record<string, unknown>) => void;
+  readonly record: RecordEvent;
 }
 
 /** Longest time between two rounds, and the steps in which a round can start. */
--- a/packages/celerytray/src/groups/replica_former.ts
+++ b/packages/celerytray/src/groups/replica_former.ts
@@ -1,4 +1,5 @@
 import { Effect } from "effect";
+import type { RecordEvent } from "../journal/index.ts";
 import type { EngineSpec } from "../serving/index.ts";
 import type { DivisionRules, Formation } from "./divide_pool.ts";
 import { findReassignable } from "./find_reassignable.ts";
@@ -26,7 +27,7 @@
   readonly hasTraffic: () => boolean;
   /** Whether records of replicas are being removed just now. */
   readonly isRetiring: () => boolean;
-  readonly record: (kind: string, fields: Record<string, unknown>) => void;
+  readonly record: RecordEvent;
 }
 
 interface SparePreparation {
--- a/packages/celerytray/src/groups/replica_recorder.ts
+++ b/packages/celerytray/src/groups/replica_recorder.ts
@@ -1,4 +1,5 @@
 import { Effect } from "effect";
+import type { RecordEvent } from "../journal/index.ts";
 import type { Formation } from "./divide_pool.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
 
@@ -19,7 +20,7 @@
 
 /** Records that a replica's record was not stored, and waits. */
 export function noteRecordFailure(
-  record: (kind: string, fields: Record<string, unknown>) => void,
+  record: RecordEvent,
   failure: { readonly replica: string; readonly message: string },
 ): Effect.Effect<void> {
   return Effect.sync(() => record("replica.record-failed", { ...failure }))
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -1,3 +1,4 @@
+import type { RecordEvent } from "../journal/index.ts";
 import type { InstanceOrder } from "./instance_orders.ts";
 import type { InstanceState, MembershipState } from "./instance_state.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
@@ -170,7 +171,7 @@
   { reason, nowMs, record }: {
     readonly reason: string;
     readonly nowMs: number;
-    readonly record: (kind: string, fields: Record<string, unknown>) => void;
+    readonly record: RecordEvent;
   },
 ): void {
   run.retiring = createRetirement(reason, { nowMs, isImmediate: false });
@@ -180,7 +181,7 @@
 /** Writes that a replica is taken apart, and why. */
 export function recordRetiring(
   { record: { name: replica, model }, retiring }: ReplicaRun,
-  record: (kind: string, fields: Record<string, unknown>) => void,
+  record: RecordEvent,
 ): void {
   record("replica.retiring", { replica, model, reason: retiring?.reason });
 }
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -14,7 +14,11 @@
   type InstanceState,
 } from "../groups/index.ts";
 import { BackendPools, listen, type ListenFailure } from "../http/index.ts";
-import { type Journal, MetricsPage } from "../journal/index.ts";
+import {
+  type Journal,
+  MetricsPage,
+  type RecordEvent,
+} from "../journal/index.ts";
 import {
   type KeyedChange,
   type KeyedLog,
@@ -95,8 +99,8 @@
         record("keys.doubted", {});
       },
     });
-    const record = (kind: string, fields: Record<string, unknown>) =>
-      journal.record(kind, fields);
+    const record: RecordEvent = (event, fields) =>
+      journal.record(event, fields);
     const contact = new StoreContact({ topic: "config", record });
     const listContact = new StoreContact({ topic: "instances", record });
     const metrics = new MetricsPage();
--- a/packages/celerytray/src/host/move_attempts.ts
+++ b/packages/celerytray/src/host/move_attempts.ts
@@ -1,4 +1,5 @@
 import { Effect } from "effect";
+import type { RecordEvent } from "../journal/index.ts";
 import {
   MOVE_AFTER_MS,
   type PaceBook,
@@ -10,7 +11,7 @@
   readonly stalls: StallWatch;
   readonly paces: PaceBook;
   readonly nowMs: () => number;
-  readonly record: (kind: string, fields: Record<string, unknown>) => void;
+  readonly record: RecordEvent;
   /** Heads of replicas that are taken apart. */
   readonly closedHeads: () => readonly string[];
 }
--- a/packages/celerytray/src/host/prove_keys.ts
+++ b/packages/celerytray/src/host/prove_keys.ts
@@ -1,4 +1,5 @@
 import { Effect } from "effect";
+import type { RecordEvent } from "../journal/index.ts";
 import { steadyMs } from "../clock/index.ts";
 import type { KeyedLog } from "../keyed_log/index.ts";
 import type { ConfigView } from "./config_view.ts";
@@ -10,7 +11,7 @@
   readonly config: ConfigView;
   readonly keys: KeyFreshness;
   readonly state: { needsProof: boolean };
-  readonly record: (kind: string, fields: Record<string, unknown>) => void;
+  readonly record: RecordEvent;
 }
 
 const PROOF_CHECK_MS = 20;
--- a/packages/celerytray/src/host/prove_keys_test.ts
+++ b/packages/celerytray/src/host/prove_keys_test.ts
@@ -4,6 +4,7 @@
 import { it } from "node:test";
 import { Left } from "purify-ts";
 import { steadyMs } from "../clock/index.ts";
+import type { RecordEvent } from "../journal/index.ts";
 import {
   type KeyedLog,
   type KeyedPage,
@@ -65,8 +66,9 @@
       onMalformed: () => {},
     });
     const state = { needsProof: true };
-    const record = (kind: string, { message }: Record<string, unknown>) => {
-      lines.push(`${kind} ${message}`);
+    const record: RecordEvent = (event, fields) => {
+      const { message } = fields as { readonly message: string };
+      lines.push(`${event} ${message}`);
     };
     yield* Effect.forkScoped(proveKeys({ log, config, keys, state, record }));
     yield* pass(OUTAGE_MS);
--- a/packages/celerytray/src/host/store_contact.ts
+++ b/packages/celerytray/src/host/store_contact.ts
@@ -1,8 +1,10 @@
+import type { RecordEvent } from "../journal/index.ts";
+
 /** Options of the view of the way to the store. */
 export interface StoreContactOptions {
   /** What is read from the store. */
-  readonly topic: string;
-  readonly record: (kind: string, fields: Record<string, unknown>) => void;
+  readonly topic: "config" | "instances";
+  readonly record: RecordEvent;
 }
 
 /** When the store answered reads of a topic, and whether it does now. */
--- a/packages/celerytray/src/journal/journal.ts
+++ b/packages/celerytray/src/journal/journal.ts
@@ -1,8 +1,26 @@
+import type { LogEvents } from "@celerytray/schema";
 import { destination, type DestinationStream, type Logger, pino } from "pino";
 import { LineBudget, type LineRank } from "./line_budget.ts";
 
-/** Fields of a line. */
-export type LineFields = Readonly<Record<string, unknown>>;
+/** Names of the events that lines tell of. */
+export type EventName = keyof LogEvents;
+
+/** Fields of an event's line. */
+export type EventFields<Name extends EventName> = ReadonlyFields<
+  Required<LogEvents>[Name]
+>;
+
+/** Writes an event. */
+export type RecordEvent = <Name extends EventName>(
+  event: Name,
+  fields: EventFields<Name>,
+) => void;
+
+type ReadonlyFields<Fields> = {
+  readonly [Name in keyof Fields]: Fields[Name] extends readonly (infer Item)[]
+    ? readonly Item[]
+    : Fields[Name];
+};
 
 /** Options of a process's structured log. */
 export interface JournalOptions {
@@ -39,10 +57,14 @@
   }
 
   /** Writes an event, if the budget of its rank allows. */
-  record(event: string, fields: LineFields, rank: LineRank = "notable"): void {
+  record<Name extends EventName>(
+    event: Name,
+    fields: EventFields<Name>,
+    rank: LineRank = "notable",
+  ): void {
     if (!this.#budget.tryTake(rank, this.#nowMs())) return;
     const omitted = this.#budget.takeOmitted();
     if (omitted > 0) this.#logger.info({ lines: omitted }, "log.omitted");
-    this.#logger.info(fields, event);
+    this.#logger.info(fields as object, event);
   }
 }
--- a/packages/cli/src/local/host_process_test.ts
+++ b/packages/cli/src/local/host_process_test.ts
@@ -1,4 +1,5 @@
 import { FakePlatform } from "@celerytray/fakes";
+import { validateLogEvents } from "@celerytray/schema/log_event_validator";
 import { expect } from "earl";
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
@@ -42,7 +43,27 @@
 };
 const WHOLE_STREAM = [0, 1, 2, 3, 4].map((id) => `id: ${id}\ndata: ${id}\n\n`)
   .join("");
+/** Head of a line, beside the fields of its event. */
+const LINE_HEAD = new Set(["level", "timeMs", "process", "event"]);
+/** Events that the tests before bring about, one of each kind at least. */
+const SEEN_EVENTS = [
+  "call.ended",
+  "config.adopted",
+  "lead.followed",
+  "lead.taken",
+  "order.answered",
+  "process.draining",
+  "process.started",
+  "process.stopped",
+  "replica.formed",
+  "replica.retired",
+  "replica.retiring",
+  "store.lost",
+  "store.regained",
+];
 const closers: (() => unknown)[] = [];
+/** What the processes of all tests have logged. */
+const logs: (() => string)[] = [];
 
 after(async () => {
   for (const close of closers.reverse()) await close();
@@ -120,8 +141,34 @@
       });
     }
   });
+
+  it("have logged lines as the schema has them, of all that happened", () => {
+    const lines = logs.flatMap((read) => listLines(read()));
+    const malformed = lines.filter(({ event, fields }) =>
+      !validateLogEvents({ [event]: fields })
+    );
+    expect(malformed).toEqual([]);
+    const events = new Set(lines.map(({ event }) => event));
+    expect(SEEN_EVENTS.filter((event) => !events.has(event))).toEqual([]);
+  });
 });
 
+interface LoggedLine {
+  readonly event: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** The whole lines of a log. */
+function listLines(log: string): readonly LoggedLine[] {
+  return log.split("\n").slice(0, -1).map((text) => {
+    const line = JSON.parse(text) as Readonly<Record<string, unknown>>;
+    const fields = Object.entries(line).filter(([name]) =>
+      !LINE_HEAD.has(name)
+    );
+    return { event: String(line.event), fields: Object.fromEntries(fields) };
+  });
+}
+
 interface HostProcess {
   readonly child: ChildProcess;
   readonly address: string;
@@ -183,9 +230,12 @@
   );
   const child = spawn(process.execPath, [PROGRAM], {
     env: { ...process.env, CELERYTRAY_BOOT: path },
-    stdio: ["ignore", "ignore", "inherit"],
+    stdio: ["ignore", "pipe", "inherit"],
   });
   closers.push(() => child.kill("SIGKILL"));
+  let log = "";
+  child.stdout.setEncoding("utf8").on("data", (text) => log += text);
+  logs.push(() => log);
   return {
     child,
     address: address!,
--- a/packages/schema/scripts/generate.js
+++ b/packages/schema/scripts/generate.js
@@ -13,6 +13,8 @@
 const schemaDir = join(packageDir, "schemas");
 const outputDir = join(packageDir, "src", "generated");
 
+/** Schema whose validator only checks use, so that no program carries it. */
+const LOG_EVENTS = "log_events";
 const HEADER =
   "// Generated from packages/schema/schemas by `npm run generate`.\n";
 
@@ -39,7 +41,12 @@
   for (const [name, schema] of schemas) {
     files.set(`${name}.ts`, await generateTypes(name, schema));
   }
-  files.set("validators.ts", generateValidators(schemas));
+  const ofPrograms = [...schemas].filter(([name]) => name !== LOG_EVENTS);
+  files.set("validators.ts", generateValidators(new Map(ofPrograms)));
+  files.set(
+    "log_event_validator.ts",
+    generateValidators(new Map([[LOG_EVENTS, schemas.get(LOG_EVENTS)]])),
+  );
   files.set("settings_schema.ts", generateSettingsSchema(schemas));
   if (options.check) {
     await checkFiles(files);
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -44,6 +44,9 @@
   StoredRecord,
 } from "./generated/platform.ts";
 
+// Structured log of the machines' program
+export type { LogEvents } from "./generated/log_events.ts";
+
 // Settings
 export type { EntrySettings } from "./generated/settings.ts";
 export { settingsSchema } from "./generated/settings_schema.ts";
--- a/scripts/check_operations.js
+++ b/scripts/check_operations.js
@@ -1,6 +1,7 @@
 /**
- * Fails where docs/OPERATIONS.md names other log events or metrics than the
- * program of the machines writes.
+ * Fails where docs/OPERATIONS.md names other log events than the schema
+ * declares or other metrics than the program of the machines writes, or where
+ * no module writes an event.
  */
 import { readFile } from "node:fs/promises";
 import { join } from "node:path";
@@ -15,31 +16,39 @@
   "packages/celerytray/src/journal/",
 ];
 const FILES = ["packages/cli/src/host_main.ts"];
-const EVENT = /"((?:[a-z]+)\.[a-z]+(?:-[a-z]+)*)"/g;
+const EVENTS = "packages/schema/schemas/log_events.schema.json";
 const METRIC = /celerytray_[a-z_]+/g;
-const EVENT_TOPICS =
-  /^(process|call|config|keys|store|instance|order|replica|lead|log)\./;
 
 async function main() {
+  const { properties } = JSON.parse(
+    await readFile(join(root, EVENTS), "utf8"),
+  );
+  const declared = Object.keys(properties);
+  const topics = new Set(declared.map((name) => name.split(".")[0]));
   const written = { events: new Set(), metrics: new Set() };
   for (const file of (await listSources()).filter(isInProgram)) {
     const text = await readFile(join(root, file), "utf8");
-    for (const [, name] of text.matchAll(EVENT)) {
-      if (EVENT_TOPICS.test(name)) written.events.add(name);
+    for (const name of declared) {
+      if (text.includes(`"${name}"`)) written.events.add(name);
     }
     for (const [name] of text.matchAll(METRIC)) written.metrics.add(name);
   }
   const page = await readFile(join(root, PAGE), "utf8");
   const told = {
-    events: listTableNames(page, (name) => EVENT_TOPICS.test(name)),
+    events: listTableNames(
+      page,
+      (name) => name.includes(".") && topics.has(name.split(".")[0]),
+    ),
     metrics: listTableNames(page, (name) => name.startsWith("celerytray_")),
   };
+  const unwritten = declared.filter((name) => !written.events.has(name))
+    .map((name) => `${EVENTS}: remove ${name}; no module writes it`);
   const problems = ["events", "metrics"].flatMap((kind) => [
     ...[...written[kind]].filter((name) => !told[kind].has(name))
       .map((name) => `${PAGE}: add ${name} to the table of ${kind}`),
     ...[...told[kind]].filter((name) => !written[kind].has(name))
       .map((name) => `${PAGE}: remove ${name}; no module writes it`),
-  ]);
+  ]).concat(unwritten);
   if (problems.length === 0) return;
   console.error(problems.join("\n"));
   process.exitCode = 1;
