--- a/packages/bench/src/attempts/attempts_bench.ts
+++ b/packages/bench/src/attempts/attempts_bench.ts
@@ -1,5 +1,5 @@
 import type { EngineFaults, PlainFaults } from "@celerytray/fakes";
-import type { Bench, BenchResult } from "../benches.ts";
+import type { Bench, BenchResult } from "../bench.ts";
 import { askCompletion, callPlain, expectTokens } from "./local_calls.ts";
 import {
   type LocalDataPlane,
--- a/packages/bench/src/claims/claims_bench.ts
+++ b/packages/bench/src/claims/claims_bench.ts
@@ -1,4 +1,4 @@
-import type { Bench, BenchResult } from "../benches.ts";
+import type { Bench, BenchResult } from "../bench.ts";
 import {
   type ClaimLoad,
   type ClaimLoadResult,
--- a/packages/bench/src/config/config_bench.ts
+++ b/packages/bench/src/config/config_bench.ts
@@ -5,7 +5,7 @@
 } from "celerytray";
 import { Effect } from "effect";
 import { TestClock } from "effect/testing";
-import type { Bench, BenchResult } from "../benches.ts";
+import type { Bench, BenchResult } from "../bench.ts";
 import { createSampleConfig, setReplicaCount } from "./sample_config.ts";
 import { measureProcesses } from "./measure_processes.ts";
 import { summarise } from "./summarise.ts";
--- a/packages/bench/src/formation/formation_bench.ts
+++ b/packages/bench/src/formation/formation_bench.ts
@@ -5,7 +5,7 @@
   RepairPlanner,
   type ReplicaPlanner,
 } from "celerytray";
-import type { Bench, BenchResult } from "../benches.ts";
+import type { Bench, BenchResult } from "../bench.ts";
 import { type BenchDeployment, benchDeployments } from "./deployments.ts";
 import { drawFaultDay } from "./fault_day.ts";
 import { measurePlanning } from "./planning_cost.ts";
--- a/packages/bench/src/fuzz/fuzz_bench.ts
+++ b/packages/bench/src/fuzz/fuzz_bench.ts
@@ -1,4 +1,4 @@
-import type { Bench, BenchResult } from "../benches.ts";
+import type { Bench, BenchResult } from "../bench.ts";
 import { FUZZ_TARGETS } from "./fuzz_targets.ts";
 import { runFuzz } from "./run_fuzz.ts";
 
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,3 @@
 /** Measurements of policies and of running processes. */
-export { type Bench, benches, type BenchResult } from "./benches.ts";
+export type { Bench, BenchResult } from "./bench.ts";
+export { benches } from "./benches.ts";
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 /** Runs one measurement: `npm run -s bench -- NAME [--json]`. */
-import { benches, type BenchResult } from "./benches.ts";
+import type { BenchResult } from "./bench.ts";
+import { benches } from "./benches.ts";
 
 const [name] = process.argv.slice(2).filter((arg) => !arg.startsWith("--"));
 const isJson = process.argv.includes("--json");
--- a/packages/bench/src/membership/membership_bench.ts
+++ b/packages/bench/src/membership/membership_bench.ts
@@ -1,4 +1,4 @@
-import type { Bench, BenchResult } from "../benches.ts";
+import type { Bench, BenchResult } from "../bench.ts";
 import { measureCall } from "./measure_call.ts";
 import { measureSize } from "./measure_size.ts";
 
--- a/packages/bench/src/relay/relay_bench.ts
+++ b/packages/bench/src/relay/relay_bench.ts
@@ -1,5 +1,5 @@
 import { build, type Histogram } from "hdr-histogram-js";
-import type { Bench, BenchResult } from "../benches.ts";
+import type { Bench, BenchResult } from "../bench.ts";
 import type { RelayLoad } from "./relay_messages.ts";
 import {
   readCpuUs,
--- a/packages/bench/src/routing/routing_bench.ts
+++ b/packages/bench/src/routing/routing_bench.ts
@@ -5,7 +5,7 @@
   RandomRouter,
   RoundRobinRouter,
 } from "celerytray";
-import type { Bench, BenchResult } from "../benches.ts";
+import type { Bench, BenchResult } from "../bench.ts";
 import { measureChoice } from "./measure_choice.ts";
 import {
   type RoutingPolicy,
--- a/packages/bench/src/slopes/slopes_bench.ts
+++ b/packages/bench/src/slopes/slopes_bench.ts
@@ -1,4 +1,4 @@
-import type { Bench, BenchResult } from "../benches.ts";
+import type { Bench, BenchResult } from "../bench.ts";
 import { decisionSlopes } from "./decision_slopes.ts";
 import { measureSlope, type Slope } from "./slope.ts";
 import { stateSlopes } from "./state_slopes.ts";
--- a/packages/celerytray/src/entry/create_entry_instance.ts
+++ b/packages/celerytray/src/entry/create_entry_instance.ts
@@ -29,7 +29,8 @@
 import { createEntryFleet } from "./entry_fleet.ts";
 import { createEntryMembership } from "./entry_membership.ts";
 import { runEntryMetrics } from "./entry_metrics.ts";
-import { createEntryOperations, type EntryParts } from "./entry_operations.ts";
+import { createEntryOperations } from "./entry_operations.ts";
+import type { EntryParts } from "./entry_parts.ts";
 import { createEntryRouting } from "./entry_routing.ts";
 
 /** Options of an entry instance. */
--- a/packages/celerytray/src/entry/entry_config_operations.ts
+++ b/packages/celerytray/src/entry/entry_config_operations.ts
@@ -20,7 +20,7 @@
 } from "../config/index.ts";
 import { fromEither } from "../errors/index.ts";
 import { listOtherEntries } from "./entry_membership.ts";
-import type { EntryParts } from "./entry_operations.ts";
+import type { EntryParts } from "./entry_parts.ts";
 
 type ConfigOperations = Pick<
   AdminOperations,
--- a/packages/celerytray/src/entry/entry_operations.ts
+++ b/packages/celerytray/src/entry/entry_operations.ts
@@ -3,40 +3,12 @@
   AdminOperations,
   EntryStatus,
   ReplicaDescription,
-  TrpcPeerTransport,
 } from "../admin/index.ts";
-import type { InstanceDirectory } from "../backends/index.ts";
-import type { ConfigStream } from "../config/index.ts";
-import {
-  findReplicaHealth,
-  type FleetState,
-  type MemberObservation,
-} from "../fleet/index.ts";
-import type { InFlightCalls } from "../forwarding/index.ts";
-import type { LogWriter, StreamView } from "../log/index.ts";
-import type { Membership } from "../membership/index.ts";
-import type { ResolvedEntrySettings } from "../settings/index.ts";
-import { selectEvents, type Timeline } from "../timeline/index.ts";
+import { findReplicaHealth } from "../fleet/index.ts";
+import { selectEvents } from "../timeline/index.ts";
 import { createConfigOperations } from "./entry_config_operations.ts";
+import type { EntryParts } from "./entry_parts.ts";
 import { readMergedTimeline } from "./entry_timeline.ts";
-import type { ReadyBackends } from "./ready_backends.ts";
-
-/** The parts of an entry instance that operators see. */
-export interface EntryParts {
-  readonly settings: ResolvedEntrySettings;
-  readonly config: ConfigStream;
-  readonly directory: InstanceDirectory;
-  readonly membership: Membership;
-  readonly transport: TrpcPeerTransport;
-  readonly fleet: StreamView<FleetState>;
-  readonly configWriter: LogWriter;
-  readonly observations: ReadonlyMap<string, MemberObservation>;
-  readonly backends: ReadyBackends;
-  readonly calls: InFlightCalls;
-  readonly timeline: Timeline;
-  readonly maxObservationAgeMs: number;
-  readonly notReadyReason: () => string | undefined;
-}
 
 /** Creates what operators can do on an entry instance. */
 export function createEntryOperations(parts: EntryParts): AdminOperations {
--- a/packages/celerytray/src/entry/entry_timeline.ts
+++ b/packages/celerytray/src/entry/entry_timeline.ts
@@ -6,7 +6,7 @@
   type TimelineEvent,
   type TimelineFilter,
 } from "../timeline/index.ts";
-import type { EntryParts } from "./entry_operations.ts";
+import type { EntryParts } from "./entry_parts.ts";
 
 const CONCURRENT_READS = 16;
 
--- a/packages/celerytray/src/forwarding/call_plain_service.ts
+++ b/packages/celerytray/src/forwarding/call_plain_service.ts
@@ -5,7 +5,7 @@
 import { callIdempotent } from "./call_idempotent.ts";
 import { callOnce } from "./call_once.ts";
 import { CallerError } from "./caller_error.ts";
-import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
+import type { CallContext, ForwardingDependencies } from "./call_context.ts";
 import { parseServicePath } from "./parse_service_path.ts";
 import type { PlainAnswer } from "./plain_attempt.ts";
 import { isIdempotent, type PlainCall } from "./plain_call.ts";
--- a/packages/celerytray/src/forwarding/caller_handler.ts
+++ b/packages/celerytray/src/forwarding/caller_handler.ts
@@ -1,4 +1,3 @@
-import type { ConfigSet } from "@celerytray/schema";
 import { Clock, type Context, Effect, Fiber } from "effect";
 import type {
   IncomingMessage,
@@ -6,12 +5,10 @@
   ServerResponse,
 } from "node:http";
 import { randomUUID } from "node:crypto";
-import type { Admission, CallSlots } from "../admission/index.ts";
 import { fromEither } from "../errors/index.ts";
-import { type BackendPools, discardBody, readBody } from "../http/index.ts";
-import type { CallRouter, RoutingOutcome } from "../routing/index.ts";
-import type { TimelineFields } from "../timeline/index.ts";
-import { authenticate, type AuthenticatedCaller } from "./authenticate.ts";
+import { discardBody, readBody } from "../http/index.ts";
+import { authenticate } from "./authenticate.ts";
+import type { CallContext, ForwardingDependencies } from "./call_context.ts";
 import { callPlainService } from "./call_plain_service.ts";
 import {
   CallerError,
@@ -19,55 +16,8 @@
   writeCallerError,
 } from "./caller_error.ts";
 import { completeChat } from "./complete_chat.ts";
-import type {
-  ForwardingClaims,
-  PlainInstance,
-  ReadyReplica,
-} from "./forwarding_types.ts";
-import type { HedgeDelays } from "./hedge_delay.ts";
-import type { InFlightCalls } from "./in_flight_calls.ts";
 import { toOriginForm } from "./parse_service_path.ts";
-import type { ServiceFailures } from "./recent_failures.ts";
 import { createRefusedError } from "./refused_error.ts";
-import type { RetryBudget } from "./retry_budget.ts";
-
-/** What the data plane needs of its entry instance. */
-export interface ForwardingDependencies {
-  readonly availabilityZone: string;
-  readonly maxBodyBytes: number;
-  readonly pools: BackendPools;
-  readonly budget: RetryBudget;
-  readonly failures: ServiceFailures;
-  readonly hedgeDelays: HedgeDelays;
-  readonly router: CallRouter;
-  readonly admission: Admission;
-  readonly slots: CallSlots;
-  readonly claims: ForwardingClaims;
-  readonly calls: InFlightCalls;
-  readonly config: () => ConfigSet;
-  /** Why no request is taken now; undefined when ready. */
-  readonly notReadyReason: () => string | undefined;
-  readonly listReadyReplicas: (service: string) => readonly ReadyReplica[];
-  readonly listPlainInstances: (service: string) => readonly PlainInstance[];
-  /** Takes note of a request sent to a replica. */
-  readonly noteSent: (replicaId: string) => void;
-  /** Takes note of what became of a request sent to a replica. */
-  readonly noteOutcome: (outcome: Omit<RoutingOutcome, "nowMs">) => void;
-  readonly recordEvent: (
-    kind: string,
-    fields: TimelineFields,
-  ) => Effect.Effect<void>;
-}
-
-/** One authenticated call and its body. */
-export interface CallContext extends AuthenticatedCaller {
-  readonly requestId: string;
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly body: Buffer;
-  readonly config: ConfigSet;
-  readonly arrivedAtMs: number;
-}
 
 const NOT_READY_RETRY_MS = 2_000;
 const MAX_DISCARDED_BYTES = 64 * 1024 * 1024;
--- a/packages/celerytray/src/forwarding/complete_chat.ts
+++ b/packages/celerytray/src/forwarding/complete_chat.ts
@@ -11,7 +11,7 @@
 import { AttemptPlan, NOT_RUN_COST_REQUESTS } from "./attempt_plan.ts";
 import { CallerError } from "./caller_error.ts";
 import { chooseBackend } from "./choose_backend.ts";
-import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
+import type { CallContext, ForwardingDependencies } from "./call_context.ts";
 import { CompletionSink } from "./completion_sink.ts";
 import type { ReadyReplica } from "./forwarding_types.ts";
 import { createRefusedError } from "./refused_error.ts";
--- a/packages/celerytray/src/forwarding/index.ts
+++ b/packages/celerytray/src/forwarding/index.ts
@@ -1,9 +1,7 @@
 /** The life of one caller's request. */
 export { CallerError, type CallOutcomeState } from "./caller_error.ts";
-export {
-  createCallerHandler,
-  type ForwardingDependencies,
-} from "./caller_handler.ts";
+export type { ForwardingDependencies } from "./call_context.ts";
+export { createCallerHandler } from "./caller_handler.ts";
 export { InFlightCalls } from "./in_flight_calls.ts";
 export {
   type AttemptOutcome,
--- a/packages/celerytray/src/forwarding/plain_call.ts
+++ b/packages/celerytray/src/forwarding/plain_call.ts
@@ -2,7 +2,7 @@
 import { Clock, Effect } from "effect";
 import type { GrantedClaim } from "../claims/index.ts";
 import type { AttemptPlan } from "./attempt_plan.ts";
-import type { CallContext, ForwardingDependencies } from "./caller_handler.ts";
+import type { CallContext, ForwardingDependencies } from "./call_context.ts";
 import { chooseBackend } from "./choose_backend.ts";
 import type { PlainInstance } from "./forwarding_types.ts";
 import { type PlainOutcome, runPlainAttempt } from "./plain_attempt.ts";
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -99,8 +99,7 @@
         record("keys.doubted", {});
       },
     });
-    const record: RecordEvent = (event, fields) =>
-      journal.record(event, fields);
+    const record: RecordEvent = (kind, fields) => journal.record(kind, fields);
     const contact = new StoreContact({ topic: "config", record });
     const listContact = new StoreContact({ topic: "instances", record });
     const metrics = new MetricsPage();
--- a/packages/celerytray/src/log/index.ts
+++ b/packages/celerytray/src/log/index.ts
@@ -24,11 +24,8 @@
   type LogWriter,
   type LogWriterOptions,
 } from "./log_writer.ts";
-export {
-  createStreamView,
-  type StreamView,
-  type StreamViewOptions,
-} from "./stream_view.ts";
+export { createStreamView, type StreamViewOptions } from "./stream_view.ts";
+export type { StreamView } from "./stream_view_types.ts";
 
 // Snapshots
 export {
--- a/packages/celerytray/src/log/snapshots.ts
+++ b/packages/celerytray/src/log/snapshots.ts
@@ -3,7 +3,7 @@
 import { randomUUID } from "node:crypto";
 import type { LogService, LogUnavailable } from "./log_service.ts";
 import type { LogWriter } from "./log_writer.ts";
-import type { StreamView } from "./stream_view.ts";
+import type { StreamView } from "./stream_view_types.ts";
 
 /** Stream that holds the snapshots of all others. */
 export const SNAPSHOT_STREAM = "snapshots";
