--- a/packages/fakes/src/fleet/fleet_director_test.ts
+++ b/packages/fakes/src/fleet/fleet_director_test.ts
@@ -1,96 +1,28 @@
-import {
-  Coordinator,
-  type EngineSpec,
-  FleetDirector,
-  InstanceListView,
-  type InstanceState,
-  type KeyedChange,
-  type KeyedTopic,
-  type LeadAnswer,
-  type PeerCalls,
-  type PeerReport,
-  PeerSilent,
-  readSteadyMs,
-  TopicCopy,
-} from "celerytray";
 import { expect } from "earl";
-import { Clock, Effect } from "effect";
+import { Effect } from "effect";
 import { TestClock } from "effect/testing";
 import fc from "fast-check";
 import { describe, it } from "node:test";
-import { Right } from "purify-ts";
-import { FakeKeyedStore, InProcessStore } from "../store/index.ts";
-import { FakeFleet, runFakeFleet } from "./fake_fleet.ts";
+import { DOMAINS, type Trouble } from "./fleet_trouble.ts";
+import {
+  createFleetWorld,
+  DOMAIN_SIZE,
+  DRAIN_MS,
+  LIST_LAG_MS,
+  PROCESSES,
+  SETTLE_MS,
+  STEP_MS,
+} from "./fleet_world.ts";
 
 const SEED = 71;
 const RUNS = 25;
-const STEP_MS = 20;
-const LIST_LAG_MS = 60;
-const TIMES = {
-  hotJoinMs: 200,
-  warmJoinMs: 1_600,
-  loadMs: 12_000,
-  closeMs: 30,
-};
-const ENGINE: EngineSpec = {
-  slots: 8,
-  loadsPerSecond: 5,
-  loadsAtOnce: 8,
-  models: [
-    {
-      name: "large",
-      size: 4,
-      instanceShare: 0.7,
-      pace: 1,
-      loadMs: 12_000,
-      warmMs: 1_600,
-    },
-    {
-      name: "small",
-      size: 2,
-      instanceShare: 0.3,
-      pace: 0.6,
-      loadMs: 12_000,
-      warmMs: 1_100,
-    },
-  ],
-};
-const DOMAINS = ["d0", "d1"];
-const DOMAIN_SIZE = 7;
-const PROCESSES = 3;
 const REPLICAS = 4;
 const VICTIMS = 4;
 /** Targets of the time from a member's death to the replica's return. */
 const MEDIAN_REPAIR_MS = 2_500;
 const MAX_REPAIR_MS = 5_000;
-/** Time until the replicas are formed, with the loads of their weights. */
-const SETTLE_MS = 16_000;
-const SLOW_PACE = 4;
-/** Time for which an instance that drains works on at least. */
-const DRAIN_MS = 2_000;
 /** Time after an arrival at which its weights are still loading. */
 const ARRIVAL_MS = 4_000;
-/** Where the configuration ends, and since when the lead knows. */
-const CONFIG_OFFSET = 7;
-const PROOF_AGE_MS = 300;
-
-type Trouble =
-  | { readonly kind: "kill-instance"; readonly index: number }
-  | { readonly kind: "kill-head"; readonly index: number }
-  | { readonly kind: "late-orders"; readonly share: number }
-  /** A head and some of its members can't be reached for a time. */
-  | { readonly kind: "part"; readonly index: number; readonly members: number }
-  /** A member of a replica turns slow. */
-  | { readonly kind: "slow"; readonly index: number }
-  /** An instance drains, or arrives in a domain. */
-  | { readonly kind: "drain" | "arrive"; readonly index: number }
-  /** A member that is no head drains, and its domain has no spare left. */
-  | { readonly kind: "drain-without-spare" }
-  | { readonly kind: "rejoin"; readonly members: number }
-  | { readonly kind: "store-out" | "store-back" | "store-loses" }
-  /** The process that decides loses the store, but no other process. */
-  | { readonly kind: "cut-lead-from-store" }
-  | { readonly kind: "kill-lead" | "cut-lead" | "heal" | "quicken" };
 
 const trouble: fc.Arbitrary<Trouble> = fc.oneof(
   fc.record({
@@ -241,7 +173,7 @@
 /** Plays a day on virtual time, after the replicas were formed. */
 function play(steps: readonly Step[], tailMs: number): Promise<PlayedWorld> {
   const program = Effect.gen(function* () {
-    const world = yield* createWorld();
+    const world = yield* createFleetWorld({ seed: SEED });
     yield* advance(SETTLE_MS);
     for (const step of steps) {
       yield* advance(step.waitMs);
@@ -275,7 +207,7 @@
   { before = [], pauseMs = 0 }: Earlier = {},
 ): Promise<number> {
   const program = Effect.gen(function* () {
-    const world = yield* createWorld();
+    const world = yield* createFleetWorld({ seed: SEED });
     yield* advance(SETTLE_MS);
     for (const earlier of before) world.apply(earlier);
     yield* advance(pauseMs);
@@ -301,325 +233,3 @@
     }
   });
 }
-
-interface Process {
-  readonly nodeId: string;
-  readonly coordinator: Coordinator;
-  isCut: boolean;
-  /** Whether the store, but no other process, is out of its reach. */
-  isStoreCut: boolean;
-  isDead: boolean;
-}
-
-function createWorld() {
-  return Effect.gen(function* () {
-    const clock = yield* Clock.Clock;
-    const nowMs = () => readSteadyMs(clock);
-    const store = new FakeKeyedStore();
-    const states = new Map<string, InstanceState>();
-    const lists: InstanceListView[] = [];
-    let offset = 0;
-    const tell = (state: InstanceState) => {
-      states.set(state.id, state);
-      offset += 1;
-      const change = createChange(state, offset);
-      for (const list of lists) list.apply(change, nowMs());
-    };
-    const fleet: FakeFleet = new FakeFleet({
-      seed: SEED,
-      times: TIMES,
-      onChange: (instance) => {
-        const state = instance.describe();
-        Effect.runForkWith(context)(
-          Effect.andThen(
-            Effect.sleep(LIST_LAG_MS),
-            Effect.sync(() => tell(state)),
-          ),
-        );
-      },
-    });
-    const context = yield* Effect.context<never>();
-    const processes: Process[] = [];
-    const proofs = { count: 0 };
-    for (let index = 0; index < PROCESSES; index++) {
-      const list = createList();
-      lists.push(list);
-      const process = createProcess({
-        index,
-        list,
-        fleet,
-        store,
-        processes,
-        nowMs,
-        proofs,
-      });
-      processes.push(process);
-      yield* Effect.forkScoped(
-        process.coordinator.run().pipe(
-          Effect.raceFirst(awaitDeath(process)),
-        ),
-      );
-    }
-    yield* Effect.forkScoped(runFakeFleet(fleet));
-    for (const domain of DOMAINS) {
-      for (let index = 0; index < DOMAIN_SIZE; index++) {
-        fleet.start(`${domain}-${index}`, domain, 1);
-      }
-    }
-    const findLead = () =>
-      processes.find(({ coordinator, isDead }) =>
-        coordinator.isLeading && !isDead
-      );
-    return {
-      fleet,
-      proofs,
-      apply: (step: Trouble) =>
-        applyTrouble(step, { fleet, store, findLead, processes }),
-    };
-  });
-}
-
-interface TroubleTargets {
-  readonly fleet: FakeFleet;
-  readonly store: FakeKeyedStore;
-  readonly findLead: () => Process | undefined;
-  readonly processes: readonly Process[];
-}
-
-function applyTrouble(step: Trouble, targets: TroubleTargets): void {
-  const { fleet, store, findLead, processes } = targets;
-  switch (step.kind) {
-    case "kill-instance": {
-      const members = fleet.list().filter(({ isAlive, membership }) =>
-        isAlive && membership?.members[0] !== undefined &&
-        membership.state !== "open"
-      );
-      if (members.length > 0) {
-        fleet.kill(members[step.index % members.length]!.id);
-      }
-      return;
-    }
-    case "kill-head": {
-      const heads = fleet.listServing();
-      if (heads.length > 0) fleet.kill(heads[step.index % heads.length]!.id);
-      return;
-    }
-    case "part": {
-      const heads = fleet.listServing();
-      if (heads.length === 0) return;
-      const head = heads[step.index % heads.length]!;
-      for (const id of head.membership!.members.slice(0, step.members)) {
-        fleet.setReachable(id, false);
-      }
-      return;
-    }
-    case "rejoin": {
-      // The members that were parted last come back first.
-      const parted = fleet.list().filter(({ isReachable }) => !isReachable);
-      for (const { id } of parted.reverse().slice(0, step.members)) {
-        fleet.setReachable(id, true);
-      }
-      return;
-    }
-    case "late-orders":
-      fleet.faults = { lateShare: step.share };
-      return;
-    case "store-out":
-      store.faults = { isOut: true };
-      return;
-    case "store-loses":
-      store.faults = { losesAnswers: true };
-      return;
-    case "store-back":
-      store.faults = {};
-      return;
-    case "slow": {
-      const members = fleet.list().filter(({ isAlive, membership }) =>
-        isAlive && membership !== undefined
-      );
-      if (members.length > 0) {
-        fleet.setPace(members[step.index % members.length]!.id, SLOW_PACE);
-      }
-      return;
-    }
-    case "drain": {
-      const instances = fleet.list();
-      fleet.drain(instances[step.index % instances.length]!.id);
-      return;
-    }
-    case "arrive": {
-      const domain = DOMAINS[step.index % DOMAINS.length]!;
-      fleet.start(`${domain}-new-${fleet.list().length}`, domain, 1);
-      return;
-    }
-    case "drain-without-spare": {
-      const heads = fleet.listServing();
-      const members = heads.flatMap(({ membership }) => membership!.members);
-      for (const { id } of fleet.list()) {
-        if (!members.includes(id)) fleet.kill(id);
-      }
-      fleet.drain(heads[0]!.membership!.members[1]!);
-      return;
-    }
-    case "quicken":
-      for (const { id } of fleet.list()) fleet.setPace(id, 1);
-      return;
-    case "kill-lead": {
-      const lead = findLead();
-      const living = processes.filter(({ isDead }) => !isDead).length;
-      if (lead !== undefined && living > 1) lead.isDead = true;
-      return;
-    }
-    case "cut-lead": {
-      const lead = findLead();
-      if (lead !== undefined) lead.isCut = true;
-      return;
-    }
-    case "cut-lead-from-store": {
-      const lead = findLead();
-      if (lead !== undefined) lead.isStoreCut = true;
-      return;
-    }
-    case "heal":
-      for (const process of processes) {
-        process.isCut = false;
-        process.isStoreCut = false;
-      }
-  }
-}
-
-interface ProcessOptions {
-  readonly index: number;
-  readonly list: InstanceListView;
-  readonly fleet: FakeFleet;
-  readonly store: FakeKeyedStore;
-  readonly processes: readonly Process[];
-  readonly nowMs: () => number;
-  /** Proofs of the configuration that processes were told. */
-  readonly proofs: { count: number };
-}
-
-function createProcess(options: ProcessOptions): Process {
-  const { index, list, fleet, store, processes, nowMs, proofs } = options;
-  const nodeId = `node-${index}`;
-  const isCut = () => processes[index]?.isCut === true;
-  const isStoreCut = () => isCut() || processes[index]?.isStoreCut === true;
-  let answeredAtMs = 0;
-  const listStalledHeads = () => {
-    const serving = new Set(fleet.listServing().map(({ id }) => id));
-    return fleet.list().filter(({ id, membership }) =>
-      membership?.state === "open" && !serving.has(id)
-    ).map(({ id }) => id);
-  };
-  const coordinator = new Coordinator({
-    nodeId,
-    bootId: `boot-${index}`,
-    peerAddress: `${index}`,
-    log: new InProcessStore({ store, isCut: isStoreCut }),
-    client: createPeers(processes, isCut),
-    listStalledHeads,
-    listSlowHeads: () => fleet.listSlow().map(({ id }) => id),
-    demand: () => ({}),
-    repeats: () => ({}),
-    configProof: () => ({
-      nextOffset: CONFIG_OFFSET,
-      provenAtMs: nowMs() - PROOF_AGE_MS,
-    }),
-    onConfigProof: ({ nextOffset, provenAtMs }) => {
-      const ageMs = nowMs() - provenAtMs;
-      if (nextOffset !== CONFIG_OFFSET || ageMs < PROOF_AGE_MS) {
-        fleet.violations.push(`${nodeId} was told a proof of ${ageMs} ms ago`);
-      }
-      proofs.count += 1;
-    },
-    hasTraffic: () => nowMs() > SETTLE_MS,
-    storeAnsweredAtMs: () => {
-      const isOut = isStoreCut() || store.faults.isOut === true;
-      if (!isOut) answeredAtMs = nowMs();
-      return answeredAtMs;
-    },
-    instances: new TopicCopy(),
-    onInstances: () => {},
-    createDirector: ({ term, replicas, recorder }) =>
-      new FleetDirector({
-        term,
-        replicas,
-        recorder,
-        instances: list,
-        control: fleet.createControl(),
-        engines: () => new Map([["drafts", ENGINE]]),
-        demand: () => 0,
-        hasTraffic: () => nowMs() > SETTLE_MS,
-        drainMs: DRAIN_MS,
-        record: () => {},
-      }),
-    record: () => {},
-  });
-  return {
-    nodeId,
-    coordinator,
-    isCut: false,
-    isStoreCut: false,
-    isDead: false,
-  };
-}
-
-/** Calls between the processes of a world. */
-function createPeers(
-  processes: readonly Process[],
-  isCut: () => boolean,
-): PeerCalls {
-  const reach = (address: string) =>
-    Effect.suspend(() => {
-      const peer = processes[Number(address)];
-      const isSilent = peer === undefined || peer.isDead || peer.isCut ||
-        isCut();
-      return isSilent
-        ? Effect.andThen(
-          Effect.sleep(400),
-          Effect.fail(
-            new PeerSilent({
-              isRefused: peer?.isDead === true,
-              message: "The peer is silent",
-            }),
-          ),
-        )
-        : Effect.as(Effect.sleep(2), peer.coordinator);
-    });
-  return {
-    report: (address: string, report: PeerReport) =>
-      Effect.map(reach(address), (peer): LeadAnswer => peer.report(report)),
-    heardLead: (address: string, term: number) =>
-      Effect.map(
-        reach(address),
-        (peer) => peer.heardLeadAgoMs(term) ?? null,
-      ),
-  };
-}
-
-function awaitDeath(process: Process): Effect.Effect<void> {
-  return Effect.gen(function* () {
-    while (!process.isDead) yield* Effect.sleep(STEP_MS);
-  });
-}
-
-function createList(): InstanceListView {
-  return new InstanceListView({
-    decode: (_id, text) => Right(JSON.parse(text) as InstanceState),
-    onMalformed: () => {},
-  });
-}
-
-function createChange(state: InstanceState, offset: number): KeyedChange {
-  const topic: KeyedTopic = "instances";
-  return {
-    isWhole: false,
-    records: [{
-      key: state.id,
-      value: Buffer.from(JSON.stringify({ ...state, topic })),
-      offset,
-    }],
-    nextOffset: offset + 1,
-    freshAtMs: 0,
-  };
-}
