--- a/packages/celerytray/src/membership/index.ts
+++ b/packages/celerytray/src/membership/index.ts
@@ -24,10 +24,10 @@
   parseExchangeMessage,
 } from "./exchange.ts";
 export { LeavingTable } from "./leaving_table.ts";
-export {
-  type ExchangedConfig,
-  Membership,
-  type MembershipOptions,
-  type PeerFailure,
-  type PeerTransport,
-} from "./membership.ts";
+export { Membership } from "./membership.ts";
+export type {
+  ExchangedConfig,
+  MembershipOptions,
+  PeerFailure,
+  PeerTransport,
+} from "./membership_ports.ts";
--- a/packages/celerytray/src/membership/membership.ts
+++ b/packages/celerytray/src/membership/membership.ts
@@ -1,80 +1,13 @@
 import { Clock, Effect, type Scope } from "effect";
-import type { HybridClock } from "../timeline/index.ts";
-import type { ConfigUpdate } from "../config/index.ts";
+import { ConfigConfirmation } from "./config_confirmation.ts";
 import type { ExchangeAnswer, ExchangeMessage } from "./exchange.ts";
 import { IsolationMonitor } from "./isolation_monitor.ts";
 import { LeavingTable } from "./leaving_table.ts";
-import {
-  type Member,
-  MemberTable,
-  type MemberTableOptions,
-} from "./member_table.ts";
-import type { MemberUpdate } from "./member_update.ts";
+import { type Member, MemberTable } from "./member_table.ts";
+import type { MembershipOptions } from "./membership_ports.ts";
 import { DemandTable } from "./peer_demand.ts";
 import { sample } from "./sample.ts";
 
-/** A peer could not be reached, or did not answer in time. */
-export interface PeerFailure {
-  readonly message: string;
-}
-
-/** Calls to other entry instances. */
-export interface PeerTransport {
-  exchange(
-    address: string,
-    message: ExchangeMessage,
-  ): Effect.Effect<ExchangeAnswer, PeerFailure>;
-  /** Whether a peer answers. */
-  ping(address: string): Effect.Effect<boolean, PeerFailure>;
-  /** Hands a configuration over to a peer that lags. */
-  offerConfig(
-    address: string,
-    update: ConfigUpdate,
-  ): Effect.Effect<void, PeerFailure>;
-  /** Asks a peer whether it reaches another one. */
-  probe(
-    address: string,
-    targetAddress: string,
-  ): Effect.Effect<boolean, PeerFailure>;
-}
-
-/** The configuration as the exchange needs it. */
-export interface ExchangedConfig {
-  readonly version: () => number;
-  readonly nextOffset: () => number;
-  readonly lacksConfig: () => boolean;
-  readonly logReadAtMs: () => number | undefined;
-  /** What a peer lacks; undefined if nothing, or if this instance lags too. */
-  readonly createUpdate: (
-    peer: Pick<
-      ExchangeMessage,
-      "configVersion" | "configNextOffset" | "lacksConfig"
-    >,
-  ) => ConfigUpdate | undefined;
-  readonly adopt: (update: ConfigUpdate) => Effect.Effect<boolean>;
-  /** Called once most peers were heard and none has a higher version. */
-  readonly confirm: () => void;
-}
-
-/** Options of membership. */
-export interface MembershipOptions {
-  readonly self: Pick<MemberUpdate, "instanceId" | "adminAddress">;
-  readonly transport: PeerTransport;
-  readonly config: ExchangedConfig;
-  /** Other entry instances on the instance list. */
-  readonly listEntries: () => readonly Pick<
-    MemberUpdate,
-    "instanceId" | "adminAddress"
-  >[];
-  readonly random: () => number;
-  /** Clock of the time line, kept in step with the peers'. */
-  readonly clock?: HybridClock;
-  /** Learns of each change of a member's state. */
-  readonly onMemberChange?: MemberTableOptions["onChange"];
-  readonly intervalMs: number;
-  readonly isolationTimeoutMs: number;
-}
-
 /** Peers asked when one does not answer. */
 const PROBE_PEERS = 2;
 /** Further peers asked in each interval while the configuration is lacking. */
@@ -103,12 +36,12 @@
   #roundCount = 0;
   /** Rises when something should spread at once. */
   #newsCount = 0;
-  /** Peers whose version this instance has reached since it lacked its own. */
-  readonly #confirmedBy = new Set<string>();
+  readonly #confirmation: ConfigConfirmation;
 
   constructor(options: MembershipOptions, startedAtMs: number) {
     const { self, intervalMs, onMemberChange } = options;
     this.#options = options;
+    this.#confirmation = new ConfigConfirmation(options.config);
     this.table = new MemberTable({
       self,
       intervalMs,
@@ -245,7 +178,7 @@
       if (answer.configUpdate !== undefined) {
         yield* config.adopt(answer.configUpdate);
       }
-      this.#noteConfirmation(answer);
+      this.#confirmation.noteAnswer(answer, this.table.members);
       const update = config.createUpdate(answer);
       if (update !== undefined) {
         yield* transport.offerConfig(peer.adminAddress, update).pipe(
@@ -257,27 +190,6 @@
     });
   }
 
-  /**
-   * A start without the log needs more than half of the peers known. Those
-   * that look gone count too: they may live beyond a partition.
-   */
-  #noteConfirmation(answer: ExchangeMessage): void {
-    const { config } = this.#options;
-    if (!config.lacksConfig()) {
-      this.#confirmedBy.clear();
-      return;
-    }
-    const isReached = answer.lacksConfig !== true &&
-      config.version() >= answer.configVersion;
-    if (!isReached) return;
-    this.#confirmedBy.add(answer.sender.instanceId);
-    const known = this.table.members.filter(({ state }) => state !== "left");
-    const confirmed = known.filter(({ instanceId }) =>
-      this.#confirmedBy.has(instanceId)
-    );
-    if (2 * confirmed.length > known.length) config.confirm();
-  }
-
   #askOthers(peer: Member): Effect.Effect<boolean> {
     const { transport, intervalMs, random } = this.#options;
     const others = this.table.present.filter(({ instanceId, state }) =>
--- /dev/null
+++ b/packages/celerytray/src/membership/membership_ports.ts
@@ -0,0 +1,68 @@
+import type { Effect } from "effect";
+import type { ConfigUpdate } from "../config/index.ts";
+import type { HybridClock } from "../timeline/index.ts";
+import type { ExchangeAnswer, ExchangeMessage } from "./exchange.ts";
+import type { MemberTableOptions } from "./member_table.ts";
+import type { MemberUpdate } from "./member_update.ts";
+
+/** A peer could not be reached, or did not answer in time. */
+export interface PeerFailure {
+  readonly message: string;
+}
+
+/** Calls to other entry instances. */
+export interface PeerTransport {
+  exchange(
+    address: string,
+    message: ExchangeMessage,
+  ): Effect.Effect<ExchangeAnswer, PeerFailure>;
+  /** Whether a peer answers. */
+  ping(address: string): Effect.Effect<boolean, PeerFailure>;
+  /** Hands a configuration over to a peer that lags. */
+  offerConfig(
+    address: string,
+    update: ConfigUpdate,
+  ): Effect.Effect<void, PeerFailure>;
+  /** Asks a peer whether it reaches another one. */
+  probe(
+    address: string,
+    targetAddress: string,
+  ): Effect.Effect<boolean, PeerFailure>;
+}
+
+/** The configuration as the exchange needs it. */
+export interface ExchangedConfig {
+  readonly version: () => number;
+  readonly nextOffset: () => number;
+  readonly lacksConfig: () => boolean;
+  readonly logReadAtMs: () => number | undefined;
+  /** What a peer lacks; undefined if nothing, or if this instance lags too. */
+  readonly createUpdate: (
+    peer: Pick<
+      ExchangeMessage,
+      "configVersion" | "configNextOffset" | "lacksConfig"
+    >,
+  ) => ConfigUpdate | undefined;
+  readonly adopt: (update: ConfigUpdate) => Effect.Effect<boolean>;
+  /** Called once most peers were heard and none has a higher version. */
+  readonly confirm: () => void;
+}
+
+/** Options of membership. */
+export interface MembershipOptions {
+  readonly self: Pick<MemberUpdate, "instanceId" | "adminAddress">;
+  readonly transport: PeerTransport;
+  readonly config: ExchangedConfig;
+  /** Other entry instances on the instance list. */
+  readonly listEntries: () => readonly Pick<
+    MemberUpdate,
+    "instanceId" | "adminAddress"
+  >[];
+  readonly random: () => number;
+  /** Clock of the time line, kept in step with the peers'. */
+  readonly clock?: HybridClock;
+  /** Learns of each change of a member's state. */
+  readonly onMemberChange?: MemberTableOptions["onChange"];
+  readonly intervalMs: number;
+  readonly isolationTimeoutMs: number;
+}
