--- a/packages/celerytray/src/routing/baseline_routers.ts
+++ b/packages/celerytray/src/routing/baseline_routers.ts
@@ -36,11 +36,9 @@
     candidates: readonly Candidate[],
     request: RoutingRequest,
   ): Candidate | undefined {
-    for (let step = 0; step < candidates.length; step++) {
-      const candidate = candidates[this.#next++ % candidates.length]!;
-      if (!request.excludedIds?.has(candidate.replicaId)) return candidate;
-    }
-    return undefined;
+    const [first] = listInTurn(candidates, { start: this.#next, request });
+    this.#next += first?.steps ?? candidates.length;
+    return first?.candidate;
   }
 }
 
@@ -54,9 +52,7 @@
   ): Candidate | undefined {
     const start = this.#next++;
     let least: Candidate | undefined;
-    for (let step = 0; step < candidates.length; step++) {
-      const candidate = candidates[(start + step) % candidates.length]!;
-      if (request.excludedIds?.has(candidate.replicaId)) continue;
+    for (const { candidate } of listInTurn(candidates, { start, request })) {
       const isLess = least === undefined ||
         candidate.reportedRequests < least.reportedRequests;
       if (isLess) least = candidate;
@@ -83,3 +79,24 @@
     return estimateRequests(second) < estimateRequests(first) ? second : first;
   }
 }
+
+interface Turn<Candidate> {
+  readonly candidate: Candidate;
+  /** Steps from the start until after it. */
+  readonly steps: number;
+}
+
+/** Candidates that are not excluded, from a place on and round. */
+function* listInTurn<Candidate extends ReplicaLoad>(
+  candidates: readonly Candidate[],
+  { start, request }: {
+    readonly start: number;
+    readonly request: RoutingRequest;
+  },
+): Generator<Turn<Candidate>> {
+  for (let step = 0; step < candidates.length; step++) {
+    const candidate = candidates[(start + step) % candidates.length]!;
+    if (request.excludedIds?.has(candidate.replicaId)) continue;
+    yield { candidate, steps: step + 1 };
+  }
+}
