--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,9 +1,9 @@
 /** Local clusters of separate processes, for the demo, tests and benches. */
 export {
   type LocalCluster,
-  type LocalClusterOptions,
   startLocalCluster,
 } from "./local/start_local_cluster.ts";
+export type { LocalClusterOptions } from "./local/plan_cluster.ts";
 export {
   applyDemoConfig,
   DEMO_FOLDER,
