Don't take a build that was ended by a signal for one that succeeded

The check of the build gave the code 0 to a program that ran into its time limit: execFile reports null then, which stood for success. Found on reading the change. A program that a signal ended now has the code -1. Shown by hand: sleep with a limit of 200 ms gives null, 0 before and -1 now. No check is changed otherwise.

--- a/scripts/clean_build_test.js
+++ b/scripts/clean_build_test.js
@@ -25,6 +25,7 @@
 
 const BUNDLE = "target/celerytray_host.mjs";
 const BUILD_TIMEOUT_MS = 240_000;
+const SIGNALLED = -1;
 const OUTPUT_BYTES = 64 * 1024 * 1024;
 /** A user without rights of its own, for runs that root starts. */
 const NOBODY_ID = 65_534;
@@ -361,7 +362,9 @@
           );
           return;
         }
-        succeed({ code: error?.code ?? 0, output: `${stdout}${stderr}` });
+        // A program that was ended by a signal has no code of its own.
+        const code = error === null ? 0 : error.code ?? SIGNALLED;
+        succeed({ code, output: `${stdout}${stderr}` });
       },
     );
   });
