--- a/packages/schema/scripts/generate.js
+++ b/packages/schema/scripts/generate.js
@@ -23,6 +23,7 @@
 const require = createRequire(import.meta.url);
 `;
 
+const VALIDATORS_IMPORT = 'import type { Validator } from "./validators.ts";\n';
 const VALIDATORS_DECLARATION = `export interface ValidationError {
   readonly instancePath: string;
   readonly keyword: string;
@@ -42,10 +43,16 @@
     files.set(`${name}.ts`, await generateTypes(name, schema));
   }
   const ofPrograms = [...schemas].filter(([name]) => name !== LOG_EVENTS);
-  files.set("validators.ts", generateValidators(new Map(ofPrograms)));
+  files.set(
+    "validators.ts",
+    generateValidators(new Map(ofPrograms), VALIDATORS_DECLARATION),
+  );
   files.set(
     "log_event_validator.ts",
-    generateValidators(new Map([[LOG_EVENTS, schemas.get(LOG_EVENTS)]])),
+    generateValidators(
+      new Map([[LOG_EVENTS, schemas.get(LOG_EVENTS)]]),
+      VALIDATORS_IMPORT,
+    ),
   );
   files.set("settings_schema.ts", generateSettingsSchema(schemas));
   if (options.check) {
@@ -77,8 +84,11 @@
   return types;
 }
 
-/** One validator per schema and per definition, named after its title. */
-function generateValidators(schemas) {
+/**
+ * One validator per schema and per definition, named after its title; the file
+ * declares or imports the type of a validator.
+ */
+function generateValidators(schemas, typeOfValidator) {
   const ajv = new Ajv({
     allErrors: true,
     discriminator: true,
@@ -103,7 +113,7 @@
     /export const (validate\w+) = /g,
     "const $1 = ",
   ).replace(/^"use strict";/, "");
-  return `${VALIDATORS_HEADER}${VALIDATORS_DECLARATION}${inner}\n${typed}`;
+  return `${VALIDATORS_HEADER}${typeOfValidator}${inner}\n${typed}`;
 }
 
 function generateSettingsSchema(schemas) {
