Send nothing to instances that say that they leave or want time

What callers see: an instance that leaves says so in all its answers, and one that turns requests away may ask for time. Both words were passed over: requests went on to it until the list said so, and once more each 150 ms after a 503.

Cause: the codec decoded neither header (Server-Leaving, Retry-After).

Change: a word that an instance leaves lies in the view of the list, by its life (born), so that routing and the director see one state; a late entry, a lapse and a return don't take it back, a newer life does. It goes to the lead at once and from there to all, as long as the list still says ready; probes and orders bring it as well. Rests lie in one book, on the steady clock, 60 s at most; the choice of a target passes such instances over without exception (first attempts, repeats, resumed streams, moves), and the director doesn't probe them. Where all ask for time, the caller is refused at once with the shortest rest.

Ruled out: a time after which the word lapses (a store that is away longer brings the instance back); a mark in the load book (it only prefers others).

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -140,6 +140,7 @@
       this.#depose(`${report.nodeId} knows of term ${report.term}`);
     }
     this.#noteHeads(report);
+    this.#options.onLeaving(report.leaving);
     return {
       isLeading: this.isLeading && !this.#isDeposed,
       term: this.#lead?.term ?? 0,
@@ -149,6 +150,7 @@
       closedHeads: this.#director?.listClosedHeads() ?? [],
       config: this.#describeConfig(),
       instances: this.#options.instances.since(report.instancesOffset),
+      leaving: this.#options.listLeaving(),
     };
   }
 
--- a/packages/celerytray/src/coordination/lead_follower.ts
+++ b/packages/celerytray/src/coordination/lead_follower.ts
@@ -1,6 +1,6 @@
 import { Effect } from "effect";
 import type { RecordEvent } from "../journal/index.ts";
-import type { LeadRecord } from "../groups/index.ts";
+import type { LeadRecord, LeavingLife } from "../groups/index.ts";
 import type { RelayedChange, TopicCopy } from "../keyed_log/index.ts";
 import type { WindowTotals } from "../serving/index.ts";
 import type { FleetRecords } from "./lead_log.ts";
@@ -32,6 +32,10 @@
   readonly onConfigProof: (proof: ConfigProof) => void;
   /** The list of instances as this process knows it. */
   readonly instances: TopicCopy;
+  /** Instances that said that they leave, though the list has them as ready. */
+  readonly listLeaving: () => readonly LeavingLife[];
+  /** Takes the word of instances that other processes have heard. */
+  readonly onLeaving: (lives: readonly LeavingLife[]) => void;
   /** Takes what the lead tells of the list of instances. */
   readonly onInstances: (change: RelayedChange) => void;
   /** The newest records; undefined where the store doesn't answer. */
@@ -110,6 +114,7 @@
           if (answer.isLeading && answer.instances.records.length > 0) {
             this.#options.onInstances(answer.instances);
           }
+          this.#options.onLeaving(answer.leaving);
         }
         const reason = findReplacementReason({
           answer,
@@ -133,19 +138,30 @@
     );
   }
 
-  /** Waits for the next report; a head that newly stands still hastens it. */
+  /**
+   * Waits for the next report; a head that newly stands still and an instance
+   * that newly says that it leaves hasten it.
+   */
   #awaitReport(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const known = new Set(this.#options.listStalledHeads());
+      const known = new Set(this.#listUrgent());
       const dueAtMs = this.#options.nowMs() + this.#options.reportIntervalMs();
       while (this.#options.nowMs() < dueAtMs) {
         yield* Effect.sleep(HEADS_STEP_MS);
-        const stalled = this.#options.listStalledHeads();
-        if (stalled.some((headId) => !known.has(headId))) return;
+        if (this.#listUrgent().some((id) => !known.has(id))) return;
       }
     });
   }
 
+  /** Instances whose state the lead should hear of at once. */
+  #listUrgent(): readonly string[] {
+    const { listStalledHeads, listLeaving } = this.#options;
+    return [
+      ...listStalledHeads(),
+      ...listLeaving().map(({ instanceId }) => `${instanceId} leaving`),
+    ];
+  }
+
   #report(lead: LeadRecord): Effect.Effect<LeadAnswer | undefined> {
     const { nodeId, peerAddress, client } = this.#options;
     return client.report(lead.peerAddress, {
@@ -158,6 +174,7 @@
       repeats: this.#options.repeats(),
       hasTraffic: this.#options.hasTraffic(),
       instancesOffset: this.#options.instances.nextOffset,
+      leaving: this.#options.listLeaving(),
     }).pipe(
       Effect.tap(({ isLeading, term }) =>
         Effect.sync(() => {
--- a/packages/celerytray/src/coordination/lead_silence_test.ts
+++ b/packages/celerytray/src/coordination/lead_silence_test.ts
@@ -15,6 +15,7 @@
   repeats: {},
   config: { nextOffset: 0, proofAgeMs: 0 },
   closedHeads: [],
+  leaving: [],
   instances: { records: [], nextOffset: 0 },
 };
 const SOUND: LeadSigns = {
--- a/packages/celerytray/src/coordination/peer_router.ts
+++ b/packages/celerytray/src/coordination/peer_router.ts
@@ -3,6 +3,7 @@
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { Data, Effect } from "effect";
 import type { RequestListener } from "node:http";
+import type { LeavingLife } from "../groups/index.ts";
 import type { RelayedChange } from "../keyed_log/index.ts";
 import type { WindowTotals } from "../serving/index.ts";
 
@@ -25,6 +26,8 @@
   readonly hasTraffic: boolean;
   /** Offset up to which it knows the list of instances. */
   readonly instancesOffset: number;
+  /** Instances that said that they leave, though the list has them as ready. */
+  readonly leaving: readonly LeavingLife[];
 }
 
 /** What the process that decides on replicas answers. */
@@ -47,6 +50,8 @@
   };
   /** Changes of the list of instances. */
   readonly instances: RelayedChange;
+  /** Instances that said that they leave, though the list has them as ready. */
+  readonly leaving: readonly LeavingLife[];
 }
 
 /** A process of this system. */
@@ -195,6 +200,7 @@
     Number.isSafeInteger(report.instancesOffset) &&
     Array.isArray(report.stalledHeads) &&
     Array.isArray(report.slowHeads) &&
+    Array.isArray(report.leaving) &&
     typeof report.demand === "object" &&
     typeof report.repeats === "object" &&
     typeof report.hasTraffic === "boolean";
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -1,7 +1,7 @@
 import { Effect, type Scope } from "effect";
 import type { RecordEvent } from "../journal/index.ts";
 import { steadyMs } from "../clock/index.ts";
-import type { InstanceControl, OrderOutcome } from "./instance_orders.ts";
+import type { InstanceControl, OrderAnswer } from "./instance_orders.ts";
 import type { InstanceListView } from "./instance_list.ts";
 import { findReplaceable } from "./find_replaceable.ts";
 import { FleetState } from "./fleet_state.ts";
@@ -34,6 +34,10 @@
   readonly hasTraffic: () => boolean;
   /** Time for which an instance that drains works on at least. */
   readonly drainMs: number;
+  /** Whether an instance asked this machine for time. */
+  readonly isResting: (instanceId: string) => boolean;
+  /** Takes note that an instance said that it leaves. */
+  readonly onLeaving: (instanceId: string) => void;
   readonly record: RecordEvent;
 }
 
@@ -142,7 +146,8 @@
       ...this.#state.liveness.takeDue(nowMs, isUnlisted),
       ...this.#state.paces.takeDue(nowMs),
     ]);
-    return [...due].map((id) => this.#probeOne(id, isUnlisted(id)));
+    return [...due].filter((id) => !this.#options.isResting(id))
+      .map((id) => this.#probeOne(id, isUnlisted(id)));
   }
 
   /** Takes replicas with a slow member apart where spares stand by. */
@@ -179,8 +184,9 @@
     if (address === undefined) return Effect.void;
     return this.#options.control.probe({ id, address }).pipe(
       Effect.matchEffect({
-        onSuccess: ({ pace }) =>
+        onSuccess: ({ pace, isLeaving }) =>
           Effect.sync(() => {
+            if (isLeaving) this.#options.onLeaving(id);
             if (!isAbsent) this.#state.liveness.noteAlive(id);
             else this.#state.liveness.noteProbed(id);
             pace.caseOf({
@@ -270,8 +276,8 @@
         }
         if (order.kind === "open" && run !== undefined) run.mayBeOpen = true;
       },
-      onAnswered: (order, outcome, sentAtMs) =>
-        this.#noteOrdered(order, outcome, sentAtMs),
+      onAnswered: (order, answer, sentAtMs) =>
+        this.#noteOrdered(order, answer, sentAtMs),
       onSilent: ({ instanceId, order }, { message, isRefused }) => {
         this.#state.liveness.noteDoubt(instanceId);
         if (isRefused) {
@@ -284,10 +290,11 @@
 
   #noteOrdered(
     desk: DeskOrder,
-    outcome: OrderOutcome,
+    { outcome, isLeaving }: OrderAnswer,
     sentAtMs: number,
   ): void {
     const { instanceId, order, run } = desk;
+    if (isLeaving) this.#options.onLeaving(instanceId);
     this.#options.record("order.answered", {
       instanceId,
       order: order.kind,
--- a/packages/celerytray/src/groups/index.ts
+++ b/packages/celerytray/src/groups/index.ts
@@ -2,12 +2,14 @@
 export { FleetDirector, type FleetDirectorOptions } from "./fleet_director.ts";
 export type { EngineSpecs } from "./replica_former.ts";
 export type { RecordFailure, ReplicaRecorder } from "./replica_recorder.ts";
+export type { LeavingLife } from "./leaving_book.ts";
 export { type AbsentInstance, InstanceListView } from "./instance_list.ts";
 export {
   type InstanceAddress,
   type InstanceControl,
   type InstanceOrder,
   InstanceSilent,
+  type OrderAnswer,
   type OrderOutcome,
   type ProbeAnswer,
 } from "./instance_orders.ts";
--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -1,9 +1,12 @@
 import type { KeyedChange } from "../keyed_log/index.ts";
 import type { Either } from "purify-ts";
 import type { InstanceState } from "./instance_state.ts";
+import { LeavingBook, type LeavingLife } from "./leaving_book.ts";
 
 interface Entry {
+  /** As listed, but draining once its life said that it leaves. */
   readonly state: InstanceState;
+  readonly isListedReady: boolean;
   readonly offset: number;
 }
 
@@ -14,12 +17,13 @@
   readonly onMalformed: (id: string, message: string) => void;
 }
 
-/** The instances as the list in the store has them. */
+/** The instances as the list in the store and their own answers have them. */
 export class InstanceListView {
   readonly #options: InstanceListOptions;
   readonly #entries = new Map<string, Entry>();
   /** Last states of instances that are no longer listed. */
   readonly #absent = new Map<string, AbsentInstance>();
+  readonly #leaving = new LeavingBook();
   #revision = 0;
   #isLoaded = false;
 
@@ -58,6 +62,28 @@
     this.#revision += 1;
   }
 
+  /** Takes note that an instance said that it leaves; false if it is known. */
+  noteLeaving(life: LeavingLife): boolean {
+    if (!this.#leaving.note(life)) return false;
+    const entry = this.#entries.get(life.instanceId);
+    if (entry !== undefined) {
+      this.#entries.set(life.instanceId, {
+        ...entry,
+        state: this.#withOwnWord(entry.state),
+      });
+    }
+    this.#revision += 1;
+    return true;
+  }
+
+  /** Lives that said that they leave while the list still calls them ready. */
+  listUnlistedLeaving(): readonly LeavingLife[] {
+    return this.#leaving.list().filter(({ instanceId, bornAtMs }) => {
+      const entry = this.#entries.get(instanceId);
+      return entry?.isListedReady === true && entry.state.bornAtMs === bornAtMs;
+    });
+  }
+
   find(id: string): InstanceState | undefined {
     return this.#entries.get(id)?.state;
   }
@@ -75,12 +101,24 @@
     this.#options.decode(id, value.toString("utf8")).caseOf({
       Left: (message) => this.#options.onMalformed(id, message),
       Right: (state) => {
-        this.#entries.set(id, { state, offset });
+        this.#entries.set(id, {
+          state: this.#withOwnWord(state),
+          isListedReady: !state.isDraining,
+          offset,
+        });
         this.#absent.delete(id);
       },
     });
   }
 
+  /** A late entry of the list doesn't take an instance's own word back. */
+  #withOwnWord(state: InstanceState): InstanceState {
+    if (state.isDraining) return state;
+    return this.#leaving.isLeaving(state.id, state.bornAtMs)
+      ? { ...state, isDraining: true }
+      : state;
+  }
+
   #remove(
     id: string,
     { nowMs, offset }: { readonly nowMs: number; readonly offset?: number },
--- a/packages/celerytray/src/groups/instance_list_test.ts
+++ b/packages/celerytray/src/groups/instance_list_test.ts
@@ -55,3 +55,44 @@
   expect(view.find("a")).toEqual(undefined);
   expect(view.findAbsent("a")?.sinceMs).toEqual(10);
 });
+
+const life = (state: string, bornAtMs: number) =>
+  JSON.stringify({ id: "a", isDraining: state === "draining", bornAtMs });
+
+it("takes an instance's own word that it leaves before the list's", () => {
+  const { view, tell } = createView();
+  tell("a", 1, life("ready", 5));
+  const { revision } = view;
+  expect(view.noteLeaving({ instanceId: "a", bornAtMs: 5 })).toEqual(true);
+  expect(view.find("a")?.isDraining).toEqual(true);
+  expect(view.revision > revision).toEqual(true);
+  // A late entry, and one that lapsed and came back, still call it ready.
+  tell("a", 2, life("ready", 5));
+  expect(view.find("a")?.isDraining).toEqual(true);
+  tell("a", 3);
+  tell("a", 4, life("ready", 5));
+  expect(view.find("a")?.isDraining).toEqual(true);
+});
+
+it("takes that word back with a newer life only", () => {
+  const { view, tell } = createView();
+  tell("a", 1, life("ready", 5));
+  view.noteLeaving({ instanceId: "a", bornAtMs: 5 });
+  tell("a", 2, life("ready", 9));
+  expect(view.find("a")?.isDraining).toEqual(false);
+  // The word of the life before comes late, by way of another process.
+  view.noteLeaving({ instanceId: "a", bornAtMs: 5 });
+  expect(view.find("a")?.isDraining).toEqual(false);
+});
+
+it("tells others of a word until the list has it", () => {
+  const { view, tell } = createView();
+  tell("a", 1, life("ready", 5));
+  view.noteLeaving({ instanceId: "a", bornAtMs: 5 });
+  expect(view.noteLeaving({ instanceId: "a", bornAtMs: 5 })).toEqual(false);
+  expect(view.listUnlistedLeaving()).toEqual([
+    { instanceId: "a", bornAtMs: 5 },
+  ]);
+  tell("a", 2, life("draining", 5));
+  expect(view.listUnlistedLeaving()).toEqual([]);
+});
--- a/packages/celerytray/src/groups/instance_orders.ts
+++ b/packages/celerytray/src/groups/instance_orders.ts
@@ -38,6 +38,13 @@
   /** Another instance has the address. */
   | "elsewhere";
 
+/** An instance's answer to an order. */
+export interface OrderAnswer {
+  readonly outcome: OrderOutcome;
+  /** Whether it says that it leaves. */
+  readonly isLeaving: boolean;
+}
+
 /** An order or question got no usable answer; it may yet be carried out. */
 export class InstanceSilent extends Data.TaggedError("InstanceSilent")<{
   readonly message: string;
@@ -56,6 +63,8 @@
 export interface ProbeAnswer {
   /** How many times as long as usual its work takes, or what is unreadable. */
   readonly pace: Either<string, number>;
+  /** Whether it says that it leaves. */
+  readonly isLeaving: boolean;
 }
 
 /** The orders that instances take. */
@@ -63,7 +72,7 @@
   sendOrder(
     instance: InstanceAddress,
     order: InstanceOrder & { readonly fence: number },
-  ): Effect.Effect<OrderOutcome, InstanceSilent>;
+  ): Effect.Effect<OrderAnswer, InstanceSilent>;
   /** What the instance tells of itself; fails if it doesn't answer in time. */
   probe(
     instance: InstanceAddress,
--- a/packages/celerytray/src/groups/order_desk.ts
+++ b/packages/celerytray/src/groups/order_desk.ts
@@ -3,7 +3,7 @@
 import type {
   InstanceControl,
   InstanceOrder,
-  OrderOutcome,
+  OrderAnswer,
 } from "./instance_orders.ts";
 import type { InstanceState } from "./instance_state.ts";
 import { LoadLimit } from "./load_limit.ts";
@@ -30,7 +30,7 @@
   readonly onSent: (order: DeskOrder, nowMs: number) => void;
   readonly onAnswered: (
     order: DeskOrder,
-    outcome: OrderOutcome,
+    answer: OrderAnswer,
     sentAtMs: number,
   ) => void;
   readonly onSilent: (
@@ -80,12 +80,13 @@
         fence,
       }).pipe(
         Effect.match({
-          onSuccess: (outcome) => {
+          onSuccess: (answer) => {
             // A closing that began is soon asked for again.
             if (
-              order.kind === "close" && order.isImmediate && outcome === "begun"
+              order.kind === "close" && order.isImmediate &&
+              answer.outcome === "begun"
             ) this.#dueAtMs.set(key, nowMs + CLOSING_CHECK_MS);
-            this.#options.onAnswered(desk, outcome, nowMs);
+            this.#options.onAnswered(desk, answer, nowMs);
           },
           onFailure: (failure) => this.#options.onSilent(desk, failure),
         }),
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -12,6 +12,7 @@
   type InstanceControl,
   InstanceListView,
   type InstanceState,
+  type LeavingLife,
 } from "../groups/index.ts";
 import { BackendPools, listen, type ListenFailure } from "../http/index.ts";
 import {
@@ -31,6 +32,7 @@
   LoadBook,
   PaceBook,
   RepeatBudget,
+  RestBook,
   type ServingConfig,
   type ServingDependencies,
   StallWatch,
@@ -104,6 +106,7 @@
     const listContact = new StoreContact({ topic: "instances", record });
     const metrics = new MetricsPage();
     const loads = new LoadBook();
+    const rests = new RestBook();
     const stalls = new StallWatch();
     const paces = new PaceBook();
     const pools = new BackendPools();
@@ -140,6 +143,10 @@
       const isPresent = (id: string) => instances.find(id) !== undefined;
       loads.keepOnly(isPresent);
       paces.keepOnly(isPresent);
+      rests.keepOnly(isPresent, nowMs());
+    };
+    const noteLeaving = (life: LeavingLife) => {
+      if (instances.noteLeaving(life)) record("instance.leaving", { ...life });
     };
     const engines = (): EngineSpecs => listEngines(config);
 
@@ -173,6 +180,8 @@
         if (nextOffset === config.nextOffset) keys.noteProof(provenAtMs);
       },
       instances: instancesCopy,
+      listLeaving: () => instances.listUnlistedLeaving(),
+      onLeaving: (lives) => lives.forEach(noteLeaving),
       onInstances: (change) =>
         applyInstances({
           isWhole: false,
@@ -190,6 +199,11 @@
           demand: (model) => coordinator.totalDemand(model),
           hasTraffic: () => coordinator.hasAnyTraffic(),
           drainMs: settings.drainMs,
+          isResting: (instanceId) => rests.isResting(instanceId, nowMs()),
+          onLeaving: (instanceId) => {
+            const bornAtMs = instances.find(instanceId)?.bornAtMs;
+            noteLeaving(createLife(instanceId, bornAtMs));
+          },
           record,
         }),
       record,
@@ -233,6 +247,7 @@
       areKeysFresh: () => keys.isFresh(),
       listTargets: (service, model) => targets.list(service, model),
       loads,
+      rests,
       stalls,
       paces,
       budgets: new BudgetBook(),
@@ -245,6 +260,11 @@
         state.hasTraffic = true;
         demand.set(model, (demand.get(model) ?? 0) + change);
       },
+      noteLeaving: ({ instanceId, bornAtMs }) =>
+        noteLeaving(createLife(instanceId, bornAtMs)),
+      onRest: (rest) => record("instance.resting", { ...rest }),
+      onMalformedHead: (instanceId, message) =>
+        record("instance.head-malformed", { instanceId, message }),
       record: (call) => recordCall(call, { journal, metrics }),
     };
     servers.callers = yield* createCallerServer({
@@ -290,6 +310,13 @@
 const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
 const MAX_HEADER_BYTES = 32 * 1024;
 
+function createLife(
+  instanceId: string,
+  bornAtMs: number | undefined,
+): LeavingLife {
+  return bornAtMs === undefined ? { instanceId } : { instanceId, bornAtMs };
+}
+
 function listEngines(config: ConfigView): EngineSpecs {
   const engines = new Map();
   for (const [name, { engine }] of config.index?.config.services ?? []) {
--- a/packages/celerytray/src/host/target_lists.ts
+++ b/packages/celerytray/src/host/target_lists.ts
@@ -49,6 +49,9 @@
         zone: instance.zone,
         slots: this.#options.slotsOf(instance.service) ?? instance.slots,
         epoch: instance.membership?.epoch ?? 0,
+        ...(instance.bornAtMs === undefined
+          ? {}
+          : { bornAtMs: instance.bornAtMs }),
       });
       lists.set(key, list);
     }
--- a/packages/celerytray/src/platform/call_codec.ts
+++ b/packages/celerytray/src/platform/call_codec.ts
@@ -8,7 +8,7 @@
   CallHead,
   InstanceLoad,
 } from "../serving/index.ts";
-import { headers } from "./words.ts";
+import { headers, isFlagSet } from "./words.ts";
 
 /** Set anew for each attempt. */
 const REPLACED_ON_REQUESTS: ReadonlySet<string> = new Set([
@@ -84,12 +84,14 @@
   decodeAnswer(response: IncomingMessage): AnswerHead {
     const callId = readSingle(response, headers.callId);
     const load = decodeLoad(readSingle(response, headers.load));
+    const rest = decodeRest(response);
     const encoding = response.headers["content-encoding"];
     const status = response.statusCode ?? 0;
     return {
       status,
       isNotRun: response.headers[headers.notRun] !== undefined ||
         status === MISDIRECTED_STATUS,
+      isLeaving: isFlagSet(response.headersDistinct[headers.leaving]),
       isStamped: response.headers[headers.stamp] !== undefined,
       isEncoded: encoding !== undefined && encoding !== "identity",
       isEventStream: (response.headers["content-type"] ?? "").startsWith(
@@ -98,11 +100,35 @@
       passedHeaders: selectPassed(response, REPLACED_ON_ANSWERS),
       ...(callId === undefined ? {} : { callId }),
       ...(load === undefined ? {} : { load }),
+      ...rest,
     };
   }
 }
 
 const MISDIRECTED_STATUS = 421;
+const UNAVAILABLE_STATUS = 503;
+
+/** Seconds with an optional fraction, of a length that fits a number. */
+const SECONDS = /^[0-9]{1,12}(?:\.[0-9]{1,12})?$/;
+
+/** The time for which an instance wants no more requests from this machine. */
+function decodeRest(
+  response: IncomingMessage,
+): Pick<AnswerHead, "restMs" | "malformed"> {
+  const values = response.headersDistinct[headers.retryAfter];
+  if (response.statusCode !== UNAVAILABLE_STATUS || values === undefined) {
+    return {};
+  }
+  const [text = ""] = values;
+  if (values.length > 1 || !SECONDS.test(text)) {
+    const shown = values.join().slice(0, MAX_SHOWN_CHARACTERS);
+    return { malformed: `${headers.retryAfter} is ${shown}, not in seconds` };
+  }
+  return { restMs: Number(text) * 1000 };
+}
+
+/** Characters of a malformed value that are logged. */
+const MAX_SHOWN_CHARACTERS = 40;
 
 function readSingle(
   message: IncomingMessage,
--- a/packages/celerytray/src/platform/exchange_bytes.ts
+++ b/packages/celerytray/src/platform/exchange_bytes.ts
@@ -1,5 +1,10 @@
 import { Data, Effect } from "effect";
-import { type Agent, type IncomingMessage, request } from "node:http";
+import {
+  type Agent,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  request,
+} from "node:http";
 import { parseAddress } from "../http/index.ts";
 
 /** A call got no whole answer. */
@@ -23,6 +28,7 @@
 /** A whole answer. */
 export interface ByteAnswer {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
 }
 
@@ -86,6 +92,7 @@
       response.on("end", () =>
         resume(Effect.succeed({
           status: response.statusCode ?? 0,
+          headers: response.headers,
           body: Buffer.concat(chunks),
         })));
     });
--- a/packages/celerytray/src/platform/instance_client.ts
+++ b/packages/celerytray/src/platform/instance_client.ts
@@ -6,6 +6,7 @@
   type InstanceControl,
   type InstanceOrder,
   InstanceSilent,
+  type OrderAnswer,
   type OrderOutcome,
   type ProbeAnswer,
 } from "../groups/index.ts";
@@ -15,7 +16,7 @@
   exchangeBytes,
 } from "./exchange_bytes.ts";
 import { decode, parseObject, readNumber } from "./fields.ts";
-import { headers } from "./words.ts";
+import { headers, isFlagSet } from "./words.ts";
 
 const ORDER_TIMEOUT_MS = 600;
 const PROBE_TIMEOUT_MS = 350;
@@ -34,7 +35,7 @@
   sendOrder(
     instance: InstanceAddress,
     order: InstanceOrder & { readonly fence: number },
-  ): Effect.Effect<OrderOutcome, InstanceSilent> {
+  ): Effect.Effect<OrderAnswer, InstanceSilent> {
     return exchangeBytes({
       address: instance.address,
       method: "POST",
@@ -64,15 +65,18 @@
       agent: false,
     }).pipe(
       Effect.mapError(toSilent),
-      Effect.flatMap(({ status, body }) =>
-        status === MISDIRECTED_STATUS
+      Effect.flatMap((answer) =>
+        answer.status === MISDIRECTED_STATUS
           ? Effect.fail(
             new InstanceSilent({
               isRefused: true,
               message: `Another instance answers at ${instance.address}`,
             }),
           )
-          : Effect.succeed({ pace: decodePace(body) })
+          : Effect.succeed({
+            pace: decodePace(answer.body),
+            isLeaving: isLeaving(answer),
+          })
       ),
     );
   }
@@ -122,9 +126,11 @@
 
 function readOutcome(
   answer: ByteAnswer,
-): Effect.Effect<OrderOutcome, InstanceSilent> {
+): Effect.Effect<OrderAnswer, InstanceSilent> {
   const outcome = OUTCOMES[answer.status];
-  if (outcome !== undefined) return Effect.succeed(outcome);
+  if (outcome !== undefined) {
+    return Effect.succeed({ outcome, isLeaving: isLeaving(answer) });
+  }
   return Effect.fail(
     new InstanceSilent({
       isRefused: false,
@@ -135,6 +141,10 @@
   );
 }
 
+function isLeaving(answer: ByteAnswer): boolean {
+  return isFlagSet(answer.headers[headers.leaving]);
+}
+
 function toSilent(failure: CallFailure): InstanceSilent {
   return new InstanceSilent({
     message: failure.message,
--- a/packages/celerytray/src/platform/words.ts
+++ b/packages/celerytray/src/platform/words.ts
@@ -7,12 +7,20 @@
   stamp: "server-stamp",
   notRun: "not-executed",
   instance: "expect-instance",
+  leaving: "server-leaving",
   load: "replica-load",
   model: "model",
   resumeAfter: "last-event-id",
   priority: "request-priority",
+  retryAfter: "retry-after",
 } as const;
 
+/** Whether a header that is a flag is raised by any of its values. */
+export function isFlagSet(values: string | readonly string[] | undefined) {
+  return [values ?? []].flat().join().split(",")
+    .some((value) => value.trim() === "1");
+}
+
 /** Names of the store's topics. */
 export const topics = {
   config: "keyed.op",
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -191,6 +191,19 @@
   };
 }
 
+/** The answer to a request whose targets all asked for time. */
+export function refuseWhileResting(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  restMs: number,
+): AttemptsResult {
+  return conclude(options, progress, {
+    message: "Every back end asked for time",
+    unknownStatus: 502,
+    retryAfterMs: restMs,
+  });
+}
+
 /** The answer in this system's own name when no attempt is left. */
 export function giveUp(
   options: AttemptsOptions,
@@ -213,12 +226,14 @@
   readonly message: string;
   /** Status where the request may have run. */
   readonly unknownStatus: number;
+  /** Time after which a request that did not run may come back. */
+  readonly retryAfterMs?: number;
 }
 
 function conclude(
   { call, exchange }: AttemptsOptions,
   progress: AttemptProgress,
-  { message, unknownStatus }: Conclusion,
+  { message, unknownStatus, ...conclusion }: Conclusion,
 ): AttemptsResult {
   if (progress.failure !== undefined && !exchange.hasStarted) {
     return {
@@ -227,9 +242,8 @@
       ...summarize(progress),
     };
   }
-  const retryAfterMs = progress.attempts.length > 0
-    ? FULL_RETRY_MS
-    : NO_REPLICA_RETRY_MS;
+  const retryAfterMs = conclusion.retryAfterMs ??
+    (progress.attempts.length > 0 ? FULL_RETRY_MS : NO_REPLICA_RETRY_MS);
   const own: OwnAnswer = progress.mayHaveRun || progress.currentId !== undefined
     ? {
       status: unknownStatus,
--- a/packages/celerytray/src/serving/call.ts
+++ b/packages/celerytray/src/serving/call.ts
@@ -44,12 +44,18 @@
   readonly callId?: string;
   /** Whether the instance says that it didn't run the request. */
   readonly isNotRun: boolean;
+  /** Whether the instance says that it leaves. */
+  readonly isLeaving: boolean;
   /** Whether the instance vouches for the answer. */
   readonly isStamped: boolean;
   /** Whether the body isn't the instance's own bytes. */
   readonly isEncoded: boolean;
   readonly isEventStream: boolean;
   readonly load?: InstanceLoad;
+  /** Time for which the instance wants no more requests from this machine. */
+  readonly restMs?: number;
+  /** What can't be read of its head, and is passed over. */
+  readonly malformed?: string;
   /** Names and values by turns, of the headers to pass on. */
   readonly passedHeaders: readonly string[];
 }
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -5,6 +5,7 @@
 import type { LoadBook } from "./load_book.ts";
 import type { PaceBook } from "./pace_book.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
+import type { RestBook } from "./rest_book.ts";
 import type { ServingRoute } from "./serving_config.ts";
 import type { ServingIndex } from "./serving_index.ts";
 import type { StallWatch } from "./stall_watch.ts";
@@ -23,6 +24,7 @@
     model: string | undefined,
   ) => readonly ServingTarget[];
   readonly loads: LoadBook;
+  readonly rests: RestBook;
   readonly stalls: StallWatch;
   readonly paces: PaceBook;
   readonly repeats: RepeatBudget;
@@ -34,9 +36,23 @@
   readonly random: () => number;
   /** Counts the requests in progress for a model. */
   readonly noteDemand: (model: string, change: 1 | -1) => void;
+  /** Takes note that a target's answer said that it leaves. */
+  readonly noteLeaving: (target: ServingTarget) => void;
+  /** Told of a rest that a target asked for, and of what it gets. */
+  readonly onRest: (rest: NotedRest) => void;
+  /** Told of a head of an answer that can't be read in full. */
+  readonly onMalformedHead: (instanceId: string, message: string) => void;
   readonly record: (outcome: CallRecord) => void;
 }
 
+/** A rest that an instance asked for. */
+export interface NotedRest {
+  readonly instanceId: string;
+  readonly askedMs: number;
+  /** Time for which it gets no requests from here. */
+  readonly restMs: number;
+}
+
 /** What became of a call, for logs and metrics. */
 export interface CallRecord {
   readonly callId: string;
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -9,6 +9,8 @@
   readonly slots: number;
   /** Epoch of the replica that it heads; 0 for plain instances. */
   readonly epoch: number;
+  /** Start of the life that is listed, as Unix time. */
+  readonly bornAtMs?: number;
 }
 
 /** What the choice looks at. */
@@ -16,6 +18,8 @@
   readonly targets: readonly ServingTarget[];
   readonly loads: LoadBook;
   readonly zone: string;
+  /** Whether an instance asked for time, in which nothing may go there. */
+  readonly isResting: (instanceId: string) => boolean;
   /** Whether an instance is silent towards all requests it has from here. */
   readonly isSilent: (instanceId: string) => boolean;
   /** Whether its streams take far longer than usual. */
@@ -38,11 +42,11 @@
 /** Differences below this are decided by chance. */
 const TIE_SPREAD = 0.04;
 
-/** Picks the least loaded target, undefined if none is left. */
+/** Picks the least loaded target, undefined if none may get the request. */
 export function chooseTarget(choice: TargetChoice): ServingTarget | undefined {
   const { loads, nowMs, tried } = choice;
   const untried = choice.targets.filter(({ instanceId }) =>
-    !tried.has(instanceId)
+    !tried.has(instanceId) && !choice.isResting(instanceId)
   );
   const preferred = untried.filter((target) => isPreferred(target, choice));
   let best: ServingTarget | undefined;
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -5,6 +5,7 @@
 import { LoadBook } from "./load_book.ts";
 import { PaceBook } from "./pace_book.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
+import { RestBook } from "./rest_book.ts";
 import { StallWatch } from "./stall_watch.ts";
 
 /** What a test sets itself. */
@@ -22,6 +23,7 @@
     zone: "z",
     areKeysFresh: () => true,
     loads: new LoadBook(),
+    rests: new RestBook(),
     stalls: new StallWatch(),
     paces: new PaceBook(),
     budgets: new BudgetBook(),
@@ -37,6 +39,9 @@
     hasConnection: () => false,
     random: () => 0.5,
     noteDemand: () => {},
+    noteLeaving: () => {},
+    onRest: () => {},
+    onMalformedHead: () => {},
     ...own,
   };
 }
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -5,6 +5,7 @@
   type AttemptsOptions,
   mayAttemptAfterThis,
 } from "./attempt_progress.ts";
+import type { ServingDependencies } from "./call_context.ts";
 import {
   chooseTarget,
   isPreferred,
@@ -27,6 +28,8 @@
   | { readonly kind: "found"; readonly target: ServingTarget }
   /** Every replica has more work than it begins in time. */
   | { readonly kind: "full" }
+  /** Every one that could take it asked for time. */
+  | { readonly kind: "resting"; readonly restMs: number }
   | { readonly kind: "none" };
 
 /** Waits shortly for a target, if there is none now. */
@@ -41,6 +44,9 @@
       const nowMs = yield* steadyMs;
       const search = searchTarget(options, progress, nowMs);
       if (search.kind === "found") return search;
+      if (search.kind === "resting" && !hasBegun(options, progress)) {
+        return search;
+      }
       const waitMs = targetMs *
         (search.kind === "full"
           ? FULL_WAIT_PART_OF_TARGET
@@ -58,28 +64,51 @@
   nowMs: number,
 ): TargetSearch {
   const { call, dependencies } = options;
-  const target = chooseTarget(createChoice(options, progress, nowMs));
-  if (target === undefined) return { kind: "none" };
-  const hasBegun = progress.attempts.length > 0 ||
-    progress.lastEventId !== undefined;
-  if (!call.route.isStream || hasBegun) return { kind: "found", target };
+  const choice = createChoice(options, progress, nowMs);
+  const target = chooseTarget(choice);
+  if (target === undefined) return explainNoTarget(choice, dependencies);
+  if (!call.route.isStream || hasBegun(options, progress)) {
+    return { kind: "found", target };
+  }
   const work = dependencies.loads.estimateAtWorst(target.instanceId, nowMs);
   const places = target.slots * (call.isLate ? LATE_PART : 1);
   const isFull = work >= places;
   return isFull ? { kind: "full" } : { kind: "found", target };
 }
 
+/** Whether an answer to the caller has begun, or an attempt was made. */
+function hasBegun(
+  { exchange }: AttemptsOptions,
+  progress: AttemptProgress,
+): boolean {
+  return exchange.hasStarted || progress.attempts.length > 0 ||
+    progress.lastEventId !== undefined;
+}
+
+function explainNoTarget(
+  { targets, tried, nowMs }: TargetChoice,
+  { rests }: ServingDependencies,
+): TargetSearch {
+  const untried = targets.filter(({ instanceId }) => !tried.has(instanceId));
+  const restMs = rests.shortestRestMs(
+    untried.map(({ instanceId }) => instanceId),
+    nowMs,
+  );
+  return restMs > 0 ? { kind: "resting", restMs } : { kind: "none" };
+}
+
 function createChoice(
   { call, dependencies }: AttemptsOptions,
   progress: AttemptProgress,
   nowMs: number,
 ): TargetChoice {
-  const { stalls, paces } = dependencies;
+  const { stalls, paces, rests } = dependencies;
   return {
     targets: dependencies.listTargets(call.service, call.head.model),
     loads: dependencies.loads,
     zone: dependencies.zone,
     hasConnection: dependencies.hasConnection,
+    isResting: (id) => rests.isResting(id, nowMs),
     isSilent: (id) => stalls.isSilent(id, nowMs),
     isSlow: (target) => paces.isSlow(target, nowMs),
     tried: progress.tried,
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -12,10 +12,12 @@
   mayRepeatAnswer,
   noteOutcome,
   refuseAsFull,
+  refuseWhileResting,
   runOutOfTime,
   summarize,
 } from "./attempt_progress.ts";
-import type { AdmittedCall } from "./call_context.ts";
+import type { AnswerHead } from "./call.ts";
+import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import { awaitTarget, tryMove } from "./find_target.ts";
@@ -56,6 +58,9 @@
     while (true) {
       const search = yield* awaitTarget(options, progress);
       if (search.kind === "full") return refuseAsFull(options, progress);
+      if (search.kind === "resting") {
+        return refuseWhileResting(options, progress, search.restMs);
+      }
       if (search.kind === "none") {
         return giveUp(options, progress, "No back end can take the request");
       }
@@ -140,9 +145,8 @@
       ...(progress.lastEventId === undefined
         ? {}
         : { lastEventId: progress.lastEventId }),
-      onHead: ({ load }) => {
-        if (load !== undefined) loads.noteLoad(instanceId, load, nowMs());
-      },
+      onHead: (head) =>
+        noteHead({ dependencies, target, head, nowMs: nowMs() }),
       onBytes: () => stalls.noteBytes(instanceId, nowMs()),
       onStreamHead: (head) => {
         if (!exchange.hasStarted) exchange.startStream(head);
@@ -170,6 +174,26 @@
   });
 }
 
+interface NotedHead {
+  readonly dependencies: ServingDependencies;
+  readonly target: ServingTarget;
+  readonly head: AnswerHead;
+  readonly nowMs: number;
+}
+
+/** Takes note of what an answer's head tells of its instance. */
+function noteHead({ dependencies, target, head, nowMs }: NotedHead): void {
+  const { instanceId } = target;
+  const { loads, rests, onRest, onMalformedHead } = dependencies;
+  if (head.isLeaving) dependencies.noteLeaving(target);
+  if (head.load !== undefined) loads.noteLoad(instanceId, head.load, nowMs);
+  if (head.restMs !== undefined) {
+    const restMs = rests.noteRest(instanceId, head.restMs, nowMs);
+    onRest({ instanceId, askedMs: head.restMs, restMs });
+  }
+  if (head.malformed !== undefined) onMalformedHead(instanceId, head.malformed);
+}
+
 /** Rank among the requests that wait at a replica; 0 goes first. */
 function priorityOf({ priority, isLate }: AdmittedCall): number {
   return Math.min(LAST_RANK, priority + (isLate ? LATE_RANKS : 0));
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -15,7 +15,7 @@
 } from "node:net";
 import { after, describe, it } from "node:test";
 import { steadyMs } from "../clock/index.ts";
-import type { CallRecord } from "./call_context.ts";
+import type { CallRecord, ServingDependencies } from "./call_context.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import { createTestDependencies } from "./create_test_dependencies.ts";
@@ -233,6 +233,80 @@
     expect((await call(entry, "/stream/x")).status).toEqual(200);
   });
 
+  it("tells of an instance that says that it leaves, whatever its answer", async () => {
+    const left: ServingTarget[] = [];
+    const leaving = await startBackend((incoming, response) => {
+      response.writeHead(200, {
+        "attempt-id": idOf(incoming),
+        "server-stamp": "s",
+        "server-leaving": "1",
+      }).end("done");
+    });
+    const turningAway = await startBackend((_incoming, response) => {
+      response.writeHead(503, { "not-executed": "1", "server-leaving": "1" })
+        .end();
+    });
+    const noteLeaving = (target: ServingTarget) => left.push(target);
+    for (const backend of [leaving, turningAway]) {
+      const entry = await startEntry({ backends: [backend], noteLeaving });
+      await call(entry, "/safe/x");
+    }
+    expect(left).toEqual([leaving, turningAway]);
+  });
+
+  it("leaves an instance that asked for time alone, and refuses at once with the time that is left", async () => {
+    let calls = 0;
+    const backend = await startBackend((_incoming, response) => {
+      calls += 1;
+      response.writeHead(503, { "not-executed": "1", "retry-after": "30.5" })
+        .end();
+    });
+    const entry = await startEntry({ backends: [backend] });
+    await call(entry, "/safe/x");
+    expect(calls).toEqual(1);
+    for (const path of ["/safe/x", "/once/x", "/stream/x"]) {
+      const refused = await call(entry, path);
+      expect(refused.status).toEqual(503);
+      const retryAfterSeconds = Number(refused.headers["retry-after"]);
+      expect(retryAfterSeconds > 29 && retryAfterSeconds <= 30.5)
+        .toEqual(true);
+    }
+    expect(calls).toEqual(1);
+  });
+
+  it("sends to another instance while one has asked for time", async () => {
+    let turnedAway = 0;
+    const resting = await startBackend((_incoming, response) => {
+      turnedAway += 1;
+      response.writeHead(503, { "not-executed": "1", "retry-after": "30" })
+        .end();
+    });
+    const other = await startBackend(answerWhole);
+    const entry = await startEntry({ backends: [resting, other] });
+    for (let index = 0; index < 8; index++) {
+      expect((await call(entry, "/safe/x")).status).toEqual(200);
+    }
+    expect(turnedAway <= 1).toEqual(true);
+  });
+
+  it("passes over a time that can't be read, with a line", async () => {
+    const messages: string[] = [];
+    let calls = 0;
+    const backend = await startBackend((_incoming, response) => {
+      calls += 1;
+      response.writeHead(503, { "not-executed": "1", "retry-after": "-3" })
+        .end();
+    });
+    const entry = await startEntry({
+      backends: [backend],
+      onMalformedHead: (_id, message) => messages.push(message),
+    });
+    await call(entry, "/safe/x");
+    await call(entry, "/safe/x");
+    expect(calls).toEqual(2);
+    expect(messages[0]).toEqual("retry-after is -3, not in seconds");
+  });
+
   it("moves a stream off a replica that turned slow", async () => {
     const stalls = new StallWatch();
     const paces = new PaceBook();
@@ -357,6 +431,8 @@
   readonly loads?: LoadBook;
   readonly stalls?: StallWatch;
   readonly paces?: PaceBook;
+  readonly noteLeaving?: ServingDependencies["noteLeaving"];
+  readonly onMalformedHead?: ServingDependencies["onMalformedHead"];
 }
 
 async function startEntry(options: EntryOptions): Promise<number> {
@@ -373,7 +449,7 @@
     tenants: [{ name: "tenant-1", keys: [KEY] }],
   });
   const records: CallRecord[] = [];
-  const { loads, stalls, paces } = options;
+  const { loads, stalls, paces, noteLeaving, onMalformedHead } = options;
   const dependencies = createTestDependencies({
     index: () => options.isConfigured === false ? undefined : index,
     areKeysFresh: () => options.areKeysFresh !== false,
@@ -382,6 +458,8 @@
     ...(loads === undefined ? {} : { loads }),
     ...(stalls === undefined ? {} : { stalls }),
     ...(paces === undefined ? {} : { paces }),
+    ...(noteLeaving === undefined ? {} : { noteLeaving }),
+    ...(onMalformedHead === undefined ? {} : { onMalformedHead }),
   });
   return await start((incoming, response) => {
     const exchange = new CallerExchange({
--- a/packages/fakes/src/fleet/fake_fleet.ts
+++ b/packages/fakes/src/fleet/fake_fleet.ts
@@ -3,6 +3,7 @@
   type InstanceControl,
   type InstanceOrder,
   InstanceSilent,
+  type OrderAnswer,
   type OrderOutcome,
   readSteadyMs,
   steadyMs,
@@ -126,6 +127,7 @@
           this.#isReachable(id)
             ? Effect.as(Effect.sleep(CALL_MS), {
               pace: Right(this.#instances.get(id)!.pace),
+              isLeaving: this.#instances.get(id)!.isLeaving,
             })
             : Effect.andThen(Effect.sleep(SILENCE_MS), silence(id))
         ),
@@ -135,7 +137,7 @@
   #sendOrder(
     { id }: InstanceAddress,
     order: InstanceOrder & { readonly fence: number },
-  ): Effect.Effect<OrderOutcome, InstanceSilent> {
+  ): Effect.Effect<OrderAnswer, InstanceSilent> {
     return Effect.gen({ self: this }, function* () {
       const clock = yield* Clock.Clock;
       const carryOut = () => this.#carryOut(id, order, readSteadyMs(clock));
@@ -154,7 +156,7 @@
         yield* Effect.sleep(SILENCE_MS);
         return yield* silence(id);
       }
-      return outcome;
+      return { outcome, isLeaving: this.#instances.get(id)!.isLeaving };
     });
   }
 
--- a/packages/fakes/src/fleet/fake_model_instance.ts
+++ b/packages/fakes/src/fleet/fake_model_instance.ts
@@ -36,6 +36,8 @@
   isReachable = true;
   /** Whether it is about to leave, and says so. */
   isDraining = false;
+  /** Whether its answers say that it leaves. */
+  isLeaving = false;
   /** How many times as long as usual its work takes. */
   pace = 1;
   staged: string[] = [];
--- a/packages/fakes/src/fleet/fleet_director_test.ts
+++ b/packages/fakes/src/fleet/fleet_director_test.ts
@@ -23,6 +23,8 @@
 const MAX_REPAIR_MS = 5_000;
 /** Time after an arrival at which its weights are still loading. */
 const ARRIVAL_MS = 4_000;
+/** Time in which an instance's word that it leaves is acted on. */
+const LEAVING_MS = 500;
 
 const trouble: fc.Arbitrary<Trouble> = fc.oneof(
   fc.record({
@@ -147,6 +149,14 @@
     expect(serving.length).toEqual(REPLICAS);
   });
 
+  it("are closed as their head says that it leaves, though the list doesn't", async () => {
+    const { violations, serving } = await play([
+      { waitMs: 0, trouble: { kind: "say-leaving" } },
+    ], LEAVING_MS);
+    expect(violations).toEqual([]);
+    expect(serving.filter(({ isLeaving }) => isLeaving)).toEqual([]);
+  });
+
   it("never share a member, whatever fails", async () => {
     const property = fc.asyncProperty(day, async (steps) => {
       const world = await play(steps, 8_000);
@@ -163,7 +173,11 @@
 
 interface PlayedWorld {
   readonly violations: readonly string[];
-  readonly serving: readonly { readonly model: string }[];
+  readonly serving: readonly {
+    readonly model: string;
+    /** Whether the head said that it leaves. */
+    readonly isLeaving: boolean;
+  }[];
   /** Proofs of the configuration that processes were told. */
   readonly proofs: number;
   /** Heads that are open with a slow member. */
@@ -182,8 +196,9 @@
     yield* advance(tailMs);
     return {
       violations: world.fleet.violations,
-      serving: world.fleet.listServing().map(({ membership }) => ({
-        model: membership!.model,
+      serving: world.fleet.listServing().map((head) => ({
+        model: head.membership!.model,
+        isLeaving: head.isLeaving,
       })),
       proofs: world.proofs.count,
       slow: world.fleet.listSlow().map(({ id }) => id),
--- a/packages/fakes/src/fleet/fleet_trouble.ts
+++ b/packages/fakes/src/fleet/fleet_trouble.ts
@@ -19,6 +19,8 @@
   | { readonly kind: "drain" | "arrive"; readonly index: number }
   /** A member that is no head drains, and its domain has no spare left. */
   | { readonly kind: "drain-without-spare" }
+  /** A head says in an answer that it leaves; the list doesn't tell. */
+  | { readonly kind: "say-leaving" }
   | { readonly kind: "rejoin"; readonly members: number }
   | { readonly kind: "store-out" | "store-back" | "store-loses" }
   /** The process that decides loses the store, but no other process. */
@@ -29,6 +31,8 @@
 export interface FleetProcess {
   readonly nodeId: string;
   readonly coordinator: Coordinator;
+  /** Takes an instance's word, as from an answer of it. */
+  readonly noteLeaving: (instanceId: string) => void;
   isCut: boolean;
   /** Whether the store, but no other process, is out of its reach. */
   isStoreCut: boolean;
@@ -119,6 +123,13 @@
       fleet.drain(heads[0]!.membership!.members[1]!);
       return;
     }
+    case "say-leaving": {
+      const head = fleet.listServing()[0]!;
+      head.isLeaving = true;
+      const lead = findLead();
+      processes.find((process) => process !== lead)!.noteLeaving(head.id);
+      return;
+    }
     case "quicken":
       for (const { id } of fleet.list()) fleet.setPace(id, 1);
       return;
--- a/packages/fakes/src/fleet/fleet_world.ts
+++ b/packages/fakes/src/fleet/fleet_world.ts
@@ -7,6 +7,7 @@
   type KeyedChange,
   type KeyedTopic,
   type LeadAnswer,
+  type LeavingLife,
   type PeerCalls,
   type PeerReport,
   PeerSilent,
@@ -198,6 +199,8 @@
     },
     instances: new TopicCopy(),
     onInstances: () => {},
+    listLeaving: () => list.listUnlistedLeaving(),
+    onLeaving: (lives) => lives.forEach((life) => list.noteLeaving(life)),
     createDirector: ({ term, replicas, recorder }) =>
       new FleetDirector({
         term,
@@ -209,6 +212,9 @@
         demand: () => 0,
         hasTraffic: () => nowMs() > SETTLE_MS,
         drainMs: DRAIN_MS,
+        isResting: () => false,
+        onLeaving: (instanceId) =>
+          list.noteLeaving(describeLife(list, instanceId)),
         record: () => {},
       }),
     record: () => {},
@@ -216,12 +222,20 @@
   return {
     nodeId,
     coordinator,
+    noteLeaving: (instanceId) =>
+      list.noteLeaving(describeLife(list, instanceId)),
     isCut: false,
     isStoreCut: false,
     isDead: false,
   };
 }
 
+/** The listed life of an instance. */
+function describeLife(list: InstanceListView, instanceId: string): LeavingLife {
+  const bornAtMs = list.find(instanceId)?.bornAtMs;
+  return bornAtMs === undefined ? { instanceId } : { instanceId, bornAtMs };
+}
+
 /** Calls between the processes of a world. */
 function createPeers(
   processes: readonly FleetProcess[],
