--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -3,30 +3,37 @@
 import {
   type FleetDirector,
   type LeadRecord,
+  type LeavingLife,
   type ReplicaRecord,
   type ReplicaRecorder,
 } from "../groups/index.ts";
-import type { KeyedLog } from "../keyed_log/index.ts";
+import type { RecordEvent } from "../journal/index.ts";
+import type { KeyedLog, RelayedChange, TopicCopy } from "../keyed_log/index.ts";
 import type { SharedTotals, WindowTotals } from "../serving/index.ts";
+import { ChangeSignal } from "./change_signal.ts";
+import { HEADS_STEP_MS, NEWS_GAP_MS, type WordSteps } from "./intervals.ts";
+import { LeadFollower } from "./lead_follower.ts";
 import {
+  awaitOtherLead,
   claimLead,
   type FleetRecords,
+  type LeadLook,
   LeadRecorder,
   readFleetRecords,
 } from "./lead_log.ts";
-import {
-  type ConfigProof,
-  HEADS_STEP_MS,
-  LeadFollower,
-  type LeadFollowerOptions,
-} from "./lead_follower.ts";
-import { NodeTable } from "./node_table.ts";
+import { awaitTurn, turnDelayMs } from "./lead_succession.ts";
+import { LeadWord } from "./lead_word.ts";
 import type {
+  KnownEnd,
+  KnownWord,
   LeadAnswer,
-  LeadOperations,
   PeerNode,
   PeerReport,
-} from "./peer_router.ts";
+  PeerSummary,
+} from "./peer_messages.ts";
+import type { LeadOperations, PeerCalls } from "./peer_router.ts";
+import { ReportTable } from "./report_table.ts";
+import { selectDeputies } from "./select_deputies.ts";
 
 /** What a new lead directs the replicas with. */
 export interface DirectorStart {
@@ -35,42 +42,76 @@
   readonly recorder: ReplicaRecorder;
 }
 
+/** A topic of the store that processes tell each other of. */
+export interface RelayedTopic {
+  /** What this process knows of it. */
+  readonly copy: TopicCopy;
+  /** Time before which that was the newest. */
+  readonly provenAtMs: () => number;
+  /** Takes what another process tells, which was the newest at a time. */
+  readonly onTold: (change: RelayedChange, provenAtMs: number) => void;
+}
+
 /** What taking part in deciding on replicas works with. */
-export interface CoordinatorOptions
-  extends
-    Omit<LeadFollowerOptions, "readRecords" | "reportIntervalMs" | "nowMs"> {
+export interface CoordinatorOptions {
+  readonly self: PeerNode;
   readonly bootId: string;
   readonly log: KeyedLog;
-  /** How far this process knows the configuration, and since when it was all. */
-  readonly configProof: () => ConfigProof;
+  readonly client: PeerCalls;
+  /** Heads at which requests of this process stand still. */
+  readonly listStalledHeads: () => readonly string[];
+  /** Heads of replicas that this process finds slow. */
+  readonly listSlowHeads: () => readonly string[];
+  /** Requests of this process in progress, by model. */
+  readonly demand: () => Readonly<Record<string, number>>;
+  /** Requests and repeats of this process in its window, by service. */
+  readonly repeats: () => Readonly<Record<string, WindowTotals>>;
+  readonly hasTraffic: () => boolean;
+  /** Time of the last answer of the store to this process. */
+  readonly storeAnsweredAtMs: () => number;
+  /** The configuration, which is told to other processes. */
+  readonly config: RelayedTopic;
+  /** The list of instances, likewise. */
+  readonly instances: RelayedTopic;
+  /** Instances that said that they leave, though the list has them as ready. */
+  readonly listLeaving: () => readonly LeavingLife[];
+  /** Takes the word of instances that other processes have heard. */
+  readonly onLeaving: (lives: readonly LeavingLife[]) => void;
   readonly createDirector: (start: DirectorStart) => FleetDirector;
+  /** 0 to 1. */
+  readonly random: () => number;
+  readonly record: RecordEvent;
 }
 
-const REPORT_INTERVAL_MS = 250;
-/** Interval for each process, which bounds the reports that a lead takes. */
-const REPORT_SPREAD_MS = 10;
-/** Age of the lead's last answer from the store at which the list is read here. */
-const TOLD_STORE_AGE_MS = 2_000;
 const RETRY_DELAY_MS = 300;
+/** Time between two looks of a process that has left the lead to others. */
+const LEFT_CHECK_MS = 250;
 
 /** Follows the process that decides on replicas, or is it. */
 export class Coordinator implements LeadOperations {
   readonly #options: CoordinatorOptions;
-  readonly #nodes = new NodeTable();
+  readonly #table = new ReportTable();
+  readonly #word = new LeadWord();
+  readonly #signal = new ChangeSignal();
   readonly #follower: LeadFollower;
   #nowMs: () => number = () => 0;
-  #lead: LeadRecord | undefined;
   #director: FleetDirector | undefined;
   #isDeposed = false;
   #isLeaving = false;
-  #ownTotals: SharedTotals = { atMs: Number.NEGATIVE_INFINITY, totals: {} };
+  /** Newest lead that the records named. */
+  #found: LeadRecord | undefined;
+  /** Up to where the records were looked through for a lead after a term. */
+  #looked = { term: 0, nextOffset: 0 };
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
     this.#follower = new LeadFollower({
       ...options,
-      readRecords: () => this.#readRecords(),
-      reportIntervalMs: () => this.#reportIntervalMs(),
+      word: this.#word,
+      summarize: () => this.#summarize(),
+      known: () => this.#describeKnown(),
+      onAnswer: (answer, heard) => this.#noteAnswer(answer, heard),
+      awaitOtherLead: (term, waitMs) => this.#awaitOtherLead(term, waitMs),
       nowMs: () => this.#nowMs(),
     });
   }
@@ -80,50 +121,34 @@
     return this.#director !== undefined;
   }
 
+  /** Whether this process hears the lead itself. */
+  get steps(): WordSteps {
+    return this.isLeading ? "direct" : this.#word.steps;
+  }
+
   /** Processes that share the work, this one included. */
-  countNodes(): number {
-    const nodes = this.isLeading
-      ? this.#listNodes().length
-      : this.#follower.answer?.nodes.length;
-    return Math.max(1, nodes ?? 1);
+  countProcesses(): number {
+    return Math.max(1, this.#word.processes);
   }
 
   /** Heads to which no requests should go, as replicas are taken apart. */
   listClosedHeads(): readonly string[] {
-    if (this.#director !== undefined) return this.#director.listClosedHeads();
-    return this.#follower.answer?.closedHeads ?? [];
-  }
-
-  /** Whether a lead that hears the store tells of the list of instances. */
-  hearsLead(): boolean {
-    const answer = this.#follower.findFreshAnswer();
-    return answer !== undefined && answer.storeAgeMs < TOLD_STORE_AGE_MS;
+    return this.#director?.listClosedHeads() ?? this.#word.closedHeads;
   }
 
   /** Requests and repeats of all processes; undefined while not fresh. */
   sharedTotals(): SharedTotals | undefined {
-    const nowMs = this.#nowMs();
-    if (this.isLeading) {
-      if (nowMs - this.#ownTotals.atMs >= this.#reportIntervalMs()) {
-        this.#ownTotals = { atMs: nowMs, totals: this.#sumRepeats() };
-      }
-      return this.#ownTotals;
-    }
-    const answer = this.#follower.findFreshAnswer();
-    return answer === undefined
-      ? undefined
-      : { atMs: this.#follower.heardAtMs, totals: answer.repeats };
+    return this.#word.isFresh(this.#nowMs()) ? this.#word.repeats : undefined;
   }
 
   /** Requests in progress for a model, over all processes. */
   totalDemand(model: string): number {
-    return (this.#options.demand()[model] ?? 0) +
-      this.#nodes.countDemand(model, this.#nowMs());
+    return this.#summarize().demand[model] ?? 0;
   }
 
   /** Whether any process has had requests. */
   hasAnyTraffic(): boolean {
-    return this.#options.hasTraffic() || this.#nodes.hadTraffic();
+    return this.#summarize().hasTraffic;
   }
 
   /** Leaves the lead to others. */
@@ -131,41 +156,49 @@
     this.#isLeaving = true;
     this.#isDeposed = true;
     this.#follower.stop();
+    this.#signal.notify();
   }
 
-  report(report: PeerReport): LeadAnswer {
-    const nowMs = this.#nowMs();
-    this.#nodes.noteReport(report, nowMs);
-    if (this.#lead !== undefined && report.term > this.#lead.term) {
-      this.#depose(`${report.nodeId} knows of term ${report.term}`);
-    }
-    this.#noteHeads(report);
-    this.#options.onLeaving(report.leaving);
-    return {
-      isLeading: this.isLeading && !this.#isDeposed,
-      term: this.#lead?.term ?? 0,
-      storeAgeMs: nowMs - this.#options.storeAnsweredAtMs(),
-      nodes: this.#listNodes(),
-      repeats: this.#sumRepeats(),
-      closedHeads: this.#director?.listClosedHeads() ?? [],
-      config: this.#describeConfig(),
-      instances: this.#options.instances.since(report.instancesOffset),
-      leaving: this.#options.listLeaving(),
-    };
+  /** Takes note that the list of instances or the configuration changed. */
+  noteChange(): void {
+    this.#signal.notify();
+  }
+
+  report(report: PeerReport): Effect.Effect<LeadAnswer> {
+    return Effect.gen({ self: this }, function* () {
+      this.#table.note(report, this.#nowMs());
+      if (this.isLeading && report.known.term > this.#word.term) {
+        const { nodeId } = report.reporter;
+        this.#depose(`${nodeId} knows of term ${report.known.term}`);
+      }
+      this.#noteHeads(report.summary);
+      this.#options.onLeaving(report.summary.leaving);
+      const arrivedAtMs = this.#nowMs();
+      yield* this.#awaitNews(report);
+      const heldMs = this.#nowMs() - arrivedAtMs;
+      return { ...this.#answer(report.known), heldMs };
+    });
   }
 
   heardLeadAgoMs(term: number): number | undefined {
-    if (this.#lead?.term !== term) return undefined;
-    return this.#nowMs() - this.#follower.heardAtMs;
+    if (this.#word.term !== term) return undefined;
+    return this.#word.silentMs(this.#nowMs());
   }
 
   run(): Effect.Effect<never> {
     return Effect.gen({ self: this }, function* () {
       const clock = yield* Clock.Clock;
       this.#nowMs = () => readSteadyMs(clock);
+      let mayClaim = false;
       while (true) {
         if (this.#isLeaving) {
-          yield* Effect.sleep(REPORT_INTERVAL_MS);
+          yield* Effect.sleep(LEFT_CHECK_MS);
+          continue;
+        }
+        const found = this.#takeFound();
+        if (found !== undefined) {
+          yield* this.#follower.follow(found);
+          mayClaim = true;
           continue;
         }
         const records = yield* this.#readRecords();
@@ -173,19 +206,59 @@
           yield* Effect.sleep(RETRY_DELAY_MS);
           continue;
         }
-        const isTaken = records.lead !== undefined &&
-          records.lead.term !== this.#lead?.term &&
-          records.lead.nodeId !== this.#options.nodeId;
-        if (isTaken) {
-          this.#lead = records.lead;
-          yield* this.#follower.follow(records.lead!);
-        } else {
+        this.#found = records.lead;
+        if (this.#isToFollow(records.lead)) continue;
+        if (mayClaim || !(yield* this.#awaitFirstTurn(records))) {
           yield* this.#claim(records);
+          mayClaim = false;
         }
       }
     });
   }
 
+  /** Another lead than was followed last, if one was found. */
+  #takeFound(): LeadRecord | undefined {
+    const found = this.#found;
+    this.#found = undefined;
+    return this.#isToFollow(found) ? found : undefined;
+  }
+
+  #isToFollow(lead: LeadRecord | undefined): boolean {
+    return lead !== undefined && lead.term !== this.#word.term &&
+      lead.nodeId !== this.#options.self.nodeId;
+  }
+
+  /** Lets the most able process be the first; whether another has been. */
+  #awaitFirstTurn({ nextOffset }: FleetRecords): Effect.Effect<boolean> {
+    const { self, random } = this.#options;
+    const term = this.#word.term;
+    this.#looked = { term, nextOffset };
+    return awaitTurn({
+      delayMs: turnDelayMs({ self, deputies: [], chance: random() }),
+      awaitTaken: (waitMs) =>
+        Effect.map(
+          this.#awaitOtherLead(term, waitMs),
+          ({ kind }) => kind === "taken",
+        ),
+    });
+  }
+
+  #awaitOtherLead(term: number, waitMs: number): Effect.Effect<LeadLook> {
+    const { log } = this.#options;
+    if (this.#looked.term !== term) this.#looked = { term, nextOffset: term };
+    const fromOffset = this.#looked.nextOffset;
+    return Effect.map(
+      awaitOtherLead(log, { term, fromOffset, waitMs }),
+      (look) => {
+        if (look.kind === "taken") this.#found = look.lead;
+        if (look.kind === "unchanged") {
+          this.#looked = { term, nextOffset: look.nextOffset };
+        }
+        return look;
+      },
+    );
+  }
+
   #readRecords(): Effect.Effect<FleetRecords | undefined> {
     return readFleetRecords(this.#options.log).pipe(
       Effect.catch(({ message }) =>
@@ -199,8 +272,9 @@
 
   /** Takes the lead and directs replicas until another process does. */
   #claim(records: FleetRecords): Effect.Effect<void> {
-    const { nodeId, bootId, peerAddress, log } = this.#options;
+    const { self, bootId, log } = this.#options;
     return Effect.gen({ self: this }, function* () {
+      const { nodeId, peerAddress } = self;
       const lead = { nodeId, bootId, peerAddress };
       const claim = yield* claimLead(log, { lead, records }).pipe(
         Effect.catch(({ message }) =>
@@ -215,22 +289,28 @@
         return;
       }
       if (claim.kind === "lost") return;
-      const { term, replicas } = claim;
-      this.#lead = { ...lead, term };
+      yield* this.#lead({ ...lead, term: claim.term }, claim.replicas);
+    });
+  }
+
+  #lead(
+    lead: LeadRecord,
+    replicas: readonly ReplicaRecord[],
+  ): Effect.Effect<void> {
+    const { log, createDirector, record } = this.#options;
+    const { term } = lead;
+    return Effect.gen({ self: this }, function* () {
+      this.#word.setLead(lead, this.#nowMs());
       this.#isDeposed = this.#isLeaving;
-      this.#options.record("lead.taken", { term, replicas: replicas.length });
+      record("lead.taken", { term, replicas: replicas.length });
       const recorder = new LeadRecorder({
         log,
         term,
         onDeposed: (message) => this.#depose(message),
       });
-      this.#director = this.#options.createDirector({
-        term,
-        replicas,
-        recorder,
-      });
+      this.#director = createDirector({ term, replicas, recorder });
       yield* Effect.scoped(this.#director.run()).pipe(
-        Effect.raceFirst(this.#awaitDeposed()),
+        Effect.raceFirst(this.#sayUntilDeposed()),
       );
       this.#director = undefined;
     });
@@ -239,24 +319,57 @@
   #depose(message: string): void {
     if (this.#isDeposed || !this.isLeading) return;
     this.#isDeposed = true;
-    this.#options.record("lead.lost", { term: this.#lead?.term, message });
+    this.#options.record("lead.lost", { term: this.#word.term, message });
   }
 
-  #awaitDeposed(): Effect.Effect<void> {
+  /** Says what the lead has to say, at once where it is new. */
+  #sayUntilDeposed(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       while (!this.#isDeposed) {
-        this.#noteHeads({
-          stalledHeads: this.#options.listStalledHeads(),
-          slowHeads: this.#options.listSlowHeads(),
-        });
+        this.#noteHeads(this.#summarizeOwn());
+        if (this.#say()) this.#signal.notify();
         yield* Effect.sleep(HEADS_STEP_MS);
       }
     });
   }
 
+  #say(): boolean {
+    const nowMs = this.#nowMs();
+    const { self, storeAnsweredAtMs, listLeaving } = this.#options;
+    const { processes, repeats } = this.#summarize();
+    return this.#word.say({
+      processes,
+      repeats,
+      deputies: selectDeputies({
+        leadId: self.nodeId,
+        processes,
+        candidates: this.#listCandidates(nowMs),
+        previous: this.#word.deputies,
+      }),
+      news: {
+        closedHeads: this.#director!.listClosedHeads(),
+        leaving: listLeaving(),
+      },
+      storeAnsweredAtMs: storeAnsweredAtMs(),
+    }, nowMs);
+  }
+
+  /** Processes that may be deputies; those that are report here themselves. */
+  #listCandidates(nowMs: number): readonly PeerNode[] {
+    const reporters = this.#table.listReporters(nowMs);
+    const present = new Set(reporters.map(({ nodeId }) => nodeId));
+    const deputyIds = new Set(
+      this.#word.deputies.map(({ nodeId }) => nodeId),
+    );
+    const named = this.#table.listCandidates(nowMs).filter(({ nodeId }) =>
+      present.has(nodeId) || !deputyIds.has(nodeId)
+    );
+    return [...reporters, ...named];
+  }
+
   #noteHeads(
     { stalledHeads, slowHeads }: Pick<
-      PeerReport,
+      PeerSummary,
       "stalledHeads" | "slowHeads"
     >,
   ): void {
@@ -264,26 +377,94 @@
     for (const headId of slowHeads) this.#director?.noteSlow(headId);
   }
 
-  /** Longer with more processes, which bounds the reports that a lead takes. */
-  #reportIntervalMs(): number {
-    return Math.max(REPORT_INTERVAL_MS, this.countNodes() * REPORT_SPREAD_MS);
+  /** Waits until a process has something to learn, or its report's time is over. */
+  #awaitNews({ known, holdMs }: PeerReport): Effect.Effect<void> {
+    const { instances, config } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const startedAtMs = this.#nowMs();
+      while (!this.#isLeaving && !this.#word.hasNews(known)) {
+        const passedMs = this.#nowMs() - startedAtMs;
+        const hasChanged = instances.copy.nextOffset > known.instancesOffset ||
+          config.copy.nextOffset > known.configOffset;
+        const remainingMs =
+          (hasChanged ? Math.min(holdMs, NEWS_GAP_MS) : holdMs) -
+          passedMs;
+        if (remainingMs <= 0) return;
+        yield* this.#signal.awaitChange(Math.ceil(remainingMs));
+      }
+    });
+  }
+
+  #answer(known: KnownWord): Omit<LeadAnswer, "heldMs"> {
+    const nowMs = this.#nowMs();
+    const { instances, config } = this.#options;
+    return {
+      isLeading: this.isLeading && !this.#isDeposed,
+      ...this.#word.describe(known, nowMs),
+      // Who reports to a process that leaves is to turn to another.
+      ...(this.#isLeaving ? { wordAgeMs: null } : {}),
+      config: describeTopic(config, known.configOffset, nowMs),
+      instances: describeTopic(instances, known.instancesOffset, nowMs),
+    };
+  }
+
+  #noteAnswer(
+    answer: LeadAnswer,
+    heard: { readonly saidAtMs: number; readonly steps: WordSteps },
+  ): void {
+    const { config, instances, onLeaving } = this.#options;
+    takeTold(config, answer.config, heard.saidAtMs);
+    takeTold(instances, answer.instances, heard.saidAtMs);
+    if (answer.news !== undefined) onLeaving(answer.news.value.leaving);
+    if (this.#word.adopt(answer, heard)) this.#signal.notify();
   }
 
-  #describeConfig(): LeadAnswer["config"] {
-    const { nextOffset, provenAtMs } = this.#options.configProof();
-    const ageMs = this.#nowMs() - provenAtMs;
-    return { nextOffset, proofAgeMs: Number.isFinite(ageMs) ? ageMs : null };
+  #describeKnown(): KnownWord {
+    return {
+      ...this.#word.known,
+      instancesOffset: this.#options.instances.copy.nextOffset,
+      configOffset: this.#options.config.copy.nextOffset,
+    };
   }
 
-  #sumRepeats(): Readonly<Record<string, WindowTotals>> {
-    return this.#nodes.sumRepeats(this.#options.repeats(), this.#nowMs());
+  #summarize(): PeerSummary {
+    return this.#table.sumUp(this.#summarizeOwn(), this.#nowMs());
   }
 
-  #listNodes(): readonly PeerNode[] {
-    const { nodeId, peerAddress } = this.#options;
-    return [
-      { nodeId, peerAddress },
-      ...this.#nodes.listPresent(this.#nowMs()),
-    ];
+  #summarizeOwn(): PeerSummary {
+    const options = this.#options;
+    return {
+      processes: 1,
+      candidates: [options.self],
+      stalledHeads: options.listStalledHeads(),
+      slowHeads: options.listSlowHeads(),
+      leaving: options.listLeaving(),
+      demand: options.demand(),
+      repeats: options.repeats(),
+      hasTraffic: options.hasTraffic(),
+    };
   }
 }
+
+/** What a process that knows a topic up to an offset is to be told of it. */
+function describeTopic(
+  { copy, provenAtMs }: RelayedTopic,
+  fromOffset: number,
+  nowMs: number,
+): RelayedChange & KnownEnd {
+  const ageMs = copy.canTellSince(fromOffset)
+    ? nowMs - provenAtMs()
+    : Number.POSITIVE_INFINITY;
+  return {
+    ...copy.since(fromOffset),
+    proofAgeMs: Number.isFinite(ageMs) ? ageMs : null,
+  };
+}
+
+function takeTold(
+  { onTold }: RelayedTopic,
+  told: RelayedChange & KnownEnd,
+  saidAtMs: number,
+): void {
+  if (told.proofAgeMs !== null) onTold(told, saidAtMs - told.proofAgeMs);
+}
--- a/packages/celerytray/src/coordination/index.ts
+++ b/packages/celerytray/src/coordination/index.ts
@@ -3,7 +3,9 @@
   Coordinator,
   type CoordinatorOptions,
   type DirectorStart,
+  type RelayedTopic,
 } from "./coordinator.ts";
+export { LEAD_READ_WAIT_MS, maxToldAgeMs, sumLagMs } from "./intervals.ts";
 export {
   claimLead,
   type FleetRecords,
@@ -11,13 +13,11 @@
   LeadRecorder,
   readFleetRecords,
 } from "./lead_log.ts";
+export type { LeadAnswer, PeerNode, PeerReport } from "./peer_messages.ts";
 export {
   createPeerHandler,
-  type LeadAnswer,
   type LeadOperations,
   type PeerCalls,
   PeerClient,
-  type PeerNode,
-  type PeerReport,
   PeerSilent,
 } from "./peer_router.ts";
--- /dev/null
+++ b/packages/celerytray/src/coordination/intervals.ts
@@ -0,0 +1,71 @@
+/**
+ * How often processes tell each other something, and what follows for how old
+ * a word may be. No figure depends on the number of processes: many are told
+ * by way of deputies, which is one step more.
+ */
+
+/** Longest time for which the lead keeps a report before it answers. */
+export const LEAD_HOLD_MS = 250;
+/** The same for a deputy, whose answers go to most processes. */
+export const DEPUTY_HOLD_MS = 1_000;
+/** Time beyond that for which an answer is awaited. */
+export const ANSWER_TIMEOUT_MS = 400;
+/** Shortest time between two reports of a process. */
+export const REPORT_GAP_MS = 50;
+/** Shortest time between answers that only tell of the list or the configuration. */
+export const NEWS_GAP_MS = 250;
+/** Steps in which heads that newly stand still are noticed. */
+export const HEADS_STEP_MS = 50;
+
+/** Longest time for which a read of the lead waits at the store. */
+export const LEAD_READ_WAIT_MS = 500;
+
+/**
+ * Age up to which what another process tells of a topic of the store is enough.
+ * Deputies turn to the store first, and tell the others.
+ */
+export function maxToldAgeMs(steps: WordSteps): number {
+  return LEAD_READ_WAIT_MS + maxWordAgeMs(steps) + TOLD_MARGIN_MS;
+}
+
+const TOLD_MARGIN_MS = 50;
+
+/** Time for which a process counts as present whose report was kept for a time. */
+export function presentMs(holdMs: number): number {
+  return Math.max(holdMs, LEAD_HOLD_MS) + 2 * ANSWER_TIMEOUT_MS;
+}
+
+/** Age of the lead's word at a process that hears it by a sound way. */
+export function usualWordAgeMs(steps: WordSteps): number {
+  return LEAD_HOLD_MS + (steps === "direct" ? 0 : DEPUTY_HOLD_MS);
+}
+
+/** Age up to which the lead's word counts. */
+export function maxWordAgeMs(steps: WordSteps): number {
+  return usualWordAgeMs(steps) + ANSWER_TIMEOUT_MS;
+}
+
+/** Time until what a process has counted comes back to it in the sum of all. */
+export function sumLagMs(steps: WordSteps): number {
+  return 2 * usualWordAgeMs(steps) + SUM_MARGIN_MS;
+}
+
+const SUM_MARGIN_MS = 200;
+
+/** Age of the lead's word from which on the lead counts as silent. */
+export function silenceMs(steps: WordSteps): number {
+  return steps === "direct"
+    ? LEAD_HOLD_MS + ANSWER_TIMEOUT_MS + SILENCE_MARGIN_MS
+    : maxWordAgeMs(steps) + DEPUTIES_FIRST_MS;
+}
+
+/** Age of the lead's word at a deputy from which on another one is asked. */
+export const STALE_DEPUTY_MS = 2 * (LEAD_HOLD_MS + ANSWER_TIMEOUT_MS);
+
+/** Whether a process hears the lead itself, or by way of a deputy. */
+export type WordSteps = "direct" | "relayed";
+
+/** An answer may come just after its time. */
+const SILENCE_MARGIN_MS = 150;
+/** Time that deputies have to replace a lead before other processes try. */
+const DEPUTIES_FIRST_MS = 1_500;
--- a/packages/celerytray/src/coordination/lead_follower.ts
+++ b/packages/celerytray/src/coordination/lead_follower.ts
@@ -1,249 +1,253 @@
 import { Effect } from "effect";
 import type { RecordEvent } from "../journal/index.ts";
-import type { LeadRecord, LeavingLife } from "../groups/index.ts";
-import type { RelayedChange, TopicCopy } from "../keyed_log/index.ts";
-import type { WindowTotals } from "../serving/index.ts";
-import type { FleetRecords } from "./lead_log.ts";
+import type { LeadRecord } from "../groups/index.ts";
+import {
+  DEPUTY_HOLD_MS,
+  HEADS_STEP_MS,
+  LEAD_HOLD_MS,
+  REPORT_GAP_MS,
+  silenceMs,
+  STALE_DEPUTY_MS,
+  type WordSteps,
+} from "./intervals.ts";
+import type { LeadLook } from "./lead_log.ts";
 import {
   findReplacementReason,
   type ReplacementReason,
-  silenceBoundMs,
 } from "./lead_silence.ts";
-import { awaitTurn, isHeardByOthers } from "./lead_succession.ts";
-import type { LeadAnswer, PeerCalls } from "./peer_router.ts";
+import { awaitTurn, isHeardByOthers, turnDelayMs } from "./lead_succession.ts";
+import type { LeadWord } from "./lead_word.ts";
+import type {
+  KnownWord,
+  LeadAnswer,
+  PeerNode,
+  PeerSummary,
+} from "./peer_messages.ts";
+import type { PeerCalls } from "./peer_router.ts";
+import { selectParent } from "./select_parent.ts";
 
 /** What following the process that decides on replicas works with. */
 export interface LeadFollowerOptions {
-  readonly nodeId: string;
-  readonly peerAddress: string;
+  readonly self: PeerNode;
   readonly client: PeerCalls;
-  /** Heads at which requests of this process stand still. */
-  readonly listStalledHeads: () => readonly string[];
-  /** Heads of replicas that this process finds slow. */
-  readonly listSlowHeads: () => readonly string[];
-  /** Requests of this process in progress, by model. */
-  readonly demand: () => Readonly<Record<string, number>>;
-  /** Requests and repeats of this process in its window, by service. */
-  readonly repeats: () => Readonly<Record<string, WindowTotals>>;
-  readonly hasTraffic: () => boolean;
+  readonly word: LeadWord;
+  /** What this process and those that report to it tell. */
+  readonly summarize: () => PeerSummary;
+  /** What this process knows. */
+  readonly known: () => KnownWord;
+  /** Takes an answer that was given at some time or later. */
+  readonly onAnswer: (
+    answer: LeadAnswer,
+    heard: { readonly saidAtMs: number; readonly steps: WordSteps },
+  ) => void;
   /** Time of the last answer of the store to this process. */
   readonly storeAnsweredAtMs: () => number;
-  /** Takes what the lead tells of the configuration. */
-  readonly onConfigProof: (proof: ConfigProof) => void;
-  /** The list of instances as this process knows it. */
-  readonly instances: TopicCopy;
-  /** Instances that said that they leave, though the list has them as ready. */
-  readonly listLeaving: () => readonly LeavingLife[];
-  /** Takes the word of instances that other processes have heard. */
-  readonly onLeaving: (lives: readonly LeavingLife[]) => void;
-  /** Takes what the lead tells of the list of instances. */
-  readonly onInstances: (change: RelayedChange) => void;
-  /** The newest records; undefined where the store doesn't answer. */
-  readonly readRecords: () => Effect.Effect<FleetRecords | undefined>;
-  readonly reportIntervalMs: () => number;
+  /** Waits until the records name another lead than that of a term. */
+  readonly awaitOtherLead: (
+    term: number,
+    waitMs: number,
+  ) => Effect.Effect<LeadLook>;
   readonly nowMs: () => number;
+  /** 0 to 1. */
+  readonly random: () => number;
   readonly record: RecordEvent;
 }
 
-/** That there was no configuration after an offset at a time. */
-export interface ConfigProof {
-  readonly nextOffset: number;
-  readonly provenAtMs: number;
-}
-
-/** Steps in which heads that newly stand still are noticed. */
-export const HEADS_STEP_MS = 50;
-/** Age of the lead's last answer, beyond a report's interval, at which the list is read from the store. */
-const TOLD_AGE_MS = 450;
+/** Time for which a deputy is passed over that did not help. */
+const AVOID_DEPUTY_MS = 2_000;
 
-/** Reports to the process that decides on replicas. */
+/** Reports to the lead or a deputy of it. */
 export class LeadFollower {
   readonly #options: LeadFollowerOptions;
-  #isFollowing = false;
+  readonly #avoidedUntilMs = new Map<string, number>();
   #isStopped = false;
-  #heardAtMs = 0;
-  /** Whether the lead's address refuses connections. */
-  #isLeadDown = false;
-  #answer: LeadAnswer | undefined;
+  /** Whether the newest report got no answer. */
+  #isUnanswered = false;
 
   constructor(options: LeadFollowerOptions) {
     this.#options = options;
   }
 
-  /** The newest answer of any lead. */
-  get answer(): LeadAnswer | undefined {
-    return this.#answer;
-  }
-
-  /** Time at which the lead answered last, or following it began. */
-  get heardAtMs(): number {
-    return this.#heardAtMs;
-  }
-
-  /** The lead's last answer, while it still counts. */
-  findFreshAnswer(): LeadAnswer | undefined {
-    if (!this.#isFollowing || this.#answer?.isLeading !== true) {
-      return undefined;
-    }
-    const ageMs = this.#options.nowMs() - this.#heardAtMs;
-    const maxAgeMs = TOLD_AGE_MS + this.#options.reportIntervalMs();
-    return ageMs < maxAgeMs ? this.#answer : undefined;
-  }
-
   /** Sends no more reports. */
   stop(): void {
     this.#isStopped = true;
   }
 
-  /** Reports to the lead until it is to be replaced. */
+  /** Reports until the lead is to be replaced. */
   follow(lead: LeadRecord): Effect.Effect<void> {
+    const { word, nowMs } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      this.#isFollowing = true;
-      this.#options.record("lead.followed", {
-        term: lead.term,
-        lead: lead.nodeId,
-      });
-      this.#heardAtMs = this.#options.nowMs();
-      this.#isLeadDown = false;
+      word.setLead(lead, nowMs());
+      this.#recordFollowed();
       while (!this.#isStopped) {
-        const sentAtMs = this.#options.nowMs();
-        const answer = yield* this.#report(lead);
-        if (answer !== undefined) {
-          this.#answer = answer;
-          this.#noteConfig(answer, sentAtMs);
-          if (answer.isLeading && answer.instances.records.length > 0) {
-            this.#options.onInstances(answer.instances);
-          }
-          this.#options.onLeaving(answer.leaving);
-        }
-        const reason = findReplacementReason({
-          answer,
-          isDown: this.#isLeadDown,
-          silentMs: this.#options.nowMs() - this.#heardAtMs,
-          ownStoreAgeMs: this.#options.nowMs() -
-            this.#options.storeAnsweredAtMs(),
-          reportIntervalMs: this.#options.reportIntervalMs(),
-        });
-        if (reason !== undefined && (yield* this.#mayReplace(lead, reason))) {
-          return;
-        }
-        yield* this.#awaitReport();
+        const sentAtMs = nowMs();
+        const reason = yield* this.#reportOnce();
+        if (reason !== undefined && (yield* this.#mayReplace(reason))) return;
+        const gapMs = sentAtMs + REPORT_GAP_MS - nowMs();
+        if (gapMs > 0) yield* Effect.sleep(Math.ceil(gapMs));
       }
-    }).pipe(
-      Effect.ensuring(
-        Effect.sync(() => {
-          this.#isFollowing = false;
-        }),
-      ),
-    );
+    });
   }
 
-  /**
-   * Waits for the next report; a head that newly stands still and an instance
-   * that newly says that it leaves hasten it.
-   */
-  #awaitReport(): Effect.Effect<void> {
+  /** Reports, and tells why the lead is to be replaced, if it is. */
+  #reportOnce(): Effect.Effect<ReplacementReason | undefined> {
+    const { self, word, nowMs, onAnswer } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      const known = new Set(this.#listUrgent());
-      const dueAtMs = this.#options.nowMs() + this.#options.reportIntervalMs();
-      while (this.#options.nowMs() < dueAtMs) {
-        yield* Effect.sleep(HEADS_STEP_MS);
-        if (this.#listUrgent().some((id) => !known.has(id))) return;
+      const { term } = word;
+      const deputy = this.#selectDeputy();
+      const steps: WordSteps = deputy === undefined ? "direct" : "relayed";
+      const address = (deputy ?? word.lead!).peerAddress;
+      if (address === self.peerAddress) return "it doesn't lead";
+      const sentAtMs = nowMs();
+      const outcome = yield* this.#report(address, steps);
+      let deniesLead = false;
+      if (outcome.kind === "answered") {
+        const { answer } = outcome;
+        // It was given no sooner than its report was sent and kept.
+        onAnswer(answer, { saidAtMs: sentAtMs + answer.heldMs, steps });
+        if (word.term !== term) this.#recordFollowed();
+        deniesLead = deputy === undefined && !answer.isLeading &&
+          word.term === term;
       }
+      if (deputy !== undefined) this.#judgeDeputy(deputy, outcome);
+      return findReplacementReason({
+        deniesLead,
+        isDown: deputy === undefined && outcome.kind === "silent" &&
+          outcome.isRefused,
+        steps,
+        silentMs: word.silentMs(nowMs()),
+        leadStoreAgeMs: word.storeAgeMs(nowMs()),
+        ownStoreAgeMs: nowMs() - this.#options.storeAnsweredAtMs(),
+      });
     });
   }
 
-  /** Instances whose state the lead should hear of at once. */
-  #listUrgent(): readonly string[] {
-    const { listStalledHeads, listLeaving } = this.#options;
-    return [
-      ...listStalledHeads(),
-      ...listLeaving().map(({ instanceId }) => `${instanceId} leaving`),
-    ];
+  /** Sends a report; something urgent to tell ends the wait for its answer. */
+  #report(address: string, steps: WordSteps): Effect.Effect<ReportOutcome> {
+    const { self, client, summarize, known, record } = this.#options;
+    return Effect.suspend(() => {
+      const summary = summarize();
+      const usualHoldMs = steps === "direct" ? LEAD_HOLD_MS : DEPUTY_HOLD_MS;
+      const report = {
+        reporter: self,
+        summary,
+        known: known(),
+        holdMs: this.#isUnanswered ? 0 : usualHoldMs,
+      };
+      return client.report(address, report).pipe(
+        Effect.map((answer): ReportOutcome => {
+          this.#isUnanswered = false;
+          return { kind: "answered", answer };
+        }),
+        Effect.catch(({ message, isRefused }) =>
+          Effect.sync((): ReportOutcome => {
+            this.#isUnanswered = true;
+            const event = steps === "direct" ? "lead.silent" : "deputy.silent";
+            record(event, { message, isRefused });
+            return { kind: "silent", isRefused };
+          })
+        ),
+        Effect.raceFirst(this.#awaitUrgent(listUrgent(summary))),
+      );
+    });
   }
 
-  #report(lead: LeadRecord): Effect.Effect<LeadAnswer | undefined> {
-    const { nodeId, peerAddress, client } = this.#options;
-    return client.report(lead.peerAddress, {
-      nodeId,
-      peerAddress,
-      term: lead.term,
-      stalledHeads: this.#options.listStalledHeads(),
-      slowHeads: this.#options.listSlowHeads(),
-      demand: this.#options.demand(),
-      repeats: this.#options.repeats(),
-      hasTraffic: this.#options.hasTraffic(),
-      instancesOffset: this.#options.instances.nextOffset,
-      leaving: this.#options.listLeaving(),
-    }).pipe(
-      Effect.tap(({ isLeading, term }) =>
-        Effect.sync(() => {
-          this.#isLeadDown = false;
-          if (isLeading && term === lead.term) {
-            this.#heardAtMs = this.#options.nowMs();
-          }
-        })
-      ),
-      Effect.catch(({ message, isRefused }) =>
-        Effect.sync(() => {
-          this.#options.record("lead.silent", { message, isRefused });
-          this.#isLeadDown = isRefused;
-          return undefined;
-        })
+  /** Ends once there is something that the lead should hear of at once. */
+  #awaitUrgent(told: readonly string[]): Effect.Effect<ReportOutcome> {
+    const known = new Set(told);
+    const hasNew = () =>
+      listUrgent(this.#options.summarize()).some((item) => !known.has(item));
+    return Effect.gen(function* () {
+      while (!hasNew()) yield* Effect.sleep(HEADS_STEP_MS);
+      return { kind: "overtaken" };
+    });
+  }
+
+  #selectDeputy(): PeerNode | undefined {
+    const { self, word, nowMs } = this.#options;
+    const atMs = nowMs();
+    return selectParent({
+      self,
+      processes: word.processes,
+      deputies: word.deputies.filter(({ nodeId }) =>
+        nodeId !== word.lead?.nodeId
       ),
-    );
+      isAvoided: (nodeId) => (this.#avoidedUntilMs.get(nodeId) ?? atMs) > atMs,
+    });
+  }
+
+  /** Passes a deputy over that doesn't answer or hears nothing of the lead. */
+  #judgeDeputy({ nodeId }: PeerNode, outcome: ReportOutcome): void {
+    if (outcome.kind === "overtaken") return;
+    const { wordAgeMs } = outcome.kind === "answered"
+      ? outcome.answer
+      : { wordAgeMs: null };
+    if (wordAgeMs !== null && wordAgeMs < STALE_DEPUTY_MS) return;
+    this.#isUnanswered = true;
+    this.#avoidedUntilMs.set(nodeId, this.#options.nowMs() + AVOID_DEPUTY_MS);
   }
 
   /** Whether this process is the one to try, and no other hears the lead. */
-  #mayReplace(
-    lead: LeadRecord,
-    reason: ReplacementReason,
-  ): Effect.Effect<boolean> {
+  #mayReplace(reason: ReplacementReason): Effect.Effect<boolean> {
+    const { self, client, word, awaitOtherLead, record } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      const newest = yield* this.#options.readRecords();
-      if (newest === undefined) return false;
-      if (hasOtherLead(newest, lead)) return true;
-      const { nodeId, client } = this.#options;
-      const others = (this.#answer?.nodes ?? []).filter((node) =>
-        node.nodeId !== lead.nodeId
+      const lead = word.lead!;
+      const look = yield* awaitOtherLead(lead.term, 0);
+      if (look.kind === "unknown") return false;
+      if (look.kind === "taken") return true;
+      const deputies = word.deputies.filter(({ nodeId }) =>
+        nodeId !== lead.nodeId
       );
-      const { rank, isTaken } = yield* awaitTurn({
-        nodeId,
-        others,
-        isTaken: Effect.map(
-          this.#options.readRecords(),
-          (records) => records !== undefined && hasOtherLead(records, lead),
-        ),
+      const delayMs = turnDelayMs({
+        self,
+        deputies,
+        chance: this.#options.random(),
+      });
+      const isTaken = yield* awaitTurn({
+        delayMs,
+        awaitTaken: (waitMs) =>
+          Effect.map(
+            awaitOtherLead(lead.term, waitMs),
+            ({ kind }) => kind === "taken",
+          ),
       });
       if (isTaken) return true;
       const isHeard = reason === "it is silent" && (yield* isHeardByOthers({
         client,
         term: lead.term,
-        others: others.filter((node) => node.nodeId !== nodeId),
-        boundMs: silenceBoundMs({
-          reportIntervalMs: this.#options.reportIntervalMs(),
-        }),
+        others: deputies.filter(({ nodeId }) => nodeId !== self.nodeId),
+        boundMs: silenceMs("direct"),
       }));
       if (isHeard) return false;
-      this.#options.record("lead.replacing", {
+      record("lead.replacing", {
         term: lead.term,
         lead: lead.nodeId,
         reason,
-        rank,
+        delayMs,
       });
       return true;
     });
   }
 
-  /** The answer was given after its report was sent, so its proof is no older. */
-  #noteConfig({ isLeading, config }: LeadAnswer, sentAtMs: number): void {
-    if (!isLeading || config.proofAgeMs === null) return;
-    const provenAtMs = sentAtMs - config.proofAgeMs;
-    this.#options.onConfigProof({ nextOffset: config.nextOffset, provenAtMs });
+  #recordFollowed(): void {
+    const { term, nodeId } = this.#options.word.lead!;
+    this.#options.record("lead.followed", { term, lead: nodeId });
   }
 }
 
-/** Whether another process has taken the lead, as the records say. */
-function hasOtherLead(records: FleetRecords, lead: LeadRecord): boolean {
-  return records.lead !== undefined && records.lead.term !== lead.term;
+/** What became of a report. */
+type ReportOutcome =
+  | { readonly kind: "answered"; readonly answer: LeadAnswer }
+  | { readonly kind: "silent"; readonly isRefused: boolean }
+  /** Something urgent came up before its answer. */
+  | { readonly kind: "overtaken" };
+
+/** What the lead should hear of at once. */
+function listUrgent(
+  { stalledHeads, leaving }: PeerSummary,
+): readonly string[] {
+  return [
+    ...stalledHeads,
+    ...leaving.map(({ instanceId }) => `${instanceId} leaving`),
+  ];
 }
--- a/packages/celerytray/src/coordination/lead_log.ts
+++ b/packages/celerytray/src/coordination/lead_log.ts
@@ -15,6 +15,7 @@
 import type {
   AppendConflict,
   KeyedLog,
+  KeyedPage,
   KeyedRecord,
   ReadFailure,
 } from "../keyed_log/index.ts";
@@ -43,12 +44,51 @@
 }
 
 function findLead(records: readonly KeyedRecord[]): LeadRecord | undefined {
-  const stored = records.find(({ key }) => key === LEAD_KEY);
+  const stored = records.findLast(({ key }) => key === LEAD_KEY);
   if (stored?.value === undefined) return undefined;
   return decodeLead({ value: stored.value, offset: stored.offset })
     .toMaybe().extract();
 }
 
+/** What a look at the records says of a lead. */
+export type LeadLook =
+  /** Another process has taken its place. */
+  | { readonly kind: "taken"; readonly lead: LeadRecord }
+  /** No other process had, by the records up to an offset. */
+  | { readonly kind: "unchanged"; readonly nextOffset: number }
+  /** The store doesn't answer. */
+  | { readonly kind: "unknown" };
+
+/** Pause after a failed look, at most. */
+const LOOK_RETRY_MS = 300;
+
+/** Waits, up to a time, until the records name a lead of a later term. */
+export function awaitOtherLead(
+  log: KeyedLog,
+  { term, fromOffset, waitMs }: {
+    readonly term: number;
+    readonly fromOffset: number;
+    readonly waitMs: number;
+  },
+): Effect.Effect<LeadLook> {
+  const describe = ({ records, nextOffset }: KeyedPage): LeadLook => {
+    const lead = findLead(records);
+    return lead !== undefined && lead.term > term
+      ? { kind: "taken", lead }
+      : { kind: "unchanged", nextOffset };
+  };
+  return log.read("fleet", { fromOffset, waitMs }).pipe(
+    Effect.catchTag("HistoryDropped", () => log.readNewest("fleet")),
+    Effect.map(describe),
+    Effect.catch(() =>
+      Effect.as(
+        Effect.sleep(Math.min(waitMs, LOOK_RETRY_MS)),
+        { kind: "unknown" } as const,
+      )
+    ),
+  );
+}
+
 /** What came of an attempt to take the lead. */
 export type LeadClaim =
   | {
--- a/packages/celerytray/src/coordination/lead_silence.ts
+++ b/packages/celerytray/src/coordination/lead_silence.ts
@@ -1,16 +1,19 @@
-import type { LeadAnswer } from "./peer_router.ts";
+import { silenceMs, type WordSteps } from "./intervals.ts";
 
 /** What a process knows of the lead that it follows. */
 export interface LeadSigns {
-  /** Answer to the newest report; undefined where none came. */
-  readonly answer: LeadAnswer | undefined;
+  /** Whether the lead itself said just now that it doesn't lead. */
+  readonly deniesLead: boolean;
   /** Whether the lead's address refuses connections. */
   readonly isDown: boolean;
-  /** Time since the lead last answered. */
+  /** Whether this process reports to the lead itself. */
+  readonly steps: WordSteps;
+  /** Age of the lead's newest word. */
   readonly silentMs: number;
+  /** Time since the store last answered the lead, as far as that is known. */
+  readonly leadStoreAgeMs: number;
   /** Time since the store last answered this process. */
   readonly ownStoreAgeMs: number;
-  readonly reportIntervalMs: number;
 }
 
 /** Why a lead is to be replaced. */
@@ -20,8 +23,6 @@
   | "the store doesn't answer it"
   | "it is silent";
 
-/** Silence of the lead, beyond a report's interval, after which another process takes its place. */
-const LEAD_SILENCE_MS = 550;
 /** Age of the lead's last answer from the store at which it is replaced. */
 const LEAD_STORE_AGE_MS = 2_800;
 /** Own answers from the store must be newer to take the place. */
@@ -31,19 +32,11 @@
 export function findReplacementReason(
   signs: LeadSigns,
 ): ReplacementReason | undefined {
-  const { answer, isDown, silentMs, ownStoreAgeMs } = signs;
-  if (answer !== undefined && !answer.isLeading) return "it doesn't lead";
+  const { deniesLead, isDown, steps, silentMs } = signs;
+  if (deniesLead) return "it doesn't lead";
   if (isDown) return "it is down";
-  if (
-    answer !== undefined && answer.storeAgeMs > LEAD_STORE_AGE_MS &&
-    ownStoreAgeMs < OWN_STORE_AGE_MS
-  ) return "the store doesn't answer it";
-  return silentMs > silenceBoundMs(signs) ? "it is silent" : undefined;
-}
-
-/** Longest time without an answer for which the lead counts as heard. */
-export function silenceBoundMs(
-  { reportIntervalMs }: Pick<LeadSigns, "reportIntervalMs">,
-): number {
-  return LEAD_SILENCE_MS + reportIntervalMs;
+  if (silentMs > silenceMs(steps)) return "it is silent";
+  const isWithoutStore = signs.leadStoreAgeMs > LEAD_STORE_AGE_MS &&
+    signs.ownStoreAgeMs < OWN_STORE_AGE_MS;
+  return isWithoutStore ? "the store doesn't answer it" : undefined;
 }
--- a/packages/celerytray/src/coordination/lead_silence_test.ts
+++ b/packages/celerytray/src/coordination/lead_silence_test.ts
@@ -1,29 +1,29 @@
 import { expect } from "earl";
 import { it } from "node:test";
 import {
-  findReplacementReason,
-  type LeadSigns,
-  silenceBoundMs,
-} from "./lead_silence.ts";
-import type { LeadAnswer } from "./peer_router.ts";
+  ANSWER_TIMEOUT_MS,
+  DEPUTY_HOLD_MS,
+  LEAD_HOLD_MS,
+  maxToldAgeMs,
+  maxWordAgeMs,
+  presentMs,
+  silenceMs,
+  STALE_DEPUTY_MS,
+  usualWordAgeMs,
+} from "./intervals.ts";
+import { findReplacementReason, type LeadSigns } from "./lead_silence.ts";
+
+/** Bounds of the users' smallest deployments. */
+const MAX_SILENCE_MS = 1_000;
+const MAX_KEY_AGE_MS = 3_000;
 
-const ANSWER: LeadAnswer = {
-  isLeading: true,
-  term: 3,
-  storeAgeMs: 100,
-  nodes: [],
-  repeats: {},
-  config: { nextOffset: 0, proofAgeMs: 0 },
-  closedHeads: [],
-  leaving: [],
-  instances: { records: [], nextOffset: 0 },
-};
 const SOUND: LeadSigns = {
-  answer: ANSWER,
+  deniesLead: false,
   isDown: false,
+  steps: "direct",
   silentMs: 0,
+  leadStoreAgeMs: 100,
   ownStoreAgeMs: 100,
-  reportIntervalMs: 250,
 };
 
 it("keeps a lead that answers and hears the store", () => {
@@ -31,25 +31,43 @@
 });
 
 it("replaces a lead that has stepped down or is gone", () => {
-  const steppedDown = { ...ANSWER, isLeading: false };
-  expect(findReplacementReason({ ...SOUND, answer: steppedDown }))
+  expect(findReplacementReason({ ...SOUND, deniesLead: true }))
     .toEqual("it doesn't lead");
-  expect(findReplacementReason({ ...SOUND, answer: undefined, isDown: true }))
+  expect(findReplacementReason({ ...SOUND, isDown: true }))
     .toEqual("it is down");
 });
 
-it("waits for a silent lead longer where reports are rarer", () => {
-  const silent = { ...SOUND, answer: undefined, silentMs: 801 };
+it("waits for a silent lead longer where deputies hear it first", () => {
+  const silent = { ...SOUND, silentMs: 801 };
   expect(findReplacementReason(silent)).toEqual("it is silent");
-  const rare = { ...silent, reportIntervalMs: 830 };
-  expect(findReplacementReason(rare)).toEqual(undefined);
-  expect(silenceBoundMs(rare)).toEqual(1_380);
+  const relayed: LeadSigns = { ...silent, steps: "relayed" };
+  expect(findReplacementReason(relayed)).toEqual(undefined);
+  const silentMs = silenceMs("relayed") + 1;
+  expect(findReplacementReason({ ...relayed, silentMs }))
+    .toEqual("it is silent");
 });
 
 it("replaces a lead that lost the store only where it is reached itself", () => {
-  const answer = { ...ANSWER, storeAgeMs: 5_100 };
-  expect(findReplacementReason({ ...SOUND, answer }))
-    .toEqual("the store doesn't answer it");
-  expect(findReplacementReason({ ...SOUND, answer, ownStoreAgeMs: 5_000 }))
+  const signs = { ...SOUND, leadStoreAgeMs: 5_100 };
+  expect(findReplacementReason(signs)).toEqual("the store doesn't answer it");
+  expect(findReplacementReason({ ...signs, ownStoreAgeMs: 5_000 }))
     .toEqual(undefined);
 });
+
+it("lets no bound contradict another, however many processes there are", () => {
+  expect(silenceMs("direct") < MAX_SILENCE_MS).toEqual(true);
+  for (const steps of ["direct", "relayed"] as const) {
+    expect(usualWordAgeMs(steps) < maxWordAgeMs(steps)).toEqual(true);
+    expect(maxWordAgeMs(steps) <= silenceMs(steps)).toEqual(true);
+    expect(maxToldAgeMs(steps) < MAX_KEY_AGE_MS).toEqual(true);
+    expect(maxToldAgeMs(steps) > maxWordAgeMs(steps)).toEqual(true);
+  }
+  expect(maxToldAgeMs("direct") < maxToldAgeMs("relayed")).toEqual(true);
+  expect(silenceMs("direct") < silenceMs("relayed")).toEqual(true);
+  expect(STALE_DEPUTY_MS > usualWordAgeMs("direct")).toEqual(true);
+  for (const holdMs of [0, LEAD_HOLD_MS, DEPUTY_HOLD_MS]) {
+    // One report may get no answer.
+    expect(presentMs(holdMs) > holdMs + ANSWER_TIMEOUT_MS).toEqual(true);
+    expect(presentMs(holdMs) > silenceMs("direct")).toEqual(true);
+  }
+});
--- a/packages/celerytray/src/coordination/lead_succession.ts
+++ b/packages/celerytray/src/coordination/lead_succession.ts
@@ -1,56 +1,77 @@
 import { Effect } from "effect";
-import type { PeerCalls, PeerNode } from "./peer_router.ts";
+import { steadyMs } from "../clock/index.ts";
+import type { PeerNode } from "./peer_messages.ts";
+import type { PeerCalls } from "./peer_router.ts";
 
-/** Wait of each further process before it takes the lead. */
+/** Wait of each further deputy before it takes the lead. */
 const RANK_DELAY_MS = 120;
+/** Wait of a process with one core that is no deputy; less able ones wait longer. */
+const CORE_DELAY_MS = 150;
+/** Longest wait of the least able processes. */
+const MAX_CORE_DELAY_MS = 600;
+/** Time over which equally able processes spread. */
+const SPREAD_MS = 150;
+/** Shortest time between two looks for another lead. */
+const LOOK_GAP_MS = 100;
+/** Deputies that are asked whether they hear the lead. */
+const MAX_ASKED = 5;
 
-/** Longest wait without a look whether another process has taken the lead. */
-const LOOK_INTERVAL_MS = 1_000;
+/** What a process's wait before it takes the lead is computed from. */
+export interface TurnOptions {
+  readonly self: PeerNode;
+  /** All deputies but the lead that is replaced, the most able first. */
+  readonly deputies: readonly PeerNode[];
+  /** 0 to 1. */
+  readonly chance: number;
+}
 
-/** What the wait for a process's turn to take the lead came to. */
-export interface LeadTurn {
-  readonly rank: number;
-  /** Whether another process has taken the lead meanwhile. */
-  readonly isTaken: boolean;
+/** Wait before a process takes the lead; the most able processes go first. */
+export function turnDelayMs(
+  { self, deputies, chance }: TurnOptions,
+): number {
+  const rank = deputies.findIndex(({ nodeId }) => nodeId === self.nodeId);
+  if (rank >= 0) return rank * RANK_DELAY_MS;
+  const coreDelayMs = CORE_DELAY_MS / Math.max(Number.EPSILON, self.cores);
+  return deputies.length * RANK_DELAY_MS +
+    Math.min(MAX_CORE_DELAY_MS, coreDelayMs) + chance * SPREAD_MS;
 }
 
-/** Waits until it is a process's turn to take the lead, or another has. */
+/** Waits for a time, or until another process has taken the lead; whether it has. */
 export function awaitTurn(options: {
-  readonly nodeId: string;
-  /** All processes but the lead. */
-  readonly others: readonly PeerNode[];
-  readonly isTaken: Effect.Effect<boolean>;
-}): Effect.Effect<LeadTurn> {
-  const ranked = options.others.map(({ nodeId }) => nodeId).sort();
-  const rank = Math.max(0, ranked.indexOf(options.nodeId));
+  readonly delayMs: number;
+  /** Waits until another process takes the lead, up to a time. */
+  readonly awaitTaken: (waitMs: number) => Effect.Effect<boolean>;
+}): Effect.Effect<boolean> {
   return Effect.gen(function* () {
-    let remainingMs = rank * RANK_DELAY_MS;
-    while (remainingMs > 0) {
-      const waitMs = Math.min(remainingMs, LOOK_INTERVAL_MS);
-      yield* Effect.sleep(waitMs);
-      remainingMs -= waitMs;
-      if (remainingMs > 0 && (yield* options.isTaken)) {
-        return { rank, isTaken: true };
+    const endsAtMs = (yield* steadyMs) + options.delayMs;
+    while (true) {
+      const remainingMs = endsAtMs - (yield* steadyMs);
+      if (remainingMs <= 0) return false;
+      if (yield* options.awaitTaken(Math.ceil(remainingMs))) return true;
+      // Records that tell of no lead, and a topic without any, end it early.
+      const leftMs = endsAtMs - (yield* steadyMs);
+      if (leftMs > 0) {
+        yield* Effect.sleep(Math.ceil(Math.min(leftMs, LOOK_GAP_MS)));
       }
     }
-    return { rank, isTaken: false };
   });
 }
 
-/** Whether another process had an answer of the lead within a time. */
+/** Whether another process has heard the lead of a term within a time. */
 export function isHeardByOthers(options: {
   readonly client: PeerCalls;
   readonly term: number;
   readonly others: readonly PeerNode[];
   readonly boundMs: number;
 }): Effect.Effect<boolean> {
-  const { client, term, others, boundMs } = options;
+  const { client, term, boundMs } = options;
   const ask = ({ peerAddress }: PeerNode) =>
     client.heardLead(peerAddress, term).pipe(
       // A process that doesn't answer says nothing about the lead.
       Effect.catch(() => Effect.succeed(null)),
     );
-  return Effect.forEach(others, ask, { concurrency: "unbounded" }).pipe(
+  const asked = options.others.slice(0, MAX_ASKED);
+  return Effect.forEach(asked, ask, { concurrency: MAX_ASKED }).pipe(
     Effect.map((ages) =>
       ages.some((ageMs) => ageMs !== null && ageMs < boundMs)
     ),
--- a/packages/celerytray/src/coordination/lead_succession_test.ts
+++ b/packages/celerytray/src/coordination/lead_succession_test.ts
@@ -3,76 +3,117 @@
 import { TestClock } from "effect/testing";
 import { describe, it } from "node:test";
 import { steadyMs } from "../clock/index.ts";
-import { awaitTurn, type LeadTurn } from "./lead_succession.ts";
+import { awaitTurn, turnDelayMs } from "./lead_succession.ts";
+import type { PeerNode } from "./peer_messages.ts";
 
-const PROCESSES = 80;
 const STEP_MS = 20;
 /** Time by which a process must know that another took the lead. */
-const MAX_NOTICE_MS = 1_100;
+const MAX_NOTICE_MS = 50;
 
-describe("awaitTurn", () => {
-  it("ends soon after another process has taken the lead", async () => {
-    const { turn, waitedMs, looks } = await play({ rank: 70, takenAtMs: 300 });
-    expect(turn).toEqual({ rank: 70, isTaken: true });
-    expect(waitedMs <= MAX_NOTICE_MS).toEqual(true);
-    expect(looks).toEqual(1);
+const node = (index: number, cores: number): PeerNode => ({
+  nodeId: `node-${index}`,
+  peerAddress: `${index}`,
+  zone: "z",
+  cores,
+});
+
+describe("turnDelayMs", () => {
+  const deputies = [node(1, 1.35), node(2, 1.35), node(3, 0.324)];
+  const delayOf = (self: PeerNode, chance = 0) =>
+    turnDelayMs({ self, deputies, chance });
+
+  it("lets deputies try one after the other, the first at once", () => {
+    const delaysMs = deputies.map((deputy) => delayOf(deputy));
+    expect(delaysMs[0]).toEqual(0);
+    expect(delaysMs[0]! < delaysMs[1]! && delaysMs[1]! < delaysMs[2]!)
+      .toEqual(true);
+  });
+
+  it("lets others try after them, the most able first", () => {
+    const able = delayOf(node(8, 1.35), 1);
+    const weak = delayOf(node(9, 0.324));
+    expect(delayOf(deputies[2]!) < delayOf(node(8, 1.35))).toEqual(true);
+    expect(able < weak).toEqual(true);
+  });
+
+  it("keeps the wait of a process without any processor time bounded", () => {
+    expect(delayOf(node(9, 0), 1) < 1_500).toEqual(true);
   });
 
-  it("lets the first processes try one after the other", async () => {
-    const first = await play({ rank: 0 });
-    const second = await play({ rank: 1 });
-    expect(first).toEqual({
-      turn: { rank: 0, isTaken: false },
-      waitedMs: 0,
-      looks: 0,
+  it("lets equally able processes try at different times", () => {
+    expect(delayOf(node(9, 0.324), 0.1) < delayOf(node(8, 0.324), 0.9))
+      .toEqual(true);
+  });
+});
+
+describe("awaitTurn", () => {
+  it("ends as another process takes the lead", async () => {
+    const { isTaken, waitedMs } = await play({
+      delayMs: 5_000,
+      takenAtMs: 300,
     });
-    expect(second.turn).toEqual({ rank: 1, isTaken: false });
-    expect(second.waitedMs > first.waitedMs).toEqual(true);
-    expect(second.looks).toEqual(0);
+    expect(isTaken).toEqual(true);
+    expect(waitedMs <= 300 + MAX_NOTICE_MS).toEqual(true);
   });
 
   it("goes on waiting while nobody has taken the lead", async () => {
-    const last = await play({ rank: 70 });
-    const before = await play({ rank: 69 });
-    expect(last.turn).toEqual({ rank: 70, isTaken: false });
-    expect(last.waitedMs > before.waitedMs).toEqual(true);
+    const { isTaken, waitedMs } = await play({ delayMs: 5_000 });
+    expect(isTaken).toEqual(false);
+    expect(waitedMs >= 5_000).toEqual(true);
+  });
+
+  it("looks seldom where there is nothing to wait for", async () => {
+    const { waitedMs, looks } = await play({ delayMs: 1_000, wakeEveryMs: 0 });
+    expect(waitedMs >= 1_000).toEqual(true);
+    expect(looks <= 11).toEqual(true);
+  });
+
+  it("goes on waiting while other records are written", async () => {
+    const { isTaken, waitedMs, looks } = await play({
+      delayMs: 1_000,
+      wakeEveryMs: 100,
+    });
+    expect(isTaken).toEqual(false);
+    expect(waitedMs >= 1_000).toEqual(true);
+    expect(looks <= 11).toEqual(true);
   });
 });
 
 interface Played {
-  readonly turn: LeadTurn;
+  readonly isTaken: boolean;
   readonly waitedMs: number;
   readonly looks: number;
 }
 
-/** Lets a process of a rank wait for its turn, on virtual time. */
+/** Lets a process wait for its turn, on virtual time. */
 function play(
-  options: { readonly rank: number; readonly takenAtMs?: number },
+  { delayMs, takenAtMs = Number.POSITIVE_INFINITY, wakeEveryMs }: {
+    readonly delayMs: number;
+    readonly takenAtMs?: number;
+    /** Time after which records end a look that tell of no lead. */
+    readonly wakeEveryMs?: number;
+  },
 ): Promise<Played> {
-  const { rank, takenAtMs = Number.POSITIVE_INFINITY } = options;
-  const others = Array.from({ length: PROCESSES }, (_, index) => ({
-    nodeId: `node-${String(index).padStart(2, "0")}`,
-    peerAddress: `${index}`,
-  }));
   let looks = 0;
-  const isTaken = Effect.map(steadyMs, (nowMs) => {
-    looks += 1;
-    return nowMs >= takenAtMs;
-  });
+  const awaitTaken = (waitMs: number) =>
+    Effect.gen(function* () {
+      looks += 1;
+      const nowMs = yield* steadyMs;
+      const lookMs = Math.min(waitMs, wakeEveryMs ?? waitMs);
+      yield* Effect.sleep(Math.min(lookMs, Math.max(0, takenAtMs - nowMs)));
+      return (yield* steadyMs) >= takenAtMs;
+    });
   const program = Effect.gen(function* () {
     const begunAtMs = yield* steadyMs;
-    let ended: { readonly turn: LeadTurn; readonly atMs: number } | undefined;
+    let ended: { readonly isTaken: boolean; readonly atMs: number } | undefined;
     yield* Effect.forkScoped(Effect.gen(function* () {
-      const turn = yield* awaitTurn({
-        nodeId: others[rank]!.nodeId,
-        others,
-        isTaken,
-      });
-      ended = { turn, atMs: yield* steadyMs };
+      const isTaken = yield* awaitTurn({ delayMs, awaitTaken });
+      ended = { isTaken, atMs: yield* steadyMs };
     }));
     yield* Effect.yieldNow;
     while (ended === undefined) yield* TestClock.adjust(STEP_MS);
-    return { turn: ended.turn, waitedMs: ended.atMs - begunAtMs, looks };
+    const { isTaken, atMs } = ended;
+    return { isTaken, waitedMs: atMs - begunAtMs, looks };
   });
   return Effect.runPromise(
     program.pipe(Effect.scoped, Effect.provide(TestClock.layer())),
--- /dev/null
+++ b/packages/celerytray/src/coordination/lead_word.ts
@@ -0,0 +1,184 @@
+import type { LeadRecord } from "../groups/index.ts";
+import type { WindowTotals } from "../serving/index.ts";
+import { maxWordAgeMs, type WordSteps } from "./intervals.ts";
+import type {
+  InstanceNews,
+  KnownWord,
+  LeadAnswer,
+  PeerNode,
+  Versioned,
+} from "./peer_messages.ts";
+
+/** What the lead says itself. */
+export interface OwnWord {
+  readonly processes: number;
+  readonly repeats: Readonly<Record<string, WindowTotals>>;
+  readonly deputies: readonly PeerNode[];
+  readonly news: InstanceNews;
+  readonly storeAnsweredAtMs: number;
+}
+
+/** The part of an answer that is the lead's word. */
+export type WordPart = Omit<
+  LeadAnswer,
+  "isLeading" | "heldMs" | "config" | "instances"
+>;
+
+/** The lead's newest word, as this process says it or was told. */
+export class LeadWord {
+  #lead: LeadRecord | undefined;
+  /** Time from which on this process counts on the lead. */
+  #sinceMs = 0;
+  /** Time at which the lead said it; undefined before it said anything. */
+  #saidAtMs: number | undefined;
+  #storeAnsweredAtMs = Number.NEGATIVE_INFINITY;
+  #steps: WordSteps = "direct";
+  #processes = 1;
+  #repeats: Readonly<Record<string, WindowTotals>> = {};
+  #deputies: Versioned<readonly PeerNode[]> = { version: "", value: [] };
+  #news: Versioned<InstanceNews> = {
+    version: "",
+    value: { closedHeads: [], leaving: [] },
+  };
+  #changes = 0;
+
+  get lead(): LeadRecord | undefined {
+    return this.#lead;
+  }
+
+  get term(): number {
+    return this.#lead?.term ?? 0;
+  }
+
+  get steps(): WordSteps {
+    return this.#steps;
+  }
+
+  get processes(): number {
+    return this.#processes;
+  }
+
+  get deputies(): readonly PeerNode[] {
+    return this.#deputies.value;
+  }
+
+  get closedHeads(): readonly string[] {
+    return this.#news.value.closedHeads;
+  }
+
+  get repeats(): Readonly<Record<string, WindowTotals>> {
+    return this.#repeats;
+  }
+
+  /** Time since the lead said it, or since this process counts on the lead. */
+  silentMs(nowMs: number): number {
+    return nowMs - (this.#saidAtMs ?? this.#sinceMs);
+  }
+
+  /** Time since the store answered the lead, as far as that is known. */
+  storeAgeMs(nowMs: number): number {
+    return nowMs - this.#storeAnsweredAtMs;
+  }
+
+  isFresh(nowMs: number): boolean {
+    return this.#saidAtMs !== undefined &&
+      this.silentMs(nowMs) < maxWordAgeMs(this.#steps);
+  }
+
+  /** Follows a lead from now on, or is it. */
+  setLead(lead: LeadRecord, nowMs: number): void {
+    this.#lead = lead;
+    this.#sinceMs = nowMs;
+    this.#saidAtMs = undefined;
+    this.#storeAnsweredAtMs = nowMs;
+  }
+
+  /** Takes what the lead, which is this process, says; true if news is in it. */
+  say(own: OwnWord, nowMs: number): boolean {
+    this.#saidAtMs = nowMs;
+    this.#steps = "direct";
+    this.#storeAnsweredAtMs = own.storeAnsweredAtMs;
+    this.#processes = own.processes;
+    this.#repeats = own.repeats;
+    const changes = this.#changes;
+    this.#deputies = this.#renew(this.#deputies, own.deputies);
+    this.#news = this.#renew(this.#news, own.news);
+    return this.#changes !== changes;
+  }
+
+  /**
+   * Takes what another process told of the lead, at some time or later; true
+   * if there is something new for others in it.
+   */
+  adopt(
+    answer: LeadAnswer,
+    { saidAtMs: toldAtMs, steps }: {
+      readonly saidAtMs: number;
+      readonly steps: WordSteps;
+    },
+  ): boolean {
+    if (answer.wordAgeMs === null || answer.term < this.term) return false;
+    const saidAtMs = toldAtMs - answer.wordAgeMs;
+    const isNewLead = answer.lead !== undefined && answer.term > this.term;
+    if (isNewLead) this.#lead = answer.lead;
+    if (answer.term !== this.term) return false;
+    if (!isNewLead && saidAtMs < (this.#saidAtMs ?? saidAtMs)) return false;
+    this.#saidAtMs = saidAtMs;
+    this.#steps = steps;
+    this.#storeAnsweredAtMs = toldAtMs -
+      (answer.storeAgeMs ?? Number.POSITIVE_INFINITY);
+    this.#processes = answer.processes;
+    this.#repeats = answer.repeats;
+    this.#deputies = answer.deputies ?? this.#deputies;
+    this.#news = answer.news ?? this.#news;
+    return isNewLead || answer.deputies !== undefined ||
+      answer.news !== undefined;
+  }
+
+  /** What a process knows of it. */
+  get known(): Omit<KnownWord, "instancesOffset" | "configOffset"> {
+    return {
+      term: this.term,
+      deputiesVersion: this.#deputies.version,
+      newsVersion: this.#news.version,
+    };
+  }
+
+  /** Whether a process that knows as much should be told at once. */
+  hasNews(known: KnownWord): boolean {
+    if (this.#saidAtMs === undefined) return false;
+    return known.term < this.term ||
+      known.deputiesVersion !== this.#deputies.version ||
+      known.newsVersion !== this.#news.version;
+  }
+
+  /** What to tell a process that knows as much. */
+  describe(known: KnownWord, nowMs: number): WordPart {
+    const isSaid = this.#saidAtMs !== undefined;
+    return {
+      term: this.term,
+      ...(this.#lead === undefined || known.term === this.term
+        ? {}
+        : { lead: this.#lead }),
+      wordAgeMs: isSaid ? this.silentMs(nowMs) : null,
+      storeAgeMs: isSaid ? this.storeAgeMs(nowMs) : null,
+      processes: this.#processes,
+      repeats: this.#repeats,
+      ...(known.deputiesVersion === this.#deputies.version
+        ? {}
+        : { deputies: this.#deputies }),
+      ...(known.newsVersion === this.#news.version ? {} : { news: this.#news }),
+    };
+  }
+
+  #renew<Value>(
+    versioned: Versioned<Value>,
+    value: Value,
+  ): Versioned<Value> {
+    const isSame = versioned.version.startsWith(`${this.term}-`) &&
+      JSON.stringify(versioned.value) === JSON.stringify(value);
+    if (isSame) return versioned;
+    this.#changes += 1;
+    return { version: `${this.term}-${this.#changes}`, value };
+  }
+}
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -5,6 +5,7 @@
   Coordinator,
   createPeerHandler,
   PeerClient,
+  sumLagMs,
 } from "../coordination/index.ts";
 import {
   type EngineSpecs,
@@ -23,7 +24,7 @@
 import {
   type KeyedChange,
   type KeyedLog,
-  readRelayed,
+  readRelayedChange,
   TopicCopy,
 } from "../keyed_log/index.ts";
 import {
@@ -41,6 +42,7 @@
 import { addGauges } from "./add_gauges.ts";
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { ConfigView } from "./config_view.ts";
+import { countStoreCalls } from "./count_store_calls.ts";
 import { createRandom } from "./create_random.ts";
 import { drainCallers } from "./drain_callers.ts";
 import { followStore } from "./follow_store.ts";
@@ -79,7 +81,6 @@
   readonly drain: () => Effect.Effect<void>;
 }
 
-const PEER_TIMEOUT_MS = 400;
 /** Part of the time for taking keys away after which they are not trusted. */
 const KEY_AGE_PART = 0.95;
 /** Age of the keys at which callers are sent to other machines. */
@@ -115,9 +116,10 @@
       isDraining: false,
       hasTraffic: false,
       needsProof: false,
-      /** Offset up to which the lead knows the configuration. */
-      toldOffset: 0,
+      /** Time before which the list of instances was the newest. */
+      listProvenAtMs: Number.NEGATIVE_INFINITY,
     };
+    const random = createRandom();
 
     const servers: { callers?: CallerServer } = {};
     const config = new ConfigView({
@@ -125,6 +127,7 @@
       decode: ports.decodeConfig,
       onAdopted: (version, offset) => {
         record("config.adopted", { version, offset });
+        coordinator.noteChange();
         const limits = config.index?.config.limits;
         if (limits !== undefined) servers.callers?.setTimeouts(limits);
       },
@@ -136,15 +139,25 @@
       onMalformed: (instanceId, message) =>
         record("instance.malformed", { instanceId, message }),
     });
+    const log = yield* countStoreCalls({ log: ports.log, metrics, record });
     const instancesCopy = new TopicCopy();
-    const applyInstances = (change: Omit<KeyedChange, "freshAtMs">) => {
+    const applyInstances = (change: KeyedChange) => {
+      state.listProvenAtMs = Math.max(state.listProvenAtMs, change.freshAtMs);
+      if (change.records.length === 0 && !change.isWhole) return;
       instancesCopy.apply(change);
+      coordinator.noteChange();
       instances.apply(change, nowMs());
       const isPresent = (id: string) => instances.find(id) !== undefined;
       loads.keepOnly(isPresent);
       paces.keepOnly(isPresent);
       rests.keepOnly(isPresent, nowMs());
     };
+    const configCopy = new TopicCopy();
+    const applyConfig = (change: KeyedChange) => {
+      configCopy.apply(change);
+      config.apply(change);
+      keys.noteProof(change.freshAtMs);
+    };
     const noteLeaving = (life: LeavingLife) => {
       if (instances.noteLeaving(life)) record("instance.leaving", { ...life });
     };
@@ -154,16 +167,23 @@
       share: settings.retryShare,
       slackRequests: settings.retrySlackRequests,
       windowMs: settings.retryWindowMs,
-      countMachines: () => coordinator.countNodes(),
+      countMachines: () => coordinator.countProcesses(),
       sharedTotals: () => coordinator.sharedTotals(),
+      untoldMs: () => sumLagMs(coordinator.steps),
+      random,
     });
 
     const coordinator: Coordinator = new Coordinator({
-      nodeId: settings.nodeId,
+      self: {
+        nodeId: settings.nodeId,
+        peerAddress: settings.peerAddress,
+        zone: settings.zone,
+        cores: settings.cores,
+      },
       bootId: randomUUID(),
-      peerAddress: settings.peerAddress,
-      log: ports.log,
-      client: new PeerClient({ timeoutMs: PEER_TIMEOUT_MS }),
+      log,
+      client: new PeerClient(),
+      random,
       listStalledHeads: () =>
         stalls.findDoubtful(nowMs()).map(({ instanceId }) => instanceId),
       repeats: () => repeats.listTotals(nowMs()),
@@ -171,23 +191,20 @@
       demand: () => Object.fromEntries(demand),
       hasTraffic: () => state.hasTraffic,
       storeAnsweredAtMs: () => contact.answeredAtMs,
-      configProof: () => ({
-        nextOffset: config.nextOffset,
-        provenAtMs: keys.provenAtMs,
-      }),
-      onConfigProof: ({ nextOffset, provenAtMs }) => {
-        state.toldOffset = nextOffset;
-        if (nextOffset === config.nextOffset) keys.noteProof(provenAtMs);
+      config: {
+        copy: configCopy,
+        provenAtMs: () => keys.provenAtMs,
+        onTold: (change, freshAtMs) =>
+          applyConfig({ ...readRelayedChange(change), freshAtMs }),
+      },
+      instances: {
+        copy: instancesCopy,
+        provenAtMs: () => state.listProvenAtMs,
+        onTold: (change, freshAtMs) =>
+          applyInstances({ ...readRelayedChange(change), freshAtMs }),
       },
-      instances: instancesCopy,
       listLeaving: () => instances.listUnlistedLeaving(),
       onLeaving: (lives) => lives.forEach(noteLeaving),
-      onInstances: (change) =>
-        applyInstances({
-          isWhole: false,
-          records: readRelayed(change),
-          nextOffset: change.nextOffset,
-        }),
       createDirector: ({ term, replicas, recorder }) =>
         new FleetDirector({
           term,
@@ -216,19 +233,21 @@
     });
 
     yield* followStore({
-      log: ports.log,
+      log,
       coordinator,
-      config,
+      applyConfig,
       keys,
       contacts: { config: contact, instances: listContact },
-      toldOffset: () => state.toldOffset,
+      configOffset: () => configCopy.nextOffset,
       instancesOffset: () => instancesCopy.nextOffset,
+      listAgeMs: () => nowMs() - state.listProvenAtMs,
+      random,
       applyInstances,
       nowMs,
     });
     yield* Effect.forkScoped(coordinator.run());
     yield* Effect.forkScoped(
-      proveKeys({ log: ports.log, config, keys, state, record }),
+      proveKeys({ log, config, keys, state, record }),
     );
     yield* Effect.forkScoped(
       moveAttempts({
@@ -255,7 +274,7 @@
       agentFor: (address) => pools.agentFor(address),
       discardAgent: (address) => pools.discard(address),
       hasConnection: (address) => pools.hasFree(address),
-      random: createRandom(),
+      random,
       noteDemand: (model, change) => {
         state.hasTraffic = true;
         demand.set(model, (demand.get(model) ?? 0) + change);
--- a/packages/celerytray/src/host/follow_store.ts
+++ b/packages/celerytray/src/host/follow_store.ts
@@ -1,11 +1,14 @@
 import { Effect, type Scope } from "effect";
-import type { Coordinator } from "../coordination/index.ts";
+import {
+  type Coordinator,
+  LEAD_READ_WAIT_MS,
+  maxToldAgeMs,
+} from "../coordination/index.ts";
 import {
   followKeyed,
   type KeyedChange,
   type KeyedLog,
 } from "../keyed_log/index.ts";
-import type { ConfigView } from "./config_view.ts";
 import type { KeyFreshness } from "./key_freshness.ts";
 import type { StoreContact } from "./store_contact.ts";
 
@@ -13,28 +16,30 @@
 export interface FollowStoreOptions {
   readonly log: KeyedLog;
   readonly coordinator: Coordinator;
-  readonly config: ConfigView;
+  readonly applyConfig: (change: KeyedChange) => void;
   readonly keys: KeyFreshness;
   readonly contacts: {
     readonly config: StoreContact;
     readonly instances: StoreContact;
   };
-  /** Offset up to which the lead knows the configuration. */
-  readonly toldOffset: () => number;
+  /** Offset up to which the configuration is known. */
+  readonly configOffset: () => number;
   /** Offset up to which the list of instances is known. */
   readonly instancesOffset: () => number;
+  /** Time since the list was known to be the newest. */
+  readonly listAgeMs: () => number;
+  /** 0 to 1. */
+  readonly random: () => number;
   readonly applyInstances: (change: KeyedChange) => void;
   readonly nowMs: () => number;
 }
 
-/** Longest wait of one read, which bounds the age of the keys. */
+/** Longest wait of one read of a process that isn't told. */
 const CONFIG_WAIT_MS = 2_000;
-/** The same where others are told of it, which ages it further. */
-const LEAD_CONFIG_WAIT_MS = 1_000;
-/** Age of the keys up to which the lead's word on them is enough. */
-const MAX_TOLD_KEY_AGE_MS = 2_300;
+const INSTANCES_WAIT_MS = 3_000;
 const CONFIG_PAUSE_MS = 20;
-const INSTANCES_WAIT_MS = 10_000;
+/** Time over which processes that are told no more spread their reads. */
+const FALLBACK_SPREAD_MS = 400;
 /** Pause after a change of the list; the process that decides pauses less. */
 const INSTANCES_PAUSE_MS = 300;
 const LEAD_INSTANCES_PAUSE_MS = 60;
@@ -47,28 +52,29 @@
 export function followStore(
   options: FollowStoreOptions,
 ): Effect.Effect<void, never, Scope.Scope> {
-  const { log, coordinator, config, keys, contacts, nowMs } = options;
+  const { log, coordinator, keys, contacts, nowMs } = options;
   const retryMs = () =>
     retryPauseMs({
       isLeading: coordinator.isLeading,
-      nodes: coordinator.countNodes(),
+      nodes: coordinator.countProcesses(),
     });
+  const spreadMs = options.random() * FALLBACK_SPREAD_MS;
+  const isToldEnough = (ageMs: number) =>
+    !coordinator.isLeading &&
+    ageMs < maxToldAgeMs(coordinator.steps) + spreadMs;
   const followConfig = followKeyed({
     log,
     topic: "config",
     retryMs,
-    waitMs: () => coordinator.isLeading ? LEAD_CONFIG_WAIT_MS : CONFIG_WAIT_MS,
+    waitMs: () => coordinator.isLeading ? LEAD_READ_WAIT_MS : CONFIG_WAIT_MS,
     pauseMs: () => CONFIG_PAUSE_MS,
     onChange: (change) => {
       contacts.config.noteAnswer(nowMs());
-      config.apply(change);
-      keys.noteProof(change.freshAtMs);
+      options.applyConfig(change);
     },
     relay: {
-      isEnough: () =>
-        coordinator.hearsLead() && options.toldOffset() <= config.nextOffset &&
-        keys.ageMs() < MAX_TOLD_KEY_AGE_MS,
-      nextOffset: () => config.nextOffset,
+      isEnough: () => isToldEnough(keys.ageMs()),
+      nextOffset: options.configOffset,
     },
     onFailure: (message) => contacts.config.noteFailure(message, nowMs()),
   });
@@ -76,7 +82,7 @@
     log,
     topic: "instances",
     retryMs,
-    waitMs: () => INSTANCES_WAIT_MS,
+    waitMs: () => coordinator.isLeading ? LEAD_READ_WAIT_MS : INSTANCES_WAIT_MS,
     pauseMs: () =>
       coordinator.isLeading ? LEAD_INSTANCES_PAUSE_MS : INSTANCES_PAUSE_MS,
     onChange: (change) => {
@@ -84,7 +90,7 @@
       options.applyInstances(change);
     },
     relay: {
-      isEnough: () => coordinator.hearsLead(),
+      isEnough: () => isToldEnough(options.listAgeMs()),
       nextOffset: options.instancesOffset,
     },
     onFailure: (message) => contacts.instances.noteFailure(message, nowMs()),
--- a/packages/celerytray/src/host/host_settings.ts
+++ b/packages/celerytray/src/host/host_settings.ts
@@ -2,6 +2,8 @@
 export interface HostSettings {
   readonly nodeId: string;
   readonly zone: string;
+  /** Processor time that the process may use, in cores. */
+  readonly cores: number;
   /** IP:PORT for callers. */
   readonly callerAddress: string;
   /** IP:PORT on which readiness is asked. */
--- a/packages/celerytray/src/journal/metrics_page.ts
+++ b/packages/celerytray/src/journal/metrics_page.ts
@@ -18,6 +18,12 @@
     help: "Attempts at back ends",
     registers: [this.#registry],
   });
+  readonly #storeCalls = new Counter({
+    name: "celerytray_store_calls_total",
+    help: "Calls to the store by kind and topic",
+    labelNames: ["call", "topic"],
+    registers: [this.#registry],
+  });
   readonly #firstByte = new Histogram({
     name: "celerytray_first_byte_seconds",
     help: "Time from a request's head to the first event of its answer",
@@ -48,6 +54,11 @@
     }
   }
 
+  /** Counts a call to the store. */
+  noteStoreCall(call: string, topic: string): void {
+    this.#storeCalls.inc({ call, topic });
+  }
+
   /** Adds a value that is read when the page is. */
   addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
--- /dev/null
+++ b/packages/celerytray/src/keyed_log/counted_log.ts
@@ -0,0 +1,51 @@
+import type { Effect } from "effect";
+import type {
+  AppendConflict,
+  HistoryDropped,
+  KeyedLog,
+  KeyedPage,
+  KeyedTopic,
+  ReadFailure,
+} from "./keyed_log.ts";
+
+/** Kinds of calls to a store. */
+export type StoreCall = "newest" | "read" | "append";
+
+/** A store whose calls are counted. */
+export class CountedLog implements KeyedLog {
+  readonly #log: KeyedLog;
+  readonly #onCall: (call: StoreCall, topic: KeyedTopic) => void;
+
+  constructor(options: {
+    readonly log: KeyedLog;
+    readonly onCall: (call: StoreCall, topic: KeyedTopic) => void;
+  }) {
+    this.#log = options.log;
+    this.#onCall = options.onCall;
+  }
+
+  readNewest(topic: KeyedTopic): Effect.Effect<KeyedPage, ReadFailure> {
+    this.#onCall("newest", topic);
+    return this.#log.readNewest(topic);
+  }
+
+  read(
+    topic: KeyedTopic,
+    options: { readonly fromOffset: number; readonly waitMs: number },
+  ): Effect.Effect<KeyedPage, ReadFailure | HistoryDropped> {
+    this.#onCall("read", topic);
+    return this.#log.read(topic, options);
+  }
+
+  append(
+    topic: KeyedTopic,
+    record: {
+      readonly key: string;
+      readonly value?: Buffer;
+      readonly at?: number;
+    },
+  ): Effect.Effect<number, ReadFailure | AppendConflict> {
+    this.#onCall("append", topic);
+    return this.#log.append(topic, record);
+  }
+}
--- a/packages/celerytray/src/keyed_log/index.ts
+++ b/packages/celerytray/src/keyed_log/index.ts
@@ -1,4 +1,5 @@
 /** Topics of a store that keeps the newest record of each key. */
+export { CountedLog, type StoreCall } from "./counted_log.ts";
 export {
   AppendConflict,
   HistoryDropped,
@@ -11,7 +12,7 @@
   StoreUnavailable,
 } from "./keyed_log.ts";
 export {
-  readRelayed,
+  readRelayedChange,
   type RelayedChange,
   type RelayedRecord,
   TopicCopy,
--- a/packages/celerytray/src/keyed_log/topic_copy.ts
+++ b/packages/celerytray/src/keyed_log/topic_copy.ts
@@ -1,3 +1,4 @@
+import type { KeyedChange } from "./follow_keyed.ts";
 import type { KeyedRecord } from "./keyed_log.ts";
 
 /** A record as other processes are told it. */
@@ -21,6 +22,8 @@
 export class TopicCopy {
   readonly #records = new Map<string, KeyedRecord>();
   #nextOffset = 0;
+  /** Offset from which on every change is known. */
+  #completeFrom: number | undefined;
 
   /** Offset up to which records are known. */
   get nextOffset(): number {
@@ -41,11 +44,21 @@
       this.#records.set(record.key, record);
     }
     this.#nextOffset = Math.max(this.#nextOffset, change.nextOffset);
+    // What a first reading no longer holds may have been dropped before.
+    this.#completeFrom ??= this.#nextOffset;
     this.#forgetDropped();
   }
 
+  /** Whether it knows of every change from an offset on, drops included. */
+  canTellSince(offset: number): boolean {
+    return this.#completeFrom !== undefined && offset >= this.#completeFrom;
+  }
+
   /** The newest records from an offset on. */
   since(offset: number): RelayedChange {
+    if (offset >= this.#nextOffset || !this.canTellSince(offset)) {
+      return { records: [], nextOffset: this.#nextOffset };
+    }
     const records = [...this.#records.values()]
       .filter((record) => record.offset >= offset)
       .map(({ key, value, offset }): RelayedRecord =>
@@ -73,18 +86,27 @@
 
   #forgetDropped(): void {
     if (this.#records.size <= MAX_DROPPED_KEYS) return;
-    for (const [key, { value }] of this.#records) {
-      if (value === undefined) this.#records.delete(key);
+    for (const [key, { value, offset }] of this.#records) {
+      if (value === undefined) {
+        this.#records.delete(key);
+        this.#completeFrom = Math.max(this.#completeFrom ?? 0, offset + 1);
+      }
       if (this.#records.size <= MAX_DROPPED_KEYS) return;
     }
   }
 }
 
-/** Records as they were stored. */
-export function readRelayed(change: RelayedChange): readonly KeyedRecord[] {
-  return change.records.map(({ key, text, offset }) =>
-    text === undefined
-      ? { key, offset }
-      : { key, value: Buffer.from(text, "utf8"), offset }
-  );
+/** What another process told, with the records as they were stored. */
+export function readRelayedChange(
+  { records, nextOffset }: RelayedChange,
+): Omit<KeyedChange, "freshAtMs"> {
+  return {
+    isWhole: false,
+    records: records.map(({ key, text, offset }) =>
+      text === undefined
+        ? { key, offset }
+        : { key, value: Buffer.from(text, "utf8"), offset }
+    ),
+    nextOffset,
+  };
 }
--- a/packages/celerytray/src/keyed_log/topic_copy_test.ts
+++ b/packages/celerytray/src/keyed_log/topic_copy_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { it } from "node:test";
-import { readRelayed, TopicCopy } from "./topic_copy.ts";
+import { readRelayedChange, TopicCopy } from "./topic_copy.ts";
 
 const record = (key: string, offset: number, text?: string) =>
   text === undefined
@@ -24,7 +24,7 @@
     records: [{ key: "a", text: "2", offset: 2 }, { key: "b", offset: 3 }],
     nextOffset: 4,
   });
-  expect(readRelayed(copy.since(3))).toEqual([record("b", 3)]);
+  expect(readRelayedChange(copy.since(3)).records).toEqual([record("b", 3)]);
 });
 
 it("tells keys as dropped that a whole reading lacks", () => {
@@ -40,10 +40,25 @@
 
 it("keeps a newer record against an older one that comes late", () => {
   const copy = new TopicCopy();
-  copy.apply({ isWhole: true, records: [record("a", 5, "2")], nextOffset: 6 });
-  copy.apply({ isWhole: false, records: [record("a", 3, "1")], nextOffset: 4 });
-  expect(copy.since(0)).toEqual({
-    records: [{ key: "a", text: "2", offset: 5 }],
-    nextOffset: 6,
+  copy.apply({ isWhole: true, records: [record("a", 5, "1")], nextOffset: 6 });
+  copy.apply({ isWhole: false, records: [record("a", 6, "2")], nextOffset: 7 });
+  copy.apply({ isWhole: false, records: [record("a", 3, "0")], nextOffset: 4 });
+  expect(copy.since(6)).toEqual({
+    records: [{ key: "a", text: "2", offset: 6 }],
+    nextOffset: 7,
+  });
+});
+
+it("says that it can't tell what was dropped before its first reading", () => {
+  const restarted = new TopicCopy();
+  expect(restarted.canTellSince(0)).toEqual(false);
+  // The key "a" was dropped at 8, before this process read the topic.
+  restarted.apply({
+    isWhole: true,
+    records: [record("b", 7, "1")],
+    nextOffset: 9,
   });
+  expect(restarted.canTellSince(6)).toEqual(false);
+  expect(restarted.since(6).records).toEqual([]);
+  expect(restarted.canTellSince(9)).toEqual(true);
 });
--- a/packages/celerytray/src/platform/settings_file.ts
+++ b/packages/celerytray/src/platform/settings_file.ts
@@ -6,6 +6,8 @@
   nodeId: "node_name",
   zone: "zone",
   host: "ip",
+  processorShare: "limits.cpu_share",
+  processorSpeed: "limits.cores",
   callerAddress: "listen.front",
   readyAddress: "listen.ready",
   internalPorts: "internal_ports",
@@ -19,6 +21,8 @@
 } as const;
 
 const DEFAULTS: Readonly<Record<string, string>> = {
+  [NAMES.processorShare]: "1",
+  [NAMES.processorSpeed]: "1",
   [NAMES.graceSeconds]: "8",
   [NAMES.drainMs]: "2000",
   [NAMES.revokeMs]: "5000",
@@ -62,6 +66,8 @@
   const settings: HostSettings = {
     nodeId: readText(NAMES.nodeId),
     zone: readText(NAMES.zone),
+    // Called a number of cores; the share of one is that many times as fast.
+    cores: readAmount(NAMES.processorShare) * readAmount(NAMES.processorSpeed),
     callerAddress: readAddress(NAMES.callerAddress),
     readyAddress: readAddress(NAMES.readyAddress),
     peerAddress: `${readText(NAMES.host)}:${firstPort}`,
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -33,6 +33,8 @@
       windowMs: 10_000,
       countMachines: () => 1,
       sharedTotals: () => undefined,
+      untoldMs: () => 1_000,
+      random: () => 0.5,
     }),
     agentFor: () => agent,
     discardAgent: () => {},
--- a/packages/celerytray/src/serving/repeat_budget.ts
+++ b/packages/celerytray/src/serving/repeat_budget.ts
@@ -5,10 +5,7 @@
 }
 
 /** What all machines together had in the window, by service. */
-export interface SharedTotals {
-  readonly atMs: number;
-  readonly totals: Readonly<Record<string, WindowTotals>>;
-}
+export type SharedTotals = Readonly<Record<string, WindowTotals>>;
 
 /** Options of a budget of repeats. */
 export interface RepeatBudgetOptions {
@@ -21,13 +18,15 @@
   readonly countMachines: () => number;
   /** Newest totals of all machines; undefined while none are fresh. */
   readonly sharedTotals: () => SharedTotals | undefined;
+  /** Time in which machines spend before the totals tell of it. */
+  readonly untoldMs: () => number;
+  /** 0 to 1. */
+  readonly random: () => number;
 }
 
 /** Part of the allowance that is used, as machines see uneven shares. */
 const USED_PART = 0.6;
-/** Intervals in which machines spend before the totals tell of it. */
-const UNTOLD_INTERVALS = 2;
-const BUCKETS = 10;
+const BUCKETS = 40;
 
 /**
  * Holds repeats to a service to a share of the requests for it, over a
@@ -37,9 +36,6 @@
 export class RepeatBudget {
   readonly #options: RepeatBudgetOptions;
   readonly #counts = new Map<string, WindowCounts>();
-  /** Repeats since the newest shared totals, by service. */
-  readonly #spentSince = new Map<string, number>();
-  #sharedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: RepeatBudgetOptions) {
     this.#options = options;
@@ -55,10 +51,9 @@
     const shared = this.#options.sharedTotals();
     const isCovered = shared === undefined
       ? this.#isCoveredAlone(service, nowMs)
-      : this.#isCoveredTogether(service, shared);
+      : this.#isCoveredTogether(service, { shared, nowMs });
     if (!isCovered) return false;
     bucket.repeats += 1;
-    this.#spentSince.set(service, (this.#spentSince.get(service) ?? 0) + 1);
     return true;
   }
 
@@ -80,16 +75,26 @@
     return totals.repeats + 1 <= this.#allowed(totals.requests, slack);
   }
 
-  #isCoveredTogether(service: string, shared: SharedTotals): boolean {
-    if (shared.atMs !== this.#sharedAtMs) {
-      this.#sharedAtMs = shared.atMs;
-      this.#spentSince.clear();
-    }
-    const { requests, repeats } = shared.totals[service] ??
+  /**
+   * Each machine has its part of what is left for the time that the totals lag
+   * behind. Where that is less than one repeat, chance shares it out.
+   */
+  #isCoveredTogether(
+    service: string,
+    { shared, nowMs }: {
+      readonly shared: SharedTotals;
+      readonly nowMs: number;
+    },
+  ): boolean {
+    const { requests, repeats } = shared[service] ??
       { requests: 0, repeats: 0 };
     const left = this.#allowed(requests, this.#options.slackRequests) - repeats;
-    const part = left / (this.#countMachines() * UNTOLD_INTERVALS);
-    return (this.#spentSince.get(service) ?? 0) + 1 <= part;
+    const part = left / this.#countMachines();
+    const untold = this.#counts.get(service)!.countRepeats({
+      from: this.#bucketAt(nowMs - this.#options.untoldMs()),
+    });
+    return untold + 1 <= part ||
+      (untold === 0 && this.#options.random() < part);
   }
 
   #allowed(requests: number, slack: number): number {
@@ -132,6 +137,13 @@
     return bucket;
   }
 
+  /** Repeats from a bucket on. */
+  countRepeats({ from }: { readonly from: number }): number {
+    return this.#buckets
+      .filter(({ index }) => index >= from)
+      .reduce((sum, { repeats }) => sum + repeats, 0);
+  }
+
   totals(index: number): WindowTotals {
     const totals = { requests: 0, repeats: 0 };
     for (const bucket of this.#buckets) {
--- a/packages/celerytray/src/serving/repeat_budget_test.ts
+++ b/packages/celerytray/src/serving/repeat_budget_test.ts
@@ -1,8 +1,17 @@
 import { expect } from "earl";
 import { it } from "node:test";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { RepeatBudget, type SharedTotals } from "./repeat_budget.ts";
 
 const WINDOW_MS = 10_000;
+const SEED = 31;
+const STEPS = 2 ** 30;
+
+function createRandom(): () => number {
+  const generator = xoroshiro128plus(SEED);
+  return () => uniformInt(generator, 0, STEPS - 1) / STEPS;
+}
 
 it("holds the repeats of all machines to the share and the slack", () => {
   const machines = 7;
@@ -17,6 +26,8 @@
         windowMs: WINDOW_MS,
         countMachines: () => machines,
         sharedTotals: () => undefined,
+        untoldMs: () => 1_000,
+        random: () => 0.5,
       }),
   );
   let requests = 0;
@@ -37,7 +48,7 @@
   const intervalMs = 800;
   const share = 0.2;
   const slackRequests = 350;
-  let shared: SharedTotals = { atMs: 0, totals: {} };
+  let shared: SharedTotals = {};
   let told: SharedTotals = shared;
   const budgets = Array.from({ length: machines }, () =>
     new RepeatBudget({
@@ -46,6 +57,8 @@
       windowMs: WINDOW_MS,
       countMachines: () => machines,
       sharedTotals: () => told,
+      untoldMs: () => 2 * intervalMs,
+      random: createRandom(),
     }));
   const tell = (nowMs: number) => {
     // Reports are summed, and the sum is told an interval later.
@@ -57,7 +70,7 @@
       requests += totals?.requests ?? 0;
       repeats += totals?.repeats ?? 0;
     }
-    shared = { atMs: nowMs, totals: { drafts: { requests, repeats } } };
+    shared = { drafts: { requests, repeats } };
   };
   const spent = { busy: 0, all: 0 };
   let requests = 0;
@@ -90,6 +103,24 @@
   expect(spent.all > 0).toEqual(true);
 });
 
+it("shares a budget of less than one repeat for each machine out by chance", () => {
+  const machines = 390;
+  const slackRequests = 100;
+  const random = createRandom();
+  const budgets = Array.from({ length: machines }, () =>
+    new RepeatBudget({
+      share: 0,
+      slackRequests,
+      windowMs: WINDOW_MS,
+      countMachines: () => machines,
+      sharedTotals: () => ({}),
+      untoldMs: () => 2_500,
+      random,
+    }));
+  const spent = budgets.filter((budget) => budget.trySpend("drafts", 0));
+  expect(spent.length > 0 && spent.length <= slackRequests).toEqual(true);
+});
+
 it("forgets what is older than the window", () => {
   const budget = new RepeatBudget({
     share: 0,
@@ -97,6 +128,8 @@
     windowMs: WINDOW_MS,
     countMachines: () => 1,
     sharedTotals: () => undefined,
+    untoldMs: () => 1_000,
+    random: () => 0.5,
   });
   while (budget.trySpend("drafts", 0));
   expect(budget.trySpend("drafts", WINDOW_MS / 2)).toEqual(false);
--- a/packages/fakes/src/fleet/fleet_world.ts
+++ b/packages/fakes/src/fleet/fleet_world.ts
@@ -6,7 +6,6 @@
   type InstanceState,
   type KeyedChange,
   type KeyedTopic,
-  type LeadAnswer,
   type LeavingLife,
   type PeerCalls,
   type PeerReport,
@@ -171,25 +170,26 @@
     ).map(({ id }) => id);
   };
   const coordinator = new Coordinator({
-    nodeId,
+    self: { nodeId, peerAddress: `${index}`, zone: "z", cores: 1 },
     bootId: `boot-${index}`,
-    peerAddress: `${index}`,
     log: new InProcessStore({ store, isCut: isStoreCut }),
     client: createPeers(processes, isCut),
     listStalledHeads,
     listSlowHeads: () => fleet.listSlow().map(({ id }) => id),
     demand: () => ({}),
     repeats: () => ({}),
-    configProof: () => ({
-      nextOffset: CONFIG_OFFSET,
-      provenAtMs: nowMs() - PROOF_AGE_MS,
-    }),
-    onConfigProof: ({ nextOffset, provenAtMs }) => {
-      const ageMs = nowMs() - provenAtMs;
-      if (nextOffset !== CONFIG_OFFSET || ageMs < PROOF_AGE_MS) {
-        fleet.violations.push(`${nodeId} was told a proof of ${ageMs} ms ago`);
-      }
-      proofs.count += 1;
+    config: {
+      copy: createReadCopy(CONFIG_OFFSET),
+      provenAtMs: () => nowMs() - PROOF_AGE_MS,
+      onTold: ({ nextOffset }, provenAtMs) => {
+        const ageMs = nowMs() - provenAtMs;
+        if (nextOffset !== CONFIG_OFFSET || ageMs < PROOF_AGE_MS) {
+          fleet.violations.push(
+            `${nodeId} was told a proof of ${ageMs} ms ago`,
+          );
+        }
+        proofs.count += 1;
+      },
     },
     hasTraffic: () => nowMs() > SETTLE_MS,
     storeAnsweredAtMs: () => {
@@ -197,8 +197,12 @@
       if (!isOut) answeredAtMs = nowMs();
       return answeredAtMs;
     },
-    instances: new TopicCopy(),
-    onInstances: () => {},
+    instances: {
+      copy: createReadCopy(0),
+      provenAtMs: nowMs,
+      onTold: () => {},
+    },
+    random: () => 0,
     listLeaving: () => list.listUnlistedLeaving(),
     onLeaving: (lives) => lives.forEach((life) => list.noteLeaving(life)),
     createDirector: ({ term, replicas, recorder }) =>
@@ -230,6 +234,13 @@
   };
 }
 
+/** A topic that was read to its end, in which nothing happens. */
+function createReadCopy(nextOffset: number): TopicCopy {
+  const copy = new TopicCopy();
+  copy.apply({ isWhole: true, records: [], nextOffset });
+  return copy;
+}
+
 /** The listed life of an instance. */
 function describeLife(list: InstanceListView, instanceId: string): LeavingLife {
   const bornAtMs = list.find(instanceId)?.bornAtMs;
@@ -260,7 +271,7 @@
     });
   return {
     report: (address: string, report: PeerReport) =>
-      Effect.map(reach(address), (peer): LeadAnswer => peer.report(report)),
+      Effect.flatMap(reach(address), (peer) => peer.report(report)),
     heardLead: (address: string, term: number) =>
       Effect.map(
         reach(address),
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./weight_store/index.ts";
 export * from "./platform/index.ts";
 export * from "./store/index.ts";
+export * from "./coordination/index.ts";
 
 // Backend servers
 export * from "./engine/index.ts";
