Bound what a back end may send that is no answer

What callers saw: a late second copy of an answer without an id reached the next caller on a connection in use again; requests waited their whole time at a back end that sends interim answers, and a process grew by hundreds of MB as bodies without end came from many back ends at once.

Cause: an answer without an id was always taken for the own one; a kept connection was not closed as bytes came on it while it was unused; interim answers and the body of an answer that turns a request away were read for as long as they came; an answer could have 64 MB, an event any size, however many came at once.

Change: on a connection in use again an answer must bear the request's id; something on an unused connection closes it; at most 8 interim answers, 64 KB and 1 s of a body that nobody needs, 4 MB an answer, 1 MB an event, 32 MB of waiting answers over all requests, 8 MB an answer of the store. A request that gets more is lost (it may have run) and repeated only where it may be.

The harness of serve_call_test.ts stands in test_entry.ts now, for both files.

--- a/packages/celerytray/src/http/backend_pools.ts
+++ b/packages/celerytray/src/http/backend_pools.ts
@@ -1,8 +1,29 @@
-import { Agent } from "node:http";
+import { Agent, type ClientRequest } from "node:http";
+import type { Duplex } from "node:stream";
 
 const MAX_FREE_CONNECTIONS = 64;
 const MAX_POOLS = 20_000;
 
+/** Closes connections on which something arrives while they are unused. */
+class QuietAgent extends Agent {
+  // Both are called by Node as it keeps a connection and takes it again.
+  override keepSocketAlive(socket: Duplex): void {
+    socket.on("data", closeSocket);
+    socket.resume();
+    // Node takes the value as whether to keep the connection.
+    return super.keepSocketAlive(socket);
+  }
+
+  override reuseSocket(socket: Duplex, request: ClientRequest): void {
+    socket.off("data", closeSocket);
+    super.reuseSocket(socket, request);
+  }
+}
+
+function closeSocket(this: Duplex): void {
+  this.destroy();
+}
+
 /** Connections kept open to back ends, one pool for each address. */
 export class BackendPools {
   readonly #agents = new Map<string, Agent>();
@@ -12,7 +33,7 @@
     let agent = this.#agents.get(address);
     if (agent === undefined) {
       if (this.#agents.size >= MAX_POOLS) this.#discardOldest();
-      agent = new Agent({
+      agent = new QuietAgent({
         keepAlive: true,
         maxFreeSockets: MAX_FREE_CONNECTIONS,
       });
--- a/packages/celerytray/src/platform/exchange_bytes.ts
+++ b/packages/celerytray/src/platform/exchange_bytes.ts
@@ -32,6 +32,8 @@
   readonly body: Buffer;
 }
 
+/** Longest answer; a page of the store has 1 MB, and its encoding adds a third. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Delay of a timer that tells that this process itself was held up. */
 const HELD_UP_MS = 60;
 
@@ -87,7 +89,15 @@
     });
     sent.on("response", (response: IncomingMessage) => {
       const chunks: Buffer[] = [];
-      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      let receivedBytes = 0;
+      response.on("data", (chunk: Buffer) => {
+        receivedBytes += chunk.length;
+        chunks.push(chunk);
+        if (receivedBytes <= MAX_ANSWER_BYTES) return;
+        chunks.length = 0;
+        fail(`the answer exceeds ${MAX_ANSWER_BYTES} bytes`);
+        sent.destroy();
+      });
       response.on("error", (error) => fail(error.message));
       response.on("end", () =>
         resume(Effect.succeed({
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -5,7 +5,7 @@
   type IncomingMessage,
   request as httpRequest,
 } from "node:http";
-import { parseAddress, watchEnd } from "../http/index.ts";
+import { discardBody, parseAddress, watchEnd } from "../http/index.ts";
 import type { AnswerHead, CallCodec } from "./call.ts";
 import { EventSplitter, type StreamEvent } from "./event_splitter.ts";
 
@@ -62,7 +62,17 @@
   readonly onAbandonable: (abandon: (reason: AbandonReason) => void) => void;
 }
 
-const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+/** Longest answer that isn't a stream. */
+const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+/** Longest event of a stream. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+/** Bytes of all answers together that may wait for their end. */
+const MAX_WAITING_BYTES = 32 * 1024 * 1024;
+/** Body of an answer that turns a request away, which nobody needs. */
+const MAX_DROPPED_BYTES = 64 * 1024;
+const MAX_DROPPING_MS = 1_000;
+/** Interim answers to one request. */
+const MAX_INTERIM_ANSWERS = 8;
 /** Errors of a connection that its other end dropped while it was idle. */
 const STALE_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
 
@@ -115,6 +125,13 @@
       isReset = STALE_CODES.has((error as NodeJS.ErrnoException).code ?? "");
       fail(error.message);
     });
+    let interimAnswers = 0;
+    request.on("information", () => {
+      interimAnswers += 1;
+      if (interimAnswers <= MAX_INTERIM_ANSWERS) return;
+      fail("The instance sends interim answers without end");
+      request.destroy();
+    });
     request.on("response", (response) => {
       hasAnswer = true;
       readAnswer(response, { options, request, settle, fail });
@@ -146,14 +163,18 @@
   };
   response.on("error", (error) => reading.fail(error.message));
   response.on("close", () => reading.fail("The answer was cut off"));
-  if (head.callId !== undefined && head.callId !== options.callId) {
+  // What is left from before on a connection in use again may bear no id.
+  const isOwn = head.callId === undefined
+    ? !request.reusedSocket
+    : head.callId === options.callId;
+  if (!isOwn) {
     reject("The instance answered another request");
     return;
   }
   options.onBytes();
   options.onHead(head);
   if (head.isNotRun) {
-    response.resume();
+    dropBody(response);
     reading.settle({
       kind: "not-run",
       message: `The instance turned the request away with ${head.status}`,
@@ -173,6 +194,13 @@
   }
 }
 
+/** Reads a body that nobody needs, and cuts one that is long or slow. */
+function dropBody(response: IncomingMessage): void {
+  discardBody(response, { maxBytes: MAX_DROPPED_BYTES });
+  const timer = setTimeout(() => response.destroy(), MAX_DROPPING_MS);
+  response.on("close", () => clearTimeout(timer));
+}
+
 interface BodyReading extends AnswerReading {
   readonly head: AnswerHead;
   readonly reject: (message: string) => void;
@@ -195,6 +223,9 @@
       }
       options.onEvent(event);
     }
+    if (splitter.pendingBytes > MAX_EVENT_BYTES) {
+      reject(`An event exceeds ${MAX_EVENT_BYTES} bytes`);
+    }
   });
   watchEnd(response, (isWhole) => {
     if (!isWhole || splitter.pendingBytes > 0) {
@@ -205,17 +236,27 @@
   });
 }
 
+/** Bytes of answers that wait for their end, over all attempts. */
+let waitingBytes = 0;
+
 function collectBody(response: IncomingMessage, reading: BodyReading): void {
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
   response.on("data", (chunk: Buffer) => {
     reading.options.onBytes();
     receivedBytes += chunk.length;
+    waitingBytes += chunk.length;
     chunks.push(chunk);
     if (receivedBytes > MAX_ANSWER_BYTES) {
       reading.reject(`The answer exceeds ${MAX_ANSWER_BYTES} bytes`);
+    } else if (waitingBytes > MAX_WAITING_BYTES) {
+      reading.reject("Too many long answers come at once");
     }
   });
+  response.on("close", () => {
+    waitingBytes -= receivedBytes;
+    chunks.length = 0;
+  });
   watchEnd(response, (isWhole) => {
     if (!isWhole) reading.reject("The answer was cut off");
     else {
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -1,76 +1,20 @@
 import { expect } from "earl";
-import { Effect } from "effect";
-import {
-  createServer,
-  type IncomingMessage,
-  request,
-  type RequestListener,
-  type Server,
-} from "node:http";
-import {
-  type AddressInfo,
-  createServer as createRawServer,
-  type Server as RawServer,
-  type Socket,
-} from "node:net";
-import { after, describe, it } from "node:test";
-import { steadyMs } from "../clock/index.ts";
-import type { CallRecord, ServingDependencies } from "./call_context.ts";
-import { CallerExchange } from "./caller_exchange.ts";
+import type { IncomingMessage } from "node:http";
+import { describe, it } from "node:test";
 import type { ServingTarget } from "./choose_target.ts";
-import { createTestDependencies } from "./create_test_dependencies.ts";
 import { LoadBook } from "./load_book.ts";
 import { PaceBook } from "./pace_book.ts";
-import { serveCall } from "./serve_call.ts";
-import type { ServingRoute } from "./serving_config.ts";
-import { ServingIndex } from "./serving_index.ts";
 import { StallWatch } from "./stall_watch.ts";
-
-const HOST = "127.0.0.1";
-const KEY = "key-1";
-const servers: Server[] = [];
-const rawServers: RawServer[] = [];
-const rawSockets: Socket[] = [];
-
-after(() => {
-  for (const server of servers) {
-    server.close();
-    server.closeAllConnections();
-  }
-  for (const socket of rawSockets) socket.destroy();
-  for (const server of rawServers) server.close();
-});
-
-const ROUTE: ServingRoute = {
-  name: "route",
-  host: "a.example",
-  pathPrefix: "/safe/",
-  repeatability: "safe",
-  isStream: false,
-  timeoutMs: 2_000,
-  targetMs: 100,
-  priority: 1,
-  targets: [{ service: "desk", weight: 1 }],
-  maxAttempts: 2,
-  isPublic: false,
-};
-const ROUTES: readonly ServingRoute[] = [
-  ROUTE,
-  {
-    ...ROUTE,
-    name: "once",
-    pathPrefix: "/once/",
-    repeatability: "once",
-    maxAttempts: 1,
-  },
-  {
-    ...ROUTE,
-    name: "stream",
-    pathPrefix: "/stream/",
-    repeatability: "resumable",
-    isStream: true,
-  },
-];
+import {
+  answerWhole,
+  call,
+  createRawAnswer,
+  idOf,
+  readNowMs,
+  startBackend,
+  startEntry,
+  startRawBackend,
+} from "./test_entry.ts";
 
 describe("serveCall", () => {
   it("answers 503 while no configuration is known, and 404 or 401 after", async () => {
@@ -374,155 +318,3 @@
     expect(answer.body).toEqual("id: 0\ndata: a\n\n");
   });
 });
-
-function readNowMs(): number {
-  return Effect.runSync(steadyMs);
-}
-
-function idOf(incoming: IncomingMessage): string {
-  return String(incoming.headers["attempt-id"]);
-}
-
-const answerWhole: RequestListener = (incoming, response) => {
-  response.writeHead(200, {
-    "attempt-id": idOf(incoming),
-    "server-stamp": "s",
-  }).end("done");
-};
-
-async function startBackend(
-  listener: RequestListener,
-): Promise<ServingTarget> {
-  const port = await start(listener);
-  return {
-    instanceId: `i-${port}`,
-    address: `${HOST}:${port}`,
-    zone: "z",
-    slots: 4,
-    epoch: 0,
-  };
-}
-
-/** A backend server that is written by hand. */
-async function startRawBackend(
-  onConnection: (socket: Socket) => void,
-): Promise<ServingTarget> {
-  const server = createRawServer((socket) => {
-    socket.on("error", () => {});
-    rawSockets.push(socket);
-    onConnection(socket);
-  });
-  rawServers.push(server);
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as AddressInfo;
-  const address = `${HOST}:${port}`;
-  return { instanceId: `i-${port}`, address, zone: "z", slots: 4, epoch: 0 };
-}
-
-function createRawAnswer(request: Buffer): string {
-  const id = /attempt-id: (\S+)/i.exec(request.toString())?.[1];
-  return `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\ndone`;
-}
-
-interface EntryOptions {
-  readonly backends: readonly ServingTarget[];
-  readonly isConfigured?: boolean;
-  readonly areKeysFresh?: boolean;
-  readonly loads?: LoadBook;
-  readonly stalls?: StallWatch;
-  readonly paces?: PaceBook;
-  readonly noteLeaving?: ServingDependencies["noteLeaving"];
-  readonly onMalformedHead?: ServingDependencies["onMalformedHead"];
-}
-
-async function startEntry(options: EntryOptions): Promise<number> {
-  const index = new ServingIndex({
-    version: 1,
-    routes: ROUTES,
-    services: new Map(),
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_024,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
-    tenants: [{ name: "tenant-1", keys: [KEY] }],
-  });
-  const records: CallRecord[] = [];
-  const { loads, stalls, paces, noteLeaving, onMalformedHead } = options;
-  const dependencies = createTestDependencies({
-    index: () => options.isConfigured === false ? undefined : index,
-    areKeysFresh: () => options.areKeysFresh !== false,
-    listTargets: () => options.backends,
-    record: (record) => records.push(record),
-    ...(loads === undefined ? {} : { loads }),
-    ...(stalls === undefined ? {} : { stalls }),
-    ...(paces === undefined ? {} : { paces }),
-    ...(noteLeaving === undefined ? {} : { noteLeaving }),
-    ...(onMalformedHead === undefined ? {} : { onMalformedHead }),
-  });
-  return await start((incoming, response) => {
-    const exchange = new CallerExchange({
-      request: incoming,
-      response,
-      codec: dependencies.codec,
-      isClosing: () => false,
-    });
-    Effect.runFork(serveCall(exchange, dependencies));
-  });
-}
-
-async function start(listener: RequestListener): Promise<number> {
-  const server = createServer(listener);
-  servers.push(server);
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  return (server.address() as AddressInfo).port;
-}
-
-interface Answer {
-  readonly status: number;
-  readonly headers: IncomingMessage["headers"];
-  readonly body: string;
-  readonly isWhole: boolean;
-}
-
-let callCount = 0;
-
-function call(
-  port: number,
-  path: string,
-  headers: Readonly<Record<string, string>> = {},
-): Promise<Answer> {
-  callCount += 1;
-  const sent = request({
-    host: HOST,
-    port,
-    path,
-    method: "POST",
-    agent: false,
-    headers: {
-      host: "a.example",
-      "attempt-id": `call-${callCount}`,
-      "deadline-ms": "2000",
-      "x-api-key": KEY,
-      ...headers,
-    },
-  });
-  return new Promise((resolve, reject) => {
-    sent.on("error", reject);
-    sent.on("response", (response) => {
-      let body = "";
-      response.setEncoding("utf8");
-      response.on("data", (text) => body += text);
-      response.on("error", () => {});
-      response.on("close", () =>
-        resolve({
-          status: response.statusCode ?? 0,
-          headers: response.headers,
-          body,
-          isWhole: response.complete,
-        }));
-    });
-    sent.end("body");
-  });
-}
