Move stalled streams only where the budget covers it, and tell not-run truly

Cause: a stalled attempt was ended first, and only then was the budget asked; an attempt under way counted as "may have run" before anything of it was sent; a connection could take any time; attempts that never arrived were charged to the budget; any byte counted as progress, so a stream that trickles bytes that make no event was never moved.

Change: a stalled attempt ends once its move is paid for, and stays until then; streams that callers already have a part of go first, then the urgent. Only what was sent may have run, and only what arrived is a repeat. A connection has 300 ms. Whole events and heads are progress, bytes are not.

Tests: serve_call_test.ts and stall_watch_test.ts. With the old conditions put back 3 failed: "leaves a stream at a replica that stands still while no budget covers its move", "says of a request that reached no instance that it was not run, also at its deadline", "tries another instance where one takes no connection, without a repeat". "ends all attempts at an instance" is replaced by the order in which they move.

Ruled out: a larger part of the budget for each machine (all could spend it at once, past the rule).

--- a/packages/celerytray/src/host/move_attempts.ts
+++ b/packages/celerytray/src/host/move_attempts.ts
@@ -22,6 +22,7 @@
 export function moveAttempts(
   { stalls, paces, nowMs, record, closedHeads }: MoveOptions,
 ): Effect.Effect<never> {
+  let knownStalled: ReadonlySet<string> = new Set();
   let knownSlow: ReadonlySet<string> = new Set();
   return Effect.forever(
     Effect.sync(() => {
@@ -30,16 +31,19 @@
         head.silentMs >= MOVE_AFTER_MS || closed.includes(head.instanceId)
       );
       for (const { instanceId, silentMs, attempts } of stalled) {
-        record("replica.stalled", { headId: instanceId, silentMs, attempts });
-        stalls.abandon(instanceId);
+        if (!knownStalled.has(instanceId)) {
+          record("replica.stalled", { headId: instanceId, silentMs, attempts });
+        }
+        stalls.moveAway(instanceId, "stalled");
       }
+      knownStalled = new Set(stalled.map(({ instanceId }) => instanceId));
       const slow = paces.listSlow(nowMs());
       for (const headId of slow) {
         if (!knownSlow.has(headId)) {
           const slowness = paces.slowness(headId, nowMs());
           record("replica.slow", { headId, slowness });
         }
-        stalls.moveAway(headId);
+        stalls.moveAway(headId, "slow");
       }
       knownSlow = new Set(slow);
     }).pipe(Effect.andThen(Effect.sleep(CHECK_MS))),
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -2,7 +2,8 @@
 import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
-import type { AbandonReason, AttemptOutcome } from "./run_attempt.ts";
+import type { AttemptOutcome } from "./run_attempt.ts";
+import type { AbandonReason } from "./stall_watch.ts";
 import type { Repeatability } from "./serving_config.ts";
 
 /** What became of all attempts of a call. */
@@ -42,6 +43,8 @@
 export interface AttemptProgress {
   readonly tried: Set<string>;
   readonly attempts: string[];
+  /** Attempts that reached an instance, as far as is known. */
+  arrivals: number;
   /** Attempts that may have run. */
   runs: number;
   /** Whether any attempt may have run. */
@@ -54,6 +57,8 @@
   failure: { readonly head: AnswerHead; readonly body: Buffer } | undefined;
   /** Instance of the attempt under way; undefined when there is none. */
   currentId: string | undefined;
+  /** Whether anything of the attempt under way was sent. */
+  isCurrentSent: boolean;
   /** Ends the attempt under way; undefined when there is none. */
   abandon: ((reason: AbandonReason) => void) | undefined;
   /** Whether the budget was already charged for the next attempt. */
@@ -79,6 +84,7 @@
   return {
     tried: new Set(),
     attempts: [],
+    arrivals: 0,
     runs: 0,
     mayHaveRun: false,
     hadStale: false,
@@ -86,6 +92,7 @@
     firstByteAtMs: undefined,
     failure: undefined,
     currentId: undefined,
+    isCurrentSent: false,
     abandon: undefined,
     isNextPaid: false,
   };
@@ -107,7 +114,11 @@
   const { loads } = options.dependencies;
   const { instanceId, address } = target;
   progress.currentId = undefined;
+  progress.isCurrentSent = false;
   progress.abandon = undefined;
+  if (outcome.kind !== "not-run" || outcome.isTurnedAway) {
+    progress.arrivals += 1;
+  }
   progress.attempts.push(`${instanceId} ${describeOutcome(outcome)}`);
   if (outcome.kind !== "not-run") progress.mayHaveRun = true;
   if (outcome.kind === "lost" && outcome.isStale && !progress.hadStale) {
@@ -244,7 +255,7 @@
   }
   const retryAfterMs = conclusion.retryAfterMs ??
     (progress.attempts.length > 0 ? FULL_RETRY_MS : NO_REPLICA_RETRY_MS);
-  const own: OwnAnswer = progress.mayHaveRun || progress.currentId !== undefined
+  const own: OwnAnswer = progress.mayHaveRun || progress.isCurrentSent
     ? {
       status: unknownStatus,
       message: `${message}; it may have run on ${call.service}`,
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -5,6 +5,7 @@
   type AttemptsOptions,
   mayAttemptAfterThis,
 } from "./attempt_progress.ts";
+import type { AbandonReason } from "./stall_watch.ts";
 import type { ServingDependencies } from "./call_context.ts";
 import {
   chooseTarget,
@@ -121,20 +122,26 @@
 export function tryMove(
   options: AttemptsOptions,
   progress: AttemptProgress,
-  nowMs: number,
+  { reason, nowMs }: {
+    readonly reason: AbandonReason;
+    readonly nowMs: number;
+  },
 ): void {
   const { call, dependencies } = options;
-  const { loads, repeats } = dependencies;
   if (
     progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
   ) return;
   if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return;
   const choice = createChoice(options, progress, nowMs);
   const target = chooseTarget(choice);
-  if (target === undefined) return;
-  const isBetter = isPreferred(target, choice) &&
-    loads.estimate(target.instanceId, nowMs) < target.slots;
-  if (!isBetter || !repeats.trySpend(call.service, nowMs)) return;
-  progress.isNextPaid = true;
-  progress.abandon("slow");
+  if (target === undefined || !isPreferred(target, choice)) return;
+  const { loads, repeats } = dependencies;
+  const hasPlace = loads.estimate(target.instanceId, nowMs) < target.slots;
+  if (reason === "slow" && !hasPlace) return;
+  // What was not sent is no repeat.
+  if (progress.isCurrentSent || progress.arrivals > 0) {
+    if (!repeats.trySpend(call.service, nowMs)) return;
+    progress.isNextPaid = true;
+  }
+  progress.abandon(reason);
 }
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -35,6 +35,7 @@
 } from "./serving_config.ts";
 export { selectService, ServingIndex } from "./serving_index.ts";
 export {
+  type AbandonReason,
   MOVE_AFTER_MS,
   type StalledInstance,
   StallWatch,
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -8,9 +8,7 @@
 import { discardBody, parseAddress, watchEnd } from "../http/index.ts";
 import type { AnswerHead, CallCodec } from "./call.ts";
 import { EventSplitter, type StreamEvent } from "./event_splitter.ts";
-
-/** Why an attempt was ended from here. */
-export type AbandonReason = "stalled" | "slow";
+import type { AbandonReason } from "./stall_watch.ts";
 
 /** What became of one attempt. */
 export type AttemptOutcome =
@@ -57,7 +55,10 @@
   readonly onEvent: (event: StreamEvent) => void;
   /** Called with the head of any answer to this request. */
   readonly onHead: (head: AnswerHead) => void;
-  readonly onBytes: () => void;
+  /** Called as the answer goes on: with its head, and each whole event. */
+  readonly onProgress: () => void;
+  /** Called before the first byte of the request is written. */
+  readonly onSent: () => void;
   /** Receives a function that ends the attempt. */
   readonly onAbandonable: (abandon: (reason: AbandonReason) => void) => void;
 }
@@ -73,6 +74,8 @@
 const MAX_DROPPING_MS = 1_000;
 /** Interim answers to one request. */
 const MAX_INTERIM_ANSWERS = 8;
+/** Longest wait for a connection; none of the request was sent by then. */
+const MAX_CONNECT_MS = 300;
 /** Errors of a connection that its other end dropped while it was idle. */
 const STALE_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
 
@@ -113,9 +116,16 @@
       agent: options.agent ?? false,
       headers: options.headers,
     });
+    const connectTimer = setTimeout(() => {
+      if (isSent) return;
+      fail(`No connection within ${MAX_CONNECT_MS} ms`);
+      request.destroy();
+    }, MAX_CONNECT_MS);
+    request.on("close", () => clearTimeout(connectTimer));
     request.on("socket", (socket) => {
       const dispatch = () => {
         isSent = true;
+        options.onSent();
         request.end(options.body.length > 0 ? options.body : undefined);
       };
       if (socket.connecting) socket.once("connect", dispatch);
@@ -171,7 +181,7 @@
     reject("The instance answered another request");
     return;
   }
-  options.onBytes();
+  options.onProgress();
   options.onHead(head);
   if (head.isNotRun) {
     dropBody(response);
@@ -212,8 +222,10 @@
   let lastId = options.lastEventId;
   options.onStreamHead(reading.head);
   response.on("data", (chunk: Buffer) => {
-    options.onBytes();
-    for (const event of splitter.push(chunk)) {
+    const events = splitter.push(chunk);
+    // Bytes that never make an event are no progress.
+    if (events.length > 0) options.onProgress();
+    for (const event of events) {
       if (event.id !== undefined) {
         if (lastId !== undefined && event.id !== lastId + 1) {
           reject(`Event ${event.id} follows event ${lastId}`);
@@ -243,7 +255,6 @@
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
   response.on("data", (chunk: Buffer) => {
-    reading.options.onBytes();
     receivedBytes += chunk.length;
     waitingBytes += chunk.length;
     chunks.push(chunk);
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -66,7 +66,7 @@
       }
       const { target } = search;
       const nowMs = yield* steadyMs;
-      const isRepeat = progress.attempts.length > 0;
+      const isRepeat = progress.arrivals > 0;
       if (isRepeat && call.deadlineAtMs - nowMs < MIN_REMAINING_MS) {
         return giveUp(options, progress, "Too little time is left");
       }
@@ -118,8 +118,9 @@
       ? stalls.begin({
         instanceId,
         startedAtMs,
-        abandon: () => progress.abandon?.("stalled"),
-        tryMove: () => tryMove(options, progress, nowMs()),
+        rank: () => rankOf(call, progress),
+        tryMove: (reason) =>
+          tryMove(options, progress, { reason, nowMs: nowMs() }),
       })
       : () => {};
     return yield* runAttempt({
@@ -147,7 +148,8 @@
         : { lastEventId: progress.lastEventId }),
       onHead: (head) =>
         noteHead({ dependencies, target, head, nowMs: nowMs() }),
-      onBytes: () => stalls.noteBytes(instanceId, nowMs()),
+      onProgress: () => stalls.noteProgress(instanceId, nowMs()),
+      onSent: () => progress.isCurrentSent = true,
       onStreamHead: (head) => {
         if (!exchange.hasStarted) exchange.startStream(head);
       },
@@ -194,6 +196,12 @@
   if (head.malformed !== undefined) onMalformedHead(instanceId, head.malformed);
 }
 
+/** Rank among those that move; what callers already have goes first. */
+function rankOf({ priority }: AdmittedCall, progress: AttemptProgress): number {
+  const hasEvents = progress.lastEventId !== undefined;
+  return (hasEvents ? LAST_RANK + 1 : 0) - priority;
+}
+
 /** Rank among the requests that wait at a replica; 0 goes first. */
 function priorityOf({ priority, isLate }: AdmittedCall): number {
   return Math.min(LAST_RANK, priority + (isLate ? LATE_RANKS : 0));
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
-import type { IncomingMessage } from "node:http";
+import { Agent, type IncomingMessage } from "node:http";
+import { Socket } from "node:net";
 import { describe, it } from "node:test";
 import type { ServingTarget } from "./choose_target.ts";
 import { LoadBook } from "./load_book.ts";
@@ -284,7 +285,7 @@
             }
           }
           expect(paces.listSlow(nowMs)).toEqual([slowId!]);
-          stalls.moveAway(slowId!);
+          stalls.moveAway(slowId!, "slow");
         }, 20);
       });
       ids.push(target.instanceId);
@@ -300,6 +301,70 @@
     expect(answer.isWhole).toEqual(true);
   });
 
+  it("leaves a stream at a replica that stands still while no budget covers its move", async () => {
+    const stalls = new StallWatch();
+    let repeatsLeft = 0;
+    let first: string | undefined;
+    const backend = async () => {
+      const target = await startBackend((incoming, response) => {
+        response.writeHead(200, {
+          "attempt-id": idOf(incoming),
+          "server-stamp": "s",
+          "content-type": "text/event-stream",
+        });
+        if (first !== undefined) {
+          response.end("id: 1\ndata: b\n\n");
+          return;
+        }
+        first = target.instanceId;
+        response.write("id: 0\ndata: a\n\n");
+        setTimeout(() => stalls.moveAway(first!, "stalled"), 20);
+        setTimeout(() => {
+          repeatsLeft = 1;
+          stalls.moveAway(first!, "stalled");
+        }, 60);
+      });
+      return target;
+    };
+    const entry = await startEntry({
+      backends: [await backend(), await backend()],
+      stalls,
+      trySpend: () => repeatsLeft-- > 0,
+    });
+    const answer = await call(entry, "/stream/x");
+    expect(answer.body).toEqual("id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+    expect(answer.isWhole).toEqual(true);
+  });
+
+  it("says of a request that reached no instance that it was not run, also at its deadline", async () => {
+    const dark = await startBackend(() => {});
+    const entry = await startEntry({
+      backends: [dark],
+      agentFor: () => new DarkAgent(),
+    });
+    for (const path of ["/safe/x", "/stream/x"]) {
+      const answer = await call(entry, path, { "deadline-ms": "150" });
+      expect(answer.status).toEqual(503);
+      expect(answer.headers["retry-after"] !== undefined).toEqual(true);
+    }
+  });
+
+  it("tries another instance where one takes no connection, without a repeat", async () => {
+    const dark = await startBackend(() => {});
+    const sound = await startBackend(answerWhole);
+    const loads = new LoadBook();
+    const load = { running: 3, waiting: 0, slots: 4 };
+    loads.noteLoad(sound.instanceId, load, readNowMs());
+    const entry = await startEntry({
+      backends: [dark, sound],
+      loads,
+      agentFor: (address) =>
+        address === dark.address ? new DarkAgent() : new Agent(),
+      trySpend: () => false,
+    });
+    expect((await call(entry, "/safe/x")).status).toEqual(200);
+  });
+
   it("breaks off a stream whose events don't follow each other", async () => {
     const backend = () =>
       startBackend((incoming, response) => {
@@ -318,3 +383,10 @@
     expect(answer.body).toEqual("id: 0\ndata: a\n\n");
   });
 });
+
+/** Connects to nothing, as where packets are dropped on the way. */
+class DarkAgent extends Agent {
+  override createConnection(): Socket {
+    return Object.defineProperty(new Socket(), "connecting", { value: true });
+  }
+}
--- a/packages/celerytray/src/serving/stall_watch.ts
+++ b/packages/celerytray/src/serving/stall_watch.ts
@@ -1,13 +1,16 @@
-/** An attempt that waits for bytes of an instance. */
+/** An attempt that waits for an instance. */
 export interface WatchedAttempt {
   readonly instanceId: string;
   readonly startedAtMs: number;
-  /** Ends the attempt, so that the request moves on. */
-  readonly abandon: () => void;
+  /** Rank among those that are moved; the highest goes first. */
+  readonly rank: () => number;
   /** Ends it if the request is sure to go on elsewhere. */
-  readonly tryMove: () => void;
+  readonly tryMove: (reason: AbandonReason) => void;
 }
 
+/** Why requests are moved off an instance. */
+export type AbandonReason = "stalled" | "slow";
+
 /** An instance whose attempts all stand still. */
 export interface StalledInstance {
   readonly instanceId: string;
@@ -21,13 +24,13 @@
 const DOUBT_SEVERAL_AFTER_MS = 400;
 /** Silence after which new requests go elsewhere, where they can. */
 const PASS_OVER_AFTER_MS = 200;
-/** Silence of all attempts after which they are moved. */
+/** Silence of all attempts after which they are moved where they can be. */
 export const MOVE_AFTER_MS = 1_100;
 
-/** Watches which instances send bytes to any of their attempts. */
+/** Watches at which instances any attempt makes progress. */
 export class StallWatch {
   readonly #attempts = new Map<string, Set<WatchedAttempt>>();
-  readonly #lastByteAtMs = new Map<string, number>();
+  readonly #progressedAtMs = new Map<string, number>();
 
   /** Watches an attempt until the returned function is called. */
   begin(attempt: WatchedAttempt): () => void {
@@ -44,12 +47,12 @@
         return;
       }
       this.#attempts.delete(instanceId);
-      this.#lastByteAtMs.delete(instanceId);
+      this.#progressedAtMs.delete(instanceId);
     };
   }
 
-  noteBytes(instanceId: string, nowMs: number): void {
-    this.#lastByteAtMs.set(instanceId, nowMs);
+  noteProgress(instanceId: string, nowMs: number): void {
+    this.#progressedAtMs.set(instanceId, nowMs);
   }
 
   /** Whether new requests should rather go elsewhere. */
@@ -73,18 +76,14 @@
     return stalled;
   }
 
-  /** Ends all attempts at an instance. */
-  abandon(instanceId: string): void {
-    for (const attempt of [...this.#attempts.get(instanceId) ?? []]) {
-      attempt.abandon();
-    }
-  }
-
   /** Ends those attempts at an instance that can go on elsewhere. */
-  moveAway(instanceId: string): void {
-    for (const attempt of [...this.#attempts.get(instanceId) ?? []]) {
-      attempt.tryMove();
-    }
+  moveAway(instanceId: string, reason: AbandonReason): void {
+    const attempts = [...this.#attempts.get(instanceId) ?? []];
+    const ranked = attempts.map((attempt) => ({
+      attempt,
+      rank: attempt.rank(),
+    })).sort((a, b) => b.rank - a.rank);
+    for (const { attempt } of ranked) attempt.tryMove(reason);
   }
 
   #aliveAtMs(
@@ -97,7 +96,7 @@
     }
     return Math.max(
       oldestStartAtMs,
-      this.#lastByteAtMs.get(instanceId) ?? Number.NEGATIVE_INFINITY,
+      this.#progressedAtMs.get(instanceId) ?? Number.NEGATIVE_INFINITY,
     );
   }
 }
--- a/packages/celerytray/src/serving/stall_watch_test.ts
+++ b/packages/celerytray/src/serving/stall_watch_test.ts
@@ -8,12 +8,12 @@
     watch.begin({
       instanceId: "a",
       startedAtMs: 0,
-      abandon: () => {},
+      rank: () => 0,
       tryMove: () => {},
     });
   const endFirst = begin();
   const endSecond = begin();
-  watch.noteBytes("a", 100);
+  watch.noteProgress("a", 100);
   expect(watch.isSilent("a", 250)).toEqual(false);
   expect(watch.isSilent("a", 300)).toEqual(true);
   expect(watch.findDoubtful(499)).toEqual([]);
@@ -27,17 +27,19 @@
   expect(watch.findDoubtful(5_000)).toEqual([]);
 });
 
-it("ends all attempts at an instance", () => {
+it("lets the attempts of the highest rank move first", () => {
   const watch = new StallWatch();
-  const abandoned: string[] = [];
-  for (const name of ["first", "second"]) {
+  const moved: string[] = [];
+  for (
+    const [name, rank] of [["new", -3], ["begun", 8], ["urgent", 0]] as const
+  ) {
     watch.begin({
       instanceId: "a",
       startedAtMs: 0,
-      abandon: () => abandoned.push(name),
-      tryMove: () => {},
+      rank: () => rank,
+      tryMove: (reason) => moved.push(`${name} ${reason}`),
     });
   }
-  watch.abandon("a");
-  expect(abandoned).toEqual(["first", "second"]);
+  watch.moveAway("a", "stalled");
+  expect(moved).toEqual(["begun stalled", "urgent stalled", "new stalled"]);
 });
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -20,6 +20,7 @@
 import { createTestDependencies } from "./create_test_dependencies.ts";
 import type { LoadBook } from "./load_book.ts";
 import type { PaceBook } from "./pace_book.ts";
+import { RepeatBudget } from "./repeat_budget.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServingRoute } from "./serving_config.ts";
 import { ServingIndex } from "./serving_index.ts";
@@ -120,6 +121,28 @@
   return `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\ndone`;
 }
 
+/** A budget of repeats that a test decides on. */
+class ScriptedBudget extends RepeatBudget {
+  readonly #trySpend: () => boolean;
+
+  constructor(trySpend: () => boolean) {
+    super({
+      share: 0,
+      slackRequests: 0,
+      windowMs: 1_000,
+      countMachines: () => 1,
+      sharedTotals: () => undefined,
+      untoldMs: () => 0,
+      random: () => 0,
+    });
+    this.#trySpend = trySpend;
+  }
+
+  override trySpend(): boolean {
+    return this.#trySpend();
+  }
+}
+
 export interface EntryOptions {
   readonly backends: readonly ServingTarget[];
   readonly isConfigured?: boolean;
@@ -129,6 +152,8 @@
   readonly paces?: PaceBook;
   readonly noteLeaving?: ServingDependencies["noteLeaving"];
   readonly agentFor?: ServingDependencies["agentFor"];
+  /** Whether a repeat is covered. */
+  readonly trySpend?: () => boolean;
   readonly onMalformedHead?: ServingDependencies["onMalformedHead"];
 }
 
@@ -158,6 +183,9 @@
     ...(paces === undefined ? {} : { paces }),
     ...(noteLeaving === undefined ? {} : { noteLeaving }),
     ...(agentFor === undefined ? {} : { agentFor }),
+    ...(options.trySpend === undefined
+      ? {}
+      : { repeats: new ScriptedBudget(options.trySpend) }),
     ...(onMalformedHead === undefined ? {} : { onMalformedHead }),
   });
   return await start((incoming, response) => {
