Keep a new lead on a small machine from being overwhelmed

Cause: a new lead doubted and probed every instance at once (80 here, 875 on the whole deployment) on 0.324 of a core; configurations of tens of KB were told as text to every process; the sum over all reports was made anew for each model of each domain; and a lead held up for 0.4 s beyond its time counted as silent.

Change: of recorded replicas only the heads are doubted at the start, and all members of those that aren't open; long values are deflated once and told so; a sum is used for 20 ms; an answer has 600 ms beyond its time, and a lead is silent after 0.95 s.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -11,7 +11,12 @@
 import type { KeyedLog, RelayedChange, TopicCopy } from "../keyed_log/index.ts";
 import type { SharedTotals, WindowTotals } from "../serving/index.ts";
 import { ChangeSignal } from "./change_signal.ts";
-import { HEADS_STEP_MS, NEWS_GAP_MS, type WordSteps } from "./intervals.ts";
+import {
+  HEADS_STEP_MS,
+  NEWS_GAP_MS,
+  SUM_REUSE_MS,
+  type WordSteps,
+} from "./intervals.ts";
 import { LeadFollower } from "./lead_follower.ts";
 import {
   awaitOtherLead,
@@ -96,6 +101,8 @@
   readonly #follower: LeadFollower;
   #nowMs: () => number = () => 0;
   #director: FleetDirector | undefined;
+  #summary: PeerSummary;
+  #summedAtMs = Number.NEGATIVE_INFINITY;
   #isDeposed = false;
   #isLeaving = false;
   /** Newest lead that the records named. */
@@ -105,6 +112,7 @@
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
+    this.#summary = this.#summarizeOwn();
     this.#follower = new LeadFollower({
       ...options,
       word: this.#word,
@@ -311,8 +319,10 @@
       this.#director = createDirector({ term, replicas, recorder });
       yield* Effect.scoped(this.#director.run()).pipe(
         Effect.raceFirst(this.#sayUntilDeposed()),
+        Effect.ensuring(Effect.sync(() => {
+          this.#director = undefined;
+        })),
       );
-      this.#director = undefined;
     });
   }
 
@@ -428,7 +438,12 @@
   }
 
   #summarize(): PeerSummary {
-    return this.#table.sumUp(this.#summarizeOwn(), this.#nowMs());
+    const nowMs = this.#nowMs();
+    if (nowMs - this.#summedAtMs >= SUM_REUSE_MS) {
+      this.#summary = this.#table.sumUp(this.#summarizeOwn(), nowMs);
+      this.#summedAtMs = nowMs;
+    }
+    return this.#summary;
   }
 
   #summarizeOwn(): PeerSummary {
--- a/packages/celerytray/src/coordination/intervals.ts
+++ b/packages/celerytray/src/coordination/intervals.ts
@@ -9,11 +9,13 @@
 /** The same for a deputy, whose answers go to most processes. */
 export const DEPUTY_HOLD_MS = 1_000;
 /** Time beyond that for which an answer is awaited. */
-export const ANSWER_TIMEOUT_MS = 400;
+export const ANSWER_TIMEOUT_MS = 600;
 /** Shortest time between two reports of a process. */
 export const REPORT_GAP_MS = 50;
 /** Shortest time between answers that only tell of the list or the configuration. */
 export const NEWS_GAP_MS = 250;
+/** Time for which a sum over reports is taken as it is. */
+export const SUM_REUSE_MS = 20;
 /** Steps in which heads that newly stand still are noticed. */
 export const HEADS_STEP_MS = 50;
 
@@ -66,6 +68,6 @@
 export type WordSteps = "direct" | "relayed";
 
 /** An answer may come just after its time. */
-const SILENCE_MARGIN_MS = 150;
+const SILENCE_MARGIN_MS = 100;
 /** Time that deputies have to replace a lead before other processes try. */
 const DEPUTIES_FIRST_MS = 1_500;
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -12,6 +12,7 @@
 import { listLeftoverOrders } from "./list_leftover_orders.ts";
 import { noteRetiringOrder } from "./note_retiring_order.ts";
 import {
+  findMemberState,
   planRun,
   recordRetiring,
   type ReplicaRun,
@@ -102,7 +103,7 @@
         const isDue = this.#isChanged || instances.revision !== revision ||
           nowMs - workedAtMs >= TICK_MS;
         if (instances.isLoaded && isDue) {
-          if (revision < 0) this.#doubtAll();
+          if (revision < 0) this.#doubtRecorded();
           this.#isChanged = false;
           revision = instances.revision;
           workedAtMs = nowMs;
@@ -171,11 +172,17 @@
     }
   }
 
-  /** The process that decided before may have known of silent instances. */
-  #doubtAll(): void {
-    if (this.#state.runs.size === 0) return;
-    for (const { id, domain } of this.#options.instances.list()) {
-      if (domain !== undefined) this.#state.liveness.noteDoubt(id);
+  /**
+   * The process that decided before may have known of silent instances. Heads
+   * that are open tell of their other members by how their requests go on.
+   */
+  #doubtRecorded(): void {
+    for (const run of this.#state.runs.values()) {
+      const [headId, ...others] = run.record.members;
+      const head = this.#options.instances.find(headId!);
+      const isOpen = findMemberState(run, head) === "open";
+      const doubted = isOpen ? [headId!] : [headId!, ...others];
+      for (const id of doubted) this.#state.liveness.noteDoubt(id);
     }
   }
 
--- a/packages/celerytray/src/keyed_log/topic_copy.ts
+++ b/packages/celerytray/src/keyed_log/topic_copy.ts
@@ -1,11 +1,14 @@
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { KeyedChange } from "./follow_keyed.ts";
 import type { KeyedRecord } from "./keyed_log.ts";
 
 /** A record as other processes are told it. */
 export interface RelayedRecord {
   readonly key: string;
-  /** The value as text; undefined once the key was dropped. */
+  /** The value as text; none where it is packed, or the key was dropped. */
   readonly text?: string;
+  /** A long value, deflated, in base64. */
+  readonly packed?: string;
   readonly offset: number;
 }
 
@@ -15,12 +18,18 @@
   readonly nextOffset: number;
 }
 
+/** Length from which on a value is packed. */
+const MIN_PACKED_BYTES = 4_096;
+/** Longest value that is unpacked. */
+const MAX_UNPACKED_BYTES = 8 * 1024 * 1024;
 /** Dropped keys that are remembered, for processes that lag behind. */
 const MAX_DROPPED_KEYS = 2_000;
 
 /** The newest record of each key of a topic, to be told to others. */
 export class TopicCopy {
   readonly #records = new Map<string, KeyedRecord>();
+  /** The packed form of the long value that was told last, by its offset. */
+  readonly #packed = new Map<number, string>();
   #nextOffset = 0;
   /** Offset from which on every change is known. */
   #completeFrom: number | undefined;
@@ -61,14 +70,24 @@
     }
     const records = [...this.#records.values()]
       .filter((record) => record.offset >= offset)
-      .map(({ key, value, offset }): RelayedRecord =>
-        value === undefined
-          ? { key, offset }
-          : { key, text: value.toString("utf8"), offset }
-      );
+      .map((record) => this.#relay(record));
     return { records, nextOffset: this.#nextOffset };
   }
 
+  #relay({ key, value, offset }: KeyedRecord): RelayedRecord {
+    if (value === undefined) return { key, offset };
+    if (value.length < MIN_PACKED_BYTES) {
+      return { key, text: value.toString("utf8"), offset };
+    }
+    let packed = this.#packed.get(offset);
+    if (packed === undefined) {
+      packed = deflateRawSync(value).toString("base64");
+      this.#packed.clear();
+      this.#packed.set(offset, packed);
+    }
+    return { key, packed, offset };
+  }
+
   /** Keys that a whole reading no longer has were dropped before its end. */
   #dropMissing(
     { records, nextOffset }: {
@@ -102,11 +121,20 @@
 ): Omit<KeyedChange, "freshAtMs"> {
   return {
     isWhole: false,
-    records: records.map(({ key, text, offset }) =>
-      text === undefined
-        ? { key, offset }
-        : { key, value: Buffer.from(text, "utf8"), offset }
-    ),
+    records: records.map(readRelayedRecord),
     nextOffset,
   };
 }
+
+function readRelayedRecord(
+  { key, text, packed, offset }: RelayedRecord,
+): KeyedRecord {
+  if (packed !== undefined) {
+    const deflated = Buffer.from(packed, "base64");
+    const bounds = { maxOutputLength: MAX_UNPACKED_BYTES };
+    return { key, value: inflateRawSync(deflated, bounds), offset };
+  }
+  return text === undefined
+    ? { key, offset }
+    : { key, value: Buffer.from(text, "utf8"), offset };
+}
--- a/packages/celerytray/src/keyed_log/topic_copy_test.ts
+++ b/packages/celerytray/src/keyed_log/topic_copy_test.ts
@@ -62,3 +62,19 @@
   expect(restarted.since(6).records).toEqual([]);
   expect(restarted.canTellSince(9)).toEqual(true);
 });
+
+it("packs long values on the way", () => {
+  const text = JSON.stringify(
+    Array.from({ length: 500 }, (_, index) => ({ route: `r-${index}` })),
+  );
+  const copy = new TopicCopy();
+  copy.apply({ isWhole: true, records: [record("a", 5, "1")], nextOffset: 6 });
+  copy.apply({
+    isWhole: false,
+    records: [record("a", 6, text)],
+    nextOffset: 7,
+  });
+  const told = copy.since(6);
+  expect(JSON.stringify(told).length < text.length / 4).toEqual(true);
+  expect(readRelayedChange(told).records).toEqual([record("a", 6, text)]);
+});
