Go on after an unexpected error

What operators would see: a message that can't be handled ended the loop that met it without a word, and the process went on without coordination, or without following the configuration, until its keys were too old; an error inside the serving of a request left its caller without an answer until its time was over; one in an event handler ended the process.

Cause: loops ran unsupervised, and nothing caught defects of a request.

Change: loops begin again after 250 ms with a line (process.fault), a request that meets an error is answered 500 (it may have run) or broken off, and errors that reach the process are logged.

Tests: keep_running_test.ts, caller_server_test.ts "answers a request that an unexpected error meets, and goes on" (before: no answer within the request's time) and "goes on after bytes that are no request" (held before).

--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -39,6 +39,10 @@
   message: "This process is stopping; the request was not run",
   retryAfterMs: 50,
 };
+const FAULT_ANSWER: OwnAnswer = {
+  status: 500,
+  message: "An unexpected error met the request; it may have run",
+};
 /** Time in which a whole request must be there. */
 const REQUEST_TIMEOUT_MS = 60_000;
 
@@ -95,6 +99,13 @@
   readonly context: Context.Context<never>;
 }
 
+/** Ends a request that an unexpected error met; it may have run. */
+function endFaulty(exchange: CallerExchange): void {
+  if (exchange.hasEnded) return;
+  if (exchange.hasStarted) exchange.breakOff();
+  else exchange.answerItself(undefined, FAULT_ANSWER);
+}
+
 function createHandler(
   { options, calls, state, context }: HandlerOptions,
 ): RequestListener {
@@ -116,6 +127,12 @@
     calls.begin();
     const fiber = run(
       serveCall(exchange, dependencies).pipe(
+        Effect.catchDefect((defect) =>
+          Effect.sync(() => {
+            dependencies.onFault(defect);
+            endFaulty(exchange);
+          })
+        ),
         Effect.ensuring(Effect.sync(() => calls.end())),
       ),
     );
--- a/packages/celerytray/src/host/caller_server_test.ts
+++ b/packages/celerytray/src/host/caller_server_test.ts
@@ -8,7 +8,10 @@
   ServingIndex,
   type ServingTarget,
 } from "../serving/index.ts";
-import { createTestDependencies } from "../serving/create_test_dependencies.ts";
+import {
+  createTestDependencies,
+  type TestDependencies,
+} from "../serving/create_test_dependencies.ts";
 import { createCallerServer } from "./caller_server.ts";
 
 const HOST = "127.0.0.1";
@@ -40,6 +43,44 @@
     expect(seen).toEqual([]);
   });
 
+  it("answers a request that an unexpected error meets, and goes on", async () => {
+    const faults: unknown[] = [];
+    const { port } = await startEntry(answerNothing, {
+      listTargets: () => {
+        throw new Error("unexpected");
+      },
+      onFault: (defect) => faults.push(defect),
+    });
+    const call = `${HEAD}Content-Length: 0\r\n\r\n`;
+    expect(await exchange(port, call)).toInclude(" 500 ");
+    expect(await exchange(port, call)).toInclude(" 500 ");
+    expect(faults.length).toEqual(2);
+  });
+
+  it("goes on after bytes that are no request", async () => {
+    const { port } = await startEntry((incoming, response) => {
+      response.writeHead(200, {
+        "attempt-id": String(incoming.headers["attempt-id"]),
+        "server-stamp": "s",
+      }).end("done");
+    });
+    for (
+      const bytes of [
+        "\0\0\0",
+        "GET",
+        "POST / HTTP/9.9\r\n\r\n",
+        "x".repeat(9_000),
+      ]
+    ) {
+      const socket = openSocket(port);
+      socket.write(bytes);
+      await pause();
+      socket.destroy();
+    }
+    expect(await exchange(port, `${HEAD}Content-Length: 0\r\n\r\n`))
+      .toInclude(" 200 ");
+  });
+
   it("records a caller that left once, with the attempt under way", async () => {
     const arrived = createSignal();
     const { port, records, instanceId } = await startEntry(arrived.set);
@@ -75,7 +116,10 @@
   response.end();
 };
 
-async function startEntry(listener: RequestListener) {
+async function startEntry(
+  listener: RequestListener,
+  own: Partial<TestDependencies> = {},
+) {
   const backend = createServer(listener);
   await new Promise<void>((resolve) => backend.listen(0, HOST, resolve));
   closers.push(() => {
@@ -104,6 +148,7 @@
         index: () => INDEX,
         listTargets: () => [target],
         record: (record) => records.push(record),
+        ...own,
       }),
     }).pipe(Scope.provide(scope)),
   );
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -48,6 +48,7 @@
 import { followStore } from "./follow_store.ts";
 import { KeyFreshness } from "./key_freshness.ts";
 import type { HostSettings } from "./host_settings.ts";
+import { keepRunning, recordFault } from "./keep_running.ts";
 import { moveAttempts } from "./move_attempts.ts";
 import { proveKeys } from "./prove_keys.ts";
 import { recordCall } from "./record_call.ts";
@@ -242,22 +243,24 @@
       instancesOffset: () => instancesCopy.nextOffset,
       listAgeMs: () => nowMs() - state.listProvenAtMs,
       random,
+      record,
       applyInstances,
       nowMs,
     });
-    yield* Effect.forkScoped(coordinator.run());
-    yield* Effect.forkScoped(
-      proveKeys({ log, config, keys, state, record }),
-    );
-    yield* Effect.forkScoped(
-      moveAttempts({
+    const loops: Readonly<Record<string, Effect.Effect<unknown>>> = {
+      coordination: coordinator.run(),
+      "proof of keys": proveKeys({ log, config, keys, state, record }),
+      "moving of requests": moveAttempts({
         stalls,
         paces,
         nowMs,
         record,
         closedHeads: () => coordinator.listClosedHeads(),
       }),
-    );
+    };
+    for (const [name, loop] of Object.entries(loops)) {
+      yield* Effect.forkScoped(keepRunning(loop, { name, record }));
+    }
 
     const dependencies: ServingDependencies = {
       codec: ports.codec,
@@ -284,6 +287,8 @@
       onRest: (rest) => record("instance.resting", { ...rest }),
       onMalformedHead: (instanceId, message) =>
         record("instance.head-malformed", { instanceId, message }),
+      onFault: (defect) =>
+        recordFault({ name: "serving of a request", record }, defect),
       record: (call) => recordCall(call, { journal, metrics }),
     };
     servers.callers = yield* createCallerServer({
--- a/packages/celerytray/src/host/follow_store.ts
+++ b/packages/celerytray/src/host/follow_store.ts
@@ -9,6 +9,8 @@
   type KeyedChange,
   type KeyedLog,
 } from "../keyed_log/index.ts";
+import { keepRunning } from "./keep_running.ts";
+import type { RecordEvent } from "../journal/index.ts";
 import type { KeyFreshness } from "./key_freshness.ts";
 import type { StoreContact } from "./store_contact.ts";
 
@@ -32,6 +34,7 @@
   readonly random: () => number;
   readonly applyInstances: (change: KeyedChange) => void;
   readonly nowMs: () => number;
+  readonly record: RecordEvent;
 }
 
 /** Longest wait of one read of a process that isn't told. */
@@ -95,9 +98,12 @@
     },
     onFailure: (message) => contacts.instances.noteFailure(message, nowMs()),
   });
+  const { record } = options;
+  const keepFollowing = (loop: Effect.Effect<never>, name: string) =>
+    Effect.forkScoped(keepRunning(loop, { name, record }));
   return Effect.asVoid(Effect.all([
-    Effect.forkScoped(followConfig),
-    Effect.forkScoped(followInstances),
+    keepFollowing(followConfig, "following of the configuration"),
+    keepFollowing(followInstances, "following of the list"),
   ]));
 }
 
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -42,6 +42,8 @@
   readonly onRest: (rest: NotedRest) => void;
   /** Told of a head of an answer that can't be read in full. */
   readonly onMalformedHead: (instanceId: string, message: string) => void;
+  /** Told of an unexpected error. */
+  readonly onFault: (defect: unknown) => void;
   readonly record: (outcome: CallRecord) => void;
 }
 
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -42,6 +42,7 @@
     random: () => 0.5,
     noteDemand: () => {},
     noteLeaving: () => {},
+    onFault: () => {},
     onRest: () => {},
     onMalformedHead: () => {},
     ...own,
--- a/packages/cli/src/host_main.ts
+++ b/packages/cli/src/host_main.ts
@@ -63,6 +63,15 @@
       zone: settings.zone,
       uptimeMs: Math.round(process.uptime() * 1000),
     });
+    const recordFault = (error: unknown) =>
+      journal.record("process.fault", {
+        part: "event handler",
+        message: error instanceof Error
+          ? error.stack ?? error.message
+          : String(error),
+      });
+    process.on("uncaughtException", recordFault);
+    process.on("unhandledRejection", recordFault);
     process.on("SIGHUP", () => {
       const reloaded = readSettings(path);
       journal.record("process.reloaded", {
