Hand the lead over without a storm of reports

Cause: a new lead knew of nobody yet, said so (a count below the number at which all report to it directly, hardly a deputy), and all 22 turned to it at once, each answered whenever a head was closed, up to 20 times a second. In the stand-in with 100 processes they were counted up to eight times over, once at each deputy that they passed through.

Change: for 3 s a new lead relies on the count and the deputies from before, less the one that it replaces. What is new is said every 100 ms, and nobody reports more often.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -12,8 +12,9 @@
 import type { SharedTotals, WindowTotals } from "../serving/index.ts";
 import { ChangeSignal } from "./change_signal.ts";
 import {
-  HEADS_STEP_MS,
+  INHERIT_MS,
   NEWS_GAP_MS,
+  SAY_STEP_MS,
   SUM_REUSE_MS,
   type WordSteps,
 } from "./intervals.ts";
@@ -103,6 +104,9 @@
   #director: FleetDirector | undefined;
   #summary: PeerSummary;
   #summedAtMs = Number.NEGATIVE_INFINITY;
+  #leadsSinceMs = 0;
+  /** Lead whose place this process took. */
+  #replacedId: string | undefined;
   #isDeposed = false;
   #isLeaving = false;
   /** Newest lead that the records named. */
@@ -308,7 +312,9 @@
     const { log, createDirector, record } = this.#options;
     const { term } = lead;
     return Effect.gen({ self: this }, function* () {
-      this.#word.setLead(lead, this.#nowMs());
+      this.#leadsSinceMs = this.#nowMs();
+      this.#replacedId = this.#word.lead?.nodeId;
+      this.#word.setLead(lead, this.#leadsSinceMs);
       this.#isDeposed = this.#isLeaving;
       record("lead.taken", { term, replicas: replicas.length });
       const recorder = new LeadRecorder({
@@ -338,7 +344,7 @@
       while (!this.#isDeposed) {
         this.#noteHeads(this.#summarizeOwn());
         if (this.#say()) this.#signal.notify();
-        yield* Effect.sleep(HEADS_STEP_MS);
+        yield* Effect.sleep(SAY_STEP_MS);
       }
     });
   }
@@ -346,7 +352,8 @@
   #say(): boolean {
     const nowMs = this.#nowMs();
     const { self, storeAnsweredAtMs, listLeaving } = this.#options;
-    const { processes, repeats } = this.#summarize();
+    const { processes: heard, repeats } = this.#summarize();
+    const processes = this.#isNewLead(nowMs) ? this.#word.processes : heard;
     return this.#word.say({
       processes,
       repeats,
@@ -364,8 +371,18 @@
     }, nowMs);
   }
 
+  /** Whether those that followed the lead before may not all report here yet. */
+  #isNewLead(nowMs: number): boolean {
+    return this.#word.processes > 1 &&
+      nowMs - this.#leadsSinceMs < INHERIT_MS;
+  }
+
   /** Processes that may be deputies; those that are report here themselves. */
   #listCandidates(nowMs: number): readonly PeerNode[] {
+    if (this.#isNewLead(nowMs)) {
+      const replacedId = this.#replacedId;
+      return this.#word.deputies.filter(({ nodeId }) => nodeId !== replacedId);
+    }
     const reporters = this.#table.listReporters(nowMs);
     const present = new Set(reporters.map(({ nodeId }) => nodeId));
     const deputyIds = new Set(
--- a/packages/celerytray/src/coordination/intervals.ts
+++ b/packages/celerytray/src/coordination/intervals.ts
@@ -11,9 +11,13 @@
 /** Time beyond that for which an answer is awaited. */
 export const ANSWER_TIMEOUT_MS = 600;
 /** Shortest time between two reports of a process. */
-export const REPORT_GAP_MS = 50;
+export const REPORT_GAP_MS = 100;
 /** Shortest time between answers that only tell of the list or the configuration. */
 export const NEWS_GAP_MS = 250;
+/** Steps in which the lead says what is new. */
+export const SAY_STEP_MS = 100;
+/** Time for which a new lead relies on how many processes there were before. */
+export const INHERIT_MS = 3_000;
 /** Time for which a sum over reports is taken as it is. */
 export const SUM_REUSE_MS = 20;
 /** Steps in which heads that newly stand still are noticed. */
--- a/packages/fakes/src/coordination/many_processes_test.ts
+++ b/packages/fakes/src/coordination/many_processes_test.ts
@@ -67,13 +67,18 @@
   });
 
   for (const state of ["killed", "without-power"] as const) {
-    it(`soon follow another as their lead is ${state}, with few calls to the store`, async () => {
+    it(`soon follow another as their lead is ${state}, with few calls to the store and reports`, async () => {
       for (const size of SIZES) {
         await play(size, function* (world) {
           const before = countCalls(world);
+          const reported = world.processes.map(({ reports }) => reports);
           const lead = world.findLead()!;
           endProcess(lead, state);
           yield* advance(MAX_LEAD_BACK_MS);
+          const rates = world.processes.map(({ reports }, index) =>
+            (reports - reported[index]!) / (MAX_LEAD_BACK_MS / 1_000)
+          );
+          expect(Math.max(...rates) <= MAX_REPORTS_PER_SECOND).toEqual(true);
           const next = world.findLead();
           expect(next !== undefined).toEqual(true);
           const { term } = readTerm(world, next!);
