--- a/packages/celerytray/src/coordination/intervals.ts
+++ b/packages/celerytray/src/coordination/intervals.ts
@@ -21,7 +21,7 @@
 /** Time for which a sum over reports is taken as it is. */
 export const SUM_REUSE_MS = 20;
 /** Steps in which heads that newly stand still are noticed. */
-export const HEADS_STEP_MS = 50;
+export const HEADS_STEP_MS = 100;
 
 /** Longest time for which a read of the lead waits at the store. */
 export const LEAD_READ_WAIT_MS = 500;
--- a/packages/celerytray/src/host/move_attempts.ts
+++ b/packages/celerytray/src/host/move_attempts.ts
@@ -17,6 +17,8 @@
 }
 
 const CHECK_MS = 50;
+/** Interval while no request is under way. */
+const IDLE_CHECK_MS = 200;
 
 /** Moves requests away from replicas that stand still or are slow. */
 export function moveAttempts(
@@ -46,6 +48,7 @@
         stalls.moveAway(headId, "slow");
       }
       knownSlow = new Set(slow);
-    }).pipe(Effect.andThen(Effect.sleep(CHECK_MS))),
+      return stalls.hasAttempts ? CHECK_MS : IDLE_CHECK_MS;
+    }).pipe(Effect.flatMap(Effect.sleep)),
   );
 }
--- a/packages/celerytray/src/host/prove_keys.ts
+++ b/packages/celerytray/src/host/prove_keys.ts
@@ -14,7 +14,7 @@
   readonly record: RecordEvent;
 }
 
-const PROOF_CHECK_MS = 20;
+const PROOF_CHECK_MS = 100;
 /** Wait before a proof that failed is tried again. */
 const PROOF_RETRY_MS = 250;
 
--- a/packages/celerytray/src/keyed_log/follow_keyed.ts
+++ b/packages/celerytray/src/keyed_log/follow_keyed.ts
@@ -33,7 +33,7 @@
   };
 }
 
-const RELAY_CHECK_MS = 50;
+const RELAY_CHECK_MS = 100;
 
 /** Follows a topic for ever; never goes back to older records. */
 export function followKeyed(
--- a/packages/celerytray/src/serving/stall_watch.ts
+++ b/packages/celerytray/src/serving/stall_watch.ts
@@ -51,6 +51,10 @@
     };
   }
 
+  get hasAttempts(): boolean {
+    return this.#attempts.size > 0;
+  }
+
   noteProgress(instanceId: string, nowMs: number): void {
     this.#progressedAtMs.set(instanceId, nowMs);
   }
