Leave spares their weights when the lead changes

Cause: a new lead took note of which weights instances hold only from their second entry on, so it took hot spares for empty ones and made them join anew.

Change: weights in memory count from the first sight, but for an instance that joins; the record by which a process leads counts as an answer of the store.

Tests: instance_weights_test.ts "knows at first sight which weights instances have in memory" and fleet_director_test.ts "keep their spares as they are when another process takes the lead"; both failed without the change.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -367,7 +367,8 @@
         closedHeads: this.#director!.listClosedHeads(),
         leaving: listLeaving(),
       },
-      storeAnsweredAtMs: storeAnsweredAtMs(),
+      // The store took the record by which this process leads.
+      storeAnsweredAtMs: Math.max(storeAnsweredAtMs(), this.#leadsSinceMs),
     }, nowMs);
   }
 
--- a/packages/celerytray/src/groups/instance_weights.ts
+++ b/packages/celerytray/src/groups/instance_weights.ts
@@ -50,6 +50,10 @@
       if (this.#seenLives.has(id)) this.#lastModels.delete(id);
       this.#preparing.delete(id);
       this.#seenLives.set(id, life);
+      // A new lead finds instances that have had weights for long.
+      const isLoaded = loadedModel !== undefined &&
+        membership?.state !== "joining";
+      if (isLoaded) this.#lastModels.set(id, loadedModel);
       if (!this.#startsFilled) this.#arrivedAtMs.set(domain, nowMs);
     }
     this.#startsFilled = false;
--- a/packages/celerytray/src/groups/instance_weights_test.ts
+++ b/packages/celerytray/src/groups/instance_weights_test.ts
@@ -33,6 +33,15 @@
   });
 });
 
+it("knows at first sight which weights instances have in memory", () => {
+  const weights = new InstanceWeights({ startsFilled: true });
+  weights.noteList([createInstance("ready", "large")], 0);
+  expect(weights.hotModel("a")).toEqual("large");
+  const early = new InstanceWeights({ startsFilled: true });
+  early.noteList([createInstance("joining", "large")], 0);
+  expect(early.hotModel("a")).toEqual(undefined);
+});
+
 function createWeights(): InstanceWeights {
   const weights = new InstanceWeights({ startsFilled: false });
   weights.noteList([createInstance()], 0);
--- a/packages/fakes/src/fleet/fake_fleet.ts
+++ b/packages/fakes/src/fleet/fake_fleet.ts
@@ -39,6 +39,8 @@
 /** Model instances in memory that check what orders do to each other. */
 export class FakeFleet {
   faults: FakeFleetFaults = {};
+  /** Joins that instances took. */
+  joins = 0;
   /** What orders broke. */
   readonly violations: string[] = [];
   readonly #options: FakeFleetOptions;
@@ -170,6 +172,7 @@
     const before = instance.membership;
     const outcome = instance.order(order, nowMs);
     const after = instance.membership;
+    if (order.kind === "join" && after !== before) this.joins += 1;
     if (order.kind === "join" && after !== before && before !== undefined) {
       this.#checkJoin(id, order.replica, before);
     }
--- a/packages/fakes/src/fleet/fleet_director_test.ts
+++ b/packages/fakes/src/fleet/fleet_director_test.ts
@@ -25,6 +25,8 @@
 const ARRIVAL_MS = 4_000;
 /** Time in which an instance's word that it leaves is acted on. */
 const LEAVING_MS = 500;
+/** Time in which another process has taken the lead and looked around. */
+const LEAD_CHANGE_MS = 3_000;
 
 const trouble: fc.Arbitrary<Trouble> = fc.oneof(
   fc.record({
@@ -157,6 +159,14 @@
     expect(serving.filter(({ isLeaving }) => isLeaving)).toEqual([]);
   });
 
+  it("keep their spares as they are when another process takes the lead", async () => {
+    const before = await play([], SETTLE_MS);
+    const after = await play([
+      { waitMs: SETTLE_MS, trouble: { kind: "kill-lead" } },
+    ], LEAD_CHANGE_MS);
+    expect(after.joins).toEqual(before.joins);
+  });
+
   it("never share a member, whatever fails", async () => {
     const property = fc.asyncProperty(day, async (steps) => {
       const world = await play(steps, 8_000);
@@ -180,6 +190,8 @@
   }[];
   /** Proofs of the configuration that processes were told. */
   readonly proofs: number;
+  /** Joins that instances took. */
+  readonly joins: number;
   /** Heads that are open with a slow member. */
   readonly slow: readonly string[];
 }
@@ -201,6 +213,7 @@
         isLeaving: head.isLeaving,
       })),
       proofs: world.proofs.count,
+      joins: world.fleet.joins,
       slow: world.fleet.listSlow().map(({ id }) => id),
     };
   });
