--- a/packages/celerytray/src/keyed_log/counted_log.ts
+++ b/packages/celerytray/src/keyed_log/counted_log.ts
@@ -2,6 +2,7 @@
 import type {
   AppendConflict,
   HistoryDropped,
+  KeyedAppend,
   KeyedLog,
   KeyedPage,
   KeyedTopic,
@@ -39,11 +40,7 @@
 
   append(
     topic: KeyedTopic,
-    record: {
-      readonly key: string;
-      readonly value?: Buffer;
-      readonly at?: number;
-    },
+    record: KeyedAppend,
   ): Effect.Effect<number, ReadFailure | AppendConflict> {
     this.#onCall("append", topic);
     return this.#log.append(topic, record);
--- a/packages/celerytray/src/keyed_log/index.ts
+++ b/packages/celerytray/src/keyed_log/index.ts
@@ -3,6 +3,7 @@
 export {
   AppendConflict,
   HistoryDropped,
+  type KeyedAppend,
   type KeyedLog,
   type KeyedPage,
   type KeyedRecord,
--- a/packages/celerytray/src/keyed_log/keyed_log.ts
+++ b/packages/celerytray/src/keyed_log/keyed_log.ts
@@ -10,6 +10,15 @@
   readonly offset: number;
 }
 
+/** A record to append. */
+export interface KeyedAppend {
+  readonly key: string;
+  /** No value drops the key. */
+  readonly value?: Buffer;
+  /** Offset at which the topic must end; anywhere without it. */
+  readonly at?: number;
+}
+
 /** A run of records in offset order. */
 export interface KeyedPage {
   readonly records: readonly KeyedRecord[];
@@ -53,10 +62,6 @@
   /** Appends one record if the topic still ends at `at`; returns its offset. */
   append(
     topic: KeyedTopic,
-    record: {
-      readonly key: string;
-      readonly value?: Buffer;
-      readonly at?: number;
-    },
+    record: KeyedAppend,
   ): Effect.Effect<number, ReadFailure | AppendConflict>;
 }
--- a/packages/celerytray/src/platform/store_client.ts
+++ b/packages/celerytray/src/platform/store_client.ts
@@ -3,6 +3,7 @@
 import {
   AppendConflict,
   HistoryDropped,
+  type KeyedAppend,
   type KeyedLog,
   type KeyedPage,
   type KeyedRecord,
@@ -99,11 +100,7 @@
 
   append(
     topic: KeyedTopic,
-    record: {
-      readonly key: string;
-      readonly value?: Buffer;
-      readonly at?: number;
-    },
+    record: KeyedAppend,
   ): Effect.Effect<number, ReadFailure | AppendConflict> {
     const at = record.at === undefined ? "" : `&at=${record.at}`;
     return this.#call(
--- a/packages/fakes/src/store/fake_keyed_store.ts
+++ b/packages/fakes/src/store/fake_keyed_store.ts
@@ -1,4 +1,4 @@
-import type { KeyedRecord } from "celerytray";
+import type { KeyedAppend, KeyedRecord } from "celerytray";
 
 /** Faults of a stand-in's store. */
 export interface FakeStoreFaults {
@@ -21,11 +21,7 @@
   /** Appends a record if the topic ends where the caller says. */
   append(
     topic: string,
-    record: {
-      readonly key: string;
-      readonly value?: Buffer;
-      readonly at?: number;
-    },
+    record: KeyedAppend,
   ): FakeAppend {
     const { records, waiters } = this.#topicOf(topic);
     const offset = records.length;
--- a/packages/fakes/src/store/in_process_store.ts
+++ b/packages/fakes/src/store/in_process_store.ts
@@ -1,5 +1,6 @@
 import {
   AppendConflict,
+  type KeyedAppend,
   type KeyedLog,
   type KeyedPage,
   type KeyedTopic,
@@ -60,11 +61,7 @@
 
   append(
     topic: KeyedTopic,
-    record: {
-      readonly key: string;
-      readonly value?: Buffer;
-      readonly at?: number;
-    },
+    record: KeyedAppend,
   ): Effect.Effect<number, ReadFailure | AppendConflict> {
     const { store } = this.#options;
     return this.#call(() => store.append(topic, record)).pipe(
