Hold the test harness to the check of the platform's words again

Found by reading the change once more. test_entry.ts was taken out of the check of the platform's words when it was split from its test file; that loosened the check for every file named so. It takes the names from platform/words.ts now, the exemption is gone, and the check knows one word more (server-leaving).

The line on an unexpected error was put together twice (host_main.ts beside keep_running.ts), and the deputies without the lead were listed twice in lead_follower.ts; one piece serves each.

--- a/packages/celerytray/src/coordination/lead_follower.ts
+++ b/packages/celerytray/src/coordination/lead_follower.ts
@@ -169,13 +169,17 @@
     return selectParent({
       self,
       processes: word.processes,
-      deputies: word.deputies.filter(({ nodeId }) =>
-        nodeId !== word.lead?.nodeId
-      ),
+      deputies: this.#listDeputies(),
       isAvoided: (nodeId) => (this.#avoidedUntilMs.get(nodeId) ?? atMs) > atMs,
     });
   }
 
+  /** Deputies but the lead, which may have been one before. */
+  #listDeputies(): readonly PeerNode[] {
+    const { lead, deputies } = this.#options.word;
+    return deputies.filter(({ nodeId }) => nodeId !== lead?.nodeId);
+  }
+
   /** Passes a deputy over that doesn't answer or hears nothing of the lead. */
   #judgeDeputy({ nodeId }: PeerNode, outcome: ReportOutcome): void {
     if (outcome.kind === "overtaken") return;
@@ -195,9 +199,7 @@
       const look = yield* awaitOtherLead(lead.term, 0);
       if (look.kind === "unknown") return false;
       if (look.kind === "taken") return true;
-      const deputies = word.deputies.filter(({ nodeId }) =>
-        nodeId !== lead.nodeId
-      );
+      const deputies = this.#listDeputies();
       const delayMs = turnDelayMs({
         self,
         deputies,
--- a/packages/celerytray/src/host/index.ts
+++ b/packages/celerytray/src/host/index.ts
@@ -5,4 +5,5 @@
   type HostOptions,
   type HostPorts,
 } from "./create_host.ts";
+export { recordFault } from "./keep_running.ts";
 export type { HostSettings } from "./host_settings.ts";
--- a/packages/celerytray/src/serving/faulty_backend_test.ts
+++ b/packages/celerytray/src/serving/faulty_backend_test.ts
@@ -26,7 +26,7 @@
           requests += 1;
           const answer = createRawAnswer(bytes);
           if (requests === 1) {
-            copy = hasId ? answer : answer.replace(/Attempt-Id: \S+\r\n/, "");
+            copy = hasId ? answer : answer.replace(/attempt-id: \S+\r\n/i, "");
             socket.write(answer);
           } else if (requests === 2) {
             // Just as the answer to the next request is due.
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -14,6 +14,7 @@
 } from "node:net";
 import { after } from "node:test";
 import { steadyMs } from "../clock/index.ts";
+import { headers } from "../platform/words.ts";
 import type { CallRecord, ServingDependencies } from "./call_context.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
@@ -77,13 +78,13 @@
 }
 
 export function idOf(incoming: IncomingMessage): string {
-  return String(incoming.headers["attempt-id"]);
+  return String(incoming.headers[headers.callId]);
 }
 
 export const answerWhole: RequestListener = (incoming, response) => {
   response.writeHead(200, {
-    "attempt-id": idOf(incoming),
-    "server-stamp": "s",
+    [headers.callId]: idOf(incoming),
+    [headers.stamp]: "s",
   }).end("done");
 };
 
@@ -117,8 +118,9 @@
 }
 
 export function createRawAnswer(request: Buffer): string {
-  const id = /attempt-id: (\S+)/i.exec(request.toString())?.[1];
-  return `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\ndone`;
+  const id = new RegExp(`${headers.callId}: (\\S+)`, "i")
+    .exec(request.toString())?.[1];
+  return `HTTP/1.1 200 OK\r\n${headers.callId}: ${id}\r\n${headers.stamp}: s\r\nContent-Length: 4\r\n\r\ndone`;
 }
 
 /** A budget of repeats that a test decides on. */
@@ -218,7 +220,7 @@
 export function call(
   port: number,
   path: string,
-  headers: Readonly<Record<string, string>> = {},
+  ownHeaders: Readonly<Record<string, string>> = {},
 ): Promise<Answer> {
   callCount += 1;
   const sent = request({
@@ -229,10 +231,10 @@
     agent: false,
     headers: {
       host: "a.example",
-      "attempt-id": `call-${callCount}`,
-      "deadline-ms": "2000",
-      "x-api-key": KEY,
-      ...headers,
+      [headers.callId]: `call-${callCount}`,
+      [headers.budget]: "2000",
+      [headers.key]: KEY,
+      ...ownHeaders,
     },
   });
   return new Promise((resolve, reject) => {
--- a/packages/cli/src/host_main.ts
+++ b/packages/cli/src/host_main.ts
@@ -1,4 +1,4 @@
-import { createHost, type Host } from "celerytray/host";
+import { createHost, type Host, recordFault } from "celerytray/host";
 import { Journal } from "celerytray/journal";
 import {
   createPlatformPorts,
@@ -63,15 +63,13 @@
       zone: settings.zone,
       uptimeMs: Math.round(process.uptime() * 1000),
     });
-    const recordFault = (error: unknown) =>
-      journal.record("process.fault", {
-        part: "event handler",
-        message: error instanceof Error
-          ? error.stack ?? error.message
-          : String(error),
-      });
-    process.on("uncaughtException", recordFault);
-    process.on("unhandledRejection", recordFault);
+    const noteFault = (error: unknown) =>
+      recordFault({
+        name: "event handler",
+        record: (event, fields) => journal.record(event, fields),
+      }, error);
+    process.on("uncaughtException", noteFault);
+    process.on("unhandledRejection", noteFault);
     process.on("SIGHUP", () => {
       const reloaded = readSettings(path);
       journal.record("process.reloaded", {
--- a/scripts/check_platform.js
+++ b/scripts/check_platform.js
@@ -9,7 +9,7 @@
 const FOLDER = "packages/celerytray/src/platform/";
 // Not last-event-id, which server-sent events themselves define.
 const WORDS =
-  /attempt-id|server-stamp|expect-instance|not-executed|prompt-prefix|token-count|x-api-key|deadline-ms|replica-load|at-server|keyed\.(op|servers)|log-(append|read|newest)|path_prefix|cold_remaining_ms|close_mode|api_keys/i;
+  /attempt-id|server-(leaving|stamp)|expect-instance|not-executed|prompt-prefix|token-count|x-api-key|deadline-ms|replica-load|at-server|keyed\.(op|servers)|log-(append|read|newest)|path_prefix|cold_remaining_ms|close_mode|api_keys/i;
 /** Stand-ins speak the platform's protocol as well. */
 const SPEAKERS = ["packages/fakes/src/platform/"];
 /** What the folder may import values from: ports, codecs and plumbing. */
--- a/scripts/list_sources.js
+++ b/scripts/list_sources.js
@@ -2,9 +2,6 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
-/** Modules that only tests import. */
-const TEST_SUPPORT = /\/test_[a-z_]+\.ts$/;
-
 /** Folder of the repository. */
 export const root = fileURLToPath(new URL("..", import.meta.url));
 
@@ -13,7 +10,6 @@
   const entries = await readdir(join(root, "packages"), { recursive: true });
   return entries.map((entry) => `packages/${entry}`).filter((file) =>
     file.endsWith(".ts") && !file.endsWith("_test.ts") &&
-    !TEST_SUPPORT.test(file) &&
     !/node_modules|\/dist\//.test(file)
   );
 }
