Tell processes of demand by organisation, and read the settings of hard load

Cause: the parts for two customers with hard load need figures that no process had: the demand of all processes by organisation, homes, cold starts, sizes of requests, the machine's memory and the region of a zone.

Change: reports hold the requests in progress by organisation (the 32 largest), answers the sums over all processes by model and organisation and when a replica is expected of a model that has none. Settings, configuration, list entries and requests are decoded into the fields that docs/design/hard_load.md names. Nothing uses them yet.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -30,6 +30,7 @@
 import { awaitTurn, turnDelayMs } from "./lead_succession.ts";
 import { LeadWord } from "./lead_word.ts";
 import type {
+  DemandTotals,
   KnownEnd,
   KnownWord,
   LeadAnswer,
@@ -70,6 +71,8 @@
   readonly listSlowHeads: () => readonly string[];
   /** Requests of this process in progress, by model. */
   readonly demand: () => Readonly<Record<string, number>>;
+  /** Requests of this process in progress or waiting, by organisation. */
+  readonly tenantDemand: () => Readonly<Record<string, number>>;
   /** Requests and repeats of this process in its window, by service. */
   readonly repeats: () => Readonly<Record<string, WindowTotals>>;
   readonly hasTraffic: () => boolean;
@@ -153,6 +156,19 @@
     return this.#word.isFresh(this.#nowMs()) ? this.#word.repeats : undefined;
   }
 
+  /** Requests of all processes in progress or waiting; undefined while not fresh. */
+  demandTotals(): DemandTotals | undefined {
+    return this.#word.isFresh(this.#nowMs()) ? this.#word.demand : undefined;
+  }
+
+  /** Time until a model without a replica is to have one; undefined if not told. */
+  expectedMs(model: string): number | undefined {
+    const nowMs = this.#nowMs();
+    return this.#word.isFresh(nowMs)
+      ? this.#word.expectedMs(model, nowMs)
+      : undefined;
+  }
+
   /** Requests in progress for a model, over all processes. */
   totalDemand(model: string): number {
     return this.#summarize().demand[model] ?? 0;
@@ -352,11 +368,14 @@
   #say(): boolean {
     const nowMs = this.#nowMs();
     const { self, storeAnsweredAtMs, listLeaving } = this.#options;
-    const { processes: heard, repeats } = this.#summarize();
+    const { processes: heard, repeats, demand, tenantDemand } = this
+      .#summarize();
     const processes = this.#isNewLead(nowMs) ? this.#word.processes : heard;
     return this.#word.say({
       processes,
       repeats,
+      demand: { byModel: demand, byTenant: tenantDemand },
+      expectedMs: this.#director!.expectedMs(nowMs),
       deputies: selectDeputies({
         leadId: self.nodeId,
         processes,
@@ -473,6 +492,7 @@
       slowHeads: options.listSlowHeads(),
       leaving: options.listLeaving(),
       demand: options.demand(),
+      tenantDemand: options.tenantDemand(),
       repeats: options.repeats(),
       hasTraffic: options.hasTraffic(),
     };
--- a/packages/celerytray/src/coordination/lead_word.ts
+++ b/packages/celerytray/src/coordination/lead_word.ts
@@ -2,6 +2,7 @@
 import type { WindowTotals } from "../serving/index.ts";
 import { maxWordAgeMs, type WordSteps } from "./intervals.ts";
 import type {
+  DemandTotals,
   InstanceNews,
   KnownWord,
   LeadAnswer,
@@ -13,6 +14,8 @@
 export interface OwnWord {
   readonly processes: number;
   readonly repeats: Readonly<Record<string, WindowTotals>>;
+  readonly demand: DemandTotals;
+  readonly expectedMs: Readonly<Record<string, number>>;
   readonly deputies: readonly PeerNode[];
   readonly news: InstanceNews;
   readonly storeAnsweredAtMs: number;
@@ -35,6 +38,8 @@
   #steps: WordSteps = "direct";
   #processes = 1;
   #repeats: Readonly<Record<string, WindowTotals>> = {};
+  #demand: DemandTotals = { byModel: {}, byTenant: {} };
+  #expectedMs: Readonly<Record<string, number>> = {};
   #deputies: Versioned<readonly PeerNode[]> = { version: "", value: [] };
   #news: Versioned<InstanceNews> = {
     version: "",
@@ -70,6 +75,18 @@
     return this.#repeats;
   }
 
+  get demand(): DemandTotals {
+    return this.#demand;
+  }
+
+  /** Time until a replica of a model is expected; undefined if not told. */
+  expectedMs(model: string, nowMs: number): number | undefined {
+    const toldMs = this.#expectedMs[model];
+    return toldMs === undefined
+      ? undefined
+      : Math.max(0, toldMs - this.silentMs(nowMs));
+  }
+
   /** Time since the lead said it, or since this process counts on the lead. */
   silentMs(nowMs: number): number {
     return nowMs - (this.#saidAtMs ?? this.#sinceMs);
@@ -100,6 +117,8 @@
     this.#storeAnsweredAtMs = own.storeAnsweredAtMs;
     this.#processes = own.processes;
     this.#repeats = own.repeats;
+    this.#demand = own.demand;
+    this.#expectedMs = own.expectedMs;
     const changes = this.#changes;
     this.#deputies = this.#renew(this.#deputies, own.deputies);
     this.#news = this.#renew(this.#news, own.news);
@@ -129,6 +148,8 @@
       (answer.storeAgeMs ?? Number.POSITIVE_INFINITY);
     this.#processes = answer.processes;
     this.#repeats = answer.repeats;
+    this.#demand = answer.demand;
+    this.#expectedMs = answer.expectedMs;
     this.#deputies = answer.deputies ?? this.#deputies;
     this.#news = answer.news ?? this.#news;
     return isNewLead || answer.deputies !== undefined ||
@@ -164,6 +185,8 @@
       storeAgeMs: isSaid ? this.storeAgeMs(nowMs) : null,
       processes: this.#processes,
       repeats: this.#repeats,
+      demand: this.#demand,
+      expectedMs: this.#expectedMs,
       ...(known.deputiesVersion === this.#deputies.version
         ? {}
         : { deputies: this.#deputies }),
--- a/packages/celerytray/src/coordination/peer_messages.ts
+++ b/packages/celerytray/src/coordination/peer_messages.ts
@@ -40,6 +40,8 @@
   readonly leaving: readonly LeavingLife[];
   /** Requests in progress, by model. */
   readonly demand: Readonly<Record<string, number>>;
+  /** Requests in progress or waiting, by organisation; the largest only. */
+  readonly tenantDemand: Readonly<Record<string, number>>;
   /** Requests and repeats of the window, by service. */
   readonly repeats: Readonly<Record<string, WindowTotals>>;
   /** Whether any of them has had requests. */
@@ -84,6 +86,10 @@
   readonly processes: number;
   /** Requests and repeats of all processes, by service. */
   readonly repeats: Readonly<Record<string, WindowTotals>>;
+  /** Requests of all processes in progress or waiting. */
+  readonly demand: DemandTotals;
+  /** Time until a replica is expected, by model that has none. */
+  readonly expectedMs: Readonly<Record<string, number>>;
   /** Processes that pass the lead's word on, the most able first. */
   readonly deputies?: Versioned<readonly PeerNode[]>;
   readonly news?: Versioned<InstanceNews>;
@@ -93,6 +99,13 @@
   readonly instances: RelayedChange & KnownEnd;
 }
 
+/** Requests of all processes that are in progress or waiting. */
+export interface DemandTotals {
+  readonly byModel: Readonly<Record<string, number>>;
+  /** By organisation; the largest only. */
+  readonly byTenant: Readonly<Record<string, number>>;
+}
+
 /** Where a topic ends, as far as a process knows. */
 export interface KnownEnd {
   readonly nextOffset: number;
@@ -122,7 +135,8 @@
     Array.isArray(input.candidates) && input.candidates.every(isNode) &&
     isTexts(input.stalledHeads) && isTexts(input.slowHeads) &&
     Array.isArray(input.leaving) &&
-    isRecord(input.demand) && isRecord(input.repeats) &&
+    isRecord(input.demand) && isRecord(input.tenantDemand) &&
+    isRecord(input.repeats) &&
     typeof input.hasTraffic === "boolean";
 }
 
--- a/packages/celerytray/src/coordination/report_table.ts
+++ b/packages/celerytray/src/coordination/report_table.ts
@@ -10,6 +10,8 @@
 
 /** Most able processes that are named to the lead. */
 const MAX_CANDIDATES = 4;
+/** Most organisations whose requests are told by name. */
+const MAX_TENANTS = 32;
 
 /** What other processes last reported to this one. */
 export class ReportTable {
@@ -44,7 +46,10 @@
       stalledHeads: listOnce(summaries, ({ stalledHeads }) => stalledHeads),
       slowHeads: listOnce(summaries, ({ slowHeads }) => slowHeads),
       leaving: listLivesOnce(summaries),
-      demand: sumDemand(summaries),
+      demand: sumDemand(summaries.map(({ demand }) => demand)),
+      tenantDemand: selectLargest(
+        sumDemand(summaries.map(({ tenantDemand }) => tenantDemand)),
+      ),
       repeats: sumRepeats(summaries),
       hasTraffic: summaries.some(({ hasTraffic }) => hasTraffic),
     };
@@ -82,17 +87,28 @@
 }
 
 function sumDemand(
-  summaries: readonly PeerSummary[],
+  demands: readonly Readonly<Record<string, number>>[],
 ): Readonly<Record<string, number>> {
   const sums: Record<string, number> = {};
-  for (const { demand } of summaries) {
-    for (const [model, requests] of Object.entries(demand)) {
-      sums[model] = (sums[model] ?? 0) + requests;
+  for (const demand of demands) {
+    for (const [name, requests] of Object.entries(demand)) {
+      sums[name] = (sums[name] ?? 0) + requests;
     }
   }
   return sums;
 }
 
+/** The organisations with the most requests, which bounds what is sent. */
+function selectLargest(
+  demand: Readonly<Record<string, number>>,
+): Readonly<Record<string, number>> {
+  const entries = Object.entries(demand);
+  if (entries.length <= MAX_TENANTS) return demand;
+  return Object.fromEntries(
+    entries.sort(([, a], [, b]) => b - a).slice(0, MAX_TENANTS),
+  );
+}
+
 function sumRepeats(
   summaries: readonly PeerSummary[],
 ): Readonly<Record<string, WindowTotals>> {
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -91,6 +91,11 @@
     return [...retiring, ...this.#state.listOrphans().map(({ id }) => id)];
   }
 
+  /** Time until a replica is expected, by model that has none that serves. */
+  expectedMs(_nowMs: number): Readonly<Record<string, number>> {
+    return {};
+  }
+
   /** Runs until the scope closes. */
   run(): Effect.Effect<never, never, Scope.Scope> {
     return Effect.gen({ self: this }, function* () {
--- a/packages/celerytray/src/groups/instance_state.ts
+++ b/packages/celerytray/src/groups/instance_state.ts
@@ -31,6 +31,8 @@
   readonly domain?: string;
   /** Models whose weights lie on its host. */
   readonly stagedModels: readonly string[];
+  /** Time for which it stayed cold when it said so; undefined if not told. */
+  readonly coldRemainingMs?: number;
   /** Model whose weights it has in memory. */
   readonly loadedModel?: string;
   readonly membership?: ReplicaMembership;
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -67,6 +67,8 @@
   ) => Either<string, InstanceState>;
   /** Key of the operator's configuration. */
   readonly configKey: string;
+  /** Begins the keys of zones that are evacuated, in the same topic. */
+  readonly evacuationPrefix: string;
 }
 
 /** Options of a process on a machine of the deployment. */
@@ -113,6 +115,7 @@
     const paces = new PaceBook();
     const pools = new BackendPools();
     const demand = new Map<string, number>();
+    const tenantDemand = new Map<string, number>();
     const state = {
       isDraining: false,
       hasTraffic: false,
@@ -190,6 +193,7 @@
       repeats: () => repeats.listTotals(nowMs()),
       listSlowHeads: () => paces.listSlow(nowMs()),
       demand: () => Object.fromEntries(demand),
+      tenantDemand: () => Object.fromEntries(tenantDemand),
       hasTraffic: () => state.hasTraffic,
       storeAnsweredAtMs: () => contact.answeredAtMs,
       config: {
@@ -278,9 +282,10 @@
       discardAgent: (address) => pools.discard(address),
       hasConnection: (address) => pools.hasFree(address),
       random,
-      noteDemand: (model, change) => {
+      noteDemand: ({ model, tenant }, change) => {
         state.hasTraffic = true;
-        demand.set(model, (demand.get(model) ?? 0) + change);
+        addDemand(demand, model, change);
+        if (tenant !== undefined) addDemand(tenantDemand, tenant, change);
       },
       noteLeaving: ({ instanceId, bornAtMs }) =>
         noteLeaving(createLife(instanceId, bornAtMs)),
@@ -334,6 +339,16 @@
 const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
 const MAX_HEADER_BYTES = 32 * 1024;
 
+function addDemand(
+  demand: Map<string, number>,
+  name: string,
+  change: 1 | -1,
+): void {
+  const requests = (demand.get(name) ?? 0) + change;
+  if (requests === 0) demand.delete(name);
+  else demand.set(name, requests);
+}
+
 function createLife(
   instanceId: string,
   bornAtMs: number | undefined,
--- a/packages/celerytray/src/host/host_settings.ts
+++ b/packages/celerytray/src/host/host_settings.ts
@@ -2,8 +2,12 @@
 export interface HostSettings {
   readonly nodeId: string;
   readonly zone: string;
+  /** Region of each availability zone. */
+  readonly zoneRegions: ReadonlyMap<string, string>;
   /** Processor time that the process may use, in cores. */
   readonly cores: number;
+  /** Memory beyond which the process is killed. */
+  readonly memoryMb: number;
   /** IP:PORT for callers. */
   readonly callerAddress: string;
   /** IP:PORT on which readiness is asked. */
@@ -24,4 +28,8 @@
   readonly retryWindowMs: number;
   /** Repeats allowed in a window beside that share. */
   readonly retrySlackRequests: number;
+  /** Factor on the rate of a cold instance that all machines may reach. */
+  readonly coldOvershoot: number;
+  /** Requests a second beside that rate. */
+  readonly coldSlackRequests: number;
 }
--- a/packages/celerytray/src/journal/metrics_page.ts
+++ b/packages/celerytray/src/journal/metrics_page.ts
@@ -71,6 +71,21 @@
     });
   }
 
+  /** Adds a counter; its labels must take few values. */
+  addCounter<Label extends string>(
+    options: {
+      readonly name: string;
+      readonly help: string;
+      readonly labelNames: readonly Label[];
+    },
+  ): Counter<Label> {
+    return new Counter({
+      ...options,
+      labelNames: [...options.labelNames],
+      registers: [this.#registry],
+    });
+  }
+
   /** Serves the page. */
   handler(): RequestListener {
     return (_request, response) => {
--- a/packages/celerytray/src/platform/call_codec.ts
+++ b/packages/celerytray/src/platform/call_codec.ts
@@ -50,6 +50,7 @@
       ...(budgetMs === undefined ? {} : { budgetMs }),
       ...(key === undefined ? {} : { key }),
       ...(model === undefined ? {} : { model }),
+      ...decodeTokenCount(readSingle(request, headers.tokenCount)),
       ...(resumeAfter === undefined || Number.isNaN(resumeAfter)
         ? {}
         : { resumeAfter }),
@@ -148,6 +149,19 @@
   return /^[0-9]{1,9}$/.test(text) ? Number(text) : Number.NaN;
 }
 
+/** Counts that can't be read are left out; they only help to estimate. */
+function decodeTokenCount(
+  text: string | undefined,
+): Pick<CallHead, "promptTokens" | "maxAnswerTokens"> {
+  const [, prompt, answer] = TOKEN_COUNTS.exec(text ?? "") ?? [];
+  return prompt === undefined || answer === undefined
+    ? {}
+    : { promptTokens: Number(prompt), maxAnswerTokens: Number(answer) };
+}
+
+/** Tokens of the prompt and most tokens of the answer. */
+const TOKEN_COUNTS = /^([0-9]{1,9}),([0-9]{1,9})$/;
+
 function decodeLoad(text: string | undefined): InstanceLoad | undefined {
   const [running, waiting, slots] = (text ?? "").split(",").map(Number);
   if (!(running! >= 0 && waiting! >= 0 && slots! > 0)) return undefined;
--- a/packages/celerytray/src/platform/create_ports.ts
+++ b/packages/celerytray/src/platform/create_ports.ts
@@ -4,7 +4,7 @@
 import { decodeInstance } from "./decode_instance.ts";
 import { InstanceClient } from "./instance_client.ts";
 import { StoreClient } from "./store_client.ts";
-import { CONFIG_KEY } from "./words.ts";
+import { CONFIG_KEY, EVACUATION_PREFIX } from "./words.ts";
 
 /** The platform as the program meets it. */
 export function createPlatformPorts(
@@ -17,5 +17,6 @@
     decodeConfig,
     decodeInstance,
     configKey: CONFIG_KEY,
+    evacuationPrefix: EVACUATION_PREFIX,
   };
 }
--- a/packages/celerytray/src/platform/decode_config.ts
+++ b/packages/celerytray/src/platform/decode_config.ts
@@ -65,6 +65,7 @@
     targets: decodeTargets(route),
     maxAttempts: readNumber(route, "max_attempts", DEFAULT_MAX_ATTEMPTS),
     isPublic: readFlag(route, "public"),
+    ...decodeHomes(route),
   };
 }
 
@@ -98,12 +99,17 @@
       DEFAULT_MAX_CONNECTIONS,
     ),
     ...(isObject(engine) ? { engine: decodeEngine(engine) } : {}),
+    ...decodeColdStart(service),
   };
 }
 
 function decodeEngine(engine: JsonObject): EngineSpec {
   return {
     slots: readNumber(engine, "slots"),
+    stepMs: readNumber(engine, "step_ms", 0),
+    stepPerRequestMs: readNumber(engine, "per_seq_ms", 0),
+    promptTokensPerSecond: readNumber(engine, "read_per_s", 0),
+    ...decodeUsual(engine.usual),
     loadsPerSecond: readNumber(engine, "loads_per_s"),
     loadsAtOnce: readNumber(engine, "loads_at_once"),
     models: readObjects(engine, "models").map((model) => ({
@@ -118,6 +124,33 @@
   };
 }
 
+/** Mean sizes of requests. */
+function decodeUsual(
+  usual: unknown,
+): Pick<EngineSpec, "usualPromptTokens" | "usualAnswerTokens"> {
+  const sizes = isObject(usual) ? usual : {};
+  return {
+    usualPromptTokens: readNumber(sizes, "prompt", 0),
+    usualAnswerTokens: readNumber(sizes, "answer", 0),
+  };
+}
+
+function decodeColdStart(service: JsonObject): Pick<ServedService, "cold"> {
+  const startMs = readNumber(service, "cold_start_s", 0) * 1000;
+  const requestsPerSecond = readNumber(service, "cold_per_s", 0);
+  return startMs > 0 && requestsPerSecond > 0
+    ? { cold: { startMs, requestsPerSecond } }
+    : {};
+}
+
+function decodeHomes(
+  object: JsonObject,
+): { readonly homes?: readonly string[] } {
+  return object.allowed_regions === undefined
+    ? {}
+    : { homes: readStrings(object, "allowed_regions") };
+}
+
 function decodeLimits(limits: unknown): CallerLimits {
   if (limits === undefined) return DEFAULT_LIMITS;
   if (!isObject(limits)) throw new FieldProblem("limits must be an object");
@@ -152,5 +185,6 @@
     ...(tenant.priority === undefined
       ? {}
       : { priority: readNumber(tenant, "priority") }),
+    ...decodeHomes(tenant),
   };
 }
--- a/packages/celerytray/src/platform/decode_instance.ts
+++ b/packages/celerytray/src/platform/decode_instance.ts
@@ -57,6 +57,9 @@
     isDraining: state === "draining",
     stagedModels: readStrings(entry, "staged"),
     ...(bornAtMs === undefined ? {} : { bornAtMs: bornAtMs as number }),
+    ...(typeof entry.cold_remaining_ms === "number"
+      ? { coldRemainingMs: entry.cold_remaining_ms }
+      : {}),
     ...(entry.domain === undefined ? {} : { domain: String(entry.domain) }),
     ...(model === undefined ? {} : { loadedModel: readString(model, "name") }),
     ...decodeMembership(entry.group),
--- a/packages/celerytray/src/platform/decode_test.ts
+++ b/packages/celerytray/src/platform/decode_test.ts
@@ -76,6 +76,30 @@
     expect(config.tenants![0]!.keys).toEqual(["k1", "k2"]);
   });
 
+  it("reads homes and cold starts only where they are given", () => {
+    const [route, other] = CONFIG.routes;
+    const [service] = CONFIG.services;
+    const config = decodeConfig(JSON.stringify({
+      ...CONFIG,
+      routes: [{ ...route, allowed_regions: ["a", "b"] }, other],
+      services: [
+        { ...service, cold_start_s: 3, cold_per_s: 18 },
+        { name: "t", cold_start_s: 0, cold_per_s: 0 },
+      ],
+      tenants: [{ name: "o", api_keys: [], allowed_regions: [] }],
+    })).unsafeCoerce();
+    expect(config.routes.map(({ homes }) => homes)).toEqual([
+      ["a", "b"],
+      undefined,
+    ]);
+    expect(config.tenants![0]!.homes).toEqual([]);
+    expect(config.services.get("s")!.cold).toEqual({
+      startMs: 3_000,
+      requestsPerSecond: 18,
+    });
+    expect(config.services.get("t")!.cold).toEqual(undefined);
+  });
+
   it("names the field of another type", () => {
     const decoded = decodeConfig(JSON.stringify({ ...CONFIG, version: "7" }));
     expect(decoded.swap().unsafeCoerce()).toEqual("version must be a number");
--- a/packages/celerytray/src/platform/settings_file.ts
+++ b/packages/celerytray/src/platform/settings_file.ts
@@ -18,8 +18,14 @@
   retryRatio: "bounds.retry_ratio",
   retryWindowSeconds: "bounds.retry_window_s",
   retrySlack: "bounds.retry_slack",
+  memoryMb: "limits.memory_mb",
+  coldOvershoot: "bounds.cold_overshoot",
+  coldSlack: "bounds.cold_slack",
 } as const;
 
+/** Begins the names of settings that give the region of a zone. */
+const ZONE_REGION_PREFIX = "zones.";
+
 const DEFAULTS: Readonly<Record<string, string>> = {
   [NAMES.processorShare]: "1",
   [NAMES.processorSpeed]: "1",
@@ -29,6 +35,9 @@
   [NAMES.retryRatio]: "0.1",
   [NAMES.retryWindowSeconds]: "10",
   [NAMES.retrySlack]: "20",
+  [NAMES.memoryMb]: "256",
+  [NAMES.coldOvershoot]: "1",
+  [NAMES.coldSlack]: "0",
 };
 
 /** Decodes the settings file; fails with one line for each problem. */
@@ -66,6 +75,7 @@
   const settings: HostSettings = {
     nodeId: readText(NAMES.nodeId),
     zone: readText(NAMES.zone),
+    zoneRegions: readZoneRegions(fields),
     // Called a number of cores; the share of one is that many times as fast.
     cores: readAmount(NAMES.processorShare) * readAmount(NAMES.processorSpeed),
     callerAddress: readAddress(NAMES.callerAddress),
@@ -79,6 +89,21 @@
     retryShare: readAmount(NAMES.retryRatio),
     retryWindowMs: readAmount(NAMES.retryWindowSeconds) * 1000,
     retrySlackRequests: readAmount(NAMES.retrySlack),
+    memoryMb: readAmount(NAMES.memoryMb),
+    coldOvershoot: readAmount(NAMES.coldOvershoot),
+    coldSlackRequests: readAmount(NAMES.coldSlack),
   };
   return problems.length === 0 ? Right(settings) : Left(problems.join("\n"));
 }
+
+function readZoneRegions(
+  fields: ReadonlyMap<string, string>,
+): ReadonlyMap<string, string> {
+  return new Map(
+    [...fields].filter(([name]) => name.startsWith(ZONE_REGION_PREFIX))
+      .map(([name, region]) => [
+        name.slice(ZONE_REGION_PREFIX.length),
+        region.trim(),
+      ]),
+  );
+}
--- a/packages/celerytray/src/platform/words.ts
+++ b/packages/celerytray/src/platform/words.ts
@@ -10,6 +10,7 @@
   leaving: "server-leaving",
   load: "replica-load",
   model: "model",
+  tokenCount: "token-count",
   resumeAfter: "last-event-id",
   priority: "request-priority",
   retryAfter: "retry-after",
@@ -31,5 +32,8 @@
 /** Key of the newest configuration. */
 export const CONFIG_KEY = "config";
 
+/** Begins the keys of zones to which nothing more is to be sent. */
+export const EVACUATION_PREFIX = "evacuate/";
+
 /** Variable with the path of the settings file. */
 export const SETTINGS_VARIABLE = "CELERYTRAY_BOOT";
--- a/packages/celerytray/src/serving/call.ts
+++ b/packages/celerytray/src/serving/call.ts
@@ -14,6 +14,10 @@
   readonly budgetMs?: number;
   readonly key?: string;
   readonly model?: string;
+  /** Length of the prompt. */
+  readonly promptTokens?: number;
+  /** Longest answer that the caller takes. */
+  readonly maxAnswerTokens?: number;
   /** Event after which a stream is to go on. */
   readonly resumeAfter?: number;
   /** Names and values by turns, of the headers to pass on. */
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -34,8 +34,8 @@
   /** Whether a connection to an address is open and unused. */
   readonly hasConnection: (address: string) => boolean;
   readonly random: () => number;
-  /** Counts the requests in progress for a model. */
-  readonly noteDemand: (model: string, change: 1 | -1) => void;
+  /** Counts the requests in progress or waiting, by model and organisation. */
+  readonly noteDemand: (source: DemandSource, change: 1 | -1) => void;
   /** Takes note that a target's answer said that it leaves. */
   readonly noteLeaving: (target: ServingTarget) => void;
   /** Told of a rest that a target asked for, and of what it gets. */
@@ -47,6 +47,12 @@
   readonly record: (outcome: CallRecord) => void;
 }
 
+/** What a request counts for. */
+export interface DemandSource {
+  readonly model: string;
+  readonly tenant?: string;
+}
+
 /** A rest that an instance asked for. */
 export interface NotedRest {
   readonly instanceId: string;
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -8,6 +8,7 @@
 import type {
   AdmittedCall,
   CallRecord,
+  DemandSource,
   ServingDependencies,
 } from "./call_context.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
@@ -77,8 +78,11 @@
       deadlineAtMs: arrivedAtMs + boundMs,
     };
     dependencies.repeats.noteRequest(call.service, arrivedAtMs);
-    const model = head.model ?? "";
-    dependencies.noteDemand(model, 1);
+    const source: DemandSource = {
+      model: head.model ?? "",
+      ...(call.tenant === undefined ? {} : { tenant: call.tenant }),
+    };
+    dependencies.noteDemand(source, 1);
     const clock = yield* Clock.Clock;
     const onLeft = (summary: AttemptsSummary) =>
       dependencies.record({
@@ -93,7 +97,7 @@
       onLeft,
     }).pipe(
       Effect.ensuring(
-        Effect.sync(() => dependencies.noteDemand(model, -1)),
+        Effect.sync(() => dependencies.noteDemand(source, -1)),
       ),
     );
     const endedAtMs = yield* steadyMs;
--- a/packages/celerytray/src/serving/serving_config.ts
+++ b/packages/celerytray/src/serving/serving_config.ts
@@ -20,6 +20,8 @@
   readonly maxAttempts: number;
   /** Whether requests need no key. */
   readonly isPublic: boolean;
+  /** Regions whose instances may get the requests; undefined for all. */
+  readonly homes?: readonly string[];
 }
 
 /** A service and its share of a route's requests. */
@@ -48,15 +50,35 @@
   readonly models: readonly ServedModel[];
   /** Requests that one replica runs at once. */
   readonly slots: number;
+  /** Time of a token step, beside what each request adds; 0 where unknown. */
+  readonly stepMs: number;
+  /** Time that each request that is writing adds to a step. */
+  readonly stepPerRequestMs: number;
+  /** Prompt tokens that a replica reads a second; 0 where unknown. */
+  readonly promptTokensPerSecond: number;
+  /** Mean number of prompt tokens; 0 where unknown. */
+  readonly usualPromptTokens: number;
+  /** Mean number of tokens of an answer; 0 where unknown. */
+  readonly usualAnswerTokens: number;
   readonly loadsPerSecond: number;
   readonly loadsAtOnce: number;
 }
 
+/** How instances of a service work after they were started. */
+export interface ColdStart {
+  /** Time for which an instance stays cold. */
+  readonly startMs: number;
+  /** Requests a second that a cold instance bears. */
+  readonly requestsPerSecond: number;
+}
+
 /** A service behind the routes. */
 export interface ServedService {
   readonly name: string;
   /** Connections that one instance takes from all callers. */
   readonly maxConnections: number;
+  /** Bounds after a start; undefined where instances are never cold. */
+  readonly cold?: ColdStart;
   /** Only for services of model replicas. */
   readonly engine?: EngineSpec;
 }
@@ -75,6 +97,8 @@
   readonly keys: readonly string[];
   /** Goes before the route's rank. */
   readonly priority?: number;
+  /** Regions whose instances may get its requests; undefined for all. */
+  readonly homes?: readonly string[];
 }
 
 /** The operator's configuration, decoded. */
--- a/packages/fakes/src/coordination/coordination_world.ts
+++ b/packages/fakes/src/coordination/coordination_world.ts
@@ -108,6 +108,9 @@
 }
 
 const START_SPREAD_MS = 300;
+/** Model and organisation of which each process has one request. */
+export const SHARED_MODEL = "m";
+export const SHARED_TENANT = "shared";
 
 interface ProcessOptions {
   readonly index: number;
@@ -145,8 +148,9 @@
       client: createPeers(processes),
       listStalledHeads: () => [],
       listSlowHeads: () => [],
-      demand: () => ({}),
+      demand: () => ({ [SHARED_MODEL]: 1 }),
       repeats: () => ({}),
+      tenantDemand: () => ({ [SHARED_TENANT]: 1, [`tenant-${index}`]: 1 }),
       hasTraffic: () => false,
       storeAnsweredAtMs: nowMs,
       // Only the lead reads the configuration; others are told.
--- a/packages/fakes/src/coordination/many_processes_test.ts
+++ b/packages/fakes/src/coordination/many_processes_test.ts
@@ -6,6 +6,8 @@
   type CoordinationWorld,
   createCoordinationWorld,
   endProcess,
+  SHARED_MODEL,
+  SHARED_TENANT,
   STEP_MS,
 } from "./coordination_world.ts";
 
@@ -20,6 +22,8 @@
 /** Bounds that hold at any size. */
 const MAX_TOLD_AGE_MS = 1_700;
 const MAX_LEAVING_MS = 500;
+/** Organisations that are told by name, whatever their number. */
+const MAX_TENANTS = 32;
 const MAX_LEAD_BACK_MS = 2_500;
 /** Calls to the store that the loss of a lead may cost, for each deputy and in all. */
 const CALLS_PER_DEPUTY = 6;
@@ -45,6 +49,20 @@
     }
   });
 
+  it("hear of the demand of all, with a bounded number of organisations", async () => {
+    for (const size of SIZES) {
+      await play(size, function* ({ processes }) {
+        yield* advance(WATCH_MS);
+        for (const { coordinator } of processes) {
+          const { byModel, byTenant } = coordinator.demandTotals()!;
+          expect(byModel[SHARED_MODEL]).toEqual(size);
+          expect(byTenant[SHARED_TENANT]).toEqual(size);
+          expect(Object.keys(byTenant).length <= MAX_TENANTS).toEqual(true);
+        }
+      });
+    }
+  });
+
   it("are led by one of the most able", async () => {
     for (const size of SIZES) {
       await play(size, function* ({ processes, findLead }) {
--- a/packages/fakes/src/fleet/fleet_world.ts
+++ b/packages/fakes/src/fleet/fleet_world.ts
@@ -36,6 +36,11 @@
 };
 const ENGINE: EngineSpec = {
   slots: 8,
+  stepMs: 0,
+  stepPerRequestMs: 0,
+  promptTokensPerSecond: 0,
+  usualPromptTokens: 0,
+  usualAnswerTokens: 0,
   loadsPerSecond: 5,
   loadsAtOnce: 8,
   models: [
@@ -178,6 +183,7 @@
     listSlowHeads: () => fleet.listSlow().map(({ id }) => id),
     demand: () => ({}),
     repeats: () => ({}),
+    tenantDemand: () => ({}),
     config: {
       copy: createReadCopy(CONFIG_OFFSET),
       provenAtMs: () => nowMs() - PROOF_AGE_MS,
