--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -40,7 +40,7 @@
 } from "./peer_messages.ts";
 import type { LeadOperations, PeerCalls } from "./peer_router.ts";
 import { ReportTable } from "./report_table.ts";
-import { selectDeputies } from "./select_deputies.ts";
+import { selectRelays } from "./select_relays.ts";
 
 /** What a new lead directs the replicas with. */
 export interface DirectorStart {
@@ -262,7 +262,7 @@
     const term = this.#word.term;
     this.#looked = { term, nextOffset };
     return awaitTurn({
-      delayMs: turnDelayMs({ self, deputies: [], chance: random() }),
+      delayMs: turnDelayMs({ self, relays: [], chance: random() }),
       awaitTaken: (waitMs) =>
         Effect.map(
           this.#awaitOtherLead(term, waitMs),
@@ -376,11 +376,11 @@
       repeats,
       demand: { byModel: demand, byTenant: tenantDemand },
       expectedMs: this.#director!.expectedMs(nowMs),
-      deputies: selectDeputies({
+      relays: selectRelays({
         leadId: self.nodeId,
         processes,
         candidates: this.#listCandidates(nowMs),
-        previous: this.#word.deputies,
+        previous: this.#word.relays,
       }),
       news: {
         closedHeads: this.#director!.listClosedHeads(),
@@ -397,19 +397,19 @@
       nowMs - this.#leadsSinceMs < INHERIT_MS;
   }
 
-  /** Processes that may be deputies; those that are report here themselves. */
+  /** Processes that may be relays; those that are report here themselves. */
   #listCandidates(nowMs: number): readonly PeerNode[] {
     if (this.#isNewLead(nowMs)) {
       const replacedId = this.#replacedId;
-      return this.#word.deputies.filter(({ nodeId }) => nodeId !== replacedId);
+      return this.#word.relays.filter(({ nodeId }) => nodeId !== replacedId);
     }
     const reporters = this.#table.listReporters(nowMs);
     const present = new Set(reporters.map(({ nodeId }) => nodeId));
-    const deputyIds = new Set(
-      this.#word.deputies.map(({ nodeId }) => nodeId),
+    const relayIds = new Set(
+      this.#word.relays.map(({ nodeId }) => nodeId),
     );
     const named = this.#table.listCandidates(nowMs).filter(({ nodeId }) =>
-      present.has(nodeId) || !deputyIds.has(nodeId)
+      present.has(nodeId) || !relayIds.has(nodeId)
     );
     return [...reporters, ...named];
   }
--- a/packages/celerytray/src/coordination/intervals.ts
+++ b/packages/celerytray/src/coordination/intervals.ts
@@ -1,13 +1,13 @@
 /**
  * How often processes tell each other something, and what follows for how old
  * a word may be. No figure depends on the number of processes: many are told
- * by way of deputies, which is one step more.
+ * by way of relays, which is one step more.
  */
 
 /** Longest time for which the lead keeps a report before it answers. */
 export const LEAD_HOLD_MS = 250;
-/** The same for a deputy, whose answers go to most processes. */
-export const DEPUTY_HOLD_MS = 1_000;
+/** The same for a relay, whose answers go to most processes. */
+export const RELAY_HOLD_MS = 1_000;
 /** Time beyond that for which an answer is awaited. */
 export const ANSWER_TIMEOUT_MS = 600;
 /** Shortest time between two reports of a process. */
@@ -28,7 +28,7 @@
 
 /**
  * Age up to which what another process tells of a topic of the store is enough.
- * Deputies turn to the store first, and tell the others.
+ * Relays turn to the store first, and tell the others.
  */
 export function maxToldAgeMs(steps: WordSteps): number {
   return LEAD_READ_WAIT_MS + maxWordAgeMs(steps) + TOLD_MARGIN_MS;
@@ -43,7 +43,7 @@
 
 /** Age of the lead's word at a process that hears it by a sound way. */
 export function usualWordAgeMs(steps: WordSteps): number {
-  return LEAD_HOLD_MS + (steps === "direct" ? 0 : DEPUTY_HOLD_MS);
+  return LEAD_HOLD_MS + (steps === "direct" ? 0 : RELAY_HOLD_MS);
 }
 
 /** Age up to which the lead's word counts. */
@@ -62,16 +62,16 @@
 export function silenceMs(steps: WordSteps): number {
   return steps === "direct"
     ? LEAD_HOLD_MS + ANSWER_TIMEOUT_MS + SILENCE_MARGIN_MS
-    : maxWordAgeMs(steps) + DEPUTIES_FIRST_MS;
+    : maxWordAgeMs(steps) + RELAYS_FIRST_MS;
 }
 
-/** Age of the lead's word at a deputy from which on another one is asked. */
-export const STALE_DEPUTY_MS = 2 * (LEAD_HOLD_MS + ANSWER_TIMEOUT_MS);
+/** Age of the lead's word at a relay from which on another one is asked. */
+export const STALE_RELAY_MS = 2 * (LEAD_HOLD_MS + ANSWER_TIMEOUT_MS);
 
-/** Whether a process hears the lead itself, or by way of a deputy. */
+/** Whether a process hears the lead itself, or by way of a relay. */
 export type WordSteps = "direct" | "relayed";
 
 /** An answer may come just after its time. */
 const SILENCE_MARGIN_MS = 100;
-/** Time that deputies have to replace a lead before other processes try. */
-const DEPUTIES_FIRST_MS = 1_500;
+/** Time that relays have to replace a lead before other processes try. */
+const RELAYS_FIRST_MS = 1_500;
--- a/packages/celerytray/src/coordination/lead_follower.ts
+++ b/packages/celerytray/src/coordination/lead_follower.ts
@@ -2,12 +2,12 @@
 import type { RecordEvent } from "../journal/index.ts";
 import type { LeadRecord } from "../groups/index.ts";
 import {
-  DEPUTY_HOLD_MS,
   HEADS_STEP_MS,
   LEAD_HOLD_MS,
+  RELAY_HOLD_MS,
   REPORT_GAP_MS,
   silenceMs,
-  STALE_DEPUTY_MS,
+  STALE_RELAY_MS,
   type WordSteps,
 } from "./intervals.ts";
 import type { LeadLook } from "./lead_log.ts";
@@ -53,10 +53,10 @@
   readonly record: RecordEvent;
 }
 
-/** Time for which a deputy is passed over that did not help. */
-const AVOID_DEPUTY_MS = 2_000;
+/** Time for which a relay is passed over that did not help. */
+const AVOID_RELAY_MS = 2_000;
 
-/** Reports to the lead or a deputy of it. */
+/** Reports to the lead or a relay of it. */
 export class LeadFollower {
   readonly #options: LeadFollowerOptions;
   readonly #avoidedUntilMs = new Map<string, number>();
@@ -94,9 +94,9 @@
     const { self, word, nowMs, onAnswer } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const { term } = word;
-      const deputy = this.#selectDeputy();
-      const steps: WordSteps = deputy === undefined ? "direct" : "relayed";
-      const address = (deputy ?? word.lead!).peerAddress;
+      const relay = this.#selectRelay();
+      const steps: WordSteps = relay === undefined ? "direct" : "relayed";
+      const address = (relay ?? word.lead!).peerAddress;
       if (address === self.peerAddress) return "it doesn't lead";
       const sentAtMs = nowMs();
       const outcome = yield* this.#report(address, steps);
@@ -106,13 +106,13 @@
         // It was given no sooner than its report was sent and kept.
         onAnswer(answer, { saidAtMs: sentAtMs + answer.heldMs, steps });
         if (word.term !== term) this.#recordFollowed();
-        deniesLead = deputy === undefined && !answer.isLeading &&
+        deniesLead = relay === undefined && !answer.isLeading &&
           word.term === term;
       }
-      if (deputy !== undefined) this.#judgeDeputy(deputy, outcome);
+      if (relay !== undefined) this.#judgeRelay(relay, outcome);
       return findReplacementReason({
         deniesLead,
-        isDown: deputy === undefined && outcome.kind === "silent" &&
+        isDown: relay === undefined && outcome.kind === "silent" &&
           outcome.isRefused,
         steps,
         silentMs: word.silentMs(nowMs()),
@@ -127,7 +127,7 @@
     const { self, client, summarize, known, record } = this.#options;
     return Effect.suspend(() => {
       const summary = summarize();
-      const usualHoldMs = steps === "direct" ? LEAD_HOLD_MS : DEPUTY_HOLD_MS;
+      const usualHoldMs = steps === "direct" ? LEAD_HOLD_MS : RELAY_HOLD_MS;
       const report = {
         reporter: self,
         summary,
@@ -142,7 +142,7 @@
         Effect.catch(({ message, isRefused }) =>
           Effect.sync((): ReportOutcome => {
             this.#isUnanswered = true;
-            const event = steps === "direct" ? "lead.silent" : "deputy.silent";
+            const event = steps === "direct" ? "lead.silent" : "relay.silent";
             record(event, { message, isRefused });
             return { kind: "silent", isRefused };
           })
@@ -163,32 +163,32 @@
     });
   }
 
-  #selectDeputy(): PeerNode | undefined {
+  #selectRelay(): PeerNode | undefined {
     const { self, word, nowMs } = this.#options;
     const atMs = nowMs();
     return selectParent({
       self,
       processes: word.processes,
-      deputies: this.#listDeputies(),
+      relays: this.#listRelays(),
       isAvoided: (nodeId) => (this.#avoidedUntilMs.get(nodeId) ?? atMs) > atMs,
     });
   }
 
-  /** Deputies but the lead, which may have been one before. */
-  #listDeputies(): readonly PeerNode[] {
-    const { lead, deputies } = this.#options.word;
-    return deputies.filter(({ nodeId }) => nodeId !== lead?.nodeId);
+  /** Relays but the lead, which may have been one before. */
+  #listRelays(): readonly PeerNode[] {
+    const { lead, relays } = this.#options.word;
+    return relays.filter(({ nodeId }) => nodeId !== lead?.nodeId);
   }
 
-  /** Passes a deputy over that doesn't answer or hears nothing of the lead. */
-  #judgeDeputy({ nodeId }: PeerNode, outcome: ReportOutcome): void {
+  /** Passes a relay over that doesn't answer or hears nothing of the lead. */
+  #judgeRelay({ nodeId }: PeerNode, outcome: ReportOutcome): void {
     if (outcome.kind === "overtaken") return;
     const { wordAgeMs } = outcome.kind === "answered"
       ? outcome.answer
       : { wordAgeMs: null };
-    if (wordAgeMs !== null && wordAgeMs < STALE_DEPUTY_MS) return;
+    if (wordAgeMs !== null && wordAgeMs < STALE_RELAY_MS) return;
     this.#isUnanswered = true;
-    this.#avoidedUntilMs.set(nodeId, this.#options.nowMs() + AVOID_DEPUTY_MS);
+    this.#avoidedUntilMs.set(nodeId, this.#options.nowMs() + AVOID_RELAY_MS);
   }
 
   /** Whether this process is the one to try, and no other hears the lead. */
@@ -199,10 +199,10 @@
       const look = yield* awaitOtherLead(lead.term, 0);
       if (look.kind === "unknown") return false;
       if (look.kind === "taken") return true;
-      const deputies = this.#listDeputies();
+      const relays = this.#listRelays();
       const delayMs = turnDelayMs({
         self,
-        deputies,
+        relays,
         chance: this.#options.random(),
       });
       const isTaken = yield* awaitTurn({
@@ -217,7 +217,7 @@
       const isHeard = reason === "it is silent" && (yield* isHeardByOthers({
         client,
         term: lead.term,
-        others: deputies.filter(({ nodeId }) => nodeId !== self.nodeId),
+        others: relays.filter(({ nodeId }) => nodeId !== self.nodeId),
         boundMs: silenceMs("direct"),
       }));
       if (isHeard) return false;
--- a/packages/celerytray/src/coordination/lead_silence_test.ts
+++ b/packages/celerytray/src/coordination/lead_silence_test.ts
@@ -2,13 +2,13 @@
 import { it } from "node:test";
 import {
   ANSWER_TIMEOUT_MS,
-  DEPUTY_HOLD_MS,
   LEAD_HOLD_MS,
   maxToldAgeMs,
   maxWordAgeMs,
   presentMs,
+  RELAY_HOLD_MS,
   silenceMs,
-  STALE_DEPUTY_MS,
+  STALE_RELAY_MS,
   usualWordAgeMs,
 } from "./intervals.ts";
 import { findReplacementReason, type LeadSigns } from "./lead_silence.ts";
@@ -37,7 +37,7 @@
     .toEqual("it is down");
 });
 
-it("waits for a silent lead longer where deputies hear it first", () => {
+it("waits for a silent lead longer where relays hear it first", () => {
   const silent = { ...SOUND, silentMs: silenceMs("direct") + 1 };
   expect(findReplacementReason(silent)).toEqual("it is silent");
   const relayed: LeadSigns = { ...silent, steps: "relayed" };
@@ -64,8 +64,8 @@
   }
   expect(maxToldAgeMs("direct") < maxToldAgeMs("relayed")).toEqual(true);
   expect(silenceMs("direct") < silenceMs("relayed")).toEqual(true);
-  expect(STALE_DEPUTY_MS > usualWordAgeMs("direct")).toEqual(true);
-  for (const holdMs of [0, LEAD_HOLD_MS, DEPUTY_HOLD_MS]) {
+  expect(STALE_RELAY_MS > usualWordAgeMs("direct")).toEqual(true);
+  for (const holdMs of [0, LEAD_HOLD_MS, RELAY_HOLD_MS]) {
     // One report may get no answer.
     expect(presentMs(holdMs) > holdMs + ANSWER_TIMEOUT_MS).toEqual(true);
     expect(presentMs(holdMs) > silenceMs("direct")).toEqual(true);
--- a/packages/celerytray/src/coordination/lead_succession.ts
+++ b/packages/celerytray/src/coordination/lead_succession.ts
@@ -3,9 +3,9 @@
 import type { PeerNode } from "./peer_messages.ts";
 import type { PeerCalls } from "./peer_router.ts";
 
-/** Wait of each further deputy before it takes the lead. */
+/** Wait of each further relay before it takes the lead. */
 const RANK_DELAY_MS = 120;
-/** Wait of a process with one core that is no deputy; less able ones wait longer. */
+/** Wait of a process with one core that is no relay; less able ones wait longer. */
 const CORE_DELAY_MS = 150;
 /** Longest wait of the least able processes. */
 const MAX_CORE_DELAY_MS = 600;
@@ -13,26 +13,26 @@
 const SPREAD_MS = 150;
 /** Shortest time between two looks for another lead. */
 const LOOK_GAP_MS = 100;
-/** Deputies that are asked whether they hear the lead. */
+/** Relays that are asked whether they hear the lead. */
 const MAX_ASKED = 5;
 
 /** What a process's wait before it takes the lead is computed from. */
 export interface TurnOptions {
   readonly self: PeerNode;
-  /** All deputies but the lead that is replaced, the most able first. */
-  readonly deputies: readonly PeerNode[];
+  /** All relays but the lead that is replaced, the most able first. */
+  readonly relays: readonly PeerNode[];
   /** 0 to 1. */
   readonly chance: number;
 }
 
 /** Wait before a process takes the lead; the most able processes go first. */
 export function turnDelayMs(
-  { self, deputies, chance }: TurnOptions,
+  { self, relays, chance }: TurnOptions,
 ): number {
-  const rank = deputies.findIndex(({ nodeId }) => nodeId === self.nodeId);
+  const rank = relays.findIndex(({ nodeId }) => nodeId === self.nodeId);
   if (rank >= 0) return rank * RANK_DELAY_MS;
   const coreDelayMs = CORE_DELAY_MS / Math.max(Number.EPSILON, self.cores);
-  return deputies.length * RANK_DELAY_MS +
+  return relays.length * RANK_DELAY_MS +
     Math.min(MAX_CORE_DELAY_MS, coreDelayMs) + chance * SPREAD_MS;
 }
 
--- a/packages/celerytray/src/coordination/lead_succession_test.ts
+++ b/packages/celerytray/src/coordination/lead_succession_test.ts
@@ -18,12 +18,12 @@
 });
 
 describe("turnDelayMs", () => {
-  const deputies = [node(1, 1.35), node(2, 1.35), node(3, 0.324)];
+  const relays = [node(1, 1.35), node(2, 1.35), node(3, 0.324)];
   const delayOf = (self: PeerNode, chance = 0) =>
-    turnDelayMs({ self, deputies, chance });
+    turnDelayMs({ self, relays, chance });
 
-  it("lets deputies try one after the other, the first at once", () => {
-    const delaysMs = deputies.map((deputy) => delayOf(deputy));
+  it("lets relays try one after the other, the first at once", () => {
+    const delaysMs = relays.map((relay) => delayOf(relay));
     expect(delaysMs[0]).toEqual(0);
     expect(delaysMs[0]! < delaysMs[1]! && delaysMs[1]! < delaysMs[2]!)
       .toEqual(true);
@@ -32,7 +32,7 @@
   it("lets others try after them, the most able first", () => {
     const able = delayOf(node(8, 1.35), 1);
     const weak = delayOf(node(9, 0.324));
-    expect(delayOf(deputies[2]!) < delayOf(node(8, 1.35))).toEqual(true);
+    expect(delayOf(relays[2]!) < delayOf(node(8, 1.35))).toEqual(true);
     expect(able < weak).toEqual(true);
   });
 
--- a/packages/celerytray/src/coordination/lead_word.ts
+++ b/packages/celerytray/src/coordination/lead_word.ts
@@ -16,7 +16,7 @@
   readonly repeats: Readonly<Record<string, WindowTotals>>;
   readonly demand: DemandTotals;
   readonly expectedMs: Readonly<Record<string, number>>;
-  readonly deputies: readonly PeerNode[];
+  readonly relays: readonly PeerNode[];
   readonly news: InstanceNews;
   readonly storeAnsweredAtMs: number;
 }
@@ -40,7 +40,7 @@
   #repeats: Readonly<Record<string, WindowTotals>> = {};
   #demand: DemandTotals = { byModel: {}, byTenant: {} };
   #expectedMs: Readonly<Record<string, number>> = {};
-  #deputies: Versioned<readonly PeerNode[]> = { version: "", value: [] };
+  #relays: Versioned<readonly PeerNode[]> = { version: "", value: [] };
   #news: Versioned<InstanceNews> = {
     version: "",
     value: { closedHeads: [], leaving: [] },
@@ -63,8 +63,8 @@
     return this.#processes;
   }
 
-  get deputies(): readonly PeerNode[] {
-    return this.#deputies.value;
+  get relays(): readonly PeerNode[] {
+    return this.#relays.value;
   }
 
   get closedHeads(): readonly string[] {
@@ -120,7 +120,7 @@
     this.#demand = own.demand;
     this.#expectedMs = own.expectedMs;
     const changes = this.#changes;
-    this.#deputies = this.#renew(this.#deputies, own.deputies);
+    this.#relays = this.#renew(this.#relays, own.relays);
     this.#news = this.#renew(this.#news, own.news);
     return this.#changes !== changes;
   }
@@ -150,9 +150,9 @@
     this.#repeats = answer.repeats;
     this.#demand = answer.demand;
     this.#expectedMs = answer.expectedMs;
-    this.#deputies = answer.deputies ?? this.#deputies;
+    this.#relays = answer.relays ?? this.#relays;
     this.#news = answer.news ?? this.#news;
-    return isNewLead || answer.deputies !== undefined ||
+    return isNewLead || answer.relays !== undefined ||
       answer.news !== undefined;
   }
 
@@ -160,7 +160,7 @@
   get known(): Omit<KnownWord, "instancesOffset" | "configOffset"> {
     return {
       term: this.term,
-      deputiesVersion: this.#deputies.version,
+      relaysVersion: this.#relays.version,
       newsVersion: this.#news.version,
     };
   }
@@ -169,7 +169,7 @@
   hasNews(known: KnownWord): boolean {
     if (this.#saidAtMs === undefined) return false;
     return known.term < this.term ||
-      known.deputiesVersion !== this.#deputies.version ||
+      known.relaysVersion !== this.#relays.version ||
       known.newsVersion !== this.#news.version;
   }
 
@@ -187,9 +187,9 @@
       repeats: this.#repeats,
       demand: this.#demand,
       expectedMs: this.#expectedMs,
-      ...(known.deputiesVersion === this.#deputies.version
+      ...(known.relaysVersion === this.#relays.version
         ? {}
-        : { deputies: this.#deputies }),
+        : { relays: this.#relays }),
       ...(known.newsVersion === this.#news.version ? {} : { news: this.#news }),
     };
   }
--- a/packages/celerytray/src/coordination/peer_messages.ts
+++ b/packages/celerytray/src/coordination/peer_messages.ts
@@ -52,7 +52,7 @@
 export interface KnownWord {
   /** Term of the newest lead; 0 before one is known. */
   readonly term: number;
-  readonly deputiesVersion: string;
+  readonly relaysVersion: string;
   readonly newsVersion: string;
   /** Offset up to which it knows the list of instances. */
   readonly instancesOffset: number;
@@ -60,7 +60,7 @@
   readonly configOffset: number;
 }
 
-/** What a process tells the lead or a deputy. */
+/** What a process tells the lead or a relay. */
 export interface PeerReport {
   readonly reporter: PeerNode;
   readonly summary: PeerSummary;
@@ -69,7 +69,7 @@
   readonly holdMs: number;
 }
 
-/** The lead's word, from itself or by way of a deputy. */
+/** The lead's word, from itself or by way of a relay. */
 export interface LeadAnswer {
   /** Whether the answering process decides on replicas. */
   readonly isLeading: boolean;
@@ -91,7 +91,7 @@
   /** Time until a replica is expected, by model that has none. */
   readonly expectedMs: Readonly<Record<string, number>>;
   /** Processes that pass the lead's word on, the most able first. */
-  readonly deputies?: Versioned<readonly PeerNode[]>;
+  readonly relays?: Versioned<readonly PeerNode[]>;
   readonly news?: Versioned<InstanceNews>;
   /** How far the answering process knows the configuration, with what is new. */
   readonly config: RelayedChange & KnownEnd;
@@ -143,7 +143,7 @@
 function isKnown(input: KnownWord | undefined): boolean {
   return typeof input === "object" && input !== null &&
     Number.isSafeInteger(input.term) &&
-    typeof input.deputiesVersion === "string" &&
+    typeof input.relaysVersion === "string" &&
     typeof input.newsVersion === "string" &&
     Number.isSafeInteger(input.instancesOffset) &&
     Number.isSafeInteger(input.configOffset);
--- a/packages/celerytray/src/coordination/peer_router.ts
+++ b/packages/celerytray/src/coordination/peer_router.ts
@@ -48,7 +48,7 @@
 
 /** Calls to other processes. */
 export interface PeerCalls {
-  /** Reports to the lead or a deputy. */
+  /** Reports to the lead or a relay. */
   report(
     address: string,
     report: PeerReport,
--- a/packages/celerytray/src/coordination/select_deputies.ts
+++ b/packages/celerytray/src/coordination/select_relays.ts
@@ -3,30 +3,30 @@
 
 /** Processes up to which all report to the lead itself. */
 export const MAX_DIRECT_PROCESSES = 16;
-const MIN_DEPUTIES = 6;
-/** Deputies that stay, as a multiple of those that are wanted. */
+const MIN_RELAYS = 6;
+/** Relays that stay, as a multiple of those that are wanted. */
 const MAX_SURPLUS = 1.25;
 
-/** What deputies are selected from. */
-export interface DeputySelection {
+/** What relays are selected from. */
+export interface RelaySelection {
   readonly leadId: string;
   /** Processes that the lead hears of, itself included. */
   readonly processes: number;
   readonly candidates: readonly PeerNode[];
-  /** Deputies so far. */
+  /** Relays so far. */
   readonly previous: readonly PeerNode[];
 }
 
 /**
  * Selects the processes that pass the lead's word on and take its place, the
  * most able first. Their number grows with the root of that of all processes,
- * so that neither the lead nor a deputy hears many.
+ * so that neither the lead nor a relay hears many.
  */
-export function selectDeputies(
-  { leadId, processes, candidates, previous }: DeputySelection,
+export function selectRelays(
+  { leadId, processes, candidates, previous }: RelaySelection,
 ): readonly PeerNode[] {
-  const wanted = Math.max(MIN_DEPUTIES, Math.ceil(Math.sqrt(processes)));
-  // A few too many are kept, as each change sends processes to other deputies.
+  const wanted = Math.max(MIN_RELAYS, Math.ceil(Math.sqrt(processes)));
+  // A few too many are kept, as each change sends processes to other relays.
   const most = Math.ceil(wanted * MAX_SURPLUS);
   const count = Math.min(Math.max(wanted, previous.length), most);
   const previousIds = new Set(previous.map(({ nodeId }) => nodeId));
@@ -34,7 +34,7 @@
     candidates.filter(({ nodeId }) => nodeId !== leadId)
       .map((node) => [node.nodeId, node]),
   );
-  // Who was a deputy stays one, where others are no more able.
+  // Who was a relay stays one, where others are no more able.
   const compare = (a: PeerNode, b: PeerNode) =>
     b.cores - a.cores ||
     Number(previousIds.has(b.nodeId)) - Number(previousIds.has(a.nodeId)) ||
@@ -49,7 +49,7 @@
   return selected.slice(0, count).sort(compareAbility);
 }
 
-/** Each zone has its share of deputies, so that words seldom leave zones. */
+/** Each zone has its share of relays, so that words seldom leave zones. */
 function groupByZone(
   nodes: readonly PeerNode[],
 ): Iterable<readonly PeerNode[]> {
--- a/packages/celerytray/src/coordination/select_deputies_test.ts
+++ b/packages/celerytray/src/coordination/select_relays_test.ts
@@ -2,14 +2,14 @@
 import fc from "fast-check";
 import { describe, it } from "node:test";
 import type { PeerNode } from "./peer_messages.ts";
-import { selectDeputies } from "./select_deputies.ts";
+import { selectRelays } from "./select_relays.ts";
 import { selectParent } from "./select_parent.ts";
 
 const SEED = 17;
 const LEAD_ID = "node-0";
 /** Processes that any of them may have to answer, at 1,000 of them. */
 const MAX_CHILDREN = 80;
-const MAX_DEPUTIES = 40;
+const MAX_RELAYS = 40;
 
 /** Machines as in the users' large deployment: one in thirteen is able. */
 function createNodes(size: number): readonly PeerNode[] {
@@ -22,7 +22,7 @@
 }
 
 function select(nodes: readonly PeerNode[], previous: readonly PeerNode[]) {
-  return selectDeputies({
+  return selectRelays({
     leadId: LEAD_ID,
     processes: nodes.length,
     candidates: nodes,
@@ -30,19 +30,19 @@
   });
 }
 
-describe("selectDeputies", () => {
+describe("selectRelays", () => {
   it("lets nobody hear many, from 1 to 1,000 processes", () => {
     const property = fc.property(fc.integer({ min: 1, max: 1_000 }), (size) => {
       const nodes = createNodes(size);
-      const deputies = select(nodes, []);
-      expect(deputies.length <= MAX_DEPUTIES).toEqual(true);
-      expect(deputies.every(({ nodeId }) => nodeId !== LEAD_ID)).toEqual(true);
+      const relays = select(nodes, []);
+      expect(relays.length <= MAX_RELAYS).toEqual(true);
+      expect(relays.every(({ nodeId }) => nodeId !== LEAD_ID)).toEqual(true);
       const children = new Map<string, number>();
       for (const self of nodes.slice(1)) {
         const parent = selectParent({
           self,
           processes: size,
-          deputies,
+          relays,
           isAvoided: () => false,
         });
         const id = parent?.nodeId ?? LEAD_ID;
@@ -55,11 +55,11 @@
   });
 
   it("selects the most able, some in each zone", () => {
-    const deputies = select(createNodes(195), []);
-    expect(deputies.length).toEqual(14);
-    const able = deputies.filter(({ cores }) => cores > 1);
+    const relays = select(createNodes(195), []);
+    expect(relays.length).toEqual(14);
+    const able = relays.filter(({ cores }) => cores > 1);
     expect(able.length >= 12).toEqual(true);
-    const zones = new Set(deputies.map(({ zone }) => zone));
+    const zones = new Set(relays.map(({ zone }) => zone));
     expect(zones.size).toEqual(5);
   });
 
@@ -79,28 +79,28 @@
 
 describe("selectParent", () => {
   const nodes = createNodes(195);
-  const deputies = select(nodes, []);
+  const relays = select(nodes, []);
   const parentOf = (self: PeerNode, avoided: readonly string[] = []) =>
     selectParent({
       self,
       processes: nodes.length,
-      deputies,
+      relays,
       isAvoided: (nodeId) => avoided.includes(nodeId),
     });
 
-  it("stays in the zone while a deputy there helps", () => {
+  it("stays in the zone while a relay there helps", () => {
     const self = nodes[101]!;
     expect(parentOf(self)?.zone).toEqual(self.zone);
-    const near = deputies.filter(({ zone }) => zone === self.zone)
+    const near = relays.filter(({ zone }) => zone === self.zone)
       .map(({ nodeId }) => nodeId);
     const far = parentOf(self, near);
     expect(far !== undefined && !near.includes(far.nodeId)).toEqual(true);
   });
 
-  it("turns to the lead where no deputy helps, and as a deputy", () => {
-    const all = deputies.map(({ nodeId }) => nodeId);
+  it("turns to the lead where no relay helps, and as a relay", () => {
+    const all = relays.map(({ nodeId }) => nodeId);
     expect(parentOf(nodes[101]!, all)).toEqual(undefined);
-    expect(parentOf(deputies[0]!)).toEqual(undefined);
+    expect(parentOf(relays[0]!)).toEqual(undefined);
   });
 
   it("turns to the lead where there are few processes", () => {
@@ -108,7 +108,7 @@
     const parent = selectParent({
       self: few[3]!,
       processes: few.length,
-      deputies: select(few, []),
+      relays: select(few, []),
       isAvoided: () => false,
     });
     expect(parent).toEqual(undefined);
--- a/packages/fakes/src/coordination/many_processes_test.ts
+++ b/packages/fakes/src/coordination/many_processes_test.ts
@@ -13,7 +13,7 @@
 
 const SEED = 47;
 const SIZES = [7, 100, 390];
-/** Time in which processes that start find a lead and their deputies. */
+/** Time in which processes that start find a lead and their relays. */
 const SETTLE_MS = 9_000;
 const WATCH_MS = 2_000;
 /** Reports a second that any process may take, and that each sends at most. */
@@ -25,8 +25,8 @@
 /** Organisations that are told by name, whatever their number. */
 const MAX_TENANTS = 32;
 const MAX_LEAD_BACK_MS = 2_500;
-/** Calls to the store that the loss of a lead may cost, for each deputy and in all. */
-const CALLS_PER_DEPUTY = 6;
+/** Calls to the store that the loss of a lead may cost, for each relay and in all. */
+const CALLS_PER_RELAY = 6;
 
 describe("hundreds of processes", () => {
   it("tell each other the same, as often as a few", async () => {
@@ -104,9 +104,9 @@
             process !== lead && readTerm(world, process).term !== term
           );
           expect(behind.length).toEqual(0);
-          const deputies = Math.max(6, Math.ceil(Math.sqrt(size)));
+          const relays = Math.max(6, Math.ceil(Math.sqrt(size)));
           const calls = countCalls(world) - before;
-          expect(calls <= deputies * CALLS_PER_DEPUTY).toEqual(true);
+          expect(calls <= relays * CALLS_PER_RELAY).toEqual(true);
         });
       }
     });
