--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -13,10 +13,10 @@
 import { ChangeSignal } from "./change_signal.ts";
 import {
   INHERIT_MS,
-  NEWS_GAP_MS,
-  SAY_STEP_MS,
+  PUBLISH_STEP_MS,
+  type StatusPath,
   SUM_REUSE_MS,
-  type WordSteps,
+  UPDATE_GAP_MS,
 } from "./intervals.ts";
 import { LeadFollower } from "./lead_follower.ts";
 import {
@@ -28,11 +28,11 @@
   readFleetRecords,
 } from "./lead_log.ts";
 import { awaitTurn, turnDelayMs } from "./lead_succession.ts";
-import { LeadWord } from "./lead_word.ts";
+import { LeadStatus } from "./lead_status.ts";
 import type {
   DemandTotals,
   KnownEnd,
-  KnownWord,
+  KnownStatus,
   LeadAnswer,
   PeerNode,
   PeerReport,
@@ -84,7 +84,7 @@
   readonly instances: RelayedTopic;
   /** Instances that said that they leave, though the list has them as ready. */
   readonly listLeaving: () => readonly LeavingLife[];
-  /** Takes the word of instances that other processes have heard. */
+  /** Takes the status of instances that other processes have heard. */
   readonly onLeaving: (lives: readonly LeavingLife[]) => void;
   readonly createDirector: (start: DirectorStart) => FleetDirector;
   /** 0 to 1. */
@@ -100,7 +100,7 @@
 export class Coordinator implements LeadOperations {
   readonly #options: CoordinatorOptions;
   readonly #table = new ReportTable();
-  readonly #word = new LeadWord();
+  readonly #status = new LeadStatus();
   readonly #signal = new ChangeSignal();
   readonly #follower: LeadFollower;
   #nowMs: () => number = () => 0;
@@ -122,7 +122,7 @@
     this.#summary = this.#summarizeOwn();
     this.#follower = new LeadFollower({
       ...options,
-      word: this.#word,
+      status: this.#status,
       summarize: () => this.#summarize(),
       known: () => this.#describeKnown(),
       onAnswer: (answer, heard) => this.#noteAnswer(answer, heard),
@@ -137,35 +137,39 @@
   }
 
   /** Whether this process hears the lead itself. */
-  get steps(): WordSteps {
-    return this.isLeading ? "direct" : this.#word.steps;
+  get steps(): StatusPath {
+    return this.isLeading ? "direct" : this.#status.steps;
   }
 
   /** Processes that share the work, this one included. */
   countProcesses(): number {
-    return Math.max(1, this.#word.processes);
+    return Math.max(1, this.#status.processes);
   }
 
   /** Heads to which no requests should go, as replicas are taken apart. */
   listClosedHeads(): readonly string[] {
-    return this.#director?.listClosedHeads() ?? this.#word.closedHeads;
+    return this.#director?.listClosedHeads() ?? this.#status.closedHeads;
   }
 
   /** Requests and repeats of all processes; undefined while not fresh. */
   sharedTotals(): SharedTotals | undefined {
-    return this.#word.isFresh(this.#nowMs()) ? this.#word.repeats : undefined;
+    return this.#status.isFresh(this.#nowMs())
+      ? this.#status.repeats
+      : undefined;
   }
 
   /** Requests of all processes in progress or waiting; undefined while not fresh. */
   demandTotals(): DemandTotals | undefined {
-    return this.#word.isFresh(this.#nowMs()) ? this.#word.demand : undefined;
+    return this.#status.isFresh(this.#nowMs())
+      ? this.#status.demand
+      : undefined;
   }
 
   /** Time until a model without a replica is to have one; undefined if not told. */
   expectedMs(model: string): number | undefined {
     const nowMs = this.#nowMs();
-    return this.#word.isFresh(nowMs)
-      ? this.#word.expectedMs(model, nowMs)
+    return this.#status.isFresh(nowMs)
+      ? this.#status.expectedMs(model, nowMs)
       : undefined;
   }
 
@@ -195,22 +199,22 @@
   report(report: PeerReport): Effect.Effect<LeadAnswer> {
     return Effect.gen({ self: this }, function* () {
       this.#table.note(report, this.#nowMs());
-      if (this.isLeading && report.known.term > this.#word.term) {
+      if (this.isLeading && report.known.term > this.#status.term) {
         const { nodeId } = report.reporter;
         this.#depose(`${nodeId} knows of term ${report.known.term}`);
       }
       this.#noteHeads(report.summary);
       this.#options.onLeaving(report.summary.leaving);
       const arrivedAtMs = this.#nowMs();
-      yield* this.#awaitNews(report);
+      yield* this.#awaitUpdates(report);
       const heldMs = this.#nowMs() - arrivedAtMs;
       return { ...this.#answer(report.known), heldMs };
     });
   }
 
   heardLeadAgoMs(term: number): number | undefined {
-    if (this.#word.term !== term) return undefined;
-    return this.#word.silentMs(this.#nowMs());
+    if (this.#status.term !== term) return undefined;
+    return this.#status.silentMs(this.#nowMs());
   }
 
   run(): Effect.Effect<never> {
@@ -252,14 +256,14 @@
   }
 
   #isToFollow(lead: LeadRecord | undefined): boolean {
-    return lead !== undefined && lead.term !== this.#word.term &&
+    return lead !== undefined && lead.term !== this.#status.term &&
       lead.nodeId !== this.#options.self.nodeId;
   }
 
   /** Lets the most able process be the first; whether another has been. */
   #awaitFirstTurn({ nextOffset }: FleetRecords): Effect.Effect<boolean> {
     const { self, random } = this.#options;
-    const term = this.#word.term;
+    const term = this.#status.term;
     this.#looked = { term, nextOffset };
     return awaitTurn({
       delayMs: turnDelayMs({ self, relays: [], chance: random() }),
@@ -329,8 +333,8 @@
     const { term } = lead;
     return Effect.gen({ self: this }, function* () {
       this.#leadsSinceMs = this.#nowMs();
-      this.#replacedId = this.#word.lead?.nodeId;
-      this.#word.setLead(lead, this.#leadsSinceMs);
+      this.#replacedId = this.#status.lead?.nodeId;
+      this.#status.setLead(lead, this.#leadsSinceMs);
       this.#isDeposed = this.#isLeaving;
       record("lead.taken", { term, replicas: replicas.length });
       const recorder = new LeadRecorder({
@@ -340,7 +344,7 @@
       });
       this.#director = createDirector({ term, replicas, recorder });
       yield* Effect.scoped(this.#director.run()).pipe(
-        Effect.raceFirst(this.#sayUntilDeposed()),
+        Effect.raceFirst(this.#publishUntilDeposed()),
         Effect.ensuring(Effect.sync(() => {
           this.#director = undefined;
         })),
@@ -351,27 +355,27 @@
   #depose(message: string): void {
     if (this.#isDeposed || !this.isLeading) return;
     this.#isDeposed = true;
-    this.#options.record("lead.lost", { term: this.#word.term, message });
+    this.#options.record("lead.lost", { term: this.#status.term, message });
   }
 
   /** Says what the lead has to say, at once where it is new. */
-  #sayUntilDeposed(): Effect.Effect<void> {
+  #publishUntilDeposed(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       while (!this.#isDeposed) {
         this.#noteHeads(this.#summarizeOwn());
-        if (this.#say()) this.#signal.notify();
-        yield* Effect.sleep(SAY_STEP_MS);
+        if (this.#publish()) this.#signal.notify();
+        yield* Effect.sleep(PUBLISH_STEP_MS);
       }
     });
   }
 
-  #say(): boolean {
+  #publish(): boolean {
     const nowMs = this.#nowMs();
     const { self, storeAnsweredAtMs, listLeaving } = this.#options;
     const { processes: heard, repeats, demand, tenantDemand } = this
       .#summarize();
-    const processes = this.#isNewLead(nowMs) ? this.#word.processes : heard;
-    return this.#word.say({
+    const processes = this.#isNewLead(nowMs) ? this.#status.processes : heard;
+    return this.#status.publish({
       processes,
       repeats,
       demand: { byModel: demand, byTenant: tenantDemand },
@@ -380,9 +384,9 @@
         leadId: self.nodeId,
         processes,
         candidates: this.#listCandidates(nowMs),
-        previous: this.#word.relays,
+        previous: this.#status.relays,
       }),
-      news: {
+      updates: {
         closedHeads: this.#director!.listClosedHeads(),
         leaving: listLeaving(),
       },
@@ -393,7 +397,7 @@
 
   /** Whether those that followed the lead before may not all report here yet. */
   #isNewLead(nowMs: number): boolean {
-    return this.#word.processes > 1 &&
+    return this.#status.processes > 1 &&
       nowMs - this.#leadsSinceMs < INHERIT_MS;
   }
 
@@ -401,12 +405,12 @@
   #listCandidates(nowMs: number): readonly PeerNode[] {
     if (this.#isNewLead(nowMs)) {
       const replacedId = this.#replacedId;
-      return this.#word.relays.filter(({ nodeId }) => nodeId !== replacedId);
+      return this.#status.relays.filter(({ nodeId }) => nodeId !== replacedId);
     }
     const reporters = this.#table.listReporters(nowMs);
     const present = new Set(reporters.map(({ nodeId }) => nodeId));
     const relayIds = new Set(
-      this.#word.relays.map(({ nodeId }) => nodeId),
+      this.#status.relays.map(({ nodeId }) => nodeId),
     );
     const named = this.#table.listCandidates(nowMs).filter(({ nodeId }) =>
       present.has(nodeId) || !relayIds.has(nodeId)
@@ -425,16 +429,16 @@
   }
 
   /** Waits until a process has something to learn, or its report's time is over. */
-  #awaitNews({ known, holdMs }: PeerReport): Effect.Effect<void> {
+  #awaitUpdates({ known, holdMs }: PeerReport): Effect.Effect<void> {
     const { instances, config } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const startedAtMs = this.#nowMs();
-      while (!this.#isLeaving && !this.#word.hasNews(known)) {
+      while (!this.#isLeaving && !this.#status.hasUpdates(known)) {
         const passedMs = this.#nowMs() - startedAtMs;
         const hasChanged = instances.copy.nextOffset > known.instancesOffset ||
           config.copy.nextOffset > known.configOffset;
         const remainingMs =
-          (hasChanged ? Math.min(holdMs, NEWS_GAP_MS) : holdMs) -
+          (hasChanged ? Math.min(holdMs, UPDATE_GAP_MS) : holdMs) -
           passedMs;
         if (remainingMs <= 0) return;
         yield* this.#signal.awaitChange(Math.ceil(remainingMs));
@@ -442,14 +446,14 @@
     });
   }
 
-  #answer(known: KnownWord): Omit<LeadAnswer, "heldMs"> {
+  #answer(known: KnownStatus): Omit<LeadAnswer, "heldMs"> {
     const nowMs = this.#nowMs();
     const { instances, config } = this.#options;
     return {
       isLeading: this.isLeading && !this.#isDeposed,
-      ...this.#word.describe(known, nowMs),
+      ...this.#status.describe(known, nowMs),
       // Who reports to a process that leaves is to turn to another.
-      ...(this.#isLeaving ? { wordAgeMs: null } : {}),
+      ...(this.#isLeaving ? { statusAgeMs: null } : {}),
       config: describeTopic(config, known.configOffset, nowMs),
       instances: describeTopic(instances, known.instancesOffset, nowMs),
     };
@@ -457,18 +461,18 @@
 
   #noteAnswer(
     answer: LeadAnswer,
-    heard: { readonly saidAtMs: number; readonly steps: WordSteps },
+    heard: { readonly publishedAtMs: number; readonly steps: StatusPath },
   ): void {
     const { config, instances, onLeaving } = this.#options;
-    takeTold(config, answer.config, heard.saidAtMs);
-    takeTold(instances, answer.instances, heard.saidAtMs);
-    if (answer.news !== undefined) onLeaving(answer.news.value.leaving);
-    if (this.#word.adopt(answer, heard)) this.#signal.notify();
+    takeTold(config, answer.config, heard.publishedAtMs);
+    takeTold(instances, answer.instances, heard.publishedAtMs);
+    if (answer.updates !== undefined) onLeaving(answer.updates.value.leaving);
+    if (this.#status.adopt(answer, heard)) this.#signal.notify();
   }
 
-  #describeKnown(): KnownWord {
+  #describeKnown(): KnownStatus {
     return {
-      ...this.#word.known,
+      ...this.#status.known,
       instancesOffset: this.#options.instances.copy.nextOffset,
       configOffset: this.#options.config.copy.nextOffset,
     };
@@ -517,7 +521,7 @@
 function takeTold(
   { onTold }: RelayedTopic,
   told: RelayedChange & KnownEnd,
-  saidAtMs: number,
+  publishedAtMs: number,
 ): void {
-  if (told.proofAgeMs !== null) onTold(told, saidAtMs - told.proofAgeMs);
+  if (told.proofAgeMs !== null) onTold(told, publishedAtMs - told.proofAgeMs);
 }
--- a/packages/celerytray/src/coordination/lead_follower.ts
+++ b/packages/celerytray/src/coordination/lead_follower.ts
@@ -8,7 +8,7 @@
   REPORT_GAP_MS,
   silenceMs,
   STALE_RELAY_MS,
-  type WordSteps,
+  type StatusPath,
 } from "./intervals.ts";
 import type { LeadLook } from "./lead_log.ts";
 import {
@@ -16,9 +16,9 @@
   type ReplacementReason,
 } from "./lead_silence.ts";
 import { awaitTurn, isHeardByOthers, turnDelayMs } from "./lead_succession.ts";
-import type { LeadWord } from "./lead_word.ts";
+import type { LeadStatus } from "./lead_status.ts";
 import type {
-  KnownWord,
+  KnownStatus,
   LeadAnswer,
   PeerNode,
   PeerSummary,
@@ -30,15 +30,15 @@
 export interface LeadFollowerOptions {
   readonly self: PeerNode;
   readonly client: PeerCalls;
-  readonly word: LeadWord;
+  readonly status: LeadStatus;
   /** What this process and those that report to it tell. */
   readonly summarize: () => PeerSummary;
   /** What this process knows. */
-  readonly known: () => KnownWord;
+  readonly known: () => KnownStatus;
   /** Takes an answer that was given at some time or later. */
   readonly onAnswer: (
     answer: LeadAnswer,
-    heard: { readonly saidAtMs: number; readonly steps: WordSteps },
+    heard: { readonly publishedAtMs: number; readonly steps: StatusPath },
   ) => void;
   /** Time of the last answer of the store to this process. */
   readonly storeAnsweredAtMs: () => number;
@@ -75,9 +75,9 @@
 
   /** Reports until the lead is to be replaced. */
   follow(lead: LeadRecord): Effect.Effect<void> {
-    const { word, nowMs } = this.#options;
+    const { status, nowMs } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      word.setLead(lead, nowMs());
+      status.setLead(lead, nowMs());
       this.#recordFollowed();
       while (!this.#isStopped) {
         const sentAtMs = nowMs();
@@ -91,12 +91,12 @@
 
   /** Reports, and tells why the lead is to be replaced, if it is. */
   #reportOnce(): Effect.Effect<ReplacementReason | undefined> {
-    const { self, word, nowMs, onAnswer } = this.#options;
+    const { self, status, nowMs, onAnswer } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      const { term } = word;
+      const { term } = status;
       const relay = this.#selectRelay();
-      const steps: WordSteps = relay === undefined ? "direct" : "relayed";
-      const address = (relay ?? word.lead!).peerAddress;
+      const steps: StatusPath = relay === undefined ? "direct" : "relayed";
+      const address = (relay ?? status.lead!).peerAddress;
       if (address === self.peerAddress) return "it doesn't lead";
       const sentAtMs = nowMs();
       const outcome = yield* this.#report(address, steps);
@@ -104,10 +104,10 @@
       if (outcome.kind === "answered") {
         const { answer } = outcome;
         // It was given no sooner than its report was sent and kept.
-        onAnswer(answer, { saidAtMs: sentAtMs + answer.heldMs, steps });
-        if (word.term !== term) this.#recordFollowed();
+        onAnswer(answer, { publishedAtMs: sentAtMs + answer.heldMs, steps });
+        if (status.term !== term) this.#recordFollowed();
         deniesLead = relay === undefined && !answer.isLeading &&
-          word.term === term;
+          status.term === term;
       }
       if (relay !== undefined) this.#judgeRelay(relay, outcome);
       return findReplacementReason({
@@ -115,15 +115,15 @@
         isDown: relay === undefined && outcome.kind === "silent" &&
           outcome.isRefused,
         steps,
-        silentMs: word.silentMs(nowMs()),
-        leadStoreAgeMs: word.storeAgeMs(nowMs()),
+        silentMs: status.silentMs(nowMs()),
+        leadStoreAgeMs: status.storeAgeMs(nowMs()),
         ownStoreAgeMs: nowMs() - this.#options.storeAnsweredAtMs(),
       });
     });
   }
 
   /** Sends a report; something urgent to tell ends the wait for its answer. */
-  #report(address: string, steps: WordSteps): Effect.Effect<ReportOutcome> {
+  #report(address: string, steps: StatusPath): Effect.Effect<ReportOutcome> {
     const { self, client, summarize, known, record } = this.#options;
     return Effect.suspend(() => {
       const summary = summarize();
@@ -164,11 +164,11 @@
   }
 
   #selectRelay(): PeerNode | undefined {
-    const { self, word, nowMs } = this.#options;
+    const { self, status, nowMs } = this.#options;
     const atMs = nowMs();
     return selectParent({
       self,
-      processes: word.processes,
+      processes: status.processes,
       relays: this.#listRelays(),
       isAvoided: (nodeId) => (this.#avoidedUntilMs.get(nodeId) ?? atMs) > atMs,
     });
@@ -176,26 +176,26 @@
 
   /** Relays but the lead, which may have been one before. */
   #listRelays(): readonly PeerNode[] {
-    const { lead, relays } = this.#options.word;
+    const { lead, relays } = this.#options.status;
     return relays.filter(({ nodeId }) => nodeId !== lead?.nodeId);
   }
 
   /** Passes a relay over that doesn't answer or hears nothing of the lead. */
   #judgeRelay({ nodeId }: PeerNode, outcome: ReportOutcome): void {
     if (outcome.kind === "overtaken") return;
-    const { wordAgeMs } = outcome.kind === "answered"
+    const { statusAgeMs } = outcome.kind === "answered"
       ? outcome.answer
-      : { wordAgeMs: null };
-    if (wordAgeMs !== null && wordAgeMs < STALE_RELAY_MS) return;
+      : { statusAgeMs: null };
+    if (statusAgeMs !== null && statusAgeMs < STALE_RELAY_MS) return;
     this.#isUnanswered = true;
     this.#avoidedUntilMs.set(nodeId, this.#options.nowMs() + AVOID_RELAY_MS);
   }
 
   /** Whether this process is the one to try, and no other hears the lead. */
   #mayReplace(reason: ReplacementReason): Effect.Effect<boolean> {
-    const { self, client, word, awaitOtherLead, record } = this.#options;
+    const { self, client, status, awaitOtherLead, record } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      const lead = word.lead!;
+      const lead = status.lead!;
       const look = yield* awaitOtherLead(lead.term, 0);
       if (look.kind === "unknown") return false;
       if (look.kind === "taken") return true;
@@ -232,7 +232,7 @@
   }
 
   #recordFollowed(): void {
-    const { term, nodeId } = this.#options.word.lead!;
+    const { term, nodeId } = this.#options.status.lead!;
     this.#options.record("lead.followed", { term, lead: nodeId });
   }
 }
--- a/packages/celerytray/src/coordination/lead_silence.ts
+++ b/packages/celerytray/src/coordination/lead_silence.ts
@@ -1,4 +1,4 @@
-import { silenceMs, type WordSteps } from "./intervals.ts";
+import { silenceMs, type StatusPath } from "./intervals.ts";
 
 /** What a process knows of the lead that it follows. */
 export interface LeadSigns {
@@ -7,8 +7,8 @@
   /** Whether the lead's address refuses connections. */
   readonly isDown: boolean;
   /** Whether this process reports to the lead itself. */
-  readonly steps: WordSteps;
-  /** Age of the lead's newest word. */
+  readonly steps: StatusPath;
+  /** Age of the lead's newest status. */
   readonly silentMs: number;
   /** Time since the store last answered the lead, as far as that is known. */
   readonly leadStoreAgeMs: number;
--- a/packages/celerytray/src/coordination/lead_silence_test.ts
+++ b/packages/celerytray/src/coordination/lead_silence_test.ts
@@ -3,13 +3,13 @@
 import {
   ANSWER_TIMEOUT_MS,
   LEAD_HOLD_MS,
+  maxStatusAgeMs,
   maxToldAgeMs,
-  maxWordAgeMs,
   presentMs,
   RELAY_HOLD_MS,
   silenceMs,
   STALE_RELAY_MS,
-  usualWordAgeMs,
+  usualStatusAgeMs,
 } from "./intervals.ts";
 import { findReplacementReason, type LeadSigns } from "./lead_silence.ts";
 
@@ -57,14 +57,14 @@
 it("lets no bound contradict another, however many processes there are", () => {
   expect(silenceMs("direct") < MAX_SILENCE_MS).toEqual(true);
   for (const steps of ["direct", "relayed"] as const) {
-    expect(usualWordAgeMs(steps) < maxWordAgeMs(steps)).toEqual(true);
-    expect(maxWordAgeMs(steps) <= silenceMs(steps)).toEqual(true);
+    expect(usualStatusAgeMs(steps) < maxStatusAgeMs(steps)).toEqual(true);
+    expect(maxStatusAgeMs(steps) <= silenceMs(steps)).toEqual(true);
     expect(maxToldAgeMs(steps) < MAX_KEY_AGE_MS).toEqual(true);
-    expect(maxToldAgeMs(steps) > maxWordAgeMs(steps)).toEqual(true);
+    expect(maxToldAgeMs(steps) > maxStatusAgeMs(steps)).toEqual(true);
   }
   expect(maxToldAgeMs("direct") < maxToldAgeMs("relayed")).toEqual(true);
   expect(silenceMs("direct") < silenceMs("relayed")).toEqual(true);
-  expect(STALE_RELAY_MS > usualWordAgeMs("direct")).toEqual(true);
+  expect(STALE_RELAY_MS > usualStatusAgeMs("direct")).toEqual(true);
   for (const holdMs of [0, LEAD_HOLD_MS, RELAY_HOLD_MS]) {
     // One report may get no answer.
     expect(presentMs(holdMs) > holdMs + ANSWER_TIMEOUT_MS).toEqual(true);
--- a/packages/celerytray/src/coordination/lead_word.ts
+++ b/packages/celerytray/src/coordination/lead_status.ts
@@ -1,47 +1,47 @@
 import type { LeadRecord } from "../groups/index.ts";
 import type { WindowTotals } from "../serving/index.ts";
-import { maxWordAgeMs, type WordSteps } from "./intervals.ts";
+import { maxStatusAgeMs, type StatusPath } from "./intervals.ts";
 import type {
   DemandTotals,
-  InstanceNews,
-  KnownWord,
+  InstanceUpdates,
+  KnownStatus,
   LeadAnswer,
   PeerNode,
   Versioned,
 } from "./peer_messages.ts";
 
 /** What the lead says itself. */
-export interface OwnWord {
+export interface OwnStatus {
   readonly processes: number;
   readonly repeats: Readonly<Record<string, WindowTotals>>;
   readonly demand: DemandTotals;
   readonly expectedMs: Readonly<Record<string, number>>;
   readonly relays: readonly PeerNode[];
-  readonly news: InstanceNews;
+  readonly updates: InstanceUpdates;
   readonly storeAnsweredAtMs: number;
 }
 
-/** The part of an answer that is the lead's word. */
-export type WordPart = Omit<
+/** The part of an answer that is the lead's status. */
+export type StatusPart = Omit<
   LeadAnswer,
   "isLeading" | "heldMs" | "config" | "instances"
 >;
 
-/** The lead's newest word, as this process says it or was told. */
-export class LeadWord {
+/** The lead's newest status, as this process says it or was told. */
+export class LeadStatus {
   #lead: LeadRecord | undefined;
   /** Time from which on this process counts on the lead. */
   #sinceMs = 0;
   /** Time at which the lead said it; undefined before it said anything. */
-  #saidAtMs: number | undefined;
+  #publishedAtMs: number | undefined;
   #storeAnsweredAtMs = Number.NEGATIVE_INFINITY;
-  #steps: WordSteps = "direct";
+  #steps: StatusPath = "direct";
   #processes = 1;
   #repeats: Readonly<Record<string, WindowTotals>> = {};
   #demand: DemandTotals = { byModel: {}, byTenant: {} };
   #expectedMs: Readonly<Record<string, number>> = {};
   #relays: Versioned<readonly PeerNode[]> = { version: "", value: [] };
-  #news: Versioned<InstanceNews> = {
+  #updates: Versioned<InstanceUpdates> = {
     version: "",
     value: { closedHeads: [], leaving: [] },
   };
@@ -55,7 +55,7 @@
     return this.#lead?.term ?? 0;
   }
 
-  get steps(): WordSteps {
+  get steps(): StatusPath {
     return this.#steps;
   }
 
@@ -68,7 +68,7 @@
   }
 
   get closedHeads(): readonly string[] {
-    return this.#news.value.closedHeads;
+    return this.#updates.value.closedHeads;
   }
 
   get repeats(): Readonly<Record<string, WindowTotals>> {
@@ -89,7 +89,7 @@
 
   /** Time since the lead said it, or since this process counts on the lead. */
   silentMs(nowMs: number): number {
-    return nowMs - (this.#saidAtMs ?? this.#sinceMs);
+    return nowMs - (this.#publishedAtMs ?? this.#sinceMs);
   }
 
   /** Time since the store answered the lead, as far as that is known. */
@@ -98,21 +98,21 @@
   }
 
   isFresh(nowMs: number): boolean {
-    return this.#saidAtMs !== undefined &&
-      this.silentMs(nowMs) < maxWordAgeMs(this.#steps);
+    return this.#publishedAtMs !== undefined &&
+      this.silentMs(nowMs) < maxStatusAgeMs(this.#steps);
   }
 
   /** Follows a lead from now on, or is it. */
   setLead(lead: LeadRecord, nowMs: number): void {
     this.#lead = lead;
     this.#sinceMs = nowMs;
-    this.#saidAtMs = undefined;
+    this.#publishedAtMs = undefined;
     this.#storeAnsweredAtMs = nowMs;
   }
 
-  /** Takes what the lead, which is this process, says; true if news is in it. */
-  say(own: OwnWord, nowMs: number): boolean {
-    this.#saidAtMs = nowMs;
+  /** Takes what the lead, which is this process, says; true if updates is in it. */
+  publish(own: OwnStatus, nowMs: number): boolean {
+    this.#publishedAtMs = nowMs;
     this.#steps = "direct";
     this.#storeAnsweredAtMs = own.storeAnsweredAtMs;
     this.#processes = own.processes;
@@ -121,7 +121,7 @@
     this.#expectedMs = own.expectedMs;
     const changes = this.#changes;
     this.#relays = this.#renew(this.#relays, own.relays);
-    this.#news = this.#renew(this.#news, own.news);
+    this.#updates = this.#renew(this.#updates, own.updates);
     return this.#changes !== changes;
   }
 
@@ -131,18 +131,20 @@
    */
   adopt(
     answer: LeadAnswer,
-    { saidAtMs: toldAtMs, steps }: {
-      readonly saidAtMs: number;
-      readonly steps: WordSteps;
+    { publishedAtMs: toldAtMs, steps }: {
+      readonly publishedAtMs: number;
+      readonly steps: StatusPath;
     },
   ): boolean {
-    if (answer.wordAgeMs === null || answer.term < this.term) return false;
-    const saidAtMs = toldAtMs - answer.wordAgeMs;
+    if (answer.statusAgeMs === null || answer.term < this.term) return false;
+    const publishedAtMs = toldAtMs - answer.statusAgeMs;
     const isNewLead = answer.lead !== undefined && answer.term > this.term;
     if (isNewLead) this.#lead = answer.lead;
     if (answer.term !== this.term) return false;
-    if (!isNewLead && saidAtMs < (this.#saidAtMs ?? saidAtMs)) return false;
-    this.#saidAtMs = saidAtMs;
+    if (!isNewLead && publishedAtMs < (this.#publishedAtMs ?? publishedAtMs)) {
+      return false;
+    }
+    this.#publishedAtMs = publishedAtMs;
     this.#steps = steps;
     this.#storeAnsweredAtMs = toldAtMs -
       (answer.storeAgeMs ?? Number.POSITIVE_INFINITY);
@@ -151,38 +153,38 @@
     this.#demand = answer.demand;
     this.#expectedMs = answer.expectedMs;
     this.#relays = answer.relays ?? this.#relays;
-    this.#news = answer.news ?? this.#news;
+    this.#updates = answer.updates ?? this.#updates;
     return isNewLead || answer.relays !== undefined ||
-      answer.news !== undefined;
+      answer.updates !== undefined;
   }
 
   /** What a process knows of it. */
-  get known(): Omit<KnownWord, "instancesOffset" | "configOffset"> {
+  get known(): Omit<KnownStatus, "instancesOffset" | "configOffset"> {
     return {
       term: this.term,
       relaysVersion: this.#relays.version,
-      newsVersion: this.#news.version,
+      updatesVersion: this.#updates.version,
     };
   }
 
   /** Whether a process that knows as much should be told at once. */
-  hasNews(known: KnownWord): boolean {
-    if (this.#saidAtMs === undefined) return false;
+  hasUpdates(known: KnownStatus): boolean {
+    if (this.#publishedAtMs === undefined) return false;
     return known.term < this.term ||
       known.relaysVersion !== this.#relays.version ||
-      known.newsVersion !== this.#news.version;
+      known.updatesVersion !== this.#updates.version;
   }
 
   /** What to tell a process that knows as much. */
-  describe(known: KnownWord, nowMs: number): WordPart {
-    const isSaid = this.#saidAtMs !== undefined;
+  describe(known: KnownStatus, nowMs: number): StatusPart {
+    const isPublished = this.#publishedAtMs !== undefined;
     return {
       term: this.term,
       ...(this.#lead === undefined || known.term === this.term
         ? {}
         : { lead: this.#lead }),
-      wordAgeMs: isSaid ? this.silentMs(nowMs) : null,
-      storeAgeMs: isSaid ? this.storeAgeMs(nowMs) : null,
+      statusAgeMs: isPublished ? this.silentMs(nowMs) : null,
+      storeAgeMs: isPublished ? this.storeAgeMs(nowMs) : null,
       processes: this.#processes,
       repeats: this.#repeats,
       demand: this.#demand,
@@ -190,7 +192,9 @@
       ...(known.relaysVersion === this.#relays.version
         ? {}
         : { relays: this.#relays }),
-      ...(known.newsVersion === this.#news.version ? {} : { news: this.#news }),
+      ...(known.updatesVersion === this.#updates.version
+        ? {}
+        : { updates: this.#updates }),
     };
   }
 
--- a/packages/celerytray/src/coordination/peer_messages.ts
+++ b/packages/celerytray/src/coordination/peer_messages.ts
@@ -19,7 +19,7 @@
 }
 
 /** Instances to which no requests should go, whatever the list says. */
-export interface InstanceNews {
+export interface InstanceUpdates {
   /** Heads of replicas that are taken apart. */
   readonly closedHeads: readonly string[];
   /** Instances that said that they leave, though the list has them as ready. */
@@ -49,11 +49,11 @@
 }
 
 /** What a process already knows, which the answer leaves out. */
-export interface KnownWord {
+export interface KnownStatus {
   /** Term of the newest lead; 0 before one is known. */
   readonly term: number;
   readonly relaysVersion: string;
-  readonly newsVersion: string;
+  readonly updatesVersion: string;
   /** Offset up to which it knows the list of instances. */
   readonly instancesOffset: number;
   /** Offset up to which it knows the configuration. */
@@ -64,12 +64,12 @@
 export interface PeerReport {
   readonly reporter: PeerNode;
   readonly summary: PeerSummary;
-  readonly known: KnownWord;
+  readonly known: KnownStatus;
   /** Longest time for which the answer may wait for something new. */
   readonly holdMs: number;
 }
 
-/** The lead's word, from itself or by way of a relay. */
+/** The lead's status, from itself or by way of a relay. */
 export interface LeadAnswer {
   /** Whether the answering process decides on replicas. */
   readonly isLeading: boolean;
@@ -78,8 +78,8 @@
   readonly lead?: LeadRecord;
   /** Time for which the report was kept before this answer was given. */
   readonly heldMs: number;
-  /** Age of the lead's word; null where none was heard. */
-  readonly wordAgeMs: number | null;
+  /** Age of the lead's status; null where none was heard. */
+  readonly statusAgeMs: number | null;
   /** Time since the store last answered the lead; null where none was heard. */
   readonly storeAgeMs: number | null;
   /** Processes that the lead hears of. */
@@ -90,9 +90,9 @@
   readonly demand: DemandTotals;
   /** Time until a replica is expected, by model that has none. */
   readonly expectedMs: Readonly<Record<string, number>>;
-  /** Processes that pass the lead's word on, the most able first. */
+  /** Processes that pass the lead's status on, the most able first. */
   readonly relays?: Versioned<readonly PeerNode[]>;
-  readonly news?: Versioned<InstanceNews>;
+  readonly updates?: Versioned<InstanceUpdates>;
   /** How far the answering process knows the configuration, with what is new. */
   readonly config: RelayedChange & KnownEnd;
   /** How far it knows the list of instances, with what is new in it. */
@@ -140,11 +140,11 @@
     typeof input.hasTraffic === "boolean";
 }
 
-function isKnown(input: KnownWord | undefined): boolean {
+function isKnown(input: KnownStatus | undefined): boolean {
   return typeof input === "object" && input !== null &&
     Number.isSafeInteger(input.term) &&
     typeof input.relaysVersion === "string" &&
-    typeof input.newsVersion === "string" &&
+    typeof input.updatesVersion === "string" &&
     Number.isSafeInteger(input.instancesOffset) &&
     Number.isSafeInteger(input.configOffset);
 }
--- a/packages/celerytray/src/coordination/peer_router.ts
+++ b/packages/celerytray/src/coordination/peer_router.ts
@@ -12,9 +12,9 @@
 
 /** What other processes may ask of this one. */
 export interface LeadOperations {
-  /** Takes a report, and answers once there is news or its time is over. */
+  /** Takes a report, and answers once there is updates or its time is over. */
   readonly report: (report: PeerReport) => Effect.Effect<LeadAnswer>;
-  /** Age of the newest word that this process had of the lead of a term. */
+  /** Age of the newest status that this process had of the lead of a term. */
   readonly heardLeadAgoMs: (term: number) => number | undefined;
 }
 
@@ -53,7 +53,7 @@
     address: string,
     report: PeerReport,
   ): Effect.Effect<LeadAnswer, PeerSilent>;
-  /** Age of the newest word that another process had of the lead of a term. */
+  /** Age of the newest status that another process had of the lead of a term. */
   heardLead(
     address: string,
     term: number,
--- a/packages/celerytray/src/coordination/select_relays.ts
+++ b/packages/celerytray/src/coordination/select_relays.ts
@@ -18,7 +18,7 @@
 }
 
 /**
- * Selects the processes that pass the lead's word on and take its place, the
+ * Selects the processes that pass the lead's status on and take its place, the
  * most able first. Their number grows with the root of that of all processes,
  * so that neither the lead nor a relay hears many.
  */
--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -69,7 +69,7 @@
     if (entry !== undefined) {
       this.#entries.set(life.instanceId, {
         ...entry,
-        state: this.#withOwnWord(entry.state),
+        state: this.#withOwnAnnouncement(entry.state),
       });
     }
     this.#revision += 1;
@@ -102,7 +102,7 @@
       Left: (message) => this.#options.onMalformed(id, message),
       Right: (state) => {
         this.#entries.set(id, {
-          state: this.#withOwnWord(state),
+          state: this.#withOwnAnnouncement(state),
           isListedReady: !state.isDraining,
           offset,
         });
@@ -111,8 +111,8 @@
     });
   }
 
-  /** A late entry of the list doesn't take an instance's own word back. */
-  #withOwnWord(state: InstanceState): InstanceState {
+  /** A late entry of the list doesn't take an instance's own status back. */
+  #withOwnAnnouncement(state: InstanceState): InstanceState {
     if (state.isDraining) return state;
     return this.#leaving.isLeaving(state.id, state.bornAtMs)
       ? { ...state, isDraining: true }
--- a/packages/celerytray/src/groups/instance_list_test.ts
+++ b/packages/celerytray/src/groups/instance_list_test.ts
@@ -59,7 +59,7 @@
 const life = (state: string, bornAtMs: number) =>
   JSON.stringify({ id: "a", isDraining: state === "draining", bornAtMs });
 
-it("takes an instance's own word that it leaves before the list's", () => {
+it("takes an instance's own status that it leaves before the list's", () => {
   const { view, tell } = createView();
   tell("a", 1, life("ready", 5));
   const { revision } = view;
@@ -74,18 +74,18 @@
   expect(view.find("a")?.isDraining).toEqual(true);
 });
 
-it("takes that word back with a newer life only", () => {
+it("takes that status back with a newer life only", () => {
   const { view, tell } = createView();
   tell("a", 1, life("ready", 5));
   view.noteLeaving({ instanceId: "a", bornAtMs: 5 });
   tell("a", 2, life("ready", 9));
   expect(view.find("a")?.isDraining).toEqual(false);
-  // The word of the life before comes late, by way of another process.
+  // The status of the life before comes late, by way of another process.
   view.noteLeaving({ instanceId: "a", bornAtMs: 5 });
   expect(view.find("a")?.isDraining).toEqual(false);
 });
 
-it("tells others of a word until the list has it", () => {
+it("tells others of a status until the list has it", () => {
   const { view, tell } = createView();
   tell("a", 1, life("ready", 5));
   view.noteLeaving({ instanceId: "a", bornAtMs: 5 });
--- a/packages/celerytray/src/groups/leaving_book.ts
+++ b/packages/celerytray/src/groups/leaving_book.ts
@@ -9,13 +9,13 @@
 const MAX_LIVES = 4_000;
 
 /**
- * Which instances said that they leave. Only a newer life takes the word back,
+ * Which instances said that they leave. Only a newer life takes the status back,
  * neither time nor an entry of the list that still calls the instance ready.
  */
 export class LeavingBook {
   readonly #lives = new Map<string, LeavingLife>();
 
-  /** Takes note of a word; false if nothing is new in it. */
+  /** Takes note of a status; false if nothing is new in it. */
   note(life: LeavingLife): boolean {
     const known = this.#lives.get(life.instanceId);
     const isOld = known !== undefined && startOf(known) >= startOf(life);
--- a/packages/fakes/src/coordination/coordination_world.ts
+++ b/packages/fakes/src/coordination/coordination_world.ts
@@ -35,7 +35,7 @@
   readonly leaving: Map<string, LeavingLife>;
   /** Reports that it was sent. */
   reports: number;
-  /** Times at which it last proved a topic's end by the word of others. */
+  /** Times at which it last proved a topic's end by the status of others. */
   toldAtMs: number;
   state: ProcessState;
   readonly onEnd: Set<() => void>;
--- a/packages/fakes/src/fleet/fake_fleet.ts
+++ b/packages/fakes/src/fleet/fake_fleet.ts
@@ -62,7 +62,7 @@
     onChange(instance);
   }
 
-  /** Ends an instance without a word. */
+  /** Ends an instance without a status. */
   kill(id: string): void {
     const instance = this.#instances.get(id);
     if (instance !== undefined) instance.isAlive = false;
--- a/packages/fakes/src/fleet/fleet_director_test.ts
+++ b/packages/fakes/src/fleet/fleet_director_test.ts
@@ -23,7 +23,7 @@
 const MAX_REPAIR_MS = 5_000;
 /** Time after an arrival at which its weights are still loading. */
 const ARRIVAL_MS = 4_000;
-/** Time in which an instance's word that it leaves is acted on. */
+/** Time in which an instance's status that it leaves is acted on. */
 const LEAVING_MS = 500;
 /** Time in which another process has taken the lead and looked around. */
 const LEAD_CHANGE_MS = 3_000;
--- a/packages/fakes/src/fleet/fleet_trouble.ts
+++ b/packages/fakes/src/fleet/fleet_trouble.ts
@@ -31,7 +31,7 @@
 export interface FleetProcess {
   readonly nodeId: string;
   readonly coordinator: Coordinator;
-  /** Takes an instance's word, as from an answer of it. */
+  /** Takes an instance's status, as from an answer of it. */
   readonly noteLeaving: (instanceId: string) => void;
   isCut: boolean;
   /** Whether the store, but no other process, is out of its reach. */
