--- a/packages/celerytray/src/config/config_snapshots.ts
+++ b/packages/celerytray/src/config/config_snapshots.ts
@@ -66,7 +66,7 @@
   );
 }
 
-/** Writes a snapshot before retention removes what the last one rests on. */
+/** Writes a snapshot before retention removes what the last one backoffs on. */
 export function runConfigSnapshotWriter(
   options: ConfigSnapshotWriterOptions,
 ): Effect.Effect<void, never, Scope.Scope> {
--- a/packages/celerytray/src/entry/entry_backends.ts
+++ b/packages/celerytray/src/entry/entry_backends.ts
@@ -11,7 +11,7 @@
 import { LeavingDirectory } from "./leaving_directory.ts";
 import { ReadyBackends } from "./ready_backends.ts";
 
-/** What the view of back ends rests on. */
+/** What the view of back ends backoffs on. */
 export interface EntryBackendsOptions {
   readonly engine: ModelEngine;
   readonly directory: InstanceDirectory;
--- a/packages/celerytray/src/entry/entry_membership.ts
+++ b/packages/celerytray/src/entry/entry_membership.ts
@@ -24,7 +24,7 @@
 import type { ResolvedEntrySettings, Secrets } from "../settings/index.ts";
 import type { Timeline } from "../timeline/index.ts";
 
-/** What membership of an entry instance rests on. */
+/** What membership of an entry instance backoffs on. */
 export interface EntryMembershipOptions {
   readonly settings: ResolvedEntrySettings;
   readonly secrets: Secrets;
--- a/packages/celerytray/src/fleet/assess_replica.ts
+++ b/packages/celerytray/src/fleet/assess_replica.ts
@@ -31,7 +31,7 @@
   readonly reason: string;
 }
 
-/** What a judgement rests on. */
+/** What a judgement backoffs on. */
 export interface DamageInput {
   readonly observation: FleetObservation;
   readonly estimates: FleetEstimates;
--- a/packages/celerytray/src/fleet/place_replicas.ts
+++ b/packages/celerytray/src/fleet/place_replicas.ts
@@ -10,7 +10,7 @@
 import type { FleetObservation, FleetProposal } from "./planner_types.ts";
 import { SpreadQueue } from "./spread_queue.ts";
 
-/** What formation rests on. */
+/** What formation backoffs on. */
 export interface PlacementInput {
   readonly observation: FleetObservation;
   readonly pools: ReadonlyMap<string, DomainPool>;
--- a/packages/celerytray/src/fleet/replica_health.ts
+++ b/packages/celerytray/src/fleet/replica_health.ts
@@ -14,7 +14,7 @@
   | { readonly state: "mismatched"; readonly members: readonly string[] }
   | { readonly state: "incomplete"; readonly members: readonly string[] };
 
-/** What a judgement of health rests on. */
+/** What a judgement of health backoffs on. */
 export interface HealthInput {
   readonly observations: ReadonlyMap<string, MemberObservation>;
   readonly nowMs: number;
--- a/packages/celerytray/src/fleet/select_orders.ts
+++ b/packages/celerytray/src/fleet/select_orders.ts
@@ -9,7 +9,7 @@
   type MemberObservation,
 } from "./replica_health.ts";
 
-/** What the order of loads rests on. */
+/** What the order of loads backoffs on. */
 export interface OrderSelection {
   readonly orders: readonly AddressedOrder[];
   readonly config: ConfigSet;
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -36,7 +36,7 @@
   /** Time for which an instance that drains works on at least. */
   readonly drainMs: number;
   /** Whether an instance asked this machine for time. */
-  readonly isResting: (instanceId: string) => boolean;
+  readonly isBackingOff: (instanceId: string) => boolean;
   /** Takes note that an instance said that it leaves. */
   readonly onLeaving: (instanceId: string) => void;
   readonly record: RecordEvent;
@@ -152,7 +152,7 @@
       ...this.#state.liveness.takeDue(nowMs, isUnlisted),
       ...this.#state.paces.takeDue(nowMs),
     ]);
-    return [...due].filter((id) => !this.#options.isResting(id))
+    return [...due].filter((id) => !this.#options.isBackingOff(id))
       .map((id) => this.#probeOne(id, isUnlisted(id)));
   }
 
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -28,12 +28,12 @@
   TopicCopy,
 } from "../keyed_log/index.ts";
 import {
+  BackoffTracker,
   BudgetBook,
   type CallCodec,
   LoadBook,
   PaceBook,
   RepeatBudget,
-  RestBook,
   type ServingConfig,
   type ServingDependencies,
   StallWatch,
@@ -110,7 +110,7 @@
     const listContact = new StoreContact({ topic: "instances", record });
     const metrics = new MetricsPage();
     const loads = new LoadBook();
-    const rests = new RestBook();
+    const backoffs = new BackoffTracker();
     const stalls = new StallWatch();
     const paces = new PaceBook();
     const pools = new BackendPools();
@@ -154,7 +154,7 @@
       const isPresent = (id: string) => instances.find(id) !== undefined;
       loads.keepOnly(isPresent);
       paces.keepOnly(isPresent);
-      rests.keepOnly(isPresent, nowMs());
+      backoffs.keepOnly(isPresent, nowMs());
     };
     const configCopy = new TopicCopy();
     const applyConfig = (change: KeyedChange) => {
@@ -221,7 +221,8 @@
           demand: (model) => coordinator.totalDemand(model),
           hasTraffic: () => coordinator.hasAnyTraffic(),
           drainMs: settings.drainMs,
-          isResting: (instanceId) => rests.isResting(instanceId, nowMs()),
+          isBackingOff: (instanceId) =>
+            backoffs.isBackingOff(instanceId, nowMs()),
           onLeaving: (instanceId) => {
             const bornAtMs = instances.find(instanceId)?.bornAtMs;
             noteLeaving(createLife(instanceId, bornAtMs));
@@ -273,7 +274,7 @@
       areKeysFresh: () => keys.isFresh(),
       listTargets: (service, model) => targets.list(service, model),
       loads,
-      rests,
+      backoffs,
       stalls,
       paces,
       budgets: new BudgetBook(),
@@ -289,7 +290,7 @@
       },
       noteLeaving: ({ instanceId, bornAtMs }) =>
         noteLeaving(createLife(instanceId, bornAtMs)),
-      onRest: (rest) => record("instance.resting", { ...rest }),
+      onBackoff: (backoff) => record("instance.backoff", { ...backoff }),
       onMalformedHead: (instanceId, message) =>
         record("instance.head-malformed", { instanceId, message }),
       onFault: (defect) =>
--- a/packages/celerytray/src/membership/select_preferred.ts
+++ b/packages/celerytray/src/membership/select_preferred.ts
@@ -2,7 +2,7 @@
 
 /**
  * The candidate that rendezvous hashing prefers for a name; undefined when
- * there are none. A preference only saves work, correctness never rests on it.
+ * there are none. A preference only saves work, correctness never backoffs on it.
  */
 export function selectPreferred(
   name: string,
--- a/packages/celerytray/src/platform/call_codec.ts
+++ b/packages/celerytray/src/platform/call_codec.ts
@@ -85,7 +85,7 @@
   decodeAnswer(response: IncomingMessage): AnswerHead {
     const callId = readSingle(response, headers.callId);
     const load = decodeLoad(readSingle(response, headers.load));
-    const rest = decodeRest(response);
+    const backoff = decodeBackoff(response);
     const encoding = response.headers["content-encoding"];
     const status = response.statusCode ?? 0;
     return {
@@ -101,7 +101,7 @@
       passedHeaders: selectPassed(response, REPLACED_ON_ANSWERS),
       ...(callId === undefined ? {} : { callId }),
       ...(load === undefined ? {} : { load }),
-      ...rest,
+      ...backoff,
     };
   }
 }
@@ -113,9 +113,9 @@
 const SECONDS = /^[0-9]{1,12}(?:\.[0-9]{1,12})?$/;
 
 /** The time for which an instance wants no more requests from this machine. */
-function decodeRest(
+function decodeBackoff(
   response: IncomingMessage,
-): Pick<AnswerHead, "restMs" | "malformed"> {
+): Pick<AnswerHead, "backoffMs" | "malformed"> {
   const values = response.headersDistinct[headers.retryAfter];
   if (response.statusCode !== UNAVAILABLE_STATUS || values === undefined) {
     return {};
@@ -125,7 +125,7 @@
     const shown = values.join().slice(0, MAX_SHOWN_CHARACTERS);
     return { malformed: `${headers.retryAfter} is ${shown}, not in seconds` };
   }
-  return { restMs: Number(text) * 1000 };
+  return { backoffMs: Number(text) * 1000 };
 }
 
 /** Characters of a malformed value that are logged. */
--- a/packages/celerytray/src/platform/call_codec_test.ts
+++ b/packages/celerytray/src/platform/call_codec_test.ts
@@ -20,18 +20,18 @@
   it("tells for how long its instance wants nothing", () => {
     const restOf = (...values: string[]) =>
       decode(503, { "retry-after": values });
-    expect(restOf("2").restMs).toEqual(2_000);
-    expect(restOf("0.25").restMs).toEqual(250);
-    expect(restOf("0").restMs).toEqual(0);
-    expect(restOf("99999999").restMs).toEqual(99_999_999_000);
-    expect(restOf().restMs).toEqual(undefined);
+    expect(restOf("2").backoffMs).toEqual(2_000);
+    expect(restOf("0.25").backoffMs).toEqual(250);
+    expect(restOf("0").backoffMs).toEqual(0);
+    expect(restOf("99999999").backoffMs).toEqual(99_999_999_000);
+    expect(restOf().backoffMs).toEqual(undefined);
     expect(restOf().malformed).toEqual(undefined);
   });
 
   it("names what is no time, in few characters", () => {
     const malformed = (...values: string[]) => {
       const head = decode(503, { "retry-after": values });
-      expect(head.restMs).toEqual(undefined);
+      expect(head.backoffMs).toEqual(undefined);
       return head.malformed;
     };
     expect(malformed("-1")).toEqual("retry-after is -1, not in seconds");
@@ -43,7 +43,7 @@
   });
 
   it("takes a time from a 503 only", () => {
-    expect(decode(429, { "retry-after": ["2"] }).restMs).toEqual(undefined);
+    expect(decode(429, { "retry-after": ["2"] }).backoffMs).toEqual(undefined);
     expect(decode(200, { "retry-after": ["-"] }).malformed).toEqual(undefined);
   });
 });
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -203,15 +203,15 @@
 }
 
 /** The answer to a request whose targets all asked for time. */
-export function refuseWhileResting(
+export function refuseWhileBackingOff(
   options: AttemptsOptions,
   progress: AttemptProgress,
-  restMs: number,
+  backoffMs: number,
 ): AttemptsResult {
   return conclude(options, progress, {
     message: "Every back end asked for time",
     unknownStatus: 502,
-    retryAfterMs: restMs,
+    retryAfterMs: backoffMs,
   });
 }
 
--- a/packages/celerytray/src/serving/call.ts
+++ b/packages/celerytray/src/serving/call.ts
@@ -57,7 +57,7 @@
   readonly isEventStream: boolean;
   readonly load?: InstanceLoad;
   /** Time for which the instance wants no more requests from this machine. */
-  readonly restMs?: number;
+  readonly backoffMs?: number;
   /** What can't be read of its head, and is passed over. */
   readonly malformed?: string;
   /** Names and values by turns, of the headers to pass on. */
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -5,7 +5,7 @@
 import type { LoadBook } from "./load_book.ts";
 import type { PaceBook } from "./pace_book.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
-import type { RestBook } from "./rest_book.ts";
+import type { BackoffTracker } from "./backoff_tracker.ts";
 import type { ServingRoute } from "./serving_config.ts";
 import type { ServingIndex } from "./serving_index.ts";
 import type { StallWatch } from "./stall_watch.ts";
@@ -24,7 +24,7 @@
     model: string | undefined,
   ) => readonly ServingTarget[];
   readonly loads: LoadBook;
-  readonly rests: RestBook;
+  readonly backoffs: BackoffTracker;
   readonly stalls: StallWatch;
   readonly paces: PaceBook;
   readonly repeats: RepeatBudget;
@@ -38,8 +38,8 @@
   readonly noteDemand: (source: DemandSource, change: 1 | -1) => void;
   /** Takes note that a target's answer said that it leaves. */
   readonly noteLeaving: (target: ServingTarget) => void;
-  /** Told of a rest that a target asked for, and of what it gets. */
-  readonly onRest: (rest: NotedRest) => void;
+  /** Told of a back-off that a target asked for, and of what it gets. */
+  readonly onBackoff: (backoff: NotedBackoff) => void;
   /** Told of a head of an answer that can't be read in full. */
   readonly onMalformedHead: (instanceId: string, message: string) => void;
   /** Told of an unexpected error. */
@@ -53,12 +53,12 @@
   readonly tenant?: string;
 }
 
-/** A rest that an instance asked for. */
-export interface NotedRest {
+/** A back-off that an instance asked for. */
+export interface NotedBackoff {
   readonly instanceId: string;
   readonly askedMs: number;
   /** Time for which it gets no requests from here. */
-  readonly restMs: number;
+  readonly backoffMs: number;
 }
 
 /** What became of a call, for logs and metrics. */
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -19,7 +19,7 @@
   readonly loads: LoadBook;
   readonly zone: string;
   /** Whether an instance asked for time, in which nothing may go there. */
-  readonly isResting: (instanceId: string) => boolean;
+  readonly isBackingOff: (instanceId: string) => boolean;
   /** Whether an instance is silent towards all requests it has from here. */
   readonly isSilent: (instanceId: string) => boolean;
   /** Whether its streams take far longer than usual. */
@@ -46,7 +46,7 @@
 export function chooseTarget(choice: TargetChoice): ServingTarget | undefined {
   const { loads, nowMs, tried } = choice;
   const untried = choice.targets.filter(({ instanceId }) =>
-    !tried.has(instanceId) && !choice.isResting(instanceId)
+    !tried.has(instanceId) && !choice.isBackingOff(instanceId)
   );
   const preferred = untried.filter((target) => isPreferred(target, choice));
   let best: ServingTarget | undefined;
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -5,7 +5,7 @@
 import { LoadBook } from "./load_book.ts";
 import { PaceBook } from "./pace_book.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
-import { RestBook } from "./rest_book.ts";
+import { BackoffTracker } from "./backoff_tracker.ts";
 import { StallWatch } from "./stall_watch.ts";
 
 /** What a test sets itself. */
@@ -23,7 +23,7 @@
     zone: "z",
     areKeysFresh: () => true,
     loads: new LoadBook(),
-    rests: new RestBook(),
+    backoffs: new BackoffTracker(),
     stalls: new StallWatch(),
     paces: new PaceBook(),
     budgets: new BudgetBook(),
@@ -43,7 +43,7 @@
     noteDemand: () => {},
     noteLeaving: () => {},
     onFault: () => {},
-    onRest: () => {},
+    onBackoff: () => {},
     onMalformedHead: () => {},
     ...own,
   };
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -30,7 +30,7 @@
   /** Every replica has more work than it begins in time. */
   | { readonly kind: "full" }
   /** Every one that could take it asked for time. */
-  | { readonly kind: "resting"; readonly restMs: number }
+  | { readonly kind: "backing-off"; readonly backoffMs: number }
   | { readonly kind: "none" };
 
 /** Waits shortly for a target, if there is none now. */
@@ -45,7 +45,7 @@
       const nowMs = yield* steadyMs;
       const search = searchTarget(options, progress, nowMs);
       if (search.kind === "found") return search;
-      if (search.kind === "resting" && !hasBegun(options, progress)) {
+      if (search.kind === "backing-off" && !hasBegun(options, progress)) {
         return search;
       }
       const waitMs = targetMs *
@@ -88,14 +88,14 @@
 
 function explainNoTarget(
   { targets, tried, nowMs }: TargetChoice,
-  { rests }: ServingDependencies,
+  { backoffs }: ServingDependencies,
 ): TargetSearch {
   const untried = targets.filter(({ instanceId }) => !tried.has(instanceId));
-  const restMs = rests.shortestRestMs(
+  const backoffMs = backoffs.shortestBackoffMs(
     untried.map(({ instanceId }) => instanceId),
     nowMs,
   );
-  return restMs > 0 ? { kind: "resting", restMs } : { kind: "none" };
+  return backoffMs > 0 ? { kind: "backing-off", backoffMs } : { kind: "none" };
 }
 
 function createChoice(
@@ -103,13 +103,13 @@
   progress: AttemptProgress,
   nowMs: number,
 ): TargetChoice {
-  const { stalls, paces, rests } = dependencies;
+  const { stalls, paces, backoffs } = dependencies;
   return {
     targets: dependencies.listTargets(call.service, call.head.model),
     loads: dependencies.loads,
     zone: dependencies.zone,
     hasConnection: dependencies.hasConnection,
-    isResting: (id) => rests.isResting(id, nowMs),
+    isBackingOff: (id) => backoffs.isBackingOff(id, nowMs),
     isSilent: (id) => stalls.isSilent(id, nowMs),
     isSlow: (target) => paces.isSlow(target, nowMs),
     tried: progress.tried,
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -19,7 +19,7 @@
   type SharedTotals,
   type WindowTotals,
 } from "./repeat_budget.ts";
-export { RestBook } from "./rest_book.ts";
+export { BackoffTracker } from "./backoff_tracker.ts";
 export { runAttempt } from "./run_attempt.ts";
 export { serveCall } from "./serve_call.ts";
 export type {
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -12,7 +12,7 @@
   mayRepeatAnswer,
   noteOutcome,
   refuseAsFull,
-  refuseWhileResting,
+  refuseWhileBackingOff,
   runOutOfTime,
   summarize,
 } from "./attempt_progress.ts";
@@ -58,8 +58,8 @@
     while (true) {
       const search = yield* awaitTarget(options, progress);
       if (search.kind === "full") return refuseAsFull(options, progress);
-      if (search.kind === "resting") {
-        return refuseWhileResting(options, progress, search.restMs);
+      if (search.kind === "backing-off") {
+        return refuseWhileBackingOff(options, progress, search.backoffMs);
       }
       if (search.kind === "none") {
         return giveUp(options, progress, "No back end can take the request");
@@ -186,12 +186,12 @@
 /** Takes note of what an answer's head tells of its instance. */
 function noteHead({ dependencies, target, head, nowMs }: NotedHead): void {
   const { instanceId } = target;
-  const { loads, rests, onRest, onMalformedHead } = dependencies;
+  const { loads, backoffs, onBackoff, onMalformedHead } = dependencies;
   if (head.isLeaving) dependencies.noteLeaving(target);
   if (head.load !== undefined) loads.noteLoad(instanceId, head.load, nowMs);
-  if (head.restMs !== undefined) {
-    const restMs = rests.noteRest(instanceId, head.restMs, nowMs);
-    onRest({ instanceId, askedMs: head.restMs, restMs });
+  if (head.backoffMs !== undefined) {
+    const backoffMs = backoffs.noteBackoff(instanceId, head.backoffMs, nowMs);
+    onBackoff({ instanceId, askedMs: head.backoffMs, backoffMs });
   }
   if (head.malformed !== undefined) onMalformedHead(instanceId, head.malformed);
 }
--- a/packages/fakes/src/coordination/coordination_world.ts
+++ b/packages/fakes/src/coordination/coordination_world.ts
@@ -185,7 +185,7 @@
           demand: () => 0,
           hasTraffic: () => false,
           drainMs: 0,
-          isResting: () => false,
+          isBackingOff: () => false,
           onLeaving: () => {},
           record: () => {},
         }),
--- a/packages/fakes/src/fleet/fleet_world.ts
+++ b/packages/fakes/src/fleet/fleet_world.ts
@@ -222,7 +222,7 @@
         demand: () => 0,
         hasTraffic: () => nowMs() > SETTLE_MS,
         drainMs: DRAIN_MS,
-        isResting: () => false,
+        isBackingOff: () => false,
         onLeaving: (instanceId) =>
           list.noteLeaving(describeLife(list, instanceId)),
         record: () => {},
