--- a/packages/bench/src/config/sample_config.ts
+++ b/packages/bench/src/config/sample_config.ts
@@ -14,10 +14,10 @@
   const services = createNames("service", serviceCount);
   return {
     availabilityZones: { "zone-a": {}, "zone-b": {}, "zone-c": {} },
-    deployments: { desk: { weighting: "group-downtime" } },
+    deployments: { dispatcher: { weighting: "group-downtime" } },
     services: Object.fromEntries(services.map((name) => [name, {
       kind: "model",
-      deployment: "desk",
+      deployment: "dispatcher",
       replicaCount: 10,
       instancesPerReplica: 8,
       model: "draft-7b",
--- a/packages/bench/src/slopes/state_slopes.ts
+++ b/packages/bench/src/slopes/state_slopes.ts
@@ -153,11 +153,11 @@
   return {
     availabilityZones: { "zone-a": {} },
     organisations,
-    deployments: { desk: { weighting: "group-downtime" } },
+    deployments: { dispatcher: { weighting: "group-downtime" } },
     services: {
       drafter: {
         kind: "model",
-        deployment: "desk",
+        deployment: "dispatcher",
         replicaCount: 65,
         instancesPerReplica: MEMBERS_PER_REPLICA,
         model: "drafter",
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -5,7 +5,7 @@
 import type { InstanceListView } from "./instance_list.ts";
 import { findReplaceable } from "./find_replaceable.ts";
 import { FleetState } from "./fleet_state.ts";
-import { type DeskOrder, OrderDesk } from "./order_desk.ts";
+import { type DispatchedOrder, OrderDispatcher } from "./order_dispatcher.ts";
 import { type EngineSpecs, ReplicaFormer } from "./replica_former.ts";
 import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
@@ -50,7 +50,7 @@
 export class FleetDirector {
   readonly #options: FleetDirectorOptions;
   readonly #state: FleetState;
-  readonly #desk: OrderDesk;
+  readonly #dispatcher: OrderDispatcher;
   readonly #former: ReplicaFormer;
   /** Replicas whose record is being removed. */
   readonly #retiringNames = new Set<string>();
@@ -60,11 +60,11 @@
   constructor(options: FleetDirectorOptions) {
     this.#options = options;
     this.#state = new FleetState(options);
-    this.#desk = this.#createDesk();
+    this.#dispatcher = this.#createDispatcher();
     this.#former = new ReplicaFormer({
       ...options,
       state: this.#state,
-      desk: this.#desk,
+      dispatcher: this.#dispatcher,
       isRetiring: () => this.#retiringNames.size > 0,
     });
   }
@@ -117,7 +117,7 @@
             ...this.#probe(nowMs),
             ...this.#orderRuns(nowMs),
             ...listLeftoverOrders(this.#state, nowMs).flatMap((order) =>
-              this.#desk.send(order, nowMs)
+              this.#dispatcher.send(order, nowMs)
             ),
             ...this.#former.plan(nowMs),
           ];
@@ -241,7 +241,7 @@
       }
       if (run.retiring?.isFreed === true) return this.#retire(run);
       return due.flatMap(({ instanceId, order }) =>
-        this.#desk.send({ instanceId, order, run }, nowMs)
+        this.#dispatcher.send({ instanceId, order, run }, nowMs)
       );
     });
   }
@@ -273,9 +273,9 @@
     ];
   }
 
-  #createDesk(): OrderDesk {
+  #createDispatcher(): OrderDispatcher {
     const { control, engines, hasTraffic, record } = this.#options;
-    return new OrderDesk({
+    return new OrderDispatcher({
       control,
       fence: () => this.#state.fence,
       findAddress: (id) => this.#state.findAddress(id),
@@ -301,11 +301,11 @@
   }
 
   #noteOrdered(
-    desk: DeskOrder,
+    dispatcher: DispatchedOrder,
     { outcome, isLeaving }: OrderAnswer,
     sentAtMs: number,
   ): void {
-    const { instanceId, order, run } = desk;
+    const { instanceId, order, run } = dispatcher;
     if (isLeaving) this.#options.onLeaving(instanceId);
     this.#options.record("order.answered", {
       instanceId,
@@ -324,6 +324,6 @@
     if (order.kind === "leave" && (isTaken || outcome === "unfit")) {
       this.#state.departures.noteLeft(instanceId, order.epoch);
     }
-    if (run !== undefined) noteRetiringOrder(run, desk, outcome);
+    if (run !== undefined) noteRetiringOrder(run, dispatcher, outcome);
   }
 }
--- a/packages/celerytray/src/groups/fleet_state.ts
+++ b/packages/celerytray/src/groups/fleet_state.ts
@@ -2,7 +2,7 @@
 import type { InstanceState } from "./instance_state.ts";
 import { Departures } from "./departures.ts";
 import { InstanceWeights } from "./instance_weights.ts";
-import { LivenessBook } from "./liveness_book.ts";
+import { LivenessTracker } from "./liveness_tracker.ts";
 import { PaceWatch } from "./pace_watch.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
 import type { ReplicaRun } from "./replica_run.ts";
@@ -11,7 +11,7 @@
 export class FleetState {
   readonly instances: InstanceListView;
   readonly runs = new Map<string, ReplicaRun>();
-  readonly liveness = new LivenessBook();
+  readonly liveness = new LivenessTracker();
   readonly paces = new PaceWatch();
   readonly weights: InstanceWeights;
   readonly departures = new Departures(this.runs);
--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -1,7 +1,7 @@
 import type { KeyedChange } from "../keyed_log/index.ts";
 import type { Either } from "purify-ts";
 import type { InstanceState } from "./instance_state.ts";
-import { LeavingBook, type LeavingLife } from "./leaving_book.ts";
+import { type LeavingLife, LeavingTracker } from "./leaving_tracker.ts";
 
 interface Entry {
   /** As listed, but draining once its life said that it leaves. */
@@ -23,7 +23,7 @@
   readonly #entries = new Map<string, Entry>();
   /** Last states of instances that are no longer listed. */
   readonly #absent = new Map<string, AbsentInstance>();
-  readonly #leaving = new LeavingBook();
+  readonly #leaving = new LeavingTracker();
   #revision = 0;
   #isLoaded = false;
 
--- a/packages/celerytray/src/groups/leaving_book.ts
+++ b/packages/celerytray/src/groups/leaving_tracker.ts
@@ -12,7 +12,7 @@
  * Which instances said that they leave. Only a newer life takes the status back,
  * neither time nor an entry of the list that still calls the instance ready.
  */
-export class LeavingBook {
+export class LeavingTracker {
   readonly #lives = new Map<string, LeavingLife>();
 
   /** Takes note of a status; false if nothing is new in it. */
--- a/packages/celerytray/src/groups/list_leftover_orders.ts
+++ b/packages/celerytray/src/groups/list_leftover_orders.ts
@@ -1,12 +1,12 @@
 import type { FleetState } from "./fleet_state.ts";
 import type { InstanceOrder } from "./instance_orders.ts";
-import type { DeskOrder } from "./order_desk.ts";
+import type { DispatchedOrder } from "./order_dispatcher.ts";
 
 /** Orders that end what is left of replicas without a record. */
 export function listLeftoverOrders(
   state: FleetState,
   nowMs: number,
-): readonly DeskOrder[] {
+): readonly DispatchedOrder[] {
   return [...listOrphanOrders(state, nowMs), ...listStrayOrders(state)];
 }
 
@@ -14,7 +14,7 @@
 function listOrphanOrders(
   state: FleetState,
   nowMs: number,
-): readonly DeskOrder[] {
+): readonly DispatchedOrder[] {
   return state.departures.takeLastingOrphans(state.listOrphans(), nowMs)
     .flatMap(({ id, membership }) => {
       if (!state.isAlive(id)) return [];
@@ -28,7 +28,7 @@
 }
 
 /** Makes instances leave replicas whose head may be open out of reach. */
-function listStrayOrders(state: FleetState): readonly DeskOrder[] {
+function listStrayOrders(state: FleetState): readonly DispatchedOrder[] {
   return state.instances.list().flatMap((instance) => {
     const { id, membership } = instance;
     if (!state.departures.isStray(instance) || !state.isAlive(id)) return [];
--- a/packages/celerytray/src/groups/liveness_book.ts
+++ b/packages/celerytray/src/groups/liveness_tracker.ts
@@ -13,7 +13,7 @@
 const SILENT_INTERVAL_MS = 1_000;
 
 /** What probes and orders tell of instances beside the list. */
-export class LivenessBook {
+export class LivenessTracker {
   readonly #doubts = new Map<string, Doubt>();
   readonly #ended = new Set<string>();
 
--- a/packages/celerytray/src/groups/note_retiring_order.ts
+++ b/packages/celerytray/src/groups/note_retiring_order.ts
@@ -1,11 +1,11 @@
 import type { OrderOutcome } from "./instance_orders.ts";
-import type { DeskOrder } from "./order_desk.ts";
+import type { DispatchedOrder } from "./order_dispatcher.ts";
 import type { ReplicaRun } from "./replica_run.ts";
 
 /** Takes note of what an order did to a replica that is taken apart. */
 export function noteRetiringOrder(
   run: ReplicaRun,
-  { instanceId, order }: DeskOrder,
+  { instanceId, order }: DispatchedOrder,
   outcome: OrderOutcome,
 ): void {
   const { retiring } = run;
--- a/packages/celerytray/src/groups/order_desk.ts
+++ b/packages/celerytray/src/groups/order_dispatcher.ts
@@ -10,7 +10,7 @@
 import type { ReplicaRun } from "./replica_run.ts";
 
 /** An order and what it is for. */
-export interface DeskOrder {
+export interface DispatchedOrder {
   readonly instanceId: string;
   readonly order: InstanceOrder;
   /** Replica that it is for; undefined for spares and leftovers. */
@@ -18,7 +18,7 @@
 }
 
 /** What sending orders works with. */
-export interface OrderDeskOptions {
+export interface OrderDispatcherOptions {
   readonly control: InstanceControl;
   readonly fence: () => number;
   /** Where an instance is or last was. */
@@ -27,14 +27,14 @@
   readonly hotModel: (instanceId: string) => string | undefined;
   /** Bounds on loads; undefined while loads don't count. */
   readonly loadBounds: () => EngineSpec | undefined;
-  readonly onSent: (order: DeskOrder, nowMs: number) => void;
+  readonly onSent: (order: DispatchedOrder, nowMs: number) => void;
   readonly onAnswered: (
-    order: DeskOrder,
+    order: DispatchedOrder,
     answer: OrderAnswer,
     sentAtMs: number,
   ) => void;
   readonly onSilent: (
-    order: DeskOrder,
+    order: DispatchedOrder,
     failure: { readonly message: string; readonly isRefused: boolean },
   ) => void;
 }
@@ -51,28 +51,31 @@
 const ASSUMED_LOADS = 8;
 
 /** Sends orders, none too soon again and no more loads than are allowed. */
-export class OrderDesk {
-  readonly #options: OrderDeskOptions;
+export class OrderDispatcher {
+  readonly #options: OrderDispatcherOptions;
   /** Time from which an order of a kind may be sent again. */
   readonly #dueAtMs = new Map<string, number>();
   #limit: LoadLimit | undefined;
 
-  constructor(options: OrderDeskOptions) {
+  constructor(options: OrderDispatcherOptions) {
     this.#options = options;
   }
 
   /** Sends an order, unless one was sent just now or may not load yet. */
-  send(desk: DeskOrder, nowMs: number): readonly Effect.Effect<unknown>[] {
-    const { instanceId, order } = desk;
+  send(
+    dispatcher: DispatchedOrder,
+    nowMs: number,
+  ): readonly Effect.Effect<unknown>[] {
+    const { instanceId, order } = dispatcher;
     const address = this.#options.findAddress(instanceId);
-    const key = createKey(desk);
+    const key = createKey(dispatcher);
     if (address === undefined) return [];
     if (nowMs < (this.#dueAtMs.get(key) ?? nowMs)) return [];
     if (this.#needsLoad(instanceId, order) && !this.#tryBeginLoad(nowMs)) {
       return [];
     }
-    this.#dueAtMs.set(key, nowMs + repeatMsOf(desk));
-    this.#options.onSent(desk, nowMs);
+    this.#dueAtMs.set(key, nowMs + repeatMsOf(dispatcher));
+    this.#options.onSent(dispatcher, nowMs);
     const fence = this.#options.fence();
     return [
       this.#options.control.sendOrder({ id: instanceId, address }, {
@@ -86,9 +89,9 @@
               order.kind === "close" && order.isImmediate &&
               answer.outcome === "begun"
             ) this.#dueAtMs.set(key, nowMs + CLOSING_CHECK_MS);
-            this.#options.onAnswered(desk, answer, nowMs);
+            this.#options.onAnswered(dispatcher, answer, nowMs);
           },
-          onFailure: (failure) => this.#options.onSilent(desk, failure),
+          onFailure: (failure) => this.#options.onSilent(dispatcher, failure),
         }),
       ),
     ];
@@ -114,11 +117,11 @@
   }
 }
 
-function createKey({ instanceId, order, run }: DeskOrder): string {
+function createKey({ instanceId, order, run }: DispatchedOrder): string {
   return `${instanceId} ${order.kind} ${run?.record.name ?? ""}`;
 }
 
-function repeatMsOf({ order, run }: DeskOrder): number {
+function repeatMsOf({ order, run }: DispatchedOrder): number {
   if (run !== undefined) return ORDER_REPEAT_MS;
   return order.kind === "stage" ? STAGE_REPEAT_MS : SPARE_REPEAT_MS;
 }
--- a/packages/celerytray/src/groups/replica_former.ts
+++ b/packages/celerytray/src/groups/replica_former.ts
@@ -5,7 +5,7 @@
 import { findReassignable } from "./find_reassignable.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { InstanceState } from "./instance_state.ts";
-import type { OrderDesk } from "./order_desk.ts";
+import type { OrderDispatcher } from "./order_dispatcher.ts";
 import { planCrossStaging } from "./plan_cross_staging.ts";
 import { planFormations } from "./plan_formations.ts";
 import { planSpares } from "./plan_spares.ts";
@@ -18,7 +18,7 @@
 /** What forming replicas works with. */
 export interface ReplicaFormerOptions {
   readonly state: FleetState;
-  readonly desk: OrderDesk;
+  readonly dispatcher: OrderDispatcher;
   readonly recorder: ReplicaRecorder;
   readonly engines: () => EngineSpecs;
   /** Requests in progress for a model, over all processes. */
@@ -46,7 +46,7 @@
 export class ReplicaFormer {
   readonly #options: ReplicaFormerOptions;
   readonly #state: FleetState;
-  readonly #desk: OrderDesk;
+  readonly #dispatcher: OrderDispatcher;
   #isForming = false;
   /** Time from which replicas to give up are looked for. */
   #reassignDueAtMs = 0;
@@ -54,7 +54,7 @@
   constructor(options: ReplicaFormerOptions) {
     this.#options = options;
     this.#state = options.state;
-    this.#desk = options.desk;
+    this.#dispatcher = options.dispatcher;
   }
 
   /** New replicas, and spares to prepare. */
@@ -178,7 +178,7 @@
       wantedModels: preparations,
       epoch: this.#state.fence,
     }).flatMap(({ instance, order }) =>
-      this.#desk.send({ instanceId: instance.id, order }, nowMs)
+      this.#dispatcher.send({ instanceId: instance.id, order }, nowMs)
     );
   }
 
@@ -201,7 +201,7 @@
     }).filter(({ instance }) => !this.#state.weights.wasStaged(instance.id))
       .slice(0, Math.max(0, engine.loadsAtOnce - underWay))
       .flatMap(({ instance, order }) =>
-        this.#desk.send({ instanceId: instance.id, order }, nowMs)
+        this.#dispatcher.send({ instanceId: instance.id, order }, nowMs)
       );
   }
 }
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -29,10 +29,10 @@
 } from "../keyed_log/index.ts";
 import {
   BackoffTracker,
-  BudgetBook,
+  BudgetTracker,
   type CallCodec,
-  LoadBook,
-  PaceBook,
+  LoadTracker,
+  PaceTracker,
   RepeatBudget,
   type ServingConfig,
   type ServingDependencies,
@@ -109,10 +109,10 @@
     const contact = new StoreContact({ topic: "config", record });
     const listContact = new StoreContact({ topic: "instances", record });
     const metrics = new MetricsPage();
-    const loads = new LoadBook();
+    const loads = new LoadTracker();
     const backoffs = new BackoffTracker();
     const stalls = new StallWatch();
-    const paces = new PaceBook();
+    const paces = new PaceTracker();
     const pools = new BackendPools();
     const demand = new Map<string, number>();
     const tenantDemand = new Map<string, number>();
@@ -277,7 +277,7 @@
       backoffs,
       stalls,
       paces,
-      budgets: new BudgetBook(),
+      budgets: new BudgetTracker(),
       repeats,
       agentFor: (address) => pools.agentFor(address),
       discardAgent: (address) => pools.discard(address),
--- a/packages/celerytray/src/host/move_attempts.ts
+++ b/packages/celerytray/src/host/move_attempts.ts
@@ -2,14 +2,14 @@
 import type { RecordEvent } from "../journal/index.ts";
 import {
   MOVE_AFTER_MS,
-  type PaceBook,
+  type PaceTracker,
   type StallWatch,
 } from "../serving/index.ts";
 
 /** What moving requests off replicas works with. */
 export interface MoveOptions {
   readonly stalls: StallWatch;
-  readonly paces: PaceBook;
+  readonly paces: PaceTracker;
   readonly nowMs: () => number;
   readonly record: RecordEvent;
   /** Heads of replicas that are taken apart. */
--- a/packages/celerytray/src/serving/budget_book_test.ts
+++ b/packages/celerytray/src/serving/budget_tracker_test.ts
@@ -1,9 +1,9 @@
 import { expect } from "earl";
 import { it } from "node:test";
-import { BudgetBook } from "./budget_book.ts";
+import { BudgetTracker } from "./budget_tracker.ts";
 
 it("tells how much of a route's usual budget had passed", () => {
-  const budgets = new BudgetBook();
+  const budgets = new BudgetTracker();
   expect(budgets.notePassed("a", 6_000)).toEqual(0);
   expect(budgets.notePassed("b", 1_500)).toEqual(0);
   expect(budgets.notePassed("a", 4_700)).toEqual(1_300);
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -1,9 +1,9 @@
 import type { Agent } from "node:http";
-import type { BudgetBook } from "./budget_book.ts";
+import type { BudgetTracker } from "./budget_tracker.ts";
 import type { CallCodec, CallHead } from "./call.ts";
 import type { ServingTarget } from "./choose_target.ts";
-import type { LoadBook } from "./load_book.ts";
-import type { PaceBook } from "./pace_book.ts";
+import type { LoadTracker } from "./load_tracker.ts";
+import type { PaceTracker } from "./pace_tracker.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 import type { BackoffTracker } from "./backoff_tracker.ts";
 import type { ServingRoute } from "./serving_config.ts";
@@ -23,12 +23,12 @@
     service: string,
     model: string | undefined,
   ) => readonly ServingTarget[];
-  readonly loads: LoadBook;
+  readonly loads: LoadTracker;
   readonly backoffs: BackoffTracker;
   readonly stalls: StallWatch;
-  readonly paces: PaceBook;
+  readonly paces: PaceTracker;
   readonly repeats: RepeatBudget;
-  readonly budgets: BudgetBook;
+  readonly budgets: BudgetTracker;
   readonly agentFor: (address: string) => Agent;
   readonly discardAgent: (address: string) => void;
   /** Whether a connection to an address is open and unused. */
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -1,4 +1,4 @@
-import type { LoadBook } from "./load_book.ts";
+import type { LoadTracker } from "./load_tracker.ts";
 
 /** An instance that takes requests: plain, or the head of a replica. */
 export interface ServingTarget {
@@ -16,7 +16,7 @@
 /** What the choice looks at. */
 export interface TargetChoice {
   readonly targets: readonly ServingTarget[];
-  readonly loads: LoadBook;
+  readonly loads: LoadTracker;
   readonly zone: string;
   /** Whether an instance asked for time, in which nothing may go there. */
   readonly isBackingOff: (instanceId: string) => boolean;
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -1,9 +1,9 @@
 import { Agent } from "node:http";
 import { PlatformCallCodec } from "../platform/call_codec.ts";
-import { BudgetBook } from "./budget_book.ts";
+import { BudgetTracker } from "./budget_tracker.ts";
 import type { ServingDependencies } from "./call_context.ts";
-import { LoadBook } from "./load_book.ts";
-import { PaceBook } from "./pace_book.ts";
+import { LoadTracker } from "./load_tracker.ts";
+import { PaceTracker } from "./pace_tracker.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { BackoffTracker } from "./backoff_tracker.ts";
 import { StallWatch } from "./stall_watch.ts";
@@ -22,11 +22,11 @@
     codec: new PlatformCallCodec(),
     zone: "z",
     areKeysFresh: () => true,
-    loads: new LoadBook(),
+    loads: new LoadTracker(),
     backoffs: new BackoffTracker(),
     stalls: new StallWatch(),
-    paces: new PaceBook(),
-    budgets: new BudgetBook(),
+    paces: new PaceTracker(),
+    budgets: new BudgetTracker(),
     repeats: new RepeatBudget({
       share: 1,
       slackRequests: 100,
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -6,13 +6,13 @@
   CallHead,
   InstanceLoad,
 } from "./call.ts";
-export { BudgetBook } from "./budget_book.ts";
+export { BudgetTracker } from "./budget_tracker.ts";
 export type { CallRecord, ServingDependencies } from "./call_context.ts";
 export { CallerExchange, type OwnAnswer } from "./caller_exchange.ts";
 export { chooseTarget, type ServingTarget } from "./choose_target.ts";
 export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
-export { LoadBook } from "./load_book.ts";
-export { PaceBook } from "./pace_book.ts";
+export { LoadTracker } from "./load_tracker.ts";
+export { PaceTracker } from "./pace_tracker.ts";
 export {
   RepeatBudget,
   type RepeatBudgetOptions,
--- a/packages/celerytray/src/serving/load_book.ts
+++ b/packages/celerytray/src/serving/load_tracker.ts
@@ -22,7 +22,7 @@
 }
 
 /** Work at each instance: told by answers, corrected by what is sent here. */
-export class LoadBook {
+export class LoadTracker {
   readonly #work = new Map<string, InstanceWork>();
 
   noteSent(instanceId: string): void {
--- a/packages/celerytray/src/serving/pace_book.ts
+++ b/packages/celerytray/src/serving/pace_tracker.ts
@@ -26,7 +26,7 @@
 const SLOW_RATIO = 2.5;
 
 /** Pauses inside the streams of each instance, against others of its model. */
-export class PaceBook {
+export class PaceTracker {
   readonly #paces = new Map<string, Pace>();
 
   notePause({ instanceId, epoch, model, pauseMs, nowMs }: NotedPause): void {
--- a/packages/celerytray/src/serving/pace_book_test.ts
+++ b/packages/celerytray/src/serving/pace_tracker_test.ts
@@ -1,10 +1,10 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { PaceBook } from "./pace_book.ts";
+import { PaceTracker } from "./pace_tracker.ts";
 
-describe("PaceBook", () => {
+describe("PaceTracker", () => {
   it("tells an instance that is slow among those of its model", () => {
-    const paces = new PaceBook();
+    const paces = new PaceTracker();
     notePauses(paces, { instanceId: "a", pauseMs: 40, untilMs: 1_000 });
     notePauses(paces, { instanceId: "b", pauseMs: 60, untilMs: 1_000 });
     expect(paces.listSlow(1_000)).toEqual([]);
@@ -14,7 +14,7 @@
   });
 
   it("compares instances of one model only", () => {
-    const paces = new PaceBook();
+    const paces = new PaceTracker();
     notePauses(paces, { instanceId: "a", pauseMs: 20, untilMs: 1_000 });
     notePauses(paces, {
       instanceId: "b",
@@ -26,7 +26,7 @@
   });
 
   it("gives an instance another chance once it was left alone", () => {
-    const paces = new PaceBook();
+    const paces = new PaceTracker();
     notePauses(paces, { instanceId: "a", pauseMs: 40, untilMs: 1_000 });
     notePauses(paces, { instanceId: "b", pauseMs: 150, untilMs: 1_000 });
     notePauses(paces, { instanceId: "a", pauseMs: 40, untilMs: 3_800 });
@@ -35,7 +35,7 @@
   });
 
   it("forgets the pace of a replica that was formed anew", () => {
-    const paces = new PaceBook();
+    const paces = new PaceTracker();
     notePauses(paces, { instanceId: "a", pauseMs: 40, untilMs: 1_000 });
     notePauses(paces, { instanceId: "b", pauseMs: 150, untilMs: 1_000 });
     expect(paces.isSlow({ instanceId: "b", epoch: 1 }, 1_000)).toEqual(true);
@@ -43,7 +43,7 @@
   });
 
   it("does not count a single long pause", () => {
-    const paces = new PaceBook();
+    const paces = new PaceTracker();
     notePauses(paces, { instanceId: "a", pauseMs: 40, untilMs: 1_000 });
     notePauses(paces, { instanceId: "b", pauseMs: 40, untilMs: 1_000 });
     notePauses(paces, { instanceId: "b", pauseMs: 250, untilMs: 250 });
@@ -60,7 +60,7 @@
 
 /** As many pauses as there are in a second before a time. */
 function notePauses(
-  paces: PaceBook,
+  paces: PaceTracker,
   { instanceId, model = "model", pauseMs, untilMs }: Pauses,
 ): void {
   const firstAtMs = Math.max(pauseMs, untilMs - 1_000);
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -3,8 +3,8 @@
 import { Socket } from "node:net";
 import { describe, it } from "node:test";
 import type { ServingTarget } from "./choose_target.ts";
-import { LoadBook } from "./load_book.ts";
-import { PaceBook } from "./pace_book.ts";
+import { LoadTracker } from "./load_tracker.ts";
+import { PaceTracker } from "./pace_tracker.ts";
 import { StallWatch } from "./stall_watch.ts";
 import {
   answerWhole,
@@ -162,7 +162,7 @@
       });
       response.end("id: 1\ndata: a\n\n");
     });
-    const loads = new LoadBook();
+    const loads = new LoadTracker();
     const load = { running: 4, waiting: 1, slots: 4 };
     loads.noteLoad(backend.instanceId, load, readNowMs());
     const entry = await startEntry({ backends: [backend], loads });
@@ -254,7 +254,7 @@
 
   it("moves a stream off a replica that turned slow", async () => {
     const stalls = new StallWatch();
-    const paces = new PaceBook();
+    const paces = new PaceTracker();
     const ids: string[] = [];
     let slowId: string | undefined;
     const backend = async () => {
@@ -352,7 +352,7 @@
   it("tries another instance where one takes no connection, without a repeat", async () => {
     const dark = await startBackend(() => {});
     const sound = await startBackend(answerWhole);
-    const loads = new LoadBook();
+    const loads = new LoadTracker();
     const load = { running: 3, waiting: 0, slots: 4 };
     loads.noteLoad(sound.instanceId, load, readNowMs());
     const entry = await startEntry({
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -19,8 +19,8 @@
 import { CallerExchange } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import { createTestDependencies } from "./create_test_dependencies.ts";
-import type { LoadBook } from "./load_book.ts";
-import type { PaceBook } from "./pace_book.ts";
+import type { LoadTracker } from "./load_tracker.ts";
+import type { PaceTracker } from "./pace_tracker.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServingRoute } from "./serving_config.ts";
@@ -51,7 +51,7 @@
   timeoutMs: 2_000,
   targetMs: 100,
   priority: 1,
-  targets: [{ service: "desk", weight: 1 }],
+  targets: [{ service: "dispatcher", weight: 1 }],
   maxAttempts: 2,
   isPublic: false,
 };
@@ -149,9 +149,9 @@
   readonly backends: readonly ServingTarget[];
   readonly isConfigured?: boolean;
   readonly areKeysFresh?: boolean;
-  readonly loads?: LoadBook;
+  readonly loads?: LoadTracker;
   readonly stalls?: StallWatch;
-  readonly paces?: PaceBook;
+  readonly paces?: PaceTracker;
   readonly noteLeaving?: ServingDependencies["noteLeaving"];
   readonly agentFor?: ServingDependencies["agentFor"];
   /** Whether a repeat is covered. */
--- a/packages/cli/src/commands/config_commands_test.ts
+++ b/packages/cli/src/commands/config_commands_test.ts
@@ -11,9 +11,9 @@
 import { runCommand } from "./run_command.ts";
 
 const BASE = `availabilityZones: { kth-a: {} }
-deployments: { desk: { weighting: group-downtime } }
+deployments: { dispatcher: { weighting: group-downtime } }
 services:
-  slotbook: { kind: plain, deployment: desk, replicaCount: 2 }
+  slotbook: { kind: plain, deployment: dispatcher, replicaCount: 2 }
 organisations: {}
 `;
 
--- a/packages/cli/src/local/config_restart_test.ts
+++ b/packages/cli/src/local/config_restart_test.ts
@@ -5,9 +5,9 @@
 
 const CONFIG = {
   availabilityZones: { "kth-a": {} },
-  deployments: { desk: { weighting: "group-downtime" } },
+  deployments: { dispatcher: { weighting: "group-downtime" } },
   services: {
-    slotbook: { kind: "plain", deployment: "desk", replicaCount: 2 },
+    slotbook: { kind: "plain", deployment: "dispatcher", replicaCount: 2 },
   },
   organisations: {},
 };
