--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -3,7 +3,7 @@
 import {
   type FleetDirector,
   type LeadRecord,
-  type LeavingLife,
+  type LeavingIncarnation,
   type ReplicaRecord,
   type ReplicaRecorder,
 } from "../groups/index.ts";
@@ -83,9 +83,9 @@
   /** The list of instances, likewise. */
   readonly instances: RelayedTopic;
   /** Instances that said that they leave, though the list has them as ready. */
-  readonly listLeaving: () => readonly LeavingLife[];
+  readonly listLeaving: () => readonly LeavingIncarnation[];
   /** Takes the status of instances that other processes have heard. */
-  readonly onLeaving: (lives: readonly LeavingLife[]) => void;
+  readonly onLeaving: (incarnations: readonly LeavingIncarnation[]) => void;
   readonly createDirector: (start: DirectorStart) => FleetDirector;
   /** 0 to 1. */
   readonly random: () => number;
--- a/packages/celerytray/src/coordination/peer_messages.ts
+++ b/packages/celerytray/src/coordination/peer_messages.ts
@@ -1,4 +1,4 @@
-import type { LeadRecord, LeavingLife } from "../groups/index.ts";
+import type { LeadRecord, LeavingIncarnation } from "../groups/index.ts";
 import type { RelayedChange } from "../keyed_log/index.ts";
 import type { WindowTotals } from "../serving/index.ts";
 
@@ -23,7 +23,7 @@
   /** Heads of replicas that are taken apart. */
   readonly closedHeads: readonly string[];
   /** Instances that said that they leave, though the list has them as ready. */
-  readonly leaving: readonly LeavingLife[];
+  readonly leaving: readonly LeavingIncarnation[];
 }
 
 /** What processes tell of requests and instances, summed up on the way. */
@@ -37,7 +37,7 @@
   /** Heads of replicas that are found slow. */
   readonly slowHeads: readonly string[];
   /** Instances that said that they leave, though the list has them as ready. */
-  readonly leaving: readonly LeavingLife[];
+  readonly leaving: readonly LeavingIncarnation[];
   /** Requests in progress, by model. */
   readonly demand: Readonly<Record<string, number>>;
   /** Requests in progress or waiting, by organisation; the largest only. */
--- a/packages/celerytray/src/coordination/report_table.ts
+++ b/packages/celerytray/src/coordination/report_table.ts
@@ -1,4 +1,4 @@
-import type { LeavingLife } from "../groups/index.ts";
+import type { LeavingIncarnation } from "../groups/index.ts";
 import type { WindowTotals } from "../serving/index.ts";
 import { presentMs } from "./intervals.ts";
 import type { PeerNode, PeerReport, PeerSummary } from "./peer_messages.ts";
@@ -45,7 +45,7 @@
         .sort(compareAbility).slice(0, MAX_CANDIDATES),
       stalledHeads: listOnce(summaries, ({ stalledHeads }) => stalledHeads),
       slowHeads: listOnce(summaries, ({ slowHeads }) => slowHeads),
-      leaving: listLivesOnce(summaries),
+      leaving: listIncarnationsOnce(summaries),
       demand: sumDemand(summaries.map(({ demand }) => demand)),
       tenantDemand: selectLargest(
         sumDemand(summaries.map(({ tenantDemand }) => tenantDemand)),
@@ -76,12 +76,14 @@
   return [...new Set(summaries.flatMap(select))];
 }
 
-function listLivesOnce(
+function listIncarnationsOnce(
   summaries: readonly PeerSummary[],
-): readonly LeavingLife[] {
-  const lives = summaries.flatMap(({ leaving }) => leaving);
+): readonly LeavingIncarnation[] {
+  const incarnations = summaries.flatMap(({ leaving }) => leaving);
   const byKey = new Map(
-    lives.map((life) => [`${life.instanceId} ${life.bornAtMs}`, life]),
+    incarnations.map((
+      incarnation,
+    ) => [`${incarnation.instanceId} ${incarnation.bornAtMs}`, incarnation]),
   );
   return [...byKey.values()];
 }
--- a/packages/celerytray/src/groups/divide_pool.ts
+++ b/packages/celerytray/src/groups/divide_pool.ts
@@ -180,7 +180,7 @@
     service,
     model: model.name,
     members: members.map(({ id }) => id),
-    lives: Object.fromEntries(
+    incarnations: Object.fromEntries(
       members.map(({ id, address, bornAtMs }) => [
         id,
         bornAtMs === undefined ? { address } : { address, bornAtMs },
--- a/packages/celerytray/src/groups/find_reassignable_test.ts
+++ b/packages/celerytray/src/groups/find_reassignable_test.ts
@@ -132,7 +132,7 @@
         service: "drafter",
         model: model.name,
         members,
-        lives: {},
+        incarnations: {},
       },
       joinedIds: new Set(members),
       readyIds: new Set(members),
--- a/packages/celerytray/src/groups/fleet_state.ts
+++ b/packages/celerytray/src/groups/fleet_state.ts
@@ -104,8 +104,8 @@
     const address = this.findLatest(id)?.address;
     if (address !== undefined) return address;
     for (const { record } of this.runs.values()) {
-      const life = record.lives[id];
-      if (life !== undefined) return life.address;
+      const incarnation = record.incarnations[id];
+      if (incarnation !== undefined) return incarnation.address;
     }
     return undefined;
   }
--- a/packages/celerytray/src/groups/index.ts
+++ b/packages/celerytray/src/groups/index.ts
@@ -2,7 +2,7 @@
 export { FleetDirector, type FleetDirectorOptions } from "./fleet_director.ts";
 export type { EngineSpecs } from "./replica_former.ts";
 export type { RecordFailure, ReplicaRecorder } from "./replica_recorder.ts";
-export type { LeavingLife } from "./leaving_tracker.ts";
+export type { LeavingIncarnation } from "./leaving_tracker.ts";
 export { type AbsentInstance, InstanceListView } from "./instance_list.ts";
 export {
   type InstanceAddress,
--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -1,10 +1,10 @@
 import type { KeyedChange } from "../keyed_log/index.ts";
 import type { Either } from "purify-ts";
 import type { InstanceState } from "./instance_state.ts";
-import { type LeavingLife, LeavingTracker } from "./leaving_tracker.ts";
+import { type LeavingIncarnation, LeavingTracker } from "./leaving_tracker.ts";
 
 interface Entry {
-  /** As listed, but draining once its life said that it leaves. */
+  /** As listed, but draining once its incarnation said that it leaves. */
   readonly state: InstanceState;
   readonly isListedReady: boolean;
   readonly offset: number;
@@ -63,11 +63,11 @@
   }
 
   /** Takes note that an instance said that it leaves; false if it is known. */
-  noteLeaving(life: LeavingLife): boolean {
-    if (!this.#leaving.note(life)) return false;
-    const entry = this.#entries.get(life.instanceId);
+  noteLeaving(incarnation: LeavingIncarnation): boolean {
+    if (!this.#leaving.note(incarnation)) return false;
+    const entry = this.#entries.get(incarnation.instanceId);
     if (entry !== undefined) {
-      this.#entries.set(life.instanceId, {
+      this.#entries.set(incarnation.instanceId, {
         ...entry,
         state: this.#withOwnAnnouncement(entry.state),
       });
@@ -76,8 +76,8 @@
     return true;
   }
 
-  /** Lives that said that they leave while the list still calls them ready. */
-  listUnlistedLeaving(): readonly LeavingLife[] {
+  /** Incarnations that said that they leave while the list still calls them ready. */
+  listUnlistedLeaving(): readonly LeavingIncarnation[] {
     return this.#leaving.list().filter(({ instanceId, bornAtMs }) => {
       const entry = this.#entries.get(instanceId);
       return entry?.isListedReady === true && entry.state.bornAtMs === bornAtMs;
--- a/packages/celerytray/src/groups/instance_list_test.ts
+++ b/packages/celerytray/src/groups/instance_list_test.ts
@@ -56,43 +56,43 @@
   expect(view.findAbsent("a")?.sinceMs).toEqual(10);
 });
 
-const life = (state: string, bornAtMs: number) =>
+const incarnation = (state: string, bornAtMs: number) =>
   JSON.stringify({ id: "a", isDraining: state === "draining", bornAtMs });
 
 it("takes an instance's own status that it leaves before the list's", () => {
   const { view, tell } = createView();
-  tell("a", 1, life("ready", 5));
+  tell("a", 1, incarnation("ready", 5));
   const { revision } = view;
   expect(view.noteLeaving({ instanceId: "a", bornAtMs: 5 })).toEqual(true);
   expect(view.find("a")?.isDraining).toEqual(true);
   expect(view.revision > revision).toEqual(true);
   // A late entry, and one that lapsed and came back, still call it ready.
-  tell("a", 2, life("ready", 5));
+  tell("a", 2, incarnation("ready", 5));
   expect(view.find("a")?.isDraining).toEqual(true);
   tell("a", 3);
-  tell("a", 4, life("ready", 5));
+  tell("a", 4, incarnation("ready", 5));
   expect(view.find("a")?.isDraining).toEqual(true);
 });
 
-it("takes that status back with a newer life only", () => {
+it("takes that status back with a newer incarnation only", () => {
   const { view, tell } = createView();
-  tell("a", 1, life("ready", 5));
+  tell("a", 1, incarnation("ready", 5));
   view.noteLeaving({ instanceId: "a", bornAtMs: 5 });
-  tell("a", 2, life("ready", 9));
+  tell("a", 2, incarnation("ready", 9));
   expect(view.find("a")?.isDraining).toEqual(false);
-  // The status of the life before comes late, by way of another process.
+  // The status of the incarnation before comes late, by way of another process.
   view.noteLeaving({ instanceId: "a", bornAtMs: 5 });
   expect(view.find("a")?.isDraining).toEqual(false);
 });
 
 it("tells others of a status until the list has it", () => {
   const { view, tell } = createView();
-  tell("a", 1, life("ready", 5));
+  tell("a", 1, incarnation("ready", 5));
   view.noteLeaving({ instanceId: "a", bornAtMs: 5 });
   expect(view.noteLeaving({ instanceId: "a", bornAtMs: 5 })).toEqual(false);
   expect(view.listUnlistedLeaving()).toEqual([
     { instanceId: "a", bornAtMs: 5 },
   ]);
-  tell("a", 2, life("draining", 5));
+  tell("a", 2, incarnation("draining", 5));
   expect(view.listUnlistedLeaving()).toEqual([]);
 });
--- a/packages/celerytray/src/groups/instance_state.ts
+++ b/packages/celerytray/src/groups/instance_state.ts
@@ -25,7 +25,7 @@
   readonly zone: string;
   readonly slots: number;
   readonly isDraining: boolean;
-  /** Start of this life, as Unix time; undefined where it isn't told. */
+  /** Start of this incarnation, as Unix time; undefined where it isn't told. */
   readonly bornAtMs?: number;
   /** Fabric domain; undefined for plain services. */
   readonly domain?: string;
--- a/packages/celerytray/src/groups/instance_weights.ts
+++ b/packages/celerytray/src/groups/instance_weights.ts
@@ -15,14 +15,14 @@
 
 /** Which weights instances have or load, and where instances still arrive. */
 export class InstanceWeights {
-  /** Model whose weights an instance had last in this life. */
+  /** Model whose weights an instance had last in this incarnation. */
   readonly #lastModels = new Map<string, string>();
   /** Model that a spare is joining with. */
   readonly #preparing = new Map<string, Preparation>();
   /** Time at which an instance began to put weights on its host. */
   readonly #stagingSinceMs = new Map<string, number>();
-  /** Lives that were seen, by instance. */
-  readonly #seenLives = new Map<string, string>();
+  /** Incarnations that were seen, by instance. */
+  readonly #seenIncarnations = new Map<string, string>();
   /** Time of the last arrival, by domain. */
   readonly #arrivedAtMs = new Map<string, number>();
 
@@ -38,8 +38,8 @@
     for (const instance of instances) {
       const { id, domain, bornAtMs, loadedModel, membership } = instance;
       if (domain === undefined) continue;
-      const life = `${id} ${bornAtMs ?? ""}`;
-      if (this.#seenLives.get(id) === life) {
+      const incarnation = `${id} ${bornAtMs ?? ""}`;
+      if (this.#seenIncarnations.get(id) === incarnation) {
         if (membership?.state === "joining") continue;
         if (loadedModel !== undefined) this.#lastModels.set(id, loadedModel);
         if (loadedModel !== undefined || this.isOverdue(id, nowMs)) {
@@ -47,9 +47,9 @@
         }
         continue;
       }
-      if (this.#seenLives.has(id)) this.#lastModels.delete(id);
+      if (this.#seenIncarnations.has(id)) this.#lastModels.delete(id);
       this.#preparing.delete(id);
-      this.#seenLives.set(id, life);
+      this.#seenIncarnations.set(id, incarnation);
       // A new lead finds instances that have had weights for long.
       const isLoaded = loadedModel !== undefined &&
         membership?.state !== "joining";
--- a/packages/celerytray/src/groups/plan_formations_test.ts
+++ b/packages/celerytray/src/groups/plan_formations_test.ts
@@ -150,7 +150,7 @@
 }
 
 function createReplica(model: string) {
-  return { service: "drafter", model, members: [], lives: {}, epoch: 0 };
+  return { service: "drafter", model, members: [], incarnations: {}, epoch: 0 };
 }
 
 function createInput(changes: Partial<FormationInput>): FormationInput {
--- a/packages/celerytray/src/groups/replica_record.ts
+++ b/packages/celerytray/src/groups/replica_record.ts
@@ -7,14 +7,14 @@
   readonly model: string;
   /** The first is the head. */
   readonly members: readonly string[];
-  /** Lives of the members when it was decided, by id. */
-  readonly lives: Readonly<Record<string, MemberLife>>;
+  /** Incarnations of the members when it was decided, by id. */
+  readonly incarnations: Readonly<Record<string, MemberIncarnation>>;
   /** Place of the decision in the log; later decisions have higher ones. */
   readonly epoch: number;
 }
 
-/** One life of an instance. */
-export interface MemberLife {
+/** One incarnation of an instance. */
+export interface MemberIncarnation {
   /** IP:PORT. */
   readonly address: string;
   /** Start, as Unix time; undefined where it isn't told. */
@@ -24,7 +24,7 @@
 /** Which process decides on replicas. */
 export interface LeadRecord {
   readonly nodeId: string;
-  /** Tells the lives of one process apart. */
+  /** Tells the incarnations of one process apart. */
   readonly bootId: string;
   /** IP:PORT for other processes. */
   readonly peerAddress: string;
@@ -53,8 +53,8 @@
 export function encodeReplica(
   replica: Omit<ReplicaRecord, "name" | "epoch">,
 ): Buffer {
-  const { service, model, members, lives } = replica;
-  return Buffer.from(JSON.stringify({ service, model, members, lives }));
+  const { service, model, members, incarnations } = replica;
+  return Buffer.from(JSON.stringify({ service, model, members, incarnations }));
 }
 
 /** Reads a replica's record. */
@@ -64,16 +64,25 @@
 ): Either<string, ReplicaRecord> {
   return parse(stored.value).chain((record) => {
     const { service, model, members } = record;
-    const lives = record.lives as ReplicaRecord["lives"] | undefined;
+    const incarnations = record.incarnations as
+      | ReplicaRecord["incarnations"]
+      | undefined;
     const isValid = typeof service === "string" && typeof model === "string" &&
       Array.isArray(members) && members.length > 0 &&
       members.every((member) =>
         typeof member === "string" &&
-        typeof lives?.[member]?.address === "string"
+        typeof incarnations?.[member]?.address === "string"
       );
     if (!isValid) return Left(`The record of replica ${name} is malformed`);
     const epoch = stored.offset + 1;
-    return Right({ name, service, model, members, lives: lives!, epoch });
+    return Right({
+      name,
+      service,
+      model,
+      members,
+      incarnations: incarnations!,
+      epoch,
+    });
   });
 }
 
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -254,7 +254,7 @@
   }));
 }
 
-/** Whether the head can't be reached, or lives another life by now. */
+/** Whether the head can't be reached, or lives another incarnation by now. */
 function isHeadLost({ run, findInstance, liveness }: RunInput): boolean {
   const headId = run.record.members[0]!;
   if (liveness(headId).kind !== "alive") return true;
@@ -262,8 +262,8 @@
   return head !== undefined && isBornAnew(run, head);
 }
 
-/** Whether an instance began another life since the replica was decided. */
+/** Whether an instance began another incarnation since the replica was decided. */
 function isBornAnew(run: ReplicaRun, instance: InstanceState): boolean {
-  const bornAtMs = run.record.lives[instance.id]?.bornAtMs;
+  const bornAtMs = run.record.incarnations[instance.id]?.bornAtMs;
   return bornAtMs !== undefined && instance.bornAtMs !== bornAtMs;
 }
--- a/packages/celerytray/src/groups/replica_run_test.ts
+++ b/packages/celerytray/src/groups/replica_run_test.ts
@@ -87,7 +87,7 @@
       service: "drafter",
       model: "large",
       members: MEMBERS,
-      lives: Object.fromEntries(
+      incarnations: Object.fromEntries(
         MEMBERS.map((id) => [id, {
           address: `${id}:1`,
           bornAtMs: BORN_AT_MS,
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -13,7 +13,7 @@
   type InstanceControl,
   InstanceListView,
   type InstanceState,
-  type LeavingLife,
+  type LeavingIncarnation,
 } from "../groups/index.ts";
 import { BackendPools, listen, type ListenFailure } from "../http/index.ts";
 import {
@@ -162,8 +162,10 @@
       config.apply(change);
       keys.noteProof(change.freshAtMs);
     };
-    const noteLeaving = (life: LeavingLife) => {
-      if (instances.noteLeaving(life)) record("instance.leaving", { ...life });
+    const noteLeaving = (incarnation: LeavingIncarnation) => {
+      if (instances.noteLeaving(incarnation)) {
+        record("instance.leaving", { ...incarnation });
+      }
     };
     const engines = (): EngineSpecs => listEngines(config);
 
@@ -209,7 +211,7 @@
           applyInstances({ ...readRelayedChange(change), freshAtMs }),
       },
       listLeaving: () => instances.listUnlistedLeaving(),
-      onLeaving: (lives) => lives.forEach(noteLeaving),
+      onLeaving: (incarnations) => incarnations.forEach(noteLeaving),
       createDirector: ({ term, replicas, recorder }) =>
         new FleetDirector({
           term,
@@ -225,7 +227,7 @@
             backoffs.isBackingOff(instanceId, nowMs()),
           onLeaving: (instanceId) => {
             const bornAtMs = instances.find(instanceId)?.bornAtMs;
-            noteLeaving(createLife(instanceId, bornAtMs));
+            noteLeaving(createIncarnation(instanceId, bornAtMs));
           },
           record,
         }),
@@ -289,7 +291,7 @@
         if (tenant !== undefined) addDemand(tenantDemand, tenant, change);
       },
       noteLeaving: ({ instanceId, bornAtMs }) =>
-        noteLeaving(createLife(instanceId, bornAtMs)),
+        noteLeaving(createIncarnation(instanceId, bornAtMs)),
       onBackoff: (backoff) => record("instance.backoff", { ...backoff }),
       onMalformedHead: (instanceId, message) =>
         record("instance.head-malformed", { instanceId, message }),
@@ -350,10 +352,10 @@
   else demand.set(name, requests);
 }
 
-function createLife(
+function createIncarnation(
   instanceId: string,
   bornAtMs: number | undefined,
-): LeavingLife {
+): LeavingIncarnation {
   return bornAtMs === undefined ? { instanceId } : { instanceId, bornAtMs };
 }
 
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -9,7 +9,7 @@
   readonly slots: number;
   /** Epoch of the replica that it heads; 0 for plain instances. */
   readonly epoch: number;
-  /** Start of the life that is listed, as Unix time. */
+  /** Start of the incarnation that is listed, as Unix time. */
   readonly bornAtMs?: number;
 }
 
--- a/packages/fakes/src/coordination/coordination_world.ts
+++ b/packages/fakes/src/coordination/coordination_world.ts
@@ -3,7 +3,7 @@
   CountedLog,
   FleetDirector,
   InstanceListView,
-  type LeavingLife,
+  type LeavingIncarnation,
   type PeerCalls,
   type PeerNode,
   PeerSilent,
@@ -32,7 +32,7 @@
   readonly node: PeerNode;
   readonly coordinator: Coordinator;
   /** Instances that it heard say that they leave. */
-  readonly leaving: Map<string, LeavingLife>;
+  readonly leaving: Map<string, LeavingIncarnation>;
   /** Reports that it was sent. */
   reports: number;
   /** Times at which it last proved a topic's end by the status of others. */
@@ -123,7 +123,7 @@
 function createProcess(
   { index, processes, log, nowMs, random }: ProcessOptions,
 ): CoordinatedProcess {
-  const leaving = new Map<string, LeavingLife>();
+  const leaving = new Map<string, LeavingIncarnation>();
   const node: PeerNode = {
     nodeId: `node-${String(index).padStart(3, "0")}`,
     peerAddress: `${index}`,
@@ -168,8 +168,10 @@
         onTold: () => {},
       },
       listLeaving: () => [...leaving.values()],
-      onLeaving: (lives) => {
-        for (const life of lives) leaving.set(life.instanceId, life);
+      onLeaving: (incarnations) => {
+        for (const incarnation of incarnations) {
+          leaving.set(incarnation.instanceId, incarnation);
+        }
       },
       createDirector: ({ term, replicas, recorder }) =>
         new FleetDirector({
--- a/packages/fakes/src/fleet/fleet_world.ts
+++ b/packages/fakes/src/fleet/fleet_world.ts
@@ -6,7 +6,7 @@
   type InstanceState,
   type KeyedChange,
   type KeyedTopic,
-  type LeavingLife,
+  type LeavingIncarnation,
   type PeerCalls,
   type PeerReport,
   PeerSilent,
@@ -210,7 +210,8 @@
     },
     random: () => 0,
     listLeaving: () => list.listUnlistedLeaving(),
-    onLeaving: (lives) => lives.forEach((life) => list.noteLeaving(life)),
+    onLeaving: (incarnations) =>
+      incarnations.forEach((incarnation) => list.noteLeaving(incarnation)),
     createDirector: ({ term, replicas, recorder }) =>
       new FleetDirector({
         term,
@@ -224,7 +225,7 @@
         drainMs: DRAIN_MS,
         isBackingOff: () => false,
         onLeaving: (instanceId) =>
-          list.noteLeaving(describeLife(list, instanceId)),
+          list.noteLeaving(describeIncarnation(list, instanceId)),
         record: () => {},
       }),
     record: () => {},
@@ -233,7 +234,7 @@
     nodeId,
     coordinator,
     noteLeaving: (instanceId) =>
-      list.noteLeaving(describeLife(list, instanceId)),
+      list.noteLeaving(describeIncarnation(list, instanceId)),
     isCut: false,
     isStoreCut: false,
     isDead: false,
@@ -247,8 +248,11 @@
   return copy;
 }
 
-/** The listed life of an instance. */
-function describeLife(list: InstanceListView, instanceId: string): LeavingLife {
+/** The listed incarnation of an instance. */
+function describeIncarnation(
+  list: InstanceListView,
+  instanceId: string,
+): LeavingIncarnation {
   const bornAtMs = list.find(instanceId)?.bornAtMs;
   return bornAtMs === undefined ? { instanceId } : { instanceId, bornAtMs };
 }
