Split the coordinator by its jobs

Cause: coordinator.ts had 503 lines and four jobs. lead_search.ts finds the lead in the records, lead_term.ts decides for one term and publishes its status, relayed_topic.ts tells and takes topics; coordinator.ts (300 lines) answers reports and follows. Behaviour is unchanged.

Measured: many_processes_test.ts (7 passed) and the tests of cli (47 passed).

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -1,96 +1,25 @@
 import { Clock, Effect } from "effect";
 import { readSteadyMs } from "../clock/index.ts";
-import {
-  type FleetDirector,
-  type LeadRecord,
-  type LeavingIncarnation,
-  type ReplicaRecord,
-  type ReplicaRecorder,
-} from "../groups/index.ts";
-import type { RecordEvent } from "../journal/index.ts";
-import type { KeyedLog, RelayedChange, TopicCopy } from "../keyed_log/index.ts";
-import type { SharedTotals, WindowTotals } from "../serving/index.ts";
+import type { LeadRecord, ReplicaRecord } from "../groups/index.ts";
+import type { SharedTotals } from "../serving/index.ts";
 import { ChangeSignal } from "./change_signal.ts";
-import {
-  INHERIT_MS,
-  PUBLISH_STEP_MS,
-  type StatusPath,
-  SUM_REUSE_MS,
-  UPDATE_GAP_MS,
-} from "./intervals.ts";
+import type { CoordinatorOptions } from "./coordinator_options.ts";
+import { type StatusPath, SUM_REUSE_MS, UPDATE_GAP_MS } from "./intervals.ts";
 import { LeadFollower } from "./lead_follower.ts";
-import {
-  awaitOtherLead,
-  claimLead,
-  type FleetRecords,
-  type LeadLook,
-  LeadRecorder,
-  readFleetRecords,
-} from "./lead_log.ts";
-import { awaitTurn, turnDelayMs } from "./lead_succession.ts";
+import { claimLead, type FleetRecords } from "./lead_log.ts";
+import { LeadSearch } from "./lead_search.ts";
 import { LeadStatus } from "./lead_status.ts";
+import { LeadTerm } from "./lead_term.ts";
 import type {
   DemandTotals,
-  KnownEnd,
   KnownStatus,
   LeadAnswer,
-  PeerNode,
   PeerReport,
   PeerSummary,
 } from "./peer_messages.ts";
-import type { LeadOperations, PeerCalls } from "./peer_router.ts";
+import type { LeadOperations } from "./peer_router.ts";
+import { describeTopic, takeTold } from "./relayed_topic.ts";
 import { ReportTable } from "./report_table.ts";
-import { selectRelays } from "./select_relays.ts";
-
-/** What a new lead directs the replicas with. */
-export interface DirectorStart {
-  readonly term: number;
-  readonly replicas: readonly ReplicaRecord[];
-  readonly recorder: ReplicaRecorder;
-}
-
-/** A topic of the store that processes tell each other of. */
-export interface RelayedTopic {
-  /** What this process knows of it. */
-  readonly copy: TopicCopy;
-  /** Time before which that was the newest. */
-  readonly provenAtMs: () => number;
-  /** Takes what another process tells, which was the newest at a time. */
-  readonly onTold: (change: RelayedChange, provenAtMs: number) => void;
-}
-
-/** What taking part in deciding on replicas works with. */
-export interface CoordinatorOptions {
-  readonly self: PeerNode;
-  readonly bootId: string;
-  readonly log: KeyedLog;
-  readonly client: PeerCalls;
-  /** Heads at which requests of this process stand still. */
-  readonly listStalledHeads: () => readonly string[];
-  /** Heads of replicas that this process finds slow. */
-  readonly listSlowHeads: () => readonly string[];
-  /** Requests of this process in progress, by model. */
-  readonly demand: () => Readonly<Record<string, number>>;
-  /** Requests of this process in progress or waiting, by organisation. */
-  readonly tenantDemand: () => Readonly<Record<string, number>>;
-  /** Requests and repeats of this process in its window, by service. */
-  readonly repeats: () => Readonly<Record<string, WindowTotals>>;
-  readonly hasTraffic: () => boolean;
-  /** Time of the last answer of the store to this process. */
-  readonly storeAnsweredAtMs: () => number;
-  /** The configuration, which is told to other processes. */
-  readonly config: RelayedTopic;
-  /** The list of instances, likewise. */
-  readonly instances: RelayedTopic;
-  /** Instances that said that they leave, though the list has them as ready. */
-  readonly listLeaving: () => readonly LeavingIncarnation[];
-  /** Takes the status of instances that other processes have heard. */
-  readonly onLeaving: (incarnations: readonly LeavingIncarnation[]) => void;
-  readonly createDirector: (start: DirectorStart) => FleetDirector;
-  /** 0 to 1. */
-  readonly random: () => number;
-  readonly record: RecordEvent;
-}
 
 const RETRY_DELAY_MS = 300;
 /** Time between two looks of a process that has left the lead to others. */
@@ -103,37 +32,36 @@
   readonly #status = new LeadStatus();
   readonly #signal = new ChangeSignal();
   readonly #follower: LeadFollower;
+  readonly #search: LeadSearch;
   #nowMs: () => number = () => 0;
-  #director: FleetDirector | undefined;
+  /** Set while this process decides on replicas. */
+  #term: LeadTerm | undefined;
   #summary: PeerSummary;
   #summedAtMs = Number.NEGATIVE_INFINITY;
-  #leadsSinceMs = 0;
-  /** Lead whose place this process took. */
-  #replacedId: string | undefined;
-  #isDeposed = false;
   #isLeaving = false;
-  /** Newest lead that the records named. */
-  #found: LeadRecord | undefined;
-  /** Up to where the records were looked through for a lead after a term. */
-  #looked = { term: 0, nextOffset: 0 };
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
     this.#summary = this.#summarizeOwn();
+    this.#search = new LeadSearch({
+      ...options,
+      term: () => this.#status.term,
+    });
     this.#follower = new LeadFollower({
       ...options,
       status: this.#status,
       summarize: () => this.#summarize(),
       known: () => this.#describeKnown(),
       onAnswer: (answer, heard) => this.#noteAnswer(answer, heard),
-      awaitOtherLead: (term, waitMs) => this.#awaitOtherLead(term, waitMs),
+      awaitOtherLead: (term, waitMs) =>
+        this.#search.awaitOtherLead(term, waitMs),
       nowMs: () => this.#nowMs(),
     });
   }
 
   /** Whether this process decides on replicas now. */
   get isLeading(): boolean {
-    return this.#director !== undefined;
+    return this.#term !== undefined;
   }
 
   /** Whether this process hears the lead itself. */
@@ -148,7 +76,7 @@
 
   /** Heads to which no requests should go, as replicas are taken apart. */
   listClosedHeads(): readonly string[] {
-    return this.#director?.listClosedHeads() ?? this.#status.closedHeads;
+    return this.#term?.listClosedHeads() ?? this.#status.closedHeads;
   }
 
   /** Requests and repeats of all processes; undefined while not fresh. */
@@ -186,7 +114,7 @@
   /** Leaves the lead to others. */
   leave(): void {
     this.#isLeaving = true;
-    this.#isDeposed = true;
+    this.#term?.leave();
     this.#follower.stop();
     this.#signal.notify();
   }
@@ -199,11 +127,11 @@
   report(report: PeerReport): Effect.Effect<LeadAnswer> {
     return Effect.gen({ self: this }, function* () {
       this.#table.note(report, this.#nowMs());
-      if (this.isLeading && report.known.term > this.#status.term) {
+      if (report.known.term > this.#status.term) {
         const { nodeId } = report.reporter;
-        this.#depose(`${nodeId} knows of term ${report.known.term}`);
+        this.#term?.depose(`${nodeId} knows of term ${report.known.term}`);
       }
-      this.#noteHeads(report.summary);
+      this.#term?.noteHeads(report.summary);
       this.#options.onLeaving(report.summary.leaving);
       const arrivedAtMs = this.#nowMs();
       yield* this.#awaitUpdates(report);
@@ -227,20 +155,19 @@
           yield* Effect.sleep(LEFT_CHECK_MS);
           continue;
         }
-        const found = this.#takeFound();
+        const found = this.#search.takeFound();
         if (found !== undefined) {
           yield* this.#follower.follow(found);
           mayClaim = true;
           continue;
         }
-        const records = yield* this.#readRecords();
+        const records = yield* this.#search.readRecords();
         if (records === undefined) {
           yield* Effect.sleep(RETRY_DELAY_MS);
           continue;
         }
-        this.#found = records.lead;
-        if (this.#isToFollow(records.lead)) continue;
-        if (mayClaim || !(yield* this.#awaitFirstTurn(records))) {
+        if (this.#search.isToFollow(records.lead)) continue;
+        if (mayClaim || !(yield* this.#search.awaitFirstTurn(records))) {
           yield* this.#claim(records);
           mayClaim = false;
         }
@@ -248,60 +175,6 @@
     });
   }
 
-  /** Another lead than was followed last, if one was found. */
-  #takeFound(): LeadRecord | undefined {
-    const found = this.#found;
-    this.#found = undefined;
-    return this.#isToFollow(found) ? found : undefined;
-  }
-
-  #isToFollow(lead: LeadRecord | undefined): boolean {
-    return lead !== undefined && lead.term !== this.#status.term &&
-      lead.nodeId !== this.#options.self.nodeId;
-  }
-
-  /** Lets the most able process be the first; whether another has been. */
-  #awaitFirstTurn({ nextOffset }: FleetRecords): Effect.Effect<boolean> {
-    const { self, random } = this.#options;
-    const term = this.#status.term;
-    this.#looked = { term, nextOffset };
-    return awaitTurn({
-      delayMs: turnDelayMs({ self, relays: [], chance: random() }),
-      awaitTaken: (waitMs) =>
-        Effect.map(
-          this.#awaitOtherLead(term, waitMs),
-          ({ kind }) => kind === "taken",
-        ),
-    });
-  }
-
-  #awaitOtherLead(term: number, waitMs: number): Effect.Effect<LeadLook> {
-    const { log } = this.#options;
-    if (this.#looked.term !== term) this.#looked = { term, nextOffset: term };
-    const fromOffset = this.#looked.nextOffset;
-    return Effect.map(
-      awaitOtherLead(log, { term, fromOffset, waitMs }),
-      (look) => {
-        if (look.kind === "taken") this.#found = look.lead;
-        if (look.kind === "unchanged") {
-          this.#looked = { term, nextOffset: look.nextOffset };
-        }
-        return look;
-      },
-    );
-  }
-
-  #readRecords(): Effect.Effect<FleetRecords | undefined> {
-    return readFleetRecords(this.#options.log).pipe(
-      Effect.catch(({ message }) =>
-        Effect.sync(() => {
-          this.#options.record("lead.read-failed", { message });
-          return undefined;
-        })
-      ),
-    );
-  }
-
   /** Takes the lead and directs replicas until another process does. */
   #claim(records: FleetRecords): Effect.Effect<void> {
     const { self, bootId, log } = this.#options;
@@ -329,105 +202,28 @@
     lead: LeadRecord,
     replicas: readonly ReplicaRecord[],
   ): Effect.Effect<void> {
-    const { log, createDirector, record } = this.#options;
-    const { term } = lead;
-    return Effect.gen({ self: this }, function* () {
-      this.#leadsSinceMs = this.#nowMs();
-      this.#replacedId = this.#status.lead?.nodeId;
-      this.#status.setLead(lead, this.#leadsSinceMs);
-      this.#isDeposed = this.#isLeaving;
-      record("lead.taken", { term, replicas: replicas.length });
-      const recorder = new LeadRecorder({
-        log,
-        term,
-        onDeposed: (message) => this.#depose(message),
+    return Effect.suspend(() => {
+      const term = new LeadTerm({
+        ...this.#options,
+        lead,
+        replicas,
+        status: this.#status,
+        table: this.#table,
+        summarize: () => this.#summarize(),
+        summarizeOwn: () => this.#summarizeOwn(),
+        onUpdate: () => this.#signal.notify(),
+        nowMs: () => this.#nowMs(),
       });
-      this.#director = createDirector({ term, replicas, recorder });
-      yield* Effect.scoped(this.#director.run()).pipe(
-        Effect.raceFirst(this.#publishUntilDeposed()),
+      if (this.#isLeaving) term.leave();
+      this.#term = term;
+      return term.run().pipe(
         Effect.ensuring(Effect.sync(() => {
-          this.#director = undefined;
+          this.#term = undefined;
         })),
       );
     });
   }
 
-  #depose(message: string): void {
-    if (this.#isDeposed || !this.isLeading) return;
-    this.#isDeposed = true;
-    this.#options.record("lead.lost", { term: this.#status.term, message });
-  }
-
-  /** Says what the lead has to say, at once where it is new. */
-  #publishUntilDeposed(): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      while (!this.#isDeposed) {
-        this.#noteHeads(this.#summarizeOwn());
-        if (this.#publish()) this.#signal.notify();
-        yield* Effect.sleep(PUBLISH_STEP_MS);
-      }
-    });
-  }
-
-  #publish(): boolean {
-    const nowMs = this.#nowMs();
-    const { self, storeAnsweredAtMs, listLeaving } = this.#options;
-    const { processes: heard, repeats, demand, tenantDemand } = this
-      .#summarize();
-    const processes = this.#isNewLead(nowMs) ? this.#status.processes : heard;
-    return this.#status.publish({
-      processes,
-      repeats,
-      demand: { byModel: demand, byTenant: tenantDemand },
-      expectedMs: this.#director!.expectedMs(nowMs),
-      relays: selectRelays({
-        leadId: self.nodeId,
-        processes,
-        candidates: this.#listCandidates(nowMs),
-        previous: this.#status.relays,
-      }),
-      updates: {
-        closedHeads: this.#director!.listClosedHeads(),
-        leaving: listLeaving(),
-      },
-      // The store took the record by which this process leads.
-      storeAnsweredAtMs: Math.max(storeAnsweredAtMs(), this.#leadsSinceMs),
-    }, nowMs);
-  }
-
-  /** Whether those that followed the lead before may not all report here yet. */
-  #isNewLead(nowMs: number): boolean {
-    return this.#status.processes > 1 &&
-      nowMs - this.#leadsSinceMs < INHERIT_MS;
-  }
-
-  /** Processes that may be relays; those that are report here themselves. */
-  #listCandidates(nowMs: number): readonly PeerNode[] {
-    if (this.#isNewLead(nowMs)) {
-      const replacedId = this.#replacedId;
-      return this.#status.relays.filter(({ nodeId }) => nodeId !== replacedId);
-    }
-    const reporters = this.#table.listReporters(nowMs);
-    const present = new Set(reporters.map(({ nodeId }) => nodeId));
-    const relayIds = new Set(
-      this.#status.relays.map(({ nodeId }) => nodeId),
-    );
-    const named = this.#table.listCandidates(nowMs).filter(({ nodeId }) =>
-      present.has(nodeId) || !relayIds.has(nodeId)
-    );
-    return [...reporters, ...named];
-  }
-
-  #noteHeads(
-    { stalledHeads, slowHeads }: Pick<
-      PeerSummary,
-      "stalledHeads" | "slowHeads"
-    >,
-  ): void {
-    for (const headId of stalledHeads) this.#director?.noteStalled(headId);
-    for (const headId of slowHeads) this.#director?.noteSlow(headId);
-  }
-
   /** Waits until a process has something to learn, or its report's time is over. */
   #awaitUpdates({ known, holdMs }: PeerReport): Effect.Effect<void> {
     const { instances, config } = this.#options;
@@ -450,7 +246,7 @@
     const nowMs = this.#nowMs();
     const { instances, config } = this.#options;
     return {
-      isLeading: this.isLeading && !this.#isDeposed,
+      isLeading: this.#term?.isDeposed === false,
       ...this.#status.describe(known, nowMs),
       // Who reports to a process that leaves is to turn to another.
       ...(this.#isLeaving ? { statusAgeMs: null } : {}),
@@ -502,26 +298,3 @@
     };
   }
 }
-
-/** What a process that knows a topic up to an offset is to be told of it. */
-function describeTopic(
-  { copy, provenAtMs }: RelayedTopic,
-  fromOffset: number,
-  nowMs: number,
-): RelayedChange & KnownEnd {
-  const ageMs = copy.canTellSince(fromOffset)
-    ? nowMs - provenAtMs()
-    : Number.POSITIVE_INFINITY;
-  return {
-    ...copy.since(fromOffset),
-    proofAgeMs: Number.isFinite(ageMs) ? ageMs : null,
-  };
-}
-
-function takeTold(
-  { onTold }: RelayedTopic,
-  told: RelayedChange & KnownEnd,
-  publishedAtMs: number,
-): void {
-  if (told.proofAgeMs !== null) onTold(told, publishedAtMs - told.proofAgeMs);
-}
--- a/packages/celerytray/src/coordination/index.ts
+++ b/packages/celerytray/src/coordination/index.ts
@@ -1,10 +1,10 @@
 /** Which process decides on replicas, and what the others tell it. */
-export {
-  Coordinator,
-  type CoordinatorOptions,
-  type DirectorStart,
-  type RelayedTopic,
-} from "./coordinator.ts";
+export { Coordinator } from "./coordinator.ts";
+export type {
+  CoordinatorOptions,
+  DirectorStart,
+} from "./coordinator_options.ts";
+export type { RelayedTopic } from "./relayed_topic.ts";
 export { LEAD_READ_WAIT_MS, maxToldAgeMs, sumLagMs } from "./intervals.ts";
 export {
   claimLead,
