Tell the queue of a head from a stall

Cause: a request that waited over 0.7 s in the queue of a head made the head suspect, so that doubts, probes and moves grew with the load.

Change: a head that told of no free slot is given the wait that its queue explains (waiting / slots x usual service time, plus the time that passed between its report and the request, in which the queue may have grown), 3 s at most with the bounds that were there before. Streams in progress and heads without a queue are judged as before. Requests in a known queue are moved at most once per second and head, all of them once the lead closed the head. Attempts whose caller is slow are no evidence; nor is a lone waiting request while the process is late.

--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -33,6 +33,7 @@
   type CallCodec,
   LoadTracker,
   PaceTracker,
+  QueueWaits,
   RepeatBudget,
   type ServingConfig,
   type ServingDependencies,
@@ -111,7 +112,10 @@
     const metrics = new MetricsPage();
     const loads = new LoadTracker();
     const backoffs = new BackoffTracker();
-    const stalls = new StallWatch();
+    const queueWaits = new QueueWaits(loads);
+    const stalls = new StallWatch({
+      queueWaitMs: (request, atMs) => queueWaits.explainedMs(request, atMs),
+    });
     const paces = new PaceTracker();
     const pools = new BackendPools();
     const demand = new Map<string, number>();
@@ -154,6 +158,7 @@
       const isPresent = (id: string) => instances.find(id) !== undefined;
       loads.keepOnly(isPresent);
       paces.keepOnly(isPresent);
+      stalls.keepOnly(isPresent);
       backoffs.keepOnly(isPresent, nowMs());
     };
     const configCopy = new TopicCopy();
@@ -279,6 +284,7 @@
       backoffs,
       stalls,
       paces,
+      queueWaits,
       budgets: new BudgetTracker(),
       repeats,
       agentFor: (address) => pools.agentFor(address),
--- a/packages/celerytray/src/host/move_attempts.ts
+++ b/packages/celerytray/src/host/move_attempts.ts
@@ -1,10 +1,6 @@
 import { Effect } from "effect";
 import type { RecordEvent } from "../journal/index.ts";
-import {
-  MOVE_AFTER_MS,
-  type PaceTracker,
-  type StallWatch,
-} from "../serving/index.ts";
+import type { PaceTracker, StallWatch } from "../serving/index.ts";
 
 /** What moving requests off replicas works with. */
 export interface MoveOptions {
@@ -29,14 +25,18 @@
   return Effect.forever(
     Effect.sync(() => {
       const closed = closedHeads();
-      const stalled = stalls.findDoubtful(nowMs()).filter((head) =>
-        head.silentMs >= MOVE_AFTER_MS || closed.includes(head.instanceId)
+      const stalled = stalls.findDoubtful(nowMs(), closed).filter((head) =>
+        head.isToLeave
       );
       for (const { instanceId, silentMs, attempts } of stalled) {
         if (!knownStalled.has(instanceId)) {
           record("replica.stalled", { headId: instanceId, silentMs, attempts });
         }
-        stalls.moveAway(instanceId, "stalled");
+        stalls.moveAway(instanceId, {
+          reason: "stalled",
+          nowMs: nowMs(),
+          isClosed: closed.includes(instanceId),
+        });
       }
       knownStalled = new Set(stalled.map(({ instanceId }) => instanceId));
       const slow = paces.listSlow(nowMs());
@@ -45,7 +45,7 @@
           const slowness = paces.slowness(headId, nowMs());
           record("replica.slow", { headId, slowness });
         }
-        stalls.moveAway(headId, "slow");
+        stalls.moveAway(headId, { reason: "slow", nowMs: nowMs() });
       }
       knownSlow = new Set(slow);
       return stalls.hasAttempts ? CHECK_MS : IDLE_CHECK_MS;
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -4,6 +4,7 @@
 import type { ServingTarget } from "./choose_target.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 import type { PaceTracker } from "./pace_tracker.ts";
+import type { QueueWaits } from "./queue_wait.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 import type { BackoffTracker } from "./backoff_tracker.ts";
 import type { ServingRoute } from "./serving_config.ts";
@@ -27,6 +28,7 @@
   readonly backoffs: BackoffTracker;
   readonly stalls: StallWatch;
   readonly paces: PaceTracker;
+  readonly queueWaits: QueueWaits;
   readonly repeats: RepeatBudget;
   readonly budgets: BudgetTracker;
   readonly agentFor: (address: string) => Agent;
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -4,6 +4,7 @@
 import type { ServingDependencies } from "./call_context.ts";
 import { LoadTracker } from "./load_tracker.ts";
 import { PaceTracker } from "./pace_tracker.ts";
+import { QueueWaits } from "./queue_wait.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { BackoffTracker } from "./backoff_tracker.ts";
 import { StallWatch } from "./stall_watch.ts";
@@ -18,11 +19,13 @@
   own: TestDependencies,
 ): ServingDependencies {
   const agent = new Agent({ keepAlive: true });
+  const loads = own.loads ?? new LoadTracker();
   return {
     codec: new PlatformCallCodec(),
     zone: "z",
     areKeysFresh: () => true,
-    loads: new LoadTracker(),
+    loads,
+    queueWaits: new QueueWaits(loads),
     backoffs: new BackoffTracker(),
     stalls: new StallWatch(),
     paces: new PaceTracker(),
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -118,7 +118,7 @@
   };
 }
 
-/** Ends the attempt under way if another instance surely takes the request. */
+/** Ends the attempt under way if another instance surely takes the request; whether it did. */
 export function tryMove(
   options: AttemptsOptions,
   progress: AttemptProgress,
@@ -126,22 +126,23 @@
     readonly reason: AbandonReason;
     readonly nowMs: number;
   },
-): void {
+): boolean {
   const { call, dependencies } = options;
   if (
     progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
-  ) return;
-  if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return;
+  ) return false;
+  if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return false;
   const choice = createChoice(options, progress, nowMs);
   const target = chooseTarget(choice);
-  if (target === undefined || !isPreferred(target, choice)) return;
+  if (target === undefined || !isPreferred(target, choice)) return false;
   const { loads, repeats } = dependencies;
   const hasPlace = loads.estimate(target.instanceId, nowMs) < target.slots;
-  if (reason === "slow" && !hasPlace) return;
+  if (reason === "slow" && !hasPlace) return false;
   // What was not sent is no repeat.
   if (progress.isCurrentSent || progress.arrivals > 0) {
-    if (!repeats.trySpend(call.service, nowMs)) return;
+    if (!repeats.trySpend(call.service, nowMs)) return false;
     progress.isNextPaid = true;
   }
   progress.abandon(reason);
+  return true;
 }
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -13,6 +13,7 @@
 export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
 export { LoadTracker } from "./load_tracker.ts";
 export { PaceTracker } from "./pace_tracker.ts";
+export { QueueWaits } from "./queue_wait.ts";
 export {
   RepeatBudget,
   type RepeatBudgetOptions,
@@ -36,7 +37,6 @@
 export { selectService, ServingIndex } from "./serving_index.ts";
 export {
   type AbandonReason,
-  MOVE_AFTER_MS,
   type StalledInstance,
   StallWatch,
 } from "./stall_watch.ts";
--- a/packages/celerytray/src/serving/load_tracker.ts
+++ b/packages/celerytray/src/serving/load_tracker.ts
@@ -7,12 +7,19 @@
 /** Time over which failures are forgotten. */
 const FAILURE_FADE_MS = 4_000;
 const FAILURE_WEIGHT = 0.3;
+/**
+ * Time for which a told queue explains waits. At 62 processes a head gets a
+ * request from each of them every 5 s or so; a head that stands still is seen
+ * sooner by processes that have streams there.
+ */
+const QUEUE_MEMORY_MS = 10_000;
 
 interface InstanceWork {
   inFlight: number;
   /** Requests running and waiting, as told. */
   toldWork: number;
   toldAtMs: number;
+  toldLoad: InstanceLoad | undefined;
   /** Requests sent and ended here since it was told. */
   changeSinceTold: number;
   /** 0 to 1. */
@@ -21,6 +28,11 @@
   avoidUntilMs: number;
 }
 
+/** A load and when it was told. */
+export interface ToldLoad extends InstanceLoad {
+  readonly toldAtMs: number;
+}
+
 /** Work at each instance: told by answers, corrected by what is sent here. */
 export class LoadTracker {
   readonly #work = new Map<string, InstanceWork>();
@@ -41,9 +53,29 @@
     const work = this.#workOf(instanceId);
     work.toldWork = load.running + load.waiting;
     work.toldAtMs = nowMs;
+    work.toldLoad = load;
     work.changeSinceTold = 0;
   }
 
+  /**
+   * Load that an instance told of last, if that was lately; what was sent from
+   * here since and finds no free slot counts as waiting.
+   */
+  toldLoad(instanceId: string, nowMs: number): ToldLoad | undefined {
+    const work = this.#work.get(instanceId);
+    if (work?.toldLoad === undefined) return undefined;
+    if (nowMs - work.toldAtMs >= QUEUE_MEMORY_MS) return undefined;
+    const { running, waiting, slots } = work.toldLoad;
+    const excess = work.toldWork + work.changeSinceTold - slots;
+    const isFull = running + waiting >= slots;
+    return {
+      running,
+      waiting: isFull ? Math.max(waiting, excess) : waiting,
+      slots,
+      toldAtMs: work.toldAtMs,
+    };
+  }
+
   /** Takes note of whether an attempt succeeded, as far as the instance counts. */
   noteOutcome(
     instanceId: string,
@@ -111,6 +143,7 @@
         inFlight: 0,
         toldWork: 0,
         toldAtMs: 0,
+        toldLoad: undefined,
         changeSinceTold: 0,
         failureShare: 0,
         failedAtMs: 0,
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -104,20 +104,25 @@
   target: ServingTarget,
 ): Effect.Effect<AttemptOutcome> {
   const { call, exchange, dependencies } = options;
-  const { loads, stalls, paces, codec } = dependencies;
+  const { loads, stalls, paces, codec, queueWaits } = dependencies;
   const { instanceId, address, epoch } = target;
   return Effect.gen(function* () {
     const clock = yield* Clock.Clock;
     const nowMs = () => readSteadyMs(clock);
     const startedAtMs = nowMs();
+    const model = call.head.model ?? "";
     let lastEventAtMs: number | undefined;
+    let headAtMs: number | undefined;
     progress.tried.add(instanceId);
     progress.currentId = instanceId;
     loads.noteSent(instanceId);
     const endWatch = call.route.isStream
       ? stalls.begin({
         instanceId,
+        model,
         startedAtMs,
+        hasStarted: () => headAtMs !== undefined,
+        isPaused: () => false,
         rank: () => rankOf(call, progress),
         tryMove: (reason) =>
           tryMove(options, progress, { reason, nowMs: nowMs() }),
@@ -146,8 +151,10 @@
       ...(progress.lastEventId === undefined
         ? {}
         : { lastEventId: progress.lastEventId }),
-      onHead: (head) =>
-        noteHead({ dependencies, target, head, nowMs: nowMs() }),
+      onHead: (head) => {
+        headAtMs = nowMs();
+        noteHead({ dependencies, target, head, nowMs: headAtMs });
+      },
       onProgress: () => stalls.noteProgress(instanceId, nowMs()),
       onSent: () => progress.isCurrentSent = true,
       onStreamHead: (head) => {
@@ -159,7 +166,6 @@
         // Events that come together hold no pause.
         if (lastEventAtMs !== undefined && atMs > lastEventAtMs) {
           const pauseMs = atMs - lastEventAtMs;
-          const model = call.head.model ?? "";
           paces.notePause({ instanceId, epoch, model, pauseMs, nowMs: atMs });
         }
         lastEventAtMs = atMs;
@@ -168,6 +174,12 @@
       },
       onAbandonable: (abandon) => progress.abandon = abandon,
     }).pipe(
+      Effect.tap(({ kind }) =>
+        Effect.sync(() => {
+          if (kind !== "streamed" || headAtMs === undefined) return;
+          queueWaits.noteServed(model, nowMs() - headAtMs);
+        })
+      ),
       Effect.ensuring(Effect.sync(() => {
         loads.noteEnded(instanceId);
         endWatch();
