Send nothing whose caller or time is gone, and refuse early while behind

Cause: a process whose event loop was late forwarded requests 0.8 s after their callers had left, as it had not read the end of their connections.

Change: before each attempt, and once more when its connection is there, the deadline and the caller's connection are checked. A process that was late in the last second lets the event loop read all connections first. The bound on connecting is judged after what came meanwhile was read.

--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -50,7 +50,9 @@
 import { KeyFreshness } from "./key_freshness.ts";
 import type { HostSettings } from "./host_settings.ts";
 import { keepRunning, recordFault } from "./keep_running.ts";
+import { measureLag } from "./loop_lag.ts";
 import { moveAttempts } from "./move_attempts.ts";
+import { createPressure } from "./pressure.ts";
 import { proveKeys } from "./prove_keys.ts";
 import { recordCall } from "./record_call.ts";
 import { StoreContact } from "./store_contact.ts";
@@ -112,9 +114,11 @@
     const metrics = new MetricsPage();
     const loads = new LoadTracker();
     const backoffs = new BackoffTracker();
+    const pressure = createPressure({ metrics, record, nowMs });
     const queueWaits = new QueueWaits(loads);
     const stalls = new StallWatch({
       queueWaitMs: (request, atMs) => queueWaits.explainedMs(request, atMs),
+      isBehind: (atMs) => pressure.lag.isBehind(atMs),
     });
     const paces = new PaceTracker();
     const pools = new BackendPools();
@@ -262,6 +266,7 @@
     const loops: Readonly<Record<string, Effect.Effect<unknown>>> = {
       coordination: coordinator.run(),
       "proof of keys": proveKeys({ log, config, keys, state, record }),
+      "measuring of lag": measureLag(pressure.lag, record),
       "moving of requests": moveAttempts({
         stalls,
         paces,
@@ -275,6 +280,7 @@
     }
 
     const dependencies: ServingDependencies = {
+      ...pressure.dependencies,
       codec: ports.codec,
       zone: settings.zone,
       index: () => config.index,
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -120,6 +120,7 @@
     progress.arrivals += 1;
   }
   progress.attempts.push(`${instanceId} ${describeOutcome(outcome)}`);
+  if (outcome.kind === "not-run" && outcome.isWithheld) return;
   if (outcome.kind !== "not-run") progress.mayHaveRun = true;
   if (outcome.kind === "lost" && outcome.isStale && !progress.hadStale) {
     // The instance dropped the idle connection; a fresh one may do.
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -4,6 +4,7 @@
 import type { ServingTarget } from "./choose_target.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 import type { PaceTracker } from "./pace_tracker.ts";
+import type { ProcessLag } from "./process_lag.ts";
 import type { QueueWaits } from "./queue_wait.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 import type { BackoffTracker } from "./backoff_tracker.ts";
@@ -31,6 +32,7 @@
   readonly queueWaits: QueueWaits;
   readonly repeats: RepeatBudget;
   readonly budgets: BudgetTracker;
+  readonly lag: ProcessLag;
   readonly agentFor: (address: string) => Agent;
   readonly discardAgent: (address: string) => void;
   /** Whether a connection to an address is open and unused. */
@@ -38,6 +40,8 @@
   readonly random: () => number;
   /** Counts the requests in progress or waiting, by model and organisation. */
   readonly noteDemand: (source: DemandSource, change: 1 | -1) => void;
+  /** Counts a request that was not sent. */
+  readonly onWithheld: (reason: WithheldReason) => void;
   /** Takes note that a target's answer said that it leaves. */
   readonly noteLeaving: (target: ServingTarget) => void;
   /** Told of a back-off that a target asked for, and of what it gets. */
@@ -49,6 +53,12 @@
   readonly record: (outcome: CallRecord) => void;
 }
 
+/**
+ * Why a request is not sent: its caller left, its time is over, this process
+ * is behind, or its body does not fit.
+ */
+export type WithheldReason = "left" | "deadline" | "lag" | "memory";
+
 /** What a request counts for. */
 export interface DemandSource {
   readonly model: string;
--- a/packages/celerytray/src/serving/caller_exchange.ts
+++ b/packages/celerytray/src/serving/caller_exchange.ts
@@ -39,6 +39,13 @@
     return this.#response.writableEnded;
   }
 
+  /** Whether the caller still waits, as far as its connection was read. */
+  get hasCaller(): boolean {
+    const { socket } = this.request;
+    return !this.#response.destroyed && !socket.destroyed &&
+      !socket.readableEnded;
+  }
+
   /** Answers with an instance's whole answer. */
   answer(head: AnswerHead, body: Buffer): void {
     this.#response.writeHead(head.status, [
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -30,6 +30,7 @@
     stalls: new StallWatch(),
     paces: new PaceTracker(),
     budgets: new BudgetTracker(),
+    lag: { lagMs: () => 0, isBehind: () => false },
     repeats: new RepeatBudget({
       share: 1,
       slackRequests: 100,
@@ -44,6 +45,7 @@
     hasConnection: () => false,
     random: () => 0.5,
     noteDemand: () => {},
+    onWithheld: () => {},
     noteLeaving: () => {},
     onFault: () => {},
     onBackoff: () => {},
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -7,12 +7,17 @@
   InstanceLoad,
 } from "./call.ts";
 export { BudgetTracker } from "./budget_tracker.ts";
-export type { CallRecord, ServingDependencies } from "./call_context.ts";
+export type {
+  CallRecord,
+  ServingDependencies,
+  WithheldReason,
+} from "./call_context.ts";
 export { CallerExchange, type OwnAnswer } from "./caller_exchange.ts";
 export { chooseTarget, type ServingTarget } from "./choose_target.ts";
 export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
 export { LoadTracker } from "./load_tracker.ts";
 export { PaceTracker } from "./pace_tracker.ts";
+export { MAX_LAG_MS, type ProcessLag } from "./process_lag.ts";
 export { QueueWaits } from "./queue_wait.ts";
 export {
   RepeatBudget,
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -18,6 +18,8 @@
     readonly message: string;
     /** Whether the instance itself turned it away. */
     readonly isTurnedAway: boolean;
+    /** Whether it was not sent, as the caller or its time was gone. */
+    readonly isWithheld?: boolean;
   }
   /** It may have run; no whole answer came. */
   | {
@@ -57,6 +59,8 @@
   readonly onHead: (head: AnswerHead) => void;
   /** Called as the answer goes on: with its head, and each whole event. */
   readonly onProgress: () => void;
+  /** Whether it is still to be sent, once there is a connection. */
+  readonly maySend: () => boolean;
   /** Called before the first byte of the request is written. */
   readonly onSent: () => void;
   /** Receives a function that ends the attempt. */
@@ -116,14 +120,29 @@
       agent: options.agent ?? false,
       headers: options.headers,
     });
-    const connectTimer = setTimeout(() => {
+    const failUnconnected = () => {
       if (isSent) return;
       fail(`No connection within ${MAX_CONNECT_MS} ms`);
       request.destroy();
-    }, MAX_CONNECT_MS);
+    };
+    // A process that is behind reads first what came meanwhile.
+    const connectTimer = setTimeout(
+      () => setImmediate(failUnconnected),
+      MAX_CONNECT_MS,
+    );
     request.on("close", () => clearTimeout(connectTimer));
     request.on("socket", (socket) => {
       const dispatch = () => {
+        if (!options.maySend()) {
+          settle({
+            kind: "not-run",
+            message: "The request was no longer wanted",
+            isTurnedAway: false,
+            isWithheld: true,
+          });
+          request.destroy();
+          return;
+        }
         isSent = true;
         options.onSent();
         request.end(options.body.length > 0 ? options.body : undefined);
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -56,6 +56,7 @@
   const { call, dependencies } = options;
   return Effect.gen(function* () {
     while (true) {
+      if (dependencies.lag.isBehind(yield* steadyMs)) yield* readConnections;
       const search = yield* awaitTarget(options, progress);
       if (search.kind === "full") return refuseAsFull(options, progress);
       if (search.kind === "backing-off") {
@@ -66,6 +67,10 @@
       }
       const { target } = search;
       const nowMs = yield* steadyMs;
+      const reason = findWithheldReason(options, nowMs);
+      if (reason !== undefined) {
+        return yield* withhold(options, progress, reason);
+      }
       const isRepeat = progress.arrivals > 0;
       if (isRepeat && call.deadlineAtMs - nowMs < MIN_REMAINING_MS) {
         return giveUp(options, progress, "Too little time is left");
@@ -78,6 +83,12 @@
       const outcome = yield* attemptOnce(options, progress, target);
       const endedAtMs = yield* steadyMs;
       noteOutcome({ options, progress, target, outcome, nowMs: endedAtMs });
+      if (outcome.kind === "not-run" && outcome.isWithheld) {
+        const withheldReason = findWithheldReason(options, endedAtMs);
+        if (withheldReason !== undefined) {
+          return yield* withhold(options, progress, withheldReason);
+        }
+      }
       if (outcome.kind === "streamed") {
         return { kind: "streamed", ...summarize(progress) };
       }
@@ -98,6 +109,34 @@
   });
 }
 
+/**
+ * Lets the event loop read all connections. One turn may have begun before a
+ * caller that left was seen, so that the end of the next one is awaited.
+ */
+const readConnections: Effect.Effect<void> = Effect.callback((resume) => {
+  setImmediate(() => setImmediate(() => resume(Effect.void)));
+});
+
+/** Why a request is not to be sent any more, if so. */
+function findWithheldReason(
+  { call, exchange }: AttemptsOptions,
+  nowMs: number,
+): "left" | "deadline" | undefined {
+  if (!exchange.hasCaller) return "left";
+  return nowMs >= call.deadlineAtMs ? "deadline" : undefined;
+}
+
+function withhold(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  reason: "left" | "deadline",
+): Effect.Effect<AttemptsResult> {
+  options.dependencies.onWithheld(reason);
+  return reason === "left"
+    ? Effect.interrupt
+    : Effect.succeed(runOutOfTime(options, progress));
+}
+
 function attemptOnce(
   options: AttemptsOptions,
   progress: AttemptProgress,
@@ -156,6 +195,7 @@
         noteHead({ dependencies, target, head, nowMs: headAtMs });
       },
       onProgress: () => stalls.noteProgress(instanceId, nowMs()),
+      maySend: () => findWithheldReason(options, nowMs()) === undefined,
       onSent: () => progress.isCurrentSent = true,
       onStreamHead: (head) => {
         if (!exchange.hasStarted) exchange.startStream(head);
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -13,6 +13,7 @@
 } from "./call_context.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
 import { runAttempts } from "./run_attempts.ts";
+import { refuseWhileBehind } from "./process_lag.ts";
 import { selectService, type ServingIndex } from "./serving_index.ts";
 
 const NO_CONFIG_RETRY_MS = 500;
@@ -35,23 +36,12 @@
           dependencies,
           index: index(),
         })
-      );
+      )
+      .chain((admission) => admitInTime(admission, dependencies, arrivedAtMs));
     if (admitted.isLeft()) {
       const own = admitted.extract() as OwnAnswer;
       const id = decoded.toMaybe().extract()?.id;
-      exchange.answerItself(id, own);
-      if (!exchange.request.complete) exchange.request.resume();
-      dependencies.record({
-        callId: id ?? "",
-        route: "",
-        service: "",
-        status: own.status,
-        outcome: "refused",
-        reason: own.message,
-        attempts: [],
-        durationMs: 0,
-        configVersion: index()?.config.version ?? 0,
-      });
+      refuse(exchange, { id, own, dependencies });
       return;
     }
     const admission = admitted.unsafeCoerce();
@@ -65,18 +55,8 @@
         return Effect.interrupt;
       }),
     );
-    const { head, route } = admission;
-    const boundMs = Math.min(head.budgetMs ?? route.timeoutMs, route.timeoutMs);
-    const passedMs = head.budgetMs === undefined
-      ? 0
-      : dependencies.budgets.notePassed(route.name, head.budgetMs);
-    const call: AdmittedCall = {
-      ...admission,
-      body,
-      isLate: passedMs >= route.targetMs,
-      arrivedAtMs,
-      deadlineAtMs: arrivedAtMs + boundMs,
-    };
+    const { head } = admission;
+    const call: AdmittedCall = { ...admission, body, arrivedAtMs };
     dependencies.repeats.noteRequest(call.service, arrivedAtMs);
     const source: DemandSource = {
       model: head.model ?? "",
@@ -106,16 +86,40 @@
   });
 }
 
-type Admission = Omit<
-  AdmittedCall,
-  "body" | "arrivedAtMs" | "deadlineAtMs" | "isLate"
->;
+type TimedAdmission = Omit<AdmittedCall, "body" | "arrivedAtMs">;
+type Admission = Omit<TimedAdmission, "deadlineAtMs" | "isLate">;
 
 interface AdmissionOptions {
   readonly dependencies: ServingDependencies;
   readonly index: ServingIndex | undefined;
 }
 
+interface Refusal {
+  readonly id: string | undefined;
+  readonly own: OwnAnswer;
+  readonly dependencies: ServingDependencies;
+}
+
+/** Answers a request that isn't forwarded, whether or not its body came. */
+function refuse(
+  exchange: CallerExchange,
+  { id, own, dependencies }: Refusal,
+): void {
+  exchange.answerItself(id, own);
+  if (!exchange.request.complete) exchange.request.resume();
+  dependencies.record({
+    callId: id ?? "",
+    route: "",
+    service: "",
+    status: own.status,
+    outcome: "refused",
+    reason: own.message,
+    attempts: [],
+    durationMs: 0,
+    configVersion: dependencies.index()?.config.version ?? 0,
+  });
+}
+
 /** Finds a call's route and tenant, or why it isn't forwarded. */
 function admitCall(
   head: CallHead,
@@ -162,6 +166,28 @@
   });
 }
 
+/** Adds a call's times, or tells why it can't start in time. */
+function admitInTime(
+  admission: Admission,
+  { budgets, lag, onWithheld }: ServingDependencies,
+  nowMs: number,
+): Either<OwnAnswer, TimedAdmission> {
+  const { head: { budgetMs }, route } = admission;
+  const remainingMs = Math.min(budgetMs ?? route.timeoutMs, route.timeoutMs);
+  const passedMs = budgetMs === undefined
+    ? 0
+    : budgets.notePassed(route.name, budgetMs);
+  const isLate = passedMs >= route.targetMs;
+  const lagMs = lag.lagMs(nowMs);
+  const { targetMs } = route;
+  const own = refuseWhileBehind({ lagMs, targetMs, remainingMs, isLate });
+  if (own !== undefined) {
+    onWithheld("lag");
+    return Left(own);
+  }
+  return Right({ ...admission, isLate, deadlineAtMs: nowMs + remainingMs });
+}
+
 /** Hands over the final answer. */
 function finish(
   exchange: CallerExchange,
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -157,6 +157,8 @@
   /** Whether a repeat is covered. */
   readonly trySpend?: () => boolean;
   readonly onMalformedHead?: ServingDependencies["onMalformedHead"];
+  readonly lag?: ServingDependencies["lag"];
+  readonly onWithheld?: ServingDependencies["onWithheld"];
 }
 
 export async function startEntry(options: EntryOptions): Promise<number> {
@@ -185,6 +187,10 @@
     ...(paces === undefined ? {} : { paces }),
     ...(noteLeaving === undefined ? {} : { noteLeaving }),
     ...(agentFor === undefined ? {} : { agentFor }),
+    ...(options.lag === undefined ? {} : { lag: options.lag }),
+    ...(options.onWithheld === undefined
+      ? {}
+      : { onWithheld: options.onWithheld }),
     ...(options.trySpend === undefined
       ? {}
       : { repeats: new ScriptedBudget(options.trySpend) }),
