Bound the bytes that a process holds for its callers

Cause: events were written to callers without regard to how much they left unread, and whole answers had a bound of 32 MB apart from that, on machines of 202 MB.

Change: a stream whose caller leaves over 64 KB unread is not read on for up to 1.5 s, as instances cut off streams that are not read for 2 s; the rest is then read into the bound of the process (memory_mb / 16, 16 MB at most) for unread events, whole answers and request bodies. At that bound the answer that holds most is cut off, with the line caller.cut and a counter; a body that does not fit is refused at once as not run. Pauses of callers count neither as stalls nor as slowness of instances.

--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -118,6 +118,7 @@
       response,
       codec: dependencies.codec,
       isClosing: () => state.isClosing,
+      held: dependencies.held,
     });
     if (state.isRefusing) {
       exchange.answerItself(undefined, LEAVING_ANSWER);
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -114,7 +114,12 @@
     const metrics = new MetricsPage();
     const loads = new LoadTracker();
     const backoffs = new BackoffTracker();
-    const pressure = createPressure({ metrics, record, nowMs });
+    const pressure = createPressure({
+      memoryMb: settings.memoryMb,
+      metrics,
+      record,
+      nowMs,
+    });
     const queueWaits = new QueueWaits(loads);
     const stalls = new StallWatch({
       queueWaitMs: (request, atMs) => queueWaits.explainedMs(request, atMs),
--- a/packages/celerytray/src/host/pressure.ts
+++ b/packages/celerytray/src/host/pressure.ts
@@ -1,26 +1,53 @@
 import type { MetricsPage, RecordEvent } from "../journal/index.ts";
-import type { ServingDependencies } from "../serving/index.ts";
+import { HeldBytes, type ServingDependencies } from "../serving/index.ts";
 import { LoopLag } from "./loop_lag.ts";
 
 /** What protects a process from more work than it bears. */
 export interface Pressure {
   readonly lag: LoopLag;
   /** What serving needs of it. */
-  readonly dependencies: Pick<ServingDependencies, "lag" | "onWithheld">;
+  readonly dependencies: Pick<
+    ServingDependencies,
+    "held" | "lag" | "onWithheld"
+  >;
 }
 
 /** Options of the protection of a process. */
 export interface PressureOptions {
+  /** Memory beyond which the process is killed. */
+  readonly memoryMb: number;
   readonly metrics: MetricsPage;
   readonly record: RecordEvent;
   readonly nowMs: () => number;
 }
 
+/** Part of the memory that may hold answers and bodies. */
+const HELD_PART = 1 / 16;
+const MAX_HELD_MB = 16;
+const MB = 1024 * 1024;
+
 /** Creates what protects a process, with its metrics. */
 export function createPressure(
-  { metrics, nowMs }: PressureOptions,
+  { memoryMb, metrics, record, nowMs }: PressureOptions,
 ): Pressure {
   const lag = new LoopLag();
+  const cuts = metrics.addCounter({
+    name: "celerytray_answers_cut_total",
+    help: "Answers cut off as their bytes did not fit",
+    labelNames: [],
+  });
+  const held = new HeldBytes({
+    maxBytes: Math.min(memoryMb * HELD_PART, MAX_HELD_MB) * MB,
+    onCut: (cut) => {
+      cuts.inc();
+      record("caller.cut", { ...cut });
+    },
+  });
+  metrics.addGauge(
+    "celerytray_held_bytes",
+    "Bytes of answers and request bodies that are held for callers",
+    () => held.totalBytes,
+  );
   const withheld = metrics.addCounter({
     name: "celerytray_requests_withheld_total",
     help: "Requests that were not sent, by reason",
@@ -34,6 +61,7 @@
   return {
     lag,
     dependencies: {
+      held,
       lag,
       onWithheld: (reason) => withheld.inc({ reason }),
     },
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -12,7 +12,13 @@
   selectRequestHeaders,
 } from "./forward_headers.ts";
 export { watchEnd } from "./watch_end.ts";
-export { BodyTooLarge, discardBody, readBody } from "./read_body.ts";
+export {
+  BodyNotHeld,
+  BodyTooLarge,
+  discardBody,
+  readBody,
+  type ReadBodyOptions,
+} from "./read_body.ts";
 export {
   listen,
   ListenFailure,
--- a/packages/celerytray/src/http/read_body.ts
+++ b/packages/celerytray/src/http/read_body.ts
@@ -6,12 +6,33 @@
   readonly maxBytes: number;
 }> {}
 
+/** A body for which the process has no room. */
+export class BodyNotHeld extends Data.TaggedError("BodyNotHeld")<{
+  /** Bytes that did not fit. */
+  readonly bytes: number;
+}> {}
+
+/** Bounds on the reading of a body. */
+export interface ReadBodyOptions {
+  readonly maxBytes: number;
+  /** Whether the process has room for further bytes. */
+  readonly mayHold?: (bytes: number) => boolean;
+}
+
 /** Reads a whole body, up to a limit; fails at once on a larger one. */
 export function readBody(
   message: IncomingMessage,
-  options: { readonly maxBytes: number },
-): Effect.Effect<Buffer, BodyTooLarge> {
-  return Effect.callback<Buffer, BodyTooLarge>((resume) => {
+  options: { readonly maxBytes: number; readonly mayHold?: never },
+): Effect.Effect<Buffer, BodyTooLarge>;
+export function readBody(
+  message: IncomingMessage,
+  options: ReadBodyOptions,
+): Effect.Effect<Buffer, BodyTooLarge | BodyNotHeld>;
+export function readBody(
+  message: IncomingMessage,
+  options: ReadBodyOptions,
+): Effect.Effect<Buffer, BodyTooLarge | BodyNotHeld> {
+  return Effect.callback<Buffer, BodyTooLarge | BodyNotHeld>((resume) => {
     const failTooLarge = () =>
       resume(Effect.fail(new BodyTooLarge({ maxBytes: options.maxBytes })));
     const declaredBytes = Number(message.headers["content-length"] ?? 0);
@@ -27,6 +48,10 @@
         message.removeAllListeners("data");
         chunks.length = 0;
         failTooLarge();
+      } else if (options.mayHold?.(chunk.length) === false) {
+        message.removeAllListeners("data");
+        chunks.length = 0;
+        resume(Effect.fail(new BodyNotHeld({ bytes: chunk.length })));
       } else {
         chunks.push(chunk);
       }
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -2,7 +2,7 @@
 import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
-import type { AttemptOutcome } from "./run_attempt.ts";
+import type { AttemptOutcome } from "./attempt_options.ts";
 import type { AbandonReason } from "./stall_watch.ts";
 import type { Repeatability } from "./serving_config.ts";
 
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -2,6 +2,7 @@
 import type { BudgetTracker } from "./budget_tracker.ts";
 import type { CallCodec, CallHead } from "./call.ts";
 import type { ServingTarget } from "./choose_target.ts";
+import type { HeldBytes } from "./held_bytes.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 import type { PaceTracker } from "./pace_tracker.ts";
 import type { ProcessLag } from "./process_lag.ts";
@@ -33,6 +34,8 @@
   readonly repeats: RepeatBudget;
   readonly budgets: BudgetTracker;
   readonly lag: ProcessLag;
+  /** Bounds the bytes that are held for callers. */
+  readonly held: HeldBytes;
   readonly agentFor: (address: string) => Agent;
   readonly discardAgent: (address: string) => void;
   /** Whether a connection to an address is open and unused. */
--- a/packages/celerytray/src/serving/caller_exchange.ts
+++ b/packages/celerytray/src/serving/caller_exchange.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AnswerHead, CallCodec } from "./call.ts";
+import type { AnswerHolder, HeldBytes } from "./held_bytes.ts";
 
 /** Why a request is answered by this system itself. */
 export interface OwnAnswer {
@@ -9,24 +10,43 @@
   readonly retryAfterMs?: number;
 }
 
+/** Bytes of a stream that its caller may leave unread before it is paused. */
+const MAX_UNREAD_BYTES = 64 * 1024;
+/**
+ * Longest pause of a stream. An instance cuts off streams that are not read
+ * for 2 s, so that the rest is read before.
+ */
+const MAX_PAUSE_MS = 1_500;
+
+/** What a stream that is paused may hold besides: one read of its connection. */
+const PAUSED_READ_BYTES = 64 * 1024;
+
 /** One caller's request and the answer to it. */
-export class CallerExchange {
+export class CallerExchange implements AnswerHolder {
   readonly request: IncomingMessage;
   readonly #response: ServerResponse;
   readonly #codec: CallCodec;
   /** Whether connections end with the next answer. */
   readonly #isClosing: () => boolean;
+  readonly #held: HeldBytes;
+  /** Whether the stream is read on however slow its caller is. */
+  #isReadOn = false;
+  #isPaused = false;
 
   constructor(options: {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly codec: CallCodec;
     readonly isClosing: () => boolean;
+    readonly held: HeldBytes;
   }) {
     this.request = options.request;
     this.#response = options.response;
     this.#codec = options.codec;
     this.#isClosing = options.isClosing;
+    this.#held = options.held;
+    this.#response.on("drain", () => this.#noteHeld());
+    this.#response.on("close", () => this.#held.forget(this));
   }
 
   /** Whether the head of an answer was sent. */
@@ -34,6 +54,18 @@
     return this.#response.headersSent;
   }
 
+  get callId(): string {
+    return this.#codec.decodeCall(this.request)
+      .map(({ id }) => id).orDefault("");
+  }
+
+  /** Bytes of the answer that wait for the caller. */
+  get heldBytes(): number {
+    if (this.#response.destroyed) return 0;
+    return this.#response.writableLength +
+      (this.#isPaused ? PAUSED_READ_BYTES : 0);
+  }
+
   /** Whether the whole answer was handed over. */
   get hasEnded(): boolean {
     return this.#response.writableEnded;
@@ -55,6 +87,7 @@
       ...this.#connectionHeaders(),
     ]);
     this.#response.end(body);
+    this.#noteHeld();
   }
 
   /** Answers in this system's own name. */
@@ -83,8 +116,32 @@
     this.#response.flushHeaders();
   }
 
-  writeEvent(bytes: Buffer): void {
+  /** Sends an event; whether the caller reads on fast enough for more. */
+  writeEvent(bytes: Buffer): boolean {
     this.#response.write(bytes);
+    this.#noteHeld();
+    return this.#isReadOn ||
+      this.#response.writableLength <= MAX_UNREAD_BYTES;
+  }
+
+  /** Calls once more of the stream is to be read. */
+  awaitCaller(onReady: () => void): void {
+    const response = this.#response;
+    const settle = () => {
+      clearTimeout(timer);
+      response.off("drain", settle);
+      response.off("close", settle);
+      this.#isPaused = false;
+      onReady();
+    };
+    const timer = setTimeout(() => {
+      this.#isReadOn = true;
+      settle();
+    }, MAX_PAUSE_MS);
+    response.on("drain", settle);
+    response.on("close", settle);
+    this.#isPaused = true;
+    this.#noteHeld();
   }
 
   endStream(): void {
@@ -96,6 +153,14 @@
     this.#response.destroy();
   }
 
+  cut(): void {
+    this.breakOff();
+  }
+
+  #noteHeld(): void {
+    if (!this.#response.destroyed) this.#held.note(this);
+  }
+
   #connectionHeaders(): readonly string[] {
     return this.#isClosing() ? ["Connection", "close"] : [];
   }
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -2,6 +2,7 @@
 import { PlatformCallCodec } from "../platform/call_codec.ts";
 import { BudgetTracker } from "./budget_tracker.ts";
 import type { ServingDependencies } from "./call_context.ts";
+import { HeldBytes } from "./held_bytes.ts";
 import { LoadTracker } from "./load_tracker.ts";
 import { PaceTracker } from "./pace_tracker.ts";
 import { QueueWaits } from "./queue_wait.ts";
@@ -14,6 +15,8 @@
   & Pick<ServingDependencies, "index" | "listTargets" | "record">
   & Partial<ServingDependencies>;
 
+const MAX_HELD_BYTES = 32 * 1024 * 1024;
+
 /** What serving needs of its process, for tests: nothing stands in its way. */
 export function createTestDependencies(
   own: TestDependencies,
@@ -30,6 +33,7 @@
     stalls: new StallWatch(),
     paces: new PaceTracker(),
     budgets: new BudgetTracker(),
+    held: new HeldBytes({ maxBytes: MAX_HELD_BYTES, onCut: () => {} }),
     lag: { lagMs: () => 0, isBehind: () => false },
     repeats: new RepeatBudget({
       share: 1,
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -15,6 +15,7 @@
 export { CallerExchange, type OwnAnswer } from "./caller_exchange.ts";
 export { chooseTarget, type ServingTarget } from "./choose_target.ts";
 export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
+export { HeldBytes } from "./held_bytes.ts";
 export { LoadTracker } from "./load_tracker.ts";
 export { PaceTracker } from "./pace_tracker.ts";
 export { MAX_LAG_MS, type ProcessLag } from "./process_lag.ts";
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -21,7 +21,8 @@
 import type { ServingTarget } from "./choose_target.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import { awaitTarget, tryMove } from "./find_target.ts";
-import { type AttemptOutcome, runAttempt } from "./run_attempt.ts";
+import { runAttempt } from "./run_attempt.ts";
+import type { AttemptOutcome } from "./attempt_options.ts";
 
 /** Least time left for which another attempt is worth it. */
 const MIN_REMAINING_MS = 30;
@@ -152,6 +153,8 @@
     const model = call.head.model ?? "";
     let lastEventAtMs: number | undefined;
     let headAtMs: number | undefined;
+    let isPaused = false;
+    let wasPaused = false;
     progress.tried.add(instanceId);
     progress.currentId = instanceId;
     loads.noteSent(instanceId);
@@ -161,7 +164,7 @@
         model,
         startedAtMs,
         hasStarted: () => headAtMs !== undefined,
-        isPaused: () => false,
+        isPaused: () => isPaused,
         rank: () => rankOf(call, progress),
         tryMove: (reason) =>
           tryMove(options, progress, { reason, nowMs: nowMs() }),
@@ -209,14 +212,27 @@
           paces.notePause({ instanceId, epoch, model, pauseMs, nowMs: atMs });
         }
         lastEventAtMs = atMs;
-        exchange.writeEvent(event.bytes);
         if (event.id !== undefined) progress.lastEventId = event.id;
+        return exchange.writeEvent(event.bytes);
       },
+      awaitReceiver: (onReady) => {
+        isPaused = true;
+        wasPaused = true;
+        exchange.awaitCaller(() => {
+          isPaused = false;
+          // The pause was the caller's, not the instance's.
+          lastEventAtMs = undefined;
+          stalls.noteProgress(instanceId, nowMs());
+          onReady();
+        });
+      },
+      held: dependencies.held,
       onAbandonable: (abandon) => progress.abandon = abandon,
     }).pipe(
       Effect.tap(({ kind }) =>
         Effect.sync(() => {
-          if (kind !== "streamed" || headAtMs === undefined) return;
+          const isMeasured = kind === "streamed" && !wasPaused;
+          if (!isMeasured || headAtMs === undefined) return;
           queueWaits.noteServed(model, nowMs() - headAtMs);
         })
       ),
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -13,17 +13,30 @@
 } from "./call_context.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
 import { runAttempts } from "./run_attempts.ts";
+import type { HeldBody } from "./held_bytes.ts";
 import { refuseWhileBehind } from "./process_lag.ts";
 import { selectService, type ServingIndex } from "./serving_index.ts";
 
 const NO_CONFIG_RETRY_MS = 500;
 const STALE_KEYS_RETRY_MS = 500;
 const MAX_PRIORITY = 9;
+const NO_ROOM_RETRY_MS = 500;
 
 /** Serves one request of a caller. */
 export function serveCall(
   exchange: CallerExchange,
   dependencies: ServingDependencies,
+): Effect.Effect<void> {
+  const heldBody = dependencies.held.openBody();
+  return serveHeld(exchange, dependencies, heldBody).pipe(
+    Effect.ensuring(Effect.sync(() => heldBody.release())),
+  );
+}
+
+function serveHeld(
+  exchange: CallerExchange,
+  dependencies: ServingDependencies,
+  heldBody: HeldBody,
 ): Effect.Effect<void> {
   return Effect.gen(function* () {
     const arrivedAtMs = yield* steadyMs;
@@ -46,12 +59,39 @@
     }
     const admission = admitted.unsafeCoerce();
     const maxBytes = index()!.config.limits.maxBodyBytes;
-    const body = yield* readBody(exchange.request, { maxBytes }).pipe(
-      Effect.catch(() => {
-        exchange.answerItself(admission.head.id, {
-          status: 413,
-          message: `The body exceeds ${maxBytes} bytes`,
-        });
+    const refuseUnheld = () => {
+      dependencies.onWithheld("memory");
+      const own: OwnAnswer = {
+        status: 503,
+        message: "The body does not fit into memory; the request was not run",
+        retryAfterMs: Math.min(
+          NO_ROOM_RETRY_MS,
+          (admission.deadlineAtMs - arrivedAtMs) / 3,
+        ),
+      };
+      refuse(exchange, { id: admission.head.id, own, dependencies });
+    };
+    const declaredBytes = Number(
+      exchange.request.headers["content-length"] ?? 0,
+    );
+    if (
+      declaredBytes <= maxBytes && !dependencies.held.hasRoom(declaredBytes)
+    ) {
+      refuseUnheld();
+      return;
+    }
+    const body = yield* readBody(exchange.request, {
+      maxBytes,
+      mayHold: (bytes) => heldBody.tryAdd(bytes),
+    }).pipe(
+      Effect.catch((failure) => {
+        if (failure._tag === "BodyNotHeld") refuseUnheld();
+        else {
+          exchange.answerItself(admission.head.id, {
+            status: 413,
+            message: `The body exceeds ${maxBytes} bytes`,
+          });
+        }
         return Effect.interrupt;
       }),
     );
--- /dev/null
+++ b/packages/celerytray/src/serving/slow_callers_test.ts
@@ -0,0 +1,192 @@
+import { expect } from "earl";
+import { mkdtemp, rm } from "node:fs/promises";
+import type { RequestListener } from "node:http";
+import { request } from "node:http";
+import { connect, type Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, describe, it } from "node:test";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { headers } from "../platform/words.ts";
+import { HeldBytes } from "./held_bytes.ts";
+import { StallWatch } from "./stall_watch.ts";
+import {
+  call,
+  idOf,
+  readNowMs,
+  startBackend,
+  startEntry,
+  startLocalEntry,
+} from "./test_entry.ts";
+
+const CALLERS = 500;
+const EVENT_BYTES = 16 * 1024;
+/** Sockets in the file system take 208 KB before their writer has to wait. */
+const EVENTS = 40;
+const MB = 1024 * 1024;
+const MAX_HELD_BYTES = 12 * MB;
+/** Growth beside what is held, such as connections. */
+const OTHER_GROWTH_BYTES = 32 * MB;
+const PATIENT_HEADERS = {
+  host: "a.example",
+  [headers.budget]: "20000",
+  [headers.key]: "key-1",
+};
+const directories: string[] = [];
+const sockets: Socket[] = [];
+
+after(async () => {
+  for (const socket of sockets) socket.destroy();
+  for (const path of directories) await rm(path, { recursive: true });
+});
+
+describe("callers that do not read", () => {
+  // Without bounds the process would hold over 200 MB.
+  it("take no more memory than the bound, and delay nobody", async () => {
+    const cut: string[] = [];
+    const held = new HeldBytes({
+      maxBytes: MAX_HELD_BYTES,
+      onCut: ({ callId }) => cut.push(callId),
+    });
+    const stalls = new StallWatch();
+    let begun = 0;
+    const onBegun = () => begun += 1;
+    const path = await startStreams({ held, stalls, onBegun });
+    const before = measureMemory();
+    let mostGrowth = 0;
+    let mostHeld = 0;
+    let doubts = 0;
+    const timer = setInterval(() => {
+      mostGrowth = Math.max(mostGrowth, measureMemory() - before);
+      mostHeld = Math.max(mostHeld, held.totalBytes);
+      doubts += stalls.findDoubtful(readNowMs()).length;
+    }, 100);
+    timer.unref();
+    for (let index = 0; index < CALLERS; index++) {
+      sendUnread(path, `slow-${index}`);
+    }
+    for (let waits = 0; waits < 500 && begun < CALLERS; waits++) {
+      await pause(20);
+    }
+    for (let count = 0; count < 5; count++) {
+      const { bytes, durationMs } = await readStream(path, `fast-${count}`);
+      expect(bytes).toEqual(EVENTS * EVENT_BYTES);
+      expect(durationMs < MAX_FAST_MS).toEqual(true);
+      await pause(600);
+    }
+    clearInterval(timer);
+    expect(cut.length > 0).toEqual(true);
+    expect(cut.every((callId) => callId.startsWith("slow-"))).toEqual(true);
+    expect(mostHeld <= MAX_HELD_BYTES).toEqual(true);
+    expect(mostGrowth < MAX_HELD_BYTES + OTHER_GROWTH_BYTES).toEqual(true);
+    expect(doubts).toEqual(0);
+    for (const socket of sockets) socket.destroy();
+    for (let waits = 0; waits < 100 && held.totalBytes > 0; waits++) {
+      await pause(20);
+    }
+    expect(held.totalBytes).toEqual(0);
+  });
+
+  it("refuses a body that does not fit, as not run", async () => {
+    let calls = 0;
+    const backend = await startBackend(() => calls += 1);
+    const withheld: string[] = [];
+    const entry = await startEntry({
+      backends: [backend],
+      held: new HeldBytes({ maxBytes: 3, onCut: () => {} }),
+      onWithheld: (reason) => withheld.push(reason),
+    });
+    const chunked = { "transfer-encoding": "chunked" };
+    for (const own of [undefined, chunked]) {
+      const answer = await call(entry, "/safe/x", own);
+      expect([answer.status, answer.headers["retry-after"]])
+        .toEqual([503, "0.50"]);
+    }
+    expect([calls, withheld]).toEqual([0, ["memory", "memory"]]);
+  });
+});
+
+/** Longest time of a stream to a caller that reads; others pause for 1.5 s. */
+const MAX_FAST_MS = 1_500;
+
+interface Streams {
+  readonly held: HeldBytes;
+  readonly stalls: StallWatch;
+  readonly onBegun: () => void;
+}
+
+async function startStreams(
+  { onBegun, ...own }: Streams,
+): Promise<string> {
+  const events = Array.from({ length: EVENTS }, (_, id) => createEvent(id));
+  const stream: RequestListener = (incoming, response) => {
+    onBegun();
+    response.writeHead(200, {
+      [headers.callId]: idOf(incoming),
+      [headers.stamp]: "s",
+      "content-type": "text/event-stream",
+    });
+    for (const event of events) response.write(event);
+    response.end();
+  };
+  const backend = { ...await startBackend(stream), slots: 2 * CALLERS };
+  const directory = await mkdtemp(join(tmpdir(), "callers-"));
+  directories.push(directory);
+  const path = join(directory, "entry");
+  const timeoutMs = 20_000;
+  await startLocalEntry({ backends: [backend], timeoutMs, ...own }, path);
+  return path;
+}
+
+function createEvent(id: number): Buffer {
+  const start = `id: ${id}\ndata: `;
+  const end = "\n\n";
+  const filled = EVENT_BYTES - start.length - end.length;
+  return Buffer.from(`${start}${"x".repeat(filled)}${end}`);
+}
+
+function sendUnread(path: string, callId: string): void {
+  const socket = connect(path);
+  sockets.push(socket);
+  socket.on("error", () => {});
+  socket.pause();
+  const own = Object.entries({ ...PATIENT_HEADERS, [headers.callId]: callId })
+    .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+  socket.write(`GET /stream/x HTTP/1.1\r\n${own}\r\n`);
+}
+
+async function readStream(path: string, callId: string) {
+  const startedAtMs = readNowMs();
+  const sent = request({
+    socketPath: path,
+    path: "/stream/x",
+    agent: false,
+    headers: { ...PATIENT_HEADERS, [headers.callId]: callId },
+  });
+  const bytes = await new Promise<number>((resolve, reject) => {
+    let count = 0;
+    sent.on("error", reject);
+    sent.on("response", (response) => {
+      response.on("data", (chunk: Buffer) => count += chunk.length);
+      response.on("error", reject);
+      response.on("end", () => resolve(count));
+    });
+    sent.end();
+  });
+  return { bytes, durationMs: readNowMs() - startedAtMs };
+}
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+/** Memory in use without garbage. */
+function measureMemory(): number {
+  collectGarbage();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- a/packages/celerytray/src/serving/stall_watch.ts
+++ b/packages/celerytray/src/serving/stall_watch.ts
@@ -102,6 +102,7 @@
   }
 
   noteProgress(instanceId: string, nowMs: number): void {
+    if (!this.#attempts.has(instanceId)) return;
     this.#progressedAtMs.set(instanceId, nowMs);
   }
 
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -1,4 +1,4 @@
-import { Effect } from "effect";
+import { Effect, Fiber } from "effect";
 import {
   createServer,
   type IncomingMessage,
@@ -158,13 +158,34 @@
   readonly trySpend?: () => boolean;
   readonly onMalformedHead?: ServingDependencies["onMalformedHead"];
   readonly lag?: ServingDependencies["lag"];
+  /** Bound of all routes. */
+  readonly timeoutMs?: number;
+  readonly held?: ServingDependencies["held"];
   readonly onWithheld?: ServingDependencies["onWithheld"];
 }
 
-export async function startEntry(options: EntryOptions): Promise<number> {
+/** Starts an entry on a port of its own. */
+export function startEntry(options: EntryOptions): Promise<number> {
+  return start(createEntry(options));
+}
+
+/** Starts an entry on a socket in the file system. */
+export async function startLocalEntry(
+  options: EntryOptions,
+  path: string,
+): Promise<void> {
+  const server = createServer(createEntry(options));
+  servers.push(server);
+  await new Promise<void>((resolve) => server.listen(path, resolve));
+}
+
+function createEntry(options: EntryOptions): RequestListener {
   const index = new ServingIndex({
     version: 1,
-    routes: ROUTES,
+    routes: ROUTES.map((route) => ({
+      ...route,
+      timeoutMs: options.timeoutMs ?? route.timeoutMs,
+    })),
     services: new Map(),
     limits: {
       maxHeaderBytes: 16_384,
@@ -188,6 +209,7 @@
     ...(noteLeaving === undefined ? {} : { noteLeaving }),
     ...(agentFor === undefined ? {} : { agentFor }),
     ...(options.lag === undefined ? {} : { lag: options.lag }),
+    ...(options.held === undefined ? {} : { held: options.held }),
     ...(options.onWithheld === undefined
       ? {}
       : { onWithheld: options.onWithheld }),
@@ -196,15 +218,23 @@
       : { repeats: new ScriptedBudget(options.trySpend) }),
     ...(onMalformedHead === undefined ? {} : { onMalformedHead }),
   });
-  return await start((incoming, response) => {
+  return createHandler(dependencies);
+}
+
+function createHandler(dependencies: ServingDependencies): RequestListener {
+  return (incoming, response) => {
     const exchange = new CallerExchange({
       request: incoming,
       response,
       codec: dependencies.codec,
       isClosing: () => false,
+      held: dependencies.held,
     });
-    Effect.runFork(serveCall(exchange, dependencies));
-  });
+    const fiber = Effect.runFork(serveCall(exchange, dependencies));
+    response.on("close", () => {
+      if (!exchange.hasEnded) Effect.runFork(Fiber.interrupt(fiber));
+    });
+  };
 }
 
 async function start(listener: RequestListener): Promise<number> {
