--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -152,6 +152,7 @@
   readonly loads?: LoadTracker;
   readonly stalls?: StallWatch;
   readonly paces?: PaceTracker;
+  readonly queueWaits?: ServingDependencies["queueWaits"];
   readonly noteLeaving?: ServingDependencies["noteLeaving"];
   readonly agentFor?: ServingDependencies["agentFor"];
   /** Whether a repeat is covered. */
@@ -180,11 +181,13 @@
 }
 
 function createEntry(options: EntryOptions): RequestListener {
+  const { backends, isConfigured, areKeysFresh, trySpend, timeoutMs, ...own } =
+    options;
   const index = new ServingIndex({
     version: 1,
     routes: ROUTES.map((route) => ({
       ...route,
-      timeoutMs: options.timeoutMs ?? route.timeoutMs,
+      timeoutMs: timeoutMs ?? route.timeoutMs,
     })),
     services: new Map(),
     limits: {
@@ -196,27 +199,15 @@
     tenants: [{ name: "tenant-1", keys: [KEY] }],
   });
   const records: CallRecord[] = [];
-  const { loads, stalls, paces, noteLeaving, onMalformedHead, agentFor } =
-    options;
   const dependencies = createTestDependencies({
-    index: () => options.isConfigured === false ? undefined : index,
-    areKeysFresh: () => options.areKeysFresh !== false,
-    listTargets: () => options.backends,
+    index: () => isConfigured === false ? undefined : index,
+    areKeysFresh: () => areKeysFresh !== false,
+    listTargets: () => backends,
     record: (record) => records.push(record),
-    ...(loads === undefined ? {} : { loads }),
-    ...(stalls === undefined ? {} : { stalls }),
-    ...(paces === undefined ? {} : { paces }),
-    ...(noteLeaving === undefined ? {} : { noteLeaving }),
-    ...(agentFor === undefined ? {} : { agentFor }),
-    ...(options.lag === undefined ? {} : { lag: options.lag }),
-    ...(options.held === undefined ? {} : { held: options.held }),
-    ...(options.onWithheld === undefined
-      ? {}
-      : { onWithheld: options.onWithheld }),
-    ...(options.trySpend === undefined
+    ...own,
+    ...(trySpend === undefined
       ? {}
-      : { repeats: new ScriptedBudget(options.trySpend) }),
-    ...(onMalformedHead === undefined ? {} : { onMalformedHead }),
+      : { repeats: new ScriptedBudget(trySpend) }),
   });
   return createHandler(dependencies);
 }
