Read all connections before stalls are judged while behind

Cause: the full run beside busy processes failed once in slow_callers_test with 3 doubts: the check of stalls runs before the event loop reads what came while it was late, so that a process that is behind takes its own lateness for the silence of heads.

Change: while the process was late in the last second, the loop that moves requests lets the event loop read all connections first, and silence counts up to that reading only, for reports and choices too.

--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -275,6 +275,7 @@
       "moving of requests": moveAttempts({
         stalls,
         paces,
+        isBehind: (atMs) => pressure.lag.isBehind(atMs),
         nowMs,
         record,
         closedHeads: () => coordinator.listClosedHeads(),
--- a/packages/celerytray/src/host/move_attempts.ts
+++ b/packages/celerytray/src/host/move_attempts.ts
@@ -1,4 +1,5 @@
 import { Effect } from "effect";
+import { readConnections } from "../http/index.ts";
 import type { RecordEvent } from "../journal/index.ts";
 import type { PaceTracker, StallWatch } from "../serving/index.ts";
 
@@ -6,6 +7,8 @@
 export interface MoveOptions {
   readonly stalls: StallWatch;
   readonly paces: PaceTracker;
+  /** Whether this process was late lately, so that progress may lie unread. */
+  readonly isBehind: (nowMs: number) => boolean;
   readonly nowMs: () => number;
   readonly record: RecordEvent;
   /** Heads of replicas that are taken apart. */
@@ -18,37 +21,48 @@
 
 /** Moves requests away from replicas that stand still or are slow. */
 export function moveAttempts(
-  { stalls, paces, nowMs, record, closedHeads }: MoveOptions,
+  { stalls, paces, isBehind, nowMs, record, closedHeads }: MoveOptions,
 ): Effect.Effect<never> {
   let knownStalled: ReadonlySet<string> = new Set();
   let knownSlow: ReadonlySet<string> = new Set();
+  const read = Effect.suspend(() =>
+    isBehind(nowMs()) ? readConnections : Effect.void
+  );
   return Effect.forever(
-    Effect.sync(() => {
-      const closed = closedHeads();
-      const stalled = stalls.findDoubtful(nowMs(), closed).filter((head) =>
-        head.isToLeave
-      );
-      for (const { instanceId, silentMs, attempts } of stalled) {
-        if (!knownStalled.has(instanceId)) {
-          record("replica.stalled", { headId: instanceId, silentMs, attempts });
+    Effect.andThen(
+      read,
+      Effect.sync(() => {
+        stalls.noteRead(nowMs());
+        const closed = closedHeads();
+        const stalled = stalls.findDoubtful(nowMs(), closed).filter((head) =>
+          head.isToLeave
+        );
+        for (const { instanceId, silentMs, attempts } of stalled) {
+          if (!knownStalled.has(instanceId)) {
+            record("replica.stalled", {
+              headId: instanceId,
+              silentMs,
+              attempts,
+            });
+          }
+          stalls.moveAway(instanceId, {
+            reason: "stalled",
+            nowMs: nowMs(),
+            isClosed: closed.includes(instanceId),
+          });
         }
-        stalls.moveAway(instanceId, {
-          reason: "stalled",
-          nowMs: nowMs(),
-          isClosed: closed.includes(instanceId),
-        });
-      }
-      knownStalled = new Set(stalled.map(({ instanceId }) => instanceId));
-      const slow = paces.listSlow(nowMs());
-      for (const headId of slow) {
-        if (!knownSlow.has(headId)) {
-          const slowness = paces.slowness(headId, nowMs());
-          record("replica.slow", { headId, slowness });
+        knownStalled = new Set(stalled.map(({ instanceId }) => instanceId));
+        const slow = paces.listSlow(nowMs());
+        for (const headId of slow) {
+          if (!knownSlow.has(headId)) {
+            const slowness = paces.slowness(headId, nowMs());
+            record("replica.slow", { headId, slowness });
+          }
+          stalls.moveAway(headId, { reason: "slow", nowMs: nowMs() });
         }
-        stalls.moveAway(headId, { reason: "slow", nowMs: nowMs() });
-      }
-      knownSlow = new Set(slow);
-      return stalls.hasAttempts ? CHECK_MS : IDLE_CHECK_MS;
-    }).pipe(Effect.flatMap(Effect.sleep)),
+        knownSlow = new Set(slow);
+        return stalls.hasAttempts ? CHECK_MS : IDLE_CHECK_MS;
+      }),
+    ).pipe(Effect.flatMap(Effect.sleep)),
   );
 }
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -11,6 +11,7 @@
   selectAnswerHeaders,
   selectRequestHeaders,
 } from "./forward_headers.ts";
+export { readConnections } from "./read_connections.ts";
 export { watchEnd } from "./watch_end.ts";
 export {
   BodyNotHeld,
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -1,5 +1,6 @@
 import { Clock, Effect } from "effect";
 import { readSteadyMs, steadyMs } from "../clock/index.ts";
+import { readConnections } from "../http/index.ts";
 import {
   type AttemptProgress,
   type AttemptsOptions,
@@ -110,14 +111,6 @@
   });
 }
 
-/**
- * Lets the event loop read all connections. One turn may have begun before a
- * caller that left was seen, so that the end of the next one is awaited.
- */
-const readConnections: Effect.Effect<void> = Effect.callback((resume) => {
-  setImmediate(() => setImmediate(() => resume(Effect.void)));
-});
-
 /** Why a request is not to be sent any more, if so. */
 function findWithheldReason(
   { call, exchange }: AttemptsOptions,
--- a/packages/celerytray/src/serving/stall_watch.ts
+++ b/packages/celerytray/src/serving/stall_watch.ts
@@ -69,6 +69,7 @@
   readonly #progressedAtMs = new Map<string, number>();
   /** Last move of a queued request, by instance. */
   readonly #movedAtMs = new Map<string, number>();
+  #readAtMs: number | undefined;
 
   constructor(options: Partial<StallWatchOptions> = {}) {
     this.#options = {
@@ -106,6 +107,14 @@
     this.#progressedAtMs.set(instanceId, nowMs);
   }
 
+  /**
+   * Takes note that all connections were read. While the process is behind,
+   * silence counts up to this time only, as progress may lie unread after it.
+   */
+  noteRead(nowMs: number): void {
+    this.#readAtMs = nowMs;
+  }
+
   /** Whether new requests should rather go elsewhere. */
   isSilent(instanceId: string, nowMs: number): boolean {
     const silence = this.#silenceOf(instanceId, nowMs);
@@ -191,11 +200,11 @@
     const isQueue = explainedMs !== undefined && started.length === 0;
     const evidence = explainedMs === undefined || isQueue ? watched : started;
     const isLoneWait = evidence.length === 1 && started.length === 0;
-    if (isLoneWait && !isClosed && this.#options.isBehind(nowMs)) {
-      return undefined;
-    }
+    const isBehind = this.#options.isBehind(nowMs);
+    if (isLoneWait && !isClosed && isBehind) return undefined;
+    const judgedAtMs = isBehind ? this.#readAtMs ?? nowMs : nowMs;
     return {
-      silentMs: nowMs - Math.max(
+      silentMs: judgedAtMs - Math.max(
         findOldest(evidence).startedAtMs,
         this.#progressedAtMs.get(instanceId) ?? Number.NEGATIVE_INFINITY,
       ),
--- a/packages/celerytray/src/serving/stall_watch_test.ts
+++ b/packages/celerytray/src/serving/stall_watch_test.ts
@@ -117,6 +117,20 @@
   });
 });
 
+it("counts silence only up to the last reading while it is behind", () => {
+  let isBehind = true;
+  const watch = new StallWatch({ isBehind: () => isBehind });
+  watch.begin(createAttempt({ hasStarted: () => true }));
+  watch.begin(createAttempt({ hasStarted: () => true }));
+  watch.noteRead(300);
+  expect(watch.findDoubtful(2_000)).toEqual([]);
+  watch.noteRead(2_000);
+  expect(watch.findDoubtful(2_000)[0]?.silentMs).toEqual(2_000);
+  watch.noteProgress("a", 2_000);
+  isBehind = false;
+  expect(watch.findDoubtful(2_400).length).toEqual(1);
+});
+
 it("takes neither its own lateness nor slow callers for a stall", () => {
   const watch = new StallWatch({ isBehind: (nowMs) => nowMs < 5_000 });
   const end = watch.begin(createAttempt());
