--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -33,6 +33,7 @@
   type CallCodec,
   LoadTracker,
   PaceTracker,
+  QueueWaits,
   RepeatBudget,
   type ServingConfig,
   type ServingDependencies,
@@ -49,7 +50,9 @@
 import { KeyFreshness } from "./key_freshness.ts";
 import type { HostSettings } from "./host_settings.ts";
 import { keepRunning, recordFault } from "./keep_running.ts";
+import { measureLag } from "./loop_lag.ts";
 import { moveAttempts } from "./move_attempts.ts";
+import { createPressure } from "./pressure.ts";
 import { proveKeys } from "./prove_keys.ts";
 import { recordCall } from "./record_call.ts";
 import { StoreContact } from "./store_contact.ts";
@@ -111,7 +114,17 @@
     const metrics = new MetricsPage();
     const loads = new LoadTracker();
     const backoffs = new BackoffTracker();
-    const stalls = new StallWatch();
+    const pressure = createPressure({
+      memoryMb: settings.memoryMb,
+      metrics,
+      record,
+      nowMs,
+    });
+    const queueWaits = new QueueWaits(loads);
+    const stalls = new StallWatch({
+      queueWaitMs: (request, atMs) => queueWaits.explainedMs(request, atMs),
+      isBehind: (atMs) => pressure.lag.isBehind(atMs),
+    });
     const paces = new PaceTracker();
     const pools = new BackendPools();
     const demand = new Map<string, number>();
@@ -154,6 +167,7 @@
       const isPresent = (id: string) => instances.find(id) !== undefined;
       loads.keepOnly(isPresent);
       paces.keepOnly(isPresent);
+      stalls.keepOnly(isPresent);
       backoffs.keepOnly(isPresent, nowMs());
     };
     const configCopy = new TopicCopy();
@@ -257,9 +271,11 @@
     const loops: Readonly<Record<string, Effect.Effect<unknown>>> = {
       coordination: coordinator.run(),
       "proof of keys": proveKeys({ log, config, keys, state, record }),
+      "measuring of lag": measureLag(pressure.lag, record),
       "moving of requests": moveAttempts({
         stalls,
         paces,
+        isBehind: (atMs) => pressure.lag.isBehind(atMs),
         nowMs,
         record,
         closedHeads: () => coordinator.listClosedHeads(),
@@ -270,6 +286,7 @@
     }
 
     const dependencies: ServingDependencies = {
+      ...pressure.dependencies,
       codec: ports.codec,
       zone: settings.zone,
       index: () => config.index,
@@ -279,6 +296,7 @@
       backoffs,
       stalls,
       paces,
+      queueWaits,
       budgets: new BudgetTracker(),
       repeats,
       agentFor: (address) => pools.agentFor(address),
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -11,8 +11,15 @@
   selectAnswerHeaders,
   selectRequestHeaders,
 } from "./forward_headers.ts";
+export { readConnections } from "./read_connections.ts";
 export { watchEnd } from "./watch_end.ts";
-export { BodyTooLarge, discardBody, readBody } from "./read_body.ts";
+export {
+  BodyNotHeld,
+  BodyTooLarge,
+  discardBody,
+  readBody,
+  type ReadBodyOptions,
+} from "./read_body.ts";
 export {
   listen,
   ListenFailure,
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -2,7 +2,7 @@
 import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
-import type { AttemptOutcome } from "./run_attempt.ts";
+import type { AttemptOutcome } from "./attempt_options.ts";
 import type { AbandonReason } from "./stall_watch.ts";
 import type { Repeatability } from "./serving_config.ts";
 
@@ -120,6 +120,7 @@
     progress.arrivals += 1;
   }
   progress.attempts.push(`${instanceId} ${describeOutcome(outcome)}`);
+  if (outcome.kind === "not-run" && outcome.isWithheld) return;
   if (outcome.kind !== "not-run") progress.mayHaveRun = true;
   if (outcome.kind === "lost" && outcome.isStale && !progress.hadStale) {
     // The instance dropped the idle connection; a fresh one may do.
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -2,8 +2,11 @@
 import type { BudgetTracker } from "./budget_tracker.ts";
 import type { CallCodec, CallHead } from "./call.ts";
 import type { ServingTarget } from "./choose_target.ts";
+import type { HeldBytes } from "./held_bytes.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 import type { PaceTracker } from "./pace_tracker.ts";
+import type { ProcessLag } from "./process_lag.ts";
+import type { QueueWaits } from "./queue_wait.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 import type { BackoffTracker } from "./backoff_tracker.ts";
 import type { ServingRoute } from "./serving_config.ts";
@@ -27,8 +30,12 @@
   readonly backoffs: BackoffTracker;
   readonly stalls: StallWatch;
   readonly paces: PaceTracker;
+  readonly queueWaits: QueueWaits;
   readonly repeats: RepeatBudget;
   readonly budgets: BudgetTracker;
+  readonly lag: ProcessLag;
+  /** Bounds the bytes that are held for callers. */
+  readonly held: HeldBytes;
   readonly agentFor: (address: string) => Agent;
   readonly discardAgent: (address: string) => void;
   /** Whether a connection to an address is open and unused. */
@@ -36,6 +43,8 @@
   readonly random: () => number;
   /** Counts the requests in progress or waiting, by model and organisation. */
   readonly noteDemand: (source: DemandSource, change: 1 | -1) => void;
+  /** Counts a request that was not sent. */
+  readonly onWithheld: (reason: WithheldReason) => void;
   /** Takes note that a target's answer said that it leaves. */
   readonly noteLeaving: (target: ServingTarget) => void;
   /** Told of a back-off that a target asked for, and of what it gets. */
@@ -47,6 +56,12 @@
   readonly record: (outcome: CallRecord) => void;
 }
 
+/**
+ * Why a request is not sent: its caller left, its time is over, this process
+ * is behind, or its body does not fit.
+ */
+export type WithheldReason = "left" | "deadline" | "lag" | "memory";
+
 /** What a request counts for. */
 export interface DemandSource {
   readonly model: string;
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -2,8 +2,10 @@
 import { PlatformCallCodec } from "../platform/call_codec.ts";
 import { BudgetTracker } from "./budget_tracker.ts";
 import type { ServingDependencies } from "./call_context.ts";
+import { HeldBytes } from "./held_bytes.ts";
 import { LoadTracker } from "./load_tracker.ts";
 import { PaceTracker } from "./pace_tracker.ts";
+import { QueueWaits } from "./queue_wait.ts";
 import { RepeatBudget } from "./repeat_budget.ts";
 import { BackoffTracker } from "./backoff_tracker.ts";
 import { StallWatch } from "./stall_watch.ts";
@@ -13,20 +15,26 @@
   & Pick<ServingDependencies, "index" | "listTargets" | "record">
   & Partial<ServingDependencies>;
 
+const MAX_HELD_BYTES = 32 * 1024 * 1024;
+
 /** What serving needs of its process, for tests: nothing stands in its way. */
 export function createTestDependencies(
   own: TestDependencies,
 ): ServingDependencies {
   const agent = new Agent({ keepAlive: true });
+  const loads = own.loads ?? new LoadTracker();
   return {
     codec: new PlatformCallCodec(),
     zone: "z",
     areKeysFresh: () => true,
-    loads: new LoadTracker(),
+    loads,
+    queueWaits: new QueueWaits(loads),
     backoffs: new BackoffTracker(),
     stalls: new StallWatch(),
     paces: new PaceTracker(),
     budgets: new BudgetTracker(),
+    held: new HeldBytes({ maxBytes: MAX_HELD_BYTES, onCut: () => {} }),
+    lag: { lagMs: () => 0, isBehind: () => false },
     repeats: new RepeatBudget({
       share: 1,
       slackRequests: 100,
@@ -41,6 +49,7 @@
     hasConnection: () => false,
     random: () => 0.5,
     noteDemand: () => {},
+    onWithheld: () => {},
     noteLeaving: () => {},
     onFault: () => {},
     onBackoff: () => {},
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -1,5 +1,6 @@
 import { Clock, Effect } from "effect";
 import { readSteadyMs, steadyMs } from "../clock/index.ts";
+import { readConnections } from "../http/index.ts";
 import {
   type AttemptProgress,
   type AttemptsOptions,
@@ -21,7 +22,8 @@
 import type { ServingTarget } from "./choose_target.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import { awaitTarget, tryMove } from "./find_target.ts";
-import { type AttemptOutcome, runAttempt } from "./run_attempt.ts";
+import { runAttempt } from "./run_attempt.ts";
+import type { AttemptOutcome } from "./attempt_options.ts";
 
 /** Least time left for which another attempt is worth it. */
 const MIN_REMAINING_MS = 30;
@@ -56,6 +58,7 @@
   const { call, dependencies } = options;
   return Effect.gen(function* () {
     while (true) {
+      if (dependencies.lag.isBehind(yield* steadyMs)) yield* readConnections;
       const search = yield* awaitTarget(options, progress);
       if (search.kind === "full") return refuseAsFull(options, progress);
       if (search.kind === "backing-off") {
@@ -66,6 +69,10 @@
       }
       const { target } = search;
       const nowMs = yield* steadyMs;
+      const reason = findWithheldReason(options, nowMs);
+      if (reason !== undefined) {
+        return yield* withhold(options, progress, reason);
+      }
       const isRepeat = progress.arrivals > 0;
       if (isRepeat && call.deadlineAtMs - nowMs < MIN_REMAINING_MS) {
         return giveUp(options, progress, "Too little time is left");
@@ -78,6 +85,12 @@
       const outcome = yield* attemptOnce(options, progress, target);
       const endedAtMs = yield* steadyMs;
       noteOutcome({ options, progress, target, outcome, nowMs: endedAtMs });
+      if (outcome.kind === "not-run" && outcome.isWithheld) {
+        const withheldReason = findWithheldReason(options, endedAtMs);
+        if (withheldReason !== undefined) {
+          return yield* withhold(options, progress, withheldReason);
+        }
+      }
       if (outcome.kind === "streamed") {
         return { kind: "streamed", ...summarize(progress) };
       }
@@ -98,26 +111,53 @@
   });
 }
 
+/** Why a request is not to be sent any more, if so. */
+function findWithheldReason(
+  { call, exchange }: AttemptsOptions,
+  nowMs: number,
+): "left" | "deadline" | undefined {
+  if (!exchange.hasCaller) return "left";
+  return nowMs >= call.deadlineAtMs ? "deadline" : undefined;
+}
+
+function withhold(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  reason: "left" | "deadline",
+): Effect.Effect<AttemptsResult> {
+  options.dependencies.onWithheld(reason);
+  return reason === "left"
+    ? Effect.interrupt
+    : Effect.succeed(runOutOfTime(options, progress));
+}
+
 function attemptOnce(
   options: AttemptsOptions,
   progress: AttemptProgress,
   target: ServingTarget,
 ): Effect.Effect<AttemptOutcome> {
   const { call, exchange, dependencies } = options;
-  const { loads, stalls, paces, codec } = dependencies;
+  const { loads, stalls, paces, codec, queueWaits } = dependencies;
   const { instanceId, address, epoch } = target;
   return Effect.gen(function* () {
     const clock = yield* Clock.Clock;
     const nowMs = () => readSteadyMs(clock);
     const startedAtMs = nowMs();
+    const model = call.head.model ?? "";
     let lastEventAtMs: number | undefined;
+    let headAtMs: number | undefined;
+    let isPaused = false;
+    let wasPaused = false;
     progress.tried.add(instanceId);
     progress.currentId = instanceId;
     loads.noteSent(instanceId);
     const endWatch = call.route.isStream
       ? stalls.begin({
         instanceId,
+        model,
         startedAtMs,
+        hasStarted: () => headAtMs !== undefined,
+        isPaused: () => isPaused,
         rank: () => rankOf(call, progress),
         tryMove: (reason) =>
           tryMove(options, progress, { reason, nowMs: nowMs() }),
@@ -146,9 +186,12 @@
       ...(progress.lastEventId === undefined
         ? {}
         : { lastEventId: progress.lastEventId }),
-      onHead: (head) =>
-        noteHead({ dependencies, target, head, nowMs: nowMs() }),
+      onHead: (head) => {
+        headAtMs = nowMs();
+        noteHead({ dependencies, target, head, nowMs: headAtMs });
+      },
       onProgress: () => stalls.noteProgress(instanceId, nowMs()),
+      maySend: () => findWithheldReason(options, nowMs()) === undefined,
       onSent: () => progress.isCurrentSent = true,
       onStreamHead: (head) => {
         if (!exchange.hasStarted) exchange.startStream(head);
@@ -159,15 +202,33 @@
         // Events that come together hold no pause.
         if (lastEventAtMs !== undefined && atMs > lastEventAtMs) {
           const pauseMs = atMs - lastEventAtMs;
-          const model = call.head.model ?? "";
           paces.notePause({ instanceId, epoch, model, pauseMs, nowMs: atMs });
         }
         lastEventAtMs = atMs;
-        exchange.writeEvent(event.bytes);
         if (event.id !== undefined) progress.lastEventId = event.id;
+        return exchange.writeEvent(event.bytes);
+      },
+      awaitReceiver: (onReady) => {
+        isPaused = true;
+        wasPaused = true;
+        exchange.awaitCaller(() => {
+          isPaused = false;
+          // The pause was the caller's, not the instance's.
+          lastEventAtMs = undefined;
+          stalls.noteProgress(instanceId, nowMs());
+          onReady();
+        });
       },
+      held: dependencies.held,
       onAbandonable: (abandon) => progress.abandon = abandon,
     }).pipe(
+      Effect.tap(({ kind }) =>
+        Effect.sync(() => {
+          const isMeasured = kind === "streamed" && !wasPaused;
+          if (!isMeasured || headAtMs === undefined) return;
+          queueWaits.noteServed(model, nowMs() - headAtMs);
+        })
+      ),
       Effect.ensuring(Effect.sync(() => {
         loads.noteEnded(instanceId);
         endWatch();
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -1,4 +1,4 @@
-import { Effect } from "effect";
+import { Effect, Fiber } from "effect";
 import {
   createServer,
   type IncomingMessage,
@@ -152,17 +152,43 @@
   readonly loads?: LoadTracker;
   readonly stalls?: StallWatch;
   readonly paces?: PaceTracker;
+  readonly queueWaits?: ServingDependencies["queueWaits"];
   readonly noteLeaving?: ServingDependencies["noteLeaving"];
   readonly agentFor?: ServingDependencies["agentFor"];
   /** Whether a repeat is covered. */
   readonly trySpend?: () => boolean;
   readonly onMalformedHead?: ServingDependencies["onMalformedHead"];
+  readonly lag?: ServingDependencies["lag"];
+  /** Bound of all routes. */
+  readonly timeoutMs?: number;
+  readonly held?: ServingDependencies["held"];
+  readonly onWithheld?: ServingDependencies["onWithheld"];
 }
 
-export async function startEntry(options: EntryOptions): Promise<number> {
+/** Starts an entry on a port of its own. */
+export function startEntry(options: EntryOptions): Promise<number> {
+  return start(createEntry(options));
+}
+
+/** Starts an entry on a socket in the file system. */
+export async function startLocalEntry(
+  options: EntryOptions,
+  path: string,
+): Promise<void> {
+  const server = createServer(createEntry(options));
+  servers.push(server);
+  await new Promise<void>((resolve) => server.listen(path, resolve));
+}
+
+function createEntry(options: EntryOptions): RequestListener {
+  const { backends, isConfigured, areKeysFresh, trySpend, timeoutMs, ...own } =
+    options;
   const index = new ServingIndex({
     version: 1,
-    routes: ROUTES,
+    routes: ROUTES.map((route) => ({
+      ...route,
+      timeoutMs: timeoutMs ?? route.timeoutMs,
+    })),
     services: new Map(),
     limits: {
       maxHeaderBytes: 16_384,
@@ -173,32 +199,33 @@
     tenants: [{ name: "tenant-1", keys: [KEY] }],
   });
   const records: CallRecord[] = [];
-  const { loads, stalls, paces, noteLeaving, onMalformedHead, agentFor } =
-    options;
   const dependencies = createTestDependencies({
-    index: () => options.isConfigured === false ? undefined : index,
-    areKeysFresh: () => options.areKeysFresh !== false,
-    listTargets: () => options.backends,
+    index: () => isConfigured === false ? undefined : index,
+    areKeysFresh: () => areKeysFresh !== false,
+    listTargets: () => backends,
     record: (record) => records.push(record),
-    ...(loads === undefined ? {} : { loads }),
-    ...(stalls === undefined ? {} : { stalls }),
-    ...(paces === undefined ? {} : { paces }),
-    ...(noteLeaving === undefined ? {} : { noteLeaving }),
-    ...(agentFor === undefined ? {} : { agentFor }),
-    ...(options.trySpend === undefined
+    ...own,
+    ...(trySpend === undefined
       ? {}
-      : { repeats: new ScriptedBudget(options.trySpend) }),
-    ...(onMalformedHead === undefined ? {} : { onMalformedHead }),
+      : { repeats: new ScriptedBudget(trySpend) }),
   });
-  return await start((incoming, response) => {
+  return createHandler(dependencies);
+}
+
+function createHandler(dependencies: ServingDependencies): RequestListener {
+  return (incoming, response) => {
     const exchange = new CallerExchange({
       request: incoming,
       response,
       codec: dependencies.codec,
       isClosing: () => false,
+      held: dependencies.held,
     });
-    Effect.runFork(serveCall(exchange, dependencies));
-  });
+    const fiber = Effect.runFork(serveCall(exchange, dependencies));
+    response.on("close", () => {
+      if (!exchange.hasEnded) Effect.runFork(Fiber.interrupt(fiber));
+    });
+  };
 }
 
 async function start(listener: RequestListener): Promise<number> {
