Evacuate zones by a key of the configuration's topic

Cause: the operator needs to take a zone out of service without a change of the configuration, and streams in progress there are to run to their end.

Change: EvacuationView derives the evacuated zones from the copy of the topic. TargetLists leaves their instances out for all attempts, tells requests at once that every zone is evacuated, and adopts a new configuration's slots at once. The fleet director neither counts, opens nor gives up replicas there. Gauges, log events and explain tell of evacuations. A whole reading of a topic no longer drops keys that a peer told of while it ran.

--- a/packages/celerytray/src/explain/explain_call.ts
+++ b/packages/celerytray/src/explain/explain_call.ts
@@ -23,6 +23,8 @@
   "process.started",
   "store.lost",
   "store.regained",
+  "zone.evacuated",
+  "zone.restored",
 ]);
 
 /** Reads the lines of logs; what is no such line is left out. */
@@ -64,7 +66,13 @@
     ...met,
     ...ofReplicas.flatMap(({ members }) => members as string[] ?? []),
   ]);
+  const evacuations = new Set(
+    listEvacuations(lines, first.timeMs).filter(({ process }) =>
+      processes.has(process)
+    ),
+  );
   const causes = lines.filter((line) => {
+    if (evacuations.has(line)) return true;
     const isNear = line.timeMs >= first.timeMs - CAUSE_WINDOW_MS &&
       line.timeMs <= last.timeMs + LATE_NOTICE_MS;
     if (!isNear || line.callId !== undefined) return false;
@@ -75,6 +83,22 @@
   return { calls, causes };
 }
 
+/** The last start of each evacuation that is in force at a time. */
+function listEvacuations(
+  lines: readonly LogLine[],
+  atMs: number,
+): readonly LogLine[] {
+  const lastLines = new Map<string, LogLine>();
+  for (const line of lines.toSorted((a, b) => a.timeMs - b.timeMs)) {
+    if (line.timeMs > atMs || !line.event.startsWith("zone.")) continue;
+    if (line.zone === undefined) continue;
+    lastLines.set(JSON.stringify([line.process, line.zone]), line);
+  }
+  return [...lastLines.values()].filter(({ event }) =>
+    event === "zone.evacuated"
+  );
+}
+
 /** Instances that a request's attempts went to. */
 function listInstances({ attempts }: LogLine): readonly string[] {
   if (!Array.isArray(attempts)) return [];
--- a/packages/celerytray/src/explain/explain_call_test.ts
+++ b/packages/celerytray/src/explain/explain_call_test.ts
@@ -28,3 +28,19 @@
   expect(explainCall(parseLogLines(LINES.join("\n")), "c"))
     .toEqual({ calls: [], causes: [] });
 });
+
+it("tells of evacuations in force, however long ago they began", () => {
+  const evacuated = (timeMs: number, zone: string, event: string) =>
+    JSON.stringify({ timeMs, process: "entry-1", zone, event });
+  const lines = [
+    evacuated(1_000, "a", "zone.evacuated"),
+    evacuated(2_000, "b", "zone.evacuated"),
+    evacuated(3_000, "b", "zone.restored"),
+    ...LINES,
+  ];
+  const { causes } = explainCall(parseLogLines(lines.join("\n")), "a");
+  expect(
+    causes.filter(({ zone }) => zone !== undefined).map(({ zone }) => zone),
+  )
+    .toEqual(["a"]);
+});
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -35,6 +35,8 @@
   readonly hasTraffic: () => boolean;
   /** Time for which an instance that drains works on at least. */
   readonly drainMs: number;
+  /** Whether nothing is to be sent to a zone; by default none is evacuated. */
+  readonly isEvacuated?: (zone: string) => boolean;
   /** Whether an instance asked this machine for time. */
   readonly isBackingOff: (instanceId: string) => boolean;
   /** Takes note that an instance said that it leaves. */
@@ -158,7 +160,8 @@
 
   /** Takes replicas with a slow member apart where spares stand by. */
   #replaceSlow(nowMs: number): void {
-    const runs = [...this.#state.runs.values()];
+    const runs = [...this.#state.runs.values()]
+      .filter((run) => !this.#state.isEvacuated(run));
     const isSlow = (id: string) => this.#state.paces.isSlow(id);
     if (!runs.some(({ record }) => record.members.some(isSlow))) return;
     for (const service of this.#options.engines().keys()) {
@@ -240,9 +243,11 @@
         recordRetiring(run, this.#options.record);
       }
       if (run.retiring?.isFreed === true) return this.#retire(run);
-      return due.flatMap(({ instanceId, order }) =>
-        this.#dispatcher.send({ instanceId, order, run }, nowMs)
-      );
+      const isEvacuated = this.#state.isEvacuated(run);
+      return due.filter(({ order }) => order.kind !== "open" || !isEvacuated)
+        .flatMap(({ instanceId, order }) =>
+          this.#dispatcher.send({ instanceId, order, run }, nowMs)
+        );
     });
   }
 
--- a/packages/celerytray/src/groups/fleet_state.ts
+++ b/packages/celerytray/src/groups/fleet_state.ts
@@ -15,6 +15,7 @@
   readonly paces = new PaceWatch();
   readonly weights: InstanceWeights;
   readonly departures = new Departures(this.runs);
+  readonly #isEvacuated: (zone: string) => boolean;
   /** Newest place in the log that orders follow from. */
   fence: number;
 
@@ -22,8 +23,10 @@
     readonly instances: InstanceListView;
     readonly term: number;
     readonly replicas: readonly ReplicaRecord[];
+    readonly isEvacuated?: (zone: string) => boolean;
   }) {
     this.instances = options.instances;
+    this.#isEvacuated = options.isEvacuated ?? (() => false);
     this.fence = options.term;
     this.weights = new InstanceWeights({
       startsFilled: options.replicas.length > 0,
@@ -42,13 +45,20 @@
     this.runs.set(record.name, createRun(record));
   }
 
-  /** Replicas of a service that are not taken apart. */
+  /** Replicas of a service that are neither taken apart nor evacuated. */
   listServing(service: string): readonly ReplicaRun[] {
-    return [...this.runs.values()].filter(({ record, retiring }) =>
-      record.service === service && retiring === undefined
+    return [...this.runs.values()].filter((run) =>
+      run.record.service === service && run.retiring === undefined &&
+      !this.isEvacuated(run)
     );
   }
 
+  /** Whether the head of a replica is in an evacuated zone. */
+  isEvacuated({ record }: ReplicaRun): boolean {
+    const zone = this.findLatest(record.members[0]!)?.zone;
+    return zone !== undefined && this.#isEvacuated(zone);
+  }
+
   /** Replicas of a service that serve or are to serve. */
   listWanted(service: string): readonly ReplicaRecord[] {
     return this.listServing(service).map(({ record }) => record);
@@ -59,6 +69,7 @@
     const used = this.memberIds();
     return this.instances.list().filter((instance) =>
       instance.service === service && !instance.isDraining &&
+      !this.#isEvacuated(instance.zone) &&
       !used.has(instance.id) &&
       !this.liveness.isDoubted(instance.id) &&
       !this.paces.isSlow(instance.id) &&
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -43,6 +43,7 @@
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { ConfigView } from "./config_view.ts";
 import { countStoreCalls } from "./count_store_calls.ts";
+import { createZoneRules } from "./create_zone_rules.ts";
 import { createRandom } from "./create_random.ts";
 import { drainCallers } from "./drain_callers.ts";
 import { followStore } from "./follow_store.ts";
@@ -157,8 +158,20 @@
       backoffs.keepOnly(isPresent, nowMs());
     };
     const configCopy = new TopicCopy();
+    const zones = createZoneRules({
+      prefix: ports.evacuationPrefix,
+      copy: configCopy,
+      instances,
+      loads,
+      metrics,
+      record,
+      nowMs,
+      onRestored: () => {},
+    });
     const applyConfig = (change: KeyedChange) => {
       configCopy.apply(change);
+      // Before the configuration, so that a start never serves without it.
+      if (change.records.length > 0 || change.isWhole) zones.update();
       config.apply(change);
       keys.noteProof(change.freshAtMs);
     };
@@ -223,6 +236,7 @@
           demand: (model) => coordinator.totalDemand(model),
           hasTraffic: () => coordinator.hasAnyTraffic(),
           drainMs: settings.drainMs,
+          isEvacuated: (zone) => zones.evacuations.isEvacuated(zone),
           isBackingOff: (instanceId) =>
             backoffs.isBackingOff(instanceId, nowMs()),
           onLeaving: (instanceId) => {
@@ -236,8 +250,9 @@
     const targets = new TargetLists({
       instances,
       closedHeads: () => coordinator.listClosedHeads(),
-      slotsOf: (service) =>
-        config.index?.config.services.get(service)?.engine?.slots,
+      services: () => config.index?.config.services,
+      evacuations: zones.evacuations,
+      zoneRegions: settings.zoneRegions,
     });
 
     yield* followStore({
@@ -274,7 +289,9 @@
       zone: settings.zone,
       index: () => config.index,
       areKeysFresh: () => keys.isFresh(),
-      listTargets: (service, model) => targets.list(service, model),
+      listTargets: (service, model, homes) =>
+        targets.list(service, model, homes),
+      findBar: (service, homes) => targets.findBar(service, homes),
       loads,
       backoffs,
       stalls,
--- /dev/null
+++ b/packages/celerytray/src/host/evacuation_view.ts
@@ -0,0 +1,119 @@
+import type { KeyedRecord } from "../keyed_log/index.ts";
+
+/** Options of the view of the evacuated zones. */
+export interface EvacuationViewOptions {
+  /** Begins the keys of evacuated zones. */
+  readonly prefix: string;
+  readonly onStarted: (zone: string) => void;
+  readonly onEnded: (zone: string, evacuatedMs: number) => void;
+  /** Told of a key or value that can't be read, once for each record. */
+  readonly onMalformed: (key: string, message: string) => void;
+}
+
+/** A zone to which nothing is to be sent. */
+export interface Evacuation {
+  readonly zone: string;
+  readonly ageMs: number;
+}
+
+interface SeenRecord {
+  readonly offset: number;
+  /** Time from which the zone is evacuated; undefined where it is not. */
+  readonly sinceMs?: number;
+}
+
+/** The zones that the operator evacuates, by the keys of the topic. */
+export class EvacuationView {
+  readonly #options: EvacuationViewOptions;
+  readonly #seen = new Map<string, SeenRecord>();
+  #zones: ReadonlySet<string> = new Set();
+  #revision = 0;
+  #isLoaded = false;
+
+  constructor(options: EvacuationViewOptions) {
+    this.#options = options;
+  }
+
+  /** Grows with each change of the evacuated zones. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  isEvacuated(zone: string): boolean {
+    return this.#zones.has(zone);
+  }
+
+  list(nowMs: number): readonly Evacuation[] {
+    return [...this.#seen].flatMap(([key, { sinceMs }]) =>
+      sinceMs === undefined
+        ? []
+        : [{ zone: this.#zoneOf(key), ageMs: nowMs - sinceMs }]
+    );
+  }
+
+  /** Adopts the newest records of all keys with the prefix, drops included. */
+  update(records: readonly KeyedRecord[], nowMs: number): void {
+    const present = new Set(records.map(({ key }) => key));
+    const ended: { zone: string; evacuatedMs: number }[] = [];
+    const started: string[] = [];
+    for (const [key, { sinceMs }] of this.#seen) {
+      if (present.has(key)) continue;
+      this.#seen.delete(key);
+      if (sinceMs === undefined) continue;
+      ended.push({ zone: this.#zoneOf(key), evacuatedMs: nowMs - sinceMs });
+    }
+    for (const record of records) {
+      const { key, value, offset } = record;
+      const seen = this.#seen.get(key);
+      if (seen !== undefined && seen.offset >= offset) continue;
+      const zone = this.#zoneOf(key);
+      if (value === undefined) {
+        this.#seen.set(key, { offset });
+        // One that began and ended since the last update has ended too.
+        const hasEnded = seen?.sinceMs !== undefined || this.#isLoaded;
+        if (hasEnded && zone !== "") {
+          ended.push({ zone, evacuatedMs: nowMs - (seen?.sinceMs ?? nowMs) });
+        }
+        continue;
+      }
+      this.#checkRecord(record);
+      if (zone === "") {
+        this.#seen.set(key, { offset });
+        continue;
+      }
+      this.#seen.set(key, { offset, sinceMs: seen?.sinceMs ?? nowMs });
+      if (seen?.sinceMs === undefined) started.push(zone);
+    }
+    this.#isLoaded = true;
+    if (started.length + ended.length === 0) return;
+    this.#zones = new Set(this.list(nowMs).map(({ zone }) => zone));
+    this.#revision += 1;
+    for (const { zone, evacuatedMs } of ended) {
+      this.#options.onEnded(zone, evacuatedMs);
+    }
+    for (const zone of started) this.#options.onStarted(zone);
+  }
+
+  #zoneOf(key: string): string {
+    return key.slice(this.#options.prefix.length);
+  }
+
+  /** The key alone asks for the evacuation, whatever its value is. */
+  #checkRecord({ key, value }: KeyedRecord): void {
+    const { onMalformed } = this.#options;
+    if (this.#zoneOf(key) === "") {
+      onMalformed(key, "The key names no zone; it has no effect");
+    } else if (!isJsonObject(value!.toString("utf8"))) {
+      onMalformed(key, "The value is no JSON object; the zone is evacuated");
+    }
+  }
+}
+
+function isJsonObject(text: string): boolean {
+  try {
+    const value: unknown = JSON.parse(text);
+    return typeof value === "object" && value !== null && !Array.isArray(value);
+  } catch {
+    return false;
+  }
+}
--- a/packages/celerytray/src/journal/metrics_page.ts
+++ b/packages/celerytray/src/journal/metrics_page.ts
@@ -4,6 +4,12 @@
 /** Upper bounds of latency buckets, in seconds. */
 const LATENCY_BUCKETS = [0.05, 0.1, 0.25, 0.4, 0.75, 1.5, 3, 6, 10];
 
+/** A value of a gauge, and what its label says. */
+export interface LabelledValue {
+  readonly label: string;
+  readonly value: number;
+}
+
 /** Counters and histograms of a process, served as text. */
 export class MetricsPage {
   readonly #registry = new Registry();
@@ -71,6 +77,30 @@
     });
   }
 
+  /** Adds values by a label, which takes few values; read when the page is. */
+  addLabelledGauge(
+    options: {
+      readonly name: string;
+      readonly help: string;
+      readonly labelName: string;
+      readonly read: () => readonly LabelledValue[];
+    },
+  ): void {
+    const { name, help, labelName, read } = options;
+    new Gauge({
+      name,
+      help,
+      labelNames: [labelName],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const { label, value } of read()) {
+          this.set({ [labelName]: label }, value);
+        }
+      },
+    });
+  }
+
   /** Adds a counter; its labels must take few values. */
   addCounter<Label extends string>(
     options: {
--- a/packages/celerytray/src/keyed_log/topic_copy.ts
+++ b/packages/celerytray/src/keyed_log/topic_copy.ts
@@ -58,6 +58,13 @@
     this.#forgetDropped();
   }
 
+  /** The newest records of the keys that begin with a prefix, drops included. */
+  list(prefix: string): readonly KeyedRecord[] {
+    return [...this.#records.values()].filter(({ key }) =>
+      key.startsWith(prefix)
+    );
+  }
+
   /** Whether it knows of every change from an offset on, drops included. */
   canTellSince(offset: number): boolean {
     return this.#completeFrom !== undefined && offset >= this.#completeFrom;
@@ -96,8 +103,10 @@
     },
   ): void {
     const present = new Set(records.map(({ key }) => key));
-    for (const [key, { value }] of [...this.#records]) {
+    for (const [key, { value, offset }] of [...this.#records]) {
       if (present.has(key) || value === undefined) continue;
+      // Records that came from a peer during the reading are newer than it.
+      if (offset >= nextOffset) continue;
       this.#records.delete(key);
       this.#records.set(key, { key, offset: Math.max(0, nextOffset - 1) });
     }
--- a/packages/celerytray/src/keyed_log/topic_copy_test.ts
+++ b/packages/celerytray/src/keyed_log/topic_copy_test.ts
@@ -78,3 +78,12 @@
   expect(JSON.stringify(told).length < text.length / 4).toEqual(true);
   expect(readRelayedChange(told).records).toEqual([record("a", 6, text)]);
 });
+
+// Guards against a reading that was overtaken by a peer's answer.
+it("keeps a key that is newer than a whole reading", () => {
+  const copy = new TopicCopy();
+  copy.apply({ isWhole: true, records: [record("a", 5, "1")], nextOffset: 6 });
+  copy.apply({ isWhole: false, records: [record("b", 8, "1")], nextOffset: 9 });
+  copy.apply({ isWhole: true, records: [record("a", 5, "1")], nextOffset: 7 });
+  expect(copy.list("b")).toEqual([record("b", 8, "1")]);
+});
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -22,7 +22,13 @@
   readonly listTargets: (
     service: string,
     model: string | undefined,
+    homes: readonly string[] | undefined,
   ) => readonly ServingTarget[];
+  /** Why no instance of a service may get a call; undefined if one may. */
+  readonly findBar: (
+    service: string,
+    homes: readonly string[] | undefined,
+  ) => BarReason | undefined;
   readonly loads: LoadTracker;
   readonly backoffs: BackoffTracker;
   readonly stalls: StallWatch;
@@ -47,6 +53,9 @@
   readonly record: (outcome: CallRecord) => void;
 }
 
+/** Why a request may go to none of a service's instances. */
+export type BarReason = "evacuated" | "not-at-home";
+
 /** What a request counts for. */
 export interface DemandSource {
   readonly model: string;
@@ -90,6 +99,8 @@
   readonly service: string;
   readonly tenant?: string;
   readonly priority: number;
+  /** Regions whose instances may get it; undefined for all. */
+  readonly homes?: readonly string[];
   readonly body: Buffer;
   readonly arrivedAtMs: number;
   /** Whether its target time had passed before it came, as with a repeat. */
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -1,3 +1,4 @@
+import type { ColdStart } from "./serving_config.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 
 /** An instance that takes requests: plain, or the head of a replica. */
@@ -11,6 +12,8 @@
   readonly epoch: number;
   /** Start of the incarnation that is listed, as Unix time. */
   readonly bornAtMs?: number;
+  /** Bounds while it is cold; undefined where it never is. */
+  readonly cold?: ColdStart;
 }
 
 /** What the choice looks at. */
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -22,6 +22,7 @@
     codec: new PlatformCallCodec(),
     zone: "z",
     areKeysFresh: () => true,
+    findBar: () => undefined,
     loads: new LoadTracker(),
     backoffs: new BackoffTracker(),
     stalls: new StallWatch(),
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -6,7 +6,7 @@
   mayAttemptAfterThis,
 } from "./attempt_progress.ts";
 import type { AbandonReason } from "./stall_watch.ts";
-import type { ServingDependencies } from "./call_context.ts";
+import type { BarReason } from "./call_context.ts";
 import {
   chooseTarget,
   isPreferred,
@@ -31,6 +31,8 @@
   | { readonly kind: "full" }
   /** Every one that could take it asked for time. */
   | { readonly kind: "backing-off"; readonly backoffMs: number }
+  /** None may get it, now or soon. */
+  | { readonly kind: "barred"; readonly reason: BarReason }
   | { readonly kind: "none" };
 
 /** Waits shortly for a target, if there is none now. */
@@ -44,7 +46,7 @@
     while (true) {
       const nowMs = yield* steadyMs;
       const search = searchTarget(options, progress, nowMs);
-      if (search.kind === "found") return search;
+      if (search.kind === "found" || search.kind === "barred") return search;
       if (search.kind === "backing-off" && !hasBegun(options, progress)) {
         return search;
       }
@@ -67,7 +69,7 @@
   const { call, dependencies } = options;
   const choice = createChoice(options, progress, nowMs);
   const target = chooseTarget(choice);
-  if (target === undefined) return explainNoTarget(choice, dependencies);
+  if (target === undefined) return explainNoTarget(choice, options);
   if (!call.route.isStream || hasBegun(options, progress)) {
     return { kind: "found", target };
   }
@@ -88,8 +90,12 @@
 
 function explainNoTarget(
   { targets, tried, nowMs }: TargetChoice,
-  { backoffs }: ServingDependencies,
+  { call, dependencies: { backoffs, findBar } }: AttemptsOptions,
 ): TargetSearch {
+  const reason = targets.length > 0
+    ? undefined
+    : findBar(call.service, call.homes);
+  if (reason !== undefined) return { kind: "barred", reason };
   const untried = targets.filter(({ instanceId }) => !tried.has(instanceId));
   const backoffMs = backoffs.shortestBackoffMs(
     untried.map(({ instanceId }) => instanceId),
@@ -105,7 +111,11 @@
 ): TargetChoice {
   const { stalls, paces, backoffs } = dependencies;
   return {
-    targets: dependencies.listTargets(call.service, call.head.model),
+    targets: dependencies.listTargets(
+      call.service,
+      call.head.model,
+      call.homes,
+    ),
     loads: dependencies.loads,
     zone: dependencies.zone,
     hasConnection: dependencies.hasConnection,
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -7,7 +7,11 @@
   InstanceLoad,
 } from "./call.ts";
 export { BudgetTracker } from "./budget_tracker.ts";
-export type { CallRecord, ServingDependencies } from "./call_context.ts";
+export type {
+  BarReason,
+  CallRecord,
+  ServingDependencies,
+} from "./call_context.ts";
 export { CallerExchange, type OwnAnswer } from "./caller_exchange.ts";
 export { chooseTarget, type ServingTarget } from "./choose_target.ts";
 export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
@@ -24,6 +28,7 @@
 export { serveCall } from "./serve_call.ts";
 export type {
   CallerLimits,
+  ColdStart,
   EngineSpec,
   Repeatability,
   RouteTarget,
--- a/packages/celerytray/src/serving/load_tracker.ts
+++ b/packages/celerytray/src/serving/load_tracker.ts
@@ -65,6 +65,11 @@
     return (this.#work.get(instanceId)?.avoidUntilMs ?? 0) > nowMs;
   }
 
+  /** Requests that this process has at an instance. */
+  countInFlight(instanceId: string): number {
+    return this.#work.get(instanceId)?.inFlight ?? 0;
+  }
+
   /** Requests thought to run or wait at an instance. */
   estimate(instanceId: string, nowMs: number): number {
     const work = this.#work.get(instanceId);
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -17,7 +17,11 @@
   summarize,
 } from "./attempt_progress.ts";
 import type { AnswerHead } from "./call.ts";
-import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
+import type {
+  AdmittedCall,
+  BarReason,
+  ServingDependencies,
+} from "./call_context.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import { awaitTarget, tryMove } from "./find_target.ts";
@@ -29,6 +33,11 @@
 const LATE_RANKS = 3;
 const LAST_RANK = 9;
 
+const BAR_MESSAGES: Readonly<Record<BarReason, string>> = {
+  evacuated: "Every zone that could serve the request is evacuated",
+  "not-at-home": "No back end is in a region that the request may reach",
+};
+
 /** Attempts a call until it is answered, given up or out of time. */
 export function runAttempts(
   options: AttemptsOptions,
@@ -61,6 +70,9 @@
       if (search.kind === "backing-off") {
         return refuseWhileBackingOff(options, progress, search.backoffMs);
       }
+      if (search.kind === "barred") {
+        return giveUp(options, progress, BAR_MESSAGES[search.reason]);
+      }
       if (search.kind === "none") {
         return giveUp(options, progress, "No back end can take the request");
       }
--- a/packages/fakes/src/fleet/fake_model_instance.ts
+++ b/packages/fakes/src/fleet/fake_model_instance.ts
@@ -126,7 +126,7 @@
       id: this.id,
       service: "drafts",
       address: `${this.id}:1`,
-      zone: "zone-a",
+      zone: `zone-${this.domain}`,
       slots: 8,
       isDraining: this.isDraining,
       bornAtMs: this.bornAtMs,
--- a/packages/fakes/src/fleet/fleet_director_test.ts
+++ b/packages/fakes/src/fleet/fleet_director_test.ts
@@ -45,7 +45,12 @@
   }),
   fc.record({ kind: fc.constant("slow" as const), index: fc.nat(13) }),
   fc.record({
-    kind: fc.constantFrom("drain" as const, "arrive" as const),
+    kind: fc.constantFrom(
+      "drain" as const,
+      "arrive" as const,
+      "evacuate" as const,
+      "restore" as const,
+    ),
     index: fc.nat(13),
   }),
   fc.record({
@@ -167,6 +172,37 @@
     expect(after.joins).toEqual(before.joins);
   });
 
+  it("of an evacuated zone stay formed, and lost ones wait for its end", async () => {
+    const evacuate = DOMAINS.map((_, index) => ({
+      waitMs: 0,
+      trouble: { kind: "evacuate" as const, index },
+    }));
+    const untouched = await play(evacuate, MAX_REPAIR_MS);
+    expect(untouched.serving.length).toEqual(REPLICAS);
+    const lost: readonly Step[] = [
+      ...evacuate,
+      { waitMs: 0, trouble: { kind: "kill-head", index: 0 } },
+    ];
+    const during = await play(lost, MAX_REPAIR_MS);
+    expect(during.serving.length).toEqual(REPLICAS - 1);
+    const after = await play([
+      ...lost,
+      { waitMs: MAX_REPAIR_MS, trouble: { kind: "restore", index: 0 } },
+      { waitMs: 0, trouble: { kind: "restore", index: 1 } },
+    ], MAX_REPAIR_MS);
+    expect(after.serving.length).toEqual(REPLICAS);
+    expect(after.violations).toEqual([]);
+  });
+
+  it("with a slow member are kept in an evacuated zone", async () => {
+    const { serving, slow } = await play([
+      { waitMs: 0, trouble: { kind: "evacuate", index: 0 } },
+      { waitMs: 0, trouble: { kind: "evacuate", index: 1 } },
+      { waitMs: 0, trouble: { kind: "slow", index: 0 } },
+    ], MAX_REPAIR_MS);
+    expect([serving.length, slow.length]).toEqual([REPLICAS, 1]);
+  });
+
   it("never share a member, whatever fails", async () => {
     const property = fc.asyncProperty(day, async (steps) => {
       const world = await play(steps, 8_000);
--- a/packages/fakes/src/fleet/fleet_trouble.ts
+++ b/packages/fakes/src/fleet/fleet_trouble.ts
@@ -25,6 +25,8 @@
   | { readonly kind: "store-out" | "store-back" | "store-loses" }
   /** The process that decides loses the store, but no other process. */
   | { readonly kind: "cut-lead-from-store" }
+  /** The operator evacuates the zone of a domain, or ends that. */
+  | { readonly kind: "evacuate" | "restore"; readonly index: number }
   | { readonly kind: "kill-lead" | "cut-lead" | "heal" | "quicken" };
 
 /** A process that takes part in directing a fleet. */
@@ -45,11 +47,13 @@
   readonly store: FakeKeyedStore;
   readonly findLead: () => FleetProcess | undefined;
   readonly processes: readonly FleetProcess[];
+  /** Zones to which nothing is to be sent. */
+  readonly evacuated: Set<string>;
 }
 
 /** Brings a trouble about. */
 export function applyTrouble(step: Trouble, targets: TroubleTargets): void {
-  const { fleet, store, findLead, processes } = targets;
+  const { fleet, store, findLead, processes, evacuated } = targets;
   switch (step.kind) {
     case "kill-instance": {
       const members = fleet.list().filter(({ isAlive, membership }) =>
@@ -130,6 +134,12 @@
       processes.find((process) => process !== lead)!.noteLeaving(head.id);
       return;
     }
+    case "evacuate":
+      evacuated.add(`zone-${DOMAINS[step.index % DOMAINS.length]}`);
+      return;
+    case "restore":
+      evacuated.delete(`zone-${DOMAINS[step.index % DOMAINS.length]}`);
+      return;
     case "quicken":
       for (const { id } of fleet.list()) fleet.setPace(id, 1);
       return;
--- a/packages/fakes/src/fleet/fleet_world.ts
+++ b/packages/fakes/src/fleet/fleet_world.ts
@@ -113,6 +113,7 @@
     const context = yield* Effect.context<never>();
     const processes: FleetProcess[] = [];
     const proofs = { count: 0 };
+    const evacuated = new Set<string>();
     for (let index = 0; index < PROCESSES; index++) {
       const list = createList();
       lists.push(list);
@@ -124,6 +125,7 @@
         processes,
         nowMs,
         proofs,
+        evacuated,
       });
       processes.push(process);
       yield* Effect.forkScoped(
@@ -146,7 +148,7 @@
       fleet,
       proofs,
       apply: (step: Trouble) =>
-        applyTrouble(step, { fleet, store, findLead, processes }),
+        applyTrouble(step, { fleet, store, findLead, processes, evacuated }),
     };
   });
 }
@@ -160,10 +162,13 @@
   readonly nowMs: () => number;
   /** Proofs of the configuration that processes were told. */
   readonly proofs: { count: number };
+  /** Zones to which nothing is to be sent. */
+  readonly evacuated: ReadonlySet<string>;
 }
 
 function createProcess(options: ProcessOptions): FleetProcess {
   const { index, list, fleet, store, processes, nowMs, proofs } = options;
+  const { evacuated } = options;
   const nodeId = `node-${index}`;
   const isCut = () => processes[index]?.isCut === true;
   const isStoreCut = () => isCut() || processes[index]?.isStoreCut === true;
@@ -223,6 +228,7 @@
         demand: () => 0,
         hasTraffic: () => nowMs() > SETTLE_MS,
         drainMs: DRAIN_MS,
+        isEvacuated: (zone) => evacuated.has(zone),
         isBackingOff: () => false,
         onLeaving: (instanceId) =>
           list.noteLeaving(describeIncarnation(list, instanceId)),
