Bound requests to cold instances and keep requests in home regions

Cause: an instance crashes when it gets requests well above its cold rate, and no counter is shared over the processes. Routes and organisations may name regions that their requests must not leave.

Change: ColdTracker knows who is cold from the list, probes, new incarnations and the end of an evacuation. ColdAllowance issues a process's tokens at even times; the choice passes over cold instances without one, and run_attempts takes it before anything is sent. Requests wait for a token or are refused at once with the time it takes. The rate falls below 0.75 of cold_per_s where cold_overshoot and cold_slack leave less room. TargetLists hands out instances of the regions that route and organisation allow; config.homes tells of lists that allow nothing.

Measured: serving/ 72 tests passed, create_zone_rules 4, decode 9. The property of the bound failed at 7, 62, 123 and 390 processes when the largest number of processes wasn't kept.

--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -39,6 +39,8 @@
   readonly isEvacuated?: (zone: string) => boolean;
   /** Whether an instance asked this machine for time. */
   readonly isBackingOff: (instanceId: string) => boolean;
+  /** Takes note of the time for which an instance said that it stays cold. */
+  readonly onColdTold?: (instanceId: string, coldMs: number) => void;
   /** Takes note that an instance said that it leaves. */
   readonly onLeaving: (instanceId: string) => void;
   readonly record: RecordEvent;
@@ -199,8 +201,9 @@
     if (address === undefined) return Effect.void;
     return this.#options.control.probe({ id, address }).pipe(
       Effect.matchEffect({
-        onSuccess: ({ pace, isLeaving }) =>
+        onSuccess: ({ pace, isLeaving, coldMs }) =>
           Effect.sync(() => {
+            if (coldMs !== undefined) this.#options.onColdTold?.(id, coldMs);
             if (isLeaving) this.#options.onLeaving(id);
             if (!isAbsent) this.#state.liveness.noteAlive(id);
             else this.#state.liveness.noteProbed(id);
--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -88,6 +88,11 @@
     return this.#entries.get(id)?.state;
   }
 
+  /** Offset of the entry that an instance's state is from. */
+  offsetOf(id: string): number | undefined {
+    return this.#entries.get(id)?.offset;
+  }
+
   /** The last state of an instance that is no longer listed. */
   findAbsent(id: string): AbsentInstance | undefined {
     return this.#absent.get(id);
--- a/packages/celerytray/src/groups/instance_orders.ts
+++ b/packages/celerytray/src/groups/instance_orders.ts
@@ -63,6 +63,8 @@
 export interface ProbeAnswer {
   /** How many times as long as usual its work takes, or what is unreadable. */
   readonly pace: Either<string, number>;
+  /** Time for which it stays cold; not a number if unreadable. */
+  readonly coldMs?: number;
   /** Whether it says that it leaves. */
   readonly isLeaving: boolean;
 }
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -31,6 +31,7 @@
   BackoffTracker,
   BudgetTracker,
   type CallCodec,
+  findHomeProblems,
   LoadTracker,
   PaceTracker,
   RepeatBudget,
@@ -44,6 +45,7 @@
 import { ConfigView } from "./config_view.ts";
 import { countStoreCalls } from "./count_store_calls.ts";
 import { createZoneRules } from "./create_zone_rules.ts";
+import { createColdRules } from "./create_cold_rules.ts";
 import { createRandom } from "./create_random.ts";
 import { drainCallers } from "./drain_callers.ts";
 import { followStore } from "./follow_store.ts";
@@ -133,8 +135,10 @@
       onAdopted: (version, offset) => {
         record("config.adopted", { version, offset });
         coordinator.noteChange();
-        const limits = config.index?.config.limits;
-        if (limits !== undefined) servers.callers?.setTimeouts(limits);
+        const adopted = config.index!.config;
+        const problems = findHomeProblems(adopted, settings.zoneRegions);
+        if (problems !== undefined) record("config.homes", { ...problems });
+        servers.callers?.setTimeouts(adopted.limits);
       },
       onMalformed: (message, offset) =>
         record("config.malformed", { message, offset }),
@@ -152,12 +156,28 @@
       instancesCopy.apply(change);
       coordinator.noteChange();
       instances.apply(change, nowMs());
+      cold.noteList(change);
       const isPresent = (id: string) => instances.find(id) !== undefined;
       loads.keepOnly(isPresent);
       paces.keepOnly(isPresent);
       backoffs.keepOnly(isPresent, nowMs());
     };
     const configCopy = new TopicCopy();
+    const cold = createColdRules({
+      processId: settings.nodeId,
+      bounds: {
+        overshoot: settings.coldOvershoot,
+        slackRequests: settings.coldSlackRequests,
+      },
+      instances,
+      coldOf: (service) => config.index?.config.services.get(service)?.cold,
+      coordinator: () => coordinator,
+      hasTraffic: () => state.hasTraffic,
+      metrics,
+      record,
+      nowMs,
+      wallMs: () => clock.currentTimeMillisUnsafe(),
+    });
     const zones = createZoneRules({
       prefix: ports.evacuationPrefix,
       copy: configCopy,
@@ -166,7 +186,7 @@
       metrics,
       record,
       nowMs,
-      onRestored: () => {},
+      onRestored: cold.noteRestored,
     });
     const applyConfig = (change: KeyedChange) => {
       configCopy.apply(change);
@@ -236,6 +256,7 @@
           demand: (model) => coordinator.totalDemand(model),
           hasTraffic: () => coordinator.hasAnyTraffic(),
           drainMs: settings.drainMs,
+          onColdTold: cold.noteReported,
           isEvacuated: (zone) => zones.evacuations.isEvacuated(zone),
           isBackingOff: (instanceId) =>
             backoffs.isBackingOff(instanceId, nowMs()),
@@ -271,6 +292,7 @@
     });
     const loops: Readonly<Record<string, Effect.Effect<unknown>>> = {
       coordination: coordinator.run(),
+      "counting of processes": cold.run,
       "proof of keys": proveKeys({ log, config, keys, state, record }),
       "moving of requests": moveAttempts({
         stalls,
@@ -293,6 +315,7 @@
         targets.list(service, model, homes),
       findBar: (service, homes) => targets.findBar(service, homes),
       loads,
+      cold: cold.allowance,
       backoffs,
       stalls,
       paces,
--- /dev/null
+++ b/packages/celerytray/src/host/create_zone_rules_test.ts
@@ -0,0 +1,178 @@
+import { expect } from "earl";
+import { once } from "node:events";
+import { createServer, get, type IncomingMessage } from "node:http";
+import type { AddressInfo } from "node:net";
+import { describe, it } from "node:test";
+import type { Coordinator } from "../coordination/index.ts";
+import { InstanceListView } from "../groups/index.ts";
+import { MetricsPage } from "../journal/index.ts";
+import { TopicCopy } from "../keyed_log/index.ts";
+import { decodeInstance } from "../platform/decode_instance.ts";
+import { LoadTracker } from "../serving/index.ts";
+import { createColdRules } from "./create_cold_rules.ts";
+import { createZoneRules } from "./create_zone_rules.ts";
+
+const COLD = { startMs: 3_000, requestsPerSecond: 18 };
+const KEY = "evacuate/a";
+
+describe("rules on zones and cold instances", () => {
+  it("make a zone's instances cold at the end of its evacuation", () => {
+    const world = createWorld();
+    world.write(KEY, "{}");
+    expect(world.isCold("i-a")).toEqual(false);
+    world.write(KEY);
+    expect([world.isCold("i-a"), world.isCold("i-b")]).toEqual([true, false]);
+    world.pass(COLD.startMs);
+    expect(world.isCold("i-a")).toEqual(false);
+    // Taken back again, and with history lost.
+    world.write(KEY, "{}");
+    world.readWhole();
+    expect(world.isCold("i-a")).toEqual(true);
+    expect(world.events.map(([event]) => event)).toEqual([
+      "zone.evacuated",
+      "zone.restored",
+      "zone.evacuated",
+      "zone.restored",
+    ]);
+  });
+
+  it("tell of a zone that no instance has by one line", () => {
+    const world = createWorld();
+    world.write("evacuate/nowhere", "{}");
+    expect(world.events).toEqual([
+      ["zone.evacuated", { zone: "nowhere", instances: 0, requests: 0 }],
+    ]);
+  });
+
+  it("show the age and the requests that still run, by zone", async () => {
+    const world = createWorld();
+    world.loads.noteSent("i-a");
+    world.loads.noteSent("i-b");
+    world.write(KEY, "{}");
+    world.pass(1_500);
+    const during = await world.readMetrics();
+    expect(during).toInclude('celerytray_evacuation_age_seconds{zone="a"} 1.5');
+    expect(during).toInclude('celerytray_evacuated_requests{zone="a"} 1');
+    world.write(KEY);
+    const after = await world.readMetrics();
+    expect(after.includes('zone="a"')).toEqual(false);
+    expect(after).toInclude("celerytray_cold_instances 1");
+  });
+
+  it("take a newcomer in traffic as cold, and a damaged entry as it was", () => {
+    const world = createWorld();
+    world.list("i-new", { born: 5 });
+    expect(world.isCold("i-new")).toEqual(true);
+    world.pass(2_000);
+    world.list("i-new", { born: "damaged" });
+    world.pass(1_000);
+    expect(world.isCold("i-new")).toEqual(false);
+    world.list("i-b", { cold_remaining_ms: "soon" });
+    expect(world.isCold("i-b")).toEqual(true);
+    expect(world.events.map(([event]) => event))
+      .toEqual(["instance.cold", "instance.cold-malformed", "instance.cold"]);
+  });
+});
+
+/** Two zones, `a` and `b`, with an instance each that is not cold. */
+function createWorld() {
+  let nowMs = 0;
+  let offset = 0;
+  const events: [string, unknown][] = [];
+  const record = (event: string, fields: unknown) => {
+    events.push([event, fields]);
+  };
+  const metrics = new MetricsPage();
+  const loads = new LoadTracker();
+  const copy = new TopicCopy();
+  const instances = new InstanceListView({
+    decode: decodeInstance,
+    onMalformed: () => {},
+  });
+  const coordinator = {
+    demandTotals: () => ({ byModel: { m: 1 }, byTenant: {} }),
+    hasAnyTraffic: () => true,
+    countProcesses: () => 1,
+  } as unknown as Coordinator;
+  const cold = createColdRules({
+    processId: "p",
+    bounds: { overshoot: 1.5, slackRequests: 5 },
+    instances,
+    coldOf: () => COLD,
+    coordinator: () => coordinator,
+    hasTraffic: () => true,
+    metrics,
+    record,
+    nowMs: () => nowMs,
+    wallMs: () => 1e9,
+  });
+  const zones = createZoneRules({
+    prefix: "evacuate/",
+    copy,
+    instances,
+    loads,
+    metrics,
+    record,
+    nowMs: () => nowMs,
+    onRestored: cold.noteRestored,
+  });
+  const list = (id: string, own: Readonly<Record<string, unknown>> = {}) => {
+    offset += 1;
+    const entry = {
+      service: "s",
+      address: "127.0.0.1:1",
+      zone: id.slice(-1),
+      slots: 1,
+      state: "ready",
+      born: 1,
+      ...own,
+    };
+    const value = Buffer.from(JSON.stringify(entry));
+    return { records: [{ key: id, value, offset }] };
+  };
+  const applyList = (
+    change: ReturnType<typeof list>,
+    isWhole: boolean,
+  ) => {
+    instances.apply({ ...change, isWhole }, nowMs);
+    cold.noteList(change);
+  };
+  const readTopic = (
+    change: Omit<Parameters<TopicCopy["apply"]>[0], "nextOffset">,
+  ) => {
+    copy.apply({ ...change, nextOffset: offset + 1 });
+    zones.update();
+  };
+  readTopic({ isWhole: true, records: [] });
+  applyList({
+    records: ["i-a", "i-b"].flatMap((id) => list(id).records),
+  }, true);
+  return {
+    events,
+    loads,
+    pass: (passedMs: number) => nowMs += passedMs,
+    list: (id: string, own: Readonly<Record<string, unknown>>) =>
+      applyList(list(id, own), false),
+    write: (key: string, text?: string) => {
+      offset += 1;
+      const value = text === undefined ? {} : { value: Buffer.from(text) };
+      readTopic({ isWhole: false, records: [{ key, offset, ...value }] });
+    },
+    readWhole: () => {
+      offset += 1;
+      readTopic({ isWhole: true, records: [] });
+    },
+    isCold: (instanceId: string) =>
+      !cold.allowance.mayTake({ instanceId, cold: COLD }, nowMs),
+    readMetrics: async () => {
+      const server = createServer(metrics.handler()).listen(0, "127.0.0.1");
+      await once(server, "listening");
+      const { port } = server.address() as AddressInfo;
+      const request = get({ host: "127.0.0.1", port, agent: false });
+      const [response] = await once(request, "response") as [IncomingMessage];
+      const parts = await response.setEncoding("utf8").toArray();
+      server.close();
+      return parts.join("");
+    },
+  };
+}
--- a/packages/celerytray/src/platform/decode_instance.ts
+++ b/packages/celerytray/src/platform/decode_instance.ts
@@ -57,15 +57,19 @@
     isDraining: state === "draining",
     stagedModels: readStrings(entry, "staged"),
     ...(bornAtMs === undefined ? {} : { bornAtMs: bornAtMs as number }),
-    ...(typeof entry.cold_remaining_ms === "number"
-      ? { coldRemainingMs: entry.cold_remaining_ms }
-      : {}),
+    ...decodeCold(entry.cold_remaining_ms),
     ...(entry.domain === undefined ? {} : { domain: String(entry.domain) }),
     ...(model === undefined ? {} : { loadedModel: readString(model, "name") }),
     ...decodeMembership(entry.group),
   };
 }
 
+/** What isn't a number is told as such, and taken for a usual start. */
+function decodeCold(value: unknown): { readonly coldRemainingMs?: number } {
+  if (value === undefined || value === null) return {};
+  return { coldRemainingMs: typeof value === "number" ? value : Number.NaN };
+}
+
 function decodeMembership(
   group: unknown,
 ): { readonly membership?: ReplicaMembership } {
--- a/packages/celerytray/src/platform/decode_test.ts
+++ b/packages/celerytray/src/platform/decode_test.ts
@@ -133,6 +133,14 @@
     expect(state.bornAtMs).toEqual(1789955025888);
   });
 
+  it("tells cold times as they are given, and what is no number as such", () => {
+    const read = (cold: unknown) =>
+      decodeInstance("i", JSON.stringify({ ...ENTRY, cold_remaining_ms: cold }))
+        .unsafeCoerce().coldRemainingMs;
+    expect([0, 1_500, -5, "2", undefined, null].map(read))
+      .toEqual([0, 1_500, -5, Number.NaN, undefined, undefined]);
+  });
+
   it("refuses what names no instance to use", () => {
     const changes: Record<string, unknown>[] = [
       { state: "sleeping" },
--- a/packages/celerytray/src/platform/instance_client.ts
+++ b/packages/celerytray/src/platform/instance_client.ts
@@ -75,6 +75,7 @@
           )
           : Effect.succeed({
             pace: decodePace(answer.body),
+            ...decodeCold(answer.headers[headers.cold]),
             isLeaving: isLeaving(answer),
           })
       ),
@@ -91,6 +92,15 @@
   );
 }
 
+/** A header that isn't a number is told as such, and taken for a usual start. */
+function decodeCold(
+  value: string | readonly string[] | undefined,
+): { readonly coldMs?: number } {
+  if (value === undefined) return {};
+  const text = [value].flat().join().trim();
+  return { coldMs: text === "" ? Number.NaN : Number(text) };
+}
+
 function encodeOrder(order: InstanceOrder & { readonly fence: number }) {
   const { fence } = order;
   switch (order.kind) {
--- a/packages/celerytray/src/platform/words.ts
+++ b/packages/celerytray/src/platform/words.ts
@@ -8,6 +8,7 @@
   notRun: "not-executed",
   instance: "expect-instance",
   leaving: "server-leaving",
+  cold: "cold-ms",
   load: "replica-load",
   model: "model",
   tokenCount: "token-count",
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -74,6 +74,8 @@
 const FULL_RETRY_MS = 400;
 /** Time in which replicas that are full may get through their work. */
 const FULL_REPLICAS_RETRY_MS = 1_200;
+/** Part of the remaining time up to which callers honour Retry-After. */
+const RETRY_PART = 1 / 3;
 const NO_REPLICA_RETRY_MS = 800;
 const SERVER_ERROR_STATUS = 500;
 /** Statuses that promise callers that a request did not run. */
@@ -215,6 +217,20 @@
   });
 }
 
+/** The answer to a request whose targets are all cold for too long. */
+export function refuseWhileCold(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  { waitMs, nowMs }: { readonly waitMs: number; readonly nowMs: number },
+): AttemptsResult {
+  const remainingMs = Math.max(0, options.call.deadlineAtMs - nowMs);
+  return conclude(options, progress, {
+    message: "Every back end is cold",
+    unknownStatus: 502,
+    retryAfterMs: Math.min(waitMs, remainingMs * RETRY_PART),
+  });
+}
+
 /** The answer in this system's own name when no attempt is left. */
 export function giveUp(
   options: AttemptsOptions,
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -1,6 +1,7 @@
 import type { Agent } from "node:http";
 import type { BudgetTracker } from "./budget_tracker.ts";
 import type { CallCodec, CallHead } from "./call.ts";
+import type { ColdAllowance } from "./cold_allowance.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 import type { PaceTracker } from "./pace_tracker.ts";
@@ -30,6 +31,8 @@
     homes: readonly string[] | undefined,
   ) => BarReason | undefined;
   readonly loads: LoadTracker;
+  /** What cold instances may get from this process. */
+  readonly cold: ColdAllowance;
   readonly backoffs: BackoffTracker;
   readonly stalls: StallWatch;
   readonly paces: PaceTracker;
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -23,6 +23,8 @@
   readonly zone: string;
   /** Whether an instance asked for time, in which nothing may go there. */
   readonly isBackingOff: (instanceId: string) => boolean;
+  /** Whether it isn't cold, or has a token of this process. */
+  readonly mayTake: (target: ServingTarget) => boolean;
   /** Whether an instance is silent towards all requests it has from here. */
   readonly isSilent: (instanceId: string) => boolean;
   /** Whether its streams take far longer than usual. */
@@ -48,8 +50,9 @@
 /** Picks the least loaded target, undefined if none may get the request. */
 export function chooseTarget(choice: TargetChoice): ServingTarget | undefined {
   const { loads, nowMs, tried } = choice;
-  const untried = choice.targets.filter(({ instanceId }) =>
-    !tried.has(instanceId) && !choice.isBackingOff(instanceId)
+  const untried = choice.targets.filter((target) =>
+    !tried.has(target.instanceId) && !choice.isBackingOff(target.instanceId) &&
+    choice.mayTake(target)
   );
   const preferred = untried.filter((target) => isPreferred(target, choice));
   let best: ServingTarget | undefined;
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -1,6 +1,8 @@
 import { Agent } from "node:http";
 import { PlatformCallCodec } from "../platform/call_codec.ts";
 import { BudgetTracker } from "./budget_tracker.ts";
+import { ColdAllowance } from "./cold_allowance.ts";
+import { ColdTracker } from "./cold_tracker.ts";
 import type { ServingDependencies } from "./call_context.ts";
 import { LoadTracker } from "./load_tracker.ts";
 import { PaceTracker } from "./pace_tracker.ts";
@@ -23,6 +25,16 @@
     zone: "z",
     areKeysFresh: () => true,
     findBar: () => undefined,
+    cold: new ColdAllowance({
+      tracker: new ColdTracker({
+        coldOf: () => undefined,
+        onCold: () => {},
+        onMalformed: () => {},
+      }),
+      processId: "p",
+      bounds: { overshoot: 1.5, slackRequests: 5 },
+      countProcesses: () => 1,
+    }),
     loads: new LoadTracker(),
     backoffs: new BackoffTracker(),
     stalls: new StallWatch(),
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -6,6 +6,7 @@
   mayAttemptAfterThis,
 } from "./attempt_progress.ts";
 import type { AbandonReason } from "./stall_watch.ts";
+import { type ColdSearch, endColdWait, planColdWait } from "./cold_wait.ts";
 import type { BarReason } from "./call_context.ts";
 import {
   chooseTarget,
@@ -32,6 +33,7 @@
   /** Every one that could take it asked for time. */
   | { readonly kind: "backing-off"; readonly backoffMs: number }
   /** None may get it, now or soon. */
+  | ColdSearch
   | { readonly kind: "barred"; readonly reason: BarReason }
   | { readonly kind: "none" };
 
@@ -47,6 +49,11 @@
       const nowMs = yield* steadyMs;
       const search = searchTarget(options, progress, nowMs);
       if (search.kind === "found" || search.kind === "barred") return search;
+      if (search.kind === "cold") {
+        if (search.stepMs === undefined) return search;
+        yield* Effect.sleep(search.stepMs);
+        continue;
+      }
       if (search.kind === "backing-off" && !hasBegun(options, progress)) {
         return search;
       }
@@ -57,7 +64,7 @@
       if (nowMs - startedAtMs >= waitMs) return search;
       yield* Effect.sleep(WAIT_STEP_MS);
     }
-  });
+  }).pipe(Effect.ensuring(Effect.sync(() => endColdWait(options))));
 }
 
 /** A stream that has begun goes wherever it can. */
@@ -89,14 +96,17 @@
 }
 
 function explainNoTarget(
-  { targets, tried, nowMs }: TargetChoice,
-  { call, dependencies: { backoffs, findBar } }: AttemptsOptions,
+  { targets, tried, isBackingOff, nowMs }: TargetChoice,
+  options: AttemptsOptions,
 ): TargetSearch {
+  const { call, dependencies: { backoffs, findBar } } = options;
   const reason = targets.length > 0
     ? undefined
     : findBar(call.service, call.homes);
   if (reason !== undefined) return { kind: "barred", reason };
   const untried = targets.filter(({ instanceId }) => !tried.has(instanceId));
+  const cold = untried.filter(({ instanceId }) => !isBackingOff(instanceId));
+  if (cold.length > 0) return planColdWait(options, cold, nowMs);
   const backoffMs = backoffs.shortestBackoffMs(
     untried.map(({ instanceId }) => instanceId),
     nowMs,
@@ -120,6 +130,7 @@
     zone: dependencies.zone,
     hasConnection: dependencies.hasConnection,
     isBackingOff: (id) => backoffs.isBackingOff(id, nowMs),
+    mayTake: (target) => dependencies.cold.mayTake(target, nowMs),
     isSilent: (id) => stalls.isSilent(id, nowMs),
     isSlow: (target) => paces.isSlow(target, nowMs),
     tried: progress.tried,
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -14,7 +14,11 @@
 } from "./call_context.ts";
 export { CallerExchange, type OwnAnswer } from "./caller_exchange.ts";
 export { chooseTarget, type ServingTarget } from "./choose_target.ts";
+export { ColdAllowance, type ColdBounds } from "./cold_allowance.ts";
+export { ColdTracker } from "./cold_tracker.ts";
+export { ProcessCount } from "./process_count.ts";
 export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
+export { findHomeProblems, type HomeProblems } from "./homes.ts";
 export { LoadTracker } from "./load_tracker.ts";
 export { PaceTracker } from "./pace_tracker.ts";
 export {
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -13,6 +13,7 @@
   noteOutcome,
   refuseAsFull,
   refuseWhileBackingOff,
+  refuseWhileCold,
   runOutOfTime,
   summarize,
 } from "./attempt_progress.ts";
@@ -73,11 +74,20 @@
       if (search.kind === "barred") {
         return giveUp(options, progress, BAR_MESSAGES[search.reason]);
       }
+      if (search.kind === "cold") {
+        const nowMs = yield* steadyMs;
+        return refuseWhileCold(options, progress, {
+          waitMs: search.waitMs,
+          nowMs,
+        });
+      }
       if (search.kind === "none") {
         return giveUp(options, progress, "No back end can take the request");
       }
       const { target } = search;
       const nowMs = yield* steadyMs;
+      // Nothing is sent but by this line, so that cold instances keep their bound.
+      if (!dependencies.cold.tryTake(target, nowMs)) continue;
       const isRepeat = progress.arrivals > 0;
       if (isRepeat && call.deadlineAtMs - nowMs < MIN_REMAINING_MS) {
         return giveUp(options, progress, "Too little time is left");
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -12,6 +12,7 @@
   ServingDependencies,
 } from "./call_context.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
+import { intersectHomes } from "./homes.ts";
 import { runAttempts } from "./run_attempts.ts";
 import { selectService, type ServingIndex } from "./serving_index.ts";
 
@@ -146,6 +147,7 @@
     service: selectService(route, head.id),
     priority: Math.min(MAX_PRIORITY, route.priority),
     configVersion: config.version,
+    ...describeHomes(intersectHomes(route, undefined)),
   };
   if (config.tenants === undefined || route.isPublic) return Right(admission);
   if (!areKeysFresh) return Left(staleAnswer);
@@ -158,10 +160,17 @@
   return Right({
     ...admission,
     tenant: tenant.name,
+    ...describeHomes(intersectHomes(route, tenant)),
     priority: Math.min(MAX_PRIORITY, tenant.priority ?? route.priority),
   });
 }
 
+function describeHomes(
+  homes: readonly string[] | undefined,
+): Pick<Admission, "homes"> {
+  return homes === undefined ? {} : { homes };
+}
+
 /** Hands over the final answer. */
 function finish(
   exchange: CallerExchange,
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -157,12 +157,18 @@
   /** Whether a repeat is covered. */
   readonly trySpend?: () => boolean;
   readonly onMalformedHead?: ServingDependencies["onMalformedHead"];
+  readonly findBar?: ServingDependencies["findBar"];
+  readonly cold?: ServingDependencies["cold"];
+  /** Regions of all routes and of the organisation. */
+  readonly homes?: Readonly<Record<"route" | "tenant", readonly string[]>>;
 }
 
 export async function startEntry(options: EntryOptions): Promise<number> {
   const index = new ServingIndex({
     version: 1,
-    routes: ROUTES,
+    routes: options.homes === undefined
+      ? ROUTES
+      : ROUTES.map((route) => ({ ...route, homes: options.homes!.route })),
     services: new Map(),
     limits: {
       maxHeaderBytes: 16_384,
@@ -170,7 +176,11 @@
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
-    tenants: [{ name: "tenant-1", keys: [KEY] }],
+    tenants: [{
+      name: "tenant-1",
+      keys: [KEY],
+      ...(options.homes === undefined ? {} : { homes: options.homes.tenant }),
+    }],
   });
   const records: CallRecord[] = [];
   const { loads, stalls, paces, noteLeaving, onMalformedHead, agentFor } =
@@ -189,6 +199,8 @@
       ? {}
       : { repeats: new ScriptedBudget(options.trySpend) }),
     ...(onMalformedHead === undefined ? {} : { onMalformedHead }),
+    ...(options.findBar === undefined ? {} : { findBar: options.findBar }),
+    ...(options.cold === undefined ? {} : { cold: options.cold }),
   });
   return await start((incoming, response) => {
     const exchange = new CallerExchange({
