Test evacuations against running processes

Cause: the parts were tested alone; that no request reaches an evacuated zone follows from all of them.

Change: the processes of host_process_test and their platform move to host_world.ts, with instances in several domains. A test evacuates a zone under way of streams, starts a process, kills the lead, evacuates all zones and restores them.

--- /dev/null
+++ b/packages/cli/src/local/evacuation_process_test.ts
@@ -0,0 +1,101 @@
+import type { FakePlatform } from "@celerytray/fakes";
+import { expect } from "earl";
+import { once } from "node:events";
+import { describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  callStream,
+  findLeads,
+  type HostProcess,
+  startProcess,
+  startWorld,
+  WAIT,
+  WHOLE_STREAM,
+} from "./host_world.ts";
+import { waitUntil } from "./wait_until.ts";
+
+const TOPIC = "keyed.op";
+const CALLS = 12;
+/** Time from which on nothing may reach an evacuated zone. */
+const EVACUATE_MS = 5_000;
+
+describe("processes on the platform", () => {
+  it("send nothing to an evacuated zone, through restarts and a lost lead", async () => {
+    const world = await startWorld(["d0", "d1"]);
+    const { platform, processes } = world;
+    for (const head of platform.listServing()) head.eventPauseMs = 100;
+    const underWay = callAll(processes);
+    await waitUntil("streams to run in the zone", {
+      ...WAIT,
+      check: () => Promise.resolve(countRuns(platform, "d0") > 0),
+    });
+    write(platform, "d0", "{}");
+    expect((await underWay).every(isWhole)).toEqual(true);
+    await sleep(EVACUATE_MS);
+    for (const head of platform.listServing()) head.eventPauseMs = 0;
+    const runs = countRuns(platform, "d0");
+
+    const newcomer = await startProcess("front-3", world.storeAddress);
+    await waitUntil("the newcomer to serve", {
+      ...WAIT,
+      check: () =>
+        callStream(newcomer.address, "call-0").then(isWhole, () => false),
+    });
+    expect((await callAll([...processes, newcomer])).every(isWhole))
+      .toEqual(true);
+    const [lead] = await findLeads(processes);
+    const exited = once(lead!.child, "exit");
+    lead!.child.kill("SIGKILL");
+    await exited;
+    const others = [...processes, newcomer].filter((each) => each !== lead);
+    expect((await callAll(others)).every(isWhole)).toEqual(true);
+    expect(countRuns(platform, "d0")).toEqual(runs);
+    // Its replicas stay formed.
+    expect(platform.listServing().length).toEqual(4);
+
+    write(platform, "d1", "{}");
+    await waitUntil("requests to be refused", {
+      ...WAIT,
+      check: async () =>
+        (await callAll(others)).every(({ status, body }) =>
+          status === 503 && body.includes("evacuated; it was not run")
+        ),
+    });
+    write(platform, "d0");
+    write(platform, "d1");
+    await waitUntil("the zones to be restored", {
+      ...WAIT,
+      check: async () => (await callAll(others)).every(isWhole),
+    });
+    expect(countRuns(platform, "d0") > runs).toEqual(true);
+  });
+});
+
+function write(platform: FakePlatform, domain: string, text?: string): void {
+  platform.storeServer.store.append(TOPIC, {
+    key: `evacuate/zone-${domain}`,
+    ...(text === undefined ? {} : { value: Buffer.from(text) }),
+  });
+}
+
+function callAll(processes: readonly HostProcess[]) {
+  return Promise.all(
+    processes.flatMap(({ address }, process) =>
+      Array.from(
+        { length: CALLS },
+        (_, index) => callStream(address, `call-${process}-${index}`),
+      )
+    ),
+  );
+}
+
+function isWhole(answer: { readonly status: number; readonly body: string }) {
+  return answer.status === 200 && answer.body === WHOLE_STREAM;
+}
+
+/** Requests that the instances of a domain ran. */
+function countRuns(platform: FakePlatform, domain: string): number {
+  return [...platform.instances.values()]
+    .filter(({ instance }) => instance.domain === domain)
+    .reduce((sum, { ranIds }) => sum + ranIds.length, 0);
+}
--- a/packages/cli/src/local/host_process_test.ts
+++ b/packages/cli/src/local/host_process_test.ts
@@ -1,48 +1,19 @@
-import { FakePlatform } from "@celerytray/fakes";
 import { validateLogEvents } from "@celerytray/schema/log_event_validator";
 import { expect } from "earl";
-import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { request } from "node:http";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { after, describe, it } from "node:test";
-import { fileURLToPath } from "node:url";
-import { findFreeAddresses } from "./free_addresses.ts";
+import { describe, it } from "node:test";
+import {
+  callStream,
+  CONFIG,
+  findLeads,
+  type HostProcess,
+  logs,
+  startWorld,
+  WAIT,
+  WHOLE_STREAM,
+} from "./host_world.ts";
 import { waitUntil } from "./wait_until.ts";
 
-const PROGRAM = fileURLToPath(new URL("../host_main.js", import.meta.url));
-const WAIT = { timeoutMs: 20_000 };
-const GRACE_S = 4;
-const MODEL = "m0";
-const KEY = "key-1";
-const CONFIG = {
-  version: 1,
-  routes: [{
-    name: "drafts",
-    host: "a.example",
-    path_prefix: "/drafts/",
-    kind: "streaming",
-    resumable: true,
-    max_attempts: 2,
-    timeout_ms: 8_000,
-    target_latency_ms: 400,
-    service: "drafts",
-  }],
-  services: [{
-    name: "drafts",
-    engine: {
-      slots: 8,
-      loads_per_s: 50,
-      loads_at_once: 8,
-      models: [{ name: MODEL, size: 2, load_s: 0.2, warm_s: 0.1 }],
-    },
-  }],
-  tenants: [{ name: "o", api_keys: [KEY] }],
-};
-const WHOLE_STREAM = [0, 1, 2, 3, 4].map((id) => `id: ${id}\ndata: ${id}\n\n`)
-  .join("");
 /** Head of a line, beside the fields of its event. */
 const LINE_HEAD = new Set(["level", "timeMs", "process", "event"]);
 /** Events that the tests before bring about, one of each kind at least. */
@@ -61,14 +32,6 @@
   "store.lost",
   "store.regained",
 ];
-const closers: (() => unknown)[] = [];
-/** What the processes of all tests have logged. */
-const logs: (() => string)[] = [];
-
-after(async () => {
-  for (const close of closers.reverse()) await close();
-});
-
 describe("processes on the platform", () => {
   it("form replicas, serve streams and repair after a head's death", async () => {
     const { platform, processes } = await startWorld();
@@ -168,126 +131,3 @@
     return { event: String(line.event), fields: Object.fromEntries(fields) };
   });
 }
-
-interface HostProcess {
-  readonly child: ChildProcess;
-  readonly address: string;
-  readonly readyAddress: string;
-  readonly metricsAddress: string;
-}
-
-/** Two processes and five instances of one domain, ready to serve. */
-async function startWorld() {
-  const platform = new FakePlatform();
-  closers.push(() => platform.stop());
-  const storeAddress = await platform.start();
-  platform.publishConfig(CONFIG);
-  for (let index = 0; index < 5; index++) {
-    await platform.startInstance(`i-${index}`, "d0");
-  }
-  const processes = [
-    await startProcess("front-1", storeAddress),
-    await startProcess("front-2", storeAddress),
-  ];
-  await waitUntil("the replicas to serve and the processes to be ready", {
-    ...WAIT,
-    check: async () => {
-      const statuses = await Promise.all(
-        processes.map(({ address }) => callStream(address, "call-0")),
-      );
-      return platform.listServing().length === 2 &&
-        statuses.every(({ status }) => status === 200);
-    },
-  });
-  return { platform, processes };
-}
-
-async function startProcess(
-  nodeId: string,
-  storeAddress: string,
-): Promise<HostProcess> {
-  const [address, readyAddress, peerAddress, metricsAddress] =
-    await findFreeAddresses(4);
-  const [host] = address!.split(":");
-  const portOf = (from: string | undefined) => from!.split(":")[1];
-  const folder = await mkdtemp(join(tmpdir(), "celerytray-host-"));
-  closers.push(() => rm(folder, { recursive: true }));
-  const path = join(folder, "settings.conf");
-  const settings = {
-    node_name: nodeId,
-    zone: "zone-a",
-    ip: host,
-    "listen.front": address,
-    "listen.ready": readyAddress,
-    internal_ports: `${portOf(peerAddress)},${portOf(metricsAddress)}`,
-    "platform.address": storeAddress,
-    "bounds.grace_s": GRACE_S,
-    "bounds.revoke_ms": 5_000,
-  };
-  await writeFile(
-    path,
-    Object.entries(settings).map(([name, value]) => `${name}=${value}\n`),
-  );
-  const child = spawn(process.execPath, [PROGRAM], {
-    env: { ...process.env, CELERYTRAY_BOOT: path },
-    stdio: ["ignore", "pipe", "inherit"],
-  });
-  closers.push(() => child.kill("SIGKILL"));
-  let log = "";
-  child.stdout.setEncoding("utf8").on("data", (text) => log += text);
-  logs.push(() => log);
-  return {
-    child,
-    address: address!,
-    readyAddress: readyAddress!,
-    metricsAddress: metricsAddress!,
-  };
-}
-
-/** Processes that decide on replicas. */
-async function findLeads(
-  processes: readonly HostProcess[],
-): Promise<readonly HostProcess[]> {
-  const leads: HostProcess[] = [];
-  for (const candidate of processes) {
-    const page = await fetch(`http://${candidate.metricsAddress}/metrics`);
-    const text = await page.text();
-    if (text.includes("celerytray_leads_replicas 1")) leads.push(candidate);
-  }
-  return leads;
-}
-
-interface StreamAnswer {
-  readonly status: number;
-  readonly body: string;
-}
-
-function callStream(address: string, callId: string): Promise<StreamAnswer> {
-  const [host, port] = address.split(":");
-  return new Promise((resolve, reject) => {
-    const sent = request({
-      host,
-      port: Number(port),
-      path: "/drafts/x",
-      method: "POST",
-      agent: false,
-      headers: {
-        host: "a.example",
-        "attempt-id": callId,
-        "deadline-ms": "8000",
-        "x-api-key": KEY,
-        model: MODEL,
-      },
-    }, (response) => {
-      let body = "";
-      response.on("data", (chunk) => body += String(chunk));
-      response.on("error", () => {});
-      response.on(
-        "close",
-        () => resolve({ status: response.statusCode ?? 0, body }),
-      );
-    });
-    sent.on("error", reject);
-    sent.end("prompt");
-  });
-}
