Move requests to warm instances only

Cause: all streams of a slow or silent head looked at the same token of a cold instance and would have left for it together; all but one would then wait.

Change: a move needs a warm target; the attempt that follows takes a token as any other. A request's wait is looked up by the request, without a key.

--- a/packages/celerytray/src/serving/barred_targets_test.ts
+++ b/packages/celerytray/src/serving/barred_targets_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { ColdAllowance } from "./cold_allowance.ts";
 import { ColdTracker } from "./cold_tracker.ts";
+import { StallWatch } from "./stall_watch.ts";
 import {
   answerWhole,
   call,
@@ -86,6 +87,52 @@
     // Two instances, each at 0.75 x 18 a second.
     expect(taken.at(-1)! - taken[0]! >= 250).toEqual(true);
   });
+
+  // Guards against a head's streams that all leave for one token.
+  it("moves a stream to a warm instance only", async () => {
+    const stalls = new StallWatch();
+    const arrivals: string[] = [];
+    const tracker = createTracker();
+    const note = (coldMs: number) => {
+      for (const id of ids) {
+        tracker.noteReported({ id, service: "s" }, coldMs, readNowMs());
+      }
+    };
+    const ids: string[] = [];
+    const start = async () => {
+      const target = await startBackend((incoming, response) => {
+        arrivals.push(target.instanceId);
+        response.writeHead(200, {
+          "attempt-id": String(incoming.headers["attempt-id"]),
+          "server-stamp": "s",
+          "content-type": "text/event-stream",
+        });
+        if (arrivals.length > 1) {
+          response.end("id: 1\ndata: b\n\n");
+          return;
+        }
+        response.write("id: 0\ndata: a\n\n");
+        note(COLD.startMs);
+        const move = () => stalls.moveAway(target.instanceId, "stalled");
+        const moving = setInterval(move, 20);
+        setTimeout(() => {
+          expect(arrivals.length).toEqual(1);
+          note(0);
+        }, 300);
+        response.on("close", () => clearInterval(moving));
+      });
+      ids.push(target.instanceId);
+      return { ...target, cold: COLD };
+    };
+    const entry = await startEntry({
+      backends: [await start(), await start()],
+      stalls,
+      cold: createAllowance(tracker, 1),
+    });
+    const answer = await call(entry, "/stream/x");
+    expect(answer.body).toEqual("id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+    expect(arrivals.length).toEqual(2);
+  });
 });
 
 async function timeCall(entry: number) {
@@ -104,11 +151,7 @@
   },
 ) {
   let calls = 0;
-  const tracker = new ColdTracker({
-    coldOf: () => COLD,
-    onCold: () => {},
-    onMalformed: () => {},
-  });
+  const tracker = createTracker();
   const start = () =>
     startBackend((incoming, response) => {
       calls += 1;
@@ -119,15 +162,30 @@
     ...backend,
     cold: COLD,
   }));
-  const allowance = new ColdAllowance({
-    tracker,
-    processId: "p",
-    bounds: { overshoot: 1.5, slackRequests: 5 },
-    countProcesses: () => processes,
-  });
+  const allowance = createAllowance(tracker, processes);
   const entry = await startEntry({ backends, cold: allowance });
   for (const { instanceId } of backends) {
     tracker.noteReported({ id: instanceId, service: "s" }, coldMs, readNowMs());
   }
   return { entry, allowance, backendCalls: () => calls };
 }
+
+function createTracker(): ColdTracker {
+  return new ColdTracker({
+    coldOf: () => COLD,
+    onCold: () => {},
+    onMalformed: () => {},
+  });
+}
+
+function createAllowance(
+  tracker: ColdTracker,
+  processes: number | undefined,
+): ColdAllowance {
+  return new ColdAllowance({
+    tracker,
+    processId: "p",
+    bounds: { overshoot: 1.5, slackRequests: 5 },
+    countProcesses: () => processes,
+  });
+}
--- a/packages/celerytray/src/serving/cold_allowance.ts
+++ b/packages/celerytray/src/serving/cold_allowance.ts
@@ -51,11 +51,19 @@
   readonly #spentAtMs = new Map<string, number>();
   /** Requests that wait for a token, by what they wait for. */
   readonly #waiters = new Map<string, Set<object>>();
+  /** What each of them waits for. */
+  readonly #queues = new Map<object, string>();
 
   constructor(options: ColdAllowanceOptions) {
     this.#options = options;
   }
 
+  /** Whether an instance gets requests without a token. */
+  isWarm({ instanceId, cold }: ColdTarget, nowMs: number): boolean {
+    return cold === undefined ||
+      this.#options.tracker.findSpell(instanceId, nowMs) === undefined;
+  }
+
   /** Whether an instance isn't cold, or has a token. */
   mayTake(target: ColdTarget, nowMs: number): boolean {
     return this.#findWaitMs(target, nowMs).waitMs <= 0;
@@ -94,6 +102,7 @@
 
   /** Counts a request as waiting; returns how many wait before it. */
   enterWait(call: object, queue: string): number {
+    this.#queues.set(call, queue);
     const waiters = this.#waiters.get(queue) ?? new Set();
     this.#waiters.set(queue, waiters.add(call));
     let ahead = 0;
@@ -105,9 +114,12 @@
   }
 
   /** Ends a request's wait, if it waits. */
-  leaveWait(call: object, queue: string): void {
-    const waiters = this.#waiters.get(queue);
-    if (waiters?.delete(call) !== true) return;
+  leaveWait(call: object): void {
+    const queue = this.#queues.get(call);
+    if (queue === undefined) return;
+    this.#queues.delete(call);
+    const waiters = this.#waiters.get(queue)!;
+    waiters.delete(call);
     if (waiters.size === 0) this.#waiters.delete(queue);
   }
 
--- a/packages/celerytray/src/serving/cold_allowance_test.ts
+++ b/packages/celerytray/src/serving/cold_allowance_test.ts
@@ -89,7 +89,7 @@
     for (const [index, waitMs] of waitsMs.entries()) {
       expect(allowance.tryTake(TARGET, waitMs + 0.001)).toEqual(true);
       expect(allowance.mayTake(TARGET, waitMs + 0.002)).toEqual(false);
-      allowance.leaveWait(calls[index]!, "q");
+      allowance.leaveWait(calls[index]!);
     }
     expect(allowance.enterWait({}, "q")).toEqual(0);
   });
--- a/packages/celerytray/src/serving/cold_wait.ts
+++ b/packages/celerytray/src/serving/cold_wait.ts
@@ -22,20 +22,11 @@
   targets: readonly ColdTarget[],
   nowMs: number,
 ): ColdSearch {
-  const ahead = cold.enterWait(call, queueOf(call));
+  const { service, head, deadlineAtMs } = call;
+  const queue = JSON.stringify([service, head.model]);
+  const ahead = cold.enterWait(call, queue);
   const waitMs = cold.waitMs(targets, { ahead, nowMs });
-  const canWait = waitMs <= (call.deadlineAtMs - nowMs) * WAIT_PART;
+  const canWait = waitMs <= (deadlineAtMs - nowMs) * WAIT_PART;
   const stepMs = Math.max(MIN_STEP_MS, Math.min(waitMs, MAX_STEP_MS));
   return { kind: "cold", waitMs, ...(canWait ? { stepMs } : {}) };
 }
-
-/** Takes note that a request no longer waits for a cold instance. */
-export function endColdWait(
-  { call, dependencies: { cold } }: AttemptsOptions,
-): void {
-  cold.leaveWait(call, queueOf(call));
-}
-
-function queueOf({ service, head }: AttemptsOptions["call"]): string {
-  return JSON.stringify([service, head.model]);
-}
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -6,7 +6,7 @@
   mayAttemptAfterThis,
 } from "./attempt_progress.ts";
 import type { AbandonReason } from "./stall_watch.ts";
-import { type ColdSearch, endColdWait, planColdWait } from "./cold_wait.ts";
+import { type ColdSearch, planColdWait } from "./cold_wait.ts";
 import type { BarReason } from "./call_context.ts";
 import {
   chooseTarget,
@@ -64,7 +64,11 @@
       if (nowMs - startedAtMs >= waitMs) return search;
       yield* Effect.sleep(WAIT_STEP_MS);
     }
-  }).pipe(Effect.ensuring(Effect.sync(() => endColdWait(options))));
+  }).pipe(
+    Effect.ensuring(
+      Effect.sync(() => options.dependencies.cold.leaveWait(options.call)),
+    ),
+  );
 }
 
 /** A stream that has begun goes wherever it can. */
@@ -153,7 +157,11 @@
     progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
   ) return;
   if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return;
-  const choice = createChoice(options, progress, nowMs);
+  const choice: TargetChoice = {
+    ...createChoice(options, progress, nowMs),
+    // One token would let all requests of a head leave for the same instance.
+    mayTake: (target) => dependencies.cold.isWarm(target, nowMs),
+  };
   const target = chooseTarget(choice);
   if (target === undefined || !isPreferred(target, choice)) return;
   const { loads, repeats } = dependencies;
