Keep the words of the test caller with the fakes

Cause: check_platform.js names host_world.ts, which holds the configuration and headers that the caller of the process tests sends.

Measured: check_platform passes.

--- a/packages/cli/src/local/evacuation_process_test.ts
+++ b/packages/cli/src/local/evacuation_process_test.ts
@@ -1,16 +1,14 @@
-import type { FakePlatform } from "@celerytray/fakes";
+import { callStream, type FakePlatform, WHOLE_STREAM } from "@celerytray/fakes";
 import { expect } from "earl";
 import { once } from "node:events";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
-  callStream,
   findLeads,
   type HostProcess,
   startProcess,
   startWorld,
   WAIT,
-  WHOLE_STREAM,
 } from "./host_world.ts";
 import { waitUntil } from "./wait_until.ts";
 
--- a/packages/cli/src/local/host_process_test.ts
+++ b/packages/cli/src/local/host_process_test.ts
@@ -1,16 +1,14 @@
+import { callStream, STREAM_CONFIG, WHOLE_STREAM } from "@celerytray/fakes";
 import { validateLogEvents } from "@celerytray/schema/log_event_validator";
 import { expect } from "earl";
 import { once } from "node:events";
 import { describe, it } from "node:test";
 import {
-  callStream,
-  CONFIG,
   findLeads,
   type HostProcess,
   logs,
   startWorld,
   WAIT,
-  WHOLE_STREAM,
 } from "./host_world.ts";
 import { waitUntil } from "./wait_until.ts";
 
@@ -93,7 +91,7 @@
   it("refuse a key that was taken away, though the lead alone reads it", async () => {
     const { platform, processes } = await startWorld();
     platform.publishConfig({
-      ...CONFIG,
+      ...STREAM_CONFIG,
       version: 2,
       tenants: [{ name: "o", api_keys: ["key-2"] }],
     });
--- a/packages/cli/src/local/host_world.ts
+++ b/packages/cli/src/local/host_world.ts
@@ -1,7 +1,6 @@
-import { FakePlatform } from "@celerytray/fakes";
+import { callStream, FakePlatform, STREAM_CONFIG } from "@celerytray/fakes";
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after } from "node:test";
@@ -12,36 +11,6 @@
 const PROGRAM = fileURLToPath(new URL("../host_main.js", import.meta.url));
 export const WAIT = { timeoutMs: 20_000 };
 const GRACE_S = 4;
-const MODEL = "m0";
-const KEY = "key-1";
-export const CONFIG = {
-  version: 1,
-  routes: [{
-    name: "drafts",
-    host: "a.example",
-    path_prefix: "/drafts/",
-    kind: "streaming",
-    resumable: true,
-    max_attempts: 2,
-    timeout_ms: 8_000,
-    target_latency_ms: 400,
-    service: "drafts",
-  }],
-  services: [{
-    name: "drafts",
-    engine: {
-      slots: 8,
-      loads_per_s: 50,
-      loads_at_once: 8,
-      models: [{ name: MODEL, size: 2, load_s: 0.2, warm_s: 0.1 }],
-    },
-  }],
-  tenants: [{ name: "o", api_keys: [KEY] }],
-};
-export const WHOLE_STREAM = [0, 1, 2, 3, 4].map((id) =>
-  `id: ${id}\ndata: ${id}\n\n`
-)
-  .join("");
 const closers: (() => unknown)[] = [];
 /** What the processes of all tests have logged. */
 export const logs: (() => string)[] = [];
@@ -65,7 +34,7 @@
   const platform = new FakePlatform();
   closers.push(() => platform.stop());
   const storeAddress = await platform.start();
-  platform.publishConfig(CONFIG);
+  platform.publishConfig(STREAM_CONFIG);
   for (const domain of domains) {
     for (let index = 0; index < 5; index++) {
       await platform.startInstance(`i-${domain}-${index}`, domain);
@@ -143,41 +112,3 @@
   }
   return leads;
 }
-
-export interface StreamAnswer {
-  readonly status: number;
-  readonly body: string;
-}
-
-export function callStream(
-  address: string,
-  callId: string,
-): Promise<StreamAnswer> {
-  const [host, port] = address.split(":");
-  return new Promise((resolve, reject) => {
-    const sent = request({
-      host,
-      port: Number(port),
-      path: "/drafts/x",
-      method: "POST",
-      agent: false,
-      headers: {
-        host: "a.example",
-        "attempt-id": callId,
-        "deadline-ms": "8000",
-        "x-api-key": KEY,
-        model: MODEL,
-      },
-    }, (response) => {
-      let body = "";
-      response.on("data", (chunk) => body += String(chunk));
-      response.on("error", () => {});
-      response.on(
-        "close",
-        () => resolve({ status: response.statusCode ?? 0, body }),
-      );
-    });
-    sent.on("error", reject);
-    sent.end("prompt");
-  });
-}
