--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -31,6 +31,7 @@
   BackoffTracker,
   BudgetTracker,
   type CallCodec,
+  findHomeProblems,
   LoadTracker,
   PaceTracker,
   QueueWaits,
@@ -44,6 +45,8 @@
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { ConfigView } from "./config_view.ts";
 import { countStoreCalls } from "./count_store_calls.ts";
+import { createZoneRules } from "./create_zone_rules.ts";
+import { createColdRules } from "./create_cold_rules.ts";
 import { createRandom } from "./create_random.ts";
 import { drainCallers } from "./drain_callers.ts";
 import { followStore } from "./follow_store.ts";
@@ -145,8 +148,10 @@
       onAdopted: (version, offset) => {
         record("config.adopted", { version, offset });
         coordinator.noteChange();
-        const limits = config.index?.config.limits;
-        if (limits !== undefined) servers.callers?.setTimeouts(limits);
+        const adopted = config.index!.config;
+        const problems = findHomeProblems(adopted, settings.zoneRegions);
+        if (problems !== undefined) record("config.homes", { ...problems });
+        servers.callers?.setTimeouts(adopted.limits);
       },
       onMalformed: (message, offset) =>
         record("config.malformed", { message, offset }),
@@ -164,6 +169,7 @@
       instancesCopy.apply(change);
       coordinator.noteChange();
       instances.apply(change, nowMs());
+      cold.noteList(change);
       const isPresent = (id: string) => instances.find(id) !== undefined;
       loads.keepOnly(isPresent);
       paces.keepOnly(isPresent);
@@ -171,8 +177,35 @@
       backoffs.keepOnly(isPresent, nowMs());
     };
     const configCopy = new TopicCopy();
+    const cold = createColdRules({
+      processId: settings.nodeId,
+      bounds: {
+        overshoot: settings.coldOvershoot,
+        slackRequests: settings.coldSlackRequests,
+      },
+      instances,
+      coldOf: (service) => config.index?.config.services.get(service)?.cold,
+      coordinator: () => coordinator,
+      hasTraffic: () => state.hasTraffic,
+      metrics,
+      record,
+      nowMs,
+      wallMs: () => clock.currentTimeMillisUnsafe(),
+    });
+    const zones = createZoneRules({
+      prefix: ports.evacuationPrefix,
+      copy: configCopy,
+      instances,
+      loads,
+      metrics,
+      record,
+      nowMs,
+      onRestored: cold.noteRestored,
+    });
     const applyConfig = (change: KeyedChange) => {
       configCopy.apply(change);
+      // Before the configuration, so that a start never serves without it.
+      if (change.records.length > 0 || change.isWhole) zones.update();
       config.apply(change);
       keys.noteProof(change.freshAtMs);
     };
@@ -237,6 +270,8 @@
           demand: (model) => coordinator.totalDemand(model),
           hasTraffic: () => coordinator.hasAnyTraffic(),
           drainMs: settings.drainMs,
+          onColdTold: cold.noteReported,
+          isEvacuated: (zone) => zones.evacuations.isEvacuated(zone),
           isBackingOff: (instanceId) =>
             backoffs.isBackingOff(instanceId, nowMs()),
           onLeaving: (instanceId) => {
@@ -250,8 +285,9 @@
     const targets = new TargetLists({
       instances,
       closedHeads: () => coordinator.listClosedHeads(),
-      slotsOf: (service) =>
-        config.index?.config.services.get(service)?.engine?.slots,
+      services: () => config.index?.config.services,
+      evacuations: zones.evacuations,
+      zoneRegions: settings.zoneRegions,
     });
 
     yield* followStore({
@@ -270,6 +306,7 @@
     });
     const loops: Readonly<Record<string, Effect.Effect<unknown>>> = {
       coordination: coordinator.run(),
+      "counting of processes": cold.run,
       "proof of keys": proveKeys({ log, config, keys, state, record }),
       "measuring of lag": measureLag(pressure.lag, record),
       "moving of requests": moveAttempts({
@@ -291,8 +328,11 @@
       zone: settings.zone,
       index: () => config.index,
       areKeysFresh: () => keys.isFresh(),
-      listTargets: (service, model) => targets.list(service, model),
+      listTargets: (service, model, homes) =>
+        targets.list(service, model, homes),
+      findBar: (service, homes) => targets.findBar(service, homes),
       loads,
+      cold: cold.allowance,
       backoffs,
       stalls,
       paces,
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -1,6 +1,7 @@
 import type { Agent } from "node:http";
 import type { BudgetTracker } from "./budget_tracker.ts";
 import type { CallCodec, CallHead } from "./call.ts";
+import type { ColdAllowance } from "./cold_allowance.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { HeldBytes } from "./held_bytes.ts";
 import type { LoadTracker } from "./load_tracker.ts";
@@ -25,8 +26,16 @@
   readonly listTargets: (
     service: string,
     model: string | undefined,
+    homes: readonly string[] | undefined,
   ) => readonly ServingTarget[];
+  /** Why no instance of a service may get a call; undefined if one may. */
+  readonly findBar: (
+    service: string,
+    homes: readonly string[] | undefined,
+  ) => BarReason | undefined;
   readonly loads: LoadTracker;
+  /** What cold instances may get from this process. */
+  readonly cold: ColdAllowance;
   readonly backoffs: BackoffTracker;
   readonly stalls: StallWatch;
   readonly paces: PaceTracker;
@@ -62,6 +71,9 @@
  */
 export type WithheldReason = "left" | "deadline" | "lag" | "memory";
 
+/** Why a request may go to none of a service's instances. */
+export type BarReason = "evacuated" | "not-at-home";
+
 /** What a request counts for. */
 export interface DemandSource {
   readonly model: string;
@@ -105,6 +117,8 @@
   readonly service: string;
   readonly tenant?: string;
   readonly priority: number;
+  /** Regions whose instances may get it; undefined for all. */
+  readonly homes?: readonly string[];
   readonly body: Buffer;
   readonly arrivedAtMs: number;
   /** Whether its target time had passed before it came, as with a repeat. */
--- a/packages/celerytray/src/serving/choose_target_test.ts
+++ b/packages/celerytray/src/serving/choose_target_test.ts
@@ -122,6 +122,7 @@
       targets,
       loads,
       zone,
+      mayTake: () => true,
       isBackingOff: () => false,
       isSilent: () => false,
       isSlow: () => false,
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -6,7 +6,8 @@
   mayAttemptAfterThis,
 } from "./attempt_progress.ts";
 import type { AbandonReason } from "./stall_watch.ts";
-import type { ServingDependencies } from "./call_context.ts";
+import { type ColdSearch, planColdWait } from "./cold_wait.ts";
+import type { BarReason } from "./call_context.ts";
 import {
   chooseTarget,
   isPreferred,
@@ -31,6 +32,9 @@
   | { readonly kind: "full" }
   /** Every one that could take it asked for time. */
   | { readonly kind: "backing-off"; readonly backoffMs: number }
+  /** None may get it, now or soon. */
+  | ColdSearch
+  | { readonly kind: "barred"; readonly reason: BarReason }
   | { readonly kind: "none" };
 
 /** Waits shortly for a target, if there is none now. */
@@ -44,7 +48,12 @@
     while (true) {
       const nowMs = yield* steadyMs;
       const search = searchTarget(options, progress, nowMs);
-      if (search.kind === "found") return search;
+      if (search.kind === "found" || search.kind === "barred") return search;
+      if (search.kind === "cold") {
+        if (search.stepMs === undefined) return search;
+        yield* Effect.sleep(search.stepMs);
+        continue;
+      }
       if (search.kind === "backing-off" && !hasBegun(options, progress)) {
         return search;
       }
@@ -55,7 +64,11 @@
       if (nowMs - startedAtMs >= waitMs) return search;
       yield* Effect.sleep(WAIT_STEP_MS);
     }
-  });
+  }).pipe(
+    Effect.ensuring(
+      Effect.sync(() => options.dependencies.cold.leaveWait(options.call)),
+    ),
+  );
 }
 
 /** A stream that has begun goes wherever it can. */
@@ -67,7 +80,7 @@
   const { call, dependencies } = options;
   const choice = createChoice(options, progress, nowMs);
   const target = chooseTarget(choice);
-  if (target === undefined) return explainNoTarget(choice, dependencies);
+  if (target === undefined) return explainNoTarget(choice, options);
   if (!call.route.isStream || hasBegun(options, progress)) {
     return { kind: "found", target };
   }
@@ -87,10 +100,17 @@
 }
 
 function explainNoTarget(
-  { targets, tried, nowMs }: TargetChoice,
-  { backoffs }: ServingDependencies,
+  { targets, tried, isBackingOff, nowMs }: TargetChoice,
+  options: AttemptsOptions,
 ): TargetSearch {
+  const { call, dependencies: { backoffs, findBar } } = options;
+  const reason = targets.length > 0
+    ? undefined
+    : findBar(call.service, call.homes);
+  if (reason !== undefined) return { kind: "barred", reason };
   const untried = targets.filter(({ instanceId }) => !tried.has(instanceId));
+  const cold = untried.filter(({ instanceId }) => !isBackingOff(instanceId));
+  if (cold.length > 0) return planColdWait(options, cold, nowMs);
   const backoffMs = backoffs.shortestBackoffMs(
     untried.map(({ instanceId }) => instanceId),
     nowMs,
@@ -105,11 +125,16 @@
 ): TargetChoice {
   const { stalls, paces, backoffs } = dependencies;
   return {
-    targets: dependencies.listTargets(call.service, call.head.model),
+    targets: dependencies.listTargets(
+      call.service,
+      call.head.model,
+      call.homes,
+    ),
     loads: dependencies.loads,
     zone: dependencies.zone,
     hasConnection: dependencies.hasConnection,
     isBackingOff: (id) => backoffs.isBackingOff(id, nowMs),
+    mayTake: (target) => dependencies.cold.mayTake(target, nowMs),
     isSilent: (id) => stalls.isSilent(id, nowMs),
     isSlow: (target) => paces.isSlow(target, nowMs),
     tried: progress.tried,
@@ -132,7 +157,11 @@
     progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
   ) return false;
   if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return false;
-  const choice = createChoice(options, progress, nowMs);
+  const choice: TargetChoice = {
+    ...createChoice(options, progress, nowMs),
+    // One token would let all requests of a head leave for the same instance.
+    mayTake: (target) => dependencies.cold.isWarm(target, nowMs),
+  };
   const target = chooseTarget(choice);
   if (target === undefined || !isPreferred(target, choice)) return false;
   const { loads, repeats } = dependencies;
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -8,14 +8,19 @@
 } from "./call.ts";
 export { BudgetTracker } from "./budget_tracker.ts";
 export type {
+  BarReason,
   CallRecord,
   ServingDependencies,
   WithheldReason,
 } from "./call_context.ts";
 export { CallerExchange, type OwnAnswer } from "./caller_exchange.ts";
 export { chooseTarget, type ServingTarget } from "./choose_target.ts";
+export { ColdAllowance, type ColdBounds } from "./cold_allowance.ts";
+export { ColdTracker } from "./cold_tracker.ts";
+export { ProcessCount } from "./process_count.ts";
 export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
 export { HeldBytes } from "./held_bytes.ts";
+export { findHomeProblems, type HomeProblems } from "./homes.ts";
 export { LoadTracker } from "./load_tracker.ts";
 export { PaceTracker } from "./pace_tracker.ts";
 export { MAX_LAG_MS, type ProcessLag } from "./process_lag.ts";
@@ -31,6 +36,7 @@
 export { serveCall } from "./serve_call.ts";
 export type {
   CallerLimits,
+  ColdStart,
   EngineSpec,
   Repeatability,
   RouteTarget,
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -12,6 +12,7 @@
   ServingDependencies,
 } from "./call_context.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
+import { intersectHomes } from "./homes.ts";
 import { runAttempts } from "./run_attempts.ts";
 import type { HeldBody } from "./held_bytes.ts";
 import { refuseWhileBehind } from "./process_lag.ts";
@@ -190,6 +191,7 @@
     service: selectService(route, head.id),
     priority: Math.min(MAX_PRIORITY, route.priority),
     configVersion: config.version,
+    ...describeHomes(intersectHomes(route, undefined)),
   };
   if (config.tenants === undefined || route.isPublic) return Right(admission);
   if (!areKeysFresh) return Left(staleAnswer);
@@ -202,6 +204,7 @@
   return Right({
     ...admission,
     tenant: tenant.name,
+    ...describeHomes(intersectHomes(route, tenant)),
     priority: Math.min(MAX_PRIORITY, tenant.priority ?? route.priority),
   });
 }
@@ -228,6 +231,12 @@
   return Right({ ...admission, isLate, deadlineAtMs: nowMs + remainingMs });
 }
 
+function describeHomes(
+  homes: readonly string[] | undefined,
+): Pick<Admission, "homes"> {
+  return homes === undefined ? {} : { homes };
+}
+
 /** Hands over the final answer. */
 function finish(
   exchange: CallerExchange,
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -163,6 +163,10 @@
   readonly timeoutMs?: number;
   readonly held?: ServingDependencies["held"];
   readonly onWithheld?: ServingDependencies["onWithheld"];
+  readonly findBar?: ServingDependencies["findBar"];
+  readonly cold?: ServingDependencies["cold"];
+  /** Regions of all routes and of the organisation. */
+  readonly homes?: Readonly<Record<"route" | "tenant", readonly string[]>>;
 }
 
 /** Starts an entry on a port of its own. */
@@ -181,13 +185,21 @@
 }
 
 function createEntry(options: EntryOptions): RequestListener {
-  const { backends, isConfigured, areKeysFresh, trySpend, timeoutMs, ...own } =
-    options;
+  const {
+    backends,
+    isConfigured,
+    areKeysFresh,
+    trySpend,
+    timeoutMs,
+    homes,
+    ...own
+  } = options;
   const index = new ServingIndex({
     version: 1,
     routes: ROUTES.map((route) => ({
       ...route,
       timeoutMs: timeoutMs ?? route.timeoutMs,
+      ...(homes === undefined ? {} : { homes: homes.route }),
     })),
     services: new Map(),
     limits: {
@@ -196,7 +208,11 @@
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
-    tenants: [{ name: "tenant-1", keys: [KEY] }],
+    tenants: [{
+      name: "tenant-1",
+      keys: [KEY],
+      ...(homes === undefined ? {} : { homes: homes.tenant }),
+    }],
   });
   const records: CallRecord[] = [];
   const dependencies = createTestDependencies({
