Queue requests of a congested model in the process

Cause: nearly all requests were admitted, so that they waited in the queues of the instances, which do not order by organisation or remaining time, and full instances rejected 1,058 of 11,272 arrivals.

Change: each process limits its requests in progress for a model by additive increase and multiplicative decrease while Replica-Load or rejections tell of congestion. What exceeds the limit waits in serving/admission: organisations within their max-min share first, then in-time, rank, slack. Requests that can't make their deadline are refused at once, with a time of return from the queue's rate. Models without a replica are refused at once where the lead tells the expected time. Without congestion nothing changes.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -165,6 +165,14 @@
       : undefined;
   }
 
+  /** Time since the lead said what this process knows; undefined while not fresh. */
+  statusAgeMs(): number | undefined {
+    const nowMs = this.#nowMs();
+    return this.#status.isFresh(nowMs)
+      ? this.#status.silentMs(nowMs)
+      : undefined;
+  }
+
   /** Time until a model without a replica is to have one; undefined if not told. */
   expectedMs(model: string): number | undefined {
     const nowMs = this.#nowMs();
--- /dev/null
+++ b/packages/celerytray/src/host/create_admission.ts
@@ -0,0 +1,59 @@
+import type { Coordinator } from "../coordination/index.ts";
+import type { MetricsPage } from "../journal/index.ts";
+import {
+  CallAdmission,
+  type HeadRoom,
+  type LoadTracker,
+  type ServingTarget,
+} from "../serving/index.ts";
+
+/** What the admission of a process reads and writes. */
+export interface AdmissionSources {
+  readonly coordinator: Pick<
+    Coordinator,
+    "demandTotals" | "expectedMs" | "statusAgeMs"
+  >;
+  readonly loads: LoadTracker;
+  readonly metrics: MetricsPage;
+  readonly listTargets: (
+    service: string,
+    model: string | undefined,
+  ) => readonly ServingTarget[];
+}
+
+/** Creates the admission of a process, with its metrics. */
+export function createAdmission(
+  { coordinator, loads, metrics, listTargets }: AdmissionSources,
+): CallAdmission {
+  const refusals = metrics.addCounter({
+    name: "celerytray_admission_refusals_total",
+    help: "Requests refused by the queue of their model, by reason",
+    labelNames: ["reason", "model"],
+  });
+  const admission = new CallAdmission({
+    tenantTotals: () => coordinator.demandTotals()?.byTenant,
+    totalsAgeMs: () => coordinator.statusAgeMs(),
+    expectedMs: (model) => coordinator.expectedMs(model),
+    headRoom: ({ service, model }, nowMs) =>
+      findRoom(listTargets(service, model), loads, nowMs),
+    onRefused: ({ head }, { reason }) =>
+      refusals.inc({ reason, model: head.model ?? "" }),
+  });
+  metrics.addGauge(
+    "celerytray_admission_waiting",
+    "Requests that wait for a replica of their model",
+    () => admission.waiting,
+  );
+  return admission;
+}
+
+function findRoom(
+  targets: readonly ServingTarget[],
+  loads: LoadTracker,
+  nowMs: number,
+): HeadRoom {
+  if (targets.length === 0) return "no-heads";
+  const isFull = ({ instanceId, slots }: ServingTarget) =>
+    loads.estimate(instanceId, nowMs) >= slots;
+  return targets.some(isFull) ? "some-full" : "all-free";
+}
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -43,6 +43,7 @@
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { ConfigView } from "./config_view.ts";
 import { countStoreCalls } from "./count_store_calls.ts";
+import { createAdmission } from "./create_admission.ts";
 import { createRandom } from "./create_random.ts";
 import { drainCallers } from "./drain_callers.ts";
 import { followStore } from "./follow_store.ts";
@@ -269,12 +270,15 @@
       yield* Effect.forkScoped(keepRunning(loop, { name, record }));
     }
 
+    const listTargets: ServingDependencies["listTargets"] = (service, model) =>
+      targets.list(service, model);
     const dependencies: ServingDependencies = {
       codec: ports.codec,
       zone: settings.zone,
       index: () => config.index,
       areKeysFresh: () => keys.isFresh(),
-      listTargets: (service, model) => targets.list(service, model),
+      listTargets,
+      admission: createAdmission({ coordinator, loads, metrics, listTargets }),
       loads,
       backoffs,
       stalls,
--- /dev/null
+++ b/packages/celerytray/src/serving/admission/admission_queue_test.ts
@@ -0,0 +1,242 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+import {
+  AdmissionQueue,
+  type AdmissionRequest,
+  type AdmissionTicket,
+  type HeadRoom,
+} from "./admission_queue.ts";
+
+const SEED = 71;
+const BUDGET_MS = 4_000;
+let requests = 0;
+
+function createRequest(
+  own: Partial<AdmissionRequest> & { readonly nowMs?: number } = {},
+): AdmissionRequest {
+  const { nowMs = 0, ...fields } = own;
+  requests += 1;
+  return {
+    requestId: `r-${requests}`,
+    tenant: "a",
+    priority: 0,
+    targetAtMs: nowMs + 500,
+    deadlineAtMs: nowMs + BUDGET_MS,
+    wasRefused: false,
+    arrivedAtMs: nowMs,
+    ...fields,
+  };
+}
+
+function createQueue(
+  totals?: Readonly<Record<string, number>>,
+  room: HeadRoom = "some-full",
+): AdmissionQueue {
+  return new AdmissionQueue({
+    tenantTotals: () => totals,
+    headRoom: () => room,
+  });
+}
+
+/** A queue whose limit is in force with all its places taken. */
+function createFullQueue(
+  places: number,
+  totals?: Readonly<Record<string, number>>,
+) {
+  const queue = createQueue(totals);
+  const started = Array.from(
+    { length: places },
+    () => queue.startAtOnce(createRequest({ tenant: "held" }), 0),
+  );
+  queue.noteCongested(0);
+  return { queue, started };
+}
+
+function endOne(
+  queue: AdmissionQueue,
+  started: AdmissionTicket[],
+  nowMs: number,
+): readonly AdmissionTicket[] {
+  queue.end(started.shift()!, { isServed: true }, nowMs);
+  const settled = queue.advance(nowMs);
+  started.push(...settled.filter(({ state }) => state === "started"));
+  return settled;
+}
+
+describe("AdmissionQueue", () => {
+  it("lets requests wait only while congestion is reported", () => {
+    const { queue } = createFullQueue(2);
+    expect(queue.offer(createRequest(), 10).state).toEqual("waiting");
+    expect(queue.advance(400).length).toEqual(0);
+    expect(queue.isInForce(2_999)).toEqual(true);
+    expect(queue.isInForce(3_000)).toEqual(false);
+    expect(queue.advance(3_000).length).toEqual(1);
+    expect(queue.offer(createRequest(), 3_001).state).toEqual("started");
+  });
+
+  it("sends in the order of in-time, rank, slack and refusals before", () => {
+    const { queue, started } = createFullQueue(1);
+    const late = createRequest({ targetAtMs: 5 });
+    const low = createRequest({ priority: 2 });
+    const slack = createRequest({ targetAtMs: 900 });
+    const first = createRequest();
+    const refused = createRequest({ wasRefused: true });
+    const offered = [late, low, slack, first, refused];
+    for (const request of offered) queue.offer(request, 10);
+    const order = offered.flatMap(() => endOne(queue, started, 20));
+    expect(order.map(({ request }) => request))
+      .toEqual([refused, first, slack, low, late]);
+  });
+
+  it("lets an organisation above its share yield, though its rank is first", () => {
+    const totals = { big: 300, small: 10, other: 10 };
+    const { queue, started } = createFullQueue(4, totals);
+    for (let index = 0; index < 20; index++) {
+      queue.offer(createRequest({ tenant: "big" }), 10);
+    }
+    for (let index = 0; index < 4; index++) endOne(queue, started, 20);
+    const small = queue.offer(
+      createRequest({ tenant: "small", priority: 5 }),
+      30,
+    );
+    endOne(queue, started, 40);
+    expect(small.state).toEqual("started");
+  });
+
+  it("gives idle places to an organisation above its share", () => {
+    const { queue, started } = createFullQueue(3, { big: 900 });
+    for (let index = 0; index < 9; index++) {
+      queue.offer(createRequest({ tenant: "big" }), 10);
+    }
+    for (let index = 0; index < 9; index++) {
+      expect(endOne(queue, started, 20).length).toEqual(1);
+    }
+  });
+
+  it("refuses at once what its deadline leaves no time for", () => {
+    const { queue, started } = createFullQueue(1);
+    endOne(queue, started, 1_000);
+    started.push(queue.startAtOnce(createRequest(), 1_000));
+    const states = [1, 2, 3, 4].map(() =>
+      queue.offer(createRequest({ nowMs: 1_000 }), 1_000).state
+    );
+    expect(states).toEqual(["waiting", "waiting", "waiting", "refused"]);
+  });
+
+  it("names a time of return that the caller honours", () => {
+    const { queue, started } = createFullQueue(1);
+    endOne(queue, started, 1_000);
+    started.push(queue.startAtOnce(createRequest(), 1_000));
+    const offered = Array.from(
+      { length: 20 },
+      () => queue.offer(createRequest({ nowMs: 1_000 }), 1_000),
+    );
+    const times = offered.flatMap(({ refusal }) => refusal?.retryAfterMs ?? []);
+    expect(times.length > 10).toEqual(true);
+    expect(times.every((ms) => ms >= 200 && ms <= BUDGET_MS / 3))
+      .toEqual(true);
+    expect(new Set(times).size > 5).toEqual(true);
+  });
+
+  it("refuses a waiting request once it can't be answered any more", () => {
+    const { queue } = createFullQueue(2);
+    const request = createRequest({ deadlineAtMs: 300 });
+    const ticket = queue.offer(request, 10);
+    expect(queue.advance(301)).toEqual([ticket]);
+    expect(ticket.refusal?.reason).toEqual("time-over");
+    expect(queue.demand).toEqual({ inProgress: 2, waiting: 0 });
+  });
+
+  it("sends a late request after a second of in-time ones", () => {
+    const { queue, started } = createFullQueue(1);
+    const late = queue.offer(
+      createRequest({ targetAtMs: 1, deadlineAtMs: 2_200 }),
+      10,
+    );
+    let lateAfter = 0;
+    for (let nowMs = 20; late.state === "waiting"; nowMs += 20) {
+      queue.noteCongested(nowMs);
+      queue.offer(createRequest({ nowMs }), nowMs);
+      endOne(queue, started, nowMs);
+      lateAfter = nowMs;
+    }
+    expect(late.state).toEqual("started");
+    expect(lateAfter >= 1_000 && lateAfter < 2_200).toEqual(true);
+  });
+
+  it("sends one more after a pause, as a signal may have been lost", () => {
+    const { queue } = createFullQueue(3);
+    const ticket = queue.offer(createRequest({ nowMs: 10 }), 10);
+    queue.advance(499);
+    expect(ticket.state).toEqual("waiting");
+    queue.advance(500);
+    expect(ticket.state).toEqual("started");
+  });
+
+  it("rises quickly once answers tell of free slots", () => {
+    const { queue, started } = createFullQueue(4);
+    for (let index = 0; index < 12; index++) queue.offer(createRequest(), 10);
+    for (let index = 0; index < 4; index++) {
+      queue.noteFree(0.5, 20);
+      started.push(...queue.advance(20));
+    }
+    expect(queue.demand.waiting).toEqual(0);
+  });
+
+  it("releases all that wait where the model has no heads left", () => {
+    const state: { room: HeadRoom } = { room: "some-full" };
+    const queue = new AdmissionQueue({
+      tenantTotals: () => undefined,
+      headRoom: () => state.room,
+    });
+    queue.startAtOnce(createRequest(), 0);
+    queue.noteCongested(0);
+    queue.offer(createRequest(), 10);
+    queue.offer(createRequest(), 10);
+    state.room = "no-heads";
+    expect(queue.advance(20).length).toEqual(2);
+  });
+
+  // Guards against places that are lost or counted twice.
+  it("keeps its counts whatever happens in which order", () => {
+    const step = fc.record({
+      kind: fc.constantFrom("offer", "at-once", "end", "congested", "free"),
+      tenant: fc.constantFrom("a", "b", "c"),
+      pick: fc.nat(50),
+      passedMs: fc.nat(300),
+    });
+    const property = fc.property(
+      fc.array(step, { maxLength: 120 }),
+      (steps) => {
+        const queue = createQueue({ a: 90, b: 10 });
+        const tickets: AdmissionTicket[] = [];
+        let nowMs = 0;
+        for (const { kind, tenant, pick, passedMs } of steps) {
+          nowMs += passedMs;
+          const request = createRequest({ tenant, nowMs });
+          if (kind === "offer") tickets.push(queue.offer(request, nowMs));
+          else if (kind === "at-once") {
+            tickets.push(queue.startAtOnce(request, nowMs));
+          } else if (kind === "congested") queue.noteCongested(nowMs);
+          else if (kind === "free") queue.noteFree(0.3, nowMs);
+          else if (tickets.length > 0) {
+            const ticket = tickets[pick % tickets.length]!;
+            queue.end(ticket, { isServed: pick % 2 === 0 }, nowMs);
+          }
+          queue.advance(nowMs);
+          const count = (state: string) =>
+            tickets.filter((ticket) => ticket.state === state).length;
+          expect(queue.demand).toEqual({
+            inProgress: count("started"),
+            waiting: count("waiting"),
+          });
+          expect(queue.limitAt(nowMs) >= 1).toEqual(true);
+          expect(queue.demand.waiting === 0 || queue.demand.inProgress > 0)
+            .toEqual(true);
+        }
+      },
+    );
+    fc.assert(property, { seed: SEED, numRuns: 200 });
+  });
+});
--- /dev/null
+++ b/packages/celerytray/src/serving/admission/call_admission_test.ts
@@ -0,0 +1,112 @@
+import { expect } from "earl";
+import { Effect, Fiber } from "effect";
+import { TestClock } from "effect/testing";
+import { describe, it } from "node:test";
+import type { AnswerHead } from "../call.ts";
+import { type AdmissionCall, CallAdmission } from "./call_admission.ts";
+
+const HEAD: AnswerHead = {
+  status: 200,
+  isNotRun: false,
+  isLeaving: false,
+  isStamped: true,
+  isEncoded: false,
+  isEventStream: true,
+  passedHeaders: [],
+};
+const CONGESTED: AnswerHead = {
+  ...HEAD,
+  load: { running: 4, waiting: 2, slots: 4 },
+};
+
+function createCall(id: string, model = "m"): AdmissionCall {
+  return {
+    head: { id, model },
+    service: "s",
+    priority: 0,
+    arrivedAtMs: 0,
+    targetAtMs: 500,
+    deadlineAtMs: 2_000,
+    wasRefused: false,
+  };
+}
+
+function createAdmission(): CallAdmission {
+  return new CallAdmission({
+    tenantTotals: () => undefined,
+    totalsAgeMs: () => undefined,
+    expectedMs: () => undefined,
+    headRoom: () => "some-full",
+    onRefused: () => {},
+  });
+}
+
+function runTest(test: Effect.Effect<void>): Promise<void> {
+  return Effect.runPromise(test.pipe(Effect.provide(TestClock.layer())));
+}
+
+describe("CallAdmission", () => {
+  it("queues for one model without delaying another", () => {
+    const admission = createAdmission();
+    const first = createCall("1");
+    admission.noteStarted(first, 0);
+    admission.noteHead(first, CONGESTED, 0);
+    expect(admission.mustWait(createCall("2"), 0)).toEqual(true);
+    expect(admission.mustWait(createCall("3", "other"), 0)).toEqual(false);
+  });
+
+  it("takes a rejection by a full instance for congestion, no other one", () => {
+    const heads: [AnswerHead, boolean][] = [
+      [{ ...HEAD, status: 503, isNotRun: true }, true],
+      [{ ...HEAD, status: 421, isNotRun: true }, false],
+      [{ ...HEAD, status: 503, isNotRun: true, isLeaving: true }, false],
+      [{ ...HEAD, status: 503, isNotRun: true, backoffMs: 900 }, false],
+      [HEAD, false],
+      [{ ...HEAD, load: { running: 4, waiting: 0, slots: 4 } }, false],
+    ];
+    for (const [head, isCongested] of heads) {
+      const admission = createAdmission();
+      const first = createCall("1");
+      admission.noteStarted(first, 0);
+      admission.noteHead(first, head, 0);
+      expect(admission.mustWait(createCall("2"), 0)).toEqual(isCongested);
+    }
+  });
+
+  it("sends the next when one ends, and forgets callers that left", () =>
+    runTest(Effect.gen(function* () {
+      const admission = createAdmission();
+      const first = createCall("1");
+      admission.noteStarted(first, 0);
+      admission.noteHead(first, CONGESTED, 0);
+      const left = createCall("2");
+      const leftFiber = yield* Effect.forkChild(admission.awaitTurn(left));
+      const next = createCall("3");
+      const nextFiber = yield* Effect.forkChild(admission.awaitTurn(next));
+      yield* Effect.yieldNow;
+      expect(admission.waiting).toEqual(2);
+      yield* Fiber.interrupt(leftFiber);
+      admission.end(left, { isServed: false }, 0);
+      expect(admission.waiting).toEqual(1);
+      admission.end(first, { isServed: true }, 0);
+      expect(yield* Fiber.join(nextFiber)).toEqual(undefined);
+      expect(admission.isAdmitted(next)).toEqual(true);
+    })));
+
+  it("answers a waiting call by itself when its time is over", () =>
+    runTest(Effect.gen(function* () {
+      const admission = createAdmission();
+      // Several in progress, which end only after the deadline.
+      const held = ["1", "2", "3", "4", "5", "6"].map((id) => createCall(id));
+      for (const call of held) admission.noteStarted(call, 0);
+      const call = { ...createCall("7"), deadlineAtMs: 400 };
+      admission.noteHead(held[0]!, CONGESTED, 0);
+      const fiber = yield* Effect.forkChild(admission.awaitTurn(call));
+      yield* TestClock.adjust(350);
+      expect(fiber.pollUnsafe()).toEqual(undefined);
+      yield* TestClock.adjust(150);
+      const refusal = yield* Fiber.join(fiber);
+      expect(refusal?.reason).toEqual("time-over");
+      expect(admission.describe(call, 500)?.inProgress).toEqual(6);
+    })));
+});
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -1,4 +1,5 @@
 import type { Agent } from "node:http";
+import type { AdmissionRecord, CallAdmission } from "./admission/index.ts";
 import type { BudgetTracker } from "./budget_tracker.ts";
 import type { CallCodec, CallHead } from "./call.ts";
 import type { ServingTarget } from "./choose_target.ts";
@@ -29,6 +30,7 @@
   readonly paces: PaceTracker;
   readonly repeats: RepeatBudget;
   readonly budgets: BudgetTracker;
+  readonly admission: CallAdmission;
   readonly agentFor: (address: string) => Agent;
   readonly discardAgent: (address: string) => void;
   /** Whether a connection to an address is open and unused. */
@@ -81,6 +83,8 @@
   readonly durationMs: number;
   readonly firstByteMs?: number;
   readonly configVersion: number;
+  /** Its wait for a replica, and why that was no use; absent without one. */
+  readonly admission?: AdmissionRecord;
 }
 
 /** A call that may be forwarded. */
@@ -94,6 +98,10 @@
   readonly arrivedAtMs: number;
   /** Whether its target time had passed before it came, as with a repeat. */
   readonly isLate: boolean;
+  /** Whether its caller was refused before, by its shortened deadline. */
+  readonly wasRefused: boolean;
+  /** Time up to which an answer is on time. */
+  readonly targetAtMs: number;
   /** Time at which the caller or the route's bound gives up. */
   readonly deadlineAtMs: number;
   readonly configVersion: number;
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -1,5 +1,6 @@
 import { Agent } from "node:http";
 import { PlatformCallCodec } from "../platform/call_codec.ts";
+import { CallAdmission } from "./admission/index.ts";
 import { BudgetTracker } from "./budget_tracker.ts";
 import type { ServingDependencies } from "./call_context.ts";
 import { LoadTracker } from "./load_tracker.ts";
@@ -27,6 +28,13 @@
     stalls: new StallWatch(),
     paces: new PaceTracker(),
     budgets: new BudgetTracker(),
+    admission: new CallAdmission({
+      tenantTotals: () => undefined,
+      totalsAgeMs: () => undefined,
+      expectedMs: () => undefined,
+      headRoom: () => "some-full",
+      onRefused: () => {},
+    }),
     repeats: new RepeatBudget({
       share: 1,
       slackRequests: 100,
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -1,5 +1,6 @@
 import { Effect } from "effect";
 import { steadyMs } from "../clock/index.ts";
+import { type AdmissionRefusal, replicaReturnMs } from "./admission/index.ts";
 import {
   type AttemptProgress,
   type AttemptsOptions,
@@ -31,20 +32,40 @@
   | { readonly kind: "full" }
   /** Every one that could take it asked for time. */
   | { readonly kind: "backing-off"; readonly backoffMs: number }
+  /** It can't be sent before its deadline. */
+  | { readonly kind: "refused"; readonly refusal: AdmissionRefusal }
+  /** Its model has no replica for a known time. */
+  | { readonly kind: "no-replica"; readonly retryAfterMs: number }
   | { readonly kind: "none" };
 
-/** Waits shortly for a target, if there is none now. */
+/**
+ * Waits for a target: in the queue of the model while its concurrency limit is
+ * in force, otherwise shortly if there is none now.
+ */
 export function awaitTarget(
   options: AttemptsOptions,
   progress: AttemptProgress,
 ): Effect.Effect<TargetSearch> {
-  const { targetMs } = options.call.route;
+  const { call, dependencies: { admission } } = options;
+  const { targetMs, isStream } = call.route;
   return Effect.gen(function* () {
-    const startedAtMs = yield* steadyMs;
+    let startedAtMs = yield* steadyMs;
     while (true) {
       const nowMs = yield* steadyMs;
+      const mustWait = isStream && !hasBegun(options, progress) &&
+        admission.mustWait(call, nowMs);
+      if (mustWait) {
+        const refusal = yield* admission.awaitTurn(call);
+        if (refusal !== undefined) return { kind: "refused", refusal };
+        startedAtMs = yield* steadyMs;
+        continue;
+      }
       const search = searchTarget(options, progress, nowMs);
-      if (search.kind === "found") return search;
+      if (search.kind === "found") {
+        if (isStream) admission.noteStarted(call, nowMs);
+        return search;
+      }
+      if (search.kind === "no-replica") return search;
       if (search.kind === "backing-off" && !hasBegun(options, progress)) {
         return search;
       }
@@ -67,10 +88,15 @@
   const { call, dependencies } = options;
   const choice = createChoice(options, progress, nowMs);
   const target = chooseTarget(choice);
-  if (target === undefined) return explainNoTarget(choice, dependencies);
-  if (!call.route.isStream || hasBegun(options, progress)) {
-    return { kind: "found", target };
+  if (target === undefined) {
+    return hasBegun(options, progress)
+      ? explainNoTarget(choice, dependencies)
+      : findReplicaTime(options, choice, nowMs) ??
+        explainNoTarget(choice, dependencies);
   }
+  const goesAnyway = !call.route.isStream || hasBegun(options, progress) ||
+    dependencies.admission.isAdmitted(call);
+  if (goesAnyway) return { kind: "found", target };
   const work = dependencies.loads.estimateAtWorst(target.instanceId, nowMs);
   const places = target.slots * (call.isLate ? LATE_PART : 1);
   const isFull = work >= places;
@@ -86,6 +112,20 @@
     progress.lastEventId !== undefined;
 }
 
+/** When a model without a replica has one, if that is known. */
+function findReplicaTime(
+  { call, dependencies }: AttemptsOptions,
+  { targets }: TargetChoice,
+  nowMs: number,
+): TargetSearch | undefined {
+  if (targets.length > 0) return undefined;
+  const expectedMs = dependencies.admission.expectedMs(call);
+  if (expectedMs === undefined) return undefined;
+  const remainingMs = call.deadlineAtMs - nowMs;
+  const retryAfterMs = replicaReturnMs(expectedMs, remainingMs);
+  return { kind: "no-replica", retryAfterMs };
+}
+
 function explainNoTarget(
   { targets, tried, nowMs }: TargetChoice,
   { backoffs }: ServingDependencies,
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -6,6 +6,12 @@
   CallHead,
   InstanceLoad,
 } from "./call.ts";
+export {
+  CallAdmission,
+  type CallAdmissionOptions,
+  type HeadRoom,
+  type QueueKey,
+} from "./admission/index.ts";
 export { BudgetTracker } from "./budget_tracker.ts";
 export type { CallRecord, ServingDependencies } from "./call_context.ts";
 export { CallerExchange, type OwnAnswer } from "./caller_exchange.ts";
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -12,7 +12,9 @@
   mayRepeatAnswer,
   noteOutcome,
   refuseAsFull,
+  refuseInQueue,
   refuseWhileBackingOff,
+  refuseWithoutReplica,
   runOutOfTime,
   summarize,
 } from "./attempt_progress.ts";
@@ -61,6 +63,12 @@
       if (search.kind === "backing-off") {
         return refuseWhileBackingOff(options, progress, search.backoffMs);
       }
+      if (search.kind === "refused") {
+        return refuseInQueue(options, progress, search.refusal.retryAfterMs);
+      }
+      if (search.kind === "no-replica") {
+        return refuseWithoutReplica(options, progress, search.retryAfterMs);
+      }
       if (search.kind === "none") {
         return giveUp(options, progress, "No back end can take the request");
       }
@@ -147,7 +155,7 @@
         ? {}
         : { lastEventId: progress.lastEventId }),
       onHead: (head) =>
-        noteHead({ dependencies, target, head, nowMs: nowMs() }),
+        noteHead({ call, dependencies, target, head, nowMs: nowMs() }),
       onProgress: () => stalls.noteProgress(instanceId, nowMs()),
       onSent: () => progress.isCurrentSent = true,
       onStreamHead: (head) => {
@@ -177,6 +185,7 @@
 }
 
 interface NotedHead {
+  readonly call: AdmittedCall;
   readonly dependencies: ServingDependencies;
   readonly target: ServingTarget;
   readonly head: AnswerHead;
@@ -184,11 +193,14 @@
 }
 
 /** Takes note of what an answer's head tells of its instance. */
-function noteHead({ dependencies, target, head, nowMs }: NotedHead): void {
+function noteHead(
+  { call, dependencies, target, head, nowMs }: NotedHead,
+): void {
   const { instanceId } = target;
   const { loads, backoffs, onBackoff, onMalformedHead } = dependencies;
   if (head.isLeaving) dependencies.noteLeaving(target);
   if (head.load !== undefined) loads.noteLoad(instanceId, head.load, nowMs);
+  dependencies.admission.noteHead(call, head, nowMs);
   if (head.backoffMs !== undefined) {
     const backoffMs = backoffs.noteBackoff(instanceId, head.backoffMs, nowMs);
     onBackoff({ instanceId, askedMs: head.backoffMs, backoffMs });
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -3,6 +3,7 @@
 import { Left, Right } from "purify-ts";
 import { readSteadyMs, steadyMs } from "../clock/index.ts";
 import { readBody } from "../http/index.ts";
+import type { AdmissionEnd } from "./admission/index.ts";
 import type { AttemptsResult, AttemptsSummary } from "./attempt_progress.ts";
 import type { CallHead } from "./call.ts";
 import type {
@@ -18,6 +19,8 @@
 const NO_CONFIG_RETRY_MS = 500;
 const STALE_KEYS_RETRY_MS = 500;
 const MAX_PRIORITY = 9;
+/** Time missing from a usual budget that tells of a refusal before. */
+const MIN_REFUSED_PASSED_MS = 150;
 
 /** Serves one request of a caller. */
 export function serveCall(
@@ -74,7 +77,9 @@
       ...admission,
       body,
       isLate: passedMs >= route.targetMs,
+      wasRefused: passedMs >= MIN_REFUSED_PASSED_MS,
       arrivedAtMs,
+      targetAtMs: arrivedAtMs + route.targetMs - passedMs,
       deadlineAtMs: arrivedAtMs + boundMs,
     };
     dependencies.repeats.noteRequest(call.service, arrivedAtMs);
@@ -84,31 +89,47 @@
     };
     dependencies.noteDemand(source, 1);
     const clock = yield* Clock.Clock;
+    const describeCall = (summary: AttemptsSummary, endedAtMs: number) =>
+      describeAttempts(call, { dependencies, summary, endedAtMs });
     const onLeft = (summary: AttemptsSummary) =>
       dependencies.record({
-        ...describeCall(call, summary, readSteadyMs(clock)),
+        ...describeCall(summary, readSteadyMs(clock)),
         status: 0,
         outcome: "left",
       });
-    const result = yield* runAttempts({
-      call,
-      exchange,
-      dependencies,
-      onLeft,
-    }).pipe(
-      Effect.ensuring(
-        Effect.sync(() => dependencies.noteDemand(source, -1)),
-      ),
+    let end: AdmissionEnd = { isServed: false };
+    const serving = Effect.gen(function* () {
+      const result = yield* runAttempts({
+        call,
+        exchange,
+        dependencies,
+        onLeft,
+      });
+      const endedAtMs = yield* steadyMs;
+      end = describeEnd(result);
+      finish(exchange, call, result);
+      dependencies.record({
+        ...describeCall(result, endedAtMs),
+        ...describeResult(result),
+      });
+    });
+    yield* serving.pipe(
+      Effect.ensuring(Effect.sync(() => {
+        dependencies.noteDemand(source, -1);
+        dependencies.admission.end(call, end, readSteadyMs(clock));
+      })),
     );
-    const endedAtMs = yield* steadyMs;
-    finish(exchange, call, result);
-    dependencies.record(createRecord(call, result, endedAtMs));
   });
 }
 
 type Admission = Omit<
   AdmittedCall,
-  "body" | "arrivedAtMs" | "deadlineAtMs" | "isLate"
+  | "body"
+  | "arrivedAtMs"
+  | "targetAtMs"
+  | "deadlineAtMs"
+  | "isLate"
+  | "wasRefused"
 >;
 
 interface AdmissionOptions {
@@ -180,13 +201,19 @@
   }
 }
 
-function createRecord(
-  call: AdmittedCall,
+function describeEnd(
+  { kind, firstByteAtMs }: AttemptsResult,
+): AdmissionEnd {
+  return {
+    isServed: kind !== "given-up",
+    ...(firstByteAtMs === undefined ? {} : { firstByteAtMs }),
+  };
+}
+
+function describeResult(
   result: AttemptsResult,
-  endedAtMs: number,
-): CallRecord {
+): Pick<CallRecord, "status" | "outcome" | "reason"> {
   return {
-    ...describeCall(call, result, endedAtMs),
     status: result.kind === "answered"
       ? result.head.status
       : result.kind === "streamed"
@@ -204,11 +231,17 @@
 }
 
 /** What a record tells of a call however it ended. */
-function describeCall(
-  { head, route, service, arrivedAtMs, configVersion }: AdmittedCall,
-  { attempts, firstByteAtMs }: AttemptsSummary,
-  endedAtMs: number,
+function describeAttempts(
+  call: AdmittedCall,
+  { dependencies, summary, endedAtMs }: {
+    readonly dependencies: ServingDependencies;
+    readonly summary: AttemptsSummary;
+    readonly endedAtMs: number;
+  },
 ): Omit<CallRecord, "status" | "outcome" | "reason"> {
+  const { head, route, service, arrivedAtMs, configVersion } = call;
+  const { attempts, firstByteAtMs } = summary;
+  const admission = dependencies.admission.describe(call, endedAtMs);
   return {
     callId: head.id,
     route: route.name,
@@ -220,5 +253,6 @@
       ? {}
       : { firstByteMs: firstByteAtMs - arrivedAtMs }),
     configVersion,
+    ...(admission === undefined ? {} : { admission }),
   };
 }
