--- a/packages/celerytray/src/serving/admission/admission_queue.ts
+++ b/packages/celerytray/src/serving/admission/admission_queue.ts
@@ -31,6 +31,8 @@
   readonly offeredAtMs: number;
   state: "waiting" | "started" | "refused" | "ended";
   startedAtMs?: number;
+  /** Whether it could only be late when it was sent. */
+  isLate?: boolean;
   refusal?: AdmissionRefusal;
 }
 
@@ -56,10 +58,15 @@
 }
 
 /**
- * Time without a start after which one more request is sent while others
- * wait, so that a lost signal can't leave replicas idle.
+ * Time without a start, an end or a word on the load, after which one more
+ * request is sent, so that a lost signal can't leave replicas idle.
  */
 const PROBE_MS = 500;
+/**
+ * Factor on the limit for requests that can be in time. They overtake late
+ * ones in the queues of the instances, where a place is free sooner than here.
+ */
+const IN_TIME_FACTOR = 1.25;
 /** Requests sent for each one that can only be late. */
 const SENT_PER_LATE = 10;
 /** Time of in-time requests only, after which a late one gets its turn. */
@@ -75,7 +82,7 @@
   readonly #uses = new Map<string, TenantUse>();
   readonly #waiting = new Set<AdmissionTicket>();
   #inProgress = 0;
-  #startedAtMs = Number.NEGATIVE_INFINITY;
+  #toldAtMs = Number.NEGATIVE_INFINITY;
   #lateStartedAtMs = Number.NEGATIVE_INFINITY;
   #startsSinceLate = 0;
 
@@ -105,7 +112,7 @@
   /** Lets a request wait, or refuses it if it can't be sent in time. */
   offer(request: AdmissionRequest, nowMs: number): AdmissionTicket {
     const ticket = createTicket(request, nowMs);
-    if (this.#waiting.size === 0 && this.#mayStart(nowMs)) {
+    if (this.#waiting.size === 0 && this.#mayStart(ticket, nowMs)) {
       this.#start(ticket, nowMs);
       return ticket;
     }
@@ -126,6 +133,7 @@
     ticket.state = "ended";
     if (state === "waiting") this.#removeWaiting(ticket);
     if (state !== "started") return;
+    this.#toldAtMs = nowMs;
     this.#inProgress -= 1;
     this.#useOf(ticket.request.tenant).inProgress -= 1;
     this.#forgetUnused(ticket.request.tenant);
@@ -136,16 +144,19 @@
         ? {}
         : { firstByteAtMs: end.firstByteAtMs }),
       endedAtMs: nowMs,
+      isLate: ticket.isLate ?? false,
     });
   }
 
   /** Takes note of waiting requests or a rejection at a head. */
   noteCongested(nowMs: number): void {
+    this.#toldAtMs = nowMs;
     this.#limit.noteCongested(this.demand, nowMs);
   }
 
   /** Takes note of a head's free slots, as a part of all it has. */
   noteFree(freePart: number, nowMs: number): void {
+    this.#toldAtMs = nowMs;
     this.#limit.noteFree(freePart, this.demand, nowMs);
   }
 
@@ -159,8 +170,9 @@
       this.#refuse(ticket, { reason: "time-over", expectedStartMs: 0, nowMs });
       settled.push(ticket);
     }
-    while (this.#waiting.size > 0 && this.#mayStart(nowMs)) {
+    while (this.#waiting.size > 0) {
       const next = this.#pickNext(nowMs);
+      if (!this.#mayStart(next, nowMs)) break;
       this.#removeWaiting(next);
       this.#start(next, nowMs);
       settled.push(next);
@@ -168,15 +180,16 @@
     return settled;
   }
 
-  #mayStart(nowMs: number): boolean {
-    const limit = this.#limit.valueAt(nowMs);
+  #mayStart({ request }: AdmissionTicket, nowMs: number): boolean {
+    const isInTime = canMeetTarget(request, this.#stats.usual, nowMs);
+    const limit = this.#limit.valueAt(nowMs) * (isInTime ? IN_TIME_FACTOR : 1);
     // Rounds the limit to the nearest integer.
     if (this.#inProgress + 0.5 <= limit) return true;
     const room = this.#options.headRoom(nowMs);
     // Without heads there is nothing to wait for; the caller is told so.
     if (room === "no-heads") return true;
     if (this.#inProgress <= 1 && room === "all-free") return true;
-    return nowMs - this.#startedAtMs >= PROBE_MS;
+    return nowMs - this.#toldAtMs >= PROBE_MS;
   }
 
   #pickNext(nowMs: number): AdmissionTicket {
@@ -201,7 +214,7 @@
     const startMs = ({ request }: AdmissionTicket) =>
       latestStartMs(request, usual);
     const use = ({ request }: AdmissionTicket) =>
-      shares.useWithNext(request.tenant);
+      shares.excessOf(request.tenant);
     return [...this.#waiting]
       .filter((ticket) =>
         !canMeetTarget(ticket.request, usual, nowMs) &&
@@ -223,9 +236,12 @@
   ): (a: AdmissionTicket, b: AdmissionTicket) => boolean {
     const { usual } = this.#stats;
     return ({ request: a }, { request: b }) => {
-      const difference = shares.useWithNext(a.tenant) -
-        shares.useWithNext(b.tenant);
-      if (difference !== 0) return difference < 0;
+      const excess = shares.excessOf(a.tenant) - shares.excessOf(b.tenant);
+      if (excess !== 0) return excess < 0;
+      const isInTime = canMeetTarget(a, usual, nowMs);
+      if (isInTime !== canMeetTarget(b, usual, nowMs)) return isInTime;
+      const isWithin = shares.isWithin(a.tenant);
+      if (isWithin !== shares.isWithin(b.tenant)) return isWithin;
       return compareWaiting(a, b, { usual, nowMs }) < 0;
     };
   }
@@ -244,8 +260,9 @@
     ticket.startedAtMs = nowMs;
     this.#inProgress += 1;
     this.#useOf(ticket.request.tenant).inProgress += 1;
-    this.#startedAtMs = nowMs;
-    if (canMeetTarget(ticket.request, this.#stats.usual, nowMs)) {
+    this.#toldAtMs = nowMs;
+    ticket.isLate = !canMeetTarget(ticket.request, this.#stats.usual, nowMs);
+    if (!ticket.isLate) {
       this.#startsSinceLate += 1;
     } else {
       this.#startsSinceLate = 0;
--- a/packages/celerytray/src/serving/admission/call_admission.ts
+++ b/packages/celerytray/src/serving/admission/call_admission.ts
@@ -93,6 +93,11 @@
     return this.#entries.get(call)?.ticket.state === "started";
   }
 
+  /** Whether a call could only be late when it was sent. */
+  isLate(call: AdmissionCall): boolean {
+    return this.#entries.get(call)?.ticket.isLate ?? false;
+  }
+
   /** Waits for the call's turn; returns why it is refused, if it is. */
   awaitTurn(call: AdmissionCall): Effect.Effect<AdmissionRefusal | undefined> {
     return Effect.gen({ self: this }, function* () {
--- a/packages/celerytray/src/serving/admission/concurrency_limit.ts
+++ b/packages/celerytray/src/serving/admission/concurrency_limit.ts
@@ -5,13 +5,16 @@
 /** Time without congestion after which the limit is removed. */
 const CALM_MS = 3_000;
 const MIN_LIMIT = 1;
-/** Step of an increase, as a part of the demand, where all slots are free. */
-const STEP_PART_OF_DEMAND = 0.5;
+/**
+ * Step of an increase, as a part of the demand, where all slots are free. With
+ * 0.5 the simulation had free slots for seconds while requests waited.
+ */
+const STEP_PART_OF_DEMAND = 2;
 /**
  * Part of the limit that must be in use for it to rise. Otherwise it would
  * grow without being tested, and later decreases would not limit anything.
  */
-const USED_PART = 0.8;
+const USED_PART = 0.5;
 
 /** Requests of a process for one model. */
 export interface OwnDemand {
--- a/packages/celerytray/src/serving/admission/tenant_shares.ts
+++ b/packages/celerytray/src/serving/admission/tenant_shares.ts
@@ -11,6 +11,7 @@
   readonly uses: ReadonlyMap<string, TenantUse>;
 }
 
+const NO_USE: TenantUse = { inProgress: 0, waiting: 0 };
 /** Excess over the fair share that is no reason to yield, as it is rounding. */
 const TOLERANCE = 1.1;
 
@@ -33,19 +34,29 @@
     );
   }
 
+  /** Whether an organisation is within its share with one request more. */
+  isWithin(tenant: string): boolean {
+    const inProgress = this.#uses.get(tenant)?.inProgress ?? 0;
+    return inProgress + 1 <= this.#fairOf(tenant) * TOLERANCE;
+  }
+
   /**
-   * Requests in progress, in parts of its fair share here, that an
-   * organisation would have with one more. Up to 1 within its share.
+   * Requests in progress, in parts of the fair share here, where they exceed
+   * it; 0 elsewhere. One request beyond the share counts as rounding, as a
+   * process has few places for many organisations.
    */
-  useWithNext(tenant: string): number {
-    const use = this.#uses.get(tenant);
-    if (use === undefined || use.inProgress === 0) return 0;
-    const total = this.#demands.get(tenant) ?? 1;
-    const own = use.inProgress + use.waiting;
-    const fair = Math.max(1, own * Math.min(1, this.#level / total));
-    const part = (use.inProgress + 1) / (fair * TOLERANCE);
+  excessOf(tenant: string): number {
+    const inProgress = this.#uses.get(tenant)?.inProgress ?? 0;
+    const part = inProgress / (this.#fairOf(tenant) * TOLERANCE);
     return part <= 1 ? 0 : part;
   }
+
+  #fairOf(tenant: string): number {
+    const { inProgress, waiting } = this.#uses.get(tenant) ?? NO_USE;
+    const total = this.#demands.get(tenant) ?? 1;
+    const granted = Math.min(1, this.#level / total);
+    return Math.max(1, (inProgress + waiting) * granted);
+  }
 }
 
 /** Own changes since the totals count where they exceed them. */
--- a/packages/celerytray/src/serving/admission/waiting_order.ts
+++ b/packages/celerytray/src/serving/admission/waiting_order.ts
@@ -15,7 +15,7 @@
 
 /** Times that a model's requests usually take once they are sent. */
 export interface UsualTimes {
-  /** Until the first byte of the answer. */
+  /** Until the first byte of nearly all answers. */
   readonly firstByteMs: number;
   /** Until the end of the answer. */
   readonly serviceMs: number;
@@ -26,13 +26,21 @@
 
 /** Whether a request that is sent now is answered on time. */
 export function canMeetTarget(
-  { targetAtMs }: OrderedRequest,
+  { arrivedAtMs, targetAtMs }: OrderedRequest,
   { firstByteMs }: UsualTimes,
   nowMs: number,
 ): boolean {
-  return nowMs + firstByteMs <= targetAtMs;
+  const mostMs = (targetAtMs - arrivedAtMs) * MAX_FIRST_BYTE_PART;
+  return nowMs + Math.min(firstByteMs, mostMs) <= targetAtMs;
 }
 
+/**
+ * Part of its target time that a request is taken to need at most. Otherwise a
+ * time of slow answers would make all later requests count as late, and none
+ * of them would show that answers are fast again.
+ */
+const MAX_FIRST_BYTE_PART = 0.6;
+
 /** Latest time at which a request can be sent to be answered at all. */
 export function latestStartMs(
   { arrivedAtMs, deadlineAtMs }: OrderedRequest,
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -1,6 +1,6 @@
 import { Agent } from "node:http";
 import { PlatformCallCodec } from "../platform/call_codec.ts";
-import { CallAdmission } from "./admission/index.ts";
+import { CallAdmission, type CallAdmissionOptions } from "./admission/index.ts";
 import { BudgetTracker } from "./budget_tracker.ts";
 import type { ServingDependencies } from "./call_context.ts";
 import { LoadTracker } from "./load_tracker.ts";
@@ -28,13 +28,7 @@
     stalls: new StallWatch(),
     paces: new PaceTracker(),
     budgets: new BudgetTracker(),
-    admission: new CallAdmission({
-      tenantTotals: () => undefined,
-      totalsAgeMs: () => undefined,
-      expectedMs: () => undefined,
-      headRoom: () => "some-full",
-      onRefused: () => {},
-    }),
+    admission: createTestAdmission(),
     repeats: new RepeatBudget({
       share: 1,
       slackRequests: 100,
@@ -56,3 +50,17 @@
     ...own,
   };
 }
+
+/** Admission that knows nothing of other processes. */
+export function createTestAdmission(
+  own: Partial<CallAdmissionOptions> = {},
+): CallAdmission {
+  return new CallAdmission({
+    tenantTotals: () => undefined,
+    totalsAgeMs: () => undefined,
+    expectedMs: () => undefined,
+    headRoom: () => "some-full",
+    onRefused: () => {},
+    ...own,
+  });
+}
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -140,7 +140,9 @@
         remainingMs: call.deadlineAtMs - startedAtMs,
         instanceId,
         bodyBytes: call.body.length,
-        ...(call.route.isStream ? { priority: priorityOf(call) } : {}),
+        ...(call.route.isStream
+          ? { priority: priorityOf(call, dependencies) }
+          : {}),
         ...(call.tenant === undefined ? {} : { tenant: call.tenant }),
         ...(progress.lastEventId === undefined
           ? {}
@@ -215,6 +217,10 @@
 }
 
 /** Rank among the requests that wait at a replica; 0 goes first. */
-function priorityOf({ priority, isLate }: AdmittedCall): number {
-  return Math.min(LAST_RANK, priority + (isLate ? LATE_RANKS : 0));
+function priorityOf(
+  call: AdmittedCall,
+  { admission }: ServingDependencies,
+): number {
+  const isLate = call.isLate || admission.isLate(call);
+  return Math.min(LAST_RANK, call.priority + (isLate ? LATE_RANKS : 0));
 }
