Split admission's files and count answers up to the deadline only

Change: types of the queue, refusals and the simulation's arrivals and scenarios have files of their own.

--- a/packages/celerytray/src/serving/admission/call_admission.ts
+++ b/packages/celerytray/src/serving/admission/call_admission.ts
@@ -1,14 +1,14 @@
 import { Clock, Deferred, Effect } from "effect";
 import { readSteadyMs, steadyMs } from "../../clock/index.ts";
 import type { AnswerHead } from "../call.ts";
-import {
-  type AdmissionEnd,
-  AdmissionQueue,
-  type AdmissionRefusal,
-  type AdmissionRequest,
-  type AdmissionTicket,
-  type HeadRoom,
-} from "./admission_queue.ts";
+import { AdmissionQueue } from "./admission_queue.ts";
+import type {
+  AdmissionEnd,
+  AdmissionRefusal,
+  AdmissionRequest,
+  AdmissionTicket,
+  HeadRoom,
+} from "./admission_ticket.ts";
 
 /** What admission reads of a call. */
 export interface AdmissionCall {
--- a/packages/celerytray/src/serving/admission/index.ts
+++ b/packages/celerytray/src/serving/admission/index.ts
@@ -10,5 +10,5 @@
   AdmissionEnd,
   AdmissionRefusal,
   HeadRoom,
-} from "./admission_queue.ts";
+} from "./admission_ticket.ts";
 export { replicaReturnMs } from "./return_time.ts";
--- a/packages/celerytray/src/serving/admission/simulate_load.ts
+++ b/packages/celerytray/src/serving/admission/simulate_load.ts
@@ -1,63 +1,22 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { type BoundArrivals, boundValue } from "./offline_bound.ts";
-import { SimulatedHead, tokensIn } from "./simulated_head.ts";
 import {
-  SimulatedProcess,
-  type SimulatedRequest,
-} from "./simulated_process.ts";
-
-/** A kind of requests. */
-export interface SimulatedKind {
-  readonly priority: number;
-  readonly targetMs: number;
-  readonly onTimeValue: number;
-  readonly lateValue: number;
-  readonly tokens: number;
-  /** Part of all requests. */
-  readonly part: number;
-}
-
-/** A deployment. */
-export interface SimulatedSite {
-  readonly processes: number;
-  readonly heads: number;
-  readonly slots: number;
-  readonly kinds: readonly SimulatedKind[];
-}
-
-/** What differs from usual load between two times. */
-export interface SimulatedScenario {
-  /** Factor on the usual load of an organisation, from 0 on. */
-  readonly loadFactor?: (tenant: number) => number;
-  /** Part of the heads that is gone. */
-  readonly goneHeads?: number;
-  /** Part of the processes that gets the requests of organisation 0. */
-  readonly hotPart?: number;
-  /** Time after which callers leave without a first token. */
-  readonly patienceMs?: number;
-  /** Whether callers come back at once, whatever Retry-After says. */
-  readonly retriesAtOnce?: boolean;
-  /** Factor on the tokens of one request in ten. */
-  readonly longFactor?: number;
-}
-
-/** What came of a simulation. */
-export interface SimulationResult {
-  /** Value served, in parts of the offline bound. */
-  readonly valuePart: number;
-  /** Least mean of a tenth of the organisations, in parts of the mean. */
-  readonly worstTenth: number;
-  /** Refusals while under half of the places were taken and none waited. */
-  readonly needlessRefusals: number;
-  /** Part on time of what arrives over 2 s after the overload. */
-  readonly onTimeAfter: number;
-  readonly onTimeBefore: number;
-  readonly refused: number;
-  readonly arrived: number;
-  /** Mean part of the slots in use during the overload. */
-  readonly use: number;
-}
+  type Arrival,
+  groupArrivals,
+  listTenantShares,
+  meanOf,
+  onTimePart,
+  type SimulatedKind,
+  sumValue,
+} from "./simulated_arrivals.ts";
+import { SimulatedHead, tokensIn } from "./simulated_head.ts";
+import { SimulatedProcess } from "./simulated_process.ts";
+import type {
+  SimulatedScenario,
+  SimulatedSite,
+  SimulationResult,
+} from "./simulated_scenario.ts";
 
 const STEP_MS = 5;
 const TENANTS = 24;
@@ -76,11 +35,6 @@
 const WINDOW_MS = 250;
 const SUBSET_PART = 0.3;
 
-interface Arrival extends SimulatedRequest {
-  readonly kind: SimulatedKind;
-  readonly firstArrivedAtMs: number;
-}
-
 /** Runs a scenario in virtual time, against the product's decisions. */
 export function simulateLoad(
   site: SimulatedSite,
@@ -267,15 +221,10 @@
 
   #describe(): SimulationResult {
     const all = [...this.#arrivals.values()];
-    const served = all.reduce((sum, one) => sum + valueOf(one), 0);
-    const shares = Array.from({ length: TENANTS }, (_, tenant) => {
-      const own = all.filter((one) => one.tenant === `t-${tenant}`);
-      const asked = own.reduce((sum, { kind }) => sum + kind.onTimeValue, 0);
-      return own.reduce((sum, one) => sum + valueOf(one), 0) / asked;
-    }).sort((a, b) => a - b);
+    const shares = listTenantShares(all, TENANTS);
     const tenth = shares.slice(0, Math.ceil(TENANTS / 10));
     return {
-      valuePart: served / this.#bound(all),
+      valuePart: sumValue(all) / this.#bound(all),
       worstTenth: meanOf(tenth) / meanOf(shares),
       needlessRefusals: this.#needless,
       onTimeBefore: onTimePart(all, 1_000, BEGIN_MS - 1_000),
@@ -324,45 +273,3 @@
     );
   }
 }
-
-function groupArrivals(
-  all: readonly Arrival[],
-  toArrivals: (one: Arrival) => BoundArrivals,
-): readonly BoundArrivals[] {
-  const groups = new Map<string, BoundArrivals>();
-  for (const one of all) {
-    const arrivals = toArrivals(one);
-    const { window, density, patience } = arrivals;
-    const key = `${window} ${density} ${patience}`;
-    const work = arrivals.work + (groups.get(key)?.work ?? 0);
-    groups.set(key, { ...arrivals, work });
-  }
-  return [...groups.values()];
-}
-
-function isOnTime(
-  { firstTokenAtMs, firstArrivedAtMs, kind }: Arrival,
-): boolean {
-  return firstTokenAtMs !== undefined &&
-    firstTokenAtMs - firstArrivedAtMs <= kind.targetMs;
-}
-
-function valueOf(one: Arrival): number {
-  if (!one.isDone) return 0;
-  return isOnTime(one) ? one.kind.onTimeValue : one.kind.lateValue;
-}
-
-function onTimePart(
-  all: readonly Arrival[],
-  fromMs: number,
-  toMs: number,
-): number {
-  const some = all.filter(({ firstArrivedAtMs }) =>
-    firstArrivedAtMs >= fromMs && firstArrivedAtMs < toMs
-  );
-  return some.filter(isOnTime).length / some.length;
-}
-
-function meanOf(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / values.length;
-}
--- a/packages/celerytray/src/serving/admission/simulated_process.ts
+++ b/packages/celerytray/src/serving/admission/simulated_process.ts
@@ -1,10 +1,7 @@
 import { chooseTarget, type ServingTarget } from "../choose_target.ts";
 import { LoadTracker } from "../load_tracker.ts";
-import {
-  AdmissionQueue,
-  type AdmissionRequest,
-  type AdmissionTicket,
-} from "./admission_queue.ts";
+import { AdmissionQueue } from "./admission_queue.ts";
+import type { AdmissionRequest, AdmissionTicket } from "./admission_ticket.ts";
 import type { SimulatedHead, SimulatedWork } from "./simulated_head.ts";
 
 /** A request of a simulated caller. */
@@ -12,6 +9,7 @@
   readonly tokens: number;
   readonly targetMs: number;
   firstTokenAtMs?: number;
+  /** Whether it was answered before its deadline. */
   isDone: boolean;
   readonly onRefused: (retryAfterMs: number, nowMs: number) => void;
 }
@@ -139,7 +137,7 @@
           request.firstTokenAtMs = atMs;
         },
         onDone: (atMs) => {
-          request.isDone = true;
+          request.isDone = atMs <= request.deadlineAtMs;
           this.#end(request, true, atMs);
         },
       };
--- /dev/null
+++ b/packages/celerytray/src/serving/admission_refusals.ts
@@ -0,0 +1,32 @@
+import {
+  type AttemptProgress,
+  type AttemptsOptions,
+  type AttemptsResult,
+  conclude,
+} from "./attempt_progress.ts";
+
+/** The answer to a request that no replica can take before its deadline. */
+export function refuseInQueue(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  retryAfterMs: number,
+): AttemptsResult {
+  return conclude(options, progress, {
+    message: "No replica is free before the request's deadline",
+    unknownStatus: 502,
+    retryAfterMs,
+  });
+}
+
+/** The answer to a request whose model has no replica for a known time. */
+export function refuseWithoutReplica(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  retryAfterMs: number,
+): AttemptsResult {
+  return conclude(options, progress, {
+    message: "The model has no replica at present",
+    unknownStatus: 502,
+    retryAfterMs,
+  });
+}
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -215,32 +215,6 @@
   });
 }
 
-/** The answer to a request that no replica can take before its deadline. */
-export function refuseInQueue(
-  options: AttemptsOptions,
-  progress: AttemptProgress,
-  retryAfterMs: number,
-): AttemptsResult {
-  return conclude(options, progress, {
-    message: "No replica is free before the request's deadline",
-    unknownStatus: 502,
-    retryAfterMs,
-  });
-}
-
-/** The answer to a request whose model has no replica for a known time. */
-export function refuseWithoutReplica(
-  options: AttemptsOptions,
-  progress: AttemptProgress,
-  retryAfterMs: number,
-): AttemptsResult {
-  return conclude(options, progress, {
-    message: "The model has no replica at present",
-    unknownStatus: 502,
-    retryAfterMs,
-  });
-}
-
 /** The answer in this system's own name when no attempt is left. */
 export function giveUp(
   options: AttemptsOptions,
@@ -267,7 +241,8 @@
   readonly retryAfterMs?: number;
 }
 
-function conclude(
+/** The answer in this system's own name, or a failure that an instance answered. */
+export function conclude(
   { call, exchange }: AttemptsOptions,
   progress: AttemptProgress,
   { message, unknownStatus, ...conclusion }: Conclusion,
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -12,12 +12,11 @@
   mayRepeatAnswer,
   noteOutcome,
   refuseAsFull,
-  refuseInQueue,
   refuseWhileBackingOff,
-  refuseWithoutReplica,
   runOutOfTime,
   summarize,
 } from "./attempt_progress.ts";
+import { refuseInQueue, refuseWithoutReplica } from "./admission_refusals.ts";
 import type { AnswerHead } from "./call.ts";
 import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
 import type { ServingTarget } from "./choose_target.ts";
