Count refusals without a replica and look for the next request less often

Cause: each event looked for the next waiting request also where none could be sent, and refusals of models without a replica were not counted.

Change: the queue looks only where a request in time could be sent. The counter of refusals has the reason no-replica.

--- a/packages/celerytray/src/host/create_admission.ts
+++ b/packages/celerytray/src/host/create_admission.ts
@@ -27,7 +27,7 @@
 ): CallAdmission {
   const refusals = metrics.addCounter({
     name: "celerytray_admission_refusals_total",
-    help: "Requests refused by the queue of their model, by reason",
+    help: "Requests refused before they were sent, by reason and model",
     labelNames: ["reason", "model"],
   });
   const admission = new CallAdmission({
@@ -36,7 +36,7 @@
     expectedMs: (model) => coordinator.expectedMs(model),
     headRoom: ({ service, model }, nowMs) =>
       findRoom(listTargets(service, model), loads, nowMs),
-    onRefused: ({ head }, { reason }) =>
+    onRefused: ({ head }, reason) =>
       refusals.inc({ reason, model: head.model ?? "" }),
   });
   metrics.addGauge(
--- a/packages/celerytray/src/serving/admission/admission_queue.ts
+++ b/packages/celerytray/src/serving/admission/admission_queue.ts
@@ -70,12 +70,13 @@
   /** Lets a request wait, or refuses it if it can't be sent in time. */
   offer(request: AdmissionRequest, nowMs: number): AdmissionTicket {
     const ticket = createTicket(request, nowMs);
-    if (this.#waiting.size === 0 && this.#mayStart(ticket, nowMs)) {
+    const { usual } = this.#stats;
+    const isInTime = canMeetTarget(request, usual, nowMs);
+    if (this.#waiting.size === 0 && this.#mayStart(isInTime, nowMs)) {
       this.#start(ticket, nowMs);
       return ticket;
     }
     const expectedStartMs = this.#expectedStartMs(ticket, nowMs);
-    const { usual } = this.#stats;
     if (nowMs + expectedStartMs > latestStartMs(request, usual)) {
       this.#refuse(ticket, { reason: "no-time", expectedStartMs, nowMs });
       return ticket;
@@ -128,9 +129,11 @@
       this.#refuse(ticket, { reason: "time-over", expectedStartMs: 0, nowMs });
       settled.push(ticket);
     }
-    while (this.#waiting.size > 0) {
+    // Looks for the next one only where at least one in time could be sent.
+    while (this.#waiting.size > 0 && this.#mayStart(true, nowMs)) {
       const next = this.#pickNext(nowMs);
-      if (!this.#mayStart(next, nowMs)) break;
+      const isInTime = canMeetTarget(next.request, usual, nowMs);
+      if (!this.#mayStart(isInTime, nowMs)) break;
       this.#removeWaiting(next);
       this.#start(next, nowMs);
       settled.push(next);
@@ -138,8 +141,7 @@
     return settled;
   }
 
-  #mayStart({ request }: AdmissionTicket, nowMs: number): boolean {
-    const isInTime = canMeetTarget(request, this.#stats.usual, nowMs);
+  #mayStart(isInTime: boolean, nowMs: number): boolean {
     const limit = this.#limit.valueAt(nowMs) * (isInTime ? IN_TIME_FACTOR : 1);
     // Rounds the limit to the nearest integer.
     if (this.#inProgress + 0.5 <= limit) return true;
--- a/packages/celerytray/src/serving/admission/call_admission.ts
+++ b/packages/celerytray/src/serving/admission/call_admission.ts
@@ -9,6 +9,7 @@
   AdmissionTicket,
   HeadRoom,
 } from "./admission_ticket.ts";
+import { replicaReturnMs } from "./return_time.ts";
 
 /** What admission reads of a call. */
 export interface AdmissionCall {
@@ -28,6 +29,9 @@
   readonly model: string | undefined;
 }
 
+/** Why a call is refused. */
+export type RefusalReason = AdmissionRefusal["reason"] | "no-replica";
+
 /** Options of the admission of a process. */
 export interface CallAdmissionOptions {
   /** Requests of organisations over all processes; undefined if not known. */
@@ -38,7 +42,7 @@
   readonly expectedMs: (model: string) => number | undefined;
   /** Free slots at the heads of a model. */
   readonly headRoom: (model: QueueKey, nowMs: number) => HeadRoom;
-  readonly onRefused: (call: AdmissionCall, refusal: AdmissionRefusal) => void;
+  readonly onRefused: (call: AdmissionCall, reason: RefusalReason) => void;
 }
 
 /** What the log tells of a call's admission. */
@@ -75,11 +79,17 @@
     this.#options = options;
   }
 
-  /** Time until the call's model has a replica; undefined if not known. */
-  expectedMs({ head }: AdmissionCall): number | undefined {
-    return head.model === undefined
-      ? undefined
-      : this.#options.expectedMs(head.model);
+  /**
+   * Refuses a call whose model has no replica, where the time until it has one
+   * is known; returns the time after which the caller should come back.
+   */
+  refuseWithoutReplica(call: AdmissionCall, nowMs: number): number | undefined {
+    const { model } = call.head;
+    if (model === undefined) return undefined;
+    const expectedMs = this.#options.expectedMs(model);
+    if (expectedMs === undefined) return undefined;
+    this.#options.onRefused(call, "no-replica");
+    return replicaReturnMs(expectedMs, call.deadlineAtMs - nowMs);
   }
 
   /** Whether a call that was not sent yet has to wait for its turn. */
@@ -114,7 +124,7 @@
       if (refusal === undefined) return undefined;
       const totalsAgeMs = this.#options.totalsAgeMs();
       if (totalsAgeMs !== undefined) entry.totalsAgeMs = totalsAgeMs;
-      this.#options.onRefused(call, refusal);
+      this.#options.onRefused(call, refusal.reason);
       return refusal;
     });
   }
--- a/packages/celerytray/src/serving/admission/index.ts
+++ b/packages/celerytray/src/serving/admission/index.ts
@@ -5,10 +5,10 @@
   CallAdmission,
   type CallAdmissionOptions,
   type QueueKey,
+  type RefusalReason,
 } from "./call_admission.ts";
 export type {
   AdmissionEnd,
   AdmissionRefusal,
   HeadRoom,
 } from "./admission_ticket.ts";
-export { replicaReturnMs } from "./return_time.ts";
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -1,6 +1,6 @@
 import { Effect } from "effect";
 import { steadyMs } from "../clock/index.ts";
-import { type AdmissionRefusal, replicaReturnMs } from "./admission/index.ts";
+import type { AdmissionRefusal } from "./admission/index.ts";
 import {
   type AttemptProgress,
   type AttemptsOptions,
@@ -119,11 +119,11 @@
   nowMs: number,
 ): TargetSearch | undefined {
   if (targets.length > 0) return undefined;
-  const expectedMs = dependencies.admission.expectedMs(call);
-  if (expectedMs === undefined) return undefined;
-  const remainingMs = call.deadlineAtMs - nowMs;
-  const retryAfterMs = replicaReturnMs(expectedMs, remainingMs);
-  return { kind: "no-replica", retryAfterMs };
+  const { admission } = dependencies;
+  const retryAfterMs = admission.refuseWithoutReplica(call, nowMs);
+  return retryAfterMs === undefined
+    ? undefined
+    : { kind: "no-replica", retryAfterMs };
 }
 
 function explainNoTarget(
