--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -45,6 +45,7 @@
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { ConfigView } from "./config_view.ts";
 import { countStoreCalls } from "./count_store_calls.ts";
+import { createAdmission } from "./create_admission.ts";
 import { createZoneRules } from "./create_zone_rules.ts";
 import { createColdRules } from "./create_cold_rules.ts";
 import { createRandom } from "./create_random.ts";
@@ -330,6 +331,14 @@
       areKeysFresh: () => keys.isFresh(),
       listTargets: (service, model, homes) =>
         targets.list(service, model, homes),
+      admission: createAdmission({
+        coordinator,
+        loads,
+        metrics,
+        // Queues don't tell home regions apart.
+        listTargets: (service, model) =>
+          targets.list(service, model, undefined),
+      }),
       findBar: (service, homes) => targets.findBar(service, homes),
       loads,
       cold: cold.allowance,
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -258,7 +258,8 @@
   readonly retryAfterMs?: number;
 }
 
-function conclude(
+/** The answer in this system's own name, or a failure that an instance answered. */
+export function conclude(
   { call, exchange }: AttemptsOptions,
   progress: AttemptProgress,
   { message, unknownStatus, ...conclusion }: Conclusion,
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -1,5 +1,6 @@
 import { Agent } from "node:http";
 import { PlatformCallCodec } from "../platform/call_codec.ts";
+import { CallAdmission, type CallAdmissionOptions } from "./admission/index.ts";
 import { BudgetTracker } from "./budget_tracker.ts";
 import { ColdAllowance } from "./cold_allowance.ts";
 import { ColdTracker } from "./cold_tracker.ts";
@@ -48,6 +49,7 @@
     budgets: new BudgetTracker(),
     held: new HeldBytes({ maxBytes: MAX_HELD_BYTES, onCut: () => {} }),
     lag: { lagMs: () => 0, isBehind: () => false },
+    admission: createTestAdmission(),
     repeats: new RepeatBudget({
       share: 1,
       slackRequests: 100,
@@ -70,3 +72,17 @@
     ...own,
   };
 }
+
+/** Admission that knows nothing of other processes. */
+export function createTestAdmission(
+  own: Partial<CallAdmissionOptions> = {},
+): CallAdmission {
+  return new CallAdmission({
+    tenantTotals: () => undefined,
+    totalsAgeMs: () => undefined,
+    expectedMs: () => undefined,
+    headRoom: () => "some-full",
+    onRefused: () => {},
+    ...own,
+  });
+}
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -1,5 +1,6 @@
 import { Effect } from "effect";
 import { steadyMs } from "../clock/index.ts";
+import type { AdmissionRefusal } from "./admission/index.ts";
 import {
   type AttemptProgress,
   type AttemptsOptions,
@@ -35,20 +36,42 @@
   /** None may get it, now or soon. */
   | ColdSearch
   | { readonly kind: "barred"; readonly reason: BarReason }
+  /** It can't be sent before its deadline. */
+  | { readonly kind: "refused"; readonly refusal: AdmissionRefusal }
+  /** Its model has no replica for a known time. */
+  | { readonly kind: "no-replica"; readonly retryAfterMs: number }
   | { readonly kind: "none" };
 
-/** Waits shortly for a target, if there is none now. */
+/**
+ * Waits for a target: in the queue of the model while its concurrency limit is
+ * in force, otherwise shortly if there is none now.
+ */
 export function awaitTarget(
   options: AttemptsOptions,
   progress: AttemptProgress,
 ): Effect.Effect<TargetSearch> {
-  const { targetMs } = options.call.route;
-  return Effect.gen(function* () {
-    const startedAtMs = yield* steadyMs;
+  const { call, dependencies: { admission } } = options;
+  const { targetMs, isStream } = call.route;
+  return Effect.gen(function* (): Effect.fn.Return<TargetSearch> {
+    let startedAtMs = yield* steadyMs;
     while (true) {
       const nowMs = yield* steadyMs;
+      const mustWait = isStream && !hasBegun(options, progress) &&
+        admission.mustWait(call, nowMs);
+      if (mustWait) {
+        const refusal = yield* admission.awaitTurn(call);
+        if (refusal !== undefined) return { kind: "refused", refusal };
+        startedAtMs = yield* steadyMs;
+        continue;
+      }
       const search = searchTarget(options, progress, nowMs);
-      if (search.kind === "found" || search.kind === "barred") return search;
+      if (search.kind === "found") {
+        if (isStream) admission.noteStarted(call, nowMs);
+        return search;
+      }
+      if (search.kind === "barred" || search.kind === "no-replica") {
+        return search;
+      }
       if (search.kind === "cold") {
         if (search.stepMs === undefined) return search;
         yield* Effect.sleep(search.stepMs);
@@ -80,10 +103,10 @@
   const { call, dependencies } = options;
   const choice = createChoice(options, progress, nowMs);
   const target = chooseTarget(choice);
-  if (target === undefined) return explainNoTarget(choice, options);
-  if (!call.route.isStream || hasBegun(options, progress)) {
-    return { kind: "found", target };
-  }
+  if (target === undefined) return explainNoTarget(options, progress, choice);
+  const goesAnyway = !call.route.isStream || hasBegun(options, progress) ||
+    dependencies.admission.isAdmitted(call);
+  if (goesAnyway) return { kind: "found", target };
   const work = dependencies.loads.estimateAtWorst(target.instanceId, nowMs);
   const places = target.slots * (call.isLate ? LATE_PART : 1);
   const isFull = work >= places;
@@ -99,15 +122,34 @@
     progress.lastEventId !== undefined;
 }
 
+/** When a model without a replica has one, if that is known. */
+function findReplicaTime(
+  { call, dependencies }: AttemptsOptions,
+  { targets, nowMs }: TargetChoice,
+): TargetSearch | undefined {
+  if (targets.length > 0) return undefined;
+  const { admission } = dependencies;
+  const retryAfterMs = admission.refuseWithoutReplica(call, nowMs);
+  return retryAfterMs === undefined
+    ? undefined
+    : { kind: "no-replica", retryAfterMs };
+}
+
 function explainNoTarget(
-  { targets, tried, isBackingOff, nowMs }: TargetChoice,
   options: AttemptsOptions,
+  progress: AttemptProgress,
+  choice: TargetChoice,
 ): TargetSearch {
+  const { targets, tried, isBackingOff, nowMs } = choice;
   const { call, dependencies: { backoffs, findBar } } = options;
   const reason = targets.length > 0
     ? undefined
     : findBar(call.service, call.homes);
   if (reason !== undefined) return { kind: "barred", reason };
+  const noReplica = hasBegun(options, progress)
+    ? undefined
+    : findReplicaTime(options, choice);
+  if (noReplica !== undefined) return noReplica;
   const untried = targets.filter(({ instanceId }) => !tried.has(instanceId));
   const cold = untried.filter(({ instanceId }) => !isBackingOff(instanceId));
   if (cold.length > 0) return planColdWait(options, cold, nowMs);
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -6,6 +6,12 @@
   CallHead,
   InstanceLoad,
 } from "./call.ts";
+export {
+  CallAdmission,
+  type CallAdmissionOptions,
+  type HeadRoom,
+  type QueueKey,
+} from "./admission/index.ts";
 export { BudgetTracker } from "./budget_tracker.ts";
 export type {
   BarReason,
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -18,6 +18,7 @@
   runOutOfTime,
   summarize,
 } from "./attempt_progress.ts";
+import { refuseInQueue, refuseWithoutReplica } from "./admission_refusals.ts";
 import type { AnswerHead } from "./call.ts";
 import type {
   AdmittedCall,
@@ -84,6 +85,12 @@
           nowMs,
         });
       }
+      if (search.kind === "refused") {
+        return refuseInQueue(options, progress, search.refusal.retryAfterMs);
+      }
+      if (search.kind === "no-replica") {
+        return refuseWithoutReplica(options, progress, search.retryAfterMs);
+      }
       if (search.kind === "none") {
         return giveUp(options, progress, "No back end can take the request");
       }
@@ -194,7 +201,9 @@
         remainingMs: call.deadlineAtMs - startedAtMs,
         instanceId,
         bodyBytes: call.body.length,
-        ...(call.route.isStream ? { priority: priorityOf(call) } : {}),
+        ...(call.route.isStream
+          ? { priority: priorityOf(call, dependencies) }
+          : {}),
         ...(call.tenant === undefined ? {} : { tenant: call.tenant }),
         ...(progress.lastEventId === undefined
           ? {}
@@ -210,7 +219,7 @@
         : { lastEventId: progress.lastEventId }),
       onHead: (head) => {
         headAtMs = nowMs();
-        noteHead({ dependencies, target, head, nowMs: headAtMs });
+        noteHead({ call, dependencies, target, head, nowMs: headAtMs });
       },
       onProgress: () => stalls.noteProgress(instanceId, nowMs()),
       maySend: () => findWithheldReason(options, nowMs()) === undefined,
@@ -260,6 +269,7 @@
 }
 
 interface NotedHead {
+  readonly call: AdmittedCall;
   readonly dependencies: ServingDependencies;
   readonly target: ServingTarget;
   readonly head: AnswerHead;
@@ -267,11 +277,14 @@
 }
 
 /** Takes note of what an answer's head tells of its instance. */
-function noteHead({ dependencies, target, head, nowMs }: NotedHead): void {
+function noteHead(
+  { call, dependencies, target, head, nowMs }: NotedHead,
+): void {
   const { instanceId } = target;
   const { loads, backoffs, onBackoff, onMalformedHead } = dependencies;
   if (head.isLeaving) dependencies.noteLeaving(target);
   if (head.load !== undefined) loads.noteLoad(instanceId, head.load, nowMs);
+  dependencies.admission.noteHead(call, head, nowMs);
   if (head.backoffMs !== undefined) {
     const backoffMs = backoffs.noteBackoff(instanceId, head.backoffMs, nowMs);
     onBackoff({ instanceId, askedMs: head.backoffMs, backoffMs });
@@ -286,6 +299,10 @@
 }
 
 /** Rank among the requests that wait at a replica; 0 goes first. */
-function priorityOf({ priority, isLate }: AdmittedCall): number {
-  return Math.min(LAST_RANK, priority + (isLate ? LATE_RANKS : 0));
+function priorityOf(
+  call: AdmittedCall,
+  { admission }: ServingDependencies,
+): number {
+  const isLate = call.isLate || admission.isLate(call);
+  return Math.min(LAST_RANK, call.priority + (isLate ? LATE_RANKS : 0));
 }
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -15,6 +15,7 @@
 import { after } from "node:test";
 import { steadyMs } from "../clock/index.ts";
 import { headers } from "../platform/words.ts";
+import type { CallAdmission } from "./admission/index.ts";
 import type { CallRecord, ServingDependencies } from "./call_context.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
@@ -153,6 +154,7 @@
   readonly stalls?: StallWatch;
   readonly paces?: PaceTracker;
   readonly queueWaits?: ServingDependencies["queueWaits"];
+  readonly admission?: CallAdmission;
   readonly noteLeaving?: ServingDependencies["noteLeaving"];
   readonly agentFor?: ServingDependencies["agentFor"];
   /** Whether a repeat is covered. */
