--- /dev/null
+++ b/packages/celerytray/src/host/create_coordinator.ts
@@ -0,0 +1,93 @@
+import { randomUUID } from "node:crypto";
+import { Coordinator, PeerClient } from "../coordination/index.ts";
+import { FleetDirector, type LeavingIncarnation } from "../groups/index.ts";
+import type { RecordEvent } from "../journal/index.ts";
+import { type KeyedLog, readRelayedChange } from "../keyed_log/index.ts";
+import type { RepeatBudget } from "../serving/index.ts";
+import type { HostOptions } from "./host_options.ts";
+import type { LoadTrackers } from "./load_trackers.ts";
+import type { OwnDemand } from "./own_demand.ts";
+import type { StoreView } from "./store_view.ts";
+
+/** What taking part in deciding on replicas works with. */
+export interface CoordinatorSources
+  extends Pick<HostOptions, "settings" | "ports"> {
+  readonly log: KeyedLog;
+  readonly view: StoreView;
+  readonly trackers: LoadTrackers;
+  readonly repeats: RepeatBudget;
+  readonly demand: OwnDemand;
+  /** Time of the last answer of the store to this process. */
+  readonly storeAnsweredAtMs: () => number;
+  /** 0 to 1. */
+  readonly random: () => number;
+  readonly record: RecordEvent;
+  readonly nowMs: () => number;
+}
+
+/** Creates the part of a process that decides on replicas, or follows the lead. */
+export function createCoordinator(sources: CoordinatorSources): Coordinator {
+  const { settings, ports, view, trackers, demand, record, nowMs } = sources;
+  const { stalls, paces, backoffs } = trackers;
+  const coordinator = new Coordinator({
+    ...sources,
+    self: {
+      nodeId: settings.nodeId,
+      peerAddress: settings.peerAddress,
+      zone: settings.zone,
+      cores: settings.cores,
+    },
+    bootId: randomUUID(),
+    client: new PeerClient(),
+    listStalledHeads: () =>
+      stalls.findDoubtful(nowMs()).map(({ instanceId }) => instanceId),
+    repeats: () => sources.repeats.listTotals(nowMs()),
+    listSlowHeads: () => paces.listSlow(nowMs()),
+    demand: () => demand.byModel,
+    tenantDemand: () => demand.byTenant,
+    hasTraffic: () => demand.hasTraffic,
+    config: {
+      copy: view.configCopy,
+      provenAtMs: () => view.keys.provenAtMs,
+      onTold: (change, freshAtMs) =>
+        view.applyConfig({ ...readRelayedChange(change), freshAtMs }),
+    },
+    instances: {
+      copy: view.instancesCopy,
+      provenAtMs: () => view.listProvenAtMs,
+      onTold: (change, freshAtMs) =>
+        view.applyInstances({ ...readRelayedChange(change), freshAtMs }),
+    },
+    listLeaving: () => view.instances.listUnlistedLeaving(),
+    onLeaving: (incarnations) =>
+      incarnations.forEach((incarnation) => view.noteLeaving(incarnation)),
+    createDirector: (start) =>
+      new FleetDirector({
+        ...start,
+        instances: view.instances,
+        control: ports.control,
+        engines: () => view.engines,
+        demand: (model) => coordinator.totalDemand(model),
+        hasTraffic: () => coordinator.hasAnyTraffic(),
+        drainMs: settings.drainMs,
+        onColdTold: view.cold.noteReported,
+        isEvacuated: (zone) => view.zones.evacuations.isEvacuated(zone),
+        isBackingOff: (instanceId) =>
+          backoffs.isBackingOff(instanceId, nowMs()),
+        onLeaving: (instanceId) => {
+          const bornAtMs = view.instances.find(instanceId)?.bornAtMs;
+          view.noteLeaving(createIncarnation(instanceId, bornAtMs));
+        },
+        record,
+      }),
+  });
+  return coordinator;
+}
+
+/** An instance's run, as far as its start is known. */
+export function createIncarnation(
+  instanceId: string,
+  bornAtMs: number | undefined,
+): LeavingIncarnation {
+  return bornAtMs === undefined ? { instanceId } : { instanceId, bornAtMs };
+}
--- /dev/null
+++ b/packages/celerytray/src/host/host_options.ts
@@ -0,0 +1,36 @@
+import type { Effect } from "effect";
+import type { Either } from "purify-ts";
+import type { InstanceControl, InstanceState } from "../groups/index.ts";
+import type { Journal } from "../journal/index.ts";
+import type { KeyedLog } from "../keyed_log/index.ts";
+import type { CallCodec, ServingConfig } from "../serving/index.ts";
+import type { HostSettings } from "./host_settings.ts";
+
+/** How this program meets its surroundings. */
+export interface HostPorts {
+  readonly log: KeyedLog;
+  readonly control: InstanceControl;
+  readonly codec: CallCodec;
+  readonly decodeConfig: (text: string) => Either<string, ServingConfig>;
+  readonly decodeInstance: (
+    id: string,
+    text: string,
+  ) => Either<string, InstanceState>;
+  /** Key of the operator's configuration. */
+  readonly configKey: string;
+  /** Begins the keys of zones that are evacuated, in the same topic. */
+  readonly evacuationPrefix: string;
+}
+
+/** Options of a process on a machine of the deployment. */
+export interface HostOptions {
+  readonly settings: HostSettings;
+  readonly ports: HostPorts;
+  readonly journal: Journal;
+}
+
+/** A running process. */
+export interface Host {
+  /** Takes no new connections and waits until what was taken is answered. */
+  readonly drain: () => Effect.Effect<void>;
+}
--- /dev/null
+++ b/packages/celerytray/src/host/load_trackers.ts
@@ -0,0 +1,47 @@
+import {
+  BackoffTracker,
+  LoadTracker,
+  PaceTracker,
+  QueueWaits,
+  StallWatch,
+} from "../serving/index.ts";
+
+/** What this process knows of instances from its own requests. */
+export interface LoadTrackers {
+  readonly loads: LoadTracker;
+  readonly backoffs: BackoffTracker;
+  readonly queueWaits: QueueWaits;
+  readonly stalls: StallWatch;
+  readonly paces: PaceTracker;
+}
+
+/** Creates the trackers of a process. */
+export function createLoadTrackers(
+  { isBehind }: { readonly isBehind: (nowMs: number) => boolean },
+): LoadTrackers {
+  const loads = new LoadTracker();
+  const queueWaits = new QueueWaits(loads);
+  const stalls = new StallWatch({
+    queueWaitMs: (request, atMs) => queueWaits.explainedMs(request, atMs),
+    isBehind,
+  });
+  return {
+    loads,
+    backoffs: new BackoffTracker(),
+    queueWaits,
+    stalls,
+    paces: new PaceTracker(),
+  };
+}
+
+/** Forgets instances that are gone. */
+export function keepOnlyPresent(
+  { loads, backoffs, stalls, paces }: LoadTrackers,
+  isPresent: (instanceId: string) => boolean,
+  nowMs: number,
+): void {
+  loads.keepOnly(isPresent);
+  paces.keepOnly(isPresent);
+  stalls.keepOnly(isPresent);
+  backoffs.keepOnly(isPresent, nowMs);
+}
--- /dev/null
+++ b/packages/celerytray/src/host/store_view.ts
@@ -0,0 +1,147 @@
+import type { Coordinator } from "../coordination/index.ts";
+import {
+  type EngineSpecs,
+  InstanceListView,
+  type LeavingIncarnation,
+} from "../groups/index.ts";
+import type { MetricsPage, RecordEvent } from "../journal/index.ts";
+import { type KeyedChange, TopicCopy } from "../keyed_log/index.ts";
+import { findHomeProblems, type ServingConfig } from "../serving/index.ts";
+import { ConfigView } from "./config_view.ts";
+import { type ColdRules, createColdRules } from "./create_cold_rules.ts";
+import { createZoneRules, type ZoneRules } from "./create_zone_rules.ts";
+import type { HostOptions } from "./host_options.ts";
+import { KeyFreshness } from "./key_freshness.ts";
+import { keepOnlyPresent, type LoadTrackers } from "./load_trackers.ts";
+
+/** What the view of the store works with. */
+export interface StoreViewOptions
+  extends Pick<HostOptions, "settings" | "ports"> {
+  readonly trackers: LoadTrackers;
+  readonly coordinator: () => Coordinator;
+  /** Whether this process has had requests. */
+  readonly hasTraffic: () => boolean;
+  readonly onConfig: (config: ServingConfig) => void;
+  readonly metrics: MetricsPage;
+  readonly record: RecordEvent;
+  readonly nowMs: () => number;
+  /** Unix time. */
+  readonly wallMs: () => number;
+}
+
+/** Part of the time for taking keys away after which they are not trusted. */
+const KEY_AGE_PART = 0.95;
+
+/** What this process knows of the store's configuration and instances. */
+export class StoreView {
+  readonly config: ConfigView;
+  readonly configCopy = new TopicCopy();
+  readonly instances: InstanceListView;
+  readonly instancesCopy = new TopicCopy();
+  readonly keys: KeyFreshness;
+  readonly cold: ColdRules;
+  readonly zones: ZoneRules;
+  /** Whether the keys need a new proof that they are the newest. */
+  needsProof = false;
+  /** Time before which the list of instances was the newest. */
+  listProvenAtMs = Number.NEGATIVE_INFINITY;
+  readonly #options: StoreViewOptions;
+
+  constructor(options: StoreViewOptions) {
+    this.#options = options;
+    const { settings, ports, record, nowMs, wallMs } = options;
+    this.keys = new KeyFreshness({
+      maxAgeMs: settings.keyRevocationMs * KEY_AGE_PART,
+      steadyMs: nowMs,
+      wallMs,
+      onDoubt: () => {
+        this.needsProof = true;
+        record("keys.doubted", {});
+      },
+    });
+    this.config = new ConfigView({
+      key: ports.configKey,
+      decode: ports.decodeConfig,
+      onAdopted: (version, offset) => this.#noteAdopted(version, offset),
+      onMalformed: (message, offset) =>
+        record("config.malformed", { message, offset }),
+    });
+    this.instances = new InstanceListView({
+      decode: ports.decodeInstance,
+      onMalformed: (instanceId, message) =>
+        record("instance.malformed", { instanceId, message }),
+    });
+    this.cold = this.#createColdRules();
+    this.zones = createZoneRules({
+      ...options,
+      prefix: ports.evacuationPrefix,
+      copy: this.configCopy,
+      instances: this.instances,
+      loads: options.trackers.loads,
+      onRestored: this.cold.noteRestored,
+    });
+  }
+
+  /** Model services and how their instances work. */
+  get engines(): EngineSpecs {
+    const engines = new Map();
+    for (const [name, { engine }] of this.config.index?.config.services ?? []) {
+      if (engine !== undefined && engine.models.length > 0) {
+        engines.set(name, engine);
+      }
+    }
+    return engines;
+  }
+
+  applyConfig(change: KeyedChange): void {
+    this.configCopy.apply(change);
+    // Before the configuration, so that a start never serves without it.
+    if (change.records.length > 0 || change.isWhole) this.zones.update();
+    this.config.apply(change);
+    this.keys.noteProof(change.freshAtMs);
+  }
+
+  applyInstances(change: KeyedChange): void {
+    const { coordinator, trackers, nowMs } = this.#options;
+    this.listProvenAtMs = Math.max(this.listProvenAtMs, change.freshAtMs);
+    if (change.records.length === 0 && !change.isWhole) return;
+    this.instancesCopy.apply(change);
+    coordinator().noteChange();
+    this.instances.apply(change, nowMs());
+    this.cold.noteList(change);
+    const isPresent = (id: string) => this.instances.find(id) !== undefined;
+    keepOnlyPresent(trackers, isPresent, nowMs());
+  }
+
+  /** Takes note that an instance said that it leaves. */
+  noteLeaving(incarnation: LeavingIncarnation): void {
+    if (this.instances.noteLeaving(incarnation)) {
+      this.#options.record("instance.leaving", { ...incarnation });
+    }
+  }
+
+  #noteAdopted(version: number, offset: number): void {
+    const { settings, coordinator, onConfig, record } = this.#options;
+    record("config.adopted", { version, offset });
+    coordinator().noteChange();
+    const adopted = this.config.index!.config;
+    const problems = findHomeProblems(adopted, settings.zoneRegions);
+    if (problems !== undefined) record("config.homes", { ...problems });
+    onConfig(adopted);
+  }
+
+  #createColdRules(): ColdRules {
+    const { settings } = this.#options;
+    return createColdRules({
+      ...this.#options,
+      processId: settings.nodeId,
+      bounds: {
+        overshoot: settings.coldOvershoot,
+        slackRequests: settings.coldSlackRequests,
+      },
+      instances: this.instances,
+      coldOf: (service) =>
+        this.config.index?.config.services.get(service)?.cold,
+    });
+  }
+}
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -16,6 +16,7 @@
 export type {
   BarReason,
   CallRecord,
+  DemandSource,
   ServingDependencies,
   WithheldReason,
 } from "./call_context.ts";
