Extend the platform's stand-in to plain services, zones and faults

The soak needs whole processes in front of more of the platform than the process tests had: plain instances, zones, evacuation keys, cold and leaving instances, restarts under a new incarnation, and a store that is slow, loses answers, refuses some calls or has dropped its history.

Starting a process and calling it move out of host_process_test.ts, into startHostProcess of the cli and callPlatform of the fakes, so that both use them. The events of a stream now repeat the prompt, which makes the check of whole answers in host_process_test.ts stricter.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -11,5 +11,10 @@
   waitUntilAllServe,
 } from "./local/demo_config.ts";
 export { type LocalProcess, startLocalProcess } from "./local/local_process.ts";
+export {
+  type HostProcess,
+  type HostProcessOptions,
+  startHostProcess,
+} from "./local/host_process.ts";
 export { findFreeAddresses } from "./local/free_addresses.ts";
 export { waitUntil } from "./local/wait_until.ts";
--- a/packages/cli/src/local/host_process_test.ts
+++ b/packages/cli/src/local/host_process_test.ts
@@ -1,15 +1,16 @@
-import { FakePlatform } from "@celerytray/fakes";
+import {
+  callPlatform,
+  createWholeStream,
+  fakePaths,
+  FakePlatform,
+  type PlatformAnswer,
+} from "@celerytray/fakes";
 import { validateLogEvents } from "@celerytray/schema/log_event_validator";
 import { expect } from "earl";
-import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { request } from "node:http";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { after, describe, it } from "node:test";
 import { fileURLToPath } from "node:url";
-import { findFreeAddresses } from "./free_addresses.ts";
+import { type HostProcess, startHostProcess } from "./host_process.ts";
 import { waitUntil } from "./wait_until.ts";
 
 const PROGRAM = fileURLToPath(new URL("../host_main.js", import.meta.url));
@@ -41,8 +42,7 @@
   }],
   tenants: [{ name: "o", api_keys: [KEY] }],
 };
-const WHOLE_STREAM = [0, 1, 2, 3, 4].map((id) => `id: ${id}\ndata: ${id}\n\n`)
-  .join("");
+const WHOLE_STREAM = createWholeStream("prompt");
 /** Head of a line, beside the fields of its event. */
 const LINE_HEAD = new Set(["level", "timeMs", "process", "event"]);
 /** Events that the tests before bring about, one of each kind at least. */
@@ -169,13 +169,6 @@
   });
 }
 
-interface HostProcess {
-  readonly child: ChildProcess;
-  readonly address: string;
-  readonly readyAddress: string;
-  readonly metricsAddress: string;
-}
-
 /** Two processes and five instances of one domain, ready to serve. */
 async function startWorld() {
   const platform = new FakePlatform();
@@ -206,42 +199,15 @@
   nodeId: string,
   storeAddress: string,
 ): Promise<HostProcess> {
-  const [address, readyAddress, peerAddress, metricsAddress] =
-    await findFreeAddresses(4);
-  const [host] = address!.split(":");
-  const portOf = (from: string | undefined) => from!.split(":")[1];
-  const folder = await mkdtemp(join(tmpdir(), "celerytray-host-"));
-  closers.push(() => rm(folder, { recursive: true }));
-  const path = join(folder, "settings.conf");
-  const settings = {
-    node_name: nodeId,
-    zone: "zone-a",
-    ip: host,
-    "listen.front": address,
-    "listen.ready": readyAddress,
-    internal_ports: `${portOf(peerAddress)},${portOf(metricsAddress)}`,
-    "platform.address": storeAddress,
-    "bounds.grace_s": GRACE_S,
-    "bounds.revoke_ms": 5_000,
-  };
-  await writeFile(
-    path,
-    Object.entries(settings).map(([name, value]) => `${name}=${value}\n`),
-  );
-  const child = spawn(process.execPath, [PROGRAM], {
-    env: { ...process.env, CELERYTRAY_BOOT: path },
-    stdio: ["ignore", "pipe", "inherit"],
+  const started = await startHostProcess({
+    nodeId,
+    storeAddress,
+    program: PROGRAM,
+    settings: { "bounds.grace_s": GRACE_S, "bounds.revoke_ms": 5_000 },
   });
-  closers.push(() => child.kill("SIGKILL"));
-  let log = "";
-  child.stdout.setEncoding("utf8").on("data", (text) => log += text);
-  logs.push(() => log);
-  return {
-    child,
-    address: address!,
-    readyAddress: readyAddress!,
-    metricsAddress: metricsAddress!,
-  };
+  closers.push(started.remove);
+  logs.push(started.log);
+  return started;
 }
 
 /** Processes that decide on replicas. */
@@ -257,37 +223,18 @@
   return leads;
 }
 
-interface StreamAnswer {
-  readonly status: number;
-  readonly body: string;
-}
-
-function callStream(address: string, callId: string): Promise<StreamAnswer> {
-  const [host, port] = address.split(":");
-  return new Promise((resolve, reject) => {
-    const sent = request({
-      host,
-      port: Number(port),
-      path: "/drafts/x",
-      method: "POST",
-      agent: false,
-      headers: {
-        host: "a.example",
-        "attempt-id": callId,
-        "deadline-ms": "8000",
-        "x-api-key": KEY,
-        model: MODEL,
-      },
-    }, (response) => {
-      let body = "";
-      response.on("data", (chunk) => body += String(chunk));
-      response.on("error", () => {});
-      response.on(
-        "close",
-        () => resolve({ status: response.statusCode ?? 0, body }),
-      );
-    });
-    sent.on("error", reject);
-    sent.end("prompt");
+function callStream(
+  address: string,
+  callId: string,
+): Promise<PlatformAnswer> {
+  return callPlatform({
+    address,
+    callId,
+    path: fakePaths.stream,
+    key: KEY,
+    prompt: "prompt",
+    deadlineMs: 8_000,
+    agent: false,
+    model: MODEL,
   });
 }
--- /dev/null
+++ b/packages/fakes/src/platform/fake_config.ts
@@ -0,0 +1,85 @@
+/** A model that the instances of the fakes serve. */
+export const FAKE_MODEL = "m0";
+
+/** Which routes and keys a configuration has. */
+export interface FakeConfigOptions {
+  readonly version: number;
+  readonly tenants: readonly {
+    readonly name: string;
+    readonly keys: readonly string[];
+  }[];
+  /** How instances of the services start. */
+  readonly cold?: {
+    readonly startMs: number;
+    readonly requestsPerSecond: number;
+  };
+  /** Changed from one version to the next. */
+  readonly targetMs?: number;
+}
+
+/** Paths of the routes, by what may be done with their requests. */
+export const fakePaths = {
+  stream: "/drafts/x",
+  once: "/desk/x",
+  safe: "/look/x",
+} as const;
+
+/** A configuration with a stream, a call that runs once and one that repeats. */
+export function createFakeConfig(options: FakeConfigOptions): unknown {
+  const { cold, targetMs = 400 } = options;
+  const coldStart = cold === undefined ? {} : {
+    cold_start_s: cold.startMs / 1000,
+    cold_per_s: cold.requestsPerSecond,
+  };
+  const common = { host: "a.example", target_latency_ms: targetMs };
+  return {
+    version: options.version,
+    routes: [
+      {
+        ...common,
+        name: "drafts",
+        path_prefix: "/drafts/",
+        kind: "streaming",
+        resumable: true,
+        max_attempts: 3,
+        timeout_ms: 8_000,
+        service: "drafts",
+      },
+      {
+        ...common,
+        name: "desk",
+        path_prefix: "/desk/",
+        kind: "plain",
+        max_attempts: 3,
+        timeout_ms: 4_000,
+        service: "desk",
+      },
+      {
+        ...common,
+        name: "look",
+        path_prefix: "/look/",
+        kind: "safe",
+        max_attempts: 3,
+        timeout_ms: 4_000,
+        service: "desk",
+      },
+    ],
+    services: [
+      {
+        name: "drafts",
+        ...coldStart,
+        engine: {
+          slots: 8,
+          loads_per_s: 50,
+          loads_at_once: 8,
+          models: [{ name: FAKE_MODEL, size: 2, load_s: 0.2, warm_s: 0.1 }],
+        },
+      },
+      { name: "desk", ...coldStart },
+    ],
+    tenants: options.tenants.map(({ name, keys }) => ({
+      name,
+      api_keys: keys,
+    })),
+  };
+}
--- a/packages/fakes/src/platform/fake_instance_server.ts
+++ b/packages/fakes/src/platform/fake_instance_server.ts
@@ -1,12 +1,11 @@
 import type { InstanceOrder } from "celerytray";
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { ServerResponse } from "node:http";
 import { FakeModelInstance } from "../fleet/fake_model_instance.ts";
-import { answerJson } from "./fake_store_server.ts";
+import {
+  type FakeRequest,
+  FakeService,
+  type FakeServiceOptions,
+} from "./fake_service.ts";
 
 const TIMES = { hotJoinMs: 50, warmJoinMs: 100, loadMs: 200, closeMs: 20 };
 const STEP_MS = 10;
@@ -21,54 +20,43 @@
 } as const;
 
 /** A model instance of the platform over HTTP, which reports its changes. */
-export class FakeInstanceServer {
+export class FakeInstanceServer extends FakeService {
   readonly instance: FakeModelInstance;
-  readonly server: Server;
-  /** Ids of the requests that it ran. */
-  readonly ranIds: string[] = [];
   /** Pause between the events of a stream. */
   eventPauseMs = 10;
   readonly #onChange: () => void;
   readonly #timer: NodeJS.Timeout;
 
-  constructor(options: {
-    readonly id: string;
-    readonly domain: string;
-    readonly onChange: () => void;
-  }) {
+  constructor(
+    options: FakeServiceOptions & {
+      readonly domain: string;
+      readonly onChange: () => void;
+    },
+  ) {
+    super(options);
     this.#onChange = options.onChange;
     this.instance = new FakeModelInstance({
       id: options.id,
       domain: options.domain,
-      bornAtMs: 1,
+      bornAtMs: this.bornAtMs,
       times: TIMES,
     });
-    this.server = createServer((request, response) => {
-      void this.#handle(request, response);
-    });
     this.#timer = setInterval(() => {
       if (this.instance.advance(performance.now())) this.#onChange();
     }, STEP_MS);
   }
 
-  /** Ends it at once, with all its connections. */
-  kill(): void {
+  override kill(): void {
     clearInterval(this.#timer);
     this.instance.isAlive = false;
-    this.server.close();
-    this.server.closeAllConnections();
+    super.kill();
   }
 
-  /** Its entry in the list, at an address. */
-  describe(address: string): string {
+  protected describeKind(): object {
     const { membership, ...state } = this.instance.describe();
-    return JSON.stringify({
+    return {
       service: state.service,
-      address,
-      zone: state.zone,
       slots: state.slots,
-      state: "ready",
-      born: state.bornAtMs,
       domain: state.domain,
       staged: state.stagedModels,
       models: state.loadedModel === undefined
@@ -82,59 +70,62 @@
           state: membership.state,
         },
       }),
-    });
+    };
   }
 
-  async #handle(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    if (request.headers["expect-instance"] !== this.instance.id) {
-      request.resume();
-      response.writeHead(MISDIRECTED_STATUS, { "not-executed": "1" }).end();
-      return;
-    }
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
-    if (request.url === "/report") answerJson(response, 200, { pace: 1 });
-    else if (request.url === "/order") {
-      const order = decodeOrder(JSON.parse(Buffer.concat(chunks).toString()));
-      const outcome = this.instance.order(order, performance.now());
-      response.writeHead(STATUSES[outcome]).end();
-      this.#onChange();
-    } else await this.#serve(request, response);
+  protected override order(order: Buffer): number {
+    const outcome = this.instance.order(
+      decodeOrder(JSON.parse(order.toString())),
+      performance.now(),
+    );
+    this.#onChange();
+    return STATUSES[outcome];
   }
 
   /** Streams a few events with rising ids, as the head of an open replica. */
-  async #serve(
-    request: IncomingMessage,
+  protected async serve(
+    request: FakeRequest,
     response: ServerResponse,
   ): Promise<void> {
+    const { callId, headers, body } = request;
     const { membership, id } = this.instance;
-    const callId = String(request.headers["attempt-id"]);
     const isServing = membership?.state === "open" &&
       membership.members[0] === id;
     if (!isServing) {
-      response.writeHead(MISDIRECTED_STATUS, { "not-executed": "1" }).end();
+      this.reject(request, response, MISDIRECTED_STATUS);
       return;
     }
-    this.ranIds.push(callId);
+    this.noteRun(callId);
     response.writeHead(200, {
       "attempt-id": callId,
       "server-stamp": `stamp-${id}`,
       "content-type": "text/event-stream",
+      ...this.leavingHead(),
     });
-    const after = request.headers["last-event-id"];
+    const after = headers["last-event-id"];
     const firstId = after === undefined ? 0 : Number(after) + 1;
     for (let event = firstId; event < EVENTS; event++) {
       if (response.destroyed) return;
-      response.write(`id: ${event}\ndata: ${event}\n\n`);
+      response.write(encodeEvent(event, body.toString()));
       await new Promise((resolve) => setTimeout(resolve, this.eventPauseMs));
     }
     response.end();
   }
 }
 
+/** The whole answer of a model instance to a prompt. */
+export function createWholeStream(prompt: string): string {
+  let stream = "";
+  for (let event = 0; event < EVENTS; event++) {
+    stream += encodeEvent(event, prompt);
+  }
+  return stream;
+}
+
+function encodeEvent(event: number, prompt: string): string {
+  return `id: ${event}\ndata: ${prompt} ${event}\n\n`;
+}
+
 interface WireOrder {
   readonly op: InstanceOrder["kind"];
   readonly group: string;
--- /dev/null
+++ b/packages/fakes/src/platform/fake_plain_instance.ts
@@ -0,0 +1,38 @@
+import type { ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type FakeRequest, FakeService } from "./fake_service.ts";
+
+const SERVICE = "desk";
+const SLOTS = 6;
+const WORK_MS = 20;
+const FULL_STATUS = 503;
+
+/** An instance of a plain service, which answers with what it was asked. */
+export class FakePlainInstance extends FakeService {
+  #running = 0;
+
+  protected describeKind(): object {
+    return { service: SERVICE, slots: SLOTS, staged: [], models: [] };
+  }
+
+  protected async serve(
+    request: FakeRequest,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (this.#running >= SLOTS) {
+      this.reject(request, response, FULL_STATUS);
+      return;
+    }
+    const { callId, body } = request;
+    this.#running += 1;
+    this.noteRun(callId);
+    await sleep(WORK_MS);
+    this.#running -= 1;
+    response.writeHead(200, {
+      "attempt-id": callId,
+      "server-stamp": `stamp-${this.id}`,
+      "replica-load": `${this.#running},0,${SLOTS}`,
+      ...this.leavingHead(),
+    }).end(body);
+  }
+}
--- a/packages/fakes/src/platform/fake_platform.ts
+++ b/packages/fakes/src/platform/fake_platform.ts
@@ -1,18 +1,38 @@
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { FakeInstanceServer } from "./fake_instance_server.ts";
+import { FakePlainInstance } from "./fake_plain_instance.ts";
+import type { FakeArrival, FakeService } from "./fake_service.ts";
 import { FakeStoreServer } from "./fake_store_server.ts";
 
 const HOST = "127.0.0.1";
 const CONFIG_TOPIC = "keyed.op";
 const CONFIG_KEY = "config";
+const EVACUATION_PREFIX = "evacuate/";
 const INSTANCES_TOPIC = "keyed.servers";
 const MISSED_PINGS_MS = 300;
 
-/** The users' platform on loopback: a store and model instances over HTTP. */
+/** Where an instance runs, and what watches it. */
+export interface FakePlatformOptions {
+  readonly onArrival?: (arrival: FakeArrival) => void;
+  /** The address that the list tells for an instance at an address. */
+  readonly announce?: (id: string, address: string) => Promise<string>;
+}
+
+/** The users' platform on loopback: a store and instances over HTTP. */
 export class FakePlatform {
   readonly storeServer = new FakeStoreServer();
+  /** Model instances of their newest incarnation. */
   readonly instances = new Map<string, FakeInstanceServer>();
+  /** Plain instances of their newest incarnation. */
+  readonly plainInstances = new Map<string, FakePlainInstance>();
+  readonly #options: FakePlatformOptions;
+  readonly #addresses = new Map<string, string>();
+  #births = 0;
+
+  constructor(options: FakePlatformOptions = {}) {
+    this.#options = options;
+  }
 
   /** Starts the store; returns its address. */
   start(): Promise<string> {
@@ -27,27 +47,96 @@
     });
   }
 
+  /** Asks that nothing more is sent to a zone. */
+  evacuate(zone: string): void {
+    this.storeServer.store.append(CONFIG_TOPIC, {
+      key: `${EVACUATION_PREFIX}${zone}`,
+      value: Buffer.from("{}"),
+    });
+  }
+
+  /** Ends an evacuation. */
+  restore(zone: string): void {
+    this.storeServer.store.append(CONFIG_TOPIC, {
+      key: `${EVACUATION_PREFIX}${zone}`,
+    });
+  }
+
+  /** Keeps only the newest records of the operator's and the list's topic. */
+  forgetHistory(): void {
+    this.storeServer.forgetHistory(CONFIG_TOPIC);
+    this.storeServer.forgetHistory(INSTANCES_TOPIC);
+  }
+
   /** Starts a model instance that keeps its entry in the list. */
-  async startInstance(id: string, domain: string): Promise<void> {
-    let address = "";
+  async startInstance(
+    id: string,
+    domain: string,
+    zone = "zone-a",
+    coldMs = 0,
+  ): Promise<void> {
     const server = new FakeInstanceServer({
-      id,
+      ...this.#createOptions(id, { zone, coldMs }),
       domain,
-      onChange: () => this.#publish(id, server.describe(address)),
+      onChange: () => this.#publish(server),
     });
-    address = await listen(server.server);
+    await this.#announce(server);
     this.instances.set(id, server);
-    this.#publish(id, server.describe(address));
+  }
+
+  /** Starts an instance of the plain service. */
+  async startPlainInstance(
+    id: string,
+    zone: string,
+    coldMs = 0,
+  ): Promise<void> {
+    const server = new FakePlainInstance(
+      this.#createOptions(id, { zone, coldMs }),
+    );
+    await this.#announce(server);
+    this.plainInstances.set(id, server);
+  }
+
+  /** Starts an instance that ended anew, as its next incarnation. */
+  async restart(id: string, coldMs = 0): Promise<void> {
+    const domain = this.instances.get(id)?.instance.domain;
+    const { zone } = this.find(id);
+    if (domain === undefined) await this.startPlainInstance(id, zone, coldMs);
+    else await this.startInstance(id, domain, zone, coldMs);
+  }
+
+  /** Its newest incarnation. */
+  find(id: string): FakeService {
+    const found = this.instances.get(id) ?? this.plainInstances.get(id);
+    if (found === undefined) {
+      throw new Error(`No instance is called ${id}; start it first`);
+    }
+    return found;
   }
 
   /** Ends an instance; its entry leaves the list once its pings are missed. */
   kill(id: string): void {
-    this.instances.get(id)?.kill();
+    this.find(id).kill();
     setTimeout(() => {
+      if (this.find(id).isAlive) return;
       this.storeServer.store.append(INSTANCES_TOPIC, { key: id });
     }, MISSED_PINGS_MS).unref();
   }
 
+  /** Lets the entry of an instance say that it leaves; it works on. */
+  leave(id: string): void {
+    const server = this.find(id);
+    server.isLeaving = true;
+    this.#publish(server);
+  }
+
+  /** Lets an instance be cold for a time. */
+  cool(id: string, forMs: number): void {
+    const server = this.find(id);
+    server.coldUntilMs = performance.now() + forMs;
+    this.#publish(server);
+  }
+
   /** Heads that serve now. */
   listServing(): readonly FakeInstanceServer[] {
     return [...this.instances.values()].filter(({ instance }) =>
@@ -61,15 +150,41 @@
 
   /** Ends the store and all instances. */
   stop(): void {
-    for (const instance of this.instances.values()) instance.kill();
+    for (const server of this.instances.values()) server.kill();
+    for (const server of this.plainInstances.values()) server.kill();
     this.storeServer.server.close();
     this.storeServer.server.closeAllConnections();
   }
 
-  #publish(id: string, entry: string): void {
+  #createOptions(
+    id: string,
+    { zone, coldMs }: { readonly zone: string; readonly coldMs: number },
+  ) {
+    this.#births += 1;
+    const { onArrival } = this.#options;
+    return {
+      id,
+      zone,
+      bornAtMs: this.#births,
+      coldUntilMs: coldMs === 0 ? 0 : performance.now() + coldMs,
+      ...(onArrival === undefined ? {} : { onArrival }),
+    };
+  }
+
+  async #announce(server: FakeService): Promise<void> {
+    const address = await listen(server.server);
+    const { announce } = this.#options;
+    const announced = await announce?.(server.id, address) ?? address;
+    this.#addresses.set(server.id, announced);
+    this.#publish(server);
+  }
+
+  #publish(server: FakeService): void {
+    const address = this.#addresses.get(server.id);
+    if (address === undefined || !server.isAlive) return;
     this.storeServer.store.append(INSTANCES_TOPIC, {
-      key: id,
-      value: Buffer.from(entry),
+      key: server.id,
+      value: Buffer.from(server.describe(address)),
     });
   }
 }
--- a/packages/fakes/src/platform/fake_store_server.ts
+++ b/packages/fakes/src/platform/fake_store_server.ts
@@ -10,21 +10,47 @@
 const LENGTH_BYTES = 4;
 const PAGE_HEAD_BYTES = 16;
 const UNAVAILABLE_STATUS = 503;
+const GONE_STATUS = 410;
+
+/** Faults of the store that only its callers over HTTP see. */
+export interface FakeStoreServerFaults {
+  /** Each answer comes that much later. */
+  readonly delayMs?: number;
+  /** Appends are done, and their connections closed without an answer. */
+  readonly losesAnswers?: boolean;
+  /** One call in so many is refused. */
+  readonly refusesOneIn?: number;
+}
 
 /** The platform's store over HTTP, with the keyed topics that we use. */
 export class FakeStoreServer {
   readonly store = new FakeKeyedStore();
   /** Calls so far, by path. */
   readonly calls = new Map<string, number>();
-  readonly server: Server = createServer((request, response) =>
-    this.#handle(request, response)
-  );
+  faults: FakeStoreServerFaults = {};
+  readonly server: Server = createServer((request, response) => {
+    const { delayMs } = this.faults;
+    if (delayMs === undefined) this.#handle(request, response);
+    else setTimeout(() => this.#handle(request, response), delayMs);
+  });
+  /** First offset that each topic still has. */
+  readonly #starts = new Map<string, number>();
+  #callCount = 0;
+
+  /** Keeps only the newest record of each key, as a compacted store does. */
+  forgetHistory(topic: string): void {
+    this.#starts.set(topic, this.store.endOf(topic));
+  }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
     const url = new URL(request.url ?? "/", "http://store");
     this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
     const topic = url.searchParams.get("topic") ?? "";
-    if (this.store.faults.isOut === true) {
+    this.#callCount += 1;
+    const { refusesOneIn } = this.faults;
+    const isRefused = refusesOneIn !== undefined &&
+      this.#callCount % refusesOneIn === 0;
+    if (this.store.faults.isOut === true || isRefused) {
       request.resume();
       response.writeHead(UNAVAILABLE_STATUS).end();
       return;
@@ -64,7 +90,8 @@
       ...(value.length === 0 ? {} : { value }),
       ...(at === null ? {} : { at: Number(at) }),
     });
-    if (result.kind === "conflict") {
+    if (this.faults.losesAnswers === true) response.destroy();
+    else if (result.kind === "conflict") {
       answerJson(response, 412, { end: result.endOffset });
     } else {
       answerJson(response, 200, {
@@ -78,6 +105,10 @@
   #read(response: ServerResponse, url: URL): void {
     const topic = url.searchParams.get("topic") ?? "";
     const fromOffset = Number(url.searchParams.get("from"));
+    if (fromOffset < (this.#starts.get(topic) ?? 0)) {
+      response.writeHead(GONE_STATUS).end();
+      return;
+    }
     const answer = () => {
       clearTimeout(timer);
       stopWaiting();
--- a/packages/fakes/src/platform/index.ts
+++ b/packages/fakes/src/platform/index.ts
@@ -1,4 +1,23 @@
 /** The users' platform over HTTP, for tests of whole processes. */
-export { FakeInstanceServer } from "./fake_instance_server.ts";
-export { FakePlatform } from "./fake_platform.ts";
-export { FakeStoreServer } from "./fake_store_server.ts";
+export {
+  createFakeConfig,
+  FAKE_MODEL,
+  type FakeConfigOptions,
+  fakePaths,
+} from "./fake_config.ts";
+export {
+  createWholeStream,
+  FakeInstanceServer,
+} from "./fake_instance_server.ts";
+export { FakePlainInstance } from "./fake_plain_instance.ts";
+export { FakePlatform, type FakePlatformOptions } from "./fake_platform.ts";
+export { type FakeArrival, FakeService } from "./fake_service.ts";
+export {
+  FakeStoreServer,
+  type FakeStoreServerFaults,
+} from "./fake_store_server.ts";
+export {
+  callPlatform,
+  type PlatformAnswer,
+  type PlatformCall,
+} from "./platform_caller.ts";
