Add a soak of real processes under seeded faults

Three processes of the bundle run on loopback, each behind a proxy for its callers and one for its store, in front of the platform's stand-ins, each behind a proxy as well. A seed gives two series of overlapping signals, link and store faults, deaths, departures, withdrawn keys and changes; checks read what callers and instances saw.

--- /dev/null
+++ b/packages/soak/src/history.ts
@@ -0,0 +1,107 @@
+import type { FakeArrival, PlatformAnswer } from "@celerytray/fakes";
+
+/** Kinds of requests, by what may be done with them. */
+export type CallKind = "stream" | "once" | "safe";
+
+/** A request as its caller knows it; all times are of the runner's clock. */
+export interface CallNote {
+  readonly process: string;
+  readonly kind: CallKind;
+  readonly callId: string;
+  readonly key: string;
+  readonly sentAtMs: number;
+  /** The body of the whole answer. */
+  readonly expected: string;
+  endedAtMs?: number;
+  answer?: PlatformAnswer;
+  /** Whether no process listened, so that nothing took the request. */
+  wasRefused?: boolean;
+}
+
+/** A time in which something was made faulty from outside. */
+export interface Disturbance {
+  readonly target:
+    | {
+      readonly kind: "process" | "callers" | "store-link";
+      readonly name: string;
+    }
+    | { readonly kind: "instance"; readonly name: string }
+    | { readonly kind: "store" };
+  readonly fault: string;
+  readonly fromMs: number;
+  toMs: number;
+}
+
+/** A time in which a zone, an instance or a key had a state. */
+export interface StateSpan {
+  readonly name: string;
+  readonly fromMs: number;
+  toMs: number;
+}
+
+/** The end of a process. */
+export interface ProcessExit {
+  readonly process: string;
+  readonly atMs: number;
+  readonly how: string;
+  /** Whether the soak ended it, in the way that it ended. */
+  readonly isExpected: boolean;
+}
+
+/** Memory that a process holds. */
+export interface MemoryNote {
+  readonly process: string;
+  readonly rssMb: number;
+}
+
+/** How a series of faults ended. */
+export interface Restoration {
+  readonly series: number;
+  readonly calmAtMs: number;
+  /** Absent where service was not restored within the bound. */
+  readonly restoredAtMs?: number;
+  /** What was not served. */
+  readonly missing: readonly string[];
+}
+
+/** What callers and instances saw, and what was done from outside. */
+export class SoakHistory {
+  readonly calls: CallNote[] = [];
+  readonly arrivals: FakeArrival[] = [];
+  readonly disturbances: Disturbance[] = [];
+  readonly withdrawals: StateSpan[] = [];
+  readonly leaves: StateSpan[] = [];
+  readonly colds: StateSpan[] = [];
+  readonly evacuations: StateSpan[] = [];
+  readonly exits: ProcessExit[] = [];
+  readonly memory: MemoryNote[] = [];
+  readonly restorations: Restoration[] = [];
+  /** Longest time that the runner itself was late. */
+  lagMs = 0;
+
+  /** Begins a disturbance; returns what ends it. */
+  disturb(
+    target: Disturbance["target"],
+    fault: string,
+  ): () => void {
+    const disturbance: Disturbance = {
+      target,
+      fault,
+      fromMs: performance.now(),
+      toMs: Number.POSITIVE_INFINITY,
+    };
+    this.disturbances.push(disturbance);
+    return () => disturbance.toMs = performance.now();
+  }
+
+  /** Begins a span of a state; returns what ends it. */
+  begin(spans: StateSpan[], name: string): () => void {
+    const span: StateSpan = {
+      name,
+      fromMs: performance.now(),
+      toMs: Number.POSITIVE_INFINITY,
+    };
+    spans.push(span);
+    return () => span.toMs = performance.now();
+  }
+}
--- /dev/null
+++ b/packages/soak/src/loopback_proxy.ts
@@ -0,0 +1,139 @@
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+
+/** What a link does to the bytes on it; `up` is from the client. */
+export const linkFaults = [
+  "delay",
+  "reset",
+  "cut-up",
+  "cut-down",
+  "silence",
+] as const;
+export type LinkFault = typeof linkFaults[number];
+
+/** Added to each direction of a delayed link. */
+export const LINK_DELAY_MS = 120;
+const HOST = "127.0.0.1";
+
+/** A TCP proxy on loopback whose link can be made faulty. */
+export class LoopbackProxy {
+  /** Where connections go to. */
+  upstream: string;
+  readonly #server: Server;
+  readonly #links = new Set<Link>();
+  readonly #refusedPorts = new Set<number>();
+  #fault: LinkFault | undefined;
+
+  constructor(upstream: string) {
+    this.upstream = upstream;
+    this.#server = createServer(
+      { allowHalfOpen: true },
+      (client) => this.#open(client),
+    );
+  }
+
+  /** Listens; returns its address. */
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, HOST, () => resolve())
+    );
+    return `${HOST}:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  get fault(): LinkFault | undefined {
+    return this.#fault;
+  }
+
+  /** Begins a fault or, with nothing, ends it; links that lost bytes end. */
+  setFault(fault: LinkFault | undefined): void {
+    this.#fault = fault;
+    for (const link of this.#links) {
+      if (fault === "reset" || link.hasLostBytes) link.reset();
+    }
+  }
+
+  /** Whether nothing listened behind a connection of a client from a port. */
+  wasRefused(port: number): boolean {
+    return this.#refusedPorts.has(port);
+  }
+
+  stop(): void {
+    this.#server.close();
+    for (const link of this.#links) link.reset();
+  }
+
+  #open(client: Socket): void {
+    const [host, port] = this.upstream.split(":");
+    const clientPort = client.remotePort ?? 0;
+    // A port number comes back after a while, for another connection.
+    this.#refusedPorts.delete(clientPort);
+    if (this.#fault === "reset") {
+      client.on("error", () => {});
+      client.resetAndDestroy();
+      return;
+    }
+    const target = connect({ host, port: Number(port), allowHalfOpen: true });
+    const link = new Link({ client, target, faultNow: () => this.#fault });
+    this.#links.add(link);
+    target.once("error", ({ code }: NodeJS.ErrnoException) => {
+      if (code === "ECONNREFUSED") this.#refusedPorts.add(clientPort);
+    });
+    client.once("close", () => this.#links.delete(link));
+  }
+}
+
+interface LinkOptions {
+  readonly client: Socket;
+  readonly target: Socket;
+  readonly faultNow: () => LinkFault | undefined;
+}
+
+/** One connection through the proxy. */
+class Link {
+  hasLostBytes = false;
+  readonly #client: Socket;
+  readonly #target: Socket;
+
+  constructor({ client, target, faultNow }: LinkOptions) {
+    this.#client = client;
+    this.#target = target;
+    this.#carry({ from: client, to: target, cut: "cut-up", faultNow });
+    this.#carry({ from: target, to: client, cut: "cut-down", faultNow });
+  }
+
+  reset(): void {
+    this.#client.resetAndDestroy();
+    this.#target.resetAndDestroy();
+  }
+
+  #carry({ from, to, cut, faultNow }: Direction): void {
+    let lastAtMs = 0;
+    const pass = (act: () => void) => {
+      const fault = faultNow();
+      if (fault === cut || fault === "silence") {
+        this.hasLostBytes = true;
+        return;
+      }
+      const nowMs = performance.now();
+      const delayMs = fault === "delay" ? LINK_DELAY_MS : 0;
+      const atMs = Math.max(nowMs + delayMs, lastAtMs);
+      lastAtMs = atMs;
+      if (atMs <= nowMs) act();
+      else setTimeout(act, atMs - nowMs);
+    };
+    from.on("data", (chunk) =>
+      pass(() => {
+        if (!to.destroyed) to.write(chunk);
+      }));
+    from.on("end", () => pass(() => to.end()));
+    from.on("error", () => pass(() => this.reset()));
+    from.on("close", () => pass(() => to.destroySoon()));
+  }
+}
+
+interface Direction {
+  readonly from: Socket;
+  readonly to: Socket;
+  readonly cut: LinkFault;
+  readonly faultNow: () => LinkFault | undefined;
+}
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,112 @@
+/** Runs the soak: `npm run soak -- --seeds 50`. */
+import { Builtins, Cli, Command, Option, UsageError } from "clipanion";
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { checks, pendingChecks, type SoakCheck } from "./checks.ts";
+import { createPlan, describePlan } from "./plan.ts";
+import { runSoak, type SoakResult } from "./run_seed.ts";
+import { planTargets } from "./soak_world.ts";
+
+const TARGET = fileURLToPath(new URL("../../../target/", import.meta.url));
+const PROGRAM = join(TARGET, "celerytray_host.mjs");
+
+class SoakCommand extends Command {
+  static override paths = [Command.Default];
+  static override usage = Command.Usage({
+    description: "Run the bundled program under seeded faults",
+  });
+  first = Option.String("--first-seed", "1", {
+    description: "Seed to begin with",
+  });
+  seeds = Option.String("--seeds", "1", {
+    description: "How many seeds to run",
+  });
+  pending = Option.Array("--with", [], {
+    description: `Also run a check of: ${pendingChecks.join(", ")}`,
+  });
+  isPlanOnly = Option.Boolean("--plan", false, {
+    description: "Only print the plans",
+  });
+
+  async execute(): Promise<number> {
+    const first = readNumber(this.first, "--first-seed");
+    const count = readNumber(this.seeds, "--seeds");
+    const chosen = chooseChecks(this.pending);
+    let redCount = 0;
+    for (let seed = first; seed < first + count; seed++) {
+      const plan = createPlan(seed, planTargets);
+      this.#print(describePlan(plan));
+      if (this.isPlanOnly) continue;
+      const result = await runSoak({
+        plan,
+        program: { path: PROGRAM },
+        checks: chosen,
+        onViolation: ({ check, what }) =>
+          this.#print(`  RED ${check}: ${what}`),
+      });
+      this.#print(summarise(seed, result));
+      if (result.violations.length === 0) continue;
+      redCount += 1;
+      this.#print(`  logs: ${await writeLogs(seed, result)}`);
+      this.#print(`  replay: npm run soak -- --first-seed ${seed}`);
+    }
+    if (!this.isPlanOnly) {
+      this.#print(`${count - redCount} of ${count} seeds green`);
+    }
+    return redCount === 0 ? 0 : 1;
+  }
+
+  #print(line: string): void {
+    this.context.stdout.write(`${line}\n`);
+  }
+}
+
+function readNumber(text: string, name: string): number {
+  if (/^[0-9]{1,9}$/.test(text)) return Number(text);
+  throw new UsageError(`${name} is ${text}; give a whole number`);
+}
+
+function chooseChecks(named: readonly string[]): readonly SoakCheck[] {
+  const unknown = named.find((name) => !pendingChecks.includes(name));
+  if (unknown !== undefined) {
+    throw new UsageError(`Give --with one of ${pendingChecks.join(", ")}`);
+  }
+  return checks.filter(({ name }) =>
+    !pendingChecks.includes(name) || named.includes(name)
+  );
+}
+
+function summarise(seed: number, result: SoakResult): string {
+  const { calls, memory, restorations, lagMs } = result.history;
+  const count = (isCounted: (status: number) => boolean) =>
+    calls.filter(({ answer }) => isCounted(answer?.status ?? 0)).length;
+  const restoreMs = restorations.map(({ calmAtMs, restoredAtMs }) =>
+    Math.round((restoredAtMs ?? Number.NaN) - calmAtMs)
+  );
+  const rssMb = Math.max(...memory.map((note) => note.rssMb));
+  const verdict = result.violations.length === 0 ? "green" : "RED";
+  return `seed ${seed} ${verdict}: ${calls.length} calls, ${
+    count((status) => status === 200)
+  } served, ${count((status) => status === 503 || status === 429)} refused, ${
+    count((status) => status === 0)
+  } without an answer; restored after ${restoreMs.join(", ")} ms; ${
+    Math.round(rssMb)
+  } MB at most; ${result.skippedCount} faults skipped; runner late by ${
+    Math.round(lagMs)
+  } ms`;
+}
+
+async function writeLogs(seed: number, { logs }: SoakResult): Promise<string> {
+  const folder = join(TARGET, "soak", `seed-${seed}`);
+  await mkdir(folder, { recursive: true });
+  for (const [name, log] of logs) {
+    await writeFile(join(folder, `${name}.log`), log);
+  }
+  return folder;
+}
+
+const cli = new Cli({ binaryName: "soak" });
+cli.register(SoakCommand);
+cli.register(Builtins.HelpCommand);
+process.exitCode = await cli.run(process.argv.slice(2));
--- /dev/null
+++ b/packages/soak/src/run_seed.ts
@@ -0,0 +1,177 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { applyFault } from "./apply_fault.ts";
+import { bounds, type SoakCheck } from "./checks.ts";
+import { type CallKind, SoakHistory } from "./history.ts";
+import type { PlannedFault, SoakPlan } from "./plan.ts";
+import { SoakCallers } from "./soak_callers.ts";
+import type { SoakProgram } from "./soak_process.ts";
+import { soakKeys, SoakWorld } from "./soak_world.ts";
+
+/** One time that a check did not hold. */
+export interface Violation {
+  readonly check: string;
+  readonly what: string;
+}
+
+/** How a soak is run. */
+export interface SoakRun {
+  readonly plan: SoakPlan;
+  readonly program: SoakProgram;
+  readonly checks: readonly SoakCheck[];
+  readonly kinds?: readonly CallKind[];
+  readonly onViolation?: (violation: Violation) => void;
+}
+
+/** What a run came to. */
+export interface SoakResult {
+  readonly violations: readonly Violation[];
+  readonly history: SoakHistory;
+  /** Faults that another one on the same target kept from happening. */
+  readonly skippedCount: number;
+  /** Logs of the processes, by name. */
+  readonly logs: ReadonlyMap<string, string>;
+}
+
+const START_TIMEOUT_MS = 20_000;
+const POLL_MS = 100;
+const CHECK_INTERVAL_MS = 1_000;
+const LAG_INTERVAL_MS = 50;
+/** Watched after the bound of a withdrawn key has passed. */
+const AFTER_WITHDRAWAL_MS = 1_000;
+const ALL_KINDS: readonly CallKind[] = ["stream", "once", "safe"];
+
+/** Runs a plan against fresh processes and checks what was seen. */
+export async function runSoak(run: SoakRun): Promise<SoakResult> {
+  const kinds = run.kinds ?? ALL_KINDS;
+  const history = new SoakHistory();
+  const world = new SoakWorld(history);
+  const callers = new SoakCallers(history, kinds);
+  const found = new FoundViolations(run);
+  const timers = [
+    setInterval(() => found.look(history), CHECK_INTERVAL_MS),
+    setInterval(() => void measure(world), CHECK_INTERVAL_MS),
+    watchLag(history),
+  ];
+  let skippedCount = 0;
+  try {
+    await world.start({
+      program: run.program,
+      hasModels: kinds.includes("stream"),
+    });
+    callers.start(world);
+    await noteRestoration(world, { series: -1, kinds });
+    for (const [series, faults] of run.plan.series.entries()) {
+      skippedCount += await runSeries(world, callers, faults);
+      await noteRestoration(world, { series, kinds });
+    }
+    await waitForWithdrawals(history);
+    await callers.stop();
+    found.look(history);
+  } finally {
+    for (const timer of timers) clearInterval(timer);
+    await world.stop();
+  }
+  const logs = new Map(
+    [...world.processes.values()].map(({ name, logs }) => [
+      name,
+      logs.map((read) => read()).join(""),
+    ]),
+  );
+  return { violations: found.violations, history, skippedCount, logs };
+}
+
+/** Returns the number of faults that could not be brought about. */
+async function runSeries(
+  world: SoakWorld,
+  callers: SoakCallers,
+  faults: readonly PlannedFault[],
+): Promise<number> {
+  const applied = await Promise.all(faults.map(async (fault) => {
+    await sleep(fault.atMs);
+    return await applyFault(
+      world,
+      fault,
+      (forMs) => callers.burst(world, forMs),
+    );
+  }));
+  return applied.filter((isApplied) => !isApplied).length;
+}
+
+/** Waits until each process serves each kind again, and notes when. */
+async function noteRestoration(
+  { history, processes }: SoakWorld,
+  { series, kinds }: {
+    readonly series: number;
+    readonly kinds: readonly CallKind[];
+  },
+): Promise<void> {
+  const calmAtMs = performance.now();
+  const timeoutMs = series < 0 ? START_TIMEOUT_MS : bounds.restoreMs;
+  const firstCall = history.calls.length;
+  const missing = new Set(
+    [...processes.keys()].flatMap((process) =>
+      kinds.map((kind) => `${kind} at ${process}`)
+    ),
+  );
+  while (missing.size > 0 && performance.now() < calmAtMs + timeoutMs) {
+    await sleep(POLL_MS);
+    for (
+      const { process, kind, key, answer } of history.calls.slice(firstCall)
+    ) {
+      const isServed = key === soakKeys.steady && answer?.status === 200 &&
+        answer.isWhole;
+      if (isServed) missing.delete(`${kind} at ${process}`);
+    }
+  }
+  history.restorations.push({
+    series,
+    calmAtMs,
+    missing: [...missing],
+    ...(missing.size === 0 ? { restoredAtMs: performance.now() } : {}),
+  });
+}
+
+/** Calls go on until withdrawn keys were watched past their bound. */
+async function waitForWithdrawals({ withdrawals }: SoakHistory) {
+  const lastMs = Math.max(0, ...withdrawals.map(({ fromMs }) => fromMs));
+  const untilMs = lastMs + bounds.keyRevocationMs + AFTER_WITHDRAWAL_MS;
+  if (withdrawals.length === 0) return;
+  await sleep(Math.max(0, untilMs - performance.now()));
+}
+
+async function measure({ processes }: SoakWorld): Promise<void> {
+  for (const process of processes.values()) await process.measure();
+}
+
+/** Notes how late the runner itself is, which makes what it sees late. */
+function watchLag(history: SoakHistory): NodeJS.Timeout {
+  let lastMs = performance.now();
+  return setInterval(() => {
+    const nowMs = performance.now();
+    const lagMs = nowMs - lastMs - LAG_INTERVAL_MS;
+    history.lagMs = Math.max(history.lagMs, lagMs);
+    lastMs = nowMs;
+  }, LAG_INTERVAL_MS);
+}
+
+class FoundViolations {
+  readonly violations: Violation[] = [];
+  readonly #run: SoakRun;
+  readonly #known = new Set<string>();
+
+  constructor(run: SoakRun) {
+    this.#run = run;
+  }
+
+  look(history: SoakHistory): void {
+    for (const { name: check, find } of this.#run.checks) {
+      for (const what of find(history)) {
+        const known = `${check}: ${what}`;
+        if (this.#known.has(known)) continue;
+        this.#known.add(known);
+        this.violations.push({ check, what });
+        this.#run.onViolation?.({ check, what });
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/soak/src/soak_process.ts
@@ -0,0 +1,173 @@
+import { type HostProcess, startHostProcess } from "@celerytray/cli";
+import { once } from "node:events";
+import { readFile } from "node:fs/promises";
+import { setTimeout as sleep } from "node:timers/promises";
+import { bounds } from "./checks.ts";
+import type { SoakHistory } from "./history.ts";
+import { LoopbackProxy } from "./loopback_proxy.ts";
+
+/** The program that a soak runs as each process. */
+export interface SoakProgram {
+  readonly path: string;
+  readonly environment?: Readonly<Record<string, string>>;
+}
+
+const GRACE_S = 8;
+/** Time after the grace within which a process is gone. */
+const EXIT_MARGIN_MS = 2_000;
+const KB_PER_MB = 1_024;
+
+/** A process between a proxy for its callers and one for its store. */
+export class SoakProcess {
+  readonly name: string;
+  readonly callers: LoopbackProxy;
+  readonly store: LoopbackProxy;
+  /** Logs of all its lives. */
+  readonly logs: (() => string)[] = [];
+  /** Where its callers send to. */
+  callerAddress = "";
+  readonly #program: SoakProgram;
+  readonly #history: SoakHistory;
+  readonly #zone: string;
+  #current: HostProcess | undefined;
+  #storeAddress = "";
+  /** The signal that it was told to end by. */
+  #told: NodeJS.Signals | undefined;
+
+  constructor(options: {
+    readonly name: string;
+    readonly zone: string;
+    readonly program: SoakProgram;
+    readonly storeAddress: string;
+    readonly history: SoakHistory;
+  }) {
+    this.name = options.name;
+    this.#zone = options.zone;
+    this.#program = options.program;
+    this.#history = options.history;
+    this.store = new LoopbackProxy(options.storeAddress);
+    this.callers = new LoopbackProxy("");
+  }
+
+  /** Starts it; a second life has the addresses of the first. */
+  async start(): Promise<void> {
+    if (this.#storeAddress === "") {
+      this.#storeAddress = await this.store.start();
+      this.callerAddress = await this.callers.start();
+    }
+    const previous = this.#current;
+    await previous?.remove();
+    this.#told = undefined;
+    const started = await startHostProcess({
+      nodeId: this.name,
+      zone: this.#zone,
+      storeAddress: this.#storeAddress,
+      program: this.#program.path,
+      settings: {
+        "bounds.grace_s": GRACE_S,
+        "bounds.revoke_ms": bounds.keyRevocationMs,
+        "bounds.evacuate_ms": bounds.evacuationMs,
+        "bounds.cold_overshoot": bounds.coldOvershoot,
+        "bounds.cold_slack": bounds.coldSlackRequests,
+        "limits.memory_mb": bounds.memoryMb,
+      },
+      ...(this.#program.environment === undefined
+        ? {}
+        : { environment: this.#program.environment }),
+      ...(previous === undefined ? {} : { addresses: previous.addresses }),
+    });
+    this.#current = started;
+    this.callers.upstream = started.address;
+    this.logs.push(started.log);
+    started.child.once("exit", (code, signal) => this.#noteExit(code, signal));
+  }
+
+  get isRunning(): boolean {
+    const child = this.#current?.child;
+    return child?.exitCode === null && child.signalCode === null &&
+      this.#told === undefined;
+  }
+
+  /** Ends it as a planned stop does, and starts it anew. */
+  async terminate(): Promise<void> {
+    const end = this.#disturb("terminate");
+    await this.#end("SIGTERM", GRACE_S * 1_000 + EXIT_MARGIN_MS);
+    await this.start();
+    end();
+  }
+
+  /** Ends it at once, and starts it anew after a time. */
+  async kill(forMs: number): Promise<void> {
+    const end = this.#disturb("kill");
+    await this.#end("SIGKILL", EXIT_MARGIN_MS);
+    await sleep(forMs);
+    await this.start();
+    end();
+  }
+
+  /** Lets it stand still for a time. */
+  async pause(forMs: number): Promise<void> {
+    const end = this.#disturb("pause");
+    const child = this.#current?.child;
+    child?.kill("SIGSTOP");
+    await sleep(forMs);
+    child?.kill("SIGCONT");
+    end();
+  }
+
+  /** Notes the memory that it holds. */
+  async measure(): Promise<void> {
+    const child = this.#current?.child;
+    if (!this.isRunning || child?.pid === undefined) return;
+    const status = await readFile(`/proc/${child.pid}/status`, "utf8")
+      .catch(() => "");
+    const [, rssKb] = /^VmRSS:\s+(\d+) kB/m.exec(status) ?? [];
+    // A process that has just ended holds nothing.
+    if (rssKb === undefined) return;
+    this.#history.memory.push({
+      process: this.name,
+      rssMb: Number(rssKb) / KB_PER_MB,
+    });
+  }
+
+  /** Ends it and its proxies. */
+  async stop(): Promise<void> {
+    this.#told = "SIGKILL";
+    await this.#current?.remove();
+    this.callers.stop();
+    this.store.stop();
+  }
+
+  async #end(signal: NodeJS.Signals, timeoutMs: number): Promise<void> {
+    const child = this.#current!.child;
+    this.#told = signal;
+    const exited = once(child, "exit");
+    child.kill(signal);
+    const isGone = await Promise.race([
+      exited.then(() => true),
+      sleep(timeoutMs, false, { ref: false }),
+    ]);
+    if (isGone) return;
+    this.#history.exits.push({
+      process: this.name,
+      atMs: performance.now(),
+      how: `still there ${timeoutMs} ms after ${signal}`,
+      isExpected: false,
+    });
+  }
+
+  #noteExit(code: number | null, signal: NodeJS.Signals | null): void {
+    const isExpected = this.#told === "SIGKILL" ||
+      (this.#told === "SIGTERM" && code === 0);
+    this.#history.exits.push({
+      process: this.name,
+      atMs: performance.now(),
+      how: `code ${code}, signal ${signal}`,
+      isExpected,
+    });
+  }
+
+  #disturb(fault: string): () => void {
+    return this.#history.disturb({ kind: "process", name: this.name }, fault);
+  }
+}
