Show that each check of the soak fails for a broken stand-in

A small stand-in of the program in the fakes can be broken in eleven ways, one for each check; a sound one passes all of them under the same faults. Against the stand-in the soak's first version was wrong twice, both mended here: delayed chunks could overtake each other in the proxy, and callers opened new connections to a process that stops until it was gone, which the platform's entry doesn't do after its notice of 3 s. Callers now keep open connections only, and the margin before an exit, within which a lost request was excused, is gone.

A runner that is ended ends its processes too.

--- a/packages/cli/src/local/host_process.ts
+++ b/packages/cli/src/local/host_process.ts
@@ -47,6 +47,9 @@
     env: { ...process.env, ...options.environment, CELERYTRAY_BOOT: path },
     stdio: ["ignore", "pipe", "inherit"],
   });
+  const endChild = () => child.kill("SIGKILL");
+  process.once("exit", endChild);
+  child.once("exit", () => process.off("exit", endChild));
   let log = "";
   child.stdout.setEncoding("utf8").on("data", (text) => log += text);
   return {
--- a/packages/fakes/src/platform/index.ts
+++ b/packages/fakes/src/platform/index.ts
@@ -5,6 +5,7 @@
   type FakeConfigOptions,
   fakePaths,
 } from "./fake_config.ts";
+export { type FakeFrontFault, fakeFrontFaults } from "./fake_front.ts";
 export {
   createWholeStream,
   FakeInstanceServer,
--- /dev/null
+++ b/packages/soak/src/broken_front_test.ts
@@ -0,0 +1,116 @@
+import type { FakeFrontFault } from "@celerytray/fakes";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+import { checks } from "./checks.ts";
+import type { FaultAction, PlannedFault } from "./plan.ts";
+import { runSoak } from "./run_seed.ts";
+
+const PROGRAM = fileURLToPath(
+  new URL(
+    "platform/fake_front_main.js",
+    import.meta.resolve("@celerytray/fakes"),
+  ),
+);
+
+/** Violations that a failed test prints. */
+const SHOWN = 5;
+
+/** The fault that a check must notice, and what must happen meanwhile. */
+interface Case {
+  readonly check: string;
+  readonly fault: FakeFrontFault;
+  readonly actions: readonly FaultAction[];
+  /** How long the actions last. */
+  readonly forMs?: number;
+}
+
+const CASES: readonly Case[] = [
+  { check: "own-answer", fault: "mixes-answers", actions: [] },
+  { check: "runs-once", fault: "repeats-requests", actions: [] },
+  { check: "true-refusal", fault: "refuses-what-ran", actions: [] },
+  {
+    check: "withdrawn-key",
+    fault: "keeps-keys",
+    actions: [{ kind: "withdraw", key: "key-1" }],
+  },
+  {
+    check: "leaving-instance",
+    fault: "keeps-instances",
+    actions: [{ kind: "leave", instance: "plain-0" }],
+    forMs: 4_000,
+  },
+  {
+    check: "no-loss",
+    fault: "stops-at-once",
+    actions: [
+      { kind: "burst" },
+      { kind: "terminate", process: "front-0" },
+      { kind: "terminate", process: "front-1" },
+    ],
+    forMs: 1_000,
+  },
+  {
+    check: "restored",
+    fault: "does-not-recover",
+    actions: [{ kind: "pause", process: "front-0" }],
+    forMs: 4_000,
+  },
+  {
+    check: "stays-up",
+    fault: "ends-unasked",
+    actions: [{ kind: "pause", process: "front-0" }],
+    forMs: 4_000,
+  },
+  {
+    check: "bounded-memory",
+    fault: "grows",
+    actions: [{ kind: "burst" }],
+    forMs: 4_000,
+  },
+  {
+    check: "evacuated-zone",
+    fault: "ignores-evacuations",
+    actions: [{ kind: "evacuate", zone: "zone-b" }],
+    forMs: 6_000,
+  },
+  {
+    check: "cold-bound",
+    fault: "floods-cold-instances",
+    actions: [{ kind: "burst" }, { kind: "cool", instance: "plain-1" }],
+    forMs: 3_000,
+  },
+];
+
+describe("each check of the soak", { concurrency: 3 }, () => {
+  it("holds for a stand-in that is sound, under the faults of all", async () => {
+    const faults = CASES.flatMap(listFaults);
+    const { violations } = await run("none", faults);
+    expect(violations.slice(0, SHOWN)).toEqual([]);
+  });
+
+  for (const known of CASES) {
+    it(`${known.check} notices one that ${known.fault}`, async () => {
+      const { violations } = await run(known.fault, listFaults(known));
+      expect(violations.map(({ check }) => check)).toInclude(known.check);
+    });
+  }
+
+  it("has a case", () => {
+    expect(new Set(CASES.map(({ check }) => check)))
+      .toEqual(new Set(checks.map(({ name }) => name)));
+  });
+});
+
+function listFaults({ actions, forMs = 0 }: Case): readonly PlannedFault[] {
+  return actions.map((action, index) => ({ atMs: index * 100, forMs, action }));
+}
+
+function run(fault: FakeFrontFault, faults: readonly PlannedFault[]) {
+  return runSoak({
+    plan: { seed: 0, series: [faults] },
+    program: { path: PROGRAM, environment: { FAKE_FRONT_FAULT: fault } },
+    checks,
+    kinds: ["once", "safe"],
+  });
+}
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -16,11 +16,6 @@
   memoryMb: 202,
 } as const;
 
-/**
- * A request that a caller wrote this shortly before a process was gone may
- * have met a closing socket, and never have been read by the process.
- */
-const UNREAD_BEFORE_EXIT_MS = 50;
 const SECOND_MS = 1_000;
 const NOT_RUN_STATUSES = [429, 503];
 
@@ -154,7 +149,7 @@
       overlaps(disturbance, call) &&
       (isOfProcess(disturbance, call) ||
         (isBrokenOff && disturbance.target.kind === "instance"))
-    ) && !wasUnread(history, call);
+    );
   }).map((call) =>
     `${tell(call)} was lost: ${call.answer!.status} ${call.answer!.problem} ${
       JSON.stringify(call.answer!.body)
@@ -205,13 +200,6 @@
   return fromMs <= endedAtMs! && toMs >= sentAtMs;
 }
 
-function wasUnread({ exits }: SoakHistory, { process, sentAtMs }: CallNote) {
-  return exits.some((exit) =>
-    exit.process === process &&
-    Math.abs(exit.atMs - sentAtMs) < UNREAD_BEFORE_EXIT_MS
-  );
-}
-
 function listRuns({ arrivals }: SoakHistory) {
   const runs = new Map<string, FakeArrival[]>();
   for (const arrival of arrivals) {
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -14,7 +14,7 @@
   readonly expected: string;
   endedAtMs?: number;
   answer?: PlatformAnswer;
-  /** Whether no process listened, so that nothing took the request. */
+  /** Whether nothing took the connection, so that nothing was sent. */
   wasRefused?: boolean;
 }
 
--- a/packages/soak/src/loopback_proxy.ts
+++ b/packages/soak/src/loopback_proxy.ts
@@ -23,6 +23,7 @@
   readonly #links = new Set<Link>();
   readonly #refusedPorts = new Set<number>();
   #fault: LinkFault | undefined;
+  #takesNew = true;
 
   constructor(upstream: string) {
     this.upstream = upstream;
@@ -52,6 +53,11 @@
     }
   }
 
+  /** Lets new connections in or not; open ones go on. */
+  setTakesNew(takesNew: boolean): void {
+    this.#takesNew = takesNew;
+  }
+
   /** Whether nothing listened behind a connection of a client from a port. */
   wasRefused(port: number): boolean {
     return this.#refusedPorts.has(port);
@@ -67,7 +73,8 @@
     const clientPort = client.remotePort ?? 0;
     // A port number comes back after a while, for another connection.
     this.#refusedPorts.delete(clientPort);
-    if (this.#fault === "reset") {
+    if (!this.#takesNew) this.#refusedPorts.add(clientPort);
+    if (!this.#takesNew || this.#fault === "reset") {
       client.on("error", () => {});
       client.resetAndDestroy();
       return;
@@ -107,7 +114,14 @@
   }
 
   #carry({ from, to, cut, faultNow }: Direction): void {
-    let lastAtMs = 0;
+    const queue: Delivery[] = [];
+    const deliver = () => {
+      const nowMs = performance.now();
+      while (queue.length > 0 && queue[0]!.atMs <= nowMs) queue.shift()!.act();
+      const [next] = queue;
+      // Timers may fire early by less than one of their whole milliseconds.
+      if (next) setTimeout(deliver, Math.ceil(next.atMs - nowMs));
+    };
     const pass = (act: () => void) => {
       const fault = faultNow();
       if (fault === cut || fault === "silence") {
@@ -116,10 +130,9 @@
       }
       const nowMs = performance.now();
       const delayMs = fault === "delay" ? LINK_DELAY_MS : 0;
-      const atMs = Math.max(nowMs + delayMs, lastAtMs);
-      lastAtMs = atMs;
-      if (atMs <= nowMs) act();
-      else setTimeout(act, atMs - nowMs);
+      const lastMs = queue.at(-1)?.atMs ?? 0;
+      queue.push({ atMs: Math.max(nowMs + delayMs, lastMs), act });
+      if (queue.length === 1) deliver();
     };
     from.on("data", (chunk) =>
       pass(() => {
@@ -131,6 +144,12 @@
   }
 }
 
+/** What is passed on at a time; the order of a direction is kept. */
+interface Delivery {
+  readonly atMs: number;
+  readonly act: () => void;
+}
+
 interface Direction {
   readonly from: Socket;
   readonly to: Socket;
--- /dev/null
+++ b/packages/soak/src/loopback_proxy_test.ts
@@ -0,0 +1,118 @@
+import { expect } from "earl";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { after, before, beforeEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { LINK_DELAY_MS, LoopbackProxy } from "./loopback_proxy.ts";
+
+/** Bytes on loopback arrive well within it. */
+const SETTLE_MS = 100;
+
+describe("the loopback proxy", () => {
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => {
+      received += String(chunk);
+      socket.write(chunk);
+    });
+    socket.on("end", () => socket.end("bye"));
+  });
+  let received = "";
+  let proxy: LoopbackProxy;
+
+  before(async () => {
+    await once(server.listen(0, "127.0.0.1"), "listening");
+  });
+  beforeEach(() => {
+    received = "";
+    proxy?.stop();
+    proxy = new LoopbackProxy(
+      `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    );
+  });
+  after(() => {
+    proxy.stop();
+    server.close();
+  });
+
+  it("passes bytes and half-closed connections on", async () => {
+    const { socket, read } = await open();
+    socket.end("hello");
+    await once(socket, "close");
+    expect(read()).toEqual("hellobye");
+  });
+
+  it("holds bytes up for its delay, in their order", async () => {
+    const { socket, read } = await open();
+    proxy.setFault("delay");
+    const sentAtMs = performance.now();
+    socket.write("a");
+    await once(socket, "data");
+    expect(performance.now() - sentAtMs >= 2 * LINK_DELAY_MS - 2).toEqual(true);
+    socket.write("b");
+    await sleep(LINK_DELAY_MS / 2);
+    proxy.setFault(undefined);
+    socket.end("c");
+    await once(socket, "close");
+    expect(read()).toEqual("abcbye");
+  });
+
+  it("resets open and new connections", async () => {
+    const { socket } = await open();
+    const failed = once(socket, "error");
+    proxy.setFault("reset");
+    expect((await failed)[0].code).toEqual("ECONNRESET");
+    const other = connect({ port: port(), host: HOST });
+    expect((await once(other, "error"))[0].code).toEqual("ECONNRESET");
+  });
+
+  for (const fault of ["cut-up", "cut-down", "silence"] as const) {
+    it(`drops bytes of a ${fault}, and ends the link afterwards`, async () => {
+      const { socket, read } = await open();
+      proxy.setFault(fault);
+      socket.write("hello");
+      await sleep(SETTLE_MS);
+      expect([received, read()])
+        .toEqual([fault === "cut-down" ? "hello" : "", ""]);
+      proxy.setFault(undefined);
+      expect((await once(socket, "error"))[0].code).toEqual("ECONNRESET");
+    });
+  }
+
+  it("keeps open connections while it takes no new ones", async () => {
+    const { socket, read } = await open();
+    proxy.setTakesNew(false);
+    const other = connect({ port: port(), host: HOST });
+    expect((await once(other, "error"))[0].code).toEqual("ECONNRESET");
+    socket.end("hello");
+    await once(socket, "close");
+    expect(read()).toEqual("hellobye");
+  });
+
+  it("tells connections that nothing listened behind", async () => {
+    const { socket } = await open();
+    expect(proxy.wasRefused(socket.localPort!)).toEqual(false);
+    proxy.upstream = "127.0.0.1:1";
+    const refused = connect({ port: port(), host: HOST });
+    await once(refused, "connect");
+    const { localPort } = refused;
+    await once(refused, "error");
+    expect(proxy.wasRefused(localPort!)).toEqual(true);
+  });
+
+  const HOST = "127.0.0.1";
+  let address = "";
+  const port = () => Number(address.split(":")[1]);
+
+  async function open(): Promise<{ socket: Socket; read: () => string }> {
+    address = await proxy.start();
+    const socket = connect({ port: port(), host: HOST });
+    let text = "";
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => text += String(chunk));
+    await once(socket, "connect");
+    socket.write("");
+    await sleep(SETTLE_MS);
+    return { socket, read: () => text };
+  }
+});
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -9,6 +9,7 @@
 import { planTargets } from "./soak_world.ts";
 
 const TARGET = fileURLToPath(new URL("../../../target/", import.meta.url));
+const EXIT_STOPPED = 130;
 const PROGRAM = join(TARGET, "celerytray_host.mjs");
 
 class SoakCommand extends Command {
@@ -106,6 +107,11 @@
   return folder;
 }
 
+/** The processes of a soak end with it. */
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(EXIT_STOPPED));
+}
+
 const cli = new Cli({ binaryName: "soak" });
 cli.register(SoakCommand);
 cli.register(Builtins.HelpCommand);
--- /dev/null
+++ b/packages/soak/src/plan_test.ts
@@ -0,0 +1,42 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { createPlan, describePlan, type FaultAction } from "./plan.ts";
+import { planTargets } from "./soak_world.ts";
+
+const SEEDS = Array.from({ length: 200 }, (_, index) => index);
+const KINDS: readonly FaultAction["kind"][] = [
+  "terminate",
+  "kill",
+  "pause",
+  "link",
+  "store",
+  "withdraw",
+  "config",
+  "die",
+  "leave",
+  "cool",
+  "evacuate",
+  "burst",
+];
+
+describe("plans of the soak", () => {
+  it("are the same for the same seed, so that a run can be replayed", () => {
+    for (const seed of SEEDS) {
+      expect(describePlan(createPlan(seed, planTargets)))
+        .toEqual(describePlan(createPlan(seed, planTargets)));
+    }
+  });
+
+  it("bring about every kind of fault, and withdraw no key twice", () => {
+    const kinds = new Set<FaultAction["kind"]>();
+    for (const seed of SEEDS) {
+      const actions = createPlan(seed, planTargets).series.flat()
+        .map(({ action }) => action);
+      for (const { kind } of actions) kinds.add(kind);
+      const keys = actions.filter((action) => action.kind === "withdraw")
+        .map(({ key }) => key);
+      expect(new Set(keys).size).toEqual(keys.length);
+    }
+    expect([...kinds].sort()).toEqual([...KINDS].sort());
+  });
+});
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -102,8 +102,10 @@
       ...(kind === "stream" ? { model: FAKE_MODEL } : {}),
     });
     call.endedAtMs = performance.now();
-    call.wasRefused = answer.status === 0 && answer.localPort !== undefined &&
-      process.callers.wasRefused(answer.localPort);
+    // Without a port no connection came about, and nothing was sent.
+    call.wasRefused = answer.status === 0 &&
+      (answer.localPort === undefined ||
+        process.callers.wasRefused(answer.localPort));
     call.answer = answer;
   }
 }
--- a/packages/soak/src/soak_process.ts
+++ b/packages/soak/src/soak_process.ts
@@ -15,6 +15,11 @@
 const GRACE_S = 8;
 /** Time after the grace within which a process is gone. */
 const EXIT_MARGIN_MS = 2_000;
+/**
+ * The platform's entry sends no new connections to a process that stops after
+ * 3 s at the latest; open ones are used until the process is gone.
+ */
+const ENTRY_NOTICE_MS = 2_500;
 const KB_PER_MB = 1_024;
 
 /** A process between a proxy for its callers and one for its store. */
@@ -91,7 +96,13 @@
   /** Ends it as a planned stop does, and starts it anew. */
   async terminate(): Promise<void> {
     const end = this.#disturb("terminate");
+    const entry = setTimeout(
+      () => this.callers.setTakesNew(false),
+      ENTRY_NOTICE_MS,
+    );
     await this.#end("SIGTERM", GRACE_S * 1_000 + EXIT_MARGIN_MS);
+    clearTimeout(entry);
+    this.callers.setTakesNew(true);
     await this.start();
     end();
   }
