--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -19,24 +19,18 @@
 }
 
 /** A time in which something was made faulty from outside. */
-export interface Disturbance {
-  readonly target:
-    | {
-      readonly kind: "process" | "callers" | "store-link";
-      readonly name: string;
-    }
-    | { readonly kind: "instance"; readonly name: string }
-    | { readonly kind: "store" };
+export interface Disturbance extends Span {
+  readonly target: {
+    readonly kind: "process" | "callers" | "store-link" | "instance" | "store";
+    /** Absent for the store itself. */
+    readonly name?: string;
+  };
   readonly fault: string;
-  readonly fromMs: number;
-  toMs: number;
 }
 
 /** A time in which a zone, an instance or a key had a state. */
-export interface StateSpan {
+export interface StateSpan extends Span {
   readonly name: string;
-  readonly fromMs: number;
-  toMs: number;
 }
 
 /** The end of a process. */
@@ -80,28 +74,30 @@
   lagMs = 0;
 
   /** Begins a disturbance; returns what ends it. */
-  disturb(
-    target: Disturbance["target"],
-    fault: string,
-  ): () => void {
-    const disturbance: Disturbance = {
-      target,
-      fault,
-      fromMs: performance.now(),
-      toMs: Number.POSITIVE_INFINITY,
-    };
-    this.disturbances.push(disturbance);
-    return () => disturbance.toMs = performance.now();
+  disturb(target: Disturbance["target"], fault: string): () => void {
+    return beginSpan(this.disturbances, { target, fault });
   }
 
   /** Begins a span of a state; returns what ends it. */
   begin(spans: StateSpan[], name: string): () => void {
-    const span: StateSpan = {
-      name,
-      fromMs: performance.now(),
-      toMs: Number.POSITIVE_INFINITY,
-    };
-    spans.push(span);
-    return () => span.toMs = performance.now();
+    return beginSpan(spans, { name });
   }
 }
+
+function beginSpan<What extends object>(
+  spans: (What & Span)[],
+  what: What,
+): () => void {
+  const span = {
+    ...what,
+    fromMs: performance.now(),
+    toMs: Number.POSITIVE_INFINITY,
+  };
+  spans.push(span);
+  return () => span.toMs = performance.now();
+}
+
+interface Span {
+  readonly fromMs: number;
+  toMs: number;
+}
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -103,7 +103,7 @@
   keys: string[],
 ): FaultAction {
   const { processes, instances, zones } = targets;
-  const kind = draw.pick(KINDS);
+  const kind = draw.pick(faultKinds);
   switch (kind) {
     case "terminate":
     case "kill":
@@ -137,7 +137,7 @@
 }
 
 /** Kinds that are named more than once are drawn more often. */
-const KINDS = [
+export const faultKinds = [
   "terminate",
   "terminate",
   "kill",
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -69,7 +69,9 @@
     found.look(history);
   } finally {
     for (const timer of timers) clearInterval(timer);
+    const ended = callers.stop();
     await world.stop();
+    await ended;
   }
   const logs = new Map(
     [...world.processes.values()].map(({ name, logs }) => [
--- a/packages/soak/src/soak_process.ts
+++ b/packages/soak/src/soak_process.ts
@@ -1,4 +1,4 @@
-import { type HostProcess, startHostProcess } from "@celerytray/cli";
+import { type HostProcess, startHostProcess, waitUntil } from "@celerytray/cli";
 import { once } from "node:events";
 import { readFile } from "node:fs/promises";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -13,6 +13,7 @@
 }
 
 const GRACE_S = 8;
+const START_TIMEOUT_MS = 20_000;
 /** Time after the grace within which a process is gone. */
 const EXIT_MARGIN_MS = 2_000;
 /**
@@ -87,6 +88,15 @@
     started.child.once("exit", (code, signal) => this.#noteExit(code, signal));
   }
 
+  /** Waits until it answers at all, be it with a refusal. */
+  async waitUntilAnswering(): Promise<void> {
+    const address = this.#current?.address;
+    await waitUntil(`${this.name} to answer`, {
+      timeoutMs: START_TIMEOUT_MS,
+      check: async () => (await fetch(`http://${address}/`)).status > 0,
+    });
+  }
+
   get isRunning(): boolean {
     const child = this.#current?.child;
     return child?.exitCode === null && child.signalCode === null &&
--- a/packages/soak/src/soak_world.ts
+++ b/packages/soak/src/soak_world.ts
@@ -68,6 +68,8 @@
       });
       this.processes.set(name, process);
       await process.start();
+      // One at a time, so that a busy machine has no lead fall silent.
+      await process.waitUntilAnswering();
     }
   }
 
