--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -1,6 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { bounds } from "./checks.ts";
-import type { Disturbance } from "./history.ts";
 import type { LoopbackProxy } from "./loopback_proxy.ts";
 import type { FaultAction, PlannedFault } from "./plan.ts";
 import type { SoakWorld } from "./soak_world.ts";
@@ -135,14 +134,13 @@
     await watchCold(world, id, bounds.coldStartMs - COLD_NOTICE_MS);
     return true;
   }
-  const target: Disturbance["target"] = { kind: "instance", name: id };
   if (kind === "leave") {
     platform.leave(id);
     const endLeave = history.begin(history.leaves, id);
     await sleep(forMs);
     endLeave();
   }
-  const end = history.disturb(target, kind);
+  const end = history.disturb({ kind: "instance", name: id }, kind);
   platform.kill(id);
   await sleep(kind === "die" ? Math.max(forMs, MIN_DOWN_MS) : MIN_DOWN_MS);
   await platform.restart(id, bounds.coldStartMs);
@@ -151,11 +149,7 @@
   return true;
 }
 
-async function watchCold(
-  { history }: SoakWorld,
-  id: string,
-  forMs: number,
-): Promise<void> {
+async function watchCold({ history }: SoakWorld, id: string, forMs: number) {
   const end = history.begin(history.colds, id);
   await sleep(forMs);
   end();
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -1,5 +1,10 @@
 import type { FakeArrival } from "@celerytray/fakes";
-import type { CallNote, Disturbance, SoakHistory } from "./history.ts";
+import type {
+  CallNote,
+  Disturbance,
+  SoakHistory,
+  StateSpan,
+} from "./history.ts";
 import { LINK_DELAY_MS } from "./loopback_proxy.ts";
 
 /** Settings and configuration that the processes of a soak run with. */
@@ -52,11 +57,7 @@
   return calls.filter(({ answer, expected, callId }) =>
     answer?.status === 200 && answer.isWhole &&
     (answer.body !== expected || answer.answeredId !== callId)
-  ).map((call) =>
-    `${tell(call)} was answered for ${call.answer!.answeredId}: ${
-      JSON.stringify(call.answer!.body)
-    }`
-  );
+  ).map((call) => `${tell(call)} got another answer: ${JSON.stringify(call)}`);
 }
 
 /** A request that may not be repeated runs at most once. */
@@ -100,21 +101,38 @@
 
 /** Nothing reaches an instance that leaves longer than the bound. */
 function findLateArrivals(history: SoakHistory): readonly string[] {
-  return history.leaves.flatMap(({ name, fromMs, toMs }) =>
-    history.arrivals.filter((arrival) =>
-      arrival.instanceId === name && arrival.atMs < toMs &&
-      arrival.atMs - fromMs - allowedMs(history, arrival) > bounds.leavingMs
-    ).map((arrival) => tellArrival(arrival, fromMs, "it began to leave"))
-  );
+  return findArrivalsIn(history, history.leaves, {
+    nameOf: ({ instanceId }) => instanceId,
+    boundMs: bounds.leavingMs,
+  });
 }
 
 /** Nothing reaches a zone that was evacuated longer ago than the bound. */
 function findEvacuatedArrivals(history: SoakHistory): readonly string[] {
-  return history.evacuations.flatMap(({ name, fromMs, toMs }) =>
+  return findArrivalsIn(history, history.evacuations, {
+    nameOf: ({ zone }) => zone,
+    boundMs: bounds.evacuationMs,
+  });
+}
+
+/** Arrivals in spans that began longer ago than a bound. */
+function findArrivalsIn(
+  history: SoakHistory,
+  spans: readonly StateSpan[],
+  { nameOf, boundMs }: {
+    readonly nameOf: (arrival: FakeArrival) => string;
+    readonly boundMs: number;
+  },
+): readonly string[] {
+  return spans.flatMap(({ name, fromMs, toMs }) =>
     history.arrivals.filter((arrival) =>
-      arrival.zone === name && arrival.atMs < toMs &&
-      arrival.atMs - fromMs - allowedMs(history, arrival) > bounds.evacuationMs
-    ).map((arrival) => tellArrival(arrival, fromMs, `${name} was evacuated`))
+      nameOf(arrival) === name && arrival.atMs < toMs &&
+      arrival.atMs - fromMs - allowedMs(history, arrival) > boundMs
+    ).map(({ callId, instanceId, atMs }) =>
+      `${callId} reached ${instanceId} ${
+        Math.round(atMs - fromMs)
+      } ms after ${name} was to get nothing more`
+    )
   );
 }
 
@@ -150,13 +168,7 @@
       (isOfProcess(disturbance, call) ||
         (isBrokenOff && disturbance.target.kind === "instance"))
     );
-  }).map((call) =>
-    `${tell(call)} was lost: ${call.answer!.status} ${call.answer!.problem} ${
-      JSON.stringify(call.answer!.body)
-    }, sent at ${Math.round(call.sentAtMs)}, ended at ${
-      Math.round(call.endedAtMs!)
-    }`
-  );
+  }).map((call) => `${tell(call)} was lost: ${JSON.stringify(call)}`);
 }
 
 function findOutages({ restorations }: SoakHistory): readonly string[] {
@@ -170,7 +182,7 @@
 
 function findExits({ exits }: SoakHistory): readonly string[] {
   return exits.filter(({ isExpected }) => !isExpected)
-    .map(({ process, how }) => `${process} ended unasked: ${how}`);
+    .map(({ process, how }) => `${process} did not end as it should: ${how}`);
 }
 
 function findLargeProcesses({ memory }: SoakHistory): readonly string[] {
@@ -214,13 +226,3 @@
 function tell({ callId, kind, process }: CallNote): string {
   return `${kind} ${callId} at ${process}`;
 }
-
-function tellArrival(
-  { callId, instanceId, atMs }: FakeArrival,
-  fromMs: number,
-  what: string,
-): string {
-  return `${callId} reached ${instanceId} ${
-    Math.round(atMs - fromMs)
-  } ms after ${what}`;
-}
--- a/packages/soak/src/loopback_proxy.ts
+++ b/packages/soak/src/loopback_proxy.ts
@@ -1,5 +1,10 @@
-import { connect, createServer, type Server, type Socket } from "node:net";
-import type { AddressInfo } from "node:net";
+import {
+  type AddressInfo,
+  connect,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
 
 /** What a link does to the bytes on it; `up` is from the client. */
 export const linkFaults = [
@@ -19,10 +24,11 @@
 export class LoopbackProxy {
   /** Where connections go to. */
   upstream: string;
+  /** What the links do now; begun and ended by `setFault`. */
+  fault: LinkFault | undefined;
   readonly #server: Server;
   readonly #links = new Set<Link>();
   readonly #refusedPorts = new Set<number>();
-  #fault: LinkFault | undefined;
   #takesNew = true;
 
   constructor(upstream: string) {
@@ -41,13 +47,9 @@
     return `${HOST}:${(this.#server.address() as AddressInfo).port}`;
   }
 
-  get fault(): LinkFault | undefined {
-    return this.#fault;
-  }
-
   /** Begins a fault or, with nothing, ends it; links that lost bytes end. */
   setFault(fault: LinkFault | undefined): void {
-    this.#fault = fault;
+    this.fault = fault;
     for (const link of this.#links) {
       if (fault === "reset" || link.hasLostBytes) link.reset();
     }
@@ -74,13 +76,13 @@
     // A port number comes back after a while, for another connection.
     this.#refusedPorts.delete(clientPort);
     if (!this.#takesNew) this.#refusedPorts.add(clientPort);
-    if (!this.#takesNew || this.#fault === "reset") {
+    if (!this.#takesNew || this.fault === "reset") {
       client.on("error", () => {});
       client.resetAndDestroy();
       return;
     }
     const target = connect({ host, port: Number(port), allowHalfOpen: true });
-    const link = new Link({ client, target, faultNow: () => this.#fault });
+    const link = new Link({ client, target, faultNow: () => this.fault });
     this.#links.add(link);
     target.once("error", ({ code }: NodeJS.ErrnoException) => {
       if (code === "ECONNREFUSED") this.#refusedPorts.add(clientPort);
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -80,22 +80,23 @@
 
 function summarise(seed: number, result: SoakResult): string {
   const { calls, memory, restorations, lagMs } = result.history;
-  const count = (isCounted: (status: number) => boolean) =>
-    calls.filter(({ answer }) => isCounted(answer?.status ?? 0)).length;
+  const count = (...statuses: readonly number[]) =>
+    calls.filter(({ answer }) => statuses.includes(answer?.status ?? 0)).length;
   const restoreMs = restorations.map(({ calmAtMs, restoredAtMs }) =>
     Math.round((restoredAtMs ?? Number.NaN) - calmAtMs)
   );
   const rssMb = Math.max(...memory.map((note) => note.rssMb));
-  const verdict = result.violations.length === 0 ? "green" : "RED";
-  return `seed ${seed} ${verdict}: ${calls.length} calls, ${
-    count((status) => status === 200)
-  } served, ${count((status) => status === 503 || status === 429)} refused, ${
-    count((status) => status === 0)
-  } without an answer; restored after ${restoreMs.join(", ")} ms; ${
-    Math.round(rssMb)
-  } MB at most; ${result.skippedCount} faults skipped; runner late by ${
-    Math.round(lagMs)
-  } ms`;
+  return [
+    `seed ${seed} ${result.violations.length === 0 ? "green" : "RED"}`,
+    `${calls.length} calls`,
+    `${count(200)} served`,
+    `${count(429, 503)} refused`,
+    `${count(0)} without an answer`,
+    `restored after ${restoreMs.join(" and ")} ms`,
+    `${Math.round(rssMb)} MB at most`,
+    `${result.skippedCount} faults skipped`,
+    `runner late by ${Math.round(lagMs)} ms`,
+  ].join(", ");
 }
 
 async function writeLogs(seed: number, { logs }: SoakResult): Promise<string> {
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -55,10 +55,11 @@
 const SERIES_MS = 4_000;
 const MIN_FAULT_MS = 400;
 const MAX_FAULT_MS = 3_500;
-/** An evacuation must last longer than its bound to be checked. */
-const EVACUATION_MS = 8_000;
-/** As long as an instance works on that leaves; longer than its bound. */
-const LEAVING_MS = 6_000;
+/** Longer than the bounds after which nothing may arrive. */
+const FIXED_MS: Partial<Record<FaultAction["kind"], number>> = {
+  evacuate: 8_000,
+  leave: 6_000,
+};
 
 /** Draws a plan; the same seed gives the same plan. */
 export function createPlan(seed: number, targets: PlanTargets): SoakPlan {
@@ -92,9 +93,7 @@
   const atMs = draw.integer(0, SERIES_MS);
   const forMs = draw.integer(MIN_FAULT_MS, MAX_FAULT_MS);
   const action = drawAction(draw, targets, keys);
-  if (action.kind === "evacuate") return { atMs, forMs: EVACUATION_MS, action };
-  if (action.kind === "leave") return { atMs, forMs: LEAVING_MS, action };
-  return { atMs, forMs, action };
+  return { atMs, forMs: FIXED_MS[action.kind] ?? forMs, action };
 }
 
 function drawAction(
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -46,9 +46,9 @@
   const history = new SoakHistory();
   const world = new SoakWorld(history);
   const callers = new SoakCallers(history, kinds);
-  const found = new FoundViolations(run);
+  const found = new Map<string, Violation>();
   const timers = [
-    setInterval(() => found.look(history), CHECK_INTERVAL_MS),
+    setInterval(() => look(run, history, found), CHECK_INTERVAL_MS),
     setInterval(() => void measure(world), CHECK_INTERVAL_MS),
     watchLag(history),
   ];
@@ -66,20 +66,18 @@
     }
     await waitForWithdrawals(history);
     await callers.stop();
-    found.look(history);
+    look(run, history, found);
   } finally {
     for (const timer of timers) clearInterval(timer);
     const ended = callers.stop();
     await world.stop();
     await ended;
   }
-  const logs = new Map(
-    [...world.processes.values()].map(({ name, logs }) => [
-      name,
-      logs.map((read) => read()).join(""),
-    ]),
-  );
-  return { violations: found.violations, history, skippedCount, logs };
+  const logs = new Map<string, string>();
+  for (const process of world.processes.values()) {
+    logs.set(process.name, process.logs.map((read) => read()).join(""));
+  }
+  return { violations: [...found.values()], history, skippedCount, logs };
 }
 
 /** Returns the number of faults that could not be brought about. */
@@ -156,24 +154,18 @@
   }, LAG_INTERVAL_MS);
 }
 
-class FoundViolations {
-  readonly violations: Violation[] = [];
-  readonly #run: SoakRun;
-  readonly #known = new Set<string>();
-
-  constructor(run: SoakRun) {
-    this.#run = run;
-  }
-
-  look(history: SoakHistory): void {
-    for (const { name: check, find } of this.#run.checks) {
-      for (const what of find(history)) {
-        const known = `${check}: ${what}`;
-        if (this.#known.has(known)) continue;
-        this.#known.add(known);
-        this.violations.push({ check, what });
-        this.#run.onViolation?.({ check, what });
-      }
+/** Runs the checks; adds and tells what was not found before. */
+function look(
+  { checks, onViolation }: SoakRun,
+  history: SoakHistory,
+  found: Map<string, Violation>,
+): void {
+  for (const { name: check, find } of checks) {
+    for (const what of find(history)) {
+      const key = `${check}: ${what}`;
+      if (found.has(key)) continue;
+      found.set(key, { check, what });
+      onViolation?.({ check, what });
     }
   }
 }
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -13,7 +13,6 @@
 /** Between two calls of a caller; bounds the load of the whole soak. */
 const PAUSE_MS = 150;
 const BURST_PAUSE_MS = 10;
-const BURST_CALLERS_PER_PROCESS = 3;
 const DEADLINE_MS = 3_000;
 
 /** Callers that each call a process again and again on one open connection. */
@@ -31,16 +30,15 @@
 
   /** Starts a caller of each kind, and one for each key that is withdrawn. */
   start(world: SoakWorld): void {
+    const stops = () => this.#isStopped;
     for (const process of world.processes.values()) {
-      const stops = () => this.#isStopped;
       for (const kind of this.#kinds) {
         const caller = { process, kind, key: soakKeys.steady };
         this.#loops.push(this.#loop(caller, PAUSE_MS, stops));
       }
       for (const [index, key] of soakKeys.withdrawn.entries()) {
         const kind = this.#kinds[index % this.#kinds.length]!;
-        const caller = { process, kind, key };
-        this.#loops.push(this.#loop(caller, PAUSE_MS, stops));
+        this.#loops.push(this.#loop({ process, kind, key }, PAUSE_MS, stops));
       }
     }
   }
@@ -48,16 +46,13 @@
   /** One organisation calls much more often for a time. */
   async burst(world: SoakWorld, forMs: number): Promise<void> {
     const endMs = performance.now() + forMs;
-    const loops: Promise<void>[] = [];
-    for (const process of world.processes.values()) {
-      for (let index = 0; index < BURST_CALLERS_PER_PROCESS; index++) {
-        const kind = this.#kinds[index % this.#kinds.length]!;
-        const caller = { process, kind, key: soakKeys.burst };
-        const stops = () => performance.now() > endMs;
-        loops.push(this.#loop(caller, BURST_PAUSE_MS, stops));
-      }
-    }
-    await Promise.all(loops);
+    const stops = () => performance.now() > endMs;
+    const callers = [...world.processes.values()].flatMap((process) =>
+      this.#kinds.map((kind) => ({ process, kind, key: soakKeys.burst }))
+    );
+    await Promise.all(
+      callers.map((caller) => this.#loop(caller, BURST_PAUSE_MS, stops)),
+    );
   }
 
   /** Ends the callers; each gets its last answer. */
@@ -66,11 +61,7 @@
     await Promise.all(this.#loops);
   }
 
-  async #loop(
-    caller: Caller,
-    pauseMs: number,
-    stops: () => boolean,
-  ): Promise<void> {
+  async #loop(caller: Caller, pauseMs: number, stops: () => boolean) {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     while (!stops()) {
       await this.#call(caller, agent);
--- a/packages/soak/src/soak_process.ts
+++ b/packages/soak/src/soak_process.ts
@@ -77,15 +77,17 @@
         "bounds.cold_slack": bounds.coldSlackRequests,
         "limits.memory_mb": bounds.memoryMb,
       },
-      ...(this.#program.environment === undefined
-        ? {}
-        : { environment: this.#program.environment }),
+      environment: this.#program.environment ?? {},
       ...(previous === undefined ? {} : { addresses: previous.addresses }),
     });
     this.#current = started;
     this.callers.upstream = started.address;
     this.logs.push(started.log);
-    started.child.once("exit", (code, signal) => this.#noteExit(code, signal));
+    started.child.once("exit", (code, signal) => {
+      const isExpected = this.#told === "SIGKILL" ||
+        (this.#told === "SIGTERM" && code === 0);
+      this.#noteExit(`code ${code}, signal ${signal}`, isExpected);
+    });
   }
 
   /** Waits until it answers at all, be it with a refusal. */
@@ -140,15 +142,12 @@
   async measure(): Promise<void> {
     const child = this.#current?.child;
     if (!this.isRunning || child?.pid === undefined) return;
+    // A process that has just ended has no file, or one without this line.
     const status = await readFile(`/proc/${child.pid}/status`, "utf8")
       .catch(() => "");
-    const [, rssKb] = /^VmRSS:\s+(\d+) kB/m.exec(status) ?? [];
-    // A process that has just ended holds nothing.
-    if (rssKb === undefined) return;
-    this.#history.memory.push({
-      process: this.name,
-      rssMb: Number(rssKb) / KB_PER_MB,
-    });
+    const [, rssKb = 0] = /^VmRSS:\s+(\d+) kB/m.exec(status) ?? [];
+    const rssMb = Number(rssKb) / KB_PER_MB;
+    this.#history.memory.push({ process: this.name, rssMb });
   }
 
   /** Ends it and its proxies. */
@@ -168,24 +167,14 @@
       exited.then(() => true),
       sleep(timeoutMs, false, { ref: false }),
     ]);
-    if (isGone) return;
-    this.#history.exits.push({
-      process: this.name,
-      atMs: performance.now(),
-      how: `still there ${timeoutMs} ms after ${signal}`,
-      isExpected: false,
-    });
+    if (!isGone) {
+      this.#noteExit(`not within ${timeoutMs} ms of ${signal}`, false);
+    }
   }
 
-  #noteExit(code: number | null, signal: NodeJS.Signals | null): void {
-    const isExpected = this.#told === "SIGKILL" ||
-      (this.#told === "SIGTERM" && code === 0);
-    this.#history.exits.push({
-      process: this.name,
-      atMs: performance.now(),
-      how: `code ${code}, signal ${signal}`,
-      isExpected,
-    });
+  #noteExit(how: string, isExpected: boolean): void {
+    const atMs = performance.now();
+    this.#history.exits.push({ process: this.name, atMs, how, isExpected });
   }
 
   #disturb(fault: string): () => void {
--- a/packages/soak/src/soak_world.ts
+++ b/packages/soak/src/soak_world.ts
@@ -105,15 +105,12 @@
   }
 
   async #startInstances(hasModels: boolean): Promise<void> {
-    for (const id of planTargets.instances) {
-      const isPlain = id.startsWith("plain");
-      const index = Number(id.split("-")[1]);
-      const perZone = isPlain
-        ? PLAIN_INSTANCES_PER_ZONE
-        : MODEL_INSTANCES_PER_ZONE;
-      const zone = ZONES[Math.floor(index / perZone)]!;
-      if (isPlain) await this.platform.startPlainInstance(id, zone);
-      else if (hasModels) {
+    for (const [index, zone] of ZONES.entries()) {
+      for (const id of listNames("plain", PLAIN_INSTANCES_PER_ZONE, index)) {
+        await this.platform.startPlainInstance(id, zone);
+      }
+      if (!hasModels) continue;
+      for (const id of listNames("model", MODEL_INSTANCES_PER_ZONE, index)) {
         await this.platform.startInstance(id, `domain-of-${zone}`, zone);
       }
     }
@@ -127,6 +124,10 @@
   }
 }
 
-function listNames(kind: string, count: number): readonly string[] {
-  return Array.from({ length: count }, (_, index) => `${kind}-${index}`);
+/** Names with the numbers of one of several groups of the same size. */
+function listNames(kind: string, count: number, group = 0): readonly string[] {
+  return Array.from(
+    { length: count },
+    (_, index) => `${kind}-${group * count + index}`,
+  );
 }
