Let the soak's verdict not depend on a busy machine

While the runner stands still, so do the instances in it: such times count as faults of the instances, and are added to the time to restore service.

--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -36,6 +36,8 @@
 const POLL_MS = 100;
 const CHECK_INTERVAL_MS = 1_000;
 const LAG_INTERVAL_MS = 50;
+/** Below the shortest silence by which the program judges a stream. */
+const STANDSTILL_MS = 300;
 /** Watched after the bound of a withdrawn key has passed. */
 const AFTER_WITHDRAWAL_MS = 1_000;
 const ALL_KINDS: readonly CallKind[] = ["stream", "once", "safe"];
@@ -106,14 +108,18 @@
   },
 ): Promise<void> {
   const calmAtMs = performance.now();
-  const timeoutMs = series < 0 ? START_TIMEOUT_MS : bounds.restoreMs;
+  const boundMs = series < 0 ? START_TIMEOUT_MS : bounds.restoreMs;
+  const lostMs = () => history.standstillMs - lostBeforeMs;
+  const lostBeforeMs = history.standstillMs;
   const firstCall = history.calls.length;
   const missing = new Set(
     [...processes.keys()].flatMap((process) =>
       kinds.map((kind) => `${kind} at ${process}`)
     ),
   );
-  while (missing.size > 0 && performance.now() < calmAtMs + timeoutMs) {
+  while (
+    missing.size > 0 && performance.now() - lostMs() < calmAtMs + boundMs
+  ) {
     await sleep(POLL_MS);
     for (
       const { process, kind, key, answer } of history.calls.slice(firstCall)
@@ -132,25 +138,33 @@
 }
 
 /** Calls go on until withdrawn keys were watched past their bound. */
-async function waitForWithdrawals({ withdrawals }: SoakHistory) {
-  const lastMs = Math.max(0, ...withdrawals.map(({ fromMs }) => fromMs));
-  const untilMs = lastMs + bounds.keyRevocationMs + AFTER_WITHDRAWAL_MS;
-  if (withdrawals.length === 0) return;
-  await sleep(Math.max(0, untilMs - performance.now()));
+async function waitForWithdrawals(history: SoakHistory): Promise<void> {
+  const lastMs = Math.max(...history.withdrawals.map(({ fromMs }) => fromMs));
+  const boundMs = bounds.keyRevocationMs + AFTER_WITHDRAWAL_MS;
+  while (performance.now() < lastMs + boundMs + history.lagMs) {
+    await sleep(POLL_MS);
+  }
 }
 
 async function measure({ processes }: SoakWorld): Promise<void> {
   for (const process of processes.values()) await process.measure();
 }
 
-/** Notes how late the runner itself is, which makes what it sees late. */
+/**
+ * Notes how late the runner itself is. What it sees is late by that time, and
+ * the instances, which run in it, stand still meanwhile.
+ */
 function watchLag(history: SoakHistory): NodeJS.Timeout {
   let lastMs = performance.now();
   return setInterval(() => {
-    const nowMs = performance.now();
-    const lagMs = nowMs - lastMs - LAG_INTERVAL_MS;
+    const fromMs = lastMs;
+    lastMs = performance.now();
+    const lagMs = lastMs - fromMs - LAG_INTERVAL_MS;
     history.lagMs = Math.max(history.lagMs, lagMs);
-    lastMs = nowMs;
+    if (lagMs < STANDSTILL_MS) return;
+    history.standstillMs += lagMs;
+    const target = { kind: "instance" } as const;
+    history.disturbances.push({ target, fault: "late", fromMs, toMs: lastMs });
   }, LAG_INTERVAL_MS);
 }
 
