End the soak's test file though a handle is left open

In two of four runs under run_tests.js the file did not end after its last test; which handle was left is not traced.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -116,4 +116,4 @@
 const cli = new Cli({ binaryName: "soak" });
 cli.register(SoakCommand);
 cli.register(Builtins.HelpCommand);
-process.exitCode = await cli.run(process.argv.slice(2));
+process.exit(await cli.run(process.argv.slice(2)));
