--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -2,6 +2,7 @@
 import { bounds } from "./checks.ts";
 import type { LoopbackProxy } from "./loopback_proxy.ts";
 import type { FaultAction, PlannedFault } from "./plan.ts";
+import type { SoakCallers } from "./soak_callers.ts";
 import type { SoakWorld } from "./soak_world.ts";
 
 type Of<Kind extends FaultAction["kind"]> = FaultAction & {
@@ -14,9 +15,6 @@
 const COLD_NOTICE_MS = 1_000;
 const MIN_DOWN_MS = 1_000;
 
-/** What brings about a burst of calls with a key for a time. */
-export type StartBurst = (forMs: number) => Promise<void>;
-
 /**
  * Brings about a fault and waits for its end. Returns false where it can't be
  * brought about because another one holds the same target.
@@ -24,7 +22,7 @@
 export async function applyFault(
   world: SoakWorld,
   { action, forMs }: PlannedFault,
-  startBurst: StartBurst,
+  callers: SoakCallers,
 ): Promise<boolean> {
   switch (action.kind) {
     case "terminate":
@@ -48,7 +46,7 @@
     case "evacuate":
       return await evacuate(world, action.zone, forMs);
     case "burst":
-      await startBurst(forMs);
+      await callers.burst(world, forMs);
       return true;
   }
 }
--- a/packages/soak/src/broken_front_test.ts
+++ b/packages/soak/src/broken_front_test.ts
@@ -13,9 +13,6 @@
   ),
 );
 
-/** Violations that a failed test prints. */
-const SHOWN = 5;
-
 /** The fault that a check must notice, and what must happen meanwhile. */
 interface Case {
   readonly check: string;
@@ -55,21 +52,19 @@
 /** Longer than all bounds of time but that of withdrawn keys. */
 const ACTION_MS = 8_000;
 
-/** After it a handle that was left open is told, and does not hold the run up. */
-const END_MS = 2_000;
-
 after(() => {
+  // A handle that was left open is told, and does not hold the run up.
   setTimeout(() => {
     console.error(`left open: ${process.getActiveResourcesInfo().join()}`);
     process.exit();
-  }, END_MS).unref();
+  }, 2_000).unref();
 });
 
 describe("each check of the soak", { concurrency: 3 }, () => {
   it("holds for a stand-in that is sound, under the faults of all", async () => {
     const faults = CASES.flatMap(listFaults);
     const { violations } = await run("none", faults);
-    expect(violations.slice(0, SHOWN)).toEqual([]);
+    expect(violations.slice(0, 5)).toEqual([]);
   });
 
   for (const known of CASES) {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -21,7 +21,6 @@
   memoryMb: 202,
 } as const;
 
-const SECOND_MS = 1_000;
 const NOT_RUN_STATUSES = [429, 503];
 
 /** A condition that must hold over all that was seen. */
@@ -47,10 +46,7 @@
 ];
 
 /** Conditions of features that are not merged yet; off unless named. */
-export const pendingChecks: readonly string[] = [
-  "evacuated-zone",
-  "cold-bound",
-];
+export const pendingChecks = ["evacuated-zone", "cold-bound"];
 
 /** Each caller gets its own whole answer. */
 function findForeignAnswers({ calls }: SoakHistory): readonly string[] {
@@ -147,7 +143,7 @@
       arrival.atMs >= fromMs && arrival.atMs <= toMs
     ).map(({ atMs }) => atMs);
     const isOver = times.some((atMs, index) =>
-      (times[index + limit] ?? Number.POSITIVE_INFINITY) - atMs < SECOND_MS
+      (times[index + limit] ?? Number.POSITIVE_INFINITY) - atMs < 1_000
     );
     return isOver
       ? [`${name}, cold from ${Math.round(fromMs)}, got over ${limit} in 1 s`]
--- a/packages/soak/src/loopback_proxy.ts
+++ b/packages/soak/src/loopback_proxy.ts
@@ -82,7 +82,7 @@
       return;
     }
     const target = connect({ host, port: Number(port), allowHalfOpen: true });
-    const link = new Link({ client, target, faultNow: () => this.fault });
+    const link = new Link(client, target, () => this.fault);
     this.#links.add(link);
     target.once("error", ({ code }: NodeJS.ErrnoException) => {
       if (code === "ECONNREFUSED") this.#refusedPorts.add(clientPort);
@@ -91,11 +91,7 @@
   }
 }
 
-interface LinkOptions {
-  readonly client: Socket;
-  readonly target: Socket;
-  readonly faultNow: () => LinkFault | undefined;
-}
+type FaultNow = () => LinkFault | undefined;
 
 /** One connection through the proxy. */
 class Link {
@@ -103,11 +99,11 @@
   readonly #client: Socket;
   readonly #target: Socket;
 
-  constructor({ client, target, faultNow }: LinkOptions) {
+  constructor(client: Socket, target: Socket, faultNow: FaultNow) {
     this.#client = client;
     this.#target = target;
-    this.#carry({ from: client, to: target, cut: "cut-up", faultNow });
-    this.#carry({ from: target, to: client, cut: "cut-down", faultNow });
+    this.#carry({ from: client, to: target, cut: "cut-up" }, faultNow);
+    this.#carry({ from: target, to: client, cut: "cut-down" }, faultNow);
   }
 
   reset(): void {
@@ -115,7 +111,7 @@
     this.#target.resetAndDestroy();
   }
 
-  #carry({ from, to, cut, faultNow }: Direction): void {
+  #carry({ from, to, cut }: Direction, faultNow: FaultNow): void {
     const queue: Delivery[] = [];
     const deliver = () => {
       const nowMs = performance.now();
@@ -156,5 +152,4 @@
   readonly from: Socket;
   readonly to: Socket;
   readonly cut: LinkFault;
-  readonly faultNow: () => LinkFault | undefined;
 }
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -88,8 +88,7 @@
   const rssMb = Math.max(...memory.map((note) => note.rssMb));
   return [
     `seed ${seed} ${result.violations.length === 0 ? "green" : "RED"}`,
-    `${calls.length} calls`,
-    `${count(200)} served`,
+    `${calls.length} calls, ${count(200)} served`,
     `${count(429, 503)} refused`,
     `${count(0)} without an answer`,
     `restored after ${restoreMs.join(" and ")} ms`,
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -90,11 +90,7 @@
 ): Promise<number> {
   const applied = await Promise.all(faults.map(async (fault) => {
     await sleep(fault.atMs);
-    return await applyFault(
-      world,
-      fault,
-      (forMs) => callers.burst(world, forMs),
-    );
+    return await applyFault(world, fault, callers);
   }));
   return applied.filter((isApplied) => !isApplied).length;
 }
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -33,8 +33,8 @@
     const stops = () => this.#isStopped;
     for (const process of world.processes.values()) {
       for (const kind of this.#kinds) {
-        const caller = { process, kind, key: soakKeys.steady };
-        this.#loops.push(this.#loop(caller, PAUSE_MS, stops));
+        const key = soakKeys.steady;
+        this.#loops.push(this.#loop({ process, kind, key }, PAUSE_MS, stops));
       }
       for (const [index, key] of soakKeys.withdrawn.entries()) {
         const kind = this.#kinds[index % this.#kinds.length]!;
--- a/packages/soak/src/soak_world.ts
+++ b/packages/soak/src/soak_world.ts
@@ -9,16 +9,13 @@
 const PROCESS_COUNT = 3;
 const MODEL_INSTANCES_PER_ZONE = 5;
 const PLAIN_INSTANCES_PER_ZONE = 2;
-const STEADY_KEY = "key-steady";
-const BURST_KEY = "key-burst";
-const WITHDRAWN_KEYS = ["key-1", "key-2"] as const;
 const TARGETS_MS = [300, 400, 500];
 
 /** Keys of the soak's callers, by what becomes of them. */
 export const soakKeys = {
-  steady: STEADY_KEY,
-  burst: BURST_KEY,
-  withdrawn: WITHDRAWN_KEYS,
+  steady: "key-steady",
+  burst: "key-burst",
+  withdrawn: ["key-1", "key-2"],
 } as const;
 
 /** What every plan can make faulty. */
@@ -29,7 +26,7 @@
     ...listNames("plain", ZONES.length * PLAIN_INSTANCES_PER_ZONE),
   ],
   zones: ZONES,
-  keys: WITHDRAWN_KEYS,
+  keys: soakKeys.withdrawn,
 };
 
 /** Processes in front of the platform's stand-ins, all behind proxies. */
@@ -76,7 +73,7 @@
   /** Publishes the next version of the configuration. */
   publish(): void {
     this.#version += 1;
-    const keys = [STEADY_KEY, BURST_KEY, ...WITHDRAWN_KEYS];
+    const keys = [soakKeys.steady, soakKeys.burst, ...soakKeys.withdrawn];
     const valid = keys.filter((key) => !this.#withdrawn.has(key));
     const targetMs = TARGETS_MS[this.#version % TARGETS_MS.length]!;
     this.platform.publishConfig(createFakeConfig({
