Don't count a standstill against the time to end

A process that is stopped by SIGSTOP can't act on SIGTERM; its time begins when it goes on. The sound stand-in was red for this once, after the actions of its test had been made longer.

The soak's test files, started beside them, did not end within 110 s; not traced.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -9,7 +9,6 @@
 import { planTargets } from "./soak_world.ts";
 
 const TARGET = fileURLToPath(new URL("../../../target/", import.meta.url));
-const EXIT_STOPPED = 130;
 const PROGRAM = join(TARGET, "celerytray_host.mjs");
 
 class SoakCommand extends Command {
@@ -109,7 +108,7 @@
 
 /** The processes of a soak end with it. */
 for (const signal of ["SIGINT", "SIGTERM"] as const) {
-  process.once(signal, () => process.exit(EXIT_STOPPED));
+  process.once(signal, () => process.exit(130));
 }
 
 const cli = new Cli({ binaryName: "soak" });
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -40,11 +40,10 @@
 const STANDSTILL_MS = 300;
 /** Watched after the bound of a withdrawn key has passed. */
 const AFTER_WITHDRAWAL_MS = 1_000;
-const ALL_KINDS: readonly CallKind[] = ["stream", "once", "safe"];
 
 /** Runs a plan against fresh processes and checks what was seen. */
 export async function runSoak(run: SoakRun): Promise<SoakResult> {
-  const kinds = run.kinds ?? ALL_KINDS;
+  const kinds = run.kinds ?? ["stream", "once", "safe"];
   const history = new SoakHistory();
   const world = new SoakWorld(history);
   const callers = new SoakCallers(history, kinds);
--- a/packages/soak/src/soak_process.ts
+++ b/packages/soak/src/soak_process.ts
@@ -21,7 +21,6 @@
  * 3 s at the latest; open ones are used until the process is gone.
  */
 const ENTRY_NOTICE_MS = 2_500;
-const KB_PER_MB = 1_024;
 
 /** A process between a proxy for its callers and one for its store. */
 export class SoakProcess {
@@ -37,6 +36,7 @@
   readonly #zone: string;
   #current: HostProcess | undefined;
   #storeAddress = "";
+  #standstill: Promise<unknown> = Promise.resolve();
   /** The signal that it was told to end by. */
   #told: NodeJS.Signals | undefined;
 
@@ -133,7 +133,8 @@
     const end = this.#disturb("pause");
     const child = this.#current?.child;
     child?.kill("SIGSTOP");
-    await sleep(forMs);
+    this.#standstill = sleep(forMs);
+    await this.#standstill;
     child?.kill("SIGCONT");
     end();
   }
@@ -146,7 +147,7 @@
     const status = await readFile(`/proc/${child.pid}/status`, "utf8")
       .catch(() => "");
     const [, rssKb = 0] = /^VmRSS:\s+(\d+) kB/m.exec(status) ?? [];
-    const rssMb = Number(rssKb) / KB_PER_MB;
+    const rssMb = Number(rssKb) / 1_024;
     this.#history.memory.push({ process: this.name, rssMb });
   }
 
@@ -163,6 +164,8 @@
     this.#told = signal;
     const exited = once(child, "exit");
     child.kill(signal);
+    // A process that stands still can't end; its time begins after that.
+    await Promise.race([exited, this.#standstill]);
     const isGone = await Promise.race([
       exited.then(() => true),
       sleep(timeoutMs, false, { ref: false }),
