--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -35,8 +35,12 @@
   readonly hasTraffic: () => boolean;
   /** Time for which an instance that drains works on at least. */
   readonly drainMs: number;
+  /** Whether nothing is to be sent to a zone; by default none is evacuated. */
+  readonly isEvacuated?: (zone: string) => boolean;
   /** Whether an instance asked this machine for time. */
   readonly isBackingOff: (instanceId: string) => boolean;
+  /** Takes note of the time for which an instance said that it stays cold. */
+  readonly onColdTold?: (instanceId: string, coldMs: number) => void;
   /** Takes note that an instance said that it leaves. */
   readonly onLeaving: (instanceId: string) => void;
   readonly record: RecordEvent;
@@ -158,7 +162,8 @@
 
   /** Takes replicas with a slow member apart where spares stand by. */
   #replaceSlow(nowMs: number): void {
-    const runs = [...this.#state.runs.values()];
+    const runs = [...this.#state.runs.values()]
+      .filter((run) => !this.#state.isEvacuated(run));
     const isSlow = (id: string) => this.#state.paces.isSlow(id);
     if (!runs.some(({ record }) => record.members.some(isSlow))) return;
     for (const service of this.#options.engines().keys()) {
@@ -196,8 +201,9 @@
     if (address === undefined) return Effect.void;
     return this.#options.control.probe({ id, address }).pipe(
       Effect.matchEffect({
-        onSuccess: ({ pace, isLeaving }) =>
+        onSuccess: ({ pace, isLeaving, coldMs }) =>
           Effect.sync(() => {
+            if (coldMs !== undefined) this.#options.onColdTold?.(id, coldMs);
             if (isLeaving) this.#options.onLeaving(id);
             if (!isAbsent) this.#state.liveness.noteAlive(id);
             else this.#state.liveness.noteProbed(id);
@@ -240,9 +246,11 @@
         recordRetiring(run, this.#options.record);
       }
       if (run.retiring?.isFreed === true) return this.#retire(run);
-      return due.flatMap(({ instanceId, order }) =>
-        this.#dispatcher.send({ instanceId, order, run }, nowMs)
-      );
+      const isEvacuated = this.#state.isEvacuated(run);
+      return due.filter(({ order }) => order.kind !== "open" || !isEvacuated)
+        .flatMap(({ instanceId, order }) =>
+          this.#dispatcher.send({ instanceId, order, run }, nowMs)
+        );
     });
   }
 
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -31,8 +31,10 @@
   BackoffTracker,
   BudgetTracker,
   type CallCodec,
+  findHomeProblems,
   LoadTracker,
   PaceTracker,
+  QueueWaits,
   RepeatBudget,
   type ServingConfig,
   type ServingDependencies,
@@ -43,13 +45,18 @@
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { ConfigView } from "./config_view.ts";
 import { countStoreCalls } from "./count_store_calls.ts";
+import { createAdmission } from "./create_admission.ts";
+import { createZoneRules } from "./create_zone_rules.ts";
+import { createColdRules } from "./create_cold_rules.ts";
 import { createRandom } from "./create_random.ts";
 import { drainCallers } from "./drain_callers.ts";
 import { followStore } from "./follow_store.ts";
 import { KeyFreshness } from "./key_freshness.ts";
 import type { HostSettings } from "./host_settings.ts";
 import { keepRunning, recordFault } from "./keep_running.ts";
+import { measureLag } from "./loop_lag.ts";
 import { moveAttempts } from "./move_attempts.ts";
+import { createPressure } from "./pressure.ts";
 import { proveKeys } from "./prove_keys.ts";
 import { recordCall } from "./record_call.ts";
 import { StoreContact } from "./store_contact.ts";
@@ -111,7 +118,17 @@
     const metrics = new MetricsPage();
     const loads = new LoadTracker();
     const backoffs = new BackoffTracker();
-    const stalls = new StallWatch();
+    const pressure = createPressure({
+      memoryMb: settings.memoryMb,
+      metrics,
+      record,
+      nowMs,
+    });
+    const queueWaits = new QueueWaits(loads);
+    const stalls = new StallWatch({
+      queueWaitMs: (request, atMs) => queueWaits.explainedMs(request, atMs),
+      isBehind: (atMs) => pressure.lag.isBehind(atMs),
+    });
     const paces = new PaceTracker();
     const pools = new BackendPools();
     const demand = new Map<string, number>();
@@ -132,8 +149,10 @@
       onAdopted: (version, offset) => {
         record("config.adopted", { version, offset });
         coordinator.noteChange();
-        const limits = config.index?.config.limits;
-        if (limits !== undefined) servers.callers?.setTimeouts(limits);
+        const adopted = config.index!.config;
+        const problems = findHomeProblems(adopted, settings.zoneRegions);
+        if (problems !== undefined) record("config.homes", { ...problems });
+        servers.callers?.setTimeouts(adopted.limits);
       },
       onMalformed: (message, offset) =>
         record("config.malformed", { message, offset }),
@@ -151,14 +170,43 @@
       instancesCopy.apply(change);
       coordinator.noteChange();
       instances.apply(change, nowMs());
+      cold.noteList(change);
       const isPresent = (id: string) => instances.find(id) !== undefined;
       loads.keepOnly(isPresent);
       paces.keepOnly(isPresent);
+      stalls.keepOnly(isPresent);
       backoffs.keepOnly(isPresent, nowMs());
     };
     const configCopy = new TopicCopy();
+    const cold = createColdRules({
+      processId: settings.nodeId,
+      bounds: {
+        overshoot: settings.coldOvershoot,
+        slackRequests: settings.coldSlackRequests,
+      },
+      instances,
+      coldOf: (service) => config.index?.config.services.get(service)?.cold,
+      coordinator: () => coordinator,
+      hasTraffic: () => state.hasTraffic,
+      metrics,
+      record,
+      nowMs,
+      wallMs: () => clock.currentTimeMillisUnsafe(),
+    });
+    const zones = createZoneRules({
+      prefix: ports.evacuationPrefix,
+      copy: configCopy,
+      instances,
+      loads,
+      metrics,
+      record,
+      nowMs,
+      onRestored: cold.noteRestored,
+    });
     const applyConfig = (change: KeyedChange) => {
       configCopy.apply(change);
+      // Before the configuration, so that a start never serves without it.
+      if (change.records.length > 0 || change.isWhole) zones.update();
       config.apply(change);
       keys.noteProof(change.freshAtMs);
     };
@@ -223,6 +271,8 @@
           demand: (model) => coordinator.totalDemand(model),
           hasTraffic: () => coordinator.hasAnyTraffic(),
           drainMs: settings.drainMs,
+          onColdTold: cold.noteReported,
+          isEvacuated: (zone) => zones.evacuations.isEvacuated(zone),
           isBackingOff: (instanceId) =>
             backoffs.isBackingOff(instanceId, nowMs()),
           onLeaving: (instanceId) => {
@@ -236,8 +286,9 @@
     const targets = new TargetLists({
       instances,
       closedHeads: () => coordinator.listClosedHeads(),
-      slotsOf: (service) =>
-        config.index?.config.services.get(service)?.engine?.slots,
+      services: () => config.index?.config.services,
+      evacuations: zones.evacuations,
+      zoneRegions: settings.zoneRegions,
     });
 
     yield* followStore({
@@ -256,10 +307,13 @@
     });
     const loops: Readonly<Record<string, Effect.Effect<unknown>>> = {
       coordination: coordinator.run(),
+      "counting of processes": cold.run,
       "proof of keys": proveKeys({ log, config, keys, state, record }),
+      "measuring of lag": measureLag(pressure.lag, record),
       "moving of requests": moveAttempts({
         stalls,
         paces,
+        isBehind: (atMs) => pressure.lag.isBehind(atMs),
         nowMs,
         record,
         closedHeads: () => coordinator.listClosedHeads(),
@@ -270,15 +324,28 @@
     }
 
     const dependencies: ServingDependencies = {
+      ...pressure.dependencies,
       codec: ports.codec,
       zone: settings.zone,
       index: () => config.index,
       areKeysFresh: () => keys.isFresh(),
-      listTargets: (service, model) => targets.list(service, model),
+      listTargets: (service, model, homes) =>
+        targets.list(service, model, homes),
+      admission: createAdmission({
+        coordinator,
+        loads,
+        metrics,
+        // Queues don't tell home regions apart.
+        listTargets: (service, model) =>
+          targets.list(service, model, undefined),
+      }),
+      findBar: (service, homes) => targets.findBar(service, homes),
       loads,
+      cold: cold.allowance,
       backoffs,
       stalls,
       paces,
+      queueWaits,
       budgets: new BudgetTracker(),
       repeats,
       agentFor: (address) => pools.agentFor(address),
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -2,7 +2,7 @@
 import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
-import type { AttemptOutcome } from "./run_attempt.ts";
+import type { AttemptOutcome } from "./attempt_options.ts";
 import type { AbandonReason } from "./stall_watch.ts";
 import type { Repeatability } from "./serving_config.ts";
 
@@ -74,6 +74,8 @@
 const FULL_RETRY_MS = 400;
 /** Time in which replicas that are full may get through their work. */
 const FULL_REPLICAS_RETRY_MS = 1_200;
+/** Part of the remaining time up to which callers honour Retry-After. */
+const RETRY_PART = 1 / 3;
 const NO_REPLICA_RETRY_MS = 800;
 const SERVER_ERROR_STATUS = 500;
 /** Statuses that promise callers that a request did not run. */
@@ -120,6 +122,7 @@
     progress.arrivals += 1;
   }
   progress.attempts.push(`${instanceId} ${describeOutcome(outcome)}`);
+  if (outcome.kind === "not-run" && outcome.isWithheld) return;
   if (outcome.kind !== "not-run") progress.mayHaveRun = true;
   if (outcome.kind === "lost" && outcome.isStale && !progress.hadStale) {
     // The instance dropped the idle connection; a fresh one may do.
@@ -215,6 +218,20 @@
   });
 }
 
+/** The answer to a request whose targets are all cold for too long. */
+export function refuseWhileCold(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  { waitMs, nowMs }: { readonly waitMs: number; readonly nowMs: number },
+): AttemptsResult {
+  const remainingMs = Math.max(0, options.call.deadlineAtMs - nowMs);
+  return conclude(options, progress, {
+    message: "Every back end is cold",
+    unknownStatus: 502,
+    retryAfterMs: Math.min(waitMs, remainingMs * RETRY_PART),
+  });
+}
+
 /** The answer in this system's own name when no attempt is left. */
 export function giveUp(
   options: AttemptsOptions,
@@ -241,7 +258,8 @@
   readonly retryAfterMs?: number;
 }
 
-function conclude(
+/** The answer in this system's own name, or a failure that an instance answered. */
+export function conclude(
   { call, exchange }: AttemptsOptions,
   progress: AttemptProgress,
   { message, unknownStatus, ...conclusion }: Conclusion,
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -1,9 +1,14 @@
 import type { Agent } from "node:http";
+import type { AdmissionRecord, CallAdmission } from "./admission/index.ts";
 import type { BudgetTracker } from "./budget_tracker.ts";
 import type { CallCodec, CallHead } from "./call.ts";
+import type { ColdAllowance } from "./cold_allowance.ts";
 import type { ServingTarget } from "./choose_target.ts";
+import type { HeldBytes } from "./held_bytes.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 import type { PaceTracker } from "./pace_tracker.ts";
+import type { ProcessLag } from "./process_lag.ts";
+import type { QueueWaits } from "./queue_wait.ts";
 import type { RepeatBudget } from "./repeat_budget.ts";
 import type { BackoffTracker } from "./backoff_tracker.ts";
 import type { ServingRoute } from "./serving_config.ts";
@@ -22,13 +27,26 @@
   readonly listTargets: (
     service: string,
     model: string | undefined,
+    homes: readonly string[] | undefined,
   ) => readonly ServingTarget[];
+  /** Why no instance of a service may get a call; undefined if one may. */
+  readonly findBar: (
+    service: string,
+    homes: readonly string[] | undefined,
+  ) => BarReason | undefined;
   readonly loads: LoadTracker;
+  /** What cold instances may get from this process. */
+  readonly cold: ColdAllowance;
   readonly backoffs: BackoffTracker;
   readonly stalls: StallWatch;
   readonly paces: PaceTracker;
+  readonly queueWaits: QueueWaits;
   readonly repeats: RepeatBudget;
   readonly budgets: BudgetTracker;
+  readonly lag: ProcessLag;
+  /** Bounds the bytes that are held for callers. */
+  readonly held: HeldBytes;
+  readonly admission: CallAdmission;
   readonly agentFor: (address: string) => Agent;
   readonly discardAgent: (address: string) => void;
   /** Whether a connection to an address is open and unused. */
@@ -36,6 +54,8 @@
   readonly random: () => number;
   /** Counts the requests in progress or waiting, by model and organisation. */
   readonly noteDemand: (source: DemandSource, change: 1 | -1) => void;
+  /** Counts a request that was not sent. */
+  readonly onWithheld: (reason: WithheldReason) => void;
   /** Takes note that a target's answer said that it leaves. */
   readonly noteLeaving: (target: ServingTarget) => void;
   /** Told of a back-off that a target asked for, and of what it gets. */
@@ -47,6 +67,15 @@
   readonly record: (outcome: CallRecord) => void;
 }
 
+/**
+ * Why a request is not sent: its caller left, its time is over, this process
+ * is behind, or its body does not fit.
+ */
+export type WithheldReason = "left" | "deadline" | "lag" | "memory";
+
+/** Why a request may go to none of a service's instances. */
+export type BarReason = "evacuated" | "not-at-home";
+
 /** What a request counts for. */
 export interface DemandSource {
   readonly model: string;
@@ -81,6 +110,8 @@
   readonly durationMs: number;
   readonly firstByteMs?: number;
   readonly configVersion: number;
+  /** Its wait for a replica, and why that was no use; absent without one. */
+  readonly admission?: AdmissionRecord;
 }
 
 /** A call that may be forwarded. */
@@ -90,10 +121,16 @@
   readonly service: string;
   readonly tenant?: string;
   readonly priority: number;
+  /** Regions whose instances may get it; undefined for all. */
+  readonly homes?: readonly string[];
   readonly body: Buffer;
   readonly arrivedAtMs: number;
   /** Whether its target time had passed before it came, as with a repeat. */
   readonly isLate: boolean;
+  /** Whether its caller was refused before, by its shortened deadline. */
+  readonly wasRefused: boolean;
+  /** Time up to which an answer is on time. */
+  readonly targetAtMs: number;
   /** Time at which the caller or the route's bound gives up. */
   readonly deadlineAtMs: number;
   readonly configVersion: number;
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -1,12 +1,14 @@
 import { Effect } from "effect";
 import { steadyMs } from "../clock/index.ts";
+import type { AdmissionRefusal } from "./admission/index.ts";
 import {
   type AttemptProgress,
   type AttemptsOptions,
   mayAttemptAfterThis,
 } from "./attempt_progress.ts";
 import type { AbandonReason } from "./stall_watch.ts";
-import type { ServingDependencies } from "./call_context.ts";
+import { type ColdSearch, planColdWait } from "./cold_wait.ts";
+import type { BarReason } from "./call_context.ts";
 import {
   chooseTarget,
   isPreferred,
@@ -31,20 +33,50 @@
   | { readonly kind: "full" }
   /** Every one that could take it asked for time. */
   | { readonly kind: "backing-off"; readonly backoffMs: number }
+  /** None may get it, now or soon. */
+  | ColdSearch
+  | { readonly kind: "barred"; readonly reason: BarReason }
+  /** It can't be sent before its deadline. */
+  | { readonly kind: "refused"; readonly refusal: AdmissionRefusal }
+  /** Its model has no replica for a known time. */
+  | { readonly kind: "no-replica"; readonly retryAfterMs: number }
   | { readonly kind: "none" };
 
-/** Waits shortly for a target, if there is none now. */
+/**
+ * Waits for a target: in the queue of the model while its concurrency limit is
+ * in force, otherwise shortly if there is none now.
+ */
 export function awaitTarget(
   options: AttemptsOptions,
   progress: AttemptProgress,
 ): Effect.Effect<TargetSearch> {
-  const { targetMs } = options.call.route;
-  return Effect.gen(function* () {
-    const startedAtMs = yield* steadyMs;
+  const { call, dependencies: { admission } } = options;
+  const { targetMs, isStream } = call.route;
+  return Effect.gen(function* (): Effect.fn.Return<TargetSearch> {
+    let startedAtMs = yield* steadyMs;
     while (true) {
       const nowMs = yield* steadyMs;
+      const mustWait = isStream && !hasBegun(options, progress) &&
+        admission.mustWait(call, nowMs);
+      if (mustWait) {
+        const refusal = yield* admission.awaitTurn(call);
+        if (refusal !== undefined) return { kind: "refused", refusal };
+        startedAtMs = yield* steadyMs;
+        continue;
+      }
       const search = searchTarget(options, progress, nowMs);
-      if (search.kind === "found") return search;
+      if (search.kind === "found") {
+        if (isStream) admission.noteStarted(call, nowMs);
+        return search;
+      }
+      if (search.kind === "barred" || search.kind === "no-replica") {
+        return search;
+      }
+      if (search.kind === "cold") {
+        if (search.stepMs === undefined) return search;
+        yield* Effect.sleep(search.stepMs);
+        continue;
+      }
       if (search.kind === "backing-off" && !hasBegun(options, progress)) {
         return search;
       }
@@ -55,7 +87,11 @@
       if (nowMs - startedAtMs >= waitMs) return search;
       yield* Effect.sleep(WAIT_STEP_MS);
     }
-  });
+  }).pipe(
+    Effect.ensuring(
+      Effect.sync(() => options.dependencies.cold.leaveWait(options.call)),
+    ),
+  );
 }
 
 /** A stream that has begun goes wherever it can. */
@@ -67,10 +103,10 @@
   const { call, dependencies } = options;
   const choice = createChoice(options, progress, nowMs);
   const target = chooseTarget(choice);
-  if (target === undefined) return explainNoTarget(choice, dependencies);
-  if (!call.route.isStream || hasBegun(options, progress)) {
-    return { kind: "found", target };
-  }
+  if (target === undefined) return explainNoTarget(options, progress, choice);
+  const goesAnyway = !call.route.isStream || hasBegun(options, progress) ||
+    dependencies.admission.isAdmitted(call);
+  if (goesAnyway) return { kind: "found", target };
   const work = dependencies.loads.estimateAtWorst(target.instanceId, nowMs);
   const places = target.slots * (call.isLate ? LATE_PART : 1);
   const isFull = work >= places;
@@ -86,11 +122,37 @@
     progress.lastEventId !== undefined;
 }
 
+/** When a model without a replica has one, if that is known. */
+function findReplicaTime(
+  { call, dependencies }: AttemptsOptions,
+  { targets, nowMs }: TargetChoice,
+): TargetSearch | undefined {
+  if (targets.length > 0) return undefined;
+  const { admission } = dependencies;
+  const retryAfterMs = admission.refuseWithoutReplica(call, nowMs);
+  return retryAfterMs === undefined
+    ? undefined
+    : { kind: "no-replica", retryAfterMs };
+}
+
 function explainNoTarget(
-  { targets, tried, nowMs }: TargetChoice,
-  { backoffs }: ServingDependencies,
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  choice: TargetChoice,
 ): TargetSearch {
+  const { targets, tried, isBackingOff, nowMs } = choice;
+  const { call, dependencies: { backoffs, findBar } } = options;
+  const reason = targets.length > 0
+    ? undefined
+    : findBar(call.service, call.homes);
+  if (reason !== undefined) return { kind: "barred", reason };
+  const noReplica = hasBegun(options, progress)
+    ? undefined
+    : findReplicaTime(options, choice);
+  if (noReplica !== undefined) return noReplica;
   const untried = targets.filter(({ instanceId }) => !tried.has(instanceId));
+  const cold = untried.filter(({ instanceId }) => !isBackingOff(instanceId));
+  if (cold.length > 0) return planColdWait(options, cold, nowMs);
   const backoffMs = backoffs.shortestBackoffMs(
     untried.map(({ instanceId }) => instanceId),
     nowMs,
@@ -105,11 +167,16 @@
 ): TargetChoice {
   const { stalls, paces, backoffs } = dependencies;
   return {
-    targets: dependencies.listTargets(call.service, call.head.model),
+    targets: dependencies.listTargets(
+      call.service,
+      call.head.model,
+      call.homes,
+    ),
     loads: dependencies.loads,
     zone: dependencies.zone,
     hasConnection: dependencies.hasConnection,
     isBackingOff: (id) => backoffs.isBackingOff(id, nowMs),
+    mayTake: (target) => dependencies.cold.mayTake(target, nowMs),
     isSilent: (id) => stalls.isSilent(id, nowMs),
     isSlow: (target) => paces.isSlow(target, nowMs),
     tried: progress.tried,
@@ -118,7 +185,7 @@
   };
 }
 
-/** Ends the attempt under way if another instance surely takes the request. */
+/** Ends the attempt under way if another instance surely takes the request; whether it did. */
 export function tryMove(
   options: AttemptsOptions,
   progress: AttemptProgress,
@@ -126,22 +193,27 @@
     readonly reason: AbandonReason;
     readonly nowMs: number;
   },
-): void {
+): boolean {
   const { call, dependencies } = options;
   if (
     progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
-  ) return;
-  if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return;
-  const choice = createChoice(options, progress, nowMs);
+  ) return false;
+  if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return false;
+  const choice: TargetChoice = {
+    ...createChoice(options, progress, nowMs),
+    // One token would let all requests of a head leave for the same instance.
+    mayTake: (target) => dependencies.cold.isWarm(target, nowMs),
+  };
   const target = chooseTarget(choice);
-  if (target === undefined || !isPreferred(target, choice)) return;
+  if (target === undefined || !isPreferred(target, choice)) return false;
   const { loads, repeats } = dependencies;
   const hasPlace = loads.estimate(target.instanceId, nowMs) < target.slots;
-  if (reason === "slow" && !hasPlace) return;
+  if (reason === "slow" && !hasPlace) return false;
   // What was not sent is no repeat.
   if (progress.isCurrentSent || progress.arrivals > 0) {
-    if (!repeats.trySpend(call.service, nowMs)) return;
+    if (!repeats.trySpend(call.service, nowMs)) return false;
     progress.isNextPaid = true;
   }
   progress.abandon(reason);
+  return true;
 }
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -3,6 +3,7 @@
 import { Left, Right } from "purify-ts";
 import { readSteadyMs, steadyMs } from "../clock/index.ts";
 import { readBody } from "../http/index.ts";
+import type { AdmissionEnd } from "./admission/index.ts";
 import type { AttemptsResult, AttemptsSummary } from "./attempt_progress.ts";
 import type { CallHead } from "./call.ts";
 import type {
@@ -12,17 +13,34 @@
   ServingDependencies,
 } from "./call_context.ts";
 import type { CallerExchange, OwnAnswer } from "./caller_exchange.ts";
+import { intersectHomes } from "./homes.ts";
 import { runAttempts } from "./run_attempts.ts";
+import type { HeldBody } from "./held_bytes.ts";
+import { refuseWhileBehind } from "./process_lag.ts";
 import { selectService, type ServingIndex } from "./serving_index.ts";
 
 const NO_CONFIG_RETRY_MS = 500;
 const STALE_KEYS_RETRY_MS = 500;
 const MAX_PRIORITY = 9;
+const NO_ROOM_RETRY_MS = 500;
+/** Time missing from a usual budget that tells of a refusal before. */
+const MIN_REFUSED_PASSED_MS = 150;
 
 /** Serves one request of a caller. */
 export function serveCall(
   exchange: CallerExchange,
   dependencies: ServingDependencies,
+): Effect.Effect<void> {
+  const heldBody = dependencies.held.openBody();
+  return serveHeld(exchange, dependencies, heldBody).pipe(
+    Effect.ensuring(Effect.sync(() => heldBody.release())),
+  );
+}
+
+function serveHeld(
+  exchange: CallerExchange,
+  dependencies: ServingDependencies,
+  heldBody: HeldBody,
 ): Effect.Effect<void> {
   return Effect.gen(function* () {
     const arrivedAtMs = yield* steadyMs;
@@ -35,48 +53,54 @@
           dependencies,
           index: index(),
         })
-      );
+      )
+      .chain((admission) => admitInTime(admission, dependencies, arrivedAtMs));
     if (admitted.isLeft()) {
       const own = admitted.extract() as OwnAnswer;
       const id = decoded.toMaybe().extract()?.id;
-      exchange.answerItself(id, own);
-      if (!exchange.request.complete) exchange.request.resume();
-      dependencies.record({
-        callId: id ?? "",
-        route: "",
-        service: "",
-        status: own.status,
-        outcome: "refused",
-        reason: own.message,
-        attempts: [],
-        durationMs: 0,
-        configVersion: index()?.config.version ?? 0,
-      });
+      refuse(exchange, { id, own, dependencies });
       return;
     }
     const admission = admitted.unsafeCoerce();
     const maxBytes = index()!.config.limits.maxBodyBytes;
-    const body = yield* readBody(exchange.request, { maxBytes }).pipe(
-      Effect.catch(() => {
-        exchange.answerItself(admission.head.id, {
-          status: 413,
-          message: `The body exceeds ${maxBytes} bytes`,
-        });
+    const refuseUnheld = () => {
+      dependencies.onWithheld("memory");
+      const own: OwnAnswer = {
+        status: 503,
+        message: "The body does not fit into memory; the request was not run",
+        retryAfterMs: Math.min(
+          NO_ROOM_RETRY_MS,
+          (admission.deadlineAtMs - arrivedAtMs) / 3,
+        ),
+      };
+      refuse(exchange, { id: admission.head.id, own, dependencies });
+    };
+    const declaredBytes = Number(
+      exchange.request.headers["content-length"] ?? 0,
+    );
+    if (
+      declaredBytes <= maxBytes && !dependencies.held.hasRoom(declaredBytes)
+    ) {
+      refuseUnheld();
+      return;
+    }
+    const body = yield* readBody(exchange.request, {
+      maxBytes,
+      mayHold: (bytes) => heldBody.tryAdd(bytes),
+    }).pipe(
+      Effect.catch((failure) => {
+        if (failure._tag === "BodyNotHeld") refuseUnheld();
+        else {
+          exchange.answerItself(admission.head.id, {
+            status: 413,
+            message: `The body exceeds ${maxBytes} bytes`,
+          });
+        }
         return Effect.interrupt;
       }),
     );
-    const { head, route } = admission;
-    const boundMs = Math.min(head.budgetMs ?? route.timeoutMs, route.timeoutMs);
-    const passedMs = head.budgetMs === undefined
-      ? 0
-      : dependencies.budgets.notePassed(route.name, head.budgetMs);
-    const call: AdmittedCall = {
-      ...admission,
-      body,
-      isLate: passedMs >= route.targetMs,
-      arrivedAtMs,
-      deadlineAtMs: arrivedAtMs + boundMs,
-    };
+    const { head } = admission;
+    const call: AdmittedCall = { ...admission, body, arrivedAtMs };
     dependencies.repeats.noteRequest(call.service, arrivedAtMs);
     const source: DemandSource = {
       model: head.model ?? "",
@@ -84,31 +108,43 @@
     };
     dependencies.noteDemand(source, 1);
     const clock = yield* Clock.Clock;
+    const describeCall = (summary: AttemptsSummary, endedAtMs: number) =>
+      describeAttempts(call, { dependencies, summary, endedAtMs });
     const onLeft = (summary: AttemptsSummary) =>
       dependencies.record({
-        ...describeCall(call, summary, readSteadyMs(clock)),
+        ...describeCall(summary, readSteadyMs(clock)),
         status: 0,
         outcome: "left",
       });
-    const result = yield* runAttempts({
-      call,
-      exchange,
-      dependencies,
-      onLeft,
-    }).pipe(
-      Effect.ensuring(
-        Effect.sync(() => dependencies.noteDemand(source, -1)),
-      ),
+    let end: AdmissionEnd = { isServed: false };
+    const serving = Effect.gen(function* () {
+      const result = yield* runAttempts({
+        call,
+        exchange,
+        dependencies,
+        onLeft,
+      });
+      const endedAtMs = yield* steadyMs;
+      end = describeEnd(result);
+      finish(exchange, call, result);
+      dependencies.record({
+        ...describeCall(result, endedAtMs),
+        ...describeResult(result),
+      });
+    });
+    yield* serving.pipe(
+      Effect.ensuring(Effect.sync(() => {
+        dependencies.noteDemand(source, -1);
+        dependencies.admission.end(call, end, readSteadyMs(clock));
+      })),
     );
-    const endedAtMs = yield* steadyMs;
-    finish(exchange, call, result);
-    dependencies.record(createRecord(call, result, endedAtMs));
   });
 }
 
+type TimedAdmission = Omit<AdmittedCall, "body" | "arrivedAtMs">;
 type Admission = Omit<
-  AdmittedCall,
-  "body" | "arrivedAtMs" | "deadlineAtMs" | "isLate"
+  TimedAdmission,
+  "targetAtMs" | "deadlineAtMs" | "isLate" | "wasRefused"
 >;
 
 interface AdmissionOptions {
@@ -116,6 +152,32 @@
   readonly index: ServingIndex | undefined;
 }
 
+interface Refusal {
+  readonly id: string | undefined;
+  readonly own: OwnAnswer;
+  readonly dependencies: ServingDependencies;
+}
+
+/** Answers a request that isn't forwarded, whether or not its body came. */
+function refuse(
+  exchange: CallerExchange,
+  { id, own, dependencies }: Refusal,
+): void {
+  exchange.answerItself(id, own);
+  if (!exchange.request.complete) exchange.request.resume();
+  dependencies.record({
+    callId: id ?? "",
+    route: "",
+    service: "",
+    status: own.status,
+    outcome: "refused",
+    reason: own.message,
+    attempts: [],
+    durationMs: 0,
+    configVersion: dependencies.index()?.config.version ?? 0,
+  });
+}
+
 /** Finds a call's route and tenant, or why it isn't forwarded. */
 function admitCall(
   head: CallHead,
@@ -146,6 +208,7 @@
     service: selectService(route, head.id),
     priority: Math.min(MAX_PRIORITY, route.priority),
     configVersion: config.version,
+    ...describeHomes(intersectHomes(route, undefined)),
   };
   if (config.tenants === undefined || route.isPublic) return Right(admission);
   if (!areKeysFresh) return Left(staleAnswer);
@@ -158,10 +221,45 @@
   return Right({
     ...admission,
     tenant: tenant.name,
+    ...describeHomes(intersectHomes(route, tenant)),
     priority: Math.min(MAX_PRIORITY, tenant.priority ?? route.priority),
   });
 }
 
+/** Adds a call's times, or tells why it can't start in time. */
+function admitInTime(
+  admission: Admission,
+  { budgets, lag, onWithheld }: ServingDependencies,
+  nowMs: number,
+): Either<OwnAnswer, TimedAdmission> {
+  const { head: { budgetMs }, route } = admission;
+  const remainingMs = Math.min(budgetMs ?? route.timeoutMs, route.timeoutMs);
+  const passedMs = budgetMs === undefined
+    ? 0
+    : budgets.notePassed(route.name, budgetMs);
+  const isLate = passedMs >= route.targetMs;
+  const lagMs = lag.lagMs(nowMs);
+  const { targetMs } = route;
+  const own = refuseWhileBehind({ lagMs, targetMs, remainingMs, isLate });
+  if (own !== undefined) {
+    onWithheld("lag");
+    return Left(own);
+  }
+  return Right({
+    ...admission,
+    isLate,
+    wasRefused: passedMs >= MIN_REFUSED_PASSED_MS,
+    targetAtMs: nowMs + targetMs - passedMs,
+    deadlineAtMs: nowMs + remainingMs,
+  });
+}
+
+function describeHomes(
+  homes: readonly string[] | undefined,
+): Pick<Admission, "homes"> {
+  return homes === undefined ? {} : { homes };
+}
+
 /** Hands over the final answer. */
 function finish(
   exchange: CallerExchange,
@@ -180,13 +278,19 @@
   }
 }
 
-function createRecord(
-  call: AdmittedCall,
+function describeEnd(
+  { kind, firstByteAtMs }: AttemptsResult,
+): AdmissionEnd {
+  return {
+    isServed: kind !== "given-up",
+    ...(firstByteAtMs === undefined ? {} : { firstByteAtMs }),
+  };
+}
+
+function describeResult(
   result: AttemptsResult,
-  endedAtMs: number,
-): CallRecord {
+): Pick<CallRecord, "status" | "outcome" | "reason"> {
   return {
-    ...describeCall(call, result, endedAtMs),
     status: result.kind === "answered"
       ? result.head.status
       : result.kind === "streamed"
@@ -204,11 +308,17 @@
 }
 
 /** What a record tells of a call however it ended. */
-function describeCall(
-  { head, route, service, arrivedAtMs, configVersion }: AdmittedCall,
-  { attempts, firstByteAtMs }: AttemptsSummary,
-  endedAtMs: number,
+function describeAttempts(
+  call: AdmittedCall,
+  { dependencies, summary, endedAtMs }: {
+    readonly dependencies: ServingDependencies;
+    readonly summary: AttemptsSummary;
+    readonly endedAtMs: number;
+  },
 ): Omit<CallRecord, "status" | "outcome" | "reason"> {
+  const { head, route, service, arrivedAtMs, configVersion } = call;
+  const { attempts, firstByteAtMs } = summary;
+  const admission = dependencies.admission.describe(call, endedAtMs);
   return {
     callId: head.id,
     route: route.name,
@@ -220,5 +330,6 @@
       ? {}
       : { firstByteMs: firstByteAtMs - arrivedAtMs }),
     configVersion,
+    ...(admission === undefined ? {} : { admission }),
   };
 }
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -1,4 +1,4 @@
-import { Effect } from "effect";
+import { Effect, Fiber } from "effect";
 import {
   createServer,
   type IncomingMessage,
@@ -15,6 +15,7 @@
 import { after } from "node:test";
 import { steadyMs } from "../clock/index.ts";
 import { headers } from "../platform/words.ts";
+import type { CallAdmission } from "./admission/index.ts";
 import type { CallRecord, ServingDependencies } from "./call_context.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import type { ServingTarget } from "./choose_target.ts";
@@ -152,17 +153,56 @@
   readonly loads?: LoadTracker;
   readonly stalls?: StallWatch;
   readonly paces?: PaceTracker;
+  readonly queueWaits?: ServingDependencies["queueWaits"];
+  readonly admission?: CallAdmission;
   readonly noteLeaving?: ServingDependencies["noteLeaving"];
   readonly agentFor?: ServingDependencies["agentFor"];
   /** Whether a repeat is covered. */
   readonly trySpend?: () => boolean;
   readonly onMalformedHead?: ServingDependencies["onMalformedHead"];
+  readonly lag?: ServingDependencies["lag"];
+  /** Bound of all routes. */
+  readonly timeoutMs?: number;
+  readonly held?: ServingDependencies["held"];
+  readonly onWithheld?: ServingDependencies["onWithheld"];
+  readonly findBar?: ServingDependencies["findBar"];
+  readonly cold?: ServingDependencies["cold"];
+  /** Regions of all routes and of the organisation. */
+  readonly homes?: Readonly<Record<"route" | "tenant", readonly string[]>>;
 }
 
-export async function startEntry(options: EntryOptions): Promise<number> {
+/** Starts an entry on a port of its own. */
+export function startEntry(options: EntryOptions): Promise<number> {
+  return start(createEntry(options));
+}
+
+/** Starts an entry on a socket in the file system. */
+export async function startLocalEntry(
+  options: EntryOptions,
+  path: string,
+): Promise<void> {
+  const server = createServer(createEntry(options));
+  servers.push(server);
+  await new Promise<void>((resolve) => server.listen(path, resolve));
+}
+
+function createEntry(options: EntryOptions): RequestListener {
+  const {
+    backends,
+    isConfigured,
+    areKeysFresh,
+    trySpend,
+    timeoutMs,
+    homes,
+    ...own
+  } = options;
   const index = new ServingIndex({
     version: 1,
-    routes: ROUTES,
+    routes: ROUTES.map((route) => ({
+      ...route,
+      timeoutMs: timeoutMs ?? route.timeoutMs,
+      ...(homes === undefined ? {} : { homes: homes.route }),
+    })),
     services: new Map(),
     limits: {
       maxHeaderBytes: 16_384,
@@ -170,35 +210,40 @@
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
-    tenants: [{ name: "tenant-1", keys: [KEY] }],
+    tenants: [{
+      name: "tenant-1",
+      keys: [KEY],
+      ...(homes === undefined ? {} : { homes: homes.tenant }),
+    }],
   });
   const records: CallRecord[] = [];
-  const { loads, stalls, paces, noteLeaving, onMalformedHead, agentFor } =
-    options;
   const dependencies = createTestDependencies({
-    index: () => options.isConfigured === false ? undefined : index,
-    areKeysFresh: () => options.areKeysFresh !== false,
-    listTargets: () => options.backends,
+    index: () => isConfigured === false ? undefined : index,
+    areKeysFresh: () => areKeysFresh !== false,
+    listTargets: () => backends,
     record: (record) => records.push(record),
-    ...(loads === undefined ? {} : { loads }),
-    ...(stalls === undefined ? {} : { stalls }),
-    ...(paces === undefined ? {} : { paces }),
-    ...(noteLeaving === undefined ? {} : { noteLeaving }),
-    ...(agentFor === undefined ? {} : { agentFor }),
-    ...(options.trySpend === undefined
+    ...own,
+    ...(trySpend === undefined
       ? {}
-      : { repeats: new ScriptedBudget(options.trySpend) }),
-    ...(onMalformedHead === undefined ? {} : { onMalformedHead }),
+      : { repeats: new ScriptedBudget(trySpend) }),
   });
-  return await start((incoming, response) => {
+  return createHandler(dependencies);
+}
+
+function createHandler(dependencies: ServingDependencies): RequestListener {
+  return (incoming, response) => {
     const exchange = new CallerExchange({
       request: incoming,
       response,
       codec: dependencies.codec,
       isClosing: () => false,
+      held: dependencies.held,
     });
-    Effect.runFork(serveCall(exchange, dependencies));
-  });
+    const fiber = Effect.runFork(serveCall(exchange, dependencies));
+    response.on("close", () => {
+      if (!exchange.hasEnded) Effect.runFork(Fiber.interrupt(fiber));
+    });
+  };
 }
 
 async function start(listener: RequestListener): Promise<number> {
--- a/packages/cli/src/local/host_process_test.ts
+++ b/packages/cli/src/local/host_process_test.ts
@@ -1,48 +1,12 @@
-import {
-  callPlatform,
-  createWholeStream,
-  fakePaths,
-  FakePlatform,
-  type PlatformAnswer,
-} from "@celerytray/fakes";
+import { callStream, STREAM_CONFIG, WHOLE_STREAM } from "@celerytray/fakes";
 import { validateLogEvents } from "@celerytray/schema/log_event_validator";
 import { expect } from "earl";
 import { once } from "node:events";
-import { after, describe, it } from "node:test";
-import { fileURLToPath } from "node:url";
-import { type HostProcess, startHostProcess } from "./host_process.ts";
+import { describe, it } from "node:test";
+import type { HostProcess } from "./host_process.ts";
+import { findLeads, logs, startWorld, WAIT } from "./host_world.ts";
 import { waitUntil } from "./wait_until.ts";
 
-const PROGRAM = fileURLToPath(new URL("../host_main.js", import.meta.url));
-const WAIT = { timeoutMs: 20_000 };
-const GRACE_S = 4;
-const MODEL = "m0";
-const KEY = "key-1";
-const CONFIG = {
-  version: 1,
-  routes: [{
-    name: "drafts",
-    host: "a.example",
-    path_prefix: "/drafts/",
-    kind: "streaming",
-    resumable: true,
-    max_attempts: 2,
-    timeout_ms: 8_000,
-    target_latency_ms: 400,
-    service: "drafts",
-  }],
-  services: [{
-    name: "drafts",
-    engine: {
-      slots: 8,
-      loads_per_s: 50,
-      loads_at_once: 8,
-      models: [{ name: MODEL, size: 2, load_s: 0.2, warm_s: 0.1 }],
-    },
-  }],
-  tenants: [{ name: "o", api_keys: [KEY] }],
-};
-const WHOLE_STREAM = createWholeStream("prompt");
 /** Head of a line, beside the fields of its event. */
 const LINE_HEAD = new Set(["level", "timeMs", "process", "event"]);
 /** Events that the tests before bring about, one of each kind at least. */
@@ -61,14 +25,6 @@
   "store.lost",
   "store.regained",
 ];
-const closers: (() => unknown)[] = [];
-/** What the processes of all tests have logged. */
-const logs: (() => string)[] = [];
-
-after(async () => {
-  for (const close of closers.reverse()) await close();
-});
-
 describe("processes on the platform", () => {
   it("form replicas, serve streams and repair after a head's death", async () => {
     const { platform, processes } = await startWorld();
@@ -130,7 +86,7 @@
   it("refuse a key that was taken away, though the lead alone reads it", async () => {
     const { platform, processes } = await startWorld();
     platform.publishConfig({
-      ...CONFIG,
+      ...STREAM_CONFIG,
       version: 2,
       tenants: [{ name: "o", api_keys: ["key-2"] }],
     });
@@ -168,73 +124,3 @@
     return { event: String(line.event), fields: Object.fromEntries(fields) };
   });
 }
-
-/** Two processes and five instances of one domain, ready to serve. */
-async function startWorld() {
-  const platform = new FakePlatform();
-  closers.push(() => platform.stop());
-  const storeAddress = await platform.start();
-  platform.publishConfig(CONFIG);
-  for (let index = 0; index < 5; index++) {
-    await platform.startInstance(`i-${index}`, "d0");
-  }
-  const processes = [
-    await startProcess("front-1", storeAddress),
-    await startProcess("front-2", storeAddress),
-  ];
-  await waitUntil("the replicas to serve and the processes to be ready", {
-    ...WAIT,
-    check: async () => {
-      const statuses = await Promise.all(
-        processes.map(({ address }) => callStream(address, "call-0")),
-      );
-      return platform.listServing().length === 2 &&
-        statuses.every(({ status }) => status === 200);
-    },
-  });
-  return { platform, processes };
-}
-
-async function startProcess(
-  nodeId: string,
-  storeAddress: string,
-): Promise<HostProcess> {
-  const started = await startHostProcess({
-    nodeId,
-    storeAddress,
-    program: PROGRAM,
-    settings: { "bounds.grace_s": GRACE_S, "bounds.revoke_ms": 5_000 },
-  });
-  closers.push(started.remove);
-  logs.push(started.log);
-  return started;
-}
-
-/** Processes that decide on replicas. */
-async function findLeads(
-  processes: readonly HostProcess[],
-): Promise<readonly HostProcess[]> {
-  const leads: HostProcess[] = [];
-  for (const candidate of processes) {
-    const page = await fetch(`http://${candidate.metricsAddress}/metrics`);
-    const text = await page.text();
-    if (text.includes("celerytray_leads_replicas 1")) leads.push(candidate);
-  }
-  return leads;
-}
-
-function callStream(
-  address: string,
-  callId: string,
-): Promise<PlatformAnswer> {
-  return callPlatform({
-    address,
-    callId,
-    path: fakePaths.stream,
-    key: KEY,
-    prompt: "prompt",
-    deadlineMs: 8_000,
-    agent: false,
-    model: MODEL,
-  });
-}
--- a/packages/fakes/src/platform/fake_config.ts
+++ b/packages/fakes/src/platform/fake_config.ts
@@ -25,7 +25,7 @@
 } as const;
 
 /** A configuration with a stream, a call that runs once and one that repeats. */
-export function createFakeConfig(options: FakeConfigOptions): unknown {
+export function createFakeConfig(options: FakeConfigOptions) {
   const { cold, targetMs = 400 } = options;
   const coldStart = cold === undefined ? {} : {
     cold_start_s: cold.startMs / 1000,
--- a/packages/fakes/src/platform/index.ts
+++ b/packages/fakes/src/platform/index.ts
@@ -1,4 +1,5 @@
 /** The users' platform over HTTP, for tests of whole processes. */
+export { callStream, STREAM_CONFIG, WHOLE_STREAM } from "./fake_caller.ts";
 export {
   createFakeConfig,
   FAKE_MODEL,
