Close connections whose reset fails, and run all checks of the soak

On Node.js 20.20 resetAndDestroy() while the end of a socket is still being sent fails and leaves its handle open for good: the process then spins when its environment is freed (seen in a stack of broken_front_test.js, and in ten lines of a script). The proxy destroys such sockets. Its links were also forgotten when one side had closed, though a fault kept that from the other; they are kept until both are closed. The forced exits of the test file and of the command are gone. Both new tests fail with the old behaviour.

A pause of 8 s in the test of the sound stand-in outlasted the 5 s of a withdrawn key, so that a request that was checked before the pause ran late (seen once in six runs). It is 3.5 s now, the longest that plans have.

evacuated-zone and cold-bound are on by default; the option that switched them on is removed.

--- a/packages/soak/src/broken_front_test.ts
+++ b/packages/soak/src/broken_front_test.ts
@@ -1,6 +1,6 @@
 import type { FakeFrontFault } from "@celerytray/fakes";
 import { expect } from "earl";
-import { after, describe, it } from "node:test";
+import { describe, it } from "node:test";
 import { fileURLToPath } from "node:url";
 import { checks } from "./checks.ts";
 import type { FaultAction, PlannedFault } from "./plan.ts";
@@ -51,14 +51,11 @@
 ];
 /** Longer than all bounds of time but that of withdrawn keys. */
 const ACTION_MS = 8_000;
-
-after(() => {
-  // A handle that was left open is told, and does not hold the run up.
-  setTimeout(() => {
-    console.error(`left open: ${process.getActiveResourcesInfo().join()}`);
-    process.exit();
-  }, 2_000).unref();
-});
+/**
+ * A process that stands still for longer than the bound of a withdrawn key may
+ * run what it took before; the longest pause of a plan is shorter too.
+ */
+const PAUSE_MS = 3_500;
 
 describe("each check of the soak", { concurrency: 3 }, () => {
   it("holds for a stand-in that is sound, under the faults of all", async () => {
@@ -83,7 +80,7 @@
 function listFaults({ actions }: Case): readonly PlannedFault[] {
   return actions.map((action, index) => ({
     atMs: index * 500,
-    forMs: ACTION_MS,
+    forMs: action.kind === "pause" ? PAUSE_MS : ACTION_MS,
     action,
   }));
 }
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -45,9 +45,6 @@
   { name: "cold-bound", find: findColdOverloads },
 ];
 
-/** Conditions of features that are not merged yet; off unless named. */
-export const pendingChecks = ["evacuated-zone", "cold-bound"];
-
 /** Each caller gets its own whole answer. */
 function findForeignAnswers({ calls }: SoakHistory): readonly string[] {
   return calls.filter(({ answer, expected, callId }) =>
--- a/packages/soak/src/loopback_proxy.ts
+++ b/packages/soak/src/loopback_proxy.ts
@@ -78,7 +78,7 @@
     if (!this.#takesNew) this.#refusedPorts.add(clientPort);
     if (!this.#takesNew || this.fault === "reset") {
       client.on("error", () => {});
-      client.resetAndDestroy();
+      resetConnection(client);
       return;
     }
     const target = connect({ host, port: Number(port), allowHalfOpen: true });
@@ -87,7 +87,12 @@
     target.once("error", ({ code }: NodeJS.ErrnoException) => {
       if (code === "ECONNREFUSED") this.#refusedPorts.add(clientPort);
     });
-    client.once("close", () => this.#links.delete(link));
+    const forget = () => {
+      if (link.isClosed) this.#links.delete(link);
+    };
+    // A fault may keep the end of one side from the other.
+    client.once("close", forget);
+    target.once("close", forget);
   }
 }
 
@@ -107,8 +112,12 @@
   }
 
   reset(): void {
-    this.#client.resetAndDestroy();
-    this.#target.resetAndDestroy();
+    resetConnection(this.#client);
+    resetConnection(this.#target);
+  }
+
+  get isClosed(): boolean {
+    return this.#client.closed && this.#target.closed;
   }
 
   #carry({ from, to, cut }: Direction, faultNow: FaultNow): void {
@@ -142,6 +151,16 @@
   }
 }
 
+/**
+ * Resets a connection. On Node.js 20 a reset while its end is being sent fails
+ * and leaves the handle open for ever; the process then spins at its exit.
+ */
+export function resetConnection(socket: Socket): void {
+  const isEnding = socket.writableEnded && !socket.writableFinished;
+  if (isEnding) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 /** What is passed on at a time; the order of a direction is kept. */
 interface Delivery {
   readonly atMs: number;
--- a/packages/soak/src/loopback_proxy_test.ts
+++ b/packages/soak/src/loopback_proxy_test.ts
@@ -3,13 +3,19 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { after, before, beforeEach, describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { LINK_DELAY_MS, LoopbackProxy } from "./loopback_proxy.ts";
+import {
+  LINK_DELAY_MS,
+  LoopbackProxy,
+  resetConnection,
+} from "./loopback_proxy.ts";
 
 /** Bytes on loopback arrive well within it. */
 const SETTLE_MS = 100;
+const CLOSE_MS = 2_000;
 
 describe("the loopback proxy", () => {
   const server = createServer({ allowHalfOpen: true }, (socket) => {
+    upstream.push(socket);
     socket.on("error", () => {});
     socket.on("data", (chunk) => {
       received += String(chunk);
@@ -17,6 +23,7 @@
     });
     socket.on("end", () => socket.end("bye"));
   });
+  const upstream: Socket[] = [];
   let received = "";
   let proxy: LoopbackProxy;
 
@@ -66,6 +73,24 @@
     expect((await once(other, "error"))[0].code).toEqual("ECONNRESET");
   });
 
+  it("closes a connection whose end is being sent, so that the run can end", async () => {
+    const { socket } = await open();
+    socket.end();
+    resetConnection(socket);
+    await once(socket, "close", { signal: AbortSignal.timeout(CLOSE_MS) });
+  });
+
+  it("closes the other side of a connection that was reset in a silence", async () => {
+    const { socket } = await open();
+    const [other] = upstream.slice(-1);
+    proxy.setFault("silence");
+    socket.resetAndDestroy();
+    await sleep(SETTLE_MS);
+    proxy.setFault(undefined);
+    await sleep(SETTLE_MS);
+    expect(other!.closed).toEqual(true);
+  });
+
   for (const fault of ["cut-up", "cut-down", "silence"] as const) {
     it(`drops bytes of a ${fault}, and ends the link afterwards`, async () => {
       const { socket, read } = await open();
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -3,7 +3,7 @@
 import { mkdir, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { checks, pendingChecks, type SoakCheck } from "./checks.ts";
+import { checks } from "./checks.ts";
 import { createPlan, describePlan } from "./plan.ts";
 import { runSoak, type SoakResult } from "./run_seed.ts";
 import { planTargets } from "./soak_world.ts";
@@ -22,9 +22,6 @@
   seeds = Option.String("--seeds", "1", {
     description: "How many seeds to run",
   });
-  pending = Option.Array("--with", [], {
-    description: `Also run a check of: ${pendingChecks.join(", ")}`,
-  });
   isPlanOnly = Option.Boolean("--plan", false, {
     description: "Only print the plans",
   });
@@ -32,7 +29,6 @@
   async execute(): Promise<number> {
     const first = readNumber(this.first, "--first-seed");
     const count = readNumber(this.seeds, "--seeds");
-    const chosen = chooseChecks(this.pending);
     let redCount = 0;
     for (let seed = first; seed < first + count; seed++) {
       const plan = createPlan(seed, planTargets);
@@ -41,7 +37,7 @@
       const result = await runSoak({
         plan,
         program: { path: PROGRAM },
-        checks: chosen,
+        checks,
         onViolation: ({ check, what }) =>
           this.#print(`  RED ${check}: ${what}`),
       });
@@ -67,16 +63,6 @@
   throw new UsageError(`${name} is ${text}; give a whole number`);
 }
 
-function chooseChecks(named: readonly string[]): readonly SoakCheck[] {
-  const unknown = named.find((name) => !pendingChecks.includes(name));
-  if (unknown !== undefined) {
-    throw new UsageError(`Give --with one of ${pendingChecks.join(", ")}`);
-  }
-  return checks.filter(({ name }) =>
-    !pendingChecks.includes(name) || named.includes(name)
-  );
-}
-
 function summarise(seed: number, result: SoakResult): string {
   const { calls, memory, restorations, lagMs } = result.history;
   const count = (...statuses: readonly number[]) =>
@@ -114,4 +100,4 @@
 const cli = new Cli({ binaryName: "soak" });
 cli.register(SoakCommand);
 cli.register(Builtins.HelpCommand);
-process.exit(await cli.run(process.argv.slice(2)));
+process.exitCode = await cli.run(process.argv.slice(2));
