--- a/packages/cli/src/local/evacuation_process_test.ts
+++ b/packages/cli/src/local/evacuation_process_test.ts
@@ -1,23 +1,17 @@
 import {
   callStream,
   type FakePlatform,
-  type StreamAnswer,
+  type PlatformAnswer,
   WHOLE_STREAM,
 } from "@celerytray/fakes";
 import { expect } from "earl";
 import { once } from "node:events";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import {
-  findLeads,
-  type HostProcess,
-  startProcess,
-  startWorld,
-  WAIT,
-} from "./host_world.ts";
+import type { HostProcess } from "./host_process.ts";
+import { findLeads, startProcess, startWorld, WAIT } from "./host_world.ts";
 import { waitUntil } from "./wait_until.ts";
 
-const TOPIC = "keyed.op";
 /** Requests at once at each process; one zone has 16 slots for three of them. */
 const CALLS = 4;
 /** Time from which on nothing may reach an evacuated zone. */
@@ -33,7 +27,7 @@
       ...WAIT,
       check: () => Promise.resolve(countRuns(platform, "d0") > 0),
     });
-    write(platform, "d0", "{}");
+    platform.evacuate("zone-d0");
     expect(listBroken(await underWay)).toEqual([]);
     await sleep(EVACUATE_MS);
     for (const head of platform.listServing()) head.eventPauseMs = 0;
@@ -56,7 +50,7 @@
     // Its replicas stay formed.
     expect(platform.listServing().length).toEqual(4);
 
-    write(platform, "d1", "{}");
+    platform.evacuate("zone-d1");
     await waitUntil("requests to be refused", {
       ...WAIT,
       check: async () =>
@@ -64,8 +58,8 @@
           status === 503 && body.includes("evacuated; it was not run")
         ),
     });
-    write(platform, "d0");
-    write(platform, "d1");
+    platform.restore("zone-d0");
+    platform.restore("zone-d1");
     await waitUntil("the zones to be restored", {
       ...WAIT,
       check: async () => (await callAll(others)).every(isWhole),
@@ -74,13 +68,6 @@
   });
 });
 
-function write(platform: FakePlatform, domain: string, text?: string): void {
-  platform.storeServer.store.append(TOPIC, {
-    key: `evacuate/zone-${domain}`,
-    ...(text === undefined ? {} : { value: Buffer.from(text) }),
-  });
-}
-
 function callAll(processes: readonly HostProcess[]) {
   return Promise.all(
     processes.flatMap(({ address }, process) =>
@@ -92,12 +79,12 @@
   );
 }
 
-function isWhole(answer: StreamAnswer): boolean {
+function isWhole(answer: PlatformAnswer): boolean {
   return answer.status === 200 && answer.body === WHOLE_STREAM;
 }
 
 /** Answers that are not the whole stream. */
-function listBroken(answers: readonly StreamAnswer[]): readonly string[] {
+function listBroken(answers: readonly PlatformAnswer[]): readonly string[] {
   return answers.filter((answer) => !isWhole(answer))
     .map(({ status, body }) => `${status} ${body}`);
 }
--- a/packages/cli/src/local/host_process_test.ts
+++ b/packages/cli/src/local/host_process_test.ts
@@ -3,13 +3,8 @@
 import { expect } from "earl";
 import { once } from "node:events";
 import { describe, it } from "node:test";
-import {
-  findLeads,
-  type HostProcess,
-  logs,
-  startWorld,
-  WAIT,
-} from "./host_world.ts";
+import type { HostProcess } from "./host_process.ts";
+import { findLeads, logs, startWorld, WAIT } from "./host_world.ts";
 import { waitUntil } from "./wait_until.ts";
 
 /** Head of a line, beside the fields of its event. */
--- a/packages/cli/src/local/host_world.ts
+++ b/packages/cli/src/local/host_world.ts
@@ -1,11 +1,7 @@
 import { callStream, FakePlatform, STREAM_CONFIG } from "@celerytray/fakes";
-import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { after } from "node:test";
 import { fileURLToPath } from "node:url";
-import { findFreeAddresses } from "./free_addresses.ts";
+import { type HostProcess, startHostProcess } from "./host_process.ts";
 import { waitUntil } from "./wait_until.ts";
 
 const PROGRAM = fileURLToPath(new URL("../host_main.js", import.meta.url));
@@ -19,17 +15,10 @@
   for (const close of closers.reverse()) await close();
 });
 
-export interface HostProcess {
-  readonly child: ChildProcess;
-  readonly address: string;
-  readonly readyAddress: string;
-  readonly metricsAddress: string;
-}
-
 /** Replicas of five instances of a domain. */
 const DOMAIN_REPLICAS = 2;
 
-/** Two processes and five instances of each domain, ready to serve. */
+/** Two processes and five instances of each domain in its own zone, ready to serve. */
 export async function startWorld(domains: readonly string[] = ["d0"]) {
   const platform = new FakePlatform();
   closers.push(() => platform.stop());
@@ -37,7 +26,11 @@
   platform.publishConfig(STREAM_CONFIG);
   for (const domain of domains) {
     for (let index = 0; index < 5; index++) {
-      await platform.startInstance(`i-${domain}-${index}`, domain);
+      await platform.startInstance(
+        `i-${domain}-${index}`,
+        domain,
+        `zone-${domain}`,
+      );
     }
   }
   const processes = [
@@ -58,46 +51,20 @@
   return { platform, storeAddress, processes };
 }
 
+/** Starts a process that ends with the tests. */
 export async function startProcess(
   nodeId: string,
   storeAddress: string,
 ): Promise<HostProcess> {
-  const [address, readyAddress, peerAddress, metricsAddress] =
-    await findFreeAddresses(4);
-  const [host] = address!.split(":");
-  const portOf = (from: string | undefined) => from!.split(":")[1];
-  const folder = await mkdtemp(join(tmpdir(), "celerytray-host-"));
-  closers.push(() => rm(folder, { recursive: true }));
-  const path = join(folder, "settings.conf");
-  const settings = {
-    node_name: nodeId,
-    zone: "zone-a",
-    ip: host,
-    "listen.front": address,
-    "listen.ready": readyAddress,
-    internal_ports: `${portOf(peerAddress)},${portOf(metricsAddress)}`,
-    "platform.address": storeAddress,
-    "bounds.grace_s": GRACE_S,
-    "bounds.revoke_ms": 5_000,
-  };
-  await writeFile(
-    path,
-    Object.entries(settings).map(([name, value]) => `${name}=${value}\n`),
-  );
-  const child = spawn(process.execPath, [PROGRAM], {
-    env: { ...process.env, CELERYTRAY_BOOT: path },
-    stdio: ["ignore", "pipe", "inherit"],
+  const started = await startHostProcess({
+    nodeId,
+    storeAddress,
+    program: PROGRAM,
+    settings: { "bounds.grace_s": GRACE_S, "bounds.revoke_ms": 5_000 },
   });
-  closers.push(() => child.kill("SIGKILL"));
-  let log = "";
-  child.stdout.setEncoding("utf8").on("data", (text) => log += text);
-  logs.push(() => log);
-  return {
-    child,
-    address: address!,
-    readyAddress: readyAddress!,
-    metricsAddress: metricsAddress!,
-  };
+  closers.push(started.remove);
+  logs.push(started.log);
+  return started;
 }
 
 /** Processes that decide on replicas. */
--- /dev/null
+++ b/packages/soak/src/broken_front_test.ts
@@ -0,0 +1,95 @@
+import type { FakeFrontFault } from "@celerytray/fakes";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+import { checks } from "./checks.ts";
+import type { FaultAction, PlannedFault } from "./plan.ts";
+import { runSoak } from "./run_seed.ts";
+
+const PROGRAM = fileURLToPath(
+  new URL(
+    "platform/fake_front_main.js",
+    import.meta.resolve("@celerytray/fakes"),
+  ),
+);
+
+/** The fault that a check must notice, and what must happen meanwhile. */
+interface Case {
+  readonly check: string;
+  readonly fault: FakeFrontFault;
+  readonly actions: readonly FaultAction[];
+}
+
+const BURST: FaultAction = { kind: "burst" };
+const PAUSE: FaultAction = { kind: "pause", process: "front-0" };
+const STOP: FaultAction = { kind: "terminate", process: "front-0" };
+const WITHDRAW: FaultAction = { kind: "withdraw", key: "key-1" };
+const LEAVE: FaultAction = { kind: "leave", instance: "plain-0" };
+const EVACUATE: FaultAction = { kind: "evacuate", zone: "zone-b" };
+const COOL: FaultAction = { kind: "cool", instance: "plain-1" };
+
+const CASES: readonly Case[] = [
+  { check: "own-answer", fault: "mixes-answers", actions: [] },
+  { check: "runs-once", fault: "repeats-requests", actions: [] },
+  { check: "true-refusal", fault: "refuses-what-ran", actions: [] },
+  { check: "withdrawn-key", fault: "keeps-keys", actions: [WITHDRAW] },
+  { check: "leaving-instance", fault: "keeps-instances", actions: [LEAVE] },
+  { check: "no-loss", fault: "stops-at-once", actions: [BURST, STOP] },
+  { check: "restored", fault: "does-not-recover", actions: [PAUSE] },
+  { check: "stays-up", fault: "ends-unasked", actions: [PAUSE] },
+  { check: "bounded-memory", fault: "grows", actions: [BURST] },
+  {
+    check: "evacuated-zone",
+    fault: "ignores-evacuations",
+    actions: [EVACUATE],
+  },
+  {
+    check: "cold-bound",
+    fault: "floods-cold-instances",
+    actions: [BURST, COOL],
+  },
+];
+/** Longer than all bounds of time but that of withdrawn keys. */
+const ACTION_MS = 8_000;
+/**
+ * A process that stands still for longer than the shortest bound, 3 s for
+ * leaving instances, goes on with what it was sending, and arrives too late.
+ */
+const PAUSE_MS = 2_500;
+
+describe("each check of the soak", { concurrency: 3 }, () => {
+  it("holds for a stand-in that is sound, under the faults of all", async () => {
+    const faults = CASES.flatMap(listFaults);
+    const { violations } = await run("none", faults);
+    expect(violations.slice(0, 5)).toEqual([]);
+  });
+
+  for (const known of CASES) {
+    it(`${known.check} notices one that ${known.fault}`, async () => {
+      const { violations } = await run(known.fault, listFaults(known));
+      expect(violations.map(({ check }) => check)).toInclude(known.check);
+    });
+  }
+
+  it("has a case", () => {
+    expect(new Set(CASES.map(({ check }) => check)))
+      .toEqual(new Set(checks.map(({ name }) => name)));
+  });
+});
+
+function listFaults({ actions }: Case): readonly PlannedFault[] {
+  return actions.map((action, index) => ({
+    atMs: index * 500,
+    forMs: action.kind === "pause" ? PAUSE_MS : ACTION_MS,
+    action,
+  }));
+}
+
+function run(fault: FakeFrontFault, faults: readonly PlannedFault[]) {
+  return runSoak({
+    plan: { seed: 0, series: [faults] },
+    program: { path: PROGRAM, environment: { FAKE_FRONT_FAULT: fault } },
+    checks,
+    kinds: ["once", "safe"],
+  });
+}
