Let a lead that was replaced learn of it from the records

A lead learned of another only from a conflict of its own append, or from a report that names a later term. One that was replaced before its first append met neither: for 21 s in a soak its orders were refused as outdated and it told its own view of closed heads.

A lead now keeps a read at the store that waits up to 4 s for a later lead's record; no two begin within 2 s. An order refused as outdated, or no report for 0.95 s after some had come, makes it ask anew once that read is 2 s old, as the answer to a read that waits may be lost. Fencing is unchanged. Other processes make no further calls.

The world's processes move to a file of their own, and can stand still or be unheard.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -219,6 +219,8 @@
         table: this.#table,
         summarize: () => this.#summarize(),
         summarizeOwn: () => this.#summarizeOwn(),
+        awaitOtherLead: (termNumber, waitMs) =>
+          this.#search.awaitOtherLead(termNumber, waitMs),
         onUpdate: () => this.#signal.notify(),
         nowMs: () => this.#nowMs(),
       });
--- a/packages/celerytray/src/coordination/coordinator_options.ts
+++ b/packages/celerytray/src/coordination/coordinator_options.ts
@@ -16,6 +16,8 @@
   readonly term: number;
   readonly replicas: readonly ReplicaRecord[];
   readonly recorder: ReplicaRecorder;
+  /** To be told that an instance refused an order as outdated. */
+  readonly onOutdated: () => void;
 }
 
 /** What taking part in deciding on replicas works with. */
--- a/packages/celerytray/src/coordination/lead_term.ts
+++ b/packages/celerytray/src/coordination/lead_term.ts
@@ -6,8 +6,9 @@
 } from "../groups/index.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
 import { INHERIT_MS, PUBLISH_STEP_MS } from "./intervals.ts";
-import { LeadRecorder } from "./lead_log.ts";
+import { type LeadLook, LeadRecorder } from "./lead_log.ts";
 import type { LeadStatus } from "./lead_status.ts";
+import { LeadWatch } from "./lead_watch.ts";
 import type { PeerNode, PeerSummary } from "./peer_messages.ts";
 import type { ReportTable } from "./report_table.ts";
 import { selectRelays } from "./select_relays.ts";
@@ -31,6 +32,11 @@
   readonly summarize: () => PeerSummary;
   /** What this process tells alone. */
   readonly summarizeOwn: () => PeerSummary;
+  /** Waits until the records name another lead than that of a term. */
+  readonly awaitOtherLead: (
+    term: number,
+    waitMs: number,
+  ) => Effect.Effect<LeadLook>;
   /** Told when the status has updates. */
   readonly onUpdate: () => void;
   readonly nowMs: () => number;
@@ -40,6 +46,7 @@
 export class LeadTerm {
   readonly #options: LeadTermOptions;
   readonly #director: FleetDirector;
+  readonly #watch: LeadWatch;
   readonly #sinceMs: number;
   /** Lead whose place this process took. */
   readonly #replacedId: string | undefined;
@@ -47,7 +54,7 @@
 
   constructor(options: LeadTermOptions) {
     this.#options = options;
-    const { lead, log, replicas, status, nowMs } = options;
+    const { lead, log, replicas, status, table, nowMs } = options;
     const { term } = lead;
     this.#sinceMs = nowMs();
     this.#replacedId = status.lead?.nodeId;
@@ -58,7 +65,17 @@
       term,
       onDeposed: (message) => this.depose(message),
     });
-    this.#director = options.createDirector({ term, replicas, recorder });
+    this.#watch = new LeadWatch({
+      awaitOtherLead: (waitMs) => options.awaitOtherLead(term, waitMs),
+      reportedAtMs: () => table.newestAtMs,
+      nowMs,
+    });
+    this.#director = options.createDirector({
+      term,
+      replicas,
+      recorder,
+      onOutdated: () => this.#watch.noteOutdated(),
+    });
   }
 
   /** Whether another process has taken the lead, or is to. */
@@ -70,6 +87,7 @@
   run(): Effect.Effect<void> {
     return Effect.scoped(this.#director.run()).pipe(
       Effect.raceFirst(this.#publishUntilDeposed()),
+      Effect.raceFirst(this.#awaitReplaced()),
     );
   }
 
@@ -93,6 +111,14 @@
     return this.#director.listClosedHeads();
   }
 
+  /** Ends once the records name a later lead. */
+  #awaitReplaced(): Effect.Effect<void> {
+    return Effect.map(
+      this.#watch.awaitReplaced(),
+      ({ nodeId, term }) => this.depose(`${nodeId} has taken term ${term}`),
+    );
+  }
+
   /** Publishes the lead's status, at once where it has updates. */
   #publishUntilDeposed(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
--- a/packages/celerytray/src/coordination/report_table.ts
+++ b/packages/celerytray/src/coordination/report_table.ts
@@ -16,8 +16,15 @@
 /** What other processes last reported to this one. */
 export class ReportTable {
   readonly #reports = new Map<string, KnownReport>();
+  #newestAtMs: number | undefined;
+
+  /** Time of the newest report; undefined before one came. */
+  get newestAtMs(): number | undefined {
+    return this.#newestAtMs;
+  }
 
   note(report: PeerReport, nowMs: number): void {
+    this.#newestAtMs = nowMs;
     this.#reports.set(report.reporter.nodeId, { report, atMs: nowMs });
   }
 
--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -43,6 +43,8 @@
   readonly onColdTold?: (instanceId: string, coldMs: number) => void;
   /** Takes note that an instance said that it leaves. */
   readonly onLeaving: (instanceId: string) => void;
+  /** Takes note that an order was refused, as if another process directed. */
+  readonly onOutdated: () => void;
   readonly record: RecordEvent;
 }
 
@@ -315,6 +317,7 @@
   ): void {
     const { instanceId, order, run } = dispatcher;
     if (isLeaving) this.#options.onLeaving(instanceId);
+    if (outcome === "outdated") this.#options.onOutdated();
     this.#options.record("order.answered", {
       instanceId,
       order: order.kind,
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -260,11 +260,9 @@
       },
       listLeaving: () => instances.listUnlistedLeaving(),
       onLeaving: (incarnations) => incarnations.forEach(noteLeaving),
-      createDirector: ({ term, replicas, recorder }) =>
+      createDirector: (start) =>
         new FleetDirector({
-          term,
-          replicas,
-          recorder,
+          ...start,
           instances,
           control: ports.control,
           engines,
--- a/packages/fakes/src/coordination/coordination_world.ts
+++ b/packages/fakes/src/coordination/coordination_world.ts
@@ -4,9 +4,7 @@
   FleetDirector,
   InstanceListView,
   type LeavingIncarnation,
-  type PeerCalls,
   type PeerNode,
-  PeerSilent,
   readSteadyMs,
   TopicCopy,
 } from "celerytray";
@@ -15,47 +13,26 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FakeKeyedStore, InProcessStore } from "../store/index.ts";
+import {
+  awaitEnd,
+  type CoordinatedProcess,
+  createPeers,
+} from "./coordinated_process.ts";
+import { StoppableClock } from "./stoppable_clock.ts";
 
 /** Steps in which a world's time passes. */
 export const STEP_MS = 20;
 const ZONES = 5;
-const CALL_MS = 1;
-const SILENCE_MS = 400;
 /** Every so many machines, one is able. */
 const ABLE_EVERY = 13;
 const ABLE_CORES = 1.35;
 const WEAK_CORES = 0.324;
 const RANDOM_STEPS = 2 ** 30;
 
-/** A process that takes part, and what happens to its machine. */
-export interface CoordinatedProcess {
-  readonly node: PeerNode;
-  readonly coordinator: Coordinator;
-  /** Instances that it heard say that they leave. */
-  readonly leaving: Map<string, LeavingIncarnation>;
-  /** Reports that it was sent. */
-  reports: number;
-  /** Times at which it last proved a topic's end by the status of others. */
-  toldAtMs: number;
-  state: ProcessState;
-  readonly onEnd: Set<() => void>;
-}
-
-/** Killed: its address refuses. Without power: it is silent. */
-export type ProcessState = "running" | "killed" | "without-power";
-
-/** Ends a process. */
-export function endProcess(
-  process: CoordinatedProcess,
-  state: Exclude<ProcessState, "running">,
-): void {
-  process.state = state;
-  for (const notify of [...process.onEnd]) notify();
-}
-
 /** Processes that follow one of them, on one store. */
 export interface CoordinationWorld {
   readonly processes: readonly CoordinatedProcess[];
+  readonly store: FakeKeyedStore;
   /** Calls to the store by kind. */
   readonly storeCalls: Map<string, number>;
   readonly findLead: () => CoordinatedProcess | undefined;
@@ -79,8 +56,12 @@
       const process = createProcess({
         index,
         processes,
+        clock: new StoppableClock(clock),
         log: new CountedLog({
-          log: new InProcessStore({ store }),
+          log: new InProcessStore({
+            store,
+            losesWaits: () => processes[index]?.losesWaits === true,
+          }),
           onCall: (call) =>
             storeCalls.set(call, (storeCalls.get(call) ?? 0) + 1),
         }),
@@ -92,11 +73,13 @@
         Effect.sleep(random() * START_SPREAD_MS).pipe(
           Effect.andThen(process.coordinator.run()),
           Effect.raceFirst(awaitEnd(process)),
+          Effect.provideService(Clock.Clock, process.clock),
         ),
       );
     }
     return {
       processes,
+      store,
       storeCalls,
       nowMs,
       findLead: () =>
@@ -115,13 +98,14 @@
 interface ProcessOptions {
   readonly index: number;
   readonly processes: readonly CoordinatedProcess[];
+  readonly clock: StoppableClock;
   readonly log: CountedLog;
   readonly nowMs: () => number;
   readonly random: () => number;
 }
 
 function createProcess(
-  { index, processes, log, nowMs, random }: ProcessOptions,
+  { index, processes, clock, log, nowMs, random }: ProcessOptions,
 ): CoordinatedProcess {
   const leaving = new Map<string, LeavingIncarnation>();
   const node: PeerNode = {
@@ -140,6 +124,9 @@
     reports: 0,
     toldAtMs: 0,
     state: "running",
+    noteOutdated: () => {},
+    losesWaits: false,
+    clock,
     onEnd: new Set(),
     coordinator: new Coordinator({
       self: node,
@@ -173,11 +160,10 @@
           leaving.set(incarnation.instanceId, incarnation);
         }
       },
-      createDirector: ({ term, replicas, recorder }) =>
-        new FleetDirector({
-          term,
-          replicas,
-          recorder,
+      createDirector: (start) => {
+        process.noteOutdated = start.onOutdated;
+        return new FleetDirector({
+          ...start,
           instances,
           control: {
             sendOrder: () => Effect.never,
@@ -190,7 +176,8 @@
           isBackingOff: () => false,
           onLeaving: () => {},
           record: () => {},
-        }),
+        });
+      },
       random,
       record: () => {},
     }),
@@ -205,52 +192,13 @@
   return copy;
 }
 
-function createPeers(processes: readonly CoordinatedProcess[]): PeerCalls {
-  const reach = (address: string) =>
-    Effect.suspend(() => {
-      const peer = processes[Number(address)]!;
-      const fail = Effect.fail(
-        new PeerSilent({
-          isRefused: peer.state === "killed",
-          message: "The peer is silent",
-        }),
-      );
-      switch (peer.state) {
-        case "running":
-          return Effect.as(Effect.sleep(CALL_MS), peer);
-        case "killed":
-          return Effect.andThen(Effect.sleep(CALL_MS), fail);
-        case "without-power":
-          return Effect.andThen(Effect.sleep(SILENCE_MS), fail);
-      }
-    });
-  // An answer that waits at a machine that ends never comes.
-  const cut = (peer: CoordinatedProcess) =>
-    Effect.gen(function* () {
-      yield* awaitEnd(peer);
-      if (peer.state === "without-power") yield* Effect.sleep(SILENCE_MS);
-      return yield* Effect.fail(
-        new PeerSilent({ isRefused: false, message: "The peer has ended" }),
-      );
-    });
-  return {
-    report: (address, report) =>
-      Effect.flatMap(reach(address), (peer) => {
-        peer.reports += 1;
-        return Effect.raceFirst(peer.coordinator.report(report), cut(peer));
-      }),
-    heardLead: (address, term) =>
-      Effect.map(
-        reach(address),
-        ({ coordinator }) => coordinator.heardLeadAgoMs(term) ?? null,
-      ),
-  };
-}
-
-function awaitEnd(process: CoordinatedProcess): Effect.Effect<void> {
-  return Effect.callback<void>((resume) => {
-    const notify = () => resume(Effect.void);
-    process.onEnd.add(notify);
-    return Effect.sync(() => process.onEnd.delete(notify));
-  });
+/** Term of the lead that a process knows, by what it answers on terms. */
+export function readTerm(
+  { processes }: CoordinationWorld,
+  { coordinator }: CoordinatedProcess,
+): number {
+  for (let term = processes.length * 2; term > 0; term--) {
+    if (coordinator.heardLeadAgoMs(term) !== undefined) return term;
+  }
+  return 0;
 }
--- a/packages/fakes/src/coordination/many_processes_test.ts
+++ b/packages/fakes/src/coordination/many_processes_test.ts
@@ -2,10 +2,11 @@
 import { Effect } from "effect";
 import { TestClock } from "effect/testing";
 import { describe, it } from "node:test";
+import { endProcess } from "./coordinated_process.ts";
 import {
   type CoordinationWorld,
   createCoordinationWorld,
-  endProcess,
+  readTerm,
   SHARED_MODEL,
   SHARED_TENANT,
   STEP_MS,
@@ -99,9 +100,9 @@
           expect(Math.max(...rates) <= MAX_REPORTS_PER_SECOND).toEqual(true);
           const next = world.findLead();
           expect(next !== undefined).toEqual(true);
-          const { term } = readTerm(world, next!);
+          const term = readTerm(world, next!);
           const behind = world.processes.filter((process) =>
-            process !== lead && readTerm(world, process).term !== term
+            process !== lead && readTerm(world, process) !== term
           );
           expect(behind.length).toEqual(0);
           const relays = Math.max(6, Math.ceil(Math.sqrt(size)));
@@ -127,17 +128,6 @@
   return [...storeCalls.values()].reduce((sum, calls) => sum + calls, 0);
 }
 
-/** The lead that a process knows, by what it answers on terms. */
-function readTerm(
-  { processes }: CoordinationWorld,
-  process: CoordinationWorld["processes"][number],
-): { readonly term: number } {
-  for (let term = processes.length * 2; term > 0; term--) {
-    if (process.coordinator.heardLeadAgoMs(term) !== undefined) return { term };
-  }
-  return { term: 0 };
-}
-
 /** Starts processes, lets them settle, and plays on virtual time. */
 function play(
   size: number,
--- /dev/null
+++ b/packages/fakes/src/coordination/stoppable_clock.ts
@@ -0,0 +1,60 @@
+import { type Clock, type Duration, Effect } from "effect";
+
+/** A clock on which nothing that sleeps wakes while it is stopped; time goes on. */
+export class StoppableClock implements Clock.Clock {
+  readonly currentTimeMillis: Effect.Effect<number>;
+  readonly currentTimeNanos: Effect.Effect<bigint>;
+  readonly monotonicTimeNanos: Effect.Effect<bigint>;
+  readonly #clock: Clock.Clock;
+  readonly #waiters = new Set<() => void>();
+  #isStopped = false;
+
+  constructor(clock: Clock.Clock) {
+    this.#clock = clock;
+    this.currentTimeMillis = clock.currentTimeMillis;
+    this.currentTimeNanos = clock.currentTimeNanos;
+    this.monotonicTimeNanos = clock.monotonicTimeNanos;
+  }
+
+  currentTimeMillisUnsafe(): number {
+    return this.#clock.currentTimeMillisUnsafe();
+  }
+
+  currentTimeNanosUnsafe(): bigint {
+    return this.#clock.currentTimeNanosUnsafe();
+  }
+
+  monotonicTimeNanosUnsafe(): bigint {
+    return this.#clock.monotonicTimeNanosUnsafe();
+  }
+
+  sleep(duration: Duration.Duration): Effect.Effect<void> {
+    return Effect.andThen(
+      this.#clock.sleep(duration),
+      Effect.suspend(() =>
+        this.#isStopped ? this.#awaitResumed() : Effect.void
+      ),
+    );
+  }
+
+  /** Keeps all that sleeps from waking. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /** Wakes all whose time is over by now. */
+  resume(): void {
+    this.#isStopped = false;
+    const waiters = [...this.#waiters];
+    this.#waiters.clear();
+    for (const wake of waiters) wake();
+  }
+
+  #awaitResumed(): Effect.Effect<void> {
+    return Effect.callback<void>((resume) => {
+      const wake = () => resume(Effect.void);
+      this.#waiters.add(wake);
+      return Effect.sync(() => this.#waiters.delete(wake));
+    });
+  }
+}
--- a/packages/fakes/src/fleet/fleet_trouble.ts
+++ b/packages/fakes/src/fleet/fleet_trouble.ts
@@ -38,6 +38,8 @@
   isCut: boolean;
   /** Whether the store, but no other process, is out of its reach. */
   isStoreCut: boolean;
+  /** Reads that waited for a record and got no answer; undefined while they do. */
+  lostWaits: number | undefined;
   isDead: boolean;
 }
 
--- a/packages/fakes/src/fleet/fleet_world.ts
+++ b/packages/fakes/src/fleet/fleet_world.ts
@@ -77,6 +77,8 @@
 /** A fleet of two domains, a store, and processes that direct the fleet. */
 export interface FleetWorld {
   readonly fleet: FakeFleet;
+  readonly store: FakeKeyedStore;
+  readonly findLead: () => FleetProcess | undefined;
   /** Proofs of the configuration that processes were told. */
   readonly proofs: { readonly count: number };
   readonly apply: (trouble: Trouble) => void;
@@ -146,6 +148,8 @@
       );
     return {
       fleet,
+      store,
+      findLead,
       proofs,
       apply: (step: Trouble) =>
         applyTrouble(step, { fleet, store, findLead, processes, evacuated }),
@@ -182,7 +186,17 @@
   const coordinator = new Coordinator({
     self: { nodeId, peerAddress: `${index}`, zone: "z", cores: 1 },
     bootId: `boot-${index}`,
-    log: new InProcessStore({ store, isCut: isStoreCut }),
+    log: new InProcessStore({
+      store,
+      isCut: isStoreCut,
+      losesWaits: () => {
+        const { lostWaits } = processes[index]!;
+        if (lostWaits !== undefined) {
+          processes[index]!.lostWaits = lostWaits + 1;
+        }
+        return lostWaits !== undefined;
+      },
+    }),
     client: createPeers(processes, isCut),
     listStalledHeads,
     listSlowHeads: () => fleet.listSlow().map(({ id }) => id),
@@ -217,11 +231,9 @@
     listLeaving: () => list.listUnlistedLeaving(),
     onLeaving: (incarnations) =>
       incarnations.forEach((incarnation) => list.noteLeaving(incarnation)),
-    createDirector: ({ term, replicas, recorder }) =>
+    createDirector: (start) =>
       new FleetDirector({
-        term,
-        replicas,
-        recorder,
+        ...start,
         instances: list,
         control: fleet.createControl(),
         engines: () => new Map([["drafts", ENGINE]]),
@@ -243,6 +255,7 @@
       list.noteLeaving(describeIncarnation(list, instanceId)),
     isCut: false,
     isStoreCut: false,
+    lostWaits: undefined,
     isDead: false,
   };
 }
--- a/packages/fakes/src/store/in_process_store.ts
+++ b/packages/fakes/src/store/in_process_store.ts
@@ -19,6 +19,8 @@
   readonly store: FakeKeyedStore;
   /** Whether the process is cut off from the store. */
   readonly isCut?: () => boolean;
+  /** Whether a read that waits for a record gets no answer. */
+  readonly losesWaits?: () => boolean;
 }
 
 /** A stand-in's store without HTTP, on effect's clock, for tests. */
@@ -41,7 +43,7 @@
     topic: KeyedTopic,
     options: { readonly fromOffset: number; readonly waitMs: number },
   ): Effect.Effect<KeyedPage, ReadFailure> {
-    const { store } = this.#options;
+    const { store, losesWaits } = this.#options;
     const readNow = this.#call((): KeyedPage => {
       const records = store.read(topic, options.fromOffset);
       return { records, nextOffset: options.fromOffset + records.length };
@@ -50,12 +52,20 @@
       const stop = store.onAppend(topic, () => resume(Effect.void));
       return Effect.sync(stop);
     }).pipe(Effect.timeoutOption(options.waitMs));
+    const loseAnswer = Effect.andThen(
+      Effect.sleep(options.waitMs + TIMEOUT_MS),
+      Effect.fail(new StoreAnswerLost({ message: "The answer is lost" })),
+    );
     return Effect.flatMap(
       readNow,
-      (page) =>
-        page.records.length > 0 || options.waitMs === 0
-          ? Effect.succeed(page)
-          : Effect.andThen(awaitRecord, readNow),
+      (page): Effect.Effect<KeyedPage, ReadFailure> => {
+        if (page.records.length > 0 || options.waitMs === 0) {
+          return Effect.succeed(page);
+        }
+        return losesWaits?.() === true
+          ? loseAnswer
+          : Effect.andThen(awaitRecord, readNow);
+      },
     );
   }
 
