Check that the director tells of orders refused as outdated

Without that call, refused_orders_test.ts passed all the same, as a conflict of the lead's own append made it step down in the same time. The test now asks for the call itself, and failed in a trial without it.

--- a/packages/fakes/src/fleet/fleet_trouble.ts
+++ b/packages/fakes/src/fleet/fleet_trouble.ts
@@ -40,6 +40,8 @@
   isStoreCut: boolean;
   /** Reads that waited for a record and got no answer; undefined while they do. */
   lostWaits: number | undefined;
+  /** Orders of it that it was told were refused as outdated. */
+  refusedOrders: number;
   isDead: boolean;
 }
 
--- a/packages/fakes/src/fleet/fleet_world.ts
+++ b/packages/fakes/src/fleet/fleet_world.ts
@@ -234,6 +234,10 @@
     createDirector: (start) =>
       new FleetDirector({
         ...start,
+        onOutdated: () => {
+          processes[index]!.refusedOrders += 1;
+          start.onOutdated();
+        },
         instances: list,
         control: fleet.createControl(),
         engines: () => new Map([["drafts", ENGINE]]),
@@ -256,6 +260,7 @@
     isCut: false,
     isStoreCut: false,
     lostWaits: undefined,
+    refusedOrders: 0,
     isDead: false,
   };
 }
--- a/packages/fakes/src/fleet/refused_orders_test.ts
+++ b/packages/fakes/src/fleet/refused_orders_test.ts
@@ -40,6 +40,8 @@
       passedMs += STEP_MS;
     }
     expect(passedMs <= LEARN_MS).toEqual(true);
+    // A conflict of its own append may tell it as well.
+    expect(lead.refusedOrders > 0).toEqual(true);
     expect(world.fleet.violations).toEqual([]);
   });
   return Effect.runPromise(
