--- a/packages/fakes/src/fleet/fleet_trouble.ts
+++ b/packages/fakes/src/fleet/fleet_trouble.ts
@@ -38,6 +38,10 @@
   isCut: boolean;
   /** Whether the store, but no other process, is out of its reach. */
   isStoreCut: boolean;
+  /** Reads that waited for a record and got no answer; undefined while they do. */
+  lostWaits: number | undefined;
+  /** Orders of it that it was told were refused as outdated. */
+  refusedOrders: number;
   isDead: boolean;
 }
 
