--- a/scripts/map_exports_to_sources.js
+++ b/scripts/map_exports_to_sources.js
@@ -16,7 +16,8 @@
 async function mapPackageExports(folder) {
   const folderPath = join(root, "packages", folder);
   const text = await readFile(join(folderPath, "package.json"), "utf8");
-  const { name, exports } = JSON.parse(text);
+  // A package of programs alone exports nothing.
+  const { name, exports = {} } = JSON.parse(text);
   const paths = typeof exports === "string" ? { ".": exports } : exports;
   return Object.fromEntries(
     Object.entries(paths).map(([subpath, compiled]) => [
