Tell when a model without a replica is to have one

Cause: requests for a model without a replica were held for up to a quarter of their target time and refused with a fixed Retry-After. The process that decides knows which replica forms and how far it is: its answers carry the time, and such requests are refused at once with it.

Measured: groups/ 34 and fleet/ 34 passed.

--- a/packages/celerytray/src/groups/fleet_director.ts
+++ b/packages/celerytray/src/groups/fleet_director.ts
@@ -9,10 +9,10 @@
 import { type EngineSpecs, ReplicaFormer } from "./replica_former.ts";
 import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
+import { InstanceProber } from "./instance_prober.ts";
 import { listLeftoverOrders } from "./list_leftover_orders.ts";
 import { noteRetiringOrder } from "./note_retiring_order.ts";
 import {
-  findMemberState,
   planRun,
   recordRetiring,
   type ReplicaRun,
@@ -58,6 +58,7 @@
   readonly #state: FleetState;
   readonly #dispatcher: OrderDispatcher;
   readonly #former: ReplicaFormer;
+  readonly #prober: InstanceProber;
   /** Replicas whose record is being removed. */
   readonly #retiringNames = new Set<string>();
   /** Whether an order, record or probe came to something since the last round. */
@@ -67,6 +68,7 @@
     this.#options = options;
     this.#state = new FleetState(options);
     this.#dispatcher = this.#createDispatcher();
+    this.#prober = new InstanceProber({ ...options, state: this.#state });
     this.#former = new ReplicaFormer({
       ...options,
       state: this.#state,
@@ -98,8 +100,8 @@
   }
 
   /** Time until a replica is expected, by model that has none that serves. */
-  expectedMs(_nowMs: number): Readonly<Record<string, number>> {
-    return {};
+  expectedMs(nowMs: number): Readonly<Record<string, number>> {
+    return this.#former.expectedMs(nowMs);
   }
 
   /** Runs until the scope closes. */
@@ -114,13 +116,13 @@
         const isDue = this.#isChanged || instances.revision !== revision ||
           nowMs - workedAtMs >= TICK_MS;
         if (instances.isLoaded && isDue) {
-          if (revision < 0) this.#doubtRecorded();
+          if (revision < 0) this.#prober.doubtRecorded();
           this.#isChanged = false;
           revision = instances.revision;
           workedAtMs = nowMs;
           this.#replaceSlow(nowMs);
           const work = [
-            ...this.#probe(nowMs),
+            ...this.#prober.probe(nowMs),
             ...this.#orderRuns(nowMs),
             ...listLeftoverOrders(this.#state, nowMs).flatMap((order) =>
               this.#dispatcher.send(order, nowMs)
@@ -144,24 +146,6 @@
     });
   }
 
-  /** Questions to doubted instances, and to members that are not listed. */
-  #probe(nowMs: number): readonly Effect.Effect<unknown>[] {
-    const { instances } = this.#options;
-    const isUnlisted = (id: string) => instances.find(id) === undefined;
-    const memberIds = this.#state.memberIds();
-    for (const id of memberIds) {
-      if (isUnlisted(id)) this.#state.liveness.noteDoubt(id);
-    }
-    this.#state.liveness.keepOnly((id) => memberIds.has(id) || !isUnlisted(id));
-    this.#state.paces.keepOnly((id) => !isUnlisted(id));
-    const due = new Set([
-      ...this.#state.liveness.takeDue(nowMs, isUnlisted),
-      ...this.#state.paces.takeDue(nowMs),
-    ]);
-    return [...due].filter((id) => !this.#options.isBackingOff(id))
-      .map((id) => this.#probeOne(id, isUnlisted(id)));
-  }
-
   /** Takes replicas with a slow member apart where spares stand by. */
   #replaceSlow(nowMs: number): void {
     const runs = [...this.#state.runs.values()]
@@ -184,54 +168,6 @@
     }
   }
 
-  /**
-   * The process that decided before may have known of silent instances. Heads
-   * that are open tell of their other members by how their requests go on.
-   */
-  #doubtRecorded(): void {
-    for (const run of this.#state.runs.values()) {
-      const [headId, ...others] = run.record.members;
-      const head = this.#options.instances.find(headId!);
-      const isOpen = findMemberState(run, head) === "open";
-      const doubted = isOpen ? [headId!] : [headId!, ...others];
-      for (const id of doubted) this.#state.liveness.noteDoubt(id);
-    }
-  }
-
-  #probeOne(id: string, isAbsent: boolean): Effect.Effect<void> {
-    const address = this.#state.findAddress(id);
-    if (address === undefined) return Effect.void;
-    return this.#options.control.probe({ id, address }).pipe(
-      Effect.matchEffect({
-        onSuccess: ({ pace, isLeaving, coldMs }) =>
-          Effect.sync(() => {
-            if (coldMs !== undefined) this.#options.onColdTold?.(id, coldMs);
-            if (isLeaving) this.#options.onLeaving(id);
-            if (!isAbsent) this.#state.liveness.noteAlive(id);
-            else this.#state.liveness.noteProbed(id);
-            pace.caseOf({
-              Left: (message) =>
-                this.#options.record("instance.report-malformed", {
-                  instanceId: id,
-                  message,
-                }),
-              Right: (value) => this.#state.paces.notePace(id, value),
-            });
-          }),
-        onFailure: ({ isRefused, message }) =>
-          Effect.sync(() => {
-            this.#state.liveness.noteProbeFailed(id, { isRefused });
-            const { kind } = this.#state.liveness.livenessOf(id);
-            this.#options.record("instance.probe-failed", {
-              instanceId: id,
-              liveness: kind,
-              message,
-            });
-          }),
-      }),
-    );
-  }
-
   /** Orders that the replicas' states ask for. */
   #orderRuns(nowMs: number): readonly Effect.Effect<unknown>[] {
     return [...this.#state.runs.values()].flatMap((run) => {
--- a/packages/celerytray/src/groups/replica_former.ts
+++ b/packages/celerytray/src/groups/replica_former.ts
@@ -2,6 +2,7 @@
 import type { RecordEvent } from "../journal/index.ts";
 import type { EngineSpec } from "../serving/index.ts";
 import type { DivisionRules, Formation } from "./divide_pool.ts";
+import { ExpectedReplicas } from "./expected_replicas.ts";
 import { findReassignable } from "./find_reassignable.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { InstanceState } from "./instance_state.ts";
@@ -47,6 +48,8 @@
   readonly #options: ReplicaFormerOptions;
   readonly #state: FleetState;
   readonly #dispatcher: OrderDispatcher;
+  /** By service. */
+  readonly #expected = new Map<string, ExpectedReplicas>();
   #isForming = false;
   /** Time from which replicas to give up are looked for. */
   #reassignDueAtMs = 0;
@@ -87,6 +90,23 @@
     return work;
   }
 
+  /** Time until a replica is expected, by model that has none that serves. */
+  expectedMs(nowMs: number): Readonly<Record<string, number>> {
+    const expected: Record<string, number> = {};
+    for (const [service, { models }] of this.#options.engines()) {
+      const known = this.#expected.get(service) ?? new ExpectedReplicas();
+      this.#expected.set(service, known);
+      const input = {
+        models,
+        runs: this.#state.listServing(service),
+        findInstance: (id: string) => this.#state.instances.find(id),
+        hotModel: (id: string) => this.#state.weights.hotModel(id),
+      };
+      Object.assign(expected, known.list(input, nowMs));
+    }
+    return expected;
+  }
+
   #createRules(service: string, engine: EngineSpec): DivisionRules {
     return {
       service,
