--- a/packages/celerytray/src/serving/admission/index.ts
+++ b/packages/celerytray/src/serving/admission/index.ts
@@ -1,4 +1,5 @@
 /** Admission of requests to the replicas of their models. */
+export { AdmissionQueue } from "./admission_queue.ts";
 export {
   type AdmissionCall,
   type AdmissionRecord,
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -7,6 +7,7 @@
   InstanceLoad,
 } from "./call.ts";
 export {
+  AdmissionQueue,
   CallAdmission,
   type CallAdmissionOptions,
   type HeadRoom,
--- a/packages/celerytray/src/serving/admission/simulated_process.ts
+++ b/packages/fakes/src/admission/simulated_process.ts
@@ -1,9 +1,14 @@
-import { chooseTarget, type ServingTarget } from "../choose_target.ts";
-import { LoadTracker } from "../load_tracker.ts";
-import { AdmissionQueue } from "./admission_queue.ts";
-import type { AdmissionRequest, AdmissionTicket } from "./admission_ticket.ts";
+import {
+  AdmissionQueue,
+  chooseTarget,
+  LoadTracker,
+  type ServingTarget,
+} from "celerytray";
 import type { SimulatedHead, SimulatedWork } from "./simulated_head.ts";
 
+type AdmissionRequest = Parameters<AdmissionQueue["offer"]>[0];
+type AdmissionTicket = ReturnType<AdmissionQueue["offer"]>;
+
 /** A request of a simulated caller. */
 export interface SimulatedRequest extends AdmissionRequest {
   readonly tokens: number;
