--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -254,7 +254,7 @@
   }));
 }
 
-/** Whether the head can't be reached, or lives another incarnation by now. */
+/** Whether the head can't be reached, or was started anew. */
 function isHeadLost({ run, findInstance, liveness }: RunInput): boolean {
   const headId = run.record.members[0]!;
   if (liveness(headId).kind !== "alive") return true;
