--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -37,6 +37,8 @@
   /** Instance id and outcome of each attempt. */
   readonly attempts: readonly string[];
   readonly firstByteAtMs?: number;
+  /** Longest time between two events; absent with fewer than two. */
+  readonly longestPauseMs?: number;
 }
 
 /** Mutable state of a call over its attempts. */
@@ -53,6 +55,10 @@
   hadStaleConnection: boolean;
   lastEventId: number | undefined;
   firstByteAtMs: number | undefined;
+  /** Undefined before the first event and after a pause of the caller. */
+  lastEventAtMs: number | undefined;
+  /** Longest time between two events, over all attempts. */
+  longestPauseMs: number | undefined;
   /** An instance's error response, sent on if no later attempt succeeds. */
   failure:
     | { readonly headers: ResponseHeaders; readonly body: Buffer }
@@ -96,6 +102,8 @@
     hadStaleConnection: false,
     lastEventId: call.headers.lastEventId,
     firstByteAtMs: undefined,
+    lastEventAtMs: undefined,
+    longestPauseMs: undefined,
     failure: undefined,
     currentInstanceId: undefined,
     isCurrentSent: false,
@@ -104,6 +112,15 @@
   };
 }
 
+/** Records when an event arrived. */
+export function noteEventTime(progress: AttemptProgress, nowMs: number): void {
+  const { lastEventAtMs, longestPauseMs = 0 } = progress;
+  progress.firstByteAtMs ??= nowMs;
+  progress.lastEventAtMs = nowMs;
+  if (lastEventAtMs === undefined) return;
+  progress.longestPauseMs = Math.max(longestPauseMs, nowMs - lastEventAtMs);
+}
+
 /** An attempt that has ended, with its call. */
 export interface EndedAttempt {
   readonly options: AttemptsOptions;
@@ -302,13 +319,15 @@
 
 /** Summarizes the attempts so far, the current one included. */
 export function summarize(progress: AttemptProgress): AttemptsSummary {
-  const { currentInstanceId, firstByteAtMs } = progress;
+  const { currentInstanceId, firstByteAtMs, longestPauseMs } = progress;
   const attempts = currentInstanceId === undefined
     ? progress.attempts
     : [...progress.attempts, `${currentInstanceId} under way`];
-  return firstByteAtMs === undefined
-    ? { attempts }
-    : { attempts, firstByteAtMs };
+  return {
+    attempts,
+    ...(firstByteAtMs === undefined ? {} : { firstByteAtMs }),
+    ...(longestPauseMs === undefined ? {} : { longestPauseMs }),
+  };
 }
 
 /** Describes an outcome for logs. */
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -109,6 +109,9 @@
   readonly attempts: readonly string[];
   readonly durationMs: number;
   readonly firstByteMs?: number;
+  /** Longest time between two events of a stream. */
+  readonly longestPauseMs?: number;
+  readonly promptTokens?: number;
   readonly configVersion: number;
   /** Its wait for a replica and why it was refused; absent without a wait. */
   readonly admission?: AdmissionRecord;
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -11,6 +11,7 @@
   giveUpAtDeadline,
   mayAttemptAgain,
   mayRetryResponse,
+  noteEventTime,
   noteOutcome,
   refuseAsFull,
   refuseWhileBackingOff,
@@ -230,13 +231,13 @@
       },
       onEvent: (event: StreamEvent) => {
         const atMs = nowMs();
-        progress.firstByteAtMs ??= atMs;
         // Events that arrive together have no measurable pause between them.
         if (lastEventAtMs !== undefined && atMs > lastEventAtMs) {
           const pauseMs = atMs - lastEventAtMs;
           paces.notePause({ instanceId, epoch, model, pauseMs, nowMs: atMs });
         }
         lastEventAtMs = atMs;
+        noteEventTime(progress, atMs);
         if (event.id !== undefined) progress.lastEventId = event.id;
         return exchange.writeEvent(event.bytes);
       },
@@ -247,6 +248,7 @@
           isPaused = false;
           // The caller caused this pause, not the instance.
           lastEventAtMs = undefined;
+          progress.lastEventAtMs = undefined;
           stalls.noteProgress(instanceId, nowMs());
           onReady();
         });
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -320,7 +320,8 @@
   },
 ): Omit<CallRecord, "status" | "outcome" | "reason"> {
   const { headers, route, service, arrivedAtMs, configVersion } = call;
-  const { attempts, firstByteAtMs } = summary;
+  const { attempts, firstByteAtMs, longestPauseMs } = summary;
+  const { promptTokens } = headers;
   const admission = dependencies.admission.describe(call, endedAtMs);
   return {
     callId: headers.id,
@@ -332,6 +333,8 @@
     ...(firstByteAtMs === undefined
       ? {}
       : { firstByteMs: firstByteAtMs - arrivedAtMs }),
+    ...(longestPauseMs === undefined ? {} : { longestPauseMs }),
+    ...(promptTokens === undefined ? {} : { promptTokens }),
     configVersion,
     ...(admission === undefined ? {} : { admission }),
   };
