Spare the replicas of a later leader

Late duplicates of joins were ruled out: none was sent.

A replica whose epoch is later than every record that a leader knows can only have been recorded by a later leader. Its members are neither dissolved nor free, and it is a reason to look for the successor.

--- a/packages/celerytray/src/groups/controller_state.ts
+++ b/packages/celerytray/src/groups/controller_state.ts
@@ -75,7 +75,8 @@
       !this.slowInstances.isSlow(instance.id) &&
       instance.domain !== undefined &&
       !this.departures.mayBeOpenHead(instance) &&
-      !this.departures.isOrphaned(instance)
+      !this.departures.isOrphaned(instance) &&
+      !this.#hasLaterMembership(instance)
     );
   }
 
@@ -97,10 +98,33 @@
   /** Open heads of replicas without a record. */
   listOrphans(): readonly InstanceState[] {
     return this.instances.list().filter((instance) =>
-      this.departures.isOrphanHead(instance)
+      this.departures.isOrphanHead(instance) &&
+      !this.#hasLaterMembership(instance)
     );
   }
 
+  /** Members, except heads, of replicas without a record. */
+  listOrphanedMembers(): readonly InstanceState[] {
+    return this.instances.list().filter((instance) =>
+      this.departures.isOrphaned(instance) &&
+      !this.#hasLaterMembership(instance)
+    );
+  }
+
+  /**
+   * Whether an instance is in a replica that was recorded after everything that
+   * this leader knows, which only a later leader can have done.
+   */
+  get hasLaterReplicas(): boolean {
+    return this.instances.list().some((instance) =>
+      this.#hasLaterMembership(instance)
+    );
+  }
+
+  #hasLaterMembership({ membership }: InstanceState): boolean {
+    return (membership?.epoch ?? 0) > this.fencingNumber;
+  }
+
   isAlive(instanceId: string): boolean {
     return this.liveness.livenessOf(instanceId).kind === "alive";
   }
--- a/packages/celerytray/src/groups/list_orphan_orders.ts
+++ b/packages/celerytray/src/groups/list_orphan_orders.ts
@@ -29,9 +29,8 @@
 
 /** Makes members leave replicas whose head may be unreachable and open. */
 function listMemberOrders(state: ControllerState): readonly DispatchedOrder[] {
-  return state.instances.list().flatMap((instance) => {
-    const { id, membership } = instance;
-    if (!state.departures.isOrphaned(instance) || !state.isAlive(id)) return [];
+  return state.listOrphanedMembers().flatMap(({ id, membership }) => {
+    if (!state.isAlive(id)) return [];
     const { replica, epoch } = membership!;
     return [{ instanceId: id, order: { kind: "leave", replica, epoch } }];
   });
--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -43,7 +43,7 @@
   readonly onColdReported?: (instanceId: string, coldMs: number) => void;
   /** Called when an instance reports that it is leaving. */
   readonly onLeaving: (instanceId: string) => void;
-  /** Called when an order is refused as outdated; a newer leader may exist. */
+  /** Called when an order or the list indicates that a newer leader exists. */
   readonly onOutdated: () => void;
   readonly record: RecordEvent;
 }
@@ -120,6 +120,7 @@
           nowMs - lastRoundAtMs >= MAX_ROUND_INTERVAL_MS;
         if (instances.isLoaded && isDue) {
           if (revision < 0) this.#prober.suspectRecordedMembers();
+          if (this.#state.hasLaterReplicas) this.#options.onOutdated();
           this.#isChanged = false;
           revision = instances.revision;
           lastRoundAtMs = nowMs;
