--- a/packages/celerytray/src/groups/divide_pool.ts
+++ b/packages/celerytray/src/groups/divide_pool.ts
@@ -8,8 +8,8 @@
   readonly models: readonly ServedModel[];
   /** Model whose weights an instance has in memory. */
   readonly heldModel: (instanceId: string) => string | undefined;
-  /** Model that a free instance is loading. */
-  readonly preparingModel: (instanceId: string) => string | undefined;
+  /** Load of weights that a free instance has begun. */
+  readonly findPreparation: (instanceId: string) => Preparation | undefined;
   /**
    * Whether no request has arrived yet. Until then loads are short, and domains
    * are still gaining instances.
@@ -28,6 +28,13 @@
   readonly counts: ReplicaCounts;
 }
 
+/** A load of weights into an instance that is in no replica. */
+export interface Preparation {
+  readonly model: string;
+  /** Time since the load was ordered. */
+  readonly elapsedMs: number;
+}
+
 /** Number of replicas by model name. */
 export type ReplicaCounts = ReadonlyMap<string, number>;
 
@@ -57,6 +64,9 @@
 /** Fraction of its value that a replica keeps however long it loads. */
 const MIN_VALUE_FACTOR = 0.05;
 
+/** Remaining time of a load that takes longer than usual. */
+const MIN_REMAINING_LOAD_MS = 2_000;
+
 /** Duration of loads before the first request, relative to the usual one. */
 const PRE_TRAFFIC_LOAD_FACTOR = 0.1;
 
@@ -204,5 +214,7 @@
   if (instance.stagedModels.includes(model.name)) return model.warmMs;
   const loadMs = model.loadMs *
     (rules.precedesTraffic ? PRE_TRAFFIC_LOAD_FACTOR : 1);
-  return rules.preparingModel(instance.id) === model.name ? loadMs / 2 : loadMs;
+  const preparation = rules.findPreparation(instance.id);
+  if (preparation?.model !== model.name) return loadMs;
+  return Math.max(MIN_REMAINING_LOAD_MS, loadMs - preparation.elapsedMs);
 }
--- a/packages/celerytray/src/groups/find_reassignable_test.ts
+++ b/packages/celerytray/src/groups/find_reassignable_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { ServedModel } from "../serving/index.ts";
+import type { Preparation } from "./divide_pool.ts";
 import { findReassignable } from "./find_reassignable.ts";
 import type { InstanceState } from "./instance_state.ts";
 import { LARGE, SMALL } from "./model_fixtures.ts";
@@ -50,10 +51,22 @@
       staged: BOTH,
     });
     expect(fixture.find()?.models).toEqual(["large"]);
-    fixture.addNewInstance({ isLoading: true });
+    fixture.addNewInstance(LARGE.loadMs / 2);
     expect(fixture.find()).toEqual(undefined);
   });
 
+  // The large model lacks replicas, and a domain lacks one member for it.
+  it("takes the member from a small replica if a load has just begun", () => {
+    const fixture = createFixture({
+      large: 4,
+      small: 7,
+      free: 5,
+      staged: BOTH,
+    });
+    fixture.addNewInstance(0);
+    expect(fixture.find()?.models).toEqual(["large"]);
+  });
+
   it("keeps a replica that has a draining member or is not open", () => {
     for (const change of ["drain", "close"] as const) {
       const fixture = createFixture({
@@ -89,7 +102,7 @@
     { length: free },
     (_, index) => createInstance(`spare-${index}`, "a", [LARGE.name]),
   );
-  const loading = new Set<string>();
+  const loading = new Map<string, Preparation>();
   return {
     find: () =>
       findReassignable({
@@ -99,13 +112,13 @@
         free: spares,
         findInstance: (id) => instances.get(id),
         heldModel: () => undefined,
-        preparingModel: (id) => loading.has(id) ? LARGE.name : undefined,
+        findPreparation: (id) => loading.get(id),
         precedesTraffic: false,
         utilisation: () => 0.5,
       }),
-    addNewInstance: ({ isLoading }: { readonly isLoading: boolean }) => {
+    addNewInstance: (elapsedMs: number) => {
       spares.push(createInstance("new-instance", "a", []));
-      if (isLoading) loading.add("new-instance");
+      loading.set("new-instance", { model: LARGE.name, elapsedMs });
     },
     change: (kind: "drain" | "close") => {
       const head = instances.get("a-small-0")!;
--- a/packages/celerytray/src/groups/formation_planner.ts
+++ b/packages/celerytray/src/groups/formation_planner.ts
@@ -43,6 +43,9 @@
 /** Time that a reassigned replica takes to retire and to form again. */
 const REASSIGN_COOLDOWN_MS = 4_000;
 
+/** Maximum time for which a domain waits for the members of a replica. */
+const MAX_RETIREMENT_WAIT_MS = 3_000;
+
 /** Forms replicas from free instances and prepares the rest as spares. */
 export class FormationPlanner {
   readonly #options: FormationPlannerOptions;
@@ -51,8 +54,10 @@
   /** Estimator of each service. */
   readonly #readinessEstimators = new Map<string, ReadinessEstimator>();
   #isForming = false;
-  /** Time of the next search for a replica to reassign. */
-  #reassignDueAtMs = 0;
+  /** Time of the next search for a replica to reassign, unless one is formed. */
+  #reassignCheckAtMs = 0;
+  /** Time from which another replica may be reassigned. */
+  #reassignAllowedAtMs = 0;
 
   constructor(options: FormationPlannerOptions) {
     this.#options = options;
@@ -66,12 +71,15 @@
     if (this.#isForming || this.#options.isRetiring()) return [];
     const effects: Effect.Effect<unknown>[] = [];
     for (const [service, engine] of this.#options.engines()) {
-      const unsettled = this.#listUnsettledDomains(service);
+      const unsettled = new Set([
+        ...this.#listSuspectedDomains(service),
+        ...this.#listRetiringDomains(service, nowMs),
+      ]);
       const free = this.#state.listFree(service).filter(({ id, domain }) =>
         !unsettled.has(domain!) &&
         !this.#state.weights.isPreparationOverdue(id, nowMs)
       );
-      const rules = this.#createRules(service, engine);
+      const rules = this.#createRules(service, engine, nowMs);
       const { formations, preparations } = planFormations({
         ...rules,
         free,
@@ -79,11 +87,14 @@
         isDomainComplete: (domain) =>
           this.#state.weights.isDomainComplete(domain, nowMs),
       });
+      // Before free instances are bound, as others may complete what they lack.
+      const mayReassign = formations.length > 0 ||
+        nowMs >= this.#reassignCheckAtMs;
+      if (mayReassign && this.#retireReassignable(rules, free, nowMs)) continue;
       if (formations.length > 0) {
         effects.push(this.#recordFormations(formations));
         continue;
       }
-      this.#retireReassignable(rules, free, nowMs);
       effects.push(
         ...this.#prepareSpares({ engine, free, preparations }, nowMs),
         ...this.#stageAcrossReplicas(service, engine, nowMs),
@@ -110,46 +121,65 @@
     return expected;
   }
 
-  #createRules(service: string, engine: EngineSpec): DivisionRules {
+  #createRules(
+    service: string,
+    engine: EngineSpec,
+    nowMs: number,
+  ): DivisionRules {
     return {
       service,
       models: engine.models,
       heldModel: (id) => this.#state.weights.heldModel(id),
       utilisation: (model, replicas) =>
         this.#options.demand(model) / (Math.max(1, replicas) * engine.slots),
-      preparingModel: (id) => this.#state.weights.preparingModel(id),
+      findPreparation: (id) => this.#state.weights.findPreparation(id, nowMs),
       precedesTraffic: !this.#options.hasTraffic(),
     };
   }
 
-  /** Retires a replica whose members are worth more in other replicas. */
+  /**
+   * Retires a replica whose members are worth more in other replicas; returns
+   * whether there is one.
+   */
   #retireReassignable(
     rules: DivisionRules,
     free: readonly InstanceState[],
     nowMs: number,
-  ): void {
-    if (rules.precedesTraffic || nowMs < this.#reassignDueAtMs) return;
-    this.#reassignDueAtMs = nowMs + REASSIGN_CHECK_INTERVAL_MS;
+  ): boolean {
+    if (rules.precedesTraffic || nowMs < this.#reassignAllowedAtMs) {
+      return false;
+    }
+    this.#reassignCheckAtMs = nowMs + REASSIGN_CHECK_INTERVAL_MS;
     const found = findReassignable({
       ...rules,
       free,
       runs: this.#state.listActive(rules.service),
       findInstance: (id) => this.#state.instances.find(id),
     });
-    if (found === undefined) return;
-    this.#reassignDueAtMs = nowMs + REASSIGN_COOLDOWN_MS;
+    if (found === undefined) return false;
+    this.#reassignAllowedAtMs = nowMs + REASSIGN_COOLDOWN_MS;
     retireReplica(found.run, {
       reason: `its members are needed for ${found.models.join(" and ")}`,
       nowMs,
       record: this.#options.record,
     });
+    return true;
+  }
+
+  /** Fabric domains that are about to get the members of a retiring replica. */
+  #listRetiringDomains(service: string, nowMs: number): readonly string[] {
+    return [...this.#state.runs.values()].flatMap(({ record, retirement }) => {
+      if (record.service !== service || retirement === undefined) return [];
+      if (nowMs - retirement.sinceMs >= MAX_RETIREMENT_WAIT_MS) return [];
+      return this.#state.findLatest(record.members[0]!)?.domain ?? [];
+    });
   }
 
   /**
    * Fabric domains with a free instance that is suspected but not yet known to
    * be silent or ended.
    */
-  #listUnsettledDomains(service: string): ReadonlySet<string> {
+  #listSuspectedDomains(service: string): ReadonlySet<string> {
     const used = this.#state.memberIds();
     const unsettled = new Set<string>();
     for (const instance of this.#state.instances.list()) {
--- a/packages/celerytray/src/groups/instance_weights.ts
+++ b/packages/celerytray/src/groups/instance_weights.ts
@@ -1,3 +1,4 @@
+import type { Preparation } from "./divide_pool.ts";
 import type { InstanceState } from "./instance_state.ts";
 
 /** Time without a new instance after which a domain counts as complete. */
@@ -7,7 +8,7 @@
 /** Maximum time for which an instance counts as loading weights as a spare. */
 const PREPARATION_TIMEOUT_MS = 40_000;
 
-interface Preparation {
+interface PreparationStart {
   readonly model: string;
   readonly sinceMs: number;
 }
@@ -20,7 +21,7 @@
   /** Last model whose weights an instance had in this incarnation. */
   readonly #lastModels = new Map<string, string>();
   /** Model that a spare is loading, with the time of its first join order. */
-  readonly #preparations = new Map<string, Preparation>();
+  readonly #preparations = new Map<string, PreparationStart>();
   /** Time at which an instance was ordered to stage weights on its host. */
   readonly #stagingSinceMs = new Map<string, number>();
   /** Last seen incarnation of each instance. */
@@ -70,6 +71,13 @@
     return this.#preparations.get(instanceId)?.model;
   }
 
+  /** The load that a spare has begun. */
+  findPreparation(instanceId: string, nowMs: number): Preparation | undefined {
+    const start = this.#preparations.get(instanceId);
+    if (start === undefined) return undefined;
+    return { model: start.model, elapsedMs: nowMs - start.sinceMs };
+  }
+
   /** Whether a spare has been loading for longer than its timeout. */
   isPreparationOverdue(instanceId: string, nowMs: number): boolean {
     const preparation = this.#preparations.get(instanceId);
--- a/packages/celerytray/src/groups/plan_formations_test.ts
+++ b/packages/celerytray/src/groups/plan_formations_test.ts
@@ -161,7 +161,7 @@
     free: [],
     replicas: [],
     heldModel: () => undefined,
-    preparingModel: () => undefined,
+    findPreparation: () => undefined,
     isDomainComplete: () => true,
     precedesTraffic: true,
     utilisation: () => 0,
