Weigh the prompts ahead when a head is chosen

Prompts of 40 to 5,900 tokens counted alike, although a head that reads a long one makes no events for its other streams meanwhile.

A head's cost now includes the time in which it reads the prompts that this process has sent there and that no event has answered yet, as a fraction of the request's target time. The rate and the model's pace come from the configuration; without them nothing changes.

--- a/packages/celerytray/src/host/load_trackers.ts
+++ b/packages/celerytray/src/host/load_trackers.ts
@@ -2,6 +2,7 @@
   BackoffTracker,
   LoadTracker,
   PaceTracker,
+  PromptBacklog,
   QueueWaitEstimator,
   StallDetector,
 } from "../serving/index.ts";
@@ -13,6 +14,7 @@
   readonly queueWaits: QueueWaitEstimator;
   readonly stalls: StallDetector;
   readonly paces: PaceTracker;
+  readonly prompts: PromptBacklog;
 }
 
 export function createLoadTrackers(
@@ -30,6 +32,7 @@
     queueWaits,
     stalls,
     paces: new PaceTracker(),
+    prompts: new PromptBacklog(),
   };
 }
 
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -8,6 +8,7 @@
 import type { LoadTracker } from "./load_tracker.ts";
 import type { PaceTracker } from "./pace_tracker.ts";
 import type { ProcessLag } from "./process_lag.ts";
+import type { PromptBacklog } from "./prompt_backlog.ts";
 import type { QueueWaitEstimator } from "./queue_wait_estimator.ts";
 import type { SharedRetryBudget } from "./shared_retry_budget.ts";
 import type { BackoffTracker } from "./backoff_tracker.ts";
@@ -40,6 +41,7 @@
   readonly backoffs: BackoffTracker;
   readonly stalls: StallDetector;
   readonly paces: PaceTracker;
+  readonly prompts: PromptBacklog;
   readonly queueWaits: QueueWaitEstimator;
   readonly retryBudget: SharedRetryBudget;
   readonly callerTimeouts: CallerTimeoutTracker;
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -31,6 +31,10 @@
   readonly isSlow: (target: ServingTarget) => boolean;
   /** Whether an idle connection to an address is open. */
   readonly hasConnection: (address: string) => boolean;
+  /** Time in which a target reads the prompts that this process sent before. */
+  readonly readDelayMs: (target: ServingTarget) => number;
+  /** Latency target of the request. */
+  readonly targetMs: number;
   /** Instances that were already sent the request. */
   readonly tried: ReadonlySet<string>;
   readonly nowMs: number;
@@ -63,6 +67,7 @@
       loads.failureRate(instanceId, nowMs) * FAILURE_COST +
       (target.zone === choice.zone ? 0 : OTHER_ZONE_COST) +
       (choice.hasConnection(target.address) ? 0 : NEW_CONNECTION_COST) +
+      choice.readDelayMs(target) / choice.targetMs +
       choice.random() * TIE_SPREAD;
     if (cost < bestCost) {
       best = target;
--- a/packages/celerytray/src/serving/choose_target_test.ts
+++ b/packages/celerytray/src/serving/choose_target_test.ts
@@ -127,6 +127,8 @@
       isSilent: () => false,
       isSlow: () => false,
       hasConnection: (address) => process.hasConnection(address, nowMs),
+      readDelayMs: () => 0,
+      targetMs: 250,
       tried: new Set(),
       nowMs,
       random,
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -8,6 +8,7 @@
 import { HeldBytes } from "./held_bytes.ts";
 import { LoadTracker } from "./load_tracker.ts";
 import { PaceTracker } from "./pace_tracker.ts";
+import { PromptBacklog } from "./prompt_backlog.ts";
 import { QueueWaitEstimator } from "./queue_wait_estimator.ts";
 import { SharedRetryBudget } from "./shared_retry_budget.ts";
 import { BackoffTracker } from "./backoff_tracker.ts";
@@ -46,6 +47,7 @@
     backoffs: new BackoffTracker(),
     stalls: new StallDetector(),
     paces: new PaceTracker(),
+    prompts: new PromptBacklog(),
     callerTimeouts: new CallerTimeoutTracker(),
     held: new HeldBytes({ maxBytes: MAX_HELD_BYTES, onCut: () => {} }),
     lag: { lagMs: () => 0, isBehind: () => false },
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -9,6 +9,7 @@
 import type { AbandonReason } from "./stall_detector.ts";
 import { type ColdSearch, planColdWait } from "./cold_wait.ts";
 import type { ExclusionReason } from "./call_context.ts";
+import { promptReadMs } from "./prompt_backlog.ts";
 import {
   chooseTarget,
   isPreferred,
@@ -167,16 +168,22 @@
   progress: AttemptProgress,
   nowMs: number,
 ): TargetChoice {
-  const { stalls, paces, backoffs } = dependencies;
+  const { stalls, paces, backoffs, prompts } = dependencies;
+  const { model } = call.headers;
+  const engine = dependencies.index()?.config.services.get(call.service)
+    ?.engine;
   return {
     targets: dependencies.listTargets(
       call.service,
-      call.headers.model,
+      model,
       call.homes,
     ),
     loads: dependencies.loads,
     zone: dependencies.zone,
     hasConnection: dependencies.hasConnection,
+    readDelayMs: ({ instanceId }) =>
+      promptReadMs(prompts.tokensAt(instanceId), engine, model),
+    targetMs: call.route.targetMs,
     isBackingOff: (id) => backoffs.isBackingOff(id, nowMs),
     maySend: (target) => dependencies.coldLimiter.maySend(target, nowMs),
     isSilent: (id) => stalls.isSilent(id, nowMs),
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -32,6 +32,7 @@
 export { LoadTracker } from "./load_tracker.ts";
 export { PaceTracker } from "./pace_tracker.ts";
 export { MAX_LAG_MS, type ProcessLag } from "./process_lag.ts";
+export { PromptBacklog } from "./prompt_backlog.ts";
 export { QueueWaitEstimator } from "./queue_wait_estimator.ts";
 export {
   SharedRetryBudget,
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -168,7 +168,7 @@
   target: ServingTarget,
 ): Effect.Effect<AttemptOutcome> {
   const { call, exchange, dependencies } = options;
-  const { loads, stalls, paces, codec, queueWaits } = dependencies;
+  const { loads, stalls, paces, codec, queueWaits, prompts } = dependencies;
   const { instanceId, address, epoch } = target;
   return Effect.gen(function* () {
     const clock = yield* Clock.Clock;
@@ -182,6 +182,10 @@
     progress.tried.add(instanceId);
     progress.currentInstanceId = instanceId;
     loads.noteSent(instanceId);
+    const notePromptRead = prompts.add(
+      instanceId,
+      call.headers.promptTokens ?? 0,
+    );
     const stopWatching = call.route.isStream
       ? stalls.watch({
         instanceId,
@@ -231,6 +235,7 @@
       },
       onEvent: (event: StreamEvent) => {
         const atMs = nowMs();
+        notePromptRead();
         // Events that arrive together have no measurable pause between them.
         if (lastEventAtMs !== undefined && atMs > lastEventAtMs) {
           const pauseMs = atMs - lastEventAtMs;
@@ -265,6 +270,7 @@
       ),
       Effect.ensuring(Effect.sync(() => {
         loads.noteEnded(instanceId);
+        notePromptRead();
         stopWatching();
       })),
     );
