Avoid a head after its model's usual silence

New requests left a silent head after 200 ms for any model, while events come each 27 to 60 ms: requests went on to a dead head. A model with longer pauses would have been avoided for being itself.

Each process learns per model how long streams wait for the first and for the next event, and avoids a head after the mean and three mean deviations. To suspect a head and to move its streams takes as long as before.

--- a/packages/celerytray/src/host/load_trackers.ts
+++ b/packages/celerytray/src/host/load_trackers.ts
@@ -4,6 +4,7 @@
   PaceTracker,
   PromptBacklog,
   QueueWaitEstimator,
+  SilenceStats,
   StallDetector,
 } from "../serving/index.ts";
 
@@ -14,6 +15,7 @@
   readonly queueWaits: QueueWaitEstimator;
   readonly stalls: StallDetector;
   readonly paces: PaceTracker;
+  readonly silences: SilenceStats;
   readonly prompts: PromptBacklog;
 }
 
@@ -22,7 +24,9 @@
 ): LoadTrackers {
   const loads = new LoadTracker();
   const queueWaits = new QueueWaitEstimator(loads);
+  const silences = new SilenceStats();
   const stalls = new StallDetector({
+    usualSilenceMs: (model, awaited) => silences.usualMaxMs(model, awaited),
     queueWaitMs: (request, atMs) => queueWaits.expectedWaitMs(request, atMs),
     isBehind,
   });
@@ -32,6 +36,7 @@
     queueWaits,
     stalls,
     paces: new PaceTracker(),
+    silences,
     prompts: new PromptBacklog(),
   };
 }
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -14,6 +14,7 @@
 import type { BackoffTracker } from "./backoff_tracker.ts";
 import type { ServingRoute } from "./serving_config.ts";
 import type { ServingIndex } from "./serving_index.ts";
+import type { SilenceStats } from "./silence_stats.ts";
 import type { StallDetector } from "./stall_detector.ts";
 
 /** What serving a call needs from the rest of the process. */
@@ -41,6 +42,7 @@
   readonly backoffs: BackoffTracker;
   readonly stalls: StallDetector;
   readonly paces: PaceTracker;
+  readonly silences: SilenceStats;
   readonly prompts: PromptBacklog;
   readonly queueWaits: QueueWaitEstimator;
   readonly retryBudget: SharedRetryBudget;
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -12,6 +12,7 @@
 import { QueueWaitEstimator } from "./queue_wait_estimator.ts";
 import { SharedRetryBudget } from "./shared_retry_budget.ts";
 import { BackoffTracker } from "./backoff_tracker.ts";
+import { SilenceStats } from "./silence_stats.ts";
 import { StallDetector } from "./stall_detector.ts";
 
 /** Dependencies that a test provides itself. */
@@ -47,6 +48,7 @@
     backoffs: new BackoffTracker(),
     stalls: new StallDetector(),
     paces: new PaceTracker(),
+    silences: new SilenceStats(),
     prompts: new PromptBacklog(),
     callerTimeouts: new CallerTimeoutTracker(),
     held: new HeldBytes({ maxBytes: MAX_HELD_BYTES, onCut: () => {} }),
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -34,6 +34,7 @@
 export { MAX_LAG_MS, type ProcessLag } from "./process_lag.ts";
 export { PromptBacklog } from "./prompt_backlog.ts";
 export { QueueWaitEstimator } from "./queue_wait_estimator.ts";
+export { SilenceStats } from "./silence_stats.ts";
 export {
   SharedRetryBudget,
   type SharedRetryBudgetOptions,
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -168,7 +168,8 @@
   target: ServingTarget,
 ): Effect.Effect<AttemptOutcome> {
   const { call, exchange, dependencies } = options;
-  const { loads, stalls, paces, codec, queueWaits, prompts } = dependencies;
+  const { loads, stalls, paces, silences, codec, queueWaits, prompts } =
+    dependencies;
   const { instanceId, address, epoch } = target;
   return Effect.gen(function* () {
     const clock = yield* Clock.Clock;
@@ -236,10 +237,15 @@
       onEvent: (event: StreamEvent) => {
         const atMs = nowMs();
         notePromptRead();
+        if (lastEventAtMs === undefined && !wasPaused) {
+          const silentMs = atMs - startedAtMs;
+          silences.note({ model, awaited: "first", silentMs });
+        }
         // Events that arrive together have no measurable pause between them.
         if (lastEventAtMs !== undefined && atMs > lastEventAtMs) {
           const pauseMs = atMs - lastEventAtMs;
           paces.notePause({ instanceId, epoch, model, pauseMs, nowMs: atMs });
+          silences.note({ model, awaited: "next", silentMs: pauseMs });
         }
         lastEventAtMs = atMs;
         noteEventTime(progress, atMs);
--- a/packages/celerytray/src/serving/stall_detector.ts
+++ b/packages/celerytray/src/serving/stall_detector.ts
@@ -1,4 +1,5 @@
 import type { QueuedRequest } from "./queue_wait_estimator.ts";
+import type { AwaitedEvent } from "./silence_stats.ts";
 
 /** An attempt that waits for an instance's response. */
 export interface WatchedAttempt {
@@ -37,6 +38,11 @@
     request: QueuedRequest,
     nowMs: number,
   ) => number | undefined;
+  /** Silence that few events of a model exceed; undefined if not known. */
+  readonly usualSilenceMs: (
+    model: string,
+    awaited: AwaitedEvent,
+  ) => number | undefined;
   /** Whether this process has lagged recently. */
   readonly isBehind: (nowMs: number) => boolean;
 }
@@ -53,8 +59,13 @@
 const SUSPECT_AFTER_MS = 700;
 /** Silence of several attempts after which their instance is suspected. */
 const SUSPECT_SEVERAL_AFTER_MS = 400;
-/** Silence after which new requests avoid an instance. */
+/**
+ * Silence after which new requests avoid an instance, unless it is known how
+ * long its model is usually silent.
+ */
 const AVOID_AFTER_MS = 200;
+/** Lower limit of the usual silence after which an instance is avoided. */
+const MIN_AVOID_AFTER_MS = 50;
 /** Silence of all attempts after which the instance counts as stalled. */
 const MOVE_AFTER_MS = 1_100;
 /** Upper limit for each of the bounds above plus the expected queue wait. */
@@ -74,6 +85,7 @@
   constructor(options: Partial<StallDetectorOptions> = {}) {
     this.#options = {
       queueWaitMs: () => undefined,
+      usualSilenceMs: () => undefined,
       isBehind: () => false,
       ...options,
     };
@@ -119,7 +131,12 @@
   isSilent(instanceId: string, nowMs: number): boolean {
     const silence = this.#findSilence(instanceId, nowMs);
     return silence !== undefined &&
-      exceeds(silence, AVOID_AFTER_MS);
+      exceeds(silence, this.#avoidAfterMs(silence));
+  }
+
+  #avoidAfterMs({ model, awaited }: Silence): number {
+    const usualMs = this.#options.usualSilenceMs(model, awaited);
+    return Math.max(MIN_AVOID_AFTER_MS, usualMs ?? AVOID_AFTER_MS);
   }
 
   /** Returns the instances that make no progress on any of their attempts. */
@@ -211,6 +228,8 @@
         this.#lastProgressAtMs.get(instanceId) ?? Number.NEGATIVE_INFINITY,
       ),
       attempts: evidence.length,
+      model: evidence[0]!.model,
+      awaited: started.length > 0 ? "next" : "first",
       queueWaitMs: isOnlyQueued ? queueWaitMs : 0,
     };
   }
@@ -237,6 +256,9 @@
 interface Silence {
   readonly silentMs: number;
   readonly attempts: number;
+  readonly model: string;
+  /** What the attempts wait for; the next event if any has had its first one. */
+  readonly awaited: AwaitedEvent;
   /** Part of the silence that is expected from the instance's queue. */
   readonly queueWaitMs: number;
 }
--- a/packages/celerytray/src/serving/stall_detector_test.ts
+++ b/packages/celerytray/src/serving/stall_detector_test.ts
@@ -4,6 +4,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { LoadTracker } from "./load_tracker.ts";
 import { QueueWaitEstimator } from "./queue_wait_estimator.ts";
+import { SilenceStats } from "./silence_stats.ts";
 import { StallDetector, type WatchedAttempt } from "./stall_detector.ts";
 
 const SLOTS = 24;
@@ -249,3 +250,48 @@
   readonly start?: () => void;
   readonly end?: () => void;
 }
+
+// Load: two models of different pace. New requests leave a silent head of the
+// fast model early, and a head of the slow model keeps them between its events.
+describe("models that are usually silent for different times", () => {
+  const createDetector = () => {
+    const silences = new SilenceStats();
+    for (let time = 0; time < 200; time += 1) {
+      const isLong = time % 2 === 0;
+      for (const [model, silentMs] of [["fast", 30], ["slow", 300]] as const) {
+        const observed = {
+          model,
+          silentMs: isLong ? silentMs * 1.2 : silentMs,
+        };
+        silences.note({ ...observed, awaited: "next" });
+        silences.note({ ...observed, awaited: "first", silentMs: 180 });
+      }
+    }
+    const detector = new StallDetector({
+      usualSilenceMs: (model, awaited) => silences.usualMaxMs(model, awaited),
+    });
+    for (const model of ["fast", "slow"]) {
+      detector.watch(createAttempt({
+        instanceId: model,
+        model,
+        hasStarted: () => true,
+      }));
+    }
+    return detector;
+  };
+
+  it("avoids each after more than its usual silence", () => {
+    const detector = createDetector();
+    expect(detector.isSilent("fast", 40)).toEqual(false);
+    expect(detector.isSilent("fast", 60)).toEqual(true);
+    expect(detector.isSilent("slow", 360)).toEqual(false);
+    expect(detector.isSilent("slow", 600)).toEqual(true);
+  });
+
+  it("allows a request that has not started the usual time until then", () => {
+    const detector = createDetector();
+    detector.watch(createAttempt({ instanceId: "new", model: "fast" }));
+    expect(detector.isSilent("new", 170)).toEqual(false);
+    expect(detector.isSilent("new", 250)).toEqual(true);
+  });
+});
--- a/packages/fakes/src/admission/simulated_process.ts
+++ b/packages/fakes/src/admission/simulated_process.ts
@@ -190,6 +190,8 @@
       loads: this.#loads,
       zone: "z",
       hasConnection: () => true,
+      readDelayMs: () => 0,
+      targetMs: 1,
       maySend: () => true,
       isBackingOff: () => false,
       isSilent: () => false,
