--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -194,21 +194,6 @@
   };
 }
 
-/**
- * Time that a usual stream takes at the current, slow instance. A stream that
- * can end there in time stays, as the move itself makes it late. Infinite while
- * the usual time is not known.
- */
-function slowServiceMs(
-  { call, dependencies: { paces, queueWaits } }: AttemptsOptions,
-  { currentInstanceId }: AttemptProgress,
-  nowMs: number,
-): number {
-  const usualMs = queueWaits.meanServiceMs(call.headers.model ?? "");
-  if (usualMs === 0 || currentInstanceId === undefined) return Infinity;
-  return usualMs * paces.slowness(currentInstanceId, nowMs);
-}
-
 /**
  * Ends the current attempt if another instance can certainly take the request;
  * returns whether it did.
@@ -225,13 +210,7 @@
   if (
     progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
   ) return false;
-  const remainingMs = call.deadlineAtMs - nowMs;
-  if (remainingMs < MIN_MOVE_REMAINING_MS) return false;
-  if (
-    reason === "slow" && remainingMs >= slowServiceMs(options, progress, nowMs)
-  ) {
-    return false;
-  }
+  if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return false;
   const choice: TargetChoice = {
     ...createChoice(options, progress, nowMs),
     // A single token would let all requests at a head move to the same instance.
