Send callers of a machine with outdated keys to others at once

A machine that is cut off from the store and its peers for 5 s refuses requests, as its keys may have been revoked.

The refusal now has a Retry-After of 50 ms and closes the connection. If every machine is cut off, the retry is refused as it was before.

--- a/packages/celerytray/src/serving/caller_exchange.ts
+++ b/packages/celerytray/src/serving/caller_exchange.ts
@@ -8,6 +8,8 @@
   readonly message: string;
   /** Time after which the caller may retry. */
   readonly retryAfterMs?: number;
+  /** Whether the connection is closed, so that the caller uses another machine. */
+  readonly closesConnection?: boolean;
 }
 
 /** Unsent bytes of a stream above which reading from its instance is paused. */
@@ -105,7 +107,7 @@
       ...(localResponse.retryAfterMs === undefined
         ? []
         : ["Retry-After", (localResponse.retryAfterMs / 1000).toFixed(2)]),
-      ...this.#connectionHeaders(),
+      ...this.#connectionHeaders(localResponse.closesConnection),
     ]);
     this.#response.end(body);
   }
@@ -164,7 +166,7 @@
     if (!this.#response.destroyed) this.#held.update(this);
   }
 
-  #connectionHeaders(): readonly string[] {
-    return this.#isClosing() ? ["Connection", "close"] : [];
+  #connectionHeaders(closesConnection = false): readonly string[] {
+    return closesConnection || this.#isClosing() ? ["Connection", "close"] : [];
   }
 }
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -20,7 +20,8 @@
 import { selectService, type ServingIndex } from "./serving_index.ts";
 
 const NO_CONFIG_RETRY_AFTER_MS = 500;
-const STALE_KEYS_RETRY_AFTER_MS = 500;
+/** Short, as other machines may know the newest keys. */
+const STALE_KEYS_RETRY_AFTER_MS = 50;
 const MAX_PRIORITY = 9;
 const NO_MEMORY_RETRY_AFTER_MS = 500;
 /** Time missing from a caller's usual timeout that indicates an earlier refusal. */
@@ -196,6 +197,7 @@
     status: 503,
     message: "The configuration may be outdated; the request was not run",
     retryAfterMs: STALE_KEYS_RETRY_AFTER_MS,
+    closesConnection: true,
   };
   const route = index.findRoute(headers.host, headers.path);
   if (route === undefined) {
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -31,7 +31,9 @@
     const entry = await startEntry({ backends: [], areKeysFresh: false });
     const response = await call(entry, "/safe/x");
     expect(response.status).toEqual(503);
-    expect(response.headers["retry-after"] !== undefined).toEqual(true);
+    // Another machine may know the newest keys, so the caller may go there now.
+    expect(Number(response.headers["retry-after"]) <= 0.1).toEqual(true);
+    expect(response.headers.connection).toEqual("close");
   });
 
   it("forwards the tenant but never the key", async () => {
