--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -23,10 +23,6 @@
 const MAX_FULL_WAIT_TARGET_FRACTION = 0.125;
 /** Load, as a multiple of the slots, up to which a late request is still sent. */
 const LATE_SLOTS_FACTOR = 1.5;
-/** Longest time for which a late request leaves room for those in time. */
-const MAX_LATE_YIELD_MS = 1_000;
-/** Load, as a fraction of the slots, from which late requests leave room. */
-const BUSY_FRACTION = 0.6;
 const POLL_INTERVAL_MS = 20;
 /** Minimum remaining time for which a stream is moved to another replica. */
 const MIN_MOVE_REMAINING_MS = 500;
@@ -71,13 +67,6 @@
       }
       const search = searchTarget(options, progress, nowMs);
       if (search.kind === "found") {
-        const mustYield = isStream && !hasBegun(options, progress) &&
-          nowMs - startedAtMs < MAX_LATE_YIELD_MS &&
-          isLateAtBusyTarget(options, search.target, nowMs);
-        if (mustYield) {
-          yield* Effect.sleep(POLL_INTERVAL_MS);
-          continue;
-        }
         if (isStream) admission.noteStarted(call, nowMs);
         return search;
       }
@@ -127,19 +116,6 @@
   return isFull ? { kind: "full" } : { kind: "found", target };
 }
 
-/**
- * Whether a request that can only be late would take room from others, as many
- * return at once after an outage.
- */
-function isLateAtBusyTarget(
-  { call, dependencies: { loads } }: AttemptsOptions,
-  { instanceId, slots }: ServingTarget,
-  nowMs: number,
-): boolean {
-  return call.isLate &&
-    loads.estimate(instanceId, nowMs) >= slots * BUSY_FRACTION;
-}
-
 /** Whether a response to the caller has begun, or an attempt was made. */
 function hasBegun(
   { exchange }: AttemptsOptions,
