Give up a serving replica only once the store has answered

Before a replica that still serves is retired for its members or for a slow one, the leader reads the end of its topic at the store, which also shows whether it still leads. Without an answer the replica stays.

--- a/packages/celerytray/src/coordination/leader_log.ts
+++ b/packages/celerytray/src/coordination/leader_log.ts
@@ -184,6 +184,29 @@
     return Effect.asVoid(this.#append(createReplicaKey(name), undefined));
   }
 
+  confirm(): Effect.Effect<void, RecordFailure> {
+    return this.#appendLock.withPermit(
+      Effect.suspend(() => this.#confirmNow()),
+    );
+  }
+
+  #confirmNow(): Effect.Effect<void, RecordFailure> {
+    const at = this.#endOffset;
+    return this.#log.read("fleet", { fromOffset: at, waitMs: 0 }).pipe(
+      Effect.mapError(({ message }) => ({ message })),
+      Effect.flatMap(({ nextOffset }) =>
+        nextOffset === at ? Effect.void : this.#failSuperseded(at)
+      ),
+    );
+  }
+
+  #failSuperseded(at: number): Effect.Effect<never, RecordFailure> {
+    const message = `Another process wrote to the fleet topic at offset ${at}`;
+    this.#isSuperseded = true;
+    this.#onSuperseded(message);
+    return Effect.fail({ message });
+  }
+
   #append(
     key: string,
     value: Buffer | undefined,
@@ -240,11 +263,10 @@
         if (first === undefined && nextOffset === at) {
           return Effect.fail(failure);
         }
-        this.#isSuperseded = true;
-        this.#onSuperseded(
-          `Another process wrote to the fleet topic at offset ${at}`,
+        return Effect.catch(
+          this.#failSuperseded(at),
+          () => Effect.fail(failure),
         );
-        return Effect.fail(failure);
       }),
       Effect.mapError(({ message }) => ({ message })),
     );
--- a/packages/celerytray/src/groups/formation_planner.ts
+++ b/packages/celerytray/src/groups/formation_planner.ts
@@ -3,14 +3,14 @@
 import type { EngineSpec } from "../serving/index.ts";
 import type { DivisionRules, Formation } from "./divide_pool.ts";
 import { ReadinessEstimator } from "./readiness_estimator.ts";
-import { findReassignable } from "./find_reassignable.ts";
+import { findReassignable, type Reassignable } from "./find_reassignable.ts";
+import { giveUpReplica } from "./give_up_replica.ts";
 import type { ControllerState } from "./controller_state.ts";
 import type { InstanceState } from "./instance_state.ts";
 import type { OrderDispatcher } from "./order_dispatcher.ts";
 import { planCrossStaging } from "./plan_cross_staging.ts";
 import { planFormations } from "./plan_formations.ts";
 import { planSpares } from "./plan_spares.ts";
-import { retireReplica } from "./replica_run.ts";
 import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
 
 /** Engine specifications, by name of the model service. */
@@ -90,7 +90,13 @@
       // Before free instances are bound, as others may complete what they lack.
       const mayReassign = formations.length > 0 ||
         nowMs >= this.#reassignCheckAtMs;
-      if (mayReassign && this.#retireReassignable(rules, free, nowMs)) continue;
+      const reassignable = mayReassign
+        ? this.#findReassignable(rules, free, nowMs)
+        : undefined;
+      if (reassignable !== undefined) {
+        effects.push(this.#giveUp(reassignable));
+        continue;
+      }
       if (formations.length > 0) {
         effects.push(this.#recordFormations(formations));
         continue;
@@ -137,17 +143,14 @@
     };
   }
 
-  /**
-   * Retires a replica whose members are worth more in other replicas; returns
-   * whether there is one.
-   */
-  #retireReassignable(
+  /** A replica whose members are worth more in other replicas. */
+  #findReassignable(
     rules: DivisionRules,
     free: readonly InstanceState[],
     nowMs: number,
-  ): boolean {
+  ): Reassignable | undefined {
     if (rules.precedesTraffic || nowMs < this.#reassignAllowedAtMs) {
-      return false;
+      return undefined;
     }
     this.#reassignCheckAtMs = nowMs + REASSIGN_CHECK_INTERVAL_MS;
     const found = findReassignable({
@@ -156,14 +159,24 @@
       runs: this.#state.listActive(rules.service),
       findInstance: (id) => this.#state.instances.find(id),
     });
-    if (found === undefined) return false;
-    this.#reassignAllowedAtMs = nowMs + REASSIGN_COOLDOWN_MS;
-    retireReplica(found.run, {
-      reason: `its members are needed for ${found.models.join(" and ")}`,
-      nowMs,
-      record: this.#options.record,
-    });
-    return true;
+    if (found !== undefined) {
+      this.#reassignAllowedAtMs = nowMs + REASSIGN_COOLDOWN_MS;
+    }
+    return found;
+  }
+
+  #giveUp({ run, models }: Reassignable): Effect.Effect<void> {
+    this.#isForming = true;
+    return giveUpReplica(run, {
+      ...this.#options,
+      reason: `its members are needed for ${models.join(" and ")}`,
+    }).pipe(
+      Effect.ensuring(
+        Effect.sync(() => {
+          this.#isForming = false;
+        }),
+      ),
+    );
   }
 
   /** Fabric domains that are about to get the members of a retiring replica. */
--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -3,6 +3,7 @@
 import { steadyMs } from "../clock/index.ts";
 import type { InstanceControl, OrderAnswer } from "./instance_orders.ts";
 import type { InstanceListView } from "./instance_list.ts";
+import { giveUpReplica } from "./give_up_replica.ts";
 import { findReplaceable } from "./find_replaceable.ts";
 import { ControllerState } from "./controller_state.ts";
 import { type DispatchedOrder, OrderDispatcher } from "./order_dispatcher.ts";
@@ -16,7 +17,6 @@
   planRunOrders,
   recordRetiring,
   type ReplicaRun,
-  retireReplica,
 } from "./replica_run.ts";
 
 /** Dependencies and settings of a replica controller. */
@@ -64,6 +64,8 @@
   readonly #prober: InstanceProber;
   /** Names of replicas whose record is being removed. */
   readonly #retiringNames = new Set<string>();
+  /** Names of serving replicas that are about to be retired. */
+  readonly #givingUpNames = new Set<string>();
   /** Whether an order, record or probe has finished since the last round. */
   #isChanged = true;
 
@@ -124,8 +126,8 @@
           this.#isChanged = false;
           revision = instances.revision;
           lastRoundAtMs = nowMs;
-          this.#retireSlowReplicas(nowMs);
           const effects = [
+            ...this.#giveUpSlowReplicas(),
             ...this.#prober.probe(nowMs),
             ...this.#planOrders(nowMs),
             ...listOrphanOrders(this.#state, nowMs).flatMap((order) =>
@@ -151,12 +153,12 @@
   }
 
   /** Retires replicas with slow members where prepared spares are available. */
-  #retireSlowReplicas(nowMs: number): void {
+  #giveUpSlowReplicas(): readonly Effect.Effect<unknown>[] {
     const runs = [...this.#state.runs.values()]
       .filter((run) => !this.#state.isEvacuated(run));
     const isSlow = (id: string) => this.#state.slowInstances.isSlow(id);
-    if (!runs.some(({ record }) => record.members.some(isSlow))) return;
-    for (const service of this.#options.engines().keys()) {
+    if (!runs.some(({ record }) => record.members.some(isSlow))) return [];
+    return [...this.#options.engines().keys()].flatMap((service) => {
       const found = findReplaceable({
         runs: runs.filter(({ record }) => record.service === service),
         free: this.#state.listFree(service),
@@ -164,12 +166,22 @@
         isSlow,
         heldModel: (id) => this.#state.weights.heldModel(id),
       });
-      for (const { run, slowId } of found) {
-        const reason = `${slowId} is slow`;
-        const { record } = this.#options;
-        retireReplica(run, { reason, nowMs, record });
-      }
-    }
+      return found
+        .filter(({ run }) => !this.#givingUpNames.has(run.record.name))
+        .map(({ run, slowId }) => this.#giveUp(run, `${slowId} is slow`));
+    });
+  }
+
+  #giveUp(run: ReplicaRun, reason: string): Effect.Effect<void> {
+    const { name } = run.record;
+    this.#givingUpNames.add(name);
+    return giveUpReplica(run, { ...this.#options, reason }).pipe(
+      Effect.ensuring(
+        Effect.sync(() => {
+          this.#givingUpNames.delete(name);
+        }),
+      ),
+    );
   }
 
   /** Effects that send the orders due for the replicas' states. */
--- a/packages/celerytray/src/groups/replica_recorder.ts
+++ b/packages/celerytray/src/groups/replica_recorder.ts
@@ -9,6 +9,8 @@
   form(formation: Formation): Effect.Effect<ReplicaRecord, RecordFailure>;
   /** Removes the record of a replica. */
   retire(name: string): Effect.Effect<void, RecordFailure>;
+  /** Succeeds if the store answers and this process still leads. */
+  confirm(): Effect.Effect<void, RecordFailure>;
 }
 
 /** A record was not stored; the controller stops if it is deposed. */
