Refuse a stream that can't start before its caller leaves

Callers leave a stream after a silence that follows from the route's targets (2 s here), not at the deadline of 6 to 8 s. A request in the queue of its model was kept until the deadline was out of reach, although its caller would be gone.

The latest start of a stream now also follows from that silence and the usual time of the first byte; a request that is expected to start later is refused on arrival, a waiting one as soon as its time is over.

--- a/packages/celerytray/src/platform/decode_config.ts
+++ b/packages/celerytray/src/platform/decode_config.ts
@@ -53,14 +53,24 @@
 function decodeRoute(route: JsonObject): ServingRoute {
   const kind = readString(route, "kind");
   const timeoutMs = readNumber(route, "timeout_ms");
+  const targetMs = readNumber(route, "target_latency_ms", timeoutMs);
+  const isStream = kind === "streaming";
   return {
     name: readString(route, "name"),
     host: readString(route, "host").toLowerCase(),
     pathPrefix: readString(route, "path_prefix"),
     retryPolicy: decodeRetryPolicy(kind, readBoolean(route, "resumable")),
-    isStream: kind === "streaming",
+    isStream,
     timeoutMs,
-    targetMs: readNumber(route, "target_latency_ms", timeoutMs),
+    targetMs,
+    ...(isStream
+      ? {
+        maxSilenceMs: maxSilenceMs(
+          targetMs,
+          readNumber(route, "target_gap_ms", 0),
+        ),
+      }
+      : {}),
     priority: readNumber(route, "priority", 0),
     targets: decodeTargets(route),
     maxAttempts: readNumber(route, "max_attempts", DEFAULT_MAX_ATTEMPTS),
@@ -69,6 +79,21 @@
   };
 }
 
+/** Silence after which a caller leaves a stream at the earliest. */
+const MIN_CALLER_PATIENCE_MS = 2_000;
+/** Callers wait for this multiple of the latency target. */
+const PATIENCE_PER_TARGET = 4;
+/** Callers wait for this multiple of the longest pause that is on time. */
+const PATIENCE_PER_PAUSE = 8;
+
+function maxSilenceMs(targetMs: number, targetPauseMs: number): number {
+  return Math.max(
+    MIN_CALLER_PATIENCE_MS,
+    targetMs * PATIENCE_PER_TARGET,
+    targetPauseMs * PATIENCE_PER_PAUSE,
+  );
+}
+
 /** Routes of an unknown kind are never retried after a request may have run. */
 function decodeRetryPolicy(
   kind: string,
--- a/packages/celerytray/src/platform/decode_test.ts
+++ b/packages/celerytray/src/platform/decode_test.ts
@@ -16,6 +16,7 @@
     kind: "streaming",
     timeout_ms: 8000,
     target_latency_ms: 400,
+    target_gap_ms: 300,
     priority: 1,
     split: [{ service: "s", weight: 90 }, { service: "t", weight: 10 }],
     max_attempts: 2,
@@ -68,6 +69,8 @@
     const [stream, unsafe] = config.routes;
     expect(stream!.host).toEqual("a.example");
     expect(stream!.retryPolicy).toEqual("resumable");
+    expect([stream!.maxSilenceMs, unsafe!.maxSilenceMs])
+      .toEqual([2_400, undefined]);
     expect(stream!.targets.map(({ weight }) => weight)).toEqual([90, 10]);
     expect(unsafe!.retryPolicy).toEqual("once");
     expect(unsafe!.maxAttempts).toEqual(1);
--- a/packages/celerytray/src/serving/admission/admission_queue_test.ts
+++ b/packages/celerytray/src/serving/admission/admission_queue_test.ts
@@ -154,6 +154,29 @@
     expect(queue.demand).toEqual({ inProgress: 3, waiting: 0 });
   });
 
+  // Load: more requests than can start before their callers leave.
+  it("refuses a request whose caller leaves before it can start", () => {
+    const { queue, started } = createFullQueue(2);
+    for (let nowMs = 1_000; nowMs <= 3_000; nowMs += 500) {
+      queue.noteCongestion(nowMs);
+      endOne(queue, started, nowMs);
+      queue.offer(createRequest({ nowMs, deadlineAtMs: 60_000 }), nowMs);
+    }
+    const nowMs = 3_000;
+    const patient = createRequest({ nowMs, deadlineAtMs: 60_000 });
+    const impatient = { ...patient, leavesAtMs: nowMs + 100 };
+    expect(queue.offer(impatient, nowMs).refusal?.reason).toEqual("no-time");
+    expect(queue.offer(patient, nowMs).state).toEqual("waiting");
+  });
+
+  it("refuses a waiting request once its caller is about to leave", () => {
+    const { queue } = createFullQueue(2);
+    const ticket = queue.offer(createRequest({ leavesAtMs: 300 }), 10);
+    expect(ticket.state).toEqual("waiting");
+    expect(queue.advance(301)).toEqual([ticket]);
+    expect(ticket.refusal?.reason).toEqual("time-over");
+  });
+
   it("sends a late request after a second of on-time ones", () => {
     const { queue, started } = createFullQueue(1);
     const late = queue.offer(
--- a/packages/celerytray/src/serving/admission/call_admission.ts
+++ b/packages/celerytray/src/serving/admission/call_admission.ts
@@ -20,6 +20,7 @@
   readonly arrivedAtMs: number;
   readonly targetAtMs: number;
   readonly deadlineAtMs: number;
+  readonly leavesAtMs?: number;
   readonly wasRefused: boolean;
 }
 
@@ -261,6 +262,7 @@
     deadlineAtMs: call.deadlineAtMs,
     wasRefused: call.wasRefused,
     arrivedAtMs: call.arrivedAtMs,
+    ...(call.leavesAtMs === undefined ? {} : { leavesAtMs: call.leavesAtMs }),
   };
 }
 
--- a/packages/celerytray/src/serving/admission/waiting_order.ts
+++ b/packages/celerytray/src/serving/admission/waiting_order.ts
@@ -8,6 +8,8 @@
   readonly targetAtMs: number;
   /** Time after which an answer is of no use. */
   readonly deadlineAtMs: number;
+  /** Time at which its caller leaves unless the first byte has arrived. */
+  readonly leavesAtMs?: number;
   /** Whether the caller was refused before. */
   readonly wasRefused: boolean;
   readonly arrivedAtMs: number;
@@ -41,18 +43,24 @@
  */
 const MAX_FIRST_BYTE_FRACTION = 0.6;
 
-/** Latest time of sending at which a request can still meet its deadline. */
+/**
+ * Latest time of sending at which a request can still meet its deadline, and
+ * its caller still waits for the first byte.
+ */
 export function latestStartMs(
-  { arrivedAtMs, deadlineAtMs }: OrderedRequest,
-  { serviceMs }: TypicalTimes,
+  { arrivedAtMs, deadlineAtMs, leavesAtMs }: OrderedRequest,
+  { firstByteMs, serviceMs }: TypicalTimes,
 ): number {
-  const budgetMs = deadlineAtMs - arrivedAtMs;
-  return deadlineAtMs - Math.min(serviceMs, budgetMs * MAX_SERVICE_FRACTION);
+  const startBefore = (atMs: number, expectedMs: number) =>
+    atMs - Math.min(expectedMs, (atMs - arrivedAtMs) * MAX_SERVICE_FRACTION);
+  const forDeadlineMs = startBefore(deadlineAtMs, serviceMs);
+  return leavesAtMs === undefined
+    ? forDeadlineMs
+    : Math.min(forDeadlineMs, startBefore(leavesAtMs, firstByteMs));
 }
 
 /**
- * Upper bound of the estimated service time, as a fraction of the time budget,
- * so that slow answers in the past don't refuse requests that would be served.
+ * Upper bound of the estimated times, as a fraction of the time budget, so that slow answers in the past don't refuse requests that would be served.
  */
 const MAX_SERVICE_FRACTION = 0.8;
 
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -140,5 +140,7 @@
   readonly targetAtMs: number;
   /** Time at which the caller's or the route's timeout expires. */
   readonly deadlineAtMs: number;
+  /** Time at which the caller leaves unless the first byte has arrived. */
+  readonly leavesAtMs?: number;
   readonly configVersion: number;
 }
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -256,6 +256,9 @@
     wasRefused: elapsedMs >= MIN_REFUSED_ELAPSED_MS,
     targetAtMs: nowMs + targetMs - elapsedMs,
     deadlineAtMs: nowMs + remainingMs,
+    ...(route.maxSilenceMs === undefined
+      ? {}
+      : { leavesAtMs: nowMs + Math.min(remainingMs, route.maxSilenceMs) }),
   });
 }
 
--- a/packages/celerytray/src/serving/serving_config.ts
+++ b/packages/celerytray/src/serving/serving_config.ts
@@ -13,6 +13,8 @@
   readonly timeoutMs: number;
   /** Latency target of a response. */
   readonly targetMs: number;
+  /** Silence after which callers leave a stream; undefined if not a stream. */
+  readonly maxSilenceMs?: number;
   /** Priority of the requests; 0 is the highest. */
   readonly priority: number;
   readonly targets: readonly RouteTarget[];
