Split the sending of one attempt from the sequence of attempts

One attempt, its times, and the ways in which a call ends are modules of their own now; the refusals of the queue stand with the others. No change of behaviour: the tests of serving/ and host/ pass as before.

--- /dev/null
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -0,0 +1,181 @@
+import { Clock, Effect } from "effect";
+import { readSteadyMs } from "../clock/index.ts";
+import type { AttemptOutcome } from "./attempt_options.ts";
+import {
+  type AttemptProgress,
+  type AttemptsOptions,
+  noteEventTime,
+} from "./attempt_progress.ts";
+import { AttemptTiming } from "./attempt_timing.ts";
+import type { ResponseHeaders } from "./call.ts";
+import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
+import type { ServingTarget } from "./choose_target.ts";
+import type { StreamEvent } from "./event_splitter.ts";
+import { tryMove } from "./find_target.ts";
+import { runAttempt } from "./run_attempt.ts";
+
+/** Priority levels by which a request is lowered that can only be late. */
+const LATE_PRIORITY_PENALTY = 3;
+const LOWEST_PRIORITY = 9;
+
+/** Sends a request to a target and forwards a stream's events to the caller. */
+export function attemptOnce(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  target: ServingTarget,
+): Effect.Effect<AttemptOutcome> {
+  const { call, exchange, dependencies } = options;
+  const { loads, stalls, codec, prompts } = dependencies;
+  const { instanceId, address } = target;
+  return Effect.gen(function* () {
+    const clock = yield* Clock.Clock;
+    const nowMs = () => readSteadyMs(clock);
+    const startedAtMs = nowMs();
+    const model = call.headers.model ?? "";
+    const timing = new AttemptTiming({
+      ...dependencies,
+      target,
+      model,
+      startedAtMs,
+    });
+    progress.tried.add(instanceId);
+    progress.currentInstanceId = instanceId;
+    loads.noteSent(instanceId);
+    const notePromptRead = prompts.add(
+      instanceId,
+      call.headers.promptTokens ?? 0,
+    );
+    const stopWatching = call.route.isStream
+      ? stalls.watch({
+        instanceId,
+        model,
+        startedAtMs,
+        hasStarted: () => timing.hasHeaders,
+        isPaused: () => timing.isPaused,
+        rank: () => findMoveRank(call, progress),
+        tryMove: (reason) =>
+          tryMove(options, progress, { reason, nowMs: nowMs() }),
+      })
+      : () => {};
+    return yield* runAttempt({
+      codec,
+      address,
+      method: call.headers.method,
+      target: call.headers.target,
+      headers: codec.encodeAttempt(call.headers, {
+        remainingMs: call.deadlineAtMs - startedAtMs,
+        instanceId,
+        bodyBytes: call.body.length,
+        ...(call.route.isStream
+          ? { priority: findPriority(call, dependencies) }
+          : {}),
+        ...(call.tenant === undefined ? {} : { tenant: call.tenant }),
+        ...(progress.lastEventId === undefined
+          ? {}
+          : { lastEventId: progress.lastEventId }),
+      }),
+      body: call.body,
+      callId: call.headers.id,
+      agent: call.route.retryPolicy === "once"
+        ? undefined
+        : dependencies.agentFor(address),
+      ...(progress.lastEventId === undefined
+        ? {}
+        : { lastEventId: progress.lastEventId }),
+      onHeaders: (fields) => {
+        timing.noteHeaders(nowMs());
+        noteHeaders({ call, dependencies, target, fields, nowMs: nowMs() });
+      },
+      onProgress: () => stalls.noteProgress(instanceId, nowMs()),
+      maySend: () => findWithheldReason(options, nowMs()) === undefined,
+      onSent: () => progress.isCurrentSent = true,
+      onStreamHeaders: (headers) => {
+        if (!exchange.hasStarted) exchange.startStream(headers);
+      },
+      onEvent: (event: StreamEvent) => {
+        notePromptRead();
+        timing.noteEvent(nowMs());
+        noteEventTime(progress, nowMs());
+        if (event.id !== undefined) progress.lastEventId = event.id;
+        return exchange.writeEvent(event.bytes);
+      },
+      awaitDrain: (onReady) => {
+        timing.notePaused();
+        exchange.awaitDrain(() => {
+          timing.noteResumed();
+          progress.lastEventAtMs = undefined;
+          stalls.noteProgress(instanceId, nowMs());
+          onReady();
+        });
+      },
+      held: dependencies.held,
+      registerAbandon: (abandon) => progress.abandon = abandon,
+    }).pipe(
+      Effect.tap(({ kind }) =>
+        Effect.sync(() => {
+          if (kind === "streamed") timing.noteStreamed(nowMs());
+        })
+      ),
+      Effect.ensuring(Effect.sync(() => {
+        loads.noteEnded(instanceId);
+        notePromptRead();
+        stopWatching();
+      })),
+    );
+  });
+}
+
+/** Why a request must not be sent any more; undefined if it may be. */
+export function findWithheldReason(
+  { call, exchange }: AttemptsOptions,
+  nowMs: number,
+): "left" | "deadline" | undefined {
+  if (!exchange.isCallerConnected) return "left";
+  return nowMs >= call.deadlineAtMs ? "deadline" : undefined;
+}
+
+interface ReceivedHeaders {
+  readonly call: AdmittedCall;
+  readonly dependencies: ServingDependencies;
+  readonly target: ServingTarget;
+  readonly fields: ResponseHeaders;
+  readonly nowMs: number;
+}
+
+/** Records what the header fields of a response report about its instance. */
+function noteHeaders(
+  { call, dependencies, target, fields, nowMs }: ReceivedHeaders,
+): void {
+  const { instanceId } = target;
+  const { loads, backoffs, onBackoff, onMalformedHeaders: onMalformed } =
+    dependencies;
+  if (fields.isLeaving) dependencies.noteLeaving(target);
+  if (fields.load !== undefined) loads.noteLoad(instanceId, fields.load, nowMs);
+  dependencies.admission.noteResponseHeaders(call, fields, nowMs);
+  if (fields.backoffMs !== undefined) {
+    const backoffMs = backoffs.noteBackoff(instanceId, fields.backoffMs, nowMs);
+    onBackoff({ instanceId, askedMs: fields.backoffMs, backoffMs });
+  }
+  if (fields.malformed !== undefined) onMalformed(instanceId, fields.malformed);
+}
+
+/** Rank among the attempts to move; streams that have sent events go first. */
+function findMoveRank(
+  { priority }: AdmittedCall,
+  progress: AttemptProgress,
+): number {
+  const hasEvents = progress.lastEventId !== undefined;
+  return (hasEvents ? LOWEST_PRIORITY + 1 : 0) - priority;
+}
+
+/** Priority among the requests that wait at a replica; 0 goes first. */
+function findPriority(
+  call: AdmittedCall,
+  { admission }: ServingDependencies,
+): number {
+  const isLate = call.isLate || admission.isLate(call);
+  return Math.min(
+    LOWEST_PRIORITY,
+    call.priority + (isLate ? LATE_PRIORITY_PENALTY : 0),
+  );
+}
--- /dev/null
+++ b/packages/celerytray/src/serving/conclude_call.ts
@@ -0,0 +1,147 @@
+import {
+  type AttemptProgress,
+  type AttemptsOptions,
+  type AttemptsResult,
+  summarize,
+} from "./attempt_progress.ts";
+import type { LocalResponse } from "./caller_exchange.ts";
+
+/** Retry-After of a request whose attempts were all not run. */
+const ATTEMPTED_RETRY_AFTER_MS = 400;
+/** Time in which full replicas can finish some of their requests. */
+const FULL_REPLICAS_RETRY_AFTER_MS = 1_200;
+/** Callers honour Retry-After only up to this fraction of their remaining time. */
+const RETRY_AFTER_FRACTION = 1 / 3;
+/** Retry-After of a request without any attempt. */
+const NO_REPLICA_RETRY_AFTER_MS = 800;
+
+/** Refuses a request that would start too late on every replica. */
+export function refuseAsFull(
+  { exchange }: AttemptsOptions,
+  progress: AttemptProgress,
+): AttemptsResult {
+  return {
+    kind: "given-up",
+    response: {
+      status: 503,
+      message: "Every replica is full; the request was not run",
+      retryAfterMs: FULL_REPLICAS_RETRY_AFTER_MS,
+    },
+    hasStarted: exchange.hasStarted,
+    ...summarize(progress),
+  };
+}
+
+/** Refuses a request whose targets all requested a back-off. */
+export function refuseWhileBackingOff(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  backoffMs: number,
+): AttemptsResult {
+  return conclude(options, progress, {
+    message: "Every back end requested a back-off",
+    unknownStatus: 502,
+    retryAfterMs: backoffMs,
+  });
+}
+
+/** Refuses a request whose targets all stay cold for longer than it can wait. */
+export function refuseWhileCold(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  { waitMs, nowMs }: { readonly waitMs: number; readonly nowMs: number },
+): AttemptsResult {
+  const remainingMs = Math.max(0, options.call.deadlineAtMs - nowMs);
+  return conclude(options, progress, {
+    message: "Every back end is cold",
+    unknownStatus: 502,
+    retryAfterMs: Math.min(waitMs, remainingMs * RETRY_AFTER_FRACTION),
+  });
+}
+
+/** Refuses a request that no replica can take before its deadline. */
+export function refuseInQueue(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  retryAfterMs: number,
+): AttemptsResult {
+  return conclude(options, progress, {
+    message: "No replica is free before the request's deadline",
+    unknownStatus: 502,
+    retryAfterMs,
+  });
+}
+
+/** Refuses a request whose model has no replica for a known time. */
+export function refuseWithoutReplica(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  retryAfterMs: number,
+): AttemptsResult {
+  return conclude(options, progress, {
+    message: "The model has no ready replica",
+    unknownStatus: 502,
+    retryAfterMs,
+  });
+}
+
+/** Ends a call for which no further attempt is possible. */
+export function giveUp(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  message: string,
+): AttemptsResult {
+  return conclude(options, progress, { message, unknownStatus: 502 });
+}
+
+/** Ends a call whose deadline has passed. */
+export function giveUpAtDeadline(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+): AttemptsResult {
+  const message = "The request's deadline has passed";
+  return conclude(options, progress, { message, unknownStatus: 504 });
+}
+
+interface Conclusion {
+  readonly message: string;
+  /** Status if the request may have run. */
+  readonly unknownStatus: number;
+  /** Time after which the caller may retry a request that did not run. */
+  readonly retryAfterMs?: number;
+}
+
+/** Returns an instance's error response if there is one, else a local response. */
+function conclude(
+  { call, exchange }: AttemptsOptions,
+  progress: AttemptProgress,
+  { message, unknownStatus, ...conclusion }: Conclusion,
+): AttemptsResult {
+  if (progress.failure !== undefined && !exchange.hasStarted) {
+    return {
+      kind: "answered",
+      ...progress.failure,
+      ...summarize(progress),
+    };
+  }
+  const retryAfterMs = conclusion.retryAfterMs ??
+    (progress.attempts.length > 0
+      ? ATTEMPTED_RETRY_AFTER_MS
+      : NO_REPLICA_RETRY_AFTER_MS);
+  const response: LocalResponse = progress.mayHaveRun || progress.isCurrentSent
+    ? {
+      status: unknownStatus,
+      message: `${message}; it may have run on ${call.service}`,
+    }
+    : {
+      status: 503,
+      message: `${message}; it was not run`,
+      retryAfterMs,
+    };
+  return {
+    kind: "given-up",
+    response,
+    hasStarted: exchange.hasStarted,
+    ...summarize(progress),
+  };
+}
