--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -1,11 +1,9 @@
 import { Clock, Effect } from "effect";
-import type { Either } from "purify-ts";
-import { Left, Right } from "purify-ts";
 import { readSteadyMs, steadyMs } from "../clock/index.ts";
 import { readBody } from "../http/index.ts";
+import { admitCall, admitInTime } from "./admit_call.ts";
 import type { AdmissionEnd } from "./admission/index.ts";
 import type { AttemptsResult, AttemptsSummary } from "./attempt_progress.ts";
-import type { CallHeaders } from "./call.ts";
 import type {
   AdmittedCall,
   CallRecord,
@@ -13,19 +11,10 @@
   ServingDependencies,
 } from "./call_context.ts";
 import type { CallerExchange, LocalResponse } from "./caller_exchange.ts";
-import { intersectHomes } from "./homes.ts";
 import { runAttempts } from "./run_attempts.ts";
 import type { HeldBody } from "./held_bytes.ts";
-import { refuseWhileBehind } from "./process_lag.ts";
-import { selectService, type ServingIndex } from "./serving_index.ts";
 
-const NO_CONFIG_RETRY_AFTER_MS = 500;
-/** Short, as other machines may know the newest keys. */
-const STALE_KEYS_RETRY_AFTER_MS = 50;
-const MAX_PRIORITY = 9;
 const NO_MEMORY_RETRY_AFTER_MS = 500;
-/** Time missing from a caller's usual timeout that indicates an earlier refusal. */
-const MIN_REFUSED_ELAPSED_MS = 150;
 
 /** Serves one request of a caller. */
 export function serveCall(
@@ -142,17 +131,6 @@
   });
 }
 
-type TimedAdmission = Omit<AdmittedCall, "body" | "arrivedAtMs">;
-type Admission = Omit<
-  TimedAdmission,
-  "targetAtMs" | "deadlineAtMs" | "isLate" | "wasRefused"
->;
-
-interface AdmissionOptions {
-  readonly dependencies: ServingDependencies;
-  readonly index: ServingIndex | undefined;
-}
-
 interface Refusal {
   readonly id: string | undefined;
   readonly response: LocalResponse;
@@ -179,95 +157,6 @@
   });
 }
 
-/** Finds a call's route and tenant, or the response that refuses it. */
-function admitCall(
-  headers: CallHeaders,
-  { dependencies, index }: AdmissionOptions,
-): Either<LocalResponse, Admission> {
-  if (index === undefined) {
-    return Left({
-      status: 503,
-      message: "No configuration is known yet; the request was not run",
-      retryAfterMs: NO_CONFIG_RETRY_AFTER_MS,
-    });
-  }
-  const { config } = index;
-  const areKeysFresh = dependencies.areKeysFresh();
-  const staleKeysResponse: LocalResponse = {
-    status: 503,
-    message: "The configuration may be outdated; the request was not run",
-    retryAfterMs: STALE_KEYS_RETRY_AFTER_MS,
-    closesConnection: true,
-  };
-  const route = index.findRoute(headers.host, headers.path);
-  if (route === undefined) {
-    if (!areKeysFresh) return Left(staleKeysResponse);
-    return Left({ status: 404, message: "No route matches host and path" });
-  }
-  const admission: Admission = {
-    headers,
-    route,
-    service: selectService(route, headers.id),
-    priority: Math.min(MAX_PRIORITY, route.priority),
-    configVersion: config.version,
-    ...createHomes(intersectHomes(route, undefined)),
-  };
-  if (config.tenants === undefined || route.isPublic) return Right(admission);
-  if (!areKeysFresh) return Left(staleKeysResponse);
-  const tenant = headers.key === undefined
-    ? undefined
-    : index.findTenant(headers.key);
-  if (tenant === undefined) {
-    return Left({ status: 401, message: "The API key is unknown" });
-  }
-  return Right({
-    ...admission,
-    tenant: tenant.name,
-    ...createHomes(intersectHomes(route, tenant)),
-    priority: Math.min(MAX_PRIORITY, tenant.priority ?? route.priority),
-  });
-}
-
-/** Adds a call's deadlines, or refuses it if it can't start in time. */
-function admitInTime(
-  admission: Admission,
-  { callerTimeouts, lag, onWithheld }: ServingDependencies,
-  nowMs: number,
-): Either<LocalResponse, TimedAdmission> {
-  const { headers: { callerTimeoutMs }, route } = admission;
-  const remainingMs = Math.min(
-    callerTimeoutMs ?? route.timeoutMs,
-    route.timeoutMs,
-  );
-  const elapsedMs = callerTimeoutMs === undefined
-    ? 0
-    : callerTimeouts.noteTimeout(route.name, callerTimeoutMs);
-  const isLate = elapsedMs >= route.targetMs;
-  const lagMs = lag.lagMs(nowMs);
-  const { targetMs } = route;
-  const refusal = refuseWhileBehind({ lagMs, targetMs, remainingMs, isLate });
-  if (refusal !== undefined) {
-    onWithheld("lag");
-    return Left(refusal);
-  }
-  return Right({
-    ...admission,
-    isLate,
-    wasRefused: elapsedMs >= MIN_REFUSED_ELAPSED_MS,
-    targetAtMs: nowMs + targetMs - elapsedMs,
-    deadlineAtMs: nowMs + remainingMs,
-    ...(route.maxSilenceMs === undefined
-      ? {}
-      : { leavesAtMs: nowMs + Math.min(remainingMs, route.maxSilenceMs) }),
-  });
-}
-
-function createHomes(
-  homes: readonly string[] | undefined,
-): Pick<Admission, "homes"> {
-  return homes === undefined ? {} : { homes };
-}
-
 /** Sends the final response or its end. */
 function finish(
   exchange: CallerExchange,
