Form replicas while a store that does not answer is asked

While the leader asked the store whether a replica may be given up, it formed nothing: with a store that was down, up to 2.7 s after the store was back. Formations now wait at most 100 ms for that answer.

--- a/packages/celerytray/src/groups/formation_planner.ts
+++ b/packages/celerytray/src/groups/formation_planner.ts
@@ -43,6 +43,11 @@
 /** Time that a reassigned replica takes to retire and to form again. */
 const REASSIGN_COOLDOWN_MS = 4_000;
 
+/**
+ * Maximum time for which nothing is formed while the store is asked whether a
+ * replica may be given up.
+ */
+const MAX_GIVING_UP_WAIT_MS = 100;
 /** Maximum time for which a domain waits for the members of a replica. */
 const MAX_RETIREMENT_WAIT_MS = 3_000;
 
@@ -54,6 +59,8 @@
   /** Estimator of each service. */
   readonly #readinessEstimators = new Map<string, ReadinessEstimator>();
   #isForming = false;
+  /** Time up to which no free instance is bound, as a replica is given up. */
+  #givingUpUntilMs = 0;
   /** Time of the next search for a replica to reassign, unless one is formed. */
   #reassignCheckAtMs = 0;
   /** Time from which another replica may be reassigned. */
@@ -68,7 +75,8 @@
   /** Effects that form new replicas and prepare spares. */
   plan(nowMs: number): readonly Effect.Effect<unknown>[] {
     this.#state.weights.noteList(this.#state.instances.list(), nowMs);
-    if (this.#isForming || this.#options.isRetiring()) return [];
+    const isGivingUp = nowMs < this.#givingUpUntilMs;
+    if (this.#isForming || isGivingUp || this.#options.isRetiring()) return [];
     const effects: Effect.Effect<unknown>[] = [];
     for (const [service, engine] of this.#options.engines()) {
       const unsettled = new Set([
@@ -94,7 +102,7 @@
         ? this.#findReassignable(rules, free, nowMs)
         : undefined;
       if (reassignable !== undefined) {
-        effects.push(this.#giveUp(reassignable));
+        effects.push(this.#giveUp(reassignable, nowMs));
         continue;
       }
       if (formations.length > 0) {
@@ -165,15 +173,15 @@
     return found;
   }
 
-  #giveUp({ run, models }: Reassignable): Effect.Effect<void> {
-    this.#isForming = true;
+  #giveUp({ run, models }: Reassignable, nowMs: number): Effect.Effect<void> {
+    this.#givingUpUntilMs = nowMs + MAX_GIVING_UP_WAIT_MS;
     return giveUpReplica(run, {
       ...this.#options,
       reason: `its members are needed for ${models.join(" and ")}`,
     }).pipe(
       Effect.ensuring(
         Effect.sync(() => {
-          this.#isForming = false;
+          this.#givingUpUntilMs = 0;
         }),
       ),
     );
