--- a/packages/celerytray/src/host/move_attempts.ts
+++ b/packages/celerytray/src/host/move_attempts.ts
@@ -19,6 +19,11 @@
 }
 
 const CHECK_INTERVAL_MS = 50;
+/**
+ * Time for which a head must be slow before its streams are moved, as several
+ * long prompts also slow it down.
+ */
+const SLOW_MOVE_AFTER_MS = 500;
 /** Check interval while no request is in progress. */
 const IDLE_CHECK_INTERVAL_MS = 200;
 
@@ -27,7 +32,8 @@
   { stalls, paces, isBehind, nowMs, record, closedHeads }: MoveAttemptsOptions,
 ): Effect.Effect<never> {
   let knownStalled: ReadonlySet<string> = new Set();
-  let knownSlow: ReadonlySet<string> = new Set();
+  /** Time since which a head is slow. */
+  let slowSinceMs: ReadonlyMap<string, number> = new Map();
   const read = Effect.suspend(() =>
     isBehind(nowMs()) ? yieldToEventLoop : Effect.void
   );
@@ -57,13 +63,17 @@
         knownStalled = new Set(stalled.map(({ instanceId }) => instanceId));
         const slow = paces.listSlow(nowMs());
         for (const headId of slow) {
-          if (!knownSlow.has(headId)) {
-            const slowness = paces.slowness(headId, nowMs());
-            record("replica.slow", { headId, slowness });
-          }
+          if (slowSinceMs.has(headId)) continue;
+          const slowness = paces.slowness(headId, nowMs());
+          record("replica.slow", { headId, slowness });
+        }
+        slowSinceMs = new Map(
+          slow.map((headId) => [headId, slowSinceMs.get(headId) ?? nowMs()]),
+        );
+        for (const [headId, sinceMs] of slowSinceMs) {
+          if (nowMs() - sinceMs < SLOW_MOVE_AFTER_MS) continue;
           stalls.moveAttempts(headId, { reason: "slow", nowMs: nowMs() });
         }
-        knownSlow = new Set(slow);
         return stalls.hasAttempts ? CHECK_INTERVAL_MS : IDLE_CHECK_INTERVAL_MS;
       }),
     ).pipe(Effect.flatMap(Effect.sleep)),
