--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -51,7 +51,11 @@
 /** Cost differences below this are decided at random. */
 const TIE_SPREAD = 0.04;
 
-/** Picks the target of the least cost; undefined if none may get the request. */
+/**
+ * Picks the target of the least cost; undefined if none may get the request.
+ * Load counts as a fraction of the slots, and the reading of prompts that are
+ * ahead as a fraction of the target time.
+ */
 export function chooseTarget(choice: TargetChoice): ServingTarget | undefined {
   const { loads, nowMs, tried } = choice;
   const untried = choice.targets.filter((target) =>
