--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -48,6 +48,11 @@
 const NEW_CONNECTION_COST = 0.08;
 /** Cost of a failure rate of 1, as a fraction of the slots. */
 const FAILURE_COST = 3;
+/**
+ * Upper limit of the cost of prompts ahead, so that a caller that states an
+ * absurd number of tokens makes a head look full at worst.
+ */
+const MAX_READ_COST = 1;
 /** Cost differences below this are decided at random. */
 const TIE_SPREAD = 0.04;
 
@@ -71,7 +76,7 @@
       loads.failureRate(instanceId, nowMs) * FAILURE_COST +
       (target.zone === choice.zone ? 0 : OTHER_ZONE_COST) +
       (choice.hasConnection(target.address) ? 0 : NEW_CONNECTION_COST) +
-      choice.readDelayMs(target) / choice.targetMs +
+      Math.min(MAX_READ_COST, choice.readDelayMs(target) / choice.targetMs) +
       choice.random() * TIE_SPREAD;
     if (cost < bestCost) {
       best = target;
--- a/packages/celerytray/src/serving/prompt_backlog_test.ts
+++ b/packages/celerytray/src/serving/prompt_backlog_test.ts
@@ -54,6 +54,18 @@
     expect(busiest <= Math.max(...PROMPTS) + 500).toEqual(true);
   });
 
+  it("takes a head with an absurd prompt for full, not for useless", () => {
+    const backlog = new PromptBacklog();
+    const loads = new LoadTracker();
+    backlog.add("a", 999_999_999);
+    for (const { instanceId, slots } of HEADS.slice(1)) {
+      for (let sent = 0; sent < slots * 2; sent += 1) {
+        loads.noteSent(instanceId);
+      }
+    }
+    expect(choose(backlog, loads).instanceId).toEqual("a");
+  });
+
   it("counts a prompt until it is read, and only once", () => {
     const backlog = new PromptBacklog();
     const end = backlog.add("a", 700);
