--- a/packages/celerytray/src/groups/find_reassignable.ts
+++ b/packages/celerytray/src/groups/find_reassignable.ts
@@ -28,9 +28,9 @@
 
 /**
  * Finds the replica whose members, together with free instances of its fabric
- * domain, can form replicas of a clearly higher value, at least one of them
- * without loading weights. This moves instances to a model that lacks replicas
- * from one that can spare them, and exchanges members between replicas.
+ * domain, can form replicas of a clearly higher value without loading weights.
+ * This moves instances to a model that lacks replicas from one that can spare
+ * them, and exchanges members between replicas.
  */
 export function findReassignable(
   input: ReassignableInput,
@@ -62,9 +62,9 @@
     const formations = division.formations.filter(({ isPrepared }) =>
       isPrepared
     );
-    if (formations.length === 0) continue;
-    if (division.value < MIN_GAIN_RATIO * present) continue;
-    const gain = division.value - present;
+    const value = formations.reduce((sum, each) => sum + each.value, 0);
+    if (value < MIN_GAIN_RATIO * present) continue;
+    const gain = value - present;
     if (best !== undefined && gain <= best.gain) continue;
     best = {
       run,
