Consider an exchange only when nothing can be formed

What was left was the exchange before a formation, which gives up a replica that serves while free instances could have formed another.

--- a/packages/celerytray/src/groups/formation_planner.ts
+++ b/packages/celerytray/src/groups/formation_planner.ts
@@ -61,10 +61,8 @@
   #isForming = false;
   /** Time up to which no free instance is bound, as a replica is given up. */
   #givingUpUntilMs = 0;
-  /** Time of the next search for a replica to reassign, unless one is formed. */
-  #reassignCheckAtMs = 0;
-  /** Time from which another replica may be reassigned. */
-  #reassignAllowedAtMs = 0;
+  /** Time of the next search for a replica to reassign. */
+  #reassignDueAtMs = 0;
 
   constructor(options: FormationPlannerOptions) {
     this.#options = options;
@@ -95,20 +93,15 @@
         isDomainComplete: (domain) =>
           this.#state.weights.isDomainComplete(domain, nowMs),
       });
-      // Before free instances are bound, as others may complete what they lack.
-      const mayReassign = formations.length > 0 ||
-        nowMs >= this.#reassignCheckAtMs;
-      const reassignable = mayReassign
-        ? this.#findReassignable(rules, free, nowMs)
-        : undefined;
-      if (reassignable !== undefined) {
-        effects.push(this.#giveUp(reassignable, nowMs));
-        continue;
-      }
       if (formations.length > 0) {
         effects.push(this.#recordFormations(formations));
         continue;
       }
+      const reassignable = this.#findReassignable(rules, free, nowMs);
+      if (reassignable !== undefined) {
+        effects.push(this.#giveUp(reassignable, nowMs));
+        continue;
+      }
       effects.push(
         ...this.#prepareSpares({ engine, free, preparations }, nowMs),
         ...this.#stageAcrossReplicas(service, engine, nowMs),
@@ -157,10 +150,10 @@
     free: readonly InstanceState[],
     nowMs: number,
   ): Reassignable | undefined {
-    if (rules.precedesTraffic || nowMs < this.#reassignAllowedAtMs) {
+    if (rules.precedesTraffic || nowMs < this.#reassignDueAtMs) {
       return undefined;
     }
-    this.#reassignCheckAtMs = nowMs + REASSIGN_CHECK_INTERVAL_MS;
+    this.#reassignDueAtMs = nowMs + REASSIGN_CHECK_INTERVAL_MS;
     const found = findReassignable({
       ...rules,
       free,
@@ -168,7 +161,7 @@
       findInstance: (id) => this.#state.instances.find(id),
     });
     if (found !== undefined) {
-      this.#reassignAllowedAtMs = nowMs + REASSIGN_COOLDOWN_MS;
+      this.#reassignDueAtMs = nowMs + REASSIGN_COOLDOWN_MS;
     }
     return found;
   }
