Log the parts of the prompts of requests that failed

Which prompts were at a head when it was lost could not be told from the logs, so that three hypotheses on crashing replicas could not be kept apart. Decodes the parts of a prompt and adds the shared ones to call.ended, ordinary successes excepted, which would double the log.

--- a/packages/celerytray/src/host/record_call.ts
+++ b/packages/celerytray/src/host/record_call.ts
@@ -15,6 +15,13 @@
   const isPlain = call.attempts.length <= 1 &&
     (call.outcome === "streamed" ||
       (call.outcome === "answered" && call.status < 400));
-  journal.record("call.ended", { ...call }, isPlain ? "routine" : "notable");
+  const { promptParts, ...fields } = call;
+  journal.record(
+    "call.ended",
+    isPlain || promptParts === undefined
+      ? fields
+      : { ...fields, promptParts: [...promptParts] },
+    isPlain ? "routine" : "notable",
+  );
   metrics.recordRequest({ ...call, attempts: call.attempts.length });
 }
--- a/packages/celerytray/src/platform/call_codec.ts
+++ b/packages/celerytray/src/platform/call_codec.ts
@@ -54,6 +54,7 @@
       ...(key === undefined ? {} : { key }),
       ...(model === undefined ? {} : { model }),
       ...decodeTokenCount(readSingleHeader(request, HEADER_NAMES.tokenCount)),
+      ...decodePromptParts(readSingleHeader(request, HEADER_NAMES.promptParts)),
       ...(lastEventId === undefined || Number.isNaN(lastEventId)
         ? {}
         : { lastEventId }),
@@ -170,6 +171,20 @@
     : { promptTokens: Number(prompt), maxAnswerTokens: Number(answer) };
 }
 
+/** Reads the ids of entries ID:TOKENS; entries without an id are left out. */
+function decodePromptParts(
+  text: string | undefined,
+): Pick<CallHeaders, "promptParts"> {
+  if (text === undefined) return {};
+  const promptParts = text.split(",", MAX_PROMPT_PARTS)
+    .map((entry) => entry.split(":", 1)[0]!.trim().toLowerCase())
+    .filter((part) => part !== "");
+  return { promptParts };
+}
+
+/** Parts of a prompt that are read; headers of the usual size hold fewer. */
+const MAX_PROMPT_PARTS = 256;
+
 /** Tokens of the prompt, and the maximum number of tokens to generate. */
 const TOKEN_COUNTS_PATTERN = /^([0-9]{1,9}),([0-9]{1,9})$/;
 
--- a/packages/celerytray/src/platform/words.ts
+++ b/packages/celerytray/src/platform/words.ts
@@ -12,6 +12,7 @@
   load: "replica-load",
   model: "model",
   tokenCount: "token-count",
+  promptParts: "prompt-prefix",
   lastEventId: "last-event-id",
   priority: "request-priority",
   retryAfter: "retry-after",
--- a/packages/celerytray/src/serving/call.ts
+++ b/packages/celerytray/src/serving/call.ts
@@ -15,6 +15,11 @@
   readonly key?: string;
   readonly model?: string;
   readonly promptTokens?: number;
+  /**
+   * Ids of the parts of the prompt in order. Requests share parts; the last one
+   * is the request's own.
+   */
+  readonly promptParts?: readonly string[];
   /** Limit on the length of the generated response. */
   readonly maxAnswerTokens?: number;
   /** Last event that the caller received; the stream resumes after it. */
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -116,6 +116,8 @@
   /** Longest time between two events of a stream. */
   readonly longestPauseMs?: number;
   readonly promptTokens?: number;
+  /** Ids of the parts of its prompt that other prompts may share. */
+  readonly promptParts?: readonly string[];
   readonly configVersion: number;
   /** Its wait for a replica and why it was refused; absent without a wait. */
   readonly admission?: AdmissionRecord;
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -215,7 +215,7 @@
 ): Omit<CallRecord, "status" | "outcome" | "reason"> {
   const { headers, route, service, arrivedAtMs, configVersion } = call;
   const { attempts, firstByteAtMs, longestPauseMs } = summary;
-  const { promptTokens } = headers;
+  const { promptTokens, promptParts } = headers;
   const admission = dependencies.admission.describe(call, endedAtMs);
   return {
     callId: headers.id,
@@ -229,6 +229,9 @@
       : { firstByteMs: firstByteAtMs - arrivedAtMs }),
     ...(longestPauseMs === undefined ? {} : { longestPauseMs }),
     ...(promptTokens === undefined ? {} : { promptTokens }),
+    ...(promptParts === undefined
+      ? {}
+      : { promptParts: promptParts.slice(0, -1) }),
     configVersion,
     ...(admission === undefined ? {} : { admission }),
   };
