--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -1,6 +1,6 @@
 import { Clock, Effect } from "effect";
 import { readSteadyMs } from "../clock/index.ts";
-import type { LeaderRecord, ReplicaRecord } from "../groups/index.ts";
+import type { LeaderRecord } from "../groups/index.ts";
 import type { SharedTotals } from "../serving/index.ts";
 import { ChangeSignal } from "./change_signal.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
@@ -198,6 +198,7 @@
           yield* Effect.sleep(RETRY_DELAY_MS);
           continue;
         }
+        this.#options.quarantine.load(records.quarantined);
         if (this.#search.shouldFollow(records.leader)) continue;
         if (mayClaim || !(yield* this.#search.awaitInitialDelay(records))) {
           yield* this.#claimLeadership(records);
@@ -228,19 +229,23 @@
         return;
       }
       if (claim.kind === "lost") return;
-      yield* this.#runTerm({ ...leader, term: claim.term }, claim.replicas);
+      yield* this.#runTerm({ ...leader, term: claim.term }, {
+        ...records,
+        replicas: claim.replicas,
+      });
     });
   }
 
   #runTerm(
     leader: LeaderRecord,
-    replicas: readonly ReplicaRecord[],
+    { replicas, quarantined }: FleetRecords,
   ): Effect.Effect<void> {
     return Effect.suspend(() => {
       const term = new LeaderTerm({
         ...this.#options,
         leader,
         replicas,
+        quarantined,
         status: this.#status,
         table: this.#reportTable,
         summarize: () => this.#summarize(),
@@ -304,6 +309,9 @@
     applyRelayedTopic(instances, reply.instances, source.publishedAtMs);
     if (reply.updates !== undefined) onLeaving(reply.updates.value.leaving);
     if (this.#status.adopt(reply, source)) this.#changeSignal.notify();
+    if (reply.updates !== undefined) {
+      this.#options.quarantine.adopt(this.#status.quarantine);
+    }
   }
 
   #describeKnown(): KnownStatus {
@@ -335,6 +343,7 @@
       tenantDemand: options.tenantDemand(),
       repeats: options.retryTotals(),
       hasTraffic: options.hasTraffic(),
+      quarantine: options.quarantine.report(this.#nowMs()),
     };
   }
 }
--- a/packages/celerytray/src/coordination/coordinator_options.ts
+++ b/packages/celerytray/src/coordination/coordinator_options.ts
@@ -6,7 +6,7 @@
 } from "../groups/index.ts";
 import type { RecordEvent } from "../journal/index.ts";
 import type { KeyedLog } from "../keyed_log/index.ts";
-import type { WindowTotals } from "../serving/index.ts";
+import type { PromptQuarantine, WindowTotals } from "../serving/index.ts";
 import type { PeerNode } from "./peer_messages.ts";
 import type { PeerCalls } from "./peer_router.ts";
 import type { RelayedTopic } from "./relayed_topic.ts";
@@ -52,6 +52,8 @@
   readonly listLeaving: () => readonly LeavingIncarnation[];
   /** Applies leaving announcements that other processes received. */
   readonly onLeaving: (incarnations: readonly LeavingIncarnation[]) => void;
+  /** Parts of prompts that crash instances, as this process knows them. */
+  readonly quarantine: PromptQuarantine;
   readonly createController: (start: ControllerStart) => ReplicaController;
   /** Returns a random number from 0 to 1. */
   readonly random: () => number;
--- a/packages/celerytray/src/coordination/intervals.ts
+++ b/packages/celerytray/src/coordination/intervals.ts
@@ -74,6 +74,17 @@
 
 const TOTALS_LAG_MARGIN_MS = 200;
 
+/**
+ * Time within which what any process observes is in the reports to the leader,
+ * an observation's own delay included.
+ */
+export function evidenceSettleMs(hasRelays: boolean): number {
+  return LEADER_HOLD_MS + (hasRelays ? RELAY_HOLD_MS : 0) +
+    EVIDENCE_MARGIN_MS;
+}
+
+const EVIDENCE_MARGIN_MS = 500;
+
 /** Age of the leader's status from which the leader counts as unresponsive. */
 export function leaderTimeoutMs(statusPath: StatusPath): number {
   return statusPath === "direct"
--- a/packages/celerytray/src/coordination/leader_follower.ts
+++ b/packages/celerytray/src/coordination/leader_follower.ts
@@ -1,6 +1,7 @@
 import { Effect } from "effect";
 import type { RecordEvent } from "../journal/index.ts";
 import type { LeaderRecord } from "../groups/index.ts";
+import { EMPTY_REPORT } from "../serving/index.ts";
 import {
   LEADER_HOLD_MS,
   leaderTimeoutMs,
@@ -274,13 +275,17 @@
   | { readonly kind: "overtaken" };
 
 /**
- * Items that the leader must learn at once: stalled heads and leaving
- * instances.
+ * Items that the leader must learn at once: stalled heads, leaving instances,
+ * and what speaks for or against suspected parts of prompts.
  */
 function listUrgent(
-  { stalledHeads, leaving }: PeerSummary,
+  { stalledHeads, leaving, quarantine }: PeerSummary,
 ): readonly string[] {
+  const { crashes, safe, wanted } = quarantine ?? EMPTY_REPORT;
   return [
+    ...crashes.map(({ part, incarnation }) => `${part} lost ${incarnation}`),
+    ...safe.map(({ part }) => `${part} safe`),
+    ...wanted.map(({ part }) => `${part} wanted`),
     ...stalledHeads,
     ...leaving.map(({ instanceId }) => `${instanceId} leaving`),
   ];
--- a/packages/celerytray/src/coordination/leader_log.ts
+++ b/packages/celerytray/src/coordination/leader_log.ts
@@ -12,6 +12,7 @@
   type ReplicaRecord,
   type ReplicaRecorder,
 } from "../groups/index.ts";
+import type { QuarantinedPart } from "../serving/index.ts";
 import type {
   AppendConflict,
   KeyedLog,
@@ -20,10 +21,14 @@
   ReadFailure,
 } from "../keyed_log/index.ts";
 
+import { decodeQuarantine } from "./quarantine_record.ts";
+
 /** The leader and the replicas, as recorded in the fleet topic. */
 export interface FleetRecords {
   readonly leader?: LeaderRecord;
   readonly replicas: readonly ReplicaRecord[];
+  /** Parts of prompts in quarantine. */
+  readonly quarantined: readonly QuarantinedPart[];
   readonly nextOffset: number;
 }
 
@@ -41,6 +46,7 @@
     });
     return {
       replicas,
+      quarantined: records.flatMap((record) => decodeQuarantine(record) ?? []),
       nextOffset,
       ...(leader === undefined ? {} : { leader }),
     };
@@ -184,6 +190,14 @@
     return Effect.asVoid(this.#append(createReplicaKey(name), undefined));
   }
 
+  /** Stores another record of the leader, or deletes one without a value. */
+  put(
+    key: string,
+    value: Buffer | undefined,
+  ): Effect.Effect<void, RecordFailure> {
+    return Effect.asVoid(this.#append(key, value));
+  }
+
   confirm(): Effect.Effect<void, RecordFailure> {
     return this.#appendLock.withPermit(
       Effect.suspend(() => this.#confirmNow()),
@@ -222,7 +236,7 @@
   ): Effect.Effect<number, RecordFailure> {
     if (this.#isSuperseded) {
       return Effect.fail({
-        message: "Another process leads now; the replica record was not stored",
+        message: "Another process leads now; the record was not stored",
       });
     }
     const at = this.#endOffset;
--- a/packages/celerytray/src/coordination/leader_status.ts
+++ b/packages/celerytray/src/coordination/leader_status.ts
@@ -1,5 +1,5 @@
 import type { LeaderRecord } from "../groups/index.ts";
-import type { WindowTotals } from "../serving/index.ts";
+import type { SuspectPart, WindowTotals } from "../serving/index.ts";
 import { maxStatusAgeMs, type StatusPath } from "./intervals.ts";
 import type {
   DemandTotals,
@@ -73,6 +73,11 @@
     return this.#updates.value.closedHeads;
   }
 
+  /** Parts of prompts that crash instances. */
+  get quarantine(): readonly SuspectPart[] {
+    return this.#updates.value.quarantine ?? [];
+  }
+
   get retryTotals(): Readonly<Record<string, WindowTotals>> {
     return this.#retryTotals;
   }
--- a/packages/celerytray/src/coordination/leader_term.ts
+++ b/packages/celerytray/src/coordination/leader_term.ts
@@ -5,13 +5,24 @@
   ReplicaRecord,
 } from "../groups/index.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
-import { PUBLISH_INTERVAL_MS, TAKEOVER_GRACE_MS } from "./intervals.ts";
+import {
+  EMPTY_REPORT,
+  QuarantineBoard,
+  type QuarantinedPart,
+  type QuarantineReport,
+} from "../serving/index.ts";
+import {
+  evidenceSettleMs,
+  PUBLISH_INTERVAL_MS,
+  TAKEOVER_GRACE_MS,
+} from "./intervals.ts";
 import { FencedReplicaRecorder, type LeaderCheck } from "./leader_log.ts";
 import type { LeaderStatus } from "./leader_status.ts";
 import { SuccessorWatch } from "./successor_watch.ts";
 import type { PeerNode, PeerSummary } from "./peer_messages.ts";
 import type { ReportTable } from "./report_table.ts";
-import { selectRelays } from "./select_relays.ts";
+import { recordQuarantine } from "./quarantine_recorder.ts";
+import { MAX_DIRECT_PROCESSES, selectRelays } from "./select_relays.ts";
 
 /** Dependencies of a leader for one term. */
 export interface LeaderTermOptions extends
@@ -23,9 +34,12 @@
     | "record"
     | "storeAnsweredAtMs"
     | "listLeaving"
+    | "quarantine"
   > {
   readonly leader: LeaderRecord;
   readonly replicas: readonly ReplicaRecord[];
+  /** Parts of prompts in quarantine that the store lists. */
+  readonly quarantined: readonly QuarantinedPart[];
   readonly status: LeaderStatus;
   readonly table: ReportTable;
   /** Returns a summary of this process and of those that report to it. */
@@ -47,6 +61,8 @@
   readonly #options: LeaderTermOptions;
   readonly #controller: ReplicaController;
   readonly #successorWatch: SuccessorWatch;
+  readonly #recorder: FencedReplicaRecorder;
+  readonly #board: QuarantineBoard;
   readonly #sinceMs: number;
   /** Node ID of the leader that this process replaced. */
   readonly #predecessorId: string | undefined;
@@ -60,7 +76,13 @@
     this.#predecessorId = status.leader?.nodeId;
     status.setLeader(leader, this.#sinceMs);
     options.record("lead.taken", { term, replicas: replicas.length });
-    const recorder = new FencedReplicaRecorder({
+    this.#board = new QuarantineBoard({
+      term,
+      releaseOffset: (part) => options.quarantine.releaseOffset(part),
+      onQuarantined: ({ part, crashes, incarnations }) =>
+        options.record("quarantine.decided", { part, crashes, incarnations }),
+    });
+    this.#recorder = new FencedReplicaRecorder({
       log,
       term,
       onSuperseded: (message) => this.stepDown(message),
@@ -73,7 +95,7 @@
     this.#controller = options.createController({
       term,
       replicas,
-      recorder,
+      recorder: this.#recorder,
       onOutdated: () => this.#successorWatch.noteOutdatedOrder(),
     });
   }
@@ -88,6 +110,12 @@
     return Effect.scoped(this.#controller.run()).pipe(
       Effect.raceFirst(this.#publishUntilStepDown()),
       Effect.raceFirst(this.#awaitSuccessor()),
+      Effect.raceFirst(recordQuarantine({
+        recorded: this.#options.quarantined,
+        quarantined: () => this.#board.quarantined,
+        put: (key, value) => this.#recorder.put(key, value),
+        record: this.#options.record,
+      })),
     );
   }
 
@@ -136,12 +164,20 @@
 
   #publish(): boolean {
     const nowMs = this.#options.nowMs();
-    const { self, storeAnsweredAtMs, listLeaving } = this.#options;
-    const { processes: count, repeats, demand, tenantDemand } = this.#options
-      .summarize();
+    const { self, storeAnsweredAtMs, listLeaving, quarantine } = this.#options;
+    const summary = this.#options.summarize();
+    const { processes: count, repeats, demand, tenantDemand } = summary;
     const processes = this.#isTakingOver(nowMs)
       ? this.#options.status.processes
       : count;
+    const suspects = this.#board.update(
+      this.#withOwnQuarantine(summary.quarantine),
+      {
+        nowMs,
+        settleMs: evidenceSettleMs(processes > MAX_DIRECT_PROCESSES),
+      },
+    );
+    quarantine.adopt(suspects);
     return this.#options.status.publish({
       processes,
       retryTotals: repeats,
@@ -156,12 +192,19 @@
       updates: {
         closedHeads: this.#controller.listClosedHeads(),
         leaving: listLeaving(),
+        ...(suspects.length === 0 ? {} : { quarantine: suspects }),
       },
       // The store accepted this leader's record, which counts as a response.
       storeAnsweredAtMs: Math.max(storeAnsweredAtMs(), this.#sinceMs),
     }, nowMs);
   }
 
+  /** This leader knows parts in quarantine that no process reports any more. */
+  #withOwnQuarantine(report = EMPTY_REPORT): QuarantineReport {
+    const own = this.#options.quarantine.quarantined;
+    return { ...report, quarantined: [...own, ...report.quarantined] };
+  }
+
   /** Whether followers of the previous leader may not all report here yet. */
   #isTakingOver(nowMs: number): boolean {
     return this.#options.status.processes > 1 &&
--- a/packages/celerytray/src/coordination/peer_messages.ts
+++ b/packages/celerytray/src/coordination/peer_messages.ts
@@ -1,6 +1,11 @@
 import type { LeaderRecord, LeavingIncarnation } from "../groups/index.ts";
 import type { RelayedChange } from "../keyed_log/index.ts";
-import type { WindowTotals } from "../serving/index.ts";
+import {
+  parseQuarantineReport,
+  type QuarantineReport,
+  type SuspectPart,
+  type WindowTotals,
+} from "../serving/index.ts";
 
 /** A process of the deployment and the capacity of its machine. */
 export interface PeerNode {
@@ -29,6 +34,8 @@
    * ready.
    */
   readonly leaving: readonly LeavingIncarnation[];
+  /** Parts of prompts that crash instances; absent from earlier versions. */
+  readonly quarantine?: readonly SuspectPart[];
 }
 
 /** Aggregated state of the requests and instances of one or more processes. */
@@ -56,6 +63,8 @@
   readonly repeats: Readonly<Record<string, WindowTotals>>;
   /** Whether any of these processes has had requests. */
   readonly hasTraffic: boolean;
+  /** Parts of prompts that crash instances; absent from earlier versions. */
+  readonly quarantine?: QuarantineReport;
 }
 
 /** What a process already knows, which the reply omits. */
@@ -143,10 +152,22 @@
   const isValid = isPeerNode(report?.reporter) &&
     isPeerSummary(report?.summary) &&
     isKnownStatus(report?.known) && Number.isFinite(report?.holdMs);
-  if (isValid) return report as PeerReport;
+  if (isValid) return withQuarantine(report as PeerReport);
   throw new Error("Malformed report; run one version on all machines");
 }
 
+/** Leaves out a quarantine report that can't be read. */
+function withQuarantine(report: PeerReport): PeerReport {
+  const { quarantine, ...summary } = report.summary;
+  const parsed = parseQuarantineReport(quarantine);
+  return {
+    ...report,
+    summary: parsed === undefined
+      ? summary
+      : { ...summary, quarantine: parsed },
+  };
+}
+
 function isPeerNode(input: PeerNode | undefined): boolean {
   return typeof input === "object" && input !== null &&
     typeof input.nodeId === "string" &&
--- a/packages/celerytray/src/coordination/report_table.ts
+++ b/packages/celerytray/src/coordination/report_table.ts
@@ -1,5 +1,10 @@
 import type { LeavingIncarnation } from "../groups/index.ts";
-import type { WindowTotals } from "../serving/index.ts";
+import {
+  ageReport,
+  mergeReports,
+  type QuarantineReport,
+  type WindowTotals,
+} from "../serving/index.ts";
 import { reporterTimeoutMs } from "./intervals.ts";
 import type { PeerNode, PeerReport, PeerSummary } from "./peer_messages.ts";
 
@@ -59,9 +64,23 @@
       ),
       repeats: sumRetryTotals(summaries),
       hasTraffic: summaries.some(({ hasTraffic }) => hasTraffic),
+      quarantine: mergeReports([
+        own.quarantine,
+        ...this.#listAgedQuarantines(nowMs),
+      ]),
     };
   }
 
+  #listAgedQuarantines(nowMs: number): readonly QuarantineReport[] {
+    this.#listPresent(nowMs);
+    return [...this.#reports.values()].flatMap(({ report, atMs }) => {
+      const { quarantine } = report.summary;
+      return quarantine === undefined
+        ? []
+        : [ageReport(quarantine, nowMs - atMs)];
+    });
+  }
+
   #listPresent(nowMs: number): readonly PeerReport[] {
     for (const [nodeId, { report, atMs }] of this.#reports) {
       const isPresent = nowMs - atMs < reporterTimeoutMs(report.holdMs);
--- a/packages/celerytray/src/explain/explain_call.ts
+++ b/packages/celerytray/src/explain/explain_call.ts
@@ -57,6 +57,9 @@
     return { calls, causes: [] };
   }
   const processes = new Set(calls.map(({ process }) => process));
+  const promptParts = new Set(
+    calls.flatMap(({ promptParts }) => promptParts as string[] ?? []),
+  );
   const attemptedInstances = new Set(calls.flatMap(listAttemptedInstances));
   const replicaLines = lines.filter((line) =>
     mentionsInstance(line, attemptedInstances) &&
@@ -74,6 +77,7 @@
   );
   const causes = lines.filter((line) => {
     if (evacuations.has(line)) return true;
+    if (decidesOnPart(line, promptParts)) return true;
     const isInWindow = line.timeMs >= first.timeMs - CAUSE_WINDOW_MS &&
       line.timeMs <= last.timeMs + LATE_DETECTION_MS;
     if (!isInWindow || line.callId !== undefined) return false;
@@ -101,6 +105,13 @@
   );
 }
 
+/** Whether a line says why requests with a part of the prompt are refused. */
+function decidesOnPart(line: LogLine, parts: ReadonlySet<string>): boolean {
+  const isDecision = line.event === "quarantine.decided" ||
+    line.event === "quarantine.ended";
+  return isDecision && parts.has(line.part as string);
+}
+
 /** Lists the instances to which a request's attempts were sent. */
 function listAttemptedInstances({ attempts }: LogLine): readonly string[] {
   if (!Array.isArray(attempts)) return [];
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -11,12 +11,14 @@
   CallerTimeoutTracker,
   type ServingDependencies,
   SharedRetryBudget,
+  SuspectLoad,
 } from "../serving/index.ts";
 import { addGauges } from "./add_gauges.ts";
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { countStoreCalls } from "./count_store_calls.ts";
 import { createAdmission } from "./create_admission.ts";
 import { createCoordinator, createIncarnation } from "./create_coordinator.ts";
+import { createQuarantine } from "./create_quarantine.ts";
 import { createRandom } from "./create_random.ts";
 import { drainCallers } from "./drain_callers.ts";
 import { followStore } from "./follow_store.ts";
@@ -71,11 +73,13 @@
     };
     const log = yield* countStoreCalls({ log: ports.log, metrics, record });
     const demand = new OwnDemand();
+    const quarantine = createQuarantine({ settings, metrics, record });
     const servers: { callers?: CallerServer } = {};
     const view: StoreView = new StoreView({
       settings,
       ports,
       trackers,
+      quarantine,
       coordinator: () => coordinator,
       hasTraffic: () => demand.hasTraffic,
       onConfig: ({ limits }) => servers.callers?.setTimeouts(limits),
@@ -100,6 +104,7 @@
       view,
       trackers,
       retryBudget,
+      quarantine,
       demand,
       storeAnsweredAtMs: () => contacts.config.answeredAtMs,
       random,
@@ -165,6 +170,8 @@
       findExclusionReason: (service, homes) =>
         targets.findExclusionReason(service, homes),
       coldLimiter: cold.rateLimiter,
+      quarantine,
+      suspectLoad: new SuspectLoad(),
       callerTimeouts: new CallerTimeoutTracker(),
       retryBudget,
       agentFor: (address) => pools.agentFor(address),
@@ -192,7 +199,7 @@
     const drain = { hasBegun: false };
     const isReady = () =>
       !drain.hasBegun && config.index !== undefined &&
-      view.instances.isLoaded &&
+      view.instances.isLoaded && quarantine.isLoaded &&
       keys.ageMs() < settings.keyRevocationMs * READY_KEY_AGE_SHARE;
     yield* listen({
       address: settings.readyAddress,
--- a/packages/celerytray/src/host/host_options.ts
+++ b/packages/celerytray/src/host/host_options.ts
@@ -20,6 +20,11 @@
   readonly configKey: string;
   /** Prefix of the keys of evacuated zones, in the configuration topic. */
   readonly evacuationPrefix: string;
+  /**
+   * Prefix of the keys by which the operator releases parts of prompts from
+   * quarantine, in the configuration topic.
+   */
+  readonly releasePrefix: string;
 }
 
 /** Options of a process on a machine of the deployment. */
--- a/packages/celerytray/src/host/store_view.ts
+++ b/packages/celerytray/src/host/store_view.ts
@@ -6,7 +6,11 @@
 } from "../groups/index.ts";
 import type { MetricsPage, RecordEvent } from "../journal/index.ts";
 import { type KeyedChange, TopicCopy } from "../keyed_log/index.ts";
-import { findHomeProblems, type ServingConfig } from "../serving/index.ts";
+import {
+  findHomeProblems,
+  type PromptQuarantine,
+  type ServingConfig,
+} from "../serving/index.ts";
 import { ConfigView } from "./config_view.ts";
 import { type ColdRules, createColdRules } from "./create_cold_rules.ts";
 import { createZoneRules, type ZoneRules } from "./create_zone_rules.ts";
@@ -18,6 +22,7 @@
 export interface StoreViewOptions
   extends Pick<HostOptions, "settings" | "ports"> {
   readonly trackers: LoadTrackers;
+  readonly quarantine: PromptQuarantine;
   readonly coordinator: () => Coordinator;
   /** Whether this process has had requests. */
   readonly hasTraffic: () => boolean;
@@ -95,6 +100,7 @@
 
   applyConfig(change: KeyedChange): void {
     this.configCopy.apply(change);
+    this.#applyReleases(change);
     // Applied before the configuration, so that a starting process never serves
     // without the evacuations.
     if (change.records.length > 0 || change.isFullRead) this.zones.update();
@@ -102,6 +108,15 @@
     this.keys.noteProof(change.freshAtMs);
   }
 
+  /** Releases parts of prompts from quarantine, as the operator asked. */
+  #applyReleases({ records }: KeyedChange): void {
+    const { quarantine, ports: { releasePrefix } } = this.#options;
+    for (const { key, value, offset } of records) {
+      if (value === undefined || !key.startsWith(releasePrefix)) continue;
+      quarantine.release(key.slice(releasePrefix.length), offset);
+    }
+  }
+
   applyInstances(change: KeyedChange): void {
     const { coordinator, trackers, nowMs } = this.#options;
     this.listProvenAtMs = Math.max(this.listProvenAtMs, change.freshAtMs);
--- a/packages/celerytray/src/platform/create_ports.ts
+++ b/packages/celerytray/src/platform/create_ports.ts
@@ -4,7 +4,7 @@
 import { decodeInstance } from "./decode_instance.ts";
 import { InstanceClient } from "./instance_client.ts";
 import { StoreClient } from "./store_client.ts";
-import { CONFIG_KEY, EVACUATION_PREFIX } from "./words.ts";
+import { CONFIG_KEY, EVACUATION_PREFIX, RELEASE_PREFIX } from "./words.ts";
 
 /** Creates the host's ports to the platform: store, instances and codecs. */
 export function createPlatformPorts(
@@ -18,5 +18,6 @@
     decodeInstance,
     configKey: CONFIG_KEY,
     evacuationPrefix: EVACUATION_PREFIX,
+    releasePrefix: RELEASE_PREFIX,
   };
 }
--- a/packages/celerytray/src/platform/words.ts
+++ b/packages/celerytray/src/platform/words.ts
@@ -37,5 +37,8 @@
 /** Prefix of the keys of evacuated zones. */
 export const EVACUATION_PREFIX = "evacuate/";
 
+/** Prefix of the keys by which the operator releases parts from quarantine. */
+export const RELEASE_PREFIX = "quarantine-release/";
+
 /** Environment variable with the path of the settings file. */
 export const SETTINGS_VARIABLE = "CELERYTRAY_BOOT";
--- a/packages/celerytray/src/serving/admit_call.ts
+++ b/packages/celerytray/src/serving/admit_call.ts
@@ -4,6 +4,7 @@
 import type { LocalResponse } from "./caller_exchange.ts";
 import { intersectHomes } from "./homes.ts";
 import { refuseWhileBehind } from "./process_lag.ts";
+import { refuseByPrompt } from "./quarantine/index.ts";
 import { selectService, type ServingIndex } from "./serving_index.ts";
 
 const NO_CONFIG_RETRY_AFTER_MS = 500;
@@ -78,7 +79,7 @@
 /** Adds a call's deadlines, or refuses it if it can't start in time. */
 export function admitInTime(
   admission: Admission,
-  { callerTimeouts, lag, onWithheld }: ServingDependencies,
+  { callerTimeouts, lag, onWithheld, quarantine }: ServingDependencies,
   nowMs: number,
 ): Either<LocalResponse, TimedAdmission> {
   const { headers: { callerTimeoutMs }, route } = admission;
@@ -97,6 +98,15 @@
     onWithheld("lag");
     return Left(refusal);
   }
+  const promptRefusal = refuseByPrompt(
+    admission.headers,
+    quarantine,
+    nowMs,
+  );
+  if (promptRefusal !== undefined) {
+    onWithheld("quarantine");
+    return Left(promptRefusal);
+  }
   return Right({
     ...admission,
     isLate,
--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -12,6 +12,7 @@
 import type { ServingTarget } from "./choose_target.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import { tryMove } from "./find_target.ts";
+import { AttemptWatch } from "./quarantine/index.ts";
 import { runAttempt } from "./run_attempt.ts";
 
 /** Priority levels by which a request is lowered that can only be late. */
@@ -38,6 +39,12 @@
       model,
       startedAtMs,
     });
+    const watch = new AttemptWatch({
+      ...dependencies,
+      parts: call.headers.promptParts ?? [],
+      target,
+      startedAtMs,
+    });
     progress.tried.add(instanceId);
     progress.currentInstanceId = instanceId;
     loads.noteSent(instanceId);
@@ -84,6 +91,7 @@
         : { lastEventId: progress.lastEventId }),
       onHeaders: (fields) => {
         timing.noteHeaders(nowMs());
+        watch.noteHeaders(nowMs());
         noteHeaders({ call, dependencies, target, fields, nowMs: nowMs() });
       },
       onProgress: () => stalls.noteProgress(instanceId, nowMs()),
@@ -95,6 +103,7 @@
       onEvent: (event: StreamEvent) => {
         notePromptRead();
         timing.noteEvent(nowMs());
+        watch.noteEvent(nowMs());
         noteEventTime(progress, nowMs());
         if (event.id !== undefined) progress.lastEventId = event.id;
         return exchange.writeEvent(event.bytes);
@@ -111,12 +120,14 @@
       held: dependencies.held,
       registerAbandon: (abandon) => progress.abandon = abandon,
     }).pipe(
-      Effect.tap(({ kind }) =>
+      Effect.tap((outcome) =>
         Effect.sync(() => {
-          if (kind === "streamed") timing.noteStreamed(nowMs());
+          watch.noteOutcome(outcome, nowMs());
+          if (outcome.kind === "streamed") timing.noteStreamed(nowMs());
         })
       ),
       Effect.ensuring(Effect.sync(() => {
+        watch.end();
         loads.noteEnded(instanceId);
         notePromptRead();
         stopWatching();
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -69,6 +69,8 @@
   isCurrentSent: boolean;
   /** Ends the current attempt; undefined if there is none. */
   abandon: ((reason: AbandonReason) => void) | undefined;
+  /** Whether the next attempt tries a held part of a prompt. */
+  isTrial: boolean;
   /** Whether the retry budget was already charged for the next attempt. */
   isRetryPrepaid: boolean;
 }
@@ -100,6 +102,7 @@
     currentInstanceId: undefined,
     isCurrentSent: false,
     abandon: undefined,
+    isTrial: false,
     isRetryPrepaid: false,
   };
 }
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -2,6 +2,7 @@
 import type { AdmissionRecord, CallAdmission } from "./admission/index.ts";
 import type { CallerTimeoutTracker } from "./caller_timeout_tracker.ts";
 import type { CallCodec, CallHeaders } from "./call.ts";
+import type { PromptQuarantine, SuspectLoad } from "./quarantine/index.ts";
 import type { ColdRateLimiter } from "./cold_rate_limiter.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { HeldBytes } from "./held_bytes.ts";
@@ -44,6 +45,8 @@
   readonly paces: PaceTracker;
   readonly silences: SilenceStats;
   readonly prompts: PromptBacklog;
+  readonly quarantine: PromptQuarantine;
+  readonly suspectLoad: SuspectLoad;
   readonly queueWaits: QueueWaitEstimator;
   readonly retryBudget: SharedRetryBudget;
   readonly callerTimeouts: CallerTimeoutTracker;
@@ -73,9 +76,15 @@
 
 /**
  * Why a request is not sent: its caller disconnected, its deadline passed, this
- * process lags too far behind, or its body exceeds the free memory.
+ * process lags too far behind, its body exceeds the free memory, or a part of
+ * its prompt crashes instances.
  */
-export type WithheldReason = "left" | "deadline" | "lag" | "memory";
+export type WithheldReason =
+  | "left"
+  | "deadline"
+  | "lag"
+  | "memory"
+  | "quarantine";
 
 /** Why a request may not be sent to any instance of a service. */
 export type ExclusionReason = "evacuated" | "not-at-home";
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -27,6 +27,8 @@
   readonly maySend: (target: ServingTarget) => boolean;
   /** Whether an instance makes no progress on any request from this process. */
   readonly isSilent: (instanceId: string) => boolean;
+  /** Whether a request is in progress there that may crash it. */
+  readonly hasSuspect: (instanceId: string) => boolean;
   /** Whether its streams are much slower than usual for their model. */
   readonly isSlow: (target: ServingTarget) => boolean;
   /** Whether an idle connection to an address is open. */
@@ -86,12 +88,16 @@
   return best;
 }
 
-/** Whether a target is neither avoided nor silent nor slow. */
+/**
+ * Whether a target is neither avoided nor silent nor slow, and has no request
+ * that may crash it.
+ */
 export function isPreferred(
   target: ServingTarget,
-  { loads, isSilent, isSlow, nowMs }: TargetChoice,
+  { loads, isSilent, isSlow, hasSuspect, nowMs }: TargetChoice,
 ): boolean {
   const { instanceId } = target;
-  return !loads.isAvoided(instanceId, nowMs) && !isSilent(instanceId) &&
+  return !hasSuspect(instanceId) && !loads.isAvoided(instanceId, nowMs) &&
+    !isSilent(instanceId) &&
     !isSlow(target);
 }
--- a/packages/celerytray/src/serving/choose_target_test.ts
+++ b/packages/celerytray/src/serving/choose_target_test.ts
@@ -126,6 +126,7 @@
       isBackingOff: () => false,
       isSilent: () => false,
       isSlow: () => false,
+      hasSuspect: () => false,
       hasConnection: (address) => process.hasConnection(address, nowMs),
       readDelayMs: () => 0,
       targetMs: 250,
--- a/packages/celerytray/src/serving/conclude_call.ts
+++ b/packages/celerytray/src/serving/conclude_call.ts
@@ -5,6 +5,10 @@
   summarize,
 } from "./attempt_progress.ts";
 import type { LocalResponse } from "./caller_exchange.ts";
+import {
+  describePromptRefusal,
+  type PromptRefusal,
+} from "./quarantine/index.ts";
 
 /** Retry-After of a request whose attempts were all not run. */
 const ATTEMPTED_RETRY_AFTER_MS = 400;
@@ -85,6 +89,18 @@
   });
 }
 
+/** Refuses a request with a part that crashes the instances that write on it. */
+export function refuseForPrompt(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  refusal: PromptRefusal,
+): AttemptsResult {
+  return conclude(options, progress, {
+    ...describePromptRefusal(refusal),
+    unknownStatus: 502,
+  });
+}
+
 /** Ends a call for which no further attempt is possible. */
 export function giveUp(
   options: AttemptsOptions,
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -9,6 +9,7 @@
 import { LoadTracker } from "./load_tracker.ts";
 import { PaceTracker } from "./pace_tracker.ts";
 import { PromptBacklog } from "./prompt_backlog.ts";
+import { PromptQuarantine, SuspectLoad } from "./quarantine/index.ts";
 import { QueueWaitEstimator } from "./queue_wait_estimator.ts";
 import { SharedRetryBudget } from "./shared_retry_budget.ts";
 import { BackoffTracker } from "./backoff_tracker.ts";
@@ -50,6 +51,8 @@
     paces: new PaceTracker(),
     silences: new SilenceStats(),
     prompts: new PromptBacklog(),
+    quarantine: createTestQuarantine(),
+    suspectLoad: new SuspectLoad(),
     callerTimeouts: new CallerTimeoutTracker(),
     held: new HeldBytes({ maxBytes: MAX_HELD_BYTES, onCut: () => {} }),
     lag: { lagMs: () => 0, isBehind: () => false },
@@ -77,6 +80,13 @@
   };
 }
 
+/** Creates a quarantine that has been loaded and is empty. */
+export function createTestQuarantine(): PromptQuarantine {
+  const quarantine = new PromptQuarantine({ nodeId: "p", onEvent: () => {} });
+  quarantine.load([]);
+  return quarantine;
+}
+
 /** Creates admission control without information from other processes. */
 export function createTestAdmission(
   overrides: Partial<CallAdmissionOptions> = {},
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -9,6 +9,7 @@
 import type { AbandonReason } from "./stall_detector.ts";
 import { type ColdSearch, planColdWait } from "./cold_wait.ts";
 import type { ExclusionReason } from "./call_context.ts";
+import type { PromptRefusal } from "./quarantine/index.ts";
 import { promptReadMs } from "./prompt_backlog.ts";
 import {
   chooseTarget,
@@ -41,6 +42,8 @@
   | { readonly kind: "refused"; readonly refusal: AdmissionRefusal }
   /** Its model has no replica, and the time until it has one is known. */
   | { readonly kind: "no-replica"; readonly retryAfterMs: number }
+  /** A part of its prompt crashes instances. */
+  | { readonly kind: "quarantined"; readonly refusal: PromptRefusal }
   | { readonly kind: "none" };
 
 /**
@@ -57,6 +60,10 @@
     let startedAtMs = yield* steadyMs;
     while (true) {
       const nowMs = yield* steadyMs;
+      const promptRefusal = findPromptRefusal(options, progress, nowMs);
+      if (promptRefusal !== undefined) {
+        return { kind: "quarantined", refusal: promptRefusal };
+      }
       const mustWait = isStream && !hasBegun(options, progress) &&
         admission.mustWait(call, nowMs);
       if (mustWait) {
@@ -116,6 +123,24 @@
   return isFull ? { kind: "full" } : { kind: "found", target };
 }
 
+/**
+ * Returns why a part of the prompt forbids an attempt. A single request with a
+ * held part is let through where this process may try it.
+ */
+function findPromptRefusal(
+  { call, dependencies: { quarantine } }: AttemptsOptions,
+  progress: AttemptProgress,
+  nowMs: number,
+): PromptRefusal | undefined {
+  const parts = call.headers.promptParts ?? [];
+  const verdict = quarantine.assess(parts, nowMs);
+  if (verdict.kind === "clear" || verdict.kind === "suspected") return;
+  const isTrial = verdict.kind === "held" &&
+    (progress.isTrial || quarantine.tryTakeTrial(parts, nowMs));
+  progress.isTrial = isTrial;
+  return isTrial ? undefined : verdict;
+}
+
 /** Whether a response to the caller has begun, or an attempt was made. */
 function hasBegun(
   { exchange }: AttemptsOptions,
@@ -168,7 +193,7 @@
   progress: AttemptProgress,
   nowMs: number,
 ): TargetChoice {
-  const { stalls, paces, backoffs, prompts } = dependencies;
+  const { stalls, paces, backoffs, prompts, suspectLoad } = dependencies;
   const { model } = call.headers;
   const engine = dependencies.index()?.config.services.get(call.service)
     ?.engine;
@@ -188,6 +213,7 @@
     maySend: (target) => dependencies.coldLimiter.maySend(target, nowMs),
     isSilent: (id) => stalls.isSilent(id, nowMs),
     isSlow: (target) => paces.isSlow(target, nowMs),
+    hasSuspect: (id) => suspectLoad.has(id),
     tried: progress.tried,
     nowMs,
     random: dependencies.random,
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -42,6 +42,21 @@
   type WindowTotals,
 } from "./shared_retry_budget.ts";
 export { BackoffTracker } from "./backoff_tracker.ts";
+export {
+  ageReport,
+  EMPTY_REPORT,
+  isQuarantinedPart,
+  mergeReports,
+  parseQuarantineReport,
+  type PartAssessment,
+  PromptQuarantine,
+  QuarantineBoard,
+  type QuarantinedPart,
+  type QuarantineEvent,
+  type QuarantineReport,
+  SuspectLoad,
+  type SuspectPart,
+} from "./quarantine/index.ts";
 export { runAttempt } from "./run_attempt.ts";
 export { serveCall } from "./serve_call.ts";
 export type {
--- a/packages/celerytray/src/serving/prompt_backlog_test.ts
+++ b/packages/celerytray/src/serving/prompt_backlog_test.ts
@@ -96,6 +96,7 @@
     maySend: () => true,
     isSilent: () => false,
     isSlow: () => false,
+    hasSuspect: () => false,
     hasConnection: () => true,
     readDelayMs: ({ instanceId }) =>
       promptReadMs(backlog.tokensAt(instanceId), ENGINE, "m"),
--- /dev/null
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -0,0 +1,87 @@
+import type { AttemptOutcome } from "../attempt_options.ts";
+import type { ServingTarget } from "../choose_target.ts";
+import type { WatchedAttempt } from "./own_evidence.ts";
+import type { PromptQuarantine } from "./prompt_quarantine.ts";
+import type { SuspectLoad } from "./suspect_load.ts";
+
+/** Options of the watch on one attempt. */
+export interface AttemptWatchOptions {
+  readonly quarantine: PromptQuarantine;
+  readonly suspectLoad: SuspectLoad;
+  /** Ids of the parts of the prompt, in order. */
+  readonly parts: readonly string[];
+  readonly target: Pick<ServingTarget, "instanceId" | "bornAtMs" | "epoch">;
+  readonly startedAtMs: number;
+}
+
+/** Time after its first event for which a stream may still crash its instance. */
+const CONFIRM_MS = 100;
+/**
+ * Shortest time in which an instance begins to write. A kept connection that is
+ * reset sooner had been closed while it was idle.
+ */
+const MIN_BEGIN_MS = 50;
+
+/**
+ * Watches whether an attempt begins to write without harm, or whether its
+ * instance is lost before.
+ */
+export class AttemptWatch {
+  readonly #options: AttemptWatchOptions;
+  readonly #attempt: WatchedAttempt;
+  #isSuspect: boolean;
+  #firstEventAtMs: number | undefined;
+  #isSafe = false;
+
+  constructor(options: AttemptWatchOptions) {
+    const { quarantine, suspectLoad, parts, target, startedAtMs } = options;
+    const { instanceId, bornAtMs, epoch } = target;
+    this.#options = options;
+    this.#attempt = {
+      parts,
+      instanceId,
+      incarnation: `${instanceId} ${bornAtMs ?? epoch}`,
+    };
+    this.#isSuspect = quarantine.assess(parts, startedAtMs).kind !== "clear";
+    if (this.#isSuspect) suspectLoad.note(instanceId, 1);
+  }
+
+  noteHeaders(nowMs: number): void {
+    this.#options.quarantine.noteAlive(this.#attempt, nowMs);
+  }
+
+  noteEvent(nowMs: number): void {
+    if (this.#isSafe) return;
+    this.#options.quarantine.noteAlive(this.#attempt, nowMs);
+    this.#firstEventAtMs ??= nowMs;
+    if (nowMs - this.#firstEventAtMs >= CONFIRM_MS) this.#noteSafe(nowMs);
+  }
+
+  noteOutcome(outcome: AttemptOutcome, nowMs: number): void {
+    // A stream without an event has shown nothing.
+    const hasWritten = outcome.kind === "answered" ||
+      (outcome.kind === "streamed" && this.#firstEventAtMs !== undefined);
+    if (hasWritten) this.#noteSafe(nowMs);
+    const { quarantine, startedAtMs } = this.#options;
+    if (outcome.kind !== "lost" || this.#isSafe) return;
+    if (outcome.abandonReason !== undefined) return;
+    const wasIdle = outcome.isStaleConnection &&
+      nowMs - startedAtMs < MIN_BEGIN_MS;
+    if (!wasIdle) quarantine.noteLost(this.#attempt, nowMs);
+  }
+
+  /** Ends the watch, also of an attempt that was interrupted. */
+  end(): void {
+    if (!this.#isSuspect) return;
+    this.#isSuspect = false;
+    this.#options.suspectLoad.note(this.#attempt.instanceId, -1);
+  }
+
+  #noteSafe(nowMs: number): void {
+    if (this.#isSafe) return;
+    this.#isSafe = true;
+    const { quarantine } = this.#options;
+    quarantine.noteSafe(this.#attempt, this.#firstEventAtMs ?? nowMs);
+    this.end();
+  }
+}
--- /dev/null
+++ b/packages/celerytray/src/serving/quarantine/crash_evidence.ts
@@ -0,0 +1,245 @@
+/** A request whose instance was lost before it had begun to write harmlessly. */
+export interface CrashSighting {
+  /** A part of the request's prompt, the last one excepted. */
+  readonly part: string;
+  /** The incarnation of the instance that was lost. */
+  readonly incarnation: string;
+  readonly ageMs: number;
+}
+
+/** A request with a part that began to write without harm. */
+export interface SafeSighting {
+  readonly part: string;
+  readonly ageMs: number;
+}
+
+/** What the evidence says about one part. */
+export interface PartAssessment {
+  readonly part: string;
+  /**
+   * Losses of instances since the part last began to write without harm that
+   * no other part explains. Losses at about the same moment count once.
+   */
+  readonly crashes: number;
+  readonly lastCrashAtMs: number;
+  /** Crashes from which the part is quarantined. */
+  readonly neededCrashes: number;
+  /** Whether the crashes and the time since them suffice for quarantine. */
+  readonly isConclusive: boolean;
+  readonly incarnations: readonly string[];
+}
+
+/** Losses from which a part is held back, except for single trials. */
+export const HELD_CRASHES = 2;
+/** Losses from which a part is quarantined while no others occur. */
+const QUARANTINE_CRASHES = 3;
+/**
+ * Other losses of the last minute from which coincidence is likelier, and one
+ * more loss is needed for each.
+ */
+const OTHER_LOSSES_STEPS = [3, 8, 24];
+const OTHER_LOSSES_WINDOW_MS = 60_000;
+/** Losses that are remembered to judge how common they are. */
+const MAX_LOSSES = 512;
+/** Losses within this time count once, as a common cause is likelier. */
+const SAME_MOMENT_MS = 100;
+/** Time for which losses count; harmless requests clear them earlier. */
+const MAX_EVIDENCE_AGE_MS = 3_600_000;
+/** Parts that are tracked; those with the fewest and oldest losses go first. */
+const MAX_PARTS = 128;
+/** Losses kept of one part. */
+const MAX_CRASHES_PER_PART = 16;
+
+interface PartEvidence {
+  /** Time of the loss of each incarnation. */
+  readonly crashes: Map<string, number>;
+  safeAtMs: number;
+}
+
+/**
+ * Weighs the losses of instances against the parts of the prompts that were
+ * about to be written there. A part that crashes instances never begins to
+ * write without harm, so one harmless beginning clears all earlier losses.
+ */
+export class CrashEvidence {
+  readonly #parts = new Map<string, PartEvidence>();
+  /** Time of each loss, whatever its cause. */
+  readonly #losses = new Map<string, number>();
+
+  noteCrash(
+    { part, incarnation }: Pick<CrashSighting, "part" | "incarnation">,
+    atMs: number,
+  ): void {
+    this.#noteLoss(incarnation, atMs);
+    const evidence = this.#parts.get(part) ??
+      {
+        crashes: new Map<string, number>(),
+        safeAtMs: Number.NEGATIVE_INFINITY,
+      };
+    const { crashes, safeAtMs } = evidence;
+    if (atMs <= safeAtMs || crashes.has(incarnation)) return;
+    crashes.set(incarnation, atMs);
+    for (const oldest of crashes.keys()) {
+      if (crashes.size <= MAX_CRASHES_PER_PART) break;
+      crashes.delete(oldest);
+    }
+    this.#parts.set(part, evidence);
+    this.#evict(atMs);
+  }
+
+  /** Clears the earlier losses of a part; only tracked parts are noted. */
+  noteSafe(part: string, atMs: number): void {
+    const evidence = this.#parts.get(part);
+    if (evidence === undefined) return;
+    evidence.safeAtMs = Math.max(evidence.safeAtMs, atMs);
+    for (const [incarnation, crashedAtMs] of evidence.crashes) {
+      if (crashedAtMs < evidence.safeAtMs) {
+        evidence.crashes.delete(incarnation);
+      }
+    }
+    if (evidence.crashes.size === 0) this.#parts.delete(part);
+  }
+
+  /** Withdraws the loss of an incarnation that turned out to be alive. */
+  withdraw(incarnation: string): void {
+    this.#losses.delete(incarnation);
+    for (const [part, { crashes }] of this.#parts) {
+      if (crashes.delete(incarnation) && crashes.size === 0) {
+        this.#parts.delete(part);
+      }
+    }
+  }
+
+  forget(part: string): void {
+    this.#parts.delete(part);
+  }
+
+  /** Counts the losses of a part that no part in quarantine explains. */
+  countCrashes(part: string, explaining: ReadonlySet<string>): number {
+    const { crashes } = this.#parts.get(part) ?? {};
+    if (crashes === undefined) return 0;
+    const open = [...crashes].filter(([incarnation]) =>
+      ![...explaining].some((other) =>
+        this.#parts.get(other)?.crashes.has(incarnation)
+      )
+    );
+    return listMoments(open.map(([, atMs]) => atMs)).length;
+  }
+
+  /** Returns the losses since `maxAgeMs` ago, to be reported. */
+  listSightings(
+    { nowMs, maxAgeMs }: { readonly nowMs: number; readonly maxAgeMs: number },
+  ): readonly CrashSighting[] {
+    return [...this.#parts].flatMap(([part, { crashes }]) =>
+      [...crashes].flatMap(([incarnation, atMs]) =>
+        nowMs - atMs > maxAgeMs
+          ? []
+          : [{ part, incarnation, ageMs: nowMs - atMs }]
+      )
+    );
+  }
+
+  /**
+   * Assesses the parts, those with the most losses first. `explaining` are the
+   * parts in quarantine: their losses say nothing about other parts.
+   */
+  assess(
+    { nowMs, settleMs, explaining }: AssessmentOptions,
+  ): readonly PartAssessment[] {
+    this.#evict(nowMs);
+    const explained = new Set(
+      [...explaining].flatMap((part) => [
+        ...this.#parts.get(part)?.crashes.keys() ?? [],
+      ]),
+    );
+    const recentLosses = [...this.#losses].flatMap(([incarnation, atMs]) =>
+      nowMs - atMs > OTHER_LOSSES_WINDOW_MS ? [] : [incarnation]
+    );
+    const counted = [...this.#parts].flatMap(([part, { crashes }]) => {
+      if (explaining.has(part)) return [];
+      const open = [...crashes].filter(([incarnation]) =>
+        !explained.has(incarnation)
+      );
+      const moments = listMoments(open.map(([, atMs]) => atMs));
+      return moments.length === 0 ? [] : [{ part, open, moments }];
+    }).sort((a, b) => b.moments.length - a.moments.length);
+    return counted.map(({ part, open, moments }) => {
+      const incarnations = open.map(([incarnation]) => incarnation);
+      const isAmbiguous = counted.some((other) =>
+        other.part !== part && other.moments.length >= moments.length &&
+        other.open.some(([incarnation]) => incarnations.includes(incarnation))
+      );
+      // A part that was always beside one with more crashes is not to blame.
+      const isExplained = counted.some((other) =>
+        other.moments.length > moments.length &&
+        incarnations.every((incarnation) =>
+          other.open.some(([of]) => of === incarnation)
+        )
+      );
+      const otherLosses = recentLosses.filter((incarnation) =>
+        !incarnations.includes(incarnation) && !explained.has(incarnation)
+      ).length;
+      const neededCrashes = QUARANTINE_CRASHES + (isAmbiguous ? 1 : 0) +
+        OTHER_LOSSES_STEPS.filter((losses) =>
+          otherLosses >= losses
+        ).length;
+      const decidedAtMs = moments[neededCrashes - 1];
+      return {
+        part,
+        crashes: moments.length,
+        lastCrashAtMs: moments.at(-1)!,
+        neededCrashes,
+        isConclusive: decidedAtMs !== undefined && !isExplained &&
+          nowMs - decidedAtMs >= settleMs,
+        incarnations,
+      };
+    });
+  }
+
+  #noteLoss(incarnation: string, atMs: number): void {
+    if (this.#losses.has(incarnation)) return;
+    this.#losses.set(incarnation, atMs);
+    for (const oldest of this.#losses.keys()) {
+      if (this.#losses.size <= MAX_LOSSES) return;
+      this.#losses.delete(oldest);
+    }
+  }
+
+  #evict(nowMs: number): void {
+    for (const [part, { crashes }] of this.#parts) {
+      for (const [incarnation, atMs] of crashes) {
+        if (nowMs - atMs > MAX_EVIDENCE_AGE_MS) crashes.delete(incarnation);
+      }
+      if (crashes.size === 0) this.#parts.delete(part);
+    }
+    while (this.#parts.size > MAX_PARTS) {
+      let weakest: string | undefined;
+      let weakestCrashes = Number.POSITIVE_INFINITY;
+      for (const [part, { crashes }] of this.#parts) {
+        if (crashes.size < weakestCrashes) {
+          weakest = part;
+          weakestCrashes = crashes.size;
+        }
+      }
+      this.#parts.delete(weakest!);
+    }
+  }
+}
+
+/** Inputs of an assessment. */
+export interface AssessmentOptions {
+  readonly nowMs: number;
+  /** Time within which harmless requests of other processes become known. */
+  readonly settleMs: number;
+  readonly explaining: ReadonlySet<string>;
+}
+
+/** Merges times that lie close together; returns the first of each group. */
+function listMoments(timesMs: readonly number[]): readonly number[] {
+  const moments: number[] = [];
+  for (const atMs of [...timesMs].sort((a, b) => a - b)) {
+    const last = moments.at(-1);
+    if (last === undefined || atMs - last >= SAME_MOMENT_MS) moments.push(atMs);
+  }
+  return moments;
+}
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -19,6 +19,7 @@
   giveUp,
   giveUpAtDeadline,
   refuseAsFull,
+  refuseForPrompt,
   refuseInQueue,
   refuseWhileBackingOff,
   refuseWhileCold,
@@ -77,6 +78,10 @@
           nowMs,
         });
       }
+      if (search.kind === "quarantined") {
+        dependencies.onWithheld("quarantine");
+        return refuseForPrompt(options, progress, search.refusal);
+      }
       if (search.kind === "refused") {
         return refuseInQueue(options, progress, search.refusal.retryAfterMs);
       }
@@ -104,6 +109,7 @@
         !dependencies.retryBudget.trySpend(call.service, nowMs)
       ) return giveUp(options, progress, "The retry budget is exhausted");
       progress.isRetryPrepaid = false;
+      progress.isTrial = false;
       const outcome = yield* attemptOnce(options, progress, target);
       const endedAtMs = yield* steadyMs;
       noteOutcome({ options, progress, target, outcome, nowMs: endedAtMs });
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -3,6 +3,7 @@
 import { readBody } from "../http/index.ts";
 import { admitCall, admitInTime } from "./admit_call.ts";
 import type { AdmissionEnd } from "./admission/index.ts";
+import type { CallHeaders } from "./call.ts";
 import type { AttemptsResult, AttemptsSummary } from "./attempt_progress.ts";
 import type {
   AdmittedCall,
@@ -47,8 +48,8 @@
       .chain((admission) => admitInTime(admission, dependencies, arrivedAtMs));
     if (admitted.isLeft()) {
       const response = admitted.extract() as LocalResponse;
-      const id = decoded.toMaybe().extract()?.id;
-      refuse(exchange, { id, response, dependencies });
+      const headers = decoded.toMaybe().extract();
+      refuse(exchange, { headers, response, dependencies });
       return;
     }
     const admission = admitted.unsafeCoerce();
@@ -63,7 +64,8 @@
           (admission.deadlineAtMs - arrivedAtMs) / 3,
         ),
       };
-      refuse(exchange, { id: admission.headers.id, response, dependencies });
+      const { headers } = admission;
+      refuse(exchange, { headers, response, dependencies });
     };
     const declaredBytes = Number(
       exchange.request.headers["content-length"] ?? 0,
@@ -132,7 +134,8 @@
 }
 
 interface Refusal {
-  readonly id: string | undefined;
+  /** Undefined if they can't be decoded. */
+  readonly headers: CallHeaders | undefined;
   readonly response: LocalResponse;
   readonly dependencies: ServingDependencies;
 }
@@ -140,12 +143,13 @@
 /** Refuses a request, whether or not its body has arrived. */
 function refuse(
   exchange: CallerExchange,
-  { id, response, dependencies }: Refusal,
+  { headers, response, dependencies }: Refusal,
 ): void {
-  exchange.sendLocalResponse(id, response);
+  exchange.sendLocalResponse(headers?.id, response);
   if (!exchange.request.complete) exchange.request.resume();
   dependencies.record({
-    callId: id ?? "",
+    callId: headers?.id ?? "",
+    ...describePrompt(headers),
     route: "",
     service: "",
     status: response.status,
@@ -204,6 +208,18 @@
   };
 }
 
+/** The fields of a call's record about its prompt. */
+function describePrompt(
+  { promptTokens, promptParts }: Partial<CallHeaders> = {},
+): Pick<CallRecord, "promptTokens" | "promptParts"> {
+  return {
+    ...(promptTokens === undefined ? {} : { promptTokens }),
+    ...(promptParts === undefined
+      ? {}
+      : { promptParts: promptParts.slice(0, -1) }),
+  };
+}
+
 /** The fields of a call's record that don't depend on its outcome. */
 function describeAttempts(
   call: AdmittedCall,
@@ -215,7 +231,6 @@
 ): Omit<CallRecord, "status" | "outcome" | "reason"> {
   const { headers, route, service, arrivedAtMs, configVersion } = call;
   const { attempts, firstByteAtMs, longestPauseMs } = summary;
-  const { promptTokens, promptParts } = headers;
   const admission = dependencies.admission.describe(call, endedAtMs);
   return {
     callId: headers.id,
@@ -228,10 +243,7 @@
       ? {}
       : { firstByteMs: firstByteAtMs - arrivedAtMs }),
     ...(longestPauseMs === undefined ? {} : { longestPauseMs }),
-    ...(promptTokens === undefined ? {} : { promptTokens }),
-    ...(promptParts === undefined
-      ? {}
-      : { promptParts: promptParts.slice(0, -1) }),
+    ...describePrompt(headers),
     configVersion,
     ...(admission === undefined ? {} : { admission }),
   };
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -12,6 +12,10 @@
 } from "./config_version_commands.ts";
 import { DrainCommand, UndrainCommand } from "./drain_commands.ts";
 import { LogsCommand } from "./logs_command.ts";
+import {
+  QuarantineListCommand,
+  QuarantineReleaseCommand,
+} from "./quarantine_commands.ts";
 import { RepairsCommand } from "./repairs_command.ts";
 import { ServeCommand } from "./serve_command.ts";
 import { ExplainCommand, TimelineCommand } from "./timeline_commands.ts";
@@ -28,6 +32,8 @@
   DrainCommand,
   ExplainCommand,
   LogsCommand,
+  QuarantineListCommand,
+  QuarantineReleaseCommand,
   RepairsCommand,
   ReplicasCommand,
   ServeCommand,
--- a/packages/fakes/src/admission/simulated_process.ts
+++ b/packages/fakes/src/admission/simulated_process.ts
@@ -196,6 +196,7 @@
       isBackingOff: () => false,
       isSilent: () => false,
       isSlow: () => false,
+      hasSuspect: () => false,
       tried,
       nowMs,
       random: this.#options.random,
--- a/packages/fakes/src/coordination/coordinated_process.ts
+++ b/packages/fakes/src/coordination/coordinated_process.ts
@@ -4,6 +4,7 @@
   type PeerCalls,
   type PeerNode,
   PeerUnresponsive,
+  type PromptQuarantine,
 } from "celerytray";
 import { Effect } from "effect";
 import type { PausableClock } from "./pausable_clock.ts";
@@ -15,6 +16,7 @@
 export interface CoordinatedProcess {
   readonly node: PeerNode;
   readonly coordinator: Coordinator;
+  readonly quarantine: PromptQuarantine;
   /** Instances that it knows to be leaving, by id. */
   readonly leaving: Map<string, LeavingIncarnation>;
   /** Reports that it received. */
--- a/packages/fakes/src/coordination/simulated_cluster.ts
+++ b/packages/fakes/src/coordination/simulated_cluster.ts
@@ -4,6 +4,7 @@
   InstanceListView,
   type LeavingIncarnation,
   type PeerNode,
+  PromptQuarantine,
   readSteadyMs,
   ReplicaController,
   TopicCopy,
@@ -41,7 +42,12 @@
 
 /** Starts processes within some 300 ms; they run until the scope closes. */
 export function createSimulatedCluster(
-  options: { readonly seed: number; readonly size: number },
+  options: {
+    readonly seed: number;
+    readonly size: number;
+    /** What the processes of an earlier cluster left behind. */
+    readonly store?: FakeKeyedStore;
+  },
 ): Effect.Effect<SimulatedCluster, never, Scope.Scope> {
   return Effect.gen(function* () {
     const clock = yield* Clock.Clock;
@@ -49,7 +55,7 @@
     const generator = xoroshiro128plus(options.seed);
     const random = () =>
       uniformInt(generator, 0, RANDOM_RANGE - 1) / RANDOM_RANGE;
-    const store = new FakeKeyedStore();
+    const store = options.store ?? new FakeKeyedStore();
     const storeCalls = new Map<string, number>();
     const processes: CoordinatedProcess[] = [];
     for (let index = 0; index < options.size; index++) {
@@ -118,8 +124,11 @@
     decode: () => Left("No instance is listed in this cluster"),
     onMalformed: () => {},
   });
+  const { nodeId } = node;
+  const quarantine = new PromptQuarantine({ nodeId, onEvent: () => {} });
   const process: CoordinatedProcess = {
     node,
+    quarantine,
     leaving,
     reportCount: 0,
     relayedProofAtMs: 0,
@@ -134,6 +143,7 @@
       log,
       client: createPeerCalls(processes),
       listStalledHeads: () => [],
+      quarantine,
       listSlowHeads: () => [],
       demand: () => ({ [SHARED_MODEL]: 1 }),
       retryTotals: () => ({}),
--- a/packages/fakes/src/platform/fake_caller.ts
+++ b/packages/fakes/src/platform/fake_caller.ts
@@ -22,6 +22,7 @@
 export function callStream(
   address: string,
   callId: string,
+  promptParts?: string,
 ): Promise<PlatformAnswer> {
   return callPlatform({
     address,
@@ -32,5 +33,6 @@
     deadlineMs: DEADLINE_MS,
     agent: false,
     model: FAKE_MODEL,
+    ...(promptParts === undefined ? {} : { promptParts }),
   });
 }
--- a/packages/fakes/src/platform/fake_instance_server.ts
+++ b/packages/fakes/src/platform/fake_instance_server.ts
@@ -9,6 +9,8 @@
 
 const TIMES = { hotJoinMs: 50, warmJoinMs: 100, loadMs: 200, closeMs: 20 };
 const STEP_MS = 10;
+/** Time from the start of a deadly request to the crash. */
+const CRASH_DELAY_MS = 150;
 const EVENTS = 5;
 const MISDIRECTED_STATUS = 421;
 const STATUSES = {
@@ -25,16 +27,23 @@
   /** Pause after each event of a stream. */
   eventPauseMs = 10;
   readonly #onChange: () => void;
+  readonly #deadlyParts: ReadonlySet<string>;
+  readonly #onCrash: () => void;
   readonly #timer: NodeJS.Timeout;
 
   constructor(
     options: FakeHttpInstanceOptions & {
       readonly domain: string;
       readonly onChange: () => void;
+      /** Parts of prompts on which it crashes. */
+      readonly deadlyParts: ReadonlySet<string>;
+      readonly onCrash: () => void;
     },
   ) {
     super(options);
     this.#onChange = options.onChange;
+    this.#deadlyParts = options.deadlyParts;
+    this.#onCrash = options.onCrash;
     this.instance = new FakeModelInstance({
       id: options.id,
       domain: options.domain,
@@ -73,6 +82,18 @@
     };
   }
 
+  /** Crashes after some time if a part of the prompt is deadly. */
+  async #crashesOn(
+    header: string | readonly string[] | undefined,
+  ): Promise<boolean> {
+    if (!listParts(header).some((part) => this.#deadlyParts.has(part))) {
+      return false;
+    }
+    await new Promise((resolve) => setTimeout(resolve, CRASH_DELAY_MS));
+    this.#onCrash();
+    return true;
+  }
+
   protected override order(order: Buffer): number {
     const outcome = this.instance.applyOrder(
       decodeOrder(JSON.parse(order.toString())),
@@ -99,6 +120,7 @@
       return;
     }
     this.recordExecution(callId);
+    if (await this.#crashesOn(headers["prompt-prefix"])) return;
     response.writeHead(200, {
       "attempt-id": callId,
       "server-stamp": `stamp-${id}`,
@@ -116,6 +138,10 @@
   }
 }
 
+function listParts(header: string | readonly string[] | undefined) {
+  return String(header).split(",").map((entry) => entry.split(":")[0]!);
+}
+
 /** Returns the complete stream that a model instance sends in response to a prompt. */
 export function createCompleteStream(prompt: string): string {
   let stream = "";
--- a/packages/fakes/src/platform/fake_platform.ts
+++ b/packages/fakes/src/platform/fake_platform.ts
@@ -31,6 +31,10 @@
   readonly instances = new Map<string, FakeInstanceServer>();
   /** The latest incarnation of each plain instance, by id. */
   readonly plainInstances = new Map<string, FakePlainInstance>();
+  /** Parts of prompts on which every model instance crashes. */
+  readonly deadlyParts = new Set<string>();
+  /** Model instances that crashed on one, in order. */
+  readonly crashedIds: string[] = [];
   readonly #options: FakePlatformOptions;
   readonly #addresses = new Map<string, string>();
   #incarnationCount = 0;
@@ -87,6 +91,11 @@
       ...this.#createOptions(id, { zone, coldMs }),
       domain,
       onChange: () => this.#publish(server),
+      deadlyParts: this.deadlyParts,
+      onCrash: () => {
+        this.crashedIds.push(id);
+        this.kill(id);
+      },
     });
     await this.#publishAddress(server);
     this.instances.set(id, server);
--- a/packages/fakes/src/platform/platform_caller.ts
+++ b/packages/fakes/src/platform/platform_caller.ts
@@ -10,6 +10,8 @@
   readonly deadlineMs: number;
   readonly agent: Agent | false;
   readonly model?: string;
+  /** Ids and tokens of the prompt's parts, as in the header. */
+  readonly promptParts?: string;
 }
 
 /** A response as the caller received it. */
@@ -47,6 +49,9 @@
         "deadline-ms": String(call.deadlineMs),
         "x-api-key": call.key,
         ...(call.model === undefined ? {} : { model: call.model }),
+        ...(call.promptParts === undefined
+          ? {}
+          : { "prompt-prefix": call.promptParts }),
       },
     });
     let localPort: number | undefined;
