Blame for a crash only the part that was never harmless

Cause: the poisonous part always comes with the same first part, so both are at each crash. Crashes within 100 ms count once for the bound, and the same count decided which of two parts had more; and a tie was decided against both after four.

Change: parts are compared by all instances lost, not by moments. A part that was harmless before the crashes gives way to one at the same crashes that never was. It isn't held back either. Two parts that nothing tells apart are both held, with trials of each alone, and are quarantined only if 30 s bring no other evidence.

Evidence: crash_evidence_test (two new cases) and simulated_days_test, in which poison now always comes with one sound part, failed before.

--- a/packages/celerytray/src/serving/quarantine/crash_evidence.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_evidence.ts
@@ -22,8 +22,13 @@
    */
   readonly crashes: number;
   readonly lastCrashAtMs: number;
-  /** Crashes from which the part is quarantined. */
-  readonly neededCrashes: number;
+  /**
+   * Whether another part explains all of its crashes better: it was at more of
+   * them, or at the same ones and was never harmless.
+   */
+  readonly isExplained: boolean;
+  /** Whether only a further request can show what the part does. */
+  readonly needsTrial: boolean;
   /** Whether the crashes and the time since them suffice for quarantine. */
   readonly isConclusive: boolean;
   readonly incarnations: readonly string[];
@@ -39,6 +44,8 @@
  */
 const OTHER_LOSSES_STEPS = [3, 8, 24];
 const OTHER_LOSSES_WINDOW_MS = 60_000;
+/** Time in which a trial or other requests tell two parts apart. */
+const AMBIGUOUS_SETTLE_MS = 30_000;
 /** Losses that are remembered to judge how common they are. */
 const MAX_LOSSES = 512;
 /** Losses within this time count once, as a common cause is likelier. */
@@ -140,7 +147,7 @@
   }
 
   /**
-   * Assesses the parts, those with the most losses first. `explaining` are the
+   * Assesses the parts, those at the most losses first. `explaining` are the
    * parts in quarantine: their losses say nothing about other parts.
    */
   assess(
@@ -153,45 +160,43 @@
       ]),
     );
     const recentLosses = [...this.#losses].flatMap(([incarnation, atMs]) =>
-      nowMs - atMs > OTHER_LOSSES_WINDOW_MS ? [] : [incarnation]
+      nowMs - atMs > OTHER_LOSSES_WINDOW_MS || explained.has(incarnation)
+        ? []
+        : [incarnation]
     );
-    const counted = [...this.#parts].flatMap(([part, { crashes }]) => {
-      if (explaining.has(part)) return [];
-      const open = [...crashes].filter(([incarnation]) =>
-        !explained.has(incarnation)
-      );
-      const moments = listMoments(open.map(([, atMs]) => atMs));
-      return moments.length === 0 ? [] : [{ part, open, moments }];
-    }).sort((a, b) => b.moments.length - a.moments.length);
-    return counted.map(({ part, open, moments }) => {
-      const incarnations = open.map(([incarnation]) => incarnation);
-      const isAmbiguous = counted.some((other) =>
-        other.part !== part && other.moments.length >= moments.length &&
-        other.open.some(([incarnation]) => incarnations.includes(incarnation))
-      );
-      // A part that was always beside one with more crashes is not to blame.
-      const isExplained = counted.some((other) =>
-        other.moments.length > moments.length &&
-        incarnations.every((incarnation) =>
-          other.open.some(([of]) => of === incarnation)
-        )
+    const doubted = [...this.#parts].flatMap(([part, evidence]) => {
+      const open = new Map(
+        [...evidence.crashes].filter(([incarnation]) =>
+          !explained.has(incarnation)
+        ),
       );
+      return explaining.has(part) || open.size === 0
+        ? []
+        : [{ part, open, wasSafe: Number.isFinite(evidence.safeAtMs) }];
+    }).sort((a, b) => b.open.size - a.open.size);
+    return doubted.map((doubt) => {
+      const { part, open } = doubt;
+      const moments = listMoments([...open.values()]);
+      const others = doubted.filter((other) => other.part !== part);
+      const isExplained = others.some((other) => explains(other, doubt));
+      const isAmbiguous = others.some((other) => rivals(other, doubt));
       const otherLosses = recentLosses.filter((incarnation) =>
-        !incarnations.includes(incarnation) && !explained.has(incarnation)
+        !open.has(incarnation)
       ).length;
-      const neededCrashes = QUARANTINE_CRASHES + (isAmbiguous ? 1 : 0) +
-        OTHER_LOSSES_STEPS.filter((losses) =>
-          otherLosses >= losses
-        ).length;
+      const neededCrashes = QUARANTINE_CRASHES +
+        OTHER_LOSSES_STEPS.filter((losses) => otherLosses >= losses).length;
       const decidedAtMs = moments[neededCrashes - 1];
+      const waitMs = isAmbiguous ? AMBIGUOUS_SETTLE_MS : settleMs;
       return {
         part,
         crashes: moments.length,
-        lastCrashAtMs: moments.at(-1)!,
-        neededCrashes,
+        lastCrashAtMs: Math.max(...open.values()),
+        isExplained,
+        needsTrial: !isExplained &&
+          (decidedAtMs === undefined || isAmbiguous),
         isConclusive: decidedAtMs !== undefined && !isExplained &&
-          nowMs - decidedAtMs >= settleMs,
-        incarnations,
+          nowMs - decidedAtMs >= waitMs,
+        incarnations: [...open.keys()],
       };
     });
   }
@@ -226,6 +231,28 @@
   }
 }
 
+/** A part with the crashes that no part in quarantine explains. */
+interface DoubtedPart {
+  readonly part: string;
+  readonly open: ReadonlyMap<string, number>;
+  /** Whether it was harmless before the crashes. */
+  readonly wasSafe: boolean;
+}
+
+/** Whether a part explains all crashes of another one better. */
+function explains(other: DoubtedPart, { open, wasSafe }: DoubtedPart): boolean {
+  const isStronger = other.open.size > open.size ||
+    (other.open.size === open.size && wasSafe && !other.wasSafe);
+  return isStronger &&
+    [...open.keys()].every((incarnation) => other.open.has(incarnation));
+}
+
+/** Whether a part could have caused some crashes of another one as well. */
+function rivals(other: DoubtedPart, { open, wasSafe }: DoubtedPart): boolean {
+  if (other.open.size < open.size || (other.wasSafe && !wasSafe)) return false;
+  return [...open.keys()].some((incarnation) => other.open.has(incarnation));
+}
+
 /** Inputs of an assessment. */
 export interface AssessmentOptions {
   readonly nowMs: number;
--- a/packages/celerytray/src/serving/quarantine/crash_evidence_test.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_evidence_test.ts
@@ -41,10 +41,18 @@
   it("blames neither of two parts that were always together", () => {
     const evidence = createCrashes(["deadly", "beside"], [0, 400, 800]);
     expect(conclude(evidence, 5_000)).toEqual([]);
+    expect(assess(evidence, 5_000).map(({ needsTrial }) => needsTrial))
+      .toEqual([true, true]);
     evidence.noteCrash({ part: "deadly", incarnation: "other" }, 6_000);
     expect(conclude(evidence, 7_000)).toEqual(["deadly"]);
   });
 
+  it("blames the one of two parts that was never harmless", () => {
+    const evidence = createCrashes(["beside", "deadly"], [0, 400, 800]);
+    evidence.noteSafe("beside", -100);
+    expect(conclude(evidence, 2_000)).toEqual(["deadly"]);
+  });
+
   it("does not blame parts for losses that a quarantined part explains", () => {
     const evidence = createCrashes(["deadly", "beside"], [0, 400, 800]);
     const explaining = new Set(["deadly"]);
--- a/packages/celerytray/src/serving/quarantine/own_evidence.ts
+++ b/packages/celerytray/src/serving/quarantine/own_evidence.ts
@@ -53,6 +53,8 @@
     this.#lostAtMs.set(incarnation, nowMs);
     for (const part of listSharedParts(parts)) {
       this.#crashes.noteCrash({ part, incarnation }, nowMs);
+      const safeAtMs = this.#safe.find(part, nowMs);
+      if (safeAtMs !== undefined) this.#crashes.noteSafe(part, safeAtMs);
     }
   }
 
--- a/packages/celerytray/src/serving/quarantine/prompt_quarantine.ts
+++ b/packages/celerytray/src/serving/quarantine/prompt_quarantine.ts
@@ -214,10 +214,13 @@
     const published = this.#published.get(part);
     const isCurrent = published !== undefined &&
       published.releaseOffset >= this.releaseOffset(part);
-    return Math.max(
-      isCurrent ? published.crashes : 0,
-      this.#own.crashes.countCrashes(part, new Set(this.#quarantined.keys())),
+    const ownCrashes = this.#own.crashes.countCrashes(
+      part,
+      new Set(this.#quarantined.keys()),
     );
+    if (!isCurrent || ownCrashes > published.crashes) return ownCrashes;
+    // The leader may know that another part explains the crashes better.
+    return published.state === "suspected" ? 1 : published.crashes;
   }
 
   #mayTry(part: string, nowMs: number): boolean {
--- a/packages/celerytray/src/serving/quarantine/quarantine_board.ts
+++ b/packages/celerytray/src/serving/quarantine/quarantine_board.ts
@@ -105,14 +105,14 @@
   }
 
   #describeSuspect(
-    { part, crashes }: PartAssessment,
+    { part, crashes, isExplained }: PartAssessment,
     trial: TrialGrant | undefined,
   ): SuspectPart {
     return {
       part,
       crashes,
       releaseOffset: this.#options.releaseOffset(part),
-      state: crashes >= HELD_CRASHES ? "held" : "suspected",
+      state: crashes >= HELD_CRASHES && !isExplained ? "held" : "suspected",
       ...(trial === undefined ? {} : { trial }),
     };
   }
@@ -159,7 +159,7 @@
    * once harmless requests would have been reported.
    */
   #findTrial(
-    { part, crashes, neededCrashes, lastCrashAtMs }: PartAssessment,
+    { part, crashes, needsTrial, lastCrashAtMs }: PartAssessment,
     { wantedBy, settleMs, nowMs }: {
       readonly wantedBy: string | undefined;
       readonly settleMs: number;
@@ -170,8 +170,7 @@
     if (last !== undefined && last.atMs > lastCrashAtMs) {
       if (nowMs - last.atMs < TRIAL_MS) return last.grant;
     }
-    const mayTry = crashes >= HELD_CRASHES &&
-      crashes < neededCrashes &&
+    const mayTry = crashes >= HELD_CRASHES && needsTrial &&
       nowMs - lastCrashAtMs >= settleMs;
     if (!mayTry || wantedBy === undefined) {
       if (!mayTry) this.#trials.delete(part);
--- a/packages/celerytray/src/serving/quarantine/simulated_days.ts
+++ b/packages/celerytray/src/serving/quarantine/simulated_days.ts
@@ -13,8 +13,8 @@
 export interface SimulatedDay {
   readonly seed: number;
   readonly durationMs: number;
-  /** Parts that crash each head that begins to write on them, with requests/s. */
-  readonly poison: readonly { readonly part: string; readonly rate: number }[];
+  /** Parts that crash each head that begins to write on them. */
+  readonly poison: readonly PoisonPart[];
   /** Losses of heads for other reasons, a second. */
   readonly lossRate: number;
   /** Heads that such a loss takes at once. */
@@ -25,6 +25,14 @@
   readonly newLeaderAtMs?: number;
 }
 
+/** A part that crashes heads, and the sound part that it always comes with. */
+export interface PoisonPart {
+  readonly part: string;
+  readonly beside: string;
+  /** Requests a second. */
+  readonly rate: number;
+}
+
 /** What a day came to. */
 export interface DayResult {
   /** Requests with a poisonous part sent once its bound was in force, by part. */
@@ -35,7 +43,6 @@
   readonly refusedShare: number;
 }
 
-export const SHARED_PART = "first";
 const STEP_MS = 25;
 const PROCESSES = 9;
 const HEADS = 12;
@@ -147,10 +154,10 @@
   for (let nowMs = 0; nowMs < day.durationMs; nowMs += STEP_MS) {
     const isDue = (rate: number) => random() < rate * STEP_MS / 1_000;
     for (let slot = 0; slot < SOUND_RATE * STEP_MS / 1_000; slot++) {
-      arrive([SHARED_PART, pickUsual()], undefined, nowMs);
+      arrive([pickUsual()], undefined, nowMs);
     }
-    for (const { part, rate } of day.poison) {
-      if (isDue(rate)) arrive([SHARED_PART, pickUsual(), part], part, nowMs);
+    for (const { part, beside, rate } of day.poison) {
+      if (isDue(rate)) arrive([beside, part], part, nowMs);
     }
     if (isDue(day.lossRate)) {
       for (let count = 0; count < day.headsPerLoss; count++) {
