Keep to the request rates that instances name, over all processes

Callers lost nothing by it; the replica in need did.

Cause: the header was not read. Class: a bound on the sum over all machines that no machine can see by itself.

Change: a process reports what answers name; the leader names, for each limited instance, the few processes that share its rate evenly: those with the most requests for it, as many as use it up, 16 at most, and no more than the users' slack bears if each sends two at once. They keep it while they use it. All others send it nothing. Until the leader has named it, or while no leader is heard, each process takes an equal part, from an empty bucket. An owner lost takes its right along for some seconds; one that is named anew overlaps with it for less than the slack. The limit ends with an answer to a later request that doesn't name it, with the incarnation, or after a minute without any answer. Every request takes a token on the one line before it is sent: new, repeated and resumed ones. Where all instances are at their limits, a request waits for its turn if that lies within half of its remaining time, and is refused at once with the time otherwise. Headers that can't be read are counted.

Why it works: the right to send lies with few processes whose parts sum to the limit, whatever the number of processes and the spread of their callers.

Tests: limited_backend_test fails without the change (all 40 requests go out as load has it). simulated_limits_test holds the bound over 9, 195 and 390 processes at 0.3 to 20 a second, with uneven callers, another leader, lost owners, no leader, and a limit that falls, and asks that three quarters of the limit are used.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -311,6 +311,7 @@
     if (this.#status.adopt(reply, source)) this.#changeSignal.notify();
     if (reply.updates !== undefined) {
       this.#options.quarantine.adopt(this.#status.quarantine);
+      this.#options.limits.adopt(this.#status.limits, this.#nowMs());
     }
   }
 
@@ -344,6 +345,7 @@
       repeats: options.retryTotals(),
       hasTraffic: options.hasTraffic(),
       quarantine: options.quarantine.report(this.#nowMs()),
+      limits: options.limits.report(this.#nowMs()),
     };
   }
 }
--- a/packages/celerytray/src/coordination/coordinator_options.ts
+++ b/packages/celerytray/src/coordination/coordinator_options.ts
@@ -6,7 +6,11 @@
 } from "../groups/index.ts";
 import type { RecordEvent } from "../journal/index.ts";
 import type { KeyedLog } from "../keyed_log/index.ts";
-import type { PromptQuarantine, WindowTotals } from "../serving/index.ts";
+import type {
+  InstanceLimits,
+  PromptQuarantine,
+  WindowTotals,
+} from "../serving/index.ts";
 import type { PeerNode } from "./peer_messages.ts";
 import type { PeerCalls } from "./peer_router.ts";
 import type { RelayedTopic } from "./relayed_topic.ts";
@@ -54,6 +58,8 @@
   readonly onLeaving: (incarnations: readonly LeavingIncarnation[]) => void;
   /** Parts of prompts that crash instances, as this process knows them. */
   readonly quarantine: PromptQuarantine;
+  /** Limits on the requests of instances, as this process knows them. */
+  readonly limits: InstanceLimits;
   readonly createController: (start: ControllerStart) => ReplicaController;
   /** Returns a random number from 0 to 1. */
   readonly random: () => number;
--- a/packages/celerytray/src/coordination/leader_follower.ts
+++ b/packages/celerytray/src/coordination/leader_follower.ts
@@ -276,10 +276,10 @@
 
 /**
  * Items that the leader must learn at once: stalled heads, leaving instances,
- * and what speaks for or against suspected parts of prompts.
+ * what speaks for or against suspected parts of prompts, and new limits.
  */
 function listUrgent(
-  { stalledHeads, leaving, quarantine }: PeerSummary,
+  { stalledHeads, leaving, quarantine, limits }: PeerSummary,
 ): readonly string[] {
   const { crashes, safe, wanted } = quarantine ?? EMPTY_REPORT;
   return [
@@ -287,6 +287,9 @@
     ...safe.map(({ part }) => `${part} safe`),
     ...wanted.map(({ part }) => `${part} wanted`),
     ...stalledHeads,
+    ...(limits?.sightings ?? []).map(({ incarnation, perSecond }) =>
+      `${incarnation} takes ${perSecond}`
+    ),
     ...leaving.map(({ instanceId }) => `${instanceId} leaving`),
   ];
 }
--- a/packages/celerytray/src/coordination/leader_status.ts
+++ b/packages/celerytray/src/coordination/leader_status.ts
@@ -1,5 +1,9 @@
 import type { LeaderRecord } from "../groups/index.ts";
-import type { SuspectPart, WindowTotals } from "../serving/index.ts";
+import type {
+  SharedLimit,
+  SuspectPart,
+  WindowTotals,
+} from "../serving/index.ts";
 import { maxStatusAgeMs, type StatusPath } from "./intervals.ts";
 import type {
   DemandTotals,
@@ -78,6 +82,14 @@
     return this.#updates.value.quarantine ?? [];
   }
 
+  /**
+   * Instances with a limit on requests; undefined if the leader's version does
+   * not know of limits.
+   */
+  get limits(): readonly SharedLimit[] | undefined {
+    return this.#updates.value.limits;
+  }
+
   get retryTotals(): Readonly<Record<string, WindowTotals>> {
     return this.#retryTotals;
   }
--- a/packages/celerytray/src/coordination/leader_term.ts
+++ b/packages/celerytray/src/coordination/leader_term.ts
@@ -5,24 +5,15 @@
   ReplicaRecord,
 } from "../groups/index.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
-import {
-  EMPTY_REPORT,
-  QuarantineBoard,
-  type QuarantinedPart,
-  type QuarantineReport,
-} from "../serving/index.ts";
-import {
-  evidenceSettleMs,
-  PUBLISH_INTERVAL_MS,
-  TAKEOVER_GRACE_MS,
-} from "./intervals.ts";
+import type { QuarantinedPart } from "../serving/index.ts";
+import { PUBLISH_INTERVAL_MS, TAKEOVER_GRACE_MS } from "./intervals.ts";
 import { FencedReplicaRecorder, type LeaderCheck } from "./leader_log.ts";
 import type { LeaderStatus } from "./leader_status.ts";
 import { SuccessorWatch } from "./successor_watch.ts";
 import type { PeerNode, PeerSummary } from "./peer_messages.ts";
 import type { ReportTable } from "./report_table.ts";
-import { recordQuarantine } from "./quarantine_recorder.ts";
-import { MAX_DIRECT_PROCESSES, selectRelays } from "./select_relays.ts";
+import { selectRelays } from "./select_relays.ts";
+import { SharedBoards } from "./shared_boards.ts";
 
 /** Dependencies of a leader for one term. */
 export interface LeaderTermOptions extends
@@ -35,6 +26,7 @@
     | "storeAnsweredAtMs"
     | "listLeaving"
     | "quarantine"
+    | "limits"
   > {
   readonly leader: LeaderRecord;
   readonly replicas: readonly ReplicaRecord[];
@@ -62,7 +54,7 @@
   readonly #controller: ReplicaController;
   readonly #successorWatch: SuccessorWatch;
   readonly #recorder: FencedReplicaRecorder;
-  readonly #board: QuarantineBoard;
+  readonly #boards: SharedBoards;
   readonly #sinceMs: number;
   /** Node ID of the leader that this process replaced. */
   readonly #predecessorId: string | undefined;
@@ -76,12 +68,7 @@
     this.#predecessorId = status.leader?.nodeId;
     status.setLeader(leader, this.#sinceMs);
     options.record("lead.taken", { term, replicas: replicas.length });
-    this.#board = new QuarantineBoard({
-      term,
-      releaseOffset: (part) => options.quarantine.releaseOffset(part),
-      onQuarantined: ({ part, crashes, incarnations }) =>
-        options.record("quarantine.decided", { part, crashes, incarnations }),
-    });
+    this.#boards = new SharedBoards({ ...options, term });
     this.#recorder = new FencedReplicaRecorder({
       log,
       term,
@@ -110,12 +97,12 @@
     return Effect.scoped(this.#controller.run()).pipe(
       Effect.raceFirst(this.#publishUntilStepDown()),
       Effect.raceFirst(this.#awaitSuccessor()),
-      Effect.raceFirst(recordQuarantine({
-        recorded: this.#options.quarantined,
-        quarantined: () => this.#board.quarantined,
-        put: (key, value) => this.#recorder.put(key, value),
-        record: this.#options.record,
-      })),
+      Effect.raceFirst(
+        this.#boards.recordQuarantine(
+          this.#options.quarantined,
+          (key, value) => this.#recorder.put(key, value),
+        ),
+      ),
     );
   }
 
@@ -164,20 +151,12 @@
 
   #publish(): boolean {
     const nowMs = this.#options.nowMs();
-    const { self, storeAnsweredAtMs, listLeaving, quarantine } = this.#options;
+    const { self, storeAnsweredAtMs, listLeaving } = this.#options;
     const summary = this.#options.summarize();
     const { processes: count, repeats, demand, tenantDemand } = summary;
     const processes = this.#isTakingOver(nowMs)
       ? this.#options.status.processes
       : count;
-    const suspects = this.#board.update(
-      this.#withOwnQuarantine(summary.quarantine),
-      {
-        nowMs,
-        settleMs: evidenceSettleMs(processes > MAX_DIRECT_PROCESSES),
-      },
-    );
-    quarantine.adopt(suspects);
     return this.#options.status.publish({
       processes,
       retryTotals: repeats,
@@ -192,19 +171,13 @@
       updates: {
         closedHeads: this.#controller.listClosedHeads(),
         leaving: listLeaving(),
-        ...(suspects.length === 0 ? {} : { quarantine: suspects }),
+        ...this.#boards.update(summary, processes),
       },
       // The store accepted this leader's record, which counts as a response.
       storeAnsweredAtMs: Math.max(storeAnsweredAtMs(), this.#sinceMs),
     }, nowMs);
   }
 
-  /** This leader knows parts in quarantine that no process reports any more. */
-  #withOwnQuarantine(report = EMPTY_REPORT): QuarantineReport {
-    const own = this.#options.quarantine.quarantined;
-    return { ...report, quarantined: [...own, ...report.quarantined] };
-  }
-
   /** Whether followers of the previous leader may not all report here yet. */
   #isTakingOver(nowMs: number): boolean {
     return this.#options.status.processes > 1 &&
--- a/packages/celerytray/src/coordination/peer_messages.ts
+++ b/packages/celerytray/src/coordination/peer_messages.ts
@@ -1,8 +1,11 @@
 import type { LeaderRecord, LeavingIncarnation } from "../groups/index.ts";
 import type { RelayedChange } from "../keyed_log/index.ts";
 import {
+  type LimitReport,
+  parseLimitReport,
   parseQuarantineReport,
   type QuarantineReport,
+  type SharedLimit,
   type SuspectPart,
   type WindowTotals,
 } from "../serving/index.ts";
@@ -36,6 +39,8 @@
   readonly leaving: readonly LeavingIncarnation[];
   /** Parts of prompts that crash instances; absent from earlier versions. */
   readonly quarantine?: readonly SuspectPart[];
+  /** Instances with a limit on requests; absent from earlier versions. */
+  readonly limits?: readonly SharedLimit[];
 }
 
 /** Aggregated state of the requests and instances of one or more processes. */
@@ -65,6 +70,8 @@
   readonly hasTraffic: boolean;
   /** Parts of prompts that crash instances; absent from earlier versions. */
   readonly quarantine?: QuarantineReport;
+  /** Limits on the requests of instances; absent from earlier versions. */
+  readonly limits?: LimitReport;
 }
 
 /** What a process already knows, which the reply omits. */
@@ -152,19 +159,24 @@
   const isValid = isPeerNode(report?.reporter) &&
     isPeerSummary(report?.summary) &&
     isKnownStatus(report?.known) && Number.isFinite(report?.holdMs);
-  if (isValid) return withQuarantine(report as PeerReport);
+  if (isValid) return withParsedParts(report as PeerReport);
   throw new Error("Malformed report; run one version on all machines");
 }
 
-/** Leaves out a quarantine report that can't be read. */
-function withQuarantine(report: PeerReport): PeerReport {
-  const { quarantine, ...summary } = report.summary;
-  const parsed = parseQuarantineReport(quarantine);
+/** Leaves out optional parts of a report that can't be read. */
+function withParsedParts(report: PeerReport): PeerReport {
+  const { quarantine, limits, ...summary } = report.summary;
+  const parsedQuarantine = parseQuarantineReport(quarantine);
+  const parsedLimits = parseLimitReport(limits);
   return {
     ...report,
-    summary: parsed === undefined
-      ? summary
-      : { ...summary, quarantine: parsed },
+    summary: {
+      ...summary,
+      ...(parsedQuarantine === undefined
+        ? {}
+        : { quarantine: parsedQuarantine }),
+      ...(parsedLimits === undefined ? {} : { limits: parsedLimits }),
+    },
   };
 }
 
--- a/packages/celerytray/src/coordination/report_table.ts
+++ b/packages/celerytray/src/coordination/report_table.ts
@@ -1,8 +1,9 @@
 import type { LeavingIncarnation } from "../groups/index.ts";
 import {
+  ageLimitReport,
   ageReport,
+  mergeLimitReports,
   mergeReports,
-  type QuarantineReport,
   type WindowTotals,
 } from "../serving/index.ts";
 import { reporterTimeoutMs } from "./intervals.ts";
@@ -35,22 +36,20 @@
 
   /** Processes that reported to this one recently. */
   listReporters(nowMs: number): readonly PeerNode[] {
-    return this.#listPresent(nowMs).map(({ reporter }) => reporter);
+    return this.#listPresent(nowMs).map(({ report }) => report.reporter);
   }
 
   /** Candidate relays named in the recent reports. */
   listCandidates(nowMs: number): readonly PeerNode[] {
-    return this.#listPresent(nowMs).flatMap(({ summary }) =>
-      summary.candidates
+    return this.#listPresent(nowMs).flatMap(({ report }) =>
+      report.summary.candidates
     );
   }
 
   /** Combines the summary of this process with those of its reporters. */
   summarize(own: PeerSummary, nowMs: number): PeerSummary {
-    const summaries = [
-      own,
-      ...this.#listPresent(nowMs).map(({ summary }) => summary),
-    ];
+    const present = this.#listPresent(nowMs);
+    const summaries = [own, ...present.map(({ report }) => report.summary)];
     return {
       processes: summaries.reduce((sum, { processes }) => sum + processes, 0),
       candidates: summaries.flatMap(({ candidates }) => candidates)
@@ -66,27 +65,29 @@
       hasTraffic: summaries.some(({ hasTraffic }) => hasTraffic),
       quarantine: mergeReports([
         own.quarantine,
-        ...this.#listAgedQuarantines(nowMs),
+        ...present.map(({ report, atMs }) =>
+          report.summary.quarantine === undefined
+            ? undefined
+            : ageReport(report.summary.quarantine, nowMs - atMs)
+        ),
+      ]),
+      limits: mergeLimitReports([
+        own.limits,
+        ...present.map(({ report, atMs }) =>
+          report.summary.limits === undefined
+            ? undefined
+            : ageLimitReport(report.summary.limits, nowMs - atMs)
+        ),
       ]),
     };
   }
 
-  #listAgedQuarantines(nowMs: number): readonly QuarantineReport[] {
-    this.#listPresent(nowMs);
-    return [...this.#reports.values()].flatMap(({ report, atMs }) => {
-      const { quarantine } = report.summary;
-      return quarantine === undefined
-        ? []
-        : [ageReport(quarantine, nowMs - atMs)];
-    });
-  }
-
-  #listPresent(nowMs: number): readonly PeerReport[] {
+  #listPresent(nowMs: number): readonly StoredReport[] {
     for (const [nodeId, { report, atMs }] of this.#reports) {
       const isPresent = nowMs - atMs < reporterTimeoutMs(report.holdMs);
       if (!isPresent) this.#reports.delete(nodeId);
     }
-    return [...this.#reports.values()].map(({ report }) => report);
+    return [...this.#reports.values()];
   }
 }
 
--- a/packages/celerytray/src/host/create_coordinator.ts
+++ b/packages/celerytray/src/host/create_coordinator.ts
@@ -3,7 +3,11 @@
 import { type LeavingIncarnation, ReplicaController } from "../groups/index.ts";
 import type { RecordEvent } from "../journal/index.ts";
 import { decodeRelayedChange, type KeyedLog } from "../keyed_log/index.ts";
-import type { PromptQuarantine, SharedRetryBudget } from "../serving/index.ts";
+import type {
+  InstanceLimits,
+  PromptQuarantine,
+  SharedRetryBudget,
+} from "../serving/index.ts";
 import type { HostOptions } from "./host_options.ts";
 import type { LoadTrackers } from "./load_trackers.ts";
 import type { OwnDemand } from "./own_demand.ts";
@@ -17,6 +21,7 @@
   readonly trackers: LoadTrackers;
   readonly retryBudget: SharedRetryBudget;
   readonly quarantine: PromptQuarantine;
+  readonly limits: InstanceLimits;
   readonly demand: OwnDemand;
   /** Time of the store's last response to this process. */
   readonly storeAnsweredAtMs: () => number;
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -16,8 +16,10 @@
 import { addGauges } from "./add_gauges.ts";
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { countStoreCalls } from "./count_store_calls.ts";
+import { countMalformedHeaders } from "./count_malformed_headers.ts";
 import { createAdmission } from "./create_admission.ts";
 import { createCoordinator, createIncarnation } from "./create_coordinator.ts";
+import { createLimits } from "./create_limits.ts";
 import { createQuarantine } from "./create_quarantine.ts";
 import { createRandom } from "./create_random.ts";
 import { drainCallers } from "./drain_callers.ts";
@@ -74,12 +76,19 @@
     const log = yield* countStoreCalls({ log: ports.log, metrics, record });
     const demand = new OwnDemand();
     const quarantine = createQuarantine({ settings, metrics, record });
+    const limits = createLimits({
+      settings,
+      coordinator: () => coordinator,
+      metrics,
+      record,
+    });
     const servers: { callers?: CallerServer } = {};
     const view: StoreView = new StoreView({
       settings,
       ports,
       trackers,
       quarantine,
+      limits,
       coordinator: () => coordinator,
       hasTraffic: () => demand.hasTraffic,
       onConfig: ({ limits }) => servers.callers?.setTimeouts(limits),
@@ -105,6 +114,7 @@
       trackers,
       retryBudget,
       quarantine,
+      limits,
       demand,
       storeAnsweredAtMs: () => contacts.config.answeredAtMs,
       random,
@@ -172,6 +182,7 @@
       coldLimiter: cold.rateLimiter,
       quarantine,
       suspectLoad: new SuspectLoad(),
+      limits,
       callerTimeouts: new CallerTimeoutTracker(),
       retryBudget,
       agentFor: (address) => pools.agentFor(address),
@@ -182,8 +193,7 @@
       noteLeaving: ({ instanceId, bornAtMs }) =>
         view.noteLeaving(createIncarnation(instanceId, bornAtMs)),
       onBackoff: (backoff) => record("instance.backoff", { ...backoff }),
-      onMalformedHeaders: (instanceId, message) =>
-        record("instance.head-malformed", { instanceId, message }),
+      onMalformedHeaders: countMalformedHeaders({ metrics, record }),
       onFault: (defect) =>
         recordFault({ name: "serving of a request", record }, defect),
       record: (call) => recordCall(call, { journal, metrics }),
--- a/packages/celerytray/src/host/store_view.ts
+++ b/packages/celerytray/src/host/store_view.ts
@@ -8,6 +8,7 @@
 import { type KeyedChange, TopicCopy } from "../keyed_log/index.ts";
 import {
   findHomeProblems,
+  type InstanceLimits,
   type PromptQuarantine,
   type ServingConfig,
 } from "../serving/index.ts";
@@ -23,6 +24,7 @@
   extends Pick<HostOptions, "settings" | "ports"> {
   readonly trackers: LoadTrackers;
   readonly quarantine: PromptQuarantine;
+  readonly limits: InstanceLimits;
   readonly coordinator: () => Coordinator;
   /** Whether this process has had requests. */
   readonly hasTraffic: () => boolean;
@@ -127,6 +129,7 @@
     this.cold.noteList(change);
     const isPresent = (id: string) => this.instances.find(id) !== undefined;
     removeAbsentInstances(trackers, isPresent, nowMs());
+    this.#options.limits.keepOnly(isPresent);
   }
 
   /** Applies an instance's announcement that it is leaving. */
--- a/packages/celerytray/src/platform/call_codec.ts
+++ b/packages/celerytray/src/platform/call_codec.ts
@@ -90,6 +90,7 @@
     const callId = readSingleHeader(response, HEADER_NAMES.callId);
     const load = decodeLoad(readSingleHeader(response, HEADER_NAMES.load));
     const backoff = decodeBackoff(response);
+    const limit = decodeLimit(response);
     const encoding = response.headers["content-encoding"];
     const status = response.statusCode ?? 0;
     return {
@@ -108,6 +109,7 @@
       ),
       ...(callId === undefined ? {} : { callId }),
       ...(load === undefined ? {} : { load }),
+      ...limit,
       ...backoff,
     };
   }
@@ -116,8 +118,8 @@
 const MISDIRECTED_STATUS = 421;
 const UNAVAILABLE_STATUS = 503;
 
-/** Seconds with an optional fraction, short enough for a number to hold. */
-const SECONDS_PATTERN = /^[0-9]{1,12}(?:\.[0-9]{1,12})?$/;
+/** A number with an optional fraction, short enough to be held exactly. */
+const DECIMAL_PATTERN = /^[0-9]{1,12}(?:\.[0-9]{1,12})?$/;
 
 /**
  * Decodes the retry-after header of a 503: the time for which the instance
@@ -131,7 +133,7 @@
     return {};
   }
   const [text = ""] = values;
-  if (values.length > 1 || !SECONDS_PATTERN.test(text)) {
+  if (values.length > 1 || !DECIMAL_PATTERN.test(text)) {
     const shown = values.join().slice(0, MAX_SHOWN_CHARACTERS);
     return {
       malformed: `${HEADER_NAMES.retryAfter} is ${shown}, not in seconds`,
@@ -140,6 +142,26 @@
   return { backoffMs: Number(text) * 1000 };
 }
 
+/**
+ * Decodes the header that names the requests a second which the instance takes
+ * from all machines together.
+ */
+function decodeLimit(
+  response: IncomingMessage,
+): Pick<ResponseHeaders, "hasLimit" | "limitPerSecond" | "malformed"> {
+  const values = response.headersDistinct[HEADER_NAMES.limit];
+  if (values === undefined) return { hasLimit: false };
+  const [text = ""] = values;
+  if (values.length > 1 || !DECIMAL_PATTERN.test(text)) {
+    const shown = values.join().slice(0, MAX_SHOWN_CHARACTERS);
+    return {
+      hasLimit: true,
+      malformed: `${HEADER_NAMES.limit} is ${shown}, not requests a second`,
+    };
+  }
+  return { hasLimit: true, limitPerSecond: Number(text) };
+}
+
 /** Length to which a malformed value is cut for the log. */
 const MAX_SHOWN_CHARACTERS = 40;
 
--- a/packages/celerytray/src/platform/words.ts
+++ b/packages/celerytray/src/platform/words.ts
@@ -16,6 +16,7 @@
   lastEventId: "last-event-id",
   priority: "request-priority",
   retryAfter: "retry-after",
+  limit: "server-limit",
 } as const;
 
 /** Whether any value of a flag header is 1. */
--- a/packages/celerytray/src/serving/admission/call_admission_test.ts
+++ b/packages/celerytray/src/serving/admission/call_admission_test.ts
@@ -13,6 +13,7 @@
   hasServerStamp: true,
   isEncoded: false,
   isEventStream: true,
+  hasLimit: false,
   forwardedHeaders: [],
 };
 const CONGESTED: ResponseHeaders = {
--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -13,6 +13,7 @@
 import type { StreamEvent } from "./event_splitter.ts";
 import { tryMove } from "./find_target.ts";
 import { AttemptWatch } from "./quarantine/index.ts";
+import { createPool } from "./rate_limit/index.ts";
 import { runAttempt } from "./run_attempt.ts";
 
 /** Priority levels by which a request is lowered that can only be late. */
@@ -92,7 +93,14 @@
       onHeaders: (fields) => {
         timing.noteHeaders(nowMs());
         watch.noteHeaders(nowMs());
-        noteHeaders({ call, dependencies, target, fields, nowMs: nowMs() });
+        noteHeaders({
+          call,
+          dependencies,
+          target,
+          fields,
+          sentAtMs: startedAtMs,
+          nowMs: nowMs(),
+        });
       },
       onProgress: () => stalls.noteProgress(instanceId, nowMs()),
       maySend: () => findWithheldReason(options, nowMs()) === undefined,
@@ -150,12 +158,13 @@
   readonly dependencies: ServingDependencies;
   readonly target: ServingTarget;
   readonly fields: ResponseHeaders;
+  readonly sentAtMs: number;
   readonly nowMs: number;
 }
 
 /** Records what the header fields of a response report about its instance. */
 function noteHeaders(
-  { call, dependencies, target, fields, nowMs }: ReceivedHeaders,
+  { call, dependencies, target, fields, sentAtMs, nowMs }: ReceivedHeaders,
 ): void {
   const { instanceId } = target;
   const { loads, backoffs, onBackoff, onMalformedHeaders: onMalformed } =
@@ -167,6 +176,12 @@
     const backoffMs = backoffs.noteBackoff(instanceId, fields.backoffMs, nowMs);
     onBackoff({ instanceId, askedMs: fields.backoffMs, backoffMs });
   }
+  const { limitPerSecond: perSecond } = fields;
+  if (perSecond !== undefined || !fields.hasLimit) {
+    const pool = createPool(call);
+    const response = { target, pool, perSecond, sentAtMs };
+    dependencies.limits.noteResponse(response, nowMs);
+  }
   if (fields.malformed !== undefined) onMalformed(instanceId, fields.malformed);
 }
 
--- a/packages/celerytray/src/serving/call.ts
+++ b/packages/celerytray/src/serving/call.ts
@@ -62,6 +62,13 @@
   readonly load?: InstanceLoad;
   /** Time for which the instance asks this machine to send no requests. */
   readonly backoffMs?: number;
+  /**
+   * Requests a second that the instance takes from all machines together;
+   * undefined if it names no limit, or one that can't be read.
+   */
+  readonly limitPerSecond?: number;
+  /** Whether it names a limit, readable or not. */
+  readonly hasLimit: boolean;
   /** Describes a header that could not be parsed and is ignored. */
   readonly malformed?: string;
   /** Alternating names and values of the headers to forward. */
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -3,6 +3,7 @@
 import type { CallerTimeoutTracker } from "./caller_timeout_tracker.ts";
 import type { CallCodec, CallHeaders } from "./call.ts";
 import type { PromptQuarantine, SuspectLoad } from "./quarantine/index.ts";
+import type { InstanceLimits } from "./rate_limit/index.ts";
 import type { ColdRateLimiter } from "./cold_rate_limiter.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { HeldBytes } from "./held_bytes.ts";
@@ -47,6 +48,8 @@
   readonly prompts: PromptBacklog;
   readonly quarantine: PromptQuarantine;
   readonly suspectLoad: SuspectLoad;
+  /** Keeps to the request rates that instances allow. */
+  readonly limits: InstanceLimits;
   readonly queueWaits: QueueWaitEstimator;
   readonly retryBudget: SharedRetryBudget;
   readonly callerTimeouts: CallerTimeoutTracker;
--- a/packages/celerytray/src/serving/conclude_call.ts
+++ b/packages/celerytray/src/serving/conclude_call.ts
@@ -63,6 +63,20 @@
   });
 }
 
+/** Refuses a request whose targets allow no further request for too long. */
+export function refuseWhileLimited(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  { waitMs, nowMs }: { readonly waitMs: number; readonly nowMs: number },
+): AttemptsResult {
+  const remainingMs = Math.max(0, options.call.deadlineAtMs - nowMs);
+  return conclude(options, progress, {
+    message: "Every back end has reached the request rate that it allows",
+    unknownStatus: 502,
+    retryAfterMs: Math.min(waitMs, remainingMs * RETRY_AFTER_FRACTION),
+  });
+}
+
 /** Refuses a request that no replica can take before its deadline. */
 export function refuseInQueue(
   options: AttemptsOptions,
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -10,6 +10,7 @@
 import { PaceTracker } from "./pace_tracker.ts";
 import { PromptBacklog } from "./prompt_backlog.ts";
 import { PromptQuarantine, SuspectLoad } from "./quarantine/index.ts";
+import { InstanceLimits } from "./rate_limit/index.ts";
 import { QueueWaitEstimator } from "./queue_wait_estimator.ts";
 import { SharedRetryBudget } from "./shared_retry_budget.ts";
 import { BackoffTracker } from "./backoff_tracker.ts";
@@ -53,6 +54,12 @@
     prompts: new PromptBacklog(),
     quarantine: createTestQuarantine(),
     suspectLoad: new SuspectLoad(),
+    limits: new InstanceLimits({
+      nodeId: "p",
+      countProcesses: () => 1,
+      isStatusFresh: () => false,
+      onChange: () => {},
+    }),
     callerTimeouts: new CallerTimeoutTracker(),
     held: new HeldBytes({ maxBytes: MAX_HELD_BYTES, onCut: () => {} }),
     lag: { lagMs: () => 0, isBehind: () => false },
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -8,9 +8,11 @@
 } from "./attempt_progress.ts";
 import type { AbandonReason } from "./stall_detector.ts";
 import { type ColdSearch, planColdWait } from "./cold_wait.ts";
+import { type LimitedSearch, planLimitWait } from "./limit_wait.ts";
 import type { ExclusionReason } from "./call_context.ts";
 import type { PromptRefusal } from "./quarantine/index.ts";
 import { promptReadMs } from "./prompt_backlog.ts";
+import { createPool } from "./rate_limit/index.ts";
 import {
   chooseTarget,
   isPreferred,
@@ -36,6 +38,7 @@
   /** Every instance that could take it requested a back-off. */
   | { readonly kind: "backing-off"; readonly backoffMs: number }
   | ColdSearch
+  | LimitedSearch
   /** No instance may get it, now or soon. */
   | { readonly kind: "barred"; readonly reason: ExclusionReason }
   /** Admission control refuses it, as it can't be sent before its deadline. */
@@ -54,10 +57,11 @@
   options: AttemptsOptions,
   progress: AttemptProgress,
 ): Effect.Effect<TargetSearch> {
-  const { call, dependencies: { admission } } = options;
+  const { call, dependencies: { admission, limits } } = options;
   const { targetMs, isStream } = call.route;
   return Effect.gen(function* (): Effect.fn.Return<TargetSearch> {
     let startedAtMs = yield* steadyMs;
+    limits.noteSought(createPool(call), startedAtMs);
     while (true) {
       const nowMs = yield* steadyMs;
       const promptRefusal = findPromptRefusal(options, progress, nowMs);
@@ -80,7 +84,7 @@
       if (search.kind === "barred" || search.kind === "no-replica") {
         return search;
       }
-      if (search.kind === "cold") {
+      if (search.kind === "cold" || search.kind === "limited") {
         if (search.pollAfterMs === undefined) return search;
         yield* Effect.sleep(search.pollAfterMs);
         continue;
@@ -179,8 +183,13 @@
     : findNoReplicaDelay(options, choice);
   if (noReplica !== undefined) return noReplica;
   const untried = targets.filter(({ instanceId }) => !tried.has(instanceId));
-  const cold = untried.filter(({ instanceId }) => !isBackingOff(instanceId));
-  if (cold.length > 0) return planColdWait(options, cold, nowMs);
+  const waiting = untried.filter(({ instanceId }) => !isBackingOff(instanceId));
+  const { coldLimiter } = options.dependencies;
+  const limited = waiting.filter((target) =>
+    coldLimiter.maySend(target, nowMs)
+  );
+  if (limited.length > 0) return planLimitWait(options, limited, nowMs);
+  if (waiting.length > 0) return planColdWait(options, waiting, nowMs);
   const backoffMs = backoffs.shortestBackoffMs(
     untried.map(({ instanceId }) => instanceId),
     nowMs,
@@ -193,7 +202,8 @@
   progress: AttemptProgress,
   nowMs: number,
 ): TargetChoice {
-  const { stalls, paces, backoffs, prompts, suspectLoad } = dependencies;
+  const { stalls, paces, backoffs, prompts, suspectLoad, limits } =
+    dependencies;
   const { model } = call.headers;
   const engine = dependencies.index()?.config.services.get(call.service)
     ?.engine;
@@ -210,7 +220,9 @@
       promptReadMs(prompts.tokensAt(instanceId), engine, model),
     targetMs: call.route.targetMs,
     isBackingOff: (id) => backoffs.isBackingOff(id, nowMs),
-    maySend: (target) => dependencies.coldLimiter.maySend(target, nowMs),
+    maySend: (target) =>
+      dependencies.coldLimiter.maySend(target, nowMs) &&
+      limits.findWaitMs(target, nowMs) === 0,
     isSilent: (id) => stalls.isSilent(id, nowMs),
     isSlow: (target) => paces.isSlow(target, nowMs),
     hasSuspect: (id) => suspectLoad.has(id),
@@ -240,7 +252,9 @@
   const choice: TargetChoice = {
     ...createChoice(options, progress, nowMs),
     // A single token would let all requests at a head move to the same instance.
-    maySend: (target) => dependencies.coldLimiter.isWarm(target, nowMs),
+    maySend: (target) =>
+      dependencies.coldLimiter.isWarm(target, nowMs) &&
+      !dependencies.limits.isLimited(target, nowMs),
   };
   const target = chooseTarget(choice);
   if (target === undefined || !isPreferred(target, choice)) return false;
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -57,6 +57,17 @@
   SuspectLoad,
   type SuspectPart,
 } from "./quarantine/index.ts";
+export {
+  ageLimitReport,
+  EMPTY_LIMIT_REPORT,
+  InstanceLimits,
+  LimitBoard,
+  type LimitChange,
+  type LimitReport,
+  mergeLimitReports,
+  parseLimitReport,
+  type SharedLimit,
+} from "./rate_limit/index.ts";
 export { runAttempt } from "./run_attempt.ts";
 export { serveCall } from "./serve_call.ts";
 export type {
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -23,6 +23,7 @@
   refuseInQueue,
   refuseWhileBackingOff,
   refuseWhileCold,
+  refuseWhileLimited,
   refuseWithoutReplica,
 } from "./conclude_call.ts";
 import { awaitTarget } from "./find_target.ts";
@@ -78,6 +79,13 @@
           nowMs,
         });
       }
+      if (search.kind === "limited") {
+        const nowMs = yield* steadyMs;
+        return refuseWhileLimited(options, progress, {
+          waitMs: search.waitMs,
+          nowMs,
+        });
+      }
       if (search.kind === "quarantined") {
         dependencies.onWithheld("quarantine");
         return refuseForPrompt(options, progress, search.refusal);
@@ -97,9 +105,10 @@
       if (reason !== undefined) {
         return yield* withhold(options, progress, reason);
       }
-      // Every request passes this check, so that cold instances never get more
-      // than their limit.
+      // Every request passes these checks, so that cold and limited instances
+      // never get more than their limits.
       if (!dependencies.coldLimiter.tryTakeToken(target, nowMs)) continue;
+      if (!dependencies.limits.tryTakeToken(target, nowMs)) continue;
       const isRetry = progress.deliveries > 0;
       if (isRetry && call.deadlineAtMs - nowMs < MIN_RETRY_REMAINING_MS) {
         return giveUp(options, progress, "Too little time remains for a retry");
--- a/packages/fakes/src/coordination/coordinated_process.ts
+++ b/packages/fakes/src/coordination/coordinated_process.ts
@@ -1,5 +1,6 @@
 import {
   type Coordinator,
+  type InstanceLimits,
   type LeavingIncarnation,
   type PeerCalls,
   type PeerNode,
@@ -17,6 +18,7 @@
   readonly node: PeerNode;
   readonly coordinator: Coordinator;
   readonly quarantine: PromptQuarantine;
+  readonly limits: InstanceLimits;
   /** Instances that it knows to be leaving, by id. */
   readonly leaving: Map<string, LeavingIncarnation>;
   /** Reports that it received. */
--- a/packages/fakes/src/coordination/simulated_cluster.ts
+++ b/packages/fakes/src/coordination/simulated_cluster.ts
@@ -1,6 +1,7 @@
 import {
   Coordinator,
   CountingLog,
+  InstanceLimits,
   InstanceListView,
   type LeavingIncarnation,
   type PeerNode,
@@ -126,9 +127,16 @@
   });
   const { nodeId } = node;
   const quarantine = new PromptQuarantine({ nodeId, onEvent: () => {} });
+  const limits = new InstanceLimits({
+    nodeId,
+    countProcesses: () => process.coordinator.countProcesses(),
+    isStatusFresh: () => process.coordinator.statusAgeMs() !== undefined,
+    onChange: () => {},
+  });
   const process: CoordinatedProcess = {
     node,
     quarantine,
+    limits,
     leaving,
     reportCount: 0,
     relayedProofAtMs: 0,
@@ -144,6 +152,7 @@
       client: createPeerCalls(processes),
       listStalledHeads: () => [],
       quarantine,
+      limits,
       listSlowHeads: () => [],
       demand: () => ({ [SHARED_MODEL]: 1 }),
       retryTotals: () => ({}),
--- a/packages/fakes/src/fleet/fleet_simulation.ts
+++ b/packages/fakes/src/fleet/fleet_simulation.ts
@@ -1,6 +1,7 @@
 import {
   Coordinator,
   type EngineSpec,
+  InstanceLimits,
   InstanceListView,
   type InstanceState,
   type KeyedChange,
@@ -201,6 +202,12 @@
     client: createPeerCalls(processes, isPartitioned),
     listStalledHeads,
     quarantine: new PromptQuarantine({ nodeId, onEvent: () => {} }),
+    limits: new InstanceLimits({
+      nodeId,
+      countProcesses: () => 1,
+      isStatusFresh: () => false,
+      onChange: () => {},
+    }),
     listSlowHeads: () => fleet.listSlowHeads().map(({ id }) => id),
     demand: () => ({}),
     retryTotals: () => ({}),
