Let the soak send poison prompts and name request limits

Nothing in the soak had a request that harms by its content, or an instance that names a limit, so neither incident could show there. Each series of a plan draws one of both from a generator of its own, so that the plans of known seeds keep their other faults. Two checks with the users' bounds: limit-bound and poison-bound, excused where a fault touched the process, the instance or the store in the last 3 s. The front that plants faults serves no models; both checks are tested on histories.

--- a/packages/fakes/src/platform/fake_http_instance.ts
+++ b/packages/fakes/src/platform/fake_http_instance.ts
@@ -48,6 +48,8 @@
   readonly executedCallIds: string[] = [];
   isAlive = true;
   isLeaving = false;
+  /** Requests a second that its answers say it takes from all machines. */
+  limitPerSecond: number | undefined;
   coldUntilMs: number;
   readonly #onArrival: (arrival: FakeArrival) => void;
 
@@ -115,7 +117,12 @@
   }
 
   protected createLeavingHeaders(): Record<string, string> {
-    return this.isLeaving ? { "server-leaving": "1" } : {};
+    return {
+      ...(this.isLeaving ? { "server-leaving": "1" } : {}),
+      ...(this.limitPerSecond === undefined
+        ? {}
+        : { "server-limit": String(this.limitPerSecond) }),
+    };
   }
 
   #reportArrival(
--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -45,6 +45,11 @@
       return await applyToInstance(cluster, action, durationMs);
     case "evacuate":
       return await evacuate(cluster, action.zone, durationMs);
+    case "limit":
+      return await limitRequests(cluster, action, durationMs);
+    case "poison":
+      await callers.poison(cluster, { part: action.part, durationMs });
+      return true;
     case "burst":
       await callers.burst(cluster, durationMs);
       return true;
@@ -149,6 +154,21 @@
   return true;
 }
 
+async function limitRequests(
+  { platform, history }: SoakCluster,
+  { instance: id, perSecond }: ActionOf<"limit">,
+  durationMs: number,
+): Promise<boolean> {
+  const server = platform.find(id);
+  if (!server.isAlive || server.limitPerSecond !== undefined) return false;
+  server.limitPerSecond = perSecond;
+  const end = history.beginLimit(id, perSecond);
+  await sleep(durationMs);
+  end();
+  server.limitPerSecond = undefined;
+  return true;
+}
+
 async function recordCold(
   { history }: SoakCluster,
   id: string,
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -17,6 +17,13 @@
   coldPerSecond: 18,
   coldOvershoot: 1.5,
   coldSlackRequests: 5,
+  /** Time after which what one process learnt binds all. */
+  stableWindowMs: 3_000,
+  limitWindowMs: 4_000,
+  limitFactor: 1.5,
+  limitSlackRequests: 5,
+  poisonCrashes: 5,
+  poisonRequests: 3,
   /** Memory limit of the smallest machines. */
   memoryMb: 202,
 } as const;
@@ -42,6 +49,8 @@
   { name: "bounded-memory", find: findLargeProcesses },
   { name: "evacuated-zone", find: findEvacuatedArrivals },
   { name: "cold-bound", find: findColdOverloads },
+  { name: "limit-bound", find: findLimitOverloads },
+  { name: "poison-bound", find: findPoisonArrivals },
 ];
 
 /** Each caller gets its own complete answer. */
@@ -155,6 +164,75 @@
   });
 }
 
+/** An instance receives no more than the users' bound on the limit that it names. */
+function findLimitOverloads(history: SoakHistory): readonly string[] {
+  const { limitFactor, limitSlackRequests, limitWindowMs, stableWindowMs } =
+    bounds;
+  return history.limitPeriods.flatMap(({ name, perSecond, fromMs, toMs }) => {
+    const allowed = Math.floor(
+      limitFactor * perSecond * limitWindowMs / 1_000 + limitSlackRequests,
+    );
+    const times = listBoundArrivals(history, stableWindowMs).filter((
+      { instanceId, isMisdirected, atMs },
+    ) =>
+      instanceId === name && !isMisdirected &&
+      atMs >= fromMs + stableWindowMs && atMs <= toMs
+    ).map(({ atMs }) => atMs);
+    const isOver = times.some((atMs, index) =>
+      (times[index + allowed] ?? Number.POSITIVE_INFINITY) - atMs <
+        limitWindowMs
+    );
+    return isOver
+      ? [
+        `${name}, limited to ${perSecond} a second, got over ${allowed} in 4 s`,
+      ]
+      : [];
+  });
+}
+
+/** Prompts that crash instances hardly reach any once they have crashed five. */
+function findPoisonArrivals(history: SoakHistory): readonly string[] {
+  const { poisonCrashes, poisonRequests, stableWindowMs } = bounds;
+  const partOf = new Map(
+    history.calls.map(({ callId, deadlyPart }) => [callId, deadlyPart]),
+  );
+  const parts = new Set(history.calls.map(({ deadlyPart }) => deadlyPart));
+  parts.delete(undefined);
+  return [...parts].flatMap((part) => {
+    const runs = history.arrivals.filter(({ callId, hasRun }) =>
+      hasRun && partOf.get(callId) === part
+    );
+    const fifth = runs[poisonCrashes - 1];
+    if (fifth === undefined) return [];
+    const late = listBoundArrivals(history, stableWindowMs).filter((
+      { callId, atMs },
+    ) => partOf.get(callId) === part && atMs > fifth.atMs + stableWindowMs);
+    return late.length > poisonRequests
+      ? [
+        `${late.length} prompts with ${part} were sent after ${poisonCrashes} crashes`,
+      ]
+      : [];
+  });
+}
+
+/** Arrivals from processes that no fault has touched for a time. */
+function listBoundArrivals(
+  history: SoakHistory,
+  calmMs: number,
+): readonly FakeArrival[] {
+  const processOf = new Map(
+    history.calls.map(({ callId, process }) => [callId, process]),
+  );
+  return history.arrivals.filter(({ callId, instanceId, atMs }) =>
+    !history.injectedFaults.some(({ target, fromMs, toMs }) =>
+      fromMs <= atMs && toMs + calmMs >= atMs &&
+      (target.kind === "store" ||
+        (target.kind === "instance" && target.name === instanceId) ||
+        target.name === processOf.get(callId))
+    )
+  );
+}
+
 /** An accepted request is answered, unless the process or its link failed. */
 function findLosses(history: SoakHistory): readonly string[] {
   return history.calls.filter((call) => {
--- a/packages/soak/src/faulty_front_test.ts
+++ b/packages/soak/src/faulty_front_test.ts
@@ -49,6 +49,8 @@
     actions: [BURST, COOL],
   },
 ];
+/** Tested in checks_test.ts on histories, as this front has no models. */
+const HISTORY_CHECKS = ["limit-bound", "poison-bound"];
 /** Longer than all time bounds except that of withdrawn keys. */
 const ACTION_DURATION_MS = 8_000;
 /**
@@ -72,7 +74,7 @@
   }
 
   it("has a test case", () => {
-    expect(new Set(CASES.map(({ check }) => check)))
+    expect(new Set([...CASES.map(({ check }) => check), ...HISTORY_CHECKS]))
       .toEqual(new Set(checks.map(({ name }) => name)));
   });
 });
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -9,6 +9,8 @@
   readonly kind: CallKind;
   readonly callId: string;
   readonly key: string;
+  /** Part of its prompt that crashes model instances. */
+  readonly deadlyPart?: string;
   readonly sentAtMs: number;
   /** Body of the complete answer. */
   readonly expected: string;
@@ -33,6 +35,11 @@
   readonly name: string;
 }
 
+/** Interval in which an instance names a limit on its requests. */
+export interface LimitInterval extends StateInterval {
+  readonly perSecond: number;
+}
+
 /** Exit of a process. */
 export interface ProcessExit {
   readonly process: string;
@@ -60,6 +67,7 @@
   readonly leavePeriods: StateInterval[] = [];
   readonly coldPeriods: StateInterval[] = [];
   readonly evacuations: StateInterval[] = [];
+  readonly limitPeriods: LimitInterval[] = [];
   readonly exits: ProcessExit[] = [];
   /** Resident memory of the processes. */
   readonly memorySamples: {
@@ -77,6 +85,11 @@
     return beginInterval(this.injectedFaults, { target, fault });
   }
 
+  /** Records the start of a limit; returns a function that records its end. */
+  beginLimit(name: string, perSecond: number): () => void {
+    return beginInterval(this.limitPeriods, { name, perSecond });
+  }
+
   /** Records the start of a state; returns a function that records its end. */
   beginState(intervals: StateInterval[], name: string): () => void {
     return beginInterval(intervals, { name });
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -25,7 +25,13 @@
   | { readonly kind: "config" }
   | { readonly kind: "die" | "leave" | "cool"; readonly instance: string }
   | { readonly kind: "evacuate"; readonly zone: string }
-  | { readonly kind: "burst" };
+  | { readonly kind: "burst" }
+  | {
+    readonly kind: "limit";
+    readonly instance: string;
+    readonly perSecond: number;
+  }
+  | { readonly kind: "poison"; readonly part: string };
 
 /** An action with its start in the series and its duration. */
 export interface PlannedFault {
@@ -59,16 +65,28 @@
 const FIXED_DURATIONS_MS: Partial<Record<FaultAction["kind"], number>> = {
   evacuate: 8_000,
   leave: 6_000,
+  limit: 10_000,
+  poison: 10_000,
 };
+const LIMITS_PER_SECOND = [0.5, 1, 2, 5];
+/** The faults that were added later have a generator of their own. */
+const LATER_FAULTS_SEED = 1_000_000;
 
 /** Creates a random plan; the same seed gives the same plan. */
 export function createPlan(seed: number, targets: PlanTargets): SoakPlan {
   const random = new PlanRandom(seed);
+  const later = new PlanRandom(LATER_FAULTS_SEED + seed);
   const keys = [...targets.keys];
-  const series = Array.from({ length: SERIES_COUNT }, () => {
+  const series = Array.from({ length: SERIES_COUNT }, (_, index) => {
     const count = random.integer(MIN_FAULTS, MAX_FAULTS);
-    return Array.from({ length: count }, () => drawFault(random, targets, keys))
-      .sort((left, right) => left.atMs - right.atMs);
+    const faults = Array.from(
+      { length: count },
+      () => drawFault(random, targets, keys),
+    );
+    return [...faults, drawLaterFault(later, targets, index)].sort((
+      left,
+      right,
+    ) => left.atMs - right.atMs);
   });
   return { seed, series };
 }
@@ -103,6 +121,26 @@
   };
 }
 
+function drawLaterFault(
+  random: PlanRandom,
+  { instances }: PlanTargets,
+  series: number,
+): PlannedFault {
+  const kind = random.pick(["limit", "poison"] as const);
+  const action: FaultAction = kind === "limit"
+    ? {
+      kind,
+      instance: random.pick(instances),
+      perSecond: random.pick(LIMITS_PER_SECOND),
+    }
+    : { kind, part: `deadly-${series}` };
+  return {
+    atMs: random.integer(0, SERIES_DURATION_MS),
+    durationMs: FIXED_DURATIONS_MS[kind]!,
+    action,
+  };
+}
+
 function drawAction(
   random: PlanRandom,
   targets: PlanTargets,
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -13,6 +13,8 @@
 /** Pause between two calls of a caller; limits the load of the whole soak. */
 const CALL_PAUSE_MS = 150;
 const BURST_CALL_PAUSE_MS = 10;
+const POISON_CALL_PAUSE_MS = 300;
+const RESTART_INTERVAL_MS = 1_000;
 const DEADLINE_MS = 3_000;
 
 /** Callers that each send requests to a process on one open connection. */
@@ -61,6 +63,39 @@
     );
   }
 
+  /**
+   * Sends prompts with a part that crashes model instances to all processes for
+   * a time, and restarts the instances that crash.
+   */
+  async poison(
+    cluster: SoakCluster,
+    { part, durationMs }: {
+      readonly part: string;
+      readonly durationMs: number;
+    },
+  ): Promise<void> {
+    const { platform, history } = cluster;
+    platform.deadlyParts.add(part);
+    const end = history.beginFault({ kind: "instance" }, "poison");
+    const endMs = performance.now() + durationMs;
+    const callers = [...cluster.processes.values()].map((process) =>
+      this.#loop(
+        { process, kind: "stream", key: soakKeys.steady, deadlyPart: part },
+        POISON_CALL_PAUSE_MS,
+        () => performance.now() > endMs,
+      )
+    );
+    while (performance.now() < endMs) {
+      await sleep(RESTART_INTERVAL_MS);
+      for (const id of platform.crashedIds) {
+        if (!platform.find(id).isAlive) await platform.restart(id);
+      }
+    }
+    await Promise.all(callers);
+    platform.deadlyParts.delete(part);
+    end();
+  }
+
   /** Stops the callers after each has received its last answer. */
   async stop(): Promise<void> {
     this.#isStopped = true;
@@ -76,7 +111,10 @@
     agent.destroy();
   }
 
-  async #call({ process, kind, key }: Caller, agent: Agent): Promise<void> {
+  async #call(
+    { process, kind, key, deadlyPart }: Caller,
+    agent: Agent,
+  ): Promise<void> {
     const callId = `call-${this.#callCount++}`;
     const prompt = `prompt of ${callId}`;
     const call: CallRecord = {
@@ -84,6 +122,7 @@
       kind,
       callId,
       key,
+      ...(deadlyPart === undefined ? {} : { deadlyPart }),
       sentAtMs: performance.now(),
       expected: kind === "stream" ? createCompleteStream(prompt) : prompt,
     };
@@ -96,7 +135,12 @@
       prompt,
       deadlineMs: DEADLINE_MS,
       agent,
-      ...(kind === "stream" ? { model: FAKE_MODEL } : {}),
+      ...(kind === "stream"
+        ? {
+          model: FAKE_MODEL,
+          promptParts: `first:1,${deadlyPart ?? "usual"}:1,${callId}:1`,
+        }
+        : {}),
     });
     call.endedAtMs = performance.now();
     // Without a local port there was no connection, and nothing was sent.
@@ -111,4 +155,5 @@
   readonly process: SoakProcess;
   readonly kind: CallKind;
   readonly key: string;
+  readonly deadlyPart?: string;
 }
