Leave the quarantine of a part to the leader that names it

Found in reading: a process quarantined a part by the losses that it saw alone after 2.5 s, also where the leader named the part and knew of harmless requests at other processes; the leader then took the conclusion over for all. A part that is sound but seldom at one process could be refused everywhere.

Now only parts that the leader's status does not name are concluded alone.

--- a/packages/celerytray/src/explain/explain_call_test.ts
+++ b/packages/celerytray/src/explain/explain_call_test.ts
@@ -29,6 +29,16 @@
     .toEqual({ calls: [], causes: [] });
 });
 
+it("includes the decision on a part of the prompt, however long ago", () => {
+  const lines = [
+    '{"timeMs":1000,"process":"entry-2","part":"p","crashes":3,"event":"quarantine.decided"}',
+    '{"timeMs":1000,"process":"entry-2","part":"q","crashes":3,"event":"quarantine.decided"}',
+    '{"timeMs":90000,"process":"entry-1","callId":"d","status":503,"attempts":[],"promptParts":["p"],"event":"call.ended"}',
+  ];
+  const { causes } = explainCall(parseLogLines(lines.join("\n")), "d");
+  expect(causes.map(({ part }) => part)).toEqual(["p"]);
+});
+
 it("includes evacuations in force, however long ago they began", () => {
   const createZoneLine = (timeMs: number, zone: string, event: string) =>
     JSON.stringify({ timeMs, process: "entry-1", zone, event });
--- a/packages/celerytray/src/serving/quarantine/attempt_watch.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -1,5 +1,8 @@
 import type { AttemptOutcome } from "../attempt_options.ts";
-import type { ServingTarget } from "../choose_target.ts";
+import {
+  createIncarnationKey,
+  type IncarnatedTarget,
+} from "../incarnation_key.ts";
 import type { WatchedAttempt } from "./own_evidence.ts";
 import type { PromptQuarantine } from "./prompt_quarantine.ts";
 import type { SuspectLoad } from "./suspect_load.ts";
@@ -10,7 +13,7 @@
   readonly suspectLoad: SuspectLoad;
   /** Ids of the parts of the prompt, in order. */
   readonly parts: readonly string[];
-  readonly target: Pick<ServingTarget, "instanceId" | "bornAtMs" | "epoch">;
+  readonly target: IncarnatedTarget;
   readonly startedAtMs: number;
 }
 
@@ -35,12 +38,12 @@
 
   constructor(options: AttemptWatchOptions) {
     const { quarantine, suspectLoad, parts, target, startedAtMs } = options;
-    const { instanceId, bornAtMs, epoch } = target;
+    const { instanceId } = target;
     this.#options = options;
     this.#attempt = {
       parts,
       instanceId,
-      incarnation: `${instanceId} ${bornAtMs ?? epoch}`,
+      incarnation: createIncarnationKey(target),
     };
     this.#isSuspect = quarantine.assess(parts, startedAtMs).kind !== "clear";
     if (this.#isSuspect) suspectLoad.note(instanceId, 1);
--- a/packages/celerytray/src/serving/quarantine/crash_evidence.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_evidence.ts
@@ -125,10 +125,9 @@
   countCrashes(part: string, explaining: ReadonlySet<string>): number {
     const { crashes } = this.#parts.get(part) ?? {};
     if (crashes === undefined) return 0;
+    const explained = this.#listIncarnations(explaining);
     const open = [...crashes].filter(([incarnation]) =>
-      ![...explaining].some((other) =>
-        this.#parts.get(other)?.crashes.has(incarnation)
-      )
+      !explained.has(incarnation)
     );
     return listMoments(open.map(([, atMs]) => atMs)).length;
   }
@@ -154,51 +153,41 @@
     { nowMs, settleMs, explaining }: AssessmentOptions,
   ): readonly PartAssessment[] {
     this.#evict(nowMs);
-    const explained = new Set(
-      [...explaining].flatMap((part) => [
-        ...this.#parts.get(part)?.crashes.keys() ?? [],
-      ]),
-    );
+    const explained = this.#listIncarnations(explaining);
     const recentLosses = [...this.#losses].flatMap(([incarnation, atMs]) =>
       nowMs - atMs > OTHER_LOSSES_WINDOW_MS || explained.has(incarnation)
         ? []
         : [incarnation]
     );
-    const doubted = [...this.#parts].flatMap(([part, evidence]) => {
+    const doubted = this.#listDoubted(explaining, explained);
+    return doubted.map((doubt) =>
+      assessPart(doubt, { doubted, recentLosses, nowMs, settleMs })
+    );
+  }
+
+  /** Incarnations that were lost at requests with any of the parts. */
+  #listIncarnations(parts: ReadonlySet<string>): ReadonlySet<string> {
+    return new Set(
+      [...parts].flatMap((part) => [
+        ...this.#parts.get(part)?.crashes.keys() ?? [],
+      ]),
+    );
+  }
+
+  /** Parts with unexplained losses, those at the most losses first. */
+  #listDoubted(
+    explaining: ReadonlySet<string>,
+    explained: ReadonlySet<string>,
+  ): readonly DoubtedPart[] {
+    return [...this.#parts].flatMap(([part, { crashes, safeAtMs }]) => {
       const open = new Map(
-        [...evidence.crashes].filter(([incarnation]) =>
-          !explained.has(incarnation)
-        ),
+        [...crashes].filter(([incarnation]) => !explained.has(incarnation)),
       );
-      return explaining.has(part) || open.size === 0
-        ? []
-        : [{ part, open, wasSafe: Number.isFinite(evidence.safeAtMs) }];
+      const isDoubted = !explaining.has(part) && open.size > 0;
+      return isDoubted
+        ? [{ part, open, wasSafe: Number.isFinite(safeAtMs) }]
+        : [];
     }).sort((a, b) => b.open.size - a.open.size);
-    return doubted.map((doubt) => {
-      const { part, open } = doubt;
-      const moments = listMoments([...open.values()]);
-      const others = doubted.filter((other) => other.part !== part);
-      const isExplained = others.some((other) => explains(other, doubt));
-      const isAmbiguous = others.some((other) => rivals(other, doubt));
-      const otherLosses = recentLosses.filter((incarnation) =>
-        !open.has(incarnation)
-      ).length;
-      const neededCrashes = QUARANTINE_CRASHES +
-        OTHER_LOSSES_STEPS.filter((losses) => otherLosses >= losses).length;
-      const decidedAtMs = moments[neededCrashes - 1];
-      const waitMs = isAmbiguous ? AMBIGUOUS_SETTLE_MS : settleMs;
-      return {
-        part,
-        crashes: moments.length,
-        lastCrashAtMs: Math.max(...open.values()),
-        isExplained,
-        needsTrial: !isExplained &&
-          (decidedAtMs === undefined || isAmbiguous),
-        isConclusive: decidedAtMs !== undefined && !isExplained &&
-          nowMs - decidedAtMs >= waitMs,
-        incarnations: [...open.keys()],
-      };
-    });
   }
 
   #noteLoss(incarnation: string, atMs: number): void {
@@ -239,6 +228,39 @@
   readonly wasSafe: boolean;
 }
 
+/** Assesses one of the doubted parts beside the others. */
+function assessPart(
+  doubt: DoubtedPart,
+  { doubted, recentLosses, nowMs, settleMs }: {
+    readonly doubted: readonly DoubtedPart[];
+    readonly recentLosses: readonly string[];
+    readonly nowMs: number;
+    readonly settleMs: number;
+  },
+): PartAssessment {
+  const { part, open } = doubt;
+  const others = doubted.filter((other) => other.part !== part);
+  const isExplained = others.some((other) => explains(other, doubt));
+  const isAmbiguous = others.some((other) => rivals(other, doubt));
+  const otherLosses =
+    recentLosses.filter((incarnation) => !open.has(incarnation)).length;
+  const neededCrashes = QUARANTINE_CRASHES +
+    OTHER_LOSSES_STEPS.filter((losses) => otherLosses >= losses).length;
+  const moments = listMoments([...open.values()]);
+  const decidedAtMs = moments[neededCrashes - 1];
+  const waitMs = isAmbiguous ? AMBIGUOUS_SETTLE_MS : settleMs;
+  return {
+    part,
+    crashes: moments.length,
+    lastCrashAtMs: Math.max(...open.values()),
+    isExplained,
+    needsTrial: !isExplained && (decidedAtMs === undefined || isAmbiguous),
+    isConclusive: decidedAtMs !== undefined && !isExplained &&
+      nowMs - decidedAtMs >= waitMs,
+    incarnations: [...open.keys()],
+  };
+}
+
 /** Whether a part explains all crashes of another one better. */
 function explains(other: DoubtedPart, { open, wasSafe }: DoubtedPart): boolean {
   const isStronger = other.open.size > open.size ||
--- a/packages/celerytray/src/serving/quarantine/prompt_quarantine.ts
+++ b/packages/celerytray/src/serving/quarantine/prompt_quarantine.ts
@@ -235,7 +235,10 @@
       trial.id !== last?.id;
   }
 
-  /** Quarantines parts by this process's own evidence. */
+  /**
+   * Quarantines parts by this process's own evidence, unless the leader, which
+   * hears of the harmless requests of all, names them.
+   */
   #concludeAlone(nowMs: number): void {
     const assessments = this.#own.crashes.assess({
       nowMs,
@@ -243,7 +246,7 @@
       explaining: new Set(this.#quarantined.keys()),
     });
     for (const { part, crashes, isConclusive } of assessments) {
-      if (!isConclusive) continue;
+      if (!isConclusive || this.#published.has(part)) continue;
       const releaseOffset = this.releaseOffset(part);
       this.#quarantine({ part, crashes, releaseOffset });
     }
