Split the replies to reports from the coordinator, and share what stood twice

Waits for cold and limited instances are planned and refused by one function each, and the key of an incarnation is made in one place. No change of behaviour.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -4,11 +4,7 @@
 import type { SharedTotals } from "../serving/index.ts";
 import { ChangeSignal } from "./change_signal.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
-import {
-  MIN_UPDATE_INTERVAL_MS,
-  type StatusPath,
-  SUMMARY_CACHE_MS,
-} from "./intervals.ts";
+import { type StatusPath, SUMMARY_CACHE_MS } from "./intervals.ts";
 import { LeaderFollower } from "./leader_follower.ts";
 import { claimLeadership, type FleetRecords } from "./leader_log.ts";
 import { LeaderSearch } from "./leader_search.ts";
@@ -22,7 +18,8 @@
   ReportReply,
 } from "./peer_messages.ts";
 import type { CoordinationOperations } from "./peer_router.ts";
-import { applyRelayedTopic, describeTopicSince } from "./relayed_topic.ts";
+import { applyRelayedTopic } from "./relayed_topic.ts";
+import { ReportReplies } from "./report_replies.ts";
 import { ReportTable } from "./report_table.ts";
 
 const RETRY_DELAY_MS = 300;
@@ -38,6 +35,7 @@
   readonly #reportTable = new ReportTable();
   readonly #status = new LeaderStatus();
   readonly #changeSignal = new ChangeSignal();
+  readonly #replies: ReportReplies;
   readonly #follower: LeaderFollower;
   readonly #search: LeaderSearch;
   #nowMs: () => number = () => 0;
@@ -54,6 +52,14 @@
       ...options,
       term: () => this.#status.term,
     });
+    this.#replies = new ReportReplies({
+      ...options,
+      status: this.#status,
+      changeSignal: this.#changeSignal,
+      isLeading: () => this.#term?.hasSteppedDown === false,
+      hasResigned: () => this.#hasResigned,
+      nowMs: () => this.#nowMs(),
+    });
     this.#follower = new LeaderFollower({
       ...options,
       status: this.#status,
@@ -165,10 +171,7 @@
       }
       this.#term?.reportHeads(report.summary);
       this.#options.onLeaving(report.summary.leaving);
-      const arrivedAtMs = this.#nowMs();
-      yield* this.#awaitUpdates(report);
-      const heldMs = this.#nowMs() - arrivedAtMs;
-      return { ...this.#createReply(report.known), heldMs };
+      return yield* this.#replies.reply(report);
     });
   }
 
@@ -265,41 +268,6 @@
     });
   }
 
-  /**
-   * Holds a report until there is news for its sender or its hold time has
-   * passed.
-   */
-  #awaitUpdates({ known, holdMs }: PeerReport): Effect.Effect<void> {
-    const { instances, config } = this.#options;
-    return Effect.gen({ self: this }, function* () {
-      const startedAtMs = this.#nowMs();
-      while (!this.#hasResigned && !this.#status.hasUpdates(known)) {
-        const passedMs = this.#nowMs() - startedAtMs;
-        const hasChanged = instances.copy.nextOffset > known.instancesOffset ||
-          config.copy.nextOffset > known.configOffset;
-        const remainingMs =
-          (hasChanged ? Math.min(holdMs, MIN_UPDATE_INTERVAL_MS) : holdMs) -
-          passedMs;
-        if (remainingMs <= 0) return;
-        yield* this.#changeSignal.awaitChange(Math.ceil(remainingMs));
-      }
-    });
-  }
-
-  #createReply(known: KnownStatus): Omit<ReportReply, "heldMs"> {
-    const nowMs = this.#nowMs();
-    const { instances, config } = this.#options;
-    return {
-      isLeading: this.#term?.hasSteppedDown === false,
-      ...this.#status.describe(known, nowMs),
-      // Makes the reporter turn to another process, as this one is shutting
-      // down.
-      ...(this.#hasResigned ? { statusAgeMs: null } : {}),
-      config: describeTopicSince(config, known.configOffset, nowMs),
-      instances: describeTopicSince(instances, known.instancesOffset, nowMs),
-    };
-  }
-
   #applyReply(
     reply: ReportReply,
     source: { readonly publishedAtMs: number; readonly statusPath: StatusPath },
--- a/packages/celerytray/src/serving/conclude_call.ts
+++ b/packages/celerytray/src/serving/conclude_call.ts
@@ -49,29 +49,19 @@
   });
 }
 
-/** Refuses a request whose targets all stay cold for longer than it can wait. */
-export function refuseWhileCold(
+/** Refuses a request whose turn at its targets comes too late. */
+export function refuseBeforeTurn(
   options: AttemptsOptions,
   progress: AttemptProgress,
-  { waitMs, nowMs }: { readonly waitMs: number; readonly nowMs: number },
+  { message, waitMs, nowMs }: {
+    readonly message: string;
+    readonly waitMs: number;
+    readonly nowMs: number;
+  },
 ): AttemptsResult {
   const remainingMs = Math.max(0, options.call.deadlineAtMs - nowMs);
   return conclude(options, progress, {
-    message: "Every back end is cold",
-    unknownStatus: 502,
-    retryAfterMs: Math.min(waitMs, remainingMs * RETRY_AFTER_FRACTION),
-  });
-}
-
-/** Refuses a request whose targets allow no further request for too long. */
-export function refuseWhileLimited(
-  options: AttemptsOptions,
-  progress: AttemptProgress,
-  { waitMs, nowMs }: { readonly waitMs: number; readonly nowMs: number },
-): AttemptsResult {
-  const remainingMs = Math.max(0, options.call.deadlineAtMs - nowMs);
-  return conclude(options, progress, {
-    message: "Every back end has reached the request rate that it allows",
+    message,
     unknownStatus: 502,
     retryAfterMs: Math.min(waitMs, remainingMs * RETRY_AFTER_FRACTION),
   });
--- a/packages/celerytray/src/serving/limit_wait.ts
+++ b/packages/celerytray/src/serving/limit_wait.ts
@@ -1,5 +1,6 @@
 import type { AttemptsOptions } from "./attempt_progress.ts";
-import { createPool, type LimitedTarget } from "./rate_limit/index.ts";
+import type { IncarnatedTarget } from "./incarnation_key.ts";
+import { createPool } from "./rate_limit/index.ts";
 import { planWait, type WaitPlan } from "./wait_plan.ts";
 
 /** Retry-After where only other processes may send to the instances. */
@@ -13,7 +14,7 @@
 /** Plans the wait of a request whose targets have all reached their limits. */
 export function planLimitWait(
   { call, dependencies: { limits, coldLimiter } }: AttemptsOptions,
-  targets: readonly LimitedTarget[],
+  targets: readonly IncarnatedTarget[],
   nowMs: number,
 ): LimitedSearch {
   const ahead = coldLimiter.enterQueue(call, createPool(call));
--- a/packages/celerytray/src/serving/rate_limit/index.ts
+++ b/packages/celerytray/src/serving/rate_limit/index.ts
@@ -1,10 +1,5 @@
 /** Limits on the request rates of instances, shared by all processes. */
-export {
-  createIncarnationKey,
-  InstanceLimits,
-  type LimitChange,
-  type LimitedTarget,
-} from "./instance_limits.ts";
+export { InstanceLimits, type LimitChange } from "./instance_limits.ts";
 export { LimitBoard } from "./limit_board.ts";
 export { createPool } from "./create_pool.ts";
 export {
--- a/packages/celerytray/src/serving/rate_limit/instance_limits.ts
+++ b/packages/celerytray/src/serving/rate_limit/instance_limits.ts
@@ -1,4 +1,7 @@
-import type { ServingTarget } from "../choose_target.ts";
+import {
+  createIncarnationKey,
+  type IncarnatedTarget,
+} from "../incarnation_key.ts";
 import type { LimitReport, SharedLimit } from "./limit_report.ts";
 
 /** Options of the limits of a process. */
@@ -18,15 +21,9 @@
   readonly perSecond: number | undefined;
 }
 
-/** The properties of a target that its limit depends on. */
-export type LimitedTarget = Pick<
-  ServingTarget,
-  "instanceId" | "bornAtMs" | "epoch"
->;
-
 /** A response, as far as limits are concerned. */
 export interface LimitedResponse {
-  readonly target: LimitedTarget;
+  readonly target: IncarnatedTarget;
   readonly pool: string;
   /** Limit that it names, if any. */
   readonly perSecond: number | undefined;
@@ -139,12 +136,12 @@
     }
   }
 
-  isLimited(target: LimitedTarget, nowMs: number): boolean {
+  isLimited(target: IncarnatedTarget, nowMs: number): boolean {
     return this.#findRate(createIncarnationKey(target), nowMs) !== undefined;
   }
 
   /** Returns the time until a request may be sent; infinite for other processes' instances. */
-  findWaitMs(target: LimitedTarget, nowMs: number): number {
+  findWaitMs(target: IncarnatedTarget, nowMs: number): number {
     const incarnation = createIncarnationKey(target);
     const perSecond = this.#findRate(incarnation, nowMs);
     if (perSecond === undefined) return 0;
@@ -156,12 +153,12 @@
   }
 
   /** Requests a second that this process may send; undefined without a limit. */
-  findRate(target: LimitedTarget, nowMs: number): number | undefined {
+  findRate(target: IncarnatedTarget, nowMs: number): number | undefined {
     return this.#findRate(createIncarnationKey(target), nowMs);
   }
 
   /** Counts a request that is about to be sent; false if it must wait. */
-  tryTakeToken(target: LimitedTarget, nowMs: number): boolean {
+  tryTakeToken(target: IncarnatedTarget, nowMs: number): boolean {
     if (this.findWaitMs(target, nowMs) > 0) return false;
     const bucket = this.#buckets.get(createIncarnationKey(target));
     if (bucket !== undefined) bucket.tokens = Math.max(0, bucket.tokens - 1);
@@ -282,10 +279,3 @@
   requestsBefore: number;
   atMs: number;
 }
-
-/** Names an instance in its present life. */
-export function createIncarnationKey(
-  { instanceId, bornAtMs, epoch }: LimitedTarget,
-): string {
-  return `${instanceId} ${bornAtMs ?? epoch}`;
-}
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -19,11 +19,10 @@
   giveUp,
   giveUpAtDeadline,
   refuseAsFull,
+  refuseBeforeTurn,
   refuseForPrompt,
   refuseInQueue,
   refuseWhileBackingOff,
-  refuseWhileCold,
-  refuseWhileLimited,
   refuseWithoutReplica,
 } from "./conclude_call.ts";
 import { awaitTarget } from "./find_target.ts";
@@ -36,6 +35,11 @@
   "not-at-home": "No back end is in a region that the request may reach",
 };
 
+const WAIT_MESSAGES: Readonly<Record<"cold" | "limited", string>> = {
+  cold: "Every back end is cold",
+  limited: "Every back end has reached the request rate that it allows",
+};
+
 /** Attempts a call until it is answered, given up or past its deadline. */
 export function runAttempts(
   options: AttemptsOptions,
@@ -72,19 +76,11 @@
       if (search.kind === "barred") {
         return giveUp(options, progress, EXCLUSION_MESSAGES[search.reason]);
       }
-      if (search.kind === "cold") {
-        const nowMs = yield* steadyMs;
-        return refuseWhileCold(options, progress, {
-          waitMs: search.waitMs,
-          nowMs,
-        });
-      }
-      if (search.kind === "limited") {
+      if (search.kind === "cold" || search.kind === "limited") {
+        const { kind, waitMs } = search;
+        const message = WAIT_MESSAGES[kind];
         const nowMs = yield* steadyMs;
-        return refuseWhileLimited(options, progress, {
-          waitMs: search.waitMs,
-          nowMs,
-        });
+        return refuseBeforeTurn(options, progress, { message, waitMs, nowMs });
       }
       if (search.kind === "quarantined") {
         dependencies.onWithheld("quarantine");
