--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -126,7 +126,7 @@
   { instances }: PlanTargets,
   series: number,
 ): PlannedFault {
-  const kind = random.pick(["limit", "poison"] as const);
+  const kind = random.pick(laterFaultKinds);
   const action: FaultAction = kind === "limit"
     ? {
       kind,
@@ -200,6 +200,9 @@
   "burst",
 ] as const;
 
+/** Kinds of which each series has one besides. */
+export const laterFaultKinds = ["limit", "poison"] as const;
+
 class PlanRandom {
   readonly #generator;
 
