Take no error answer for a harmless beginning of a prompt

Found in reading: any answer but a stream cleared the parts of a prompt, also the 500 of a replica that fails part of its requests. A poison prompt that met one would have been cleared, and sent on by that process for a minute.

Only a success counts now. attempt_watch_test failed before for 500 (clear instead of suspected), and passes.

--- a/packages/celerytray/src/serving/quarantine/attempt_watch.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -61,10 +61,7 @@
   }
 
   noteOutcome(outcome: AttemptOutcome, nowMs: number): void {
-    // A stream without an event has shown nothing.
-    const hasWritten = outcome.kind === "answered" ||
-      (outcome.kind === "streamed" && this.#firstEventAtMs !== undefined);
-    if (hasWritten) this.#noteSafe(nowMs);
+    if (this.#hasWritten(outcome)) this.#noteSafe(nowMs);
     const { quarantine, startedAtMs } = this.#options;
     if (outcome.kind !== "lost" || this.#isSafe) return;
     if (outcome.abandonReason !== undefined) return;
@@ -80,6 +77,13 @@
     this.#options.suspectLoad.note(this.#attempt.instanceId, -1);
   }
 
+  /** An error, or a stream without an event, shows nothing of the prompt. */
+  #hasWritten(outcome: AttemptOutcome): boolean {
+    if (outcome.kind === "streamed") return this.#firstEventAtMs !== undefined;
+    return outcome.kind === "answered" && outcome.headers.status >= 200 &&
+      outcome.headers.status < 300;
+  }
+
   #noteSafe(nowMs: number): void {
     if (this.#isSafe) return;
     this.#isSafe = true;
--- /dev/null
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch_test.ts
@@ -0,0 +1,51 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { AttemptOutcome } from "../attempt_options.ts";
+import { AttemptWatch } from "./attempt_watch.ts";
+import { PromptQuarantine } from "./prompt_quarantine.ts";
+import { SuspectLoad } from "./suspect_load.ts";
+
+const PARTS = ["part", "own"];
+
+// Guards against a poison prompt that counts as harmless because a faulty
+// instance answered it with an error, which shows nothing of what it does.
+describe("AttemptWatch", () => {
+  for (
+    const [status, verdict] of [[500, "suspected"], [200, "clear"]] as const
+  ) {
+    it(`takes a part answered with ${status} for ${verdict}`, () => {
+      const quarantine = new PromptQuarantine({
+        nodeId: "p",
+        onEvent: () => {},
+      });
+      const lost = { parts: PARTS, instanceId: "a", incarnation: "a 1" };
+      quarantine.noteLost(lost, 0);
+      const watch = new AttemptWatch({
+        quarantine,
+        suspectLoad: new SuspectLoad(),
+        parts: PARTS,
+        target: { instanceId: "b", epoch: 1 },
+        startedAtMs: 10,
+      });
+      watch.noteOutcome(createAnswer(status), 20);
+      expect(quarantine.assess(PARTS, 30).kind).toEqual(verdict);
+    });
+  }
+});
+
+function createAnswer(status: number): AttemptOutcome {
+  return {
+    kind: "answered",
+    body: Buffer.alloc(0),
+    headers: {
+      status,
+      isNotRun: false,
+      isLeaving: false,
+      hasServerStamp: true,
+      isEncoded: false,
+      isEventStream: false,
+      hasLimit: false,
+      forwardedHeaders: [],
+    },
+  };
+}
--- a/packages/celerytray/src/serving/quarantine/refuse_by_prompt.ts
+++ b/packages/celerytray/src/serving/quarantine/refuse_by_prompt.ts
@@ -2,7 +2,7 @@
 import type { LocalResponse } from "../caller_exchange.ts";
 import type { PromptQuarantine, PromptRefusal } from "./prompt_quarantine.ts";
 
-/** Nothing but the operator's release or a longer time changes the answer. */
+/** Only the operator's release changes the answer. */
 const QUARANTINED_RETRY_AFTER_MS = 60_000;
 /** Time in which a trial of a held part is granted and decided. */
 const HELD_RETRY_AFTER_MS = 1_500;
