Log how old the proof of a configuration was, and reports without a reply

The logs said when a version was adopted, but not for how long the process had not known whether there was a newer one, nor whether replies with the version had been given up for urgent news. config.adopted has the age of the last proof now, config.unproven tells a time without a proof that was longer than changes may take, and report.overtaken the reports in a row that got no reply.

--- a/packages/celerytray/src/coordination/leader_follower.ts
+++ b/packages/celerytray/src/coordination/leader_follower.ts
@@ -60,6 +60,8 @@
 
 /** Time for which an unresponsive or stale relay is avoided. */
 const RELAY_AVOIDANCE_MS = 2_000;
+/** Reports overtaken in a row from which they are logged. */
+const MIN_LOGGED_OVERTAKEN = 3;
 
 /** Reports to the leader or to one of its relays. */
 export class LeaderFollower {
@@ -71,6 +73,8 @@
    * is then not held.
    */
   #isUnanswered = false;
+  /** Reports since the last reply that urgent news ended. */
+  #overtakenReports = 0;
 
   constructor(options: LeaderFollowerOptions) {
     this.#options = options;
@@ -111,8 +115,10 @@
       const sentAtMs = nowMs();
       const outcome = yield* this.#report(address, statusPath);
       let deniesLeadership = false;
+      if (outcome.kind === "overtaken") this.#overtakenReports += 1;
       if (outcome.kind === "answered") {
         const { reply } = outcome;
+        this.#recordOvertaken();
         // The reply was given after the report was sent and held.
         onReply(reply, {
           publishedAtMs: sentAtMs + reply.heldMs,
@@ -261,6 +267,16 @@
     });
   }
 
+  /** Logs the reports that got no reply, if there were several in a row. */
+  #recordOvertaken(): void {
+    const { status, record, nowMs } = this.#options;
+    const reports = this.#overtakenReports;
+    this.#overtakenReports = 0;
+    if (reports < MIN_LOGGED_OVERTAKEN) return;
+    const statusAgeMs = status.statusAgeMs(nowMs());
+    record("report.overtaken", { reports, statusAgeMs });
+  }
+
   #recordFollowedLeader(): void {
     const { term, nodeId } = this.#options.status.leader!;
     this.#options.record("lead.followed", { term, lead: nodeId });
--- a/packages/celerytray/src/host/host_settings.ts
+++ b/packages/celerytray/src/host/host_settings.ts
@@ -23,6 +23,8 @@
   readonly drainMs: number;
   /** Time after which a revoked key must be refused. */
   readonly keyRevocationMs: number;
+  /** Time within which a configuration that the store accepted is in force. */
+  readonly configApplyMs: number;
   /** Retries allowed over all machines, as a share of the requests. */
   readonly retryShare: number;
   readonly retryWindowMs: number;
--- a/packages/celerytray/src/host/store_view.ts
+++ b/packages/celerytray/src/host/store_view.ts
@@ -107,9 +107,18 @@
     // without the evacuations.
     if (change.records.length > 0 || change.isFullRead) this.zones.update();
     this.config.apply(change);
+    this.#recordLateProof();
     this.keys.noteProof(change.freshAtMs);
   }
 
+  /** Logs a time for which the configuration may have been outdated. */
+  #recordLateProof(): void {
+    const ageMs = this.keys.ageMs();
+    const { settings, record } = this.#options;
+    if (!Number.isFinite(ageMs) || ageMs <= settings.configApplyMs) return;
+    record("config.unproven", { ageMs });
+  }
+
   /** Releases parts of prompts from quarantine, as the operator asked. */
   #applyReleases({ records }: KeyedChange): void {
     const { quarantine, ports: { releasePrefix } } = this.#options;
@@ -141,7 +150,12 @@
 
   #noteAdopted(version: number, offset: number): void {
     const { settings, coordinator, onConfig, record } = this.#options;
-    record("config.adopted", { version, offset });
+    const proofAgeMs = this.keys.ageMs();
+    record("config.adopted", {
+      version,
+      offset,
+      ...(Number.isFinite(proofAgeMs) ? { proofAgeMs } : {}),
+    });
     coordinator().noteChange();
     const adopted = this.config.index!.config;
     const problems = findHomeProblems(adopted, settings.zoneRegions);
--- a/packages/celerytray/src/platform/settings_file.ts
+++ b/packages/celerytray/src/platform/settings_file.ts
@@ -15,6 +15,7 @@
   graceSeconds: "bounds.grace_s",
   drainMs: "bounds.drain_ms",
   revokeMs: "bounds.revoke_ms",
+  configApplyMs: "bounds.config_apply_ms",
   retryRatio: "bounds.retry_ratio",
   retryWindowSeconds: "bounds.retry_window_s",
   retrySlack: "bounds.retry_slack",
@@ -32,6 +33,7 @@
   [SETTING_NAMES.graceSeconds]: "8",
   [SETTING_NAMES.drainMs]: "2000",
   [SETTING_NAMES.revokeMs]: "5000",
+  [SETTING_NAMES.configApplyMs]: "2000",
   [SETTING_NAMES.retryRatio]: "0.1",
   [SETTING_NAMES.retryWindowSeconds]: "10",
   [SETTING_NAMES.retrySlack]: "20",
@@ -90,6 +92,7 @@
     graceMs: readNonNegativeNumber(SETTING_NAMES.graceSeconds) * 1000,
     drainMs: readNonNegativeNumber(SETTING_NAMES.drainMs),
     keyRevocationMs: readNonNegativeNumber(SETTING_NAMES.revokeMs),
+    configApplyMs: readNonNegativeNumber(SETTING_NAMES.configApplyMs),
     retryShare: readNonNegativeNumber(SETTING_NAMES.retryRatio),
     retryWindowMs: readNonNegativeNumber(SETTING_NAMES.retryWindowSeconds) *
       1000,
