Read the configuration in time when no leader relays it

Cause: a process whose leader is gone asked the store itself only once its last proof was 1.4 to 1.8 s old, at up to 100 ms more until it looks and the time of the read; nothing related that to the time in which a change must be in force. With relays it was 2.4 to 2.8 s where 3 s are allowed.

--- a/packages/celerytray/src/coordination/index.ts
+++ b/packages/celerytray/src/coordination/index.ts
@@ -9,7 +9,9 @@
 export type { RelayedTopic } from "./relayed_topic.ts";
 export {
   LEADER_READ_WAIT_MS,
+  maxConfigReadAgeMs,
   maxRelayedAgeMs,
+  minConfigReadAgeMs,
   totalsLagMs,
 } from "./intervals.ts";
 export {
--- a/packages/celerytray/src/coordination/intervals.ts
+++ b/packages/celerytray/src/coordination/intervals.ts
@@ -46,6 +46,38 @@
 
 const RELAYED_AGE_MARGIN_MS = 50;
 
+/**
+ * Age of the relayed configuration up to which a process never reads the store
+ * itself, so that processes don't all read at once.
+ */
+export function minConfigReadAgeMs(
+  statusPath: StatusPath,
+  configApplyMs: number,
+): number {
+  const relayedAgeMs = LEADER_READ_WAIT_MS + nominalStatusAgeMs(statusPath) +
+    CONFIG_AGE_MARGIN_MS;
+  return Math.min(
+    relayedAgeMs,
+    maxConfigReadAgeMs(configApplyMs) - MIN_READ_SPREAD_MS,
+  );
+}
+
+/**
+ * Age of the relayed configuration from which every process reads the store
+ * itself. A change that came just after the last confirmation is then still in
+ * force in time.
+ */
+export function maxConfigReadAgeMs(configApplyMs: number): number {
+  return Math.max(MIN_READ_SPREAD_MS, configApplyMs - CONFIG_READ_ALLOWANCE_MS);
+}
+
+/** Allows for delays of the leader's read and of its status. */
+const CONFIG_AGE_MARGIN_MS = 150;
+/** Time allowed for noticing the age, for the read and for its adoption. */
+const CONFIG_READ_ALLOWANCE_MS = 800;
+/** Shortest range over which processes spread their reads. */
+const MIN_READ_SPREAD_MS = 200;
+
 /**
  * Time after its last report for which a process counts as present, given the
  * report's hold time. Allows for one report without a reply.
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -126,6 +126,7 @@
       coordinator,
       applyConfig: (change) => view.applyConfig(change),
       keys: view.keys,
+      configApplyMs: settings.configApplyMs,
       contacts,
       configOffset: () => view.configCopy.nextOffset,
       instancesOffset: () => view.instancesCopy.nextOffset,
--- a/packages/celerytray/src/host/follow_store.ts
+++ b/packages/celerytray/src/host/follow_store.ts
@@ -2,7 +2,9 @@
 import {
   type Coordinator,
   LEADER_READ_WAIT_MS,
+  maxConfigReadAgeMs,
   maxRelayedAgeMs,
+  minConfigReadAgeMs,
 } from "../coordination/index.ts";
 import {
   followTopic,
@@ -20,6 +22,8 @@
   readonly coordinator: Coordinator;
   readonly applyConfig: (change: KeyedChange) => void;
   readonly keys: KeyFreshness;
+  /** Time within which a configuration that the store accepted is in force. */
+  readonly configApplyMs: number;
   readonly contacts: {
     readonly config: StoreContact;
     readonly instances: StoreContact;
@@ -72,10 +76,18 @@
       isLeading: coordinator.isLeading,
       processCount: coordinator.countProcesses(),
     });
-  const jitterMs = options.random() * MAX_FALLBACK_JITTER_MS;
-  const isRelayRecent = (ageMs: number) =>
-    !coordinator.isLeading &&
-    ageMs < maxRelayedAgeMs(coordinator.statusPath) + jitterMs;
+  const jitterFraction = options.random();
+  const isRelayRecent = (ageMs: number, maxAgeMs: number) =>
+    !coordinator.isLeading && ageMs < maxAgeMs;
+  const configReadAgeMs = () => {
+    const { configApplyMs } = options;
+    const minMs = minConfigReadAgeMs(coordinator.statusPath, configApplyMs);
+    const maxMs = maxConfigReadAgeMs(configApplyMs);
+    return minMs + jitterFraction * (maxMs - minMs);
+  };
+  const instancesReadAgeMs = () =>
+    maxRelayedAgeMs(coordinator.statusPath) +
+    jitterFraction * MAX_FALLBACK_JITTER_MS;
   const followConfig = followTopic({
     log,
     topic: "config",
@@ -87,7 +99,7 @@
       options.applyConfig(change);
     },
     relay: {
-      isRecent: () => isRelayRecent(keys.ageMs()),
+      isRecent: () => isRelayRecent(keys.ageMs(), configReadAgeMs()),
       nextOffset: options.configOffset,
     },
     onFailure: (message) => contacts.config.noteFailure(message, nowMs()),
@@ -107,7 +119,7 @@
       options.applyInstances(change);
     },
     relay: {
-      isRecent: () => isRelayRecent(options.listAgeMs()),
+      isRecent: () => isRelayRecent(options.listAgeMs(), instancesReadAgeMs()),
       nextOffset: options.instancesOffset,
     },
     onFailure: (message) => contacts.instances.noteFailure(message, nowMs()),
--- a/packages/celerytray/src/host/follow_store_test.ts
+++ b/packages/celerytray/src/host/follow_store_test.ts
@@ -64,12 +64,8 @@
       log,
       coordinator,
       applyConfig: () => {},
-      keys: new KeyFreshness({
-        maxAgeMs: 5_000,
-        steadyMs: nowMs,
-        wallMs: nowMs,
-        onClockJump: () => {},
-      }),
+      keys: createKeys(nowMs),
+      configApplyMs: 2_000,
       contacts: {
         config: new StoreContact({ topic: "config", record }),
         instances: new StoreContact({ topic: "instances", record }),
@@ -96,3 +92,105 @@
     program.pipe(Effect.scoped, Effect.provide(TestClock.layer())),
   );
 });
+
+/** Times in which changes must be in force, at the sizes that have relays. */
+const CONFIG_CASES = [
+  { statusPath: "direct", configApplyMs: 2_000 },
+  { statusPath: "relayed", configApplyMs: 3_000 },
+  { statusPath: "relayed", configApplyMs: 4_000 },
+] as const;
+/** Time that a slow store takes to answer. */
+const SLOW_READ_MS = 300;
+
+// Guards against a request that is handled by an outdated configuration after
+// the leader was lost: the store was asked too late for the change to be in
+// force in time.
+it("has a change in force in time that came just after the leader was lost", async () => {
+  for (const options of CONFIG_CASES) {
+    for (const random of [0, 0.5, 0.999]) {
+      const tookMs = await measureAdoption({ ...options, random });
+      expect(tookMs <= options.configApplyMs).toEqual(true);
+    }
+  }
+});
+
+/** Time until a process knows a change after the last message of its leader. */
+function measureAdoption(options: {
+  readonly statusPath: "direct" | "relayed";
+  readonly configApplyMs: number;
+  readonly random: number;
+}): Promise<number> {
+  const { statusPath, configApplyMs, random } = options;
+  const program = Effect.gen(function* () {
+    const clock = yield* Clock.Clock;
+    const nowMs = () => readSteadyMs(clock);
+    const record: RecordEvent = () => {};
+    const keys = createKeys(nowMs);
+    let endOffset = 1;
+    let configOffset = 0;
+    let adoptedAtMs: number | undefined;
+    const readPage = () => ({
+      records: endOffset > Math.max(1, configOffset)
+        ? [{ key: "config", offset: endOffset - 1 }]
+        : [],
+      nextOffset: endOffset,
+    });
+    const log: KeyedLog = {
+      readNewest: () => Effect.sync(readPage),
+      read: (topic) =>
+        topic === "config"
+          ? Effect.map(Effect.sleep(SLOW_READ_MS), readPage)
+          : Effect.never,
+      append: () => Effect.succeed(0),
+    };
+    yield* followStore({
+      log,
+      coordinator: {
+        isLeading: false,
+        statusPath,
+        countProcesses: () => 7,
+      } as Coordinator,
+      applyConfig: ({ nextOffset, freshAtMs }) => {
+        if (nextOffset > 1) adoptedAtMs ??= nowMs();
+        configOffset = Math.max(configOffset, nextOffset);
+        keys.noteProof(freshAtMs);
+      },
+      keys,
+      configApplyMs,
+      contacts: {
+        config: new StoreContact({ topic: "config", record }),
+        instances: new StoreContact({ topic: "instances", record }),
+      },
+      configOffset: () => configOffset,
+      instancesOffset: () => 1,
+      listAgeMs: () => 0,
+      applyInstances: () => {},
+      random: () => random,
+      nowMs,
+      record,
+    });
+    // The leader relays for a while, and is then lost.
+    for (let round = 0; round < 20; round++) {
+      yield* TestClock.adjust(RELAY_CHECK_MS);
+      keys.noteProof(nowMs());
+    }
+    const changedAtMs = nowMs();
+    endOffset = 2;
+    while (adoptedAtMs === undefined && nowMs() - changedAtMs < 10_000) {
+      yield* TestClock.adjust(10);
+    }
+    return (adoptedAtMs ?? Number.POSITIVE_INFINITY) - changedAtMs;
+  });
+  return Effect.runPromise(
+    program.pipe(Effect.scoped, Effect.provide(TestClock.layer())),
+  );
+}
+
+function createKeys(nowMs: () => number): KeyFreshness {
+  return new KeyFreshness({
+    maxAgeMs: 5_000,
+    steadyMs: nowMs,
+    wallMs: nowMs,
+    onClockJump: () => {},
+  });
+}
