Ask for a reply at once after urgent news ended the wait for one

A report with urgent news ends the wait for the reply to the one before. Where news keeps coming, no wait lasts the 250 ms for which a leader holds a report with nothing but a new configuration, so the process hears of no change and takes the leader for silent. The report after such an end is not held now, so that at least every second one has its reply.

--- a/packages/celerytray/src/coordination/leader_follower.ts
+++ b/packages/celerytray/src/coordination/leader_follower.ts
@@ -69,8 +69,8 @@
   readonly #avoidedUntilMs = new Map<string, number>();
   #isStopped = false;
   /**
-   * Whether the last report got no reply, or one of no use. The next report
-   * is then not held.
+   * Whether the last report got no reply, one of no use, or was overtaken by
+   * urgent news. The next report is then not held.
    */
   #isUnanswered = false;
   /** Reports since the last reply that urgent news ended. */
@@ -115,7 +115,10 @@
       const sentAtMs = nowMs();
       const outcome = yield* this.#report(address, statusPath);
       let deniesLeadership = false;
-      if (outcome.kind === "overtaken") this.#overtakenReports += 1;
+      if (outcome.kind === "overtaken") {
+        this.#isUnanswered = true;
+        this.#overtakenReports += 1;
+      }
       if (outcome.kind === "answered") {
         const { reply } = outcome;
         this.#recordOvertaken();
--- a/packages/fakes/src/coordination/cluster_scale_test.ts
+++ b/packages/fakes/src/coordination/cluster_scale_test.ts
@@ -22,6 +22,8 @@
 const MAX_SENT_PER_SECOND = 4.5;
 /** These bounds hold for every cluster size. */
 const MAX_PROOF_AGE_MS = 1_700;
+/** A head stalls and resumes once in this many steps of the time. */
+const STALL_PERIOD_STEPS = 6;
 const MAX_LEAVING_PROPAGATION_MS = 500;
 /** Organisations reported by name, whatever their number. */
 const MAX_TENANTS = 32;
@@ -51,6 +53,24 @@
     }
   });
 
+  // Guards against replies with the configuration that are given up over and
+  // over, as urgent news ends the wait for each of them.
+  it("hears of the configuration while heads stall and resume all the time", async () => {
+    for (const size of SIZES) {
+      await simulate(size, function* (cluster) {
+        const process = cluster.processes.at(-1)!;
+        for (let step = 0; step < OBSERVATION_MS / STEP_MS; step++) {
+          const isStalled = step % STALL_PERIOD_STEPS < STALL_PERIOD_STEPS / 2;
+          if (isStalled) process.stalledHeads.add("head");
+          else process.stalledHeads.delete("head");
+          yield* TestClock.adjust(STEP_MS);
+          const proofAgeMs = cluster.nowMs() - process.relayedProofAtMs;
+          expect(proofAgeMs <= MAX_PROOF_AGE_MS).toEqual(true);
+        }
+      });
+    }
+  });
+
   it("shares total demand, with a bounded number of organisations", async () => {
     for (const size of SIZES) {
       await simulate(size, function* ({ processes }) {
--- a/packages/fakes/src/coordination/coordinated_process.ts
+++ b/packages/fakes/src/coordination/coordinated_process.ts
@@ -21,6 +21,8 @@
   readonly limits: InstanceLimits;
   /** Instances that it knows to be leaving, by id. */
   readonly leaving: Map<string, LeavingIncarnation>;
+  /** Heads that stand still, as far as it sees. */
+  readonly stalledHeads: Set<string>;
   /** Reports that it received. */
   reportCount: number;
   /** Time of the latest proof of a topic's end that was relayed to it. */
--- a/packages/fakes/src/coordination/simulated_cluster.ts
+++ b/packages/fakes/src/coordination/simulated_cluster.ts
@@ -115,6 +115,7 @@
   { index, processes, clock, log, nowMs, random }: ProcessOptions,
 ): CoordinatedProcess {
   const leaving = new Map<string, LeavingIncarnation>();
+  const stalledHeads = new Set<string>();
   const node: PeerNode = {
     nodeId: `node-${String(index).padStart(3, "0")}`,
     peerAddress: `${index}`,
@@ -138,6 +139,7 @@
     quarantine,
     limits,
     leaving,
+    stalledHeads,
     reportCount: 0,
     relayedProofAtMs: 0,
     state: "running",
@@ -150,7 +152,7 @@
       bootId: `boot-${index}`,
       log,
       client: createPeerCalls(processes),
-      listStalledHeads: () => [],
+      listStalledHeads: () => [...stalledHeads],
       quarantine,
       limits,
       listSlowHeads: () => [],
