Read the store on a new connection when an open one stays silent

Cause: open connections may go silent for good, all at once, while new ones work. A call on one of them ended after 1.5 s (2 s for the lead's long poll), and the next call took another silent one from the pool; the reader waits 250 ms between two calls, so that two silent connections cost the lead 4 s, longer than config_apply_ms (2 s) and than the 3 s after which the machine counts as in touch again.

Connections go silent at 6.752 s and the store counts as stable again from 10.252 s on. The lead's read fails at 8.589 s after 2 s, the repeated one gets no answer either, and version 19, acknowledged at 7.3 s, is in force at the lead at 11.174 s, 3.8 s later.

Change: a read without an answer 400 ms after it was due is repeated on a new connection, and after any call without an answer the open ones are not used again.

--- a/packages/celerytray/src/platform/store_client.ts
+++ b/packages/celerytray/src/platform/store_client.ts
@@ -1,5 +1,4 @@
 import { Effect } from "effect";
-import { Agent } from "node:http";
 import {
   AppendConflict,
   HistoryDropped,
@@ -12,6 +11,7 @@
   StoreAnswerLost,
   StoreUnavailable,
 } from "../keyed_log/index.ts";
+import { BackendPools } from "../http/index.ts";
 import {
   type CallFailure,
   type HttpResponse,
@@ -30,11 +30,16 @@
 import { TOPIC_NAMES } from "./words.ts";
 
 const CALL_TIMEOUT_MS = 1_500;
+/** Time without an answer after which a read is repeated on a new connection. */
+const REPEAT_READ_MS = 400;
 
-/** Client of the platform's store. */
+/**
+ * Client of the platform's store. Open connections may go silent all at once,
+ * so none is used again after a call on one of them got no answer.
+ */
 export class StoreClient implements KeyedLog {
   readonly #address: string;
-  readonly #agent = new Agent({ keepAlive: true });
+  readonly #pools = new BackendPools();
 
   constructor(options: { readonly address: string }) {
     this.#address = options.address;
@@ -49,7 +54,8 @@
         const query = `topic=${TOPIC_NAMES[topic]}&part=0${
           after === "" ? "" : `&after=${encodeURIComponent(after)}`
         }`;
-        const answer = yield* this.#call("GET", `/log-newest?${query}`);
+        const path = `/log-newest?${query}`;
+        const answer = yield* this.#read(path, path, 0);
         if (answer.status === NO_TOPIC_STATUS) return EMPTY_PAGE;
         const page = yield* decodeOk(answer, decodeNewest);
         records.push(...page.records);
@@ -70,8 +76,12 @@
     const { fromOffset, waitMs } = options;
     const path = `/log-read?topic=${
       TOPIC_NAMES[topic]
-    }&part=0&from=${fromOffset}&wait_ms=${waitMs}`;
-    return this.#call("GET", path, { waitMs }).pipe(
+    }&part=0&from=${fromOffset}`;
+    return this.#read(
+      `${path}&wait_ms=${waitMs}`,
+      `${path}&wait_ms=0`,
+      waitMs,
+    ).pipe(
       Effect.flatMap((answer): Effect.Effect<
         KeyedPage,
         ReadFailure | HistoryDropped
@@ -130,6 +140,22 @@
     );
   }
 
+  /**
+   * Sends a read that the store may hold for `waitMs`, and repeats it on a new
+   * connection if it gets no answer.
+   */
+  #read(
+    path: string,
+    repeatedPath: string,
+    waitMs: number,
+  ): Effect.Effect<HttpResponse, ReadFailure> {
+    const repeat = Effect.sleep(waitMs + REPEAT_READ_MS).pipe(
+      Effect.andThen(Effect.sync(() => this.#pools.discard(this.#address))),
+      Effect.andThen(Effect.suspend(() => this.#call("GET", repeatedPath))),
+    );
+    return Effect.raceFirst(this.#call("GET", path, { waitMs }), repeat);
+  }
+
   #call(
     method: "GET" | "POST",
     path: string,
@@ -141,8 +167,13 @@
       path,
       ...(options.body === undefined ? {} : { body: options.body }),
       timeoutMs: CALL_TIMEOUT_MS + (options.waitMs ?? 0),
-      agent: this.#agent,
-    }).pipe(Effect.mapError(toReadFailure));
+      agent: this.#pools.agentFor(this.#address),
+    }).pipe(
+      Effect.tapError(() =>
+        Effect.sync(() => this.#pools.discard(this.#address))
+      ),
+      Effect.mapError(toReadFailure),
+    );
   }
 }
 
--- a/packages/fakes/src/platform/fake_store_server.ts
+++ b/packages/fakes/src/platform/fake_store_server.ts
@@ -5,6 +5,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { FakeKeyedStore } from "../store/index.ts";
 
 const LENGTH_BYTES = 4;
@@ -30,13 +31,29 @@
   faults: FakeStoreServerFaults = {};
   readonly server: Server = createServer((request, response) => {
     const { delayMs } = this.faults;
+    if (this.#silent.has(request.socket)) return;
     if (delayMs === undefined) this.#handle(request, response);
     else setTimeout(() => this.#handle(request, response), delayMs);
   });
   /** First offset that can still be read, by topic. */
   readonly #firstOffsets = new Map<string, number>();
+  readonly #connections = new Set<Socket>();
+  /** Connections on which nothing is answered any more. */
+  readonly #silent = new WeakSet<Socket>();
   #callCount = 0;
 
+  constructor() {
+    this.server.on("connection", (socket) => {
+      this.#connections.add(socket);
+      socket.on("close", () => this.#connections.delete(socket));
+    });
+  }
+
+  /** Stops to answer on the open connections, which stay open. */
+  silenceOpenConnections(): void {
+    for (const socket of this.#connections) this.#silent.add(socket);
+  }
+
   /**
    * Compacts a topic to the latest record of each key: reads from an offset before
    * its current end are answered 410.
@@ -118,6 +135,7 @@
     const answer = () => {
       clearTimeout(timer);
       stopWaiting();
+      if (response.socket === null || this.#silent.has(response.socket)) return;
       response.end(
         encodePage(
           this.store.read(topic, fromOffset),
