Use a new connection to another process after a call without a reply

Node's fetch then takes one silent connection after the other, 850 ms and 600 ms each; after 0.95 s the leader counts as silent, so every follower asks the store, on silent connections too, and one takes the lead for no reason.

Change: calls between processes use a pool of our own, which is discarded after a call without a reply.

--- a/packages/celerytray/src/coordination/peer_router.ts
+++ b/packages/celerytray/src/coordination/peer_router.ts
@@ -3,6 +3,7 @@
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { Data, Effect } from "effect";
 import type { RequestListener } from "node:http";
+import { PooledFetch, type PooledRequest } from "../http/index.ts";
 import { REPLY_TIMEOUT_MS } from "./intervals.ts";
 import {
   parseReport,
@@ -68,8 +69,12 @@
   ): Effect.Effect<number | null, PeerUnresponsive>;
 }
 
-/** Calls to other processes over tRPC. */
+/**
+ * Calls to other processes over tRPC. Open connections may go silent all at
+ * once, so none to an address is used again after a call without a reply.
+ */
 export class PeerClient implements PeerCalls {
+  readonly #connections = new PooledFetch();
   readonly #clients = new Map<string, TRPCClient<PeerRouter>>();
 
   report(
@@ -117,6 +122,9 @@
             }),
           ),
       }),
+      Effect.tapError(() =>
+        Effect.sync(() => this.#connections.discard(address))
+      ),
     );
   }
 
@@ -124,7 +132,11 @@
     let client = this.#clients.get(address);
     if (client === undefined) {
       client = createTRPCClient<PeerRouter>({
-        links: [httpLink({ url: `http://${address}` })],
+        links: [httpLink({
+          url: `http://${address}`,
+          fetch: (url, init) =>
+            this.#connections.fetch(String(url), init as PooledRequest),
+        })],
       });
       this.#clients.set(address, client);
     }
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -6,6 +6,7 @@
   type RequestJsonOptions,
 } from "./request_json.ts";
 export { BackendPools } from "./backend_pools.ts";
+export { PooledFetch, type PooledRequest } from "./pooled_fetch.ts";
 export {
   isHopByHopHeader,
   selectRequestHeaders,
