Answer 401 and 404 only while the configuration is known to be current

A 401 or 404 ends a request for good, and says something about the configuration that is in force. A process that had not heard for longer than config_apply_ms whether there is a newer one gave such answers up to 4.75 s long where keys are asked for, and for ever on a route that it didn't know and that needs none. Such a caller is told now that the request was not run and to come back at once on a new connection, which leads to another machine.

The test got 404 instead of 503 before.

--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -168,6 +168,7 @@
       zone: settings.zone,
       index: () => config.index,
       areKeysFresh: () => keys.isFresh(),
+      isConfigCurrent: () => keys.ageMs() <= settings.configApplyMs,
       listTargets: (service, model, homes) =>
         targets.list(service, model, homes),
       admission: createAdmission({
--- a/packages/celerytray/src/serving/admit_call.ts
+++ b/packages/celerytray/src/serving/admit_call.ts
@@ -8,8 +8,8 @@
 import { selectService, type ServingIndex } from "./serving_index.ts";
 
 const NO_CONFIG_RETRY_AFTER_MS = 500;
-/** Short, as other machines may know the newest keys. */
-const STALE_KEYS_RETRY_AFTER_MS = 50;
+/** Short, as other machines may know the newest configuration. */
+const OUTDATED_RETRY_AFTER_MS = 50;
 const MAX_PRIORITY = 9;
 /** Time missing from a caller's usual timeout that indicates an earlier refusal. */
 const MIN_REFUSED_ELAPSED_MS = 150;
@@ -41,15 +41,16 @@
   }
   const { config } = index;
   const areKeysFresh = dependencies.areKeysFresh();
-  const staleKeysResponse: LocalResponse = {
+  const isCurrent = areKeysFresh && dependencies.isConfigCurrent();
+  const outdatedResponse: LocalResponse = {
     status: 503,
     message: "The configuration may be outdated; the request was not run",
-    retryAfterMs: STALE_KEYS_RETRY_AFTER_MS,
+    retryAfterMs: OUTDATED_RETRY_AFTER_MS,
     closesConnection: true,
   };
   const route = index.findRoute(headers.host, headers.path);
   if (route === undefined) {
-    if (!areKeysFresh) return Left(staleKeysResponse);
+    if (!isCurrent) return Left(outdatedResponse);
     return Left({ status: 404, message: "No route matches host and path" });
   }
   const admission: Admission = {
@@ -61,10 +62,11 @@
     ...createHomes(intersectHomes(route, undefined)),
   };
   if (config.tenants === undefined || route.isPublic) return Right(admission);
-  if (!areKeysFresh) return Left(staleKeysResponse);
+  if (!areKeysFresh) return Left(outdatedResponse);
   const tenant = headers.key === undefined
     ? undefined
     : index.findTenant(headers.key);
+  if (tenant === undefined && !isCurrent) return Left(outdatedResponse);
   if (tenant === undefined) {
     return Left({ status: 401, message: "The API key is unknown" });
   }
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -27,6 +27,11 @@
   readonly index: () => ServingIndex | undefined;
   /** Whether the tenants' keys are known to be up to date. */
   readonly areKeysFresh: () => boolean;
+  /**
+   * Whether a change that had to be in force by now would be known. Without
+   * it, the lack of a route or key proves nothing.
+   */
+  readonly isConfigCurrent: () => boolean;
   /** Instances that may take a call for a model, or for a plain service. */
   readonly listTargets: (
     service: string,
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -34,6 +34,7 @@
     codec: new PlatformCallCodec(),
     zone: "z",
     areKeysFresh: () => true,
+    isConfigCurrent: () => true,
     findExclusionReason: () => undefined,
     coldLimiter: new ColdRateLimiter({
       tracker: new ColdTracker({
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -36,6 +36,22 @@
     expect(response.headers.connection).toEqual("close");
   });
 
+  // Guards against a caller that is told for good that a route or key is
+  // unknown by a process that had not heard of its addition yet.
+  it("does not refuse for good what a newer configuration may allow", async () => {
+    const backend = await startBackend(respondDone);
+    const entry = await startEntry({
+      backends: [backend],
+      isConfigCurrent: false,
+    });
+    const unknownRoute = await call(entry, "/none/x");
+    expect(unknownRoute.status).toEqual(503);
+    expect(Number(unknownRoute.headers["retry-after"]) <= 0.1).toEqual(true);
+    expect((await call(entry, "/safe/x", { "x-api-key": "other" })).status)
+      .toEqual(503);
+    expect((await call(entry, "/safe/x")).status).toEqual(200);
+  });
+
   it("forwards the tenant but never the key", async () => {
     const seen: IncomingMessage[] = [];
     const backend = await startBackend((incoming, response) => {
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -150,6 +150,7 @@
   readonly backends: readonly ServingTarget[];
   readonly isConfigured?: boolean;
   readonly areKeysFresh?: boolean;
+  readonly isConfigCurrent?: boolean;
   readonly loads?: LoadTracker;
   readonly stalls?: StallDetector;
   readonly paces?: PaceTracker;
@@ -191,6 +192,7 @@
     backends,
     isConfigured,
     areKeysFresh,
+    isConfigCurrent,
     trySpend,
     timeoutMs,
     homes,
@@ -220,6 +222,7 @@
   const dependencies = createTestDependencies({
     index: () => isConfigured === false ? undefined : index,
     areKeysFresh: () => areKeysFresh !== false,
+    isConfigCurrent: () => isConfigCurrent !== false,
     listTargets: () => backends,
     record: (record) => records.push(record),
     ...overrides,
