Take no status of the leader for newer than its reply

A process dates a status and a proof of the configuration by the time for which the other process says that it held the report. A process that answers a report before its own loop has run measures the hold from 0, so that the status lay far in the future at the reporter: it counted as fresh for as long as the other process's clock was ahead, its totals never changed again, and a withdrawn key or an outdated configuration would have stayed in force. In the program the loop starts before the address listens, so it is not known to have happened there.

A status is now at most as new as the reply.

--- a/packages/celerytray/src/coordination/leader_follower.ts
+++ b/packages/celerytray/src/coordination/leader_follower.ts
@@ -122,9 +122,10 @@
       if (outcome.kind === "answered") {
         const { reply } = outcome;
         this.#recordOvertaken();
-        // The reply was given after the report was sent and held.
+        // The reply was given after the report was sent and held, whatever the
+        // other process's clock says.
         onReply(reply, {
-          publishedAtMs: sentAtMs + reply.heldMs,
+          publishedAtMs: Math.min(sentAtMs + reply.heldMs, nowMs()),
           statusPath,
         });
         if (status.term !== term) this.#recordFollowedLeader();
--- a/packages/fakes/src/coordination/cluster_scale_test.ts
+++ b/packages/fakes/src/coordination/cluster_scale_test.ts
@@ -136,6 +136,33 @@
     });
   }
 
+  // Guards against a status and a configuration that count as new for ever, as
+  // a process that has just started measures too long a hold time.
+  it("takes no status for newer than its reply", async () => {
+    await simulate(7, function* (cluster) {
+      for (let round = 0; round < 3; round++) {
+        const leader = cluster.findLeader()!;
+        const killed = cluster.processes.filter((process, index) =>
+          process === leader || index % 2 === 0
+        );
+        for (const process of killed) {
+          endProcess(process, "killed");
+          yield* cluster.restart(process);
+        }
+        for (
+          let passedMs = 0;
+          passedMs < MAX_FAILOVER_MS;
+          passedMs += STEP_MS
+        ) {
+          yield* TestClock.adjust(STEP_MS);
+          for (const { coordinator } of cluster.processes) {
+            expect((coordinator.statusAgeMs() ?? 0) >= 0).toEqual(true);
+          }
+        }
+      }
+    });
+  });
+
   it("elects a leader soon after most processes are killed together", async () => {
     await simulate(100, function* (cluster) {
       cluster.processes.forEach((process, index) => {
--- a/packages/fakes/src/coordination/simulated_cluster.ts
+++ b/packages/fakes/src/coordination/simulated_cluster.ts
@@ -38,6 +38,8 @@
   /** Number of calls to the store, by kind. */
   readonly storeCalls: Map<string, number>;
   readonly findLeader: () => CoordinatedProcess | undefined;
+  /** Replaces a process that has ended by one that knows nothing yet. */
+  readonly restart: (process: CoordinatedProcess) => Effect.Effect<void>;
   readonly nowMs: () => number;
 }
 
@@ -59,8 +61,9 @@
     const store = options.store ?? new FakeKeyedStore();
     const storeCalls = new Map<string, number>();
     const processes: CoordinatedProcess[] = [];
-    for (let index = 0; index < options.size; index++) {
-      const process = createProcess({
+    const scope = yield* Effect.scope;
+    const create = (index: number) =>
+      createProcess({
         index,
         processes,
         clock: new PausableClock(clock),
@@ -75,17 +78,25 @@
         nowMs,
         random,
       });
-      processes.push(process);
-      yield* Effect.forkScoped(
-        Effect.sleep(random() * START_SPREAD_MS).pipe(
-          Effect.andThen(process.coordinator.run()),
-          Effect.raceFirst(awaitEnd(process)),
-          Effect.provideService(Clock.Clock, process.clock),
-        ),
+    const run = (process: CoordinatedProcess) =>
+      Effect.sleep(random() * START_SPREAD_MS).pipe(
+        Effect.andThen(process.coordinator.run()),
+        Effect.raceFirst(awaitEnd(process)),
+        Effect.provideService(Clock.Clock, process.clock),
+        Effect.forkIn(scope),
+        Effect.asVoid,
       );
+    for (let index = 0; index < options.size; index++) {
+      processes.push(create(index));
+      yield* run(processes[index]!);
     }
     return {
       processes,
+      restart: ({ node }) => {
+        const index = Number(node.peerAddress);
+        processes[index] = create(index);
+        return run(processes[index]);
+      },
       store,
       storeCalls,
       nowMs,
