Count the retries of all processes whatever becomes of them

A test of the real coordinators and budgets in virtual time does show it, where more retries are wanted than are allowed and processes are killed and start again:

One class of fault, counts that are lost or partial and are taken for the whole:

- a process that ends takes its retries of the last window along: the process that it reported to counts them on for a window;
- a new leader knows only those who have reported: it completes their totals by its predecessor's; one without a predecessor's status says that its totals are not complete, and no process uses them;
- a process that knows of no other used the whole slack: it uses none, and in its first window only what the last life of all processes may have left;
- the number of processes that divide the rest is the greatest of the window;
- how long own retries may be missing in the totals follows from the age of the status, which was taken for its nominal age;

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -32,7 +32,7 @@
  */
 export class Coordinator implements CoordinationOperations {
   readonly #options: CoordinatorOptions;
-  readonly #reportTable = new ReportTable();
+  readonly #reportTable: ReportTable;
   readonly #status = new LeaderStatus();
   readonly #changeSignal = new ChangeSignal();
   readonly #replies: ReportReplies;
@@ -47,6 +47,7 @@
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
+    this.#reportTable = new ReportTable(options);
     this.#summary = this.#summarizeOwn();
     this.#search = new LeaderSearch({
       ...options,
@@ -88,6 +89,12 @@
     return Math.max(1, this.#status.processes);
   }
 
+  /** The same; undefined while the leader does not know all of them. */
+  knownProcesses(): number | undefined {
+    const { processes, areTotalsComplete } = this.#status;
+    return areTotalsComplete ? Math.max(1, processes) : undefined;
+  }
+
   /**
    * Heads that must get no requests because their replicas are being dissolved.
    */
@@ -97,10 +104,11 @@
 
   /**
    * Requests and retries of all processes; undefined while the status is not
-   * fresh.
+   * fresh or does not cover all of them.
    */
   sharedTotals(): SharedTotals | undefined {
-    return this.#status.isFresh(this.#nowMs())
+    const { areTotalsComplete } = this.#status;
+    return areTotalsComplete && this.#status.isFresh(this.#nowMs())
       ? this.#status.retryTotals
       : undefined;
   }
--- a/packages/celerytray/src/coordination/coordinator_options.ts
+++ b/packages/celerytray/src/coordination/coordinator_options.ts
@@ -42,6 +42,8 @@
    * Requests and retries of this process within the retry window, by service.
    */
   readonly retryTotals: () => Readonly<Record<string, WindowTotals>>;
+  /** Window in which retries count. */
+  readonly retryWindowMs: number;
   readonly hasTraffic: () => boolean;
   /** Time of the store's last response to this process. */
   readonly storeAnsweredAtMs: () => number;
--- a/packages/celerytray/src/coordination/intervals.ts
+++ b/packages/celerytray/src/coordination/intervals.ts
@@ -97,11 +97,14 @@
 }
 
 /**
- * Time until a process's own counts come back to it in the totals of all
- * processes.
+ * Time within which a process's own counts may be missing in the totals of a
+ * status of an age: its report travels as long as a status at most.
  */
-export function totalsLagMs(statusPath: StatusPath): number {
-  return 2 * nominalStatusAgeMs(statusPath) + TOTALS_LAG_MARGIN_MS;
+export function totalsLagMs(
+  statusPath: StatusPath,
+  statusAgeMs: number,
+): number {
+  return statusAgeMs + nominalStatusAgeMs(statusPath) + TOTALS_LAG_MARGIN_MS;
 }
 
 const TOTALS_LAG_MARGIN_MS = 200;
--- a/packages/celerytray/src/coordination/leader_follower.ts
+++ b/packages/celerytray/src/coordination/leader_follower.ts
@@ -34,6 +34,7 @@
 /** Dependencies of a follower. */
 export interface LeaderFollowerOptions {
   readonly self: PeerNode;
+  readonly bootId: string;
   readonly client: PeerCalls;
   readonly status: LeaderStatus;
   /** Returns a summary of this process and of those that report to it. */
@@ -150,7 +151,7 @@
     address: string,
     statusPath: StatusPath,
   ): Effect.Effect<ReportOutcome> {
-    const { self, client, summarize, known, record } = this.#options;
+    const { self, bootId, client, summarize, known, record } = this.#options;
     return Effect.suspend(() => {
       const summary = summarize();
       const maxHoldMs = statusPath === "direct"
@@ -158,6 +159,7 @@
         : RELAY_HOLD_MS;
       const report = {
         reporter: self,
+        bootId,
         summary,
         known: known(),
         holdMs: this.#isUnanswered ? 0 : maxHoldMs,
--- a/packages/celerytray/src/coordination/leader_status.ts
+++ b/packages/celerytray/src/coordination/leader_status.ts
@@ -17,6 +17,7 @@
 /** The status that the leader publishes. */
 export interface PublishedStatus {
   readonly processes: number;
+  readonly areTotalsComplete: boolean;
   readonly retryTotals: Readonly<Record<string, WindowTotals>>;
   readonly demand: DemandTotals;
   readonly expectedMs: Readonly<Record<string, number>>;
@@ -51,6 +52,7 @@
     version: "",
     value: { closedHeads: [], leaving: [] },
   };
+  #areTotalsComplete = false;
   #versionCount = 0;
 
   get leader(): LeaderRecord | undefined {
@@ -90,6 +92,11 @@
     return this.#updates.value.limits;
   }
 
+  /** Whether the totals and the number of processes cover all of them. */
+  get areTotalsComplete(): boolean {
+    return this.#areTotalsComplete;
+  }
+
   get retryTotals(): Readonly<Record<string, WindowTotals>> {
     return this.#retryTotals;
   }
@@ -145,6 +152,7 @@
     this.#storeAnsweredAtMs = own.storeAnsweredAtMs;
     this.#processes = own.processes;
     this.#retryTotals = own.retryTotals;
+    this.#areTotalsComplete = own.areTotalsComplete;
     this.#demand = own.demand;
     this.#expectedMs = own.expectedMs;
     const countBefore = this.#versionCount;
@@ -180,6 +188,7 @@
       (reply.storeAgeMs ?? Number.POSITIVE_INFINITY);
     this.#processes = reply.processes;
     this.#retryTotals = reply.repeats;
+    this.#areTotalsComplete = reply.areTotalsComplete !== false;
     this.#demand = reply.demand;
     this.#expectedMs = reply.expectedMs;
     this.#relays = reply.relays ?? this.#relays;
@@ -217,6 +226,7 @@
       storeAgeMs: isPublished ? this.storeAgeMs(nowMs) : null,
       processes: this.#processes,
       repeats: this.#retryTotals,
+      areTotalsComplete: this.#areTotalsComplete,
       demand: this.#demand,
       expectedMs: this.#expectedMs,
       ...(known.relaysVersion === this.#relays.version
--- a/packages/celerytray/src/coordination/leader_term.ts
+++ b/packages/celerytray/src/coordination/leader_term.ts
@@ -7,6 +7,7 @@
 import type { CoordinatorOptions } from "./coordinator_options.ts";
 import type { QuarantinedPart } from "../serving/index.ts";
 import { PUBLISH_INTERVAL_MS, TAKEOVER_GRACE_MS } from "./intervals.ts";
+import { InheritedRetries } from "./inherited_retries.ts";
 import { FencedReplicaRecorder, type LeaderCheck } from "./leader_log.ts";
 import type { LeaderStatus } from "./leader_status.ts";
 import { SuccessorWatch } from "./successor_watch.ts";
@@ -27,6 +28,7 @@
     | "listLeaving"
     | "quarantine"
     | "limits"
+    | "retryWindowMs"
   > {
   readonly leader: LeaderRecord;
   readonly replicas: readonly ReplicaRecord[];
@@ -55,6 +57,9 @@
   readonly #successorWatch: SuccessorWatch;
   readonly #recorder: FencedReplicaRecorder;
   readonly #boards: SharedBoards;
+  readonly #inheritedRetries: InheritedRetries;
+  /** Whether the predecessor's status covered all processes. */
+  readonly #hasInherited: boolean;
   readonly #sinceMs: number;
   /** Node ID of the leader that this process replaced. */
   readonly #predecessorId: string | undefined;
@@ -66,6 +71,12 @@
     const { term } = leader;
     this.#sinceMs = nowMs();
     this.#predecessorId = status.leader?.nodeId;
+    this.#hasInherited = status.areTotalsComplete;
+    this.#inheritedRetries = new InheritedRetries({
+      totals: status.retryTotals,
+      takenOverAtMs: this.#sinceMs,
+      windowMs: options.retryWindowMs,
+    });
     status.setLeader(leader, this.#sinceMs);
     options.record("lead.taken", { term, replicas: replicas.length });
     this.#boards = new SharedBoards({ ...options, term });
@@ -159,7 +170,8 @@
       : count;
     return this.#options.status.publish({
       processes,
-      retryTotals: repeats,
+      areTotalsComplete: this.#areTotalsComplete(nowMs),
+      retryTotals: this.#inheritedRetries.complete(repeats, nowMs),
       demand: { byModel: demand, byTenant: tenantDemand },
       expectedMs: this.#controller.expectedMs(nowMs),
       relays: selectRelays({
@@ -178,6 +190,11 @@
     }, nowMs);
   }
 
+  /** Whether the totals cover all processes, as far as this leader knows. */
+  #areTotalsComplete(nowMs: number): boolean {
+    return this.#hasInherited || nowMs - this.#sinceMs >= TAKEOVER_GRACE_MS;
+  }
+
   /** Whether followers of the previous leader may not all report here yet. */
   #isTakingOver(nowMs: number): boolean {
     return this.#options.status.processes > 1 &&
--- a/packages/celerytray/src/coordination/peer_messages.ts
+++ b/packages/celerytray/src/coordination/peer_messages.ts
@@ -89,6 +89,8 @@
 /** Report of a process to the leader or a relay. */
 export interface PeerReport {
   readonly reporter: PeerNode;
+  /** Distinguishes the starts of a process; absent from earlier versions. */
+  readonly bootId?: string;
   readonly summary: PeerSummary;
   readonly known: KnownStatus;
   /** Longest time for which the reply may be held until there is news. */
@@ -117,6 +119,11 @@
   readonly processes: number;
   /** Requests and retries of all processes, by service. */
   readonly repeats: Readonly<Record<string, WindowTotals>>;
+  /**
+   * Whether `processes` and `repeats` cover all processes, which a leader without
+   * a predecessor's status does not know at first; absent from earlier versions.
+   */
+  readonly areTotalsComplete?: boolean;
   /** Requests of all processes in progress or waiting. */
   readonly demand: DemandTotals;
   /** Expected time until a replica is available, for each model without one. */
--- a/packages/celerytray/src/coordination/report_table.ts
+++ b/packages/celerytray/src/coordination/report_table.ts
@@ -4,8 +4,10 @@
   ageReport,
   mergeLimitReports,
   mergeReports,
+  type SharedTotals,
   type WindowTotals,
 } from "../serving/index.ts";
+import { DepartedRetries } from "./departed_retries.ts";
 import { reporterTimeoutMs } from "./intervals.ts";
 import type { PeerNode, PeerReport, PeerSummary } from "./peer_messages.ts";
 
@@ -22,8 +24,13 @@
 /** The newest reports of other processes to this one. */
 export class ReportTable {
   readonly #reports = new Map<string, StoredReport>();
+  readonly #departed: DepartedRetries;
   #newestAtMs: number | undefined;
 
+  constructor(options: { readonly retryWindowMs: number }) {
+    this.#departed = new DepartedRetries({ windowMs: options.retryWindowMs });
+  }
+
   /** Time of the newest report; undefined before the first. */
   get newestAtMs(): number | undefined {
     return this.#newestAtMs;
@@ -31,6 +38,11 @@
 
   addReport(report: PeerReport, nowMs: number): void {
     this.#newestAtMs = nowMs;
+    const known = this.#reports.get(report.reporter.nodeId);
+    if (known !== undefined && known.report.bootId !== report.bootId) {
+      this.#departed.add(known.report, known.atMs);
+    }
+    this.#departed.remove(report);
     this.#reports.set(report.reporter.nodeId, { report, atMs: nowMs });
   }
 
@@ -61,7 +73,10 @@
       tenantDemand: selectLargest(
         sumDemand(summaries.map(({ tenantDemand }) => tenantDemand)),
       ),
-      repeats: sumRetryTotals(summaries),
+      repeats: sumRetryTotals([
+        ...summaries.map(({ repeats }) => repeats),
+        ...this.#departed.list(nowMs),
+      ]),
       hasTraffic: summaries.some(({ hasTraffic }) => hasTraffic),
       quarantine: mergeReports([
         own.quarantine,
@@ -85,7 +100,9 @@
   #listPresent(nowMs: number): readonly StoredReport[] {
     for (const [nodeId, { report, atMs }] of this.#reports) {
       const isPresent = nowMs - atMs < reporterTimeoutMs(report.holdMs);
-      if (!isPresent) this.#reports.delete(nodeId);
+      if (isPresent) continue;
+      this.#reports.delete(nodeId);
+      this.#departed.add(report, atMs);
     }
     return [...this.#reports.values()];
   }
@@ -141,11 +158,10 @@
   );
 }
 
-function sumRetryTotals(
-  summaries: readonly PeerSummary[],
-): Readonly<Record<string, WindowTotals>> {
+/** Adds up requests and retries, by service. */
+export function sumRetryTotals(all: readonly SharedTotals[]): SharedTotals {
   const sums: Record<string, WindowTotals> = {};
-  for (const { repeats } of summaries) {
+  for (const repeats of all) {
     for (const [service, totals] of Object.entries(repeats)) {
       const sum = sums[service] ?? { requests: 0, repeats: 0 };
       sums[service] = {
--- a/packages/celerytray/src/host/create_coordinator.ts
+++ b/packages/celerytray/src/host/create_coordinator.ts
@@ -47,6 +47,7 @@
     client: new PeerClient(),
     listStalledHeads: () =>
       stalls.findSuspected(nowMs()).map(({ instanceId }) => instanceId),
+    retryWindowMs: settings.retryWindowMs,
     retryTotals: () => sources.retryBudget.listTotals(nowMs()),
     listSlowHeads: () => paces.listSlow(nowMs()),
     demand: () => demand.byModel,
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -101,9 +101,11 @@
       share: settings.retryShare,
       slackRequests: settings.retrySlackRequests,
       windowMs: settings.retryWindowMs,
-      countMachines: () => coordinator.countProcesses(),
+      countMachines: () => coordinator.knownProcesses(),
       sharedTotals: () => coordinator.sharedTotals(),
-      totalsLagMs: () => totalsLagMs(coordinator.statusPath),
+      totalsLagMs: () =>
+        totalsLagMs(coordinator.statusPath, coordinator.statusAgeMs() ?? 0),
+      startedAtMs: nowMs(),
       random,
     });
     const coordinator: Coordinator = createCoordinator({
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -72,6 +72,7 @@
       countMachines: () => 1,
       sharedTotals: () => undefined,
       totalsLagMs: () => 1_000,
+      startedAtMs: Number.NEGATIVE_INFINITY,
       random: () => 0.5,
     }),
     agentFor: () => agent,
--- a/packages/celerytray/src/serving/shared_retry_budget.ts
+++ b/packages/celerytray/src/serving/shared_retry_budget.ts
@@ -14,18 +14,25 @@
   /** Retries allowed within a window beside that share, over all machines. */
   readonly slackRequests: number;
   readonly windowMs: number;
-  /** Machines that share the slack. */
-  readonly countMachines: () => number;
+  /** Machines that share the slack; undefined while their number is unknown. */
+  readonly countMachines: () => number | undefined;
   /** Latest totals of all machines; undefined if they are out of date. */
   readonly sharedTotals: () => SharedTotals | undefined;
-  /** Time until the retries of a machine appear in the totals. */
+  /** Time within which retries of this machine may be missing in the totals. */
   readonly totalsLagMs: () => number;
+  /** Start of this process, which does not know what it spent before. */
+  readonly startedAtMs: number;
   /** Returns a number from 0 to 1. */
   readonly random: () => number;
 }
 
 /** Fraction of the budget that is used, as the load of machines is uneven. */
 const USED_FRACTION = 0.6;
+/**
+ * Fraction of the slack that a process uses in its first window: the rest may
+ * have been used just before it started.
+ */
+const STARTING_SLACK_FRACTION = 1 - USED_FRACTION;
 const BUCKETS = 40;
 
 /**
@@ -36,6 +43,7 @@
 export class SharedRetryBudget {
   readonly #options: SharedRetryBudgetOptions;
   readonly #counts = new Map<string, WindowCounts>();
+  readonly #machines = new WindowMax();
 
   constructor(options: SharedRetryBudgetOptions) {
     this.#options = options;
@@ -43,6 +51,7 @@
 
   noteRequest(service: string, nowMs: number): void {
     this.#getBucket(service, nowMs).requests += 1;
+    this.#countMachines(nowMs);
   }
 
   /** Spends one retry; returns false if the budget is exhausted. */
@@ -69,15 +78,18 @@
   }
 
   #isWithinLocalBudget(service: string, nowMs: number): boolean {
-    const { slackRequests } = this.#options;
-    const totals = this.#counts.get(service)!.totals(this.#bucketAt(nowMs));
-    const slack = slackRequests / this.#countMachines();
-    return totals.repeats + 1 <= this.#allowed(totals.requests, slack);
+    const counts = this.#counts.get(service)!;
+    const totals = counts.totals(this.#bucketAt(nowMs));
+    const machines = this.#countMachines(nowMs);
+    // Without a number of machines, no part of the slack is known to be free.
+    const slack = machines === undefined ? 0 : this.#slack(nowMs) / machines;
+    return totals.repeats + 1 <= this.#allowed(totals.requests) + slack;
   }
 
   /**
    * Each machine gets an equal share of the remaining budget for the time by
-   * which the totals lag. A share of less than one retry is its probability.
+   * which the totals lag. A share of less than one retry is its probability,
+   * for one draw within that time.
    */
   #isWithinSharedBudget(
     service: string,
@@ -88,22 +100,42 @@
   ): boolean {
     const { requests, repeats } = shared[service] ??
       { requests: 0, repeats: 0 };
-    const remaining = this.#allowed(requests, this.#options.slackRequests) -
-      repeats;
-    const machineShare = remaining / this.#countMachines();
-    const unreported = this.#counts.get(service)!.countRetries({
-      from: this.#bucketAt(nowMs - this.#options.totalsLagMs()),
+    const remaining = this.#allowed(requests) + this.#slack(nowMs) - repeats;
+    const machineShare = remaining / (this.#countMachines(nowMs) ?? 1);
+    const counts = this.#counts.get(service)!;
+    const lagMs = this.#options.totalsLagMs();
+    const unreported = counts.countRetries({
+      from: this.#bucketAt(nowMs - lagMs),
     });
-    return unreported + 1 <= machineShare ||
-      (unreported === 0 && this.#options.random() < machineShare);
+    if (unreported + 1 <= machineShare) return true;
+    if (unreported > 0 || machineShare <= 0) return false;
+    return counts.tryDraw({ nowMs, lagMs }) &&
+      this.#options.random() < machineShare;
   }
 
-  #allowed(requests: number, slack: number): number {
-    return USED_FRACTION * (this.#options.share * requests + slack);
+  /** Retries allowed for a number of requests, without the slack. */
+  #allowed(requests: number): number {
+    return USED_FRACTION * this.#options.share * requests;
   }
 
-  #countMachines(): number {
-    return Math.max(1, this.#options.countMachines());
+  /** Retries allowed beside the share of the requests, over all machines. */
+  #slack(nowMs: number): number {
+    const { slackRequests, startedAtMs, windowMs } = this.#options;
+    const isStarting = nowMs - startedAtMs < windowMs;
+    return slackRequests *
+      (isStarting ? STARTING_SLACK_FRACTION : USED_FRACTION);
+  }
+
+  /**
+   * The greatest number of machines within the window: those that are missing
+   * now may only be out of reach.
+   */
+  #countMachines(nowMs: number): number | undefined {
+    const machines = this.#options.countMachines();
+    if (machines !== undefined) {
+      this.#machines.note(machines, this.#bucketAt(nowMs));
+    }
+    return this.#machines.max(this.#bucketAt(nowMs));
   }
 
   #getBucket(service: string, nowMs: number): Bucket {
@@ -126,8 +158,37 @@
   retries: number;
 }
 
+/** The greatest of the values within a window. */
+class WindowMax {
+  readonly #values = new Map<number, number>();
+
+  note(value: number, index: number): void {
+    this.#values.set(index, Math.max(value, this.#values.get(index) ?? 0));
+  }
+
+  /** The greatest value up to a bucket; undefined without any. */
+  max(index: number): number | undefined {
+    for (const old of this.#values.keys()) {
+      if (old <= index - BUCKETS) this.#values.delete(old);
+    }
+    return this.#values.size === 0
+      ? undefined
+      : Math.max(...this.#values.values());
+  }
+}
+
 class WindowCounts {
   #buckets: Bucket[] = [];
+  #drawnAtMs = Number.NEGATIVE_INFINITY;
+
+  /** Whether a draw is due, which it is once in the time of the lag. */
+  tryDraw(
+    { nowMs, lagMs }: { readonly nowMs: number; readonly lagMs: number },
+  ): boolean {
+    if (nowMs - this.#drawnAtMs < lagMs) return false;
+    this.#drawnAtMs = nowMs;
+    return true;
+  }
 
   at(index: number): Bucket {
     const last = this.#buckets.at(-1);
--- a/packages/celerytray/src/serving/shared_retry_budget_test.ts
+++ b/packages/celerytray/src/serving/shared_retry_budget_test.ts
@@ -27,6 +27,7 @@
         countMachines: () => machines,
         sharedTotals: () => undefined,
         totalsLagMs: () => 1_000,
+        startedAtMs: Number.NEGATIVE_INFINITY,
         random: () => 0.5,
       }),
   );
@@ -58,6 +59,7 @@
       countMachines: () => machines,
       sharedTotals: () => published,
       totalsLagMs: () => 2 * intervalMs,
+      startedAtMs: Number.NEGATIVE_INFINITY,
       random: createRandom(),
     }));
   const publish = (nowMs: number) => {
@@ -115,6 +117,7 @@
       countMachines: () => machines,
       sharedTotals: () => ({}),
       totalsLagMs: () => 2_500,
+      startedAtMs: Number.NEGATIVE_INFINITY,
       random,
     }));
   const spent = budgets.filter((budget) => budget.trySpend("drafts", 0));
@@ -129,9 +132,73 @@
     countMachines: () => 1,
     sharedTotals: () => undefined,
     totalsLagMs: () => 1_000,
+    startedAtMs: Number.NEGATIVE_INFINITY,
     random: () => 0.5,
   });
   while (budget.trySpend("drafts", 0));
   expect(budget.trySpend("drafts", WINDOW_MS / 2)).toEqual(false);
   expect(budget.trySpend("drafts", WINDOW_MS)).toEqual(true);
 });
+
+// Guards against many draws of each machine for its share of one retry, which
+// together exceed the budget.
+it("draws for less than one retry once until the totals show it", () => {
+  const machines = 390;
+  const slackRequests = 100;
+  const random = createRandom();
+  const budgets = Array.from({ length: machines }, () =>
+    new SharedRetryBudget({
+      share: 0,
+      slackRequests,
+      windowMs: WINDOW_MS,
+      countMachines: () => machines,
+      sharedTotals: () => ({}),
+      totalsLagMs: () => 2_500,
+      startedAtMs: Number.NEGATIVE_INFINITY,
+      random,
+    }));
+  let spent = 0;
+  for (let nowMs = 0; nowMs < 2_000; nowMs += 100) {
+    for (const budget of budgets) {
+      if (budget.trySpend("drafts", nowMs)) spent += 1;
+    }
+  }
+  expect(spent > 0 && spent <= slackRequests).toEqual(true);
+});
+
+// Guards against a process that takes the whole slack for itself, as it has
+// just started and knows of no other.
+it("uses no slack before it knows the number of machines", () => {
+  const budget = new SharedRetryBudget({
+    share: 0.2,
+    slackRequests: 100,
+    windowMs: WINDOW_MS,
+    countMachines: () => undefined,
+    sharedTotals: () => undefined,
+    totalsLagMs: () => 1_000,
+    startedAtMs: 0,
+    random: () => 0,
+  });
+  expect(budget.trySpend("drafts", 0)).toEqual(false);
+  for (let count = 0; count < 50; count++) budget.noteRequest("drafts", 0);
+  expect(budget.trySpend("drafts", 0)).toEqual(true);
+});
+
+// Guards against shares of a budget by the few machines that report just now.
+it("divides by the greatest number of machines within the window", () => {
+  let machines = 80;
+  const budget = new SharedRetryBudget({
+    share: 0,
+    slackRequests: 100,
+    windowMs: WINDOW_MS,
+    countMachines: () => machines,
+    sharedTotals: () => ({}),
+    totalsLagMs: () => 1_000,
+    startedAtMs: Number.NEGATIVE_INFINITY,
+    random: () => 1,
+  });
+  budget.noteRequest("drafts", 0);
+  machines = 2;
+  expect(budget.trySpend("drafts", 1_000)).toEqual(false);
+  expect(budget.trySpend("drafts", WINDOW_MS)).toEqual(true);
+});
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -136,6 +136,7 @@
       countMachines: () => 1,
       sharedTotals: () => undefined,
       totalsLagMs: () => 0,
+      startedAtMs: Number.NEGATIVE_INFINITY,
       random: () => 0,
     });
     this.#trySpend = trySpend;
--- a/packages/fakes/src/coordination/coordinated_process.ts
+++ b/packages/fakes/src/coordination/coordinated_process.ts
@@ -6,6 +6,7 @@
   type PeerNode,
   PeerUnresponsive,
   type PromptQuarantine,
+  type SharedRetryBudget,
 } from "celerytray";
 import { Effect } from "effect";
 import type { PausableClock } from "./pausable_clock.ts";
@@ -17,6 +18,7 @@
 export interface CoordinatedProcess {
   readonly node: PeerNode;
   readonly coordinator: Coordinator;
+  readonly retryBudget: SharedRetryBudget;
   readonly quarantine: PromptQuarantine;
   readonly limits: InstanceLimits;
   /** Instances that it knows to be leaving, by id. */
--- a/packages/fakes/src/coordination/simulated_cluster.ts
+++ b/packages/fakes/src/coordination/simulated_cluster.ts
@@ -8,7 +8,9 @@
   PromptQuarantine,
   readSteadyMs,
   ReplicaController,
+  SharedRetryBudget,
   TopicCopy,
+  totalsLagMs,
 } from "celerytray";
 import { Clock, Effect, type Scope } from "effect";
 import { Left } from "purify-ts";
@@ -43,11 +45,25 @@
   readonly nowMs: () => number;
 }
 
+/** The bound on the retries of all processes to one service. */
+export interface RetryBound {
+  readonly share: number;
+  readonly slackRequests: number;
+  readonly windowMs: number;
+}
+
+const DEFAULT_RETRY_BOUND: RetryBound = {
+  share: 0.2,
+  slackRequests: 350,
+  windowMs: 10_000,
+};
+
 /** Starts processes within some 300 ms; they run until the scope closes. */
 export function createSimulatedCluster(
   options: {
     readonly seed: number;
     readonly size: number;
+    readonly retryBound?: RetryBound;
     /** What the processes of an earlier cluster left behind. */
     readonly store?: FakeKeyedStore;
   },
@@ -65,6 +81,7 @@
     const create = (index: number) =>
       createProcess({
         index,
+        retryBound: options.retryBound ?? DEFAULT_RETRY_BOUND,
         processes,
         clock: new PausableClock(clock),
         log: new CountingLog({
@@ -115,6 +132,7 @@
 
 interface ProcessOptions {
   readonly index: number;
+  readonly retryBound: RetryBound;
   readonly processes: readonly CoordinatedProcess[];
   readonly clock: PausableClock;
   readonly log: CountingLog;
@@ -122,8 +140,10 @@
   readonly random: () => number;
 }
 
+let bootCount = 0;
+
 function createProcess(
-  { index, processes, clock, log, nowMs, random }: ProcessOptions,
+  { index, retryBound, processes, clock, log, nowMs, random }: ProcessOptions,
 ): CoordinatedProcess {
   const leaving = new Map<string, LeavingIncarnation>();
   const stalledHeads = new Set<string>();
@@ -145,8 +165,22 @@
     isStatusFresh: () => process.coordinator.statusAgeMs() !== undefined,
     onChange: () => {},
   });
+  const retryBudget: SharedRetryBudget = new SharedRetryBudget({
+    ...retryBound,
+    countMachines: () => process.coordinator.knownProcesses(),
+    sharedTotals: () => process.coordinator.sharedTotals(),
+    totalsLagMs: () =>
+      totalsLagMs(
+        process.coordinator.statusPath,
+        process.coordinator.statusAgeMs() ?? 0,
+      ),
+    startedAtMs: nowMs(),
+    random,
+  });
+  bootCount += 1;
   const process: CoordinatedProcess = {
     node,
+    retryBudget,
     quarantine,
     limits,
     leaving,
@@ -160,7 +194,7 @@
     endListeners: new Set(),
     coordinator: new Coordinator({
       self: node,
-      bootId: `boot-${index}`,
+      bootId: `boot-${index}-${bootCount}`,
       log,
       client: createPeerCalls(processes),
       listStalledHeads: () => [...stalledHeads],
@@ -168,7 +202,8 @@
       limits,
       listSlowHeads: () => [],
       demand: () => ({ [SHARED_MODEL]: 1 }),
-      retryTotals: () => ({}),
+      retryWindowMs: retryBound.windowMs,
+      retryTotals: () => retryBudget.listTotals(nowMs()),
       tenantDemand: () => ({ [SHARED_TENANT]: 1, [`tenant-${index}`]: 1 }),
       hasTraffic: () => false,
       storeAnsweredAtMs: nowMs,
--- a/packages/fakes/src/fleet/fleet_simulation.ts
+++ b/packages/fakes/src/fleet/fleet_simulation.ts
@@ -210,6 +210,7 @@
     }),
     listSlowHeads: () => fleet.listSlowHeads().map(({ id }) => id),
     demand: () => ({}),
+    retryWindowMs: 10_000,
     retryTotals: () => ({}),
     tenantDemand: () => ({}),
     config: {
