Quarantine whole requests that crash the back ends that run them

Cause: only parts of prompts were remembered after a crash, and such a request has none.

A whole request is now a cause like a part of a prompt, with the same evidence, reports, record, list and release, and a hash as its id.

Ruled out: a twin of the quarantine for requests, as parts and requests are suspected at the same crashes and only one record of evidence can tell which one explains them. Sharing each lost request: a head that is lost takes dozens along.

--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -42,7 +42,8 @@
     });
     const watch = new AttemptWatch({
       ...dependencies,
-      parts: call.headers.promptParts ?? [],
+      causes: progress.causes,
+      isStream: call.route.isStream,
       target,
       startedAtMs,
     });
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -5,6 +5,7 @@
 import type { AttemptOutcome } from "./attempt_options.ts";
 import type { AbandonReason } from "./stall_detector.ts";
 import type { RetryPolicy } from "./serving_config.ts";
+import { CallCauses } from "./quarantine/index.ts";
 
 /** The result of all attempts of a call. */
 export type AttemptsResult =
@@ -43,6 +44,8 @@
 
 /** Mutable state of a call over its attempts. */
 export interface AttemptProgress {
+  /** What of the call may crash instances. */
+  readonly causes: CallCauses;
   readonly tried: Set<string>;
   readonly attempts: string[];
   /** Attempts that may have reached an instance. */
@@ -88,6 +91,7 @@
 /** Creates the state of a call before its first attempt. */
 export function createProgress(call: AdmittedCall): AttemptProgress {
   return {
+    causes: new CallCauses(call),
     tried: new Set(),
     attempts: [],
     deliveries: 0,
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -132,15 +132,15 @@
  * held part is let through where this process may try it.
  */
 function findPromptRefusal(
-  { call, dependencies: { quarantine } }: AttemptsOptions,
+  { dependencies: { quarantine } }: AttemptsOptions,
   progress: AttemptProgress,
   nowMs: number,
 ): PromptRefusal | undefined {
-  const parts = call.headers.promptParts ?? [];
-  const verdict = quarantine.assess(parts, nowMs);
+  const causes = progress.causes.listWatched(quarantine);
+  const verdict = quarantine.assess(causes, nowMs);
   if (verdict.kind === "clear" || verdict.kind === "suspected") return;
   const isTrial = verdict.kind === "held" &&
-    (progress.isTrial || quarantine.tryTakeTrial(parts, nowMs));
+    (progress.isTrial || quarantine.tryTakeTrial(causes, nowMs));
   progress.isTrial = isTrial;
   return isTrial ? undefined : verdict;
 }
--- a/packages/celerytray/src/serving/quarantine/attempt_watch.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -3,6 +3,7 @@
   createIncarnationKey,
   type IncarnatedTarget,
 } from "../incarnation_key.ts";
+import type { CallCauses } from "./crash_causes.ts";
 import type { WatchedAttempt } from "./own_evidence.ts";
 import type { PromptQuarantine } from "./prompt_quarantine.ts";
 import type { SuspectLoad } from "./suspect_load.ts";
@@ -11,8 +12,8 @@
 export interface AttemptWatchOptions {
   readonly quarantine: PromptQuarantine;
   readonly suspectLoad: SuspectLoad;
-  /** Ids of the parts of the prompt, in order. */
-  readonly parts: readonly string[];
+  readonly causes: CallCauses;
+  readonly isStream: boolean;
   readonly target: IncarnatedTarget;
   readonly startedAtMs: number;
 }
@@ -20,10 +21,12 @@
 /** Time after its first event for which a stream may still crash its instance. */
 const CONFIRM_MS = 100;
 /**
- * Shortest time in which an instance begins to write. A kept connection that is
- * reset sooner had been closed while it was idle.
+ * Shortest time in which an instance begins to write a stream, or to run another
+ * request. A kept connection that is reset sooner had been closed while it was
+ * idle.
  */
-const MIN_BEGIN_MS = 50;
+const MIN_STREAM_BEGIN_MS = 50;
+const MIN_RUN_MS = 10;
 
 /**
  * Watches whether an attempt begins to write without harm, or whether its
@@ -31,21 +34,24 @@
  */
 export class AttemptWatch {
   readonly #options: AttemptWatchOptions;
-  readonly #attempt: WatchedAttempt;
+  readonly #attempt: Omit<WatchedAttempt, "causes">;
   #isSuspect: boolean;
   #firstEventAtMs: number | undefined;
   #isSafe = false;
 
   constructor(options: AttemptWatchOptions) {
-    const { quarantine, suspectLoad, parts, target, startedAtMs } = options;
+    const { quarantine, suspectLoad, causes, target, startedAtMs } = options;
     const { instanceId } = target;
     this.#options = options;
     this.#attempt = {
-      parts,
+      isStream: options.isStream,
       instanceId,
       incarnation: createIncarnationKey(target),
     };
-    this.#isSuspect = quarantine.assess(parts, startedAtMs).kind !== "clear";
+    this.#isSuspect = quarantine.assess(
+      causes.listWatched(quarantine),
+      startedAtMs,
+    ).kind !== "clear";
     if (this.#isSuspect) suspectLoad.note(instanceId, 1);
   }
 
@@ -62,12 +68,13 @@
 
   noteOutcome(outcome: AttemptOutcome, nowMs: number): void {
     if (this.#hasWritten(outcome)) this.#noteSafe(nowMs);
-    const { quarantine, startedAtMs } = this.#options;
+    const { quarantine, causes, isStream, startedAtMs } = this.#options;
     if (outcome.kind !== "lost" || this.#isSafe) return;
     if (outcome.abandonReason !== undefined) return;
     const wasIdle = outcome.isStaleConnection &&
-      nowMs - startedAtMs < MIN_BEGIN_MS;
-    if (!wasIdle) quarantine.noteLost(this.#attempt, nowMs);
+      nowMs - startedAtMs < (isStream ? MIN_STREAM_BEGIN_MS : MIN_RUN_MS);
+    if (wasIdle) return;
+    quarantine.noteLost({ ...this.#attempt, causes: causes.all }, nowMs);
   }
 
   /** Ends the watch, also of an attempt that was interrupted. */
@@ -87,8 +94,11 @@
   #noteSafe(nowMs: number): void {
     if (this.#isSafe) return;
     this.#isSafe = true;
-    const { quarantine } = this.#options;
-    quarantine.noteSafe(this.#attempt, this.#firstEventAtMs ?? nowMs);
+    const { quarantine, causes } = this.#options;
+    quarantine.noteSafe(
+      { causes: causes.listWatched(quarantine) },
+      this.#firstEventAtMs ?? nowMs,
+    );
     this.end();
   }
 }
--- a/packages/celerytray/src/serving/quarantine/crash_evidence.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_evidence.ts
@@ -1,6 +1,8 @@
+import { isRequestCause } from "./crash_causes.ts";
+
 /** A request whose instance was lost before it had begun to write harmlessly. */
 export interface CrashSighting {
-  /** A part of the request's prompt, the last one excepted. */
+  /** A part of the request's prompt, or the whole request. */
   readonly part: string;
   /** The incarnation of the instance that was lost. */
   readonly incarnation: string;
@@ -50,10 +52,17 @@
 const MAX_LOSSES = 512;
 /** Losses within this time count once, as a common cause is likelier. */
 const SAME_MOMENT_MS = 100;
+/**
+ * The same for a whole request: its next attempt begins only after a loss, and
+ * may end as soon as this.
+ */
+const SAME_MOMENT_OF_REQUEST_MS = 30;
 /** Time for which losses count; harmless requests clear them earlier. */
 const MAX_EVIDENCE_AGE_MS = 3_600_000;
 /** Parts that are tracked; those with the fewest and oldest losses go first. */
 const MAX_PARTS = 128;
+/** Whole requests that are tracked; a lost instance takes many along. */
+const MAX_REQUESTS = 512;
 /** Losses kept of one part. */
 const MAX_CRASHES_PER_PART = 16;
 
@@ -117,6 +126,11 @@
     }
   }
 
+  /** The parts and requests with losses. */
+  get causes(): readonly string[] {
+    return [...this.#parts.keys()];
+  }
+
   forget(part: string): void {
     this.#parts.delete(part);
   }
@@ -129,7 +143,7 @@
     const open = [...crashes].filter(([incarnation]) =>
       !explained.has(incarnation)
     );
-    return listMoments(open.map(([, atMs]) => atMs)).length;
+    return listMoments(part, open.map(([, atMs]) => atMs)).length;
   }
 
   /** Returns the losses since `maxAgeMs` ago, to be reported. */
@@ -206,17 +220,19 @@
       }
       if (crashes.size === 0) this.#parts.delete(part);
     }
-    while (this.#parts.size > MAX_PARTS) {
-      let weakest: string | undefined;
-      let weakestCrashes = Number.POSITIVE_INFINITY;
-      for (const [part, { crashes }] of this.#parts) {
-        if (crashes.size < weakestCrashes) {
-          weakest = part;
-          weakestCrashes = crashes.size;
-        }
-      }
-      this.#parts.delete(weakest!);
-    }
+    this.#evictWeakest(MAX_PARTS, (part) => !isRequestCause(part));
+    this.#evictWeakest(MAX_REQUESTS, isRequestCause);
+  }
+
+  /** Forgets the causes of one kind with the fewest losses, oldest first. */
+  #evictWeakest(maxCount: number, isOfKind: (part: string) => boolean): void {
+    const surplus = this.causes.filter(isOfKind).length - maxCount;
+    if (surplus <= 0) return;
+    const weakest = [...this.#parts]
+      .filter(([part]) => isOfKind(part))
+      .sort(([, a], [, b]) => a.crashes.size - b.crashes.size)
+      .slice(0, surplus);
+    for (const [part] of weakest) this.#parts.delete(part);
   }
 }
 
@@ -246,7 +262,7 @@
     recentLosses.filter((incarnation) => !open.has(incarnation)).length;
   const neededCrashes = QUARANTINE_CRASHES +
     OTHER_LOSSES_STEPS.filter((losses) => otherLosses >= losses).length;
-  const moments = listMoments([...open.values()]);
+  const moments = listMoments(part, [...open.values()]);
   const decidedAtMs = moments[neededCrashes - 1];
   const waitMs = isAmbiguous ? AMBIGUOUS_SETTLE_MS : settleMs;
   return {
@@ -284,11 +300,17 @@
 }
 
 /** Merges times that lie close together; returns the first of each group. */
-function listMoments(timesMs: readonly number[]): readonly number[] {
+function listMoments(
+  part: string,
+  timesMs: readonly number[],
+): readonly number[] {
+  const sameMomentMs = isRequestCause(part)
+    ? SAME_MOMENT_OF_REQUEST_MS
+    : SAME_MOMENT_MS;
   const moments: number[] = [];
   for (const atMs of [...timesMs].sort((a, b) => a - b)) {
     const last = moments.at(-1);
-    if (last === undefined || atMs - last >= SAME_MOMENT_MS) moments.push(atMs);
+    if (last === undefined || atMs - last >= sameMomentMs) moments.push(atMs);
   }
   return moments;
 }
--- a/packages/celerytray/src/serving/quarantine/index.ts
+++ b/packages/celerytray/src/serving/quarantine/index.ts
@@ -1,5 +1,6 @@
 /** Quarantine of parts of prompts that crash the instances that write on them. */
 export { AttemptWatch } from "./attempt_watch.ts";
+export { CallCauses } from "./crash_causes.ts";
 export type { PartAssessment } from "./crash_evidence.ts";
 export {
   PromptQuarantine,
--- a/packages/celerytray/src/serving/quarantine/own_evidence.ts
+++ b/packages/celerytray/src/serving/quarantine/own_evidence.ts
@@ -1,12 +1,15 @@
 import { CrashEvidence, type CrashSighting } from "./crash_evidence.ts";
+import { isRequestCause } from "./crash_causes.ts";
 import { RecentParts } from "./recent_parts.ts";
 
-/** An attempt whose prompt is watched. */
+/** An attempt whose causes of a crash are watched. */
 export interface WatchedAttempt {
-  readonly parts: readonly string[];
+  /** Ids of parts of its prompt, and of the whole request. */
+  readonly causes: readonly string[];
   readonly instanceId: string;
   /** The instance in its present life. */
   readonly incarnation: string;
+  readonly isStream: boolean;
 }
 
 /** Time for which a harmless part is remembered. */
@@ -14,47 +17,53 @@
 const MAX_SAFE_PARTS = 8_192;
 /** Time for which losses are reported, so that a new leader learns of them. */
 const REPORT_MS = 60_000;
-/** Time after a loss in which earlier responses of an instance may arrive. */
-const ALIVE_MARGIN_MS = 100;
-/** Length of an id of a part; longer ones are not tracked. */
-export const MAX_PART_ID_CHARACTERS = 64;
-
 /**
- * The parts of a prompt that may crash an instance: all but the last, which no
- * other prompt has.
+ * Time for which the single loss of a request is reported. A stream's is not: it
+ * is repeated here, while many others are lost with a head.
  */
-export function listSharedParts(parts: readonly string[]): readonly string[] {
-  return parts.slice(0, -1).filter(isTracked);
-}
-
-/** What this process has seen of the parts of prompts at instances. */
+const SINGLE_REPORT_MS = 10_000;
+const MAX_SINGLE_LOSSES = 64;
+/** Time after a loss in which earlier responses of an instance may arrive. */
+const ALIVE_MARGIN_MS = 100;
+/** What this process has seen of possible causes of crashes at instances. */
 export class OwnEvidence {
   readonly #crashes = new CrashEvidence();
   readonly #safe = new RecentParts({
     maxParts: MAX_SAFE_PARTS,
     maxAgeMs: SAFE_MEMORY_MS,
   });
+  /** Requests that are no streams and were lost lately. */
+  readonly #lostRequests = new RecentParts({
+    maxParts: MAX_SINGLE_LOSSES,
+    maxAgeMs: SINGLE_REPORT_MS,
+  });
   /** Time of the loss of each incarnation, until it shows signs of life. */
   readonly #lostAtMs = new Map<string, number>();
 
   /** Notes a request that began to write at `atMs` and caused no crash. */
-  noteSafe({ parts }: Pick<WatchedAttempt, "parts">, atMs: number): void {
-    for (const part of parts.filter(isTracked)) {
-      this.#safe.note(part, atMs);
-      this.#crashes.noteSafe(part, atMs);
+  noteSafe({ causes }: Pick<WatchedAttempt, "causes">, atMs: number): void {
+    for (const cause of causes) {
+      this.#safe.note(cause, atMs);
+      this.#crashes.noteSafe(cause, atMs);
     }
   }
 
   /** Notes that a request's instance was lost before it wrote harmlessly. */
-  noteLost({ parts, incarnation }: WatchedAttempt, nowMs: number): void {
+  noteLost(
+    { causes, incarnation, isStream }: WatchedAttempt,
+    nowMs: number,
+  ): void {
     for (const [lost, atMs] of this.#lostAtMs) {
       if (nowMs - atMs > REPORT_MS) this.#lostAtMs.delete(lost);
     }
     this.#lostAtMs.set(incarnation, nowMs);
-    for (const part of listSharedParts(parts)) {
+    for (const part of causes) {
       this.#crashes.noteCrash({ part, incarnation }, nowMs);
       const safeAtMs = this.#safe.find(part, nowMs);
       if (safeAtMs !== undefined) this.#crashes.noteSafe(part, safeAtMs);
+      if (!isStream && isRequestCause(part)) {
+        this.#lostRequests.note(part, nowMs);
+      }
     }
   }
 
@@ -80,15 +89,25 @@
     return this.#safe.find(part, nowMs);
   }
 
+  /** The parts and requests with losses. */
+  get causes(): readonly string[] {
+    return this.#crashes.causes;
+  }
+
   get crashes(): Pick<CrashEvidence, "countCrashes" | "assess"> {
     return this.#crashes;
   }
 
   listSightings(nowMs: number): readonly CrashSighting[] {
-    return this.#crashes.listSightings({ nowMs, maxAgeMs: REPORT_MS });
+    const sightings = this.#crashes.listSightings({
+      nowMs,
+      maxAgeMs: REPORT_MS,
+    });
+    return sightings.filter(({ part }) =>
+      !isRequestCause(part) || this.#lostRequests.has(part, nowMs) ||
+      this.#crashes.countCrashes(part, NONE) > 1
+    );
   }
 }
 
-function isTracked(part: string): boolean {
-  return part.length <= MAX_PART_ID_CHARACTERS;
-}
+const NONE: ReadonlySet<string> = new Set();
--- a/packages/celerytray/src/serving/quarantine/prompt_quarantine.ts
+++ b/packages/celerytray/src/serving/quarantine/prompt_quarantine.ts
@@ -1,9 +1,6 @@
 import { HELD_CRASHES } from "./crash_evidence.ts";
-import {
-  listSharedParts,
-  OwnEvidence,
-  type WatchedAttempt,
-} from "./own_evidence.ts";
+import { isRequestCause } from "./crash_causes.ts";
+import { OwnEvidence, type WatchedAttempt } from "./own_evidence.ts";
 import {
   MAX_QUARANTINED_PARTS,
   type QuarantinedPart,
@@ -80,6 +77,8 @@
   readonly #trials = new Map<string, { id?: string; atMs: number }>();
   readonly #releaseOffsets = new Map<string, number>();
   #isLoaded = false;
+  /** Undefined after a change, until it is asked for. */
+  #watchesRequests: boolean | undefined;
 
   constructor(options: PromptQuarantineOptions) {
     this.#options = options;
@@ -99,16 +98,28 @@
     return this.#releaseOffsets.get(part) ?? -1;
   }
 
-  /** Assesses a request by the parts of its prompt. */
-  assess(parts: readonly string[], nowMs: number): PromptVerdict {
-    const shared = listSharedParts(parts);
-    for (const part of shared) {
+  /**
+   * Whether a whole request is suspected or in quarantine, so that requests have
+   * to be told apart.
+   */
+  get watchesRequests(): boolean {
+    this.#watchesRequests ??= [
+      ...this.#own.causes,
+      ...this.#published.keys(),
+      ...this.#quarantined.keys(),
+    ].some(isRequestCause);
+    return this.#watchesRequests;
+  }
+
+  /** Assesses a request by the ids of what may crash instances. */
+  assess(causes: readonly string[], nowMs: number): PromptVerdict {
+    for (const part of causes) {
       const entry = this.#quarantined.get(part);
       if (entry !== undefined) {
         return { kind: "quarantined", part, crashes: entry.crashes };
       }
     }
-    const doubted = shared.flatMap((part) => {
+    const doubted = causes.flatMap((part) => {
       const crashes = this.#countCrashes(part, nowMs);
       return crashes === 0 ? [] : [{ part, crashes }];
     });
@@ -124,8 +135,8 @@
    * Uses this process's permission to try a held part; false if it has none.
    * A request with several held parts would not show which one is harmful.
    */
-  tryTakeTrial(parts: readonly string[], nowMs: number): boolean {
-    const held = listSharedParts(parts).filter((part) =>
+  tryTakeTrial(causes: readonly string[], nowMs: number): boolean {
+    const held = causes.filter((part) =>
       this.#countCrashes(part, nowMs) >= HELD_CRASHES
     );
     const [part] = held;
@@ -142,14 +153,15 @@
   }
 
   /** Notes a request that began to write at `atMs` and caused no crash. */
-  noteSafe(attempt: WatchedAttempt, atMs: number): void {
+  noteSafe(attempt: Pick<WatchedAttempt, "causes">, atMs: number): void {
     this.#own.noteSafe(attempt, atMs);
   }
 
   /** Notes that a request's instance was lost before it wrote harmlessly. */
   noteLost(attempt: WatchedAttempt, nowMs: number): void {
     this.#own.noteLost(attempt, nowMs);
-    const parts = listSharedParts(attempt.parts).filter((part) =>
+    this.#watchesRequests = undefined;
+    const parts = attempt.causes.filter((part) =>
       this.#own.findSafeAtMs(part, nowMs) === undefined
     );
     const { instanceId } = attempt;
@@ -159,7 +171,7 @@
   }
 
   /** Notes a response, which shows that its instance was not lost before. */
-  noteAlive(attempt: WatchedAttempt, nowMs: number): void {
+  noteAlive(attempt: Pick<WatchedAttempt, "incarnation">, nowMs: number): void {
     this.#own.noteAlive(attempt, nowMs);
   }
 
@@ -185,6 +197,7 @@
   /** Takes over the parts that the leader's status names. */
   adopt(published: readonly SuspectPart[]): void {
     this.#published = new Map(published.map((entry) => [entry.part, entry]));
+    this.#watchesRequests = undefined;
     this.load(published.filter(({ state }) => state === "quarantined"));
   }
 
@@ -201,6 +214,7 @@
     this.#releaseOffsets.set(part, offset);
     evictOldest(this.#releaseOffsets, MAX_RELEASES);
     this.#own.forget(part);
+    this.#watchesRequests = undefined;
     const entry = this.#quarantined.get(part);
     if (entry === undefined) return;
     this.#quarantined.delete(part);
@@ -256,6 +270,7 @@
     if (this.#quarantined.has(part)) return;
     if (releaseOffset < this.releaseOffset(part)) return;
     this.#quarantined.set(part, { part, crashes, releaseOffset });
+    this.#watchesRequests = undefined;
     evictOldest(this.#quarantined, MAX_QUARANTINED_PARTS);
     evictOldest(this.#trials, MAX_QUARANTINED_PARTS);
     this.#options.onEvent({ kind: "begun", part, crashes });
--- a/packages/celerytray/src/serving/quarantine/quarantine_board.ts
+++ b/packages/celerytray/src/serving/quarantine/quarantine_board.ts
@@ -3,6 +3,7 @@
   HELD_CRASHES,
   type PartAssessment,
 } from "./crash_evidence.ts";
+import { isRequestCause } from "./crash_causes.ts";
 import {
   MAX_QUARANTINED_PARTS,
   type QuarantinedPart,
@@ -85,7 +86,7 @@
       report.wanted.map(({ part, nodeId }) => [part, nodeId]),
     );
     const suspects = assessments
-      .filter(({ part }) => !this.#quarantined.has(part))
+      .filter((assessment) => this.#isNamed(assessment))
       .slice(0, MAX_SUSPECTS)
       .map((assessment) => {
         const trial = this.#findTrial(assessment, {
@@ -104,6 +105,12 @@
     ];
   }
 
+  /** A request is named once it is held: many are lost with an instance. */
+  #isNamed({ part, crashes }: PartAssessment): boolean {
+    return !this.#quarantined.has(part) &&
+      (!isRequestCause(part) || crashes >= HELD_CRASHES);
+  }
+
   #describeSuspect(
     { part, crashes, isExplained }: PartAssessment,
     trial: TrialGrant | undefined,
--- a/packages/celerytray/src/serving/quarantine/quarantine_report.ts
+++ b/packages/celerytray/src/serving/quarantine/quarantine_report.ts
@@ -1,5 +1,5 @@
 import type { CrashSighting, SafeSighting } from "./crash_evidence.ts";
-import { MAX_PART_ID_CHARACTERS } from "./own_evidence.ts";
+import { MAX_CAUSE_ID_CHARACTERS } from "./crash_causes.ts";
 
 /** What one or more processes report of parts of prompts that crash instances. */
 export interface QuarantineReport {
@@ -153,7 +153,7 @@
 }
 
 function isPartId(part: unknown): boolean {
-  return typeof part === "string" && part.length <= MAX_PART_ID_CHARACTERS;
+  return typeof part === "string" && part.length <= MAX_CAUSE_ID_CHARACTERS;
 }
 
 function isAge(ageMs: unknown): boolean {
--- a/packages/celerytray/src/serving/quarantine/simulated_days.ts
+++ b/packages/celerytray/src/serving/quarantine/simulated_days.ts
@@ -23,12 +23,58 @@
   readonly restartAtMs?: number;
   /** When another process becomes the leader. */
   readonly newLeaderAtMs?: number;
+  /** What is sent, and to what; by default streams to the heads of replicas. */
+  readonly service?: SimulatedService;
 }
 
-/** A part that crashes heads, and the sound part that it always comes with. */
+/** A service and its sound requests. */
+export interface SimulatedService {
+  readonly isStream: boolean;
+  readonly instances: number;
+  /** Sound requests a second. */
+  readonly soundRate: number;
+  /** Share of the sound requests that are not repeated, each of its own. */
+  readonly unsafeShare: number;
+  /** Time from the start of a request to its first event, or to its crash. */
+  readonly beginMs: number;
+  /** Time from then on until it is known to be harmless. */
+  readonly safeMs: number;
+  /** Crashes, and the time after the last of them, from which the bound holds. */
+  readonly boundCrashes: number;
+  readonly boundMs: number;
+}
+
+/** Streams with prompts, to the heads of replicas of a model. */
+const STREAMS: SimulatedService = {
+  isStream: true,
+  instances: 12,
+  soundRate: 120,
+  unsafeShare: 0,
+  beginMs: 150,
+  safeMs: 100,
+  boundCrashes: 5,
+  boundMs: 3_000,
+};
+
+/** Bookings, which are not repeated, and reads of a small service. */
+export const BOOKINGS: SimulatedService = {
+  isStream: false,
+  instances: 3,
+  soundRate: 40,
+  unsafeShare: 0.7,
+  beginMs: 50,
+  safeMs: 0,
+  boundCrashes: 3,
+  boundMs: 3_000,
+};
+
+/**
+ * A part of prompts that crashes heads, and the sound part that it always comes
+ * with; or a whole request, alone.
+ */
 export interface PoisonPart {
   readonly part: string;
-  readonly beside: string;
+  readonly beside?: string;
   /** Requests a second. */
   readonly rate: number;
 }
@@ -45,24 +91,19 @@
 
 const STEP_MS = 25;
 const PROCESSES = 9;
-const HEADS = 12;
-const SOUND_RATE = 100;
 const USUAL_PARTS = 60;
-const BEGIN_MS = 150;
-const SAFE_MS = 100;
+/** Reads that come again and again, each the same. */
+const USUAL_READS = 20;
 const DOWN_MS = 3_300;
 const MESSAGE_MS = 250;
 const SETTLE_MS = 750;
 const ATTEMPTS = 2;
-/** Crashes, and the time after the last of them, from which the bound holds. */
-const BOUND_CRASHES = 5;
-const BOUND_MS = 3_000;
-
 interface SimulatedRequest {
   readonly process: number;
-  readonly parts: readonly string[];
+  readonly causes: readonly string[];
   readonly deadlyPart: string | undefined;
-  attempts: number;
+  /** Attempts that are allowed. */
+  attemptsLeft: number;
   attempt?: WatchedAttempt;
   sentAtMs: number;
   hasBegun: boolean;
@@ -76,10 +117,11 @@
 /** Plays a day in steps of time, with delayed reports and status. */
 export function simulateDay(day: SimulatedDay): DayResult {
   const random = createSeededRandom(day.seed);
+  const service = day.service ?? STREAMS;
   let processes = createProcesses([]);
   let board = createBoard(1);
   const heads: SimulatedHead[] = Array.from(
-    { length: HEADS },
+    { length: service.instances },
     () => ({ life: 0, downUntilMs: 0 }),
   );
   let running: SimulatedRequest[] = [];
@@ -93,10 +135,10 @@
 
   const send = (request: SimulatedRequest, nowMs: number) => {
     const quarantine = processes[request.process]!;
-    const verdict = quarantine.assess(request.parts, nowMs);
+    const verdict = quarantine.assess(request.causes, nowMs);
     const isRefused = verdict.kind === "quarantined" ||
       (verdict.kind === "held" &&
-        !quarantine.tryTakeTrial(request.parts, nowMs));
+        !quarantine.tryTakeTrial(request.causes, nowMs));
     const up = heads.flatMap((head, index) =>
       head.downUntilMs > nowMs ? [] : [index]
     );
@@ -110,31 +152,45 @@
       lateSends[part] = (lateSends[part] ?? 0) + 1;
     }
     const index = up[Math.floor(random() * up.length)]!;
-    request.attempts += 1;
+    request.attemptsLeft -= 1;
     request.sentAtMs = nowMs;
     request.attempt = {
-      parts: request.parts,
+      isStream: service.isStream,
+      causes: request.causes,
       instanceId: `h${index}`,
       incarnation: `h${index} ${heads[index]!.life}`,
     };
     running.push(request);
   };
   const arrive = (
-    parts: readonly string[],
+    causes: readonly string[],
     part: string | undefined,
     nowMs: number,
+    attemptsLeft = ATTEMPTS,
   ) => {
-    requestCount += 1;
     if (part === undefined) sound += 1;
     send({
       process: Math.floor(random() * PROCESSES),
-      parts: [...parts, `own${requestCount}`],
+      causes,
       deadlyPart: part,
-      attempts: 0,
+      attemptsLeft,
       sentAtMs: nowMs,
       hasBegun: false,
     }, nowMs);
   };
+  const createOwn = () => {
+    requestCount += 1;
+    return `request:own${requestCount}`;
+  };
+  const arriveSound = (nowMs: number) => {
+    if (service.isStream) arrive([pickUsual(), createOwn()], undefined, nowMs);
+    else if (random() < service.unsafeShare) {
+      arrive([createOwn()], undefined, nowMs, 1);
+    } else {
+      const read = Math.floor(random() * USUAL_READS);
+      arrive([`request:read${read}`], undefined, nowMs);
+    }
+  };
   const lose = (index: number, nowMs: number) => {
     const lost = running.filter(({ attempt }) =>
       attempt?.instanceId === `h${index}`
@@ -146,36 +202,43 @@
       processes[request.process]!.noteLost(request.attempt!, nowMs);
     }
     for (const request of lost) {
-      if (request.attempts < ATTEMPTS) send(request, nowMs);
+      if (request.attemptsLeft > 0) send(request, nowMs);
     }
   };
   const pickUsual = () => `usual${Math.floor(random() ** 2 * USUAL_PARTS)}`;
 
   for (let nowMs = 0; nowMs < day.durationMs; nowMs += STEP_MS) {
     const isDue = (rate: number) => random() < rate * STEP_MS / 1_000;
-    for (let slot = 0; slot < SOUND_RATE * STEP_MS / 1_000; slot++) {
-      arrive([pickUsual()], undefined, nowMs);
-    }
+    const soundUntilNow = Math.ceil(
+      (nowMs + STEP_MS) * service.soundRate / 1_000,
+    );
+    while (sound < soundUntilNow) arriveSound(nowMs);
     for (const { part, beside, rate } of day.poison) {
-      if (isDue(rate)) arrive([beside, part], part, nowMs);
+      if (!isDue(rate)) continue;
+      arrive(
+        beside === undefined ? [part] : [beside, part, createOwn()],
+        part,
+        nowMs,
+      );
     }
     if (isDue(day.lossRate)) {
       for (let count = 0; count < day.headsPerLoss; count++) {
-        lose(Math.floor(random() * HEADS), nowMs);
+        lose(Math.floor(random() * service.instances), nowMs);
       }
     }
     for (const request of [...running]) {
       const { sentAtMs, deadlyPart, attempt } = request;
       if (!running.includes(request)) continue;
-      if (nowMs - sentAtMs < BEGIN_MS) continue;
+      if (nowMs - sentAtMs < service.beginMs) continue;
       if (deadlyPart !== undefined) {
         crashes[deadlyPart] = (crashes[deadlyPart] ?? 0) + 1;
-        if (crashes[deadlyPart] === BOUND_CRASHES) {
-          boundAtMs[deadlyPart] = nowMs + BOUND_MS;
+        if (crashes[deadlyPart] === service.boundCrashes) {
+          boundAtMs[deadlyPart] = nowMs + service.boundMs;
         }
         lose(Number(attempt!.instanceId.slice(1)), nowMs);
-      } else if (nowMs - sentAtMs >= BEGIN_MS + SAFE_MS) {
-        processes[request.process]!.noteSafe(attempt!, sentAtMs + BEGIN_MS);
+      } else if (nowMs - sentAtMs >= service.beginMs + service.safeMs) {
+        const beganAtMs = sentAtMs + service.beginMs;
+        processes[request.process]!.noteSafe(attempt!, beganAtMs);
         running.splice(running.indexOf(request), 1);
       }
     }
