Break a stream off when its successor answers with an error

Reported by other operators: a stream had begun and broke off, and the next replica answered with an error; callers found the error in their stream, or the stream ended as if complete. Here the error was to be sent as a response of its own, which failed with an exception as the headers were already sent. The host logged a process.fault and closed the connection, so callers saw a stream that broke off, but by accident, without a call.ended and after a fault that asks to be reported.

Once a stream has begun, any response but a stream is a failed attempt: the next one resumes it while the route allows, and then it is broken off. The tests (successors with 200, 400, 500 and 503) never ended before: without the host's handler nobody closes the connection.

--- a/packages/celerytray/src/serving/faulty_backend_test.ts
+++ b/packages/celerytray/src/serving/faulty_backend_test.ts
@@ -14,6 +14,7 @@
 /** Allowed memory growth for many concurrent endless responses. */
 const MAX_GROWTH_BYTES = 160 * MEBIBYTE;
 const MANY = 24;
+const EVENT = "id: 0\ndata: a\n\n";
 const CHUNK = Buffer.alloc(64 * 1024, "x");
 
 describe("a faulty back end", () => {
@@ -48,6 +49,44 @@
     }
   });
 
+  // Guards against an error in the middle of a caller's stream, and against a
+  // stream that looks complete although it broke off.
+  for (const status of [200, 400, 500, 503]) {
+    it(`answers a stream that broke off elsewhere with ${status}`, async () => {
+      let requests = 0;
+      const respond = (socket: Socket) =>
+        socket.on("data", (bytes) => {
+          requests += 1;
+          if (requests > 1) {
+            const response = createRawResponse(bytes);
+            socket.write(response.replace("1.1 200", `1.1 ${status}`));
+            return;
+          }
+          const headers = createResponseHeaders(bytes);
+          const fields =
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
+          const chunk = `${EVENT.length.toString(16)}\r\n${EVENT}\r\n`;
+          socket.write(`${headers}${fields}\r\n\r\n${chunk}`);
+          setTimeout(() => socket.destroy(), WAIT_STEP_MS);
+        });
+      const backends = [
+        await startRawBackend(respond),
+        await startRawBackend(respond),
+      ];
+      const faults: unknown[] = [];
+      const entry = await startEntry({
+        backends,
+        trySpend: () => true,
+        onFault: (defect) => faults.push(defect),
+      });
+      const response = await call(entry, "/stream/x");
+      expect(requests).toEqual(2);
+      expect(response.body).toEqual(EVENT);
+      expect([response.status, response.isComplete]).toEqual([200, false]);
+      expect(faults).toEqual([]);
+    });
+  }
+
   it("sends bytes on an idle connection, which is closed", async () => {
     const sockets = new Set<Socket>();
     const backend = await startRawBackend((socket) => {
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -127,7 +127,8 @@
       if (outcome.kind === "streamed") {
         return { kind: "streamed", ...summarize(progress) };
       }
-      if (outcome.kind === "answered") {
+      // Any other response than a stream can't continue one that has begun.
+      if (outcome.kind === "answered" && !options.exchange.hasStarted) {
         if (!mayRetryResponse(options, progress, outcome.headers)) {
           if (wouldMisreportNotRun(call.route.retryPolicy, outcome.headers)) {
             return giveUp(options, progress, describeOutcome(outcome));
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -161,6 +161,7 @@
   readonly agentFor?: ServingDependencies["agentFor"];
   /** Whether the retry budget covers a retry. */
   readonly trySpend?: () => boolean;
+  readonly onFault?: ServingDependencies["onFault"];
   readonly onMalformedHeaders?: ServingDependencies["onMalformedHeaders"];
   readonly lag?: ServingDependencies["lag"];
   /** Timeout of all routes. */
