Leave out odd entries of the instance list

Reported by other operators: one odd entry of another writer ended the processes that read the list, or stopped them from following it. Here a domain that is nested thousands deep, or an object with a toString field, raised an error that the decoder did not take for a malformed entry: the loop that follows the list started anew with a full read and met it again, for ever. A port of 0 or 65,536 and an address such as 999.0.0.1 were taken over and failed at each request; slots of 1e300 drew every request to one instance, and texts of a megabyte went into the log at each write.

Entries are checked field by field now: texts of 256 characters, IPv4 addresses, ports from 1 to 65,535, whole numbers.

--- a/packages/celerytray/src/host/store_view.ts
+++ b/packages/celerytray/src/host/store_view.ts
@@ -14,6 +14,7 @@
 } from "../serving/index.ts";
 import { ConfigView } from "./config_view.ts";
 import { type ColdRules, createColdRules } from "./create_cold_rules.ts";
+import { countMalformedEntries } from "./count_malformed_entries.ts";
 import { createZoneRules, type ZoneRules } from "./create_zone_rules.ts";
 import type { HostOptions } from "./host_options.ts";
 import { KeyFreshness } from "./key_freshness.ts";
@@ -75,8 +76,7 @@
     });
     this.instances = new InstanceListView({
       decode: ports.decodeInstance,
-      onMalformed: (instanceId, message) =>
-        record("instance.malformed", { instanceId, message }),
+      onMalformed: countMalformedEntries(options),
     });
     this.cold = this.#createColdRules();
     this.zones = createZoneRules({
--- a/packages/celerytray/src/platform/decode_instance.ts
+++ b/packages/celerytray/src/platform/decode_instance.ts
@@ -1,3 +1,4 @@
+import { isIPv4 } from "node:net";
 import type { Either } from "purify-ts";
 import type {
   InstanceState,
@@ -10,10 +11,10 @@
   isObject,
   type JsonObject,
   parseObject,
-  readNumber,
+  readCount,
+  readName,
+  readNames,
   readObjects,
-  readString,
-  readStrings,
 } from "./json_fields.ts";
 
 const MEMBERSHIP_STATES: readonly string[] = [
@@ -24,6 +25,10 @@
   "broken",
 ];
 
+/** Requests that one instance could run at once; more is an odd entry. */
+const MAX_SLOTS = 1_000_000;
+const MAX_PORT = 65_535;
+
 /** Decodes an entry of the instance list; the left side describes the error. */
 export function decodeInstance(
   id: string,
@@ -35,14 +40,10 @@
 }
 
 function decodeEntry(id: string, entry: JsonObject): InstanceState {
-  const state = readString(entry, "state");
+  const state = readName(entry, "state");
   if (state !== "ready" && state !== "draining") {
     throw new FieldError(`state ${state} is unknown`);
   }
-  const address = readString(entry, "address");
-  if (!/^[0-9.]+:[0-9]+$/.test(address)) {
-    throw new FieldError("address must be IP:PORT");
-  }
   const [model] = readObjects(entry, "models");
   const bornAtMs = entry.born;
   if (bornAtMs !== undefined && !Number.isSafeInteger(bornAtMs)) {
@@ -50,20 +51,37 @@
   }
   return {
     id,
-    service: readString(entry, "service"),
-    address,
-    zone: readString(entry, "zone"),
-    slots: readNumber(entry, "slots"),
+    service: readName(entry, "service"),
+    address: readAddress(entry),
+    zone: readName(entry, "zone"),
+    slots: readCount(entry, "slots", MAX_SLOTS),
     isDraining: state === "draining",
-    stagedModels: readStrings(entry, "staged"),
+    stagedModels: readNames(entry, "staged"),
     ...(bornAtMs === undefined ? {} : { bornAtMs: bornAtMs as number }),
     ...decodeCold(entry.cold_remaining_ms),
-    ...(entry.domain === undefined ? {} : { domain: String(entry.domain) }),
-    ...(model === undefined ? {} : { loadedModel: readString(model, "name") }),
+    ...decodeDomain(entry.domain),
+    ...(model === undefined ? {} : { loadedModel: readName(model, "name") }),
     ...decodeMembership(entry.group),
   };
 }
 
+function readAddress(entry: JsonObject): string {
+  const address = readName(entry, "address");
+  const [host = "", port = "", ...rest] = address.split(":");
+  const isValid = isIPv4(host) && /^[1-9][0-9]{0,4}$/.test(port) &&
+    Number(port) <= MAX_PORT && rest.length === 0;
+  if (isValid) return address;
+  throw new FieldError("address must be IP:PORT");
+}
+
+function decodeDomain(value: unknown): { readonly domain?: string } {
+  if (value === undefined) return {};
+  if (typeof value === "string" || typeof value === "number") {
+    return { domain: String(value) };
+  }
+  throw new FieldError("domain must be a text or a number");
+}
+
 /**
  * Returns NaN for a value that is not a number, so that the caller can report
  * it; the instance then counts as one with the usual cold start.
@@ -79,15 +97,15 @@
   if (group === undefined || group === null) return {};
   if (!isObject(group)) throw new FieldError("group must be an object");
   if (group.name === undefined || group.name === "") return {};
-  const state = readString(group, "state");
+  const state = readName(group, "state");
   if (!MEMBERSHIP_STATES.includes(state)) {
     throw new FieldError(`group state ${state} is unknown`);
   }
   return {
     membership: {
-      replica: readString(group, "name"),
-      epoch: readNumber(group, "epoch"),
-      rank: readNumber(group, "rank"),
+      replica: readName(group, "name"),
+      epoch: readCount(group, "epoch"),
+      rank: readCount(group, "rank"),
       state: state as MembershipState,
     },
   };
--- a/packages/celerytray/src/platform/json_fields.ts
+++ b/packages/celerytray/src/platform/json_fields.ts
@@ -27,6 +27,31 @@
   throw new FieldError(`${field} must be a non-empty string`);
 }
 
+/** Longest name; a longer text is the mistake of another writer. */
+const MAX_NAME_CHARACTERS = 256;
+
+/** Reads a short text, which may appear in the log. */
+export function readName(object: JsonObject, field: string): string {
+  const value = readString(object, field);
+  if (value.length <= MAX_NAME_CHARACTERS) return value;
+  throw new FieldError(
+    `${field} must have ${MAX_NAME_CHARACTERS} characters at most`,
+  );
+}
+
+/** Reads a whole number from 0 up. */
+export function readCount(
+  object: JsonObject,
+  field: string,
+  max = Number.MAX_SAFE_INTEGER,
+): number {
+  const value = object[field];
+  if (Number.isSafeInteger(value) && (value as number) >= 0) {
+    if ((value as number) <= max) return value as number;
+  }
+  throw new FieldError(`${field} must be a whole number from 0 to ${max}`);
+}
+
 export function readNumber(
   object: JsonObject,
   field: string,
@@ -63,6 +88,18 @@
   throw new FieldError(`${field} must be a list of strings`);
 }
 
+/** Reads a list of short texts. */
+export function readNames(
+  object: JsonObject,
+  field: string,
+): readonly string[] {
+  const names = readStrings(object, field);
+  if (names.every(({ length }) => length <= MAX_NAME_CHARACTERS)) return names;
+  throw new FieldError(
+    `${field} must have ${MAX_NAME_CHARACTERS} characters a name at most`,
+  );
+}
+
 /** Runs a decoder; the message of a `FieldError` becomes the left side. */
 export function decode<Value>(run: () => Value): Either<string, Value> {
   try {
