Believe a refusal as not run only if it names the request

Reported by other operators: a faulty replica wrote an earlier refusal once more, and clients were told 'not run, try again' for requests that ran, or such a request ran at a second replica. On kept connections that can't happen here: an answer with another id, or without one, is not taken for the request's, bytes on an idle connection close it, and requests that may not be repeated have connections of their own. But a refusal without an id on a new connection, sent before the request was read, was believed: 503 for a request that then ran.

Such a refusal is an unknown outcome now. The stand-ins and two tests had left the id out and name it now; 'responds with a status for not run only if the request did not run' checks both. 'takes a token for each attempt' sends five different requests, as one that is lost at both instances is held back since the quarantine of whole requests.

The new test got 503 instead of 502 before.

--- a/packages/celerytray/src/serving/faulty_backend_test.ts
+++ b/packages/celerytray/src/serving/faulty_backend_test.ts
@@ -49,6 +49,26 @@
     }
   });
 
+  // Guards against a caller that is told that its request was not run, and
+  // against a second run elsewhere, by a refusal that is not its own.
+  it("refuses a request before it has read it, and runs it", async () => {
+    let runs = 0;
+    const respond = (socket: Socket) => {
+      socket.write(
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+      );
+      socket.on("data", () => runs += 1);
+    };
+    const backends = [
+      await startRawBackend(respond),
+      await startRawBackend(respond),
+    ];
+    const entry = await startEntry({ backends, trySpend: () => true });
+    const response = await call(entry, "/once/x");
+    expect(response.status).toEqual(502);
+    expect(runs <= 1).toEqual(true);
+  });
+
   // Guards against an error in the middle of a caller's stream, and against a
   // stream that looks complete although it broke off.
   for (const status of [200, 400, 500, 503]) {
@@ -157,10 +177,12 @@
   });
 
   it("rejects a request with an endless body", async () => {
-    const response = await callWith((socket) => {
+    const response = await callWith((socket, headers) => {
       sendEndlessly(
         socket,
-        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\r\n",
+        `${
+          headers.replace("200 OK", "503 Service Unavailable")
+        }Not-Executed: 1\r\n\r\n`,
       );
     });
     expect([response.status, response.isClosed]).toEqual([503, true]);
--- a/packages/celerytray/src/serving/read_response.ts
+++ b/packages/celerytray/src/serving/read_response.ts
@@ -45,6 +45,10 @@
   }
   options.onProgress();
   options.onHeaders(headers);
+  if (headers.isNotRun && headers.callId === undefined) {
+    reject("The instance rejected a request without naming it");
+    return;
+  }
   if (headers.isNotRun) {
     discardUnusedBody(response);
     reading.settle({
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -99,11 +99,19 @@
   });
 
   it("responds with a status for not run only if the request did not run", async () => {
-    const rejecting = await startBackend((_incoming, response) => {
-      response.writeHead(503, { "not-executed": "1" }).end();
+    const rejecting = await startBackend((incoming, response) => {
+      response.writeHead(503, {
+        "attempt-id": idOf(incoming),
+        "not-executed": "1",
+      }).end();
     });
     const entry = await startEntry({ backends: [rejecting] });
     expect((await call(entry, "/once/x")).status).toEqual(503);
+    const nameless = await startBackend((_incoming, response) => {
+      response.writeHead(503, { "not-executed": "1" }).end();
+    });
+    const unsure = await startEntry({ backends: [nameless] });
+    expect((await call(unsure, "/once/x")).status).toEqual(502);
     const unmarked503 = await startBackend((incoming, response) => {
       response.writeHead(503, { "attempt-id": idOf(incoming) }).end();
     });
--- a/packages/celerytray/src/serving/unavailable_targets_test.ts
+++ b/packages/celerytray/src/serving/unavailable_targets_test.ts
@@ -84,7 +84,9 @@
       if (isTaken) taken.push(nowMs);
       return isTaken;
     };
-    await Promise.all(Array.from({ length: 5 }, () => call(entry, "/safe/x")));
+    // One request that is lost everywhere would be held back.
+    const calls = [1, 2, 3, 4, 5].map((id) => call(entry, `/safe/${id}`));
+    await Promise.all(calls);
     expect(backendCalls() >= 10).toEqual(true);
     expect(taken.length).toEqual(backendCalls());
     // Two instances, each at 0.75 x 18 requests per second.
--- a/packages/fakes/src/platform/fake_http_instance.ts
+++ b/packages/fakes/src/platform/fake_http_instance.ts
@@ -110,6 +110,7 @@
     const isMisdirected = status === MISDIRECTED_STATUS;
     this.#reportArrival({ callId, hasRun: false, isMisdirected });
     response.writeHead(status, {
+      "attempt-id": callId,
       "not-executed": "1",
       ...this.createLeavingHeaders(),
     })
@@ -149,7 +150,10 @@
   ): Promise<void> {
     if (request.headers["expect-instance"] !== this.id) {
       request.resume();
-      response.writeHead(MISDIRECTED_STATUS, { "not-executed": "1" }).end();
+      response.writeHead(MISDIRECTED_STATUS, {
+        "attempt-id": request.headers["attempt-id"] ?? "",
+        "not-executed": "1",
+      }).end();
       return;
     }
     const body = await readBody(request);
