Name the quarantine after what crashes, and document requests in it

CrashQuarantine, QuarantineVerdict and refuseIfQuarantined replace the names after prompts, as whole requests are quarantined too. No change of behaviour; names on the wire, in records and in the log stay.

--- a/packages/celerytray/src/coordination/coordinator_options.ts
+++ b/packages/celerytray/src/coordination/coordinator_options.ts
@@ -7,8 +7,8 @@
 import type { RecordEvent } from "../journal/index.ts";
 import type { KeyedLog } from "../keyed_log/index.ts";
 import type {
+  CrashQuarantine,
   InstanceLimits,
-  PromptQuarantine,
   WindowTotals,
 } from "../serving/index.ts";
 import type { PeerNode } from "./peer_messages.ts";
@@ -59,7 +59,7 @@
   /** Applies leaving announcements that other processes received. */
   readonly onLeaving: (incarnations: readonly LeavingIncarnation[]) => void;
   /** Parts of prompts that crash instances, as this process knows them. */
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: CrashQuarantine;
   /** Limits on the requests of instances, as this process knows them. */
   readonly limits: InstanceLimits;
   readonly createController: (start: ControllerStart) => ReplicaController;
--- a/packages/celerytray/src/coordination/shared_boards.ts
+++ b/packages/celerytray/src/coordination/shared_boards.ts
@@ -2,11 +2,11 @@
 import type { RecordFailure } from "../groups/index.ts";
 import type { RecordEvent } from "../journal/index.ts";
 import {
+  type CrashQuarantine,
   EMPTY_LIMIT_REPORT,
   EMPTY_REPORT,
   type InstanceLimits,
   LimitBoard,
-  type PromptQuarantine,
   QuarantineBoard,
   type QuarantinedPart,
 } from "../serving/index.ts";
@@ -19,7 +19,7 @@
 /** Dependencies of the boards of a leader. */
 export interface SharedBoardsOptions {
   readonly term: number;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly limits: InstanceLimits;
   readonly status: LeaderStatus;
   readonly record: RecordEvent;
--- a/packages/celerytray/src/host/create_coordinator.ts
+++ b/packages/celerytray/src/host/create_coordinator.ts
@@ -4,8 +4,8 @@
 import type { RecordEvent } from "../journal/index.ts";
 import { decodeRelayedChange, type KeyedLog } from "../keyed_log/index.ts";
 import type {
+  CrashQuarantine,
   InstanceLimits,
-  PromptQuarantine,
   SharedRetryBudget,
 } from "../serving/index.ts";
 import type { HostOptions } from "./host_options.ts";
@@ -20,7 +20,7 @@
   readonly view: StoreView;
   readonly trackers: LoadTrackers;
   readonly retryBudget: SharedRetryBudget;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly limits: InstanceLimits;
   readonly demand: OwnDemand;
   /** Time of the store's last response to this process. */
--- a/packages/celerytray/src/host/create_quarantine.ts
+++ b/packages/celerytray/src/host/create_quarantine.ts
@@ -1,5 +1,5 @@
 import type { MetricsPage, RecordEvent } from "../journal/index.ts";
-import { PromptQuarantine, type QuarantineEvent } from "../serving/index.ts";
+import { CrashQuarantine, type QuarantineEvent } from "../serving/index.ts";
 import type { HostSettings } from "./host_settings.ts";
 
 /** Dependencies of the quarantine of a process. */
@@ -12,8 +12,8 @@
 /** Creates the quarantine of a process, with its log events and gauge. */
 export function createQuarantine(
   { settings, metrics, record }: QuarantineSources,
-): PromptQuarantine {
-  const quarantine = new PromptQuarantine({
+): CrashQuarantine {
+  const quarantine = new CrashQuarantine({
     nodeId: settings.nodeId,
     onEvent: (event) => recordQuarantineEvent(event, record),
   });
--- a/packages/celerytray/src/host/store_view.ts
+++ b/packages/celerytray/src/host/store_view.ts
@@ -7,9 +7,9 @@
 import type { MetricsPage, RecordEvent } from "../journal/index.ts";
 import { type KeyedChange, TopicCopy } from "../keyed_log/index.ts";
 import {
+  type CrashQuarantine,
   findHomeProblems,
   type InstanceLimits,
-  type PromptQuarantine,
   type ServingConfig,
 } from "../serving/index.ts";
 import { ConfigView } from "./config_view.ts";
@@ -24,7 +24,7 @@
 export interface StoreViewOptions
   extends Pick<HostOptions, "settings" | "ports"> {
   readonly trackers: LoadTrackers;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly limits: InstanceLimits;
   readonly coordinator: () => Coordinator;
   /** Whether this process has had requests. */
--- a/packages/celerytray/src/serving/admit_call.ts
+++ b/packages/celerytray/src/serving/admit_call.ts
@@ -4,7 +4,7 @@
 import type { LocalResponse } from "./caller_exchange.ts";
 import { intersectHomes } from "./homes.ts";
 import { refuseWhileBehind } from "./process_lag.ts";
-import { refuseByPrompt } from "./quarantine/index.ts";
+import { refuseIfQuarantined } from "./quarantine/index.ts";
 import { selectService, type ServingIndex } from "./serving_index.ts";
 
 const NO_CONFIG_RETRY_AFTER_MS = 500;
@@ -100,14 +100,14 @@
     onWithheld("lag");
     return Left(refusal);
   }
-  const promptRefusal = refuseByPrompt(
+  const quarantineRefusal = refuseIfQuarantined(
     admission.headers,
     quarantine,
     nowMs,
   );
-  if (promptRefusal !== undefined) {
+  if (quarantineRefusal !== undefined) {
     onWithheld("quarantine");
-    return Left(promptRefusal);
+    return Left(quarantineRefusal);
   }
   return Right({
     ...admission,
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -2,7 +2,7 @@
 import type { AdmissionRecord, CallAdmission } from "./admission/index.ts";
 import type { CallerTimeoutTracker } from "./caller_timeout_tracker.ts";
 import type { CallCodec, CallHeaders } from "./call.ts";
-import type { PromptQuarantine, SuspectLoad } from "./quarantine/index.ts";
+import type { CrashQuarantine, SuspectLoad } from "./quarantine/index.ts";
 import type { InstanceLimits } from "./rate_limit/index.ts";
 import type { ColdRateLimiter } from "./cold_rate_limiter.ts";
 import type { ServingTarget } from "./choose_target.ts";
@@ -51,7 +51,7 @@
   readonly paces: PaceTracker;
   readonly silences: SilenceStats;
   readonly prompts: PromptBacklog;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly suspectLoad: SuspectLoad;
   /** Keeps to the request rates that instances allow. */
   readonly limits: InstanceLimits;
--- a/packages/celerytray/src/serving/conclude_call.ts
+++ b/packages/celerytray/src/serving/conclude_call.ts
@@ -6,8 +6,8 @@
 } from "./attempt_progress.ts";
 import type { LocalResponse } from "./caller_exchange.ts";
 import {
-  describePromptRefusal,
-  type PromptRefusal,
+  describeQuarantineRefusal,
+  type QuarantineRefusal,
 } from "./quarantine/index.ts";
 
 /** Retry-After of a request whose attempts were all not run. */
@@ -93,14 +93,14 @@
   });
 }
 
-/** Refuses a request with a part that crashes the instances that write on it. */
-export function refuseForPrompt(
+/** Refuses a request that crashes instances, or has a part that does. */
+export function refuseForQuarantine(
   options: AttemptsOptions,
   progress: AttemptProgress,
-  refusal: PromptRefusal,
+  refusal: QuarantineRefusal,
 ): AttemptsResult {
   return conclude(options, progress, {
-    ...describePromptRefusal(refusal),
+    ...describeQuarantineRefusal(refusal),
     unknownStatus: 502,
   });
 }
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -9,7 +9,7 @@
 import { LoadTracker } from "./load_tracker.ts";
 import { PaceTracker } from "./pace_tracker.ts";
 import { PromptBacklog } from "./prompt_backlog.ts";
-import { PromptQuarantine, SuspectLoad } from "./quarantine/index.ts";
+import { CrashQuarantine, SuspectLoad } from "./quarantine/index.ts";
 import { InstanceLimits } from "./rate_limit/index.ts";
 import { QueueWaitEstimator } from "./queue_wait_estimator.ts";
 import { SharedRetryBudget } from "./shared_retry_budget.ts";
@@ -90,8 +90,8 @@
 }
 
 /** Creates a quarantine that has been loaded and is empty. */
-export function createTestQuarantine(): PromptQuarantine {
-  const quarantine = new PromptQuarantine({ nodeId: "p", onEvent: () => {} });
+export function createTestQuarantine(): CrashQuarantine {
+  const quarantine = new CrashQuarantine({ nodeId: "p", onEvent: () => {} });
   quarantine.load([]);
   return quarantine;
 }
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -10,7 +10,7 @@
 import { type ColdSearch, planColdWait } from "./cold_wait.ts";
 import { type LimitedSearch, planLimitWait } from "./limit_wait.ts";
 import type { ExclusionReason } from "./call_context.ts";
-import type { PromptRefusal } from "./quarantine/index.ts";
+import type { QuarantineRefusal } from "./quarantine/index.ts";
 import { promptReadMs } from "./prompt_backlog.ts";
 import { createPool } from "./rate_limit/index.ts";
 import {
@@ -45,8 +45,8 @@
   | { readonly kind: "refused"; readonly refusal: AdmissionRefusal }
   /** Its model has no replica, and the time until it has one is known. */
   | { readonly kind: "no-replica"; readonly retryAfterMs: number }
-  /** A part of its prompt crashes instances. */
-  | { readonly kind: "quarantined"; readonly refusal: PromptRefusal }
+  /** It crashes instances, or a part of its prompt does. */
+  | { readonly kind: "quarantined"; readonly refusal: QuarantineRefusal }
   | { readonly kind: "none" };
 
 /**
@@ -64,9 +64,9 @@
     limits.noteSought(createPool(call), startedAtMs);
     while (true) {
       const nowMs = yield* steadyMs;
-      const promptRefusal = findPromptRefusal(options, progress, nowMs);
-      if (promptRefusal !== undefined) {
-        return { kind: "quarantined", refusal: promptRefusal };
+      const quarantineRefusal = findQuarantineRefusal(options, progress, nowMs);
+      if (quarantineRefusal !== undefined) {
+        return { kind: "quarantined", refusal: quarantineRefusal };
       }
       const mustWait = isStream && !hasBegun(options, progress) &&
         admission.mustWait(call, nowMs);
@@ -128,14 +128,14 @@
 }
 
 /**
- * Returns why a part of the prompt forbids an attempt. A single request with a
- * held part is let through where this process may try it.
+ * Returns why the request, or a part of its prompt, forbids an attempt. A single
+ * one that is held is let through where this process may try it.
  */
-function findPromptRefusal(
+function findQuarantineRefusal(
   { dependencies: { quarantine } }: AttemptsOptions,
   progress: AttemptProgress,
   nowMs: number,
-): PromptRefusal | undefined {
+): QuarantineRefusal | undefined {
   const causes = progress.causes.listWatched(quarantine);
   const verdict = quarantine.assess(causes, nowMs);
   if (verdict.kind === "clear" || verdict.kind === "suspected") return;
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -44,12 +44,12 @@
 export { BackoffTracker } from "./backoff_tracker.ts";
 export {
   ageReport,
+  CrashQuarantine,
   EMPTY_REPORT,
   isQuarantinedPart,
   mergeReports,
   parseQuarantineReport,
   type PartAssessment,
-  PromptQuarantine,
   QuarantineBoard,
   type QuarantinedPart,
   type QuarantineEvent,
--- a/packages/celerytray/src/serving/quarantine/attempt_watch.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -5,12 +5,12 @@
 } from "../incarnation_key.ts";
 import type { CallCauses } from "./crash_causes.ts";
 import type { WatchedAttempt } from "./own_evidence.ts";
-import type { PromptQuarantine } from "./prompt_quarantine.ts";
+import type { CrashQuarantine } from "./crash_quarantine.ts";
 import type { SuspectLoad } from "./suspect_load.ts";
 
 /** Options of the watch on one attempt. */
 export interface AttemptWatchOptions {
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly suspectLoad: SuspectLoad;
   readonly causes: CallCauses;
   readonly isStream: boolean;
--- a/packages/celerytray/src/serving/quarantine/attempt_watch_test.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch_test.ts
@@ -3,7 +3,7 @@
 import type { AttemptOutcome } from "../attempt_options.ts";
 import { AttemptWatch } from "./attempt_watch.ts";
 import { CallCauses } from "./crash_causes.ts";
-import { PromptQuarantine } from "./prompt_quarantine.ts";
+import { CrashQuarantine } from "./crash_quarantine.ts";
 import { SuspectLoad } from "./suspect_load.ts";
 
 const CAUSES = createCauses("read");
@@ -15,7 +15,7 @@
     const [status, verdict] of [[500, "suspected"], [200, "clear"]] as const
   ) {
     it(`takes a part answered with ${status} for ${verdict}`, () => {
-      const quarantine = new PromptQuarantine({
+      const quarantine = new CrashQuarantine({
         nodeId: "p",
         onEvent: () => {},
       });
--- a/packages/celerytray/src/serving/quarantine/crash_causes.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_causes.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import type { AdmittedCall } from "../call_context.ts";
+import type { CallHeaders } from "../call.ts";
 
 /** Length of an id of a cause; longer ids of parts are not tracked. */
 export const MAX_CAUSE_ID_CHARACTERS = 64;
@@ -18,6 +18,13 @@
   );
 }
 
+/** A call, as far as it tells what may crash instances. */
+export interface CauseSource {
+  readonly headers: CallHeaders;
+  readonly tenant?: string;
+  readonly body: Buffer;
+}
+
 /** Whether a cause is a whole request, as opposed to a part of a prompt. */
 export function isRequestCause(cause: string): boolean {
   return cause.startsWith(REQUEST_PREFIX);
@@ -28,11 +35,11 @@
  * or the whole request, which may come again as it is.
  */
 export class CallCauses {
-  readonly #call: Pick<AdmittedCall, "headers" | "tenant" | "body">;
+  readonly #call: CauseSource;
   readonly #parts: readonly string[];
   #request: string | undefined;
 
-  constructor(call: Pick<AdmittedCall, "headers" | "tenant" | "body">) {
+  constructor(call: CauseSource) {
     this.#call = call;
     this.#parts = listSharedParts(call.headers.promptParts);
   }
@@ -57,7 +64,7 @@
  * organisation never has the same.
  */
 function describeRequest(
-  { headers, tenant, body }: Pick<AdmittedCall, "headers" | "tenant" | "body">,
+  { headers, tenant, body }: CauseSource,
 ): string {
   const { method, host, target, model, promptTokens } = headers;
   const { promptParts, maxAnswerTokens } = headers;
--- a/packages/celerytray/src/serving/quarantine/crash_causes_test.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_causes_test.ts
@@ -1,15 +1,13 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import type { AdmittedCall } from "../call_context.ts";
 import {
   CallCauses,
+  type CauseSource,
   isRequestCause,
   MAX_CAUSE_ID_CHARACTERS,
 } from "./crash_causes.ts";
 
-type Call = Pick<AdmittedCall, "headers" | "tenant" | "body">;
-
-const CALL: Call = {
+const CALL: CauseSource = {
   headers: {
     id: "attempt-1",
     method: "POST",
@@ -43,7 +41,7 @@
   // Guards against a caller that has the requests of another one refused.
   it("differ by organisation, target and body", () => {
     const target = { ...CALL.headers, target: "/booking?day=2" };
-    const others: readonly Call[] = [
+    const others: readonly CauseSource[] = [
       { ...CALL, tenant: "tenant-2" },
       { ...CALL, headers: target },
       { ...CALL, body: Buffer.from("text ") },
@@ -61,6 +59,6 @@
   });
 });
 
-function identify(call: Call): string {
+function identify(call: CauseSource): string {
   return new CallCauses(call).all.find(isRequestCause)!;
 }
--- a/packages/celerytray/src/serving/quarantine/crash_evidence.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_evidence.ts
@@ -74,8 +74,9 @@
 
 /**
  * Weighs the losses of instances against the parts of the prompts that were
- * about to be written there. A part that crashes instances never begins to
- * write without harm, so one harmless beginning clears all earlier losses.
+ * about to be written there, and against the whole requests. What crashes
+ * instances never begins without harm, so one harmless beginning clears all
+ * earlier losses. Below, a part is either of them.
  */
 export class CrashEvidence {
   readonly #parts = new Map<string, PartEvidence>();
--- a/packages/celerytray/src/serving/quarantine/prompt_quarantine.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_quarantine.ts
@@ -9,17 +9,18 @@
 } from "./quarantine_report.ts";
 import { RecentParts } from "./recent_parts.ts";
 
-/** How a request is to be handled because of the parts of its prompt. */
-export type PromptVerdict =
+/** How a request is to be handled because of what crashed instances. */
+export type QuarantineVerdict =
   | { readonly kind: "clear" }
   /** A part may crash instances; the request is sent where it harms least. */
   | { readonly kind: "suspected" }
-  | PromptRefusal;
+  | QuarantineRefusal;
 
-/** Why a request is not sent, and after how many crashes with its part. */
-export interface PromptRefusal {
+/** Why a request is not sent, and after how many crashes with its cause. */
+export interface QuarantineRefusal {
   /** A held part waits for a single trial, which shows what it does. */
   readonly kind: "held" | "quarantined";
+  /** Id of a part of its prompt, or of the whole request. */
   readonly part: string;
   readonly crashes: number;
 }
@@ -39,7 +40,7 @@
   };
 
 /** Options of the quarantine of a process. */
-export interface PromptQuarantineOptions {
+export interface CrashQuarantineOptions {
   readonly nodeId: string;
   readonly onEvent: (event: QuarantineEvent) => void;
 }
@@ -59,12 +60,12 @@
 const MAX_RELEASES = 1_024;
 
 /**
- * Keeps requests from instances if a part of their prompt crashes each instance
- * that writes on it. Combines what this process saw with what the leader
+ * Keeps requests from instances if they, or a part of their prompt, crash each
+ * instance that works on them. Combines what this process saw with what the leader
  * concluded from the reports of all processes.
  */
-export class PromptQuarantine {
-  readonly #options: PromptQuarantineOptions;
+export class CrashQuarantine {
+  readonly #options: CrashQuarantineOptions;
   readonly #own = new OwnEvidence();
   readonly #wanted = new RecentParts({
     maxParts: MAX_WANTED_PARTS,
@@ -80,7 +81,7 @@
   /** Undefined after a change, until it is asked for. */
   #watchesRequests: boolean | undefined;
 
-  constructor(options: PromptQuarantineOptions) {
+  constructor(options: CrashQuarantineOptions) {
     this.#options = options;
   }
 
@@ -112,7 +113,7 @@
   }
 
   /** Assesses a request by the ids of what may crash instances. */
-  assess(causes: readonly string[], nowMs: number): PromptVerdict {
+  assess(causes: readonly string[], nowMs: number): QuarantineVerdict {
     for (const part of causes) {
       const entry = this.#quarantined.get(part);
       if (entry !== undefined) {
--- a/packages/celerytray/src/serving/quarantine/prompt_quarantine_test.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_quarantine_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { PromptQuarantine } from "./prompt_quarantine.ts";
+import { CrashQuarantine } from "./crash_quarantine.ts";
 import type { SuspectPart } from "./quarantine_report.ts";
 
 const PARTS = ["part"];
@@ -12,7 +12,7 @@
   state: "held",
 };
 
-describe("PromptQuarantine", () => {
+describe("CrashQuarantine", () => {
   // Guards against sound parts in quarantine by the view of one process, to
   // which none of their harmless requests came.
   it("leaves the conclusion to a leader that names the part", () => {
@@ -53,8 +53,8 @@
 });
 
 /** Three instances were lost at requests of this process with the part. */
-function createCrashed(): PromptQuarantine {
-  const quarantine = new PromptQuarantine({
+function createCrashed(): CrashQuarantine {
+  const quarantine = new CrashQuarantine({
     nodeId: "node-1",
     onEvent: () => {},
   });
--- a/packages/celerytray/src/serving/quarantine/index.ts
+++ b/packages/celerytray/src/serving/quarantine/index.ts
@@ -1,13 +1,16 @@
-/** Quarantine of parts of prompts that crash the instances that write on them. */
+/**
+ * Quarantine of parts of prompts, and of whole requests, that crash the instances
+ * that work on them.
+ */
 export { AttemptWatch } from "./attempt_watch.ts";
 export { CallCauses } from "./crash_causes.ts";
 export type { PartAssessment } from "./crash_evidence.ts";
 export {
-  PromptQuarantine,
-  type PromptRefusal,
-  type PromptVerdict,
+  CrashQuarantine,
   type QuarantineEvent,
-} from "./prompt_quarantine.ts";
+  type QuarantineRefusal,
+  type QuarantineVerdict,
+} from "./crash_quarantine.ts";
 export { QuarantineBoard } from "./quarantine_board.ts";
 export {
   ageReport,
@@ -19,5 +22,8 @@
   type QuarantineReport,
   type SuspectPart,
 } from "./quarantine_report.ts";
-export { describePromptRefusal, refuseByPrompt } from "./refuse_by_prompt.ts";
+export {
+  describeQuarantineRefusal,
+  refuseIfQuarantined,
+} from "./refuse_if_quarantined.ts";
 export { SuspectLoad } from "./suspect_load.ts";
--- a/packages/celerytray/src/serving/quarantine/quarantine_report.ts
+++ b/packages/celerytray/src/serving/quarantine/quarantine_report.ts
@@ -1,7 +1,10 @@
 import type { CrashSighting, SafeSighting } from "./crash_evidence.ts";
 import { MAX_CAUSE_ID_CHARACTERS } from "./crash_causes.ts";
 
-/** What one or more processes report of parts of prompts that crash instances. */
+/**
+ * What one or more processes report of what crashes instances. A part is a part of
+ * prompts or, by the beginning of its id, a whole request.
+ */
 export interface QuarantineReport {
   readonly crashes: readonly CrashSighting[];
   /** Harmless requests with parts that the leader suspects. */
--- a/packages/celerytray/src/serving/quarantine/refuse_by_prompt.ts
+++ b/packages/celerytray/src/serving/quarantine/refuse_if_quarantined.ts
@@ -1,7 +1,7 @@
 import type { CallHeaders } from "../call.ts";
 import type { LocalResponse } from "../caller_exchange.ts";
 import { isRequestCause, listSharedParts } from "./crash_causes.ts";
-import type { PromptQuarantine, PromptRefusal } from "./prompt_quarantine.ts";
+import type { CrashQuarantine, QuarantineRefusal } from "./crash_quarantine.ts";
 
 /** Only the operator's release changes the answer. */
 const QUARANTINED_RETRY_AFTER_MS = 60_000;
@@ -11,8 +11,8 @@
 const NOT_LOADED_RETRY_AFTER_MS = 200;
 
 /** Describes the refusal of a request for what crashes replicas. */
-export function describePromptRefusal(
-  { kind, part, crashes }: PromptRefusal,
+export function describeQuarantineRefusal(
+  { kind, part, crashes }: QuarantineRefusal,
 ): { readonly message: string; readonly retryAfterMs: number } {
   const isRequest = isRequestCause(part);
   const subject = isRequest ? "The request" : `Part ${part} of the prompt`;
@@ -38,9 +38,9 @@
  * decided later, as this process may have permission to try one, and whole
  * requests once their bodies have been read.
  */
-export function refuseByPrompt(
+export function refuseIfQuarantined(
   { promptParts }: CallHeaders,
-  quarantine: PromptQuarantine,
+  quarantine: CrashQuarantine,
   nowMs: number,
 ): LocalResponse | undefined {
   if (!quarantine.isLoaded) {
@@ -53,6 +53,6 @@
   }
   const verdict = quarantine.assess(listSharedParts(promptParts), nowMs);
   if (verdict.kind !== "quarantined") return undefined;
-  const { message, retryAfterMs } = describePromptRefusal(verdict);
+  const { message, retryAfterMs } = describeQuarantineRefusal(verdict);
   return { status: 503, message: `${message}; it was not run`, retryAfterMs };
 }
--- a/packages/celerytray/src/serving/quarantine/simulated_days.ts
+++ b/packages/celerytray/src/serving/quarantine/simulated_days.ts
@@ -1,6 +1,6 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { PromptQuarantine } from "./prompt_quarantine.ts";
+import { CrashQuarantine } from "./crash_quarantine.ts";
 import { QuarantineBoard } from "./quarantine_board.ts";
 import {
   mergeReports,
@@ -270,9 +270,9 @@
 
 function createProcesses(
   recorded: readonly QuarantinedPart[],
-): readonly PromptQuarantine[] {
+): readonly CrashQuarantine[] {
   return Array.from({ length: PROCESSES }, (_, index) => {
-    const process = new PromptQuarantine({
+    const process = new CrashQuarantine({
       nodeId: `node-${index}`,
       onEvent: () => {},
     });
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -20,7 +20,7 @@
   giveUpAtDeadline,
   refuseAsFull,
   refuseBeforeTurn,
-  refuseForPrompt,
+  refuseForQuarantine,
   refuseInQueue,
   refuseWhileBackingOff,
   refuseWithoutReplica,
@@ -84,7 +84,7 @@
       }
       if (search.kind === "quarantined") {
         dependencies.onWithheld("quarantine");
-        return refuseForPrompt(options, progress, search.refusal);
+        return refuseForQuarantine(options, progress, search.refusal);
       }
       if (search.kind === "refused") {
         return refuseInQueue(options, progress, search.refusal.retryAfterMs);
--- a/packages/cli/src/commands/quarantine_commands.ts
+++ b/packages/cli/src/commands/quarantine_commands.ts
@@ -9,7 +9,7 @@
 
 const EXIT_FAILED = 1;
 
-/** A command on the parts of prompts in quarantine, which the store lists. */
+/** A command on what is in quarantine, which the store lists. */
 abstract class QuarantineCommand extends Command {
   store = Option.String("--store", {
     description: "IP:PORT of the platform's store (or CELERYTRAY_STORE)",
@@ -45,11 +45,12 @@
   }
 }
 
-/** Lists the parts of prompts in quarantine. */
+/** Lists the parts of prompts and the requests in quarantine. */
 export class QuarantineListCommand extends QuarantineCommand {
   static override paths = [["quarantine", "list"]];
   static override usage = Command.Usage({
-    description: "List the parts of prompts that crash replicas",
+    description:
+      "List the parts of prompts and the requests that crash instances",
   });
 
   protected run({ log }: HostPorts) {
@@ -61,11 +62,12 @@
   }
 }
 
-/** Releases a part of prompts from quarantine. */
+/** Releases a part of prompts, or a request, from quarantine. */
 export class QuarantineReleaseCommand extends QuarantineCommand {
   static override paths = [["quarantine", "release"]];
   static override usage = Command.Usage({
-    description: "Send requests with a part of prompts to replicas again",
+    description:
+      "Send a request, or those with a part of prompts, to instances again",
   });
   part = Option.String({ name: "part" });
 
--- a/packages/fakes/src/coordination/coordinated_process.ts
+++ b/packages/fakes/src/coordination/coordinated_process.ts
@@ -1,11 +1,11 @@
 import {
   type Coordinator,
+  type CrashQuarantine,
   type InstanceLimits,
   type LeavingIncarnation,
   type PeerCalls,
   type PeerNode,
   PeerUnresponsive,
-  type PromptQuarantine,
   type SharedRetryBudget,
 } from "celerytray";
 import { Effect } from "effect";
@@ -19,7 +19,7 @@
   readonly node: PeerNode;
   readonly coordinator: Coordinator;
   readonly retryBudget: SharedRetryBudget;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly limits: InstanceLimits;
   /** Instances that it knows to be leaving, by id. */
   readonly leaving: Map<string, LeavingIncarnation>;
--- a/packages/fakes/src/coordination/simulated_cluster.ts
+++ b/packages/fakes/src/coordination/simulated_cluster.ts
@@ -1,11 +1,11 @@
 import {
   Coordinator,
   CountingLog,
+  CrashQuarantine,
   InstanceLimits,
   InstanceListView,
   type LeavingIncarnation,
   type PeerNode,
-  PromptQuarantine,
   readSteadyMs,
   ReplicaController,
   SharedRetryBudget,
@@ -158,7 +158,7 @@
     onMalformed: () => {},
   });
   const { nodeId } = node;
-  const quarantine = new PromptQuarantine({ nodeId, onEvent: () => {} });
+  const quarantine = new CrashQuarantine({ nodeId, onEvent: () => {} });
   const limits = new InstanceLimits({
     nodeId,
     countProcesses: () => process.coordinator.countProcesses(),
--- a/packages/fakes/src/fleet/fleet_simulation.ts
+++ b/packages/fakes/src/fleet/fleet_simulation.ts
@@ -1,5 +1,6 @@
 import {
   Coordinator,
+  CrashQuarantine,
   type EngineSpec,
   InstanceLimits,
   InstanceListView,
@@ -10,7 +11,6 @@
   type PeerCalls,
   type PeerReport,
   PeerUnresponsive,
-  PromptQuarantine,
   readSteadyMs,
   ReplicaController,
   TopicCopy,
@@ -201,7 +201,7 @@
     }),
     client: createPeerCalls(processes, isPartitioned),
     listStalledHeads,
-    quarantine: new PromptQuarantine({ nodeId, onEvent: () => {} }),
+    quarantine: new CrashQuarantine({ nodeId, onEvent: () => {} }),
     limits: new InstanceLimits({
       nodeId,
       countProcesses: () => 1,
