Let the soak send a request that crashes whoever runs it

The stand-in for plain instances crashes on bodies that the platform names; each series of the soak repeats such a request at all processes for ten seconds, from a generator of its own, so that the plans of earlier seeds keep their faults. poison-bound counts three crashes for a whole request and five for a part of prompts; a test shows that it finds a fourth late request.

--- a/packages/fakes/src/platform/fake_plain_instance.ts
+++ b/packages/fakes/src/platform/fake_plain_instance.ts
@@ -1,16 +1,33 @@
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { FakeHttpInstance, type FakeRequest } from "./fake_http_instance.ts";
+import {
+  FakeHttpInstance,
+  type FakeHttpInstanceOptions,
+  type FakeRequest,
+} from "./fake_http_instance.ts";
 
 const SERVICE = "desk";
 const SLOTS = 6;
 const WORK_MS = 20;
 const FULL_STATUS = 503;
 
+/** Options of an instance of a plain service. */
+export interface FakePlainInstanceOptions extends FakeHttpInstanceOptions {
+  /** Bodies of requests that crash the instance as it runs them. */
+  readonly deadlyBodies: ReadonlySet<string>;
+  readonly onCrash: () => void;
+}
+
 /** An instance of a plain service, which echoes the request body. */
 export class FakePlainInstance extends FakeHttpInstance {
+  readonly #options: FakePlainInstanceOptions;
   #running = 0;
 
+  constructor(options: FakePlainInstanceOptions) {
+    super(options);
+    this.#options = options;
+  }
+
   protected createKindFields(): object {
     return { service: SERVICE, slots: SLOTS, staged: [], models: [] };
   }
@@ -28,6 +45,10 @@
     this.recordExecution(callId);
     await sleep(WORK_MS);
     this.#running -= 1;
+    if (this.#options.deadlyBodies.has(body.toString())) {
+      this.#options.onCrash();
+      return;
+    }
     response.writeHead(200, {
       "attempt-id": callId,
       "server-stamp": `stamp-${this.id}`,
--- a/packages/fakes/src/platform/fake_platform.ts
+++ b/packages/fakes/src/platform/fake_platform.ts
@@ -33,7 +33,9 @@
   readonly plainInstances = new Map<string, FakePlainInstance>();
   /** Parts of prompts on which every model instance crashes. */
   readonly deadlyParts = new Set<string>();
-  /** Model instances that crashed on one, in order. */
+  /** Bodies of requests on which every plain instance crashes. */
+  readonly deadlyBodies = new Set<string>();
+  /** Instances that crashed on one of either, in order. */
   readonly crashedIds: string[] = [];
   readonly #options: FakePlatformOptions;
   readonly #addresses = new Map<string, string>();
@@ -92,10 +94,7 @@
       domain,
       onChange: () => this.#publish(server),
       deadlyParts: this.deadlyParts,
-      onCrash: () => {
-        this.crashedIds.push(id);
-        this.kill(id);
-      },
+      onCrash: () => this.#crash(id),
     });
     await this.#publishAddress(server);
     this.instances.set(id, server);
@@ -107,9 +106,11 @@
     zone: string,
     coldMs = 0,
   ): Promise<void> {
-    const server = new FakePlainInstance(
-      this.#createOptions(id, { zone, coldMs }),
-    );
+    const server = new FakePlainInstance({
+      ...this.#createOptions(id, { zone, coldMs }),
+      deadlyBodies: this.deadlyBodies,
+      onCrash: () => this.#crash(id),
+    });
     await this.#publishAddress(server);
     this.plainInstances.set(id, server);
   }
@@ -173,6 +174,11 @@
     this.storeServer.server.closeAllConnections();
   }
 
+  #crash(id: string): void {
+    this.crashedIds.push(id);
+    this.kill(id);
+  }
+
   #createOptions(
     id: string,
     { zone, coldMs }: { readonly zone: string; readonly coldMs: number },
--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -50,6 +50,9 @@
     case "poison":
       await callers.poison(cluster, { part: action.part, durationMs });
       return true;
+    case "deadly-request":
+      await callers.repeatDeadly(cluster, { body: action.body, durationMs });
+      return true;
     case "burst":
       await callers.burst(cluster, durationMs);
       return true;
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -23,6 +23,7 @@
   limitFactor: 1.5,
   limitSlackRequests: 5,
   poisonCrashes: 5,
+  deadlyRequestCrashes: 3,
   poisonRequests: 3,
   /** Memory limit of the smallest machines. */
   memoryMb: 202,
@@ -190,9 +191,12 @@
   });
 }
 
-/** Prompts that crash instances hardly reach any once they have crashed five. */
+/**
+ * Prompts that crash instances hardly reach any once they have crashed five, and
+ * whole requests once they have crashed three.
+ */
 function findPoisonArrivals(history: SoakHistory): readonly string[] {
-  const { poisonCrashes, poisonRequests, stableWindowMs } = bounds;
+  const { poisonRequests, stableWindowMs } = bounds;
   const partOf = new Map(
     history.calls.map(({ callId, deadlyPart }) => [callId, deadlyPart]),
   );
@@ -202,14 +206,20 @@
     const runs = history.arrivals.filter(({ callId, hasRun }) =>
       hasRun && partOf.get(callId) === part
     );
-    const fifth = runs[poisonCrashes - 1];
-    if (fifth === undefined) return [];
+    const isPrompt = history.calls.some(({ deadlyPart, kind }) =>
+      deadlyPart === part && kind === "stream"
+    );
+    const crashes = isPrompt
+      ? bounds.poisonCrashes
+      : bounds.deadlyRequestCrashes;
+    const last = runs[crashes - 1];
+    if (last === undefined) return [];
     const late = listBoundArrivals(history, stableWindowMs).filter((
       { callId, atMs },
-    ) => partOf.get(callId) === part && atMs > fifth.atMs + stableWindowMs);
+    ) => partOf.get(callId) === part && atMs > last.atMs + stableWindowMs);
     return late.length > poisonRequests
       ? [
-        `${late.length} prompts with ${part} were sent after ${poisonCrashes} crashes`,
+        `${late.length} requests with ${part} were sent after ${crashes} crashes`,
       ]
       : [];
   });
--- a/packages/soak/src/checks_test.ts
+++ b/packages/soak/src/checks_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { checks } from "./checks.ts";
-import { SoakHistory } from "./history.ts";
+import { type CallKind, SoakHistory } from "./history.ts";
 
 const END_MS = 20_000;
 
@@ -25,6 +25,12 @@
     expect(find("poison-bound", createPoisonHistory(3))).toEqual(0);
     expect(find("poison-bound", createPoisonHistory(4))).toEqual(1);
   });
+
+  it("poison-bound detects more than three requests after three crashes", () => {
+    const request = { kind: "safe", crashes: 3 } as const;
+    expect(find("poison-bound", createPoisonHistory(3, request))).toEqual(0);
+    expect(find("poison-bound", createPoisonHistory(4, request))).toEqual(1);
+  });
 });
 
 function find(name: string, history: SoakHistory): number {
@@ -52,23 +58,31 @@
   return history;
 }
 
-/** Five crashes in the first seconds, and some prompts long after. */
-function createPoisonHistory(lateCalls: number): SoakHistory {
+/** Some crashes in the first seconds, and some requests long after. */
+function createPoisonHistory(
+  lateCalls: number,
+  { kind, crashes }: {
+    readonly kind: CallKind;
+    readonly crashes: number;
+  } = { kind: "stream", crashes: 5 },
+): SoakHistory {
   const history = new SoakHistory();
-  for (let crash = 0; crash < 5; crash++) {
+  const deadly = { kind, deadlyPart: "deadly" };
+  for (let crash = 0; crash < crashes; crash++) {
     const atMs = crash * 200;
-    addCall(history, { callId: `crash-${crash}`, atMs, deadlyPart: "deadly" });
+    addCall(history, { ...deadly, callId: `crash-${crash}`, atMs });
   }
   for (let index = 0; index < lateCalls; index++) {
     const atMs = 10_000 + index * 500;
-    addCall(history, { callId: `late-${index}`, atMs, deadlyPart: "deadly" });
+    addCall(history, { ...deadly, callId: `late-${index}`, atMs });
   }
   return history;
 }
 
 function addCall(
   history: SoakHistory,
-  { callId, atMs, deadlyPart }: {
+  { kind = "stream", callId, atMs, deadlyPart }: {
+    readonly kind?: CallKind;
     readonly callId: string;
     readonly atMs: number;
     readonly deadlyPart?: string;
@@ -76,7 +90,7 @@
 ): void {
   history.calls.push({
     process: "front-0",
-    kind: "stream",
+    kind,
     callId,
     key: "key",
     sentAtMs: atMs,
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -31,7 +31,8 @@
     readonly instance: string;
     readonly perSecond: number;
   }
-  | { readonly kind: "poison"; readonly part: string };
+  | { readonly kind: "poison"; readonly part: string }
+  | { readonly kind: "deadly-request"; readonly body: string };
 
 /** An action with its start in the series and its duration. */
 export interface PlannedFault {
@@ -67,15 +68,18 @@
   leave: 6_000,
   limit: 10_000,
   poison: 10_000,
+  "deadly-request": 10_000,
 };
 const LIMITS_PER_SECOND = [0.5, 1, 2, 5];
 /** The faults that were added later have a generator of their own. */
 const LATER_FAULTS_SEED = 1_000_000;
+const DEADLY_REQUESTS_SEED = 2_000_000;
 
 /** Creates a random plan; the same seed gives the same plan. */
 export function createPlan(seed: number, targets: PlanTargets): SoakPlan {
   const random = new PlanRandom(seed);
   const later = new PlanRandom(LATER_FAULTS_SEED + seed);
+  const deadly = new PlanRandom(DEADLY_REQUESTS_SEED + seed);
   const keys = [...targets.keys];
   const series = Array.from({ length: SERIES_COUNT }, (_, index) => {
     const count = random.integer(MIN_FAULTS, MAX_FAULTS);
@@ -83,10 +87,11 @@
       { length: count },
       () => drawFault(random, targets, keys),
     );
-    return [...faults, drawLaterFault(later, targets, index)].sort((
-      left,
-      right,
-    ) => left.atMs - right.atMs);
+    return [
+      ...faults,
+      drawLaterFault(later, targets, index),
+      drawDeadlyRequest(deadly, index),
+    ].sort((left, right) => left.atMs - right.atMs);
   });
   return { seed, series };
 }
@@ -141,6 +146,15 @@
   };
 }
 
+function drawDeadlyRequest(random: PlanRandom, series: number): PlannedFault {
+  const kind = "deadly-request";
+  return {
+    atMs: random.integer(0, SERIES_DURATION_MS),
+    durationMs: FIXED_DURATIONS_MS[kind]!,
+    action: { kind, body: `deadly-request-${series}` },
+  };
+}
+
 function drawAction(
   random: PlanRandom,
   targets: PlanTargets,
@@ -200,8 +214,10 @@
   "burst",
 ] as const;
 
-/** Kinds of which each series has one besides. */
+/** Kinds of which each series has one. */
 export const laterFaultKinds = ["limit", "poison"] as const;
+/** Kinds that each series has besides. */
+export const constantFaultKinds = ["deadly-request"] as const;
 
 class PlanRandom {
   readonly #generator;
--- a/packages/soak/src/plan_test.ts
+++ b/packages/soak/src/plan_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import {
+  constantFaultKinds,
   createPlan,
   describePlan,
   type FaultAction,
@@ -28,6 +29,8 @@
         .map(({ key }) => key);
       expect(new Set(keys).size).toEqual(keys.length);
     }
-    expect(kinds).toEqual(new Set([...faultKinds, ...laterFaultKinds]));
+    expect(kinds).toEqual(
+      new Set([...faultKinds, ...laterFaultKinds, ...constantFaultKinds]),
+    );
   });
 });
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -73,14 +73,52 @@
       readonly part: string;
       readonly durationMs: number;
     },
+  ): Promise<void> {
+    const { deadlyParts } = cluster.platform;
+    deadlyParts.add(part);
+    await this.#crashInstances(cluster, {
+      kind: "stream",
+      cause: part,
+      durationMs,
+    });
+    deadlyParts.delete(part);
+  }
+
+  /**
+   * Sends a request that crashes plain instances to all processes again and again
+   * for a time, and restarts the instances that crash.
+   */
+  async repeatDeadly(
+    cluster: SoakCluster,
+    { body, durationMs }: {
+      readonly body: string;
+      readonly durationMs: number;
+    },
+  ): Promise<void> {
+    const { deadlyBodies } = cluster.platform;
+    deadlyBodies.add(body);
+    await this.#crashInstances(cluster, {
+      kind: "safe",
+      cause: body,
+      durationMs,
+    });
+    deadlyBodies.delete(body);
+  }
+
+  async #crashInstances(
+    cluster: SoakCluster,
+    { kind, cause, durationMs }: {
+      readonly kind: CallKind;
+      readonly cause: string;
+      readonly durationMs: number;
+    },
   ): Promise<void> {
     const { platform, history } = cluster;
-    platform.deadlyParts.add(part);
     const end = history.beginFault({ kind: "instance" }, "poison");
     const endMs = performance.now() + durationMs;
     const callers = [...cluster.processes.values()].map((process) =>
       this.#loop(
-        { process, kind: "stream", key: soakKeys.steady, deadlyPart: part },
+        { process, kind, key: soakKeys.steady, deadlyPart: cause },
         POISON_CALL_PAUSE_MS,
         () => performance.now() > endMs,
       )
@@ -92,7 +130,6 @@
       }
     }
     await Promise.all(callers);
-    platform.deadlyParts.delete(part);
     end();
   }
 
@@ -116,7 +153,9 @@
     agent: Agent,
   ): Promise<void> {
     const callId = `call-${this.#callCount++}`;
-    const prompt = `prompt of ${callId}`;
+    const prompt = kind === "stream"
+      ? `prompt of ${callId}`
+      : deadlyPart ?? `request ${callId}`;
     const call: CallRecord = {
       process: process.name,
       kind,
