--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -89,7 +89,10 @@
     return Math.max(1, this.#status.processes);
   }
 
-  /** The same; undefined while the leader does not know all of them. */
+  /**
+   * Number of processes in the deployment; undefined while the leader does not
+   * know all of them.
+   */
   knownProcesses(): number | undefined {
     const { processes, areTotalsComplete } = this.#status;
     return areTotalsComplete ? Math.max(1, processes) : undefined;
--- a/packages/celerytray/src/coordination/intervals.ts
+++ b/packages/celerytray/src/coordination/intervals.ts
@@ -35,8 +35,8 @@
 export const LEADER_READ_WAIT_MS = 500;
 
 /**
- * Age up to which relayed data of a store topic is recent enough. Beyond it a
- * process reads the store itself. Relays have the lower limit, so they read
+ * Age up to which the relayed instance list is recent enough. Beyond it a process
+ * reads the store itself. Relays have the lower limit, so they read
  * first and pass the result on.
  */
 export function maxRelayedAgeMs(statusPath: StatusPath): number {
--- a/packages/celerytray/src/coordination/report_table.ts
+++ b/packages/celerytray/src/coordination/report_table.ts
@@ -159,7 +159,7 @@
 }
 
 /** Adds up requests and retries, by service. */
-export function sumRetryTotals(all: readonly SharedTotals[]): SharedTotals {
+function sumRetryTotals(all: readonly SharedTotals[]): SharedTotals {
   const sums: Record<string, WindowTotals> = {};
   for (const repeats of all) {
     for (const [service, totals] of Object.entries(repeats)) {
