--- a/packages/celerytray/src/serving/quarantine/index.ts
+++ b/packages/celerytray/src/serving/quarantine/index.ts
@@ -4,7 +4,7 @@
  */
 export { AttemptWatch } from "./attempt_watch.ts";
 export { CallCauses } from "./crash_causes.ts";
-export type { PartAssessment } from "./crash_evidence.ts";
+export type { PartAssessment } from "./assess_part.ts";
 export {
   CrashQuarantine,
   type QuarantineEvent,
--- a/packages/celerytray/src/serving/quarantine/quarantine_board.ts
+++ b/packages/celerytray/src/serving/quarantine/quarantine_board.ts
@@ -1,8 +1,5 @@
-import {
-  CrashEvidence,
-  HELD_CRASHES,
-  type PartAssessment,
-} from "./crash_evidence.ts";
+import type { PartAssessment } from "./assess_part.ts";
+import { CrashEvidence, HELD_CRASHES } from "./crash_evidence.ts";
 import { isRequestCause } from "./crash_causes.ts";
 import {
   MAX_QUARANTINED_PARTS,
