Log the end of a time without a proof, not each outdated proof in it

It says once now, as its description does, that the configuration is known again to be the newest, and for how long it was not.

--- a/packages/celerytray/src/host/follow_store_test.ts
+++ b/packages/celerytray/src/host/follow_store_test.ts
@@ -189,6 +189,8 @@
 function createKeys(nowMs: () => number): KeyFreshness {
   return new KeyFreshness({
     maxAgeMs: 5_000,
+    maxGapMs: 5_000,
+    onGapEnded: () => {},
     steadyMs: nowMs,
     wallMs: nowMs,
     onClockJump: () => {},
--- a/packages/celerytray/src/host/key_freshness.ts
+++ b/packages/celerytray/src/host/key_freshness.ts
@@ -4,6 +4,13 @@
 export interface KeyFreshnessOptions {
   /** Age of the last proof from which a revoked key might still be accepted. */
   readonly maxAgeMs: number;
+  /** Age from which a proof no longer shows that the keys are current. */
+  readonly maxGapMs: number;
+  /**
+   * Called when the keys are known again to be current, with the age of the last
+   * proof before.
+   */
+  readonly onGapEnded: (ageMs: number) => void;
   readonly steadyMs: () => number;
   readonly wallMs: () => number;
   /** Called when a clock jump makes the age of the last proof unknown. */
@@ -28,9 +35,13 @@
   /** Records that the keys were the newest at a time. */
   noteProof(atMs: number): void {
     this.#checkClocks();
-    if (atMs >= this.#jumpedAtMs && atMs > this.#provenAtMs) {
-      this.#provenAtMs = atMs;
-    }
+    if (atMs < this.#jumpedAtMs || atMs <= this.#provenAtMs) return;
+    const { steadyMs, maxGapMs, onGapEnded } = this.#options;
+    const nowMs = steadyMs();
+    const lastAgeMs = nowMs - this.#provenAtMs;
+    this.#provenAtMs = atMs;
+    const hadGap = Number.isFinite(lastAgeMs) && lastAgeMs > maxGapMs;
+    if (hadGap && nowMs - atMs <= maxGapMs) onGapEnded(lastAgeMs);
   }
 
   /** Time at which the keys were last confirmed to be the newest. */
--- a/packages/celerytray/src/host/key_freshness_test.ts
+++ b/packages/celerytray/src/host/key_freshness_test.ts
@@ -3,11 +3,15 @@
 import { KeyFreshness } from "./key_freshness.ts";
 
 const MAX_AGE_MS = 4_000;
+const MAX_GAP_MS = 2_000;
 
 function createClocks() {
   const time = { steadyMs: 0, wallMs: 1_000_000, clockJumps: 0 };
+  const endedGapsMs: number[] = [];
   const keys = new KeyFreshness({
     maxAgeMs: MAX_AGE_MS,
+    maxGapMs: MAX_GAP_MS,
+    onGapEnded: (ageMs) => endedGapsMs.push(ageMs),
     steadyMs: () => time.steadyMs,
     wallMs: () => time.wallMs,
     onClockJump: () => time.clockJumps += 1,
@@ -16,7 +20,7 @@
     time.steadyMs += ms;
     time.wallMs += ms;
   };
-  return { keys, time, pass };
+  return { keys, time, pass, endedGapsMs };
 }
 
 it("trusts keys for a limited time after a proof", () => {
@@ -54,3 +58,17 @@
   pass(MAX_AGE_MS);
   expect(keys.isFresh()).toEqual(false);
 });
+
+// Guards against a log line at each of many proofs that are outdated on arrival.
+it("reports a time without a proof once, when it ends", () => {
+  const { keys, time, pass, endedGapsMs } = createClocks();
+  keys.noteProof(time.steadyMs);
+  for (let proof = 0; proof < 10; proof++) {
+    pass(500);
+    keys.noteProof(time.steadyMs - MAX_GAP_MS - 1_000);
+  }
+  expect(endedGapsMs).toEqual([]);
+  keys.noteProof(time.steadyMs - 100);
+  keys.noteProof(time.steadyMs);
+  expect(endedGapsMs).toEqual([3_000]);
+});
--- a/packages/celerytray/src/host/prove_keys_test.ts
+++ b/packages/celerytray/src/host/prove_keys_test.ts
@@ -57,6 +57,8 @@
       maxAgeMs: MAX_AGE_MS,
       steadyMs: nowMs,
       wallMs: nowMs,
+      maxGapMs: MAX_AGE_MS,
+      onGapEnded: () => {},
       onClockJump: () => {},
     });
     const config = new ConfigView({
--- a/packages/celerytray/src/host/store_view.ts
+++ b/packages/celerytray/src/host/store_view.ts
@@ -60,6 +60,8 @@
     const { settings, ports, record, nowMs, wallMs } = options;
     this.keys = new KeyFreshness({
       maxAgeMs: settings.keyRevocationMs * TRUSTED_KEY_AGE_SHARE,
+      maxGapMs: settings.configApplyMs,
+      onGapEnded: (ageMs) => record("config.unproven", { ageMs }),
       steadyMs: nowMs,
       wallMs,
       onClockJump: () => {
@@ -107,18 +109,9 @@
     // without the evacuations.
     if (change.records.length > 0 || change.isFullRead) this.zones.update();
     this.config.apply(change);
-    this.#recordLateProof();
     this.keys.noteProof(change.freshAtMs);
   }
 
-  /** Logs a time for which the configuration may have been outdated. */
-  #recordLateProof(): void {
-    const ageMs = this.keys.ageMs();
-    const { settings, record } = this.#options;
-    if (!Number.isFinite(ageMs) || ageMs <= settings.configApplyMs) return;
-    record("config.unproven", { ageMs });
-  }
-
   /** Releases parts of prompts from quarantine, as the operator asked. */
   #applyReleases({ records }: KeyedChange): void {
     const { quarantine, ports: { releasePrefix } } = this.#options;
