--- a/packages/celerytray/src/serving/quarantine/own_evidence.ts
+++ b/packages/celerytray/src/serving/quarantine/own_evidence.ts
@@ -25,6 +25,7 @@
 const MAX_SINGLE_LOSSES = 64;
 /** Time after a loss in which earlier responses of an instance may arrive. */
 const ALIVE_MARGIN_MS = 100;
+
 /** What this process has seen of possible causes of crashes at instances. */
 export class OwnEvidence {
   readonly #crashes = new CrashEvidence();
