Review case 2: a part that crashes replicas is tried again and again

A part of a prompt that crashes each replica that begins to write on it, for 40 s, with three processes on loopback and stand-ins of the store and 15 replicas.

--- a/review/lib/case.js
+++ b/review/lib/case.js
@@ -100,6 +100,16 @@
         service: "wuno96b",
         max_attempts: 1,
       },
+      {
+        ...common,
+        name: "r-lookups",
+        path_prefix: "/cufi504/",
+        kind: "safe",
+        timeout_ms: timeoutMs,
+        target_latency_ms: 121,
+        service: "wuno96b",
+        max_attempts: 2,
+      },
       ...(model === undefined ? [] : [{
         ...common,
         name: "r-drafts",
--- a/review/lib/replicas.js
+++ b/review/lib/replicas.js
@@ -1,8 +1,15 @@
 /** Stand-ins of the platform's replicas, as PROTOCOL.md describes them. */
 import { createServer } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { answerJson } from "./store.js";
 
 const HEARTBEAT_MS = 1_200;
+/** Times of the engine in `createConfig`. */
+const READ_PER_MS = 56.1;
+const STEP_MS = 6.45;
+const PER_SEQ_MS = 0.14;
+const STRIDE = 6;
+const PLAIN_WORK_MS = 20;
 
 /** What plain replicas and model replicas share. */
 class Replica {
@@ -10,12 +17,18 @@
   isLeaving = false;
   /** Ids of the requests that it ran, with their times. */
   ran = [];
+  /** Requests that reached it, and whether they began to run. */
+  arrivals = [];
   address = "";
   bornAt = Date.now();
   #timer;
 
   constructor({ id, service, zone, store, record }) {
     Object.assign(this, { id, service, zone, store, record });
+    this.#listen();
+  }
+
+  #listen() {
     this.server = createServer((request, response) => {
       response.on("error", () => {});
       void this.#handle(request, response);
@@ -61,6 +74,29 @@
     this.store.append("keyed.servers", this.id, undefined);
   }
 
+  /**
+   * Crashes: all its channels close. Its entry is removed after three intervals
+   * of silence, unless it is back before.
+   */
+  crash(backAfterMs) {
+    this.stop();
+    const { bornAt } = this;
+    setTimeout(() => {
+      if (this.bornAt !== bornAt || this.isAlive) return;
+      this.store.append("keyed.servers", this.id, undefined);
+    }, 3 * HEARTBEAT_MS).unref();
+    setTimeout(() => {
+      this.forget();
+      this.isAlive = true;
+      this.bornAt = Date.now();
+      this.#listen();
+      void this.start();
+    }, backAfterMs).unref();
+  }
+
+  /** Forgets what a life of it held and knew. */
+  forget() {}
+
   stop() {
     this.isAlive = false;
     clearInterval(this.#timer);
@@ -127,13 +163,23 @@
 
 /** A replica of a plain service, which echoes the body. */
 export class PlainReplica extends Replica {
+  /** Body of a request that crashes it as it begins to run it. */
+  deadlyBody;
+  onCrash = () => {};
+
   describe() {
     return { models: [], staged: [], sequence: 0 };
   }
 
   async serve({ request, response, callId, body }) {
+    const { bornAt } = this;
     this.run(callId, request);
-    await new Promise((resolve) => setTimeout(resolve, 20));
+    if (body.toString() === this.deadlyBody) {
+      this.onCrash(this, callId);
+      return;
+    }
+    await sleep(PLAIN_WORK_MS);
+    if (this.bornAt !== bornAt || !this.isAlive) return;
     response.writeHead(200, {
       ...this.answerHeaders(callId),
       "server-stamp": `stamp-${this.id}`,
@@ -185,6 +231,16 @@
     };
   }
 
+  forget() {
+    this.group = undefined;
+    this.#lastModel = undefined;
+    this.#fence = -1;
+    this.#epoch = -1;
+    this.#sequence = 0;
+    this.#load = { endsAtMs: 0 };
+    this.running = 0;
+  }
+
   order(order) {
     if (order.fence !== undefined) {
       if (order.fence < this.#fence) return 412;
@@ -279,22 +335,49 @@
     super.stop();
   }
 
+  /** Requests that it works on. */
+  running = 0;
+  /** Part of a prompt on which it crashes as it begins to write. */
+  deadlyPart;
+  onCrash = () => {};
+
   async serve({ request, response, callId }) {
-    if (this.group?.state !== "open" || this.group.members[0] !== this.id) {
+    const isServing = this.group?.state === "open" &&
+      this.group.members[0] === this.id;
+    const arrival = { callId, atMs: performance.now(), hasBegun: false };
+    this.arrivals.push(arrival);
+    if (!isServing) {
       this.reject(response, callId, 421);
       return;
     }
+    const { bornAt } = this;
+    const prompt = String(request.headers["prompt-prefix"]);
+    const [tokens] = String(request.headers["token-count"]).split(",");
+    this.running += 1;
+    // The prompt is read, and the first step made, with the figures of the config.
+    await sleep(
+      Number(tokens) / READ_PER_MS + STEP_MS + PER_SEQ_MS * this.running,
+    );
+    if (this.bornAt !== bornAt || !this.isAlive) return;
+    arrival.hasBegun = true;
     this.run(callId, request);
+    if (prompt.split(",").some((part) => part.startsWith(this.deadlyPart))) {
+      this.onCrash(this, callId);
+      return;
+    }
     response.writeHead(200, {
       ...this.answerHeaders(callId),
       "server-stamp": `stamp-${this.id}`,
       "content-type": "text/event-stream",
+      "replica-load": `${this.running},0,8`,
     });
     for (let event = 0; event < 5; event++) {
-      if (response.destroyed) return;
+      if (response.destroyed || this.bornAt !== bornAt || !this.isAlive) break;
       response.write(`id: ${event}\ndata: ${callId} ${event}\n\n`);
-      await new Promise((resolve) => setTimeout(resolve, 20));
+      await sleep(STRIDE * STEP_MS);
     }
-    response.end();
+    if (this.bornAt !== bornAt) return;
+    this.running -= 1;
+    if (this.isAlive) response.end();
   }
 }
