--- a/review/lib/case.js
+++ b/review/lib/case.js
@@ -46,7 +46,7 @@
 
 /** Sends a request as a requester does; resolves with its answer. */
 export function call(
-  { address, path, id, key, headers = {}, body, timeoutMs },
+  { address, path, id, key, headers = {}, body, timeoutMs, agent = false },
 ) {
   const [host, port] = address.split(":");
   return new Promise((resolve) => {
@@ -57,7 +57,7 @@
       port: Number(port),
       path,
       method: "POST",
-      agent: false,
+      agent,
       headers: {
         host: "ficu95.example",
         "attempt-id": id,
--- a/review/lib/replicas.js
+++ b/review/lib/replicas.js
@@ -378,7 +378,9 @@
       "content-type": "text/event-stream",
       "replica-load": `${this.running},0,8`,
     });
-    for (let event = 0; event < 5; event++) {
+    const [, answerTokens] = String(request.headers["token-count"]).split(",");
+    const events = Math.ceil(Number(answerTokens) / STRIDE);
+    for (let event = 0; event < events; event++) {
       if (response.destroyed || this.bornAt !== bornAt || !this.isAlive) break;
       response.write(`id: ${event}\ndata: ${callId} ${event}\n\n`);
       await sleep(STRIDE * STEP_MS);
