--- a/review/1/case.js
+++ b/review/1/case.js
@@ -84,6 +84,7 @@
   let calls = 0;
   const draft = async (front) => {
     const id = `draft-${++calls}`;
+    record(`sent: ${id} to ${front.name}`);
     const answer = await call({
       address: front.address,
       path: "/lohu930/2f",
--- a/review/2/case.js
+++ b/review/2/case.js
@@ -65,6 +65,7 @@
   let calls = 0;
   const hold = async (front, key) => {
     const id = `hold-${++calls}`;
+    record(`sent: ${id} to ${front.name}`);
     const answer = await call({
       address: front.address,
       path: "/puxa403/2f",
--- a/review/lib/case.js
+++ b/review/lib/case.js
@@ -3,7 +3,6 @@
 import { request } from "node:http";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { NotReady } from "./fronts.js";
 
 const MAX_RUN_MS = 115_000;
 
@@ -22,7 +21,10 @@
     lines.push(`${atS.padStart(8)} ${line}`);
   };
   const stops = [];
+  let isFinished = false;
   const finish = async (code, verdict) => {
+    if (isFinished) return;
+    isFinished = true;
     for (const stop of stops.reverse()) await stop();
     record(verdict);
     const path = join(dirname(fileURLToPath(moduleUrl)), "record.txt");
@@ -31,6 +33,9 @@
     process.exit(code);
   };
   setTimeout(() => finish(2, "not run: out of time"), MAX_RUN_MS);
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => finish(2, `not run: ended by ${signal}`));
+  }
   record(hasTrouble ? "with the disruption" : "without the disruption");
   try {
     const broken = await play({ record, onEnd: (stop) => stops.push(stop) });
@@ -39,8 +44,7 @@
       await finish(1, `rule broken, ${broken.length} times: ${broken[0]}`);
     } else await finish(0, "rule held");
   } catch (error) {
-    const isNotReady = error instanceof NotReady;
-    await finish(2, `not run: ${isNotReady ? error.message : error.stack}`);
+    await finish(2, `not run: ${error.message}`);
   }
 }
 
--- a/review/lib/fronts.js
+++ b/review/lib/fronts.js
@@ -160,15 +160,12 @@
   }
 }
 
-/** Waits until a check holds; throws `NotReady` after a time. */
+/** Waits until a check holds; throws after a time. */
 export async function waitUntil(what, check, timeoutMs = 20_000) {
   const endMs = performance.now() + timeoutMs;
   while (performance.now() < endMs) {
     if (await check()) return;
     await sleep(25);
   }
-  throw new NotReady(`${what}: not within ${timeoutMs} ms`);
+  throw new Error(`${what}: not within ${timeoutMs} ms`);
 }
-
-/** The case could not run, so that it shows nothing. */
-export class NotReady extends Error {}
