Review: names of the scripts' own, and ports that no connection takes

In a series of five runs each, one of case 1 and one of case 2 could not start a process (exit 2): a port that was found free was taken by an outgoing connection. Ports now lie below the range of those.

--- a/review/1/case.js
+++ b/review/1/case.js
@@ -9,8 +9,8 @@
 import { ModelReplica } from "../lib/replicas.js";
 import { Store } from "../lib/store.js";
 
-const KEY = "n2ctnfzs989anu6wsjnb";
-const MODEL = "daka510000";
+const KEY = "key-kept";
+const MODEL = "model-1";
 const LOAD_MS = 6_000;
 const AWAY_MS = 1_000;
 const TIMES = { hotMs: 200, warmMs: 1_000, loadMs: LOAD_MS, formMs: 300 };
@@ -22,7 +22,7 @@
   const storeAddress = await store.open();
   const config = Buffer.from(JSON.stringify(createConfig({
     version: 7,
-    tenants: [{ name: "hule930", keys: [KEY] }],
+    tenants: [{ name: "tenant-1", keys: [KEY] }],
     model: {
       name: MODEL,
       size: 2,
@@ -58,7 +58,7 @@
     for (const id of ids) {
       const replica = new ModelReplica({
         id,
-        service: "huvo11a",
+        service: "drafts",
         zone: ZONES[Number(domain === "d1")],
         domain,
         store,
@@ -87,13 +87,13 @@
     record(`sent: ${id} to ${front.name}`);
     const answer = await call({
       address: front.address,
-      path: "/lohu930/2f",
+      path: "/drafts/1",
       id,
       key: KEY,
       headers: {
         "model": MODEL,
         "token-count": "700,80",
-        "prompt-prefix": `5c1e07a2:40,${calls.toString(16)}:660`,
+        "prompt-prefix": `a1a1a1a1:40,${calls.toString(16)}:660`,
       },
       timeoutMs: 8_000,
     });
--- a/review/2/case.js
+++ b/review/2/case.js
@@ -9,8 +9,8 @@
 import { PlainReplica } from "../lib/replicas.js";
 import { Store } from "../lib/store.js";
 
-const KEPT = "n2ctnfzs989anu6wsjnb";
-const TAKEN = "anfqasnmgkcuyj8pjbvk";
+const KEPT = "key-kept";
+const TAKEN = "key-to-be-taken";
 const REVOKE_MS = 5_000;
 const AWAY_MS = 1_000;
 const GAP_MS = 330;
@@ -26,7 +26,7 @@
     const config = createConfig({
       version,
       timeoutMs,
-      tenants: [{ name: "hule930", keys }],
+      tenants: [{ name: "tenant-1", keys }],
     });
     const offset = store.append(
       "keyed.op",
@@ -40,7 +40,7 @@
   const replicas = ZONES.map((zone, index) =>
     new PlainReplica({
       id: `p${index + 1}`,
-      service: "wuno96b",
+      service: "desk",
       zone,
       store,
       record,
@@ -68,7 +68,7 @@
     record(`sent: ${id} to ${front.name}`);
     const answer = await call({
       address: front.address,
-      path: "/puxa403/2f",
+      path: "/holds/1",
       id,
       key,
       timeoutMs: 1_500,
--- a/review/lib/case.js
+++ b/review/lib/case.js
@@ -63,7 +63,7 @@
       method: "POST",
       agent,
       headers: {
-        host: "ficu95.example",
+        host: "fleet.example",
         "attempt-id": id,
         "deadline-ms": String(timeoutMs),
         "x-api-key": key,
@@ -90,48 +90,48 @@
 
 /** Creates the operator's config, like that of a small deployment. */
 export function createConfig({ version, tenants, model, timeoutMs = 1_500 }) {
-  const common = { host: "ficu95.example", priority: 1, public: false };
+  const common = { host: "fleet.example", priority: 1, public: false };
   return {
     version,
     routes: [
       {
         ...common,
         name: "r-holds",
-        path_prefix: "/puxa403/",
+        path_prefix: "/holds/",
         kind: "unsafe",
         timeout_ms: timeoutMs,
         target_latency_ms: 121,
-        service: "wuno96b",
+        service: "desk",
         max_attempts: 1,
       },
       {
         ...common,
         name: "r-lookups",
-        path_prefix: "/cufi504/",
+        path_prefix: "/lookups/",
         kind: "safe",
         timeout_ms: timeoutMs,
         target_latency_ms: 121,
-        service: "wuno96b",
+        service: "desk",
         max_attempts: 2,
       },
       ...(model === undefined ? [] : [{
         ...common,
         name: "r-drafts",
-        path_prefix: "/lohu930/",
+        path_prefix: "/drafts/",
         kind: "streaming",
         timeout_ms: 8_000,
         target_latency_ms: 400,
         target_gap_ms: 250,
-        service: "huvo11a",
+        service: "drafts",
         max_attempts: 2,
         sticky: true,
         resumable: true,
       }]),
     ],
     services: [
-      { name: "wuno96b", health_path: "/health", max_connections: 100 },
+      { name: "desk", health_path: "/health", max_connections: 100 },
       ...(model === undefined ? [] : [{
-        name: "huvo11a",
+        name: "drafts",
         health_path: "/health",
         max_connections: 404,
         engine: {
--- a/review/lib/fronts.js
+++ b/review/lib/fronts.js
@@ -40,19 +40,28 @@
   "platform.reads_per_s": 2000,
 };
 
+/** Ports below those that the system hands out for outgoing connections. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 31_999;
+
+/** Finds free ports that no outgoing connection can take meanwhile. */
 async function findFreePorts(count) {
-  const servers = await Promise.all(
-    Array.from({ length: count }, () =>
-      new Promise((resolve) => {
-        const server = createServer();
-        server.listen(0, "127.0.0.1", () => resolve(server));
-      })),
-  );
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
-  return ports;
+  const ports = new Set();
+  while (ports.size < count) {
+    const range = LAST_PORT - FIRST_PORT + 1;
+    const port = FIRST_PORT + Math.floor(Math.random() * range);
+    const isFree = await new Promise((resolve) => {
+      const server = createServer();
+      server.once("error", () => resolve(false));
+      server.listen(
+        port,
+        "127.0.0.1",
+        () => server.close(() => resolve(true)),
+      );
+    });
+    if (isFree) ports.add(port);
+  }
+  return [...ports];
 }
 
 async function readRunLine() {
--- a/review/lib/replicas.js
+++ b/review/lib/replicas.js
@@ -368,7 +368,9 @@
     if (this.bornAt !== bornAt || !this.isAlive) return;
     arrival.hasBegun = true;
     this.run(callId, request);
-    if (prompt.split(",").some((part) => part.startsWith(this.deadlyPart))) {
+    if (
+      prompt.split(",").some((part) => part.split(":")[0] === this.deadlyPart)
+    ) {
       this.onCrash(this, callId);
       return;
     }
