--- a/review/1/case.js
+++ b/review/1/case.js
@@ -109,8 +109,10 @@
   const traffic = setInterval(async () => {
     count += 1;
     const id = `draft-${count}`;
+    const front = others[count % 2];
+    record(`sent: ${id} to ${front.name}`);
     const { status } = await call({
-      address: others[count % 2].address,
+      address: front.address,
       path: "/drafts/new",
       id,
       key: "key-1",
@@ -121,7 +123,7 @@
       },
       timeoutMs: 6_000,
     });
-    if (status !== 200) record(`answer: ${id} status ${status}`);
+    record(`answer: ${id} status ${status}`);
   }, 400);
   onEnd(() => clearInterval(traffic));
   await sleep(1_500);
--- a/review/2/case.js
+++ b/review/2/case.js
@@ -67,6 +67,7 @@
     const id = `${key}-${front.name}-${answers.length}`;
     const asked = { id, front, key };
     answers.push(asked);
+    record(`sent: ${id}`);
     Object.assign(
       asked,
       await call({
