Compare positions over the store's eras instead of offsets

Cause: an offset was compared without its era. The copy lacked two configurations; the operator wrote two again, of which the second took the key away and got an offset that had been read before. Every process read on after that offset, got an empty page, and took it as the proof that its keys are the newest. The same holds for each offset that is kept over a call: positions of copies and relays, conditions of appends, terms and epochs.

Change: the store's client, which alone knows offsets, gives out positions: the era in the high bits of a whole number below 2^53, the offset in the low ones. An answer of another era than the position asked for is HistoryDropped, so that its reader reads everything anew; an append that is answered by another era counts as lost, one for an earlier era is not sent; an answer of an earlier era is dropped; one without a legible era is counted and never a new era. Weighed: the highest number seen by anybody plus one, which needs everybody; era and offset as two fields, which each comparison must know.

Observability: store.era and store.era-odd in the log.

--- a/packages/celerytray/src/keyed_log/index.ts
+++ b/packages/celerytray/src/keyed_log/index.ts
@@ -12,6 +12,13 @@
   StoreAnswerLost,
   StoreUnavailable,
 } from "./keyed_log.ts";
+export {
+  createPosition,
+  eraOf,
+  type LogPosition,
+  MAX_ERA,
+  offsetOf,
+} from "./position.ts";
 export {
   decodeRelayedChange,
   type RelayedChange,
--- a/packages/celerytray/src/keyed_log/keyed_log.ts
+++ b/packages/celerytray/src/keyed_log/keyed_log.ts
@@ -1,4 +1,5 @@
 import { Data, type Effect } from "effect";
+import type { LogPosition } from "./position.ts";
 
 /** Topics, named for their content. */
 export type KeyedTopic = "config" | "instances" | "fleet";
@@ -7,7 +8,7 @@
 export interface KeyedRecord {
   readonly key: string;
   readonly value?: Buffer;
-  readonly offset: number;
+  readonly offset: LogPosition;
 }
 
 /** A record to append. */
@@ -15,15 +16,18 @@
   readonly key: string;
   /** Omitted to delete the key. */
   readonly value?: Buffer;
-  /** Offset at which the topic must end; if omitted, the append is unconditional. */
-  readonly at?: number;
+  /**
+   * Position at which the topic must end; if omitted, the append is
+   * unconditional.
+   */
+  readonly at?: LogPosition;
 }
 
-/** A page of records in offset order. */
+/** A page of records in the order of their positions, all of one era. */
 export interface KeyedPage {
   readonly records: readonly KeyedRecord[];
-  /** Offset at which the next read continues. */
-  readonly nextOffset: number;
+  /** Position at which the next read continues. */
+  readonly nextOffset: LogPosition;
 }
 
 /** The store could not be reached or refused the call, which had no effect. */
@@ -36,13 +40,15 @@
   readonly message: string;
 }> {}
 
-/** The topic does not end at the offset that the append required. */
+/** The topic does not end at the position that the append required. */
 export class AppendConflict extends Data.TaggedError("AppendConflict")<{
   readonly message: string;
-  readonly endOffset: number;
 }> {}
 
-/** Records from the requested offset on are no longer retained. */
+/**
+ * Records from the requested position on are no longer retained, or the store
+ * came back from an older copy and the position is of an earlier era.
+ */
 export class HistoryDropped extends Data.TaggedError("HistoryDropped")<{
   readonly message: string;
 }> {}
@@ -50,18 +56,21 @@
 /** Failures of a read. */
 export type ReadFailure = StoreUnavailable | StoreAnswerLost;
 
-/** A compacted log, which keeps the newest record of each key. */
+/**
+ * A compacted log, which keeps the newest record of each key. All offsets are
+ * positions over the eras of the store.
+ */
 export interface KeyedLog {
   /** Reads the newest record of every key. */
   readNewest(topic: KeyedTopic): Effect.Effect<KeyedPage, ReadFailure>;
-  /** Reads records from an offset on; waits up to `waitMs` for a first one. */
+  /** Reads records from a position on; waits up to `waitMs` for a first one. */
   read(
     topic: KeyedTopic,
-    options: { readonly fromOffset: number; readonly waitMs: number },
+    options: { readonly fromOffset: LogPosition; readonly waitMs: number },
   ): Effect.Effect<KeyedPage, ReadFailure | HistoryDropped>;
-  /** Appends one record if the topic still ends at `at`; returns its offset. */
+  /** Appends one record if the topic still ends at `at`; returns its position. */
   append(
     topic: KeyedTopic,
     record: KeyedAppend,
-  ): Effect.Effect<number, ReadFailure | AppendConflict>;
+  ): Effect.Effect<LogPosition, ReadFailure | AppendConflict>;
 }
--- a/packages/celerytray/src/platform/store_client.ts
+++ b/packages/celerytray/src/platform/store_client.ts
@@ -1,12 +1,16 @@
 import { Effect } from "effect";
 import {
   AppendConflict,
+  createPosition,
+  eraOf,
   HistoryDropped,
   type KeyedAppend,
   type KeyedLog,
   type KeyedPage,
   type KeyedRecord,
   type KeyedTopic,
+  type LogPosition,
+  offsetOf,
   type ReadFailure,
   StoreAnswerLost,
   StoreUnavailable,
@@ -27,6 +31,7 @@
   readString,
 } from "./json_fields.ts";
 import { decodeRecords, encodeKeyedRecord } from "./record_codec.ts";
+import { StoreEra, type StoreEraOptions } from "./store_era.ts";
 import { TOPIC_NAMES } from "./words.ts";
 
 const CALL_TIMEOUT_MS = 1_500;
@@ -35,20 +40,23 @@
 
 /**
  * Client of the platform's store. Open connections may go silent all at once,
- * so none is used again after a call on one of them got no answer.
+ * so none is used again after a call on one of them got no answer. What holds
+ * of one era of the store is never taken to hold of another one.
  */
 export class StoreClient implements KeyedLog {
   readonly #address: string;
   readonly #pools = new BackendPools();
+  readonly #era: StoreEra;
 
-  constructor(options: { readonly address: string }) {
+  constructor(options: { readonly address: string } & StoreEraOptions) {
     this.#address = options.address;
+    this.#era = new StoreEra(options);
   }
 
   readNewest(topic: KeyedTopic): Effect.Effect<KeyedPage, ReadFailure> {
     return Effect.gen({ self: this }, function* () {
       const records: KeyedRecord[] = [];
-      let nextOffset: number | undefined;
+      let nextOffset: LogPosition | undefined;
       let after = "";
       while (true) {
         const query = `topic=${TOPIC_NAMES[topic]}&part=0${
@@ -56,10 +64,22 @@
         }`;
         const path = `/log-newest?${query}`;
         const answer = yield* this.#read(path, path, 0);
-        if (answer.status === NO_TOPIC_STATUS) return EMPTY_PAGE;
-        const page = yield* decodeOk(answer, decodeNewest);
+        const { era } = answer;
+        if (nextOffset !== undefined && eraOf(nextOffset) !== era) {
+          return yield* Effect.fail(createEraFailure(topic));
+        }
+        if (answer.status === NO_TOPIC_STATUS) {
+          return {
+            records: [],
+            nextOffset: createPosition({ era, offset: 0 }),
+          };
+        }
+        const page = yield* decodeOk(
+          answer,
+          (body) => decodeNewest(body, era),
+        );
         records.push(...page.records);
-        nextOffset ??= page.endOffset;
+        nextOffset ??= page.nextOffset;
         const last = page.records.at(-1);
         if (!page.hasMore || last === undefined) {
           return { records, nextOffset };
@@ -71,12 +91,11 @@
 
   read(
     topic: KeyedTopic,
-    options: { readonly fromOffset: number; readonly waitMs: number },
+    options: { readonly fromOffset: LogPosition; readonly waitMs: number },
   ): Effect.Effect<KeyedPage, ReadFailure | HistoryDropped> {
     const { fromOffset, waitMs } = options;
-    const path = `/log-read?topic=${
-      TOPIC_NAMES[topic]
-    }&part=0&from=${fromOffset}`;
+    const offset = offsetOf(fromOffset);
+    const path = `/log-read?topic=${TOPIC_NAMES[topic]}&part=0&from=${offset}`;
     return this.#read(
       `${path}&wait_ms=${waitMs}`,
       `${path}&wait_ms=0`,
@@ -86,11 +105,22 @@
         KeyedPage,
         ReadFailure | HistoryDropped
       > => {
+        const { era } = answer;
+        if (era !== eraOf(fromOffset)) {
+          return Effect.fail(
+            new HistoryDropped({
+              message:
+                `The store is in era ${era}, so ${topic} has other records than in era ${
+                  eraOf(fromOffset)
+                }; read the newest ones`,
+            }),
+          );
+        }
         if (answer.status === GONE_STATUS) {
           return Effect.fail(
             new HistoryDropped({
               message:
-                `The store no longer keeps the records of ${topic} from offset ${fromOffset} on; read the newest ones`,
+                `The store no longer keeps the records of ${topic} from offset ${offset} on; read the newest ones`,
             }),
           );
         }
@@ -111,23 +141,27 @@
   append(
     topic: KeyedTopic,
     record: KeyedAppend,
-  ): Effect.Effect<number, ReadFailure | AppendConflict> {
-    const at = record.at === undefined ? "" : `&at=${record.at}`;
+  ): Effect.Effect<LogPosition, ReadFailure | AppendConflict> {
+    const { at, key, value } = record;
+    if (at !== undefined && eraOf(at) !== this.#era.current) {
+      return Effect.fail(createConflict(topic, this.#era.current));
+    }
+    const condition = at === undefined ? "" : `&at=${offsetOf(at)}`;
     return this.#call(
       "POST",
-      `/log-append?topic=${TOPIC_NAMES[topic]}&part=0${at}`,
-      { body: encodeKeyedRecord(record.key, record.value) },
+      `/log-append?topic=${TOPIC_NAMES[topic]}&part=0${condition}`,
+      { body: encodeKeyedRecord(key, value) },
     ).pipe(
       Effect.flatMap((answer): Effect.Effect<
-        number,
+        LogPosition,
         ReadFailure | AppendConflict
       > => {
+        const { era } = answer;
         if (answer.status === CONFLICT_STATUS) {
           return decodeBody(answer, (body) => readNumber(body, "end")).pipe(
             Effect.flatMap((endOffset) =>
               Effect.fail(
                 new AppendConflict({
-                  endOffset,
                   message:
                     `${topic} ends at offset ${endOffset}, not where the append expected; read the new records and decide again`,
                 }),
@@ -135,7 +169,14 @@
             ),
           );
         }
-        return decodeOk(answer, (body) => readNumber(body, "offset"));
+        // The store may have stored it after other records than its writer knew.
+        if (at !== undefined && era !== eraOf(at)) {
+          return Effect.fail(createEraFailure(topic));
+        }
+        return decodeOk(
+          answer,
+          (body) => createPosition({ era, offset: readNumber(body, "offset") }),
+        );
       }),
     );
   }
@@ -148,7 +189,7 @@
     path: string,
     repeatedPath: string,
     waitMs: number,
-  ): Effect.Effect<HttpResponse, ReadFailure> {
+  ): Effect.Effect<StoreAnswer, ReadFailure> {
     const repeat = Effect.sleep(waitMs + REPEAT_READ_MS).pipe(
       Effect.andThen(Effect.sync(() => this.#pools.discard(this.#address))),
       Effect.andThen(Effect.suspend(() => this.#call("GET", repeatedPath))),
@@ -160,7 +201,7 @@
     method: "GET" | "POST",
     path: string,
     options: { readonly body?: Buffer; readonly waitMs?: number } = {},
-  ): Effect.Effect<HttpResponse, ReadFailure> {
+  ): Effect.Effect<StoreAnswer, ReadFailure> {
     return sendRequest({
       address: this.#address,
       method,
@@ -173,34 +214,64 @@
         Effect.sync(() => this.#pools.discard(this.#address))
       ),
       Effect.mapError(toReadFailure),
+      Effect.flatMap((response) => this.#noteEra(response)),
+    );
+  }
+
+  /** Adds the store's era to an answer; one of an earlier era counts as lost. */
+  #noteEra(response: HttpResponse): Effect.Effect<StoreAnswer, ReadFailure> {
+    const era = this.#era.note(response.headers);
+    if (era !== undefined) return Effect.succeed({ ...response, era });
+    return Effect.fail(
+      new StoreAnswerLost({
+        message:
+          `The store's answer is of an era before ${this.#era.current}; call again`,
+      }),
     );
   }
 }
 
+/** An answer, and the era of the store that gave it. */
+interface StoreAnswer extends HttpResponse {
+  readonly era: number;
+}
+
 const OK_STATUS = 200;
 const NO_TOPIC_STATUS = 404;
 const GONE_STATUS = 410;
 const CONFLICT_STATUS = 412;
-const EMPTY_PAGE: KeyedPage = { records: [], nextOffset: 0 };
 
-interface NewestPage {
-  readonly records: readonly KeyedRecord[];
+interface NewestPage extends KeyedPage {
   readonly hasMore: boolean;
-  readonly endOffset: number;
 }
 
-function decodeNewest(body: JsonObject): NewestPage {
+function decodeNewest(body: JsonObject, era: number): NewestPage {
+  const positionOf = (offset: number) => createPosition({ era, offset });
   return {
     records: readObjects(body, "items").map((item) => ({
       key: readString(item, "key"),
       value: Buffer.from(readString(item, "value"), "base64"),
-      offset: readNumber(item, "offset"),
+      offset: positionOf(readNumber(item, "offset")),
     })),
     hasMore: readBoolean(body, "has_more"),
-    endOffset: readNumber(body, "end"),
+    nextOffset: positionOf(readNumber(body, "end")),
   };
 }
 
+function createEraFailure(topic: KeyedTopic): StoreAnswerLost {
+  return new StoreAnswerLost({
+    message:
+      `The store came back from an older copy during a call for ${topic}; read the newest records and decide again`,
+  });
+}
+
+function createConflict(topic: KeyedTopic, era: number): AppendConflict {
+  return new AppendConflict({
+    message:
+      `The store is in era ${era}, so ${topic} does not end where the append expected; read the newest records and decide again`,
+  });
+}
+
 function decodeOk<Value>(
   answer: HttpResponse,
   read: (body: JsonObject) => Value,
--- a/packages/celerytray/src/platform/words.ts
+++ b/packages/celerytray/src/platform/words.ts
@@ -19,6 +19,9 @@
   limit: "server-limit",
 } as const;
 
+/** Header in which the store names its era, in lower case. */
+export const ERA_HEADER = "store-era";
+
 /** Whether any value of a flag header is 1. */
 export function isFlagSet(values: string | readonly string[] | undefined) {
   return [values ?? []].flat().join().split(",")
--- a/packages/cli/src/host_main.ts
+++ b/packages/cli/src/host_main.ts
@@ -62,7 +62,11 @@
     const host: Host = yield* createHost({
       settings,
       journal,
-      ports: createPlatformPorts(settings),
+      ports: createPlatformPorts({
+        ...settings,
+        onEraRaised: (change) => journal.record("store.era", { ...change }),
+        onOddEra: (odd) => journal.record("store.era-odd", { ...odd }),
+      }),
     });
     journal.record("process.started", {
       zone: settings.zone,
--- a/packages/fakes/src/platform/fake_store_server.ts
+++ b/packages/fakes/src/platform/fake_store_server.ts
@@ -6,12 +6,13 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { FakeKeyedStore } from "../store/index.ts";
+import { FakeKeyedStore, type FakeStoreCopy } from "../store/index.ts";
 
 const LENGTH_BYTES = 4;
 const PAGE_HEADER_BYTES = 16;
 const UNAVAILABLE_STATUS = 503;
 const GONE_STATUS = 410;
+const ERA_HEADER = "Store-Era";
 
 /** Faults of the store's HTTP interface. */
 export interface FakeStoreServerFaults {
@@ -62,7 +63,17 @@
     this.#firstOffsets.set(topic, this.store.endOffset(topic));
   }
 
+  /**
+   * Comes back from a copy in a new era: the connections are closed, and what
+   * was appended since the copy is gone.
+   */
+  returnFrom(copy: FakeStoreCopy): void {
+    for (const socket of this.#connections) socket.destroy();
+    this.store.returnFrom(copy);
+  }
+
   #handle(request: IncomingMessage, response: ServerResponse): void {
+    this.#nameEra(response);
     const url = new URL(request.url ?? "/", "http://store");
     this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
     const topic = url.searchParams.get("topic") ?? "";
@@ -94,6 +105,12 @@
     }
   }
 
+  /** Names the era, if the store has ever come back from a copy. */
+  #nameEra(response: ServerResponse): void {
+    const { era } = this.store;
+    if (era > 0) response.setHeader(ERA_HEADER, String(era));
+  }
+
   async #append(
     request: IncomingMessage,
     response: ServerResponse,
@@ -105,6 +122,7 @@
     const keyEnd = 1 + (content[0] ?? 0);
     const value = content.subarray(keyEnd);
     const at = url.searchParams.get("at");
+    this.#nameEra(response);
     const result = this.store.append(url.searchParams.get("topic") ?? "", {
       key: content.subarray(1, keyEnd).toString(),
       ...(value.length === 0 ? {} : { value }),
@@ -128,7 +146,10 @@
   #read(response: ServerResponse, url: URL): void {
     const topic = url.searchParams.get("topic") ?? "";
     const fromOffset = Number(url.searchParams.get("from"));
-    if (fromOffset < (this.#firstOffsets.get(topic) ?? 0)) {
+    const isKept = () =>
+      fromOffset >= (this.#firstOffsets.get(topic) ?? 0) &&
+      fromOffset <= this.store.endOffset(topic);
+    if (!isKept()) {
       response.writeHead(GONE_STATUS).end();
       return;
     }
@@ -136,6 +157,11 @@
       clearTimeout(timer);
       stopWaiting();
       if (response.socket === null || this.#silent.has(response.socket)) return;
+      this.#nameEra(response);
+      if (!isKept()) {
+        response.writeHead(GONE_STATUS).end();
+        return;
+      }
       response.end(
         encodePage(
           this.store.read(topic, fromOffset),
--- a/packages/fakes/src/store/fake_keyed_store.ts
+++ b/packages/fakes/src/store/fake_keyed_store.ts
@@ -16,6 +16,8 @@
 /** In-memory topics of keyed records. */
 export class FakeKeyedStore {
   faults: FakeStoreFaults = {};
+  /** Rises each time the store comes back from a copy. */
+  era = 0;
   readonly #topics = new Map<string, FakeTopic>();
 
   /** Appends a record; returns a conflict if `at` is not the topic's end. */
@@ -73,6 +75,25 @@
     };
   }
 
+  /** Returns a copy of all topics as they are now. */
+  copy(): FakeStoreCopy {
+    return new Map(
+      [...this.#topics].map(([name, { records }]) => [name, [...records]]),
+    );
+  }
+
+  /**
+   * Comes back from a copy in a new era; what was appended since is gone. Reads
+   * that wait for a record are answered.
+   */
+  returnFrom(copy: FakeStoreCopy): void {
+    this.era += 1;
+    for (const [name, { records, listeners }] of this.#topics) {
+      records.splice(0, records.length, ...copy.get(name) ?? []);
+      for (const listener of listeners.splice(0)) listener();
+    }
+  }
+
   #getOrCreateTopic(name: string): FakeTopic {
     let topic = this.#topics.get(name);
     if (topic === undefined) {
@@ -83,6 +104,9 @@
   }
 }
 
+/** The records of each topic at one time. */
+export type FakeStoreCopy = ReadonlyMap<string, readonly KeyedRecord[]>;
+
 interface FakeTopic {
   readonly records: KeyedRecord[];
   readonly listeners: (() => void)[];
--- a/packages/fakes/src/store/in_process_store.ts
+++ b/packages/fakes/src/store/in_process_store.ts
@@ -1,9 +1,15 @@
 import {
   AppendConflict,
+  createPosition,
+  eraOf,
+  HistoryDropped,
   type KeyedAppend,
   type KeyedLog,
   type KeyedPage,
+  type KeyedRecord,
   type KeyedTopic,
+  type LogPosition,
+  offsetOf,
   type ReadFailure,
   StoreAnswerLost,
   StoreUnavailable,
@@ -34,20 +40,29 @@
   readNewest(topic: KeyedTopic): Effect.Effect<KeyedPage, ReadFailure> {
     const { store } = this.#options;
     return this.#call(() => ({
-      records: store.readNewest(topic),
-      nextOffset: store.endOffset(topic),
+      records: store.readNewest(topic).map((record) => this.#place(record)),
+      nextOffset: this.#positionOf(store.endOffset(topic)),
     }));
   }
 
   read(
     topic: KeyedTopic,
-    options: { readonly fromOffset: number; readonly waitMs: number },
-  ): Effect.Effect<KeyedPage, ReadFailure> {
+    options: { readonly fromOffset: LogPosition; readonly waitMs: number },
+  ): Effect.Effect<KeyedPage, ReadFailure | HistoryDropped> {
     const { store, losesLongPolls } = this.#options;
-    const readNow = this.#call((): KeyedPage => {
-      const records = store.read(topic, options.fromOffset);
-      return { records, nextOffset: options.fromOffset + records.length };
-    });
+    const { fromOffset } = options;
+    const readNow = Effect.flatMap(
+      this.#call(() => store.read(topic, offsetOf(fromOffset))),
+      (records): Effect.Effect<KeyedPage, HistoryDropped> =>
+        eraOf(fromOffset) === store.era
+          ? Effect.succeed({
+            records: records.map((record) => this.#place(record)),
+            nextOffset: fromOffset + records.length,
+          })
+          : Effect.fail(
+            new HistoryDropped({ message: "The position is of another era" }),
+          ),
+    );
     const awaitRecord = Effect.callback<void>((resume) => {
       const stop = store.onAppend(topic, () => resume(Effect.void));
       return Effect.sync(stop);
@@ -60,7 +75,7 @@
     );
     return Effect.flatMap(
       readNow,
-      (page): Effect.Effect<KeyedPage, ReadFailure> => {
+      (page): Effect.Effect<KeyedPage, ReadFailure | HistoryDropped> => {
         if (page.records.length > 0 || options.waitMs === 0) {
           return Effect.succeed(page);
         }
@@ -74,18 +89,24 @@
   append(
     topic: KeyedTopic,
     record: KeyedAppend,
-  ): Effect.Effect<number, ReadFailure | AppendConflict> {
+  ): Effect.Effect<LogPosition, ReadFailure | AppendConflict> {
     const { store } = this.#options;
-    return this.#call(() => store.append(topic, record)).pipe(
+    const { at, ...stored } = record;
+    const append = () => {
+      const endOffset = store.endOffset(topic);
+      return at !== undefined && at !== this.#positionOf(endOffset)
+        ? { kind: "conflict" as const, endOffset }
+        : store.append(topic, stored);
+    };
+    return this.#call(append).pipe(
       Effect.flatMap((append): Effect.Effect<
-        number,
+        LogPosition,
         ReadFailure | AppendConflict
       > => {
         if (append.kind === "conflict") {
           const { endOffset } = append;
           return Effect.fail(
             new AppendConflict({
-              endOffset,
               message: `Append conflict: the topic ends at offset ${endOffset}`,
             }),
           );
@@ -101,11 +122,19 @@
             ),
           );
         }
-        return Effect.succeed(append.offset);
+        return Effect.succeed(this.#positionOf(append.offset));
       }),
     );
   }
 
+  #positionOf(offset: number): LogPosition {
+    return createPosition({ era: this.#options.store.era, offset });
+  }
+
+  #place(record: KeyedRecord): KeyedRecord {
+    return { ...record, offset: this.#positionOf(record.offset) };
+  }
+
   #call<Value>(run: () => Value): Effect.Effect<Value, ReadFailure> {
     const { store, isDisconnected } = this.#options;
     return Effect.suspend((): Effect.Effect<Value, ReadFailure> => {
--- a/packages/fakes/src/store/index.ts
+++ b/packages/fakes/src/store/index.ts
@@ -2,6 +2,7 @@
 export {
   type FakeAppendResult,
   FakeKeyedStore,
+  type FakeStoreCopy,
   type FakeStoreFaults,
 } from "./fake_keyed_store.ts";
 export {
