Don't go back to instance states of a store's older copy

What callers would see: after the store came back from an older copy, requests go to instances that had left or were draining, and the leader takes a member of a serving replica for a free instance, as the copy lists it.

Cause: the list took any entry at a later position for a newer one. After such a return all entries of the copy stand at later positions (of the new era), also those that are older than what the process knows.

Change: an entry that may be of the copy counts only if the instance's own counts (start time, then `sequence`) say that it is newer. A store that names no era is served as before.

Test: groups/store_return_test.

--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -1,13 +1,18 @@
-import type { KeyedChange } from "../keyed_log/index.ts";
+import type {
+  KeyedChange,
+  KeyedRecord,
+  LogPosition,
+} from "../keyed_log/index.ts";
 import type { Either } from "purify-ts";
 import type { InstanceState } from "./instance_state.ts";
 import { type LeavingIncarnation, LeavingTracker } from "./leaving_tracker.ts";
+import { StoreReturn } from "./store_return.ts";
 
 interface Entry {
   /** As listed, but draining once the incarnation reports that it leaves. */
   readonly state: InstanceState;
   readonly isListedReady: boolean;
-  readonly offset: number;
+  readonly offset: LogPosition;
 }
 
 /** Options of an instance list view. */
@@ -24,6 +29,9 @@
   /** Last states of instances that were removed from the list. */
   readonly #removed = new Map<string, RemovedInstance>();
   readonly #leaving = new LeavingTracker();
+  readonly #storeReturn = new StoreReturn();
+  /** Listed instances that a store's older copy lacks. */
+  readonly #missingIds = new Set<string>();
   #revision = 0;
   #isLoaded = false;
 
@@ -43,26 +51,68 @@
 
   /** Applies a change of the list; ignores entries older than known ones. */
   apply(
-    change: Pick<KeyedChange, "isFullRead" | "records">,
+    change: Pick<KeyedChange, "isFullRead" | "records" | "nextOffset">,
     nowMs: number,
   ): void {
-    if (change.isFullRead) {
-      const listed = new Set(change.records.map(({ key }) => key));
-      for (const id of [...this.#entries.keys()]) {
-        if (!listed.has(id)) this.#remove(id, { nowMs });
-      }
-    }
-    for (const { key, value, offset } of change.records) {
-      const known = this.#entries.get(key);
-      const newest = known?.offset ?? this.#removed.get(key)?.removedOffset;
-      if (newest !== undefined && newest > offset) continue;
-      if (value === undefined) this.#remove(key, { nowMs, offset });
-      else this.#put(key, value, offset);
-    }
+    this.#storeReturn.noteEnd(change.nextOffset, nowMs);
+    if (change.isFullRead) this.#removeUnlisted(change.records, nowMs);
+    for (const record of change.records) this.#applyRecord(record, nowMs);
     this.#isLoaded = true;
     this.#revision += 1;
   }
 
+  /** Removes the instances that have not written their lost entries anew. */
+  removeMissing(nowMs: number): void {
+    if (this.#missingIds.size === 0 || !this.#storeReturn.hasSettled(nowMs)) {
+      return;
+    }
+    for (const id of this.#missingIds) this.#remove(id, { nowMs });
+    this.#missingIds.clear();
+    this.#revision += 1;
+  }
+
+  /**
+   * Whether an instance's entry says what is so now. One that may come from a
+   * store's older copy may not, until the instance has had time to write it
+   * anew.
+   */
+  isSettled(id: string, nowMs: number): boolean {
+    const entry = this.#entries.get(id);
+    return entry !== undefined &&
+      (!this.#storeReturn.mayBeCopied(entry.offset) ||
+        this.#storeReturn.hasSettled(nowMs));
+  }
+
+  #removeUnlisted(records: readonly KeyedRecord[], nowMs: number): void {
+    const listed = new Set(records.map(({ key }) => key));
+    for (const [id, { offset }] of [...this.#entries]) {
+      if (listed.has(id)) continue;
+      if (this.#storeReturn.isOfEarlierEra(offset)) this.#missingIds.add(id);
+      else this.#remove(id, { nowMs });
+    }
+  }
+
+  #applyRecord({ key, value, offset }: KeyedRecord, nowMs: number): void {
+    const known = this.#entries.get(key);
+    const removed = this.#removed.get(key);
+    const newest = known?.offset ?? removed?.removedOffset;
+    if (newest !== undefined && newest > offset) return;
+    const isOfCopy = newest !== undefined &&
+      this.#storeReturn.isOfEarlierEra(newest) &&
+      this.#storeReturn.mayBeCopied(offset);
+    if (value === undefined) {
+      if (isOfCopy && known !== undefined) this.#missingIds.add(key);
+      else this.#remove(key, { nowMs, offset });
+      return;
+    }
+    this.#missingIds.delete(key);
+    const last = known?.state ?? removed?.state;
+    this.#put(key, value, {
+      offset,
+      ...(isOfCopy && last !== undefined ? { last } : {}),
+    });
+  }
+
   /** Notes that an instance reports that it leaves; false if already known. */
   noteLeaving(incarnation: LeavingIncarnation): boolean {
     if (!this.#leaving.note(incarnation)) return false;
@@ -89,8 +139,8 @@
     return this.#entries.get(id)?.state;
   }
 
-  /** Log offset of the entry that an instance's state comes from. */
-  offsetOf(id: string): number | undefined {
+  /** Log position of the entry that an instance's state comes from. */
+  offsetOf(id: string): LogPosition | undefined {
     return this.#entries.get(id)?.offset;
   }
 
@@ -103,10 +153,26 @@
     return [...this.#entries.values()].map(({ state }) => state);
   }
 
-  #put(id: string, value: Buffer, offset: number): void {
+  /**
+   * Puts an entry in the list. An entry that may come from a store's older copy
+   * counts only if it says more than the last known state.
+   */
+  #put(
+    id: string,
+    value: Buffer,
+    { offset, last }: {
+      readonly offset: LogPosition;
+      readonly last?: InstanceState;
+    },
+  ): void {
     this.#options.decode(id, value.toString("utf8")).caseOf({
       Left: (message) => this.#options.onMalformed(id, message),
       Right: (state) => {
+        this.#noteListedLeaving(state);
+        if (last !== undefined && !isNewer(state, last)) {
+          this.#noteCopied(state);
+          return;
+        }
         this.#entries.set(id, {
           state: this.#withReportedLeaving(state),
           isListedReady: !state.isDraining,
@@ -117,6 +183,22 @@
     });
   }
 
+  /**
+   * Notes how a store's older copy lists an instance, so that processes that
+   * know only the copy are told of its departure.
+   */
+  #noteCopied({ id, isDraining }: InstanceState): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    this.#entries.set(id, { ...entry, isListedReady: !isDraining });
+  }
+
+  /** Keeps a departure that a store's older copy may lack. */
+  #noteListedLeaving({ id, bornAtMs, isDraining }: InstanceState): void {
+    if (!isDraining || bornAtMs === undefined) return;
+    this.#leaving.note({ instanceId: id, bornAtMs });
+  }
+
   /** Keeps the reported departure when a late entry still says ready. */
   #withReportedLeaving(state: InstanceState): InstanceState {
     if (state.isDraining) return state;
@@ -127,7 +209,10 @@
 
   #remove(
     id: string,
-    { nowMs, offset }: { readonly nowMs: number; readonly offset?: number },
+    { nowMs, offset }: {
+      readonly nowMs: number;
+      readonly offset?: LogPosition;
+    },
   ): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
@@ -145,6 +230,13 @@
   readonly state: InstanceState;
   /** Time of the removal. */
   readonly sinceMs: number;
-  /** Log offset of the removal, or of the last entry before it. */
-  readonly removedOffset: number;
+  /** Log position of the removal, or of the last entry before it. */
+  readonly removedOffset: LogPosition;
+}
+
+/** Whether a state of an instance is newer than another one, by its counts. */
+function isNewer(state: InstanceState, other: InstanceState): boolean {
+  const [bornAtMs, otherBornAtMs] = [state.bornAtMs ?? 0, other.bornAtMs ?? 0];
+  if (bornAtMs !== otherBornAtMs) return bornAtMs > otherBornAtMs;
+  return (state.sequence ?? 0) > (other.sequence ?? 0);
 }
--- a/packages/celerytray/src/groups/instance_list_test.ts
+++ b/packages/celerytray/src/groups/instance_list_test.ts
@@ -16,6 +16,7 @@
   const update = (key: string, offset: number, text?: string) =>
     view.apply({
       isFullRead: false,
+      nextOffset: offset + 1,
       records: [
         text === undefined
           ? { key, offset }
@@ -51,7 +52,7 @@
 it("removes instances that a full read lacks", () => {
   const { view, update } = createView();
   update("a", 1, entry("x"));
-  view.apply({ isFullRead: true, records: [] }, 10);
+  view.apply({ isFullRead: true, records: [], nextOffset: 2 }, 10);
   expect(view.find("a")).toEqual(undefined);
   expect(view.findRemoved("a")?.sinceMs).toEqual(10);
 });
--- a/packages/celerytray/src/groups/instance_state.ts
+++ b/packages/celerytray/src/groups/instance_state.ts
@@ -28,6 +28,11 @@
   readonly isDraining: boolean;
   /** Start of this incarnation, Unix time; undefined if not reported. */
   readonly bornAtMs?: number;
+  /**
+   * Count that rises with what this incarnation reports of itself; undefined if
+   * not reported.
+   */
+  readonly sequence?: number;
   /** Fabric domain; undefined for services without model replicas. */
   readonly domain?: string;
   /** Models whose weights are staged on its host. */
--- /dev/null
+++ b/packages/celerytray/src/groups/store_return_test.ts
@@ -0,0 +1,152 @@
+import { expect } from "earl";
+import { Right } from "purify-ts";
+import { describe, it } from "node:test";
+import { createPosition } from "../keyed_log/index.ts";
+import { InstanceListView } from "./instance_list.ts";
+import type { InstanceState } from "./instance_state.ts";
+import { REWRITE_MS } from "./store_return.ts";
+
+const RETURNED_AT_MS = 1_000;
+const SETTLED_AT_MS = RETURNED_AT_MS + REWRITE_MS;
+
+// Guards against instances that had left, drained or joined a replica and are
+// used as they were before, as a store's older copy lists them.
+describe("InstanceListView over a store's return from an older copy", () => {
+  it("keeps draining what drained before", () => {
+    const { view, list, write } = createView();
+    list({ offset: 1, sequence: 1 });
+    write({ offset: 4, sequence: 2, state: "draining" });
+    list({ era: 1, offset: 1, sequence: 1 });
+    expect(view.find("a")?.isDraining).toEqual(true);
+    // So that processes that know only the copy are told.
+    expect(view.listUnconfirmedLeaving())
+      .toEqual([{ instanceId: "a", bornAtMs: 5 }]);
+    // A new incarnation under the same id is another instance.
+    write({ era: 1, offset: 2, sequence: 1, bornAtMs: 9 });
+    expect(view.find("a")?.isDraining).toEqual(false);
+  });
+
+  it("keeps a membership that the copy lacks", () => {
+    const { view, list, write } = createView();
+    list({ offset: 1, sequence: 1 });
+    write({ offset: 4, sequence: 2, replica: "r4-1" });
+    list({ era: 1, offset: 1, sequence: 1 });
+    expect(view.find("a")?.membership?.replica).toEqual("r4-1");
+    expect(view.isSettled("a", RETURNED_AT_MS)).toEqual(false);
+    write({ era: 1, offset: 2, sequence: 3 });
+    expect(view.find("a")?.membership).toEqual(undefined);
+    expect(view.isSettled("a", RETURNED_AT_MS)).toEqual(true);
+  });
+
+  it("keeps removed what was removed, unless it is written anew", () => {
+    const { view, list, write, remove } = createView();
+    list({ offset: 1, sequence: 1 });
+    remove({ offset: 4 });
+    list({ era: 1, offset: 1, sequence: 1 });
+    expect(view.find("a")).toEqual(undefined);
+    write({ era: 1, offset: 2, sequence: 2 });
+    expect(view.find("a")?.id).toEqual("a");
+  });
+
+  it("keeps for a while what the copy lacks", () => {
+    const { view, list, readEmpty } = createView();
+    list({ offset: 1, sequence: 1 });
+    readEmpty({ era: 1, offset: 1 });
+    view.removeMissing(SETTLED_AT_MS - 1);
+    expect(view.find("a")?.id).toEqual("a");
+    view.removeMissing(SETTLED_AT_MS);
+    expect(view.find("a")).toEqual(undefined);
+  });
+
+  it("keeps for a while what another process found missing", () => {
+    const { view, list, remove } = createView();
+    list({ offset: 1, sequence: 1 });
+    // A relay marks what the copy lacks as deleted just before its end.
+    remove({ era: 1, offset: 0 });
+    expect(view.find("a")?.id).toEqual("a");
+    list({ era: 1, offset: 2, sequence: 2 });
+    view.removeMissing(SETTLED_AT_MS);
+    expect(view.find("a")?.id).toEqual("a");
+  });
+
+  it("trusts an entry of a starting process once it is written anew", () => {
+    const { view, list, write } = createView();
+    list({ era: 1, offset: 1, sequence: 1 });
+    expect(view.isSettled("a", RETURNED_AT_MS)).toEqual(false);
+    expect(view.isSettled("a", SETTLED_AT_MS)).toEqual(true);
+    write({ era: 1, offset: 2, sequence: 2 });
+    expect(view.isSettled("a", RETURNED_AT_MS)).toEqual(true);
+  });
+
+  it("trusts all entries of a store that never came back", () => {
+    const { view, list } = createView();
+    list({ offset: 1, sequence: 1 });
+    expect(view.isSettled("a", 0)).toEqual(true);
+  });
+});
+
+interface Entry {
+  readonly offset: number;
+  readonly sequence: number;
+  readonly era?: number;
+  readonly bornAtMs?: number;
+  readonly state?: "ready" | "draining";
+  readonly replica?: string;
+}
+
+/** Creates a view of one instance, `a`. */
+function createView() {
+  const view = new InstanceListView({
+    decode: (_id, text) => Right(JSON.parse(text) as InstanceState),
+    onMalformed: () => {},
+  });
+  const apply = (entry: Entry, isFullRead: boolean) => {
+    const offset = positionOf(entry);
+    const value = Buffer.from(JSON.stringify(createState(entry)));
+    const records = [{ key: "a", value, offset }];
+    const nextOffset = offset + 1;
+    view.apply({ isFullRead, records, nextOffset }, RETURNED_AT_MS);
+  };
+  return {
+    view,
+    list: (entry: Entry) => apply(entry, true),
+    write: (entry: Entry) => apply(entry, false),
+    remove: (at: Pick<Entry, "era" | "offset">) => {
+      const offset = positionOf(at);
+      view.apply({
+        isFullRead: false,
+        records: [{ key: "a", offset }],
+        nextOffset: offset + 1,
+      }, RETURNED_AT_MS);
+    },
+    readEmpty: (at: Pick<Entry, "era" | "offset">) =>
+      view.apply({
+        isFullRead: true,
+        records: [],
+        nextOffset: positionOf(at),
+      }, RETURNED_AT_MS),
+  };
+}
+
+function positionOf({ era = 0, offset }: Pick<Entry, "era" | "offset">) {
+  return createPosition({ era, offset });
+}
+
+function createState(
+  { sequence, bornAtMs = 5, state, replica }: Entry,
+): InstanceState {
+  return {
+    id: "a",
+    service: "s",
+    address: "a:1",
+    zone: "z",
+    slots: 1,
+    isDraining: state === "draining",
+    bornAtMs,
+    sequence,
+    stagedModels: [],
+    ...(replica === undefined
+      ? {}
+      : { membership: { replica, epoch: 5, rank: 0, state: "open" } }),
+  };
+}
--- a/packages/celerytray/src/host/create_zone_rules_test.ts
+++ b/packages/celerytray/src/host/create_zone_rules_test.ts
@@ -137,7 +137,7 @@
     change: ReturnType<typeof list>,
     isFullRead: boolean,
   ) => {
-    instances.apply({ ...change, isFullRead }, nowMs);
+    instances.apply({ ...change, isFullRead, nextOffset: offset }, nowMs);
     cold.noteList(change);
   };
   const readTopic = (
--- a/packages/celerytray/src/host/target_lists_test.ts
+++ b/packages/celerytray/src/host/target_lists_test.ts
@@ -99,7 +99,10 @@
     value: Buffer.from(""),
     offset,
   }));
-  if (zones !== undefined) instances.apply({ isFullRead: true, records }, 0);
+  const nextOffset = records.length;
+  if (zones !== undefined) {
+    instances.apply({ isFullRead: true, records, nextOffset }, 0);
+  }
   let evacuated: readonly string[] = [];
   let revision = 0;
   let services: ReadonlyMap<string, ServedService> = new Map();
--- a/packages/celerytray/src/platform/decode_instance.ts
+++ b/packages/celerytray/src/platform/decode_instance.ts
@@ -58,6 +58,7 @@
     isDraining: state === "draining",
     stagedModels: readNames(entry, "staged"),
     ...(bornAtMs === undefined ? {} : { bornAtMs: bornAtMs as number }),
+    ...decodeSequence(entry.sequence),
     ...decodeCold(entry.cold_remaining_ms),
     ...decodeDomain(entry.domain),
     ...(model === undefined ? {} : { loadedModel: readName(model, "name") }),
@@ -65,6 +66,10 @@
   };
 }
 
+function decodeSequence(input: unknown): Pick<InstanceState, "sequence"> {
+  return Number.isSafeInteger(input) ? { sequence: input as number } : {};
+}
+
 function readAddress(entry: JsonObject): string {
   const address = readName(entry, "address");
   const [host = "", port = "", ...rest] = address.split(":");
--- a/packages/celerytray/src/platform/odd_instance_test.ts
+++ b/packages/celerytray/src/platform/odd_instance_test.ts
@@ -59,7 +59,8 @@
         value: Buffer.from(value),
         offset,
       }));
-      view.apply({ isFullRead: true, records }, 0);
+      const nextOffset = records.length;
+      view.apply({ isFullRead: true, records, nextOffset }, 0);
       expect(view.list().map(({ id }) => id)).toEqual(["i0", "i2"]);
       expect(messages.length).toEqual(1);
       expect(messages[0]!.length <= MAX_MESSAGE_CHARACTERS).toEqual(true);
