Keep terms, names and epochs unique over a store's return from a copy

Cause: term, fencing number, names of replicas and epochs were offsets of the log, taken to be unique for ever. A later leader got the lost leader's offset, so the same term 4, gave r4-1 and epoch 5 out once more, and took the members of the lost r4-1 for its own. The leader of before the drill went on beside it: its appends got 412, its read back 410, which counted as "unknown".

Only a leader of a later term is followed. - What it knows of the replicas goes into the new term: lost records are stored again under their epochs, those of replicas retired meanwhile are removed. - A leader that knows only the copy stores the record of a replica again whose members all report it; others are dissolved as before. It takes a member for free only if its entry was written after the return, or 2 s after it was read, and retires a record whose member has joined a later replica.

Why it works: no number is given out twice, whichever process leads; what an instance reports is compared with numbers that no other replica can have.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -1,6 +1,7 @@
 import { Clock, Effect } from "effect";
 import { readSteadyMs } from "../clock/index.ts";
-import type { LeaderRecord } from "../groups/index.ts";
+import type { LeaderRecord, ReplicaRecord } from "../groups/index.ts";
+import { eraOf, type LogPosition } from "../keyed_log/index.ts";
 import type { SharedTotals } from "../serving/index.ts";
 import { ChangeSignal } from "./change_signal.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
@@ -22,6 +23,12 @@
 import { ReportReplies } from "./report_replies.ts";
 import { ReportTable } from "./report_table.ts";
 
+/** A term of this process that is over. */
+interface EndedTerm {
+  readonly term: LogPosition;
+  readonly replicas: readonly ReplicaRecord[];
+}
+
 const RETRY_DELAY_MS = 300;
 /** Interval at which a process that has resigned checks its state. */
 const RESIGNED_CHECK_INTERVAL_MS = 250;
@@ -44,6 +51,8 @@
   #summary: PeerSummary;
   #summarizedAtMs = Number.NEGATIVE_INFINITY;
   #hasResigned = false;
+  /** This process's last term, unless another process has led since. */
+  #lastTerm: EndedTerm | undefined;
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
@@ -176,7 +185,7 @@
       this.#reportTable.addReport(report, this.#nowMs());
       if (report.known.term > this.#status.term) {
         const { nodeId } = report.reporter;
-        this.#term?.stepDown(
+        this.#term?.yieldToSuccessor(
           `${nodeId} reported the later term ${report.known.term}`,
         );
       }
@@ -203,6 +212,7 @@
         }
         const found = this.#search.takeFoundLeader();
         if (found !== undefined) {
+          this.#lastTerm = undefined;
           yield* this.#follower.follow(found);
           mayClaim = true;
           continue;
@@ -214,6 +224,7 @@
         }
         this.#options.quarantine.load(records.quarantined);
         if (this.#search.shouldFollow(records.leader)) continue;
+        mayClaim ||= this.#recallReplicas(records) !== undefined;
         if (mayClaim || !(yield* this.#search.awaitInitialDelay(records))) {
           yield* this.#claimLeadership(records);
           mayClaim = false;
@@ -243,23 +254,21 @@
         return;
       }
       if (claim.kind === "lost") return;
-      yield* this.#runTerm({ ...leader, term: claim.term }, {
-        ...records,
-        replicas: claim.replicas,
-      });
+      yield* this.#runTerm({ ...leader, term: claim.term }, records);
     });
   }
 
   #runTerm(
     leader: LeaderRecord,
-    { replicas, quarantined }: FleetRecords,
+    records: FleetRecords,
   ): Effect.Effect<void> {
     return Effect.suspend(() => {
       const term = new LeaderTerm({
         ...this.#options,
         leader,
-        replicas,
-        quarantined,
+        stored: records.replicas,
+        remembered: this.#recallReplicas(records),
+        quarantined: records.quarantined,
         status: this.#status,
         table: this.#reportTable,
         summarize: () => this.#summarize(),
@@ -273,12 +282,28 @@
       this.#term = term;
       return term.run().pipe(
         Effect.ensuring(Effect.sync(() => {
+          this.#lastTerm = term.hasSuccessor ? undefined : {
+            term: leader.term,
+            replicas: term.listReplicas(),
+          };
           this.#term = undefined;
         })),
       );
     });
   }
 
+  /**
+   * Returns the replicas of this process's last term if the records come from
+   * an older copy of the store; undefined where the records are to be believed.
+   */
+  #recallReplicas(
+    { leader, nextOffset }: FleetRecords,
+  ): readonly ReplicaRecord[] | undefined {
+    const last = this.#lastTerm;
+    if (last === undefined || eraOf(nextOffset) === eraOf(last.term)) return;
+    return (leader?.term ?? 0) > last.term ? undefined : last.replicas;
+  }
+
   #applyReply(
     reply: ReportReply,
     source: { readonly publishedAtMs: number; readonly statusPath: StatusPath },
--- a/packages/celerytray/src/coordination/leader_log.ts
+++ b/packages/celerytray/src/coordination/leader_log.ts
@@ -13,14 +13,15 @@
   type ReplicaRecorder,
 } from "../groups/index.ts";
 import type { QuarantinedPart } from "../serving/index.ts";
-import type {
-  AppendConflict,
-  KeyedLog,
-  KeyedPage,
-  KeyedRecord,
-  ReadFailure,
+import {
+  type AppendConflict,
+  eraOf,
+  type KeyedLog,
+  type KeyedPage,
+  type KeyedRecord,
+  type LogPosition,
+  type ReadFailure,
 } from "../keyed_log/index.ts";
-
 import { decodeQuarantine } from "./quarantine_record.ts";
 
 /** The leader and the replicas, as recorded in the fleet topic. */
@@ -29,7 +30,7 @@
   readonly replicas: readonly ReplicaRecord[];
   /** Parts of prompts in quarantine. */
   readonly quarantined: readonly QuarantinedPart[];
-  readonly nextOffset: number;
+  readonly nextOffset: LogPosition;
 }
 
 /** Reads the newest records of the leader and the replicas. */
@@ -65,7 +66,12 @@
   /** A process has claimed a later term. */
   | { readonly kind: "taken"; readonly leader: LeaderRecord }
   /** No process had claimed a later term, up to `nextOffset`. */
-  | { readonly kind: "unchanged"; readonly nextOffset: number }
+  | { readonly kind: "unchanged"; readonly nextOffset: LogPosition }
+  /**
+   * The store came back from an older copy since the term began, so that the
+   * records of the term may be lost; no process had claimed a later term.
+   */
+  | { readonly kind: "superseded-era"; readonly nextOffset: LogPosition }
   /** The store did not respond. */
   | { readonly kind: "unknown" };
 
@@ -76,15 +82,18 @@
 export function awaitSuccessor(
   log: KeyedLog,
   { term, fromOffset, waitMs }: {
-    readonly term: number;
-    readonly fromOffset: number;
+    readonly term: LogPosition;
+    readonly fromOffset: LogPosition;
     readonly waitMs: number;
   },
 ): Effect.Effect<LeaderCheck> {
   const describe = ({ records, nextOffset }: KeyedPage): LeaderCheck => {
     const leader = findLeader(records);
-    return leader !== undefined && leader.term > term
-      ? { kind: "taken", leader }
+    if (leader !== undefined && leader.term > term) {
+      return { kind: "taken", leader };
+    }
+    return eraOf(nextOffset) > eraOf(term)
+      ? { kind: "superseded-era", nextOffset }
       : { kind: "unchanged", nextOffset };
   };
   return log.read("fleet", { fromOffset, waitMs }).pipe(
@@ -103,8 +112,7 @@
 export type LeadershipClaim =
   | {
     readonly kind: "won";
-    readonly term: number;
-    readonly replicas: readonly ReplicaRecord[];
+    readonly term: LogPosition;
   }
   | { readonly kind: "lost" };
 
@@ -120,17 +128,15 @@
   },
 ): Effect.Effect<LeadershipClaim, ReadFailure> {
   const { leader, records } = options;
-  const won = (offset: number): LeadershipClaim => ({
-    kind: "won",
-    term: offset + 1,
-    replicas: records.replicas,
-  });
+  const at = records.nextOffset;
+  const term = at + 1;
+  const won: LeadershipClaim = { kind: "won", term };
   return log.append("fleet", {
     key: LEADER_KEY,
-    value: encodeLeader(leader),
-    at: records.nextOffset,
+    value: encodeLeader({ ...leader, term }),
+    at,
   }).pipe(
-    Effect.map(won),
+    Effect.as(won),
     Effect.catchTag(
       "AppendConflict",
       () => Effect.succeed<LeadershipClaim>({ kind: "lost" }),
@@ -140,10 +146,10 @@
       (failure) =>
         Effect.flatMap(
           readFleetRecords(log),
-          ({ leader: newest }) =>
-            newest?.bootId === leader.bootId &&
-              newest.term === records.nextOffset + 1
-              ? Effect.succeed(won(records.nextOffset))
+          ({ leader: newest, nextOffset }) =>
+            newest?.bootId === leader.bootId && newest.term === term &&
+              eraOf(nextOffset) === eraOf(at)
+              ? Effect.succeed(won)
               : Effect.fail(failure),
         ),
     ),
@@ -158,8 +164,8 @@
 export class FencedReplicaRecorder implements ReplicaRecorder {
   readonly #log: KeyedLog;
   readonly #onSuperseded: (message: string) => void;
-  readonly #term: number;
-  #endOffset: number;
+  readonly #term: LogPosition;
+  #endOffset: LogPosition;
   #formedCount = 0;
   #isSuperseded = false;
   /** Serialises appends, as each names the end of the topic. */
@@ -167,7 +173,7 @@
 
   constructor(options: {
     readonly log: KeyedLog;
-    readonly term: number;
+    readonly term: LogPosition;
     readonly onSuperseded: (message: string) => void;
   }) {
     this.#log = options.log;
@@ -181,13 +187,21 @@
   ): Effect.Effect<ReplicaRecord, RecordFailure> {
     this.#formedCount += 1;
     const name = `r${this.#term}-${this.#formedCount}`;
-    return this.#append(createReplicaKey(name), encodeReplica(formation)).pipe(
+    return this.#append(
+      createReplicaKey(name),
+      (at) => encodeReplica({ ...formation, epoch: at + 1 }),
+    ).pipe(
       Effect.map((offset) => ({ ...formation, name, epoch: offset + 1 })),
     );
   }
 
+  /** Stores the record of a replica that was formed earlier once more. */
+  restore(replica: ReplicaRecord): Effect.Effect<void, RecordFailure> {
+    return this.put(createReplicaKey(replica.name), encodeReplica(replica));
+  }
+
   retire(name: string): Effect.Effect<void, RecordFailure> {
-    return Effect.asVoid(this.#append(createReplicaKey(name), undefined));
+    return this.put(createReplicaKey(name), undefined);
   }
 
   /** Stores another record of the leader, or deletes one without a value. */
@@ -195,7 +209,7 @@
     key: string,
     value: Buffer | undefined,
   ): Effect.Effect<void, RecordFailure> {
-    return Effect.asVoid(this.#append(key, value));
+    return Effect.asVoid(this.#append(key, () => value));
   }
 
   confirm(): Effect.Effect<void, RecordFailure> {
@@ -207,6 +221,7 @@
   #confirmNow(): Effect.Effect<void, RecordFailure> {
     const at = this.#endOffset;
     return this.#log.read("fleet", { fromOffset: at, waitMs: 0 }).pipe(
+      Effect.catchTag("HistoryDropped", () => this.#failSuperseded(at)),
       Effect.mapError(({ message }) => ({ message })),
       Effect.flatMap(({ nextOffset }) =>
         nextOffset === at ? Effect.void : this.#failSuperseded(at)
@@ -214,26 +229,32 @@
     );
   }
 
-  #failSuperseded(at: number): Effect.Effect<never, RecordFailure> {
-    const message = `Another process wrote to the fleet topic at offset ${at}`;
+  /**
+   * Notes that the topic no longer ends where this leader left it, in whichever
+   * era.
+   */
+  #failSuperseded(at: LogPosition): Effect.Effect<never, RecordFailure> {
+    const message =
+      `The fleet topic has other records from position ${at} on than this leader stored`;
     this.#isSuperseded = true;
     this.#onSuperseded(message);
     return Effect.fail({ message });
   }
 
+  /** Appends the value that `encode` returns for the position of the record. */
   #append(
     key: string,
-    value: Buffer | undefined,
-  ): Effect.Effect<number, RecordFailure> {
+    encode: (at: LogPosition) => Buffer | undefined,
+  ): Effect.Effect<LogPosition, RecordFailure> {
     return this.#appendLock.withPermit(
-      Effect.suspend(() => this.#appendNow(key, value)),
+      Effect.suspend(() => this.#appendNow(key, encode(this.#endOffset))),
     );
   }
 
   #appendNow(
     key: string,
     value: Buffer | undefined,
-  ): Effect.Effect<number, RecordFailure> {
+  ): Effect.Effect<LogPosition, RecordFailure> {
     if (this.#isSuperseded) {
       return Effect.fail({
         message: "Another process leads now; the record was not stored",
@@ -265,8 +286,9 @@
   /** Reads back whether an append without a definite result was stored. */
   #resolveUnconfirmed(
     { key, value, at, failure }: UnconfirmedAppend,
-  ): Effect.Effect<number, RecordFailure> {
+  ): Effect.Effect<LogPosition, RecordFailure> {
     return this.#log.read("fleet", { fromOffset: at, waitMs: 0 }).pipe(
+      Effect.catchTag("HistoryDropped", () => this.#failSuperseded(at)),
       Effect.flatMap(({ records, nextOffset }) => {
         const [first] = records;
         const isOwn = first?.key === key &&
@@ -290,6 +312,6 @@
 interface UnconfirmedAppend {
   readonly key: string;
   readonly value: Buffer | undefined;
-  readonly at: number;
+  readonly at: LogPosition;
   readonly failure: AppendConflict | ReadFailure;
 }
--- a/packages/celerytray/src/coordination/leader_search.ts
+++ b/packages/celerytray/src/coordination/leader_search.ts
@@ -1,7 +1,7 @@
 import { Effect } from "effect";
 import type { LeaderRecord } from "../groups/index.ts";
 import type { RecordEvent } from "../journal/index.ts";
-import type { KeyedLog } from "../keyed_log/index.ts";
+import type { KeyedLog, LogPosition } from "../keyed_log/index.ts";
 import {
   awaitSuccessor,
   type FleetRecords,
@@ -16,7 +16,7 @@
   readonly self: PeerNode;
   readonly log: KeyedLog;
   /** Term of the leader that was followed last; 0 before the first. */
-  readonly term: () => number;
+  readonly term: () => LogPosition;
   /** Returns a random number from 0 to 1. */
   readonly random: () => number;
   readonly record: RecordEvent;
@@ -27,8 +27,11 @@
   readonly #options: LeaderSearchOptions;
   /** Newest leader that the records named. */
   #foundLeader: LeaderRecord | undefined;
-  /** Offset up to which the records were checked for a successor of `term`. */
-  #checked = { term: 0, nextOffset: 0 };
+  /** Position up to which the records were checked for a successor of `term`. */
+  #checked: { term: LogPosition; nextOffset: LogPosition } = {
+    term: 0,
+    nextOffset: 0,
+  };
 
   constructor(options: LeaderSearchOptions) {
     this.#options = options;
@@ -41,9 +44,13 @@
     return this.shouldFollow(found) ? found : undefined;
   }
 
-  /** Whether a leader is neither the one followed last nor this process. */
+  /**
+   * Whether a leader is another process, of a later term than the leader
+   * followed last. An earlier one is named where the store came back from a
+   * copy that lacks later records.
+   */
   shouldFollow(leader: LeaderRecord | undefined): boolean {
-    return leader !== undefined && leader.term !== this.#options.term() &&
+    return leader !== undefined && leader.term > this.#options.term() &&
       leader.nodeId !== this.#options.self.nodeId;
   }
 
@@ -66,7 +73,10 @@
   }
 
   /** Waits until the records name a leader of a later term than `term`. */
-  awaitSuccessor(term: number, waitMs: number): Effect.Effect<LeaderCheck> {
+  awaitSuccessor(
+    term: LogPosition,
+    waitMs: number,
+  ): Effect.Effect<LeaderCheck> {
     const { log } = this.#options;
     if (this.#checked.term !== term) this.#checked = { term, nextOffset: term };
     const fromOffset = this.#checked.nextOffset;
@@ -74,7 +84,7 @@
       awaitSuccessor(log, { term, fromOffset, waitMs }),
       (check) => {
         if (check.kind === "taken") this.#foundLeader = check.leader;
-        if (check.kind === "unchanged") {
+        if (check.kind === "unchanged" || check.kind === "superseded-era") {
           this.#checked = { term, nextOffset: check.nextOffset };
         }
         return check;
--- a/packages/celerytray/src/coordination/leader_term.ts
+++ b/packages/celerytray/src/coordination/leader_term.ts
@@ -6,6 +6,7 @@
 } from "../groups/index.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
 import type { QuarantinedPart } from "../serving/index.ts";
+import { eraOf, type LogPosition } from "../keyed_log/index.ts";
 import { PUBLISH_INTERVAL_MS, TAKEOVER_GRACE_MS } from "./intervals.ts";
 import { InheritedRetries } from "./inherited_retries.ts";
 import { FencedReplicaRecorder, type LeaderCheck } from "./leader_log.ts";
@@ -13,6 +14,7 @@
 import { SuccessorWatch } from "./successor_watch.ts";
 import type { PeerNode, PeerSummary } from "./peer_messages.ts";
 import type { ReportTable } from "./report_table.ts";
+import { restoreRecords } from "./restore_records.ts";
 import { selectRelays } from "./select_relays.ts";
 import { SharedBoards } from "./shared_boards.ts";
 
@@ -22,6 +24,8 @@
     CoordinatorOptions,
     | "self"
     | "log"
+    | "config"
+    | "instances"
     | "createController"
     | "record"
     | "storeAnsweredAtMs"
@@ -31,7 +35,13 @@
     | "retryWindowMs"
   > {
   readonly leader: LeaderRecord;
-  readonly replicas: readonly ReplicaRecord[];
+  /** The replicas according to the store. */
+  readonly stored: readonly ReplicaRecord[];
+  /**
+   * The replicas of this process's last term, if that ended as the store came
+   * back from an older copy; undefined otherwise.
+   */
+  readonly remembered: readonly ReplicaRecord[] | undefined;
   /** Parts of prompts in quarantine that the store lists. */
   readonly quarantined: readonly QuarantinedPart[];
   readonly status: LeaderStatus;
@@ -42,7 +52,7 @@
   readonly summarizeOwn: () => PeerSummary;
   /** Waits until the records name a leader of a later term. */
   readonly awaitSuccessor: (
-    term: number,
+    term: LogPosition,
     waitMs: number,
   ) => Effect.Effect<LeaderCheck>;
   /** Called when the status has updates that are pushed to followers. */
@@ -64,11 +74,13 @@
   /** Node ID of the leader that this process replaced. */
   readonly #predecessorId: string | undefined;
   #hasSteppedDown = false;
+  #hasSuccessor = false;
 
   constructor(options: LeaderTermOptions) {
     this.#options = options;
-    const { leader, log, replicas, status, table, nowMs } = options;
+    const { leader, log, status, table, nowMs } = options;
     const { term } = leader;
+    const replicas = options.remembered ?? options.stored;
     this.#sinceMs = nowMs();
     this.#predecessorId = status.leader?.nodeId;
     this.#hasInherited = status.areTotalsComplete;
@@ -103,11 +115,22 @@
     return this.#hasSteppedDown;
   }
 
-  /** Leads until another process does. */
+  /** Whether another process is known to have claimed a later term. */
+  get hasSuccessor(): boolean {
+    return this.#hasSuccessor;
+  }
+
+  /** The replicas that there are, whether or not the store has their records. */
+  listReplicas(): readonly ReplicaRecord[] {
+    return this.#controller.listReplicas();
+  }
+
+  /** Leads until another process does or the store's era is over. */
   run(): Effect.Effect<void> {
-    return Effect.scoped(this.#controller.run()).pipe(
+    return this.#restoreRecords().pipe(
+      Effect.andThen(Effect.scoped(this.#controller.run())),
       Effect.raceFirst(this.#publishUntilStepDown()),
-      Effect.raceFirst(this.#awaitSuccessor()),
+      Effect.raceFirst(this.#awaitEndOfTerm()),
       Effect.raceFirst(
         this.#boards.recordQuarantine(
           this.#options.quarantined,
@@ -117,6 +140,12 @@
     );
   }
 
+  /** Stops leading, as another process leads, and logs how that is known. */
+  yieldToSuccessor(message: string): void {
+    this.#hasSuccessor = true;
+    this.stepDown(message);
+  }
+
   /** Stops leading and logs the reason. */
   stepDown(message: string): void {
     if (this.#hasSteppedDown) return;
@@ -139,11 +168,38 @@
     return this.#controller.listClosedHeads();
   }
 
-  /** Steps down once the records name a leader of a later term. */
-  #awaitSuccessor(): Effect.Effect<void> {
-    return Effect.map(
-      this.#successorWatch.awaitSuccessor(),
-      ({ nodeId, term }) => this.stepDown(`${nodeId} leads since term ${term}`),
+  /** Stores what the store has lost of the last term of this process. */
+  #restoreRecords(): Effect.Effect<void> {
+    const { remembered, stored, record } = this.#options;
+    return remembered === undefined ? Effect.void : restoreRecords({
+      replicas: remembered,
+      stored,
+      recorder: this.#recorder,
+      record,
+    });
+  }
+
+  /** Steps down once the records show that this term is over. */
+  #awaitEndOfTerm(): Effect.Effect<void> {
+    return Effect.map(this.#successorWatch.awaitEndOfTerm(), (check) => {
+      if (check.kind === "superseded-era") this.#endEra();
+      else {
+        const { nodeId, term } = check.leader;
+        this.yieldToSuccessor(`${nodeId} leads since term ${term}`);
+      }
+    });
+  }
+
+  /** Steps down if any topic shows that the store's era is over. */
+  #checkEra(): void {
+    const { leader, config, instances } = this.#options;
+    const newest = Math.max(config.copy.nextOffset, instances.copy.nextOffset);
+    if (eraOf(newest) > eraOf(leader.term)) this.#endEra();
+  }
+
+  #endEra(): void {
+    this.stepDown(
+      "The store came back from an older copy, which may lack the records of this term",
     );
   }
 
@@ -153,6 +209,8 @@
   #publishUntilStepDown(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       while (!this.#hasSteppedDown) {
+        this.#checkEra();
+        if (this.#hasSteppedDown) return;
         this.reportHeads(this.#options.summarizeOwn());
         if (this.#publish()) this.#options.onUpdate();
         yield* Effect.sleep(PUBLISH_INTERVAL_MS);
--- a/packages/celerytray/src/coordination/successor_watch.ts
+++ b/packages/celerytray/src/coordination/successor_watch.ts
@@ -1,5 +1,4 @@
 import { Effect } from "effect";
-import type { LeaderRecord } from "../groups/index.ts";
 import { leaderTimeoutMs } from "./intervals.ts";
 import type { LeaderCheck } from "./leader_log.ts";
 
@@ -23,8 +22,15 @@
   readonly nowMs: () => number;
 }
 
+/** A check that shows that a leader's term is over. */
+export type EndOfTerm = Extract<
+  LeaderCheck,
+  { readonly kind: "taken" | "superseded-era" }
+>;
+
 /**
- * Detects that another process has replaced this leader. A read for a later
+ * Detects that another process has replaced this leader, or that the store came
+ * back from a copy that may lack the records of its term. A read for a later
  * leader's record always waits at the store. A sign of replacement starts a new
  * read, as the response to the waiting one may have been lost.
  */
@@ -46,8 +52,8 @@
     this.#wasOrderRefused = true;
   }
 
-  /** Completes once the records name a leader of a later term. */
-  awaitSuccessor(): Effect.Effect<LeaderRecord> {
+  /** Completes once the records show that this leader's term is over. */
+  awaitEndOfTerm(): Effect.Effect<EndOfTerm> {
     const { awaitSuccessor, nowMs } = this.#options;
     return Effect.gen({ self: this }, function* () {
       while (true) {
@@ -56,7 +62,9 @@
         const check = yield* awaitSuccessor(CHECK_WAIT_MS).pipe(
           Effect.raceFirst(this.#awaitCheckReason(nextAtMs)),
         );
-        if (check?.kind === "taken") return check.leader;
+        if (check?.kind === "taken" || check?.kind === "superseded-era") {
+          return check;
+        }
         const gapMs = nextAtMs - nowMs();
         if (gapMs > 0) yield* Effect.sleep(Math.ceil(gapMs));
       }
--- a/packages/celerytray/src/coordination/successor_watch_test.ts
+++ b/packages/celerytray/src/coordination/successor_watch_test.ts
@@ -132,8 +132,8 @@
       found: undefined,
     };
     const fiber = yield* Effect.forkScoped(
-      Effect.map(state.watch.awaitSuccessor(), (leader) => {
-        state.found = leader;
+      Effect.map(state.watch.awaitEndOfTerm(), (check) => {
+        if (check.kind === "taken") state.found = check.leader;
       }),
     );
     yield* Effect.gen(() => run(state));
--- a/packages/celerytray/src/groups/controller_state.ts
+++ b/packages/celerytray/src/groups/controller_state.ts
@@ -1,3 +1,4 @@
+import { eraOf, type LogPosition } from "../keyed_log/index.ts";
 import type { InstanceListView } from "./instance_list.ts";
 import type { InstanceState } from "./instance_state.ts";
 import { DepartureTracker } from "./departure_tracker.ts";
@@ -16,17 +17,24 @@
   readonly weights: InstanceWeights;
   readonly departures = new DepartureTracker(this.runs);
   readonly #isEvacuated: (zone: string) => boolean;
+  readonly #term: LogPosition;
+  /**
+   * Names of replicas without a record that are not to get one again, as they
+   * lack members.
+   */
+  readonly #givenUpNames = new Set<string>();
   /** Fencing number of orders: the newest term or epoch. */
-  fencingNumber: number;
+  fencingNumber: LogPosition;
 
   constructor(options: {
     readonly instances: InstanceListView;
-    readonly term: number;
+    readonly term: LogPosition;
     readonly replicas: readonly ReplicaRecord[];
     readonly isEvacuated?: (zone: string) => boolean;
   }) {
     this.instances = options.instances;
     this.#isEvacuated = options.isEvacuated ?? (() => false);
+    this.#term = options.term;
     this.fencingNumber = options.term;
     this.weights = new InstanceWeights({
       startsComplete: options.replicas.length > 0,
@@ -65,17 +73,19 @@
   }
 
   /** Instances of a service that are in no replica and can join one. */
-  listFree(service: string): readonly InstanceState[] {
+  listFree(service: string, nowMs: number): readonly InstanceState[] {
     const used = this.memberIds();
     return this.instances.list().filter((instance) =>
       instance.service === service && !instance.isDraining &&
       !this.#isEvacuated(instance.zone) &&
       !used.has(instance.id) &&
+      this.instances.isSettled(instance.id, nowMs) &&
       !this.liveness.isSuspected(instance.id) &&
       !this.slowInstances.isSlow(instance.id) &&
       instance.domain !== undefined &&
       !this.departures.mayBeOpenHead(instance) &&
       !this.departures.isOrphaned(instance) &&
+      !this.awaitsRecord(instance) &&
       !this.#hasLaterMembership(instance)
     );
   }
@@ -95,22 +105,38 @@
     );
   }
 
-  /** Open heads of replicas without a record. */
+  /** Open heads of replicas that have no record and get none. */
   listOrphans(): readonly InstanceState[] {
     return this.instances.list().filter((instance) =>
       this.departures.isOrphanHead(instance) &&
-      !this.#hasLaterMembership(instance)
+      !this.#hasLaterMembership(instance) && !this.awaitsRecord(instance)
     );
   }
 
-  /** Members, except heads, of replicas without a record. */
+  /** Members, except heads, of replicas that have no record and get none. */
   listOrphanedMembers(): readonly InstanceState[] {
     return this.instances.list().filter((instance) =>
       this.departures.isOrphaned(instance) &&
-      !this.#hasLaterMembership(instance)
+      !this.#hasLaterMembership(instance) && !this.awaitsRecord(instance)
     );
   }
 
+  /**
+   * Whether an instance is in a replica whose record may have been lost when
+   * the store came back from an older copy: it has none, and was recorded in an
+   * era before this term.
+   */
+  awaitsRecord({ membership }: InstanceState): boolean {
+    return membership !== undefined && !this.runs.has(membership.replica) &&
+      !this.#givenUpNames.has(membership.replica) &&
+      eraOf(membership.epoch) < eraOf(this.#term);
+  }
+
+  /** Lets a replica without a record be dissolved. */
+  giveUp(name: string): void {
+    this.#givenUpNames.add(name);
+  }
+
   /**
    * Whether an instance is in a replica that was recorded after everything that
    * this leader knows, which only a later leader can have done.
--- a/packages/celerytray/src/groups/controller_state_test.ts
+++ b/packages/celerytray/src/groups/controller_state_test.ts
@@ -17,7 +17,7 @@
     const state = createState(TERM + 1);
     expect(ordersOf(state)).toEqual([]);
     expect(state.listOrphans()).toEqual([]);
-    expect(state.listFree("s")).toEqual([]);
+    expect(state.listFree("s", 0)).toEqual([]);
     expect(state.hasLaterReplicas).toEqual(true);
   });
 
@@ -59,7 +59,8 @@
     offset: rank,
     value: Buffer.from(JSON.stringify(createInstance(id, { rank, epoch }))),
   }));
-  instances.apply({ isFullRead: true, records }, 0);
+  const nextOffset = records.length;
+  instances.apply({ isFullRead: true, records, nextOffset }, 0);
   return new ControllerState({ instances, term: TERM, replicas: [] });
 }
 
--- a/packages/celerytray/src/groups/formation_planner.ts
+++ b/packages/celerytray/src/groups/formation_planner.ts
@@ -81,7 +81,9 @@
         ...this.#listSuspectedDomains(service),
         ...this.#listRetiringDomains(service, nowMs),
       ]);
-      const free = this.#state.listFree(service).filter(({ id, domain }) =>
+      const free = this.#state.listFree(service, nowMs).filter((
+        { id, domain },
+      ) =>
         !unsettled.has(domain!) &&
         !this.#state.weights.isPreparationOverdue(id, nowMs)
       );
--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -1,9 +1,11 @@
 import { Effect, type Scope } from "effect";
 import type { RecordEvent } from "../journal/index.ts";
+import type { LogPosition } from "../keyed_log/index.ts";
 import { steadyMs } from "../clock/index.ts";
 import type { InstanceControl, OrderAnswer } from "./instance_orders.ts";
 import type { InstanceListView } from "./instance_list.ts";
 import { giveUpReplica } from "./give_up_replica.ts";
+import { findLostReplicas } from "./find_lost_replicas.ts";
 import { findReplaceable } from "./find_replaceable.ts";
 import { ControllerState } from "./controller_state.ts";
 import { type DispatchedOrder, OrderDispatcher } from "./order_dispatcher.ts";
@@ -21,8 +23,8 @@
 
 /** Dependencies and settings of a replica controller. */
 export interface ReplicaControllerOptions {
-  /** Term of this leader: the log offset that follows its leader record. */
-  readonly term: number;
+  /** Term of this leader: the log position that follows its leader record. */
+  readonly term: LogPosition;
   readonly replicas: readonly ReplicaRecord[];
   readonly instances: InstanceListView;
   readonly control: InstanceControl;
@@ -64,6 +66,8 @@
   readonly #prober: InstanceProber;
   /** Names of replicas whose record is being removed. */
   readonly #retiringNames = new Set<string>();
+  /** Names of replicas whose lost record is being stored again. */
+  readonly #restoringNames = new Set<string>();
   /** Names of serving replicas that are about to be retired. */
   readonly #givingUpNames = new Set<string>();
   /** Whether an order, record or probe has finished since the last round. */
@@ -104,6 +108,11 @@
     return [...retiring, ...this.#state.listOrphans().map(({ id }) => id)];
   }
 
+  /** Records of the replicas that there are, those being retired included. */
+  listReplicas(): readonly ReplicaRecord[] {
+    return [...this.#state.runs.values()].map(({ record }) => record);
+  }
+
   /** Estimated time until a replica serves, by model without a serving one. */
   expectedMs(nowMs: number): Readonly<Record<string, number>> {
     return this.#formationPlanner.expectedMs(nowMs);
@@ -127,8 +136,9 @@
           revision = instances.revision;
           lastRoundAtMs = nowMs;
           const effects = [
-            ...this.#giveUpSlowReplicas(),
+            ...this.#giveUpSlowReplicas(nowMs),
             ...this.#prober.probe(nowMs),
+            ...this.#restoreLostReplicas(nowMs),
             ...this.#planOrders(nowMs),
             ...listOrphanOrders(this.#state, nowMs).flatMap((order) =>
               this.#dispatcher.send(order, nowMs)
@@ -153,7 +163,7 @@
   }
 
   /** Retires replicas with slow members where prepared spares are available. */
-  #giveUpSlowReplicas(): readonly Effect.Effect<unknown>[] {
+  #giveUpSlowReplicas(nowMs: number): readonly Effect.Effect<unknown>[] {
     const runs = [...this.#state.runs.values()]
       .filter((run) => !this.#state.isEvacuated(run));
     const isSlow = (id: string) => this.#state.slowInstances.isSlow(id);
@@ -161,7 +171,7 @@
     return [...this.#options.engines().keys()].flatMap((service) => {
       const found = findReplaceable({
         runs: runs.filter(({ record }) => record.service === service),
-        free: this.#state.listFree(service),
+        free: this.#state.listFree(service, nowMs),
         findInstance: (id) => this.#state.findLatest(id),
         isSlow,
         heldModel: (id) => this.#state.weights.heldModel(id),
@@ -208,6 +218,38 @@
     });
   }
 
+  /** Effects that store the records again that the store has lost. */
+  #restoreLostReplicas(nowMs: number): readonly Effect.Effect<unknown>[] {
+    const { complete, incomplete } = findLostReplicas({
+      state: this.#state,
+      engines: this.#options.engines(),
+      nowMs,
+    });
+    for (const name of incomplete) this.#state.giveUp(name);
+    return complete.filter(({ name }) => !this.#restoringNames.has(name))
+      .map((replica) => this.#restore(replica));
+  }
+
+  #restore(replica: ReplicaRecord): Effect.Effect<void> {
+    const { recorder, record } = this.#options;
+    const { name } = replica;
+    this.#restoringNames.add(name);
+    return recorder.restore(replica).pipe(
+      Effect.matchEffect({
+        onSuccess: () =>
+          Effect.sync(() => {
+            this.#state.addReplica(replica);
+            record("replica.restored", { replica: name });
+          }),
+        onFailure: ({ message }) =>
+          noteRecordFailure(record, { replica: name, message }),
+      }),
+      Effect.ensuring(Effect.sync(() => {
+        this.#restoringNames.delete(name);
+      })),
+    );
+  }
+
   #removeRecord(run: ReplicaRun): readonly Effect.Effect<unknown>[] {
     const { name } = run.record;
     if (this.#retiringNames.has(name)) return [];
--- a/packages/celerytray/src/groups/replica_record.ts
+++ b/packages/celerytray/src/groups/replica_record.ts
@@ -1,4 +1,5 @@
 import { type Either, Left, Right } from "purify-ts";
+import { type LogPosition, offsetOf } from "../keyed_log/index.ts";
 
 /** Record of a replica: the instances that are to serve a model. */
 export interface ReplicaRecord {
@@ -9,8 +10,11 @@
   readonly members: readonly string[];
   /** Incarnations of the members when the record was stored, by identifier. */
   readonly incarnations: Readonly<Record<string, MemberIncarnation>>;
-  /** Log offset after the record; later records have higher epochs. */
-  readonly epoch: number;
+  /**
+   * Log position after the record when it was first stored; later records have
+   * higher epochs.
+   */
+  readonly epoch: LogPosition;
 }
 
 /** One incarnation of an instance. */
@@ -28,8 +32,8 @@
   readonly bootId: string;
   /** IP:PORT at which other processes reach it. */
   readonly peerAddress: string;
-  /** Log offset after the record. */
-  readonly term: number;
+  /** Log position after the record when it was stored. */
+  readonly term: LogPosition;
 }
 
 /** Key of the leader record. */
@@ -49,18 +53,18 @@
     : undefined;
 }
 
-/** Encodes a replica's record; its offset in the log gives the epoch. */
-export function encodeReplica(
-  replica: Omit<ReplicaRecord, "name" | "epoch">,
-): Buffer {
-  const { service, model, members, incarnations } = replica;
-  return Buffer.from(JSON.stringify({ service, model, members, incarnations }));
+/** Encodes a replica's record, which is stored under the replica's name. */
+export function encodeReplica(replica: Omit<ReplicaRecord, "name">): Buffer {
+  const { service, model, members, incarnations, epoch } = replica;
+  return Buffer.from(
+    JSON.stringify({ service, model, members, incarnations, epoch }),
+  );
 }
 
 /** Decodes a replica's record; Left describes what is malformed. */
 export function decodeReplica(
   name: string,
-  stored: { readonly value: Buffer; readonly offset: number },
+  stored: StoredValue,
 ): Either<string, ReplicaRecord> {
   return parse(stored.value).chain((record) => {
     const { service, model, members } = record;
@@ -74,7 +78,9 @@
         typeof incarnations?.[member]?.address === "string"
       );
     if (!isValid) return Left(`Ignored malformed record of replica ${name}`);
-    const epoch = stored.offset + 1;
+    // A record without its epoch is of a version that did not know of eras.
+    const epoch = readPosition(record.epoch, stored) ??
+      offsetOf(stored.offset) + 1;
     return Right({
       name,
       service,
@@ -86,25 +92,45 @@
   });
 }
 
-/** Encodes a leader record; its offset in the log gives the term. */
-export function encodeLeader(leader: Omit<LeaderRecord, "term">): Buffer {
-  const { nodeId, bootId, peerAddress } = leader;
-  return Buffer.from(JSON.stringify({ nodeId, bootId, peerAddress }));
+/** Encodes a leader record. */
+export function encodeLeader(leader: LeaderRecord): Buffer {
+  const { nodeId, bootId, peerAddress, term } = leader;
+  return Buffer.from(JSON.stringify({ nodeId, bootId, peerAddress, term }));
 }
 
 /** Decodes a leader record; Left describes what is malformed. */
 export function decodeLeader(
-  stored: { readonly value: Buffer; readonly offset: number },
+  stored: StoredValue,
 ): Either<string, LeaderRecord> {
   return parse(stored.value).chain((record) => {
     const { nodeId, bootId, peerAddress } = record;
     const isValid = typeof nodeId === "string" && typeof bootId === "string" &&
       typeof peerAddress === "string";
     if (!isValid) return Left("Ignored malformed leader record");
-    return Right({ nodeId, bootId, peerAddress, term: stored.offset + 1 });
+    const term = readPosition(record.term, stored) ?? stored.offset + 1;
+    return Right({ nodeId, bootId, peerAddress, term });
   });
 }
 
+/** A value of the log, and where it stands. */
+interface StoredValue {
+  readonly value: Buffer;
+  readonly offset: LogPosition;
+}
+
+/**
+ * Reads the position that a record names as its own. After the store came back
+ * from an older copy, a record keeps the one at which it was first stored.
+ */
+function readPosition(
+  input: unknown,
+  { offset }: StoredValue,
+): LogPosition | undefined {
+  const isValid = Number.isSafeInteger(input) && (input as number) > 0 &&
+    (input as number) <= offset + 1;
+  return isValid ? input as number : undefined;
+}
+
 function parse(value: Buffer): Either<string, Record<string, unknown>> {
   try {
     const record: unknown = JSON.parse(value.toString("utf8"));
--- a/packages/celerytray/src/groups/replica_recorder.ts
+++ b/packages/celerytray/src/groups/replica_recorder.ts
@@ -7,6 +7,8 @@
 export interface ReplicaRecorder {
   /** Stores the record of a new replica and returns it with its epoch. */
   form(formation: Formation): Effect.Effect<ReplicaRecord, RecordFailure>;
+  /** Stores the record of a replica that was formed earlier once more. */
+  restore(replica: ReplicaRecord): Effect.Effect<void, RecordFailure>;
   /** Removes the record of a replica. */
   retire(name: string): Effect.Effect<void, RecordFailure>;
   /** Succeeds if the store answers and this process still leads. */
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -105,6 +105,15 @@
       return createRetirement(lost, { nowMs, isImmediate: true });
     }
   }
+  const movedId = run.record.members.find((id) =>
+    isInLaterReplica(run, findInstance(id))
+  );
+  if (movedId !== undefined) {
+    return createRetirement(`${movedId} is in a later replica`, {
+      nowMs,
+      isImmediate: true,
+    });
+  }
   const head = findMemberState(run, findInstance(run.record.members[0]!));
   if (head === "broken") {
     return createRetirement("the head is broken", { nowMs, isImmediate: true });
@@ -115,6 +124,20 @@
     : createRetirement(leaving, { nowMs, isImmediate: false });
 }
 
+/**
+ * Whether an instance has joined a replica that was recorded later. An instance
+ * does so only once its earlier replica was retired, so a record that still
+ * names it comes from an older copy of the store.
+ */
+function isInLaterReplica(
+  { record }: ReplicaRun,
+  instance: InstanceState | undefined,
+): boolean {
+  const membership = instance?.membership;
+  return membership !== undefined && membership.replica !== record.name &&
+    membership.epoch > record.epoch;
+}
+
 /**
  * Describes the member whose departure requires the retirement now, if any. A
  * draining member other than the head keeps working for the drain time, and the
--- a/packages/fakes/src/coordination/replaced_leader_test.ts
+++ b/packages/fakes/src/coordination/replaced_leader_test.ts
@@ -1,3 +1,4 @@
+import { encodeLeader, LEADER_KEY, type LeaderRecord } from "celerytray";
 import { expect } from "earl";
 import { Effect } from "effect";
 import { TestClock } from "effect/testing";
@@ -19,6 +20,11 @@
 const SETTLE_MS = 9_000;
 /** Time in which a silent leader is replaced. */
 const REPLACEMENT_MS = 2_500;
+const OTHER: Omit<LeaderRecord, "term"> = {
+  nodeId: "node-other",
+  bootId: "boot-other",
+  peerAddress: "0",
+};
 /** Time in which a replaced leader follows its successor. */
 const DETECTION_MS = 1_000;
 const OBSERVATION_MS = 40_000;
@@ -69,7 +75,13 @@
       leader.losesLongPolls = true;
       yield* awaitStoreCall(cluster);
       yield* awaitStoreCall(cluster);
-      cluster.store.append("fleet", cluster.store.readNewest("fleet")[0]!);
+      cluster.store.append("fleet", {
+        key: LEADER_KEY,
+        value: encodeLeader({
+          ...OTHER,
+          term: cluster.store.endOffset("fleet") + 1,
+        }),
+      });
       yield* advance(2 * DETECTION_MS);
       expect(leader.coordinator.isLeading).toEqual(true);
       leader.reportOutdatedOrder();
--- a/packages/fakes/src/fleet/refused_orders_test.ts
+++ b/packages/fakes/src/fleet/refused_orders_test.ts
@@ -31,7 +31,10 @@
     yield* awaitLostLongPoll(leader);
     simulation.store.append("fleet", {
       key: LEADER_KEY,
-      value: encodeLeader(OTHER),
+      value: encodeLeader({
+        ...OTHER,
+        term: simulation.store.endOffset("fleet") + 1,
+      }),
     });
     yield* raiseFences(simulation);
     yield* advance(WAIT_MS);
