Take a release that is read again in a later era for the same one

What callers would see: after the store came back from an older copy, a part of a prompt in quarantine is tried again, as its operator's old release is read at a later position; and a process that started since doesn't take over the leader's quarantine.

Cause: releases are told apart by their place in the log. With eras, a release that survived in the copy stands at a later position of the same offset.

Change: isLaterRelease compares releases: the same offset in another era is the same release. One that was lost and is written again at another offset counts as a new one: the operator has asked for it, and the part is quarantined again after its next crashes.

--- a/packages/celerytray/src/serving/quarantine/crash_quarantine.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_quarantine.ts
@@ -8,6 +8,7 @@
   type SuspectPart,
 } from "./quarantine_report.ts";
 import { RecentParts } from "./recent_parts.ts";
+import { isLaterRelease } from "./release_order.ts";
 
 /** How a request is to be handled because of what crashed instances. */
 export type QuarantineVerdict =
@@ -210,7 +211,7 @@
 
   /** Releases a part for the operator; `offset` tells releases apart. */
   release(part: string, offset: number): void {
-    if (this.releaseOffset(part) >= offset) return;
+    if (!isLaterRelease(offset, this.releaseOffset(part))) return;
     this.#releaseOffsets.delete(part);
     this.#releaseOffsets.set(part, offset);
     evictOldest(this.#releaseOffsets, MAX_RELEASES);
@@ -228,7 +229,7 @@
     if (this.#own.findSafeAtMs(part, nowMs) !== undefined) return 0;
     const published = this.#published.get(part);
     const isCurrent = published !== undefined &&
-      published.releaseOffset >= this.releaseOffset(part);
+      !isLaterRelease(this.releaseOffset(part), published.releaseOffset);
     const ownCrashes = this.#own.crashes.countCrashes(
       part,
       new Set(this.#quarantined.keys()),
@@ -269,7 +270,7 @@
 
   #quarantine({ part, crashes, releaseOffset }: QuarantinedPart): void {
     if (this.#quarantined.has(part)) return;
-    if (releaseOffset < this.releaseOffset(part)) return;
+    if (isLaterRelease(this.releaseOffset(part), releaseOffset)) return;
     this.#quarantined.set(part, { part, crashes, releaseOffset });
     this.#watchesRequests = undefined;
     evictOldest(this.#quarantined, MAX_QUARANTINED_PARTS);
--- a/packages/celerytray/src/serving/quarantine/crash_quarantine_test.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_quarantine_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { createPosition } from "../../keyed_log/index.ts";
 import { CrashQuarantine } from "./crash_quarantine.ts";
 import type { SuspectPart } from "./quarantine_report.ts";
 
@@ -50,6 +51,25 @@
     quarantine.adopt([{ ...quarantined, releaseOffset: 5 }]);
     expect(quarantine.assess(PARTS, SETTLED_MS).kind).toEqual("quarantined");
   });
+
+  // Guards against a part that is tried again because its old release is read
+  // once more, after the store came back from an older copy.
+  it("takes a release that is read in a later era for the same one", () => {
+    const quarantine = createCrashed();
+    const quarantined: SuspectPart = { ...HELD, state: "quarantined" };
+    const reread = createPosition({ era: 1, offset: 5 });
+    quarantine.release("part", 5);
+    quarantine.adopt([{ ...quarantined, releaseOffset: 5 }]);
+    quarantine.release("part", reread);
+    expect(quarantine.assess(PARTS, SETTLED_MS).kind).toEqual("quarantined");
+    // A process that started after the return knows only the later position.
+    const started = createCrashed();
+    started.release("part", reread);
+    started.adopt([{ ...quarantined, releaseOffset: 5 }]);
+    expect(started.assess(PARTS, SETTLED_MS).kind).toEqual("quarantined");
+    started.release("part", reread + 1);
+    expect(started.assess(PARTS, SETTLED_MS).kind).toEqual("clear");
+  });
 });
 
 /** Three instances were lost at requests of this process with the part. */
--- a/packages/celerytray/src/serving/quarantine/quarantine_board.ts
+++ b/packages/celerytray/src/serving/quarantine/quarantine_board.ts
@@ -8,6 +8,7 @@
   type SuspectPart,
   type TrialGrant,
 } from "./quarantine_report.ts";
+import { isLaterRelease } from "./release_order.ts";
 
 /** Options of a quarantine board. */
 export interface QuarantineBoardOptions {
@@ -123,7 +124,8 @@
 
   #dropReleased(): void {
     for (const [part, { releaseOffset }] of this.#quarantined) {
-      if (releaseOffset >= this.#options.releaseOffset(part)) continue;
+      const newest = this.#options.releaseOffset(part);
+      if (!isLaterRelease(newest, releaseOffset)) continue;
       this.#quarantined.delete(part);
       this.#evidence.forget(part);
     }
@@ -134,7 +136,9 @@
     const offset = this.#options.releaseOffset(part);
     if (offset < 0) return Number.NEGATIVE_INFINITY;
     const known = this.#releases.get(part);
-    if (known !== undefined && known.offset >= offset) return known.atMs;
+    if (known !== undefined && !isLaterRelease(offset, known.offset)) {
+      return known.atMs;
+    }
     this.#releases.set(part, { offset, atMs: nowMs });
     return nowMs;
   }
@@ -150,7 +154,9 @@
   #add(entry: QuarantinedPart): void {
     const { part, releaseOffset } = entry;
     if (this.#quarantined.has(part)) return;
-    if (releaseOffset < this.#options.releaseOffset(part)) return;
+    if (isLaterRelease(this.#options.releaseOffset(part), releaseOffset)) {
+      return;
+    }
     this.#quarantined.set(part, entry);
     for (const oldest of this.#quarantined.keys()) {
       if (this.#quarantined.size <= MAX_QUARANTINED_PARTS) return;
