Handle signals before the program is loaded

What the users saw (FAULT, "processes that end by themselves"): a process ends at a SIGHUP that comes during its start.

Cause: the handler of SIGHUP came after createHost, at the end of a start; until then the signal's default holds, which ends the process.

A reload that is asked for meanwhile is done once the settings can be read; a process that was asked to stop doesn't begin to serve. Node.js's own modules are loaded on use in the bundle: imported as usual, they are all loaded before the first statement.

Test: start_test; both cases failed on.

--- a/packages/cli/src/local/start_host_cluster.ts
+++ b/packages/cli/src/local/start_host_cluster.ts
@@ -4,7 +4,9 @@
 import { type HostProcess, startHostProcess } from "./host_process.ts";
 import { waitUntil } from "./wait_until.ts";
 
-const HOST_PROGRAM = fileURLToPath(new URL("../host_main.js", import.meta.url));
+export const HOST_PROGRAM = fileURLToPath(
+  new URL("../host_main.js", import.meta.url),
+);
 export const WAIT_OPTIONS = { timeoutMs: 20_000 };
 const GRACE_S = 4;
 const cleanups: (() => unknown)[] = [];
--- /dev/null
+++ b/packages/cli/src/local/start_test.ts
@@ -0,0 +1,77 @@
+import { FakePlatform } from "@celerytray/fakes";
+import { expect } from "earl";
+import { once } from "node:events";
+import { readFile } from "node:fs/promises";
+import { after, describe, it } from "node:test";
+import { type HostProcess, startHostProcess } from "./host_process.ts";
+import { HOST_PROGRAM, WAIT_OPTIONS } from "./start_host_cluster.ts";
+import { waitUntil } from "./wait_until.ts";
+
+const POLL_MS = 2;
+/** Bit of SIGHUP in the mask of the signals that a process handles. */
+const SIGHUP_BIT = 1n;
+const cleanups: (() => unknown)[] = [];
+
+after(async () => {
+  for (const close of cleanups.reverse()) await close();
+});
+
+describe("a host process that starts", () => {
+  // Guards against a SIGHUP that ends a process which is still being loaded.
+  it("lives on after a SIGHUP that comes before it serves", async () => {
+    const started = await start();
+    await awaitHandlers(started);
+    expect(countEvents(started, "process.started")).toEqual(0);
+    started.child.kill("SIGHUP");
+    await awaitEvent(started, "process.reloaded");
+    expect(countEvents(started, "process.started")).toEqual(1);
+  });
+
+  // Guards against a process that is asked to stop while it is being loaded,
+  // and starts to serve or ends as if it had failed.
+  it("ends without serving after a SIGTERM that comes before it serves", async () => {
+    const started = await start();
+    await awaitHandlers(started);
+    const exited = once(started.child, "exit");
+    started.child.kill("SIGTERM");
+    expect(await exited).toEqual([0, null]);
+    expect(countEvents(started, "process.started")).toEqual(0);
+  });
+});
+
+async function start(addresses?: readonly string[]): Promise<HostProcess> {
+  const platform = new FakePlatform();
+  cleanups.push(() => platform.stop());
+  const started = await startHostProcess({
+    nodeId: "front-1",
+    storeAddress: await platform.start(),
+    program: HOST_PROGRAM,
+    ...(addresses === undefined ? {} : { addresses }),
+  });
+  cleanups.push(started.remove);
+  return started;
+}
+
+/** Waits until a process handles signals itself. */
+async function awaitHandlers({ child }: HostProcess): Promise<void> {
+  await waitUntil("signals are handled", {
+    ...WAIT_OPTIONS,
+    intervalMs: POLL_MS,
+    check: async () => {
+      const status = await readFile(`/proc/${child.pid}/status`, "utf8");
+      const mask = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1] ?? "0";
+      return (BigInt(`0x${mask}`) & SIGHUP_BIT) !== 0n;
+    },
+  });
+}
+
+function awaitEvent(process: HostProcess, event: string): Promise<void> {
+  return waitUntil(event, {
+    ...WAIT_OPTIONS,
+    check: () => Promise.resolve(countEvents(process, event) > 0),
+  });
+}
+
+function countEvents({ log }: HostProcess, event: string): number {
+  return log().split(`"event":"${event}"`).length - 1;
+}
--- a/packages/cli/src/local/wait_until.ts
+++ b/packages/cli/src/local/wait_until.ts
@@ -11,6 +11,7 @@
   options: {
     readonly timeoutMs: number;
     readonly check: () => Promise<boolean>;
+    readonly intervalMs?: number;
   },
 ): Promise<void> {
   const deadlineMs = Date.now() + options.timeoutMs;
@@ -20,6 +21,6 @@
         `Timed out after ${options.timeoutMs} ms: ${description}`,
       );
     }
-    await sleep(POLL_INTERVAL_MS);
+    await sleep(options.intervalMs ?? POLL_INTERVAL_MS);
   }
 }
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,5 +1,6 @@
 /** Bundles the host program of a deployment into `target/`. */
 import { build } from "esbuild";
+import { builtinModules } from "node:module";
 import { mkdir, writeFile } from "node:fs/promises";
 import { dirname } from "node:path";
 import { root } from "./list_sources.js";
@@ -18,6 +19,7 @@
     target: "node20",
     format: "esm",
     minify: true,
+    plugins: [loadBuiltinsOnUse],
     legalComments: "none",
     metafile: true,
     write: false,
@@ -33,6 +35,27 @@
   }
 }
 
+/**
+ * Loads Node.js's modules where the program first uses them. Imported as usual,
+ * all of them would be loaded before the program's first statement.
+ */
+const loadBuiltinsOnUse = {
+  name: "load-builtins-on-use",
+  setup({ onResolve, onLoad }) {
+    const namespace = "builtin";
+    onResolve({ filter: /.*/ }, ({ path, kind }) => {
+      const isBuiltin = path.startsWith("node:") ||
+        builtinModules.includes(path);
+      return isBuiltin && kind === "import-statement"
+        ? { path, namespace }
+        : undefined;
+    });
+    onLoad({ filter: /.*/, namespace }, ({ path }) => ({
+      contents: `module.exports = require(${JSON.stringify(path)});`,
+    }));
+  },
+};
+
 /**
  * Fails if the bundle contains compiled files of the workspace, which may be
  * missing or out of date.
--- a/scripts/check_operations.js
+++ b/scripts/check_operations.js
@@ -15,7 +15,7 @@
   "packages/celerytray/src/host/",
   "packages/celerytray/src/journal/",
 ];
-const FILES = ["packages/cli/src/host_main.ts"];
+const FILES = ["packages/cli/src/run_host.ts"];
 const EVENTS = "packages/schema/schemas/log_events.schema.json";
 const METRIC = /celerytray_[a-z_]+/g;
 
