Wait for an address that the predecessor still holds

Cause: any failure to listen counted as a wrong setting.

Change: before anything else a start waits, for 20 s at most, until it can listen on each of its addresses, logs process.waiting once, and ends if it is asked to stop meanwhile. It takes part in nothing before that: a leader that nobody can reach would only be replaced. Other failures, such as an address that the machine doesn't have, end the process at once with code 2, as before. Weighed: retrying in each server, which lets the process lead and follow without its addresses.

Test: start_test.

--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -5,7 +5,12 @@
   createPeerHandler,
   totalsLagMs,
 } from "../coordination/index.ts";
-import { BackendPools, listen, type ListenFailure } from "../http/index.ts";
+import {
+  awaitFreeAddress,
+  BackendPools,
+  listen,
+  type ListenFailure,
+} from "../http/index.ts";
 import { MetricsPage, type RecordEvent } from "../journal/index.ts";
 import {
   CallerTimeoutTracker,
@@ -46,6 +51,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
 const MAX_HEADER_BYTES = 32 * 1024;
+/** Longer than a predecessor takes to stop. */
+const ADDRESS_WAIT_MS = 20_000;
 
 /** Starts the process, which runs until the scope closes. */
 export function createHost(
@@ -57,6 +64,13 @@
     const nowMs = () => readSteadyMs(clock);
     const wallMs = () => clock.currentTimeMillisUnsafe();
     const record: RecordEvent = (kind, fields) => journal.record(kind, fields);
+    for (const address of listAddresses(settings)) {
+      yield* awaitFreeAddress({
+        address,
+        waitMs: ADDRESS_WAIT_MS,
+        onInUse: (message) => record("process.waiting", { message }),
+      });
+    }
     const random = createRandom();
     const metrics = new MetricsPage();
     const { memoryMb } = settings;
@@ -240,3 +254,9 @@
     };
   });
 }
+
+/** The addresses on which a process listens. */
+function listAddresses(settings: HostOptions["settings"]): readonly string[] {
+  const { callerAddress, readyAddress, peerAddress, metricsAddress } = settings;
+  return [callerAddress, readyAddress, peerAddress, metricsAddress];
+}
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -21,6 +21,10 @@
   readBody,
   type ReadBodyOptions,
 } from "./read_body.ts";
+export {
+  awaitFreeAddress,
+  type FreeAddressOptions,
+} from "./await_free_address.ts";
 export {
   listen,
   ListenFailure,
--- a/packages/celerytray/src/http/listen.ts
+++ b/packages/celerytray/src/http/listen.ts
@@ -23,6 +23,8 @@
 /** The server could not listen on its address. */
 export class ListenFailure extends Data.TaggedError("ListenFailure")<{
   readonly message: string;
+  /** Whether another process holds the address. */
+  readonly isInUse: boolean;
 }> {}
 
 /** Splits IP:PORT. */
@@ -52,6 +54,7 @@
     server.once("error", (error) =>
       resume(Effect.fail(
         new ListenFailure({
+          isInUse: (error as NodeJS.ErrnoException).code === "EADDRINUSE",
           message:
             `Cannot listen on ${options.address}: ${error.message}; choose a free IP:PORT`,
         }),
--- a/packages/cli/src/local/start_test.ts
+++ b/packages/cli/src/local/start_test.ts
@@ -2,12 +2,16 @@
 import { expect } from "earl";
 import { once } from "node:events";
 import { readFile } from "node:fs/promises";
+import { createServer, type Server } from "node:http";
 import { after, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { findFreeAddresses } from "./free_addresses.ts";
 import { type HostProcess, startHostProcess } from "./host_process.ts";
 import { HOST_PROGRAM, WAIT_OPTIONS } from "./start_host_cluster.ts";
 import { waitUntil } from "./wait_until.ts";
 
 const POLL_MS = 2;
+const SETTLE_MS = 300;
 /** Bit of SIGHUP in the mask of the signals that a process handles. */
 const SIGHUP_BIT = 1n;
 const cleanups: (() => unknown)[] = [];
@@ -37,6 +41,42 @@
     expect(await exited).toEqual([0, null]);
     expect(countEvents(started, "process.started")).toEqual(0);
   });
+
+  // Guards against a process that ends for good because its predecessor still
+  // holds one of its addresses.
+  it("waits for an address that another process holds", async () => {
+    const addresses = await findFreeAddresses(4);
+    for (const address of addresses) {
+      const holder = await hold(address);
+      const started = await start(addresses);
+      await awaitEvent(started, "process.waiting");
+      await sleep(SETTLE_MS);
+      expect(started.child.exitCode).toEqual(null);
+      holder.close();
+      await awaitEvent(started, "process.started");
+      const exited = once(started.child, "exit");
+      started.child.kill("SIGKILL");
+      await exited;
+    }
+  });
+
+  it("ends if it is asked to stop while it waits for an address", async () => {
+    const addresses = await findFreeAddresses(4);
+    const holder = await hold(addresses[1]!);
+    const started = await start(addresses);
+    await awaitEvent(started, "process.waiting");
+    const exited = once(started.child, "exit");
+    started.child.kill("SIGTERM");
+    expect(await exited).toEqual([0, null]);
+    holder.close();
+  });
+
+  it("ends at once if an address can't be its own", async () => {
+    const [, ...others] = await findFreeAddresses(4);
+    // A documentation address, which no machine has.
+    const started = await start(["192.0.2.1:9000", ...others]);
+    expect(await once(started.child, "exit")).toEqual([2, null]);
+  });
 });
 
 async function start(addresses?: readonly string[]): Promise<HostProcess> {
@@ -52,6 +92,14 @@
   return started;
 }
 
+async function hold(address: string): Promise<Server> {
+  const [host, port] = address.split(":");
+  const server = createServer().listen(Number(port), host);
+  await once(server, "listening");
+  cleanups.push(() => server.close());
+  return server;
+}
+
 /** Waits until a process handles signals itself. */
 async function awaitHandlers({ child }: HostProcess): Promise<void> {
   await waitUntil("signals are handled", {
--- a/packages/cli/src/run_host.ts
+++ b/packages/cli/src/run_host.ts
@@ -60,7 +60,8 @@
       process: settings.nodeId,
       nowMs: () => clock.currentTimeMillisUnsafe(),
     });
-    const host: Host = yield* createHost({
+    const awaitStop = Effect.promise(() => signals.stopped);
+    const host: Host | undefined = yield* createHost({
       settings,
       journal,
       ports: createPlatformPorts({
@@ -68,7 +69,11 @@
         onEraRaised: (change) => journal.record("store.era", { ...change }),
         onOddEra: (odd) => journal.record("store.era-odd", { ...odd }),
       }),
-    });
+    }).pipe(Effect.raceFirst(Effect.as(awaitStop, undefined)));
+    if (host === undefined) {
+      journal.record("process.stopped", {});
+      return;
+    }
     journal.record("process.started", {
       zone: settings.zone,
       uptimeMs: Math.round(process.uptime() * 1000),
@@ -86,7 +91,7 @@
         problem: reloaded.isLeft() ? reloaded.extract() : undefined,
       });
     });
-    yield* Effect.promise(() => signals.stopped);
+    yield* awaitStop;
     journal.record("process.draining", {});
     yield* host.drain();
     journal.record("process.stopped", {});
