Answer each request that was read before a planned stop ends

Cause: the drain took everything for 3 s, whatever an answer takes, waited until 0.9 of the grace, and left: what was under way lost its connection. It also left with the last call, whether or not its bytes had been sent.

Change: GracefulStop knows the time of the end. From SIGTERM on, a request is refused (503, not run, connection closed) before it is passed on unless its deadline or the longest of its route's last answers (30 to 60 s), and a quarter more, lies before the end; also one that waited for a place. At the end each request that is under way gets a final answer: 502 if it may have run, 503 if not; a stream that has begun is broken off. Then the process waits until the answers are sent (a call counts until then) and connections close, for 0.05 of the grace at most. The 3 s until all is refused are at most half of the time, so that any grace_s holds. Weighed: refusing all from SIGTERM on, which sends callers back to a machine that its front still names, for answers that take milliseconds.

--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -20,11 +20,12 @@
 
 /** A server for callers' requests. */
 export interface CallerServer {
+  /** Requests whose answers are not sent in full. */
   readonly calls: InFlightCalls;
   /** Closes each connection after its next response. */
   readonly close: () => void;
-  /** Refuses all requests from now on. */
-  readonly refuse: () => void;
+  /** Stops listening; completes once all connections are closed. */
+  readonly finish: () => Effect.Effect<void>;
   /** Applies the timeouts of a new configuration. */
   readonly setTimeouts: (timeouts: {
     readonly idleTimeoutMs: number;
@@ -37,11 +38,6 @@
  * reuses it.
  */
 const TIMEOUT_MARGIN_MS = 1_000;
-const SHUTDOWN_RESPONSE: LocalResponse = {
-  status: 503,
-  message: "This process is stopping; the request was not run",
-  retryAfterMs: 50,
-};
 const INTERNAL_ERROR_RESPONSE: LocalResponse = {
   status: 500,
   message: "An unexpected error met the request; it may have run",
@@ -55,7 +51,7 @@
 ): Effect.Effect<CallerServer, ListenFailure, Scope.Scope> {
   return Effect.gen(function* () {
     const calls = new InFlightCalls();
-    const state: ServerState = { isClosing: false, isRefusing: false };
+    const state: ServerState = { isClosing: false };
     const handler = createHandler({
       options,
       calls,
@@ -79,9 +75,7 @@
       close: () => {
         state.isClosing = true;
       },
-      refuse: () => {
-        state.isRefusing = true;
-      },
+      finish: () => closeServer(server),
       setTimeouts: ({ idleTimeoutMs, headerTimeoutMs }) => {
         setIdleTimeout(idleTimeoutMs);
         server.headersTimeout = headerTimeoutMs + TIMEOUT_MARGIN_MS;
@@ -90,9 +84,18 @@
   });
 }
 
+/**
+ * Closes the listening socket and idle connections, and waits until the others
+ * are closed, which they are after their next response.
+ */
+function closeServer(server: Server): Effect.Effect<void> {
+  return Effect.callback<void>((resume) => {
+    server.close(() => resume(Effect.void));
+  });
+}
+
 interface ServerState {
   isClosing: boolean;
-  isRefusing: boolean;
 }
 
 interface HandlerOptions {
@@ -125,11 +128,6 @@
       isClosing: () => state.isClosing,
       held: dependencies.held,
     });
-    if (state.isRefusing) {
-      exchange.sendLocalResponse(undefined, SHUTDOWN_RESPONSE);
-      request.resume();
-      return;
-    }
     calls.begin();
     const fiber = run(
       serveCall(exchange, dependencies).pipe(
@@ -139,11 +137,12 @@
             abortFailedCall(exchange);
           })
         ),
-        Effect.ensuring(Effect.sync(() => calls.end())),
       ),
     );
     response.on("error", () => {});
+    // Until then its last bytes may still have to be sent.
     response.on("close", () => {
+      calls.end();
       if (response.writableFinished || exchange.hasEnded) return;
       run(Fiber.interrupt(fiber));
     });
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -14,6 +14,7 @@
 import { MetricsPage, type RecordEvent } from "../journal/index.ts";
 import {
   CallerTimeoutTracker,
+  GracefulStop,
   type ServingDependencies,
   SharedRetryBudget,
   SuspectLoad,
@@ -177,6 +178,7 @@
       zoneRegions: settings.zoneRegions,
     });
     const pools = new BackendPools();
+    const stop = new GracefulStop();
     const dependencies: ServingDependencies = {
       ...protection.dependencies,
       ...trackers,
@@ -202,6 +204,7 @@
       suspectLoad: new SuspectLoad(),
       limits,
       callerTimeouts: new CallerTimeoutTracker(),
+      stop,
       retryBudget,
       agentFor: (address) => pools.agentFor(address),
       discardAgent: (address) => pools.discard(address),
@@ -249,7 +252,7 @@
       drain: () => {
         drain.hasBegun = true;
         coordinator.resign();
-        return drainCallers(callers, settings.graceMs);
+        return drainCallers({ callers, stop, graceMs: settings.graceMs });
       },
     };
   });
--- a/packages/celerytray/src/host/drain_callers.ts
+++ b/packages/celerytray/src/host/drain_callers.ts
@@ -1,28 +1,44 @@
 import { Effect } from "effect";
+import { steadyMs } from "../clock/index.ts";
+import type { GracefulStop } from "../serving/index.ts";
 import type { CallerServer } from "./caller_server.ts";
 
 /** Time within which the platform's front stops sending new connections. */
 const FRONT_REMOVAL_MS = 3_000;
+/** Share of the time for answers that may pass before all is refused. */
+const MAX_REMOVAL_SHARE = 0.5;
 /** Share of the grace time within which all requests must be answered. */
 const GRACE_SHARE = 0.9;
+/** Share of the grace time for connections to close after their last answer. */
+const CLOSING_SHARE = 0.05;
+
+/** Dependencies of the drain of callers. */
+export interface DrainOptions {
+  readonly callers: CallerServer;
+  readonly stop: GracefulStop;
+  readonly graceMs: number;
+}
 
 /**
- * Waits until no new callers are expected, then refuses them and waits for the
- * remaining requests.
+ * Takes requests that can be answered in time until no new callers are
+ * expected, then refuses all, waits for those under way, and gives those that
+ * are not answered by then a final answer.
  */
 export function drainCallers(
-  callers: CallerServer,
-  graceMs: number,
+  { callers, stop, graceMs }: DrainOptions,
 ): Effect.Effect<void> {
-  callers.close();
-  return Effect.sleep(FRONT_REMOVAL_MS).pipe(
-    Effect.andThen(Effect.sync(() => callers.refuse())),
-    Effect.andThen(
-      Effect.timeoutOption(
-        callers.calls.waitUntilEmpty(),
-        graceMs * GRACE_SHARE - FRONT_REMOVAL_MS,
-      ),
-    ),
-    Effect.asVoid,
-  );
+  const totalMs = graceMs * GRACE_SHARE;
+  const removalMs = Math.min(FRONT_REMOVAL_MS, totalMs * MAX_REMOVAL_SHARE);
+  return Effect.gen(function* () {
+    callers.close();
+    stop.begin((yield* steadyMs) + totalMs);
+    yield* Effect.sleep(removalMs);
+    stop.refuseAll();
+    yield* Effect.timeoutOption(
+      callers.calls.waitUntilEmpty(),
+      totalMs - removalMs,
+    );
+    stop.end();
+    yield* Effect.timeoutOption(callers.finish(), graceMs * CLOSING_SHARE);
+  });
 }
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -7,6 +7,7 @@
 import type { ColdRateLimiter } from "./cold_rate_limiter.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { HeldBytes } from "./held_bytes.ts";
+import type { GracefulStop } from "./graceful_stop.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 import type { PaceTracker } from "./pace_tracker.ts";
 import type { ProcessLag } from "./process_lag.ts";
@@ -59,6 +60,8 @@
   readonly retryBudget: SharedRetryBudget;
   readonly callerTimeouts: CallerTimeoutTracker;
   readonly lag: ProcessLag;
+  /** Which requests a process that stops still takes. */
+  readonly stop: GracefulStop;
   /** Bounds the memory for buffered request bodies and responses. */
   readonly held: HeldBytes;
   readonly admission: CallAdmission;
@@ -84,14 +87,15 @@
 
 /**
  * Why a request is not sent: its caller disconnected, its deadline passed, this
- * process lags too far behind, its body exceeds the free memory, or a part of
- * its prompt crashes instances.
+ * process lags too far behind or stops too soon, its body exceeds the free
+ * memory, or a part of its prompt crashes instances.
  */
 export type WithheldReason =
   | "left"
   | "deadline"
   | "lag"
   | "memory"
+  | "stopping"
   | "quarantine";
 
 /** Why a request may not be sent to any instance of a service. */
--- a/packages/celerytray/src/serving/conclude_call.ts
+++ b/packages/celerytray/src/serving/conclude_call.ts
@@ -5,6 +5,7 @@
   summarize,
 } from "./attempt_progress.ts";
 import type { LocalResponse } from "./caller_exchange.ts";
+import { STOPPING_RETRY_AFTER_MS } from "./graceful_stop.ts";
 import {
   describeQuarantineRefusal,
   type QuarantineRefusal,
@@ -123,6 +124,21 @@
   return conclude(options, progress, { message, unknownStatus: 504 });
 }
 
+/**
+ * Ends a call as this process stops: one that comes too late to begin, or one
+ * that is still under way at the end.
+ */
+export function giveUpAtStop(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+): AttemptsResult {
+  return conclude(options, progress, {
+    message: "This process is stopping",
+    unknownStatus: 502,
+    retryAfterMs: STOPPING_RETRY_AFTER_MS,
+  });
+}
+
 interface Conclusion {
   readonly message: string;
   /** Status if the request may have run. */
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -5,6 +5,7 @@
 import { ColdRateLimiter } from "./cold_rate_limiter.ts";
 import { ColdTracker } from "./cold_tracker.ts";
 import type { ServingDependencies } from "./call_context.ts";
+import { GracefulStop } from "./graceful_stop.ts";
 import { HeldBytes } from "./held_bytes.ts";
 import { LoadTracker } from "./load_tracker.ts";
 import { PaceTracker } from "./pace_tracker.ts";
@@ -63,6 +64,7 @@
     }),
     callerTimeouts: new CallerTimeoutTracker(),
     held: new HeldBytes({ maxBytes: MAX_HELD_BYTES, onCut: () => {} }),
+    stop: new GracefulStop(),
     lag: { lagMs: () => 0, isBehind: () => false },
     admission: createTestAdmission(),
     retryBudget: new SharedRetryBudget({
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -27,6 +27,7 @@
 export { ColdTracker } from "./cold_tracker.ts";
 export { ProcessCount } from "./process_count.ts";
 export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
+export { GracefulStop } from "./graceful_stop.ts";
 export { HeldBytes } from "./held_bytes.ts";
 export { findHomeProblems, type HomeProblems } from "./homes.ts";
 export { LoadTracker } from "./load_tracker.ts";
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -18,6 +18,7 @@
 import {
   giveUp,
   giveUpAtDeadline,
+  giveUpAtStop,
   refuseAsFull,
   refuseBeforeTurn,
   refuseForQuarantine,
@@ -40,11 +41,14 @@
   limited: "Every back end has reached the request rate that it allows",
 };
 
-/** Attempts a call until it is answered, given up or past its deadline. */
+/**
+ * Attempts a call until it is answered or given up, its deadline has passed or
+ * this process stops.
+ */
 export function runAttempts(
   options: AttemptsOptions,
 ): Effect.Effect<AttemptsResult> {
-  const { call } = options;
+  const { call, dependencies } = options;
   return Effect.gen(function* () {
     const progress = createProgress(call);
     const startedAtMs = yield* steadyMs;
@@ -53,6 +57,12 @@
         duration: Math.max(1, call.deadlineAtMs - startedAtMs),
         orElse: () => Effect.sync(() => giveUpAtDeadline(options, progress)),
       }),
+      Effect.raceFirst(
+        Effect.map(
+          dependencies.stop.awaitEnd(),
+          () => giveUpAtStop(options, progress),
+        ),
+      ),
       Effect.onInterrupt(() =>
         Effect.sync(() => options.onLeft(summarize(progress)))
       ),
@@ -101,6 +111,10 @@
       if (reason !== undefined) {
         return yield* withhold(options, progress, reason);
       }
+      if (isTooLateToBegin(options, progress, nowMs)) {
+        dependencies.onWithheld("stopping");
+        return giveUpAtStop(options, progress);
+      }
       // Every request passes these checks, so that cold and limited instances
       // never get more than their limits.
       if (!dependencies.coldLimiter.tryTakeToken(target, nowMs)) continue;
@@ -145,6 +159,15 @@
   });
 }
 
+/** Whether a request that has reached no instance comes too late in a stop. */
+function isTooLateToBegin(
+  { call, dependencies }: AttemptsOptions,
+  { deliveries }: AttemptProgress,
+  nowMs: number,
+): boolean {
+  return deliveries === 0 && dependencies.stop.isTooLate(call, nowMs);
+}
+
 function withhold(
   options: AttemptsOptions,
   progress: AttemptProgress,
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -45,7 +45,8 @@
           index: index(),
         })
       )
-      .chain((admission) => admitInTime(admission, dependencies, arrivedAtMs));
+      .chain((admission) => admitInTime(admission, dependencies, arrivedAtMs))
+      .chain((admission) => dependencies.stop.admit(admission, arrivedAtMs));
     if (admitted.isLeft()) {
       const response = admitted.extract() as LocalResponse;
       const headers = decoded.toMaybe().extract();
@@ -118,6 +119,10 @@
       });
       const endedAtMs = yield* steadyMs;
       end = describeEnd(result);
+      if (result.kind !== "given-up") {
+        const durationMs = endedAtMs - arrivedAtMs;
+        dependencies.stop.noteAnswered(call.route.name, durationMs, endedAtMs);
+      }
       finish(exchange, call, result);
       dependencies.record({
         ...describeCall(result, endedAtMs),
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -43,7 +43,8 @@
   for (const server of rawServers) server.close();
 });
 
-const ROUTE: ServingRoute = {
+/** A route of the entry server. */
+export const testRoute: ServingRoute = {
   name: "route",
   host: "a.example",
   pathPrefix: "/safe/",
@@ -57,16 +58,16 @@
   isPublic: false,
 };
 const ROUTES: readonly ServingRoute[] = [
-  ROUTE,
+  testRoute,
   {
-    ...ROUTE,
+    ...testRoute,
     name: "once",
     pathPrefix: "/once/",
     retryPolicy: "once",
     maxAttempts: 1,
   },
   {
-    ...ROUTE,
+    ...testRoute,
     name: "stream",
     pathPrefix: "/stream/",
     retryPolicy: "resumable",
--- a/packages/fakes/src/platform/fake_config.ts
+++ b/packages/fakes/src/platform/fake_config.ts
@@ -15,6 +15,8 @@
   };
   /** Target latency of all routes; tests vary it to tell versions apart. */
   readonly targetMs?: number;
+  /** Timeout of the plain service's routes. */
+  readonly plainTimeoutMs?: number;
 }
 
 /** Request paths, by the retry semantics of their routes. */
@@ -29,7 +31,7 @@
  * safe (retryable) call.
  */
 export function createFakeConfig(options: FakeConfigOptions) {
-  const { cold, targetMs = 400 } = options;
+  const { cold, targetMs = 400, plainTimeoutMs = 4_000 } = options;
   const coldStart = cold === undefined ? {} : {
     cold_start_s: cold.startMs / 1000,
     cold_per_s: cold.requestsPerSecond,
@@ -54,7 +56,7 @@
         path_prefix: "/desk/",
         kind: "plain",
         max_attempts: 3,
-        timeout_ms: 4_000,
+        timeout_ms: plainTimeoutMs,
         service: "desk",
       },
       {
@@ -63,7 +65,7 @@
         path_prefix: "/look/",
         kind: "safe",
         max_attempts: 3,
-        timeout_ms: 4_000,
+        timeout_ms: plainTimeoutMs,
         service: "desk",
       },
     ],
--- a/packages/fakes/src/platform/fake_plain_instance.ts
+++ b/packages/fakes/src/platform/fake_plain_instance.ts
@@ -8,7 +8,7 @@
 
 const SERVICE = "desk";
 const SLOTS = 6;
-const WORK_MS = 20;
+const DEFAULT_WORK_MS = 20;
 const FULL_STATUS = 503;
 
 /** Options of an instance of a plain service. */
@@ -20,6 +20,8 @@
 
 /** An instance of a plain service, which echoes the request body. */
 export class FakePlainInstance extends FakeHttpInstance {
+  /** Time that a request takes. */
+  workMs = DEFAULT_WORK_MS;
   readonly #options: FakePlainInstanceOptions;
   #running = 0;
 
@@ -43,7 +45,7 @@
     const { callId, body } = request;
     this.#running += 1;
     this.recordExecution(callId);
-    await sleep(WORK_MS);
+    await sleep(this.workMs);
     this.#running -= 1;
     if (this.#options.deadlyBodies.has(body.toString())) {
       this.#options.onCrash();
