Give up a response whose bytes are mostly no body

Cause: the parser takes any number of zeros for the beginning of a chunk size and hands nothing out, so that no bound on bodies or heads counts them.

Change: watchFraming compares the bytes that a connection has brought since the request with those of the body, each 250 ms, and ends a request that got over 256 KiB and 16 times the body.

Test: "sends an endless chunk size" failed without the change in run_attempt (2 s, the deadline); now it ends within half of the deadline.

--- a/packages/celerytray/src/platform/send_request.ts
+++ b/packages/celerytray/src/platform/send_request.ts
@@ -5,7 +5,7 @@
   type IncomingMessage,
   request,
 } from "node:http";
-import { parseAddress } from "../http/index.ts";
+import { parseAddress, watchFraming } from "../http/index.ts";
 
 /** A request got no complete response. */
 export class CallFailure extends Data.TaggedError("CallFailure")<{
@@ -113,6 +113,10 @@
           body: Buffer.concat(chunks),
         })));
     });
+    watchFraming(sent, (message) => {
+      fail(message);
+      sent.destroy();
+    });
     const stopTimer = startTimer(options.timeoutMs, () => {
       fail(`no answer within ${options.timeoutMs} ms`);
       sent.destroy();
--- a/packages/celerytray/src/serving/faulty_backend_test.ts
+++ b/packages/celerytray/src/serving/faulty_backend_test.ts
@@ -16,6 +16,9 @@
 const MANY = 24;
 const EVENT = "id: 0\ndata: a\n\n";
 const CHUNK = Buffer.alloc(64 * 1024, "x");
+const ZEROS = Buffer.alloc(64 * 1024, "0");
+/** Half of the deadline of the requests. */
+const ENDLESS_MS = 1_000;
 
 describe("a faulty back end", () => {
   it("sends a late second copy of a response on a reused connection", async () => {
@@ -158,6 +161,23 @@
     expect([response.status, response.isClosed]).toEqual([502, true]);
   });
 
+  // Guards against a process that spends its processor time on a chunk size of
+  // endless zeros until the deadline of the request.
+  it("sends an endless chunk size", async () => {
+    for (const type of ["text/plain", "text/event-stream"]) {
+      const startedAtMs = performance.now();
+      const response = await callWith((socket, headers) => {
+        sendEndlessly(
+          socket,
+          `${headers}Content-Type: ${type}\r\nTransfer-Encoding: chunked\r\n\r\n`,
+          ZEROS,
+        );
+      });
+      expect([response.status === 200 && response.isComplete]).toEqual([false]);
+      expect(performance.now() - startedAtMs < ENDLESS_MS).toEqual(true);
+    }
+  });
+
   it("sends an endless body", async () => {
     const response = await callWith((socket, headers) => {
       sendEndlessly(socket, `${headers}\r\n`);
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -1,6 +1,6 @@
 import { Effect } from "effect";
 import { request as httpRequest } from "node:http";
-import { parseAddress } from "../http/index.ts";
+import { parseAddress, watchFraming } from "../http/index.ts";
 import type { AttemptOptions, AttemptOutcome } from "./attempt_options.ts";
 import { readResponse } from "./read_response.ts";
 import type { AbandonReason } from "./stall_detector.ts";
@@ -63,6 +63,10 @@
       CONNECT_TIMEOUT_MS,
     );
     request.on("close", () => clearTimeout(connectTimer));
+    watchFraming(request, (message) => {
+      fail(message);
+      request.destroy();
+    });
     request.on("socket", (socket) => {
       const dispatch = () => {
         if (!options.maySend()) {
