Don't take a head cut short for a connection closed while idle

Cause: a reset on a reused connection without a whole head counted as a connection that was closed while idle, for which one attempt more is made. The replica had begun to answer.

Change: such a connection has brought no byte since the request was sent.

Test: "stops in the middle of its head, on reused connections too": with the old condition three attempts were made where the route allows two.

--- a/packages/celerytray/src/host/add_gauges.ts
+++ b/packages/celerytray/src/host/add_gauges.ts
@@ -1,5 +1,6 @@
 import type { Coordinator } from "../coordination/index.ts";
 import type { MetricsPage } from "../journal/index.ts";
+import { eraOf } from "../keyed_log/index.ts";
 import type { CallerServer } from "./caller_server.ts";
 import type { ConfigView } from "./config_view.ts";
 
@@ -30,4 +31,9 @@
     "Version of the configuration in force",
     () => config.index?.config.version ?? 0,
   );
+  metrics.addGauge(
+    "celerytray_store_era",
+    "Era of the store, which rises as it comes back from an older copy",
+    () => eraOf(config.nextOffset),
+  );
 }
--- a/packages/celerytray/src/serving/faulty_backend_test.ts
+++ b/packages/celerytray/src/serving/faulty_backend_test.ts
@@ -147,6 +147,38 @@
     expect(response.body.includes("done")).toEqual(false);
   });
 
+  // Guards against a head cut short that reaches the caller as a success, and
+  // that counts as a connection closed while idle, for one attempt too many.
+  it("stops in the middle of its head, on reused connections too", async () => {
+    for (const path of ["/safe/x", "/stream/x"]) {
+      for (const head of ["HTTP/1.1 200 OK\r\nAttempt-", "HTTP/1.1 2"]) {
+        let requests = 0;
+        const backends = [];
+        for (let index = 0; index < 3; index++) {
+          backends.push(
+            await startRawBackend((socket) =>
+              socket.on("data", (bytes) => {
+                requests += 1;
+                if (requests <= 3) socket.write(createRawResponse(bytes));
+                else socket.end(head, () => socket.resetAndDestroy());
+              })
+            ),
+          );
+        }
+        const agent = new Agent({ keepAlive: true });
+        const entry = await startEntry({ backends, agentFor: () => agent });
+        await Promise.all(
+          [1, 2, 3].map(() => call(entry, "/safe/x")),
+        );
+        const response = await call(entry, path);
+        expect(response.status).toEqual(502);
+        // The route allows two attempts.
+        expect(requests <= 3 + 2).toEqual(true);
+        agent.destroy();
+      }
+    }
+  });
+
   it("sends endless headers", async () => {
     const response = await callWith((socket) => {
       sendEndlessly(socket, "HTTP/1.1 200 OK\r\nX: ");
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -26,7 +26,8 @@
 ): Effect.Effect<AttemptOutcome> {
   return Effect.callback<AttemptOutcome>((resume) => {
     let isSent = false;
-    let hasResponse = false;
+    /** Bytes that the connection had brought before this request. */
+    let earlierBytes = 0;
     let isReset = false;
     let isSettled = false;
     const settle = (outcome: AttemptOutcome) => {
@@ -40,7 +41,8 @@
           ? {
             kind: "lost",
             message,
-            isStaleConnection: request.reusedSocket && !hasResponse && isReset,
+            isStaleConnection: request.reusedSocket && isReset &&
+              request.socket?.bytesRead === earlierBytes,
             ...(abandonReason === undefined ? {} : { abandonReason }),
           }
           : { kind: "not-run", message, isRejected: false },
@@ -68,6 +70,7 @@
       request.destroy();
     });
     request.on("socket", (socket) => {
+      earlierBytes = socket.bytesRead;
       const dispatch = () => {
         if (!options.maySend()) {
           settle({
@@ -100,7 +103,6 @@
       request.destroy();
     });
     request.on("response", (response) => {
-      hasResponse = true;
       readResponse(response, { options, request, settle, fail });
     });
     options.registerAbandon((reason) => {
