Refuse to resume a stream after an event that can't be read

What callers would see (ORDER, pieces twice): a caller that resumes a stream with an id of its last event that isn't a whole number of up to nine digits gets the stream from its beginning, with pieces that it has. Found by reading for the users' ORDER, which isn't reproduced; nothing says that it is what they saw.

Cause: such an id counted as none. Change: 400 before the request is passed on, on routes with streams; on other routes the header stays without a meaning.

Test: "refuses to resume a stream after an event that can't be read" failed without the change in admit_call.

--- a/packages/celerytray/src/platform/call_codec.ts
+++ b/packages/celerytray/src/platform/call_codec.ts
@@ -55,9 +55,7 @@
       ...(model === undefined ? {} : { model }),
       ...decodeTokenCount(readSingleHeader(request, HEADER_NAMES.tokenCount)),
       ...decodePromptParts(readSingleHeader(request, HEADER_NAMES.promptParts)),
-      ...(lastEventId === undefined || Number.isNaN(lastEventId)
-        ? {}
-        : { lastEventId }),
+      ...(lastEventId === undefined ? {} : { lastEventId }),
     });
   }
 
--- a/packages/celerytray/src/serving/admit_call.ts
+++ b/packages/celerytray/src/serving/admit_call.ts
@@ -53,6 +53,13 @@
     if (!isCurrent) return Left(outdatedResponse);
     return Left({ status: 404, message: "No route matches host and path" });
   }
+  // Without its last event a stream would begin anew, with what its caller has.
+  if (route.isStream && Number.isNaN(headers.lastEventId)) {
+    return Left({
+      status: 400,
+      message: "The id of the last event must be a whole number",
+    });
+  }
   const admission: Admission = {
     headers,
     route,
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -98,7 +98,9 @@
     possibleRuns: 0,
     mayHaveRun: false,
     hadStaleConnection: false,
-    lastEventId: call.headers.lastEventId,
+    lastEventId: Number.isNaN(call.headers.lastEventId)
+      ? undefined
+      : call.headers.lastEventId,
     firstByteAtMs: undefined,
     lastEventAtMs: undefined,
     longestPauseMs: undefined,
--- a/packages/celerytray/src/serving/call.ts
+++ b/packages/celerytray/src/serving/call.ts
@@ -22,7 +22,10 @@
   readonly promptParts?: readonly string[];
   /** Limit on the length of the generated response. */
   readonly maxAnswerTokens?: number;
-  /** Last event that the caller received; the stream resumes after it. */
+  /**
+   * Last event that the caller received; the stream resumes after it. NaN if it
+   * can't be read.
+   */
   readonly lastEventId?: number;
   /** Alternating names and values of the headers to forward. */
   readonly forwardedHeaders: readonly string[];
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -177,6 +177,18 @@
     expect(resumedAfter).toEqual([undefined, "1"]);
   });
 
+  // Guards against a stream that begins anew for a caller that resumes it, and
+  // so gets pieces twice.
+  it("refuses to resume a stream after an event that can't be read", async () => {
+    const backend = await startBackend(respondDone);
+    const entry = await startEntry({ backends: [backend] });
+    for (const id of ["x", "-1", "1.5", "9".repeat(30), "3, 4"]) {
+      const resumed = { "last-event-id": id };
+      expect((await call(entry, "/stream/x", resumed)).status).toEqual(400);
+      expect((await call(entry, "/safe/x", resumed)).status).toEqual(200);
+    }
+  });
+
   it("refuses a stream as not run while every replica is full", async () => {
     let calls = 0;
     const backend = await startBackend((incoming, response) => {
