Hold an address from the moment a start finds it free

Change: each server itself waits for its address and keeps it. The loops of a process, which take part in leadership and read the store, begin once it has all its addresses.

--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -1,7 +1,11 @@
 import { type Context, Effect, Fiber, type Scope } from "effect";
 import type { RequestListener, Server } from "node:http";
 import { InFlightCalls } from "../forwarding/index.ts";
-import { listen, type ListenFailure } from "../http/index.ts";
+import {
+  type AddressInUse,
+  listen,
+  type ListenFailure,
+} from "../http/index.ts";
 import {
   CallerExchange,
   type LocalResponse,
@@ -16,6 +20,7 @@
   readonly idleTimeoutMs: number;
   readonly headerTimeoutMs: number;
   readonly maxHeaderBytes: number;
+  readonly inUse?: AddressInUse;
 }
 
 /** A server for callers' requests. */
@@ -65,6 +70,7 @@
       requestTimeoutMs: REQUEST_TIMEOUT_MS,
       maxHeaderBytes: options.maxHeaderBytes,
       handlesContinue: true,
+      ...(options.inUse === undefined ? {} : { inUse: options.inUse }),
     });
     const setIdleTimeout = (idleTimeoutMs: number) => {
       server.keepAliveTimeout = idleTimeoutMs + TIMEOUT_MARGIN_MS;
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -6,7 +6,7 @@
   totalsLagMs,
 } from "../coordination/index.ts";
 import {
-  awaitFreeAddress,
+  type AddressInUse,
   BackendPools,
   listen,
   type ListenFailure,
@@ -65,13 +65,10 @@
     const nowMs = () => readSteadyMs(clock);
     const wallMs = () => clock.currentTimeMillisUnsafe();
     const record: RecordEvent = (kind, fields) => journal.record(kind, fields);
-    for (const address of listAddresses(settings)) {
-      yield* awaitFreeAddress({
-        address,
-        waitMs: ADDRESS_WAIT_MS,
-        onInUse: (message) => record("process.waiting", { message }),
-      });
-    }
+    const inUse: AddressInUse = {
+      waitMs: ADDRESS_WAIT_MS,
+      onWait: (message) => record("process.waiting", { message }),
+    };
     const random = createRandom();
     const metrics = new MetricsPage();
     const { memoryMb } = settings;
@@ -138,21 +135,6 @@
       record,
       nowMs,
     });
-    yield* followStore({
-      log,
-      coordinator,
-      applyConfig: (change) => view.applyConfig(change),
-      keys: view.keys,
-      configApplyMs: settings.configApplyMs,
-      contacts,
-      configOffset: () => view.configCopy.nextOffset,
-      instancesOffset: () => view.instancesCopy.nextOffset,
-      listAgeMs: () => nowMs() - view.listProvenAtMs,
-      random,
-      record,
-      applyInstances: (change) => view.applyInstances(change),
-      nowMs,
-    });
     const { config, keys, cold } = view;
     const loops: Readonly<Record<string, Effect.Effect<unknown>>> = {
       coordination: coordinator.run(),
@@ -167,9 +149,6 @@
         closedHeads: () => coordinator.listClosedHeads(),
       }),
     };
-    for (const [name, loop] of Object.entries(loops)) {
-      yield* Effect.forkScoped(keepRunning(loop, { name, record }));
-    }
     const targets = new TargetLists({
       instances: view.instances,
       closedHeads: () => coordinator.listClosedHeads(),
@@ -225,6 +204,7 @@
       idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
       headerTimeoutMs: DEFAULT_HEADER_TIMEOUT_MS,
       maxHeaderBytes: MAX_HEADER_BYTES,
+      inUse,
     });
     servers.callers = callers;
     const drain = { hasBegun: false };
@@ -234,6 +214,7 @@
       keys.ageMs() < settings.keyRevocationMs * READY_KEY_AGE_SHARE;
     yield* listen({
       address: settings.readyAddress,
+      inUse,
       handler: (_request, response) => {
         response.writeHead(isReady() ? 200 : 503, { "content-length": 0 });
         response.end();
@@ -241,13 +222,34 @@
     });
     yield* listen({
       address: settings.peerAddress,
+      inUse,
       handler: createPeerHandler(coordinator),
     });
     addGauges(metrics, { callers, coordinator, config });
     yield* listen({
       address: settings.metricsAddress,
+      inUse,
       handler: metrics.handler(),
     });
+    // A process takes part in nothing before it has all its addresses.
+    yield* followStore({
+      log,
+      coordinator,
+      applyConfig: (change) => view.applyConfig(change),
+      keys: view.keys,
+      configApplyMs: settings.configApplyMs,
+      contacts,
+      configOffset: () => view.configCopy.nextOffset,
+      instancesOffset: () => view.instancesCopy.nextOffset,
+      listAgeMs: () => nowMs() - view.listProvenAtMs,
+      random,
+      record,
+      applyInstances: (change) => view.applyInstances(change),
+      nowMs,
+    });
+    for (const [name, loop] of Object.entries(loops)) {
+      yield* Effect.forkScoped(keepRunning(loop, { name, record }));
+    }
     return {
       drain: () => {
         drain.hasBegun = true;
@@ -257,9 +259,3 @@
     };
   });
 }
-
-/** The addresses on which a process listens. */
-function listAddresses(settings: HostOptions["settings"]): readonly string[] {
-  const { callerAddress, readyAddress, peerAddress, metricsAddress } = settings;
-  return [callerAddress, readyAddress, peerAddress, metricsAddress];
-}
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -23,10 +23,7 @@
   type ReadBodyOptions,
 } from "./read_body.ts";
 export {
-  awaitFreeAddress,
-  type FreeAddressOptions,
-} from "./await_free_address.ts";
-export {
+  type AddressInUse,
   listen,
   ListenFailure,
   type ListenOptions,
--- a/packages/celerytray/src/http/listen.ts
+++ b/packages/celerytray/src/http/listen.ts
@@ -1,6 +1,7 @@
 import { Data, Effect, type Scope } from "effect";
 import type { RequestListener, Server } from "node:http";
 import { createServer } from "node:http";
+import { steadyMs } from "../clock/index.ts";
 
 /** Options of a listening server. */
 export interface ListenOptions {
@@ -14,11 +15,23 @@
   readonly maxHeaderBytes?: number;
   /** Whether the handler itself sends `100 Continue`. */
   readonly handlesContinue?: boolean;
+  /** By default an address that another process holds is a failure. */
+  readonly inUse?: AddressInUse;
+}
+
+/** What to do while another process holds an address. */
+export interface AddressInUse {
+  /** Longest wait until the other process releases it. */
+  readonly waitMs: number;
+  /** Called once if it has to be waited for. */
+  readonly onWait: (message: string) => void;
 }
 
 const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
 const DEFAULT_REQUEST_TIMEOUT_MS = 30_000;
 const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
+/** Interval at which an address in use is tried again. */
+const RETRY_INTERVAL_MS = 100;
 
 /** The server could not listen on its address. */
 export class ListenFailure extends Data.TaggedError("ListenFailure")<{
@@ -38,11 +51,51 @@
   };
 }
 
-/** Listens until the scope closes; closes the remaining connections then. */
+/**
+ * Listens until the scope closes; closes the remaining connections then. Waits
+ * for an address that another process holds, if the options say so.
+ */
 export function listen(
   options: ListenOptions,
 ): Effect.Effect<Server, ListenFailure, Scope.Scope> {
-  const open = Effect.callback<Server, ListenFailure>((resume) => {
+  const { inUse } = options;
+  const open = inUse === undefined
+    ? openServer(options)
+    : awaitServer(options, inUse);
+  return Effect.acquireRelease(open, (server) =>
+    Effect.sync(() => {
+      server.close();
+      server.closeAllConnections();
+    }), { interruptible: true });
+}
+
+/** Opens a server once its address is free, within the time of the wait. */
+function awaitServer(
+  options: ListenOptions,
+  { waitMs, onWait }: AddressInUse,
+): Effect.Effect<Server, ListenFailure> {
+  return Effect.gen(function* () {
+    const startedAtMs = yield* steadyMs;
+    let isWaiting = false;
+    while (true) {
+      const result = yield* Effect.result(openServer(options));
+      if (result._tag === "Success") return result.success;
+      const { failure } = result;
+      const waitedMs = (yield* steadyMs) - startedAtMs;
+      if (!failure.isInUse || waitedMs >= waitMs) {
+        return yield* Effect.fail(failure);
+      }
+      if (!isWaiting) onWait(failure.message);
+      isWaiting = true;
+      yield* Effect.sleep(RETRY_INTERVAL_MS);
+    }
+  });
+}
+
+function openServer(
+  options: ListenOptions,
+): Effect.Effect<Server, ListenFailure> {
+  return Effect.callback<Server, ListenFailure>((resume) => {
     const server = createServer({
       headersTimeout: options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS,
       requestTimeout: options.requestTimeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS,
@@ -64,9 +117,4 @@
       () => resume(Effect.succeed(server)),
     );
   });
-  return Effect.acquireRelease(open, (server) =>
-    Effect.sync(() => {
-      server.close();
-      server.closeAllConnections();
-    }));
 }
