--- a/packages/celerytray/src/host/drain_callers.ts
+++ b/packages/celerytray/src/host/drain_callers.ts
@@ -5,8 +5,8 @@
 
 /** Time within which the platform's front stops sending new connections. */
 const FRONT_REMOVAL_MS = 3_000;
-/** Share of the time for answers that may pass before all is refused. */
-const MAX_REMOVAL_SHARE = 0.5;
+/** Share of the time for answers after which all new requests are refused. */
+const MAX_TAKING_SHARE = 0.5;
 /** Share of the grace time within which all requests must be answered. */
 const GRACE_SHARE = 0.9;
 /** Share of the grace time for connections to close after their last answer. */
@@ -20,20 +20,22 @@
 }
 
 /**
- * Takes requests that can be answered in time until no new callers are
- * expected, then refuses all, waits for those under way, and gives those that
- * are not answered by then a final answer.
+ * Takes requests that can be answered in time, then refuses all until no new
+ * callers are expected, waits for those under way, and gives those that are not
+ * answered by then a final answer.
  */
 export function drainCallers(
   { callers, stop, graceMs }: DrainOptions,
 ): Effect.Effect<void> {
   const totalMs = graceMs * GRACE_SHARE;
-  const removalMs = Math.min(FRONT_REMOVAL_MS, totalMs * MAX_REMOVAL_SHARE);
+  const removalMs = Math.min(FRONT_REMOVAL_MS, totalMs);
+  const takingMs = Math.min(removalMs, totalMs * MAX_TAKING_SHARE);
   return Effect.gen(function* () {
     callers.close();
     stop.begin((yield* steadyMs) + totalMs);
-    yield* Effect.sleep(removalMs);
+    yield* Effect.sleep(takingMs);
     stop.refuseAll();
+    yield* Effect.sleep(removalMs - takingMs);
     yield* Effect.timeoutOption(
       callers.calls.waitUntilEmpty(),
       totalMs - removalMs,
