Soak: returns of the store, SIGHUP, routes, slow work and short graces

Each series has, from a generator of its own so that earlier plans stay: a return of the store from a copy of 0.5 to 3 s ago, SIGHUP to a running and to a starting process, work of up to 2.2 s, and three changes of a route. Processes have graces of 8, 4 and 5 s. New checks: order, config-in-time, config-forward, each shown to fail on made-up histories.

The limit of an instance ends with its life: the next one names none.

--- a/packages/celerytray/src/serving/graceful_stop.ts
+++ b/packages/celerytray/src/serving/graceful_stop.ts
@@ -1,8 +1,8 @@
 import { Deferred, Effect } from "effect";
 import { type Either, Left, Right } from "purify-ts";
 import { AnswerTimes } from "./answer_times.ts";
-import type { AdmittedCall } from "./call_context.ts";
 import type { LocalResponse } from "./caller_exchange.ts";
+import type { ServingRoute } from "./serving_config.ts";
 
 /** Room for answers that take longer than any of the last ones. */
 const ANSWER_TIME_FACTOR = 1.25;
@@ -10,7 +10,10 @@
 export const STOPPING_RETRY_AFTER_MS = 50;
 
 /** What tells how long a request may take. */
-type Timed = Pick<AdmittedCall, "route" | "deadlineAtMs">;
+interface Timed {
+  readonly route: Pick<ServingRoute, "name">;
+  readonly deadlineAtMs: number;
+}
 
 /**
  * The stop of a process. Requests that may not be answered before its end are
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,4 +1,5 @@
 /** Local clusters of separate processes, for the demo, tests and benchmarks. */
+export { awaitSignalHandlers } from "./local/await_signal_handlers.ts";
 export {
   type LocalCluster,
   startLocalCluster,
--- a/packages/cli/src/local/start_test.ts
+++ b/packages/cli/src/local/start_test.ts
@@ -1,19 +1,16 @@
 import { FakePlatform } from "@celerytray/fakes";
 import { expect } from "earl";
 import { once } from "node:events";
-import { readFile } from "node:fs/promises";
 import { createServer, type Server } from "node:http";
 import { after, describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { awaitSignalHandlers } from "./await_signal_handlers.ts";
 import { findFreeAddresses } from "./free_addresses.ts";
 import { type HostProcess, startHostProcess } from "./host_process.ts";
 import { HOST_PROGRAM, WAIT_OPTIONS } from "./start_host_cluster.ts";
 import { waitUntil } from "./wait_until.ts";
 
-const POLL_MS = 2;
 const SETTLE_MS = 300;
-/** Bit of SIGHUP in the mask of the signals that a process handles. */
-const SIGHUP_BIT = 1n;
 const cleanups: (() => unknown)[] = [];
 
 after(async () => {
@@ -24,7 +21,7 @@
   // Guards against a SIGHUP that ends a process which is still being loaded.
   it("lives on after a SIGHUP that comes before it serves", async () => {
     const started = await start();
-    await awaitHandlers(started);
+    await awaitSignalHandlers(started.child.pid);
     expect(countEvents(started, "process.started")).toEqual(0);
     started.child.kill("SIGHUP");
     await awaitEvent(started, "process.reloaded");
@@ -35,7 +32,7 @@
   // and starts to serve or ends as if it had failed.
   it("ends without serving after a SIGTERM that comes before it serves", async () => {
     const started = await start();
-    await awaitHandlers(started);
+    await awaitSignalHandlers(started.child.pid);
     const exited = once(started.child, "exit");
     started.child.kill("SIGTERM");
     expect(await exited).toEqual([0, null]);
@@ -100,19 +97,6 @@
   return server;
 }
 
-/** Waits until a process handles signals itself. */
-async function awaitHandlers({ child }: HostProcess): Promise<void> {
-  await waitUntil("signals are handled", {
-    ...WAIT_OPTIONS,
-    intervalMs: POLL_MS,
-    check: async () => {
-      const status = await readFile(`/proc/${child.pid}/status`, "utf8");
-      const mask = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1] ?? "0";
-      return (BigInt(`0x${mask}`) & SIGHUP_BIT) !== 0n;
-    },
-  });
-}
-
 function awaitEvent(process: HostProcess, event: string): Promise<void> {
   return waitUntil(event, {
     ...WAIT_OPTIONS,
--- a/packages/fakes/src/platform/fake_config.ts
+++ b/packages/fakes/src/platform/fake_config.ts
@@ -17,6 +17,8 @@
   readonly targetMs?: number;
   /** Timeout of the plain service's routes. */
   readonly plainTimeoutMs?: number;
+  /** Path prefixes of further safe routes of the plain service. */
+  readonly furtherPaths?: readonly string[];
 }
 
 /** Request paths, by the retry semantics of their routes. */
@@ -32,6 +34,7 @@
  */
 export function createFakeConfig(options: FakeConfigOptions) {
   const { cold, targetMs = 400, plainTimeoutMs = 4_000 } = options;
+  const { furtherPaths = [] } = options;
   const coldStart = cold === undefined ? {} : {
     cold_start_s: cold.startMs / 1000,
     cold_per_s: cold.requestsPerSecond,
@@ -68,6 +71,15 @@
         timeout_ms: plainTimeoutMs,
         service: "desk",
       },
+      ...furtherPaths.map((path) => ({
+        ...common,
+        name: path,
+        path_prefix: path,
+        kind: "safe",
+        max_attempts: 3,
+        timeout_ms: plainTimeoutMs,
+        service: "desk",
+      })),
     ],
     services: [
       {
--- a/packages/fakes/src/platform/fake_platform.ts
+++ b/packages/fakes/src/platform/fake_platform.ts
@@ -82,6 +82,17 @@
     this.storeServer.compactTopic(INSTANCES_TOPIC);
   }
 
+  /**
+   * Writes the instance list anew, as the instances do after the store came back
+   * from an older copy. Those that have ended lapse.
+   */
+  rewriteInstances(): void {
+    for (const server of this.#listInstances()) {
+      if (server.isAlive) this.#publish(server);
+      else this.storeServer.store.append(INSTANCES_TOPIC, { key: server.id });
+    }
+  }
+
   /** Starts a model instance, which updates its entry in the list at each change. */
   async startInstance(
     id: string,
@@ -174,6 +185,10 @@
     this.storeServer.server.closeAllConnections();
   }
 
+  #listInstances(): readonly FakeHttpInstance[] {
+    return [...this.instances.values(), ...this.plainInstances.values()];
+  }
+
   #crash(id: string): void {
     this.crashedIds.push(id);
     this.kill(id);
--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { bounds } from "./checks.ts";
+import { bounds } from "./bounds.ts";
 import type { LoopbackProxy } from "./loopback_proxy.ts";
 import type { FaultAction, PlannedFault } from "./plan.ts";
 import type { SoakCallers } from "./soak_callers.ts";
@@ -13,7 +13,12 @@
 const REFUSED_ONE_IN = 3;
 /** Time until the instance list shows that an instance has become cold. */
 const COLD_DETECTION_MS = 1_000;
+const LIFE_POLL_MS = 10;
 const MIN_DOWNTIME_MS = 1_000;
+/** Makes a fault's duration a moment of a start. */
+const START_SHARE = 12;
+/** Longest time for which the store is away before it comes back from a copy. */
+const MAX_AWAY_MS = 1_000;
 
 /**
  * Injects a fault and waits for its end. Returns false if it can't be injected
@@ -53,6 +58,16 @@
     case "deadly-request":
       await callers.repeatDeadly(cluster, { body: action.body, durationMs });
       return true;
+    case "reload":
+    case "reload-start":
+      return await reload(cluster, action, durationMs);
+    case "return":
+      return await returnStore(cluster, action.ageMs, durationMs);
+    case "route":
+      cluster.changeRoute();
+      return true;
+    case "slow-work":
+      return await slowWork(cluster, action.workMs, durationMs);
     case "burst":
       await callers.burst(cluster, durationMs);
       return true;
@@ -72,6 +87,54 @@
   return true;
 }
 
+async function reload(
+  cluster: SoakCluster,
+  { kind, process: name }: ActionOf<"reload" | "reload-start">,
+  durationMs: number,
+): Promise<boolean> {
+  const process = cluster.processes.get(name);
+  if (process === undefined || !process.isRunning) return false;
+  if (kind === "reload") process.reload();
+  else await process.reloadDuringStart(durationMs / START_SHARE);
+  return true;
+}
+
+/**
+ * The store goes away for a time and comes back from an older copy; the operator
+ * and the instances write anew what they had written.
+ */
+async function returnStore(
+  cluster: SoakCluster,
+  ageMs: number,
+  durationMs: number,
+): Promise<boolean> {
+  const { platform: { storeServer }, history } = cluster;
+  const copy = storeServer.store.copy();
+  await sleep(ageMs);
+  if (storeServer.store.faults.isOut === true) return false;
+  const end = history.beginFault({ kind: "store" }, "return");
+  storeServer.store.faults = { isOut: true };
+  await sleep(Math.min(durationMs, MAX_AWAY_MS));
+  storeServer.returnFrom(copy);
+  storeServer.store.faults = {};
+  cluster.rewriteStore();
+  end();
+  return true;
+}
+
+async function slowWork(
+  { platform: { plainInstances } }: SoakCluster,
+  workMs: number,
+  durationMs: number,
+): Promise<boolean> {
+  const slowed = [...plainInstances.values()];
+  const usualMs = slowed.map((instance) => instance.workMs);
+  for (const instance of slowed) instance.workMs = workMs;
+  await sleep(durationMs);
+  slowed.forEach((instance, index) => instance.workMs = usualMs[index]!);
+  return true;
+}
+
 async function applyToLink(
   cluster: SoakCluster,
   { endpoint, name, fault }: ActionOf<"link">,
@@ -166,7 +229,9 @@
   if (!server.isAlive || server.limitPerSecond !== undefined) return false;
   server.limitPerSecond = perSecond;
   const end = history.beginLimit(id, perSecond);
-  await sleep(durationMs);
+  const endMs = performance.now() + durationMs;
+  // A limit holds for one life: the next one may name none.
+  while (server.isAlive && performance.now() < endMs) await sleep(LIFE_POLL_MS);
   end();
   server.limitPerSecond = undefined;
   return true;
--- /dev/null
+++ b/packages/soak/src/bounds.ts
@@ -0,0 +1,23 @@
+/** Bounds from the settings and configuration of the processes. */
+export const bounds = {
+  keyRevocationMs: 5_000,
+  evacuationMs: 5_000,
+  configApplyMs: 2_000,
+  rollbackSlackMs: 250,
+  leavingMs: 3_000,
+  restoreMs: 15_000,
+  coldStartMs: 3_000,
+  coldPerSecond: 18,
+  coldOvershoot: 1.5,
+  coldSlackRequests: 5,
+  /** Time after which what one process learnt binds all. */
+  stableWindowMs: 3_000,
+  limitWindowMs: 4_000,
+  limitFactor: 1.5,
+  limitSlackRequests: 5,
+  poisonCrashes: 5,
+  deadlyRequestCrashes: 3,
+  poisonRequests: 3,
+  /** Memory limit of the smallest machines. */
+  memoryMb: 202,
+} as const;
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -5,30 +5,11 @@
   SoakHistory,
   StateInterval,
 } from "./history.ts";
+import { bounds } from "./bounds.ts";
+import { findLateConfigs, findOldConfigs } from "./config_checks.ts";
+import { describeCall, listRuns } from "./history_queries.ts";
 import { LINK_DELAY_MS } from "./loopback_proxy.ts";
 
-/** Bounds from the settings and configuration of the processes. */
-export const bounds = {
-  keyRevocationMs: 5_000,
-  evacuationMs: 5_000,
-  leavingMs: 3_000,
-  restoreMs: 15_000,
-  coldStartMs: 3_000,
-  coldPerSecond: 18,
-  coldOvershoot: 1.5,
-  coldSlackRequests: 5,
-  /** Time after which what one process learnt binds all. */
-  stableWindowMs: 3_000,
-  limitWindowMs: 4_000,
-  limitFactor: 1.5,
-  limitSlackRequests: 5,
-  poisonCrashes: 5,
-  deadlyRequestCrashes: 3,
-  poisonRequests: 3,
-  /** Memory limit of the smallest machines. */
-  memoryMb: 202,
-} as const;
-
 const REFUSED_STATUSES = [429, 503];
 
 /** A condition that the history must satisfy. */
@@ -52,6 +33,9 @@
   { name: "cold-bound", find: findColdOverloads },
   { name: "limit-bound", find: findLimitOverloads },
   { name: "poison-bound", find: findPoisonArrivals },
+  { name: "order", find: findWrongPieces },
+  { name: "config-in-time", find: findLateConfigs },
+  { name: "config-forward", find: findOldConfigs },
 ];
 
 /** Each caller gets its own complete answer. */
@@ -64,6 +48,16 @@
   );
 }
 
+/** A stream that breaks off has sent its first pieces, each once. */
+function findWrongPieces({ calls }: SoakHistory): readonly string[] {
+  return calls.filter(({ kind, answer, expected }) =>
+    kind === "stream" && answer?.status === 200 &&
+    !expected.startsWith(answer.body)
+  ).map((call) =>
+    `${describeCall(call)} got other pieces: ${JSON.stringify(call)}`
+  );
+}
+
 /** A request that may not be retried runs at most once. */
 function findRepeatedRuns(history: SoakHistory): readonly string[] {
   const runs = listRuns(history);
@@ -307,18 +301,3 @@
 ): boolean {
   return fromMs <= endedAtMs! && toMs >= sentAtMs;
 }
-
-function listRuns({ arrivals }: SoakHistory) {
-  const runs = new Map<string, FakeArrival[]>();
-  for (const arrival of arrivals) {
-    if (!arrival.hasRun) continue;
-    const known = runs.get(arrival.callId);
-    if (known === undefined) runs.set(arrival.callId, [arrival]);
-    else known.push(arrival);
-  }
-  return runs;
-}
-
-function describeCall({ callId, kind, process }: CallRecord): string {
-  return `${kind} ${callId} at ${process}`;
-}
--- a/packages/soak/src/checks_test.ts
+++ b/packages/soak/src/checks_test.ts
@@ -5,8 +5,8 @@
 
 const END_MS = 20_000;
 
-// Guards against checks that would pass a process that ignores limits, or that
-// sends prompts on that crash replicas.
+// Guards against checks that would pass a process that ignores limits, sends
+// prompts on that crash replicas, joins pieces, or keeps to an old configuration.
 describe("checks of histories", () => {
   it("limit-bound detects more requests than the limit and its slack", () => {
     expect(findLimitViolations({ perSecond: 1, intervalMs: 1_000 })).toEqual(0);
@@ -31,8 +31,73 @@
     expect(find("poison-bound", createPoisonHistory(3, request))).toEqual(0);
     expect(find("poison-bound", createPoisonHistory(4, request))).toEqual(1);
   });
+
+  it("order detects pieces that are not the first ones", () => {
+    for (const [body, count] of [["", 0], ["ab", 0], ["aab", 1], ["bc", 1]]) {
+      const history = new SoakHistory();
+      addCall(history, { callId: "call", atMs: 0 });
+      const isWhole = false;
+      Object.assign(history.calls[0]!, {
+        expected: "abc",
+        answer: { status: 200, body, isWhole },
+      });
+      expect(find("order", history)).toEqual(count as number);
+    }
+  });
+
+  it("config-in-time detects added and dropped routes that are not in force", () => {
+    const added = { status: 404, sentAtMs: 3_100, hasRun: false };
+    expect(find("config-in-time", createRouteHistory([added]))).toEqual(1);
+    const soon = { ...added, sentAtMs: 2_900 };
+    expect(find("config-in-time", createRouteHistory([soon]))).toEqual(0);
+    const dropped = { status: 200, sentAtMs: 12_100, hasRun: true };
+    expect(find("config-in-time", createRouteHistory([dropped]))).toEqual(1);
+    const refused = { ...dropped, status: 404, hasRun: false };
+    expect(find("config-in-time", createRouteHistory([refused]))).toEqual(0);
+    const paused = createRouteHistory([added]);
+    paused.beginFault({ kind: "process", name: "front-0" }, "pause");
+    Object.assign(paused.injectedFaults[0]!, { fromMs: 0, toMs: 200 });
+    expect(find("config-in-time", paused)).toEqual(0);
+  });
+
+  it("config-forward detects a route that is known and then unknown", () => {
+    const served = { status: 200, sentAtMs: 1_100, hasRun: true };
+    const unknown = { status: 404, sentAtMs: 1_900, hasRun: false };
+    expect(find("config-forward", createRouteHistory([served, unknown])))
+      .toEqual(1);
+    expect(find("config-forward", createRouteHistory([unknown]))).toEqual(0);
+    const restarted = createRouteHistory([served, unknown]);
+    restarted.beginFault({ kind: "process", name: "front-0" }, "kill");
+    Object.assign(restarted.injectedFaults[0]!, { fromMs: 1_300, toMs: 1_500 });
+    expect(find("config-forward", restarted)).toEqual(0);
+  });
 });
 
+/** Calls to a route that was added after 1 s and dropped after 10 s. */
+function createRouteHistory(
+  calls: readonly {
+    readonly status: number;
+    readonly sentAtMs: number;
+    readonly hasRun: boolean;
+  }[],
+): SoakHistory {
+  const history = new SoakHistory();
+  const routePath = "/further-1/";
+  history.beginState(history.routePeriods, routePath);
+  Object.assign(history.routePeriods[0]!, { fromMs: 1_000, toMs: 10_000 });
+  for (const [index, { status, sentAtMs, hasRun }] of calls.entries()) {
+    const callId = `call-${index}`;
+    addCall(history, { kind: "safe", callId, atMs: sentAtMs });
+    Object.assign(history.calls.at(-1)!, {
+      routePath,
+      endedAtMs: sentAtMs + 10,
+      answer: { status, body: "", isWhole: true },
+    });
+    if (!hasRun) history.arrivals.pop();
+  }
+  return history;
+}
+
 function find(name: string, history: SoakHistory): number {
   return checks.find((check) => check.name === name)!.find(history).length;
 }
--- a/packages/soak/src/faulty_front_test.ts
+++ b/packages/soak/src/faulty_front_test.ts
@@ -50,7 +50,13 @@
   },
 ];
 /** Tested in checks_test.ts on histories, as this front has no models. */
-const HISTORY_CHECKS = ["limit-bound", "poison-bound"];
+const HISTORY_CHECKS = [
+  "limit-bound",
+  "poison-bound",
+  "order",
+  "config-in-time",
+  "config-forward",
+];
 /** Longer than all time bounds except that of withdrawn keys. */
 const ACTION_DURATION_MS = 8_000;
 /**
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -11,6 +11,8 @@
   readonly key: string;
   /** Part of its prompt that crashes model instances. */
   readonly deadlyPart?: string;
+  /** Path prefix of its route, if that may be added or dropped. */
+  readonly routePath?: string;
   readonly sentAtMs: number;
   /** Body of the complete answer. */
   readonly expected: string;
@@ -68,6 +70,8 @@
   readonly coldPeriods: StateInterval[] = [];
   readonly evacuations: StateInterval[] = [];
   readonly limitPeriods: LimitInterval[] = [];
+  /** From the addition of a route to its drop, by path prefix. */
+  readonly routePeriods: StateInterval[] = [];
   readonly exits: ProcessExit[] = [];
   /** Resident memory of the processes. */
   readonly memorySamples: {
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -32,7 +32,15 @@
     readonly perSecond: number;
   }
   | { readonly kind: "poison"; readonly part: string }
-  | { readonly kind: "deadly-request"; readonly body: string };
+  | { readonly kind: "deadly-request"; readonly body: string }
+  /** SIGHUP, to a running process or during a start after a kill. */
+  | { readonly kind: "reload" | "reload-start"; readonly process: string }
+  /** The store comes back from a copy that is `ageMs` old. */
+  | { readonly kind: "return"; readonly ageMs: number }
+  /** A route is added, and the one that was added last is dropped. */
+  | { readonly kind: "route" }
+  /** Requests of the plain service take long. */
+  | { readonly kind: "slow-work"; readonly workMs: number };
 
 /** An action with its start in the series and its duration. */
 export interface PlannedFault {
@@ -74,12 +82,17 @@
 /** The faults that were added later have a generator of their own. */
 const LATER_FAULTS_SEED = 1_000_000;
 const DEADLY_REQUESTS_SEED = 2_000_000;
+const OPERATOR_FAULTS_SEED = 3_000_000;
+const MIN_COPY_AGE_MS = 500;
+const MAX_COPY_AGE_MS = 3_000;
+const WORK_TIMES_MS = [500, 1_500, 2_200];
 
 /** Creates a random plan; the same seed gives the same plan. */
 export function createPlan(seed: number, targets: PlanTargets): SoakPlan {
   const random = new PlanRandom(seed);
   const later = new PlanRandom(LATER_FAULTS_SEED + seed);
   const deadly = new PlanRandom(DEADLY_REQUESTS_SEED + seed);
+  const operator = new PlanRandom(OPERATOR_FAULTS_SEED + seed);
   const keys = [...targets.keys];
   const series = Array.from({ length: SERIES_COUNT }, (_, index) => {
     const count = random.integer(MIN_FAULTS, MAX_FAULTS);
@@ -91,6 +104,7 @@
       ...faults,
       drawLaterFault(later, targets, index),
       drawDeadlyRequest(deadly, index),
+      ...drawOperatorFaults(operator, targets),
     ].sort((left, right) => left.atMs - right.atMs);
   });
   return { seed, series };
@@ -155,6 +169,31 @@
   };
 }
 
+/** Returns of the store, signals, changes of routes, and slow work. */
+function drawOperatorFaults(
+  random: PlanRandom,
+  { processes }: PlanTargets,
+): readonly PlannedFault[] {
+  const ageMs = random.integer(MIN_COPY_AGE_MS, MAX_COPY_AGE_MS);
+  const actions: readonly FaultAction[] = [
+    { kind: "return", ageMs },
+    { kind: "reload", process: random.pick(processes) },
+    { kind: "reload-start", process: random.pick(processes) },
+    { kind: "slow-work", workMs: random.pick(WORK_TIMES_MS) },
+    { kind: "route" },
+    { kind: "route" },
+    { kind: "route" },
+  ];
+  return actions.map((action) => ({
+    atMs: random.integer(0, SERIES_DURATION_MS),
+    durationMs: random.integer(
+      MIN_FAULT_DURATION_MS,
+      MAX_FAULT_DURATION_MS,
+    ),
+    action,
+  }));
+}
+
 function drawAction(
   random: PlanRandom,
   targets: PlanTargets,
@@ -217,7 +256,14 @@
 /** Kinds of which each series has one. */
 export const laterFaultKinds = ["limit", "poison"] as const;
 /** Kinds that each series has besides. */
-export const constantFaultKinds = ["deadly-request"] as const;
+export const constantFaultKinds = [
+  "deadly-request",
+  "return",
+  "reload",
+  "reload-start",
+  "slow-work",
+  "route",
+] as const;
 
 class PlanRandom {
   readonly #generator;
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { applyFault } from "./apply_fault.ts";
-import { bounds, type SoakCheck } from "./checks.ts";
+import { bounds } from "./bounds.ts";
+import type { SoakCheck } from "./checks.ts";
 import { type CallKind, SoakHistory } from "./history.ts";
 import type { PlannedFault, SoakPlan } from "./plan.ts";
 import { SoakCallers } from "./soak_callers.ts";
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -40,6 +40,7 @@
           this.#loop({ process, kind, key }, CALL_PAUSE_MS, shouldStop),
         );
       }
+      this.#loops.push(this.#callRoutes(cluster, process));
       for (const [index, key] of soakKeys.withdrawn.entries()) {
         const kind = this.#kinds[index % this.#kinds.length]!;
         this.#loops.push(
@@ -139,6 +140,19 @@
     await Promise.all(this.#loops);
   }
 
+  /** Calls the route that was added last and the one that was dropped last. */
+  async #callRoutes(cluster: SoakCluster, process: SoakProcess) {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const caller = { process, kind: "safe", key: soakKeys.steady } as const;
+    while (!this.#isStopped) {
+      for (const routePath of Object.values(cluster.routePaths)) {
+        await this.#call({ ...caller, routePath }, agent);
+      }
+      await sleep(CALL_PAUSE_MS);
+    }
+    agent.destroy();
+  }
+
   async #loop(caller: Caller, pauseMs: number, shouldStop: () => boolean) {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     while (!shouldStop()) {
@@ -149,7 +163,7 @@
   }
 
   async #call(
-    { process, kind, key, deadlyPart }: Caller,
+    { process, kind, key, deadlyPart, routePath }: Caller,
     agent: Agent,
   ): Promise<void> {
     const callId = `call-${this.#callCount++}`;
@@ -162,13 +176,14 @@
       callId,
       key,
       ...(deadlyPart === undefined ? {} : { deadlyPart }),
+      ...(routePath === undefined ? {} : { routePath }),
       sentAtMs: performance.now(),
       expected: kind === "stream" ? createCompleteStream(prompt) : prompt,
     };
     this.#history.calls.push(call);
     const answer = await callPlatform({
       address: process.callerAddress,
-      path: fakePaths[kind],
+      path: routePath ?? fakePaths[kind],
       callId,
       key,
       prompt,
@@ -195,4 +210,6 @@
   readonly kind: CallKind;
   readonly key: string;
   readonly deadlyPart?: string;
+  /** Path of another route than that of its kind. */
+  readonly routePath?: string;
 }
--- a/packages/soak/src/soak_cluster.ts
+++ b/packages/soak/src/soak_cluster.ts
@@ -1,5 +1,5 @@
 import { createFakeConfig, FakePlatform } from "@celerytray/fakes";
-import { bounds } from "./checks.ts";
+import { bounds } from "./bounds.ts";
 import type { SoakHistory } from "./history.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
 import type { PlanTargets } from "./plan.ts";
@@ -10,6 +10,7 @@
 const MODEL_INSTANCES_PER_ZONE = 5;
 const PLAIN_INSTANCES_PER_ZONE = 2;
 const TARGETS_MS = [300, 400, 500];
+const GRACES_S = [8, 4, 5];
 
 /** API keys of the callers, by their use. */
 export const soakKeys = {
@@ -38,6 +39,10 @@
   readonly instanceProxies = new Map<string, LoopbackProxy>();
   readonly #withdrawn = new Set<string>();
   #version = 0;
+  #routeCount = 0;
+  #endRoute: () => void = () => {};
+  /** The further route in force, and the one that was dropped last. */
+  routePaths: { readonly added?: string; readonly dropped?: string } = {};
 
   constructor(history: SoakHistory) {
     this.history = history;
@@ -62,6 +67,7 @@
         program: options.program,
         storeAddress,
         history: this.history,
+        graceS: GRACES_S[index % GRACES_S.length]!,
       });
       this.processes.set(name, process);
       await process.start();
@@ -73,6 +79,33 @@
   /** Publishes the next version of the configuration. */
   publishConfig(): void {
     this.#version += 1;
+    this.#writeConfig();
+  }
+
+  /** Adds a further route and drops the one before. */
+  changeRoute(): void {
+    const { added: dropped } = this.routePaths;
+    this.#routeCount += 1;
+    const added = `/further-${this.#routeCount}/`;
+    this.routePaths = {
+      added,
+      ...(dropped === undefined ? {} : { dropped }),
+    };
+    this.publishConfig();
+    this.#endRoute();
+    this.#endRoute = this.history.beginState(this.history.routePeriods, added);
+  }
+
+  /** Writes anew what a store lacks that came back from an older copy. */
+  rewriteStore(): void {
+    this.#writeConfig();
+    this.platform.rewriteInstances();
+    for (const { name, toMs } of this.history.evacuations) {
+      if (toMs === Number.POSITIVE_INFINITY) this.platform.evacuate(name);
+    }
+  }
+
+  #writeConfig(): void {
     const keys = [soakKeys.steady, soakKeys.burst, ...soakKeys.withdrawn];
     const valid = keys.filter((key) => !this.#withdrawn.has(key));
     const targetMs = TARGETS_MS[this.#version % TARGETS_MS.length]!;
@@ -84,6 +117,9 @@
         requestsPerSecond: bounds.coldPerSecond,
       },
       targetMs,
+      ...(this.routePaths.added === undefined
+        ? {}
+        : { furtherPaths: [this.routePaths.added] }),
     }));
   }
 
--- a/packages/soak/src/soak_process.ts
+++ b/packages/soak/src/soak_process.ts
@@ -1,8 +1,13 @@
-import { type HostProcess, startHostProcess, waitUntil } from "@celerytray/cli";
+import {
+  awaitSignalHandlers,
+  type HostProcess,
+  startHostProcess,
+  waitUntil,
+} from "@celerytray/cli";
 import { once } from "node:events";
 import { readFile } from "node:fs/promises";
 import { setTimeout as sleep } from "node:timers/promises";
-import { bounds } from "./checks.ts";
+import { bounds } from "./bounds.ts";
 import type { SoakHistory } from "./history.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
 
@@ -18,9 +23,10 @@
   readonly program: SoakProgram;
   readonly storeAddress: string;
   readonly history: SoakHistory;
+  readonly graceS?: number;
 }
 
-const GRACE_PERIOD_S = 8;
+const DEFAULT_GRACE_S = 8;
 const START_TIMEOUT_MS = 20_000;
 /** Time after the grace period in which a process must exit. */
 const EXIT_MARGIN_MS = 2_000;
@@ -68,7 +74,8 @@
       storeAddress: this.#storeAddress,
       program: this.#options.program.path,
       settings: {
-        "bounds.grace_s": GRACE_PERIOD_S,
+        "bounds.grace_s": this.#graceS,
+        "bounds.config_apply_ms": bounds.configApplyMs,
         "bounds.revoke_ms": bounds.keyRevocationMs,
         "bounds.evacuate_ms": bounds.evacuationMs,
         "bounds.cold_overshoot": bounds.coldOvershoot,
@@ -97,6 +104,10 @@
     });
   }
 
+  get #graceS(): number {
+    return this.#options.graceS ?? DEFAULT_GRACE_S;
+  }
+
   get isRunning(): boolean {
     const child = this.#current?.child;
     return child?.exitCode === null && child.signalCode === null &&
@@ -110,7 +121,7 @@
     const removalTimer = setTimeout(refuseConnections, ENTRY_REMOVAL_MS);
     await this.#signalAndWait(
       "SIGTERM",
-      GRACE_PERIOD_S * 1_000 + EXIT_MARGIN_MS,
+      this.#graceS * 1_000 + EXIT_MARGIN_MS,
     );
     clearTimeout(removalTimer);
     this.callers.acceptsConnections = true;
@@ -127,6 +138,22 @@
     end();
   }
 
+  /** Has it read its settings again, with SIGHUP. */
+  reload(): void {
+    this.#current?.child.kill("SIGHUP");
+  }
+
+  /** Kills and starts it, and has it reload at a moment of its start. */
+  async reloadDuringStart(delayMs: number): Promise<void> {
+    const end = this.#beginFault("reload-start");
+    await this.#signalAndWait("SIGKILL", EXIT_MARGIN_MS);
+    await this.start();
+    await awaitSignalHandlers(this.#current?.child.pid);
+    await sleep(delayMs);
+    this.reload();
+    end();
+  }
+
   /** Suspends it with SIGSTOP for a time. */
   async pause(durationMs: number): Promise<void> {
     const end = this.#beginFault("pause");
