Soak: start a crashed instance only once

Two series of crashing requests restarted the same instance at the same moment. FakePlatform.restart does nothing for an instance that runs or is being restarted.

--- a/packages/fakes/src/platform/fake_platform.ts
+++ b/packages/fakes/src/platform/fake_platform.ts
@@ -39,6 +39,7 @@
   readonly crashedIds: string[] = [];
   readonly #options: FakePlatformOptions;
   readonly #addresses = new Map<string, string>();
+  readonly #restartingIds = new Set<string>();
   #incarnationCount = 0;
 
   constructor(options: FakePlatformOptions = {}) {
@@ -126,12 +127,18 @@
     this.plainInstances.set(id, server);
   }
 
-  /** Restarts an instance that ended, as its next incarnation. */
+  /**
+   * Restarts an instance that ended, as its next incarnation; does nothing if it
+   * runs or is being restarted.
+   */
   async restart(id: string, coldMs = 0): Promise<void> {
     const domain = this.instances.get(id)?.instance.domain;
-    const { zone } = this.find(id);
+    const { zone, isAlive } = this.find(id);
+    if (isAlive || this.#restartingIds.has(id)) return;
+    this.#restartingIds.add(id);
     if (domain === undefined) await this.startPlainInstance(id, zone, coldMs);
     else await this.startInstance(id, domain, zone, coldMs);
+    this.#restartingIds.delete(id);
   }
 
   /** Returns the latest incarnation of an instance; throws if none was started. */
