Tell starting processes of a newer configuration than the copy's

What callers would see (CONFIG): after the store came back from an older copy, a process that starts before the operator has written anew accepts a key that was withdrawn, for as long as the operator takes.

Cause: a starting process knows only the copy, and its peers relay the topic as the copy has it, although the newer version is in force at them.

Change: reports and replies name the version in force. A process whose configuration in force is of an earlier era adds its record where the other one has a lower version. Both fields are optional; the landed build names no version and gets no record. Nothing is added unless the store came back.

Test: "tell a starting process of a newer configuration than the copy's" timed out on (the key was accepted for 5 s) and passes now, for a starting follower and a starting leader.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -4,6 +4,7 @@
 import { eraOf, type LogPosition } from "../keyed_log/index.ts";
 import type { SharedTotals } from "../serving/index.ts";
 import { ChangeSignal } from "./change_signal.ts";
+import { applyToldConfig, describeConfig } from "./config_in_force.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
 import { type StatusPath, SUMMARY_CACHE_MS } from "./intervals.ts";
 import { LeaderFollower } from "./leader_follower.ts";
@@ -51,6 +52,8 @@
   #summary: PeerSummary;
   #summarizedAtMs = Number.NEGATIVE_INFINITY;
   #hasResigned = false;
+  /** Version of the configuration in force at the process that replied last. */
+  #repliedConfigVersion: number | undefined;
   /** This process's last term, unless another process has led since. */
   #lastTerm: EndedTerm | undefined;
 
@@ -75,6 +78,8 @@
       status: this.#status,
       summarize: () => this.#summarize(),
       known: () => this.#describeKnown(),
+      toldConfig: () =>
+        describeConfig(options.configInForce, this.#repliedConfigVersion),
       onReply: (reply, source) => this.#applyReply(reply, source),
       awaitSuccessor: (term, waitMs) =>
         this.#search.awaitSuccessor(term, waitMs),
@@ -183,6 +188,7 @@
   report(report: PeerReport): Effect.Effect<ReportReply> {
     return Effect.gen({ self: this }, function* () {
       this.#reportTable.addReport(report, this.#nowMs());
+      applyToldConfig(this.#options.configInForce, report);
       if (report.known.term > this.#status.term) {
         const { nodeId } = report.reporter;
         this.#term?.yieldToSuccessor(
@@ -309,6 +315,8 @@
     source: { readonly publishedAtMs: number; readonly statusPath: StatusPath },
   ): void {
     const { config, instances, onLeaving } = this.#options;
+    applyToldConfig(this.#options.configInForce, reply);
+    this.#repliedConfigVersion = reply.configVersion;
     applyRelayedTopic(config, reply.config, source.publishedAtMs);
     applyRelayedTopic(instances, reply.instances, source.publishedAtMs);
     if (reply.updates !== undefined) onLeaving(reply.updates.value.leaving);
--- a/packages/celerytray/src/coordination/coordinator_options.ts
+++ b/packages/celerytray/src/coordination/coordinator_options.ts
@@ -14,6 +14,7 @@
 import type { PeerNode } from "./peer_messages.ts";
 import type { PeerCalls } from "./peer_router.ts";
 import type { RelayedTopic } from "./relayed_topic.ts";
+import type { ConfigInForce } from "./config_in_force.ts";
 
 /** Inputs of the replica controller that a new leader creates. */
 export interface ControllerStart {
@@ -49,6 +50,11 @@
   readonly storeAnsweredAtMs: () => number;
   /** The configuration topic, relayed to other processes. */
   readonly config: RelayedTopic;
+  /**
+   * The configuration in force, of which other processes are told that know only
+   * an older copy of the store; nothing is told without it.
+   */
+  readonly configInForce?: ConfigInForce;
   /** The instance list topic, relayed to other processes. */
   readonly instances: RelayedTopic;
   /**
--- a/packages/celerytray/src/coordination/leader_follower.ts
+++ b/packages/celerytray/src/coordination/leader_follower.ts
@@ -11,6 +11,7 @@
   type StatusPath,
   URGENT_CHECK_INTERVAL_MS,
 } from "./intervals.ts";
+import type { ToldConfig } from "./config_in_force.ts";
 import type { LeaderCheck } from "./leader_log.ts";
 import {
   findReplacementReason,
@@ -41,6 +42,8 @@
   readonly summarize: () => PeerSummary;
   /** Returns what this process already knows, which replies omit. */
   readonly known: () => KnownStatus;
+  /** Returns what to tell of the configuration in force. */
+  readonly toldConfig: () => ToldConfig;
   /** Handles a reply that was given at `publishedAtMs` or later. */
   readonly onReply: (
     reply: ReportReply,
@@ -162,6 +165,7 @@
         bootId,
         summary,
         known: known(),
+        ...this.#options.toldConfig(),
         holdMs: this.#isUnanswered ? 0 : maxHoldMs,
       };
       return client.report(address, report).pipe(
--- a/packages/celerytray/src/coordination/peer_messages.ts
+++ b/packages/celerytray/src/coordination/peer_messages.ts
@@ -9,6 +9,7 @@
   type SuspectPart,
   type WindowTotals,
 } from "../serving/index.ts";
+import type { ToldConfig } from "./config_in_force.ts";
 
 /** A process of the deployment and the capacity of its machine. */
 export interface PeerNode {
@@ -87,7 +88,7 @@
 }
 
 /** Report of a process to the leader or a relay. */
-export interface PeerReport {
+export interface PeerReport extends ToldConfig {
   readonly reporter: PeerNode;
   /** Distinguishes the starts of a process; absent from earlier versions. */
   readonly bootId?: string;
@@ -98,7 +99,7 @@
 }
 
 /** The leader's status, from the leader itself or a relay. */
-export interface ReportReply {
+export interface ReportReply extends ToldConfig {
   /** Whether the replying process leads. */
   readonly isLeading: boolean;
   readonly term: number;
--- a/packages/celerytray/src/coordination/report_replies.ts
+++ b/packages/celerytray/src/coordination/report_replies.ts
@@ -3,12 +3,13 @@
 import type { CoordinatorOptions } from "./coordinator_options.ts";
 import { MIN_UPDATE_INTERVAL_MS } from "./intervals.ts";
 import type { LeaderStatus } from "./leader_status.ts";
-import type { KnownStatus, PeerReport, ReportReply } from "./peer_messages.ts";
+import type { PeerReport, ReportReply } from "./peer_messages.ts";
+import { describeConfig } from "./config_in_force.ts";
 import { describeTopicSince } from "./relayed_topic.ts";
 
 /** Dependencies of the replies to reports. */
 export interface ReportRepliesOptions
-  extends Pick<CoordinatorOptions, "instances" | "config"> {
+  extends Pick<CoordinatorOptions, "instances" | "config" | "configInForce"> {
   readonly status: LeaderStatus;
   readonly changeSignal: ChangeSignal;
   readonly isLeading: () => boolean;
@@ -32,7 +33,7 @@
       const arrivedAtMs = nowMs();
       yield* this.#awaitUpdates(report);
       const heldMs = nowMs() - arrivedAtMs;
-      return { ...this.#createReply(report.known), heldMs };
+      return { ...this.#createReply(report), heldMs };
     });
   }
 
@@ -54,7 +55,9 @@
     });
   }
 
-  #createReply(known: KnownStatus): Omit<ReportReply, "heldMs"> {
+  #createReply(
+    { known, configVersion }: PeerReport,
+  ): Omit<ReportReply, "heldMs"> {
     const { instances, config, status, isLeading, hasResigned } = this.#options;
     const nowMs = this.#options.nowMs();
     return {
@@ -63,6 +66,7 @@
       // Makes the reporter turn to another process, as this one is shutting
       // down.
       ...(hasResigned() ? { statusAgeMs: null } : {}),
+      ...describeConfig(this.#options.configInForce, configVersion),
       config: describeTopicSince(config, known.configOffset, nowMs),
       instances: describeTopicSince(instances, known.instancesOffset, nowMs),
     };
--- a/packages/celerytray/src/host/create_coordinator.ts
+++ b/packages/celerytray/src/host/create_coordinator.ts
@@ -2,7 +2,11 @@
 import { Coordinator, PeerClient } from "../coordination/index.ts";
 import { type LeavingIncarnation, ReplicaController } from "../groups/index.ts";
 import type { RecordEvent } from "../journal/index.ts";
-import { decodeRelayedChange, type KeyedLog } from "../keyed_log/index.ts";
+import {
+  decodeRelayedChange,
+  decodeRelayedRecord,
+  type KeyedLog,
+} from "../keyed_log/index.ts";
 import type {
   CrashQuarantine,
   InstanceLimits,
@@ -59,6 +63,11 @@
       onRelayed: (change, freshAtMs) =>
         view.applyConfig({ ...decodeRelayedChange(change), freshAtMs }),
     },
+    configInForce: {
+      version: () => view.config.version,
+      earlierRecord: () => view.config.earlierRecord,
+      onOffered: (record) => view.config.offer(decodeRelayedRecord(record)),
+    },
     instances: {
       copy: view.instancesCopy,
       provenAtMs: () => view.listProvenAtMs,
--- a/packages/celerytray/src/keyed_log/index.ts
+++ b/packages/celerytray/src/keyed_log/index.ts
@@ -21,6 +21,8 @@
 } from "./position.ts";
 export {
   decodeRelayedChange,
+  decodeRelayedRecord,
+  encodeRelayedRecord,
   type RelayedChange,
   type RelayedRecord,
   TopicCopy,
--- a/packages/celerytray/src/keyed_log/topic_copy.ts
+++ b/packages/celerytray/src/keyed_log/topic_copy.ts
@@ -84,14 +84,14 @@
     return { records, nextOffset: this.#nextOffset };
   }
 
-  #encodeRecord({ key, value, offset }: KeyedRecord): RelayedRecord {
-    if (value === undefined) return { key, offset };
-    if (value.length < MIN_COMPRESSED_BYTES) {
-      return { key, text: value.toString("utf8"), offset };
+  #encodeRecord(record: KeyedRecord): RelayedRecord {
+    const { key, value, offset } = record;
+    if (value === undefined || value.length < MIN_COMPRESSED_BYTES) {
+      return encodeRelayedRecord(record);
     }
     let packed = this.#compressed.get(offset);
     if (packed === undefined) {
-      packed = deflateRawSync(value).toString("base64");
+      packed = pack(value);
       this.#compressed.clear();
       this.#compressed.set(offset, packed);
     }
@@ -127,6 +127,20 @@
   }
 }
 
+/** Encodes a record to be sent to other processes. */
+export function encodeRelayedRecord(
+  { key, value, offset }: KeyedRecord,
+): RelayedRecord {
+  if (value === undefined) return { key, offset };
+  return value.length < MIN_COMPRESSED_BYTES
+    ? { key, text: value.toString("utf8"), offset }
+    : { key, packed: pack(value), offset };
+}
+
+function pack(value: Buffer): string {
+  return deflateRawSync(value).toString("base64");
+}
+
 /** Decodes a relayed change into records as they are stored. */
 export function decodeRelayedChange(
   { records, nextOffset }: RelayedChange,
@@ -138,7 +152,8 @@
   };
 }
 
-function decodeRelayedRecord(
+/** Decodes a relayed record into one as it is stored. */
+export function decodeRelayedRecord(
   { key, text, packed, offset }: RelayedRecord,
 ): KeyedRecord {
   if (packed !== undefined) {
--- a/packages/cli/src/local/store_return_process_test.ts
+++ b/packages/cli/src/local/store_return_process_test.ts
@@ -1,8 +1,11 @@
 import { callStream, STREAM_CONFIG } from "@celerytray/fakes";
 import { expect } from "earl";
+import { once } from "node:events";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { startHostCluster } from "./start_host_cluster.ts";
+import type { HostProcess } from "./host_process.ts";
+import { startHostCluster, startProcess } from "./start_host_cluster.ts";
+import { waitUntil } from "./wait_until.ts";
 
 const REVOKE_MS = 5_000;
 const AWAY_MS = 500;
@@ -32,11 +35,40 @@
     publish(14, ["key-1", "key-2"]);
     publish(16, ["key-2"]);
     await sleep(REVOKE_MS);
-    const statuses = await Promise.all(
-      processes.map(async ({ address }) =>
-        (await callStream(address, "call-1")).status
-      ),
-    );
-    expect(statuses).toEqual([401, 401]);
+    expect(await Promise.all(processes.map(statusOf))).toEqual([401, 401]);
+  });
+
+  // Guards against a process that starts then, and knows only the copy until the
+  // operator has written anew.
+  it("tell a starting process of a newer configuration than the copy's", async () => {
+    const { platform, storeAddress, processes } = await startHostCluster();
+    const { storeServer } = platform;
+    const copy = storeServer.store.copy();
+    platform.publishConfig({
+      ...STREAM_CONFIG,
+      version: 16,
+      tenants: [{ name: "o", api_keys: ["key-2"] }],
+    });
+    await sleep(SETTLE_MS);
+    storeServer.returnFrom(copy);
+    await sleep(SETTLE_MS);
+    const current = [...processes];
+    for (const [index, nodeId] of ["front-1", "front-2"].entries()) {
+      const exited = once(current[index]!.child, "exit");
+      current[index]!.child.kill("SIGKILL");
+      await exited;
+      current[index] = await startProcess(nodeId, storeAddress);
+      await waitUntil(`${nodeId} refuses the key`, {
+        timeoutMs: REVOKE_MS,
+        check: async () => await statusOf(current[index]!) === 401,
+      });
+    }
+    await sleep(SETTLE_MS);
+    expect(await Promise.all(current.map(statusOf))).toEqual([401, 401]);
   });
 });
+
+/** Status of a request with the withdrawn key. */
+async function statusOf({ address }: HostProcess): Promise<number> {
+  return (await callStream(address, "call-1")).status;
+}
