--- a/packages/fakes/src/platform/fake_front_main.ts
+++ b/packages/fakes/src/platform/fake_front_main.ts
@@ -2,6 +2,9 @@
 import { readFileSync } from "node:fs";
 import { FakeFront, fakeFrontFaults } from "./fake_front.ts";
 
+// Its settings never change.
+process.on("SIGHUP", () => {});
+
 const text = readFileSync(process.env.CELERYTRAY_BOOT ?? "", "utf8");
 const settings = new Map(
   text.split("\n").map((line) => line.split("=") as [string, string]),
--- a/packages/soak/src/soak_process.ts
+++ b/packages/soak/src/soak_process.ts
@@ -67,7 +67,6 @@
     }
     const previous = this.#current;
     await previous?.remove();
-    this.#sentSignal = undefined;
     const started = await startHostProcess({
       nodeId: this.name,
       zone: this.#options.zone,
@@ -85,6 +84,9 @@
       environment: this.#options.program.environment ?? {},
       ...(previous === undefined ? {} : { addresses: previous.addresses }),
     });
+    // Before it handles signals, they meet the start of the runtime.
+    await awaitSignalHandlers(started.child.pid);
+    this.#sentSignal = undefined;
     this.#current = started;
     this.callers.upstream = started.address;
     this.logs.push(started.log);
@@ -148,7 +150,6 @@
     const end = this.#beginFault("reload-start");
     await this.#signalAndWait("SIGKILL", EXIT_MARGIN_MS);
     await this.start();
-    await awaitSignalHandlers(this.#current?.child.pid);
     await sleep(delayMs);
     this.reload();
     end();
