Don't restore the record of a replica that was just retired

What callers would see: after the store came back from an older copy, a replica of before the return that is retired, as its head drains, is formed again from the members that the list still shows. Found by reading the diff.

Cause: a leader restores the record of a replica of an earlier era whose members all report it. The list lags behind a retirement.

Change: replicas that this process retired, in this term or in its last one, get no record again.

--- a/packages/celerytray/src/coordination/coordinator_options.ts
+++ b/packages/celerytray/src/coordination/coordinator_options.ts
@@ -20,6 +20,8 @@
 export interface ControllerStart {
   readonly term: number;
   readonly replicas: readonly ReplicaRecord[];
+  /** Names of replicas that are known to be retired. */
+  readonly retiredNames: readonly string[];
   readonly recorder: ReplicaRecorder;
   /** Called when an instance refuses an order as outdated. */
   readonly onOutdated: () => void;
--- a/packages/celerytray/src/coordination/leader_term.ts
+++ b/packages/celerytray/src/coordination/leader_term.ts
@@ -14,7 +14,7 @@
 import { SuccessorWatch } from "./successor_watch.ts";
 import type { PeerNode, PeerSummary } from "./peer_messages.ts";
 import type { ReportTable } from "./report_table.ts";
-import { restoreRecords } from "./restore_records.ts";
+import { listRetired, restoreRecords } from "./restore_records.ts";
 import { selectRelays } from "./select_relays.ts";
 import { SharedBoards } from "./shared_boards.ts";
 
@@ -105,6 +105,7 @@
     this.#controller = options.createController({
       term,
       replicas,
+      retiredNames: listRetired({ replicas, stored: options.stored }),
       recorder: this.#recorder,
       onOutdated: () => this.#successorWatch.noteOutdatedOrder(),
     });
--- a/packages/celerytray/src/coordination/restore_records.ts
+++ b/packages/celerytray/src/coordination/restore_records.ts
@@ -25,9 +25,7 @@
   { replicas, stored, recorder, record }: RecordRestoration,
 ): Effect.Effect<void> {
   const lost = replicas.filter((replica) => !stored.some(isSameAs(replica)));
-  const outdated = stored.filter(({ name }) =>
-    !replicas.some((replica) => replica.name === name)
-  );
+  const outdated = listRetired({ replicas, stored });
   if (lost.length === 0 && outdated.length === 0) return Effect.void;
   const repeat = (
     attempt: Effect.Effect<void, RecordFailure>,
@@ -42,17 +40,25 @@
     );
   return Effect.forEach([
     ...lost.map((replica) => recorder.restore(replica)),
-    ...outdated.map(({ name }) => recorder.retire(name)),
+    ...outdated.map((name) => recorder.retire(name)),
   ], repeat).pipe(
     Effect.andThen(Effect.sync(() =>
       record("lead.restored", {
         restored: lost.map(({ name }) => name),
-        removed: outdated.map(({ name }) => name),
+        removed: outdated,
       })
     )),
   );
 }
 
+/** Names of replicas that the store still records and that were retired. */
+export function listRetired(
+  { replicas, stored }: Pick<RecordRestoration, "replicas" | "stored">,
+): readonly string[] {
+  const names = new Set(replicas.map(({ name }) => name));
+  return stored.map(({ name }) => name).filter((name) => !names.has(name));
+}
+
 function isSameAs(
   replica: ReplicaRecord,
 ): (other: ReplicaRecord) => boolean {
--- a/packages/celerytray/src/groups/controller_state.ts
+++ b/packages/celerytray/src/groups/controller_state.ts
@@ -19,10 +19,10 @@
   readonly #isEvacuated: (zone: string) => boolean;
   readonly #term: LogPosition;
   /**
-   * Names of replicas without a record that are not to get one again, as they
-   * lack members.
+   * Names of replicas that get no record again, as they were retired or lack
+   * members.
    */
-  readonly #givenUpNames = new Set<string>();
+  readonly #givenUpNames: Set<string>;
   /** Fencing number of orders: the newest term or epoch. */
   fencingNumber: LogPosition;
 
@@ -30,11 +30,13 @@
     readonly instances: InstanceListView;
     readonly term: LogPosition;
     readonly replicas: readonly ReplicaRecord[];
+    readonly retiredNames?: readonly string[];
     readonly isEvacuated?: (zone: string) => boolean;
   }) {
     this.instances = options.instances;
     this.#isEvacuated = options.isEvacuated ?? (() => false);
     this.#term = options.term;
+    this.#givenUpNames = new Set(options.retiredNames);
     this.fencingNumber = options.term;
     this.weights = new InstanceWeights({
       startsComplete: options.replicas.length > 0,
--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -26,6 +26,11 @@
   /** Term of this leader: the log position that follows its leader record. */
   readonly term: LogPosition;
   readonly replicas: readonly ReplicaRecord[];
+  /**
+   * Names of replicas that are known to be retired, although the list may show
+   * their members and the store may have had their records.
+   */
+  readonly retiredNames?: readonly string[];
   readonly instances: InstanceListView;
   readonly control: InstanceControl;
   readonly recorder: ReplicaRecorder;
@@ -260,6 +265,8 @@
           onSuccess: () =>
             Effect.sync(() => {
               this.#state.runs.delete(name);
+              // The list may still show its members.
+              this.#state.giveUp(name);
               if (run.retirement?.hasHeadLeft === true) {
                 this.#state.departures.noteHeadLeft(name);
               }
--- a/packages/fakes/src/fleet/store_return_test.ts
+++ b/packages/fakes/src/fleet/store_return_test.ts
@@ -60,6 +60,23 @@
       expect(simulation.fleet.violations).toEqual([]);
     }));
 
+  // Guards against a replica that is formed again as it is retired, because the
+  // list still shows its members.
+  it("has no replica of before restored once it is retired", () =>
+    simulate(function* (simulation) {
+      simulation.store.returnFrom(simulation.store.copy());
+      yield* advance(RETURN_MS);
+      const [head] = simulation.fleet.listServingHeads();
+      const { replica } = head!.membership!;
+      simulation.fleet.drain(head!.id);
+      const written = simulation.store.endOffset("fleet");
+      yield* advance(FORMATION_MS);
+      const records = simulation.store.read("fleet", written)
+        .filter(({ key }) => key === `replica/${replica}`);
+      expect(records.map(({ value }) => value)).toEqual([undefined]);
+      expect(simulation.fleet.violations).toEqual([]);
+    }));
+
   it("has retired replicas removed again", () =>
     simulate(function* (simulation) {
       const copy = simulation.store.copy();
