Leave the last requests of a planned stop more time

Suspected: a request on an open connection that the process hadn't come to read in the 0.05 of the grace that connections had to close.

Change: they have 0.08 of it, so the process ends at 0.98 at the latest.

--- a/packages/celerytray/src/host/drain_callers.ts
+++ b/packages/celerytray/src/host/drain_callers.ts
@@ -10,7 +10,7 @@
 /** Share of the grace time within which all requests must be answered. */
 const GRACE_SHARE = 0.9;
 /** Share of the grace time for connections to close after their last answer. */
-const CLOSING_SHARE = 0.05;
+const CLOSING_SHARE = 0.08;
 
 /** Dependencies of the drain of callers. */
 export interface DrainOptions {
