Believe the instance list again 2 s after the store's return

Cause: an entry at a position that may be of the copy counts only if the instance's counts say that it is newer. The process read the list only after the instances had written anew, so that all their entries stood there; and the stand-ins' instances neither count what they write nor write again.

Change: such entries are kept back, and count once instances have had the 2 s to write anew: then what the store lists is so.

--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -32,6 +32,8 @@
   readonly #storeReturn = new StoreReturn();
   /** Listed instances that a store's older copy lacks. */
   readonly #missingIds = new Set<string>();
+  /** Entries that may be of the copy, and say no more than the known states. */
+  readonly #withheld = new Map<string, KeyedRecord>();
   #revision = 0;
   #isLoaded = false;
 
@@ -61,13 +63,19 @@
     this.#revision += 1;
   }
 
-  /** Removes the instances that have not written their lost entries anew. */
-  removeMissing(nowMs: number): void {
-    if (this.#missingIds.size === 0 || !this.#storeReturn.hasSettled(nowMs)) {
-      return;
-    }
+  /**
+   * Believes the store again once instances have had the time to write their
+   * lost entries anew.
+   */
+  settle(nowMs: number): void {
+    const count = this.#missingIds.size + this.#withheld.size;
+    if (count === 0 || !this.#storeReturn.hasSettled(nowMs)) return;
     for (const id of this.#missingIds) this.#remove(id, { nowMs });
     this.#missingIds.clear();
+    for (const { key, value, offset } of this.#withheld.values()) {
+      if (value !== undefined) this.#put(key, value, { offset });
+    }
+    this.#withheld.clear();
     this.#revision += 1;
   }
 
@@ -97,6 +105,7 @@
     const removed = this.#removed.get(key);
     const newest = known?.offset ?? removed?.removedOffset;
     if (newest !== undefined && newest > offset) return;
+    this.#withheld.delete(key);
     const isOfCopy = newest !== undefined &&
       this.#storeReturn.isOfEarlierEra(newest) &&
       this.#storeReturn.mayBeCopied(offset);
@@ -155,7 +164,8 @@
 
   /**
    * Puts an entry in the list. An entry that may come from a store's older copy
-   * counts only if it says more than the last known state.
+   * counts only if it says more than the last known state, or once the store is
+   * to be believed again.
    */
   #put(
     id: string,
@@ -170,6 +180,7 @@
       Right: (state) => {
         this.#noteListedLeaving(state);
         if (last !== undefined && !isNewer(state, last)) {
+          this.#withheld.set(id, { key: id, value, offset });
           this.#noteCopied(state);
           return;
         }
--- a/packages/celerytray/src/groups/store_return_test.ts
+++ b/packages/celerytray/src/groups/store_return_test.ts
@@ -38,6 +38,18 @@
     expect(view.isSettled("a", RETURNED_AT_MS)).toEqual(true);
   });
 
+  // Guards against a process that keeps to what it knew of instances which had
+  // written anew before it read the list, and don't count what they write.
+  it("believes the list once instances have had the time to write anew", () => {
+    const { view, list } = createView();
+    list({ offset: 4, sequence: 2, replica: "r4-1" });
+    list({ era: 1, offset: 1, sequence: 2, replica: "r5-1" });
+    view.settle(SETTLED_AT_MS - 1);
+    expect(view.find("a")?.membership?.replica).toEqual("r4-1");
+    view.settle(SETTLED_AT_MS);
+    expect(view.find("a")?.membership?.replica).toEqual("r5-1");
+  });
+
   it("keeps removed what was removed, unless it is written anew", () => {
     const { view, list, write, remove } = createView();
     list({ offset: 1, sequence: 1 });
@@ -52,9 +64,9 @@
     const { view, list, readEmpty } = createView();
     list({ offset: 1, sequence: 1 });
     readEmpty({ era: 1, offset: 1 });
-    view.removeMissing(SETTLED_AT_MS - 1);
+    view.settle(SETTLED_AT_MS - 1);
     expect(view.find("a")?.id).toEqual("a");
-    view.removeMissing(SETTLED_AT_MS);
+    view.settle(SETTLED_AT_MS);
     expect(view.find("a")).toEqual(undefined);
   });
 
@@ -65,7 +77,7 @@
     remove({ era: 1, offset: 0 });
     expect(view.find("a")?.id).toEqual("a");
     list({ era: 1, offset: 2, sequence: 2 });
-    view.removeMissing(SETTLED_AT_MS);
+    view.settle(SETTLED_AT_MS);
     expect(view.find("a")?.id).toEqual("a");
   });
 
--- a/packages/celerytray/src/host/store_view.ts
+++ b/packages/celerytray/src/host/store_view.ts
@@ -124,7 +124,7 @@
   applyInstances(change: KeyedChange): void {
     const { coordinator, trackers, nowMs } = this.#options;
     this.listProvenAtMs = Math.max(this.listProvenAtMs, change.freshAtMs);
-    this.instances.removeMissing(nowMs());
+    this.instances.settle(nowMs());
     if (change.records.length === 0 && !change.isFullRead) return;
     this.instancesCopy.apply(change);
     coordinator().noteChange();
