Log what a request's process knew of the store, and how a list returned

call.ended named the version only. It couldn't tell a process that knew an older configuration and believed that it was the newest from one that knew the newest. Each line now holds the position, with its era, up to which the configuration and the instance list were read, and how long ago either was known to be the newest. store.reread says that all of a topic is read again, and why; list.returned and list.settled how a process first knew the list in a later era, whether by its own read or another process, how many entries it held back and when it believed them.

--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -1,7 +1,8 @@
-import type {
-  KeyedChange,
-  KeyedRecord,
-  LogPosition,
+import {
+  eraOf,
+  type KeyedChange,
+  type KeyedRecord,
+  type LogPosition,
 } from "../keyed_log/index.ts";
 import type { Either } from "purify-ts";
 import type { InstanceState } from "./instance_state.ts";
@@ -20,6 +21,31 @@
   /** Decodes an entry; Left describes what is malformed. */
   readonly decode: (id: string, text: string) => Either<string, InstanceState>;
   readonly onMalformed: (id: string, message: string) => void;
+  /** Called when the list is first known in a later era of the store. */
+  readonly onReturned?: (returned: ReturnedList) => void;
+  /** Called when what was held back after that is believed. */
+  readonly onSettled?: (settled: SettledList) => void;
+}
+
+/** The list as it is first known in a later era of the store. */
+export interface ReturnedList {
+  readonly era: number;
+  /** Position up to which it is known. */
+  readonly readTo: LogPosition;
+  /** Whether it was read from the store, rather than passed on by a process. */
+  readonly isFullRead: boolean;
+  /** Number of entries that may be older than what is known. */
+  readonly withheld: number;
+  /** Number of known instances that the list lacks. */
+  readonly missing: number;
+}
+
+/** What the list is believed of once instances have had time to write anew. */
+export interface SettledList {
+  /** Number of instances that the list still lacked. */
+  readonly removed: number;
+  /** Number of entries that had been withheld. */
+  readonly believed: number;
 }
 
 /** The instances according to the stored list and to their own answers. */
@@ -56,11 +82,21 @@
     change: Pick<KeyedChange, "isFullRead" | "records" | "nextOffset">,
     nowMs: number,
   ): void {
-    this.#storeReturn.noteEnd(change.nextOffset, nowMs);
-    if (change.isFullRead) this.#removeUnlisted(change.records, nowMs);
+    const { isFullRead, nextOffset: readTo } = change;
+    const hasReturned = this.#storeReturn.noteEnd(readTo, nowMs);
+    if (isFullRead) this.#removeUnlisted(change.records, nowMs);
     for (const record of change.records) this.#applyRecord(record, nowMs);
     this.#isLoaded = true;
     this.#revision += 1;
+    if (hasReturned) {
+      this.#options.onReturned?.({
+        era: eraOf(readTo),
+        readTo,
+        isFullRead,
+        withheld: this.#withheld.size,
+        missing: this.#missingIds.size,
+      });
+    }
   }
 
   /**
@@ -68,7 +104,11 @@
    * lost entries anew.
    */
   settle(nowMs: number): void {
-    const count = this.#missingIds.size + this.#withheld.size;
+    const settled: SettledList = {
+      removed: this.#missingIds.size,
+      believed: this.#withheld.size,
+    };
+    const count = settled.removed + settled.believed;
     if (count === 0 || !this.#storeReturn.hasSettled(nowMs)) return;
     for (const id of this.#missingIds) this.#remove(id, { nowMs });
     this.#missingIds.clear();
@@ -77,6 +117,7 @@
     }
     this.#withheld.clear();
     this.#revision += 1;
+    this.#options.onSettled?.(settled);
   }
 
   /**
--- a/packages/celerytray/src/groups/store_return.ts
+++ b/packages/celerytray/src/groups/store_return.ts
@@ -16,12 +16,16 @@
   /** Position from which on entries were written after the return. */
   #writtenFrom: LogPosition = 0;
 
-  /** Notes the end of the list as it was read at a time. */
-  noteEnd(end: LogPosition, nowMs: number): void {
-    if (eraOf(end) <= this.#era) return;
+  /**
+   * Notes the end of the list as it was read at a time; true if it is of a later
+   * era than all before.
+   */
+  noteEnd(end: LogPosition, nowMs: number): boolean {
+    if (eraOf(end) <= this.#era) return false;
     this.#era = eraOf(end);
     this.#sinceMs = nowMs;
     this.#writtenFrom = end;
+    return true;
   }
 
   /** Whether an entry may be of the copy, and so older than one of before. */
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -196,7 +196,8 @@
       onMalformedHeaders: countMalformedHeaders({ metrics, record }),
       onFault: (defect) =>
         recordFault({ name: "serving of a request", record }, defect),
-      record: (call) => recordCall(call, { journal, metrics }),
+      record: (call) =>
+        recordCall(call, { journal, metrics, known: () => view.known }),
     };
     const callers = yield* createCallerServer({
       address: settings.callerAddress,
@@ -241,7 +242,7 @@
       contacts,
       configOffset: () => view.configCopy.nextOffset,
       instancesOffset: () => view.instancesCopy.nextOffset,
-      listAgeMs: () => nowMs() - view.listProvenAtMs,
+      listAgeMs: () => view.listAgeMs,
       random,
       record,
       applyInstances: (change) => view.applyInstances(change),
--- a/packages/celerytray/src/host/follow_store.ts
+++ b/packages/celerytray/src/host/follow_store.ts
@@ -70,7 +70,7 @@
 export function followStore(
   options: FollowStoreOptions,
 ): Effect.Effect<void, never, Scope.Scope> {
-  const { log, coordinator, keys, contacts, nowMs } = options;
+  const { log, coordinator, keys, contacts, record, nowMs } = options;
   const retryMs = () =>
     retryDelayMs({
       isLeading: coordinator.isLeading,
@@ -103,6 +103,8 @@
       nextOffset: options.configOffset,
     },
     onFailure: (message) => contacts.config.noteFailure(message, nowMs()),
+    onHistoryDropped: (message) =>
+      record("store.reread", { topic: "config", message }),
   });
   const followInstances = followTopic({
     log,
@@ -123,8 +125,9 @@
       nextOffset: options.instancesOffset,
     },
     onFailure: (message) => contacts.instances.noteFailure(message, nowMs()),
+    onHistoryDropped: (message) =>
+      record("store.reread", { topic: "instances", message }),
   });
-  const { record } = options;
   const keepFollowing = (loop: Effect.Effect<never>, name: string) =>
     Effect.forkScoped(keepRunning(loop, { name, record }));
   return Effect.asVoid(Effect.all([
--- a/packages/celerytray/src/host/store_view.ts
+++ b/packages/celerytray/src/host/store_view.ts
@@ -19,6 +19,7 @@
 import type { HostOptions } from "./host_options.ts";
 import { KeyFreshness } from "./key_freshness.ts";
 import { type LoadTrackers, removeAbsentInstances } from "./load_trackers.ts";
+import type { KnownStore } from "./record_call.ts";
 
 /** Dependencies of the store view. */
 export interface StoreViewOptions
@@ -79,6 +80,8 @@
     this.instances = new InstanceListView({
       decode: ports.decodeInstance,
       onMalformed: countMalformedEntries(options),
+      onReturned: (returned) => record("list.returned", { ...returned }),
+      onSettled: (settled) => record("list.settled", { ...settled }),
     });
     this.cold = this.#createColdRules();
     this.zones = createZoneRules({
@@ -102,6 +105,21 @@
     return engines;
   }
 
+  /** How far and how recently this process knows both topics. */
+  get known(): KnownStore {
+    return {
+      configReadTo: this.configCopy.nextOffset,
+      configAgeMs: this.keys.ageMs(),
+      listReadTo: this.instancesCopy.nextOffset,
+      listAgeMs: this.listAgeMs,
+    };
+  }
+
+  /** Time since the instance list was last confirmed to be up to date. */
+  get listAgeMs(): number {
+    return this.#options.nowMs() - this.listProvenAtMs;
+  }
+
   applyConfig(change: KeyedChange): void {
     this.configCopy.apply(change);
     this.#applyReleases(change);
--- a/packages/celerytray/src/keyed_log/follow_topic.ts
+++ b/packages/celerytray/src/keyed_log/follow_topic.ts
@@ -22,6 +22,8 @@
   readonly pauseMs: () => number;
   readonly onChange: (change: KeyedChange) => void;
   readonly onFailure: (message: string) => void;
+  /** Called when the records from the known position on are gone. */
+  readonly onHistoryDropped?: (message: string) => void;
   /** Pause after a failed read. */
   readonly retryMs: () => number;
   /** Relay of the topic by another process; without it, every read is made here. */
@@ -61,8 +63,12 @@
           waitMs,
         })).pipe(Effect.result);
       if (page._tag === "Failure") {
-        if (page.failure._tag === "HistoryDropped") needsFullRead = true;
-        options.onFailure(page.failure.message);
+        const { _tag: kind, message } = page.failure;
+        if (kind === "HistoryDropped") {
+          needsFullRead = true;
+          options.onHistoryDropped?.(message);
+        }
+        options.onFailure(message);
         yield* Effect.sleep(options.retryMs());
         continue;
       }
