--- a/packages/fakes/src/platform/fake_http_instance.ts
+++ b/packages/fakes/src/platform/fake_http_instance.ts
@@ -48,6 +48,8 @@
   readonly executedCallIds: string[] = [];
   isAlive = true;
   isLeaving = false;
+  /** Whether its answers say that it leaves, besides its list entry. */
+  tellsLeaving = true;
   /** Requests a second that its answers say it takes from all machines. */
   limitPerSecond: number | undefined;
   coldUntilMs: number;
@@ -119,7 +121,7 @@
 
   protected createLeavingHeaders(): Record<string, string> {
     return {
-      ...(this.isLeaving ? { "server-leaving": "1" } : {}),
+      ...(this.isLeaving && this.tellsLeaving ? { "server-leaving": "1" } : {}),
       ...(this.limitPerSecond === undefined
         ? {}
         : { "server-limit": String(this.limitPerSecond) }),
@@ -170,7 +172,9 @@
   #report(response: ServerResponse): void {
     const coldMs = Math.ceil(this.coldUntilMs - performance.now());
     if (coldMs > 0) response.setHeader("cold-ms", coldMs);
-    if (this.isLeaving) response.setHeader("server-leaving", "1");
+    if (this.isLeaving && this.tellsLeaving) {
+      response.setHeader("server-leaving", "1");
+    }
     answerJson(response, 200, { pace: 1 });
   }
 }
