Believe at once that an instance drains, whatever list says so

Cause: withholds an entry that may be of the copy unless the instance's counts say that it is newer. It took `sequence` for a count of all that an incarnation reports. It counts accepted orders: an instance that drains writes the same number, a plain one writes 0 for its whole life.

Change: that an incarnation drains is final, so it holds wherever it is read: the rest of the entry stays withheld. The name and comments say what the count tells.

--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -206,7 +206,7 @@
   /**
    * Puts an entry in the list. An entry that may come from a store's older copy
    * counts only if it says more than the last known state, or once the store is
-   * to be believed again.
+   * to be believed again. That it drains counts at once.
    */
   #put(
     id: string,
@@ -220,9 +220,9 @@
       Left: (message) => this.#options.onMalformed(id, message),
       Right: (state) => {
         this.#noteListedLeaving(state);
-        if (last !== undefined && !isNewer(state, last)) {
+        if (last !== undefined && !isCertainlyNewer(state, last)) {
           this.#withheld.set(id, { key: id, value, offset });
-          this.#noteCopied(state);
+          this.#noteWithheld(state);
           return;
         }
         this.#entries.set(id, {
@@ -236,13 +236,20 @@
   }
 
   /**
-   * Notes how a store's older copy lists an instance, so that processes that
-   * know only the copy are told of its departure.
+   * Notes what holds of a withheld entry, whether it is of the copy or not: an
+   * incarnation that drains never serves again. That the copy still lists one
+   * as ready is kept, so that processes that know only the copy are told.
    */
-  #noteCopied({ id, isDraining }: InstanceState): void {
+  #noteWithheld({ id, bornAtMs, isDraining }: InstanceState): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
-    this.#entries.set(id, { ...entry, isListedReady: !isDraining });
+    const { state } = entry;
+    const hasDrained = isDraining && state.bornAtMs === bornAtMs;
+    this.#entries.set(id, {
+      ...entry,
+      state: hasDrained ? { ...state, isDraining: true } : state,
+      isListedReady: !isDraining,
+    });
   }
 
   /** Keeps a departure that a store's older copy may lack. */
@@ -286,8 +293,12 @@
   readonly removedOffset: LogPosition;
 }
 
-/** Whether a state of an instance is newer than another one, by its counts. */
-function isNewer(state: InstanceState, other: InstanceState): boolean {
+/**
+ * Whether a state of an instance is certainly newer than another one: it is of a
+ * later incarnation, or orders came between. Without an order, as when an
+ * instance drains, the count stays.
+ */
+function isCertainlyNewer(state: InstanceState, other: InstanceState): boolean {
   const [bornAtMs, otherBornAtMs] = [state.bornAtMs ?? 0, other.bornAtMs ?? 0];
   if (bornAtMs !== otherBornAtMs) return bornAtMs > otherBornAtMs;
   return (state.sequence ?? 0) > (other.sequence ?? 0);
--- a/packages/celerytray/src/groups/instance_state.ts
+++ b/packages/celerytray/src/groups/instance_state.ts
@@ -29,8 +29,8 @@
   /** Start of this incarnation, Unix time; undefined if not reported. */
   readonly bornAtMs?: number;
   /**
-   * Count that rises with what this incarnation reports of itself; undefined if
-   * not reported.
+   * Number of orders that this incarnation has accepted; undefined if not
+   * reported. Other changes of its state don't raise it.
    */
   readonly sequence?: number;
   /** Fabric domain; undefined for services without model replicas. */
--- a/packages/celerytray/src/groups/store_return_test.ts
+++ b/packages/celerytray/src/groups/store_return_test.ts
@@ -26,6 +26,24 @@
     expect(view.find("a")?.isDraining).toEqual(false);
   });
 
+  // Guards against requests to an instance whose report that it drains is held
+  // back, as it comes with the first list after the return and no order came.
+  it("believes at once that an instance drains", () => {
+    for (const bornAtMs of [5, null]) {
+      const { view, list } = createView();
+      list({ offset: 1, sequence: 0, bornAtMs });
+      list({ era: 1, offset: 2, sequence: 0, bornAtMs, state: "draining" });
+      expect(view.find("a")?.isDraining).toEqual(true);
+    }
+  });
+
+  it("doesn't take an earlier incarnation's draining for a later one's", () => {
+    const { view, list } = createView();
+    list({ offset: 4, sequence: 0, bornAtMs: 9 });
+    list({ era: 1, offset: 2, sequence: 0, bornAtMs: 5, state: "draining" });
+    expect(view.find("a")?.isDraining).toEqual(false);
+  });
+
   it("keeps a membership that the copy lacks", () => {
     const { view, list, write } = createView();
     list({ offset: 1, sequence: 1 });
@@ -101,7 +119,8 @@
   readonly offset: number;
   readonly sequence: number;
   readonly era?: number;
-  readonly bornAtMs?: number;
+  /** Null if it isn't reported. */
+  readonly bornAtMs?: number | null;
   readonly state?: "ready" | "draining";
   readonly replica?: string;
 }
@@ -154,7 +173,7 @@
     zone: "z",
     slots: 1,
     isDraining: state === "draining",
-    bornAtMs,
+    ...(bornAtMs === null ? {} : { bornAtMs }),
     sequence,
     stagedModels: [],
     ...(replica === undefined
