Share where and when an era of the store began

What callers saw: requests to an instance whose entry was removed just after the store's return, and to one whose state changed without an order, for up to 2 s after a process first knew the list, however late that was; a process that reads the list later than others takes all that was written meanwhile for the copy's.

Cause: each process judged by its own first look: the end of the list that it saw first was the copy's end, and that moment the return. Class: a fact of the store inferred from when one happens to look.

Change: a page from the store says when its era was first answered; processes pass on with the list where the copy ended at the latest and how long ago the store had come back at the latest. The earliest of all that is known holds, and what turns out to be written since is believed at once, deletions too. What one return left open no longer outlives the next one. Relays tell it as an optional field, which earlier builds ignore and don't send.

Tests: groups/store_return_test, 'believes what another process saw written after the return', 'counts the time to write anew from the return', 'forgets what an earlier return left open'; the first two can't be written against the commit before, the third fails there (an instance came back from an old copy's entry).

--- a/packages/celerytray/src/coordination/peer_messages.ts
+++ b/packages/celerytray/src/coordination/peer_messages.ts
@@ -1,5 +1,5 @@
 import type { LeaderRecord, LeavingIncarnation } from "../groups/index.ts";
-import type { RelayedChange } from "../keyed_log/index.ts";
+import type { RelayedChange, ToldEraStart } from "../keyed_log/index.ts";
 import {
   type LimitReport,
   parseLimitReport,
@@ -159,6 +159,8 @@
    * unknown.
    */
   readonly proofAgeMs: number | null;
+  /** Start of the store's era; absent from earlier versions, and in era 0. */
+  readonly eraStart?: ToldEraStart;
 }
 
 /** Validates a report of another process; throws if it is malformed. */
--- a/packages/celerytray/src/coordination/relayed_topic.ts
+++ b/packages/celerytray/src/coordination/relayed_topic.ts
@@ -1,4 +1,9 @@
-import type { RelayedChange, TopicCopy } from "../keyed_log/index.ts";
+import {
+  type EraStart,
+  readEraStart,
+  type RelayedChange,
+  type TopicCopy,
+} from "../keyed_log/index.ts";
 import type { KnownTopicEnd } from "./peer_messages.ts";
 
 /** A topic of the store that processes relay to each other. */
@@ -7,10 +12,16 @@
   readonly copy: TopicCopy;
   /** Time at which the copy was last confirmed to be up to date. */
   readonly provenAtMs: () => number;
+  /** Start of the store's era, if that matters for this topic. */
+  readonly eraStart?: () => EraStart | undefined;
   /**
    * Applies a change from another process that was up to date at `provenAtMs`.
    */
-  readonly onRelayed: (change: RelayedChange, provenAtMs: number) => void;
+  readonly onRelayed: (
+    change: RelayedChange,
+    provenAtMs: number,
+    eraStart: EraStart | undefined,
+  ) => void;
 }
 
 /**
@@ -18,16 +29,23 @@
  * confirmation of its end.
  */
 export function describeTopicSince(
-  { copy, provenAtMs }: RelayedTopic,
+  { copy, provenAtMs, eraStart: findEraStart }: RelayedTopic,
   fromOffset: number,
   nowMs: number,
 ): RelayedChange & KnownTopicEnd {
   const ageMs = copy.isCompleteSince(fromOffset)
     ? nowMs - provenAtMs()
     : Number.POSITIVE_INFINITY;
+  const eraStart = findEraStart?.();
   return {
     ...copy.listChangesSince(fromOffset),
     proofAgeMs: Number.isFinite(ageMs) ? ageMs : null,
+    ...(eraStart === undefined ? {} : {
+      eraStart: {
+        copyEnd: eraStart.copyEnd,
+        ageMs: nowMs - eraStart.returnedAtMs,
+      },
+    }),
   };
 }
 
@@ -39,5 +57,11 @@
   change: RelayedChange & KnownTopicEnd,
   atMs: number,
 ): void {
-  if (change.proofAgeMs !== null) onRelayed(change, atMs - change.proofAgeMs);
+  const { nextOffset, proofAgeMs, eraStart } = change;
+  if (proofAgeMs === null) return;
+  onRelayed(
+    change,
+    atMs - proofAgeMs,
+    readEraStart(eraStart, { nextOffset, toldAtMs: atMs }),
+  );
 }
--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -1,11 +1,12 @@
 import {
   eraOf,
+  type EraStart,
   type KeyedChange,
   type KeyedRecord,
   type LogPosition,
 } from "../keyed_log/index.ts";
 import type { Either } from "purify-ts";
-import type { InstanceState } from "./instance_state.ts";
+import { type InstanceState, isCertainlyNewer } from "./instance_state.ts";
 import { type LeavingIncarnation, LeavingTracker } from "./leaving_tracker.ts";
 import { StoreReturn } from "./store_return.ts";
 
@@ -16,6 +17,12 @@
   readonly offset: LogPosition;
 }
 
+/** A change of the list, and the start of its era if it is known. */
+export type ListChange = Pick<
+  KeyedChange,
+  "isFullRead" | "records" | "nextOffset" | "eraStart"
+>;
+
 /** Options of an instance list view. */
 export interface InstanceListOptions {
   /** Decodes an entry; Left describes what is malformed. */
@@ -34,7 +41,7 @@
   readonly readTo: LogPosition;
   /** Whether it was read from the store, rather than passed on by a process. */
   readonly isFullRead: boolean;
-  /** Number of entries that may be older than what is known. */
+  /** Number of entries and deletions that may be older than what is known. */
   readonly withheld: number;
   /** Number of known instances that the list lacks. */
   readonly missing: number;
@@ -44,7 +51,7 @@
 export interface SettledList {
   /** Number of instances that the list still lacked. */
   readonly removed: number;
-  /** Number of entries that had been withheld. */
+  /** Number of entries and deletions that had been withheld. */
   readonly believed: number;
 }
 
@@ -56,9 +63,12 @@
   readonly #removed = new Map<string, RemovedInstance>();
   readonly #leaving = new LeavingTracker();
   readonly #storeReturn = new StoreReturn();
-  /** Listed instances that a store's older copy lacks. */
+  /** Listed instances that a full read lacks, as a store's older copy may. */
   readonly #missingIds = new Set<string>();
-  /** Entries that may be of the copy, and say no more than the known states. */
+  /**
+   * Entries and deletions that may be of the copy, and say no more than the
+   * known states.
+   */
   readonly #withheld = new Map<string, KeyedRecord>();
   #revision = 0;
   #isLoaded = false;
@@ -78,12 +88,12 @@
   }
 
   /** Applies a change of the list; ignores entries older than known ones. */
-  apply(
-    change: Pick<KeyedChange, "isFullRead" | "records" | "nextOffset">,
-    nowMs: number,
-  ): void {
-    const { isFullRead, nextOffset: readTo } = change;
-    const hasReturned = this.#storeReturn.noteEnd(readTo, nowMs);
+  apply(change: ListChange, nowMs: number): void {
+    const { isFullRead, nextOffset: readTo, eraStart } = change;
+    const hasReturned = this.noteEraStart(
+      eraStart ?? { copyEnd: readTo, returnedAtMs: nowMs },
+      nowMs,
+    );
     if (isFullRead) this.#removeUnlisted(change.records, nowMs);
     for (const record of change.records) this.#applyRecord(record, nowMs);
     this.#isLoaded = true;
@@ -97,6 +107,31 @@
         missing: this.#missingIds.size,
       });
     }
+    this.settle(nowMs);
+  }
+
+  /** Start of the store's era; undefined if it has never come back. */
+  get eraStart(): EraStart | undefined {
+    return this.#storeReturn.eraStart;
+  }
+
+  /**
+   * Notes what is known of the start of an era, and believes what turns out to
+   * be written since; true if the era is later than all before.
+   */
+  noteEraStart(start: EraStart, nowMs: number): boolean {
+    const hasReturned = this.#storeReturn.note(start);
+    if (hasReturned) {
+      // All that an earlier era left open comes anew with this one's list.
+      this.#missingIds.clear();
+      this.#withheld.clear();
+    } else {
+      this.#believeWithheld(
+        ({ offset }) => !this.#storeReturn.mayBeCopied(offset),
+        nowMs,
+      );
+    }
+    return hasReturned;
   }
 
   /**
@@ -112,14 +147,24 @@
     if (count === 0 || !this.#storeReturn.hasSettled(nowMs)) return;
     for (const id of this.#missingIds) this.#remove(id, { nowMs });
     this.#missingIds.clear();
-    for (const { key, value, offset } of this.#withheld.values()) {
-      if (value !== undefined) this.#put(key, value, { offset });
-    }
-    this.#withheld.clear();
+    this.#believeWithheld(() => true, nowMs);
     this.#revision += 1;
     this.#options.onSettled?.(settled);
   }
 
+  #believeWithheld(
+    isBelieved: (record: KeyedRecord) => boolean,
+    nowMs: number,
+  ): void {
+    for (const record of [...this.#withheld.values()].filter(isBelieved)) {
+      const { key, value, offset } = record;
+      this.#withheld.delete(key);
+      if (value === undefined) this.#remove(key, { nowMs, offset });
+      else this.#put(key, value, { offset });
+      this.#revision += 1;
+    }
+  }
+
   /**
    * Whether an instance's entry says what is so now. One that may come from a
    * store's older copy may not, until the instance has had time to write it
@@ -150,12 +195,12 @@
     const isOfCopy = newest !== undefined &&
       this.#storeReturn.isOfEarlierEra(newest) &&
       this.#storeReturn.mayBeCopied(offset);
+    this.#missingIds.delete(key);
     if (value === undefined) {
-      if (isOfCopy && known !== undefined) this.#missingIds.add(key);
+      if (isOfCopy) this.#withheld.set(key, { key, offset });
       else this.#remove(key, { nowMs, offset });
       return;
     }
-    this.#missingIds.delete(key);
     const last = known?.state ?? removed?.state;
     this.#put(key, value, {
       offset,
@@ -292,14 +337,3 @@
   /** Log position of the removal, or of the last entry before it. */
   readonly removedOffset: LogPosition;
 }
-
-/**
- * Whether a state of an instance is certainly newer than another one: it is of a
- * later incarnation, or orders came between. Without an order, as when an
- * instance drains, the count stays.
- */
-function isCertainlyNewer(state: InstanceState, other: InstanceState): boolean {
-  const [bornAtMs, otherBornAtMs] = [state.bornAtMs ?? 0, other.bornAtMs ?? 0];
-  if (bornAtMs !== otherBornAtMs) return bornAtMs > otherBornAtMs;
-  return (state.sequence ?? 0) > (other.sequence ?? 0);
-}
--- a/packages/celerytray/src/groups/instance_state.ts
+++ b/packages/celerytray/src/groups/instance_state.ts
@@ -43,3 +43,17 @@
   readonly loadedModel?: string;
   readonly membership?: ReplicaMembership;
 }
+
+/**
+ * Whether a state of an instance is certainly newer than another one: it is of a
+ * later incarnation, or orders came between. Without an order, as when an
+ * instance drains, the count stays.
+ */
+export function isCertainlyNewer(
+  state: InstanceState,
+  other: InstanceState,
+): boolean {
+  const [bornAtMs, otherBornAtMs] = [state.bornAtMs ?? 0, other.bornAtMs ?? 0];
+  if (bornAtMs !== otherBornAtMs) return bornAtMs > otherBornAtMs;
+  return (state.sequence ?? 0) > (other.sequence ?? 0);
+}
--- a/packages/celerytray/src/groups/store_return.ts
+++ b/packages/celerytray/src/groups/store_return.ts
@@ -1,4 +1,4 @@
-import { eraOf, type LogPosition } from "../keyed_log/index.ts";
+import { eraOf, type EraStart, type LogPosition } from "../keyed_log/index.ts";
 
 /**
  * Time after which instances have written their entries anew to a store that
@@ -11,26 +11,38 @@
  * that were written after its return. In era 0 the store has never come back.
  */
 export class StoreReturn {
-  #era = 0;
-  #sinceMs = Number.NEGATIVE_INFINITY;
-  /** Position from which on entries were written after the return. */
-  #writtenFrom: LogPosition = 0;
+  #start: EraStart = {
+    copyEnd: 0,
+    returnedAtMs: Number.NEGATIVE_INFINITY,
+  };
+
+  /** The start of the current era; undefined in era 0. */
+  get eraStart(): EraStart | undefined {
+    return this.#era === 0 ? undefined : this.#start;
+  }
 
   /**
-   * Notes the end of the list as it was read at a time; true if it is of a later
-   * era than all before.
+   * Notes what is known of the start of an era; true if it is a later era than
+   * all before. The earliest times and positions hold.
    */
-  noteEnd(end: LogPosition, nowMs: number): boolean {
-    if (eraOf(end) <= this.#era) return false;
-    this.#era = eraOf(end);
-    this.#sinceMs = nowMs;
-    this.#writtenFrom = end;
-    return true;
+  note(start: EraStart): boolean {
+    const era = eraOf(start.copyEnd);
+    if (era < this.#era) return false;
+    if (era > this.#era) {
+      this.#start = start;
+      return true;
+    }
+    const { copyEnd, returnedAtMs } = this.#start;
+    this.#start = {
+      copyEnd: Math.min(copyEnd, start.copyEnd),
+      returnedAtMs: Math.min(returnedAtMs, start.returnedAtMs),
+    };
+    return false;
   }
 
   /** Whether an entry may be of the copy, and so older than one of before. */
   mayBeCopied(position: LogPosition): boolean {
-    return position < this.#writtenFrom;
+    return position < this.#start.copyEnd;
   }
 
   /** Whether a position is of an era before the current one. */
@@ -40,6 +52,10 @@
 
   /** Whether instances have had the time to write their entries anew. */
   hasSettled(nowMs: number): boolean {
-    return nowMs - this.#sinceMs >= REWRITE_MS;
+    return nowMs - this.#start.returnedAtMs >= REWRITE_MS;
+  }
+
+  get #era(): number {
+    return eraOf(this.#start.copyEnd);
   }
 }
--- a/packages/celerytray/src/groups/store_return_test.ts
+++ b/packages/celerytray/src/groups/store_return_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { Right } from "purify-ts";
 import { describe, it } from "node:test";
-import { createPosition } from "../keyed_log/index.ts";
+import { createPosition, type EraStart } from "../keyed_log/index.ts";
 import { InstanceListView } from "./instance_list.ts";
 import type { InstanceState } from "./instance_state.ts";
 import { REWRITE_MS } from "./store_return.ts";
@@ -99,6 +99,39 @@
     expect(view.find("a")?.id).toEqual("a");
   });
 
+  // Guards against a deletion or an entry that is held back as the copy's, as
+  // this process reads the list later than others, behind what was written since.
+  it("believes what another process saw written after the return", () => {
+    const { view, list, remove, write } = createView();
+    list({ offset: 1, sequence: 0, replica: "r4-1" });
+    remove({ era: 1, offset: 3 });
+    expect(view.find("a")?.id).toEqual("a");
+    view.noteEraStart(startAt({ copyEnd: 3 }), RETURNED_AT_MS);
+    expect(view.find("a")).toEqual(undefined);
+    write({ era: 1, offset: 4, sequence: 0 });
+    expect(view.find("a")?.id).toEqual("a");
+    expect(view.isSettled("a", RETURNED_AT_MS)).toEqual(true);
+  });
+
+  // Guards against a process that holds back for 2 s what it reads late, though
+  // the store came back longer ago, as its own earlier answer or a peer showed.
+  it("counts the time to write anew from the return", () => {
+    const { view, list, readEmpty } = createView();
+    list({ offset: 1, sequence: 0 });
+    const returnedAtMs = RETURNED_AT_MS - REWRITE_MS;
+    readEmpty({ era: 1, offset: 2 }, startAt({ copyEnd: 2, returnedAtMs }));
+    expect(view.find("a")).toEqual(undefined);
+  });
+
+  it("forgets what an earlier return left open", () => {
+    const { view, list, readEmpty } = createView();
+    list({ offset: 5, sequence: 1 });
+    list({ era: 1, offset: 4, sequence: 0 });
+    readEmpty({ era: 2, offset: 3 });
+    view.settle(SETTLED_AT_MS);
+    expect(view.find("a")).toEqual(undefined);
+  });
+
   it("trusts an entry of a starting process once it is written anew", () => {
     const { view, list, write } = createView();
     list({ era: 1, offset: 1, sequence: 1 });
@@ -150,15 +183,29 @@
         nextOffset: offset + 1,
       }, RETURNED_AT_MS);
     },
-    readEmpty: (at: Pick<Entry, "era" | "offset">) =>
+    readEmpty: (at: Pick<Entry, "era" | "offset">, eraStart?: EraStart) =>
       view.apply({
         isFullRead: true,
         records: [],
         nextOffset: positionOf(at),
+        ...(eraStart === undefined ? {} : { eraStart }),
       }, RETURNED_AT_MS),
   };
 }
 
+/** Start of era 1. */
+function startAt(
+  { copyEnd, returnedAtMs = RETURNED_AT_MS }: {
+    readonly copyEnd: number;
+    readonly returnedAtMs?: number;
+  },
+): EraStart {
+  return {
+    copyEnd: positionOf({ era: 1, offset: copyEnd }),
+    returnedAtMs,
+  };
+}
+
 function positionOf({ era = 0, offset }: Pick<Entry, "era" | "offset">) {
   return createPosition({ era, offset });
 }
--- a/packages/celerytray/src/host/create_coordinator.ts
+++ b/packages/celerytray/src/host/create_coordinator.ts
@@ -71,8 +71,13 @@
     instances: {
       copy: view.instancesCopy,
       provenAtMs: () => view.listProvenAtMs,
-      onRelayed: (change, freshAtMs) =>
-        view.applyInstances({ ...decodeRelayedChange(change), freshAtMs }),
+      eraStart: () => view.instances.eraStart,
+      onRelayed: (change, freshAtMs, eraStart) =>
+        view.applyInstances({
+          ...decodeRelayedChange(change),
+          freshAtMs,
+          ...(eraStart === undefined ? {} : { eraStart }),
+        }),
     },
     listLeaving: () => view.instances.listUnconfirmedLeaving(),
     onLeaving: (incarnations) =>
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -12,6 +12,7 @@
   type ListenFailure,
 } from "../http/index.ts";
 import { MetricsPage, type RecordEvent } from "../journal/index.ts";
+import { EraTrackingLog } from "../keyed_log/index.ts";
 import {
   CallerTimeoutTracker,
   GracefulStop,
@@ -85,7 +86,11 @@
       config: new StoreContact({ topic: "config", record }),
       instances: new StoreContact({ topic: "instances", record }),
     };
-    const log = yield* countStoreCalls({ log: ports.log, metrics, record });
+    const log = yield* countStoreCalls({
+      log: new EraTrackingLog(ports.log),
+      metrics,
+      record,
+    });
     const demand = new OwnDemand();
     const quarantine = createQuarantine({ settings, metrics, record });
     const limits = createLimits({
--- a/packages/celerytray/src/host/store_view.ts
+++ b/packages/celerytray/src/host/store_view.ts
@@ -142,8 +142,14 @@
   applyInstances(change: KeyedChange): void {
     const { coordinator, trackers, nowMs } = this.#options;
     this.listProvenAtMs = Math.max(this.listProvenAtMs, change.freshAtMs);
-    this.instances.settle(nowMs());
-    if (change.records.length === 0 && !change.isFullRead) return;
+    if (change.records.length === 0 && !change.isFullRead) {
+      const { eraStart } = change;
+      if (eraStart !== undefined) {
+        this.instances.noteEraStart(eraStart, nowMs());
+      }
+      this.instances.settle(nowMs());
+      return;
+    }
     this.instancesCopy.apply(change);
     coordinator().noteChange();
     this.instances.apply(change, nowMs());
--- a/packages/celerytray/src/keyed_log/follow_topic.ts
+++ b/packages/celerytray/src/keyed_log/follow_topic.ts
@@ -1,5 +1,6 @@
 import { Effect } from "effect";
 import { steadyMs } from "../clock/index.ts";
+import type { EraStart } from "./era_start.ts";
 import type { KeyedLog, KeyedRecord, KeyedTopic } from "./keyed_log.ts";
 
 /** A change of a topic, or its complete content. */
@@ -10,6 +11,8 @@
   readonly nextOffset: number;
   /** Time up to which the records are known to be the newest. */
   readonly freshAtMs: number;
+  /** Start of the era of these records, if it is known. */
+  readonly eraStart?: EraStart;
 }
 
 /** Options of following a topic. */
--- a/packages/celerytray/src/keyed_log/index.ts
+++ b/packages/celerytray/src/keyed_log/index.ts
@@ -1,5 +1,6 @@
 /** Topics of a compacted log, which keeps the newest record of each key. */
 export { CountingLog, type StoreCall } from "./counting_log.ts";
+export { EraTrackingLog } from "./era_tracking_log.ts";
 export {
   AppendConflict,
   HistoryDropped,
@@ -12,6 +13,7 @@
   StoreAnswerLost,
   StoreUnavailable,
 } from "./keyed_log.ts";
+export { type EraStart, readEraStart, type ToldEraStart } from "./era_start.ts";
 export {
   createPosition,
   eraOf,
--- a/packages/celerytray/src/keyed_log/keyed_log.ts
+++ b/packages/celerytray/src/keyed_log/keyed_log.ts
@@ -1,4 +1,5 @@
 import { Data, type Effect } from "effect";
+import type { EraStart } from "./era_start.ts";
 import type { LogPosition } from "./position.ts";
 
 /** Topics, named for their content. */
@@ -28,6 +29,8 @@
   readonly records: readonly KeyedRecord[];
   /** Position at which the next read continues. */
   readonly nextOffset: LogPosition;
+  /** Start of the era of this page; absent where the log doesn't track it. */
+  readonly eraStart?: EraStart;
 }
 
 /** The store could not be reached or refused the call, which had no effect. */
@@ -51,6 +54,8 @@
  */
 export class HistoryDropped extends Data.TaggedError("HistoryDropped")<{
   readonly message: string;
+  /** Era of the answer, if it is known. */
+  readonly era?: number;
 }> {}
 
 /** Failures of a read. */
--- a/packages/celerytray/src/platform/store_client.ts
+++ b/packages/celerytray/src/platform/store_client.ts
@@ -109,6 +109,7 @@
         if (era !== eraOf(fromOffset)) {
           return Effect.fail(
             new HistoryDropped({
+              era,
               message:
                 `The store is in era ${era}, so ${topic} has other records than in era ${
                   eraOf(fromOffset)
@@ -119,6 +120,7 @@
         if (answer.status === GONE_STATUS) {
           return Effect.fail(
             new HistoryDropped({
+              era,
               message:
                 `The store no longer keeps the records of ${topic} from offset ${offset} on; read the newest ones`,
             }),
