Read a topic anew at once where its records are gone

Cause: after HistoryDropped a reader waited its retry delay, 250 ms at the leader whom all wait for, though the store had answered. Then a follower went by the relay, whose last confirmation, of the earlier era, still counted as recent, and didn't make the full read that it knew it needed. Nor did it ask the store when it knew a later era from the other topic.

Change: a confirmation counts as recent only if the relay has delivered all from the gone records on, and no other topic is known in a later era. The leader reads anew at once; others first give the leader 15 ms for each process of the deployment, so that 390 of them don't read the whole list at the same moment. Records that are gone again right after a full read wait for the retry delay, as before. The loop is split into steps.

--- a/packages/celerytray/src/host/follow_store.ts
+++ b/packages/celerytray/src/host/follow_store.ts
@@ -7,9 +7,11 @@
   minConfigReadAgeMs,
 } from "../coordination/index.ts";
 import {
+  eraOf,
   followTopic,
   type KeyedChange,
   type KeyedLog,
+  type LogPosition,
 } from "../keyed_log/index.ts";
 import { keepRunning } from "./keep_running.ts";
 import type { RecordEvent } from "../journal/index.ts";
@@ -58,10 +60,10 @@
 /** Delay after a failed read of the leader. */
 const LEADER_RETRY_DELAY_MS = 250;
 /**
- * Delay after a failed read per process of the deployment, which bounds the
- * total rate of reads.
+ * Delay per process of the deployment after a failed read, and before a topic is
+ * read anew that the leader reads at once. It bounds the total rate of reads.
  */
-const RETRY_DELAY_PER_PROCESS_MS = 15;
+const DELAY_PER_PROCESS_MS = 15;
 
 /**
  * Follows both topics until the scope closes, by reading the store where
@@ -76,9 +78,19 @@
       isLeading: coordinator.isLeading,
       processCount: coordinator.countProcesses(),
     });
+  const rereadDelayMs = () =>
+    coordinator.isLeading
+      ? 0
+      : coordinator.countProcesses() * DELAY_PER_PROCESS_MS;
   const jitterFraction = options.random();
-  const isRelayRecent = (ageMs: number, maxAgeMs: number) =>
-    !coordinator.isLeading && ageMs < maxAgeMs;
+  const isRelayRecent = (
+    ageMs: number,
+    maxAgeMs: number,
+    { own, other }: { readonly own: LogPosition; readonly other: LogPosition },
+  ) =>
+    !coordinator.isLeading && ageMs < maxAgeMs &&
+    // What an earlier era confirmed says nothing of the later one.
+    eraOf(own) >= eraOf(other);
   const configReadAgeMs = () => {
     const { configApplyMs } = options;
     const minMs = minConfigReadAgeMs(coordinator.statusPath, configApplyMs);
@@ -92,6 +104,7 @@
     log,
     topic: "config",
     retryMs,
+    rereadDelayMs,
     waitMs: () => coordinator.isLeading ? LEADER_READ_WAIT_MS : CONFIG_WAIT_MS,
     pauseMs: () => CONFIG_BATCH_DELAY_MS,
     onChange: (change) => {
@@ -99,7 +112,11 @@
       options.applyConfig(change);
     },
     relay: {
-      isRecent: () => isRelayRecent(keys.ageMs(), configReadAgeMs()),
+      isRecent: () =>
+        isRelayRecent(keys.ageMs(), configReadAgeMs(), {
+          own: options.configOffset(),
+          other: options.instancesOffset(),
+        }),
       nextOffset: options.configOffset,
     },
     onFailure: (message) => contacts.config.noteFailure(message, nowMs()),
@@ -110,6 +127,7 @@
     log,
     topic: "instances",
     retryMs,
+    rereadDelayMs,
     waitMs: () =>
       coordinator.isLeading ? LEADER_READ_WAIT_MS : INSTANCES_WAIT_MS,
     pauseMs: () =>
@@ -121,7 +139,11 @@
       options.applyInstances(change);
     },
     relay: {
-      isRecent: () => isRelayRecent(options.listAgeMs(), instancesReadAgeMs()),
+      isRecent: () =>
+        isRelayRecent(options.listAgeMs(), instancesReadAgeMs(), {
+          own: options.instancesOffset(),
+          other: options.configOffset(),
+        }),
       nextOffset: options.instancesOffset,
     },
     onFailure: (message) => contacts.instances.noteFailure(message, nowMs()),
@@ -147,6 +169,6 @@
   if (isLeading) return LEADER_RETRY_DELAY_MS;
   return Math.max(
     LEADER_RETRY_DELAY_MS,
-    processCount * RETRY_DELAY_PER_PROCESS_MS,
+    processCount * DELAY_PER_PROCESS_MS,
   );
 }
--- a/packages/celerytray/src/host/follow_store_test.ts
+++ b/packages/celerytray/src/host/follow_store_test.ts
@@ -5,7 +5,7 @@
 import { readSteadyMs } from "../clock/index.ts";
 import { type Coordinator, maxRelayedAgeMs } from "../coordination/index.ts";
 import type { RecordEvent } from "../journal/index.ts";
-import type { KeyedLog } from "../keyed_log/index.ts";
+import { createPosition, type KeyedLog } from "../keyed_log/index.ts";
 import { followStore, retryDelayMs } from "./follow_store.ts";
 import { KeyFreshness } from "./key_freshness.ts";
 import { StoreContact } from "./store_contact.ts";
@@ -39,8 +39,47 @@
 });
 
 it("reads the instance list itself only once relayed data is too old", async () => {
+  await followList(function* ({ reads, confirm }) {
+    for (let round = 0; round < 20; round++) {
+      yield* TestClock.adjust(RELAY_INTERVAL_MS);
+      confirm();
+    }
+    expect(reads).toEqual([]);
+    yield* TestClock.adjust(maxRelayedAgeMs("direct") + RELAY_CHECK_MS);
+    // One read returns at once, and the next one waits.
+    expect(reads.length).toEqual(2);
+    expect(reads[0]! <= MAX_LIST_AGE_MS).toEqual(true);
+  });
+});
+
+// Guards against a process that knows from the configuration that the store came
+// back from an older copy, and goes by a list that was confirmed before that.
+it("reads the list itself once the configuration is of a later era", async () => {
+  await followList(function* ({ reads, confirm, returnConfig }) {
+    yield* TestClock.adjust(RELAY_INTERVAL_MS);
+    confirm();
+    returnConfig();
+    yield* TestClock.adjust(RELAY_CHECK_MS);
+    expect(reads.length > 0).toEqual(true);
+  });
+});
+
+interface FollowedList {
+  /** Ages of the list when it was read from the store. */
+  readonly reads: readonly number[];
+  /** Confirms the list, as another process does. */
+  readonly confirm: () => void;
+  /** Has the configuration read in a later era. */
+  readonly returnConfig: () => void;
+}
+
+/** Follows both topics of a store without records while a program runs. */
+function followList(
+  run: (followed: FollowedList) => Generator<Effect.Effect<void>, void>,
+): Promise<void> {
   const reads: number[] = [];
   let provenAtMs = 0;
+  let configOffset = 1;
   const program = Effect.gen(function* () {
     const clock = yield* Clock.Clock;
     const nowMs = () => readSteadyMs(clock);
@@ -70,7 +109,7 @@
         config: new StoreContact({ topic: "config", record }),
         instances: new StoreContact({ topic: "instances", record }),
       },
-      configOffset: () => 1,
+      configOffset: () => configOffset,
       instancesOffset: () => 1,
       listAgeMs: () => nowMs() - provenAtMs,
       applyInstances: () => {},
@@ -78,20 +117,16 @@
       nowMs,
       record,
     });
-    for (let round = 0; round < 20; round++) {
-      yield* TestClock.adjust(RELAY_INTERVAL_MS);
-      provenAtMs = nowMs();
-    }
-    expect(reads).toEqual([]);
-    yield* TestClock.adjust(maxRelayedAgeMs("direct") + RELAY_CHECK_MS);
-    // One read returns at once, and the next one waits.
-    expect(reads.length).toEqual(2);
-    expect(reads[0]! <= MAX_LIST_AGE_MS).toEqual(true);
+    yield* run({
+      reads,
+      confirm: () => provenAtMs = nowMs(),
+      returnConfig: () => configOffset = createPosition({ era: 1, offset: 1 }),
+    });
   });
-  await Effect.runPromise(
+  return Effect.runPromise(
     program.pipe(Effect.scoped, Effect.provide(TestClock.layer())),
   );
-});
+}
 
 /** Times in which changes must be in force, at the sizes that have relays. */
 const CONFIG_CASES = [
--- a/packages/celerytray/src/keyed_log/follow_topic.ts
+++ b/packages/celerytray/src/keyed_log/follow_topic.ts
@@ -1,7 +1,15 @@
-import { Effect } from "effect";
+import { Effect, type Result } from "effect";
 import { steadyMs } from "../clock/index.ts";
 import type { EraStart } from "./era_start.ts";
-import type { KeyedLog, KeyedRecord, KeyedTopic } from "./keyed_log.ts";
+import type {
+  HistoryDropped,
+  KeyedLog,
+  KeyedPage,
+  KeyedRecord,
+  KeyedTopic,
+  ReadFailure,
+} from "./keyed_log.ts";
+import type { LogPosition } from "./position.ts";
 
 /** A change of a topic, or its complete content. */
 export interface KeyedChange {
@@ -29,6 +37,11 @@
   readonly onHistoryDropped?: (message: string) => void;
   /** Pause after a failed read. */
   readonly retryMs: () => number;
+  /**
+   * Longest wait for the relay before the topic is read anew, where records are
+   * gone.
+   */
+  readonly rereadDelayMs?: () => number;
   /** Relay of the topic by another process; without it, every read is made here. */
   readonly relay?: {
     /** Whether relayed changes are recent enough that no read is needed. */
@@ -44,55 +57,126 @@
 export function followTopic(
   options: FollowTopicOptions,
 ): Effect.Effect<never> {
-  const { log, topic } = options;
-  return Effect.gen(function* () {
-    let nextOffset: number | undefined;
-    let needsFullRead = true;
-    while (true) {
-      let waitMs = options.waitMs();
-      if (nextOffset !== undefined && options.relay !== undefined) {
-        while (options.relay.isRecent()) {
-          // Once the relay falls behind, the next read returns at once.
-          waitMs = 0;
-          yield* Effect.sleep(RELAY_CHECK_MS);
-        }
-        nextOffset = Math.max(nextOffset, options.relay.nextOffset());
+  return Effect.suspend(() => new TopicFollower(options).run());
+}
+
+/** Reads one topic on, and all of it anew where records are gone. */
+class TopicFollower {
+  readonly #options: FollowTopicOptions;
+  /** Position up to which the topic is known; undefined before the first read. */
+  #nextOffset: LogPosition | undefined;
+  /** Position from which on records are gone that this process lacks. */
+  #droppedFrom: LogPosition | undefined;
+  #wasFullRead = false;
+
+  constructor(options: FollowTopicOptions) {
+    this.#options = options;
+  }
+
+  run(): Effect.Effect<never> {
+    const turn = Effect.gen({ self: this }, function* () {
+      const hasRelayed = yield* this.#awaitRelayFallingBehind();
+      // Once the relay falls behind, the next read returns at once.
+      yield* this.#readOnce(hasRelayed ? 0 : this.#options.waitMs());
+    });
+    return Effect.forever(turn);
+  }
+
+  /** Whether the relay has delivered all from the dropped records on. */
+  get #hasRelayPassedDrop(): boolean {
+    const { relay } = this.#options;
+    return this.#droppedFrom === undefined ||
+      (relay !== undefined && relay.nextOffset() > this.#droppedFrom);
+  }
+
+  /** Waits while no read is needed; whether it had to. */
+  #awaitRelayFallingBehind(): Effect.Effect<boolean> {
+    const { relay } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      if (this.#nextOffset === undefined || relay === undefined) return false;
+      let hasWaited = false;
+      while (relay.isRecent() && this.#hasRelayPassedDrop) {
+        hasWaited = true;
+        yield* Effect.sleep(RELAY_CHECK_MS);
       }
+      if (this.#hasRelayPassedDrop) this.#droppedFrom = undefined;
+      this.#nextOffset = Math.max(this.#nextOffset, relay.nextOffset());
+      return hasWaited;
+    });
+  }
+
+  #readOnce(waitMs: number): Effect.Effect<void> {
+    const { log, topic } = this.#options;
+    return Effect.gen({ self: this }, function* () {
       const sentAtMs = yield* steadyMs;
-      const isFullRead: boolean = needsFullRead;
-      const page =
-        yield* (isFullRead ? log.readNewest(topic) : log.read(topic, {
-          fromOffset: nextOffset!,
-          waitMs,
-        })).pipe(Effect.result);
+      const fromOffset = this.#droppedFrom === undefined
+        ? this.#nextOffset
+        : undefined;
+      const isFullRead = fromOffset === undefined;
+      const page: Result.Result<KeyedPage, ReadFailure | HistoryDropped> =
+        yield* (isFullRead
+          ? log.readNewest(topic)
+          : log.read(topic, { fromOffset, waitMs })).pipe(Effect.result);
       if (page._tag === "Failure") {
-        const { _tag: kind, message } = page.failure;
-        if (kind === "HistoryDropped") {
-          needsFullRead = true;
-          options.onHistoryDropped?.(message);
-        }
-        options.onFailure(message);
-        yield* Effect.sleep(options.retryMs());
-        continue;
-      }
-      if (nextOffset !== undefined && page.success.nextOffset < nextOffset) {
-        options.onFailure(
-          `The store's answer for ${topic} ends at offset ${page.success.nextOffset}, before the known offset ${nextOffset}; the store is behind`,
-        );
-        yield* Effect.sleep(options.retryMs());
-        continue;
+        yield* this.#recover(page.failure);
+      } else if (page.success.nextOffset < (this.#nextOffset ?? 0)) {
+        yield* this.#awaitStore(page.success.nextOffset);
+      } else {
+        const hasWaitedFully = !isFullRead &&
+          page.success.records.length === 0 &&
+          (yield* steadyMs) - sentAtMs >= waitMs;
+        // A read that waited its full time shows that no record came meanwhile.
+        const freshAtMs = hasWaitedFully ? sentAtMs + waitMs : sentAtMs;
+        yield* this.#deliver({ ...page.success, isFullRead, freshAtMs });
       }
-      needsFullRead = false;
-      nextOffset = page.success.nextOffset;
-      const answeredAtMs = yield* steadyMs;
-      // A read that waited its full time shows that no record came meanwhile.
-      const hasWaitedFully = !isFullRead && page.success.records.length === 0 &&
-        answeredAtMs - sentAtMs >= waitMs;
-      const freshAtMs = hasWaitedFully ? sentAtMs + waitMs : sentAtMs;
-      options.onChange({ ...page.success, isFullRead, freshAtMs });
-      if (page.success.records.length > 0) {
-        yield* Effect.sleep(options.pauseMs());
+    });
+  }
+
+  #deliver(change: KeyedChange): Effect.Effect<void> {
+    const { onChange, pauseMs } = this.#options;
+    return Effect.suspend(() => {
+      this.#wasFullRead = change.isFullRead;
+      this.#droppedFrom = undefined;
+      this.#nextOffset = change.nextOffset;
+      onChange(change);
+      return change.records.length > 0 ? Effect.sleep(pauseMs()) : Effect.void;
+    });
+  }
+
+  #recover(failure: ReadFailure | HistoryDropped): Effect.Effect<void> {
+    const { onFailure, onHistoryDropped, retryMs } = this.#options;
+    return Effect.suspend(() => {
+      const wasFullRead = this.#wasFullRead;
+      this.#wasFullRead = false;
+      onFailure(failure.message);
+      if (failure._tag !== "HistoryDropped") return Effect.sleep(retryMs());
+      this.#droppedFrom = this.#nextOffset;
+      onHistoryDropped?.(failure.message);
+      // Records that are gone right after a full read may be so for long.
+      return wasFullRead ? Effect.sleep(retryMs()) : this.#awaitRelay();
+    });
+  }
+
+  /** Waits for the relay to pass dropped records, as long as allowed. */
+  #awaitRelay(): Effect.Effect<void> {
+    const { rereadDelayMs } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const untilMs = (yield* steadyMs) + (rereadDelayMs?.() ?? 0);
+      while (!this.#hasRelayPassedDrop) {
+        const leftMs = untilMs - (yield* steadyMs);
+        if (leftMs <= 0) return;
+        yield* Effect.sleep(Math.min(RELAY_CHECK_MS, leftMs));
       }
-    }
-  });
+    });
+  }
+
+  #awaitStore(endOffset: LogPosition): Effect.Effect<void> {
+    const { topic, onFailure, retryMs } = this.#options;
+    return Effect.suspend(() => {
+      onFailure(
+        `The store's answer for ${topic} ends at offset ${endOffset}, before the known offset ${this.#nextOffset}; the store is behind`,
+      );
+      return Effect.sleep(retryMs());
+    });
+  }
 }
--- a/packages/celerytray/src/keyed_log/follow_topic_test.ts
+++ b/packages/celerytray/src/keyed_log/follow_topic_test.ts
@@ -3,7 +3,11 @@
 import { TestClock } from "effect/testing";
 import { it } from "node:test";
 import { followTopic } from "./follow_topic.ts";
-import { type KeyedLog, StoreUnavailable } from "./keyed_log.ts";
+import {
+  HistoryDropped,
+  type KeyedLog,
+  StoreUnavailable,
+} from "./keyed_log.ts";
 
 const WAIT_MS = 2_000;
 
@@ -64,6 +68,111 @@
   expect(failures).toEqual(["busy", "busy", "busy", "busy"]);
 });
 
+// Guards against a process that knows that records are gone and doesn't read the
+// topic anew, as another process's confirmation of the earlier era is recent.
+it("reads a topic anew whose records are gone, unless the relay has it", async () => {
+  const cases = [
+    { relayedAfterMs: 150, expectedReads: 0 },
+    { relayedAfterMs: Number.POSITIVE_INFINITY, expectedReads: 1 },
+  ];
+  for (const { relayedAfterMs, expectedReads } of cases) {
+    const { reads, isAllKnown } = await followDropped({
+      relayedAfterMs,
+      rereadDelayMs: 300,
+    });
+    expect(reads).toEqual(expectedReads);
+    expect(isAllKnown).toEqual(true);
+  }
+});
+
+// Guards against the delay after a failure where the store has answered, which
+// a leader adds to what all processes wait for.
+it("reads a topic anew at once without a relay", async () => {
+  const { reads, isAllKnown } = await followDropped({ observedMs: 10 });
+  expect(reads).toEqual(1);
+  expect(isAllKnown).toEqual(true);
+});
+
+it("doesn't read a topic over and over whose records stay gone", async () => {
+  const { reads } = await followDropped({ staysDropped: true });
+  expect(reads <= 1 + OBSERVED_MS / RETRY_MS).toEqual(true);
+});
+
+const RETRY_MS = 250;
+const OBSERVED_MS = 1_000;
+const DROPPED_FROM = 1;
+const RETURNED_TO = 100;
+
+/**
+ * Follows a topic whose records from a position on are gone; counts the full
+ * reads after the first one.
+ */
+async function followDropped(options: {
+  readonly relayedAfterMs?: number;
+  readonly rereadDelayMs?: number;
+  readonly observedMs?: number;
+  readonly staysDropped?: boolean;
+}) {
+  const { relayedAfterMs, rereadDelayMs = 0, staysDropped = false } = options;
+  const { observedMs = OBSERVED_MS } = options;
+  let reads = 0;
+  let isDropped = false;
+  let isRelayed = false;
+  let isRecent = false;
+  let knownTo = 0;
+  const log: KeyedLog = {
+    readNewest: () =>
+      Effect.sync(() => {
+        if (isDropped) reads += 1;
+        const nextOffset = isDropped ? RETURNED_TO : DROPPED_FROM;
+        return { records: [], nextOffset };
+      }),
+    read: (_topic, { fromOffset, waitMs }) =>
+      Effect.suspend(() =>
+        isDropped && (staysDropped || fromOffset < RETURNED_TO)
+          ? Effect.fail(new HistoryDropped({ message: "gone" }))
+          : Effect.as(Effect.sleep(waitMs), {
+            records: [],
+            nextOffset: fromOffset,
+          })
+      ),
+    append: () => Effect.succeed(0),
+  };
+  const relay = {
+    isRecent: () => isRecent,
+    nextOffset: () => isRelayed ? RETURNED_TO : 0,
+  };
+  const program = Effect.gen(function* () {
+    yield* Effect.forkScoped(followTopic({
+      log,
+      topic: "instances",
+      waitMs: () => 20,
+      pauseMs: () => 0,
+      onChange: ({ nextOffset }) => knownTo = nextOffset,
+      onFailure: () => {},
+      retryMs: () => RETRY_MS,
+      rereadDelayMs: () => rereadDelayMs,
+      ...(relayedAfterMs === undefined ? {} : { relay }),
+    }));
+    yield* TestClock.adjust(100);
+    isDropped = true;
+    yield* TestClock.adjust(20);
+    isRecent = true;
+    if (relayedAfterMs !== undefined && Number.isFinite(relayedAfterMs)) {
+      yield* TestClock.adjust(relayedAfterMs);
+      isRelayed = true;
+    }
+    yield* TestClock.adjust(observedMs);
+  });
+  await Effect.runPromise(
+    program.pipe(Effect.scoped, Effect.provide(TestClock.layer())),
+  );
+  return {
+    reads,
+    isAllKnown: knownTo === RETURNED_TO || isRelayed,
+  };
+}
+
 /** Creates an empty log whose reads wait for the time asked for. */
 function createLog(readWaitsMs: number[]): KeyedLog {
   const page = { records: [], nextOffset: 0 };
