Count the time since a return from the reply that tells it

A reply that was long under way told a process that the store had come back up to its round trip earlier than it had, as the time of a reply is taken for the earliest that it can be, which is right for confirmations and wrong here: the list would be believed before instances had 2 s to write their entries anew.

Change: confirmations count from the earliest, the time since the return from the arrival. Test: relayed_topic_test, 'tells another process how long ago at most the store came back' (fails before: 4,000 instead of 4,400).

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -317,8 +317,12 @@
     const { config, instances, onLeaving } = this.#options;
     applyToldConfig(this.#options.configInForce, reply);
     this.#repliedConfigVersion = reply.configVersion;
-    applyRelayedTopic(config, reply.config, source.publishedAtMs);
-    applyRelayedTopic(instances, reply.instances, source.publishedAtMs);
+    const times = {
+      publishedAtMs: source.publishedAtMs,
+      nowMs: this.#nowMs(),
+    };
+    applyRelayedTopic(config, reply.config, times);
+    applyRelayedTopic(instances, reply.instances, times);
     if (reply.updates !== undefined) onLeaving(reply.updates.value.leaving);
     if (this.#status.adopt(reply, source)) this.#changeSignal.notify();
     if (reply.updates !== undefined) {
--- a/packages/celerytray/src/coordination/relayed_topic.ts
+++ b/packages/celerytray/src/coordination/relayed_topic.ts
@@ -50,18 +50,23 @@
 }
 
 /**
- * Applies relayed changes of a topic that were published at `atMs`.
+ * Applies relayed changes of a topic that were published at `publishedAtMs` or
+ * later. Confirmations count from then, the time since the store's return from
+ * the arrival, so that neither is taken for newer or older than it is.
  */
 export function applyRelayedTopic(
   { onRelayed }: RelayedTopic,
   change: RelayedChange & KnownTopicEnd,
-  atMs: number,
+  { publishedAtMs, nowMs }: {
+    readonly publishedAtMs: number;
+    readonly nowMs: number;
+  },
 ): void {
   const { nextOffset, proofAgeMs, eraStart } = change;
   if (proofAgeMs === null) return;
   onRelayed(
     change,
-    atMs - proofAgeMs,
-    readEraStart(eraStart, { nextOffset, toldAtMs: atMs }),
+    publishedAtMs - proofAgeMs,
+    readEraStart(eraStart, { nextOffset, toldAtMs: nowMs }),
   );
 }
