Soak: returns after which some write and read late

The soak didn't show either rule of the incident: its instances said in each answer that they leave, wrote anew in the moment of the return, all processes reached the store at once, and the configuration went on changing.

Each series now has one return before which the configuration changes twice and an instance drains or removes its entry without saying so in its answers; the copy lacks all that.

--- a/packages/fakes/src/platform/fake_http_instance.ts
+++ b/packages/fakes/src/platform/fake_http_instance.ts
@@ -50,6 +50,8 @@
   isLeaving = false;
   /** Whether its answers say that it leaves, besides its list entry. */
   tellsLeaving = true;
+  /** Whether it has removed its entry from the list; it continues to serve. */
+  isUnlisted = false;
   /** Requests a second that its answers say it takes from all machines. */
   limitPerSecond: number | undefined;
   coldUntilMs: number;
--- a/packages/fakes/src/platform/fake_platform.ts
+++ b/packages/fakes/src/platform/fake_platform.ts
@@ -166,6 +166,13 @@
     this.#publish(server);
   }
 
+  /** Removes an instance's entry from the list; it continues to serve. */
+  unlist(id: string): void {
+    const server = this.find(id);
+    server.isUnlisted = true;
+    this.#publish(server);
+  }
+
   /** Makes an instance cold for a time, and publishes it. */
   makeCold(id: string, durationMs: number): void {
     const server = this.find(id);
@@ -228,10 +235,13 @@
   #publish(server: FakeHttpInstance): void {
     const address = this.#addresses.get(server.id);
     if (address === undefined || !server.isAlive) return;
-    this.storeServer.store.append(INSTANCES_TOPIC, {
-      key: server.id,
-      value: Buffer.from(server.createListEntry(address)),
-    });
+    this.storeServer.store.append(
+      INSTANCES_TOPIC,
+      server.isUnlisted ? { key: server.id } : {
+        key: server.id,
+        value: Buffer.from(server.createListEntry(address)),
+      },
+    );
   }
 }
 
--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { bounds } from "./bounds.ts";
+import { applyLateReturn, MAX_AWAY_MS } from "./late_return.ts";
 import type { LoopbackProxy } from "./loopback_proxy.ts";
 import type { FaultAction, PlannedFault } from "./plan.ts";
 import type { SoakCallers } from "./soak_callers.ts";
@@ -17,8 +18,6 @@
 const MIN_DOWNTIME_MS = 1_000;
 /** Makes a fault's duration a moment of a start. */
 const START_SHARE = 12;
-/** Longest time for which the store is away before it comes back from a copy. */
-const MAX_AWAY_MS = 1_000;
 
 /**
  * Injects a fault and waits for its end. Returns false if it can't be injected
@@ -63,6 +62,8 @@
       return await reload(cluster, action, durationMs);
     case "return":
       return await returnStore(cluster, action.ageMs, durationMs);
+    case "late-return":
+      return await applyLateReturn(cluster, action, durationMs);
     case "route":
       cluster.changeRoute();
       return true;
--- a/packages/soak/src/bounds.ts
+++ b/packages/soak/src/bounds.ts
@@ -5,6 +5,8 @@
   configApplyMs: 2_000,
   rollbackSlackMs: 250,
   leavingMs: 3_000,
+  /** Time after the store's ack that an instance leaves. */
+  drainMs: 2_000,
   restoreMs: 15_000,
   coldStartMs: 3_000,
   coldPerSecond: 18,
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -7,6 +7,7 @@
 } from "./history.ts";
 import { bounds } from "./bounds.ts";
 import { findLateConfigs, findOldConfigs } from "./config_checks.ts";
+import { findDrainedArrivals } from "./drain_checks.ts";
 import { describeCall, listRuns } from "./history_queries.ts";
 import { LINK_DELAY_MS } from "./loopback_proxy.ts";
 
@@ -36,6 +37,7 @@
   { name: "order", find: findWrongPieces },
   { name: "config-in-time", find: findLateConfigs },
   { name: "config-forward", find: findOldConfigs },
+  { name: "drained-instance", find: findDrainedArrivals },
 ];
 
 /** Each caller gets its own complete answer. */
--- a/packages/soak/src/faulty_front_test.ts
+++ b/packages/soak/src/faulty_front_test.ts
@@ -25,6 +25,18 @@
 const STOP: FaultAction = { kind: "terminate", process: "front-0" };
 const WITHDRAW: FaultAction = { kind: "withdraw", key: "key-1" };
 const LEAVE: FaultAction = { kind: "leave", instance: "plain-0" };
+const LATE_RETURN: FaultAction = {
+  kind: "late-return",
+  ageMs: 1_000,
+  instance: "plain-0",
+  leaveBeforeMs: 100,
+  isUnlisted: false,
+  rewriteAfterMs: 500,
+  lateProcess: "front-1",
+  lateMs: 1_000,
+  deletesRecords: true,
+  idleRoutes: 0,
+};
 const EVACUATE: FaultAction = { kind: "evacuate", zone: "zone-b" };
 const COOL: FaultAction = { kind: "cool", instance: "plain-1" };
 
@@ -34,6 +46,11 @@
   { check: "true-refusal", fault: "refuses-what-ran", actions: [] },
   { check: "withdrawn-key", fault: "keeps-keys", actions: [WITHDRAW] },
   { check: "leaving-instance", fault: "keeps-instances", actions: [LEAVE] },
+  {
+    check: "drained-instance",
+    fault: "keeps-instances",
+    actions: [LATE_RETURN],
+  },
   { check: "no-loss", fault: "stops-at-once", actions: [BURST, STOP] },
   { check: "restored", fault: "does-not-recover", actions: [PAUSE] },
   { check: "stays-up", fault: "ends-unasked", actions: [PAUSE] },
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -67,6 +67,8 @@
   readonly injectedFaults: InjectedFault[] = [];
   readonly withdrawals: StateInterval[] = [];
   readonly leavePeriods: StateInterval[] = [];
+  /** In which no request may reach an instance that leaves. */
+  readonly drainedPeriods: StateInterval[] = [];
   readonly coldPeriods: StateInterval[] = [];
   readonly evacuations: StateInterval[] = [];
   readonly limitPeriods: LimitInterval[] = [];
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -22,6 +22,9 @@
   seeds = Option.String("--seeds", "1", {
     description: "How many seeds to run",
   });
+  program = Option.String("--program", PROGRAM, {
+    description: "Bundled program to run, such as that of an earlier build",
+  });
   isPlanOnly = Option.Boolean("--plan", false, {
     description: "Only print the plans",
   });
@@ -36,7 +39,7 @@
       if (this.isPlanOnly) continue;
       const result = await runSoak({
         plan,
-        program: { path: PROGRAM },
+        program: { path: this.program },
         checks,
         onViolation: ({ check, message }) =>
           this.#print(`  RED ${check}: ${message}`),
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -37,11 +37,37 @@
   | { readonly kind: "reload" | "reload-start"; readonly process: string }
   /** The store comes back from a copy that is `ageMs` old. */
   | { readonly kind: "return"; readonly ageMs: number }
+  | LateReturn
   /** A route is added, and the one that was added last is dropped. */
   | { readonly kind: "route" }
   /** Requests of the plain service take long. */
   | { readonly kind: "slow-work"; readonly workMs: number };
 
+/**
+ * The store comes back from an older copy that lacks the last changes of the
+ * configuration and that an instance leaves. What it lacks is written anew
+ * later, and one process reaches it later still.
+ */
+export interface LateReturn {
+  readonly kind: "late-return";
+  readonly ageMs: number;
+  /** Instance that leaves before the store is away; its answers don't say so. */
+  readonly instance: string;
+  /** Time from the store's ack of that until the store is away. */
+  readonly leaveBeforeMs: number;
+  /** Whether the instance removes its entry instead of draining. */
+  readonly isUnlisted: boolean;
+  /** Time from the return until the instances and the operator write anew. */
+  readonly rewriteAfterMs: number;
+  readonly lateProcess: string;
+  /** Time from the return until that process reaches the store. */
+  readonly lateMs: number;
+  /** Whether the store deletes the old records after the return. */
+  readonly deletesRecords: boolean;
+  /** Further routes of the configuration, which nobody calls. */
+  readonly idleRoutes: number;
+}
+
 /** An action with its start in the series and its duration. */
 export interface PlannedFault {
   readonly atMs: number;
@@ -83,9 +109,15 @@
 const LATER_FAULTS_SEED = 1_000_000;
 const DEADLY_REQUESTS_SEED = 2_000_000;
 const OPERATOR_FAULTS_SEED = 3_000_000;
+const LATE_RETURNS_SEED = 4_000_000;
 const MIN_COPY_AGE_MS = 500;
 const MAX_COPY_AGE_MS = 3_000;
 const WORK_TIMES_MS = [500, 1_500, 2_200];
+const MAX_LEAVE_BEFORE_MS = 750;
+const MAX_REWRITE_AFTER_MS = 1_600;
+const MIN_LATE_MS = 500;
+const MAX_LATE_MS = 4_500;
+const IDLE_ROUTES = [0, 350];
 
 /** Creates a random plan; the same seed gives the same plan. */
 export function createPlan(seed: number, targets: PlanTargets): SoakPlan {
@@ -93,6 +125,7 @@
   const later = new PlanRandom(LATER_FAULTS_SEED + seed);
   const deadly = new PlanRandom(DEADLY_REQUESTS_SEED + seed);
   const operator = new PlanRandom(OPERATOR_FAULTS_SEED + seed);
+  const returns = new PlanRandom(LATE_RETURNS_SEED + seed);
   const keys = [...targets.keys];
   const series = Array.from({ length: SERIES_COUNT }, (_, index) => {
     const count = random.integer(MIN_FAULTS, MAX_FAULTS);
@@ -105,6 +138,7 @@
       drawLaterFault(later, targets, index),
       drawDeadlyRequest(deadly, index),
       ...drawOperatorFaults(operator, targets),
+      drawLateReturn(returns, targets),
     ].sort((left, right) => left.atMs - right.atMs);
   });
   return { seed, series };
@@ -194,6 +228,31 @@
   }));
 }
 
+function drawLateReturn(
+  random: PlanRandom,
+  { instances, processes }: PlanTargets,
+): PlannedFault {
+  return {
+    atMs: random.integer(0, SERIES_DURATION_MS),
+    durationMs: random.integer(
+      MIN_FAULT_DURATION_MS,
+      MAX_FAULT_DURATION_MS,
+    ),
+    action: {
+      kind: "late-return",
+      ageMs: random.integer(MAX_LEAVE_BEFORE_MS, MAX_COPY_AGE_MS),
+      instance: random.pick(instances),
+      leaveBeforeMs: random.integer(0, MAX_LEAVE_BEFORE_MS),
+      isUnlisted: random.pick([false, false, true]),
+      rewriteAfterMs: random.integer(0, MAX_REWRITE_AFTER_MS),
+      lateProcess: random.pick(processes),
+      lateMs: random.integer(MIN_LATE_MS, MAX_LATE_MS),
+      deletesRecords: random.pick([false, true]),
+      idleRoutes: random.pick(IDLE_ROUTES),
+    },
+  };
+}
+
 function drawAction(
   random: PlanRandom,
   targets: PlanTargets,
@@ -263,6 +322,7 @@
   "reload-start",
   "slow-work",
   "route",
+  "late-return",
 ] as const;
 
 class PlanRandom {
--- a/packages/soak/src/soak_cluster.ts
+++ b/packages/soak/src/soak_cluster.ts
@@ -37,6 +37,8 @@
   readonly processes = new Map<string, SoakProcess>();
   /** Proxies in front of instances, by instance id. */
   readonly instanceProxies = new Map<string, LoopbackProxy>();
+  /** Further routes of the configuration, which nobody calls. */
+  idleRoutes = 0;
   readonly #withdrawn = new Set<string>();
   #version = 0;
   #routeCount = 0;
@@ -117,9 +119,10 @@
         requestsPerSecond: bounds.coldPerSecond,
       },
       targetMs,
-      ...(this.routePaths.added === undefined
-        ? {}
-        : { furtherPaths: [this.routePaths.added] }),
+      furtherPaths: [
+        ...(this.routePaths.added === undefined ? [] : [this.routePaths.added]),
+        ...listNames("/idle", this.idleRoutes).map((path) => `${path}/`),
+      ],
     }));
   }
 
