--- a/packages/celerytray/src/groups/index.ts
+++ b/packages/celerytray/src/groups/index.ts
@@ -6,7 +6,8 @@
 export type { EngineSpecs } from "./formation_planner.ts";
 export type { RecordFailure, ReplicaRecorder } from "./replica_recorder.ts";
 export type { LeavingIncarnation } from "./leaving_tracker.ts";
-export { InstanceListView, type RemovedInstance } from "./instance_list.ts";
+export { InstanceListView } from "./instance_list.ts";
+export type { RemovedInstance } from "./list_changes.ts";
 export {
   type InstanceAddress,
   type InstanceControl,
--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -1,13 +1,19 @@
 import {
   eraOf,
   type EraStart,
-  type KeyedChange,
   type KeyedRecord,
   type LogPosition,
 } from "../keyed_log/index.ts";
 import type { Either } from "purify-ts";
+import { DoubtedRecords } from "./doubted_records.ts";
 import { type InstanceState, isCertainlyNewer } from "./instance_state.ts";
 import { type LeavingIncarnation, LeavingTracker } from "./leaving_tracker.ts";
+import type {
+  ListChange,
+  RemovedInstance,
+  ReturnedList,
+  SettledList,
+} from "./list_changes.ts";
 import { StoreReturn } from "./store_return.ts";
 
 interface Entry {
@@ -17,12 +23,6 @@
   readonly offset: LogPosition;
 }
 
-/** A change of the list, and the start of its era if it is known. */
-export type ListChange = Pick<
-  KeyedChange,
-  "isFullRead" | "records" | "nextOffset" | "eraStart"
->;
-
 /** Options of an instance list view. */
 export interface InstanceListOptions {
   /** Decodes an entry; Left describes what is malformed. */
@@ -34,27 +34,6 @@
   readonly onSettled?: (settled: SettledList) => void;
 }
 
-/** The list as it is first known in a later era of the store. */
-export interface ReturnedList {
-  readonly era: number;
-  /** Position up to which it is known. */
-  readonly readTo: LogPosition;
-  /** Whether it was read from the store, rather than passed on by a process. */
-  readonly isFullRead: boolean;
-  /** Number of entries and deletions that may be older than what is known. */
-  readonly withheld: number;
-  /** Number of known instances that the list lacks. */
-  readonly missing: number;
-}
-
-/** What the list is believed of once instances have had time to write anew. */
-export interface SettledList {
-  /** Number of instances that the list still lacked. */
-  readonly removed: number;
-  /** Number of entries and deletions that had been withheld. */
-  readonly believed: number;
-}
-
 /** The instances according to the stored list and to their own answers. */
 export class InstanceListView {
   readonly #options: InstanceListOptions;
@@ -63,13 +42,7 @@
   readonly #removed = new Map<string, RemovedInstance>();
   readonly #leaving = new LeavingTracker();
   readonly #storeReturn = new StoreReturn();
-  /** Listed instances that a full read lacks, as a store's older copy may. */
-  readonly #missingIds = new Set<string>();
-  /**
-   * Entries and deletions that may be of the copy, and say no more than the
-   * known states.
-   */
-  readonly #withheld = new Map<string, KeyedRecord>();
+  readonly #doubted = new DoubtedRecords();
   #revision = 0;
   #isLoaded = false;
 
@@ -103,8 +76,8 @@
         era: eraOf(readTo),
         readTo,
         isFullRead,
-        withheld: this.#withheld.size,
-        missing: this.#missingIds.size,
+        withheld: this.#doubted.withheldCount,
+        missing: this.#doubted.missingCount,
       });
     }
     this.settle(nowMs);
@@ -123,8 +96,7 @@
     const hasReturned = this.#storeReturn.note(start);
     if (hasReturned) {
       // All that an earlier era left open comes anew with this one's list.
-      this.#missingIds.clear();
-      this.#withheld.clear();
+      this.#doubted.clear();
     } else {
       this.#believeWithheld(
         ({ offset }) => !this.#storeReturn.mayBeCopied(offset),
@@ -140,13 +112,12 @@
    */
   settle(nowMs: number): void {
     const settled: SettledList = {
-      removed: this.#missingIds.size,
-      believed: this.#withheld.size,
+      removed: this.#doubted.missingCount,
+      believed: this.#doubted.withheldCount,
     };
     const count = settled.removed + settled.believed;
     if (count === 0 || !this.#storeReturn.hasSettled(nowMs)) return;
-    for (const id of this.#missingIds) this.#remove(id, { nowMs });
-    this.#missingIds.clear();
+    for (const id of this.#doubted.takeMissing()) this.#remove(id, { nowMs });
     this.#believeWithheld(() => true, nowMs);
     this.#revision += 1;
     this.#options.onSettled?.(settled);
@@ -156,9 +127,9 @@
     isBelieved: (record: KeyedRecord) => boolean,
     nowMs: number,
   ): void {
-    for (const record of [...this.#withheld.values()].filter(isBelieved)) {
-      const { key, value, offset } = record;
-      this.#withheld.delete(key);
+    for (
+      const { key, value, offset } of this.#doubted.takeWithheld(isBelieved)
+    ) {
       if (value === undefined) this.#remove(key, { nowMs, offset });
       else this.#put(key, value, { offset });
       this.#revision += 1;
@@ -181,8 +152,9 @@
     const listed = new Set(records.map(({ key }) => key));
     for (const [id, { offset }] of [...this.#entries]) {
       if (listed.has(id)) continue;
-      if (this.#storeReturn.isOfEarlierEra(offset)) this.#missingIds.add(id);
-      else this.#remove(id, { nowMs });
+      if (this.#storeReturn.isOfEarlierEra(offset)) {
+        this.#doubted.noteMissing(id);
+      } else this.#remove(id, { nowMs });
     }
   }
 
@@ -191,13 +163,12 @@
     const removed = this.#removed.get(key);
     const newest = known?.offset ?? removed?.removedOffset;
     if (newest !== undefined && newest > offset) return;
-    this.#withheld.delete(key);
+    this.#doubted.forget(key);
     const isOfCopy = newest !== undefined &&
       this.#storeReturn.isOfEarlierEra(newest) &&
       this.#storeReturn.mayBeCopied(offset);
-    this.#missingIds.delete(key);
     if (value === undefined) {
-      if (isOfCopy) this.#withheld.set(key, { key, offset });
+      if (isOfCopy) this.#doubted.withhold({ key, offset });
       else this.#remove(key, { nowMs, offset });
       return;
     }
@@ -266,7 +237,7 @@
       Right: (state) => {
         this.#noteListedLeaving(state);
         if (last !== undefined && !isCertainlyNewer(state, last)) {
-          this.#withheld.set(id, { key: id, value, offset });
+          this.#doubted.withhold({ key: id, value, offset });
           this.#noteWithheld(state);
           return;
         }
@@ -328,12 +299,3 @@
     });
   }
 }
-
-/** An instance whose entry was removed from the list. */
-export interface RemovedInstance {
-  readonly state: InstanceState;
-  /** Time of the removal. */
-  readonly sinceMs: number;
-  /** Log position of the removal, or of the last entry before it. */
-  readonly removedOffset: LogPosition;
-}
--- a/packages/celerytray/src/platform/store_client.ts
+++ b/packages/celerytray/src/platform/store_client.ts
@@ -13,24 +13,25 @@
   offsetOf,
   type ReadFailure,
   StoreAnswerLost,
-  StoreUnavailable,
 } from "../keyed_log/index.ts";
 import { BackendPools } from "../http/index.ts";
-import {
-  type CallFailure,
-  type HttpResponse,
-  sendRequest,
-} from "./send_request.ts";
-import {
-  decode,
-  type JsonObject,
-  parseObject,
-  readBoolean,
-  readNumber,
-  readObjects,
-  readString,
-} from "./json_fields.ts";
+import { readNumber } from "./json_fields.ts";
 import { decodeRecords, encodeKeyedRecord } from "./record_codec.ts";
+import { type HttpResponse, sendRequest } from "./send_request.ts";
+import {
+  CONFLICT_STATUS,
+  createConflict,
+  createEraFailure,
+  decodeBody,
+  decodeNewest,
+  decodeOk,
+  GONE_STATUS,
+  NO_TOPIC_STATUS,
+  OK_STATUS,
+  type StoreAnswer,
+  toFailure,
+  toReadFailure,
+} from "./store_answers.ts";
 import { StoreEra, type StoreEraOptions } from "./store_era.ts";
 import { TOPIC_NAMES } from "./words.ts";
 
@@ -232,82 +233,3 @@
     );
   }
 }
-
-/** An answer, and the era of the store that gave it. */
-interface StoreAnswer extends HttpResponse {
-  readonly era: number;
-}
-
-const OK_STATUS = 200;
-const NO_TOPIC_STATUS = 404;
-const GONE_STATUS = 410;
-const CONFLICT_STATUS = 412;
-
-interface NewestPage extends KeyedPage {
-  readonly hasMore: boolean;
-}
-
-function decodeNewest(body: JsonObject, era: number): NewestPage {
-  const positionOf = (offset: number) => createPosition({ era, offset });
-  return {
-    records: readObjects(body, "items").map((item) => ({
-      key: readString(item, "key"),
-      value: Buffer.from(readString(item, "value"), "base64"),
-      offset: positionOf(readNumber(item, "offset")),
-    })),
-    hasMore: readBoolean(body, "has_more"),
-    nextOffset: positionOf(readNumber(body, "end")),
-  };
-}
-
-function createEraFailure(topic: KeyedTopic): StoreAnswerLost {
-  return new StoreAnswerLost({
-    message:
-      `The store came back from an older copy during a call for ${topic}; read the newest records and decide again`,
-  });
-}
-
-function createConflict(topic: KeyedTopic, era: number): AppendConflict {
-  return new AppendConflict({
-    message:
-      `The store is in era ${era}, so ${topic} does not end where the append expected; read the newest records and decide again`,
-  });
-}
-
-function decodeOk<Value>(
-  answer: HttpResponse,
-  read: (body: JsonObject) => Value,
-): Effect.Effect<Value, ReadFailure> {
-  if (answer.status !== OK_STATUS) return Effect.fail(toFailure(answer));
-  return decodeBody(answer, read);
-}
-
-function decodeBody<Value>(
-  answer: HttpResponse,
-  read: (body: JsonObject) => Value,
-): Effect.Effect<Value, ReadFailure> {
-  return parseObject(answer.body.toString("utf8"))
-    .chain((body) => decode(() => read(body)))
-    .caseOf<Effect.Effect<Value, ReadFailure>>({
-      Left: (message) =>
-        Effect.fail(
-          new StoreAnswerLost({
-            message: `The store's response can't be decoded: ${message}`,
-          }),
-        ),
-      Right: (value) => Effect.succeed(value),
-    });
-}
-
-function toFailure(answer: HttpResponse): StoreUnavailable {
-  return new StoreUnavailable({
-    message: `The store answered with status ${answer.status}; retry later`,
-  });
-}
-
-function toReadFailure(failure: CallFailure): ReadFailure {
-  const { message } = failure;
-  return failure.reason === "answer-lost"
-    ? new StoreAnswerLost({ message })
-    : new StoreUnavailable({ message });
-}
--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -2,7 +2,8 @@
 import { bounds } from "./bounds.ts";
 import { applyLateReturn, MAX_AWAY_MS } from "./late_return.ts";
 import type { LoopbackProxy } from "./loopback_proxy.ts";
-import type { FaultAction, PlannedFault } from "./plan.ts";
+import type { FaultAction } from "./fault_action.ts";
+import type { PlannedFault } from "./plan.ts";
 import type { SoakCallers } from "./soak_callers.ts";
 import type { SoakCluster } from "./soak_cluster.ts";
 
--- a/packages/soak/src/faulty_front_test.ts
+++ b/packages/soak/src/faulty_front_test.ts
@@ -3,7 +3,8 @@
 import { describe, it } from "node:test";
 import { fileURLToPath } from "node:url";
 import { checks } from "./checks.ts";
-import type { FaultAction, PlannedFault } from "./plan.ts";
+import type { FaultAction } from "./fault_action.ts";
+import type { PlannedFault } from "./plan.ts";
 import { runSoak } from "./run_soak.ts";
 
 const PROGRAM = fileURLToPath(
--- a/packages/soak/src/late_return.ts
+++ b/packages/soak/src/late_return.ts
@@ -1,7 +1,7 @@
 import type { FakeHttpInstance } from "@celerytray/fakes";
 import { setTimeout as sleep } from "node:timers/promises";
 import { bounds } from "./bounds.ts";
-import type { LateReturn } from "./plan.ts";
+import type { LateReturn } from "./fault_action.ts";
 import type { SoakCluster } from "./soak_cluster.ts";
 
 /** Longest time for which the store is away before it comes back from a copy. */
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -1,72 +1,7 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { type LinkFault, linkFaults } from "./loopback_proxy.ts";
-
-/** Faults of the store. */
-export const storeFaults = [
-  "out",
-  "slow",
-  "loses-answers",
-  "forgets-history",
-  "refuses-some",
-] as const;
-
-/** Faults and changes that the soak applies. */
-export type FaultAction =
-  | { readonly kind: "terminate" | "kill" | "pause"; readonly process: string }
-  | {
-    readonly kind: "link";
-    readonly endpoint: "callers" | "store" | "instance";
-    readonly name: string;
-    readonly fault: LinkFault;
-  }
-  | { readonly kind: "store"; readonly fault: typeof storeFaults[number] }
-  | { readonly kind: "withdraw"; readonly key: string }
-  | { readonly kind: "config" }
-  | { readonly kind: "die" | "leave" | "cool"; readonly instance: string }
-  | { readonly kind: "evacuate"; readonly zone: string }
-  | { readonly kind: "burst" }
-  | {
-    readonly kind: "limit";
-    readonly instance: string;
-    readonly perSecond: number;
-  }
-  | { readonly kind: "poison"; readonly part: string }
-  | { readonly kind: "deadly-request"; readonly body: string }
-  /** SIGHUP, to a running process or during a start after a kill. */
-  | { readonly kind: "reload" | "reload-start"; readonly process: string }
-  /** The store comes back from a copy that is `ageMs` old. */
-  | { readonly kind: "return"; readonly ageMs: number }
-  | LateReturn
-  /** A route is added, and the one that was added last is dropped. */
-  | { readonly kind: "route" }
-  /** Requests of the plain service take long. */
-  | { readonly kind: "slow-work"; readonly workMs: number };
-
-/**
- * The store comes back from an older copy that lacks the last changes of the
- * configuration and that an instance leaves. What it lacks is written anew
- * later, and one process reaches it later still.
- */
-export interface LateReturn {
-  readonly kind: "late-return";
-  readonly ageMs: number;
-  /** Instance that leaves before the store is away; its answers don't say so. */
-  readonly instance: string;
-  /** Time from the store's ack of that until the store is away. */
-  readonly leaveBeforeMs: number;
-  /** Whether the instance removes its entry instead of draining. */
-  readonly isUnlisted: boolean;
-  /** Time from the return until the instances and the operator write anew. */
-  readonly rewriteAfterMs: number;
-  readonly lateProcess: string;
-  /** Time from the return until that process reaches the store. */
-  readonly lateMs: number;
-  /** Whether the store deletes the old records after the return. */
-  readonly deletesRecords: boolean;
-  /** Further routes of the configuration, which nobody calls. */
-  readonly idleRoutes: number;
-}
+import { type FaultAction, storeFaults } from "./fault_action.ts";
+import { linkFaults } from "./loopback_proxy.ts";
 
 /** An action with its start in the series and its duration. */
 export interface PlannedFault {
--- a/packages/soak/src/plan_test.ts
+++ b/packages/soak/src/plan_test.ts
@@ -1,10 +1,10 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import type { FaultAction } from "./fault_action.ts";
 import {
   constantFaultKinds,
   createPlan,
   describePlan,
-  type FaultAction,
   faultKinds,
   laterFaultKinds,
 } from "./plan.ts";
