Don't believe the copy's entry of an instance that a later read lacks

Cause: the copy listed the instance, so its entry was withheld. Its deletion was written anew and deleted with the other old records before the leader read it, which then read the whole list: that it lacked the entry changed nothing, as the instance wasn't among the known ones, and 2 s after the return the withheld entry was believed.

Change: a full read forgets withheld records that it lacks. Test: groups/store_return_test, 'doesn't believe the copy's entry of an instance that a later read lacks', red without the change.

--- a/packages/celerytray/src/groups/doubted_records.ts
+++ b/packages/celerytray/src/groups/doubted_records.ts
@@ -34,6 +34,13 @@
     this.#withheld.delete(id);
   }
 
+  /** Forgets the entries and deletions of instances that a full read lacks. */
+  keepOnly(listedIds: ReadonlySet<string>): void {
+    for (const id of [...this.#withheld.keys()]) {
+      if (!listedIds.has(id)) this.#withheld.delete(id);
+    }
+  }
+
   clear(): void {
     this.#missingIds.clear();
     this.#withheld.clear();
--- a/packages/celerytray/src/groups/instance_list.ts
+++ b/packages/celerytray/src/groups/instance_list.ts
@@ -150,6 +150,7 @@
 
   #removeUnlisted(records: readonly KeyedRecord[], nowMs: number): void {
     const listed = new Set(records.map(({ key }) => key));
+    this.#doubted.keepOnly(listed);
     for (const [id, { offset }] of [...this.#entries]) {
       if (listed.has(id)) continue;
       if (this.#storeReturn.isOfEarlierEra(offset)) {
--- a/packages/celerytray/src/groups/store_return_test.ts
+++ b/packages/celerytray/src/groups/store_return_test.ts
@@ -123,6 +123,18 @@
     expect(view.find("a")).toEqual(undefined);
   });
 
+  // Guards against an instance that is used again though it has left, as only the
+  // copy listed it and its deletion was deleted as well before it was read.
+  it("doesn't believe the copy's entry of an instance that a later read lacks", () => {
+    const { view, list, remove, readEmpty } = createView();
+    list({ offset: 1, sequence: 0 });
+    remove({ offset: 5 });
+    list({ era: 1, offset: 1, sequence: 0 });
+    readEmpty({ era: 1, offset: 4 });
+    view.settle(SETTLED_AT_MS);
+    expect(view.find("a")).toEqual(undefined);
+  });
+
   it("forgets what an earlier return left open", () => {
     const { view, list, readEmpty } = createView();
     list({ offset: 5, sequence: 1 });
