Soak: a leaving instance's period ends with its life

The check's bound is unchanged; the period that it is checked for ends with the life, as that of a limit does.

--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import { awaitEndOfLife } from "./await_end_of_life.ts";
 import { bounds } from "./bounds.ts";
 import { applyLateReturn, MAX_AWAY_MS } from "./late_return.ts";
 import type { LoopbackProxy } from "./loopback_proxy.ts";
@@ -15,7 +16,6 @@
 const REFUSED_ONE_IN = 3;
 /** Time until the instance list shows that an instance has become cold. */
 const COLD_DETECTION_MS = 1_000;
-const LIFE_POLL_MS = 10;
 const MIN_DOWNTIME_MS = 1_000;
 /** Makes a fault's duration a moment of a start. */
 const START_SHARE = 12;
@@ -208,11 +208,11 @@
   if (kind === "leave") {
     platform.announceLeaving(id);
     const endLeave = history.beginState(history.leavePeriods, id);
-    await sleep(durationMs);
+    await awaitEndOfLife(server, durationMs);
     endLeave();
   }
   const end = history.beginFault({ kind: "instance", name: id }, kind);
-  platform.kill(id);
+  if (server.isAlive) platform.kill(id);
   await sleep(
     kind === "die" ? Math.max(durationMs, MIN_DOWNTIME_MS) : MIN_DOWNTIME_MS,
   );
@@ -231,9 +231,7 @@
   if (!server.isAlive || server.limitPerSecond !== undefined) return false;
   server.limitPerSecond = perSecond;
   const end = history.beginLimit(id, perSecond);
-  const endMs = performance.now() + durationMs;
-  // A limit holds for one life: the next one may name none.
-  while (server.isAlive && performance.now() < endMs) await sleep(LIFE_POLL_MS);
+  await awaitEndOfLife(server, durationMs);
   end();
   server.limitPerSecond = undefined;
   return true;
--- a/packages/soak/src/late_return.ts
+++ b/packages/soak/src/late_return.ts
@@ -1,5 +1,6 @@
 import type { FakeHttpInstance } from "@celerytray/fakes";
 import { setTimeout as sleep } from "node:timers/promises";
+import { awaitEndOfLife } from "./await_end_of_life.ts";
 import { bounds } from "./bounds.ts";
 import type { LateReturn } from "./fault_action.ts";
 import type { SoakCluster } from "./soak_cluster.ts";
@@ -10,7 +11,6 @@
 const LOST_CHANGES = 2;
 /** Time for which a leaving instance serves after its bound has passed. */
 const LEFT_OBSERVATION_MS = 4_000;
-const LIFE_POLL_MS = 10;
 const DOWNTIME_MS = 1_000;
 
 /**
@@ -93,11 +93,9 @@
     ? Math.max(bounds.drainMs, bounds.stableWindowMs - rewriteAfterMs)
     : bounds.drainMs;
   await sleep(boundMs);
-  // Its next life is another instance.
   if (!server.isAlive) return;
   const end = history.beginState(history.drainedPeriods, server.id);
-  const endMs = performance.now() + LEFT_OBSERVATION_MS;
-  while (server.isAlive && performance.now() < endMs) await sleep(LIFE_POLL_MS);
+  await awaitEndOfLife(server, LEFT_OBSERVATION_MS);
   end();
 }
 
