Don't relay a topic as complete over what a full read jumped over

Cause: the list was read by front-2 up to offset 82 of the new era, where the copy still listed the instance. Its deletion came at a later offset and the old records were deleted. front-1 read all anew behind that; it had known the instance as deleted in the era before, so the deletion was no change to it. It then led and relayed to front-2 'all changes since 82', without one for that instance. What a full read jumps over, a copy doesn't know: a key may have been written and deleted there.

Change: a copy remembers the gaps of its full reads, and isn't complete for offsets within one; a process there reads the store itself. Test: topic_copy_test, 'is incomplete for offsets that a full read jumped over', red before (complete for 8 and 11).

--- a/packages/celerytray/src/keyed_log/topic_copy.ts
+++ b/packages/celerytray/src/keyed_log/topic_copy.ts
@@ -1,6 +1,7 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { KeyedChange } from "./follow_topic.ts";
 import type { KeyedRecord } from "./keyed_log.ts";
+import type { LogPosition } from "./position.ts";
 
 /** A record as sent to other processes. */
 export interface RelayedRecord {
@@ -28,14 +29,31 @@
  */
 const MAX_RECORDS_WITH_DELETED = 2_000;
 
+/** Number of gaps that are kept; before them, changes count as unknown. */
+const MAX_GAPS = 16;
+
+/**
+ * Positions, without both ends, that a full read jumped over. A key may have
+ * been written and deleted between them, of which the copy knows nothing.
+ */
+interface Gap {
+  readonly from: LogPosition;
+  readonly to: LogPosition;
+}
+
 /** The newest record of each key of a topic, to be relayed to other processes. */
 export class TopicCopy {
   readonly #records = new Map<string, KeyedRecord>();
   /** Cache of the value that was compressed last, by its offset. */
   readonly #compressed = new Map<number, string>();
   #nextOffset = 0;
-  /** Offset from which on every change is known, including deletions. */
+  /**
+   * Offset from which on every change is known, including deletions, but for
+   * those within gaps.
+   */
   #completeFrom: number | undefined;
+  /** Gaps in ascending order. */
+  #gaps: readonly Gap[] = [];
 
   /** Offset up to which records are known. */
   get nextOffset(): number {
@@ -47,7 +65,10 @@
     readonly nextOffset: number;
     readonly isFullRead: boolean;
   }): void {
-    if (change.isFullRead) this.#markMissingDeleted(change);
+    if (change.isFullRead) {
+      this.#markMissingDeleted(change);
+      this.#noteGap(change.nextOffset);
+    }
     for (const record of change.records) {
       const known = this.#records.get(record.key);
       if (known !== undefined && known.offset > record.offset) continue;
@@ -70,7 +91,8 @@
 
   /** Whether every change from an offset on is known, including deletions. */
   isCompleteSince(offset: number): boolean {
-    return this.#completeFrom !== undefined && offset >= this.#completeFrom;
+    return this.#completeFrom !== undefined && offset >= this.#completeFrom &&
+      !this.#gaps.some(({ from, to }) => from < offset && offset < to);
   }
 
   /** Lists the newest records from an offset on; none if they are incomplete. */
@@ -115,6 +137,16 @@
     }
   }
 
+  /** Notes what a full read up to an offset jumped over. */
+  #noteGap(to: LogPosition): void {
+    const from = this.#nextOffset;
+    if (this.#completeFrom === undefined || to <= from) return;
+    const gaps = [...this.#gaps, { from, to }];
+    const forgotten = gaps.length > MAX_GAPS ? gaps.shift() : undefined;
+    this.#completeFrom = Math.max(this.#completeFrom, forgotten?.to ?? 0);
+    this.#gaps = gaps;
+  }
+
   #forgetDeleted(): void {
     if (this.#records.size <= MAX_RECORDS_WITH_DELETED) return;
     for (const [key, { value, offset }] of this.#records) {
--- a/packages/celerytray/src/keyed_log/topic_copy_test.ts
+++ b/packages/celerytray/src/keyed_log/topic_copy_test.ts
@@ -2,6 +2,8 @@
 import { it } from "node:test";
 import { decodeRelayedChange, TopicCopy } from "./topic_copy.ts";
 
+const MANY_READS = 50;
+
 const record = (key: string, offset: number, text?: string) =>
   text === undefined
     ? { key, offset }
@@ -48,6 +50,23 @@
   ]);
 });
 
+// Guards against a process that keeps a deleted key, as the process that relays
+// the topic never knew the key: it read all anew after both of its records.
+it("is incomplete for offsets that a full read jumped over", () => {
+  const copy = new TopicCopy();
+  copy.apply({ isFullRead: true, records: [], nextOffset: 6 });
+  // Offset 7 was the key's record and offset 9 its deletion.
+  copy.apply({ isFullRead: true, records: [], nextOffset: 12 });
+  const offsets = [5, 6, 8, 11, 12];
+  expect(offsets.map((offset) => copy.isCompleteSince(offset)))
+    .toEqual([false, true, false, false, true]);
+  for (let read = 1; read <= MANY_READS; read++) {
+    copy.apply({ isFullRead: true, records: [], nextOffset: 12 + 3 * read });
+  }
+  expect(copy.isCompleteSince(6)).toEqual(false);
+  expect(copy.isCompleteSince(12 + 3 * MANY_READS)).toEqual(true);
+});
+
 it("keeps a newer record when an older one arrives late", () => {
   const copy = new TopicCopy();
   copy.apply({
