Soak: record a cold time only for the life that it belongs to

The trace: plain-3 ended 19.8 s into the run by the plan's 'die'; the loop that restarts what deadly requests crashed restarted it at 20.6 s; all processes kept to the limit until 23.5 s, 3 s after that start; the 'die' then found it running and recorded a cold time of 3 s from 22.0 s on, into the time when it was warm. The bound is unchanged; a cold time is recorded only where the restart was this action's own.

--- a/packages/fakes/src/platform/fake_platform.ts
+++ b/packages/fakes/src/platform/fake_platform.ts
@@ -128,17 +128,18 @@
   }
 
   /**
-   * Restarts an instance that ended, as its next incarnation; does nothing if it
-   * runs or is being restarted.
+   * Restarts an instance that ended, as its next incarnation; does nothing and
+   * returns false if it runs or is being restarted.
    */
-  async restart(id: string, coldMs = 0): Promise<void> {
+  async restart(id: string, coldMs = 0): Promise<boolean> {
     const domain = this.instances.get(id)?.instance.domain;
     const { zone, isAlive } = this.find(id);
-    if (isAlive || this.#restartingIds.has(id)) return;
+    if (isAlive || this.#restartingIds.has(id)) return false;
     this.#restartingIds.add(id);
     if (domain === undefined) await this.startPlainInstance(id, zone, coldMs);
     else await this.startInstance(id, domain, zone, coldMs);
     this.#restartingIds.delete(id);
+    return true;
   }
 
   /** Returns the latest incarnation of an instance; throws if none was started. */
--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -216,9 +216,10 @@
   await sleep(
     kind === "die" ? Math.max(durationMs, MIN_DOWNTIME_MS) : MIN_DOWNTIME_MS,
   );
-  await platform.restart(id, bounds.coldStartMs);
+  const isFromHere = await platform.restart(id, bounds.coldStartMs);
   end();
-  await recordCold(cluster, id, bounds.coldStartMs);
+  // A life that began earlier, after a crash, is no longer cold as long.
+  if (isFromHere) await recordCold(cluster, id, bounds.coldStartMs);
   return true;
 }
 
--- a/packages/soak/src/late_return.ts
+++ b/packages/soak/src/late_return.ts
@@ -106,8 +106,9 @@
   const end = history.beginFault({ kind: "instance", name: instance }, "leave");
   platform.kill(instance);
   await sleep(DOWNTIME_MS);
-  await platform.restart(instance, bounds.coldStartMs);
+  const isFromHere = await platform.restart(instance, bounds.coldStartMs);
   end();
+  if (!isFromHere) return;
   const endCold = history.beginState(history.coldPeriods, instance);
   await sleep(bounds.coldStartMs);
   endCold();
