Fakes: a store whose connections close amid an append stays up

Nothing is stored then, and nothing is answered, as from instances; both read bodies by the same function now.

--- a/packages/fakes/src/platform/fake_http_instance.ts
+++ b/packages/fakes/src/platform/fake_http_instance.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import { answerJson } from "./fake_store_server.ts";
+import { readRequestBody } from "./read_request_body.ts";
 
 const MISDIRECTED_STATUS = 421;
 const REPORT_PATH = "/report";
@@ -160,7 +161,7 @@
       }).end();
       return;
     }
-    const body = await readBody(request);
+    const body = await readRequestBody(request);
     if (body === undefined) return;
     if (request.url === REPORT_PATH) this.#report(response);
     else if (request.url === ORDER_PATH) {
@@ -180,17 +181,3 @@
     answerJson(response, 200, { pace: 1 });
   }
 }
-
-/** Reads the complete body; undefined if the caller closed the connection first. */
-async function readBody(
-  request: IncomingMessage,
-): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  try {
-    for await (const chunk of request) chunks.push(chunk as Buffer);
-  } catch {
-    // The caller closed the connection: nothing was executed, and no response can be sent.
-    return undefined;
-  }
-  return Buffer.concat(chunks);
-}
--- a/packages/fakes/src/platform/fake_store_server.ts
+++ b/packages/fakes/src/platform/fake_store_server.ts
@@ -6,6 +6,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import { readRequestBody } from "./read_request_body.ts";
 import { FakeKeyedStore, type FakeStoreCopy } from "../store/index.ts";
 
 const LENGTH_BYTES = 4;
@@ -116,9 +117,9 @@
     response: ServerResponse,
     url: URL,
   ): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
-    const content = Buffer.concat(chunks).subarray(LENGTH_BYTES);
+    const body = await readRequestBody(request);
+    if (body === undefined) return;
+    const content = body.subarray(LENGTH_BYTES);
     const keyEnd = 1 + (content[0] ?? 0);
     const value = content.subarray(keyEnd);
     const at = url.searchParams.get("at");
