Log what each attempt passed on, and events that come after its end

So the hypotheses couldn't be told apart: two attempts with the same events, and 'attempt.late-event', are the first one; the second one has late events after an outcome of this process' own; the third one has events without an id.

call.ended: the attempts name the first and last event passed on and how many had no id. New: attempt.late-event with call, instance and event id, counted in celerytray_late_events_total. Nothing is decided by them.

--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -23,6 +23,7 @@
 import { addGauges } from "./add_gauges.ts";
 import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { countStoreCalls } from "./count_store_calls.ts";
+import { countLateEvents } from "./count_late_events.ts";
 import { countMalformedHeaders } from "./count_malformed_headers.ts";
 import { createAdmission } from "./create_admission.ts";
 import { createCoordinator, createIncarnation } from "./create_coordinator.ts";
@@ -199,6 +200,7 @@
         view.noteLeaving(createIncarnation(instanceId, bornAtMs)),
       onBackoff: (backoff) => record("instance.backoff", { ...backoff }),
       onMalformedHeaders: countMalformedHeaders({ metrics, record }),
+      onLateEvent: countLateEvents({ metrics, record }),
       onFault: (defect) =>
         recordFault({ name: "serving of a request", record }, defect),
       record: (call) =>
--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -12,6 +12,7 @@
 import type { ServingTarget } from "./choose_target.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import { tryMove } from "./find_target.ts";
+import { PassedEvents } from "./passed_events.ts";
 import { AttemptWatch } from "./quarantine/index.ts";
 import { createPool } from "./rate_limit/index.ts";
 import { runAttempt } from "./run_attempt.ts";
@@ -49,6 +50,8 @@
     });
     progress.tried.add(instanceId);
     progress.currentInstanceId = instanceId;
+    const passedEvents = new PassedEvents();
+    progress.passedEvents = passedEvents;
     loads.noteSent(instanceId);
     const notePromptRead = prompts.add(
       instanceId,
@@ -115,8 +118,15 @@
         watch.noteEvent(nowMs());
         noteEventTime(progress, nowMs());
         if (event.id !== undefined) progress.lastEventId = event.id;
+        passedEvents.note(event);
         return exchange.writeEvent(event.bytes);
       },
+      onLateEvent: ({ id }) =>
+        dependencies.onLateEvent({
+          callId: call.headers.id,
+          instanceId,
+          ...(id === undefined ? {} : { eventId: id }),
+        }),
       awaitDrain: (onReady) => {
         timing.notePaused();
         exchange.awaitDrain(() => {
--- a/packages/celerytray/src/serving/attempt_options.ts
+++ b/packages/celerytray/src/serving/attempt_options.ts
@@ -50,6 +50,8 @@
   readonly onStreamHeaders: (headers: ResponseHeaders) => void;
   /** Forwards an event; returns false if the caller does not keep up. */
   readonly onEvent: (event: StreamEvent) => boolean;
+  /** Called with an event that arrives after the attempt has ended. */
+  readonly onLateEvent: (event: StreamEvent) => void;
   /** Called if it does not; calls `onReady` when reading may resume. */
   readonly awaitDrain: (onReady: () => void) => void;
   /** Bounds the memory for responses that are buffered until their end. */
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -5,6 +5,7 @@
 import type { AttemptOutcome } from "./attempt_options.ts";
 import type { AbandonReason } from "./stall_detector.ts";
 import type { RetryPolicy } from "./serving_config.ts";
+import { PassedEvents } from "./passed_events.ts";
 import { CallCauses } from "./quarantine/index.ts";
 
 /** The result of all attempts of a call. */
@@ -35,7 +36,7 @@
 
 /** Summary of a call's attempts, for logs and metrics. */
 export interface AttemptsSummary {
-  /** Instance id and outcome of each attempt. */
+  /** Instance id, outcome and events passed on of each attempt. */
   readonly attempts: readonly string[];
   readonly firstByteAtMs?: number;
   /** Longest time between two events; absent with fewer than two. */
@@ -57,6 +58,8 @@
   /** Whether an attempt failed on a connection that was closed while idle. */
   hadStaleConnection: boolean;
   lastEventId: number | undefined;
+  /** Events of the current or last attempt that the caller was sent. */
+  passedEvents: PassedEvents;
   firstByteAtMs: number | undefined;
   /** Undefined before the first event and after a pause of the caller. */
   lastEventAtMs: number | undefined;
@@ -101,6 +104,7 @@
     lastEventId: Number.isNaN(call.headers.lastEventId)
       ? undefined
       : call.headers.lastEventId,
+    passedEvents: new PassedEvents(),
     firstByteAtMs: undefined,
     lastEventAtMs: undefined,
     longestPauseMs: undefined,
@@ -143,7 +147,8 @@
   if (outcome.kind !== "not-run" || outcome.isRejected) {
     progress.deliveries += 1;
   }
-  progress.attempts.push(`${instanceId} ${describeOutcome(outcome)}`);
+  const events = progress.passedEvents.describe();
+  progress.attempts.push(`${instanceId} ${describeOutcome(outcome)}${events}`);
   if (outcome.kind === "not-run" && outcome.isWithheld) return;
   if (outcome.kind !== "not-run") progress.mayHaveRun = true;
   if (
@@ -216,9 +221,10 @@
 /** Summarizes the attempts so far, the current one included. */
 export function summarize(progress: AttemptProgress): AttemptsSummary {
   const { currentInstanceId, firstByteAtMs, longestPauseMs } = progress;
-  const attempts = currentInstanceId === undefined
-    ? progress.attempts
-    : [...progress.attempts, `${currentInstanceId} under way`];
+  const attempts = currentInstanceId === undefined ? progress.attempts : [
+    ...progress.attempts,
+    `${currentInstanceId} under way${progress.passedEvents.describe()}`,
+  ];
   return {
     attempts,
     ...(firstByteAtMs === undefined ? {} : { firstByteAtMs }),
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -80,6 +80,8 @@
   readonly onBackoff: (backoff: RequestedBackoff) => void;
   /** Called when a response header cannot be parsed. */
   readonly onMalformedHeaders: (instanceId: string, message: string) => void;
+  /** Called with an event of an attempt that had ended. */
+  readonly onLateEvent: (event: LateEvent) => void;
   /** Called with an unexpected error. */
   readonly onFault: (defect: unknown) => void;
   readonly record: (outcome: CallRecord) => void;
@@ -115,6 +117,14 @@
   readonly backoffMs: number;
 }
 
+/** An event of an attempt that had ended when the event arrived. */
+export interface LateEvent {
+  readonly callId: string;
+  readonly instanceId: string;
+  /** Absent for an event without an id. */
+  readonly eventId?: number;
+}
+
 /** The result of a call, for logs and metrics. */
 export interface CallRecord {
   readonly callId: string;
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -87,6 +87,7 @@
     onFault: () => {},
     onBackoff: () => {},
     onMalformedHeaders: () => {},
+    onLateEvent: () => {},
     ...overrides,
   };
 }
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -18,6 +18,7 @@
   CallRecord,
   DemandSource,
   ExclusionReason,
+  LateEvent,
   ServingDependencies,
   WithheldReason,
 } from "./call_context.ts";
--- a/packages/celerytray/src/serving/read_response.ts
+++ b/packages/celerytray/src/serving/read_response.ts
@@ -19,6 +19,8 @@
   readonly request: ClientRequest;
   readonly settle: (outcome: AttemptOutcome) => void;
   readonly fail: (message: string) => void;
+  /** Whether the attempt is settled. */
+  readonly hasEnded: () => boolean;
 }
 
 /** Reads a response to its end and settles the attempt. */
@@ -94,6 +96,7 @@
     // Bytes that never complete an event do not count as progress.
     if (events.length > 0) options.onProgress();
     for (const event of events) {
+      if (reading.hasEnded()) options.onLateEvent(event);
       if (event.id !== undefined) {
         if (lastId !== undefined && event.id !== lastId + 1) {
           reject(
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -103,7 +103,13 @@
       request.destroy();
     });
     request.on("response", (response) => {
-      readResponse(response, { options, request, settle, fail });
+      readResponse(response, {
+        options,
+        request,
+        settle,
+        fail,
+        hasEnded: () => isSettled,
+      });
     });
     options.registerAbandon((reason) => {
       fail(ABANDON_MESSAGES[reason], reason);
