Test that bytes of no response repeat and discard nothing

What callers see: a back end writes a complete stream and bytes behind it in one write; the caller gets events 0 1 2 3 0 1 2 3 in one answer that ends as complete. A complete plain answer is thrown away: 502 for an unsafe request that ran, a second run of a safe one.

--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -164,6 +164,8 @@
   readonly trySpend?: () => boolean;
   readonly onFault?: ServingDependencies["onFault"];
   readonly onMalformedHeaders?: ServingDependencies["onMalformedHeaders"];
+  readonly onLateEvent?: ServingDependencies["onLateEvent"];
+  readonly record?: ServingDependencies["record"];
   readonly lag?: ServingDependencies["lag"];
   /** Timeout of all routes. */
   readonly timeoutMs?: number;
