End an attempt after the bytes that arrived before its failure

Cause: an attempt's end overtook its delivered bytes. Node emits a parse error on the request at once, while the bytes in front of it, which arrived in the same read, wait for the next tick. run_attempt took the error for the end of the attempt: the next one began with the last event id known by then, and the old response's events were passed on one tick later. Where those bytes completed the response, it was thrown away for what stood behind it.

Evidence: foreign_bytes_test on: attempt.late-event names events 0 and 1 of the first attempt, and the caller has 0 1 0 1 2 3. Node alone emits response, error, data, end (complete) and close in this order, on new and kept connections, with a length and in chunks. Ruled out there: a second whole answer, a reset, a closed connection.

watchFailure decides when an exchange has failed: without a response at once, with one when the response closes incomplete, which Node emits after its data. A complete response followed by foreign bytes has not failed; Node closes its connection.

--- a/packages/celerytray/src/serving/read_response.ts
+++ b/packages/celerytray/src/serving/read_response.ts
@@ -34,8 +34,6 @@
     reading.fail(message);
     request.destroy();
   };
-  response.on("error", (error) => reading.fail(error.message));
-  response.on("close", () => reading.fail("The response was truncated"));
   // On a reused connection a response without an id may be a late one to an
   // earlier request.
   const isMatching = headers.callId === undefined
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -1,6 +1,6 @@
 import { Effect } from "effect";
 import { request as httpRequest } from "node:http";
-import { parseAddress, watchFraming } from "../http/index.ts";
+import { parseAddress, watchFailure, watchFraming } from "../http/index.ts";
 import type { AttemptOptions, AttemptOutcome } from "./attempt_options.ts";
 import { readResponse } from "./read_response.ts";
 import type { AbandonReason } from "./stall_detector.ts";
@@ -89,7 +89,7 @@
       if (socket.connecting) socket.once("connect", dispatch);
       else dispatch();
     });
-    request.on("error", (error) => {
+    watchFailure(request, (error) => {
       isReset = STALE_CONNECTION_CODES.has(
         (error as NodeJS.ErrnoException).code ?? "",
       );
