Give a caller's stream one owner that knows what the caller has

Each attempt checked only the order of its own events, and any attempt could write: nobody knew what the caller had.

CallerStream belongs to the call. It holds the last event id, opens one writer at a time for an attempt and closes the one before, and takes only the event after the last one that the caller has, whoever brings it. An attempt closes its writer as it ends, for whatever reason: an outcome, a move, a deadline, a stop, a caller that leaves. The next attempt asks to resume after what the stream holds as its writer is opened. Events of a closed writer are discarded and logged as attempt.late-event.

--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -10,9 +10,7 @@
 import type { ResponseHeaders } from "./call.ts";
 import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
 import type { ServingTarget } from "./choose_target.ts";
-import type { StreamEvent } from "./event_splitter.ts";
 import { tryMove } from "./find_target.ts";
-import { PassedEvents } from "./passed_events.ts";
 import { AttemptWatch } from "./quarantine/index.ts";
 import { createPool } from "./rate_limit/index.ts";
 import { runAttempt } from "./run_attempt.ts";
@@ -50,8 +48,8 @@
     });
     progress.tried.add(instanceId);
     progress.currentInstanceId = instanceId;
-    const passedEvents = new PassedEvents();
-    progress.passedEvents = passedEvents;
+    const writer = progress.stream.open();
+    const { lastEventId } = progress.stream;
     loads.noteSent(instanceId);
     const notePromptRead = prompts.add(
       instanceId,
@@ -82,18 +80,13 @@
           ? { priority: findPriority(call, dependencies) }
           : {}),
         ...(call.tenant === undefined ? {} : { tenant: call.tenant }),
-        ...(progress.lastEventId === undefined
-          ? {}
-          : { lastEventId: progress.lastEventId }),
+        ...(lastEventId === undefined ? {} : { lastEventId }),
       }),
       body: call.body,
       callId: call.headers.id,
       agent: call.route.retryPolicy === "once"
         ? undefined
         : dependencies.agentFor(address),
-      ...(progress.lastEventId === undefined
-        ? {}
-        : { lastEventId: progress.lastEventId }),
       onHeaders: (fields) => {
         timing.noteHeaders(nowMs());
         watch.noteHeaders(nowMs());
@@ -109,24 +102,23 @@
       onProgress: () => stalls.noteProgress(instanceId, nowMs()),
       maySend: () => findWithheldReason(options, nowMs()) === undefined,
       onSent: () => progress.isCurrentSent = true,
-      onStreamHeaders: (headers) => {
-        if (!exchange.hasStarted) exchange.startStream(headers);
+      onStreamHeaders: (headers) => writer.start(headers),
+      onEvent: (event) => {
+        const result = writer.write(event);
+        if (result === "closed") {
+          dependencies.onLateEvent({
+            callId: call.headers.id,
+            instanceId,
+            ...(event.id === undefined ? {} : { eventId: event.id }),
+          });
+        } else if (result !== "out-of-order") {
+          notePromptRead();
+          timing.noteEvent(nowMs());
+          watch.noteEvent(nowMs());
+          noteEventTime(progress, nowMs());
+        }
+        return result;
       },
-      onEvent: (event: StreamEvent) => {
-        notePromptRead();
-        timing.noteEvent(nowMs());
-        watch.noteEvent(nowMs());
-        noteEventTime(progress, nowMs());
-        if (event.id !== undefined) progress.lastEventId = event.id;
-        passedEvents.note(event);
-        return exchange.writeEvent(event.bytes);
-      },
-      onLateEvent: ({ id }) =>
-        dependencies.onLateEvent({
-          callId: call.headers.id,
-          instanceId,
-          ...(id === undefined ? {} : { eventId: id }),
-        }),
       awaitDrain: (onReady) => {
         timing.notePaused();
         exchange.awaitDrain(() => {
@@ -137,6 +129,7 @@
         });
       },
       held: dependencies.held,
+      onEnd: () => writer.close(),
       registerAbandon: (abandon) => progress.abandon = abandon,
     }).pipe(
       Effect.tap((outcome) =>
@@ -201,7 +194,7 @@
   { priority }: AdmittedCall,
   progress: AttemptProgress,
 ): number {
-  const hasEvents = progress.lastEventId !== undefined;
+  const hasEvents = progress.stream.lastEventId !== undefined;
   return (hasEvents ? LOWEST_PRIORITY + 1 : 0) - priority;
 }
 
--- a/packages/celerytray/src/serving/attempt_options.ts
+++ b/packages/celerytray/src/serving/attempt_options.ts
@@ -1,5 +1,6 @@
 import type { Agent } from "node:http";
 import type { CallCodec, ResponseHeaders } from "./call.ts";
+import type { WriteResult } from "./caller_stream.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import type { HeldBytes } from "./held_bytes.ts";
 import type { AbandonReason } from "./stall_detector.ts";
@@ -44,15 +45,11 @@
   readonly callId: string;
   /** Connection pool; undefined for a new connection. */
   readonly agent: Agent | undefined;
-  /** Id of the last event that the caller has received. */
-  readonly lastEventId?: number;
   /** Called with the headers of an event stream, before its events. */
   readonly onStreamHeaders: (headers: ResponseHeaders) => void;
-  /** Forwards an event; returns false if the caller does not keep up. */
-  readonly onEvent: (event: StreamEvent) => boolean;
-  /** Called with an event that arrives after the attempt has ended. */
-  readonly onLateEvent: (event: StreamEvent) => void;
-  /** Called if it does not; calls `onReady` when reading may resume. */
+  /** Forwards an event to the caller. */
+  readonly onEvent: (event: StreamEvent) => WriteResult;
+  /** Called if the caller does not keep up; calls `onReady` when reading may resume. */
   readonly awaitDrain: (onReady: () => void) => void;
   /** Bounds the memory for responses that are buffered until their end. */
   readonly held: HeldBytes;
@@ -64,6 +61,8 @@
   readonly maySend: () => boolean;
   /** Called before the first byte of the request is written. */
   readonly onSent: () => void;
+  /** Called as the attempt ends, also by interruption. */
+  readonly onEnd: () => void;
   /** Called with a function that ends the attempt. */
   readonly registerAbandon: (abandon: (reason: AbandonReason) => void) => void;
 }
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -1,11 +1,11 @@
 import type { ResponseHeaders } from "./call.ts";
 import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
 import type { CallerExchange, LocalResponse } from "./caller_exchange.ts";
+import { CallerStream } from "./caller_stream.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { AttemptOutcome } from "./attempt_options.ts";
 import type { AbandonReason } from "./stall_detector.ts";
 import type { RetryPolicy } from "./serving_config.ts";
-import { PassedEvents } from "./passed_events.ts";
 import { CallCauses } from "./quarantine/index.ts";
 
 /** The result of all attempts of a call. */
@@ -57,9 +57,7 @@
   mayHaveRun: boolean;
   /** Whether an attempt failed on a connection that was closed while idle. */
   hadStaleConnection: boolean;
-  lastEventId: number | undefined;
-  /** Events of the current or last attempt that the caller was sent. */
-  passedEvents: PassedEvents;
+  readonly stream: CallerStream;
   firstByteAtMs: number | undefined;
   /** Undefined before the first event and after a pause of the caller. */
   lastEventAtMs: number | undefined;
@@ -92,7 +90,9 @@
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
 
 /** Creates the state of a call before its first attempt. */
-export function createProgress(call: AdmittedCall): AttemptProgress {
+export function createProgress(
+  { call, exchange }: AttemptsOptions,
+): AttemptProgress {
   return {
     causes: new CallCauses(call),
     tried: new Set(),
@@ -101,10 +101,12 @@
     possibleRuns: 0,
     mayHaveRun: false,
     hadStaleConnection: false,
-    lastEventId: Number.isNaN(call.headers.lastEventId)
-      ? undefined
-      : call.headers.lastEventId,
-    passedEvents: new PassedEvents(),
+    stream: new CallerStream({
+      sink: exchange,
+      lastEventId: Number.isNaN(call.headers.lastEventId)
+        ? undefined
+        : call.headers.lastEventId,
+    }),
     firstByteAtMs: undefined,
     lastEventAtMs: undefined,
     longestPauseMs: undefined,
@@ -147,7 +149,7 @@
   if (outcome.kind !== "not-run" || outcome.isRejected) {
     progress.deliveries += 1;
   }
-  const events = progress.passedEvents.describe();
+  const events = progress.stream.describeLastTurn();
   progress.attempts.push(`${instanceId} ${describeOutcome(outcome)}${events}`);
   if (outcome.kind === "not-run" && outcome.isWithheld) return;
   if (outcome.kind !== "not-run") progress.mayHaveRun = true;
@@ -223,7 +225,7 @@
   const { currentInstanceId, firstByteAtMs, longestPauseMs } = progress;
   const attempts = currentInstanceId === undefined ? progress.attempts : [
     ...progress.attempts,
-    `${currentInstanceId} under way${progress.passedEvents.describe()}`,
+    `${currentInstanceId} under way${progress.stream.describeLastTurn()}`,
   ];
   return {
     attempts,
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -151,7 +151,7 @@
   progress: AttemptProgress,
 ): boolean {
   return exchange.hasStarted || progress.attempts.length > 0 ||
-    progress.lastEventId !== undefined;
+    progress.stream.lastEventId !== undefined;
 }
 
 /** Returns the delay until a model without a replica has one, if it is known. */
--- a/packages/celerytray/src/serving/read_response.ts
+++ b/packages/celerytray/src/serving/read_response.ts
@@ -19,8 +19,6 @@
   readonly request: ClientRequest;
   readonly settle: (outcome: AttemptOutcome) => void;
   readonly fail: (message: string) => void;
-  /** Whether the attempt is settled. */
-  readonly hasEnded: () => boolean;
 }
 
 /** Reads a response to its end and settles the attempt. */
@@ -86,7 +84,6 @@
 function relayStream(response: IncomingMessage, reading: BodyReading): void {
   const { options, reject } = reading;
   const splitter = new EventSplitter();
-  let lastId = options.lastEventId;
   options.onStreamHeaders(reading.headers);
   response.on("data", (chunk: Buffer) => {
     let mayContinue = true;
@@ -94,17 +91,13 @@
     // Bytes that never complete an event do not count as progress.
     if (events.length > 0) options.onProgress();
     for (const event of events) {
-      if (reading.hasEnded()) options.onLateEvent(event);
-      if (event.id !== undefined) {
-        if (lastId !== undefined && event.id !== lastId + 1) {
-          reject(
-            `Event ${event.id} follows event ${lastId}; ids must be consecutive`,
-          );
-          return;
-        }
-        lastId = event.id;
+      const result = options.onEvent(event);
+      if (result === "closed") return;
+      if (result === "out-of-order") {
+        reject(`Event ${event.id} does not follow the last one`);
+        return;
       }
-      mayContinue = options.onEvent(event) && mayContinue;
+      mayContinue &&= result === "written";
     }
     if (splitter.pendingBytes > MAX_EVENT_BYTES) {
       reject(`An event exceeds ${MAX_EVENT_BYTES} bytes`);
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/run_attempt.ts
@@ -33,6 +33,7 @@
     const settle = (outcome: AttemptOutcome) => {
       if (isSettled) return;
       isSettled = true;
+      options.onEnd();
       resume(Effect.succeed(outcome));
     };
     const fail = (message: string, abandonReason?: AbandonReason) =>
@@ -103,13 +104,7 @@
       request.destroy();
     });
     request.on("response", (response) => {
-      readResponse(response, {
-        options,
-        request,
-        settle,
-        fail,
-        hasEnded: () => isSettled,
-      });
+      readResponse(response, { options, request, settle, fail });
     });
     options.registerAbandon((reason) => {
       fail(ABANDON_MESSAGES[reason], reason);
@@ -117,6 +112,7 @@
     });
     return Effect.sync(() => {
       isSettled = true;
+      options.onEnd();
       request.destroy();
     });
   });
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -50,7 +50,7 @@
 ): Effect.Effect<AttemptsResult> {
   const { call, dependencies } = options;
   return Effect.gen(function* () {
-    const progress = createProgress(call);
+    const progress = createProgress(options);
     const startedAtMs = yield* steadyMs;
     return yield* attemptUntilDone(options, progress).pipe(
       Effect.timeoutOrElse({
