Don't continue a stream behind data without an id

It isn't shown that the users' streams had such events; all ids in their record are numbers.

The caller's stream knows whether what the caller has ends with an id. Without one, no further attempt is made and the stream is broken off, so that its caller decides. Comments carry no data and change nothing.

The raw bytes that several tests write are now in one place, raw_response.ts.

--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -202,12 +202,16 @@
   return retryPolicy === "once" && NOT_RUN_STATUSES.includes(headers.status);
 }
 
-/** Whether the route's retry policy and the attempts so far allow another one. */
+/**
+ * Whether the route's retry policy, the attempts so far and what the caller has
+ * allow another one.
+ */
 export function mayAttemptAgain(
   { call }: AttemptsOptions,
   progress: AttemptProgress,
 ): boolean {
   if (call.route.retryPolicy === "once" && progress.mayHaveRun) return false;
+  if (!progress.stream.isResumable) return false;
   return progress.possibleRuns < Math.max(1, call.route.maxAttempts);
 }
 
@@ -216,7 +220,7 @@
   { call }: AttemptsOptions,
   progress: AttemptProgress,
 ): boolean {
-  return call.route.retryPolicy !== "once" &&
+  return call.route.retryPolicy !== "once" && progress.stream.isResumable &&
     progress.possibleRuns + 1 < Math.max(1, call.route.maxAttempts);
 }
 
--- a/packages/celerytray/src/serving/caller_stream.ts
+++ b/packages/celerytray/src/serving/caller_stream.ts
@@ -26,6 +26,7 @@
 export class CallerStream {
   readonly #sink: StreamSink;
   #lastEventId: number | undefined;
+  #isResumable = true;
   #writer: StreamWriter | undefined;
 
   constructor(options: {
@@ -42,6 +43,14 @@
     return this.#lastEventId;
   }
 
+  /**
+   * Whether another attempt can continue behind what the caller has, which no
+   * id names if data without one came last.
+   */
+  get isResumable(): boolean {
+    return this.#isResumable;
+  }
+
   /** Starts an attempt's turn to write, and ends that of the one before. */
   open(): StreamWriter {
     this.#writer?.close();
@@ -61,11 +70,14 @@
     if (!this.#sink.hasStarted) this.#sink.startStream(headers);
   }
 
-  #write({ id, bytes }: StreamEvent): Exclude<WriteResult, "closed"> {
-    if (id !== undefined) {
-      const lastId = this.#lastEventId;
+  #write({ id, bytes, hasData }: StreamEvent): Exclude<WriteResult, "closed"> {
+    const lastId = this.#lastEventId;
+    if (id === undefined) {
+      if (hasData) this.#isResumable = false;
+    } else {
       if (lastId !== undefined && id !== lastId + 1) return "out-of-order";
       this.#lastEventId = id;
+      this.#isResumable = true;
     }
     return this.#sink.writeEvent(bytes) ? "written" : "written-ahead";
   }
--- a/packages/celerytray/src/serving/caller_stream_test.ts
+++ b/packages/celerytray/src/serving/caller_stream_test.ts
@@ -41,6 +41,18 @@
     expect(written).toEqual(["5"]);
   });
 
+  it("is resumable unless data without an id came last", () => {
+    const { stream } = createStream();
+    const writer = stream.open();
+    const comment = { bytes: Buffer.from(":"), hasData: false };
+    const unnamed = { bytes: Buffer.from("a"), hasData: true };
+    const states = [comment, unnamed, comment, createEvent(0)].map((event) => {
+      writer.write(event);
+      return stream.isResumable;
+    });
+    expect(states).toEqual([true, false, false, true]);
+  });
+
   it("sends the headers of the first attempt that has any", () => {
     const { stream, started } = createStream();
     stream.open();
@@ -85,5 +97,5 @@
 }
 
 function createEvent(id: number) {
-  return { id, bytes: Buffer.from(String(id)) };
+  return { id, bytes: Buffer.from(String(id)), hasData: true };
 }
--- a/packages/celerytray/src/serving/event_splitter.ts
+++ b/packages/celerytray/src/serving/event_splitter.ts
@@ -1,12 +1,16 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /(?:^|\n)id: ?([0-9]+)\r?(?:\n|$)/;
+const DATA_LINE = /(?:^|\n)data(?::|\r?\n)/;
 
 /** One complete event of a stream. */
 export interface StreamEvent {
   /** Its bytes, including the empty line that ends it. */
   readonly bytes: Buffer;
+  /** Absent without a numeric id. */
   readonly id?: number;
+  /** Whether it has data, unlike a comment. */
+  readonly hasData: boolean;
 }
 
 /** Splits a byte stream into complete server-sent events. */
@@ -42,6 +46,8 @@
 }
 
 function createEvent(bytes: Buffer): StreamEvent {
-  const id = ID_LINE.exec(bytes.toString("latin1"))?.[1];
-  return id === undefined ? { bytes } : { bytes, id: Number(id) };
+  const text = bytes.toString("latin1");
+  const id = ID_LINE.exec(text)?.[1];
+  const hasData = DATA_LINE.test(text);
+  return { bytes, hasData, ...(id === undefined ? {} : { id: Number(id) }) };
 }
--- a/packages/celerytray/src/serving/foreign_bytes_test.ts
+++ b/packages/celerytray/src/serving/foreign_bytes_test.ts
@@ -4,16 +4,21 @@
 import { describe, it } from "node:test";
 import { HEADER_NAMES } from "../platform/words.ts";
 import type { LateEvent } from "./call_context.ts";
+import {
+  createRawChunk,
+  createRawHead,
+  createRawStreamHead,
+  LAST_CHUNK,
+  readRawHeader,
+} from "./raw_response.ts";
 import { call, startEntry, startRawBackend } from "./test_entry.ts";
 
 const ALL_EVENTS = [0, 1, 2, 3];
-const CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
-const LAST_CHUNK = "0\r\n\r\n";
 const NO_CHUNK_SIZE = "zz\r\n";
 const FOREIGN_BYTES = "bytes of no response\r\n\r\n";
 const PLAIN_BODIES = {
   "with a length": "Content-Length: 4\r\n\r\ndone",
-  "in chunks": `${CHUNKED}4\r\ndone\r\n${LAST_CHUNK}`,
+  "in chunks": `Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n${LAST_CHUNK}`,
 };
 
 describe("bytes of no response, in one read with a response", () => {
@@ -63,7 +68,7 @@
     for (const [framing, body] of Object.entries(PLAIN_BODIES)) {
       it(`leave the answer of ${path} complete, after one run (${framing})`, async () => {
         const { entry, requests } = await startFaulty({
-          respond: (request) => createHead(request) + body + FOREIGN_BYTES,
+          respond: (request) => createRawHead(request) + body + FOREIGN_BYTES,
         });
         const response = await call(entry, path);
         expect([response.status, response.body]).toEqual([200, "done"]);
@@ -78,7 +83,7 @@
     const { entry, requests, sockets } = await startFaulty({
       isKept: true,
       respond: (request, { isFirst }) =>
-        createHead(request) + PLAIN_BODIES["with a length"] +
+        createRawHead(request) + PLAIN_BODIES["with a length"] +
         (isFirst ? FOREIGN_BYTES : ""),
     });
     expect((await call(entry, "/safe/x")).body).toEqual("done");
@@ -121,19 +126,10 @@
   return { entry, requests, sockets, lateEvents, attempts };
 }
 
-function createHead(request: Buffer): string {
-  const id = readField(request, HEADER_NAMES.callId);
-  return `HTTP/1.1 200 OK\r\n${HEADER_NAMES.callId}: ${id}\r\n${HEADER_NAMES.stamp}: s\r\n`;
-}
-
+/** Creates the head and events of a stream, without its end. */
 function createStream(request: Buffer, ids: readonly number[]): string {
-  const chunks = ids.map((id) => {
-    const event = createEvents([id]);
-    return `${event.length.toString(16)}\r\n${event}\r\n`;
-  });
-  return `${createHead(request)}Content-Type: text/event-stream\r\n${CHUNKED}${
-    chunks.join("")
-  }`;
+  const chunks = ids.map((id) => createRawChunk(createEvents([id])));
+  return createRawStreamHead(request) + chunks.join("");
 }
 
 /** Creates the stream after the last event that the caller has. */
@@ -147,10 +143,6 @@
 }
 
 function readLastEventId(request: Buffer): number | undefined {
-  const text = readField(request, HEADER_NAMES.lastEventId);
+  const text = readRawHeader(request, HEADER_NAMES.lastEventId);
   return text === undefined ? undefined : Number(text);
 }
-
-function readField(request: Buffer, name: string): string | undefined {
-  return new RegExp(`^${name}: (\\S+)`, "im").exec(request.toString())?.[1];
-}
--- a/packages/celerytray/src/serving/passed_events.ts
+++ b/packages/celerytray/src/serving/passed_events.ts
@@ -7,7 +7,7 @@
   #firstId: number | undefined;
   #lastId: number | undefined;
 
-  note({ id }: StreamEvent): void {
+  note({ id }: Pick<StreamEvent, "id">): void {
     this.#count += 1;
     if (id === undefined) this.#withoutId += 1;
     this.#firstId ??= id;
--- a/packages/celerytray/src/serving/passed_events_test.ts
+++ b/packages/celerytray/src/serving/passed_events_test.ts
@@ -16,10 +16,7 @@
 function describeIds(ids: readonly (number | undefined)[]): string {
   const events = new PassedEvents();
   for (const id of ids) {
-    events.note({
-      bytes: Buffer.alloc(0),
-      ...(id === undefined ? {} : { id }),
-    });
+    events.note(id === undefined ? {} : { id });
   }
   return events.describe();
 }
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -22,6 +22,7 @@
 import { createTestDependencies } from "./create_test_dependencies.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 import type { PaceTracker } from "./pace_tracker.ts";
+import { createRawHead } from "./raw_response.ts";
 import { SharedRetryBudget } from "./shared_retry_budget.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServingRoute } from "./serving_config.ts";
@@ -120,9 +121,7 @@
 }
 
 export function createRawResponse(request: Buffer): string {
-  const id = new RegExp(`${HEADER_NAMES.callId}: (\\S+)`, "i")
-    .exec(request.toString())?.[1];
-  return `HTTP/1.1 200 OK\r\n${HEADER_NAMES.callId}: ${id}\r\n${HEADER_NAMES.stamp}: s\r\nContent-Length: 4\r\n\r\ndone`;
+  return createRawHead(request, "Content-Length: 4\r\n\r\ndone");
 }
 
 /** A retry budget that asks a function of the test. */
