Give the exchange of an attempt and its caller a folder

serving/ had grown to over 60 files beside its folders. What sends one attempt, reads its response and may write to a caller is one subject now: exchange/ with an index of its public names. Files moved, imports follow; nothing else changes. No import circles; tests of serving: 227 passed.

--- a/packages/celerytray/src/serving/admit_call.ts
+++ b/packages/celerytray/src/serving/admit_call.ts
@@ -1,7 +1,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import type { CallHeaders } from "./call.ts";
 import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
-import type { LocalResponse } from "./caller_exchange.ts";
+import type { LocalResponse } from "./exchange/index.ts";
 import { intersectHomes } from "./homes.ts";
 import { refuseWhileBehind } from "./process_lag.ts";
 import { refuseIfQuarantined } from "./quarantine/index.ts";
--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -1,6 +1,5 @@
 import { Clock, Effect } from "effect";
 import { readSteadyMs } from "../clock/index.ts";
-import type { AttemptOutcome } from "./attempt_options.ts";
 import {
   type AttemptProgress,
   type AttemptsOptions,
@@ -10,10 +9,10 @@
 import type { ResponseHeaders } from "./call.ts";
 import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
 import type { ServingTarget } from "./choose_target.ts";
+import { type AttemptOutcome, runAttempt } from "./exchange/index.ts";
 import { tryMove } from "./find_target.ts";
 import { AttemptWatch } from "./quarantine/index.ts";
 import { createPool } from "./rate_limit/index.ts";
-import { runAttempt } from "./run_attempt.ts";
 
 /** Priority levels by which a request is lowered that can only be late. */
 const LATE_PRIORITY_PENALTY = 3;
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -1,9 +1,12 @@
 import type { ResponseHeaders } from "./call.ts";
 import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
-import type { CallerExchange, LocalResponse } from "./caller_exchange.ts";
-import { CallerStream } from "./caller_stream.ts";
+import {
+  type AttemptOutcome,
+  type CallerExchange,
+  CallerStream,
+  type LocalResponse,
+} from "./exchange/index.ts";
 import type { ServingTarget } from "./choose_target.ts";
-import type { AttemptOutcome } from "./attempt_options.ts";
 import type { AbandonReason } from "./stall_detector.ts";
 import type { RetryPolicy } from "./serving_config.ts";
 import { CallCauses } from "./quarantine/index.ts";
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -6,7 +6,7 @@
 import type { InstanceLimits } from "./rate_limit/index.ts";
 import type { ColdRateLimiter } from "./cold_rate_limiter.ts";
 import type { ServingTarget } from "./choose_target.ts";
-import type { HeldBytes } from "./held_bytes.ts";
+import type { HeldBytes } from "./exchange/index.ts";
 import type { GracefulStop } from "./graceful_stop.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 import type { PaceTracker } from "./pace_tracker.ts";
--- a/packages/celerytray/src/serving/conclude_call.ts
+++ b/packages/celerytray/src/serving/conclude_call.ts
@@ -4,7 +4,7 @@
   type AttemptsResult,
   summarize,
 } from "./attempt_progress.ts";
-import type { LocalResponse } from "./caller_exchange.ts";
+import type { LocalResponse } from "./exchange/index.ts";
 import { STOPPING_RETRY_AFTER_MS } from "./graceful_stop.ts";
 import {
   describeQuarantineRefusal,
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -6,7 +6,7 @@
 import { ColdTracker } from "./cold_tracker.ts";
 import type { ServingDependencies } from "./call_context.ts";
 import { GracefulStop } from "./graceful_stop.ts";
-import { HeldBytes } from "./held_bytes.ts";
+import { HeldBytes } from "./exchange/index.ts";
 import { LoadTracker } from "./load_tracker.ts";
 import { PaceTracker } from "./pace_tracker.ts";
 import { PromptBacklog } from "./prompt_backlog.ts";
--- a/packages/celerytray/src/serving/attempt_options.ts
+++ b/packages/celerytray/src/serving/exchange/attempt_options.ts
@@ -1,9 +1,9 @@
 import type { Agent } from "node:http";
-import type { CallCodec, ResponseHeaders } from "./call.ts";
+import type { CallCodec, ResponseHeaders } from "../call.ts";
 import type { WriteResult } from "./caller_stream.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import type { HeldBytes } from "./held_bytes.ts";
-import type { AbandonReason } from "./stall_detector.ts";
+import type { AbandonReason } from "../stall_detector.ts";
 
 /** The result of one attempt. */
 export type AttemptOutcome =
--- a/packages/celerytray/src/serving/caller_exchange.ts
+++ b/packages/celerytray/src/serving/exchange/caller_exchange.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { CallCodec, ResponseHeaders } from "./call.ts";
+import type { CallCodec, ResponseHeaders } from "../call.ts";
 import type { HeldBytes, HeldResponse } from "./held_bytes.ts";
 
 /** A response that this system generates itself. */
--- a/packages/celerytray/src/serving/caller_stream.ts
+++ b/packages/celerytray/src/serving/exchange/caller_stream.ts
@@ -1,4 +1,4 @@
-import type { ResponseHeaders } from "./call.ts";
+import type { ResponseHeaders } from "../call.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { StreamEvent } from "./event_splitter.ts";
 import { PassedEvents } from "./passed_events.ts";
--- a/packages/celerytray/src/serving/caller_stream_test.ts
+++ b/packages/celerytray/src/serving/exchange/caller_stream_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import type { ResponseHeaders } from "./call.ts";
+import type { ResponseHeaders } from "../call.ts";
 import { CallerStream } from "./caller_stream.ts";
 
 const HEADERS: ResponseHeaders = {
--- a/packages/celerytray/src/serving/faulty_backend_test.ts
+++ b/packages/celerytray/src/serving/exchange/faulty_backend_test.ts
@@ -2,13 +2,13 @@
 import { Agent } from "node:http";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
-import { BackendPools } from "../http/index.ts";
+import { BackendPools } from "../../http/index.ts";
 import {
   call,
   createRawResponse,
   startEntry,
   startRawBackend,
-} from "./test_entry.ts";
+} from "../test_entry.ts";
 
 const MEBIBYTE = 1024 * 1024;
 /** Allowed memory growth for many concurrent endless responses. */
--- a/packages/celerytray/src/serving/foreign_bytes_test.ts
+++ b/packages/celerytray/src/serving/exchange/foreign_bytes_test.ts
@@ -2,8 +2,8 @@
 import { Agent } from "node:http";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
-import { HEADER_NAMES } from "../platform/words.ts";
-import type { LateEvent } from "./call_context.ts";
+import { HEADER_NAMES } from "../../platform/words.ts";
+import type { LateEvent } from "../call_context.ts";
 import {
   createRawChunk,
   createRawHead,
@@ -11,7 +11,7 @@
   LAST_CHUNK,
   readRawHeader,
 } from "./raw_response.ts";
-import { call, startEntry, startRawBackend } from "./test_entry.ts";
+import { call, startEntry, startRawBackend } from "../test_entry.ts";
 
 const ALL_EVENTS = [0, 1, 2, 3];
 const NO_CHUNK_SIZE = "zz\r\n";
--- a/packages/celerytray/src/serving/raw_response.ts
+++ b/packages/celerytray/src/serving/exchange/raw_response.ts
@@ -1,4 +1,4 @@
-import { HEADER_NAMES } from "../platform/words.ts";
+import { HEADER_NAMES } from "../../platform/words.ts";
 
 /** Ends a response that is sent in chunks. */
 export const LAST_CHUNK = "0\r\n\r\n";
--- a/packages/celerytray/src/serving/read_response.ts
+++ b/packages/celerytray/src/serving/exchange/read_response.ts
@@ -1,7 +1,7 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
-import { discardBody, watchResponseEnd } from "../http/index.ts";
+import { discardBody, watchResponseEnd } from "../../http/index.ts";
 import type { AttemptOptions, AttemptOutcome } from "./attempt_options.ts";
-import type { ResponseHeaders } from "./call.ts";
+import type { ResponseHeaders } from "../call.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { HeldResponse } from "./held_bytes.ts";
 
--- a/packages/celerytray/src/serving/resumed_stream_test.ts
+++ b/packages/celerytray/src/serving/exchange/resumed_stream_test.ts
@@ -1,14 +1,14 @@
 import { expect } from "earl";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
-import { HEADER_NAMES } from "../platform/words.ts";
+import { HEADER_NAMES } from "../../platform/words.ts";
 import {
   createRawChunk,
   createRawStreamHead,
   LAST_CHUNK,
   readRawHeader,
 } from "./raw_response.ts";
-import { call, startEntry, startRawBackend } from "./test_entry.ts";
+import { call, startEntry, startRawBackend } from "../test_entry.ts";
 
 const COMMENT = ": still here\n\n";
 const BREAK_DELAY_MS = 20;
--- a/packages/celerytray/src/serving/run_attempt.ts
+++ b/packages/celerytray/src/serving/exchange/run_attempt.ts
@@ -1,9 +1,9 @@
 import { Effect } from "effect";
 import { request as httpRequest } from "node:http";
-import { parseAddress, watchFailure, watchFraming } from "../http/index.ts";
+import { parseAddress, watchFailure, watchFraming } from "../../http/index.ts";
 import type { AttemptOptions, AttemptOutcome } from "./attempt_options.ts";
 import { readResponse } from "./read_response.ts";
-import type { AbandonReason } from "./stall_detector.ts";
+import type { AbandonReason } from "../stall_detector.ts";
 
 /** Limit on interim (1xx) responses to one request. */
 const MAX_INTERIM_RESPONSES = 8;
--- a/packages/celerytray/src/serving/graceful_stop.ts
+++ b/packages/celerytray/src/serving/graceful_stop.ts
@@ -1,7 +1,7 @@
 import { Deferred, Effect } from "effect";
 import { type Either, Left, Right } from "purify-ts";
 import { AnswerTimes } from "./answer_times.ts";
-import type { LocalResponse } from "./caller_exchange.ts";
+import type { LocalResponse } from "./exchange/index.ts";
 import type { ServingRoute } from "./serving_config.ts";
 
 /** Room for answers that take longer than any of the last ones. */
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -22,14 +22,19 @@
   ServingDependencies,
   WithheldReason,
 } from "./call_context.ts";
-export { CallerExchange, type LocalResponse } from "./caller_exchange.ts";
 export { chooseTarget, type ServingTarget } from "./choose_target.ts";
 export { type ColdBounds, ColdRateLimiter } from "./cold_rate_limiter.ts";
 export { ColdTracker } from "./cold_tracker.ts";
 export { ProcessCount } from "./process_count.ts";
-export { EventSplitter, type StreamEvent } from "./event_splitter.ts";
+export {
+  CallerExchange,
+  EventSplitter,
+  HeldBytes,
+  type LocalResponse,
+  runAttempt,
+  type StreamEvent,
+} from "./exchange/index.ts";
 export { GracefulStop } from "./graceful_stop.ts";
-export { HeldBytes } from "./held_bytes.ts";
 export { findHomeProblems, type HomeProblems } from "./homes.ts";
 export { LoadTracker } from "./load_tracker.ts";
 export { PaceTracker } from "./pace_tracker.ts";
@@ -70,7 +75,6 @@
   parseLimitReport,
   type SharedLimit,
 } from "./rate_limit/index.ts";
-export { runAttempt } from "./run_attempt.ts";
 export { serveCall } from "./serve_call.ts";
 export type {
   CallerLimits,
--- a/packages/celerytray/src/serving/process_lag.ts
+++ b/packages/celerytray/src/serving/process_lag.ts
@@ -1,4 +1,4 @@
-import type { LocalResponse } from "./caller_exchange.ts";
+import type { LocalResponse } from "./exchange/index.ts";
 
 /** By how much this process lags behind its work. */
 export interface ProcessLag {
--- a/packages/celerytray/src/serving/quarantine/attempt_watch.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -1,4 +1,4 @@
-import type { AttemptOutcome } from "../attempt_options.ts";
+import type { AttemptOutcome } from "../exchange/index.ts";
 import {
   createIncarnationKey,
   type IncarnatedTarget,
--- a/packages/celerytray/src/serving/quarantine/attempt_watch_test.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import type { AttemptOutcome } from "../attempt_options.ts";
+import type { AttemptOutcome } from "../exchange/index.ts";
 import { AttemptWatch } from "./attempt_watch.ts";
 import { CallCauses } from "./crash_causes.ts";
 import { CrashQuarantine } from "./crash_quarantine.ts";
--- a/packages/celerytray/src/serving/quarantine/refuse_if_quarantined.ts
+++ b/packages/celerytray/src/serving/quarantine/refuse_if_quarantined.ts
@@ -1,5 +1,5 @@
 import type { CallHeaders } from "../call.ts";
-import type { LocalResponse } from "../caller_exchange.ts";
+import type { LocalResponse } from "../exchange/index.ts";
 import { isRequestCause, listSharedParts } from "./crash_causes.ts";
 import type { CrashQuarantine, QuarantineRefusal } from "./crash_quarantine.ts";
 
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -11,9 +11,12 @@
   DemandSource,
   ServingDependencies,
 } from "./call_context.ts";
-import type { CallerExchange, LocalResponse } from "./caller_exchange.ts";
+import type {
+  CallerExchange,
+  HeldBody,
+  LocalResponse,
+} from "./exchange/index.ts";
 import { runAttempts } from "./run_attempts.ts";
-import type { HeldBody } from "./held_bytes.ts";
 
 const NO_MEMORY_RETRY_AFTER_MS = 500;
 
--- a/packages/celerytray/src/serving/slow_callers_test.ts
+++ b/packages/celerytray/src/serving/slow_callers_test.ts
@@ -9,7 +9,7 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { HEADER_NAMES } from "../platform/words.ts";
-import { HeldBytes } from "./held_bytes.ts";
+import { HeldBytes } from "./exchange/index.ts";
 import { StallDetector } from "./stall_detector.ts";
 import {
   call,
