Split the coordinator: its summaries and its own terms

Claiming leadership, running a term and what is remembered of the last one are OwnTerms; the summaries of this process and of those that report to it are Summaries.

--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -1,36 +1,26 @@
 import { Clock, Effect } from "effect";
 import { readSteadyMs } from "../clock/index.ts";
-import type { LeaderRecord, ReplicaRecord } from "../groups/index.ts";
-import { eraOf, type LogPosition } from "../keyed_log/index.ts";
 import type { SharedTotals } from "../serving/index.ts";
 import { ChangeSignal } from "./change_signal.ts";
 import { applyToldConfig, describeConfig } from "./config_in_force.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
-import { type StatusPath, SUMMARY_CACHE_MS } from "./intervals.ts";
+import { RETRY_DELAY_MS, type StatusPath } from "./intervals.ts";
 import { LeaderFollower } from "./leader_follower.ts";
-import { claimLeadership, type FleetRecords } from "./leader_log.ts";
 import { LeaderSearch } from "./leader_search.ts";
 import { LeaderStatus } from "./leader_status.ts";
-import { LeaderTerm } from "./leader_term.ts";
+import { OwnTerms } from "./own_terms.ts";
 import type {
   DemandTotals,
   KnownStatus,
   PeerReport,
-  PeerSummary,
   ReportReply,
 } from "./peer_messages.ts";
 import type { CoordinationOperations } from "./peer_router.ts";
 import { applyRelayedTopic } from "./relayed_topic.ts";
 import { ReportReplies } from "./report_replies.ts";
 import { ReportTable } from "./report_table.ts";
+import { Summaries } from "./summaries.ts";
 
-/** A term of this process that is over. */
-interface EndedTerm {
-  readonly term: LogPosition;
-  readonly replicas: readonly ReplicaRecord[];
-}
-
-const RETRY_DELAY_MS = 300;
 /** Interval at which a process that has resigned checks its state. */
 const RESIGNED_CHECK_INTERVAL_MS = 250;
 
@@ -46,37 +36,47 @@
   readonly #replies: ReportReplies;
   readonly #follower: LeaderFollower;
   readonly #search: LeaderSearch;
+  readonly #summaries: Summaries;
+  readonly #terms: OwnTerms;
   #nowMs: () => number = () => 0;
-  /** Set while this process is the leader. */
-  #term: LeaderTerm | undefined;
-  #summary: PeerSummary;
-  #summarizedAtMs = Number.NEGATIVE_INFINITY;
   #hasResigned = false;
   /** Version of the configuration in force at the process that replied last. */
   #repliedConfigVersion: number | undefined;
-  /** This process's last term, unless another process has led since. */
-  #lastTerm: EndedTerm | undefined;
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
     this.#reportTable = new ReportTable(options);
-    this.#summary = this.#summarizeOwn();
+    this.#summaries = new Summaries({
+      ...options,
+      table: this.#reportTable,
+      nowMs: () => this.#nowMs(),
+    });
     this.#search = new LeaderSearch({
       ...options,
       term: () => this.#status.term,
     });
+    this.#terms = new OwnTerms({
+      ...options,
+      status: this.#status,
+      table: this.#reportTable,
+      summaries: this.#summaries,
+      search: this.#search,
+      changeSignal: this.#changeSignal,
+      hasResigned: () => this.#hasResigned,
+      nowMs: () => this.#nowMs(),
+    });
     this.#replies = new ReportReplies({
       ...options,
       status: this.#status,
       changeSignal: this.#changeSignal,
-      isLeading: () => this.#term?.hasSteppedDown === false,
+      isLeading: () => this.#terms.current?.hasSteppedDown === false,
       hasResigned: () => this.#hasResigned,
       nowMs: () => this.#nowMs(),
     });
     this.#follower = new LeaderFollower({
       ...options,
       status: this.#status,
-      summarize: () => this.#summarize(),
+      summarize: () => this.#summaries.all(),
       known: () => this.#describeKnown(),
       toldConfig: () =>
         describeConfig(options.configInForce, this.#repliedConfigVersion),
@@ -88,7 +88,7 @@
   }
 
   get isLeading(): boolean {
-    return this.#term !== undefined;
+    return this.#terms.current !== undefined;
   }
 
   /**
@@ -116,7 +116,7 @@
    * Heads that must get no requests because their replicas are being dissolved.
    */
   listClosedHeads(): readonly string[] {
-    return this.#term?.listClosedHeads() ?? this.#status.closedHeads;
+    return this.#terms.current?.listClosedHeads() ?? this.#status.closedHeads;
   }
 
   /**
@@ -163,17 +163,17 @@
   }
 
   totalDemand(model: string): number {
-    return this.#summarize().demand[model] ?? 0;
+    return this.#summaries.all().demand[model] ?? 0;
   }
 
   hasAnyTraffic(): boolean {
-    return this.#summarize().hasTraffic;
+    return this.#summaries.all().hasTraffic;
   }
 
   /** Gives up leadership for good, as this process is shutting down. */
   resign(): void {
     this.#hasResigned = true;
-    this.#term?.resign();
+    this.#terms.current?.resign();
     this.#follower.stop();
     this.#changeSignal.notify();
   }
@@ -191,11 +191,11 @@
       applyToldConfig(this.#options.configInForce, report);
       if (report.known.term > this.#status.term) {
         const { nodeId } = report.reporter;
-        this.#term?.yieldToSuccessor(
+        this.#terms.current?.yieldToSuccessor(
           `${nodeId} reported the later term ${report.known.term}`,
         );
       }
-      this.#term?.reportHeads(report.summary);
+      this.#terms.current?.reportHeads(report.summary);
       this.#options.onLeaving(report.summary.leaving);
       return yield* this.#replies.reply(report);
     });
@@ -218,7 +218,7 @@
         }
         const found = this.#search.takeFoundLeader();
         if (found !== undefined) {
-          this.#lastTerm = undefined;
+          this.#terms.forgetLast();
           yield* this.#follower.follow(found);
           mayClaim = true;
           continue;
@@ -230,86 +230,15 @@
         }
         this.#options.quarantine.load(records.quarantined);
         if (this.#search.shouldFollow(records.leader)) continue;
-        mayClaim ||= this.#recallReplicas(records) !== undefined;
+        mayClaim ||= this.#terms.recallReplicas(records) !== undefined;
         if (mayClaim || !(yield* this.#search.awaitInitialDelay(records))) {
-          yield* this.#claimLeadership(records);
+          yield* this.#terms.claim(records);
           mayClaim = false;
         }
       }
     });
   }
 
-  /**
-   * Claims leadership and, if that succeeds, leads until another process does.
-   */
-  #claimLeadership(records: FleetRecords): Effect.Effect<void> {
-    const { self, bootId, log } = this.#options;
-    return Effect.gen({ self: this }, function* () {
-      const { nodeId, peerAddress } = self;
-      const leader = { nodeId, bootId, peerAddress };
-      const claim = yield* claimLeadership(log, { leader, records }).pipe(
-        Effect.catch(({ message }) =>
-          Effect.sync(() => {
-            this.#options.record("lead.claim-failed", { message });
-            return undefined;
-          })
-        ),
-      );
-      if (claim === undefined) {
-        yield* Effect.sleep(RETRY_DELAY_MS);
-        return;
-      }
-      if (claim.kind === "lost") return;
-      yield* this.#runTerm({ ...leader, term: claim.term }, records);
-    });
-  }
-
-  #runTerm(
-    leader: LeaderRecord,
-    records: FleetRecords,
-  ): Effect.Effect<void> {
-    return Effect.suspend(() => {
-      const term = new LeaderTerm({
-        ...this.#options,
-        leader,
-        stored: records.replicas,
-        remembered: this.#recallReplicas(records),
-        quarantined: records.quarantined,
-        status: this.#status,
-        table: this.#reportTable,
-        summarize: () => this.#summarize(),
-        summarizeOwn: () => this.#summarizeOwn(),
-        awaitSuccessor: (termNumber, waitMs) =>
-          this.#search.awaitSuccessor(termNumber, waitMs),
-        onUpdate: () => this.#changeSignal.notify(),
-        nowMs: () => this.#nowMs(),
-      });
-      if (this.#hasResigned) term.resign();
-      this.#term = term;
-      return term.run().pipe(
-        Effect.ensuring(Effect.sync(() => {
-          this.#lastTerm = term.hasSuccessor ? undefined : {
-            term: leader.term,
-            replicas: term.listReplicas(),
-          };
-          this.#term = undefined;
-        })),
-      );
-    });
-  }
-
-  /**
-   * Returns the replicas of this process's last term if the records come from
-   * an older copy of the store; undefined where the records are to be believed.
-   */
-  #recallReplicas(
-    { leader, nextOffset }: FleetRecords,
-  ): readonly ReplicaRecord[] | undefined {
-    const last = this.#lastTerm;
-    if (last === undefined || eraOf(nextOffset) === eraOf(last.term)) return;
-    return (leader?.term ?? 0) > last.term ? undefined : last.replicas;
-  }
-
   #applyReply(
     reply: ReportReply,
     source: { readonly publishedAtMs: number; readonly statusPath: StatusPath },
@@ -338,30 +267,4 @@
       configOffset: this.#options.config.copy.nextOffset,
     };
   }
-
-  #summarize(): PeerSummary {
-    const nowMs = this.#nowMs();
-    if (nowMs - this.#summarizedAtMs >= SUMMARY_CACHE_MS) {
-      this.#summary = this.#reportTable.summarize(this.#summarizeOwn(), nowMs);
-      this.#summarizedAtMs = nowMs;
-    }
-    return this.#summary;
-  }
-
-  #summarizeOwn(): PeerSummary {
-    const options = this.#options;
-    return {
-      processes: 1,
-      candidates: [options.self],
-      stalledHeads: options.listStalledHeads(),
-      slowHeads: options.listSlowHeads(),
-      leaving: options.listLeaving(),
-      demand: options.demand(),
-      tenantDemand: options.tenantDemand(),
-      repeats: options.retryTotals(),
-      hasTraffic: options.hasTraffic(),
-      quarantine: options.quarantine.report(this.#nowMs()),
-      limits: options.limits.report(this.#nowMs()),
-    };
-  }
 }
--- a/packages/celerytray/src/coordination/intervals.ts
+++ b/packages/celerytray/src/coordination/intervals.ts
@@ -24,6 +24,8 @@
  * count and relays, as not all followers have reported to it yet.
  */
 export const TAKEOVER_GRACE_MS = 3_000;
+/** Pause before the records are read or leadership is claimed again. */
+export const RETRY_DELAY_MS = 300;
 /** Time for which a summary of all reports is reused. */
 export const SUMMARY_CACHE_MS = 20;
 /**
