--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -5,12 +5,11 @@
 import type { InstanceControl, OrderAnswer } from "./instance_orders.ts";
 import type { InstanceListView } from "./instance_list.ts";
 import { giveUpReplica } from "./give_up_replica.ts";
-import { findLostReplicas } from "./find_lost_replicas.ts";
 import { findReplaceable } from "./find_replaceable.ts";
 import { ControllerState } from "./controller_state.ts";
 import { type DispatchedOrder, OrderDispatcher } from "./order_dispatcher.ts";
 import { type EngineSpecs, FormationPlanner } from "./formation_planner.ts";
-import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
+import type { ReplicaRecorder } from "./replica_recorder.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
 import { InstanceProber } from "./instance_prober.ts";
 import { listOrphanOrders } from "./list_orphan_orders.ts";
@@ -20,6 +19,7 @@
   recordRetiring,
   type ReplicaRun,
 } from "./replica_run.ts";
+import { StoredReplicas } from "./stored_replicas.ts";
 
 /** Dependencies and settings of a replica controller. */
 export interface ReplicaControllerOptions {
@@ -69,10 +69,7 @@
   readonly #dispatcher: OrderDispatcher;
   readonly #formationPlanner: FormationPlanner;
   readonly #prober: InstanceProber;
-  /** Names of replicas whose record is being removed. */
-  readonly #retiringNames = new Set<string>();
-  /** Names of replicas whose lost record is being stored again. */
-  readonly #restoringNames = new Set<string>();
+  readonly #stored: StoredReplicas;
   /** Names of serving replicas that are about to be retired. */
   readonly #givingUpNames = new Set<string>();
   /** Whether an order, record or probe has finished since the last round. */
@@ -83,11 +80,12 @@
     this.#state = new ControllerState(options);
     this.#dispatcher = this.#createDispatcher();
     this.#prober = new InstanceProber({ ...options, state: this.#state });
+    this.#stored = new StoredReplicas({ ...options, state: this.#state });
     this.#formationPlanner = new FormationPlanner({
       ...options,
       state: this.#state,
       dispatcher: this.#dispatcher,
-      isRetiring: () => this.#retiringNames.size > 0,
+      isRetiring: () => this.#stored.isRetiring,
     });
   }
 
@@ -143,7 +141,7 @@
           const effects = [
             ...this.#giveUpSlowReplicas(nowMs),
             ...this.#prober.probe(nowMs),
-            ...this.#restoreLostReplicas(nowMs),
+            ...this.#stored.restoreLost(nowMs),
             ...this.#planOrders(nowMs),
             ...listOrphanOrders(this.#state, nowMs).flatMap((order) =>
               this.#dispatcher.send(order, nowMs)
@@ -214,7 +212,7 @@
       if (!wasRetiring && run.retirement !== undefined) {
         recordRetiring(run, this.#options.record);
       }
-      if (run.retirement?.isComplete === true) return this.#removeRecord(run);
+      if (run.retirement?.isComplete === true) return this.#stored.retire(run);
       const isEvacuated = this.#state.isEvacuated(run);
       return due.filter(({ order }) => order.kind !== "open" || !isEvacuated)
         .flatMap(({ instanceId, order }) =>
@@ -223,67 +221,6 @@
     });
   }
 
-  /** Effects that store the records again that the store has lost. */
-  #restoreLostReplicas(nowMs: number): readonly Effect.Effect<unknown>[] {
-    const { complete, incomplete } = findLostReplicas({
-      state: this.#state,
-      engines: this.#options.engines(),
-      nowMs,
-    });
-    for (const name of incomplete) this.#state.giveUp(name);
-    return complete.filter(({ name }) => !this.#restoringNames.has(name))
-      .map((replica) => this.#restore(replica));
-  }
-
-  #restore(replica: ReplicaRecord): Effect.Effect<void> {
-    const { recorder, record } = this.#options;
-    const { name } = replica;
-    this.#restoringNames.add(name);
-    return recorder.restore(replica).pipe(
-      Effect.matchEffect({
-        onSuccess: () =>
-          Effect.sync(() => {
-            this.#state.addReplica(replica);
-            record("replica.restored", { replica: name });
-          }),
-        onFailure: ({ message }) =>
-          noteRecordFailure(record, { replica: name, message }),
-      }),
-      Effect.ensuring(Effect.sync(() => {
-        this.#restoringNames.delete(name);
-      })),
-    );
-  }
-
-  #removeRecord(run: ReplicaRun): readonly Effect.Effect<unknown>[] {
-    const { name } = run.record;
-    if (this.#retiringNames.has(name)) return [];
-    this.#retiringNames.add(name);
-    return [
-      this.#options.recorder.retire(name).pipe(
-        Effect.matchEffect({
-          onSuccess: () =>
-            Effect.sync(() => {
-              this.#state.runs.delete(name);
-              // The list may still show its members.
-              this.#state.giveUp(name);
-              if (run.retirement?.hasHeadLeft === true) {
-                this.#state.departures.noteHeadLeft(name);
-              }
-              this.#options.record("replica.retired", { replica: name });
-            }),
-          onFailure: ({ message }) =>
-            noteRecordFailure(this.#options.record, { replica: name, message }),
-        }),
-        Effect.ensuring(
-          Effect.sync(() => {
-            this.#retiringNames.delete(name);
-          }),
-        ),
-      ),
-    ];
-  }
-
   #createDispatcher(): OrderDispatcher {
     const { control, engines, hasTraffic, record } = this.#options;
     return new OrderDispatcher({
