Take a platform's complete answer for what it is

Operators saw no failure, but the parts that call the platform did: an append that the store had acknowledged counted as StoreAnswerLost, so its writer read the topic anew and decided again; a read was answered and failed, and the pool of the store's connections was discarded each time; an order that an instance had accepted, and a probe that it had answered, counted as silence.

A response and bytes that can't be parsed arrive in one read; Node emits the request's error before the body's data, also where the body is complete. sendRequest failed at that error and ignored the rest.

The fourth, a response that such bytes cut off, was and is a lost answer.

watchFailure reports a failure only without a response, or as the response closes incomplete. The listener for errors of the response goes, as it covers those.

--- a/packages/celerytray/src/platform/send_request.ts
+++ b/packages/celerytray/src/platform/send_request.ts
@@ -5,7 +5,7 @@
   type IncomingMessage,
   request,
 } from "node:http";
-import { parseAddress, watchFraming } from "../http/index.ts";
+import { parseAddress, watchFailure, watchFraming } from "../http/index.ts";
 
 /** A request got no complete response. */
 export class CallFailure extends Data.TaggedError("CallFailure")<{
@@ -88,7 +88,7 @@
       if (socket.connecting) socket.once("connect", markSent);
       else markSent();
     });
-    sent.on("error", (error) => {
+    watchFailure(sent, (error) => {
       if ((error as NodeJS.ErrnoException).code === "ECONNREFUSED") {
         reason = "refused";
       }
@@ -105,7 +105,6 @@
         fail(`the response exceeds ${MAX_RESPONSE_BYTES} bytes`);
         sent.destroy();
       });
-      response.on("error", (error) => fail(error.message));
       response.on("end", () =>
         resume(Effect.succeed({
           status: response.statusCode ?? 0,
