Take another process's complete reply for what it is

A process whose reply had bytes behind it that can't be parsed, in the same read, counted as unresponsive ("did not reply: Parse Error: Expected HTTP/"), for reports to the leader and for the question after the leader; its pool of connections was discarded.

watchFailure rejects without a response, or as it closes incomplete. A first try that read the response by events instead was dropped: new Response throws for a status such as 204, which a listener would have turned into an uncaught exception; now it still rejects.

--- a/packages/celerytray/src/coordination/peer_client_test.ts
+++ b/packages/celerytray/src/coordination/peer_client_test.ts
@@ -3,6 +3,11 @@
 import { createServer } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { it } from "node:test";
+import {
+  createRawResponse,
+  FOREIGN_BYTES,
+  startRawServer,
+} from "../http/test_raw_server.ts";
 import { createPeerHandler, PeerClient } from "./peer_router.ts";
 
 const TERM = 3;
@@ -53,3 +58,16 @@
   const { isRefused } = await Effect.runPromise(Effect.flip(ask));
   expect(isRefused).toEqual(true);
 });
+
+// Guards against a process that counts as silent though it replied.
+it("takes a reply with foreign bytes behind it", async () => {
+  const { address, requests } = await startRawServer(() =>
+    createRawResponse({
+      headers: { "Content-Type": "application/json" },
+      body: `{"result":{"data":${HEARD_AGO_MS}}}`,
+    }) + FOREIGN_BYTES
+  );
+  const ask = new PeerClient().heardLead(address, TERM);
+  expect(await Effect.runPromise(ask)).toEqual(HEARD_AGO_MS);
+  expect(requests.length).toEqual(1);
+});
--- a/packages/celerytray/src/http/pooled_fetch.ts
+++ b/packages/celerytray/src/http/pooled_fetch.ts
@@ -1,5 +1,6 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { BackendPools } from "./backend_pools.ts";
+import { watchFailure } from "./watch_failure.ts";
 import { watchFraming } from "./watch_framing.ts";
 
 /** A request as `fetch` takes it, with a body of text. */
@@ -31,7 +32,7 @@
         agent: this.#pools.agentFor(new URL(url).host),
         ...(signal ? { signal } : {}),
       });
-      sent.on("error", reject);
+      watchFailure(sent, reject);
       watchFraming(sent, (message) => sent.destroy(new Error(message)));
       sent.on("response", (response) => {
         readResponse(sent, response).then(resolve, reject);
