Take a complete JSON response for what it is

An append to the log that the log service had acknowledged counted as LogAnswerLost, its refusal with 503, after which nothing took effect, too; an engine's status and order, and the list of instances, counted as unavailable.

HttpLogService, HttpInstanceList and HttpModelEngine make all their calls by it.

Evidence: http/foreign_bytes_test, before: "returns a response with foreign bytes behind it" (new and kept connections) red with answer-lost "Parse Error: Expected HTTP/", "fails as refused ..." red; a response that such bytes cut off was answer-lost and stays so.

watchFailure fails without a response, or as it closes incomplete; the listeners for "error" and "aborted" of the response go, as it covers them. After: 7 of 7 of the file, three times; request_json_test 1, log/ 3 passed.

--- a/packages/celerytray/src/http/foreign_bytes_test.ts
+++ b/packages/celerytray/src/http/foreign_bytes_test.ts
@@ -1,6 +1,9 @@
 import { expect } from "earl";
+import { Effect } from "effect";
+import { Agent } from "node:http";
 import { describe, it } from "node:test";
 import { PooledFetch } from "./pooled_fetch.ts";
+import { requestJson } from "./request_json.ts";
 import {
   createRawResponse,
   FOREIGN_BYTES,
@@ -43,3 +46,41 @@
     await expect(call).toBeRejected();
   });
 });
+
+describe("requestJson", () => {
+  const appended = createRawResponse({ body: '{"firstOffset":7}' });
+
+  // Guards against an acknowledged append to the log that counts as lost, and an
+  // engine or an instance list that counts as out of reach though it answered.
+  for (const keepAlive of [false, true]) {
+    const connections = keepAlive ? "kept" : "new";
+    it(`returns a response with foreign bytes behind it (${connections} connections)`, async () => {
+      const server = await startRawServer(() => appended + FOREIGN_BYTES);
+      const agent = new Agent({ keepAlive });
+      const url = `http://${server.address}/`;
+      for (let call = 0; call < 2; call++) {
+        const body = await Effect.runPromise(requestJson({ url, agent }));
+        expect(body).toEqual({ firstOffset: 7 });
+      }
+      expect(server.connections.length).toEqual(2);
+    });
+  }
+
+  // Guards against a refusal, after which nothing took effect, that counts as a
+  // lost answer.
+  it("fails as refused for a refusal with foreign bytes behind it", async () => {
+    const { address } = await startRawServer(() =>
+      createRawResponse({ status: 503, body: "{}" }) + FOREIGN_BYTES
+    );
+    const call = requestJson({ url: `http://${address}/`, body: {} });
+    const failure = await Effect.runPromise(Effect.flip(call));
+    expect([failure.reason, failure.status]).toEqual(["refused", 503]);
+  });
+
+  it("loses a response that foreign bytes cut off", async () => {
+    const { address } = await startRawServer(() => CUT_RESPONSE);
+    const call = requestJson({ url: `http://${address}/` });
+    const failure = await Effect.runPromise(Effect.flip(call));
+    expect(failure.reason).toEqual("answer-lost");
+  });
+});
--- a/packages/celerytray/src/http/request_json.ts
+++ b/packages/celerytray/src/http/request_json.ts
@@ -1,5 +1,6 @@
 import { Data, Effect } from "effect";
 import { type Agent, request as httpRequest } from "node:http";
+import { watchFailure } from "./watch_failure.ts";
 
 /**
  * How a call failed: `not-sent` never reached the server, `answer-lost` may
@@ -62,8 +63,6 @@
       ? undefined
       : JSON.stringify(options.body);
     let connected = false;
-    const fail = (reason: HttpFailureReason, message: string) =>
-      resume(Effect.fail(new HttpFailure({ reason, message })));
     const request = httpRequest(options.url, {
       method: options.method ?? (payload === undefined ? "GET" : "POST"),
       agent: options.agent,
@@ -80,11 +79,14 @@
       // A pooled socket does not connect again, so a listener on it would leak.
       if (!connected) socket.once("connect", () => connected = true);
     });
-    request.on("error", (error) =>
-      fail(
-        connected ? "answer-lost" : "not-sent",
-        `Call to ${options.url} failed: ${error.message}; check that it is up`,
-      ));
+    watchFailure(request, (error) =>
+      resume(Effect.fail(
+        new HttpFailure({
+          reason: connected ? "answer-lost" : "not-sent",
+          message:
+            `Call to ${options.url} failed: ${error.message}; check that it is up`,
+        }),
+      )));
     request.on("response", (response) => {
       const chunks: Buffer[] = [];
       let receivedBytes = 0;
@@ -93,15 +95,6 @@
         if (receivedBytes > MAX_RESPONSE_BYTES) request.destroy();
         else chunks.push(chunk);
       });
-      response.on("error", (error) => fail("answer-lost", error.message));
-      response.on(
-        "aborted",
-        () =>
-          fail(
-            "answer-lost",
-            `The connection to ${options.url} closed before the end of the response; retry`,
-          ),
-      );
       response.on("end", () =>
         resume(parseResponse(options.url, {
           status: response.statusCode ?? 0,
