Record a plain service's complete answer, whatever follows it

A caller's booking that had been made and answered came back as an error ("ran"), and the same was recorded for its key: { state: "ran" } without status, digest or body, so that each retry with the key got the error too, for good. A safe call was sent again, so it ran twice.

An answer that is cut off ran, foreign bytes instead of an answer leave the outcome unknown; both were so and stay so.

watchFailure ends the attempt without an answer, or as an answer closes incomplete; the listeners for that go.

--- a/packages/celerytray/src/forwarding/plain_attempt.ts
+++ b/packages/celerytray/src/forwarding/plain_attempt.ts
@@ -10,6 +10,7 @@
   parseAddress,
   selectRequestHeaders,
   selectResponseHeaders,
+  watchFailure,
 } from "../http/index.ts";
 
 /** A plain service's complete response. */
@@ -100,8 +101,8 @@
       if (socket.connecting) socket.once("connect", dispatch);
       else dispatch();
     });
-    request.on(
-      "error",
+    watchFailure(
+      request,
       (error) => settle({ kind: exchange.state, message: error.message }),
     );
     request.on("response", (response) => {
@@ -169,13 +170,6 @@
         body: Buffer.concat(chunks),
       },
     }));
-  const onTruncated = () =>
-    settle({
-      kind: "ran",
-      message: "The connection closed before the end of the response",
-    });
-  response.on("error", onTruncated);
-  response.on("close", onTruncated);
 }
 
 /** Whether the response has another request's id; services may omit the id. */
