End a stream's attempt after the bytes that came before its failure

Callers of the product's own data plane: where the bytes of a replica's stream and bytes that can't be parsed came in one read, a complete stream was run again on another replica from its first token; a stream that broke off was resumed from the first token too, though the caller got those before it; a 400 of an engine became 503 after runs on every replica. With no other replica the whole entry instance ended: "ERR_STREAM_WRITE_AFTER_END" from CompletionSink.flush, uncaught.

The request's error ended the attempt and the next one began, without a last token known; a tick later the old response's tokens went into the same sink. The sink refuses an index that it has, so no token came twice, but with no replica left its answer had been ended with an error, and the write behind that end is an error without a listener.

watchFailure ends the attempt without a response, or as one closes incomplete, after which no data are emitted; a complete one without an end of the stream is cut at its end. So a failed attempt writes nothing more and the sink needs no turns: an attempt that is interrupted destroys its request, which removes the listeners for data, and one that its own tokens ended ignores the rest.

--- a/packages/celerytray/src/forwarding/stream_attempt.ts
+++ b/packages/celerytray/src/forwarding/stream_attempt.ts
@@ -1,7 +1,11 @@
 import { Clock, Effect } from "effect";
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import { type IncomingMessage, request as httpRequest } from "node:http";
-import { type BackendPools, parseAddress } from "../http/index.ts";
+import {
+  type BackendPools,
+  parseAddress,
+  watchFailure,
+} from "../http/index.ts";
 import type { CompletionSink } from "./completion_sink.ts";
 import type { ReadyReplica } from "./forwarding_types.ts";
 
@@ -130,7 +134,7 @@
       if (socket.connecting) socket.once("connect", onConnect);
       else onConnect();
     });
-    request.on("error", (error) =>
+    watchFailure(request, (error) =>
       settle({
         kind: connected ? "cut" : "not-run",
         message: `Call to the replica failed: ${error.message}`,
@@ -202,13 +206,11 @@
     }
     if (ended !== undefined) settle(ended);
   });
-  const onTruncated = () =>
+  response.on("end", () =>
     settle({
       kind: "cut",
-      message: "The connection closed before the end of the replica's response",
-    });
-  response.on("error", onTruncated);
-  response.on("close", onTruncated);
+      message: "The replica's response ended without an end of the stream",
+    }));
 }
 
 function pauseUntilDrained(
