Close the connection of a stream that an attempt gives up

An attempt that its tokens ended (one of another request, a gap, an answer that is too large) left its response open: the engine went on with a request that no one waited for, beside the next attempt's run, and its bytes were read and discarded.

Cause: the request was destroyed only when the attempt was interrupted, not when it ended by itself.

Evidence: stream_attempt_test "closes the connection of a response that it gives up" red before the change, its connection open after 1,000 ms.

The response is destroyed as the attempt ends without having finished; a finished one is left, so that its connection is used again. After: the test green, forwarding/ 18 passed, three times; attempts/ 62 and replica_loss 8 passed.

--- a/packages/celerytray/src/forwarding/stream_attempt.ts
+++ b/packages/celerytray/src/forwarding/stream_attempt.ts
@@ -181,6 +181,8 @@
   const settle = (outcome: AttemptOutcome) => {
     ended ??= outcome;
     options.settle(ended);
+    // An engine stops a request whose connection closes.
+    if (!isFinished()) response.destroy();
   };
   const parser = createParser({
     maxBufferSize: MAX_EVENT_CHARS,
