Tell how an exchange ends in one place, also without a length

Cause: two modules told an exchange's end, each of them a part. On ECONNRESET Node's client ends the parser, which marks a body that ends with its connection as complete; so watchFailure saw no failure, and watchResponseEnd waited for an end of the connection that never came. The request's error and the response's close, which covered for that, had gone.

watchExchange tells once whether the response is complete or the exchange has failed: a response that ends though its connection hasn't ended is complete only if that has no error (so it has no body, as that of a HEAD request); one that closes before its end was emitted, or a request that closes without a response, has failed. All six clients use it, so none takes a body that was reset for a whole one: attempts, calls of the platform, between processes and of JSON services, and the two attempts of the product's own data plane.

--- a/packages/celerytray/src/forwarding/plain_attempt.ts
+++ b/packages/celerytray/src/forwarding/plain_attempt.ts
@@ -10,7 +10,7 @@
   parseAddress,
   selectRequestHeaders,
   selectResponseHeaders,
-  watchFailure,
+  watchExchange,
 } from "../http/index.ts";
 
 /** A plain service's complete response. */
@@ -101,17 +101,17 @@
       if (socket.connecting) socket.once("connect", dispatch);
       else dispatch();
     });
-    watchFailure(
-      request,
-      (error) => settle({ kind: exchange.state, message: error.message }),
-    );
-    request.on("response", (response) => {
-      exchange.state = "ran";
-      readResponse(response, {
-        settle,
-        method: options.method,
-        requestId: options.requestId,
-      });
+    watchExchange(request, {
+      onFailure: (error) =>
+        settle({ kind: exchange.state, message: error.message }),
+      onResponse: (response) => {
+        exchange.state = "ran";
+        return readResponse(response, {
+          settle,
+          method: options.method,
+          requestId: options.requestId,
+        });
+      },
     });
     return Effect.sync(() => {
       // A reset drops the bytes that the kernel would otherwise still send.
@@ -140,19 +140,27 @@
   readonly requestId: string;
 }
 
-function readResponse(response: IncomingMessage, reader: ResponseReader): void {
+/** Reads a response; returns what to call once it is complete. */
+function readResponse(
+  response: IncomingMessage,
+  reader: ResponseReader,
+): () => void {
   const { settle } = reader;
   const stop = (message: string, kind: UnansweredKind = "ran") => {
     settle({ kind, message });
     response.destroy();
+    return () => {};
   };
   if (namesOtherRequest(response, reader.requestId)) {
-    stop("The instance sent the response to another request", "unknown");
-    return;
+    return stop(
+      "The instance sent the response to another request",
+      "unknown",
+    );
   }
   if (!hasDeclaredEnd(response, reader.method)) {
-    stop("The response has no declared length; send content-length or chunks");
-    return;
+    return stop(
+      "The response has no declared length; send content-length or chunks",
+    );
   }
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
@@ -161,7 +169,7 @@
     if (receivedBytes <= MAX_RESPONSE_BYTES) chunks.push(chunk);
     else stop(`The response exceeds ${MAX_RESPONSE_BYTES} bytes`);
   });
-  response.on("end", () =>
+  return () =>
     settle({
       kind: "answered",
       response: {
@@ -169,7 +177,7 @@
         headers: createResponseHeaders(response, reader.method),
         body: Buffer.concat(chunks),
       },
-    }));
+    });
 }
 
 /** Whether the response has another request's id; services may omit the id. */
--- a/packages/celerytray/src/forwarding/stream_attempt.ts
+++ b/packages/celerytray/src/forwarding/stream_attempt.ts
@@ -4,7 +4,7 @@
 import {
   type BackendPools,
   parseAddress,
-  watchFailure,
+  watchExchange,
 } from "../http/index.ts";
 import type { CompletionSink } from "./completion_sink.ts";
 import type { ReadyReplica } from "./forwarding_types.ts";
@@ -134,18 +134,18 @@
       if (socket.connecting) socket.once("connect", onConnect);
       else onConnect();
     });
-    watchFailure(request, (error) =>
-      settle({
-        kind: connected ? "cut" : "not-run",
-        message: `Call to the replica failed: ${error.message}`,
-      }));
-    request.on("response", (response) => {
-      noteActivity();
-      if (response.statusCode === 200) {
-        relayEvents(response, { ...options, settle });
-      } else {
-        readErrorResponse(response, settle);
-      }
+    watchExchange(request, {
+      onFailure: (error) =>
+        settle({
+          kind: connected ? "cut" : "not-run",
+          message: `Call to the replica failed: ${error.message}`,
+        }),
+      onResponse: (response) => {
+        noteActivity();
+        return response.statusCode === 200
+          ? relayEvents(response, { ...options, settle })
+          : readErrorResponse(response, settle);
+      },
     });
     request.end(options.body);
     return Effect.sync(() => request.destroy());
@@ -173,7 +173,11 @@
   readonly settle: (outcome: AttemptOutcome) => void;
 }
 
-function relayEvents(response: IncomingMessage, options: RelayOptions): void {
+/** Forwards a stream; returns what to call once the response is complete. */
+function relayEvents(
+  response: IncomingMessage,
+  options: RelayOptions,
+): () => void {
   const { sink, noteActivity } = options;
   const idPrefix = `${options.requestId}:`;
   let ended: AttemptOutcome | undefined;
@@ -208,11 +212,11 @@
     }
     if (ended !== undefined) settle(ended);
   });
-  response.on("end", () =>
+  return () =>
     settle({
       kind: "cut",
       message: "The replica's response ended without an end of the stream",
-    }));
+    });
 }
 
 function pauseUntilDrained(
@@ -280,7 +284,7 @@
 function readErrorResponse(
   response: IncomingMessage,
   settle: (outcome: AttemptOutcome) => void,
-): void {
+): () => void {
   const status = response.statusCode ?? SERVER_ERROR_STATUS;
   let text = "";
   response.setEncoding("utf8");
@@ -288,8 +292,8 @@
     if (text.length < MAX_ERROR_BYTES) text += part;
   });
   const finish = () => settle(classifyErrorResponse(status, text));
-  response.on("end", finish);
   response.on("error", finish);
+  return finish;
 }
 
 function classifyErrorResponse(status: number, text: string): AttemptOutcome {
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -13,9 +13,8 @@
   selectResponseHeaders,
 } from "./forward_headers.ts";
 export { yieldToEventLoop } from "./yield_to_event_loop.ts";
-export { watchFailure } from "./watch_failure.ts";
+export { type ExchangeListener, watchExchange } from "./watch_exchange.ts";
 export { watchFraming } from "./watch_framing.ts";
-export { watchResponseEnd } from "./watch_response_end.ts";
 export {
   BodyMemoryExceeded,
   BodyTooLarge,
--- a/packages/celerytray/src/http/pooled_fetch.ts
+++ b/packages/celerytray/src/http/pooled_fetch.ts
@@ -1,6 +1,6 @@
-import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import { request } from "node:http";
 import { BackendPools } from "./backend_pools.ts";
-import { watchFailure } from "./watch_failure.ts";
+import { watchExchange } from "./watch_exchange.ts";
 import { watchFraming } from "./watch_framing.ts";
 
 /** A request as `fetch` takes it, with a body of text. */
@@ -12,6 +12,15 @@
   readonly signal?: AbortSignal | null;
 }
 
+interface TextResponse {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Buffer;
+}
+
+/** Exceeds the largest status and configuration that a process relays. */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+
 /**
  * A `fetch` for text bodies over HTTP whose pool of connections can be
  * discarded.
@@ -23,7 +32,20 @@
    * Sends a request to an `http:` URL and reads the whole response. Rejects with
    * the system error of the connection.
    */
-  fetch(url: string, options: PooledRequest = {}): Promise<Response> {
+  async fetch(url: string, options: PooledRequest = {}): Promise<Response> {
+    const { body, status, contentType } = await this.#send(url, options);
+    return new Response(body, {
+      status,
+      headers: { "content-type": contentType },
+    });
+  }
+
+  /** Makes the next call to an address (IP:PORT) use a new connection. */
+  discard(address: string): void {
+    this.#pools.discard(address);
+  }
+
+  #send(url: string, options: PooledRequest): Promise<TextResponse> {
     const { method = "GET", headers = {}, body, signal } = options;
     return new Promise((resolve, reject) => {
       const sent = request(url, {
@@ -32,40 +54,27 @@
         agent: this.#pools.agentFor(new URL(url).host),
         ...(signal ? { signal } : {}),
       });
-      watchFailure(sent, reject);
-      watchFraming(sent, (message) => sent.destroy(new Error(message)));
-      sent.on("response", (response) => {
-        readResponse(sent, response).then(resolve, reject);
+      const close = (message: string) => sent.destroy(new Error(message));
+      watchFraming(sent, close);
+      watchExchange(sent, {
+        onFailure: reject,
+        onResponse: (response) => {
+          const chunks: Buffer[] = [];
+          let receivedBytes = 0;
+          response.on("data", (chunk: Buffer) => {
+            receivedBytes += chunk.length;
+            if (receivedBytes <= MAX_RESPONSE_BYTES) chunks.push(chunk);
+            else close(`The response exceeds ${MAX_RESPONSE_BYTES} bytes`);
+          });
+          return () =>
+            resolve({
+              status: response.statusCode ?? 0,
+              contentType: response.headers["content-type"] ?? "",
+              body: Buffer.concat(chunks),
+            });
+        },
       });
       sent.end(body);
     });
   }
-
-  /** Makes the next call to an address (IP:PORT) use a new connection. */
-  discard(address: string): void {
-    this.#pools.discard(address);
-  }
-}
-
-/** Exceeds the largest status and configuration that a process relays. */
-const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
-
-async function readResponse(
-  sent: ClientRequest,
-  response: IncomingMessage,
-): Promise<Response> {
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
-  for await (const chunk of response) {
-    receivedBytes += (chunk as Buffer).length;
-    if (receivedBytes > MAX_RESPONSE_BYTES) {
-      sent.destroy();
-      throw new Error(`The response exceeds ${MAX_RESPONSE_BYTES} bytes`);
-    }
-    chunks.push(chunk as Buffer);
-  }
-  return new Response(Buffer.concat(chunks), {
-    status: response.statusCode ?? 0,
-    headers: { "content-type": response.headers["content-type"] ?? "" },
-  });
 }
--- a/packages/celerytray/src/http/request_json.ts
+++ b/packages/celerytray/src/http/request_json.ts
@@ -1,6 +1,6 @@
 import { Data, Effect } from "effect";
 import { type Agent, request as httpRequest } from "node:http";
-import { watchFailure } from "./watch_failure.ts";
+import { watchExchange } from "./watch_exchange.ts";
 
 /**
  * How a call failed: `not-sent` never reached the server, `answer-lost` may
@@ -79,27 +79,29 @@
       // A pooled socket does not connect again, so a listener on it would leak.
       if (!connected) socket.once("connect", () => connected = true);
     });
-    watchFailure(request, (error) =>
-      resume(Effect.fail(
-        new HttpFailure({
-          reason: connected ? "answer-lost" : "not-sent",
-          message:
-            `Call to ${options.url} failed: ${error.message}; check that it is up`,
-        }),
-      )));
-    request.on("response", (response) => {
-      const chunks: Buffer[] = [];
-      let receivedBytes = 0;
-      response.on("data", (chunk: Buffer) => {
-        receivedBytes += chunk.length;
-        if (receivedBytes > MAX_RESPONSE_BYTES) request.destroy();
-        else chunks.push(chunk);
-      });
-      response.on("end", () =>
-        resume(parseResponse(options.url, {
-          status: response.statusCode ?? 0,
-          text: Buffer.concat(chunks).toString("utf8"),
-        })));
+    watchExchange(request, {
+      onFailure: (error) =>
+        resume(Effect.fail(
+          new HttpFailure({
+            reason: connected ? "answer-lost" : "not-sent",
+            message:
+              `Call to ${options.url} failed: ${error.message}; check that it is up`,
+          }),
+        )),
+      onResponse: (response) => {
+        const chunks: Buffer[] = [];
+        let receivedBytes = 0;
+        response.on("data", (chunk: Buffer) => {
+          receivedBytes += chunk.length;
+          if (receivedBytes > MAX_RESPONSE_BYTES) request.destroy();
+          else chunks.push(chunk);
+        });
+        return () =>
+          resume(parseResponse(options.url, {
+            status: response.statusCode ?? 0,
+            text: Buffer.concat(chunks).toString("utf8"),
+          }));
+      },
     });
     request.end(payload);
     return Effect.sync(() => request.destroy());
--- a/packages/celerytray/src/http/watch_response_end.ts
+++ b/packages/celerytray/src/http/watch_response_end.ts
@@ -9,7 +9,8 @@
  * A response without a declared length ends with its connection. A reset that
  * arrives together with the last bytes looks the same, as the event loop
  * reports both as the end of the stream. Only a write reveals the reset: it
- * fails.
+ * fails. A response that ends though its connection hasn't ended has no body,
+ * or its connection failed.
  */
 export function watchResponseEnd(
   response: IncomingMessage,
@@ -20,6 +21,7 @@
     return;
   }
   const { socket } = response;
+  let hasConnectionEnded = false;
   let isReset: boolean | undefined;
   let hasEnded = false;
   const settle = () => {
@@ -29,6 +31,7 @@
   };
   // Must run before the listener of Node's client, which ends the socket.
   socket.prependListener("end", () => {
+    hasConnectionEnded = true;
     socket.write(EMPTY_LINE, (error) => {
       isReset = error !== undefined && error !== null;
       settle();
@@ -36,7 +39,8 @@
   });
   response.on("end", () => {
     hasEnded = true;
-    settle();
+    if (hasConnectionEnded) settle();
+    else onEnd(response.complete && socket.errored === null);
   });
 }
 
--- a/packages/celerytray/src/platform/send_request.ts
+++ b/packages/celerytray/src/platform/send_request.ts
@@ -1,11 +1,6 @@
 import { Data, Effect } from "effect";
-import {
-  type Agent,
-  type IncomingHttpHeaders,
-  type IncomingMessage,
-  request,
-} from "node:http";
-import { parseAddress, watchFailure, watchFraming } from "../http/index.ts";
+import { type Agent, type IncomingHttpHeaders, request } from "node:http";
+import { parseAddress, watchExchange, watchFraming } from "../http/index.ts";
 
 /** A request got no complete response. */
 export class CallFailure extends Data.TaggedError("CallFailure")<{
@@ -88,29 +83,31 @@
       if (socket.connecting) socket.once("connect", markSent);
       else markSent();
     });
-    watchFailure(sent, (error) => {
-      if ((error as NodeJS.ErrnoException).code === "ECONNREFUSED") {
-        reason = "refused";
-      }
-      fail(error.message);
-    });
-    sent.on("response", (response: IncomingMessage) => {
-      const chunks: Buffer[] = [];
-      let receivedBytes = 0;
-      response.on("data", (chunk: Buffer) => {
-        receivedBytes += chunk.length;
-        chunks.push(chunk);
-        if (receivedBytes <= MAX_RESPONSE_BYTES) return;
-        chunks.length = 0;
-        fail(`the response exceeds ${MAX_RESPONSE_BYTES} bytes`);
-        sent.destroy();
-      });
-      response.on("end", () =>
-        resume(Effect.succeed({
-          status: response.statusCode ?? 0,
-          headers: response.headers,
-          body: Buffer.concat(chunks),
-        })));
+    watchExchange(sent, {
+      onFailure: (error) => {
+        if ((error as NodeJS.ErrnoException).code === "ECONNREFUSED") {
+          reason = "refused";
+        }
+        fail(error.message);
+      },
+      onResponse: (response) => {
+        const chunks: Buffer[] = [];
+        let receivedBytes = 0;
+        response.on("data", (chunk: Buffer) => {
+          receivedBytes += chunk.length;
+          chunks.push(chunk);
+          if (receivedBytes <= MAX_RESPONSE_BYTES) return;
+          chunks.length = 0;
+          fail(`the response exceeds ${MAX_RESPONSE_BYTES} bytes`);
+          sent.destroy();
+        });
+        return () =>
+          resume(Effect.succeed({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(chunks),
+          }));
+      },
     });
     watchFraming(sent, (message) => {
       fail(message);
--- a/packages/celerytray/src/serving/exchange/faulty_backend_test.ts
+++ b/packages/celerytray/src/serving/exchange/faulty_backend_test.ts
@@ -3,12 +3,8 @@
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
 import { BackendPools } from "../../http/index.ts";
-import {
-  call,
-  createRawResponse,
-  startEntry,
-  startRawBackend,
-} from "../test_entry.ts";
+import { call, startEntry, startRawBackend } from "../test_entry.ts";
+import { createRawHead, createRawResponse } from "./raw_response.ts";
 
 const MEBIBYTE = 1024 * 1024;
 /** Allowed memory growth for many concurrent endless responses. */
@@ -85,7 +81,7 @@
             socket.write(response.replace("1.1 200", `1.1 ${status}`));
             return;
           }
-          const headers = createResponseHeaders(bytes);
+          const headers = createRawHead(bytes);
           const fields =
             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
           const chunk = `${EVENT.length.toString(16)}\r\n${EVENT}\r\n`;
@@ -249,8 +245,7 @@
           sockets.push(socket);
           socket.on(
             "data",
-            (bytes) =>
-              sendEndlessly(socket, `${createResponseHeaders(bytes)}\r\n`),
+            (bytes) => sendEndlessly(socket, `${createRawHead(bytes)}\r\n`),
           );
         }),
       );
@@ -282,7 +277,7 @@
     sockets.push(socket);
     socket.once(
       "data",
-      (bytes) => respond(socket, createResponseHeaders(bytes)),
+      (bytes) => respond(socket, createRawHead(bytes)),
     );
   });
   const entry = await startEntry({ backends: [backend] });
@@ -294,12 +289,6 @@
   };
 }
 
-/** Creates the headers of a successful response, without a length and the final empty line. */
-function createResponseHeaders(request: Buffer): string {
-  const id = /attempt-id: (\S+)/i.exec(request.toString())?.[1];
-  return `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Stamp: s\r\n`;
-}
-
 /** Sends a start, then the same bytes until the peer closes the connection. */
 function sendEndlessly(
   socket: Socket,
--- a/packages/celerytray/src/serving/exchange/raw_response.ts
+++ b/packages/celerytray/src/serving/exchange/raw_response.ts
@@ -19,6 +19,11 @@
     "Transfer-Encoding: chunked\r\n\r\n";
 }
 
+/** Creates a complete response with the body `done`. */
+export function createRawResponse(request: Buffer): string {
+  return createRawHead(request, "Content-Length: 4\r\n\r\ndone");
+}
+
 export function createRawChunk(text: string): string {
   return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 }
--- a/packages/celerytray/src/serving/exchange/read_response.ts
+++ b/packages/celerytray/src/serving/exchange/read_response.ts
@@ -1,5 +1,5 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
-import { discardBody, watchResponseEnd } from "../../http/index.ts";
+import { discardBody } from "../../http/index.ts";
 import type { AttemptOptions, AttemptOutcome } from "./attempt_options.ts";
 import type { ResponseHeaders } from "../call.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -21,31 +21,31 @@
   readonly fail: (message: string) => void;
 }
 
-/** Reads a response to its end and settles the attempt. */
+/**
+ * Reads a response and settles the attempt at the latest as the returned
+ * function is called, which tells that the response is complete.
+ */
 export function readResponse(
   response: IncomingMessage,
   reading: ResponseReading,
-): void {
+): () => void {
   const { options, request } = reading;
   const headers = options.codec.decodeResponse(response);
   const reject = (message: string) => {
     reading.fail(message);
     request.destroy();
+    return ignoreEnd;
   };
   // On a reused connection a response without an id may be a late one to an
   // earlier request.
   const isMatching = headers.callId === undefined
     ? !request.reusedSocket
     : headers.callId === options.callId;
-  if (!isMatching) {
-    reject("The response belongs to another request");
-    return;
-  }
+  if (!isMatching) return reject("The response belongs to another request");
   options.onProgress();
   options.onHeaders(headers);
   if (headers.isNotRun && headers.callId === undefined) {
-    reject("The instance rejected a request without naming it");
-    return;
+    return reject("The instance rejected a request without naming it");
   }
   if (headers.isNotRun) {
     discardUnusedBody(response);
@@ -55,20 +55,24 @@
         `The instance rejected the request with status ${headers.status}`,
       isRejected: true,
     });
-    return;
+    return ignoreEnd;
   }
   const isSuccess = headers.status >= 200 && headers.status < 300;
   if (isSuccess && !headers.hasServerStamp) {
-    reject("The response lacks the instance's stamp header");
-  } else if (isSuccess && headers.isEncoded) {
-    reject("The response has a content encoding that was not requested");
-  } else if (isSuccess && headers.isEventStream) {
-    relayStream(response, { ...reading, headers, reject });
-  } else {
-    collectBody(response, { ...reading, headers, reject });
+    return reject("The response lacks the instance's stamp header");
+  }
+  if (isSuccess && headers.isEncoded) {
+    return reject("The response has a content encoding that was not requested");
   }
+  const body: BodyReading = { ...reading, headers, reject };
+  return isSuccess && headers.isEventStream
+    ? relayStream(response, body)
+    : collectBody(response, body);
 }
 
+/** The end of a response whose attempt was settled by its headers. */
+function ignoreEnd(): void {}
+
 /** Discards a body, and closes the connection if it is too long or slow. */
 function discardUnusedBody(response: IncomingMessage): void {
   discardBody(response, { maxBytes: MAX_DISCARDED_BYTES });
@@ -81,7 +85,10 @@
   readonly reject: (message: string) => void;
 }
 
-function relayStream(response: IncomingMessage, reading: BodyReading): void {
+function relayStream(
+  response: IncomingMessage,
+  reading: BodyReading,
+): () => void {
   const { options, reject } = reading;
   const splitter = new EventSplitter();
   options.onStreamHeaders(reading.headers);
@@ -106,16 +113,16 @@
       options.awaitDrain(() => response.resume());
     }
   });
-  watchResponseEnd(response, (isWhole) => {
-    if (!isWhole || splitter.pendingBytes > 0) {
-      reject("The stream was truncated");
-    } else {
-      reading.settle({ kind: "streamed" });
-    }
-  });
+  return () => {
+    if (splitter.pendingBytes > 0) reject("The stream was truncated");
+    else reading.settle({ kind: "streamed" });
+  };
 }
 
-function collectBody(response: IncomingMessage, reading: BodyReading): void {
+function collectBody(
+  response: IncomingMessage,
+  reading: BodyReading,
+): () => void {
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
   const { callId, held } = reading.options;
@@ -139,14 +146,10 @@
     held.forget(heldResponse);
     chunks.length = 0;
   });
-  watchResponseEnd(response, (isWhole) => {
-    if (!isWhole) reading.reject("The response was truncated");
-    else {
-      reading.settle({
-        kind: "answered",
-        headers: reading.headers,
-        body: Buffer.concat(chunks),
-      });
-    }
-  });
+  return () =>
+    reading.settle({
+      kind: "answered",
+      headers: reading.headers,
+      body: Buffer.concat(chunks),
+    });
 }
--- a/packages/celerytray/src/serving/exchange/run_attempt.ts
+++ b/packages/celerytray/src/serving/exchange/run_attempt.ts
@@ -1,6 +1,6 @@
 import { Effect } from "effect";
 import { request as httpRequest } from "node:http";
-import { parseAddress, watchFailure, watchFraming } from "../../http/index.ts";
+import { parseAddress, watchExchange, watchFraming } from "../../http/index.ts";
 import type { AttemptOptions, AttemptOutcome } from "./attempt_options.ts";
 import { readResponse } from "./read_response.ts";
 import type { AbandonReason } from "../stall_detector.ts";
@@ -90,11 +90,15 @@
       if (socket.connecting) socket.once("connect", dispatch);
       else dispatch();
     });
-    watchFailure(request, (error) => {
-      isReset = STALE_CONNECTION_CODES.has(
-        (error as NodeJS.ErrnoException).code ?? "",
-      );
-      fail(error.message);
+    watchExchange(request, {
+      onResponse: (response) =>
+        readResponse(response, { options, request, settle, fail }),
+      onFailure: (error) => {
+        isReset = STALE_CONNECTION_CODES.has(
+          (error as NodeJS.ErrnoException).code ?? "",
+        );
+        fail(error.message);
+      },
     });
     let interimResponses = 0;
     request.on("information", () => {
@@ -103,9 +107,6 @@
       fail("The instance sent too many interim responses");
       request.destroy();
     });
-    request.on("response", (response) => {
-      readResponse(response, { options, request, settle, fail });
-    });
     options.registerAbandon((reason) => {
       fail(ABANDON_MESSAGES[reason], reason);
       request.destroy();
--- a/packages/celerytray/src/serving/serve_call_test.ts
+++ b/packages/celerytray/src/serving/serve_call_test.ts
@@ -3,12 +3,12 @@
 import { Socket } from "node:net";
 import { describe, it } from "node:test";
 import type { ServingTarget } from "./choose_target.ts";
+import { createRawResponse } from "./exchange/raw_response.ts";
 import { LoadTracker } from "./load_tracker.ts";
 import { PaceTracker } from "./pace_tracker.ts";
 import { StallDetector } from "./stall_detector.ts";
 import {
   call,
-  createRawResponse,
   idOf,
   readNowMs,
   respondDone,
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -22,7 +22,6 @@
 import { createTestDependencies } from "./create_test_dependencies.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 import type { PaceTracker } from "./pace_tracker.ts";
-import { createRawHead } from "./exchange/raw_response.ts";
 import { SharedRetryBudget } from "./shared_retry_budget.ts";
 import { serveCall } from "./serve_call.ts";
 import type { ServingRoute } from "./serving_config.ts";
@@ -120,10 +119,6 @@
   return { instanceId: `i-${port}`, address, zone: "z", slots: 4, epoch: 0 };
 }
 
-export function createRawResponse(request: Buffer): string {
-  return createRawHead(request, "Content-Length: 4\r\n\r\ndone");
-}
-
 /** A retry budget that asks a function of the test. */
 class StubRetryBudget extends SharedRetryBudget {
   readonly #trySpend: () => boolean;
