--- a/packages/celerytray/src/host/count_late_events.ts
+++ b/packages/celerytray/src/host/count_late_events.ts
@@ -1,7 +1,7 @@
 import type { MetricsPage, RecordEvent } from "../journal/index.ts";
 import type { LateEvent } from "../serving/index.ts";
 
-/** Returns a function that counts and logs events of attempts that had ended. */
+/** Returns a function that counts and logs attempts whose events arrive after their end. */
 export function countLateEvents(
   { metrics, record }: {
     readonly metrics: MetricsPage;
@@ -9,8 +9,8 @@
   },
 ): (event: LateEvent) => void {
   const late = metrics.addCounter({
-    name: "celerytray_late_events_total",
-    help: "Events of a stream that arrived after their attempt had ended",
+    name: "celerytray_late_attempts_total",
+    help: "Attempts whose events arrived after their end",
     labelNames: [],
   });
   return (event) => {
--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -102,6 +102,7 @@
       maySend: () => findWithheldReason(options, nowMs()) === undefined,
       onSent: () => progress.isCurrentSent = true,
       onStreamHeaders: (headers) => writer.start(headers),
+      lastEventId: () => progress.stream.lastEventId,
       onEvent: (event) => {
         const result = writer.write(event);
         if (result === "closed") {
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -80,7 +80,7 @@
   readonly onBackoff: (backoff: RequestedBackoff) => void;
   /** Called when a response header cannot be parsed. */
   readonly onMalformedHeaders: (instanceId: string, message: string) => void;
-  /** Called with an event of an attempt that had ended. */
+  /** Called with the first event that arrives after its attempt has ended. */
   readonly onLateEvent: (event: LateEvent) => void;
   /** Called with an unexpected error. */
   readonly onFault: (defect: unknown) => void;
@@ -117,7 +117,7 @@
   readonly backoffMs: number;
 }
 
-/** An event of an attempt that had ended when the event arrived. */
+/** An event that arrived after its attempt had ended. */
 export interface LateEvent {
   readonly callId: string;
   readonly instanceId: string;
--- a/packages/celerytray/src/serving/exchange/attempt_options.ts
+++ b/packages/celerytray/src/serving/exchange/attempt_options.ts
@@ -47,6 +47,8 @@
   readonly agent: Agent | undefined;
   /** Called with the headers of an event stream, before its events. */
   readonly onStreamHeaders: (headers: ResponseHeaders) => void;
+  /** Id of the last event that the caller has. */
+  readonly lastEventId: () => number | undefined;
   /** Forwards an event to the caller. */
   readonly onEvent: (event: StreamEvent) => WriteResult;
   /** Called if the caller does not keep up; calls `onReady` when reading may resume. */
--- a/packages/celerytray/src/serving/exchange/read_response.ts
+++ b/packages/celerytray/src/serving/exchange/read_response.ts
@@ -91,19 +91,23 @@
 ): () => void {
   const { options, reject } = reading;
   const splitter = new EventSplitter();
+  let isClosed = false;
   options.onStreamHeaders(reading.headers);
   response.on("data", (chunk: Buffer) => {
+    if (isClosed) return;
     let mayContinue = true;
     const events = splitter.push(chunk);
     // Bytes that never complete an event do not count as progress.
     if (events.length > 0) options.onProgress();
     for (const event of events) {
       const result = options.onEvent(event);
-      if (result === "closed") return;
+      isClosed = result === "closed" || result === "out-of-order";
       if (result === "out-of-order") {
-        reject(`Event ${event.id} does not follow the last one`);
-        return;
+        reject(
+          `Event ${event.id} does not follow event ${options.lastEventId()}`,
+        );
       }
+      if (isClosed) return;
       mayContinue &&= result === "written";
     }
     if (splitter.pendingBytes > MAX_EVENT_BYTES) {
