Reject a change of the protocol that was not requested

A back end that answered 101 was passed on to the caller as an answer with this status, or, where it named a protocol, held the request until its deadline: Node closes such a connection and tells neither a response nor an error.

--- a/packages/celerytray/src/serving/exchange/faulty_backend_test.ts
+++ b/packages/celerytray/src/serving/exchange/faulty_backend_test.ts
@@ -175,6 +175,20 @@
     }
   });
 
+  // Guards against a request that is held until its deadline, or a status that
+  // means nothing to its caller.
+  for (const fields of ["", "Connection: upgrade\r\nUpgrade: x\r\n"]) {
+    it(`changes the protocol (${fields === "" ? "without" : "with"} its name)`, async () => {
+      const startedAtMs = performance.now();
+      const response = await callWith((socket, headers) => {
+        const status = headers.replace("200 OK", "101 Switching Protocols");
+        socket.write(`${status}${fields}\r\nforeign bytes`);
+      });
+      expect([response.status, response.isClosed]).toEqual([502, true]);
+      expect(performance.now() - startedAtMs < ENDLESS_MS).toEqual(true);
+    });
+  }
+
   it("sends endless headers", async () => {
     const response = await callWith((socket) => {
       sendEndlessly(socket, "HTTP/1.1 200 OK\r\nX: ");
--- a/packages/celerytray/src/serving/exchange/read_response.ts
+++ b/packages/celerytray/src/serving/exchange/read_response.ts
@@ -57,6 +57,9 @@
     });
     return ignoreEnd;
   }
+  if (headers.status < 200) {
+    return reject("The response changes the protocol, which was not requested");
+  }
   const isSuccess = headers.status >= 200 && headers.status < 300;
   if (isSuccess && !headers.hasServerStamp) {
     return reject("The response lacks the instance's stamp header");
