Don't move a stream from a slow replica while its caller reads slowly

What such a caller has still to read is buffered here; a move threw it away, ran the prompt a second time and spent the retry budget, for a caller who wasn't waiting for the replica. The detector already leaves paused attempts out as evidence of silence; now a move for slowness leaves them too. A stalled or closed replica's attempts are moved as before. The new case of stall_detector_test is red without the change.

--- a/packages/celerytray/src/serving/stall_detector.ts
+++ b/packages/celerytray/src/serving/stall_detector.ts
@@ -168,6 +168,8 @@
       rank: attempt.rank(),
     })).sort((a, b) => b.rank - a.rank);
     for (const { attempt } of ranked) {
+      // What its caller has still to read does not come faster from elsewhere.
+      if (options.reason === "slow" && attempt.isPaused()) continue;
       const isQueued = !attempt.hasStarted() &&
         this.#isQueued(attempt, options);
       if (isQueued && !this.#mayMoveQueued(instanceId, options.nowMs)) {
--- a/packages/celerytray/src/serving/stall_detector_test.ts
+++ b/packages/celerytray/src/serving/stall_detector_test.ts
@@ -141,6 +141,25 @@
   expect(detector.findSuspected(2_400).length).toEqual(1);
 });
 
+// Guards against a stream that is run a second time, and its buffered events
+// thrown away, as its caller reads slowly from an instance that is slow too.
+it("moves no attempt from a slow instance whose caller doesn't keep up", () => {
+  const detector = new StallDetector();
+  const moved: string[] = [];
+  const watch = (name: string, isPaused: boolean) =>
+    detector.watch(createAttempt({
+      hasStarted: () => true,
+      isPaused: () => isPaused,
+      tryMove: (reason) => moved.push(`${name} ${reason}`) > 0,
+    }));
+  watch("paused", true);
+  watch("reading", false);
+  detector.moveAttempts("a", { reason: "slow", nowMs: 0 });
+  expect(moved).toEqual(["reading slow"]);
+  detector.moveAttempts("a", { reason: "stalled", nowMs: 0 });
+  expect(moved.slice(1)).toEqual(["paused stalled", "reading stalled"]);
+});
+
 it("mistakes neither the lag of the process nor slow callers for a stall", () => {
   const detector = new StallDetector({ isBehind: (nowMs) => nowMs < 5_000 });
   const end = detector.watch(createAttempt());
