Answer a complete request though bytes behind it are no request

A caller whose complete request had bytes behind it that can't be parsed was told 400 instead of its answer: in one read, before its request was sent on; in a later read, while it ran, so that it ran though its caller was told otherwise, and was recorded as "left". A stream that had begun was cut. So was any other request on the same connection.

Cause: Node's server handles an error of its parser by answering 400 unless a response has begun, and destroys the connection, whatever is under way on it. No listener for clientError was set, on no port of the product.

OpenResponses knows the responses of a connection that are not sent in full. Where all their requests are complete, the last one closes the connection, and bytes are read and discarded until then, so that a caller that leaves is still seen; otherwise Node's own refusal stays, with its statuses (400, 408, 413, 431). Bytes of no request get no answer of their own then: the connection closes. All servers listen by the same function, so this holds for both data planes, the ports between processes and of operators.

--- a/packages/celerytray/src/host/caller_server_test.ts
+++ b/packages/celerytray/src/host/caller_server_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { Effect, Exit, Scope } from "effect";
+import { once } from "node:events";
 import { createServer, type RequestListener } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { after, describe, it } from "node:test";
@@ -16,6 +17,16 @@
 
 const HOST = "127.0.0.1";
 const MAX_HEADER_BYTES = 4_096;
+const EVENT_INTERVAL_MS = 30;
+const LIMITED = { timeout: 5_000 };
+const FOREIGN_BYTES = "bytes of no request\r\n\r\n";
+const COMPLETE_RESTS = {
+  "the last one of its connection":
+    "Content-Length: 0\r\nConnection: close\r\n\r\n",
+  "without a body": "Content-Length: 0\r\n\r\n",
+  "with a length": "Content-Length: 4\r\n\r\nbody",
+  "in chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+};
 const closers: (() => unknown)[] = [];
 
 after(async () => {
@@ -58,12 +69,7 @@
   });
 
   it("keeps serving after bytes that are not a request", async () => {
-    const { port } = await startEntry((incoming, response) => {
-      response.writeHead(200, {
-        "attempt-id": String(incoming.headers["attempt-id"]),
-        "server-stamp": "s",
-      }).end("done");
-    });
+    const { port } = await startEntry(respondDone);
     for (
       const bytes of [
         "\0\0\0",
@@ -81,6 +87,94 @@
       .toInclude(" 200 ");
   });
 
+  // Guards against a caller that is told 400 though its request runs, and a
+  // stream that is cut, for bytes behind a complete request.
+  for (const [framing, rest] of Object.entries(COMPLETE_RESTS)) {
+    it(`answers a request with foreign bytes behind it (${framing})`, async () => {
+      const seen: string[] = [];
+      const { port, records } = await startEntry((incoming, response) => {
+        seen.push(incoming.url ?? "");
+        respondStream(incoming, response);
+      });
+      const text = await exchange(port, `${HEAD}${rest}${FOREIGN_BYTES}`);
+      expect(text.match(/^HTTP\/1.1 .*$/gm)).toEqual(["HTTP/1.1 200 OK"]);
+      expect(text.match(/^id: .*$/gm)).toEqual(["id: 0", "id: 1"]);
+      expect(text.endsWith("\r\n0\r\n\r\n")).toEqual(true);
+      expect(seen).toEqual(["/s/x"]);
+      expect(records.map(({ outcome }) => outcome)).toEqual(["streamed"]);
+    });
+  }
+
+  // Guards against a response that is lost behind another one of its connection.
+  it("answers each of two requests with foreign bytes behind them", async () => {
+    const { port } = await startEntry(respondStream);
+    const call = `${HEAD}Content-Length: 0\r\n\r\n`;
+    const text = await exchange(port, `${call}${call}${FOREIGN_BYTES}`);
+    expect(text.match(/^HTTP\/1.1 .*$|^id: .*$/gm)).toEqual([
+      "HTTP/1.1 200 OK",
+      "id: 0",
+      "id: 1",
+      "HTTP/1.1 200 OK",
+      "id: 0",
+      "id: 1",
+    ]);
+  });
+
+  // Guards against a stream that is cut for bytes that come while it runs.
+  it("completes a stream though foreign bytes come meanwhile", async () => {
+    const { port } = await startEntry(respondStream);
+    const socket = openSocket(port);
+    let text = "";
+    socket.on("data", (chunk) => {
+      if (text === "") socket.write(FOREIGN_BYTES);
+      text += chunk.toString();
+    });
+    socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+    await once(socket, "close");
+    expect(text.match(/^HTTP\/1.1 .*$/gm)).toEqual(["HTTP/1.1 200 OK"]);
+    expect(text.endsWith("\r\n0\r\n\r\n")).toEqual(true);
+  });
+
+  // Guards against a caller that is told 400 while its request runs.
+  it("answers a request though foreign bytes come while it runs", async () => {
+    const arrived = createSignal();
+    const { port } = await startEntry((incoming, response) => {
+      arrived.set();
+      setTimeout(() => respondDone(incoming, response), EVENT_INTERVAL_MS);
+    });
+    const socket = openSocket(port);
+    let text = "";
+    socket.on("data", (chunk) => text += chunk.toString());
+    socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+    await arrived.wait;
+    socket.write(FOREIGN_BYTES);
+    await once(socket, "close");
+    expect(text.match(/^HTTP\/1.1 .*$/gm)).toEqual(["HTTP/1.1 200 OK"]);
+    expect(text.endsWith("\r\n\r\ndone")).toEqual(true);
+  });
+
+  // Guards against a request that goes on for a caller that has left.
+  it(
+    "records that a caller left after it sent foreign bytes",
+    LIMITED,
+    async () => {
+      const arrived = createSignal();
+      const { port, records } = await startEntry(arrived.set);
+      const socket = openSocket(port);
+      socket.write(`${HEAD}Content-Length: 0\r\n\r\n${FOREIGN_BYTES}`);
+      await arrived.wait;
+      socket.end();
+      while (records.length === 0) await pause();
+      expect(records.map(({ outcome }) => outcome)).toEqual(["left"]);
+    },
+  );
+
+  it("refuses a request whose body is malformed", async () => {
+    const { port } = await startEntry(answerNothing);
+    const start = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`;
+    expect(await exchange(port, `${start}zz\r\n`)).toInclude(" 400 ");
+  });
+
   it("records once that a caller left, with its attempt in progress", async () => {
     const arrived = createSignal();
     const { port, records, instanceId } = await startEntry(arrived.set);
@@ -116,6 +210,23 @@
   response.end();
 };
 
+const respondDone: RequestListener = (incoming, response) => {
+  response.writeHead(200, {
+    "attempt-id": String(incoming.headers["attempt-id"]),
+    "server-stamp": "s",
+  }).end("done");
+};
+
+const respondStream: RequestListener = (request, response) => {
+  response.writeHead(200, {
+    "attempt-id": String(request.headers["attempt-id"]),
+    "server-stamp": "s",
+    "content-type": "text/event-stream",
+  });
+  response.write("id: 0\ndata: a\n\n");
+  setTimeout(() => response.end("id: 1\ndata: b\n\n"), EVENT_INTERVAL_MS);
+};
+
 async function startEntry(
   listener: RequestListener,
   own: Partial<TestDependencies> = {},
--- a/packages/celerytray/src/http/listen.ts
+++ b/packages/celerytray/src/http/listen.ts
@@ -1,7 +1,9 @@
 import { Data, Effect, type Scope } from "effect";
 import type { RequestListener, Server } from "node:http";
 import { createServer } from "node:http";
+import type { Socket } from "node:net";
 import { steadyMs } from "../clock/index.ts";
+import { OpenResponses } from "./open_responses.ts";
 
 /** Options of a listening server. */
 export interface ListenOptions {
@@ -96,14 +98,18 @@
   options: ListenOptions,
 ): Effect.Effect<Server, ListenFailure> {
   return Effect.callback<Server, ListenFailure>((resume) => {
+    const responses = new OpenResponses();
+    const handler = responses.track(options.handler);
     const server = createServer({
       headersTimeout: options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS,
       requestTimeout: options.requestTimeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS,
       maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
-    }, options.handler);
-    if (options.handlesContinue === true) {
-      server.on("checkContinue", options.handler);
-    }
+    }, handler);
+    if (options.handlesContinue === true) server.on("checkContinue", handler);
+    server.on(
+      "clientError",
+      (error, socket) => responses.handleClientError(error, socket as Socket),
+    );
     server.once("error", (error) =>
       resume(Effect.fail(
         new ListenFailure({
--- /dev/null
+++ b/packages/celerytray/src/http/open_responses.ts
@@ -0,0 +1,61 @@
+import type { RequestListener, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+const DEFAULT_REFUSAL = "400 Bad Request";
+const REFUSALS: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+
+/** The responses of a server that are not sent in full, by connection. */
+export class OpenResponses {
+  readonly #bySocket = new WeakMap<Socket, Set<ServerResponse>>();
+
+  /** Returns a listener that notes each response before it calls another one. */
+  track(listener: RequestListener): RequestListener {
+    return (request, response) => {
+      const { socket } = request;
+      const responses = this.#bySocket.get(socket) ?? new Set();
+      this.#bySocket.set(socket, responses.add(response));
+      response.once("close", () => responses.delete(response));
+      listener(request, response);
+    };
+  }
+
+  /**
+   * Handles a `clientError` of the server. Bytes of no request end the use of a
+   * connection, after the responses to complete requests that came before them;
+   * without those, or with an incomplete one, they are refused at once.
+   */
+  handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    const responses = [...this.#bySocket.get(socket) ?? []];
+    const last = responses.at(-1);
+    const isConnected = socket.writable && !socket.readableEnded;
+    const isComplete = responses.every(({ req }) => req.complete);
+    if (last === undefined || !isConnected || !isComplete) {
+      refuse(error, { socket, responses });
+      return;
+    }
+    // Each further read of such a connection is an error too.
+    if (!last.shouldKeepAlive) return;
+    last.shouldKeepAlive = false;
+    last.once("close", () => socket.destroySoon());
+  }
+}
+
+/** Refuses bytes as Node does by default. */
+function refuse(
+  error: NodeJS.ErrnoException,
+  { socket, responses }: {
+    readonly socket: Socket;
+    readonly responses: readonly ServerResponse[];
+  },
+): void {
+  const hasStarted = responses.some(({ headersSent }) => headersSent);
+  if (socket.writable && !hasStarted) {
+    const status = REFUSALS[error.code ?? ""] ?? DEFAULT_REFUSAL;
+    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+  }
+  socket.destroy(error);
+}
