Stand-ins that send an answer and what is wrong with it in one write

Model and plain instances now join a share of their answers with a fault, as raw bytes: foreign bytes behind a complete answer (with a length, in chunks), a second complete response behind it, or a chunk size that is none behind the first two events. With a pause between the pieces, the fault still shares the last write; a process that is stopped meanwhile reads all of it at once. A stream that is resumed is not joined, so each can become complete.

--- a/packages/fakes/src/platform/fake_http_instance.ts
+++ b/packages/fakes/src/platform/fake_http_instance.ts
@@ -5,6 +5,12 @@
   type ServerResponse,
 } from "node:http";
 import { answerJson } from "./fake_store_server.ts";
+import {
+  type JoinedAnswer,
+  type JoinedFault,
+  type Joining,
+  writeJoined,
+} from "./joined_answer.ts";
 import { readRequestBody } from "./read_request_body.ts";
 
 const MISDIRECTED_STATUS = 421;
@@ -30,6 +36,7 @@
   readonly bornAtMs?: number;
   readonly coldUntilMs?: number;
   readonly onArrival?: (arrival: FakeArrival) => void;
+  readonly onJoined?: (answer: JoinedAnswer) => void;
 }
 
 /** A request with its complete body. */
@@ -56,7 +63,11 @@
   /** Requests a second that its answers say it takes from all machines. */
   limitPerSecond: number | undefined;
   coldUntilMs: number;
+  /** How it joins answers with faults; undefined if it does not. */
+  joining: Joining | undefined;
   readonly #onArrival: (arrival: FakeArrival) => void;
+  readonly #onJoined: (answer: JoinedAnswer) => void;
+  #joinableCount = 0;
 
   constructor(options: FakeHttpInstanceOptions) {
     this.id = options.id;
@@ -64,6 +75,7 @@
     this.bornAtMs = options.bornAtMs ?? 1;
     this.coldUntilMs = options.coldUntilMs ?? 0;
     this.#onArrival = options.onArrival ?? (() => {});
+    this.#onJoined = options.onJoined ?? (() => {});
     this.server = createServer((request, response) => {
       void this.#handle(request, response);
     });
@@ -106,6 +118,31 @@
     this.#reportArrival({ callId, hasRun: true, isMisdirected: false });
   }
 
+  /** Returns the fault to join the next answer with, if any. */
+  protected nextJoinedFault(): JoinedFault | undefined {
+    if (this.joining === undefined) return undefined;
+    const { faults, oneIn } = this.joining;
+    const index = this.#joinableCount++;
+    if (index % oneIn > 0) return undefined;
+    return faults[(index / oneIn) % faults.length];
+  }
+
+  /** Answers with a fault in the same write as the last piece of the body. */
+  protected async answerJoined(
+    { callId }: FakeRequest,
+    response: ServerResponse,
+    { fault, ...answer }: {
+      readonly fault: JoinedFault;
+      readonly headers: Readonly<Record<string, string>>;
+      readonly pieces: readonly string[];
+    },
+  ): Promise<void> {
+    const { pieceMs = 0 } = this.joining ?? {};
+    if (!await writeJoined(response, fault, { ...answer, pieceMs })) return;
+    const atMs = performance.now();
+    this.#onJoined({ atMs, callId, instanceId: this.id, fault });
+  }
+
   /** Answers with a status and `not-executed`, and reports the arrival. */
   protected reject(
     { callId }: FakeRequest,
--- a/packages/fakes/src/platform/fake_instance_server.ts
+++ b/packages/fakes/src/platform/fake_instance_server.ts
@@ -121,17 +121,26 @@
     }
     this.recordExecution(callId);
     if (await this.#crashesOn(headers["prompt-prefix"])) return;
-    response.writeHead(200, {
+    const streamHeaders = {
       "attempt-id": callId,
       "server-stamp": `stamp-${id}`,
       "content-type": "text/event-stream",
       ...this.createLeavingHeaders(),
-    });
+    };
     const after = headers["last-event-id"];
     const firstId = after === undefined ? 0 : Number(after) + 1;
-    for (let event = firstId; event < EVENTS; event++) {
+    const pieces = createEvents(body.toString(), firstId);
+    // A stream that is resumed is not joined, so that it becomes complete.
+    const fault = firstId === 0 ? this.nextJoinedFault() : undefined;
+    if (fault !== undefined) {
+      const answer = { fault, headers: streamHeaders, pieces };
+      await this.answerJoined(request, response, answer);
+      return;
+    }
+    response.writeHead(200, streamHeaders);
+    for (const event of pieces) {
       if (response.destroyed) return;
-      response.write(encodeEvent(event, body.toString()));
+      response.write(event);
       await new Promise((resolve) => setTimeout(resolve, this.eventPauseMs));
     }
     response.end();
@@ -144,15 +153,12 @@
 
 /** Returns the complete stream that a model instance sends in response to a prompt. */
 export function createCompleteStream(prompt: string): string {
-  let stream = "";
-  for (let event = 0; event < EVENTS; event++) {
-    stream += encodeEvent(event, prompt);
-  }
-  return stream;
+  return createEvents(prompt, 0).join("");
 }
 
-function encodeEvent(event: number, prompt: string): string {
-  return `id: ${event}\ndata: ${prompt} ${event}\n\n`;
+function createEvents(prompt: string, firstId: number): readonly string[] {
+  const ids = Array.from({ length: EVENTS }, (_, id) => id).slice(firstId);
+  return ids.map((id) => `id: ${id}\ndata: ${prompt} ${id}\n\n`);
 }
 
 interface WireOrder {
--- a/packages/fakes/src/platform/fake_plain_instance.ts
+++ b/packages/fakes/src/platform/fake_plain_instance.ts
@@ -51,11 +51,17 @@
       this.#options.onCrash();
       return;
     }
-    response.writeHead(200, {
+    const headers = {
       "attempt-id": callId,
       "server-stamp": `stamp-${this.id}`,
       "replica-load": `${this.#running},0,${SLOTS}`,
       ...this.createLeavingHeaders(),
-    }).end(body);
+    };
+    const fault = this.nextJoinedFault();
+    if (fault === undefined) response.writeHead(200, headers).end(body);
+    else {
+      const pieces = [body.toString()];
+      await this.answerJoined(request, response, { fault, headers, pieces });
+    }
   }
 }
--- a/packages/fakes/src/platform/fake_platform.ts
+++ b/packages/fakes/src/platform/fake_platform.ts
@@ -3,6 +3,7 @@
 import { FakeInstanceServer } from "./fake_instance_server.ts";
 import { FakePlainInstance } from "./fake_plain_instance.ts";
 import type { FakeArrival, FakeHttpInstance } from "./fake_http_instance.ts";
+import type { JoinedAnswer } from "./joined_answer.ts";
 import { FakeStoreServer } from "./fake_store_server.ts";
 
 const HOST = "127.0.0.1";
@@ -17,6 +18,8 @@
 export interface FakePlatformOptions {
   /** Called for each request that an instance executes or rejects. */
   readonly onArrival?: (arrival: FakeArrival) => void;
+  /** Called for each answer that an instance joined with a fault. */
+  readonly onJoined?: (answer: JoinedAnswer) => void;
   /** Returns the address to publish for an instance, such as that of a proxy. */
   readonly resolveListedAddress?: (
     id: string,
@@ -214,13 +217,14 @@
     { zone, coldMs }: { readonly zone: string; readonly coldMs: number },
   ) {
     this.#incarnationCount += 1;
-    const { onArrival } = this.#options;
+    const { onArrival, onJoined } = this.#options;
     return {
       id,
       zone,
       bornAtMs: this.#incarnationCount,
       coldUntilMs: coldMs === 0 ? 0 : performance.now() + coldMs,
       ...(onArrival === undefined ? {} : { onArrival }),
+      ...(onJoined === undefined ? {} : { onJoined }),
     };
   }
 
--- a/packages/fakes/src/platform/index.ts
+++ b/packages/fakes/src/platform/index.ts
@@ -18,6 +18,12 @@
   FakeStoreServer,
   type FakeStoreServerFaults,
 } from "./fake_store_server.ts";
+export {
+  completeJoinedFaults,
+  type JoinedAnswer,
+  type JoinedFault,
+  type Joining,
+} from "./joined_answer.ts";
 export {
   callPlatform,
   type PlatformAnswer,
