Test processes with answers that arrive in one read with what is wrong

The in-process test of foreign bytes covers the cause; no test watched whole processes.

The stand-ins now pause before the head, too, so that it is also written while the process is stopped.

--- a/packages/fakes/src/platform/joined_answer.ts
+++ b/packages/fakes/src/platform/joined_answer.ts
@@ -23,7 +23,7 @@
   readonly faults: readonly JoinedFault[];
   /** One in so many answers is joined. */
   readonly oneIn: number;
-  /** Pause before each piece but the first; all are one write if absent. */
+  /** Pause before the head and each piece; all are one write if absent. */
   readonly pieceMs?: number;
 }
 
@@ -61,8 +61,8 @@
 ): Promise<boolean> {
   const pieces = createWrites(fault, parts);
   const writes = pieceMs === 0 ? [pieces.join("")] : pieces;
-  for (const [index, bytes] of writes.entries()) {
-    if (index > 0) await sleep(pieceMs);
+  for (const bytes of writes) {
+    if (pieceMs > 0) await sleep(pieceMs);
     if (socket === null || socket.destroyed) return false;
     socket.write(bytes);
   }
