Soak: instances that write an answer and what is wrong with it at once

Each series now has one time of 8 s in which some instances, also restarted ones, join all, half or a quarter of their answers with a fault, in one write or with pauses before each piece; it overlaps the pauses, kills and link faults of the plan. Excused are a killed process, an instance that ended, a faulty link of either, a runner that stalled, and an answer that could be read only after the deadline; a paused or stopping process is not. A stream that is broken off stays under the checks order and no-loss.

--- a/packages/fakes/src/platform/fake_platform.ts
+++ b/packages/fakes/src/platform/fake_platform.ts
@@ -18,6 +18,8 @@
 export interface FakePlatformOptions {
   /** Called for each request that an instance executes or rejects. */
   readonly onArrival?: (arrival: FakeArrival) => void;
+  /** Called as an instance is killed or crashes. */
+  readonly onEnd?: (id: string) => void;
   /** Called for each answer that an instance joined with a fault. */
   readonly onJoined?: (answer: JoinedAnswer) => void;
   /** Returns the address to publish for an instance, such as that of a proxy. */
@@ -157,6 +159,7 @@
   /** Kills an instance; its entry leaves the list once its heartbeats are missed. */
   kill(id: string): void {
     this.find(id).kill();
+    this.#options.onEnd?.(id);
     setTimeout(() => {
       if (this.find(id).isAlive) return;
       this.storeServer.store.append(INSTANCES_TOPIC, { key: id });
--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { awaitEndOfLife } from "./await_end_of_life.ts";
 import { bounds } from "./bounds.ts";
+import { applyJoinedAnswers } from "./joined_answers.ts";
 import { applyLateReturn, MAX_AWAY_MS } from "./late_return.ts";
 import type { LoopbackProxy } from "./loopback_proxy.ts";
 import type { FaultAction } from "./fault_action.ts";
@@ -65,6 +66,9 @@
       return await returnStore(cluster, action.ageMs, durationMs);
     case "late-return":
       return await applyLateReturn(cluster, action, durationMs);
+    case "joined-answers":
+      await applyJoinedAnswers(cluster, action, durationMs);
+      return true;
     case "route":
       cluster.changeRoute();
       return true;
--- a/packages/soak/src/bounds.ts
+++ b/packages/soak/src/bounds.ts
@@ -1,5 +1,7 @@
 /** Bounds from the settings and configuration of the processes. */
 export const bounds = {
+  /** Deadline that every call names. */
+  callDeadlineMs: 3_000,
   keyRevocationMs: 5_000,
   evacuationMs: 5_000,
   configApplyMs: 2_000,
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -8,6 +8,7 @@
 import { bounds } from "./bounds.ts";
 import { findLateConfigs, findOldConfigs } from "./config_checks.ts";
 import { findDrainedArrivals } from "./drain_checks.ts";
+import { findDiscardedAnswers } from "./joined_checks.ts";
 import { describeCall, listRuns } from "./history_queries.ts";
 import { LINK_DELAY_MS } from "./loopback_proxy.ts";
 
@@ -38,6 +39,7 @@
   { name: "config-in-time", find: findLateConfigs },
   { name: "config-forward", find: findOldConfigs },
   { name: "drained-instance", find: findDrainedArrivals },
+  { name: "joined-answer", find: findDiscardedAnswers },
 ];
 
 /** Each caller gets its own complete answer. */
--- a/packages/soak/src/checks_test.ts
+++ b/packages/soak/src/checks_test.ts
@@ -1,12 +1,14 @@
+import type { JoinedFault } from "@celerytray/fakes";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { checks } from "./checks.ts";
-import { type CallKind, SoakHistory } from "./history.ts";
+import { type CallKind, type InjectedFault, SoakHistory } from "./history.ts";
 
 const END_MS = 20_000;
 
 // Guards against checks that would pass a process that ignores limits, sends
-// prompts on that crash replicas, joins pieces, or keeps to an old configuration.
+// prompts on that crash replicas, joins pieces, discards complete answers, or
+// keeps to an old configuration.
 describe("checks of histories", () => {
   it("limit-bound detects more requests than the limit and its slack", () => {
     expect(findLimitViolations({ perSecond: 1, intervalMs: 1_000 })).toEqual(0);
@@ -45,6 +47,52 @@
     }
   });
 
+  it("joined-answer detects a complete answer that was discarded", () => {
+    expect(find("joined-answer", createJoinedHistory({}))).toEqual(0);
+    const lost = { status: 502, body: "" };
+    expect(find("joined-answer", createJoinedHistory(lost))).toEqual(1);
+    expect(find("joined-answer", createJoinedHistory({ body: "twice" })))
+      .toEqual(1);
+    const brokenOff = createJoinedHistory({ ...lost, fault: "no-chunk-size" });
+    expect(find("joined-answer", brokenOff)).toEqual(0);
+  });
+
+  it("joined-answer detects a run after the complete answer", () => {
+    const history = createJoinedHistory({});
+    addCall(history, { kind: "safe", callId: "call-0", atMs: 1_050 });
+    history.calls.pop();
+    expect(find("joined-answer", history)).toEqual(1);
+  });
+
+  it("joined-answer excuses only what keeps the answer from its caller", () => {
+    const lost = { status: 502, body: "" };
+    const excuses: readonly (readonly [InjectedFault["target"], string])[] = [
+      [{ kind: "process", name: "front-0" }, "kill"],
+      [{ kind: "callers", name: "front-0" }, "reset"],
+      [{ kind: "instance", name: "model-0" }, "reset"],
+    ];
+    const others: typeof excuses = [
+      [{ kind: "process", name: "front-0" }, "pause"],
+      [{ kind: "process", name: "front-0" }, "terminate"],
+      [{ kind: "process", name: "front-1" }, "kill"],
+      [{ kind: "instance", name: "model-1" }, "reset"],
+      [{ kind: "instance" }, "poison"],
+      [{ kind: "store" }, "out"],
+    ];
+    for (const [index, [target, fault]] of [...excuses, ...others].entries()) {
+      const history = createJoinedHistory(lost);
+      const interval = { fromMs: 900, toMs: 1_020 };
+      history.injectedFaults.push({ target, fault, ...interval });
+      const isExcused = index < excuses.length;
+      expect(find("joined-answer", history)).toEqual(isExcused ? 0 : 1);
+    }
+    const late = createJoinedHistory({ ...lost, joinedAtMs: 3_990 });
+    expect(find("joined-answer", late)).toEqual(0);
+    const ended = createJoinedHistory(lost);
+    ended.instanceEnds.push({ instanceId: "model-0", atMs: 1_010 });
+    expect(find("joined-answer", ended)).toEqual(0);
+  });
+
   it("config-in-time detects added and dropped routes that are not in force", () => {
     const added = { status: 404, sentAtMs: 3_100, hasRun: false };
     expect(find("config-in-time", createRouteHistory([added]))).toEqual(1);
@@ -98,6 +146,33 @@
   return history;
 }
 
+/** A safe call at 1 s whose only run was answered with a fault behind it. */
+function createJoinedHistory(
+  {
+    status = 200,
+    body = "whole",
+    fault = "second-response",
+    joinedAtMs = 1_010,
+  }: {
+    readonly status?: number;
+    readonly body?: string;
+    readonly fault?: JoinedFault;
+    readonly joinedAtMs?: number;
+  },
+): SoakHistory {
+  const history = new SoakHistory();
+  const callId = "call-0";
+  addCall(history, { kind: "safe", callId, atMs: 1_000 });
+  Object.assign(history.calls[0]!, {
+    expected: "whole",
+    endedAtMs: joinedAtMs + 10,
+    answer: { status, body, isWhole: true },
+  });
+  const instanceId = "model-0";
+  history.joinedAnswers.push({ atMs: joinedAtMs, callId, instanceId, fault });
+  return history;
+}
+
 function find(name: string, history: SoakHistory): number {
   return checks.find((check) => check.name === name)!.find(history).length;
 }
--- a/packages/soak/src/fault_action.ts
+++ b/packages/soak/src/fault_action.ts
@@ -36,11 +36,25 @@
   /** The store comes back from a copy that is `ageMs` old. */
   | { readonly kind: "return"; readonly ageMs: number }
   | LateReturn
+  | JoinedAnswers
   /** A route is added, and the one that was added last is dropped. */
   | { readonly kind: "route" }
   /** Requests of the plain service take long. */
   | { readonly kind: "slow-work"; readonly workMs: number };
 
+/**
+ * Some instances write answers together with bytes of no response, a second
+ * response, or what breaks the answer off.
+ */
+export interface JoinedAnswers {
+  readonly kind: "joined-answers";
+  readonly instances: readonly string[];
+  /** One in so many answers of these instances is so written. */
+  readonly oneIn: number;
+  /** Pause between the pieces of such an answer; 0 for a single write. */
+  readonly pieceMs: number;
+}
+
 /**
  * The store comes back from an older copy that lacks the last changes of the
  * configuration and that an instance leaves. What it lacks is written anew
--- a/packages/soak/src/faulty_front_test.ts
+++ b/packages/soak/src/faulty_front_test.ts
@@ -74,6 +74,7 @@
   "order",
   "config-in-time",
   "config-forward",
+  "joined-answer",
 ];
 /** Longer than all time bounds except that of withdrawn keys. */
 const ACTION_DURATION_MS = 8_000;
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -1,4 +1,8 @@
-import type { FakeArrival, PlatformAnswer } from "@celerytray/fakes";
+import type {
+  FakeArrival,
+  JoinedAnswer,
+  PlatformAnswer,
+} from "@celerytray/fakes";
 
 /** A `once` request may not be retried; a `safe` one may. */
 export type CallKind = "stream" | "once" | "safe";
@@ -42,6 +46,12 @@
   readonly perSecond: number;
 }
 
+/** The kill or the crash of an instance. */
+export interface InstanceEnd {
+  readonly atMs: number;
+  readonly instanceId: string;
+}
+
 /** Exit of a process. */
 export interface ProcessExit {
   readonly process: string;
@@ -64,6 +74,9 @@
 export class SoakHistory {
   readonly calls: CallRecord[] = [];
   readonly arrivals: FakeArrival[] = [];
+  /** Answers that instances wrote together with a fault. */
+  readonly joinedAnswers: JoinedAnswer[] = [];
+  readonly instanceEnds: InstanceEnd[] = [];
   readonly injectedFaults: InjectedFault[] = [];
   readonly withdrawals: StateInterval[] = [];
   readonly leavePeriods: StateInterval[] = [];
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -81,6 +81,7 @@
     `${count(0)} without an answer`,
     `restored after ${restoreMs.join(" and ")} ms`,
     `${Math.round(rssMb)} MB at most`,
+    `${result.history.joinedAnswers.length} answers joined`,
     `${result.skippedCount} faults skipped`,
     `runner lag up to ${Math.round(runnerLagMs)} ms`,
   ].join(", ");
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -38,6 +38,7 @@
   limit: 10_000,
   poison: 10_000,
   "deadly-request": 10_000,
+  "joined-answers": 8_000,
 };
 const LIMITS_PER_SECOND = [0.5, 1, 2, 5];
 /** The faults that were added later have a generator of their own. */
@@ -45,6 +46,7 @@
 const DEADLY_REQUESTS_SEED = 2_000_000;
 const OPERATOR_FAULTS_SEED = 3_000_000;
 const LATE_RETURNS_SEED = 4_000_000;
+const JOINED_ANSWERS_SEED = 5_000_000;
 const MIN_COPY_AGE_MS = 500;
 const MAX_COPY_AGE_MS = 3_000;
 const WORK_TIMES_MS = [500, 1_500, 2_200];
@@ -53,6 +55,8 @@
 const MIN_LATE_MS = 500;
 const MAX_LATE_MS = 4_500;
 const IDLE_ROUTES = [0, 350];
+const JOINED_ONE_IN = [1, 2, 4];
+const JOINED_PIECE_MS = [0, 0, 20, 100];
 
 /** Creates a random plan; the same seed gives the same plan. */
 export function createPlan(seed: number, targets: PlanTargets): SoakPlan {
@@ -61,6 +65,7 @@
   const deadly = new PlanRandom(DEADLY_REQUESTS_SEED + seed);
   const operator = new PlanRandom(OPERATOR_FAULTS_SEED + seed);
   const returns = new PlanRandom(LATE_RETURNS_SEED + seed);
+  const joined = new PlanRandom(JOINED_ANSWERS_SEED + seed);
   const keys = [...targets.keys];
   const series = Array.from({ length: SERIES_COUNT }, (_, index) => {
     const count = random.integer(MIN_FAULTS, MAX_FAULTS);
@@ -74,6 +79,7 @@
       drawDeadlyRequest(deadly, index),
       ...drawOperatorFaults(operator, targets),
       drawLateReturn(returns, targets),
+      drawJoinedAnswers(joined, targets),
     ].sort((left, right) => left.atMs - right.atMs);
   });
   return { seed, series };
@@ -188,6 +194,23 @@
   };
 }
 
+function drawJoinedAnswers(
+  random: PlanRandom,
+  { instances }: PlanTargets,
+): PlannedFault {
+  const kind = "joined-answers";
+  return {
+    atMs: random.integer(0, SERIES_DURATION_MS),
+    durationMs: FIXED_DURATIONS_MS[kind]!,
+    action: {
+      kind,
+      instances: instances.filter(() => random.pick([false, true])),
+      oneIn: random.pick(JOINED_ONE_IN),
+      pieceMs: random.pick(JOINED_PIECE_MS),
+    },
+  };
+}
+
 function drawAction(
   random: PlanRandom,
   targets: PlanTargets,
@@ -258,6 +281,7 @@
   "slow-work",
   "route",
   "late-return",
+  "joined-answers",
 ] as const;
 
 class PlanRandom {
--- a/packages/soak/src/soak_callers.ts
+++ b/packages/soak/src/soak_callers.ts
@@ -6,6 +6,7 @@
 } from "@celerytray/fakes";
 import { Agent } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { bounds } from "./bounds.ts";
 import type { CallKind, CallRecord, SoakHistory } from "./history.ts";
 import type { SoakProcess } from "./soak_process.ts";
 import { type SoakCluster, soakKeys } from "./soak_cluster.ts";
@@ -15,7 +16,6 @@
 const BURST_CALL_PAUSE_MS = 10;
 const POISON_CALL_PAUSE_MS = 300;
 const RESTART_INTERVAL_MS = 1_000;
-const DEADLINE_MS = 3_000;
 
 /** Callers that each send requests to a process on one open connection. */
 export class SoakCallers {
@@ -187,7 +187,7 @@
       callId,
       key,
       prompt,
-      deadlineMs: DEADLINE_MS,
+      deadlineMs: bounds.callDeadlineMs,
       agent,
       ...(kind === "stream"
         ? {
--- a/packages/soak/src/soak_cluster.ts
+++ b/packages/soak/src/soak_cluster.ts
@@ -50,6 +50,9 @@
     this.history = history;
     this.platform = new FakePlatform({
       onArrival: (arrival) => history.arrivals.push(arrival),
+      onJoined: (answer) => history.joinedAnswers.push(answer),
+      onEnd: (instanceId) =>
+        history.instanceEnds.push({ atMs: performance.now(), instanceId }),
       resolveListedAddress: (id, address) => this.#announce(id, address),
     });
   }
