--- a/packages/celerytray/src/host/create_quarantine.ts
+++ b/packages/celerytray/src/host/create_quarantine.ts
@@ -30,8 +30,9 @@
   record: RecordEvent,
 ): void {
   if (event.kind === "suspected") {
-    const { instanceId, parts } = event;
-    record("quarantine.suspected", { instanceId, parts });
+    const { instanceId, parts, connection, elapsedMs, crashes } = event;
+    const fields = { instanceId, parts, connection, elapsedMs, crashes };
+    record("quarantine.suspected", fields);
     return;
   }
   const { kind, part, crashes } = event;
--- a/packages/celerytray/src/serving/quarantine/attempt_watch.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -73,8 +73,14 @@
     if (outcome.abandonReason !== undefined) return;
     const wasIdle = outcome.isStaleConnection &&
       nowMs - startedAtMs < (isStream ? MIN_STREAM_BEGIN_MS : MIN_RUN_MS);
-    if (wasIdle) return;
-    quarantine.noteLost({ ...this.#attempt, causes: causes.all }, nowMs);
+    const attempt: WatchedAttempt = {
+      ...this.#attempt,
+      causes: causes.all,
+      startedAtMs,
+      isKeptConnection: outcome.isStaleConnection,
+    };
+    if (wasIdle) quarantine.noteDisregarded(attempt, nowMs);
+    else quarantine.noteLost(attempt, nowMs);
   }
 
   /** Ends the watch, also of an attempt that was interrupted. */
--- a/packages/celerytray/src/serving/quarantine/crash_quarantine.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_quarantine.ts
@@ -33,6 +33,10 @@
     readonly instanceId: string;
     /** Parts that were not lately harmless. */
     readonly parts: readonly string[];
+    readonly connection: "new" | "kept";
+    readonly elapsedMs: number;
+    /** Crashes counted against one of the parts, at most. */
+    readonly crashes: number;
   }
   | {
     readonly kind: "tried" | "begun" | "ended";
@@ -163,13 +167,30 @@
   noteLost(attempt: WatchedAttempt, nowMs: number): void {
     this.#own.noteLost(attempt, nowMs);
     this.#watchesRequests = undefined;
-    const parts = attempt.causes.filter((part) =>
+    this.#tellLost(attempt, nowMs);
+  }
+
+  /** Notes a loss that says nothing of the request. */
+  noteDisregarded(attempt: WatchedAttempt, nowMs: number): void {
+    this.#tellLost(attempt, nowMs);
+  }
+
+  #tellLost(attempt: WatchedAttempt, nowMs: number): void {
+    const { causes, instanceId, startedAtMs = nowMs } = attempt;
+    const parts = causes.filter((part) =>
       this.#own.findSafeAtMs(part, nowMs) === undefined
     );
-    const { instanceId } = attempt;
-    if (parts.length > 0) {
-      this.#options.onEvent({ kind: "suspected", instanceId, parts });
-    }
+    if (parts.length === 0) return;
+    this.#options.onEvent({
+      kind: "suspected",
+      instanceId,
+      parts,
+      connection: attempt.isKeptConnection === true ? "kept" : "new",
+      elapsedMs: nowMs - startedAtMs,
+      crashes: Math.max(
+        ...parts.map((part) => this.#countCrashes(part, nowMs)),
+      ),
+    });
   }
 
   /** Notes a response, which shows that its instance was not lost before. */
--- a/packages/celerytray/src/serving/quarantine/own_evidence.ts
+++ b/packages/celerytray/src/serving/quarantine/own_evidence.ts
@@ -10,6 +10,10 @@
   /** The instance in its present life. */
   readonly incarnation: string;
   readonly isStream: boolean;
+  /** When the attempt began; undefined where it is not known. */
+  readonly startedAtMs?: number;
+  /** Whether its connection had served other requests before. */
+  readonly isKeptConnection?: boolean;
 }
 
 /** Time for which a harmless part is remembered. */
