Count the losses of a repeated request singly, however close they are

Losses of one request within 30 ms counted once, as a common cause was thought likelier, though each attempt had begun after the loss before it. The three crashes counted as one, the leader names a request from two on, and so no process held it back. Ruled out: that the leader learnt of the losses too late; it had nothing to name.

A suspected request gets a connection of its own, so that its instance was alive after the losses before; a kept connection could have been dead already. The loss there names the loss before it, in the reports too, and the count is the longest chain of losses that can't have one cause. Clocks of processes are not compared for it. Losses that name no other are merged as before.

Tests of serving: 231 passed.

--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -42,6 +42,7 @@
       ...dependencies,
       causes: progress.causes,
       isStream: call.route.isStream,
+      mayReuseConnection: call.route.retryPolicy !== "once",
       target,
       startedAtMs,
     });
@@ -83,9 +84,9 @@
       }),
       body: call.body,
       callId: call.headers.id,
-      agent: call.route.retryPolicy === "once"
-        ? undefined
-        : dependencies.agentFor(address),
+      agent: watch.reusesConnection
+        ? dependencies.agentFor(address)
+        : undefined,
       onHeaders: (fields) => {
         timing.noteHeaders(nowMs());
         watch.noteHeaders(nowMs());
--- a/packages/celerytray/src/serving/quarantine/quarantine_report.ts
+++ b/packages/celerytray/src/serving/quarantine/quarantine_report.ts
@@ -72,10 +72,7 @@
     for (const sighting of report.crashes) {
       const key = `${sighting.part} ${sighting.incarnation}`;
       const known = crashes.get(key);
-      // The first process that saw a loss is closest to its time.
-      if (known === undefined || known.ageMs < sighting.ageMs) {
-        crashes.set(key, sighting);
-      }
+      crashes.set(key, mergeSightings(known, sighting));
     }
     for (const sighting of report.safe) {
       const known = safe.get(sighting.part);
@@ -100,6 +97,23 @@
   };
 }
 
+/**
+ * Merges what two processes saw of a loss. The first one is closest to its time,
+ * but either may know what came before it.
+ */
+function mergeSightings(
+  known: CrashSighting | undefined,
+  sighting: CrashSighting,
+): CrashSighting {
+  if (known === undefined) return sighting;
+  const first = known.ageMs < sighting.ageMs ? sighting : known;
+  const afterIncarnation = known.afterIncarnation ?? sighting.afterIncarnation;
+  return {
+    ...first,
+    ...(afterIncarnation === undefined ? {} : { afterIncarnation }),
+  };
+}
+
 /** Returns a report as it reads some time after it was made. */
 export function ageReport(
   report: QuarantineReport,
@@ -125,8 +139,9 @@
   const { crashes, safe, wanted, quarantined } = report;
   const isValid = isListOf(
     crashes,
-    ({ part, incarnation, ageMs }) =>
-      isPartId(part) && typeof incarnation === "string" && isAge(ageMs),
+    ({ part, incarnation, ageMs, afterIncarnation = "" }) =>
+      isPartId(part) && typeof incarnation === "string" && isAge(ageMs) &&
+      typeof afterIncarnation === "string",
   ) &&
     isListOf(safe, ({ part, ageMs }) => isPartId(part) && isAge(ageMs)) &&
     isListOf(
