Say why a connection of foreign bytes needs no second listener

The comment named one of the two reasons for which a response doesn't keep its connection. No change of logic; caller_server_test 15 of 15.

--- a/packages/celerytray/src/http/open_responses.ts
+++ b/packages/celerytray/src/http/open_responses.ts
@@ -37,7 +37,7 @@
       refuse(error, { socket, responses });
       return;
     }
-    // Each further read of such a connection is an error too.
+    // So Node closes it, for its request or as an earlier read was an error too.
     if (!last.shouldKeepAlive) return;
     last.shouldKeepAlive = false;
     last.once("close", () => socket.destroySoon());
