Write no token after a stream's attempt was interrupted

In the product's own data plane, an attempt that is interrupted (its caller has left, its idle time has passed) closes its request. Where the engine has closed the connection already and the rest of a complete response waits for a slow caller, that keeps nothing back: with the next drain the tokens went to the sink again, and a write behind the end of the caller's response ends the process.

An interrupted attempt ignores further data. stream_attempt_test 'writes nothing after its interruption' red before (two tokens accepted instead of one, 3 of 3), green now, 3 of 3.

--- a/packages/celerytray/src/forwarding/stream_attempt.ts
+++ b/packages/celerytray/src/forwarding/stream_attempt.ts
@@ -118,6 +118,7 @@
   const { replica, noteActivity } = options;
   return Effect.callback<AttemptOutcome>((resume) => {
     const settle = (outcome: AttemptOutcome) => resume(Effect.succeed(outcome));
+    let isInterrupted = false;
     const request = httpRequest({
       ...parseAddress(replica.headAddress),
       path: "/v1/chat/completions",
@@ -143,12 +144,19 @@
       onResponse: (response) => {
         noteActivity();
         return response.statusCode === 200
-          ? relayEvents(response, { ...options, settle })
+          ? relayEvents(response, {
+            ...options,
+            settle,
+            isInterrupted: () => isInterrupted,
+          })
           : readErrorResponse(response, settle);
       },
     });
     request.end(options.body);
-    return Effect.sync(() => request.destroy());
+    return Effect.sync(() => {
+      isInterrupted = true;
+      request.destroy();
+    });
   });
 }
 
@@ -171,6 +179,8 @@
 
 interface RelayOptions extends ActiveAttempt {
   readonly settle: (outcome: AttemptOutcome) => void;
+  /** Whether nothing more may be written. */
+  readonly isInterrupted: () => boolean;
 }
 
 /** Forwards a stream; returns what to call once the response is complete. */
@@ -203,7 +213,8 @@
   });
   response.setEncoding("utf8");
   response.on("data", (text: string) => {
-    if (ended !== undefined) return;
+    // A connection that has closed emits what was buffered even so.
+    if (ended !== undefined || options.isInterrupted()) return;
     noteActivity();
     parser.feed(text);
     // The last tokens are written together with the end of the response.
