Split the attempt at a stream: the relay of its tokens

Forwarding the tokens of a response, with its pauses for a slow caller, is relay_tokens.ts; the outcome, which both name, is stream_outcome.ts. Nothing is decided otherwise.

--- a/packages/celerytray/src/forwarding/complete_chat.ts
+++ b/packages/celerytray/src/forwarding/complete_chat.ts
@@ -15,7 +15,8 @@
 import { CompletionSink } from "./completion_sink.ts";
 import type { ReadyReplica } from "./forwarding_types.ts";
 import { createRefusedError } from "./refused_error.ts";
-import { type AttemptOutcome, runStreamAttempt } from "./stream_attempt.ts";
+import { runStreamAttempt } from "./stream_attempt.ts";
+import type { AttemptOutcome } from "./stream_outcome.ts";
 
 /**
  * Load, in requests, of a resumed attempt: it reads the prompt again but
--- a/packages/celerytray/src/forwarding/index.ts
+++ b/packages/celerytray/src/forwarding/index.ts
@@ -4,10 +4,10 @@
 export { createCallerHandler } from "./caller_handler.ts";
 export { InFlightCalls } from "./in_flight_calls.ts";
 export {
-  type AttemptOutcome,
   runStreamAttempt,
   type StreamAttemptOptions,
 } from "./stream_attempt.ts";
+export type { AttemptOutcome } from "./stream_outcome.ts";
 export { AttemptPlan, type GiveUpReason } from "./attempt_plan.ts";
 export { HedgeDelay, HedgeDelays } from "./hedge_delay.ts";
 export { RecentFailures, ServiceFailures } from "./recent_failures.ts";
--- a/packages/celerytray/src/forwarding/stream_attempt.ts
+++ b/packages/celerytray/src/forwarding/stream_attempt.ts
@@ -1,5 +1,4 @@
 import { Clock, Effect } from "effect";
-import { createParser, type EventSourceMessage } from "eventsource-parser";
 import { type IncomingMessage, request as httpRequest } from "node:http";
 import {
   type BackendPools,
@@ -8,22 +7,8 @@
 } from "../http/index.ts";
 import type { CompletionSink } from "./completion_sink.ts";
 import type { ReadyReplica } from "./forwarding_types.ts";
-
-/** Outcome of one attempt on one replica. */
-export type AttemptOutcome =
-  | { readonly kind: "finished" }
-  /** The replica reported that nothing ran, or no connection was made. */
-  | { readonly kind: "not-run"; readonly message: string }
-  /** The replica rejected the request as invalid. */
-  | {
-    readonly kind: "rejected";
-    readonly status: number;
-    readonly message: string;
-  }
-  /** The response is incomplete. */
-  | { readonly kind: "cut"; readonly message: string }
-  /** The response can't be forwarded, whichever replica sends it. */
-  | { readonly kind: "undeliverable"; readonly message: string };
+import { type Activity, relayTokens } from "./relay_tokens.ts";
+import type { AttemptOutcome } from "./stream_outcome.ts";
 
 /** Options of an attempt. */
 export interface StreamAttemptOptions {
@@ -42,16 +27,8 @@
 const TOO_MANY_REQUESTS_STATUS = 429;
 const UNAVAILABLE_STATUS = 503;
 const MAX_ERROR_BYTES = 64 * 1024;
-const END_OF_STREAM = "[DONE]";
-const MAX_EVENT_CHARS = 1024 * 1024;
 const CALLER_STALL_TIMEOUT_MS = 60_000;
 
-/** Time of a stream's last progress, and the side that it waits for. */
-interface Activity {
-  atMs: number;
-  isAwaitingCaller: boolean;
-}
-
 /**
  * Sends a request to a replica and forwards its tokens to the sink, from the
  * first one that the sink lacks. Interruption cancels the request at the engine.
@@ -144,7 +121,7 @@
       onResponse: (response) => {
         noteActivity();
         return response.statusCode === 200
-          ? relayEvents(response, {
+          ? relayTokens(response, {
             ...options,
             settle,
             isInterrupted: () => isInterrupted,
@@ -177,121 +154,6 @@
   return headers;
 }
 
-interface RelayOptions extends ActiveAttempt {
-  readonly settle: (outcome: AttemptOutcome) => void;
-  /** Whether nothing more may be written. */
-  readonly isInterrupted: () => boolean;
-}
-
-/** Forwards a stream; returns what to call once the response is complete. */
-function relayEvents(
-  response: IncomingMessage,
-  options: RelayOptions,
-): () => void {
-  const { sink, noteActivity } = options;
-  const idPrefix = `${options.requestId}:`;
-  let ended: AttemptOutcome | undefined;
-  const isFinished = () => ended?.kind === "finished";
-  const settle = (outcome: AttemptOutcome) => {
-    ended ??= outcome;
-    options.settle(ended);
-    // An engine stops a request whose connection closes.
-    if (!isFinished()) response.destroy();
-  };
-  const parser = createParser({
-    maxBufferSize: MAX_EVENT_CHARS,
-    onEvent: (event) => {
-      ended ??= handleEvent(event, { sink, idPrefix });
-    },
-    onError: (error) => {
-      if (error.type !== "max-buffer-size-exceeded") return;
-      ended ??= {
-        kind: "undeliverable",
-        message: `The replica sent an event over ${MAX_EVENT_CHARS} characters`,
-      };
-    },
-  });
-  response.setEncoding("utf8");
-  response.on("data", (text: string) => {
-    // A connection that has closed emits what was buffered even so.
-    if (ended !== undefined || options.isInterrupted()) return;
-    noteActivity();
-    parser.feed(text);
-    // The last tokens are written together with the end of the response.
-    if (!isFinished() && !sink.flush()) {
-      pauseUntilDrained(response, options);
-    }
-    if (ended !== undefined) settle(ended);
-  });
-  return () =>
-    settle({
-      kind: "cut",
-      message: "The replica's response ended without an end of the stream",
-    });
-}
-
-function pauseUntilDrained(
-  response: IncomingMessage,
-  { sink, activity, noteActivity }: RelayOptions,
-): void {
-  if (activity.isAwaitingCaller) return;
-  activity.isAwaitingCaller = true;
-  response.pause();
-  sink.onDrained(() => {
-    activity.isAwaitingCaller = false;
-    noteActivity();
-    response.resume();
-  });
-}
-
-/** Forwards an event; returns the outcome if the event ends the attempt. */
-function handleEvent(
-  event: EventSourceMessage,
-  stream: { readonly sink: CompletionSink; readonly idPrefix: string },
-): AttemptOutcome | undefined {
-  const { sink, idPrefix } = stream;
-  if (event.data === END_OF_STREAM) {
-    return sink.isComplete ? { kind: "finished" } : {
-      kind: "cut",
-      message: "The replica ended the stream without a finish reason",
-    };
-  }
-  const index = parseEventIndex(event.id, idPrefix);
-  if (index === undefined) {
-    return {
-      kind: "cut",
-      message: "The replica sent an error or an event of another request",
-    };
-  }
-  if (index < sink.nextIndex) return undefined;
-  switch (sink.accept({ index, data: event.data })) {
-    case "accepted":
-      return undefined;
-    case "out-of-order":
-      return { kind: "cut", message: "The replica skipped a token" };
-    case "foreign":
-      return {
-        kind: "cut",
-        message: "The replica sent a malformed chunk or one of another request",
-      };
-    case "too-large":
-      return {
-        kind: "undeliverable",
-        message: "The answer is too large; ask for a stream",
-      };
-  }
-}
-
-/** Position of a token of this request; undefined for any other event. */
-function parseEventIndex(
-  id: string | undefined,
-  prefix: string,
-): number | undefined {
-  if (id === undefined || !id.startsWith(prefix)) return undefined;
-  const digits = id.slice(prefix.length);
-  return /^\d{1,9}$/.test(digits) ? Number(digits) : undefined;
-}
-
 function readErrorResponse(
   response: IncomingMessage,
   settle: (outcome: AttemptOutcome) => void,
