Soak: the operator ends evacuations anew whose end the store lost

Both evacuations had ended before the store came back (13.1 s into the series, late as the runner was) from a copy that was taken during them. rewriteStore repeated evacuations that were in force, and never the end of one that the copy still had.

It now writes the latest state of each zone anew. soak_cluster_test, on made-up orders of copy, evacuation and end: red before, green now.

--- a/packages/soak/src/soak_cluster.ts
+++ b/packages/soak/src/soak_cluster.ts
@@ -105,8 +105,12 @@
   rewriteStore(): void {
     this.#writeConfig();
     this.platform.rewriteInstances();
-    for (const { name, toMs } of this.history.evacuations) {
+    const latest = new Map(
+      this.history.evacuations.map((each) => [each.name, each]),
+    );
+    for (const { name, toMs } of latest.values()) {
       if (toMs === Number.POSITIVE_INFINITY) this.platform.evacuate(name);
+      else this.platform.restore(name);
     }
   }
 
