Soak: a stream that its instance broke off may stay so

The bound on repeats allows that, and no-loss already excuses streams that break off while an instance is faulty; answers without a chunk size aren't recorded as such a time.

Excused is only a call whose own answer an instance broke off so, and only if its caller had the head; order still requires the first pieces, each once. The check is tested on histories.

--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -243,12 +243,19 @@
 
 /** An accepted request is answered, unless the process or its link failed. */
 function findLosses(history: SoakHistory): readonly string[] {
+  // The bound on repeats may keep a stream that its instance broke off from
+  // being resumed.
+  const brokenOff = new Set(
+    history.joinedAnswers.filter(({ fault }) => fault === "no-chunk-size")
+      .map(({ callId }) => callId),
+  );
   return history.calls.filter((call) => {
     const { answer } = call;
     if (answer === undefined || answer.isWhole || call.wasRefused === true) {
       return false;
     }
     const isBrokenOff = answer.status !== 0;
+    if (isBrokenOff && brokenOff.has(call.callId)) return false;
     return !history.injectedFaults.some((injected) =>
       overlaps(injected, call) &&
       (isOfProcess(injected, call) ||
--- a/packages/soak/src/checks_test.ts
+++ b/packages/soak/src/checks_test.ts
@@ -5,6 +5,12 @@
 import { type CallKind, type InjectedFault, SoakHistory } from "./history.ts";
 
 const END_MS = 20_000;
+/** Faults of an answer, the status that its caller got, and the losses. */
+const LOSSES = [
+  ["no-chunk-size", 200, 0],
+  ["no-chunk-size", 0, 1],
+  ["second-response", 200, 1],
+] as const;
 
 // Guards against checks that would pass a process that ignores limits, sends
 // prompts on that crash replicas, joins pieces, discards complete answers, or
@@ -93,6 +99,14 @@
     expect(find("joined-answer", ended)).toEqual(0);
   });
 
+  it("no-loss excuses a stream that its instance broke off, if it has begun", () => {
+    for (const [fault, status, count] of LOSSES) {
+      const history = createJoinedHistory({ status, fault });
+      history.calls[0]!.answer = { status, body: "", isWhole: false };
+      expect(find("no-loss", history)).toEqual(count);
+    }
+  });
+
   it("config-in-time detects added and dropped routes that are not in force", () => {
     const added = { status: 404, sentAtMs: 3_100, hasRun: false };
     expect(find("config-in-time", createRouteHistory([added]))).toEqual(1);
