--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -42,7 +42,6 @@
       ...dependencies,
       causes: progress.causes,
       isStream: call.route.isStream,
-      mayReuseConnection: call.route.retryPolicy !== "once",
       target,
       startedAtMs,
     });
@@ -84,9 +83,9 @@
       }),
       body: call.body,
       callId: call.headers.id,
-      agent: watch.reusesConnection
-        ? dependencies.agentFor(address)
-        : undefined,
+      agent: call.route.retryPolicy === "once"
+        ? undefined
+        : dependencies.agentFor(address),
       onHeaders: (fields) => {
         timing.noteHeaders(nowMs());
         watch.noteHeaders(nowMs());
--- a/packages/celerytray/src/serving/quarantine/assess_part.ts
+++ b/packages/celerytray/src/serving/quarantine/assess_part.ts
@@ -5,7 +5,7 @@
   readonly part: string;
   /**
    * Losses of instances since the part last began to write without harm that
-   * no other part explains. Losses that may have a common cause count once.
+   * no other part explains. Losses at about the same moment count once.
    */
   readonly crashes: number;
   readonly lastCrashAtMs: number;
@@ -30,29 +30,18 @@
 const OTHER_LOSSES_STEPS = [3, 8, 24];
 /** Time in which a trial or other requests tell two parts apart. */
 const AMBIGUOUS_SETTLE_MS = 30_000;
+/** Losses within this time count once, as a common cause is likelier. */
+const SAME_MOMENT_MS = 100;
 /**
- * Losses within this time may have a common cause and count once, unless one is
- * known to have followed from the other's repeat.
+ * The same for a whole request: its next attempt begins only after a loss, and
+ * may end as soon as this.
  */
-const SAME_MOMENT_MS = 100;
-/** The same for a whole request, which no other request shares. */
 const SAME_MOMENT_OF_REQUEST_MS = 30;
 
-/** The loss of an instance at a request with a part. */
-export interface PartLoss {
-  readonly incarnation: string;
-  readonly atMs: number;
-  /**
-   * An incarnation lost at such a request before this one took another over a
-   * new connection, so that the losses have no common moment.
-   */
-  readonly afterIncarnation?: string;
-}
-
 /** A part with the crashes that no part in quarantine explains. */
 export interface DoubtedPart {
   readonly part: string;
-  readonly open: ReadonlyMap<string, PartLoss>;
+  readonly open: ReadonlyMap<string, number>;
   /** Whether it was harmless before the crashes. */
   readonly wasSafe: boolean;
 }
@@ -81,7 +70,7 @@
   return {
     part,
     crashes: moments.length,
-    lastCrashAtMs: Math.max(...[...open.values()].map(({ atMs }) => atMs)),
+    lastCrashAtMs: Math.max(...open.values()),
     isExplained,
     needsTrial: !isExplained && (decidedAtMs === undefined || isAmbiguous),
     isConclusive: decidedAtMs !== undefined && !isExplained &&
@@ -104,27 +93,18 @@
   return [...open.keys()].some((incarnation) => other.open.has(incarnation));
 }
 
-/**
- * Returns the times of the losses that count: those of the longest chain in which
- * none can have the same cause as the one before.
- */
+/** Merges times that lie close together; returns the first of each group. */
 export function listMoments(
   part: string,
-  losses: readonly PartLoss[],
+  timesMs: readonly number[],
 ): readonly number[] {
   const sameMomentMs = isRequestCause(part)
     ? SAME_MOMENT_OF_REQUEST_MS
     : SAME_MOMENT_MS;
   const moments: number[] = [];
-  const earlier: { readonly loss: PartLoss; readonly length: number }[] = [];
-  for (const loss of [...losses].sort((a, b) => a.atMs - b.atMs)) {
-    const lengths = earlier.filter((other) =>
-      loss.atMs - other.loss.atMs >= sameMomentMs ||
-      loss.afterIncarnation === other.loss.incarnation
-    ).map(({ length }) => length);
-    const length = 1 + Math.max(0, ...lengths);
-    earlier.push({ loss, length });
-    if (length > moments.length) moments.push(loss.atMs);
+  for (const atMs of [...timesMs].sort((a, b) => a - b)) {
+    const last = moments.at(-1);
+    if (last === undefined || atMs - last >= sameMomentMs) moments.push(atMs);
   }
   return moments;
 }
--- a/packages/celerytray/src/serving/quarantine/attempt_watch.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -14,8 +14,6 @@
   readonly suspectLoad: SuspectLoad;
   readonly causes: CallCauses;
   readonly isStream: boolean;
-  /** Whether the route allows kept connections. */
-  readonly mayReuseConnection: boolean;
   readonly target: IncarnatedTarget;
   readonly startedAtMs: number;
 }
@@ -28,11 +26,6 @@
  * instance is lost before.
  */
 export class AttemptWatch {
-  /**
-   * Whether the attempt may use a kept connection. A suspected request gets one
-   * of its own, so that a loss shows what it did and no earlier close.
-   */
-  readonly reusesConnection: boolean;
   readonly #options: AttemptWatchOptions;
   readonly #attempt: Omit<WatchedAttempt, "causes">;
   #isSuspect: boolean;
@@ -52,7 +45,6 @@
       causes.listWatched(quarantine),
       startedAtMs,
     ).kind !== "clear";
-    this.reusesConnection = options.mayReuseConnection && !this.#isSuspect;
     if (this.#isSuspect) suspectLoad.note(instanceId, 1);
   }
 
@@ -81,7 +73,7 @@
       ...this.#attempt,
       causes: causes.all,
       startedAtMs,
-      hasOwnConnection: !this.reusesConnection,
+      isKeptConnection: outcome.isStaleConnection,
     }, nowMs);
   }
 
--- a/packages/celerytray/src/serving/quarantine/crash_evidence.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_evidence.ts
@@ -3,7 +3,6 @@
   type DoubtedPart,
   listMoments,
   type PartAssessment,
-  type PartLoss,
 } from "./assess_part.ts";
 import { isRequestCause } from "./crash_causes.ts";
 
@@ -14,8 +13,6 @@
   /** The incarnation of the instance that was lost. */
   readonly incarnation: string;
   readonly ageMs: number;
-  /** See `PartLoss`; absent where the order is not known. */
-  readonly afterIncarnation?: string;
 }
 
 /** A request with a part that began to write without harm. */
@@ -40,8 +37,8 @@
 const MAX_CRASHES_PER_PART = 16;
 
 interface PartEvidence {
-  /** By incarnation. */
-  readonly crashes: Map<string, PartLoss>;
+  /** Time of the loss of each incarnation. */
+  readonly crashes: Map<string, number>;
   safeAtMs: number;
 }
 
@@ -57,29 +54,18 @@
   readonly #losses = new Map<string, number>();
 
   noteCrash(
-    { part, incarnation, afterIncarnation }: Omit<CrashSighting, "ageMs">,
+    { part, incarnation }: Pick<CrashSighting, "part" | "incarnation">,
     atMs: number,
   ): void {
     this.#noteLoss(incarnation, atMs);
     const evidence = this.#parts.get(part) ??
       {
-        crashes: new Map<string, PartLoss>(),
+        crashes: new Map<string, number>(),
         safeAtMs: Number.NEGATIVE_INFINITY,
       };
     const { crashes, safeAtMs } = evidence;
-    const known = crashes.get(incarnation);
-    if (known !== undefined) {
-      if (known.afterIncarnation !== undefined) return;
-      if (afterIncarnation === undefined) return;
-      crashes.set(incarnation, { ...known, afterIncarnation });
-      return;
-    }
-    if (atMs <= safeAtMs) return;
-    crashes.set(incarnation, {
-      incarnation,
-      atMs,
-      ...(afterIncarnation === undefined ? {} : { afterIncarnation }),
-    });
+    if (atMs <= safeAtMs || crashes.has(incarnation)) return;
+    crashes.set(incarnation, atMs);
     for (const oldest of crashes.keys()) {
       if (crashes.size <= MAX_CRASHES_PER_PART) break;
       crashes.delete(oldest);
@@ -93,7 +79,7 @@
     const evidence = this.#parts.get(part);
     if (evidence === undefined) return;
     evidence.safeAtMs = Math.max(evidence.safeAtMs, atMs);
-    for (const [incarnation, { atMs: crashedAtMs }] of evidence.crashes) {
+    for (const [incarnation, crashedAtMs] of evidence.crashes) {
       if (crashedAtMs < evidence.safeAtMs) {
         evidence.crashes.delete(incarnation);
       }
@@ -128,15 +114,7 @@
     const open = [...crashes].filter(([incarnation]) =>
       !explained.has(incarnation)
     );
-    return listMoments(part, open.map(([, loss]) => loss)).length;
-  }
-
-  /** The incarnation that was lost last at a part, up to a time. */
-  findLastLost(part: string, untilMs: number): string | undefined {
-    const losses = [...this.#parts.get(part)?.crashes.values() ?? []]
-      .filter(({ atMs }) => atMs <= untilMs)
-      .sort((a, b) => a.atMs - b.atMs);
-    return losses.at(-1)?.incarnation;
+    return listMoments(part, open.map(([, atMs]) => atMs)).length;
   }
 
   /** Returns the losses since `maxAgeMs` ago, to be reported. */
@@ -144,8 +122,10 @@
     { nowMs, maxAgeMs }: { readonly nowMs: number; readonly maxAgeMs: number },
   ): readonly CrashSighting[] {
     return [...this.#parts].flatMap(([part, { crashes }]) =>
-      [...crashes.values()].flatMap(({ atMs, ...loss }) =>
-        nowMs - atMs > maxAgeMs ? [] : [{ part, ...loss, ageMs: nowMs - atMs }]
+      [...crashes].flatMap(([incarnation, atMs]) =>
+        nowMs - atMs > maxAgeMs
+          ? []
+          : [{ part, incarnation, ageMs: nowMs - atMs }]
       )
     );
   }
@@ -206,7 +186,7 @@
 
   #evict(nowMs: number): void {
     for (const [part, { crashes }] of this.#parts) {
-      for (const [incarnation, { atMs }] of crashes) {
+      for (const [incarnation, atMs] of crashes) {
         if (nowMs - atMs > MAX_EVIDENCE_AGE_MS) crashes.delete(incarnation);
       }
       if (crashes.size === 0) this.#parts.delete(part);
--- a/packages/celerytray/src/serving/quarantine/crash_quarantine.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_quarantine.ts
@@ -33,7 +33,7 @@
     readonly instanceId: string;
     /** Parts that were not lately harmless. */
     readonly parts: readonly string[];
-    readonly connection: "own" | "pooled";
+    readonly connection: "new" | "kept";
     readonly elapsedMs: number;
     /** Crashes counted against one of the parts, at most. */
     readonly crashes: number;
@@ -176,7 +176,7 @@
       kind: "suspected",
       instanceId,
       parts,
-      connection: attempt.hasOwnConnection === true ? "own" : "pooled",
+      connection: attempt.isKeptConnection === true ? "kept" : "new",
       elapsedMs: nowMs - startedAtMs,
       crashes: Math.max(
         ...parts.map((part) => this.#countCrashes(part, nowMs)),
--- a/packages/celerytray/src/serving/quarantine/own_evidence.ts
+++ b/packages/celerytray/src/serving/quarantine/own_evidence.ts
@@ -12,8 +12,8 @@
   readonly isStream: boolean;
   /** When the attempt began; undefined where it is not known. */
   readonly startedAtMs?: number;
-  /** Whether its connection was opened for it; otherwise it may be a kept one. */
-  readonly hasOwnConnection?: boolean;
+  /** Whether its connection had served other requests before. */
+  readonly isKeptConnection?: boolean;
 }
 
 /** Time for which a harmless part is remembered. */
@@ -55,24 +55,15 @@
 
   /** Notes that a request's instance was lost before it wrote harmlessly. */
   noteLost(
-    attempt: WatchedAttempt,
+    { causes, incarnation, isStream }: WatchedAttempt,
     nowMs: number,
   ): void {
-    const { causes, incarnation, isStream } = attempt;
     for (const [lost, atMs] of this.#lostAtMs) {
       if (nowMs - atMs > REPORT_MS) this.#lostAtMs.delete(lost);
     }
     this.#lostAtMs.set(incarnation, nowMs);
     for (const part of causes) {
-      const afterIncarnation = this.#findEarlierLost(attempt, part);
-      this.#crashes.noteCrash(
-        {
-          part,
-          incarnation,
-          ...(afterIncarnation === undefined ? {} : { afterIncarnation }),
-        },
-        nowMs,
-      );
+      this.#crashes.noteCrash({ part, incarnation }, nowMs);
       const safeAtMs = this.#safe.find(part, nowMs);
       if (safeAtMs !== undefined) this.#crashes.noteSafe(part, safeAtMs);
       if (!isStream && isRequestCause(part)) {
@@ -81,21 +72,6 @@
     }
   }
 
-  /**
-   * The incarnation lost at a whole request before an attempt's instance accepted
-   * its connection; a kept one may have been dead before the attempt. Parts of
-   * prompts have none, as coincidences would refuse all requests that share them.
-   */
-  #findEarlierLost(
-    { hasOwnConnection, startedAtMs }: WatchedAttempt,
-    cause: string,
-  ): string | undefined {
-    return isRequestCause(cause) && hasOwnConnection === true &&
-        startedAtMs !== undefined
-      ? this.#crashes.findLastLost(cause, startedAtMs)
-      : undefined;
-  }
-
   /** Notes a response, which shows that its instance was not lost before. */
   noteAlive(
     { incarnation }: Pick<WatchedAttempt, "incarnation">,
--- a/packages/celerytray/src/serving/quarantine/quarantine_board.ts
+++ b/packages/celerytray/src/serving/quarantine/quarantine_board.ts
@@ -67,10 +67,10 @@
   ): readonly SuspectPart[] {
     this.#dropReleased();
     for (const entry of report.quarantined) this.#add(entry);
-    for (const { ageMs, ...sighting } of report.crashes) {
+    for (const { part, incarnation, ageMs } of report.crashes) {
       const atMs = nowMs - ageMs;
-      if (atMs <= this.#findReleasedAtMs(sighting.part, nowMs)) continue;
-      this.#evidence.noteCrash(sighting, atMs);
+      if (atMs <= this.#findReleasedAtMs(part, nowMs)) continue;
+      this.#evidence.noteCrash({ part, incarnation }, atMs);
     }
     for (const { part, ageMs } of report.safe) {
       this.#evidence.noteSafe(part, nowMs - ageMs);
--- a/packages/celerytray/src/serving/quarantine/quarantine_report.ts
+++ b/packages/celerytray/src/serving/quarantine/quarantine_report.ts
@@ -72,7 +72,10 @@
     for (const sighting of report.crashes) {
       const key = `${sighting.part} ${sighting.incarnation}`;
       const known = crashes.get(key);
-      crashes.set(key, mergeSightings(known, sighting));
+      // The first process that saw a loss is closest to its time.
+      if (known === undefined || known.ageMs < sighting.ageMs) {
+        crashes.set(key, sighting);
+      }
     }
     for (const sighting of report.safe) {
       const known = safe.get(sighting.part);
@@ -97,23 +100,6 @@
   };
 }
 
-/**
- * Merges what two processes saw of a loss. The first one is closest to its time,
- * but either may know what came before it.
- */
-function mergeSightings(
-  known: CrashSighting | undefined,
-  sighting: CrashSighting,
-): CrashSighting {
-  if (known === undefined) return sighting;
-  const first = known.ageMs < sighting.ageMs ? sighting : known;
-  const afterIncarnation = known.afterIncarnation ?? sighting.afterIncarnation;
-  return {
-    ...first,
-    ...(afterIncarnation === undefined ? {} : { afterIncarnation }),
-  };
-}
-
 /** Returns a report as it reads some time after it was made. */
 export function ageReport(
   report: QuarantineReport,
@@ -139,9 +125,8 @@
   const { crashes, safe, wanted, quarantined } = report;
   const isValid = isListOf(
     crashes,
-    ({ part, incarnation, ageMs, afterIncarnation = "" }) =>
-      isPartId(part) && typeof incarnation === "string" && isAge(ageMs) &&
-      typeof afterIncarnation === "string",
+    ({ part, incarnation, ageMs }) =>
+      isPartId(part) && typeof incarnation === "string" && isAge(ageMs),
   ) &&
     isListOf(safe, ({ part, ageMs }) => isPartId(part) && isAge(ageMs)) &&
     isListOf(
--- a/packages/celerytray/src/serving/quarantine/simulated_days.ts
+++ b/packages/celerytray/src/serving/quarantine/simulated_days.ts
@@ -80,10 +80,8 @@
 export interface PoisonPart {
   readonly part: string;
   readonly beside?: string;
-  /** Times a second at which requests come. */
+  /** Requests a second. */
   readonly rate: number;
-  /** Requests that come at such a time, each at any process; 1 by default. */
-  readonly copies?: number;
 }
 
 /** What a day came to. */
@@ -111,17 +109,11 @@
   readonly deadlyPart: string | undefined;
   /** Attempts that are allowed. */
   attemptsLeft: number;
-  attempt?: SimulatedAttempt;
+  attempt?: WatchedAttempt;
   sentAtMs: number;
   hasBegun: boolean;
 }
 
-interface SimulatedAttempt extends WatchedAttempt {
-  readonly startedAtMs: number;
-  /** A suspected request gets a connection of its own. */
-  readonly isSuspect: boolean;
-}
-
 interface SimulatedHead {
   life: number;
   downUntilMs: number;
@@ -165,9 +157,7 @@
       lateSends[part] = (lateSends[part] ?? 0) + 1;
     }
     const index = up[Math.floor(random() * up.length)]!;
-    const attempt: SimulatedAttempt = {
-      isSuspect: verdict.kind !== "clear",
-      startedAtMs: nowMs,
+    const attempt: WatchedAttempt = {
       isStream: service.isStream,
       causes: request.causes,
       instanceId: `h${index}`,
@@ -222,11 +212,8 @@
     running = running.filter((request) => !lost.includes(request));
     heads[index]!.life += 1;
     heads[index]!.downUntilMs = nowMs + DOWN_MS;
-    for (const { process, attempt } of lost) {
-      // An instance that ends now accepts no connection any more.
-      const hasOwnConnection = attempt!.isSuspect &&
-        attempt!.startedAtMs < nowMs;
-      processes[process]!.noteLost({ ...attempt!, hasOwnConnection }, nowMs);
+    for (const request of lost) {
+      processes[request.process]!.noteLost(request.attempt!, nowMs);
     }
     for (const request of lost) {
       if (request.attemptsLeft > 0) send(request, nowMs);
@@ -240,15 +227,13 @@
       (nowMs + STEP_MS) * service.soundRate / 1_000,
     );
     while (sound < soundUntilNow) arriveSound(nowMs);
-    for (const { part, beside, rate, copies = 1 } of day.poison) {
+    for (const { part, beside, rate } of day.poison) {
       if (!isDue(rate)) continue;
-      for (let copy = 0; copy < copies; copy++) {
-        arrive(
-          beside === undefined ? [part] : [beside, part, createOwn()],
-          part,
-          nowMs,
-        );
-      }
+      arrive(
+        beside === undefined ? [part] : [beside, part, createOwn()],
+        part,
+        nowMs,
+      );
     }
     if (isDue(day.lossRate)) {
       for (let count = 0; count < day.headsPerLoss; count++) {
