--- a/packages/celerytray/src/serving/quarantine/attempt_watch.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -20,6 +20,13 @@
 
 /** Time after its first event for which a stream may still crash its instance. */
 const CONFIRM_MS = 100;
+/**
+ * Shortest time in which an instance begins to write a stream, or to run another
+ * request. A kept connection that is reset sooner had been closed while it was
+ * idle.
+ */
+const MIN_STREAM_BEGIN_MS = 50;
+const MIN_RUN_MS = 10;
 
 /**
  * Watches whether an attempt begins to write without harm, or whether its
@@ -59,22 +66,21 @@
     if (nowMs - this.#firstEventAtMs >= CONFIRM_MS) this.#noteSafe(nowMs);
   }
 
-  /**
-   * A loss counts however soon it comes, as an instance may crash at once. Where
-   * a connection was only closed while idle, its instance answers again, or the
-   * request ends well at another; either takes the loss back.
-   */
   noteOutcome(outcome: AttemptOutcome, nowMs: number): void {
     if (this.#hasWritten(outcome)) this.#noteSafe(nowMs);
-    const { quarantine, causes, startedAtMs } = this.#options;
+    const { quarantine, causes, isStream, startedAtMs } = this.#options;
     if (outcome.kind !== "lost" || this.#isSafe) return;
     if (outcome.abandonReason !== undefined) return;
-    quarantine.noteLost({
+    const wasIdle = outcome.isStaleConnection &&
+      nowMs - startedAtMs < (isStream ? MIN_STREAM_BEGIN_MS : MIN_RUN_MS);
+    const attempt: WatchedAttempt = {
       ...this.#attempt,
       causes: causes.all,
       startedAtMs,
       isKeptConnection: outcome.isStaleConnection,
-    }, nowMs);
+    };
+    if (wasIdle) quarantine.noteDisregarded(attempt, nowMs);
+    else quarantine.noteLost(attempt, nowMs);
   }
 
   /** Ends the watch, also of an attempt that was interrupted. */
--- a/packages/celerytray/src/serving/quarantine/crash_quarantine.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_quarantine.ts
@@ -167,6 +167,15 @@
   noteLost(attempt: WatchedAttempt, nowMs: number): void {
     this.#own.noteLost(attempt, nowMs);
     this.#watchesRequests = undefined;
+    this.#tellLost(attempt, nowMs);
+  }
+
+  /** Notes a loss that says nothing of the request. */
+  noteDisregarded(attempt: WatchedAttempt, nowMs: number): void {
+    this.#tellLost(attempt, nowMs);
+  }
+
+  #tellLost(attempt: WatchedAttempt, nowMs: number): void {
     const { causes, instanceId, startedAtMs = nowMs } = attempt;
     const parts = causes.filter((part) =>
       this.#own.findSafeAtMs(part, nowMs) === undefined
--- a/packages/celerytray/src/serving/quarantine/simulated_days.ts
+++ b/packages/celerytray/src/serving/quarantine/simulated_days.ts
@@ -15,11 +15,6 @@
   readonly durationMs: number;
   /** Parts that crash each head that begins to write on them. */
   readonly poison: readonly PoisonPart[];
-  /**
-   * Share of the requests that are first sent over a connection that was closed
-   * while idle; 0 by default.
-   */
-  readonly idleCloseShare?: number;
   /** Losses of heads for other reasons, a second. */
   readonly lossRate: number;
   /** Heads that such a loss takes at once. */
@@ -157,23 +152,14 @@
       lateSends[part] = (lateSends[part] ?? 0) + 1;
     }
     const index = up[Math.floor(random() * up.length)]!;
-    const attempt: WatchedAttempt = {
+    request.attemptsLeft -= 1;
+    request.sentAtMs = nowMs;
+    request.attempt = {
       isStream: service.isStream,
       causes: request.causes,
       instanceId: `h${index}`,
       incarnation: `h${index} ${heads[index]!.life}`,
     };
-    const { idleCloseShare = 0 } = day;
-    const wasClosed = request.attempt === undefined && idleCloseShare > 0 &&
-      random() < idleCloseShare;
-    request.attempt = attempt;
-    if (wasClosed) {
-      quarantine.noteLost(attempt, nowMs);
-      send(request, nowMs);
-      return;
-    }
-    request.attemptsLeft -= 1;
-    request.sentAtMs = nowMs;
     running.push(request);
   };
   const arrive = (
@@ -252,7 +238,6 @@
         lose(Number(attempt!.instanceId.slice(1)), nowMs);
       } else if (nowMs - sentAtMs >= service.beginMs + service.safeMs) {
         const beganAtMs = sentAtMs + service.beginMs;
-        processes[request.process]!.noteAlive(attempt!, nowMs);
         processes[request.process]!.noteSafe(attempt!, beganAtMs);
         running.splice(running.indexOf(request), 1);
       }
