Take no transfer coding but chunked for a declared end

Any Transfer-Encoding counted as a declared end, for which Node's parser marks the body complete also on a reset. An old fault.

--- a/packages/celerytray/src/forwarding/plain_attempt.ts
+++ b/packages/celerytray/src/forwarding/plain_attempt.ts
@@ -7,6 +7,7 @@
   request as httpRequest,
 } from "node:http";
 import {
+  hasDeclaredEnd,
   parseAddress,
   selectRequestHeaders,
   selectResponseHeaders,
@@ -55,7 +56,6 @@
 
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 const REQUEST_ID_PATTERN = /^req-[0-9a-f-]{36}$/;
-const BODILESS_STATUSES = [204, 304];
 
 /** Sends a call once and returns its outcome. */
 export function runPlainAttempt(
@@ -157,7 +157,7 @@
       "unknown",
     );
   }
-  if (!hasDeclaredEnd(response, reader.method)) {
+  if (reader.method !== "HEAD" && !hasDeclaredEnd(response)) {
     return stop(
       "The response has no declared length; send content-length or chunks",
     );
@@ -190,14 +190,6 @@
     REQUEST_ID_PATTERN.test(responseId);
 }
 
-/** Whether the end of the response is declared, so that truncation shows. */
-function hasDeclaredEnd(response: IncomingMessage, method: string): boolean {
-  const { headers, statusCode = 0 } = response;
-  return method === "HEAD" || BODILESS_STATUSES.includes(statusCode) ||
-    headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
-}
-
 function createResponseHeaders(
   response: IncomingMessage,
   method: string,
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -14,6 +14,7 @@
 } from "./forward_headers.ts";
 export { yieldToEventLoop } from "./yield_to_event_loop.ts";
 export { type ExchangeListener, watchExchange } from "./watch_exchange.ts";
+export { hasDeclaredEnd } from "./watch_response_end.ts";
 export { watchFraming } from "./watch_framing.ts";
 export {
   BodyMemoryExceeded,
--- a/packages/celerytray/src/http/watch_exchange_test.ts
+++ b/packages/celerytray/src/http/watch_exchange_test.ts
@@ -58,6 +58,18 @@
       .toEqual(["abc", "failed"]);
   });
 
+  // Guards against a part that counts as the whole: a coding other than chunked
+  // declares no end.
+  it("reports a response in another coding that is reset later", async () => {
+    const end = (socket: Socket) => {
+      setTimeout(() => socket.resetAndDestroy(), PAUSE_MS);
+    };
+    for (const coding of ["identity", "gzip", "chunked, gzip"]) {
+      const head = `HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\n`;
+      expect(await listSteps(`${head}abc`, { end })).toEqual(["abc", "failed"]);
+    }
+  });
+
   it("reports a response that ends with its connection as complete", async () => {
     const end = (socket: Socket) => {
       socket.end();
--- a/packages/celerytray/src/http/watch_response_end.ts
+++ b/packages/celerytray/src/http/watch_response_end.ts
@@ -44,11 +44,17 @@
   });
 }
 
-function hasDeclaredEnd({ headers, statusCode }: IncomingMessage): boolean {
+/**
+ * Whether the end of a response is declared, so that truncation shows. Of the
+ * transfer codings only `chunked` declares it, as the last one.
+ */
+export function hasDeclaredEnd(
+  { headers, statusCode = 0 }: IncomingMessage,
+): boolean {
   return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined ||
-    statusCode === NO_CONTENT || statusCode === NOT_MODIFIED;
+    CHUNKED_LAST.test(headers["transfer-encoding"] ?? "") ||
+    BODILESS_STATUSES.includes(statusCode);
 }
 
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
+const CHUNKED_LAST = /(?:^|,)\s*chunked\s*$/i;
+const BODILESS_STATUSES = [204, 304];
