Fail for a response over its limit instead of returning its first part

Since a call between processes whose response exceeded 64 MiB could succeed with its first 64 MiB: closing the request removes the listeners of the response's data, and the end of a response that is parsed already follows as complete. JSON calls parsed the first part and said that it isn't JSON.

Who closes an exchange settles first; watchExchange says so. foreign_bytes_test (http) 'over its limit', both red on, green now. An aborted call between processes rejects before its request is closed, too.

--- a/packages/celerytray/src/http/foreign_bytes_test.ts
+++ b/packages/celerytray/src/http/foreign_bytes_test.ts
@@ -14,6 +14,8 @@
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\nzz\r\n";
 
 const ABORT_MS = 50;
+/** More than any client of JSON or text reads. */
+const OVERSIZED_BODY = "x".repeat(64 * 1024 * 1024 + 10);
 
 describe("PooledFetch", () => {
   // Guards against a process that counts as silent though it replied.
@@ -36,6 +38,15 @@
     await expect(call).toBeRejectedWith("Parse Error");
   });
 
+  // Guards against the first part of a response that counts as the whole one.
+  it("rejects a response over its limit", async () => {
+    const { address } = await startRawServer(() =>
+      createRawResponse({ body: OVERSIZED_BODY })
+    );
+    const call = new PooledFetch().fetch(`http://${address}/`);
+    await expect(call).toBeRejectedWith("exceeds");
+  });
+
   it("rejects a call that is aborted while its response is read", async () => {
     const { address } = await startRawServer(() =>
       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}"
@@ -48,6 +59,18 @@
 });
 
 describe("requestJson", () => {
+  // Guards against the first part of a response that is parsed as the whole one.
+  it("fails for a response over its limit", async () => {
+    const { address } = await startRawServer(() =>
+      createRawResponse({ body: OVERSIZED_BODY })
+    );
+    const failure = await Effect.runPromise(
+      Effect.flip(requestJson({ url: `http://${address}/` })),
+    );
+    expect([failure.reason, failure.message.includes("exceeds")])
+      .toEqual(["answer-lost", true]);
+  });
+
   const appended = createRawResponse({ body: '{"firstOffset":7}' });
 
   // Guards against an acknowledged append to the log that counts as lost, and an
--- a/packages/celerytray/src/http/pooled_fetch.ts
+++ b/packages/celerytray/src/http/pooled_fetch.ts
@@ -54,7 +54,13 @@
         agent: this.#pools.agentFor(new URL(url).host),
         ...(signal ? { signal } : {}),
       });
-      const close = (message: string) => sent.destroy(new Error(message));
+      signal?.addEventListener("abort", () => reject(signal.reason), {
+        once: true,
+      });
+      const close = (message: string) => {
+        reject(new Error(message));
+        sent.destroy();
+      };
       watchFraming(sent, close);
       watchExchange(sent, {
         onFailure: reject,
--- a/packages/celerytray/src/http/request_json.ts
+++ b/packages/celerytray/src/http/request_json.ts
@@ -79,22 +79,26 @@
       // A pooled socket does not connect again, so a listener on it would leak.
       if (!connected) socket.once("connect", () => connected = true);
     });
+    const fail = (cause: string) =>
+      resume(Effect.fail(
+        new HttpFailure({
+          reason: connected ? "answer-lost" : "not-sent",
+          message:
+            `Call to ${options.url} failed: ${cause}; check that it is up`,
+        }),
+      ));
     watchExchange(request, {
-      onFailure: (error) =>
-        resume(Effect.fail(
-          new HttpFailure({
-            reason: connected ? "answer-lost" : "not-sent",
-            message:
-              `Call to ${options.url} failed: ${error.message}; check that it is up`,
-          }),
-        )),
+      onFailure: ({ message }) => fail(message),
       onResponse: (response) => {
         const chunks: Buffer[] = [];
         let receivedBytes = 0;
         response.on("data", (chunk: Buffer) => {
           receivedBytes += chunk.length;
-          if (receivedBytes > MAX_RESPONSE_BYTES) request.destroy();
-          else chunks.push(chunk);
+          if (receivedBytes <= MAX_RESPONSE_BYTES) chunks.push(chunk);
+          else {
+            fail(`the response exceeds ${MAX_RESPONSE_BYTES} bytes`);
+            request.destroy();
+          }
         });
         return () =>
           resume(parseResponse(options.url, {
--- a/packages/celerytray/src/http/watch_exchange.ts
+++ b/packages/celerytray/src/http/watch_exchange.ts
@@ -16,6 +16,9 @@
  * Watches how an exchange ends, and tells it once, after the `data` events of
  * all bytes of the body that arrived.
  *
+ * A listener that destroys the request or response itself settles before: what
+ * it is told then may be either.
+ *
  * Node emits an error of the request at once, also while bytes of the body from
  * the same read still wait to be emitted, and also if they complete the
  * response. What follows a complete response is no part of it.
