--- a/packages/celerytray/src/host/caller_server_test.ts
+++ b/packages/celerytray/src/host/caller_server_test.ts
@@ -20,6 +20,9 @@
 const EVENT_INTERVAL_MS = 30;
 const LIMITED = { timeout: 5_000 };
 const FOREIGN_BYTES = "bytes of no request\r\n\r\n";
+const FLOOD = Buffer.alloc(64 * 1024, "x");
+/** What the buffers of a connection take before it is closed. */
+const MAX_FLOOD_BYTES = 32 * 1024 * 1024;
 const COMPLETE_RESTS = {
   "the last one of its connection":
     "Content-Length: 0\r\nConnection: close\r\n\r\n",
@@ -169,6 +172,43 @@
     },
   );
 
+  // Guards against a caller that takes the processor time of all others, and is
+  // read for as long as its answer takes.
+  it(
+    "closes the connection of a caller that sends foreign bytes without end",
+    LIMITED,
+    async () => {
+      const { port } = await startEntry(() => {});
+      const socket = openSocket(port);
+      const flood = () => {
+        while (!socket.destroyed && socket.write(FLOOD));
+      };
+      socket.on("drain", flood);
+      socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+      flood();
+      await new Promise((resolve) => socket.once("close", resolve));
+      expect(socket.bytesWritten < MAX_FLOOD_BYTES).toEqual(true);
+    },
+  );
+
+  // Guards against a caller that is told 400 while its complete request runs.
+  it("answers a request though the one behind it is malformed", async () => {
+    const arrived = createSignal();
+    const { port } = await startEntry((incoming, response) => {
+      arrived.set();
+      setTimeout(() => respondDone(incoming, response), EVENT_INTERVAL_MS);
+    });
+    const socket = openSocket(port);
+    let text = "";
+    socket.on("data", (chunk) => text += chunk.toString());
+    socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+    await arrived.wait;
+    socket.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n`);
+    await once(socket, "close");
+    expect(text.match(/^HTTP\/1.1 .*$/gm)).toEqual(["HTTP/1.1 200 OK"]);
+    expect(text.endsWith("\r\n\r\ndone")).toEqual(true);
+  });
+
   it("refuses a request whose body is malformed", async () => {
     const { port } = await startEntry(answerNothing);
     const start = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`;
--- a/packages/celerytray/src/http/open_responses.ts
+++ b/packages/celerytray/src/http/open_responses.ts
@@ -8,9 +8,14 @@
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
 
+/** Bytes of no request that are read while a response is sent. */
+const MAX_FOREIGN_BYTES = 64 * 1024;
+
 /** The responses of a server that are not sent in full, by connection. */
 export class OpenResponses {
   readonly #bySocket = new WeakMap<Socket, Set<ServerResponse>>();
+  /** Bytes that a connection had brought as the first of no request came. */
+  readonly #foreignFrom = new WeakMap<Socket, number>();
 
   /** Returns a listener that notes each response before it calls another one. */
   track(listener: RequestListener): RequestListener {
@@ -24,21 +29,26 @@
   }
 
   /**
-   * Handles a `clientError` of the server. Bytes of no request end the use of a
-   * connection, after the responses to complete requests that came before them;
-   * without those, or with an incomplete one, they are refused at once.
+   * Handles a `clientError` of the server. Bytes of no request, or a request that
+   * is cut off, end the use of a connection after the responses to the complete
+   * requests that came before them; without those they are refused at once.
    */
   handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
     const responses = [...this.#bySocket.get(socket) ?? []];
-    const last = responses.at(-1);
-    const isConnected = socket.writable && !socket.readableEnded;
-    const isComplete = responses.every(({ req }) => req.complete);
-    if (last === undefined || !isConnected || !isComplete) {
+    const last = responses.findLast(({ req }) => req.complete);
+    if (last === undefined) {
       refuse(error, { socket, responses });
       return;
     }
-    // So Node closes it, for its request or as an earlier read was an error too.
-    if (!last.shouldKeepAlive) return;
+    const startBytes = this.#foreignFrom.get(socket) ?? socket.bytesRead;
+    const isConnected = socket.writable && !socket.readableEnded;
+    if (!isConnected || socket.bytesRead - startBytes > MAX_FOREIGN_BYTES) {
+      socket.destroy(error);
+      return;
+    }
+    // Each further read of such a connection is an error too.
+    if (this.#foreignFrom.has(socket)) return;
+    this.#foreignFrom.set(socket, startBytes);
     last.shouldKeepAlive = false;
     last.once("close", () => socket.destroySoon());
   }
