--- a/packages/celerytray/src/host/caller_server_test.ts
+++ b/packages/celerytray/src/host/caller_server_test.ts
@@ -30,6 +30,14 @@
   "with a length": "Content-Length: 4\r\n\r\nbody",
   "in chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 };
+const HEAD = "POST /s/x HTTP/1.1\r\nHost: a.example\r\n" +
+  "Attempt-Id: call-1\r\nDeadline-Ms: 2000\r\n";
+
+const BYTES_BEHIND = {
+  "foreign bytes": FOREIGN_BYTES,
+  "bytes of a malformed request":
+    `${HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n`,
+};
 const closers: (() => unknown)[] = [];
 
 after(async () => {
@@ -138,23 +146,25 @@
     expect(text.endsWith("\r\n0\r\n\r\n")).toEqual(true);
   });
 
-  // Guards against a caller that is told 400 while its request runs.
-  it("answers a request though foreign bytes come while it runs", async () => {
-    const arrived = createSignal();
-    const { port } = await startEntry((incoming, response) => {
-      arrived.set();
-      setTimeout(() => respondDone(incoming, response), EVENT_INTERVAL_MS);
+  // Guards against a caller that is told 400 while its complete request runs.
+  for (const [what, bytes] of Object.entries(BYTES_BEHIND)) {
+    it(`answers a request though ${what} come while it runs`, async () => {
+      const arrived = createSignal();
+      const { port } = await startEntry((incoming, response) => {
+        arrived.set();
+        setTimeout(() => respondDone(incoming, response), EVENT_INTERVAL_MS);
+      });
+      const socket = openSocket(port);
+      let text = "";
+      socket.on("data", (chunk) => text += chunk.toString());
+      socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+      await arrived.wait;
+      socket.write(bytes);
+      await once(socket, "close");
+      expect(text.match(/^HTTP\/1.1 .*$/gm)).toEqual(["HTTP/1.1 200 OK"]);
+      expect(text.endsWith("\r\n\r\ndone")).toEqual(true);
     });
-    const socket = openSocket(port);
-    let text = "";
-    socket.on("data", (chunk) => text += chunk.toString());
-    socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
-    await arrived.wait;
-    socket.write(FOREIGN_BYTES);
-    await once(socket, "close");
-    expect(text.match(/^HTTP\/1.1 .*$/gm)).toEqual(["HTTP/1.1 200 OK"]);
-    expect(text.endsWith("\r\n\r\ndone")).toEqual(true);
-  });
+  }
 
   // Guards against a request that goes on for a caller that has left.
   it(
@@ -191,24 +201,6 @@
     },
   );
 
-  // Guards against a caller that is told 400 while its complete request runs.
-  it("answers a request though the one behind it is malformed", async () => {
-    const arrived = createSignal();
-    const { port } = await startEntry((incoming, response) => {
-      arrived.set();
-      setTimeout(() => respondDone(incoming, response), EVENT_INTERVAL_MS);
-    });
-    const socket = openSocket(port);
-    let text = "";
-    socket.on("data", (chunk) => text += chunk.toString());
-    socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
-    await arrived.wait;
-    socket.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n`);
-    await once(socket, "close");
-    expect(text.match(/^HTTP\/1.1 .*$/gm)).toEqual(["HTTP/1.1 200 OK"]);
-    expect(text.endsWith("\r\n\r\ndone")).toEqual(true);
-  });
-
   it("refuses a request whose body is malformed", async () => {
     const { port } = await startEntry(answerNothing);
     const start = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`;
@@ -243,9 +235,6 @@
   });
 });
 
-const HEAD = "POST /s/x HTTP/1.1\r\nHost: a.example\r\n" +
-  "Attempt-Id: call-1\r\nDeadline-Ms: 2000\r\n";
-
 const answerNothing: RequestListener = (_incoming, response) => {
   response.end();
 };
--- a/packages/soak/src/fault_action.ts
+++ b/packages/soak/src/fault_action.ts
@@ -43,7 +43,7 @@
   | { readonly kind: "slow-work"; readonly workMs: number };
 
 /**
- * Some instances write answers together with bytes of no response, a second
+ * Some instances write answers together with foreign bytes behind them, a second
  * response, or what breaks the answer off.
  */
 export interface JoinedAnswers {
