Log who closed a caller's connection and what was not sent

An incident (docs/incidents/cut_streams.md) could not be told from the log: a response whose connection closed before its last bytes were sent was logged as a success, a connection that this process closed as a caller that left, and an order to close did not say whether it interrupts requests.

caller.unsent tells of the first, the reason of `left` of the second, and isImmediate of order.answered of the third. Names and enums stay.

--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -260,6 +260,7 @@
       instanceId,
       order: order.kind,
       replica: run?.record.name,
+      ...(order.kind === "close" ? { isImmediate: order.isImmediate } : {}),
       outcome,
     });
     const isAccepted = outcome === "begun" || outcome === "holds";
--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -149,7 +149,12 @@
     // Until then its last bytes may still have to be sent.
     response.on("close", () => {
       calls.end();
-      if (response.writableFinished || exchange.hasEnded) return;
+      if (response.writableFinished) return;
+      if (exchange.hasEnded) {
+        const { callId } = exchange;
+        dependencies.onUnsent({ callId, reason: exchange.describeClose() });
+        return;
+      }
       run(Fiber.interrupt(fiber));
     });
   };
--- a/packages/celerytray/src/host/caller_server_test.ts
+++ b/packages/celerytray/src/host/caller_server_test.ts
@@ -1,11 +1,18 @@
 import { expect } from "earl";
 import { Effect, Exit, Scope } from "effect";
 import { once } from "node:events";
-import { createServer, type RequestListener } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type ServerResponse,
+} from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { after, describe, it } from "node:test";
 import {
   type CallRecord,
+  HeldBytes,
+  type HeldResponse,
   ServingIndex,
   type ServingTarget,
 } from "../serving/index.ts";
@@ -20,6 +27,9 @@
 const EVENT_INTERVAL_MS = 30;
 const LIMITED = { timeout: 5_000 };
 const FOREIGN_BYTES = "bytes of no request\r\n\r\n";
+const LARGE_BYTES = 4 * 1024 * 1024;
+/** Large responses that exceed what the buffers of a connection take. */
+const PIPELINED = 4;
 const FLOOD = Buffer.alloc(64 * 1024, "x");
 /** What the buffers of a connection take before it is closed. */
 const MAX_FLOOD_BYTES = 32 * 1024 * 1024;
@@ -219,6 +229,62 @@
       .toEqual([["left", [`${instanceId} under way`]]]);
   });
 
+  // Guards against a connection that this process closes and that the log shows
+  // like a caller that left.
+  it("records who closed the connection of a caller that left", async () => {
+    const closeByCaller = (socket: Socket) => socket.end();
+    const cut = (_socket: Socket, response: HeldResponse) => response.cut();
+    for (const close of [closeByCaller, cut]) {
+      const held = new CapturingHeldBytes();
+      const { port, records } = await startEntry(
+        (incoming, response) => respondStream(incoming, response, 5_000),
+        { held },
+      );
+      const socket = openSocket(port);
+      socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+      await once(socket, "data");
+      close(socket, held.last!);
+      while (records.length === 0) await pause();
+      expect(records.map(({ reason }) => reason)).toEqual([
+        close === closeByCaller
+          ? "The caller closed the connection"
+          : "This process closed the connection",
+      ]);
+    }
+  });
+
+  // Guards against a response that is taken for served although its connection
+  // closed before its last bytes were sent.
+  it(
+    "tells of an ended response that was not sent in full",
+    LIMITED,
+    async () => {
+      const unsent: string[] = [];
+      const { port, records } = await startEntry(
+        (incoming, response) => {
+          response.writeHead(200, {
+            "attempt-id": String(incoming.headers["attempt-id"]),
+            "server-stamp": "s",
+          }).end(Buffer.alloc(LARGE_BYTES));
+        },
+        {
+          held: new HeldBytes({ maxBytes: Infinity, onCut: () => {} }),
+          onUnsent: ({ callId, reason }) => unsent.push(callId, reason),
+        },
+      );
+      const socket = openSocket(port);
+      socket.pause();
+      socket.write(`${HEAD}Content-Length: 0\r\n\r\n`.repeat(PIPELINED));
+      while (records.length < PIPELINED) await pause();
+      socket.resetAndDestroy();
+      while (unsent.length === 0) await pause();
+      expect(new Set(records.map(({ outcome }) => outcome)))
+        .toEqual(new Set(["answered"]));
+      expect(unsent[0]).toEqual("call-1");
+      expect(unsent[1]!.startsWith("The connection failed: ")).toEqual(true);
+    },
+  );
+
   it("does not record a caller as left if its response was broken off", async () => {
     const { port, records } = await startEntry((incoming, response) => {
       response.writeHead(200, {
@@ -246,14 +312,33 @@
   }).end("done");
 };
 
-const respondStream: RequestListener = (request, response) => {
+/** Remembers the last response that holds bytes. */
+class CapturingHeldBytes extends HeldBytes {
+  last: HeldResponse | undefined;
+
+  constructor() {
+    super({ maxBytes: LARGE_BYTES, onCut: () => {} });
+  }
+
+  override update(response: HeldResponse): void {
+    this.last = response;
+    super.update(response);
+  }
+}
+
+const respondStream = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  lastEventAfterMs = EVENT_INTERVAL_MS,
+) => {
   response.writeHead(200, {
     "attempt-id": String(request.headers["attempt-id"]),
     "server-stamp": "s",
     "content-type": "text/event-stream",
   });
   response.write("id: 0\ndata: a\n\n");
-  setTimeout(() => response.end("id: 1\ndata: b\n\n"), EVENT_INTERVAL_MS);
+  const end = () => response.end("id: 1\ndata: b\n\n");
+  setTimeout(end, lastEventAfterMs).unref();
 };
 
 async function startEntry(
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -201,6 +201,7 @@
       onBackoff: (backoff) => record("instance.backoff", { ...backoff }),
       onMalformedHeaders: countMalformedHeaders({ metrics, record }),
       onLateEvent: countLateEvents({ metrics, record }),
+      onUnsent: (unsent) => record("caller.unsent", { ...unsent }),
       onFault: (defect) =>
         recordFault({ name: "serving of a request", record }, defect),
       record: (call) =>
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -82,6 +82,8 @@
   readonly onMalformedHeaders: (instanceId: string, message: string) => void;
   /** Called with the first event that arrives after its attempt has ended. */
   readonly onLateEvent: (event: LateEvent) => void;
+  /** Called if a connection closes before all of an ended response is sent. */
+  readonly onUnsent: (response: UnsentResponse) => void;
   /** Called with an unexpected error. */
   readonly onFault: (defect: unknown) => void;
   readonly record: (outcome: CallRecord) => void;
@@ -117,6 +119,13 @@
   readonly backoffMs: number;
 }
 
+/** A response that was handed over to its connection, but not sent in full. */
+export interface UnsentResponse {
+  readonly callId: string;
+  /** Who closed the connection. */
+  readonly reason: string;
+}
+
 /** An event that arrived after its attempt had ended. */
 export interface LateEvent {
   readonly callId: string;
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -88,6 +88,7 @@
     onBackoff: () => {},
     onMalformedHeaders: () => {},
     onLateEvent: () => {},
+    onUnsent: () => {},
     ...overrides,
   };
 }
--- a/packages/celerytray/src/serving/exchange/caller_exchange.ts
+++ b/packages/celerytray/src/serving/exchange/caller_exchange.ts
@@ -80,6 +80,15 @@
       !socket.readableEnded;
   }
 
+  /** Who closed the connection, for logs. */
+  describeClose(): string {
+    const { errored, readableEnded } = this.request.socket;
+    if (errored) return `The connection failed: ${errored.message}`;
+    return readableEnded
+      ? "The caller closed the connection"
+      : "This process closed the connection";
+  }
+
   /** Sends an instance's complete response. */
   sendResponse(headers: ResponseHeaders, body: Buffer): void {
     this.#response.writeHead(headers.status, [
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -30,6 +30,7 @@
   CallerExchange,
   EventSplitter,
   HeldBytes,
+  type HeldResponse,
   type LocalResponse,
   runAttempt,
   type StreamEvent,
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -111,6 +111,7 @@
         ...describeCall(summary, readSteadyMs(clock)),
         status: 0,
         outcome: "left",
+        reason: exchange.describeClose(),
       });
     let end: AdmissionEnd = { isServed: false };
     const serving = Effect.gen(function* () {
