--- a/packages/fakes/src/fleet/fake_model_instance.ts
+++ b/packages/fakes/src/fleet/fake_model_instance.ts
@@ -27,6 +27,15 @@
   changesAtMs: number;
 }
 
+/** The requests in progress at a fake instance. */
+export interface FakeWork {
+  readonly isUnderWay: () => boolean;
+  /** Breaks off all requests in progress. */
+  readonly breakOff: () => void;
+}
+
+const NO_WORK: FakeWork = { isUnderWay: () => false, breakOff: () => {} };
+
 /** A fake model instance that executes orders; its caller passes the time. */
 export class FakeModelInstance {
   readonly id: string;
@@ -44,6 +53,7 @@
   staged: string[] = [];
   membership: FakeMembership | undefined;
   readonly #times: FakeInstanceTimes;
+  readonly #work: FakeWork;
   #lastModel: string | undefined;
   #highestEpoch = -1;
   #highestFence = -1;
@@ -53,11 +63,14 @@
     readonly domain: string;
     readonly bornAtMs: number;
     readonly times: FakeInstanceTimes;
+    /** By default there never are any requests. */
+    readonly work?: FakeWork;
   }) {
     this.id = options.id;
     this.domain = options.domain;
     this.bornAtMs = options.bornAtMs;
     this.#times = options.times;
+    this.#work = options.work ?? NO_WORK;
   }
 
   /** Advances to a time; returns whether the state changed. */
@@ -68,6 +81,7 @@
     }
     const next = NEXT_STATES[membership.state];
     if (next === undefined) return false;
+    if (membership.state === "closing" && this.#work.isUnderWay()) return false;
     if (membership.state === "joining") {
       this.#lastModel = membership.model;
       if (!this.staged.includes(membership.model)) {
@@ -112,8 +126,9 @@
       return "begun";
     }
     if (state === "ready") return "holds";
+    if (state !== "closing" && state !== "open") return "unfit";
+    if (order.kind === "close" && order.isImmediate) this.#work.breakOff();
     if (state === "closing") return "begun";
-    if (state !== "open") return "unfit";
     membership.state = "closing";
     membership.changesAtMs = nowMs + this.#times.closeMs;
     return "begun";
--- a/packages/fakes/src/platform/fake_instance_server.ts
+++ b/packages/fakes/src/platform/fake_instance_server.ts
@@ -30,6 +30,8 @@
   readonly #deadlyParts: ReadonlySet<string>;
   readonly #onCrash: () => void;
   readonly #timer: NodeJS.Timeout;
+  /** The streams in progress. */
+  readonly #responses = new Set<ServerResponse>();
 
   constructor(
     options: FakeHttpInstanceOptions & {
@@ -49,6 +51,12 @@
       domain: options.domain,
       bornAtMs: this.bornAtMs,
       times: TIMES,
+      work: {
+        isUnderWay: () => this.#responses.size > 0,
+        breakOff: () => {
+          for (const response of this.#responses) response.destroy();
+        },
+      },
     });
     this.#timer = setInterval(() => {
       if (this.instance.advance(performance.now())) this.#onChange();
@@ -120,6 +128,8 @@
       return;
     }
     this.recordExecution(callId);
+    this.#responses.add(response);
+    response.once("close", () => this.#responses.delete(response));
     if (await this.#crashesOn(headers["prompt-prefix"])) return;
     const streamHeaders = {
       "attempt-id": callId,
