Let streams end at a replica that is dissolved

Callers saw streams cut with most of their time left: status 200, one attempt, several at one head within 10 ms. A retirement that had lasted 2.5 s ordered its head to interrupt what it served, though a stream may last until its route's timeout, 6 to 8 s. Where no other replica of the model stood, the streams were broken off. Retirements follow from our own plans: a member that drains, a slow one, members that another model needs more, as after a change of the configuration.

An order to close interrupts only once nothing at the head can have time left: the longest timeout of the service's routes, also of earlier configurations whose requests may still run, and a second for requests that crossed the order. It still interrupts at once where a member is lost, as the streams stall then. So that the members become free as soon as before, each process moves its streams away from a head that has been closed for 2.5 s, if another replica has a free slot, as it does for slow heads; what can't be moved stays and ends there. As a retirement may take longer, none is begun for the sake of another model while the members of the last one are not free.

--- a/packages/celerytray/src/groups/formation_planner.ts
+++ b/packages/celerytray/src/groups/formation_planner.ts
@@ -12,6 +12,7 @@
 import { planFormations } from "./plan_formations.ts";
 import { planSpares } from "./plan_spares.ts";
 import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
+import type { ReplicaRun } from "./replica_run.ts";
 
 /** Engine specifications, by name of the model service. */
 export type EngineSpecs = ReadonlyMap<string, EngineSpec>;
@@ -63,6 +64,8 @@
   #givingUpUntilMs = 0;
   /** Time of the next search for a replica to reassign. */
   #reassignDueAtMs = 0;
+  /** The replica that was reassigned last. */
+  #reassigned: ReplicaRun | undefined;
 
   constructor(options: FormationPlannerOptions) {
     this.#options = options;
@@ -152,9 +155,8 @@
     free: readonly InstanceState[],
     nowMs: number,
   ): Reassignable | undefined {
-    if (rules.precedesTraffic || nowMs < this.#reassignDueAtMs) {
-      return undefined;
-    }
+    const isDue = nowMs >= this.#reassignDueAtMs && !this.#isReassigning();
+    if (rules.precedesTraffic || !isDue) return undefined;
     this.#reassignDueAtMs = nowMs + REASSIGN_CHECK_INTERVAL_MS;
     const found = findReassignable({
       ...rules,
@@ -168,7 +170,15 @@
     return found;
   }
 
+  /** Whether the members of the replica reassigned last are not free yet. */
+  #isReassigning(): boolean {
+    const run = this.#reassigned;
+    return run?.retirement !== undefined &&
+      this.#state.runs.get(run.record.name) === run;
+  }
+
   #giveUp({ run, models }: Reassignable, nowMs: number): Effect.Effect<void> {
+    this.#reassigned = run;
     this.#givingUpUntilMs = nowMs + MAX_GIVING_UP_WAIT_MS;
     return giveUpReplica(run, {
       ...this.#options,
--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -42,6 +42,8 @@
   readonly hasTraffic: () => boolean;
   /** Minimum time for which a draining instance keeps working. */
   readonly drainMs: number;
+  /** Longest time for which a request to a service may run. */
+  readonly longestCallMs: (service: string) => number;
   /** Whether a zone is evacuated; by default no zone is. */
   readonly isEvacuated?: (zone: string) => boolean;
   /** Whether an instance asked this machine to back off. */
@@ -207,6 +209,7 @@
         isListed: (id) => this.#options.instances.find(id) !== undefined,
         liveness: (id) => this.#state.liveness.livenessOf(id),
         drainMs: this.#options.drainMs,
+        longestCallMs: this.#options.longestCallMs(run.record.service),
         nowMs,
       });
       if (!wasRetiring && run.retirement !== undefined) {
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -53,6 +53,8 @@
   readonly liveness: (id: string) => Liveness;
   /** Minimum time for which a draining instance keeps working. */
   readonly drainMs: number;
+  /** Longest time for which a request at the head may run. */
+  readonly longestCallMs: number;
   readonly nowMs: number;
 }
 
@@ -62,8 +64,8 @@
   readonly order: InstanceOrder;
 }
 
-/** Time after which a graceful close becomes an immediate one. */
-const GRACEFUL_CLOSE_TIMEOUT_MS = 2_500;
+/** Time within which a head that is to close takes no further requests. */
+const CLOSING_LAG_MS = 1_000;
 
 /** Updates a replica's progress from the list; returns the orders due now. */
 export function planRunOrders(input: RunOrderInput): readonly DueOrder[] {
@@ -231,7 +233,7 @@
   input: RunOrderInput,
   retirement: Retirement,
 ): readonly DueOrder[] {
-  const { run, findInstance, nowMs } = input;
+  const { run, findInstance, longestCallMs, nowMs } = input;
   if (retirement.isComplete) return [];
   const { name: replica, epoch, members } = run.record;
   const headId = members[0]!;
@@ -248,9 +250,10 @@
     retirement.isClosed = true;
   }
   if (!retirement.isClosed) {
-    const hasTimedOut = nowMs - retirement.sinceMs >= GRACEFUL_CLOSE_TIMEOUT_MS;
+    const isOverdue =
+      nowMs - retirement.sinceMs >= longestCallMs + CLOSING_LAG_MS;
     const isLost = members.some((id) => describeLoss(input, id) !== undefined);
-    retirement.isImmediate ||= hasTimedOut || isLost;
+    retirement.isImmediate ||= isOverdue || isLost;
     const { isImmediate } = retirement;
     return [{
       instanceId: headId,
--- a/packages/celerytray/src/host/create_coordinator.ts
+++ b/packages/celerytray/src/host/create_coordinator.ts
@@ -91,6 +91,7 @@
         demand: (model) => coordinator.totalDemand(model),
         hasTraffic: () => coordinator.hasAnyTraffic(),
         drainMs: settings.drainMs,
+        longestCallMs: (service) => view.longestCalls.findMs(service, nowMs()),
         onColdReported: view.cold.noteReported,
         isEvacuated: (zone) => view.zones.evacuations.isEvacuated(zone),
         isBackingOff: (instanceId) =>
--- a/packages/celerytray/src/host/move_attempts.ts
+++ b/packages/celerytray/src/host/move_attempts.ts
@@ -24,6 +24,11 @@
  * long prompts also slow it down.
  */
 const SLOW_MOVE_AFTER_MS = 500;
+/**
+ * Time for which the streams at the head of a replica that is being dissolved
+ * may end there, before they are moved so that its members become free.
+ */
+const CLOSING_MOVE_AFTER_MS = 2_500;
 /** Check interval while no request is in progress. */
 const IDLE_CHECK_INTERVAL_MS = 200;
 
@@ -32,8 +37,8 @@
   { stalls, paces, isBehind, nowMs, record, closedHeads }: MoveAttemptsOptions,
 ): Effect.Effect<never> {
   let knownStalled: ReadonlySet<string> = new Set();
-  /** Time since which a head is slow. */
-  let slowSinceMs: ReadonlyMap<string, number> = new Map();
+  const slow = new LastingHeads();
+  const closing = new LastingHeads();
   const read = Effect.suspend(() =>
     isBehind(nowMs()) ? yieldToEventLoop : Effect.void
   );
@@ -61,21 +66,44 @@
           });
         }
         knownStalled = new Set(stalled.map(({ instanceId }) => instanceId));
-        const slow = paces.listSlow(nowMs());
-        for (const headId of slow) {
-          if (slowSinceMs.has(headId)) continue;
+        for (const headId of slow.update(paces.listSlow(nowMs()), nowMs())) {
           const slowness = paces.slowness(headId, nowMs());
           record("replica.slow", { headId, slowness });
         }
-        slowSinceMs = new Map(
-          slow.map((headId) => [headId, slowSinceMs.get(headId) ?? nowMs()]),
-        );
-        for (const [headId, sinceMs] of slowSinceMs) {
-          if (nowMs() - sinceMs < SLOW_MOVE_AFTER_MS) continue;
+        for (const headId of slow.listLasting(SLOW_MOVE_AFTER_MS, nowMs())) {
           stalls.moveAttempts(headId, { reason: "slow", nowMs: nowMs() });
         }
+        closing.update(closed, nowMs());
+        const due = closing.listLasting(CLOSING_MOVE_AFTER_MS, nowMs());
+        for (const headId of due) {
+          stalls.moveAttempts(headId, {
+            reason: "closing",
+            nowMs: nowMs(),
+            isClosed: true,
+          });
+        }
         return stalls.hasAttempts ? CHECK_INTERVAL_MS : IDLE_CHECK_INTERVAL_MS;
       }),
     ).pipe(Effect.flatMap(Effect.sleep)),
   );
 }
+
+/** Heads in a state, with the time since which each of them is in it. */
+class LastingHeads {
+  #sinceMs: ReadonlyMap<string, number> = new Map();
+
+  /** Takes the heads that are in the state now; returns the new ones. */
+  update(headIds: readonly string[], nowMs: number): readonly string[] {
+    const earlier = this.#sinceMs;
+    this.#sinceMs = new Map(
+      headIds.map((headId) => [headId, earlier.get(headId) ?? nowMs]),
+    );
+    return headIds.filter((headId) => !earlier.has(headId));
+  }
+
+  listLasting(durationMs: number, nowMs: number): readonly string[] {
+    return [...this.#sinceMs].filter(([, sinceMs]) =>
+      nowMs - sinceMs >= durationMs
+    ).map(([headId]) => headId);
+  }
+}
--- a/packages/celerytray/src/host/move_attempts_test.ts
+++ b/packages/celerytray/src/host/move_attempts_test.ts
@@ -22,6 +22,61 @@
   });
 });
 
+// Guards against streams that are moved before they could end at their replica,
+// and members that stay bound although the streams have a place elsewhere.
+describe("moveAttempts with a head whose replica is being dissolved", () => {
+  it("lets its streams end there for 2.5 s, then moves them", async () => {
+    expect(await listMoves({ closedForMs: 2_400 })).toEqual([]);
+    const moves = await listMoves({ closedForMs: 2_700 });
+    expect([...new Set(moves)]).toEqual(["closing"]);
+  });
+
+  it("keeps a stream that its caller reads too slowly", async () => {
+    expect(await listMoves({ closedForMs: 5_000, isPaused: true })).toEqual([]);
+  });
+});
+
+/** Closes a head for a time; returns why its stream, which flows, is moved. */
+function listMoves(
+  { closedForMs, isPaused = false }: {
+    readonly closedForMs: number;
+    readonly isPaused?: boolean;
+  },
+): Promise<readonly string[]> {
+  const stalls = new StallDetector();
+  const moves: string[] = [];
+  stalls.watch({
+    instanceId: "head",
+    model: "m",
+    startedAtMs: 0,
+    hasStarted: () => true,
+    isPaused: () => isPaused,
+    rank: () => 0,
+    tryMove: (reason) => {
+      moves.push(reason);
+      return true;
+    },
+  });
+  const program = Effect.gen(function* () {
+    const clock = yield* Clock.Clock;
+    const nowMs = () => readSteadyMs(clock);
+    yield* Effect.forkChild(moveAttempts({
+      stalls,
+      paces: new PaceTracker(),
+      isBehind: () => false,
+      nowMs,
+      record: () => {},
+      closedHeads: () => nowMs() < closedForMs ? ["head"] : [],
+    }));
+    for (let atMs = 0; atMs < closedForMs + 400; atMs += STEP_MS) {
+      stalls.noteProgress("head", nowMs());
+      yield* TestClock.adjust(STEP_MS);
+    }
+  });
+  return Effect.runPromise(program.pipe(Effect.provide(TestClock.layer())))
+    .then(() => moves);
+}
+
 /** Runs a head that is slow for a time; returns how often its stream is moved. */
 function countMoves(slowForMs: number): Promise<number> {
   const paces = new PaceTracker();
--- a/packages/celerytray/src/host/store_view.ts
+++ b/packages/celerytray/src/host/store_view.ts
@@ -19,6 +19,7 @@
 import type { HostOptions } from "./host_options.ts";
 import { KeyFreshness } from "./key_freshness.ts";
 import { type LoadTrackers, removeAbsentInstances } from "./load_trackers.ts";
+import { LongestCalls } from "./longest_calls.ts";
 import type { KnownStore } from "./record_call.ts";
 
 /** Dependencies of the store view. */
@@ -50,6 +51,7 @@
   readonly keys: KeyFreshness;
   readonly cold: ColdRules;
   readonly zones: ZoneRules;
+  readonly longestCalls = new LongestCalls();
   /** Whether a new proof that the keys are the newest is needed. */
   needsProof = false;
   /** Time at which the instance list was last confirmed to be up to date. */
@@ -167,7 +169,7 @@
   }
 
   #noteAdopted(version: number, offset: number): void {
-    const { settings, coordinator, onConfig, record } = this.#options;
+    const { settings, coordinator, onConfig, record, nowMs } = this.#options;
     const proofAgeMs = this.keys.ageMs();
     record("config.adopted", {
       version,
@@ -178,6 +180,7 @@
     const adopted = this.config.index!.config;
     const problems = findHomeProblems(adopted, settings.zoneRegions);
     if (problems !== undefined) record("config.homes", { ...problems });
+    this.longestCalls.noteConfig(adopted, nowMs());
     onConfig(adopted);
   }
 
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -173,9 +173,10 @@
       nowMs + (outcome.isRejected ? AVOID_REJECTING_MS : AVOID_UNREACHABLE_MS),
     );
   } else if (outcome.kind === "lost") {
-    if (outcome.abandonReason === "slow") return;
+    const { abandonReason } = outcome;
+    if (abandonReason === "slow" || abandonReason === "closing") return;
     options.dependencies.discardAgent(address);
-    if (outcome.abandonReason === "stalled") {
+    if (abandonReason === "stalled") {
       loads.avoidUntil(instanceId, nowMs + AVOID_STALLED_MS);
     }
   }
--- a/packages/celerytray/src/serving/exchange/run_attempt.ts
+++ b/packages/celerytray/src/serving/exchange/run_attempt.ts
@@ -18,6 +18,7 @@
 const ABANDON_MESSAGES: Readonly<Record<AbandonReason, string>> = {
   stalled: "The replica stands still",
   slow: "The replica is slow",
+  closing: "The replica is being dissolved",
 };
 
 /** Sends a request to one instance; interruption closes the connection. */
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -260,7 +260,7 @@
   if (target === undefined || !isPreferred(target, choice)) return false;
   const { loads, retryBudget } = dependencies;
   const hasFreeSlot = loads.estimate(target.instanceId, nowMs) < target.slots;
-  if (reason === "slow" && !hasFreeSlot) return false;
+  if (reason !== "stalled" && !hasFreeSlot) return false;
   // An attempt that was never sent does not make the next one a retry.
   if (progress.isCurrentSent || progress.deliveries > 0) {
     if (!retryBudget.trySpend(call.service, nowMs)) return false;
--- a/packages/celerytray/src/serving/stall_detector.ts
+++ b/packages/celerytray/src/serving/stall_detector.ts
@@ -16,8 +16,11 @@
   readonly tryMove: (reason: AbandonReason) => boolean;
 }
 
-/** Why attempts at an instance are ended and moved to another one. */
-export type AbandonReason = "stalled" | "slow";
+/**
+ * Why attempts at an instance are ended and moved to another one; `closing` if
+ * its replica is being dissolved.
+ */
+export type AbandonReason = "stalled" | "slow" | "closing";
 
 /** An instance that makes no progress on any of its attempts. */
 export interface SuspectedInstance {
@@ -169,7 +172,7 @@
     })).sort((a, b) => b.rank - a.rank);
     for (const { attempt } of ranked) {
       // What its caller has still to read does not come faster from elsewhere.
-      if (options.reason === "slow" && attempt.isPaused()) continue;
+      if (options.reason !== "stalled" && attempt.isPaused()) continue;
       const isQueued = !attempt.hasStarted() &&
         this.#isQueued(attempt, options);
       if (isQueued && !this.#mayMoveQueued(instanceId, options.nowMs)) {
--- a/packages/fakes/src/coordination/simulated_cluster.ts
+++ b/packages/fakes/src/coordination/simulated_cluster.ts
@@ -243,6 +243,7 @@
           demand: () => 0,
           hasTraffic: () => false,
           drainMs: 0,
+          longestCallMs: () => 0,
           isBackingOff: () => false,
           onLeaving: () => {},
           record: () => {},
--- a/packages/fakes/src/fleet/fleet_simulation.ts
+++ b/packages/fakes/src/fleet/fleet_simulation.ts
@@ -69,6 +69,7 @@
 /** Time in which the replicas are formed, including loading their weights. */
 export const SETTLE_MS = 16_000;
 /** Minimum time for which a draining instance keeps running. */
+const LONGEST_CALL_MS = 8_000;
 export const DRAIN_MS = 2_000;
 /** End of the configuration topic, and age of the leader's proof of it. */
 const CONFIG_OFFSET = 7;
@@ -254,6 +255,7 @@
         demand: () => 0,
         hasTraffic: () => nowMs() > SETTLE_MS,
         drainMs: DRAIN_MS,
+        longestCallMs: () => LONGEST_CALL_MS,
         isEvacuated: (zone) => evacuated.has(zone),
         isBackingOff: () => false,
         onLeaving: (instanceId) =>
