Let a stream that was interrupted wait for a replica as its caller does

Callers saw streams broken off within 25 to 130 ms of an interruption of their replica, with seconds left, although they may be resumed. A stream that has begun waited a quarter of its latency target for a target, as a request does that can still be refused; it was given up at the first no of the retry budget; and the head of the replica that had interrupted it counted as tried for good, also as the head of a new one.

It now waits until its caller leaves, which is the silence that the protocol names, or its deadline, unless the leader expects the next replica of the model later than that. An instance counts as tried in its present replica only. The budget is now charged before the tokens of cold and limited instances are taken, and kept if there is no token.

--- a/packages/celerytray/src/serving/admission/call_admission.ts
+++ b/packages/celerytray/src/serving/admission/call_admission.ts
@@ -79,14 +79,19 @@
     this.#options = options;
   }
 
+  /** Expected time until the model of a call has a replica, if it is known. */
+  timeToReplicaMs({ headers: { model } }: AdmissionCall): number | undefined {
+    return model === undefined
+      ? undefined
+      : this.#options.timeToReplicaMs(model);
+  }
+
   /**
    * Refuses a call whose model has no replica if the time until it gets one is
    * known. Returns the delay after which the caller should retry.
    */
   refuseWithoutReplica(call: AdmissionCall, nowMs: number): number | undefined {
-    const { model } = call.headers;
-    if (model === undefined) return undefined;
-    const timeToReplicaMs = this.#options.timeToReplicaMs(model);
+    const timeToReplicaMs = this.timeToReplicaMs(call);
     if (timeToReplicaMs === undefined) return undefined;
     this.#options.onRefused(call, "no-replica");
     return computeReplicaRetryAfterMs(
--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -45,7 +45,7 @@
       target,
       startedAtMs,
     });
-    progress.tried.add(instanceId);
+    progress.tried.set(instanceId, target.epoch);
     progress.currentInstanceId = instanceId;
     const writer = progress.stream.open();
     const { lastEventId } = progress.stream;
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -50,7 +50,8 @@
 export interface AttemptProgress {
   /** What of the call may crash instances. */
   readonly causes: CallCauses;
-  readonly tried: Set<string>;
+  /** Epoch of the replica at which an instance was tried, by instance. */
+  readonly tried: Map<string, number>;
   readonly attempts: string[];
   /** Attempts that may have reached an instance. */
   deliveries: number;
@@ -98,7 +99,7 @@
 ): AttemptProgress {
   return {
     causes: new CallCauses(call),
-    tried: new Set(),
+    tried: new Map(),
     attempts: [],
     deliveries: 0,
     possibleRuns: 0,
--- a/packages/celerytray/src/serving/choose_target.ts
+++ b/packages/celerytray/src/serving/choose_target.ts
@@ -37,8 +37,8 @@
   readonly readDelayMs: (target: ServingTarget) => number;
   /** Latency target of the request. */
   readonly targetMs: number;
-  /** Instances that were already sent the request. */
-  readonly tried: ReadonlySet<string>;
+  /** Whether the request was already sent to a target. */
+  readonly isTried: (target: ServingTarget) => boolean;
   readonly nowMs: number;
   /** Returns a number from 0 to 1. */
   readonly random: () => number;
@@ -64,9 +64,9 @@
  * ahead as a fraction of the target time.
  */
 export function chooseTarget(choice: TargetChoice): ServingTarget | undefined {
-  const { loads, nowMs, tried } = choice;
+  const { loads, nowMs } = choice;
   const untried = choice.targets.filter((target) =>
-    !tried.has(target.instanceId) && !choice.isBackingOff(target.instanceId) &&
+    !choice.isTried(target) && !choice.isBackingOff(target.instanceId) &&
     choice.maySend(target)
   );
   const preferred = untried.filter((target) => isPreferred(target, choice));
--- a/packages/celerytray/src/serving/choose_target_test.ts
+++ b/packages/celerytray/src/serving/choose_target_test.ts
@@ -130,7 +130,7 @@
       hasConnection: (address) => process.hasConnection(address, nowMs),
       readDelayMs: () => 0,
       targetMs: 250,
-      tried: new Set(),
+      isTried: () => false,
       nowMs,
       random,
     })!;
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -13,6 +13,7 @@
 import type { QuarantineRefusal } from "./quarantine/index.ts";
 import { promptReadMs } from "./prompt_backlog.ts";
 import { createPool } from "./rate_limit/index.ts";
+import { findLeavingTime } from "./stream_patience.ts";
 import {
   chooseTarget,
   isPreferred,
@@ -51,7 +52,8 @@
 
 /**
  * Waits for a target: in the model's queue while its concurrency limit is in
- * force, otherwise for a fraction of the target time.
+ * force, otherwise for a fraction of the target time. A stream that has begun
+ * waits for as long as its caller does.
  */
 export function awaitTarget(
   options: AttemptsOptions,
@@ -84,6 +86,12 @@
       if (search.kind === "barred" || search.kind === "no-replica") {
         return search;
       }
+      const leavesAtMs = findLeavingTime(options, progress, startedAtMs);
+      if (leavesAtMs !== undefined) {
+        if (nowMs >= leavesAtMs) return search;
+        yield* Effect.sleep(POLL_INTERVAL_MS);
+        continue;
+      }
       if (search.kind === "cold" || search.kind === "limited") {
         if (search.pollAfterMs === undefined) return search;
         yield* Effect.sleep(search.pollAfterMs);
@@ -154,6 +162,24 @@
     progress.stream.lastEventId !== undefined;
 }
 
+/**
+ * Whether a request that has begun may wait for a replica of its model: a stream
+ * does not where its caller is known to leave before.
+ */
+function mayAwaitReplica(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  nowMs: number,
+): boolean {
+  if (!hasBegun(options, progress)) return false;
+  const leavesAtMs = findLeavingTime(options, progress, nowMs);
+  const timeToReplicaMs = options.dependencies.admission.timeToReplicaMs(
+    options.call,
+  );
+  return leavesAtMs === undefined || timeToReplicaMs === undefined ||
+    nowMs + timeToReplicaMs < leavesAtMs;
+}
+
 /** Returns the delay until a model without a replica has one, if it is known. */
 function findNoReplicaDelay(
   { call, dependencies }: AttemptsOptions,
@@ -172,17 +198,17 @@
   progress: AttemptProgress,
   choice: TargetChoice,
 ): TargetSearch {
-  const { targets, tried, isBackingOff, nowMs } = choice;
+  const { targets, isTried, isBackingOff, nowMs } = choice;
   const { call, dependencies: { backoffs, findExclusionReason } } = options;
   const reason = targets.length > 0
     ? undefined
     : findExclusionReason(call.service, call.homes);
   if (reason !== undefined) return { kind: "barred", reason };
-  const noReplica = hasBegun(options, progress)
+  const noReplica = mayAwaitReplica(options, progress, nowMs)
     ? undefined
     : findNoReplicaDelay(options, choice);
   if (noReplica !== undefined) return noReplica;
-  const untried = targets.filter(({ instanceId }) => !tried.has(instanceId));
+  const untried = targets.filter((target) => !isTried(target));
   const waiting = untried.filter(({ instanceId }) => !isBackingOff(instanceId));
   const { coldLimiter } = options.dependencies;
   const limited = waiting.filter((target) =>
@@ -226,7 +252,8 @@
     isSilent: (id) => stalls.isSilent(id, nowMs),
     isSlow: (target) => paces.isSlow(target, nowMs),
     hasSuspect: (id) => suspectLoad.has(id),
-    tried: progress.tried,
+    isTried: ({ instanceId, epoch }) =>
+      progress.tried.get(instanceId) === epoch,
     nowMs,
     random: dependencies.random,
   };
--- /dev/null
+++ b/packages/celerytray/src/serving/interrupted_stream_test.ts
@@ -0,0 +1,134 @@
+import { expect } from "earl";
+import type { RequestListener } from "node:http";
+import { describe, it } from "node:test";
+import type { ServingTarget } from "./choose_target.ts";
+import { createTestAdmission } from "./create_test_dependencies.ts";
+import { call, idOf, startBackend, startEntry } from "./test_entry.ts";
+
+/** Longer than the quarter of the latency target that other requests wait. */
+const AWAY_MS = 400;
+/** Time for which callers of the test's streams wait for the next event. */
+const PATIENCE_MS = 1_000;
+/** Time after which the first events have been passed on. */
+const SENDING_MS = 30;
+const LAST_EVENT_ID = 3;
+
+// Guards against a stream that is broken off as no replica can take it at the
+// moment when its own is interrupted, with most of its time left (LOST).
+describe("a stream whose replica is interrupted", () => {
+  it("is resumed at a replica that opens later", async () => {
+    const backends: ServingTarget[] = [];
+    const opened = await startBackend(respondRest);
+    backends.push(
+      await startBackend(respondAndEnd(() => {
+        backends.length = 0;
+        setTimeout(() => backends.push(opened), AWAY_MS);
+      })),
+    );
+    const entry = await startEntry({ backends, trySpend: () => true });
+    expectWhole(await call(entry, "/stream/x"));
+  });
+
+  it("is resumed at the head of a new replica, although that had it before", async () => {
+    const backends: ServingTarget[] = [];
+    let requests = 0;
+    const head = await startBackend((incoming, response) => {
+      requests += 1;
+      if (requests > 1) respondRest(incoming, response);
+      else {
+        respondAndEnd(() => {
+          backends.length = 0;
+          setTimeout(() => backends.push({ ...head, epoch: 2 }), AWAY_MS);
+        })(incoming, response);
+      }
+    });
+    backends.push({ ...head, epoch: 1 });
+    const entry = await startEntry({ backends, trySpend: () => true });
+    expectWhole(await call(entry, "/stream/x"));
+  });
+
+  it("is resumed once the retry budget allows it", async () => {
+    let mayRetry = false;
+    const backends = [
+      await startBackend(respondAndEnd(() => {
+        setTimeout(() => mayRetry = true, AWAY_MS);
+      })),
+    ];
+    const entry = await startEntry({ backends, trySpend: () => mayRetry });
+    const answer = call(entry, "/stream/x");
+    backends.push(await startBackend(respondRest));
+    expectWhole(await answer);
+  });
+
+  it("is broken off as its caller has waited too long", async () => {
+    const { durationMs, ...answer } = await callWithoutReplica();
+    expect([answer.isComplete, answer.body]).toEqual([false, events(0, 1)]);
+    expect(durationMs >= PATIENCE_MS).toEqual(true);
+  });
+
+  it("is broken off at once if no replica is expected in time", async () => {
+    const { durationMs, isComplete } = await callWithoutReplica(
+      2 * PATIENCE_MS,
+    );
+    expect(isComplete).toEqual(false);
+    expect(durationMs < PATIENCE_MS).toEqual(true);
+  });
+});
+
+async function callWithoutReplica(timeToReplicaMs?: number) {
+  const backends: ServingTarget[] = [];
+  backends.push(
+    await startBackend(respondAndEnd(() => backends.length = 0)),
+  );
+  const entry = await startEntry({
+    backends,
+    trySpend: () => true,
+    admission: createTestAdmission({
+      timeToReplicaMs: () => timeToReplicaMs,
+    }),
+  });
+  const startedAtMs = performance.now();
+  const answer = await call(entry, "/stream/x", { model: "m" });
+  return { ...answer, durationMs: performance.now() - startedAtMs };
+}
+
+function expectWhole(
+  { status, body, isComplete }: Awaited<ReturnType<typeof call>>,
+): void {
+  expect([status, body]).toEqual([200, events(0, LAST_EVENT_ID)]);
+  expect(isComplete).toEqual(true);
+}
+
+/** Sends the first two events, then closes the connection. */
+function respondAndEnd(onEnd: () => void): RequestListener {
+  return (incoming, response) => {
+    response.writeHead(200, createHeaders(idOf(incoming)));
+    response.write(events(0, 1));
+    setTimeout(() => {
+      onEnd();
+      incoming.socket.destroy();
+    }, SENDING_MS);
+  };
+}
+
+/** Sends the events behind the last one that the request names. */
+const respondRest: RequestListener = (incoming, response) => {
+  const lastId = Number(incoming.headers["last-event-id"] ?? -1);
+  response.writeHead(200, createHeaders(idOf(incoming)));
+  response.end(events(lastId + 1, LAST_EVENT_ID));
+};
+
+function createHeaders(callId: string) {
+  return {
+    "attempt-id": callId,
+    "server-stamp": "s",
+    "content-type": "text/event-stream",
+  };
+}
+
+function events(firstId: number, lastId: number): string {
+  return Array.from(
+    { length: lastId - firstId + 1 },
+    (_, index) => `id: ${firstId + index}\ndata: a\n\n`,
+  ).join("");
+}
--- a/packages/celerytray/src/serving/prompt_backlog_test.ts
+++ b/packages/celerytray/src/serving/prompt_backlog_test.ts
@@ -101,7 +101,7 @@
     readDelayMs: ({ instanceId }) =>
       promptReadMs(backlog.tokensAt(instanceId), ENGINE, "m"),
     targetMs: TARGET_MS,
-    tried: new Set(),
+    isTried: () => false,
     nowMs: 0,
     random: () => 0.5,
   })!;
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -27,9 +27,12 @@
   refuseWithoutReplica,
 } from "./conclude_call.ts";
 import { awaitTarget } from "./find_target.ts";
+import { findLeavingTime } from "./stream_patience.ts";
 
 /** Minimum remaining time for a retry. */
 const MIN_RETRY_REMAINING_MS = 30;
+/** Interval at which a stream that has begun asks the retry budget again. */
+const RETRY_BUDGET_POLL_MS = 50;
 
 const EXCLUSION_MESSAGES: Readonly<Record<ExclusionReason, string>> = {
   evacuated: "Every zone that could serve the request is evacuated",
@@ -76,6 +79,8 @@
 ): Effect.Effect<AttemptsResult> {
   const { call, dependencies } = options;
   return Effect.gen(function* () {
+    /** Time since which the retry budget refuses the next attempt. */
+    let retryWaitSinceMs: number | undefined;
     while (true) {
       if (dependencies.lag.isBehind(yield* steadyMs)) yield* yieldToEventLoop;
       const search = yield* awaitTarget(options, progress);
@@ -115,19 +120,25 @@
         dependencies.onWithheld("stopping");
         return giveUpAtStop(options, progress);
       }
-      // Every request passes these checks, so that cold and limited instances
-      // never get more than their limits.
-      if (!dependencies.coldLimiter.tryTakeToken(target, nowMs)) continue;
-      if (!dependencies.limits.tryTakeToken(target, nowMs)) continue;
       const isRetry = progress.deliveries > 0;
       if (isRetry && call.deadlineAtMs - nowMs < MIN_RETRY_REMAINING_MS) {
         return giveUp(options, progress, "Too little time remains for a retry");
       }
-      if (
-        isRetry && !progress.isRetryPrepaid &&
-        !dependencies.retryBudget.trySpend(call.service, nowMs)
-      ) return giveUp(options, progress, "The retry budget is exhausted");
+      if (isRetry && !tryPayRetry(options, progress, nowMs)) {
+        retryWaitSinceMs ??= nowMs;
+        const leavesAtMs = findLeavingTime(options, progress, retryWaitSinceMs);
+        if (nowMs >= (leavesAtMs ?? nowMs)) {
+          return giveUp(options, progress, "The retry budget is exhausted");
+        }
+        yield* Effect.sleep(RETRY_BUDGET_POLL_MS);
+        continue;
+      }
+      // Every request passes these checks, so that cold and limited instances
+      // never get more than their limits.
+      if (!dependencies.coldLimiter.tryTakeToken(target, nowMs)) continue;
+      if (!dependencies.limits.tryTakeToken(target, nowMs)) continue;
       progress.isRetryPrepaid = false;
+      retryWaitSinceMs = undefined;
       progress.isTrial = false;
       const outcome = yield* attemptOnce(options, progress, target);
       const endedAtMs = yield* steadyMs;
@@ -159,6 +170,19 @@
   });
 }
 
+/** Charges the retry budget for the next attempt, unless that was done. */
+function tryPayRetry(
+  { call, dependencies }: AttemptsOptions,
+  progress: AttemptProgress,
+  nowMs: number,
+): boolean {
+  progress.isRetryPrepaid ||= dependencies.retryBudget.trySpend(
+    call.service,
+    nowMs,
+  );
+  return progress.isRetryPrepaid;
+}
+
 /** Whether a request that has reached no instance comes too late in a stop. */
 function isTooLateToBegin(
   { call, dependencies }: AttemptsOptions,
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -72,6 +72,7 @@
     pathPrefix: "/stream/",
     retryPolicy: "resumable",
     isStream: true,
+    maxSilenceMs: 1_000,
   },
 ];
 
--- a/packages/fakes/src/admission/simulated_process.ts
+++ b/packages/fakes/src/admission/simulated_process.ts
@@ -197,7 +197,7 @@
       isSilent: () => false,
       isSlow: () => false,
       hasSuspect: () => false,
-      tried,
+      isTried: ({ instanceId }) => tried.has(instanceId),
       nowMs,
       random: this.#options.random,
     });
