Collect bodies in blocks instead of an object for each chunk

Callers ended a process: it ran out of memory under bodies in very small chunks. Each chunk was kept as a buffer of its own, which takes over 100 bytes beside what it was read with, while the account of held bytes counted the payload.

The same held for answers of back ends, of the store, of other processes and of JSON services, which collect their bodies so too now.

--- a/packages/celerytray/src/forwarding/plain_attempt.ts
+++ b/packages/celerytray/src/forwarding/plain_attempt.ts
@@ -7,6 +7,7 @@
   request as httpRequest,
 } from "node:http";
 import {
+  ByteCollector,
   hasDeclaredEnd,
   parseAddress,
   selectRequestHeaders,
@@ -162,12 +163,11 @@
       "The response has no declared length; send content-length or chunks",
     );
   }
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const collected = new ByteCollector();
   response.on("data", (chunk: Buffer) => {
-    receivedBytes += chunk.length;
-    if (receivedBytes <= MAX_RESPONSE_BYTES) chunks.push(chunk);
-    else stop(`The response exceeds ${MAX_RESPONSE_BYTES} bytes`);
+    if (collected.bytes + chunk.length <= MAX_RESPONSE_BYTES) {
+      collected.add(chunk);
+    } else stop(`The response exceeds ${MAX_RESPONSE_BYTES} bytes`);
   });
   return () =>
     settle({
@@ -175,7 +175,7 @@
       response: {
         status: response.statusCode ?? 0,
         headers: createResponseHeaders(response, reader.method),
-        body: Buffer.concat(chunks),
+        body: collected.take(),
       },
     });
 }
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -5,6 +5,7 @@
   requestJson,
   type RequestJsonOptions,
 } from "./request_json.ts";
+export { ByteCollector } from "./byte_collector.ts";
 export { BackendPools } from "./backend_pools.ts";
 export { PooledFetch, type PooledRequest } from "./pooled_fetch.ts";
 export {
--- a/packages/celerytray/src/http/pooled_fetch.ts
+++ b/packages/celerytray/src/http/pooled_fetch.ts
@@ -1,4 +1,5 @@
 import { request } from "node:http";
+import { ByteCollector } from "./byte_collector.ts";
 import { BackendPools } from "./backend_pools.ts";
 import { watchExchange } from "./watch_exchange.ts";
 import { watchFraming } from "./watch_framing.ts";
@@ -65,18 +66,17 @@
       watchExchange(sent, {
         onFailure: reject,
         onResponse: (response) => {
-          const chunks: Buffer[] = [];
-          let receivedBytes = 0;
+          const collected = new ByteCollector();
           response.on("data", (chunk: Buffer) => {
-            receivedBytes += chunk.length;
-            if (receivedBytes <= MAX_RESPONSE_BYTES) chunks.push(chunk);
-            else close(`The response exceeds ${MAX_RESPONSE_BYTES} bytes`);
+            if (collected.bytes + chunk.length <= MAX_RESPONSE_BYTES) {
+              collected.add(chunk);
+            } else close(`The response exceeds ${MAX_RESPONSE_BYTES} bytes`);
           });
           return () =>
             resolve({
               status: response.statusCode ?? 0,
               contentType: response.headers["content-type"] ?? "",
-              body: Buffer.concat(chunks),
+              body: collected.take(),
             });
         },
       });
--- a/packages/celerytray/src/http/read_body.ts
+++ b/packages/celerytray/src/http/read_body.ts
@@ -1,5 +1,6 @@
 import { Data, Effect } from "effect";
 import type { IncomingMessage } from "node:http";
+import { ByteCollector } from "./byte_collector.ts";
 
 /** A body exceeds its size limit. */
 export class BodyTooLarge extends Data.TaggedError("BodyTooLarge")<{
@@ -8,7 +9,7 @@
 
 /** The process has no memory left for a body. */
 export class BodyMemoryExceeded extends Data.TaggedError("BodyMemoryExceeded")<{
-  /** Size of the chunk for which no memory could be reserved. */
+  /** Memory that could not be reserved. */
   readonly rejectedBytes: number;
 }> {}
 
@@ -44,27 +45,24 @@
         failTooLarge();
         return;
       }
-      const chunks: Buffer[] = [];
-      let receivedBytes = 0;
+      const body = new ByteCollector();
       message.on("data", (chunk: Buffer) => {
-        receivedBytes += chunk.length;
-        if (receivedBytes > options.maxBytes) {
+        const growthBytes = body.growthBytes(chunk);
+        if (body.bytes + chunk.length > options.maxBytes) {
           message.removeAllListeners("data");
-          chunks.length = 0;
+          body.clear();
           failTooLarge();
-        } else if (options.tryReserve?.(chunk.length) === false) {
+        } else if (options.tryReserve?.(growthBytes) === false) {
           message.removeAllListeners("data");
-          chunks.length = 0;
+          body.clear();
           resume(
-            Effect.fail(
-              new BodyMemoryExceeded({ rejectedBytes: chunk.length }),
-            ),
+            Effect.fail(new BodyMemoryExceeded({ rejectedBytes: growthBytes })),
           );
         } else {
-          chunks.push(chunk);
+          body.add(chunk);
         }
       });
-      message.on("end", () => resume(Effect.succeed(Buffer.concat(chunks))));
+      message.on("end", () => resume(Effect.succeed(body.take())));
       message.on("close", () => {
         if (!message.complete) resume(Effect.interrupt);
       });
--- a/packages/celerytray/src/http/request_json.ts
+++ b/packages/celerytray/src/http/request_json.ts
@@ -1,5 +1,6 @@
 import { Data, Effect } from "effect";
 import { type Agent, request as httpRequest } from "node:http";
+import { ByteCollector } from "./byte_collector.ts";
 import { watchExchange } from "./watch_exchange.ts";
 
 /**
@@ -90,12 +91,11 @@
     watchExchange(request, {
       onFailure: ({ message }) => fail(message),
       onResponse: (response) => {
-        const chunks: Buffer[] = [];
-        let receivedBytes = 0;
+        const collected = new ByteCollector();
         response.on("data", (chunk: Buffer) => {
-          receivedBytes += chunk.length;
-          if (receivedBytes <= MAX_RESPONSE_BYTES) chunks.push(chunk);
-          else {
+          if (collected.bytes + chunk.length <= MAX_RESPONSE_BYTES) {
+            collected.add(chunk);
+          } else {
             fail(`the response exceeds ${MAX_RESPONSE_BYTES} bytes`);
             request.destroy();
           }
@@ -103,7 +103,7 @@
         return () =>
           resume(parseResponse(options.url, {
             status: response.statusCode ?? 0,
-            text: Buffer.concat(chunks).toString("utf8"),
+            text: collected.take().toString("utf8"),
           }));
       },
     });
--- a/packages/celerytray/src/platform/send_request.ts
+++ b/packages/celerytray/src/platform/send_request.ts
@@ -1,6 +1,11 @@
 import { Data, Effect } from "effect";
 import { type Agent, type IncomingHttpHeaders, request } from "node:http";
-import { parseAddress, watchExchange, watchFraming } from "../http/index.ts";
+import {
+  ByteCollector,
+  parseAddress,
+  watchExchange,
+  watchFraming,
+} from "../http/index.ts";
 
 /** A request got no complete response. */
 export class CallFailure extends Data.TaggedError("CallFailure")<{
@@ -91,13 +96,13 @@
         fail(error.message);
       },
       onResponse: (response) => {
-        const chunks: Buffer[] = [];
-        let receivedBytes = 0;
+        const collected = new ByteCollector();
         response.on("data", (chunk: Buffer) => {
-          receivedBytes += chunk.length;
-          chunks.push(chunk);
-          if (receivedBytes <= MAX_RESPONSE_BYTES) return;
-          chunks.length = 0;
+          if (collected.bytes + chunk.length <= MAX_RESPONSE_BYTES) {
+            collected.add(chunk);
+            return;
+          }
+          collected.clear();
           fail(`the response exceeds ${MAX_RESPONSE_BYTES} bytes`);
           sent.destroy();
         });
@@ -105,7 +110,7 @@
           resume(Effect.succeed({
             status: response.statusCode ?? 0,
             headers: response.headers,
-            body: Buffer.concat(chunks),
+            body: collected.take(),
           }));
       },
     });
--- a/packages/celerytray/src/serving/exchange/read_response.ts
+++ b/packages/celerytray/src/serving/exchange/read_response.ts
@@ -1,5 +1,5 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
-import { discardBody } from "../../http/index.ts";
+import { ByteCollector, discardBody } from "../../http/index.ts";
 import type { AttemptOptions, AttemptOutcome } from "./attempt_options.ts";
 import type { ResponseHeaders } from "../call.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -130,33 +130,31 @@
   response: IncomingMessage,
   reading: BodyReading,
 ): () => void {
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const collected = new ByteCollector();
   const { callId, held } = reading.options;
   const heldResponse: HeldResponse = {
     callId,
     get heldBytes() {
-      return receivedBytes;
+      return collected.capacityBytes;
     },
     cut: () => reading.reject("Buffered responses exceed the memory bound"),
   };
   response.on("data", (chunk: Buffer) => {
-    receivedBytes += chunk.length;
-    chunks.push(chunk);
-    if (receivedBytes > MAX_RESPONSE_BYTES) {
+    if (collected.bytes + chunk.length > MAX_RESPONSE_BYTES) {
       reading.reject(`The response exceeds ${MAX_RESPONSE_BYTES} bytes`);
     } else {
+      collected.add(chunk);
       held.update(heldResponse);
     }
   });
   response.on("close", () => {
     held.forget(heldResponse);
-    chunks.length = 0;
+    collected.clear();
   });
   return () =>
     reading.settle({
       kind: "answered",
       headers: reading.headers,
-      body: Buffer.concat(chunks),
+      body: collected.take(),
     });
 }
