Give up bodies that never end for those that need their memory

Ordinary callers were refused for up to a minute (503, as not run): bodies that stop short of their end held all memory for bodies, until the server's timeout of 60 s closed them. A stream that had to buffer anything was cut meanwhile, as answers made room for bodies.

A body that has been read for a second is given up for one that does not fit, the oldest first, and refused as not run, which is true as nothing is passed on before the end. Bodies that are not complete make room for an answer before an answer is cut off. A body that comes within a second is never given up for another one.

--- a/packages/celerytray/src/host/caller_server_test.ts
+++ b/packages/celerytray/src/host/caller_server_test.ts
@@ -268,7 +268,11 @@
           }).end(Buffer.alloc(LARGE_BYTES));
         },
         {
-          held: new HeldBytes({ maxBytes: Infinity, onCut: () => {} }),
+          held: new HeldBytes({
+            maxBytes: Infinity,
+            nowMs: () => 0,
+            onCut: () => {},
+          }),
           onUnsent: ({ callId, reason }) => unsent.push(callId, reason),
         },
       );
@@ -317,7 +321,7 @@
   last: HeldResponse | undefined;
 
   constructor() {
-    super({ maxBytes: LARGE_BYTES, onCut: () => {} });
+    super({ maxBytes: LARGE_BYTES, nowMs: () => 0, onCut: () => {} });
   }
 
   override update(response: HeldResponse): void {
--- a/packages/celerytray/src/host/overload_protection.ts
+++ b/packages/celerytray/src/host/overload_protection.ts
@@ -38,6 +38,7 @@
   });
   const held = new HeldBytes({
     maxBytes: Math.min(memoryMb * MAX_HELD_SHARE, MAX_HELD_MB) * MB,
+    nowMs,
     onCut: (cut) => {
       cuts.inc();
       record("caller.cut", { ...cut });
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -18,6 +18,7 @@
 export { hasDeclaredEnd } from "./watch_response_end.ts";
 export { watchFraming } from "./watch_framing.ts";
 export {
+  type BodyMemory,
   BodyMemoryExceeded,
   BodyTooLarge,
   discardBody,
--- a/packages/celerytray/src/http/read_body.ts
+++ b/packages/celerytray/src/http/read_body.ts
@@ -8,25 +8,31 @@
 }> {}
 
 /** The process has no memory left for a body. */
-export class BodyMemoryExceeded extends Data.TaggedError("BodyMemoryExceeded")<{
-  /** Memory that could not be reserved. */
-  readonly rejectedBytes: number;
-}> {}
+export class BodyMemoryExceeded
+  extends Data.TaggedError("BodyMemoryExceeded") {}
+
+/** The account of the memory that a body takes. */
+export interface BodyMemory {
+  /** Reserves memory for further bytes; returns false if there is not enough. */
+  tryAdd(bytes: number): boolean;
+  /** Takes what ends the reading, for when others need the memory. */
+  beginReading(giveUp: () => void): void;
+  endReading(): void;
+}
 
 /** Limits for reading a body. */
 export interface ReadBodyOptions {
   readonly maxBytes: number;
-  /** Reserves memory for further bytes; returns false if there is not enough. */
-  readonly tryReserve?: (bytes: number) => boolean;
+  readonly memory?: BodyMemory;
 }
 
 /**
- * Reads a whole body, up to a limit. Fails at once on a larger one; interrupts
- * if the sender disconnects before the end.
+ * Reads a whole body, up to a limit. Fails at once on a larger one, or if there is
+ * no memory for it; interrupts if the sender disconnects before the end.
  */
 export function readBody(
   message: IncomingMessage,
-  options: { readonly maxBytes: number; readonly tryReserve?: never },
+  options: { readonly maxBytes: number; readonly memory?: never },
 ): Effect.Effect<Buffer, BodyTooLarge>;
 export function readBody(
   message: IncomingMessage,
@@ -38,33 +44,35 @@
 ): Effect.Effect<Buffer, BodyTooLarge | BodyMemoryExceeded> {
   return Effect.callback<Buffer, BodyTooLarge | BodyMemoryExceeded>(
     (resume) => {
-      const failTooLarge = () =>
-        resume(Effect.fail(new BodyTooLarge({ maxBytes: options.maxBytes })));
+      const { maxBytes, memory } = options;
+      const body = new ByteCollector();
+      const fail = (failure: BodyTooLarge | BodyMemoryExceeded) => {
+        message.removeAllListeners("data");
+        body.clear();
+        memory?.endReading();
+        resume(Effect.fail(failure));
+      };
       const declaredBytes = Number(message.headers["content-length"] ?? 0);
-      if (declaredBytes > options.maxBytes) {
-        failTooLarge();
+      if (declaredBytes > maxBytes) {
+        fail(new BodyTooLarge({ maxBytes }));
         return;
       }
-      const body = new ByteCollector();
+      memory?.beginReading(() => fail(new BodyMemoryExceeded()));
       message.on("data", (chunk: Buffer) => {
-        const growthBytes = body.growthBytes(chunk);
-        if (body.bytes + chunk.length > options.maxBytes) {
-          message.removeAllListeners("data");
-          body.clear();
-          failTooLarge();
-        } else if (options.tryReserve?.(growthBytes) === false) {
-          message.removeAllListeners("data");
-          body.clear();
-          resume(
-            Effect.fail(new BodyMemoryExceeded({ rejectedBytes: growthBytes })),
-          );
-        } else {
-          body.add(chunk);
-        }
+        if (body.bytes + chunk.length > maxBytes) {
+          fail(new BodyTooLarge({ maxBytes }));
+        } else if (memory?.tryAdd(body.growthBytes(chunk)) === false) {
+          fail(new BodyMemoryExceeded());
+        } else body.add(chunk);
+      });
+      message.on("end", () => {
+        memory?.endReading();
+        resume(Effect.succeed(body.take()));
       });
-      message.on("end", () => resume(Effect.succeed(body.take())));
       message.on("close", () => {
-        if (!message.complete) resume(Effect.interrupt);
+        if (message.complete) return;
+        memory?.endReading();
+        resume(Effect.interrupt);
       });
     },
   );
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -63,7 +63,11 @@
       onChange: () => {},
     }),
     callerTimeouts: new CallerTimeoutTracker(),
-    held: new HeldBytes({ maxBytes: MAX_HELD_BYTES, onCut: () => {} }),
+    held: new HeldBytes({
+      maxBytes: MAX_HELD_BYTES,
+      nowMs: () => 0,
+      onCut: () => {},
+    }),
     stop: new GracefulStop(),
     lag: { lagMs: () => 0, isBehind: () => false },
     admission: createTestAdmission(),
--- a/packages/celerytray/src/serving/exchange/held_bytes_test.ts
+++ b/packages/celerytray/src/serving/exchange/held_bytes_test.ts
@@ -22,6 +22,7 @@
   const cut: string[] = [];
   const held = new HeldBytes({
     maxBytes: MAX_BYTES,
+    nowMs: () => 0,
     onCut: ({ callId }) => cut.push(callId),
   });
   const [drained, large, small] = ["a", "b", "c"].map((id) =>
@@ -44,13 +45,14 @@
   const cut: string[] = [];
   const held = new HeldBytes({
     maxBytes: MAX_BYTES,
+    nowMs: () => 0,
     onCut: ({ callId }) => cut.push(callId),
   });
   const response = new TestResponse("a");
   response.heldBytes = 70;
   held.update(response);
   const body = held.holdBody();
-  expect([body.tryAdd(30), body.tryAdd(1), held.hasRoom(1)])
+  expect([body.tryAdd(30), body.tryAdd(1), held.makeRoom(1)])
     .toEqual([true, false, false]);
   body.release();
   body.release();
@@ -58,6 +60,57 @@
   expect([cut, held.totalBytes]).toEqual([[], 0]);
 });
 
+// Guards against bodies that never end and keep others from being served.
+it("gives up the bodies that were read for longest, after a second", () => {
+  const { held, givenUp, hold, setTime } = createReading();
+  hold("a", 40);
+  setTime(600);
+  hold("b", 40);
+  setTime(1_000);
+  const needy = held.holdBody();
+  expect([needy.tryAdd(70), givenUp]).toEqual([false, ["a"]]);
+  setTime(1_600);
+  expect([needy.tryAdd(70), givenUp]).toEqual([true, ["a", "b"]]);
+  expect(held.totalBytes).toEqual(70);
+});
+
+it("gives up no body that is complete, or that needs the room itself", () => {
+  const { givenUp, hold, setTime } = createReading();
+  hold("complete", 40).endReading();
+  const growing = hold("growing", 40);
+  setTime(5_000);
+  expect([growing.tryAdd(30), givenUp]).toEqual([false, []]);
+});
+
+// Guards against streams that are cut for the sake of bodies that never end.
+it("gives up bodies that are not complete rather than abort a response", () => {
+  const { held, givenUp, cut, hold } = createReading();
+  hold("a", 90);
+  const response = new TestResponse("b");
+  response.heldBytes = 20;
+  held.update(response);
+  expect([givenUp, cut, held.totalBytes]).toEqual([["a"], [], 20]);
+});
+
+function createReading() {
+  const givenUp: string[] = [];
+  const cut: string[] = [];
+  let nowMs = 0;
+  const held = new HeldBytes({
+    maxBytes: MAX_BYTES,
+    nowMs: () => nowMs,
+    onCut: ({ callId }) => cut.push(callId),
+  });
+  const hold = (id: string, bytes: number) => {
+    const body = held.holdBody();
+    body.beginReading(() => givenUp.push(id));
+    body.tryAdd(bytes);
+    return body;
+  };
+  const setTime = (atMs: number) => nowMs = atMs;
+  return { held, givenUp, cut, hold, setTime };
+}
+
 it("never counts more than the bound, and nothing once all have ended", () => {
   const step = fc.record({
     index: fc.nat(7),
@@ -65,7 +118,11 @@
     isBody: fc.boolean(),
   });
   fc.assert(fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
-    const held = new HeldBytes({ maxBytes: MAX_BYTES, onCut: () => {} });
+    const held = new HeldBytes({
+      maxBytes: MAX_BYTES,
+      nowMs: () => 0,
+      onCut: () => {},
+    });
     const responses = steps.map((_, id) => new TestResponse(String(id)));
     const bodies = steps.map(() => held.holdBody());
     for (const { index, bytes, isBody } of steps) {
--- a/packages/celerytray/src/serving/exchange/late_events_test.ts
+++ b/packages/celerytray/src/serving/exchange/late_events_test.ts
@@ -70,7 +70,7 @@
     body: Buffer.from("body"),
     callId: "call-1",
     agent: undefined,
-    held: new HeldBytes({ maxBytes: 1024, onCut: () => {} }),
+    held: new HeldBytes({ maxBytes: 1024, nowMs: () => 0, onCut: () => {} }),
     lastEventId: () => stream.lastEventId,
     maySend: () => true,
     onSent: () => {},
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -75,14 +75,14 @@
       exchange.request.headers["content-length"] ?? 0,
     );
     if (
-      declaredBytes <= maxBytes && !dependencies.held.hasRoom(declaredBytes)
+      declaredBytes <= maxBytes && !dependencies.held.makeRoom(declaredBytes)
     ) {
       refuseForMemory();
       return;
     }
     const body = yield* readBody(exchange.request, {
       maxBytes,
-      tryReserve: (bytes) => heldBody.tryAdd(bytes),
+      memory: heldBody,
     }).pipe(
       Effect.catch((failure) => {
         if (failure._tag === "BodyMemoryExceeded") refuseForMemory();
--- a/packages/celerytray/src/serving/slow_callers_test.ts
+++ b/packages/celerytray/src/serving/slow_callers_test.ts
@@ -47,6 +47,7 @@
     const cut: string[] = [];
     const held = new HeldBytes({
       maxBytes: MAX_HELD_BYTES,
+      nowMs: () => 0,
       onCut: ({ callId }) => cut.push(callId),
     });
     // This process lags with 500 callers, so it reads before it looks for stalls.
@@ -102,7 +103,7 @@
     const withheld: string[] = [];
     const entry = await startEntry({
       backends: [backend],
-      held: new HeldBytes({ maxBytes: 3, onCut: () => {} }),
+      held: new HeldBytes({ maxBytes: 3, nowMs: () => 0, onCut: () => {} }),
       onWithheld: (reason) => withheld.push(reason),
     });
     const chunked = { "transfer-encoding": "chunked" };
