Read bodies in very small chunks in turn, and refused ones to a limit

Ordinary callers got no answers: a process that had refused requests (no route, no known key) read their bodies on and on, and bodies in chunks of one byte took all of its time. A chunk costs a call of the loop whatever its size, and one read of a connection holds ten thousand of them.

What is refused is read up to max_body_bytes more, then closed.

--- a/packages/celerytray/src/forwarding/caller_handler.ts
+++ b/packages/celerytray/src/forwarding/caller_handler.ts
@@ -6,7 +6,7 @@
 } from "node:http";
 import { randomUUID } from "node:crypto";
 import { fromEither } from "../errors/index.ts";
-import { discardBody, readBody } from "../http/index.ts";
+import { discardRequest, readBody } from "../http/index.ts";
 import { authenticate } from "./authenticate.ts";
 import type { CallContext, ForwardingDependencies } from "./call_context.ts";
 import { callPlainService } from "./call_plain_service.ts";
@@ -190,7 +190,7 @@
   if (!isStream) {
     const { req: request } = response;
     if (!request.complete) {
-      discardBody(request, { maxBytes: MAX_DISCARDED_BYTES });
+      discardRequest(request, { maxBytes: MAX_DISCARDED_BYTES });
     }
     writeCallerError(response, error);
     return;
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -22,6 +22,7 @@
   BodyMemoryExceeded,
   BodyTooLarge,
   discardBody,
+  discardRequest,
   readBody,
   type ReadBodyOptions,
 } from "./read_body.ts";
--- a/packages/celerytray/src/http/read_body.ts
+++ b/packages/celerytray/src/http/read_body.ts
@@ -1,6 +1,7 @@
 import { Data, Effect } from "effect";
 import type { IncomingMessage } from "node:http";
 import { ByteCollector } from "./byte_collector.ts";
+import { readInTurn } from "./read_turns.ts";
 
 /** A body exceeds its size limit. */
 export class BodyTooLarge extends Data.TaggedError("BodyTooLarge")<{
@@ -58,6 +59,7 @@
         return;
       }
       memory?.beginReading(() => fail(new BodyMemoryExceeded()));
+      readInTurn(message);
       message.on("data", (chunk: Buffer) => {
         if (body.bytes + chunk.length > maxBytes) {
           fail(new BodyTooLarge({ maxBytes }));
@@ -92,3 +94,15 @@
     if (discardedBytes > options.maxBytes) message.destroy();
   });
 }
+
+/**
+ * Reads the rest of a refused request's body and discards it, as `discardBody`,
+ * in turn with others.
+ */
+export function discardRequest(
+  request: IncomingMessage,
+  options: { readonly maxBytes: number },
+): void {
+  readInTurn(request);
+  discardBody(request, options);
+}
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -1,6 +1,6 @@
 import { Clock, Effect } from "effect";
 import { readSteadyMs, steadyMs } from "../clock/index.ts";
-import { readBody } from "../http/index.ts";
+import { discardRequest, readBody } from "../http/index.ts";
 import { admitCall, admitInTime } from "./admit_call.ts";
 import type { AdmissionEnd } from "./admission/index.ts";
 import type { CallHeaders } from "./call.ts";
@@ -19,6 +19,8 @@
 import { runAttempts } from "./run_attempts.ts";
 
 const NO_MEMORY_RETRY_AFTER_MS = 500;
+/** Bytes of refused bodies that are read before a configuration is known. */
+const MAX_DISCARDED_BYTES = 4 * 1024 * 1024;
 
 /** Serves one request of a caller. */
 export function serveCall(
@@ -87,6 +89,7 @@
       Effect.catch((failure) => {
         if (failure._tag === "BodyMemoryExceeded") refuseForMemory();
         else {
+          discardRequest(exchange.request, { maxBytes });
           exchange.sendLocalResponse(admission.headers.id, {
             status: 413,
             message: `The body exceeds ${maxBytes} bytes; send a smaller one`,
@@ -154,8 +157,14 @@
   exchange: CallerExchange,
   { headers, response, dependencies }: Refusal,
 ): void {
+  const { config } = dependencies.index() ?? {};
+  // Before the response, which lets Node discard the rest without a limit.
+  if (!exchange.request.complete) {
+    discardRequest(exchange.request, {
+      maxBytes: config?.limits.maxBodyBytes ?? MAX_DISCARDED_BYTES,
+    });
+  }
   exchange.sendLocalResponse(headers?.id, response);
-  if (!exchange.request.complete) exchange.request.resume();
   dependencies.record({
     callId: headers?.id ?? "",
     ...describePrompt(headers),
@@ -166,7 +175,7 @@
     reason: response.message,
     attempts: [],
     durationMs: 0,
-    configVersion: dependencies.index()?.config.version ?? 0,
+    configVersion: config?.version ?? 0,
   });
 }
 
