Bound the connections of callers

Callers could open connections until the process had no descriptors left, so that neither other callers nor back ends got one; the process did not know its limit.

Half of limits.max_fds less 200 are for callers. Beyond that the connection that has been without a whole request for longest is closed for a new one, never one whose request is being answered. The bounds that callers meet are in docs/design/slow_callers.md.

--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -5,6 +5,7 @@
   type AddressInUse,
   listen,
   type ListenFailure,
+  type ListenOptions,
 } from "../http/index.ts";
 import {
   CallerExchange,
@@ -20,6 +21,7 @@
   readonly idleTimeoutMs: number;
   readonly headerTimeoutMs: number;
   readonly maxHeaderBytes: number;
+  readonly connections?: ListenOptions["connections"];
   readonly inUse?: AddressInUse;
 }
 
@@ -70,6 +72,9 @@
       requestTimeoutMs: REQUEST_TIMEOUT_MS,
       maxHeaderBytes: options.maxHeaderBytes,
       handlesContinue: true,
+      ...(options.connections === undefined
+        ? {}
+        : { connections: options.connections }),
       ...(options.inUse === undefined ? {} : { inUse: options.inUse }),
     });
     const setIdleTimeout = (idleTimeoutMs: number) => {
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -34,6 +34,7 @@
 import { followStore } from "./follow_store.ts";
 import type { Host, HostOptions } from "./host_options.ts";
 import { keepRunning, recordFault } from "./keep_running.ts";
+import { limitConnections } from "./limit_connections.ts";
 import { createLoadTrackers } from "./load_trackers.ts";
 import { measureLag } from "./loop_lag.ts";
 import { moveAttempts } from "./move_attempts.ts";
@@ -213,6 +214,7 @@
       idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
       headerTimeoutMs: DEFAULT_HEADER_TIMEOUT_MS,
       maxHeaderBytes: MAX_HEADER_BYTES,
+      connections: limitConnections(settings, metrics),
       inUse,
     });
     servers.callers = callers;
--- a/packages/celerytray/src/host/host_settings.ts
+++ b/packages/celerytray/src/host/host_settings.ts
@@ -8,6 +8,8 @@
   readonly cores: number;
   /** Memory beyond which the process is killed. */
   readonly memoryMb: number;
+  /** File descriptors that the process may open, connections included. */
+  readonly maxDescriptors: number;
   /** IP:PORT for callers. */
   readonly callerAddress: string;
   /** IP:PORT of the readiness endpoint. */
--- a/packages/celerytray/src/http/listen.ts
+++ b/packages/celerytray/src/http/listen.ts
@@ -3,6 +3,10 @@
 import { createServer } from "node:http";
 import type { Socket } from "node:net";
 import { steadyMs } from "../clock/index.ts";
+import {
+  ConnectionLimit,
+  type ConnectionLimitOptions,
+} from "./connection_limit.ts";
 import { OpenResponses } from "./open_responses.ts";
 
 /** Options of a listening server. */
@@ -15,6 +19,11 @@
   /** Time within which a whole request must arrive. */
   readonly requestTimeoutMs?: number;
   readonly maxHeaderBytes?: number;
+  /** Bound on connections; by default there is none. */
+  readonly connections?: Pick<
+    ConnectionLimitOptions,
+    "maxConnections" | "onClosed"
+  >;
   /** Whether the handler itself sends `100 Continue`. */
   readonly handlesContinue?: boolean;
   /** By default an address that another process holds is a failure. */
@@ -99,12 +108,19 @@
 ): Effect.Effect<Server, ListenFailure> {
   return Effect.callback<Server, ListenFailure>((resume) => {
     const responses = new OpenResponses();
-    const handler = responses.track(options.handler);
+    const limit = new ConnectionLimit({
+      maxConnections: Number.POSITIVE_INFINITY,
+      onClosed: () => {},
+      ...options.connections,
+      isServed: (socket) => responses.isServed(socket),
+    });
+    const handler = responses.track(limit.track(options.handler));
     const server = createServer({
       headersTimeout: options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS,
       requestTimeout: options.requestTimeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS,
       maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
     }, handler);
+    server.on("connection", (socket) => limit.add(socket));
     if (options.handlesContinue === true) server.on("checkContinue", handler);
     server.on(
       "clientError",
--- a/packages/celerytray/src/http/open_responses.ts
+++ b/packages/celerytray/src/http/open_responses.ts
@@ -28,6 +28,12 @@
     };
   }
 
+  /** Whether a whole request of a connection is not answered in full. */
+  isServed(socket: Socket): boolean {
+    const responses = [...this.#bySocket.get(socket) ?? []];
+    return responses.some(({ req }) => req.complete);
+  }
+
   /**
    * Handles a `clientError` of the server. Bytes of no request, or a request that
    * is cut off, end the use of a connection after the responses to the complete
--- a/packages/celerytray/src/platform/settings_file.ts
+++ b/packages/celerytray/src/platform/settings_file.ts
@@ -20,6 +20,7 @@
   retryWindowSeconds: "bounds.retry_window_s",
   retrySlack: "bounds.retry_slack",
   memoryMb: "limits.memory_mb",
+  maxDescriptors: "limits.max_fds",
   coldOvershoot: "bounds.cold_overshoot",
   coldSlack: "bounds.cold_slack",
 } as const;
@@ -38,6 +39,7 @@
   [SETTING_NAMES.retryWindowSeconds]: "10",
   [SETTING_NAMES.retrySlack]: "20",
   [SETTING_NAMES.memoryMb]: "256",
+  [SETTING_NAMES.maxDescriptors]: "4096",
   [SETTING_NAMES.coldOvershoot]: "1",
   [SETTING_NAMES.coldSlack]: "0",
 };
@@ -98,6 +100,7 @@
       1000,
     retrySlackRequests: readNonNegativeNumber(SETTING_NAMES.retrySlack),
     memoryMb: readNonNegativeNumber(SETTING_NAMES.memoryMb),
+    maxDescriptors: readNonNegativeNumber(SETTING_NAMES.maxDescriptors),
     coldOvershoot: readNonNegativeNumber(SETTING_NAMES.coldOvershoot),
     coldSlackRequests: readNonNegativeNumber(SETTING_NAMES.coldSlack),
   };
