Search each byte of a stream's event once

A back end that sends an event in very small chunks kept a process busy: each chunk copied and searched all of the event before it, up to 1 MB. Found while looking for other places where a peer decides how long a process works.

The incomplete event is collected in blocks, and the state of its last line is kept. ByteCollector returns memory of the bytes' size, so that a short event of a slow caller holds no block.

--- a/packages/celerytray/src/http/byte_collector.ts
+++ b/packages/celerytray/src/http/byte_collector.ts
@@ -41,15 +41,15 @@
     this.#append(chunk.subarray(head.length));
   }
 
-  /** Returns all bytes, and frees the blocks. */
+  /** Returns all bytes in memory of their size, and frees the blocks. */
   take(): Buffer {
-    const blocks = this.#blocks.map((block, index) =>
-      index < this.#blocks.length - 1
-        ? block
-        : block.subarray(0, this.#lastBytes)
-    );
+    const blocks = [...this.#blocks];
+    const isFull = this.#freeBytes === 0;
+    const bytes = this.#bytes;
     this.clear();
-    return blocks.length === 1 ? blocks[0]! : Buffer.concat(blocks);
+    return blocks.length === 1 && isFull
+      ? blocks[0]!
+      : Buffer.concat(blocks, bytes);
   }
 
   clear(): void {
--- a/packages/celerytray/src/serving/exchange/event_splitter.ts
+++ b/packages/celerytray/src/serving/exchange/event_splitter.ts
@@ -1,3 +1,5 @@
+import { ByteCollector } from "../../http/index.ts";
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /(?:^|\n)id: ?([0-9]+)\r?(?:\n|$)/;
@@ -15,34 +17,48 @@
 
 /** Splits a byte stream into complete server-sent events. */
 export class EventSplitter {
-  #pending: Buffer = Buffer.alloc(0);
+  readonly #pending = new ByteCollector();
+  /** Bytes of the line that is not complete. */
+  #lineBytes = 0;
+  /** Whether the first of them is a carriage return. */
+  #startsWithReturn = false;
 
   /** Bytes of the incomplete event. */
   get pendingBytes(): number {
-    return this.#pending.length;
+    return this.#pending.bytes;
   }
 
   /** Appends bytes and returns the events that they complete. */
   push(chunk: Buffer): readonly StreamEvent[] {
-    const bytes = this.#pending.length === 0
-      ? chunk
-      : Buffer.concat([this.#pending, chunk]);
     const events: StreamEvent[] = [];
     let start = 0;
-    let lineStart = 0;
-    for (let index = 0; index < bytes.length; index++) {
-      if (bytes[index] !== LINE_FEED) continue;
-      const isEmptyLine = index === lineStart ||
-        (index === lineStart + 1 && bytes[lineStart] === CARRIAGE_RETURN);
-      if (isEmptyLine && index > start + 1) {
-        events.push(createEvent(bytes.subarray(start, index + 1)));
+    for (let index = 0; index < chunk.length; index++) {
+      if (chunk[index] !== LINE_FEED) {
+        if (this.#lineBytes === 0) {
+          this.#startsWithReturn = chunk[index] === CARRIAGE_RETURN;
+        }
+        this.#lineBytes += 1;
+        continue;
+      }
+      const isEmptyLine = this.#lineBytes === 0 ||
+        (this.#lineBytes === 1 && this.#startsWithReturn);
+      const precedingBytes = this.#pending.bytes + index - start;
+      if (isEmptyLine && precedingBytes > 1) {
+        events.push(createEvent(this.#end(chunk.subarray(start, index + 1))));
         start = index + 1;
       }
-      lineStart = index + 1;
+      this.#lineBytes = 0;
     }
-    this.#pending = bytes.subarray(start);
+    if (start < chunk.length) this.#pending.add(chunk.subarray(start));
     return events;
   }
+
+  /** Returns the pending bytes and those that complete the event. */
+  #end(bytes: Buffer): Buffer {
+    if (this.#pending.bytes === 0) return bytes;
+    this.#pending.add(bytes);
+    return this.#pending.take();
+  }
 }
 
 function createEvent(bytes: Buffer): StreamEvent {
--- a/packages/celerytray/src/serving/exchange/event_splitter_test.ts
+++ b/packages/celerytray/src/serving/exchange/event_splitter_test.ts
@@ -35,6 +35,17 @@
   fc.assert(property, { seed: SEED });
 });
 
+// Guards against a process that a back end keeps busy with an event in very small
+// chunks, as each of them copied and searched all before it.
+it("searches each byte of an event once", { timeout: 20_000 }, () => {
+  const splitter = new EventSplitter();
+  const chunk = Buffer.from("x");
+  splitter.push(Buffer.from("data: "));
+  for (let bytes = 0; bytes < 500_000; bytes++) splitter.push(chunk);
+  const [event] = splitter.push(Buffer.from("\n\n"));
+  expect(event?.bytes.length).toEqual(500_008);
+});
+
 it("keeps an incomplete event", () => {
   const splitter = new EventSplitter();
   expect(splitter.push(Buffer.from("id: 1\ndata: a\n"))).toEqual([]);
