Serve the requests of a connection one after the other

What callers saw: a request that was sent behind another one on its connection ended without an answer as that connection closed, although it had been passed on and ran: behind an answer that was broken off, that reached its timeout, or that was the last one before a planned stop. Its line in the log said streamed, 200. Cause: all requests of a connection ran side by side; Node tells only the response that is being sent that its connection closed. Class: work is begun whose answer hangs on the end of another one.

Now a request runs once those before it are answered; if the connection ends before, it does not run, and its line says left, without an attempt. Its time counts from its arrival. A stop no longer waits for dropped requests of callers that left.

--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -1,15 +1,18 @@
-import { type Context, Effect, Fiber, type Scope } from "effect";
+import { Clock, type Context, Effect, Fiber, type Scope } from "effect";
 import type { RequestListener, Server } from "node:http";
+import { readSteadyMs } from "../clock/index.ts";
 import { InFlightCalls } from "../forwarding/index.ts";
 import {
   type AddressInUse,
   listen,
   type ListenFailure,
   type ListenOptions,
+  RequestOrder,
 } from "../http/index.ts";
 import {
   CallerExchange,
   type LocalResponse,
+  recordDroppedCall,
   serveCall,
   type ServingDependencies,
 } from "../serving/index.ts";
@@ -59,10 +62,12 @@
   return Effect.gen(function* () {
     const calls = new InFlightCalls();
     const state: ServerState = { isClosing: false };
+    const clock = yield* Clock.Clock;
     const handler = createHandler({
       options,
       calls,
       state,
+      nowMs: () => readSteadyMs(clock),
       context: yield* Effect.context<never>(),
     });
     const server: Server = yield* listen({
@@ -113,6 +118,7 @@
   readonly options: CallerServerOptions;
   readonly calls: InFlightCalls;
   readonly state: ServerState;
+  readonly nowMs: () => number;
   readonly context: Context.Context<never>;
 }
 
@@ -126,44 +132,53 @@
 }
 
 function createHandler(
-  { options, calls, state, context }: HandlerOptions,
+  { options, calls, state, nowMs, context }: HandlerOptions,
 ): RequestListener {
   const run = Effect.runForkWith(context);
   const { dependencies } = options;
+  const order = new RequestOrder();
   return (request, response) => {
-    if (request.headers.expect !== undefined) response.writeContinue();
     const exchange = new CallerExchange({
       request,
       response,
       codec: dependencies.codec,
+      arrivedAtMs: nowMs(),
       isClosing: () => state.isClosing,
       held: dependencies.held,
     });
-    calls.begin();
-    const fiber = run(
-      serveCall(exchange, dependencies).pipe(
-        Effect.catchDefect((defect) =>
-          Effect.sync(() => {
-            dependencies.onFault(defect);
-            abortFailedCall(exchange);
-          })
+    const serve = () => {
+      if (request.headers.expect !== undefined) response.writeContinue();
+      const fiber = run(
+        serveCall(exchange, dependencies).pipe(
+          Effect.catchDefect((defect) =>
+            Effect.sync(() => {
+              dependencies.onFault(defect);
+              abortFailedCall(exchange);
+            })
+          ),
         ),
-      ),
-    );
-    response.on("error", () => {});
-    // Node also tells of an end if a reset discards what is still to be sent.
-    let isSent = false;
-    response.on("finish", () => isSent = !request.socket.destroyed);
-    // Until then its last bytes may still have to be sent.
-    response.on("close", () => {
+      );
+      // Node also tells of an end if a reset discards what is still to be sent.
+      let isSent = false;
+      response.on("finish", () => isSent = !request.socket.destroyed);
+      // Until then its last bytes may still have to be sent.
+      response.on("close", () => {
+        calls.end();
+        if (isSent) return;
+        if (exchange.hasEnded) {
+          const { callId } = exchange;
+          dependencies.onUnsent({ callId, reason: exchange.describeClose() });
+          return;
+        }
+        run(Fiber.interrupt(fiber));
+      });
+    };
+    const drop = () => {
       calls.end();
-      if (isSent) return;
-      if (exchange.hasEnded) {
-        const { callId } = exchange;
-        dependencies.onUnsent({ callId, reason: exchange.describeClose() });
-        return;
-      }
-      run(Fiber.interrupt(fiber));
-    });
+      recordDroppedCall(exchange, dependencies);
+    };
+    response.on("error", () => {});
+    calls.begin();
+    order.add(response, { serve, drop });
   };
 }
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -26,6 +26,7 @@
   readBody,
   type ReadBodyOptions,
 } from "./read_body.ts";
+export { type OrderedRequest, RequestOrder } from "./request_order.ts";
 export {
   type AddressInUse,
   listen,
--- a/packages/celerytray/src/serving/exchange/caller_exchange.ts
+++ b/packages/celerytray/src/serving/exchange/caller_exchange.ts
@@ -26,6 +26,8 @@
 /** One caller's request and the response to it. */
 export class CallerExchange implements HeldResponse {
   readonly request: IncomingMessage;
+  /** Time at which the request's headers had arrived. */
+  readonly arrivedAtMs: number;
   readonly #response: ServerResponse;
   readonly #codec: CallCodec;
   /** Whether connections are closed after the next response. */
@@ -39,10 +41,12 @@
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly codec: CallCodec;
+    readonly arrivedAtMs: number;
     readonly isClosing: () => boolean;
     readonly held: HeldBytes;
   }) {
     this.request = options.request;
+    this.arrivedAtMs = options.arrivedAtMs;
     this.#response = options.response;
     this.#codec = options.codec;
     this.#isClosing = options.isClosing;
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -17,6 +17,7 @@
   LocalResponse,
 } from "./exchange/index.ts";
 import { runAttempts } from "./run_attempts.ts";
+import type { ServingConfig } from "./serving_config.ts";
 
 const NO_MEMORY_RETRY_AFTER_MS = 500;
 /** Bytes of refused bodies that are read before a configuration is known. */
@@ -39,7 +40,7 @@
   heldBody: HeldBody,
 ): Effect.Effect<void> {
   return Effect.gen(function* () {
-    const arrivedAtMs = yield* steadyMs;
+    const { arrivedAtMs } = exchange;
     const { codec, index } = dependencies;
     const decoded = codec.decodeCall(exchange.request);
     const admitted = decoded
@@ -166,17 +167,41 @@
   }
   exchange.sendLocalResponse(headers?.id, response);
   dependencies.record({
+    ...describeUnrouted(headers, config),
+    status: response.status,
+    outcome: "refused",
+    reason: response.message,
+  });
+}
+
+/** Records a request that did not run, as its connection ended before its turn. */
+export function recordDroppedCall(
+  exchange: CallerExchange,
+  { codec, index, record }: ServingDependencies,
+): void {
+  const headers = codec.decodeCall(exchange.request).toMaybe().extract();
+  record({
+    ...describeUnrouted(headers, index()?.config),
+    status: 0,
+    outcome: "left",
+    reason: exchange.describeClose(),
+  });
+}
+
+/** The fields of the record of a call that was not routed. */
+function describeUnrouted(
+  headers: CallHeaders | undefined,
+  config: Pick<ServingConfig, "version"> | undefined,
+): Omit<CallRecord, "status" | "outcome" | "reason"> {
+  return {
     callId: headers?.id ?? "",
     ...describePrompt(headers),
     route: "",
     service: "",
-    status: response.status,
-    outcome: "refused",
-    reason: response.message,
     attempts: [],
     durationMs: 0,
     configVersion: config?.version ?? 0,
-  });
+  };
 }
 
 /** Sends the final response or its end. */
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -239,6 +239,7 @@
       request: incoming,
       response,
       codec: dependencies.codec,
+      arrivedAtMs: readNowMs(),
       isClosing: () => false,
       held: dependencies.held,
     });
