Soak: the fake that stops at once surely loses a request

Read, not shown by a run: the fake exited on SIGTERM whether or not a request was at it, so that nothing was lost if it came between two. Now it exits with its next request. The check and its bound are unchanged, the fault is what the test means.

--- a/packages/fakes/src/platform/fake_front.ts
+++ b/packages/fakes/src/platform/fake_front.ts
@@ -89,11 +89,12 @@
 
   /**
    * Closes each connection after its next response. After 3 s it stops listening,
-   * and exits once all connections are closed.
+   * and exits once all connections are closed. With its fault it exits with its
+   * next request instead, so that this one is surely lost.
    */
   stop(): void {
-    if (this.#fault === "stops-at-once") process.exit(0);
     this.#isStopping = true;
+    if (this.#fault === "stops-at-once") return;
     setTimeout(() => this.#server.close(() => process.exit(0)), STOP_DELAY_MS);
   }
 
@@ -166,6 +167,7 @@
   ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of incoming) chunks.push(chunk as Buffer);
+    if (this.#isStopping && this.#fault === "stops-at-once") process.exit(0);
     const callId = String(incoming.headers["attempt-id"]);
     response.setHeader("attempt-id", callId);
     if (this.#isStopping) response.setHeader("connection", "close");
