Let streams end at the head of a replica whose record is lost

What callers saw: after the store came back from an older copy, streams at the head of a replica whose record that copy lacks were cut a second later, though they had time left. Cause: such heads were ordered to close at once and to leave in the same round, and their members to leave without any wait; the order to leave ends what the head serves even if it was to close in peace. The same class as retirements: a planned change that takes an unfinished answer for one that can be begun again.

--- a/packages/celerytray/src/groups/controller_state.ts
+++ b/packages/celerytray/src/groups/controller_state.ts
@@ -115,10 +115,28 @@
     );
   }
 
-  /** Members, except heads, of replicas that have no record and get none. */
-  listOrphanedMembers(): readonly InstanceState[] {
+  /** Heads of replicas without a record that have closed and not left. */
+  listClosedOrphans(): readonly InstanceState[] {
     return this.instances.list().filter((instance) =>
+      this.departures.isClosedOrphan(instance) && this.isAlive(instance.id)
+    );
+  }
+
+  /**
+   * Members, except heads, of replicas that have no record and get none. Those
+   * of a head that still serves stay with it.
+   */
+  listOrphanedMembers(): readonly InstanceState[] {
+    const instances = this.instances.list();
+    const servedNames = new Set(
+      instances.filter((instance) =>
+        instance.membership?.rank === 0 && this.isAlive(instance.id) &&
+        this.departures.mayBeOpenHead(instance)
+      ).map(({ membership }) => membership!.replica),
+    );
+    return instances.filter((instance) =>
       this.departures.isOrphaned(instance) &&
+      !servedNames.has(instance.membership!.replica) &&
       !this.#hasLaterMembership(instance) && !this.awaitsRecord(instance)
     );
   }
--- a/packages/celerytray/src/groups/departure_tracker.ts
+++ b/packages/celerytray/src/groups/departure_tracker.ts
@@ -4,6 +4,13 @@
 /** Maximum time until the list reflects what an instance was ordered. */
 const MAX_LIST_LAG_MS = 1_000;
 
+/** An open head of a replica without a record. */
+export interface PersistentOrphan {
+  readonly head: InstanceState;
+  /** Time at which it was first seen so. */
+  readonly sinceMs: number;
+}
+
 /** Tracks heads and members that have left their replicas. */
 export class DepartureTracker {
   readonly #runs: ReadonlyMap<string, ReplicaRun>;
@@ -13,6 +20,8 @@
   readonly #leftEpochs = new Map<string, number>();
   /** Time at which a head was first seen orphaned. */
   readonly #orphanSinceMs = new Map<string, number>();
+  /** Epoch of the orphaned replica that a head is to close. */
+  readonly #closingEpochs = new Map<string, number>();
 
   constructor(runs: ReadonlyMap<string, ReplicaRun>) {
     this.#runs = runs;
@@ -55,19 +64,29 @@
       membership.epoch;
   }
 
+  /** Whether an instance has closed as the head of a replica without a record. */
+  isClosedOrphan(instance: InstanceState): boolean {
+    const { id, membership } = instance;
+    return membership?.rank === 0 && membership.state === "ready" &&
+      membership.epoch === this.#closingEpochs.get(id) &&
+      !this.#hasLeft(instance);
+  }
+
   /** Heads that have been orphaned for longer than the list can lag. */
   takePersistentOrphans(
     orphans: readonly InstanceState[],
     nowMs: number,
-  ): readonly InstanceState[] {
+  ): readonly PersistentOrphan[] {
     const ids = new Set(orphans.map(({ id }) => id));
     for (const id of [...this.#orphanSinceMs.keys()]) {
       if (!ids.has(id)) this.#orphanSinceMs.delete(id);
     }
-    return orphans.filter(({ id }) => {
-      const sinceMs = this.#orphanSinceMs.get(id) ?? nowMs;
-      this.#orphanSinceMs.set(id, sinceMs);
-      return nowMs - sinceMs >= MAX_LIST_LAG_MS;
+    return orphans.flatMap((head) => {
+      const sinceMs = this.#orphanSinceMs.get(head.id) ?? nowMs;
+      this.#orphanSinceMs.set(head.id, sinceMs);
+      if (nowMs - sinceMs < MAX_LIST_LAG_MS) return [];
+      this.#closingEpochs.set(head.id, head.membership!.epoch);
+      return [{ head, sinceMs }];
     });
   }
 
--- a/packages/celerytray/src/groups/list_orphan_orders.ts
+++ b/packages/celerytray/src/groups/list_orphan_orders.ts
@@ -1,37 +1,59 @@
 import type { ControllerState } from "./controller_state.ts";
 import type { InstanceOrder } from "./instance_orders.ts";
+import type { InstanceState } from "./instance_state.ts";
 import type { DispatchedOrder } from "./order_dispatcher.ts";
+import { isCloseOverdue } from "./replica_run.ts";
 
-/** Orders that dissolve what remains of replicas without a record. */
+/** Input of `listOrphanOrders`. */
+export interface OrphanOrdersInput {
+  readonly state: ControllerState;
+  /** Longest time for which a request to a service may run. */
+  readonly longestCallMs: (service: string) => number;
+  readonly nowMs: number;
+}
+
+/**
+ * Orders that dissolve what remains of replicas without a record. Their heads
+ * end what they serve before they and their members leave.
+ */
 export function listOrphanOrders(
-  state: ControllerState,
-  nowMs: number,
+  input: OrphanOrdersInput,
 ): readonly DispatchedOrder[] {
-  return [...listHeadOrders(state, nowMs), ...listMemberOrders(state)];
+  const { state } = input;
+  return [
+    ...listCloseOrders(input),
+    ...state.listClosedOrphans().flatMap(createLeaveOrder),
+    ...state.listOrphanedMembers().filter(({ id }) => state.isAlive(id))
+      .flatMap(createLeaveOrder),
+  ];
 }
 
-/** Closes the open heads of replicas without a record and makes them leave. */
-function listHeadOrders(
-  state: ControllerState,
-  nowMs: number,
+function listCloseOrders(
+  { state, longestCallMs, nowMs }: OrphanOrdersInput,
 ): readonly DispatchedOrder[] {
   return state.departures.takePersistentOrphans(state.listOrphans(), nowMs)
-    .flatMap(({ id, membership }) => {
-      if (!state.isAlive(id)) return [];
+    .filter(({ head }) => state.isAlive(head.id))
+    .map(({ head: { id, service, membership }, sinceMs }) => {
       const { replica, epoch } = membership!;
-      const orders: readonly InstanceOrder[] = [
-        { kind: "close", replica, epoch, isImmediate: true },
-        { kind: "leave", replica, epoch },
-      ];
-      return orders.map((order) => ({ instanceId: id, order }));
+      const isImmediate = isCloseOverdue({
+        sinceMs,
+        longestCallMs: longestCallMs(service),
+        nowMs,
+      });
+      const order: InstanceOrder = {
+        kind: "close",
+        replica,
+        epoch,
+        isImmediate,
+      };
+      return { instanceId: id, order };
     });
 }
 
-/** Makes members leave replicas whose head may be unreachable and open. */
-function listMemberOrders(state: ControllerState): readonly DispatchedOrder[] {
-  return state.listOrphanedMembers().flatMap(({ id, membership }) => {
-    if (!state.isAlive(id)) return [];
-    const { replica, epoch } = membership!;
-    return [{ instanceId: id, order: { kind: "leave", replica, epoch } }];
-  });
+function createLeaveOrder(
+  { id, membership }: InstanceState,
+): readonly DispatchedOrder[] {
+  if (membership === undefined) return [];
+  const { replica, epoch } = membership;
+  return [{ instanceId: id, order: { kind: "leave", replica, epoch } }];
 }
--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -145,9 +145,7 @@
             ...this.#prober.probe(nowMs),
             ...this.#stored.restoreLost(nowMs),
             ...this.#planOrders(nowMs),
-            ...listOrphanOrders(this.#state, nowMs).flatMap((order) =>
-              this.#dispatcher.send(order, nowMs)
-            ),
+            ...this.#planOrphanOrders(nowMs),
             ...this.#formationPlanner.plan(nowMs),
           ];
           for (const effect of effects) {
@@ -224,6 +222,12 @@
     });
   }
 
+  #planOrphanOrders(nowMs: number): readonly Effect.Effect<unknown>[] {
+    const { longestCallMs } = this.#options;
+    return listOrphanOrders({ state: this.#state, longestCallMs, nowMs })
+      .flatMap((order) => this.#dispatcher.send(order, nowMs));
+  }
+
   #createDispatcher(): OrderDispatcher {
     const { control, engines, hasTraffic, record } = this.#options;
     return new OrderDispatcher({
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -67,6 +67,21 @@
 /** Time within which a head that is to close takes no further requests. */
 const CLOSING_LAG_MS = 1_000;
 
+/**
+ * Whether no request at a head that has been closing since a time can have time
+ * left.
+ */
+export function isCloseOverdue(
+  { sinceMs, longestCallMs, nowMs }: {
+    readonly sinceMs: number;
+    /** Longest time for which a request at the head may run. */
+    readonly longestCallMs: number;
+    readonly nowMs: number;
+  },
+): boolean {
+  return nowMs - sinceMs >= longestCallMs + CLOSING_LAG_MS;
+}
+
 /** Updates a replica's progress from the list; returns the orders due now. */
 export function planRunOrders(input: RunOrderInput): readonly DueOrder[] {
   noteMemberStates(input);
@@ -250,8 +265,8 @@
     retirement.isClosed = true;
   }
   if (!retirement.isClosed) {
-    const isOverdue =
-      nowMs - retirement.sinceMs >= longestCallMs + CLOSING_LAG_MS;
+    const { sinceMs } = retirement;
+    const isOverdue = isCloseOverdue({ sinceMs, longestCallMs, nowMs });
     const isLost = members.some((id) => describeLoss(input, id) !== undefined);
     retirement.isImmediate ||= isOverdue || isLost;
     const { isImmediate } = retirement;
