Let a stream that has begun wait for the trial of a held part

What callers saw: a stream that had begun was broken off at once if its replica was lost while a part of its prompt was held, as one that may crash replicas. A held part is cleared or condemned within seconds by a single trial, and the caller waits that long. Cause: the same as for streams without a replica, which was mended for that reason alone: a stream that has begun was refused as a new request is. Now it waits until its caller leaves; a condemned part still ends it at once, and no request with a held part is sent meanwhile, but for its trial. The new case of interrupted_stream_test was red before (events 0 and 1 only) and is green.

--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -53,7 +53,7 @@
 /**
  * Waits for a target: in the model's queue while its concurrency limit is in
  * force, otherwise for a fraction of the target time. A stream that has begun
- * waits for as long as its caller does.
+ * waits for as long as its caller does, also for the trial of a held part.
  */
 export function awaitTarget(
   options: AttemptsOptions,
@@ -68,7 +68,14 @@
       const nowMs = yield* steadyMs;
       const quarantineRefusal = findQuarantineRefusal(options, progress, nowMs);
       if (quarantineRefusal !== undefined) {
-        return { kind: "quarantined", refusal: quarantineRefusal };
+        const leavesAtMs = quarantineRefusal.kind === "held"
+          ? findLeavingTime(options, progress, startedAtMs)
+          : undefined;
+        if (nowMs >= (leavesAtMs ?? nowMs)) {
+          return { kind: "quarantined", refusal: quarantineRefusal };
+        }
+        yield* Effect.sleep(POLL_INTERVAL_MS);
+        continue;
       }
       const mustWait = isStream && !hasBegun(options, progress) &&
         admission.mustWait(call, nowMs);
--- a/packages/celerytray/src/serving/interrupted_stream_test.ts
+++ b/packages/celerytray/src/serving/interrupted_stream_test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import type { ServingTarget } from "./choose_target.ts";
 import { createTestAdmission } from "./create_test_dependencies.ts";
+import { CrashQuarantine, type QuarantineVerdict } from "./quarantine/index.ts";
 import { call, idOf, startBackend, startEntry } from "./test_entry.ts";
 
 /** Longer than the quarter of the latency target that other requests wait. */
@@ -60,6 +61,24 @@
     expectWhole(await answer);
   });
 
+  it("is resumed while a part of its prompt waits for its trial", async () => {
+    const quarantine = new HoldingQuarantine();
+    const backends = [
+      await startBackend(respondAndEnd(() => {
+        quarantine.holds = true;
+        setTimeout(() => quarantine.holds = false, AWAY_MS);
+      })),
+    ];
+    const entry = await startEntry({
+      backends,
+      trySpend: () => true,
+      quarantine,
+    });
+    const answer = call(entry, "/stream/x");
+    backends.push(await startBackend(respondRest));
+    expectWhole(await answer);
+  });
+
   it("is broken off as its caller has waited too long", async () => {
     const { durationMs, ...answer } = await callWithoutReplica();
     expect([answer.isComplete, answer.body]).toEqual([false, events(0, 1)]);
@@ -75,6 +94,22 @@
   });
 });
 
+/** A quarantine that holds every request while it is told to. */
+class HoldingQuarantine extends CrashQuarantine {
+  holds = false;
+
+  constructor() {
+    super({ nodeId: "p", onEvent: () => {} });
+    this.load([]);
+  }
+
+  override assess(): QuarantineVerdict {
+    return this.holds
+      ? { kind: "held", part: "part", crashes: 2 }
+      : { kind: "clear" };
+  }
+}
+
 async function callWithoutReplica(timeToReplicaMs?: number) {
   const backends: ServingTarget[] = [];
   backends.push(
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -168,6 +168,7 @@
   readonly onWithheld?: ServingDependencies["onWithheld"];
   readonly findExclusionReason?: ServingDependencies["findExclusionReason"];
   readonly coldLimiter?: ServingDependencies["coldLimiter"];
+  readonly quarantine?: ServingDependencies["quarantine"];
   /** Home regions of all routes and of the organisation. */
   readonly homes?: Readonly<Record<"route" | "tenant", readonly string[]>>;
 }
