--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -10,9 +10,9 @@
 import type { AdmittedCall, ServingDependencies } from "./call_context.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import { type AttemptOutcome, runAttempt } from "./exchange/index.ts";
-import { tryMove } from "./find_target.ts";
 import { AttemptWatch } from "./quarantine/index.ts";
 import { createPool } from "./rate_limit/index.ts";
+import { tryMove } from "./try_move.ts";
 
 /** Priority levels by which a request is lowered that can only be late. */
 const LATE_PRIORITY_PENALTY = 3;
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -1,25 +1,19 @@
 import { Effect } from "effect";
 import { steadyMs } from "../clock/index.ts";
 import type { AdmissionRefusal } from "./admission/index.ts";
-import {
-  type AttemptProgress,
-  type AttemptsOptions,
-  mayAttemptAfterThis,
-} from "./attempt_progress.ts";
-import type { AbandonReason } from "./stall_detector.ts";
+import type { AttemptProgress, AttemptsOptions } from "./attempt_progress.ts";
 import { type ColdSearch, planColdWait } from "./cold_wait.ts";
 import { type LimitedSearch, planLimitWait } from "./limit_wait.ts";
 import type { ExclusionReason } from "./call_context.ts";
 import type { QuarantineRefusal } from "./quarantine/index.ts";
-import { promptReadMs } from "./prompt_backlog.ts";
 import { createPool } from "./rate_limit/index.ts";
 import { findLeavingTime } from "./stream_patience.ts";
 import {
   chooseTarget,
-  isPreferred,
   type ServingTarget,
   type TargetChoice,
 } from "./choose_target.ts";
+import { createChoice } from "./create_choice.ts";
 
 /** Longest wait for a replica of the model, as a fraction of the target time. */
 const MAX_WAIT_TARGET_FRACTION = 0.25;
@@ -28,8 +22,6 @@
 /** Load, as a multiple of the slots, up to which a late request is still sent. */
 const LATE_SLOTS_FACTOR = 1.5;
 const POLL_INTERVAL_MS = 20;
-/** Minimum remaining time for which a stream is moved to another replica. */
-const MIN_MOVE_REMAINING_MS = 500;
 
 /** The target of a request, or why there is none. */
 export type TargetSearch =
@@ -229,77 +221,3 @@
   );
   return backoffMs > 0 ? { kind: "backing-off", backoffMs } : { kind: "none" };
 }
-
-function createChoice(
-  { call, dependencies }: AttemptsOptions,
-  progress: AttemptProgress,
-  nowMs: number,
-): TargetChoice {
-  const { stalls, paces, backoffs, prompts, suspectLoad, limits } =
-    dependencies;
-  const { model } = call.headers;
-  const engine = dependencies.index()?.config.services.get(call.service)
-    ?.engine;
-  return {
-    targets: dependencies.listTargets(
-      call.service,
-      model,
-      call.homes,
-    ),
-    loads: dependencies.loads,
-    zone: dependencies.zone,
-    hasConnection: dependencies.hasConnection,
-    readDelayMs: ({ instanceId }) =>
-      promptReadMs(prompts.tokensAt(instanceId), engine, model),
-    targetMs: call.route.targetMs,
-    isBackingOff: (id) => backoffs.isBackingOff(id, nowMs),
-    maySend: (target) =>
-      dependencies.coldLimiter.maySend(target, nowMs) &&
-      limits.findWaitMs(target, nowMs) === 0,
-    isSilent: (id) => stalls.isSilent(id, nowMs),
-    isSlow: (target) => paces.isSlow(target, nowMs),
-    hasSuspect: (id) => suspectLoad.has(id),
-    isTried: ({ instanceId, epoch }) =>
-      progress.tried.get(instanceId) === epoch,
-    nowMs,
-    random: dependencies.random,
-  };
-}
-
-/**
- * Ends the current attempt if another instance can certainly take the request;
- * returns whether it did.
- */
-export function tryMove(
-  options: AttemptsOptions,
-  progress: AttemptProgress,
-  { reason, nowMs }: {
-    readonly reason: AbandonReason;
-    readonly nowMs: number;
-  },
-): boolean {
-  const { call, dependencies } = options;
-  if (
-    progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
-  ) return false;
-  if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return false;
-  const choice: TargetChoice = {
-    ...createChoice(options, progress, nowMs),
-    // A single token would let all requests at a head move to the same instance.
-    maySend: (target) =>
-      dependencies.coldLimiter.isWarm(target, nowMs) &&
-      !dependencies.limits.isLimited(target, nowMs),
-  };
-  const target = chooseTarget(choice);
-  if (target === undefined || !isPreferred(target, choice)) return false;
-  const { loads, retryBudget } = dependencies;
-  const hasFreeSlot = loads.estimate(target.instanceId, nowMs) < target.slots;
-  if (reason !== "stalled" && !hasFreeSlot) return false;
-  // An attempt that was never sent does not make the next one a retry.
-  if (progress.isCurrentSent || progress.deliveries > 0) {
-    if (!retryBudget.trySpend(call.service, nowMs)) return false;
-    progress.isRetryPrepaid = true;
-  }
-  progress.abandon(reason);
-  return true;
-}
--- /dev/null
+++ b/packages/celerytray/src/serving/try_move.ts
@@ -0,0 +1,53 @@
+import {
+  type AttemptProgress,
+  type AttemptsOptions,
+  mayAttemptAfterThis,
+} from "./attempt_progress.ts";
+import {
+  chooseTarget,
+  isPreferred,
+  type TargetChoice,
+} from "./choose_target.ts";
+import { createChoice } from "./create_choice.ts";
+import type { AbandonReason } from "./stall_detector.ts";
+
+/** Minimum remaining time for which a stream is moved to another replica. */
+const MIN_MOVE_REMAINING_MS = 500;
+
+/**
+ * Ends the current attempt if another instance can certainly take the request;
+ * returns whether it did.
+ */
+export function tryMove(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  { reason, nowMs }: {
+    readonly reason: AbandonReason;
+    readonly nowMs: number;
+  },
+): boolean {
+  const { call, dependencies } = options;
+  if (
+    progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
+  ) return false;
+  if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return false;
+  const choice: TargetChoice = {
+    ...createChoice(options, progress, nowMs),
+    // A single token would let all requests at a head move to the same instance.
+    maySend: (target) =>
+      dependencies.coldLimiter.isWarm(target, nowMs) &&
+      !dependencies.limits.isLimited(target, nowMs),
+  };
+  const target = chooseTarget(choice);
+  if (target === undefined || !isPreferred(target, choice)) return false;
+  const { loads, retryBudget } = dependencies;
+  const hasFreeSlot = loads.estimate(target.instanceId, nowMs) < target.slots;
+  if (reason !== "stalled" && !hasFreeSlot) return false;
+  // An attempt that was never sent does not make the next one a retry.
+  if (progress.isCurrentSent || progress.deliveries > 0) {
+    if (!retryBudget.trySpend(call.service, nowMs)) return false;
+    progress.isRetryPrepaid = true;
+  }
+  progress.abandon(reason);
+  return true;
+}
