Let a stream that has begun ask a full replica again

What callers saw: a stream that had lost its replica and was rejected by the only other one, as it was full at that moment, was broken off once its caller had waited, though the replica had room soon after. Cause: a replica that rejected a request counts as tried for good, as for a new request, which may be refused; a stream that has begun can't be.

--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -52,6 +52,8 @@
   readonly causes: CallCauses;
   /** Epoch of the replica at which an instance was tried, by instance. */
   readonly tried: Map<string, number>;
+  /** Time at which an instance rejected it last, by instance. */
+  readonly rejectedAtMs: Map<string, number>;
   readonly attempts: string[];
   /** Attempts that may have reached an instance. */
   deliveries: number;
@@ -100,6 +102,7 @@
   return {
     causes: new CallCauses(call),
     tried: new Map(),
+    rejectedAtMs: new Map(),
     attempts: [],
     deliveries: 0,
     possibleRuns: 0,
@@ -169,6 +172,7 @@
   }
   if (outcome.kind !== "not-run") progress.possibleRuns += 1;
   if (outcome.kind === "not-run") {
+    if (outcome.isRejected) progress.rejectedAtMs.set(instanceId, nowMs);
     loads.avoidUntil(
       instanceId,
       nowMs + (outcome.isRejected ? AVOID_REJECTING_MS : AVOID_UNREACHABLE_MS),
--- a/packages/celerytray/src/serving/interrupted_stream_test.ts
+++ b/packages/celerytray/src/serving/interrupted_stream_test.ts
@@ -61,6 +61,22 @@
     expectWhole(await answer);
   });
 
+  it("is resumed at a replica that was full when it asked first", async () => {
+    let requests = 0;
+    const backends = [await startBackend(respondAndEnd(() => {}))];
+    const entry = await startEntry({ backends, trySpend: () => true });
+    const answer = call(entry, "/stream/x");
+    backends.push(
+      await startBackend((incoming, response) => {
+        requests += 1;
+        if (requests === 1) rejectAsFull(incoming, response);
+        else respondRest(incoming, response);
+      }),
+    );
+    expectWhole(await answer);
+    expect(requests).toEqual(2);
+  });
+
   it("is resumed while a part of its prompt waits for its trial", async () => {
     const quarantine = new HoldingQuarantine();
     const backends = [
@@ -146,6 +162,13 @@
   };
 }
 
+const rejectAsFull: RequestListener = (incoming, response) => {
+  response.writeHead(503, {
+    "attempt-id": idOf(incoming),
+    "not-executed": "1",
+  }).end();
+};
+
 /** Sends the events behind the last one that the request names. */
 const respondRest: RequestListener = (incoming, response) => {
   const lastId = Number(incoming.headers["last-event-id"] ?? -1);
