Read the bodies of waiting requests at once, within their account

Cause: what waits was decided before its body was read. Now a request is read, checked and refused as it arrives, and only its first attempt waits for its turn; its body is in the account, and the line of one that is dropped names its route.

--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -1,4 +1,11 @@
-import { Clock, type Context, Effect, Fiber, type Scope } from "effect";
+import {
+  Clock,
+  type Context,
+  Deferred,
+  Effect,
+  Fiber,
+  type Scope,
+} from "effect";
 import type { RequestListener, Server } from "node:http";
 import { readSteadyMs } from "../clock/index.ts";
 import { InFlightCalls } from "../forwarding/index.ts";
@@ -12,7 +19,6 @@
 import {
   CallerExchange,
   type LocalResponse,
-  recordDroppedCall,
   serveCall,
   type ServingDependencies,
 } from "../serving/index.ts";
@@ -138,47 +144,49 @@
   const { dependencies } = options;
   const order = new RequestOrder();
   return (request, response) => {
+    const turn = Deferred.makeUnsafe<void>();
     const exchange = new CallerExchange({
       request,
       response,
       codec: dependencies.codec,
       arrivedAtMs: nowMs(),
+      turn: Deferred.await(turn),
       isClosing: () => state.isClosing,
       held: dependencies.held,
     });
-    const serve = () => {
-      if (request.headers.expect !== undefined) response.writeContinue();
-      const fiber = run(
-        serveCall(exchange, dependencies).pipe(
-          Effect.catchDefect((defect) =>
-            Effect.sync(() => {
-              dependencies.onFault(defect);
-              abortFailedCall(exchange);
-            })
-          ),
+    if (request.headers.expect !== undefined) response.writeContinue();
+    calls.begin();
+    const fiber = run(
+      serveCall(exchange, dependencies).pipe(
+        Effect.catchDefect((defect) =>
+          Effect.sync(() => {
+            dependencies.onFault(defect);
+            abortFailedCall(exchange);
+          })
         ),
-      );
-      // Node also tells of an end if a reset discards what is still to be sent.
-      let isSent = false;
-      response.on("finish", () => isSent = !request.socket.destroyed);
-      // Until then its last bytes may still have to be sent.
-      response.on("close", () => {
-        calls.end();
-        if (isSent) return;
-        if (exchange.hasEnded) {
-          const { callId } = exchange;
-          dependencies.onUnsent({ callId, reason: exchange.describeClose() });
-          return;
-        }
-        run(Fiber.interrupt(fiber));
-      });
-    };
-    const drop = () => {
+      ),
+    );
+    response.on("error", () => {});
+    // Node also tells of an end if a reset discards what is still to be sent.
+    let isSent = false;
+    response.on("finish", () => isSent = !request.socket.destroyed);
+    // Until then its last bytes may still have to be sent.
+    const handleClose = () => {
       calls.end();
-      recordDroppedCall(exchange, dependencies);
+      if (isSent) return;
+      if (exchange.hasEnded) {
+        const { callId } = exchange;
+        dependencies.onUnsent({ callId, reason: exchange.describeClose() });
+        return;
+      }
+      run(Fiber.interrupt(fiber));
     };
-    response.on("error", () => {});
-    calls.begin();
-    order.add(response, { serve, drop });
+    order.add(response, {
+      begin: () => {
+        Deferred.doneUnsafe(turn, Effect.void);
+        response.on("close", handleClose);
+      },
+      drop: handleClose,
+    });
   };
 }
--- a/packages/celerytray/src/host/pipelined_requests_test.ts
+++ b/packages/celerytray/src/host/pipelined_requests_test.ts
@@ -3,12 +3,14 @@
 import type { RequestListener, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
+import { HeldBytes } from "../serving/index.ts";
 import { openSocket, startEntry } from "./test_caller_server.ts";
 
 const LIMITED = { timeout: 5_000 };
 /** Longer than a request takes to reach the back end. */
 const SETTLE_MS = 100;
 const DEADLINE_MS = 400;
+const BODY_BYTES = 1_000;
 /** More requests than a connection may have waiting. */
 const MANY_REQUESTS = 200;
 
@@ -99,6 +101,28 @@
     },
   );
 
+  // Guards against bodies that wait outside the bound on memory, an object for
+  // each of their chunks.
+  it("have their bodies counted while they wait", LIMITED, async () => {
+    const backend = new HoldingBackend();
+    const held = new HeldBytes({
+      maxBytes: 100_000,
+      nowMs: () => 0,
+      onCut: () => {},
+    });
+    const { port } = await startEntry(backend.listener, { held });
+    const socket = openSocket(port);
+    socket.write(
+      head("first") + "POST /s/x HTTP/1.1\r\nHost: a.example\r\n" +
+        "Attempt-Id: second\r\nDeadline-Ms: 2000\r\n" +
+        "Transfer-Encoding: chunked\r\n\r\n" +
+        "1\r\na\r\n".repeat(BODY_BYTES),
+    );
+    await backend.awaitRequests(1);
+    expect(backend.ids).toEqual(["first"]);
+    expect(held.totalBytes >= BODY_BYTES).toEqual(true);
+  });
+
   it("end their connection if there are too many", LIMITED, async () => {
     const backend = new HoldingBackend();
     const { port } = await startEntry(backend.listener);
--- a/packages/celerytray/src/http/request_order.ts
+++ b/packages/celerytray/src/http/request_order.ts
@@ -4,21 +4,22 @@
 /** Requests that may wait behind another one of their connection. */
 const MAX_WAITING = 16;
 
-/** A request that is served once its connection has answered those before it. */
+/** A request that is passed on once its connection has answered those before. */
 export interface OrderedRequest {
-  readonly serve: () => void;
-  /** Called instead of `serve` if the connection ends before. */
+  /** Called when all requests before it are answered. */
+  readonly begin: () => void;
+  /** Called instead of `begin` if the connection ends before. */
   readonly drop: () => void;
 }
 
 interface Connection {
-  isServing: boolean;
+  isAnswering: boolean;
   readonly waiting: { response: ServerResponse; request: OrderedRequest }[];
 }
 
 /**
- * Serves the requests of each connection one after the other, so that none runs
- * whose connection may end with the answer to an earlier one.
+ * Lets the requests of each connection begin one after the other, so that none
+ * runs whose connection may end with the answer to an earlier one.
  */
 export class RequestOrder {
   readonly #bySocket = new WeakMap<Socket, Connection>();
@@ -29,11 +30,11 @@
     const connection = this.#bySocket.get(socket) ?? this.#open(socket);
     connection.waiting.push({ response, request });
     if (connection.waiting.length > MAX_WAITING) socket.destroy();
-    serveNext(socket, connection);
+    beginNext(socket, connection);
   }
 
   #open(socket: Socket): Connection {
-    const connection: Connection = { isServing: false, waiting: [] };
+    const connection: Connection = { isAnswering: false, waiting: [] };
     this.#bySocket.set(socket, connection);
     socket.once("close", () => {
       for (const { request } of connection.waiting.splice(0)) request.drop();
@@ -42,14 +43,14 @@
   }
 }
 
-function serveNext(socket: Socket, connection: Connection): void {
-  if (connection.isServing || !socket.writable) return;
+function beginNext(socket: Socket, connection: Connection): void {
+  if (connection.isAnswering || !socket.writable) return;
   const next = connection.waiting.shift();
   if (next === undefined) return;
-  connection.isServing = true;
+  connection.isAnswering = true;
   next.response.once("close", () => {
-    connection.isServing = false;
-    serveNext(socket, connection);
+    connection.isAnswering = false;
+    beginNext(socket, connection);
   });
-  next.request.serve();
+  next.request.begin();
 }
--- a/packages/celerytray/src/serving/exchange/caller_exchange.ts
+++ b/packages/celerytray/src/serving/exchange/caller_exchange.ts
@@ -1,3 +1,4 @@
+import type { Effect } from "effect";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallCodec, ResponseHeaders } from "../call.ts";
 import type { HeldBytes, HeldResponse } from "./held_bytes.ts";
@@ -28,6 +29,8 @@
   readonly request: IncomingMessage;
   /** Time at which the request's headers had arrived. */
   readonly arrivedAtMs: number;
+  /** Completes when all earlier requests of its connection are answered. */
+  readonly turn: Effect.Effect<void>;
   readonly #response: ServerResponse;
   readonly #codec: CallCodec;
   /** Whether connections are closed after the next response. */
@@ -42,11 +45,13 @@
     readonly response: ServerResponse;
     readonly codec: CallCodec;
     readonly arrivedAtMs: number;
+    readonly turn: Effect.Effect<void>;
     readonly isClosing: () => boolean;
     readonly held: HeldBytes;
   }) {
     this.request = options.request;
     this.arrivedAtMs = options.arrivedAtMs;
+    this.turn = options.turn;
     this.#response = options.response;
     this.#codec = options.codec;
     this.#isClosing = options.isClosing;
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -76,7 +76,7 @@
   parseLimitReport,
   type SharedLimit,
 } from "./rate_limit/index.ts";
-export { recordDroppedCall, serveCall } from "./serve_call.ts";
+export { serveCall } from "./serve_call.ts";
 export type {
   CallerLimits,
   ColdStart,
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -17,7 +17,6 @@
   LocalResponse,
 } from "./exchange/index.ts";
 import { runAttempts } from "./run_attempts.ts";
-import type { ServingConfig } from "./serving_config.ts";
 
 const NO_MEMORY_RETRY_AFTER_MS = 500;
 /** Bytes of refused bodies that are read before a configuration is known. */
@@ -101,12 +100,6 @@
     );
     const { headers } = admission;
     const call: AdmittedCall = { ...admission, body, arrivedAtMs };
-    dependencies.retryBudget.noteRequest(call.service, arrivedAtMs);
-    const source: DemandSource = {
-      model: headers.model ?? "",
-      ...(call.tenant === undefined ? {} : { tenant: call.tenant }),
-    };
-    dependencies.noteDemand(source, 1);
     const clock = yield* Clock.Clock;
     const describeCall = (summary: AttemptsSummary, endedAtMs: number) =>
       describeAttempts(call, { dependencies, summary, endedAtMs });
@@ -117,6 +110,15 @@
         outcome: "left",
         reason: exchange.describeClose(),
       });
+    yield* exchange.turn.pipe(
+      Effect.onInterrupt(() => Effect.sync(() => onLeft({ attempts: [] }))),
+    );
+    dependencies.retryBudget.noteRequest(call.service, arrivedAtMs);
+    const source: DemandSource = {
+      model: headers.model ?? "",
+      ...(call.tenant === undefined ? {} : { tenant: call.tenant }),
+    };
+    dependencies.noteDemand(source, 1);
     let end: AdmissionEnd = { isServed: false };
     const serving = Effect.gen(function* () {
       const result = yield* runAttempts({
@@ -167,41 +169,17 @@
   }
   exchange.sendLocalResponse(headers?.id, response);
   dependencies.record({
-    ...describeUnrouted(headers, config),
-    status: response.status,
-    outcome: "refused",
-    reason: response.message,
-  });
-}
-
-/** Records a request that did not run, as its connection ended before its turn. */
-export function recordDroppedCall(
-  exchange: CallerExchange,
-  { codec, index, record }: ServingDependencies,
-): void {
-  const headers = codec.decodeCall(exchange.request).toMaybe().extract();
-  record({
-    ...describeUnrouted(headers, index()?.config),
-    status: 0,
-    outcome: "left",
-    reason: exchange.describeClose(),
-  });
-}
-
-/** The fields of the record of a call that was not routed. */
-function describeUnrouted(
-  headers: CallHeaders | undefined,
-  config: Pick<ServingConfig, "version"> | undefined,
-): Omit<CallRecord, "status" | "outcome" | "reason"> {
-  return {
     callId: headers?.id ?? "",
     ...describePrompt(headers),
     route: "",
     service: "",
+    status: response.status,
+    outcome: "refused",
+    reason: response.message,
     attempts: [],
     durationMs: 0,
     configVersion: config?.version ?? 0,
-  };
+  });
 }
 
 /** Sends the final response or its end. */
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -241,6 +241,7 @@
       response,
       codec: dependencies.codec,
       arrivedAtMs: readNowMs(),
+      turn: Effect.void,
       isClosing: () => false,
       held: dependencies.held,
     });
