Test: connections that all send very small chunks at once, failing

Crowd and bound, before any change of the product: 80 connections that are open and read send bodies to no route in chunks of one byte at once; a request on a kept connection is to be answered before half of them are refused, so before they are read. No time is measured. Red: more than half were read first, as the first read of each connection comes before any turn.

--- a/packages/cli/src/local/endless_bodies_crowd_test.ts
+++ b/packages/cli/src/local/endless_bodies_crowd_test.ts
@@ -5,6 +5,8 @@
   FakePlatform,
 } from "@celerytray/fakes";
 import { expect } from "earl";
+import { once } from "node:events";
+import { Agent } from "node:http";
 import { readdir, readFile } from "node:fs/promises";
 import { connect, type Socket } from "node:net";
 import { after, afterEach, describe, it } from "node:test";
@@ -131,6 +133,32 @@
   }
 });
 
+// Guards against a process that reads all connections before it has time for any
+// other, where each read holds ten thousand chunks of a body.
+describe("connections that all send very small chunks at once", () => {
+  it("leave time for another caller", LIMITED, async () => {
+    const process = await startEntry();
+    const agent = new Agent({ keepAlive: true });
+    cleanups.push(() => agent.destroy());
+    await expectAnswer(process, agent);
+    const crowd = Array.from({ length: 80 }, () => openSocket(process));
+    await Promise.all(crowd.map((socket) => once(socket, "connect")));
+    // Any process has read these by then.
+    await expectAnswer(process, agent);
+    let refusedCount = 0;
+    for (const socket of crowd) {
+      socket.once("data", () => refusedCount += 1);
+      socket.write(
+        head({ path: OTHER_PATH, key: KEY }) + "1\r\nx\r\n".repeat(20_000),
+      );
+    }
+    await expectAnswer(process, agent);
+    expect(refusedCount <= crowd.length / 2).toEqual(true);
+    await expectServing(process);
+    await expectWithinBounds(process);
+  });
+});
+
 // Guards against callers that take all of a process's descriptors, so that
 // neither other callers nor back ends get any.
 describe("connections that send no whole request", () => {
@@ -189,6 +217,23 @@
   expect(isAlive(process)).toEqual(true);
 }
 
+/** Expects that an ordinary request on a kept connection is answered. */
+async function expectAnswer(
+  { address }: HostProcess,
+  agent: Agent,
+): Promise<void> {
+  const { status } = await callPlatform({
+    address,
+    path: fakePaths.safe,
+    callId: `kept-${performance.now()}`,
+    key: KEY,
+    prompt: "x",
+    deadlineMs: 10 * DEADLINE_MS,
+    agent,
+  });
+  expect(status).toEqual(200);
+}
+
 async function expectWithinBounds(process: HostProcess): Promise<void> {
   expect(isAlive(process)).toEqual(true);
   const folder = `/proc/${process.child.pid}`;
@@ -244,15 +289,17 @@
     });
     socket.on("close", finish);
     socket.on("drain", send);
-    socket.write(
-      `POST ${path} HTTP/1.1\r\nHost: a.example\r\n` +
-        `Attempt-Id: crowd-${sockets.length}\r\nDeadline-Ms: 20000\r\n` +
-        `X-Api-Key: ${key}\r\nTransfer-Encoding: chunked\r\n\r\n`,
-    );
+    socket.write(head({ path, key }));
     send();
   });
 }
 
+function head({ path, key }: Pick<Body, "path" | "key">): string {
+  return `POST ${path} HTTP/1.1\r\nHost: a.example\r\n` +
+    `Attempt-Id: crowd-${sockets.length}\r\nDeadline-Ms: 20000\r\n` +
+    `X-Api-Key: ${key}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+}
+
 function openSocket({ address }: HostProcess): Socket {
   const [host, port] = address.split(":");
   const socket = connect(Number(port), host);
