Read the first bytes of connections in turn once one brings many chunks

What callers saw: while 400 connections sent bodies in chunks of one byte at once, ordinary requests got no answer for 10 s and more, also on kept connections (trial by hand with a machine of 350 MB on, one kept and one new connection a second for 5 s: 7 of 10 without an answer in 10 s). Cause: the first read of a connection came before any turn and may hold ten thousand chunks; Node accepts one connection a turn, so new callers waited behind the whole crowd. Class: a peer decides how long we work for it before anyone else has a turn.

Now such a read suspends all connections of the server that are not being answered: those that had an answer are read in each turn, of the others the newest, and waiting connections are accepted before the next long read.

--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -83,6 +83,7 @@
       requestTimeoutMs: REQUEST_TIMEOUT_MS,
       maxHeaderBytes: options.maxHeaderBytes,
       handlesContinue: true,
+      readsInTurn: true,
       ...(options.connections === undefined
         ? {}
         : { connections: options.connections }),
--- a/packages/celerytray/src/http/listen.ts
+++ b/packages/celerytray/src/http/listen.ts
@@ -8,6 +8,7 @@
   type ConnectionLimitOptions,
 } from "./connection_limit.ts";
 import { OpenResponses } from "./open_responses.ts";
+import { readConnectionInTurn, trackAnswers } from "./read_turns.ts";
 
 /** Options of a listening server. */
 export interface ListenOptions {
@@ -24,6 +25,8 @@
     ConnectionLimitOptions,
     "maxConnections" | "onClosed"
   >;
+  /** Whether connections that bring many small chunks are read in turn. */
+  readonly readsInTurn?: boolean;
   /** Whether the handler itself sends `100 Continue`. */
   readonly handlesContinue?: boolean;
   /** By default an address that another process holds is a failure. */
@@ -114,13 +117,17 @@
       ...options.connections,
       isServed: (socket) => responses.isServed(socket),
     });
-    const handler = responses.track(limit.track(options.handler));
+    const handler = responses.track(limit.track(trackAnswers(options.handler)));
     const server = createServer({
       headersTimeout: options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS,
       requestTimeout: options.requestTimeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS,
       maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
     }, handler);
-    server.on("connection", (socket) => limit.add(socket));
+    server.on("connection", (socket) => {
+      limit.add(socket);
+      if (options.readsInTurn !== true) return;
+      readConnectionInTurn(socket, () => responses.isServed(socket));
+    });
     if (options.handlesContinue === true) server.on("checkContinue", handler);
     server.on(
       "clientError",
--- a/packages/celerytray/src/http/read_turns_test.ts
+++ b/packages/celerytray/src/http/read_turns_test.ts
@@ -45,7 +45,7 @@
     const states: boolean[][] = [];
     for (let turn = 0; turn < 3; turn++) {
       states.push(sockets.map(({ isPaused }) => isPaused));
-      await new Promise((resolve) => setImmediate(resolve));
+      await nextTurn();
     }
     states.push(sockets.map(({ isPaused }) => isPaused));
     expect(states.map((paused) => paused.filter(Boolean).length))
@@ -60,6 +60,43 @@
     expect(socket.isPaused).toEqual(true);
   });
 
+  // Guards against a turn in which each of many connections brings ten thousand
+  // chunks, so that nobody else is served.
+  it("reads connections with an answer, and the newest, before the others", async () => {
+    const turns = new ReadTurns();
+    const [long, oldest, answered, served, newest] = [1, 2, 3, 4, 5].map(() =>
+      new TestSocket()
+    ) as [TestSocket, TestSocket, TestSocket, TestSocket, TestSocket];
+    const sockets = [oldest, answered, served, newest];
+    for (const socket of [long, ...sockets]) {
+      turns.add(socket.asTurnSocket(), () => socket === served);
+    }
+    turns.noteAnswered(answered.asTurnSocket());
+    turns.wait(long.asTurnSocket(), 256);
+    const states = [sockets.map(({ isPaused }) => isPaused)];
+    for (let turn = 0; turn < 2; turn++) {
+      await nextTurn();
+      states.push(sockets.map(({ isPaused }) => isPaused));
+    }
+    expect(states).toEqual([
+      [true, true, false, true],
+      [true, false, false, false],
+      [false, false, false, false],
+    ]);
+  });
+
+  it("accepts those that connect before it reads another long body", async () => {
+    const turns = new ReadTurns();
+    const [long, next] = [new TestSocket(), new TestSocket()];
+    turns.add(long.asTurnSocket(), () => false);
+    turns.wait(long.asTurnSocket(), 256);
+    turns.add(next.asTurnSocket(), () => false);
+    await nextTurn();
+    expect([long.isPaused, next.isPaused]).toEqual([true, true]);
+    await nextTurn();
+    expect([long.isPaused, next.isPaused]).toEqual([false, false]);
+  });
+
   it("closes the connection with the most chunks if too many wait", () => {
     const turns = new ReadTurns();
     const sockets = Array.from(
@@ -128,3 +165,7 @@
     server.close();
   });
 });
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
