Split the handler of callers' requests and the wait for a trial

No change of behaviour: serving with its faults, what tells whether a response was sent, and whether a held part may be awaited stand in functions of their own.

--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -6,7 +6,7 @@
   Fiber,
   type Scope,
 } from "effect";
-import type { RequestListener, Server } from "node:http";
+import type { RequestListener, Server, ServerResponse } from "node:http";
 import { readSteadyMs } from "../clock/index.ts";
 import { InFlightCalls } from "../forwarding/index.ts";
 import {
@@ -129,15 +129,6 @@
   readonly context: Context.Context<never>;
 }
 
-/**
- * Ends a request after an unexpected error. The request may have been executed.
- */
-function abortFailedCall(exchange: CallerExchange): void {
-  if (exchange.hasEnded) return;
-  if (exchange.hasStarted) exchange.abort();
-  else exchange.sendLocalResponse(undefined, INTERNAL_ERROR_RESPONSE);
-}
-
 function createHandler(
   { options, calls, state, nowMs, context }: HandlerOptions,
 ): RequestListener {
@@ -157,24 +148,13 @@
     });
     if (request.headers.expect !== undefined) response.writeContinue();
     calls.begin();
-    const fiber = run(
-      serveCall(exchange, dependencies).pipe(
-        Effect.catchDefect((defect) =>
-          Effect.sync(() => {
-            dependencies.onFault(defect);
-            abortFailedCall(exchange);
-          })
-        ),
-      ),
-    );
+    const fiber = run(serveExchange(exchange, dependencies));
     response.on("error", () => {});
-    // Node also tells of an end if a reset discards what is still to be sent.
-    let isSent = false;
-    response.on("finish", () => isSent = !request.socket.destroyed);
+    const isSent = watchSending(response);
     // Until then its last bytes may still have to be sent.
     const handleClose = () => {
       calls.end();
-      if (isSent) return;
+      if (isSent()) return;
       if (exchange.hasEnded) {
         const { callId } = exchange;
         dependencies.onUnsent({ callId, reason: exchange.describeClose() });
@@ -191,3 +171,35 @@
     });
   };
 }
+
+/** Serves a request, and ends it after an unexpected error. */
+function serveExchange(
+  exchange: CallerExchange,
+  dependencies: ServingDependencies,
+): Effect.Effect<void> {
+  return serveCall(exchange, dependencies).pipe(
+    Effect.catchDefect((defect) =>
+      Effect.sync(() => {
+        dependencies.onFault(defect);
+        abortFailedCall(exchange);
+      })
+    ),
+  );
+}
+
+/** Ends a request that failed unexpectedly and may have been executed. */
+function abortFailedCall(exchange: CallerExchange): void {
+  if (exchange.hasEnded) return;
+  if (exchange.hasStarted) exchange.abort();
+  else exchange.sendLocalResponse(undefined, INTERNAL_ERROR_RESPONSE);
+}
+
+/** Returns what tells whether all of a response was sent. */
+function watchSending(response: ServerResponse): () => boolean {
+  let isSent = false;
+  response.on("finish", () => {
+    // Node also tells of an end if a reset discards what is still to be sent.
+    isSent = !response.req.socket.destroyed;
+  });
+  return () => isSent;
+}
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -60,10 +60,8 @@
       const nowMs = yield* steadyMs;
       const quarantineRefusal = findQuarantineRefusal(options, progress, nowMs);
       if (quarantineRefusal !== undefined) {
-        const leavesAtMs = quarantineRefusal.kind === "held"
-          ? findLeavingTime(options, progress, startedAtMs)
-          : undefined;
-        if (nowMs >= (leavesAtMs ?? nowMs)) {
+        const leavesAtMs = findLeavingTime(options, progress, startedAtMs);
+        if (!mayAwaitTrial(quarantineRefusal, { leavesAtMs, nowMs })) {
           return { kind: "quarantined", refusal: quarantineRefusal };
         }
         yield* Effect.sleep(POLL_INTERVAL_MS);
@@ -152,6 +150,18 @@
   return isTrial ? undefined : verdict;
 }
 
+/** Whether a held part may be cleared by its trial before the caller leaves. */
+function mayAwaitTrial(
+  { kind }: QuarantineRefusal,
+  { leavesAtMs, nowMs }: {
+    /** Undefined if no stream to the caller has begun. */
+    readonly leavesAtMs: number | undefined;
+    readonly nowMs: number;
+  },
+): boolean {
+  return kind === "held" && leavesAtMs !== undefined && nowMs < leavesAtMs;
+}
+
 /** Whether a response to the caller has begun, or an attempt was made. */
 function hasBegun(
   { exchange }: AttemptsOptions,
