Serve the calls of a connection one after the other on the own data plane, too

The same cause as for callers of the host: calls behind one another on a connection ran side by side. The start of foreign_stream_bytes_test's entry moves to a file of its own, unchanged.

--- a/packages/celerytray/src/forwarding/caller_handler.ts
+++ b/packages/celerytray/src/forwarding/caller_handler.ts
@@ -1,4 +1,4 @@
-import { Clock, type Context, Effect, Fiber } from "effect";
+import { Clock, type Context, Deferred, Effect, Fiber } from "effect";
 import type {
   IncomingMessage,
   RequestListener,
@@ -6,7 +6,7 @@
 } from "node:http";
 import { randomUUID } from "node:crypto";
 import { fromEither } from "../errors/index.ts";
-import { discardRequest, readBody } from "../http/index.ts";
+import { discardRequest, readBody, RequestOrder } from "../http/index.ts";
 import { authenticate } from "./authenticate.ts";
 import type { CallContext, ForwardingDependencies } from "./call_context.ts";
 import { callPlainService } from "./call_plain_service.ts";
@@ -42,13 +42,28 @@
   runtime: Context.Context<never>,
 ): RequestListener {
   const run = Effect.runForkWith(runtime);
+  const order = new RequestOrder();
   return (request, response) => {
     if (handleProbe(request, { response, dependencies })) return;
     dependencies.calls.begin();
-    const fiber = run(serveCall(request, { response, dependencies }));
-    response.on("close", () => {
+    const turn = Deferred.makeUnsafe<void>();
+    const fiber = run(
+      serveCall(request, {
+        response,
+        dependencies,
+        turn: Deferred.await(turn),
+      }),
+    );
+    const handleClose = () => {
       if (!response.writableFinished) run(Fiber.interrupt(fiber));
       fiber.addObserver(() => dependencies.calls.end());
+    };
+    order.add(response, {
+      begin: () => {
+        Deferred.doneUnsafe(turn, Effect.void);
+        response.on("close", handleClose);
+      },
+      drop: handleClose,
     });
   };
 }
@@ -72,15 +87,21 @@
   return true;
 }
 
+interface OrderedExchange extends Exchange {
+  /** Completes when all earlier requests of its connection are answered. */
+  readonly turn: Effect.Effect<void>;
+}
+
 function serveCall(
   request: IncomingMessage,
-  exchange: Exchange,
+  exchange: OrderedExchange,
 ): Effect.Effect<void> {
   const { response, dependencies } = exchange;
   const requestId = `req-${randomUUID()}`;
   response.setHeader("x-request-id", requestId);
   const served = Effect.gen(function* () {
     const context = yield* admitCall(request, { ...exchange, requestId });
+    yield* exchange.turn;
     yield* dependencies.recordEvent("request.admitted", { requestId });
     yield* dispatch(context, dependencies);
     yield* dependencies.recordEvent("request.finished", { requestId });
--- a/packages/celerytray/src/forwarding/foreign_stream_bytes_test.ts
+++ b/packages/celerytray/src/forwarding/foreign_stream_bytes_test.ts
@@ -1,35 +1,17 @@
 import { expect } from "earl";
-import { type ConfigSet } from "@celerytray/schema";
-import { Context, Effect } from "effect";
-import { createHash } from "node:crypto";
-import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
-import { Right } from "purify-ts";
-import { after, describe, it } from "node:test";
-import { CallSlots } from "../admission/index.ts";
-import { createAttemptState } from "../entry/entry_attempts.ts";
+import { describe, it } from "node:test";
 import {
   createRawResponse,
   FOREIGN_BYTES,
   startRawServer,
 } from "../http/test_raw_server.ts";
-import { createCallerHandler } from "./caller_handler.ts";
-import { InFlightCalls } from "./in_flight_calls.ts";
+import { KEY, startCallerEntry } from "./test_caller_entry.ts";
 
-const KEY = "key-1";
 const TOKENS = [0, 1, 2, 3];
 const LAST_TOKEN = 3;
 const LAST_CHUNK = "0\r\n\r\n";
 const NO_CHUNK_SIZE = "zz\r\n";
 const SETTLE_MS = 50;
-const servers: Server[] = [];
-
-after(() => {
-  for (const server of servers) {
-    server.close();
-    server.closeAllConnections();
-  }
-});
 
 describe("a stream of tokens and foreign bytes, in one read", () => {
   // Guards against a second run of a request whose complete answer had arrived.
@@ -91,68 +73,14 @@
 ) {
   const engine = await startRawServer(respond);
   const events: string[] = [];
-  const handler = createCallerHandler({
-    ...createAttemptState(),
-    availabilityZone: ZONE,
-    maxBodyBytes: 65_536,
-    router: {
-      choose: (replicas, { excludedIds }) =>
-        replicas.find(({ replicaId }) => excludedIds?.has(replicaId) !== true),
-    },
-    admission: { admit: () => Right(undefined) },
-    slots: new CallSlots({ slotCountOf: () => undefined }),
-    claims: {
-      claim: () => Effect.never,
-      recordOutcome: () => Effect.void,
-    },
-    calls: new InFlightCalls(),
-    config: () => CONFIG,
-    notReadyReason: () => undefined,
-    listReadyReplicas: () =>
-      replicaIds.map((replicaId) => ({
-        replicaId,
-        fencingNumber: 1,
-        headAddress: engine.address,
-        availabilityZone: ZONE,
-        reportedRequests: 0,
-        sentSinceReport: 0,
-      })),
-    listPlainInstances: () => [],
-    noteSent: () => {},
-    noteOutcome: () => {},
-    recordEvent: (kind) =>
-      Effect.sync(() => {
-        if (kind.startsWith("attempt.")) events.push(kind);
-      }),
-  }, Context.empty());
-  const server = createServer(handler);
-  servers.push(server);
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
+  const { port } = await startCallerEntry({
+    engineAddress: engine.address,
+    replicaIds,
+    onAttemptEvent: (kind) => events.push(kind),
+  });
   return { ask: () => ask(port), requests: engine.requests, events };
 }
 
-const ZONE = "z";
-const CONFIG = {
-  availabilityZones: { [ZONE]: {} },
-  deployments: { local: { displayName: "Local", weighting: "group-downtime" } },
-  services: {
-    drafter: {
-      kind: "model",
-      deployment: "local",
-      replicaCount: 2,
-      instancesPerReplica: 1,
-      model: "test",
-    },
-  },
-  organisations: {
-    owner: {
-      apiKeySha256: [createHash("sha256").update(KEY).digest("hex")],
-      services: ["drafter"],
-    },
-  },
-} as ConfigSet;
-
 async function ask(port: number) {
   const response = await fetch(
     `http://127.0.0.1:${port}/v1/chat/completions`,
