--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -165,7 +165,7 @@
       if (isSent()) return;
       if (exchange.hasEnded) {
         const { callId } = exchange;
-        dependencies.onUnsent({ callId, reason: exchange.describeClose() });
+        dependencies.onUnsent({ callId, ...exchange.describeClose() });
         return;
       }
       run(Fiber.interrupt(fiber));
@@ -189,12 +189,34 @@
     Effect.catchDefect((defect) =>
       Effect.sync(() => {
         dependencies.onFault(defect);
+        recordFailedCall(exchange, dependencies);
         abortFailedCall(exchange);
       })
     ),
   );
 }
 
+/** Records the end of a request that failed unexpectedly. */
+function recordFailedCall(
+  exchange: CallerExchange,
+  { record, index }: ServingDependencies,
+): void {
+  const hasBegun = exchange.hasStarted;
+  record({
+    callId: exchange.callId,
+    route: "",
+    service: "",
+    status: INTERNAL_ERROR_RESPONSE.status,
+    outcome: hasBegun ? "broken-off" : "failed",
+    cause: "fault",
+    hasBegun,
+    reason: INTERNAL_ERROR_RESPONSE.message,
+    attempts: [],
+    durationMs: 0,
+    configVersion: index()?.config.version ?? 0,
+  });
+}
+
 /** Ends a request that failed unexpectedly and may have been executed. */
 function abortFailedCall(exchange: CallerExchange): void {
   if (exchange.hasEnded) return;
--- a/packages/celerytray/src/host/caller_server_test.ts
+++ b/packages/celerytray/src/host/caller_server_test.ts
@@ -232,10 +232,8 @@
       await once(socket, "data");
       close(socket, held.last!);
       while (records.length === 0) await pause();
-      expect(records.map(({ reason }) => reason)).toEqual([
-        close === closeByCaller
-          ? "The caller closed the connection"
-          : "This process closed the connection",
+      expect(records.map(({ cause }) => cause)).toEqual([
+        close === closeByCaller ? "caller-left" : "memory",
       ]);
     }
   });
--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -30,6 +30,7 @@
   REQUEST_TIMEOUT_MS,
 } from "./caller_server.ts";
 import { createRelayHandler } from "./relay_handler.ts";
+import { createEndCounters } from "./count_ends.ts";
 import { countStoreCalls } from "./count_store_calls.ts";
 import { countLateEvents } from "./count_late_events.ts";
 import { countMalformedHeaders } from "./count_malformed_headers.ts";
@@ -106,6 +107,7 @@
       metrics,
       record,
     });
+    const ends = createEndCounters(metrics);
     const demand = new OwnDemand();
     const links = new BackendLinks();
     const quarantine = createQuarantine({ settings, metrics, record });
@@ -216,6 +218,7 @@
       }),
       isReportedSilent: (headId) =>
         coordinator.listSilentHeads().includes(headId),
+      isClosing: (headId) => coordinator.listClosedHeads().includes(headId),
       findExclusionReason: (service, homes) =>
         targets.findExclusionReason(service, homes),
       links,
@@ -248,12 +251,15 @@
         view.noteLeaving(createIncarnation(instanceId, bornAtMs)),
       onBackoff: (backoff) => record("instance.backoff", { ...backoff }),
       onMalformedHeaders: countMalformedHeaders({ metrics, record }),
+      onAttemptEnded: ends.onAttemptEnded,
       onLateEvent: countLateEvents({ metrics, record }),
       onUnsent: (unsent) => record("caller.unsent", { ...unsent }),
       onFault: (defect) =>
         recordFault({ name: "serving of a request", record }, defect),
-      record: (call) =>
-        recordCall(call, { journal, metrics, known: () => view.known }),
+      record: (call) => {
+        ends.countCall(call);
+        recordCall(call, { journal, metrics, known: () => view.known });
+      },
     };
     const callers = yield* createCallerServer({
       address: settings.callerAddress,
--- a/packages/celerytray/src/host/record_call.ts
+++ b/packages/celerytray/src/host/record_call.ts
@@ -29,6 +29,9 @@
   const isPlain = call.attempts.length <= 1 &&
     (call.outcome === "streamed" ||
       (call.outcome === "answered" && call.status < 400));
+  const isCut = call.outcome === "broken-off" || call.cause === "memory" ||
+    (call.hasBegun === true && call.outcome === "left" &&
+      call.cause !== "caller-left");
   const { promptParts, ...others } = call;
   const fields = { ...others, known: describeKnown(known()) };
   journal.record(
@@ -36,7 +39,7 @@
     isPlain || promptParts === undefined
       ? fields
       : { ...fields, promptParts: [...promptParts] },
-    isPlain ? "routine" : "notable",
+    isCut ? "cut" : isPlain ? "routine" : "notable",
   );
   metrics.recordRequest({ ...call, attempts: call.attempts.length });
 }
--- a/packages/celerytray/src/http/connection_limit.ts
+++ b/packages/celerytray/src/http/connection_limit.ts
@@ -1,5 +1,6 @@
 import type { RequestListener } from "node:http";
 import type { Socket } from "node:net";
+import { closeConnection } from "./close_connection.ts";
 
 /** Options of a bound on connections. */
 export interface ConnectionLimitOptions {
@@ -49,7 +50,7 @@
       if (this.#options.isServed(socket)) continue;
       this.#sockets.delete(socket);
       this.#options.onClosed();
-      socket.destroy();
+      closeConnection(socket, "too-many-connections");
       return;
     }
   }
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -6,6 +6,12 @@
   type RequestJsonOptions,
 } from "./request_json.ts";
 export { ByteCollector } from "./byte_collector.ts";
+export {
+  closeConnection,
+  type ConnectionEnd,
+  findConnectionEnd,
+  noteConnectionEnd,
+} from "./close_connection.ts";
 export { BackendPools } from "./backend_pools.ts";
 export { PooledFetch, type PooledRequest } from "./pooled_fetch.ts";
 export {
--- a/packages/celerytray/src/http/open_responses.ts
+++ b/packages/celerytray/src/http/open_responses.ts
@@ -1,5 +1,6 @@
 import type { RequestListener, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { closeConnection } from "./close_connection.ts";
 
 const DEFAULT_REFUSAL = "400 Bad Request";
 const REFUSALS: Readonly<Record<string, string>> = {
@@ -48,10 +49,14 @@
     }
     const startBytes = this.#foreignFrom.get(socket) ?? socket.bytesRead;
     const isConnected = socket.writable && !socket.readableEnded;
-    if (!isConnected || socket.bytesRead - startBytes > MAX_FOREIGN_BYTES) {
+    if (!isConnected) {
       socket.destroy(error);
       return;
     }
+    if (socket.bytesRead - startBytes > MAX_FOREIGN_BYTES) {
+      closeConnection(socket, "foreign-bytes", error);
+      return;
+    }
     // Each further read of such a connection is an error too.
     if (this.#foreignFrom.has(socket)) return;
     this.#foreignFrom.set(socket, startBytes);
--- a/packages/celerytray/src/http/read_turns.ts
+++ b/packages/celerytray/src/http/read_turns.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, RequestListener } from "node:http";
 import type { Socket } from "node:net";
+import { closeConnection } from "./close_connection.ts";
 
 /** Chunks of a body after which other connections have their turn. */
 const CHUNKS_PER_TURN = 256;
@@ -154,7 +155,7 @@
     }
     if (greatest === undefined) return;
     release(greatest, this.#waiting);
-    greatest.destroy();
+    closeConnection(greatest, "slow-body");
   }
 }
 
--- a/packages/celerytray/src/http/request_order.ts
+++ b/packages/celerytray/src/http/request_order.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { closeConnection } from "./close_connection.ts";
 
 /** Requests that may wait behind another one of their connection. */
 const MAX_WAITING = 16;
@@ -29,7 +30,9 @@
     const { socket } = response.req;
     const connection = this.#bySocket.get(socket) ?? this.#open(socket);
     connection.waiting.push({ response, request });
-    if (connection.waiting.length > MAX_WAITING) socket.destroy();
+    if (connection.waiting.length > MAX_WAITING) {
+      closeConnection(socket, "too-many-waiting");
+    }
     beginNext(socket, connection);
   }
 
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -7,6 +7,7 @@
   type LocalResponse,
 } from "./exchange/index.ts";
 import type { ServingTarget } from "./choose_target.ts";
+import type { AttemptEnd, EndCause } from "./end_cause.ts";
 import type { AbandonReason } from "./stall_detector.ts";
 import type { RetryPolicy } from "./serving_config.ts";
 import { CallCauses } from "./quarantine/index.ts";
@@ -23,6 +24,7 @@
     | { readonly kind: "streamed" }
     | {
       readonly kind: "given-up";
+      readonly cause: EndCause;
       readonly response: LocalResponse;
       readonly hasStarted: boolean;
     }
@@ -168,6 +170,9 @@
   const events = progress.stream.describeLastTurn();
   progress.attempts.push(`${instanceId} ${describeOutcome(outcome)}${events}`);
   if (outcome.kind === "not-run" && outcome.isWithheld) return;
+  const isClosing = options.dependencies.isClosing(instanceId);
+  const end = findAttemptEnd(outcome, isClosing);
+  if (end !== undefined) options.dependencies.onAttemptEnded(end);
   if (outcome.kind !== "not-run") progress.mayHaveRun = true;
   if (
     outcome.kind === "lost" && outcome.isStaleConnection &&
@@ -202,6 +207,28 @@
   });
 }
 
+/** How an attempt ended; undefined if it brought a whole answer. */
+function findAttemptEnd(
+  outcome: AttemptOutcome,
+  isClosing: boolean,
+): AttemptEnd | undefined {
+  switch (outcome.kind) {
+    case "streamed":
+      return undefined;
+    case "answered":
+      return outcome.headers.status >= SERVER_ERROR_STATUS
+        ? "error"
+        : undefined;
+    case "not-run":
+      return outcome.isRejected ? "rejected" : "unreachable";
+    case "lost":
+      if (outcome.abandonReason !== undefined) {
+        return `moved-${outcome.abandonReason}`;
+      }
+      return isClosing ? "lost-closing" : "lost";
+  }
+}
+
 /** Whether an instance's error response may be retried. */
 export function mayRetryResponse(
   options: AttemptsOptions,
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -8,6 +8,7 @@
   SuspectLoad,
 } from "./quarantine/index.ts";
 import type { InstanceLimits } from "./rate_limit/index.ts";
+import type { AttemptEnd, CloseCause, EndCause } from "./end_cause.ts";
 import type { ColdRateLimiter } from "./cold_rate_limiter.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { HeldBytes } from "./exchange/index.ts";
@@ -51,6 +52,8 @@
   ) => ExclusionReason | undefined;
   /** Whether the leader finds a member of a head's replica silent. */
   readonly isReportedSilent: (headId: string) => boolean;
+  /** Whether the leader dissolves a head's replica. */
+  readonly isClosing: (headId: string) => boolean;
   readonly loads: LoadTracker;
   /** Limits the requests that this process sends to cold instances. */
   readonly coldLimiter: ColdRateLimiter;
@@ -93,6 +96,8 @@
   readonly onBackoff: (backoff: RequestedBackoff) => void;
   /** Called when a response header cannot be parsed. */
   readonly onMalformedHeaders: (instanceId: string, message: string) => void;
+  /** Counts an attempt that brought no whole answer. */
+  readonly onAttemptEnded: (end: AttemptEnd) => void;
   /** Called with the first event that arrives after its attempt has ended. */
   readonly onLateEvent: (event: LateEvent) => void;
   /** Called if a connection closes before all of an ended response is sent. */
@@ -137,6 +142,7 @@
   readonly callId: string;
   /** Who closed the connection. */
   readonly reason: string;
+  readonly cause: CloseCause;
 }
 
 /** An event that arrived after its attempt had ended. */
@@ -163,6 +169,12 @@
     | "broken-off"
     | "left";
   readonly reason?: string;
+  /** Absent if the caller got a whole answer, as far as this process knows. */
+  readonly cause?: EndCause;
+  /** Whether a stream to the caller had begun; absent from whole answers. */
+  readonly hasBegun?: boolean;
+  /** Time left until the deadline; absent from whole answers and refusals. */
+  readonly remainingMs?: number;
   readonly attempts: readonly string[];
   readonly durationMs: number;
   readonly firstByteMs?: number;
--- a/packages/celerytray/src/serving/conclude_call.ts
+++ b/packages/celerytray/src/serving/conclude_call.ts
@@ -4,6 +4,7 @@
   type AttemptsResult,
   summarize,
 } from "./attempt_progress.ts";
+import type { EndCause } from "./end_cause.ts";
 import type { LocalResponse } from "./exchange/index.ts";
 import { STOPPING_RETRY_AFTER_MS } from "./graceful_stop.ts";
 import {
@@ -20,6 +21,11 @@
 /** Retry-After of a request without any attempt. */
 const NO_REPLICA_RETRY_AFTER_MS = 800;
 
+const WAIT_MESSAGES: Readonly<Record<"cold" | "limited", string>> = {
+  cold: "Every back end is cold",
+  limited: "Every back end has reached the request rate that it allows",
+};
+
 /** Refuses a request that would start too late on every replica. */
 export function refuseAsFull(
   { exchange }: AttemptsOptions,
@@ -27,6 +33,7 @@
 ): AttemptsResult {
   return {
     kind: "given-up",
+    cause: "full",
     response: {
       status: 503,
       message: "Every replica is full; the request was not run",
@@ -44,6 +51,7 @@
   backoffMs: number,
 ): AttemptsResult {
   return conclude(options, progress, {
+    cause: "backing-off",
     message: "Every back end requested a back-off",
     unknownStatus: 502,
     retryAfterMs: backoffMs,
@@ -54,15 +62,16 @@
 export function refuseBeforeTurn(
   options: AttemptsOptions,
   progress: AttemptProgress,
-  { message, waitMs, nowMs }: {
-    readonly message: string;
+  { cause, waitMs, nowMs }: {
+    readonly cause: "cold" | "limited";
     readonly waitMs: number;
     readonly nowMs: number;
   },
 ): AttemptsResult {
   const remainingMs = Math.max(0, options.call.deadlineAtMs - nowMs);
   return conclude(options, progress, {
-    message,
+    cause,
+    message: WAIT_MESSAGES[cause],
     unknownStatus: 502,
     retryAfterMs: Math.min(waitMs, remainingMs * RETRY_AFTER_FRACTION),
   });
@@ -75,6 +84,7 @@
   retryAfterMs: number,
 ): AttemptsResult {
   return conclude(options, progress, {
+    cause: "queue",
     message: "No replica is free before the request's deadline",
     unknownStatus: 502,
     retryAfterMs,
@@ -88,6 +98,7 @@
   retryAfterMs: number,
 ): AttemptsResult {
   return conclude(options, progress, {
+    cause: "no-replica",
     message: "The model has no ready replica",
     unknownStatus: 502,
     retryAfterMs,
@@ -101,6 +112,7 @@
   refusal: QuarantineRefusal,
 ): AttemptsResult {
   return conclude(options, progress, {
+    cause: "quarantine",
     ...describeQuarantineRefusal(refusal),
     unknownStatus: 502,
   });
@@ -108,11 +120,25 @@
 
 /** Ends a call for which no further attempt is possible. */
 export function giveUp(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  { cause, message }: Pick<Conclusion, "cause" | "message">,
+): AttemptsResult {
+  return conclude(options, progress, { cause, message, unknownStatus: 502 });
+}
+
+/** Ends a call for which no further attempt is allowed after the last one. */
+export function giveUpAfterLast(
   options: AttemptsOptions,
   progress: AttemptProgress,
   message: string,
 ): AttemptsResult {
-  return conclude(options, progress, { message, unknownStatus: 502 });
+  const cause = !progress.stream.isResumable
+    ? "not-resumable"
+    : options.call.route.retryPolicy === "once"
+    ? "not-repeatable"
+    : "attempts";
+  return giveUp(options, progress, { cause, message });
 }
 
 /** Ends a call whose deadline has passed. */
@@ -120,8 +146,13 @@
   options: AttemptsOptions,
   progress: AttemptProgress,
 ): AttemptsResult {
-  const message = "The request's deadline has passed";
-  return conclude(options, progress, { message, unknownStatus: 504 });
+  const { route, arrivedAtMs, deadlineAtMs } = options.call;
+  const isRouteTimeout = deadlineAtMs >= arrivedAtMs + route.timeoutMs;
+  return conclude(options, progress, {
+    cause: isRouteTimeout ? "route-timeout" : "caller-timeout",
+    message: "The request's deadline has passed",
+    unknownStatus: 504,
+  });
 }
 
 /**
@@ -133,6 +164,7 @@
   progress: AttemptProgress,
 ): AttemptsResult {
   return conclude(options, progress, {
+    cause: "stop",
     message: "This process is stopping",
     unknownStatus: 502,
     retryAfterMs: STOPPING_RETRY_AFTER_MS,
@@ -140,6 +172,7 @@
 }
 
 interface Conclusion {
+  readonly cause: EndCause;
   readonly message: string;
   /** Status if the request may have run. */
   readonly unknownStatus: number;
@@ -151,7 +184,7 @@
 function conclude(
   { call, exchange }: AttemptsOptions,
   progress: AttemptProgress,
-  { message, unknownStatus, ...conclusion }: Conclusion,
+  { cause, message, unknownStatus, ...conclusion }: Conclusion,
 ): AttemptsResult {
   if (progress.failure !== undefined && !exchange.hasStarted) {
     return {
@@ -176,6 +209,7 @@
     };
   return {
     kind: "given-up",
+    cause,
     response,
     hasStarted: exchange.hasStarted,
     ...summarize(progress),
--- a/packages/celerytray/src/serving/conclude_relay.ts
+++ b/packages/celerytray/src/serving/conclude_relay.ts
@@ -8,7 +8,7 @@
   summarize,
 } from "./attempt_progress.ts";
 import type { ResponseHeaders } from "./call.ts";
-import { giveUp } from "./conclude_call.ts";
+import { giveUpAfterLast } from "./conclude_call.ts";
 import type { AttemptOutcome, LocalResponse } from "./exchange/index.ts";
 import type { Gateway } from "./relay/index.ts";
 
@@ -67,7 +67,7 @@
       discardAgent(gateway.peerAddress);
       return mayAttemptAgain(options, progress)
         ? undefined
-        : giveUp(options, progress, describeOutcome(outcome));
+        : giveUpAfterLast(options, progress, describeOutcome(outcome));
   }
 }
 
@@ -102,7 +102,7 @@
   // It can't continue a stream that has begun.
   if (options.exchange.hasStarted) {
     const message = describeOutcome({ kind: "answered", headers, body });
-    return giveUp(options, progress, message);
+    return giveUpAfterLast(options, progress, message);
   }
   return { kind: "answered", headers, body, ...summarize(progress) };
 }
@@ -123,9 +123,10 @@
   }
   notePossibleRuns(progress, attemptsLeft);
   if (mayAttemptAgain(options, progress)) return undefined;
-  if (exchange.hasStarted) return giveUp(options, progress, message);
+  if (exchange.hasStarted) return giveUpAfterLast(options, progress, message);
   return {
     kind: "given-up",
+    cause: "gateway",
     response: createLocalResponse(headers, message),
     hasStarted: false,
     ...summarize(progress),
--- a/packages/celerytray/src/serving/create_test_dependencies.ts
+++ b/packages/celerytray/src/serving/create_test_dependencies.ts
@@ -60,6 +60,7 @@
     prompts: new PromptBacklog(),
     quarantine: createTestQuarantine(),
     suspectLoad: new SuspectLoad(),
+    isClosing: () => false,
     aliveCheck: { isAlive: () => Effect.succeed(false) },
     limits: new InstanceLimits({
       nodeId: "p",
@@ -105,6 +106,7 @@
     onBackoff: () => {},
     onMalformedHeaders: () => {},
     onLateEvent: () => {},
+    onAttemptEnded: () => {},
     onUnsent: () => {},
     ...overrides,
   };
--- a/packages/celerytray/src/serving/exchange/caller_exchange.ts
+++ b/packages/celerytray/src/serving/exchange/caller_exchange.ts
@@ -1,6 +1,12 @@
 import type { Effect } from "effect";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type ConnectionEnd,
+  findConnectionEnd,
+  noteConnectionEnd,
+} from "../../http/index.ts";
 import type { CallCodec, ResponseHeaders } from "../call.ts";
+import type { CloseCause } from "../end_cause.ts";
 import type { RelayedCall } from "../relay/index.ts";
 import type { HeldBytes, HeldResponse } from "./held_bytes.ts";
 
@@ -22,6 +28,14 @@
  */
 const MAX_PAUSE_MS = 1_500;
 
+const CONNECTION_END_MESSAGES: Readonly<Record<ConnectionEnd, string>> = {
+  "memory": "The bytes held for callers reached their bound",
+  "foreign-bytes": "Too many bytes followed the request that are part of none",
+  "too-many-waiting": "Too many requests waited behind one another",
+  "slow-body": "The body came in the most chunks of all",
+  "too-many-connections": "Another connection needed the room",
+};
+
 /** Bytes that a paused stream may buffer besides: one read of its connection. */
 const PAUSED_READ_BYTES = 64 * 1024;
 
@@ -94,13 +108,24 @@
       !socket.readableEnded;
   }
 
-  /** Who closed the connection, for logs. */
-  describeClose(): string {
-    const { errored, readableEnded } = this.request.socket;
-    if (errored) return `The connection failed: ${errored.message}`;
+  /** Who closed the connection, and why, for logs. */
+  describeClose(): { readonly cause: CloseCause; readonly reason: string } {
+    const { socket } = this.request;
+    const { errored, readableEnded } = socket;
+    const end = findConnectionEnd(socket);
+    if (end !== undefined) {
+      return { cause: end, reason: CONNECTION_END_MESSAGES[end] };
+    }
+    if (errored) {
+      const reason = `The connection failed: ${errored.message}`;
+      return { cause: "connection-failed", reason };
+    }
     return readableEnded
-      ? "The caller closed the connection"
-      : "This process closed the connection";
+      ? { cause: "caller-left", reason: "The caller closed the connection" }
+      : {
+        cause: "closed-by-process",
+        reason: "This process closed the connection",
+      };
   }
 
   /** Sends an instance's complete response. */
@@ -183,7 +208,9 @@
     this.#response.destroy();
   }
 
+  /** Aborts the response, which frees its buffer. */
   cut(): void {
+    noteConnectionEnd(this.request.socket, "memory");
     this.abort();
   }
 
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -36,6 +36,7 @@
   runAttempt,
   type StreamEvent,
 } from "./exchange/index.ts";
+export type { AttemptEnd, CloseCause, EndCause } from "./end_cause.ts";
 export { GracefulStop } from "./graceful_stop.ts";
 export { findHomeProblems, type HomeProblems } from "./homes.ts";
 export { LoadTracker } from "./load_tracker.ts";
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -18,6 +18,7 @@
 import { chooseGateway, mustRelay } from "./choose_gateway.ts";
 import {
   giveUp,
+  giveUpAfterLast,
   giveUpAtDeadline,
   giveUpAtStop,
   refuseAsFull,
@@ -41,11 +42,6 @@
   "not-at-home": "No back end is in a region that the request may reach",
 };
 
-const WAIT_MESSAGES: Readonly<Record<"cold" | "limited", string>> = {
-  cold: "Every back end is cold",
-  limited: "Every back end has reached the request rate that it allows",
-};
-
 /**
  * Attempts a call until it is answered or given up, its deadline has passed or
  * this process stops.
@@ -94,13 +90,13 @@
         return refuseWhileBackingOff(options, progress, search.backoffMs);
       }
       if (search.kind === "barred") {
-        return giveUp(options, progress, EXCLUSION_MESSAGES[search.reason]);
+        const message = EXCLUSION_MESSAGES[search.reason];
+        return giveUp(options, progress, { cause: "excluded", message });
       }
       if (search.kind === "cold" || search.kind === "limited") {
-        const { kind, waitMs } = search;
-        const message = WAIT_MESSAGES[kind];
+        const { kind: cause, waitMs } = search;
         const nowMs = yield* steadyMs;
-        return refuseBeforeTurn(options, progress, { message, waitMs, nowMs });
+        return refuseBeforeTurn(options, progress, { cause, waitMs, nowMs });
       }
       if (search.kind === "quarantined") {
         dependencies.onWithheld("quarantine");
@@ -113,7 +109,10 @@
         return refuseWithoutReplica(options, progress, search.retryAfterMs);
       }
       if (search.kind === "none") {
-        return giveUp(options, progress, "No back end is available");
+        return giveUp(options, progress, {
+          cause: "no-target",
+          message: "No back end is available",
+        });
       }
       const { target } = search;
       const nowMs = yield* steadyMs;
@@ -127,7 +126,10 @@
       }
       const isRetry = progress.deliveries > 0;
       if (isRetry && call.deadlineAtMs - nowMs < MIN_RETRY_REMAINING_MS) {
-        return giveUp(options, progress, "Too little time remains for a retry");
+        return giveUp(options, progress, {
+          cause: "no-time",
+          message: "Too little time remains for a retry",
+        });
       }
       const payment = yield* payRetry(options, progress);
       if (payment === "exhausted") return giveUpForBudget(options, progress);
@@ -155,7 +157,11 @@
       if (outcome.kind === "answered" && !options.exchange.hasStarted) {
         if (!mayRetryResponse(options, progress, outcome.headers)) {
           if (wouldMisreportNotRun(call.route.retryPolicy, outcome.headers)) {
-            return giveUp(options, progress, describeOutcome(outcome));
+            return giveUpAfterLast(
+              options,
+              progress,
+              describeOutcome(outcome),
+            );
           }
           const { headers, body } = outcome;
           return { kind: "answered", headers, body, ...summarize(progress) };
@@ -163,7 +169,7 @@
         progress.failure = outcome;
       }
       if (!mayAttemptAgain(options, progress)) {
-        return giveUp(options, progress, describeOutcome(outcome));
+        return giveUpAfterLast(options, progress, describeOutcome(outcome));
       }
     }
   });
@@ -217,11 +223,13 @@
     dependencies.links.isLost(call.service);
   if (!isRefused) return { kind: "own-links" };
   if (mayHaveRun) {
-    const result = giveUp(options, progress, refusal.message);
+    const { message } = refusal;
+    const result = giveUp(options, progress, { cause: "gateway", message });
     return { kind: "ended", result };
   }
   const result: AttemptsResult = {
     kind: "given-up",
+    cause: "gateway",
     response: refusal,
     hasStarted: false,
     ...summarize(progress),
@@ -255,7 +263,10 @@
   options: AttemptsOptions,
   progress: AttemptProgress,
 ): AttemptsResult {
-  return giveUp(options, progress, "The retry budget is exhausted");
+  return giveUp(options, progress, {
+    cause: "retry-budget",
+    message: "The retry budget is exhausted",
+  });
 }
 
 /** Whether a request that has reached no instance comes too late in a stop. */
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -109,9 +109,10 @@
     const onLeft = (summary: AttemptsSummary) =>
       dependencies.record({
         ...describeCall(summary, readSteadyMs(clock)),
+        ...describeUnfinished(call, exchange, readSteadyMs(clock)),
+        ...exchange.describeClose(),
         status: 0,
         outcome: "left",
-        reason: exchange.describeClose(),
       });
     yield* exchange.turn.pipe(
       Effect.onInterrupt(() => Effect.sync(() => onLeft({ attempts: [] }))),
@@ -142,6 +143,9 @@
       finish(exchange, call, result);
       dependencies.record({
         ...describeCall(result, endedAtMs),
+        ...(result.kind === "given-up"
+          ? describeUnfinished(call, exchange, endedAtMs)
+          : {}),
         ...describeResult(result),
       });
     });
@@ -202,6 +206,7 @@
     service: "",
     status: response.status,
     outcome: "refused",
+    cause: "refused",
     reason: response.message,
     attempts: [],
     durationMs: 0,
@@ -238,7 +243,7 @@
 
 function describeResult(
   result: AttemptsResult,
-): Pick<CallRecord, "status" | "outcome" | "reason"> {
+): Pick<CallRecord, "status" | "outcome" | "reason" | "cause"> {
   return {
     status: result.kind === "answered"
       ? result.headers.status
@@ -252,10 +257,21 @@
         ? "refused"
         : "failed"
       : result.kind,
-    ...(result.kind === "given-up" ? { reason: result.response.message } : {}),
+    ...(result.kind === "given-up"
+      ? { reason: result.response.message, cause: result.cause }
+      : {}),
   };
 }
 
+/** The fields of the record of a call without a whole answer. */
+function describeUnfinished(
+  { deadlineAtMs }: AdmittedCall,
+  { hasStarted }: CallerExchange,
+  nowMs: number,
+): Pick<CallRecord, "hasBegun" | "remainingMs"> {
+  return { hasBegun: hasStarted, remainingMs: deadlineAtMs - nowMs };
+}
+
 /** The fields of a call's record about its prompt. */
 function describePrompt(
   { promptTokens, promptParts }: Partial<CallHeaders> = {},
--- a/packages/cli/src/run_host.ts
+++ b/packages/cli/src/run_host.ts
@@ -7,6 +7,7 @@
 } from "celerytray/platform";
 import { Clock, Effect } from "effect";
 import { readFileSync } from "node:fs";
+import { buildId } from "./build_id.ts";
 import type { ProcessSignals } from "./process_signals.ts";
 
 const EXIT_BAD_SETTINGS = 2;
@@ -76,6 +77,7 @@
     }
     journal.record("process.started", {
       zone: settings.zone,
+      build: buildId,
       uptimeMs: Math.round(process.uptime() * 1000),
     });
     const recordUnexpectedError = (error: unknown) =>
