--- a/packages/celerytray/src/serving/end_cause_test.ts
+++ b/packages/celerytray/src/serving/end_cause_test.ts
@@ -72,6 +72,19 @@
   });
 });
 
+it("tells of a request without a response that no stream had begun", async () => {
+  const records: CallRecord[] = [];
+  const entry = await startEntry({
+    backends: [],
+    record: (record) => records.push(record),
+  });
+  await call(entry, "/safe/x");
+  expect([records[0]!.cause, records[0]!.hasBegun]).toEqual([
+    "no-target",
+    false,
+  ]);
+});
+
 interface StreamOptions extends Omit<EntryOptions, "backends"> {
   /** Called with what cuts the stream for memory once it has begun. */
   readonly onStarted?: (cut: () => void) => void;
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -109,7 +109,7 @@
     const onLeft = (summary: AttemptsSummary) =>
       dependencies.record({
         ...describeCall(summary, readSteadyMs(clock)),
-        ...describeUnfinished(call, exchange, readSteadyMs(clock)),
+        ...describeUnfinished(call, exchange.hasStarted, readSteadyMs(clock)),
         ...exchange.describeClose(),
         status: 0,
         outcome: "left",
@@ -144,7 +144,7 @@
       dependencies.record({
         ...describeCall(result, endedAtMs),
         ...(result.kind === "given-up"
-          ? describeUnfinished(call, exchange, endedAtMs)
+          ? describeUnfinished(call, result.hasStarted, endedAtMs)
           : {}),
         ...describeResult(result),
       });
@@ -266,10 +266,10 @@
 /** The fields of the record of a call without a whole answer. */
 function describeUnfinished(
   { deadlineAtMs }: AdmittedCall,
-  { hasStarted }: CallerExchange,
+  hasBegun: boolean,
   nowMs: number,
 ): Pick<CallRecord, "hasBegun" | "remainingMs"> {
-  return { hasBegun: hasStarted, remainingMs: deadlineAtMs - nowMs };
+  return { hasBegun, remainingMs: deadlineAtMs - nowMs };
 }
 
 /** The fields of a call's record about its prompt. */
