--- a/packages/celerytray/src/serving/admission/call_admission.ts
+++ b/packages/celerytray/src/serving/admission/call_admission.ts
@@ -79,19 +79,15 @@
     this.#options = options;
   }
 
-  /** Expected time until the model of a call has a replica, if it is known. */
-  timeToReplicaMs({ headers: { model } }: AdmissionCall): number | undefined {
-    return model === undefined
-      ? undefined
-      : this.#options.timeToReplicaMs(model);
-  }
-
   /**
    * Refuses a call whose model has no replica if the time until it gets one is
    * known. Returns the delay after which the caller should retry.
    */
   refuseWithoutReplica(call: AdmissionCall, nowMs: number): number | undefined {
-    const timeToReplicaMs = this.timeToReplicaMs(call);
+    const { model } = call.headers;
+    const timeToReplicaMs = model === undefined
+      ? undefined
+      : this.#options.timeToReplicaMs(model);
     if (timeToReplicaMs === undefined) return undefined;
     this.#options.onRefused(call, "no-replica");
     return computeReplicaRetryAfterMs(
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -87,8 +87,6 @@
   abandon: ((reason: AbandonReason) => void) | undefined;
   /** Whether the next attempt tries a held part of a prompt. */
   isTrial: boolean;
-  /** Time since which the retry budget refuses the next attempt. */
-  retryWaitSinceMs: number | undefined;
   /** Whether the retry budget was already charged for the next attempt. */
   isRetryPrepaid: boolean;
 }
@@ -132,7 +130,6 @@
     isCurrentSent: false,
     abandon: undefined,
     isTrial: false,
-    retryWaitSinceMs: undefined,
     isRetryPrepaid: false,
   };
 }
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -7,7 +7,7 @@
 import type { ExclusionReason } from "./call_context.ts";
 import type { QuarantineRefusal } from "./quarantine/index.ts";
 import { createPool } from "./rate_limit/index.ts";
-import { findLeavingTime } from "./stream_patience.ts";
+import { findWaitingEnd } from "./begun_stream.ts";
 import {
   chooseTarget,
   type ServingTarget,
@@ -48,7 +48,7 @@
 /**
  * Waits for a target: in the model's queue while its concurrency limit is in
  * force, otherwise for a fraction of the target time. A stream that has begun
- * waits for as long as its caller does, also for the trial of a held part.
+ * waits until its deadline, also for the trial of a held part.
  */
 export function awaitTarget(
   options: AttemptsOptions,
@@ -64,8 +64,8 @@
       if (mustRelay(options, progress, nowMs)) return { kind: "none" };
       const quarantineRefusal = findQuarantineRefusal(options, progress, nowMs);
       if (quarantineRefusal !== undefined) {
-        const leavesAtMs = findLeavingTime(options, progress, startedAtMs);
-        if (!mayAwaitTrial(quarantineRefusal, { leavesAtMs, nowMs })) {
+        const endsAtMs = findWaitingEnd(options);
+        if (!mayAwaitTrial(quarantineRefusal, { endsAtMs, nowMs })) {
           return { kind: "quarantined", refusal: quarantineRefusal };
         }
         yield* Effect.sleep(POLL_INTERVAL_MS);
@@ -87,15 +87,15 @@
         if (isStream) admission.noteStarted(call, nowMs);
         return search;
       }
-      if (search.kind === "barred" || search.kind === "no-replica") {
-        return search;
-      }
-      const leavesAtMs = findLeavingTime(options, progress, startedAtMs);
-      if (leavesAtMs !== undefined) {
-        if (nowMs >= leavesAtMs) return search;
+      const endsAtMs = findWaitingEnd(options);
+      if (endsAtMs !== undefined) {
+        if (nowMs >= endsAtMs) return search;
         yield* Effect.sleep(POLL_INTERVAL_MS);
         continue;
       }
+      if (search.kind === "barred" || search.kind === "no-replica") {
+        return search;
+      }
       if (search.kind === "cold" || search.kind === "limited") {
         if (search.pollAfterMs === undefined) return search;
         yield* Effect.sleep(search.pollAfterMs);
@@ -170,16 +170,16 @@
   return isTrial ? undefined : verdict;
 }
 
-/** Whether a held part may be cleared by its trial before the caller leaves. */
+/** Whether a held part may be cleared by its trial before the deadline. */
 function mayAwaitTrial(
   { kind }: QuarantineRefusal,
-  { leavesAtMs, nowMs }: {
+  { endsAtMs, nowMs }: {
     /** Undefined if no stream to the caller has begun. */
-    readonly leavesAtMs: number | undefined;
+    readonly endsAtMs: number | undefined;
     readonly nowMs: number;
   },
 ): boolean {
-  return kind === "held" && leavesAtMs !== undefined && nowMs < leavesAtMs;
+  return kind === "held" && endsAtMs !== undefined && nowMs < endsAtMs;
 }
 
 /** Whether a response to the caller has begun, or an attempt was made. */
@@ -191,24 +191,6 @@
     progress.stream.lastEventId !== undefined;
 }
 
-/**
- * Whether a request that has begun may wait for a replica of its model: a stream
- * does not where its caller is known to leave before.
- */
-function mayAwaitReplica(
-  options: AttemptsOptions,
-  progress: AttemptProgress,
-  nowMs: number,
-): boolean {
-  if (!hasBegun(options, progress)) return false;
-  const leavesAtMs = findLeavingTime(options, progress, nowMs);
-  const timeToReplicaMs = options.dependencies.admission.timeToReplicaMs(
-    options.call,
-  );
-  return leavesAtMs === undefined || timeToReplicaMs === undefined ||
-    nowMs + timeToReplicaMs < leavesAtMs;
-}
-
 /** Returns the delay until a model without a replica has one, if it is known. */
 function findNoReplicaDelay(
   { call, dependencies }: AttemptsOptions,
@@ -233,7 +215,7 @@
     ? undefined
     : findExclusionReason(call.service, call.homes);
   if (reason !== undefined) return { kind: "barred", reason };
-  const noReplica = mayAwaitReplica(options, progress, nowMs)
+  const noReplica = hasBegun(options, progress)
     ? undefined
     : findNoReplicaDelay(options, choice);
   if (noReplica !== undefined) return noReplica;
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -30,7 +30,7 @@
 } from "./conclude_call.ts";
 import { awaitTarget } from "./find_target.ts";
 import { relayCall } from "./relay_call.ts";
-import { findLeavingTime } from "./stream_patience.ts";
+import { findWaitingEnd } from "./begun_stream.ts";
 
 /** Minimum remaining time for a retry. */
 const MIN_RETRY_REMAINING_MS = 30;
@@ -139,7 +139,6 @@
       if (!dependencies.coldLimiter.tryTakeToken(target, nowMs)) continue;
       if (!dependencies.limits.tryTakeToken(target, nowMs)) continue;
       progress.isRetryPrepaid = false;
-      progress.retryWaitSinceMs = undefined;
       progress.isTrial = false;
       const outcome = yield* attemptOnce(options, progress, target);
       const endedAtMs = yield* steadyMs;
@@ -206,7 +205,6 @@
     }
     if (payment === "again") return { kind: "again" };
     progress.isRetryPrepaid = false;
-    progress.retryWaitSinceMs = undefined;
     const result = yield* relayCall(options, progress, gateway);
     return result === undefined ? { kind: "again" } : { kind: "ended", result };
   });
@@ -239,7 +237,7 @@
 
 /**
  * Charges the retry budget for the next attempt, if it is a retry and that was
- * not done. A stream that has begun asks again for as long as its caller waits.
+ * not done. A stream that has begun asks again until its deadline.
  */
 function payRetry(
   options: AttemptsOptions,
@@ -251,9 +249,7 @@
     const nowMs = yield* steadyMs;
     progress.isRetryPrepaid ||= retryBudget.trySpend(call.service, nowMs);
     if (progress.isRetryPrepaid) return "paid";
-    const sinceMs = progress.retryWaitSinceMs ??= nowMs;
-    const leavesAtMs = findLeavingTime(options, progress, sinceMs);
-    if (nowMs >= (leavesAtMs ?? nowMs)) return "exhausted";
+    if (nowMs >= (findWaitingEnd(options) ?? nowMs)) return "exhausted";
     yield* Effect.sleep(RETRY_BUDGET_POLL_MS);
     return "again";
   });
