--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -18,12 +18,19 @@
 const LATE_PRIORITY_PENALTY = 3;
 const LOWEST_PRIORITY = 9;
 
+/** How an attempt at a target ended. */
+export interface TargetOutcome {
+  readonly outcome: AttemptOutcome;
+  /** Whether it had written for a while, so that it does not harm the target. */
+  readonly hasWritten: boolean;
+}
+
 /** Sends a request to a target and forwards a stream's events to the caller. */
 export function attemptOnce(
   options: AttemptsOptions,
   progress: AttemptProgress,
   target: ServingTarget,
-): Effect.Effect<AttemptOutcome> {
+): Effect.Effect<TargetOutcome> {
   const { call, exchange, dependencies } = options;
   const { loads, stalls, codec, prompts, links } = dependencies;
   const { instanceId, address } = target;
@@ -147,6 +154,7 @@
           if (outcome.kind === "streamed") timing.noteStreamed(nowMs());
         })
       ),
+      Effect.map((outcome) => ({ outcome, hasWritten: watch.isSafe })),
       Effect.ensuring(Effect.sync(() => {
         watch.end();
         loads.noteEnded(instanceId);
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -9,6 +9,7 @@
 import type { ServingTarget } from "./choose_target.ts";
 import type { AttemptEnd, EndCause } from "./end_cause.ts";
 import type { AbandonReason } from "./stall_detector.ts";
+import { ReplicaRuns } from "./replica_runs.ts";
 import type { RetryPolicy } from "./serving_config.ts";
 import { CallCauses } from "./quarantine/index.ts";
 
@@ -54,15 +55,15 @@
   readonly causes: CallCauses;
   /** Epoch of the replica at which an instance was tried, by instance. */
   readonly tried: Map<string, number>;
-  /** Time at which an instance rejected it last, by instance. */
-  readonly rejectedAtMs: Map<string, number>;
+  /** Time at which an instance last rejected it or could not be reached. */
+  readonly notRunAtMs: Map<string, number>;
   readonly attempts: string[];
   /** Processes through which it was sent. */
   readonly gatewayIds: Set<string>;
   /** Attempts that may have reached an instance. */
   deliveries: number;
-  /** Attempts that may have run, except the first on a stale connection. */
-  possibleRuns: number;
+  /** Where it may have run, except for the first on a stale connection. */
+  readonly runs: ReplicaRuns;
   /** Whether any attempt may have run. */
   mayHaveRun: boolean;
   /** Whether an attempt failed on a connection that was closed while idle. */
@@ -108,11 +109,11 @@
   return {
     causes: new CallCauses(call),
     tried: new Map(),
-    rejectedAtMs: new Map(),
+    notRunAtMs: new Map(),
     attempts: [],
     gatewayIds: new Set(),
     deliveries: 0,
-    possibleRuns: 0,
+    runs: new ReplicaRuns(),
     mayHaveRun: false,
     hadStaleConnection: false,
     stream: new CallerStream({
@@ -149,12 +150,14 @@
   readonly progress: AttemptProgress;
   readonly target: ServingTarget;
   readonly outcome: AttemptOutcome;
+  /** Whether it had written for a while. */
+  readonly hasWritten: boolean;
   readonly nowMs: number;
 }
 
 /** Records the outcome of an attempt in the call's state and the load tracker. */
 export function noteOutcome(
-  { options, progress, target, outcome, nowMs }: EndedAttempt,
+  { options, progress, target, outcome, hasWritten, nowMs }: EndedAttempt,
 ): void {
   const { loads } = options.dependencies;
   const { instanceId, address } = target;
@@ -181,9 +184,16 @@
     options.dependencies.discardAgent(address);
     return;
   }
-  if (outcome.kind !== "not-run") progress.possibleRuns += 1;
+  if (outcome.kind !== "not-run") {
+    const isLost = outcome.kind === "lost";
+    progress.runs.note(target, {
+      hasWritten: isLost && hasWritten,
+      isMoved: isLost && outcome.abandonReason !== undefined,
+      nowMs,
+    });
+  }
   if (outcome.kind === "not-run") {
-    if (outcome.isRejected) progress.rejectedAtMs.set(instanceId, nowMs);
+    progress.notRunAtMs.set(instanceId, nowMs);
     loads.avoidUntil(
       instanceId,
       nowMs + (outcome.isRejected ? AVOID_REJECTING_MS : AVOID_UNREACHABLE_MS),
@@ -246,24 +256,31 @@
 
 /**
  * Whether the route's retry policy, the attempts so far and what the caller has
- * allow another one.
+ * allow another one. A stream that has begun may also go on where it ran.
  */
 export function mayAttemptAgain(
-  { call }: AttemptsOptions,
+  { call, exchange }: AttemptsOptions,
   progress: AttemptProgress,
 ): boolean {
   if (call.route.retryPolicy === "once" && progress.mayHaveRun) return false;
   if (!progress.stream.isResumable) return false;
-  return progress.possibleRuns < Math.max(1, call.route.maxAttempts);
+  const { runs } = progress;
+  return runs.count < maxReplicas(call) ||
+    (exchange.hasStarted && runs.mayGoOn);
+}
+
+/** Number of replicas at which a request may run. */
+export function maxReplicas({ route }: AttemptsOptions["call"]): number {
+  return Math.max(1, route.maxAttempts);
 }
 
-/** Whether another attempt is allowed after the current one. */
+/** Whether another replica is allowed after the current one. */
 export function mayAttemptAfterThis(
   { call }: AttemptsOptions,
   progress: AttemptProgress,
 ): boolean {
   return call.route.retryPolicy !== "once" && progress.stream.isResumable &&
-    progress.possibleRuns + 1 < Math.max(1, call.route.maxAttempts);
+    progress.runs.countWith(progress.currentInstanceId) < maxReplicas(call);
 }
 
 /** Summarizes the attempts so far, the current one included. */
--- a/packages/celerytray/src/serving/conclude_relay.ts
+++ b/packages/celerytray/src/serving/conclude_relay.ts
@@ -146,6 +146,6 @@
 
 function notePossibleRuns(progress: AttemptProgress, runs: number): void {
   progress.mayHaveRun = true;
-  progress.possibleRuns += runs;
+  progress.runs.noteRelayed(runs);
   progress.deliveries += 1;
 }
--- a/packages/celerytray/src/serving/create_choice.ts
+++ b/packages/celerytray/src/serving/create_choice.ts
@@ -1,8 +1,12 @@
-import type { AttemptProgress, AttemptsOptions } from "./attempt_progress.ts";
-import type { TargetChoice } from "./choose_target.ts";
+import {
+  type AttemptProgress,
+  type AttemptsOptions,
+  maxReplicas,
+} from "./attempt_progress.ts";
+import type { ServingTarget, TargetChoice } from "./choose_target.ts";
 import { promptReadMs } from "./prompt_backlog.ts";
 
-/** Time after which a stream that has begun asks a full replica again. */
+/** Time after which a stream that has begun asks a replica again. */
 const ASK_AGAIN_AFTER_MS = 500;
 
 /** Collects what the choice of a call's next target depends on. */
@@ -37,23 +41,31 @@
       stalls.isSilent(id, nowMs) || dependencies.isReportedSilent(id),
     isSlow: (target) => paces.isSlow(target, nowMs),
     hasSuspect: (id) => suspectLoad.has(id),
-    isTried: ({ instanceId, epoch }) =>
-      progress.tried.get(instanceId) === epoch &&
-      !mayAskAgain(options, progress, { instanceId, nowMs }),
+    isTried: (target) => !mayAttemptAt(options, progress, { target, nowMs }),
     nowMs,
     random: dependencies.random,
   };
 }
 
-/** Whether a replica rejected a stream that has begun, a while ago. */
-function mayAskAgain(
-  { exchange }: AttemptsOptions,
-  { rejectedAtMs }: AttemptProgress,
-  { instanceId, nowMs }: {
-    readonly instanceId: string;
+/**
+ * Whether a request may be sent to a target: to one that it was not sent to
+ * before; a stream that has begun also, after a while, to one that did not take it
+ * or that it has left.
+ */
+function mayAttemptAt(
+  { call, exchange }: AttemptsOptions,
+  { tried, runs, notRunAtMs }: AttemptProgress,
+  { target, nowMs }: {
+    readonly target: ServingTarget;
     readonly nowMs: number;
   },
 ): boolean {
-  const atMs = rejectedAtMs.get(instanceId) ?? nowMs;
-  return exchange.hasStarted && nowMs - atMs >= ASK_AGAIN_AFTER_MS;
+  const { instanceId, epoch } = target;
+  const isNew = tried.get(instanceId) !== epoch;
+  if (!exchange.hasStarted) return isNew;
+  const isAllowed = runs.countWith(instanceId) <= maxReplicas(call);
+  if (isNew) return isAllowed;
+  const notRunAt = isAllowed ? notRunAtMs.get(instanceId) : undefined;
+  const askedAtMs = notRunAt ?? runs.leftAtMs(target);
+  return askedAtMs !== undefined && nowMs - askedAtMs >= ASK_AGAIN_AFTER_MS;
 }
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -141,6 +141,7 @@
 ): TargetSearch {
   const { call, dependencies } = options;
   const choice = createChoice(options, progress, nowMs);
+  if (options.exchange.hasStarted) progress.runs.keepServing(choice.targets);
   const target = chooseTarget(choice);
   if (target === undefined) return explainNoTarget(options, progress, choice);
   const skipsFullCheck = !call.route.isStream || hasBegun(options, progress) ||
--- a/packages/celerytray/src/serving/quarantine/attempt_watch.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -55,6 +55,11 @@
     if (this.#isSuspect) suspectLoad.note(instanceId, 1);
   }
 
+  /** Whether its stream had written for a while, or its answer was whole. */
+  get isSafe(): boolean {
+    return this.#isSafe;
+  }
+
   noteHeaders(nowMs: number): void {
     this.#options.quarantine.noteAlive(this.#attempt, nowMs);
   }
--- a/packages/celerytray/src/serving/relay_call.ts
+++ b/packages/celerytray/src/serving/relay_call.ts
@@ -5,6 +5,7 @@
   type AttemptProgress,
   type AttemptsOptions,
   type AttemptsResult,
+  maxReplicas,
   noteEventTime,
 } from "./attempt_progress.ts";
 import { concludeRelay, type RelayAttempt } from "./conclude_relay.ts";
@@ -61,9 +62,9 @@
  */
 function countHandedAttempts(
   { call }: AttemptsOptions,
-  { possibleRuns }: AttemptProgress,
+  { runs }: AttemptProgress,
 ): number {
-  const left = Math.max(1, call.route.maxAttempts) - possibleRuns;
+  const left = maxReplicas(call) - runs.count;
   return Math.max(1, left - 1);
 }
 
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -8,6 +8,7 @@
   type AttemptsResult,
   createProgress,
   describeOutcome,
+  maxReplicas,
   mayAttemptAgain,
   mayRetryResponse,
   noteOutcome,
@@ -28,6 +29,7 @@
   refuseWhileBackingOff,
   refuseWithoutReplica,
 } from "./conclude_call.ts";
+import type { ServingTarget } from "./choose_target.ts";
 import { awaitTarget } from "./find_target.ts";
 import { relayCall } from "./relay_call.ts";
 import { findWaitingEnd } from "./begun_stream.ts";
@@ -140,9 +142,10 @@
       if (!dependencies.limits.tryTakeToken(target, nowMs)) continue;
       progress.isRetryPrepaid = false;
       progress.isTrial = false;
-      const outcome = yield* attemptOnce(options, progress, target);
+      const ended = yield* attemptOnce(options, progress, target);
+      const { outcome } = ended;
       const endedAtMs = yield* steadyMs;
-      noteOutcome({ options, progress, target, outcome, nowMs: endedAtMs });
+      noteOutcome({ options, progress, target, ...ended, nowMs: endedAtMs });
       if (outcome.kind === "not-run" && outcome.isWithheld) {
         const withheldReason = findWithheldReason(options, endedAtMs);
         if (withheldReason !== undefined) {
@@ -167,6 +170,9 @@
         }
         progress.failure = outcome;
       }
+      if (ended.hasWritten && outcome.kind === "lost") {
+        yield* forgetEndedRuns(options, progress, target);
+      }
       if (!mayAttemptAgain(options, progress)) {
         return giveUpAfterLast(options, progress, describeOutcome(outcome));
       }
@@ -174,6 +180,21 @@
   });
 }
 
+/**
+ * Stops counting a replica that broke off, if its instance has ended, so that
+ * another one may take its place.
+ */
+function forgetEndedRuns(
+  { call, dependencies }: AttemptsOptions,
+  { runs }: AttemptProgress,
+  target: ServingTarget,
+): Effect.Effect<void> {
+  if (runs.count < maxReplicas(call)) return Effect.void;
+  return Effect.map(dependencies.aliveCheck.isAlive(target), (isAlive) => {
+    if (!isAlive) runs.noteEnded(target.instanceId);
+  });
+}
+
 type RelayStep =
   /** This process's own links are to serve the request. */
   | { readonly kind: "own-links" }
