--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -47,6 +47,8 @@
   readonly firstByteAtMs?: number;
   /** Longest time between two events; absent with fewer than two. */
   readonly longestPauseMs?: number;
+  /** What it waited for at the end; absent during an attempt. */
+  readonly awaited?: EndCause;
 }
 
 /** Mutable state of a call over its attempts. */
@@ -86,6 +88,8 @@
   isCurrentSent: boolean;
   /** Ends the current attempt; undefined if there is none. */
   abandon: ((reason: AbandonReason) => void) | undefined;
+  /** What the next attempt waits for; undefined if there is no such wait. */
+  awaited: EndCause | undefined;
   /** Whether the next attempt tries a held part of a prompt. */
   isTrial: boolean;
   /** Whether the retry budget was already charged for the next attempt. */
@@ -130,6 +134,7 @@
     currentInstanceId: undefined,
     isCurrentSent: false,
     abandon: undefined,
+    awaited: undefined,
     isTrial: false,
     isRetryPrepaid: false,
   };
@@ -285,7 +290,8 @@
 
 /** Summarizes the attempts so far, the current one included. */
 export function summarize(progress: AttemptProgress): AttemptsSummary {
-  const { currentInstanceId, firstByteAtMs, longestPauseMs } = progress;
+  const { currentInstanceId, firstByteAtMs, longestPauseMs, awaited } =
+    progress;
   const attempts = currentInstanceId === undefined ? progress.attempts : [
     ...progress.attempts,
     `${currentInstanceId} under way${progress.stream.describeLastTurn()}`,
@@ -294,6 +300,7 @@
     attempts,
     ...(firstByteAtMs === undefined ? {} : { firstByteAtMs }),
     ...(longestPauseMs === undefined ? {} : { longestPauseMs }),
+    ...(awaited === undefined ? {} : { awaited }),
   };
 }
 
--- a/packages/celerytray/src/serving/call_context.ts
+++ b/packages/celerytray/src/serving/call_context.ts
@@ -173,6 +173,8 @@
   readonly cause?: EndCause;
   /** Whether a stream to the caller had begun; absent from whole answers. */
   readonly hasBegun?: boolean;
+  /** What it waited for as it ended; absent if an attempt was under way. */
+  readonly awaited?: EndCause;
   /** Time left until the deadline; absent from whole answers and refusals. */
   readonly remainingMs?: number;
   readonly attempts: readonly string[];
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -6,6 +6,7 @@
 import { type LimitedSearch, planLimitWait } from "./limit_wait.ts";
 import type { ExclusionReason } from "./call_context.ts";
 import type { QuarantineRefusal } from "./quarantine/index.ts";
+import type { EndCause } from "./end_cause.ts";
 import { createPool } from "./rate_limit/index.ts";
 import { findWaitingEnd } from "./begun_stream.ts";
 import {
@@ -45,6 +46,21 @@
   | { readonly kind: "quarantined"; readonly refusal: QuarantineRefusal }
   | { readonly kind: "none" };
 
+/** What a request without a target waits for. */
+const AWAITED: Readonly<
+  Record<Exclude<TargetSearch["kind"], "found">, EndCause>
+> = {
+  "full": "full",
+  "backing-off": "backing-off",
+  "cold": "cold",
+  "limited": "limited",
+  "barred": "excluded",
+  "refused": "queue",
+  "no-replica": "no-replica",
+  "quarantined": "quarantine",
+  "none": "no-target",
+};
+
 /**
  * Waits for a target: in the model's queue while its concurrency limit is in
  * force, otherwise for a fraction of the target time. A stream that has begun
@@ -68,12 +84,14 @@
         if (!mayAwaitTrial(quarantineRefusal, { endsAtMs, nowMs })) {
           return { kind: "quarantined", refusal: quarantineRefusal };
         }
+        progress.awaited = "quarantine";
         yield* Effect.sleep(POLL_INTERVAL_MS);
         continue;
       }
       const mustWait = isStream && !hasBegun(options, progress) &&
         admission.mustWait(call, nowMs);
       if (mustWait) {
+        progress.awaited = "queue";
         const refusal = yield* Effect.raceFirst(
           admission.awaitTurn(call),
           awaitRelay(options, progress),
@@ -87,6 +105,7 @@
         if (isStream) admission.noteStarted(call, nowMs);
         return search;
       }
+      progress.awaited = AWAITED[search.kind];
       const endsAtMs = findWaitingEnd(options);
       if (endsAtMs !== undefined) {
         if (nowMs >= endsAtMs) return search;
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -128,6 +128,8 @@
       }
       const isRetry = progress.deliveries > 0;
       if (isRetry && call.deadlineAtMs - nowMs < MIN_RETRY_REMAINING_MS) {
+        // A stream that has begun ends at its deadline, and not before.
+        if (options.exchange.hasStarted) return yield* Effect.never;
         return giveUp(options, progress, {
           cause: "no-time",
           message: "Too little time remains for a retry",
@@ -141,6 +143,7 @@
       if (!dependencies.coldLimiter.tryTakeToken(target, nowMs)) continue;
       if (!dependencies.limits.tryTakeToken(target, nowMs)) continue;
       progress.isRetryPrepaid = false;
+      progress.awaited = undefined;
       progress.isTrial = false;
       const ended = yield* attemptOnce(options, progress, target);
       const { outcome } = ended;
@@ -226,6 +229,7 @@
     }
     if (payment === "again") return { kind: "again" };
     progress.isRetryPrepaid = false;
+    progress.awaited = undefined;
     const result = yield* relayCall(options, progress, gateway);
     return result === undefined ? { kind: "again" } : { kind: "ended", result };
   });
@@ -271,6 +275,7 @@
     progress.isRetryPrepaid ||= retryBudget.trySpend(call.service, nowMs);
     if (progress.isRetryPrepaid) return "paid";
     if (nowMs >= (findWaitingEnd(options) ?? nowMs)) return "exhausted";
+    progress.awaited = "retry-budget";
     yield* Effect.sleep(RETRY_BUDGET_POLL_MS);
     return "again";
   });
--- a/packages/celerytray/src/serving/serve_call.ts
+++ b/packages/celerytray/src/serving/serve_call.ts
@@ -294,7 +294,7 @@
   },
 ): Omit<CallRecord, "status" | "outcome" | "reason"> {
   const { headers, route, service, arrivedAtMs, configVersion } = call;
-  const { attempts, firstByteAtMs, longestPauseMs } = summary;
+  const { attempts, firstByteAtMs, longestPauseMs, awaited } = summary;
   const admission = dependencies.admission.describe(call, endedAtMs);
   return {
     callId: headers.id,
@@ -307,6 +307,7 @@
       ? {}
       : { firstByteMs: firstByteAtMs - arrivedAtMs }),
     ...(longestPauseMs === undefined ? {} : { longestPauseMs }),
+    ...(awaited === undefined ? {} : { awaited }),
     ...describePrompt(headers),
     configVersion,
     ...(admission === undefined ? {} : { admission }),
