--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -60,8 +60,8 @@
   /** Time at which an instance last rejected it or could not be reached. */
   readonly notRunAtMs: Map<string, number>;
   readonly attempts: string[];
-  /** Processes through which it was sent. */
-  readonly gatewayIds: Set<string>;
+  /** Time at which it was last sent to another process, by node. */
+  readonly gatewaySentAtMs: Map<string, number>;
   /** Attempts that may have reached an instance. */
   deliveries: number;
   /** Where it may have run, except for the first on a stale connection. */
@@ -115,7 +115,7 @@
     tried: new Map(),
     notRunAtMs: new Map(),
     attempts: [],
-    gatewayIds: new Set(),
+    gatewaySentAtMs: new Map(),
     deliveries: 0,
     runs: new ReplicaRuns(),
     mayHaveRun: false,
--- a/packages/celerytray/src/serving/conclude_relay.ts
+++ b/packages/celerytray/src/serving/conclude_relay.ts
@@ -96,7 +96,7 @@
   notePossibleRuns(progress, attemptsLeft);
   if (mayRetryResponse(options, progress, headers)) {
     progress.failure = { headers, body };
-    progress.gatewayIds.delete(gateway.nodeId);
+    progress.gatewaySentAtMs.delete(gateway.nodeId);
     return undefined;
   }
   // It can't continue a stream that has begun.
--- a/packages/celerytray/src/serving/relay_call.ts
+++ b/packages/celerytray/src/serving/relay_call.ts
@@ -33,7 +33,7 @@
   };
   const attemptsLeft = countHandedAttempts(options, progress);
   return Effect.gen(function* () {
-    progress.gatewayIds.add(gateway.nodeId);
+    progress.gatewaySentAtMs.set(gateway.nodeId, yield* steadyMs);
     gateways.noteSent(gateway);
     // The gateway counts it meanwhile.
     noteDemand(source, -1);
