--- a/packages/celerytray/src/serving/relay_call.ts
+++ b/packages/celerytray/src/serving/relay_call.ts
@@ -14,6 +14,11 @@
 
 /** Interval at which a gateway is checked while it serves a request. */
 const GATEWAY_CHECK_INTERVAL_MS = 100;
+/**
+ * Silence after which a gateway that no longer takes part is left. One that stops
+ * as planned completes what it has.
+ */
+const MAX_DEPARTED_SILENCE_MS = 500;
 
 /**
  * Serves a request through another process. Returns its end; undefined if it
@@ -84,6 +89,10 @@
     const { lastEventId } = progress.stream;
     progress.currentInstanceId = `through ${gateway.nodeId}`;
     let isAnswered = false;
+    let heardAtMs = nowMs();
+    const noteHeard = () => {
+      heardAtMs = nowMs();
+    };
     const attempt = runAttempt({
       codec,
       address: gateway.peerAddress,
@@ -105,7 +114,7 @@
       onHeaders: () => {
         isAnswered = true;
       },
-      onProgress: () => {},
+      onProgress: noteHeard,
       maySend: () => findWithheldReason(options, nowMs()) === undefined,
       onSent: () => progress.isCurrentSent = true,
       onStreamHeaders: (headers) => writer.start(headers),
@@ -126,27 +135,37 @@
       onEnd: () => writer.close(),
       registerAbandon: (abandon) => progress.abandon = abandon,
     });
-    const hasAnswered = () => isAnswered;
+    const watch: GatewayWatch = {
+      gateway,
+      hasAnswered: () => isAnswered,
+      heardAtMs: () => heardAtMs,
+    };
     return yield* call.route.retryPolicy === "once"
       ? attempt
       : Effect.raceFirst(
         attempt,
-        abandonSilentGateway(options, progress, { gateway, hasAnswered }),
+        abandonSilentGateway(options, progress, watch),
       );
   });
 }
 
+/** An attempt at a gateway that may be silent. */
+interface GatewayWatch {
+  readonly gateway: Gateway;
+  readonly hasAnswered: () => boolean;
+  /** Time of its last bytes, or at which the request was sent. */
+  readonly heardAtMs: () => number;
+}
+
 /**
- * Ends an attempt at a gateway that no longer takes part, or that doesn't answer
- * a call within half of its time. A stream may wait longer for its first event.
+ * Ends an attempt at a gateway that is silent and no longer takes part, or that
+ * doesn't answer a call within half of its time. A stream may wait longer for its
+ * first event.
  */
 function abandonSilentGateway(
   { call, dependencies: { gateways } }: AttemptsOptions,
   progress: AttemptProgress,
-  { gateway, hasAnswered }: {
-    readonly gateway: Gateway;
-    readonly hasAnswered: () => boolean;
-  },
+  { gateway, hasAnswered, heardAtMs }: GatewayWatch,
 ): Effect.Effect<never> {
   return Effect.gen(function* () {
     const startedAtMs = yield* steadyMs;
@@ -155,9 +174,11 @@
       : (call.deadlineAtMs - startedAtMs) / 2;
     while (true) {
       yield* Effect.sleep(GATEWAY_CHECK_INTERVAL_MS);
-      const waitedMs = (yield* steadyMs) - startedAtMs;
-      const isSilent = !hasAnswered() && waitedMs >= maxSilenceMs;
-      if (isSilent || gateways.isGone(gateway)) progress.abandon?.("stalled");
+      const nowMs = yield* steadyMs;
+      const isSilent = !hasAnswered() && nowMs - startedAtMs >= maxSilenceMs;
+      const isGone = nowMs - heardAtMs() >= MAX_DEPARTED_SILENCE_MS &&
+        gateways.isGone(gateway);
+      if (isSilent || isGone) progress.abandon?.("stalled");
     }
   });
 }
