--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -6,8 +6,7 @@
   CallerStream,
   type LocalResponse,
 } from "./exchange/index.ts";
-import type { ServingTarget } from "./choose_target.ts";
-import type { AttemptEnd, EndCause } from "./end_cause.ts";
+import type { EndCause } from "./end_cause.ts";
 import type { AbandonReason } from "./stall_detector.ts";
 import { ReplicaRuns } from "./replica_runs.ts";
 import type { RetryPolicy } from "./serving_config.ts";
@@ -96,13 +95,8 @@
   isRetryPrepaid: boolean;
 }
 
-/** Time for which an unreachable instance is avoided. */
-const AVOID_UNREACHABLE_MS = 1_000;
-/** Time for which an instance that rejected a request is avoided. */
-const AVOID_REJECTING_MS = 150;
-/** Time for which a stalled instance is avoided. */
-const AVOID_STALLED_MS = 2_500;
-const SERVER_ERROR_STATUS = 500;
+/** Lowest status with which an instance reports an error of its own. */
+export const SERVER_ERROR_STATUS = 500;
 /** Statuses from which callers conclude that a request did not run. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
 
@@ -149,98 +143,6 @@
   progress.longestPauseMs = Math.max(longestPauseMs, nowMs - lastEventAtMs);
 }
 
-/** An attempt that has ended, with its call. */
-export interface EndedAttempt {
-  readonly options: AttemptsOptions;
-  readonly progress: AttemptProgress;
-  readonly target: ServingTarget;
-  readonly outcome: AttemptOutcome;
-  /** Whether it had written for a while. */
-  readonly hasWritten: boolean;
-  readonly nowMs: number;
-}
-
-/** Records the outcome of an attempt in the call's state and the load tracker. */
-export function noteOutcome(
-  { options, progress, target, outcome, hasWritten, nowMs }: EndedAttempt,
-): void {
-  const { loads } = options.dependencies;
-  const { instanceId, address } = target;
-  progress.currentInstanceId = undefined;
-  progress.isCurrentSent = false;
-  progress.abandon = undefined;
-  if (outcome.kind !== "not-run" || outcome.isRejected) {
-    progress.deliveries += 1;
-  }
-  const events = progress.stream.describeLastTurn();
-  progress.attempts.push(`${instanceId} ${describeOutcome(outcome)}${events}`);
-  if (outcome.kind === "not-run" && outcome.isWithheld) return;
-  const isClosing = options.dependencies.isClosing(instanceId);
-  const end = findAttemptEnd(outcome, isClosing);
-  if (end !== undefined) options.dependencies.onAttemptEnded(end);
-  if (outcome.kind !== "not-run") progress.mayHaveRun = true;
-  if (
-    outcome.kind === "lost" && outcome.isStaleConnection &&
-    !progress.hadStaleConnection
-  ) {
-    // The instance closed the idle connection; a new one may succeed.
-    progress.hadStaleConnection = true;
-    progress.tried.delete(instanceId);
-    options.dependencies.discardAgent(address);
-    return;
-  }
-  if (outcome.kind !== "not-run") {
-    const isLost = outcome.kind === "lost";
-    progress.runs.note(target, {
-      hasWritten: isLost && hasWritten,
-      isMoved: isLost && outcome.abandonReason !== undefined,
-      nowMs,
-    });
-  }
-  if (outcome.kind === "not-run") {
-    progress.notRunAtMs.set(instanceId, nowMs);
-    loads.avoidUntil(
-      instanceId,
-      nowMs + (outcome.isRejected ? AVOID_REJECTING_MS : AVOID_UNREACHABLE_MS),
-    );
-  } else if (outcome.kind === "lost") {
-    const { abandonReason } = outcome;
-    if (abandonReason === "slow" || abandonReason === "closing") return;
-    options.dependencies.discardAgent(address);
-    if (abandonReason === "stalled") {
-      loads.avoidUntil(instanceId, nowMs + AVOID_STALLED_MS);
-    }
-  }
-  loads.noteOutcome(instanceId, {
-    hasFailed: outcome.kind === "lost" ||
-      (outcome.kind === "answered" &&
-        outcome.headers.status >= SERVER_ERROR_STATUS),
-    nowMs,
-  });
-}
-
-/** How an attempt ended; undefined if it brought a whole answer. */
-function findAttemptEnd(
-  outcome: AttemptOutcome,
-  isClosing: boolean,
-): AttemptEnd | undefined {
-  switch (outcome.kind) {
-    case "streamed":
-      return undefined;
-    case "answered":
-      return outcome.headers.status >= SERVER_ERROR_STATUS
-        ? "error"
-        : undefined;
-    case "not-run":
-      return outcome.isRejected ? "rejected" : "unreachable";
-    case "lost":
-      if (outcome.abandonReason !== undefined) {
-        return `moved-${outcome.abandonReason}`;
-      }
-      return isClosing ? "lost-closing" : "lost";
-  }
-}
-
 /** Whether an instance's error response may be retried. */
 export function mayRetryResponse(
   options: AttemptsOptions,
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -11,12 +11,11 @@
   maxReplicas,
   mayAttemptAgain,
   mayRetryResponse,
-  noteOutcome,
   summarize,
   wouldMisreportNotRun,
 } from "./attempt_progress.ts";
 import type { ExclusionReason } from "./call_context.ts";
-import { chooseGateway, mustRelay } from "./choose_gateway.ts";
+import { mustRelay } from "./choose_gateway.ts";
 import {
   giveUp,
   giveUpAfterLast,
@@ -29,15 +28,19 @@
   refuseWhileBackingOff,
   refuseWithoutReplica,
 } from "./conclude_call.ts";
+import {
+  giveUpForBudget,
+  isTooLateToBegin,
+  payRetry,
+  withhold,
+} from "./before_attempt.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import { awaitTarget } from "./find_target.ts";
-import { relayCall } from "./relay_call.ts";
-import { findWaitingEnd } from "./begun_stream.ts";
+import { noteOutcome } from "./note_outcome.ts";
+import { relayIfLinksAreLost } from "./relay_step.ts";
 
 /** Minimum remaining time for a retry. */
 const MIN_RETRY_REMAINING_MS = 30;
-/** Interval at which a stream that has begun asks the retry budget again. */
-const RETRY_BUDGET_POLL_MS = 50;
 
 const EXCLUSION_MESSAGES: Readonly<Record<ExclusionReason, string>> = {
   evacuated: "Every zone that could serve the request is evacuated",
@@ -197,116 +200,3 @@
     if (!isAlive) runs.noteEnded(target.instanceId);
   });
 }
-
-type RelayStep =
-  /** This process's own links are to serve the request. */
-  | { readonly kind: "own-links" }
-  | { readonly kind: "again" }
-  | { readonly kind: "ended"; readonly result: AttemptsResult };
-
-/** Sends a request to another process while this one's own links are lost. */
-function relayIfLinksAreLost(
-  options: AttemptsOptions,
-  progress: AttemptProgress,
-): Effect.Effect<RelayStep> {
-  const { dependencies } = options;
-  return Effect.gen(function* (): Effect.fn.Return<RelayStep> {
-    const nowMs = yield* steadyMs;
-    const gateway = chooseGateway(options, progress, nowMs);
-    if (gateway === undefined) return concludeWithoutGateway(options, progress);
-    const reason = findWithheldReason(options, nowMs);
-    if (reason !== undefined) {
-      const result = yield* withhold(options, progress, reason);
-      return { kind: "ended", result };
-    }
-    if (isTooLateToBegin(options, progress, nowMs)) {
-      dependencies.onWithheld("stopping");
-      return { kind: "ended", result: giveUpAtStop(options, progress) };
-    }
-    const payment = yield* payRetry(options, progress);
-    if (payment === "exhausted") {
-      return { kind: "ended", result: giveUpForBudget(options, progress) };
-    }
-    if (payment === "again") return { kind: "again" };
-    progress.isRetryPrepaid = false;
-    progress.awaited = undefined;
-    const result = yield* relayCall(options, progress, gateway);
-    return result === undefined ? { kind: "again" } : { kind: "ended", result };
-  });
-}
-
-/** Passes the refusal of the last gateway on, as the own links are lost. */
-function concludeWithoutGateway(
-  options: AttemptsOptions,
-  progress: AttemptProgress,
-): RelayStep {
-  const { refusal, mayHaveRun } = progress;
-  const { call, exchange, dependencies } = options;
-  const isRefused = refusal !== undefined && !exchange.hasStarted &&
-    dependencies.links.isLost(call.service);
-  if (!isRefused) return { kind: "own-links" };
-  if (mayHaveRun) {
-    const { message } = refusal;
-    const result = giveUp(options, progress, { cause: "gateway", message });
-    return { kind: "ended", result };
-  }
-  const result: AttemptsResult = {
-    kind: "given-up",
-    cause: "gateway",
-    response: refusal,
-    hasStarted: false,
-    ...summarize(progress),
-  };
-  return { kind: "ended", result };
-}
-
-/**
- * Charges the retry budget for the next attempt, if it is a retry and that was
- * not done. A stream that has begun asks again until its deadline.
- */
-function payRetry(
-  options: AttemptsOptions,
-  progress: AttemptProgress,
-): Effect.Effect<"paid" | "again" | "exhausted"> {
-  const { call, dependencies: { retryBudget } } = options;
-  return Effect.gen(function* () {
-    if (progress.deliveries === 0) return "paid";
-    const nowMs = yield* steadyMs;
-    progress.isRetryPrepaid ||= retryBudget.trySpend(call.service, nowMs);
-    if (progress.isRetryPrepaid) return "paid";
-    if (nowMs >= (findWaitingEnd(options) ?? nowMs)) return "exhausted";
-    progress.awaited = "retry-budget";
-    yield* Effect.sleep(RETRY_BUDGET_POLL_MS);
-    return "again";
-  });
-}
-
-function giveUpForBudget(
-  options: AttemptsOptions,
-  progress: AttemptProgress,
-): AttemptsResult {
-  return giveUp(options, progress, {
-    cause: "retry-budget",
-    message: "The retry budget is exhausted",
-  });
-}
-
-/** Whether a request that has reached no instance comes too late in a stop. */
-function isTooLateToBegin(
-  { call, dependencies }: AttemptsOptions,
-  { deliveries }: AttemptProgress,
-  nowMs: number,
-): boolean {
-  return deliveries === 0 && dependencies.stop.isTooLate(call, nowMs);
-}
-
-function withhold(
-  options: AttemptsOptions,
-  progress: AttemptProgress,
-  reason: "left" | "deadline",
-): Effect.Effect<AttemptsResult> {
-  options.dependencies.onWithheld(reason);
-  return reason === "left"
-    ? Effect.interrupt
-    : Effect.succeed(giveUpAtDeadline(options, progress));
-}
