--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,10 +1,9 @@
 /** Bundles the host program of a deployment into `target/`. */
 import { build } from "esbuild";
-import { spawnSync } from "node:child_process";
 import { createHash } from "node:crypto";
 import { builtinModules } from "node:module";
-import { mkdir, writeFile } from "node:fs/promises";
-import { dirname } from "node:path";
+import { mkdir, readFile, writeFile } from "node:fs/promises";
+import { dirname, join } from "node:path";
 import { root } from "./list_sources.js";
 import { mapExportsToSources } from "./map_exports_to_sources.js";
 
@@ -37,24 +36,38 @@
   failOnCompiledInputs(Object.keys(metafile.inputs));
   for (const { path, text } of outputFiles) {
     await mkdir(dirname(path), { recursive: true });
-    await writeFile(path, text.replaceAll(BUILD_PLACEHOLDER, nameBuild(text)));
+    const build = nameBuild(text, await readCommit());
+    await writeFile(path, text.replaceAll(BUILD_PLACEHOLDER, build));
   }
 }
 
 /** Names the build by its commit, if that is known, and the hash of its text. */
-function nameBuild(text) {
-  const hash = createHash("sha256").update(text).digest("hex");
-  return [readCommit(), hash.slice(0, HASH_DIGITS)].join("-").replace(/^-/, "");
+function nameBuild(text, commit) {
+  const hash = createHash("sha256").update(text).digest("hex")
+    .slice(0, HASH_DIGITS);
+  return commit === undefined ? hash : `${commit}-${hash}`;
 }
 
-/** Returns undefined without git or outside a checkout. */
-function readCommit() {
-  const { status, stdout } = spawnSync(
-    "git",
-    ["rev-parse", "--short=7", "HEAD"],
-    { cwd: root, encoding: "utf8", stdio: ["ignore", "pipe", "ignore"] },
-  );
-  return status === 0 ? stdout.trim() : undefined;
+/**
+ * The commit that is checked out, as git's files name it; undefined outside a
+ * checkout. The build needs no git.
+ */
+async function readCommit() {
+  const head = await readGitFile("HEAD");
+  const ref = /^ref: (.+)/.exec(head)?.[1];
+  if (ref === undefined) return shorten(head);
+  const packed = (await readGitFile("packed-refs")).split("\n")
+    .find((line) => line.endsWith(` ${ref}`));
+  return shorten(await readGitFile(ref)) ?? shorten(packed ?? "");
+}
+
+function shorten(text) {
+  return /^[0-9a-f]{7}/.exec(text)?.[0];
+}
+
+/** Returns an empty text for a file that is not there. */
+function readGitFile(path) {
+  return readFile(join(root, ".git", path), "utf8").catch(() => "");
 }
 
 /**
--- a/scripts/clean_build_test.js
+++ b/scripts/clean_build_test.js
@@ -7,6 +7,7 @@
  */
 import { expect } from "earl";
 import { execFile } from "node:child_process";
+import { createHash } from "node:crypto";
 import { existsSync, realpathSync, statSync } from "node:fs";
 import {
   chmod,
@@ -21,6 +22,7 @@
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { after, before, describe, it } from "node:test";
+import { promisify } from "node:util";
 import { root } from "./list_sources.js";
 
 const BUNDLE = "target/celerytray_host.mjs";
@@ -110,6 +112,21 @@
     expect(again.connectionCount).toEqual(0);
   });
 
+  // Guards against logs that can't tell which build a process ran.
+  it("names the build by the commit and the hash of the program", async () => {
+    const text = await readFile(join(clean.path, BUNDLE), "utf8");
+    const { stdout } = await promisify(execFile)(
+      "git",
+      ["-c", `safe.directory=${clean.path}`, "rev-parse", "HEAD"],
+      { cwd: clean.path },
+    );
+    const [build, hash] = /"[0-9a-f]{7}-([0-9a-f]{12})"/.exec(text);
+    expect(build).toEqual(`"${stdout.slice(0, 7)}-${hash}"`);
+    const unnamed = text.replace(build, '"@@celerytray-build@@"');
+    expect(createHash("sha256").update(unnamed).digest("hex").slice(0, 12))
+      .toEqual(hash);
+  });
+
   it("creates a program that needs no other file", async () => {
     const alone = join(folder, "alone.mjs");
     await cp(join(clean.path, BUNDLE), alone);
