--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -12,6 +12,7 @@
 import { type AttemptOutcome, runAttempt } from "./exchange/index.ts";
 import { AttemptWatch } from "./quarantine/index.ts";
 import { createPool } from "./rate_limit/index.ts";
+import { nameReplica } from "./replica_runs.ts";
 import { tryMove } from "./try_move.ts";
 
 /** Priority levels by which a request is lowered that can only be late. */
@@ -23,6 +24,8 @@
   readonly outcome: AttemptOutcome;
   /** Whether it had written for a while, so that it does not harm the target. */
   readonly hasWritten: boolean;
+  /** Whether the target was found alive after it lost the attempt. */
+  readonly isAlive: boolean;
 }
 
 /** Sends a request to a target and forwards a stream's events to the caller. */
@@ -52,9 +55,10 @@
       target,
       startedAtMs,
     });
-    progress.tried.set(instanceId, target.epoch);
+    progress.tried.set(instanceId, nameReplica(target));
     progress.currentInstanceId = instanceId;
     let hasFailed = false;
+    let isAlive = false;
     const writer = progress.stream.open();
     const { lastEventId } = progress.stream;
     loads.noteSent(instanceId);
@@ -72,7 +76,7 @@
         isPaused: () => timing.isPaused,
         rank: () => findMoveRank(call, progress),
         tryMove: (reason) =>
-          tryMove(options, progress, { reason, nowMs: nowMs() }),
+          tryMove(options, progress, { target, reason, nowMs: nowMs() }),
       })
       : () => {};
     return yield* runAttempt({
@@ -147,14 +151,18 @@
       Effect.tap((outcome) =>
         Effect.gen(function* () {
           const lostAtMs = nowMs();
-          const isAlive = watch.mayBeCrash(outcome) &&
+          isAlive = watch.mayBeCrash(outcome) &&
             (yield* dependencies.aliveCheck.isAlive(target));
           watch.noteOutcome(outcome, { nowMs: lostAtMs, isAlive });
           hasFailed = hasLostConnection(outcome);
           if (outcome.kind === "streamed") timing.noteStreamed(nowMs());
         })
       ),
-      Effect.map((outcome) => ({ outcome, hasWritten: watch.isSafe })),
+      Effect.map((outcome) => ({
+        outcome,
+        hasWritten: watch.isSafe,
+        isAlive,
+      })),
       Effect.ensuring(Effect.sync(() => {
         watch.end();
         loads.noteEnded(instanceId);
--- a/packages/celerytray/src/serving/attempt_progress.ts
+++ b/packages/celerytray/src/serving/attempt_progress.ts
@@ -6,6 +6,8 @@
   CallerStream,
   type LocalResponse,
 } from "./exchange/index.ts";
+import { mustComplete, Refusals } from "./begun_stream.ts";
+import type { ServingTarget } from "./choose_target.ts";
 import type { EndCause } from "./end_cause.ts";
 import type { AbandonReason } from "./stall_detector.ts";
 import { ReplicaRuns } from "./replica_runs.ts";
@@ -54,11 +56,12 @@
 export interface AttemptProgress {
   /** What of the call may crash instances. */
   readonly causes: CallCauses;
-  /** Epoch of the replica at which an instance was tried, by instance. */
-  readonly tried: Map<string, number>;
+  /** Name of the replica at which an instance was last tried, by instance. */
+  readonly tried: Map<string, string>;
   /** Time at which an instance last rejected it or could not be reached. */
   readonly notRunAtMs: Map<string, number>;
   readonly attempts: string[];
+  readonly refusals: Refusals;
   /** Time at which it was last sent to another process, by node. */
   readonly gatewaySentAtMs: Map<string, number>;
   /** Attempts that may have reached an instance. */
@@ -81,7 +84,7 @@
   failure:
     | { readonly headers: ResponseHeaders; readonly body: Buffer }
     | undefined;
-  /** Instance of the current attempt; undefined if there is none. */
+  /** Name of the current attempt's instance or gateway, for logs. */
   currentInstanceId: string | undefined;
   /** Whether sending the current attempt's request has begun. */
   isCurrentSent: boolean;
@@ -109,6 +112,7 @@
     tried: new Map(),
     notRunAtMs: new Map(),
     attempts: [],
+    refusals: new Refusals(),
     gatewaySentAtMs: new Map(),
     deliveries: 0,
     runs: new ReplicaRuns(),
@@ -166,14 +170,15 @@
  * allow another one. A stream that has begun may also go on where it ran.
  */
 export function mayAttemptAgain(
-  { call, exchange }: AttemptsOptions,
+  options: AttemptsOptions,
   progress: AttemptProgress,
 ): boolean {
+  const { call } = options;
   if (call.route.retryPolicy === "once" && progress.mayHaveRun) return false;
   if (!progress.stream.isResumable) return false;
   const { runs } = progress;
   return runs.count < maxReplicas(call) ||
-    (exchange.hasStarted && runs.mayGoOn);
+    (mustComplete(options) && runs.mayReturn);
 }
 
 /** Number of replicas at which a request may run. */
@@ -182,12 +187,13 @@
 }
 
 /** Whether another replica is allowed after the current one. */
-export function mayAttemptAfterThis(
+export function mayAttemptAfter(
+  target: ServingTarget,
   { call }: AttemptsOptions,
   progress: AttemptProgress,
 ): boolean {
   return call.route.retryPolicy !== "once" && progress.stream.isResumable &&
-    progress.runs.countWith(progress.currentInstanceId) < maxReplicas(call);
+    progress.runs.countWith(target) < maxReplicas(call);
 }
 
 /** Summarizes the attempts so far, the current one included. */
--- a/packages/celerytray/src/serving/attempts_of_orders_test.ts
+++ b/packages/celerytray/src/serving/attempts_of_orders_test.ts
@@ -28,7 +28,12 @@
       await startBackend(respondTwoAndEnd),
     ];
     backends.push(...closed);
-    const entry = await startEntry({ backends, trySpend: () => true });
+    const closedIds = closed.map(({ instanceId }) => instanceId);
+    const entry = await startEntry({
+      backends,
+      trySpend: () => true,
+      isClosing: (headId) => closedIds.includes(headId),
+    });
     const answer = call(entry, "/stream/x");
     setTimeout(async () => backends.push(await startBackend(respondRest)), 10);
     expectWhole(await answer);
--- a/packages/celerytray/src/serving/before_attempt.ts
+++ b/packages/celerytray/src/serving/before_attempt.ts
@@ -6,10 +6,10 @@
   AttemptsOptions,
   AttemptsResult,
 } from "./attempt_progress.ts";
-import { findWaitingEnd } from "./begun_stream.ts";
+import { mustComplete } from "./begun_stream.ts";
 import { giveUp, giveUpAtDeadline } from "./conclude_call.ts";
 
-/** Interval at which a stream that has begun asks the retry budget again. */
+/** Interval at which a begun stream asks the retry budget again. */
 const RETRY_BUDGET_POLL_MS = 50;
 
 /**
@@ -26,7 +26,7 @@
     const nowMs = yield* steadyMs;
     progress.isRetryPrepaid ||= retryBudget.trySpend(call.service, nowMs);
     if (progress.isRetryPrepaid) return "paid";
-    if (nowMs >= (findWaitingEnd(options) ?? nowMs)) return "exhausted";
+    if (!mustComplete(options)) return "exhausted";
     progress.awaited = "retry-budget";
     yield* Effect.sleep(RETRY_BUDGET_POLL_MS);
     return "again";
--- a/packages/celerytray/src/serving/begun_stream.ts
+++ b/packages/celerytray/src/serving/begun_stream.ts
@@ -1,12 +1,35 @@
 import type { AttemptsOptions } from "./attempt_progress.ts";
 
+type BegunStreamOptions = Pick<AttemptsOptions, "call" | "exchange">;
+
 /**
- * Returns the time until which a stream that has begun waits to go on; undefined
- * if none has begun. That its caller might leave before is no reason to end it:
- * one that has left is known by its connection.
+ * Whether a stream to the caller has begun that this process has to complete. One
+ * that another process relayed here goes back to it instead, which may try others.
  */
-export function findWaitingEnd(
-  { call, exchange }: Pick<AttemptsOptions, "call" | "exchange">,
-): number | undefined {
-  return exchange.hasStarted ? call.deadlineAtMs : undefined;
+export function mustComplete({ call, exchange }: BegunStreamOptions): boolean {
+  return exchange.hasStarted && !call.isRelayed;
+}
+
+/** Refusals in a row after which a begun stream pauses before each further try. */
+const MAX_QUICK_REFUSALS = 2;
+/** Such a pause; what is refused draws on the retry budget of all processes. */
+const REFUSAL_PAUSE_MS = 600;
+/** Time after which a begun stream asks the same replica or gateway again. */
+export const ASK_AGAIN_AFTER_MS = 500;
+
+/** Times at which a request was refused or could not be delivered. */
+export class Refusals {
+  #count = 0;
+  #lastAtMs = Number.NEGATIVE_INFINITY;
+
+  note(nowMs: number): void {
+    this.#count += 1;
+    this.#lastAtMs = nowMs;
+  }
+
+  /** Whether a begun stream has to pause before its next try. */
+  mustPause(nowMs: number): boolean {
+    return this.#count >= MAX_QUICK_REFUSALS &&
+      nowMs - this.#lastAtMs < REFUSAL_PAUSE_MS;
+  }
 }
--- a/packages/celerytray/src/serving/conclude_relay.ts
+++ b/packages/celerytray/src/serving/conclude_relay.ts
@@ -26,6 +26,8 @@
 /** An attempt at a gateway that has ended. */
 export interface EndedRelay extends RelayAttempt {
   readonly outcome: AttemptOutcome;
+  /** Whether its stream had written for a while. */
+  readonly hasWritten: boolean;
   readonly nowMs: number;
 }
 
@@ -36,7 +38,7 @@
 export function concludeRelay(
   options: AttemptsOptions,
   progress: AttemptProgress,
-  { gateway, attemptsLeft, outcome, nowMs }: EndedRelay,
+  { gateway, attemptsLeft, outcome, hasWritten, nowMs }: EndedRelay,
 ): AttemptsResult | undefined {
   const { gateways, discardAgent } = options.dependencies;
   const events = progress.stream.describeLastTurn();
@@ -59,10 +61,13 @@
       });
     case "not-run":
       if (outcome.isWithheld) return undefined;
+      progress.refusals.note(nowMs);
       gateways.avoidUntil(gateway, nowMs + AVOID_MS);
       return undefined;
     case "lost":
       notePossibleRuns(progress, attemptsLeft);
+      // It ended with its gateway, and not for what it asks of a replica.
+      if (hasWritten) progress.runs.noteOrdered();
       gateways.avoidUntil(gateway, nowMs + AVOID_MS);
       discardAgent(gateway.peerAddress);
       return mayAttemptAgain(options, progress)
@@ -118,6 +123,7 @@
   const message = body.toString("utf8").trim();
   if (status < SERVER_ERROR_STATUS || status === UNAVAILABLE_STATUS) {
     gateways.avoidUntil(gateway, nowMs + AVOID_MS);
+    progress.refusals.note(nowMs);
     progress.refusal = createLocalResponse(headers, message);
     return undefined;
   }
--- a/packages/celerytray/src/serving/end_cause.ts
+++ b/packages/celerytray/src/serving/end_cause.ts
@@ -37,15 +37,17 @@
 
 /**
  * How an attempt ended that brought no whole answer: it never got a connection
- * (`unreachable`), the instance rejected it (`rejected`) or answered with an
- * error (`error`), its connection was lost (`lost`), also while an order to close
- * holds for its replica (`lost-closing`), or this process moved it, as its replica
- * stood still, was slow or is closed for long (`moved-…`).
+ * (`unreachable`); the instance rejected it (`rejected`), answered with an error
+ * (`error`) or with what can't be passed on (`faulty`); its connection was lost
+ * (`lost`), also while an order to close holds for its replica (`lost-closing`);
+ * or this process moved it, as its replica stood still, was slow or is closed for
+ * long (`moved-…`).
  */
 export type AttemptEnd =
   | "unreachable"
   | "rejected"
   | "error"
+  | "faulty"
   | "lost"
   | "lost-closing"
   | "moved-stalled"
--- a/packages/celerytray/src/serving/exchange/attempt_options.ts
+++ b/packages/celerytray/src/serving/exchange/attempt_options.ts
@@ -22,6 +22,8 @@
     readonly message: string;
     /** Whether a reused connection was closed before any response. */
     readonly isStaleConnection: boolean;
+    /** Whether this process ended it for a response that it can't pass on. */
+    readonly isFaulty: boolean;
     /** Why this process ended it; undefined where it ended otherwise. */
     readonly abandonReason?: AbandonReason;
   }
--- a/packages/celerytray/src/serving/exchange/run_attempt.ts
+++ b/packages/celerytray/src/serving/exchange/run_attempt.ts
@@ -21,6 +21,13 @@
   closing: "The replica is being dissolved",
 };
 
+/** Why this process ended an attempt, if it did. */
+interface FailureOptions {
+  readonly abandonReason?: AbandonReason;
+  /** Whether it got a response that it can't pass on. */
+  readonly isFaulty?: boolean;
+}
+
 /** Sends a request to one instance; interruption closes the connection. */
 export function runAttempt(
   options: AttemptOptions,
@@ -37,12 +44,16 @@
       options.onEnd();
       resume(Effect.succeed(outcome));
     };
-    const fail = (message: string, abandonReason?: AbandonReason) =>
+    const fail = (
+      message: string,
+      { abandonReason, isFaulty = false }: FailureOptions = {},
+    ) =>
       settle(
         isSent
           ? {
             kind: "lost",
             message,
+            isFaulty,
             isStaleConnection: request.reusedSocket && isReset &&
               request.socket?.bytesRead === earlierBytes,
             ...(abandonReason === undefined ? {} : { abandonReason }),
@@ -67,8 +78,10 @@
       CONNECT_TIMEOUT_MS,
     );
     request.on("close", () => clearTimeout(connectTimer));
+    const rejectResponse = (message: string) =>
+      fail(message, { isFaulty: true });
     watchFraming(request, (message) => {
-      fail(message);
+      rejectResponse(message);
       request.destroy();
     });
     request.on("socket", (socket) => {
@@ -93,7 +106,12 @@
     });
     watchExchange(request, {
       onResponse: (response) =>
-        readResponse(response, { options, request, settle, fail }),
+        readResponse(response, {
+          options,
+          request,
+          settle,
+          fail: rejectResponse,
+        }),
       onFailure: (error) => {
         isReset = STALE_CONNECTION_CODES.has(
           (error as NodeJS.ErrnoException).code ?? "",
@@ -105,11 +123,11 @@
     request.on("information", () => {
       interimResponses += 1;
       if (interimResponses <= MAX_INTERIM_RESPONSES) return;
-      fail("The instance sent too many interim responses");
+      rejectResponse("The instance sent too many interim responses");
       request.destroy();
     });
     options.registerAbandon((reason) => {
-      fail(ABANDON_MESSAGES[reason], reason);
+      fail(ABANDON_MESSAGES[reason], { abandonReason: reason });
       request.destroy();
     });
     return Effect.sync(() => {
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -8,7 +8,7 @@
 import type { QuarantineRefusal } from "./quarantine/index.ts";
 import type { EndCause } from "./end_cause.ts";
 import { createPool } from "./rate_limit/index.ts";
-import { findWaitingEnd } from "./begun_stream.ts";
+import { mustComplete } from "./begun_stream.ts";
 import {
   chooseTarget,
   type ServingTarget,
@@ -24,6 +24,8 @@
 /** Load, as a multiple of the slots, up to which a late request is still sent. */
 const LATE_SLOTS_FACTOR = 1.5;
 const POLL_INTERVAL_MS = 20;
+/** The same for a begun stream, which waits until its deadline. */
+const BEGUN_POLL_INTERVAL_MS = 50;
 /** Interval at which a queued request checks whether the links are lost. */
 const RELAY_POLL_INTERVAL_MS = 200;
 
@@ -42,13 +44,15 @@
   | { readonly kind: "refused"; readonly refusal: AdmissionRefusal }
   /** Its model has no replica, and the time until it has one is known. */
   | { readonly kind: "no-replica"; readonly retryAfterMs: number }
+  /** The links are lost, and another process can serve it. */
+  | { readonly kind: "relay" }
   /** It crashes instances, or a part of its prompt does. */
   | { readonly kind: "quarantined"; readonly refusal: QuarantineRefusal }
   | { readonly kind: "none" };
 
 /** What a request without a target waits for. */
 const AWAITED: Readonly<
-  Record<Exclude<TargetSearch["kind"], "found">, EndCause>
+  Record<Exclude<TargetSearch["kind"], "found" | "relay">, EndCause>
 > = {
   "full": "full",
   "backing-off": "backing-off",
@@ -77,15 +81,16 @@
     limits.noteSought(createPool(call), startedAtMs);
     while (true) {
       const nowMs = yield* steadyMs;
-      if (mustRelay(options, progress, nowMs)) return { kind: "none" };
+      if (mustRelay(options, progress, nowMs)) return { kind: "relay" };
       const quarantineRefusal = findQuarantineRefusal(options, progress, nowMs);
       if (quarantineRefusal !== undefined) {
-        const endsAtMs = findWaitingEnd(options);
-        if (!mayAwaitTrial(quarantineRefusal, { endsAtMs, nowMs })) {
+        const mayAwaitTrial = quarantineRefusal.kind === "held" &&
+          mustComplete(options);
+        if (!mayAwaitTrial) {
           return { kind: "quarantined", refusal: quarantineRefusal };
         }
         progress.awaited = "quarantine";
-        yield* Effect.sleep(POLL_INTERVAL_MS);
+        yield* Effect.sleep(BEGUN_POLL_INTERVAL_MS);
         continue;
       }
       const mustWait = isStream && !hasBegun(options, progress) &&
@@ -101,15 +106,14 @@
         continue;
       }
       const search = searchTarget(options, progress, nowMs);
+      if (search.kind === "relay") return search;
       if (search.kind === "found") {
         if (isStream) admission.noteStarted(call, nowMs);
         return search;
       }
       progress.awaited = AWAITED[search.kind];
-      const endsAtMs = findWaitingEnd(options);
-      if (endsAtMs !== undefined) {
-        if (nowMs >= endsAtMs) return search;
-        yield* Effect.sleep(POLL_INTERVAL_MS);
+      if (mustComplete(options)) {
+        yield* Effect.sleep(BEGUN_POLL_INTERVAL_MS);
         continue;
       }
       if (search.kind === "barred" || search.kind === "no-replica") {
@@ -160,7 +164,6 @@
 ): TargetSearch {
   const { call, dependencies } = options;
   const choice = createChoice(options, progress, nowMs);
-  if (options.exchange.hasStarted) progress.runs.keepServing(choice.targets);
   const target = chooseTarget(choice);
   if (target === undefined) return explainNoTarget(options, progress, choice);
   const skipsFullCheck = !call.route.isStream || hasBegun(options, progress) ||
@@ -190,18 +193,6 @@
   return isTrial ? undefined : verdict;
 }
 
-/** Whether a held part may be cleared by its trial before the deadline. */
-function mayAwaitTrial(
-  { kind }: QuarantineRefusal,
-  { endsAtMs, nowMs }: {
-    /** Undefined if no stream to the caller has begun. */
-    readonly endsAtMs: number | undefined;
-    readonly nowMs: number;
-  },
-): boolean {
-  return kind === "held" && endsAtMs !== undefined && nowMs < endsAtMs;
-}
-
 /** Whether a response to the caller has begun, or an attempt was made. */
 function hasBegun(
   { exchange }: AttemptsOptions,
--- a/packages/celerytray/src/serving/note_outcome.ts
+++ b/packages/celerytray/src/serving/note_outcome.ts
@@ -4,6 +4,7 @@
   describeOutcome,
   SERVER_ERROR_STATUS,
 } from "./attempt_progress.ts";
+import type { TargetOutcome } from "./attempt_once.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import type { AttemptEnd } from "./end_cause.ts";
 import type { AttemptOutcome } from "./exchange/index.ts";
@@ -16,19 +17,16 @@
 const AVOID_STALLED_MS = 2_500;
 
 /** An attempt that has ended, with its call. */
-export interface EndedAttempt {
+export interface EndedAttempt extends TargetOutcome {
   readonly options: AttemptsOptions;
   readonly progress: AttemptProgress;
   readonly target: ServingTarget;
-  readonly outcome: AttemptOutcome;
-  /** Whether it had written for a while. */
-  readonly hasWritten: boolean;
   readonly nowMs: number;
 }
 
 /** Records the outcome of an attempt in the call's state and the load tracker. */
 export function noteOutcome(
-  { options, progress, target, outcome, hasWritten, nowMs }: EndedAttempt,
+  { options, progress, target, outcome, nowMs, ...ended }: EndedAttempt,
 ): void {
   const { loads } = options.dependencies;
   const { instanceId, address } = target;
@@ -56,15 +54,22 @@
     return;
   }
   if (outcome.kind !== "not-run") {
+    progress.notRunAtMs.delete(instanceId);
     const isLost = outcome.kind === "lost";
     progress.runs.note(target, {
-      hasWritten: isLost && hasWritten,
+      hasWritten: isLost && ended.hasWritten,
       isMoved: isLost && outcome.abandonReason !== undefined,
+      isAlive: ended.isAlive,
       nowMs,
     });
   }
   if (outcome.kind === "not-run") {
     progress.notRunAtMs.set(instanceId, nowMs);
+    progress.refusals.note(nowMs);
+    // What reached no instance is not a retry, so its charge stands for the next.
+    if (!outcome.isRejected) {
+      progress.isRetryPrepaid = progress.deliveries > 0;
+    }
     loads.avoidUntil(
       instanceId,
       nowMs + (outcome.isRejected ? AVOID_REJECTING_MS : AVOID_UNREACHABLE_MS),
@@ -103,6 +108,7 @@
       if (outcome.abandonReason !== undefined) {
         return `moved-${outcome.abandonReason}`;
       }
+      if (outcome.isFaulty) return "faulty";
       return isClosing ? "lost-closing" : "lost";
   }
 }
--- a/packages/celerytray/src/serving/relay_call.ts
+++ b/packages/celerytray/src/serving/relay_call.ts
@@ -1,5 +1,6 @@
 import { Clock, Effect } from "effect";
 import { readSteadyMs, steadyMs } from "../clock/index.ts";
+import { yieldToEventLoop } from "../http/index.ts";
 import { findWithheldReason } from "./attempt_once.ts";
 import {
   type AttemptProgress,
@@ -8,7 +9,7 @@
   maxReplicas,
   noteEventTime,
 } from "./attempt_progress.ts";
-import { concludeRelay, type RelayAttempt } from "./conclude_relay.ts";
+import { concludeRelay } from "./conclude_relay.ts";
 import { type AttemptOutcome, runAttempt } from "./exchange/index.ts";
 import type { Gateway } from "./relay/index.ts";
 
@@ -18,7 +19,9 @@
  * Silence after which a gateway that no longer takes part is left. One that stops
  * as planned completes what it has.
  */
-const MAX_DEPARTED_SILENCE_MS = 500;
+const MAX_DEPARTED_SILENCE_MS = 1_100;
+/** Time of writing after which a stream does not harm its replica. */
+const HARMLESS_AFTER_MS = 100;
 
 /**
  * Serves a request through another process. Returns its end; undefined if it
@@ -42,9 +45,10 @@
     gateways.noteSent(gateway);
     // The gateway counts it meanwhile.
     noteDemand(source, -1);
+    const watch = new GatewayWatch(gateway);
     const outcome = yield* sendToGateway(options, progress, {
-      gateway,
       attemptsLeft,
+      watch,
     }).pipe(
       Effect.ensuring(Effect.sync(() => {
         gateways.noteEnded(gateway);
@@ -55,6 +59,7 @@
     return concludeRelay(options, progress, {
       gateway,
       outcome,
+      hasWritten: watch.hasWritten,
       attemptsLeft,
       nowMs,
     });
@@ -76,11 +81,15 @@
 function sendToGateway(
   options: AttemptsOptions,
   progress: AttemptProgress,
-  { gateway, attemptsLeft }: RelayAttempt,
+  { attemptsLeft, watch }: {
+    readonly attemptsLeft: number;
+    readonly watch: GatewayWatch;
+  },
 ): Effect.Effect<AttemptOutcome> {
   const { call, exchange, dependencies } = options;
   const { codec } = dependencies;
   const { callerTimeoutMs } = call.headers;
+  const { gateway } = watch;
   return Effect.gen(function* () {
     const clock = yield* Clock.Clock;
     const nowMs = () => readSteadyMs(clock);
@@ -88,11 +97,7 @@
     const writer = progress.stream.open();
     const { lastEventId } = progress.stream;
     progress.currentInstanceId = `through ${gateway.nodeId}`;
-    let isAnswered = false;
-    let heardAtMs = nowMs();
-    const noteHeard = () => {
-      heardAtMs = nowMs();
-    };
+    watch.noteHeard(nowMs());
     const attempt = runAttempt({
       codec,
       address: gateway.peerAddress,
@@ -112,9 +117,9 @@
         ? undefined
         : dependencies.agentFor(gateway.peerAddress),
       onHeaders: () => {
-        isAnswered = true;
+        watch.isAnswered = true;
       },
-      onProgress: noteHeard,
+      onProgress: () => watch.noteHeard(nowMs()),
       maySend: () => findWithheldReason(options, nowMs()) === undefined,
       onSent: () => progress.isCurrentSent = true,
       onStreamHeaders: (headers) => writer.start(headers),
@@ -123,23 +128,23 @@
         const result = writer.write(event);
         if (result !== "closed" && result !== "out-of-order") {
           noteEventTime(progress, nowMs());
+          watch.noteEvent(nowMs());
         }
         return result;
       },
-      awaitDrain: (onReady) =>
+      awaitDrain: (onReady) => {
+        watch.isPaused = true;
         exchange.awaitDrain(() => {
           progress.lastEventAtMs = undefined;
+          watch.isPaused = false;
+          watch.noteHeard(nowMs());
           onReady();
-        }),
+        });
+      },
       held: dependencies.held,
       onEnd: () => writer.close(),
       registerAbandon: (abandon) => progress.abandon = abandon,
     });
-    const watch: GatewayWatch = {
-      gateway,
-      hasAnswered: () => isAnswered,
-      heardAtMs: () => heardAtMs,
-    };
     return yield* call.route.retryPolicy === "once"
       ? attempt
       : Effect.raceFirst(
@@ -149,23 +154,46 @@
   });
 }
 
-/** An attempt at a gateway that may be silent. */
-interface GatewayWatch {
+/** What an attempt at a gateway has brought so far. */
+class GatewayWatch {
   readonly gateway: Gateway;
-  readonly hasAnswered: () => boolean;
-  /** Time of its last bytes, or at which the request was sent. */
-  readonly heardAtMs: () => number;
+  isAnswered = false;
+  /** Whether the response is not read because its caller is slow. */
+  isPaused = false;
+  /** Time of the last bytes, or at which the request was sent. */
+  heardAtMs = Number.NEGATIVE_INFINITY;
+  #firstEventAtMs: number | undefined;
+  #lastEventAtMs = 0;
+
+  constructor(gateway: Gateway) {
+    this.gateway = gateway;
+  }
+
+  noteHeard(nowMs: number): void {
+    this.heardAtMs = nowMs;
+  }
+
+  noteEvent(nowMs: number): void {
+    this.#firstEventAtMs ??= nowMs;
+    this.#lastEventAtMs = nowMs;
+  }
+
+  /** Whether its stream has written for a while. */
+  get hasWritten(): boolean {
+    return this.#firstEventAtMs !== undefined &&
+      this.#lastEventAtMs - this.#firstEventAtMs >= HARMLESS_AFTER_MS;
+  }
 }
 
 /**
  * Ends an attempt at a gateway that is silent and no longer takes part, or that
  * doesn't answer a call within half of its time. A stream may wait longer for its
- * first event.
+ * first event. What this process has not read yet is no silence.
  */
 function abandonSilentGateway(
   { call, dependencies: { gateways } }: AttemptsOptions,
   progress: AttemptProgress,
-  { gateway, hasAnswered, heardAtMs }: GatewayWatch,
+  watch: GatewayWatch,
 ): Effect.Effect<never> {
   return Effect.gen(function* () {
     const startedAtMs = yield* steadyMs;
@@ -174,10 +202,13 @@
       : (call.deadlineAtMs - startedAtMs) / 2;
     while (true) {
       yield* Effect.sleep(GATEWAY_CHECK_INTERVAL_MS);
+      yield* yieldToEventLoop;
       const nowMs = yield* steadyMs;
-      const isSilent = !hasAnswered() && nowMs - startedAtMs >= maxSilenceMs;
-      const isGone = nowMs - heardAtMs() >= MAX_DEPARTED_SILENCE_MS &&
-        gateways.isGone(gateway);
+      const isSilent = !watch.isAnswered &&
+        nowMs - startedAtMs >= maxSilenceMs;
+      const isGone = !watch.isPaused &&
+        nowMs - watch.heardAtMs >= MAX_DEPARTED_SILENCE_MS &&
+        gateways.isGone(watch.gateway);
       if (isSilent || isGone) progress.abandon?.("stalled");
     }
   });
--- a/packages/celerytray/src/serving/replica_runs_test.ts
+++ b/packages/celerytray/src/serving/replica_runs_test.ts
@@ -1,12 +1,18 @@
 import { expect } from "earl";
 import { it } from "node:test";
 import type { ServingTarget } from "./choose_target.ts";
-import { ReplicaRuns } from "./replica_runs.ts";
+import { type EndedRun, ReplicaRuns } from "./replica_runs.ts";
 
 const LEFT_AT_MS = 700;
-const written = { hasWritten: true, isMoved: false, nowMs: LEFT_AT_MS };
-const moved = { hasWritten: false, isMoved: true, nowMs: LEFT_AT_MS };
-const lost = { hasWritten: false, isMoved: false, nowMs: LEFT_AT_MS };
+const lost: EndedRun = {
+  hasWritten: false,
+  isMoved: false,
+  isAlive: false,
+  nowMs: LEFT_AT_MS,
+};
+const written = { ...lost, hasWritten: true };
+const moved = { ...lost, isMoved: true };
+const alive = { ...lost, isAlive: true };
 
 // Guards against a stream that is broken off as its attempts are used up, though
 // a replica could go on within the route's limit (LOST, BUDGET).
@@ -14,46 +20,57 @@
   const runs = new ReplicaRuns();
   runs.note(createTarget("a"), written);
   runs.note(createTarget("a"), written);
-  expect([runs.count, runs.countWith("a"), runs.countWith("b")])
-    .toEqual([1, 1, 2]);
+  const counts = ["a", "b"].map((id) => runs.countWith(createTarget(id)));
+  expect([runs.count, ...counts]).toEqual([1, 1, 2]);
 });
 
-it("no longer counts a replica that ended after it had written", () => {
+it("counts the lives of an instance one by one", () => {
   const runs = new ReplicaRuns();
-  runs.note(createTarget("a"), written);
-  runs.noteEnded("a");
-  expect(runs.count).toEqual(0);
+  runs.note(createTarget("a", { bornAtMs: 1 }), written);
+  expect(runs.countWith(createTarget("a", { bornAtMs: 2 }))).toEqual(2);
 });
 
-it("counts a replica that the request may have ended", () => {
+it("does not count one run that an order ended", () => {
   const runs = new ReplicaRuns();
-  for (const end of [moved, lost]) {
-    runs.note(createTarget("a"), end);
-    runs.noteEnded("a");
-    expect(runs.count).toEqual(1);
+  for (const id of ["a", "b"]) {
+    runs.note(createTarget(id), written);
+    runs.noteOrdered();
   }
+  expect(runs.count).toEqual(1);
 });
 
-it("no longer counts a replica whose head serves another one", () => {
+it("lets a stream go back to where it did no harm", () => {
   const runs = new ReplicaRuns();
-  runs.note(createTarget("a"), written);
-  runs.note(createTarget("b"), written);
-  runs.keepServing([createTarget("a", 2), createTarget("b")]);
-  expect([runs.countWith("a"), runs.countWith("b")]).toEqual([2, 1]);
+  const mayReturn = (id: string, epoch?: number) =>
+    runs.leftAtMs(createTarget(id, { epoch })) === LEFT_AT_MS;
+  for (const [id, end] of Object.entries({ written, moved, alive, lost })) {
+    runs.note(createTarget(id), end);
+  }
+  expect(["written", "moved", "alive", "lost", "other"]
+    .map((id) => mayReturn(id))).toEqual([true, true, true, false, false]);
+  expect(mayReturn("written", 2)).toEqual(false);
 });
 
-it("lets a stream go back where it has written, or from where it was moved", () => {
+it("remembers that a run has written after a later one is lost there", () => {
   const runs = new ReplicaRuns();
-  const mayReturn = (id: string, epoch?: number) =>
-    runs.leftAtMs(createTarget(id, epoch)) === LEFT_AT_MS;
   runs.note(createTarget("a"), written);
-  runs.note(createTarget("b"), moved);
-  runs.note(createTarget("c"), lost);
-  expect(["a", "b", "c", "d"].map((id) => mayReturn(id)))
-    .toEqual([true, true, false, false]);
-  expect(mayReturn("a", 2)).toEqual(false);
+  runs.note(createTarget("a"), lost);
+  expect(runs.leftAtMs(createTarget("a"))).toEqual(LEFT_AT_MS);
 });
 
-function createTarget(instanceId: string, epoch = 1): ServingTarget {
-  return { instanceId, address: "127.0.0.1:1", zone: "z", slots: 1, epoch };
+function createTarget(
+  instanceId: string,
+  { epoch = 1, bornAtMs = 1 }: {
+    readonly epoch?: number | undefined;
+    readonly bornAtMs?: number;
+  } = {},
+): ServingTarget {
+  return {
+    instanceId,
+    address: "127.0.0.1:1",
+    zone: "z",
+    slots: 1,
+    epoch,
+    bornAtMs,
+  };
 }
--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -34,11 +34,16 @@
   payRetry,
   withhold,
 } from "./before_attempt.ts";
+import { mustComplete } from "./begun_stream.ts";
+import type { AttemptOutcome } from "./exchange/index.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import { awaitTarget } from "./find_target.ts";
 import { noteOutcome } from "./note_outcome.ts";
 import { relayIfLinksAreLost } from "./relay_step.ts";
 
+/** Time in which this process learns that a replica is being closed. */
+const ORDER_NOTICE_MS = 300;
+const ORDER_POLL_MS = 50;
 /** Minimum remaining time for a retry. */
 const MIN_RETRY_REMAINING_MS = 30;
 
@@ -88,7 +93,8 @@
       if (relayed.kind === "ended") return relayed.result;
       if (relayed.kind === "again") continue;
       const search = yield* awaitTarget(options, progress);
-      // The links may have been lost during the search.
+      if (search.kind === "relay") continue;
+      // The links may have been lost at the end of the search.
       if (mustRelay(options, progress, yield* steadyMs)) continue;
       if (search.kind === "full") return refuseAsFull(options, progress);
       if (search.kind === "backing-off") {
@@ -132,7 +138,7 @@
       const isRetry = progress.deliveries > 0;
       if (isRetry && call.deadlineAtMs - nowMs < MIN_RETRY_REMAINING_MS) {
         // A stream that has begun ends at its deadline, and not before.
-        if (options.exchange.hasStarted) return yield* Effect.never;
+        if (mustComplete(options)) return yield* Effect.never;
         return giveUp(options, progress, {
           cause: "no-time",
           message: "Too little time remains for a retry",
@@ -176,8 +182,8 @@
         }
         progress.failure = outcome;
       }
-      if (ended.hasWritten && outcome.kind === "lost") {
-        yield* forgetEndedRuns(options, progress, target);
+      if (outcome.kind === "lost") {
+        yield* noteOrderedEnd(options, progress, { ...ended, outcome, target });
       }
       if (!mayAttemptAgain(options, progress)) {
         return giveUpAfterLast(options, progress, describeOutcome(outcome));
@@ -187,16 +193,28 @@
 }
 
 /**
- * Stops counting a replica that broke off, if its instance has ended, so that
- * another one may take its place.
+ * Does not count a run that an order of this system has ended: its replica is
+ * being closed, of which this process may learn a moment after its connection.
  */
-function forgetEndedRuns(
-  { call, dependencies }: AttemptsOptions,
+function noteOrderedEnd(
+  options: AttemptsOptions,
   { runs }: AttemptProgress,
-  target: ServingTarget,
+  { outcome, hasWritten, target }: {
+    readonly outcome: Extract<AttemptOutcome, { kind: "lost" }>;
+    readonly hasWritten: boolean;
+    readonly target: ServingTarget;
+  },
 ): Effect.Effect<void> {
-  if (runs.count < maxReplicas(call)) return Effect.void;
-  return Effect.map(dependencies.aliveCheck.isAlive(target), (isAlive) => {
-    if (!isAlive) runs.noteEnded(target.instanceId);
+  const { call, dependencies } = options;
+  const isMoved = outcome.abandonReason === "closing";
+  return Effect.gen(function* () {
+    if (!mustComplete(options) || !(hasWritten || isMoved)) return;
+    const untilMs = (yield* steadyMs) + ORDER_NOTICE_MS;
+    while (!isMoved && !dependencies.isClosing(target.instanceId)) {
+      const isAllowed = runs.count < maxReplicas(call);
+      if (isAllowed || (yield* steadyMs) >= untilMs) return;
+      yield* Effect.sleep(ORDER_POLL_MS);
+    }
+    runs.noteOrdered();
   });
 }
--- a/packages/celerytray/src/serving/test_entry.ts
+++ b/packages/celerytray/src/serving/test_entry.ts
@@ -172,6 +172,8 @@
   readonly coldLimiter?: ServingDependencies["coldLimiter"];
   readonly quarantine?: ServingDependencies["quarantine"];
   readonly aliveCheck?: ServingDependencies["aliveCheck"];
+  readonly isClosing?: ServingDependencies["isClosing"];
+  readonly onAttemptEnded?: ServingDependencies["onAttemptEnded"];
   readonly links?: ServingDependencies["links"];
   readonly gateways?: ServingDependencies["gateways"];
   /** Home regions of all routes and of the organisation. */
--- a/packages/celerytray/src/serving/try_move.ts
+++ b/packages/celerytray/src/serving/try_move.ts
@@ -1,12 +1,13 @@
 import {
   type AttemptProgress,
   type AttemptsOptions,
-  mayAttemptAfterThis,
+  mayAttemptAfter,
 } from "./attempt_progress.ts";
 import { mustRelay } from "./choose_gateway.ts";
 import {
   chooseTarget,
   isPreferred,
+  type ServingTarget,
   type TargetChoice,
 } from "./choose_target.ts";
 import { createChoice } from "./create_choice.ts";
@@ -28,14 +29,17 @@
 export function tryMove(
   options: AttemptsOptions,
   progress: AttemptProgress,
-  { reason, nowMs }: {
+  { target, reason, nowMs }: {
+    /** Target of the current attempt. */
+    readonly target: ServingTarget;
     readonly reason: AbandonReason;
     readonly nowMs: number;
   },
 ): boolean {
   const { call, dependencies } = options;
   if (
-    progress.abandon === undefined || !mayAttemptAfterThis(options, progress)
+    progress.abandon === undefined ||
+    !mayAttemptAfter(target, options, progress)
   ) return false;
   if (call.deadlineAtMs - nowMs < MIN_MOVE_REMAINING_MS) return false;
   const lostForMs = dependencies.links.lostForMs(call.service, nowMs);
