Fakes: heads with slots, a queue and bounded connections; several models

The fakes' heads took any number of streams and connections, so that no test met what an overloaded model does: reject with 503, and reset new connections beyond a bound that shrinks while the queue is long. A head with limits has slots, a queue, Replica-Load and that bound; without limits nothing changes. The configuration names several models, and each run of a stream is reported with how it ended for the head.

--- a/packages/fakes/src/platform/fake_config.ts
+++ b/packages/fakes/src/platform/fake_config.ts
@@ -1,6 +1,18 @@
 /** Name of the model that the fake model instances serve. */
 export const FAKE_MODEL = "m0";
 
+/** A model of the streaming service. */
+export interface FakeModel {
+  readonly name: string;
+  /** Instances of a replica. */
+  readonly size: number;
+  /** Its share of the instances. */
+  readonly share?: number;
+}
+
+const DEFAULT_MODELS: readonly FakeModel[] = [{ name: FAKE_MODEL, size: 2 }];
+const DEFAULT_ATTEMPTS = 3;
+
 /** Tenants, cold start and latency target of a fake configuration. */
 export interface FakeConfigOptions {
   readonly version: number;
@@ -19,6 +31,14 @@
   readonly plainTimeoutMs?: number;
   /** Limit on the bodies of callers' requests; by default the product's own. */
   readonly maxBodyBytes?: number;
+  readonly models?: readonly FakeModel[];
+  /** Requests that a replica of a model runs concurrently. */
+  readonly slots?: number;
+  /** Connections that an instance accepts; by default the product's own. */
+  readonly maxConnections?: number;
+  readonly streamTimeoutMs?: number;
+  readonly streamAttempts?: number;
+  readonly idleTimeoutMs?: number;
   /** Path prefixes of further safe routes of the plain service. */
   readonly furtherPaths?: readonly string[];
 }
@@ -36,7 +56,7 @@
  */
 export function createFakeConfig(options: FakeConfigOptions) {
   const { cold, targetMs = 400, plainTimeoutMs = 4_000 } = options;
-  const { furtherPaths = [], maxBodyBytes } = options;
+  const { furtherPaths = [] } = options;
   const coldStart = cold === undefined ? {} : {
     cold_start_s: cold.startMs / 1000,
     cold_per_s: cold.requestsPerSecond,
@@ -51,8 +71,8 @@
         path_prefix: "/drafts/",
         kind: "streaming",
         resumable: true,
-        max_attempts: 3,
-        timeout_ms: 8_000,
+        max_attempts: options.streamAttempts ?? DEFAULT_ATTEMPTS,
+        timeout_ms: options.streamTimeoutMs ?? 8_000,
         service: "drafts",
       },
       {
@@ -88,20 +108,37 @@
         name: "drafts",
         ...coldStart,
         engine: {
-          slots: 8,
+          slots: options.slots ?? 8,
           loads_per_s: 50,
           loads_at_once: 8,
-          models: [{ name: FAKE_MODEL, size: 2, load_s: 0.2, warm_s: 0.1 }],
+          models: (options.models ?? DEFAULT_MODELS).map((model) => ({
+            ...model,
+            load_s: 0.2,
+            warm_s: 0.1,
+          })),
         },
+        ...(options.maxConnections === undefined
+          ? {}
+          : { max_connections: options.maxConnections }),
       },
       { name: "desk", ...coldStart },
     ],
-    ...(maxBodyBytes === undefined
-      ? {}
-      : { limits: { max_body_bytes: maxBodyBytes } }),
+    ...createLimits(options),
     tenants: options.tenants.map(({ name, keys }) => ({
       name,
       api_keys: keys,
     })),
   };
 }
+
+function createLimits({ maxBodyBytes, idleTimeoutMs }: FakeConfigOptions) {
+  if (maxBodyBytes === undefined && idleTimeoutMs === undefined) return {};
+  return {
+    limits: {
+      ...(maxBodyBytes === undefined ? {} : { max_body_bytes: maxBodyBytes }),
+      ...(idleTimeoutMs === undefined
+        ? {}
+        : { idle_timeout_ms: idleTimeoutMs }),
+    },
+  };
+}
--- a/packages/fakes/src/platform/fake_http_instance.ts
+++ b/packages/fakes/src/platform/fake_http_instance.ts
@@ -73,6 +73,7 @@
   readonly #onArrival: (arrival: FakeArrival) => void;
   readonly #onJoined: (answer: JoinedAnswer) => void;
   #joinableCount = 0;
+  #connectionCount = 0;
   #silentUntilMs = 0;
 
   constructor(options: FakeHttpInstanceOptions) {
@@ -85,6 +86,13 @@
     this.server = createServer((request, response) => {
       void this.#handle(request, response);
     });
+    this.server.on("connection", (socket) => {
+      this.#connectionCount += 1;
+      socket.once("close", () => this.#connectionCount -= 1);
+      if (this.#connectionCount > this.maxConnections()) {
+        socket.resetAndDestroy();
+      }
+    });
   }
 
   /**
@@ -136,6 +144,16 @@
     response: ServerResponse,
   ): Promise<void>;
 
+  /** Connections that it accepts now; it resets those beyond. */
+  protected maxConnections(): number {
+    return Number.POSITIVE_INFINITY;
+  }
+
+  /** Headers that describe its load. */
+  protected createLoadHeaders(): Record<string, string> {
+    return {};
+  }
+
   protected order(_order: Buffer): number {
     return MISDIRECTED_STATUS;
   }
@@ -182,6 +200,7 @@
     response.writeHead(status, {
       "attempt-id": request.callId,
       "not-executed": "1",
+      ...this.createLoadHeaders(),
       ...this.createLeavingHeaders(),
     })
       .end();
--- a/packages/fakes/src/platform/fake_instance_server.ts
+++ b/packages/fakes/src/platform/fake_instance_server.ts
@@ -1,4 +1,3 @@
-import type { InstanceOrder } from "celerytray";
 import type { ServerResponse } from "node:http";
 import { FakeModelInstance } from "../fleet/fake_model_instance.ts";
 import {
@@ -6,6 +5,8 @@
   type FakeHttpInstanceOptions,
   type FakeRequest,
 } from "./fake_http_instance.ts";
+import { decodeOrder } from "./decode_order.ts";
+import { type HeadLimits, HeadPlaces } from "./head_places.ts";
 
 const TIMES = { hotJoinMs: 50, warmJoinMs: 100, loadMs: 200, closeMs: 20 };
 const STEP_MS = 10;
@@ -13,6 +14,7 @@
 const CRASH_DELAY_MS = 150;
 const DEFAULT_EVENTS = 5;
 const MISDIRECTED_STATUS = 421;
+const FULL_STATUS = 503;
 const STATUSES = {
   begun: 202,
   holds: 200,
@@ -21,6 +23,19 @@
   elsewhere: MISDIRECTED_STATUS,
 } as const;
 
+/** A run of a stream as the head of its replica saw it end. */
+export interface FakeStreamRun {
+  readonly callId: string;
+  readonly instanceId: string;
+  /** Unix times. */
+  readonly startedAtMs: number;
+  readonly endedAtMs: number;
+  /** Id of the first event, after which it was resumed if that is not 0. */
+  readonly firstId: number;
+  readonly eventCount: number;
+  readonly end: "whole" | "connection-closed" | "instance-ended";
+}
+
 /** A model instance over HTTP, which reports each change of its state. */
 export class FakeInstanceServer extends FakeHttpInstance {
   readonly instance: FakeModelInstance;
@@ -32,6 +47,9 @@
   readonly #onChange: () => void;
   readonly #deadlyParts: ReadonlySet<string>;
   readonly #onCrash: () => void;
+  readonly #onStreamEnd: (run: FakeStreamRun) => void;
+  readonly #limits: HeadLimits | undefined;
+  readonly #places: HeadPlaces | undefined;
   readonly #timer: NodeJS.Timeout;
   /** The streams in progress, with the id of each request. */
   readonly #responses = new Map<ServerResponse, string>();
@@ -45,6 +63,9 @@
       /** Parts of prompts on which it crashes. */
       readonly deadlyParts: ReadonlySet<string>;
       readonly onCrash: () => void;
+      readonly onStreamEnd?: (run: FakeStreamRun) => void;
+      /** Its limits as a head; none by default. */
+      readonly limits?: HeadLimits;
     },
   ) {
     super(options);
@@ -52,6 +73,11 @@
     this.#awaitMember = options.awaitMember;
     this.#deadlyParts = options.deadlyParts;
     this.#onCrash = options.onCrash;
+    this.#onStreamEnd = options.onStreamEnd ?? (() => {});
+    this.#limits = options.limits;
+    if (options.limits !== undefined) {
+      this.#places = new HeadPlaces(options.limits);
+    }
     this.instance = new FakeModelInstance({
       id: options.id,
       domain: options.domain,
@@ -84,7 +110,7 @@
     const { membership, ...state } = this.instance.toInstanceState();
     return {
       service: state.service,
-      slots: state.slots,
+      slots: this.#limits?.slots ?? state.slots,
       domain: state.domain,
       staged: state.stagedModels,
       models: state.loadedModel === undefined
@@ -101,6 +127,16 @@
     };
   }
 
+  protected override maxConnections(): number {
+    return this.#places?.maxConnections ?? super.maxConnections();
+  }
+
+  protected override createLoadHeaders(): Record<string, string> {
+    return this.#places === undefined
+      ? {}
+      : { "replica-load": this.#places.describe() };
+  }
+
   /** Crashes after some time if a part of the prompt is deadly. */
   async #crashesOn(
     header: string | readonly string[] | undefined,
@@ -123,21 +159,34 @@
   }
 
   /**
-   * Streams events with ascending ids if it is the head of an open replica;
-   * resumes after `last-event-id`.
+   * Streams events with ascending ids if it is the head of an open replica and
+   * has a place; resumes after `last-event-id`.
    */
   protected async serve(
     request: FakeRequest,
     response: ServerResponse,
   ): Promise<void> {
-    const { callId, headers, body } = request;
     const { membership, id } = this.instance;
     const isServing = membership?.state === "open" &&
       membership.members[0] === id;
     if (!isServing) {
       this.reject(request, response, MISDIRECTED_STATUS);
-      return;
+    } else if (this.#places?.isFull === true) {
+      this.reject(request, response, FULL_STATUS);
+    } else if (this.#places === undefined) {
+      await this.#stream(request, response);
+    } else if (await this.#places.enter(response)) {
+      await this.#stream(request, response);
+      this.#places.leave();
     }
+  }
+
+  async #stream(
+    request: FakeRequest,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { callId, headers, body } = request;
+    const { id } = this.instance;
     this.recordExecution(request);
     this.#responses.set(response, callId);
     response.once("close", () => this.#responses.delete(response));
@@ -146,6 +195,7 @@
       "attempt-id": callId,
       "server-stamp": `stamp-${id}`,
       "content-type": "text/event-stream",
+      ...this.createLoadHeaders(),
       ...this.createLeavingHeaders(),
     };
     const after = headers["last-event-id"];
@@ -163,14 +213,37 @@
       return;
     }
     response.writeHead(200, streamHeaders);
-    for (const event of pieces) {
+    const startedAtMs = Date.now();
+    const eventCount = await this.#writeEvents(response, pieces);
+    this.#onStreamEnd({
+      callId,
+      instanceId: id,
+      startedAtMs,
+      endedAtMs: Date.now(),
+      firstId,
+      eventCount,
+      end: !this.isAlive
+        ? "instance-ended"
+        : response.writableEnded
+        ? "whole"
+        : "connection-closed",
+    });
+  }
+
+  /** Writes the events and ends the response; returns how many it wrote. */
+  async #writeEvents(
+    response: ServerResponse,
+    events: readonly string[],
+  ): Promise<number> {
+    for (const [index, event] of events.entries()) {
       await this.#awaitMembers();
-      if (response.destroyed) return;
+      if (response.destroyed) return index;
       response.write(event);
       await new Promise((resolve) => setTimeout(resolve, this.eventPauseMs));
     }
     await this.#awaitMembers();
-    response.end();
+    if (!response.destroyed) response.end();
+    return events.length;
   }
 
   /** Nothing moves at the head of a replica while a member is silent. */
@@ -200,31 +273,3 @@
   const ids = Array.from({ length: count }, (_, id) => id).slice(firstId);
   return ids.map((id) => `id: ${id}\ndata: ${prompt} ${id}\n\n`);
 }
-
-interface WireOrder {
-  readonly op: InstanceOrder["kind"];
-  readonly group: string;
-  readonly epoch: number;
-  readonly model: string;
-  readonly members: readonly string[];
-  readonly close_mode: string;
-  readonly fence: number;
-}
-
-function decodeOrder(
-  wire: WireOrder,
-): InstanceOrder & { readonly fence: number } {
-  const { op, group: replica, epoch, model, members, fence } = wire;
-  switch (op) {
-    case "join":
-      return { kind: op, replica, epoch, model, members, fence };
-    case "close": {
-      const isImmediate = wire.close_mode === "preempt";
-      return { kind: op, replica, epoch, isImmediate, fence };
-    }
-    case "stage":
-      return { kind: op, model, fence };
-    default:
-      return { kind: op, replica, epoch, fence };
-  }
-}
--- a/packages/fakes/src/platform/fake_platform.ts
+++ b/packages/fakes/src/platform/fake_platform.ts
@@ -1,8 +1,12 @@
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { FakeInstanceServer } from "./fake_instance_server.ts";
+import {
+  FakeInstanceServer,
+  type FakeStreamRun,
+} from "./fake_instance_server.ts";
 import { FakePlainInstance } from "./fake_plain_instance.ts";
 import type { FakeArrival, FakeHttpInstance } from "./fake_http_instance.ts";
+import type { HeadLimits } from "./head_places.ts";
 import type { JoinedAnswer } from "./joined_answer.ts";
 import { FakeStoreServer } from "./fake_store_server.ts";
 
@@ -22,6 +26,10 @@
   readonly onEnd?: (id: string) => void;
   /** Called for each answer that an instance joined with a fault. */
   readonly onJoined?: (answer: JoinedAnswer) => void;
+  /** Called as a run of a stream ends at the head of a replica. */
+  readonly onStreamEnd?: (run: FakeStreamRun) => void;
+  /** Limits of each model instance as the head of a replica; none by default. */
+  readonly headLimits?: HeadLimits;
   /** Returns the address to publish for an instance, such as that of a proxy. */
   readonly resolveListedAddress?: (
     id: string,
@@ -106,7 +114,10 @@
     zone = "zone-a",
     coldMs = 0,
   ): Promise<void> {
+    const { onStreamEnd, headLimits } = this.#options;
     const server = new FakeInstanceServer({
+      ...(onStreamEnd === undefined ? {} : { onStreamEnd }),
+      ...(headLimits === undefined ? {} : { limits: headLimits }),
       ...this.#createOptions(id, { zone, coldMs }),
       domain,
       onChange: () => this.#publish(server),
--- a/packages/fakes/src/platform/index.ts
+++ b/packages/fakes/src/platform/index.ts
@@ -4,16 +4,19 @@
   createFakeConfig,
   FAKE_MODEL,
   type FakeConfigOptions,
+  type FakeModel,
   fakePaths,
 } from "./fake_config.ts";
 export { type FakeFrontFault, fakeFrontFaults } from "./fake_front.ts";
 export {
   createCompleteStream,
   FakeInstanceServer,
+  type FakeStreamRun,
 } from "./fake_instance_server.ts";
 export { FakePlainInstance } from "./fake_plain_instance.ts";
 export { FakePlatform, type FakePlatformOptions } from "./fake_platform.ts";
 export { type FakeArrival, FakeHttpInstance } from "./fake_http_instance.ts";
+export type { HeadLimits } from "./head_places.ts";
 export {
   FakeStoreServer,
   type FakeStoreServerFaults,
--- a/packages/fakes/src/platform/platform_caller.ts
+++ b/packages/fakes/src/platform/platform_caller.ts
@@ -10,6 +10,8 @@
   readonly deadlineMs: number;
   readonly agent: Agent | false;
   readonly model?: string;
+  /** Tokens of the prompt, and of the answer at most, as in the header. */
+  readonly tokenCount?: string;
   /** Ids and tokens of the prompt's parts, as in the header. */
   readonly promptParts?: string;
   /** Called as the head of the response arrives; may close or pause it. */
@@ -51,6 +53,9 @@
         "deadline-ms": String(call.deadlineMs),
         "x-api-key": call.key,
         ...(call.model === undefined ? {} : { model: call.model }),
+        ...(call.tokenCount === undefined
+          ? {}
+          : { "token-count": call.tokenCount }),
         ...(call.promptParts === undefined
           ? {}
           : { "prompt-prefix": call.promptParts }),
