--- a/packages/celerytray/src/serving/replica_runs.ts
+++ b/packages/celerytray/src/serving/replica_runs.ts
@@ -34,8 +34,18 @@
     return this.count + (isNew ? 1 : 0);
   }
 
+  /** Notes a run; what an earlier one at the same replica showed still holds. */
   note(target: ServingTarget, end: EndedRun): void {
-    this.#byInstance.set(target.instanceId, { target, ...end });
+    const known = this.#byInstance.get(target.instanceId);
+    const earlier = known !== undefined && isSameReplica(known.target, target)
+      ? known
+      : undefined;
+    this.#byInstance.set(target.instanceId, {
+      target,
+      nowMs: end.nowMs,
+      hasWritten: end.hasWritten || earlier?.hasWritten === true,
+      isMoved: end.isMoved || earlier?.isMoved === true,
+    });
   }
 
   noteRelayed(runs: number): void {
--- a/packages/celerytray/src/serving/replica_runs_test.ts
+++ b/packages/celerytray/src/serving/replica_runs_test.ts
@@ -54,6 +54,19 @@
   expect(mayReturn("a", 2)).toEqual(false);
 });
 
+// Guards against a stream that is broken off as the replica where it had written
+// resets the connection on which it comes back (LOST).
+it("lets a stream go back again to a replica that did not take it up", () => {
+  const runs = new ReplicaRuns();
+  for (const end of [written, moved]) {
+    runs.note(createTarget("a"), end);
+    runs.note(createTarget("a"), lost);
+    expect(runs.mayGoOn).toEqual(true);
+  }
+  runs.note(createTarget("a", 2), lost);
+  expect(runs.mayGoOn).toEqual(false);
+});
+
 function createTarget(instanceId: string, epoch = 1): ServingTarget {
   return { instanceId, address: "127.0.0.1:1", zone: "z", slots: 1, epoch };
 }
