--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -48,6 +48,7 @@
     const watch = new AttemptWatch({
       ...dependencies,
       causes: progress.causes,
+      isHarmless: progress.runs.hasWritten,
       isStream: call.route.isStream,
       target,
       startedAtMs,
--- a/packages/celerytray/src/serving/find_target.ts
+++ b/packages/celerytray/src/serving/find_target.ts
@@ -174,13 +174,15 @@
 
 /**
  * Returns why the request, or a part of its prompt, forbids an attempt. A single
- * one that is held is let through where this process may try it.
+ * one that is held is let through where this process may try it; a stream that
+ * has written for a while is harmless, whatever others of its parts did.
  */
 function findQuarantineRefusal(
   { dependencies: { quarantine } }: AttemptsOptions,
   progress: AttemptProgress,
   nowMs: number,
 ): QuarantineRefusal | undefined {
+  if (progress.runs.hasWritten) return undefined;
   const causes = progress.causes.listWatched(quarantine);
   const verdict = quarantine.assess(causes, nowMs);
   if (verdict.kind === "clear" || verdict.kind === "suspected") return;
--- a/packages/celerytray/src/serving/quarantine/attempt_watch.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -13,6 +13,8 @@
   readonly quarantine: CrashQuarantine;
   readonly suspectLoad: SuspectLoad;
   readonly causes: CallCauses;
+  /** Whether it has written for a while at another attempt. */
+  readonly isHarmless?: boolean;
   readonly isStream: boolean;
   readonly target: IncarnatedTarget;
   readonly startedAtMs: number;
@@ -48,10 +50,10 @@
       instanceId,
       incarnation: createIncarnationKey(target),
     };
-    this.#isSuspect = quarantine.assess(
-      causes.listWatched(quarantine),
-      startedAtMs,
-    ).kind !== "clear";
+    this.#isSuspect = options.isHarmless !== true && quarantine.assess(
+          causes.listWatched(quarantine),
+          startedAtMs,
+        ).kind !== "clear";
     if (this.#isSuspect) suspectLoad.note(instanceId, 1);
   }
 
@@ -74,7 +76,7 @@
   /** Whether an outcome may come from a crash of the instance. */
   mayBeCrash(outcome: AttemptOutcome): boolean {
     return outcome.kind === "lost" && !this.#isSafe &&
-      outcome.abandonReason === undefined;
+      this.#options.isHarmless !== true && outcome.abandonReason === undefined;
   }
 
   /**
--- a/packages/celerytray/src/serving/replica_runs.ts
+++ b/packages/celerytray/src/serving/replica_runs.ts
@@ -23,6 +23,12 @@
   readonly #byInstance = new Map<string, RunReplica>();
   /** Runs behind other processes, whose replicas are not known. */
   #relayed = 0;
+  #hasWritten = false;
+
+  /** Whether it has written for a while anywhere, which shows that it is harmless. */
+  get hasWritten(): boolean {
+    return this.#hasWritten;
+  }
 
   get count(): number {
     return this.#byInstance.size + this.#relayed;
@@ -36,6 +42,7 @@
 
   /** Notes a run; what an earlier one at the same replica showed still holds. */
   note(target: ServingTarget, end: EndedRun): void {
+    this.#hasWritten ||= end.hasWritten;
     const known = this.#byInstance.get(target.instanceId);
     const earlier = known !== undefined && isSameReplica(known.target, target)
       ? known
