--- a/packages/celerytray/src/platform/instance_client.ts
+++ b/packages/celerytray/src/platform/instance_client.ts
@@ -171,5 +171,6 @@
 > = {
   refused: "refused",
   "not-sent": "unreachable",
+  "reset": "unanswered",
   "answer-lost": "unanswered",
 };
--- a/packages/celerytray/src/platform/send_request.ts
+++ b/packages/celerytray/src/platform/send_request.ts
@@ -12,9 +12,10 @@
   readonly message: string;
   /**
    * `refused`: nothing listens on the address. `not-sent`: no connection was
-   * made. `answer-lost`: the request may have run.
+   * made. `reset`: one was, and reset before the request was sent.
+   * `answer-lost`: the request may have run.
    */
-  readonly reason: "refused" | "not-sent" | "answer-lost";
+  readonly reason: "refused" | "not-sent" | "reset" | "answer-lost";
 }> {}
 
 /** A request to the store or an instance, with a body held in memory. */
@@ -90,9 +91,9 @@
     });
     watchExchange(sent, {
       onFailure: (error) => {
-        if ((error as NodeJS.ErrnoException).code === "ECONNREFUSED") {
-          reason = "refused";
-        }
+        const { code } = error as NodeJS.ErrnoException;
+        if (code === "ECONNREFUSED") reason = "refused";
+        if (code === "ECONNRESET" && reason === "not-sent") reason = "reset";
         fail(error.message);
       },
       onResponse: (response) => {
