--- a/packages/celerytray/src/serving/replica_runs.ts
+++ b/packages/celerytray/src/serving/replica_runs.ts
@@ -30,6 +30,12 @@
   /** Runs behind other processes, whose replicas are not known. */
   #relayed = 0;
   #uncounted = 0;
+  #hasWritten = false;
+
+  /** Whether it has written for a while anywhere, so that it is harmless. */
+  get hasWritten(): boolean {
+    return this.#hasWritten;
+  }
 
   get count(): number {
     return this.#byIncarnation.size + this.#relayed - this.#uncounted;
@@ -41,7 +47,9 @@
     return this.count + (isNew ? 1 : 0);
   }
 
+  /** Notes a run; that an earlier one there has written still holds. */
   note(target: ServingTarget, end: EndedRun): void {
+    this.#hasWritten ||= end.hasWritten;
     const key = createIncarnationKey(target);
     const { epoch } = target;
     const earlier = this.#byIncarnation.get(key);
