--- a/packages/celerytray/src/serving/begun_stream.ts
+++ b/packages/celerytray/src/serving/begun_stream.ts
@@ -1,6 +1,10 @@
-import type { AttemptsOptions } from "./attempt_progress.ts";
+import type { AdmittedCall } from "./call_context.ts";
+import type { CallerExchange } from "./exchange/index.ts";
 
-type BegunStreamOptions = Pick<AttemptsOptions, "call" | "exchange">;
+interface BegunStreamOptions {
+  readonly call: Pick<AdmittedCall, "isRelayed">;
+  readonly exchange: Pick<CallerExchange, "hasStarted">;
+}
 
 /**
  * Whether a stream to the caller has begun that this process has to complete. One
