--- a/packages/celerytray/src/serving/test_streams.ts
+++ b/packages/celerytray/src/serving/test_streams.ts
@@ -1,4 +1,5 @@
 import type { RequestListener } from "node:http";
+import { HEADER_NAMES } from "../platform/words.ts";
 import { call, idOf } from "./test_entry.ts";
 
 /** Longer than the time for which a stream has to write to count as harmless. */
@@ -15,8 +16,8 @@
 export const begin: RequestListener = (incoming, response) => {
   incoming.resume();
   response.writeHead(200, {
-    "attempt-id": idOf(incoming),
-    "server-stamp": "s",
+    [HEADER_NAMES.callId]: idOf(incoming),
+    [HEADER_NAMES.stamp]: "s",
     "content-type": "text/event-stream",
   });
 };
@@ -51,8 +52,8 @@
 export const reject: RequestListener = (incoming, response) => {
   incoming.resume();
   response.writeHead(503, {
-    "attempt-id": idOf(incoming),
-    "not-executed": "1",
+    [HEADER_NAMES.callId]: idOf(incoming),
+    [HEADER_NAMES.notRun]: "1",
   }).end();
 };
 
