--- a/packages/celerytray/src/host/create_host.ts
+++ b/packages/celerytray/src/host/create_host.ts
@@ -14,6 +14,7 @@
 import { MetricsPage, type RecordEvent } from "../journal/index.ts";
 import { EraTrackingLog } from "../keyed_log/index.ts";
 import {
+  AliveCheck,
   BackendLinks,
   CallerTimeoutTracker,
   GatewayChoice,
@@ -34,7 +35,6 @@
 import { countLateEvents } from "./count_late_events.ts";
 import { countMalformedHeaders } from "./count_malformed_headers.ts";
 import { createAdmission } from "./create_admission.ts";
-import { createAliveCheck } from "./create_alive_check.ts";
 import { createCoordinator, createIncarnation } from "./create_coordinator.ts";
 import { createLimits } from "./create_limits.ts";
 import { createQuarantine } from "./create_quarantine.ts";
@@ -232,7 +232,12 @@
       coldLimiter: cold.rateLimiter,
       quarantine,
       suspectLoad: new SuspectLoad(),
-      aliveCheck: createAliveCheck(ports.control),
+      aliveCheck: new AliveCheck({
+        probe: ({ instanceId: id, address }) =>
+          ports.control.probe({ id, address }).pipe(
+            Effect.match({ onSuccess: () => true, onFailure: () => false }),
+          ),
+      }),
       limits,
       callerTimeouts: new CallerTimeoutTracker(),
       stop,
--- a/packages/celerytray/src/serving/attempt_once.ts
+++ b/packages/celerytray/src/serving/attempt_once.ts
@@ -117,7 +117,10 @@
         links.noteHeard(call.service, nowMs());
       },
       maySend: () => findWithheldReason(options, nowMs()) === undefined,
-      onSent: () => progress.isCurrentSent = true,
+      onSent: () => {
+        progress.isCurrentSent = true;
+        watch.noteSent(nowMs());
+      },
       onStreamHeaders: (headers) => writer.start(headers),
       lastEventId: () => progress.stream.lastEventId,
       onEvent: (event) => {
--- a/packages/celerytray/src/serving/quarantine/attempt_watch.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch.ts
@@ -24,8 +24,8 @@
 const CONFIRM_MS = 100;
 /**
  * Shortest time in which an instance begins to write a stream, or to run another
- * request. A kept connection that is reset sooner had been closed while it was
- * idle.
+ * request. A request that is lost sooner has not crashed its instance: a kept
+ * connection had been closed while it was idle, a new one found no room.
  */
 const MIN_STREAM_BEGIN_MS = 50;
 const MIN_RUN_MS = 10;
@@ -38,6 +38,8 @@
   readonly #options: AttemptWatchOptions;
   readonly #attempt: Omit<WatchedAttempt, "causes">;
   #isSuspect: boolean;
+  #sentAtMs: number;
+  #hasHeaders = false;
   #firstEventAtMs: number | undefined;
   #isSafe = false;
 
@@ -45,6 +47,7 @@
     const { quarantine, suspectLoad, causes, target, startedAtMs } = options;
     const { instanceId } = target;
     this.#options = options;
+    this.#sentAtMs = startedAtMs;
     this.#attempt = {
       isStream: options.isStream,
       instanceId,
@@ -62,7 +65,13 @@
     return this.#isSafe;
   }
 
+  /** Notes that sending the request has begun. */
+  noteSent(nowMs: number): void {
+    this.#sentAtMs = nowMs;
+  }
+
   noteHeaders(nowMs: number): void {
+    this.#hasHeaders = true;
     this.#options.quarantine.noteAlive(this.#attempt, nowMs);
   }
 
@@ -91,15 +100,15 @@
     if (this.#hasWritten(outcome)) this.#noteSafe(nowMs);
     const { quarantine, causes, isStream, startedAtMs } = this.#options;
     if (outcome.kind !== "lost" || !this.mayBeCrash(outcome)) return;
-    const wasIdle = outcome.isStaleConnection &&
-      nowMs - startedAtMs < (isStream ? MIN_STREAM_BEGIN_MS : MIN_RUN_MS);
+    const minRunMs = isStream ? MIN_STREAM_BEGIN_MS : MIN_RUN_MS;
+    const isTooSoon = !this.#hasHeaders && nowMs - this.#sentAtMs < minRunMs;
     const attempt: WatchedAttempt = {
       ...this.#attempt,
       causes: causes.all,
       startedAtMs,
       isKeptConnection: outcome.isStaleConnection,
     };
-    if (wasIdle || isAlive) quarantine.noteDisregarded(attempt, nowMs);
+    if (isTooSoon || isAlive) quarantine.noteDisregarded(attempt, nowMs);
     else quarantine.noteLost(attempt, nowMs);
   }
 
--- a/packages/celerytray/src/serving/quarantine/attempt_watch_test.ts
+++ b/packages/celerytray/src/serving/quarantine/attempt_watch_test.ts
@@ -40,6 +40,42 @@
   }
 });
 
+// Guards against full replicas, which reset new connections, being taken for ones
+// that crashed, so that what all prompts share comes into quarantine (LOST).
+describe("AttemptWatch, with a stream that is lost without a response", () => {
+  for (
+    const [afterMs, verdict] of [[20, "clear"], [60, "suspected"]] as const
+  ) {
+    it(`takes its part for ${verdict} after ${afterMs} ms`, () => {
+      const quarantine = new CrashQuarantine({
+        nodeId: "p",
+        onEvent: () => {},
+      });
+      const watch = new AttemptWatch({
+        quarantine,
+        suspectLoad: new SuspectLoad(),
+        causes: CAUSES,
+        isStream: true,
+        target: { instanceId: "a", epoch: 1 },
+        startedAtMs: 0,
+      });
+      watch.noteSent(SENT_AT_MS);
+      const nowMs = SENT_AT_MS + afterMs;
+      watch.noteOutcome(LOST, { nowMs, isAlive: false });
+      expect(quarantine.assess(CAUSES.all, nowMs).kind).toEqual(verdict);
+    });
+  }
+});
+
+/** Longer than a stream takes to begin; the connection was long in coming. */
+const SENT_AT_MS = 100;
+const LOST: AttemptOutcome = {
+  kind: "lost",
+  message: "read ECONNRESET",
+  isFaulty: false,
+  isStaleConnection: false,
+};
+
 function createCauses(body: string): CallCauses {
   return new CallCauses({
     headers: {
