--- a/packages/fakes/src/platform/fake_http_instance.ts
+++ b/packages/fakes/src/platform/fake_http_instance.ts
@@ -31,6 +31,8 @@
   readonly hasRun: boolean;
   /** Whether the instance answered 421 (Misdirected Request). */
   readonly isMisdirected: boolean;
+  /** Instances that take part in its execution; absent if it did not run. */
+  readonly members?: readonly string[];
 }
 
 /** Options that model instances and plain instances share. */
@@ -158,10 +160,14 @@
     return MISDIRECTED_STATUS;
   }
 
-  /** Records that the instance executes a request. */
-  protected recordExecution(request: FakeRequest): void {
+  /** Records that the instance executes a request, with others if named. */
+  protected recordExecution(
+    request: FakeRequest,
+    members: readonly string[] = [this.id],
+  ): void {
     this.executedCallIds.push(request.callId);
-    this.#reportArrival(request, { hasRun: true, isMisdirected: false });
+    const isMisdirected = false;
+    this.#reportArrival(request, { hasRun: true, isMisdirected, members });
   }
 
   /** Returns the fault to join the next answer with, if any. */
@@ -217,7 +223,7 @@
 
   #reportArrival(
     { callId, readAtMs }: FakeRequest,
-    outcome: Pick<FakeArrival, "hasRun" | "isMisdirected">,
+    outcome: Pick<FakeArrival, "hasRun" | "isMisdirected" | "members">,
   ): void {
     this.#onArrival({
       atMs: readAtMs,
--- a/packages/fakes/src/platform/fake_instance_server.ts
+++ b/packages/fakes/src/platform/fake_instance_server.ts
@@ -49,7 +49,7 @@
   readonly #onCrash: () => void;
   readonly #onStreamEnd: (run: FakeStreamRun) => void;
   readonly #limits: HeadLimits | undefined;
-  readonly #places: HeadPlaces | undefined;
+  #places: HeadPlaces | undefined;
   readonly #timer: NodeJS.Timeout;
   /** The streams in progress, with the id of each request. */
   readonly #responses = new Map<ServerResponse, string>();
@@ -75,9 +75,7 @@
     this.#onCrash = options.onCrash;
     this.#onStreamEnd = options.onStreamEnd ?? (() => {});
     this.#limits = options.limits;
-    if (options.limits !== undefined) {
-      this.#places = new HeadPlaces(options.limits);
-    }
+    this.limitHead(options.limits);
     this.instance = new FakeModelInstance({
       id: options.id,
       domain: options.domain,
@@ -95,6 +93,19 @@
     }, STEP_MS);
   }
 
+  /**
+   * Has it take other limits as a head, none if undefined, than its entry says.
+   * Streams in progress count for the limits before.
+   */
+  limitHead(limits: HeadLimits | undefined): void {
+    this.#places = limits === undefined ? undefined : new HeadPlaces(limits);
+  }
+
+  /** Requests that wait for a slot. */
+  get waitingCount(): number {
+    return this.#places?.waitingCount ?? 0;
+  }
+
   /** Ids of the requests whose streams are in progress. */
   listStreamingCallIds(): readonly string[] {
     return [...this.#responses.values()];
@@ -167,17 +178,18 @@
     response: ServerResponse,
   ): Promise<void> {
     const { membership, id } = this.instance;
+    const places = this.#places;
     const isServing = membership?.state === "open" &&
       membership.members[0] === id;
     if (!isServing) {
       this.reject(request, response, MISDIRECTED_STATUS);
-    } else if (this.#places?.isFull === true) {
+    } else if (places?.isFull === true) {
       this.reject(request, response, FULL_STATUS);
-    } else if (this.#places === undefined) {
+    } else if (places === undefined) {
       await this.#stream(request, response);
-    } else if (await this.#places.enter(response)) {
+    } else if (await places.enter(response)) {
       await this.#stream(request, response);
-      this.#places.leave();
+      places.leave();
     }
   }
 
@@ -187,7 +199,8 @@
   ): Promise<void> {
     const { callId, headers, body } = request;
     const { id } = this.instance;
-    this.recordExecution(request);
+    const { membership } = this.instance;
+    this.recordExecution(request, membership?.members);
     this.#responses.set(response, callId);
     response.once("close", () => this.#responses.delete(response));
     if (await this.#crashesOn(headers["prompt-prefix"])) return;
--- a/packages/fakes/src/platform/head_places.ts
+++ b/packages/fakes/src/platform/head_places.ts
@@ -22,6 +22,10 @@
     this.#limits = limits;
   }
 
+  get waitingCount(): number {
+    return this.#waiting.length;
+  }
+
   /** Whether a request would find neither a slot nor a place in the queue. */
   get isFull(): boolean {
     const { slots, maxWaiting } = this.#limits;
