--- a/packages/soak/src/apply_fault.ts
+++ b/packages/soak/src/apply_fault.ts
@@ -5,8 +5,15 @@
 import { applyCutLinks } from "./cut_links.ts";
 import { applyJoinedAnswers } from "./joined_answers.ts";
 import { applyLateReturn, MAX_AWAY_MS } from "./late_return.ts";
+import { fillHeads } from "./full_heads.ts";
 import type { FaultAction } from "./fault_action.ts";
-import type { PlannedFault } from "./plan.ts";
+import type { PlannedFault } from "./planned_fault.ts";
+import {
+  keepOneReplica,
+  silence,
+  slowStreams,
+  slowWork,
+} from "./instance_states.ts";
 import type { SoakCallers } from "./soak_callers.ts";
 import type { SoakCluster } from "./soak_cluster.ts";
 
@@ -19,7 +26,6 @@
 /** Time until the instance list shows that an instance has become cold. */
 const COLD_DETECTION_MS = 1_000;
 const MIN_DOWNTIME_MS = 1_000;
-const ONE_REPLICA_SETTLES_MS = 2_500;
 /** Makes a fault's duration a moment of a start. */
 const START_SHARE = 12;
 
@@ -80,6 +86,9 @@
       return await applyCutLinks(cluster, action, { durationMs, callers });
     case "silent-instance":
       return await silence(cluster, action.instance, durationMs);
+    case "full-heads":
+      await fillHeads(cluster, action, { durationMs, callers });
+      return true;
     case "one-replica":
       return await keepOneReplica(cluster, action.instances, durationMs);
     case "slow-streams":
@@ -138,64 +147,6 @@
   return true;
 }
 
-async function slowWork(
-  { platform: { plainInstances } }: SoakCluster,
-  workMs: number,
-  durationMs: number,
-): Promise<boolean> {
-  const slowed = [...plainInstances.values()];
-  const usualMs = slowed.map((instance) => instance.workMs);
-  for (const instance of slowed) instance.workMs = workMs;
-  await sleep(durationMs);
-  slowed.forEach((instance, index) => instance.workMs = usualMs[index]!);
-  return true;
-}
-
-/** Once the others are known to have ended, nothing is faulty any more. */
-async function keepOneReplica(
-  { platform, history }: SoakCluster,
-  kept: readonly string[],
-  durationMs: number,
-): Promise<boolean> {
-  const end = history.beginFault({ kind: "instance" }, "one-replica");
-  const others = [...platform.instances.keys()].filter((id) =>
-    !kept.includes(id)
-  );
-  for (const id of others) if (platform.find(id).isAlive) platform.kill(id);
-  for (const id of kept) await platform.restart(id);
-  await sleep(ONE_REPLICA_SETTLES_MS);
-  end();
-  await sleep(durationMs - ONE_REPLICA_SETTLES_MS);
-  for (const id of others) await platform.restart(id);
-  return true;
-}
-
-async function slowStreams(
-  { platform: { instances } }: SoakCluster,
-  pauseMs: number,
-  durationMs: number,
-): Promise<boolean> {
-  const slowed = [...instances.values()];
-  const usualMs = slowed.map((instance) => instance.eventPauseMs);
-  for (const instance of slowed) instance.eventPauseMs = pauseMs;
-  await sleep(durationMs);
-  slowed.forEach((each, index) => each.eventPauseMs = usualMs[index]!);
-  return true;
-}
-
-/** The silence of a sound instance is no fault, and excuses nothing. */
-async function silence(
-  { platform }: SoakCluster,
-  id: string,
-  durationMs: number,
-): Promise<boolean> {
-  const server = platform.find(id);
-  if (!server.isAlive || server.isSilent) return false;
-  server.fallSilent(durationMs);
-  await sleep(durationMs);
-  return true;
-}
-
 async function applyToLink(
   cluster: SoakCluster,
   { endpoint, name, fault }: ActionOf<"link">,
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -1,15 +1,11 @@
 import { type FakeArrival, LINK_DELAY_MS } from "@celerytray/fakes";
-import type {
-  CallRecord,
-  InjectedFault,
-  SoakHistory,
-  StateInterval,
-} from "./history.ts";
+import type { SoakHistory, StateInterval } from "./history.ts";
 import { bounds } from "./bounds.ts";
 import { findLateConfigs, findOldConfigs } from "./config_checks.ts";
-import { findUnservedCuts, isJustCut } from "./cut_checks.ts";
+import { findUnservedCuts } from "./cut_checks.ts";
 import { findDrainedArrivals } from "./drain_checks.ts";
 import { findDiscardedAnswers } from "./joined_checks.ts";
+import { findCutStreams, findLosses } from "./loss_checks.ts";
 import { describeCall, listRuns } from "./history_queries.ts";
 
 const REFUSED_STATUSES = [429, 503];
@@ -28,6 +24,7 @@
   { name: "withdrawn-key", find: findWithdrawnRuns },
   { name: "leaving-instance", find: findLeavingArrivals },
   { name: "no-loss", find: findLosses },
+  { name: "sound-stream", find: findCutStreams },
   { name: "restored", find: findOutages },
   { name: "stays-up", find: findUnexpectedExits },
   { name: "bounded-memory", find: findLargeProcesses },
@@ -244,30 +241,6 @@
   );
 }
 
-/** An accepted request is answered, unless the process or its link failed. */
-function findLosses(history: SoakHistory): readonly string[] {
-  // The bound on repeats may keep a stream that its instance broke off from
-  // being resumed.
-  const brokenOff = new Set(
-    history.joinedAnswers.filter(({ fault }) => fault === "no-chunk-size")
-      .map(({ callId }) => callId),
-  );
-  return history.calls.filter((call) => {
-    const { answer } = call;
-    if (answer === undefined || answer.isWhole || call.wasRefused === true) {
-      return false;
-    }
-    const isBrokenOff = answer.status !== 0;
-    if (isBrokenOff && brokenOff.has(call.callId)) return false;
-    if (isBrokenOff && isJustCut(history, call)) return false;
-    return !history.injectedFaults.some((injected) =>
-      overlaps(injected, call) &&
-      (isOfProcess(injected, call) ||
-        (isBrokenOff && injected.target.kind === "instance"))
-    );
-  }).map((call) => `${describeCall(call)} was lost: ${JSON.stringify(call)}`);
-}
-
 function findOutages({ restorations }: SoakHistory): readonly string[] {
   return restorations.filter(({ restoredAtMs }) => restoredAtMs === undefined)
     .map(({ series, missing }) =>
@@ -300,19 +273,3 @@
   );
   return history.runnerLagMs + (isDelayed ? LINK_DELAY_MS : 0);
 }
-
-/** Whether a fault affects a call's process or the link to its callers. */
-function isOfProcess(
-  { target, fault }: InjectedFault,
-  { process }: CallRecord,
-) {
-  return (target.kind === "process" || target.kind === "callers") &&
-    target.name === process && fault !== "terminate";
-}
-
-function overlaps(
-  { fromMs, toMs }: InjectedFault,
-  { sentAtMs, endedAtMs }: CallRecord,
-): boolean {
-  return fromMs <= endedAtMs! && toMs >= sentAtMs;
-}
--- a/packages/soak/src/fault_action.ts
+++ b/packages/soak/src/fault_action.ts
@@ -1,4 +1,4 @@
-import type { CutMode, LinkFault } from "@celerytray/fakes";
+import type { CutMode, HeadLimits, LinkFault } from "@celerytray/fakes";
 
 /** Faults of the store. */
 export const storeFaults = [
@@ -44,6 +44,8 @@
   | { readonly kind: "slow-work"; readonly workMs: number }
   /** A sound instance sends nothing for a time, then goes on. */
   | { readonly kind: "silent-instance"; readonly instance: string }
+  /** Heads have few places, and reset new connections while their queue is long. */
+  | ({ readonly kind: "full-heads" } & HeadLimits)
   /** All model instances end but these, which are enough for one replica. */
   | { readonly kind: "one-replica"; readonly instances: readonly string[] }
   /** Streams pause after each event. */
--- a/packages/soak/src/faulty_front_test.ts
+++ b/packages/soak/src/faulty_front_test.ts
@@ -4,7 +4,7 @@
 import { fileURLToPath } from "node:url";
 import { checks } from "./checks.ts";
 import type { FaultAction } from "./fault_action.ts";
-import type { PlannedFault } from "./plan.ts";
+import type { PlannedFault } from "./planned_fault.ts";
 import { runSoak } from "./run_soak.ts";
 
 const PROGRAM = fileURLToPath(
@@ -68,11 +68,12 @@
     actions: [BURST, COOL],
   },
 ];
-/** Tested in checks_test.ts on histories, as this front has no models. */
+/** Tested on histories, as this front has no models. */
 const HISTORY_CHECKS = [
   "limit-bound",
   "poison-bound",
   "order",
+  "sound-stream",
   "config-in-time",
   "config-forward",
   "joined-answer",
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -4,6 +4,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { countJudgedCuts, describeCut } from "./cut_checks.ts";
+import { describeEnds } from "./end_causes.ts";
 import { checks } from "./checks.ts";
 import { isKnownRed, type KnownRed, readKnownRed } from "./known_red.ts";
 import { createPlan, describePlan } from "./plan.ts";
@@ -62,6 +63,10 @@
         const names = [...new Set(failedChecks)].join(", ");
         this.#print(`known red: seed ${seed}, ${names}`);
       } else failedCount += 1;
+      const messages = result.violations.map(({ message }) => message);
+      for (const end of describeEnds(messages, result.logs)) {
+        this.#print(`  ended: ${end}`);
+      }
       this.#print(`  logs: ${await writeLogs(seed, result)}`);
       this.#print(`  replay: npm run soak -- --first-seed ${seed}`);
     }
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -1,18 +1,10 @@
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { cutModes, linkFaults } from "@celerytray/fakes";
-import {
-  type CutLinks,
-  type FaultAction,
-  storeFaults,
-} from "./fault_action.ts";
-
-/** An action with its start in the series and its duration. */
-export interface PlannedFault {
-  readonly atMs: number;
-  readonly durationMs: number;
-  readonly action: FaultAction;
-}
+import { linkFaults } from "@celerytray/fakes";
+import { drawCut, drawCutAlone } from "./cut_plan.ts";
+import { type FaultAction, storeFaults } from "./fault_action.ts";
+import { drawIncident } from "./incident_plan.ts";
+import type { PlannedFault, PlanTargets } from "./planned_fault.ts";
+import { PlanRandom } from "./plan_random.ts";
+import { drawSilences, drawSilencesAlone } from "./silence_plan.ts";
 
 /** Series of faults, each followed by a time without faults. */
 export interface SoakPlan {
@@ -20,19 +12,6 @@
   readonly series: readonly (readonly PlannedFault[])[];
 }
 
-/** Targets of the faults. */
-export interface PlanTargets {
-  readonly processes: readonly string[];
-  readonly instances: readonly string[];
-  /** Model instances that are enough for one replica. */
-  readonly replicas: readonly (readonly string[])[];
-  readonly zones: readonly string[];
-  /** Processes of each zone. */
-  readonly zoneProcesses: readonly (readonly string[])[];
-  /** Keys that may be withdrawn, each only once. */
-  readonly keys: readonly string[];
-}
-
 const SERIES_COUNT = 2;
 const MIN_FAULTS = 3;
 const MAX_FAULTS = 6;
@@ -66,23 +45,10 @@
 const JOINED_ONE_IN = [1, 2, 4];
 const JOINED_PIECE_MS = [0, 0, 20, 100];
 const SILENCES_SEED = 6_000_000;
-const MIN_SILENCE_MS = 500;
-const MAX_SILENCE_MS = 1_900;
-const MAX_SILENCES = 2;
-/** Silences alone come in bursts, so far apart that no call meets two. */
-const SILENCE_BURSTS = 3;
-const SILENCE_BURST_INTERVAL_MS = 5_000;
-/** Leaves the single replica time to form. */
-const FIRST_SILENCE_MS = 5_000;
-const SILENCE_SPREAD_MS = 200;
-const MAX_SILENT_AT_ONCE = 8;
-const SLOW_STREAM_PAUSE_MS = 100;
 const CUTS_SEED = 7_000_000;
-const MIN_CUT_MS = 3_000;
-const MAX_CUT_MS = 8_000;
-/** Long enough to be judged. */
-const MIN_CUT_ALONE_MS = 6_000;
-const MAX_CUT_ALONE_AT_MS = 1_000;
+const INCIDENTS_SEED = 8_000_000;
+/** Without it, neighbouring seeds have much the same first draws. */
+const SEED_SPREAD = 0x9e3779b1;
 
 /** Creates a random plan; the same seed gives the same plan. */
 export function createPlan(seed: number, targets: PlanTargets): SoakPlan {
@@ -94,6 +60,9 @@
   const joined = new PlanRandom(JOINED_ANSWERS_SEED + seed);
   const silent = new PlanRandom(SILENCES_SEED + seed);
   const cuts = new PlanRandom(CUTS_SEED + seed);
+  const incidents = new PlanRandom(
+    Math.imul(INCIDENTS_SEED + seed, SEED_SPREAD),
+  );
   const keys = [...targets.keys];
   const series = Array.from({ length: SERIES_COUNT }, (_, index) => {
     const count = random.integer(MIN_FAULTS, MAX_FAULTS);
@@ -117,6 +86,7 @@
     series: [
       ...series,
       drawSilencesAlone(silent, targets),
+      drawIncident(incidents, targets),
       [drawCutAlone(cuts, targets)],
     ],
   };
@@ -248,94 +218,6 @@
   };
 }
 
-function drawSilences(
-  random: PlanRandom,
-  { instances }: PlanTargets,
-): readonly PlannedFault[] {
-  const count = random.integer(1, MAX_SILENCES);
-  return Array.from({ length: count }, () => ({
-    atMs: random.integer(0, SERIES_DURATION_MS),
-    durationMs: random.integer(MIN_SILENCE_MS, MAX_SILENCE_MS),
-    action: { kind: "silent-instance", instance: random.pick(instances) },
-  }));
-}
-
-/**
- * Without other faults, which would excuse answers that are broken off; half the
- * plans leave a single replica, as another one would go on with its streams.
- */
-function drawSilencesAlone(
-  random: PlanRandom,
-  { instances, replicas }: PlanTargets,
-): readonly PlannedFault[] {
-  const hasOneReplica = random.pick([false, true]);
-  const replica = random.pick(replicas);
-  const durationMs = FIRST_SILENCE_MS +
-    SILENCE_BURSTS * SILENCE_BURST_INTERVAL_MS;
-  const states: readonly FaultAction[] = [
-    { kind: "slow-streams", pauseMs: SLOW_STREAM_PAUSE_MS },
-    ...(hasOneReplica
-      ? [{ kind: "one-replica" as const, instances: replica }]
-      : []),
-  ];
-  const bursts = Array.from({ length: SILENCE_BURSTS }, (_, burst) => {
-    const count = random.integer(1, MAX_SILENT_AT_ONCE);
-    const silent = new Set(
-      Array.from({ length: count }, () => random.pick(instances)),
-    );
-    if (hasOneReplica) silent.add(random.pick(replica));
-    const firstMs = FIRST_SILENCE_MS + burst * SILENCE_BURST_INTERVAL_MS;
-    return [...silent].map((instance): PlannedFault => ({
-      atMs: firstMs + random.integer(0, SILENCE_SPREAD_MS),
-      durationMs: random.integer(MIN_SILENCE_MS, MAX_SILENCE_MS),
-      action: { kind: "silent-instance", instance },
-    }));
-  });
-  return [
-    ...states.map((action) => ({ atMs: 0, durationMs, action })),
-    ...bursts.flat().sort((left, right) => left.atMs - right.atMs),
-  ];
-}
-
-/** In half the series. */
-function drawCut(
-  random: PlanRandom,
-  targets: PlanTargets,
-): readonly PlannedFault[] {
-  const cut: PlannedFault = {
-    atMs: random.integer(0, SERIES_DURATION_MS),
-    durationMs: random.integer(MIN_CUT_MS, MAX_CUT_MS),
-    action: drawCutAction(random, targets),
-  };
-  return random.pick([[], [cut]]);
-}
-
-/** Without other faults of processes, which would keep it from being judged. */
-function drawCutAlone(random: PlanRandom, targets: PlanTargets): PlannedFault {
-  return {
-    atMs: random.integer(0, MAX_CUT_ALONE_AT_MS),
-    durationMs: random.integer(MIN_CUT_ALONE_MS, MAX_CUT_MS),
-    action: drawCutAction(random, targets),
-  };
-}
-
-function drawCutAction(
-  random: PlanRandom,
-  { processes, zoneProcesses }: PlanTargets,
-): CutLinks {
-  return {
-    kind: "cut-links",
-    processes: random.pick(
-      [
-        [random.pick(processes)],
-        random.pick(zoneProcesses),
-        "leader",
-      ] as const,
-    ),
-    mode: random.pick(cutModes),
-  };
-}
-
 function drawAction(
   random: PlanRandom,
   targets: PlanTargets,
@@ -416,19 +298,3 @@
   "one-replica",
   "silent-instance",
 ] as const;
-
-class PlanRandom {
-  readonly #generator;
-
-  constructor(seed: number) {
-    this.#generator = xoroshiro128plus(seed);
-  }
-
-  integer(low: number, high: number): number {
-    return uniformInt(this.#generator, low, high);
-  }
-
-  pick<Item>(items: readonly Item[]): Item {
-    return items[this.integer(0, items.length - 1)]!;
-  }
-}
--- a/packages/soak/src/plan_test.ts
+++ b/packages/soak/src/plan_test.ts
@@ -37,6 +37,7 @@
         ...laterFaultKinds,
         ...constantFaultKinds,
         ...silenceKinds,
+        "full-heads",
       ]),
     );
   });
@@ -49,6 +50,20 @@
     }
   });
 
+  it("have a series of full heads and silences during planned work", () => {
+    const replicaCounts = new Set<number>();
+    for (const seed of SEEDS) {
+      const faults = createPlan(seed, planTargets).series[3]!;
+      const count = (kind: FaultAction["kind"]) =>
+        faults.filter(({ action }) => action.kind === kind).length;
+      expect([count("full-heads"), count("slow-streams")]).toEqual([1, 1]);
+      expect(count("config") >= 2 && count("silent-instance") >= 2)
+        .toEqual(true);
+      replicaCounts.add(count("one-replica"));
+    }
+    expect(replicaCounts).toEqual(new Set([0, 1]));
+  });
+
   // A silence must not add up to the deadline of a call.
   it("have a series of silences alone, in bursts far from each other", () => {
     for (const seed of SEEDS) {
--- a/packages/soak/src/soak_cluster.ts
+++ b/packages/soak/src/soak_cluster.ts
@@ -6,7 +6,7 @@
 } from "@celerytray/fakes";
 import { bounds } from "./bounds.ts";
 import type { SoakHistory } from "./history.ts";
-import type { PlanTargets } from "./plan.ts";
+import type { PlanTargets } from "./planned_fault.ts";
 import { SoakProcess, type SoakProgram } from "./soak_process.ts";
 
 const ZONES = ["zone-a", "zone-b"] as const;
