--- a/packages/celerytray/src/host/create_zone_rules.ts
+++ b/packages/celerytray/src/host/create_zone_rules.ts
@@ -79,6 +79,9 @@
   return {
     evacuations,
     update: () =>
-      evacuations.update(options.copy.list(options.prefix), nowMs()),
+      evacuations.update(options.copy.list(options.prefix), {
+        nowMs: nowMs(),
+        readTo: options.copy.nextOffset,
+      }),
   };
 }
--- a/packages/celerytray/src/host/create_zone_rules_test.ts
+++ b/packages/celerytray/src/host/create_zone_rules_test.ts
@@ -6,7 +6,7 @@
 import type { Coordinator } from "../coordination/index.ts";
 import { InstanceListView } from "../groups/index.ts";
 import { MetricsPage } from "../journal/index.ts";
-import { TopicCopy } from "../keyed_log/index.ts";
+import { createPosition, TopicCopy } from "../keyed_log/index.ts";
 import { decodeInstance } from "../platform/decode_instance.ts";
 import { LoadTracker } from "../serving/index.ts";
 import { createColdRules } from "./create_cold_rules.ts";
@@ -14,6 +14,8 @@
 
 const COLD = { startMs: 3_000, requestsPerSecond: 18 };
 const KEY = "evacuate/a";
+/** Time in which the operator has written anew what an older copy lacks. */
+const REWRITE_MS = 2_000;
 
 describe("rules for zones and cold instances", () => {
   it("make a zone's instances cold at the end of its evacuation", () => {
@@ -39,6 +41,50 @@
     ]);
   });
 
+  // Guards against requests in an evacuated zone once the store came back from a
+  // copy that lacks the evacuation (soak seeds 1103 and 2016).
+  it("keep a zone evacuated that an older copy of the store lacks", () => {
+    const fixture = createFixture();
+    fixture.write(KEY, "{}");
+    fixture.returnStore();
+    expect(fixture.evacuated()).toEqual(["a"]);
+    fixture.pass(REWRITE_MS - 1);
+    fixture.confirm();
+    expect(fixture.evacuated()).toEqual(["a"]);
+    fixture.write(KEY, "{}");
+    fixture.pass(REWRITE_MS);
+    fixture.confirm();
+    expect(fixture.evacuated()).toEqual(["a"]);
+    fixture.write(KEY);
+    expect(fixture.evacuated()).toEqual([]);
+    expect(fixture.events.map(([event]) => event))
+      .toEqual(["zone.evacuated", "zone.restored"]);
+  });
+
+  it("end an evacuation that isn't written anew in time after a return", () => {
+    const fixture = createFixture();
+    fixture.write(KEY, "{}");
+    fixture.returnStore();
+    fixture.pass(REWRITE_MS);
+    fixture.confirm();
+    expect(fixture.evacuated()).toEqual([]);
+    expect(fixture.isCold("i-a")).toEqual(true);
+  });
+
+  it("count the time to write anew from the latest return", () => {
+    const fixture = createFixture();
+    fixture.write(KEY, "{}");
+    fixture.returnStore();
+    fixture.pass(REWRITE_MS - 1);
+    fixture.returnStore();
+    fixture.pass(REWRITE_MS - 1);
+    fixture.confirm();
+    expect(fixture.evacuated()).toEqual(["a"]);
+    fixture.pass(1);
+    fixture.confirm();
+    expect(fixture.evacuated()).toEqual([]);
+  });
+
   it("log the evacuation of a zone without instances once", () => {
     const fixture = createFixture();
     fixture.write("evacuate/nowhere", "{}");
@@ -81,6 +127,7 @@
 function createFixture() {
   let nowMs = 0;
   let offset = 0;
+  let era = 0;
   const events: [string, unknown][] = [];
   const record = (event: string, fields: unknown) => {
     events.push([event, fields]);
@@ -165,6 +212,15 @@
       offset += 1;
       readTopic({ isFullRead: true, records: [] });
     },
+    /** The store comes back from a copy without any keys. */
+    returnStore: () => {
+      era += 1;
+      offset = createPosition({ era, offset: 1 });
+      readTopic({ isFullRead: true, records: [] });
+    },
+    /** The topic is known to hold nothing new. */
+    confirm: () => zones.update(),
+    evacuated: () => zones.evacuations.list(nowMs).map(({ zone }) => zone),
     isCold: (instanceId: string) =>
       !cold.rateLimiter.maySend({ instanceId, cold: COLD }, nowMs),
     readMetrics: async () => {
--- a/packages/celerytray/src/host/evacuation_view.ts
+++ b/packages/celerytray/src/host/evacuation_view.ts
@@ -1,4 +1,8 @@
-import type { KeyedRecord } from "../keyed_log/index.ts";
+import {
+  eraOf,
+  type KeyedRecord,
+  type LogPosition,
+} from "../keyed_log/index.ts";
 
 /** Options of an evacuation view. */
 export interface EvacuationViewOptions {
@@ -16,8 +20,21 @@
   readonly ageMs: number;
 }
 
+/** How far and when the topic's records are known. */
+export interface RecordsRead {
+  readonly nowMs: number;
+  /** Position up to which they are known. */
+  readonly readTo: LogPosition;
+}
+
+/**
+ * Time in which the operator has written anew what the store lacks that came
+ * back from an older copy.
+ */
+const REWRITE_MS = 2_000;
+
 interface SeenRecord {
-  readonly offset: number;
+  readonly offset: LogPosition;
   /**
    * Time at which the evacuation began; undefined if the zone is not evacuated.
    */
@@ -33,6 +50,10 @@
   #zones: ReadonlySet<string> = new Set();
   #revision = 0;
   #isLoaded = false;
+  #era = 0;
+  /** Time at which the store was first known to be in this era. */
+  #eraSinceMs = Number.NEGATIVE_INFINITY;
+  #hasKept = false;
 
   constructor(options: EvacuationViewOptions) {
     this.#options = options;
@@ -43,6 +64,14 @@
     return this.#revision;
   }
 
+  /**
+   * Whether an evacuation goes on only because the store's older copy may lack
+   * it, so that an update is due without new records.
+   */
+  get hasKept(): boolean {
+    return this.#hasKept;
+  }
+
   isEvacuated(zone: string): boolean {
     return this.#zones.has(zone);
   }
@@ -57,13 +86,18 @@
 
   /**
    * Applies the newest records of all keys with the prefix, deletions included.
+   * What a store lacks that has just come back may be newer than its copy.
    */
-  update(records: readonly KeyedRecord[], nowMs: number): void {
+  update(records: readonly KeyedRecord[], read: RecordsRead): void {
+    const { nowMs } = read;
+    this.#noteEra(read);
+    this.#hasKept = false;
     const present = new Set(records.map(({ key }) => key));
     const ended: { zone: string; evacuatedMs: number }[] = [];
     const started: string[] = [];
-    for (const [key, { sinceMs }] of this.#seen) {
-      if (present.has(key)) continue;
+    for (const [key, seen] of this.#seen) {
+      if (present.has(key) || this.#keeps(seen, nowMs)) continue;
+      const { sinceMs } = seen;
       this.#seen.delete(key);
       if (sinceMs === undefined) continue;
       ended.push({ zone: this.#zoneOf(key), evacuatedMs: nowMs - sinceMs });
@@ -74,6 +108,7 @@
       if (seen !== undefined && seen.offset >= offset) continue;
       const zone = this.#zoneOf(key);
       if (value === undefined) {
+        if (seen !== undefined && this.#keeps(seen, nowMs)) continue;
         this.#seen.set(key, { offset });
         // An evacuation that began and ended since the last update counts as
         // ended too.
@@ -101,6 +136,22 @@
     for (const zone of started) this.#options.onStarted(zone);
   }
 
+  /** Notes the store's era; the first one known is no return. */
+  #noteEra({ readTo, nowMs }: RecordsRead): void {
+    const era = eraOf(readTo);
+    if (era <= this.#era) return;
+    this.#era = era;
+    if (this.#isLoaded) this.#eraSinceMs = nowMs;
+  }
+
+  /** Whether an evacuation of an earlier era goes on although its key is gone. */
+  #keeps({ offset, sinceMs }: SeenRecord, nowMs: number): boolean {
+    const isKept = sinceMs !== undefined && eraOf(offset) < this.#era &&
+      nowMs - this.#eraSinceMs < REWRITE_MS;
+    this.#hasKept ||= isKept;
+    return isKept;
+  }
+
   #zoneOf(key: string): string {
     return key.slice(this.#options.prefix.length);
   }
--- a/packages/celerytray/src/host/evacuation_view_test.ts
+++ b/packages/celerytray/src/host/evacuation_view_test.ts
@@ -119,7 +119,8 @@
   const stored = new Map<string, KeyedRecord>();
   const history: KeyedRecord[] = [];
   let nextOffset = 1;
-  const update = () => view.update(copy.list(PREFIX), 0);
+  const update = () =>
+    view.update(copy.list(PREFIX), { nowMs: 0, readTo: copy.nextOffset });
   const apply = (record: KeyedRecord, isUnseen = false) => {
     stored.set(record.key, record);
     history.push(record);
--- a/packages/celerytray/src/host/store_view.ts
+++ b/packages/celerytray/src/host/store_view.ts
@@ -127,7 +127,10 @@
     this.#applyReleases(change);
     // Applied before the configuration, so that a starting process never serves
     // without the evacuations.
-    if (change.records.length > 0 || change.isFullRead) this.zones.update();
+    const { evacuations } = this.zones;
+    if (
+      change.records.length > 0 || change.isFullRead || evacuations.hasKept
+    ) this.zones.update();
     this.config.apply(change);
     this.keys.noteProof(change.freshAtMs);
   }
