--- a/packages/soak/src/end_causes.ts
+++ b/packages/soak/src/end_causes.ts
@@ -30,6 +30,21 @@
   );
 }
 
+/** Counts the streams that ended in their middle, by cause; a line each. */
+export function countBegunEnds(
+  logs: ReadonlyMap<string, string>,
+): readonly string[] {
+  const counts = new Map<string, number>();
+  for (const line of [...logs.values()].join("\n").split("\n").map(readLine)) {
+    if (line.event !== "call.ended" || line.hasBegun !== true) continue;
+    const cause = [line.cause, line.awaited].filter(Boolean).join(", awaited ");
+    counts.set(cause, (counts.get(cause) ?? 0) + 1);
+  }
+  return [...counts].map(([cause, count]) =>
+    `${count} streams ended in their middle: ${cause}`
+  );
+}
+
 function describeEnd(process: string, line: LoggedEnd): string {
   const { callId, outcome, cause, awaited, hasBegun, durationMs } = line;
   const waitedFor = awaited === undefined ? "" : `, awaited ${awaited}`;
--- a/packages/soak/src/end_causes_test.ts
+++ b/packages/soak/src/end_causes_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { describeEnds } from "./end_causes.ts";
+import { countBegunEnds, describeEnds } from "./end_causes.ts";
 
 // Guards against a red seed whose output doesn't say who ended a stream (issue 63).
 describe("ends of calls in the logs", () => {
@@ -17,6 +17,9 @@
       '{"event": "call.en',
     ];
     const logs = new Map([["front-0", lines.join("\n")]]);
+    expect(countBegunEnds(logs)).toEqual([
+      "2 streams ended in their middle: attempts, awaited no-target",
+    ]);
     expect(describeEnds(["stream call-1 at front-0 was cut"], logs)).toEqual([
       "call-1 at front-0: broken-off, attempts, awaited no-target, begun, " +
       "9 ms, model-0 lost 0-2; model-2 lost 3",
--- a/packages/soak/src/full_heads.ts
+++ b/packages/soak/src/full_heads.ts
@@ -16,6 +16,8 @@
   },
 ): Promise<void> {
   const { instances } = cluster.platform;
+  const { history } = cluster;
+  const end = history.beginState(history.fullPeriods, "heads");
   const limited = new Set<FakeInstanceServer>();
   const endMs = performance.now() + durationMs;
   const calling = callers.sendSteadily(cluster, durationMs);
@@ -29,4 +31,5 @@
   }
   for (const server of limited) server.limitHead(undefined);
   await calling;
+  end();
 }
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -92,6 +92,8 @@
   readonly drainedPeriods: StateInterval[] = [];
   readonly coldPeriods: StateInterval[] = [];
   readonly evacuations: StateInterval[] = [];
+  /** In which heads have so few places that streams wait for long. */
+  readonly fullPeriods: StateInterval[] = [];
   readonly limitPeriods: LimitInterval[] = [];
   /** From the addition of a route to its drop, by path prefix. */
   readonly routePeriods: StateInterval[] = [];
--- a/packages/soak/src/incident_plan.ts
+++ b/packages/soak/src/incident_plan.ts
@@ -3,12 +3,12 @@
 import type { PlanRandom } from "./plan_random.ts";
 
 const DURATION_MS = 14_000;
-const EVENT_PAUSES_MS = [100, 200];
+const EVENT_PAUSES_MS = [50, 100];
 const MAX_SLOTS = 2;
 const MAX_CONNECTIONS = 100;
 /** New connections are reset while one request waits, or two. */
 const CONNECTIONS_PER_WAITING = [100, 50];
-const MAX_WAITING = 4;
+const MAX_WAITING = 3;
 /** Leaves the replicas time to form if most of them have just ended. */
 const FIRST_MS = 4_000;
 const CONFIG_INTERVAL_MS = 2_500;
--- a/packages/soak/src/loss_checks.ts
+++ b/packages/soak/src/loss_checks.ts
@@ -25,6 +25,9 @@
     const isBrokenOff = answer.status !== 0;
     if (isBrokenOff && brokenOff.has(call.callId)) return false;
     if (isBrokenOff && isJustCut(history, call)) return false;
+    if (isBrokenOff && hasMetDeadline(call) && isFull(history, call)) {
+      return false;
+    }
     return !history.injectedFaults.some((injected) =>
       overlaps(injected, call) &&
       (isOfProcess(injected, call) ||
@@ -41,14 +44,11 @@
 export function findCutStreams(history: SoakHistory): readonly string[] {
   const runs = listRuns(history);
   return history.calls.filter((call) => {
-    const { kind, answer, sentAtMs, endedAtMs } = call;
+    const { kind, answer } = call;
     if (kind !== "stream" || answer?.status !== 200 || answer.isWhole) {
       return false;
     }
-    const lastMs = bounds.callDeadlineMs - DEADLINE_MARGIN_MS;
-    if (endedAtMs! - sentAtMs >= lastMs || isJustCut(history, call)) {
-      return false;
-    }
+    if (hasMetDeadline(call) || isJustCut(history, call)) return false;
     const isOfCaller = history.injectedFaults.some((injected) =>
       overlaps(injected, call) && isOfProcess(injected, call)
     );
@@ -63,6 +63,15 @@
   });
 }
 
+function hasMetDeadline({ sentAtMs, endedAtMs }: CallRecord): boolean {
+  return endedAtMs! - sentAtMs >= bounds.callDeadlineMs - DEADLINE_MARGIN_MS;
+}
+
+/** Whether heads were full, so that the stream may have waited for a place. */
+function isFull({ fullPeriods }: SoakHistory, call: CallRecord): boolean {
+  return fullPeriods.some((period) => overlaps(period, call));
+}
+
 /** Whether no member ended, broke the stream off or lost its link. */
 function isSound(
   history: SoakHistory,
@@ -96,7 +105,7 @@
 }
 
 function overlaps(
-  { fromMs, toMs }: InjectedFault,
+  { fromMs, toMs }: Pick<InjectedFault, "fromMs" | "toMs">,
   { sentAtMs, endedAtMs }: CallRecord,
 ): boolean {
   return fromMs <= endedAtMs! && toMs >= sentAtMs;
--- a/packages/soak/src/loss_checks_test.ts
+++ b/packages/soak/src/loss_checks_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { type InjectedFault, SoakHistory } from "./history.ts";
-import { findCutStreams } from "./loss_checks.ts";
+import { findCutStreams, findLosses } from "./loss_checks.ts";
 
 const MEMBERS = ["model-0", "model-1"];
 const START_MS = 1_000;
@@ -92,6 +92,26 @@
   });
 });
 
+// Guards against a model of full heads that excuses streams we end.
+describe("no-loss", () => {
+  it("excuses a stream that met its deadline as heads were full, and no other", () => {
+    const lateMs = START_MS + 2_950;
+    for (
+      const [endedAtMs, status, isFull, count] of [
+        [lateMs, 200, true, 0],
+        [lateMs, 200, false, 1],
+        [lateMs, 0, true, 1],
+        [START_MS + 2_850, 200, true, 1],
+      ] as const
+    ) {
+      const history = createHistory({ endedAtMs, status });
+      const period = { name: "heads", fromMs: 0, toMs: END_MS };
+      if (isFull) history.fullPeriods.push(period);
+      expect(findLosses(history).length).toEqual(count);
+    }
+  });
+});
+
 function countCut(history: SoakHistory): number {
   return findCutStreams(history).length;
 }
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { countJudgedCuts, describeCut } from "./cut_checks.ts";
-import { describeEnds } from "./end_causes.ts";
+import { countBegunEnds, describeEnds } from "./end_causes.ts";
 import { checks } from "./checks.ts";
 import { isKnownRed, type KnownRed, readKnownRed } from "./known_red.ts";
 import { createPlan, describePlan } from "./plan.ts";
@@ -55,6 +55,7 @@
       for (const cut of countJudgedCuts(result.history)) {
         this.#print(`  judged: ${describeCut(cut)}`);
       }
+      for (const line of countBegunEnds(result.logs)) this.#print(`  ${line}`);
       this.#print(summarise(seed, result));
       if (result.violations.length === 0) continue;
       redCount += 1;
