--- a/packages/celerytray/src/host/caller_server.ts
+++ b/packages/celerytray/src/host/caller_server.ts
@@ -15,6 +15,7 @@
   type ListenFailure,
   type ListenOptions,
   RequestOrder,
+  takeArrivals,
 } from "../http/index.ts";
 import {
   CallerExchange,
@@ -112,13 +113,14 @@
 }
 
 /**
- * Closes the listening socket and idle connections, and waits until the others
- * are closed, which they are after their next response.
+ * Takes what has arrived, closes the listening socket and idle connections, and
+ * waits until the others are closed, which they are after their next response.
  */
 function closeServer(server: Server): Effect.Effect<void> {
-  return Effect.callback<void>((resume) => {
+  const close = Effect.callback<void>((resume) => {
     server.close(() => resume(Effect.void));
   });
+  return Effect.andThen(takeArrivals(server), close);
 }
 
 interface ServerState {
--- a/packages/celerytray/src/http/index.ts
+++ b/packages/celerytray/src/http/index.ts
@@ -19,6 +19,7 @@
   selectRequestHeaders,
   selectResponseHeaders,
 } from "./forward_headers.ts";
+export { takeArrivals } from "./take_arrivals.ts";
 export { yieldToEventLoop } from "./yield_to_event_loop.ts";
 export { type ExchangeListener, watchExchange } from "./watch_exchange.ts";
 export { hasDeclaredEnd } from "./watch_response_end.ts";
--- a/packages/cli/src/local/planned_stop_test.ts
+++ b/packages/cli/src/local/planned_stop_test.ts
@@ -23,6 +23,8 @@
  * waited for longer has been read.
  */
 const MAX_CROSSED_MS = 200;
+/** Shortly before a stopping process without requests ends. */
+const STILL_AT_MS = 2_800;
 const PATHS = [fakePaths.once, fakePaths.safe];
 const NOT_RUN_STATUS = 503;
 const cleanups: (() => unknown)[] = [];
@@ -66,6 +68,27 @@
   });
 });
 
+// Guards against connections that are reset before they are accepted or read,
+// since the process closes them first after it stood still.
+describe("a host process that stands still as it stops", () => {
+  for (const durationMs of [400, 1_000]) {
+    it(`answers what arrived in the ${durationMs} ms before its end`, async () => {
+      const stall = { atMs: STILL_AT_MS, durationMs };
+      const { calls, ranIds, exit } = await stopUnderLoad({
+        workMs: 20,
+        stall,
+      });
+      expect(exit).toEqual([0, null]);
+      expect(calls.filter((call) => isCut(call, ranIds))).toEqual([]);
+      const arrived = calls.filter((call) => call.durationMs > MAX_CROSSED_MS);
+      expect(arrived.length > 0).toEqual(true);
+      expect(
+        arrived.filter(({ answer }) => answer.status !== NOT_RUN_STATUS),
+      ).toEqual([]);
+    });
+  }
+});
+
 /** Whether a request that was read got no whole answer. */
 function isCut(
   { id, answer, durationMs }: SentCall,
@@ -75,7 +98,13 @@
 }
 
 /** Stops a process while callers send requests until it is gone. */
-async function stopUnderLoad({ workMs }: { readonly workMs: number }) {
+async function stopUnderLoad(
+  { workMs, stall }: {
+    readonly workMs: number;
+    /** When, from the stop on, it is suspended and for how long. */
+    readonly stall?: { readonly atMs: number; readonly durationMs: number };
+  },
+) {
   const platform = new FakePlatform();
   cleanups.push(() => platform.stop());
   const storeAddress = await platform.start();
@@ -118,6 +147,7 @@
   // Some answers come back first, if they take less than this.
   await sendUntil(performance.now() + 2_000);
   started.child.kill("SIGTERM");
+  if (stall !== undefined) void suspend(started, stall);
   await sendUntil(performance.now() + GRACE_S * 1_000);
   await exited;
   const calls = await Promise.all(sent);
@@ -128,6 +158,16 @@
   return { calls, ranIds, exit };
 }
 
+async function suspend(
+  { child }: HostProcess,
+  { atMs, durationMs }: { readonly atMs: number; readonly durationMs: number },
+): Promise<void> {
+  await sleep(atMs);
+  child.kill("SIGSTOP");
+  await sleep(durationMs);
+  child.kill("SIGCONT");
+}
+
 async function send(
   { address }: HostProcess,
   id: string,
