--- a/packages/celerytray/src/serving/slow_callers_test.ts
+++ b/packages/celerytray/src/serving/slow_callers_test.ts
@@ -1,19 +1,18 @@
 import { expect } from "earl";
+import { once } from "node:events";
 import { mkdtemp, rm } from "node:fs/promises";
-import type { RequestListener } from "node:http";
-import { request } from "node:http";
-import { connect, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, describe, it } from "node:test";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
+import { Worker } from "node:worker_threads";
 import { HEADER_NAMES } from "../platform/words.ts";
 import { HeldBytes } from "./exchange/index.ts";
+import type { CallerTask, PeerRole, ReadStream } from "./slow_callers_peers.ts";
 import { StallDetector } from "./stall_detector.ts";
 import {
   call,
-  idOf,
   readNowMs,
   startBackend,
   startEntry,
@@ -34,13 +33,15 @@
   [HEADER_NAMES.apiKey]: "key-1",
 };
 const directories: string[] = [];
-const sockets: Socket[] = [];
+const peers: Worker[] = [];
 
 after(async () => {
-  for (const socket of sockets) socket.destroy();
+  for (const peer of peers) await peer.terminate();
   for (const path of directories) await rm(path, { recursive: true });
 });
 
+// Guards against figures of the back end and the callers, which have threads of
+// their own, in place of those of the entry.
 describe("callers that do not read", () => {
   // Without the bound the process would buffer over 200 MB.
   it("take no more memory than the bound, and delay nobody", async () => {
@@ -52,9 +53,7 @@
     });
     // This process lags with 500 callers, so it reads before it looks for stalls.
     const stalls = new StallDetector({ isBehind: () => true });
-    let startedStreams = 0;
-    const onStarted = () => startedStreams += 1;
-    const path = await startStreams({ held, stalls, onStarted });
+    const { callers, countStarted } = await startStreams({ held, stalls });
     const before = measureMemory();
     let maxGrowth = 0;
     let maxHeld = 0;
@@ -65,21 +64,21 @@
       setImmediate(() => setImmediate(countSuspicions));
     }, 100);
     const countSuspicions = () => {
-      // Until all streams have started, the back end in this process is itself
-      // slow to respond.
-      if (startedStreams < CALLERS) return;
+      // Until all streams have started, the back end is itself slow to respond.
+      if (countStarted() < CALLERS) return;
       stalls.noteRead(readNowMs());
       suspicions += stalls.findSuspected(readNowMs()).length;
     };
     timer.unref();
-    for (let index = 0; index < CALLERS; index++) {
-      sendUnread(path, `slow-${index}`);
-    }
-    for (let waits = 0; waits < 500 && startedStreams < CALLERS; waits++) {
+    order(callers, { kind: "open-unread", count: CALLERS });
+    for (let waits = 0; waits < 500 && countStarted() < CALLERS; waits++) {
       await pause(20);
     }
     for (let count = 0; count < 5; count++) {
-      const { bytes, durationMs } = await readStream(path, `fast-${count}`);
+      const { bytes, durationMs } = await readStream(
+        callers,
+        `fast-${count}`,
+      );
       expect(bytes).toEqual(EVENTS * EVENT_BYTES);
       expect(durationMs < MAX_FAST_MS).toEqual(true);
       await pause(600);
@@ -90,7 +89,7 @@
     expect(maxHeld <= MAX_HELD_BYTES).toEqual(true);
     expect(maxGrowth < MAX_HELD_BYTES + OTHER_GROWTH_BYTES).toEqual(true);
     expect(suspicions).toEqual(0);
-    for (const socket of sockets) socket.destroy();
+    order(callers, { kind: "close" });
     for (let waits = 0; waits < 100 && held.totalBytes > 0; waits++) {
       await pause(20);
     }
@@ -122,74 +121,60 @@
 interface Streams {
   readonly held: HeldBytes;
   readonly stalls: StallDetector;
-  readonly onStarted: () => void;
 }
 
-async function startStreams(
-  { onStarted, ...entryOptions }: Streams,
-): Promise<string> {
-  const events = Array.from({ length: EVENTS }, (_, id) => createEvent(id));
-  const stream: RequestListener = (incoming, response) => {
-    onStarted();
-    response.writeHead(200, {
-      [HEADER_NAMES.callId]: idOf(incoming),
-      [HEADER_NAMES.stamp]: "s",
-      "content-type": "text/event-stream",
-    });
-    for (const event of events) response.write(event);
-    response.end();
+/** Starts a back end, an entry before it and threads for its callers. */
+async function startStreams(entryOptions: Streams) {
+  const started = new Int32Array(new SharedArrayBuffer(4));
+  const backend = startPeer({
+    kind: "backend",
+    events: EVENTS,
+    eventBytes: EVENT_BYTES,
+    started,
+  });
+  const [address] = await once(backend, "message") as [string];
+  const target = {
+    instanceId: "backend",
+    address,
+    zone: "z",
+    slots: 2 * CALLERS,
+    epoch: 0,
   };
-  const backend = { ...await startBackend(stream), slots: 2 * CALLERS };
   const directory = await mkdtemp(join(tmpdir(), "callers-"));
   directories.push(directory);
   const path = join(directory, "entry");
   const timeoutMs = 20_000;
   await startLocalEntry(
-    { backends: [backend], timeoutMs, ...entryOptions },
+    { backends: [target], timeoutMs, ...entryOptions },
     path,
   );
-  return path;
+  const headers = LONG_TIMEOUT_HEADERS;
+  return {
+    callers: startPeer({ kind: "callers", path, headers }),
+    countStarted: () => Atomics.load(started, 0),
+  };
 }
 
-function createEvent(id: number): Buffer {
-  const start = `id: ${id}\ndata: `;
-  const end = "\n\n";
-  const paddingBytes = EVENT_BYTES - start.length - end.length;
-  return Buffer.from(`${start}${"x".repeat(paddingBytes)}${end}`);
+function startPeer(role: PeerRole): Worker {
+  const peer = new Worker(new URL("slow_callers_peers.js", import.meta.url), {
+    workerData: role,
+  });
+  peers.push(peer);
+  return peer;
 }
 
-function sendUnread(path: string, callId: string): void {
-  const socket = connect(path);
-  sockets.push(socket);
-  socket.on("error", () => {});
-  socket.pause();
-  const lines = Object.entries({
-    ...LONG_TIMEOUT_HEADERS,
-    [HEADER_NAMES.callId]: callId,
-  })
-    .map(([name, value]) => `${name}: ${value}\r\n`).join("");
-  socket.write(`GET /stream/x HTTP/1.1\r\n${lines}\r\n`);
+function order(callers: Worker, task: CallerTask): void {
+  callers.postMessage(task);
 }
 
-async function readStream(path: string, callId: string) {
-  const startedAtMs = readNowMs();
-  const sent = request({
-    socketPath: path,
-    path: "/stream/x",
-    agent: false,
-    headers: { ...LONG_TIMEOUT_HEADERS, [HEADER_NAMES.callId]: callId },
-  });
-  const bytes = await new Promise<number>((resolve, reject) => {
-    let count = 0;
-    sent.on("error", reject);
-    sent.on("response", (response) => {
-      response.on("data", (chunk: Buffer) => count += chunk.length);
-      response.on("error", reject);
-      response.on("end", () => resolve(count));
-    });
-    sent.end();
-  });
-  return { bytes, durationMs: readNowMs() - startedAtMs };
+async function readStream(
+  callers: Worker,
+  callId: string,
+): Promise<ReadStream> {
+  const ended = once(callers, "message");
+  order(callers, { kind: "read-stream", callId });
+  const [read] = await ended as [ReadStream];
+  return read;
 }
 
 setFlagsFromString("--expose-gc");
