--- a/packages/soak/src/faulty_front_test.ts
+++ b/packages/soak/src/faulty_front_test.ts
@@ -1,4 +1,4 @@
-import type { FakeFrontFault } from "@celerytray/fakes";
+import { type FakeFrontFault, LABEL_OPTIONS } from "@celerytray/fakes";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { fileURLToPath } from "node:url";
@@ -14,6 +14,11 @@
   ),
 );
 
+const HOST_PROGRAM = fileURLToPath(
+  new URL("host_main.js", import.meta.resolve("@celerytray/cli")),
+);
+const CUT_SILENT_STREAMS = new URL("cut_silent_streams.js", import.meta.url);
+
 /** A front fault, the check that must detect it, and the actions it needs. */
 interface Case {
   readonly check: string;
@@ -38,7 +43,26 @@
   deletesRecords: true,
   idleRoutes: 0,
 };
+const SILENCE_MS = 1_900;
 const SILENCE: FaultAction = { kind: "silent-instance", instance: "plain-2" };
+const REPLICA = ["model-0", "model-1"];
+const SILENT_REPLICA: readonly PlannedFault[] = [
+  {
+    atMs: 0,
+    durationMs: 9_000,
+    action: { kind: "slow-streams", pauseMs: 100 },
+  },
+  {
+    atMs: 0,
+    durationMs: 9_000,
+    action: { kind: "one-replica", instances: REPLICA },
+  },
+  {
+    atMs: 5_000,
+    durationMs: SILENCE_MS,
+    action: { kind: "silent-instance", instance: "model-1" },
+  },
+];
 const EVACUATE: FaultAction = { kind: "evacuate", zone: "zone-b" };
 const COOL: FaultAction = { kind: "cool", instance: "plain-1" };
 
@@ -86,7 +110,6 @@
  * process continues what it was sending, and that arrives too late.
  */
 const PAUSE_DURATION_MS = 2_500;
-const SILENCE_MS = 1_900;
 
 describe("each check of the soak", { concurrency: 3 }, () => {
   it("passes for a fake front without a fault, under all actions", async () => {
@@ -103,6 +126,24 @@
     });
   }
 
+  // The fake front has no models, so the program itself is made faulty.
+  for (const cutsStreams of [false, true]) {
+    const does = cutsStreams ? "detects" : "passes without";
+    it(`sound-stream ${does} a cut of streams that are silent`, async () => {
+      const options = cutsStreams
+        ? `${LABEL_OPTIONS} --import ${CUT_SILENT_STREAMS.href}`
+        : LABEL_OPTIONS;
+      const { violations } = await runSoak({
+        plan: { seed: 0, series: [SILENT_REPLICA] },
+        program: { path: HOST_PROGRAM, environment: { NODE_OPTIONS: options } },
+        checks,
+        kinds: ["stream"],
+      });
+      const failed = violations.some(({ check }) => check === "sound-stream");
+      expect(failed).toEqual(cutsStreams);
+    });
+  }
+
   it("has a test case", () => {
     expect(new Set([...CASES.map(({ check }) => check), ...HISTORY_CHECKS]))
       .toEqual(new Set(checks.map(({ name }) => name)));
