--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -21,6 +21,7 @@
 import { ReportReplies } from "./report_replies.ts";
 import { ReportTable } from "./report_table.ts";
 import { Summaries } from "./summaries.ts";
+import { UpgradeTakeover } from "./upgrade_takeover.ts";
 
 /** Interval at which a process that has resigned checks its state. */
 const RESIGNED_CHECK_INTERVAL_MS = 250;
@@ -77,6 +78,14 @@
     this.#follower = new LeaderFollower({
       ...options,
       status: this.#status,
+      upgrade: new UpgradeTakeover({
+        ...options,
+        search: this.#search,
+        terms: this.#terms,
+      }),
+      topicsAgeMs: () =>
+        this.#nowMs() -
+        Math.min(options.config.provenAtMs(), options.instances.provenAtMs()),
       summarize: () => this.#summaries.all(),
       known: () => this.#describeKnown(),
       toldConfig: () =>
@@ -243,8 +252,7 @@
         const found = this.#search.takeFoundLeader();
         if (found !== undefined) {
           this.#terms.forgetLast();
-          yield* this.#follower.follow(found);
-          mayClaim = true;
+          mayClaim = (yield* this.#follower.follow(found)) === "to-replace";
           continue;
         }
         const records = yield* this.#search.readRecords();
--- a/packages/celerytray/src/coordination/coordinator_options.ts
+++ b/packages/celerytray/src/coordination/coordinator_options.ts
@@ -43,6 +43,8 @@
 export interface CoordinatorOptions {
   readonly self: PeerNode;
   readonly bootId: string;
+  /** Generation of its way to lead, as in the record of a leader. */
+  readonly generation: number;
   readonly log: KeyedLog;
   readonly client: PeerCalls;
   /** Heads at which requests of this process are stalled. */
--- a/packages/celerytray/src/coordination/index.ts
+++ b/packages/celerytray/src/coordination/index.ts
@@ -21,6 +21,7 @@
   type LeadershipClaim,
   readFleetRecords,
 } from "./leader_log.ts";
+export { LEADER_GENERATION, type LeadingProcess } from "./leading_process.ts";
 export type { PeerNode, PeerReport, ReportReply } from "./peer_messages.ts";
 export {
   type CoordinationOperations,
--- a/packages/celerytray/src/coordination/leader_follower.ts
+++ b/packages/celerytray/src/coordination/leader_follower.ts
@@ -1,11 +1,10 @@
 import { Effect } from "effect";
 import type { RecordEvent } from "../journal/index.ts";
-import type { LeaderRecord } from "../groups/index.ts";
-import { EMPTY_REPORT } from "../serving/index.ts";
 import {
   LEADER_HOLD_MS,
   leaderTimeoutMs,
   MAX_RELAY_STATUS_AGE_MS,
+  maxRelayedAgeMs,
   MIN_REPORT_INTERVAL_MS,
   RELAY_HOLD_MS,
   type StatusPath,
@@ -22,6 +21,8 @@
   isHeardByOthers,
   takeoverDelayMs,
 } from "./leader_succession.ts";
+import type { LeadingProcess } from "./leading_process.ts";
+import { listUrgent } from "./list_urgent.ts";
 import type { LeaderStatus } from "./leader_status.ts";
 import type {
   KnownStatus,
@@ -31,6 +32,8 @@
 } from "./peer_messages.ts";
 import type { PeerCalls } from "./peer_router.ts";
 import { selectParent } from "./select_parent.ts";
+import { MAX_DIRECT_PROCESSES } from "./select_relays.ts";
+import type { TakeoverOutcome, UpgradeTakeover } from "./upgrade_takeover.ts";
 
 /** Dependencies of a follower. */
 export interface LeaderFollowerOptions {
@@ -58,6 +61,10 @@
   ) => Effect.Effect<LeaderCheck>;
   /** Whether this process does not reach the replicas that a leader controls. */
   readonly hasLostReplicas: () => boolean;
+  /** Time since the older of the relayed topics was known to be up to date. */
+  readonly topicsAgeMs: () => number;
+  /** Takes the lead from a leader of an earlier version. */
+  readonly upgrade: UpgradeTakeover;
   readonly nowMs: () => number;
   /** Returns a random number from 0 to 1. */
   readonly random: () => number;
@@ -90,22 +97,50 @@
     this.#isStopped = true;
   }
 
-  /** Sends reports until the leader is to be replaced. */
-  follow(leader: LeaderRecord): Effect.Effect<void> {
-    const { status, nowMs } = this.#options;
+  /** Sends reports until another process leads, or is to. */
+  follow(leader: LeadingProcess): Effect.Effect<EndOfFollowing> {
+    const { status, nowMs, upgrade } = this.#options;
     return Effect.gen({ self: this }, function* () {
       status.setLeader(leader, nowMs());
       this.#recordFollowedLeader();
       while (!this.#isStopped) {
         const sentAtMs = nowMs();
         const reason = yield* this.#reportOnce();
-        if (reason !== undefined && (yield* this.#mayReplace(reason))) return;
+        if (reason !== undefined && (yield* this.#mayReplace(reason))) break;
+        if (this.#isUpgradeDue(reason)) {
+          const outcome = yield* upgrade.attempt(status.leader!);
+          if (outcome !== "kept") return outcome;
+        }
         const gapMs = sentAtMs + MIN_REPORT_INTERVAL_MS - nowMs();
         if (gapMs > 0) yield* Effect.sleep(Math.ceil(gapMs));
       }
+      return "to-replace";
     });
   }
 
+  /** Whether to take the lead now, as the leader is of an earlier version. */
+  #isUpgradeDue(reason: ReplacementReason | undefined): boolean {
+    const { status, upgrade, topicsAgeMs, hasLostReplicas } = this.#options;
+    const nowMs = this.#options.nowMs();
+    const maxAgeMs = maxRelayedAgeMs(status.statusPath);
+    const isSound = reason === undefined && !this.#isStopped &&
+      !this.#isUnanswered && status.isFresh(nowMs) &&
+      status.areTotalsComplete && status.storeAgeMs(nowMs) < maxAgeMs &&
+      topicsAgeMs() < maxAgeMs && !hasLostReplicas() && this.#mayLeadAll();
+    return upgrade.isDue({
+      leader: status.leader!,
+      isSound,
+      nowMs,
+    });
+  }
+
+  /** Whether this process has enough cores to lead: relays have the most. */
+  #mayLeadAll(): boolean {
+    const { self, status } = this.#options;
+    return status.processes <= MAX_DIRECT_PROCESSES ||
+      this.#listRelays().some(({ nodeId }) => nodeId === self.nodeId);
+  }
+
   /**
    * Sends one report; returns the reason to replace the leader, if there is
    * one.
@@ -296,33 +331,15 @@
   }
 }
 
+/** Why a follower no longer follows its leader. */
+export type EndOfFollowing =
+  /** The leader is to be replaced, or has been. */
+  | "to-replace"
+  | Exclude<TakeoverOutcome, "kept">;
+
 /** Outcome of a report. */
 type ReportOutcome =
   | { readonly kind: "answered"; readonly reply: ReportReply }
   | { readonly kind: "silent"; readonly isRefused: boolean }
   /** Urgent news came up before the reply. */
   | { readonly kind: "overtaken" };
-
-/**
- * Items that the leader must learn at once: stalled heads, leaving instances,
- * what speaks for or against suspected parts of prompts, new limits, and
- * processes that lost their links.
- */
-function listUrgent(
-  { stalledHeads, leaving, quarantine, limits, lostLinks }: PeerSummary,
-): readonly string[] {
-  const { crashes, safe, wanted } = quarantine ?? EMPTY_REPORT;
-  return [
-    ...crashes.map(({ part, incarnation }) => `${part} lost ${incarnation}`),
-    ...safe.map(({ part }) => `${part} safe`),
-    ...wanted.map(({ part }) => `${part} wanted`),
-    ...stalledHeads,
-    ...(limits?.sightings ?? []).map(({ incarnation, perSecond }) =>
-      `${incarnation} takes ${perSecond}`
-    ),
-    ...leaving.map(({ instanceId }) => `${instanceId} leaving`),
-    ...(lostLinks ?? []).map(({ nodeId, services }) =>
-      `${nodeId} lost ${services.join()}`
-    ),
-  ];
-}
--- a/packages/celerytray/src/coordination/leader_log.ts
+++ b/packages/celerytray/src/coordination/leader_log.ts
@@ -1,12 +1,9 @@
 import { Effect, Semaphore } from "effect";
 import {
   createReplicaKey,
-  decodeLeader,
   decodeReplica,
-  encodeLeader,
   encodeReplica,
   LEADER_KEY,
-  type LeaderRecord,
   parseReplicaKey,
   type RecordFailure,
   type ReplicaRecord,
@@ -22,11 +19,16 @@
   type LogPosition,
   type ReadFailure,
 } from "../keyed_log/index.ts";
+import {
+  decodeLeadingProcess,
+  encodeLeadingProcess,
+  type LeadingProcess,
+} from "./leading_process.ts";
 import { decodeQuarantine } from "./quarantine_record.ts";
 
 /** The leader and the replicas, as recorded in the fleet topic. */
 export interface FleetRecords {
-  readonly leader?: LeaderRecord;
+  readonly leader?: LeadingProcess;
   readonly replicas: readonly ReplicaRecord[];
   /** Parts of prompts in quarantine. */
   readonly quarantined: readonly QuarantinedPart[];
@@ -54,17 +56,17 @@
   });
 }
 
-function findLeader(records: readonly KeyedRecord[]): LeaderRecord | undefined {
+function findLeader(
+  records: readonly KeyedRecord[],
+): LeadingProcess | undefined {
   const stored = records.findLast(({ key }) => key === LEADER_KEY);
-  if (stored?.value === undefined) return undefined;
-  return decodeLeader({ value: stored.value, offset: stored.offset })
-    .toMaybe().extract();
+  return stored === undefined ? undefined : decodeLeadingProcess(stored);
 }
 
 /** Result of a check of the records for a successor of a leader. */
 export type LeaderCheck =
   /** A process has claimed a later term. */
-  | { readonly kind: "taken"; readonly leader: LeaderRecord }
+  | { readonly kind: "taken"; readonly leader: LeadingProcess }
   /** No process had claimed a later term, up to `nextOffset`. */
   | { readonly kind: "unchanged"; readonly nextOffset: LogPosition }
   /**
@@ -123,7 +125,7 @@
 export function claimLeadership(
   log: KeyedLog,
   options: {
-    readonly leader: Omit<LeaderRecord, "term">;
+    readonly leader: Omit<LeadingProcess, "term">;
     readonly records: FleetRecords;
   },
 ): Effect.Effect<LeadershipClaim, ReadFailure> {
@@ -133,7 +135,7 @@
   const won: LeadershipClaim = { kind: "won", term };
   return log.append("fleet", {
     key: LEADER_KEY,
-    value: encodeLeader({ ...leader, term }),
+    value: encodeLeadingProcess({ ...leader, term }),
     at,
   }).pipe(
     Effect.as(won),
--- a/packages/celerytray/src/coordination/leader_search.ts
+++ b/packages/celerytray/src/coordination/leader_search.ts
@@ -1,5 +1,4 @@
 import { Effect } from "effect";
-import type { LeaderRecord } from "../groups/index.ts";
 import type { RecordEvent } from "../journal/index.ts";
 import type { KeyedLog, LogPosition } from "../keyed_log/index.ts";
 import {
@@ -9,6 +8,7 @@
   readFleetRecords,
 } from "./leader_log.ts";
 import { awaitTakeoverDelay, takeoverDelayMs } from "./leader_succession.ts";
+import type { LeadingProcess } from "./leading_process.ts";
 import type { PeerNode } from "./peer_messages.ts";
 
 /** Dependencies of a leader search. */
@@ -28,7 +28,7 @@
 export class LeaderSearch {
   readonly #options: LeaderSearchOptions;
   /** Newest leader that the records named. */
-  #foundLeader: LeaderRecord | undefined;
+  #foundLeader: LeadingProcess | undefined;
   /** Position up to which the records were checked for a successor of `term`. */
   #checked: { term: LogPosition; nextOffset: LogPosition } = {
     term: 0,
@@ -40,7 +40,7 @@
   }
 
   /** Returns and clears the leader found in the records, if it is new. */
-  takeFoundLeader(): LeaderRecord | undefined {
+  takeFoundLeader(): LeadingProcess | undefined {
     const found = this.#foundLeader;
     this.#foundLeader = undefined;
     return this.shouldFollow(found) ? found : undefined;
@@ -51,7 +51,7 @@
    * followed last. An earlier one is named where the store came back from a
    * copy that lacks later records.
    */
-  shouldFollow(leader: LeaderRecord | undefined): boolean {
+  shouldFollow(leader: LeadingProcess | undefined): boolean {
     return leader !== undefined && leader.term > this.#options.term() &&
       leader.nodeId !== this.#options.self.nodeId;
   }
--- a/packages/celerytray/src/coordination/leader_status.ts
+++ b/packages/celerytray/src/coordination/leader_status.ts
@@ -1,10 +1,10 @@
-import type { LeaderRecord } from "../groups/index.ts";
 import type {
   Gateway,
   SharedLimit,
   SuspectPart,
   WindowTotals,
 } from "../serving/index.ts";
+import type { LeadingProcess } from "./leading_process.ts";
 import { maxStatusAgeMs, type StatusPath } from "./intervals.ts";
 import type {
   DemandTotals,
@@ -35,7 +35,7 @@
 
 /** The leader's newest status, as this process published or received it. */
 export class LeaderStatus {
-  #leader: LeaderRecord | undefined;
+  #leader: LeadingProcess | undefined;
   /** Time at which this process began to follow the leader or to lead. */
   #sinceMs = 0;
   /**
@@ -56,7 +56,7 @@
   #areTotalsComplete = false;
   #versionCount = 0;
 
-  get leader(): LeaderRecord | undefined {
+  get leader(): LeadingProcess | undefined {
     return this.#leader;
   }
 
@@ -145,7 +145,7 @@
   }
 
   /** Starts a new status when this process follows a leader or becomes it. */
-  setLeader(leader: LeaderRecord, nowMs: number): void {
+  setLeader(leader: LeadingProcess, nowMs: number): void {
     this.#leader = leader;
     this.#sinceMs = nowMs;
     this.#publishedAtMs = undefined;
--- a/packages/celerytray/src/coordination/leader_term.ts
+++ b/packages/celerytray/src/coordination/leader_term.ts
@@ -1,9 +1,5 @@
 import { Effect } from "effect";
-import type {
-  LeaderRecord,
-  ReplicaController,
-  ReplicaRecord,
-} from "../groups/index.ts";
+import type { ReplicaController, ReplicaRecord } from "../groups/index.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
 import type { QuarantinedPart } from "../serving/index.ts";
 import { eraOf, type LogPosition } from "../keyed_log/index.ts";
@@ -11,6 +7,7 @@
 import { describeGateways } from "./describe_gateways.ts";
 import { InheritedRetries } from "./inherited_retries.ts";
 import { FencedReplicaRecorder, type LeaderCheck } from "./leader_log.ts";
+import type { LeadingProcess } from "./leading_process.ts";
 import type { LeaderStatus } from "./leader_status.ts";
 import { SuccessorWatch } from "./successor_watch.ts";
 import { LinksHandover } from "./links_handover.ts";
@@ -40,7 +37,7 @@
     | "hasLostReplicas"
     | "random"
   > {
-  readonly leader: LeaderRecord;
+  readonly leader: LeadingProcess;
   /** The replicas according to the store. */
   readonly stored: readonly ReplicaRecord[];
   /**
--- a/packages/celerytray/src/coordination/own_terms.ts
+++ b/packages/celerytray/src/coordination/own_terms.ts
@@ -1,11 +1,12 @@
 import { Effect } from "effect";
-import type { LeaderRecord, ReplicaRecord } from "../groups/index.ts";
+import type { ReplicaRecord } from "../groups/index.ts";
 import { eraOf, type LogPosition } from "../keyed_log/index.ts";
 import type { ChangeSignal } from "./change_signal.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
 import { RETRY_DELAY_MS } from "./intervals.ts";
 import { claimLeadership, type FleetRecords } from "./leader_log.ts";
 import type { LeaderSearch } from "./leader_search.ts";
+import type { LeadingProcess } from "./leading_process.ts";
 import type { LeaderStatus } from "./leader_status.ts";
 import { LeaderTerm } from "./leader_term.ts";
 import type { ReportTable } from "./report_table.ts";
@@ -62,13 +63,14 @@
   }
 
   /**
-   * Claims leadership and, if that succeeds, leads until another process does.
+   * Claims leadership and, if that succeeds, leads until another process does;
+   * whether it did.
    */
-  claim(records: FleetRecords): Effect.Effect<void> {
-    const { self, bootId, log, record } = this.#options;
+  claim(records: FleetRecords): Effect.Effect<boolean> {
+    const { self, bootId, generation, log, record } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const { nodeId, peerAddress } = self;
-      const leader = { nodeId, bootId, peerAddress };
+      const leader = { nodeId, bootId, peerAddress, generation };
       const claim = yield* claimLeadership(log, { leader, records }).pipe(
         Effect.catch(({ message }) =>
           Effect.sync(() => {
@@ -79,14 +81,15 @@
       );
       if (claim === undefined) {
         yield* Effect.sleep(RETRY_DELAY_MS);
-        return;
+        return false;
       }
-      if (claim.kind === "lost") return;
+      if (claim.kind === "lost") return false;
       yield* this.#run({ ...leader, term: claim.term }, records);
+      return true;
     });
   }
 
-  #run(leader: LeaderRecord, records: FleetRecords): Effect.Effect<void> {
+  #run(leader: LeadingProcess, records: FleetRecords): Effect.Effect<void> {
     return Effect.suspend(() => {
       const { summaries, search, changeSignal, hasResigned } = this.#options;
       const term = new LeaderTerm({
--- a/packages/celerytray/src/coordination/peer_messages.ts
+++ b/packages/celerytray/src/coordination/peer_messages.ts
@@ -1,4 +1,4 @@
-import type { LeaderRecord, LeavingIncarnation } from "../groups/index.ts";
+import type { LeavingIncarnation } from "../groups/index.ts";
 import type { RelayedChange, ToldEraStart } from "../keyed_log/index.ts";
 import {
   type Gateway,
@@ -10,6 +10,7 @@
   type SuspectPart,
   type WindowTotals,
 } from "../serving/index.ts";
+import type { LeadingProcess } from "./leading_process.ts";
 import type { ToldConfig } from "./config_in_force.ts";
 
 /** A process of the deployment and the capacity of its machine. */
@@ -125,7 +126,7 @@
   readonly isLeading: boolean;
   readonly term: number;
   /** The leader, if the reporter knows another one or none. */
-  readonly lead?: LeaderRecord;
+  readonly lead?: LeadingProcess;
   /** Time for which the report was held before the reply. */
   readonly heldMs: number;
   /** Age of the leader's status; null if none was received. */
--- a/packages/celerytray/src/host/create_coordinator.ts
+++ b/packages/celerytray/src/host/create_coordinator.ts
@@ -1,5 +1,9 @@
 import { randomUUID } from "node:crypto";
-import { Coordinator, PeerClient } from "../coordination/index.ts";
+import {
+  Coordinator,
+  LEADER_GENERATION,
+  PeerClient,
+} from "../coordination/index.ts";
 import {
   findReaches,
   type LeavingIncarnation,
@@ -58,6 +62,7 @@
       servesOthers: true,
     },
     bootId: randomUUID(),
+    generation: LEADER_GENERATION,
     client: new PeerClient(),
     // Heads that this process doesn't reach say nothing of the heads.
     listStalledHeads: () =>
--- a/packages/fakes/src/coordination/simulated_cluster.ts
+++ b/packages/fakes/src/coordination/simulated_cluster.ts
@@ -4,6 +4,7 @@
   CrashQuarantine,
   InstanceLimits,
   InstanceListView,
+  LEADER_GENERATION,
   type LeavingIncarnation,
   type PeerNode,
   readSteadyMs,
@@ -40,8 +41,14 @@
   /** Number of calls to the store, by kind. */
   readonly storeCalls: Map<string, number>;
   readonly findLeader: () => CoordinatedProcess | undefined;
-  /** Replaces a process that has ended by one that knows nothing yet. */
-  readonly restart: (process: CoordinatedProcess) => Effect.Effect<void>;
+  /**
+   * Replaces a process that has ended by one that knows nothing yet, of another
+   * version of the program or of the same.
+   */
+  readonly restart: (
+    process: CoordinatedProcess,
+    generation?: number,
+  ) => Effect.Effect<void>;
   readonly nowMs: () => number;
 }
 
@@ -64,6 +71,8 @@
     readonly seed: number;
     readonly size: number;
     readonly retryBound?: RetryBound;
+    /** Generation of the processes' way to lead; 0 for earlier versions. */
+    readonly generation?: number;
     /** What the processes of an earlier cluster left behind. */
     readonly store?: FakeKeyedStore;
   },
@@ -78,9 +87,10 @@
     const storeCalls = new Map<string, number>();
     const processes: CoordinatedProcess[] = [];
     const scope = yield* Effect.scope;
-    const create = (index: number) =>
+    const create = (index: number, generation = options.generation) =>
       createProcess({
         index,
+        generation: generation ?? LEADER_GENERATION,
         retryBound: options.retryBound ?? DEFAULT_RETRY_BOUND,
         processes,
         clock: new PausableClock(clock),
@@ -109,9 +119,9 @@
     }
     return {
       processes,
-      restart: ({ node }) => {
+      restart: ({ node }, generation) => {
         const index = Number(node.peerAddress);
-        processes[index] = create(index);
+        processes[index] = create(index, generation);
         return run(processes[index]);
       },
       store,
@@ -134,6 +144,7 @@
 
 interface ProcessOptions {
   readonly index: number;
+  readonly generation: number;
   readonly retryBound: RetryBound;
   readonly processes: readonly CoordinatedProcess[];
   readonly clock: PausableClock;
@@ -145,8 +156,10 @@
 let bootCount = 0;
 
 function createProcess(
-  { index, retryBound, processes, clock, log, nowMs, random }: ProcessOptions,
+  options: ProcessOptions,
 ): CoordinatedProcess {
+  const { index, generation, retryBound, processes, clock, log } = options;
+  const { nowMs, random } = options;
   const leaving = new Map<string, LeavingIncarnation>();
   const lostServices = new Set<string>();
   const stalledHeads = new Set<string>();
@@ -200,6 +213,7 @@
     coordinator: new Coordinator({
       self: node,
       bootId: `boot-${index}-${bootCount}`,
+      generation,
       log,
       client: createPeerCalls(processes),
       listStalledHeads: () => [...stalledHeads],
--- a/packages/fakes/src/fleet/fleet_simulation.ts
+++ b/packages/fakes/src/fleet/fleet_simulation.ts
@@ -9,6 +9,7 @@
   type InstanceState,
   type KeyedChange,
   type KeyedTopic,
+  LEADER_GENERATION,
   type LeavingIncarnation,
   type PeerCalls,
   type PeerReport,
@@ -197,6 +198,7 @@
   const coordinator = new Coordinator({
     self: { nodeId, peerAddress: `${index}`, zone: "z", cores: 1 },
     bootId: `boot-${index}`,
+    generation: LEADER_GENERATION,
     log: new InProcessStore({
       store,
       isDisconnected: isStorePartitioned,
