--- a/packages/celerytray/src/coordination/leader_term.ts
+++ b/packages/celerytray/src/coordination/leader_term.ts
@@ -17,6 +17,7 @@
 import { listRetired, restoreRecords } from "./restore_records.ts";
 import { selectRelays } from "./select_relays.ts";
 import { SharedBoards } from "./shared_boards.ts";
+import { tellPredecessor } from "./tell_predecessor.ts";
 
 /** Dependencies of a leader for one term. */
 export interface LeaderTermOptions extends
@@ -74,8 +75,8 @@
   /** Whether the predecessor's status covered all processes. */
   readonly #hasInherited: boolean;
   readonly #sinceMs: number;
-  /** Node ID of the leader that this process replaced. */
-  readonly #predecessorId: string | undefined;
+  /** The leader that this process replaced. */
+  readonly #predecessor: LeadingProcess | undefined;
   readonly #handover = new LinksHandover();
   #hasSteppedDown = false;
   #hasSuccessor = false;
@@ -86,7 +87,7 @@
     const { term } = leader;
     const replicas = options.remembered ?? options.stored;
     this.#sinceMs = nowMs();
-    this.#predecessorId = status.leader?.nodeId;
+    this.#predecessor = status.leader;
     this.#hasInherited = status.areTotalsComplete;
     this.#inheritedRetries = new InheritedRetries({
       totals: status.retryTotals,
@@ -144,6 +145,7 @@
       Effect.andThen(Effect.scoped(this.#controller.run())),
       Effect.raceFirst(this.#publishUntilStepDown()),
       Effect.raceFirst(this.#awaitEndOfTerm()),
+      Effect.raceFirst(Effect.andThen(this.#tellPredecessor(), Effect.never)),
       Effect.raceFirst(
         this.#boards.recordQuarantine(
           this.#options.quarantined,
@@ -197,6 +199,22 @@
     });
   }
 
+  /** Tells the leader that this process replaced, which may not know it. */
+  #tellPredecessor(): Effect.Effect<void> {
+    const { instances, config } = this.#options;
+    const predecessor = this.#predecessor;
+    if (predecessor === undefined) return Effect.void;
+    if (predecessor.nodeId === this.#options.self.nodeId) return Effect.void;
+    return tellPredecessor({
+      ...this.#options,
+      predecessor,
+      topics: {
+        instancesOffset: instances.copy.nextOffset,
+        configOffset: config.copy.nextOffset,
+      },
+    });
+  }
+
   /** Steps down once the records show that this term is over. */
   #awaitEndOfTerm(): Effect.Effect<void> {
     return Effect.map(this.#successorWatch.awaitEndOfTerm(), (check) => {
@@ -308,7 +326,7 @@
    */
   #listCandidates(nowMs: number): readonly PeerNode[] {
     if (this.#isTakingOver(nowMs)) {
-      const predecessorId = this.#predecessorId;
+      const predecessorId = this.#predecessor?.nodeId;
       return this.#options.status.relays.filter(({ nodeId }) =>
         nodeId !== predecessorId
       );
--- a/packages/fakes/src/coordination/upgraded_leader_test.ts
+++ b/packages/fakes/src/coordination/upgraded_leader_test.ts
@@ -18,6 +18,8 @@
 /** Time in which a process of a newer version takes the lead. */
 const TAKEOVER_MS = 3_000;
 const DETECTION_MS = 1_000;
+/** Time in which a replaced leader must give no more orders. */
+const ALONE_MS = 200;
 const OBSERVATION_MS = 30_000;
 
 // Guards against a leader of an earlier version that goes on leading, for as long
@@ -47,6 +49,22 @@
       expect(yield* countChanges(cluster, OBSERVATION_MS)).toEqual(0);
     }));
 
+  // Guards against two processes that give orders for 2 s, until the replaced one
+  // reads the records.
+  it("leads alone at once, even if the replaced leader reads no records", () =>
+    simulate({ generation: EARLIER_GENERATION }, function* (cluster) {
+      yield* advance(SETTLE_MS);
+      const leader = cluster.findLeader()!;
+      leader.losesLongPolls = true;
+      yield* advance(SETTLE_MS);
+      const replaced = listFollowers(cluster)[0]!;
+      const started = yield* replace(cluster, replaced, LEADER_GENERATION);
+      while (!started.coordinator.isLeading) yield* advance(STEP_MS);
+      yield* advance(ALONE_MS);
+      expect(leader.coordinator.isLeading).toEqual(false);
+      expect(started.coordinator.isLeading).toEqual(true);
+    }));
+
   it("takes the lead once, of several that start at once", () =>
     simulate({ generation: EARLIER_GENERATION }, function* (cluster) {
       yield* advance(SETTLE_MS);
