--- a/packages/celerytray/src/coordination/leader_term.ts
+++ b/packages/celerytray/src/coordination/leader_term.ts
@@ -1,9 +1,5 @@
 import { Effect } from "effect";
-import type {
-  LeaderRecord,
-  ReplicaController,
-  ReplicaRecord,
-} from "../groups/index.ts";
+import type { ReplicaController, ReplicaRecord } from "../groups/index.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
 import type { QuarantinedPart } from "../serving/index.ts";
 import { eraOf, type LogPosition } from "../keyed_log/index.ts";
@@ -11,6 +7,7 @@
 import { describeGateways } from "./describe_gateways.ts";
 import { InheritedRetries } from "./inherited_retries.ts";
 import { FencedReplicaRecorder, type LeaderCheck } from "./leader_log.ts";
+import type { LeadingProcess } from "./leading_process.ts";
 import type { LeaderStatus } from "./leader_status.ts";
 import { SuccessorWatch } from "./successor_watch.ts";
 import { LinksHandover } from "./links_handover.ts";
@@ -20,6 +17,7 @@
 import { listRetired, restoreRecords } from "./restore_records.ts";
 import { selectRelays } from "./select_relays.ts";
 import { SharedBoards } from "./shared_boards.ts";
+import { tellPredecessor } from "./tell_predecessor.ts";
 
 /** Dependencies of a leader for one term. */
 export interface LeaderTermOptions extends
@@ -40,7 +38,7 @@
     | "hasLostReplicas"
     | "random"
   > {
-  readonly leader: LeaderRecord;
+  readonly leader: LeadingProcess;
   /** The replicas according to the store. */
   readonly stored: readonly ReplicaRecord[];
   /**
@@ -77,8 +75,8 @@
   /** Whether the predecessor's status covered all processes. */
   readonly #hasInherited: boolean;
   readonly #sinceMs: number;
-  /** Node ID of the leader that this process replaced. */
-  readonly #predecessorId: string | undefined;
+  /** The leader that this process replaced. */
+  readonly #predecessor: LeadingProcess | undefined;
   readonly #handover = new LinksHandover();
   #hasSteppedDown = false;
   #hasSuccessor = false;
@@ -89,7 +87,7 @@
     const { term } = leader;
     const replicas = options.remembered ?? options.stored;
     this.#sinceMs = nowMs();
-    this.#predecessorId = status.leader?.nodeId;
+    this.#predecessor = status.leader;
     this.#hasInherited = status.areTotalsComplete;
     this.#inheritedRetries = new InheritedRetries({
       totals: status.retryTotals,
@@ -147,6 +145,7 @@
       Effect.andThen(Effect.scoped(this.#controller.run())),
       Effect.raceFirst(this.#publishUntilStepDown()),
       Effect.raceFirst(this.#awaitEndOfTerm()),
+      Effect.raceFirst(Effect.andThen(this.#tellPredecessor(), Effect.never)),
       Effect.raceFirst(
         this.#boards.recordQuarantine(
           this.#options.quarantined,
@@ -200,6 +199,22 @@
     });
   }
 
+  /** Tells the leader that this process replaced, which may not know it. */
+  #tellPredecessor(): Effect.Effect<void> {
+    const { instances, config } = this.#options;
+    const predecessor = this.#predecessor;
+    if (predecessor === undefined) return Effect.void;
+    if (predecessor.nodeId === this.#options.self.nodeId) return Effect.void;
+    return tellPredecessor({
+      ...this.#options,
+      predecessor,
+      topics: {
+        instancesOffset: instances.copy.nextOffset,
+        configOffset: config.copy.nextOffset,
+      },
+    });
+  }
+
   /** Steps down once the records show that this term is over. */
   #awaitEndOfTerm(): Effect.Effect<void> {
     return Effect.map(this.#successorWatch.awaitEndOfTerm(), (check) => {
@@ -311,7 +326,7 @@
    */
   #listCandidates(nowMs: number): readonly PeerNode[] {
     if (this.#isTakingOver(nowMs)) {
-      const predecessorId = this.#predecessorId;
+      const predecessorId = this.#predecessor?.nodeId;
       return this.#options.status.relays.filter(({ nodeId }) =>
         nodeId !== predecessorId
       );
