--- a/packages/celerytray/src/serving/conclude_relay.ts
+++ b/packages/celerytray/src/serving/conclude_relay.ts
@@ -87,11 +87,31 @@
   progress: AttemptProgress,
   answer: AnsweredRelay,
 ): AttemptsResult | undefined {
-  return answer.headers.isOwnAnswer
-    ? concludeOwnAnswer(options, progress, answer)
+  const { isOwnAnswer, callId, hasServerStamp } = answer.headers;
+  if (isOwnAnswer) return concludeOwnAnswer(options, progress, answer);
+  // A process of an earlier version, at the address of a gateway that ended,
+  // answers relayed requests like unknown calls of other processes.
+  return callId === undefined && !hasServerStamp
+    ? concludeForeignAnswer(options, progress, answer)
     : concludeInstanceAnswer(options, progress, answer);
 }
 
+/** Neither the gateway nor an instance gave the answer. */
+function concludeForeignAnswer(
+  options: AttemptsOptions,
+  progress: AttemptProgress,
+  { gateway, attemptsLeft, headers: { status }, nowMs }: AnsweredRelay,
+): AttemptsResult | undefined {
+  const { gateways, discardAgent } = options.dependencies;
+  notePossibleRuns(progress, attemptsLeft);
+  gateways.avoidUntil(gateway, nowMs + AVOID_MS);
+  discardAgent(gateway.peerAddress);
+  const message = `${gateway.nodeId} answered ${status} without naming it`;
+  return mayAttemptAgain(options, progress)
+    ? undefined
+    : giveUpAfterLast(options, progress, message);
+}
+
 /** An error of an instance is retried as if it had been called directly. */
 function concludeInstanceAnswer(
   options: AttemptsOptions,
