--- a/packages/fakes/src/platform/fake_instance_server.ts
+++ b/packages/fakes/src/platform/fake_instance_server.ts
@@ -201,8 +201,11 @@
     const { id } = this.instance;
     const { membership } = this.instance;
     this.recordExecution(request, membership?.members);
-    this.#responses.set(response, callId);
-    response.once("close", () => this.#responses.delete(response));
+    // Its connection may have closed while the instance was silent.
+    if (!response.destroyed) {
+      this.#responses.set(response, callId);
+      response.once("close", () => this.#responses.delete(response));
+    }
     if (await this.#crashesOn(headers["prompt-prefix"])) return;
     const streamHeaders = {
       "attempt-id": callId,
