--- a/packages/celerytray/src/coordination/coordinator.ts
+++ b/packages/celerytray/src/coordination/coordinator.ts
@@ -7,6 +7,7 @@
 import type { CoordinatorOptions } from "./coordinator_options.ts";
 import { RETRY_DELAY_MS, type StatusPath } from "./intervals.ts";
 import { LeaderFollower } from "./leader_follower.ts";
+import { KnownSilences } from "./known_silences.ts";
 import { LeaderSearch } from "./leader_search.ts";
 import { LeaderStatus } from "./leader_status.ts";
 import { OwnTerms } from "./own_terms.ts";
@@ -38,6 +39,7 @@
   readonly #replies: ReportReplies;
   readonly #follower: LeaderFollower;
   readonly #search: LeaderSearch;
+  readonly #knownSilences = new KnownSilences();
   readonly #summaries: Summaries;
   readonly #terms: OwnTerms;
   #nowMs: () => number = () => 0;
@@ -64,6 +66,7 @@
       summaries: this.#summaries,
       search: this.#search,
       changeSignal: this.#changeSignal,
+      silentSinceMs: () => this.#knownSilences.listSince(this.#nowMs()),
       hasResigned: () => this.#hasResigned,
       nowMs: () => this.#nowMs(),
     });
@@ -236,7 +239,17 @@
   findReaches(
     instances: readonly InstanceAddress[],
   ): Effect.Effect<Reaches> {
-    return this.#options.findReaches(instances);
+    return Effect.suspend(() => {
+      const askedAtMs = this.#nowMs();
+      return Effect.tap(
+        this.#options.findReaches(instances),
+        (reaches) =>
+          Effect.sync(() => {
+            const nowMs = this.#nowMs();
+            this.#knownSilences.note(reaches, { askedAtMs, nowMs });
+          }),
+      );
+    });
   }
 
   run(): Effect.Effect<never> {
--- a/packages/celerytray/src/coordination/coordinator_options.ts
+++ b/packages/celerytray/src/coordination/coordinator_options.ts
@@ -33,6 +33,8 @@
   readonly askOthers: (
     instances: readonly InstanceAddress[],
   ) => Effect.Effect<readonly Reaches[]>;
+  /** Times since which instances have not answered this process. */
+  readonly silentSinceMs: ReadonlyMap<string, number>;
   /** Returns a random number from 0 to 1. */
   readonly random: () => number;
   /** Called when an instance refuses an order as outdated. */
--- a/packages/celerytray/src/coordination/leader_term.ts
+++ b/packages/celerytray/src/coordination/leader_term.ts
@@ -59,6 +59,8 @@
     term: LogPosition,
     waitMs: number,
   ) => Effect.Effect<LeaderCheck>;
+  /** Times since which instances have not answered this process. */
+  readonly silentSinceMs: () => ReadonlyMap<string, number>;
   /** Called when the status has updates that are pushed to followers. */
   readonly onUpdate: () => void;
   readonly nowMs: () => number;
@@ -112,6 +114,7 @@
       replicas,
       retiredNames: listRetired({ replicas, stored: options.stored }),
       recorder: this.#recorder,
+      silentSinceMs: options.silentSinceMs(),
       random: options.random,
       askOthers: (instances) =>
         askOthers(instances, {
--- a/packages/celerytray/src/coordination/own_terms.ts
+++ b/packages/celerytray/src/coordination/own_terms.ts
@@ -19,6 +19,8 @@
   readonly summaries: Summaries;
   readonly search: LeaderSearch;
   readonly changeSignal: ChangeSignal;
+  /** Times since which instances have not answered this process. */
+  readonly silentSinceMs: () => ReadonlyMap<string, number>;
   readonly hasResigned: () => boolean;
   readonly nowMs: () => number;
 }
--- a/packages/celerytray/src/groups/controller_state.ts
+++ b/packages/celerytray/src/groups/controller_state.ts
@@ -32,6 +32,8 @@
     readonly replicas: readonly ReplicaRecord[];
     readonly retiredNames?: readonly string[];
     readonly isEvacuated?: (zone: string) => boolean;
+    /** Times since which instances have not answered this process. */
+    readonly silentSinceMs?: ReadonlyMap<string, number>;
   }) {
     this.instances = options.instances;
     this.#isEvacuated = options.isEvacuated ?? (() => false);
@@ -41,6 +43,9 @@
     this.weights = new InstanceWeights({
       startsComplete: options.replicas.length > 0,
     });
+    for (const [id, sinceMs] of options.silentSinceMs ?? []) {
+      this.liveness.noteSuspected(id, sinceMs);
+    }
     for (const record of options.replicas) {
       const run = createRun(record);
       // The previous leader may have ordered the head to open.
--- a/packages/celerytray/src/groups/liveness_tracker.ts
+++ b/packages/celerytray/src/groups/liveness_tracker.ts
@@ -1,34 +1,23 @@
-import type { SilenceReason } from "./instance_orders.ts";
 import type { LossVerdict } from "./find_reaches.ts";
 import type { Liveness } from "./replica_run.ts";
+import {
+  createSilence,
+  type FailedProbe,
+  isSilent,
+  noteFailure,
+  type Silence,
+  updateLoss,
+} from "./silence.ts";
 
 /** An instance that may be silent. */
 interface Suspicion {
   probedAtMs: number;
+  /** Time of the first probe after the last answer. */
+  unansweredSinceMs?: number;
   /** Its silence; undefined while its last probe was answered. */
   silence?: Silence;
 }
 
-/** Probes in a row that failed. */
-interface Silence {
-  /** Time since which no probe was answered, at the latest. */
-  readonly sinceMs: number;
-  /** Time at which the last of them failed. */
-  untilMs: number;
-  failedProbes: number;
-  /** Time of the first of the last failed probes that were all refused. */
-  refusedSinceMs?: number;
-  /** Whether any of them got a connection. */
-  hadConnection: boolean;
-  /** Number of the last check of whether others reach it; 0 before the first. */
-  checkNumber: number;
-  verdict?: LossVerdict;
-  /** Time of the verdict. */
-  checkedAtMs: number;
-  /** Set once it is known that it is no mere silence. */
-  loss?: "lost" | "ended";
-}
-
 /** Evidence that an instance does not answer, for logs. */
 export interface SilenceEvidence {
   /** Probes in a row that failed. */
@@ -39,30 +28,6 @@
   readonly othersAnsweredAgoMs?: number;
 }
 
-/** A probe or an order that got no answer. */
-export interface FailedProbe {
-  readonly reason: SilenceReason;
-  readonly nowMs: number;
-}
-
-/** Number of failed probes after which an instance counts as silent. */
-const SILENT_AFTER_FAILED_PROBES = 2;
-/** Time for which an instance refuses all probes until it counts as ended. */
-const ENDED_AFTER_REFUSED_MS = 100;
-/**
- * Silence after which an instance counts as lost. A sound one may be silent for
- * a second or so.
- */
-const LOST_AFTER_MS = 2_500;
-/** The same for one that accepts no connection meanwhile. */
-const UNREACHABLE_LOST_AFTER_MS = 1_500;
-/**
- * Failed probes without which no silence is long, so that a process that was
- * stopped meanwhile probes again.
- */
-const LOST_AFTER_FAILED_PROBES = 5;
-/** Age up to which a verdict of others counts. */
-const MAX_VERDICT_AGE_MS = 1_000;
 /** Interval between probes of a suspected instance. */
 const SUSPECTED_PROBE_INTERVAL_MS = 120;
 /** Interval between probes of a silent instance. */
@@ -80,28 +45,28 @@
   #answeredAtMs: number | undefined;
   #checkCount = 0;
 
-  /** Marks an instance as possibly silent, so that it is probed. */
-  noteSuspected(instanceId: string): void {
+  /**
+   * Marks an instance as possibly silent, so that it is probed. It may be known
+   * since when it has not answered this process.
+   */
+  noteSuspected(instanceId: string, unansweredSinceMs?: number): void {
     if (this.#suspicions.has(instanceId)) return;
     const probedAtMs = this.#answeredProbeAtMs.get(instanceId) ??
       Number.NEGATIVE_INFINITY;
-    this.#suspicions.set(instanceId, { probedAtMs });
+    this.#suspicions.set(instanceId, {
+      probedAtMs,
+      ...(unansweredSinceMs === undefined ? {} : { unansweredSinceMs }),
+    });
   }
 
   noteProbeFailed(instanceId: string, { reason, nowMs }: FailedProbe): void {
     this.noteSuspected(instanceId);
     const suspicion = this.#suspicions.get(instanceId)!;
-    const sentAtMs = Number.isFinite(suspicion.probedAtMs)
-      ? suspicion.probedAtMs
-      : nowMs;
-    const silence = suspicion.silence ??= createSilence(sentAtMs);
-    silence.untilMs = nowMs;
-    silence.failedProbes += 1;
-    if (reason === "refused") silence.refusedSinceMs ??= nowMs;
-    else delete silence.refusedSinceMs;
-    silence.hadConnection ||= reason === "unanswered";
+    const { unansweredSinceMs = nowMs } = suspicion;
+    const silence = suspicion.silence ??= createSilence(unansweredSinceMs);
+    noteFailure(silence, { reason, nowMs });
     if (reason === "replaced") this.#replacedIds.add(instanceId);
-    updateLoss(silence);
+    updateLoss(silence, nowMs);
   }
 
   /**
@@ -110,8 +75,7 @@
    */
   takeUnconfirmed(maxCount: number): readonly string[] {
     const unconfirmed = [...this.#suspicions].flatMap(([id, { silence }]) =>
-      silence !== undefined && silence.loss === undefined &&
-        isSilent(silence)
+      silence !== undefined && silence.loss === undefined && isSilent(silence)
         ? [{ id, silence }]
         : []
     ).sort((one, other) => one.silence.checkNumber - other.silence.checkNumber)
@@ -133,7 +97,19 @@
     const hasChanged = silence.verdict !== verdict;
     silence.verdict = verdict;
     silence.checkedAtMs = nowMs;
-    updateLoss(silence);
+    updateLoss(silence, nowMs);
+    return hasChanged;
+  }
+
+  /** Notes losses that time alone has confirmed; whether there are any. */
+  update(nowMs: number): boolean {
+    let hasChanged = false;
+    for (const { silence } of this.#suspicions.values()) {
+      if (silence === undefined) continue;
+      const before = silence.loss;
+      updateLoss(silence, nowMs);
+      hasChanged ||= silence.loss !== before;
+    }
     return hasChanged;
   }
 
@@ -166,7 +142,9 @@
 
   /** Notes that a suspected instance answered, but keeps the suspicion. */
   noteProbeAnswered(instanceId: string): void {
-    delete this.#suspicions.get(instanceId)?.silence;
+    const suspicion = this.#suspicions.get(instanceId);
+    delete suspicion?.silence;
+    delete suspicion?.unansweredSinceMs;
     this.#replacedIds.delete(instanceId);
   }
 
@@ -183,6 +161,7 @@
         : PROBE_INTERVALS_MS[this.livenessOf(instanceId).kind];
       if (nowMs - suspicion.probedAtMs < intervalMs) continue;
       suspicion.probedAtMs = nowMs;
+      suspicion.unansweredSinceMs ??= nowMs;
       due.push(instanceId);
     }
     return due;
@@ -206,7 +185,7 @@
     if (this.#replacedIds.has(instanceId)) return { kind: "ended" };
     const silence = this.#suspicions.get(instanceId)?.silence;
     if (silence === undefined) return { kind: "alive" };
-    return { kind: silence.loss ?? (isSilent(silence) ? "silent" : "alive") };
+    return silence.loss ?? { kind: isSilent(silence) ? "silent" : "alive" };
   }
 }
 
@@ -216,38 +195,3 @@
   lost: LOST_PROBE_INTERVAL_MS,
   ended: LOST_PROBE_INTERVAL_MS,
 };
-
-function createSilence(sinceMs: number): Silence {
-  return {
-    sinceMs,
-    untilMs: sinceMs,
-    failedProbes: 0,
-    hadConnection: false,
-    checkNumber: 0,
-    checkedAtMs: sinceMs,
-  };
-}
-
-function isSilent({ failedProbes }: Silence): boolean {
-  return failedProbes >= SILENT_AFTER_FAILED_PROBES;
-}
-
-/** Notes a loss once the silence is long enough and others agree. */
-function updateLoss(silence: Silence): void {
-  const { verdict, checkedAtMs, untilMs, refusedSinceMs = untilMs } = silence;
-  const isConfirmed = verdict === "unreached" &&
-    untilMs - checkedAtMs <= MAX_VERDICT_AGE_MS;
-  if (!isConfirmed) return;
-  const refusedMs = untilMs - refusedSinceMs;
-  if (refusedMs >= ENDED_AFTER_REFUSED_MS) silence.loss ??= "ended";
-  else if (isLong(silence)) silence.loss ??= "lost";
-}
-
-/** Whether a silence is longer than that of a sound instance. */
-function isLong(
-  { sinceMs, untilMs, failedProbes, hadConnection }: Silence,
-): boolean {
-  const boundMs = hadConnection ? LOST_AFTER_MS : UNREACHABLE_LOST_AFTER_MS;
-  return failedProbes >= LOST_AFTER_FAILED_PROBES &&
-    untilMs - sinceMs >= boundMs;
-}
--- a/packages/celerytray/src/groups/liveness_tracker_test.ts
+++ b/packages/celerytray/src/groups/liveness_tracker_test.ts
@@ -24,6 +24,15 @@
     expect(kinds.get("lost")! <= 2_000).toEqual(true);
   });
 
+  // Guards against a new leader that waits anew for a member that has died.
+  it("counts a silence from where this process knew of it", () => {
+    const tracker = new LivenessTracker();
+    tracker.noteSuspected(ID, -1_500);
+    const kinds = probe({ tracker, reason: "unreachable", untilMs: 4_000 });
+    expect(kinds.get("lost")! <= 1_500).toEqual(true);
+    expect(kinds.get("silent")! <= 500).toEqual(true);
+  });
+
   it("counts one that refuses connections for a while as ended", () => {
     const tracker = new LivenessTracker();
     tracker.noteProbeFailed(ID, { reason: "refused", nowMs: 0 });
--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -47,6 +47,11 @@
   readonly askOthers: (
     instances: readonly InstanceAddress[],
   ) => Effect.Effect<readonly Reaches[]>;
+  /**
+   * Times since which instances have not answered this process; by default all
+   * have.
+   */
+  readonly silentSinceMs?: ReadonlyMap<string, number>;
   /** Returns a number from 0 to 1. */
   readonly random: () => number;
   /** Engine specifications of the model services. */
@@ -165,6 +170,7 @@
       while (true) {
         const nowMs = yield* steadyMs;
         const { instances } = this.#options;
+        if (this.#state.liveness.update(nowMs)) this.#isChanged = true;
         const isDue = this.#isChanged || instances.revision !== revision ||
           nowMs - lastRoundAtMs >= MAX_ROUND_INTERVAL_MS;
         if (instances.isLoaded && isDue) {
--- /dev/null
+++ b/packages/celerytray/src/groups/silence.ts
@@ -0,0 +1,95 @@
+import type { LossVerdict } from "./find_reaches.ts";
+import type { SilenceReason } from "./instance_orders.ts";
+import type { Liveness } from "./replica_run.ts";
+
+/** Probes of an instance in a row that failed. */
+export interface Silence {
+  /** Time at which the first probe without an answer was sent. */
+  sinceMs: number;
+  failedProbes: number;
+  /** Time of the first of the last failed probes that were all refused. */
+  refusedSinceMs?: number;
+  /** Time of the last failed probe. */
+  failedAtMs: number;
+  /** Whether any of them got a connection. */
+  hadConnection: boolean;
+  /** Number of the last check of whether others reach it; 0 before the first. */
+  checkNumber: number;
+  verdict?: LossVerdict;
+  /** Time of the verdict. */
+  checkedAtMs: number;
+  /** Set once it is known that it is no mere silence. */
+  loss?: Liveness & { readonly kind: "lost" | "ended" };
+}
+
+/** A probe or an order that got no answer. */
+export interface FailedProbe {
+  readonly reason: SilenceReason;
+  readonly nowMs: number;
+}
+
+/** Number of failed probes after which an instance counts as silent. */
+const SILENT_AFTER_FAILED_PROBES = 2;
+/** Time for which an instance refuses all probes until it counts as ended. */
+const ENDED_AFTER_REFUSED_MS = 100;
+/**
+ * Silence after which an instance counts as lost. A sound one may be silent for
+ * a second or so.
+ */
+const LOST_AFTER_MS = 2_800;
+/** The same for one that accepts no connection meanwhile. */
+const UNREACHABLE_LOST_AFTER_MS = 1_900;
+/**
+ * Failed probes without which no silence is long, so that a process that was
+ * stopped meanwhile probes again.
+ */
+const LOST_AFTER_FAILED_PROBES = 5;
+/** Age up to which a verdict of others counts. */
+const MAX_VERDICT_AGE_MS = 1_000;
+
+const LOST = { kind: "lost" } as const;
+
+export function createSilence(sinceMs: number): Silence {
+  return {
+    sinceMs,
+    failedProbes: 0,
+    failedAtMs: sinceMs,
+    hadConnection: false,
+    checkNumber: 0,
+    checkedAtMs: sinceMs,
+  };
+}
+
+export function noteFailure(
+  silence: Silence,
+  { reason, nowMs }: FailedProbe,
+): void {
+  silence.failedProbes += 1;
+  silence.failedAtMs = nowMs;
+  if (reason === "refused") silence.refusedSinceMs ??= nowMs;
+  else delete silence.refusedSinceMs;
+  silence.hadConnection ||= reason === "unanswered";
+}
+
+export function isSilent({ failedProbes }: Silence): boolean {
+  return failedProbes >= SILENT_AFTER_FAILED_PROBES;
+}
+
+/** Notes a loss once the silence is long enough and others agree. */
+export function updateLoss(silence: Silence, nowMs: number): void {
+  const { verdict, checkedAtMs, failedAtMs } = silence;
+  const isConfirmed = verdict === "unreached" &&
+    nowMs - checkedAtMs <= MAX_VERDICT_AGE_MS;
+  if (!isConfirmed || silence.loss !== undefined) return;
+  const refusedMs = failedAtMs - (silence.refusedSinceMs ?? failedAtMs);
+  if (refusedMs >= ENDED_AFTER_REFUSED_MS) {
+    silence.loss = { kind: "ended" };
+    return;
+  }
+  if (silence.failedProbes < LOST_AFTER_FAILED_PROBES) return;
+  const silentMs = nowMs - silence.sinceMs;
+  if (silentMs >= LOST_AFTER_MS) silence.loss = LOST;
+  else if (silentMs >= UNREACHABLE_LOST_AFTER_MS && !silence.hadConnection) {
+    silence.loss = LOST;
+  }
+}
