--- a/packages/celerytray/src/groups/liveness_tracker.ts
+++ b/packages/celerytray/src/groups/liveness_tracker.ts
@@ -4,6 +4,7 @@
   createSilence,
   type FailedProbe,
   isSilent,
+  isUncertain,
   noteFailure,
   type Silence,
   updateLoss,
@@ -75,7 +76,7 @@
    */
   takeUnconfirmed(maxCount: number): readonly string[] {
     const unconfirmed = [...this.#suspicions].flatMap(([id, { silence }]) =>
-      silence !== undefined && silence.loss === undefined && isSilent(silence)
+      silence !== undefined && isUncertain(silence) && isSilent(silence)
         ? [{ id, silence }]
         : []
     ).sort((one, other) => one.silence.checkNumber - other.silence.checkNumber)
@@ -158,7 +159,7 @@
       const isIdle = suspicion.silence === undefined && isUnlisted(instanceId);
       const intervalMs = isIdle
         ? LOST_PROBE_INTERVAL_MS
-        : PROBE_INTERVALS_MS[this.livenessOf(instanceId).kind];
+        : findIntervalMs(this.livenessOf(instanceId));
       if (nowMs - suspicion.probedAtMs < intervalMs) continue;
       suspicion.probedAtMs = nowMs;
       suspicion.unansweredSinceMs ??= nowMs;
@@ -189,6 +190,11 @@
   }
 }
 
+function findIntervalMs(liveness: Liveness): number {
+  const mayWork = liveness.kind === "lost" && liveness.mayWork === true;
+  return PROBE_INTERVALS_MS[mayWork ? "silent" : liveness.kind];
+}
+
 const PROBE_INTERVALS_MS: Readonly<Record<Liveness["kind"], number>> = {
   alive: SUSPECTED_PROBE_INTERVAL_MS,
   silent: SILENT_PROBE_INTERVAL_MS,
--- a/packages/celerytray/src/groups/order_dispatcher.ts
+++ b/packages/celerytray/src/groups/order_dispatcher.ts
@@ -118,7 +118,10 @@
 }
 
 function createKey({ instanceId, order, run }: DispatchedOrder): string {
-  return `${instanceId} ${order.kind} ${run?.record.name ?? ""}`;
+  // One that interrupts doesn't wait for the repeat of one that doesn't.
+  const isImmediate = order.kind === "close" && order.isImmediate;
+  const kind = isImmediate ? "interrupt" : order.kind;
+  return `${instanceId} ${kind} ${run?.record.name ?? ""}`;
 }
 
 function retryIntervalMs({ order, run }: DispatchedOrder): number {
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -24,6 +24,8 @@
 export interface Retirement {
   readonly reason: string;
   readonly sinceMs: number;
+  /** Whether it ends if the lost member answers while the head still closes. */
+  readonly isRevocable: boolean;
   /** Whether requests in progress are cut off, as they cannot finish. */
   isImmediate: boolean;
   /** Whether the head answered that it has begun to close. */
@@ -41,7 +43,11 @@
   /** It does not answer now, which a sound one may do for a second or so. */
   | { readonly kind: "silent" }
   /** It has not answered for longer than that. */
-  | { readonly kind: "lost" }
+  | {
+    readonly kind: "lost";
+    /** Whether it may still work, as it has only accepted no connection. */
+    readonly mayWork?: boolean;
+  }
   /** Its process has ended: the address refuses connections. */
   | { readonly kind: "ended" };
 
@@ -88,6 +94,7 @@
 export function planRunOrders(input: RunOrderInput): readonly DueOrder[] {
   noteMemberStates(input);
   const { run } = input;
+  if (isRevoked(input)) delete run.retirement;
   run.retirement ??= findRetirement(input);
   return run.retirement === undefined
     ? planFormingOrders(input)
@@ -119,9 +126,13 @@
 function findRetirement(input: RunOrderInput): Retirement | undefined {
   const { run, findInstance, nowMs } = input;
   for (const id of run.record.members) {
-    const lost = describeLoss(input, id);
-    if (lost !== undefined) {
-      return createRetirement(lost, { nowMs, isImmediate: true });
+    const loss = findLoss(input, id);
+    if (loss !== undefined) {
+      return createRetirement(loss.reason, {
+        nowMs,
+        isImmediate: !loss.mayWork,
+        isRevocable: loss.mayWork,
+      });
     }
   }
   const movedId = run.record.members.find((id) =>
@@ -178,31 +189,57 @@
   return isDue ? `${drainingId} is draining` : undefined;
 }
 
+/** Why a member counts as lost. */
+interface MemberLoss {
+  readonly reason: string;
+  /** Whether what runs at its head may still go on. */
+  readonly mayWork: boolean;
+}
+
 /**
- * Describes why a member cannot work any more, if so. That it is silent is
- * reason enough for as long as the replica cannot have begun to serve.
+ * Finds why a member cannot work any more, if so. That it is silent is reason
+ * enough for as long as the replica cannot have begun to serve.
  */
-function describeLoss(input: RunOrderInput, id: string): string | undefined {
-  const { run, findInstance, liveness } = input;
-  const kind = liveness(id).kind;
-  if (kind === "lost") return `${id} is lost`;
-  if (kind === "silent" && !run.mayBeOpen) return `${id} is silent`;
+function findLoss(input: RunOrderInput, id: string): MemberLoss | undefined {
+  const { run, findInstance } = input;
+  const liveness = input.liveness(id);
+  if (liveness.kind === "lost") {
+    return { reason: `${id} is lost`, mayWork: liveness.mayWork === true };
+  }
   const instance = findInstance(id);
   // A draining instance refuses connections but still works for its head.
-  if (kind === "ended" && instance?.isDraining !== true) {
-    return `${id} has ended`;
-  }
-  if (instance === undefined) return undefined;
-  return wasRestarted(run, instance) ? `${id} was started anew` : undefined;
+  const reason = liveness.kind === "silent" && !run.mayBeOpen
+    ? `${id} is silent`
+    : liveness.kind === "ended" && instance?.isDraining !== true
+    ? `${id} has ended`
+    : instance !== undefined && wasRestarted(run, instance)
+    ? `${id} was started anew`
+    : undefined;
+  return reason === undefined ? undefined : { reason, mayWork: false };
+}
+
+/** Whether a member answers again that was lost, and nobody has left. */
+function isRevoked(input: RunOrderInput): boolean {
+  const { retirement, leftIds, record } = input.run;
+  return retirement?.isRevocable === true && !retirement.isClosed &&
+    !retirement.isComplete && leftIds.size === 0 &&
+    record.members.every((id) =>
+      input.liveness(id).kind === "alive" && findLoss(input, id) === undefined
+    );
 }
 
 function createRetirement(
   reason: string,
-  options: { readonly nowMs: number; readonly isImmediate: boolean },
+  options: {
+    readonly nowMs: number;
+    readonly isImmediate: boolean;
+    readonly isRevocable?: boolean;
+  },
 ): Retirement {
   return {
     reason,
     sinceMs: options.nowMs,
+    isRevocable: options.isRevocable === true,
     isImmediate: options.isImmediate,
     hasBegunClosing: false,
     isClosed: false,
@@ -273,7 +310,7 @@
   if (!retirement.isClosed) {
     const { sinceMs } = retirement;
     const isOverdue = isCloseOverdue({ sinceMs, longestCallMs, nowMs });
-    const isLost = members.some((id) => describeLoss(input, id) !== undefined);
+    const isLost = members.some((id) => findLoss(input, id)?.mayWork === false);
     retirement.isImmediate ||= isOverdue || isLost;
     const { isImmediate } = retirement;
     return [{
--- a/packages/celerytray/src/groups/silence.ts
+++ b/packages/celerytray/src/groups/silence.ts
@@ -37,8 +37,11 @@
  * a second or so.
  */
 const LOST_AFTER_MS = 2_800;
-/** The same for one that accepts no connection meanwhile. */
-const UNREACHABLE_LOST_AFTER_MS = 1_900;
+/**
+ * The same for one that accepts no connection meanwhile. What it works on may
+ * still go on until `LOST_AFTER_MS`.
+ */
+const UNREACHABLE_LOST_AFTER_MS = 2_000;
 /**
  * Failed probes without which no silence is long, so that a process that was
  * stopped meanwhile probes again.
@@ -48,6 +51,7 @@
 const MAX_VERDICT_AGE_MS = 1_000;
 
 const LOST = { kind: "lost" } as const;
+const MAY_WORK = { kind: "lost", mayWork: true } as const;
 
 export function createSilence(sinceMs: number): Silence {
   return {
@@ -75,12 +79,18 @@
   return failedProbes >= SILENT_AFTER_FAILED_PROBES;
 }
 
+/** Whether it is not known for certain whether the instance is lost. */
+export function isUncertain({ loss }: Silence): boolean {
+  return loss === undefined || (loss.kind === "lost" && loss.mayWork === true);
+}
+
 /** Notes a loss once the silence is long enough and others agree. */
 export function updateLoss(silence: Silence, nowMs: number): void {
   const { verdict, checkedAtMs, failedAtMs } = silence;
+  if (verdict === "reached" && isUncertain(silence)) delete silence.loss;
   const isConfirmed = verdict === "unreached" &&
     nowMs - checkedAtMs <= MAX_VERDICT_AGE_MS;
-  if (!isConfirmed || silence.loss !== undefined) return;
+  if (!isConfirmed || silence.loss?.kind === "ended") return;
   const refusedMs = failedAtMs - (silence.refusedSinceMs ?? failedAtMs);
   if (refusedMs >= ENDED_AFTER_REFUSED_MS) {
     silence.loss = { kind: "ended" };
@@ -90,6 +100,6 @@
   const silentMs = nowMs - silence.sinceMs;
   if (silentMs >= LOST_AFTER_MS) silence.loss = LOST;
   else if (silentMs >= UNREACHABLE_LOST_AFTER_MS && !silence.hadConnection) {
-    silence.loss = LOST;
+    silence.loss ??= MAY_WORK;
   }
 }
