--- a/packages/celerytray/src/groups/order_dispatcher.ts
+++ b/packages/celerytray/src/groups/order_dispatcher.ts
@@ -7,6 +7,7 @@
 } from "./instance_orders.ts";
 import type { InstanceState } from "./instance_state.ts";
 import { LoadRateLimiter } from "./load_rate_limiter.ts";
+import type { LeadProof } from "./lead_proof.ts";
 import type { ReplicaRun } from "./replica_run.ts";
 
 /** An order, its instance and the replica that it is for. */
@@ -20,6 +21,8 @@
 /** Dependencies of an order dispatcher. */
 export interface OrderDispatcherOptions {
   readonly control: InstanceControl;
+  /** Proves that this process leads, before orders that end work. */
+  readonly leadProof: LeadProof;
   readonly fencingNumber: () => number;
   /** Current or last known address of an instance. */
   readonly findAddress: (instanceId: string) => string | undefined;
@@ -37,6 +40,11 @@
     order: DispatchedOrder,
     failure: { readonly message: string },
   ) => void;
+  /** Called if an order was not sent for want of a proof. */
+  readonly onUnproven: (
+    order: DispatchedOrder,
+    failure: { readonly message: string },
+  ) => void;
 }
 
 /** Time after which an order for a replica is sent again. */
@@ -66,7 +74,7 @@
     dispatched: DispatchedOrder,
     nowMs: number,
   ): readonly Effect.Effect<unknown>[] {
-    const { instanceId, order } = dispatched;
+    const { instanceId, order, run } = dispatched;
     const address = this.#options.findAddress(instanceId);
     const key = createKey(dispatched);
     if (address === undefined) return [];
@@ -76,27 +84,47 @@
     }
     this.#dueAtMs.set(key, nowMs + retryIntervalMs(dispatched));
     this.#options.onSent(dispatched, nowMs);
-    const fence = this.#options.fencingNumber();
+    const sent = this.#sendNow(dispatched, { address, key, nowMs });
+    if (!endsWork(order)) return [sent];
     return [
-      this.#options.control.sendOrder({ id: instanceId, address }, {
-        ...order,
-        fence,
-      }).pipe(
-        Effect.match({
-          onSuccess: (answer) => {
-            // Ordered again soon, to learn when the close has finished.
-            if (
-              order.kind === "close" && order.isImmediate &&
-              answer.outcome === "begun"
-            ) this.#dueAtMs.set(key, nowMs + CLOSE_RETRY_MS);
-            this.#options.onAnswered(dispatched, answer, nowMs);
-          },
-          onFailure: (failure) => this.#options.onSilent(dispatched, failure),
+      this.#options.leadProof.prove(run?.retirement?.sinceMs ?? nowMs).pipe(
+        Effect.matchEffect({
+          onSuccess: () => sent,
+          onFailure: (failure) =>
+            Effect.sync(() => this.#options.onUnproven(dispatched, failure)),
         }),
       ),
     ];
   }
 
+  #sendNow(
+    dispatched: DispatchedOrder,
+    { address, key, nowMs }: {
+      readonly address: string;
+      readonly key: string;
+      readonly nowMs: number;
+    },
+  ): Effect.Effect<void> {
+    const { instanceId, order } = dispatched;
+    const fence = this.#options.fencingNumber();
+    return this.#options.control.sendOrder({ id: instanceId, address }, {
+      ...order,
+      fence,
+    }).pipe(
+      Effect.match({
+        onSuccess: (answer) => {
+          // Ordered again soon, to learn when the close has finished.
+          if (
+            order.kind === "close" && order.isImmediate &&
+            answer.outcome === "begun"
+          ) this.#dueAtMs.set(key, nowMs + CLOSE_RETRY_MS);
+          this.#options.onAnswered(dispatched, answer, nowMs);
+        },
+        onFailure: (failure) => this.#options.onSilent(dispatched, failure),
+      }),
+    );
+  }
+
   #needsLoad(instanceId: string, order: InstanceOrder): boolean {
     if (order.kind !== "stage" && order.kind !== "join") return false;
     const { findInstance, heldModel } = this.#options;
@@ -117,6 +145,14 @@
   }
 }
 
+/**
+ * Whether an order may end what an instance works on. A join can't: instances
+ * refuse one of an earlier epoch, and each epoch was stored by a leader.
+ */
+function endsWork({ kind }: InstanceOrder): boolean {
+  return kind === "close" || kind === "leave";
+}
+
 function createKey({ instanceId, order, run }: DispatchedOrder): string {
   // One that interrupts doesn't wait for the repeat of one that doesn't.
   const isImmediate = order.kind === "close" && order.isImmediate;
--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -17,6 +17,7 @@
 import type { ReplicaRecord } from "./replica_record.ts";
 import { InstanceProber } from "./instance_prober.ts";
 import { findReaches, type Reaches } from "./find_reaches.ts";
+import { LeadProof } from "./lead_proof.ts";
 import { LossCheck } from "./loss_check.ts";
 import { listOrphanOrders } from "./list_orphan_orders.ts";
 import { applyRetirementOutcome } from "./apply_retirement_outcome.ts";
@@ -269,9 +270,10 @@
   }
 
   #createDispatcher(): OrderDispatcher {
-    const { control, engines, hasTraffic, record } = this.#options;
+    const { control, engines, hasTraffic, record, recorder } = this.#options;
     return new OrderDispatcher({
       control,
+      leadProof: new LeadProof(recorder),
       fencingNumber: () => this.#state.fencingNumber,
       findAddress: (id) => this.#state.findAddress(id),
       findInstance: (id) => this.#state.findLatest(id),
@@ -289,6 +291,10 @@
         this.#state.liveness.noteSuspected(instanceId);
         record("order.unanswered", { instanceId, order: order.kind, message });
       },
+      onUnproven: ({ instanceId, order }, failure) => {
+        const message = `It was not sent: ${failure.message}`;
+        record("order.unanswered", { instanceId, order: order.kind, message });
+      },
     });
   }
 
--- a/packages/fakes/src/fleet/fake_fleet.ts
+++ b/packages/fakes/src/fleet/fake_fleet.ts
@@ -31,6 +31,8 @@
   readonly onChange: (instance: FakeModelInstance) => void;
   /** The requests in progress at an instance; by default there never are any. */
   readonly findWork?: (instanceId: string) => FakeWork;
+  /** Whether orders of earlier leaders are refused; by default they are. */
+  readonly isFenced?: boolean;
 }
 
 const CALL_LATENCY_MS = 2;
@@ -57,12 +59,13 @@
   }
 
   addInstance(id: string, domain: string, bornAtMs: number): void {
-    const { times, onChange, findWork } = this.#options;
+    const { times, onChange, findWork, isFenced = true } = this.#options;
     const instance = new FakeModelInstance({
       id,
       domain,
       bornAtMs,
       times,
+      isFenced,
       ...(findWork === undefined ? {} : { work: findWork(id) }),
     });
     this.#instances.set(id, instance);
@@ -133,7 +136,10 @@
   createControl(
     findPartition: () => "refused" | "unreachable" | undefined = () =>
       undefined,
+    isUnreached: (instanceId: string) => boolean = () => false,
   ): InstanceControl {
+    const isCut = (id: string) =>
+      findPartition() !== undefined || isUnreached(id);
     const fail = (id: string) =>
       findPartition() === "refused"
         ? Effect.andThen(
@@ -144,13 +150,11 @@
     return {
       sendOrder: (address, order) =>
         Effect.suspend(() =>
-          findPartition() === undefined
-            ? this.#sendOrder(address, order)
-            : fail(address.id)
+          isCut(address.id) ? fail(address.id) : this.#sendOrder(address, order)
         ),
       probe: ({ id }) =>
         Effect.suspend(() =>
-          this.#isReachable(id) && findPartition() === undefined
+          this.#isReachable(id) && !isCut(id)
             ? Effect.as(Effect.sleep(CALL_LATENCY_MS), {
               pace: Right(this.#instances.get(id)!.pace),
               isLeaving: this.#instances.get(id)!.isLeaving,
--- a/packages/fakes/src/fleet/fake_model_instance.ts
+++ b/packages/fakes/src/fleet/fake_model_instance.ts
@@ -54,6 +54,7 @@
   membership: FakeMembership | undefined;
   readonly #times: FakeInstanceTimes;
   readonly #work: FakeWork;
+  readonly #isFenced: boolean;
   #lastModel: string | undefined;
   #highestEpoch = -1;
   #highestFence = -1;
@@ -65,12 +66,15 @@
     readonly times: FakeInstanceTimes;
     /** By default there never are any requests. */
     readonly work?: FakeWork;
+    /** Whether orders of earlier leaders are refused; by default they are. */
+    readonly isFenced?: boolean;
   }) {
     this.id = options.id;
     this.domain = options.domain;
     this.bornAtMs = options.bornAtMs;
     this.#times = options.times;
     this.#work = options.work ?? NO_WORK;
+    this.#isFenced = options.isFenced ?? true;
   }
 
   /** Advances to a time; returns whether the state changed. */
@@ -98,7 +102,7 @@
     order: InstanceOrder & { readonly fence: number },
     nowMs: number,
   ): OrderOutcome {
-    if (order.fence < this.#highestFence) return "outdated";
+    if (this.#isFenced && order.fence < this.#highestFence) return "outdated";
     this.#highestFence = order.fence;
     if (order.kind === "join") return this.#join(order, nowMs);
     if (order.kind === "stage") {
--- a/packages/fakes/src/fleet/fleet_events.ts
+++ b/packages/fakes/src/fleet/fleet_events.ts
@@ -1,5 +1,6 @@
 import type { Coordinator } from "celerytray";
 import type { FakeKeyedStore } from "../store/index.ts";
+import type { PausableClock } from "../coordination/pausable_clock.ts";
 import type { FakeFleet } from "./fake_fleet.ts";
 
 /** Fabric domains of the simulated fleet. */
@@ -46,6 +47,9 @@
 export interface FleetProcess {
   readonly nodeId: string;
   readonly coordinator: Coordinator;
+  readonly clock: PausableClock;
+  /** Instances that it alone doesn't reach. */
+  readonly unreachedIds: Set<string>;
   /** Marks an instance as leaving, as an answer of it would. */
   readonly noteLeaving: (instanceId: string) => void;
   isPartitioned: boolean;
--- a/packages/fakes/src/fleet/fleet_simulation.ts
+++ b/packages/fakes/src/fleet/fleet_simulation.ts
@@ -20,6 +20,7 @@
 } from "celerytray";
 import { Clock, Effect, type Scope } from "effect";
 import { Right } from "purify-ts";
+import { PausableClock } from "../coordination/pausable_clock.ts";
 import { FakeKeyedStore, InProcessStore } from "../store/index.ts";
 import { FakeFleet, runFakeFleet } from "./fake_fleet.ts";
 import type { FakeWork } from "./fake_model_instance.ts";
@@ -96,6 +97,8 @@
     readonly seed: number;
     /** The requests in progress at an instance; by default there are none. */
     readonly findWork?: (instanceId: string) => FakeWork;
+    /** Whether orders of earlier leaders are refused; by default they are. */
+    readonly isFenced?: boolean;
   },
 ): Effect.Effect<FleetSimulation, never, Scope.Scope> {
   return Effect.gen(function* () {
@@ -138,11 +141,13 @@
         nowMs,
         relayedProofs,
         evacuated,
+        clock: new PausableClock(clock),
       });
       processes.push(process);
       yield* Effect.forkScoped(
         process.coordinator.run().pipe(
           Effect.raceFirst(awaitTermination(process)),
+          Effect.provideService(Clock.Clock, process.clock),
         ),
       );
     }
@@ -179,12 +184,14 @@
   readonly relayedProofs: { count: number };
   /** Evacuated zones. */
   readonly evacuated: ReadonlySet<string>;
+  readonly clock: PausableClock;
 }
 
 function createProcess(options: ProcessOptions): FleetProcess {
   const { index, list, fleet, store, processes, nowMs, relayedProofs } =
     options;
-  const { evacuated } = options;
+  const { evacuated, clock } = options;
+  const unreachedIds = new Set<string>();
   const nodeId = `node-${index}`;
   const isPartitioned = () => processes[index]?.isPartitioned === true;
   const isStorePartitioned = () =>
@@ -194,12 +201,19 @@
     if (processes[index]?.fleetPartition !== undefined) {
       return fleet.listServingHeads().map(({ id }) => id);
     }
-    const serving = new Set(fleet.listServingHeads().map(({ id }) => id));
+    const serving = new Set(
+      fleet.listServingHeads().filter(({ membership }) =>
+        !membership!.members.some((id) => unreachedIds.has(id))
+      ).map(({ id }) => id),
+    );
     return fleet.list().filter(({ id, membership }) =>
       membership?.state === "open" && !serving.has(id)
     ).map(({ id }) => id);
   };
-  const control = fleet.createControl(() => processes[index]?.fleetPartition);
+  const control = fleet.createControl(
+    () => processes[index]?.fleetPartition,
+    (id) => unreachedIds.has(id),
+  );
   const coordinator = new Coordinator({
     self: { nodeId, peerAddress: `${index}`, zone: "z", cores: 1 },
     bootId: `boot-${index}`,
@@ -286,6 +300,8 @@
   return {
     nodeId,
     coordinator,
+    clock,
+    unreachedIds,
     noteLeaving: (instanceId) =>
       list.noteLeaving(findIncarnation(list, instanceId)),
     isPartitioned: false,
--- a/packages/fakes/src/fleet/refused_orders_test.ts
+++ b/packages/fakes/src/fleet/refused_orders_test.ts
@@ -15,6 +15,8 @@
 const WAIT_MS = 2_000;
 /** Time to notice a leaving head, have orders refused and read the leader record. */
 const DETECTION_MS = 1_500;
+/** Time until a new instance is prepared as a spare. */
+const PREPARATION_MS = 5_000;
 const HIGHER_FENCE = 1_000_000;
 const OTHER: Omit<LeaderRecord, "term"> = {
   nodeId: "node-1",
@@ -22,7 +24,35 @@
   peerAddress: "1",
 };
 
-it("a leader whose orders are refused as outdated soon steps down", () => {
+it("a leader whose orders are refused as outdated soon steps down", () =>
+  simulateReplaced(function* (simulation, leader) {
+    // It prepares the new instance, which ends no work, as a spare.
+    simulation.apply({ kind: "arrive", index: 0 });
+    yield* raiseFences(simulation);
+    yield* awaitTrue(() => leader.refusedOrderCount > 0, PREPARATION_MS);
+    expect(leader.refusedOrderCount > 0).toEqual(true);
+    const isDeposed = () => !leader.coordinator.isLeading;
+    expect(yield* awaitTrue(isDeposed, DETECTION_MS)).toEqual(true);
+  }));
+
+// Guards against orders that end work of a leader that was replaced: where
+// instances don't refuse them, streams end.
+it("a leader that was replaced steps down instead of closing a head", () =>
+  simulateReplaced(function* (simulation, leader) {
+    yield* raiseFences(simulation);
+    simulation.apply({ kind: "report-leaving" });
+    const isDeposed = () => !leader.coordinator.isLeading;
+    expect(yield* awaitTrue(isDeposed, DETECTION_MS)).toEqual(true);
+    expect(leader.refusedOrderCount).toEqual(0);
+  }));
+
+/** Has a leader replaced that doesn't learn of it by its long poll. */
+function simulateReplaced(
+  run: (
+    simulation: FleetSimulation,
+    leader: FleetProcess,
+  ) => Generator<Effect.Effect<unknown>, void, never>,
+): Promise<void> {
   const program = Effect.gen(function* () {
     const simulation = yield* createFleetSimulation({ seed: SEED });
     yield* advance(SETTLE_MS);
@@ -36,24 +66,29 @@
         term: simulation.store.endOffset("fleet") + 1,
       }),
     });
-    yield* raiseFences(simulation);
     yield* advance(WAIT_MS);
     expect(leader.coordinator.isLeading).toEqual(true);
-    simulation.apply({ kind: "report-leaving" });
-    let passedMs = 0;
-    while (leader.coordinator.isLeading && passedMs <= DETECTION_MS) {
-      yield* advance(STEP_MS);
-      passedMs += STEP_MS;
-    }
-    expect(passedMs <= DETECTION_MS).toEqual(true);
-    // A conflict of its own append may also reveal the replacement.
-    expect(leader.refusedOrderCount > 0).toEqual(true);
+    yield* Effect.gen(() => run(simulation, leader));
     expect(simulation.fleet.violations).toEqual([]);
   });
   return Effect.runPromise(
     program.pipe(Effect.scoped, Effect.provide(TestClock.layer())),
   );
-});
+}
+
+/** Advances time until a condition holds; whether it does. */
+function awaitTrue(
+  isTrue: () => boolean,
+  atMostMs: number,
+): Effect.Effect<boolean> {
+  return Effect.gen(function* () {
+    for (let passedMs = 0; passedMs <= atMostMs; passedMs += STEP_MS) {
+      if (isTrue()) return true;
+      yield* advance(STEP_MS);
+    }
+    return isTrue();
+  });
+}
 
 /** Advances time until a long poll of a process gets no answer. */
 function awaitLostLongPoll(process: FleetProcess): Effect.Effect<void> {
