--- a/packages/celerytray/src/groups/instance_prober.ts
+++ b/packages/celerytray/src/groups/instance_prober.ts
@@ -58,10 +58,18 @@
       ...this.#state.slowInstances.takeDueProbes(nowMs),
     ]);
     return [...due].filter((id) => !this.#options.isBackingOff(id))
-      .map((id) => this.#probeOne(id, isUnlisted(id)));
+      .map((id) =>
+        this.#probeOne(id, { isAbsent: isUnlisted(id), sentAtMs: nowMs })
+      );
   }
 
-  #probeOne(id: string, isAbsent: boolean): Effect.Effect<void> {
+  #probeOne(
+    id: string,
+    { isAbsent, sentAtMs }: {
+      readonly isAbsent: boolean;
+      readonly sentAtMs: number;
+    },
+  ): Effect.Effect<void> {
     const address = this.#state.findAddress(id);
     if (address === undefined) return Effect.void;
     return this.#options.control.probe({ id, address }).pipe(
@@ -87,7 +95,7 @@
         onFailure: ({ reason, message }) =>
           Effect.map(steadyMs, (nowMs) => {
             const { liveness } = this.#state;
-            liveness.noteProbeFailed(id, { reason, nowMs });
+            liveness.noteProbeFailed(id, { reason, nowMs, sentAtMs });
             this.#options.record("instance.probe-failed", {
               instanceId: id,
               liveness: liveness.livenessOf(id).kind,
--- a/packages/celerytray/src/groups/liveness_tracker.ts
+++ b/packages/celerytray/src/groups/liveness_tracker.ts
@@ -7,6 +7,7 @@
   isUncertain,
   noteFailure,
   type Silence,
+  skipStandstill,
   updateLoss,
 } from "./silence.ts";
 
@@ -29,6 +30,8 @@
   readonly othersAnsweredAgoMs?: number;
 }
 
+/** Time between two updates from which this process has stood still. */
+const STANDSTILL_MS = 250;
 /** Interval between probes of a suspected instance. */
 const SUSPECTED_PROBE_INTERVAL_MS = 120;
 /** Interval between probes of a silent instance. */
@@ -45,6 +48,9 @@
   /** Time at which any instance last answered. */
   #answeredAtMs: number | undefined;
   #checkCount = 0;
+  #updatedAtMs: number | undefined;
+  /** Time at which this process last went on after it had stood still. */
+  #wokeAtMs = Number.NEGATIVE_INFINITY;
 
   /**
    * Marks an instance as possibly silent, so that it is probed. It may be known
@@ -60,8 +66,12 @@
     });
   }
 
-  noteProbeFailed(instanceId: string, { reason, nowMs }: FailedProbe): void {
+  noteProbeFailed(
+    instanceId: string,
+    { reason, nowMs, sentAtMs = nowMs }: FailedProbe,
+  ): void {
     this.noteSuspected(instanceId);
+    if (sentAtMs < this.#wokeAtMs) return;
     const suspicion = this.#suspicions.get(instanceId)!;
     const { unansweredSinceMs = nowMs } = suspicion;
     const silence = suspicion.silence ??= createSilence(unansweredSinceMs);
@@ -87,14 +97,18 @@
     return unconfirmed.map(({ id }) => id);
   }
 
-  /** Notes what others know of a silent instance; whether that is new. */
+  /**
+   * Notes what others know of a silent instance, who were asked at a time;
+   * whether that is new.
+   */
   noteVerdict(
     instanceId: string,
     verdict: LossVerdict,
     nowMs: number,
+    askedAtMs = nowMs,
   ): boolean {
     const silence = this.#suspicions.get(instanceId)?.silence;
-    if (silence === undefined) return false;
+    if (silence === undefined || askedAtMs < this.#wokeAtMs) return false;
     const hasChanged = silence.verdict !== verdict;
     silence.verdict = verdict;
     silence.checkedAtMs = nowMs;
@@ -102,8 +116,14 @@
     return hasChanged;
   }
 
-  /** Notes losses that time alone has confirmed; whether there are any. */
+  /**
+   * Notes losses that time alone has confirmed; whether there are any. A long
+   * time since the last call is one in which this process stood still.
+   */
   update(nowMs: number): boolean {
+    const passedMs = nowMs - (this.#updatedAtMs ?? nowMs);
+    this.#updatedAtMs = nowMs;
+    if (passedMs > STANDSTILL_MS) this.#skipStandstill(passedMs, nowMs);
     let hasChanged = false;
     for (const { silence } of this.#suspicions.values()) {
       if (silence === undefined) continue;
@@ -168,6 +188,21 @@
     return due;
   }
 
+  /**
+   * Leaves the time out of all silences: instances may have answered in it, and
+   * calls that were under way tell nothing.
+   */
+  #skipStandstill(standstillMs: number, nowMs: number): void {
+    this.#wokeAtMs = nowMs;
+    for (const suspicion of this.#suspicions.values()) {
+      const { unansweredSinceMs, silence } = suspicion;
+      if (unansweredSinceMs !== undefined) {
+        suspicion.unansweredSinceMs = unansweredSinceMs + standstillMs;
+      }
+      if (silence !== undefined) skipStandstill(silence, standstillMs);
+    }
+  }
+
   /** Drops instances that are no longer relevant. */
   retain(isRelevant: (instanceId: string) => boolean): void {
     for (const instanceId of [...this.#suspicions.keys()]) {
--- a/packages/celerytray/src/groups/liveness_tracker_test.ts
+++ b/packages/celerytray/src/groups/liveness_tracker_test.ts
@@ -93,6 +93,31 @@
     }
   });
 
+  it("takes nothing from before a standstill of this process for a loss", () => {
+    const tracker = new LivenessTracker();
+    probe({ tracker, reason: "unreachable", untilMs: 2_500 });
+    expect(tracker.livenessOf(ID).kind).toEqual("lost");
+    tracker.update(2_500);
+    const wokeAtMs = 5_000;
+    tracker.update(wokeAtMs);
+    expect(tracker.livenessOf(ID).kind).toEqual("silent");
+    for (let probes = 0; probes < 5; probes++) {
+      tracker.noteProbeFailed(ID, {
+        reason: "unreachable",
+        sentAtMs: 2_400,
+        nowMs: wokeAtMs,
+      });
+    }
+    tracker.noteVerdict(ID, "unreached", wokeAtMs, 2_400);
+    expect(tracker.livenessOf(ID).kind).toEqual("silent");
+    for (const sentAtMs of [5_000, 5_200, 5_400]) {
+      const nowMs = sentAtMs + PROBE_TIMEOUT_MS;
+      tracker.noteProbeFailed(ID, { reason: "unreachable", sentAtMs, nowMs });
+    }
+    tracker.noteVerdict(ID, "unreached", 5_750, 5_400);
+    expect(tracker.livenessOf(ID).kind).toEqual("lost");
+  });
+
   it("takes no probe that was under way in a stop of this process for many", () => {
     const tracker = new LivenessTracker();
     tracker.noteSuspected(ID);
--- a/packages/celerytray/src/groups/loss_check.ts
+++ b/packages/celerytray/src/groups/loss_check.ts
@@ -64,6 +64,7 @@
   #run(asked: readonly InstanceAddress[]): Effect.Effect<void> {
     const { state, findReaches, askOthers, record } = this.#options;
     return Effect.gen(function* () {
+      const askedAtMs = yield* steadyMs;
       const [own, others] = yield* Effect.all(
         [findReaches(asked), askOthers(asked)],
         { concurrency: 2 },
@@ -72,7 +73,12 @@
       for (const { id } of asked) {
         const opinions = others.map((reaches) => reaches[id] ?? "unknown");
         const verdict = decide(own[id] ?? "unknown", opinions);
-        const hasChanged = state.liveness.noteVerdict(id, verdict, nowMs);
+        const hasChanged = state.liveness.noteVerdict(
+          id,
+          verdict,
+          nowMs,
+          askedAtMs,
+        );
         if (!hasChanged) continue;
         record("instance.checked", {
           instanceId: id,
--- a/packages/celerytray/src/groups/silence.ts
+++ b/packages/celerytray/src/groups/silence.ts
@@ -26,6 +26,8 @@
 export interface FailedProbe {
   readonly reason: SilenceReason;
   readonly nowMs: number;
+  /** Time at which it was sent, if that is known. */
+  readonly sentAtMs?: number;
 }
 
 /** Number of failed probes after which an instance counts as silent. */
@@ -103,3 +105,18 @@
     silence.loss ??= MAY_WORK;
   }
 }
+
+/**
+ * Leaves a time out of a silence in which this process stood still. What was
+ * concluded before has to be seen and confirmed again.
+ */
+export function skipStandstill(silence: Silence, standstillMs: number): void {
+  silence.sinceMs += standstillMs;
+  silence.failedProbes = Math.min(
+    silence.failedProbes,
+    SILENT_AFTER_FAILED_PROBES,
+  );
+  delete silence.refusedSinceMs;
+  delete silence.verdict;
+  delete silence.loss;
+}
--- a/packages/fakes/src/fleet/outdated_leader_test.ts
+++ b/packages/fakes/src/fleet/outdated_leader_test.ts
@@ -14,6 +14,10 @@
 const REPLACEMENT_MS = 3_000;
 /** Time after which a member that does not answer is surely lost. */
 const LOSS_MS = 6_000;
+/** Time for which a member is silent before the leader stands still. */
+const SILENT_BEFORE_MS = 1_600;
+/** Short enough that it isn't replaced meanwhile. */
+const STANDSTILL_MS = 700;
 
 // Guards against work that a leader ends which no longer leads or has just woken,
 // at instances that accept orders of any leader (LOST).
@@ -31,6 +35,24 @@
       yield* advance(LOSS_MS);
       expect(streams.brokenOff).toEqual([]);
     }));
+
+  it("a leader that stood still takes no old probes for a loss", () =>
+    simulate(function* (simulation, streams) {
+      const leader = simulation.findLeader()!;
+      const memberId = findMemberId(simulation);
+      simulation.fleet.setReachable(memberId, false);
+      yield* advance(SILENT_BEFORE_MS);
+      leader.clock.pause();
+      leader.isPartitioned = true;
+      yield* advance(STEP_MS);
+      simulation.fleet.setReachable(memberId, true);
+      yield* advance(STANDSTILL_MS);
+      leader.isPartitioned = false;
+      leader.clock.resume();
+      yield* advance(LOSS_MS);
+      expect(simulation.findLeader()).toEqual(leader);
+      expect(streams.brokenOff).toEqual([]);
+    }));
 });
 
 interface Streams {
