--- a/packages/celerytray/src/coordination/leader_follower.ts
+++ b/packages/celerytray/src/coordination/leader_follower.ts
@@ -31,6 +31,7 @@
   ReportReply,
 } from "./peer_messages.ts";
 import type { PeerCalls } from "./peer_router.ts";
+import { RefusalWatch } from "./refusal_watch.ts";
 import { selectParent } from "./select_parent.ts";
 import { MAX_DIRECT_PROCESSES } from "./select_relays.ts";
 import type { TakeoverOutcome, UpgradeTakeover } from "./upgrade_takeover.ts";
@@ -80,6 +81,7 @@
 export class LeaderFollower {
   readonly #options: LeaderFollowerOptions;
   readonly #avoidedUntilMs = new Map<string, number>();
+  readonly #refusals = new RefusalWatch();
   #isStopped = false;
   /**
    * Whether the last report got no reply, one of no use, or was overtaken by
@@ -102,6 +104,7 @@
     const { status, nowMs, upgrade } = this.#options;
     return Effect.gen({ self: this }, function* () {
       status.setLeader(leader, nowMs());
+      this.#refusals.note({ isRefused: false, nowMs: nowMs() });
       this.#recordFollowedLeader();
       while (!this.#isStopped) {
         const sentAtMs = nowMs();
@@ -176,8 +179,7 @@
       if (relay !== undefined) this.#updateRelayAvoidance(relay, outcome);
       return findReplacementReason({
         deniesLeadership,
-        isDown: relay === undefined && outcome.kind === "silent" &&
-          outcome.isRefused,
+        isDown: relay === undefined && this.#noteRefusal(outcome),
         statusPath,
         statusAgeMs: status.statusAgeMs(nowMs()),
         leaderStoreAgeMs: status.storeAgeMs(nowMs()),
@@ -186,6 +188,13 @@
     });
   }
 
+  /** Notes how a report to the leader ended; whether the leader is down. */
+  #noteRefusal(outcome: ReportOutcome): boolean {
+    if (outcome.kind === "overtaken") return false;
+    const isRefused = outcome.kind === "silent" && outcome.isRefused;
+    return this.#refusals.note({ isRefused, nowMs: this.#options.nowMs() });
+  }
+
   /** Sends a report. Urgent news ends the wait for its reply. */
   #report(
     address: string,
@@ -298,11 +307,12 @@
           ),
       });
       if (isTaken) return true;
-      const isHeard = reason === "it is silent" && (yield* isHeardByOthers({
+      const maxAgeMs = this.#findHeardAgeMs(reason);
+      const isHeard = maxAgeMs > 0 && (yield* isHeardByOthers({
         client,
         term: leader.term,
         others: relays.filter(({ nodeId }) => nodeId !== self.nodeId),
-        maxAgeMs: leaderTimeoutMs("direct"),
+        maxAgeMs,
       }));
       if (isHeard) return false;
       record("lead.replacing", {
@@ -315,6 +325,13 @@
     });
   }
 
+  /** Age up to which a status at another process speaks for the leader. */
+  #findHeardAgeMs(reason: ReplacementReason): number {
+    if (reason === "it is silent") return leaderTimeoutMs("direct");
+    if (reason !== "it is down") return 0;
+    return this.#refusals.refusedMs(this.#options.nowMs()) - LEADER_HOLD_MS;
+  }
+
   /** Logs the reports that got no reply, if there were several in a row. */
   #recordOvertaken(): void {
     const { status, record, nowMs } = this.#options;
--- a/packages/celerytray/src/coordination/replacement_reason.ts
+++ b/packages/celerytray/src/coordination/replacement_reason.ts
@@ -4,7 +4,7 @@
 export interface LeaderObservation {
   /** Whether the leader has just responded that it doesn't lead. */
   readonly deniesLeadership: boolean;
-  /** Whether the leader's address refuses connections. */
+  /** Whether the leader's address has refused connections for a while. */
   readonly isDown: boolean;
   /** Whether this process reports to the leader or to a relay. */
   readonly statusPath: StatusPath;
