--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -357,8 +357,12 @@
   return head !== undefined && wasRestarted(run, head);
 }
 
-/** Whether an instance has restarted since the replica's record was stored. */
+/**
+ * Whether an instance has restarted since the replica's record was stored. An
+ * entry without the time of its start, as another writer may make, can't tell.
+ */
 function wasRestarted(run: ReplicaRun, instance: InstanceState): boolean {
   const bornAtMs = run.record.incarnations[instance.id]?.bornAtMs;
-  return bornAtMs !== undefined && instance.bornAtMs !== bornAtMs;
+  return bornAtMs !== undefined && instance.bornAtMs !== undefined &&
+    instance.bornAtMs !== bornAtMs;
 }
--- a/packages/celerytray/src/groups/replica_run_test.ts
+++ b/packages/celerytray/src/groups/replica_run_test.ts
@@ -80,6 +80,18 @@
   });
 });
 
+// Guards against streams that are cut for an entry of another writer, which lacks
+// the time of the start (LOST).
+describe("planRunOrders, when a member's entry doesn't say when it started", () => {
+  it("leaves the replica as it is", () => {
+    const fixture = createFixture("open");
+    fixture.bornAtMs = undefined;
+    expect(fixture.plan(0)).toEqual([]);
+    fixture.bornAtMs = BORN_AT_MS + 1;
+    expect(kindsOf(fixture.plan(1))).toEqual(["leave", "leave"]);
+  });
+});
+
 // Guards against streams that are cut at a sound replica, one of whose machines
 // makes no connection for a while (LOST).
 describe("planRunOrders, when a member is lost that may still work", () => {
@@ -153,7 +165,10 @@
   const draining = new Set<string>();
   const liveness = new Map<string, Liveness["kind"]>();
   const unreachable = new Set<string>();
-  const fixture = { headState: state };
+  const fixture: {
+    headState: MembershipState;
+    bornAtMs: number | undefined;
+  } = { headState: state, bornAtMs: BORN_AT_MS };
   const run: ReplicaRun = {
     record: {
       name: "r1",
@@ -181,7 +196,7 @@
     slots: 8,
     domain: "d",
     isDraining: draining.has(id),
-    bornAtMs: BORN_AT_MS,
+    ...(fixture.bornAtMs === undefined ? {} : { bornAtMs: fixture.bornAtMs }),
     stagedModels: [],
     membership: {
       replica: "r1",
