--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -221,8 +221,9 @@
 /** Whether a member answers again that was lost, and nobody has left. */
 function isRevoked(input: RunOrderInput): boolean {
   const { retirement, leftIds, record } = input.run;
-  return retirement?.isRevocable === true && !retirement.isClosed &&
-    !retirement.isComplete && leftIds.size === 0 &&
+  // An order that interrupts may still be carried out, later.
+  return retirement?.isRevocable === true && !retirement.isImmediate &&
+    !retirement.isClosed && !retirement.isComplete && leftIds.size === 0 &&
     record.members.every((id) =>
       input.liveness(id).kind === "alive" && findLoss(input, id) === undefined
     );
--- a/packages/celerytray/src/groups/replica_run_test.ts
+++ b/packages/celerytray/src/groups/replica_run_test.ts
@@ -121,6 +121,17 @@
     expect(kindsOf(fixture.plan(3))).toEqual(["open"]);
   });
 
+  it("dissolves the replica if an order that interrupts was sent before", () => {
+    const fixture = createFixture("open");
+    fixture.unreachable.add("third");
+    fixture.plan(0);
+    fixture.unreachable.delete("third");
+    fixture.liveness.set("third", "lost");
+    expect(kindsOf(fixture.plan(1))).toEqual(["close at once"]);
+    fixture.liveness.delete("third");
+    expect(kindsOf(fixture.plan(2))).toEqual(["close at once"]);
+  });
+
   it("dissolves the replica if its head has closed before", () => {
     const fixture = createFixture("open");
     fixture.unreachable.add("third");
