--- a/packages/celerytray/src/groups/apply_retirement_outcome.ts
+++ b/packages/celerytray/src/groups/apply_retirement_outcome.ts
@@ -1,6 +1,6 @@
 import type { OrderOutcome } from "./instance_orders.ts";
 import type { DispatchedOrder } from "./order_dispatcher.ts";
-import type { ReplicaRun } from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
 
 /** Updates the retirement of a replica by the outcome of an order. */
 export function applyRetirementOutcome(
--- a/packages/celerytray/src/groups/controller_state.ts
+++ b/packages/celerytray/src/groups/controller_state.ts
@@ -6,7 +6,7 @@
 import { LivenessTracker } from "./liveness_tracker.ts";
 import { SlowInstanceTracker } from "./slow_instance_tracker.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
-import type { ReplicaRun } from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
 
 /** What the leader knows about replicas and instances. */
 export class ControllerState {
--- a/packages/celerytray/src/groups/departure_tracker.ts
+++ b/packages/celerytray/src/groups/departure_tracker.ts
@@ -1,5 +1,5 @@
 import type { InstanceState } from "./instance_state.ts";
-import type { ReplicaRun } from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
 
 /** Maximum time until the list reflects what an instance was ordered. */
 const MAX_LIST_LAG_MS = 1_000;
--- a/packages/celerytray/src/groups/find_reassignable.ts
+++ b/packages/celerytray/src/groups/find_reassignable.ts
@@ -5,7 +5,7 @@
   replicaValue,
 } from "./divide_pool.ts";
 import type { InstanceState } from "./instance_state.ts";
-import { findMemberState, type ReplicaRun } from "./replica_run.ts";
+import { findMemberState, type ReplicaRun } from "./replica_progress.ts";
 
 /** Input of `findReassignable`. */
 export interface ReassignableInput extends DivisionRules {
--- a/packages/celerytray/src/groups/find_reassignable_test.ts
+++ b/packages/celerytray/src/groups/find_reassignable_test.ts
@@ -5,7 +5,7 @@
 import { findReassignable } from "./find_reassignable.ts";
 import type { InstanceState } from "./instance_state.ts";
 import { LARGE, SMALL } from "./model_fixtures.ts";
-import type { ReplicaRun } from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
 
 const BOTH = [LARGE.name, SMALL.name];
 
--- a/packages/celerytray/src/groups/find_replaceable.ts
+++ b/packages/celerytray/src/groups/find_replaceable.ts
@@ -1,5 +1,5 @@
 import type { InstanceState } from "./instance_state.ts";
-import { findMemberState, type ReplicaRun } from "./replica_run.ts";
+import { findMemberState, type ReplicaRun } from "./replica_progress.ts";
 
 /** Input of `findReplaceable`. */
 export interface ReplaceableInput {
--- a/packages/celerytray/src/groups/formation_planner.ts
+++ b/packages/celerytray/src/groups/formation_planner.ts
@@ -12,7 +12,7 @@
 import { planFormations } from "./plan_formations.ts";
 import { planSpares } from "./plan_spares.ts";
 import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
-import type { ReplicaRun } from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
 
 /** Engine specifications, by name of the model service. */
 export type EngineSpecs = ReadonlyMap<string, EngineSpec>;
--- a/packages/celerytray/src/groups/give_up_replica.ts
+++ b/packages/celerytray/src/groups/give_up_replica.ts
@@ -2,7 +2,8 @@
 import { steadyMs } from "../clock/index.ts";
 import type { RecordEvent } from "../journal/index.ts";
 import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
-import { type ReplicaRun, retireReplica } from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
+import { retireReplica } from "./replica_run.ts";
 
 /** Why a replica is given up, and dependencies. */
 export interface GiveUpOptions {
--- a/packages/celerytray/src/groups/give_up_replica_test.ts
+++ b/packages/celerytray/src/groups/give_up_replica_test.ts
@@ -4,7 +4,7 @@
 import { describe, it } from "node:test";
 import { giveUpReplica } from "./give_up_replica.ts";
 import type { RecordFailure } from "./replica_recorder.ts";
-import type { ReplicaRun } from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
 
 // Guards against a replica that is closed for its members just as the store
 // goes down, so that neither it nor the replicas planned instead can serve.
--- a/packages/celerytray/src/groups/instance_prober.ts
+++ b/packages/celerytray/src/groups/instance_prober.ts
@@ -3,7 +3,7 @@
 import type { RecordEvent } from "../journal/index.ts";
 import type { ControllerState } from "./controller_state.ts";
 import type { InstanceControl } from "./instance_orders.ts";
-import { findMemberState } from "./replica_run.ts";
+import { findMemberState } from "./replica_progress.ts";
 
 /** Dependencies of an instance prober. */
 export interface InstanceProberOptions {
--- a/packages/celerytray/src/groups/liveness_tracker.ts
+++ b/packages/celerytray/src/groups/liveness_tracker.ts
@@ -1,5 +1,5 @@
 import type { LossVerdict } from "./find_reaches.ts";
-import type { Liveness } from "./replica_run.ts";
+import type { Liveness } from "./replica_progress.ts";
 import {
   createSilence,
   type FailedProbe,
--- a/packages/celerytray/src/groups/order_dispatcher.ts
+++ b/packages/celerytray/src/groups/order_dispatcher.ts
@@ -8,7 +8,7 @@
 import type { InstanceState } from "./instance_state.ts";
 import { LoadRateLimiter } from "./load_rate_limiter.ts";
 import type { LeadProof } from "./lead_proof.ts";
-import type { ReplicaRun } from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
 
 /** An order, its instance and the replica that it is for. */
 export interface DispatchedOrder {
--- a/packages/celerytray/src/groups/readiness_estimator.ts
+++ b/packages/celerytray/src/groups/readiness_estimator.ts
@@ -1,6 +1,6 @@
 import type { ServedModel } from "../serving/index.ts";
 import type { InstanceState } from "./instance_state.ts";
-import { findMemberState, type ReplicaRun } from "./replica_run.ts";
+import { findMemberState, type ReplicaRun } from "./replica_progress.ts";
 
 /** Input of a readiness estimate. */
 export interface ReadinessInput {
--- a/packages/celerytray/src/groups/readiness_estimator_test.ts
+++ b/packages/celerytray/src/groups/readiness_estimator_test.ts
@@ -6,7 +6,7 @@
 } from "./readiness_estimator.ts";
 import type { InstanceState, MembershipState } from "./instance_state.ts";
 import { SMALL } from "./model_fixtures.ts";
-import type { ReplicaRun } from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
 
 const MEMBERS = ["a", "b", "c"];
 
--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -21,11 +21,8 @@
 import { LossCheck } from "./loss_check.ts";
 import { listOrphanOrders } from "./list_orphan_orders.ts";
 import { applyRetirementOutcome } from "./apply_retirement_outcome.ts";
-import {
-  planRunOrders,
-  recordRetiring,
-  type ReplicaRun,
-} from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
+import { planRunOrders, recordRetiring } from "./replica_run.ts";
 import { StoredReplicas } from "./stored_replicas.ts";
 
 /** Dependencies and settings of a replica controller. */
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -1,70 +1,13 @@
 import type { RecordEvent } from "../journal/index.ts";
 import type { InstanceOrder } from "./instance_orders.ts";
-import type { InstanceState, MembershipState } from "./instance_state.ts";
-import type { ReplicaRecord } from "./replica_record.ts";
-
-/** A replica with its progress, as far as the leader knows it. */
-export interface ReplicaRun {
-  readonly record: ReplicaRecord;
-  /** Members that accepted the join order or are listed in this replica. */
-  readonly joinedIds: Set<string>;
-  /** Members that were listed as ready in this replica. */
-  readonly readyIds: Set<string>;
-  /** Members that have left the replica. */
-  readonly leftIds: Set<string>;
-  /** Whether the head may have received an open order. */
-  mayBeOpen: boolean;
-  /** Time at which a member other than the head was first seen draining. */
-  drainingSinceMs?: number;
-  /** Progress of the retirement; undefined while the replica is to serve. */
-  retirement?: Retirement;
-}
-
-/** Retirement of a replica: its head closes and leaves. */
-export interface Retirement {
-  readonly reason: string;
-  readonly sinceMs: number;
-  /** Whether it ends if the lost member answers while the head still closes. */
-  readonly isRevocable: boolean;
-  /** Whether requests in progress are cut off, as they cannot finish. */
-  isImmediate: boolean;
-  /** Whether the head answered that it has begun to close. */
-  hasBegunClosing: boolean;
-  isClosed: boolean;
-  /** Whether the head has left, so that the replica is surely not open. */
-  hasHeadLeft: boolean;
-  /** Whether no further orders are needed. */
-  isComplete: boolean;
-}
-
-/** Liveness of an instance according to probes and orders. */
-export type Liveness =
-  | { readonly kind: "alive" }
-  /** It does not answer now, which a sound one may do for a second or so. */
-  | { readonly kind: "silent" }
-  /** It has not answered for longer than that. */
-  | {
-    readonly kind: "lost";
-    /** Whether it may still work, as it has only accepted no connection. */
-    readonly mayWork?: boolean;
-  }
-  /** Its process has ended: the address refuses connections. */
-  | { readonly kind: "ended" };
-
-/** Input of `planRunOrders`. */
-export interface RunOrderInput {
-  readonly run: ReplicaRun;
-  /** Last known state of an instance. */
-  readonly findInstance: (id: string) => InstanceState | undefined;
-  /** Whether the instance list contains the instance now. */
-  readonly isListed: (id: string) => boolean;
-  readonly liveness: (id: string) => Liveness;
-  /** Minimum time for which a draining instance keeps working. */
-  readonly drainMs: number;
-  /** Longest time for which a request at the head may run. */
-  readonly longestCallMs: number;
-  readonly nowMs: number;
-}
+import type { InstanceState } from "./instance_state.ts";
+import { findLoss, isHeadLost } from "./member_loss.ts";
+import {
+  findMemberState,
+  type ReplicaRun,
+  type Retirement,
+  type RunOrderInput,
+} from "./replica_progress.ts";
 
 /** An order to send now, and its instance. */
 export interface DueOrder {
@@ -101,18 +44,6 @@
     : planRetirementOrders(input, run.retirement);
 }
 
-/** State of a member in its replica; undefined if it is not listed in it. */
-export function findMemberState(
-  run: ReplicaRun,
-  instance: InstanceState | undefined,
-): MembershipState | undefined {
-  const membership = instance?.membership;
-  const isSame = membership !== undefined &&
-    membership.replica === run.record.name &&
-    membership.epoch === run.record.epoch;
-  return isSame ? membership.state : undefined;
-}
-
 function noteMemberStates({ run, findInstance }: RunOrderInput): void {
   for (const id of run.record.members) {
     const state = findMemberState(run, findInstance(id));
@@ -189,35 +120,6 @@
   return isDue ? `${drainingId} is draining` : undefined;
 }
 
-/** Why a member counts as lost. */
-interface MemberLoss {
-  readonly reason: string;
-  /** Whether what runs at its head may still go on. */
-  readonly mayWork: boolean;
-}
-
-/**
- * Finds why a member cannot work any more, if so. That it is silent is reason
- * enough for as long as the replica cannot have begun to serve.
- */
-function findLoss(input: RunOrderInput, id: string): MemberLoss | undefined {
-  const { run, findInstance } = input;
-  const liveness = input.liveness(id);
-  if (liveness.kind === "lost") {
-    return { reason: `${id} is lost`, mayWork: liveness.mayWork === true };
-  }
-  const instance = findInstance(id);
-  // A draining instance refuses connections but still works for its head.
-  const reason = liveness.kind === "silent" && !run.mayBeOpen
-    ? `${id} is silent`
-    : liveness.kind === "ended" && instance?.isDraining !== true
-    ? `${id} has ended`
-    : instance !== undefined && wasRestarted(run, instance)
-    ? `${id} was started anew`
-    : undefined;
-  return reason === undefined ? undefined : { reason, mayWork: false };
-}
-
 /** Whether a member answers again that was lost, and nobody has left. */
 function isRevoked(input: RunOrderInput): boolean {
   const { retirement, leftIds, record } = input.run;
@@ -340,30 +242,3 @@
     order: { kind: "leave", replica, epoch },
   }));
 }
-
-/**
- * Whether the head is lost or was restarted. One that can't be open counts as
- * lost while it is silent. One that drains may refuse connections and still
- * work, until it leaves the list.
- */
-function isHeadLost(
-  { run, findInstance, isListed, liveness }: RunOrderInput,
-): boolean {
-  const headId = run.record.members[0]!;
-  const { kind } = liveness(headId);
-  const head = findInstance(headId);
-  const isDraining = head?.isDraining === true && isListed(headId);
-  if (kind === "lost" || (kind === "ended" && !isDraining)) return true;
-  if (kind === "silent" && !run.mayBeOpen) return true;
-  return head !== undefined && wasRestarted(run, head);
-}
-
-/**
- * Whether an instance has restarted since the replica's record was stored. An
- * entry without the time of its start, as another writer may make, can't tell.
- */
-function wasRestarted(run: ReplicaRun, instance: InstanceState): boolean {
-  const bornAtMs = run.record.incarnations[instance.id]?.bornAtMs;
-  return bornAtMs !== undefined && instance.bornAtMs !== undefined &&
-    instance.bornAtMs !== bornAtMs;
-}
--- a/packages/celerytray/src/groups/replica_run_test.ts
+++ b/packages/celerytray/src/groups/replica_run_test.ts
@@ -1,12 +1,8 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { InstanceState, MembershipState } from "./instance_state.ts";
-import {
-  type DueOrder,
-  type Liveness,
-  planRunOrders,
-  type ReplicaRun,
-} from "./replica_run.ts";
+import type { Liveness, ReplicaRun } from "./replica_progress.ts";
+import { type DueOrder, planRunOrders } from "./replica_run.ts";
 
 const MEMBERS = ["head", "second", "third"];
 const BORN_AT_MS = 1_000;
--- a/packages/celerytray/src/groups/silence.ts
+++ b/packages/celerytray/src/groups/silence.ts
@@ -1,6 +1,6 @@
 import type { LossVerdict } from "./find_reaches.ts";
 import type { SilenceReason } from "./instance_orders.ts";
-import type { Liveness } from "./replica_run.ts";
+import type { Liveness } from "./replica_progress.ts";
 
 /** Probes of an instance in a row that failed. */
 export interface Silence {
--- a/packages/celerytray/src/groups/stopped_listening_test.ts
+++ b/packages/celerytray/src/groups/stopped_listening_test.ts
@@ -1,11 +1,8 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { InstanceState, MembershipState } from "./instance_state.ts";
-import {
-  type Liveness,
-  planRunOrders,
-  type ReplicaRun,
-} from "./replica_run.ts";
+import type { Liveness, ReplicaRun } from "./replica_progress.ts";
+import { planRunOrders } from "./replica_run.ts";
 
 const MEMBERS = ["head", "second", "third"];
 const DRAIN_MS = 2_000;
--- a/packages/celerytray/src/groups/stored_replicas.ts
+++ b/packages/celerytray/src/groups/stored_replicas.ts
@@ -5,7 +5,7 @@
 import type { EngineSpecs } from "./formation_planner.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
 import { noteRecordFailure, type ReplicaRecorder } from "./replica_recorder.ts";
-import type { ReplicaRun } from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
 
 /** Dependencies of the replicas' records. */
 export interface StoredReplicasOptions {
