--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -17,14 +17,12 @@
 import type { ReplicaRecord } from "./replica_record.ts";
 import { InstanceProber } from "./instance_prober.ts";
 import { findReaches, type Reaches } from "./find_reaches.ts";
+import { LeadProof } from "./lead_proof.ts";
 import { LossCheck } from "./loss_check.ts";
 import { listOrphanOrders } from "./list_orphan_orders.ts";
 import { applyRetirementOutcome } from "./apply_retirement_outcome.ts";
-import {
-  planRunOrders,
-  recordRetiring,
-  type ReplicaRun,
-} from "./replica_run.ts";
+import type { ReplicaRun } from "./replica_progress.ts";
+import { planRunOrders, recordRetiring } from "./replica_run.ts";
 import { StoredReplicas } from "./stored_replicas.ts";
 
 /** Dependencies and settings of a replica controller. */
@@ -47,6 +45,11 @@
   readonly askOthers: (
     instances: readonly InstanceAddress[],
   ) => Effect.Effect<readonly Reaches[]>;
+  /**
+   * Times since which instances have not answered this process; by default all
+   * have.
+   */
+  readonly silentSinceMs?: ReadonlyMap<string, number>;
   /** Returns a number from 0 to 1. */
   readonly random: () => number;
   /** Engine specifications of the model services. */
@@ -165,6 +168,7 @@
       while (true) {
         const nowMs = yield* steadyMs;
         const { instances } = this.#options;
+        if (this.#state.liveness.update(nowMs)) this.#isChanged = true;
         const isDue = this.#isChanged || instances.revision !== revision ||
           nowMs - lastRoundAtMs >= MAX_ROUND_INTERVAL_MS;
         if (instances.isLoaded && isDue) {
@@ -263,9 +267,10 @@
   }
 
   #createDispatcher(): OrderDispatcher {
-    const { control, engines, hasTraffic, record } = this.#options;
+    const { control, engines, hasTraffic, record, recorder } = this.#options;
     return new OrderDispatcher({
       control,
+      leadProof: new LeadProof(recorder),
       fencingNumber: () => this.#state.fencingNumber,
       findAddress: (id) => this.#state.findAddress(id),
       findInstance: (id) => this.#state.findLatest(id),
@@ -283,6 +288,10 @@
         this.#state.liveness.noteSuspected(instanceId);
         record("order.unanswered", { instanceId, order: order.kind, message });
       },
+      onUnproven: ({ instanceId, order }, failure) => {
+        const message = `It was not sent: ${failure.message}`;
+        record("order.unanswered", { instanceId, order: order.kind, message });
+      },
     });
   }
 
--- a/packages/celerytray/src/groups/replica_run.ts
+++ b/packages/celerytray/src/groups/replica_run.ts
@@ -1,64 +1,13 @@
 import type { RecordEvent } from "../journal/index.ts";
 import type { InstanceOrder } from "./instance_orders.ts";
-import type { InstanceState, MembershipState } from "./instance_state.ts";
-import type { ReplicaRecord } from "./replica_record.ts";
-
-/** A replica with its progress, as far as the leader knows it. */
-export interface ReplicaRun {
-  readonly record: ReplicaRecord;
-  /** Members that accepted the join order or are listed in this replica. */
-  readonly joinedIds: Set<string>;
-  /** Members that were listed as ready in this replica. */
-  readonly readyIds: Set<string>;
-  /** Members that have left the replica. */
-  readonly leftIds: Set<string>;
-  /** Whether the head may have received an open order. */
-  mayBeOpen: boolean;
-  /** Time at which a member other than the head was first seen draining. */
-  drainingSinceMs?: number;
-  /** Progress of the retirement; undefined while the replica is to serve. */
-  retirement?: Retirement;
-}
-
-/** Retirement of a replica: its head closes and leaves. */
-export interface Retirement {
-  readonly reason: string;
-  readonly sinceMs: number;
-  /** Whether requests in progress are cut off, as they cannot finish. */
-  isImmediate: boolean;
-  /** Whether the head answered that it has begun to close. */
-  hasBegunClosing: boolean;
-  isClosed: boolean;
-  /** Whether the head has left, so that the replica is surely not open. */
-  hasHeadLeft: boolean;
-  /** Whether no further orders are needed. */
-  isComplete: boolean;
-}
-
-/** Liveness of an instance according to probes and orders. */
-export type Liveness =
-  | { readonly kind: "alive" }
-  /** It does not answer now, which a sound one may do for a second or so. */
-  | { readonly kind: "silent" }
-  /** It has not answered for longer than that. */
-  | { readonly kind: "lost" }
-  /** Its process has ended: the address refuses connections. */
-  | { readonly kind: "ended" };
-
-/** Input of `planRunOrders`. */
-export interface RunOrderInput {
-  readonly run: ReplicaRun;
-  /** Last known state of an instance. */
-  readonly findInstance: (id: string) => InstanceState | undefined;
-  /** Whether the instance list contains the instance now. */
-  readonly isListed: (id: string) => boolean;
-  readonly liveness: (id: string) => Liveness;
-  /** Minimum time for which a draining instance keeps working. */
-  readonly drainMs: number;
-  /** Longest time for which a request at the head may run. */
-  readonly longestCallMs: number;
-  readonly nowMs: number;
-}
+import type { InstanceState } from "./instance_state.ts";
+import { findLoss, isHeadLost } from "./member_loss.ts";
+import {
+  findMemberState,
+  type ReplicaRun,
+  type Retirement,
+  type RunOrderInput,
+} from "./replica_progress.ts";
 
 /** An order to send now, and its instance. */
 export interface DueOrder {
@@ -88,24 +37,13 @@
 export function planRunOrders(input: RunOrderInput): readonly DueOrder[] {
   noteMemberStates(input);
   const { run } = input;
+  if (isRevoked(input)) delete run.retirement;
   run.retirement ??= findRetirement(input);
   return run.retirement === undefined
     ? planFormingOrders(input)
     : planRetirementOrders(input, run.retirement);
 }
 
-/** State of a member in its replica; undefined if it is not listed in it. */
-export function findMemberState(
-  run: ReplicaRun,
-  instance: InstanceState | undefined,
-): MembershipState | undefined {
-  const membership = instance?.membership;
-  const isSame = membership !== undefined &&
-    membership.replica === run.record.name &&
-    membership.epoch === run.record.epoch;
-  return isSame ? membership.state : undefined;
-}
-
 function noteMemberStates({ run, findInstance }: RunOrderInput): void {
   for (const id of run.record.members) {
     const state = findMemberState(run, findInstance(id));
@@ -119,9 +57,13 @@
 function findRetirement(input: RunOrderInput): Retirement | undefined {
   const { run, findInstance, nowMs } = input;
   for (const id of run.record.members) {
-    const lost = describeLoss(input, id);
-    if (lost !== undefined) {
-      return createRetirement(lost, { nowMs, isImmediate: true });
+    const loss = findLoss(input, id);
+    if (loss !== undefined) {
+      return createRetirement(loss.reason, {
+        nowMs,
+        isImmediate: !loss.mayWork,
+        isRevocable: loss.mayWork,
+      });
     }
   }
   const movedId = run.record.members.find((id) =>
@@ -178,31 +120,29 @@
   return isDue ? `${drainingId} is draining` : undefined;
 }
 
-/**
- * Describes why a member cannot work any more, if so. That it is silent is
- * reason enough for as long as the replica cannot have begun to serve.
- */
-function describeLoss(input: RunOrderInput, id: string): string | undefined {
-  const { run, findInstance, liveness } = input;
-  const kind = liveness(id).kind;
-  if (kind === "lost") return `${id} is lost`;
-  if (kind === "silent" && !run.mayBeOpen) return `${id} is silent`;
-  const instance = findInstance(id);
-  // A draining instance refuses connections but still works for its head.
-  if (kind === "ended" && instance?.isDraining !== true) {
-    return `${id} has ended`;
-  }
-  if (instance === undefined) return undefined;
-  return wasRestarted(run, instance) ? `${id} was started anew` : undefined;
+/** Whether a member answers again that was lost, and nobody has left. */
+function isRevoked(input: RunOrderInput): boolean {
+  const { retirement, leftIds, record } = input.run;
+  // An order that interrupts may still be carried out, later.
+  return retirement?.isRevocable === true && !retirement.isImmediate &&
+    !retirement.isClosed && !retirement.isComplete && leftIds.size === 0 &&
+    record.members.every((id) =>
+      input.liveness(id).kind === "alive" && findLoss(input, id) === undefined
+    );
 }
 
 function createRetirement(
   reason: string,
-  options: { readonly nowMs: number; readonly isImmediate: boolean },
+  options: {
+    readonly nowMs: number;
+    readonly isImmediate: boolean;
+    readonly isRevocable?: boolean;
+  },
 ): Retirement {
   return {
     reason,
     sinceMs: options.nowMs,
+    isRevocable: options.isRevocable === true,
     isImmediate: options.isImmediate,
     hasBegunClosing: false,
     isClosed: false,
@@ -273,7 +213,7 @@
   if (!retirement.isClosed) {
     const { sinceMs } = retirement;
     const isOverdue = isCloseOverdue({ sinceMs, longestCallMs, nowMs });
-    const isLost = members.some((id) => describeLoss(input, id) !== undefined);
+    const isLost = members.some((id) => findLoss(input, id)?.mayWork === false);
     retirement.isImmediate ||= isOverdue || isLost;
     const { isImmediate } = retirement;
     return [{
@@ -302,26 +242,3 @@
     order: { kind: "leave", replica, epoch },
   }));
 }
-
-/**
- * Whether the head is lost or was restarted. One that can't be open counts as
- * lost while it is silent. One that drains may refuse connections and still
- * work, until it leaves the list.
- */
-function isHeadLost(
-  { run, findInstance, isListed, liveness }: RunOrderInput,
-): boolean {
-  const headId = run.record.members[0]!;
-  const { kind } = liveness(headId);
-  const head = findInstance(headId);
-  const isDraining = head?.isDraining === true && isListed(headId);
-  if (kind === "lost" || (kind === "ended" && !isDraining)) return true;
-  if (kind === "silent" && !run.mayBeOpen) return true;
-  return head !== undefined && wasRestarted(run, head);
-}
-
-/** Whether an instance has restarted since the replica's record was stored. */
-function wasRestarted(run: ReplicaRun, instance: InstanceState): boolean {
-  const bornAtMs = run.record.incarnations[instance.id]?.bornAtMs;
-  return bornAtMs !== undefined && instance.bornAtMs !== bornAtMs;
-}
