--- a/packages/celerytray/src/groups/loss_check.ts
+++ b/packages/celerytray/src/groups/loss_check.ts
@@ -92,9 +92,9 @@
   }
 }
 
-/** Others that reach no instance say nothing, and nor does this process. */
+/** Processes that reach no instance say nothing; one that does is enough. */
 function decide(own: Reach, others: readonly Reach[]): LossVerdict {
-  if (others.includes("answered")) return "reached";
+  if (own === "answered" || others.includes("answered")) return "reached";
   if (others.includes("unanswered")) return "unreached";
   return own === "unanswered" ? "unreached" : "unknown";
 }
