--- a/packages/celerytray/src/groups/find_reaches.ts
+++ b/packages/celerytray/src/groups/find_reaches.ts
@@ -25,6 +25,8 @@
 export interface FindReachesOptions {
   readonly instances: Pick<InstanceListView, "find" | "list">;
   readonly control: Pick<InstanceControl, "probe">;
+  /** Whether a head has sent this process an event within the last second. */
+  readonly hasWritten?: (headId: string) => boolean;
   /** Returns a number from 0 to 1. */
   readonly random: () => number;
 }
@@ -34,15 +36,20 @@
 
 /**
  * Probes instances, and others of their services for comparison. Only where
- * there is no other at all, one without an answer counts as not reached.
+ * there is no other at all, one without an answer counts as not reached. Members
+ * of a replica that writes are reached: it needs them all.
  */
 export function findReaches(
   asked: readonly InstanceAddress[],
-  { instances, control, random }: FindReachesOptions,
+  options: FindReachesOptions,
 ): Effect.Effect<Reaches> {
-  const references = selectReferences(asked, { instances, random });
+  const { control } = options;
+  const references = selectReferences(asked, options);
   const isAnswered = (instance: InstanceAddress) =>
-    control.probe({ id: instance.id, address: instance.address }).pipe(
+    isWorking(instance, options) ? Effect.succeed(true) : control.probe({
+      id: instance.id,
+      address: instance.address,
+    }).pipe(
       Effect.match({ onSuccess: () => true, onFailure: () => false }),
     );
   return Effect.map(
@@ -59,6 +66,18 @@
   );
 }
 
+/** Whether the replica of an instance has just written for this process. */
+function isWorking(
+  { id }: InstanceAddress,
+  { instances, hasWritten = () => false }: FindReachesOptions,
+): boolean {
+  const replica = instances.find(id)?.membership?.replica;
+  return replica !== undefined &&
+    instances.list().some(({ id, membership }) =>
+      membership?.replica === replica && membership.rank === 0 && hasWritten(id)
+    );
+}
+
 function describe(isAnswered: boolean, canTell: boolean): Reach {
   if (isAnswered) return "answered";
   return canTell ? "unanswered" : "unknown";
--- a/packages/celerytray/src/groups/find_reaches_test.ts
+++ b/packages/celerytray/src/groups/find_reaches_test.ts
@@ -33,6 +33,16 @@
       .toEqual({ "d0-0": "answered", "d0-1": "unanswered" });
   });
 
+  // Guards against the members of a full head, which resets probes and writes,
+  // that are ordered into another replica while it streams (TWO).
+  it("reaches all members of a replica that writes, whatever their probes say", async () => {
+    const writing = { writingHeadId: "d0-0" };
+    expect(await find(OTHERS, writing))
+      .toEqual({ "d0-0": "answered", "d0-1": "answered" });
+    expect(await find(OTHERS, { writingHeadId: "d1-0" }))
+      .toEqual({ "d0-0": "unanswered", "d0-1": "unanswered" });
+  });
+
   it("believes its own probe of the only instance", async () => {
     expect(await find([], { asked: ["d0-0"], others: [] }))
       .toEqual({ "d0-0": "unanswered" });
@@ -41,13 +51,17 @@
 
 function find(
   answering: readonly string[],
-  { asked = ASKED, others = OTHERS }: {
+  { asked = ASKED, others = OTHERS, writingHeadId }: {
     readonly asked?: readonly string[];
     readonly others?: readonly string[];
+    readonly writingHeadId?: string;
   } = {},
 ): Promise<Reaches> {
   const states = new Map(
-    [...asked, ...others].map((id) => [id, createInstance(id)]),
+    [
+      ...asked.map((id, rank) => createMember(id, rank)),
+      ...others.map(createInstance),
+    ].map((instance) => [instance.id, instance]),
   );
   return Effect.runPromise(findReaches(
     asked.map((id) => ({ id, address: `${id}:1` })),
@@ -64,11 +78,18 @@
               new InstanceSilent({ reason: "unreachable", message: "silent" }),
             ),
       },
+      hasWritten: (headId) => headId === writingHeadId,
       random: () => 0,
     },
   ));
 }
 
+/** A member of the replica of the instances that are asked for. */
+function createMember(id: string, rank: number): InstanceState {
+  const membership = { replica: "r", epoch: 1, rank, state: "open" } as const;
+  return { ...createInstance(id), membership };
+}
+
 function createInstance(id: string): InstanceState {
   return {
     id,
--- a/packages/celerytray/src/groups/replica_controller.ts
+++ b/packages/celerytray/src/groups/replica_controller.ts
@@ -50,6 +50,8 @@
    * have.
    */
   readonly silentSinceMs?: ReadonlyMap<string, number>;
+  /** Whether a head has sent this process an event within the last second. */
+  readonly hasWritten?: (headId: string) => boolean;
   /** Returns a number from 0 to 1. */
   readonly random: () => number;
   /** Engine specifications of the model services. */
--- a/packages/celerytray/src/host/create_coordinator.ts
+++ b/packages/celerytray/src/host/create_coordinator.ts
@@ -26,6 +26,9 @@
 import type { OwnDemand } from "./own_demand.ts";
 import type { StoreView } from "./store_view.ts";
 
+/** Age up to which an event shows that all members of its replica work. */
+const MAX_PROGRESS_AGE_MS = 1_000;
+
 /** Dependencies of the coordinator of a process. */
 export interface CoordinatorSources
   extends Pick<HostOptions, "settings" | "ports"> {
@@ -50,6 +53,9 @@
   const { settings, ports, view, trackers, demand, links, record, nowMs } =
     sources;
   const { stalls, paces, backoffs } = trackers;
+  const hasWritten = (headId: string) =>
+    nowMs() - (stalls.progressedAtMs(headId) ?? Number.NEGATIVE_INFINITY) <
+      MAX_PROGRESS_AGE_MS;
   const isLost = (service: string | undefined) =>
     service !== undefined && links.isLost(service);
   const coordinator = new Coordinator({
@@ -106,6 +112,7 @@
       findReaches(instances, {
         instances: view.instances,
         control: ports.control,
+        hasWritten,
         random: sources.random,
       }),
     createController: (start) =>
@@ -113,6 +120,7 @@
         ...start,
         instances: view.instances,
         control: ports.control,
+        hasWritten,
         engines: () => view.engines,
         demand: (model) => coordinator.totalDemand(model),
         hasTraffic: () => coordinator.hasAnyTraffic(),
--- a/packages/celerytray/src/serving/stall_detector.ts
+++ b/packages/celerytray/src/serving/stall_detector.ts
@@ -122,6 +122,11 @@
     this.#lastProgressAtMs.set(instanceId, nowMs);
   }
 
+  /** Time of the last progress of an instance with attempts, if there was any. */
+  progressedAtMs(instanceId: string): number | undefined {
+    return this.#lastProgressAtMs.get(instanceId);
+  }
+
   /**
    * Records that all connections were read. While the process lags, silence is
    * only measured up to this time, as later progress may still be unread.
