--- a/packages/celerytray/src/coordination/coordinator_options.ts
+++ b/packages/celerytray/src/coordination/coordinator_options.ts
@@ -18,6 +18,7 @@
 import type { PeerCalls } from "./peer_router.ts";
 import type { RelayedTopic } from "./relayed_topic.ts";
 import type { ConfigInForce } from "./config_in_force.ts";
+import type { LossSources } from "./reported_losses.ts";
 
 /** Inputs of the replica controller that a new leader creates. */
 export interface ControllerStart {
@@ -82,6 +83,8 @@
   readonly onLeaving: (incarnations: readonly LeavingIncarnation[]) => void;
   /** Parts of prompts that crash instances, as this process knows them. */
   readonly quarantine: CrashQuarantine;
+  /** The instances that processes report as lost. */
+  readonly losses: LossSources;
   /** Limits on the requests of instances, as this process knows them. */
   readonly limits: InstanceLimits;
   /** Services whose instances this process does not reach. */
--- a/packages/celerytray/src/coordination/index.ts
+++ b/packages/celerytray/src/coordination/index.ts
@@ -7,6 +7,7 @@
   CoordinatorOptions,
 } from "./coordinator_options.ts";
 export type { RelayedTopic } from "./relayed_topic.ts";
+export { type LossSources, ReportedLosses } from "./reported_losses.ts";
 export {
   LEADER_READ_WAIT_MS,
   maxConfigReadAgeMs,
--- a/packages/celerytray/src/coordination/leader_term.ts
+++ b/packages/celerytray/src/coordination/leader_term.ts
@@ -1,5 +1,9 @@
 import { Effect } from "effect";
-import type { ReplicaController, ReplicaRecord } from "../groups/index.ts";
+import type {
+  InstanceAddress,
+  ReplicaController,
+  ReplicaRecord,
+} from "../groups/index.ts";
 import type { CoordinatorOptions } from "./coordinator_options.ts";
 import type { QuarantinedPart } from "../serving/index.ts";
 import { eraOf, type LogPosition } from "../keyed_log/index.ts";
@@ -32,6 +36,8 @@
     | "storeAnsweredAtMs"
     | "listLeaving"
     | "quarantine"
+    | "losses"
+    | "findReaches"
     | "limits"
     | "retryWindowMs"
     | "client"
@@ -96,7 +102,22 @@
     });
     status.setLeader(leader, this.#sinceMs);
     options.record("lead.taken", { term, replicas: replicas.length });
-    this.#boards = new SharedBoards({ ...options, term });
+    const ask = (instances: readonly InstanceAddress[]) =>
+      askOthers(instances, {
+        self: options.self,
+        others: table.listReporters(nowMs()),
+        client: options.client,
+        random: options.random,
+      });
+    this.#boards = new SharedBoards({
+      ...options,
+      term,
+      askReaches: (instances) =>
+        Effect.all([
+          Effect.map(options.findReaches(instances), (own) => [own]),
+          ask(instances),
+        ], { concurrency: 2 }).pipe(Effect.map((answers) => answers.flat())),
+    });
     this.#recorder = new FencedReplicaRecorder({
       log,
       term,
@@ -113,13 +134,7 @@
       retiredNames: listRetired({ replicas, stored: options.stored }),
       recorder: this.#recorder,
       random: options.random,
-      askOthers: (instances) =>
-        askOthers(instances, {
-          self: options.self,
-          others: table.listReporters(nowMs()),
-          client: options.client,
-          random: options.random,
-        }),
+      askOthers: ask,
       onOutdated: () => this.#successorWatch.noteOutdatedOrder(),
     });
   }
@@ -146,6 +161,7 @@
       Effect.raceFirst(this.#publishUntilStepDown()),
       Effect.raceFirst(this.#awaitEndOfTerm()),
       Effect.raceFirst(Effect.andThen(this.#tellPredecessor(), Effect.never)),
+      Effect.raceFirst(this.#boards.checkLosses()),
       Effect.raceFirst(
         this.#boards.recordQuarantine(
           this.#options.quarantined,
--- a/packages/celerytray/src/coordination/shared_boards.ts
+++ b/packages/celerytray/src/coordination/shared_boards.ts
@@ -11,6 +11,11 @@
   type QuarantinedPart,
 } from "../serving/index.ts";
 import { evidenceSettleMs } from "./intervals.ts";
+import {
+  type LossSources,
+  ReportedLosses,
+  type ReportedLossesOptions,
+} from "./reported_losses.ts";
 import type { LeaderStatus } from "./leader_status.ts";
 import type { InstanceUpdates, PeerSummary } from "./peer_messages.ts";
 import { recordQuarantine } from "./quarantine_recorder.ts";
@@ -21,6 +26,8 @@
   readonly term: number;
   readonly quarantine: CrashQuarantine;
   readonly limits: InstanceLimits;
+  readonly losses: LossSources;
+  readonly askReaches: ReportedLossesOptions["askReaches"];
   readonly status: LeaderStatus;
   readonly record: RecordEvent;
   readonly nowMs: () => number;
@@ -31,10 +38,17 @@
   readonly #options: SharedBoardsOptions;
   readonly #quarantine: QuarantineBoard;
   readonly #limits: LimitBoard;
+  readonly #losses: ReportedLosses;
 
   constructor(options: SharedBoardsOptions) {
     const { term, quarantine, status, record, nowMs } = options;
     this.#options = options;
+    this.#losses = new ReportedLosses({
+      ...options.losses,
+      askReaches: options.askReaches,
+      onAlive: (incarnation) => record("quarantine.withdrawn", { incarnation }),
+      nowMs,
+    });
     this.#quarantine = new QuarantineBoard({
       term,
       releaseOffset: (part) => quarantine.releaseOffset(part),
@@ -54,6 +68,9 @@
   ): Pick<InstanceUpdates, "quarantine" | "limits"> {
     const { quarantine, limits, nowMs } = this.#options;
     const report = summary.quarantine ?? EMPTY_REPORT;
+    this.#losses.note(
+      new Set(report.crashes.map(({ incarnation }) => incarnation)),
+    );
     const suspects = this.#quarantine.update(
       // Processes do not report the parts that the leader's status names.
       {
@@ -63,6 +80,7 @@
       {
         nowMs: nowMs(),
         settleMs: evidenceSettleMs(processes > MAX_DIRECT_PROCESSES),
+        proveLoss: (incarnation) => this.#losses.proofOf(incarnation),
       },
     );
     const divided = this.#limits.update(
@@ -77,6 +95,11 @@
     };
   }
 
+  /** Checks the losses that are reported. */
+  checkLosses(): Effect.Effect<never> {
+    return this.#losses.run();
+  }
+
   /** Keeps the store's records of the parts in quarantine up to date. */
   recordQuarantine(
     recorded: readonly QuarantinedPart[],
--- a/packages/celerytray/src/host/create_coordinator.ts
+++ b/packages/celerytray/src/host/create_coordinator.ts
@@ -102,6 +102,11 @@
     listLeaving: () => view.instances.listUnconfirmedLeaving(),
     onLeaving: (incarnations) =>
       incarnations.forEach((incarnation) => view.noteLeaving(incarnation)),
+    losses: {
+      isListLoaded: () => view.instances.isLoaded,
+      findInstance: (id) => view.instances.find(id),
+      probe: (instance) => ports.control.probe(instance),
+    },
     findReaches: (instances) =>
       findReaches(instances, {
         instances: view.instances,
--- a/packages/celerytray/src/serving/incarnation_key.ts
+++ b/packages/celerytray/src/serving/incarnation_key.ts
@@ -12,3 +12,15 @@
 ): string {
   return `${instanceId} ${bornAtMs ?? epoch}`;
 }
+
+/** Returns the instance and the life that a key names. */
+export function splitIncarnationKey(
+  incarnation: string,
+): { readonly instanceId: string; readonly life: number } {
+  const end = incarnation.lastIndexOf(" ");
+  if (end < 0) return { instanceId: incarnation, life: 0 };
+  return {
+    instanceId: incarnation.slice(0, end),
+    life: Number(incarnation.slice(end + 1)),
+  };
+}
--- a/packages/celerytray/src/serving/index.ts
+++ b/packages/celerytray/src/serving/index.ts
@@ -39,6 +39,7 @@
 export type { AttemptEnd, CloseCause, EndCause } from "./end_cause.ts";
 export { GracefulStop } from "./graceful_stop.ts";
 export { findHomeProblems, type HomeProblems } from "./homes.ts";
+export { splitIncarnationKey } from "./incarnation_key.ts";
 export { LoadTracker } from "./load_tracker.ts";
 export { PaceTracker } from "./pace_tracker.ts";
 export { MAX_LAG_MS, type ProcessLag } from "./process_lag.ts";
@@ -58,9 +59,11 @@
   CrashQuarantine,
   EMPTY_REPORT,
   isQuarantinedPart,
+  type LossProof,
   mergeReports,
   parseQuarantineReport,
   type PartAssessment,
+  type ProveLoss,
   QuarantineBoard,
   type QuarantinedPart,
   type QuarantineEvent,
--- a/packages/celerytray/src/serving/quarantine/assess_part.ts
+++ b/packages/celerytray/src/serving/quarantine/assess_part.ts
@@ -1,4 +1,5 @@
 import { isRequestCause } from "./crash_causes.ts";
+import type { ProveLoss } from "./loss_proof.ts";
 
 /** What the evidence says about one part. */
 export interface PartAssessment {
@@ -16,7 +17,7 @@
   readonly isExplained: boolean;
   /** Whether only a further request can show what the part does. */
   readonly needsTrial: boolean;
-  /** Whether the crashes and the time since them suffice for quarantine. */
+  /** Whether the proved crashes and the time since them suffice for quarantine. */
   readonly isConclusive: boolean;
   readonly incarnations: readonly string[];
 }
@@ -49,11 +50,12 @@
 /** Assesses one of the doubted parts beside the others. */
 export function assessPart(
   doubt: DoubtedPart,
-  { doubted, recentLosses, nowMs, settleMs }: {
+  { doubted, recentLosses, nowMs, settleMs, proveLoss }: {
     readonly doubted: readonly DoubtedPart[];
     readonly recentLosses: readonly string[];
     readonly nowMs: number;
     readonly settleMs: number;
+    readonly proveLoss: ProveLoss;
   },
 ): PartAssessment {
   const { part, open } = doubt;
@@ -65,14 +67,18 @@
   const neededCrashes = QUARANTINE_CRASHES +
     OTHER_LOSSES_STEPS.filter((losses) => otherLosses >= losses).length;
   const moments = listMoments(part, [...open.values()]);
-  const decidedAtMs = moments[neededCrashes - 1];
+  const provedMs = [...open].flatMap(([incarnation, atMs]) =>
+    proveLoss(incarnation) === "lost" ? [atMs] : []
+  );
+  const decidedAtMs = listMoments(part, provedMs)[neededCrashes - 1];
   const waitMs = isAmbiguous ? AMBIGUOUS_SETTLE_MS : settleMs;
   return {
     part,
     crashes: moments.length,
     lastCrashAtMs: Math.max(...open.values()),
     isExplained,
-    needsTrial: !isExplained && (decidedAtMs === undefined || isAmbiguous),
+    needsTrial: !isExplained &&
+      (moments.length < neededCrashes || isAmbiguous),
     isConclusive: decidedAtMs !== undefined && !isExplained &&
       nowMs - decidedAtMs >= waitMs,
     incarnations: [...open.keys()],
--- a/packages/celerytray/src/serving/quarantine/crash_evidence.ts
+++ b/packages/celerytray/src/serving/quarantine/crash_evidence.ts
@@ -5,6 +5,7 @@
   type PartAssessment,
 } from "./assess_part.ts";
 import { isRequestCause } from "./crash_causes.ts";
+import { believeLosses, type ProveLoss } from "./loss_proof.ts";
 
 /** A request whose instance was lost before it had begun to write harmlessly. */
 export interface CrashSighting {
@@ -135,7 +136,8 @@
    * parts in quarantine: their losses say nothing about other parts.
    */
   assess(
-    { nowMs, settleMs, explaining }: AssessmentOptions,
+    { nowMs, settleMs, explaining, proveLoss = believeLosses }:
+      AssessmentOptions,
   ): readonly PartAssessment[] {
     this.#evict(nowMs);
     const explained = this.#listIncarnations(explaining);
@@ -146,7 +148,7 @@
     );
     const doubted = this.#listDoubted(explaining, explained);
     return doubted.map((doubt) =>
-      assessPart(doubt, { doubted, recentLosses, nowMs, settleMs })
+      assessPart(doubt, { doubted, recentLosses, nowMs, settleMs, proveLoss })
     );
   }
 
@@ -213,4 +215,6 @@
   /** Time within which harmless requests of other processes become known. */
   readonly settleMs: number;
   readonly explaining: ReadonlySet<string>;
+  /** Which losses are proved, as only these decide; by default all. */
+  readonly proveLoss?: ProveLoss;
 }
--- a/packages/celerytray/src/serving/quarantine/index.ts
+++ b/packages/celerytray/src/serving/quarantine/index.ts
@@ -12,6 +12,7 @@
   type QuarantineRefusal,
   type QuarantineVerdict,
 } from "./crash_quarantine.ts";
+export type { LossProof, ProveLoss } from "./loss_proof.ts";
 export { QuarantineBoard } from "./quarantine_board.ts";
 export {
   ageReport,
--- a/packages/celerytray/src/serving/quarantine/quarantine_board.ts
+++ b/packages/celerytray/src/serving/quarantine/quarantine_board.ts
@@ -1,6 +1,7 @@
 import type { PartAssessment } from "./assess_part.ts";
 import { CrashEvidence, HELD_CRASHES } from "./crash_evidence.ts";
 import { isRequestCause } from "./crash_causes.ts";
+import { believeLosses, type ProveLoss } from "./loss_proof.ts";
 import {
   MAX_QUARANTINED_PARTS,
   type QuarantinedPart,
@@ -9,6 +10,7 @@
   type TrialGrant,
 } from "./quarantine_report.ts";
 import { isLaterRelease } from "./release_order.ts";
+import { WithdrawnLosses } from "./withdrawn_losses.ts";
 
 /** Options of a quarantine board. */
 export interface QuarantineBoardOptions {
@@ -59,15 +61,23 @@
   /** Takes a report of all processes into account; returns the parts to name. */
   update(
     report: QuarantineReport,
-    { nowMs, settleMs }: {
+    { nowMs, settleMs, proveLoss = believeLosses }: {
       readonly nowMs: number;
       /** Time in which harmless requests of all processes are reported. */
       readonly settleMs: number;
+      /** Which of the reported losses are proved; by default all. */
+      readonly proveLoss?: ProveLoss;
     },
   ): readonly SuspectPart[] {
     this.#dropReleased();
     for (const entry of report.quarantined) this.#add(entry);
+    const withdrawn = new WithdrawnLosses();
     for (const { part, incarnation, ageMs } of report.crashes) {
+      if (proveLoss(incarnation) === "alive") {
+        this.#evidence.withdraw(incarnation);
+        withdrawn.note(part);
+        continue;
+      }
       const atMs = nowMs - ageMs;
       if (atMs <= this.#findReleasedAtMs(part, nowMs)) continue;
       this.#evidence.noteCrash({ part, incarnation }, atMs);
@@ -76,16 +86,20 @@
       this.#evidence.noteSafe(part, nowMs - ageMs);
     }
     const explaining = new Set(this.#quarantined.keys());
-    const assessments = this.#evidence.assess({ nowMs, settleMs, explaining });
+    const assessments = this.#evidence.assess({
+      nowMs,
+      settleMs,
+      explaining,
+      proveLoss,
+    });
     for (const assessment of assessments) {
       if (assessment.isConclusive) this.#quarantine(assessment);
     }
     const wanted = new Map(
       report.wanted.map(({ part, nodeId }) => [part, nodeId]),
     );
-    const suspects = assessments
+    const doubted = assessments
       .filter((assessment) => this.#isNamed(assessment))
-      .slice(0, MAX_SUSPECTS)
       .map((assessment) => {
         const trial = this.#findTrial(assessment, {
           wantedBy: wanted.get(assessment.part),
@@ -94,12 +108,16 @@
         });
         return this.#describeSuspect(assessment, trial);
       });
+    const suspects = withdrawn.complete(doubted, {
+      isOpen: (part) => !this.#quarantined.has(part),
+      releaseOffset: this.#options.releaseOffset,
+    });
     return [
       ...this.quarantined.map((entry): SuspectPart => ({
         ...entry,
         state: "quarantined",
       })),
-      ...suspects,
+      ...suspects.slice(0, MAX_SUSPECTS),
     ];
   }
 
--- a/packages/fakes/src/coordination/shared_quarantine_test.ts
+++ b/packages/fakes/src/coordination/shared_quarantine_test.ts
@@ -1,7 +1,9 @@
+import { InstanceSilent, type LossSources } from "celerytray";
 import { expect } from "earl";
 import { Effect, type Scope } from "effect";
 import { TestClock } from "effect/testing";
 import { describe, it } from "node:test";
+import { Right } from "purify-ts";
 import { FakeKeyedStore } from "../store/index.ts";
 import { endProcess } from "./coordinated_process.ts";
 import {
@@ -16,6 +18,7 @@
 const BOUND_MS = 3_000;
 const CRASH_INTERVAL_MS = 400;
 const CRASHES = 3;
+const BORN_AT_MS = 1_700_000_000_000;
 const DEADLY_PARTS = ["first", "deadly"];
 
 // Guards against poison prompts that reach replicas again because a process did
@@ -34,6 +37,43 @@
       ));
   }
 
+  // Guards against what all prompts share coming into quarantine for good because
+  // instances that are full, and live, were reported as lost.
+  it("does not come of losses of instances that live", () =>
+    run(
+      Effect.gen(function* () {
+        const losses = createLosses(() =>
+          Effect.succeed({ pace: Right(1), isLeaving: false })
+        );
+        const options = { seed: SEED, size: 9, losses };
+        const cluster = yield* createSimulatedCluster(options);
+        yield* advance(START_MS);
+        yield* crashReplicas(cluster);
+        yield* advance(BOUND_MS);
+        expectClear(cluster);
+        endProcess(cluster.findLeader()!, "killed");
+        yield* advance(START_MS);
+        expectClear(cluster);
+      }),
+    ));
+
+  it("comes in time of instances that are listed and refuse connections", () =>
+    run(
+      Effect.gen(function* () {
+        const losses = createLosses(() =>
+          Effect.fail(
+            new InstanceSilent({ message: "refused", reason: "refused" }),
+          )
+        );
+        const options = { seed: SEED, size: 9, losses };
+        const cluster = yield* createSimulatedCluster(options);
+        yield* advance(START_MS);
+        yield* crashReplicas(cluster);
+        yield* advance(BOUND_MS - CRASH_INTERVAL_MS);
+        expectQuarantined(cluster);
+      }),
+    ));
+
   it("outlasts the leader, even if it ended right after the crashes", () =>
     run(
       Effect.gen(function* () {
@@ -98,7 +138,7 @@
         causes: DEADLY_PARTS,
         isStream: true,
         instanceId,
-        incarnation: instanceId,
+        incarnation: `${instanceId} ${BORN_AT_MS}`,
       };
       quarantine.noteLost(attempt, cluster.nowMs());
       for (const process of followers) {
@@ -110,6 +150,24 @@
   });
 }
 
+/** All instances are listed, in the life that is reported as lost. */
+function createLosses(probe: LossSources["probe"]): LossSources {
+  return {
+    isListLoaded: () => true,
+    findInstance: () => ({ address: "a", bornAtMs: BORN_AT_MS }),
+    probe,
+  };
+}
+
+/** A part may be suspected: its requests are sent where they harm least. */
+function expectClear(cluster: SimulatedCluster): void {
+  const verdicts = assess(cluster);
+  expect(verdicts.length > 0).toEqual(true);
+  expect(
+    verdicts.filter((kind) => kind === "quarantined" || kind === "held"),
+  ).toEqual([]);
+}
+
 function assess(cluster: SimulatedCluster): readonly string[] {
   return cluster.processes.filter(({ state }) => state === "running").map((
     { quarantine },
--- a/packages/fakes/src/coordination/simulated_cluster.ts
+++ b/packages/fakes/src/coordination/simulated_cluster.ts
@@ -6,6 +6,7 @@
   InstanceListView,
   LEADER_GENERATION,
   type LeavingIncarnation,
+  type LossSources,
   type PeerNode,
   readSteadyMs,
   ReplicaController,
@@ -73,6 +74,8 @@
     readonly retryBound?: RetryBound;
     /** Generation of the processes' way to lead; 0 for earlier versions. */
     readonly generation?: number;
+    /** What the leader knows of instances; none is listed without it. */
+    readonly losses?: LossSources;
     /** What the processes of an earlier cluster left behind. */
     readonly store?: FakeKeyedStore;
   },
@@ -92,6 +95,7 @@
         index,
         generation: generation ?? LEADER_GENERATION,
         retryBound: options.retryBound ?? DEFAULT_RETRY_BOUND,
+        losses: options.losses ?? NO_INSTANCES,
         processes,
         clock: new PausableClock(clock),
         log: new CountingLog({
@@ -135,6 +139,11 @@
   });
 }
 
+const NO_INSTANCES: LossSources = {
+  isListLoaded: () => true,
+  findInstance: () => undefined,
+  probe: () => Effect.never,
+};
 const START_SPREAD_MS = 300;
 /** Model and organisation of the one request that each process has. */
 /** Service whose replicas the leader controls. */
@@ -146,6 +155,7 @@
   readonly index: number;
   readonly generation: number;
   readonly retryBound: RetryBound;
+  readonly losses: LossSources;
   readonly processes: readonly CoordinatedProcess[];
   readonly clock: PausableClock;
   readonly log: CountingLog;
@@ -159,7 +169,7 @@
   options: ProcessOptions,
 ): CoordinatedProcess {
   const { index, generation, retryBound, processes, clock, log } = options;
-  const { nowMs, random } = options;
+  const { losses, nowMs, random } = options;
   const leaving = new Map<string, LeavingIncarnation>();
   const lostServices = new Set<string>();
   const stalledHeads = new Set<string>();
@@ -249,6 +259,7 @@
           leaving.set(incarnation.instanceId, incarnation);
         }
       },
+      losses,
       findReaches: () => Effect.succeed({}),
       listLostServices: () => [...lostServices],
       hasLostReplicas: () => lostServices.has(REPLICATED_SERVICE),
--- a/packages/fakes/src/fleet/fleet_simulation.ts
+++ b/packages/fakes/src/fleet/fleet_simulation.ts
@@ -254,6 +254,11 @@
       incarnations.forEach((incarnation) => list.noteLeaving(incarnation)),
     listLostServices: () => [],
     hasLostReplicas: () => false,
+    losses: {
+      isListLoaded: () => list.isLoaded,
+      findInstance: (id) => list.find(id),
+      probe: (instance) => control.probe(instance),
+    },
     findReaches: (asked) =>
       findReaches(asked, { instances: list, control, random: () => 0 }),
     createController: (start) =>
