--- a/packages/celerytray/src/serving/interrupted_stream_test.ts
+++ b/packages/celerytray/src/serving/interrupted_stream_test.ts
@@ -1,6 +1,8 @@
 import { expect } from "earl";
 import type { RequestListener } from "node:http";
 import { describe, it } from "node:test";
+import type { CallAdmission } from "./admission/index.ts";
+import type { ExclusionReason } from "./call_context.ts";
 import type { ServingTarget } from "./choose_target.ts";
 import { createTestAdmission } from "./create_test_dependencies.ts";
 import { CrashQuarantine, type QuarantineVerdict } from "./quarantine/index.ts";
@@ -20,16 +22,7 @@
 // moment when its own is interrupted, with most of its time left (LOST).
 describe("a stream whose replica is interrupted", () => {
   it("is resumed at a replica that opens later", async () => {
-    const backends: ServingTarget[] = [];
-    const opened = await startBackend(respondRest);
-    backends.push(
-      await startBackend(respondAndEnd(() => {
-        backends.length = 0;
-        setTimeout(() => backends.push(opened), AWAY_MS);
-      })),
-    );
-    const entry = await startEntry({ backends, trySpend: () => true });
-    expectWhole(await call(entry, "/stream/x"));
+    await expectResumed({ awayMs: AWAY_MS });
   });
 
   it("is resumed at the head of a new replica, although that had it before", async () => {
@@ -104,33 +97,14 @@
   });
 
   it("is resumed at a replica that opens after its caller might have left", async () => {
-    const backends: ServingTarget[] = [];
-    const opened = await startBackend(respondRest);
-    backends.push(
-      await startBackend(respondAndEnd(() => {
-        backends.length = 0;
-        setTimeout(() => backends.push(opened), LONG_AWAY_MS);
-      })),
-    );
-    const entry = await startEntry({ backends, trySpend: () => true });
-    expectWhole(await call(entry, "/stream/x"));
+    await expectResumed({ awayMs: LONG_AWAY_MS });
   });
 
   it("is resumed at a replica that opens sooner than was expected", async () => {
-    const backends: ServingTarget[] = [];
-    const opened = await startBackend(respondRest);
-    backends.push(
-      await startBackend(respondAndEnd(() => {
-        backends.length = 0;
-        setTimeout(() => backends.push(opened), AWAY_MS);
-      })),
-    );
     const admission = createTestAdmission({
       timeToReplicaMs: () => 2 * DEADLINE_MS,
     });
-    const options = { backends, trySpend: () => true, admission };
-    const entry = await startEntry(options);
-    expectWhole(await call(entry, "/stream/x", { model: "m" }));
+    await expectResumed({ awayMs: AWAY_MS, admission });
   });
 
   it("is resumed once the retry budget allows it after a long time", async () => {
@@ -162,25 +136,7 @@
   });
 
   it("is resumed in the zones that are no longer evacuated", async () => {
-    let isEvacuated = false;
-    const backends: ServingTarget[] = [];
-    const rest = await startBackend(respondRest);
-    backends.push(
-      await startBackend(respondAndEnd(() => {
-        isEvacuated = true;
-        backends.length = 0;
-        setTimeout(() => {
-          isEvacuated = false;
-          backends.push(rest);
-        }, AWAY_MS);
-      })),
-    );
-    const entry = await startEntry({
-      backends,
-      trySpend: () => true,
-      findExclusionReason: () => isEvacuated ? "evacuated" : undefined,
-    });
-    expectWhole(await call(entry, "/stream/x"));
+    await expectResumed({ awayMs: AWAY_MS, exclusion: "evacuated" });
   });
 });
 
@@ -200,6 +156,34 @@
   }
 }
 
+/**
+ * Expects a stream to be whole whose replica is interrupted, and for which another
+ * one opens some time later. There is none meanwhile, for the reason given.
+ */
+async function expectResumed(
+  { awayMs, exclusion, admission }: {
+    readonly awayMs: number;
+    readonly exclusion?: ExclusionReason;
+    readonly admission?: CallAdmission;
+  },
+): Promise<void> {
+  const backends: ServingTarget[] = [];
+  const opened = await startBackend(respondRest);
+  backends.push(
+    await startBackend(respondAndEnd(() => {
+      backends.length = 0;
+      setTimeout(() => backends.push(opened), awayMs);
+    })),
+  );
+  const entry = await startEntry({
+    backends,
+    trySpend: () => true,
+    findExclusionReason: () => backends.length === 0 ? exclusion : undefined,
+    ...(admission === undefined ? {} : { admission }),
+  });
+  expectWhole(await call(entry, "/stream/x", { model: "m" }));
+}
+
 async function callWithoutReplica(timeToReplicaMs?: number) {
   const backends: ServingTarget[] = [];
   backends.push(
