--- a/packages/celerytray/src/serving/run_attempts.ts
+++ b/packages/celerytray/src/serving/run_attempts.ts
@@ -14,19 +14,13 @@
   summarize,
   wouldMisreportNotRun,
 } from "./attempt_progress.ts";
-import type { ExclusionReason } from "./call_context.ts";
+import { concludeSearch } from "./conclude_search.ts";
 import { mustRelay } from "./choose_gateway.ts";
 import {
   giveUp,
   giveUpAfterLast,
   giveUpAtDeadline,
   giveUpAtStop,
-  refuseAsFull,
-  refuseBeforeTurn,
-  refuseForQuarantine,
-  refuseInQueue,
-  refuseWhileBackingOff,
-  refuseWithoutReplica,
 } from "./conclude_call.ts";
 import {
   giveUpForBudget,
@@ -47,11 +41,6 @@
 /** Minimum remaining time for a retry. */
 const MIN_RETRY_REMAINING_MS = 30;
 
-const EXCLUSION_MESSAGES: Readonly<Record<ExclusionReason, string>> = {
-  evacuated: "Every zone that could serve the request is evacuated",
-  "not-at-home": "No back end is in a region that the request may reach",
-};
-
 /**
  * Attempts a call until it is answered or given up, its deadline has passed or
  * this process stops.
@@ -96,33 +85,10 @@
       if (search.kind === "relay") continue;
       // The links may have been lost at the end of the search.
       if (mustRelay(options, progress, yield* steadyMs)) continue;
-      if (search.kind === "full") return refuseAsFull(options, progress);
-      if (search.kind === "backing-off") {
-        return refuseWhileBackingOff(options, progress, search.backoffMs);
-      }
-      if (search.kind === "barred") {
-        const message = EXCLUSION_MESSAGES[search.reason];
-        return giveUp(options, progress, { cause: "excluded", message });
-      }
-      if (search.kind === "cold" || search.kind === "limited") {
-        const { kind: cause, waitMs } = search;
-        const nowMs = yield* steadyMs;
-        return refuseBeforeTurn(options, progress, { cause, waitMs, nowMs });
-      }
-      if (search.kind === "quarantined") {
-        dependencies.onWithheld("quarantine");
-        return refuseForQuarantine(options, progress, search.refusal);
-      }
-      if (search.kind === "refused") {
-        return refuseInQueue(options, progress, search.refusal.retryAfterMs);
-      }
-      if (search.kind === "no-replica") {
-        return refuseWithoutReplica(options, progress, search.retryAfterMs);
-      }
-      if (search.kind === "none") {
-        return giveUp(options, progress, {
-          cause: "no-target",
-          message: "No back end is available",
+      if (search.kind !== "found") {
+        return concludeSearch(options, progress, {
+          search,
+          nowMs: yield* steadyMs,
         });
       }
       const { target } = search;
