--- a/packages/celerytray/src/serving/begun_stream.ts
+++ b/packages/celerytray/src/serving/begun_stream.ts
@@ -14,7 +14,7 @@
   return exchange.hasStarted && !call.isRelayed;
 }
 
-/** Refusals in a row after which a begun stream pauses before each further try. */
+/** Refusals after which a begun stream pauses before each further try. */
 const MAX_QUICK_REFUSALS = 2;
 /** Such a pause; what is refused draws on the retry budget of all processes. */
 const REFUSAL_PAUSE_MS = 600;
