--- a/review/stand-ins-2/platform.mjs
+++ b/review/stand-ins-2/platform.mjs
@@ -200,6 +200,129 @@
   }
 }
 
+/** A sound replica of a model, a group of one; it streams its answers. */
+export class ModelReplica {
+  constructor({ store, service, id, zone, record, events = 5 }) {
+    Object.assign(this, { store, service, id, zone, record, events });
+    this.sequence = 0;
+    this.models = [];
+    this.group = undefined;
+    this.born = Date.now();
+    this.server = createServer(
+      { maxHeaderSize: 65_536 },
+      (request, response) => this.#handle(request, response),
+    );
+    // It takes any number of header fields, as the pages bound only bytes.
+    this.server.maxHeadersCount = 0;
+  }
+
+  async start() {
+    this.address = await listen(this.server);
+    this.#publish();
+  }
+
+  #publish() {
+    this.store.append(
+      "keyed.servers",
+      this.id,
+      JSON.stringify({
+        service: this.service,
+        address: this.address,
+        zone: this.zone,
+        version: 1,
+        slots: 18,
+        state: "ready",
+        cold_remaining_ms: 0,
+        domain: "domain-1",
+        staged: this.models.map(({ name }) => name),
+        ...this.#describe(),
+      }),
+    );
+  }
+
+  #describe() {
+    return {
+      stage: "unified",
+      models: this.models,
+      sequence: this.sequence,
+      born: this.born,
+      ...(this.group === undefined ? {} : { group: this.group }),
+    };
+  }
+
+  async #handle(request, response) {
+    const body = [];
+    for await (const chunk of request) body.push(chunk);
+    const callId = request.headers["attempt-id"] ?? "";
+    const common = { "Attempt-Id": callId, "Replica-Id": this.id };
+    const expected = request.headers["expect-instance"];
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(421, { ...common, "Not-Executed": "1" }).end();
+    } else if (request.url === "/order") {
+      const status = this.#obey(JSON.parse(Buffer.concat(body).toString()));
+      response.writeHead(status, common).end();
+    } else if (request.method === "GET") {
+      const answer = {
+        ...this.#describe(),
+        busy: false,
+        queued: 0,
+        running: 0,
+        kv_used: 0,
+        kv_total: 90_000,
+        handles: 0,
+      };
+      response.writeHead(200, { "Content-Type": "application/json" });
+      response.end(JSON.stringify(answer));
+    } else if (this.group?.state !== "open") {
+      response.writeHead(421, { ...common, "Not-Executed": "1" }).end();
+    } else await this.#stream(request, response, common);
+  }
+
+  #obey({ op, group: name, epoch, model }) {
+    const isSame = this.group?.name === name && this.group?.epoch === epoch;
+    if (op === "join") {
+      if (isSame) return 200;
+      if (epoch < (this.group?.epoch ?? 0)) return 412;
+      const group = { name, epoch, rank: 0, state: "joining" };
+      this.#change(group);
+      setTimeout(() => {
+        if (this.group !== group) return;
+        this.models = [{ name: model, version: 1, adapters: [] }];
+        this.#change({ ...group, state: "ready" });
+      }, 200);
+      return 202;
+    }
+    if (op === "stage") return 200;
+    if (!isSame) return 409;
+    if (op === "open") this.#change({ ...this.group, state: "open" });
+    else if (op === "close") this.#change({ ...this.group, state: "ready" });
+    else this.#change(undefined);
+    return 202;
+  }
+
+  #change(group) {
+    this.group = group;
+    this.sequence += 1;
+    this.#publish();
+  }
+
+  async #stream(request, response, common) {
+    this.record?.(request);
+    response.writeHead(200, {
+      ...common,
+      "Content-Type": "text/event-stream",
+      "Server-Stamp": `${this.id}.${this.sequence}`,
+    });
+    const after = request.headers["last-event-id"];
+    const first = after === undefined ? 0 : Number(after) + 1;
+    for (let id = first; id < this.events; id++) {
+      await new Promise((done) => setTimeout(done, 20));
+      response.write(`id: ${id}\ndata: piece ${id}\n\n`);
+    }
+    response.end();
+  }
+}
+
 /** Starts a sound replica and keeps its entry in the store. */
 export async function startPlainReplica(store, { service, id, zone, record }) {
   const replica = new PlainReplica({ id, record });
