--- a/review/stand-ins-2/platform.mjs
+++ b/review/stand-ins-2/platform.mjs
@@ -202,11 +202,18 @@
 
 /** A sound replica of a model, a group of one; it streams its answers. */
 export class ModelReplica {
-  constructor({ store, service, id, zone, record, events = 5 }) {
+  constructor(options) {
+    const { store, service, id, zone, record, events = 5 } = options;
     Object.assign(this, { store, service, id, zone, record, events });
+    /** Part of a prompt on which it crashes as it begins to write. */
+    this.deadlyPart = options.deadlyPart;
+    this.onCrash = options.onCrash;
+    this.readMs = options.readMs ?? 0;
+    this.staged = options.staged ?? [];
     this.sequence = 0;
     this.models = [];
     this.group = undefined;
+    this.isAlive = true;
     this.born = Date.now();
     this.server = createServer(
       { maxHeaderSize: 65_536 },
@@ -214,6 +221,11 @@
     );
     // It takes any number of header fields, as the pages bound only bytes.
     this.server.maxHeadersCount = 0;
+    this.sockets = new Set();
+    this.server.on("connection", (socket) => {
+      this.sockets.add(socket);
+      socket.on("close", () => this.sockets.delete(socket));
+    });
   }
 
   async start() {
@@ -221,7 +233,17 @@
     this.#publish();
   }
 
+  /** Ends at once and resets all channels; its entry lapses later. */
+  crash() {
+    this.isAlive = false;
+    this.server.close();
+    for (const socket of this.sockets) socket.resetAndDestroy();
+    setTimeout(() => this.store.append("keyed.servers", this.id), 3_600);
+    this.onCrash?.(this);
+  }
+
   #publish() {
+    if (!this.isAlive) return;
     this.store.append(
       "keyed.servers",
       this.id,
@@ -234,7 +256,7 @@
         state: "ready",
         cold_remaining_ms: 0,
         domain: "domain-1",
-        staged: this.models.map(({ name }) => name),
+        staged: [...this.staged, ...this.models.map(({ name }) => name)],
         ...this.#describe(),
       }),
     );
@@ -307,7 +329,15 @@
   }
 
   async #stream(request, response, common) {
-    this.record?.(request);
+    this.record?.(request, this);
+    await new Promise((done) => setTimeout(done, this.readMs));
+    if (!this.isAlive) return;
+    const parts = request.headers["prompt-prefix"] ?? "";
+    if (this.deadlyPart !== undefined && parts.includes(this.deadlyPart)) {
+      this.crash();
+      return;
+    }
+    this.onBegin?.(request);
     response.writeHead(200, {
       ...common,
       "Content-Type": "text/event-stream",
